--- /dev/null
+++ b/myrtlehub/decide.py
@@ -0,0 +1,527 @@
+"""All decisions of a myrtlehub node: which engine reads a sequence, which writes it, when to give up.
+
+A host makes one `Router(terms)` a node and calls it with what happened (`arrive`, `ended`, `wake`, ...);
+each call returns the list of results to carry out, verb first. Calls, results and types are described in
+`myrtlehub/interface.py`. A sequence passes `Router.chain`, a stage after another: a stage passes it on, keeps
+it for later or ends it; what comes back from an engine runs the same chain the other way. Every send goes
+through `Router._gate`, where the five rules are kept.
+"""
+
+from collections import deque
+from random import Random
+from statistics import median
+
+from myrtlehub.interface import (
+    DRAINING, FULL, GENERATED, ONCE_ONLY, READ, REPEATABLE, SERVING, TOKENED, UNREACHED, UNSENT, Arrival, Load,
+    Terms)
+
+PASS, KEEP, END = "pass", "keep", "end"
+
+SPLIT_TOKENS = 2000.0  # uncached prompt tokens from which a prompt is read elsewhere; 0: never
+KEPT_FOR = 30.0  # seconds for which a claim of the table counts in full
+KEPT_FADE = 30.0  # and over which it then fades away
+KEPT_ENTRIES = 4000  # claims held for each engine
+ROOM_TOKENS = 20000.0  # what a wholly free writer is worth, in kept tokens
+HOME_TOKENS = 500.0  # what lying in this node's zone is worth
+MEMORY_LIKELY = 150000.0  # tokens, where no figure is stated
+RATE_LIKELY = 12000.0  # prompt tokens a second, until answers have shown a rate
+READ_ROOM = 0.5  # share of the remaining latency SLO that a reader's queue may take
+WRITE_FULL = 0.95  # share of a writer's memory past which it has no room
+BLAME = 0.25  # share of failures above the fleet's median at which an engine is left alone
+BLAME_FADE = 5.0  # seconds in which what an engine did fades to a third
+TRIAL_EVERY = 1.0  # seconds between trials of an engine that is left alone
+SWEEP = 0.025  # seconds between looks at what is kept and at abandon times
+FULL_PAUSE = 0.2  # seconds for which an engine that was full gets nothing more
+READ_TIMEOUT = 0.6  # share of the time left for which a first read may be out
+
+
+class Attempt:
+    """One send of a sequence to an engine."""
+
+    __slots__ = ("engine", "reads", "since", "unread", "backlog", "claim", "claimed_at", "out", "reading", "fetches")
+
+    def __init__(self, engine: int, reads: bool, since: float, unread: float, backlog: float, claim: tuple) -> None:
+        self.engine, self.reads, self.since, self.unread, self.backlog = engine, reads, since, unread, backlog
+        self.claim, self.claimed_at = claim
+        self.out = self.reading = True
+        self.fetches = False
+
+
+class Seq:
+    """A sequence that this node holds."""
+
+    __slots__ = ("id", "a", "kind", "since", "slo_at", "abandon_at", "writer", "reader", "split", "state_at",
+                 "state_since", "attempts", "avoid", "may_run", "begun", "over")
+
+    def __init__(self, ident: int, a: Arrival, kind, now: float, answer_by: float) -> None:
+        self.id, self.a, self.kind, self.since = ident, a, kind, now
+        self.slo_at = now + kind.latency_slo + kind.slo_per_token * a.prompt
+        self.abandon_at = answer_by
+        self.writer = self.reader = self.state_at = -1
+        self.split = False
+        self.state_since = 0.0
+        self.attempts: list[Attempt] = []
+        self.avoid: set[int] = set()
+        self.may_run: list = []  # [dedup group, sent at] of the first attempt that may have run
+        self.begun = self.over = False
+
+    def out(self) -> list[int]:
+        return [i for i, t in enumerate(self.attempts) if t.out]
+
+
+class KeptTable:
+    """What we believe each engine keeps: sessions and shared prefixes, with when that was last shown."""
+
+    def __init__(self) -> None:
+        self.rows: list[dict[int, tuple[float, float]]] = []
+
+    def claim(self, engine: int, a: Arrival, now: float) -> tuple[float, float]:
+        """Tokens of this prompt that the engine should keep, and when we last saw that."""
+        best = (0.0, 0.0)
+        for key, most in ((a.session, a.prompt), (-a.prefix, a.shared)):
+            tokens, seen = self.rows[engine].get(key, (0.0, 0.0)) if key else (0.0, 0.0)
+            tokens = min(tokens, most) * min(1.0, max(0.0, 1.0 - (now - seen - KEPT_FOR) / KEPT_FADE))
+            if tokens > best[0]:
+                best = (tokens, seen)
+        return best
+
+    def feed(self, engine: int, a: Arrival, now: float) -> None:
+        row = self.rows[engine]
+        for key, tokens in ((a.session, a.prompt), (-a.prefix, a.shared)):
+            if key:
+                row.pop(key, None)
+                row[key] = (tokens, now)
+        while len(row) > KEPT_ENTRIES:
+            del row[next(iter(row))]
+
+    def retract(self, engine: int, a: Arrival, since: float) -> None:
+        """Take back what a send claimed that came to nothing."""
+        for key in (a.session, -a.prefix):
+            if self.rows[engine].get(key, (0.0, -1.0))[1] == since:
+                del self.rows[engine][key]
+
+    def void_until(self, engine: int, seen: float) -> None:
+        """Guards against a flush, a restart or plain eviction: what was shown at `seen` is gone, so is all older."""
+        self.rows[engine] = {k: v for k, v in self.rows[engine].items() if v[1] > seen}
+
+
+class Router:
+    """The decisions of one node."""
+
+    def __init__(self, terms: Terms) -> None:
+        self.terms = terms
+        self.random = Random(terms.seed).random
+        self.seqs: dict[int, Seq] = {}
+        self.kept: dict[int, Seq] = {}
+        self.table = KeptTable()
+        self.results: list[tuple] = []
+        self.wake_at = float("inf")
+        # Figures of the engines, by index.
+        self.state: list[int] = []
+        self.kind: list[int] = []
+        self.zone: list[int] = []
+        self.cell: list[int] = []
+        self.started: list[float] = []
+        self.own_held: list[float] = []  # tokens of our sequences at a writer
+        self.own_unread: list[float] = []  # tokens that we sent to be read there
+        self.own_reads: list[int] = []
+        self.others_held: list[float] = []
+        self.others_unread: list[float] = []
+        self.reported: list[bool] = []
+        self.rate: list[float] = []
+        self.tried: list[float] = []
+        self.failed: list[float] = []
+        self.faded_at: list[float] = []
+        self.trial_at: list[float] = []
+        self.full_until: list[float] = []
+        self.cold_next: list[float] = []
+        self.sends: list[deque] = []
+        # (the stage on the way in, the stage on the way back)
+        self.chain = ((self._fair, self._conclude), (self._pick_writer, self._follow), (self._split, None),
+                      (self._pick_reader, self._learn), (self._gate, self._settle))
+
+    # -- calls ------------------------------------------------------------------------------------
+
+    def start(self, now: float) -> list[tuple]:
+        return [("watch", True)] if self.terms.ask_for_list else []
+
+    def engines(self, now: float, listings: list, whole: bool) -> list[tuple]:
+        for e in listings:
+            while len(self.state) <= e.engine:
+                self._grow()
+            if e.fresh or e.started > self.started[e.engine] + 0.001:
+                self._reset(e.engine, e, now)
+            i = e.engine
+            self.state[i], self.kind[i], self.zone[i], self.cell[i] = e.state, e.kind, e.zone, e.cell
+        if whole:
+            named = {e.engine for e in listings}
+            for i in range(len(self.state)):
+                if i not in named:
+                    self.state[i] = DRAINING
+        return self._finish(now)
+
+    def list_failed(self, now: float) -> list[tuple]:
+        return [("watch", True)] if self.terms.ask_for_list else []
+
+    def arrive(self, now: float, ident: int, a: Arrival) -> list[tuple]:
+        margin = max(2 * self.terms.tick, 0.004)
+        seq = self.seqs[ident] = Seq(ident, a, self.terms.traffic[a.traffic], now, now + a.time_left - margin)
+        self._run(seq, now)
+        return self._finish(now)
+
+    def began(self, now: float, ident: int, attempt: int, latency: float) -> list[tuple]:
+        seq = self.seqs.get(ident)
+        if seq is not None and attempt < len(seq.attempts):
+            t = seq.attempts[attempt]
+            seq.begun = True
+            seq.state_at = -1
+            self._read_over(seq, t)
+            self._judge(t.engine, 0.0, now)
+            self._pace(t, latency)
+        return self._finish(now)
+
+    def ended(self, now: float, ident: int, attempt: int, outcome: str, latency: float, settled: bool,
+              kept: float, load: Load | None) -> list[tuple]:
+        seq = self.seqs.get(ident)
+        if seq is not None and attempt < len(seq.attempts) and seq.attempts[attempt].out:
+            t = seq.attempts[attempt]
+            if load is not None:
+                self._report(t.engine, load, now)
+            for _, back in reversed(self.chain):
+                if back is not None and back(seq, t, outcome, latency, settled, kept, now) != PASS:
+                    break
+        return self._finish(now)
+
+    def hold_answered(self, now: float, ident: int, attempt: int, engine: int, held: bool) -> list[tuple]:
+        return []
+
+    def left(self, now: float, ident: int) -> list[tuple]:
+        seq = self.seqs.get(ident)
+        if seq is not None and not seq.over:
+            self._end(seq, None)
+        return self._finish(now)
+
+    def probed(self, now: float, engine: int, sound: bool, latency: float, load: Load | None) -> list[tuple]:
+        if load is not None:
+            self._report(engine, load, now)
+        return []
+
+    def heard(self, now: float, node: int, payload: str) -> list[tuple]:
+        return []
+
+    def wake(self, now: float, token: int) -> list[tuple]:
+        if now >= self.wake_at:
+            self.wake_at = float("inf")
+        for seq in list(self.seqs.values()):
+            if not seq.over and not seq.begun and now >= seq.abandon_at:
+                self._give_up(seq)
+        return self._finish(now)
+
+    # -- the chain --------------------------------------------------------------------------------
+
+    def _run(self, seq: Seq, now: float) -> None:
+        self.kept.pop(seq.id, None)
+        if now >= seq.abandon_at:
+            self._give_up(seq)
+            return
+        for stage, _ in self.chain:
+            verdict = stage(seq, now)
+            if verdict == KEEP:
+                self.kept[seq.id] = seq
+            if verdict != PASS:
+                return
+
+    def _fair(self, seq: Seq, now: float) -> str:
+        return PASS
+
+    def _pick_writer(self, seq: Seq, now: float) -> str:
+        """Writer first: by room, raised by the tokens it should keep."""
+        if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, seq, now):
+            return PASS
+        usable = [w for w in range(len(self.state)) if self._writes(w) and self._usable(w, seq, now)]
+        fresh = [w for w in usable if w not in seq.avoid] or usable
+        roomy = [w for w in fresh if self._free(w, seq) > 1.0 - WRITE_FULL] or fresh
+        if not roomy:
+            if seq.state_at >= 0 and now > seq.state_since + 0.5 * self.terms.let_go:
+                return self._give_up(seq)
+            return KEEP
+        near = self.cell[seq.state_at] if seq.state_at >= 0 else -1
+
+        def score(w: int) -> float:
+            kept = self.table.claim(w, seq.a, now)[0]
+            home = HOME_TOKENS * (self.zone[w] == self.terms.zone) + 4 * HOME_TOKENS * (self.cell[w] == near)
+            return ROOM_TOKENS * self._free(w, seq) - self._wait(w) * RATE_LIKELY + kept + home + self.random()
+        seq.writer = max(roomy, key=score)
+        return PASS
+
+    def _split(self, seq: Seq, now: float) -> str:
+        """Read elsewhere when the writer would have to read too much itself, or cannot read."""
+        if seq.state_at >= 0:
+            seq.split = False
+            return PASS
+        uncached = seq.a.prompt - self.table.claim(seq.writer, seq.a, now)[0]
+        alone = self.terms.reads[self.kind[seq.writer]] or self.terms.self_read
+        seq.split = not alone or (SPLIT_TOKENS > 0 and uncached >= SPLIT_TOKENS)
+        return PASS
+
+    def _pick_reader(self, seq: Seq, now: float) -> str:
+        """In the writer's cell the reader that keeps most, then with fewest of our reads out; else elsewhere."""
+        if not seq.split:
+            return PASS
+        usable = [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)]
+        usable = [r for r in usable if r not in seq.avoid] or usable
+        limit = max(0.1, READ_ROOM * (seq.slo_at - now))
+        roomy = [r for r in usable if self._wait(r) < limit]
+        cell = self.cell[seq.writer]
+        best = [r for r in roomy if self.cell[r] == cell] or roomy
+        if best:
+            seq.reader = max(best, key=lambda r: (round(self.table.claim(r, seq.a, now)[0]), -self.own_reads[r],
+                                                  -self._wait(r), self.random()))
+            return PASS
+        if usable and len(seq.attempts) + 1 < self.terms.most_attempts:
+            seq.reader = min(usable, key=lambda r: (self._wait(r), self.random()))
+            return PASS
+        if self.terms.reads[self.kind[seq.writer]] or self.terms.self_read:
+            seq.split = False
+            return PASS
+        return KEEP
+
+    def _gate(self, seq: Seq, now: float) -> str:
+        """The one place that every send passes; each of the five rules is kept here."""
+        engine = seq.reader if seq.split else seq.writer
+        if seq.over or now >= seq.abandon_at or len(seq.attempts) >= self.terms.most_attempts:
+            return self._give_up(seq)  # rule 1: answered by now, or nothing more may be sent
+        if seq.out() or not self._may_go_again(seq, engine, now):
+            return KEEP if seq.out() else self._give_up(seq)  # rule 2
+        if self.state[engine] != SERVING:
+            return KEEP  # rule 3: nothing new from the moment we are told
+        if not self._cold_pass(engine, now):
+            return KEEP  # rule 4
+        claim = (0.0, 0.0) if seq.state_at >= 0 else self.table.claim(engine, seq.a, now)
+        unread = 0.0 if seq.state_at >= 0 else max(0.0, seq.a.prompt - claim[0])
+        t = Attempt(engine, seq.split, now, unread, self._backlog(engine), claim)
+        timeout = 0.0
+        if seq.split and len(seq.attempts) + 2 < self.terms.most_attempts:
+            timeout = READ_TIMEOUT * (seq.abandon_at - now)
+        t.fetches = seq.state_at >= 0
+        seq.attempts.append(t)
+        self.sends[engine].append(now)
+        self.own_unread[engine] += unread
+        self.own_reads[engine] += seq.split
+        if not seq.split:
+            self.own_held[engine] += seq.a.prompt
+        if not t.fetches:  # a fetched state is not kept for the next prompt
+            self.table.feed(engine, seq.a, now)
+        self.results.append(("send", seq.id, engine, timeout))
+        return PASS
+
+    def _may_go_again(self, seq: Seq, engine: int, now: float) -> bool:
+        """Rule 2: what may have run goes again only as its traffic type allows."""
+        if not seq.may_run or seq.kind.repeats == REPEATABLE or self._reads_only(engine):
+            return True
+        if seq.kind.repeats == ONCE_ONLY:
+            return False
+        return self._group(seq.kind, engine) == seq.may_run[0] and now < seq.may_run[1] + seq.kind.dedup_window - 0.05
+
+    def _group(self, kind, engine: int) -> int:
+        return {"zone": self.zone, "cell": self.cell}.get(kind.dedup_group, [0] * len(self.zone))[engine]
+
+    # -- the way back -----------------------------------------------------------------------------
+
+    def _settle(self, seq: Seq, t: Attempt, outcome: str, latency, settled, kept, now) -> str:
+        t.out = False
+        self._read_over(seq, t)
+        if not t.reads:
+            self.own_held[t.engine] = max(0.0, self.own_held[t.engine] - seq.a.prompt)
+            if outcome not in (GENERATED, READ, FULL, UNREACHED, UNSENT) and not seq.may_run:
+                seq.may_run = [self._group(seq.kind, t.engine), t.since]
+        return PASS
+
+    def _learn(self, seq: Seq, t: Attempt, outcome: str, latency, settled, kept, now) -> str:
+        """What an outcome tells of the engine: health, pace, kept tokens."""
+        if outcome in (GENERATED, READ):
+            if not seq.begun:
+                self._judge(t.engine, 0.0, now)
+            if t.reads:
+                self._pace(t, latency)
+            if not t.fetches:
+                if t.claim >= 64.0 and kept < 0.5 * t.claim:
+                    self.table.void_until(t.engine, t.claimed_at)
+                self.table.feed(t.engine, seq.a, now)
+            return PASS
+        if not t.fetches:
+            self.table.retract(t.engine, seq.a, t.since)
+        if outcome == FULL:
+            if not kept:
+                self.full_until[t.engine] = now + FULL_PAUSE
+        elif outcome not in (UNSENT, "cancelled"):
+            self._judge(t.engine, 2.0 if outcome == UNREACHED else 1.0, now)
+        return PASS
+
+    def _follow(self, seq: Seq, t: Attempt, outcome: str, latency, settled, kept, now) -> str:
+        """Where the sequence stands after the outcome."""
+        if outcome == READ and t.reads and not seq.begun:
+            seq.state_at, seq.state_since = t.engine, now
+            return PASS
+        if outcome == FULL and kept and not t.reads:
+            seq.state_at = -1
+        elif outcome not in (GENERATED, READ, UNSENT):
+            seq.avoid.add(t.engine)
+            seq.state_since = now
+        return PASS
+
+    def _conclude(self, seq: Seq, t: Attempt, outcome: str, latency, settled, kept, now) -> str:
+        if settled:
+            seq.over = True
+        if seq.over:
+            self._let_go(seq)
+        elif not seq.out():
+            self._run(seq, now)
+        return PASS
+
+    # -- ends -------------------------------------------------------------------------------------
+
+    def _give_up(self, seq: Seq) -> str:
+        """A final answer at once: a rejection where that is true, else an abort."""
+        unsure = bool(seq.may_run or seq.out())  # a read still out counts until it is known to have ended
+        free = seq.kind.repeats == REPEATABLE or (seq.kind.repeats == TOKENED and seq.kind.dedup_group == "all")
+        self._end(seq, ("reject", seq.id, 0.0) if free or not unsure else ("abort", seq.id))
+        return END
+
+    def _end(self, seq: Seq, answer: tuple | None) -> None:
+        seq.over = True
+        if answer:
+            self.results.append(answer)
+        if self.terms.may_cancel and not seq.begun:
+            self.results.extend(("cancel", seq.id, i) for i in seq.out())
+        self._let_go(seq)
+
+    def _let_go(self, seq: Seq) -> None:
+        """Rule 5: nothing stays held for an ended sequence once none of its attempts is out."""
+        self.kept.pop(seq.id, None)
+        if not seq.out():
+            if any(t.reads for t in seq.attempts):
+                self.results.append(("release", seq.id))
+            self.results.append(("done", seq.id))
+            self.seqs.pop(seq.id, None)
+
+    def _finish(self, now: float) -> list[tuple]:
+        for seq in list(self.kept.values()):
+            if seq.id in self.kept:
+                self._run(seq, now)
+        waiting = [s.abandon_at for s in self.seqs.values() if not s.over and not s.begun]
+        if waiting:
+            pause = max(0.001, min(SWEEP if self.kept else 4 * SWEEP, min(waiting) - now))
+            if now + pause < self.wake_at - 0.0005:
+                self.wake_at = now + pause
+                self.results.append(("wake", pause, 0))
+        results, self.results = self.results, []
+        return results
+
+    # -- figures of the engines -------------------------------------------------------------------
+
+    def _grow(self) -> None:
+        for row, zero in ((self.state, DRAINING), (self.kind, 0), (self.zone, 0), (self.cell, 0), (self.started, 0.0),
+                          (self.own_held, 0.0), (self.own_unread, 0.0), (self.own_reads, 0), (self.others_held, 0.0),
+                          (self.others_unread, 0.0), (self.reported, False), (self.rate, 0.0), (self.tried, 0.0),
+                          (self.failed, 0.0), (self.faded_at, 0.0), (self.trial_at, 0.0), (self.full_until, 0.0),
+                          (self.cold_next, 0.0)):
+            row.append(zero)
+        self.sends.append(deque(maxlen=64))
+        self.table.rows.append({})
+
+    def _reset(self, i: int, e, now: float) -> None:
+        """A process that has just started keeps nothing, and has done nothing yet."""
+        self.started[i] = e.started
+        self.table.rows[i] = {}
+        self.others_held[i] = self.others_unread[i] = self.rate[i] = self.tried[i] = self.failed[i] = 0.0
+        self.full_until[i] = self.cold_next[i] = self.trial_at[i] = 0.0
+        self.reported[i] = False
+        if e.fresh:
+            self.own_held[i] = self.own_unread[i] = 0.0
+            self.own_reads[i] = 0
+            self.sends[i].clear()
+
+    def _writes(self, i: int) -> bool:
+        return self.terms.writes[self.kind[i]]
+
+    def _reads_only(self, i: int) -> bool:
+        return self.terms.reads[self.kind[i]] and not self.terms.writes[self.kind[i]]
+
+    def _usable(self, i: int, seq: Seq, now: float) -> bool:
+        if self.state[i] != SERVING or now < self.full_until[i] or not self._cold_pass(i, now, spend=False):
+            return False
+        if self._blamed(i, now):
+            # a trial now and then, never with a sequence that could be lost by it
+            if now < self.trial_at[i] or (seq.kind.repeats == ONCE_ONLY and self._writes(i)):
+                return False
+            self.trial_at[i] = now + TRIAL_EVERY
+        return True
+
+    def _cold_pass(self, i: int, now: float, spend: bool = True) -> bool:
+        """Rule 4: each node keeps to its part of what a cold engine may be sent, refused sends too."""
+        terms = self.terms
+        if not terms.fall_time or not self.started[i] or now > self.started[i] + terms.cold_time:
+            return True
+        if now < self.cold_next[i]:
+            return False
+        if spend:
+            peers = [sum(s > now - 10.0 for s in self.sends[j]) / 10.0 for j in range(len(self.state))
+                     if self.state[j] == SERVING and self.kind[j] == self.kind[i]
+                     and now > self.started[j] + terms.cold_time]
+            usual = sum(peers) / len(peers) if peers else 0.0
+            rate = max(0.5 * terms.cold_share * terms.fall_multiple * usual, 0.25 / terms.fall_time)
+            self.cold_next[i] = now + 1.0 / rate
+        return True
+
+    def _blamed(self, i: int, now: float) -> bool:
+        """Our operators' way: an engine's share of failures against the median of the fleet."""
+        shares = [self._failing(j, now) for j in range(len(self.state)) if self.state[j] == SERVING]
+        return self._failing(i, now) > median(shares) + BLAME
+
+    def _failing(self, i: int, now: float) -> float:
+        fade = 0.5 ** ((now - self.faded_at[i]) / BLAME_FADE) if self.tried[i] else 0.0
+        return self.failed[i] * fade / (self.tried[i] * fade + 1.0)
+
+    def _judge(self, i: int, failures: float, now: float) -> None:
+        fade = 0.5 ** ((now - self.faded_at[i]) / BLAME_FADE)
+        self.tried[i] = self.tried[i] * fade + max(1.0, failures)
+        self.failed[i] = self.failed[i] * fade + failures
+        self.faded_at[i] = now
+
+    def _report(self, i: int, load: Load, now: float) -> None:
+        if load.memory_share is not None:
+            self.others_held[i] += 0.5 * (max(0.0, load.memory_share * self._memory(i) - self.own_held[i])
+                                          - self.others_held[i])
+        if load.unread is not None:
+            self.others_unread[i] = max(0.0, load.unread - self.own_unread[i])
+        elif load.waiting is not None:
+            self.others_unread[i] = max(0.0, load.waiting * 1000.0 - self.own_unread[i])
+        self.reported[i] = True
+
+    def _memory(self, i: int) -> float:
+        return self.terms.memory[self.kind[i]] or MEMORY_LIKELY
+
+    def _free(self, i: int, seq: Seq) -> float:
+        others = self.others_held[i] if self.reported[i] else self.own_held[i] * (self.terms.nodes - 1)
+        return 1.0 - (self.own_held[i] + others + seq.a.prompt) / self._memory(i)
+
+    def _backlog(self, i: int) -> float:
+        others = self.others_unread[i] if self.reported[i] else self.own_unread[i] * (self.terms.nodes - 1)
+        return self.own_unread[i] + others
+
+    def _wait(self, i: int) -> float:
+        """Seconds until what waits there has been read."""
+        return self._backlog(i) / (self.rate[i] or RATE_LIKELY)
+
+    def _pace(self, t: Attempt, latency: float) -> None:
+        if t.unread >= 200.0 and latency > 0.0:
+            seen = min(100000.0, max(200.0, (t.backlog + t.unread) / latency))
+            self.rate[t.engine] += 0.3 * (seen - self.rate[t.engine]) if self.rate[t.engine] else seen
+
+    def _read_over(self, seq: Seq, t: Attempt) -> None:
+        """The tokens that we sent to be read there are read, or will not be."""
+        if t.reading:
+            t.reading = False
+            self.own_unread[t.engine] = max(0.0, self.own_unread[t.engine] - t.unread)
+            self.own_reads[t.engine] -= t.reads
