--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -17,11 +17,13 @@
 
 PASS, KEEP, END = "pass", "keep", "end"
 
-SPLIT_TOKENS = 2000.0  # uncached prompt tokens from which a prompt is read elsewhere; 0: never
+SPLIT_TOKENS = 1000.0  # uncached prompt tokens from which a prompt is read elsewhere; 0: never
 KEPT_FOR = 30.0  # seconds for which a claim of the table counts in full
 KEPT_FADE = 30.0  # and over which it then fades away
 KEPT_ENTRIES = 4000  # claims held for each engine
 ROOM_TOKENS = 20000.0  # what a wholly free writer is worth, in kept tokens
+FAR_SPLIT = 4.0  # times the threshold from which an engine of both kinds sends a prompt to another cell
+FAR_TOKENS = 1.0  # what moving a state between cells costs, in kept tokens for each token moved
 HOME_TOKENS = 500.0  # what lying in this node's zone is worth
 MEMORY_LIKELY = 150000.0  # tokens, where no figure is stated
 RATE_LIKELY = 12000.0  # prompt tokens a second, until answers have shown a rate
@@ -129,6 +131,7 @@
         self.others_unread: list[float] = []
         self.reported: list[bool] = []
         self.rate: list[float] = []
+        self.far_pace: list[float] = []  # seconds a token that fetches from other cells have taken
         self.tried: list[float] = []
         self.failed: list[float] = []
         self.faded_at: list[float] = []
@@ -178,6 +181,8 @@
             self._read_over(seq, t)
             self._judge(t.engine, 0.0, now)
             self._pace(t, latency)
+            if t.fetches and self.cell[seq.reader] != self.cell[t.engine]:
+                self.far_pace[t.engine] += 0.2 * (latency / max(500.0, seq.a.prompt) - self.far_pace[t.engine])
         return self._finish(now)
 
     def ended(self, now: float, ident: int, attempt: int, outcome: str, latency: float, settled: bool,
@@ -247,10 +252,16 @@
             return KEEP
         near = self.cell[seq.state_at] if seq.state_at >= 0 else -1
 
+        served = {near} if near >= 0 else {self.cell[r] for r in self._readers(seq, now)}
+
         def score(w: int) -> float:
             kept = self.table.claim(w, seq.a, now)[0]
-            home = HOME_TOKENS * (self.zone[w] == self.terms.zone) + 4 * HOME_TOKENS * (self.cell[w] == near)
-            return ROOM_TOKENS * self._free(w, seq) - self._wait(w) * RATE_LIKELY + kept + home + self.random()
+            # Guards against states that queue on the links between cells, whether these are slow, or cells have
+            # no reader left: a writer that would need a far read is worth less, by what far fetches have taken.
+            far = self.cell[w] not in served and (near >= 0 or self._wants_reader(w, seq, now))
+            cost = seq.a.prompt * (FAR_TOKENS + self.far_pace[w] * RATE_LIKELY) if far else 0.0
+            home = HOME_TOKENS * (self.zone[w] == self.terms.zone)
+            return ROOM_TOKENS * self._free(w, seq) - self._wait(w) * RATE_LIKELY + kept + home - cost + self.random()
         seq.writer = max(roomy, key=score)
         return PASS
 
@@ -259,19 +270,29 @@
         if seq.state_at >= 0:
             seq.split = False
             return PASS
-        uncached = seq.a.prompt - self.table.claim(seq.writer, seq.a, now)[0]
-        alone = self.terms.reads[self.kind[seq.writer]] or self.terms.self_read
-        seq.split = not alone or (SPLIT_TOKENS > 0 and uncached >= SPLIT_TOKENS)
+        seq.split = self._wants_reader(seq.writer, seq, now)
         return PASS
 
+    def _wants_reader(self, w: int, seq: Seq, now: float) -> bool:
+        uncached = seq.a.prompt - self.table.claim(w, seq.a, now)[0]
+        if not (self.terms.reads[self.kind[w]] or self.terms.self_read):
+            return True
+        near = not self.terms.reads[self.kind[w]] or any(self.cell[r] == self.cell[w] for r in self._readers(seq, now))
+        return SPLIT_TOKENS > 0 and uncached >= SPLIT_TOKENS * (1.0 if near else FAR_SPLIT)
+
+    def _readers(self, seq: Seq, now: float) -> list[int]:
+        """Readers with room."""
+        limit = max(0.1, READ_ROOM * (seq.slo_at - now))
+        return [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)
+                and r not in seq.avoid and self._wait(r) < limit]
+
     def _pick_reader(self, seq: Seq, now: float) -> str:
         """In the writer's cell the reader that keeps most, then with fewest of our reads out; else elsewhere."""
         if not seq.split:
             return PASS
         usable = [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)]
         usable = [r for r in usable if r not in seq.avoid] or usable
-        limit = max(0.1, READ_ROOM * (seq.slo_at - now))
-        roomy = [r for r in usable if self._wait(r) < limit]
+        roomy = self._readers(seq, now)
         cell = self.cell[seq.writer]
         best = [r for r in roomy if self.cell[r] == cell] or roomy
         if best:
@@ -423,7 +444,7 @@
     def _grow(self) -> None:
         for row, zero in ((self.state, DRAINING), (self.kind, 0), (self.zone, 0), (self.cell, 0), (self.started, 0.0),
                           (self.own_held, 0.0), (self.own_unread, 0.0), (self.own_reads, 0), (self.others_held, 0.0),
-                          (self.others_unread, 0.0), (self.reported, False), (self.rate, 0.0), (self.tried, 0.0),
+                          (self.others_unread, 0.0), (self.reported, False), (self.rate, 0.0), (self.far_pace, 0.0), (self.tried, 0.0),
                           (self.failed, 0.0), (self.faded_at, 0.0), (self.trial_at, 0.0), (self.full_until, 0.0),
                           (self.cold_next, 0.0)):
             row.append(zero)
