--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -22,8 +22,8 @@
 KEPT_FADE = 30.0  # and over which it then fades away
 KEPT_ENTRIES = 4000  # claims held for each engine
 ROOM_TOKENS = 20000.0  # what a wholly free writer is worth, in kept tokens
-FAR_SPLIT = 4.0  # times the threshold from which an engine of both kinds sends a prompt to another cell
-FAR_TOKENS = 1.0  # what moving a state between cells costs, in kept tokens for each token moved
+FAR_PACE = 1.0 / 24000.0  # seconds a token that a move between cells is taken to cost at least
+SELF_DRAG = 3.0  # times longer that a pure writer's own reading counts, as its streams wait meanwhile
 HOME_TOKENS = 500.0  # what lying in this node's zone is worth
 MEMORY_LIKELY = 150000.0  # tokens, where no figure is stated
 RATE_LIKELY = 12000.0  # prompt tokens a second, until answers have shown a rate
@@ -140,8 +140,8 @@
         self.cold_next: list[float] = []
         self.sends: list[deque] = []
         # (the stage on the way in, the stage on the way back)
-        self.chain = ((self._fair, self._conclude), (self._pick_writer, self._follow), (self._split, None),
-                      (self._pick_reader, self._learn), (self._gate, self._settle))
+        self.chain = ((self._fair, self._conclude), (self._pick_writer, self._follow), (self._split, self._learn),
+                      (self._gate, self._settle))
 
     # -- calls ------------------------------------------------------------------------------------
 
@@ -250,35 +250,59 @@
             if seq.state_at >= 0 and now > seq.state_since + 0.5 * self.terms.let_go:
                 return self._give_up(seq)
             return KEEP
-        near = self.cell[seq.state_at] if seq.state_at >= 0 else -1
+        near = seq.state_at
 
-        served = {near} if near >= 0 else {self.cell[r] for r in self._readers(seq, now)}
+        roomy_readers = self._readers(seq, now)
 
         def score(w: int) -> float:
             kept = self.table.claim(w, seq.a, now)[0]
-            # Guards against states that queue on the links between cells, whether these are slow, or cells have
-            # no reader left: a writer that would need a far read is worth less, by what far fetches have taken.
-            far = self.cell[w] not in served and (near >= 0 or self._wants_reader(w, seq, now))
-            cost = seq.a.prompt * (FAR_TOKENS + self.far_pace[w] * RATE_LIKELY) if far else 0.0
+            if near < 0:
+                delay = self._read_plan(w, seq, now, roomy_readers)[0]
+            else:
+                delay = self._move(near, w, seq)
             home = HOME_TOKENS * (self.zone[w] == self.terms.zone)
-            return ROOM_TOKENS * self._free(w, seq) - self._wait(w) * RATE_LIKELY + kept + home - cost + self.random()
+            return (ROOM_TOKENS * self._free(w, seq) - (self._wait(w) + delay) * RATE_LIKELY + kept + home
+                    + self.random())
         seq.writer = max(roomy, key=score)
         return PASS
 
     def _split(self, seq: Seq, now: float) -> str:
         """Read elsewhere when the writer would have to read too much itself, or cannot read."""
-        if seq.state_at >= 0:
-            seq.split = False
-            return PASS
-        seq.split = self._wants_reader(seq.writer, seq, now)
+        seq.split = False
+        if seq.state_at < 0:
+            seq.reader = self._read_plan(seq.writer, seq, now, self._readers(seq, now))[1]
+            seq.split = seq.reader >= 0
         return PASS
 
-    def _wants_reader(self, w: int, seq: Seq, now: float) -> bool:
+    def _read_plan(self, w: int, seq: Seq, now: float, roomy: list[int]) -> tuple[float, int]:
+        """Seconds until the prompt is read for this writer, and by which reader (-1: by itself)."""
         uncached = seq.a.prompt - self.table.claim(w, seq.a, now)[0]
-        if not (self.terms.reads[self.kind[w]] or self.terms.self_read):
-            return True
-        near = not self.terms.reads[self.kind[w]] or any(self.cell[r] == self.cell[w] for r in self._readers(seq, now))
-        return SPLIT_TOKENS > 0 and uncached >= SPLIT_TOKENS * (1.0 if near else FAR_SPLIT)
+        both = self.terms.reads[self.kind[w]]
+        alone = uncached / self._rate(w) * (1.0 if both else SELF_DRAG)
+        able = both or self.terms.self_read
+        if able and (SPLIT_TOKENS <= 0 or uncached < SPLIT_TOKENS):
+            return alone, -1
+        near = [r for r in roomy if self.cell[r] == self.cell[w]]
+        if near:
+            best = max(near, key=lambda r: (round(self.table.claim(r, seq.a, now)[0]), -self.own_reads[r],
+                                            -self._wait(r), -r))
+            return self._reading(best, seq, now), best
+        # Guards against readers flooded by a lasting heavy mix, and against states queueing on the links between
+        # cells: where no reader of the cell has room, the prompt goes where it should be ready first, the writer
+        # included.
+        others = roomy or [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)]
+        others = [r for r in others if r not in seq.avoid] or others
+        if not others:
+            return (alone, -1) if able else (seq.abandon_at - now, -2)
+        best = min(others, key=lambda r: (self._reading(r, seq, now) + self._move(r, w, seq), r))
+        far = self._reading(best, seq, now) + self._move(best, w, seq)
+        return (alone, -1) if able and alone + self._wait(w) < far else (far, best)
+
+    def _reading(self, r: int, seq: Seq, now: float) -> float:
+        return self._wait(r) + (seq.a.prompt - self.table.claim(r, seq.a, now)[0]) / self._rate(r)
+
+    def _move(self, r: int, w: int, seq: Seq) -> float:
+        return 0.0 if self.cell[r] == self.cell[w] else seq.a.prompt * (FAR_PACE + self.far_pace[w])
 
     def _readers(self, seq: Seq, now: float) -> list[int]:
         """Readers with room."""
@@ -286,29 +310,10 @@
         return [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)
                 and r not in seq.avoid and self._wait(r) < limit]
 
-    def _pick_reader(self, seq: Seq, now: float) -> str:
-        """In the writer's cell the reader that keeps most, then with fewest of our reads out; else elsewhere."""
-        if not seq.split:
-            return PASS
-        usable = [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)]
-        usable = [r for r in usable if r not in seq.avoid] or usable
-        roomy = self._readers(seq, now)
-        cell = self.cell[seq.writer]
-        best = [r for r in roomy if self.cell[r] == cell] or roomy
-        if best:
-            seq.reader = max(best, key=lambda r: (round(self.table.claim(r, seq.a, now)[0]), -self.own_reads[r],
-                                                  -self._wait(r), self.random()))
-            return PASS
-        if usable and len(seq.attempts) + 1 < self.terms.most_attempts:
-            seq.reader = min(usable, key=lambda r: (self._wait(r), self.random()))
-            return PASS
-        if self.terms.reads[self.kind[seq.writer]] or self.terms.self_read:
-            seq.split = False
-            return PASS
-        return KEEP
-
     def _gate(self, seq: Seq, now: float) -> str:
         """The one place that every send passes; each of the five rules is kept here."""
+        if seq.reader == -2 and seq.state_at < 0:
+            return KEEP  # no reader to be had, and the writer cannot read
         engine = seq.reader if seq.split else seq.writer
         if seq.over or now >= seq.abandon_at or len(seq.attempts) >= self.terms.most_attempts:
             return self._give_up(seq)  # rule 1: answered by now, or nothing more may be sent
@@ -533,12 +538,16 @@
 
     def _wait(self, i: int) -> float:
         """Seconds until what waits there has been read."""
-        return self._backlog(i) / (self.rate[i] or RATE_LIKELY)
+        return self._backlog(i) / self._rate(i)
+
+    def _rate(self, i: int) -> float:
+        return self.rate[i] or RATE_LIKELY
 
     def _pace(self, t: Attempt, latency: float) -> None:
         if t.unread >= 200.0 and latency > 0.0:
             seen = min(100000.0, max(200.0, (t.backlog + t.unread) / latency))
-            self.rate[t.engine] += 0.3 * (seen - self.rate[t.engine]) if self.rate[t.engine] else seen
+            weight = 0.3 * min(1.0, t.unread / 2000.0)
+            self.rate[t.engine] += weight * (seen - self.rate[t.engine]) if self.rate[t.engine] else seen
 
     def _read_over(self, seq: Seq, t: Attempt) -> None:
         """The tokens that we sent to be read there are read, or will not be."""
