--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -28,7 +28,11 @@
 MEMORY_LIKELY = 150000.0  # tokens, where no figure is stated
 RATE_LIKELY = 12000.0  # prompt tokens a second, until answers have shown a rate
 READ_ROOM = 0.5  # share of the remaining latency SLO that a reader's queue may take
-WRITE_FULL = 0.95  # share of a writer's memory past which it has no room
+WRITE_FULL = 0.88  # share of a writer's memory past which nothing new is begun for it
+LIKELY_OUTPUT = 0.25  # share of the most that it may produce that an answer is taken to produce
+REPORT_LAG = 0.6  # seconds in which what we sent fades into the reports
+PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
+SHARE_BURST = 2.0  # seconds of its share that a tenant may send at once
 BLAME = 0.25  # share of failures above the fleet's median at which an engine is left alone
 BLAME_FADE = 5.0  # seconds in which what an engine did fades to a third
 TRIAL_EVERY = 1.0  # seconds between trials of an engine that is left alone
@@ -53,7 +57,7 @@
     """A sequence that this node holds."""
 
     __slots__ = ("id", "a", "kind", "since", "slo_at", "abandon_at", "writer", "reader", "split", "state_at",
-                 "state_since", "attempts", "avoid", "may_run", "begun", "over")
+                 "state_since", "attempts", "avoid", "may_run", "over_share", "begun", "over")
 
     def __init__(self, ident: int, a: Arrival, kind, now: float, answer_by: float) -> None:
         self.id, self.a, self.kind, self.since = ident, a, kind, now
@@ -65,7 +69,7 @@
         self.attempts: list[Attempt] = []
         self.avoid: set[int] = set()
         self.may_run: list = []  # [dedup group, sent at] of the first attempt that may have run
-        self.begun = self.over = False
+        self.over_share = self.begun = self.over = False
 
     def out(self) -> list[int]:
         return [i for i, t in enumerate(self.attempts) if t.out]
@@ -116,6 +120,7 @@
         self.seqs: dict[int, Seq] = {}
         self.kept: dict[int, Seq] = {}
         self.table = KeptTable()
+        self.share_left: dict[int, tuple[float, float]] = {}  # by tenant: sequences left of its share, and when
         self.results: list[tuple] = []
         self.wake_at = float("inf")
         # Figures of the engines, by index.
@@ -127,9 +132,12 @@
         self.own_held: list[float] = []  # tokens of our sequences at a writer
         self.own_unread: list[float] = []  # tokens that we sent to be read there
         self.own_reads: list[int] = []
-        self.others_held: list[float] = []
+        self.memory_used: list[float] = []  # tokens, as last reported
+        self.recent: list[float] = []  # tokens bound for it that no report may show yet
+        self.recent_at: list[float] = []
         self.others_unread: list[float] = []
-        self.reported: list[bool] = []
+        self.reported: list[bool] = []  # whether its memory has been
+        self.unread_told: list[bool] = []
         self.rate: list[float] = []
         self.far_pace: list[float] = []  # seconds a token that fetches from other cells have taken
         self.tried: list[float] = []
@@ -140,7 +148,7 @@
         self.cold_next: list[float] = []
         self.sends: list[deque] = []
         # (the stage on the way in, the stage on the way back)
-        self.chain = ((self._fair, self._conclude), (self._pick_writer, self._follow), (self._split, self._learn),
+        self.chain = ((self._admit, self._conclude), (self._pick_writer, self._follow), (self._split, self._learn),
                       (self._gate, self._settle))
 
     # -- calls ------------------------------------------------------------------------------------
@@ -169,6 +177,7 @@
     def arrive(self, now: float, ident: int, a: Arrival) -> list[tuple]:
         margin = max(2 * self.terms.tick, 0.004)
         seq = self.seqs[ident] = Seq(ident, a, self.terms.traffic[a.traffic], now, now + a.time_left - margin)
+        seq.over_share = self._over_share(a.tenant, now)
         self._run(seq, now)
         return self._finish(now)
 
@@ -222,6 +231,16 @@
                 self._give_up(seq)
         return self._finish(now)
 
+    def _over_share(self, tenant: int, now: float) -> bool:
+        """Whether a tenant sends more than this node's part of its share."""
+        quota = self.terms.quotas[tenant] / self.terms.nodes if tenant >= 0 else 0.0
+        if not quota:
+            return False
+        left, at = self.share_left.get(tenant, (SHARE_BURST * quota, now))
+        left = min(SHARE_BURST * quota, left + (now - at) * quota)
+        self.share_left[tenant] = (max(0.0, left - 1.0), now)
+        return left < 1.0
+
     # -- the chain --------------------------------------------------------------------------------
 
     def _run(self, seq: Seq, now: float) -> None:
@@ -236,8 +255,20 @@
             if verdict != PASS:
                 return
 
-    def _fair(self, seq: Seq, now: float) -> str:
-        return PASS
+    def _admit(self, seq: Seq, now: float) -> str:
+        """New work waits here while no writer has room, and is turned away in time to come again.
+
+        Guards against writers that run out of memory, put answers back into their queues and read them anew, which
+        fills them for good; whatever fills them. What a tenant sends beyond its share is turned away first.
+        """
+        if seq.attempts:
+            return PASS
+        writers = [w for w in range(len(self.state)) if self._writes(w) and self._usable(w, seq, now)]
+        if not writers or any(self._free(w, seq, now) > 1.0 - WRITE_FULL for w in writers):
+            return PASS
+        if seq.over_share or now - seq.since > PATIENCE * (seq.slo_at - seq.since):
+            return self._give_up(seq, self.terms.max_wait)
+        return KEEP
 
     def _pick_writer(self, seq: Seq, now: float) -> str:
         """Writer first: by room, raised by the tokens it should keep."""
@@ -245,7 +276,7 @@
             return PASS
         usable = [w for w in range(len(self.state)) if self._writes(w) and self._usable(w, seq, now)]
         fresh = [w for w in usable if w not in seq.avoid] or usable
-        roomy = [w for w in fresh if self._free(w, seq) > 1.0 - WRITE_FULL] or fresh
+        roomy = [w for w in fresh if self._free(w, seq, now) > 1.0 - WRITE_FULL] or fresh
         if not roomy:
             if seq.state_at >= 0 and now > seq.state_since + 0.5 * self.terms.let_go:
                 return self._give_up(seq)
@@ -261,7 +292,7 @@
             else:
                 delay = self._move(near, w, seq)
             home = HOME_TOKENS * (self.zone[w] == self.terms.zone)
-            return (ROOM_TOKENS * self._free(w, seq) - (self._wait(w) + delay) * RATE_LIKELY + kept + home
+            return (ROOM_TOKENS * self._free(w, seq, now) - (self._wait(w) + delay) * RATE_LIKELY + kept + home
                     + self.random())
         seq.writer = max(roomy, key=score)
         return PASS
@@ -329,13 +360,17 @@
         timeout = 0.0
         if seq.split and len(seq.attempts) + 2 < self.terms.most_attempts:
             timeout = READ_TIMEOUT * (seq.abandon_at - now)
+        if not seq.attempts:
+            w, faded = seq.writer, 1.0 - (now - self.recent_at[seq.writer]) / REPORT_LAG
+            self.recent[w] = self.recent[w] * max(0.0, faded) + self._need(seq)
+            self.recent_at[w] = now
         t.fetches = seq.state_at >= 0
         seq.attempts.append(t)
         self.sends[engine].append(now)
         self.own_unread[engine] += unread
         self.own_reads[engine] += seq.split
         if not seq.split:
-            self.own_held[engine] += seq.a.prompt
+            self.own_held[engine] += self._need(seq)
         if not t.fetches:  # a fetched state is not kept for the next prompt
             self.table.feed(engine, seq.a, now)
         self.results.append(("send", seq.id, engine, timeout))
@@ -358,7 +393,7 @@
         t.out = False
         self._read_over(seq, t)
         if not t.reads:
-            self.own_held[t.engine] = max(0.0, self.own_held[t.engine] - seq.a.prompt)
+            self.own_held[t.engine] = max(0.0, self.own_held[t.engine] - self._need(seq))
             if outcome not in (GENERATED, READ, FULL, UNREACHED, UNSENT) and not seq.may_run:
                 seq.may_run = [self._group(seq.kind, t.engine), t.since]
         return PASS
@@ -407,11 +442,11 @@
 
     # -- ends -------------------------------------------------------------------------------------
 
-    def _give_up(self, seq: Seq) -> str:
+    def _give_up(self, seq: Seq, wait: float = 0.0) -> str:
         """A final answer at once: a rejection where that is true, else an abort."""
         unsure = bool(seq.may_run or seq.out())  # a read still out counts until it is known to have ended
         free = seq.kind.repeats == REPEATABLE or (seq.kind.repeats == TOKENED and seq.kind.dedup_group == "all")
-        self._end(seq, ("reject", seq.id, 0.0) if free or not unsure else ("abort", seq.id))
+        self._end(seq, ("reject", seq.id, wait) if free or not unsure else ("abort", seq.id))
         return END
 
     def _end(self, seq: Seq, answer: tuple | None) -> None:
@@ -432,7 +467,7 @@
             self.seqs.pop(seq.id, None)
 
     def _finish(self, now: float) -> list[tuple]:
-        for seq in list(self.kept.values()):
+        for seq in sorted(self.kept.values(), key=lambda s: (s.over_share, s.slo_at, s.id)):
             if seq.id in self.kept:
                 self._run(seq, now)
         waiting = [s.abandon_at for s in self.seqs.values() if not s.over and not s.begun]
@@ -448,8 +483,8 @@
 
     def _grow(self) -> None:
         for row, zero in ((self.state, DRAINING), (self.kind, 0), (self.zone, 0), (self.cell, 0), (self.started, 0.0),
-                          (self.own_held, 0.0), (self.own_unread, 0.0), (self.own_reads, 0), (self.others_held, 0.0),
-                          (self.others_unread, 0.0), (self.reported, False), (self.rate, 0.0), (self.far_pace, 0.0), (self.tried, 0.0),
+                          (self.own_held, 0.0), (self.own_unread, 0.0), (self.own_reads, 0), (self.memory_used, 0.0), (self.recent, 0.0), (self.recent_at, 0.0),
+                          (self.others_unread, 0.0), (self.reported, False), (self.unread_told, False), (self.rate, 0.0), (self.far_pace, 0.0), (self.tried, 0.0),
                           (self.failed, 0.0), (self.faded_at, 0.0), (self.trial_at, 0.0), (self.full_until, 0.0),
                           (self.cold_next, 0.0)):
             row.append(zero)
@@ -460,9 +495,9 @@
         """A process that has just started keeps nothing, and has done nothing yet."""
         self.started[i] = e.started
         self.table.rows[i] = {}
-        self.others_held[i] = self.others_unread[i] = self.rate[i] = self.tried[i] = self.failed[i] = 0.0
+        self.memory_used[i] = self.recent[i] = self.others_unread[i] = self.rate[i] = self.tried[i] = self.failed[i] = 0.0
         self.full_until[i] = self.cold_next[i] = self.trial_at[i] = 0.0
-        self.reported[i] = False
+        self.reported[i] = self.unread_told[i] = False
         if e.fresh:
             self.own_held[i] = self.own_unread[i] = 0.0
             self.own_reads[i] = 0
@@ -517,23 +552,32 @@
 
     def _report(self, i: int, load: Load, now: float) -> None:
         if load.memory_share is not None:
-            self.others_held[i] += 0.5 * (max(0.0, load.memory_share * self._memory(i) - self.own_held[i])
-                                          - self.others_held[i])
+            self.memory_used[i] = load.memory_share * self._memory(i)
+            self.reported[i] = True
+        self.unread_told[i] = self.unread_told[i] or load.unread is not None or load.waiting is not None
         if load.unread is not None:
             self.others_unread[i] = max(0.0, load.unread - self.own_unread[i])
         elif load.waiting is not None:
             self.others_unread[i] = max(0.0, load.waiting * 1000.0 - self.own_unread[i])
-        self.reported[i] = True
 
     def _memory(self, i: int) -> float:
         return self.terms.memory[self.kind[i]] or MEMORY_LIKELY
 
-    def _free(self, i: int, seq: Seq) -> float:
-        others = self.others_held[i] if self.reported[i] else self.own_held[i] * (self.terms.nodes - 1)
-        return 1.0 - (self.own_held[i] + others + seq.a.prompt) / self._memory(i)
+    def _need(self, seq: Seq) -> float:
+        return seq.a.prompt + LIKELY_OUTPUT * seq.a.most_output
+
+    def _free(self, i: int, seq: Seq, now: float) -> float:
+        """Share of a writer's memory left once this sequence is there: the last report, and what all nodes sent
+        since, taking the others to have sent as much as we did."""
+        if self.reported[i]:
+            recent = self.recent[i] * max(0.0, 1.0 - (now - self.recent_at[i]) / REPORT_LAG)
+            used = max(self.memory_used[i] + recent * self.terms.nodes, self.own_held[i])
+        else:
+            used = self.own_held[i] * self.terms.nodes
+        return 1.0 - (used + self._need(seq)) / self._memory(i)
 
     def _backlog(self, i: int) -> float:
-        others = self.others_unread[i] if self.reported[i] else self.own_unread[i] * (self.terms.nodes - 1)
+        others = self.others_unread[i] if self.unread_told[i] else self.own_unread[i] * (self.terms.nodes - 1)
         return self.own_unread[i] + others
 
     def _wait(self, i: int) -> float:
