Count late beginnings and shown reading pace, both fading, against an engine

Should also hold against jammed links and thrashing memory; could harm when one very long prompt makes a sound engine look slow for some seconds.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -33,6 +33,8 @@
 REPORT_LAG = 0.6  # seconds in which what we sent fades into the reports
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
 SHARE_BURST = 2.0  # seconds of its share that a tenant may send at once
+SLOW_FADE = 5.0  # seconds in which what we know of an engine's pace halves
+TARDY_COST = 3.0  # seconds that each second of late beginnings counts against a writer
 BLAME = 0.25  # share of failures above the fleet's median at which an engine is left alone
 BLAME_FADE = 5.0  # seconds in which what an engine did fades to a third
 TRIAL_EVERY = 1.0  # seconds between trials of an engine that is left alone
@@ -123,6 +125,7 @@
         self.share_left: dict[int, tuple[float, float]] = {}  # by tenant: sequences left of its share, and when
         self.results: list[tuple] = []
         self.wake_at = float("inf")
+        self.now = 0.0
         # Figures of the engines, by index.
         self.state: list[int] = []
         self.kind: list[int] = []
@@ -140,6 +143,9 @@
         self.unread_told: list[bool] = []
         self.rate: list[float] = []
         self.far_pace: list[float] = []  # seconds a token that fetches from other cells have taken
+        self.rate_at: list[float] = []
+        self.tardy: list[float] = []
+        self.tardy_at: list[float] = []
         self.tried: list[float] = []
         self.failed: list[float] = []
         self.faded_at: list[float] = []
@@ -157,6 +163,7 @@
         return [("watch", True)] if self.terms.ask_for_list else []
 
     def engines(self, now: float, listings: list, whole: bool) -> list[tuple]:
+        self.now = now
         for e in listings:
             while len(self.state) <= e.engine:
                 self._grow()
@@ -175,6 +182,7 @@
         return [("watch", True)] if self.terms.ask_for_list else []
 
     def arrive(self, now: float, ident: int, a: Arrival) -> list[tuple]:
+        self.now = now
         margin = max(2 * self.terms.tick, 0.004)
         seq = self.seqs[ident] = Seq(ident, a, self.terms.traffic[a.traffic], now, now + a.time_left - margin)
         seq.over_share = self._over_share(a.tenant, now)
@@ -182,6 +190,7 @@
         return self._finish(now)
 
     def began(self, now: float, ident: int, attempt: int, latency: float) -> list[tuple]:
+        self.now = now
         seq = self.seqs.get(ident)
         if seq is not None and attempt < len(seq.attempts):
             t = seq.attempts[attempt]
@@ -190,12 +199,16 @@
             self._read_over(seq, t)
             self._judge(t.engine, 0.0, now)
             self._pace(t, latency)
+            late = max(0.0, latency - t.unread / self._rate(t.engine))
+            self.tardy[t.engine] = self._tardy(t.engine) + 0.3 * (late - self._tardy(t.engine))
+            self.tardy_at[t.engine] = now
             if t.fetches and self.cell[seq.reader] != self.cell[t.engine]:
                 self.far_pace[t.engine] += 0.2 * (latency / max(500.0, seq.a.prompt) - self.far_pace[t.engine])
         return self._finish(now)
 
     def ended(self, now: float, ident: int, attempt: int, outcome: str, latency: float, settled: bool,
               kept: float, load: Load | None) -> list[tuple]:
+        self.now = now
         seq = self.seqs.get(ident)
         if seq is not None and attempt < len(seq.attempts) and seq.attempts[attempt].out:
             t = seq.attempts[attempt]
@@ -224,6 +237,7 @@
         return []
 
     def wake(self, now: float, token: int) -> list[tuple]:
+        self.now = now
         if now >= self.wake_at:
             self.wake_at = float("inf")
         for seq in list(self.seqs.values()):
@@ -292,7 +306,7 @@
             else:
                 delay = self._move(near, w, seq)
             home = HOME_TOKENS * (self.zone[w] == self.terms.zone)
-            return (ROOM_TOKENS * self._free(w, seq, now) - (self._wait(w) + delay) * RATE_LIKELY + kept + home
+            return (ROOM_TOKENS * self._free(w, seq, now) - (self._wait(w) + delay + TARDY_COST * self._tardy(w)) * RATE_LIKELY + kept + home
                     + self.random())
         seq.writer = max(roomy, key=score)
         return PASS
@@ -339,7 +353,7 @@
         """Readers with room."""
         limit = max(0.1, READ_ROOM * (seq.slo_at - now))
         return [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)
-                and r not in seq.avoid and self._wait(r) < limit]
+                and r not in seq.avoid and self._reading(r, seq, now) < limit]
 
     def _gate(self, seq: Seq, now: float) -> str:
         """The one place that every send passes; each of the five rules is kept here."""
@@ -484,7 +498,8 @@
     def _grow(self) -> None:
         for row, zero in ((self.state, DRAINING), (self.kind, 0), (self.zone, 0), (self.cell, 0), (self.started, 0.0),
                           (self.own_held, 0.0), (self.own_unread, 0.0), (self.own_reads, 0), (self.memory_used, 0.0), (self.recent, 0.0), (self.recent_at, 0.0),
-                          (self.others_unread, 0.0), (self.reported, False), (self.unread_told, False), (self.rate, 0.0), (self.far_pace, 0.0), (self.tried, 0.0),
+                          (self.others_unread, 0.0), (self.reported, False), (self.unread_told, False), (self.rate, 0.0), (self.far_pace, 0.0), (self.rate_at, 0.0), (self.tardy, 0.0),
+                          (self.tardy_at, 0.0), (self.tried, 0.0),
                           (self.failed, 0.0), (self.faded_at, 0.0), (self.trial_at, 0.0), (self.full_until, 0.0),
                           (self.cold_next, 0.0)):
             row.append(zero)
@@ -495,7 +510,7 @@
         """A process that has just started keeps nothing, and has done nothing yet."""
         self.started[i] = e.started
         self.table.rows[i] = {}
-        self.memory_used[i] = self.recent[i] = self.others_unread[i] = self.rate[i] = self.tried[i] = self.failed[i] = 0.0
+        self.memory_used[i] = self.recent[i] = self.others_unread[i] = self.rate[i] = self.tardy[i] = self.tried[i] = self.failed[i] = 0.0
         self.full_until[i] = self.cold_next[i] = self.trial_at[i] = 0.0
         self.reported[i] = self.unread_told[i] = False
         if e.fresh:
@@ -585,12 +600,22 @@
         return self._backlog(i) / self._rate(i)
 
     def _rate(self, i: int) -> float:
-        return self.rate[i] or RATE_LIKELY
+        """Prompt tokens a second that it has shown, fading to what is usual for its kind."""
+        alike = [self.rate[j] for j in range(len(self.state)) if self.kind[j] == self.kind[i] and self.rate[j]]
+        usual = median(alike) if alike else RATE_LIKELY
+        fade = 0.5 ** ((self.now - self.rate_at[i]) / SLOW_FADE)
+        return usual + (self.rate[i] - usual) * fade if self.rate[i] else usual
+
+    def _tardy(self, i: int) -> float:
+        """Seconds by which its answers have lately begun late."""
+        return self.tardy[i] * 0.5 ** ((self.now - self.tardy_at[i]) / SLOW_FADE)
 
     def _pace(self, t: Attempt, latency: float) -> None:
         if t.unread >= 200.0 and latency > 0.0:
             seen = min(100000.0, max(200.0, (t.backlog + t.unread) / latency))
             weight = 0.3 * min(1.0, t.unread / 2000.0)
+            self.rate[t.engine] = self._rate(t.engine) if self.rate[t.engine] else 0.0
+            self.rate_at[t.engine] = self.now
             self.rate[t.engine] += weight * (seen - self.rate[t.engine]) if self.rate[t.engine] else seen
 
     def _read_over(self, seq: Seq, t: Attempt) -> None:
