--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -238,7 +238,7 @@
 
     def wake(self, now: float, token: int) -> list[tuple]:
         self.now = now
-        if now >= self.wake_at:
+        if now >= self.wake_at - 0.001:
             self.wake_at = float("inf")
         for seq in list(self.seqs.values()):
             if not seq.over and not seq.begun and now >= seq.abandon_at:
@@ -372,7 +372,7 @@
         unread = 0.0 if seq.state_at >= 0 else max(0.0, seq.a.prompt - claim[0])
         t = Attempt(engine, seq.split, now, unread, self._backlog(engine), claim)
         timeout = 0.0
-        if seq.split and len(seq.attempts) + 2 < self.terms.most_attempts:
+        if seq.split and not seq.attempts:  # once only: time-outs that fire under mere load make load
             timeout = READ_TIMEOUT * (seq.abandon_at - now)
         if not seq.attempts:
             w, faded = seq.writer, 1.0 - (now - self.recent_at[seq.writer]) / REPORT_LAG
@@ -392,7 +392,7 @@
 
     def _may_go_again(self, seq: Seq, engine: int, now: float) -> bool:
         """Rule 2: what may have run goes again only as its traffic type allows."""
-        if not seq.may_run or seq.kind.repeats == REPEATABLE or self._reads_only(engine):
+        if not seq.may_run or seq.kind.repeats == REPEATABLE:
             return True
         if seq.kind.repeats == ONCE_ONLY:
             return False
@@ -484,6 +484,8 @@
         for seq in sorted(self.kept.values(), key=lambda s: (s.over_share, s.slo_at, s.id)):
             if seq.id in self.kept:
                 self._run(seq, now)
+        if self.wake_at < now:
+            self.wake_at = float("inf")
         waiting = [s.abandon_at for s in self.seqs.values() if not s.over and not s.begun]
         if waiting:
             pause = max(0.001, min(SWEEP if self.kept else 4 * SWEEP, min(waiting) - now))
