--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -17,6 +17,8 @@
 
 PASS, KEEP, END = "pass", "keep", "end"
 
+COLD_PART = 0.5  # of what a cold engine may be sent in a span without falling, over all nodes
+COLD_RAMP = 0.5  # of an even ramp from cold to warm that is believed, as the true one is not told
 SPLIT_TOKENS = 1000.0  # uncached prompt tokens from which a prompt is read elsewhere; 0: never
 KEPT_FOR = 30.0  # seconds for which a claim of the table counts in full
 KEPT_FADE = 30.0  # and over which it then fades away
@@ -126,6 +128,7 @@
         self.results: list[tuple] = []
         self.wake_at = float("inf")
         self.now = 0.0
+        self.usual_unread = SPLIT_TOKENS  # tokens that a send of ours gives an engine to read, on average
         # Figures of the engines, by index.
         self.state: list[int] = []
         self.kind: list[int] = []
@@ -280,6 +283,9 @@
         writers = [w for w in range(len(self.state)) if self._writes(w) and self._usable(w, seq, now)]
         if not writers or any(self._free(w, seq, now) > 1.0 - WRITE_FULL for w in writers):
             return PASS
+        return self._wait_here(seq, now)
+
+    def _wait_here(self, seq: Seq, now: float) -> str:
         if seq.over_share or now - seq.since > PATIENCE * (seq.slo_at - seq.since):
             return self._give_up(seq, self.terms.max_wait)
         return KEEP
@@ -315,7 +321,10 @@
         """Read elsewhere when the writer would have to read too much itself, or cannot read."""
         seq.split = False
         if seq.state_at < 0:
-            seq.reader = self._read_plan(seq.writer, seq, now, self._readers(seq, now))[1]
+            delay, seq.reader = self._read_plan(seq.writer, seq, now, self._readers(seq, now))
+            if not seq.attempts and delay > seq.slo_at - now:
+                # Guards against engines whose queues hold only what comes too late, whatever filled them.
+                return self._wait_here(seq, now)
             seq.split = seq.reader >= 0
         return PASS
 
@@ -380,6 +389,8 @@
             self.recent_at[w] = now
         t.fetches = seq.state_at >= 0
         seq.attempts.append(t)
+        if not t.fetches:
+            self.usual_unread += 0.05 * (unread - self.usual_unread)
         self.sends[engine].append(now)
         self.own_unread[engine] += unread
         self.own_reads[engine] += seq.split
@@ -548,7 +559,8 @@
                      if self.state[j] == SERVING and self.kind[j] == self.kind[i]
                      and now > self.started[j] + terms.cold_time]
             usual = sum(peers) / len(peers) if peers else 0.0
-            rate = max(0.5 * terms.cold_share * terms.fall_multiple * usual, 0.25 / terms.fall_time)
+            share = terms.cold_share + COLD_RAMP * (1.0 - terms.cold_share) * (now - self.started[i]) / terms.cold_time
+            rate = max(COLD_PART * share * terms.fall_multiple * usual, 0.25 / terms.fall_time)
             self.cold_next[i] = now + 1.0 / rate
         return True
 
@@ -575,7 +587,7 @@
         if load.unread is not None:
             self.others_unread[i] = max(0.0, load.unread - self.own_unread[i])
         elif load.waiting is not None:
-            self.others_unread[i] = max(0.0, load.waiting * 1000.0 - self.own_unread[i])
+            self.others_unread[i] = max(0.0, load.waiting * self.usual_unread - self.own_unread[i])
 
     def _memory(self, i: int) -> float:
         return self.terms.memory[self.kind[i]] or MEMORY_LIKELY
