--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -12,12 +12,31 @@
 from statistics import median
 
 from myrtlehub.interface import (
-    DRAINING, FULL, GENERATED, ONCE_ONLY, READ, REPEATABLE, SERVING, TOKENED, UNREACHED, UNSENT, Arrival, Load,
-    Terms)
+    CANCELLED,
+    DRAINING,
+    FULL,
+    GENERATED,
+    ONCE_ONLY,
+    READ,
+    REPEATABLE,
+    RESET,
+    SERVING,
+    TOKENED,
+    UNREACHED,
+    UNSENT,
+    Arrival,
+    Listing,
+    Load,
+    NodeCalls,
+    Terms,
+    TrafficType,
+)
 
 PASS, KEEP, END = "pass", "keep", "end"
 
 COLD_PART = 0.5  # of what a cold engine may be sent in a span without falling, over all nodes
+USUAL_SPAN = 10.0  # seconds over which our sends to a kind of engine are counted
+USUAL_FADE = 30.0  # and in which the memory of that halves
 COLD_RAMP = 0.5  # of an even ramp from cold to warm that is believed, as the true one is not told
 SPLIT_TOKENS = 1000.0  # uncached prompt tokens from which a prompt is read elsewhere; 0: never
 KEPT_FOR = 30.0  # seconds for which a claim of the table counts in full
@@ -40,30 +59,45 @@
 BLAME = 0.25  # share of failures above the fleet's median at which an engine is left alone
 BLAME_FADE = 5.0  # seconds in which what an engine did fades to a third
 TRIAL_EVERY = 1.0  # seconds between trials of an engine that is left alone
+WINDOW_MARGIN = 0.05  # seconds before the end of a dedup window at which a repeat is not sent any more
 SWEEP = 0.025  # seconds between looks at what is kept and at abandon times
 FULL_PAUSE = 0.2  # seconds for which an engine that was full gets nothing more
 READ_TIMEOUT = 0.6  # share of the time left for which a first read may be out
 
 
+# What we hold of each engine, in parallel arrays by its index, with the value at its start.
+FIGURES = {
+    "state": DRAINING, "kind": 0, "zone": 0, "cell": 0, "started": 0.0,
+    "own_held": 0.0,  # tokens of our sequences at a writer
+    "own_unread": 0.0,  # tokens that we sent to be read there and that are not read yet
+    "own_reads": 0,
+    "memory_used": 0.0, "memory_told": False,  # tokens, by its last report
+    "recent": 0.0, "recent_at": 0.0,  # tokens bound for it that no report may show yet
+    "others_unread": 0.0, "unread_told": False,
+    "rate": 0.0, "rate_at": 0.0,  # prompt tokens a second
+    "far_pace": 0.0,  # seconds a token that fetches from other cells have taken
+    "tardy": 0.0, "tardy_at": 0.0,  # seconds by which its answers began late
+    "tried": 0.0, "failed": 0.0, "faded_at": 0.0,  # schedule attempts, fading
+    "trial_at": 0.0, "full_until": 0.0, "cold_next": 0.0,  # when it may be tried again
+}
+
+
 class Attempt:
     """One send of a sequence to an engine."""
 
-    __slots__ = ("engine", "reads", "since", "unread", "backlog", "claim", "claimed_at", "out", "reading", "fetches")
-
-    def __init__(self, engine: int, reads: bool, since: float, unread: float, backlog: float, claim: tuple) -> None:
+    def __init__(self, engine: int, reads: bool, since: float, unread: float, backlog: float,
+                 claim: tuple[float, float]) -> None:
         self.engine, self.reads, self.since, self.unread, self.backlog = engine, reads, since, unread, backlog
         self.claim, self.claimed_at = claim
         self.out = self.reading = True
+        self.outcome, self.latency, self.settled, self.kept = "", 0.0, False, 0.0
         self.fetches = False
 
 
 class Seq:
     """A sequence that this node holds."""
 
-    __slots__ = ("id", "a", "kind", "since", "slo_at", "abandon_at", "writer", "reader", "split", "state_at",
-                 "state_since", "attempts", "avoid", "may_run", "over_share", "begun", "over")
-
-    def __init__(self, ident: int, a: Arrival, kind, now: float, answer_by: float) -> None:
+    def __init__(self, ident: int, a: Arrival, kind: TrafficType, now: float, answer_by: float) -> None:
         self.id, self.a, self.kind, self.since = ident, a, kind, now
         self.slo_at = now + kind.latency_slo + kind.slo_per_token * a.prompt
         self.abandon_at = answer_by
@@ -111,11 +145,11 @@
                 del self.rows[engine][key]
 
     def void_until(self, engine: int, seen: float) -> None:
-        """Guards against a flush, a restart or plain eviction: what was shown at `seen` is gone, so is all older."""
+        """Guards against a flush, a restart or eviction: what was shown at `seen` is gone, all older too."""
         self.rows[engine] = {k: v for k, v in self.rows[engine].items() if v[1] > seen}
 
 
-class Router:
+class Router(NodeCalls):
     """The decisions of one node."""
 
     def __init__(self, terms: Terms) -> None:
@@ -124,41 +158,18 @@
         self.seqs: dict[int, Seq] = {}
         self.kept: dict[int, Seq] = {}
         self.table = KeptTable()
-        self.share_left: dict[int, tuple[float, float]] = {}  # by tenant: sequences left of its share, and when
+        self.share_left: dict[int, tuple[float, float]] = {}  # by tenant: sequences left, and when
         self.results: list[tuple] = []
         self.wake_at = float("inf")
         self.now = 0.0
+        self.usual: dict[int, tuple[float, float]] = {}  # by kind: what we send to one a second, and when
         self.usual_unread = SPLIT_TOKENS  # tokens that a send of ours gives an engine to read, on average
-        # Figures of the engines, by index.
-        self.state: list[int] = []
-        self.kind: list[int] = []
-        self.zone: list[int] = []
-        self.cell: list[int] = []
-        self.started: list[float] = []
-        self.own_held: list[float] = []  # tokens of our sequences at a writer
-        self.own_unread: list[float] = []  # tokens that we sent to be read there
-        self.own_reads: list[int] = []
-        self.memory_used: list[float] = []  # tokens, as last reported
-        self.recent: list[float] = []  # tokens bound for it that no report may show yet
-        self.recent_at: list[float] = []
-        self.others_unread: list[float] = []
-        self.reported: list[bool] = []  # whether its memory has been
-        self.unread_told: list[bool] = []
-        self.rate: list[float] = []
-        self.far_pace: list[float] = []  # seconds a token that fetches from other cells have taken
-        self.rate_at: list[float] = []
-        self.tardy: list[float] = []
-        self.tardy_at: list[float] = []
-        self.tried: list[float] = []
-        self.failed: list[float] = []
-        self.faded_at: list[float] = []
-        self.trial_at: list[float] = []
-        self.full_until: list[float] = []
-        self.cold_next: list[float] = []
-        self.sends: list[deque] = []
+        for name in FIGURES:
+            setattr(self, name, [])
+        self.sends: list[deque] = []  # when we last sent to it
         # (the stage on the way in, the stage on the way back)
-        self.chain = ((self._admit, self._conclude), (self._pick_writer, self._follow), (self._split, self._learn),
-                      (self._gate, self._settle))
+        self.chain = ((self._admit, self._conclude), (self._pick_writer, self._follow),
+                      (self._split, self._learn), (self._gate, self._settle))
 
     # -- calls ------------------------------------------------------------------------------------
 
@@ -171,12 +182,12 @@
             while len(self.state) <= e.engine:
                 self._grow()
             if e.fresh or e.started > self.started[e.engine] + 0.001:
-                self._reset(e.engine, e, now)
+                self._reset(e.engine, e)
             i = e.engine
             self.state[i], self.kind[i], self.zone[i], self.cell[i] = e.state, e.kind, e.zone, e.cell
         if whole:
             named = {e.engine for e in listings}
-            for i in range(len(self.state)):
+            for i in self._all():
                 if i not in named:
                     self.state[i] = DRAINING
         return self._finish(now)
@@ -199,14 +210,15 @@
             t = seq.attempts[attempt]
             seq.begun = True
             seq.state_at = -1
-            self._read_over(seq, t)
+            self._read_over(t)
             self._judge(t.engine, 0.0, now)
             self._pace(t, latency)
             late = max(0.0, latency - t.unread / self._rate(t.engine))
             self.tardy[t.engine] = self._tardy(t.engine) + 0.3 * (late - self._tardy(t.engine))
             self.tardy_at[t.engine] = now
             if t.fetches and self.cell[seq.reader] != self.cell[t.engine]:
-                self.far_pace[t.engine] += 0.2 * (latency / max(500.0, seq.a.prompt) - self.far_pace[t.engine])
+                pace = latency / max(500.0, seq.a.prompt)
+                self.far_pace[t.engine] += 0.2 * (pace - self.far_pace[t.engine])
         return self._finish(now)
 
     def ended(self, now: float, ident: int, attempt: int, outcome: str, latency: float, settled: bool,
@@ -215,30 +227,20 @@
         seq = self.seqs.get(ident)
         if seq is not None and attempt < len(seq.attempts) and seq.attempts[attempt].out:
             t = seq.attempts[attempt]
+            t.outcome, t.latency, t.settled, t.kept = outcome, latency, settled, kept
             if load is not None:
                 self._report(t.engine, load, now)
             for _, back in reversed(self.chain):
-                if back is not None and back(seq, t, outcome, latency, settled, kept, now) != PASS:
+                if back is not None and back(seq, t, now) != PASS:
                     break
         return self._finish(now)
 
-    def hold_answered(self, now: float, ident: int, attempt: int, engine: int, held: bool) -> list[tuple]:
-        return []
-
     def left(self, now: float, ident: int) -> list[tuple]:
         seq = self.seqs.get(ident)
         if seq is not None and not seq.over:
             self._end(seq, None)
         return self._finish(now)
 
-    def probed(self, now: float, engine: int, sound: bool, latency: float, load: Load | None) -> list[tuple]:
-        if load is not None:
-            self._report(engine, load, now)
-        return []
-
-    def heard(self, now: float, node: int, payload: str) -> list[tuple]:
-        return []
-
     def wake(self, now: float, token: int) -> list[tuple]:
         self.now = now
         if now >= self.wake_at - 0.001:
@@ -269,18 +271,22 @@
             verdict = stage(seq, now)
             if verdict == KEEP:
                 self.kept[seq.id] = seq
+                if seq.attempts and not seq.out() and now > seq.state_since + 0.5 * self.terms.let_go:
+                    # rule 5: what no writer takes in time is let go, and would be read anew
+                    self.results.append(("release", seq.id))
+                    seq.state_at, seq.state_since = -1, float("inf")
             if verdict != PASS:
                 return
 
     def _admit(self, seq: Seq, now: float) -> str:
         """New work waits here while no writer has room, and is turned away in time to come again.
 
-        Guards against writers that run out of memory, put answers back into their queues and read them anew, which
-        fills them for good; whatever fills them. What a tenant sends beyond its share is turned away first.
+        Guards against writers that run out of memory, put answers back into their queues and read them anew,
+        which keeps them full, whatever filled them. What a tenant sends beyond its share goes first.
         """
         if seq.attempts:
             return PASS
-        writers = [w for w in range(len(self.state)) if self._writes(w) and self._usable(w, seq, now)]
+        writers = [w for w in self._all() if self._writes(w) and self._usable(w, seq, now)]
         if not writers or any(self._free(w, seq, now) > 1.0 - WRITE_FULL for w in writers):
             return PASS
         return self._wait_here(seq, now)
@@ -294,26 +300,19 @@
         """Writer first: by room, raised by the tokens it should keep."""
         if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, seq, now):
             return PASS
-        usable = [w for w in range(len(self.state)) if self._writes(w) and self._usable(w, seq, now)]
+        usable = [w for w in self._all() if self._writes(w) and self._usable(w, seq, now)]
         fresh = [w for w in usable if w not in seq.avoid] or usable
         roomy = [w for w in fresh if self._free(w, seq, now) > 1.0 - WRITE_FULL] or fresh
         if not roomy:
-            if seq.state_at >= 0 and now > seq.state_since + 0.5 * self.terms.let_go:
-                return self._give_up(seq)
             return KEEP
-        near = seq.state_at
-
-        roomy_readers = self._readers(seq, now)
+        readers, at = self._readers(seq, now), seq.state_at
 
         def score(w: int) -> float:
-            kept = self.table.claim(w, seq.a, now)[0]
-            if near < 0:
-                delay = self._read_plan(w, seq, now, roomy_readers)[0]
-            else:
-                delay = self._move(near, w, seq)
+            delay = self._move(at, w, seq) if at >= 0 else self._read_plan(w, seq, now, readers)[0]
+            delay += self._wait(w) + TARDY_COST * self._tardy(w)
+            room = ROOM_TOKENS * self._free(w, seq, now) - RATE_LIKELY * delay
             home = HOME_TOKENS * (self.zone[w] == self.terms.zone)
-            return (ROOM_TOKENS * self._free(w, seq, now) - (self._wait(w) + delay + TARDY_COST * self._tardy(w)) * RATE_LIKELY + kept + home
-                    + self.random())
+            return room + self.table.claim(w, seq.a, now)[0] + home + self.random()
         seq.writer = max(roomy, key=score)
         return PASS
 
@@ -325,6 +324,8 @@
             if not seq.attempts and delay > seq.slo_at - now:
                 # Guards against engines whose queues hold only what comes too late, whatever filled them.
                 return self._wait_here(seq, now)
+            if seq.reader == -2:
+                return KEEP  # no reader to be had, and the writer cannot read
             seq.split = seq.reader >= 0
         return PASS
 
@@ -341,10 +342,10 @@
             best = max(near, key=lambda r: (round(self.table.claim(r, seq.a, now)[0]), -self.own_reads[r],
                                             -self._wait(r), -r))
             return self._reading(best, seq, now), best
-        # Guards against readers flooded by a lasting heavy mix, and against states queueing on the links between
-        # cells: where no reader of the cell has room, the prompt goes where it should be ready first, the writer
-        # included.
-        others = roomy or [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)]
+        # Guards against readers flooded by a lasting heavy mix, and against states queueing on the links
+        # between cells: where no reader of the cell has room, the prompt goes where it should be ready first,
+        # the writer included.
+        others = roomy or [r for r in self._all() if self._reads_only(r) and self._usable(r, seq, now)]
         others = [r for r in others if r not in seq.avoid] or others
         if not others:
             return (alone, -1) if able else (seq.abandon_at - now, -2)
@@ -361,13 +362,11 @@
     def _readers(self, seq: Seq, now: float) -> list[int]:
         """Readers with room."""
         limit = max(0.1, READ_ROOM * (seq.slo_at - now))
-        return [r for r in range(len(self.state)) if self._reads_only(r) and self._usable(r, seq, now)
+        return [r for r in self._all() if self._reads_only(r) and self._usable(r, seq, now)
                 and r not in seq.avoid and self._reading(r, seq, now) < limit]
 
     def _gate(self, seq: Seq, now: float) -> str:
         """The one place that every send passes; each of the five rules is kept here."""
-        if seq.reader == -2 and seq.state_at < 0:
-            return KEEP  # no reader to be had, and the writer cannot read
         engine = seq.reader if seq.split else seq.writer
         if seq.over or now >= seq.abandon_at or len(seq.attempts) >= self.terms.most_attempts:
             return self._give_up(seq)  # rule 1: answered by now, or nothing more may be sent
@@ -381,16 +380,13 @@
         unread = 0.0 if seq.state_at >= 0 else max(0.0, seq.a.prompt - claim[0])
         t = Attempt(engine, seq.split, now, unread, self._backlog(engine), claim)
         timeout = 0.0
-        if seq.split and not seq.attempts:  # once only: time-outs that fire under mere load make load
-            timeout = READ_TIMEOUT * (seq.abandon_at - now)
         if not seq.attempts:
-            w, faded = seq.writer, 1.0 - (now - self.recent_at[seq.writer]) / REPORT_LAG
-            self.recent[w] = self.recent[w] * max(0.0, faded) + self._need(seq)
-            self.recent_at[w] = now
+            w = seq.writer
+            self.recent[w], self.recent_at[w] = self._recent(w, now) + self._need(seq), now
+            # one time-out a sequence: those that fire under mere load make load
+            timeout = READ_TIMEOUT * (seq.abandon_at - now) if seq.split else 0.0
         t.fetches = seq.state_at >= 0
         seq.attempts.append(t)
-        if not t.fetches:
-            self.usual_unread += 0.05 * (unread - self.usual_unread)
         self.sends[engine].append(now)
         self.own_unread[engine] += unread
         self.own_reads[engine] += seq.split
@@ -398,6 +394,7 @@
             self.own_held[engine] += self._need(seq)
         if not t.fetches:  # a fetched state is not kept for the next prompt
             self.table.feed(engine, seq.a, now)
+            self.usual_unread += 0.05 * (unread - self.usual_unread)
         self.results.append(("send", seq.id, engine, timeout))
         return PASS
 
@@ -407,60 +404,66 @@
             return True
         if seq.kind.repeats == ONCE_ONLY:
             return False
-        return self._group(seq.kind, engine) == seq.may_run[0] and now < seq.may_run[1] + seq.kind.dedup_window - 0.05
+        remembered = now < seq.may_run[1] + seq.kind.dedup_window - WINDOW_MARGIN
+        return remembered and self._group(seq.kind, engine) == seq.may_run[0]
 
-    def _group(self, kind, engine: int) -> int:
+    def _group(self, kind: TrafficType, engine: int) -> int:
         return {"zone": self.zone, "cell": self.cell}.get(kind.dedup_group, [0] * len(self.zone))[engine]
 
     # -- the way back -----------------------------------------------------------------------------
 
-    def _settle(self, seq: Seq, t: Attempt, outcome: str, latency, settled, kept, now) -> str:
+    def _settle(self, seq: Seq, t: Attempt, now: float) -> str:
         t.out = False
-        self._read_over(seq, t)
+        self._read_over(t)
         if not t.reads:
             self.own_held[t.engine] = max(0.0, self.own_held[t.engine] - self._need(seq))
-            if outcome not in (GENERATED, READ, FULL, UNREACHED, UNSENT) and not seq.may_run:
+            if t.outcome not in (GENERATED, READ, FULL, UNREACHED, UNSENT) and not seq.may_run:
                 seq.may_run = [self._group(seq.kind, t.engine), t.since]
         return PASS
 
-    def _learn(self, seq: Seq, t: Attempt, outcome: str, latency, settled, kept, now) -> str:
+    def _learn(self, seq: Seq, t: Attempt, now: float) -> str:
         """What an outcome tells of the engine: health, pace, kept tokens."""
-        if outcome in (GENERATED, READ):
+        if t.outcome in (GENERATED, READ):
             if not seq.begun:
                 self._judge(t.engine, 0.0, now)
             if t.reads:
-                self._pace(t, latency)
+                self._pace(t, t.latency)
             if not t.fetches:
-                if t.claim >= 64.0 and kept < 0.5 * t.claim:
+                if t.claim >= 64.0 and t.kept < 0.5 * t.claim:
                     self.table.void_until(t.engine, t.claimed_at)
                 self.table.feed(t.engine, seq.a, now)
             return PASS
         if not t.fetches:
             self.table.retract(t.engine, seq.a, t.since)
-        if outcome == FULL:
-            if not kept:
+        if t.outcome == FULL:
+            if not t.kept:
                 self.full_until[t.engine] = now + FULL_PAUSE
-        elif outcome not in (UNSENT, "cancelled"):
-            self._judge(t.engine, 2.0 if outcome == UNREACHED else 1.0, now)
+        elif t.outcome not in (UNSENT, CANCELLED):
+            if t.outcome in (UNREACHED, RESET):
+                # Guards against pushing over what died and came back seconds before the list says so, and
+                # against all that is left going to the one engine that has not failed yet.
+                self.started[t.engine], self.table.rows[t.engine] = now, {}
+            self._judge(t.engine, 2.0 if t.outcome == UNREACHED else 1.0, now)
         return PASS
 
-    def _follow(self, seq: Seq, t: Attempt, outcome: str, latency, settled, kept, now) -> str:
-        """Where the sequence stands after the outcome."""
-        if outcome == READ and t.reads and not seq.begun:
+    def _follow(self, seq: Seq, t: Attempt, now: float) -> str:
+        """Where the sequence stands after an outcome."""
+        if t.outcome == READ and t.reads and not seq.begun:
             seq.state_at, seq.state_since = t.engine, now
             return PASS
-        if outcome == FULL and kept and not t.reads:
+        if t.outcome == FULL and t.kept and not t.reads:
             seq.state_at = -1
-        elif outcome not in (GENERATED, READ, UNSENT):
+        elif t.outcome not in (GENERATED, READ, UNSENT):
             seq.avoid.add(t.engine)
             seq.state_since = now
         return PASS
 
-    def _conclude(self, seq: Seq, t: Attempt, outcome: str, latency, settled, kept, now) -> str:
-        if settled:
-            seq.over = True
+    def _conclude(self, seq: Seq, t: Attempt, now: float) -> str:
+        seq.over = seq.over or t.settled
         if seq.over:
             self._let_go(seq)
+        elif seq.may_run and seq.kind.repeats == ONCE_ONLY:
+            self._give_up(seq)  # nothing more may be tried: say so at once
         elif not seq.out():
             self._run(seq, now)
         return PASS
@@ -470,7 +473,8 @@
     def _give_up(self, seq: Seq, wait: float = 0.0) -> str:
         """A final answer at once: a rejection where that is true, else an abort."""
         unsure = bool(seq.may_run or seq.out())  # a read still out counts until it is known to have ended
-        free = seq.kind.repeats == REPEATABLE or (seq.kind.repeats == TOKENED and seq.kind.dedup_group == "all")
+        kind = seq.kind
+        free = kind.repeats == REPEATABLE or (kind.repeats == TOKENED and kind.dedup_group == "all")
         self._end(seq, ("reject", seq.id, wait) if free or not unsure else ("abort", seq.id))
         return END
 
@@ -509,27 +513,22 @@
     # -- figures of the engines -------------------------------------------------------------------
 
     def _grow(self) -> None:
-        for row, zero in ((self.state, DRAINING), (self.kind, 0), (self.zone, 0), (self.cell, 0), (self.started, 0.0),
-                          (self.own_held, 0.0), (self.own_unread, 0.0), (self.own_reads, 0), (self.memory_used, 0.0), (self.recent, 0.0), (self.recent_at, 0.0),
-                          (self.others_unread, 0.0), (self.reported, False), (self.unread_told, False), (self.rate, 0.0), (self.far_pace, 0.0), (self.rate_at, 0.0), (self.tardy, 0.0),
-                          (self.tardy_at, 0.0), (self.tried, 0.0),
-                          (self.failed, 0.0), (self.faded_at, 0.0), (self.trial_at, 0.0), (self.full_until, 0.0),
-                          (self.cold_next, 0.0)):
-            row.append(zero)
+        for name, zero in FIGURES.items():
+            getattr(self, name).append(zero)
         self.sends.append(deque(maxlen=64))
         self.table.rows.append({})
 
-    def _reset(self, i: int, e, now: float) -> None:
+    def _reset(self, i: int, e: Listing) -> None:
         """A process that has just started keeps nothing, and has done nothing yet."""
-        self.started[i] = e.started
-        self.table.rows[i] = {}
-        self.memory_used[i] = self.recent[i] = self.others_unread[i] = self.rate[i] = self.tardy[i] = self.tried[i] = self.failed[i] = 0.0
-        self.full_until[i] = self.cold_next[i] = self.trial_at[i] = 0.0
-        self.reported[i] = self.unread_told[i] = False
+        for name, zero in FIGURES.items():
+            if e.fresh or not name.startswith("own_"):
+                getattr(self, name)[i] = zero
         if e.fresh:
-            self.own_held[i] = self.own_unread[i] = 0.0
-            self.own_reads[i] = 0
             self.sends[i].clear()
+        self.started[i], self.table.rows[i] = e.started, {}
+
+    def _all(self) -> range:
+        return range(len(self.state))
 
     def _writes(self, i: int) -> bool:
         return self.terms.writes[self.kind[i]]
@@ -555,18 +554,21 @@
         if now < self.cold_next[i]:
             return False
         if spend:
-            peers = [sum(s > now - 10.0 for s in self.sends[j]) / 10.0 for j in range(len(self.state))
-                     if self.state[j] == SERVING and self.kind[j] == self.kind[i]
-                     and now > self.started[j] + terms.cold_time]
-            usual = sum(peers) / len(peers) if peers else 0.0
-            share = terms.cold_share + COLD_RAMP * (1.0 - terms.cold_share) * (now - self.started[i]) / terms.cold_time
+            alike = [j for j in self._all() if self.state[j] == SERVING and self.kind[j] == self.kind[i]]
+            sent = sum(s > now - USUAL_SPAN for j in alike for s in self.sends[j]) / USUAL_SPAN / len(alike)
+            # remembered for a while, as there is little to go by once most of a kind have broken at once
+            known, at = self.usual.get(self.kind[i], (0.0, now))
+            usual = max(sent, known * 0.5 ** ((now - at) / USUAL_FADE))
+            self.usual[self.kind[i]] = (usual, now)
+            warmed = COLD_RAMP * (now - self.started[i]) / terms.cold_time
+            share = terms.cold_share + (1.0 - terms.cold_share) * warmed
             rate = max(COLD_PART * share * terms.fall_multiple * usual, 0.25 / terms.fall_time)
             self.cold_next[i] = now + 1.0 / rate
         return True
 
     def _blamed(self, i: int, now: float) -> bool:
         """Our operators' way: an engine's share of failures against the median of the fleet."""
-        shares = [self._failing(j, now) for j in range(len(self.state)) if self.state[j] == SERVING]
+        shares = [self._failing(j, now) for j in self._all() if self.state[j] == SERVING]
         return self._failing(i, now) > median(shares) + BLAME
 
     def _failing(self, i: int, now: float) -> float:
@@ -582,7 +584,7 @@
     def _report(self, i: int, load: Load, now: float) -> None:
         if load.memory_share is not None:
             self.memory_used[i] = load.memory_share * self._memory(i)
-            self.reported[i] = True
+            self.memory_told[i] = True
         self.unread_told[i] = self.unread_told[i] or load.unread is not None or load.waiting is not None
         if load.unread is not None:
             self.others_unread[i] = max(0.0, load.unread - self.own_unread[i])
@@ -592,15 +594,17 @@
     def _memory(self, i: int) -> float:
         return self.terms.memory[self.kind[i]] or MEMORY_LIKELY
 
+    def _recent(self, i: int, now: float) -> float:
+        return self.recent[i] * max(0.0, 1.0 - (now - self.recent_at[i]) / REPORT_LAG)
+
     def _need(self, seq: Seq) -> float:
         return seq.a.prompt + LIKELY_OUTPUT * seq.a.most_output
 
     def _free(self, i: int, seq: Seq, now: float) -> float:
-        """Share of a writer's memory left once this sequence is there: the last report, and what all nodes sent
-        since, taking the others to have sent as much as we did."""
-        if self.reported[i]:
-            recent = self.recent[i] * max(0.0, 1.0 - (now - self.recent_at[i]) / REPORT_LAG)
-            used = max(self.memory_used[i] + recent * self.terms.nodes, self.own_held[i])
+        """Share of a writer's memory left with this sequence: by its last report and all sent since, taking
+        the others to have sent as much as we did."""
+        if self.memory_told[i]:
+            used = max(self.memory_used[i] + self._recent(i, now) * self.terms.nodes, self.own_held[i])
         else:
             used = self.own_held[i] * self.terms.nodes
         return 1.0 - (used + self._need(seq)) / self._memory(i)
@@ -615,7 +619,7 @@
 
     def _rate(self, i: int) -> float:
         """Prompt tokens a second that it has shown, fading to what is usual for its kind."""
-        alike = [self.rate[j] for j in range(len(self.state)) if self.kind[j] == self.kind[i] and self.rate[j]]
+        alike = [self.rate[j] for j in self._all() if self.kind[j] == self.kind[i] and self.rate[j]]
         usual = median(alike) if alike else RATE_LIKELY
         fade = 0.5 ** ((self.now - self.rate_at[i]) / SLOW_FADE)
         return usual + (self.rate[i] - usual) * fade if self.rate[i] else usual
@@ -632,7 +636,7 @@
             self.rate_at[t.engine] = self.now
             self.rate[t.engine] += weight * (seen - self.rate[t.engine]) if self.rate[t.engine] else seen
 
-    def _read_over(self, seq: Seq, t: Attempt) -> None:
+    def _read_over(self, t: Attempt) -> None:
         """The tokens that we sent to be read there are read, or will not be."""
         if t.reading:
             t.reading = False
--- a/myrtlehub/interface.py
+++ b/myrtlehub/interface.py
@@ -134,3 +134,19 @@
     waiting: float | None = None  # sequences
     latency: float | None = None
     active: float | None = None
+
+
+class NodeCalls:
+    """The calls that a router may leave as they are, where it never asks for what they answer."""
+
+    def hold_answered(self, now: float, seq: int, attempt: int, engine: int, held: bool) -> list[tuple]:
+        """Word on a place asked for ahead."""
+        return []
+
+    def probed(self, now: float, engine: int, sound: bool, latency: float, load: Load | None) -> list[tuple]:
+        """How a probe ended."""
+        return []
+
+    def heard(self, now: float, node: int, payload: str) -> list[tuple]:
+        """Word from another node."""
+        return []
--- a/myrtlehub/simhost.py
+++ b/myrtlehub/simhost.py
@@ -24,7 +24,7 @@
 }
 
 
-class WireFault(Exception):
+class WireError(Exception):
     """Input that the wire page does not allow."""
 
 
@@ -95,7 +95,7 @@
 
     def engine(self, ident: str) -> int:
         if ident not in self.engine_at:
-            raise WireFault(f"engine {ident} is not listed")
+            raise WireError(f"engine {ident} is not listed")
         return self.engine_at[ident]
 
     def free_if_over(self, engine: int) -> None:
@@ -144,7 +144,8 @@
             self.traffic[event["Grade"]], self.tenants.get(event.get("ClientGroup"), -1),
             event.get("InputLen", 0.0), event["TimeBudgetMs"] / 1e3, event.get("Chat", 0),
             event.get("Prefix", 0), event.get("SharedLen", 0.0), event.get("MaxTokens", 0.0),
-            event.get("PredictedMs", 0.0) / 1e3 if options & 1 else 0.0, bool(options & 16), bool(options & 2)))
+            event.get("PredictedMs", 0.0) / 1e3 if options & 1 else 0.0,
+            bool(options & 16), bool(options & 2)))
 
     def response(self, event: dict, now: float) -> list[tuple]:
         engine = self.engine(event["Engine"])
@@ -152,8 +153,9 @@
         seq, results = self.seq_at.get(event["Rid"]), []
         if seq is not None:
             results = self.router.ended(
-                now, seq, event.get("Copy", 0), OUTCOMES[event["StateCode"]], event.get("LatencyMs", 0.0) / 1e3,
-                event.get("Settled", False), event.get("Info", 0), decode_load(event.get("Telemetry")))
+                now, seq, event.get("Copy", 0), OUTCOMES[event["StateCode"]],
+                event.get("LatencyMs", 0.0) / 1e3, event.get("Settled", False), event.get("Info", 0),
+                decode_load(event.get("Telemetry")))
         self.free_if_over(engine)
         return results
 
@@ -174,7 +176,7 @@
         if verb == "MESSAGE":
             return router.heard(now, event["Who"], event.get("Content", ""))
         if verb not in ("ESTABLISHED", "DROPPED", "NOTE"):
-            raise WireFault(f"unknown verb {verb}")
+            raise WireError(f"unknown verb {verb}")
         seq = self.seq_at.get(event["Rid"])
         if seq is None:
             return []
@@ -182,7 +184,8 @@
             return router.began(now, seq, event.get("Copy", 0), event.get("LatencyMs", 0.0) / 1e3)
         if verb == "DROPPED":
             return router.left(now, seq)
-        return router.hold_answered(now, seq, event.get("Copy", 0), self.engine(event["Engine"]), event["What"] == 1)
+        engine = self.engine(event["Engine"])
+        return router.hold_answered(now, seq, event.get("Copy", 0), engine, event["What"] == 1)
 
     def encode(self, result: tuple) -> dict | None:
         """One result as an action, or None where it is only for the adapter."""
@@ -236,7 +239,7 @@
             node = nodes[name] = Node(name, event, now)
             results, node.pending = node.pending, []
         elif name not in nodes:
-            raise WireFault(f"{verb} for {name}, which has not been started")
+            raise WireError(f"{verb} for {name}, which has not been started")
         else:
             node = nodes[name]
             results = node.call(event, now)
@@ -254,6 +257,8 @@
             continue
         try:
             batch = decode(line)
+            if not isinstance(batch, dict):
+                raise WireError("a batch has to be an object")
             frame = batch.get("frame")
             reply = encode(play(nodes, batch))
         except msgspec.DecodeError as fault:
@@ -262,7 +267,7 @@
         except KeyError as fault:
             print(f"simhost: frame {frame}: missing or unknown: {fault}", file=sys.stderr)
             return 2
-        except (WireFault, TypeError, AttributeError, ValueError) as fault:
+        except (WireError, TypeError, ValueError) as fault:
             print(f"simhost: frame {frame}: {fault}", file=sys.stderr)
             return 2
         sys.stdout.buffer.write(reply + b"\n")
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,74 @@
+"""A made-up fleet, calls against a router, and the trace of what it decided."""
+
+import difflib
+from pathlib import Path
+
+from myrtlehub import interface as itf
+from myrtlehub.decide import Router
+
+CHAT = itf.TrafficType(itf.REPEATABLE, 2.0, 4e-5, 10.0, 0.07, 1.0, 0.3)
+BOOK = itf.TrafficType(itf.ONCE_ONLY, 2.0, 4e-5, 10.0, 0.07, 3.0, 0.3)
+MARK = itf.TrafficType(itf.TOKENED, 2.0, 4e-5, 10.0, 0.07, 1.0, 0.3, "cell", 5.0)
+TERMS = itf.Terms(
+    seed=7, node=0, nodes=2, zone=0, traffic=(CHAT, BOOK, MARK), reads=(True, False, True),
+    writes=(False, True, True), memory=(200000.0, 100000.0, 150000.0), quotas=(), self_read=True,
+    may_hold=False, may_cancel=True, may_resume=False, may_probe=False, may_tell=False, second_copies=True,
+    most_attempts=5, let_go=0.5, drain_grace=0.25, cold_share=0.25, cold_time=12.0, fall_multiple=2.5,
+    fall_time=1.0, answer_slack=0.016, tick=0.004, max_wait=2.0, over_share_utility=0.1, ask_for_list=False)
+READER, WRITER, BOTH = 0, 1, 2
+
+
+class Bench:
+    """Calls a router and writes down, a line each, what was said to it and what it decided."""
+
+    def __init__(self, engines: str = "R0 R0 W0 R1 W1", **terms: object) -> None:
+        self.router, self.lines, self.now, self.count = Router(TERMS._replace(**terms)), [], 100.0, 0
+        self.router.start(self.now)
+        kinds = {"R": READER, "W": WRITER, "B": BOTH}
+        self.listed = [itf.Listing(i, True, itf.SERVING, kinds[e[0]], int(e[1]), int(e[1]), 0.0, 1.0)
+                       for i, e in enumerate(engines.split())]
+        self.say("engines " + engines, self.router.engines(self.now, self.listed, True))
+
+    def say(self, what: str, results: list[tuple]) -> None:
+        self.lines.append(f"{self.now - 100.0:7.3f}  {what}")
+        self.lines.extend("         -> " + " ".join(
+            f"{x:g}" if isinstance(x, float) else str(x) for x in r) for r in results if r[0] != "wake")
+
+    def take(self, traffic: int = 0, prompt: float = 3000.0, left: float = 10.0, session: int = 0,
+             prefix: int = 0, shared: float = 0.0) -> int:
+        seq, self.count = self.count, self.count + 1
+        a = itf.Arrival(traffic, -1, prompt, left, session, prefix, shared, 400.0, 0.0)
+        self.say(f"seq {seq} {TERMS.traffic[traffic].repeats} prompt {prompt:g}",
+                 self.router.arrive(self.now, seq, a))
+        return seq
+
+    def ended(self, seq: int, attempt: int, outcome: str, kept: float = 0.0, settled: bool = False,
+              load: itf.Load | None = None, latency: float = 0.1) -> None:
+        told = f" {load.memory_share:g} of memory held" if load else ""
+        self.say(f"seq {seq} attempt {attempt} {outcome} kept {kept:g}{told}",
+                 self.router.ended(self.now, seq, attempt, outcome, latency, settled, kept, load))
+
+    def began(self, seq: int, attempt: int) -> None:
+        self.say(f"seq {seq} attempt {attempt} began", self.router.began(self.now, seq, attempt, 0.05))
+
+    def list(self, engine: int, **change: object) -> None:
+        entry = self.listed[engine]._replace(fresh=False, **change)
+        self.say(f"engine {engine} {change}", self.router.engines(self.now, [entry], False))
+
+    def left(self, seq: int) -> None:
+        self.say(f"seq {seq} client left", self.router.left(self.now, seq))
+
+    def wait(self, seconds: float, step: float = 0.025) -> None:
+        """Let time pass, waking the router as it asks."""
+        until = self.now + seconds
+        while self.now < until - 1e-9:
+            self.now = min(until, self.now + step)
+            results = self.router.wake(self.now, 0)
+            if any(r[0] != "wake" for r in results):
+                self.say("time", results)
+
+    def check(self, name: str) -> None:
+        """Compare with the trace that people read."""
+        kept = (Path(__file__).parent / "traces" / f"{name}.txt").read_text().splitlines()
+        diff = list(difflib.unified_diff(kept, self.lines, "kept", "now", lineterm="", n=2))
+        assert not diff, "\n".join(diff)
