--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -12,25 +12,8 @@
 from statistics import median
 
 from myrtlehub.interface import (
-    CANCELLED,
-    DRAINING,
-    FULL,
-    GENERATED,
-    ONCE_ONLY,
-    READ,
-    REPEATABLE,
-    RESET,
-    SERVING,
-    TOKENED,
-    UNREACHED,
-    UNSENT,
-    Arrival,
-    Listing,
-    Load,
-    NodeCalls,
-    Terms,
-    TrafficType,
-)
+    CANCELLED, DRAINING, FULL, GENERATED, ONCE_ONLY, READ, REPEATABLE, RESET, SERVING, TOKENED, UNREACHED,
+    UNSENT, Arrival, Listing, Load, NodeCalls, Terms, TrafficType)
 
 PASS, KEEP, END = "pass", "keep", "end"
 
@@ -321,6 +304,7 @@
         seq.split = False
         if seq.state_at < 0:
             delay, seq.reader = self._read_plan(seq.writer, seq, now, self._readers(seq, now))
+            delay += self._wait(seq.writer) + self._tardy(seq.writer)
             if not seq.attempts and delay > seq.slo_at - now:
                 # Guards against engines whose queues hold only what comes too late, whatever filled them.
                 return self._wait_here(seq, now)
