--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -196,12 +196,13 @@
             self._read_over(t)
             self._judge(t.engine, 0.0, now)
             self._pace(t, latency)
-            late = max(0.0, latency - t.unread / self._rate(t.engine))
-            self.tardy[t.engine] = self._tardy(t.engine) + 0.3 * (late - self._tardy(t.engine))
-            self.tardy_at[t.engine] = now
             if t.fetches and self.cell[seq.reader] != self.cell[t.engine]:
                 pace = latency / max(500.0, seq.a.prompt)
                 self.far_pace[t.engine] += 0.2 * (pace - self.far_pace[t.engine])
+            else:
+                late = max(0.0, latency - t.unread / self._rate(t.engine))
+                self.tardy[t.engine] = self._tardy(t.engine) + 0.3 * (late - self._tardy(t.engine))
+                self.tardy_at[t.engine] = now
         return self._finish(now)
 
     def ended(self, now: float, ident: int, attempt: int, outcome: str, latency: float, settled: bool,
