Memory that admitted sequences will take counts until they begin

Cause: what we sent faded into the reports after 0.6 s, while a flooded reader takes seconds, so writers were promised twice over.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -55,7 +55,8 @@
     "own_unread": 0.0,  # tokens that we sent to be read there and that are not read yet
     "own_reads": 0,
     "memory_used": 0.0, "memory_told": False,  # tokens, by its last report
-    "recent": 0.0, "recent_at": 0.0,  # tokens bound for it that no report may show yet
+    "bound": 0.0,  # tokens of our sequences that are meant for it and have not begun there
+    "recent": 0.0, "recent_at": 0.0,  # tokens begun there that no report may show yet
     "others_unread": 0.0, "unread_told": False,
     "rate": 0.0, "rate_at": 0.0,  # prompt tokens a second
     "far_pace": 0.0,  # seconds a token that fetches from other cells have taken
@@ -84,7 +85,7 @@
         self.id, self.a, self.kind, self.since = ident, a, kind, now
         self.slo_at = now + kind.latency_slo + kind.slo_per_token * a.prompt
         self.abandon_at = answer_by
-        self.writer = self.reader = self.state_at = -1
+        self.writer = self.reader = self.state_at = self.bound = -1  # engines
         self.split = False
         self.state_since = 0.0
         self.attempts: list[Attempt] = []
@@ -192,6 +193,9 @@
         if seq is not None and attempt < len(seq.attempts):
             t = seq.attempts[attempt]
             seq.begun = True
+            self._bind(seq, -1)
+            self.recent[t.engine] = self._recent(t.engine, now) + self._need(seq)
+            self.recent_at[t.engine] = now
             seq.state_at = -1
             self._read_over(t)
             self._judge(t.engine, 0.0, now)
@@ -366,10 +370,9 @@
         t = Attempt(engine, seq.split, now, unread, self._backlog(engine), claim)
         timeout = 0.0
         if not seq.attempts:
-            w = seq.writer
-            self.recent[w], self.recent_at[w] = self._recent(w, now) + self._need(seq), now
             # one time-out a sequence: those that fire under mere load make load
             timeout = READ_TIMEOUT * (seq.abandon_at - now) if seq.split else 0.0
+        self._bind(seq, seq.writer)
         t.fetches = seq.state_at >= 0
         seq.attempts.append(t)
         self.sends[engine].append(now)
@@ -471,9 +474,18 @@
             self.results.extend(("cancel", seq.id, i) for i in seq.out())
         self._let_go(seq)
 
+    def _bind(self, seq: Seq, writer: int) -> None:
+        """Count what a sequence will take at the writer that it is meant for, until it begins there."""
+        if seq.bound >= 0:
+            self.bound[seq.bound] -= self._need(seq)
+        if writer >= 0:
+            self.bound[writer] += self._need(seq)
+        seq.bound = writer
+
     def _let_go(self, seq: Seq) -> None:
         """Rule 5: nothing stays held for an ended sequence once none of its attempts is out."""
         self.kept.pop(seq.id, None)
+        self._bind(seq, -1)
         if not seq.out():
             if any(t.reads for t in seq.attempts):
                 self.results.append(("release", seq.id))
@@ -506,7 +518,7 @@
     def _reset(self, i: int, e: Listing) -> None:
         """A process that has just started keeps nothing, and has done nothing yet."""
         for name, zero in FIGURES.items():
-            if e.fresh or not name.startswith("own_"):
+            if e.fresh or not (name.startswith("own_") or name == "bound"):
                 getattr(self, name)[i] = zero
         if e.fresh:
             self.sends[i].clear()
@@ -589,7 +601,8 @@
         """Share of a writer's memory left with this sequence: by its last report and all sent since, taking
         the others to have sent as much as we did."""
         if self.memory_told[i]:
-            used = max(self.memory_used[i] + self._recent(i, now) * self.terms.nodes, self.own_held[i])
+            coming = self._recent(i, now) + self.bound[i]
+            used = max(self.memory_used[i] + coming * self.terms.nodes, self.own_held[i])
         else:
             used = self.own_held[i] * self.terms.nodes
         return 1.0 - (used + self._need(seq)) / self._memory(i)
