Bound the work spent on kept sequences; medians once a moment

Should also hold against any long queue; could delay a sequence that would fit while the first three do not.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -32,10 +32,11 @@
 MEMORY_LIKELY = 150000.0  # tokens, where no figure is stated
 RATE_LIKELY = 12000.0  # prompt tokens a second, until answers have shown a rate
 READ_ROOM = 0.5  # share of the remaining latency SLO that a reader's queue may take
-WRITE_FULL = 0.88  # share of a writer's memory past which nothing new is begun for it
+WRITE_FULL = 0.92  # share of a writer's memory past which nothing new is begun for it
 LIKELY_OUTPUT = 0.25  # share of the most that it may produce that an answer is taken to produce
 REPORT_LAG = 0.6  # seconds in which what we sent fades into the reports
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
+KEPT_TRIES = 3  # sequences kept here that are tried again in vain at a time
 SHARE_BURST = 2.0  # seconds of its share that a tenant may send at once
 SLOW_FADE = 5.0  # seconds in which what we know of an engine's pace halves
 TARDY_COST = 3.0  # seconds that each second of late beginnings counts against a writer
@@ -54,10 +55,9 @@
     "own_held": 0.0,  # tokens of our sequences at a writer
     "own_unread": 0.0,  # tokens that we sent to be read there and that are not read yet
     "own_reads": 0,
-    "memory_used": 0.0, "memory_told": False,  # tokens, by its last report
+    "memory_used": 0.0, "memory_told": False, "others_unread": 0.0, "unread_told": False,  # as reported
     "bound": 0.0,  # tokens of our sequences that are meant for it and have not begun there
     "recent": 0.0, "recent_at": 0.0,  # tokens begun there that no report may show yet
-    "others_unread": 0.0, "unread_told": False,
     "rate": 0.0, "rate_at": 0.0,  # prompt tokens a second
     "far_pace": 0.0,  # seconds a token that fetches from other cells have taken
     "tardy": 0.0, "tardy_at": 0.0,  # seconds by which its answers began late
@@ -86,8 +86,7 @@
         self.slo_at = now + kind.latency_slo + kind.slo_per_token * a.prompt
         self.abandon_at = answer_by
         self.writer = self.reader = self.state_at = self.bound = -1  # engines
-        self.split = False
-        self.state_since = 0.0
+        self.split, self.state_since = False, 0.0
         self.attempts: list[Attempt] = []
         self.avoid: set[int] = set()
         self.may_run: list = []  # [dedup group, sent at] of the first attempt that may have run
@@ -145,7 +144,8 @@
         self.share_left: dict[int, tuple[float, float]] = {}  # by tenant: sequences left, and when
         self.results: list[tuple] = []
         self.wake_at = float("inf")
-        self.now = 0.0
+        self.now = self.fleet_at = self.rates_at = 0.0
+        self.fleet_fails, self.usual_rate = 0.0, {}  # medians: share of failures; tokens a second by kind
         self.usual: dict[int, tuple[float, float]] = {}  # by kind: what we send to one a second, and when
         self.usual_unread = SPLIT_TOKENS  # tokens that a send of ours gives an engine to read, on average
         for name in FIGURES:
@@ -160,6 +160,8 @@
     def start(self, now: float) -> list[tuple]:
         return [("watch", True)] if self.terms.ask_for_list else []
 
+    list_failed = start
+
     def engines(self, now: float, listings: list, whole: bool) -> list[tuple]:
         self.now = now
         for e in listings:
@@ -170,15 +172,10 @@
             i = e.engine
             self.state[i], self.kind[i], self.zone[i], self.cell[i] = e.state, e.kind, e.zone, e.cell
         if whole:
-            named = {e.engine for e in listings}
-            for i in self._all():
-                if i not in named:
-                    self.state[i] = DRAINING
+            for i in set(self._all()) - {e.engine for e in listings}:
+                self.state[i] = DRAINING
         return self._finish(now)
 
-    def list_failed(self, now: float) -> list[tuple]:
-        return [("watch", True)] if self.terms.ask_for_list else []
-
     def arrive(self, now: float, ident: int, a: Arrival) -> list[tuple]:
         self.now = now
         margin = max(2 * self.terms.tick, 0.004)
@@ -219,8 +216,7 @@
             if load is not None:
                 self._report(t.engine, load, now)
             for _, back in reversed(self.chain):
-                if back is not None and back(seq, t, now) != PASS:
-                    break
+                back(seq, t, now)
         return self._finish(now)
 
     def left(self, now: float, ident: int) -> list[tuple]:
@@ -289,8 +285,8 @@
         if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, seq, now):
             return PASS
         usable = [w for w in self._all() if self._writes(w) and self._usable(w, seq, now)]
-        fresh = [w for w in usable if w not in seq.avoid] or usable
-        roomy = [w for w in fresh if self._free(w, seq, now) > 1.0 - WRITE_FULL] or fresh
+        usable = [w for w in usable if w not in seq.avoid] or usable
+        roomy = [w for w in usable if self._free(w, seq, now) > 1.0 - WRITE_FULL] or usable
         if not roomy:
             return KEEP
         readers, at = self._readers(seq, now), seq.state_at
@@ -322,8 +318,7 @@
         """Seconds until the prompt is read for this writer, and by which reader (-1: by itself)."""
         uncached = seq.a.prompt - self.table.claim(w, seq.a, now)[0]
         both = self.terms.reads[self.kind[w]]
-        alone = uncached / self._rate(w) * (1.0 if both else SELF_DRAG)
-        able = both or self.terms.self_read
+        able, alone = both or self.terms.self_read, uncached / self._rate(w) * (1.0 if both else SELF_DRAG)
         if able and (SPLIT_TOKENS <= 0 or uncached < SPLIT_TOKENS):
             return alone, -1
         near = [r for r in roomy if self.cell[r] == self.cell[w]]
@@ -335,7 +330,6 @@
         # between cells: where no reader of the cell has room, the prompt goes where it should be ready first,
         # the writer included.
         others = roomy or [r for r in self._all() if self._reads_only(r) and self._usable(r, seq, now)]
-        others = [r for r in others if r not in seq.avoid] or others
         if not others:
             return (alone, -1) if able else (seq.abandon_at - now, -2)
         best = min(others, key=lambda r: (self._reading(r, seq, now) + self._move(r, w, seq), r))
@@ -396,20 +390,19 @@
         return remembered and self._group(seq.kind, engine) == seq.may_run[0]
 
     def _group(self, kind: TrafficType, engine: int) -> int:
-        return {"zone": self.zone, "cell": self.cell}.get(kind.dedup_group, [0] * len(self.zone))[engine]
+        return getattr(self, kind.dedup_group)[engine] if kind.dedup_group != "all" else 0
 
     # -- the way back -----------------------------------------------------------------------------
 
-    def _settle(self, seq: Seq, t: Attempt, now: float) -> str:
+    def _settle(self, seq: Seq, t: Attempt, now: float) -> None:
         t.out = False
         self._read_over(t)
         if not t.reads:
             self.own_held[t.engine] = max(0.0, self.own_held[t.engine] - self._need(seq))
             if t.outcome not in (GENERATED, READ, FULL, UNREACHED, UNSENT) and not seq.may_run:
                 seq.may_run = [self._group(seq.kind, t.engine), t.since]
-        return PASS
 
-    def _learn(self, seq: Seq, t: Attempt, now: float) -> str:
+    def _learn(self, seq: Seq, t: Attempt, now: float) -> None:
         """What an outcome tells of the engine: health, pace, kept tokens."""
         if t.outcome in (GENERATED, READ):
             if not seq.begun:
@@ -420,7 +413,7 @@
                 if t.claim >= 64.0 and t.kept < 0.5 * t.claim:
                     self.table.void_until(t.engine, t.claimed_at)
                 self.table.feed(t.engine, seq.a, now)
-            return PASS
+            return
         if not t.fetches:
             self.table.retract(t.engine, seq.a, t.since)
         if t.outcome == FULL:
@@ -428,25 +421,21 @@
                 self.full_until[t.engine] = now + FULL_PAUSE
         elif t.outcome not in (UNSENT, CANCELLED):
             if t.outcome in (UNREACHED, RESET):
-                # Guards against pushing over what died and came back seconds before the list says so, and
-                # against all that is left going to the one engine that has not failed yet.
+                # Guards against pushing over what died and came back, seconds before the list says so.
                 self.started[t.engine], self.table.rows[t.engine] = now, {}
             self._judge(t.engine, 2.0 if t.outcome == UNREACHED else 1.0, now)
-        return PASS
 
-    def _follow(self, seq: Seq, t: Attempt, now: float) -> str:
+    def _follow(self, seq: Seq, t: Attempt, now: float) -> None:
         """Where the sequence stands after an outcome."""
         if t.outcome == READ and t.reads and not seq.begun:
             seq.state_at, seq.state_since = t.engine, now
-            return PASS
-        if t.outcome == FULL and t.kept and not t.reads:
+        elif t.outcome == FULL and t.kept and not t.reads:
             seq.state_at = -1
         elif t.outcome not in (GENERATED, READ, UNSENT):
             seq.avoid.add(t.engine)
             seq.state_since = now
-        return PASS
 
-    def _conclude(self, seq: Seq, t: Attempt, now: float) -> str:
+    def _conclude(self, seq: Seq, t: Attempt, now: float) -> None:
         seq.over = seq.over or t.settled
         if seq.over:
             self._let_go(seq)
@@ -454,15 +443,14 @@
             self._give_up(seq)  # nothing more may be tried: say so at once
         elif not seq.out():
             self._run(seq, now)
-        return PASS
 
     # -- ends -------------------------------------------------------------------------------------
 
     def _give_up(self, seq: Seq, wait: float = 0.0) -> str:
         """A final answer at once: a rejection where that is true, else an abort."""
         unsure = bool(seq.may_run or seq.out())  # a read still out counts until it is known to have ended
-        kind = seq.kind
-        free = kind.repeats == REPEATABLE or (kind.repeats == TOKENED and kind.dedup_group == "all")
+        free = seq.kind.repeats == REPEATABLE or (
+            seq.kind.repeats == TOKENED and seq.kind.dedup_group == "all")
         self._end(seq, ("reject", seq.id, wait) if free or not unsure else ("abort", seq.id))
         return END
 
@@ -493,9 +481,13 @@
             self.seqs.pop(seq.id, None)
 
     def _finish(self, now: float) -> list[tuple]:
+        misses = 0
         for seq in sorted(self.kept.values(), key=lambda s: (s.over_share, s.slo_at, s.id)):
-            if seq.id in self.kept:
+            # Guards against the time that a long queue here would take: a few are tried, and all due.
+            due = seq.attempts or now - seq.since > PATIENCE * (seq.slo_at - seq.since)
+            if seq.id in self.kept and (due or misses < KEPT_TRIES):
                 self._run(seq, now)
+                misses += seq.id in self.kept
         if self.wake_at < now:
             self.wake_at = float("inf")
         waiting = [s.abandon_at for s in self.seqs.values() if not s.over and not s.begun]
@@ -565,8 +557,12 @@
 
     def _blamed(self, i: int, now: float) -> bool:
         """Our operators' way: an engine's share of failures against the median of the fleet."""
-        shares = [self._failing(j, now) for j in self._all() if self.state[j] == SERVING]
-        return self._failing(i, now) > median(shares) + BLAME
+        if not self.failed[i]:
+            return False
+        if self.fleet_at != now:
+            shares = [self._failing(j, now) for j in self._all() if self.state[j] == SERVING]
+            self.fleet_fails, self.fleet_at = median(shares), now
+        return self._failing(i, now) > self.fleet_fails + BLAME
 
     def _failing(self, i: int, now: float) -> float:
         fade = 0.5 ** ((now - self.faded_at[i]) / BLAME_FADE) if self.tried[i] else 0.0
@@ -617,8 +613,12 @@
 
     def _rate(self, i: int) -> float:
         """Prompt tokens a second that it has shown, fading to what is usual for its kind."""
-        alike = [self.rate[j] for j in self._all() if self.kind[j] == self.kind[i] and self.rate[j]]
-        usual = median(alike) if alike else RATE_LIKELY
+        if self.now != self.rates_at:
+            self.rates_at, self.usual_rate = self.now, {}
+        usual = self.usual_rate.get(self.kind[i])
+        if usual is None:
+            alike = [self.rate[j] for j in self._all() if self.kind[j] == self.kind[i] and self.rate[j]]
+            usual = self.usual_rate[self.kind[i]] = median(alike) if alike else RATE_LIKELY
         fade = 0.5 ** ((self.now - self.rate_at[i]) / SLOW_FADE)
         return usual + (self.rate[i] - usual) * fade if self.rate[i] else usual
 
