Slow writing counts against a writer; trials of a failing engine happen

Should also hold against engines that lose speed in any way; could harm when one engine happens to get the long answers. A trial was used up by merely looking at an engine; now by the send.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -39,6 +39,7 @@
 KEPT_TRIES = 3  # sequences kept here that are tried again in vain at a time
 SHARE_BURST = 2.0  # seconds of its share that a tenant may send at once
 SLOW_FADE = 5.0  # seconds in which what we know of an engine's pace halves
+DRAG_COST = 0.5  # share of a writer's room lost where answers take twice the usual time
 TARDY_COST = 3.0  # seconds that each second of late beginnings counts against a writer
 BLAME = 0.25  # share of failures above the fleet's median at which an engine is left alone
 BLAME_FADE = 5.0  # seconds in which what an engine did fades to a third
@@ -60,6 +61,7 @@
     "recent": 0.0, "recent_at": 0.0,  # tokens begun there that no report may show yet
     "rate": 0.0, "rate_at": 0.0,  # prompt tokens a second
     "far_pace": 0.0,  # seconds a token that fetches from other cells have taken
+    "drag": 0.0,  # by how much of the usual time its answers have lately taken longer
     "tardy": 0.0, "tardy_at": 0.0,  # seconds by which its answers began late
     "tried": 0.0, "failed": 0.0, "faded_at": 0.0,  # schedule attempts, fading
     "trial_at": 0.0, "full_until": 0.0, "cold_next": 0.0,  # when it may be tried again
@@ -144,6 +146,7 @@
         self.share_left: dict[int, tuple[float, float]] = {}  # by tenant: sequences left, and when
         self.results: list[tuple] = []
         self.wake_at = float("inf")
+        self.usual_stream: dict[int, float] = {}  # by traffic type: seconds that an answer takes
         self.now = self.fleet_at = self.rates_at = 0.0
         self.fleet_fails, self.usual_rate = 0.0, {}  # medians: share of failures; tokens a second by kind
         self.usual: dict[int, tuple[float, float]] = {}  # by kind: what we send to one a second, and when
@@ -189,21 +192,17 @@
         seq = self.seqs.get(ident)
         if seq is not None and attempt < len(seq.attempts):
             t = seq.attempts[attempt]
-            seq.begun = True
+            e, seq.begun, seq.state_at = t.engine, True, -1
             self._bind(seq, -1)
-            self.recent[t.engine] = self._recent(t.engine, now) + self._need(seq)
-            self.recent_at[t.engine] = now
-            seq.state_at = -1
+            self.recent[e], self.recent_at[e] = self._recent(e, now) + self._need(seq), now
             self._read_over(t)
-            self._judge(t.engine, 0.0, now)
+            self._judge(e, 0.0, now)
             self._pace(t, latency)
-            if t.fetches and self.cell[seq.reader] != self.cell[t.engine]:
-                pace = latency / max(500.0, seq.a.prompt)
-                self.far_pace[t.engine] += 0.2 * (pace - self.far_pace[t.engine])
+            if t.fetches and self.cell[seq.reader] != self.cell[e]:
+                self.far_pace[e] += 0.2 * (latency / max(500.0, seq.a.prompt) - self.far_pace[e])
             else:
-                late = max(0.0, latency - t.unread / self._rate(t.engine))
-                self.tardy[t.engine] = self._tardy(t.engine) + 0.3 * (late - self._tardy(t.engine))
-                self.tardy_at[t.engine] = now
+                late = max(0.0, latency - t.unread / self._rate(e))
+                self.tardy[e], self.tardy_at[e] = self._tardy(e) + 0.3 * (late - self._tardy(e)), now
         return self._finish(now)
 
     def ended(self, now: float, ident: int, attempt: int, outcome: str, latency: float, settled: bool,
@@ -294,8 +293,8 @@
         def score(w: int) -> float:
             delay = self._move(at, w, seq) if at >= 0 else self._read_plan(w, seq, now, readers)[0]
             delay += self._wait(w) + TARDY_COST * self._tardy(w)
-            room = ROOM_TOKENS * self._free(w, seq, now) - RATE_LIKELY * delay
-            home = HOME_TOKENS * (self.zone[w] == self.terms.zone)
+            room = ROOM_TOKENS * (self._free(w, seq, now) - DRAG_COST * max(0.0, self.drag[w]))
+            home = HOME_TOKENS * (self.zone[w] == self.terms.zone) - RATE_LIKELY * delay
             return room + self.table.claim(w, seq.a, now)[0] + home + self.random()
         seq.writer = max(roomy, key=score)
         return PASS
@@ -370,6 +369,7 @@
         t.fetches = seq.state_at >= 0
         seq.attempts.append(t)
         self.sends[engine].append(now)
+        self.trial_at[engine] = now + TRIAL_EVERY
         self.own_unread[engine] += unread
         self.own_reads[engine] += seq.split
         if not seq.split:
@@ -409,6 +409,11 @@
                 self._judge(t.engine, 0.0, now)
             if t.reads:
                 self._pace(t, t.latency)
+            if seq.begun:
+                # Guards against engines that begin in time and write slowly, against the usual of the type.
+                usual = self.usual_stream.setdefault(seq.a.traffic, t.latency)
+                self.usual_stream[seq.a.traffic] += 0.05 * (t.latency - usual)
+                self.drag[t.engine] += 0.15 * (t.latency / max(usual, 0.01) - 1.0 - self.drag[t.engine])
             if not t.fetches:
                 if t.claim >= 64.0 and t.kept < 0.5 * t.claim:
                     self.table.void_until(t.engine, t.claimed_at)
@@ -528,12 +533,9 @@
     def _usable(self, i: int, seq: Seq, now: float) -> bool:
         if self.state[i] != SERVING or now < self.full_until[i] or not self._cold_pass(i, now, spend=False):
             return False
-        if self._blamed(i, now):
-            # a trial now and then, never with a sequence that could be lost by it
-            if now < self.trial_at[i] or (seq.kind.repeats == ONCE_ONLY and self._writes(i)):
-                return False
-            self.trial_at[i] = now + TRIAL_EVERY
-        return True
+        # one that is left alone gets a trial now and then, never with a sequence that could be lost by it
+        lost = seq.kind.repeats == ONCE_ONLY and self._writes(i)
+        return not self._blamed(i, now) or (now >= self.trial_at[i] and not lost)
 
     def _cold_pass(self, i: int, now: float, spend: bool = True) -> bool:
         """Rule 4: each node keeps to its part of what a cold engine may be sent, refused sends too."""
@@ -545,7 +547,7 @@
         if spend:
             alike = [j for j in self._all() if self.state[j] == SERVING and self.kind[j] == self.kind[i]]
             sent = sum(s > now - USUAL_SPAN for j in alike for s in self.sends[j]) / USUAL_SPAN / len(alike)
-            # remembered for a while, as there is little to go by once most of a kind have broken at once
+            # remembered, as there is nothing to go by once most of a kind have broken at once
             known, at = self.usual.get(self.kind[i], (0.0, now))
             usual = max(sent, known * 0.5 ** ((now - at) / USUAL_FADE))
             self.usual[self.kind[i]] = (usual, now)
@@ -576,13 +578,10 @@
 
     def _report(self, i: int, load: Load, now: float) -> None:
         if load.memory_share is not None:
-            self.memory_used[i] = load.memory_share * self._memory(i)
-            self.memory_told[i] = True
-        self.unread_told[i] = self.unread_told[i] or load.unread is not None or load.waiting is not None
-        if load.unread is not None:
-            self.others_unread[i] = max(0.0, load.unread - self.own_unread[i])
-        elif load.waiting is not None:
-            self.others_unread[i] = max(0.0, load.waiting * self.usual_unread - self.own_unread[i])
+            self.memory_used[i], self.memory_told[i] = load.memory_share * self._memory(i), True
+        told, scale = (load.waiting, self.usual_unread) if load.unread is None else (load.unread, 1.0)
+        if told is not None:
+            self.others_unread[i], self.unread_told[i] = max(0.0, told * scale - self.own_unread[i]), True
 
     def _memory(self, i: int) -> float:
         return self.terms.memory[self.kind[i]] or MEMORY_LIKELY
@@ -594,8 +593,7 @@
         return seq.a.prompt + LIKELY_OUTPUT * seq.a.most_output
 
     def _free(self, i: int, seq: Seq, now: float) -> float:
-        """Share of a writer's memory left with this sequence: by its last report and all sent since, taking
-        the others to have sent as much as we did."""
+        """Share of a writer's memory left with this sequence, if other nodes promise as much as we do."""
         if self.memory_told[i]:
             coming = self._recent(i, now) + self.bound[i]
             used = max(self.memory_used[i] + coming * self.terms.nodes, self.own_held[i])
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -148,4 +148,17 @@
         s = b.take(prompt=300.0)
         bad = b.router.seqs[s].attempts[0].engine == 1
         b.ended(s, 0, itf.ERROR if bad else itf.GENERATED, settled=not bad)
+    b.now += 1.1
+    b.take(prompt=300.0)  # a trial is due
+    b.take(prompt=300.0)
     b.check("failing_engine")
+
+
+def test_slow_writer_counts_less() -> None:
+    b = Bench("R0 W0 W0")
+    for _ in range(8):
+        s = b.take(prompt=300.0)
+        slow = b.router.seqs[s].attempts[0].engine == 1
+        b.began(s, 0)
+        b.ended(s, 0, itf.GENERATED, settled=True, latency=20.0 if slow else 4.0)
+    b.check("slow_writer")
