One place for the rule on repeats; closing scores and write-up

The abort of a once-only sequence after an outcome now asks the same function as the gate; mutating a guard of rules 1, 2, 4 and 5 or the drain check turns a test red.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -444,7 +444,7 @@
         seq.over = seq.over or t.settled
         if seq.over:
             self._let_go(seq)
-        elif seq.may_run and seq.kind.repeats == ONCE_ONLY:
+        elif not self._may_go_again(seq, t.engine, now):
             self._give_up(seq)  # nothing more may be tried: say so at once
         elif not seq.out():
             self._run(seq, now)
