--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -25,13 +25,12 @@
 KEPT_FOR = 30.0  # seconds for which a claim of the table counts in full, and over which it then fades away
 KEPT_ENTRIES = 4000  # claims held for each engine
 ROOM_TOKENS = 20000.0  # what a wholly free writer is worth, in kept tokens
-FAR_PACE = 1.0 / 24000.0  # seconds a token that a move between cells is taken to cost at least
-SELF_DRAG = 3.0  # times longer that a pure writer's own reading counts, as its streams wait meanwhile
+FAR_PACE = 1.0 / 24000.0  # seconds a token that a move between cells takes, until some were seen
+SELF_DRAG = 3.0  # times longer that a writer's own reading counts, as its streams wait meanwhile
 HOME_TOKENS = 500.0  # what lying in this node's zone is worth
 MEMORY_LIKELY = 150000.0  # tokens, where no figure is stated
-TIE = 0.1  # seconds within which chance picks among readers of other cells, lest all nodes send to one
+TIE = 0.1  # seconds within which chance picks among readers, lest all nodes send to one
 CELL_SLACK = 1.3  # times their even part that a cell's readers are trusted with unseen
-ZONE_PACE = 2.0  # times longer that a move between zones is taken to last
 RATE_LIKELY = 12000.0  # prompt tokens a second, until answers have shown a rate
 READ_ROOM = 0.5  # share of the remaining latency SLO that a reader's queue may take
 WRITE_FULL = 0.92  # share of a writer's memory past which nothing new is begun for it
@@ -43,6 +42,7 @@
 SHARE_SLACK = 4.0  # sequences a span that a tenant may send besides, as few make no share
 SHARE_SKEW = 1.25  # times its even part of a share that a node lets pass, as nodes get unequal parts
 SEEN_FADE = 5.0  # seconds in which what we have seen of an engine halves
+QUEUE_FADE = 1.0  # seconds in which the word on what waits at a reader is half worthless
 RARE_FADE = 3.0  # times longer at most for engines that we rarely hear of
 DRAG_COST = 0.5  # share of a writer's room lost where answers take twice the usual time
 TARDY_COST = 3.0  # seconds that each second of late beginnings counts against a writer
@@ -87,6 +87,7 @@
 
     def __init__(self, ident: int, a: Arrival, kind: TrafficType, now: float, answer_by: float) -> None:
         self.id, self.a, self.kind, self.since = ident, a, kind, now
+        self.whose = (a.tenant, a.traffic)
         self.abandon_at = answer_by
         # some come with little time left: what this try has left is what counts
         self.slo_at = min(answer_by, now + kind.latency_slo + kind.slo_per_token * a.prompt)
@@ -142,7 +143,7 @@
         self.table = KeptTable()
         self.results: list[tuple] = []
         self.wake_at = float("inf")
-        self.now = 0.0
+        self.now = self.timed_at = 0.0
         self.usual: dict[tuple, float] = {}  # running means: what of, and of which kind, cell or traffic type
         self.counts: dict[tuple, tuple[float, float]] = {}  # done for us by kind, sent by tenant
         self.refused: dict[tuple[int, int, int], float] = {}  # until when: engine, tenant, traffic type
@@ -193,7 +194,10 @@
         self.now = now
         answer_by = now + a.time_left - max(2 * self.terms.tick, 0.004)
         seq = self.seqs[ident] = Seq(ident, a, self.terms.traffic[a.traffic], now, answer_by)
-        seq.over_share = self._over_share(a.tenant, now)
+        self._count("sent", a.tenant)
+        quota = self.terms.quotas[a.tenant] / self.terms.nodes if a.tenant >= 0 else 0.0
+        most = SHARE_SKEW * quota + SHARE_SLACK / USUAL_SPAN  # lumps and unequal nodes allowed for
+        seq.over_share = quota > 0.0 and self._often("sent", a.tenant) > most
         self._run(seq, now)
         return self._finish(now)
 
@@ -203,16 +207,14 @@
         if seq is not None and attempt < len(seq.attempts):
             t = seq.attempts[attempt]
             e, seq.begun, seq.state_at = t.engine, True, -1
-            if ("memory", self.kind[e]) in self.usual:
-                self._bind(seq, -1)  # reports will show it
+            self._bind(seq, -1 if ("memory", self.kind[e]) in self.usual else seq.bound)  # reports show it
             self._note(self.failing, e, 0.0, 0.3)
             self._count("done", self.kind[e])
             self._pace(t, latency)
-            if seq.due[1] > 0.0:
-                self._mean("reckoned", 0, seq.due[1], 0.05)
-                self._mean("took", 0, min(now - seq.due[0], 3.0 * seq.due[1]), 0.05)
+            self._timed(seq, now)
             if t.fetches and self.cell[seq.reader] != self.cell[e]:
-                self._mean("link", self.cell[seq.reader], latency / max(500.0, seq.a.prompt), 0.2)
+                way = 2 * self.cell[seq.reader] + (self.zone[seq.reader] != self.zone[e])
+                self._mean("link", way, latency / max(500.0, seq.a.prompt), 0.2)
             else:
                 self._note(self.tardy, e, max(0.0, latency - t.unread / self._rate(e)), 0.3)
             self.own_unread[e], t.unread = max(0.0, self.own_unread[e] - t.unread), 0.0
@@ -254,12 +256,6 @@
                 misses += seq.id in self.kept
         return self._finish(now)
 
-    def _over_share(self, tenant: int, now: float) -> bool:
-        """Whether a tenant sends more than this node's part of its share."""
-        quota = self.terms.quotas[tenant] / self.terms.nodes if tenant >= 0 else 0.0
-        self._count("sent", tenant)
-        return quota > 0.0 and self._often("sent", tenant) > SHARE_SKEW * quota + SHARE_SLACK / USUAL_SPAN
-
     # -- the chain --------------------------------------------------------------------------------
 
     def _run(self, seq: Seq, now: float) -> None:
@@ -281,29 +277,38 @@
             return self._give_up(seq, self.terms.max_wait)
         return KEEP
 
+    def _timed(self, seq: Seq, now: float) -> None:
+        """How long a beginning took, or was waited for in vain, against what was reckoned."""
+        if seq.due[1] > 0.0:
+            weight = min(0.3, 1.0 - 0.5 ** ((now - self.timed_at) / SEEN_FADE))
+            self._mean("reckoned", 0, seq.due[1], weight)
+            self._mean("took", 0, min(now - seq.due[0], 5.0 * seq.due[1]), weight)
+            seq.due, self.timed_at = (0.0, 0.0), now
+
     def _pick_writer(self, seq: Seq, now: float) -> str:
         """Writer first: by room, raised by the tokens it should keep."""
         if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, now):
             return PASS
         usable = [w for w in self.writers if self._usable(w, now)]
+        # Guards against what failed it, and refusals meant for its tenant and traffic type: elsewhere first.
         usable = [w for w in usable if w not in seq.avoid] or usable
-        # Guards against refusals meant for a tenant or a traffic type: elsewhere first.
-        usable = [w for w in usable if not self._refuses(w, seq, now)] or usable
+        usable = [w for w in usable if self.refused.get((w, *seq.whose), now) <= now] or usable
         roomy = [w for w in usable if self._free(w, seq) > 1.0 - WRITE_FULL]
-        if usable and not roomy and not seq.attempts:
+        if not usable:
+            return KEEP
+        if not roomy and not seq.attempts:
             # Guards against writers that run out of memory, put answers back into their queues and read them
             # anew, which keeps them full, whatever filled them: new work waits here, or is turned away in
             # time to come again. What a tenant sends beyond its share goes first.
             return self._wait_here(seq, now)
-        if not usable:
-            return KEEP
         at = seq.state_at
         plan = seq.plan = None if at >= 0 else self._plan_reads(seq, now)
 
         def score(w: int) -> float:
-            delay = self._move(at, w, seq) if at >= 0 else self._read_plan(w, seq, now, plan)[0]
+            delay = self._fetch(at, w, seq) if at >= 0 else self._read_plan(w, seq, now, plan)[0]
             delay += self._wait(w) + TARDY_COST * self._seen(self.tardy, w)
-            room = ROOM_TOKENS * (self._free(w, seq) - DRAG_COST * max(0.0, self._seen(self.drag, w)))
+            drag = self.usual.get(("drag", self.kind[w]), 0.0) + self._seen(self.drag, w)
+            room = ROOM_TOKENS * (self._free(w, seq) - DRAG_COST * drag)
             home = HOME_TOKENS * (self.zone[w] == self.terms.zone) - RATE_LIKELY * delay
             return room + self.table.claim(w, seq.a, now)[0] + home + self.random()
         seq.writer = max(roomy or usable, key=score)
@@ -329,35 +334,34 @@
     def _plan_reads(self, seq: Seq, now: float) -> tuple[dict, dict]:
         """Seconds to the read, and reader: the pick of each cell with room; the soonest by zone (-1: all)."""
         limit = max(0.1, READ_ROOM * (seq.slo_at - now))
-        near, far, key = {}, {}, seq.a.prefix or seq.a.session
+        near, far, key, chance = {}, {}, seq.a.prefix or seq.a.session, self.random()
         for r in self.readers:
-            if r in seq.avoid or not self._usable(r, now) or self._refuses(r, seq, now):
+            if r in seq.avoid or not self._usable(r, now) or self.refused.get((r, *seq.whose), now) > now:
                 continue
             claim = self._expect(r, seq, now)
             takes = self._wait(r) + (seq.a.prompt - claim) / self._rate(r)
+            # Guards against cells whose few readers all nodes take to be free: what is not known of them is
+            # judged by how many readers a writer of that cell has, against the fleet.
+            known = 0.5 ** ((now - self.unread[r][1]) / QUEUE_FADE / (1.0 + ALIKE_NODES / self.terms.nodes))
+            if chance > known + (1.0 - known) * self.reach[self.cell[r]]:
+                takes += seq.slo_at - now
             if takes < limit:
                 # Guards against many nodes that each know little: among equals, an order by prefix that all
                 # nodes share, so that a prefix is kept at few readers of a cell.
                 order = (key ^ self.mark[r]) * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFFFF
                 worth = (round(claim), -self.own_reads[r], order)
                 near[self.cell[r]] = max(near.get(self.cell[r], (worth,)), (worth, takes, r))
-            queue = seq.a.prompt * self.usual.get(("link", self.cell[r]), 0.0)
-            reach = (takes + queue + TIE * self.random(), r)
             for area in (self.zone[r], -1):
+                move = self._move(r, area < 0, seq)
+                reach = (takes + move + TIE * self.random(), takes, r)
                 far[area] = min(far.get(area, reach), reach)
-        for cell in list(near):
-            # Guards against cells whose few readers all nodes take to be free: what is not known of them is
-            # judged by how many readers a writer of that cell has, against the fleet.
-            known = self._fresh(self.unread[near[cell][2]][1], near[cell][2])
-            if self.random() > known + (1.0 - known) * self.reach.get(cell, 1.0):
-                del near[cell]
         return near, far
 
     def _read_plan(self, w: int, seq: Seq, now: float, plan: tuple[dict, dict]) -> tuple[float, int]:
         """Seconds until the prompt is read for this writer, and by which reader (-1: by itself)."""
         uncached = seq.a.prompt - self.table.claim(w, seq.a, now)[0]
-        both = self.terms.reads[self.kind[w]]
-        able, alone = both or self.terms.self_read, uncached / self._rate(w) * (1.0 if both else SELF_DRAG)
+        able = self.terms.reads[self.kind[w]] or self.terms.self_read
+        alone = SELF_DRAG * uncached / self._rate(w)
         if able and (SPLIT_TOKENS <= 0 or uncached < SPLIT_TOKENS):
             return alone, -1
         near, far = plan
@@ -366,20 +370,21 @@
         # Guards against readers flooded by a lasting heavy mix, and against states queueing on the links
         # between cells: where no reader of the cell has room, the prompt goes where it should be ready first,
         # the writer included.
-        others = [far[a] for a in (self.zone[w], -1) if a in far]
-        if not others:
-            return (alone, -1) if able else (seq.abandon_at - now, -2)
-        best = min((t + self._move(r, w, seq), r) for t, r in others)
-        return (alone, -1) if able and alone + self._wait(w) < best[0] else best
+        others = [far[a][1:] for a in (self.zone[w], -1) if a in far]
+        best = min((t + self._fetch(r, w, seq), r) for t, r in others) if others else (seq.abandon_at - now, -2)
+        return (alone, -1) if able and (best[1] < 0 or alone + self._wait(w) < best[0]) else best
 
     def _expect(self, r: int, seq: Seq, now: float) -> float:
         """Tokens that a reader should keep: by our table, or as others have lately turned out."""
         luck = self.usual.get(("luck", 0), 0.0) * min(seq.a.shared, seq.a.prompt)
         return max(self.table.claim(r, seq.a, now)[0], luck)
 
-    def _move(self, r: int, w: int, seq: Seq) -> float:
-        far = ZONE_PACE if self.zone[r] != self.zone[w] else float(self.cell[r] != self.cell[w])
-        return seq.a.prompt * FAR_PACE * far
+    def _fetch(self, r: int, w: int, seq: Seq) -> float:
+        return 0.0 if self.cell[r] == self.cell[w] else self._move(r, self.zone[r] != self.zone[w], seq)
+
+    def _move(self, r: int, zones: bool, seq: Seq) -> float:
+        """Seconds that moves out of a reader's cell, or to another zone, have lately taken."""
+        return seq.a.prompt * self.usual.get(("link", 2 * self.cell[r] + zones), FAR_PACE)
 
     def _gate(self, seq: Seq, now: float) -> str:
         """The one place that every send passes; each of the five rules is kept here."""
@@ -425,24 +430,27 @@
 
     def _learn(self, seq: Seq, t: Attempt, now: float) -> None:
         """What an outcome tells: what may have run; of the engine, its health, pace and kept tokens."""
-        t.out = False
+        t.out, kind = False, self.kind[t.engine]
+        gap = self.alike[kind] / max(self._often("done", kind), 0.01)
+        self.usual["half", kind] = min(max(SEEN_FADE, gap), RARE_FADE * SEEN_FADE)
         if t.outcome in (GENERATED, READ):
             if t.reads:
                 self._note(self.failing, t.engine, 0.0, 0.3)
                 self._pace(t, t.latency)
-                self._count("done", self.kind[t.engine])
+                self._count("done", kind)
                 if t.claim < 64.0 and seq.a.shared:
                     self._mean("luck", 0, min(1.0, t.kept / seq.a.shared), 0.1)
             if seq.begun:
-                # Guards against engines that begin in time and write slowly, against the usual of the type.
-                usual = self._mean("stream", seq.a.traffic, t.latency, 0.05)
-                self._note(self.drag, t.engine, t.latency / max(usual, 0.01) - 1.0, 0.15)
+                # Guards against engines, and kinds of them, that begin in time and write slowly.
+                more = t.latency / max(self._mean("stream", seq.a.traffic, t.latency, 0.05), 0.01) - 1.0
+                more -= self._mean("drag", kind, more, 0.1)
+                self._note(self.drag, t.engine, more, 0.2)
             if not t.fetches:
                 if t.claim >= 64.0 and t.kept < 0.5 * t.claim:
                     self.table.void_until(t.engine, t.claimed_at)
                 self.table.feed(t.engine, seq.a, now)
         elif t.outcome == FULL and not t.kept:
-            self.refused[t.engine, seq.a.tenant, seq.a.traffic] = now + REFUSED_FOR
+            self.refused[t.engine, *seq.whose] = now + REFUSED_FOR
         elif t.outcome not in (FULL, UNSENT, CANCELLED):
             if t.outcome in (UNREACHED, RESET):
                 # Guards against pushing over what died and came back, seconds before the list says so.
@@ -476,6 +484,7 @@
 
     def _give_up(self, seq: Seq, wait: float = 0.0) -> str:
         """A final answer at once: a rejection where that is true, else an abort."""
+        self._timed(seq, self.now)
         unsure = bool(seq.may_run or seq.out())  # a read still out counts until it is known to have ended
         free = seq.kind.repeats == REPEATABLE or (
             seq.kind.repeats == TOKENED and seq.kind.dedup_group == "all")
@@ -543,11 +552,10 @@
             return True
         slot = int((now - self.started[i]) / terms.fall_time)
         if slot != self.cold_slot[i]:
-            usual = self._often("done", self.kind[i]) / max(1, self.alike[self.kind[i]])
+            usual = self._often("done", self.kind[i]) * terms.fall_time / max(1, self.alike[self.kind[i]])
             warmed = COLD_RAMP * max(0.0, now - self.started[i]) / max(terms.cold_time, 0.001)
             share = terms.cold_share + (1.0 - terms.cold_share) * warmed
-            sends = COLD_PART * share * terms.fall_multiple * usual * terms.fall_time
-            sends = max(sends, COLD_LEAST / terms.nodes)
+            sends = max(COLD_PART * share * terms.fall_multiple * usual, COLD_LEAST / terms.nodes)
             self.cold_slot[i], self.cold_left[i] = slot, int(sends + self.random())
         left = self.cold_left[i]
         self.cold_left[i] -= spend and left > 0
@@ -559,14 +567,7 @@
         return count * 0.5 ** ((self.now - at) / USUAL_SPAN) * 0.69 / USUAL_SPAN
 
     def _count(self, what: str, which: int) -> None:
-        often = self._often(what, which)
-        self.counts[what, which] = (often * USUAL_SPAN / 0.69 + 1.0, self.now)
-        if what == "done":
-            gap = self.alike[which] / max(often, 0.01)
-            self.usual["half", which] = min(max(SEEN_FADE, gap), RARE_FADE * SEEN_FADE)
-
-    def _refuses(self, i: int, seq: Seq, now: float) -> bool:
-        return bool(self.refused) and now < self.refused.get((i, seq.a.tenant, seq.a.traffic), 0.0)
+        self.counts[what, which] = (self._often(what, which) * USUAL_SPAN / 0.69 + 1.0, self.now)
 
     def _seen(self, figure: list[tuple[float, float]], i: int) -> float:
         """What was seen of an engine, fading; for longer if we rarely hear of its kind."""
