A cold engine is for a part of all sequences, drawn once by each; tests over 160 nodes

Cause, shown by the test that sums 160 routers: sends granted to each node by the span went unused, as a node has a sequence a second at most, and engines that came back were starved while the rest jammed. Now each sequence draws once which cold engines it may go to, so all nodes' sends are a part of what an engine is usually sent, at any node count; a started engine is known to hold nothing. Guards also against retries at a cold engine. Could harm when clients' retries multiply all sequences.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -17,9 +17,8 @@
 
 PASS, KEEP, END = "pass", "keep", "end"
 
-COLD_PART = 0.5  # of what a cold engine may be sent in a span without falling, over all nodes
+COLD_PART = 0.3  # of what a cold engine may be sent in a span without falling, over all nodes
 USUAL_SPAN = 20.0  # seconds over which what is done for us, and what tenants send, is counted, fading
-COLD_LEAST = 0.5  # sends a span to a cold engine, by all nodes, where nothing is known of its kind
 COLD_RAMP = 0.5  # of an even ramp from cold to warm that is believed, as the true one is not told
 SPLIT_TOKENS = 600.0  # uncached prompt tokens from which a prompt is read elsewhere; 0: never
 KEPT_FOR = 30.0  # seconds for which a claim of the table counts in full, and over which it then fades away
@@ -39,7 +38,7 @@
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
 HOPE = 0.5  # share of what we reckon that a beginning takes, until some have been seen
 KEPT_TRIES = 3  # sequences kept here that are tried again in vain at a time
-SHARE_SLACK = 4.0  # sequences a span that a tenant may send besides, as few make no share
+SHARE_SLACK = 1.5  # sequences a span that a tenant may send besides, as few make no share
 SHARE_SKEW = 1.25  # times its even part of a share that a node lets pass, as nodes get unequal parts
 SEEN_FADE = 5.0  # seconds in which what we have seen of an engine halves
 QUEUE_FADE = 1.0  # seconds in which the word on what waits at a reader is half worthless
@@ -67,7 +66,6 @@
     "drag": UNSEEN,  # by how much of the usual time its answers take longer
     "tardy": UNSEEN,  # seconds by which its answers begin late
     "failing": UNSEEN,  # share of schedule attempts
-    "cold_slot": -1, "cold_left": 0,  # span since its start, and sends that we are left in it
 }
 
 
@@ -97,6 +95,7 @@
         self.avoid: set[int] = set()
         self.may_run: list = []  # [dedup group, sent at] of the first attempt that may have run
         self.over_share = self.begun = self.over = False
+        self.lot = 0.0  # by chance: which cold engines it may go to
 
     def out(self) -> list[int]:
         return [i for i, t in enumerate(self.attempts) if t.out]
@@ -194,6 +193,7 @@
         self.now = now
         answer_by = now + a.time_left - max(2 * self.terms.tick, 0.004)
         seq = self.seqs[ident] = Seq(ident, a, self.terms.traffic[a.traffic], now, answer_by)
+        seq.lot = self.random()
         self._count("sent", a.tenant)
         quota = self.terms.quotas[a.tenant] / self.terms.nodes if a.tenant >= 0 else 0.0
         most = SHARE_SKEW * quota + SHARE_SLACK / USUAL_SPAN  # lumps and unequal nodes allowed for
@@ -287,9 +287,9 @@
 
     def _pick_writer(self, seq: Seq, now: float) -> str:
         """Writer first: by room, raised by the tokens it should keep."""
-        if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, now):
+        if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, seq, now):
             return PASS
-        usable = [w for w in self.writers if self._usable(w, now)]
+        usable = [w for w in self.writers if self._usable(w, seq, now)]
         # Guards against what failed it, and refusals meant for its tenant and traffic type: elsewhere first.
         usable = [w for w in usable if w not in seq.avoid] or usable
         usable = [w for w in usable if self.refused.get((w, *seq.whose), now) <= now] or usable
@@ -332,17 +332,19 @@
         return PASS
 
     def _plan_reads(self, seq: Seq, now: float) -> tuple[dict, dict]:
-        """Seconds to the read, and reader: the pick of each cell with room; the soonest by zone (-1: all)."""
+        """Seconds to the read, and reader: the pick of a cell with room; the soonest of a zone (-1: all)."""
         limit = max(0.1, READ_ROOM * (seq.slo_at - now))
-        near, far, key, chance = {}, {}, seq.a.prefix or seq.a.session, self.random()
+        near, far, chance = {}, {}, self.random()
+        key = seq.a.prefix or seq.a.session or int(seq.lot * 2 ** 40)
+        fade = QUEUE_FADE * (1.0 + ALIKE_NODES / self.terms.nodes)  # what few nodes send, each mostly sees
         for r in self.readers:
-            if r in seq.avoid or not self._usable(r, now) or self.refused.get((r, *seq.whose), now) > now:
+            if r in seq.avoid or not self._usable(r, seq, now) or self.refused.get((r, *seq.whose), now) > now:
                 continue
             claim = self._expect(r, seq, now)
             takes = self._wait(r) + (seq.a.prompt - claim) / self._rate(r)
             # Guards against cells whose few readers all nodes take to be free: what is not known of them is
             # judged by how many readers a writer of that cell has, against the fleet.
-            known = 0.5 ** ((now - self.unread[r][1]) / QUEUE_FADE / (1.0 + ALIKE_NODES / self.terms.nodes))
+            known = 0.5 ** ((now - self.unread[r][1]) / fade)
             if chance > known + (1.0 - known) * self.reach[self.cell[r]]:
                 takes += seq.slo_at - now
             if takes < limit:
@@ -371,7 +373,8 @@
         # between cells: where no reader of the cell has room, the prompt goes where it should be ready first,
         # the writer included.
         others = [far[a][1:] for a in (self.zone[w], -1) if a in far]
-        best = min((t + self._fetch(r, w, seq), r) for t, r in others) if others else (seq.abandon_at - now, -2)
+        none = (seq.abandon_at - now, -2)
+        best = min((t + self._fetch(r, w, seq), r) for t, r in others) if others else none
         return (alone, -1) if able and (best[1] < 0 or alone + self._wait(w) < best[0]) else best
 
     def _expect(self, r: int, seq: Seq, now: float) -> float:
@@ -395,7 +398,7 @@
             return KEEP if seq.out() else self._give_up(seq)  # rule 2
         if self.state[engine] != SERVING:
             return KEEP  # rule 3: nothing new from the moment we are told
-        if not self._cold_pass(engine, now):
+        if not self._cold_pass(engine, seq, now):
             return KEEP  # rule 4
         claim = (0.0, 0.0) if seq.state_at >= 0 else self.table.claim(engine, seq.a, now)
         sure = self._expect(engine, seq, now) if seq.split else claim[0]
@@ -536,30 +539,26 @@
         for name, zero in FIGURES.items():
             if e.fresh or not (name.startswith("own_") or name == "bound"):
                 getattr(self, name)[i] = zero
+        self.memory[i] = (-self.usual.get(("memory", e.kind), 0.0), self.now)  # it holds nothing
         self.started[i], self.table.rows[i] = e.started, {}
 
-    def _usable(self, i: int, now: float) -> bool:
-        return self.state[i] == SERVING and self._cold_pass(i, now, spend=False) and not self._blamed(i, now)
+    def _usable(self, i: int, seq: Seq, now: float) -> bool:
+        return self.state[i] == SERVING and self._cold_pass(i, seq, now) and not self._blamed(i, now)
 
-    def _cold_pass(self, i: int, now: float, spend: bool = True) -> bool:
-        """Rule 4: each node keeps to its part of what a cold engine may be sent, refused sends too.
+    def _cold_pass(self, i: int, seq: Seq, now: float) -> bool:
+        """Rule 4: a cold engine is only for a part of all sequences, which each draws once.
 
-        In each span it draws how many sends are its own; what it does not use is lost, so that however many
-        nodes there are, they do not save up for one moment.
+        So the sends of all nodes come to that part of what an engine is usually sent, however many nodes
+        there are and however little each has seen; none saves up sends, or draws again by trying again.
         """
-        terms = self.terms
-        if not terms.fall_time or not self.started[i] or now > self.started[i] + terms.cold_time:
+        terms, age = self.terms, now - self.started[i]
+        if not terms.fall_time or not self.started[i] or age > terms.cold_time:
             return True
-        slot = int((now - self.started[i]) / terms.fall_time)
-        if slot != self.cold_slot[i]:
-            usual = self._often("done", self.kind[i]) * terms.fall_time / max(1, self.alike[self.kind[i]])
-            warmed = COLD_RAMP * max(0.0, now - self.started[i]) / max(terms.cold_time, 0.001)
-            share = terms.cold_share + (1.0 - terms.cold_share) * warmed
-            sends = max(COLD_PART * share * terms.fall_multiple * usual, COLD_LEAST / terms.nodes)
-            self.cold_slot[i], self.cold_left[i] = slot, int(sends + self.random())
-        left = self.cold_left[i]
-        self.cold_left[i] -= spend and left > 0
-        return left > 0
+        warmed = COLD_RAMP * max(0.0, age) / max(terms.cold_time, 0.001)
+        share = terms.cold_share + (1.0 - terms.cold_share) * warmed
+        alike = len(self.writers if terms.writes[self.kind[i]] else self.readers)
+        lot = (seq.lot + self.mark[i] * 0.6180339887) % 1.0
+        return lot * max(1, alike) < COLD_PART * share * terms.fall_multiple
 
     def _often(self, what: str, which: int) -> float:
         """How many of what is counted there have lately been a second."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,7 +25,8 @@
         self.router, self.lines, self.now, self.count = Router(TERMS._replace(**terms)), [], 100.0, 0
         self.router.start(self.now)
         kinds = {"R": READER, "W": WRITER, "B": BOTH}
-        self.listed = [itf.Listing(i, True, itf.SERVING, kinds[e[0]], int(e[1]), int(e[1]), 0.0, 1.0)
+        self.listed = [itf.Listing(i, True, itf.SERVING, kinds[e[0]], int(e[1]), int(e[1]), 0.0, 1.0,
+                                   i * 2654435761 % 2 ** 32)
                        for i, e in enumerate(engines.split())]
         self.say("engines " + engines, self.router.engines(self.now, self.listed, True))
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -162,3 +162,93 @@
         b.began(s, 0)
         b.ended(s, 0, itf.GENERATED, settled=True, latency=20.0 if slow else 4.0)
     b.check("slow_writer")
+
+
+def many(nodes: int, engines: str, **terms: object) -> list[Bench]:
+    return [Bench(engines, nodes=nodes, seed=i, **terms) for i in range(nodes)]
+
+
+def sent_to(b: Bench, **seq: object) -> int:
+    """Take a sequence, answer it at once, and tell which engine it went to (-1: none)."""
+    s = b.take(**seq)
+    attempts = b.router.seqs[s].attempts
+    if not attempts:
+        return -1
+    engine = attempts[0].engine
+    b.began(s, 0)
+    b.ended(s, 0, itf.GENERATED, settled=True, load=itf.Load(memory_share=0.5))
+    return engine
+
+
+def test_cold_budget_of_all_nodes_together() -> None:
+    lines = Bench("R0")
+    for nodes in (2, 160):
+        benches, spans = many(nodes, "R0 W0 W0 W0"), []
+        for tick in range(320):  # eight sequences a second, from node to node; engine 1 starts at 30 s
+            for b in benches:
+                b.now = 100.0 + tick / 8
+                if tick == 240:
+                    b.list(1, started=b.now)
+            engine = sent_to(benches[tick % nodes], prompt=300.0)
+            if tick >= 240:
+                spans.append(engine == 1)
+        told = " ".join(str(sum(spans[i:i + 8])) for i in range(0, 80, 8))
+        lines.lines.append(f"{nodes} nodes, sends to a cold engine second by second: {told}")
+    lines.check("cold_budget")
+
+
+def test_share_of_a_tenant_at_any_node_count() -> None:
+    lines = Bench("R0")
+    for nodes in (2, 160):
+        for times in (1.0, 4.0):
+            b = Bench("R0 W0", nodes=nodes, quotas=(20.0,))
+            over, pace = 0, 20.0 / nodes * times
+            count = max(16, int(20 * pace))
+            for i in range(count):
+                b.now = 100.0 + i / pace
+                a = itf.Arrival(0, 0, 300.0, 10.0, 0, 0, 0.0, 400.0, 0.0)
+                b.router.arrive(b.now, i, a)
+                over += b.router.seqs[i].over_share
+                b.router.left(b.now, i)
+                b.router.ended(b.now, i, 0, itf.CANCELLED, 0.0, True, 0.0, None)
+            lines.lines.append(f"{nodes} nodes, {times:g} times its share: {over} of {count} beyond it")
+    lines.check("tenant_share")
+
+
+def test_many_nodes_that_know_nothing_spread() -> None:
+    lines = Bench("R0")
+    for what, seq in (("writers", {"prompt": 300.0}), ("readers", {"prompt": 3000.0})):
+        counts = [0] * 8
+        for b in many(160, "R0 R0 R1 R1 W0 W0 W1 W1"):
+            b.now += 1.0
+            counts[sent_to(b, prefix=b.router.terms.node, **seq)] += 1
+        lines.lines.append(f"{what}: {counts}")
+    lines.check("spread")
+
+
+def test_cell_with_few_readers_reads_its_part() -> None:
+    lines, counts = Bench("R0"), [0] * 7
+    for b in many(160, "R0 W0 W0 W0 R1 R1 R1"):
+        counts[sent_to(b, prompt=3000.0)] += 1
+    lines.lines.append(f"one reader beside all writers, three apart: {counts}")
+    lines.check("few_readers")
+
+
+def test_refusal_counts_for_whom_it_was_given_to() -> None:
+    b = Bench("W0 W0", quotas=(50.0, 50.0))
+    s = b.take(prompt=300.0)
+    refused = b.router.seqs[s].attempts[0].engine
+    b.ended(s, 0, itf.FULL, load=itf.Load(memory_share=0.2))
+    for traffic in (0, 0, 0, 1, 1):
+        engine = sent_to(b, traffic=traffic, prompt=300.0)
+        b.lines.append(f"engine {refused} refused type 0; type {traffic} went to {engine}")
+    b.check("refusal")
+
+
+def test_idle_node_sets_no_timer() -> None:
+    b = Bench("R0 W0")
+    s = b.take(prompt=300.0)
+    b.began(s, 0)
+    timers = [r for r in b.router.wake(b.now + 11.0, 0) if r[0] == "wake"]
+    b.lines.append(f"timers while an answer streams: {timers}")
+    b.check("idle")
