--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -196,8 +196,7 @@
         seq.lot = self.random()
         self._count("sent", a.tenant)
         quota = self.terms.quotas[a.tenant] / self.terms.nodes if a.tenant >= 0 else 0.0
-        most = SHARE_SKEW * quota + SHARE_SLACK / USUAL_SPAN  # lumps and unequal nodes allowed for
-        seq.over_share = quota > 0.0 and self._often("sent", a.tenant) > most
+        seq.over_share = 0.0 < quota * SHARE_SKEW < self._often("sent", a.tenant) - SHARE_SLACK / USUAL_SPAN
         self._run(seq, now)
         return self._finish(now)
 
@@ -273,7 +272,6 @@
 
     def _wait_here(self, seq: Seq, now: float) -> str:
         if seq.over_share or now - seq.since > PATIENCE * (seq.slo_at - seq.since):
-            self._mean("took", 0, HOPE * self.usual.get(("reckoned", 0), 1.0), 0.01)  # else it learns nothing
             return self._give_up(seq, self.terms.max_wait)
         return KEEP
 
@@ -321,7 +319,9 @@
             plan, seq.plan = seq.plan or self._plan_reads(seq, now), None
             delay, seq.reader = self._read_plan(seq.writer, seq, now, plan)
             delay += self._wait(seq.writer) + self._seen(self.tardy, seq.writer)
-            off = self.usual.get(("took", 0), HOPE) / max(0.001, self.usual.get(("reckoned", 0), 1.0))
+            # fading, as what turns all away learns nothing more
+            off = self.usual.get(("took", 0), HOPE) / max(0.001, self.usual.get(("reckoned", 0), 1.0)) - HOPE
+            off = HOPE + off * 0.5 ** ((now - self.timed_at) / SEEN_FADE)
             if not seq.attempts and delay * off > seq.slo_at - now:
                 # Guards against engines whose queues hold only what comes too late, whatever filled them.
                 return self._wait_here(seq, now)
@@ -336,9 +336,10 @@
         limit = max(0.1, READ_ROOM * (seq.slo_at - now))
         near, far, chance = {}, {}, self.random()
         key = seq.a.prefix or seq.a.session or int(seq.lot * 2 ** 40)
-        fade = QUEUE_FADE * (1.0 + ALIKE_NODES / self.terms.nodes)  # what few nodes send, each mostly sees
+        fade = QUEUE_FADE * (1.0 + ALIKE_NODES / self.terms.nodes)
         for r in self.readers:
-            if r in seq.avoid or not self._usable(r, seq, now) or self.refused.get((r, *seq.whose), now) > now:
+            shut = r in seq.avoid or self.refused.get((r, *seq.whose), now) > now
+            if shut or not self._usable(r, seq, now):
                 continue
             claim = self._expect(r, seq, now)
             takes = self._wait(r) + (seq.a.prompt - claim) / self._rate(r)
