gRPC over HTTP/2 on Twisted: server, channel, flow control, drains, guards

Need: the program's frame is a gRPC core with token streams that knows nothing of engines; none existed.

Change: rpc/ with sans-I/O framing, metadata and status; one Protocol around h2 shared by server and channel, with windows given back by stream, producers paused past a bound, deadlines, cancellation, two-step GOAWAY, keep-alive, jittered reconnection, and meters on RST, PING, SETTINGS, PRIORITY and empty DATA floods. Make, import contracts.

Result: grpcio on both sides agrees on all shapes, 8 MiB messages, gzip, metadata, deadlines, cancels, drains and 200 streams; hypothesis on framing. Found on the way: h2 gathers an oversized frame whole before refusing it, and a bad preface draws no GOAWAY; both are guarded here.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# `make run` and `make test` set up what they need; `python3` of 3.11 or newer is all that must be there.
+VENV := .venv
+PY := $(VENV)/bin/python
+
+.PHONY: run test setup protos bench
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
+	test -d $(VENV) || python3 -m venv $(VENV)
+	$(PY) -m pip -q install -r requirements.txt -r requirements-dev.txt
+	$(PY) -m pip -q install --no-deps --no-build-isolation -e . 2>/dev/null || $(PY) -m pip -q install --no-deps -e .
+	touch $@
+
+setup: $(VENV)/.ready
+
+test: setup
+	$(VENV)/bin/ruff check
+	$(VENV)/bin/lint-imports
+	PYTHONHASHSEED=1 $(PY) -m pytest -q
--- /dev/null
+++ b/myrtlehub/rpc/status.py
@@ -0,0 +1,114 @@
+"""gRPC status codes, how they travel in headers, and what HTTP/2 failures mean in them.
+
+Source: the gRPC over HTTP/2 protocol page and the HTTP-to-gRPC status mapping page of the gRPC project.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+from urllib.parse import quote_from_bytes, unquote_to_bytes
+
+from h2.errors import ErrorCodes
+
+Metadata = tuple[tuple[str, str | bytes], ...]
+
+
+class Code(IntEnum):
+    """Canonical status codes."""
+
+    OK = 0
+    CANCELLED = 1
+    UNKNOWN = 2
+    INVALID_ARGUMENT = 3
+    DEADLINE_EXCEEDED = 4
+    NOT_FOUND = 5
+    ALREADY_EXISTS = 6
+    PERMISSION_DENIED = 7
+    RESOURCE_EXHAUSTED = 8
+    FAILED_PRECONDITION = 9
+    ABORTED = 10
+    OUT_OF_RANGE = 11
+    UNIMPLEMENTED = 12
+    INTERNAL = 13
+    UNAVAILABLE = 14
+    DATA_LOSS = 15
+    UNAUTHENTICATED = 16
+
+
+class Status(NamedTuple):
+    """How a call ended.
+
+    `unprocessed` is True only where it is certain that the peer's application never saw the call: it was
+    not sent, the peer refused the stream, or a GOAWAY named an earlier last stream. `broken` is True where
+    the connection or stream died under the call rather than being answered.
+    """
+
+    code: Code
+    message: str = ""
+    trailers: Metadata = ()
+    unprocessed: bool = False
+    broken: bool = False
+
+
+class RpcError(Exception):
+    """A call that did not end with OK; `status` says how."""
+
+    def __init__(self, code: Code, message: str = "", status: Status | None = None) -> None:
+        self.status = status or Status(code, message)
+        super().__init__(f"{self.status.code.name}: {self.status.message}")
+
+
+_HTTP = {400: Code.INTERNAL, 401: Code.UNAUTHENTICATED, 403: Code.PERMISSION_DENIED, 404: Code.UNIMPLEMENTED,
+         429: Code.UNAVAILABLE, 502: Code.UNAVAILABLE, 503: Code.UNAVAILABLE, 504: Code.UNAVAILABLE}
+
+_RESET = {ErrorCodes.REFUSED_STREAM: Code.UNAVAILABLE, ErrorCodes.CANCEL: Code.CANCELLED,
+          ErrorCodes.ENHANCE_YOUR_CALM: Code.RESOURCE_EXHAUSTED,
+          ErrorCodes.INADEQUATE_SECURITY: Code.PERMISSION_DENIED}
+
+
+def from_http(status: int) -> Code:
+    """The code of a response that carries no grpc-status."""
+    return _HTTP.get(status, Code.UNKNOWN)
+
+
+def from_reset(error: int) -> Code:
+    """The code of a stream that the peer reset."""
+    return _RESET.get(error, Code.INTERNAL)
+
+
+def parse_code(text: str) -> Code:
+    """grpc-status as a code; UNKNOWN where it is not one."""
+    try:
+        return Code(int(text))
+    except ValueError:
+        return Code.UNKNOWN
+
+
+def encode_message(text: str) -> str:
+    """Percent-encode a grpc-message: printable ASCII but for '%' stays."""
+    return quote_from_bytes(text.encode(), safe="".join(chr(c) for c in range(32, 127) if c != 37))
+
+
+def decode_message(text: str) -> str:
+    """The reverse; bytes that are no UTF-8 are replaced, never an error."""
+    return unquote_to_bytes(text).decode(errors="replace")
+
+
+_UNITS = {"H": 3600.0, "M": 60.0, "S": 1.0, "m": 1e-3, "u": 1e-6, "n": 1e-9}
+
+
+def encode_timeout(seconds: float) -> str:
+    """grpc-timeout: at most eight digits and a unit, rounded down: no hop lengthens a deadline."""
+    seconds = max(0.0, seconds)
+    for unit in "numSMH":
+        count = int(seconds / _UNITS[unit] + 1e-9)
+        if count < 100_000_000:
+            return f"{count}{unit}"
+    return "99999999H"
+
+
+def decode_timeout(text: str) -> float:
+    """Seconds. ValueError where the header is malformed."""
+    digits, unit = text[:-1], text[-1:]
+    if not (1 <= len(digits) <= 8 and digits.isascii() and digits.isdigit() and unit in _UNITS):
+        raise ValueError(f"grpc-timeout {text!r} is not 1 to 8 digits and one of H M S m u n")
+    return int(digits) * _UNITS[unit]
--- /dev/null
+++ b/tests/memnet.py
@@ -0,0 +1,121 @@
+"""A network in memory on a driven clock: real protocols, bytes handed over by the turn, faults on demand."""
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+
+class Address:
+    def __init__(self, host: str) -> None:
+        self.host, self.port = host, 1
+
+
+class Pipe:
+    """One end's transport."""
+
+    def __init__(self, net: "Net", host: str) -> None:
+        self.net, self.host, self.out, self.other, self.protocol = net, host, [], None, None
+        self.closing = self.dead = self.stalled = False
+        self.producer = None
+
+    def write(self, data: bytes) -> None:
+        if not (self.closing or self.dead):
+            self.out.append(data)
+            if self.producer and self.stalled:
+                self.producer.pauseProducing()
+
+    def registerProducer(self, producer: object, streaming: bool) -> None:  # noqa: N802
+        self.producer = producer
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        self.producer = None
+
+    def getPeer(self) -> Address:  # noqa: N802
+        return Address(self.other.host)
+
+    def loseConnection(self) -> None:  # noqa: N802
+        self.closing = True
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.net.cut(self)
+
+
+class Net:
+    """Hosts by name; `dial` is what a Channel wants."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock, self.hosts, self.pipes = clock, {}, []
+        self.silent: set[str] = set()  # hosts that take bytes and say nothing
+
+    def listen(self, host: str, factory: object) -> None:
+        self.hosts[host] = factory
+
+    def dialer(self, host: str, who: str = "client") -> object:
+        def dial(factory: object) -> Deferred:
+            done = Deferred()
+            self.clock.callLater(0, self._connect, host, who, factory, done)
+            return done
+        return dial
+
+    def _connect(self, host: str, who: str, factory: object, done: Deferred) -> None:
+        if done.called:
+            return
+        if host not in self.hosts:
+            done.errback(Failure(ConnectionRefusedError()))
+            return
+        near, far = Pipe(self, who), Pipe(self, host)
+        near.other, far.other = far, near
+        near.protocol, far.protocol = factory.buildProtocol(None), self.hosts[host].buildProtocol(None)
+        self.pipes += [near, far]
+        for pipe in (far, near):
+            pipe.protocol.transport = pipe
+            pipe.protocol.connectionMade()
+        done.callback(near.protocol)
+
+    def cut(self, pipe: Pipe, clean: bool = False) -> None:
+        for end in (pipe, pipe.other):
+            if not end.dead:
+                end.dead = True
+                reason = ConnectionDone() if clean else ConnectionLost()
+                self.clock.callLater(0, end.protocol.connectionLost, Failure(reason))
+        self.pipes = [p for p in self.pipes if not p.dead]
+
+    def kill(self, host: str) -> None:
+        """A host dies: its connections break and new ones are refused."""
+        self.hosts.pop(host, None)
+        for pipe in list(self.pipes):
+            if pipe.host == host and not pipe.dead:
+                self.cut(pipe)
+
+    def pump(self) -> bool:
+        moved = False
+        for pipe in list(self.pipes):
+            if pipe.dead or pipe.stalled or pipe.host in self.silent:
+                continue
+            if pipe.out:
+                data, pipe.out = b"".join(pipe.out), []
+                moved = True
+                pipe.other.protocol.dataReceived(data)
+            elif pipe.closing and not pipe.dead:
+                self.cut(pipe, clean=True)
+                moved = True
+        return moved
+
+    def run(self, seconds: float = 0.0, step: float = 0.002) -> None:
+        """Let time pass; bytes cross between any two steps."""
+        until = self.clock.seconds() + seconds
+        while True:
+            for _ in range(200):
+                self.clock.advance(0)
+                moved = self.pump()
+                if not moved and not any(c.getTime() <= self.clock.seconds()
+                                         for c in self.clock.getDelayedCalls()):
+                    break
+            else:
+                raise AssertionError("the network does not come to rest")
+            now = self.clock.seconds()
+            if now >= until - 1e-9:
+                return
+            soonest = min((c.getTime() for c in self.clock.getDelayedCalls()), default=until)
+            self.clock.advance(min(until - now, max(step, soonest - now)))
--- /dev/null
+++ b/tests/test_rpc_grpcio.py
@@ -0,0 +1,251 @@
+"""Our server against grpcio's client, and grpcio's server against our channel, on loopback sockets."""
+
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+
+import grpc
+import pytest
+from test_rpc import Echo, Heard
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
+from twisted.internet.threads import blockingCallFromThread
+
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.guards import TransportBounds
+from myrtlehub.rpc.server import Server, ServerCall, client_stream, server_stream, unary
+from myrtlehub.rpc.status import Code, RpcError
+
+BIG = 8 * 2**20
+RAW = {"request_serializer": None, "response_deserializer": None}
+
+
+@pytest.fixture(scope="module", autouse=True)
+def turning() -> Iterator[None]:
+    """The reactor turns in a thread of its own while this module runs."""
+    thread = threading.Thread(target=reactor.run, kwargs={"installSignalHandlers": False}, daemon=True)
+    thread.start()
+    yield
+    reactor.callFromThread(reactor.stop)
+    thread.join(10)
+
+
+def there(call: object, *args: object) -> object:
+    return blockingCallFromThread(reactor, call, *args)
+
+
+# -- our server, their client ------------------------------------------------------------------------
+
+
+@pytest.fixture
+def ours() -> Iterator[tuple[Server, int]]:
+    server = Server(reactor, TransportBounds(streams=400), compress=True)
+    later = Deferred()
+    server.add("/t.T/Echo", Echo)
+    server.add("/t.T/One", unary(lambda call, data: data[::-1]))
+    server.add("/t.T/Join", client_stream(lambda call, parts: b"".join(parts)))
+    server.add("/t.T/Never", unary(lambda call, data: later))
+    server.add("/t.T/Meta", unary(show_meta))
+    server.add("/t.T/Fail", unary(fail))
+    server.add("/t.T/Count", server_stream(count))
+    port = there(TCP4ServerEndpoint(reactor, 0, interface="127.0.0.1").listen, server)
+    yield server, port.getHost().port
+    there(port.stopListening)
+
+
+def fail(call: ServerCall, data: bytes) -> bytes:
+    raise RpcError(Code.FAILED_PRECONDITION, "100% wrong: ünï")
+
+
+def count(call: ServerCall, data: bytes) -> None:
+    for i in range(int(data)):
+        call.send(b"%d" % i)
+    call.finish()
+
+
+def show_meta(call: ServerCall, data: bytes) -> bytes:
+    call.set_initial([("seen", dict(call.metadata)["word"]), ("raw-bin", dict(call.metadata)["raw-bin"])])
+    return b""
+
+
+@pytest.fixture
+def theirs(ours: tuple[Server, int]) -> Iterator[grpc.Channel]:
+    with grpc.insecure_channel(f"127.0.0.1:{ours[1]}", [
+            ("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1)]) as channel:
+        yield channel
+
+
+def test_their_client_all_shapes(theirs: grpc.Channel) -> None:
+    assert theirs.unary_unary("/t.T/One", **RAW)(b"abc") == b"cba"
+    assert theirs.stream_unary("/t.T/Join", **RAW)(iter([b"a", b"", b"c"])) == b"ac"
+    assert list(theirs.unary_stream("/t.T/Count", **RAW)(b"300")) == [b"%d" % i for i in range(300)]
+    assert list(theirs.stream_stream("/t.T/Echo", **RAW)(iter([b"x", b"", b"z"]))) == [b"x", b"", b"z"]
+
+
+def test_their_client_large_and_packed(theirs: grpc.Channel) -> None:
+    big = Random(1).randbytes(BIG)
+    assert theirs.unary_unary("/t.T/One", **RAW)(big, timeout=30) == big[::-1]
+    packed = theirs.unary_unary("/t.T/One", **RAW)(
+        b"abc" * 1000, compression=grpc.Compression.Gzip, timeout=30)
+    assert packed == b"cba" * 1000
+    with pytest.raises(grpc.RpcError) as caught:
+        theirs.unary_unary("/t.T/One", **RAW)(bytes(17 * 2**20), timeout=30)
+    assert caught.value.code() == grpc.StatusCode.RESOURCE_EXHAUSTED
+
+
+def test_their_client_errors_deadlines_cancellation(theirs: grpc.Channel) -> None:
+    with pytest.raises(grpc.RpcError) as caught:
+        theirs.unary_unary("/t.T/Fail", **RAW)(b"")
+    assert caught.value.code() == grpc.StatusCode.FAILED_PRECONDITION
+    assert caught.value.details() == "100% wrong: ünï"
+    with pytest.raises(grpc.RpcError) as caught:
+        theirs.unary_unary("/t.T/Nope", **RAW)(b"")
+    assert caught.value.code() == grpc.StatusCode.UNIMPLEMENTED
+    with pytest.raises(grpc.RpcError) as caught:
+        theirs.unary_unary("/t.T/Never", **RAW)(b"", timeout=0.2)
+    assert caught.value.code() == grpc.StatusCode.DEADLINE_EXCEEDED
+    Echo.calls = []
+    told = threading.Event()
+    lost, Echo.lost = Echo.lost, lambda self, code: (lost(self, code), told.set())[0]
+    try:
+        stream = theirs.stream_stream("/t.T/Echo", **RAW)(held_open(told))
+        assert next(stream) == b"first"
+        stream.cancel()
+        assert told.wait(10) and Echo.calls[0].end == Code.CANCELLED
+    finally:
+        Echo.lost = lost
+
+
+def held_open(until: threading.Event) -> Iterator[bytes]:
+    yield b"first"
+    until.wait(10)
+
+
+def test_their_client_metadata(theirs: grpc.Channel) -> None:
+    reply, call = theirs.unary_unary("/t.T/Meta", **RAW).with_call(
+        b"", metadata=[("word", "plain text"), ("raw-bin", b"\0\xffx")])
+    first = dict(call.initial_metadata())
+    assert (first["seen"], first["raw-bin"]) == ("plain text", b"\0\xffx") and reply == b""
+    stream = theirs.stream_stream("/t.T/Echo", **RAW)(iter([]))
+    assert list(stream) == [] and dict(stream.trailing_metadata())["end-bin"] == b"\0\xff"
+
+
+def test_their_client_200_streams_at_once(theirs: grpc.Channel) -> None:
+    streams = [theirs.unary_stream("/t.T/Count", **RAW)(b"20") for _ in range(200)]
+    assert [len(list(s)) for s in streams] == [20] * 200
+
+
+def test_their_client_through_our_drain(ours: tuple[Server, int], theirs: grpc.Channel) -> None:
+    go = threading.Event()
+    stream = theirs.stream_stream("/t.T/Echo", **RAW)(held_open(go))
+    assert next(stream) == b"first"
+    drained = there(lambda: [ours[0].drain()])[0]
+    go.set()
+    assert list(stream) == [] and stream.code() == grpc.StatusCode.OK
+    there(lambda: drained)
+
+
+# -- our channel, their server -----------------------------------------------------------------------
+
+
+class Theirs(grpc.GenericRpcHandler):
+    def service(self, details: grpc.HandlerCallDetails) -> grpc.RpcMethodHandler | None:
+        h = {
+            "/t.T/One": grpc.unary_unary_rpc_method_handler(lambda data, ctx: data[::-1]),
+            "/t.T/Join": grpc.stream_unary_rpc_method_handler(lambda parts, ctx: b"".join(parts)),
+            "/t.T/Count": grpc.unary_stream_rpc_method_handler(
+                lambda data, ctx: (b"%d" % i for i in range(int(data)))),
+            "/t.T/Echo": grpc.stream_stream_rpc_method_handler(lambda parts, ctx: parts),
+            "/t.T/Meta": grpc.unary_unary_rpc_method_handler(self.meta),
+            "/t.T/Fail": grpc.unary_unary_rpc_method_handler(
+                lambda data, ctx: ctx.abort(grpc.StatusCode.DATA_LOSS, "50% lost: é")),
+            "/t.T/Wait": grpc.unary_stream_rpc_method_handler(self.wait),
+        }
+        return h.get(details.method)
+
+    def __init__(self) -> None:
+        self.stopped = threading.Event()
+        self.time_left = 0.0
+
+    def meta(self, data: bytes, ctx: grpc.ServicerContext) -> bytes:
+        got = dict(ctx.invocation_metadata())
+        ctx.send_initial_metadata([("seen", got["word"])])
+        ctx.set_trailing_metadata([("raw-bin", got["raw-bin"])])
+        return b""
+
+    def wait(self, data: bytes, ctx: grpc.ServicerContext) -> Iterator[bytes]:
+        ctx.add_callback(self.stopped.set)
+        self.time_left = ctx.time_remaining()
+        yield b"begun"
+        self.stopped.wait(10)
+
+
+@pytest.fixture
+def far() -> Iterator[tuple[Theirs, Channel]]:
+    handler = Theirs()
+    server = grpc.server(ThreadPoolExecutor(16), [handler], options=[
+        ("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1)],
+        compression=grpc.Compression.Gzip)
+    port = server.add_insecure_port("127.0.0.1:0")
+    server.start()
+    channel = Channel(reactor, TCP4ClientEndpoint(reactor, "127.0.0.1", port).connect, f"127.0.0.1:{port}",
+                      random=Random(2))
+    yield handler, channel
+    there(lambda: channel.close())
+    server.stop(None).wait()
+
+
+def test_our_channel_all_shapes(far: tuple[Theirs, Channel]) -> None:
+    channel = far[1]
+    assert there(channel.unary, "/t.T/One", b"abc") == b"cba"
+    assert there(channel.collect, "/t.T/Join", [b"a", b"", b"c"]) == [b"ac"]
+    assert there(channel.collect, "/t.T/Count", [b"300"]) == [b"%d" % i for i in range(300)]
+    assert there(channel.collect, "/t.T/Echo", [b"x", b"", b"z" * 70000]) == [b"x", b"", b"z" * 70000]
+
+
+def test_our_channel_large_and_packed(far: tuple[Theirs, Channel]) -> None:
+    channel, big = far[1], Random(1).randbytes(BIG)
+    assert there(channel.unary, "/t.T/One", big) == big[::-1]
+    there(lambda: setattr(channel, "encoding", "gzip"))
+    assert there(channel.unary, "/t.T/One", b"abc" * 1000) == b"cba" * 1000
+
+
+def test_our_channel_errors_metadata_deadline(far: tuple[Theirs, Channel]) -> None:
+    handler, channel = far
+    with pytest.raises(RpcError) as caught:
+        there(channel.unary, "/t.T/Fail", b"")
+    assert caught.value.status[:2] == (Code.DATA_LOSS, "50% lost: é")
+    with pytest.raises(RpcError) as caught:
+        there(channel.unary, "/t.T/Nope", b"")
+    assert caught.value.status.code == Code.UNIMPLEMENTED
+    with pytest.raises(RpcError) as caught:
+        there(channel.collect, "/t.T/Wait", [b""], (), 0.4)
+    assert caught.value.status.code == Code.DEADLINE_EXCEEDED and 0.0 < handler.time_left <= 0.4
+    assert handler.stopped.wait(10)
+    heard, done = Heard(), threading.Event()
+    heard.ended = lambda status: (setattr(heard, "status", status), done.set())[0]
+
+    def start() -> None:
+        channel.call("/t.T/Meta", heard, [("word", "w"), ("raw-bin", b"\0\xff")]).send(b"")
+    there(start)
+    assert done.wait(10) and dict(heard.first)["seen"] == "w"
+    assert dict(heard.status.trailers)["raw-bin"] == b"\0\xff"
+
+
+def test_our_channel_cancels(far: tuple[Theirs, Channel]) -> None:
+    handler, channel = far
+    heard, begun, done = Heard(), threading.Event(), threading.Event()
+    heard.message = lambda data: begun.set()
+    heard.ended = lambda status: (setattr(heard, "status", status), done.set())[0]
+    call = there(lambda: channel.call("/t.T/Wait", heard))
+    there(lambda: (call.send(b""), call.half_close())[0])
+    assert begun.wait(10)
+    there(lambda: call.cancel())
+    assert done.wait(10) and heard.status.code == Code.CANCELLED and handler.stopped.wait(10)
+
+
+def test_our_channel_200_streams_at_once(far: tuple[Theirs, Channel]) -> None:
+    got = there(lambda: gatherResults([far[1].collect("/t.T/Count", [b"20"]) for _ in range(200)]))
+    assert [len(g) for g in got] == [20] * 200
