--- a/Makefile
+++ b/Makefile
@@ -16,3 +16,12 @@
 	$(VENV)/bin/ruff check
 	$(VENV)/bin/lint-imports
 	PYTHONHASHSEED=1 $(PY) -m pytest -q
+
+protos: setup
+	.ci/protos
+
+run: setup
+	$(VENV)/bin/hub-day scenarios/bad-day.yaml
+
+bench: setup
+	$(PY) benchmarks/relay.py
--- /dev/null
+++ b/myrtlehub/config/sheets.py
@@ -0,0 +1,199 @@
+"""What the files of a node and of a stand-in engine may say."""
+
+from typing import Annotated, Literal, Self
+
+from pydantic import Field, StringConstraints, model_validator
+
+from myrtlehub.config.load import Sheet
+from myrtlehub.config.units import Duration, Size, Tokens
+
+Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Address = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9.\-]+:[0-9]{1,5}$")]
+Share = Annotated[float, Field(ge=0.0, le=1.0)]
+Positive = Annotated[float, Field(gt=0.0)]
+NotNegative = Annotated[float, Field(ge=0.0)]
+
+
+class TrafficRow(Sheet):
+    """One traffic type."""
+
+    name: Name
+    repeats: Literal["repeatable", "tokened", "once-only"]
+    latency_slo: Duration
+    slo_per_1000_tokens: Duration = 0.0
+    abandon_time: Duration
+    pace: Duration = 0.05
+    utility: Positive = 1.0
+    late_share: Share = 0.3
+    dedup_group: Literal["all", "zone", "cell"] = "all"
+    dedup_window: Duration = 0.0
+
+    @model_validator(mode="after")
+    def _sound(self) -> Self:
+        if self.abandon_time <= self.latency_slo:
+            raise ValueError("abandon_time has to be longer than latency_slo")
+        if self.repeats == "tokened" and not self.dedup_window:
+            raise ValueError("a tokened traffic type needs dedup_window, as long as engines remember marks")
+        return self
+
+
+class KindRow(Sheet):
+    """One kind of engine."""
+
+    name: Name
+    reads: bool = False
+    writes: bool = False
+    memory: Tokens = 0.0
+
+    @model_validator(mode="after")
+    def _sound(self) -> Self:
+        if not (self.reads or self.writes):
+            raise ValueError("a kind that neither reads nor writes; set reads or writes to yes")
+        return self
+
+
+class TenantRow(Sheet):
+    """One tenant and its quota, in sequences a second over all nodes; 0: none."""
+
+    name: Name
+    quota: NotNegative = 0.0
+
+
+class EngineRow(Sheet):
+    """One engine of the list."""
+
+    address: Address
+    kind: Name
+    zone: Name
+    cell: int = 0
+    weight: Positive = 1.0
+    state: Literal["serving", "draining", "gone"] = "serving"
+    age: Duration = 0.0
+
+
+class RulesGroup(Sheet):
+    """Figures of the five rules."""
+
+    answer_slack: Duration = 0.016
+    drain_grace: Duration
+    let_go: Duration
+    cold_share: Share
+    cold_time: Duration
+    fall_multiple: Positive
+    fall_time: Duration
+
+
+class EnginesMay(Sheet):
+    """What the engines of this fleet can be asked for."""
+
+    read_alone: bool = True  # a pure writer reads a prompt itself
+    cancel: bool = True
+    hold: bool = False
+    resume: bool = False
+    probe: bool = False
+
+
+class NodeGroup(Sheet):
+    """The node itself."""
+
+    name: Name
+    listen: Address
+    admin: Address | None = None
+    index: Annotated[int, Field(ge=0)] = 0
+    nodes: Annotated[int, Field(ge=1)] = 1
+    zone: Name
+    seed: int = 0
+    drain_within: Duration = 10.0
+    most_attempts: Annotated[int, Field(ge=1)] = 5
+    max_wait: Duration = 2.0
+    over_share_utility: Share = 0.1
+    tick: Duration = 0.004
+    tell_nodes: bool = False
+    connect_timeout: Duration = 0.25
+    most_sequences: Annotated[int, Field(ge=1)] = 20000
+    prompt_limit: Size = 8 * 2**20
+
+
+class ListGroup(Sheet):
+    """The list of engines."""
+
+    pushed: bool = False  # news may be handed in over the admin address
+    engines: list[EngineRow] = []
+
+
+class NodeSheet(Sheet):
+    """A node's file."""
+
+    node: NodeGroup
+    traffic: Annotated[list[TrafficRow], Field(min_length=1)]
+    kinds: Annotated[list[KindRow], Field(min_length=1)]
+    zones: Annotated[list[Name], Field(min_length=1)]
+    tenants: list[TenantRow] = []
+    rules: RulesGroup
+    engines_may: EnginesMay = EnginesMay()
+    list: ListGroup
+
+    @model_validator(mode="after")
+    def _sound(self) -> Self:
+        if self.node.zone not in self.zones:
+            raise ValueError(f"node.zone {self.node.zone!r} is not among zones: {', '.join(self.zones)}")
+        if self.node.index >= self.node.nodes:
+            raise ValueError(f"node.index {self.node.index} needs node.nodes above it, not {self.node.nodes}")
+        for what, names in (("traffic", [t.name for t in self.traffic]), ("kinds", [k.name
+                                                                                    for k in self.kinds]),
+                            ("zones", self.zones), ("tenants", [t.name for t in self.tenants]),
+                            ("list.engines", [e.address for e in self.list.engines])):
+            twice = sorted({n for n in names if names.count(n) > 1})
+            if twice:
+                raise ValueError(f"{what}: {', '.join(twice)} named more than once")
+        check_engines(self, self.list.engines)
+        missing = [w for w in ("hold", "resume", "probe") if getattr(self.engines_may, w)]
+        if missing:
+            raise ValueError(f"engines_may.{missing[0]}: engines of myrtlehub.v1 cannot do this; say no")
+        if self.node.tell_nodes:
+            raise ValueError("node.tell_nodes: nodes have no way to talk to each other yet; say no")
+        return self
+
+
+def check_engines(sheet: NodeSheet, engines: list[EngineRow]) -> None:
+    """ValueError where an engine names a kind or zone that the file does not state."""
+    kinds = {k.name for k in sheet.kinds}
+    for engine in engines:
+        if engine.kind not in kinds:
+            raise ValueError(f"engine {engine.address}: kind {engine.kind!r} is not among kinds: "
+                             f"{', '.join(sorted(kinds))}")
+        if engine.zone not in sheet.zones:
+            raise ValueError(f"engine {engine.address}: zone {engine.zone!r} is not among zones: "
+                             f"{', '.join(sheet.zones)}")
+
+
+class StandSheet(Sheet):
+    """A stand-in engine's file. Simulated: figures of a made-up machine."""
+
+    name: Name
+    listen: Address
+    reads: bool = False
+    writes: bool = False
+    slots: Annotated[int, Field(ge=1)] = 8
+    queue: Annotated[int, Field(ge=0)] = 32
+    memory: Tokens = 200000.0
+    read_rate: Annotated[float, Field(gt=0)] = 16000.0  # prompt tokens a second, a slot
+    step: Duration = 0.02  # between tokens of a stream, alone
+    step_crowd: Share = 0.5  # by which steps are longer with all slots in use
+    fetch_rate: Annotated[float, Field(gt=0)] = 250000.0  # tokens a second
+    kept: Tokens = 60000.0  # of prefixes, beside the memory
+    cold: bool = False
+    cold_share: Share = 0.25
+    cold_time: Duration = 10.0
+    fall_multiple: Positive = 2.5
+    fall_time: Duration = 1.0
+    state_bound: Duration = 3.0  # unclaimed state is let go after this
+    dedup_window: Duration = 5.0
+    seed: int = 0
+    records: str = ""  # file; empty: none
+
+    @model_validator(mode="after")
+    def _sound(self) -> Self:
+        if not (self.reads or self.writes):
+            raise ValueError("a stand-in that neither reads nor writes; set reads or writes to yes")
+        return self
--- /dev/null
+++ b/myrtlehub/emulator/server.py
@@ -0,0 +1,251 @@
+"""The stand-in engine on sockets: a thin gRPC server around the model, which records what passes."""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.defer import Deferred
+
+from myrtlehub.config.sheets import StandSheet
+from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
+from myrtlehub.lab.records import Recorder
+from myrtlehub.proto import chat_pb2 as chat
+from myrtlehub.proto import engine_pb2 as pb
+from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.metadata import first
+from myrtlehub.rpc.server import Receiver, Server, ServerCall, server_stream, unary
+from myrtlehub.rpc.status import Code, RpcError, Status
+
+SERVICE = "/myrtlehub.v1.Engine/"
+PIECE = 4096  # tokens of state in a piece
+PIECE_BYTES = 512  # stands for far more: figures of time come from the model
+
+
+def machine_of(sheet: StandSheet) -> Machine:
+    """The model's figures of a stand-in's file."""
+    return Machine(**{name: getattr(sheet, name) for name in Machine.__dataclass_fields__})
+
+
+class _Job(Receiver):
+    """One attempt being served here."""
+
+    def __init__(self, stand: "StandIn", call: ServerCall, work: pb.Work, reads: bool,
+                 state: pb.State | None) -> None:
+        self.stand, self.call, self.work, self.reads, self.state = stand, call, work, reads, state
+        self.answer: Deferred | None = None
+        self.fetching: Channel | None = None
+        self.stopped = False
+        self.ran = False
+        self.node = first(call.metadata, "myrtle-node")
+
+    def note(self, what: str, **more: object) -> None:
+        self.stand.recorder.note(what, seq=self.work.sequence, attempt=self.work.attempt, **more)
+
+    def lost(self, code: Code) -> None:
+        """The node reset the call, its deadline passed or its connection broke."""
+        if not self.stopped:
+            self.stopped = True
+            self.note("stopped", why=code.name, ran=self.ran)
+            if self.fetching is not None:
+                self.fetching.cancel()
+            self.stand.jobs.discard(self)
+            self.stand.act(self.stand.model.cancel(self.stand.clock.seconds(), self))
+
+
+class _Fetch(CallWatcher):
+    def __init__(self, stand: "StandIn", job: _Job) -> None:
+        self.stand, self.job, self.tokens = stand, job, 0
+
+    def message(self, data: bytes) -> None:
+        self.tokens += pb.StatePiece.FromString(data).tokens
+
+    def ended(self, status: Status) -> None:
+        job = self.job
+        job.fetching = None
+        if not job.stopped:
+            whole = status.code == Code.OK and self.tokens >= job.state.tokens
+            self.stand.act(self.stand.model.fetched(self.stand.clock.seconds(), job, whole))
+
+
+class StandIn:
+    """One stand-in. `dial(address)` makes a channel's way to another engine."""
+
+    def __init__(self, sheet: StandSheet, clock: object, dial: Callable[[str], Callable], recorder: Recorder,
+                 on_fallen: Callable[[], None] = lambda: None) -> None:
+        self.sheet, self.clock, self.dial, self.recorder = sheet, clock, dial, recorder
+        self.on_fallen = on_fallen
+        now = clock.seconds()
+        self.model = EngineModel(machine_of(sheet), sheet.seed, now if sheet.cold else None)
+        self.random = Random(sheet.seed + 1)
+        self.server = Server(clock)
+        self.channels: dict[str, Channel] = {}
+        self.jobs: set[_Job] = set()
+        self._timer = None
+        self._timer_at = NEVER
+        for name, handler in (("Read", unary(self._read)), ("Write", server_stream(self._write)),
+                              ("Release", unary(self._release)), ("Fetch", server_stream(self._fetch))):
+            self.server.add(SERVICE + name, handler)
+        self.server.add("/myrtlehub.v1.Stand/Misbehave", unary(self._misbehave))
+        m = self.model.m
+        recorder.note("up", address=sheet.listen, cold=sheet.cold, slots=m.slots, cold_share=m.cold_share,
+                      cold_time=m.cold_time, fall_multiple=m.fall_multiple, fall_time=m.fall_time)
+
+    # -- what is asked ----------------------------------------------------------------------------
+
+    def _task(self, work: pb.Work) -> Task:
+        return Task(work.sequence, work.prompt_tokens, work.most_output, work.session, work.shared_prefix,
+                    work.shared_tokens, work.mark)
+
+    def _take(self, call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None) -> _Job:
+        job = _Job(self, call, work, reads, state)
+        job.note("got", reads=reads, node=job.node, mark=work.mark, traffic=work.traffic_type,
+                 work=self.model.work(self._task(work), reads, state is not None),
+                 hung=self.model.hung)
+        return job
+
+    def _read(self, call: ServerCall, data: bytes) -> Deferred:
+        if not self.sheet.reads:
+            raise RpcError(Code.FAILED_PRECONDITION, "this engine does not read for others")
+        job = self._take(call, pb.ReadRequest.FromString(data).work, True, None)
+        job.answer = Deferred(lambda ignored: job.lost(Code.CANCELLED))
+        self.act(self.model.read(self.clock.seconds(), job, self._task(job.work)))
+        return job.answer
+
+    def _write(self, call: ServerCall, data: bytes) -> Receiver:
+        if not self.sheet.writes:
+            raise RpcError(Code.FAILED_PRECONDITION, "this engine does not write")
+        request = pb.WriteRequest.FromString(data)
+        state = request.state if request.HasField("state") else None
+        job = self._take(call, request.work, False, state)
+        self.jobs.add(job)
+        self.act(self.model.write(self.clock.seconds(), job, self._task(job.work), state is not None))
+        return job
+
+    def _release(self, call: ServerCall, data: bytes) -> bytes:
+        seq = pb.ReleaseRequest.FromString(data).sequence
+        tokens = self.model.state_tokens(seq)
+        self.act(self.model.release(self.clock.seconds(), seq))
+        return pb.ReleaseReply(tokens=int(tokens)).SerializeToString()
+
+    def _fetch(self, call: ServerCall, data: bytes) -> Receiver | None:
+        handle = pb.FetchRequest.FromString(data).handle
+        total = self.model.state_tokens(handle)
+        if not total or self.model.hung:
+            if not self.model.hung:
+                call.finish(Code.NOT_FOUND, f"no state {handle!r} is held here")
+            return None
+        self._send_piece(call, handle, total, 0)
+        return None
+
+    def _send_piece(self, call: ServerCall, handle: str, total: float, sent: int) -> None:
+        if call.over:
+            return
+        size = min(PIECE, int(total) - sent)
+        call.send(pb.StatePiece(tokens=size, data=bytes(PIECE_BYTES)).SerializeToString())
+        sent += size
+        takes = size / self.model.m.fetch_rate * self.model.slow
+        if sent < int(total):
+            self.clock.callLater(takes, self._send_piece, call, handle, total, sent)
+        else:
+            self.clock.callLater(takes, self._fetched, call, handle)
+
+    def _fetched(self, call: ServerCall, handle: str) -> None:
+        if not call.over:
+            self.act(self.model.release(self.clock.seconds(), handle, "fetched"))
+            call.finish()
+
+    def _misbehave(self, call: ServerCall, data: bytes) -> bytes:
+        asked = pb.Misbehaviour.FromString(data)
+        self.recorder.note("misbehaves", how=asked.how, factor=asked.factor, seconds=asked.seconds)
+        if asked.how == "break":
+            for job in sorted((j for j in self.jobs if j.ran), key=lambda j: j.work.sequence):
+                if self.random.random() < (asked.factor or 1.0):
+                    job.note("broken")
+                    job.call.stream.reset(2)  # INTERNAL_ERROR
+        else:
+            try:
+                self.model.misbehave(self.clock.seconds(), asked.how, asked.factor, asked.seconds)
+            except ValueError as fault:
+                raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
+        self.act([])
+        return pb.Misbehaving().SerializeToString()
+
+    # -- what the model says ----------------------------------------------------------------------
+
+    def act(self, events: list[tuple]) -> None:
+        """Carry out events, and set the next wake-up."""
+        for event in events:
+            getattr(self, "_on_" + event[0])(*event[1:])
+        due = self.model.next_at()
+        if due != self._timer_at or self._timer is None or not self._timer.active():
+            if self._timer is not None and self._timer.active():
+                self._timer.cancel()
+            self._timer, self._timer_at = None, due
+            if due != NEVER:
+                self._timer = self.clock.callLater(max(0.0, due - self.clock.seconds()), self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.act(self.model.tick(self.clock.seconds()))
+
+    def _load(self) -> pb.LoadReport:
+        return pb.LoadReport(**self.model.load())
+
+    def _on_read(self, job: _Job, kept: float, tokens: float) -> None:
+        job.note("held", tokens=tokens)
+        job.stopped = True
+        job.answer.callback(pb.ReadReply(
+            read=pb.State(engine=self.sheet.listen, handle=job.work.sequence, tokens=int(tokens)),
+            kept_tokens=int(kept), load=self._load()).SerializeToString())
+
+    def _on_fetch(self, job: _Job) -> None:
+        address = job.state.engine
+        if address not in self.channels:
+            self.channels[address] = Channel(self.clock, self.dial(address), address, random=self.random)
+        job.fetching = self.channels[address].call(SERVICE + "Fetch", _Fetch(self, job))
+        job.fetching.send(pb.FetchRequest(handle=job.state.handle).SerializeToString())
+        job.fetching.half_close()
+
+    def _on_ran(self, job: _Job) -> None:
+        job.ran = True
+        job.note("ran", mark=job.work.mark, traffic=job.work.traffic_type)
+
+    def _on_tokens(self, job: _Job, count: int) -> None:
+        job.call.send(pb.WriteReply(tokens=chat.Tokens(ids=[7] * count)).SerializeToString())
+
+    def _on_ended(self, job: _Job, kept: float, tokens: int) -> None:
+        job.stopped = True
+        self.jobs.discard(job)
+        job.note("ended", tokens=tokens)
+        job.call.send(pb.WriteReply(ended=pb.Ended(
+            tokens=tokens, kept_tokens=int(kept), load=self._load())).SerializeToString())
+        job.call.finish()
+
+    def _on_refused(self, job: _Job, no_state: bool) -> None:
+        job.stopped = True
+        self.jobs.discard(job)
+        job.note("refused", no_state=no_state)
+        refused = pb.Refused(no_state=no_state, load=self._load())
+        if job.reads:
+            job.answer.callback(pb.ReadReply(refused=refused).SerializeToString())
+        else:
+            job.call.send(pb.WriteReply(refused=refused).SerializeToString())
+            job.call.finish()
+
+    def _on_failed(self, job: _Job) -> None:
+        job.stopped = True
+        self.jobs.discard(job)
+        job.note("failed")
+        fault = RpcError(Code.INTERNAL, "the engine failed")
+        if job.reads:
+            job.answer.errback(fault)
+        else:
+            job.call.fail(fault)
+
+    def _on_freed(self, seq: str, tokens: float, why: str) -> None:
+        self.recorder.note("freed", seq=seq, tokens=tokens, why=why)
+
+    def _on_fell(self) -> None:
+        self.recorder.note("fell")
+        for connection in list(self.server.connections):
+            connection.transport.abortConnection()
+        self.on_fallen()
--- /dev/null
+++ b/myrtlehub/lab/records.py
@@ -0,0 +1,79 @@
+"""Records of what passed on sockets: one line of time, kept whole up to the last write.
+
+A record is a msgspec array: time (seconds of the machine's monotonic clock, the same for all processes),
+who wrote it, what, and details by name. Records are packed with zstandard and flushed one by one, so a
+process that is killed outright loses at most what it had not yet written.
+"""
+
+import os
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+import zstandard
+
+HEAD = b"myrtlehub-records-1\n"
+
+
+class Record(NamedTuple):
+    """One thing that passed."""
+
+    at: float
+    who: str
+    what: str
+    more: dict
+
+
+class Recorder:
+    """Writes records to a file; without a path it keeps them in `kept`."""
+
+    def __init__(self, who: str, clock: object, path: str | Path = "") -> None:
+        self.who, self.clock = who, clock
+        self.kept: list[Record] = []
+        self._file = -1
+        if path:
+            self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+            self._pack = zstandard.ZstdCompressor(level=1).compressobj()
+            os.write(self._file, HEAD if not os.fstat(self._file).st_size else b"")
+
+    def note(self, what: str, **more: object) -> None:
+        """Write one record."""
+        record = Record(self.clock.seconds(), self.who, what, more)
+        if self._file < 0:
+            self.kept.append(record)
+            return
+        packed = msgspec.msgpack.encode(record)
+        data = self._pack.compress(len(packed).to_bytes(4) + packed)
+        os.write(self._file, data + self._pack.flush(zstandard.COMPRESSOBJ_FLUSH_BLOCK))
+
+    def close(self) -> None:
+        """Finish the file."""
+        if self._file >= 0:
+            os.write(self._file, self._pack.flush())
+            os.close(self._file)
+            self._file = -1
+
+
+def read(path: str | Path) -> Iterator[Record]:
+    """The records of a file, up to where it was cut. ValueError if it is not one of ours."""
+    data = Path(path).read_bytes()
+    if not data.startswith(HEAD):
+        raise ValueError(f"{path}: not a file of records")
+    data = data[len(HEAD):]
+    raw = bytearray()
+    while data:  # a process that came back appends a frame of its own
+        unpacker = zstandard.ZstdDecompressor().decompressobj()
+        try:
+            raw += unpacker.decompress(data)
+        except zstandard.ZstdError:
+            break
+        data = unpacker.unused_data
+    unpack = msgspec.msgpack.Decoder(tuple[float, str, str, dict])
+    at = 0
+    while at + 4 <= len(raw):
+        size = int.from_bytes(raw[at:at + 4])
+        if at + 4 + size > len(raw):
+            return
+        yield Record(*unpack.decode(memoryview(raw)[at + 4:at + 4 + size]))
+        at += 4 + size
--- /dev/null
+++ b/myrtlehub/node/admin.py
@@ -0,0 +1,50 @@
+"""The node's admin service: news of the list where the file allows it, and what the node routes by."""
+
+from pydantic import ValidationError
+
+from myrtlehub.config.sheets import EngineRow, NodeSheet, check_engines
+from myrtlehub.node.host import Host
+from myrtlehub.proto import admin_pb2 as pb
+from myrtlehub.rpc.server import ServerCall, unary
+from myrtlehub.rpc.status import Code, RpcError
+
+SERVICE = "/myrtlehub.v1.NodeAdmin/"
+
+
+class NodeAdmin:
+    """Serves NodeAdmin on a server, for a host."""
+
+    def __init__(self, host: Host, sheet: NodeSheet) -> None:
+        self.host, self.sheet = host, sheet
+
+    def serve(self, server: object) -> None:
+        """Add the methods."""
+        server.add(SERVICE + "PushList", unary(self.push_list))
+        server.add(SERVICE + "Show", unary(self.show))
+
+    def push_list(self, call: ServerCall, data: bytes) -> bytes:
+        """News of the list, taken whole or not at all."""
+        if not self.sheet.list.pushed:
+            raise RpcError(Code.FAILED_PRECONDITION, "list.pushed is no in this node's file")
+        news = pb.ListNews.FromString(data)
+        try:
+            rows = [EngineRow(address=e.address, kind=e.kind, zone=e.zone, cell=e.cell, weight=e.weight
+                              or 1.0,
+                              state=e.state or "serving", age=f"{e.age:.6f}s") for e in news.engines]
+            check_engines(self.sheet, rows)
+        except (ValidationError, ValueError) as fault:
+            first = fault.errors()[0] if isinstance(fault, ValidationError) else None
+            said = f"{first['loc'][0]}: {first['msg']} (found {first['input']!r})" if first else str(fault)
+            raise RpcError(Code.INVALID_ARGUMENT, said) from fault
+        self.host.list_news(rows, news.whole)
+        return pb.ListTaken(version=self.host.list_version).SerializeToString()
+
+    def show(self, call: ServerCall, data: bytes) -> bytes:
+        """What the node routes by."""
+        engines = self.host.door.engines
+        rows = [engines.rows[i] for i in engines.at.values() if not engines.gone(i)]
+        return pb.NodeState(
+            list_version=self.host.list_version, sequences=len(self.host.held),
+            attempts_out=self.host.attempts_out(), taken=self.host.taken, answered=dict(self.host.answered),
+            engines=[pb.ListedEngine(address=r.address, state=r.state, kind=r.kind, zone=r.zone, cell=r.cell,
+                                     weight=r.weight) for r in rows]).SerializeToString()
--- /dev/null
+++ b/myrtlehub/node/links.py
@@ -0,0 +1,154 @@
+"""One connection an engine, and what is said on it: the host's Carrier over gRPC."""
+
+from collections.abc import Callable
+from random import Random
+
+from myrtlehub import interface as itf
+from myrtlehub.node.host import Attempt, Host
+from myrtlehub.proto import engine_pb2 as pb
+from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.guards import TransportBounds
+from myrtlehub.rpc.status import Code, Status
+
+SERVICE = "/myrtlehub.v1.Engine/"
+TOKENS = 0x0A  # first byte of a reply whose oneof is field 1: tokens, in WriteReply and GenerateReply alike
+LATE = 0.05  # seconds past its time-out at which the engine's own deadline for an attempt falls
+
+
+def load_of(message: object) -> itf.Load | None:
+    """A load report as the module's, None where there is none."""
+    if not message.HasField("load"):
+        return None
+    load = message.load
+    return itf.Load(**{f: getattr(load, f) for f in itf.Load._fields if load.HasField(f)})
+
+
+def outcome_of(status: Status) -> str:
+    """What a call's end tells of its attempt, where the engine itself said nothing of it.
+
+    Only what surely never reached the engine's program counts as not having run.
+    """
+    if status.unprocessed:
+        return itf.UNREACHED
+    if status.broken:
+        return itf.RESET
+    return itf.TIMEOUT if status.code == Code.DEADLINE_EXCEEDED else itf.ERROR
+
+
+class _Read(CallWatcher):
+    def __init__(self, host: Host, attempt: Attempt) -> None:
+        self.host, self.attempt = host, attempt
+        self.reply: bytes | None = None
+
+    def message(self, data: bytes) -> None:
+        self.reply = data
+
+    def ended(self, status: Status) -> None:
+        if status.code != Code.OK or self.reply is None:
+            self.host.ended(self.attempt, outcome_of(status))
+            return
+        try:
+            reply = pb.ReadReply.FromString(self.reply)
+        except ValueError:
+            self.host.ended(self.attempt, itf.ERROR)
+            return
+        load = load_of(reply)
+        if reply.HasField("read"):
+            self.host.ended(self.attempt, itf.READ, float(reply.kept_tokens), load, reply.read)
+        else:
+            self.host.ended(self.attempt, itf.FULL, 0.0, load_of(reply.refused) or load)
+
+
+class _Write(CallWatcher):
+    def __init__(self, host: Host, attempt: Attempt) -> None:
+        self.host, self.attempt = host, attempt
+
+    def message(self, data: bytes) -> None:
+        attempt = self.attempt
+        if data[:1] == b"\x0a":
+            if attempt.begun:
+                self.host.more(attempt, data)
+            elif attempt.out:
+                self.host.began(attempt, data)
+            return
+        try:
+            reply = pb.WriteReply.FromString(data)
+        except ValueError:
+            attempt.call.cancel()
+            self.host.ended(attempt, itf.ERROR)
+            return
+        which = reply.WhichOneof("reply")
+        if which == "ended":
+            ended = reply.ended
+            self.host.ended(attempt, itf.GENERATED, float(ended.kept_tokens), load_of(ended),
+                            tokens=ended.tokens)
+        elif which == "refused":
+            self.host.ended(attempt, itf.FULL, float(reply.refused.no_state), load_of(reply.refused))
+
+    def ended(self, status: Status) -> None:
+        self.host.ended(self.attempt, outcome_of(status))
+
+
+class Links:
+    """Channels by engine address. `dial(address)` gives a channel's way there."""
+
+    def __init__(self, clock: object, dial: Callable[[str], Callable], name: str, random: Random,
+                 connect_timeout: float, bounds: TransportBounds | None = None) -> None:
+        self.clock, self.dial, self.name, self.random = clock, dial, name, random
+        self.connect_timeout, self.bounds = connect_timeout, bounds or TransportBounds()
+        self.channels: dict[str, Channel] = {}
+        self.host: Host | None = None
+
+    def channel(self, engine: int) -> Channel:
+        """The engine's channel; made at its first use."""
+        address = self.host.door.engines.rows[engine].address
+        channel = self.channels.get(address)
+        if channel is None:
+            channel = self.channels[address] = Channel(
+                self.clock, self.dial(address), address, self.bounds, self.random,
+                connect_timeout=self.connect_timeout)
+        return channel
+
+    def start(self, attempt: Attempt) -> None:
+        held, asked = attempt.held, attempt.held.asked
+        work = pb.Work(
+            sequence=held.label, attempt=attempt.number, traffic_type=asked.traffic_type, tenant=asked.tenant,
+            session=asked.session, shared_prefix=asked.prefix, shared_tokens=asked.shared,
+            prompt_tokens=asked.prompt, most_output=asked.most_output, mark=asked.mark, prompt=asked.text)
+        if attempt.reads:
+            path, watcher, request = "Read", _Read(self.host, attempt), pb.ReadRequest(work=work)
+            timeout = attempt.until - self.clock.seconds() + LATE
+        else:
+            path, watcher = "Write", _Write(self.host, attempt)
+            request = pb.WriteRequest(work=work, state=attempt.state[1] if attempt.state else None)
+            timeout = asked.deadline_in - (self.clock.seconds() - held.since)
+            timeout = timeout + LATE if timeout != float("inf") else None
+        meta = (("myrtle-seq", held.label), ("myrtle-attempt", str(attempt.number)), ("myrtle-node",
+                                                                                      self.name))
+        attempt.call = self.channel(attempt.engine).call(SERVICE + path, watcher, meta, timeout)
+        attempt.call.send(request.SerializeToString())
+        attempt.call.half_close()
+
+    def cancel(self, attempt: Attempt) -> None:
+        if attempt.call is not None:
+            attempt.call.cancel()
+
+    def release(self, engine: int, label: str) -> None:
+        done = self.channel(engine).unary(SERVICE + "Release",
+                                          pb.ReleaseRequest(sequence=label).SerializeToString(),
+                                          timeout=1.0)
+        done.addErrback(lambda failure: None)  # an engine that cannot be told lets go by its own bound
+
+    def close_idle(self, engine: int) -> None:
+        self.channel(engine).close_idle()
+
+    def forget(self, address: str) -> None:
+        channel = self.channels.pop(address, None)
+        if channel is not None:
+            channel.close_idle()
+
+    def close(self) -> None:
+        """Close all; the node ends."""
+        for channel in self.channels.values():
+            channel.close()
+        self.channels.clear()
--- /dev/null
+++ b/myrtlehub/node/node.py
@@ -0,0 +1,62 @@
+"""A whole node: file, door, module, host, links and fronts put together. Where it listens is the caller's."""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.defer import Deferred
+
+from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.decide import Router
+from myrtlehub.node.admin import NodeAdmin
+from myrtlehub.node.chat import ChatFront
+from myrtlehub.node.door import Door
+from myrtlehub.node.host import Host
+from myrtlehub.node.links import Links
+from myrtlehub.node.terms import terms_of
+from myrtlehub.rpc.guards import TransportBounds
+from myrtlehub.rpc.server import Server
+
+
+class Node:
+    """One node on a clock. `server` and `admin` are factories to listen with; `dial` reaches engines."""
+
+    def __init__(self, sheet: NodeSheet, clock: object, dial: Callable[[str], Callable], run: str = "0",
+                 log: Callable[..., None] = lambda event, **more: None,
+                 host_class: type[Host] = Host) -> None:
+        self.sheet, self.clock, self.log = sheet, clock, log
+        node, terms = sheet.node, terms_of(sheet)
+        self.links = Links(clock, dial, node.name, Random(node.seed + 1), node.connect_timeout)
+        # The id names the run as well: a node that came back must not speak of old sequences at engines.
+        self.host = host_class(Router(terms), Door(sheet), terms, clock, self.links, f"{node.name}.{run}.",
+                               log)
+        self.links.host = self.host
+        self.server = Server(clock, TransportBounds(message=node.prompt_limit))
+        self.front = ChatFront(self.host, node.most_sequences, node.max_wait)
+        self.front.serve(self.server)
+        self.admin = Server(clock)
+        NodeAdmin(self.host, sheet).serve(self.admin)
+        self.host.start()
+        self.host.list_news(list(sheet.list.engines), True)
+
+    def drain(self) -> Deferred:
+        """Take nothing new; fires once all held is answered, at the latest after `drain_within`."""
+        done = Deferred()
+        self.front.closed = True
+        self.server.drain()
+        self.log("draining", sequences=len(self.host.held), within=self.sheet.node.drain_within)
+        limit = self.clock.callLater(self.sheet.node.drain_within, self._cut)
+
+        def idle() -> None:
+            if not done.called and not self.host.held:
+                if limit.active():
+                    limit.cancel()
+                # a turn or two for the last answers to leave
+                self.clock.callLater(0.05, done.callback, None)
+                self.host.on_idle = lambda: None
+        self.host.on_idle = idle
+        idle()
+        return done
+
+    def _cut(self) -> None:
+        for held in list(self.host.held.values()):
+            self.host.out_of_time(held, "the node is going down")
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,164 @@
+"""A whole fleet in one process: real nodes, engines and clients on an in-memory network and a driven
+clock."""
+
+from collections.abc import Callable
+
+from memnet import Net
+from twisted.internet.task import Clock
+
+from myrtlehub.config.load import parse
+from myrtlehub.config.sheets import NodeSheet, StandSheet
+from myrtlehub.emulator.server import StandIn
+from myrtlehub.lab.records import Record, Recorder
+from myrtlehub.node.host import Host
+from myrtlehub.node.node import Node
+from myrtlehub.proto import admin_pb2, chat_pb2, engine_pb2
+from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.status import Status
+
+SHEET = """
+node: {{name: n{index}, listen: "n{index}:1", index: {index}, nodes: {nodes}, zone: north, seed: {index},
+  drain_within: 3s}}
+traffic:
+  - {{name: ask, repeats: repeatable, latency_slo: 1s, abandon_time: 4s, pace: 50ms}}
+  - {{name: post, repeats: once-only, latency_slo: 1s, abandon_time: 4s, pace: 50ms, utility: 3}}
+  - {{name: note, repeats: tokened, latency_slo: 1s, abandon_time: 4s, dedup_group: cell, dedup_window: 5s}}
+kinds:
+  - {{name: reader, reads: yes, memory: 200k tokens}}
+  - {{name: writer, writes: yes, memory: 200k tokens}}
+zones: [north]
+rules:
+  {{drain_grace: 250ms, let_go: 500ms, cold_share: 0.25, cold_time: 10s, fall_multiple: 2.5, fall_time: 1s}}
+list: {{pushed: yes, engines: [{engines}]}}
+"""
+
+
+class Caller(CallWatcher):
+    """A client's one call, written to the client's records."""
+
+    def __init__(self, fleet: "Fleet", name: str, node: str, traffic: str, mark: str, left: float) -> None:
+        self.fleet, self.name, self.node, self.mark = fleet, name, node, mark
+        self.tokens, self.answer, self.status = 0, "", None
+        fleet.client.note("ask", call=name, node=node, traffic=traffic, mark=mark, left=left)
+
+    def headers(self, meta: tuple) -> None:
+        self.fleet.client.note("seq", call=self.name, seq=dict(meta)["myrtle-seq"])
+
+    def message(self, data: bytes) -> None:
+        reply = chat_pb2.GenerateReply.FromString(data)
+        which = reply.WhichOneof("reply")
+        if which == "tokens":
+            self.tokens += 1
+            if self.tokens == 1 or self.answer:
+                self.fleet.client.note("token", call=self.name)
+        else:
+            self.answer = which
+            self.fleet.client.note("final", call=self.name, answer=which, tokens=self.tokens)
+
+    def ended(self, status: Status) -> None:
+        self.status = status
+        self.fleet.client.note("over", call=self.name, code=status.code.name, unprocessed=status.unprocessed)
+
+
+class Fleet:
+    """Engines are named "R0".."W1" with the digit their cell, and numbered in order: R0.0, R0.1, ..."""
+
+    def __init__(self, engines: str = "R0 W0 W0", nodes: int = 1, host: type[Host] = Host,
+                 **machine: object) -> None:
+        self.clock = Clock()
+        self.clock.advance(1000.0)
+        self.net = Net(self.clock)
+        self.host, self.machine, self.nodes_count = host, machine, nodes
+        self.recorders: list[Recorder] = []
+        self.day, self.client = self.recorder("day"), self.recorder("client")
+        self.stands: dict[str, StandIn] = {}
+        self.rows: dict[str, dict] = {}
+        for i, word in enumerate(engines.split()):
+            name = f"{word}{chr(97 + i)}"
+            self.rows[name] = {"address": f"{name}:1", "kind": "reader" if word[0] == "R" else "writer",
+                               "zone": "north", "cell": int(word[1])}
+            self.engine(name)
+        self.nodes = {f"n{i}": self.node(i) for i in range(nodes)}
+        self.channels = {name: Channel(self.clock, self.net.dialer(f"{name}:1"), name) for name in self.nodes}
+        self.calls: list[Caller] = []
+
+    def recorder(self, who: str) -> Recorder:
+        self.recorders.append(Recorder(who, self.clock))
+        return self.recorders[-1]
+
+    def engine(self, name: str, cold: bool = False) -> None:
+        sheet = StandSheet(name=name, listen=f"{name}:1", reads=name[0] == "R", writes=name[0] == "W",
+                           cold=cold, **self.machine)
+        self.stands[name] = StandIn(
+            sheet, self.clock, lambda address: self.net.dialer(address,
+                                                               f"{name}:1"), self.recorder(f"{name}:1"),
+            lambda: self.net.kill(f"{name}:1"))
+        self.net.listen(f"{name}:1", self.stands[name].server)
+
+    def node(self, index: int, run: str = "1", **more: object) -> Node:
+        rows = ", ".join("{" + ", ".join(f"{k}: {v!r}" for k, v in r.items()) + "}"
+                         for r in self.rows.values())
+        sheet = parse(SHEET.format(index=index, nodes=self.nodes_count, engines=rows), NodeSheet)
+        node = Node(sheet, self.clock, lambda address: self.net.dialer(address, f"n{index}:1"), run,
+                    host_class=self.host, **more)
+        self.net.listen(f"n{index}:1", node.server)
+        self.net.listen(f"n{index}:2", node.admin)
+        return node
+
+    def ask(self, traffic: str = "ask", prompt: int = 2000, node: str = "n0", left: float = 4.0,
+            output: int = 100,
+            mark: str = "", timeout: float | None = None, **more: object) -> Caller:
+        name = f"c{len(self.calls)}"
+        mark = mark or f"m{len(self.calls)}"
+        caller = Caller(self, name, node, traffic, mark, left if timeout is None else min(left, timeout))
+        call = caller.call = self.channels[node].call("/myrtlehub.v1.Chat/Generate", caller, timeout=timeout)
+        call.send(chat_pb2.GenerateRequest(
+            traffic_type=traffic, prompt_tokens=prompt, most_output=output, mark=mark,
+            time_left_ms=int(left * 1000), **more).SerializeToString())
+        call.half_close()
+        self.calls.append(caller)
+        return caller
+
+    def leave(self, caller: Caller) -> None:
+        self.client.note("left", call=caller.name)
+        caller.call.cancel()
+
+    def tell(self, engine: str, state: str, age: float = 0.0) -> None:
+        """News of the list, to all nodes."""
+        row = self.rows[engine]
+        news = admin_pb2.ListNews(engines=[admin_pb2.ListedEngine(
+            address=row["address"], kind=row["kind"], zone="north", cell=row["cell"], state=state, age=age)])
+        for name in self.nodes:
+            channel = Channel(self.clock, self.net.dialer(f"{name}:2"), name)
+            done = channel.unary("/myrtlehub.v1.NodeAdmin/PushList", news.SerializeToString())
+            done.addCallback(lambda reply, name=name: self.day.note(
+                "told", node=name, engine=row["address"], state=state, grace=0.25))
+
+    def misbehave(self, engine: str, how: str, factor: float = 0.0, seconds: float = 0.0) -> None:
+        channel = Channel(self.clock, self.net.dialer(f"{engine}:1"), engine)
+        channel.unary("/myrtlehub.v1.Stand/Misbehave", engine_pb2.Misbehaviour(
+            how=how, factor=factor, seconds=seconds).SerializeToString())
+
+    def kill(self, name: str) -> None:
+        """A process dies outright."""
+        self.day.note("killed", who=f"{name}:1" if name in self.stands else name)
+        self.net.kill(f"{name}:1")
+        if name in self.stands:
+            self.stands[name].model.fallen = True
+        else:
+            self.net.kill(f"{name}:2")
+            dead = self.nodes.pop(name)
+            dead.host._say = lambda *args: None
+            dead.links.close()
+
+    def run(self, seconds: float) -> None:
+        self.net.run(seconds)
+
+    def records(self) -> list[Record]:
+        return sorted((r for recorder in self.recorders for r in recorder.kept), key=lambda r: r.at)
+
+    def what(self, what: str, who: str = "") -> list[Record]:
+        return [r for r in self.records() if r.what == what and r.who.startswith(who)]
+
+
+Step = Callable[[Fleet], None]
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,373 @@
+"""The whole path on a driven clock: the hard cases, the rules by the checker, and hosts broken on purpose."""
+
+import pytest
+from fleet import Fleet
+
+from myrtlehub import interface as itf
+from myrtlehub.lab.checker import RULES, Checker, check
+from myrtlehub.node.host import Attempt, Held, Host
+from myrtlehub.rpc.guards import TransportBounds
+
+ROWS = [{"name": "ask", "repeats": "repeatable", "dedup_group": "all", "dedup_window": 0.0},
+        {"name": "post", "repeats": "once-only", "dedup_group": "all", "dedup_window": 0.0},
+        {"name": "note", "repeats": "tokened", "dedup_group": "cell", "dedup_window": 5.0}]
+
+
+def judge(fleet: Fleet) -> Checker:
+    fleet.day.note("ends")
+    fleet.day.kept.insert(0, fleet.day.kept[0]._replace(
+        at=0.0, what="terms", more={"traffic": ROWS, "let_go": 0.5, "slack": 0.05, "engines": [
+            (r["address"], r["cell"], r["zone"]) for r in fleet.rows.values()]}))
+    return check(fleet.records())
+
+
+def kept(fleet: Fleet) -> Checker:
+    checker = judge(fleet)
+    assert not checker.breaches, "\n".join(b.text for b in checker.breaches)
+    return checker
+
+
+def fleet(*args: object, **more: object) -> Fleet:
+    made = Fleet(*args, **more)
+    made.day.note("begins")
+    return made
+
+
+def nothing_left(f: Fleet) -> None:
+    """Every node and engine that lives has let go of everything."""
+    assert all(not n.host.held and not n.host.attempts_out() for n in f.nodes.values())
+    for stand in f.stands.values():
+        m = stand.model
+        if not m.fallen:
+            assert not m.states and not m.running and not m.write_queue and not m.reading
+            assert abs(m.held) < 1e-6
+
+
+def test_a_question_goes_to_a_reader_its_state_to_a_writer_and_tokens_come_back() -> None:
+    f = fleet()
+    split, short = f.ask(prompt=3000), f.ask("post", prompt=200)
+    f.run(4.0)
+    assert (split.answer, short.answer) == ("generated", "generated") and split.tokens > 5
+    assert [r.who for r in f.what("got")][:1] == ["R0a:1"] and len(f.what("ran")) == 2
+    assert [r.more["why"] for r in f.what("freed")] == ["fetched"]
+    checker = kept(f)
+    assert checker.counts[1] == 2 and checker.counts[2] == 2 and checker.counts[5] == 1
+    nothing_left(f)
+
+
+def test_requests_that_are_wrong_are_told_why_and_not_taken() -> None:
+    f = fleet()
+    for more, said in [({"traffic": "nope"}, "not one of ask, note, post"), ({"prompt": 0}, "prompt_tokens"),
+                       ({"output": 0}, "most_output"), ({"shared_tokens": 5000}, "shared_tokens"),
+                       ({"traffic": "note", "mark": "x" * 201}, "longer than 200")]:
+        caller = f.ask(**more)
+        f.run(0.1)
+        assert caller.status.code.name == "INVALID_ARGUMENT" and said in caller.status.message
+    assert f.nodes["n0"].host.taken == 0
+    kept(f)
+
+
+def test_a_writer_that_dies_mid_stream_aborts_a_once_only_and_it_never_runs_again() -> None:
+    f = fleet()
+    post, ask = f.ask("post", prompt=200, output=400), f.ask(prompt=200, output=400)
+    f.run(0.3)
+    writers = {r.who for r in f.what("ran")}
+    assert post.tokens and ask.tokens
+    for writer in writers:
+        f.kill(writer[:-2])
+    f.run(5.0)
+    assert (post.answer, ask.answer) == ("aborted", "aborted") and len(f.what("ran")) == 2
+    kept(f)
+    assert not f.nodes["n0"].host.held
+
+
+def test_a_reader_dies_after_the_read_and_before_the_fetch() -> None:
+    f = fleet("R0 R0 W0", slots=1)
+    f.ask(prompt=300, output=100)  # keeps the writer's only slot
+    f.run(0.1)
+    late = f.ask("post", prompt=3000, output=20, left=4.0)
+    f.run(0.35)
+    held = f.what("held")
+    assert held and late.answer == ""
+    f.kill(held[0].who[:-2])
+    f.run(8.0)
+    assert [r.more["no_state"] for r in f.what("refused")] == [True]
+    assert late.answer == "generated"  # known not to have run: read anew elsewhere
+    kept(f)
+
+
+def test_a_writer_accepts_and_never_answers() -> None:
+    f = fleet("R0 W0")
+    f.misbehave("W0b", "hang")
+    f.run(0.05)
+    post, ask = f.ask("post", prompt=200, left=2.0), f.ask(prompt=3000, left=2.0)
+    f.run(1.9)
+    assert not post.answer
+    f.run(0.2)
+    assert (post.answer, ask.answer) == ("aborted", "rejected")
+    f.misbehave("W0b", "well")
+    f.run(3.0)
+    assert not f.what("ran")
+    kept(f)
+    nothing_left(f)
+
+
+def test_half_the_writers_refuse() -> None:
+    f = fleet("R0 W0 W0")
+    f.misbehave("W0b", "refuse", 1.0)
+    f.run(0.05)
+    calls = [f.ask("post" if i % 2 else "ask", prompt=200, output=40) for i in range(12)]
+    f.run(8.0)
+    assert [c.answer for c in calls] == ["generated"] * 12 and f.what("refused")
+    kept(f)
+    nothing_left(f)
+
+
+def test_an_engine_drains_while_streams_run() -> None:
+    f = fleet("R0 W0 W0")
+    calls = [f.ask(prompt=200, output=200) for _ in range(6)]
+    f.run(0.2)
+    assert {r.who for r in f.what("ran")} == {"W0b:1", "W0c:1"}
+    f.tell("W0b", "draining")
+    f.run(0.3)
+    drained_from = f.clock.seconds()
+    calls += [f.ask(prompt=200, output=20) for _ in range(6)]
+    f.run(8.0)
+    assert all(c.answer == "generated" for c in calls)
+    assert not [r for r in f.what("got", "W0b") if r.at > drained_from]
+    kept(f)
+    f.tell("W0b", "gone")
+    f.run(0.5)
+    assert "W0b:1" not in f.nodes["n0"].links.channels
+    f.tell("W0b", "serving")
+    f.run(0.1)
+    assert f.nodes["n0"].host.list_version == 4
+
+
+@pytest.mark.parametrize("after", [0.0, 0.05, 0.2, 0.25, 0.6])
+def test_a_client_goes_away_at_each_stage(after: float) -> None:
+    f = fleet(read_rate=15000.0)
+    caller = f.ask("post", prompt=3000, output=300)  # read until 0.2, fetched by 0.22, then streams
+    f.run(after)
+    f.leave(caller)
+    f.run(3.0)
+    assert caller.answer == "" and f.nodes["n0"].host.answered == ({"left": 1} if f.what("got") else {})
+    assert not f.what("ended")
+    kept(f)
+    nothing_left(f)
+
+
+def test_a_client_that_reads_nothing_holds_up_its_own_stream_only() -> None:
+    f = fleet("W0", step="2ms", slots=8)
+    link = f.nodes["n0"].links.bounds = TransportBounds(stream_window=16384)
+    f.channels["n0"].bounds = TransportBounds(stream_window=4096)
+    stuck = f.ask(prompt=100, output=190000, left=4.0)
+    stuck.call.pauseProducing()
+    others = [f.ask(prompt=100, output=200) for _ in range(3)]
+    f.run(60.0)
+    assert all(c.answer == "generated" for c in others) and stuck.answer == ""
+    waiting, = f.nodes["n0"].server.calls
+    pulled = next(iter(f.nodes["n0"].host.held.values())).begun.call.stream
+    here = waiting.buffered + sum(map(len, pulled._held))
+    poured = sum(job.call.buffered for job in f.stands["W0a"].jobs)
+    assert 65536 < here <= 65536 + 2 * link.stream_window and poured > 20000  # it stays at the writer
+    f.leave(stuck)
+    f.run(1.0)
+    kept(f)
+    nothing_left(f)
+
+
+def test_a_final_answer_racing_with_a_cancel() -> None:
+    f = fleet("R0 W0")
+    f.misbehave("W0b", "hang", seconds=1.95)
+    f.run(0.02)
+    calls = [f.ask("post", prompt=200, left=1.9 + 0.005 * i, output=3) for i in range(16)]
+    f.run(6.0)
+    answers = [c.answer for c in calls]
+    assert set(answers) == {"aborted", "generated"} or set(answers) == {"aborted"}
+    assert len([r for r in f.what("final")]) == 16
+    kept(f)
+    nothing_left(f)
+
+
+def test_a_node_killed_and_back_with_nothing_never_repeats_a_once_only() -> None:
+    f = fleet("R0 W0 W0", nodes=2)
+    calls = [f.ask("post", prompt=200 + 2000 * (i % 2), output=300, node="n0") for i in range(6)]
+    f.run(0.3)
+    f.kill("n0")
+    f.run(0.2)
+    assert all(c.status is not None and not c.answer for c in calls)
+    f.nodes["n0"] = f.node(0, run="2")
+    again = f.ask("ask", prompt=200, node="n0")
+    other = f.ask("ask", prompt=200, node="n1")
+    f.run(6.0)
+    assert (again.answer, other.answer) == ("generated", "generated")
+    checker = kept(f)
+    assert checker.counts[2] >= 6
+    for stand in f.stands.values():  # what the dead node's streams held was let go as their connection broke
+        assert not stand.model.running and not stand.model.states
+
+
+def test_a_cold_restart_with_all_nodes_sending() -> None:
+    f = fleet("R0 R0 W0 W0", nodes=3, slots=4)
+    for i in range(200):
+        f.ask(prompt=200 + 1500 * (i % 2), output=60, node=f"n{i % 3}")
+        f.run(0.03)
+        if i == 60:
+            f.kill("W0c")
+        if i == 70:
+            f.engine("W0c", cold=True)
+            f.tell("W0c", "serving", age=0.001)
+    f.run(6.0)
+    assert len(f.what("up", "W0c")) == 2 and [r for r in f.what("got", "W0c") if r.at > f.what("up",
+                                                                                               "W0c")[1].at]
+    kept(f)
+
+
+def test_the_whole_deadline_aborts_a_stream_that_has_begun() -> None:
+    f = fleet("W0", step="100ms")
+    caller = f.ask("post", prompt=100, output=5000, timeout=2.0)
+    f.run(1.9)
+    assert caller.tokens > 10 and not caller.answer
+    f.run(0.3)
+    assert caller.answer == "aborted" and caller.status.code.name == "OK"
+    f.run(1.0)
+    kept(f)
+    nothing_left(f)
+
+
+def test_sigterm_drains() -> None:
+    f = fleet("W0")
+    short, long = f.ask(prompt=100, output=40), f.ask("post", prompt=100, output=4000)
+    f.run(0.2)
+    gone = []
+    f.nodes["n0"].drain().addCallback(gone.append)
+    f.net.hosts.pop("n0:1")
+    f.run(2.5)
+    late = f.ask(prompt=100)
+    f.run(0.1)
+    assert late.status.unprocessed and short.answer == "generated" and not long.answer and not gone
+    f.run(1.0)
+    assert long.answer == "aborted" and gone  # within drain_within, 3 s
+    kept(f)
+
+
+def test_news_of_the_list_is_taken_whole_or_not_at_all() -> None:
+    f = fleet()
+    f.rows["X0z"] = {"address": "X0z:1", "kind": "mixer", "zone": "north", "cell": 0}
+    f.tell("X0z", "serving")
+    f.run(0.1)
+    assert f.nodes["n0"].host.list_version == 1 and not f.what("told")
+
+
+# -- hosts that are broken on purpose: each has to be caught, by its rule ------------------------------
+
+
+class TellsTwice(Host):
+    def _reject(self, seq: int, wait: float) -> None:
+        self.held[seq].client.call.finish = lambda *args: None
+        super()._reject(seq, wait)
+        self.held[seq].client.rejected(wait)
+
+
+class Forgets(Host):
+    def _reject(self, seq: int, wait: float) -> None:
+        self.held[seq].answer = "rejected"
+
+
+class ClaimsNotRun(Host):
+    def ended(self, attempt: Attempt, outcome: str, *args: object, **more: object) -> None:
+        super().ended(attempt, itf.FULL if outcome == itf.RESET else outcome, *args, **more)
+
+
+class RejectsAll(Host):
+    def _abort(self, seq: int) -> None:
+        self._reject(seq, 0.0)
+
+
+class IgnoresDrains(Host):
+    def list_news(self, rows: list, whole: bool) -> None:
+        super().list_news([r.model_copy(update={"state": "serving"}) for r in rows], whole)
+
+
+class ForgetsAge(Host):
+    def list_news(self, rows: list, whole: bool) -> None:
+        super().list_news([r.model_copy(update={"age": 0.0}) for r in rows], whole)
+
+
+class KeepsStates(Host):
+    def _release(self, seq: int) -> None:
+        pass
+
+
+def no_room(f: Fleet) -> None:
+    f.misbehave("W0b", "hang")
+    f.run(0.05)
+    for _ in range(3):
+        f.ask(prompt=100, left=1.0)
+    f.run(2.0)
+
+
+def broken_streams(f: Fleet) -> None:
+    f.misbehave("W0b", "hang")
+    f.misbehave("W0c", "hang")
+    f.run(0.05)
+    f.ask("post", prompt=200)
+    f.run(0.3)
+    f.kill(f.what("got")[0].who[:-2])
+    f.run(5.0)
+
+
+def hung_post(f: Fleet) -> None:
+    f.misbehave("W0b", "hang")
+    f.misbehave("W0c", "hang")
+    f.run(0.05)
+    f.ask("post", prompt=200, left=1.0)
+    f.run(2.0)
+
+
+def drained(f: Fleet) -> None:
+    f.tell("W0b", "draining")
+    f.run(0.5)
+    for _ in range(12):
+        f.ask(prompt=200, output=20)
+    f.run(4.0)
+
+
+def cold_rush(f: Fleet) -> None:
+    f.kill("W0c")
+    f.run(0.1)
+    f.engine("W0c", cold=True)
+    f.tell("W0c", "serving", age=0.001)
+    f.run(0.1)
+    for _ in range(240):
+        f.ask(prompt=200, output=60)
+        f.run(0.005)
+    f.run(4.0)
+
+
+def left_after_read(f: Fleet) -> None:
+    caller = f.ask(prompt=4000)
+    f.misbehave("W0b", "hang")
+    f.misbehave("W0c", "hang")
+    f.run(0.4)
+    f.leave(caller)
+    f.run(6.0)
+
+
+@pytest.mark.parametrize(("host", "trouble", "rule"), [
+    (TellsTwice, no_room, 1), (Forgets, no_room, 1), (ClaimsNotRun, broken_streams, 2),
+    (RejectsAll, hung_post, 2), (IgnoresDrains, drained, 3), (ForgetsAge, cold_rush, 4),
+    (KeepsStates, left_after_read, 5)])
+def test_a_broken_host_is_caught_by_its_rule(host: type[Host], trouble: object, rule: int) -> None:
+    for kind, wanted in ((Host, set()), (host, {rule})):
+        engines = {no_room: "R0 W0", cold_rush: "R0 W0 W0 W0 W0"}.get(trouble, "R0 W0 W0")
+        f = fleet(engines, host=kind, queue=200)
+        trouble(f)
+        found = judge(f)
+        assert {b.rule for b in found.breaches} == wanted, [b.text for b in found.breaches]
+        assert set(found.counts) == set(RULES)
+
+
+def test_a_held_sequence_is_small() -> None:
+    assert not hasattr(Held(0, "x", None, itf.Arrival(0, -1, 1, 1, 0, 0, 0, 1, 0), None, 0.0), "__dict__")
