--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	.ci/protos
 
 run: setup
-	$(VENV)/bin/hub-day scenarios/bad-day.yaml
+	$(VENV)/bin/hub-day bad-day
 
 bench: setup
 	$(PY) benchmarks/relay.py
--- /dev/null
+++ b/myrtlehub/cli/node.py
@@ -0,0 +1,48 @@
+"""hub-node: one node of the router."""
+
+import os
+import time
+from pathlib import Path
+
+import click
+
+from myrtlehub.cli.common import dialer, listen, logger, on_term, sheet_of
+from myrtlehub.config.sheets import NodeSheet
+
+
+@click.command()
+@click.argument("config", type=click.Path(path_type=Path))
+@click.option("--check", is_flag=True, help="Check CONFIG and end: 0 if it is sound, 2 if not.")
+def main(config: Path, check: bool) -> None:
+    """Run a node by CONFIG, a YAML file (docs/operators/config.md).
+
+    Serves gRPC myrtlehub.v1.Chat on node.listen and NodeAdmin on node.admin. Logs JSON lines, one a final
+    answer and one an engine's change of standing, on standard output. SIGTERM drains: nothing new is taken,
+    what is held is answered within node.drain_within, exit 0. Exit 2: CONFIG or an address is wrong.
+    """
+    sheet = sheet_of(config, NodeSheet)
+    if check:
+        click.echo(f"{config}: sound; {len(sheet.list.engines)} engines, {len(sheet.traffic)} traffic types")
+        return
+    from twisted.internet import reactor
+
+    from myrtlehub.node.clock import SteadyClock
+    from myrtlehub.node.node import Node
+    log = logger(node=sheet.node.name)
+    run = f"{time.time_ns() // 1000 % 2**40:x}-{os.getpid():x}"
+    node = Node(sheet, SteadyClock(reactor), dialer(reactor), run, log)
+    port = listen(reactor, sheet.node.listen, node.server)
+    if sheet.node.admin:
+        listen(reactor, sheet.node.admin, node.admin)
+
+    def drain() -> None:
+        port.stopListening()
+        node.drain().addCallback(lambda ignored: reactor.stop())
+    on_term(drain, reactor)
+    reactor.callWhenRunning(lambda: log("ready", listen=sheet.node.listen, engines=len(sheet.list.engines)))
+    reactor.run(installSignalHandlers=False)
+    log("ended", **{k: v for k, v in sorted(node.host.answered.items())})
+
+
+if __name__ == "__main__":
+    main()
--- a/myrtlehub/lab/checker.py
+++ b/myrtlehub/lab/checker.py
@@ -109,6 +109,8 @@
 
     def _killed(self, at: float, who: str, more: dict) -> None:
         self.killed.setdefault(more["who"], []).append(at)
+        for key in [k for k in self.told if k[0] == more["who"]]:
+            del self.told[key]  # the next run of a node knows only what it is told anew
         for seq, where in list(self.held.items()):
             where.pop(more["who"], None)
             if not where:
--- /dev/null
+++ b/myrtlehub/lab/clients.py
@@ -0,0 +1,219 @@
+"""The client fleet: an open loop of sequences drawn ahead from a seed, and how clients take what they are
+told."""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from myrtlehub.lab.records import Recorder
+from myrtlehub.lab.scenario import Scenario, TrafficMix
+from myrtlehub.proto import chat_pb2 as pb
+from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.status import Code, Status
+
+PATH = "/myrtlehub.v1.Chat/Generate"
+
+
+class Wanted(NamedTuple):
+    """One sequence that a client will ask for."""
+
+    at: float
+    row: TrafficMix
+    mark: str
+    session: str
+    prefix: str
+    shared: int
+    prompt: int
+    output: int
+    tenant: str
+    leaves: float  # seconds after asking; infinite: stays
+    silent: bool
+
+
+def draw(scenario: Scenario, rate: float, random: Random) -> list[Wanted]:
+    """All sequences of a day, by the time of their arrival."""
+    wanted, at, count = [], 0.0, 0
+    sessions: dict[str, list[tuple[str, int, str, int]]] = {}
+    while True:
+        at += random.expovariate(rate)
+        if at >= scenario.length:
+            return wanted
+        count += 1
+        row = random.choices(scenario.traffic, [t.share for t in scenario.traffic])[0]
+        prefix = f"{row.name}-{min(int(random.expovariate(0.7)), row.prefixes - 1)}" if row.prefixes else ""
+        shared = row.shared[0] + (hash_of(prefix) % (row.shared[1] - row.shared[0] + 1) if prefix else 0)
+        open_sessions = sessions.setdefault(row.name, [])
+        if open_sessions and row.turns > 1 and random.random() < 1.0 - 1.0 / row.turns:
+            session, before, prefix, shared = open_sessions.pop(random.randrange(len(open_sessions)))
+        else:
+            session, before = f"s{count}", shared
+        prompt = before + random.randint(*row.prompt)
+        output = random.randint(*row.output)
+        open_sessions.append((session, prompt + output // 4, prefix, shared))
+        del open_sessions[:-40]
+        draws = random.random(), random.random(), random.random()
+        wanted.append(Wanted(
+            at, row, f"m{count}", session, prefix, shared, prompt, output,
+            random.choice(scenario.tenants).name if scenario.tenants else "",
+            3.0 * draws[1] ** 2 if draws[0] < scenario.clients.leave else float("inf"),
+            draws[2] < scenario.clients.silent))
+
+
+def hash_of(text: str) -> int:
+    """A number of a text, the same in every process."""
+    return sum((i + 1) * ord(c) for i, c in enumerate(text)) * 2654435761 % 2**32
+
+
+class Tally:
+    """What clients saw of one traffic type. Latencies are kept in microseconds."""
+
+    def __init__(self) -> None:
+        self.asked = self.tries = 0
+        self.utility = self.good = 0.0
+        self.answers: Counter[str] = Counter()
+        self.first = HdrHistogram(1, 120_000_000, 3)
+        self.gap = HdrHistogram(1, 120_000_000, 3)
+
+    def figures(self) -> dict:
+        """For the verdict: counts, seconds at p50 and p99, goodput."""
+        def quantiles(h: HdrHistogram) -> dict:
+            if not h.total_count:
+                return {}
+            return {f"p{p}": round(h.get_value_at_percentile(p) / 1e6, 4) for p in (50, 99)}
+        return {"sequences": self.asked, "tries": self.tries, "answers": dict(sorted(self.answers.items())),
+                "first_token": quantiles(self.first), "per_token": quantiles(self.gap),
+                "goodput": round(self.good / self.utility, 4) if self.utility else None}
+
+
+class _Try(CallWatcher):
+    """One try of one sequence."""
+
+    def __init__(self, fleet: "ClientFleet", wanted: Wanted, number: int, node: str) -> None:
+        self.fleet, self.wanted, self.number, self.node = fleet, wanted, number, node
+        self.name = f"{wanted.mark}.{number}"
+        self.tokens, self.answer, self.wait = 0, "", 0.0
+        self.asked_at = self.token_at = 0.0
+        self.in_time = self.gone = False
+        self.call = None
+
+    def start(self) -> None:
+        f, w = self.fleet, self.wanted
+        left = w.row.abandon_time
+        self.asked_at = f.clock.seconds()
+        f.recorder.note("ask", call=self.name, node=self.node, traffic=w.row.name, mark=w.mark, left=left,
+                        whole=f.whole)
+        f.tallies[w.row.name].tries += 1
+        self.call = f.channels[self.node].call(PATH, self, timeout=f.whole)
+        self.call.send(pb.GenerateRequest(
+            traffic_type=w.row.name, tenant=w.tenant, session=w.session, shared_prefix=w.prefix,
+            shared_tokens=w.shared, prompt_tokens=w.prompt, most_output=w.output, mark=w.mark,
+            repeated=self.number > 0, time_left_ms=int(left * 1000)).SerializeToString())
+        self.call.half_close()
+        if w.silent:
+            self.call.pauseProducing()
+            f.clock.callLater(left + 1.0, self.leave)
+        elif w.leaves < f.whole:
+            f.clock.callLater(w.leaves, self.leave)
+
+    def leave(self) -> None:
+        if not self.call.over:
+            self.gone = True
+            self.fleet.recorder.note("left", call=self.name)
+            self.call.cancel()
+
+    def headers(self, meta: tuple) -> None:
+        self.fleet.recorder.note("seq", call=self.name, seq=dict(meta).get("myrtle-seq", ""))
+
+    def message(self, data: bytes) -> None:
+        f, now = self.fleet, self.fleet.clock.seconds()
+        if data[:1] == b"\x0a":
+            tally = f.tallies[self.wanted.row.name]
+            self.tokens += 1
+            if self.tokens == 1 or self.answer:
+                f.recorder.note("token", call=self.name)
+            if self.tokens == 1:
+                tally.first.record_value(max(1, int((now - self.asked_at) * 1e6)))
+                row = self.wanted.row
+                slo = row.latency_slo + row.slo_per_1000_tokens * self.wanted.prompt / 1000.0
+                self.in_time = now - self.asked_at <= slo
+            else:
+                tally.gap.record_value(max(1, int((now - self.token_at) * 1e6)))
+            self.token_at = now
+            return
+        reply = pb.GenerateReply.FromString(data)
+        which = reply.WhichOneof("reply") or "nothing"
+        f.recorder.note("final", call=self.name, answer=which, tokens=self.tokens)
+        self.answer = self.answer or which
+        self.wait = reply.rejected.wait_ms / 1000.0
+
+    def ended(self, status: Status) -> None:
+        self.fleet.recorder.note("over", call=self.name, code=status.code.name,
+                                 unprocessed=status.unprocessed)
+        self.fleet.over(self, status)
+
+
+class ClientFleet:
+    """All clients. `dial(node)` is a channel's way to a node."""
+
+    def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
+                 random: Random, rate: float) -> None:
+        self.scenario, self.clock, self.recorder, self.random = scenario, clock, recorder, random
+        self.whole = scenario.clients.whole
+        self.channels = {name: Channel(clock, dial, name, random=Random(random.random()), connect_timeout=0.5)
+                         for name, dial in nodes.items()}
+        self.names = sorted(nodes)
+        self.wanted = draw(scenario, rate, random)
+        self.tallies = {t.name: Tally() for t in scenario.traffic}
+        self.open = 0
+        self.asked = 0
+        self.on_quiet: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        """Every sequence is asked for at its moment, whatever became of others."""
+        for wanted in self.wanted:
+            self.clock.callLater(wanted.at, self._ask, wanted)
+
+    def _ask(self, wanted: Wanted) -> None:
+        tally = self.tallies[wanted.row.name]
+        tally.asked += 1
+        tally.utility += wanted.row.utility
+        self.open += 1
+        self.asked += 1
+        self._try(wanted, 0, self.random.choice(self.names))
+
+    def _try(self, wanted: Wanted, number: int, node: str) -> None:
+        _Try(self, wanted, number, node).start()
+
+    def over(self, done: _Try, status: Status) -> None:
+        """A try ended: count it, or come again where the promise of its answer allows that."""
+        w, row = done.wanted, done.wanted.row
+        tally = self.tallies[row.name]
+        again = done.number < self.scenario.clients.retries and not done.gone
+        if not done.answer and status.unprocessed and done.number < 2 + self.scenario.clients.retries:
+            # The node never saw it: another one, at once.
+            others = [n for n in self.names if n != done.node] or self.names
+            self._try(w, done.number + 1, self.random.choice(others))
+            return
+        safe = done.answer == "rejected" or (
+            row.repeats == "repeatable" and (done.answer == "aborted" or not done.answer))
+        if again and safe:
+            wait = done.wait * (1.0 + 0.5 * self.random.random()) if done.answer == "rejected" else 0.05
+            self.clock.callLater(wait, self._try, w, done.number + 1, self.random.choice(self.names))
+            return
+        self.open -= 1
+        tally.answers[done.answer or ("left" if done.gone else "node lost" if status.code == Code.UNAVAILABLE
+                                      else status.code.name.lower())] += 1
+        if done.answer == "generated":
+            tally.good += row.utility * (1.0 if done.in_time else row.late_share)
+        elif done.gone:
+            tally.utility -= row.utility  # nobody waited for it
+        if not self.open:
+            self.on_quiet()
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self.channels.values():
+            channel.close()
--- /dev/null
+++ b/myrtlehub/lab/day.py
@@ -0,0 +1,386 @@
+"""Plays a scenario with real processes on loopback, and judges it by what was recorded on the sockets."""
+
+import heapq
+import json
+import os
+import socket
+import sys
+from collections import Counter
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+
+from ruamel.yaml import YAML
+from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ProcessExitedAlready
+from twisted.internet.protocol import ProcessProtocol
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.python.failure import Failure
+
+from myrtlehub.config.sheets import RulesGroup
+from myrtlehub.lab.checker import RULES, SLACK, Checker, check
+from myrtlehub.lab.clients import ClientFleet
+from myrtlehub.lab.records import Record, Recorder, read
+from myrtlehub.lab.scenario import FaultRow, MachineGroup, Scenario
+from myrtlehub.node.clock import SteadyClock
+from myrtlehub.proto import admin_pb2, engine_pb2
+from myrtlehub.rpc.channel import Channel
+
+HOST = "127.0.0.1"
+
+
+class DayFailed(Exception):
+    """The day could not be played; the text says why."""
+
+
+class Process(ProcessProtocol):
+    """One process of the fleet."""
+
+    def __init__(self, name: str, log: Path) -> None:
+        self.name = name
+        self.ready, self.ended = Deferred(), Deferred()
+        self.code: int | None = None
+        self.out = log.open("ab")
+        self.tail = b""
+
+    def outReceived(self, data: bytes) -> None:  # noqa: N802
+        self.out.write(data)
+        if not self.ready.called:
+            self.tail += data
+            if b'"ready"' in self.tail:
+                self.ready.callback(self)
+
+    def errReceived(self, data: bytes) -> None:  # noqa: N802
+        self.out.write(data)
+        self.tail = (self.tail + data)[-2000:]
+
+    def processEnded(self, reason: Failure) -> None:  # noqa: N802
+        self.code = reason.value.exitCode if reason.value.exitCode is not None else -(reason.value.signal
+                                                                                      or 0)
+        self.out.close()
+        if not self.ready.called:
+            said = self.tail.decode(errors="replace").strip()
+            self.ready.errback(DayFailed(f"{self.name} did not start: {said}"))
+        self.ended.callback(self.code)
+
+    def signal(self, name: str) -> None:
+        """Send a signal, if it still runs."""
+        try:
+            self.transport.signalProcess(name)
+        except ProcessExitedAlready:
+            pass
+
+
+def free_ports(count: int) -> list[int]:
+    """Loopback ports that were free a moment ago."""
+    held = [socket.socket() for _ in range(count)]
+    for s in held:
+        s.bind((HOST, 0))
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
+        s.close()
+    return ports
+
+
+def units(group: MachineGroup | RulesGroup, durations: tuple[str, ...], tokens: tuple[str, ...] = ()) -> dict:
+    """A group's fields as a file has to say them, with units."""
+    out = {}
+    for name, value in group.model_dump().items():
+        if name in durations:
+            value = f"{value:.9f}s"
+        elif name in tokens:
+            value = f"{value:g} tokens" if value < 1e6 else f"{value:.0f} tokens"
+        out[name] = value
+    return out
+
+
+class Day:
+    """One day. `say` is told of progress, a line each."""
+
+    def __init__(self, scenario: Scenario, folder: Path, reactor: object, sequences: int = 0,
+                 seed: int | None = None,
+                 say: Callable[[str], None] = lambda line: None) -> None:
+        self.s, self.folder, self.reactor, self.say = scenario, folder, reactor, say
+        self.clock = SteadyClock(reactor)
+        self.seed = scenario.seed if seed is None else seed
+        self.random = Random(self.seed)
+        self.rate = sequences / scenario.length if sequences else scenario.rate
+        names = scenario.names()
+        ports = free_ports(2 * len(names))
+        self.address = {n: f"{HOST}:{p}" for n, p in zip(names, ports, strict=False)}
+        self.admin = {n: f"{HOST}:{p}" for n, p in zip(names, ports[len(names):], strict=True)
+                      if n[:4] == "node"}
+        self.engines = [n for n in names if n not in self.admin]
+        self.cell = {n: i % scenario.fleet.cells for kind in ("reader", "writer")
+                     for i, n in enumerate(n for n in names if n.startswith(kind))}
+        self.running: dict[str, Process] = {}
+        self.runs: Counter[str] = Counter()
+        self.expected_dead: set[Process] = set()
+        self.unclean: list[str] = []
+        self.standing = {e: ("serving", 0.0) for e in self.engines}  # by the list: state, started
+        self.recorder = Recorder("day", self.clock, folder / "day.rec")
+        self.channels: dict[str, Channel] = {}
+        self.clients: ClientFleet | None = None
+        self.started = 0.0
+        self.traffic = [t.model_dump(exclude={"share", "prompt", "output", "prefixes", "shared", "turns"})
+                        for t in scenario.traffic]
+
+    # -- processes --------------------------------------------------------------------------------
+
+    def dial(self, address: str) -> Callable:
+        """A channel's way to an address."""
+        host, port = address.rsplit(":", 1)
+        return TCP4ClientEndpoint(self.reactor, host, int(port), timeout=2).connect
+
+    def _write(self, name: str, tree: dict) -> Path:
+        path = self.folder / f"{name}.yaml"
+        with path.open("w") as file:
+            YAML(typ="safe").dump(tree, file)
+        return path
+
+    def spawn(self, name: str, cold: bool = False) -> Deferred:
+        """Start a process; fires once it says that it is ready."""
+        self.runs[name] += 1
+        if name in self.admin:
+            program, path = "node", self._write(name, self._node_file(name))
+        else:
+            program, path = "engine", self._write(name, self._engine_file(name, cold))
+        process = self.running[name] = Process(name, self.folder / f"{name}.log")
+        env = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        self.reactor.spawnProcess(
+            process, sys.executable, [sys.executable, "-m", f"myrtlehub.cli.{program}", str(path)], env)
+        process.ended.addCallback(self._ended, process)
+        return process.ready
+
+    def _ended(self, code: int, process: Process) -> int:
+        if process not in self.expected_dead and code != 0:
+            self.unclean.append(f"{process.name} ended with {code}")
+        return code
+
+    def _engine_file(self, name: str, cold: bool) -> dict:
+        machine = self.s.reader if name.startswith("reader") else self.s.writer
+        rules = self.s.rules
+        return {
+            "name": name, "listen": self.address[name], "reads": name.startswith("reader"),
+            "writes": name.startswith("writer"), "cold": cold, "cold_share": rules.cold_share,
+            "cold_time": f"{rules.cold_time}s", "fall_multiple": rules.fall_multiple,
+            "fall_time": f"{rules.fall_time}s", "seed": self.seed * 1000 + self.engines.index(name),
+            "records": str(self.folder / f"{name}.{self.runs[name]}.rec"),
+            **units(machine, ("step",), ("memory", "kept"))}
+
+    def _node_file(self, name: str) -> dict:
+        s, index = self.s, int(name.split("-")[1]) - 1
+        rows = [{**t, **{k: f"{t[k]:.9f}s" for k in (
+            "latency_slo", "slo_per_1000_tokens", "abandon_time", "pace", "dedup_window")}} for t in
+            self.traffic]
+        return {
+            "node": {"name": name, "listen": self.address[name], "admin": self.admin[name], "index": index,
+                     "nodes": s.fleet.nodes, "zone": "north", "seed": self.seed * 100 + index},
+            "traffic": rows, "zones": ["north"], "tenants": [t.model_dump() for t in s.tenants],
+            "kinds": [{"name": "reader", "reads": True, "memory": f"{s.reader.memory:.0f} tokens"},
+                      {"name": "writer", "writes": True, "memory": f"{s.writer.memory:.0f} tokens"}],
+            "rules": units(s.rules, ("answer_slack", "drain_grace", "let_go", "cold_time", "fall_time")),
+            "list": {"pushed": True, "engines": [self._row(e) for e in self.engines]}}
+
+    def _row(self, engine: str) -> dict:
+        state, started = self.standing[engine]
+        age = self.clock.seconds() - started if started else 0.0
+        return {"address": self.address[engine], "kind": engine.split("-")[0], "zone": "north",
+                "cell": self.cell[engine], "state": state, "age": f"{age:.6f}s"}
+
+    # -- faults -----------------------------------------------------------------------------------
+
+    def _channel(self, address: str) -> Channel:
+        if address not in self.channels:
+            self.channels[address] = Channel(self.clock, self.dial(address), address, connect_timeout=1.0)
+        return self.channels[address]
+
+    def news(self, engine: str, state: str, started: float = 0.0) -> None:
+        """The list changes: every node hears of it late, each at its own moment."""
+        self.standing[engine] = (state, started)
+        for node in sorted(self.admin):
+            delay = self.s.list_delay + self.s.list_spread * self.random.random()
+            self.clock.callLater(delay, self._tell, node, engine, state, started)
+
+    def _tell(self, node: str, engine: str, state: str, started: float) -> None:
+        if node not in self.running or self.running[node].code is not None:
+            return
+        age = self.clock.seconds() - started if started else 0.0
+        news = admin_pb2.ListNews(engines=[admin_pb2.ListedEngine(
+            address=self.address[engine], kind=engine.split("-")[0], zone="north", cell=self.cell[engine],
+            state=state, age=age)])
+        done = self._channel(self.admin[node]).unary(
+            "/myrtlehub.v1.NodeAdmin/PushList", news.SerializeToString(), timeout=2.0)
+        done.addCallbacks(
+            lambda reply: self._note_told(node, engine, state),
+            lambda failure: self.recorder.note("not told", node=node, engine=self.address[engine],
+                                               state=state,
+                                               why=failure.getErrorMessage()))
+
+    def _note_told(self, node: str, engine: str, state: str) -> None:
+        self.recorder.note("told", node=node, engine=self.address[engine], state=state,
+                           grace=self.s.rules.drain_grace)
+
+    def fault(self, row: FaultRow) -> None:
+        """Begin one fault."""
+        self.say(f"{row.do} {', '.join(row.whom)}" + (f" for {row.lasts:g} s" if row.lasts else ""))
+        for name in row.whom:
+            if row.do in ("crash", "kill"):
+                self._strike(name, row.lasts)
+            elif row.do == "drain":
+                self.news(name, "draining")
+                if row.lasts:
+                    self.clock.callLater(row.lasts, self.news, name, "serving")
+            else:
+                done = self._channel(self.address[name]).unary(
+                    "/myrtlehub.v1.Stand/Misbehave", engine_pb2.Misbehaviour(
+                        how=row.do, factor=row.factor, seconds=row.lasts).SerializeToString(), timeout=2.0)
+                done.addErrback(lambda failure, name=name: self.unclean.append(
+                    f"{name} could not be told to misbehave: {failure.getErrorMessage()}"))
+
+    def _strike(self, name: str, lasts: float) -> None:
+        process = self.running[name]
+        self.expected_dead.add(process)
+        self.recorder.note("killed", who=self.address[name] if name not in self.admin else name)
+        process.signal("KILL")
+        if name not in self.admin:
+            self.news(name, "gone")
+        if lasts:
+            self.clock.callLater(lasts, self._back, name)
+
+    def _back(self, name: str) -> None:
+        self.spawn(name, cold=True).addCallbacks(lambda process: self._is_back(name),
+                                                 lambda why: self.unclean.append(why.getErrorMessage()))
+
+    def _is_back(self, name: str) -> None:
+        self.say(f"{name} is back")
+        if name not in self.admin:
+            self.news(name, "serving", self.clock.seconds())
+            return
+        for engine, (state, _) in self.standing.items():  # its file had the list as it stood
+            if state != "serving":
+                self._note_told(name, engine, state)
+
+    # -- the day ----------------------------------------------------------------------------------
+
+    @inlineCallbacks
+    def play(self) -> Iterator:
+        """Play it all; fires with the verdict."""
+        s = self.s
+        self.recorder.note("terms", traffic=self.traffic, let_go=s.rules.let_go, slack=SLACK, engines=[
+            (self.address[e], self.cell[e], "north") for e in self.engines])
+        self.say(f"starting {len(self.admin)} nodes and {len(self.engines)} engines")
+        try:
+            started = yield DeferredList([self.spawn(n) for n in s.names()], consumeErrors=True)
+            failed = [f.getErrorMessage() for ok, f in started if not ok]
+            if failed:
+                raise DayFailed(failed[0])
+            recorder = Recorder("client", self.clock, self.folder / "client.rec")
+            clients = self.clients = ClientFleet(s, self.clock, {
+                n: self.dial(self.address[n]) for n in self.admin}, recorder, self.random, self.rate)
+            self.started = self.clock.seconds()
+            clients.start()
+            for row in s.faults:
+                self.clock.callLater(row.at, self.fault, row)
+            progress = LoopingCall(self._progress)
+            progress.start(5.0, now=False)
+            yield deferLater(self.reactor, s.length, lambda: None)
+            self.say(f"no more is asked; {clients.open} open")
+            quiet = Deferred()
+            clients.on_quiet = lambda: None if quiet.called else quiet.callback(None)
+            limit = self.clock.callLater(s.clients.whole + 5.0, clients.on_quiet)
+            if not clients.open:
+                clients.on_quiet()
+            yield quiet
+            if limit.active():
+                limit.cancel()
+            progress.stop()
+            yield deferLater(self.reactor, s.rules.let_go + 0.3, lambda: None)  # what is left pinned shows
+            clients.close()
+            recorder.close()
+        finally:
+            yield self._end()
+        self.recorder.note("ends")
+        self.recorder.close()
+        return self.verdict()
+
+    @inlineCallbacks
+    def _end(self) -> Iterator:
+        for channel in self.channels.values():
+            channel.close()
+        for kind in (self.admin, self.engines):
+            alive = [self.running[n] for n in kind if n in self.running and self.running[n].code is None]
+            for process in alive:
+                process.signal("TERM")
+                self.clock.callLater(15.0, self._overdue, process)
+            yield DeferredList([p.ended for p in alive])
+
+    def _overdue(self, process: Process) -> None:
+        if process.code is None:
+            self.unclean.append(f"{process.name} did not end in 15 s")
+            process.signal("KILL")
+
+    def _progress(self) -> None:
+        c = self.clients
+        done: Counter[str] = Counter()
+        for tally in c.tallies.values():
+            done.update(tally.answers)
+        self.say(f"{c.asked} asked, {c.open} open, " + ", ".join(f"{n} {a}" for a, n in sorted(done.items())))
+
+    # -- the verdict ------------------------------------------------------------------------------
+
+    def verdict(self) -> dict:
+        """Rules and figures, from the records alone."""
+        paths = sorted(self.folder.glob("*.rec"))
+        checker = check(self._watch(heapq.merge(*map(read, paths), key=lambda r: r.at)))
+        return {
+            "seed": self.seed, "kept": not checker.breaches and not self.unclean, "rules": rules_of(checker),
+            "unclean": self.unclean, "attempts": dict(sorted(self.seen.items())),
+            "traffic": {n: t.figures() for n, t in self.clients.tallies.items()}}
+
+    def _watch(self, records: Iterator[Record]) -> Iterator[Record]:
+        self.seen: Counter[str] = Counter()
+        for record in records:
+            if record.what == "got":
+                self.seen["reads" if record.more["reads"] else "writes"] += 1
+            elif record.what in ("refused", "failed", "ran", "stopped"):
+                self.seen[record.what] += 1
+            yield record
+
+
+def rules_of(checker: Checker) -> list[dict]:
+    """The five rules: how many things each was checked on, and what broke it."""
+    return [{"rule": rule, "name": name, "checked": checker.counts[rule],
+             "breaches": [b.text for b in checker.breaches
+                          if b.rule == rule]} for rule, name in RULES.items()]
+
+
+def as_text(verdict: dict) -> str:
+    """The verdict for people."""
+    lines = ["", "rule                               checked  verdict"]
+    for r in verdict["rules"]:
+        lines.append(f"{r['rule']} {r['name']:<32} {r['checked']:>7}  "
+                     + (f"BROKEN {len(r['breaches'])} times" if r["breaches"] else "kept"))
+        lines += [f"    {text}" for text in r["breaches"][:5]]
+    lines += [f"not clean: {text}" for text in verdict["unclean"]]
+    lines += ["", "schedule attempts: " + ", ".join(f"{n} {k}" for k, n in verdict["attempts"].items()), ""]
+    lines.append(f"{'traffic type':<14}{'seqs':>6}{'tries':>7}{'generated':>11}{'rejected':>10}{'aborted':>9}"
+                 f"{'other':>7}{'first token p50/p99':>22}{'per token p50/p99':>20}{'goodput':>9}")
+    for name, t in verdict["traffic"].items():
+        a = t["answers"]
+        other = sum(n for k, n in a.items() if k not in ("generated", "rejected", "aborted"))
+        first, gap = (" / ".join(f"{t[k].get(p, 0.0) * 1000:.0f}" for p in ("p50", "p99")) + " ms"
+                      for k in ("first_token", "per_token"))
+        goodput = "-" if t["goodput"] is None else f"{t['goodput']:.3f}"
+        lines.append(f"{name:<14}{t['sequences']:>6}{t['tries']:>7}{a.get('generated', 0):>11}"
+                     f"{a.get('rejected', 0):>10}{a.get('aborted', 0):>9}{other:>7}{first:>22}{gap:>20}"
+                     f"{goodput:>9}")
+    lines += ["", "all rules kept" if verdict["kept"] else "NOT KEPT",
+              "(simulated: stand-in engines on loopback)"]
+    return "\n".join(lines)
+
+
+def save(verdict: dict, folder: Path) -> None:
+    """Beside the records."""
+    (folder / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
--- /dev/null
+++ b/myrtlehub/lab/scenario.py
@@ -0,0 +1,111 @@
+"""What a scenario file may say: fleet, traffic, timed faults, seed."""
+
+from typing import Annotated, Literal, Self
+
+from pydantic import Field, model_validator
+
+from myrtlehub.config.load import Sheet
+from myrtlehub.config.sheets import RulesGroup, Share, TenantRow, TrafficRow
+from myrtlehub.config.units import Duration, Tokens
+
+Count = Annotated[int, Field(ge=1)]
+Span = Annotated[list[int], Field(min_length=2, max_length=2)]
+WELL_KNOWN = ("hang", "refuse", "error", "slow", "flush", "break")
+
+
+class FleetGroup(Sheet):
+    """How many processes of each kind; engines are dealt to cells and zones in turn."""
+
+    nodes: Count = 1
+    readers: Annotated[int, Field(ge=0)] = 1
+    writers: Count = 1
+    cells: Count = 1
+
+
+class MachineGroup(Sheet):
+    """Figures of a made-up machine; the stand-in's own are used where none is given."""
+
+    slots: Count = 8
+    queue: Annotated[int, Field(ge=0)] = 32
+    memory: Tokens = 200000.0
+    read_rate: Annotated[float, Field(gt=0)] = 16000.0
+    step: Duration = 0.02
+    step_crowd: Share = 0.5
+    fetch_rate: Annotated[float, Field(gt=0)] = 250000.0
+    kept: Tokens = 60000.0
+
+
+class TrafficMix(TrafficRow):
+    """A traffic type and what its sequences look like."""
+
+    share: Annotated[float, Field(gt=0)]
+    prompt: Span
+    output: Span
+    prefixes: Annotated[int, Field(ge=0)] = 4
+    shared: Span = [0, 0]
+    turns: Count = 1
+
+
+class ClientsGroup(Sheet):
+    """How clients behave."""
+
+    retries: Annotated[int, Field(ge=0)] = 1
+    leave: Share = 0.0  # of sequences, whose client goes away at a moment drawn by chance
+    silent: Share = 0.0  # of sequences, whose client reads nothing and then goes away
+    whole: Duration = 20.0  # deadline of the whole call
+
+
+class FaultRow(Sheet):
+    """One thing that goes wrong, at a moment from the start of the traffic."""
+
+    at: Duration
+    do: Literal["crash", "kill", "drain", "hang", "refuse", "error", "slow", "flush", "break"]
+    whom: Annotated[list[str], Field(min_length=1)]
+    lasts: Duration = 0.0
+    factor: Annotated[float, Field(ge=0)] = 0.0
+
+    @model_validator(mode="after")
+    def _sound(self) -> Self:
+        nodes = [w for w in self.whom if w.startswith("node-")]
+        if nodes and self.do != "kill":
+            raise ValueError(f"{self.do} is for engines; nodes can only be killed")
+        if self.do == "kill" and len(nodes) != len(self.whom):
+            raise ValueError("kill is for nodes; an engine can crash")
+        return self
+
+
+class Scenario(Sheet):
+    """A whole day."""
+
+    about: str = ""
+    seed: int = 1
+    length: Duration
+    rate: Annotated[float, Field(gt=0)]  # sequences a second
+    fleet: FleetGroup
+    reader: MachineGroup = MachineGroup()
+    writer: MachineGroup = MachineGroup()
+    traffic: Annotated[list[TrafficMix], Field(min_length=1)]
+    tenants: list[TenantRow] = []
+    clients: ClientsGroup = ClientsGroup()
+    rules: RulesGroup
+    list_delay: Duration = 0.0  # until the first node hears news of the list
+    list_spread: Duration = 0.0  # more, at most, until the last does
+    faults: list[FaultRow] = []
+
+    @model_validator(mode="after")
+    def _sound(self) -> Self:
+        known = set(self.names())
+        for fault in self.faults:
+            for name in fault.whom:
+                if name not in known:
+                    raise ValueError(f"fault at {fault.at:g}s: {name!r} is not in this fleet; "
+                                     f"it has {', '.join(sorted(known))}")
+            if fault.at > self.length:
+                raise ValueError(f"fault at {fault.at:g}s comes after the day, which lasts {self.length:g}s")
+        return self
+
+    def names(self) -> list[str]:
+        """All processes of the fleet."""
+        f = self.fleet
+        return [f"{kind}-{i + 1}" for kind, count in (("node", f.nodes), ("reader", f.readers),
+                                                       ("writer", f.writers)) for i in range(count)]
--- a/myrtlehub/node/door.py
+++ b/myrtlehub/node/door.py
@@ -37,7 +37,7 @@
 
 def key_of(text: str) -> int:
     """A session or prefix as a whole number below 2^53, never 0; 0 for none."""
-    return (xxhash.xxh3_64_intdigest(text) >> 11) or 1 if text else 0
+    return (xxhash.xxh3_64_intdigest(text.encode()) >> 11) or 1 if text else 0
 
 
 class EngineIndices:
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,91 @@
+"""Files that are wrong draw one clear line a fault; generated code is fresh."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from myrtlehub.config import units
+from myrtlehub.config.load import Faults, load, parse
+from myrtlehub.config.sheets import NodeSheet, StandSheet
+from myrtlehub.lab.scenario import Scenario
+
+ROOT = Path(__file__).parents[1]
+SOUND = (ROOT / "examples" / "node.yaml").read_text()
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(Faults) as caught:
+        parse(text, NodeSheet, "n.yaml")
+    return caught.value.lines
+
+
+def test_the_examples_are_sound() -> None:
+    sheet = parse(SOUND, NodeSheet)
+    assert sheet.rules.let_go == 0.5 and sheet.kinds[0].memory == 200000.0
+    assert load(ROOT / "examples" / "engine.yaml", StandSheet).writes
+    assert [load(p, Scenario).names()[0] for p in sorted((ROOT / "scenarios").glob("*.yaml"))]
+
+
+@pytest.mark.parametrize(("old", "new", "said"), [
+    ("drain_within: 10s", "drain_within: 10",
+     "n.yaml:9: node.drain_within: a unit is missing; write it like 250ms or 2s (found 10)"),
+    ("drain_within: 10s", "drain_within: 10 parsecs",
+     "n.yaml:9: node.drain_within: unit 'parsecs' is not one of us, ms, s, m, min, h (found '10 parsecs')"),
+    ("drain_within:", "drain_witin:",
+     "n.yaml:9: node.drain_witin: is not known here; did you mean 'drain_within'?"),
+    ("abandon_time: 10s", "abandon_time: 1s",
+     "n.yaml:11: traffic[0](ask): abandon_time has to be longer than latency_slo"),
+    ("repeats: once-only", "repeats: sometimes",
+     "n.yaml:17: traffic[1](post).repeats: should be 'repeatable', 'tokened' or 'once-only' "
+     "(found 'sometimes')"),
+    ("  let_go: 500ms\n", "", "n.yaml:25: rules.let_go: is missing; add it"),
+    ("zone: north", "zone: nowhere", "n.yaml:1: file: node.zone 'nowhere' is not among zones: north, south"),
+    ("kind: writer", "kind: wirter",
+     "n.yaml:1: file: engine 10.0.0.2:7200: kind 'wirter' is not among kinds: "
+                                     "reader, writer"),
+    ("10.0.0.2:7200", "10.0.0.1:7200", "n.yaml:1: file: list.engines: 10.0.0.1:7200 named more than once"),
+    ("hold: no", "hold: yes",
+     "n.yaml:1: file: engines_may.hold: engines of myrtlehub.v1 cannot do this; say no"),
+    ("index: 0", "index: 3", "n.yaml:1: file: node.index 3 needs node.nodes above it, not 3"),
+    ("utility: 3", "utility: -3", "n.yaml:20: traffic[1](post).utility: should be greater than 0 (found -3)"),
+])
+def test_a_fault_names_line_field_and_fix(old: str, new: str, said: str) -> None:
+    assert old in SOUND
+    assert faults(SOUND.replace(old, new, 1)) == [said]
+
+
+def test_all_faults_are_told_at_once_and_yaml_that_is_none() -> None:
+    lines = faults(SOUND.replace("drain_within: 10s", "drain_within: 10").replace("index: 0", "index: x"))
+    assert len(lines) == 2
+    assert faults("node: [")[0].startswith("n.yaml:1: not YAML: ")
+    assert faults("- a") == ["n.yaml:1: a file of fields is wanted, found CommentedSeq"]
+    with pytest.raises(Faults, match="no-such-file.yaml:1: cannot be read: No such file"):
+        load("no-such-file.yaml", NodeSheet)
+
+
+def test_units() -> None:
+    assert [units.duration(t) for t in ("250ms", "2 s", "1.5m", "0.5us", 0)] == [0.25, 2.0, 90.0, 5e-7, 0.0]
+    assert [units.size(t) for t in ("64KiB", "1 MB", "5B")] == [65536, 10**6, 5]
+    assert [units.tokens(t) for t in ("200k tokens", "5 tokens", "1.5M tokens")] == [2e5, 5.0, 1.5e6]
+    for bad in (True, 5, "5", "", "ms", "-1s", "1e3s", None, [1]):
+        with pytest.raises(ValueError):
+            units.duration(bad)
+
+
+def test_programs_refuse_wrong_files_with_one_line_and_2(tmp_path: Path) -> None:
+    (tmp_path / "n.yaml").write_text(SOUND.replace("drain_within: 10s", "drain_within: 10"))
+    for program, argument in (("node", tmp_path / "n.yaml"), ("engine", tmp_path / "none.yaml"),
+                              ("day", "no-such-day")):
+        run = subprocess.run([sys.executable, "-m", f"myrtlehub.cli.{program}", argument], cwd=ROOT,
+                             capture_output=True, text=True, timeout=60)
+        assert run.returncode == 2 and run.stderr.count("\n") == 1 and not run.stdout, run.stderr
+
+
+def test_generated_code_is_fresh(tmp_path: Path) -> None:
+    subprocess.run([ROOT / ".ci" / "protos", tmp_path], check=True, timeout=60)
+    made = sorted((tmp_path / "myrtlehub" / "proto").glob("*_pb2.py"))
+    kept = sorted((ROOT / "myrtlehub" / "proto").glob("*_pb2.py"))
+    assert [p.name for p in made] == [p.name for p in kept] and len(made) == 3
+    assert all(a.read_text() == b.read_text() for a, b in zip(made, kept, strict=True)), "run `make protos`"
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -45,7 +45,8 @@
 
 def test_a_question_goes_to_a_reader_its_state_to_a_writer_and_tokens_come_back() -> None:
     f = fleet()
-    split, short = f.ask(prompt=3000), f.ask("post", prompt=200)
+    split, short = f.ask(prompt=3000, session="s", shared_prefix="p", shared_tokens=900), f.ask("post",
+                                                                                                prompt=200)
     f.run(4.0)
     assert (split.answer, short.answer) == ("generated", "generated") and split.tokens > 5
     assert [r.who for r in f.what("got")][:1] == ["R0a:1"] and len(f.what("ran")) == 2
