Lives of sequences as tables, explored: two ways to leave state pinned found and closed

Cause: what may have run, what is held and what was answered were flags of the host; nobody could say that each event in each state had been thought of.

--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -12,6 +12,8 @@
 from myrtlehub import interface as itf
 from myrtlehub.config.sheets import EngineRow
 from myrtlehub.node.door import Door
+from myrtlehub.state.lives import (
+    ANSWER, ANSWER_LIFE, ATTEMPT, BEGIN, HOLD, LATE, OUT, PASS, READ_ENDS, TELL_RELEASE, Life, write_ends)
 
 NEVER = float("inf")
 
@@ -56,35 +58,52 @@
 
 
 class Attempt:
-    """One schedule attempt that is out."""
+    """One schedule attempt."""
 
-    __slots__ = ("held", "number", "engine", "reads", "since", "until", "timer", "out", "begun", "state",
-                 "call",
-                 "paused")
+    __slots__ = ("held", "number", "engine", "reads", "since", "until", "timer", "life", "claims", "call")
 
     def __init__(self, held: "Held", number: int, engine: int, reads: bool, since: float,
                  until: float) -> None:
         self.held, self.number, self.engine, self.reads = held, number, engine, reads
         self.since, self.until = since, until
         self.timer = self.call = None
-        self.out, self.begun, self.paused = True, False, False
-        self.state: object = None  # a writer's: the state it is to fetch
+        self.life = Life(ATTEMPT, "reading" if reads else "writing")
+        self.claims: Hold | None = None  # a writer's: the state that it is to fetch
+
+    @property
+    def out(self) -> bool:
+        """Whether its end is still to come."""
+        return self.life.state in OUT
+
+    @property
+    def begun(self) -> bool:
+        """Whether its answer streams."""
+        return self.life.state == "streaming"
+
+
+class Hold:
+    """What one reader holds for one sequence, and the handle by which it is fetched."""
+
+    __slots__ = ("engine", "life", "handle")
+
+    def __init__(self, engine: int) -> None:
+        self.engine, self.life, self.handle = engine, Life(HOLD), None
 
 
 class Held:
     """One sequence that the host holds for the module."""
 
-    __slots__ = ("seq", "label", "asked", "arrival", "client", "since", "abandon_at", "answer", "attempts",
-                 "states", "begun", "first_at", "tokens")
+    __slots__ = ("seq", "label", "asked", "arrival", "client", "since", "abandon_at", "life", "attempts",
+                 "holds", "begun", "first_at", "tokens")
 
     def __init__(self, seq: int, label: str, asked: object, arrival: itf.Arrival, client: Client,
                  now: float) -> None:
         self.seq, self.label, self.asked, self.arrival, self.client = seq, label, asked, arrival, client
         self.since, self.abandon_at = now, now + arrival.time_left
-        self.answer = ""  # generated, rejected, aborted or left: from then on nothing is owed
+        self.life = Life(ANSWER_LIFE)
         self.attempts: list[Attempt] = []
-        self.states: dict[int, object] = {}  # by engine: state, or None where a read may have left one
-        self.begun: Attempt | None = None
+        self.holds: dict[int, Hold] = {}  # by engine
+        self.begun: Attempt | None = None  # the attempt whose answer the client is getting
         self.first_at = 0.0
         self.tokens = 0
 
@@ -145,66 +164,71 @@
 
     def left(self, held: Held) -> None:
         """The client went away: nothing more is owed, and what runs for it is stopped."""
-        if held.answer:
-            return
-        self._answer(held, "left")
-        self._say("left", held.seq)
-        if held.begun is not None and held.begun.out:
-            self._stop(held.begun)
+        if held.life.step("leave") != LATE:
+            self._close_answer(held)
 
     def out_of_time(self, held: Held, reason: str) -> None:
         """The bound on the whole stream is due, or the node goes: abort what has no answer yet."""
-        if held.answer:
-            return
-        self._answer(held, "aborted")
-        held.client.aborted(reason)
+        if held.life.step("late") == ANSWER:
+            held.client.aborted(reason)
+            self._close_answer(held)
+
+    def _close_answer(self, held: Held) -> None:
+        """The answer was not the module's doing: tell it, and stop a stream that nobody reads any more."""
+        self._note_answer(held)
         self._say("left", held.seq)
-        if held.begun is not None and held.begun.out:
+        if held.begun is not None:
             self._stop(held.begun)
 
     def began(self, attempt: Attempt, raw: bytes) -> None:
         """The first token message of an attempt."""
         held = attempt.held
-        if held.answer or held.begun is not None:
-            self._stop(attempt)  # raced with a final answer, or with a copy: nobody reads it
+        if attempt.life.step("tokens") != BEGIN:
             return
-        attempt.begun, held.begun, held.first_at = True, attempt, self.clock.seconds()
         self._disarm(attempt)
-        if attempt.state is not None:
-            held.states.pop(attempt.state[0], None)
+        if attempt.claims is not None:
+            self._hold_step(held, attempt.claims, "fetched")
+            attempt.claims = None
+        if held.life.step("first") != PASS:
+            self._stop(attempt)  # raced with a final answer, or with a copy: nobody reads it
+            return
+        held.begun, held.first_at = attempt, self.clock.seconds()
         self._say("began", held.seq, attempt.number, held.first_at - attempt.since)
-        self.more(attempt, raw)
+        held.tokens += 1
+        held.client.tokens(raw)
 
     def more(self, attempt: Attempt, raw: bytes) -> None:
         """Token messages go through as they are."""
         held = attempt.held
-        if held.begun is attempt and not held.answer:
+        if held.begun is attempt and held.life.step("more") == PASS:
             held.tokens += 1
             held.client.tokens(raw)
 
     def ended(self, attempt: Attempt, outcome: str, kept: float = 0.0, load: itf.Load | None = None,
-              state: object = None, tokens: int = 0) -> None:
+              handle: object = None, tokens: int = 0) -> None:
         """How an attempt ended; said once, what comes later is dropped."""
-        if not attempt.out:
+        begun = attempt.begun
+        if attempt.life.step(outcome) == LATE:
             return
         held, now = attempt.held, self.clock.seconds()
-        attempt.out = False
         self._disarm(attempt)
-        if attempt.reads and outcome == itf.READ:
-            held.states[attempt.engine] = state
-        elif attempt.reads and outcome in (itf.FULL, itf.UNREACHED, itf.UNSENT):
-            held.states.pop(attempt.engine, None)
-        elif attempt.state is not None and outcome == itf.FULL and kept:
-            held.states.pop(attempt.state[0], None)  # it was not there to fetch
-        if not held.answer:
-            if outcome == itf.GENERATED:
-                self._answer(held, "generated", tokens=tokens)
+        if begun and outcome in (itf.FULL, itf.UNREACHED, itf.UNSENT):
+            # Guards against an engine that takes its word back: what has streamed has run.
+            outcome, kept = itf.RESET, 0.0
+        if attempt.reads:
+            hold = held.holds[attempt.engine]
+            hold.handle = handle
+            self._hold_step(held, hold, READ_ENDS[outcome])
+        elif attempt.claims is not None:
+            self._hold_step(held, attempt.claims, write_ends(outcome, bool(kept)))
+        if outcome == itf.GENERATED and held.begun in (None, attempt):
+            if held.life.step("whole") == ANSWER:
+                self._note_answer(held, tokens=tokens)
                 held.client.generated(tokens)
-            elif attempt.begun:
-                self._answer(held, "aborted")
-                held.client.aborted(f"the stream broke: {outcome}")
-        self._say("ended", held.seq, attempt.number, outcome, now - attempt.since, bool(held.answer), kept,
-                  load)
+        elif held.begun is attempt and held.life.step("broke") == ANSWER:
+            self._note_answer(held)
+            held.client.aborted(f"the stream broke: {outcome}")
+        self._say("ended", held.seq, attempt.number, outcome, now - attempt.since, held.life.over, kept, load)
         address = self.door.engines.unused(attempt.engine)
         if address:
             self.carrier.forget(address)
@@ -242,42 +266,50 @@
         held.attempts.append(attempt)
         self.door.engines.used(engine)
         if reads:
-            held.states[engine] = None
+            hold = held.holds.setdefault(engine, Hold(engine))
+            hold.life.step("send")
         else:
-            known = [(e, s) for e, s in held.states.items() if s is not None]
-            attempt.state = known[-1] if known else None
-        if held.answer:
-            self._later_unsent(attempt)
+            claims = [h for h in held.holds.values() if h.handle is not None and h.life.state in ("held",
+                                                                                                  "maybe")]
+            if claims:
+                attempt.claims = claims[-1]
+                attempt.claims.life.step("claim")
+        if held.life.over:
+            self.clock.callLater(0, self.ended, attempt, itf.UNSENT)
             return
         attempt.timer = self.clock.callLater(max(0.0, until - now), self._timed_out, attempt)
         self.carrier.start(attempt)
 
-    def _later_unsent(self, attempt: Attempt) -> None:
-        self.clock.callLater(0, self.ended, attempt, itf.UNSENT)
-
     def _release(self, seq: int) -> None:
         held = self.held[seq]
-        used = {a.engine if a.reads else a.state[0] for a in held.attempts
-                if a.out and (a.reads or a.state is not None)}
-        for engine in [e for e in held.states if e not in used]:
-            del held.states[engine]
-            self.carrier.release(engine, held.label)
+        for hold in list(held.holds.values()):
+            if self._hold_step(held, hold, "release") == TELL_RELEASE:
+                self.carrier.release(hold.engine, held.label)
+
+    def _hold_step(self, held: Held, hold: Hold, event: str) -> str:
+        do = hold.life.step(event)
+        if hold.life.state == "none":
+            held.holds.pop(hold.engine, None)
+        return do
 
     def _cancel(self, seq: int, number: int) -> None:
         attempt = self.held[seq].attempts[number]
-        if attempt.out and not attempt.begun:
+        if not attempt.begun:
             self._stop(attempt)
 
     def _reject(self, seq: int, wait: float) -> None:
-        held = self.held[seq]
-        if not held.answer:
-            self._answer(held, "rejected", wait=wait)
-            held.client.rejected(wait)
+        self._answer(self.held[seq], "reject", wait)
 
     def _abort(self, seq: int) -> None:
-        held = self.held[seq]
-        if not held.answer:
-            self._answer(held, "aborted")
+        self._answer(self.held[seq], "abort", 0.0)
+
+    def _answer(self, held: Held, event: str, wait: float) -> None:
+        if held.life.step(event) != ANSWER:
+            return
+        self._note_answer(held)
+        if held.life.state == "rejected":
+            held.client.rejected(wait)
+        else:
             held.client.aborted("no engine could answer in time, and it may have run")
 
     def _wake(self, delay: float, token: int) -> None:
@@ -298,15 +330,15 @@
     def _done(self, seq: int) -> None:
         del self.held[seq]
 
-    def _hold(self, *args: object) -> None:
+    def _never(self, *args: object) -> None:
         raise ContractBroken(f"a result that the terms rule out: {args}")
 
-    _move = _probe = _tell = _hold
+    _hold = _move = _probe = _tell = _never
 
     # -- small steps ------------------------------------------------------------------------------
 
-    def _answer(self, held: Held, answer: str, **more: object) -> None:
-        held.answer = answer
+    def _note_answer(self, held: Held, **more: object) -> None:
+        answer = held.life.state
         self.answered[answer] += 1
         first = round(held.first_at - held.since, 4) if held.first_at else None
         row = self.door.rows[held.arrival.traffic]
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -120,7 +120,7 @@
             timeout = attempt.until - self.clock.seconds() + LATE
         else:
             path, watcher = "Write", _Write(self.host, attempt)
-            request = pb.WriteRequest(work=work, state=attempt.state[1] if attempt.state else None)
+            request = pb.WriteRequest(work=work, state=attempt.claims.handle if attempt.claims else None)
             timeout = asked.deadline_in - (self.clock.seconds() - held.since)
             timeout = timeout + LATE if timeout != float("inf") else None
         meta = (("myrtle-seq", held.label), ("myrtle-attempt", str(attempt.number)), ("myrtle-node",
