Client library: sync, asyncio and Twisted, with retries that keep the promise of each answer

Need: callers had to read the promise of rejected and aborted out of the .proto and write the retries themselves.

Change: myrtlehub.client: one pure core that says what each end means and whether it goes again by itself (rejected after its wait, spread; once-only never after it may have run; nothing once tokens were handed out), three thin clients over grpcio, grpcio.aio and our channel; examples for each; import contracts.

Result: promise table tested; the Twisted client on a driven clock through hang, rejection, abort and cancel; the three examples run against real node and engine processes, which end with 0 on SIGTERM.

--- /dev/null
+++ b/myrtlehub/client/sync.py
@@ -0,0 +1,83 @@
+"""For programs without an event loop, over grpcio."""
+
+import random
+import time
+from collections.abc import Iterator
+
+import grpc
+
+from myrtlehub.client.promise import PATH, Ask, End, Generated, Tries, end_of
+from myrtlehub.proto import chat_pb2 as pb
+
+
+def lost_end(fault: grpc.RpcError) -> End:
+    """A status without a final answer. grpcio does not say what surely was not processed, so nothing is."""
+    if fault.code() == grpc.StatusCode.INVALID_ARGUMENT:
+        return End("invalid", said=fault.details() or "")
+    return End("lost", said=f"{fault.code().name}: {fault.details()}")
+
+
+class Stream:
+    """An iterator over token messages, as tuples of token ids; `answer` is set once it is over."""
+
+    def __init__(self, client: "Client", ask: Ask) -> None:
+        self._client, self._tries = client, Tries(ask, time.monotonic(), random.random)
+        self._call = None
+        self.answer: Generated | None = None
+        self.seq = ""
+
+    def __iter__(self) -> Iterator[tuple[int, ...]]:
+        tries = self._tries
+        while True:
+            end = End("lost", said="the stream ended without a final answer")
+            self._call = self._client.call(
+                tries.ask.message(tries.count), timeout=max(0.001, tries.until - time.monotonic()))
+            try:
+                for reply in self._call:
+                    final = end_of(reply)
+                    if final is None:
+                        tries.tokens += len(reply.tokens.ids)
+                        yield tuple(reply.tokens.ids)
+                    else:
+                        end = final
+            except grpc.RpcError as fault:
+                if end.answer == "lost":
+                    end = lost_end(fault)
+            wait = tries.again(end, time.monotonic()) if end.answer != "generated" else None
+            if wait is None:
+                tries.count += end.answer == "generated"
+                self.answer = tries.result(end)
+                return
+            time.sleep(wait)
+
+    def cancel(self) -> None:
+        """Stop: the node and its engines stop as well."""
+        if self._call is not None:
+            self._call.cancel()
+
+
+class Client:
+    """Sequences at one node. `channel` may be any grpcio channel; made from `address` it is closed with
+    this."""
+
+    def __init__(self, address: str = "", channel: grpc.Channel | None = None) -> None:
+        self._own = channel is None
+        self._channel = channel or grpc.insecure_channel(address)
+        self.call = self._channel.unary_stream(
+            PATH, request_serializer=pb.GenerateRequest.SerializeToString,
+            response_deserializer=pb.GenerateReply.FromString)
+
+    def generate(self, ask: Ask) -> Stream:
+        """Ask; iterate over what comes. Raises Rejected, Aborted or NotTaken from the iteration."""
+        return Stream(self, ask)
+
+    def close(self) -> None:
+        """Close the channel if it is ours."""
+        if self._own:
+            self._channel.close()
+
+    def __enter__(self) -> "Client":
+        return self
+
+    def __exit__(self, *ignored: object) -> None:
+        self.close()
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,105 @@
+"""The client library keeps the promise of each answer; examples run against real processes."""
+
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from fleet import Fleet
+
+from myrtlehub.client import Aborted, Ask, Generated, NotTaken, Rejected
+from myrtlehub.client.promise import End, Tries
+from myrtlehub.client.tx import Client
+from myrtlehub.lab.day import free_ports
+
+ROOT = Path(__file__).parents[1]
+
+
+def tries(repeats: str = "once-only", **more: object) -> Tries:
+    return Tries(Ask("t", 10, 10, repeats=repeats, **more), 100.0, lambda: 0.5)
+
+
+def test_what_goes_again_by_itself() -> None:
+    lost, aborted, rejected = End("lost"), End("aborted"), End("rejected", 0.4)
+    assert tries().again(rejected, 100.0) == pytest.approx(0.5)  # after the wait named, spread
+    assert tries().again(aborted, 100.0) is None and tries().again(lost, 100.0) is None
+    assert tries("tokened").again(lost, 100.0) is None
+    assert tries("repeatable").again(lost, 100.0) == pytest.approx(0.1)
+    assert tries().again(End("lost", unprocessed=True), 100.0) is not None  # never reached the node
+    assert tries(within=0.3).again(rejected, 100.0) is None  # no time for it
+    some = tries("repeatable")
+    some.tokens = 3
+    assert some.again(aborted, 100.0) is None  # they would come twice
+    last = tries(tries=2)
+    assert last.again(rejected, 100.0) and last.again(rejected, 100.6) is None
+    for end, kind in ((rejected, Rejected), (aborted, Aborted), (lost, Aborted), (End("invalid"), NotTaken),
+                      (End("lost", unprocessed=True), Rejected)):
+        with pytest.raises(kind):
+            tries().result(end)
+    assert tries().result(End("generated", count=7)) == Generated(7, 0)
+
+
+def test_the_twisted_client_on_a_driven_clock() -> None:
+    f = Fleet("R0 W0")
+    client, seen, ends = Client(f.channels["n0"], f.clock, lambda: 0.5), [], []
+
+    def ask(*args: object, **more: object) -> object:
+        stream = client.generate(Ask(*args, **more), seen.append)
+        stream.done.addBoth(ends.append)
+        return stream
+    ask("ask", 3000, 40, repeats="repeatable")
+    f.run(3.0)
+    assert ends == [Generated(len(seen), 1)] and seen
+    ask("nope", 3000, 40)
+    f.run(0.1)
+    assert ends[1].check(NotTaken) and "traffic_type" in ends[1].getErrorMessage()
+    f.misbehave("W0b", "hang", seconds=3.0)
+    f.run(0.05)
+    ask("post", 100, 40, first_within=1.0)
+    ask("ask", 100, 40, repeats="repeatable", first_within=1.0, within=40.0, tries=30)
+    f.run(1.5)
+    assert ends[2].check(Aborted)  # it may have run: never by itself
+    f.run(35.0)
+    assert ends[3].tries > 1  # rejected, and again after the wait named, until the engine was well
+    stopped = ask("ask", 100, 400)
+    f.run(0.5)
+    stopped.done.cancel()
+    f.run(0.5)
+    assert not f.stands["W0b"].model.running and not f.nodes["n0"].host.held
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Iterator[str]:
+    """A node, a reader and a writer, each a process."""
+    ports = free_ports(4)
+    text = (ROOT / "examples" / "node.yaml").read_text()
+    for old, new in (("127.0.0.1:7100", f"127.0.0.1:{ports[0]}"), ("127.0.0.1:7101", f"127.0.0.1:{ports[1]}"),
+                     ("10.0.0.1:7200", f"127.0.0.1:{ports[2]}"), ("10.0.0.2:7200", f"127.0.0.1:{ports[3]}")):
+        assert old in text
+        text = text.replace(old, new)
+    (tmp_path / "node.yaml").write_text(text)
+    (tmp_path / "r.yaml").write_text(f"{{name: r, listen: '127.0.0.1:{ports[2]}', reads: yes}}")
+    (tmp_path / "w.yaml").write_text(f"{{name: w, listen: '127.0.0.1:{ports[3]}', writes: yes, step: 2ms}}")
+    running = []
+    for program, name in (("engine", "r"), ("engine", "w"), ("node", "node")):
+        process = subprocess.Popen([sys.executable, "-m", f"myrtlehub.cli.{program}",
+                                    tmp_path / f"{name}.yaml"],
+                                   stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=ROOT)
+        running.append(process)
+        while b'"ready"' not in process.stdout.readline():
+            assert process.poll() is None
+    yield f"127.0.0.1:{ports[0]}"
+    for process in reversed(running):
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(20) == 0
+        process.stdout.close()
+
+
+def test_examples_run(node: str) -> None:
+    for name, said in (("ask_sync.py", " tokens in 1 tries"), ("book_aio.py", "booked: "),
+                       ("ask_twisted.py", " tokens in 1 tries")):
+        run = subprocess.run([sys.executable, ROOT / "examples" / name, node], capture_output=True, text=True,
+                             timeout=60, cwd=ROOT)
+        assert run.returncode == 0 and said in run.stdout, run.stderr
