--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,8 +1,6 @@
 """A whole fleet in one process: real nodes, engines and clients on an in-memory network and a driven
 clock."""
 
-from collections.abc import Callable
-
 from memnet import Net
 from twisted.internet.task import Clock
 
@@ -69,7 +67,7 @@
         self.clock.advance(1000.0)
         self.net = Net(self.clock)
         self.host, self.machine, self.nodes_count = host, machine, nodes
-        self.recorders: list[Recorder] = []
+        self.log: list[Record] = []  # of all ends, in the order in which it happened
         self.day, self.client = self.recorder("day"), self.recorder("client")
         self.stands: dict[str, StandIn] = {}
         self.rows: dict[str, dict] = {}
@@ -83,8 +81,9 @@
         self.calls: list[Caller] = []
 
     def recorder(self, who: str) -> Recorder:
-        self.recorders.append(Recorder(who, self.clock))
-        return self.recorders[-1]
+        recorder = Recorder(who, self.clock)
+        recorder.kept = self.log
+        return recorder
 
     def engine(self, name: str, cold: bool = False) -> None:
         sheet = StandSheet(name=name, listen=f"{name}:1", reads=name[0] == "R", writes=name[0] == "W",
@@ -154,11 +153,6 @@
     def run(self, seconds: float) -> None:
         self.net.run(seconds)
 
-    def records(self) -> list[Record]:
-        return sorted((r for recorder in self.recorders for r in recorder.kept), key=lambda r: r.at)
-
     def what(self, what: str, who: str = "") -> list[Record]:
-        return [r for r in self.records() if r.what == what and r.who.startswith(who)]
-
+        return [r for r in self.log if r.what == what and r.who.startswith(who)]
 
-Step = Callable[[Fleet], None]
--- a/tests/memnet.py
+++ b/tests/memnet.py
@@ -47,6 +47,8 @@
     def __init__(self, clock: Clock) -> None:
         self.clock, self.hosts, self.pipes = clock, {}, []
         self.silent: set[str] = set()  # hosts that take bytes and say nothing
+        self.crossed = 0  # deliveries so far
+        self.fault_at, self.fault = 0, None  # called with the pipe in place of that delivery
 
     def listen(self, host: str, factory: object) -> None:
         self.hosts[host] = factory
@@ -94,8 +96,12 @@
             if pipe.dead or pipe.stalled or pipe.host in self.silent:
                 continue
             if pipe.out:
-                data, pipe.out = b"".join(pipe.out), []
+                self.crossed += 1
                 moved = True
+                if self.crossed == self.fault_at:
+                    self.fault(pipe)
+                    continue
+                data, pipe.out = b"".join(pipe.out), []
                 pipe.other.protocol.dataReceived(data)
             elif pipe.closing and not pipe.dead:
                 self.cut(pipe, clean=True)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,6 +5,7 @@
 
 from myrtlehub import interface as itf
 from myrtlehub.lab.checker import RULES, Checker, check
+from myrtlehub.lab.records import Record
 from myrtlehub.node.host import Attempt, Held, Host
 from myrtlehub.rpc.guards import TransportBounds
 
@@ -15,10 +16,9 @@
 
 def judge(fleet: Fleet) -> Checker:
     fleet.day.note("ends")
-    fleet.day.kept.insert(0, fleet.day.kept[0]._replace(
-        at=0.0, what="terms", more={"traffic": ROWS, "let_go": 0.5, "slack": 0.05, "engines": [
-            (r["address"], r["cell"], r["zone"]) for r in fleet.rows.values()]}))
-    return check(fleet.records())
+    terms = {"traffic": ROWS, "let_go": 0.5, "slack": 0.05, "engines": [
+        (r["address"], r["cell"], r["zone"]) for r in fleet.rows.values()]}
+    return check([Record(0.0, "day", "terms", terms), *fleet.log])
 
 
 def kept(fleet: Fleet) -> Checker:
@@ -27,12 +27,6 @@
     return checker
 
 
-def fleet(*args: object, **more: object) -> Fleet:
-    made = Fleet(*args, **more)
-    made.day.note("begins")
-    return made
-
-
 def nothing_left(f: Fleet) -> None:
     """Every node and engine that lives has let go of everything."""
     assert all(not n.host.held and not n.host.attempts_out() for n in f.nodes.values())
@@ -44,7 +38,7 @@
 
 
 def test_a_question_goes_to_a_reader_its_state_to_a_writer_and_tokens_come_back() -> None:
-    f = fleet()
+    f = Fleet()
     split, short = f.ask(prompt=3000, session="s", shared_prefix="p", shared_tokens=900), f.ask("post",
                                                                                                 prompt=200)
     f.run(4.0)
@@ -57,7 +51,7 @@
 
 
 def test_requests_that_are_wrong_are_told_why_and_not_taken() -> None:
-    f = fleet()
+    f = Fleet()
     for more, said in [({"traffic": "nope"}, "not one of ask, note, post"), ({"prompt": 0}, "prompt_tokens"),
                        ({"output": 0}, "most_output"), ({"shared_tokens": 5000}, "shared_tokens"),
                        ({"traffic": "note", "mark": "x" * 201}, "longer than 200")]:
@@ -69,7 +63,7 @@
 
 
 def test_a_writer_that_dies_mid_stream_aborts_a_once_only_and_it_never_runs_again() -> None:
-    f = fleet()
+    f = Fleet()
     post, ask = f.ask("post", prompt=200, output=400), f.ask(prompt=200, output=400)
     f.run(0.3)
     writers = {r.who for r in f.what("ran")}
@@ -83,7 +77,7 @@
 
 
 def test_a_reader_dies_after_the_read_and_before_the_fetch() -> None:
-    f = fleet("R0 R0 W0", slots=1)
+    f = Fleet("R0 R0 W0", slots=1)
     f.ask(prompt=300, output=100)  # keeps the writer's only slot
     f.run(0.1)
     late = f.ask("post", prompt=3000, output=20, left=4.0)
@@ -98,7 +92,7 @@
 
 
 def test_a_writer_accepts_and_never_answers() -> None:
-    f = fleet("R0 W0")
+    f = Fleet("R0 W0")
     f.misbehave("W0b", "hang")
     f.run(0.05)
     post, ask = f.ask("post", prompt=200, left=2.0), f.ask(prompt=3000, left=2.0)
@@ -114,7 +108,7 @@
 
 
 def test_half_the_writers_refuse() -> None:
-    f = fleet("R0 W0 W0")
+    f = Fleet("R0 W0 W0")
     f.misbehave("W0b", "refuse", 1.0)
     f.run(0.05)
     calls = [f.ask("post" if i % 2 else "ask", prompt=200, output=40) for i in range(12)]
@@ -125,7 +119,7 @@
 
 
 def test_an_engine_drains_while_streams_run() -> None:
-    f = fleet("R0 W0 W0")
+    f = Fleet("R0 W0 W0")
     calls = [f.ask(prompt=200, output=200) for _ in range(6)]
     f.run(0.2)
     assert {r.who for r in f.what("ran")} == {"W0b:1", "W0c:1"}
@@ -147,7 +141,7 @@
 
 @pytest.mark.parametrize("after", [0.0, 0.05, 0.2, 0.25, 0.6])
 def test_a_client_goes_away_at_each_stage(after: float) -> None:
-    f = fleet(read_rate=15000.0)
+    f = Fleet(read_rate=15000.0)
     caller = f.ask("post", prompt=3000, output=300)  # read until 0.2, fetched by 0.22, then streams
     f.run(after)
     f.leave(caller)
@@ -159,7 +153,7 @@
 
 
 def test_a_client_that_reads_nothing_holds_up_its_own_stream_only() -> None:
-    f = fleet("W0", step="2ms", slots=8)
+    f = Fleet("W0", step="2ms", slots=8)
     link = f.nodes["n0"].links.bounds = TransportBounds(stream_window=16384)
     f.channels["n0"].bounds = TransportBounds(stream_window=4096)
     stuck = f.ask(prompt=100, output=190000, left=4.0)
@@ -179,7 +173,7 @@
 
 
 def test_a_final_answer_racing_with_a_cancel() -> None:
-    f = fleet("R0 W0")
+    f = Fleet("R0 W0")
     f.misbehave("W0b", "hang", seconds=1.95)
     f.run(0.02)
     calls = [f.ask("post", prompt=200, left=1.9 + 0.005 * i, output=3) for i in range(16)]
@@ -192,7 +186,7 @@
 
 
 def test_a_node_killed_and_back_with_nothing_never_repeats_a_once_only() -> None:
-    f = fleet("R0 W0 W0", nodes=2)
+    f = Fleet("R0 W0 W0", nodes=2)
     calls = [f.ask("post", prompt=200 + 2000 * (i % 2), output=300, node="n0") for i in range(6)]
     f.run(0.3)
     f.kill("n0")
@@ -210,7 +204,7 @@
 
 
 def test_a_cold_restart_with_all_nodes_sending() -> None:
-    f = fleet("R0 R0 W0 W0", nodes=3, slots=4)
+    f = Fleet("R0 R0 W0 W0", nodes=3, slots=4)
     for i in range(200):
         f.ask(prompt=200 + 1500 * (i % 2), output=60, node=f"n{i % 3}")
         f.run(0.03)
@@ -226,7 +220,7 @@
 
 
 def test_the_whole_deadline_aborts_a_stream_that_has_begun() -> None:
-    f = fleet("W0", step="100ms")
+    f = Fleet("W0", step="100ms")
     caller = f.ask("post", prompt=100, output=5000, timeout=2.0)
     f.run(1.9)
     assert caller.tokens > 10 and not caller.answer
@@ -238,7 +232,7 @@
 
 
 def test_sigterm_drains() -> None:
-    f = fleet("W0")
+    f = Fleet("W0")
     short, long = f.ask(prompt=100, output=40), f.ask("post", prompt=100, output=4000)
     f.run(0.2)
     gone = []
@@ -254,7 +248,7 @@
 
 
 def test_news_of_the_list_is_taken_whole_or_not_at_all() -> None:
-    f = fleet()
+    f = Fleet()
     f.rows["X0z"] = {"address": "X0z:1", "kind": "mixer", "zone": "north", "cell": 0}
     f.tell("X0z", "serving")
     f.run(0.1)
@@ -363,7 +357,7 @@
 def test_a_broken_host_is_caught_by_its_rule(host: type[Host], trouble: object, rule: int) -> None:
     for kind, wanted in ((Host, set()), (host, {rule})):
         engines = {no_room: "R0 W0", cold_rush: "R0 W0 W0 W0 W0"}.get(trouble, "R0 W0 W0")
-        f = fleet(engines, host=kind, queue=200)
+        f = Fleet(engines, host=kind, queue=200)
         trouble(f)
         found = judge(f)
         assert {b.rule for b in found.breaches} == wanted, [b.text for b in found.breaches]
