--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -167,6 +167,14 @@
                              f"{', '.join(sheet.zones)}")
 
 
+class Mishaps(Sheet):
+    """Shares of attempts on which a stand-in fails in a way of its own."""
+
+    break_stream: Share = 0.0  # a writer's stream is reset after some tokens
+    lose_fetch: Share = 0.0  # a reader breaks off a fetch halfway and has lost the state
+    full_after_fetch: Share = 0.0  # a writer refuses once it has fetched
+
+
 class StandSheet(Sheet):
     """A stand-in engine's file. Simulated: figures of a made-up machine."""
 
@@ -189,6 +197,8 @@
     fall_time: Duration = 1.0
     state_bound: Duration = 3.0  # unclaimed state is let go after this
     dedup_window: Duration = 5.0
+    begin: Duration = 0.0  # from a state to the first step of its answer
+    mishaps: Mishaps = Mishaps()
     seed: int = 0
     records: str = ""  # file; empty: none
 
--- a/myrtlehub/emulator/model.py
+++ b/myrtlehub/emulator/model.py
@@ -13,6 +13,7 @@
     ("ended", key, kept, tokens)     an answer is complete
     ("refused", key, no_state)       not run
     ("failed", key)                  an error, as a fault wants it
+    ("expired", key)                 not begun: its time is over
     ("freed", seq, tokens, why)      a held state was let go
     ("fell",)                        pushed over while cold: nothing more is done
 """
@@ -44,6 +45,7 @@
     fall_time: float = 1.0
     state_bound: float = 3.0
     dedup_window: float = 5.0
+    begin: float = 0.0  # from a state to the first step of its answer
 
 
 class Task(NamedTuple):
@@ -56,6 +58,7 @@
     prefix: str = ""
     shared: float = 0.0
     mark: str = ""
+    until: float = NEVER  # not begun after this
 
 
 class Running:
@@ -177,7 +180,7 @@
         if not whole:
             self._drop(stream)
             return [("refused", key, True), *self.tick(now)]
-        stream.ready_at = now
+        stream.ready_at = now + self.m.begin
         return self.tick(now)
 
     def cancel(self, now: float, key: object) -> list[tuple]:
@@ -248,7 +251,7 @@
             return []
         out: list[tuple] = []
         self._finish_reads(now, out)
-        self._start_reads(now)
+        self._start_reads(now, out)
         while self.states and next(iter(self.states.values()))[1] + self.m.state_bound <= now:
             seq = next(iter(self.states))
             tokens = self.states.pop(seq)[0]
@@ -269,12 +272,16 @@
                 self._keep(task)
                 out.append(("read", key, kept, task.prompt))
 
-    def _start_reads(self, now: float) -> None:
+    def _start_reads(self, now: float, out: list[tuple]) -> None:
         slots = max(1, int(self.m.slots * self.capacity(now)))
         while self.read_queue and len(self.reading) < slots:
             key, task = self.read_queue.popleft()
             kept = self._found(task)
             takes = (task.prompt - kept) / self.m.read_rate * self.slow + 0.001
+            if now + takes > task.until:
+                self.held -= task.prompt
+                out.append(("expired", key))
+                continue
             self.reading[key] = (now + takes, task, kept)
 
     def _start_writes(self, now: float, out: list[tuple]) -> None:
@@ -284,6 +291,9 @@
             if self.running and self.held + stream.task.prompt + stream.done > self.m.memory:
                 break
             self.write_queue.popleft()
+            if now > stream.task.until and not stream.ran:
+                out.append(("expired", stream.key))
+                continue
             self.running[stream.key] = stream
             stream.holds = stream.task.prompt + stream.done
             self.held += stream.holds
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -16,7 +16,7 @@
 from myrtlehub.rpc.status import Code, RpcError, Status
 
 SERVICE = "/myrtlehub.v1.Engine/"
-PIECE = 4096  # tokens of state in a piece
+PIECE = 512  # tokens of state in a piece
 PIECE_BYTES = 512  # stands for far more: figures of time come from the model
 
 
@@ -35,6 +35,7 @@
         self.fetching: Channel | None = None
         self.stopped = False
         self.ran = False
+        self.breaks_after = 0  # tokens; 0: it does not
         self.node = first(call.metadata, "myrtle-node")
 
     def note(self, what: str, **more: object) -> None:
@@ -63,6 +64,11 @@
         job.fetching = None
         if not job.stopped:
             whole = status.code == Code.OK and self.tokens >= job.state.tokens
+            job.note("fetched", whole=whole)
+            if whole and self.stand.hits("full_after_fetch"):
+                self.stand.act([*self.stand.model.cancel(self.stand.clock.seconds(), job),
+                                ("refused", job, False)])
+                return
             self.stand.act(self.stand.model.fetched(self.stand.clock.seconds(), job, whole))
 
 
@@ -93,7 +99,8 @@
 
     def _task(self, work: pb.Work) -> Task:
         return Task(work.sequence, work.prompt_tokens, work.most_output, work.session, work.shared_prefix,
-                    work.shared_tokens, work.mark)
+                    work.shared_tokens, work.mark,
+                    self.clock.seconds() + work.first_within_ms / 1000.0 if work.first_within_ms else NEVER)
 
     def _take(self, call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None) -> _Job:
         job = _Job(self, call, work, reads, state)
@@ -133,18 +140,25 @@
             if not self.model.hung:
                 call.finish(Code.NOT_FOUND, f"no state {handle!r} is held here")
             return None
-        self._send_piece(call, handle, total, 0)
+        pieces = -(-int(total) // PIECE)
+        lose_at = PIECE * self.random.randint(1, pieces - 1) if pieces > 1 and self.hits("lose_fetch") else 0
+        self._send_piece(call, handle, total, 0, lose_at)
         return None
 
-    def _send_piece(self, call: ServerCall, handle: str, total: float, sent: int) -> None:
+    def _send_piece(self, call: ServerCall, handle: str, total: float, sent: int, lose_at: int) -> None:
         if call.over:
             return
+        if sent and sent == lose_at:
+            self.recorder.note("fetch lost", seq=handle)
+            self.act(self.model.release(self.clock.seconds(), handle, "lost"))
+            call.stream.reset(2)  # INTERNAL_ERROR
+            return
         size = min(PIECE, int(total) - sent)
         call.send(pb.StatePiece(tokens=size, data=bytes(PIECE_BYTES)).SerializeToString())
         sent += size
         takes = size / self.model.m.fetch_rate * self.model.slow
         if sent < int(total):
-            self.clock.callLater(takes, self._send_piece, call, handle, total, sent)
+            self.clock.callLater(takes, self._send_piece, call, handle, total, sent, lose_at)
         else:
             self.clock.callLater(takes, self._fetched, call, handle)
 
@@ -197,7 +211,13 @@
             read=pb.State(engine=self.sheet.listen, handle=job.work.sequence, tokens=int(tokens)),
             kept_tokens=int(kept), load=self._load()).SerializeToString())
 
+    def hits(self, mishap: str) -> bool:
+        """Whether chance wants this mishap now."""
+        share = getattr(self.sheet.mishaps, mishap)
+        return share > 0.0 and self.random.random() < share
+
     def _on_fetch(self, job: _Job) -> None:
+        job.note("fetching")
         address = job.state.engine
         if address not in self.channels:
             self.channels[address] = Channel(self.clock, self.dial(address), address, random=self.random)
@@ -208,9 +228,16 @@
     def _on_ran(self, job: _Job) -> None:
         job.ran = True
         job.note("ran", mark=job.work.mark, traffic=job.work.traffic_type)
+        if self.hits("break_stream"):
+            job.breaks_after = self.random.randint(1, 10)
 
     def _on_tokens(self, job: _Job, count: int) -> None:
         job.call.send(pb.WriteReply(tokens=chat.Tokens(ids=[7] * count)).SerializeToString())
+        if job.breaks_after:
+            job.breaks_after -= 1
+            if not job.breaks_after and not job.stopped:
+                job.note("broken")
+                self.clock.callLater(0, job.call.stream.reset, 2)
 
     def _on_ended(self, job: _Job, kept: float, tokens: int) -> None:
         job.stopped = True
@@ -241,6 +268,16 @@
         else:
             job.call.fail(fault)
 
+    def _on_expired(self, job: _Job) -> None:
+        job.stopped = True
+        self.jobs.discard(job)
+        job.note("expired")
+        fault = RpcError(Code.DEADLINE_EXCEEDED, "its time was over before it could begin")
+        if job.reads:
+            job.answer.errback(fault)
+        else:
+            job.call.fail(fault)
+
     def _on_freed(self, seq: str, tokens: float, why: str) -> None:
         self.recorder.note("freed", seq=seq, tokens=tokens, why=why)
 
--- a/myrtlehub/lab/checker.py
+++ b/myrtlehub/lab/checker.py
@@ -264,7 +264,7 @@
         seq = more["seq"]
         self._set_out(at, seq, self.out.get(seq, set()) - {(more["attempt"], who)})
 
-    _ended = _stopped = _failed = _broken = _in
+    _ended = _stopped = _failed = _broken = _expired = _in
 
     def _held(self, at: float, who: str, more: dict) -> None:
         self.counts[5] += 1
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -19,6 +19,7 @@
 from twisted.python.failure import Failure
 
 from myrtlehub.config.sheets import RulesGroup
+from myrtlehub.lab.cases import CaseCounter
 from myrtlehub.lab.checker import RULES, SLACK, Checker, check
 from myrtlehub.lab.clients import ClientFleet
 from myrtlehub.lab.records import Record, Recorder, read
@@ -167,7 +168,7 @@
             "cold_time": f"{rules.cold_time}s", "fall_multiple": rules.fall_multiple,
             "fall_time": f"{rules.fall_time}s", "seed": self.seed * 1000 + self.engines.index(name),
             "records": str(self.folder / f"{name}.{self.runs[name]}.rec"),
-            **units(machine, ("step",), ("memory", "kept"))}
+            **units(machine, ("step", "begin"), ("memory", "kept"))}
 
     def _node_file(self, name: str) -> dict:
         s, index = self.s, int(name.split("-")[1]) - 1
@@ -337,12 +338,15 @@
         checker = check(self._watch(heapq.merge(*map(read, paths), key=lambda r: r.at)))
         return {
             "seed": self.seed, "kept": not checker.breaches and not self.unclean, "rules": rules_of(checker),
-            "unclean": self.unclean, "attempts": dict(sorted(self.seen.items())),
+            "unclean": self.unclean,
+            "attempts": dict(sorted(self.seen.items())), "cases": dict(self.cases.counts),
             "traffic": {n: t.figures() for n, t in self.clients.tallies.items()}}
 
     def _watch(self, records: Iterator[Record]) -> Iterator[Record]:
         self.seen: Counter[str] = Counter()
+        self.cases = CaseCounter()
         for record in records:
+            self.cases.see(record)
             if record.what == "got":
                 self.seen["reads" if record.more["reads"] else "writes"] += 1
             elif record.what in ("refused", "failed", "ran", "stopped"):
@@ -365,6 +369,7 @@
                      + (f"BROKEN {len(r['breaches'])} times" if r["breaches"] else "kept"))
         lines += [f"    {text}" for text in r["breaches"][:5]]
     lines += [f"not clean: {text}" for text in verdict["unclean"]]
+    lines += ["", "hard cases hit: " + "; ".join(f"{k} {n}" for k, n in verdict["cases"].items() if n)]
     lines += ["", "schedule attempts: " + ", ".join(f"{n} {k}" for k, n in verdict["attempts"].items()), ""]
     lines.append(f"{'traffic type':<14}{'seqs':>6}{'tries':>7}{'generated':>11}{'rejected':>10}{'aborted':>9}"
                  f"{'other':>7}{'first token p50/p99':>22}{'per token p50/p99':>20}{'goodput':>9}")
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -5,7 +5,7 @@
 from pydantic import Field, model_validator
 
 from myrtlehub.config.load import Sheet
-from myrtlehub.config.sheets import RulesGroup, Share, TenantRow, TrafficRow
+from myrtlehub.config.sheets import Mishaps, RulesGroup, Share, TenantRow, TrafficRow
 from myrtlehub.config.units import Duration, Tokens
 
 Count = Annotated[int, Field(ge=1)]
@@ -33,6 +33,8 @@
     step_crowd: Share = 0.5
     fetch_rate: Annotated[float, Field(gt=0)] = 250000.0
     kept: Tokens = 60000.0
+    begin: Duration = 0.0
+    mishaps: Mishaps = Mishaps()
 
 
 class TrafficMix(TrafficRow):
@@ -51,6 +53,7 @@
 
     retries: Annotated[int, Field(ge=0)] = 1
     leave: Share = 0.0  # of sequences, whose client goes away at a moment drawn by chance
+    leave_within: Duration = 3.0  # that moment comes within this, sooner rather than later
     silent: Share = 0.0  # of sequences, whose client reads nothing and then goes away
     whole: Duration = 20.0  # deadline of the whole call
 
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -114,7 +114,8 @@
         work = pb.Work(
             sequence=held.label, attempt=attempt.number, traffic_type=asked.traffic_type, tenant=asked.tenant,
             session=asked.session, shared_prefix=asked.prefix, shared_tokens=asked.shared,
-            prompt_tokens=asked.prompt, most_output=asked.most_output, mark=asked.mark, prompt=asked.text)
+            prompt_tokens=asked.prompt, most_output=asked.most_output, mark=asked.mark, prompt=asked.text,
+            first_within_ms=max(1, int((held.abandon_at - self.clock.seconds()) * 1000)))
         if attempt.reads:
             path, watcher, request = "Read", _Read(self.host, attempt), pb.ReadRequest(work=work)
             timeout = attempt.until - self.clock.seconds() + LATE
