Host trace: the leaving client surely has an open call

Cause: with time to begin carried to engines the script's leaver had ended before it left, and the test stood red. Change: it leaves a call just made.

--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -101,7 +101,9 @@
         if i == 15:
             f.misbehave("W0c", "refuse", 0.7, seconds=0.6)
         if i == 20:
-            f.leave(f.calls[-1])
+            leaver = f.ask(prompt=3000)
+            f.run(0.02)
+            f.leave(leaver)
             f.kill("W0d")
         if i == 30:
             f.tell("W0d", "gone")
