--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -35,7 +35,7 @@
 class Rig:
     """One node, some writers."""
 
-    def __init__(self, folder: Path, engines: int, step: str, slots: int) -> None:
+    def __init__(self, folder: Path, engines: int, step: str, slots: int, node_from: str = ".") -> None:
         ports = free_ports(engines + 2)
         self.engines = [f"127.0.0.1:{p}" for p in ports[2:]]
         self.node = f"127.0.0.1:{ports[0]}"
@@ -52,14 +52,16 @@
             "kinds": [{"name": "writer", "writes": True, "memory": "100M tokens"}], "zones": ["z"],
             "rules": {"drain_grace": "250ms", "let_go": "500ms", "cold_share": 0.25, "cold_time": "10s",
                       "fall_multiple": 2.5, "fall_time": "1s"},
-            "list": {"engines": [{"address": a, "kind": "writer", "zone": "z"} for a in self.engines]}})
+            "list": {"engines": [{"address": a, "kind": "writer", "zone": "z"} for a in self.engines]}},
+            node_from)
 
-    def start(self, folder: Path, program: str, name: str, tree: dict) -> subprocess.Popen:
+    def start(self, folder: Path, program: str, name: str, tree: dict, cwd: str = ".") -> subprocess.Popen:
         path = folder / f"{name}.yaml"
         with path.open("w") as file:
             YAML(typ="safe").dump(tree, file)
         process = subprocess.Popen([sys.executable, "-m", f"myrtlehub.cli.{program}", path],
-                                   stdout=(folder / f"{name}.log").open("wb+"), stderr=subprocess.STDOUT)
+                                   stdout=(folder / f"{name}.log").open("wb+"), stderr=subprocess.STDOUT,
+                                   cwd=cwd, env={**os.environ, "PYTHONPATH": os.path.abspath(cwd)})
         self.processes.append(process)
         while b'"ready"' not in (folder / f"{name}.log").read_bytes():
             if process.poll() is not None:
--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -172,6 +172,7 @@
 
     break_stream: Share = 0.0  # a writer's stream is reset after some tokens
     lose_fetch: Share = 0.0  # a reader breaks off a fetch halfway and has lost the state
+    fail_late: Share = 0.0  # a writer takes an attempt and fails it, not begun, after 0.2 to 0.6 s
     full_after_fetch: Share = 0.0  # a writer refuses once it has fetched
 
 
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -124,6 +124,9 @@
         state = request.state if request.HasField("state") else None
         job = self._take(call, request.work, False, state)
         self.jobs.add(job)
+        if self.hits("fail_late"):
+            self.clock.callLater(0.2 + 0.4 * self.random.random(), self._fail_late, job)
+            return job
         self.act(self.model.write(self.clock.seconds(), job, self._task(job.work), state is not None))
         return job
 
@@ -258,6 +261,10 @@
             job.call.send(pb.WriteReply(refused=refused).SerializeToString())
             job.call.finish()
 
+    def _fail_late(self, job: _Job) -> None:
+        if not job.stopped:
+            self._on_failed(job)
+
     def _on_failed(self, job: _Job) -> None:
         job.stopped = True
         self.jobs.discard(job)
--- a/myrtlehub/lab/cases.py
+++ b/myrtlehub/lab/cases.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+from hdrh.histogram import HdrHistogram
+
 from myrtlehub.lab.records import Record
 
 NEAR = 0.02  # seconds within which two things count as at once
@@ -23,6 +25,9 @@
         self.mark_of: dict[str, str] = {}  # by call and by seq
         self.node_of: dict[str, str] = {}  # by mark: the node of its last try
         self.first_write: dict[str, float] = {}  # by mark
+        # Seconds from a client's leaving: until an engine stopped for it, until a state held then was let go.
+        self.stopped = HdrHistogram(1, 60_000_000, 3)
+        self.released = HdrHistogram(1, 60_000_000, 3)
 
     def see(self, r: Record) -> None:
         """One record."""
@@ -60,6 +65,8 @@
             at["no answer"] = r.at
             if r.at - max(at.get("ran", 0.0), at.get("ended", 0.0)) < NEAR:
                 self.counts[CASES[6]] += 1
+        if "left" in at:
+            self._after(r, at)
         if r.what == "ended" and r.at - at.get("left", 0.0) < NEAR:
             self.counts[CASES[7]] += 1
         at[r.what] = r.at
@@ -68,6 +75,19 @@
         elif r.what == "held":
             at["holder"] = r.who
 
+    def _after(self, r: Record, at: dict) -> None:
+        since = max(1, int((r.at - at["left"]) * 1e6))
+        if r.what == "stopped":
+            self.stopped.record_value(since)
+        elif r.what == "freed" and at.get("held", 0.0) < at["left"]:
+            self.released.record_value(since)
+
+    def cancels(self) -> dict:
+        """How soon leaving reached the engines: counts, and seconds at p50 and p99."""
+        return {name: {"count": h.total_count, **{
+            f"p{p}": round(h.get_value_at_percentile(p) / 1e6, 4) for p in (50, 99)}}
+            for name, h in (("stopped", self.stopped), ("released", self.released)) if h.total_count}
+
     def _left(self, now: float, at: dict) -> None:
         """The client went away: which stage was it at?"""
         if now - at.get("ended", 0.0) < NEAR:
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -31,6 +31,8 @@
     tenant: str
     leaves: float  # seconds after asking; infinite: stays
     silent: bool
+    leaves_on: int  # token on which the client goes away; 0: none
+    left: float  # seconds that it waits for the first token
 
 
 def draw(scenario: Scenario, rate: float, random: Random) -> list[Wanted]:
@@ -59,7 +61,9 @@
             at, row, f"m{count}", session, prefix, shared, prompt, output,
             random.choice(scenario.tenants).name if scenario.tenants else "",
             scenario.clients.leave_within * draws[1] if draws[0] < scenario.clients.leave else float("inf"),
-            draws[2] < scenario.clients.silent))
+            draws[2] < scenario.clients.silent,
+            random.randint(1, 6) if random.random() < scenario.clients.leave_on_token else 0,
+            0.1 + 0.5 * random.random() if random.random() < scenario.clients.hurried else row.abandon_time))
 
 
 def hash_of(text: str) -> int:
@@ -101,7 +105,7 @@
 
     def start(self) -> None:
         f, w = self.fleet, self.wanted
-        left = w.row.abandon_time
+        left = w.left
         self.asked_at = f.clock.seconds()
         f.recorder.note("ask", call=self.name, node=self.node, traffic=w.row.name, mark=w.mark, left=left,
                         whole=f.whole)
@@ -142,6 +146,8 @@
             else:
                 tally.gap.record_value(max(1, int((now - self.token_at) * 1e6)))
             self.token_at = now
+            if self.tokens == self.wanted.leaves_on:
+                f.clock.callLater(0, self.leave)
             return
         reply = pb.GenerateReply.FromString(data)
         which = reply.WhichOneof("reply") or "nothing"
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -340,6 +340,7 @@
             "seed": self.seed, "kept": not checker.breaches and not self.unclean, "rules": rules_of(checker),
             "unclean": self.unclean,
             "attempts": dict(sorted(self.seen.items())), "cases": dict(self.cases.counts),
+            "cancels": self.cases.cancels(),
             "traffic": {n: t.figures() for n, t in self.clients.tallies.items()}}
 
     def _watch(self, records: Iterator[Record]) -> Iterator[Record]:
@@ -370,6 +371,9 @@
         lines += [f"    {text}" for text in r["breaches"][:5]]
     lines += [f"not clean: {text}" for text in verdict["unclean"]]
     lines += ["", "hard cases hit: " + "; ".join(f"{k} {n}" for k, n in verdict["cases"].items() if n)]
+    for what, c in verdict["cancels"].items():
+        lines.append(f"after a client left: {what} within {c['p50'] * 1000:.0f} ms at p50, "
+                     f"{c['p99'] * 1000:.0f} ms at p99 ({c['count']} times)")
     lines += ["", "schedule attempts: " + ", ".join(f"{n} {k}" for k, n in verdict["attempts"].items()), ""]
     lines.append(f"{'traffic type':<14}{'seqs':>6}{'tries':>7}{'generated':>11}{'rejected':>10}{'aborted':>9}"
                  f"{'other':>7}{'first token p50/p99':>22}{'per token p50/p99':>20}{'goodput':>9}")
