Path tests: a writer dying at any byte, refusal after the fetch, answer and time-out in one turn

Change: a once-only stream is cut at every byte; mishaps of fetches; one turn with both an answer and its time-out, in both orders; work that cannot begin in time; a client at another node.

--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -87,3 +87,43 @@
 def test_a_silent_link_is_given_up_by_its_pings() -> None:
     bounds = TransportBounds()
     assert bounds.keepalive + bounds.keepalive_timeout <= 30.0
+
+
+def bytes_of_stream(cut_at: int) -> tuple[Fleet, Caller, int]:
+    """A post that is written without a reader; its writer dies once `cut_at` bytes of its stream have
+    crossed."""
+    f = Fleet("W0", step="10ms")
+    warm = f.ask("ask", prompt=10, output=10)
+    f.run(0.5)
+    assert warm.answer == "generated"
+    caller = f.ask("post", prompt=10, output=10, left=1.0, timeout=3.0)
+    link = next(p for p in f.net.pipes if p.host == "W0a:1")
+    crossed, deliver = 0, link.other.protocol.dataReceived
+
+    def some(data: bytes) -> None:
+        nonlocal crossed
+        left = cut_at - crossed
+        crossed += len(data)
+        if left < len(data):
+            if left > 0:
+                deliver(data[:left])
+            if not f.stands["W0a"].model.fallen:
+                f.kill("W0a")
+            return
+        deliver(data)
+    link.other.protocol.dataReceived = some
+    f.run(4.0)
+    return f, caller, crossed
+
+
+def test_a_writer_that_dies_at_any_byte_of_a_once_only_stream() -> None:
+    _, caller, total = bytes_of_stream(10**6)
+    assert caller.answer == "generated" and 100 < total < 2000
+    answers: Counter[str] = Counter()
+    for cut in range(total + 1):
+        f, caller, _ = bytes_of_stream(cut)
+        assert not judge(f).breaches, (cut, [b.text for b in judge(f).breaches])
+        answers[caller.answer] += 1
+        assert sum(r.more["mark"] == caller.mark for r in f.what("ran")) <= 1
+        assert not f.nodes["n0"].host.held
+    assert set(answers) == {"aborted", "generated"} and answers["aborted"] > 80, answers
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -255,6 +255,70 @@
     assert f.nodes["n0"].host.list_version == 1 and not f.what("told")
 
 
+def test_a_writer_refuses_after_it_has_fetched() -> None:
+    f = Fleet("R0 W0 W0", mishaps={"full_after_fetch": 0.5})
+    calls = [f.ask("post", prompt=2500, output=10) for _ in range(12)]
+    f.run(6.0)
+    refused = [r for r in f.what("refused") if not r.more["no_state"]]
+    assert refused and [r for r in f.what("refused") if r.more["no_state"]]  # then its state is not there
+    assert sum(c.answer == "generated" for c in calls) > 6 and all(c.answer for c in calls)
+    kept(f)
+    nothing_left(f)
+
+
+def test_a_fetch_that_breaks_off_is_known_not_to_have_run() -> None:
+    f = Fleet("R0 W0", mishaps={"lose_fetch": 0.5})
+    calls = [f.ask("post", prompt=2500, output=10) for _ in range(8)]
+    f.run(8.0)
+    assert f.what("fetch lost") and all(c.answer for c in calls)
+    assert sum(c.answer == "generated" for c in calls) >= 4
+    kept(f)
+    nothing_left(f)
+
+
+@pytest.mark.parametrize("answer_first", [True, False])
+def test_the_answer_and_the_time_out_in_one_turn(answer_first: bool) -> None:
+    f = Fleet("W0")
+    f.misbehave("W0a", "hang")
+    f.run(0.02)
+    caller = f.ask("post", prompt=100)
+    f.run(0.1)
+    host = f.nodes["n0"].host
+    attempt = host.held[0].attempts[0]
+    steps = [lambda: host.ended(attempt, itf.GENERATED, tokens=0), lambda: host._timed_out(attempt)]
+    for step in steps if answer_first else reversed(steps):
+        step()
+    f.run(5.0)
+    assert caller.answer == ("generated" if answer_first else "aborted") and len(f.what("final")) == 1
+    assert host.answered.total() == 1 and not host.held
+
+
+def test_an_engine_does_not_begin_what_cannot_begin_in_time() -> None:
+    f = Fleet("W0", slots=1)
+    f.ask(prompt=100, output=200)
+    f.run(0.1)
+    late = f.ask(prompt=100, output=10, left=0.5)  # behind the first there is no time for it
+    f.run(0.05)
+    f.net.silent.add("n0:1")  # not even the node's reset arrives
+    f.run(6.0)
+    assert late.answer != "generated" and len(f.what("expired")) == 1 and len(f.what("ran")) == 1
+
+
+def test_a_client_comes_back_at_another_node() -> None:
+    f = Fleet("R0 W0 W0", nodes=2)
+    f.misbehave("W0b", "hang", seconds=3.0)
+    f.misbehave("W0c", "hang", seconds=3.0)
+    f.run(0.05)
+    first = f.ask("post", prompt=200, left=1.0, mark="inv-1", node="n0")
+    read = f.ask("ask", prompt=200, left=1.0, mark="q-1", node="n0")
+    f.run(3.2)
+    assert (first.answer, read.answer) == ("aborted", "rejected")
+    again = f.ask("ask", prompt=200, mark="q-1", node="n1", repeated=True)
+    f.run(4.0)
+    assert again.answer == "generated" and not [r for r in f.what("ran") if r.more["mark"] == "inv-1"]
+    kept(f)
+
+
 # -- hosts that are broken on purpose: each has to be caught, by its rule ------------------------------
 
 
