Membership: versions, what is taken, held back or refused, watched files, a store, hub-list

Need: lists of engines edited by hand; news that is late, partial or wrong must not be routed by.

Change: membership/ with immutable versions and differences; pure decisions (unsound lists refused, large removals held until confirmed or the engines are silent, flapping damped, a lost source keeps the last list); files read whole with includes, told from half-written ones by parse, digest and quiet time; inotify by Twisted with a poll beside it; SQLite store whose versions carry their sums; hub-list check, diff and show; the list's version as metadata with each attempt.

--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -66,7 +66,7 @@
     kind: Name
     zone: Name
     cell: int = 0
-    weight: Positive = 1.0
+    weight: NotNegative = 1.0  # 0 drains
     state: Literal["serving", "draining", "gone"] = "serving"
     age: Duration = 0.0
 
@@ -114,11 +114,30 @@
     prompt_limit: Size = 8 * 2**20
 
 
+class ListFile(Sheet):
+    """One file of engines. Globs in `include` are relative to the file."""
+
+    engines: list[EngineRow] = []
+    include: list[str] = []
+
+
+class Confirm(Sheet):
+    """When a change that takes away much is believed."""
+
+    most_removed: Share | Literal["any"] = 0.5  # of the serving engines at once, unconfirmed
+    after: Duration = 2.0  # a second reading of the same confirms it
+
+
 class ListGroup(Sheet):
-    """The list of engines."""
+    """The list of engines: one section here, or files that are watched."""
 
     pushed: bool = False  # news may be handed in over the admin address
     engines: list[EngineRow] = []
+    files: list[str] = []  # paths, globs or directories; relative to the node's file
+    poll: Duration = 5.0  # looks at files this often, beside being told by the system
+    quiet: Duration = 0.1  # without a change, until a file counts as finished
+    confirm: Confirm = Confirm()
+    store: str = ""  # file that keeps the last good version over restarts; empty: none
 
 
 class NodeSheet(Sheet):
@@ -147,6 +166,8 @@
             if twice:
                 raise ValueError(f"{what}: {', '.join(twice)} named more than once")
         check_engines(self, self.list.engines)
+        if self.list.files and (self.list.engines or self.list.pushed):
+            raise ValueError("list.files: the list comes from files alone; drop list.engines and list.pushed")
         missing = [w for w in ("hold", "resume", "probe") if getattr(self.engines_may, w)]
         if missing:
             raise ValueError(f"engines_may.{missing[0]}: engines of myrtlehub.v1 cannot do this; say no")
--- a/myrtlehub/lab/cases.py
+++ b/myrtlehub/lab/cases.py
@@ -59,6 +59,8 @@
             self.counts[CASES[5]] += 1
         elif r.what == "broken":
             self._lost(at)
+        elif r.what == "failed":
+            self._window(r.at, {"traffic": at["traffic"], "mark": self.mark_of[r.more["seq"]]})
         elif r.what in ("ran", "ended") and r.at - at.get("no answer", 0.0) < NEAR:
             self.counts[CASES[6]] += 1
         elif r.what == "final" and r.more["answer"] != "generated":
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -32,6 +32,7 @@
     leaves: float  # seconds after asking; infinite: stays
     silent: bool
     leaves_on: int  # token on which the client goes away; 0: none
+    leaves_after: float  # seconds after that token
     left: float  # seconds that it waits for the first token
 
 
@@ -62,7 +63,8 @@
             random.choice(scenario.tenants).name if scenario.tenants else "",
             scenario.clients.leave_within * draws[1] if draws[0] < scenario.clients.leave else float("inf"),
             draws[2] < scenario.clients.silent,
-            random.randint(1, 6) if random.random() < scenario.clients.leave_on_token else 0,
+            random.randint(1, 4) if random.random() < scenario.clients.leave_on_token else 0,
+            0.015 * random.random(),
             0.1 + 0.5 * random.random() if random.random() < scenario.clients.hurried else row.abandon_time))
 
 
@@ -147,7 +149,7 @@
                 tally.gap.record_value(max(1, int((now - self.token_at) * 1e6)))
             self.token_at = now
             if self.tokens == self.wanted.leaves_on:
-                f.clock.callLater(0, self.leave)
+                f.clock.callLater(self.wanted.leaves_after, self.leave)
             return
         reply = pb.GenerateReply.FromString(data)
         which = reply.WhichOneof("reply") or "nothing"
--- /dev/null
+++ b/myrtlehub/membership/version.py
@@ -0,0 +1,78 @@
+"""Versions of the list of engines: immutable, numbered, with a digest; and what lies between two of them."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+from immutables import Map
+
+from myrtlehub.config.sheets import EngineRow
+
+
+class Version(NamedTuple):
+    """One whole list. `engines` maps address to row; two versions share what they have in common."""
+
+    number: int
+    engines: Map
+    source: str
+    digest: str
+    taken_at: float  # seconds, on the node's clock
+    old: bool = False  # from the store, as no source had a good one at the start
+
+
+class Difference(NamedTuple):
+    """What changed from one version to the next, by address; a row is the newer one."""
+
+    added: tuple[EngineRow, ...] = ()
+    gone: tuple[EngineRow, ...] = ()  # as they were
+    draining: tuple[EngineRow, ...] = ()
+    changed: tuple[tuple[EngineRow, tuple[str, ...]], ...] = ()  # and which fields
+
+    def __bool__(self) -> bool:
+        return any(self)
+
+    def rows(self) -> list[EngineRow]:
+        """The change as rows: what is gone says so."""
+        return [*self.added, *self.draining, *(row for row, _ in self.changed),
+                *(row.model_copy(update={"state": "gone"}) for row in self.gone)]
+
+
+FIELDS = ("kind", "zone", "cell", "weight", "state", "age")
+
+
+def digest_of(rows: Iterable[EngineRow]) -> str:
+    """Of the content alone: the order of rows and of files does not count."""
+    lines = sorted("\t".join((r.address, *(str(getattr(r, f)) for f in FIELDS))) for r in rows)
+    return xxhash.xxh3_128_hexdigest("\n".join(lines).encode())
+
+
+def served(row: EngineRow) -> EngineRow:
+    """A row as it is routed by: an engine of weight 0 drains."""
+    if row.weight == 0.0 and row.state == "serving":
+        return row.model_copy(update={"state": "draining"})
+    return row
+
+
+def make(number: int, rows: Iterable[EngineRow], source: str, now: float, old: bool = False) -> Version:
+    """A version of these rows."""
+    rows = [served(r) for r in rows if r.state != "gone"]
+    return Version(number, Map({r.address: r for r in rows}), source, digest_of(rows), now, old)
+
+
+def difference(before: Map, after: Map) -> Difference:
+    """What to tell so that `before` becomes `after`; in the order of addresses, the same at every node."""
+    added, gone, draining, changed = [], [], [], []
+    for address in sorted(after):
+        row, was = after[address], before.get(address)
+        if was is None:
+            added.append(row)
+        elif row is not was and row != was:
+            fields = tuple(f for f in FIELDS if getattr(row, f) != getattr(was, f))
+            if fields == ("state",) and row.state == "draining":
+                draining.append(row)
+            else:
+                changed.append((row, fields))
+    for address in sorted(before):
+        if address not in after:
+            gone.append(before[address])
+    return Difference(tuple(added), tuple(gone), tuple(draining), tuple(changed))
--- /dev/null
+++ b/myrtlehub/membership/watched.py
@@ -0,0 +1,136 @@
+"""The list from watched files: told by inotify where there is one, looked at by a poll everywhere.
+
+A file that is being written is told from a finished one by three things together: all parse, their bytes
+are the same at two looks, and nothing was changed for the quiet time between.
+"""
+
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+from myrtlehub.membership import files
+from myrtlehub.membership.judge import HOLD, REFUSE, SAME, TAKE, ListJudge, Verdict
+from myrtlehub.membership.source import Taker
+from myrtlehub.membership.store import StoreBroken, VersionStore
+
+Log = Callable[..., None]
+
+
+class WatchedList:
+    """A list source. `notify(paths, changed)` asks the system to call `changed` when one of them does."""
+
+    def __init__(self, patterns: Iterable[str], base: Path, judge: ListJudge, clock: object, poll: float,
+                 quiet: float, store: VersionStore | None = None, log: Log = lambda event, **more: None,
+                 notify: Callable[[list[str], Callable[[], None]], None] = lambda paths, changed: None,
+                 silent: Callable[[], frozenset[str]] = frozenset) -> None:
+        self.patterns, self.base, self.judge, self.clock = tuple(patterns), base, judge, clock
+        self.poll, self.quiet, self.store, self.log = poll, quiet, store, log
+        self.notify, self.silent = notify, silent
+        self._take: Taker = lambda rows, whole, number: None
+        self._stamp: tuple = ()
+        self._digest = ""
+        self._looking = self._polling = None
+        self._seen_at = 0.0
+
+    def follow(self, take: Taker) -> None:
+        """Read now; where the files are absent or bad, begin with the stored version, marked old."""
+        self._take = take
+        stored = self._stored()
+        if stored is not None:
+            self.judge.number = stored[0]  # numbers go on over restarts
+        reading = files.read(self.patterns, self.base)
+        self._stamp, self._digest = files.stamp(self.patterns, self.base), reading.digest
+        if not self._judge(reading) and stored is not None:
+            number, source, rows = stored
+            self._act(self.judge.read(self.clock.seconds(), rows, f"store, version {number} from {source}",
+                                      old=True))
+        self.notify(self._paths(), self.changed)
+        self._polling = self.clock.callLater(self.poll, self._poll)
+
+    def reread(self) -> None:
+        """Hand over the whole list again."""
+        if self.judge.version is not None:
+            version = self.judge.version
+            self._take(list(version.engines.values()), True, version.number)
+
+    def stop(self) -> None:
+        """Look no more."""
+        for timer in (self._looking, self._polling):
+            if timer is not None and timer.active():
+                timer.cancel()
+
+    def changed(self) -> None:
+        """Something about the files changed: look once they have been quiet."""
+        now = self.clock.seconds()
+        if self._looking is None:
+            self._seen_at = now
+        if self._looking is not None and self._looking.active():
+            if now - self._seen_at > 20 * self.quiet:
+                return  # guards against files that are never quiet: then a look comes all the same
+            self._looking.cancel()
+        self._looking = self.clock.callLater(self.quiet, self._look)
+
+    def _poll(self) -> None:
+        self._polling = self.clock.callLater(self.poll, self._poll)
+        stamp = files.stamp(self.patterns, self.base)
+        if stamp != self._stamp:
+            self._stamp = stamp
+            self.changed()
+
+    def _look(self) -> None:
+        self._looking = None
+        reading = files.read(self.patterns, self.base)
+        if reading.digest != self._digest:
+            # Not the same as at the last look: it may be half-written. Look again after the quiet time.
+            self._digest = reading.digest
+            self._looking = self.clock.callLater(self.quiet, self._look)
+            return
+        self._judge(reading)
+        self.notify(self._paths(), self.changed)
+
+    def _paths(self) -> list[str]:
+        """Directories to be told of: names come, go and are replaced in them."""
+        named = {str(Path(name).parent) for name in files.expand(self.patterns, self.base)}
+        named |= {str(self.base / p) for p in self.patterns if (self.base / p).is_dir()}
+        return sorted(p for p in named if Path(p).is_dir())
+
+    def _judge(self, reading: files.Reading) -> bool:
+        now, source = self.clock.seconds(), "files"
+        if reading.missing:
+            verdict = self.judge.lost(now, source, "; ".join(reading.faults) or "no file is there")
+        elif reading.faults:
+            verdict = self.judge.refuse(now, source, "; ".join(reading.faults))
+        else:
+            verdict = self.judge.read(now, reading.rows, source, silent=self.silent())
+        self._act(verdict)
+        return self.judge.version is not None
+
+    def _act(self, verdict: Verdict) -> None:
+        if verdict.again_at < float("inf") and self._looking is None:
+            wait = max(self.quiet, verdict.again_at - self.clock.seconds())
+            self._looking = self.clock.callLater(wait, self._look)
+        if verdict.do == SAME:
+            return
+        if verdict.do in (REFUSE, HOLD):
+            self.log("list " + {REFUSE: "refused", HOLD: "held back"}[verdict.do], why=verdict.why,
+                     version=self.judge.version.number if self.judge.version else 0)
+            return
+        assert verdict.do == TAKE
+        version = verdict.version
+        self.log("list taken", version=version.number, digest=version.digest, engines=len(version.engines),
+                 added=len(verdict.change.added), gone=len(verdict.change.gone), old=version.old)
+        if self.store is not None and not version.old:
+            try:
+                self.store.keep(version)
+            except StoreBroken as fault:
+                self.log("list not stored", why=str(fault))
+        if not verdict.change:
+            self._take(list(version.engines.values()), True, version.number)
+        else:
+            self._take(verdict.change.rows(), False, version.number)
+
+    def _stored(self) -> tuple | None:
+        try:
+            return self.store.last() if self.store is not None else None
+        except StoreBroken as fault:
+            self.log("store not used", why=str(fault))
+            return None
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -4,6 +4,7 @@
 
 from myrtlehub.config.sheets import EngineRow, NodeSheet, check_engines
 from myrtlehub.membership.source import StaticList
+from myrtlehub.membership.watched import WatchedList
 from myrtlehub.node.host import Host
 from myrtlehub.proto import admin_pb2 as pb
 from myrtlehub.rpc.server import ServerCall, unary
@@ -15,7 +16,7 @@
 class NodeAdmin:
     """Serves NodeAdmin on a server, for a host."""
 
-    def __init__(self, host: Host, sheet: NodeSheet, source: StaticList) -> None:
+    def __init__(self, host: Host, sheet: NodeSheet, source: StaticList | WatchedList) -> None:
         self.host, self.sheet, self.source = host, sheet, source
 
     def serve(self, server: object) -> None:
@@ -43,8 +44,17 @@
     def show(self, call: ServerCall, data: bytes) -> bytes:
         """What the node routes by."""
         engines = self.host.door.engines
+        judge, now = getattr(self.source, "judge", None), self.host.clock.seconds()
+        more = {}
+        if judge is not None:
+            more["refused"] = [pb.Refusal(age=now - at, source=s, why=why) for at, s, why in judge.refused]
+            if judge.version is not None:
+                v = judge.version
+                more.update(list_source=v.source, list_age=judge.age(now), list_digest=v.digest,
+                            list_old=v.old)
         rows = [engines.rows[i] for i in engines.at.values() if not engines.gone(i)]
         return pb.NodeState(
+            **more,
             list_version=self.host.list_version, sequences=len(self.host.held),
             attempts_out=self.host.attempts_out(), taken=self.host.taken, answered=dict(self.host.answered),
             engines=[pb.ListedEngine(address=r.address, state=r.state, kind=r.kind, zone=r.zone, cell=r.cell,
--- a/myrtlehub/node/door.py
+++ b/myrtlehub/node/door.py
@@ -8,6 +8,7 @@
 
 from myrtlehub import interface as itf
 from myrtlehub.config.sheets import EngineRow, NodeSheet
+from myrtlehub.membership.version import served
 
 STATES = {"serving": itf.SERVING, "draining": itf.DRAINING, "gone": itf.GONE}
 MARK_LIMIT = 200
@@ -55,6 +56,7 @@
         """News of the list as listings, in order; engines it removes are remembered until they are unused."""
         listings, seen = [], set()
         for row in rows:
+            row = served(row)
             state = STATES[row.state]
             fresh = row.address not in self.at
             if fresh and state == itf.GONE:
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -133,12 +133,12 @@
         """Once, before all others."""
         self._say("start")
 
-    def list_news(self, rows: list[EngineRow], whole: bool) -> None:
-        """A change to the list, or the whole of it, as one call to the module."""
+    def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0) -> None:
+        """A change to the list, or the whole of it, as one call to the module; `number` is its version's."""
         before = {a: self.door.engines.rows[i].state for a, i in self.door.engines.at.items()}
         listings = self.door.engines.listings(rows, whole, self.door.kinds, self.door.zones,
                                               self.clock.seconds())
-        self.list_version += 1
+        self.list_version = number or self.list_version + 1
         for row in rows:
             if before.get(row.address, "gone") != row.state:
                 self.log("engine", engine=row.address, standing=row.state, list_version=self.list_version)
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -6,7 +6,7 @@
 from myrtlehub import interface as itf
 from myrtlehub.node.host import Attempt, Host
 from myrtlehub.proto import engine_pb2 as pb
-from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.channel import WAITING, CallWatcher, Channel
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.status import Code, Status
 
@@ -125,7 +125,8 @@
             timeout = asked.deadline_in - (self.clock.seconds() - held.since)
             timeout = timeout + LATE if timeout != float("inf") else None
         meta = (("myrtle-seq", held.label), ("myrtle-attempt", str(attempt.number)), ("myrtle-node",
-                                                                                      self.name))
+                                                                                      self.name),
+                ("myrtle-list", str(self.host.list_version)))
         attempt.call = self.channel(attempt.engine).call(SERVICE + path, watcher, meta, timeout)
         attempt.call.send(request.SerializeToString())
         attempt.call.half_close()
@@ -148,6 +149,10 @@
         if channel is not None:
             channel.close_idle()
 
+    def silent(self) -> frozenset[str]:
+        """Engines to which no connection could be made of late: their own word that they are gone."""
+        return frozenset(a for a, c in self.channels.items() if c.state == WAITING)
+
     def close(self) -> None:
         """Close all; the node ends."""
         for channel in self.channels.values():
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -1,13 +1,18 @@
 """A whole node: file, door, module, host, links and fronts put together. Where it listens is the caller's."""
 
 from collections.abc import Callable
+from pathlib import Path
 from random import Random
 
 from twisted.internet.defer import Deferred
 
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.decide import Router
+from myrtlehub.membership.judge import ListJudge
+from myrtlehub.membership.judge import Terms as Confirmation
 from myrtlehub.membership.source import StaticList
+from myrtlehub.membership.store import VersionStore
+from myrtlehub.membership.watched import WatchedList
 from myrtlehub.node.admin import NodeAdmin
 from myrtlehub.node.chat import ChatFront
 from myrtlehub.node.door import Door
@@ -23,7 +28,8 @@
 
     def __init__(self, sheet: NodeSheet, clock: object, dial: Callable[[str], Callable], run: str = "0",
                  log: Callable[..., None] = lambda event, **more: None,
-                 host_class: type[Host] = Host) -> None:
+                 host_class: type[Host] = Host, base: Path = Path("."),
+                 notify: Callable = lambda paths, changed: None) -> None:
         self.sheet, self.clock, self.log = sheet, clock, log
         node, terms = sheet.node, terms_of(sheet)
         self.links = Links(clock, dial, node.name, Random(node.seed + 1), node.connect_timeout)
@@ -35,12 +41,25 @@
         self.front = ChatFront(self.host, node.most_sequences, node.max_wait)
         self.front.serve(self.server)
         self.admin = Server(clock)
-        self.source = StaticList(sheet.list.engines)
+        self.source = self._source(base, notify)
         NodeAdmin(self.host, sheet, self.source).serve(self.admin)
         self.host.reread_list = self.source.reread
         self.host.start()
         self.source.follow(self.host.list_news)
 
+    def _source(self, base: Path, notify: Callable) -> StaticList | WatchedList:
+        part, sheet = self.sheet.list, self.sheet
+        if not part.files:
+            return StaticList(part.engines)
+        most = 1.0 if part.confirm.most_removed == "any" else part.confirm.most_removed
+        judge = ListJudge(Confirmation(most, part.confirm.after), {k.name: k for k in sheet.kinds},
+                          sheet.zones,
+                          sheet.engines_may.read_alone)
+        store = VersionStore(base / part.store) if part.store else None
+        return WatchedList(part.files, base, judge, self.clock, part.poll, part.quiet, store, self.log,
+                           notify,
+                           self.links.silent)
+
     def drain(self) -> Deferred:
         """Take nothing new; fires once all held is answered, at the latest after `drain_within`."""
         done = Deferred()
