--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -54,7 +54,7 @@
     retries: Annotated[int, Field(ge=0)] = 1
     leave: Share = 0.0  # of sequences, whose client goes away at a moment drawn by chance
     leave_within: Duration = 3.0  # that moment comes within this, sooner rather than later
-    leave_on_token: Share = 0.0  # of sequences, whose client goes away just after one of its first four tokens
+    leave_on_token: Share = 0.0  # of sequences, that lose their client just after one of four first tokens
     hurried: Share = 0.0  # of sequences, whose client waits 0.1 to 0.6 s for the first token
     silent: Share = 0.0  # of sequences, whose client reads nothing and then goes away
     whole: Duration = 20.0  # deadline of the whole call
