One way to fail a stand-in's job; the end of a try is judged in one place

Cause: a reread found the failing of a job written twice, and three clients each working around what Tries.again already says of a generated answer. Change: StandIn._fail serves both; the clients ask Tries.again for every end. Behaviour is the same.

--- a/myrtlehub/client/aio.py
+++ b/myrtlehub/client/aio.py
@@ -38,9 +38,8 @@
                     end = lost_end(fault)
             finally:
                 call.cancel()  # left early: the node and its engines stop as well
-            wait = tries.again(end, time.monotonic()) if end.answer != "generated" else None
+            wait = tries.again(end, time.monotonic())
             if wait is None:
-                tries.count += end.answer == "generated"
                 self.answer = tries.result(end)
                 return
             await asyncio.sleep(wait)
--- a/myrtlehub/client/sync.py
+++ b/myrtlehub/client/sync.py
@@ -43,9 +43,8 @@
             except grpc.RpcError as fault:
                 if end.answer == "lost":
                     end = lost_end(fault)
-            wait = tries.again(end, time.monotonic()) if end.answer != "generated" else None
+            wait = tries.again(end, time.monotonic())
             if wait is None:
-                tries.count += end.answer == "generated"
                 self.answer = tries.result(end)
                 return
             time.sleep(wait)
--- a/myrtlehub/client/tx.py
+++ b/myrtlehub/client/tx.py
@@ -60,11 +60,10 @@
         if self.done.called:
             return
         tries = self.tries
-        wait = tries.again(end, self.client.clock.seconds()) if end.answer != "generated" else None
+        wait = tries.again(end, self.client.clock.seconds())
         if wait is not None:
             self._timer = self.client.clock.callLater(wait, self._start)
             return
-        tries.count += end.answer == "generated"
         try:
             self.done.callback(tries.result(end))
         except NotAnswered as fault:
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -266,20 +266,16 @@
             self._on_failed(job)
 
     def _on_failed(self, job: _Job) -> None:
-        job.stopped = True
-        self.jobs.discard(job)
-        job.note("failed")
-        fault = RpcError(Code.INTERNAL, "the engine failed")
-        if job.reads:
-            job.answer.errback(fault)
-        else:
-            job.call.fail(fault)
+        self._fail(job, "failed", RpcError(Code.INTERNAL, "the engine failed"))
 
     def _on_expired(self, job: _Job) -> None:
+        late = RpcError(Code.DEADLINE_EXCEEDED, "its time was over before it could begin")
+        self._fail(job, "expired", late)
+
+    def _fail(self, job: _Job, what: str, fault: RpcError) -> None:
         job.stopped = True
         self.jobs.discard(job)
-        job.note("expired")
-        fault = RpcError(Code.DEADLINE_EXCEEDED, "its time was over before it could begin")
+        job.note(what)
         if job.reads:
             job.answer.errback(fault)
         else:
