A node takes its own lateness off the time left; torn list files seen from the engines

Rejections came 0.15 to 0.41 s late to clients of nodes without a free core, as a node reckons from when it reads a request. A beat every 20 ms bounds how late a node hears and speaks; the door and the front take that off.

Files of engines may end in "end: yes" (list.end_marked), as a list cut at a row cannot be told from a shorter one otherwise; damping is set in YAML.

--- /dev/null
+++ b/benchmarks/follow.py
@@ -0,0 +1,190 @@
+"""How soon a node follows a list in files, and how long it stands still for it, at 10, 200 and 2,000 engines.
+
+Simulated: all in one process over loopback; every address of the list leads to one of four stand-ins, which
+see by which version each attempt was sent. `python benchmarks/follow.py`.
+"""
+
+import sys
+import tempfile
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+
+import click
+from hdrh.histogram import HdrHistogram
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.threads import deferToThread
+
+from myrtlehub.config.load import parse
+from myrtlehub.config.sheets import NodeSheet, StandSheet
+from myrtlehub.emulator.server import StandIn
+from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.records import Recorder
+from myrtlehub.membership.notify import Notifier
+from myrtlehub.node.clock import SteadyClock
+from myrtlehub.node.node import Node
+from myrtlehub.proto import chat_pb2
+from myrtlehub.rpc.channel import CallWatcher, Channel
+
+CLOCK = SteadyClock(reactor)
+SHEET = """
+node: {name: n, listen: "127.0.0.1:1", zone: z}
+traffic: [{name: ask, repeats: repeatable, latency_slo: 2s, abandon_time: 5s}]
+kinds: [{name: writer, writes: yes, memory: 200k tokens}]
+zones: [z]
+rules:
+  {drain_grace: 250ms, let_go: 500ms, cold_share: 0.25, cold_time: 10s, fall_multiple: 2.5, fall_time: 1s}
+list: {files: [engines.yaml], quiet: 100ms, confirm: {most_removed: any}, damp: {flaps: off}, end_marked: yes}
+"""
+
+
+def text(count: int, weight: int, without: int) -> str:
+    """A whole file; one engine has weight 0."""
+    return "engines:\n" + "".join(
+        f"  - {{address: '{address(i)}', kind: writer, zone: z, weight: {0 if i == without else weight}}}\n"
+        for i in range(count)) + "end: yes\n"
+
+
+def address(i: int) -> str:
+    return f"e{i}:1"
+
+
+class Run:
+    """One node at one number of engines."""
+
+    def __init__(self, count: int, folder: Path, rounds: int, rate: float) -> None:
+        self.count, self.folder, self.rounds, self.rate = count, folder, rounds, rate
+        self.version = 0
+        self.first, self.last, self.turns = (HdrHistogram(1, 600_000_000, 3) for _ in range(3))
+        self.wanted: Deferred | None = None
+        self.without, self.last_sent = -1, 0.0
+        ports = free_ports(5)
+        self.ports = ports
+        self.node = self.channel = None
+
+    def dial(self, where: str) -> Callable:
+        """Any engine's address leads to a stand-in; who is meant is told to it by the connection used."""
+        port = self.ports[1 + int(where[1:-2]) % 4]
+        return TCP4ClientEndpoint(reactor, "127.0.0.1", port, timeout=5).connect
+
+    def sent(self, attempt: object) -> None:
+        """An attempt leaves for an engine."""
+        now = CLOCK.seconds()
+        if attempt.engine == self.index_without:
+            self.last_sent = now
+        if self.wanted is not None and self.node.host.list_version > self.version:
+            self.version, wanted, self.wanted = self.node.host.list_version, self.wanted, None
+            wanted.callback(now)
+
+    index_without = -1
+
+    @inlineCallbacks
+    def play(self) -> Iterator:
+        """All rounds."""
+        path, random, listening = self.folder / "engines.yaml", Random(1), []
+        path.write_text(text(self.count, 1, -1))
+        for i in range(4):
+            sheet = StandSheet(name=f"s{i}", listen=f"127.0.0.1:{self.ports[1 + i]}", writes=True, slots=400,
+                               queue=5000, step="1ms", step_crowd=0.0, read_rate=10000000,
+                               memory="100M tokens")
+            stand = StandIn(sheet, CLOCK, None, Recorder("s", CLOCK))
+            stand.recorder.note = lambda *args, **more: None
+            listening.append(reactor.listenTCP(self.ports[1 + i], stand.server, interface="127.0.0.1"))
+        node = self.node = Node(
+            parse(SHEET, NodeSheet), CLOCK, self.dial, base=self.folder, notify=Notifier(reactor).watch,
+            aside=lambda work, then: deferToThread(work).addCallback(then))
+        start = node.links.start
+
+        def carried(attempt: object) -> None:
+            self.sent(attempt)
+            start(attempt)
+        node.links.start = carried
+        listening.append(reactor.listenTCP(self.ports[0], node.server, interface="127.0.0.1"))
+        self.version = node.host.list_version
+        self.channel = Channel(CLOCK, TCP4ClientEndpoint(reactor, "127.0.0.1", self.ports[0]).connect, "n")
+        asking = LoopingCall(self.ask)
+        asking.start(1.0 / self.rate)
+        beat = LoopingCall(self.beat)
+        beat.start(0.001)
+        yield deferLater(reactor, 1.0, lambda: None)
+        for i in range(self.rounds):
+            # the engine that drains is one that was just sent to: the worst case
+            self.without = random.randrange(min(self.count, 50))
+            self.index_without = node.host.door.engines.at[address(self.without)]
+            self.last_sent, self.wanted = 0.0, Deferred()
+            self.beat_at = CLOCK.seconds()
+            self.worst = 0.0
+            at = CLOCK.seconds()
+            path.with_name("new").write_text(text(self.count, 2 + i, self.without))
+            path.with_name("new").rename(path)
+            written = CLOCK.seconds()
+            self.beat_at, self.worst = written, 0.0  # writing the file is not the node's doing
+            taken = yield self.wanted
+            self.first.record_value(int((taken - at) * 1e6))
+            yield deferLater(reactor, 0.6, lambda: None)
+            if self.last_sent > at:
+                self.last.record_value(int((self.last_sent - at) * 1e6))
+            self.turns.record_value(int(self.worst * 1e6) or 1)
+        beat.stop()
+        asking.stop()
+        self.channel.close()
+        node.source.stop()
+        yield deferLater(reactor, 0.5, lambda: None)
+        node.links.close()
+        for port in listening:
+            yield port.stopListening()
+
+    beat_at, worst = 0.0, 0.0
+
+    def beat(self) -> None:
+        """Due each millisecond: what is between two is a turn in which nobody else was heard."""
+        now = CLOCK.seconds()
+        self.worst, self.beat_at = max(self.worst, now - self.beat_at - 0.001), now
+
+    def ask(self) -> None:
+        call = self.channel.call("/myrtlehub.v1.Chat/Generate", CallWatcher())
+        call.send(chat_pb2.GenerateRequest(
+            traffic_type="ask", prompt_tokens=100, most_output=8).SerializeToString())
+        call.half_close()
+
+
+def shown(h: HdrHistogram) -> str:
+    """Quantiles in milliseconds."""
+    if not h.total_count:
+        return "none"
+    p50, p99 = (h.get_value_at_percentile(p) / 1e3 for p in (50, 99))
+    return f"p50 {p50:.1f}, p99 {p99:.1f} ms ({h.total_count})"
+
+
+@click.command()
+@click.option("--rounds", default=30)
+@click.option("--rate", default=100.0, help="Sequences a second.")
+@click.option("--switch", default=0.0, help="Seconds of sys.setswitchinterval; 0: as it is.")
+@click.option("--counts", default="10,200,2000")
+def main(rounds: int, rate: float, switch: float, counts: str) -> None:
+    """Print milliseconds by number of engines."""
+    failures: list = []
+    if switch:
+        sys.setswitchinterval(switch)
+
+    @inlineCallbacks
+    def run() -> Iterator:
+        for count in map(int, counts.split(",")):
+            with tempfile.TemporaryDirectory() as folder:
+                one = Run(count, Path(folder), rounds, rate)
+                yield one.play()
+            click.echo(f"{count:>5} engines: file to first send by it {shown(one.first)}; "
+                       f"weight 0 in the file to last send {shown(one.last)}; "
+                       f"longest turn meanwhile {shown(one.turns)}")
+    reactor.callWhenRunning(lambda: run().addErrback(failures.append).addBoth(lambda ignored: reactor.stop()))
+    reactor.run()
+    if failures:
+        failures[0].printTraceback()
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -45,6 +45,7 @@
         node.drain().addCallback(lambda ignored: reactor.stop())
     on_term(drain, reactor)
     reactor.callWhenRunning(lambda: log("ready", listen=sheet.node.listen, engines=len(sheet.list.engines)))
+    node.measure_lag()
     settle_memory()
     reactor.run(installSignalHandlers=False)
     log("ended", **{k: v for k, v in sorted(node.host.answered.items())})
--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -119,6 +119,7 @@
 
     engines: list[EngineRow] = []
     include: list[str] = []
+    end: bool = False  # the file's last line, where list.end_marked asks for it
 
 
 class Confirm(Sheet):
@@ -128,6 +129,14 @@
     after: Duration = 2.0  # a second reading of the same confirms it
 
 
+class Damp(Sheet):
+    """When an engine that comes and goes is taken at its word no more."""
+
+    flaps: Annotated[int, Field(ge=2)] | Literal["off"] = 4  # times it came or went
+    within: Duration = 30.0
+    quiet_for: Duration = 10.0  # without a change, and it counts again
+
+
 class ListGroup(Sheet):
     """The list of engines: one section here, or files that are watched."""
 
@@ -136,7 +145,9 @@
     files: list[str] = []  # paths, globs or directories; relative to the node's file
     poll: Duration = 5.0  # looks at files this often, beside being told by the system
     quiet: Duration = 0.1  # without a change, until a file counts as finished
+    end_marked: bool = False  # a file without its last line "end: yes" is unfinished, however long it lies
     confirm: Confirm = Confirm()
+    damp: Damp = Damp()
     store: str = ""  # file that keeps the last good version over restarts; empty: none
 
 
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -105,8 +105,8 @@
     def _take(self, call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None) -> _Job:
         job = _Job(self, call, work, reads, state)
         job.note("got", reads=reads, node=job.node, mark=work.mark, traffic=work.traffic_type,
-                 work=self.model.work(self._task(work), reads, state is not None),
-                 hung=self.model.hung)
+                 list=first(call.metadata, "myrtle-list"), hung=self.model.hung,
+                 work=self.model.work(self._task(work), reads, state is not None))
         return job
 
     def _read(self, call: ServerCall, data: bytes) -> Deferred:
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -15,6 +15,7 @@
 from myrtlehub.rpc.status import Code, Status
 
 PATH = "/myrtlehub.v1.Chat/Generate"
+BEAT = 0.02  # seconds between looks at how late this process itself runs
 
 
 class Wanted(NamedTuple):
@@ -139,7 +140,7 @@
             tally = f.tallies[self.wanted.row.name]
             self.tokens += 1
             if self.tokens == 1 or self.answer:
-                f.recorder.note("token", call=self.name)
+                f.recorder.note("token", call=self.name, behind=f.behind(now))
             if self.tokens == 1:
                 tally.first.record_value(max(1, int((now - self.asked_at) * 1e6)))
                 row = self.wanted.row
@@ -153,7 +154,7 @@
             return
         reply = pb.GenerateReply.FromString(data)
         which = reply.WhichOneof("reply") or "nothing"
-        f.recorder.note("final", call=self.name, answer=which, tokens=self.tokens)
+        f.recorder.note("final", call=self.name, answer=which, tokens=self.tokens, behind=f.behind(now))
         self.answer = self.answer or which
         self.wait = reply.rejected.wait_ms / 1000.0
 
@@ -178,9 +179,25 @@
         self.open = 0
         self.asked = 0
         self.on_quiet: Callable[[], None] = lambda: None
+        self._beat_due, self._beat_late, self._beat_at = 0.0, 0.0, 0.0
+        self.most_behind = 0.0
+        self._beating: object = None
+
+    def _beat(self) -> None:
+        now = self.clock.seconds()
+        self._beat_late, self._beat_at, self._beat_due = max(0.0, now - self._beat_due), now, now + BEAT
+        self.most_behind = max(self.most_behind, self._beat_late)
+        self._beating = self.clock.callLater(BEAT, self._beat)
+
+    def behind(self, now: float) -> float:
+        """By how much this process may itself be late to see what it now sees: the last beat's lateness."""
+        last = self._beat_late if now - self._beat_at < BEAT else 0.0
+        return round(max(now - self._beat_due, last, 0.0), 4)
 
     def start(self) -> None:
         """Every sequence is asked for at its moment, whatever became of others."""
+        self._beat_due = self.clock.seconds()
+        self._beat()
         for wanted in self.wanted:
             self.clock.callLater(wanted.at, self._ask, wanted)
 
@@ -223,5 +240,7 @@
 
     def close(self) -> None:
         """Close all channels."""
+        if self._beating is not None and self._beating.active():
+            self._beating.cancel()
         for channel in self.channels.values():
             channel.close()
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -60,6 +60,21 @@
     whole: Duration = 20.0  # deadline of the whole call
 
 
+class ListFilesGroup(Sheet):
+    """Nodes read the list from files, which hasty hands write; each node has its own copy."""
+
+    quiet: Duration = 0.03
+    poll: Duration = 0.5
+    every: Duration = 0.4  # from one burst of writes to the next, on the average
+    burst: Count = 8  # writes in a burst, at most
+    torn: Share = 0.3  # of writes, that leave a file cut at some byte
+    wrong: Share = 0.15  # of writes, that leave a list which parses and cannot be routed by
+    deleted: Share = 0.05  # of writes, that delete the file
+    drains: Share = 0.4  # of versions, in which one more engine has weight 0
+    most_removed: Share = 0.5
+    store: bool = True
+
+
 class FaultRow(Sheet):
     """One thing that goes wrong, at a moment from the start of the traffic."""
 
@@ -95,6 +110,7 @@
     rules: RulesGroup
     list_delay: Duration = 0.0  # until the first node hears news of the list
     list_spread: Duration = 0.0  # more, at most, until the last does
+    list_files: ListFilesGroup | None = None  # instead of pushed news
     faults: list[FaultRow] = []
 
     @model_validator(mode="after")
--- a/myrtlehub/membership/files.py
+++ b/myrtlehub/membership/files.py
@@ -52,8 +52,8 @@
     return tuple(out)
 
 
-def read(patterns: Iterable[str], base: Path) -> Reading:
-    """Read all files, and what they include."""
+def read(patterns: Iterable[str], base: Path, end_marked: bool = False) -> Reading:
+    """Read all files, and what they include. With `end_marked` one without "end: yes" is not finished."""
     digest = xxhash.xxh3_128()
     rows: list[EngineRow] = []
     faults: list[str] = []
@@ -89,6 +89,10 @@
         except Faults as fault:
             faults.extend(fault.lines)
             continue
+        if end_marked and not sheet.end:
+            last = data.count(b"\n") + 1
+            faults.append(f"{name}:{last}: end: missing; write the file whole, end: yes last")
+            continue
         for row in sheet.engines:
             if row.address in seen and seen[row.address][1] != row:
                 other = seen[row.address][0]
--- a/myrtlehub/membership/source.py
+++ b/myrtlehub/membership/source.py
@@ -9,8 +9,8 @@
 
 from myrtlehub.config.sheets import EngineRow
 
-# Rows, whether they are the whole list, and the version's number (0: the taker counts).
-Taker = Callable[[list[EngineRow], bool, int], None]
+# Rows, whether they are the whole list, the version's number (0: the taker counts) and its digest.
+Taker = Callable[[list[EngineRow], bool, int, str], None]
 
 
 class ListSource(Protocol):
@@ -28,14 +28,14 @@
 
     def __init__(self, rows: Sequence[EngineRow]) -> None:
         self._rows = {row.address: row for row in rows}
-        self._take: Taker = lambda rows, whole, number: None
+        self._take: Taker = lambda rows, whole, number, digest: None
 
     def follow(self, take: Taker) -> None:
         self._take = take
         self.reread()
 
     def reread(self) -> None:
-        self._take(list(self._rows.values()), True, 0)
+        self._take(list(self._rows.values()), True, 0, "")
 
     def push(self, rows: Sequence[EngineRow], whole: bool) -> None:
         """News from outside, as it stands from now on."""
@@ -44,4 +44,4 @@
         self._rows.update((row.address, row) for row in rows)
         for address in [a for a, r in self._rows.items() if r.state == "gone"]:
             del self._rows[address]
-        self._take(list(rows), whole, 0)
+        self._take(list(rows), whole, 0, "")
--- a/myrtlehub/membership/watched.py
+++ b/myrtlehub/membership/watched.py
@@ -22,16 +22,18 @@
                  quiet: float, store: VersionStore | None = None, log: Log = lambda event, **more: None,
                  notify: Callable[[list[str], Callable[[], None]], None] = lambda paths, changed: None,
                  silent: Callable[[], frozenset[str]] = frozenset,
-                 aside: Callable[[Callable, Callable], None] = lambda work, then: then(work())) -> None:
+                 aside: Callable[[Callable, Callable], None] = lambda work, then: then(work()),
+                 end_marked: bool = False) -> None:
         self.patterns, self.base, self.judge, self.clock = tuple(patterns), base, judge, clock
         self.poll, self.quiet, self.store, self.log = poll, quiet, store, log
+        self.end_marked = end_marked
         self.notify, self.silent = notify, silent
         # aside(work, then): do the work where it does not hold up the node, then go on here. Reading a
         # list of
         # thousands takes seconds; only what the judge lets through is done on the node's own turn.
         self.aside = aside
         self._busy = self._again = False
-        self._take: Taker = lambda rows, whole, number: None
+        self._take: Taker = lambda rows, whole, number, digest: None
         self._stamp: tuple = ()
         self._digest = ""
         self._looking = self._polling = None
@@ -43,7 +45,7 @@
         stored = self._stored()
         if stored is not None:
             self.judge.number = stored[0]  # numbers go on over restarts
-        reading = files.read(self.patterns, self.base)
+        reading = files.read(self.patterns, self.base, self.end_marked)
         self._stamp, self._digest = files.stamp(self.patterns, self.base), reading.digest
         self._act(self._verdict(reading, self.clock.seconds(), frozenset()))
         if self.judge.version is None and stored is not None:
@@ -57,7 +59,7 @@
         """Hand over the whole list again."""
         if self.judge.version is not None:
             version = self.judge.version
-            self._take(list(version.engines.values()), True, version.number)
+            self._take(list(version.engines.values()), True, version.number, version.digest)
 
     def stop(self) -> None:
         """Look no more."""
@@ -93,7 +95,7 @@
 
     def _work(self, now: float, silent: frozenset[str]) -> Callable[[], Verdict | None]:
         def work() -> Verdict | None:
-            reading = files.read(self.patterns, self.base)
+            reading = files.read(self.patterns, self.base, self.end_marked)
             if reading.digest != self._digest:
                 # Not the same as at the last look: it may be half-written. Look again after the quiet time.
                 self._digest = reading.digest
@@ -119,7 +121,8 @@
     def _verdict(self, reading: files.Reading, now: float, silent: frozenset[str]) -> Verdict:
         source = "files"
         if reading.missing:
-            return self.judge.lost(now, source, "; ".join(reading.faults) or "no file is there")
+            return self.judge.lost(now, source, "; ".join(reading.faults) or
+                                   f"no file is there for {', '.join(self.patterns)}; the last list stays")
         if reading.faults:
             return self.judge.refuse(now, source, "; ".join(reading.faults))
         return self.judge.read(now, reading.rows, source, silent=silent)
@@ -144,9 +147,9 @@
             except StoreBroken as fault:
                 self.log("list not stored", why=str(fault))
         if not verdict.change:
-            self._take(list(version.engines.values()), True, version.number)
+            self._take(list(version.engines.values()), True, version.number, version.digest)
         else:
-            self._take(verdict.change.rows(), False, version.number)
+            self._take(verdict.change.rows(), False, version.number, version.digest)
 
     def _stored(self) -> tuple | None:
         try:
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -90,7 +90,7 @@
             raise RpcError(Code.INVALID_ARGUMENT, f"not a GenerateRequest: {fault}") from fault
         asked = asked_of(request, call.time_left())
         try:
-            arrival = self.host.door.arrival(asked)
+            arrival = self.host.door.arrival(asked, self.host.clock.seconds())
         except NotTaken as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
         if self.closed or len(self.host.held) >= self.most:
@@ -99,7 +99,8 @@
         call.set_initial([("myrtle-seq", self.host.next_label())])
         call.stream.registerProducer(waiting, True)
         if call.deadline is not None:
-            due = call.time_left() - self.host.terms.answer_slack
+            now, slack = self.host.clock.seconds(), self.host.terms.answer_slack
+            due = self.host.door.lag.left(now, call.time_left() - slack)
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
         waiting.held = self.host.take(asked, arrival, waiting)
         return waiting
--- a/myrtlehub/node/door.py
+++ b/myrtlehub/node/door.py
@@ -8,6 +8,7 @@
 
 from myrtlehub import interface as itf
 from myrtlehub.config.sheets import EngineRow, NodeSheet
+from myrtlehub.limits.lag import LagMeter
 from myrtlehub.membership.version import served
 
 STATES = {"serving": itf.SERVING, "draining": itf.DRAINING, "gone": itf.GONE}
@@ -118,8 +119,9 @@
         self.zones = {z: i for i, z in enumerate(sheet.zones)}
         self.slack = sheet.rules.answer_slack
         self.engines = EngineIndices()
+        self.lag = LagMeter()  # beats come from whoever runs the node; without any it takes nothing off
 
-    def arrival(self, a: Asked) -> itf.Arrival:
+    def arrival(self, a: Asked, now: float) -> itf.Arrival:
         """Raises NotTaken, naming the field."""
         if a.traffic_type not in self.traffic:
             raise NotTaken(f"traffic_type {a.traffic_type!r} is not one of {', '.join(sorted(self.traffic))}")
@@ -137,6 +139,7 @@
         if len(a.mark.encode()) > MARK_LIMIT:
             raise NotTaken(f"mark is longer than {MARK_LIMIT} bytes")
         left = min(a.time_left or row.abandon_time, row.abandon_time, a.deadline_in - self.slack)
+        left = self.lag.left(now, left)
         return itf.Arrival(
             traffic, self.tenants.get(a.tenant, -1), float(a.prompt), left, key_of(a.session),
             key_of(a.prefix), float(a.shared), float(a.most_output), a.expected, False, a.repeated)
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -118,6 +118,7 @@
         self.held: dict[int, Held] = {}
         self.answered: Counter[str] = Counter()
         self.taken = self.list_version = 0
+        self.list_label = "0"  # number and digest of the version that decisions are made by
         self._next = 0
         self._calls: deque[tuple] = deque()
         self._busy = False
@@ -133,12 +134,13 @@
         """Once, before all others."""
         self._say("start")
 
-    def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0) -> None:
+    def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
         """A change to the list, or the whole of it, as one call to the module; `number` is its version's."""
         before = {a: self.door.engines.rows[i].state for a, i in self.door.engines.at.items()}
         listings = self.door.engines.listings(rows, whole, self.door.kinds, self.door.zones,
                                               self.clock.seconds())
         self.list_version = number or self.list_version + 1
+        self.list_label = f"{self.list_version}-{digest[:16]}" if digest else str(self.list_version)
         for row in rows:
             if before.get(row.address, "gone") != row.state:
                 self.log("engine", engine=row.address, standing=row.state, list_version=self.list_version)
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -126,7 +126,7 @@
             timeout = timeout + LATE if timeout != float("inf") else None
         meta = (("myrtle-seq", held.label), ("myrtle-attempt", str(attempt.number)), ("myrtle-node",
                                                                                       self.name),
-                ("myrtle-list", str(self.host.list_version)))
+                ("myrtle-list", self.host.list_label))
         attempt.call = self.channel(attempt.engine).call(SERVICE + path, watcher, meta, timeout)
         attempt.call.send(request.SerializeToString())
         attempt.call.half_close()
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -8,7 +8,7 @@
 
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.decide import Router
-from myrtlehub.membership.judge import ListJudge
+from myrtlehub.membership.judge import NEVER_DAMPED, ListJudge
 from myrtlehub.membership.judge import Terms as Confirmation
 from myrtlehub.membership.source import StaticList
 from myrtlehub.membership.store import VersionStore
@@ -22,6 +22,8 @@
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.server import Server
 
+LAG_SAID = 0.1  # seconds; a new worst lateness of the process above this is logged
+
 
 class Node:
     """One node on a clock. `server` and `admin` are factories to listen with; `dial` reaches engines."""
@@ -53,13 +55,23 @@
         if not part.files:
             return StaticList(part.engines)
         most = 1.0 if part.confirm.most_removed == "any" else part.confirm.most_removed
-        judge = ListJudge(Confirmation(most, part.confirm.after), {k.name: k for k in sheet.kinds},
-                          sheet.zones,
-                          sheet.engines_may.read_alone)
+        damp = part.damp
+        flaps = NEVER_DAMPED if damp.flaps == "off" else damp.flaps
+        judge = ListJudge(
+            Confirmation(most, part.confirm.after, flaps, damp.within, damp.quiet_for),
+            {k.name: k for k in sheet.kinds}, sheet.zones, sheet.engines_may.read_alone)
         store = VersionStore(base / part.store) if part.store else None
         return WatchedList(part.files, base, judge, self.clock, part.poll, part.quiet, store, self.log,
-                           notify,
-                           self.links.silent, aside)
+                           notify, self.links.silent, aside, part.end_marked)
+
+    def measure_lag(self) -> None:
+        """Beat from here on, so that the door knows how late this process runs."""
+        now = self.clock.seconds()
+        before = self.host.door.lag.worst
+        due = self.host.door.lag.beat(now)
+        if self.host.door.lag.worst > max(before, LAG_SAID):
+            self.log("lag", seconds=round(self.host.door.lag.worst, 3))
+        self.clock.callLater(max(0.0, due - now), self.measure_lag)
 
     def drain(self) -> Deferred:
         """Take nothing new; fires once all held is answered, at the latest after `drain_within`."""
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,226 @@
+"""Nodes whose list is in files, seen from their engines: by which version was each attempt sent?
+
+`MYRTLEHUB_VERSIONS=5000` plays that many; the default keeps the tests short.
+"""
+
+import os
+from pathlib import Path
+from random import Random
+
+import pytest
+from fleet import Fleet
+from test_path import kept, nothing_left
+
+from myrtlehub.lab.lists import ListWatch, ListWriter, text_of
+from myrtlehub.lab.records import Record
+from myrtlehub.lab.scenario import ListFilesGroup
+from myrtlehub.membership.files import read
+from myrtlehub.membership.watched import WatchedList
+
+VERSIONS = int(os.environ.get("MYRTLEHUB_VERSIONS", "150"))
+MARKED = ", end_marked: yes, quiet: 30ms, poll: 200ms, damp: {flaps: off}, confirm: {most_removed: any}"
+
+
+def begin(base: Path, engines: str = "R0 R0 W0 W0 W0", lists: str = MARKED, **more: object) -> Fleet:
+    """A fleet whose files stand before its nodes start."""
+    for i in range(more.get("nodes", 1)):
+        (base / f"list-n{i}").mkdir()
+    rows = [{"address": f"{w}{chr(97 + i)}:1", "kind": "reader" if w[0] == "R" else "writer", "zone": "north",
+             "cell": int(w[1])} for i, w in enumerate(engines.split())]
+    for i in range(more.get("nodes", 1)):
+        (base / f"list-n{i}" / "engines.yaml").write_text(text_of(rows))
+    return Fleet(engines, base=base, lists=lists, **more)
+
+
+def write(f: Fleet, node: str = "n0", **changed: dict) -> None:
+    """The list with some engines changed, or left out where that is None."""
+    rows = [{**r, **(changed.get(e) or {})} for e, r in f.rows.items()
+            if e not in changed or changed[e] is not None]
+    path = f.base / f"list-{node}" / "engines.yaml"
+    path.with_name(".new").write_text(text_of(rows))
+    path.with_name(".new").rename(path)
+
+
+def test_no_attempt_goes_by_a_version_that_never_was_whole(tmp_path: Path) -> None:
+    f = begin(tmp_path, read_rate=30000.0, slots=40, step="4ms")
+    standing = [{**r, "state": "serving", "age": "0s"} for r in f.rows.values()]
+    group = ListFilesGroup(every="200ms", burst=8)
+    writer = ListWriter("n0", tmp_path / "list-n0", group, f.clock, Random(3), f.day, lambda: standing)
+    version = f.nodes["n0"].source.judge.version
+    f.day.note("wrote", node="n0", digest=version.digest[:16], serving=sorted(version.engines))
+    writer.start()
+    random, asked = Random(4), 0
+    while writer.versions < VERSIONS:
+        f.ask(random.choice(["ask", "post", "note"]), prompt=random.choice([200, 1500]), output=20)
+        asked += 1
+        f.run(0.04)
+    writer.stop()
+    f.run(1.0)
+    for _ in range(5):
+        f.ask("ask", prompt=100, output=10)
+    f.run(5.0)
+    watch, told = ListWatch(0.25), []
+    for record in f.log:
+        told += watch.see(record)
+    watch.finish(f.clock.seconds())
+    assert watch.breaches == []
+    assert watch.attempts >= asked and watch.used > VERSIONS / 20 and len(told) > VERSIONS / 20
+    assert writer.torn > VERSIONS / 5 and writer.wrong > VERSIONS / 10
+    f.log[:] = sorted([*told, *f.log], key=lambda r: r.at)  # told before what goes by it
+    kept(f)
+    nothing_left(f)
+    refused = [why for _, _, why in f.nodes["n0"].source.judge.refused]
+    assert len(refused) > 5 and all("; " in why or "not YAML" in why for why in refused), refused
+    print(f"{writer.versions} versions, {writer.torn} torn, {writer.wrong} wrong, {writer.deleted} deleted; "
+          f"{watch.used} seen in use; {watch.attempts} attempts")
+
+
+@pytest.mark.parametrize("fault", ["partial", "stale", "back"])
+def test_the_watch_sees_a_node_that_breaks_its_word(fault: str) -> None:
+    """Records made by hand: what the watch is for has to be seen."""
+    def wrote(at: float, digest: str, *serving: str) -> Record:
+        return Record(at, "day", "wrote", {"node": "n", "digest": digest, "serving": list(serving)})
+
+    def got(at: float, version: str, engine: str = "a") -> Record:
+        return Record(at, engine, "got", {"node": "n", "seq": "n.1.7", "list": version})
+    sound = [wrote(0.0, "aa", "a", "b"), got(1.0, "1-aa"), wrote(2.0, "bb", "a"), got(3.0, "2-bb")]
+    more = {"partial": [got(4.0, "3-cc")], "stale": [wrote(5.0, "dd", "a")], "back": [got(4.0, "1-aa")]}
+    for extra, count in (([], 0), (more[fault], 1)):
+        watch = ListWatch(0.25)
+        told = [t for r in [*sound, *extra] for t in watch.see(r)]
+        watch.finish(9.0)
+        assert len(watch.breaches) == count
+    assert [(t.at, t.more["engine"], t.more["state"]) for t in told[:3]] == [
+        (1.0, "a", "serving"), (1.0, "b", "serving"), (3.0, "b", "gone")]
+
+
+def test_an_engine_moved_between_kinds_with_work_out(tmp_path: Path) -> None:
+    f = begin(tmp_path, "R0 R0 W0 W0", read_rate=30000.0)
+    stream = f.ask("post", prompt=2000, output=200)
+    f.run(0.5)
+    assert stream.tokens and not stream.answer
+    where = f.what("ran")[-1].who[:-2]
+    f.stands[where].sheet = f.stands[where].sheet.model_copy(update={"reads": True})
+    write(f, **{where: {"kind": "reader"}})
+    f.run(1.0)
+    engines = f.nodes["n0"].host.door.engines
+    assert engines.rows[engines.at[f"{where}:1"]].kind == "reader"
+    after = [f.ask("post", prompt=2000, output=20) for _ in range(6)]
+    f.run(4.0)
+    assert stream.answer == "generated" and [c.answer for c in after] == ["generated"] * 6
+    late = [r for r in f.what("got", where) if r.at > f.what("ran")[0].at + 1.0]
+    assert all(r.more["reads"] for r in late) and late  # it reads from now on, and writes nothing new
+    kept(f)
+    nothing_left(f)
+
+
+def test_half_the_engines_go_while_once_only_work_is_in_flight_and_nodes_hear_seconds_apart(
+        tmp_path: Path) -> None:
+    f = begin(tmp_path, "R0 R0 W0 W0 R1 R1 W1 W1", nodes=3, read_rate=20000.0, slots=40)
+    random = Random(9)
+    gone = {e: None for e in f.rows if e[1] == "1"}
+    calls, heard, began = [], {}, f.clock.seconds()
+    for i in range(150):
+        calls.append(f.ask(random.choice(["post", "post", "note"]), prompt=random.choice([300, 3000]),
+                           output=40, node=f"n{i % 3}"))
+        at = f.clock.seconds() - began
+        for node, when in (("n0", 1.0), ("n1", 2.5), ("n2", 4.0)):
+            if at >= when and node not in heard:
+                heard[node] = f.clock.seconds()
+                write(f, node, **gone)
+        f.run(0.04)
+    f.run(5.0)
+    assert set(heard) == {"n0", "n1", "n2"}
+    for node, when in heard.items():
+        sends = [r.at for r in f.what("got") if r.more["node"] == node and r.who[:-2] in gone]
+        assert sends and max(sends) < when + 0.5  # two quiet looks, and the grace
+    assert all(c.answer for c in calls) and sum(c.answer == "generated" for c in calls) > 140
+    kept(f)
+    nothing_left(f)
+
+
+def test_half_the_engines_at_once_wait_for_a_second_reading(tmp_path: Path) -> None:
+    lists = MARKED.replace("most_removed: any", "most_removed: 0.4, after: 1s")
+    f = begin(tmp_path, "R0 R0 W0 W0 W0", lists=lists)
+    write(f, W0c=None, W0d=None, R0a=None)
+    f.run(0.6)
+    assert len(f.nodes["n0"].host.door.engines.at) == 5  # held back
+    f.run(1.5)
+    assert len(f.nodes["n0"].host.door.engines.at) == 2
+
+
+def test_a_file_without_its_last_line_is_unfinished_however_long_it_lies(tmp_path: Path) -> None:
+    f = begin(tmp_path)
+    path = tmp_path / "list-n0" / "engines.yaml"
+    whole = path.read_text()
+    node = f.nodes["n0"]
+    first = node.host.list_label
+    cuts = [i for i, c in enumerate(whole) if c == "\n"][:-1]  # whole lines: these parse, most of them
+    parsed = 0
+    for cut in cuts:
+        path.write_text(whole[:cut + 1])
+        f.run(0.4)
+        assert node.host.list_label == first
+        parsed += not read(["list-n0"], tmp_path).faults
+    assert parsed > len(cuts) / 2
+    assert "write the file whole, end: yes last" in node.source.judge.refused[-1][2]
+
+
+def test_a_clock_set_back_hides_no_change(tmp_path: Path) -> None:
+    f = begin(tmp_path)
+    path = tmp_path / "list-n0" / "engines.yaml"
+    os.utime(path, (2e9, 2e9))
+    f.run(0.5)
+    first = f.nodes["n0"].host.list_label
+    write(f, W0c={"weight": 3})
+    os.utime(path, (1e9, 1e9))  # older than what it replaces
+    f.run(0.5)
+    assert f.nodes["n0"].host.list_label != first
+    again = f.nodes["n0"].host.list_label
+    before = path.stat()
+    write(f, W0c={"weight": 4})
+    os.utime(path, ns=(before.st_atime_ns, before.st_mtime_ns))  # the same time and size as before
+    assert path.stat().st_size == before.st_size
+    f.run(0.5)
+    assert f.nodes["n0"].host.list_label != again
+
+
+def test_a_file_that_may_not_be_read_any_more_keeps_the_list(tmp_path: Path, monkeypatch: object) -> None:
+    f = begin(tmp_path)
+    real, node = Path.read_bytes, f.nodes["n0"]
+    label = node.host.list_label
+
+    def refused(path: Path) -> bytes:  # tests may run as one who may read everything
+        raise PermissionError(13, "Permission denied", str(path))
+    monkeypatch.setattr(Path, "read_bytes", refused)
+    write(f, W0c={"weight": 3})
+    f.run(0.5)
+    assert node.host.list_label == label
+    assert "cannot be read: Permission denied" in node.source.judge.refused[-1][2]
+    monkeypatch.setattr(Path, "read_bytes", real)
+    write(f, W0c={"weight": 5})
+    f.run(0.5)
+    assert node.host.list_label != label
+
+
+def test_two_thousand_engines_of_which_all_change_at_once(tmp_path: Path) -> None:
+    f = begin(tmp_path, "R0 W0 W0")
+    more = {f"X{i}": {"address": f"x{i}:1", "kind": "writer" if i % 2 else "reader", "zone": "north",
+                      "cell": 1 + i // 50} for i in range(1997)}
+    f.rows.update(more)
+    write(f)
+    f.run(0.5)
+    node = f.nodes["n0"]
+    assert len(node.host.door.engines.at) == 2000
+    write(f, **{e: {"cell": r["cell"] + 100, "weight": 2} for e, r in f.rows.items()})
+    f.run(0.5)
+    rows = node.host.door.engines.rows
+    assert len(rows) == 2000 and all(r.cell >= 100 and r.weight == 2 for r in rows)
+    f.rows = {e: {**f.rows[e], "cell": 100} for e in ("R0a", "W0b", "W0c")}
+    write(f)
+    f.run(0.5)
+    assert sorted(node.host.door.engines.at) == ["R0a:1", "W0b:1", "W0c:1"]
+    c = f.ask(prompt=2000, output=10)
+    f.run(2.0)
+    assert c.answer == "generated"
+    assert isinstance(node.source, WatchedList) and node.source.judge.number == 4
