--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -1,4 +1,7 @@
-"""What a list of engines costs a node: reading, judging, taking it; memory a version. Simulated fleet."""
+"""What a list of engines costs a node: reading, judging, taking it; memory a version. Simulated fleet.
+
+Reading is done by a process of its own; judging and taking are turns of the node, one each.
+"""
 
 import tempfile
 import time
@@ -11,6 +14,7 @@
 from myrtlehub.config.sheets import KindRow, NodeSheet
 from myrtlehub.membership import files
 from myrtlehub.membership.judge import ListJudge, Terms
+from myrtlehub.membership.version import digest_of
 from myrtlehub.node.node import Node
 from twisted.internet.task import Clock
 
@@ -38,8 +42,9 @@
                 at = time.perf_counter()
                 reading = files.read(("a.yaml",), base)
                 read = time.perf_counter() - at
+                digest = digest_of(reading.rows)  # as the reading process hands it over
                 at = time.perf_counter()
-                verdict = judge.read(float(cell_of), reading.rows, "files")
+                verdict = judge.read(float(cell_of), reading.rows, "files", digest=digest)
                 judged = time.perf_counter() - at
                 rows = verdict.change.rows() if verdict.change else list(verdict.version.engines.values())
                 at = time.perf_counter()
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -28,6 +28,7 @@
 
     from twisted.internet.threads import deferToThread
 
+    from myrtlehub.membership.aside import ReadAside
     from myrtlehub.membership.notify import Notifier
     from myrtlehub.node.clock import SteadyClock
     from myrtlehub.node.node import Node
@@ -35,7 +36,8 @@
     run = f"{time.time_ns() // 1000 % 2**40:x}-{os.getpid():x}"
     notify = Notifier(reactor).watch if sheet.list.files else lambda paths, changed: None
     node = Node(sheet, SteadyClock(reactor), dialer(reactor), run, log, base=config.parent, notify=notify,
-                aside=lambda work, then: deferToThread(work).addCallback(then))
+                reader=ReadAside(reactor).start().read if sheet.list.files else None,
+                beside=lambda work, then: deferToThread(work).addCallback(then))
     port = listen(reactor, sheet.node.listen, node.server)
     if sheet.node.admin:
         listen(reactor, sheet.node.admin, node.admin)
--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -1,6 +1,7 @@
 """What the files of a node and of a stand-in engine may say."""
 
-from typing import Annotated, Literal, Self
+from functools import cached_property
+from typing import Annotated, ClassVar, Literal, Self
 
 from pydantic import Field, StringConstraints, model_validator
 
@@ -69,6 +70,16 @@
     weight: NotNegative = 1.0  # 0 drains
     state: Literal["serving", "draining", "gone"] = "serving"
     age: Duration = 0.0
+    FIGURES: ClassVar[tuple[str, ...]] = ("address", "kind", "zone", "cell", "weight", "state", "age")
+
+    @cached_property
+    def figures(self) -> tuple:
+        """All of it, in the order of FIGURES: lists of thousands are compared by it."""
+        return (self.address, self.kind, self.zone, self.cell, self.weight, self.state, self.age)
+
+    def having(self, **figures: object) -> "EngineRow":
+        """The same with some figures replaced. Not `model_copy`, which would take the old `figures` along."""
+        return EngineRow.model_construct(**{**dict(zip(self.FIGURES, self.figures, strict=True)), **figures})
 
 
 class RulesGroup(Sheet):
--- a/myrtlehub/membership/files.py
+++ b/myrtlehub/membership/files.py
@@ -22,6 +22,7 @@
     faults: tuple[str, ...]
     digest: str  # of the bytes of all files, sound or not: the same again means that nobody is writing
     missing: bool  # no file is there at all
+    content: str = ""  # digest of the rows, where it is known already
 
 
 def expand(patterns: Iterable[str], base: Path) -> list[str]:
--- a/myrtlehub/membership/store.py
+++ b/myrtlehub/membership/store.py
@@ -15,6 +15,7 @@
 from myrtlehub.membership.version import Version, digest_of
 
 KEPT = 5
+Figures = tuple[str, str, str, int, float, str, float]  # as EngineRow.figures
 SCHEMA = """CREATE TABLE IF NOT EXISTS versions (
     number INTEGER PRIMARY KEY, source TEXT NOT NULL, digest TEXT NOT NULL, sum TEXT NOT NULL, rows BLOB
     NOT NULL)"""
@@ -38,7 +39,8 @@
     def _open(self) -> sqlite3.Connection:
         if self._db is None:
             try:
-                db = sqlite3.connect(self.path, isolation_level=None, timeout=2.0)
+                db = sqlite3.connect(self.path, isolation_level=None, timeout=2.0,
+                                     check_same_thread=False)  # one thread at a time, not always the same
                 db.execute("PRAGMA journal_mode=WAL")
                 db.execute("PRAGMA synchronous=FULL")
                 db.execute(SCHEMA)
@@ -49,7 +51,7 @@
 
     def keep(self, version: Version) -> None:
         """Store a version, whole or not at all, and drop the oldest. Raises StoreBroken."""
-        rows = msgspec.json.encode([row.model_dump() for _, row in sorted(version.engines.items())])
+        rows = msgspec.json.encode(sorted(row.figures for row in version.engines.values()))
         try:
             self.step("open")
             db = self._open()
@@ -82,9 +84,12 @@
             self.close()
             raise StoreBroken(f"{self.path}: {fault}") from fault
         for number, source, digest, total, rows in found:
+            if not (isinstance(source, str) and isinstance(digest, str) and isinstance(rows, bytes)):
+                continue  # a bit flipped where the database says of what type a value is
             if total != _sum(number, source, digest, rows):
                 continue
-            engines = [EngineRow.model_construct(**row) for row in msgspec.json.decode(rows)]
+            engines = [EngineRow.model_construct(**dict(zip(EngineRow.FIGURES, row, strict=True)))
+                       for row in msgspec.json.decode(rows, type=list[Figures])]
             if digest_of(engines) == digest:
                 return number, source, engines
         if found:
--- a/myrtlehub/membership/version.py
+++ b/myrtlehub/membership/version.py
@@ -34,45 +34,45 @@
     def rows(self) -> list[EngineRow]:
         """The change as rows: what is gone says so."""
         return [*self.added, *self.draining, *(row for row, _ in self.changed),
-                *(row.model_copy(update={"state": "gone"}) for row in self.gone)]
+                *(row.having(state="gone") for row in self.gone)]
 
 
-FIELDS = ("kind", "zone", "cell", "weight", "state", "age")
 
 
 def digest_of(rows: Iterable[EngineRow]) -> str:
     """Of the content alone: the order of rows and of files does not count."""
-    lines = sorted("\t".join((r.address, *(str(getattr(r, f)) for f in FIELDS))) for r in rows)
-    return xxhash.xxh3_128_hexdigest("\n".join(lines).encode())
+    figures = sorted(served(r).figures for r in rows if r.state != "gone")
+    return xxhash.xxh3_128_hexdigest(repr(figures).encode())
 
 
 def served(row: EngineRow) -> EngineRow:
     """A row as it is routed by: an engine of weight 0 drains."""
     if row.weight == 0.0 and row.state == "serving":
-        return row.model_copy(update={"state": "draining"})
+        return row.having(state="draining")
     return row
 
 
-def make(number: int, rows: Iterable[EngineRow], source: str, now: float, old: bool = False) -> Version:
-    """A version of these rows."""
+def make(number: int, rows: Iterable[EngineRow], source: str, now: float, old: bool = False,
+         digest: str = "") -> Version:
+    """A version of these rows; `digest`, where it is known already."""
     rows = [served(r) for r in rows if r.state != "gone"]
-    return Version(number, Map({r.address: r for r in rows}), source, digest_of(rows), now, old)
+    return Version(number, Map({r.address: r for r in rows}), source, digest or digest_of(rows), now, old)
 
 
 def difference(before: Map, after: Map) -> Difference:
     """What to tell so that `before` becomes `after`; in the order of addresses, the same at every node."""
-    added, gone, draining, changed = [], [], [], []
-    for address in sorted(after):
-        row, was = after[address], before.get(address)
+    added, draining, changed = [], [], []
+    names, old, new = EngineRow.FIGURES, dict(before), dict(after)
+    for address in sorted(new):
+        row, was = new[address], old.get(address)
         if was is None:
             added.append(row)
-        elif row is not was and row != was:
-            fields = tuple(f for f in FIELDS if getattr(row, f) != getattr(was, f))
+        elif row is not was and row.figures != was.figures:
+            x, y = row.figures, was.figures
+            fields = tuple([names[i] for i in range(len(names)) if x[i] != y[i]])
             if fields == ("state",) and row.state == "draining":
                 draining.append(row)
             else:
                 changed.append((row, fields))
-    for address in sorted(before):
-        if address not in after:
-            gone.append(before[address])
+    gone = [old[address] for address in sorted(old.keys() - new.keys())]
     return Difference(tuple(added), tuple(gone), tuple(draining), tuple(changed))
--- a/myrtlehub/membership/watched.py
+++ b/myrtlehub/membership/watched.py
@@ -11,8 +11,12 @@
 from myrtlehub.membership.judge import HOLD, REFUSE, SAME, TAKE, ListJudge, Verdict
 from myrtlehub.membership.source import Taker
 from myrtlehub.membership.store import StoreBroken, VersionStore
+from myrtlehub.membership.version import Version
 
 Log = Callable[..., None]
+# Work that may block, done where it does not hold up the node, and what to do with its result afterwards.
+Beside = Callable[[Callable[[], object], Callable[[object], None]], None]
+Reader = Callable[[Iterable[str], Path, bool, Callable[[files.Reading], None]], None]
 
 
 class WatchedList:
@@ -22,17 +26,17 @@
                  quiet: float, store: VersionStore | None = None, log: Log = lambda event, **more: None,
                  notify: Callable[[list[str], Callable[[], None]], None] = lambda paths, changed: None,
                  silent: Callable[[], frozenset[str]] = frozenset,
-                 aside: Callable[[Callable, Callable], None] = lambda work, then: then(work()),
-                 end_marked: bool = False) -> None:
+                 reader: Reader | None = None, end_marked: bool = False,
+                 beside: Beside = lambda work, then: then(work())) -> None:
         self.patterns, self.base, self.judge, self.clock = tuple(patterns), base, judge, clock
         self.poll, self.quiet, self.store, self.log = poll, quiet, store, log
         self.end_marked = end_marked
         self.notify, self.silent = notify, silent
-        # aside(work, then): do the work where it does not hold up the node, then go on here. Reading a
-        # list of
-        # thousands takes seconds; only what the judge lets through is done on the node's own turn.
-        self.aside = aside
-        self._busy = self._again = False
+        # Reading a list of thousands takes seconds: a reader may do it where it does not hold up the node.
+        self.reader = reader or (lambda names, base, marked, then: then(files.read(names, base, marked)))
+        self.beside = beside
+        self._busy = self._again = self._storing = False
+        self._to_store: Version | None = None
         self._take: Taker = lambda rows, whole, number, digest: None
         self._stamp: tuple = ()
         self._digest = ""
@@ -91,24 +95,26 @@
             self._again = True
             return
         self._busy = True
-        self.aside(self._work(self.clock.seconds(), self.silent()), self._looked)
-
-    def _work(self, now: float, silent: frozenset[str]) -> Callable[[], Verdict | None]:
-        def work() -> Verdict | None:
-            reading = files.read(self.patterns, self.base, self.end_marked)
-            if reading.digest != self._digest:
-                # Not the same as at the last look: it may be half-written. Look again after the quiet time.
-                self._digest = reading.digest
-                return None
-            return self._verdict(reading, now, silent)
-        return work
-
-    def _looked(self, verdict: Verdict | None) -> None:
+        self.reader(self.patterns, self.base, self.end_marked, self._looked)
+
+    def _looked(self, reading: files.Reading) -> None:
+        again, self._again, self._busy = self._again, False, False
+        if reading.digest != self._digest:
+            # Not the same as at the last look: it may be half-written. Look again after the quiet time.
+            self._digest, again = reading.digest, True
+        else:
+            self._busy = True
+            verdict = self._verdict(reading, self.clock.seconds(), self.silent())
+            self.clock.callLater(0, self._judged, verdict)  # a turn of its own: long lists take long
+        self._look_again(again)
+
+    def _judged(self, verdict: Verdict) -> None:
         self._busy = False
-        again, self._again = self._again or verdict is None, False
-        if verdict is not None:
-            self._act(verdict)
-            self.notify(self._paths(), self.changed)
+        self._act(verdict)
+        self.notify(self._paths(), self.changed)
+        self._look_again(self._again)
+
+    def _look_again(self, again: bool) -> None:
         if again and (self._looking is None or not self._looking.active()):
             self._looking = self.clock.callLater(self.quiet, self._look)
 
@@ -125,7 +131,7 @@
                                    f"no file is there for {', '.join(self.patterns)}; the last list stays")
         if reading.faults:
             return self.judge.refuse(now, source, "; ".join(reading.faults))
-        return self.judge.read(now, reading.rows, source, silent=silent)
+        return self.judge.read(now, reading.rows, source, silent=silent, digest=reading.content)
 
     def _act(self, verdict: Verdict) -> None:
         if verdict.again_at < float("inf") and self._looking is None:
@@ -141,15 +147,33 @@
         version = verdict.version
         self.log("list taken", version=version.number, digest=version.digest, engines=len(version.engines),
                  added=len(verdict.change.added), gone=len(verdict.change.gone), old=version.old)
-        if self.store is not None and not version.old:
-            try:
-                self.store.keep(version)
-            except StoreBroken as fault:
-                self.log("list not stored", why=str(fault))
         if not verdict.change:
             self._take(list(version.engines.values()), True, version.number, version.digest)
         else:
             self._take(verdict.change.rows(), False, version.number, version.digest)
+        if self.store is not None and not version.old:
+            self._to_store = version
+            self._store()
+
+    def _store(self) -> None:
+        """Beside the node's turn, one version at a time; of those that came meanwhile the newest will do."""
+        if self._storing or self._to_store is None:
+            return
+        version, self._to_store, self._storing = self._to_store, None, True
+        self.beside(lambda: self._kept(version), self._stored_it)
+
+    def _kept(self, version: Version) -> str:
+        try:
+            self.store.keep(version)
+        except StoreBroken as fault:
+            return str(fault)
+        return ""
+
+    def _stored_it(self, why: str) -> None:
+        self._storing = False
+        if why:
+            self.log("list not stored", why=why)
+        self._store()
 
     def _stored(self) -> tuple | None:
         try:
--- a/myrtlehub/node/door.py
+++ b/myrtlehub/node/door.py
@@ -49,39 +49,48 @@
         self.at: dict[str, int] = {}
         self.rows: list[EngineRow] = []
         self._uses: list[int] = []
+        self._marks: list[int] = []  # a number of the address, the same at every node
         self._gone: set[int] = set()
         self._free: list[int] = []
 
     def listings(self, rows: Iterable[EngineRow], whole: bool, kinds: dict[str, int], zones: dict[str, int],
                  now: float) -> list[itf.Listing]:
         """News of the list as listings, in order; engines it removes are remembered until they are unused."""
-        listings, seen = [], set()
+        listings, seen, at = [], set(), self.at
         for row in rows:
             row = served(row)
-            state = STATES[row.state]
-            fresh = row.address not in self.at
-            if fresh and state == itf.GONE:
-                continue
+            address, kind, zone, cell, weight, word, age = row.figures
+            state, index = STATES[word], at.get(address)
+            fresh = index is None
             if fresh:
-                if self._free:
-                    index = self._free.pop(0)
-                    self.rows[index] = row
-                else:
-                    index = len(self.rows)
-                    self.rows.append(row)
-                    self._uses.append(0)
-                self.at[row.address] = index
-            index = self.at[row.address]
-            self.rows[index] = row
+                if state == itf.GONE:
+                    continue
+                index = at[address] = self._new(row)
+            else:
+                self.rows[index] = row
             seen.add(index)
-            (self._gone.add if state == itf.GONE else self._gone.discard)(index)
-            listings.append(itf.Listing(
-                index, fresh, state, kinds[row.kind], zones[row.zone], row.cell,
-                now - row.age if row.age else 0.0, row.weight, crc32(row.address.encode())))
+            if state == itf.GONE:
+                self._gone.add(index)
+            else:
+                self._gone.discard(index)
+            listings.append(itf.Listing(index, fresh, state, kinds[kind], zones[zone], cell,
+                                        now - age if age else 0.0, weight, self._marks[index]))
         if whole:
             self._gone.update(i for i in self.at.values() if i not in seen)
         return listings
 
+    def _new(self, row: EngineRow) -> int:
+        """An index for an engine that had none."""
+        mark = crc32(row.address.encode())
+        if self._free:
+            index = self._free.pop(0)
+            self.rows[index], self._marks[index] = row, mark
+            return index
+        self.rows.append(row)
+        self._uses.append(0)
+        self._marks.append(mark)
+        return len(self.rows) - 1
+
     def sweep(self) -> list[str]:
         """Forget engines that are gone and unused; their addresses."""
         over = [i for i in sorted(self._gone) if not self._uses[i]]
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -136,17 +136,18 @@
 
     def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
         """A change to the list, or the whole of it, as one call to the module; `number` is its version's."""
-        before = {a: self.door.engines.rows[i].state for a, i in self.door.engines.at.items()}
-        listings = self.door.engines.listings(rows, whole, self.door.kinds, self.door.zones,
-                                              self.clock.seconds())
+        engines = self.door.engines
+        at = engines.at
+        before = {r.address: engines.rows[at[r.address]].state for r in rows if r.address in at}
+        left = set(at).difference(r.address for r in rows) if whole else ()
+        listings = engines.listings(rows, whole, self.door.kinds, self.door.zones, self.clock.seconds())
         self.list_version = number or self.list_version + 1
         self.list_label = f"{self.list_version}-{digest[:16]}" if digest else str(self.list_version)
         for row in rows:
             if before.get(row.address, "gone") != row.state:
                 self.log("engine", engine=row.address, standing=row.state, list_version=self.list_version)
-        if whole:
-            for address in sorted(before.keys() - {r.address for r in rows}):
-                self.log("engine", engine=address, standing="gone", list_version=self.list_version)
+        for address in sorted(left):
+            self.log("engine", engine=address, standing="gone", list_version=self.list_version)
         self._say("engines", listings, whole)
         for address in self.door.engines.sweep():
             self.carrier.forget(address)
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -32,7 +32,8 @@
                  log: Callable[..., None] = lambda event, **more: None,
                  host_class: type[Host] = Host, base: Path = Path("."),
                  notify: Callable = lambda paths, changed: None,
-                 aside: Callable = lambda work, then: then(work())) -> None:
+                 reader: Callable | None = None,
+                 beside: Callable = lambda work, then: then(work())) -> None:
         self.sheet, self.clock, self.log = sheet, clock, log
         node, terms = sheet.node, terms_of(sheet)
         self.links = Links(clock, dial, node.name, Random(node.seed + 1), node.connect_timeout)
@@ -44,13 +45,14 @@
         self.front = ChatFront(self.host, node.most_sequences, node.max_wait)
         self.front.serve(self.server)
         self.admin = Server(clock)
-        self.source = self._source(base, notify, aside)
+        self.source = self._source(base, notify, reader, beside)
         NodeAdmin(self.host, sheet, self.source).serve(self.admin)
         self.host.reread_list = self.source.reread
         self.host.start()
         self.source.follow(self.host.list_news)
 
-    def _source(self, base: Path, notify: Callable, aside: Callable) -> StaticList | WatchedList:
+    def _source(self, base: Path, notify: Callable, reader: Callable | None,
+                beside: Callable) -> StaticList | WatchedList:
         part, sheet = self.sheet.list, self.sheet
         if not part.files:
             return StaticList(part.engines)
@@ -62,7 +64,7 @@
             {k.name: k for k in sheet.kinds}, sheet.zones, sheet.engines_may.read_alone)
         store = VersionStore(base / part.store) if part.store else None
         return WatchedList(part.files, base, judge, self.clock, part.poll, part.quiet, store, self.log,
-                           notify, self.links.silent, aside, part.end_marked)
+                           notify, self.links.silent, reader, part.end_marked, beside)
 
     def measure_lag(self) -> None:
         """Beat from here on, so that the door knows how late this process runs."""
