--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -8,7 +8,6 @@
 import tempfile
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from random import Random
 
 import click
 from hdrh.histogram import HdrHistogram
@@ -76,18 +75,19 @@
     def sent(self, attempt: object) -> None:
         """An attempt leaves for an engine."""
         now = CLOCK.seconds()
+        self.latest = attempt.engine
         if attempt.engine == self.index_without:
             self.last_sent = now
         if self.wanted is not None and self.node.host.list_version > self.version:
             self.version, wanted, self.wanted = self.node.host.list_version, self.wanted, None
             wanted.callback(now)
 
-    index_without = -1
+    index_without = latest = -1
 
     @inlineCallbacks
     def play(self) -> Iterator:
         """All rounds."""
-        path, random, listening = self.folder / "engines.yaml", Random(1), []
+        path, listening = self.folder / "engines.yaml", []
         path.write_text(text(self.count, 1, -1))
         for i in range(4):
             sheet = StandSheet(name=f"s{i}", listen=f"127.0.0.1:{self.ports[1 + i]}", writes=True, slots=400,
@@ -115,13 +115,13 @@
         beat.start(0.001)
         yield deferLater(reactor, 1.0, lambda: None)
         for i in range(self.rounds):
-            # the engine that drains is one that was just sent to: the worst case
-            self.without = random.randrange(min(self.count, 50))
-            self.index_without = node.host.door.engines.at[address(self.without)]
             self.last_sent, self.wanted = 0.0, Deferred()
             self.beat_at, self.worst = CLOCK.seconds(), 0.0
             yield deferLater(reactor, 0.6, lambda: None)
             self.calm.record_value(int(self.worst * 1e6) or 1)
+            # the engine that drains is the one that was just sent to: the worst case
+            self.index_without = self.latest
+            self.without = int(node.host.door.engines.rows[self.latest].address[1:-2])
             at = CLOCK.seconds()
             path.with_name("new").write_text(text(self.count, 2 + i, self.without))
             path.with_name("new").rename(path)
--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -19,6 +19,7 @@
     """One traffic type."""
 
     name: Name
+    front: Literal["chat", "embed", "rank"] = "chat"
     repeats: Literal["repeatable", "tokened", "once-only"]
     latency_slo: Duration
     slo_per_1000_tokens: Duration = 0.0
@@ -44,12 +45,20 @@
     name: Name
     reads: bool = False
     writes: bool = False
+    embeds: bool = False
+    ranks: bool = False
     memory: Tokens = 0.0
+    batch: Tokens = 16000.0  # of one part of a batch, at most
+    batch_items: Annotated[int, Field(ge=1)] = 256
+
+    def does(self, front: str) -> bool:
+        """Whether it has work of this front."""
+        return {"chat": self.reads or self.writes, "embed": self.embeds, "rank": self.ranks}[front]
 
     @model_validator(mode="after")
     def _sound(self) -> Self:
-        if not (self.reads or self.writes):
-            raise ValueError("a kind that neither reads nor writes; set reads or writes to yes")
+        if not any(self.does(f) for f in ("chat", "embed", "rank")):
+            raise ValueError("a kind that does nothing; set reads, writes, embeds or ranks to yes")
         return self
 
 
@@ -70,12 +79,15 @@
     weight: NotNegative = 1.0  # 0 drains
     state: Literal["serving", "draining", "gone"] = "serving"
     age: Duration = 0.0
-    FIGURES: ClassVar[tuple[str, ...]] = ("address", "kind", "zone", "cell", "weight", "state", "age")
+    model: str = ""  # version of what embeds or ranks there
+    FIGURES: ClassVar[tuple[str, ...]] = (
+        "address", "kind", "zone", "cell", "weight", "state", "age", "model")
 
     @cached_property
     def figures(self) -> tuple:
         """All of it, in the order of FIGURES: lists of thousands are compared by it."""
-        return (self.address, self.kind, self.zone, self.cell, self.weight, self.state, self.age)
+        return (self.address, self.kind, self.zone, self.cell, self.weight, self.state, self.age,
+                self.model)
 
     def having(self, **figures: object) -> "EngineRow":
         """The same with some figures replaced. Not `model_copy`, which would take the old `figures` along."""
@@ -133,6 +145,18 @@
     end: bool = False  # the file's last line, where list.end_marked asks for it
 
 
+class BatchGroup(Sheet):
+    """Batches: how they are cut, gathered and kept."""
+
+    least_part: Tokens = 2000.0  # below this a part costs more to send than it saves
+    gather: Duration = 0.004  # small requests wait so long at most for company; 0: never
+    gather_tokens: Tokens = 1000.0  # a group of this size goes at once
+    gather_items: Annotated[int, Field(ge=1)] = 32
+    gather_left: Share = 0.8  # of a request's time left, that must be there still when it goes
+    keep: Size = 64 * 2**20  # bytes of kept vectors, over all tenants; 0: none
+    most_items: Annotated[int, Field(ge=1)] = 4096  # of one request
+
+
 class Confirm(Sheet):
     """When a change that takes away much is believed."""
 
@@ -172,6 +196,7 @@
     tenants: list[TenantRow] = []
     rules: RulesGroup
     engines_may: EnginesMay = EnginesMay()
+    batches: BatchGroup = BatchGroup()
     list: ListGroup
 
     @model_validator(mode="after")
@@ -187,6 +212,9 @@
             twice = sorted({n for n in names if names.count(n) > 1})
             if twice:
                 raise ValueError(f"{what}: {', '.join(twice)} named more than once")
+        for t in self.traffic:
+            if not any(k.does(t.front) for k in self.kinds):
+                raise ValueError(f"traffic {t.name}: no kind has work of the front {t.front!r}; add one")
         check_engines(self, self.list.engines)
         if self.list.files and (self.list.engines or self.list.pushed):
             raise ValueError("list.files: the list comes from files alone; drop list.engines and list.pushed")
@@ -226,6 +254,16 @@
     listen: Address
     reads: bool = False
     writes: bool = False
+    embeds: bool = False
+    ranks: bool = False
+    model: str = "m1"  # version of what embeds or ranks
+    dimensions: Annotated[int, Field(ge=1)] = 16
+    batch_base: Duration = 0.006  # of each batch, however small
+    batch_rate: Annotated[float, Field(gt=0)] = 60000.0  # tokens a second, a batch alone
+    batch_slots: Annotated[int, Field(ge=1)] = 1  # batches at a time
+    batch_queue: Annotated[int, Field(ge=0)] = 16
+    batch_drag: NotNegative = 0.5  # by which a batch makes the steps of streams beside it longer
+    longest_input: Tokens = 8192.0
     slots: Annotated[int, Field(ge=1)] = 8
     queue: Annotated[int, Field(ge=0)] = 32
     memory: Tokens = 200000.0
@@ -248,6 +286,6 @@
 
     @model_validator(mode="after")
     def _sound(self) -> Self:
-        if not (self.reads or self.writes):
-            raise ValueError("a stand-in that neither reads nor writes; set reads or writes to yes")
+        if not (self.reads or self.writes or self.embeds or self.ranks):
+            raise ValueError("a stand-in that does nothing; set reads, writes, embeds or ranks to yes")
         return self
--- a/myrtlehub/emulator/model.py
+++ b/myrtlehub/emulator/model.py
@@ -7,6 +7,7 @@
 behind experiments without any. Calls return events, tuples with a verb first:
 
     ("read", key, kept, tokens)      a prompt is read; its state is held
+    ("batched", key)                 a batch is done
     ("fetch", key)                   a writer has a slot and memory: fetch the state now, then call `fetched`
     ("ran", key)                     an answer begins to be made: from here on it has had its effect
     ("tokens", key, count)           tokens of a stream
@@ -46,6 +47,11 @@
     state_bound: float = 3.0
     dedup_window: float = 5.0
     begin: float = 0.0  # from a state to the first step of its answer
+    batch_base: float = 0.006
+    batch_rate: float = 60000.0
+    batch_slots: int = 1
+    batch_queue: int = 16
+    batch_drag: float = 0.5
 
 
 class Task(NamedTuple):
@@ -83,6 +89,8 @@
         self.states: OrderedDict[str, tuple[float, float]] = OrderedDict()  # seq: tokens, held since
         self.running: OrderedDict[object, Running] = OrderedDict()
         self.write_queue: deque[Running] = deque()
+        self.batch_queue: deque[tuple[object, float, float]] = deque()  # key, tokens, until
+        self.batching: dict[object, tuple[float, float]] = {}  # key: ready at, tokens
         self.kept: OrderedDict[str, float] = OrderedDict()
         self.marks: OrderedDict[str, float] = OrderedDict()
         self.held = 0.0
@@ -113,7 +121,7 @@
         elif how == "error":
             self.erring = factor or 1.0
         else:
-            raise ValueError(f"{how!r} is not one of hang, refuse, error, slow, flush, break, well")
+            raise ValueError(f"{how!r} is not one of hang, refuse, error, slow, flush, break, model, well")
         self.well_at = now + seconds if seconds else NEVER
 
     # -- calls ------------------------------------------------------------------------------------
@@ -152,6 +160,32 @@
         self.write_queue.append(Running(key, task, total, fetches))
         return self.tick(now)
 
+    def batch(self, now: float, key: object, tokens: float, until: float = NEVER) -> list[tuple]:
+        """A part of a batch: all its items in one go."""
+        out = self._arrived(now, key, tokens / self.m.batch_rate)
+        if out is not None:
+            return out
+        if len(self.batch_queue) >= self.m.batch_queue:
+            return [("refused", key, False)]
+        self.batch_queue.append((key, tokens, until))
+        return self.tick(now)
+
+    def _do_batches(self, now: float, out: list[tuple]) -> None:
+        for key, (ready, _) in list(self.batching.items()):
+            if ready <= now + 1e-9:
+                del self.batching[key]
+                out.append(("batched", key))
+        while self.batch_queue and len(self.batching) < self.m.batch_slots:
+            key, tokens, until = self.batch_queue.popleft()
+            if now > until:
+                out.append(("expired", key))
+                continue
+            # Streams beside it take their part of the machine.
+            beside = 1.0 + self.m.batch_drag * len(self.running) / self.m.slots
+            takes = (self.m.batch_base + tokens / self.m.batch_rate * beside) * self.slow / self.capacity(now)
+            self.batching[key] = (now + takes, tokens)
+            out.append(("ran", key))
+
     def _arrived(self, now: float, key: object, work: float) -> list[tuple] | None:
         """Load of what reaches us, refused or not; the answer where it is not taken."""
         if self.fallen:
@@ -196,6 +230,8 @@
                 self.write_queue.remove(stream)
         if key in self.running:
             self._drop(self.running[key])
+        self.batch_queue = deque(b for b in self.batch_queue if b[0] != key)
+        self.batching.pop(key, None)
         return self.tick(now)
 
     def release(self, now: float, seq: str, why: str = "released") -> list[tuple]:
@@ -224,7 +260,8 @@
                                                                  _ in self.reading.values())
         unread += sum(s.task.prompt for s in self.write_queue)
         unread += sum(s.task.prompt for s in self.running.values() if not s.ran)
-        return {"memory_share": self.held / self.m.memory, "unread": unread}
+        batches = sum(t for _, t, _ in self.batch_queue) + sum(t for _, t in self.batching.values())
+        return {"memory_share": min(1.0, (self.held + batches) / self.m.memory), "unread": unread + batches}
 
     # -- time -------------------------------------------------------------------------------------
 
@@ -241,7 +278,7 @@
         for stream in self.running.values():
             if not stream.ran:
                 soonest = min(soonest, stream.ready_at)
-        return soonest
+        return min(soonest, min((ready for ready, _ in self.batching.values()), default=NEVER))
 
     def tick(self, now: float) -> list[tuple]:
         """All that is due by now."""
@@ -260,6 +297,7 @@
         self._start_writes(now, out)
         if now >= self.step_at - 1e-9:
             self._step(now, out)
+        self._do_batches(now, out)
         return out
 
     def _finish_reads(self, now: float, out: list[tuple]) -> None:
@@ -302,6 +340,7 @@
                 continue
             stream.kept = self._found(stream.task)
             takes = (stream.task.prompt - stream.kept) / self.m.read_rate * self.slow
+            takes *= 1.0 + self.m.batch_drag * len(self.batching)
             stream.ready_at = now + takes
             if self.step_at != NEVER:
                 self.step_at += takes  # its own reading holds up the streams that run
@@ -333,7 +372,7 @@
             self.write_queue.appendleft(newest)
         self._start_writes(now, out)
         busy = sum(1 for s in self.running.values() if s.ran)
-        crowd = 1.0 + self.m.step_crowd * busy / self.m.slots
+        crowd = 1.0 + self.m.step_crowd * busy / self.m.slots + self.m.batch_drag * len(self.batching)
         self.step_at = now + self.m.step * crowd * self.slow if busy else NEVER
 
     def _drop(self, stream: Running) -> None:
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -7,6 +7,7 @@
 
 from myrtlehub.config.sheets import StandSheet
 from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
+from myrtlehub.emulator.vectors import score_of, vector_of
 from myrtlehub.lab.records import Recorder
 from myrtlehub.proto import chat_pb2 as chat
 from myrtlehub.proto import engine_pb2 as pb
@@ -35,6 +36,7 @@
         self.fetching: Channel | None = None
         self.stopped = False
         self.ran = False
+        self.batch: pb.BatchRequest | None = None
         self.breaks_after = 0  # tokens; 0: it does not
         self.node = first(call.metadata, "myrtle-node")
 
@@ -85,11 +87,13 @@
         self.server = Server(clock)
         self.channels: dict[str, Channel] = {}
         self.jobs: set[_Job] = set()
+        self.model_name = sheet.model
         self._timer = None
         self._timer_at = NEVER
         for name, handler in (("Read", unary(self._read)), ("Write", server_stream(self._write)),
                               ("Release", unary(self._release)), ("Fetch", server_stream(self._fetch))):
             self.server.add(SERVICE + name, handler)
+        self.server.add(SERVICE + "Batch", server_stream(self._batch))
         self.server.add("/myrtlehub.v1.Stand/Misbehave", unary(self._misbehave))
         m = self.model.m
         recorder.note("up", address=sheet.listen, cold=sheet.cold, slots=m.slots, cold_share=m.cold_share,
@@ -130,6 +134,56 @@
         self.act(self.model.write(self.clock.seconds(), job, self._task(job.work), state is not None))
         return job
 
+    def _batch(self, call: ServerCall, data: bytes) -> Receiver:
+        request = pb.BatchRequest.FromString(data)
+        if not {"embed": self.sheet.embeds, "rank": self.sheet.ranks}.get(request.task):
+            raise RpcError(Code.FAILED_PRECONDITION, f"this engine has no work {request.task!r}")
+        tokens = sum(i.tokens for i in request.items) + len(request.items) * request.work.shared_tokens
+        job = _Job(self, call, request.work, False, None)
+        job.batch = request
+        job.note("got", reads=False, node=job.node, mark=request.work.mark, traffic=request.work.traffic_type,
+                 list=first(call.metadata, "myrtle-list"), hung=self.model.hung, items=len(request.items),
+                 work=tokens / self.model.m.batch_rate)
+        self.jobs.add(job)
+        if request.model and request.model != self.model_name:
+            self.act([("refused", job, False)])
+            return job
+        work = request.work
+        until = self.clock.seconds() + work.first_within_ms / 1000.0 if work.first_within_ms else NEVER
+        self.act(self.model.batch(self.clock.seconds(), job, tokens, until))
+        return job
+
+    def _on_batched(self, job: _Job) -> None:
+        """Results in pieces, the longest inputs with an error of their own, then the end."""
+        request, results = job.batch, []
+        for index, item in enumerate(request.items):
+            if item.tokens > self.sheet.longest_input:
+                results.append(pb.ItemResult(index=index, error=f"{item.tokens} tokens are more than the "
+                                             f"{self.sheet.longest_input:g} that {self.model_name} takes"))
+            elif request.task == "embed":
+                size = request.dimensions or self.sheet.dimensions
+                results.append(pb.ItemResult(index=index, vector=vector_of(
+                    item.text, self.model_name, size, request.normalise)))
+            else:
+                results.append(pb.ItemResult(index=index, score=score_of(
+                    request.query, item.text, self.model_name)))
+        half = len(results) // 2
+        for piece in (results[:half], results[half:]):
+            if piece:
+                job.call.send(pb.BatchReply(items=pb.ItemResults(results=piece)).SerializeToString())
+            if self.hits("break_stream"):
+                job.stopped = True
+                self.jobs.discard(job)
+                job.note("broken")
+                self.clock.callLater(0, job.call.stream.reset, 2)
+                return
+        job.stopped = True
+        self.jobs.discard(job)
+        job.note("ended", tokens=len(results))
+        job.call.send(pb.BatchReply(ended=pb.BatchEnded(
+            model=self.model_name, load=self._load())).SerializeToString())
+        job.call.finish()
+
     def _release(self, call: ServerCall, data: bytes) -> bytes:
         seq = pb.ReleaseRequest.FromString(data).sequence
         tokens = self.model.state_tokens(seq)
@@ -173,7 +227,9 @@
     def _misbehave(self, call: ServerCall, data: bytes) -> bytes:
         asked = pb.Misbehaviour.FromString(data)
         self.recorder.note("misbehaves", how=asked.how, factor=asked.factor, seconds=asked.seconds)
-        if asked.how == "break":
+        if asked.how == "model":
+            self.model_name = asked.model
+        elif asked.how == "break":
             for job in sorted((j for j in self.jobs if j.ran), key=lambda j: j.work.sequence):
                 if self.random.random() < (asked.factor or 1.0):
                     job.note("broken")
@@ -231,7 +287,7 @@
     def _on_ran(self, job: _Job) -> None:
         job.ran = True
         job.note("ran", mark=job.work.mark, traffic=job.work.traffic_type)
-        if self.hits("break_stream"):
+        if job.batch is None and self.hits("break_stream"):
             job.breaks_after = self.random.randint(1, 10)
 
     def _on_tokens(self, job: _Job, count: int) -> None:
@@ -255,7 +311,11 @@
         self.jobs.discard(job)
         job.note("refused", no_state=no_state)
         refused = pb.Refused(no_state=no_state, load=self._load())
-        if job.reads:
+        if job.batch is not None:
+            refused.model = self.model_name
+            job.call.send(pb.BatchReply(refused=refused).SerializeToString())
+            job.call.finish()
+        elif job.reads:
             job.answer.callback(pb.ReadReply(refused=refused).SerializeToString())
         else:
             job.call.send(pb.WriteReply(refused=refused).SerializeToString())
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -40,13 +40,14 @@
 def draw(scenario: Scenario, rate: float, random: Random) -> list[Wanted]:
     """All sequences of a day, by the time of their arrival."""
     wanted, at, count = [], 0.0, 0
+    rows = [t for t in scenario.traffic if t.front == "chat"]
     sessions: dict[str, list[tuple[str, int, str, int]]] = {}
     while True:
         at += random.expovariate(rate)
         if at >= scenario.length:
             return wanted
         count += 1
-        row = random.choices(scenario.traffic, [t.share for t in scenario.traffic])[0]
+        row = random.choices(rows, [t.share for t in rows])[0]
         prefix = f"{row.name}-{min(int(random.expovariate(0.7)), row.prefixes - 1)}" if row.prefixes else ""
         shared = row.shared[0] + (hash_of(prefix) % (row.shared[1] - row.shared[0] + 1) if prefix else 0)
         open_sessions = sessions.setdefault(row.name, [])
@@ -175,7 +176,7 @@
                          for name, dial in nodes.items()}
         self.names = sorted(nodes)
         self.wanted = draw(scenario, rate, random)
-        self.tallies = {t.name: Tally() for t in scenario.traffic}
+        self.tallies = {t.name: Tally() for t in scenario.traffic if t.front == "chat"}
         self.open = 0
         self.asked = 0
         self.on_quiet: Callable[[], None] = lambda: None
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -19,12 +19,13 @@
 from twisted.python.failure import Failure
 
 from myrtlehub.config.sheets import RulesGroup
+from myrtlehub.lab.batches import BatchClients
 from myrtlehub.lab.cases import CaseCounter
 from myrtlehub.lab.checker import RULES, SLACK, Checker, check
 from myrtlehub.lab.clients import ClientFleet
 from myrtlehub.lab.lists import ListWatch, ListWriter
 from myrtlehub.lab.records import Record, Recorder, read
-from myrtlehub.lab.scenario import FaultRow, MachineGroup, Scenario
+from myrtlehub.lab.scenario import KINDS, FaultRow, MachineGroup, Scenario
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.proto import admin_pb2, engine_pb2
 from myrtlehub.rpc.channel import Channel
@@ -115,8 +116,9 @@
         self.admin = {n: f"{HOST}:{p}" for n, p in zip(names, ports[len(names):], strict=True)
                       if n[:4] == "node"}
         self.engines = [n for n in names if n not in self.admin]
-        self.cell = {n: i % scenario.fleet.cells for kind in ("reader", "writer")
+        self.cell = {n: i % scenario.fleet.cells for kind in KINDS
                      for i, n in enumerate(n for n in names if n.startswith(kind))}
+        self.model = dict.fromkeys(self.engines, "m1")
         self.running: dict[str, Process] = {}
         self.runs: Counter[str] = Counter()
         self.expected_dead: set[Process] = set()
@@ -125,6 +127,7 @@
         self.recorder = Recorder("day", self.clock, folder / "day.rec")
         self.channels: dict[str, Channel] = {}
         self.clients: ClientFleet | None = None
+        self.batches: BatchClients | None = None
         self.started = 0.0
         self.writers = [] if scenario.list_files is None else [
             ListWriter(n, folder / f"list-{n}", scenario.list_files, self.clock, Random(self.random.random()),
@@ -165,15 +168,17 @@
         return code
 
     def _engine_file(self, name: str, cold: bool) -> dict:
-        machine = self.s.reader if name.startswith("reader") else self.s.writer
+        kind = name.split("-")[0]
+        machine = {"reader": self.s.reader, "embedder": self.s.batcher, "ranker": self.s.batcher}.get(
+            kind, self.s.writer)
         rules = self.s.rules
         return {
-            "name": name, "listen": self.address[name], "reads": name.startswith("reader"),
-            "writes": name.startswith("writer"), "cold": cold, "cold_share": rules.cold_share,
+            "name": name, "listen": self.address[name], **KINDS[kind], "model": self.model[name],
+            "cold": cold, "cold_share": rules.cold_share,
             "cold_time": f"{rules.cold_time}s", "fall_multiple": rules.fall_multiple,
             "fall_time": f"{rules.fall_time}s", "seed": self.seed * 1000 + self.engines.index(name),
             "records": str(self.folder / f"{name}.{self.runs[name]}.rec"),
-            **units(machine, ("step", "begin"), ("memory", "kept"))}
+            **units(machine, ("step", "begin", "batch_base"), ("memory", "kept"))}
 
     def _node_file(self, name: str) -> dict:
         s, index = self.s, int(name.split("-")[1]) - 1
@@ -184,11 +189,16 @@
             "node": {"name": name, "listen": self.address[name], "admin": self.admin[name], "index": index,
                      "nodes": s.fleet.nodes, "zone": "north", "seed": self.seed * 100 + index},
             "traffic": rows, "zones": ["north"], "tenants": [t.model_dump() for t in s.tenants],
-            "kinds": [{"name": "reader", "reads": True, "memory": f"{s.reader.memory:.0f} tokens"},
-                      {"name": "writer", "writes": True, "memory": f"{s.writer.memory:.0f} tokens"}],
+            "kinds": [{"name": kind, **does, "memory": f"{group.memory:.0f} tokens"}
+                      for kind, does, group in self._kinds()],
             "rules": units(s.rules, ("answer_slack", "drain_grace", "let_go", "cold_time", "fall_time")),
             "list": self._list_of(name)}
 
+    def _kinds(self) -> Iterator[tuple[str, dict, MachineGroup]]:
+        used = {e.split("-")[0] for e in self.engines}
+        groups = {"reader": self.s.reader, "embedder": self.s.batcher, "ranker": self.s.batcher}
+        return ((k, does, groups.get(k, self.s.writer)) for k, does in KINDS.items() if k in used)
+
     def _list_of(self, node: str) -> dict:
         files = self.s.list_files
         if files is None:
@@ -201,7 +211,11 @@
         state, started = self.standing[engine]
         age = self.clock.seconds() - started if started else 0.0
         return {"address": self.address[engine], "kind": engine.split("-")[0], "zone": "north",
-                "cell": self.cell[engine], "state": state, "age": f"{age:.6f}s"}
+                "cell": self.cell[engine], "state": state, "age": f"{age:.6f}s", **self._model_of(engine)}
+
+    def _model_of(self, engine: str) -> dict:
+        does = KINDS[engine.split("-")[0]]
+        return {"model": self.model[engine]} if "embeds" in does or "ranks" in does else {}
 
     def _listed(self) -> list[dict]:
         return [self._row(e) for e in self.engines if self.standing[e][0] != "gone"]
@@ -228,7 +242,7 @@
         age = self.clock.seconds() - started if started else 0.0
         news = admin_pb2.ListNews(engines=[admin_pb2.ListedEngine(
             address=self.address[engine], kind=engine.split("-")[0], zone="north", cell=self.cell[engine],
-            state=state, age=age)])
+            state=state, age=age, **self._model_of(engine))])
         done = self._channel(self.admin[node]).unary(
             "/myrtlehub.v1.NodeAdmin/PushList", news.SerializeToString(), timeout=2.0)
         done.addCallbacks(
@@ -252,9 +266,13 @@
                 if row.lasts:
                     self.clock.callLater(row.lasts, self.news, name, "serving")
             else:
+                if row.do == "model":
+                    self.model[name] = "m2"
+                    self.news(name, "serving")
                 done = self._channel(self.address[name]).unary(
                     "/myrtlehub.v1.Stand/Misbehave", engine_pb2.Misbehaviour(
-                        how=row.do, factor=row.factor, seconds=row.lasts).SerializeToString(), timeout=2.0)
+                        how=row.do, factor=row.factor, seconds=row.lasts,
+                        model=self.model[name]).SerializeToString(), timeout=2.0)
                 done.addErrback(lambda failure, name=name: self.unclean.append(
                     f"{name} could not be told to misbehave: {failure.getErrorMessage()}"))
 
@@ -303,8 +321,12 @@
             recorder = Recorder("client", self.clock, self.folder / "client.rec")
             clients = self.clients = ClientFleet(s, self.clock, {
                 n: self.dial(self.address[n]) for n in self.admin}, recorder, self.random, self.rate)
+            batches = self.batches = BatchClients(s, self.clock, {
+                n: self.dial(self.address[n]) for n in self.admin}, recorder, self.random, s.batch_rate,
+                clients.behind)
             self.started = self.clock.seconds()
             clients.start()
+            batches.start()
             for row in s.faults:
                 self.clock.callLater(row.at, self.fault, row)
             progress = LoopingCall(self._progress)
@@ -314,17 +336,12 @@
                 writer.stop()
             yield deferLater(self.reactor, LAST_LIST, lambda: None)
             self.say(f"no more is asked; {clients.open} open")
-            quiet = Deferred()
-            clients.on_quiet = lambda: None if quiet.called else quiet.callback(None)
-            limit = self.clock.callLater(s.clients.whole + 5.0, clients.on_quiet)
-            if not clients.open:
-                clients.on_quiet()
-            yield quiet
-            if limit.active():
-                limit.cancel()
+            for fleet in (clients, batches):
+                yield self._quiet(fleet)
             progress.stop()
             yield deferLater(self.reactor, s.rules.let_go + 0.3, lambda: None)  # what is left pinned shows
             clients.close()
+            batches.close()
             recorder.close()
         finally:
             yield self._end()
@@ -332,6 +349,16 @@
         self.recorder.close()
         return self.verdict()
 
+    def _quiet(self, fleet: ClientFleet | BatchClients) -> Deferred:
+        """Fires once its last try is over, or is long past its time."""
+        quiet = Deferred()
+        fleet.on_quiet = lambda: None if quiet.called else quiet.callback(None)
+        limit = self.clock.callLater(self.s.clients.whole + 5.0, fleet.on_quiet)
+        quiet.addCallback(lambda ignored: limit.active() and limit.cancel())
+        if not fleet.open:
+            fleet.on_quiet()
+        return quiet
+
     @inlineCallbacks
     def _end(self) -> Iterator:
         for channel in self.channels.values():
@@ -365,9 +392,10 @@
         self.lists.finish(checker.now)
         return {
             "seed": self.seed,
-            "kept": not (checker.breaches or self.unclean or self.lists.breaches),
+            "kept": not (checker.breaches or self.unclean or self.lists.breaches or self.batches.faults),
             "rules": rules_of(checker),
             "lists": self._lists_figures(),
+            "batches": self.batches.figures() if self.batches.wanted else None,
             "unclean": self.unclean,
             "attempts": dict(sorted(self.seen.items())), "cases": dict(self.cases.counts),
             "cancels": self.cases.cancels(), "excused": checker.excused,
@@ -417,6 +445,13 @@
                      f"itself ran up to {verdict['client_behind']:.2f} s behind")
     if verdict["lists"]:
         lines += [*lists_as_text(verdict["lists"])]
+    if verdict["batches"]:
+        b = verdict["batches"]
+        lines.append(f"batches: {b['batches']} in {b['tries']} tries, {b['items']} items checked, "
+                     f"{b['kept']} of them kept from before, {len(b['faults'])} answers wrong")
+        lines += [f"    {text}" for text in b["faults"][:5]]
+        lines += [f"    {name}: " + ", ".join(f"{n} {a}" for a, n in sorted(answers.items()))
+                  for name, answers in sorted(b["answers"].items())]
     lines += ["", "schedule attempts: " + ", ".join(f"{n} {k}" for k, n in verdict["attempts"].items()), ""]
     lines.append(f"{'traffic type':<14}{'seqs':>6}{'tries':>7}{'generated':>11}{'rejected':>10}{'aborted':>9}"
                  f"{'other':>7}{'first token p50/p99':>22}{'per token p50/p99':>20}{'goodput':>9}")
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -10,7 +10,11 @@
 
 Count = Annotated[int, Field(ge=1)]
 Span = Annotated[list[int], Field(min_length=2, max_length=2)]
-WELL_KNOWN = ("hang", "refuse", "error", "slow", "flush", "break")
+
+# What engines of each name do, as their files and the nodes' say it.
+KINDS = {
+    "reader": {"reads": True}, "writer": {"writes": True}, "mixed": {"writes": True, "embeds": True},
+    "embedder": {"embeds": True}, "ranker": {"ranks": True}}
 
 
 class FleetGroup(Sheet):
@@ -19,6 +23,9 @@
     nodes: Count = 1
     readers: Annotated[int, Field(ge=0)] = 1
     writers: Count = 1
+    mixed: Annotated[int, Field(ge=0)] = 0  # that write and embed
+    embedders: Annotated[int, Field(ge=0)] = 0
+    rankers: Annotated[int, Field(ge=0)] = 0
     cells: Count = 1
 
 
@@ -34,6 +41,11 @@
     fetch_rate: Annotated[float, Field(gt=0)] = 250000.0
     kept: Tokens = 60000.0
     begin: Duration = 0.0
+    batch_base: Duration = 0.006
+    batch_rate: Annotated[float, Field(gt=0)] = 60000.0
+    batch_slots: Count = 1
+    batch_queue: Annotated[int, Field(ge=0)] = 16
+    batch_drag: Annotated[float, Field(ge=0)] = 0.5
     mishaps: Mishaps = Mishaps()
 
 
@@ -79,7 +91,7 @@
     """One thing that goes wrong, at a moment from the start of the traffic."""
 
     at: Duration
-    do: Literal["crash", "kill", "drain", "hang", "refuse", "error", "slow", "flush", "break"]
+    do: Literal["crash", "kill", "drain", "hang", "refuse", "error", "slow", "flush", "break", "model"]
     whom: Annotated[list[str], Field(min_length=1)]
     lasts: Duration = 0.0
     factor: Annotated[float, Field(ge=0)] = 0.0
@@ -104,6 +116,8 @@
     fleet: FleetGroup
     reader: MachineGroup = MachineGroup()
     writer: MachineGroup = MachineGroup()
+    batcher: MachineGroup = MachineGroup()  # embedders and rankers
+    batch_rate: Annotated[float, Field(ge=0)] = 0.0  # batches a second, beside `rate`
     traffic: Annotated[list[TrafficMix], Field(min_length=1)]
     tenants: list[TenantRow] = []
     clients: ClientsGroup = ClientsGroup()
@@ -116,6 +130,8 @@
     @model_validator(mode="after")
     def _sound(self) -> Self:
         known = set(self.names())
+        if self.batch_rate and all(t.front == "chat" for t in self.traffic):
+            raise ValueError("batch_rate: no traffic type has the front embed or rank")
         for fault in self.faults:
             for name in fault.whom:
                 if name not in known:
@@ -128,5 +144,6 @@
     def names(self) -> list[str]:
         """All processes of the fleet."""
         f = self.fleet
-        return [f"{kind}-{i + 1}" for kind, count in (("node", f.nodes), ("reader", f.readers),
-                                                       ("writer", f.writers)) for i in range(count)]
+        counts = {"node": f.nodes, "reader": f.readers, "writer": f.writers, "mixed": f.mixed,
+                  "embedder": f.embedders, "ranker": f.rankers}
+        return [f"{kind}-{i + 1}" for kind, count in counts.items() for i in range(count)]
--- a/myrtlehub/membership/judge.py
+++ b/myrtlehub/membership/judge.py
@@ -54,9 +54,13 @@
     up = [r for r in rows if r.state == "serving" and r.weight > 0.0 and r.kind in kinds]
     writers = {r.cell for r in up if kinds[r.kind].writes}
     readers = {r.cell for r in up if kinds[r.kind].reads}
-    if not writers:
+    for task in ("embeds", "ranks"):
+        able = {name for name, k in kinds.items() if getattr(k, task)}
+        if able and not any(r.kind in able for r in up):
+            faults.append(f"no engine that serves {task}; list at least one")
+    if not writers and any(k.writes for k in kinds.values()):
         faults.append("no engine that serves can write; list at least one")
-    if not readers and not self_read:
+    if not readers and not self_read and any(k.writes for k in kinds.values()):
         faults.append("no engine that serves can read, and writers cannot; list at least one")
     elif not readers and any(k.reads for k in kinds.values()):
         faults.append("no engine that serves can read; list at least one reader")
--- a/myrtlehub/membership/store.py
+++ b/myrtlehub/membership/store.py
@@ -15,7 +15,7 @@
 from myrtlehub.membership.version import Version, digest_of
 
 KEPT = 5
-Figures = tuple[str, str, str, int, float, str, float]  # as EngineRow.figures
+Figures = tuple[str, str, str, int, float, str, float, str]  # as EngineRow.figures
 SCHEMA = """CREATE TABLE IF NOT EXISTS versions (
     number INTEGER PRIMARY KEY, source TEXT NOT NULL, digest TEXT NOT NULL, sum TEXT NOT NULL, rows BLOB
     NOT NULL)"""
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -32,7 +32,8 @@
         try:
             rows = [EngineRow(address=e.address, kind=e.kind, zone=e.zone, cell=e.cell, weight=e.weight
                               or 1.0,
-                              state=e.state or "serving", age=f"{e.age:.6f}s") for e in news.engines]
+                              state=e.state or "serving", age=f"{e.age:.6f}s", model=e.model)
+                    for e in news.engines]
             check_engines(self.sheet, rows)
         except (ValidationError, ValueError) as fault:
             first = fault.errors()[0] if isinstance(fault, ValidationError) else None
@@ -58,4 +59,4 @@
             list_version=self.host.list_version, sequences=len(self.host.held),
             attempts_out=self.host.attempts_out(), taken=self.host.taken, answered=dict(self.host.answered),
             engines=[pb.ListedEngine(address=r.address, state=r.state, kind=r.kind, zone=r.zone, cell=r.cell,
-                                     weight=r.weight) for r in rows]).SerializeToString()
+                                     weight=r.weight, model=r.model) for r in rows]).SerializeToString()
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -1,5 +1,6 @@
 """The chat front: Chat.Generate as Asked and Client. Decodes and encodes; decides nothing."""
 
+from myrtlehub.limits.shares import FrontShares
 from myrtlehub.node.door import Asked, NotTaken
 from myrtlehub.node.host import Held, Host
 from myrtlehub.proto import chat_pb2 as pb
@@ -73,8 +74,8 @@
 class ChatFront:
     """Serves Chat on a server, for a host."""
 
-    def __init__(self, host: Host, most_sequences: int, wait: float) -> None:
-        self.host, self.most, self.wait = host, most_sequences, wait
+    def __init__(self, host: Host, most_sequences: int, wait: float, shares: FrontShares) -> None:
+        self.host, self.most, self.wait, self.shares = host, most_sequences, wait, shares
         self.closed = False
 
     def serve(self, server: object) -> None:
@@ -96,6 +97,7 @@
         if self.closed or len(self.host.held) >= self.most:
             waiting.rejected(self.wait)  # not taken: nothing ran
             return waiting
+        self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt)
         call.set_initial([("myrtle-seq", self.host.next_label())])
         call.stream.registerProducer(waiting, True)
         if call.deadline is not None:
--- a/myrtlehub/node/door.py
+++ b/myrtlehub/node/door.py
@@ -35,6 +35,8 @@
     repeated: bool = False
     expected: float = 0.0
     text: bytes = b""
+    front: str = "chat"
+    batch: bytes = b""  # of a part: a BatchRequest without its `work`
 
 
 def key_of(text: str) -> int:
@@ -59,7 +61,7 @@
         listings, seen, at = [], set(), self.at
         for row in rows:
             row = served(row)
-            address, kind, zone, cell, weight, word, age = row.figures
+            address, kind, zone, cell, weight, word, age, _ = row.figures
             state, index = STATES[word], at.get(address)
             fresh = index is None
             if fresh:
@@ -143,6 +145,8 @@
             raise NotTaken(f"shared_tokens {a.shared} is more than prompt_tokens {a.prompt}")
         traffic = self.traffic[a.traffic_type]
         row = self.rows[traffic]
+        if row.front != a.front:
+            raise NotTaken(f"traffic_type {a.traffic_type!r} is for the front {row.front!r}")
         if row.repeats == "tokened" and not a.mark:
             raise NotTaken(f"mark is required for traffic type {a.traffic_type!r}: repeats are known by it")
         if len(a.mark.encode()) > MARK_LIMIT:
--- /dev/null
+++ b/myrtlehub/node/fields.py
@@ -0,0 +1,106 @@
+"""The module once a field: engines that do the same for the same traffic types are decided on together.
+
+Chat's readers and writers are one field, engines that embed another, engines that rank a third; an engine
+that does several stands in several. Each field has a `decide.Router` of its own, the same code with the same
+rules; what one learns of usual rates, room and cells is not mixed with another's. To the host it is one
+router.
+"""
+
+from collections.abc import Callable, Sequence
+
+from myrtlehub import interface as itf
+
+
+class Fields:
+    """`make(terms)` gives a router; `kinds` and `traffic` say which kinds and traffic types a field has."""
+
+    def __init__(self, make: Callable[[itf.Terms], object], terms: Sequence[itf.Terms],
+                 kinds: Sequence[frozenset[int]], field_of_traffic: Sequence[int]) -> None:
+        self.routers = [make(t) for t in terms]
+        self.kinds, self.field_of_traffic = kinds, field_of_traffic
+        self._last: dict[tuple[int, int], itf.Listing] = {}  # by field and engine, as the list has it
+        self._field_of: dict[int, int] = {}  # by sequence
+        self._born: list[int] = []  # by engine: how often its index has been handed out
+        self._shut: set[int] = set()  # fields that are kept from engines that others have as well
+        self._told: list[dict[int, int]] = [{} for _ in terms]  # by field: engines known, as which birth
+
+    def start(self, now: float) -> list[tuple]:
+        """All of them."""
+        return [r for f, router in enumerate(self.routers) for r in self._own(f, router.start(now))]
+
+    def list_failed(self, now: float) -> list[tuple]:
+        """Word for all."""
+        return [r for f, router in enumerate(self.routers) for r in self._own(f, router.list_failed(now))]
+
+    def engines(self, now: float, listings: list[itf.Listing], whole: bool) -> list[tuple]:
+        """Each field is told of its own engines; one that changed its kind is gone from fields it left."""
+        for e in listings:
+            while len(self._born) <= e.engine:
+                self._born.append(0)
+            self._born[e.engine] += e.fresh
+        out = []
+        for f, router in enumerate(self.routers):
+            mine, told = [], self._told[f]
+            for e in listings:
+                known = told.get(e.engine) == self._born[e.engine]
+                if e.kind in self.kinds[f]:
+                    mine.append(self._seen_by(f, e._replace(fresh=not known)))
+                    told[e.engine] = self._born[e.engine]
+                elif known:
+                    mine.append(e._replace(state=itf.GONE, fresh=False))
+            if mine or whole:
+                out += self._own(f, router.engines(now, mine, whole))
+        return out
+
+    def _seen_by(self, f: int, e: itf.Listing) -> itf.Listing:
+        """A field that is shut out sees common engines drain: nothing new goes there."""
+        self._last[f, e.engine] = e
+        common = sum(e.kind in kinds for kinds in self.kinds) > 1
+        return e._replace(state=itf.DRAINING) if f in self._shut and common and e.state == itf.SERVING else e
+
+    def shut(self, now: float, f: int, shut: bool) -> list[tuple]:
+        """Keep a field from engines that others have as well, or let it in again."""
+        (self._shut.add if shut else self._shut.discard)(f)
+        again = [self._seen_by(f, self._last[f, i]._replace(fresh=False))
+                 for i, born in self._told[f].items()
+                 if born == self._born[i] and sum(self._last[f, i].kind in k for k in self.kinds) > 1]
+        return self._own(f, self.routers[f].engines(now, again, False))
+
+    def arrive(self, now: float, seq: int, a: itf.Arrival) -> list[tuple]:
+        """By its traffic type."""
+        f = self._field_of[seq] = self.field_of_traffic[a.traffic]
+        return self._own(f, self.routers[f].arrive(now, seq, a))
+
+    def began(self, now: float, seq: int, attempt: int, latency: float) -> list[tuple]:
+        """To whom it belongs, as all that follows; nothing once it is done."""
+        return self._of(seq, "began", now, attempt, latency)
+
+    def ended(self, now: float, seq: int, *more: object) -> list[tuple]:
+        """See `interface`."""
+        return self._of(seq, "ended", now, *more)
+
+    def left(self, now: float, seq: int) -> list[tuple]:
+        """See `interface`."""
+        return self._of(seq, "left", now)
+
+    def hold_answered(self, now: float, seq: int, *more: object) -> list[tuple]:
+        """See `interface`."""
+        return self._of(seq, "hold_answered", now, *more)
+
+    def wake(self, now: float, token: int) -> list[tuple]:
+        """Tokens name the field that asked."""
+        token, f = divmod(token, len(self.routers))
+        return self._own(f, self.routers[f].wake(now, token))
+
+    def _of(self, seq: int, call: str, now: float, *more: object) -> list[tuple]:
+        f = self._field_of.get(seq)
+        return [] if f is None else self._own(f, getattr(self.routers[f], call)(now, seq, *more))
+
+    def _own(self, f: int, results: list[tuple]) -> list[tuple]:
+        """Results as the host gets them: wake-ups say whose they are."""
+        for i, r in enumerate(results):
+            if r[0] == "wake":
+                results[i] = ("wake", r[1], r[2] * len(self.routers) + f)
+            elif r[0] == "done":
+                self._field_of.pop(r[1], None)
+        return results
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -60,10 +60,12 @@
 class Attempt:
     """One schedule attempt."""
 
-    __slots__ = ("held", "number", "engine", "reads", "since", "until", "timer", "life", "claims", "call")
+    __slots__ = ("held", "number", "engine", "reads", "since", "until", "timer", "life", "claims", "call",
+                 "kind")
 
     def __init__(self, held: "Held", number: int, engine: int, reads: bool, since: float,
-                 until: float) -> None:
+                 until: float, kind: str = "") -> None:
+        self.kind = kind  # of the engine when it was sent: the list may change it meanwhile
         self.held, self.number, self.engine, self.reads = held, number, engine, reads
         self.since, self.until = since, until
         self.timer = self.call = None
@@ -126,6 +128,8 @@
             "send", "release", "cancel", "reject", "abort", "wake", "close", "watch", "relist", "note",
             "done", "hold", "move", "probe", "tell")}
         self.on_idle: Callable[[], None] = lambda: None
+        self.on_sent: Callable[[Attempt], None] = lambda attempt: None
+        self.on_back: Callable[[Attempt], None] = lambda attempt: None
         self.reread_list: Callable[[], None] = lambda: None
 
     # -- calls from outside -----------------------------------------------------------------------
@@ -232,10 +236,15 @@
             self._note_answer(held)
             held.client.aborted(f"the stream broke: {outcome}")
         self._say("ended", held.seq, attempt.number, outcome, now - attempt.since, held.life.over, kept, load)
+        self.on_back(attempt)
         address = self.door.engines.unused(attempt.engine)
         if address:
             self.carrier.forget(address)
 
+    def shut(self, field: int, shut: bool) -> None:
+        """Keep one field's work from engines that it shares with others, or let it in again."""
+        self._say("shut", field, shut)
+
     def attempts_out(self) -> int:
         """Schedule attempts that are out."""
         return sum(a.out for h in self.held.values() for a in h.attempts)
@@ -262,12 +271,15 @@
 
     def _send(self, seq: int, engine: int, timeout: float) -> None:
         held, now = self.held[seq], self.clock.seconds()
-        kind = self.door.kinds[self.door.engines.rows[engine].kind]
-        reads = not self.terms.writes[kind]
+        name = self.door.engines.rows[engine].kind
+        kind = self.door.kinds[name]
+        # Work of a single stage has nothing to read, whatever else its engine does.
+        reads = not self.terms.writes[kind] and self.door.rows[held.arrival.traffic].front == "chat"
         until = min(held.abandon_at, now + timeout if timeout else NEVER)
-        attempt = Attempt(held, len(held.attempts), engine, reads, now, until)
+        attempt = Attempt(held, len(held.attempts), engine, reads, now, until, name)
         held.attempts.append(attempt)
         self.door.engines.used(engine)
+        self.on_sent(attempt)
         if reads:
             hold = held.holds.setdefault(engine, Hold(engine))
             hold.life.step("send")
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from myrtlehub import interface as itf
-from myrtlehub.node.host import Attempt, Host
+from myrtlehub.node.host import NEVER, Attempt, Host
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.rpc.channel import WAITING, CallWatcher, Channel
 from myrtlehub.rpc.guards import TransportBounds
@@ -89,6 +89,36 @@
         self.host.ended(self.attempt, outcome_of(status))
 
 
+class _Batch(CallWatcher):
+    """A part of a batch: its results count once all are there, and one that broke off is done again."""
+
+    def __init__(self, host: Host, attempt: Attempt) -> None:
+        self.host, self.attempt = host, attempt
+        self.results: list[pb.ItemResult] = []
+
+    def message(self, data: bytes) -> None:
+        attempt = self.attempt
+        if not attempt.out:
+            return
+        try:
+            reply = pb.BatchReply.FromString(data)
+        except ValueError:
+            attempt.call.cancel()
+            self.host.ended(attempt, itf.ERROR)
+            return
+        which = reply.WhichOneof("reply")
+        if which == "items":
+            self.results.extend(reply.items.results)
+        elif which == "ended":
+            self.host.began(attempt, (reply.ended.model, self.results))
+            self.host.ended(attempt, itf.GENERATED, 0.0, load_of(reply.ended), tokens=len(self.results))
+        elif which == "refused":
+            self.host.ended(attempt, itf.FULL, 0.0, load_of(reply.refused))
+
+    def ended(self, status: Status) -> None:
+        self.host.ended(self.attempt, outcome_of(status))
+
+
 class Links:
     """Channels by engine address. `dial(address)` gives a channel's way there."""
 
@@ -116,19 +146,24 @@
             session=asked.session, shared_prefix=asked.prefix, shared_tokens=asked.shared,
             prompt_tokens=asked.prompt, most_output=asked.most_output, mark=asked.mark, prompt=asked.text,
             first_within_ms=max(1, int((held.abandon_at - self.clock.seconds()) * 1000)))
-        if attempt.reads:
-            path, watcher, request = "Read", _Read(self.host, attempt), pb.ReadRequest(work=work)
+        if asked.batch:
+            # Fields of two serialised messages, one after the other, are those of one.
+            path, watcher = "Batch", _Batch(self.host, attempt)
+            data = pb.BatchRequest(work=work).SerializeToString() + asked.batch
             timeout = attempt.until - self.clock.seconds() + LATE
+        elif attempt.reads:
+            path, watcher, request = "Read", _Read(self.host, attempt), pb.ReadRequest(work=work)
+            timeout, data = attempt.until - self.clock.seconds() + LATE, request.SerializeToString()
         else:
             path, watcher = "Write", _Write(self.host, attempt)
             request = pb.WriteRequest(work=work, state=attempt.claims.handle if attempt.claims else None)
             timeout = asked.deadline_in - (self.clock.seconds() - held.since)
-            timeout = timeout + LATE if timeout != float("inf") else None
+            timeout, data = timeout + LATE if timeout != NEVER else None, request.SerializeToString()
         meta = (("myrtle-seq", held.label), ("myrtle-attempt", str(attempt.number)), ("myrtle-node",
                                                                                       self.name),
                 ("myrtle-list", self.host.list_label))
         attempt.call = self.channel(attempt.engine).call(SERVICE + path, watcher, meta, timeout)
-        attempt.call.send(request.SerializeToString())
+        attempt.call.send(data)
         attempt.call.half_close()
 
     def cancel(self, attempt: Attempt) -> None:
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -14,14 +14,20 @@
 from myrtlehub.membership.store import VersionStore
 from myrtlehub.membership.watched import WatchedList
 from myrtlehub.node.admin import NodeAdmin
+from myrtlehub.node.batches import BatchDesk
+from myrtlehub.node.calls import serve
 from myrtlehub.node.chat import ChatFront
 from myrtlehub.node.door import Door
+from myrtlehub.node.embed import EMBED
+from myrtlehub.node.fields import Fields
 from myrtlehub.node.host import Host
 from myrtlehub.node.links import Links
-from myrtlehub.node.terms import terms_of
+from myrtlehub.node.rank import RANK
+from myrtlehub.node.terms import fronts_of, terms_of
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.server import Server
 
+FRONTS = (EMBED, RANK)  # beside chat
 LAG_SAID = 0.1  # seconds; a new worst lateness of the process above this is logged
 
 
@@ -35,21 +41,38 @@
                  reader: Callable | None = None,
                  beside: Callable = lambda work, then: then(work())) -> None:
         self.sheet, self.clock, self.log = sheet, clock, log
-        node, terms = sheet.node, terms_of(sheet)
+        node, terms, fronts = sheet.node, terms_of(sheet), fronts_of(sheet)
         self.links = Links(clock, dial, node.name, Random(node.seed + 1), node.connect_timeout)
         # The id names the run as well: a node that came back must not speak of old sequences at engines.
-        self.host = host_class(Router(terms), Door(sheet), terms, clock, self.links, f"{node.name}.{run}.",
-                               log)
+        self.host = host_class(self._router(fronts), Door(sheet), terms, clock, self.links,
+                               f"{node.name}.{run}.", log)
         self.links.host = self.host
         self.server = Server(clock, TransportBounds(message=node.prompt_limit))
-        self.front = ChatFront(self.host, node.most_sequences, node.max_wait)
+        self.desk = BatchDesk(self.host, sheet, clock)
+        self.desk.fields = fronts if len(fronts) > 1 else []
+        self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares)
         self.front.serve(self.server)
+        for front in FRONTS:
+            if front.name in fronts:
+                serve(front, self.desk, self.server, lambda: self.front.closed)
         self.admin = Server(clock)
         self.source = self._source(base, notify, reader, beside)
         NodeAdmin(self.host, sheet, self.source).serve(self.admin)
         self.host.reread_list = self.source.reread
         self.host.start()
-        self.source.follow(self.host.list_news)
+        self.source.follow(self._list_news)
+
+    def _list_news(self, *news: object) -> None:
+        self.host.list_news(*news)
+        self.desk.list_changed()
+
+    def _router(self, fronts: list[str]) -> object:
+        """The module; where several fronts are served, once a field of engines."""
+        if len(fronts) == 1:
+            return Router(terms_of(self.sheet, fronts[0]))
+        kinds = [frozenset(i for i, k in enumerate(self.sheet.kinds) if k.does(f)) for f in fronts]
+        return Fields(Router, [terms_of(self.sheet, f) for f in fronts], kinds,
+                      [fronts.index(t.front) for t in self.sheet.traffic])
 
     def _source(self, base: Path, notify: Callable, reader: Callable | None,
                 beside: Callable) -> StaticList | WatchedList:
@@ -84,7 +107,7 @@
         limit = self.clock.callLater(self.sheet.node.drain_within, self._cut)
 
         def idle() -> None:
-            if not done.called and not self.host.held:
+            if not done.called and not self.host.held and not self.desk.open:
                 if limit.active():
                     limit.cancel()
                 # a turn or two for the last answers to leave
@@ -95,5 +118,7 @@
         return done
 
     def _cut(self) -> None:
+        for batch in list(self.desk.open):
+            batch.late()
         for held in list(self.host.held.values()):
             self.host.out_of_time(held, "the node is going down")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -23,15 +23,25 @@
   - {{name: ask, repeats: repeatable, latency_slo: 1s, abandon_time: 4s, pace: 50ms}}
   - {{name: post, repeats: once-only, latency_slo: 1s, abandon_time: 4s, pace: 50ms, utility: 3}}
   - {{name: note, repeats: tokened, latency_slo: 1s, abandon_time: 4s, dedup_group: cell, dedup_window: 5s}}
-kinds:
+{traffic}kinds:
   - {{name: reader, reads: yes, memory: 200k tokens}}
   - {{name: writer, writes: yes, memory: 200k tokens}}
-zones: [north]
+{kinds}zones: [north]
 rules:
   {{drain_grace: 250ms, let_go: 500ms, cold_share: 0.25, cold_time: 10s, fall_multiple: 2.5, fall_time: 1s}}
 list: {lists}
 """
 
+FRONTS = """  - {name: vec, front: embed, repeats: repeatable, latency_slo: 1s, abandon_time: 4s}
+  - {name: vec1, front: embed, repeats: once-only, latency_slo: 1s, abandon_time: 4s}
+  - {name: sort, front: rank, repeats: repeatable, latency_slo: 1s, abandon_time: 4s}
+"""
+KINDS = """  - {name: embedder, embeds: yes, memory: 100k tokens, batch: 4k tokens, batch_items: 64}
+  - {name: ranker, ranks: yes, memory: 100k tokens, batch: 4k tokens, batch_items: 64}
+  - {name: mixed, writes: yes, embeds: yes, memory: 200k tokens, batch: 4k tokens, batch_items: 64}
+"""
+KIND_OF = {"R": "reader", "W": "writer", "E": "embedder", "K": "ranker", "M": "mixed"}
+
 
 class Caller(CallWatcher):
     """A client's one call, written to the client's records."""
@@ -64,21 +74,22 @@
     """Engines are named "R0".."W1" with the digit their cell, and numbered in order: R0.0, R0.1, ..."""
 
     def __init__(self, engines: str = "R0 W0 W0", nodes: int = 1, host: type[Host] = Host,
-                 base: Path | None = None, lists: str = "", **machine: object) -> None:
+                 base: Path | None = None, lists: str = "", more: str = "", **machine: object) -> None:
         """With `base` node n0's list comes from the files in base/list-n0; `lists` has more of `list:`."""
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.net = Net(self.clock)
         self.host, self.machine, self.nodes_count = host, machine, nodes
-        self.base, self.lists = base, lists
+        self.base, self.lists, self.more = base, lists, more
+        self.fronts = any(word[0] in "EKM" for word in engines.split())
         self.log: list[Record] = []  # of all ends, in the order in which it happened
         self.day, self.client = self.recorder("day"), self.recorder("client")
         self.stands: dict[str, StandIn] = {}
         self.rows: dict[str, dict] = {}
         for i, word in enumerate(engines.split()):
             name = f"{word}{chr(97 + i)}"
-            self.rows[name] = {"address": f"{name}:1", "kind": "reader" if word[0] == "R" else "writer",
-                               "zone": "north", "cell": int(word[1])}
+            self.rows[name] = {"address": f"{name}:1", "kind": KIND_OF[word[0]], "zone": "north",
+                               "cell": int(word[1]), **({"model": "m1"} if word[0] in "EKM" else {})}
             self.engine(name)
         self.nodes = {f"n{i}": self.node(i) for i in range(nodes)}
         self.channels = {name: Channel(self.clock, self.net.dialer(f"{name}:1"), name) for name in self.nodes}
@@ -90,7 +101,8 @@
         return recorder
 
     def engine(self, name: str, cold: bool = False) -> None:
-        sheet = StandSheet(name=name, listen=f"{name}:1", reads=name[0] == "R", writes=name[0] == "W",
+        sheet = StandSheet(name=name, listen=f"{name}:1", reads=name[0] == "R", writes=name[0] in "WM",
+                           embeds=name[0] in "EM", ranks=name[0] == "K",
                            cold=cold, **self.machine)
         self.stands[name] = StandIn(
             sheet, self.clock, lambda address: self.net.dialer(address,
@@ -105,7 +117,9 @@
         if self.base is not None:
             lists = f"{{files: [list-n{index}]{self.lists}}}"
             more.setdefault("base", self.base)
-        sheet = parse(SHEET.format(index=index, nodes=self.nodes_count, lists=lists), NodeSheet)
+        text = SHEET.format(index=index, nodes=self.nodes_count, lists=lists,
+                            traffic=FRONTS if self.fronts else "", kinds=KINDS if self.fronts else "")
+        sheet = parse(text + self.more, NodeSheet)
         node = Node(sheet, self.clock, lambda address: self.net.dialer(address, f"n{index}:1"), run,
                     host_class=self.host, **more)
         self.net.listen(f"n{index}:1", node.server)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -10,8 +10,11 @@
 from fleet import Fleet
 
 from myrtlehub.client import Aborted, Ask, Generated, NotTaken, Rejected
+from myrtlehub.client.batches import BatchAsk, Batches
 from myrtlehub.client.promise import End, Tries
 from myrtlehub.client.tx import Client
+from myrtlehub.emulator.vectors import score_of
+from myrtlehub.emulator.vectors import vector_of as packed_of
 from myrtlehub.lab.day import free_ports
 
 ROOT = Path(__file__).parents[1]
@@ -72,18 +75,23 @@
 
 @pytest.fixture
 def node(tmp_path: Path) -> Iterator[str]:
-    """A node, a reader and a writer, each a process."""
-    ports = free_ports(4)
+    """A node and an engine of each kind, each a process."""
+    ports = free_ports(6)
     text = (ROOT / "examples" / "node.yaml").read_text()
     for old, new in (("127.0.0.1:7100", f"127.0.0.1:{ports[0]}"), ("127.0.0.1:7101", f"127.0.0.1:{ports[1]}"),
-                     ("10.0.0.1:7200", f"127.0.0.1:{ports[2]}"), ("10.0.0.2:7200", f"127.0.0.1:{ports[3]}")):
+                     ("10.0.0.1:7200", f"127.0.0.1:{ports[2]}"), ("10.0.0.2:7200", f"127.0.0.1:{ports[3]}"),
+                     ("10.0.0.3:7200", f"127.0.0.1:{ports[4]}"), ("10.0.0.4:7200", f"127.0.0.1:{ports[5]}")):
         assert old in text
         text = text.replace(old, new)
     (tmp_path / "node.yaml").write_text(text)
     (tmp_path / "r.yaml").write_text(f"{{name: r, listen: '127.0.0.1:{ports[2]}', reads: yes}}")
     (tmp_path / "w.yaml").write_text(f"{{name: w, listen: '127.0.0.1:{ports[3]}', writes: yes, step: 2ms}}")
+    (tmp_path / "e.yaml").write_text(f"{{name: e, listen: '127.0.0.1:{ports[4]}', embeds: yes, "
+                                     f"longest_input: 900 tokens}}")
+    (tmp_path / "k.yaml").write_text(f"{{name: k, listen: '127.0.0.1:{ports[5]}', ranks: yes}}")
     running = []
-    for program, name in (("engine", "r"), ("engine", "w"), ("node", "node")):
+    for name in ("r", "w", "e", "k", "node"):
+        program = "node" if name == "node" else "engine"
         process = subprocess.Popen([sys.executable, "-m", f"myrtlehub.cli.{program}",
                                     tmp_path / f"{name}.yaml"],
                                    stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=ROOT)
@@ -99,7 +107,31 @@
 
 def test_examples_run(node: str) -> None:
     for name, said in (("ask_sync.py", " tokens in 1 tries"), ("book_aio.py", "booked: "),
-                       ("ask_twisted.py", " tokens in 1 tries")):
+                       ("ask_twisted.py", " tokens in 1 tries"), ("embed_and_rank.py", "made by m1\n")):
         run = subprocess.run([sys.executable, ROOT / "examples" / name, node], capture_output=True, text=True,
                              timeout=60, cwd=ROOT)
         assert run.returncode == 0 and said in run.stdout, run.stderr
+
+
+def test_grpcio_as_the_client_of_both_batch_services(node: str) -> None:
+    texts, ask = [f"text {i}".encode() for i in range(700)], BatchAsk("vec", within=20.0)
+    with Batches(node) as batches:
+        tokens = [1000 if i == 13 else 20 for i in range(700)]
+        vectors = batches.embed(texts, ask, tokens, dimensions=6, normalise=True)
+        assert batches.answer.tries == 1 and batches.model == "m1" and len(vectors) == 700
+        assert vectors[13].said.startswith("1000 tokens are more than the 900")
+        for i, vector in enumerate(vectors):
+            assert i == 13 or vector.tobytes() == packed_of(texts[i], "m1", 6, True)
+        streamed = dict(batches.embed_stream(texts, ask))
+        assert len(streamed) == 700 and all(
+            streamed[i].tobytes() == packed_of(t, "m1", 16, False) for i, t in enumerate(texts))
+        sort = BatchAsk("sort", within=20.0)
+        scores = [score_of(b"q", t, "m1") for t in texts]
+        assert batches.rank(b"q", texts, sort) == list(enumerate(scores))
+        best = sorted(range(700), key=lambda i: -scores[i])[:9]
+        assert [r.index for r in batches.rank(b"q", texts, sort, top=9)] == best
+        assert sorted(batches.rank_stream(b"q", texts, sort)) == list(enumerate(scores))
+        with pytest.raises(NotTaken, match="is for the front 'embed'"):
+            batches.rank(b"q", texts, ask)
+        with pytest.raises(Rejected):  # nothing can be done in that time, and nothing runs twice for it
+            batches.embed(texts, BatchAsk("vec", first_within=0.002, within=0.3, tries=2), dimensions=3)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -40,11 +40,11 @@
     ("repeats: once-only", "repeats: sometimes",
      "n.yaml:17: traffic[1](post).repeats: should be 'repeatable', 'tokened' or 'once-only' "
      "(found 'sometimes')"),
-    ("  let_go: 500ms\n", "", "n.yaml:25: rules.let_go: is missing; add it"),
+    ("  let_go: 500ms\n", "", "n.yaml:29: rules.let_go: is missing; add it"),
     ("zone: north", "zone: nowhere", "n.yaml:1: file: node.zone 'nowhere' is not among zones: north, south"),
     ("kind: writer", "kind: wirter",
      "n.yaml:1: file: engine 10.0.0.2:7200: kind 'wirter' is not among kinds: "
-                                     "reader, writer"),
+                                     "embedder, ranker, reader, writer"),
     ("10.0.0.2:7200", "10.0.0.1:7200", "n.yaml:1: file: list.engines: 10.0.0.1:7200 named more than once"),
     ("hold: no", "hold: yes",
      "n.yaml:1: file: engines_may.hold: engines of myrtlehub.v1 cannot do this; say no"),
