Limits on clients: a ledger that adds up, least rates, memory given up by what it is worth

A client that read nothing kept its place at a writer until its deadline, and the node's memory for clients had no bound. Now every byte held for a client is counted by stream, peer, tenant and node; who takes under a stated rate of what waits for it is cut with an aborted answer, and reset if it ignores that; past a budget the stalled and the least worth are cut first; long prompts past the bound are turned away, and nothing runs. NodeAdmin.Limits tells. Connections have bounds in all and by peer.

--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -157,6 +157,20 @@
     most_items: Annotated[int, Field(ge=1)] = 4096  # of one request
 
 
+class LimitsGroup(Sheet):
+    """Limits on clients."""
+
+    held_bytes: Size = 256 * 2**20  # that a node holds for clients: their requests, and what waits for them
+    peer_share: Share = 0.25  # of that, for one peer's address
+    tenant_share: Share = 0.5  # of that, for one tenant
+    least_rate: NotNegative = 50.0  # bytes a second that a peer has to take of what waits for it; 0: any
+    rate_window: Duration = 5.0  # over which that is judged
+    linger: Duration = 5.0  # until a client that does not take its last answer is reset
+    connections: Annotated[int, Field(ge=1)] = 4000
+    peer_connections: Annotated[int, Field(ge=1)] = 1000  # of one peer's address
+    idle: Duration = 300.0  # a connection without calls is closed after this; 0: never
+
+
 class Confirm(Sheet):
     """When a change that takes away much is believed."""
 
@@ -197,6 +211,7 @@
     rules: RulesGroup
     engines_may: EnginesMay = EnginesMay()
     batches: BatchGroup = BatchGroup()
+    limits: LimitsGroup = LimitsGroup()
     list: ListGroup
 
     @model_validator(mode="after")
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -6,6 +6,7 @@
 from myrtlehub.membership.source import StaticList
 from myrtlehub.membership.watched import WatchedList
 from myrtlehub.node.host import Host
+from myrtlehub.node.peers import PeerWatch
 from myrtlehub.proto import admin_pb2 as pb
 from myrtlehub.rpc.server import ServerCall, unary
 from myrtlehub.rpc.status import Code, RpcError
@@ -16,13 +17,15 @@
 class NodeAdmin:
     """Serves NodeAdmin on a server, for a host."""
 
-    def __init__(self, host: Host, sheet: NodeSheet, source: StaticList | WatchedList) -> None:
-        self.host, self.sheet, self.source = host, sheet, source
+    def __init__(self, host: Host, sheet: NodeSheet, source: StaticList | WatchedList,
+                 peers: PeerWatch) -> None:
+        self.host, self.sheet, self.source, self.peers = host, sheet, source, peers
 
     def serve(self, server: object) -> None:
         """Add the methods."""
         server.add(SERVICE + "PushList", unary(self.push_list))
         server.add(SERVICE + "Show", unary(self.show))
+        server.add(SERVICE + "Limits", unary(self.limits))
 
     def push_list(self, call: ServerCall, data: bytes) -> bytes:
         """News of the list, taken whole or not at all."""
@@ -42,6 +45,17 @@
         self.source.push(rows, news.whole)
         return pb.ListTaken(version=self.host.list_version).SerializeToString()
 
+    def limits(self, call: ServerCall, data: bytes) -> bytes:
+        """What is held for clients, and who was cut off."""
+        peers, node, now = self.peers, self.peers.ledger.node, self.host.clock.seconds()
+        return pb.LimitsState(
+            came=node.came, left=node.left, dropped=node.dropped, held=node.held,
+            most_held=peers.ledger.bound("node"), calls=len(peers.calls),
+            connections=len({id(w.call.stream.protocol) for w in peers.calls.values()}),
+            near=[pb.NearLimit(what=w, name=n, held=h, most=m) for w, n, h, m in peers.near()],
+            cuts=[pb.Cut(age=now - at, peer=p, tenant=t, why=why) for at, p, t, why in peers.cuts],
+            counts=peers.counts).SerializeToString()
+
     def show(self, call: ServerCall, data: bytes) -> bytes:
         """What the node routes by."""
         engines = self.host.door.engines
--- a/myrtlehub/node/batches.py
+++ b/myrtlehub/node/batches.py
@@ -282,6 +282,12 @@
                                       self.desk.wait, "its time was over")
             self._finish()
 
+    def cut(self, why: str) -> None:
+        """Its client takes too little, or holds too much here."""
+        if not self.over:
+            self.join.answer = Answer("aborted", 0.0, why)
+            self._finish()
+
     def _finish(self) -> None:
         answer = self.join.answer
         if self.over or answer is None:
@@ -365,6 +371,10 @@
         self.shares.room = sum(k.batch for k in common) / self.sheet.node.nodes
         self.clock.callLater(0, self.pump)
 
+    def utility(self, traffic_type: str) -> float:
+        """Of one batch."""
+        return self.host.door.rows[self.host.door.traffic[traffic_type]].utility
+
     def take(self, want: Want, asker: Asker) -> Batch:
         """A request came in. Raises NotTaken, naming the field."""
         most = self.sheet.batches.most_items
--- a/myrtlehub/node/calls.py
+++ b/myrtlehub/node/calls.py
@@ -6,6 +6,7 @@
 from myrtlehub.batching.join import Answer
 from myrtlehub.node.batches import Batch, BatchDesk, Want
 from myrtlehub.node.door import Asked, NotTaken
+from myrtlehub.node.peers import PeerWatch
 from myrtlehub.proto import engine_pb2
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.proto.chat_pb2 import Aborted, Rejected
@@ -89,7 +90,8 @@
             self.batch.left()
 
 
-def serve(front: Front, desk: BatchDesk, server: object, closed: Callable[[], bool]) -> None:
+def serve(front: Front, desk: BatchDesk, server: object, closed: Callable[[], bool],
+          peers: PeerWatch) -> None:
     """Add both forms of a front's method."""
     def method(streams: bool) -> Callable[[ServerCall, bytes], Receiver]:
         def run(call: ServerCall, data: bytes) -> Receiver:
@@ -98,13 +100,15 @@
             except ValueError as fault:
                 raise RpcError(Code.INVALID_ARGUMENT, f"not a {front.request.__name__}: {fault}") from fault
             mine = BatchCall(front, call, request, streams)
-            if closed():
+            if closed() or not peers.room(call, request.terms.tenant, len(data)):
                 mine.final(Answer("rejected", desk.wait), "", 0, 0)  # not taken: nothing ran
                 return mine
             try:
                 want = front.want(request, streams)
                 want = want._replace(asked=asked_of(request.terms, call.time_left()))
-                desk.take(want, mine)
+                batch = desk.take(want, mine)
+                peers.open(call, "batch", request.terms.tenant, desk.utility(request.terms.traffic_type),
+                           len(data), batch.cut)
             except (NotTaken, ValueError) as fault:
                 raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
             return mine
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -3,6 +3,7 @@
 from myrtlehub.limits.shares import FrontShares
 from myrtlehub.node.door import Asked, NotTaken
 from myrtlehub.node.host import Held, Host
+from myrtlehub.node.peers import PeerWatch
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.server import Receiver, ServerCall, server_stream
 from myrtlehub.rpc.status import Code, RpcError
@@ -74,8 +75,9 @@
 class ChatFront:
     """Serves Chat on a server, for a host."""
 
-    def __init__(self, host: Host, most_sequences: int, wait: float, shares: FrontShares) -> None:
-        self.host, self.most, self.wait, self.shares = host, most_sequences, wait, shares
+    def __init__(self, host: Host, most_sequences: int, wait: float, shares: FrontShares,
+                 peers: PeerWatch) -> None:
+        self.host, self.most, self.wait, self.shares, self.peers = host, most_sequences, wait, shares, peers
         self.closed = False
 
     def serve(self, server: object) -> None:
@@ -94,7 +96,8 @@
             arrival = self.host.door.arrival(asked, self.host.clock.seconds())
         except NotTaken as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
-        if self.closed or len(self.host.held) >= self.most:
+        if self.closed or len(self.host.held) >= self.most or not self.peers.room(
+                call, asked.tenant, len(data)):
             waiting.rejected(self.wait)  # not taken: nothing ran
             return waiting
         self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt)
@@ -104,7 +107,10 @@
             now, slack = self.host.clock.seconds(), self.host.terms.answer_slack
             due = self.host.door.lag.left(now, call.time_left() - slack)
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
-        waiting.held = self.host.take(asked, arrival, waiting)
+        waiting.held = held = self.host.take(asked, arrival, waiting)
+        utility = self.host.door.rows[arrival.traffic].utility
+        self.peers.open(call, held.label, asked.tenant, utility, len(data),
+                        lambda why: self.host.out_of_time(held, why))
         return waiting
 
     def _out_of_time(self, waiting: _Waiting) -> None:
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -22,6 +22,7 @@
 from myrtlehub.node.fields import Fields
 from myrtlehub.node.host import Host
 from myrtlehub.node.links import Links
+from myrtlehub.node.peers import PeerWatch
 from myrtlehub.node.rank import RANK
 from myrtlehub.node.terms import fronts_of, terms_of
 from myrtlehub.rpc.guards import TransportBounds
@@ -47,17 +48,20 @@
         self.host = host_class(self._router(fronts), Door(sheet), terms, clock, self.links,
                                f"{node.name}.{run}.", log)
         self.links.host = self.host
-        self.server = Server(clock, TransportBounds(message=node.prompt_limit))
+        limits = sheet.limits
+        self.server = Server(clock, TransportBounds(message=node.prompt_limit, idle_streamless=limits.idle),
+                             most=limits.connections, most_by_peer=limits.peer_connections)
+        self.peers = PeerWatch(limits, clock, log)
         self.desk = BatchDesk(self.host, sheet, clock)
         self.desk.fields = fronts if len(fronts) > 1 else []
-        self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares)
+        self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares, self.peers)
         self.front.serve(self.server)
         for front in FRONTS:
             if front.name in fronts:
-                serve(front, self.desk, self.server, lambda: self.front.closed)
+                serve(front, self.desk, self.server, lambda: self.front.closed, self.peers)
         self.admin = Server(clock)
         self.source = self._source(base, notify, reader, beside)
-        NodeAdmin(self.host, sheet, self.source).serve(self.admin)
+        NodeAdmin(self.host, sheet, self.source, self.peers).serve(self.admin)
         self.host.reread_list = self.source.reread
         self.host.start()
         self.source.follow(self._list_news)
--- /dev/null
+++ b/myrtlehub/node/peers.py
@@ -0,0 +1,114 @@
+"""Limits on clients: what is held for them is counted, who takes too little or too much of it is cut off.
+
+`PeerWatch` looks at all open streams a few times a second; between looks it costs two additions a message.
+What is decided stands in `limits/`.
+"""
+
+from collections import deque
+from collections.abc import Callable
+
+from myrtlehub.config.sheets import LimitsGroup
+from myrtlehub.limits.ledger import Budgets, Held, Ledger, given_up
+from myrtlehub.limits.pace import STEP, Pace
+from myrtlehub.rpc.server import ServerCall
+
+KEPT = 50  # cuts remembered
+
+
+class Watched:
+    """One call. `cut(reason)` ends it with an aborted answer, where it has none yet."""
+
+    __slots__ = ("call", "name", "tenant", "utility", "request", "pace", "cut", "was_cut")
+
+    def __init__(self, call: ServerCall, name: str, tenant: str, utility: float, request: int, pace: Pace,
+                 cut: Callable[[str], None]) -> None:
+        self.call, self.name, self.tenant, self.utility = call, name, tenant, utility
+        self.request, self.pace, self.cut = request, pace, cut  # bytes of the request, held until it is over
+        self.was_cut = False
+
+
+class PeerWatch:
+    """All clients' calls of a node."""
+
+    def __init__(self, limits: LimitsGroup, clock: object, log: Callable[..., None]) -> None:
+        self.limits, self.clock, self.log = limits, clock, log
+        self.ledger = Ledger(Budgets(limits.held_bytes, limits.peer_share, limits.tenant_share))
+        self.calls: dict[int, Watched] = {}
+        self.cuts: deque[tuple[float, str, str, str]] = deque(maxlen=KEPT)  # when, peer, tenant, why
+        self.counts = {"slow": 0, "memory": 0, "turned away": 0}
+        self._next = 0
+        self._timer = None
+
+    def room(self, call: ServerCall, tenant: str, size: int) -> bool:
+        """Whether a request of so many bytes may be held; else it is turned away, and nothing ran."""
+        what = self.ledger.room(host_of(call.peer), tenant, size)
+        if what:
+            self.counts["turned away"] += 1
+            self.log("turned away", peer=call.peer, tenant=tenant, budget=what, bytes=size)
+        return not what
+
+    def open(self, call: ServerCall, name: str, tenant: str, utility: float, request: int,
+             cut: Callable[[str], None]) -> None:
+        """A call was taken."""
+        key, self._next = self._next, self._next + 1
+        self.calls[key] = Watched(call, name, tenant, utility, request,
+                                  Pace(self.limits.rate_window, self.limits.least_rate), cut)
+        self.ledger.open(key, host_of(call.peer), tenant)
+        self._settle(key, self.calls[key])
+        if self._timer is None:
+            self._timer = self.clock.callLater(STEP, self._look)
+
+    def _settle(self, key: int, w: Watched) -> None:
+        s = w.call.stream
+        over = w.call.over
+        self.ledger.settle(key, s.put + w.request, s.taken + (w.request if over else 0), s.dropped,
+                           s.buffered + (0 if over else w.request))
+
+    def _look(self) -> None:
+        """At all open streams."""
+        self._timer = None
+        now = self.clock.seconds()
+        for key, w in list(self.calls.items()):
+            self._settle(key, w)
+            stream = w.call.stream
+            if stream.closed or (w.call.over and not stream.buffered):
+                self.ledger.close(key)
+                del self.calls[key]
+            elif w.pace.look(now, stream.taken, stream.buffered) and not w.was_cut:
+                least = self.limits.least_rate
+                self.cut(key, "slow", f"it took under {least:g} bytes a second of what waited")
+        for what, name, size in list(self.ledger.over()):
+            streams = [Held(k, self.ledger.held_by(k), w.utility, w.pace.stalled(now))
+                       for k in self.ledger.of(what, name) if not (w := self.calls[k]).was_cut]
+            for key in given_up(streams, size):
+                bound = self.ledger.bound(what)
+                self.cut(key, "memory", f"the {what} holds more than its {bound} bytes here")
+        if self.calls:
+            self._timer = self.clock.callLater(STEP, self._look)
+
+    def cut(self, key: int, count: str, why: str) -> None:
+        """What waits for it is dropped; it is told that it was aborted, and reset if it ignores that."""
+        w = self.calls[key]
+        w.was_cut = True
+        self.counts[count] += 1
+        self.cuts.append((self.clock.seconds(), w.call.peer, w.tenant, why))
+        self.log("cut", seq=w.name, peer=w.call.peer, tenant=w.tenant, why=why, held=w.call.stream.buffered)
+        stream = w.call.stream
+        if w.call.over:
+            stream.reset()  # its answer was complete, and the client did not take it
+        else:
+            stream.drop()
+            w.cut(why)
+            self.clock.callLater(self.limits.linger, lambda: None if stream.closed else stream.reset())
+        self._settle(key, w)
+
+    def near(self) -> list[tuple[str, str, int, int]]:
+        """Peers and tenants that hold over half of their budget: what, who, bytes held, bound."""
+        return [(what, str(name), a.held, self.ledger.bound(what))
+                for what, table in (("peer", self.ledger.peers), ("tenant", self.ledger.tenants))
+                for name, a in table.items() if a.held * 2 > self.ledger.bound(what)]
+
+
+def host_of(peer: str) -> str:
+    """A peer's address without the port: all of its connections count together."""
+    return peer.rsplit(":", 1)[0]
--- a/myrtlehub/rpc/http2.py
+++ b/myrtlehub/rpc/http2.py
@@ -117,7 +117,8 @@
         self.on_lost: Callable[[int | None], None] = lambda error: None
         self.on_headers: Callable[[list, bool], None] = lambda headers, ended: None
         self._out: deque[bytes] = deque()
-        self.buffered = 0
+        self.buffered = self.put = self.taken = self.dropped = 0  # bytes: waiting, and ever so far
+        self._begun = False  # the first of what waits has left in part
         self._trailers: list | None = None
         self._ending = self.sent_end = self.received_end = self.closed = False
         self._producer: object | None = None
@@ -134,6 +135,7 @@
             return
         self._out.append(data)
         self.buffered += len(data)
+        self.put += len(data)
         self.protocol.mark(self)
         if self.buffered > self.protocol.bounds.send_buffer and self._producer and not self._producer_paused:
             self._producer_paused = True
@@ -146,6 +148,17 @@
             self._ending, self._trailers = True, trailers
             self.protocol.mark(self)
 
+    def drop(self) -> int:
+        """Forget what waits, but for the rest of a write that has left in part; bytes that were dropped."""
+        rest = self._out.popleft() if self._begun and self._out else b""
+        dropped = self.buffered - len(rest)
+        self._out.clear()
+        if rest:
+            self._out.append(rest)
+        self.buffered = len(rest)
+        self.dropped += dropped
+        return dropped
+
     def reset(self, error: int = ErrorCodes.CANCEL) -> None:
         """RST_STREAM now; what was queued is dropped."""
         if not self.closed:
@@ -222,6 +235,7 @@
             return
         self.closed = True
         self._out.clear()
+        self.dropped += self.buffered
         self.buffered = 0
         self._held.clear()
         producer, self._producer = self._producer, None
@@ -538,10 +552,12 @@
                     parts.append(stream._out.popleft())
                     size += len(parts[-1])
                 chunk = b"".join(parts)
-            if len(chunk) > room:
+            stream._begun = len(chunk) > room
+            if stream._begun:
                 stream._out.appendleft(chunk[room:])
                 chunk = chunk[:room]
             stream.buffered -= len(chunk)
+            stream.taken += len(chunk)
             last = stream._ending and not stream.buffered and stream._trailers is None
             if last or not conn.quick_send(stream.id, chunk):
                 conn.send_data(stream.id, chunk, end_stream=last)
--- a/myrtlehub/rpc/server.py
+++ b/myrtlehub/rpc/server.py
@@ -305,7 +305,10 @@
 
     noisy = False
 
-    def __init__(self, clock: object, bounds: TransportBounds | None = None, compress: bool = False) -> None:
+    def __init__(self, clock: object, bounds: TransportBounds | None = None, compress: bool = False,
+                 most: int = 0, most_by_peer: int = 0) -> None:
+        """`most` connections in all, and of one peer's address; 0: any number."""
+        self.most, self.most_by_peer = most, most_by_peer
         self.clock, self.bounds, self.compress = clock, bounds or TransportBounds(), compress
         self.methods: dict[str, Handler] = {}
         self.connections: set[ServerProtocol] = set()
@@ -316,7 +319,14 @@
         """Serve a method; the path is "/package.Service/Method"."""
         self.methods[path] = handler
 
-    def buildProtocol(self, addr: object) -> ServerProtocol:  # noqa: N802
+    def buildProtocol(self, addr: object) -> ServerProtocol | None:  # noqa: N802
+        if self.most and len(self.connections) >= self.most:
+            return None  # closed at once: the peer backs off
+        host = getattr(addr, "host", "")
+        if self.most_by_peer and host:
+            mine = sum(c.peer.rsplit(":", 1)[0] == host for c in self.connections)
+            if mine >= self.most_by_peer:
+                return None
         return ServerProtocol(self)
 
     def drain(self) -> Deferred:
