--- /dev/null
+++ b/myrtlehub/lab/modelled.py
@@ -0,0 +1,203 @@
+"""Nodes and engines in one process on a driven clock: the very same host, door and module as the node's, with
+the transport replaced by modelled links. Simulated.
+
+What a day with processes cannot show, thousands of sequences a second or many nodes, runs here in a fraction
+of its time, and the same seed gives the same figures.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.task import Clock
+
+from myrtlehub import interface as itf
+from myrtlehub.config.sheets import EngineRow, NodeSheet
+from myrtlehub.decide import Router
+from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
+from myrtlehub.node.door import Asked, Door
+from myrtlehub.node.host import Attempt, Held, Host
+from myrtlehub.node.terms import terms_of
+
+LINK = 0.0004  # seconds, one way
+FETCH = 250_000.0  # tokens a second
+
+
+class ModelEngine:
+    """One stand-in's model, and its timer."""
+
+    def __init__(self, fleet: "ModelFleet", address: str, machine: Machine, seed: int) -> None:
+        self.fleet, self.address = fleet, address
+        self.model = EngineModel(machine, seed)
+        self.jobs: dict[int, Attempt] = {}
+        self._timer = None
+        self._due = NEVER
+
+    def act(self, events: list[tuple]) -> None:
+        """Hand over what happened, a link's time later, and set the next wake-up."""
+        clock = self.fleet.clock
+        for event in events:
+            if event[0] in ("fell", "freed", "ran"):
+                continue
+            if event[0] == "fetch":
+                self._fetch(event[1])
+                continue
+            attempt = self.jobs.get(event[1])
+            if attempt is None:
+                continue
+            if event[0] != "tokens":
+                del self.jobs[event[1]]
+            clock.callLater(LINK, self._tell, attempt, event)
+        due = self.model.next_at()
+        if due != self._due or self._timer is None or not self._timer.active():
+            if self._timer is not None and self._timer.active():
+                self._timer.cancel()
+            self._due, self._timer = due, None
+            if due != NEVER:
+                self._timer = clock.callLater(max(0.0, due - clock.seconds()), self._tick)
+
+    def _tick(self) -> None:
+        self.act(self.model.tick(self.fleet.clock.seconds()))
+
+    def _tell(self, attempt: Attempt, event: tuple) -> None:
+        host, word = attempt.held.client.host, event[0]
+        load = itf.Load(**self.model.load())
+        if word == "tokens":
+            (host.more if attempt.begun else host.began)(attempt, b"")
+        elif word == "read":
+            host.ended(attempt, itf.READ, event[2], load, self.address)
+        elif word == "ended":
+            host.ended(attempt, itf.GENERATED, event[2], load, tokens=event[3])
+        elif word == "refused":
+            host.ended(attempt, itf.FULL, float(event[2]), load)
+        else:
+            host.ended(attempt, itf.ERROR if word == "failed" else itf.TIMEOUT)
+
+    def _fetch(self, key: int) -> None:
+        attempt = self.jobs.get(key)
+        if attempt is None:
+            return
+        reader, label = self.fleet.engines[attempt.claims.handle], attempt.held.label
+        takes = 2 * LINK + reader.model.state_tokens(label) / FETCH
+        self.fleet.clock.callLater(takes, self._fetched, key, reader, label)
+
+    def _fetched(self, key: int, reader: "ModelEngine", label: str) -> None:
+        now = self.fleet.clock.seconds()
+        whole = reader.model.state_tokens(label) > 0.0
+        reader.act(reader.model.release(now, label, "fetched"))
+        self.act(self.model.fetched(now, key, whole))
+
+    def take(self, key: int, attempt: Attempt) -> None:
+        """An attempt arrives."""
+        if not attempt.out:
+            return
+        asked, held, now = attempt.held.asked, attempt.held, self.fleet.clock.seconds()
+        self.jobs[key] = attempt
+        task = Task(held.label, asked.prompt, asked.most_output, asked.session, asked.prefix, asked.shared,
+                    asked.mark, held.abandon_at)
+        self.act(self.model.read(now, key, task) if attempt.reads
+                 else self.model.write(now, key, task, attempt.claims is not None))
+
+    def cancel(self, key: int) -> None:
+        """Nobody waits for it any more."""
+        if self.jobs.pop(key, None) is not None:
+            self.act(self.model.cancel(self.fleet.clock.seconds(), key))
+
+
+class ModelCarrier:
+    """A host's carrier over modelled links."""
+
+    def __init__(self, fleet: "ModelFleet") -> None:
+        self.fleet, self.host = fleet, None
+        self._next = 0
+
+    def start(self, attempt: Attempt) -> None:
+        address = self.host.door.engines.rows[attempt.engine].address
+        key, self.fleet.attempts = self.fleet.attempts, self.fleet.attempts + 1
+        attempt.call = self.fleet.engines[address], key
+        self.fleet.clock.callLater(LINK, self.fleet.engines[address].take, key, attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        if attempt.call is not None:
+            engine, key = attempt.call
+            self.fleet.clock.callLater(LINK, engine.cancel, key)
+
+    def release(self, engine: int, label: str) -> None:
+        target = self.fleet.engines[self.host.door.engines.rows[engine].address]
+
+        def done() -> None:
+            target.act(target.model.release(self.fleet.clock.seconds(), label))
+        self.fleet.clock.callLater(LINK, done)
+
+    def close_idle(self, engine: int) -> None:
+        """There are no connections."""
+
+    def forget(self, address: str) -> None:
+        """Nothing is kept of it."""
+
+
+class ModelClient:
+    """Who waits for one answer; `on_begun(client)` and `on_end(client)` are told once."""
+
+    def __init__(self, host: Host, asked: Asked, now: float, on_end: Callable[["ModelClient"], None],
+                 on_begun: Callable[["ModelClient"], None]) -> None:
+        self.host, self.asked, self.since, self.on_end, self.on_begun = host, asked, now, on_end, on_begun
+        self.first = self.wait = 0.0
+        self.answer = ""
+        self.held: Held | None = None
+
+    def tokens(self, raw: bytes) -> None:
+        """The first is what counts."""
+        if not self.first:
+            self.first = self.host.clock.seconds() - self.since
+            self.on_begun(self)
+
+    def generated(self, tokens: int) -> None:
+        self._end("generated")
+
+    def rejected(self, wait: float) -> None:
+        self.wait = wait
+        self._end("rejected")
+
+    def aborted(self, reason: str) -> None:
+        self._end("aborted")
+
+    def _end(self, answer: str) -> None:
+        self.answer = answer
+        self.on_end(self)
+
+
+class ModelFleet:
+    """Nodes by their file's sheet, engines by kind. `sheet(index)` gives a node's."""
+
+    def __init__(self, nodes: int, sheet: Callable[[int], NodeSheet], rows: list[EngineRow],
+                 machines: dict[str, Machine], seed: int) -> None:
+        self.clock = Clock()
+        self.clock.advance(1000.0)
+        self.random = Random(seed)
+        self.attempts = 0
+        self.engines = {r.address: ModelEngine(self, r.address, machines[r.kind], seed + i)
+                        for i, r in enumerate(rows)}
+        self.hosts: list[Host] = []
+        for i in range(nodes):
+            mine = sheet(i)
+            terms, carrier = terms_of(mine), ModelCarrier(self)
+            host = carrier.host = Host(Router(terms), Door(mine), terms, self.clock, carrier, f"n{i}.")
+            host.start()
+            host.list_news(rows, True)
+            self.hosts.append(host)
+
+    def ask(self, node: int, asked: Asked, on_end: Callable[[ModelClient], None],
+            on_begun: Callable[[ModelClient], None] = lambda client: None) -> ModelClient:
+        """Hand a sequence to a node."""
+        host = self.hosts[node]
+        now = self.clock.seconds()
+        client = ModelClient(host, asked, now, on_end, on_begun)
+        client.held = host.take(asked, host.door.arrival(asked, now), client)
+        return client
+
+    def run(self, until: float) -> None:
+        """Carry out all that is due by then, in order of time."""
+        calls = self.clock.calls  # sorted
+        while calls and calls[0].getTime() <= until:
+            self.clock.advance(max(0.0, calls[0].getTime() - self.clock.seconds()))
+        self.clock.advance(max(0.0, until - self.clock.seconds()))
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -1,5 +1,7 @@
 """The chat front: Chat.Generate as Asked and Client. Decodes and encodes; decides nothing."""
 
+from myrtlehub.config.sheets import TrafficRow
+from myrtlehub.limits.admit import NEVER, Admission
 from myrtlehub.limits.shares import FrontShares
 from myrtlehub.node.door import Asked, NotTaken
 from myrtlehub.node.host import Held, Host
@@ -18,12 +20,44 @@
         self.host, self.call = host, call
         self.held: Held | None = None
         self.timer = None
+        # Where there is admission: the front, and what waits at its gate.
+        self.front: ChatFront | None = None
+        self.item: tuple | None = None
+        self.row: TrafficRow | None = None
+        self.came = 0.0
+        self.let_in = False
 
     # what the host says
 
     def tokens(self, raw: bytes) -> None:
+        if self.let_in:
+            self._begun()
         self.call.send(raw)
 
+    def _begun(self) -> None:
+        self.let_in = False
+        now = self.host.clock.seconds()
+        self.front.gate.begun(now, now - self.came, self.row.latency_slo)
+        self.host.clock.callLater(0, self.front.pump)
+
+    def _over(self) -> None:
+        """It ended without a beginning, or while it waited at the gate."""
+        if self.let_in:
+            self.let_in = False
+            had_time = self.item[2].time_left >= self.row.latency_slo
+            self.front.gate.failed(self.host.clock.seconds(), had_time)
+            self.host.clock.callLater(0, self.front.pump)
+        elif self.item is not None:
+            self.front.gate.drop(self.item)
+        self.item = None
+
+    def cut(self, why: str) -> None:
+        """By a limit on its client."""
+        if self.held is not None:
+            self.host.out_of_time(self.held, why)
+        else:
+            self.rejected(0.0)  # it had not been let in: nothing ran
+
     def generated(self, tokens: int) -> None:
         self._final(pb.GenerateReply(generated=pb.Generated(tokens=tokens)))
 
@@ -34,6 +68,7 @@
         self._final(pb.GenerateReply(aborted=pb.Aborted(reason=reason)))
 
     def _final(self, reply: pb.GenerateReply) -> None:
+        self._over()
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.call.stream.unregisterProducer()
@@ -45,6 +80,7 @@
     def lost(self, code: Code) -> None:
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
+        self._over()
         if self.held is not None:
             self.host.left(self.held)
 
@@ -76,9 +112,11 @@
     """Serves Chat on a server, for a host."""
 
     def __init__(self, host: Host, most_sequences: int, wait: float, shares: FrontShares,
-                 peers: PeerWatch) -> None:
+                 peers: PeerWatch, gate: Admission | None = None) -> None:
         self.host, self.most, self.wait, self.shares, self.peers = host, most_sequences, wait, shares, peers
         self.closed = False
+        self.gate: Admission | None = gate
+        self._timer = None
 
     def serve(self, server: object) -> None:
         """Add the methods."""
@@ -101,18 +139,43 @@
             waiting.rejected(self.wait)  # not taken: nothing ran
             return waiting
         self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt)
-        call.set_initial([("myrtle-seq", self.host.next_label())])
         call.stream.registerProducer(waiting, True)
         if call.deadline is not None:
             now, slack = self.host.clock.seconds(), self.host.terms.answer_slack
             due = self.host.door.lag.left(now, call.time_left() - slack)
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
-        waiting.held = held = self.host.take(asked, arrival, waiting)
-        utility = self.host.door.rows[arrival.traffic].utility
-        self.peers.open(call, held.label, asked.tenant, utility, len(data),
-                        lambda why: self.host.out_of_time(held, why))
+        row = self.host.door.rows[arrival.traffic]
+        self.peers.open(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
+        if self.gate is None:
+            self._take(waiting, asked, arrival)
+        else:
+            waiting.row, waiting.came, waiting.front = row, self.host.clock.seconds(), self
+            waiting.item = (waiting, asked, arrival)
+            self.gate.ask(waiting.came, row.name, row.latency_slo, waiting.item)
+            self.pump()
         return waiting
 
+    def _take(self, waiting: _Waiting, asked: Asked, arrival: object) -> None:
+        """Hand it to the module; its id is said with the first message."""
+        waiting.call.set_initial([("myrtle-seq", self.host.next_label())])
+        waiting.held = self.host.take(asked, arrival, waiting)
+
+    def pump(self) -> None:
+        """Let in what may come in, and tell what is shed."""
+        now = self.host.clock.seconds()
+        while (item := self.gate.next(now)) is not None:
+            waiting, asked, arrival = item
+            waiting.let_in = True
+            self._take(waiting, asked, arrival._replace(time_left=arrival.time_left - (now - waiting.came)))
+        for waiting, _, _ in self.gate.shed(now):
+            waiting.item = None
+            waiting.rejected(self.gate.wait_hint(self.wait))
+        due = self.gate.due_at()
+        if due < NEVER and (self._timer is None or not self._timer.active()):
+            self._timer = self.host.clock.callLater(max(0.001, due - now), self.pump)
+
     def _out_of_time(self, waiting: _Waiting) -> None:
-        if waiting.held is not None:
+        if waiting.held is None:
+            waiting.rejected(self.wait)  # it still waits at the gate
+        else:
             self.host.out_of_time(waiting.held, "the call's deadline came before the end of the answer")
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -8,6 +8,7 @@
 
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.decide import Router
+from myrtlehub.limits.admit import Admission
 from myrtlehub.membership.judge import NEVER_DAMPED, ListJudge
 from myrtlehub.membership.judge import Terms as Confirmation
 from myrtlehub.membership.source import StaticList
@@ -53,8 +54,11 @@
                              most=limits.connections, most_by_peer=limits.peer_connections)
         self.peers = PeerWatch(limits, clock, log)
         self.desk = BatchDesk(self.host, sheet, clock)
+        gate = Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic}) if (
+            limits.admit) else None
         self.desk.fields = fronts if len(fronts) > 1 else []
-        self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares, self.peers)
+        self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares, self.peers,
+                               gate)
         self.front.serve(self.server)
         for front in FRONTS:
             if front.name in fronts:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -18,6 +18,7 @@
 from myrtlehub.lab.day import free_ports
 
 ROOT = Path(__file__).parents[1]
+ADMIN: dict[str, str] = {}  # admin addresses, by clients' address
 
 
 def tries(repeats: str = "once-only", **more: object) -> Tries:
@@ -98,6 +99,7 @@
         running.append(process)
         while b'"ready"' not in process.stdout.readline():
             assert process.poll() is None
+    ADMIN[f"127.0.0.1:{ports[0]}"] = f"127.0.0.1:{ports[1]}"
     yield f"127.0.0.1:{ports[0]}"
     for process in reversed(running):
         process.send_signal(signal.SIGTERM)
@@ -135,3 +137,16 @@
             batches.rank(b"q", texts, ask)
         with pytest.raises(Rejected):  # nothing can be done in that time, and nothing runs twice for it
             batches.embed(texts, BatchAsk("vec", first_within=0.002, within=0.3, tries=2), dimensions=3)
+
+
+def test_hub_list_shows_what_a_node_routes_by(node: str) -> None:
+    def show(where: str) -> subprocess.CompletedProcess:
+        return subprocess.run([sys.executable, "-m", "myrtlehub.cli.list", "show", "--node", where],
+                              capture_output=True, text=True, timeout=60, cwd=ROOT)
+    shown = show(ADMIN[node])
+    lines = shown.stdout.splitlines()
+    assert shown.returncode == 0 and lines[0].startswith("version 1, ") and "from its file" in lines[0]
+    assert [line.split()[1] for line in lines[1:]] == ["reader", "writer", "embedder", "ranker"]
+    assert all(line.endswith("weight 1 serving") for line in lines[1:])
+    nobody = show("127.0.0.1:1")
+    assert nobody.returncode == 2 and nobody.stderr.startswith("127.0.0.1:1: ")
