Retry budgets by tenant: a storm of repeats costs a bounded part of the first tries

After an outage every client comes again, is refused and comes once more, and the engines stay down under it. A tenant's first tries now earn repeats (limits.retries); one without credit is turned away at the door, no engine hears of it, and its wait grows and is spread.

Off unless stated.

--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -167,6 +167,7 @@
     rate_window: Duration = 5.0  # over which that is judged
     linger: Duration = 5.0  # until a client that does not take its last answer is reset
     admit: bool = False  # sequences wait at the door, and are shed there by utility, as latency grows
+    retries: NotNegative | Literal["any"] = "any"  # repeated tries a first one that a tenant may send
     connections: Annotated[int, Field(ge=1)] = 4000
     peer_connections: Annotated[int, Field(ge=1)] = 1000  # of one peer's address
     idle: Duration = 300.0  # a connection without calls is closed after this; 0: never
--- a/myrtlehub/node/calls.py
+++ b/myrtlehub/node/calls.py
@@ -103,6 +103,10 @@
             if closed() or not peers.room(call, request.terms.tenant, len(data)):
                 mine.final(Answer("rejected", desk.wait), "", 0, 0)  # not taken: nothing ran
                 return mine
+            again = peers.again(request.terms.tenant, request.terms.repeated)
+            if again is not None:
+                mine.final(Answer("rejected", again), "", 0, 0)
+                return mine
             try:
                 want = front.want(request, streams)
                 want = want._replace(asked=asked_of(request.terms, call.time_left()))
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -134,6 +134,10 @@
             arrival = self.host.door.arrival(asked, self.host.clock.seconds())
         except NotTaken as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
+        again = self.peers.again(asked.tenant, asked.repeated)
+        if again is not None:
+            waiting.rejected(again)  # over its tenant's budget of repeats: nothing ran
+            return waiting
         if self.closed or len(self.host.held) >= self.most or not self.peers.room(
                 call, asked.tenant, len(data)):
             waiting.rejected(self.wait)  # not taken: nothing ran
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -9,6 +9,7 @@
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.decide import Router
 from myrtlehub.limits.admit import Admission
+from myrtlehub.limits.retries import RetryBudget
 from myrtlehub.membership.judge import NEVER_DAMPED, ListJudge
 from myrtlehub.membership.judge import Terms as Confirmation
 from myrtlehub.membership.source import StaticList
@@ -52,7 +53,8 @@
         limits = sheet.limits
         self.server = Server(clock, TransportBounds(message=node.prompt_limit, idle_streamless=limits.idle),
                              most=limits.connections, most_by_peer=limits.peer_connections)
-        self.peers = PeerWatch(limits, clock, log)
+        retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
+        self.peers = PeerWatch(limits, clock, log, retries, node.max_wait)
         self.desk = BatchDesk(self.host, sheet, clock)
         gate = Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic}) if (
             limits.admit) else None
--- a/myrtlehub/node/peers.py
+++ b/myrtlehub/node/peers.py
@@ -10,6 +10,7 @@
 from myrtlehub.config.sheets import LimitsGroup
 from myrtlehub.limits.ledger import Budgets, Held, Ledger, given_up
 from myrtlehub.limits.pace import STEP, Pace
+from myrtlehub.limits.retries import RetryBudget
 from myrtlehub.rpc.server import ServerCall
 
 KEPT = 50  # cuts remembered
@@ -30,15 +31,30 @@
 class PeerWatch:
     """All clients' calls of a node."""
 
-    def __init__(self, limits: LimitsGroup, clock: object, log: Callable[..., None]) -> None:
+    def __init__(self, limits: LimitsGroup, clock: object, log: Callable[..., None],
+                 retries: RetryBudget | None, max_wait: float) -> None:
+        self.retries, self.max_wait = retries, max_wait
         self.limits, self.clock, self.log = limits, clock, log
         self.ledger = Ledger(Budgets(limits.held_bytes, limits.peer_share, limits.tenant_share))
         self.calls: dict[int, Watched] = {}
         self.cuts: deque[tuple[float, str, str, str]] = deque(maxlen=KEPT)  # when, peer, tenant, why
-        self.counts = {"slow": 0, "memory": 0, "turned away": 0}
+        self.counts = {"slow": 0, "memory": 0, "turned away": 0, "repeats turned away": 0}
         self._next = 0
         self._timer = None
 
+    def again(self, tenant: str, repeated: bool) -> float | None:
+        """Whether a try may go on (None); else after how many seconds it may come again."""
+        if self.retries is None:
+            return None
+        now = self.clock.seconds()
+        if not repeated:
+            self.retries.first(now, tenant)
+            return None
+        wait = self.retries.repeat(now, tenant, self.max_wait)
+        if wait is not None:
+            self.counts["repeats turned away"] += 1
+        return wait
+
     def room(self, call: ServerCall, tenant: str, size: int) -> bool:
         """Whether a request of so many bytes may be held; else it is turned away, and nothing ran."""
         what = self.ledger.room(host_of(call.peer), tenant, size)
