Embed floods give way on common engines whenever others ask for more worth

A front with such engines is now kept from the common ones while others ask for more worth than it does; a front that nobody has asked for ten seconds asks for nothing, whatever its fading count says.

Refusals of lists name a fix for unknown kinds and zones too.

--- a/myrtlehub/limits/shares.py
+++ b/myrtlehub/limits/shares.py
@@ -15,6 +15,8 @@
 
 FADE = 5.0  # seconds in which what was asked of a front is half forgotten
 AHEAD = 4  # pieces out for each engine of a front, over all nodes: one is done, the others wait there
+IDLE = 10.0  # seconds without a request after which a front asks for nothing
+EVEN = 0.5  # share from which a front with engines of its own may use common ones beside
 LEAST = 0.02  # share that a front with any utility keeps, so that it is never shut out
 
 
@@ -40,6 +42,8 @@
 
     def _lately(self, now: float, front: Hashable) -> float:
         count, at = self._asked.get(front, (0.0, now))
+        if now - at > IDLE:
+            return 0.0  # guards against a share that is kept for nobody: what fades alike stays in proportion
         return count * 0.5 ** ((now - at) / FADE)
 
     def share(self, now: float, front: Hashable) -> float:
@@ -79,13 +83,15 @@
     def placed(self, now: float, front: Hashable, tokens: float) -> bool:
         """So much of it went to a common engine, or came back (negative); whether `shut` has changed.
 
-        It is shut out at its share and let in again at half of it, lest each piece turns it over.
+        It is shut out at its share and let in again at half of it, lest each piece turns it over; and for as
+        long as the others ask for more worth than it does: it has engines of its own, they may not.
         """
         self.common[front] = max(0.0, self.common[front] + tokens)
-        bound, before = self.share(now, front) * self.room, self.shut[front]
-        if not self.alone[front] or self.common[front] <= 0.5 * bound:
+        share, before = self.share(now, front), self.shut[front]
+        bound = share * self.room if share >= EVEN - 1e-9 else 0.0
+        if not self.alone[front] or (bound and self.common[front] <= 0.5 * bound):
             self.shut[front] = False
-        elif self.common[front] >= bound:
+        elif self.common[front] >= bound or not bound:
             self.shut[front] = True
         return self.shut[front] != before
 
--- a/myrtlehub/membership/judge.py
+++ b/myrtlehub/membership/judge.py
@@ -47,10 +47,10 @@
         seen[row.address] = row
         if row.kind not in kinds:
             faults.append(f"engine {row.address}: kind {row.kind!r} is not among kinds: "
-                          f"{', '.join(sorted(kinds))}")
+                          f"{', '.join(sorted(kinds))}; mend the name, or add the kind")
         if row.zone not in zones:
             faults.append(f"engine {row.address}: zone {row.zone!r} is not among zones: "
-                          f"{', '.join(sorted(zones))}")
+                          f"{', '.join(sorted(zones))}; mend the name, or add the zone")
     up = [r for r in rows if r.state == "serving" and r.weight > 0.0 and r.kind in kinds]
     writers = {r.cell for r in up if kinds[r.kind].writes}
     readers = {r.cell for r in up if kinds[r.kind].reads}
--- a/myrtlehub/node/batches.py
+++ b/myrtlehub/node/batches.py
@@ -443,6 +443,7 @@
     def send(self, piece: _Piece) -> None:
         """Now, or once the front's share allows it."""
         now, front = self.clock.seconds(), piece.want.front
+        self._weigh(front, 0.0)
         if self.shares.waiting(front) or not self.shares.may_send(now, front, piece.size):
             self.shares.wait(front, piece, piece.size)
             return
@@ -460,9 +461,12 @@
         asked = attempt.held.asked
         if not (self.fields and asked.front != "chat" and attempt.kind in self._common):
             return
-        if self.shares.placed(self.clock.seconds(), asked.front, sign * asked.prompt):
-            shut = self.shares.shut[asked.front]
-            self.clock.callLater(0, self.host.shut, self.fields.index(asked.front), shut)
+        self._weigh(asked.front, sign * asked.prompt)
+
+    def _weigh(self, front: str, tokens: float) -> None:
+        """Whether the front may use common engines, after so much more or less of it there."""
+        if self.fields and self.shares.room and self.shares.placed(self.clock.seconds(), front, tokens):
+            self.clock.callLater(0, self.host.shut, self.fields.index(front), self.shares.shut[front])
 
     def pump(self) -> None:
         """Room may have grown."""
@@ -474,6 +478,7 @@
         """A piece is back; another may go."""
         front = piece.want.front
         self.shares.came(front, piece.size)
+        self._weigh(front, 0.0)
         self.clock.callLater(0, self._next, front)
 
     def _next(self, front: str) -> None:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -200,7 +200,8 @@
     assert shares.most["embed"] == 6
     shares.came("embed", 4000.0)
     assert shares.next(now, "embed") == "q" and shares.out["embed"] == 1010.0
-    assert shares.share(now + 60.0, "embed") > 0.4  # what was asked long ago counts less and less for both
+    assert shares.share(now + 8.0, "embed") <= 0.5
+    assert shares.share(now + 60.0, "embed") == 1.0  # nobody has asked for long
 
 
 # -- on a whole fleet ----------------------------------------------------------------------------------
@@ -515,7 +516,11 @@
     seen = {r.who for r in f.what("got") if r.more["traffic"] == "vec"}
     assert "E0d:1" in seen and any(desk.shares.shut.values())
     f.run(6.0)
-    assert all(c.answer == "generated" for c in chats) and not any(desk.shares.shut.values())
+    assert all(c.answer == "generated" for c in chats)
+    f.run(90.0)  # nobody asks any more
+    late = embed(f, texts(5, 999))
+    f.run(1.0)
+    assert late.final == "generated" and not any(desk.shares.shut.values())
     assert sum(c.final == "generated" for c in flood) > 10
     router = host.router
     assert all(router.routers[1].state[i] == 0 for i in router._told[1])  # let in again
