A field let in again gets back nothing that left it; batches, limits and links said once

Fault mended: letting a field in again on common engines listed those that had changed their kind, or that a whole list no longer named, as serving; a test shows it and failed before.

Behaviour otherwise as it was, but that batches now spend a repeat's credit before a full node is looked at, as chat did: one way to turn a request away, one base for what watches an attempt, one way to end a batch early, wanted pieces told by a set and not by switching `over`, rows made from figures in one place. Off the hot path: closing a stream no longer looks through all, a look at clients skips streams on which nothing passed, connections by address are counted, and nodes for chat alone do nothing for batches when they take a list.

--- a/myrtlehub/batching/join.py
+++ b/myrtlehub/batching/join.py
@@ -96,7 +96,3 @@
         elif not self.missing and not self._open:
             self.answer = Answer("generated")
         return OVER if self.answer is not None else WAITING
-
-    def out(self) -> list[int]:
-        """Parts that are out."""
-        return list(self._open)
--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -86,12 +86,18 @@
     @cached_property
     def figures(self) -> tuple:
         """All of it, in the order of FIGURES: lists of thousands are compared by it."""
-        return (self.address, self.kind, self.zone, self.cell, self.weight, self.state, self.age,
-                self.model)
+        return tuple([getattr(self, name) for name in self.FIGURES])
+
+    @classmethod
+    def of(cls, figures: tuple) -> "EngineRow":
+        """A row of figures that were checked before."""
+        row = cls.model_construct(**dict(zip(cls.FIGURES, figures, strict=True)))
+        row.__dict__["figures"] = figures
+        return row
 
     def having(self, **figures: object) -> "EngineRow":
         """The same with some figures replaced. Not `model_copy`, which would take the old `figures` along."""
-        return EngineRow.model_construct(**{**dict(zip(self.FIGURES, self.figures, strict=True)), **figures})
+        return EngineRow.of(tuple([figures.get(name, getattr(self, name)) for name in self.FIGURES]))
 
 
 class RulesGroup(Sheet):
--- a/myrtlehub/limits/ledger.py
+++ b/myrtlehub/limits/ledger.py
@@ -11,10 +11,11 @@
 class Account:
     """One sum."""
 
-    __slots__ = ("came", "left", "dropped", "held")
+    __slots__ = ("came", "left", "dropped", "held", "streams")
 
     def __init__(self) -> None:
         self.came = self.left = self.dropped = self.held = 0
+        self.streams = 0  # that are open under it
 
     def add(self, came: int, left: int, dropped: int, held: int) -> None:
         """Changes since the last time."""
@@ -54,13 +55,14 @@
     def open(self, key: Hashable, peer: Hashable, tenant: Hashable) -> None:
         """A stream that holds nothing yet."""
         self._streams[key] = Account(), peer, tenant
+        for table, name in ((self.peers, peer), (self.tenants, tenant)):
+            table.setdefault(name, Account()).streams += 1
 
     def settle(self, key: Hashable, came: int, left: int, dropped: int, held: int) -> None:
         """A stream's counters as they stand now; they only grow, but for what is held."""
         account, peer, tenant = self._streams[key]
         change = (came - account.came, left - account.left, dropped - account.dropped, held - account.held)
-        for a in (account, self.node, self.peers.setdefault(peer, Account()),
-                  self.tenants.setdefault(tenant, Account())):
+        for a in (account, self.node, self.peers[peer], self.tenants[tenant]):
             a.add(*change)
 
     def close(self, key: Hashable) -> None:
@@ -69,7 +71,8 @@
         self.settle(key, account.came, account.left, account.dropped + account.held, 0)
         del self._streams[key]
         for table, name in ((self.peers, peer), (self.tenants, tenant)):
-            if not table[name].held and not any(name in (p, t) for _, p, t in self._streams.values()):
+            table[name].streams -= 1
+            if not table[name].streams:
                 del table[name]  # guards against names without end; the node's own sum keeps what passed
 
     def held_by(self, key: Hashable) -> int:
--- a/myrtlehub/membership/aside.py
+++ b/myrtlehub/membership/aside.py
@@ -80,12 +80,11 @@
 
     def _made(self, reply: Reply, then: Then) -> Iterator[None]:
         """Rows a few at a time, so that no turn of the node is long."""
-        rows, known, names = [], self._rows, EngineRow.FIGURES
+        rows, known = [], self._rows
         for i, figures in enumerate(reply.rows):
             row = known.get(figures[0])
             if row is None or row.figures != figures:
-                row = EngineRow.model_construct(**dict(zip(names, figures, strict=True)))
-                row.__dict__["figures"] = figures
+                row = EngineRow.of(figures)
             rows.append(row)
             if i % AT_ONCE == AT_ONCE - 1:
                 yield
--- a/myrtlehub/membership/store.py
+++ b/myrtlehub/membership/store.py
@@ -88,8 +88,7 @@
                 continue  # a bit flipped where the database says of what type a value is
             if total != _sum(number, source, digest, rows):
                 continue
-            engines = [EngineRow.model_construct(**dict(zip(EngineRow.FIGURES, row, strict=True)))
-                       for row in msgspec.json.decode(rows, type=list[Figures])]
+            engines = [EngineRow.of(row) for row in msgspec.json.decode(rows, type=list[Figures])]
             if digest_of(engines) == digest:
                 return number, source, engines
         if found:
--- a/myrtlehub/node/batches.py
+++ b/myrtlehub/node/batches.py
@@ -22,7 +22,6 @@
 from myrtlehub.node.host import Attempt, Held, Host
 from myrtlehub.proto import engine_pb2 as pb
 
-
 ENTRY = 400  # bytes that a kept result takes beside itself
 
 
@@ -65,18 +64,21 @@
     def __init__(self, desk: "BatchDesk", want: Want, model: str) -> None:
         self.desk, self.want, self.model = desk, want, model
         self.owners: list[tuple[Batch, int, list[int]]] = []  # batch, number of its part, its items
+        self.wanted: set[Batch] = set()  # those of them that still wait for it
         self.size = 0  # tokens
         self.held: Held | None = None
         self.over = False
 
     def add(self, batch: "Batch", part: int, indices: list[int]) -> None:
         self.owners.append((batch, part, indices))
+        self.wanted.add(batch)
         self.size += sum(batch.cost(i) for i in indices)
         batch.pieces[part] = self
 
     def start(self) -> None:
         """Give it to the module as a sequence of its own."""
         desk, want = self.desk, self.want
+        self.owners = [o for o in self.owners if o[0] in self.wanted]
         left = min(b.abandon_at for b, _, _ in self.owners) - desk.clock.seconds()
         task = pb.BatchRequest()
         task.CopyFrom(want.task)
@@ -125,8 +127,8 @@
 
     def leave(self, batch: "Batch") -> None:
         """A batch wants it no more; with the last one it is stopped."""
-        self.owners = [o for o in self.owners if o[0] is not batch] if self.held is None else self.owners
-        if any(not b.over for b, _, _ in self.owners):
+        self.wanted.discard(batch)
+        if self.wanted:
             return
         if self.held is not None and not self.over:
             self.desk.host.left(self.held)
@@ -152,7 +154,8 @@
         self.parts = 0
         self.over = False
         self.timer = None
-        self.waits_as: Hashable | None = None  # its key while it waits for company
+        self.todo: list[int] = []  # items of it that wait for company, and its key while they do
+        self.waits_as: Hashable | None = None
 
     def cost(self, index: int) -> int:
         """Tokens."""
@@ -223,7 +226,7 @@
             return
         indices = next(i for b, p, i in piece.owners if b is self and p == part)
         if len(results) != len(indices):
-            self._lost(self.join.lost(part, Answer("aborted", 0.0, "an engine left out items")))
+            self._lost(part, Answer("aborted", 0.0, "an engine left out items"))
             return
         verdict = self.join.done(part, results, model)
         if verdict == AGAIN:
@@ -251,23 +254,21 @@
         if answer.kind == "rejected" and now_served not in ("", self.join.model) and self.join.may_restart():
             self._restart(now_served)  # the version that it was pinned to is gone
             return
-        self._lost(self.join.lost(part, answer))
+        self._lost(part, answer)
 
-    def _lost(self, verdict: str) -> None:
-        if verdict == OVER:
+    def _lost(self, part: int, answer: Answer) -> None:
+        if self.join.lost(part, answer) == OVER:
             self._finish()
 
     def _restart(self, model: str) -> None:
-        for piece in list(self.pieces.values()):
-            self._drop(piece)
-        self.pieces.clear()
+        self._leave_pieces()
         self.join.restart(model)
         self.begin()
 
-    def _drop(self, piece: _Piece) -> None:
-        self.over = True  # so that the piece is seen as unwanted by us
-        piece.leave(self)
-        self.over = False
+    def _leave_pieces(self) -> None:
+        pieces, self.pieces = self.pieces, {}
+        for piece in pieces.values():
+            piece.leave(self)
 
     def left(self) -> None:
         """The client went away, or nobody waits any more."""
@@ -276,16 +277,18 @@
 
     def late(self) -> None:
         """Its time is over. Pieces that are out have been given up by the module at the same moment."""
-        if not self.over:
-            out = any(p.held is not None for p in self.pieces.values())
-            self.join.answer = Answer("rejected" if self.repeatable or not out else "aborted",
-                                      self.desk.wait, "its time was over")
-            self._finish()
+        out = any(p.held is not None for p in self.pieces.values())
+        self.give_up(Answer("rejected" if self.repeatable or not out else "aborted", self.desk.wait,
+                            "its time was over"))
 
     def cut(self, why: str) -> None:
         """Its client takes too little, or holds too much here."""
+        self.give_up(Answer("aborted", 0.0, why))
+
+    def give_up(self, answer: Answer) -> None:
+        """This is the answer, whatever its parts do; nothing if it has one."""
         if not self.over:
-            self.join.answer = Answer("aborted", 0.0, why)
+            self.join.answer = answer
             self._finish()
 
     def _finish(self) -> None:
@@ -298,7 +301,6 @@
             self.errors = sum(r.WhichOneof("result") == "error" for _, r in results)
             if not self.want.streams:
                 self.asker.results(results)
-        self.desk.answered[answer.kind] += 1
         self.desk.host.log("batch", answer=answer.kind, traffic_type=self.want.asked.traffic_type,
                            items=len(self.want.items), parts=self.parts, kept=self.kept, errors=self.errors)
         self.asker.final(answer, self.join.model, self.errors, self.kept)
@@ -310,9 +312,7 @@
         self.desk.open.discard(self)
         if self.waits_as is not None:
             self.desk.gatherer.drop(self.waits_as, self)
-        for piece in list(self.pieces.values()):
-            piece.leave(self)
-        self.pieces.clear()
+        self._leave_pieces()
 
 
 class BatchDesk:
@@ -325,15 +325,16 @@
         self.gatherer = Gatherer(Window(b.gather, b.gather_tokens, b.gather_items, b.gather_left))
         self.shares = FrontShares({f: max(t.utility for t in sheet.traffic if t.front == f)
                                    for f in {t.front for t in sheet.traffic}})
+        self.fronts = [f for f in ("embed", "rank") if f in self.shares.utility]
         self.fields: list[str] = []  # fronts, in the order of the module's fields; empty: there is only one
         self._common: set[str] = set()  # kinds that do the work of several fronts
-        host.on_sent, host.on_back = self._sent, self._back
+        host.on_sent = lambda attempt: self._placed(attempt, 1)
+        host.on_back = lambda attempt: self._placed(attempt, -1)
         self.open: set[Batch] = set()
-        self.answered: Counter[str] = Counter()
         self._timer = None
         self._models: dict[str, str] = {}
         self._engines: dict[str, int] = {}
-        self._rooms = {f: self._room(f) for f in ("embed", "rank")}
+        self._rooms = {f: self._room(f) for f in self.fronts}
 
     def _room(self, front: str) -> Room:
         kinds = [k for k in self.sheet.kinds if k.does(front)]
@@ -354,14 +355,15 @@
 
     def list_changed(self) -> None:
         """Which versions there are, and how much room common engines have for us."""
+        if not self.fronts:
+            return  # a node for chat alone takes its lists without us
         rows, kinds = self.host.door.engines.rows, {k.name: k for k in self.sheet.kinds}
         up = [rows[i] for i in self.host.door.engines.at.values() if rows[i].state == "serving"]
-        for front in ("embed", "rank"):
+        for front in self.fronts:
             models = Counter(r.model for r in up if kinds[r.kind].does(front) and r.model)
             self._models[front] = max(sorted(models), key=models.__getitem__, default="")
             self._engines[front] = max(1, sum(kinds[r.kind].does(front) for r in up))
-            if front in self.shares.utility:
-                self.shares.serve(front, self._engines[front], self.sheet.node.nodes)
+            self.shares.serve(front, self._engines[front], self.sheet.node.nodes)
         self.kept.serve(frozenset(r.model for r in up if r.model))
         self._common = {k.name for k in kinds.values() if sum(k.does(f) for f in self.shares.utility) > 1}
         common = [kinds[r.kind] for r in up if r.kind in self._common]
@@ -394,8 +396,7 @@
         batch = Batch(self, want._replace(asked=asked), asker, now + arrival.time_left, repeatable)
         asker.taken(batch)
         if len(self.host.held) + len(self.open) >= self.sheet.node.most_sequences:
-            batch.join.answer = Answer("rejected", self.wait, "the node is full")
-            batch._finish()
+            batch.give_up(Answer("rejected", self.wait, "the node is full"))
             return batch
         self.open.add(batch)
         # What waits here, not at an engine, is answered by the same moment.
@@ -450,12 +451,6 @@
         self.shares.sent(front, piece.size)
         piece.start()
 
-    def _sent(self, attempt: Attempt) -> None:
-        self._placed(attempt, 1)
-
-    def _back(self, attempt: Attempt) -> None:
-        self._placed(attempt, -1)
-
     def _placed(self, attempt: Attempt, sign: int) -> None:
         """A part went to an engine, or came back."""
         asked = attempt.held.asked
@@ -470,9 +465,8 @@
 
     def pump(self) -> None:
         """Room may have grown."""
-        for front in ("embed", "rank"):
-            if front in self.shares.utility:
-                self._next(front)
+        for front in self.fronts:
+            self._next(front)
 
     def came(self, piece: _Piece) -> None:
         """A piece is back; another may go."""
@@ -483,7 +477,7 @@
 
     def _next(self, front: str) -> None:
         while (piece := self.shares.next(self.clock.seconds(), front)) is not None:
-            if any(not b.over for b, _, _ in piece.owners):
+            if piece.wanted:
                 piece.start()
             else:
                 self.shares.came(front, piece.size)
--- a/myrtlehub/node/calls.py
+++ b/myrtlehub/node/calls.py
@@ -100,19 +100,17 @@
             except ValueError as fault:
                 raise RpcError(Code.INVALID_ARGUMENT, f"not a {front.request.__name__}: {fault}") from fault
             mine = BatchCall(front, call, request, streams)
-            if closed() or not peers.room(call, request.terms.tenant, len(data)):
-                mine.final(Answer("rejected", desk.wait), "", 0, 0)  # not taken: nothing ran
-                return mine
-            again = peers.again(request.terms.tenant, request.terms.repeated)
-            if again is not None:
-                mine.final(Answer("rejected", again), "", 0, 0)
+            terms = request.terms
+            wait = peers.refuses(call, terms.tenant, terms.repeated, len(data), closed())
+            if wait is not None:
+                mine.final(Answer("rejected", wait), "", 0, 0)  # not taken: nothing ran
                 return mine
             try:
                 want = front.want(request, streams)
-                want = want._replace(asked=asked_of(request.terms, call.time_left()))
+                want = want._replace(asked=asked_of(terms, call.time_left()))
                 batch = desk.take(want, mine)
-                peers.open(call, "batch", request.terms.tenant, desk.utility(request.terms.traffic_type),
-                           len(data), batch.cut)
+                peers.open(call, "batch", terms.tenant, desk.utility(terms.traffic_type), len(data),
+                           batch.cut)
             except (NotTaken, ValueError) as fault:
                 raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
             return mine
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -134,13 +134,10 @@
             arrival = self.host.door.arrival(asked, self.host.clock.seconds())
         except NotTaken as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
-        again = self.peers.again(asked.tenant, asked.repeated)
-        if again is not None:
-            waiting.rejected(again)  # over its tenant's budget of repeats: nothing ran
-            return waiting
-        if self.closed or len(self.host.held) >= self.most or not self.peers.room(
-                call, asked.tenant, len(data)):
-            waiting.rejected(self.wait)  # not taken: nothing ran
+        full = self.closed or len(self.host.held) >= self.most
+        wait = self.peers.refuses(call, asked.tenant, asked.repeated, len(data), full)
+        if wait is not None:
+            waiting.rejected(wait)  # not taken: nothing ran
             return waiting
         self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt)
         call.stream.registerProducer(waiting, True)
--- a/myrtlehub/node/fields.py
+++ b/myrtlehub/node/fields.py
@@ -18,11 +18,11 @@
                  kinds: Sequence[frozenset[int]], field_of_traffic: Sequence[int]) -> None:
         self.routers = [make(t) for t in terms]
         self.kinds, self.field_of_traffic = kinds, field_of_traffic
-        self._last: dict[tuple[int, int], itf.Listing] = {}  # by field and engine, as the list has it
         self._field_of: dict[int, int] = {}  # by sequence
         self._born: list[int] = []  # by engine: how often its index has been handed out
         self._shut: set[int] = set()  # fields that are kept from engines that others have as well
-        self._told: list[dict[int, int]] = [{} for _ in terms]  # by field: engines known, as which birth
+        # by field: the engines that it knows, as which birth, and as the list has them
+        self._told: list[dict[int, tuple[int, itf.Listing]]] = [{} for _ in terms]
 
     def start(self, now: float) -> list[tuple]:
         """All of them."""
@@ -42,28 +42,34 @@
         for f, router in enumerate(self.routers):
             mine, told = [], self._told[f]
             for e in listings:
-                known = told.get(e.engine) == self._born[e.engine]
+                born = self._born[e.engine]
+                known = e.engine in told and told[e.engine][0] == born
                 if e.kind in self.kinds[f]:
                     mine.append(self._seen_by(f, e._replace(fresh=not known)))
-                    told[e.engine] = self._born[e.engine]
+                    told[e.engine] = born, e
                 elif known:
                     mine.append(e._replace(state=itf.GONE, fresh=False))
+                    told[e.engine] = born, e
+            if whole:
+                for i in set(told).difference(e.engine for e in listings):
+                    told[i] = told[i][0], told[i][1]._replace(state=itf.GONE)
             if mine or whole:
                 out += self._own(f, router.engines(now, mine, whole))
         return out
 
     def _seen_by(self, f: int, e: itf.Listing) -> itf.Listing:
         """A field that is shut out sees common engines drain: nothing new goes there."""
-        self._last[f, e.engine] = e
-        common = sum(e.kind in kinds for kinds in self.kinds) > 1
-        return e._replace(state=itf.DRAINING) if f in self._shut and common and e.state == itf.SERVING else e
+        away = f in self._shut and e.state == itf.SERVING and self._common(e)
+        return e._replace(state=itf.DRAINING) if away else e
+
+    def _common(self, e: itf.Listing) -> bool:
+        return sum(e.kind in kinds for kinds in self.kinds) > 1
 
     def shut(self, now: float, f: int, shut: bool) -> list[tuple]:
         """Keep a field from engines that others have as well, or let it in again."""
         (self._shut.add if shut else self._shut.discard)(f)
-        again = [self._seen_by(f, self._last[f, i]._replace(fresh=False))
-                 for i, born in self._told[f].items()
-                 if born == self._born[i] and sum(self._last[f, i].kind in k for k in self.kinds) > 1]
+        again = [self._seen_by(f, e._replace(fresh=False)) for born, e in self._told[f].values()
+                 if born == self._born[e.engine] and e.kind in self.kinds[f] and self._common(e)]
         return self._own(f, self.routers[f].engines(now, again, False))
 
     def arrive(self, now: float, seq: int, a: itf.Arrival) -> list[tuple]:
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -35,22 +35,37 @@
     return itf.TIMEOUT if status.code == Code.DEADLINE_EXCEEDED else itf.ERROR
 
 
-class _Read(CallWatcher):
+class _Watcher(CallWatcher):
+    """Of an attempt: what its call brings, told to the host."""
+
     def __init__(self, host: Host, attempt: Attempt) -> None:
         self.host, self.attempt = host, attempt
-        self.reply: bytes | None = None
+
+    def parsed(self, kind: type, data: bytes) -> object | None:
+        """A reply; None if it is none, which ends the attempt as an error."""
+        try:
+            return kind.FromString(data)
+        except ValueError:
+            self.attempt.call.cancel()
+            self.host.ended(self.attempt, itf.ERROR)
+            return None
+
+    def ended(self, status: Status) -> None:
+        self.host.ended(self.attempt, outcome_of(status))
+
+
+class _Read(_Watcher):
+    reply: bytes | None = None
 
     def message(self, data: bytes) -> None:
         self.reply = data
 
     def ended(self, status: Status) -> None:
         if status.code != Code.OK or self.reply is None:
-            self.host.ended(self.attempt, outcome_of(status))
+            super().ended(status)
             return
-        try:
-            reply = pb.ReadReply.FromString(self.reply)
-        except ValueError:
-            self.host.ended(self.attempt, itf.ERROR)
+        reply = self.parsed(pb.ReadReply, self.reply)
+        if reply is None:
             return
         load = load_of(reply)
         if reply.HasField("read"):
@@ -59,10 +74,7 @@
             self.host.ended(self.attempt, itf.FULL, 0.0, load_of(reply.refused) or load)
 
 
-class _Write(CallWatcher):
-    def __init__(self, host: Host, attempt: Attempt) -> None:
-        self.host, self.attempt = host, attempt
-
+class _Write(_Watcher):
     def message(self, data: bytes) -> None:
         attempt = self.attempt
         if data[:1] == b"\x0a":
@@ -71,11 +83,8 @@
             elif attempt.out:
                 self.host.began(attempt, data)
             return
-        try:
-            reply = pb.WriteReply.FromString(data)
-        except ValueError:
-            attempt.call.cancel()
-            self.host.ended(attempt, itf.ERROR)
+        reply = self.parsed(pb.WriteReply, data)
+        if reply is None:
             return
         which = reply.WhichOneof("reply")
         if which == "ended":
@@ -85,26 +94,20 @@
         elif which == "refused":
             self.host.ended(attempt, itf.FULL, float(reply.refused.no_state), load_of(reply.refused))
 
-    def ended(self, status: Status) -> None:
-        self.host.ended(self.attempt, outcome_of(status))
-
 
-class _Batch(CallWatcher):
+class _Batch(_Watcher):
     """A part of a batch: its results count once all are there, and one that broke off is done again."""
 
     def __init__(self, host: Host, attempt: Attempt) -> None:
-        self.host, self.attempt = host, attempt
+        super().__init__(host, attempt)
         self.results: list[pb.ItemResult] = []
 
     def message(self, data: bytes) -> None:
         attempt = self.attempt
         if not attempt.out:
             return
-        try:
-            reply = pb.BatchReply.FromString(data)
-        except ValueError:
-            attempt.call.cancel()
-            self.host.ended(attempt, itf.ERROR)
+        reply = self.parsed(pb.BatchReply, data)
+        if reply is None:
             return
         which = reply.WhichOneof("reply")
         if which == "items":
@@ -115,9 +118,6 @@
         elif which == "refused":
             self.host.ended(attempt, itf.FULL, 0.0, load_of(reply.refused))
 
-    def ended(self, status: Status) -> None:
-        self.host.ended(self.attempt, outcome_of(status))
-
 
 class Links:
     """Channels by engine address. `dial(address)` gives a channel's way there."""
--- a/myrtlehub/node/peers.py
+++ b/myrtlehub/node/peers.py
@@ -19,13 +19,14 @@
 class Watched:
     """One call. `cut(reason)` ends it with an aborted answer, where it has none yet."""
 
-    __slots__ = ("call", "name", "tenant", "utility", "request", "pace", "cut", "was_cut")
+    __slots__ = ("call", "name", "tenant", "utility", "request", "pace", "cut", "was_cut", "settled")
 
     def __init__(self, call: ServerCall, name: str, tenant: str, utility: float, request: int, pace: Pace,
                  cut: Callable[[str], None]) -> None:
         self.call, self.name, self.tenant, self.utility = call, name, tenant, utility
         self.request, self.pace, self.cut = request, pace, cut  # bytes of the request, held until it is over
         self.was_cut = False
+        self.settled: tuple = ()  # the counters when the ledger last saw them
 
 
 class PeerWatch:
@@ -42,8 +43,15 @@
         self._next = 0
         self._timer = None
 
-    def again(self, tenant: str, repeated: bool) -> float | None:
-        """Whether a try may go on (None); else after how many seconds it may come again."""
+    def refuses(self, call: ServerCall, tenant: str, repeated: bool, size: int, full: bool) -> float | None:
+        """None: this request of `size` bytes may come in. Else nothing runs, and it may come again after so
+        many seconds: over its tenant's budget of repeats, or the node is full, or it would break a budget."""
+        wait = self._again(tenant, repeated)
+        if wait is None and (full or not self._room(call, tenant, size)):
+            wait = self.max_wait
+        return wait
+
+    def _again(self, tenant: str, repeated: bool) -> float | None:
         if self.retries is None:
             return None
         now = self.clock.seconds()
@@ -55,8 +63,7 @@
             self.counts["repeats turned away"] += 1
         return wait
 
-    def room(self, call: ServerCall, tenant: str, size: int) -> bool:
-        """Whether a request of so many bytes may be held; else it is turned away, and nothing ran."""
+    def _room(self, call: ServerCall, tenant: str, size: int) -> bool:
         what = self.ledger.room(host_of(call.peer), tenant, size)
         if what:
             self.counts["turned away"] += 1
@@ -77,6 +84,9 @@
     def _settle(self, key: int, w: Watched) -> None:
         s = w.call.stream
         over = w.call.over
+        if w.settled == (s.put, s.taken, s.dropped, over):
+            return  # most streams, at most looks
+        w.settled = s.put, s.taken, s.dropped, over
         self.ledger.settle(key, s.put + w.request, s.taken + (w.request if over else 0), s.dropped,
                            s.buffered + (0 if over else w.request))
 
--- a/myrtlehub/rpc/server.py
+++ b/myrtlehub/rpc/server.py
@@ -1,5 +1,6 @@
 """gRPC server: methods by path, calls with deadlines, graceful drain. Knows nothing of what it serves."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from h2.errors import ErrorCodes
@@ -247,17 +248,21 @@
     def __init__(self, server: "Server") -> None:
         super().__init__(server.clock, server.bounds)
         self.server = server
-        self.peer = ""
+        self.peer = self.host = ""
         self._last_seen = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         peer = self.transport.getPeer()
-        self.peer = f"{getattr(peer, 'host', peer)}:{getattr(peer, 'port', '')}"
+        self.host = getattr(peer, "host", str(peer))
+        self.peer = f"{self.host}:{getattr(peer, 'port', '')}"
         self.server.connections.add(self)
+        self.server.by_host[self.host] += 1
         super().connectionMade()
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
-        self.server.connections.discard(self)
+        if self in self.server.connections:
+            self.server.connections.discard(self)
+            self.server.by_host -= Counter((self.host,))  # drops the name with its last connection
         super().connectionLost(reason)
         self.server.maybe_drained()
 
@@ -312,6 +317,7 @@
         self.clock, self.bounds, self.compress = clock, bounds or TransportBounds(), compress
         self.methods: dict[str, Handler] = {}
         self.connections: set[ServerProtocol] = set()
+        self.by_host: Counter[str] = Counter()  # connections by peer's address
         self.calls: set[ServerCall] = set()
         self._draining: Deferred | None = None
 
@@ -322,11 +328,8 @@
     def buildProtocol(self, addr: object) -> ServerProtocol | None:  # noqa: N802
         if self.most and len(self.connections) >= self.most:
             return None  # closed at once: the peer backs off
-        host = getattr(addr, "host", "")
-        if self.most_by_peer and host:
-            mine = sum(c.peer.rsplit(":", 1)[0] == host for c in self.connections)
-            if mine >= self.most_by_peer:
-                return None
+        if self.most_by_peer and self.by_host[getattr(addr, "host", "")] >= self.most_by_peer:
+            return None
         return ServerProtocol(self)
 
     def drain(self) -> Deferred:
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -128,6 +128,17 @@
     assert f.routers[1].listed[5:] == [([(2, False, itf.SERVING)], False)]
 
 
+def test_letting_a_field_in_again_brings_back_nothing_that_has_left_it() -> None:
+    """One has changed its kind and one a whole list no longer names, while the field was shut out."""
+    f = fields()
+    f.engines(0.0, [listing(i, 2, True) for i in range(3)], True)
+    f.shut(1.0, 1, True)
+    f.engines(2.0, [listing(0, 0)], False)
+    f.engines(3.0, [listing(0, 0), listing(1, 2)], True)
+    f.shut(4.0, 1, False)
+    assert f.routers[1].listed[-1] == ([(1, False, itf.SERVING), (2, False, itf.GONE)], False)
+
+
 def test_wakes_and_sequences_find_their_way_back() -> None:
     f = fields()
     assert f.arrive(0.0, 7, arrival(1)) == [("wake", 0.5, 7)]  # 3 * 2 + 1
