One piece of code each: clients' tries, owned channels, engine timers, benchmark processes

Clients of chat and of batches share their tries and channels and tell their own lateness by limits.lag; sync clients share what owns a channel; stand-ins on sockets and on modelled links share the timer of their model; four benchmarks share starting processes and running the reactor. Dead code goes: marks that no stand-in looked at, counts that nothing read, a per-second tally of the rush. A client's pace is kept only while something waits for it, not for each call.

--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -4,13 +4,13 @@
 see by which version each attempt was sent. `python benchmarks/follow.py`.
 """
 
-import sys
 import tempfile
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import click
 from hdrh.histogram import HdrHistogram
+from rig import CLOCK, play
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -24,12 +24,10 @@
 from myrtlehub.lab.records import Recorder
 from myrtlehub.membership.aside import ReadAside
 from myrtlehub.membership.notify import Notifier
-from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.node import Node
 from myrtlehub.proto import chat_pb2
 from myrtlehub.rpc.channel import CallWatcher, Channel
 
-CLOCK = SteadyClock(reactor)
 SHEET = """
 node: {name: n, listen: "127.0.0.1:1", zone: z}
 traffic: [{name: ask, repeats: repeatable, latency_slo: 2s, abandon_time: 5s}]
@@ -171,7 +169,6 @@
 @click.option("--counts", default="10,200,2000")
 def main(rounds: int, rate: float, counts: str) -> None:
     """Print milliseconds by number of engines."""
-    failures: list = []
 
     @inlineCallbacks
     def run() -> Iterator:
@@ -183,11 +180,7 @@
                        f"weight 0 in the file to last send {shown(one.last)}; "
                        f"longest turn meanwhile {shown(one.turns)}, in 0.6 s before {shown(one.calm)}; "
                        f"{one.rate:g} sequences a second")
-    reactor.callWhenRunning(lambda: run().addErrback(failures.append).addBoth(lambda ignored: reactor.stop()))
-    reactor.run()
-    if failures:
-        failures[0].printTraceback()
-        sys.exit(1)
+    play(run)
 
 
 if __name__ == "__main__":
--- a/benchmarks/fronts.py
+++ b/benchmarks/fronts.py
@@ -5,9 +5,6 @@
 """
 
 import json
-import os
-import subprocess
-import sys
 import tempfile
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -15,50 +12,22 @@
 
 import click
 from hdrh.histogram import HdrHistogram
-from ruamel.yaml import YAML
+from rig import CLOCK, Processes, play
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
 from twisted.internet.task import LoopingCall, deferLater
 
 from myrtlehub.cli.common import dialer
 from myrtlehub.lab.day import free_ports
-from myrtlehub.node.clock import SteadyClock
 from myrtlehub.proto import chat_pb2
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.status import Status
 
-CLOCK = SteadyClock(reactor)
 RULES = {"drain_grace": "250ms", "let_go": "500ms", "cold_share": 0.25, "cold_time": "10s",
          "fall_multiple": 2.5, "fall_time": "1s"}
 
 
-class Processes:
-    """Engines and nodes, each a process."""
-
-    def __init__(self, folder: Path) -> None:
-        self.folder, self.running = folder, []
-
-    def start(self, program: str, name: str, tree: dict) -> None:
-        """Start one, and wait until it is ready."""
-        path = self.folder / f"{name}.yaml"
-        with path.open("w") as file:
-            YAML(typ="safe").dump(tree, file)
-        log = self.folder / f"{name}.log"
-        process = subprocess.Popen([sys.executable, "-m", f"myrtlehub.cli.{program}", path],
-                                   stdout=log.open("wb"), stderr=subprocess.STDOUT, env=os.environ)
-        self.running.append(process)
-        while b'"ready"' not in log.read_bytes():
-            if process.poll() is not None:
-                raise SystemExit(log.read_text())
-
-    def stop(self) -> None:
-        """End all."""
-        for process in reversed(self.running):
-            process.terminate()
-            process.wait(20)
-
-
 class Done(CallWatcher):
     """One call: when the first token or the whole answer came, and what it was."""
 
@@ -233,7 +202,6 @@
 @click.option("--only", type=click.Choice(["cut", "gathered", "beside"]))
 def main(rounds: int, seconds: float, only: str | None) -> None:
     """Run the comparisons."""
-    failures: list = []
 
     @inlineCallbacks
     def run() -> Iterator:
@@ -247,11 +215,7 @@
                         yield part(bench)
                     finally:
                         bench.p.stop()
-    reactor.callWhenRunning(lambda: run().addErrback(failures.append).addBoth(lambda ignored: reactor.stop()))
-    reactor.run()
-    if failures:
-        failures[0].printTraceback()
-        sys.exit(1)
+    play(run)
 
 
 if __name__ == "__main__":
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -16,20 +16,18 @@
 
 import click
 from hdrh.histogram import HdrHistogram
-from ruamel.yaml import YAML
+from rig import CLOCK, Processes, play
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
 from myrtlehub.cli.common import dialer
 from myrtlehub.lab.day import free_ports
-from myrtlehub.node.clock import SteadyClock
 from myrtlehub.proto import chat_pb2, engine_pb2
 from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.status import Status
 
 TICKS = os.sysconf("SC_CLK_TCK")
-CLOCK = SteadyClock(reactor)
 
 
 class Rig:
@@ -39,12 +37,12 @@
         ports = free_ports(engines + 2)
         self.engines = [f"127.0.0.1:{p}" for p in ports[2:]]
         self.node = f"127.0.0.1:{ports[0]}"
-        self.processes = []
+        self.processes = Processes(folder)
         for i, address in enumerate(self.engines):
-            self.start(folder, "engine", f"e{i}", {
+            self.processes.start("engine", f"e{i}", {
                 "name": f"e{i}", "listen": address, "writes": True, "slots": slots, "queue": 5000, "step":
                 step, "step_crowd": 0.0, "read_rate": 10000000, "memory": "100M tokens"})
-        self.node_process = self.start(folder, "node", "n", {
+        self.node_process = self.processes.start("node", "n", {
             "node": {"name": "n", "listen": self.node, "admin": f"127.0.0.1:{ports[1]}", "zone": "z",
                      "most_sequences": 100000},
             "traffic": [{"name": "ask", "repeats": "repeatable", "latency_slo": "500s",
@@ -55,19 +53,6 @@
             "list": {"engines": [{"address": a, "kind": "writer", "zone": "z"} for a in self.engines]}},
             node_from)
 
-    def start(self, folder: Path, program: str, name: str, tree: dict, cwd: str = ".") -> subprocess.Popen:
-        path = folder / f"{name}.yaml"
-        with path.open("w") as file:
-            YAML(typ="safe").dump(tree, file)
-        process = subprocess.Popen([sys.executable, "-m", f"myrtlehub.cli.{program}", path],
-                                   stdout=(folder / f"{name}.log").open("wb+"), stderr=subprocess.STDOUT,
-                                   cwd=cwd, env={**os.environ, "PYTHONPATH": os.path.abspath(cwd)})
-        self.processes.append(process)
-        while b'"ready"' not in (folder / f"{name}.log").read_bytes():
-            if process.poll() is not None:
-                raise SystemExit((folder / f"{name}.log").read_text())
-        return process
-
     def node_cpu(self) -> float:
         """Seconds of processor that the node has used."""
         fields = Path(f"/proc/{self.node_process.pid}/stat").read_text().rsplit(")", 1)[1].split()
@@ -82,10 +67,7 @@
 
     def stop(self) -> None:
         """End what was started."""
-        for process in self.processes:
-            process.terminate()
-        for process in self.processes:
-            process.wait(30)
+        self.processes.stop()
 
 
 class Watch(CallWatcher):
@@ -227,7 +209,6 @@
         reactor.run()
         return
     result: dict = {}
-    failures: list = []
 
     @inlineCallbacks
     def run() -> Iterator:
@@ -246,11 +227,7 @@
                 result["held"] = yield held(rig, 3000)
             finally:
                 rig.stop()
-    reactor.callWhenRunning(lambda: run().addErrback(failures.append).addBoth(lambda ignored: reactor.stop()))
-    reactor.run()
-    if failures:
-        failures[0].printTraceback()
-        sys.exit(1)
+    play(run)
     if as_json:
         click.echo(json.dumps(result))
         return
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -120,7 +120,6 @@
     good = asked_for = 0.0
     armed: list = [None] * nodes
     answers: Counter[str] = Counter()
-    by_second: Counter[int] = Counter()
 
     def over(client: ModelClient) -> None:
         nonlocal good
@@ -128,7 +127,6 @@
         answers[client.answer] += 1
         if client.answer == "generated" and client.waited + client.first <= SLO[name]:
             good += UTILITY[name]
-            by_second[int(client.arrived - begin)] += UTILITY[name]
         if not client.first:
             gates[client.node].failed(now, True)
             pump(client.node)
@@ -138,7 +136,7 @@
         left = (4.0 if asked.traffic_type != "bulk" else 8.0) - (now - arrived)
 
         def ended(client: ModelClient) -> None:
-            client.node, client.arrived, client.waited = node, arrived, now - arrived
+            client.node, client.waited = node, now - arrived
             over(client)
 
         def begun(client: ModelClient) -> None:
@@ -177,8 +175,7 @@
     at = time.perf_counter()
     fleet.run(begin + seconds + 12.0)
     return {"way": way, "load": load, "seed": seed, "good": good / seconds, "asked": asked_for / seconds,
-            "answers": dict(answers), "took": time.perf_counter() - at,
-            "by_second": [by_second[i] for i in range(int(seconds))]}
+            "answers": dict(answers), "took": time.perf_counter() - at}
 
 
 @click.command()
--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -3,15 +3,19 @@
 `python benchmarks/versions.py DIR` with DIR a checkout of an earlier commit.
 """
 
-import sys
 import tempfile
 from collections.abc import Iterator
 from pathlib import Path
 
 import click
-from relay import CLOCK, Channel, Rig, Watch, ask, dialer, reactor
+from relay import Rig, Watch, ask
+from rig import CLOCK, play
+from twisted.internet import reactor
 from twisted.internet.defer import DeferredList, inlineCallbacks
 
+from myrtlehub.cli.common import dialer
+from myrtlehub.rpc.channel import Channel
+
 
 @inlineCallbacks
 def sequences(rigs: dict[str, Rig], rounds: int, each: int) -> Iterator:
@@ -40,7 +44,6 @@
 @click.option("--each", default=100)
 def main(other: str, rounds: int, each: int) -> None:
     """Compare the processor time of a sequence with that in OTHER."""
-    failures: list = []
 
     @inlineCallbacks
     def run() -> Iterator:
@@ -54,11 +57,7 @@
         for name, seconds in cost.items():
             click.echo(f"{name:<6} {seconds * 1e6:.0f} us of processor a sequence")
         click.echo(f"ratio  {cost['here'] / cost['other']:.3f}")
-    reactor.callWhenRunning(lambda: run().addErrback(failures.append).addBoth(lambda ignored: reactor.stop()))
-    reactor.run()
-    if failures:
-        failures[0].printTraceback()
-        sys.exit(1)
+    play(run)
 
 
 if __name__ == "__main__":
--- a/myrtlehub/batching/kept.py
+++ b/myrtlehub/batching/kept.py
@@ -93,7 +93,6 @@
         self.room, self.most_share = room, most_share
         self._shelves: OrderedDict[tuple[Hashable, str], Shelf] = OrderedDict()
         self.models: frozenset[str] = frozenset()
-        self.hits = self.misses = 0
 
     def _part(self) -> int:
         return int(self.room * min(self.most_share, 1.0 / max(1, len(self._shelves))))
@@ -120,12 +119,7 @@
     def get(self, tenant: Hashable, model: str, key: Hashable) -> object | None:
         """What is kept, or None."""
         shelf = self._shelf(tenant, model, False)
-        value = shelf.get(key) if shelf is not None else None
-        if value is None:
-            self.misses += 1
-        else:
-            self.hits += 1
-        return value
+        return shelf.get(key) if shelf is not None else None
 
     def add(self, tenant: Hashable, model: str, key: Hashable, value: object, size: int) -> None:
         """Keep it, unless this version is not in the list any more."""
--- a/myrtlehub/client/batches.py
+++ b/myrtlehub/client/batches.py
@@ -10,7 +10,7 @@
 import grpc
 
 from myrtlehub.client.promise import REPEATABLE, End, Generated, Tries
-from myrtlehub.client.sync import lost_end
+from myrtlehub.client.sync import Connected, lost_end
 from myrtlehub.proto import items_pb2 as pb
 
 EMBED, RANK = "/myrtlehub.v1.Embeddings/Embed", "/myrtlehub.v1.Rerank/Rank"
@@ -75,12 +75,16 @@
     return numbers
 
 
-class Batches:
+def ranked_of(score: pb.Score) -> Ranked:
+    """A document's score, or why there is none."""
+    return Ranked(score.index, BadInput(score.error) if score.error else score.score)
+
+
+class Batches(Connected):
     """Batches at one node; raises Rejected, Aborted or NotTaken, as `sync.Client` does."""
 
     def __init__(self, address: str = "", channel: grpc.Channel | None = None) -> None:
-        self._own = channel is None
-        self._channel = channel or grpc.insecure_channel(address)
+        super().__init__(address, channel)
         self.model = ""  # of the last answer that was generated
         self.answer: Generated | None = None
 
@@ -135,23 +139,11 @@
              tokens: Sequence[int] | None = None) -> list[Ranked]:
         """Scores in the order of the documents, or the best `top` in falling order."""
         request = pb.RankRequest(query=pb.Input(text=query), documents=inputs_of(documents, tokens), top=top)
-        return [Ranked(s.index, BadInput(s.error) if s.error else s.score)
-                for reply in self._call(RANK, request, pb.RankReply, ask) for s in reply.scores]
+        return [ranked_of(s) for reply in self._call(RANK, request, pb.RankReply, ask) for s in reply.scores]
 
     def rank_stream(self, query: bytes, documents: Sequence[bytes], ask: BatchAsk,
                     tokens: Sequence[int] | None = None) -> Iterator[Ranked]:
         """Scores as they are ready; see `embed_stream`."""
         request = pb.RankRequest(query=pb.Input(text=query), documents=inputs_of(documents, tokens))
         for reply in self._call(RANK + "Stream", request, pb.RankReply, ask):
-            yield from (Ranked(s.index, BadInput(s.error) if s.error else s.score) for s in reply.scores)
-
-    def close(self) -> None:
-        """Close the channel if it is ours."""
-        if self._own:
-            self._channel.close()
-
-    def __enter__(self) -> "Batches":
-        return self
-
-    def __exit__(self, *ignored: object) -> None:
-        self.close()
+            yield from map(ranked_of, reply.scores)
--- a/myrtlehub/client/sync.py
+++ b/myrtlehub/client/sync.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Iterator
+from typing import Self
 
 import grpc
 
@@ -55,28 +56,34 @@
             self._call.cancel()
 
 
-class Client:
-    """Sequences at one node. `channel` may be any grpcio channel; made from `address` it is closed with
-    this."""
+class Connected:
+    """A channel to one node: any grpcio channel, or one that is made from `address` and closed with this."""
 
     def __init__(self, address: str = "", channel: grpc.Channel | None = None) -> None:
         self._own = channel is None
         self._channel = channel or grpc.insecure_channel(address)
-        self.call = self._channel.unary_stream(
-            PATH, request_serializer=pb.GenerateRequest.SerializeToString,
-            response_deserializer=pb.GenerateReply.FromString)
-
-    def generate(self, ask: Ask) -> Stream:
-        """Ask; iterate over what comes. Raises Rejected, Aborted or NotTaken from the iteration."""
-        return Stream(self, ask)
 
     def close(self) -> None:
         """Close the channel if it is ours."""
         if self._own:
             self._channel.close()
 
-    def __enter__(self) -> "Client":
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *ignored: object) -> None:
         self.close()
+
+
+class Client(Connected):
+    """Sequences at one node."""
+
+    def __init__(self, address: str = "", channel: grpc.Channel | None = None) -> None:
+        super().__init__(address, channel)
+        self.call = self._channel.unary_stream(
+            PATH, request_serializer=pb.GenerateRequest.SerializeToString,
+            response_deserializer=pb.GenerateReply.FromString)
+
+    def generate(self, ask: Ask) -> Stream:
+        """Ask; iterate over what comes. Raises Rejected, Aborted or NotTaken from the iteration."""
+        return Stream(self, ask)
--- a/myrtlehub/emulator/model.py
+++ b/myrtlehub/emulator/model.py
@@ -45,7 +45,6 @@
     fall_multiple: float = 2.5
     fall_time: float = 1.0
     state_bound: float = 3.0
-    dedup_window: float = 5.0
     begin: float = 0.0  # from a state to the first step of its answer
     batch_base: float = 0.006
     batch_rate: float = 60000.0
@@ -92,7 +91,6 @@
         self.batch_queue: deque[tuple[object, float, float]] = deque()  # key, tokens, until
         self.batching: dict[object, tuple[float, float]] = {}  # key: ready at, tokens
         self.kept: OrderedDict[str, float] = OrderedDict()
-        self.marks: OrderedDict[str, float] = OrderedDict()
         self.held = 0.0
         self.step_at = NEVER
         self.fallen = self.hung = False
@@ -100,7 +98,6 @@
         self.well_at = NEVER
         self._sent: deque[tuple[float, float]] = deque()
         self._sent_sum = 0.0
-        self._latency = 0.0
 
     # -- faults -----------------------------------------------------------------------------------
 
@@ -246,14 +243,6 @@
         """Tokens of a held state; 0 where there is none."""
         return self.states.get(seq, (0.0, 0.0))[0]
 
-    def seen_mark(self, now: float, mark: str) -> bool:
-        """Whether a tokened repeat is dropped here; remembers the mark."""
-        while self.marks and next(iter(self.marks.values())) < now - self.m.dedup_window:
-            self.marks.popitem(last=False)
-        seen = mark in self.marks
-        self.marks.setdefault(mark, now)
-        return seen
-
     def load(self) -> dict[str, float]:
         """The load report."""
         unread = sum(t.prompt for _, t in self.read_queue) + sum(t.prompt for _, t,
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from myrtlehub.config.sheets import StandSheet
+from myrtlehub.emulator.alarm import Alarm
 from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
 from myrtlehub.emulator.vectors import score_of, vector_of
 from myrtlehub.lab.records import Recorder
@@ -88,8 +89,7 @@
         self.channels: dict[str, Channel] = {}
         self.jobs: set[_Job] = set()
         self.model_name = sheet.model
-        self._timer = None
-        self._timer_at = NEVER
+        self.alarm = Alarm(clock, self._tick)
         for name, handler in (("Read", unary(self._read)), ("Write", server_stream(self._write)),
                               ("Release", unary(self._release)), ("Fetch", server_stream(self._fetch))):
             self.server.add(SERVICE + name, handler)
@@ -248,16 +248,9 @@
         """Carry out events, and set the next wake-up."""
         for event in events:
             getattr(self, "_on_" + event[0])(*event[1:])
-        due = self.model.next_at()
-        if due != self._timer_at or self._timer is None or not self._timer.active():
-            if self._timer is not None and self._timer.active():
-                self._timer.cancel()
-            self._timer, self._timer_at = None, due
-            if due != NEVER:
-                self._timer = self.clock.callLater(max(0.0, due - self.clock.seconds()), self._tick)
+        self.alarm.set(self.model.next_at())
 
     def _tick(self) -> None:
-        self._timer = None
         self.act(self.model.tick(self.clock.seconds()))
 
     def _load(self) -> pb.LoadReport:
--- a/myrtlehub/lab/batches.py
+++ b/myrtlehub/lab/batches.py
@@ -8,10 +8,10 @@
 from typing import NamedTuple
 
 from myrtlehub.emulator.vectors import score_of, vector_of
+from myrtlehub.lab.clients import Callers, Try
 from myrtlehub.lab.records import Recorder
 from myrtlehub.lab.scenario import Scenario, TrafficMix
 from myrtlehub.proto import items_pb2 as pb
-from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.status import Status
 
 PATHS = {"embed": "/myrtlehub.v1.Embeddings/Embed", "rank": "/myrtlehub.v1.Rerank/Rank"}
@@ -55,23 +55,20 @@
     return wanted
 
 
-class _Try(CallWatcher):
-    """One try of one batch."""
+class _Try(Try):
+    """Of one batch."""
 
     def __init__(self, fleet: "BatchClients", wanted: WantedBatch, number: int, node: str) -> None:
-        self.fleet, self.wanted, self.number, self.node = fleet, wanted, number, node
-        self.name = f"{wanted.mark}.{number}"
+        super().__init__(fleet, wanted, number, node)
         self.streams = wanted.streams and not wanted.top
         self.items: dict[int, object] = {}
         self.order: list[int] = []
-        self.answer, self.wait, self.model, self.gone, self.asked_at = "", 0.0, "", False, 0.0
+        self.model = ""
 
     def start(self) -> None:
         f, w = self.fleet, self.wanted
-        self.asked_at = f.clock.seconds()
         left = w.row.abandon_time
-        f.recorder.note("ask", call=self.name, node=self.node, traffic=w.row.name, mark=w.mark, left=left,
-                        whole=left)
+        self.asks(left, left)
         f.tries += 1
         terms = pb.Terms(traffic_type=w.row.name, time_left_ms=int(left * 1000), mark=w.mark,
                          repeated=self.number > 0)
@@ -88,12 +85,6 @@
         if w.leaves < left:
             f.clock.callLater(w.leaves, self.leave)
 
-    def leave(self) -> None:
-        if not self.call.over:
-            self.gone = True
-            self.fleet.recorder.note("left", call=self.name)
-            self.call.cancel()
-
     def message(self, data: bytes) -> None:
         f = self.fleet
         reply = (pb.EmbedReply if self.wanted.row.front == "embed" else pb.RankReply).FromString(data)
@@ -142,27 +133,19 @@
             return item.packed == vector_of(text, model, 16, False)
         return item.score == score_of(self.wanted.mark.encode(), text, model)
 
-    def ended(self, status: Status) -> None:
-        self.fleet.recorder.note("over", call=self.name, code=status.code.name,
-                                 unprocessed=status.unprocessed)
-        self.fleet.over(self, status)
-
 
-class BatchClients:
+class BatchClients(Callers):
     """All clients of the batch fronts. `models`: versions that engines have in the course of the day."""
 
     def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
                  random: Random, rate: float, behind: Callable[[float], float],
                  models: tuple[str, ...] = ("m1", "m2")) -> None:
-        self.scenario, self.clock, self.recorder, self.random = scenario, clock, recorder, random
-        self.channels = {name: Channel(clock, dial, name, random=Random(random.random()), connect_timeout=0.5)
-                         for name, dial in nodes.items()}
-        self.names, self.behind, self.models = sorted(nodes), behind, models
+        super().__init__(scenario, clock, nodes, recorder, random)
+        self.behind, self.models = behind, models
         self.wanted = draw(scenario, rate, random)
-        self.open = self.tries = self.checked = self.kept = 0
+        self.tries = self.checked = self.kept = 0
         self.answers: dict[str, dict[str, int]] = {}
         self.faults: list[str] = []
-        self.on_quiet: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """An open loop, as for chat."""
@@ -197,8 +180,3 @@
         """For the verdict."""
         return {"batches": len(self.wanted), "tries": self.tries, "items": self.checked, "kept": self.kept,
                 "answers": self.answers, "faults": self.faults}
-
-    def close(self) -> None:
-        """Close all channels."""
-        for channel in self.channels.values():
-            channel.close()
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -10,12 +10,12 @@
 
 from myrtlehub.lab.records import Recorder
 from myrtlehub.lab.scenario import Scenario, TrafficMix
+from myrtlehub.limits.lag import LagMeter
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.status import Code, Status
 
 PATH = "/myrtlehub.v1.Chat/Generate"
-BEAT = 0.02  # seconds between looks at how late this process itself runs
 
 
 class Wanted(NamedTuple):
@@ -96,23 +96,66 @@
                 "goodput": round(self.good / self.utility, 4) if self.utility else None}
 
 
-class _Try(CallWatcher):
-    """One try of one sequence."""
+class Callers:
+    """A channel to each node, and what clients record on them."""
 
-    def __init__(self, fleet: "ClientFleet", wanted: Wanted, number: int, node: str) -> None:
+    def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
+                 random: Random) -> None:
+        self.scenario, self.clock, self.recorder, self.random = scenario, clock, recorder, random
+        self.channels = {name: Channel(clock, dial, name, random=Random(random.random()), connect_timeout=0.5)
+                         for name, dial in nodes.items()}
+        self.names = sorted(nodes)
+        self.open = 0
+        self.on_quiet: Callable[[], None] = lambda: None
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self.channels.values():
+            channel.close()
+
+
+class Try(CallWatcher):
+    """One try of what a client wants, recorded from asking to its end."""
+
+    def __init__(self, fleet: Callers, wanted: object, number: int, node: str) -> None:
         self.fleet, self.wanted, self.number, self.node = fleet, wanted, number, node
         self.name = f"{wanted.mark}.{number}"
-        self.tokens, self.answer, self.wait = 0, "", 0.0
-        self.asked_at = self.token_at = 0.0
-        self.in_time = self.gone = False
+        self.answer, self.wait = "", 0.0
+        self.asked_at = 0.0
+        self.gone = False
         self.call = None
 
-    def start(self) -> None:
+    def asks(self, left: float, whole: float) -> None:
+        """Record that it is asked now: seconds until the first of an answer is owed, and all of it."""
         f, w = self.fleet, self.wanted
-        left = w.left
         self.asked_at = f.clock.seconds()
         f.recorder.note("ask", call=self.name, node=self.node, traffic=w.row.name, mark=w.mark, left=left,
-                        whole=f.whole)
+                        whole=whole)
+
+    def leave(self) -> None:
+        """The client goes away."""
+        if not self.call.over:
+            self.gone = True
+            self.fleet.recorder.note("left", call=self.name)
+            self.call.cancel()
+
+    def ended(self, status: Status) -> None:
+        self.fleet.recorder.note("over", call=self.name, code=status.code.name,
+                                 unprocessed=status.unprocessed)
+        self.fleet.over(self, status)
+
+
+class _Try(Try):
+    """Of one sequence."""
+
+    def __init__(self, fleet: "ClientFleet", wanted: Wanted, number: int, node: str) -> None:
+        super().__init__(fleet, wanted, number, node)
+        self.tokens, self.token_at, self.in_time = 0, 0.0, False
+
+    def start(self) -> None:
+        f, w = self.fleet, self.wanted
+        left = w.left
+        self.asks(left, f.whole)
         f.tallies[w.row.name].tries += 1
         self.call = f.channels[self.node].call(PATH, self, timeout=f.whole)
         self.call.send(pb.GenerateRequest(
@@ -126,12 +169,6 @@
         elif w.leaves < f.whole:
             f.clock.callLater(w.leaves, self.leave)
 
-    def leave(self) -> None:
-        if not self.call.over:
-            self.gone = True
-            self.fleet.recorder.note("left", call=self.name)
-            self.call.cancel()
-
     def headers(self, meta: tuple) -> None:
         self.fleet.recorder.note("seq", call=self.name, seq=dict(meta).get("myrtle-seq", ""))
 
@@ -159,45 +196,30 @@
         self.answer = self.answer or which
         self.wait = reply.rejected.wait_ms / 1000.0
 
-    def ended(self, status: Status) -> None:
-        self.fleet.recorder.note("over", call=self.name, code=status.code.name,
-                                 unprocessed=status.unprocessed)
-        self.fleet.over(self, status)
-
 
-class ClientFleet:
+class ClientFleet(Callers):
     """All clients. `dial(node)` is a channel's way to a node."""
 
     def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
                  random: Random, rate: float) -> None:
-        self.scenario, self.clock, self.recorder, self.random = scenario, clock, recorder, random
+        super().__init__(scenario, clock, nodes, recorder, random)
         self.whole = scenario.clients.whole
-        self.channels = {name: Channel(clock, dial, name, random=Random(random.random()), connect_timeout=0.5)
-                         for name, dial in nodes.items()}
-        self.names = sorted(nodes)
         self.wanted = draw(scenario, rate, random)
         self.tallies = {t.name: Tally() for t in scenario.traffic if t.front == "chat"}
-        self.open = 0
         self.asked = 0
-        self.on_quiet: Callable[[], None] = lambda: None
-        self._beat_due, self._beat_late, self._beat_at = 0.0, 0.0, 0.0
-        self.most_behind = 0.0
+        self.lag = LagMeter()  # of this process, not of a node
         self._beating: object = None
 
     def _beat(self) -> None:
         now = self.clock.seconds()
-        self._beat_late, self._beat_at, self._beat_due = max(0.0, now - self._beat_due), now, now + BEAT
-        self.most_behind = max(self.most_behind, self._beat_late)
-        self._beating = self.clock.callLater(BEAT, self._beat)
+        self._beating = self.clock.callLater(self.lag.beat(now) - now, self._beat)
 
     def behind(self, now: float) -> float:
-        """By how much this process may itself be late to see what it now sees: the last beat's lateness."""
-        last = self._beat_late if now - self._beat_at < BEAT else 0.0
-        return round(max(now - self._beat_due, last, 0.0), 4)
+        """By how much this process may itself be late to see what it now sees."""
+        return round(self.lag.age(now), 4)
 
     def start(self) -> None:
         """Every sequence is asked for at its moment, whatever became of others."""
-        self._beat_due = self.clock.seconds()
         self._beat()
         for wanted in self.wanted:
             self.clock.callLater(wanted.at, self._ask, wanted)
@@ -243,5 +265,4 @@
         """Close all channels."""
         if self._beating is not None and self._beating.active():
             self._beating.cancel()
-        for channel in self.channels.values():
-            channel.close()
+        super().close()
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -169,8 +169,7 @@
 
     def _engine_file(self, name: str, cold: bool) -> dict:
         kind = name.split("-")[0]
-        machine = {"reader": self.s.reader, "embedder": self.s.batcher, "ranker": self.s.batcher}.get(
-            kind, self.s.writer)
+        machine = self.s.machine(kind)
         rules = self.s.rules
         return {
             "name": name, "listen": self.address[name], **KINDS[kind], "model": self.model[name],
@@ -189,16 +188,11 @@
             "node": {"name": name, "listen": self.address[name], "admin": self.admin[name], "index": index,
                      "nodes": s.fleet.nodes, "zone": "north", "seed": self.seed * 100 + index},
             "traffic": rows, "zones": ["north"], "tenants": [t.model_dump() for t in s.tenants],
-            "kinds": [{"name": kind, **does, "memory": f"{group.memory:.0f} tokens"}
-                      for kind, does, group in self._kinds()],
+            "kinds": [{"name": kind, **does, "memory": f"{s.machine(kind).memory:.0f} tokens"}
+                      for kind, does in KINDS.items() if any(e.startswith(kind + "-") for e in self.engines)],
             "rules": units(s.rules, ("answer_slack", "drain_grace", "let_go", "cold_time", "fall_time")),
             "list": self._list_of(name)}
 
-    def _kinds(self) -> Iterator[tuple[str, dict, MachineGroup]]:
-        used = {e.split("-")[0] for e in self.engines}
-        groups = {"reader": self.s.reader, "embedder": self.s.batcher, "ranker": self.s.batcher}
-        return ((k, does, groups.get(k, self.s.writer)) for k, does in KINDS.items() if k in used)
-
     def _list_of(self, node: str) -> dict:
         files = self.s.list_files
         if files is None:
@@ -399,7 +393,7 @@
             "unclean": self.unclean,
             "attempts": dict(sorted(self.seen.items())), "cases": dict(self.cases.counts),
             "cancels": self.cases.cancels(), "excused": checker.excused,
-            "client_behind": round(self.clients.most_behind, 3),
+            "client_behind": round(self.clients.lag.worst, 3),
             "traffic": {n: t.figures() for n, t in self.clients.tallies.items()}}
 
     def _lists_figures(self) -> dict | None:
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -6,14 +6,13 @@
 """
 
 from collections.abc import Callable
-from random import Random
-
 from twisted.internet.task import Clock
 
 from myrtlehub import interface as itf
 from myrtlehub.config.sheets import EngineRow, NodeSheet
 from myrtlehub.decide import Router
-from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
+from myrtlehub.emulator.alarm import Alarm
+from myrtlehub.emulator.model import EngineModel, Machine, Task
 from myrtlehub.node.door import Asked, Door
 from myrtlehub.node.host import Attempt, Held, Host
 from myrtlehub.node.terms import terms_of
@@ -29,8 +28,7 @@
         self.fleet, self.address = fleet, address
         self.model = EngineModel(machine, seed)
         self.jobs: dict[int, Attempt] = {}
-        self._timer = None
-        self._due = NEVER
+        self.alarm = Alarm(fleet.clock, self._tick)
 
     def act(self, events: list[tuple]) -> None:
         """Hand over what happened, a link's time later, and set the next wake-up."""
@@ -47,13 +45,7 @@
             if event[0] != "tokens":
                 del self.jobs[event[1]]
             clock.callLater(LINK, self._tell, attempt, event)
-        due = self.model.next_at()
-        if due != self._due or self._timer is None or not self._timer.active():
-            if self._timer is not None and self._timer.active():
-                self._timer.cancel()
-            self._due, self._timer = due, None
-            if due != NEVER:
-                self._timer = clock.callLater(max(0.0, due - clock.seconds()), self._tick)
+        self.alarm.set(self.model.next_at())
 
     def _tick(self) -> None:
         self.act(self.model.tick(self.fleet.clock.seconds()))
@@ -173,7 +165,6 @@
                  machines: dict[str, Machine], seed: int) -> None:
         self.clock = Clock()
         self.clock.advance(1000.0)
-        self.random = Random(seed)
         self.attempts = 0
         self.engines = {r.address: ModelEngine(self, r.address, machines[r.kind], seed + i)
                         for i, r in enumerate(rows)}
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -141,6 +141,12 @@
                 raise ValueError(f"fault at {fault.at:g}s comes after the day, which lasts {self.length:g}s")
         return self
 
+    def machine(self, kind: str) -> MachineGroup:
+        """Figures of the engines of a kind; `mixed` are writers that also embed."""
+        if kind in ("embedder", "ranker"):
+            return self.batcher
+        return self.reader if kind == "reader" else self.writer
+
     def names(self) -> list[str]:
         """All processes of the fleet."""
         f = self.fleet
--- a/myrtlehub/limits/retries.py
+++ b/myrtlehub/limits/retries.py
@@ -23,7 +23,6 @@
         """`ratio`: repeats a first try, on the long run."""
         self.ratio, self._draw = ratio, random.random
         self._rows: OrderedDict[Hashable, tuple[float, float]] = OrderedDict()  # credit, when
-        self.turned_away = 0
 
     def _credit(self, now: float, tenant: Hashable) -> float:
         credit, at = self._rows.pop(tenant, (BURST, now))
@@ -47,6 +46,5 @@
         # Repeats that are turned away cost a little too: who hammers waits longer.
         credit = max(-BURST, credit - 0.1)
         self._keep(tenant, credit, now)
-        self.turned_away += 1
         over = 1.0 + (GROWTH - 1.0) * min(1.0, max(0.0, 1.0 - credit) / BURST)
         return longest * over * (0.5 + 0.5 * self._draw())
--- a/myrtlehub/node/peers.py
+++ b/myrtlehub/node/peers.py
@@ -21,10 +21,11 @@
 
     __slots__ = ("call", "name", "tenant", "utility", "request", "pace", "cut", "was_cut", "settled")
 
-    def __init__(self, call: ServerCall, name: str, tenant: str, utility: float, request: int, pace: Pace,
+    def __init__(self, call: ServerCall, name: str, tenant: str, utility: float, request: int,
                  cut: Callable[[str], None]) -> None:
         self.call, self.name, self.tenant, self.utility = call, name, tenant, utility
-        self.request, self.pace, self.cut = request, pace, cut  # bytes of the request, held until it is over
+        self.request, self.cut = request, cut  # bytes of the request, held until it is over
+        self.pace: Pace | None = None  # while something waits for its client
         self.was_cut = False
         self.settled: tuple = ()  # the counters when the ledger last saw them
 
@@ -74,8 +75,7 @@
              cut: Callable[[str], None]) -> None:
         """A call was taken."""
         key, self._next = self._next, self._next + 1
-        self.calls[key] = Watched(call, name, tenant, utility, request,
-                                  Pace(self.limits.rate_window, self.limits.least_rate), cut)
+        self.calls[key] = Watched(call, name, tenant, utility, request, cut)
         self.ledger.open(key, host_of(call.peer), tenant)
         self._settle(key, self.calls[key])
         if self._timer is None:
@@ -100,11 +100,13 @@
             if stream.closed or (w.call.over and not stream.buffered):
                 self.ledger.close(key)
                 del self.calls[key]
-            elif w.pace.look(now, stream.taken, stream.buffered) and not w.was_cut:
+            elif not stream.buffered:
+                w.pace = None
+            elif self._slow(w, now) and not w.was_cut:
                 least = self.limits.least_rate
                 self.cut(key, "slow", f"it took under {least:g} bytes a second of what waited")
         for what, name, size in list(self.ledger.over()):
-            streams = [Held(k, self.ledger.held_by(k), w.utility, w.pace.stalled(now))
+            streams = [Held(k, self.ledger.held_by(k), w.utility, w.pace.stalled(now) if w.pace else 0.0)
                        for k in self.ledger.of(what, name) if not (w := self.calls[k]).was_cut]
             for key in given_up(streams, size):
                 bound = self.ledger.bound(what)
@@ -112,6 +114,11 @@
         if self.calls:
             self._timer = self.clock.callLater(STEP, self._look)
 
+    def _slow(self, w: Watched, now: float) -> bool:
+        if w.pace is None:
+            w.pace = Pace(self.limits.rate_window, self.limits.least_rate)
+        return w.pace.look(now, w.call.stream.taken, w.call.stream.buffered)
+
     def cut(self, key: int, count: str, why: str) -> None:
         """What waits for it is dropped; it is told that it was aborted, and reset if it ignores that."""
         w = self.calls[key]
