Load told to probes alone is asked for: few candidates a sequence, paced by the price

Readers of a prefix that our table does not know are taken by an order that all nodes share (homes), with what such reads lately found. Adapter: Report.How and Prices.Probe go to Terms; a probe out keeps its engine's index from being handed on.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -8,6 +8,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 from statistics import median
 
@@ -49,6 +50,10 @@
 WINDOW_MARGIN = 0.05  # seconds before the end of a dedup window at which a repeat is not sent any more
 SWEEP = 0.04  # seconds between looks at what is kept here
 REFUSED_FOR = 10.0  # seconds for which an engine that was full for a tenant and type is their last choice
+HOME_LUCK = (0.5, 0.3, 0.0)  # share of a prefix that its home, its cell's home and others keep, until seen
+PROBE_SPEND = 0.01  # of the utility asked for, that probes may cost where load is told to them alone
+PROBES_MOST = 6.0  # a sequence, however cheap they are
+PROBE_AGAIN = 0.3  # seconds for which word of an engine's load is not asked for anew
 READ_TIMEOUT = 0.6  # share of the time left for which a first read may be out
 
 
@@ -58,6 +63,7 @@
     "state": DRAINING, "kind": 0, "zone": 0, "cell": 0, "started": 0.0, "mark": 0,
     "own_unread": 0.0,  # tokens that we sent to be read there and that are not read yet
     "own_reads": 0,
+    "asked": float("-inf"),  # when it was last probed
     "bound": 0.0,  # tokens of our sequences that are meant for it and have not begun there
     # what was seen of it against what is usual for its kind, fading, and when:
     "memory": UNSEEN,  # share of it held
@@ -76,7 +82,7 @@
                  claim: tuple[float, float]) -> None:
         self.engine, self.reads, self.since, self.unread, self.backlog = engine, reads, since, unread, backlog
         self.claim, self.claimed_at = claim
-        self.out, self.fetches = True, False
+        self.out, self.fetches, self.home = True, False, 2
         self.outcome, self.latency, self.settled, self.kept = "", 0.0, False, 0.0
 
 
@@ -95,6 +101,7 @@
         self.avoid: set[int] = set()
         self.may_run: list = []  # [dedup group, sent at] of the first attempt that may have run
         self.over_share = self.begun = self.over = False
+        self.awaits: set[int] = set()  # engines whose load was asked for on its behalf
         self.lot = 0.0  # by chance: which cold engines it may go to
 
     def out(self) -> list[int]:
@@ -147,6 +154,7 @@
         self.counts: dict[tuple, tuple[float, float]] = {}  # done for us by kind, sent by tenant
         self.refused: dict[tuple[int, int, int], float] = {}  # until when: engine, tenant, traffic type
         self.promised = 0.0  # tokens bound for all writers
+        self.probes = PROBES_MOST  # that may be sent now
         self.writers: list[int] = []
         self.readers: list[int] = []
         self.reach: dict[int, float] = {}  # by cell: readers a writer, against the fleet
@@ -198,9 +206,44 @@
         self._count("sent", a.tenant)
         quota = self.terms.quotas[a.tenant] / self.terms.nodes if a.tenant >= 0 else 0.0
         seq.over_share = 0.0 < quota * SHARE_SKEW < self._often("sent", a.tenant) - SHARE_SLACK / USUAL_SPAN
-        self._run(seq, now)
+        if self.terms.report_on_probe and self.terms.may_probe:
+            allowed = min(PROBES_MOST, PROBE_SPEND / max(self.terms.probe_price, 1e-6))
+            self.probes = min(self.probes + allowed, 3.0 * PROBES_MOST)
+            self._ask(seq, now)
+        if seq.awaits:
+            self.kept[ident] = seq
+        else:
+            self._run(seq, now)
+        return self._finish(now)
+
+    def probed(self, now: float, engine: int, sound: bool, latency: float, load: Load | None) -> list[tuple]:
+        self.now = now
+        if load is not None:
+            self._report(engine, load, now)
+        elif latency > 0.1:
+            # a deep probe waits like a request: that it found no end tells of the queue, not of death
+            told = latency * self._rate(engine)
+            self._note(self.unread, engine, told - self._mean("unread", self.kind[engine], told, 0.1), 1.0)
+        for seq in [s for s in self.kept.values() if engine in s.awaits]:
+            seq.awaits.discard(engine)
+            if not seq.awaits and seq.id in self.kept:
+                self._run(seq, now)
         return self._finish(now)
 
+    def _ask(self, seq: Seq, now: float) -> None:
+        """Where load is told to probes alone: asks those that it might go to, and one by chance."""
+        usable = [w for w in self.writers if self._usable(w, seq, now)]
+        plan = self._plan_reads(seq, now)
+        best = sorted(usable, key=self._score(seq, now, plan), reverse=True)[:2]
+        wanted = best + [self._read_plan(w, seq, now, plan)[1] for w in best]
+        up = self.writers + self.readers
+        wanted += [up[int(self.random() * len(up))]] if up else []
+        for e in wanted:
+            if e >= 0 and self.probes >= 1.0 and now > self.asked[e] + PROBE_AGAIN:
+                self.probes, self.asked[e] = self.probes - 1.0, now
+                seq.awaits.add(e)
+                self.results.append(("probe", e))
+
     def began(self, now: float, ident: int, attempt: int, latency: float) -> list[tuple]:
         self.now = now
         seq = self.seqs.get(ident)
@@ -300,8 +343,13 @@
             # anew, which keeps them full, whatever filled them: new work waits here, or is turned away in
             # time to come again. What a tenant sends beyond its share goes first.
             return self._wait_here(seq, now)
+        plan = seq.plan = None if seq.state_at >= 0 else self._plan_reads(seq, now)
+        seq.writer = max(roomy or usable, key=self._score(seq, now, plan))
+        return PASS
+
+    def _score(self, seq: Seq, now: float, plan: tuple[dict, dict] | None) -> Callable[[int], float]:
+        """What a writer is worth to a sequence, in kept tokens."""
         at = seq.state_at
-        plan = seq.plan = None if at >= 0 else self._plan_reads(seq, now)
 
         def score(w: int) -> float:
             delay = self._fetch(at, w, seq) if at >= 0 else self._read_plan(w, seq, now, plan)[0]
@@ -310,8 +358,7 @@
             room = ROOM_TOKENS * (self._free(w, seq) - DRAG_COST * drag)
             home = HOME_TOKENS * (self.zone[w] == self.terms.zone) - RATE_LIKELY * delay
             return room + self.table.claim(w, seq.a, now)[0] + home + self.random()
-        seq.writer = max(roomy or usable, key=score)
-        return PASS
+        return score
 
     def _split(self, seq: Seq, now: float) -> str:
         """Read elsewhere when the writer would have to read too much itself, or cannot read."""
@@ -336,13 +383,14 @@
         """Seconds to the read, and reader: the pick of a cell with room; the soonest of a zone (-1: all)."""
         limit = max(0.1, READ_ROOM * (seq.slo_at - now))
         near, far, chance = {}, {}, self.random()
-        key = seq.a.prefix or seq.a.session or int(seq.lot * 2 ** 40)
+        key = self._key(seq)
         fade = QUEUE_FADE * (1.0 + ALIKE_NODES / self.terms.nodes)
+        homes = self._homes(seq, key)
         for r in self.readers:
             shut = r in seq.avoid or self.refused.get((r, *seq.whose), now) > now
             if shut or not self._usable(r, seq, now):
                 continue
-            claim = self._expect(r, seq, now)
+            claim = self._expect(r, seq, now, homes.get(r, 2))
             takes = self._wait(r) + (seq.a.prompt - claim) / self._rate(r)
             # Guards against cells whose few readers all nodes take to be free: what is not known of them is
             # judged by how many readers a writer of that cell has, against the fleet.
@@ -350,10 +398,7 @@
             if chance > known + (1.0 - known) * self.reach[self.cell[r]]:
                 takes += seq.slo_at - now
             if takes < limit:
-                # Guards against many nodes that each know little: among equals, an order by prefix that all
-                # nodes share, so that a prefix is kept at few readers of a cell.
-                order = (key ^ self.mark[r]) * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFFFF
-                worth = (round(claim), -self.own_reads[r], order)
+                worth = (round(claim), -self.own_reads[r], self._order(key, r))
                 near[self.cell[r]] = max(near.get(self.cell[r], (worth,)), (worth, takes, r))
             for area in (self.zone[r], -1):
                 move = self._move(r, area < 0, seq)
@@ -379,9 +424,28 @@
         best = min((t + self._fetch(r, w, seq), r) for t, r in others) if others else none
         return (alone, -1) if able and (best[1] < 0 or alone + self._wait(w) < best[0]) else best
 
-    def _expect(self, r: int, seq: Seq, now: float) -> float:
+    def _key(self, seq: Seq) -> int:
+        return seq.a.prefix or seq.a.session or int(seq.lot * 2 ** 40)
+
+    def _order(self, key: int, r: int) -> int:
+        return (key ^ self.mark[r]) * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFFFF
+
+    def _homes(self, seq: Seq, key: int) -> dict[int, int]:
+        """Guards against many nodes that each know little: an order by prefix that all nodes share.
+
+        So a prefix is kept at few readers: first of all (0), first of its cell (1); all others are 2.
+        """
+        best: dict[int, int] = {}
+        for r in self.readers:
+            other = best.get(self.cell[r], -1)
+            if other < 0 or self._order(key, r) > self._order(key, other):
+                best[self.cell[r]] = r
+        top = max(best.values(), key=lambda r: self._order(key, r), default=-1)
+        return {r: int(r != top) for r in best.values()}
+
+    def _expect(self, r: int, seq: Seq, now: float, home: int) -> float:
         """Tokens that a reader should keep: by our table, or as others have lately turned out."""
-        luck = self.usual.get(("luck", 0), 0.0) * min(seq.a.shared, seq.a.prompt)
+        luck = self.usual.get(("luck", home), HOME_LUCK[home]) * min(seq.a.shared, seq.a.prompt)
         return max(self.table.claim(r, seq.a, now)[0], luck)
 
     def _fetch(self, r: int, w: int, seq: Seq) -> float:
@@ -403,9 +467,11 @@
         if not self._cold_pass(engine, seq, now):
             return KEEP  # rule 4
         claim = (0.0, 0.0) if seq.state_at >= 0 else self.table.claim(engine, seq.a, now)
-        sure = self._expect(engine, seq, now) if seq.split else claim[0]
+        home = self._homes(seq, self._key(seq)).get(engine, 2) if seq.split else 2
+        sure = self._expect(engine, seq, now, home) if seq.split else claim[0]
         unread = 0.0 if seq.state_at >= 0 else max(0.0, seq.a.prompt - sure)
         t = Attempt(engine, seq.split, now, unread, self._backlog(engine), claim)
+        t.home = home
         # one time-out a sequence: those that fire under mere load make load
         timeout = READ_TIMEOUT * (seq.abandon_at - now) if seq.split and not seq.attempts else 0.0
         self._bind(seq, seq.writer)
@@ -444,7 +510,7 @@
                 self._pace(t, t.latency)
                 self._count("done", kind)
                 if t.claim < 64.0 and seq.a.shared:
-                    self._mean("luck", 0, min(1.0, t.kept / seq.a.shared), 0.1)
+                    self._mean("luck", t.home, min(1.0, t.kept / seq.a.shared), 0.1)
             if seq.begun:
                 # Guards against engines, and kinds of them, that begin in time and write slowly.
                 more = t.latency / max(self._mean("stream", seq.a.traffic, t.latency, 0.05), 0.01) - 1.0
--- a/myrtlehub/interface.py
+++ b/myrtlehub/interface.py
@@ -94,6 +94,8 @@
     max_wait: float  # longest wait a client honours; 0: clients are given none
     over_share_utility: float
     ask_for_list: bool
+    report_on_probe: bool = False  # engines tell their load to probes alone, not with what they answer
+    probe_price: float = 0.0  # of utility asked for, that one probe a sequence costs
 
 
 class Listing(NamedTuple):
--- a/myrtlehub/simhost.py
+++ b/myrtlehub/simhost.py
@@ -62,6 +62,8 @@
         answer_slack=rules.get("AnswerSlackMs", 0.0) / 1e3, tick=s.get("PeriodMs", 0.0) / 1e3,
         max_wait=caps.get("MaxRetryAfterMs", 0.0) / 1e3 if caps.get("RetryAfter") else 0.0,
         over_share_utility=s.get("OverShareWorth", 1.0), ask_for_list=s.get("Discovery") == "ask",
+        report_on_probe=s.get("Report", {}).get("How") == "on_probe",
+        probe_price=s.get("Prices", {}).get("Probe", 0.0),
     )
 
 
@@ -173,8 +175,12 @@
         if verb == "WAKEUP":
             return router.wake(now, int(event["Name"]))
         if verb == "PING_RESULT":
-            return router.probed(now, self.engine(event["Engine"]), event.get("StateCode") == "ok",
-                                 event.get("LatencyMs", 0.0) / 1e3, decode_load(event.get("Telemetry")))
+            engine = self.engine(event["Engine"])
+            self.engine_uses[engine] = max(0, self.engine_uses[engine] - 1)
+            results = router.probed(now, engine, event.get("StateCode") == "ok",
+                                    event.get("LatencyMs", 0.0) / 1e3, decode_load(event.get("Telemetry")))
+            self.free_if_over(engine)
+            return results
         if verb == "MESSAGE":
             return router.heard(now, event["Who"], event.get("Content", ""))
         if verb not in ("ESTABLISHED", "DROPPED", "NOTE"):
@@ -214,6 +220,8 @@
         elif verb == "wake":
             order.update(verb="DEFER", SpanMs=args[0] * 1e3, Name=str(args[1]))
         elif verb in ("probe", "close"):
+            # Guards against a probe that answers for an engine whose index was handed on meanwhile.
+            self.engine_uses[args[0]] += verb == "probe"
             order.update(verb="PROBE" if verb == "probe" else "CLOSE_IDLE", Engine=self.engine_ids[args[0]])
         elif verb == "tell":
             order.update(verb="NOTIFY", NeighbourId="all" if args[0] is None else args[0], Content=args[1])
