Move: kept text found by an order all nodes share; probes at the node; shapes by settings

Change: few homes a prefix, one of them a session's (_homes), among readers that are open to it; kept tokens beside a writer weigh where a node can ask (_score); seconds a token averaged; silence on a probe means full; refusals kept 20 s and engines that took such preferred; a writer that filled up meanwhile is passed over; held ones are looked at when something was heard. Program: Engine.Probe, engines_may.probe, reports.*, refusal of mixed files by key, node.max_wait 0; stand-ins with reports: probe.

--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -122,6 +122,14 @@
     probe: bool = False
 
 
+class ReportsGroup(Sheet):
+    """How engines tell their load, and what asking for it costs."""
+
+    how: Literal["answers", "probe"] = "answers"
+    probe_price: Share = 0.0  # of the utility asked for, that one probe a sequence costs
+    probe_timeout: Duration = 0.25
+
+
 class NodeGroup(Sheet):
     """The node itself."""
 
@@ -134,7 +142,7 @@
     seed: int = 0
     drain_within: Duration = 10.0
     most_attempts: Annotated[int, Field(ge=1)] = 5
-    max_wait: Duration = 2.0
+    max_wait: Duration = 2.0  # 0: clients are told none
     over_share_utility: Share = 0.1
     tick: Duration = 0.004
     tell_nodes: bool = False
@@ -218,6 +226,7 @@
     tenants: list[TenantRow] = []
     rules: RulesGroup
     engines_may: EnginesMay = EnginesMay()
+    reports: ReportsGroup = ReportsGroup()
     batches: BatchGroup = BatchGroup()
     limits: LimitsGroup = LimitsGroup()
     list: ListGroup
@@ -241,13 +250,30 @@
         check_engines(self, self.list.engines)
         if self.list.files and (self.list.engines or self.list.pushed):
             raise ValueError("list.files: the list comes from files alone; drop list.engines and list.pushed")
-        missing = [w for w in ("hold", "resume", "probe") if getattr(self.engines_may, w)]
+        self._one_shape()
+        missing = [w for w in ("hold", "resume") if getattr(self.engines_may, w)]
         if missing:
             raise ValueError(f"engines_may.{missing[0]}: engines of myrtlehub.v1 cannot do this; say no")
         if self.node.tell_nodes:
             raise ValueError("node.tell_nodes: nodes have no way to talk to each other yet; say no")
         return self
 
+    def _one_shape(self) -> None:
+        """Guards against a file half moved: load comes with answers, or is asked for, never some of each."""
+        asked = self.reports.how == "probe"
+        if asked and not self.engines_may.probe:
+            raise ValueError("reports.how: probe needs engines_may.probe: yes, or load would never be known")
+        if self.engines_may.probe and not asked:
+            raise ValueError("engines_may.probe: load comes with answers here, so nothing is probed; say no, "
+                             "or reports.how: probe")
+        set_here = [f for f in ("probe_price", "probe_timeout") if f in self.reports.model_fields_set]
+        if set_here and not asked:
+            raise ValueError(f"reports.{set_here[0]}: nothing is probed where reports.how is answers; "
+                             "drop it")
+        if asked and any(t.front != "chat" for t in self.traffic):
+            raise ValueError("reports.how: batches need load with their answers; drop traffic types to embed "
+                             "or rank, or say answers")
+
 
 def check_engines(sheet: NodeSheet, engines: list[EngineRow]) -> None:
     """ValueError where an engine names a kind or zone that the file does not state."""
@@ -295,6 +321,7 @@
     step_crowd: Share = 0.5  # by which steps are longer with all slots in use
     fetch_rate: Annotated[float, Field(gt=0)] = 250000.0  # tokens a second
     kept: Tokens = 60000.0  # of prefixes, beside the memory
+    reports: Literal["answers", "probe"] = "answers"  # to what it adds its load
     cold: bool = False
     cold_share: Share = 0.25
     cold_time: Duration = 10.0
--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -38,6 +38,7 @@
 ALIKE_NODES = 3.0  # other nodes at most that are taken to lean the way that we lean
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
 HOPE = 0.5  # share of what we reckon that a beginning takes, until some have been seen
+LOOK_AGAIN = 0.2  # seconds after which a sequence kept here is looked at again though nothing was heard
 KEPT_TRIES = 3  # sequences kept here that are tried again in vain at a time
 SHARE_SLACK = 1.5  # sequences a span that a tenant may send besides, as few make no share
 SHARE_SKEW = 1.25  # times its even part of a share that a node lets pass, as nodes get unequal parts
@@ -49,11 +50,14 @@
 BLAME = 0.25  # share of failures above the fleet's median at which an engine is left alone
 WINDOW_MARGIN = 0.05  # seconds before the end of a dedup window at which a repeat is not sent any more
 SWEEP = 0.04  # seconds between looks at what is kept here
-REFUSED_FOR = 10.0  # seconds for which an engine that was full for a tenant and type is their last choice
-HOME_LUCK = (0.5, 0.3, 0.0)  # share of a prefix that its home, its cell's home and others keep, until seen
+REFUSED_FOR = 20.0  # seconds for which an engine that was full for a tenant and type is their last choice
+HOMES = 6  # readers at which a prefix is kept first of all
+HOME_LUCK = (0.5, 0.3, 0.0)  # share of a prompt that its home, second homes and others keep, until seen
+NEAR_KEPT = 10.0  # what a token kept by a reader beside a writer is worth, where we can ask that writer
 PROBE_SPEND = 0.01  # of the utility asked for, that probes may cost where load is told to them alone
 PROBES_MOST = 6.0  # a sequence, however cheap they are
 PROBE_AGAIN = 0.3  # seconds for which word of an engine's load is not asked for anew
+SILENT_QUEUE = 0.5  # seconds of queue that an engine is taken to have whose probe found no answer
 READ_TIMEOUT = 0.6  # share of the time left for which a first read may be out
 
 
@@ -100,8 +104,10 @@
         self.attempts: list[Attempt] = []
         self.avoid: set[int] = set()
         self.may_run: list = []  # [dedup group, sent at] of the first attempt that may have run
-        self.over_share = self.begun = self.over = False
+        self.over_share = self.begun = self.over = self.refused = False
         self.awaits: set[int] = set()  # engines whose load was asked for on its behalf
+        self.looked = 0.0  # when it was last tried
+        self.homes: dict[int, int] = {}  # places of readers that should keep its prompt
         self.lot = 0.0  # by chance: which cold engines it may go to
 
     def out(self) -> list[int]:
@@ -116,9 +122,11 @@
 
     def claim(self, engine: int, a: Arrival, now: float) -> tuple[float, float]:
         """Tokens of this prompt that the engine should keep, and when we last saw that."""
-        best = (0.0, 0.0)
-        for key, most in ((a.session, a.prompt), (-a.prefix, a.shared)):
-            tokens, seen = self.rows[engine].get(key, (0.0, 0.0)) if key else (0.0, 0.0)
+        best, row = (0.0, 0.0), self.rows[engine]
+        for key, most in ((a.session, a.prompt), (-a.prefix, a.shared)) if row else ():
+            if not key or key not in row:
+                continue
+            tokens, seen = row[key]
             tokens = min(tokens, most) * min(1.0, max(0.0, 1.0 - (now - seen - KEPT_FOR) / KEPT_FOR))
             if tokens > best[0]:
                 best = (tokens, seen)
@@ -149,10 +157,11 @@
         self.table = KeptTable()
         self.results: list[tuple] = []
         self.wake_at = float("inf")
-        self.now = self.timed_at = 0.0
+        self.now = self.timed_at = self.heard_at = 0.0
         self.usual: dict[tuple, float] = {}  # running means: what of, and of which kind, cell or traffic type
         self.counts: dict[tuple, tuple[float, float]] = {}  # done for us by kind, sent by tenant
         self.refused: dict[tuple[int, int, int], float] = {}  # until when: engine, tenant, traffic type
+        self.taken: dict[tuple[int, int, int], float] = {}  # the same of engines that took such a sequence
         self.promised = 0.0  # tokens bound for all writers
         self.probes = PROBES_MOST  # that may be sent now
         self.writers: list[int] = []
@@ -173,7 +182,7 @@
     list_failed = start
 
     def engines(self, now: float, listings: list, whole: bool) -> list[tuple]:
-        self.now = now
+        self.now = self.heard_at = now
         for e in listings:
             while len(self.state) <= e.engine:
                 for name, zero in FIGURES.items():
@@ -217,13 +226,16 @@
         return self._finish(now)
 
     def probed(self, now: float, engine: int, sound: bool, latency: float, load: Load | None) -> list[tuple]:
-        self.now = now
+        self.now = self.heard_at = now
         if load is not None:
             self._report(engine, load, now)
-        elif latency > 0.1:
-            # a deep probe waits like a request: that it found no end tells of the queue, not of death
-            told = latency * self._rate(engine)
-            self._note(self.unread, engine, told - self._mean("unread", self.kind[engine], told, 0.1), 1.0)
+        else:
+            # Guards against queues too long to tell of: a deep probe waits like a request, and its time-out
+            # means a full writer or a reader's long queue, not a dead engine.
+            usual, kind = self.usual, self.kind[engine]
+            told = SILENT_QUEUE * self._rate(engine) - usual.get(("unread", kind), 0.0)
+            self._note(self.unread, engine, told, 1.0)
+            self._note(self.memory, engine, 1.0 - usual.get(("memory", kind), 0.0), 1.0)
         for seq in [s for s in self.kept.values() if engine in s.awaits]:
             seq.awaits.discard(engine)
             if not seq.awaits and seq.id in self.kept:
@@ -245,7 +257,7 @@
                 self.results.append(("probe", e))
 
     def began(self, now: float, ident: int, attempt: int, latency: float) -> list[tuple]:
-        self.now = now
+        self.now = self.heard_at = now
         seq = self.seqs.get(ident)
         if seq is not None and attempt < len(seq.attempts):
             t = seq.attempts[attempt]
@@ -265,7 +277,7 @@
 
     def ended(self, now: float, ident: int, attempt: int, outcome: str, latency: float, settled: bool,
               kept: float, load: Load | None) -> list[tuple]:
-        self.now = now
+        self.now = self.heard_at = now
         seq = self.seqs.get(ident)
         if seq is not None and attempt < len(seq.attempts) and seq.attempts[attempt].out:
             t = seq.attempts[attempt]
@@ -294,7 +306,8 @@
             due = seq.attempts or now - seq.since > PATIENCE * (seq.slo_at - seq.since)
             if now >= seq.abandon_at:
                 self._give_up(seq)
-            elif seq.id in self.kept and (due or misses < KEPT_TRIES):
+            elif seq.id in self.kept and (due or misses < KEPT_TRIES and (
+                    self.heard_at > seq.looked or now > seq.looked + LOOK_AGAIN)):
                 self._run(seq, now)
                 misses += seq.id in self.kept
         return self._finish(now)
@@ -303,6 +316,7 @@
 
     def _run(self, seq: Seq, now: float) -> None:
         self.kept.pop(seq.id, None)
+        seq.looked = now
         for stage, _ in self.chain:
             verdict = stage(seq, now)
             if verdict == KEEP:
@@ -329,12 +343,16 @@
 
     def _pick_writer(self, seq: Seq, now: float) -> str:
         """Writer first: by room, raised by the tokens it should keep."""
-        if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, seq, now):
-            return PASS
+        w = seq.writer
+        if w >= 0 and w not in seq.avoid and self._usable(w, seq, now) and (
+                seq.state_at < 0 or self._free(w, seq) > 1.0 - WRITE_FULL):
+            return PASS  # unless it filled up, or fell silent, while the prompt was read
         usable = [w for w in self.writers if self._usable(w, seq, now)]
         # Guards against what failed it, and refusals meant for its tenant and traffic type: elsewhere first.
         usable = [w for w in usable if w not in seq.avoid] or usable
-        usable = [w for w in usable if self.refused.get((w, *seq.whose), now) <= now] or usable
+        usable = self._willing(usable, seq, now) or usable
+        # Guards against engines whose queue, or end, keeps even a probe waiting.
+        usable = [w for w in usable if w not in seq.awaits] or usable
         roomy = [w for w in usable if self._free(w, seq) > 1.0 - WRITE_FULL]
         if not usable:
             return KEEP
@@ -347,9 +365,17 @@
         seq.writer = max(roomy or usable, key=self._score(seq, now, plan))
         return PASS
 
+    def _willing(self, engines: list[int], seq: Seq, now: float) -> list[int]:
+        """Those that did not refuse its tenant and type of late; once refused, those that took such."""
+        willing = [e for e in engines if self.refused.get((e, *seq.whose), now) <= now]
+        sure = seq.refused and [e for e in willing if self.taken.get((e, *seq.whose), now) > now]
+        return sure or willing
+
     def _score(self, seq: Seq, now: float, plan: tuple[dict, dict] | None) -> Callable[[int], float]:
         """What a writer is worth to a sequence, in kept tokens."""
         at = seq.state_at
+        # Guards against many nodes that all follow a prefix to writers of which they cannot ask.
+        near_kept = NEAR_KEPT * self.terms.report_on_probe
 
         def score(w: int) -> float:
             delay = self._fetch(at, w, seq) if at >= 0 else self._read_plan(w, seq, now, plan)[0]
@@ -357,7 +383,9 @@
             drag = self.usual.get(("drag", self.kind[w]), 0.0) + self._seen(self.drag, w)
             room = ROOM_TOKENS * (self._free(w, seq) - DRAG_COST * drag)
             home = HOME_TOKENS * (self.zone[w] == self.terms.zone) - RATE_LIKELY * delay
-            return room + self.table.claim(w, seq.a, now)[0] + home + self.random()
+            beside = plan[0].get(self.cell[w]) if plan else None
+            near = near_kept * beside[0][0] if beside else 0.0
+            return room + max(self.table.claim(w, seq.a, now)[0], near) + home + self.random()
         return score
 
     def _split(self, seq: Seq, now: float) -> str:
@@ -385,11 +413,10 @@
         near, far, chance = {}, {}, self.random()
         key = self._key(seq)
         fade = QUEUE_FADE * (1.0 + ALIKE_NODES / self.terms.nodes)
-        homes = self._homes(seq, key)
-        for r in self.readers:
-            shut = r in seq.avoid or self.refused.get((r, *seq.whose), now) > now
-            if shut or not self._usable(r, seq, now):
-                continue
+        able = [r for r in self.readers if r not in seq.avoid and self._usable(r, seq, now)]
+        able = self._willing(able, seq, now)
+        homes = seq.homes = self._homes(seq, key, able)
+        for r in able:
             claim = self._expect(r, seq, now, homes.get(r, 2))
             takes = self._wait(r) + (seq.a.prompt - claim) / self._rate(r)
             # Guards against cells whose few readers all nodes take to be free: what is not known of them is
@@ -430,22 +457,25 @@
     def _order(self, key: int, r: int) -> int:
         return (key ^ self.mark[r]) * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFFFF
 
-    def _homes(self, seq: Seq, key: int) -> dict[int, int]:
+    def _homes(self, seq: Seq, key: int, readers: list[int]) -> dict[int, int]:
         """Guards against many nodes that each know little: an order by prefix that all nodes share.
 
-        So a prefix is kept at few readers: first of all (0), first of its cell (1); all others are 2.
+        So a prefix is kept at few readers, and a session at one of them (0); the others of the few, and the
+        first of each cell, are 1, all the rest 2.
         """
-        best: dict[int, int] = {}
-        for r in self.readers:
-            other = best.get(self.cell[r], -1)
-            if other < 0 or self._order(key, r) > self._order(key, other):
-                best[self.cell[r]] = r
-        top = max(best.values(), key=lambda r: self._order(key, r), default=-1)
-        return {r: int(r != top) for r in best.values()}
+        ranked = sorted(readers, key=lambda r: -self._order(key, r))
+        homes: dict[int, int] = {}
+        for r in ranked:
+            homes.setdefault(self.cell[r], r)
+        places = dict.fromkeys(homes.values(), 1)
+        places.update(dict.fromkeys(ranked[:HOMES], 1))
+        if ranked:
+            places[max(ranked[:HOMES], key=lambda r: self._order(seq.a.session, r))] = 0
+        return places
 
     def _expect(self, r: int, seq: Seq, now: float, home: int) -> float:
         """Tokens that a reader should keep: by our table, or as others have lately turned out."""
-        luck = self.usual.get(("luck", home), HOME_LUCK[home]) * min(seq.a.shared, seq.a.prompt)
+        luck = self.usual.get(("luck", home), HOME_LUCK[home]) * seq.a.prompt if seq.a.shared else 0.0
         return max(self.table.claim(r, seq.a, now)[0], luck)
 
     def _fetch(self, r: int, w: int, seq: Seq) -> float:
@@ -467,7 +497,7 @@
         if not self._cold_pass(engine, seq, now):
             return KEEP  # rule 4
         claim = (0.0, 0.0) if seq.state_at >= 0 else self.table.claim(engine, seq.a, now)
-        home = self._homes(seq, self._key(seq)).get(engine, 2) if seq.split else 2
+        home = seq.homes.get(engine, 2) if seq.split else 2
         sure = self._expect(engine, seq, now, home) if seq.split else claim[0]
         unread = 0.0 if seq.state_at >= 0 else max(0.0, seq.a.prompt - sure)
         t = Attempt(engine, seq.split, now, unread, self._backlog(engine), claim)
@@ -505,12 +535,13 @@
         gap = self.alike[kind] / max(self._often("done", kind), 0.01)
         self.usual["half", kind] = min(max(SEEN_FADE, gap), RARE_FADE * SEEN_FADE)
         if t.outcome in (GENERATED, READ):
+            self.taken[t.engine, *seq.whose] = now + REFUSED_FOR
             if t.reads:
                 self._note(self.failing, t.engine, 0.0, 0.3)
                 self._pace(t, t.latency)
                 self._count("done", kind)
                 if t.claim < 64.0 and seq.a.shared:
-                    self._mean("luck", t.home, min(1.0, t.kept / seq.a.shared), 0.1)
+                    self._mean("luck", t.home, t.kept / seq.a.prompt, 0.1)
             if seq.begun:
                 # Guards against engines, and kinds of them, that begin in time and write slowly.
                 more = t.latency / max(self._mean("stream", seq.a.traffic, t.latency, 0.05), 0.01) - 1.0
@@ -521,7 +552,9 @@
                     self.table.void_until(t.engine, t.claimed_at)
                 self.table.feed(t.engine, seq.a, now)
         elif t.outcome == FULL and not t.kept:
+            seq.refused = True
             self.refused[t.engine, *seq.whose] = now + REFUSED_FOR
+            self.taken.pop((t.engine, *seq.whose), None)
         elif t.outcome not in (FULL, UNSENT, CANCELLED):
             if t.outcome in (UNREACHED, RESET):
                 # Guards against pushing over what died and came back, seconds before the list says so.
@@ -694,11 +727,13 @@
 
     def _rate(self, i: int) -> float:
         """Prompt tokens a second: what is usual for its kind, and how it has lately differed."""
-        return self.usual.get(("rate", self.kind[i]), RATE_LIKELY) * (1.0 + self._seen(self.fast, i))
+        return (1.0 + self._seen(self.fast, i)) / self.usual.get(("pace", self.kind[i]), 1.0 / RATE_LIKELY)
 
     def _pace(self, t: Attempt, latency: float) -> None:
         if t.unread >= 200.0 and latency > 0.0:
             seen = min(100000.0, max(200.0, (t.backlog + t.unread) / latency))
             weight = 0.3 * min(1.0, t.unread / 2000.0)
-            usual = self._mean("rate", self.kind[t.engine], seen, 0.2 * weight)
+            # Guards against readers that look faster than they are: what is reckoned with it is seconds, so
+            # seconds a token are averaged, not tokens a second, of which a few fast reads make too many.
+            usual = 1.0 / self._mean("pace", self.kind[t.engine], 1.0 / seen, 0.2 * weight)
             self._note(self.fast, t.engine, max(-0.95, min(1.0, seen / usual - 1.0)), weight)
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -91,7 +91,8 @@
         self.model_name = sheet.model
         self.alarm = Alarm(clock, self._tick)
         for name, handler in (("Read", unary(self._read)), ("Write", server_stream(self._write)),
-                              ("Release", unary(self._release)), ("Fetch", server_stream(self._fetch))):
+                              ("Release", unary(self._release)), ("Probe", unary(self._probe)),
+                              ("Fetch", server_stream(self._fetch))):
             self.server.add(SERVICE + name, handler)
         self.server.add(SERVICE + "Batch", server_stream(self._batch))
         self.server.add("/myrtlehub.v1.Stand/Misbehave", unary(self._misbehave))
@@ -190,6 +191,11 @@
         self.act(self.model.release(self.clock.seconds(), seq))
         return pb.ReleaseReply(tokens=int(tokens)).SerializeToString()
 
+    def _probe(self, call: ServerCall, data: bytes) -> bytes | Deferred:
+        if self.model.hung:
+            return Deferred()
+        return pb.ProbeReply(load=pb.LoadReport(**self.model.load())).SerializeToString()
+
     def _fetch(self, call: ServerCall, data: bytes) -> Receiver | None:
         handle = pb.FetchRequest.FromString(data).handle
         total = self.model.state_tokens(handle)
@@ -253,7 +259,10 @@
     def _tick(self) -> None:
         self.act(self.model.tick(self.clock.seconds()))
 
-    def _load(self) -> pb.LoadReport:
+    def _load(self) -> pb.LoadReport | None:
+        """What goes along with an answer."""
+        if self.sheet.reports == "probe":
+            return None
         return pb.LoadReport(**self.model.load())
 
     def _on_read(self, job: _Job, kept: float, tokens: float) -> None:
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -120,6 +120,10 @@
             target.act(target.model.release(self.fleet.clock.seconds(), label))
         self.fleet.clock.callLater(LINK, done)
 
+    def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
+        target = self.fleet.engines[self.host.door.engines.rows[engine].address]
+        self.fleet.clock.callLater(2 * LINK, lambda: then(True, itf.Load(**target.model.load())))
+
     def close_idle(self, engine: int) -> None:
         """There are no connections."""
 
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -7,6 +7,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from myrtlehub import interface as itf
@@ -50,6 +51,9 @@
     def release(self, engine: int, label: str) -> None:
         """Tell an engine to let go of what it holds for a sequence."""
 
+    def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
+        """Ask an engine for its load; `then(sound, load)` is called once, not before control is back."""
+
     def close_idle(self, engine: int) -> None:
         """Close an unused connection."""
 
@@ -127,6 +131,7 @@
         self._verbs = {name: getattr(self, "_" + name) for name in (
             "send", "release", "cancel", "reject", "abort", "wake", "close", "watch", "relist", "note",
             "done", "hold", "move", "probe", "tell")}
+        self.probe_timeout = 0.25
         self.on_idle: Callable[[], None] = lambda: None
         self.on_sent: Callable[[Attempt], None] = lambda attempt: None
         self.on_back: Callable[[Attempt], None] = lambda attempt: None
@@ -348,7 +353,21 @@
     def _never(self, *args: object) -> None:
         raise ContractBroken(f"a result that the terms rule out: {args}")
 
-    _hold = _move = _probe = _tell = _never
+    _hold = _move = _tell = _never
+
+    def _probe(self, engine: int) -> None:
+        if not self.terms.may_probe:
+            self._never("probe", engine)
+        since = self.clock.seconds()
+        # Guards against word on an engine whose index was handed on meanwhile.
+        self.door.engines.used(engine)
+        self.carrier.probe(engine, self.probe_timeout, partial(self._probed, engine, since))
+
+    def _probed(self, engine: int, since: float, sound: bool, load: itf.Load | None) -> None:
+        self._say("probed", engine, sound, self.clock.seconds() - since, load)
+        address = self.door.engines.unused(engine)
+        if address:
+            self.carrier.forget(address)
 
     # -- small steps ------------------------------------------------------------------------------
 
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -176,6 +176,14 @@
                                           timeout=1.0)
         done.addErrback(lambda failure: None)  # an engine that cannot be told lets go by its own bound
 
+    def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
+        done = self.channel(engine).unary(SERVICE + "Probe", pb.ProbeRequest().SerializeToString(),
+                                          timeout=timeout)
+        done.addCallback(pb.ProbeReply.FromString)
+        # A reply that is none counts as no word; what `then` itself does wrong is not hidden.
+        done.addCallbacks(lambda reply: then(True, load_of(reply)), lambda failure: then(False, None))
+        done.addErrback(lambda failure: self.host.log("fault", text=failure.getTraceback()))
+
     def close_idle(self, engine: int) -> None:
         self.channel(engine).close_idle()
 
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -50,6 +50,7 @@
         self.host = host_class(self._router(fronts), Door(sheet), terms, clock, self.links,
                                f"{node.name}.{run}.", log)
         self.links.host = self.host
+        self.host.probe_timeout = sheet.reports.probe_timeout
         limits = sheet.limits
         self.server = Server(clock, TransportBounds(message=node.prompt_limit, idle_streamless=limits.idle),
                              most=limits.connections, most_by_peer=limits.peer_connections)
--- a/myrtlehub/node/terms.py
+++ b/myrtlehub/node/terms.py
@@ -39,4 +39,5 @@
         let_go=rules.let_go, drain_grace=rules.drain_grace, cold_share=rules.cold_share,
         cold_time=rules.cold_time, fall_multiple=rules.fall_multiple, fall_time=rules.fall_time,
         answer_slack=rules.answer_slack, tick=node.tick, max_wait=node.max_wait,
-        over_share_utility=node.over_share_utility, ask_for_list=False)
+        over_share_utility=node.over_share_utility, ask_for_list=False,
+        report_on_probe=sheet.reports.how == "probe", probe_price=sheet.reports.probe_price)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,7 +18,7 @@
 
 SHEET = """
 node: {{name: n{index}, listen: "n{index}:1", index: {index}, nodes: {nodes}, zone: north, seed: {index},
-  drain_within: 3s}}
+  drain_within: 3s, {tell}}}
 traffic:
   - {{name: ask, repeats: repeatable, latency_slo: 1s, abandon_time: 4s, pace: 50ms}}
   - {{name: post, repeats: once-only, latency_slo: 1s, abandon_time: 4s, pace: 50ms, utility: 3}}
@@ -48,7 +48,7 @@
 
     def __init__(self, fleet: "Fleet", name: str, node: str, traffic: str, mark: str, left: float) -> None:
         self.fleet, self.name, self.node, self.mark = fleet, name, node, mark
-        self.tokens, self.answer, self.status = 0, "", None
+        self.tokens, self.answer, self.status, self.wait = 0, "", None, -1
         fleet.client.note("ask", call=name, node=node, traffic=traffic, mark=mark, left=left)
 
     def headers(self, meta: tuple) -> None:
@@ -64,7 +64,7 @@
             if self.tokens == 1 or self.answer:
                 self.fleet.client.note("token", call=self.name)
         else:
-            self.answer = which
+            self.answer, self.wait = which, reply.rejected.wait_ms
             self.fleet.client.note("final", call=self.name, answer=which, tokens=self.tokens)
 
     def ended(self, status: Status) -> None:
@@ -76,13 +76,14 @@
     """Engines are named "R0".."W1" with the digit their cell, and numbered in order: R0.0, R0.1, ..."""
 
     def __init__(self, engines: str = "R0 W0 W0", nodes: int = 1, host: type[Host] = Host,
-                 base: Path | None = None, lists: str = "", more: str = "", **machine: object) -> None:
+                 base: Path | None = None, lists: str = "", more: str = "", tell: str = "max_wait: 2s",
+                 **machine: object) -> None:
         """With `base` node n0's list comes from the files in base/list-n0; `lists` has more of `list:`."""
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.net = Net(self.clock)
         self.host, self.machine, self.nodes_count = host, machine, nodes
-        self.base, self.lists, self.more = base, lists, more
+        self.base, self.lists, self.more, self.tell_wait = base, lists, more, tell
         self.fronts = any(word[0] in "EKM" for word in engines.split())
         self.log: list[Record] = []  # of all ends, in the order in which it happened
         self.day, self.client = self.recorder("day"), self.recorder("client")
@@ -119,7 +120,7 @@
         if self.base is not None:
             lists = f"{{files: [list-n{index}]{self.lists}}}"
             more.setdefault("base", self.base)
-        text = SHEET.format(index=index, nodes=self.nodes_count, lists=lists,
+        text = SHEET.format(index=index, nodes=self.nodes_count, lists=lists, tell=self.tell_wait,
                             traffic=FRONTS if self.fronts else "", kinds=KINDS if self.fronts else "")
         sheet = parse(text + self.more, NodeSheet)
         node = Node(sheet, self.clock, lambda address: self.net.dialer(address, f"n{index}:1"), run,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -49,6 +49,20 @@
         self.say(f"seq {seq} attempt {attempt} {outcome} kept {kept:g}{told}",
                  self.router.ended(self.now, seq, attempt, outcome, latency, settled, kept, load))
 
+    def probed(self, engine: int, load: itf.Load | None) -> None:
+        """An answer to a probe; None: it timed out."""
+        self.say(f"probe of {engine} {'answered' if load else 'timed out'}", self.router.probed(
+            self.now, engine, load is not None, 0.001 if load else 0.25, load))
+
+    def sends(self) -> dict[int, list[int]]:
+        """Engines to which each sequence was sent, in order."""
+        sent: dict[int, list[int]] = {}
+        for line in self.lines:
+            if line.startswith("         -> send "):
+                seq, engine = line.split()[2:4]
+                sent.setdefault(int(seq), []).append(int(engine))
+        return sent
+
     def began(self, seq: int, attempt: int) -> None:
         self.say(f"seq {seq} attempt {attempt} began", self.router.began(self.now, seq, attempt, 0.05))
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,6 +1,6 @@
 """Traces of decisions: the ordinary path, the five rules, and each failure found so far."""
 
-from helpers import Bench
+from helpers import READER, Bench
 
 from myrtlehub import interface as itf
 
@@ -252,3 +252,97 @@
     timers = [r for r in b.router.wake(b.now + 11.0, 0) if r[0] == "wake"]
     b.lines.append(f"timers while an answer streams: {timers}")
     b.check("idle")
+
+
+ASKED = {"report_on_probe": True, "may_probe": True, "probe_price": 0.002}
+
+
+def test_load_is_asked_of_few_and_paced_by_the_price() -> None:
+    b = Bench("R0 R0 W0 R1 W1", **ASKED)
+    first = b.take(prompt=3000.0)  # waits for the word of two writers, their readers and one by chance
+    for engine in sorted(b.router.seqs[first].awaits):
+        b.probed(engine, itf.Load(memory_share=0.2, unread=0.0))
+    b.wait(0.05)  # nothing more is asked, or sent, for it
+    b.check("asked_load")
+    for nodes, price, most in ((2, 0.002, 5.0), (80, 0.005, 2.0), (80, 0.02, 0.5), (80, 0.0, 6.0)):
+        b = Bench("R0 R0 W0 R1 W1 W1 W0 R0", **{**ASKED, "probe_price": price, "nodes": nodes})
+        for _ in range(40):
+            b.now += 1.0
+            b.take(prompt=3000.0)
+        sent = sum("-> probe" in line for line in b.lines)
+        assert sent <= most * 40 + 18, (price, sent)  # a few more than it may: those saved up at first
+
+
+def test_a_probe_without_an_answer_means_a_full_writer() -> None:
+    b = Bench("R0 W0 W0", **ASKED)
+    s = b.take(prompt=300.0)
+    b.probed(1, None)  # silent: it waited in the queue, as a request would
+    b.probed(2, itf.Load(memory_share=0.5, unread=100.0))
+    b.probed(0, itf.Load(memory_share=0.1, unread=0.0))
+    b.wait(0.1)
+    assert b.sends()[s] == [2]
+
+
+def test_a_writer_that_filled_up_during_the_read_is_passed_over() -> None:
+    b = Bench("R0 W0 W0", **ASKED)
+    s = b.take(prompt=3000.0)
+    b.wait(0.1)
+    chosen = b.router.seqs[s].writer
+    b.probed(chosen, itf.Load(memory_share=0.99, unread=0.0))
+    b.probed(3 - chosen, itf.Load(memory_share=0.3, unread=0.0))
+    b.ended(s, 0, itf.READ)
+    assert b.sends()[s] == [0, 3 - chosen]
+
+
+def test_nodes_that_share_nothing_agree_on_the_home_of_a_session() -> None:
+    chosen = set()
+    for node in range(12):
+        b = Bench("R0 R0 R0 W0 W0 R1 R1 W1", nodes=80, node=node, seed=node)
+        s = b.take(prompt=4000.0, session=77, prefix=9, shared=3000.0)
+        chosen.add(b.sends()[s][0])
+    assert len(chosen) <= 2  # one in each cell
+    home = set()
+    for session in range(1, 12):  # sessions of one prefix keep to its few readers, not all to one
+        b = Bench("R0 R0 R0 W0")
+        s = b.take(prompt=4000.0, session=session, prefix=9, shared=3000.0)
+        home.add(b.sends()[s][0])
+    assert len(home) > 1
+
+
+def test_once_refused_it_goes_to_those_that_took_such() -> None:
+    b = Bench("W0 W0 W0 W0")
+    s = b.take(traffic=1, prompt=300.0)
+    took = b.sends()[s][0]
+    b.began(s, 0)
+    b.ended(s, 0, itf.GENERATED, settled=True)
+    while True:  # until chance picks another first
+        s = b.take(traffic=1, prompt=300.0)
+        if b.sends()[s][0] != took:
+            break
+    b.ended(s, 0, itf.FULL)
+    assert b.sends()[s][1] == took
+
+
+def test_a_rate_is_taken_from_seconds_a_token() -> None:
+    b = Bench("R0 W0")
+    for prompt, latency in ((2000.0, 0.02), (2000.0, 0.5)) * 60:
+        s = b.take(prompt=prompt)
+        b.ended(s, 0, itf.READ, latency=latency)
+        b.left(s)
+    # 4,000 tokens in 0.52 s: 7,700 a second; the mean of 100,000 and 4,000 would be 52,000
+    assert 5000.0 < 1.0 / b.router.usual["pace", READER] < 12000.0
+
+
+def test_a_held_sequence_is_looked_at_when_something_was_heard() -> None:
+    b = Bench("W0", **ASKED)
+    b.probed(0, itf.Load(memory_share=0.99, unread=0.0))
+    s = b.take(prompt=300.0)
+    b.probed(0, itf.Load(memory_share=0.99, unread=0.0))
+    b.wait(0.05)
+    assert s in b.router.kept
+    looked = b.router.seqs[s].looked
+    b.wait(0.1)
+    assert b.router.seqs[s].looked == looked  # nothing was heard: not again before LOOK_AGAIN
+    b.probed(0, itf.Load(memory_share=0.1, unread=0.0))
+    b.wait(0.05)
+    assert b.sends()[s] == [0]
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -148,7 +148,8 @@
     f = Fleet()
     host = f.nodes["n0"].host
     for verb in ("hold", "move", "probe", "tell"):
-        host.router.wake = lambda now, token, verb=verb: [(verb, 0, 0)]
+        result = (verb, 0) if verb == "probe" else (verb, 0, 0)
+        host.router.wake = lambda now, token, result=result: [result]
         try:
             host._say("wake", 0)
         except ContractBroken as fault:
--- /dev/null
+++ b/tests/test_probe.py
@@ -0,0 +1,119 @@
+"""Engines that tell their load to probes alone: what the node asks, hears and refuses; stand-ins only."""
+
+import re
+from pathlib import Path
+
+import pytest
+from fleet import Fleet
+from test_path import kept, nothing_left
+
+from myrtlehub.config.load import Faults, parse
+from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.node.host import Host
+from myrtlehub.node.terms import terms_of
+
+PROBED = """
+engines_may: {probe: yes}
+reports: {how: probe, probe_price: 0.002, probe_timeout: 100ms}
+"""
+SOUND = (Path(__file__).parents[1] / "examples" / "node.yaml").read_text()
+CHAT_ONLY = re.sub(r"  - \{name: (vec|sort).*\n", "", SOUND)
+
+
+class Heard(Host):
+    """A host that writes down each word on a probe."""
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)
+        self.words: list[tuple] = []
+
+    def _probed(self, engine: int, since: float, sound: bool, load: object) -> None:
+        self.words.append((self.door.engines.rows[engine].address, sound, load))
+        super()._probed(engine, since, sound, load)
+
+
+def moved(engines: str = "R0 W0 W0", **more: object) -> Fleet:
+    return Fleet(engines, host=Heard, more=PROBED, reports="probe", **more)
+
+
+def test_load_comes_by_probes_and_steers_what_follows() -> None:
+    f = moved()
+    host = f.nodes["n0"].host
+    f.ask(prompt=3000)
+    f.run(2.0)
+    assert {w[0] for w in host.words} >= {"R0a:1", "W0b:1", "W0c:1"} and all(w[1] for w in host.words)
+    assert all(w[2].memory_share is not None and w[2].unread is not None for w in host.words)
+    assert not f.what("load") and [c.answer for c in f.calls] == ["generated"]
+    f.stands["W0b"].model.held = 199000.0  # its memory is full of what others asked for
+    for _ in range(8):
+        f.ask(prompt=400)
+        f.run(0.4)
+    wrote = [r.who for r in f.what("got") if not r.more["reads"]][1:]
+    assert wrote and set(wrote) == {"W0c:1"}
+    f.stands["W0b"].model.held = 0.0
+    f.run(4.0)
+    kept(f)
+
+
+def test_an_engine_that_does_not_answer_a_probe_keeps_nothing_waiting() -> None:
+    f = moved()
+    f.misbehave("W0b", "hang", seconds=30.0)
+    f.run(0.1)
+    caller = f.ask(prompt=3000)
+    f.run(4.0)
+    assert caller.answer == "generated"
+    words = [w for w in f.nodes["n0"].host.words if w[0] == "W0b:1"]
+    assert words and not any(sound for _, sound, _ in words)  # timed out: a word too, and the only one
+    kept(f)
+    nothing_left(f)
+
+
+def test_a_probe_out_keeps_the_index_of_an_engine_that_left() -> None:
+    f = moved()
+    f.misbehave("W0b", "hang", seconds=30.0)
+    f.run(0.1)
+    f.ask(prompt=300)
+    f.run(0.01)
+    f.tell("W0b", "gone")
+    f.run(3.0)  # the probe times out after the engine has left the list
+    assert any(w[0] == "W0b:1" for w in f.nodes["n0"].host.words)
+    assert len(f.nodes["n0"].host.door.engines.at) == 2
+
+
+def test_old_shape_sends_no_probe_and_reads_loads_from_answers() -> None:
+    f = Fleet("R0 W0 W0", host=Heard)
+    f.ask(prompt=3000)
+    f.run(2.0)
+    assert not f.nodes["n0"].host.words and f.calls[0].answer == "generated"
+    assert ("memory", 0) in f.nodes["n0"].host.router.usual
+
+
+def test_terms_come_from_the_file_and_defaults_leave_them_as_they_were() -> None:
+    moved_file = CHAT_ONLY.replace("hold: no}", "hold: no, probe: yes}")
+    moved_file += "reports: {how: probe, probe_price: 0.01}\n"
+    plain, probed = terms_of(parse(CHAT_ONLY, NodeSheet)), terms_of(parse(moved_file, NodeSheet))
+    assert (plain.report_on_probe, plain.probe_price, plain.may_probe) == (False, 0.0, False)
+    assert (probed.report_on_probe, probed.probe_price, probed.may_probe) == (True, 0.01, True)
+
+
+@pytest.mark.parametrize(("text", "key"), [
+    (CHAT_ONLY + "reports: {how: probe}\n", "reports.how"),
+    (CHAT_ONLY.replace("hold: no}", "hold: no, probe: yes}"), "engines_may.probe"),
+    (CHAT_ONLY + "reports: {probe_price: 0.01}\n", "reports.probe_price"),
+    (CHAT_ONLY + "reports: {probe_timeout: 1s}\n", "reports.probe_timeout"),
+    (SOUND.replace("hold: no}", "hold: no, probe: yes}") + "reports: {how: probe}\n", "reports.how"),
+])
+def test_a_file_that_mixes_the_shapes_is_refused_by_key(text: str, key: str) -> None:
+    with pytest.raises(Faults) as caught:
+        parse(text, NodeSheet, "n.yaml")
+    assert len(caught.value.lines) == 1 and f"file: {key}: " in caught.value.lines[0]
+
+
+def test_no_wait_is_told_where_none_may_be() -> None:
+    f = Fleet("R0 W0", more="", tell="max_wait: 0s")
+    for name in ("R0a", "W0b"):
+        f.tell(name, "draining")
+    f.run(0.1)
+    caller = f.ask(prompt=300, left=1.0)
+    f.run(2.0)
+    assert caller.answer == "rejected" and caller.wait == 0
