Chosen writers stay chosen; beginnings are turned away at 0.7 of the time left

Reads are later than reckoned at half of the lates, so 0.7 of the time left is what a reckoned beginning may take.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -36,6 +36,7 @@
 WRITE_FULL = 0.92  # share of a writer's memory past which nothing new is begun for it
 LIKELY_OUTPUT = 0.25  # share of the most that it may produce that an answer is taken to produce
 ALIKE_NODES = 3.0  # other nodes at most that are taken to lean the way that we lean
+SURE_PART = 0.7  # of the time left to its latency SLO that a beginning may be reckoned to take
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
 HOPE = 0.5  # share of what we reckon that a beginning takes, until some have been seen
 LOOK_AGAIN = 0.2  # seconds after which a sequence kept here is looked at again though nothing was heard
@@ -343,10 +344,8 @@
 
     def _pick_writer(self, seq: Seq, now: float) -> str:
         """Writer first: by room, raised by the tokens it should keep."""
-        w = seq.writer
-        if w >= 0 and w not in seq.avoid and self._usable(w, seq, now) and (
-                seq.state_at < 0 or self._free(w, seq) > 1.0 - WRITE_FULL):
-            return PASS  # unless it filled up, or fell silent, while the prompt was read
+        if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, seq, now):
+            return PASS
         usable = [w for w in self.writers if self._usable(w, seq, now)]
         # Guards against what failed it, and refusals meant for its tenant and traffic type: elsewhere first.
         usable = [w for w in usable if w not in seq.avoid] or usable
@@ -398,7 +397,7 @@
             # fading, as what turns all away learns nothing more
             off = self.usual.get(("took", 0), HOPE) / max(0.001, self.usual.get(("reckoned", 0), 1.0)) - HOPE
             off = HOPE + off * 0.5 ** ((now - self.timed_at) / SEEN_FADE)
-            if not seq.attempts and delay * off > seq.slo_at - now:
+            if not seq.attempts and delay * off > SURE_PART * (seq.slo_at - now):
                 # Guards against engines whose queues hold only what comes too late, whatever filled them.
                 return self._wait_here(seq, now)
             seq.due = (now, delay)
