--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -726,13 +726,17 @@
 
     def _rate(self, i: int) -> float:
         """Prompt tokens a second: what is usual for its kind, and how it has lately differed."""
-        return (1.0 + self._seen(self.fast, i)) / self.usual.get(("pace", self.kind[i]), 1.0 / RATE_LIKELY)
+        return self._usual_rate(self.kind[i]) * (1.0 + self._seen(self.fast, i))
+
+    def _usual_rate(self, kind: int) -> float:
+        return self.usual.get(("tokens", kind), RATE_LIKELY) / self.usual.get(("seconds", kind), 1.0)
 
     def _pace(self, t: Attempt, latency: float) -> None:
         if t.unread >= 200.0 and latency > 0.0:
-            seen = min(100000.0, max(200.0, (t.backlog + t.unread) / latency))
-            weight = 0.3 * min(1.0, t.unread / 2000.0)
-            # Guards against readers that look faster than they are: what is reckoned with it is seconds, so
-            # seconds a token are averaged, not tokens a second, of which a few fast reads make too many.
-            usual = 1.0 / self._mean("pace", self.kind[t.engine], 1.0 / seen, 0.2 * weight)
-            self._note(self.fast, t.engine, max(-0.95, min(1.0, seen / usual - 1.0)), weight)
+            kind, tokens = self.kind[t.engine], t.backlog + t.unread
+            # Guards against readers that look faster than they are: tokens and seconds are summed apart, as
+            # of rates a few very short reads make too much.
+            self._mean("tokens", kind, tokens, 0.05)
+            self._mean("seconds", kind, latency, 0.05)
+            seen = min(100000.0, max(200.0, tokens / latency)) / self._usual_rate(kind)
+            self._note(self.fast, t.engine, max(-0.95, min(1.0, seen - 1.0)), 0.3 * min(1.0, t.unread / 2000.0))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -312,14 +312,14 @@
     assert b.sends()[s][1] == took
 
 
-def test_a_rate_is_taken_from_seconds_a_token() -> None:
+def test_a_rate_is_tokens_over_seconds() -> None:
     b = Bench("R0 W0")
     for prompt, latency in ((2000.0, 0.02), (2000.0, 0.5)) * 60:
         s = b.take(prompt=prompt)
         b.ended(s, 0, itf.READ, latency=latency)
         b.left(s)
     # 4,000 tokens in 0.52 s: 7,700 a second; the mean of 100,000 and 4,000 would be 52,000
-    assert 5000.0 < 1.0 / b.router.usual["pace", READER] < 12000.0
+    assert 5000.0 < b.router._usual_rate(READER) < 12000.0
 
 
 def test_a_held_sequence_is_looked_at_when_something_was_heard() -> None:
