--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -39,7 +39,7 @@
 SURE_PART = 0.7  # of the time left to its latency SLO that a beginning may be reckoned to take
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
 HOPE = 0.5  # share of what we reckon that a beginning takes, until some have been seen
-LOOK_AGAIN = 0.2  # seconds after which a sequence kept here is looked at again though nothing was heard
+LOOK_AGAIN = 0.2  # seconds after which a sequence kept here is looked at again, if something was heard
 KEPT_TRIES = 3  # sequences kept here that are tried again in vain at a time
 SHARE_SLACK = 1.5  # sequences a span that a tenant may send besides, as few make no share
 SHARE_SKEW = 1.25  # times its even part of a share that a node lets pass, as nodes get unequal parts
@@ -308,7 +308,7 @@
             if now >= seq.abandon_at:
                 self._give_up(seq)
             elif seq.id in self.kept and (due or misses < KEPT_TRIES and (
-                    self.heard_at > seq.looked or now > seq.looked + LOOK_AGAIN)):
+                    now > seq.looked + LOOK_AGAIN and self.heard_at > seq.looked)):
                 self._run(seq, now)
                 misses += seq.id in self.kept
         return self._finish(now)
@@ -377,14 +377,15 @@
         near_kept = NEAR_KEPT * self.terms.report_on_probe
 
         def score(w: int) -> float:
-            delay = self._fetch(at, w, seq) if at >= 0 else self._read_plan(w, seq, now, plan)[0]
+            kept = self.table.claim(w, seq.a, now)[0]
+            delay = self._fetch(at, w, seq) if at >= 0 else self._read_plan(w, seq, now, plan, kept)[0]
             delay += self._wait(w) + TARDY_COST * self._seen(self.tardy, w)
             drag = self.usual.get(("drag", self.kind[w]), 0.0) + self._seen(self.drag, w)
             room = ROOM_TOKENS * (self._free(w, seq) - DRAG_COST * drag)
             home = HOME_TOKENS * (self.zone[w] == self.terms.zone) - RATE_LIKELY * delay
             beside = plan[0].get(self.cell[w]) if plan else None
             near = near_kept * beside[0][0] if beside else 0.0
-            return room + max(self.table.claim(w, seq.a, now)[0], near) + home + self.random()
+            return room + max(kept, near) + home + self.random()
         return score
 
     def _split(self, seq: Seq, now: float) -> str:
@@ -432,9 +433,10 @@
                 far[area] = min(far.get(area, reach), reach)
         return near, far
 
-    def _read_plan(self, w: int, seq: Seq, now: float, plan: tuple[dict, dict]) -> tuple[float, int]:
+    def _read_plan(self, w: int, seq: Seq, now: float, plan: tuple[dict, dict],
+                   kept: float | None = None) -> tuple[float, int]:
         """Seconds until the prompt is read for this writer, and by which reader (-1: by itself)."""
-        uncached = seq.a.prompt - self.table.claim(w, seq.a, now)[0]
+        uncached = seq.a.prompt - (self.table.claim(w, seq.a, now)[0] if kept is None else kept)
         able = self.terms.reads[self.kind[w]] or self.terms.self_read
         alone = SELF_DRAG * uncached / self._rate(w)
         if able and (SPLIT_TOKENS <= 0 or uncached < SPLIT_TOKENS):
@@ -738,5 +740,5 @@
             # of rates a few very short reads make too much.
             self._mean("tokens", kind, tokens, 0.05)
             self._mean("seconds", kind, latency, 0.05)
-            seen = min(100000.0, max(200.0, tokens / latency)) / self._usual_rate(kind)
-            self._note(self.fast, t.engine, max(-0.95, min(1.0, seen - 1.0)), 0.3 * min(1.0, t.unread / 2000.0))
+            seen = min(100000.0, max(200.0, tokens / latency)) / self._usual_rate(kind) - 1.0
+            self._note(self.fast, t.engine, max(-0.95, min(1.0, seen)), 0.3 * min(1.0, t.unread / 2000.0))
