--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -390,11 +390,11 @@
 
     def _split(self, seq: Seq, now: float) -> str:
         """Read elsewhere when the writer would have to read too much itself, or cannot read."""
-        seq.split = False
+        seq.split, w = False, seq.writer
         if seq.state_at < 0:
             plan, seq.plan = seq.plan or self._plan_reads(seq, now), None
-            delay, seq.reader = self._read_plan(seq.writer, seq, now, plan)
-            delay += self._wait(seq.writer) + self._seen(self.tardy, seq.writer)
+            delay, seq.reader = self._read_plan(w, seq, now, plan)
+            delay += self._wait(w) + self._seen(self.tardy, w)
             # fading, as what turns all away learns nothing more
             off = self.usual.get(("took", 0), HOPE) / max(0.001, self.usual.get(("reckoned", 0), 1.0)) - HOPE
             off = HOPE + off * 0.5 ** ((now - self.timed_at) / SEEN_FADE)
@@ -404,7 +404,9 @@
             seq.due = (now, delay)
             if seq.reader == -2:
                 return KEEP  # no reader to be had, and the writer cannot read
-            seq.split = seq.reader >= 0
+            # Guards against running out of attempts where many refuse: a read would take the last two.
+            short = seq.refused and self.terms.most_attempts - len(seq.attempts) <= 2 and self._reads_alone(w)
+            seq.split = seq.reader >= 0 and not short
         return PASS
 
     def _plan_reads(self, seq: Seq, now: float) -> tuple[dict, dict]:
@@ -437,7 +439,7 @@
                    kept: float | None = None) -> tuple[float, int]:
         """Seconds until the prompt is read for this writer, and by which reader (-1: by itself)."""
         uncached = seq.a.prompt - (self.table.claim(w, seq.a, now)[0] if kept is None else kept)
-        able = self.terms.reads[self.kind[w]] or self.terms.self_read
+        able = self._reads_alone(w)
         alone = SELF_DRAG * uncached / self._rate(w)
         if able and (SPLIT_TOKENS <= 0 or uncached < SPLIT_TOKENS):
             return alone, -1
@@ -474,6 +476,9 @@
             places[max(ranked[:HOMES], key=lambda r: self._order(seq.a.session, r))] = 0
         return places
 
+    def _reads_alone(self, w: int) -> bool:
+        return self.terms.reads[self.kind[w]] or self.terms.self_read
+
     def _expect(self, r: int, seq: Seq, now: float, home: int) -> float:
         """Tokens that a reader should keep: by our table, or as others have lately turned out."""
         luck = self.usual.get(("luck", home), HOME_LUCK[home]) * seq.a.prompt if seq.a.shared else 0.0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -335,3 +335,15 @@
     b.probed(0, itf.Load(memory_share=0.1, unread=0.0))
     b.wait(0.05)
     assert b.sends()[s] == [0]
+
+
+def test_with_two_attempts_left_a_refused_one_is_read_by_its_writer() -> None:
+    b = Bench("R0 R0 W0 W0", most_attempts=4)
+    s = b.take(traffic=1, prompt=3000.0)
+    b.ended(s, 0, itf.FULL)  # the reader refused, so did the next: reading elsewhere would leave one attempt
+    b.ended(s, 1, itf.FULL)
+    assert len(b.sends()[s]) == 3 and b.sends()[s][2] in (2, 3)
+    b.ended(s, 2, itf.FULL)
+    assert set(b.sends()[s][2:]) == {2, 3}  # the last goes to the other writer
+    b.ended(s, 3, itf.FULL)
+    assert any("-> reject" in line for line in b.lines[-4:])  # known not to have run: a rejection, at once
