Both shapes tried as processes on loopback: node, engines that are probed, mixed file refused

tests/test_probe.py: one build as a node of each shape against stand-ins that tell load to probes or with answers, each a process on loopback; engines record probes.

--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -192,6 +192,7 @@
         return pb.ReleaseReply(tokens=int(tokens)).SerializeToString()
 
     def _probe(self, call: ServerCall, data: bytes) -> bytes | Deferred:
+        self.recorder.note("probed")
         if self.model.hung:
             return Deferred()
         return pb.ProbeReply(load=pb.LoadReport(**self.model.load())).SerializeToString()
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -1,6 +1,9 @@
 """Engines that tell their load to probes alone: what the node asks, hears and refuses; stand-ins only."""
 
 import re
+import signal
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -9,6 +12,8 @@
 
 from myrtlehub.config.load import Faults, parse
 from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.records import read
 from myrtlehub.node.host import Host
 from myrtlehub.node.terms import terms_of
 
@@ -16,7 +21,8 @@
 engines_may: {probe: yes}
 reports: {how: probe, probe_price: 0.002, probe_timeout: 100ms}
 """
-SOUND = (Path(__file__).parents[1] / "examples" / "node.yaml").read_text()
+ROOT = Path(__file__).parents[1]
+SOUND = (ROOT / "examples" / "node.yaml").read_text()
 CHAT_ONLY = re.sub(r"  - \{name: (vec|sort).*\n", "", SOUND)
 
 
@@ -117,3 +123,50 @@
     caller = f.ask(prompt=300, left=1.0)
     f.run(2.0)
     assert caller.answer == "rejected" and caller.wait == 0
+
+
+def processes(folder: Path, shape: str, engines_tell: str) -> tuple[list[subprocess.Popen], str]:
+    """A node of a shape and two engines on loopback, and the node's address."""
+    ports = free_ports(4)
+    text = CHAT_ONLY.replace("127.0.0.1:7100", f"127.0.0.1:{ports[0]}").replace(
+        "127.0.0.1:7101", f"127.0.0.1:{ports[1]}")
+    for at, kind in ((2, "r"), (3, "w")):
+        text = text.replace(f"10.0.0.{at - 1}:7200", f"127.0.0.1:{ports[at]}")
+        (folder / f"{kind}.yaml").write_text(
+            f"{{name: {kind}, listen: '127.0.0.1:{ports[at]}', {'reads' if kind == 'r' else 'writes'}: yes, "
+            f"step: 2ms, reports: {engines_tell}, records: '{folder / kind}.records'}}")
+    text = re.sub(r'    - \{address: "10.*\n', "", text)
+    if shape == "probe":
+        text = text.replace("hold: no}", "hold: no, probe: yes}") + "reports: {how: probe}\n"
+    (folder / "node.yaml").write_text(text)
+    running = []
+    for name in ("r", "w", "node"):
+        program = f"myrtlehub.cli.{'node' if name == 'node' else 'engine'}"
+        process = subprocess.Popen([sys.executable, "-m", program, folder / f"{name}.yaml"],
+                                   stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=ROOT)
+        running.append(process)
+        while b'"ready"' not in process.stdout.readline():
+            assert process.poll() is None
+    return running, f"127.0.0.1:{ports[0]}"
+
+
+@pytest.mark.parametrize(("shape", "engines_tell"), [
+    ("probe", "probe"), ("probe", "answers"), ("answers", "answers")])
+def test_one_build_serves_both_shapes_on_loopback(tmp_path: Path, shape: str, engines_tell: str) -> None:
+    running, address = processes(tmp_path, shape, engines_tell)
+    run = subprocess.run([sys.executable, ROOT / "examples" / "ask_sync.py", address], capture_output=True,
+                         text=True, timeout=60, cwd=ROOT)
+    for process in reversed(running):
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(20) == 0
+        process.stdout.close()
+    assert run.returncode == 0 and " tokens in 1 tries" in run.stdout, run.stderr
+    seen = {name: {r.what for r in read(tmp_path / f"{name}.records")} for name in "rw"}
+    assert any("probed" in said for said in seen.values()) == (shape == "probe")
+
+
+def test_a_mixed_file_ends_the_program_with_one_line_and_2(tmp_path: Path) -> None:
+    (tmp_path / "node.yaml").write_text(CHAT_ONLY + "reports: {how: probe}\n")
+    run = subprocess.run([sys.executable, "-m", "myrtlehub.cli.node", tmp_path / "node.yaml"], cwd=ROOT,
+                         capture_output=True, text=True, timeout=30)
+    assert run.returncode == 2 and run.stderr.count("\n") == 1 and "reports.how: probe needs" in run.stderr
