--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -36,10 +36,10 @@
 WRITE_FULL = 0.92  # share of a writer's memory past which nothing new is begun for it
 LIKELY_OUTPUT = 0.25  # share of the most that it may produce that an answer is taken to produce
 ALIKE_NODES = 3.0  # other nodes at most that are taken to lean the way that we lean
-SURE_PART = 0.7  # of the time left to its latency SLO that a beginning may be reckoned to take
+SURE_PART = 0.7  # of the time left that a beginning may be reckoned to take, where load has to be asked for
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
 HOPE = 0.5  # share of what we reckon that a beginning takes, until some have been seen
-LOOK_AGAIN = 0.2  # seconds after which a sequence kept here is looked at again, if something was heard
+LOOK_AGAIN = 0.08  # seconds after which a sequence kept here is looked at again, if something was heard
 KEPT_TRIES = 3  # sequences kept here that are tried again in vain at a time
 SHARE_SLACK = 1.5  # sequences a span that a tenant may send besides, as few make no share
 SHARE_SKEW = 1.25  # times its even part of a share that a node lets pass, as nodes get unequal parts
@@ -398,7 +398,8 @@
             # fading, as what turns all away learns nothing more
             off = self.usual.get(("took", 0), HOPE) / max(0.001, self.usual.get(("reckoned", 0), 1.0)) - HOPE
             off = HOPE + off * 0.5 ** ((now - self.timed_at) / SEEN_FADE)
-            if not seq.attempts and delay * off > SURE_PART * (seq.slo_at - now):
+            sure = SURE_PART if self.terms.report_on_probe else 1.0
+            if not seq.attempts and delay * off > sure * (seq.slo_at - now):
                 # Guards against engines whose queues hold only what comes too late, whatever filled them.
                 return self._wait_here(seq, now)
             seq.due = (now, delay)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,6 +1,6 @@
 """Traces of decisions: the ordinary path, the five rules, and each failure found so far."""
 
-from helpers import READER, Bench
+from helpers import READER, WRITER, Bench
 
 from myrtlehub import interface as itf
 
@@ -347,3 +347,14 @@
     assert set(b.sends()[s][2:]) == {2, 3}  # the last goes to the other writer
     b.ended(s, 3, itf.FULL)
     assert any("-> reject" in line for line in b.lines[-4:])  # known not to have run: a rejection, at once
+
+
+def test_where_load_is_asked_for_a_beginning_may_take_less_of_the_time_left() -> None:
+    sent = []
+    for terms in ({}, ASKED):
+        b = Bench("W0", **terms)
+        b.router.usual["unread", WRITER] = 40000.0  # 3.5 s, hoped to be half of that, of 2 s that are left
+        s = b.take(prompt=500.0)
+        b.wait(0.1)
+        sent.append(s in b.sends())
+    assert sent == [True, False]
