--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -39,7 +39,7 @@
 SURE_PART = 0.7  # of the time left that a beginning may be reckoned to take, where load has to be asked for
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
 HOPE = 0.5  # share of what we reckon that a beginning takes, until some have been seen
-LOOK_AGAIN = 0.08  # seconds after which a sequence kept here is looked at again, if something was heard
+LOOK_AGAIN = (0.08, 0.2)  # seconds from look to look at a sequence kept here: as load comes, or is asked for
 KEPT_TRIES = 3  # sequences kept here that are tried again in vain at a time
 SHARE_SLACK = 1.5  # sequences a span that a tenant may send besides, as few make no share
 SHARE_SKEW = 1.25  # times its even part of a share that a node lets pass, as nodes get unequal parts
@@ -299,7 +299,7 @@
         self.now = now
         if now >= self.wake_at - 0.001:
             self.wake_at = float("inf")
-        misses = 0
+        misses, pause = 0, LOOK_AGAIN[self.terms.report_on_probe]
         for seq in sorted(self.seqs.values(), key=lambda s: (s.over_share, s.slo_at, s.id)):
             if seq.over or seq.begun:
                 continue
@@ -308,7 +308,7 @@
             if now >= seq.abandon_at:
                 self._give_up(seq)
             elif seq.id in self.kept and (due or misses < KEPT_TRIES and (
-                    now > seq.looked + LOOK_AGAIN and self.heard_at > seq.looked)):
+                    now > seq.looked + pause and self.heard_at > seq.looked)):
                 self._run(seq, now)
                 misses += seq.id in self.kept
         return self._finish(now)
