--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -39,7 +39,7 @@
 SURE_PART = 0.7  # of the time left that a beginning may be reckoned to take, where load has to be asked for
 PATIENCE = 0.7  # share of the latency SLO for which a sequence waits here for room
 HOPE = 0.5  # share of what we reckon that a beginning takes, until some have been seen
-LOOK_AGAIN = (0.08, 0.2)  # seconds from look to look at a sequence kept here: as load comes, or is asked for
+LOOK_AGAIN = (0.08, 0.4)  # seconds from look to look at a sequence kept here: as load comes, or is asked for
 KEPT_TRIES = 3  # sequences kept here that are tried again in vain at a time
 SHARE_SLACK = 1.5  # sequences a span that a tenant may send besides, as few make no share
 SHARE_SKEW = 1.25  # times its even part of a share that a node lets pass, as nodes get unequal parts
@@ -421,7 +421,7 @@
         homes = seq.homes = self._homes(seq, key, able)
         for r in able:
             claim = self._expect(r, seq, now, homes.get(r, 2))
-            takes = self._wait(r) + (seq.a.prompt - claim) / self._rate(r)
+            takes = (self._backlog(r) + seq.a.prompt - claim) / self._rate(r)
             # Guards against cells whose few readers all nodes take to be free: what is not known of them is
             # judged by how many readers a writer of that cell has, against the fleet.
             known = 0.5 ** ((now - self.unread[r][1]) / fade)
