--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -28,6 +28,8 @@
 def test_what_goes_again_by_itself() -> None:
     lost, aborted, rejected = End("lost"), End("aborted"), End("rejected", 0.4)
     assert tries().again(rejected, 100.0) == pytest.approx(0.5)  # after the wait named, spread
+    unnamed = tries(tries=5)
+    assert [unnamed.again(End("rejected"), 100.0) for _ in range(3)] == pytest.approx([0.1, 0.2, 0.4])
     assert tries().again(aborted, 100.0) is None and tries().again(lost, 100.0) is None
     assert tries("tokened").again(lost, 100.0) is None
     assert tries("repeatable").again(lost, 100.0) == pytest.approx(0.1)
