--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -57,6 +57,7 @@
 NEAR_KEPT = 10.0  # what a token kept by a reader beside a writer is worth, where we can ask that writer
 PROBE_SPEND = 0.01  # of the utility asked for, that probes may cost where load is told to them alone
 PROBES_MOST = 6.0  # a sequence, however cheap they are
+LIKELY_WRITERS = 8  # of which one is chosen once the word is there
 PROBE_AGAIN = 0.3  # seconds for which word of an engine's load is not asked for anew
 SILENT_QUEUE = 0.5  # seconds of queue that an engine is taken to have whose probe found no answer
 READ_TIMEOUT = 0.6  # share of the time left for which a first read may be out
@@ -107,6 +108,7 @@
         self.may_run: list = []  # [dedup group, sent at] of the first attempt that may have run
         self.over_share = self.begun = self.over = self.refused = False
         self.awaits: set[int] = set()  # engines whose load was asked for on its behalf
+        self.likely: list[int] = []  # writers that ranked best when load was asked for
         self.looked = 0.0  # when it was last tried
         self.homes: dict[int, int] = {}  # places of readers that should keep its prompt
         self.lot = 0.0  # by chance: which cold engines it may go to
@@ -167,6 +169,10 @@
         self.probes = PROBES_MOST  # that may be sent now
         self.writers: list[int] = []
         self.readers: list[int] = []
+        # reckoned of engines in this call, as the chain asks for them more than once
+        self.waits: dict[int, float] = {}
+        self.frees: dict[int, float] = {}
+        self.rates: dict[int, float] = {}  # usual prompt tokens a second, by kind
         self.reach: dict[int, float] = {}  # by cell: readers a writer, against the fleet
         self.alike = Counter()  # engines that serve, by kind
         for name in FIGURES:
@@ -247,7 +253,8 @@
         """Where load is told to probes alone: asks those that it might go to, and one by chance."""
         usable = [w for w in self.writers if self._usable(w, seq, now)]
         plan = self._plan_reads(seq, now)
-        best = sorted(usable, key=self._score(seq, now, plan), reverse=True)[:2]
+        ranked = sorted(usable, key=self._score(seq, now, plan), reverse=True)
+        best, seq.likely = ranked[:2], ranked[:LIKELY_WRITERS]
         wanted = best + [self._read_plan(w, seq, now, plan)[1] for w in best]
         up = self.writers + self.readers
         wanted += [up[int(self.random() * len(up))]] if up else []
@@ -346,13 +353,17 @@
         """Writer first: by room, raised by the tokens it should keep."""
         if seq.writer >= 0 and seq.writer not in seq.avoid and self._usable(seq.writer, seq, now):
             return PASS
-        usable = [w for w in self.writers if self._usable(w, seq, now)]
+        # Of those that ranked low when load was asked for nothing new was heard since, a moment ago.
+        pool, seq.likely = seq.likely or self.writers, []
+        usable = [w for w in pool if self._usable(w, seq, now)]
         # Guards against what failed it, and refusals meant for its tenant and traffic type: elsewhere first.
         usable = [w for w in usable if w not in seq.avoid] or usable
         usable = self._willing(usable, seq, now) or usable
         # Guards against engines whose queue, or end, keeps even a probe waiting.
         usable = [w for w in usable if w not in seq.awaits] or usable
         roomy = [w for w in usable if self._free(w, seq) > 1.0 - WRITE_FULL]
+        if not roomy and pool is not self.writers:
+            return self._pick_writer(seq, now)
         if not usable:
             return KEEP
         if not roomy and not seq.attempts:
@@ -519,6 +530,7 @@
         if not t.fetches:  # a fetched state is not kept for the next prompt
             self.table.feed(engine, seq.a, now)
             self._mean("unread", -1, unread, 0.05)
+        self.waits, self.frees = {}, {}
         self.results.append(("send", seq.id, engine, timeout))
         return PASS
 
@@ -612,6 +624,7 @@
 
     def _bind(self, seq: Seq, writer: int) -> None:
         """Count what a sequence will take at the writer that it is meant for, until it begins there."""
+        self.waits, self.frees = {}, {}
         if seq.bound >= 0:
             self.bound[seq.bound] -= self._need(seq)
             self.promised -= self._need(seq)
@@ -638,6 +651,7 @@
                 self.wake_at = now + pause
                 self.results.append(("wake", pause, 0))
         results, self.results = self.results, []
+        self.waits, self.frees = {}, {}
         return results
 
     # -- figures of the engines -------------------------------------------------------------------
@@ -718,10 +732,14 @@
 
         A few nodes that see the same reports lean as we do; of many, our own few sends tell nothing.
         """
-        mean, others = self.promised / max(1, len(self.writers)), self.terms.nodes - 1
-        coming = self.bound[i] + others * mean + min(others, ALIKE_NODES) * (self.bound[i] - mean)
-        held = self.usual.get(("memory", self.kind[i]), 0.0) + self._seen(self.memory, i)
-        return 1.0 - held - (coming + self._need(seq)) / (self.terms.memory[self.kind[i]] or MEMORY_LIKELY)
+        memory = self.terms.memory[self.kind[i]] or MEMORY_LIKELY
+        free = self.frees.get(i)
+        if free is None:
+            mean, others = self.promised / max(1, len(self.writers)), self.terms.nodes - 1
+            coming = self.bound[i] + others * mean + min(others, ALIKE_NODES) * (self.bound[i] - mean)
+            held = self.usual.get(("memory", self.kind[i]), 0.0) + self._seen(self.memory, i)
+            free = self.frees[i] = 1.0 - held - coming / memory
+        return free - self._need(seq) / memory
 
     def _backlog(self, i: int) -> float:
         alike = self.own_unread[i] * min(self.terms.nodes - 1, ALIKE_NODES)
@@ -730,14 +748,13 @@
 
     def _wait(self, i: int) -> float:
         """Seconds until what waits there has been read."""
-        return self._backlog(i) / self._rate(i)
+        if i not in self.waits:
+            self.waits[i] = self._backlog(i) / self._rate(i)
+        return self.waits[i]
 
     def _rate(self, i: int) -> float:
         """Prompt tokens a second: what is usual for its kind, and how it has lately differed."""
-        return self._usual_rate(self.kind[i]) * (1.0 + self._seen(self.fast, i))
-
-    def _usual_rate(self, kind: int) -> float:
-        return self.usual.get(("tokens", kind), RATE_LIKELY) / self.usual.get(("seconds", kind), 1.0)
+        return self.rates.get(self.kind[i], RATE_LIKELY) * (1.0 + self._seen(self.fast, i))
 
     def _pace(self, t: Attempt, latency: float) -> None:
         if t.unread >= 200.0 and latency > 0.0:
@@ -746,5 +763,6 @@
             # of rates a few very short reads make too much.
             self._mean("tokens", kind, tokens, 0.05)
             self._mean("seconds", kind, latency, 0.05)
-            seen = min(100000.0, max(200.0, tokens / latency)) / self._usual_rate(kind) - 1.0
+            self.rates[kind] = self.usual["tokens", kind] / self.usual["seconds", kind]
+            seen = min(100000.0, max(200.0, tokens / latency)) / self.rates[kind] - 1.0
             self._note(self.fast, t.engine, max(-0.95, min(1.0, seen)), 0.3 * min(1.0, t.unread / 2000.0))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -319,7 +319,7 @@
         b.ended(s, 0, itf.READ, latency=latency)
         b.left(s)
     # 4,000 tokens in 0.52 s: 7,700 a second; the mean of 100,000 and 4,000 would be 52,000
-    assert 5000.0 < b.router._usual_rate(READER) < 12000.0
+    assert 5000.0 < b.router.rates[READER] < 12000.0
 
 
 def test_a_held_sequence_is_looked_at_once_something_was_heard() -> None:
