--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -358,3 +358,16 @@
         b.wait(0.1)
         sent.append(s in b.sends())
     assert sent == [True, False]
+
+
+def test_all_writers_are_looked_at_where_those_ranked_best_are_full() -> None:
+    b = Bench("R0" + " W0" * 10, **ASKED)
+    s = b.take(prompt=300.0)
+    likely = list(b.router.seqs[s].likely)
+    assert len(likely) == 8
+    for w in likely:
+        b.probed(w, itf.Load(memory_share=0.99, unread=0.0))
+    for e in sorted(set(range(11)) - set(likely)):
+        b.probed(e, itf.Load(memory_share=0.1, unread=0.0))
+    b.wait(0.05)
+    assert b.sends()[s][0] in set(range(1, 11)) - set(likely)
