One piece each: an engine's last use, a stand-in's report, a client's back-off

Found on reading the move once more: Host.ended and Host._probed both let go of an engine that left the list (now _unused); a stand-in made its load report in two places; the client's back-off formula stood twice.

--- a/myrtlehub/client/promise.py
+++ b/myrtlehub/client/promise.py
@@ -110,12 +110,11 @@
         self.count += 1
         if self.count >= self.ask.tries or self.tokens:
             return None
-        if end.answer == "rejected" and not end.wait:
-            # Guards against clients that all come back at once where nodes may name no time to return.
-            wait = 0.05 * 2.0 ** self.count * (0.5 + self.random())
-        elif end.answer == "rejected" or end.unprocessed:
+        # Guards against clients that all come back at once where nodes may name no time to return.
+        unnamed = end.answer == "rejected" and not end.wait
+        if not unnamed and (end.answer == "rejected" or end.unprocessed):
             wait = max(end.wait, 0.02) * (1.0 + 0.5 * self.random())
-        elif end.answer in ("aborted", "lost") and self.ask.repeats == REPEATABLE:
+        elif unnamed or end.answer in ("aborted", "lost") and self.ask.repeats == REPEATABLE:
             wait = 0.05 * 2.0 ** self.count * (0.5 + self.random())
         else:
             return None
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -195,7 +195,7 @@
         self.recorder.note("probed")
         if self.model.hung:
             return Deferred()
-        return pb.ProbeReply(load=pb.LoadReport(**self.model.load())).SerializeToString()
+        return pb.ProbeReply(load=self._report()).SerializeToString()
 
     def _fetch(self, call: ServerCall, data: bytes) -> Receiver | None:
         handle = pb.FetchRequest.FromString(data).handle
@@ -262,8 +262,9 @@
 
     def _load(self) -> pb.LoadReport | None:
         """What goes along with an answer."""
-        if self.sheet.reports == "probe":
-            return None
+        return self._report() if self.sheet.reports == "answers" else None
+
+    def _report(self) -> pb.LoadReport:
         return pb.LoadReport(**self.model.load())
 
     def _on_read(self, job: _Job, kept: float, tokens: float) -> None:
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -242,9 +242,7 @@
             held.client.aborted(f"the stream broke: {outcome}")
         self._say("ended", held.seq, attempt.number, outcome, now - attempt.since, held.life.over, kept, load)
         self.on_back(attempt)
-        address = self.door.engines.unused(attempt.engine)
-        if address:
-            self.carrier.forget(address)
+        self._unused(attempt.engine)
 
     def shut(self, field: int, shut: bool) -> None:
         """Keep one field's work from engines that it shares with others, or let it in again."""
@@ -365,12 +363,16 @@
 
     def _probed(self, engine: int, since: float, sound: bool, load: itf.Load | None) -> None:
         self._say("probed", engine, sound, self.clock.seconds() - since, load)
+        self._unused(engine)
+
+    # -- small steps ------------------------------------------------------------------------------
+
+    def _unused(self, engine: int) -> None:
+        """An attempt or a probe there is over; an engine that has left the list goes with its last."""
         address = self.door.engines.unused(engine)
         if address:
             self.carrier.forget(address)
 
-    # -- small steps ------------------------------------------------------------------------------
-
     def _note_answer(self, held: Held, **more: object) -> None:
         answer = held.life.state
         self.answered[answer] += 1
