--- a/myrtlehub/cli/common.py
+++ b/myrtlehub/cli/common.py
@@ -1,7 +1,5 @@
 """What the programs share: files that are wrong, listening, structured logs, ending."""
 
-import gc
-import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -71,16 +69,3 @@
     reason = result.value
     said = reason.socketError if isinstance(reason, CannotListenError) else reason
     fail(f"cannot listen on {address}: {said}")
-
-
-def settle_memory() -> None:
-    """Keep what start-up made out of the collector's way: its pauses would be seen as latency."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 50)
-
-
-def on_term(call: Callable[[], None], reactor: object) -> None:
-    """SIGTERM and SIGINT ask for an orderly end."""
-    for name in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(name, lambda *ignored: reactor.callFromThread(call))
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -6,8 +6,9 @@
 
 import click
 
-from myrtlehub.cli.common import dialer, listen, logger, on_term, settle_memory, sheet_of
+from myrtlehub.cli.common import dialer, listen, logger, sheet_of
 from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.node.process import on_term, settle_memory
 
 
 @click.command()
--- /dev/null
+++ b/myrtlehub/http1/bounds.py
@@ -0,0 +1,13 @@
+"""Bounds of the HTTP/1.1 layer; each says why it is what it is."""
+
+HEAD_MOST = 16 * 1024  # bytes of a head or of a chunk's line: what servers commonly take
+BODY_MOST = 256 * 1024  # bytes of a request's body, as the platform states
+AHEAD_MOST = 64 * 1024  # bytes that may wait behind an open request: one read of the socket
+WHOLE_WITHIN = 2.0  # seconds for a request to be whole, and for a new connection to speak: 3 s are owed
+LINGER = 3.0  # seconds for a last answer to leave before its connection is cut
+IDLE = 10.0  # seconds that a client's connection may lie unused: kept ones cost memory
+STALL = 20.0  # seconds for which a client may take nothing of a stream
+SMALL_BODY = 64 * 1024  # bytes of an engine's answer that is not a stream: a report or a count
+CHUNK_MOST = 256 * 1024  # bytes of one chunk of a stream: events are far smaller, so more is not ours
+INFORMATIONAL_MOST = 8  # answers of 1xx ahead of one: a peer that goes on has nothing else to say
+SETTLED = 0.05  # seconds a kept connection lies before its next use: what was sent behind an answer shows
--- /dev/null
+++ b/myrtlehub/http1/client.py
@@ -0,0 +1,300 @@
+"""HTTP/1.1, client side: one request at a time on a connection, and a pool of them by peer."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import h11
+from twisted.internet.protocol import Factory, Protocol
+
+from myrtlehub.http1.bounds import CHUNK_MOST, HEAD_MOST, INFORMATIONAL_MOST, SETTLED
+
+
+class Call(NamedTuple):
+    """What is asked. `headers` without Host and Content-Length, which are added here."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes = b""
+
+
+class Watcher:
+    """Who hears of an answer. `ended` or `broke` comes last, and once."""
+
+    def head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Status and headers, names in lower case."""
+
+    def data(self, data: bytes) -> None:
+        """A part of the body."""
+
+    def ended(self) -> None:
+        """The answer is whole, by its own framing."""
+
+    def broke(self, sent: bool) -> None:
+        """No whole answer comes; `sent`: the request's last byte had left, so that it may have run."""
+
+
+class ClientConnection(Protocol):
+    """One connection to a peer. `pool` hears when it is free again and when it is lost."""
+
+    def __init__(self, pool: "Pool", key: str) -> None:
+        self.pool, self.key, self.clock = pool, key, pool.clock
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
+        self.asking: Asking | None = None
+        self.free_since = 0.0
+        self.sent = self.gone = self.chunked = self.in_chunk = False
+        self._informational = self._chunk = 0
+        self._to_write: bytes | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        if hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+
+    def ask(self, asking: "Asking") -> None:
+        """Send a request; the connection has to be free."""
+        self.asking, call = asking, asking.call
+        self.sent = self.chunked = self.in_chunk = False
+        self._informational = 0
+        headers = [(b"Host", asking.host), *call.headers]
+        if call.body or call.method == b"POST":
+            headers.append((b"Content-Length", b"%d" % len(call.body)))
+        parts = [self.http.send(h11.Request(method=call.method, target=call.target, headers=headers))]
+        if call.body:
+            parts.append(self.http.send(h11.Data(data=call.body)))
+        parts.append(self.http.send(h11.EndOfMessage()))
+        self._to_write = b"".join(parts)
+        # As a producer that is pulled: asked again once all of it has left this process.
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        if self._to_write is not None:
+            data, self._to_write = self._to_write, None
+            self.transport.write(data)
+        else:
+            self.sent = True
+            self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The connection is lost."""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.asking is None:  # nothing was asked: it has no further use
+            self.close()
+            return
+        try:
+            self.http.receive_data(data)
+            while self.asking is not None:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED or not self._take(event):
+                    return
+        except h11.RemoteProtocolError:
+            self._broke()
+
+    def _take(self, event: object) -> bool:
+        kind, watcher = type(event), self.asking.watcher
+        if kind is h11.Data:
+            self._chunk = len(event.data) + (0 if event.chunk_start else self._chunk)
+            self.in_chunk = self.chunked and not event.chunk_end
+            if self.chunked and self._chunk > CHUNK_MOST:
+                self._broke()
+                return False
+            watcher.data(bytes(event.data))
+        elif kind is h11.Response:
+            self.chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
+            watcher.head(event.status_code, list(event.headers))
+        elif kind is h11.InformationalResponse:
+            self._informational += 1
+            if self._informational > INFORMATIONAL_MOST:
+                self._broke()
+                return False
+        elif kind is h11.EndOfMessage:
+            self._ended()
+        else:
+            self._broke()
+            return False
+        return True
+
+    def owes(self) -> bool:
+        """Whether the peer has begun something, a chunk or its line, and has not sent the rest."""
+        return self.in_chunk or bool(self.http.trailing_data[0])
+
+    def _ended(self) -> None:
+        asking, self.asking = self.asking, None
+        http = self.http
+        if (self.sent and http.our_state is h11.DONE and http.their_state is h11.DONE
+                and not http.trailing_data[0] and not self.gone):
+            http.start_next_cycle()
+            self.free_since = self.clock.seconds()
+            self.pool.freed(self)
+        else:
+            self.close()
+        asking.finished()
+        asking.watcher.ended()
+
+    def _broke(self) -> None:
+        asking, self.asking = self.asking, None
+        self.close()
+        if asking is not None:
+            asking.finished()
+            asking.watcher.broke(self.sent)
+
+    def close(self) -> None:
+        """Now, whatever is on its way."""
+        if not self.gone:
+            self.pool.dropped(self)
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: object = None) -> None:  # noqa: N802
+        self.gone = True
+        self.pool.dropped(self)
+        if self.asking is not None:
+            self._broke()
+
+
+class _One(Factory):
+    noisy = False
+
+    def __init__(self, make: Callable[[], ClientConnection]) -> None:
+        self.make = make
+
+    def buildProtocol(self, addr: object) -> ClientConnection:  # noqa: N802
+        return self.make()
+
+
+class Asking:
+    """One request on its way: waiting for a connection, on one, or over."""
+
+    def __init__(self, pool: "Pool", key: str, host: bytes, call: Call, watcher: Watcher) -> None:
+        self.pool, self.key, self.host, self.call, self.watcher = pool, key, host, call, watcher
+        self.connection: ClientConnection | None = None
+        self.dialing = None
+        self.over = self.paused = False
+
+    def finished(self) -> None:
+        """Nothing more comes of it."""
+        self.over, self.connection = True, None
+
+    def cancel(self) -> None:
+        """Give it up: its connection is closed, and its watcher hears nothing more."""
+        if self.over:
+            return
+        self.over = True
+        if self.dialing is not None:
+            dialing, self.dialing = self.dialing, None
+            dialing.cancel()
+        if self.connection is not None:
+            connection, self.connection = self.connection, None
+            connection.asking = None
+            connection.close()
+
+    def pause(self) -> None:
+        """Read no more of the answer for now."""
+        if self.connection is not None:
+            self.paused = True
+            self.connection.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self.connection is not None:
+            self.paused = False
+            self.connection.transport.resumeProducing()
+
+
+class Pool:
+    """Connections by peer. `dial(address)` gives a way there: called with a factory, fires when it is up."""
+
+    def __init__(self, clock: object, dial: Callable[[str], Callable], most: int, idle: float) -> None:
+        self.clock, self.dial, self.most, self.idle = clock, dial, most, idle
+        self.count = 0  # connections that are up or being made
+        self.made = self.reused = 0  # ever
+        self._free: dict[str, list[ClientConnection]] = {}  # the longest free first
+        self._up: set[ClientConnection] = set()
+        self._sweeping = None
+
+    def ask(self, key: str, address: str, call: Call, watcher: Watcher, within: float = 0.0) -> Asking:
+        """Send `call`; `within`: seconds for which a kept connection may have lain unused.
+
+        0: the usual; below 0: a new connection.
+        """
+        asking = Asking(self, key, address.encode(), call, watcher)
+        kept = self._kept(key, within or self.idle)
+        if kept is not None:
+            self.reused += 1
+            asking.connection = kept
+            kept.ask(asking)
+            return asking
+        if self.count >= self.most and not self._make_room():
+            self.clock.callLater(0, self._unreached, asking)
+            return asking
+        self.count += 1
+        self.made += 1
+        asking.dialing = self.dial(address)(_One(lambda: ClientConnection(self, key)))
+        asking.dialing.addCallbacks(self._dialed, self._not_dialed, callbackArgs=(asking,),
+                                    errbackArgs=(asking,))
+        return asking
+
+    def _kept(self, key: str, within: float) -> ClientConnection | None:
+        """A free one, lately used, whose last answer has nothing behind it."""
+        now, free = self.clock.seconds(), self._free.get(key, [])
+        for i in range(len(free) - 1, -1, -1):
+            if now - free[i].free_since > within:
+                return None
+            if now - free[i].free_since >= SETTLED:
+                return free.pop(i)
+        return None
+
+    def _make_room(self) -> bool:
+        """Close the longest unused connection of any peer."""
+        oldest = min((c[0] for c in self._free.values() if c), key=lambda c: c.free_since, default=None)
+        if oldest is not None:
+            oldest.close()
+        return oldest is not None
+
+    def _dialed(self, connection: ClientConnection, asking: Asking) -> None:
+        asking.dialing = None
+        self._up.add(connection)
+        if asking.over:
+            connection.close()
+            return
+        asking.connection = connection
+        connection.ask(asking)
+
+    def _not_dialed(self, failure: object, asking: Asking) -> None:
+        self.count -= 1
+        asking.dialing = None
+        self._unreached(asking)
+
+    def _unreached(self, asking: Asking) -> None:
+        if not asking.over:
+            asking.finished()
+            asking.watcher.broke(False)
+
+    def freed(self, connection: ClientConnection) -> None:
+        """Its answer is whole; it may be used again."""
+        self._free.setdefault(connection.key, []).append(connection)
+        if self._sweeping is None:
+            self._sweeping = self.clock.callLater(1.0, self._sweep)
+
+    def _sweep(self) -> None:
+        self._sweeping, now = None, self.clock.seconds()
+        for free in list(self._free.values()):
+            for connection in [c for c in free if now - c.free_since > self.idle]:
+                connection.close()
+        if self._free:
+            self._sweeping = self.clock.callLater(1.0, self._sweep)
+
+    def dropped(self, connection: ClientConnection) -> None:
+        """It is closed or lost."""
+        if connection in self._up:
+            self._up.discard(connection)
+            self.count -= 1
+        free = self._free.get(connection.key)
+        if free and connection in free:
+            free.remove(connection)
+        if free is not None and not free:
+            del self._free[connection.key]
+
+    def close_idle(self, key: str) -> None:
+        """Close the unused connections to a peer."""
+        for connection in list(self._free.get(key, ())):
+            connection.close()
--- /dev/null
+++ b/myrtlehub/http1/server.py
@@ -0,0 +1,323 @@
+"""HTTP/1.1, server side: connections of clients, one request at a time on each; knows nothing of routing."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import h11
+from twisted.internet.protocol import Factory, Protocol
+
+from myrtlehub.http1.bounds import AHEAD_MOST, BODY_MOST, HEAD_MOST, IDLE, LINGER, STALL, WHOLE_WITHIN
+
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           408: b"Request Timeout",
+           409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           500: b"Internal Server Error", 501: b"Not Implemented", 502: b"Bad Gateway",
+           503: b"Service Unavailable", 504: b"Gateway Timeout"}
+
+
+class Request(NamedTuple):
+    """A whole request."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]  # names in lower case
+    body: bytes
+
+
+class Exchange:
+    """One request and its answer. Whoever answers sets `on_lost`, `on_pause` and `on_resume`."""
+
+    def __init__(self, connection: "ServerConnection", request: Request) -> None:
+        self._connection, self.request = connection, request
+        self.begun = self.over = False
+        self.on_lost: Callable[[], None] = lambda: None
+        self.on_pause: Callable[[], None] = lambda: None
+        self.on_resume: Callable[[], None] = lambda: None
+
+    def answer(self, status: int, headers: tuple = (), body: bytes = b"", close: bool = False) -> None:
+        """A whole answer."""
+        if self.over or self.begun:
+            return
+        self.begun = self.over = True
+        headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        self._connection.whole_answer(status, headers, body, close)
+
+    def begin(self, status: int, headers: tuple) -> None:
+        """The head of a streamed answer."""
+        self.begun = True
+        self._connection.begin(self, status, [*headers, (b"Transfer-Encoding", b"chunked")])
+
+    def send(self, data: bytes) -> None:
+        """A part of it."""
+        if not self.over:
+            self._connection.send(data)
+
+    def finish(self) -> None:
+        """Its last chunk."""
+        if not self.over:
+            self.over = True
+            self._connection.finish()
+
+    def cut(self) -> None:
+        """End the connection without a last chunk: the answer is not whole."""
+        if not self.over:
+            self.over = True
+            self._connection.shut()
+
+    # as producer: the client's connection asks to wait
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        self._connection.stalled(True)
+        self.on_pause()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self._connection.stalled(False)
+        self.on_resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The connection is lost; `on_lost` says so as well."""
+
+
+class ServerConnection(Protocol):
+    """One client's connection."""
+
+    def __init__(self, site: "Site") -> None:
+        self.site, self.clock = site, site.clock
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
+        self.open: Exchange | None = None
+        self.idle_since = self.clock.seconds()
+        self.used = self.closing = self.gone = False  # a request was whole once; shut by us; lost
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._size = self._ahead = 0
+        self._timer = None
+        self._stall = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        if hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+        self._due(WHOLE_WITHIN)
+        self.site.opened(self)
+
+    def _due(self, delay: float) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.reset(delay)
+        else:
+            self._timer = self.clock.callLater(delay, self._late)
+
+    def _late(self) -> None:
+        """A request is not whole in time, or the connection lies unused, or a last answer does not leave."""
+        if self.closing:
+            self.transport.abortConnection()
+        elif self._head is not None or self._ahead:
+            self.refuse(408)
+        else:
+            self.shut()
+
+    @property
+    def unused(self) -> bool:
+        """Nothing of a request has come since the last answer."""
+        return self.open is None and self._head is None and not self._ahead
+
+    # -- bytes in ---------------------------------------------------------------------------------
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.closing:
+            return
+        if self.unused:
+            self._due(WHOLE_WITHIN)
+        self._ahead += len(data)
+        self.http.receive_data(data)
+        if self.open is None:
+            self._read()
+        elif self._ahead > AHEAD_MOST:
+            self.transport.pauseProducing()
+
+    def _read(self) -> None:
+        while self.open is None and not self.closing:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as fault:
+                self.refuse(fault.error_status_hint or 400)
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            self._take(event)
+
+    def _take(self, event: object) -> None:
+        kind = type(event)
+        if kind is h11.Request:
+            self._head, self._body, self._size = event, [], 0
+            status = self._head_fault(event)
+            if status:
+                self.refuse(status)
+            elif self.http.they_are_waiting_for_100_continue:
+                self._out(h11.InformationalResponse(status_code=100, headers=[]))
+        elif kind is h11.Data:
+            self._size += len(event.data)
+            if self._size > BODY_MOST:
+                self.refuse(413)
+            else:
+                self._body.append(bytes(event.data))
+        elif kind is h11.EndOfMessage:
+            self._whole()
+
+    @staticmethod
+    def _head_fault(event: h11.Request) -> int:
+        """What a head may not say, as a status; 0 if it is sound."""
+        names = [name for name, _ in event.headers]
+        lengths = names.count(b"content-length")
+        if lengths > 1 or lengths and b"transfer-encoding" in names:
+            return 400  # where it ends could be read in two ways
+        if lengths:
+            length = dict(event.headers)[b"content-length"]
+            if len(length) > 15 or int(length) > BODY_MOST:
+                return 413
+        return 0
+
+    def _whole(self) -> None:
+        head, body = self._head, b"".join(self._body)
+        self._head, self._body = None, []
+        self._ahead = len(self.http.trailing_data[0])
+        self.used = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        request = Request(bytes(head.method), bytes(head.target), list(head.headers), body)
+        self.open = Exchange(self, request)
+        self.site.asked(self.open)
+
+    # -- bytes out --------------------------------------------------------------------------------
+
+    def _out(self, event: object) -> None:
+        data = self.http.send(event)
+        if data and not self.gone:
+            self.transport.write(data)
+
+    def _start(self, status: int, headers: list, close: bool) -> None:
+        if close or self.site.closing:
+            headers = [*headers, (b"Connection", b"close")]
+        self._out(h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b"")))
+
+    def whole_answer(self, status: int, headers: list, body: bytes, close: bool) -> None:
+        """See Exchange."""
+        if self.gone or self.closing:
+            return
+        self._start(status, headers, close)
+        if body:
+            self._out(h11.Data(data=body))
+        self.finish()
+
+    def begin(self, exchange: Exchange, status: int, headers: list) -> None:
+        """See Exchange."""
+        if not self.gone:
+            self.transport.registerProducer(exchange, True)
+            self._start(status, headers, False)
+
+    def send(self, data: bytes) -> None:
+        """See Exchange."""
+        if not (self.gone or self.closing):
+            self._out(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """The answer is whole; what came behind its request is read next."""
+        if self.gone or self.closing:
+            return
+        self._out(h11.EndOfMessage())
+        self.transport.unregisterProducer()
+        self.stalled(False)
+        self.open = None
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            self.shut()
+            return
+        self.http.start_next_cycle()
+        self.idle_since = self.clock.seconds()
+        self._due(WHOLE_WITHIN if self._ahead else IDLE)
+        self.transport.resumeProducing()
+        if self._ahead:
+            # a turn later: what is pipelined must not be answered deeper and deeper in one call
+            self.clock.callLater(0, self._read_on)
+
+    def _read_on(self) -> None:
+        if not self.gone and self.open is None:
+            self._read()
+
+    def refuse(self, status: int) -> None:
+        """It is the client's error, or it took too long: say so and close."""
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            try:
+                self._start(status, [(b"Content-Length", b"0")], True)
+                self._out(h11.EndOfMessage())
+            except h11.LocalProtocolError:
+                pass  # nothing can be said on it any more; it is closed all the same
+        self.shut()
+
+    def shut(self) -> None:
+        """Close once what was said has left."""
+        if self.closing or self.gone:
+            return
+        self.closing = True
+        self._body = []
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+        self._due(LINGER)
+
+    def stalled(self, stalled: bool) -> None:
+        """The client takes nothing of its stream, or takes it again."""
+        if stalled and self._stall is None:
+            self._stall = self.clock.callLater(STALL, self._stalled_long)
+        elif not stalled and self._stall is not None:
+            if self._stall.active():
+                self._stall.cancel()
+            self._stall = None
+
+    def _stalled_long(self) -> None:
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: object = None) -> None:  # noqa: N802
+        self.gone = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self.stalled(False)
+        self.site.closed(self)
+        exchange, self.open = self.open, None
+        if exchange is not None:
+            exchange.over = True
+            exchange.on_lost()
+
+
+class Site(Factory):
+    """All connections of clients: how many there may be, and who is closed for another."""
+
+    noisy = False
+
+    def __init__(self, clock: object, asked: Callable[[Exchange], None], most: int = 1000) -> None:
+        self.clock, self.asked, self.most = clock, asked, most
+        self.connections: dict[ServerConnection, None] = {}  # in the order of their coming
+        self.closing = False
+
+    def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
+        return ServerConnection(self)
+
+    def opened(self, connection: ServerConnection) -> None:
+        """Room is made where there is none: silent ones first, then the longest unused, else the new one."""
+        self.connections[connection] = None
+        if len(self.connections) <= self.most:
+            return
+        unused = [c for c in self.connections if c.unused and not c.closing and c is not connection]
+        victim = min(unused, key=lambda c: (c.used, c.idle_since), default=connection)
+        victim.shut()
+
+    def closed(self, connection: ServerConnection) -> None:
+        """It is lost."""
+        self.connections.pop(connection, None)
+
+    def open_exchanges(self) -> int:
+        """Requests that are being answered."""
+        return sum(c.open is not None for c in self.connections)
+
+    def drain(self) -> None:
+        """Nothing new: unused connections close now, the others after their answer."""
+        self.closing = True
+        for connection in list(self.connections):
+            if connection.unused:
+                connection.shut()
--- a/myrtlehub/membership/version.py
+++ b/myrtlehub/membership/version.py
@@ -7,6 +7,7 @@
 from immutables import Map
 
 from myrtlehub.config.sheets import EngineRow
+from myrtlehub.membership.rows import served
 
 
 class Version(NamedTuple):
@@ -45,13 +46,6 @@
     return xxhash.xxh3_128_hexdigest(repr(figures).encode())
 
 
-def served(row: EngineRow) -> EngineRow:
-    """A row as it is routed by: an engine of weight 0 drains."""
-    if row.weight == 0.0 and row.state == "serving":
-        return row.having(state="draining")
-    return row
-
-
 def make(number: int, rows: Iterable[EngineRow], source: str, now: float, old: bool = False,
          digest: str = "") -> Version:
     """A version of these rows; `digest`, where it is known already."""
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -11,8 +11,8 @@
 from typing import Protocol
 
 from myrtlehub import interface as itf
-from myrtlehub.config.sheets import EngineRow
-from myrtlehub.node.door import Door
+from myrtlehub.membership.rows import Row
+from myrtlehub.node.indices import EngineIndices
 from myrtlehub.state.lives import (
     ANSWER, ANSWER_LIFE, ATTEMPT, BEGIN, HOLD, LATE, OUT, PASS, READ_ENDS, TELL_RELEASE, Life, write_ends)
 
@@ -39,6 +39,15 @@
         """Final."""
 
 
+class Door(Protocol):
+    """Names from outside against indices; `rows` are the traffic types, with a name and a front."""
+
+    rows: list
+    kinds: dict[str, int]
+    zones: dict[str, int]
+    engines: EngineIndices
+
+
 class Carrier(Protocol):
     """Carries attempts to engines and says, through the host, what became of them."""
 
@@ -143,7 +152,7 @@
         """Once, before all others."""
         self._say("start")
 
-    def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
+    def list_news(self, rows: list[Row], whole: bool, number: int = 0, digest: str = "") -> None:
         """A change to the list, or the whole of it, as one call to the module; `number` is its version's."""
         engines = self.door.engines
         at = engines.at
@@ -165,9 +174,12 @@
         """The id by which the next sequence taken is known outside."""
         return f"{self.prefix}{self._next}"
 
-    def take(self, asked: object, arrival: itf.Arrival, client: Client) -> Held:
-        """A sequence came in. From here on one final answer is owed, before its time is over."""
-        label, seq = self.next_label(), self._next
+    def take(self, asked: object, arrival: itf.Arrival, client: Client, label: str = "") -> Held:
+        """A sequence came in. From here on one final answer is owed, before its time is over.
+
+        `label`: by which engines know it, where its client gave it one.
+        """
+        label, seq = label or self.next_label(), self._next
         self._next += 1
         held = self.held[seq] = Held(seq, label, asked, arrival, client, self.clock.seconds())
         self.taken += 1
--- /dev/null
+++ b/myrtlehub/relay/__main__.py
@@ -0,0 +1,62 @@
+"""`python -m myrtlehub.relay`: one node on the platform's HTTP protocol, configured by $RELAY_CONFIG."""
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet.endpoints import TCP4ClientEndpoint
+
+from myrtlehub.node.clock import SteadyClock
+from myrtlehub.node.process import on_signal, on_term, settle_memory
+from myrtlehub.relay.node import RelayNode
+from myrtlehub.relay.reload import Drain, reload
+from myrtlehub.relay.told import BadNews, read_told
+
+BACKLOG = 511  # connections that may wait to be accepted: bursts come by hundreds
+QUIET = frozenset(("answer", "engine"))  # events that are too many for the log
+
+
+def _log(event: str, **more: object) -> None:
+    if event not in QUIET:
+        print(msgspec.json.encode({"event": event, **more}).decode(), flush=True)
+
+
+def _fail(text: str) -> None:
+    print(f"relay: {text}", file=sys.stderr)
+    sys.exit(2)
+
+
+def main() -> None:
+    """Run until SIGTERM; exit 2 with a line where the configuration can't be used."""
+    path = os.environ.get("RELAY_CONFIG", "")
+    if not path:
+        _fail("RELAY_CONFIG: is not set; it names the configuration file")
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+
+    def dial(address: str, within: float) -> Callable:
+        host, port = address.rsplit(":", 1)
+        return TCP4ClientEndpoint(reactor, host, int(port), timeout=within).connect
+    try:
+        told = read_told(path)
+        node = RelayNode(told, SteadyClock(reactor), dial, _log)
+        node.start()
+        port = reactor.listenTCP(told.listen[1], node.site, backlog=BACKLOG, interface=told.listen[0])
+    except BadNews as fault:
+        _fail(str(fault))
+    except CannotListenError as fault:
+        _fail(f"listen: {fault}")
+    drain = Drain(node.clock, node.site, node.busy, port.stopListening, reactor.stop)
+    on_term(drain.start, reactor)
+    on_signal(signal.SIGHUP, lambda: reload(path, node.discovery.move, _log), reactor)
+    node.measure_lag()
+    reactor.callWhenRunning(lambda: _log("ready", name=told.name, engines=len(node.desk.engines.rows)))
+    settle_memory()
+    reactor.run(installSignalHandlers=False)
+    _log("ended", **{k: v for k, v in sorted(node.host.answered.items())})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/myrtlehub/relay/engines.py
@@ -0,0 +1,234 @@
+"""The host's Carrier over HTTP/1.1: attempts, releases and probes on connections to engines."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from myrtlehub import interface as itf
+from myrtlehub.http1.bounds import SMALL_BODY
+from myrtlehub.http1.client import Asking, Call, Pool, Watcher
+from myrtlehub.node.host import Attempt, Host
+from myrtlehub.relay.events import Events, Spoilt
+from myrtlehub.relay.outcomes import End, of_break, of_head
+from myrtlehub.relay.told import load_of
+
+LOOK = 0.5  # seconds between looks at streams that are silent
+HALF_FOR = 2.5  # seconds for the rest of an event or chunk: engines write them whole; 5 s are owed
+SILENT_FOR = 15.0  # seconds without an event, until a stream is ended: an answer may be put back, read anew
+RELEASE_TRIES = (0.12, 0.2, 0.3, 0.6, 0.8)  # seconds from try to try of a release, each on a new connection
+ONCE_WITHIN = 1.0  # seconds for which a kept connection may have lain unused, for what may not run twice
+
+
+class _Kept(msgspec.Struct):
+    cached_tokens: float = 0.0
+
+
+_kept = msgspec.json.Decoder(_Kept)
+
+
+class _Attempt(Watcher):
+    """What an attempt's answer brings, told to the host."""
+
+    def __init__(self, engines: "Engines", attempt: Attempt) -> None:
+        self.engines, self.host, self.attempt = engines, engines.host, attempt
+        self.end: End | None = None
+        self.events: Events | None = None
+        self.load: itf.Load | None = None
+        self.body = b""
+        self.heard_at = 0.0
+        self.asking: Asking | None = None
+
+    def head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        fields = dict(headers)
+        self.end = of_head(self.attempt.reads, status, fields.get(b"x-turned-away") == b"1")
+        if b"x-pressure" in fields:
+            self.load = load_of(fields[b"x-pressure"])
+        if self.end.outcome == itf.GENERATED:
+            self.events = Events()
+            self.heard_at = self.host.clock.seconds()
+            self.engines.streams[self] = None
+        elif self.end.outcome != itf.READ:
+            self._tell(self.end)  # the body tells no more; its connection ends by itself
+
+    def data(self, data: bytes) -> None:
+        if self.events is not None:
+            self.heard_at = self.host.clock.seconds()
+            try:
+                whole = self.events.feed(data)
+            except Spoilt:
+                self.spoil()
+                return
+            if whole:
+                attempt = self.attempt
+                if attempt.begun:
+                    self.host.more(attempt, whole)
+                elif attempt.out:
+                    self.host.began(attempt, whole)
+        else:
+            self.body += data
+            if len(self.body) > SMALL_BODY:
+                self.spoil()
+
+    def spoil(self) -> None:
+        """What comes can't be used: the attempt may have run, its connection has no further use."""
+        self.asking.cancel()
+        self._tell(of_break(True))
+
+    def ended(self) -> None:
+        if self.events is not None:
+            try:
+                self.events.end()
+            except Spoilt:
+                self._tell(of_break(True))
+                return
+            if self.attempt.begun:
+                self._tell(self.end, self.events.kept, self.events.load or self.load, self.events.tokens)
+            else:
+                self._tell(of_break(True))  # a stream without an event answers nothing
+        elif self.end is not None and self.end.outcome == itf.READ:
+            try:
+                kept = _kept.decode(self.body).cached_tokens
+            except (msgspec.DecodeError, ValueError):
+                kept = 0.0
+            self._tell(self.end, kept, self.load)
+
+    def broke(self, sent: bool) -> None:
+        self._tell(of_break(sent))
+
+    def _tell(self, end: End, kept: float = 0.0, load: itf.Load | None = None, tokens: int = 0) -> None:
+        self.engines.streams.pop(self, None)
+        kept = kept or float(end.no_state)
+        handle = True if end.outcome == itf.READ else None
+        self.host.ended(self.attempt, end.outcome, kept, load or self.load, handle, tokens)
+
+
+class _Once(Watcher):
+    """A small call: whether it was answered, with what."""
+
+    def __init__(self, then: Callable[[bool, bytes], None]) -> None:
+        self.then, self.body, self.status = then, b"", 0
+
+    def head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        self.status = status
+
+    def data(self, data: bytes) -> None:
+        if len(self.body) < SMALL_BODY:
+            self.body += data
+
+    def ended(self) -> None:
+        self.then(self.status // 100 == 2, self.body)
+
+    def broke(self, sent: bool) -> None:
+        self.then(False, b"")
+
+
+class Engines:
+    """Attempts, releases and probes. `dials` says where each engine is reached, by its name in the list."""
+
+    def __init__(self, clock: object, pool: Pool) -> None:
+        self.clock, self.pool = clock, pool
+        self.host: Host | None = None
+        self.dials: dict[str, str] = {}
+        self.streams: dict[_Attempt, None] = {}
+        clock.callLater(LOOK, self._look)
+
+    def name(self, engine: int) -> str:
+        """Its name in the list."""
+        return self.host.door.engines.rows[engine].address
+
+    def moved(self, name: str, dial: str) -> None:
+        """Where an engine is reached from now on."""
+        if self.dials.get(name, dial) != dial:
+            self.pool.close_idle(name)
+        self.dials[name] = dial
+
+    # -- the host's Carrier -----------------------------------------------------------------------
+
+    def start(self, attempt: Attempt) -> None:
+        """See `Carrier`."""
+        held, now = attempt.held, self.clock.seconds()
+        asked, name = held.asked, self.name(attempt.engine)
+        wait = max(1, int((attempt.until - now) * 1000))
+        call = Call(b"POST", asked.target, [*asked.headers, (b"x-remaining-ms", b"%d" % wait)], asked.body)
+        watcher = _Attempt(self, attempt)
+        once = self.host.door.rows[held.arrival.traffic].once and not attempt.reads
+        # Guards against a kept connection that its peer closed unseen: what may not run twice would be lost.
+        watcher.asking = attempt.call = self.pool.ask(name, self.dials[name], call, watcher,
+                                                      ONCE_WITHIN if once else 0.0)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """See `Carrier`."""
+        if attempt.call is not None:
+            self.streams.pop(attempt.call.watcher, None)
+            attempt.call.cancel()
+
+    def release(self, engine: int, label: str) -> None:
+        """See `Carrier`."""
+        name = self.name(engine)
+        _Release(self, name, self.dials.get(name, ""), label)
+
+    def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
+        """See `Carrier`."""
+        name, timer = self.name(engine), None
+
+        def answered(sound: bool, body: bytes) -> None:
+            if timer.active():
+                timer.cancel()
+                then(sound, load_of(body) if sound else None)
+
+        def late() -> None:
+            asking.cancel()
+            then(False, None)
+        timer = self.clock.callLater(timeout, late)
+        asking = self.pool.ask(name, self.dials[name], Call(b"GET", b"/metrics/load", []), _Once(answered))
+
+    def close_idle(self, engine: int) -> None:
+        """See `Carrier`."""
+        self.pool.close_idle(self.name(engine))
+
+    def forget(self, address: str) -> None:
+        """See `Carrier`."""
+        self.pool.close_idle(address)
+        self.dials.pop(address, None)
+
+    # -- silent streams ---------------------------------------------------------------------------
+
+    def _look(self) -> None:
+        """End streams that stopped in the middle of an event, or on which nothing comes any more."""
+        self.clock.callLater(LOOK, self._look)
+        now = self.clock.seconds()
+        for stream in list(self.streams):
+            connection = stream.asking.connection
+            half = bool(stream.events.rest) or connection is not None and connection.owes()
+            if now - stream.heard_at > (HALF_FOR if half else SILENT_FOR) and not stream.asking.paused:
+                stream.spoil()
+
+
+class _Release:
+    """Tells an engine to let go, again on a fresh connection until it has answered or time is over."""
+
+    def __init__(self, engines: Engines, name: str, dial: str, label: str) -> None:
+        self.engines, self.name, self.dial = engines, name, dial
+        self.call = Call(b"DELETE", b"/state/" + label.encode(), [])
+        self.askings: list[Asking] = []
+        self.timer = None
+        self._try()
+
+    def _try(self) -> None:
+        engines, tried = self.engines, len(self.askings)
+        if tried >= len(RELEASE_TRIES) or not self.dial:
+            self._over()
+            return
+        self.timer = engines.clock.callLater(RELEASE_TRIES[tried], self._try)
+        self.askings.append(engines.pool.ask(self.name, self.dial, self.call, _Once(self._answered),
+                                             -1.0 if tried else 0.0))
+
+    def _answered(self, sound: bool, body: bytes) -> None:
+        if sound:
+            self._over()
+
+    def _over(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        for asking in self.askings:
+            asking.cancel()
--- /dev/null
+++ b/myrtlehub/relay/front.py
@@ -0,0 +1,104 @@
+"""The front for clients: requests as arrivals, the host's word as answers. Decides nothing."""
+
+from collections.abc import Callable
+
+from myrtlehub.http1.server import Exchange
+from myrtlehub.node.host import Held, Host
+from myrtlehub.relay.told import Desk, Refused
+
+READY, CHAT = b"/up", b"/v1/chat/completions"
+STREAM = ((b"Content-Type", b"text/event-stream"),)
+HELD_MOST = 20000  # sequences that a node holds, unless the settings say fewer
+
+
+class _Waiting:
+    """One client whose sequence is held: the host's Client."""
+
+    def __init__(self, front: "Front", exchange: Exchange, label: str) -> None:
+        self.front, self.exchange, self.label = front, exchange, label
+        self.held: Held | None = None
+        exchange.on_lost, exchange.on_pause, exchange.on_resume = self._lost, self._pause, self._resume
+
+    def tokens(self, raw: bytes) -> None:
+        if not self.exchange.begun:
+            self.exchange.begin(200, STREAM)
+        self.exchange.send(raw)
+
+    def generated(self, tokens: int) -> None:
+        self._over()
+        self.exchange.finish()
+
+    def rejected(self, wait: float) -> None:
+        self._over()
+        self.exchange.answer(503, ((b"Retry-After", b"%.3f" % wait),) if wait else ())
+
+    def aborted(self, reason: str) -> None:
+        self._over()
+        if self.exchange.begun:
+            self.exchange.cut()
+        else:
+            self.exchange.answer(502)
+
+    def _over(self) -> None:
+        self.front.open.pop(self.label, None)
+
+    def _lost(self) -> None:
+        self._over()
+        if self.held is not None:
+            self.front.host.left(self.held)
+
+    def _pause(self) -> None:
+        attempt = self.held.begun if self.held is not None else None
+        if attempt is not None and attempt.out:
+            attempt.call.pause()
+
+    def _resume(self) -> None:
+        attempt = self.held.begun if self.held is not None else None
+        if attempt is not None and attempt.out:
+            attempt.call.resume()
+
+
+class Front:
+    """What is asked on any client's connection comes here."""
+
+    def __init__(self, host: Host, desk: Desk, most: int = HELD_MOST) -> None:
+        self.host, self.desk, self.most = host, desk, most
+        self.open: dict[str, _Waiting] = {}  # by the client's id
+        self.ready: Callable[[], bool] = lambda: True
+        self.refused = 0  # malformed requests so far
+
+    def asked(self, exchange: Exchange) -> None:
+        """A whole request."""
+        request = exchange.request
+        path = request.target.partition(b"?")[0]
+        if path == READY:
+            if request.method != b"GET":
+                self._refuse(exchange, 405)
+            else:
+                exchange.answer(200 if self.ready() else 503)
+        elif path != CHAT:
+            self._refuse(exchange, 404)
+        elif request.method != b"POST":
+            self._refuse(exchange, 405)
+        else:
+            self._take(exchange)
+
+    def _refuse(self, exchange: Exchange, status: int) -> None:
+        """The client's error: said at once, and its connection is closed."""
+        self.refused += 1
+        exchange.answer(status, close=True)
+
+    def _take(self, exchange: Exchange) -> None:
+        try:
+            label, asked, arrival = self.desk.arrival(exchange.request, self.host.clock.seconds())
+            if label in self.open:
+                raise Refused(409, "X-Txn is that of an open request")
+        except Refused as fault:
+            self._refuse(exchange, fault.status)
+            return
+        waiting = _Waiting(self, exchange, label)
+        if len(self.host.held) >= self.most:
+            waiting.rejected(self.host.terms.max_wait)  # not taken: nothing ran
+            return
+        self.open[label] = waiting
+        waiting.held = self.host.take(asked, arrival, waiting, label)
--- /dev/null
+++ b/myrtlehub/relay/node.py
@@ -0,0 +1,76 @@
+"""A node on the platform's protocol, put together: desk, module, host, engines, front, discovery."""
+
+from collections.abc import Callable
+from random import Random
+
+from myrtlehub.decide import Router
+from myrtlehub.http1.client import Pool
+from myrtlehub.http1.server import Site
+from myrtlehub.node.host import Host
+from myrtlehub.relay.discovery import Discovery
+from myrtlehub.relay.engines import Engines
+from myrtlehub.relay.front import Front
+from myrtlehub.relay.told import Desk, News, Told, terms_of
+
+CLIENTS_PART = 0.45  # of the descriptors, for clients' connections: a third may hold requests
+ENGINES_PART = 0.42  # of them, for engines: a request has one attempt out, and releases come beside
+KEPT_PART = 0.4  # of the time after which engines close unused connections, for which ours are used again
+KNOWN_FOR = 1.0  # seconds after the start for which a node waits for a list newer than the one it was given
+
+
+class RelayNode:
+    """One node. `dial(address, seconds)` gives a way there."""
+
+    def __init__(self, told: Told, clock: object, dial: Callable[[str, float], Callable],
+                 log: Callable[..., None] = lambda event, **more: None,
+                 host_class: type[Host] = Host) -> None:
+        self.told, self.clock, self.log = told, clock, log
+        self.terms = terms_of(told)
+        caps = told.settings.get("Caps", {})
+        connect, keep = caps.get("ConnectTimeoutMs", 250.0) / 1e3, caps.get("KeepaliveMs", 30000.0) / 1e3
+        self.desk = Desk(told, self.terms)
+        self.pool = Pool(clock, lambda address: dial(address, connect), int(ENGINES_PART * told.sockets),
+                         KEPT_PART * keep)
+        self.engines = Engines(clock, self.pool)
+        self.host = host_class(Router(self.terms), self.desk, self.terms, clock, self.engines, "", log)
+        self.engines.host = self.host
+        self.front = Front(self.host, self.desk, caps.get("MostHeld", 20000))
+        self.front.ready = self._ready
+        self.site = Site(clock, self.front.asked, int(CLIENTS_PART * told.sockets))
+        self.discovery = Discovery(clock, Pool(clock, lambda address: dial(address, 1.0), 4, 5.0),
+                                   told.discovery, self.desk, self._news, Random(told.seed + 1), log)
+        self._started = clock.seconds()
+        self._known = False
+
+    def start(self) -> None:
+        """Begin with the list that the configuration has; then follow discovery."""
+        self.host.start()
+        if self.told.known is not None:
+            try:
+                news = self.desk.news(self.told.known, self.clock.seconds())
+            except ValueError as fault:
+                self.log("known list left out", why=str(fault))
+            else:
+                self._news(news._replace(whole=True))
+                self._known = True
+        self.discovery.start()
+
+    def _ready(self) -> bool:
+        """A list is held: the present one, or after a while the one that was given."""
+        return self.discovery.heard or self._known and self.clock.seconds() > self._started + KNOWN_FOR
+
+    def _news(self, news: News) -> None:
+        for line in news.lines:
+            if line.dial:
+                self.engines.moved(line.address, line.dial)
+        self.host.list_news(news.lines, news.whole, news.version)
+
+    def busy(self) -> bool:
+        """Whether anything is owed to a client, or to an engine."""
+        return bool(self.host.held) or self.site.open_exchanges() > 0
+
+    def measure_lag(self) -> None:
+        """Beat from here on, so that the desk knows how late this process runs."""
+        now = self.clock.seconds()
+        due = self.desk.lag.beat(now)
+        self.clock.callLater(max(0.0, due - now), self.measure_lag)
--- /dev/null
+++ b/myrtlehub/relay/told.py
@@ -0,0 +1,257 @@
+"""What the platform tells a node: its configuration, the list of engines, requests; as plain rows of ours."""
+
+import time
+from pathlib import Path
+from typing import NamedTuple, Self
+
+import msgspec
+
+from myrtlehub import interface as itf
+from myrtlehub.decode import decode_load, decode_terms
+from myrtlehub.http1.server import Request
+from myrtlehub.limits.lag import LagMeter
+from myrtlehub.node.indices import EngineIndices, key_of
+
+STATES = {"active": "serving", "leaving": "draining", "left": "gone"}
+SAFE = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
+ID_MOST = 128  # bytes of an id: it becomes a part of a path
+DIGITS_MOST = 12  # of a whole number from outside: beyond any time or length
+
+
+class BadNews(ValueError):
+    """A configuration or a list that can't be used. The text names the key."""
+
+
+class Refused(Exception):
+    """A request that is malformed; `status` is its answer. Nothing ran."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class EngineLine(NamedTuple):
+    """One engine of the list. `address` is who it is, `dial` where it is reached."""
+
+    address: str
+    kind: str
+    zone: str
+    cell: int
+    weight: float
+    state: str
+    age: float
+    dial: str
+    model: str = ""
+
+    @property
+    def figures(self) -> tuple:
+        """As other rows of engines have it."""
+        return (*self[:7], self.model)
+
+    def having(self, **figures: object) -> Self:
+        """The same with some figures replaced."""
+        return self._replace(**figures)
+
+
+class News(NamedTuple):
+    """What discovery tells."""
+
+    version: int
+    whole: bool
+    lines: list[EngineLine]
+
+
+class TrafficLine(NamedTuple):
+    """A traffic type, as the host wants it."""
+
+    name: str
+    once: bool  # may not run twice
+    front: str = "chat"
+
+
+class Told(NamedTuple):
+    """The configuration."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: str
+    seed: int
+    sockets: int
+    settings: dict
+    known: dict | None
+
+
+class Asked(NamedTuple):
+    """What goes on to engines of a request."""
+
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+def _address(text: object, key: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not (host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise BadNews(f"{key}: {text!r} is not an address of the form HOST:PORT")
+    return host, int(port)
+
+
+def read_told(path: str) -> Told:
+    """The file, checked as far as a node needs it; BadNews names the key."""
+    try:
+        told = msgspec.json.decode(Path(path).read_bytes())
+    except OSError as fault:
+        raise BadNews(f"RELAY_CONFIG: {path}: {fault.strerror}") from fault
+    except msgspec.DecodeError as fault:
+        raise BadNews(f"RELAY_CONFIG: {path} is not JSON: {fault}") from fault
+    if not isinstance(told, dict):
+        raise BadNews(f"RELAY_CONFIG: {path} has to be a JSON object")
+    for key in ("listen", "discovery", "settings"):
+        if key not in told:
+            raise BadNews(f"{key}: is missing in {path}")
+    if not isinstance(told["settings"], dict):
+        raise BadNews("settings: has to be an object")
+    _address(told["discovery"], "discovery")
+    try:
+        seed = int(str(told.get("seed", "0")), 16)
+    except ValueError as fault:
+        raise BadNews(f"seed: {told['seed']!r} is not a number in hexadecimal") from fault
+    limits = told.get("limits") or {}
+    sockets = limits.get("sockets", 1024)
+    if not isinstance(sockets, int) or sockets < 64:
+        raise BadNews(f"limits.sockets: {sockets!r} has to be a whole number of at least 64")
+    known = told.get("known")
+    return Told(str(told.get("name", "")), _address(told["listen"], "listen"), told["discovery"], seed,
+                sockets, told["settings"], known if isinstance(known, dict) else None)
+
+
+def terms_of(told: Told) -> itf.Terms:
+    """The module's terms; BadNews where the settings lack a key that it needs."""
+    try:
+        return decode_terms(told.settings, told.seed)
+    except KeyError as fault:
+        raise BadNews(f"settings: {fault.args[0]} is missing or unknown") from fault
+    except (TypeError, AttributeError, ValueError, IndexError) as fault:
+        raise BadNews(f"settings: {fault}") from fault
+
+
+def load_of(text: bytes) -> itf.Load | None:
+    """A load report; one that can't be read is none."""
+    try:
+        report = msgspec.json.decode(text, type=dict[str, float])
+    except (msgspec.DecodeError, ValueError):
+        return None
+    return decode_load(report)
+
+
+class Desk:
+    """The host's door: names from outside as indices, requests as arrivals, the list as rows."""
+
+    def __init__(self, told: Told, terms: itf.Terms) -> None:
+        s = told.settings
+        self.rows = [TrafficLine(c["Name"], t.repeats == itf.ONCE_ONLY)
+                     for c, t in zip(s["Classes"], terms.traffic, strict=True)]
+        self.traffic = {row.name: i for i, row in enumerate(self.rows)}
+        self.tenants = {t["Name"]: i for i, t in enumerate(s.get("Orgs") or [])}
+        self.kinds = {k: i for i, k in enumerate(s.get("MachineTypes") or [""])}
+        self.zones = {z: i for i, z in enumerate(s.get("Zones") or [""])}
+        self.engines = EngineIndices()
+        self.lag = LagMeter()
+        # Unix time when our clock showed 0: taken once, so that an engine's start is always the same moment.
+        self.epoch = time.time() - time.monotonic()
+
+    def news(self, told: object, now: float) -> News:
+        """What discovery wrote; entries that can't be read are left out, BadNews where nothing can."""
+        if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
+            raise BadNews("hosts: is missing")
+        lines = [line for line in (self._line(e, now) for e in told["hosts"]) if line is not None]
+        version = told.get("seq")
+        return News(version if isinstance(version, int) else 0, bool(told.get("whole")), lines)
+
+    def _line(self, e: object, now: float) -> EngineLine | None:
+        try:
+            state, born = STATES[e["health"]], e.get("born_ms") or 0
+            dial = e.get("dial", "")
+            if state != "gone":
+                _address(dial, "dial")
+            kind, zone, share = e.get("class", ""), e.get("site", ""), float(e.get("share", 1.0))
+            cell = e.get("block", 0)
+            if state != "gone" and (kind not in self.kinds or zone not in self.zones):
+                return None
+            if not (isinstance(e["host"], str) and e["host"] and isinstance(cell, int)):
+                return None
+            age = now - (born / 1e3 - self.epoch) if born else 0.0
+            return EngineLine(e["host"], kind, zone, cell, share, state, age, dial)
+        except (KeyError, TypeError, ValueError, AttributeError, BadNews):
+            return None
+
+    def arrival(self, request: Request, now: float) -> tuple[str, Asked, itf.Arrival]:
+        """A request as id, what goes on of it, and what the module is told; Refused if it is malformed."""
+        fields: dict[bytes, bytes] = {}
+        for name, value in request.headers:
+            if name in PASSED or name in READ:
+                if name in fields:
+                    raise Refused(400, f"{name.decode()} is there twice")
+                fields[name] = value
+        ident = fields.get(b"x-txn", b"")
+        if not 0 < len(ident) <= ID_MOST or not SAFE.issuperset(ident):
+            raise Refused(400, "X-Txn is missing or no id")
+        traffic = self.traffic.get(fields.get(b"x-lane", b"").decode("latin-1"))
+        if traffic is None:
+            raise Refused(400, "X-Lane is none of ours")
+        tenant, org = -1, fields.get(b"x-org", b"").decode("latin-1")
+        if org:
+            tenant = self.tenants.get(org, -1)
+            if tenant < 0 and self.tenants:
+                raise Refused(400, "X-Org is none of ours")
+        left = _number(fields.get(b"x-remaining-ms", b""), "X-Remaining-Ms") / 1e3
+        labels = _labels(fields.get(b"x-labels", b""))
+        prompt = _number(labels.get(b"prompt_len", b"%d" % (len(request.body) // 4)), "prompt_len")
+        shared = _number(labels.get(b"prefix_len", b"0"), "prefix_len")
+        most = _number(labels.get(b"max_out", b"0"), "max_out")
+        if shared > prompt:
+            raise Refused(400, "prefix_len is more than prompt_len")
+        _check_body(request.body)
+        resent = fields.get(b"x-resent", b"")
+        expected = _number(fields[b"x-estimate"], "X-Estimate") / 1e3 if b"x-estimate" in fields else 0.0
+        arrival = itf.Arrival(
+            traffic, tenant, float(prompt), self.lag.left(now, left),
+            key_of(fields.get(b"x-entity", b"").decode("latin-1")),
+            key_of(labels.get(b"prefix", b"").decode("latin-1")), float(shared), float(most), expected,
+            resent == b"again", bool(resent) and resent != b"again")
+        passed = [(name, value) for name, value in fields.items() if name in PASSED]
+        return ident.decode(), Asked(request.target, passed, request.body), arrival
+
+
+# Headers of a request that go on to engines as they are, and those that are only read.
+PASSED = frozenset((b"x-txn", b"x-lane", b"x-org", b"x-entity", b"x-labels", b"x-resent", b"content-type"))
+READ = frozenset((b"x-remaining-ms", b"x-estimate"))
+
+
+class _Body(msgspec.Struct):
+    """As much of a body as every engine needs."""
+
+    messages: list[msgspec.Raw]
+
+
+def _check_body(body: bytes) -> None:
+    try:
+        msgspec.json.decode(body, type=_Body)
+    except (msgspec.DecodeError, ValueError) as fault:
+        raise Refused(400, "the body is no chat request") from fault
+
+
+def _number(text: bytes, what: str) -> int:
+    if not (0 < len(text) <= DIGITS_MOST and text.isdigit()):
+        raise Refused(400, f"{what} is no number")
+    return int(text)
+
+
+def _labels(text: bytes) -> dict[bytes, bytes]:
+    labels = {}
+    for part in text.split(b",") if text else ():
+        name, eq, value = part.strip().partition(b"=")
+        if not eq or name in labels:
+            raise Refused(400, "X-Labels can't be read")
+        labels[name] = value
+    return labels
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -2,16 +2,16 @@
 
 from fleet import Fleet
 
+from myrtlehub import decode, simhost
 from myrtlehub import interface as itf
-from myrtlehub import simhost
 from myrtlehub.decide import Router
 from myrtlehub.node.host import ContractBroken, Host
 from myrtlehub.node.terms import terms_of
 
 WORDS = {v: k for k, v in simhost.OUTCOMES.items()}
-EFFECTS = {v: k for k, v in simhost.REPEATS.items()}
+EFFECTS = {v: k for k, v in decode.REPEATS.items()}
 STATES = {v: k for k, v in simhost.STATES.items()}
-FACTORS = {ours: (wire, factor) for wire, (ours, factor) in simhost.LOAD_UNITS.items()}
+FACTORS = {ours: (wire, factor) for wire, (ours, factor) in decode.LOAD_UNITS.items()}
 
 
 class Noted:
