Room for clients' connections is made once new ones were heard; half events end a stream

The stopped stream had its last whole event 5 s before, bytes without an event went on, so heard_at in relay/engines moved with them. The unserved ones were evicted in http1/server Site.opened before their bytes were read, at 345 connections. Change: the rest of an event, chunk or stream that is owed for 2.5 s ends it; room is made 0.1 s later, longest unused first.

--- a/myrtlehub/http1/server.py
+++ b/myrtlehub/http1/server.py
@@ -6,7 +6,8 @@
 import h11
 from twisted.internet.protocol import Factory, Protocol
 
-from myrtlehub.http1.bounds import AHEAD_MOST, BODY_MOST, HEAD_MOST, IDLE, LINGER, STALL, WHOLE_WITHIN
+from myrtlehub.http1.bounds import (
+    AHEAD_MOST, AT_ONCE, BODY_MOST, HEAD_MOST, HEARD_WITHIN, IDLE, LINGER, STALL, WHOLE_WITHIN)
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout",
@@ -294,18 +295,29 @@
         self.clock, self.asked, self.most = clock, asked, most
         self.connections: dict[ServerConnection, None] = {}  # in the order of their coming
         self.closing = False
+        self._room = None
 
     def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
         return ServerConnection(self)
 
     def opened(self, connection: ServerConnection) -> None:
-        """Room is made where there is none: silent ones first, then the longest unused, else the new one."""
+        """Where there are too many, room is made once what these have sent was read."""
         self.connections[connection] = None
-        if len(self.connections) <= self.most:
-            return
-        unused = [c for c in self.connections if c.unused and not c.closing and c is not connection]
-        victim = min(unused, key=lambda c: (c.used, c.idle_since), default=connection)
-        victim.shut()
+        if len(self.connections) > self.most + AT_ONCE:
+            connection.shut()
+        elif len(self.connections) > self.most and (self._room is None or not self._room.active()):
+            self._room = self.clock.callLater(HEARD_WITHIN, self._make_room)
+
+    def _make_room(self) -> None:
+        """Close the longest unused, never one that had no time to be heard, or has a request open."""
+        now = self.clock.seconds()
+        unused = [c for c in self.connections
+                  if c.unused and not c.closing and now - c.idle_since >= HEARD_WITHIN]
+        unused.sort(key=lambda c: c.idle_since)
+        for connection in unused[:max(0, len(self.connections) - self.most)]:
+            connection.shut()
+        if len(self.connections) > self.most:
+            self._room = self.clock.callLater(HEARD_WITHIN, self._make_room)
 
     def closed(self, connection: ServerConnection) -> None:
         """It is lost."""
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -15,11 +15,12 @@
 from myrtlehub.relay.told import BadNews, read_told
 
 BACKLOG = 511  # connections that may wait to be accepted: bursts come by hundreds
-QUIET = frozenset(("answer", "engine"))  # events that are too many for the log
+QUIET = frozenset(("answer", "engine", "attempt", "refused"))  # too many for the log, unless it is asked for
+ALL = os.environ.get("RELAY_LOG") == "all"
 
 
 def _log(event: str, **more: object) -> None:
-    if event not in QUIET:
+    if ALL or event not in QUIET:
         print(msgspec.json.encode({"event": event, **more}).decode(), flush=True)
 
 
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -36,6 +36,7 @@
         self.load: itf.Load | None = None
         self.body = b""
         self.heard_at = 0.0
+        self.half_since: float | None = None  # since when the rest of an event, chunk or stream is owed
         self.asking: Asking | None = None
 
     def head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -52,13 +53,13 @@
 
     def data(self, data: bytes) -> None:
         if self.events is not None:
-            self.heard_at = self.host.clock.seconds()
             try:
                 whole = self.events.feed(data)
             except Spoilt:
-                self.spoil()
+                self.spoil("no event")
                 return
             if whole:
+                self.heard_at = self.host.clock.seconds()
                 attempt = self.attempt
                 if attempt.begun:
                     self.host.more(attempt, whole)
@@ -67,19 +68,24 @@
         else:
             self.body += data
             if len(self.body) > SMALL_BODY:
-                self.spoil()
+                self.spoil("a long body")
+
+    def owes(self) -> bool:
+        """Whether the engine has begun an event, a chunk or its end, and has not finished it."""
+        connection = self.asking.connection
+        return bool(self.events.rest) or self.events.done or connection is not None and connection.owes()
 
-    def spoil(self) -> None:
+    def spoil(self, why: str) -> None:
         """What comes can't be used: the attempt may have run, its connection has no further use."""
         self.asking.cancel()
-        self._tell(of_break(True))
+        self._tell(of_break(True), why=why)
 
     def ended(self) -> None:
         if self.events is not None:
             try:
                 self.events.end()
             except Spoilt:
-                self._tell(of_break(True))
+                self._tell(of_break(True), why="half an event at the end")
                 return
             if self.attempt.begun:
                 self._tell(self.end, self.events.kept, self.events.load or self.load, self.events.tokens)
@@ -93,10 +99,15 @@
             self._tell(self.end, kept, self.load)
 
     def broke(self, sent: bool) -> None:
-        self._tell(of_break(sent))
+        self._tell(of_break(sent), why="broke")
 
-    def _tell(self, end: End, kept: float = 0.0, load: itf.Load | None = None, tokens: int = 0) -> None:
+    def _tell(self, end: End, kept: float = 0.0, load: itf.Load | None = None, tokens: int = 0,
+              why: str = "") -> None:
         self.engines.streams.pop(self, None)
+        attempt, now = self.attempt, self.host.clock.seconds()
+        self.engines.log("attempt", seq=attempt.held.label, engine=self.engines.name(attempt.engine),
+                         number=attempt.number, reads=attempt.reads, outcome=end.outcome, why=why,
+                         took=round(now - attempt.since, 4), begun=attempt.begun)
         kept = kept or float(end.no_state)
         handle = True if end.outcome == itf.READ else None
         self.host.ended(self.attempt, end.outcome, kept, load or self.load, handle, tokens)
@@ -125,8 +136,9 @@
 class Engines:
     """Attempts, releases and probes. `dials` says where each engine is reached, by its name in the list."""
 
-    def __init__(self, clock: object, pool: Pool) -> None:
-        self.clock, self.pool = clock, pool
+    def __init__(self, clock: object, pool: Pool,
+                 log: Callable[..., None] = lambda event, **more: None) -> None:
+        self.clock, self.pool, self.log = clock, pool, log
         self.host: Host | None = None
         self.dials: dict[str, str] = {}
         self.streams: dict[_Attempt, None] = {}
@@ -198,10 +210,17 @@
         self.clock.callLater(LOOK, self._look)
         now = self.clock.seconds()
         for stream in list(self.streams):
-            connection = stream.asking.connection
-            half = bool(stream.events.rest) or connection is not None and connection.owes()
-            if now - stream.heard_at > (HALF_FOR if half else SILENT_FOR) and not stream.asking.paused:
-                stream.spoil()
+            if stream.asking.paused:
+                stream.half_since, stream.heard_at = None, now  # it is the client that takes nothing
+            elif not stream.owes():
+                stream.half_since = None
+            elif stream.half_since is None:
+                stream.half_since = now
+            if stream.half_since is not None and now - stream.half_since > HALF_FOR:
+                # Guards against bytes that go on and never become an event: they are no sign of life.
+                stream.spoil("half an event")
+            elif now - stream.heard_at > SILENT_FOR:
+                stream.spoil("silence")
 
 
 class _Release:
--- a/myrtlehub/relay/events.py
+++ b/myrtlehub/relay/events.py
@@ -7,6 +7,7 @@
 
 EVENT_MOST = 128 * 1024  # bytes of one event: they hold a few tokens
 FIELDS = (b"data:", b":", b"event:", b"id:", b"retry:")  # with what an event, or a comment, begins
+DONE = b"[DONE]"
 REPORT = b": X-Pressure:"
 
 
@@ -38,6 +39,7 @@
         self.kept = 0.0
         self.tokens = 0
         self.load: itf.Load | None = None
+        self.done = False  # its last event came
 
     def feed(self, data: bytes) -> bytes:
         """Whole events, as they came; Spoilt where something is none."""
@@ -64,6 +66,8 @@
                 self.load = load_of(event[len(REPORT):].strip()) or self.load
         elif b'"usage"' in event:
             self._usage(event)
+        elif event.endswith(DONE):
+            self.done = True
 
     def _usage(self, event: bytes) -> None:
         try:
--- a/myrtlehub/relay/front.py
+++ b/myrtlehub/relay/front.py
@@ -83,9 +83,10 @@
         else:
             self._take(exchange)
 
-    def _refuse(self, exchange: Exchange, status: int) -> None:
+    def _refuse(self, exchange: Exchange, status: int, why: str = "") -> None:
         """The client's error: said at once, and its connection is closed."""
         self.refused += 1
+        self.host.log("refused", status=status, why=why)
         exchange.answer(status, close=True)
 
     def _take(self, exchange: Exchange) -> None:
@@ -94,7 +95,7 @@
             if label in self.open:
                 raise Refused(409, "X-Txn is that of an open request")
         except Refused as fault:
-            self._refuse(exchange, fault.status)
+            self._refuse(exchange, fault.status, str(fault))
             return
         waiting = _Waiting(self, exchange, label)
         if len(self.host.held) >= self.most:
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -31,7 +31,7 @@
         self.desk = Desk(told, self.terms)
         self.pool = Pool(clock, lambda address: dial(address, connect), int(ENGINES_PART * told.sockets),
                          KEPT_PART * keep)
-        self.engines = Engines(clock, self.pool)
+        self.engines = Engines(clock, self.pool, log)
         self.host = host_class(Router(self.terms), self.desk, self.terms, clock, self.engines, "", log)
         self.engines.host = self.host
         self.front = Front(self.host, self.desk, caps.get("MostHeld", 20000))
