--- a/myrtlehub/http1/server.py
+++ b/myrtlehub/http1/server.py
@@ -166,6 +166,8 @@
     @staticmethod
     def _head_fault(event: h11.Request) -> int:
         """What a head may not say, as a status; 0 if it is sound."""
+        if len(event.target) + sum(len(name) + len(value) for name, value in event.headers) > HEAD_MOST:
+            return 431
         names = [name for name, _ in event.headers]
         lengths = names.count(b"content-length")
         if lengths > 1 or lengths and b"transfer-encoding" in names:
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -42,7 +43,7 @@
         return TCP4ClientEndpoint(reactor, host, int(port), timeout=within).connect
     try:
         told = read_told(path)
-        node = RelayNode(told, SteadyClock(reactor), dial, _log)
+        node = RelayNode(told, SteadyClock(reactor), dial, time.time() - time.monotonic(), _log)
         node.start()
         port = reactor.listenTCP(told.listen[1], node.site, backlog=BACKLOG, interface=told.listen[0])
     except BadNews as fault:
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -19,16 +19,16 @@
 
 
 class RelayNode:
-    """One node. `dial(address, seconds)` gives a way there."""
+    """One node. `dial(address, seconds)` gives a way there; `epoch`: Unix time when the clock showed 0."""
 
     def __init__(self, told: Told, clock: object, dial: Callable[[str, float], Callable],
-                 log: Callable[..., None] = lambda event, **more: None,
+                 epoch: float = 0.0, log: Callable[..., None] = lambda event, **more: None,
                  host_class: type[Host] = Host) -> None:
         self.told, self.clock, self.log = told, clock, log
         self.terms = terms_of(told)
         caps = told.settings.get("Caps", {})
         connect, keep = caps.get("ConnectTimeoutMs", 250.0) / 1e3, caps.get("KeepaliveMs", 30000.0) / 1e3
-        self.desk = Desk(told, self.terms)
+        self.desk = Desk(told, self.terms, epoch)
         self.pool = Pool(clock, lambda address: dial(address, connect), int(ENGINES_PART * told.sockets),
                          KEPT_PART * keep)
         self.engines = Engines(clock, self.pool, log)
--- a/myrtlehub/relay/told.py
+++ b/myrtlehub/relay/told.py
@@ -1,6 +1,5 @@
 """What the platform tells a node: its configuration, the list of engines, requests; as plain rows of ours."""
 
-import time
 from pathlib import Path
 from typing import NamedTuple, Self
 
@@ -147,7 +146,7 @@
 class Desk:
     """The host's door: names from outside as indices, requests as arrivals, the list as rows."""
 
-    def __init__(self, told: Told, terms: itf.Terms) -> None:
+    def __init__(self, told: Told, terms: itf.Terms, epoch: float) -> None:
         s = told.settings
         self.rows = [TrafficLine(c["Name"], t.repeats == itf.ONCE_ONLY)
                      for c, t in zip(s["Classes"], terms.traffic, strict=True)]
@@ -158,7 +157,7 @@
         self.engines = EngineIndices()
         self.lag = LagMeter()
         # Unix time when our clock showed 0: taken once, so that an engine's start is always the same moment.
-        self.epoch = time.time() - time.monotonic()
+        self.epoch = epoch
 
     def news(self, told: object, now: float) -> News:
         """What discovery wrote; entries that can't be read are left out, BadNews where nothing can."""
--- a/tests/memnet.py
+++ b/tests/memnet.py
@@ -16,21 +16,29 @@
 
     def __init__(self, net: "Net", host: str) -> None:
         self.net, self.host, self.out, self.other, self.protocol = net, host, [], None, None
-        self.closing = self.dead = self.stalled = False
-        self.producer = None
+        self.closing = self.dead = self.stalled = self.paused = False
+        self.producer, self.pulled = None, False
 
     def write(self, data: bytes) -> None:
         if not (self.closing or self.dead):
             self.out.append(data)
-            if self.producer and self.stalled:
+            if self.producer and self.stalled and not self.pulled:
                 self.producer.pauseProducing()
 
     def registerProducer(self, producer: object, streaming: bool) -> None:  # noqa: N802
-        self.producer = producer
+        self.producer, self.pulled = producer, not streaming
+        if self.pulled:
+            producer.resumeProducing()
 
     def unregisterProducer(self) -> None:  # noqa: N802
         self.producer = None
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        self.paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self.paused = False
+
     def getPeer(self) -> Address:  # noqa: N802
         return Address(self.other.host)
 
@@ -97,7 +105,7 @@
     def pump(self) -> bool:
         moved = False
         for pipe in list(self.pipes):
-            if pipe.dead or pipe.stalled or pipe.host in self.silent:
+            if pipe.dead or pipe.stalled or pipe.other.paused or pipe.host in self.silent:
                 continue
             if pipe.out:
                 self.crossed += 1
@@ -107,6 +115,8 @@
                     continue
                 data, pipe.out = b"".join(pipe.out), []
                 pipe.other.protocol.dataReceived(data)
+                if pipe.producer and pipe.pulled and not pipe.out:
+                    pipe.producer.resumeProducing()
             elif pipe.closing and not pipe.dead:
                 self.cut(pipe, clean=True)
                 moved = True
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,540 @@
+"""The relay's protocol: clients, engines, discovery, drains; on memory transports and a driven clock."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from relayrig import (
+    DONE, EVENT, HEAD, READ_DONE, RELEASED, SETTINGS, USAGE, WHOLE, Far, Rig, answer, chat, chunk)
+
+from myrtlehub import interface as itf
+from myrtlehub.relay.events import EVENT_MOST, Events, Spoilt
+from myrtlehub.relay.outcomes import HEADS, of_break, of_head
+from myrtlehub.relay.reload import Drain, reload
+from myrtlehub.relay.told import BadNews, load_of, read_told
+
+LONG = 2000  # prompt tokens from which a reader is used
+
+
+def stream_of(got: bytes) -> bytes:
+    """The body of one chunked answer, its last chunk included."""
+    body, out = got.partition(b"\r\n\r\n")[2], b""
+    while body:
+        size, _, body = body.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return out + b"<end>"
+        out, body = out + body[:int(size, 16)], body[int(size, 16) + 2:]
+    return out
+
+
+def silent(far: Far, head: object, body: bytes) -> None:
+    """An engine that takes work and says nothing."""
+    if head.method == b"DELETE":
+        far.say(RELEASED)
+
+
+# -- the ordinary path --------------------------------------------------------------------------------
+
+
+def test_short_prompt_goes_to_a_writer_and_its_stream_through_unchanged() -> None:
+    rig = Rig()
+    client = rig.ask("a1", 100)
+    assert client.statuses == [200]
+    assert stream_of(client.got) == EVENT + EVENT + USAGE + DONE + b"<end>"
+    method, target, headers, body, _ = rig.engines["w1"].asked[0]
+    assert (method, target, body) == (b"POST", b"/v1/chat/completions?v=1", b'{"model":"chat","messages":[]}')
+    assert headers[b"x-txn"] == b"a1" and 3900 <= int(headers[b"x-remaining-ms"]) <= 4000
+    assert not rig.engines["r1"].asked and not client.lost and not rig.node.host.held
+
+
+def test_long_prompt_is_read_first_and_the_same_request_goes_on_to_the_writer() -> None:
+    rig = Rig()
+    client = rig.ask("a1", LONG)
+    assert stream_of(client.got).endswith(b"<end>")
+    read, written = rig.engines["r1"].chats(), rig.engines["w1"].chats()
+    assert len(read) == len(written) == 1
+    assert read[0][1:2] + read[0][3:4] == written[0][1:2] + written[0][3:4]
+    assert rig.engines["r1"].released() == []  # the writer fetched it
+
+
+def test_connections_are_kept_for_the_next_request() -> None:
+    rig = Rig()
+    client = rig.ask("a1")
+    rig.run(0.2)
+    rig.ask("a2", client=client)
+    assert client.statuses == [200, 200]
+    assert len(rig.engines["w1"].connections) == 1 and rig.node.pool.reused == 1
+
+
+def test_reports_reach_the_module_from_heads_and_from_the_tail_of_streams() -> None:
+    rig = Rig()
+    heard = []
+    rig.node.host.router._report = lambda i, load, now: heard.append((i, load))
+    rig.engines["w1"].answer = lambda far, head, body: far.say(
+        HEAD + chunk(EVENT + USAGE) + chunk(DONE + b': X-Pressure: {"x0":0.25,"x1":1.5}\n\n') + b"0\r\n\r\n")
+    rig.ask("a1", LONG)
+    assert [load.memory_share for _, load in heard] == [0.5, 0.25]
+    assert [load.unread for _, load in heard] == [2000.0, 1500.0]
+    assert load_of(b"{not json") is None and load_of(b'{"x0":"much"}') is None and load_of(b"[]") is None
+
+
+# -- outcomes -----------------------------------------------------------------------------------------
+
+
+def test_every_row_of_the_table_and_what_is_in_none() -> None:
+    for (reads, status, mark), end in HEADS.items():
+        assert of_head(reads, status, mark) == end
+    for reads in (True, False):
+        for status in (201, 204, 301, 400, 404, 410, 429, 500, 502, 503, 504):
+            assert of_head(reads, status, False).outcome == itf.ERROR  # without its mark it proves nothing
+        assert of_head(reads, 500, True).outcome == itf.ERROR
+    assert of_head(True, 200, False).outcome == of_head(False, 202, False).outcome == itf.ERROR
+    assert (of_break(False).outcome, of_break(True).outcome) == (itf.UNREACHED, itf.RESET)
+
+
+@pytest.mark.parametrize(("traffic", "said", "status"), [
+    ("ask", answer(500), 200),  # repeatable: it may go again
+    ("post", answer(500), 502),  # may have run: no promise
+    ("post", answer(503, mark=True), 200),  # did not run: it goes again
+    ("post", answer(503), 502),  # without its mark it proves nothing
+    ("post", b"\x00\x01noise\r\n\r\n", 502),
+    ("ask", b"\x00\x01noise\r\n\r\n", 200),
+    ("post", b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000, 502),  # a head that does not end
+    ("post", HEAD + b"zz\r\n" + EVENT, 502),  # a chunk's size that can't be read
+    ("post", HEAD + chunk(b"\x8a\x93 noise"), 502),
+    ("post", HEAD + b"0\r\n\r\n", 502),  # a stream without an event
+])
+def test_what_a_writer_says_first_decides_whether_it_goes_again(
+        traffic: str, said: bytes, status: int) -> None:
+    rig = Rig("w1 w2")
+
+    def first(far: Far, head: object, body: bytes) -> None:
+        far.say(said if len(rig.engines["w1"].chats() + rig.engines["w2"].chats()) == 1 else WHOLE)
+    for peer in rig.engines.values():
+        peer.answer = first
+    client = rig.ask("a1", traffic=traffic)
+    assert client.statuses == [status]
+    attempts = len(rig.engines["w1"].chats() + rig.engines["w2"].chats())
+    assert attempts == (2 if status == 200 else 1)
+
+
+def test_an_engine_that_refuses_connections_has_not_run_it() -> None:
+    rig = Rig("w1 w2")
+    rig.net.kill("w1:1")
+    rig.net.kill("w2:1")
+    client = rig.ask("a1", traffic="post")
+    rig.run(5.0)
+    assert client.statuses == [503]  # a rejection is true: nothing ran
+
+
+def test_a_writer_that_has_lost_the_state_is_told_from_one_that_is_full() -> None:
+    rig = Rig("r1 m1")
+    rig.engines["m1"].answer = lambda far, head, body: far.say(
+        answer(410, mark=True) if len(rig.engines["m1"].chats()) == 1 else WHOLE)
+    client = rig.ask("a1", LONG)
+    rig.run(0.2)
+    assert client.statuses == [200]
+    assert len(rig.engines["r1"].chats()) + len(rig.engines["m1"].chats()) >= 3
+
+
+# -- streams ------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"zz\r\n", chunk(b"\x00\xffnoise"), b"ffff\r\n" + EVENT + b"\r\n" + chunk(EVENT), b"3\r\n" + EVENT])
+def test_a_stream_spoilt_later_ends_the_clients_connection_without_the_last_chunk(spoilt: bytes) -> None:
+    rig = Rig("w1")
+    rig.engines["w1"].answer = lambda far, head, body: far.say(HEAD + chunk(EVENT) + spoilt)
+    client = rig.ask("a1")
+    rig.run(4.0)
+    assert client.lost and not stream_of(client.got).endswith(b"<end>")
+    assert stream_of(client.got).startswith(EVENT) and client.statuses == [200]
+    assert len(rig.engines["w1"].chats()) == 1  # what has streamed is not tried again
+
+
+def test_a_chunk_of_3_gb_that_keeps_coming_ends_the_stream_within_5_s() -> None:
+    rig = Rig("w1")
+    rig.engines["w1"].answer = lambda far, head, body: far.say(HEAD + chunk(EVENT) + b"c0000000\r\n")
+    client = rig.ask("a1")
+    far = rig.engines["w1"].connections[0]
+    for _ in range(9):
+        far.say(b"data: xxxx")  # bytes that never become an event are no sign of life
+        rig.run(0.5)
+    assert client.lost and far.lost
+
+
+def test_a_stream_that_is_silent_for_seconds_and_goes_on_is_not_cut() -> None:
+    rig = Rig("w1")
+    rig.engines["w1"].answer = lambda far, head, body: far.say(HEAD + chunk(EVENT))
+    client = rig.ask("a1")
+    rig.run(12.0)
+    rig.engines["w1"].connections[0].say(chunk(EVENT + USAGE + DONE) + b"0\r\n\r\n")
+    rig.run(0.1)
+    assert stream_of(client.got) == EVENT + EVENT + USAGE + DONE + b"<end>"
+
+
+def test_a_stream_on_which_nothing_comes_any_more_is_ended() -> None:
+    rig = Rig("w1")
+    rig.engines["w1"].answer = lambda far, head, body: far.say(HEAD + chunk(EVENT))
+    client = rig.ask("a1")
+    rig.run(17.0)
+    assert client.lost and not rig.node.host.held
+
+
+def test_what_lies_behind_a_good_answer_is_never_another_requests_answer() -> None:
+    rig = Rig("w1")
+    rig.engines["w1"].answer = lambda far, head, body: far.say(
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" + WHOLE + (HEAD + chunk(b"data: other\n\n") + b"0\r\n\r\n"))
+    client = rig.ask("a1")
+    assert stream_of(client.got).endswith(b"<end>") and b"other" not in client.got
+    assert rig.engines["w1"].connections[0].lost
+    rig.run(0.2)
+    client = rig.ask("a2")
+    assert client.statuses == [200] and len(rig.engines["w1"].connections) == 2
+
+
+def test_a_surplus_that_comes_a_moment_later_closes_the_kept_connection() -> None:
+    rig = Rig("w1")
+    rig.ask("a1")
+    rig.engines["w1"].connections[0].say(WHOLE)
+    rig.run(0.1)
+    assert rig.engines["w1"].connections[0].lost
+
+
+def test_more_1xx_answers_than_bounded_are_no_answer() -> None:
+    rig = Rig("w1")
+    early = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 50
+    rig.engines["w1"].answer = lambda far, head, body: far.say(early + WHOLE)
+    assert rig.ask("a1", traffic="post").statuses == [502]
+
+
+def test_a_client_that_takes_nothing_holds_up_its_writer_and_nothing_else() -> None:
+    rig = Rig("w1")
+    rig.engines["w1"].answer = lambda far, head, body: far.say(HEAD + chunk(EVENT))
+    client = rig.ask("a1")
+    near = client.transport.other
+    near.stalled = True
+    engine = rig.engines["w1"].connections[0]
+    engine.say(chunk(EVENT))
+    rig.run(0.05)
+    assert engine.transport.other.paused  # no more is read of the engine's stream
+    near.stalled = False
+    near.producer.resumeProducing()
+    engine.say(chunk(USAGE + DONE) + b"0\r\n\r\n")
+    rig.run(0.05)
+    assert stream_of(client.got) == EVENT + EVENT + USAGE + DONE + b"<end>"
+
+
+@given(st.lists(st.integers(1, 40), max_size=30))
+def test_events_are_cut_the_same_however_they_come(cuts: list[int]) -> None:
+    text = EVENT + USAGE + b": X-Pressure: {\"x0\":0.5}\n\n" + DONE
+    events, out, at = Events(), b"", 0
+    for cut in [*cuts, len(text)]:
+        out += events.feed(text[at:at + cut])
+        at += cut
+    events.end()
+    assert out == text and events.kept == 64.0 and events.done
+    assert events.load == itf.Load(memory_share=0.5)
+
+
+def test_an_event_without_end_and_half_an_event_at_the_end_spoil_it() -> None:
+    events = Events()
+    with pytest.raises(Spoilt):
+        events.feed(b"data: " + b"x" * EVENT_MOST)
+    events = Events()
+    assert events.feed(EVENT + b"data: half") == EVENT
+    with pytest.raises(Spoilt):
+        events.end()
+
+
+# -- held state ---------------------------------------------------------------------------------------
+
+
+def test_a_client_that_leaves_amid_a_read_has_its_state_released() -> None:
+    rig = Rig()
+    rig.engines["r1"].answer = silent
+    client = rig.ask("a1", LONG)
+    client.transport.loseConnection()
+    rig.run(0.3)
+    assert rig.engines["r1"].chats()[0][4].lost  # given up by closing its connection
+    assert rig.engines["r1"].released() == [b"/state/a1"]
+    assert not rig.node.host.held
+
+
+def test_a_release_is_tried_again_on_a_new_connection_until_it_is_answered() -> None:
+    rig = Rig()
+    rig.engines["w1"].answer = silent
+
+    def deaf_once(far: Far, head: object, body: bytes) -> None:
+        if head.method == b"POST":
+            far.say(READ_DONE)
+        elif len(rig.engines["r1"].released()) > 1:
+            far.say(RELEASED)
+    rig.engines["r1"].answer = deaf_once
+    client = rig.ask("a1", LONG)
+    client.transport.loseConnection()
+    rig.run(3.0)
+    assert rig.engines["r1"].released() == [b"/state/a1"] * 2
+
+
+# -- clients ------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("said", "status"), [
+    (chat(traffic="none"), 400),
+    (chat().replace(b"X-Txn: a1\r\n", b""), 400),
+    (chat(more=b"X-Txn: a2\r\n"), 400),
+    (chat("a%2F1"), 400),
+    (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: soon"), 400),
+    (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: -5"), 400),
+    (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: 1e3"), 400),
+    (chat().replace(b"prompt_len=100", b"prompt_len=many"), 400),
+    (chat().replace(b"X-Org: acme", b"X-Org: nobody"), 400),
+    (chat(body=b"not json"), 400),
+    (chat(body=b'{"model":"chat"}'), 400),
+    (chat().replace(b"POST", b"GET", 1), 405),
+    (chat().replace(b"/v1/chat", b"/v2/chat", 1), 404),
+    (chat().replace(b"Content-Length: 30", b"Content-Length: 30\r\nTransfer-Encoding: chunked"), 400),
+    (chat().replace(b"Content-Length: 30", b"Content-Length: 30\r\nContent-Length: 31"), 400),
+    (chat().replace(b"Content-Length: 30", b"Content-Length: -1"), 400),
+    (chat().replace(b"Content-Length: 30", b"Content-Length: 60000000"), 413),
+    (chat().replace(b"Content-Length: 30", b"Content-Length: 99999999999999999999"), 413),
+    (chat(more=b"X-A: " + b"y" * 30000 + b"\r\n"), 431),
+    (b"\x16\x03\x01 what is this\r\n\r\n", 400),
+])
+def test_what_is_malformed_is_told_at_once_closed_and_never_passed_on(said: bytes, status: int) -> None:
+    rig = Rig("w1")
+    client = rig.client()
+    client.say(said)
+    rig.run(0.1)
+    assert client.statuses == [status] and client.lost
+    assert not rig.engines["w1"].asked and not rig.node.host.held
+
+
+def test_a_request_hidden_behind_a_doubtful_length_is_not_read() -> None:
+    rig = Rig("w1")
+    client = rig.client()
+    client.say(chat().replace(b"Content-Length: 30", b"Content-Length: 5\r\nTransfer-Encoding: chunked")
+               + b"0\r\n\r\n" + chat("hidden"))
+    rig.run(0.5)
+    assert client.statuses == [400] and not rig.engines["w1"].asked
+
+
+def test_a_body_in_chunks_is_taken_and_goes_on_with_its_length_and_one_too_long_is_not() -> None:
+    rig = Rig("w1")
+    body = b'{"model":"chat","messages":[]}'
+    head = chat().partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+    client = rig.client()
+    client.say(head + chunk(body[:7]) + chunk(body[7:]) + b"0\r\n\r\n")
+    rig.run(0.1)
+    assert client.statuses == [200] and rig.engines["w1"].asked[0][3] == body
+    client = rig.client()
+    client.say(head + chunk(b"x" * 200_000))
+    client.say(chunk(b"x" * 200_000))
+    rig.run(0.1)
+    assert client.statuses == [413] and client.lost
+
+
+def test_the_id_of_an_open_request_is_refused_and_the_open_one_goes_on() -> None:
+    rig = Rig("w1")
+    rig.engines["w1"].answer = silent
+    first = rig.ask("a1")
+    second = rig.ask("a1")
+    assert second.statuses == [409] and second.lost and not first.lost
+    rig.engines["w1"].connections[0].say(WHOLE)
+    rig.run(0.1)
+    assert first.statuses == [200]
+
+
+@pytest.mark.parametrize("said", [b"", b"POST /v1/chat", chat()[:-5]])
+def test_silence_and_half_requests_end_within_3_s(said: bytes) -> None:
+    rig = Rig("w1")
+    client = rig.client()
+    client.say(said) if said else None
+    rig.run(2.5)
+    assert client.lost and client.statuses == ([408] if said else [])
+
+
+def test_half_a_request_and_a_close_leaves_nothing() -> None:
+    rig = Rig("w1")
+    client = rig.client()
+    client.say(chat()[:-5])
+    client.transport.loseConnection()
+    rig.run(0.1)
+    assert not rig.node.site.connections and not rig.node.host.held
+
+
+def test_pipelined_requests_are_answered_in_turn() -> None:
+    rig = Rig("w1")
+    client = rig.client()
+    client.say(chat("a1") + chat("a2") + b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+    rig.run(0.3)
+    assert client.statuses == [200, 200, 200]
+    assert [a[2][b"x-txn"] for a in rig.engines["w1"].asked] == [b"a1", b"a2"]
+
+
+def test_hundreds_of_silent_connections_leave_room_for_one_that_asks() -> None:
+    rig = Rig("w1", sockets=100)
+    silent_ones = [rig.client() for _ in range(90)]
+    rig.run(0.3)
+    assert len(rig.node.site.connections) <= rig.node.site.most
+    assert rig.ask("a1").statuses == [200]
+    rig.run(3.0)
+    assert all(c.lost for c in silent_ones)
+
+
+def test_room_is_never_made_by_closing_a_connection_whose_request_is_open() -> None:
+    rig = Rig("w1", sockets=100)
+    rig.engines["w1"].answer = silent
+    open_ones = [rig.ask(f"a{i}") for i in range(20)]
+    for _ in range(60):
+        rig.client()
+    rig.run(1.0)
+    assert not any(c.lost for c in open_ones)
+
+
+def test_ids_and_connections_without_end_leave_nothing_behind() -> None:
+    rig = Rig("r1 w1")
+    for i in range(300):
+        rig.ask(f"a{i}", LONG if i % 3 == 0 else 100).transport.loseConnection()
+    rig.run(1.0)
+    node = rig.node
+    assert not node.host.held and not node.front.open and not node.site.connections
+    assert not node.engines.streams and not node.host.router.seqs
+    assert node.pool.count == sum(len(free) for free in node.pool._free.values())
+
+
+# -- discovery ----------------------------------------------------------------------------------------
+
+
+def test_a_change_is_followed_and_the_watch_renewed_at_once() -> None:
+    rig = Rig("w1 w2")
+    rig.change(w1=rig.line("w1", "leaving"))
+    assert len(rig.waiting) == 1  # the next watch is there
+    for i in range(6):
+        rig.ask(f"a{i}")
+    assert not rig.engines["w1"].chats() and len(rig.engines["w2"].chats()) == 6
+    assert b"since=2" in rig.discovery.asked[-1][1]
+
+
+def test_an_engine_that_moved_is_reached_where_it_is_now() -> None:
+    rig = Rig("w1")
+    rig.ask("a0")
+    rig.net.listen("new:1", rig.engines["w1"])
+    old = rig.engines["w1"].connections[0]
+    rig.change(w1=rig.line("w1", dial="new:1"))
+    rig.run(0.1)
+    assert old.lost
+    assert rig.ask("a1").statuses == [200]
+
+
+def test_entries_that_cannot_be_read_do_not_end_the_watch() -> None:
+    rig = Rig("w1")
+    far = rig.waiting.pop()
+    rig.tell(far, {"seq": 2, "whole": False, "hosts": [{"host": 5}, None, rig.line("x9"), rig.line("w2")]})
+    rig.run(0.05)
+    assert len(rig.waiting) == 1 and set(rig.node.desk.engines.at) == {"w1", "w2"}
+
+
+def test_a_silent_discovery_is_left_and_called_again() -> None:
+    rig = Rig("w1")
+    calls = len(rig.discovery.asked)
+    rig.run(8.0)
+    assert len(rig.discovery.asked) > calls + 1
+    assert rig.ask("a1").statuses == [200]
+
+
+def test_sighup_moves_discovery_and_a_bad_file_changes_nothing(tmp_path: object) -> None:
+    rig = Rig("w1")
+    logged = []
+    path = tmp_path / "c.json"
+    path.write_text("{")
+    reload(str(path), rig.node.discovery.move, lambda event, **more: logged.append(event))
+    assert logged == ["configuration kept"] and rig.node.discovery.address == "disco:1"
+    rig.net.listen("disco:2", rig.discovery)
+    path.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "disco:2", "settings": {}}))
+    rig.lines["w2"] = rig.line("w2")
+    rig.engines["w2"] = rig.engines["w1"]
+    reload(str(path), rig.node.discovery.move, lambda event, **more: logged.append(event))
+    rig.run(0.1)
+    assert rig.node.discovery.address == "disco:2" and "w2" in rig.node.desk.engines.at
+
+
+def test_a_node_is_ready_with_a_fresh_list_or_after_a_while_with_the_old_one() -> None:
+    def up(rig: Rig) -> int:
+        client = rig.client()
+        client.say(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        rig.run(0.02)
+        return client.statuses[0]
+    assert up(Rig("w1")) == 200
+    rig = Rig("w1", known=False)
+    assert up(rig) == 200
+    rig.net.kill("disco:1")
+
+
+# -- drains and starts --------------------------------------------------------------------------------
+
+
+def test_sigterm_answers_all_that_was_taken_and_what_still_comes_then_ends() -> None:
+    rig = Rig("w1")
+    idle = rig.ask("a0")
+    rig.engines["w1"].answer = silent
+    taken = rig.ask("a1")
+    ended, stopped = [], []
+    drain = Drain(rig.clock, rig.node.site, rig.node.busy, lambda: stopped.append(rig.clock.seconds()),
+                  lambda: ended.append(rig.clock.seconds()))
+    at = rig.clock.seconds()
+    drain.start()
+    drain.start()
+    rig.run(0.2)
+    assert idle.lost and not taken.lost
+    late = rig.ask("a2")  # the front has not noticed yet
+    rig.run(2.0)
+    assert stopped and stopped[0] - at >= 0.5 and not ended
+    for far in rig.engines["w1"].connections:
+        far.say(WHOLE) if not far.lost else None
+    rig.run(1.0)
+    assert taken.statuses == late.statuses == [200] and b"Connection: close" in taken.got
+    assert taken.lost and late.lost and ended
+
+
+@pytest.mark.parametrize(("text", "names"), [
+    (None, "RELAY_CONFIG"), ("[]", "RELAY_CONFIG"), ("{", "RELAY_CONFIG"),
+    ('{"discovery":"a:1","settings":{}}', "listen"), ('{"listen":"a:1","settings":{}}', "discovery"),
+    ('{"listen":"a:1","discovery":"a:1"}', "settings"),
+    ('{"listen":"a","discovery":"a:1","settings":{}}', "listen"),
+    ('{"listen":"a:1","discovery":"a:x","settings":{}}', "discovery"),
+    ('{"listen":"a:1","discovery":"a:1","settings":{},"limits":{"sockets":"many"}}', "limits.sockets"),
+])
+def test_a_bad_configuration_is_named_by_its_key(tmp_path: object, text: str | None, names: str) -> None:
+    path = tmp_path / "c.json"
+    if text is not None:
+        path.write_text(text)
+    with pytest.raises(BadNews, match=names):
+        read_told(str(path))
+
+
+def test_the_program_ends_with_2_and_one_line_where_settings_lack_a_key(tmp_path: object) -> None:
+    path = tmp_path / "c.json"
+    path.write_text('{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"Zones":[]}}')
+    for env in ({"RELAY_CONFIG": str(path)}, {}):
+        done = subprocess.run([sys.executable, "-m", "myrtlehub.relay"], env=env, capture_output=True,
+                              text=True, check=False)
+        assert done.returncode == 2 and len(done.stderr.splitlines()) == 1
+        assert "RELAY_CONFIG" in done.stderr or "listen" in done.stderr or "Classes" in done.stderr
+
+
+def test_what_run_imports_leaves_out_the_other_fronts_and_their_libraries() -> None:
+    said = subprocess.run(
+        [sys.executable, "-c", "import sys, myrtlehub.relay.__main__; print(*sys.modules)"],
+        capture_output=True, text=True, check=True).stdout.split()
+    unwanted = {"pydantic", "ruamel", "ruamel.yaml", "google", "h2", "immutables", "structlog", "click",
+                "grpc", "zstandard", "myrtlehub.rpc", "myrtlehub.config", "myrtlehub.proto", "myrtlehub.lab"}
+    assert not unwanted & set(said) and "myrtlehub.decide" in said
+
+
+def test_settings_of_these_tests_are_those_of_the_simulators_first_message() -> None:
+    assert {"Classes", "Caps", "Invariants", "Specifics", "MachineTypes"} <= set(SETTINGS)
