--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -16,7 +16,7 @@
 from myrtlehub.relay.told import BadNews, read_told
 
 BACKLOG = 511  # connections that may wait to be accepted: bursts come by hundreds
-QUIET = frozenset(("answer", "engine", "attempt", "refused"))  # too many for the log, unless it is asked for
+QUIET = frozenset(("answer", "engine", "attempt", "broken", "refused"))  # too many, unless they are asked for
 ALL = os.environ.get("RELAY_LOG") == "all"
 
 
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -12,9 +12,9 @@
 from myrtlehub.relay.outcomes import End, of_break, of_head
 from myrtlehub.relay.told import load_of
 
-LOOK = 0.5  # seconds between looks at streams that are silent
+LOOK = 0.25  # seconds between looks at streams that are silent
 HALF_FOR = 2.5  # seconds for the rest of an event or chunk: engines write them whole; 5 s are owed
-SILENT_FOR = 15.0  # seconds without an event, until a stream is ended: an answer may be put back, read anew
+SILENT_FOR = 4.2  # seconds without an event, until a stream is ended: 5 s are owed after a last one
 RELEASE_TRIES = (0.12, 0.2, 0.3, 0.6, 0.8)  # seconds from try to try of a release, each on a new connection
 ONCE_WITHIN = 1.0  # seconds for which a kept connection may have lain unused, for what may not run twice
 
@@ -35,7 +35,7 @@
         self.events: Events | None = None
         self.load: itf.Load | None = None
         self.body = b""
-        self.heard_at = 0.0
+        self.heard_at = self.gap = 0.0  # when an event last came; the longest pause between two
         self.half_since: float | None = None  # since when the rest of an event, chunk or stream is owed
         self.asking: Asking | None = None
 
@@ -59,7 +59,8 @@
                 self.spoil("no event")
                 return
             if whole:
-                self.heard_at = self.host.clock.seconds()
+                now = self.host.clock.seconds()
+                self.gap, self.heard_at = max(self.gap, now - self.heard_at), now
                 attempt = self.attempt
                 if attempt.begun:
                     self.host.more(attempt, whole)
@@ -104,10 +105,8 @@
     def _tell(self, end: End, kept: float = 0.0, load: itf.Load | None = None, tokens: int = 0,
               why: str = "") -> None:
         self.engines.streams.pop(self, None)
-        attempt, now = self.attempt, self.host.clock.seconds()
-        self.engines.log("attempt", seq=attempt.held.label, engine=self.engines.name(attempt.engine),
-                         number=attempt.number, reads=attempt.reads, outcome=end.outcome, why=why,
-                         took=round(now - attempt.since, 4), begun=attempt.begun)
+        if why:
+            self.engines.log("broken", seq=self.attempt.held.label, number=self.attempt.number, why=why)
         kept = kept or float(end.no_state)
         handle = True if end.outcome == itf.READ else None
         self.host.ended(self.attempt, end.outcome, kept, load or self.load, handle, tokens)
@@ -154,6 +153,15 @@
             self.pool.close_idle(name)
         self.dials[name] = dial
 
+    def ended(self, attempt: Attempt) -> None:
+        """Any attempt's end, whoever caused it: a line for whoever asks for all of them."""
+        watcher = attempt.call.watcher if attempt.call is not None else None
+        self.log("attempt", seq=attempt.held.label, number=attempt.number, engine=self.name(attempt.engine),
+                 kind=attempt.kind, reads=attempt.reads, state=attempt.life.state,
+                 took=round(self.clock.seconds() - attempt.since, 4),
+                 timed=self.clock.seconds() >= attempt.until,
+                 gap=round(watcher.gap, 2) if watcher is not None else 0.0)
+
     # -- the host's Carrier -----------------------------------------------------------------------
 
     def start(self, attempt: Attempt) -> None:
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -34,6 +34,7 @@
         self.engines = Engines(clock, self.pool, log)
         self.host = host_class(Router(self.terms), self.desk, self.terms, clock, self.engines, "", log)
         self.engines.host = self.host
+        self.host.on_back = self.engines.ended
         self.front = Front(self.host, self.desk, caps.get("MostHeld", 20000))
         self.front.ready = self._ready
         self.site = Site(clock, self.front.asked, int(CLIENTS_PART * told.sockets))
