One reset does not make an engine cold; kept connections are left alone once one was stale

Checked: a line a second of what the module believes (a probe, not kept): 14 of 14 engines cold from second 9 on, though the list says none had restarted; ruled out: processor (0.35 of a core), memory of writers (0.2 to 0.4), readers' queues. At fault: decide.Router._learn took every RESET or UNREACHED for a restart, so _cold_pass kept engines to a part of their sends for 12 s. Change: restarted from a share of failures of 0.8 (DYING): three resets in a row, or two connections refused.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -49,6 +49,7 @@
 DRAG_COST = 0.5  # share of a writer's room lost where answers take twice the usual time
 TARDY_COST = 3.0  # seconds that each second of late beginnings counts against a writer
 BLAME = 0.25  # share of failures above the fleet's median at which an engine is left alone
+DYING = 0.8  # share of failures from which an engine that cannot be reached, or resets, counts as restarted
 WINDOW_MARGIN = 0.05  # seconds before the end of a dedup window at which a repeat is not sent any more
 SWEEP = 0.04  # seconds between looks at what is kept here
 REFUSED_FOR = 20.0  # seconds for which an engine that was full for a tenant and type is their last choice
@@ -575,10 +576,11 @@
             self.refused[t.engine, *seq.whose] = now + REFUSED_FOR
             self.taken.pop((t.engine, *seq.whose), None)
         elif t.outcome not in (FULL, UNSENT, CANCELLED):
-            if t.outcome in (UNREACHED, RESET):
-                # Guards against pushing over what died and came back, seconds before the list says so.
-                self.started[t.engine], self.table.rows[t.engine] = now, {}
             self._note(self.failing, t.engine, 1.0, 0.7 if t.outcome == UNREACHED else 0.5)
+            if t.outcome in (UNREACHED, RESET) and self._seen(self.failing, t.engine) > DYING:
+                # Guards against pushing over what died and came back, seconds before the list says so. One
+                # reset is no death: connections break, and streams are spoilt, at engines that run on.
+                self.started[t.engine], self.table.rows[t.engine] = now, {}
         self.own_unread[t.engine] = max(0.0, self.own_unread[t.engine] - t.unread)
         self.own_reads[t.engine] -= t.reads
         if not (seq.may_run or t.reads or t.outcome in (GENERATED, READ, FULL, UNREACHED, UNSENT)):
--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -13,3 +13,5 @@
 SETTLED = 0.05  # seconds a kept connection lies before its next use: what was sent behind an answer shows
 AT_ONCE = 48  # connections over the bound that may come between two looks: they may hold requests unread
 HEARD_WITHIN = 0.1  # seconds in which what a new connection has sent is surely read
+STALE_FOR = 30.0  # seconds without kept connections after one broke under its next request: a new one costs
+# its peer a millisecond or two, a request that may have run costs an attempt
--- a/myrtlehub/http1/client.py
+++ b/myrtlehub/http1/client.py
@@ -6,7 +6,7 @@
 import h11
 from twisted.internet.protocol import Factory, Protocol
 
-from myrtlehub.http1.bounds import CHUNK_MOST, HEAD_MOST, INFORMATIONAL_MOST, SETTLED
+from myrtlehub.http1.bounds import CHUNK_MOST, HEAD_MOST, INFORMATIONAL_MOST, SETTLED, STALE_FOR
 
 
 class Call(NamedTuple):
@@ -43,6 +43,7 @@
         self.asking: Asking | None = None
         self.free_since = 0.0
         self.sent = self.gone = self.chunked = self.in_chunk = False
+        self.used = self.answered = False  # it had a request before this one; the answer has begun
         self._informational = self._chunk = 0
         self._to_write: bytes | None = None
 
@@ -53,7 +54,7 @@
     def ask(self, asking: "Asking") -> None:
         """Send a request; the connection has to be free."""
         self.asking, call = asking, asking.call
-        self.sent = self.chunked = self.in_chunk = False
+        self.sent = self.chunked = self.in_chunk = self.answered = False
         self._informational = 0
         headers = [(b"Host", asking.host), *call.headers]
         if call.body or call.method == b"POST":
@@ -92,6 +93,7 @@
 
     def _take(self, event: object) -> bool:
         kind, watcher = type(event), self.asking.watcher
+        self.answered = True
         if kind is h11.Data:
             self._chunk = len(event.data) + (0 if event.chunk_start else self._chunk)
             self.in_chunk = self.chunked and not event.chunk_end
@@ -124,6 +126,7 @@
         if (self.sent and http.our_state is h11.DONE and http.their_state is h11.DONE
                 and not http.trailing_data[0] and not self.gone):
             http.start_next_cycle()
+            self.used = True
             self.free_since = self.clock.seconds()
             self.pool.freed(self)
         else:
@@ -135,6 +138,8 @@
         asking, self.asking = self.asking, None
         self.close()
         if asking is not None:
+            if self.used and not self.answered:
+                self.pool.stale()
             asking.finished()
             asking.watcher.broke(self.sent)
 
@@ -207,6 +212,7 @@
         self.clock, self.dial, self.most, self.idle = clock, dial, most, idle
         self.count = 0  # connections that are up or being made
         self.made = self.reused = 0  # ever
+        self._trusted_at = float("-inf")  # from when kept connections are used again
         self._free: dict[str, list[ClientConnection]] = {}  # the longest free first
         self._up: set[ClientConnection] = set()
         self._sweeping = None
@@ -236,6 +242,8 @@
     def _kept(self, key: str, within: float) -> ClientConnection | None:
         """A free one, lately used, whose last answer has nothing behind it."""
         now, free = self.clock.seconds(), self._free.get(key, [])
+        if now < self._trusted_at:
+            return None
         for i in range(len(free) - 1, -1, -1):
             if now - free[i].free_since > within:
                 return None
@@ -243,6 +251,10 @@
                 return free.pop(i)
         return None
 
+    def stale(self) -> None:
+        """A kept connection broke under its next request: for a while all kept ones may be dead unseen."""
+        self._trusted_at = self.clock.seconds() + STALE_FOR
+
     def _make_room(self) -> bool:
         """Close the longest unused connection of any peer."""
         oldest = min((c[0] for c in self._free.values() if c), key=lambda c: c.free_since, default=None)
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -16,7 +16,6 @@
 HALF_FOR = 2.5  # seconds for the rest of an event or chunk: engines write them whole; 5 s are owed
 SILENT_FOR = 4.2  # seconds without an event, until a stream is ended: 5 s are owed after a last one
 RELEASE_TRIES = (0.12, 0.2, 0.3, 0.6, 0.8)  # seconds from try to try of a release, each on a new connection
-ONCE_WITHIN = 1.0  # seconds for which a kept connection may have lain unused, for what may not run twice
 
 
 class _Kept(msgspec.Struct):
@@ -174,7 +173,7 @@
         once = self.host.door.rows[held.arrival.traffic].once and not attempt.reads
         # Guards against a kept connection that its peer closed unseen: what may not run twice would be lost.
         watcher.asking = attempt.call = self.pool.ask(name, self.dials[name], call, watcher,
-                                                      ONCE_WITHIN if once else 0.0)
+                                                      -1.0 if once else 0.0)
 
     def cancel(self, attempt: Attempt) -> None:
         """See `Carrier`."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -370,3 +370,17 @@
     for w in reversed(likely):  # the best two, which are waited for, last
         b.probed(w, itf.Load(memory_share=0.99, unread=0.0))
     assert b.sends()[s][0] in set(range(1, 11)) - set(likely)
+
+
+def test_one_reset_is_no_death_and_three_in_a_row_are() -> None:
+    """Connections break, and streams are spoilt, at engines that run on: they are not cold for that."""
+    b = Bench("W0 W0 W0")
+    seqs = [b.take(prompt=300.0) for _ in range(9)]
+    at = b.sends()
+    engine = at[seqs[0]][0]
+    there = [s for s in seqs if at[s] == [engine]][:3]
+    assert len(there) == 3
+    for count, seq in enumerate(there):
+        assert b.router.started[engine] == 0.0 and count < 3
+        b.ended(seq, 0, itf.RESET)
+    assert b.router.started[engine] == b.now
