A read given up is released a second time, as it may have ended after the first word

Likely cause, not caught in a trace yet: DELETE overtakes the end of a read whose connection we close, since both go on connections of their own. Change (relay/engines): a second DELETE 0.25 s later where a read of it was given up or broke, none while an attempt is out.

--- a/myrtlehub/http1/client.py
+++ b/myrtlehub/http1/client.py
@@ -124,7 +124,7 @@
         asking, self.asking = self.asking, None
         http = self.http
         if (self.sent and http.our_state is h11.DONE and http.their_state is h11.DONE
-                and not http.trailing_data[0] and not self.gone):
+                and not http.trailing_data[0] and not self.gone and self.pool.trusts()):
             http.start_next_cycle()
             self.used = True
             self.free_since = self.clock.seconds()
@@ -242,7 +242,7 @@
     def _kept(self, key: str, within: float) -> ClientConnection | None:
         """A free one, lately used, whose last answer has nothing behind it."""
         now, free = self.clock.seconds(), self._free.get(key, [])
-        if now < self._trusted_at:
+        if not self.trusts():
             return None
         for i in range(len(free) - 1, -1, -1):
             if now - free[i].free_since > within:
@@ -255,6 +255,10 @@
         """A kept connection broke under its next request: for a while all kept ones may be dead unseen."""
         self._trusted_at = self.clock.seconds() + STALE_FOR
 
+    def trusts(self) -> bool:
+        """Whether connections are kept and used again."""
+        return self.clock.seconds() >= self._trusted_at
+
     def _make_room(self) -> bool:
         """Close the longest unused connection of any peer."""
         oldest = min((c[0] for c in self._free.values() if c), key=lambda c: c.free_since, default=None)
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -15,6 +15,8 @@
 LOOK = 0.25  # seconds between looks at streams that are silent
 HALF_FOR = 2.5  # seconds for the rest of an event or chunk: engines write them whole; 5 s are owed
 SILENT_FOR = 4.2  # seconds without an event, until a stream is ended: 5 s are owed after a last one
+SURE_AFTER = 0.25  # seconds to a second word of release where a read may have ended after the first
+GIVEN_UP_FOR = 60.0  # seconds for which it is known that a read was given up: longer than any sequence waits
 RELEASE_TRIES = (0.12, 0.2, 0.3, 0.6, 0.8)  # seconds from try to try of a release, each on a new connection
 
 
@@ -99,6 +101,8 @@
             self._tell(self.end, kept, self.load)
 
     def broke(self, sent: bool) -> None:
+        if self.attempt.reads and sent:
+            self.engines.note_unsure(self.attempt.held.label)
         self._tell(of_break(sent), why="broke")
 
     def _tell(self, end: End, kept: float = 0.0, load: itf.Load | None = None, tokens: int = 0,
@@ -140,6 +144,7 @@
         self.host: Host | None = None
         self.dials: dict[str, str] = {}
         self.streams: dict[_Attempt, None] = {}
+        self.given_up: dict[str, float] = {}  # sequences by when a read of theirs was last given up or broke
         clock.callLater(LOOK, self._look)
 
     def name(self, engine: int) -> str:
@@ -177,14 +182,35 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """See `Carrier`."""
+        if attempt.reads:
+            self.note_unsure(attempt.held.label)
         if attempt.call is not None:
             self.streams.pop(attempt.call.watcher, None)
             attempt.call.cancel()
 
+    def note_unsure(self, label: str) -> None:
+        """Remember for a while that a read of it may end well unseen."""
+        self.given_up.pop(label, None)
+        self.given_up[label] = now = self.clock.seconds()
+        while next(iter(self.given_up.values())) < now - GIVEN_UP_FOR:
+            del self.given_up[next(iter(self.given_up))]
+
     def release(self, engine: int, label: str) -> None:
         """See `Carrier`."""
         name = self.name(engine)
-        _Release(self, name, self.dials.get(name, ""), label)
+        dial = self.dials.get(name, "")
+        _Release(self, name, dial, label)
+        if label in self.given_up:
+            # Guards against a read that ended well as its connection closed, and was held after that word.
+            self.clock.callLater(SURE_AFTER, self._release_again, name, dial, label)
+
+    def _release_again(self, name: str, dial: str, label: str) -> None:
+        if not self.at_work(label):
+            _Release(self, name, dial, label)
+
+    def at_work(self, label: str) -> bool:
+        """Whether an attempt of it is out: its state may be a new one, which a late word would take away."""
+        return any(h.label == label and any(a.out for a in h.attempts) for h in self.host.held.values())
 
     def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
         """See `Carrier`."""
@@ -234,7 +260,7 @@
     """Tells an engine to let go, again on a fresh connection until it has answered or time is over."""
 
     def __init__(self, engines: Engines, name: str, dial: str, label: str) -> None:
-        self.engines, self.name, self.dial = engines, name, dial
+        self.engines, self.name, self.dial, self.label = engines, name, dial, label
         self.call = Call(b"DELETE", b"/state/" + label.encode(), [])
         self.askings: list[Asking] = []
         self.timer = None
@@ -242,7 +268,7 @@
 
     def _try(self) -> None:
         engines, tried = self.engines, len(self.askings)
-        if tried >= len(RELEASE_TRIES) or not self.dial:
+        if tried >= len(RELEASE_TRIES) or not self.dial or tried and engines.at_work(self.label):
             self._over()
             return
         self.timer = engines.clock.callLater(RELEASE_TRIES[tried], self._try)
