What is given up is closed before anything else is written: no second copy, no state left

Ruled out: a stale index (the reader was listed), READ_TIMEOUT itself, retries of DELETE. At fault: ClientConnection.close: abortConnection closes the socket a reactor turn later, so the next request or the DELETE on a kept connection came first; the engine saw a second copy, or kept the state as an attempt still waited. Change: the sending side is shut at once (hang_up); after any attempt given up, a second word of release, and once-only ones go again on a new connection.

--- a/myrtlehub/http1/client.py
+++ b/myrtlehub/http1/client.py
@@ -1,6 +1,8 @@
 """HTTP/1.1, client side: one request at a time on a connection, and a pool of them by peer."""
 
 from collections.abc import Callable
+from contextlib import suppress
+from socket import SHUT_WR
 from typing import NamedTuple
 
 import h11
@@ -34,6 +36,19 @@
         """No whole answer comes; `sent`: the request's last byte had left, so that it may have run."""
 
 
+def hang_up(transport: object) -> None:
+    """End a connection so that its peer is told before anything that is written after this.
+
+    Guards against abortConnection alone: the reactor closes the socket a turn later, after what was written
+    meanwhile on other connections, and the peer would see a request go on while its next one comes.
+    """
+    handle = getattr(transport, "getHandle", None)
+    if handle is not None:
+        with suppress(OSError):  # it may be lost already
+            handle().shutdown(SHUT_WR)
+    transport.abortConnection()
+
+
 class ClientConnection(Protocol):
     """One connection to a peer. `pool` hears when it is free again and when it is lost."""
 
@@ -147,7 +162,7 @@
         """Now, whatever is on its way."""
         if not self.gone:
             self.pool.dropped(self)
-            self.transport.abortConnection()
+            hang_up(self.transport)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         self.gone = True
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -15,8 +15,8 @@
 LOOK = 0.25  # seconds between looks at streams that are silent
 HALF_FOR = 2.5  # seconds for the rest of an event or chunk: engines write them whole; 5 s are owed
 SILENT_FOR = 4.2  # seconds without an event, until a stream is ended: 5 s are owed after a last one
-SURE_AFTER = 0.25  # seconds to a second word of release where a read may have ended after the first
-GIVEN_UP_FOR = 60.0  # seconds for which it is known that a read was given up: longer than any sequence waits
+SURE_AFTER = 0.25  # seconds to a second word of release where an attempt may have ended after the first
+GIVEN_UP_FOR = 60.0  # seconds for which a given up attempt is remembered: no sequence waits longer
 RELEASE_TRIES = (0.12, 0.2, 0.3, 0.6, 0.8)  # seconds from try to try of a release, each on a new connection
 
 
@@ -101,7 +101,7 @@
             self._tell(self.end, kept, self.load)
 
     def broke(self, sent: bool) -> None:
-        if self.attempt.reads and sent:
+        if sent:
             self.engines.note_unsure(self.attempt.held.label)
         self._tell(of_break(sent), why="broke")
 
@@ -144,7 +144,7 @@
         self.host: Host | None = None
         self.dials: dict[str, str] = {}
         self.streams: dict[_Attempt, None] = {}
-        self.given_up: dict[str, float] = {}  # sequences by when a read of theirs was last given up or broke
+        self.given_up: dict[str, float] = {}  # sequences by when an attempt was last given up or broke
         clock.callLater(LOOK, self._look)
 
     def name(self, engine: int) -> str:
@@ -175,21 +175,22 @@
         wait = max(1, int((attempt.until - now) * 1000))
         call = Call(b"POST", asked.target, [*asked.headers, (b"x-remaining-ms", b"%d" % wait)], asked.body)
         watcher = _Attempt(self, attempt)
-        once = self.host.door.rows[held.arrival.traffic].once and not attempt.reads
         # Guards against a kept connection that its peer closed unseen: what may not run twice would be lost.
+        # And against a next attempt that is there before the end of one given up: a new one takes longer.
+        once = self.host.door.rows[held.arrival.traffic].once and (
+            not attempt.reads or held.label in self.given_up)
         watcher.asking = attempt.call = self.pool.ask(name, self.dials[name], call, watcher,
                                                       -1.0 if once else 0.0)
 
     def cancel(self, attempt: Attempt) -> None:
         """See `Carrier`."""
-        if attempt.reads:
-            self.note_unsure(attempt.held.label)
+        self.note_unsure(attempt.held.label)
         if attempt.call is not None:
             self.streams.pop(attempt.call.watcher, None)
             attempt.call.cancel()
 
     def note_unsure(self, label: str) -> None:
-        """Remember for a while that a read of it may end well unseen."""
+        """Remember for a while that an attempt of it may go on unseen, or end well."""
         self.given_up.pop(label, None)
         self.given_up[label] = now = self.clock.seconds()
         while next(iter(self.given_up.values())) < now - GIVEN_UP_FOR:
@@ -201,7 +202,8 @@
         dial = self.dials.get(name, "")
         _Release(self, name, dial, label)
         if label in self.given_up:
-            # Guards against a read that ended well as its connection closed, and was held after that word.
+            # Guards against a read that ended well as its connection closed, and was held after that word,
+            # and against an engine that heard the word before it saw the writer's connection close.
             self.clock.callLater(SURE_AFTER, self._release_again, name, dial, label)
 
     def _release_again(self, name: str, dial: str, label: str) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -277,8 +277,9 @@
     rig.engines["r1"].answer = deaf_once
     client = rig.ask("a1", LONG)
     client.transport.loseConnection()
-    rig.run(3.0)
+    rig.run(0.2)
     assert rig.engines["r1"].released() == [b"/state/a1"] * 2
+    assert len({id(a[4]) for a in rig.engines["r1"].asked[1:]}) == 2
 
 
 # -- clients ------------------------------------------------------------------------------------------
@@ -569,3 +570,53 @@
         rig.ask(f"a{i}", traffic="post")
         rig.run(0.2)
     assert rig.node.pool.reused == 0 and len(rig.engines["w1"].connections) == 3
+
+
+def test_what_is_given_up_is_closed_before_anything_else_is_written() -> None:
+    """On real sockets: the peer sees the end of one connection before the first byte on another."""
+    import socket
+
+    from myrtlehub.http1.client import hang_up
+
+    class Transport:
+        def __init__(self, near: socket.socket) -> None:
+            self.near, self.aborted = near, False
+
+        def getHandle(self) -> socket.socket:  # noqa: N802
+            return self.near
+
+        def abortConnection(self) -> None:  # noqa: N802
+            self.aborted = True  # as the reactor does: the socket is closed a turn later
+
+    near, far = socket.socketpair()
+    transport = Transport(near)
+    hang_up(transport)
+    far.setblocking(False)
+    assert far.recv(1) == b"" and transport.aborted
+    near.close()
+    hang_up(transport)  # lost already: nothing is raised
+    far.close()
+
+
+def test_a_writer_given_up_has_the_state_released_twice_and_a_new_attempt_of_it_is_left_alone() -> None:
+    rig = Rig()
+    rig.engines["w1"].answer = silent
+    client = rig.ask("a1", LONG)
+    client.transport.loseConnection()
+    rig.run(1.0)
+    assert rig.engines["r1"].released() == [b"/state/a1"] * 2
+    assert not rig.node.engines.at_work("a1")
+
+
+def test_a_once_only_read_that_is_tried_again_goes_on_a_new_connection() -> None:
+    rig = Rig("r1 r2 w1")
+    for i in range(4):
+        rig.ask(f"a{i}", LONG + i)
+    rig.run(0.3)
+    for name in ("r1", "r2"):
+        rig.engines[name].answer = silent
+    rig.ask("p1", LONG, traffic="post")
+    reused = rig.node.pool.reused
+    rig.run(3.0)  # the read is timed out and tried again
+    assert len(rig.engines["r1"].chats() + rig.engines["r2"].chats()) == 4 + 2
+    assert rig.node.pool.reused == reused
