--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -198,17 +198,30 @@
 
     def release(self, engine: int, label: str) -> None:
         """See `Carrier`."""
-        name = self.name(engine)
-        dial = self.dials.get(name, "")
-        _Release(self, name, dial, label)
+        targets = self._told(engine, label)
+        _Release(self, targets, label)
         if label in self.given_up:
             # Guards against a read that ended well as its connection closed, and was held after that word,
             # and against an engine that heard the word before it saw the writer's connection close.
-            self.clock.callLater(SURE_AFTER, self._release_again, name, dial, label)
-
-    def _release_again(self, name: str, dial: str, label: str) -> None:
+            self.clock.callLater(SURE_AFTER, self._release_again, targets, label)
+
+    def _told(self, engine: int, label: str) -> list[tuple[str, str]]:
+        """Names and addresses that a release goes to, in turn: the holder, again, then engines that run.
+
+        Any engine passes it on to all. Guards against a holder that drained and ended while its state had
+        moved, or was on its way, to a writer.
+        """
+        first = self.name(engine)
+        attempts = next((h.attempts for h in self.host.held.values() if h.label == label), [])
+        names = [self.name(a.engine) for a in reversed(attempts)]
+        names += [r.address for r in self.host.door.engines.rows if r.state == "serving"]
+        others = [n for n in dict.fromkeys(names) if n != first]
+        order = [first, first, *others][:len(RELEASE_TRIES)]
+        return [(n, self.dials[n]) for n in order if n in self.dials]
+
+    def _release_again(self, targets: list[tuple[str, str]], label: str) -> None:
         if not self.at_work(label):
-            _Release(self, name, dial, label)
+            _Release(self, targets, label)
 
     def at_work(self, label: str) -> bool:
         """Whether an attempt of it is out: its state may be a new one, which a late word would take away."""
@@ -259,10 +272,10 @@
 
 
 class _Release:
-    """Tells an engine to let go, again on a fresh connection until it has answered or time is over."""
+    """Tells engines to let go, one after another on new connections, until one has answered."""
 
-    def __init__(self, engines: Engines, name: str, dial: str, label: str) -> None:
-        self.engines, self.name, self.dial, self.label = engines, name, dial, label
+    def __init__(self, engines: Engines, targets: list[tuple[str, str]], label: str) -> None:
+        self.engines, self.targets, self.label = engines, targets, label
         self.call = Call(b"DELETE", b"/state/" + label.encode(), [])
         self.askings: list[Asking] = []
         self.timer = None
@@ -270,16 +283,19 @@
 
     def _try(self) -> None:
         engines, tried = self.engines, len(self.askings)
-        if tried >= len(RELEASE_TRIES) or not self.dial or tried and engines.at_work(self.label):
+        if tried >= len(self.targets) or tried and engines.at_work(self.label):
             self._over()
             return
+        name, dial = self.targets[tried]
         self.timer = engines.clock.callLater(RELEASE_TRIES[tried], self._try)
-        self.askings.append(engines.pool.ask(self.name, self.dial, self.call, _Once(self._answered),
+        self.askings.append(engines.pool.ask(name, dial, self.call, _Once(self._answered),
                                              -1.0 if tried else 0.0))
 
     def _answered(self, sound: bool, body: bytes) -> None:
         if sound:
             self._over()
+        elif self.timer is not None and self.timer.active():
+            self.timer.reset(0)  # refused or broken: the next one at once
 
     def _over(self) -> None:
         if self.timer is not None and self.timer.active():
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -620,3 +620,16 @@
     rig.run(3.0)  # the read is timed out and tried again
     assert len(rig.engines["r1"].chats() + rig.engines["r2"].chats()) == 4 + 2
     assert rig.node.pool.reused == reused
+
+
+def test_a_state_whose_reader_has_ended_is_released_by_way_of_another_engine() -> None:
+    """Seen on a day of replacements: the reader drained and ended while the writer waited for its state."""
+    rig = Rig("r1 w1 w2")
+    for name in ("w1", "w2"):
+        rig.engines[name].answer = silent
+    client = rig.ask("a1", LONG)
+    rig.run(0.1)
+    rig.net.kill("r1:1")
+    client.transport.loseConnection()
+    rig.run(0.1)
+    assert b"/state/a1" in rig.engines["w1"].released() + rig.engines["w2"].released()
