--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -11,7 +11,7 @@
 CHUNK_MOST = 256 * 1024  # bytes of one chunk of a stream: events are far smaller, so more is not ours
 INFORMATIONAL_MOST = 8  # answers of 1xx ahead of one: a peer that goes on has nothing else to say
 SETTLED = 0.05  # seconds a kept connection lies before its next use: what was sent behind an answer shows
-AT_ONCE = 48  # connections over the bound that may come between two looks: they may hold requests unread
-HEARD_WITHIN = 0.1  # seconds in which what a new connection has sent is surely read
+HEARD_WITHIN = 0.05  # seconds in which what a new connection has sent is surely read
+HEARD_AT_LEAST = 0.02  # the same where there is no room at all: some turns of the reactor
 STALE_FOR = 30.0  # seconds without kept connections after one broke under its next request: a new one costs
 # its peer a millisecond or two, a request that may have run costs an attempt
--- a/myrtlehub/http1/server.py
+++ b/myrtlehub/http1/server.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from myrtlehub.http1.bounds import (
-    AHEAD_MOST, AT_ONCE, BODY_MOST, HEAD_MOST, HEARD_WITHIN, IDLE, LINGER, STALL, WHOLE_WITHIN)
+    AHEAD_MOST, BODY_MOST, HEAD_MOST, HEARD_AT_LEAST, HEARD_WITHIN, IDLE, LINGER, STALL, WHOLE_WITHIN)
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout",
@@ -289,12 +289,16 @@
 
 
 class Site(Factory):
-    """All connections of clients: how many there may be, and who is closed for another."""
+    """All connections of clients: how many there may be, and who is closed for another.
+
+    `most` of them, and `at_once` more for a moment: those that have just come may hold requests unread.
+    """
 
     noisy = False
 
-    def __init__(self, clock: object, asked: Callable[[Exchange], None], most: int = 1000) -> None:
-        self.clock, self.asked, self.most = clock, asked, most
+    def __init__(self, clock: object, asked: Callable[[Exchange], None], most: int = 1000,
+                 at_once: int = 50) -> None:
+        self.clock, self.asked, self.most, self.at_once = clock, asked, most, at_once
         self.connections: dict[ServerConnection, None] = {}  # in the order of their coming
         self.closing = False
         self._room = None
@@ -305,8 +309,11 @@
     def opened(self, connection: ServerConnection) -> None:
         """Where there are too many, room is made once what these have sent was read."""
         self.connections[connection] = None
-        if len(self.connections) > self.most + AT_ONCE:
-            connection.shut()
+        if len(self.connections) > self.most + self.at_once:
+            # None that came this turn is closed for another: what it has sent is not read yet.
+            unused = [c for c in self.connections if c.unused and not c.closing
+                      and self.clock.seconds() - c.idle_since >= HEARD_AT_LEAST]
+            min(unused, key=lambda c: c.idle_since, default=connection).shut()
         elif len(self.connections) > self.most and (self._room is None or not self._room.active()):
             self._room = self.clock.callLater(HEARD_WITHIN, self._make_room)
 
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -13,7 +13,8 @@
 from myrtlehub.relay.told import Desk, News, Told, terms_of
 
 CLIENTS_PART = 0.45  # of the descriptors, for clients' connections: a third may hold requests
-ENGINES_PART = 0.42  # of them, for engines: a request has one attempt out, and releases come beside
+AT_ONCE_PART = 0.12  # of them, for clients' connections that have just come, until room is made
+ENGINES_PART = 0.38  # of them, for engines: a request has one attempt out, and releases come beside
 KEPT_PART = 0.4  # of the time after which engines close unused connections, for which ours are used again
 KNOWN_FOR = 1.0  # seconds after the start for which a node waits for a list newer than the one it was given
 
@@ -37,7 +38,8 @@
         self.host.on_back = self.engines.ended
         self.front = Front(self.host, self.desk, caps.get("MostHeld", 20000))
         self.front.ready = self._ready
-        self.site = Site(clock, self.front.asked, int(CLIENTS_PART * told.sockets))
+        self.site = Site(clock, self.front.asked, int(CLIENTS_PART * told.sockets),
+                         int(AT_ONCE_PART * told.sockets))
         self.discovery = Discovery(clock, Pool(clock, lambda address: dial(address, 1.0), 4, 5.0),
                                    told.discovery, self.desk, self._news, Random(told.seed + 1), log)
         self._started = clock.seconds()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from relayrig import (
-    DONE, EVENT, HEAD, READ_DONE, RELEASED, SETTINGS, USAGE, WHOLE, Far, Rig, answer, chat, chunk)
+    DONE, EVENT, HEAD, READ_DONE, RELEASED, SETTINGS, USAGE, WHOLE, Far, Rig, _Dialed, answer, chat, chunk)
 
 from myrtlehub import interface as itf
 from myrtlehub.relay.events import EVENT_MOST, Events, Spoilt
@@ -388,6 +388,23 @@
     assert all(c.lost for c in silent_ones)
 
 
+def test_a_request_that_comes_with_a_rush_of_silent_connections_is_read() -> None:
+    """Seen on a crowded day: new connections were closed before what they had sent was read."""
+    rig = Rig("w1", sockets=100)
+    rig.engines["w1"].answer = silent
+    made = []
+    for i in range(400):
+        if i % 50 == 0:
+            rig.run(0.03)
+        rig.net.dialer("node")(_Dialed()).addCallback(made.append)
+        if i % 50 == 25:
+            rig.clock.advance(0)
+            made[-1].say(chat(f"a{i}"))
+    rig.run(0.2)
+    assert len(rig.node.front.open) == 8
+    assert len(rig.node.site.connections) <= rig.node.site.most
+
+
 def test_room_is_never_made_by_closing_a_connection_whose_request_is_open() -> None:
     rig = Rig("w1", sockets=100)
     rig.engines["w1"].answer = silent
