--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -143,7 +143,8 @@
             if key:
                 row.pop(key, None)
                 row[key] = (tokens, now)
-        while len(row) > KEPT_ENTRIES:
+        # Guards against memory that grows with every session ever seen: what has faded away claims nothing.
+        while row and (len(row) > KEPT_ENTRIES or next(iter(row.values()))[1] < now - 2.0 * KEPT_FOR):
             del row[next(iter(row))]
 
     def void_until(self, engine: int, seen: float) -> None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -130,6 +130,21 @@
     b.check("flush")
 
 
+def test_what_has_faded_away_is_forgotten_and_claims_nothing_before() -> None:
+    """Sessions are ever new: a table that keeps them all grows as long as the node runs."""
+    b = Bench("W0")
+    table, held = b.router.table, []
+    for i in range(1200):
+        a = itf.Arrival(0, -1, 1000.0, 10.0, 1 + i, 5000 + i // 3, 500.0, 100.0, 0.0)
+        faded = {k for k, (_, seen) in table.rows[0].items() if seen <= b.now - 60.0}
+        assert not any(table.claim(0, a._replace(session=k, prefix=0), b.now)[0] for k in faded)
+        table.feed(0, a, b.now)
+        held.append(len(table.rows[0]))
+        b.now += 0.25
+    # a minute at four a second, each with a session and a third of them with a prefix of their own
+    assert max(held) <= 60 * 4 * 4 / 3 + 4 and table.claim(0, a, b.now)[0] == 1000.0
+
+
 def test_full_memory_holds_new_work_then_turns_it_away() -> None:
     b = Bench("R0 W0")
     s = b.take(prompt=300.0)
