Streams past SIGTERM close their connection; silent discovery is asked every 120 ms

While there is no list a call now goes out every 120 ms beside those that are out, each of which keeps its second.

--- a/myrtlehub/http1/client.py
+++ b/myrtlehub/http1/client.py
@@ -32,6 +32,10 @@
     def ended(self) -> None:
         """The answer is whole, by its own framing."""
 
+    def unwanted(self) -> None:
+        """It was not to be sent any more once a connection stood: nothing of it has left."""
+        self.broke(False)
+
     def broke(self, sent: bool) -> None:
         """No whole answer comes; `sent`: the request's last byte had left, so that it may have run."""
 
@@ -184,8 +188,10 @@
 class Asking:
     """One request on its way: waiting for a connection, on one, or over."""
 
-    def __init__(self, pool: "Pool", key: str, host: bytes, call: Call, watcher: Watcher) -> None:
+    def __init__(self, pool: "Pool", key: str, host: bytes, call: Call, watcher: Watcher,
+                 still: Callable[[], bool]) -> None:
         self.pool, self.key, self.host, self.call, self.watcher = pool, key, host, call, watcher
+        self.still = still
         self.connection: ClientConnection | None = None
         self.dialing = None
         self.over = self.paused = False
@@ -232,12 +238,14 @@
         self._up: set[ClientConnection] = set()
         self._sweeping = None
 
-    def ask(self, key: str, address: str, call: Call, watcher: Watcher, within: float = 0.0) -> Asking:
+    def ask(self, key: str, address: str, call: Call, watcher: Watcher, within: float = 0.0,
+            still: Callable[[], bool] = lambda: True) -> Asking:
         """Send `call`; `within`: seconds for which a kept connection may have lain unused.
 
-        0: the usual; below 0: a new connection.
+        0: the usual; below 0: a new connection. `still` is asked before the first byte on a connection that
+        had to be made first: whether it is still to be sent.
         """
-        asking = Asking(self, key, address.encode(), call, watcher)
+        asking = Asking(self, key, address.encode(), call, watcher, still)
         kept = self._kept(key, within or self.idle)
         if kept is not None:
             self.reused += 1
@@ -287,6 +295,11 @@
         if asking.over:
             connection.close()
             return
+        if not asking.still():
+            connection.close()
+            asking.finished()
+            asking.watcher.unwanted()
+            return
         asking.connection = connection
         connection.ask(asking)
 
--- a/myrtlehub/http1/server.py
+++ b/myrtlehub/http1/server.py
@@ -25,15 +25,23 @@
     body: bytes
 
 
+def _nobody() -> None:
+    """Nobody wants to hear of it."""
+
+
 class Exchange:
     """One request and its answer. Whoever answers sets `on_lost`, `on_pause` and `on_resume`."""
 
     def __init__(self, connection: "ServerConnection", request: Request) -> None:
         self._connection, self.request = connection, request
         self.begun = self.over = False
-        self.on_lost: Callable[[], None] = lambda: None
-        self.on_pause: Callable[[], None] = lambda: None
-        self.on_resume: Callable[[], None] = lambda: None
+        self.let_go()
+
+    def let_go(self) -> None:
+        """Who answers hears nothing more of it, and is not referred to any more."""
+        self.on_lost: Callable[[], None] = _nobody
+        self.on_pause: Callable[[], None] = _nobody
+        self.on_resume: Callable[[], None] = _nobody
 
     def answer(self, status: int, headers: tuple = (), body: bytes = b"", close: bool = False) -> None:
         """A whole answer."""
@@ -229,7 +237,10 @@
         self.transport.unregisterProducer()
         self.stalled(False)
         self.open = None
-        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+        done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        # Guards against a stream whose head had gone out, without a word of closing, before the site began to
+        # drain: its client would send its next request on this connection, to a process that is about to end.
+        if not done or (self.site.closing and not self._ahead):
             self.shut()
             return
         self.http.start_next_cycle()
@@ -280,6 +291,7 @@
         self.gone = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self._timer = None  # one that has fired refers to this
         self.stalled(False)
         self.site.closed(self)
         exchange, self.open = self.open, None
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -144,6 +144,7 @@
         self.on_idle: Callable[[], None] = lambda: None
         self.on_sent: Callable[[Attempt], None] = lambda attempt: None
         self.on_back: Callable[[Attempt], None] = lambda attempt: None
+        self.on_answer: Callable[[Held], None] = lambda held: None  # once a sequence, with its final answer
         self.reread_list: Callable[[], None] = lambda: None
 
     # -- calls from outside -----------------------------------------------------------------------
@@ -358,7 +359,9 @@
         self.log("note", text=text)
 
     def _done(self, seq: int) -> None:
-        del self.held[seq]
+        # its attempts refer to it: without this only the collector would free them, and the request with them
+        held = self.held.pop(seq)
+        held.attempts, held.begun = [], None
 
     def _never(self, *args: object) -> None:
         raise ContractBroken(f"a result that the terms rule out: {args}")
@@ -392,6 +395,7 @@
         row = self.door.rows[held.arrival.traffic]
         self.log("answer", seq=held.label, answer=answer, traffic_type=row.name, attempts=len(held.attempts),
                  first_token=first, took=round(self.clock.seconds() - held.since, 4), **more)
+        self.on_answer(held)
 
     def _timed_out(self, attempt: Attempt) -> None:
         if attempt.out:
--- a/myrtlehub/relay/discovery.py
+++ b/myrtlehub/relay/discovery.py
@@ -11,7 +11,9 @@
 PATH = b"/discovery/hosts"
 WATCH = 2.0  # seconds that a watch may wait: an agent that went silent is noticed that soon
 ANSWER_WITHIN = 1.0  # seconds for an answer beyond that wait
-BACK_OFF = (0.1, 1.0)  # seconds until a failed call is made again, the first and the longest
+# Seconds from call to call while there is no list: what the agent has counts as told from the moment at
+# which it has it, a call that it took while it was silent is never answered, and the least grace is 250 ms.
+CALL_AGAIN = 0.12
 LIST_MOST = 4 * 1024 * 1024  # bytes of one answer
 
 
@@ -44,8 +46,8 @@
         self.version: int | None = None  # None: the whole list is to be read next
         self.heard = False
         self._fails = 0
-        self._asking: Asking | None = None
-        self._timer = None
+        self._askings: list[Asking] = []  # calls that are out; more than one only while it is silent
+        self._timers: list = []
         self._closed = False
 
     def start(self) -> None:
@@ -67,31 +69,41 @@
         self._stop()
 
     def _stop(self) -> None:
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        if self._asking is not None:
-            self._asking.cancel()
-            self._asking = None
+        """No call is out any more, and none is due."""
+        timers, self._timers = self._timers, []
+        for timer in timers:
+            if timer.active():
+                timer.cancel()
+        askings, self._askings = self._askings, []
+        for asking in askings:
+            asking.cancel()
+
+    def _later(self, delay: float, call: Callable, *args: object) -> None:
+        self._timers = [t for t in self._timers if t.active()]
+        self._timers.append(self.clock.callLater(delay, call, *args))
 
     def _call(self) -> None:
         wait, target = 0.0, PATH
         if self.version is not None:
             wait = WATCH
             target += b"?since=%d&timeout_ms=%d" % (self.version, WATCH * 1000)
-        self._timer = self.clock.callLater(wait + ANSWER_WITHIN, self._late)
-        self._asking = self.pool.ask(self.address, self.address, Call(b"GET", target, []),
-                                     _Answer(self._answered))
-
-    def _late(self) -> None:
-        self._asking.cancel()
-        self._answered(None)
-
-    def _answered(self, body: bytes | None) -> None:
-        self._asking = None
-        if self._timer.active():
-            self._timer.cancel()
-        if self._closed:
+        answer = _Answer(lambda body: self._answered(asking, body))
+        asking = self.pool.ask(self.address, self.address, Call(b"GET", target, []), answer)
+        self._askings.append(asking)
+        self._later(wait + ANSWER_WITHIN, self._late, asking)
+        if self.version is None:
+            # beside the one that is out, which is left its time: this process may itself be late to read
+            self._later(CALL_AGAIN, self._call)
+
+    def _late(self, asking: Asking) -> None:
+        if asking in self._askings:
+            asking.cancel()
+            self._answered(asking, None)
+
+    def _answered(self, asking: Asking, body: bytes | None) -> None:
+        if self._closed or asking not in self._askings:
             return
+        self._askings.remove(asking)
         try:
             if body is None:
                 raise BadNews("no answer")
@@ -103,16 +115,18 @@
             return
         if self._fails:
             self.log("discovery is back", after=self._fails)
+        self._stop()
         self._fails, self.version, self.heard = 0, news.version, True
         if news.lines or news.whole:
             self.tell(news)
         # a turn later, so that answers at once are no recursion; a watch is renewed well within its 200 ms
-        self._timer = self.clock.callLater(0, self._call)
+        self._later(0, self._call)
 
     def _failed(self, why: str) -> None:
-        self.version = None
+        """Begin with the whole list, and call again and again until it is there."""
         self._fails += 1
         if self._fails == 1:
             self.log("discovery does not answer", why=why)
-        pause = min(BACK_OFF[1], BACK_OFF[0] * 2 ** min(self._fails - 1, 8))
-        self._timer = self.clock.callLater(pause * (0.5 + self.random.random()), self._call)
+        if self.version is not None:
+            self.version = None
+            self._later(CALL_AGAIN * (0.5 + 0.5 * self.random.random()), self._call)
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -53,6 +53,8 @@
             self._tell(self.end)  # the body tells no more; its connection ends by itself
 
     def data(self, data: bytes) -> None:
+        if self.asking is None:
+            return  # its end was told by the head
         if self.events is not None:
             try:
                 whole = self.events.feed(data)
@@ -100,6 +102,9 @@
                 kept = 0.0
             self._tell(self.end, kept, self.load)
 
+    def unwanted(self) -> None:
+        self._tell(End(itf.UNSENT), why="left meanwhile")
+
     def broke(self, sent: bool) -> None:
         if sent:
             self.engines.note_unsure(self.attempt.held.label)
@@ -151,6 +156,11 @@
         """Its name in the list."""
         return self.host.door.engines.rows[engine].address
 
+    def serves(self, engine: int) -> bool:
+        """Whether the list has it for new work."""
+        engines = self.host.door.engines
+        return not engines.gone(engine) and engines.rows[engine].state == "serving"
+
     def moved(self, name: str, dial: str) -> None:
         """Where an engine is reached from now on."""
         if self.dials.get(name, dial) != dial:
@@ -165,6 +175,9 @@
                  took=round(self.clock.seconds() - attempt.since, 4),
                  timed=self.clock.seconds() >= attempt.until,
                  gap=round(watcher.gap, 2) if watcher is not None else 0.0)
+        if watcher is not None:
+            # they refer to one another, and to the whole request: only the collector would free them
+            attempt.call = watcher.asking = None
 
     # -- the host's Carrier -----------------------------------------------------------------------
 
@@ -179,8 +192,10 @@
         # And against a next attempt that is there before the end of one given up: a new one takes longer.
         once = self.host.door.rows[held.arrival.traffic].once and (
             not attempt.reads or held.label in self.given_up)
-        watcher.asking = attempt.call = self.pool.ask(name, self.dials[name], call, watcher,
-                                                      -1.0 if once else 0.0)
+        # Guards against an engine that drains or goes while a connection to it comes up, which may take
+        # longer than the grace: its standing is looked at once more before the first byte.
+        watcher.asking = attempt.call = self.pool.ask(
+            name, self.dials[name], call, watcher, -1.0 if once else 0.0, lambda: self.serves(attempt.engine))
 
     def cancel(self, attempt: Attempt) -> None:
         """See `Carrier`."""
@@ -300,5 +315,6 @@
     def _over(self) -> None:
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        for asking in self.askings:
+        askings, self.askings = self.askings, []
+        for asking in askings:
             asking.cancel()
--- a/myrtlehub/relay/front.py
+++ b/myrtlehub/relay/front.py
@@ -39,13 +39,21 @@
         else:
             self.exchange.answer(502)
 
-    def _over(self) -> None:
+    def _over(self) -> Held | None:
+        """Nothing more is said; what was held.
+
+        Guards against memory that only the collector would free, seconds to minutes later: exchange, this and
+        what the host holds refer to one another, with the whole request.
+        """
         self.front.open.pop(self.label, None)
+        held, self.held = self.held, None
+        self.exchange.let_go()
+        return held
 
     def _lost(self) -> None:
-        self._over()
-        if self.held is not None:
-            self.front.host.left(self.held)
+        held = self._over()
+        if held is not None:
+            self.front.host.left(held)
 
     def _pause(self) -> None:
         attempt = self.held.begun if self.held is not None else None
@@ -102,4 +110,6 @@
             waiting.rejected(self.host.terms.max_wait)  # not taken: nothing ran
             return
         self.open[label] = waiting
-        waiting.held = self.host.take(asked, arrival, waiting, label)
+        held = self.host.take(asked, arrival, waiting, label)
+        if label in self.open:  # else it was answered at once
+            waiting.held = held
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -16,6 +16,7 @@
 AT_ONCE_PART = 0.12  # of them, for clients' connections that have just come, until room is made
 ENGINES_PART = 0.38  # of them, for engines: a request has one attempt out, and releases come beside
 KEPT_PART = 0.4  # of the time after which engines close unused connections, for which ours are used again
+DISCOVERY_MOST = 12  # connections to discovery: as many calls are out at most, while it is silent
 KNOWN_FOR = 1.0  # seconds after the start for which discovery is waited for, before the list given is used
 
 
@@ -40,8 +41,9 @@
         self.front.ready = self._ready
         self.site = Site(clock, self.front.asked, int(CLIENTS_PART * told.sockets),
                          int(AT_ONCE_PART * told.sockets))
-        self.discovery = Discovery(clock, Pool(clock, lambda address: dial(address, 1.0), 4, 5.0),
-                                   told.discovery, self.desk, self._heard, Random(told.seed + 1), log)
+        there = Pool(clock, lambda address: dial(address, 1.0), DISCOVERY_MOST, 5.0)
+        self.discovery = Discovery(clock, there, told.discovery, self.desk, self._heard,
+                                   Random(told.seed + 1), log)
         self._known = self._opened = False
         self.on_open: Callable[[], None] = lambda: None  # clients may come from now on
 
--- a/myrtlehub/relay/told.py
+++ b/myrtlehub/relay/told.py
@@ -155,18 +155,38 @@
         self.kinds = {k: i for i, k in enumerate(s.get("MachineTypes") or [""])}
         self.zones = {z: i for i, z in enumerate(s.get("Zones") or [""])}
         self.engines = EngineIndices()
+        self.lines: dict[str, EngineLine] = {}  # by name, as each was last told; who has left is not kept
         self.lag = LagMeter()
         # Unix time when our clock showed 0: taken once, so that an engine's start is always the same moment.
         self.epoch = epoch
 
     def news(self, told: object, now: float) -> News:
-        """What discovery wrote; entries that can't be read are left out, BadNews where nothing can."""
+        """What discovery wrote; entries that can't be read are left out alone, BadNews where nothing can.
+
+        A notice that an engine leaves or has left is never left out, whatever else of the entry can't be
+        read: what was told of it before stands for the rest.
+        """
         if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
             raise BadNews("hosts: is missing")
-        lines = [line for line in (self._line(e, now) for e in told["hosts"]) if line is not None]
+        lines = [line for line in (self._line(e, now) or self._notice(e) for e in told["hosts"])
+                 if line is not None]
+        if told.get("whole"):
+            self.lines = {}
+        for line in lines:
+            if line.state == "gone":
+                self.lines.pop(line.address, None)
+            else:
+                self.lines[line.address] = line
         version = told.get("seq")
         return News(version if isinstance(version, int) else 0, bool(told.get("whole")), lines)
 
+    def _notice(self, e: object) -> EngineLine | None:
+        """An entry that can't be read, as far as it is a notice of leaving of an engine that we know."""
+        if not isinstance(e, dict) or not isinstance(e.get("host"), str):
+            return None
+        state, line = STATES.get(str(e.get("health"))), self.lines.get(e["host"])
+        return line._replace(state=state) if line is not None and state in ("draining", "gone") else None
+
     def _line(self, e: object, now: float) -> EngineLine | None:
         try:
             state, born = STATES[e["health"]], e.get("born_ms") or 0
@@ -175,7 +195,7 @@
                 _address(dial, "dial")
             kind, zone, share = e.get("class", ""), e.get("site", ""), float(e.get("share", 1.0))
             cell = e.get("block", 0)
-            if state != "gone" and (kind not in self.kinds or zone not in self.zones):
+            if kind not in self.kinds or zone not in self.zones:
                 return None
             if not (isinstance(e["host"], str) and e["host"] and isinstance(cell, int)):
                 return None
--- a/myrtlehub/state/lives.py
+++ b/myrtlehub/state/lives.py
@@ -43,7 +43,7 @@
         return [(s, e) for s in self.states() for e in self.events() if (s, e) not in self.steps]
 
 
-def _table(name: str, first: str, finals: str, text: str, events: str) -> Table:
+def table(name: str, first: str, finals: str, text: str, events: str) -> Table:
     """Rows "state: event event -> next / do; ...", read once at import."""
     steps: dict[tuple[str, str], Step] = {}
     for row in text.strip().splitlines():
@@ -64,7 +64,7 @@
 # where
 # tokens proved it, in `ran`. A read has no effect, however it ends.
 ATTEMPT_EVENTS = "tokens read generated full unreached unsent error timeout reset cancelled"
-ATTEMPT = _table("attempt", "writing", "harmless unknown ran", """
+ATTEMPT = table("attempt", "writing", "harmless unknown ran", """
 reading: read full unreached unsent error timeout reset cancelled -> harmless / answer; tokens generated -> = / breach
 writing: tokens -> streaming / begin; generated -> ran / answer; full unreached unsent -> harmless / answer; error timeout reset cancelled -> unknown / answer; read -> = / breach
 streaming: tokens -> = / pass; generated -> ran / answer; full unreached unsent error timeout reset cancelled -> ran / answer; read -> = / breach
@@ -72,7 +72,7 @@
 
 # What a client is told. `flowing` is bound to one attempt; from a final state on, nothing is said.
 ANSWER_EVENTS = "first more whole broke reject abort leave late"
-ANSWER_LIFE = _table("answer", "owed", "generated rejected aborted left", """
+ANSWER_LIFE = table("answer", "owed", "generated rejected aborted left", """
 owed: first -> flowing / pass; more -> = / breach; whole -> generated / answer; broke -> = / nothing; reject -> rejected / answer; abort late -> aborted / answer; leave -> left / nothing
 flowing: first -> = / stop; more -> = / pass; whole -> generated / answer; broke -> aborted / answer; reject -> aborted / answer; abort late -> aborted / answer; leave -> left / nothing
 """, ANSWER_EVENTS)  # noqa: E501
@@ -83,7 +83,7 @@
 # `again`: a read is out where an earlier one may have left its state, which a refusal does not take away.
 # `tried`: a claim on what may be there; a read given up may still finish after it, whatever the claim found.
 HOLD_EVENTS = "send done refused lost claim fetched kept missing unsure release"
-HOLD = _table("hold", "none", "", """
+HOLD = table("hold", "none", "", """
 none: send -> reading / nothing; release -> = / nothing; claim fetched kept missing unsure done refused lost -> = / breach
 reading: done -> held / keep; refused -> none / nothing; lost -> maybe / nothing; release -> = / nothing; send claim fetched kept missing unsure -> = / breach
 again: done -> held / keep; refused lost -> maybe / nothing; release -> = / nothing; send claim fetched kept missing unsure -> = / breach
--- a/tests/memnet.py
+++ b/tests/memnet.py
@@ -90,7 +90,7 @@
     def cut(self, pipe: Pipe, clean: bool = False) -> None:
         for end in (pipe, pipe.other):
             if not end.dead:
-                end.dead = True
+                end.dead, end.producer = True, None  # as the reactor's transports do
                 reason = ConnectionDone() if clean else ConnectionLost()
                 self.clock.callLater(0, end.protocol.connectionLost, Failure(reason))
         self.pipes = [p for p in self.pipes if not p.dead]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,8 +1,10 @@
 """The relay's protocol: clients, engines, discovery, drains; on memory transports and a driven clock."""
 
+import gc
 import json
 import subprocess
 import sys
+from collections import Counter
 
 import pytest
 from hypothesis import given
@@ -10,6 +12,8 @@
 from relayrig import (
     DONE, EVENT, HEAD, READ_DONE, RELEASED, SETTINGS, USAGE, WHOLE, Far, Rig, _Dialed, answer, chat, chunk)
 
+from twisted.internet import task
+
 from myrtlehub import interface as itf
 from myrtlehub.relay.events import EVENT_MOST, Events, Spoilt
 from myrtlehub.relay.outcomes import HEADS, of_break, of_head
@@ -429,6 +433,34 @@
 # -- discovery ----------------------------------------------------------------------------------------
 
 
+def test_what_was_answered_is_freed_at_once_and_not_by_the_collector() -> None:
+    """Each holds a whole request: between two collections of what is old, tens of MB would come together."""
+    rig = Rig("r1 w1 w2")
+
+    def spoilt(far: Far, head: object, body: bytes) -> None:
+        far.say(RELEASED if head.method == b"DELETE" else HEAD + chunk(EVENT) + b"xyz")
+    gc.collect()
+    gc.disable()
+    try:
+        for i in range(40):
+            if i == 30:
+                rig.engines["w1"].answer = rig.engines["w2"].answer = spoilt
+            client = rig.ask(f"a{i}", LONG if i % 2 else 100, "post" if i % 3 else "ask")
+            client.transport.loseConnection()
+            rig.run(0.1)
+        rig.ask("b", left=300)
+        rig.run(9.0)
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        gc.collect()
+        left = Counter(type(o).__name__ for o in gc.garbage)
+    finally:
+        gc.set_debug(0)
+        gc.garbage.clear()
+        gc.enable()
+    held = ("Held", "_Waiting", "Exchange", "Request", "Asked", "Attempt", "_Attempt")
+    assert not {n: left[n] for n in held if left[n]}
+
+
 def test_a_change_is_followed_and_the_watch_renewed_at_once() -> None:
     rig = Rig("w1 w2")
     rig.change(w1=rig.line("w1", "leaving"))
@@ -458,6 +490,51 @@
     assert len(rig.waiting) == 1 and set(rig.node.desk.engines.at) == {"w1", "w2"}
 
 
+@pytest.mark.parametrize("spoilt", [{"dial": 7}, {"class": "x"}, {"site": None}, {"share": "much"},
+                                    {"block": "b"}, {"born_ms": []}], ids=str)
+@pytest.mark.parametrize("health", ["leaving", "left"])
+def test_a_notice_of_leaving_counts_whatever_else_cannot_be_read(spoilt: dict, health: str) -> None:
+    rig = Rig("w1 w2")
+    rig.change(w1=rig.line("w1", health, **spoilt))
+    for i in range(6):
+        assert rig.ask(f"a{i}").statuses == [200]
+    assert not rig.engines["w1"].chats() and len(rig.engines["w2"].chats()) == 6
+    far = rig.waiting.pop()
+    # no notice of leaving: left out alone
+    rig.tell(far, {"seq": 9, "whole": False, "hosts": [rig.line("w2", **spoilt)]})
+    rig.run(0.02)
+    assert rig.ask("b").statuses == [200]
+
+
+@pytest.mark.parametrize("news", ["leaving", "left"])
+def test_an_engine_that_leaves_while_a_connection_comes_up_gets_nothing(news: str) -> None:
+    rig = Rig("w1 w2")
+    coming, dialer = [], rig.net.dialer
+
+    def slow(address: str, who: str = "client") -> object:
+        """To whichever engine is chosen first, a connection takes 0.2 s."""
+        dial = dialer(address, who)
+        if address[0] != "w" or coming and coming[0] != address:
+            return dial
+        coming.append(address)
+
+        def later(factory: object) -> object:
+            done = task.deferLater(rig.clock, 0.2, lambda: None)
+            return done.addCallback(lambda none: dial(factory))
+        return later
+    rig.net.dialer = slow
+    client = rig.ask("a1", traffic="post")
+    first = coming[0][:2]
+    assert not client.statuses and not rig.engines[first].chats()
+    rig.change(**{first: rig.line(first, news)})
+    rig.run(0.4)
+    assert client.statuses == [200]  # known not to have run: it went to the other one
+    assert not rig.engines[first].chats() and rig.node.host.router.state
+    other = next(n for n in ("w1", "w2") if n != first)
+    assert len(rig.engines[other].chats()) == 1
+    assert ("broken", "left meanwhile") in [(e, m.get("why")) for e, m in rig.logged]
+
+
 def test_a_silent_discovery_is_left_and_called_again() -> None:
     rig = Rig("w1")
     calls = len(rig.discovery.asked)
@@ -466,6 +543,23 @@
     assert rig.ask("a1").statuses == [200]
 
 
+def test_the_return_of_a_silent_discovery_is_heard_within_the_grace() -> None:
+    """It answers no call that it took while it was silent, and what it has counts as told at once."""
+    for away in (3.3, 4.0, 5.21, 6.77, 8.05):
+        rig = Rig("w1 w2")
+        rig.silent = True
+        rig.run(away)
+        rig.silent = False
+        rig.waiting.clear()
+        rig.lines["w1"] = rig.line("w1", "leaving")
+        rig.run(0.2)
+        assert rig.node.desk.engines.rows[rig.node.desk.engines.at["w1"]].state == "draining", away
+        calls = len(rig.discovery.asked)
+        assert calls < 10 + 9 * away  # a call in 120 ms
+        rig.run(1.0)
+        assert len(rig.discovery.asked) == calls  # one watch, and no call beside it
+
+
 def test_sighup_moves_discovery_and_a_bad_file_changes_nothing(tmp_path: object) -> None:
     rig = Rig("w1")
     logged = []
@@ -543,6 +637,30 @@
     assert taken.lost and late.lost and ended
 
 
+def test_a_stream_that_ends_after_sigterm_takes_its_connection_with_it() -> None:
+    """Its head went out before and said nothing of closing: what the client sends next must go elsewhere."""
+    rig = Rig("w1")
+    streams = []
+
+    def begin(far: Far, head: object, body: bytes) -> None:
+        far.say(HEAD + chunk(EVENT))
+        streams.append(far)
+    rig.engines["w1"].answer = begin
+    client = rig.ask("a1")
+    ended: list[float] = []
+    drain = Drain(rig.clock, rig.node.site, rig.node.busy, lambda: None,
+                  lambda: ended.append(rig.clock.seconds()))
+    assert client.got.endswith(chunk(EVENT)) and b"Connection: close" not in client.got
+    drain.start()
+    rig.run(1.5)
+    streams[0].say(chunk(EVENT) + chunk(DONE) + b"0\r\n\r\n")
+    rig.run(0.01)
+    client.say(chat("a2"))  # at once: it crosses the close, or finds it closed
+    rig.run(1.0)
+    assert stream_of(client.got).endswith(DONE + b"<end>") and client.lost
+    assert len(streams) == 1 and ended and rig.node.host.taken == 1
+
+
 @pytest.mark.parametrize(("text", "names"), [
     (None, "RELAY_CONFIG"), ("[]", "RELAY_CONFIG"), ("{", "RELAY_CONFIG"),
     ('{"discovery":"a:1","settings":{}}', "listen"), ('{"listen":"a:1","settings":{}}', "discovery"),
