A state is let go in time while connections to writers do not come up

The protocol says that the time runs on while connections fail to come up; Router._follow set state_since anew at each UNREACHED, and the time was looked at only where a sequence is kept. Now UNREACHED does not set it, and _conclude lets go past three quarters of the time: one more writer may be tried, whose quarter of a second cannot outlast it.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -333,13 +333,17 @@
             verdict = stage(seq, now)
             if verdict == KEEP:
                 self.kept[seq.id] = seq
-                if seq.attempts and not seq.out() and now > seq.state_since + 0.5 * self.terms.let_go:
-                    # rule 5: what no writer takes in time is let go, and would be read anew
-                    self.results.append(("release", seq.id))
-                    seq.state_at, seq.state_since = -1, float("inf")
+                if seq.attempts and not seq.out():
+                    self._unpin(seq, now, 0.5)
             if verdict != PASS:
                 return
 
+    def _unpin(self, seq: Seq, now: float, share: float) -> None:
+        """Rule 5: what no writer takes in this share of the time is let go, and would be read anew."""
+        if now > seq.state_since + share * self.terms.let_go:
+            self.results.append(("release", seq.id))
+            seq.state_at, seq.state_since = -1, float("inf")
+
     def _wait_here(self, seq: Seq, now: float) -> str:
         if seq.over_share or now - seq.since > PATIENCE * (seq.slo_at - seq.since):
             return self._give_up(seq, self.terms.max_wait)
@@ -597,7 +601,8 @@
             seq.state_at = -1
         elif t.outcome not in (GENERATED, READ, UNSENT):
             seq.avoid.add(t.engine)
-            seq.state_since = now
+            if t.outcome != UNREACHED:  # the time runs on while connections fail to come up
+                seq.state_since = now
 
     def _conclude(self, seq: Seq, t: Attempt, now: float) -> None:
         seq.over = seq.over or t.settled
@@ -606,6 +611,10 @@
         elif not self._may_go_again(seq, t.engine, now):
             self._give_up(seq)  # nothing more may be tried: say so at once
         elif not seq.out():
+            if t.outcome == UNREACHED and seq.state_since > 0.0:
+                # Guards against writers that are cut off: try after try, each a connection that does not come
+                # up, the state would stay held. One more may be tried while it cannot outlast the time.
+                self._unpin(seq, now, 0.75)
             self._run(seq, now)
 
     # -- ends -------------------------------------------------------------------------------------
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -109,6 +109,22 @@
     b.check("nothing_left_pinned")
 
 
+def test_a_state_is_let_go_in_time_while_writers_cannot_be_reached() -> None:
+    """Each connection that does not come up takes a quarter of a second, and the time runs on."""
+    b = Bench("R0 W0 W0 W0 W0")
+    seq = b.take(prompt=3000.0)
+    b.ended(seq, 0, itf.READ)
+    read_at = b.now
+    for attempt in (1, 2):
+        b.now += 0.251
+        b.ended(seq, attempt, itf.UNREACHED)
+    released = [i for i, line in enumerate(b.lines) if line.startswith("         -> release")]
+    assert len(released) == 1 and b.now - read_at < 0.51
+    sends = [i for i, line in enumerate(b.lines) if line.startswith("         -> send")]
+    assert len(sends) == 4 and sends[2] < released[0] < sends[3]  # one more writer was tried before
+    assert b.sends()[seq][0] == 0 == b.sends()[seq][3]  # then it is read anew
+
+
 def test_state_gone_is_read_again() -> None:
     b = Bench("R0 W0")
     s = b.take(prompt=3000.0)
