--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -21,7 +21,7 @@
 from myrtlehub.config.sheets import NodeSheet, StandSheet
 from myrtlehub.emulator.server import StandIn
 from myrtlehub.lab.day import free_ports
-from myrtlehub.lab.records import Recorder
+from myrtlehub.records import Recorder
 from myrtlehub.membership.aside import ReadAside
 from myrtlehub.membership.notify import Notifier
 from myrtlehub.node.node import Node
--- a/myrtlehub/cli/engine.py
+++ b/myrtlehub/cli/engine.py
@@ -24,7 +24,7 @@
     from twisted.internet import reactor
 
     from myrtlehub.emulator.server import StandIn
-    from myrtlehub.lab.records import Recorder
+    from myrtlehub.records import Recorder
     from myrtlehub.node.clock import SteadyClock
     log, clock = logger(engine=sheet.name), SteadyClock(reactor)
     recorder = Recorder(sheet.listen, clock, sheet.records)
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -33,6 +33,7 @@
     from myrtlehub.membership.notify import Notifier
     from myrtlehub.node.clock import SteadyClock
     from myrtlehub.node.node import Node
+    from myrtlehub.node.revision import settings
     log = logger(node=sheet.node.name)
     run = f"{time.time_ns() // 1000 % 2**40:x}-{os.getpid():x}"
     notify = Notifier(reactor).watch if sheet.list.files else lambda paths, changed: None
@@ -44,10 +45,13 @@
         listen(reactor, sheet.node.admin, node.admin)
 
     def drain() -> None:
-        port.stopListening()
-        node.drain().addCallback(lambda ignored: reactor.stop())
+        if not node.leaving:
+            port.stopListening()
+            node.drain().addCallback(lambda ignored: reactor.stop())
     on_term(drain, reactor)
-    reactor.callWhenRunning(lambda: log("ready", listen=sheet.node.listen, engines=len(sheet.list.engines)))
+    node.on_leave = drain
+    reactor.callWhenRunning(lambda: log("ready", listen=sheet.node.listen, engines=len(sheet.list.engines),
+                                        program=node.program, settings=settings(sheet), run=run))
     node.measure_lag()
     settle_memory()
     reactor.run(installSignalHandlers=False)
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -9,7 +9,7 @@
 from myrtlehub.emulator.alarm import Alarm
 from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
 from myrtlehub.emulator.vectors import score_of, vector_of
-from myrtlehub.lab.records import Recorder
+from myrtlehub.records import Recorder
 from myrtlehub.proto import chat_pb2 as chat
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.rpc.channel import CallWatcher, Channel
--- a/myrtlehub/lab/cases.py
+++ b/myrtlehub/lab/cases.py
@@ -4,7 +4,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from myrtlehub.lab.records import Record
+from myrtlehub.records import Record
 
 NEAR = 0.02  # seconds within which two things count as at once
 CASES = (
--- a/myrtlehub/lab/checker.py
+++ b/myrtlehub/lab/checker.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from myrtlehub.lab.records import Record
+from myrtlehub.records import Record
 
 SLACK = 0.1  # seconds granted to turns of busy processes on one machine, on top of what the rules grant
 RULES = {1: "one final answer", 2: "no effect twice", 3: "drains kept", 4: "no cold engine pushed over",
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -8,7 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from myrtlehub.lab.records import Recorder
+from myrtlehub.records import Recorder
 from myrtlehub.lab.scenario import Scenario, TrafficMix
 from myrtlehub.limits.lag import LagMeter
 from myrtlehub.proto import chat_pb2 as pb
@@ -207,6 +207,7 @@
         self.wanted = draw(scenario, rate, random)
         self.tallies = {t.name: Tally() for t in scenario.traffic if t.front == "chat"}
         self.asked = 0
+        self.stopped = False
         self.lag = LagMeter()  # of this process, not of a node
         self._beating: object = None
 
@@ -224,7 +225,13 @@
         for wanted in self.wanted:
             self.clock.callLater(wanted.at, self._ask, wanted)
 
+    def stop(self) -> None:
+        """Ask for nothing more; what was asked for goes on."""
+        self.stopped = True
+
     def _ask(self, wanted: Wanted) -> None:
+        if self.stopped:
+            return
         tally = self.tallies[wanted.row.name]
         tally.asked += 1
         tally.utility += wanted.row.utility
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -2,9 +2,6 @@
 
 import heapq
 import json
-import os
-import socket
-import sys
 from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -13,10 +10,7 @@
 from ruamel.yaml import YAML
 from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ProcessExitedAlready
-from twisted.internet.protocol import ProcessProtocol
 from twisted.internet.task import LoopingCall, deferLater
-from twisted.python.failure import Failure
 
 from myrtlehub.config.sheets import RulesGroup
 from myrtlehub.lab.batches import BatchClients
@@ -24,13 +18,13 @@
 from myrtlehub.lab.checker import RULES, SLACK, Checker, check
 from myrtlehub.lab.clients import ClientFleet
 from myrtlehub.lab.lists import ListWatch, ListWriter
-from myrtlehub.lab.records import Record, Recorder, read
+from myrtlehub.lab.processes import HOST, Process, Processes, free_ports
 from myrtlehub.lab.scenario import KINDS, FaultRow, MachineGroup, Scenario
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.proto import admin_pb2, engine_pb2
+from myrtlehub.records import Record, Recorder, read
 from myrtlehub.rpc.channel import Channel
 
-HOST = "127.0.0.1"
 LAST_LIST = 1.5  # seconds before the end of the traffic at which files are written for the last time
 
 
@@ -38,55 +32,6 @@
     """The day could not be played; the text says why."""
 
 
-class Process(ProcessProtocol):
-    """One process of the fleet."""
-
-    def __init__(self, name: str, log: Path) -> None:
-        self.name = name
-        self.ready, self.ended = Deferred(), Deferred()
-        self.code: int | None = None
-        self.out = log.open("ab")
-        self.tail = b""
-
-    def outReceived(self, data: bytes) -> None:  # noqa: N802
-        self.out.write(data)
-        if not self.ready.called:
-            self.tail += data
-            if b'"ready"' in self.tail:
-                self.ready.callback(self)
-
-    def errReceived(self, data: bytes) -> None:  # noqa: N802
-        self.out.write(data)
-        self.tail = (self.tail + data)[-2000:]
-
-    def processEnded(self, reason: Failure) -> None:  # noqa: N802
-        self.code = reason.value.exitCode if reason.value.exitCode is not None else -(reason.value.signal
-                                                                                      or 0)
-        self.out.close()
-        if not self.ready.called:
-            said = self.tail.decode(errors="replace").strip()
-            self.ready.errback(DayFailed(f"{self.name} did not start: {said}"))
-        self.ended.callback(self.code)
-
-    def signal(self, name: str) -> None:
-        """Send a signal, if it still runs."""
-        try:
-            self.transport.signalProcess(name)
-        except ProcessExitedAlready:
-            pass
-
-
-def free_ports(count: int) -> list[int]:
-    """Loopback ports that were free a moment ago."""
-    held = [socket.socket() for _ in range(count)]
-    for s in held:
-        s.bind((HOST, 0))
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
-
-
 def units(group: MachineGroup | RulesGroup, durations: tuple[str, ...], tokens: tuple[str, ...] = ()) -> dict:
     """A group's fields as a file has to say them, with units."""
     out = {}
@@ -102,6 +47,10 @@
 class Day:
     """One day. `say` is told of progress, a line each."""
 
+    node_program = ["myrtlehub.cli.node"]
+    env: dict[str, str] = {}
+    checkouts: dict[str, str] = {}  # processes that another version of the program runs, by name
+
     def __init__(self, scenario: Scenario, folder: Path, reactor: object, sequences: int = 0,
                  seed: int | None = None,
                  say: Callable[[str], None] = lambda line: None) -> None:
@@ -119,6 +68,7 @@
         self.cell = {n: i % scenario.fleet.cells for kind in KINDS
                      for i, n in enumerate(n for n in names if n.startswith(kind))}
         self.model = dict.fromkeys(self.engines, "m1")
+        self.processes = Processes(reactor, folder, self._ended)
         self.running: dict[str, Process] = {}
         self.runs: Counter[str] = Counter()
         self.expected_dead: set[Process] = set()
@@ -152,20 +102,15 @@
         """Start a process; fires once it says that it is ready."""
         self.runs[name] += 1
         if name in self.admin:
-            program, path = "node", self._write(name, self._node_file(name))
+            argv = [*self.node_program, str(self._write(name, self._node_file(name)))]
         else:
-            program, path = "engine", self._write(name, self._engine_file(name, cold))
-        process = self.running[name] = Process(name, self.folder / f"{name}.log")
-        env = {**os.environ, "PYTHONUNBUFFERED": "1"}
-        self.reactor.spawnProcess(
-            process, sys.executable, [sys.executable, "-m", f"myrtlehub.cli.{program}", str(path)], env)
-        process.ended.addCallback(self._ended, process)
+            argv = ["myrtlehub.cli.engine", str(self._write(name, self._engine_file(name, cold)))]
+        process = self.running[name] = self.processes.start(name, argv, self.env, self.checkouts.get(name))
         return process.ready
 
-    def _ended(self, code: int, process: Process) -> int:
-        if process not in self.expected_dead and code != 0:
-            self.unclean.append(f"{process.name} ended with {code}")
-        return code
+    def _ended(self, process: Process) -> None:
+        if process not in self.expected_dead and process.code != 0:
+            self.unclean.append(f"{process.name} ended with {process.code}")
 
     def _engine_file(self, name: str, cold: bool) -> dict:
         kind = name.split("-")[0]
@@ -231,7 +176,7 @@
             self.clock.callLater(delay, self._tell, node, engine, state, started)
 
     def _tell(self, node: str, engine: str, state: str, started: float) -> None:
-        if node not in self.running or self.running[node].code is not None:
+        if not self._runs(node):
             return
         age = self.clock.seconds() - started if started else 0.0
         news = admin_pb2.ListNews(engines=[admin_pb2.ListedEngine(
@@ -245,6 +190,9 @@
                                                state=state,
                                                why=failure.getErrorMessage()))
 
+    def _runs(self, node: str) -> bool:
+        return node in self.running and self.running[node].running
+
     def _note_told(self, node: str, engine: str, state: str) -> None:
         self.recorder.note("told", node=node, engine=self.address[engine], state=state,
                            grace=self.s.rules.drain_grace)
@@ -321,14 +269,14 @@
             self.started = self.clock.seconds()
             clients.start()
             batches.start()
-            for row in s.faults:
-                self.clock.callLater(row.at, self.fault, row)
+            self.begun()
             progress = LoopingCall(self._progress)
             progress.start(5.0, now=False)
-            yield deferLater(self.reactor, s.length - LAST_LIST, lambda: None)
+            yield self.until_over()
             for writer in self.writers:
                 writer.stop()
             yield deferLater(self.reactor, LAST_LIST, lambda: None)
+            clients.stop()
             self.say(f"no more is asked; {clients.open} open")
             for fleet in (clients, batches):
                 yield self._quiet(fleet)
@@ -343,6 +291,15 @@
         self.recorder.close()
         return self.verdict()
 
+    def begun(self) -> None:
+        """Traffic has begun: what goes wrong is counted from here."""
+        for row in self.s.faults:
+            self.clock.callLater(row.at, self.fault, row)
+
+    def until_over(self) -> Deferred:
+        """Fires when the traffic is nearly over."""
+        return deferLater(self.reactor, self.s.length - LAST_LIST, lambda: None)
+
     def _quiet(self, fleet: ClientFleet | BatchClients) -> Deferred:
         """Fires once its last try is over, or is long past its time."""
         quiet = Deferred()
@@ -358,16 +315,11 @@
         for channel in self.channels.values():
             channel.close()
         for kind in (self.admin, self.engines):
-            alive = [self.running[n] for n in kind if n in self.running and self.running[n].code is None]
-            for process in alive:
-                process.signal("TERM")
-                self.clock.callLater(15.0, self._overdue, process)
-            yield DeferredList([p.ended for p in alive])
+            yield self.processes.end([self.running[n] for n in kind if n in self.running
+                                      and self.running[n].running], self._overdue)
 
     def _overdue(self, process: Process) -> None:
-        if process.code is None:
-            self.unclean.append(f"{process.name} did not end in 15 s")
-            process.signal("KILL")
+        self.unclean.append(f"{process.name} did not end in time")
 
     def _progress(self) -> None:
         c = self.clients
--- a/myrtlehub/lab/lists.py
+++ b/myrtlehub/lab/lists.py
@@ -15,7 +15,7 @@
 from ruamel.yaml.compat import StringIO
 
 from myrtlehub.config.sheets import EngineRow
-from myrtlehub.lab.records import Record, Recorder
+from myrtlehub.records import Record, Recorder
 from myrtlehub.lab.scenario import ListFilesGroup
 from myrtlehub.membership.version import make
 
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -106,6 +106,30 @@
         return self
 
 
+class RollFault(Sheet):
+    """One thing that goes wrong with the controller, or between it and a node."""
+
+    at: Duration = 0.0  # from the start of the traffic, or from `after`
+    after: str = ""  # from when the controller first says that the change is in this state
+    do: Literal["kill controller", "stall", "mend"]
+    whom: list[str] = []
+    lasts: Duration = 0.5  # until a killed controller is resumed
+
+
+class RollGroup(Sheet):
+    """A rolling change amid the day, and how it has to end."""
+
+    at: Duration = 1.0
+    was: str = ""  # variant of the program that nodes run at first; empty: the program itself
+    now: str = "equal"  # variant that they are changed to; empty: only settings change
+    settings: dict[str, str | int | float | bool] = {}  # what the new settings say, by field: node.max_wait
+    stages: Annotated[list[int | float], Field(min_length=1)]
+    plan: dict[str, str | int | float | list] = {}  # more of the plan, as in its file
+    ends: Literal["kept", "undone", "stuck"]
+    undo_at: Duration = 0.0  # the operator undoes then; 0: never
+    faults: list[RollFault] = []
+
+
 class Scenario(Sheet):
     """A whole day."""
 
@@ -126,6 +150,7 @@
     list_spread: Duration = 0.0  # more, at most, until the last does
     list_files: ListFilesGroup | None = None  # instead of pushed news
     faults: list[FaultRow] = []
+    roll: RollGroup | None = None
 
     @model_validator(mode="after")
     def _sound(self) -> Self:
--- a/myrtlehub/membership/source.py
+++ b/myrtlehub/membership/source.py
@@ -37,6 +37,13 @@
     def reread(self) -> None:
         self._take(list(self._rows.values()), True, 0, "")
 
+    def rows(self, instead: Sequence[EngineRow] | None = None) -> list[EngineRow]:
+        """The list as it stands. `instead`: a file's section that takes its place, where nothing is
+        pushed."""
+        if instead is not None:
+            self._rows = {row.address: row for row in instead}
+        return list(self._rows.values())
+
     def push(self, rows: Sequence[EngineRow], whole: bool) -> None:
         """News from outside, as it stands from now on."""
         if whole:
--- a/myrtlehub/membership/watched.py
+++ b/myrtlehub/membership/watched.py
@@ -65,6 +65,10 @@
             version = self.judge.version
             self._take(list(version.engines.values()), True, version.number, version.digest)
 
+    def rows(self, instead: object = None) -> list:
+        """The list as it stands; files alone say what it is, so nothing takes its place."""
+        return list(self.judge.version.engines.values()) if self.judge.version is not None else []
+
     def stop(self) -> None:
         """Look no more."""
         for timer in (self._looking, self._polling):
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -1,31 +1,113 @@
-"""The node's admin service: news of the list where the file allows it, and what the node routes by."""
+"""The node's admin service: news of the list where the file allows it, what the node routes by, its figures,
+and orders of whoever rolls a change out."""
+
+import os
 
 from pydantic import ValidationError
 
+from myrtlehub.config.load import Faults
 from myrtlehub.config.sheets import EngineRow, NodeSheet, check_engines
-from myrtlehub.membership.source import StaticList
-from myrtlehub.membership.watched import WatchedList
-from myrtlehub.node.host import Host
-from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node import changes, revision
+from myrtlehub.node.figures import memory, processor
 from myrtlehub.proto import admin_pb2 as pb
+from myrtlehub.rollout.orders import FORMAT, Order, OrderBook
 from myrtlehub.rpc.server import ServerCall, unary
 from myrtlehub.rpc.status import Code, RpcError
 
 SERVICE = "/myrtlehub.v1.NodeAdmin/"
+GENERATION = "HUB_ROLL_GENERATION"  # variable: "NUMBER CONTROLLER", with which a controller starts a node
 
 
 class NodeAdmin:
-    """Serves NodeAdmin on a server, for a host."""
+    """Serves NodeAdmin for a node."""
+
+    def __init__(self, node: object) -> None:
+        self.node = node
+        number, _, controller = os.environ.get(GENERATION, "").partition(" ")
+        self.orders = OrderBook(node.run, int(number) if number.isdecimal() else 0, controller)
+        self.staged: tuple[str, NodeSheet] | None = None  # digest, settings
 
-    def __init__(self, host: Host, sheet: NodeSheet, source: StaticList | WatchedList,
-                 peers: PeerWatch) -> None:
-        self.host, self.sheet, self.source, self.peers = host, sheet, source, peers
+    host = property(lambda self: self.node.host)
+    sheet = property(lambda self: self.node.sheet)
+    source = property(lambda self: self.node.source)
+    peers = property(lambda self: self.node.peers)
 
     def serve(self, server: object) -> None:
         """Add the methods."""
-        server.add(SERVICE + "PushList", unary(self.push_list))
-        server.add(SERVICE + "Show", unary(self.show))
-        server.add(SERVICE + "Limits", unary(self.limits))
+        for name, run in (("PushList", self.push_list), ("Show", self.show), ("Limits", self.limits),
+                          ("Figures", self.figures), ("Stage", self.stage), ("Apply", self.apply),
+                          ("Obey", self.obey), ("Leave", self.leave)):
+            server.add(SERVICE + name, unary(run))
+
+    def _ordered(self, order: pb.Order, what: str) -> None:
+        why = self.orders.refusal(Order(order.format, order.generation, order.controller, order.run))
+        if why:
+            self.node.log("order refused", order=what, why=why)
+            raise RpcError(Code.PERMISSION_DENIED, why)
+
+    def stage(self, call: ServerCall, data: bytes) -> bytes:
+        """Settings whole or not at all."""
+        request = pb.StagedSettings.FromString(data)
+        self._ordered(request.order, "stage")
+        try:
+            sheet = changes.read(request.text)
+            changes.check(self.sheet, sheet, self.source.rows())
+        except Faults as fault:
+            raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
+        except changes.Unfit as fault:
+            raise RpcError(Code.FAILED_PRECONDITION, str(fault)) from fault
+        digest = revision.settings(sheet)
+        self.staged = digest, sheet
+        self.node.log("staged", settings=digest)
+        return pb.OrderTaken(settings=digest, changed=True).SerializeToString()
+
+    def apply(self, call: ServerCall, data: bytes) -> bytes:
+        """What was staged, from the next sequence on."""
+        order = pb.Order.FromString(data)
+        self._ordered(order, "apply")
+        if order.settings == revision.settings(self.sheet):
+            return pb.OrderTaken(settings=order.settings).SerializeToString()  # it was done before
+        if self.staged is None or self.staged[0] != order.settings:
+            raise RpcError(Code.FAILED_PRECONDITION, f"settings {order.settings} are not staged here")
+        if self.node.leaving:
+            raise RpcError(Code.FAILED_PRECONDITION, "this node is leaving")
+        (digest, sheet), self.staged = self.staged, None
+        try:
+            changes.check(self.sheet, sheet, self.source.rows())  # the list may have changed since
+        except changes.Unfit as fault:
+            raise RpcError(Code.FAILED_PRECONDITION, str(fault)) from fault
+        self.node.apply(sheet)
+        self.node.log("applied", settings=digest, by_old=sum(len(w.host.held) for w in self.node.old))
+        return pb.OrderTaken(settings=digest, changed=True).SerializeToString()
+
+    def obey(self, call: ServerCall, data: bytes) -> bytes:
+        """Orders of an older controller are refused from here on."""
+        self._ordered(pb.Order.FromString(data), "obey")
+        return pb.OrderTaken(settings=revision.settings(self.sheet)).SerializeToString()
+
+    def leave(self, call: ServerCall, data: bytes) -> bytes:
+        """Drain and end."""
+        self._ordered(pb.Order.FromString(data), "leave")
+        changed = not self.node.leaving
+        if changed:
+            self.node.clock.callLater(0, self.node.on_leave)  # the reply leaves first
+        return pb.OrderTaken(settings=revision.settings(self.sheet), changed=changed).SerializeToString()
+
+    def figures(self, call: ServerCall, data: bytes) -> bytes:
+        """Sums since the start."""
+        node = self.node
+        engines: dict[str, int] = {}
+        for row in self.source.rows():
+            engines.setdefault(row.zone, 0)
+            engines[row.zone] += row.state == "serving" and row.weight > 0.0
+        return pb.NodeFigures(
+            format=FORMAT, run=node.run, memory=memory(), processor=processor(),
+            age=node.clock.seconds() - node.started, engines=engines, traffic=[pb.TrafficFigures(
+                name=name, asked=s.asked, utility=s.utility, served=s.served, answers=s.answers,
+                attempts=s.attempts, begun=s.first.total_count, first_log=s.first_log,
+                first={i.value_iterated_to: i.count_at_value_iterated_to
+                       for i in s.first.get_recorded_iterator()})
+                for name, s in sorted(node.figures.by_type.items())]).SerializeToString()
 
     def push_list(self, call: ServerCall, data: bytes) -> bytes:
         """News of the list, taken whole or not at all."""
@@ -68,6 +150,12 @@
                 more.update(list_source=v.source, list_age=judge.age(now), list_digest=v.digest,
                             list_old=v.old)
         rows = [engines.rows[i] for i in engines.at.values() if not engines.gone(i)]
+        node = self.node
+        more.update(program=node.program, settings=revision.settings(self.sheet), run=node.run,
+                    pid=os.getpid(), age=now - node.started, leaving=node.leaving, proven=node.proven,
+                    generation=self.orders.generation, controller=self.orders.controller, format=FORMAT,
+                    staged=self.staged[0] if self.staged else "",
+                    by_old=sum(len(w.host.held) for w in node.old))
         return pb.NodeState(
             **more,
             list_version=self.host.list_version, sequences=len(self.host.held),
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -1,5 +1,7 @@
 """The chat front: Chat.Generate as Asked and Client. Decodes and encodes; decides nothing."""
 
+from collections.abc import Callable
+
 from myrtlehub.config.sheets import TrafficRow
 from myrtlehub.limits.admit import NEVER, Admission
 from myrtlehub.limits.shares import FrontShares
@@ -112,7 +114,9 @@
     """Serves Chat on a server, for a host."""
 
     def __init__(self, host: Host, most_sequences: int, wait: float, shares: FrontShares,
-                 peers: PeerWatch, gate: Admission | None = None) -> None:
+                 peers: PeerWatch, gate: Admission | None = None,
+                 turned_away: Callable[[TrafficRow], None] = lambda row: None) -> None:
+        self.turned_away = turned_away  # told of each sequence that was never taken
         self.host, self.most, self.wait, self.shares, self.peers = host, most_sequences, wait, shares, peers
         self.closed = False
         self.gate: Admission | None = gate
@@ -137,6 +141,7 @@
         full = self.closed or len(self.host.held) >= self.most
         wait = self.peers.refuses(call, asked.tenant, asked.repeated, len(data), full)
         if wait is not None:
+            self.turned_away(self.host.door.rows[arrival.traffic])
             waiting.rejected(wait)  # not taken: nothing ran
             return waiting
         self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt)
@@ -170,6 +175,7 @@
             self._take(waiting, asked, arrival._replace(time_left=arrival.time_left - (now - waiting.came)))
         for waiting, _, _ in self.gate.shed(now):
             waiting.item = None
+            self.turned_away(waiting.row)
             waiting.rejected(self.gate.wait_hint(self.wait))
         due = self.gate.due_at()
         if due < NEVER and (self._timer is None or not self._timer.active()):
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -1,37 +1,27 @@
 """A whole node: file, door, module, host, links and fronts put together. Where it listens is the caller's."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
-from random import Random
 
 from twisted.internet.defer import Deferred
 
-from myrtlehub.config.sheets import NodeSheet
-from myrtlehub.decide import Router
-from myrtlehub.limits.admit import Admission
-from myrtlehub.limits.retries import RetryBudget
+from myrtlehub.config.sheets import EngineRow, NodeSheet
 from myrtlehub.membership.judge import NEVER_DAMPED, ListJudge
 from myrtlehub.membership.judge import Terms as Confirmation
 from myrtlehub.membership.source import StaticList
 from myrtlehub.membership.store import VersionStore
 from myrtlehub.membership.watched import WatchedList
+from myrtlehub.node import revision
 from myrtlehub.node.admin import NodeAdmin
-from myrtlehub.node.batches import BatchDesk
-from myrtlehub.node.calls import serve
-from myrtlehub.node.chat import ChatFront
-from myrtlehub.node.door import Door
-from myrtlehub.node.embed import EMBED
-from myrtlehub.node.fields import Fields
+from myrtlehub.node.figures import Figures
 from myrtlehub.node.host import Host
-from myrtlehub.node.links import Links
-from myrtlehub.node.peers import PeerWatch
-from myrtlehub.node.rank import RANK
-from myrtlehub.node.terms import fronts_of, terms_of
+from myrtlehub.node.works import Around, Works
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.server import Server
 
-FRONTS = (EMBED, RANK)  # beside chat
 LAG_SAID = 0.1  # seconds; a new worst lateness of the process above this is logged
+LOOK_IDLE = 0.5  # seconds between looks at whether replaced settings still have work in hand
 
 
 class Node:
@@ -43,51 +33,53 @@
                  notify: Callable = lambda paths, changed: None,
                  reader: Callable | None = None,
                  beside: Callable = lambda work, then: then(work())) -> None:
-        self.sheet, self.clock, self.log = sheet, clock, log
-        node, terms, fronts = sheet.node, terms_of(sheet), fronts_of(sheet)
-        self.links = Links(clock, dial, node.name, Random(node.seed + 1), node.connect_timeout)
-        # The id names the run as well: a node that came back must not speak of old sequences at engines.
-        self.host = host_class(self._router(fronts), Door(sheet), terms, clock, self.links,
-                               f"{node.name}.{run}.", log)
-        self.links.host = self.host
-        self.host.probe_timeout = sheet.reports.probe_timeout
+        self.clock, self.log, self.run = clock, log, run
+        self.program = revision.program()
+        self.started = clock.seconds()
+        self.figures = Figures()
+        self.around = Around(clock, dial, run, log, host_class, self.figures)
+        self.works = Works(sheet, self.around)
+        self.old: list[Works] = []  # replaced, with sequences in hand
+        self.proven_from = 0  # generated before the settings that hold were applied
+        self.leaving = False
+        self._done: Deferred | None = None
+        self._limit: object | None = None  # while it drains
         limits = sheet.limits
-        self.server = Server(clock, TransportBounds(message=node.prompt_limit, idle_streamless=limits.idle),
+        self.server = Server(clock, TransportBounds(message=sheet.node.prompt_limit,
+                                                    idle_streamless=limits.idle),
                              most=limits.connections, most_by_peer=limits.peer_connections)
-        retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
-        self.peers = PeerWatch(limits, clock, log, retries, node.max_wait)
-        self.desk = BatchDesk(self.host, sheet, clock)
-        gate = Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic}) if (
-            limits.admit) else None
-        self.desk.fields = fronts if len(fronts) > 1 else []
-        self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares, self.peers,
-                               gate)
-        self.front.serve(self.server)
-        for front in FRONTS:
-            if front.name in fronts:
-                serve(front, self.desk, self.server, lambda: self.front.closed, self.peers)
+        self.works.serve(self.server)
         self.admin = Server(clock)
-        self.source = self._source(base, notify, reader, beside)
-        NodeAdmin(self.host, sheet, self.source, self.peers).serve(self.admin)
+        self.source = self._source(sheet, base, notify, reader, beside)
+        self.on_leave: Callable[[], None] = lambda: None  # an order to leave came: the caller drains
+        self.control = NodeAdmin(self)
+        self.control.serve(self.admin)
         self.host.reread_list = self.source.reread
-        self.host.start()
         self.source.follow(self._list_news)
 
-    def _list_news(self, *news: object) -> None:
-        self.host.list_news(*news)
-        self.desk.list_changed()
+    @property
+    def sheet(self) -> NodeSheet:
+        """The settings that hold."""
+        return self.works.sheet
 
-    def _router(self, fronts: list[str]) -> object:
-        """The module; where several fronts are served, once a field of engines."""
-        if len(fronts) == 1:
-            return Router(terms_of(self.sheet, fronts[0]))
-        kinds = [frozenset(i for i, k in enumerate(self.sheet.kinds) if k.does(f)) for f in fronts]
-        return Fields(Router, [terms_of(self.sheet, f) for f in fronts], kinds,
-                      [fronts.index(t.front) for t in self.sheet.traffic])
+    host = property(lambda self: self.works.host)
+    links = property(lambda self: self.works.links)
+    desk = property(lambda self: self.works.desk)
+    front = property(lambda self: self.works.front)
+    peers = property(lambda self: self.works.peers)
 
-    def _source(self, base: Path, notify: Callable, reader: Callable | None,
+    @property
+    def proven(self) -> bool:
+        """Whether it holds a list and has generated a sequence by what it now runs."""
+        return bool(self.host.door.engines.at) and self.figures.generated > self.proven_from
+
+    def _list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
+        for works in (self.works, *self.old):
+            works.list_news(rows, whole, number, digest)
+
+    def _source(self, sheet: NodeSheet, base: Path, notify: Callable, reader: Callable | None,
                 beside: Callable) -> StaticList | WatchedList:
-        part, sheet = self.sheet.list, self.sheet
+        part = sheet.list
         if not part.files:
             return StaticList(part.engines)
         most = 1.0 if part.confirm.most_removed == "any" else part.confirm.most_removed
@@ -98,7 +90,31 @@
             {k.name: k for k in sheet.kinds}, sheet.zones, sheet.engines_may.read_alone)
         store = VersionStore(base / part.store) if part.store else None
         return WatchedList(part.files, base, judge, self.clock, part.poll, part.quiet, store, self.log,
-                           notify, self.links.silent, reader, part.end_marked, beside)
+                           notify, lambda: self.links.silent(), reader, part.end_marked, beside)
+
+    def apply(self, sheet: NodeSheet) -> None:
+        """From the next sequence on these settings hold. What `changes.unfit` says of them has to be
+        nothing."""
+        before = self.works
+        rows = self.source.rows(sheet.list.engines if not sheet.list.pushed else None)
+        self.works = Works(sheet, self.around, before.number + 1, before)
+        self.proven_from = self.figures.generated
+        self.works.front.closed = before.front.closed
+        self.host.reread_list = before.host.reread_list
+        before.host.reread_list = lambda: None
+        self.works.list_news(rows, True, before.host.list_version + 1)
+        for old in (before, *self.old):  # they send on, for what they hold: the list is theirs too
+            old.list_news(rows, True, before.host.list_version + 1)
+        self.works.serve(self.server)
+        self.server.bounds = replace(self.server.bounds, message=sheet.node.prompt_limit)
+        self.old.append(before)
+        self._retire()
+
+    def _retire(self) -> None:
+        """Let go of replaced settings that have nothing in hand."""
+        self.old = [w for w in self.old if not w.idle]
+        if self.old:
+            self.clock.callLater(LOOK_IDLE, self._retire)
 
     def measure_lag(self) -> None:
         """Beat from here on, so that the door knows how late this process runs."""
@@ -110,26 +126,36 @@
         self.clock.callLater(max(0.0, due - now), self.measure_lag)
 
     def drain(self) -> Deferred:
-        """Take nothing new; fires once all held is answered, at the latest after `drain_within`."""
+        """Take nothing new; fires once all held is answered, at the latest after `drain_within`.
+
+        A second call, as where SIGTERM comes amid an order to leave, fires with the first.
+        """
         done = Deferred()
+        if self._done is not None:
+            self._done.addCallback(lambda none: done.callback(None))
+            return done
+        self._done, self.leaving = Deferred(), True
         self.front.closed = True
         self.server.drain()
-        self.log("draining", sequences=len(self.host.held), within=self.sheet.node.drain_within)
-        limit = self.clock.callLater(self.sheet.node.drain_within, self._cut)
-
-        def idle() -> None:
-            if not done.called and not self.host.held and not self.desk.open:
-                if limit.active():
-                    limit.cancel()
-                # a turn or two for the last answers to leave
-                self.clock.callLater(0.05, done.callback, None)
-                self.host.on_idle = lambda: None
-        self.host.on_idle = idle
-        idle()
+        within = self.sheet.node.drain_within
+        self.log("draining", sequences=sum(len(w.host.held) for w in (self.works, *self.old)), within=within)
+        self._limit = self.clock.callLater(within, self._cut)
+        for works in (self.works, *self.old):
+            works.host.on_idle = self._idle
+        self._done.addCallback(lambda none: done.callback(None))
+        self._idle()
         return done
 
+    def _idle(self) -> None:
+        if self._limit is not None and all(w.idle for w in (self.works, *self.old)):
+            for works in (self.works, *self.old):
+                works.host.on_idle = lambda: None
+            limit, self._limit = self._limit, None  # once: whoever was replaced may say again that it is idle
+            if limit.active():
+                limit.cancel()
+            # a turn or two for the last answers to leave
+            self.clock.callLater(0.05, self._done.callback, None)
+
     def _cut(self) -> None:
-        for batch in list(self.desk.open):
-            batch.late()
-        for held in list(self.host.held.values()):
-            self.host.out_of_time(held, "the node is going down")
+        for works in (self.works, *self.old):
+            works.cut("the node is going down")
--- /dev/null
+++ b/myrtlehub/node/works.py
@@ -0,0 +1,110 @@
+"""What a node does by one reading of its settings: door, module, host, links and fronts. A node has one that
+takes new sequences; one that was replaced goes on with those it has, by the settings that they began with,
+and then ends.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from myrtlehub.config.sheets import EngineRow, NodeSheet
+from myrtlehub.decide import Router
+from myrtlehub.limits.admit import Admission
+from myrtlehub.limits.retries import RetryBudget
+from myrtlehub.node.batches import BatchDesk
+from myrtlehub.node.calls import serve
+from myrtlehub.node.chat import ChatFront
+from myrtlehub.node.door import Door
+from myrtlehub.node.embed import EMBED
+from myrtlehub.node.fields import Fields
+from myrtlehub.node.figures import Figures
+from myrtlehub.node.host import Host
+from myrtlehub.node.links import Links
+from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.rank import RANK
+from myrtlehub.node.terms import fronts_of, terms_of
+
+FRONTS = (EMBED, RANK)  # beside chat
+
+
+class Around(NamedTuple):
+    """What works of one node have in common."""
+
+    clock: object
+    dial: Callable[[str], Callable]
+    run: str
+    log: Callable[..., None]
+    host_class: type[Host]
+    figures: Figures
+
+
+class Works:
+    """One settings' worth of a node. `number` counts the changes of settings that this process has
+    applied."""
+
+    def __init__(self, sheet: NodeSheet, around: Around, number: int = 0,
+                 before: "Works | None" = None) -> None:
+        self.sheet, self.around, self.number = sheet, around, number
+        node, terms, fronts = sheet.node, terms_of(sheet), fronts_of(sheet)
+        clock, log = around.clock, around.log
+        self.links = Links(clock, around.dial, node.name, Random(node.seed + 1), node.connect_timeout)
+        # The id names the run and the settings as well: a node that came back must not speak of old
+        # sequences.
+        run = f"{around.run}~{number}" if number else around.run
+        self.host = around.host_class(self._router(fronts), Door(sheet), terms, clock, self.links,
+                                      f"{node.name}.{run}.", log)
+        if before is not None:
+            self.links.channels = before.links.channels  # a change of settings makes no new connections
+            self.host.door.lag = before.host.door.lag
+        self.links.host = self.host
+        self.host.probe_timeout = sheet.reports.probe_timeout
+        around.figures.follow(self.host)
+        limits = sheet.limits
+        retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
+        self.peers = PeerWatch(limits, clock, log, retries, node.max_wait)
+        self.desk = BatchDesk(self.host, sheet, clock)
+        gate = Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic}) if (
+            limits.admit) else None
+        self.fronts = fronts
+        self.desk.fields = fronts if len(fronts) > 1 else []
+        self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares, self.peers,
+                               gate, around.figures.turned_away)
+        self.host.start()
+
+    def _router(self, fronts: list[str]) -> object:
+        """The module; where several fronts are served, once a field of engines."""
+        if len(fronts) == 1:
+            return Router(terms_of(self.sheet, fronts[0]))
+        kinds = [frozenset(i for i, k in enumerate(self.sheet.kinds) if k.does(f)) for f in fronts]
+        return Fields(Router, [terms_of(self.sheet, f) for f in fronts], kinds,
+                      [fronts.index(t.front) for t in self.sheet.traffic])
+
+    def serve(self, server: object) -> None:
+        """Take all new calls from here on: methods are replaced in one turn, those in hand keep their
+        objects."""
+        self.front.serve(server)
+        for front in FRONTS:
+            if front.name in self.fronts:
+                serve(front, self.desk, server, lambda: self.front.closed, self.peers)
+            else:
+                for path in (front.unary, front.stream):
+                    server.methods.pop(path, None)
+
+    def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
+        """News of the list, as far as these settings know its kinds and zones."""
+        door = self.host.door
+        known = [r for r in rows if r.kind in door.kinds and r.zone in door.zones]
+        self.host.list_news(known, whole, number, digest)
+        self.desk.list_changed()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is in hand."""
+        return not self.host.held and not self.desk.open
+
+    def cut(self, why: str) -> None:
+        """Answer all that is in hand now."""
+        for batch in list(self.desk.open):
+            batch.late()
+        for held in list(self.host.held.values()):
+            self.host.out_of_time(held, why)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,7 +9,7 @@
 from myrtlehub.config.load import parse
 from myrtlehub.config.sheets import NodeSheet, StandSheet
 from myrtlehub.emulator.server import StandIn
-from myrtlehub.lab.records import Record, Recorder
+from myrtlehub.records import Record, Recorder
 from myrtlehub.node.host import Host
 from myrtlehub.node.node import Node
 from myrtlehub.proto import admin_pb2, chat_pb2, engine_pb2
@@ -113,16 +113,21 @@
             lambda: self.net.kill(f"{name}:1"))
         self.net.listen(f"{name}:1", self.stands[name].server)
 
-    def node(self, index: int, run: str = "1", **more: object) -> Node:
+    def text(self, index: int) -> str:
+        """A node's file, of a list that is pushed."""
         rows = ", ".join("{" + ", ".join(f"{k}: {v!r}" for k, v in r.items()) + "}"
                          for r in self.rows.values())
         lists = f"{{pushed: yes, engines: [{rows}]}}"
         if self.base is not None:
             lists = f"{{files: [list-n{index}]{self.lists}}}"
+        return SHEET.format(index=index, nodes=self.nodes_count, lists=lists, tell=self.tell_wait,
+                            traffic=FRONTS if self.fronts else "", kinds=KINDS if self.fronts else ""
+                            ) + self.more
+
+    def node(self, index: int, run: str = "1", text: str = "", **more: object) -> Node:
+        if self.base is not None:
             more.setdefault("base", self.base)
-        text = SHEET.format(index=index, nodes=self.nodes_count, lists=lists, tell=self.tell_wait,
-                            traffic=FRONTS if self.fronts else "", kinds=KINDS if self.fronts else "")
-        sheet = parse(text + self.more, NodeSheet)
+        sheet = parse(text or self.text(index), NodeSheet)
         node = Node(sheet, self.clock, lambda address: self.net.dialer(address, f"n{index}:1"), run,
                     host_class=self.host, **more)
         self.net.listen(f"n{index}:1", node.server)
--- /dev/null
+++ b/tests/test_changes.py
@@ -0,0 +1,196 @@
+"""Settings changed in a running node, and orders to leave: by real nodes on an in-memory network."""
+
+import pytest
+from fleet import Fleet
+
+from myrtlehub.node import changes, revision
+from myrtlehub.node.node import Node
+from myrtlehub.proto import admin_pb2 as pb
+from myrtlehub.rollout.orders import FORMAT
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.status import Code
+
+SERVICE = "/myrtlehub.v1.NodeAdmin/"
+
+
+class Admin:
+    """An operator's program at a node's admin address."""
+
+    def __init__(self, fleet: Fleet, node: str = "n0", controller: str = "c1") -> None:
+        self.fleet, self.controller = fleet, controller
+        self.channel = Channel(fleet.clock, fleet.net.dialer(f"{node}:2"), node)
+
+    def say(self, method: str, message: object = None) -> bytes | tuple[Code, str]:
+        """The reply, or code and words."""
+        got: list = []
+        data = message.SerializeToString() if message else b""
+        done = self.channel.unary(SERVICE + method, data, timeout=5.0)
+        done.addCallbacks(got.append, lambda f: got.append((f.value.status.code, f.value.status.message)))
+        self.fleet.run(0.05)
+        return got[0]
+
+    def order(self, generation: int = 1, **more: object) -> pb.Order:
+        return pb.Order(format=FORMAT, generation=generation, controller=self.controller, **more)
+
+    def stage(self, text: str, generation: int = 1) -> bytes | tuple[Code, str]:
+        return self.say("Stage", pb.StagedSettings(order=self.order(generation), text=text))
+
+    def change(self, text: str) -> pb.OrderTaken:
+        digest = pb.OrderTaken.FromString(self.stage(text)).settings
+        return pb.OrderTaken.FromString(self.say("Apply", self.order(settings=digest)))
+
+    def show(self) -> pb.NodeState:
+        return pb.NodeState.FromString(self.say("Show"))
+
+
+def new_text(f: Fleet, was: str = "max_wait: 2s", now: str = "max_wait: 1s") -> str:
+    text = f.text(0)
+    assert was in text
+    return text.replace(was, now)
+
+
+def test_sequences_in_hand_end_by_the_settings_that_they_began_with() -> None:
+    f = Fleet()
+    admin, node = Admin(f), f.nodes["n0"]
+    before = admin.show()
+    early = f.ask("ask", output=200)
+    f.run(0.5)
+    assert early.tokens and not early.answer
+    old = node.host
+    # the new settings know the traffic type no more, and another in its place
+    text = f.text(0).replace("name: ask", "name: query")
+    taken = admin.change(text)
+    assert taken.changed and node.host is not old and old.held
+    state = admin.show()
+    assert (state.program, state.settings) == (before.program, taken.settings)
+    assert state.settings != before.settings
+    assert state.by_old == 1 and not state.proven
+    late, strange = f.ask("query"), f.ask("ask")
+    f.run(6.0)
+    assert early.answer == late.answer == "generated"
+    assert strange.status.code == Code.INVALID_ARGUMENT and "'ask' is not one of" in strange.status.message
+    labels = {r.more["seq"] for r in f.what("seq")}
+    assert len(labels) == 2 and not node.old and admin.show().proven
+    again = admin.say("Apply", admin.order(settings=taken.settings))  # the same order once more
+    assert not pb.OrderTaken.FromString(again).changed
+
+
+def test_a_change_in_place_makes_no_new_connections_and_news_reach_both() -> None:
+    f = Fleet("R0 W0 W0")
+    admin, node = Admin(f), f.nodes["n0"]
+    for _ in range(4):
+        f.ask("ask", output=300)
+    f.run(0.6)
+    channels = dict(node.links.channels)
+    admin.change(new_text(f))
+    old = node.old[0]
+    f.ask("ask")
+    f.run(0.5)
+    assert node.links.channels == channels
+    f.tell("W0b", "draining")
+    f.run(0.1)
+    for host in (old.host, node.host):
+        index = host.door.engines.at["W0b:1"]
+        assert host.door.engines.rows[index].state == "draining"
+    f.run(8.0)
+    assert {c.answer for c in f.calls} == {"generated"} and not node.old
+
+
+@pytest.mark.parametrize(("was", "now", "said"), [
+    ("name: writer, writes: yes", "name: writer, reads: yes", "could end a sequence of 'ask'"),
+    ("name: writer, writes: yes", "name: scribe, writes: yes", "kind 'writer' is not among kinds"),
+    ("zones: [north]", "zones: [north, south]\nrules_: 1", "rules_: is not known here"),
+    ("listen: \"n0:1\"", "listen: \"n0:7\"", "cannot change from 'n0:1' to 'n0:7' in place"),
+    ("{pushed: yes", "{pushed: no", "where the list comes from cannot change in place")])
+def test_what_cannot_be_routed_by_is_refused_where_it_is_staged(was: str, now: str, said: str) -> None:
+    f = Fleet()
+    admin = Admin(f)
+    before = admin.show().settings
+    code, text = admin.stage(new_text(f, was, now))
+    assert said in text and code in (Code.INVALID_ARGUMENT, Code.FAILED_PRECONDITION)
+    assert (admin.show().settings, admin.show().staged) == (before, "")
+    caller = f.ask("ask")
+    f.run(4.0)
+    assert caller.answer == "generated"
+
+
+def test_settings_staged_while_a_writer_served_are_refused_once_the_list_has_none_of_their_kind() -> None:
+    f = Fleet()
+    admin = Admin(f)
+    digest = pb.OrderTaken.FromString(admin.stage(new_text(f))).settings
+    for name in ("W0b", "W0c"):
+        f.tell(name, "gone")
+    f.run(0.2)
+    code, text = admin.say("Apply", admin.order(settings=digest))
+    assert code == Code.FAILED_PRECONDITION and "could end a sequence" in text
+
+
+def test_an_older_controller_is_refused_and_a_newer_one_obeyed() -> None:
+    f = Fleet()
+    old, new = Admin(f), Admin(f, controller="c2")
+    assert isinstance(old.stage(new_text(f), 1), bytes)
+    assert isinstance(new.stage(new_text(f), 2), bytes)
+    for generation in (1, 2):
+        code, text = old.stage(new_text(f), generation)
+        assert code == Code.PERMISSION_DENIED and ("obeys 2" in text or "controller c2's" in text)
+    code, text = new.say("Leave", new.order(3, run="another"))
+    assert "for process another" in text and not f.nodes["n0"].leaving
+    code, text = new.say("Apply", pb.Order(format=FORMAT + 1, generation=9, controller="c9"))
+    assert f"knows formats up to {FORMAT}" in text
+    assert (new.show().generation, new.show().controller) == (2, "c2")
+
+
+def test_an_order_to_leave_and_sigterm_at_once_drain_once_with_old_settings_in_hand() -> None:
+    f = Fleet()
+    admin, node = Admin(f), f.nodes["n0"]
+    early = f.ask("ask", output=60)
+    f.run(0.4)
+    admin.change(new_text(f))
+    late = f.ask("post", output=60)
+    f.run(0.3)
+    ends: list[float] = []
+
+    def drain() -> None:
+        node.drain().addCallback(lambda none: ends.append(f.clock.seconds()))
+    node.on_leave = drain
+    admin.say("Leave", admin.order(run=node.run))
+    drain()  # SIGTERM comes as well
+    assert admin.show().leaving and not ends
+    f.run(5.0)
+    assert early.answer == late.answer == "generated"
+    assert len(ends) == 2 and ends[0] == ends[1]
+
+
+def test_what_a_node_counts_of_itself() -> None:
+    f = Fleet()
+    admin = Admin(f)
+    for i in range(6):
+        f.ask("post" if i % 3 == 0 else "ask")
+    gone = f.ask("ask", output=400)
+    f.run(0.5)
+    f.leave(gone)
+    f.run(5.0)
+    figures = pb.NodeFigures.FromString(admin.say("Figures"))
+    sums = {t.name: t for t in figures.traffic}
+    assert (sums["ask"].asked, sums["post"].asked) == (5, 2)
+    assert dict(sums["ask"].answers) == {"generated": 4, "left": 1}
+    assert (sums["ask"].utility, sums["ask"].served) == (4.0, 4.0)
+    assert (sums["post"].utility, sums["post"].served) == (6.0, 6.0)  # of utility 3 each
+    assert sums["ask"].begun == sum(sums["ask"].first.values()) == 4 and sums["ask"].attempts >= 5
+    assert dict(figures.engines) == {"north": 3} and figures.memory > 10**6 and figures.run == "1"
+    f.nodes["n0"].front.closed = True
+    f.ask("ask")
+    f.run(0.2)
+    figures = pb.NodeFigures.FromString(admin.say("Figures"))
+    assert {t.name: t.answers["rejected"] for t in figures.traffic}["ask"] == 1
+
+
+def test_a_revision_is_the_same_for_all_nodes_of_a_fleet_and_not_for_other_settings() -> None:
+    f = Fleet(nodes=2)
+    sheets = [changes.read(f.text(i)) for i in range(2)]
+    assert revision.settings(sheets[0]) == revision.settings(sheets[1])
+    assert revision.settings(sheets[0]) != revision.settings(changes.read(new_text(f)))
+    f.tell("W0b", "draining")
+    f.run(0.1)
+    assert isinstance(f.nodes["n0"], Node) and f.nodes["n0"].program == revision.program()
+    assert len(revision.program()) == 16
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -16,7 +16,7 @@
 from twisted.internet.defer import Deferred
 
 from myrtlehub.lab.lists import ListWatch, ListWriter, text_of
-from myrtlehub.lab.records import Record
+from myrtlehub.records import Record
 from myrtlehub.lab.scenario import ListFilesGroup
 from myrtlehub.membership import aside as aside_module
 from myrtlehub.membership.files import read
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,7 +5,7 @@
 
 from myrtlehub import interface as itf
 from myrtlehub.lab.checker import RULES, Checker, check
-from myrtlehub.lab.records import Record
+from myrtlehub.records import Record
 from myrtlehub.node.host import Attempt, Held, Host
 from myrtlehub.rpc.guards import TransportBounds
 
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -13,7 +13,7 @@
 from myrtlehub.config.load import Faults, parse
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.lab.day import free_ports
-from myrtlehub.lab.records import read
+from myrtlehub.records import read
 from myrtlehub.node.host import Host
 from myrtlehub.node.terms import terms_of
 
--- /dev/null
+++ b/tests/test_roll_processes.py
@@ -0,0 +1,75 @@
+"""Rolling changes of real processes on loopback: nodes, engines, clients, a controller that is killed. Each
+day ends with its roll, whenever that is, and is judged by the five rules and by how the roll had to end."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+TRAFFIC = {"latency_slo": "2s", "abandon_time": "5s", "prompt": [50, 200], "output": [5, 20]}
+DAY = {
+    "length": "100s", "rate": 24, "fleet": {"nodes": 4, "readers": 2, "writers": 3},
+    "reader": {"slots": 8, "queue": 60, "read_rate": 20000},
+    "writer": {"slots": 30, "queue": 60, "read_rate": 12000, "step": "10ms"},
+    "clients": {"retries": 2, "whole": "12s"},
+    "traffic": [{"name": "ask", "share": 0.8, "repeats": "repeatable", **TRAFFIC},
+                {"name": "post", "share": 0.2, "repeats": "once-only", **TRAFFIC}],
+    "rules": {"answer_slack": "50ms", "drain_grace": "250ms", "let_go": "500ms", "cold_share": 0.25,
+              "cold_time": "4s", "fall_multiple": 2.5, "fall_time": "1s"}}
+ROLL = {
+    "stages": [1, 1.0], "plan": {
+        "measure": "3s", "warm": "300ms", "watch": "5s", "block": "500ms", "look": "200ms", "hold": "20s",
+        "drain_within": "5s", "start_within": "12s", "alarm": 0.05, "guards": [
+            {"figure": "rejected", "worse": 0.1}, {"figure": "served", "worse": 0.2}]}}
+ROLLS = {
+    "a good program, its controller killed twice": {
+        "now": "equal", "ends": "kept", "faults": [{"after": "changing", "do": "kill controller"},
+                                                   {"after": "watching", "do": "kill controller"}]},
+    "a program that exits at its start": {"now": "exits", "ends": "undone"},
+    "a program that rejects most": {"now": "rejects-most", "ends": "undone"},
+    "settings, while a writer crashes": {"now": "", "settings": {"node.max_wait": "1s"}, "ends": "kept"},
+    "nodes that ignore all orders to leave": {"was": "deaf", "now": "equal", "ends": "kept"},
+    "a node that the controller cannot reach for a while": {
+        "now": "equal", "ends": "kept", "faults": [
+            {"after": "changing", "do": "stall", "whom": ["node-2"]},
+            {"after": "watching", "at": "2s", "do": "mend", "whom": ["node-2"]}]}}
+AT_ONCE = 3  # days: they mostly wait
+
+
+@pytest.fixture(scope="module")
+def days(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[int, Path]]:
+    """All days played: exit code and folder of each."""
+    played, at_work = {}, []
+    for seed, (name, roll) in enumerate(ROLLS.items()):
+        folder = tmp_path_factory.mktemp("day")
+        day = {**DAY, "seed": seed, "roll": {**ROLL, **roll}}
+        if "crashes" in name:
+            day["faults"] = [{"at": "4s", "do": "crash", "whom": ["writer-2"], "lasts": "2s"}]
+        (folder / "day.yaml").write_text(json.dumps(day))
+        with (folder / "out").open("w") as out, (folder / "err").open("w") as err:
+            at_work.append((name, folder, subprocess.Popen(
+                [sys.executable, "-m", "myrtlehub.cli.day", str(folder / "day.yaml"), "--json", "--keep",
+                 str(folder / "kept")], stdout=out, stderr=err)))
+        while len(at_work) >= AT_ONCE or (at_work and seed == len(ROLLS) - 1):
+            done, where, process = at_work.pop(0)
+            played[done] = process.wait(), where
+    return played
+
+
+@pytest.mark.parametrize("name", ROLLS)
+def test_a_roll_ends_as_stated_and_the_rules_are_kept(days: dict, name: str) -> None:
+    code, folder = days[name]
+    err = (folder / "err").read_text()[-3000:]
+    assert code in (0, 1), err
+    verdict = json.loads((folder / "out").read_text())
+    said = verdict["unclean"], verdict["roll"], err
+    assert not [b for r in verdict["rules"] for b in r["breaches"]], said
+    assert verdict["roll"]["as_stated"] and verdict["kept"], said
+    assert verdict["roll"]["revisions_at_the_end"] == 1, said
+    answers = [t["answers"] for t in verdict["traffic"].values()]
+    assert sum(a.get("generated", 0) for a in answers) > 50, said
+    if "good program" in name:
+        assert verdict["roll"]["controllers"] == 3
+        assert not any(a.get("aborted", 0) for a in answers), said  # nothing is lost in a good roll
--- /dev/null
+++ b/tests/test_roller.py
@@ -0,0 +1,343 @@
+"""The controller against real nodes on an in-memory network and a driven clock, killed at every boundary."""
+
+from pathlib import Path
+
+import pytest
+from fleet import Fleet
+
+from myrtlehub.cli import roller as shell
+from myrtlehub.cli.roller import CannotRoll, Roller
+from myrtlehub.config.load import parse
+from myrtlehub.config.plans import PlanSheet
+from myrtlehub.node.node import Node
+from myrtlehub.rollout.journal import unpack
+
+PLAN = """
+change: {change}
+settings: "{{name}}.yaml"
+start: "node {{name}} old {{settings}}"
+nodes: [{nodes}]
+stages: [{{nodes: 1}}, {{share: 1.0}}]
+most_away: 1
+measure: 3s
+warm: 1s
+watch: 3s
+block: 1s
+look: 500ms
+hold: 8s
+drain_within: 5s
+start_within: 8s
+guards: [{{figure: served, worse: 0.5}}, {{figure: rejected, worse: 0.5}}]
+"""
+PROGRAM = '{program: {was: "node {name} old {settings}", now: "node {name} new {settings}"}}'
+SETTINGS = '{settings: {was: "{name}.yaml", now: "{name}.new.yaml"}}'
+
+
+class Died(BaseException):
+    """The controller is killed here."""
+
+
+class Hands(shell.Hands):
+    """Processes of the in-memory fleet."""
+
+    def __init__(self, rig: "Rig") -> None:
+        self.rig, self.ours = rig, set()
+
+    def alive(self, node: int, shown: object, last: float) -> bool:
+        return f"n{node}" in self.rig.f.nodes
+
+    def coming(self, node: int, shown: object) -> bool:
+        return False
+
+    def quit(self, node: int) -> bool:
+        return node in self.ours and not self.alive(node, None, 0.0)
+
+    def begin(self, node: int, name: str, command: str, generation: str) -> None:
+        self.ours.add(node)
+        self.rig.begin(node, command.split()[2], generation)
+
+    def kill(self, node: int, shown: object, last: float) -> None:
+        if self.alive(node, shown, last):
+            self.rig.gone(node)
+
+
+class Rig:
+    """A fleet with traffic, and a controller that may die. `bad`: what the new program does at its start."""
+
+    def __init__(self, folder: Path, change: str = PROGRAM, nodes: int = 3, bad: str = "", old_bad: str = "",
+                 plan: str = "") -> None:
+        self.folder, self.bad, self.old_bad = folder, bad, old_bad
+        self.f = Fleet("R0 W0 W0", nodes=nodes)
+        self.runs, self.asked, self.most_away = 0, 0, 0
+        self.said: list[dict] = []
+        for i, node in enumerate(self.f.nodes.values()):
+            self._at_home(i, node, "old")
+            (folder / f"n{i}.yaml").write_text(self.f.text(i))
+            then = "max_wait: 2s" if "program" in change else "max_wait: 1s"
+            (folder / f"n{i}.new.yaml").write_text(self.f.text(i).replace("max_wait: 2s", then))
+        rows = ", ".join(f'{{name: n{i}, admin: "n{i}:2", zone: z}}' for i in range(nodes))
+        self.text = PLAN.format(change=change, nodes=rows) + plan
+        self.roller: Roller | None = None
+        self.dead = False
+        self.codes: list = []
+
+    def _at_home(self, i: int, node: Node, program: str) -> None:
+        node.program = program
+        node.on_leave = lambda: node.leaving or node.drain().addCallback(
+            lambda none: self.f.nodes.get(f"n{i}") is node and self.gone(i))
+
+    def gone(self, i: int) -> None:
+        self.f.kill(f"n{i}")
+        self.most_away = max(self.most_away, len(self.f.channels) - len(self.f.nodes))
+
+    def begin(self, i: int, program: str, generation: str) -> None:
+        assert f"n{i}" not in self.f.nodes, "a second process beside the first"
+        bad = self.bad if program == "new" else self.old_bad
+        if bad == "exits":
+            return
+        self.runs += 1
+        node = self.f.node(i, run=f"b{self.runs}")
+        self.f.nodes[f"n{i}"] = node
+        self._at_home(i, node, program)
+        number, _, controller = generation.partition(" ")
+        node.control.orders.generation, node.control.orders.controller = int(number), controller
+        if bad == "never ready":
+            node.front.closed = True
+
+    def control(self, again: bool = False, die_at: int = 0, undo: bool = False) -> None:
+        """Start a controller; it is killed at its boundary of this number, from 1."""
+        steps = [0]
+
+        self.dead = False
+
+        def step(name: str) -> None:
+            steps[0] += 1
+            if steps[0] == die_at:
+                self.dead = True
+            if self.dead:
+                raise Died(name)
+        sheet = parse(self.text, PlanSheet)
+        self.steps = steps
+        self.roller = Roller(sheet, self.text, self.folder, self.f.clock,
+                             lambda address: self.f.net.dialer(address, "operator"),
+                             lambda event, **more: self.said.append({"event": event, **more}), step)
+        self.roller.hands = Hands(self)
+        self.roller.run(again, undo).addBoth(self.codes.append)
+
+    def bury(self) -> None:
+        """The controller was killed: nothing of it happens any more, and its lock is free."""
+        self.roller._over, self.dead, self.codes = True, False, []
+        for target in self.roller.targets:
+            target.channel.close()
+        self.roller.journal.close()
+
+    def run_some(self) -> None:
+        """One more sequence, and a fifth of a second."""
+        name = f"n{self.asked % len(self.f.channels)}"
+        self.asked += 1
+        if name in self.f.nodes:
+            self.f.ask("ask", prompt=300, node=name, output=4)
+        self.f.run(0.2)
+
+    def run(self, seconds: float = 150.0) -> int:
+        """Until the controller ends; its exit code."""
+        until = self.f.clock.seconds() + seconds
+        while not self.codes and not self.dead and self.f.clock.seconds() < until:
+            self.run_some()
+        if self.dead:
+            raise Died
+        assert self.codes, f"no end after {seconds} s: {self.roller.standing}"
+        return self.codes[-1]
+
+    def programs(self) -> list[str]:
+        return [n.program for _, n in sorted(self.f.nodes.items())]
+
+    def waits(self) -> list[float]:
+        return [n.sheet.node.max_wait for _, n in sorted(self.f.nodes.items())]
+
+
+def test_an_equal_program_is_kept_by_all_one_at_a_time(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    rig.control()
+    assert rig.run() == 0 and rig.programs() == ["new"] * 3 and rig.most_away == 1
+    assert not [c for c in rig.f.calls if c.answer in ("aborted", "")
+                and not (c.status and c.status.unprocessed)][:-20]
+    with pytest.raises(CannotRoll, match="is there already; hub-roll resume"):
+        rig.control()
+    with pytest.raises(CannotRoll, match="the change is over: kept"):
+        rig.control(again=True)
+    text = rig.text.replace("most_away: 1", "most_away: 2")
+    rig.text, whole = text, rig.text
+    with pytest.raises(CannotRoll, match="was written for another plan"):
+        rig.control(again=True)
+    rig.text = whole
+
+
+def test_settings_are_changed_in_place_and_undone_the_same_way(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, SETTINGS)
+    rig.control()
+    assert rig.run() == 0 and rig.waits() == [1.0] * 3 and rig.programs() == ["old"] * 3 and not rig.runs
+    rig.codes.clear()
+    rig.control(again=True, undo=True)
+    assert rig.run() == 1 and rig.waits() == [2.0] * 3 and not rig.runs
+
+
+@pytest.mark.parametrize(("bad", "why"), [("exits", "quit"), ("never ready", "overdue")])
+def test_a_program_that_does_not_come_up_is_undone_at_once(tmp_path: Path, bad: str, why: str) -> None:
+    rig = Rig(tmp_path, bad=bad)
+    rig.control()
+    assert rig.run() == 1 and rig.programs() == ["old"] * 3 and rig.most_away == 1
+    change = next(s for s in rig.said if s["event"] == "change" and s["now"] == "undoing")
+    assert change["stage"] == 1 and any(s["event"] == "node" and s["by"] == why for s in rig.said)
+
+
+def test_settings_that_are_valid_and_bad_are_refused_by_the_first_node(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, SETTINGS)
+    for i in range(3):
+        path = tmp_path / f"n{i}.new.yaml"
+        path.write_text(path.read_text().replace("name: writer, writes: yes", "name: writer, reads: yes"))
+    rig.control()
+    assert rig.run() == 1 and rig.waits() == [2.0] * 3
+    assert "could end a sequence" in next(s["why"] for s in rig.said if s["event"] == "refused")
+
+
+def test_an_old_program_that_does_not_start_any_more_leaves_it_stuck_and_told(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, bad="never ready", old_bad="exits")
+    rig.control()
+    assert rig.run() == 3 and any(s["event"] == "tell" and s["node"] == "n0" for s in rig.said)
+    rig.old_bad = ""  # somebody mended it
+    rig.codes.clear()
+    rig.control(again=True, undo=True)
+    assert rig.run() == 1 and rig.programs() == ["old"] * 3
+
+
+@pytest.mark.parametrize("change", [SETTINGS, PROGRAM], ids=["settings", "program"])
+def test_a_controller_killed_at_any_boundary_is_resumed_to_the_same_end(tmp_path: Path, change: str) -> None:
+    """Every boundary: before and after each write, sync and act. Nothing happens twice with harm."""
+    (tmp_path / "whole").mkdir()
+    rig = Rig(tmp_path / "whole", change)
+    rig.control()
+    assert rig.run() == 0
+    boundaries = rig.steps[0]
+    assert boundaries > 60
+    for die_at in range(1, boundaries - 3):  # the last are behind the end of the change
+        folder = tmp_path / str(die_at)
+        folder.mkdir()
+        rig = Rig(folder, change)
+        died = False
+        try:
+            rig.control(die_at=die_at)
+            rig.run()
+        except Died:
+            died = True
+        assert died, die_at
+        rig.bury()
+        whole = (folder / "roll.journal").read_bytes() if (folder / "roll.journal").exists() else b""
+        rig.control(again=bool(whole))
+        assert rig.run() == 0, (die_at, rig.roller.standing)
+        changed = rig.waits() if change == SETTINGS else rig.programs()
+        assert changed == ([1.0] * 3 if change == SETTINGS else ["new"] * 3), die_at
+        assert rig.most_away <= 1 and rig.runs == (0 if change == SETTINGS else 3), die_at
+        _, entries, _ = unpack((folder / "roll.journal").read_bytes())
+        assert sum(e.event in ("pass", "last") for e in entries) == 2
+
+
+def test_of_two_controllers_the_older_one_does_nothing_more(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, plan="journal: one.journal\n")
+    rig.control()
+    first = rig.roller
+    while first.standing.change != "watching":
+        rig.run_some()
+    with pytest.raises(CannotRoll, match="another controller is at work"):
+        rig.control(again=True)
+    other = Rig.__new__(Rig)
+    text = rig.text.replace("one.journal", "two.journal")
+    other.__dict__.update(rig.__dict__, codes=[], said=[], text=text)
+    (tmp_path / "two.journal").write_bytes((tmp_path / "one.journal").read_bytes())  # on another machine
+    sheet = parse(other.text, PlanSheet)
+    second = Roller(sheet, rig.text, tmp_path, rig.f.clock, lambda a: rig.f.net.dialer(a, "operator"),
+                    lambda event, **more: other.said.append({"event": event, **more}))
+    second.hands = Hands(rig)
+    second.run(again=True).addBoth(other.codes.append)
+    code = rig.run()
+    assert code == shell.TAKEN_OVER and "does nothing more" in first.reason
+    rig.codes = other.codes
+    assert rig.run() == 0 and rig.programs() == ["new"] * 3
+
+
+def test_a_node_that_the_controller_cannot_reach_is_left_alone_until_it_can(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    rig.control()
+    while rig.roller.standing.nodes[0] != "watched":
+        rig.run_some()
+    kept = rig.f.net.hosts["n0:2"]
+    rig.f.net.kill("n0:2")
+    runs, node = rig.runs, rig.f.nodes["n0"]
+    for _ in range(100):  # longer than a stage may be held amid trouble
+        rig.run_some()
+    assert rig.runs == runs and rig.f.nodes["n0"] is node and rig.roller.targets[0].lost
+    assert rig.roller.standing.change == "holding" and "no contact with n0" in str(rig.said)
+    rig.f.net.listen("n0:2", kept)
+    assert rig.run() == 0 and rig.programs() == ["new"] * 3
+
+
+def test_the_only_changed_node_killed_by_something_else_is_held_and_not_undone(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    rig.control()
+    while rig.roller.standing.nodes[0] != "watched":
+        rig.run_some()
+    rig.gone(0)
+    assert rig.run() == 0 and rig.programs() == ["new"] * 3
+    assert any(s["event"] == "change" and s["now"] == "holding" for s in rig.said)
+
+
+def test_a_full_disk_stops_the_controller_and_nothing_follows(tmp_path: Path, monkeypatch: object) -> None:
+    rig = Rig(tmp_path)
+    rig.control()
+    while rig.roller.standing.change != "watching":
+        rig.run_some()
+    standing, runs = rig.roller.standing, rig.runs
+    write = shell.os.write
+
+    def full(file: int, data: bytes) -> int:
+        if file == rig.roller.journal._file:
+            raise OSError(28, "No space left on device")
+        return write(file, data)
+    monkeypatch.setattr(shell.os, "write", full)
+    assert rig.run() == shell.NO_JOURNAL and "No space left" in rig.roller.reason
+    assert rig.roller.standing == standing and rig.runs == runs
+    monkeypatch.setattr(shell.os, "write", write)
+    rig.codes.clear()
+    rig.control(again=True)
+    assert rig.run() == 0 and rig.programs() == ["new"] * 3
+
+
+def test_an_undo_amid_a_stage_takes_back_all_and_starts_nothing_else(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    rig.control()
+    while rig.roller.standing.stage < 1 or "starting" not in rig.roller.standing.nodes:
+        rig.run_some()
+    Path(f"{rig.roller.journal.path}.undo").touch()
+    assert rig.run() == 1 and rig.programs() == ["old"] * 3 and rig.most_away == 1
+    assert "the operator asked for it" in str(rig.said)
+
+
+@pytest.mark.parametrize(("was", "now", "said"), [
+    ("{nodes: 1}, {share: 1.0}", "{nodes: 2}, {nodes: 2}", "stages have to grow"),
+    ("most_away: 1", "most_away: 3", "at least one of the 3 nodes has to stay"),
+    ("settings: \"{name}.yaml\"", "settings: \"{nme}.yaml\"", "{nme} is not known"),
+    ("watch: 3s", "watch: 2s", "three blocks or more"),
+    ("name: n1", "name: n0", "name n0 stands more than once")])
+def test_a_plan_that_cannot_be_carried_out_is_refused(tmp_path: Path, was: str, now: str, said: str) -> None:
+    rig = Rig(tmp_path)
+    assert was in rig.text
+    rig.text = rig.text.replace(was, now)
+    with pytest.raises(Exception, match=said):
+        rig.control()
+
+
+def test_a_fleet_of_two_revisions_is_not_begun_with(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    rig.f.nodes["n2"].program = "third"
+    rig.control()
+    assert rig.run() == 2 and "more than one revision already" in rig.roller.reason
