--- /dev/null
+++ b/benchmarks/judges.py
@@ -0,0 +1,257 @@
+"""The judge of rolling changes on a modelled fleet, beside simpler ones: false stops, detection, utility
+lost.
+
+    python benchmarks/judges.py [--seeds 1000] [--out docs/charts]
+
+Simulated: `lab/manynodes`, blocks of 5 s. Each cell plays whole changes: measuring 24 blocks, four stages (2,
+10, 40, 100 per cent), each changed at 8 per cent of the fleet at a time, warmed for 2 blocks and watched for
+12. With trouble, an engine failure of one zone and a burst over all come at moments drawn by chance. Prints
+Markdown; writes charts.
+"""
+
+import argparse
+import os
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from statistics import median
+from typing import NamedTuple
+
+os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")  # one process a core is enough
+import numpy as np  # noqa: E402
+from scipy.stats import ttest_ind
+
+from myrtlehub.lab.manynodes import Harm, ManyNodes, Trouble, roles_of, stages
+from myrtlehub.rollout.judge import CHANGED, PASS, TROUBLE, UNCHANGED, WORSE, Block, Guard, Judge
+
+MEASURE, WARM, WATCH, AWAY_SHARE, HOLD_MOST = 24, 2, 12, 0.08, 60
+BLOCK = 5.0
+HOUR = 720  # blocks that an unguarded change stays before somebody sees it
+GUARDS = (
+    Guard("served", 0.005, -1.0),
+    *(Guard("served", 0.01, -1.0, t) for t in ("ask", "post", "note")),
+    Guard("rejected", 0.005),
+    Guard("first_token", 0.05),
+)
+HARMS = {
+    "equal": Harm(),
+    "1% less": Harm(0.01),
+    "2% less": Harm(0.02),
+    "5% less": Harm(0.05),
+    "10% less": Harm(0.1),
+    "one type 10% less": Harm(0.1, one_type=True),
+    "10% slower": Harm(slower=0.1),
+    "30% slower": Harm(slower=0.3),
+    "5% less from half on": Harm(0.05, others_from=0.39),
+}
+
+
+class End(NamedTuple):
+    """What became of one change."""
+
+    stopped: bool
+    stage: int
+    blocks: int  # from the first changed node
+    lost: float  # utility that the change took, over what the fleet asks in a block
+
+
+class FixedBefore:
+    """Changed nodes now against the same nodes before, by a threshold, at the end of each watch."""
+
+    def __init__(self, zones: list[str]) -> None:
+        self.blocks: list[Block] = []
+        self.since = 0
+
+    def add(self, block: Block) -> None:
+        self.blocks.append(block)
+
+    def watch_anew(self) -> None:
+        self.since = len(self.blocks)
+
+    def verdict(self) -> str:
+        watched = self.blocks[self.since :]
+        if len(watched) < WATCH:
+            return "unsure"
+        return WORSE if any(self.worse(g, watched) for g in GUARDS) else PASS
+
+    def worse(self, g: Guard, watched: list[Block]) -> bool:
+        now = self.share(g, watched, CHANGED)
+        before = self.share(g, [b for b in self.blocks if b.measuring], UNCHANGED)
+        return g.sign * (now - before) >= g.margin
+
+    def share(self, g: Guard, blocks: list[Block], role: int) -> float:
+        above = sum(b.sums[g.figure, g.traffic][0][b.roles == role].sum() for b in blocks)
+        below = sum(b.sums[g.figure, g.traffic][1][b.roles == role].sum() for b in blocks)
+        return above / below if below else 0.0
+
+
+class FixedBeside(FixedBefore):
+    """Changed against unchanged nodes in the same time, by a threshold."""
+
+    def worse(self, g: Guard, watched: list[Block]) -> bool:
+        if not (watched[-1].roles == UNCHANGED).any():
+            return False
+        return g.sign * (self.share(g, watched, CHANGED) - self.share(g, watched, UNCHANGED)) >= g.margin
+
+
+class FixedLength(FixedBefore):
+    """Welch's t over nodes, once, at the end of each watch; 0.01 over all guards."""
+
+    def worse(self, g: Guard, watched: list[Block]) -> bool:
+        above = sum(b.sums[g.figure, g.traffic][0] for b in watched)
+        below = sum(b.sums[g.figure, g.traffic][1] for b in watched)
+        roles = watched[-1].roles
+        of = [
+            above[(roles == r) & (below > 0)] / below[(roles == r) & (below > 0)]
+            for r in (CHANGED, UNCHANGED)
+        ]
+        if min(map(len, of)) < 2:
+            return False
+        harm = g.sign * (of[0].mean() - of[1].mean())
+        side = "greater" if g.sign > 0 else "less"
+        return harm >= g.margin and ttest_ind(*of, equal_var=False, alternative=side).pvalue < 0.01 / len(
+            GUARDS
+        )
+
+
+class Sequential:
+    """Ours."""
+
+    def __init__(self, zones: list[str]) -> None:
+        self.judge = Judge(GUARDS, zones, WATCH)
+        self.add, self.watch_anew = self.judge.add, self.judge.watch_anew
+
+    def verdict(self) -> str:
+        return self.judge.verdict().says
+
+
+JUDGES = {
+    "threshold, before and after": FixedBefore,
+    "threshold, beside": FixedBeside,
+    "fixed length, Welch's t": FixedLength,
+    "sequential (taken)": Sequential,
+}
+
+
+def troubles_of(seed: int, zones: int) -> tuple[Trouble, ...]:
+    """An engine failure of one zone and a burst, somewhere in the change."""
+    r = np.random.default_rng(seed + 10**6)
+    return (
+        Trouble(int(r.integers(30, 90)), int(r.integers(4, 12)), int(r.integers(zones)), 0.2, 0.35),
+        Trouble(int(r.integers(30, 120)), int(r.integers(2, 6)), -1, 0.1, 0.0),
+    )
+
+
+def play(args: tuple[str, str, int, bool, int]) -> End:
+    """One change from its first block to its last node, or to its undoing."""
+    name, harm, nodes, troubled, seed = args
+    zones = 4 if nodes > 50 else 2
+    fleet = ManyNodes(nodes, zones, seed, BLOCK, HARMS[harm], troubles_of(seed, zones) if troubled else ())
+    judge = JUDGES[name](fleet.zones)
+    for _ in range(MEASURE):
+        judge.add(fleet.block(roles_of(nodes, 0), True))
+    asked = fleet.asked / MEASURE
+    step, done = max(1, round(nodes * AWAY_SHARE)), 0
+    for stage, until in enumerate(stages(nodes)):
+        while done < until:
+            judge.add(fleet.block(roles_of(nodes, done, min(step, until - done))))
+            done += min(step, until - done)
+        for _ in range(WARM):  # warming nodes are not compared, though what they lose counts
+            block = fleet.block(roles_of(nodes, done))
+            block.roles[:done] = 0
+            judge.add(block)
+        judge.watch_anew()
+        held = 0
+        while True:
+            judge.add(fleet.block(roles_of(nodes, done)))
+            says = judge.verdict()
+            held += says == TROUBLE
+            if says == WORSE or held > HOLD_MOST:
+                return End(True, stage, fleet.at - MEASURE, fleet.lost / asked)
+            if says == PASS:
+                break
+    return End(False, len(stages(nodes)), fleet.at - MEASURE, fleet.lost / asked)
+
+
+def unguarded(harm: str, nodes: int) -> float:
+    """Utility lost by a change that nobody judges, over what the fleet asks in a block."""
+    h = HARMS[harm]
+    lost = h.served * (0.3 if h.one_type else 1.0) * 0.93
+    return lost * (HOUR + 1.0 / AWAY_SHARE / 2)
+
+
+def main() -> None:
+    """Play all cells and print them."""
+    ask = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    ask.add_argument("--seeds", type=int, default=1000)
+    ask.add_argument("--out", type=Path, default=Path("docs/charts"))
+    ask.add_argument("--judges", nargs="*", default=list(JUDGES))
+    ask.add_argument("--nodes", type=int, nargs="*", default=[24, 200])
+    args = ask.parse_args()
+    rows = []
+    with ProcessPoolExecutor() as pool:
+        for nodes in args.nodes:
+            for troubled in (False, True):
+                print(
+                    f"\n{nodes} nodes, {'with' if troubled else 'no'} trouble, {args.seeds} changes a cell\n"
+                )
+                print(
+                    "| judge | version | stopped | by stage 2 | minutes to the stop, p50 | lost of unguarded "
+                    "hour | minutes of a change that passes, p50 |"
+                )
+                print("| --- | --- | --- | --- | --- | --- | --- |", flush=True)
+                for name in args.judges:
+                    for harm in HARMS:
+                        ends = list(
+                            pool.map(
+                                play,
+                                [(name, harm, nodes, troubled, s) for s in range(args.seeds)],
+                                chunksize=8,
+                            )
+                        )
+                        rows.append((name, harm, nodes, troubled, ends))
+                        print(line(name, harm, nodes, ends), flush=True)
+    args.out.mkdir(parents=True, exist_ok=True)
+    chart(rows, args.out)
+
+
+def line(name: str, harm: str, nodes: int, ends: list[End]) -> str:
+    """One row of the table."""
+    stops = [e for e in ends if e.stopped]
+    passes = [e for e in ends if not e.stopped]
+    lost = sum(e.lost for e in ends) / len(ends)
+    whole = unguarded(harm, nodes)
+    return (
+        f"| {name} | {harm} | {len(stops) / len(ends):.3f} | "
+        f"{sum(e.stage < 2 for e in stops) / len(ends):.3f} | "
+        f"{median(e.blocks for e in stops) * BLOCK / 60 if stops else float('nan'):.1f} | "
+        f"{f'{lost / whole:.3f}' if whole else '-'} | "
+        f"{median(e.blocks for e in passes) * BLOCK / 60 if passes else float('nan'):.1f} |"
+    )
+
+
+def chart(rows: list[tuple], out: Path) -> None:
+    """Share of changes stopped, by judge and version, a panel a fleet."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot as plt
+
+    cells = sorted({(n, t) for _, _, n, t, _ in rows})
+    figure, panels = plt.subplots(1, len(cells), figsize=(5 * len(cells), 4.5), sharey=True, squeeze=False)
+    harms = list(HARMS)
+    for panel, (nodes, troubled) in zip(panels[0], cells, strict=True):
+        names = [n for n in JUDGES if any(r[0] == n for r in rows)]
+        for i, name in enumerate(names):
+            mine = {r[1]: r[4] for r in rows if r[0] == name and r[2:4] == (nodes, troubled)}
+            shares = [sum(e.stopped for e in mine[h]) / len(mine[h]) for h in harms]
+            panel.bar(np.arange(len(harms)) + 0.2 * i, shares, 0.2, label=name)
+        panel.set_xticks(np.arange(len(harms)) + 0.3, harms, rotation=60, ha="right")
+        panel.set_title(f"{nodes} nodes{', with trouble' if troubled else ''} (simulated)")
+    panels[0][0].set_ylabel("share of changes stopped")
+    panels[0][0].legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(out / "judges.png", dpi=110)
+
+
+if __name__ == "__main__":
+    main()
