--- a/myrtlehub/cli/roller.py
+++ b/myrtlehub/cli/roller.py
@@ -407,7 +407,7 @@
             return there.addCallback(self._missing, node)
         s, before = pb.NodeState.FromString(data), target.shown
         target.shown = Shown(
-            (s.program, s.settings), s.run, s.pid, s.leaving, s.proven, s.generation, s.controller, s.age
+            (s.program, s.settings), s.run, s.pid, s.leaving, s.proven, s.generation, s.controller
         )
         if before is None or before.run != s.run:
             self._put(Entry(time.time(), "process", node, more={"run": s.run, "pid": s.pid}))
--- a/myrtlehub/lab/rolling.py
+++ b/myrtlehub/lab/rolling.py
@@ -34,7 +34,6 @@
         self.controller: Process | None = None
         self.ended: Deferred = Deferred()
         self.roll_code: int | None = None
-        self.roll_said: list[dict] = []
         self.began_at = self.over_at = 0.0
         self.controllers = 0
         self.pending: list[RollFault] = []  # that wait for a word of the controller
@@ -104,7 +103,6 @@
 
     def _heard(self, said: dict) -> None:
         """What the controller says: what it kills is gone from the moment that it names."""
-        self.roll_said.append(said)
         for fault in [f for f in self.pending if said.get("event") == "change" and f.after == said["now"]]:
             self.pending.remove(fault)
             self.clock.callLater(fault.at, self._roll_fault, fault)
--- a/myrtlehub/rollout/judge.py
+++ b/myrtlehub/rollout/judge.py
@@ -20,7 +20,7 @@
 
 ALL = ""  # of all traffic types together
 AWAY, UNCHANGED, CHANGED = 0, 1, 2  # what a node counts as in a block
-PASS, WORSE, TROUBLE, CLEAR, UNSURE = "pass", "worse", "trouble", "clear", "unsure"
+PASS, WORSE, TROUBLE, UNSURE = "pass", "worse", "trouble", "unsure"
 
 PRIOR_NODES = 4.0  # nodes' worth of belief in the scatter that margins are made for, beside what is seen
 PRIOR_SCATTER = 0.25  # of the margin: the scatter between like nodes that is believed before any was seen
--- a/myrtlehub/rollout/seen.py
+++ b/myrtlehub/rollout/seen.py
@@ -22,7 +22,6 @@
     proven: bool = True
     generation: int = 0
     controller: str = ""
-    age: float = 0.0
 
 
 class Sums(NamedTuple):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,17 @@
 
 from myrtlehub import interface as itf
 from myrtlehub.decide import Router
+from myrtlehub.state.lives import Step, Table
+
+def changed(table: Table, **steps: Step) -> Table:
+    """A table with some results changed; keys are state__event."""
+    new = dict(table.steps)
+    for key, step in steps.items():
+        state, event = key.split("__")
+        assert new[state, event] != step
+        new[state, event] = step
+    return table._replace(steps=new)
+
 
 CHAT = itf.TrafficType(itf.REPEATABLE, 2.0, 4e-5, 10.0, 0.07, 1.0, 0.3)
 BOOK = itf.TrafficType(itf.ONCE_ONLY, 2.0, 4e-5, 10.0, 0.07, 3.0, 0.3)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+from helpers import changed
 
 from myrtlehub.rollout import course, tables, world
 from myrtlehub.rollout.course import FLEET, IN_PLACE, REPLACE, Plan
@@ -63,16 +64,6 @@
     assert len(live) == len(after)
 
 
-def changed(table: Table, **steps: Step) -> Table:
-    """A table with some results changed; keys are state__event."""
-    new = dict(table.steps)
-    for key, step in steps.items():
-        state, event = key.split("__")
-        assert new[state, event] != step
-        new[state, event] = step
-    return table._replace(steps=new)
-
-
 def node(**steps: Step) -> Plan:
     return THREE._replace(node_table=changed(tables.NODE, **steps))
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+from helpers import changed
 
 from myrtlehub.state.explore import Found, explore, replay
 from myrtlehub.state.lives import (
@@ -64,16 +65,6 @@
     assert not found.breach and found.depth == 2 and found.states > 500
 
 
-def changed(table: Table, **steps: Step) -> Table:
-    """A table with some results changed; keys are state__event."""
-    new = dict(table.steps)
-    for key, step in steps.items():
-        state, event = key.split("__")
-        assert new[state, event] != step
-        new[state, event] = step
-    return table._replace(steps=new)
-
-
 FAULTS = {
     "a reset is taken for not run": ("attempt", changed(ATTEMPT, writing__reset=Step("harmless",
                                                                                      "answer")), "rule 2"),
