--- a/myrtlehub/cli/day.py
+++ b/myrtlehub/cli/day.py
@@ -43,6 +43,9 @@
 
     from myrtlehub.lab.day import Day, DayFailed, as_text, save
     from myrtlehub.lab.rolling import RollingDay, rolling_as_text
+    from myrtlehub.lab.takeover import TakeoverDay, takeover_as_text
+    kind, text = ((RollingDay, rolling_as_text) if sheet.roll else
+                  (TakeoverDay, takeover_as_text) if sheet.takeover else (Day, as_text))
     with tempfile.TemporaryDirectory(prefix="hub-day-") as temporary:
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
@@ -52,7 +55,7 @@
             if not quiet:
                 at = day.clock.seconds() - day.started if day.started else 0.0
                 click.echo(f"{at:6.1f} s  {line}", err=True)
-        day = (RollingDay if sheet.roll else Day)(sheet, folder.resolve(), reactor, sequences or 0, seed, say)
+        day = kind(sheet, folder.resolve(), reactor, sequences or 0, seed, say)
 
         def start() -> None:
             day.play().addBoth(verdicts.append).addBoth(lambda ignored: reactor.stop())
@@ -67,7 +70,7 @@
             verdict.printTraceback(sys.stderr)
             sys.exit(2)
         save(verdict, folder)
-        click.echo(json.dumps(verdict) if as_json else (rolling_as_text if sheet.roll else as_text)(verdict))
+        click.echo(json.dumps(verdict) if as_json else text(verdict))
     sys.exit(0 if verdict["kept"] else 1)
 
 
--- a/myrtlehub/client/aio.py
+++ b/myrtlehub/client/aio.py
@@ -3,11 +3,11 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
 import grpc
 
-from myrtlehub.client.promise import PATH, Ask, End, Generated, Tries, end_of
+from myrtlehub.client.promise import Ask, End, Generated, Tries, end_of
 from myrtlehub.client.sync import lost_end
 from myrtlehub.proto import chat_pb2 as pb
 
@@ -23,9 +23,10 @@
         tries = self._tries
         while True:
             end = End("lost", said="the stream ended without a final answer")
-            call = self._client.call(
-                tries.ask.message(tries.count), timeout=max(0.001, tries.until - time.monotonic()))
+            now = time.monotonic()
+            call = self._client.calls(tries)(tries.request(now), timeout=max(0.001, tries.until - now))
             try:
+                tries.told(await call.initial_metadata() or ())
                 async for reply in call:
                     final = end_of(reply)
                     if final is None:
@@ -48,10 +49,14 @@
 class Client:
     """Sequences at one node; use it with `async with`."""
 
-    def __init__(self, address: str) -> None:
-        self._channel = grpc.aio.insecure_channel(address)
-        self.call = self._channel.unary_stream(
-            PATH, request_serializer=pb.GenerateRequest.SerializeToString,
+    def __init__(self, address: str, others: Iterable[str] = ()) -> None:
+        """`others`: nodes at which it comes back for what the first has lost."""
+        self._channels = [grpc.aio.insecure_channel(a) for a in (address, *others)]
+
+    def calls(self, tries: Tries) -> grpc.aio.UnaryStreamMultiCallable:
+        """The method of the next call, at its node."""
+        return self._channels[tries.place % len(self._channels)].unary_stream(
+            tries.path(), request_serializer=pb.GenerateRequest.SerializeToString,
             response_deserializer=pb.GenerateReply.FromString)
 
     def generate(self, ask: Ask) -> Stream:
@@ -62,4 +67,5 @@
         return self
 
     async def __aexit__(self, *ignored: object) -> None:
-        await self._channel.close()
+        for channel in self._channels:
+            await channel.close()
--- a/myrtlehub/client/promise.py
+++ b/myrtlehub/client/promise.py
@@ -1,11 +1,14 @@
 """What each end of a try means, and whether it may be tried again: pure, the same for all three clients."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from myrtlehub.proto import chat_pb2 as pb
 
-PATH = "/myrtlehub.v1.Chat/Generate"
+PATH, RESUME = "/myrtlehub.v1.Chat/Generate", "/myrtlehub.v1.Chat/Resume"
+SEQUENCE, RESUMES = "myrtle-seq", "myrtle-resume"  # metadata: a sequence's id; one may come back for it
+COME_BACKS = 12  # at most, of one request: whoever finds no node by then has lost the fleet
 REPEATABLE, TOKENED, ONCE_ONLY = "repeatable", "tokened", "once-only"
 
 
@@ -38,7 +41,7 @@
             shared_prefix=self.shared_prefix, shared_tokens=self.shared_tokens,
             prompt_tokens=self.prompt_tokens,
             most_output=self.most_output, time_left_ms=int(self.first_within * 1000), mark=self.mark,
-            repeated=attempt > 0, prompt=self.prompt)
+            repeated=attempt > 0, prompt=self.prompt, may_move=True)
 
 
 class Generated(NamedTuple):
@@ -73,7 +76,7 @@
 class End(NamedTuple):
     """How one try ended, as its transport saw it."""
 
-    answer: str  # generated, rejected, aborted, invalid, or lost: without a final answer
+    answer: str  # generated, rejected, aborted, moved, invalid, or lost: without a final answer
     wait: float = 0.0
     said: str = ""
     unprocessed: bool = False  # known never to have reached the node's program
@@ -89,6 +92,8 @@
         return End("generated", count=reply.generated.tokens)
     if which == "rejected":
         return End("rejected", reply.rejected.wait_ms / 1000.0, "rejected")
+    if which == "moved":
+        return End("moved", said="its node is leaving")
     return End("aborted", said=reply.aborted.reason or "aborted")
 
 
@@ -100,13 +105,54 @@
         self.until = now + ask.within
         self.count = 0  # tries so far
         self.tokens = 0
+        self.began = now
+        self.sequence = ""  # by which it is known to all nodes, once its node has said so
+        self.come_backs = 0
+        self.resumes = False  # the next call comes back for it, and does not ask anew
+        self.place = 0  # of the node to ask, among those that are known
+
+    def told(self, meta: Iterable[tuple[str, str | bytes]]) -> None:
+        """Initial metadata of a call came."""
+        known = dict(meta)
+        if RESUMES in known:
+            self.sequence = known.get(SEQUENCE, "")
+
+    def path(self) -> str:
+        """The method of the next call."""
+        return RESUME if self.resumes else PATH
+
+    def request(self, now: float) -> pb.GenerateRequest:
+        """What the next call asks."""
+        request = self.ask.message(self.count)
+        if self.resumes:
+            request.resume.sequence, request.resume.tokens = self.sequence, self.tokens
+            if request.time_left_ms:
+                request.time_left_ms = max(1, request.time_left_ms - int((now - self.began) * 1000))
+        return request
+
+    def _come_back(self, end: End, now: float) -> float | None:
+        """Seconds until it comes back for what its node had in hand; None where there is nothing to come for.
+
+        At another node, where one is known; spread, as all clients of a lost node come at once.
+        """
+        if not self.sequence or end.answer not in ("lost", "moved") or self.come_backs >= COME_BACKS:
+            return None
+        self.resumes = True
+        self.place += 1
+        self.come_backs += 1
+        wait = 0.15 * self.random() if self.come_backs == 1 else 0.1 * self.come_backs * (0.5 + self.random())
+        return wait if now + wait < self.until else None
 
     def again(self, end: End, now: float) -> float | None:
         """Seconds after which to try again, or None: `result` then says how it ended.
 
         A rejected request goes again after the wait named. One that may have run goes again by itself only if
-        it is repeatable, and none of its tokens were handed out: they would come twice.
+        it is repeatable, and none of its tokens were handed out: they would come twice. Where its node or
+        connection was lost it comes back for the rest first, whatever it is.
         """
+        back = self._come_back(end, now)
+        if back is not None:
+            return back
         self.count += 1
         if self.count >= self.ask.tries or self.tokens:
             return None
@@ -118,7 +164,12 @@
             wait = 0.05 * 2.0 ** self.count * (0.5 + self.random())
         else:
             return None
-        return wait if now + wait < self.until else None
+        if now + wait >= self.until:
+            return None
+        # It is another sequence from here on, at another node where one is known: the first may be gone.
+        self.resumes, self.sequence, self.began = False, "", now
+        self.place += end.answer == "lost"
+        return wait
 
     def result(self, end: End) -> Generated:
         """The value of a generated answer; every other end is raised."""
--- a/myrtlehub/client/sync.py
+++ b/myrtlehub/client/sync.py
@@ -2,12 +2,12 @@
 
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Self
 
 import grpc
 
-from myrtlehub.client.promise import PATH, Ask, End, Generated, Tries, end_of
+from myrtlehub.client.promise import Ask, End, Generated, Tries, end_of
 from myrtlehub.proto import chat_pb2 as pb
 
 
@@ -15,6 +15,8 @@
     """A status without a final answer. grpcio does not say what surely was not processed, so nothing is."""
     if fault.code() == grpc.StatusCode.INVALID_ARGUMENT:
         return End("invalid", said=fault.details() or "")
+    if fault.code() == grpc.StatusCode.ABORTED:
+        return End("aborted", said=fault.details() or "")  # another node has it
     return End("lost", said=f"{fault.code().name}: {fault.details()}")
 
 
@@ -31,9 +33,10 @@
         tries = self._tries
         while True:
             end = End("lost", said="the stream ended without a final answer")
-            self._call = self._client.call(
-                tries.ask.message(tries.count), timeout=max(0.001, tries.until - time.monotonic()))
+            now = time.monotonic()
+            self._call = self._client.calls(tries)(tries.request(now), timeout=max(0.001, tries.until - now))
             try:
+                tries.told(self._call.initial_metadata() or ())
                 for reply in self._call:
                     final = end_of(reply)
                     if final is None:
@@ -78,12 +81,25 @@
 class Client(Connected):
     """Sequences at one node."""
 
-    def __init__(self, address: str = "", channel: grpc.Channel | None = None) -> None:
+    def __init__(self, address: str = "", channel: grpc.Channel | None = None,
+                 others: Iterable[str] = ()) -> None:
+        """`others`: nodes at which it comes back for what the first has lost."""
         super().__init__(address, channel)
-        self.call = self._channel.unary_stream(
-            PATH, request_serializer=pb.GenerateRequest.SerializeToString,
+        self._others = [grpc.insecure_channel(a) for a in others]
+
+    def calls(self, tries: Tries) -> grpc.UnaryStreamMultiCallable:
+        """The method of the next call, at its node."""
+        channels = [self._channel, *self._others]
+        return channels[tries.place % len(channels)].unary_stream(
+            tries.path(), request_serializer=pb.GenerateRequest.SerializeToString,
             response_deserializer=pb.GenerateReply.FromString)
 
+    def close(self) -> None:
+        """Close the channels that are ours."""
+        super().close()
+        for channel in self._others:
+            channel.close()
+
     def generate(self, ask: Ask) -> Stream:
         """Ask; iterate over what comes. Raises Rejected, Aborted or NotTaken from the iteration."""
         return Stream(self, ask)
--- a/myrtlehub/client/tx.py
+++ b/myrtlehub/client/tx.py
@@ -1,11 +1,11 @@
 """For Twisted, over our own channel, which knows what was surely never processed."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from twisted.internet.defer import Deferred
 
-from myrtlehub.client.promise import PATH, Ask, End, NotAnswered, Tries, end_of
+from myrtlehub.client.promise import Ask, End, NotAnswered, Tries, end_of
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.status import Code, Status
@@ -16,6 +16,9 @@
         self.stream = stream
         self.end: End | None = None
 
+    def headers(self, meta: tuple) -> None:
+        self.stream.tries.told(meta)
+
     def message(self, data: bytes) -> None:
         reply = pb.GenerateReply.FromString(data)
         final = end_of(reply)
@@ -30,6 +33,7 @@
         if end is None:
             said = f"{status.code.name}: {status.message}"
             end = (End("invalid", said=status.message) if status.code == Code.INVALID_ARGUMENT
+                   else End("aborted", said=said) if status.code == Code.ABORTED  # another node has it
                    else End("lost", said=said, unprocessed=status.unprocessed))
         self.stream.over(end)
 
@@ -51,8 +55,10 @@
     def _start(self) -> None:
         tries, now = self.tries, self.client.clock.seconds()
         self._timer = None
-        self._call = self.client.channel.call(PATH, _Try(self), timeout=max(0.001, tries.until - now))
-        self._call.send(tries.ask.message(tries.count).SerializeToString())
+        channels = self.client.channels
+        self._call = channels[tries.place % len(channels)].call(
+            tries.path(), _Try(self), timeout=max(0.001, tries.until - now))
+        self._call.send(tries.request(now).SerializeToString())
         self._call.half_close()
 
     def over(self, end: End) -> None:
@@ -84,10 +90,12 @@
 
 
 class Client:
-    """Sequences at one node, on a channel of the caller's."""
+    """Sequences at one node, on a channel of the caller's; `others`: nodes at which it comes back for what
+    the first has lost."""
 
-    def __init__(self, channel: Channel, clock: object, draw: Callable[[], float] = random.random) -> None:
-        self.channel, self.clock, self.random = channel, clock, draw
+    def __init__(self, channel: Channel, clock: object, draw: Callable[[], float] = random.random,
+                 others: Iterable[Channel] = ()) -> None:
+        self.channels, self.clock, self.random = [channel, *others], clock, draw
 
     def generate(self, ask: Ask, on_tokens: Callable[[tuple[int, ...]], None]) -> Stream:
         """Ask; `on_tokens` is called with each message's token ids."""
--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -120,6 +120,7 @@
     hold: bool = False
     resume: bool = False
     probe: bool = False
+    claims: bool = False  # streams outlive their node, and claims on sequences are answered
 
 
 class ReportsGroup(Sheet):
@@ -151,6 +152,25 @@
     prompt_limit: Size = 8 * 2**20
 
 
+class PeerRow(Sheet):
+    """One node of the fleet, as other nodes reach it."""
+
+    name: Name
+    address: Address
+    zone: Name
+
+
+class TakeoverGroup(Sheet):
+    """Work in hand survives the loss of its node: others keep word of it."""
+
+    listen: Address  # for other nodes
+    peers: Annotated[list[PeerRow], Field(min_length=2)]  # all nodes of the fleet, this one too
+    copies: Annotated[int, Field(ge=1)] = 2  # nodes that keep word of this one's work
+    keep: Annotated[int, Field(ge=1)] = 20000  # sequences of other nodes, kept here at most
+    patience: Duration = 0.1  # longest that a send waits for a keeper that says nothing
+    comes_back: Duration = 2.0  # by then a client has come back for what a lost node had, or it is let go
+
+
 class ListFile(Sheet):
     """One file of engines. Globs in `include` are relative to the file."""
 
@@ -229,6 +249,7 @@
     reports: ReportsGroup = ReportsGroup()
     batches: BatchGroup = BatchGroup()
     limits: LimitsGroup = LimitsGroup()
+    takeover: TakeoverGroup | None = None
     list: ListGroup
 
     @model_validator(mode="after")
@@ -248,6 +269,7 @@
             if not any(k.does(t.front) for k in self.kinds):
                 raise ValueError(f"traffic {t.name}: no kind has work of the front {t.front!r}; add one")
         check_engines(self, self.list.engines)
+        self._takeover_sound()
         if self.list.files and (self.list.engines or self.list.pushed):
             raise ValueError("list.files: the list comes from files alone; drop list.engines and list.pushed")
         self._one_shape()
@@ -258,6 +280,18 @@
             raise ValueError("node.tell_nodes: nodes have no way to talk to each other yet; say no")
         return self
 
+    def _takeover_sound(self) -> None:
+        if self.takeover is None:
+            return
+        names = [p.name for p in self.takeover.peers]
+        addresses = [p.address for p in self.takeover.peers]
+        for what, found in (("name", names), ("address", addresses)):
+            twice = sorted({n for n in found if found.count(n) > 1})
+            if twice:
+                raise ValueError(f"takeover.peers: {what} {', '.join(twice)} stands more than once")
+        if self.node.name not in names:
+            raise ValueError(f"takeover.peers: {self.node.name!r}, this node, is not among them")
+
     def _one_shape(self) -> None:
         """Guards against a file half moved: load comes with answers, or is asked for, never some of each."""
         asked = self.reports.how == "probe"
@@ -328,6 +362,7 @@
     fall_multiple: Positive = 2.5
     fall_time: Duration = 1.0
     state_bound: Duration = 3.0  # unclaimed state is let go after this
+    stream_bound: Duration = 0.0  # for so long a stream outlives its node, for another one; 0: not at all
     dedup_window: Duration = 5.0
     begin: Duration = 0.0  # from a state to the first step of its answer
     mishaps: Mishaps = Mishaps()
--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -223,6 +223,10 @@
         answer_by = now + a.time_left - max(2 * self.terms.tick, 0.004)
         seq = self.seqs[ident] = Seq(ident, a, self.terms.traffic[a.traffic], now, answer_by)
         seq.lot = self.random()
+        if a.held_at >= 0:
+            seq.state_at, seq.reader, seq.state_since = a.held_at, a.held_at, now
+        if a.ran_at >= 0:
+            seq.may_run = [self._group(seq.kind, a.ran_at), now - a.ran_ago]
         self._count("sent", a.tenant)
         quota = self.terms.quotas[a.tenant] / self.terms.nodes if a.tenant >= 0 else 0.0
         seq.over_share = 0.0 < quota * SHARE_SKEW < self._often("sent", a.tenant) - SHARE_SLACK / USUAL_SPAN
@@ -652,7 +656,7 @@
         self.kept.pop(seq.id, None)
         self._bind(seq, -1)
         if not seq.out():
-            if any(t.reads for t in seq.attempts):
+            if seq.a.held_at >= 0 or any(t.reads for t in seq.attempts):
                 self.results.append(("release", seq.id))
             self.results.append(("done", seq.id))
             self.seqs.pop(seq.id, None)
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -7,8 +7,10 @@
 
 from myrtlehub.config.sheets import StandSheet
 from myrtlehub.emulator.alarm import Alarm
+from myrtlehub.emulator.claimed import ClaimedWork, Line, claim_of, sum_of, token
 from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
 from myrtlehub.emulator.vectors import score_of, vector_of
+from myrtlehub.recovery import fence
 from myrtlehub.records import Recorder
 from myrtlehub.proto import chat_pb2 as chat
 from myrtlehub.proto import engine_pb2 as pb
@@ -40,19 +42,51 @@
         self.batch: pb.BatchRequest | None = None
         self.breaks_after = 0  # tokens; 0: it does not
         self.node = first(call.metadata, "myrtle-node")
+        self.claim = claim_of(work)
+        self.says = fence.READING if reads else fence.WAITING  # of it, to whoever claims the sequence
+        self.lines = [Line(self, call)]  # calls by which it was read
+        self.made: list[int] = []  # tokens
+        self.ended: bytes | None = None  # the stream's last message
 
     def note(self, what: str, **more: object) -> None:
         self.stand.recorder.note(what, seq=self.work.sequence, attempt=self.work.attempt, **more)
 
     def lost(self, code: Code) -> None:
         """The node reset the call, its deadline passed or its connection broke."""
-        if not self.stopped:
-            self.stopped = True
-            self.note("stopped", why=code.name, ran=self.ran)
-            if self.fetching is not None:
-                self.fetching.cancel()
-            self.stand.jobs.discard(self)
-            self.stand.act(self.stand.model.cancel(self.stand.clock.seconds(), self))
+        self.lost_by(self.lines[0].call, code)
+
+    def lost_by(self, call: ServerCall, code: Code) -> None:
+        """The same of any call by which it is read; who was superseded stops nothing."""
+        if self.stopped or call is not self.call:
+            return
+        if code == Code.UNAVAILABLE and not self.reads and self.stand.claimed.keeps(self):
+            self.stand.claimed.orphaned(self)
+        else:
+            self.stop(code.name)
+
+    def stop(self, why: str) -> None:
+        """Nobody wants it any more, or nobody came for it."""
+        self.note("stopped", why=why, ran=self.ran)
+        if self.fetching is not None:
+            self.fetching.cancel()
+        self.close(fence.STOPPED if self.ran else fence.NEVER)
+        self.stand.act(self.stand.model.cancel(self.stand.clock.seconds(), self))
+
+    def close(self, says: str) -> None:
+        """It is over, and this is what is so of it."""
+        self.stopped, self.says = True, says
+        self.stand.jobs.discard(self)
+        self.stand.claimed.over(self)
+
+    def send(self, data: bytes) -> None:
+        """To whoever reads it now."""
+        if self.call is not None:
+            self.call.send(data)
+
+    def finish(self) -> None:
+        """The call by which it is read is over."""
+        if self.call is not None:
+            self.call.finish()
 
 
 class _Fetch(CallWatcher):
@@ -89,9 +123,11 @@
         self.channels: dict[str, Channel] = {}
         self.jobs: set[_Job] = set()
         self.model_name = sheet.model
+        self.claimed = ClaimedWork(self, sheet.stream_bound)
         self.alarm = Alarm(clock, self._tick)
         for name, handler in (("Read", unary(self._read)), ("Write", server_stream(self._write)),
                               ("Release", unary(self._release)), ("Probe", unary(self._probe)),
+                              ("Claim", unary(lambda call, data: self.claimed.claim(data))),
                               ("Fetch", server_stream(self._fetch))):
             self.server.add(SERVICE + name, handler)
         self.server.add(SERVICE + "Batch", server_stream(self._batch))
@@ -109,6 +145,7 @@
 
     def _take(self, call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None) -> _Job:
         job = _Job(self, call, work, reads, state)
+        self.claimed.admit(job)
         job.note("got", reads=reads, node=job.node, mark=work.mark, traffic=work.traffic_type,
                  list=first(call.metadata, "myrtle-list"), hung=self.model.hung,
                  work=self.model.work(self._task(work), reads, state is not None))
@@ -126,6 +163,8 @@
         if not self.sheet.writes:
             raise RpcError(Code.FAILED_PRECONDITION, "this engine does not write")
         request = pb.WriteRequest.FromString(data)
+        if request.HasField("attach"):
+            return self.claimed.attach(call, request)
         state = request.state if request.HasField("state") else None
         job = self._take(call, request.work, False, state)
         self.jobs.add(job)
@@ -186,7 +225,10 @@
         job.call.finish()
 
     def _release(self, call: ServerCall, data: bytes) -> bytes:
-        seq = pb.ReleaseRequest.FromString(data).sequence
+        request = pb.ReleaseRequest.FromString(data)
+        seq = request.sequence
+        if request.epoch and not self.claimed.fences.admits(seq, claim_of(request)):
+            return pb.ReleaseReply().SerializeToString()  # it is another node's now
         tokens = self.model.state_tokens(seq)
         self.act(self.model.release(self.clock.seconds(), seq))
         return pb.ReleaseReply(tokens=int(tokens)).SerializeToString()
@@ -238,7 +280,7 @@
             self.model_name = asked.model
         elif asked.how == "break":
             for job in sorted((j for j in self.jobs if j.ran), key=lambda j: j.work.sequence):
-                if self.random.random() < (asked.factor or 1.0):
+                if job.call is not None and self.random.random() < (asked.factor or 1.0):
                     job.note("broken")
                     job.call.stream.reset(2)  # INTERNAL_ERROR
         else:
@@ -269,7 +311,7 @@
 
     def _on_read(self, job: _Job, kept: float, tokens: float) -> None:
         job.note("held", tokens=tokens)
-        job.stopped = True
+        job.close(fence.HELD)
         job.answer.callback(pb.ReadReply(
             read=pb.State(engine=self.sheet.listen, handle=job.work.sequence, tokens=int(tokens)),
             kept_tokens=int(kept), load=self._load()).SerializeToString())
@@ -289,30 +331,35 @@
         job.fetching.half_close()
 
     def _on_ran(self, job: _Job) -> None:
-        job.ran = True
+        job.ran, job.says = True, fence.WRITING
         job.note("ran", mark=job.work.mark, traffic=job.work.traffic_type)
         if job.batch is None and self.hits("break_stream"):
             job.breaks_after = self.random.randint(1, 10)
 
     def _on_tokens(self, job: _Job, count: int) -> None:
-        job.call.send(pb.WriteReply(tokens=chat.Tokens(ids=[7] * count)).SerializeToString())
+        ids = [token(self.sheet.listen, job.work.sequence, job.work.attempt, len(job.made) + i)
+               for i in range(count)]
+        job.made += ids
+        job.send(pb.WriteReply(tokens=chat.Tokens(ids=ids)).SerializeToString())
         if job.breaks_after:
             job.breaks_after -= 1
             if not job.breaks_after and not job.stopped:
                 job.note("broken")
-                self.clock.callLater(0, job.call.stream.reset, 2)
+                if job.call is not None:
+                    self.clock.callLater(0, job.call.stream.reset, 2)
+                else:
+                    job.stop("broken")
 
     def _on_ended(self, job: _Job, kept: float, tokens: int) -> None:
-        job.stopped = True
-        self.jobs.discard(job)
-        job.note("ended", tokens=tokens)
-        job.call.send(pb.WriteReply(ended=pb.Ended(
-            tokens=tokens, kept_tokens=int(kept), load=self._load())).SerializeToString())
-        job.call.finish()
+        job.close(fence.ENDED)
+        job.note("ended", tokens=tokens, sum=sum_of(job.made))
+        job.ended = pb.WriteReply(ended=pb.Ended(
+            tokens=tokens, kept_tokens=int(kept), load=self._load())).SerializeToString()
+        job.send(job.ended)
+        job.finish()
 
     def _on_refused(self, job: _Job, no_state: bool) -> None:
-        job.stopped = True
-        self.jobs.discard(job)
+        job.close(fence.REFUSED)
         job.note("refused", no_state=no_state)
         refused = pb.Refused(no_state=no_state, load=self._load())
         if job.batch is not None:
@@ -322,8 +369,8 @@
         elif job.reads:
             job.answer.callback(pb.ReadReply(refused=refused).SerializeToString())
         else:
-            job.call.send(pb.WriteReply(refused=refused).SerializeToString())
-            job.call.finish()
+            job.send(pb.WriteReply(refused=refused).SerializeToString())
+            job.finish()
 
     def _fail_late(self, job: _Job) -> None:
         if not job.stopped:
@@ -337,12 +384,11 @@
         self._fail(job, "expired", late)
 
     def _fail(self, job: _Job, what: str, fault: RpcError) -> None:
-        job.stopped = True
-        self.jobs.discard(job)
+        job.close(fence.NEVER)  # neither begun nor to be begun any more
         job.note(what)
         if job.reads:
             job.answer.errback(fault)
-        else:
+        elif job.call is not None:
             job.call.fail(fault)
 
     def _on_freed(self, seq: str, tokens: float, why: str) -> None:
--- a/myrtlehub/interface.py
+++ b/myrtlehub/interface.py
@@ -126,6 +126,9 @@
     expected: float  # seconds of answer, a rough guess; 0: none
     resumed: bool = False
     repeated: bool = False
+    held_at: int = -1  # engine that holds its read state already, from an owner before this node
+    ran_at: int = -1  # engine at which an attempt of such an owner may have run, and how many seconds ago
+    ran_ago: float = 0.0
 
 
 class Load(NamedTuple):
--- a/myrtlehub/lab/checker.py
+++ b/myrtlehub/lab/checker.py
@@ -28,26 +28,26 @@
     """One try of a client."""
 
     __slots__ = ("name", "node", "traffic", "mark", "asked", "left", "whole", "seq", "answer", "over",
-                 "begun",
-                 "gone", "answered_at")
+                 "begun", "gone", "answered_at", "after", "went_on")
 
     def __init__(self, name: str, at: float, more: dict) -> None:
         self.name, self.asked = name, at
         self.node, self.traffic, self.mark = more["node"], more["traffic"], more["mark"]
         self.left, self.whole = more["left"], more.get("whole", float("inf"))
         self.seq = self.answer = self.over = ""
-        self.begun = self.gone = False
+        self.begun = self.gone = self.went_on = False
         self.answered_at = 0.0
+        self.after: _Call | None = None  # the call for whose rest it came
 
 
 class _Write:
     """One attempt to write that an engine got."""
 
-    __slots__ = ("seq", "engine", "at", "refused", "ran")
+    __slots__ = ("seq", "engine", "at", "refused", "ran", "over")
 
     def __init__(self, seq: str, engine: str, at: float) -> None:
         self.seq, self.engine, self.at = seq, engine, at
-        self.refused = self.ran = False
+        self.refused = self.ran = self.over = False
 
 
 class _Engine:
@@ -79,12 +79,16 @@
         self.held: dict[str, dict[str, float]] = {}  # by seq: engine, and since when nothing was out
         self.node_of: dict[str, str] = {}
         self.now = 0.0
+        self.made: dict[str, list[tuple[int, int]]] = {}  # by seq: tokens of whole answers, and their sums
+        self.claims: dict[tuple[str, str], bool] = {}
+        self.unanswered: list[tuple[float, _Call]] = []
+        self.paused: list[tuple[str, float, float]] = []  # nodes that stood still, from when to when
         self.excused = 0  # answers that may be late only because the client's own process was
 
     def see(self, record: Record) -> None:
         """One record; they come in order of time."""
         self.now = record.at
-        seer = getattr(self, "_" + record.what, None)
+        seer = getattr(self, "_" + record.what.replace(" ", "_"), None)
         if seer is not None:
             seer(record.at, record.who, record.more)
 
@@ -131,6 +135,14 @@
         call.seq = more["seq"]
         self.call_of[call.seq] = call
 
+    def _goes_on(self, at: float, who: str, more: dict) -> None:
+        """A client came back, at another node, for the rest of what it had asked."""
+        call, before = self.calls[more["call"]], self.calls[more["after"]]
+        call.after, before.went_on = before, True
+        call.begun = more["tokens"] > 0
+        if before.answer:
+            self._breach(1, at, f"{call.name}: came back though {before.name} was {before.answer}")
+
     def _token(self, at: float, who: str, more: dict) -> None:
         call = self.calls[more["call"]]
         if call.answer:
@@ -145,6 +157,11 @@
             self._breach(1, at, f"{call.name}: {more['answer']} after {call.answer}")
             return
         call.answer, call.answered_at = more["answer"], at
+        if more["answer"] == "generated" and "sum" in more:
+            made = self.made.get(more["seq"], ())
+            if (more["ids"], more["sum"]) not in made:
+                self._breach(1, at, f"{call.name}: its {more['ids']} tokens are not those that a writer made "
+                                    f"for {more['seq']}: {', '.join(str(n) for n, _ in made) or 'none'}")
         bound = call.whole if call.begun else min(call.left, call.whole)
         self._check_late(at, call, call.answer, bound, more)
 
@@ -166,8 +183,11 @@
         excused = call.gone or more["unprocessed"] or call.over == "INVALID_ARGUMENT" or any(
             call.asked - 1.0 <= t <= at for t in self.killed.get(call.node, ()))
         if not call.answer and not excused:
-            self._breach(1, at,
-                         f"{call.name}: ended {call.over} without a final answer; its node was not killed")
+            # whether its client came back for it is known by the end
+            self.unanswered.append((at, call))
+
+    def _paused(self, at: float, who: str, more: dict) -> None:
+        self.paused.append((more["who"], at, at + more["lasts"]))
 
     # -- rule 2, at the engines -------------------------------------------------------------------
 
@@ -210,6 +230,14 @@
         if ran > 1 and row.get("repeats") == "once-only":
             self._breach(2, at, f"once-only {more['mark']} ran {ran} times")
 
+    def _claimed(self, at: float, who: str, more: dict) -> None:
+        """A node took a sequence over, and heard what this engine had of it: what had not run never will."""
+        if more["granted"]:
+            self.claims[more["seq"], who] = more["close"]
+            for write in (w for (seq, _), w in self.write_at.items() if seq == more["seq"]):
+                if write.engine == who and write.over and not write.ran:
+                    write.refused = True
+
     def _refused(self, at: float, who: str, more: dict) -> None:
         write = self.write_at.get((more["seq"], more["attempt"]))
         if write is not None:
@@ -272,8 +300,16 @@
     def _in(self, at: float, who: str, more: dict) -> None:
         seq = more["seq"]
         self._set_out(at, seq, self.out.get(seq, set()) - {(more["attempt"], who)})
+        write = self.write_at.get((seq, more["attempt"]))
+        if write is not None:
+            write.over = True
+
+    _stopped = _failed = _broken = _expired = _in
 
-    _ended = _stopped = _failed = _broken = _expired = _in
+    def _ended(self, at: float, who: str, more: dict) -> None:
+        if "sum" in more:
+            self.made.setdefault(more["seq"], []).append((more["tokens"], more["sum"]))
+        self._in(at, who, more)
 
     def _held(self, at: float, who: str, more: dict) -> None:
         self.counts[5] += 1
@@ -310,6 +346,13 @@
 
     def finish(self) -> list[Breach]:
         """What can be said only of the whole; returns all breaches, by time."""
+        for at, call in self.unanswered:
+            # Who asked a node that stood still, and never heard that it was taken, has nothing to come for.
+            still = not call.seq and any(who == call.node and a <= at and call.asked <= b
+                                         for who, a, b in self.paused)
+            if not call.went_on and not still:
+                self._breach(1, at, f"{call.name}: ended {call.over} without a final answer; its node was "
+                                    "not killed, and its client did not come back")
         for call in self.calls.values():
             if not call.over and not call.gone:
                 bound = call.whole if call.begun else call.left
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -1,6 +1,7 @@
 """The client fleet: an open loop of sequences drawn ahead from a seed, and how clients take what they are
 told."""
 
+from binascii import crc32
 from collections import Counter
 from collections.abc import Callable
 from random import Random
@@ -13,9 +14,11 @@
 from myrtlehub.limits.lag import LagMeter
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.status import Code, Status
 
-PATH = "/myrtlehub.v1.Chat/Generate"
+PATH, RESUME = "/myrtlehub.v1.Chat/Generate", "/myrtlehub.v1.Chat/Resume"
+COME_BACKS = 12  # of one sequence, at most
 
 
 class Wanted(NamedTuple):
@@ -102,8 +105,12 @@
     def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
                  random: Random) -> None:
         self.scenario, self.clock, self.recorder, self.random = scenario, clock, recorder, random
-        self.channels = {name: Channel(clock, dial, name, random=Random(random.random()), connect_timeout=0.5)
-                         for name, dial in nodes.items()}
+        takeover = scenario.takeover
+        bounds = TransportBounds() if takeover is None else TransportBounds(
+            keepalive=takeover.keepalive, keepalive_timeout=takeover.keepalive)
+        self.channels = {
+            name: Channel(clock, dial, name, bounds, Random(random.random()), connect_timeout=0.5)
+            for name, dial in nodes.items()}
         self.names = sorted(nodes)
         self.open = 0
         self.on_quiet: Callable[[], None] = lambda: None
@@ -146,22 +153,41 @@
 
 
 class _Try(Try):
-    """Of one sequence."""
+    """Of one sequence; `back`: the one before, for whose rest it comes."""
 
-    def __init__(self, fleet: "ClientFleet", wanted: Wanted, number: int, node: str) -> None:
+    def __init__(self, fleet: "ClientFleet", wanted: Wanted, number: int, node: str,
+                 back: "_Try | None" = None) -> None:
         super().__init__(fleet, wanted, number, node)
         self.tokens, self.token_at, self.in_time = 0, 0.0, False
+        self.back, self.seq, self.moved = back, "", False
+        self.ids = self.sum = 0  # tokens that it has, by number, and a sum over them in their order
+        if back is not None:
+            self.ids, self.sum, self.seq = back.ids, back.sum, back.seq
+        self.ids_before = self.ids
+
+    @property
+    def first_of_all(self) -> "_Try":
+        """The call with which this sequence began."""
+        return self if self.back is None else self.back.first_of_all
 
     def start(self) -> None:
         f, w = self.fleet, self.wanted
-        left = w.left
-        self.asks(left, f.whole)
+        left, whole = w.left, f.whole
+        if self.back is not None:
+            gone = f.clock.seconds() - self.first_of_all.asked_at
+            left, whole = max(0.01, left - gone) if not self.ids else whole, max(0.01, whole - gone)
+        self.asks(left, whole)
         f.tallies[w.row.name].tries += 1
-        self.call = f.channels[self.node].call(PATH, self, timeout=f.whole)
-        self.call.send(pb.GenerateRequest(
+        request = pb.GenerateRequest(
             traffic_type=w.row.name, tenant=w.tenant, session=w.session, shared_prefix=w.prefix,
             shared_tokens=w.shared, prompt_tokens=w.prompt, most_output=w.output, mark=w.mark,
-            repeated=self.number > 0, time_left_ms=int(left * 1000)).SerializeToString())
+            repeated=self.number > 0, time_left_ms=int(left * 1000) if not self.ids else 0,
+            may_move=f.comes_back)
+        if self.back is not None:
+            f.recorder.note("goes on", call=self.name, after=self.back.name, tokens=self.ids)
+            request.resume.sequence, request.resume.tokens = self.seq, self.ids
+        self.call = f.channels[self.node].call(RESUME if self.back is not None else PATH, self, timeout=whole)
+        self.call.send(request.SerializeToString())
         self.call.half_close()
         if w.silent:
             self.call.pauseProducing()
@@ -170,20 +196,29 @@
             f.clock.callLater(w.leaves, self.leave)
 
     def headers(self, meta: tuple) -> None:
-        self.fleet.recorder.note("seq", call=self.name, seq=dict(meta).get("myrtle-seq", ""))
+        self.seq = dict(meta).get("myrtle-seq", "")
+        self.fleet.recorder.note("seq", call=self.name, seq=self.seq)
 
     def message(self, data: bytes) -> None:
         f, now = self.fleet, self.fleet.clock.seconds()
         if data[:1] == b"\x0a":
             tally = f.tallies[self.wanted.row.name]
             self.tokens += 1
+            if f.comes_back:
+                for number in pb.GenerateReply.FromString(data).tokens.ids:
+                    self.ids, self.sum = self.ids + 1, crc32(number.to_bytes(4, "big"), self.sum)
             if self.tokens == 1 or self.answer:
                 f.recorder.note("token", call=self.name, behind=f.behind(now))
-            if self.tokens == 1:
-                tally.first.record_value(max(1, int((now - self.asked_at) * 1e6)))
+            if self.tokens == 1 and self.back is not None:
+                f.pauses.append(now - (self.back.token_at or self.back.asked_at))
+            if self.tokens == 1 and self.ids_before == 0:
+                asked_at = self.first_of_all.asked_at
+                tally.first.record_value(max(1, int((now - asked_at) * 1e6)))
                 row = self.wanted.row
                 slo = row.latency_slo + row.slo_per_1000_tokens * self.wanted.prompt / 1000.0
-                self.in_time = now - self.asked_at <= slo
+                self.in_time = now - asked_at <= slo
+            elif self.tokens == 1:
+                self.in_time = self.back.in_time
             else:
                 tally.gap.record_value(max(1, int((now - self.token_at) * 1e6)))
             self.token_at = now
@@ -192,7 +227,13 @@
             return
         reply = pb.GenerateReply.FromString(data)
         which = reply.WhichOneof("reply") or "nothing"
-        f.recorder.note("final", call=self.name, answer=which, tokens=self.tokens, behind=f.behind(now))
+        if which == "moved":
+            self.moved = True
+            f.recorder.note("moved", call=self.name)
+            return
+        more = {"ids": self.ids, "sum": self.sum, "seq": self.seq} if f.comes_back else {}
+        f.recorder.note("final", call=self.name, answer=which, tokens=self.tokens, behind=f.behind(now),
+                        **more)
         self.answer = self.answer or which
         self.wait = reply.rejected.wait_ms / 1000.0
 
@@ -203,6 +244,10 @@
     def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
                  random: Random, rate: float) -> None:
         super().__init__(scenario, clock, nodes, recorder, random)
+        takeover = scenario.takeover
+        self.comes_back = takeover is not None and takeover.on
+        self.pauses: list[float] = []  # seconds from the last token at a lost node to the next one
+        self.lost: Counter[tuple[str, str, str]] = Counter()  # repeats, where it stood, how it ended
         self.whole = scenario.clients.whole
         self.wanted = draw(scenario, rate, random)
         self.tallies = {t.name: Tally() for t in scenario.traffic if t.front == "chat"}
@@ -242,11 +287,28 @@
     def _try(self, wanted: Wanted, number: int, node: str) -> None:
         _Try(self, wanted, number, node).start()
 
+    def _back(self, done: _Try, node: str) -> None:
+        """Come back for what a lost node had in hand."""
+        _Try(self, done.wanted, done.number + 1, node, done).start()
+
     def over(self, done: _Try, status: Status) -> None:
         """A try ended: count it, or come again where the promise of its answer allows that."""
         w, row = done.wanted, done.wanted.row
         tally = self.tallies[row.name]
         again = done.number < self.scenario.clients.retries and not done.gone
+        lost = not done.answer and not done.gone and done.seq and not status.unprocessed
+        if lost and self.comes_back and done.number < COME_BACKS and status.code != Code.ABORTED:
+            others = [n for n in self.names if n != done.node] or self.names
+            self.clock.callLater(0.15 * self.random.random() * (1 + done.number), self._back, done,
+                                 self.random.choice(others))
+            return
+        if not done.answer and status.unprocessed and done.back is not None and done.number < COME_BACKS:
+            self.clock.callLater(0.1 * (1 + done.number), self._back, done, self.random.choice(self.names))
+            return
+        if (done.back is not None or lost) and status.code != Code.ABORTED:
+            begun = done.first_of_all.ids if self.comes_back else done.tokens
+            stood = "streaming" if begun else "waiting"
+            self.lost[row.repeats, stood, done.answer or "lost"] += 1
         if not done.answer and status.unprocessed and done.number < 2 + self.scenario.clients.retries:
             # The node never saw it: another one, at once.
             others = [n for n in self.names if n != done.node] or self.names
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -19,7 +19,7 @@
 from myrtlehub.lab.clients import ClientFleet
 from myrtlehub.lab.lists import ListWatch, ListWriter
 from myrtlehub.lab.processes import HOST, Process, Processes, free_ports
-from myrtlehub.lab.scenario import KINDS, FaultRow, MachineGroup, Scenario
+from myrtlehub.lab.scenario import KINDS, OF_NODES, FaultRow, MachineGroup, Scenario
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.proto import admin_pb2, engine_pb2
 from myrtlehub.records import Record, Recorder, read
@@ -203,6 +203,8 @@
         for name in row.whom:
             if row.do in ("crash", "kill"):
                 self._strike(name, row.lasts)
+            elif row.do in OF_NODES:
+                self._node_fault(row, name)
             elif row.do == "drain":
                 self.news(name, "draining")
                 if row.lasts:
@@ -218,6 +220,18 @@
                 done.addErrback(lambda failure, name=name: self.unclean.append(
                     f"{name} could not be told to misbehave: {failure.getErrorMessage()}"))
 
+    def _node_fault(self, row: FaultRow, name: str) -> None:
+        process = self.running[name]
+        if row.do == "pause":
+            process.signal("STOP")
+            self.recorder.note("paused", who=name, lasts=row.lasts)
+            self.clock.callLater(row.lasts, process.signal, "CONT")
+        elif row.do == "leave":
+            self.recorder.note("leaves", who=name)
+            process.signal("TERM")
+            if row.lasts:
+                process.ended.addCallback(lambda code: self.clock.callLater(row.lasts, self._back, name))
+
     def _strike(self, name: str, lasts: float) -> None:
         process = self.running[name]
         self.expected_dead.add(process)
--- a/myrtlehub/lab/processes.py
+++ b/myrtlehub/lab/processes.py
@@ -1,6 +1,7 @@
 """Many processes on loopback: started, waited for by what they say and not for time, signalled, ended."""
 
 import os
+import signal
 import socket
 import sys
 from collections.abc import Callable
@@ -97,9 +98,9 @@
         return ProcessFailed(f"{self.name} {what}: {said}")
 
     def signal(self, name: str) -> None:
-        """Send a signal, if it still runs."""
+        """Send a signal, as KILL, if it still runs."""
         try:
-            self.transport.signalProcess(name)
+            self.transport.signalProcess(int(signal.Signals[f"SIG{name}"]))
         except ProcessExitedAlready:
             pass
 
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -87,11 +87,28 @@
     store: bool = True
 
 
+# Of nodes alone: stopped and continued; cut off from other nodes, in one direction (`cut out`: others do not
+# hear it) or both; told to leave by SIGTERM. Clients and engines reach it all the while.
+OF_NODES = ("kill", "pause", "cut off", "cut out", "leave")
+
+
+class TakeoverDayGroup(Sheet):
+    """Nodes keep word of one another's work, and clients come back."""
+
+    copies: Count = 2
+    stream_bound: Duration = 6.0  # of engines
+    comes_back: Duration = 2.0
+    keepalive: Duration = 0.5  # from ping to ping of clients, and until an answer
+    claims: bool = True  # whether engines answer claims
+    on: bool = True  # no: the same day without takeover, for comparison
+
+
 class FaultRow(Sheet):
     """One thing that goes wrong, at a moment from the start of the traffic."""
 
     at: Duration
-    do: Literal["crash", "kill", "drain", "hang", "refuse", "error", "slow", "flush", "break", "model"]
+    do: Literal["crash", "kill", "drain", "hang", "refuse", "error", "slow", "flush", "break", "model",
+                "pause", "cut off", "cut out", "leave"]
     whom: Annotated[list[str], Field(min_length=1)]
     lasts: Duration = 0.0
     factor: Annotated[float, Field(ge=0)] = 0.0
@@ -99,10 +116,12 @@
     @model_validator(mode="after")
     def _sound(self) -> Self:
         nodes = [w for w in self.whom if w.startswith("node-")]
-        if nodes and self.do != "kill":
-            raise ValueError(f"{self.do} is for engines; nodes can only be killed")
-        if self.do == "kill" and len(nodes) != len(self.whom):
-            raise ValueError("kill is for nodes; an engine can crash")
+        if nodes and self.do not in OF_NODES:
+            raise ValueError(f"{self.do} is for engines; nodes can have {', '.join(OF_NODES)}")
+        if self.do in OF_NODES and len(nodes) != len(self.whom):
+            raise ValueError(f"{self.do} is for nodes; an engine can crash")
+        if self.do in OF_NODES[1:4] and not self.lasts:
+            raise ValueError(f"{self.do}: say how long it lasts")
         return self
 
 
@@ -156,6 +175,7 @@
     list_files: ListFilesGroup | None = None  # instead of pushed news
     faults: list[FaultRow] = []
     roll: RollGroup | None = None
+    takeover: TakeoverDayGroup | None = None
 
     @model_validator(mode="after")
     def _sound(self) -> Self:
@@ -167,6 +187,8 @@
                 if name not in known:
                     raise ValueError(f"fault at {fault.at:g}s: {name!r} is not in this fleet; "
                                      f"it has {', '.join(sorted(known))}")
+            if fault.do in OF_NODES[2:4] and self.takeover is None:
+                raise ValueError(f"fault at {fault.at:g}s: nodes talk to each other only with takeover")
             if fault.at > self.length:
                 raise ValueError(f"fault at {fault.at:g}s comes after the day, which lasts {self.length:g}s")
         return self
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -7,12 +7,15 @@
 from myrtlehub.limits.shares import FrontShares
 from myrtlehub.node.door import Asked, NotTaken
 from myrtlehub.node.host import Held, Host
+from myrtlehub.node.keeping import Keeping
+from myrtlehub.node.links import Links
 from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.takeover import Takeover, Wanted
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.server import Receiver, ServerCall, server_stream
 from myrtlehub.rpc.status import Code, RpcError
 
-PATH = "/myrtlehub.v1.Chat/Generate"
+PATH, RESUME = "/myrtlehub.v1.Chat/Generate", "/myrtlehub.v1.Chat/Resume"
 
 
 class _Waiting(Receiver):
@@ -28,6 +31,9 @@
         self.row: TrafficRow | None = None
         self.came = 0.0
         self.let_in = False
+        self.takeover: Takeover | None = None  # while it is taken over from another node
+        self.may_move = False  # its client comes back by itself, at any node
+        self.linger = 0.0  # seconds for which such a client may be gone until it counts as having left
 
     # what the host says
 
@@ -69,10 +75,29 @@
     def aborted(self, reason: str) -> None:
         self._final(pb.GenerateReply(aborted=pb.Aborted(reason=reason)))
 
-    def _final(self, reply: pb.GenerateReply) -> None:
-        self._over()
+    def moved(self) -> None:
+        """Not final: this node goes, and its client comes back at another one."""
+        self._final(pb.GenerateReply(moved=pb.Moved()))
+
+    def named(self, label: str) -> None:
+        """By which id it is known from now on."""
+        self.call.set_initial([("myrtle-seq", label)])
+        if self.may_move:
+            self.call.set_initial([("myrtle-resume", "1")])
+            self.call.begin()  # it has to know it before anything else is there
+
+    def superseded(self, why: str) -> None:
+        """Another node has it: no answer comes from here."""
+        self._disarm()
+        self.call.finish(Code.ABORTED, why)
+
+    def _disarm(self) -> None:
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
+
+    def _final(self, reply: pb.GenerateReply) -> None:
+        self._over()
+        self._disarm()
         self.call.stream.unregisterProducer()
         self.call.send(reply.SerializeToString())
         self.call.finish()
@@ -80,23 +105,36 @@
     # what the client does
 
     def lost(self, code: Code) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        self._disarm()
         self._over()
-        if self.held is not None:
+        if self.takeover is not None:
+            self.takeover.left()
+        if self.held is None:
+            return
+        if self.may_move and self.linger and code == Code.UNAVAILABLE:
+            # Its connection broke: it comes back for the rest, here or elsewhere, and then supersedes this.
+            self.host.clock.callLater(self.linger, self.host.left, self.held)
+        else:
             self.host.left(self.held)
 
     # the client's stream as consumer: a client that does not read holds up its writer's stream
 
     def pauseProducing(self) -> None:  # noqa: N802
+        call = self._source()
+        if call is not None:
+            call.pauseProducing()
+
+    def _source(self) -> object | None:
+        """The call from which its stream comes."""
+        if self.takeover is not None:
+            return self.takeover.call
         attempt = self.held.begun if self.held is not None else None
-        if attempt is not None and attempt.out:
-            attempt.call.pauseProducing()
+        return attempt.call if attempt is not None and attempt.out else None
 
     def resumeProducing(self) -> None:  # noqa: N802
-        attempt = self.held.begun if self.held is not None else None
-        if attempt is not None and attempt.out:
-            attempt.call.resumeProducing()
+        call = self._source()
+        if call is not None:
+            call.resumeProducing()
 
     def stopProducing(self) -> None:  # noqa: N802
         """The stream is over; `lost` says so as well."""
@@ -120,19 +158,31 @@
         self.host, self.most, self.wait, self.shares, self.peers = host, most_sequences, wait, shares, peers
         self.closed = False
         self.gate: Admission | None = gate
+        self.keeping: Keeping | None = None
+        self.claims = False  # whether engines answer claims
+        self.links: Links | None = None
+        self.waiting: set[_Waiting] = set()  # of clients that come back by themselves
         self._timer = None
 
     def serve(self, server: object) -> None:
         """Add the methods."""
         server.add(PATH, server_stream(self.generate))
+        if self.keeping is not None:
+            server.add(RESUME, server_stream(self.resume))
+
+    def resume(self, call: ServerCall, data: bytes) -> Receiver:
+        """One sequence that its client has begun elsewhere, or here."""
+        return self.generate(call, data, True)
 
-    def generate(self, call: ServerCall, data: bytes) -> Receiver:
+    def generate(self, call: ServerCall, data: bytes, again: bool = False) -> Receiver:
         """One sequence."""
         waiting = _Waiting(self.host, call)
         try:
             request = pb.GenerateRequest.FromString(data)
         except ValueError as fault:
             raise RpcError(Code.INVALID_ARGUMENT, f"not a GenerateRequest: {fault}") from fault
+        if again != bool(request.resume.sequence):
+            raise RpcError(Code.INVALID_ARGUMENT, "resume.sequence: has to be in Resume, and nowhere else")
         asked = asked_of(request, call.time_left())
         try:
             arrival = self.host.door.arrival(asked, self.host.clock.seconds())
@@ -152,6 +202,11 @@
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
         row = self.host.door.rows[arrival.traffic]
         self.peers.open(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
+        if self.keeping is not None:
+            waiting.may_move, waiting.linger = request.may_move, self.keeping.group.comes_back
+            if again:
+                self._resume(waiting, Wanted(request.resume.sequence, request.resume.tokens, asked, arrival))
+                return waiting
         if self.gate is None:
             self._take(waiting, asked, arrival)
         else:
@@ -163,8 +218,42 @@
 
     def _take(self, waiting: _Waiting, asked: Asked, arrival: object) -> None:
         """Hand it to the module; its id is said with the first message."""
-        waiting.call.set_initial([("myrtle-seq", self.host.next_label())])
-        waiting.held = self.host.take(asked, arrival, waiting)
+        self._hand(waiting, asked, "", arrival)
+
+    def _hand(self, waiting: _Waiting, asked: Asked, label: str, arrival: object, before: int = 0,
+              handle: object = None) -> None:
+        label = label or self.host.next_label()
+        waiting.named(label)
+        if waiting.may_move:
+            self._follow(waiting)
+        waiting.held = self.host.take(asked, arrival, waiting, label, before, handle)
+
+    def _follow(self, waiting: _Waiting) -> None:
+        self.waiting = {w for w in self.waiting if not w.call.over}
+        self.waiting.add(waiting)
+
+    def _resume(self, waiting: _Waiting, wanted: Wanted) -> None:
+        """A client came back for what another node had, or this one."""
+        self._follow(waiting)
+
+        def hand(label: str, arrival: object, before: int, handle: object) -> None:
+            waiting.takeover = None
+            self._hand(waiting, wanted.asked, label, arrival, before, handle)
+        waiting.takeover = Takeover(wanted, self.keeping, self.links, self.host, waiting, hand,
+                                    waiting.superseded, self.claims)
+        waiting.takeover.start()
+
+    def hand_over(self) -> None:
+        """This node goes: clients that come back by themselves are sent to others, and find their work."""
+        for waiting in [w for w in self.waiting if not w.call.over]:
+            if waiting.takeover is not None:
+                waiting.takeover.hand_over()
+                waiting.moved()
+            elif waiting.held is not None:
+                self.keeping.leave(waiting.held.label)
+                held, waiting.held = waiting.held, None
+                waiting.moved()
+                self.host.hand_over(held)
 
     def pump(self) -> None:
         """Let in what may come in, and tell what is shed."""
@@ -182,7 +271,9 @@
             self._timer = self.host.clock.callLater(max(0.001, due - now), self.pump)
 
     def _out_of_time(self, waiting: _Waiting) -> None:
-        if waiting.held is None:
+        if waiting.takeover is not None:
+            waiting.takeover.out_of_time()
+        elif waiting.held is None:
             waiting.rejected(self.wait)  # it still waits at the gate
         else:
             self.host.out_of_time(waiting.held, "the call's deadline came before the end of the answer")
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -109,7 +109,7 @@
     """One sequence that the host holds for the module."""
 
     __slots__ = ("seq", "label", "asked", "arrival", "client", "since", "abandon_at", "life", "attempts",
-                 "holds", "begun", "first_at", "tokens")
+                 "holds", "begun", "first_at", "tokens", "before")
 
     def __init__(self, seq: int, label: str, asked: object, arrival: itf.Arrival, client: Client,
                  now: float) -> None:
@@ -121,6 +121,7 @@
         self.begun: Attempt | None = None  # the attempt whose answer the client is getting
         self.first_at = 0.0
         self.tokens = 0
+        self.before = 0  # attempts of owners before this node
 
 
 class Host:
@@ -145,6 +146,7 @@
         self.on_sent: Callable[[Attempt], None] = lambda attempt: None
         self.on_back: Callable[[Attempt], None] = lambda attempt: None
         self.on_answer: Callable[[Held], None] = lambda held: None  # once a sequence, with its final answer
+        self.on_begun: Callable[[Held], None] = lambda held: None
         self.reread_list: Callable[[], None] = lambda: None
 
     # -- calls from outside -----------------------------------------------------------------------
@@ -175,14 +177,22 @@
         """The id by which the next sequence taken is known outside."""
         return f"{self.prefix}{self._next}"
 
-    def take(self, asked: object, arrival: itf.Arrival, client: Client, label: str = "") -> Held:
+    def take(self, asked: object, arrival: itf.Arrival, client: Client, label: str = "", before: int = 0,
+             handle: object = None) -> Held:
         """A sequence came in. From here on one final answer is owed, before its time is over.
 
-        `label`: by which engines know it, where its client gave it one.
+        `label`: by which engines know it, where its client gave it one, or another node had it before, with
+        so many attempts (`before`); `handle`: of the state that `arrival.held_at` holds for it.
         """
         label, seq = label or self.next_label(), self._next
         self._next += 1
         held = self.held[seq] = Held(seq, label, asked, arrival, client, self.clock.seconds())
+        held.before = before
+        if handle is not None:
+            hold = held.holds[arrival.held_at] = Hold(arrival.held_at)
+            hold.life.step("send")
+            hold.life.step("done")
+            hold.handle = handle
         self.taken += 1
         self._say("arrive", seq, arrival)
         return held
@@ -198,6 +208,16 @@
             held.client.aborted(reason)
             self._close_answer(held)
 
+    def hand_over(self, held: Held) -> None:
+        """Another node goes on with it: nothing more is owed here, and a stream that runs is left to it."""
+        stream, held.begun = held.begun, None
+        if held.life.step("leave") == LATE:
+            return
+        self._note_answer(held)
+        self._say("left", held.seq)
+        if stream is not None and stream.out:
+            self.ended(stream, itf.CANCELLED)
+
     def _close_answer(self, held: Held) -> None:
         """The answer was not the module's doing: tell it, and stop a stream that nobody reads any more."""
         self._note_answer(held)
@@ -218,6 +238,7 @@
             self._stop(attempt)  # raced with a final answer, or with a copy: nobody reads it
             return
         held.begun, held.first_at = attempt, self.clock.seconds()
+        self.on_begun(held)
         self._say("began", held.seq, attempt.number, held.first_at - attempt.since)
         held.tokens += 1
         held.client.tokens(raw)
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -6,6 +6,7 @@
 from myrtlehub import interface as itf
 from myrtlehub.node.host import NEVER, Attempt, Host
 from myrtlehub.proto import engine_pb2 as pb
+from myrtlehub.recovery.records import NOBODY, Claim
 from myrtlehub.rpc.channel import WAITING, CallWatcher, Channel
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.status import Code, Status
@@ -128,10 +129,15 @@
         self.connect_timeout, self.bounds = connect_timeout, bounds or TransportBounds()
         self.channels: dict[str, Channel] = {}
         self.host: Host | None = None
+        # By which claim this node has a sequence, where nodes take work over.
+        self.claim_of: Callable[[str], Claim] = lambda label: NOBODY
 
     def channel(self, engine: int) -> Channel:
         """The engine's channel; made at its first use."""
-        address = self.host.door.engines.rows[engine].address
+        return self.to(self.host.door.engines.rows[engine].address)
+
+    def to(self, address: str) -> Channel:
+        """The channel to an address."""
         channel = self.channels.get(address)
         if channel is None:
             channel = self.channels[address] = Channel(
@@ -141,8 +147,11 @@
 
     def start(self, attempt: Attempt) -> None:
         held, asked = attempt.held, attempt.held.asked
+        claim = self.claim_of(held.label)
         work = pb.Work(
-            sequence=held.label, attempt=attempt.number, traffic_type=asked.traffic_type, tenant=asked.tenant,
+            epoch=claim.epoch, owner=claim.owner,
+            sequence=held.label, attempt=held.before + attempt.number,
+            traffic_type=asked.traffic_type, tenant=asked.tenant,
             session=asked.session, shared_prefix=asked.prefix, shared_tokens=asked.shared,
             prompt_tokens=asked.prompt, most_output=asked.most_output, mark=asked.mark, prompt=asked.text,
             first_within_ms=max(1, int((held.abandon_at - self.clock.seconds()) * 1000)))
@@ -159,9 +168,8 @@
             request = pb.WriteRequest(work=work, state=attempt.claims.handle if attempt.claims else None)
             timeout = asked.deadline_in - (self.clock.seconds() - held.since)
             timeout, data = timeout + LATE if timeout != NEVER else None, request.SerializeToString()
-        meta = (("myrtle-seq", held.label), ("myrtle-attempt", str(attempt.number)), ("myrtle-node",
-                                                                                      self.name),
-                ("myrtle-list", self.host.list_label))
+        meta = (("myrtle-seq", held.label), ("myrtle-attempt", str(work.attempt)),
+                ("myrtle-node", self.name), ("myrtle-list", self.host.list_label))
         attempt.call = self.channel(attempt.engine).call(SERVICE + path, watcher, meta, timeout)
         attempt.call.send(data)
         attempt.call.half_close()
@@ -171,9 +179,11 @@
             attempt.call.cancel()
 
     def release(self, engine: int, label: str) -> None:
+        claim = self.claim_of(label)
         done = self.channel(engine).unary(SERVICE + "Release",
-                                          pb.ReleaseRequest(sequence=label).SerializeToString(),
-                                          timeout=1.0)
+                                          pb.ReleaseRequest(
+                                              sequence=label, epoch=claim.epoch,
+                                              owner=claim.owner).SerializeToString(), timeout=1.0)
         done.addErrback(lambda failure: None)  # an engine that cannot be told lets go by its own bound
 
     def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -16,6 +16,8 @@
 from myrtlehub.node.admin import NodeAdmin
 from myrtlehub.node.figures import Figures
 from myrtlehub.node.host import Host
+from myrtlehub.node.keeping import Keeping
+from myrtlehub.node.takeover import let_go
 from myrtlehub.node.works import Around, Works
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.server import Server
@@ -37,8 +39,15 @@
         self.program = revision.program()
         self.started = clock.seconds()
         self.figures = Figures()
-        self.around = Around(clock, dial, run, log, host_class, self.figures)
+        group = sheet.takeover
+        self.keeping = group and Keeping(group, sheet.node.name, run, clock, dial, log)
+        self.around = Around(clock, dial, run, log, host_class, self.figures, self.keeping)
         self.works = Works(sheet, self.around)
+        if self.keeping is not None:
+            self.keeping.lost = lambda record: let_go(self.links, record)
+            if not sheet.engines_may.claims:
+                log("takeover", why="engines answer no claims here: streams end with their node, and what "
+                    "may have run is not sent again")
         self.old: list[Works] = []  # replaced, with sequences in hand
         self.proven_from = 0  # generated before the settings that hold were applied
         self.leaving = False
@@ -142,6 +151,8 @@
         self._limit = self.clock.callLater(within, self._cut)
         for works in (self.works, *self.old):
             works.host.on_idle = self._idle
+            if self.keeping is not None and self.sheet.engines_may.claims:
+                works.front.hand_over()
         self._done.addCallback(lambda none: done.callback(None))
         self._idle()
         return done
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -18,7 +18,8 @@
 from myrtlehub.node.embed import EMBED
 from myrtlehub.node.fields import Fields
 from myrtlehub.node.figures import Figures
-from myrtlehub.node.host import Host
+from myrtlehub.node.host import Held, Host
+from myrtlehub.node.keeping import Gate, Keeping
 from myrtlehub.node.links import Links
 from myrtlehub.node.peers import PeerWatch
 from myrtlehub.node.rank import RANK
@@ -36,6 +37,7 @@
     log: Callable[..., None]
     host_class: type[Host]
     figures: Figures
+    keeping: Keeping | None = None
 
 
 class Works:
@@ -51,14 +53,25 @@
         # The id names the run and the settings as well: a node that came back must not speak of old
         # sequences.
         run = f"{around.run}~{number}" if number else around.run
-        self.host = around.host_class(self._router(fronts), Door(sheet), terms, clock, self.links,
+        keeping = around.keeping
+        carrier = self.links if keeping is None else Gate(self.links, keeping)
+        self.host = around.host_class(self._router(fronts), Door(sheet), terms, clock, carrier,
                                       f"{node.name}.{run}.", log)
         if before is not None:
             self.links.channels = before.links.channels  # a change of settings makes no new connections
             self.host.door.lag = before.host.door.lag
         self.links.host = self.host
+        if keeping is not None:
+            self.links.claim_of, self.host.on_begun = keeping.claim_of, keeping.begun
         self.host.probe_timeout = sheet.reports.probe_timeout
         around.figures.follow(self.host)
+        if keeping is not None:
+            counted = self.host.on_answer
+
+            def answered(held: Held) -> None:
+                counted(held)
+                keeping.answered(held.label)
+            self.host.on_answer = answered
         limits = sheet.limits
         retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
         self.peers = PeerWatch(limits, clock, log, retries, node.max_wait)
@@ -69,6 +82,8 @@
         self.desk.fields = fronts if len(fronts) > 1 else []
         self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares, self.peers,
                                gate, around.figures.turned_away)
+        self.front.keeping, self.front.links = keeping, self.links
+        self.front.claims = sheet.engines_may.claims
         self.host.start()
 
     def _router(self, fronts: list[str]) -> object:
--- a/myrtlehub/rpc/server.py
+++ b/myrtlehub/rpc/server.py
@@ -66,6 +66,11 @@
         """Metadata to send ahead of the first message."""
         self._first.extend(metadata.encode(meta))
 
+    def begin(self) -> None:
+        """Send the initial metadata now, and not with the first message."""
+        if not self.over and not self._begun:
+            self._begin()
+
     def send(self, message: bytes) -> None:
         """Send one message; after the end of the call it is dropped."""
         if self.over:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -87,5 +87,5 @@
     subprocess.run([ROOT / ".ci" / "protos", tmp_path], check=True, timeout=60)
     made = sorted((tmp_path / "myrtlehub" / "proto").glob("*_pb2.py"))
     kept = sorted((ROOT / "myrtlehub" / "proto").glob("*_pb2.py"))
-    assert [p.name for p in made] == [p.name for p in kept] and len(made) == 4
+    assert [p.name for p in made] == [p.name for p in kept] and len(made) == 5
     assert all(a.read_text() == b.read_text() for a, b in zip(made, kept, strict=True)), "run `make protos`"
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -5,6 +5,20 @@
 from myrtlehub import interface as itf
 
 
+def test_what_another_node_had_begun_is_gone_on_with() -> None:
+    """A held state goes straight to a writer of its cell; what may have run stays in its group and window."""
+    b = Bench("R0 R0 W0 R1 W1")
+    a = itf.Arrival(1, -1, 5000.0, 10.0, 0, 0, 0.0, 400.0, 0.0, held_at=3)
+    assert [r[2] for r in b.router.arrive(b.now, 1, a) if r[0] == "send"] == [4]  # no read
+    done = b.router.ended(b.now + 0.1, 1, 0, itf.GENERATED, 0.1, True, 0.0, None)
+    assert ("release", 1) in done and ("done", 1) in done
+    for ago, sent in ((1.0, True), (6.0, False)):
+        a = itf.Arrival(2, -1, 300.0, 10.0, 0, 0, 0.0, 400.0, 0.0, ran_at=2, ran_ago=ago)
+        results = b.router.arrive(b.now, int(ago) + 10, a)
+        assert [r[2] for r in results if r[0] == "send"] == [2] * sent, results
+        assert bool([r for r in results if r[0] == "abort"]) == (not sent), results
+
+
 def test_ordinary_path() -> None:
     b = Bench("R0 R0 W0 R1")
     b.take(prompt=300.0)
--- a/tests/test_roll_processes.py
+++ b/tests/test_roll_processes.py
@@ -78,6 +78,9 @@
     assert verdict["roll"]["revisions_at_the_end"] == 1, said
     answers = [t["answers"] for t in verdict["traffic"].values()]
     assert sum(a.get("generated", 0) for a in answers) > 50, said
+    if "clocks" in name:
+        for who in ("node-3", "controller-1"):
+            assert '"clock set", "by": -3600.0' in (folder / "kept" / f"{who}.log").read_text(), who
     if "good program" in name:
         assert verdict["roll"]["controllers"] == 3
         assert not any(a.get("aborted", 0) for a in answers), said  # nothing is lost in a good roll
