Stand-ins' tokens are one byte on the wire again

Cause: token ids that differ by writer and place took three bytes instead of one, so that a client that reads nothing was cut off sooner, and tests/test_peers.py found it reset before it read.

--- a/myrtlehub/emulator/claimed.py
+++ b/myrtlehub/emulator/claimed.py
@@ -14,7 +14,7 @@
 from myrtlehub.rpc.status import Code, RpcError
 
 FENCES_MOST = 20000  # sequences of which the highest claim is remembered: minutes of the busiest stand-in
-VOCABULARY = 50000
+VOCABULARY = 120  # ids of one byte on the wire
 
 
 def claim_of(message: object) -> Claim:
@@ -24,7 +24,7 @@
 
 def token(writer: str, sequence: str, attempt: int, index: int) -> int:
     """The id of a made-up token: no two answers are alike, so that one which was mixed of two is seen."""
-    return (crc32(f"{writer} {sequence} {attempt}".encode()) + 7919 * index) % VOCABULARY + 1
+    return crc32(f"{writer} {sequence} {attempt} {index}".encode()) % VOCABULARY + 1
 
 
 def sum_of(tokens: list[int], before: int = 0) -> int:
