--- a/myrtlehub/node/keeping.py
+++ b/myrtlehub/node/keeping.py
@@ -26,6 +26,7 @@
 ANSWER_WITHIN = 0.5  # seconds for a peer's answer
 FORMER_MOST = 20000  # claims of sequences that are over: releases follow answers within seconds
 LONGEST = 60.0  # seconds for which a record is kept at most, beyond its sequence's abandon time
+GATHER = 0.05  # seconds for which word that nothing waits for is gathered: messages cost more than records
 STALE = 0.25  # seconds after keepers were told within which a send may follow; later they are told anew
 
 
@@ -67,7 +68,7 @@
         self.name, self.channel = name, channel
         self.run = ""
         self.outbox: dict[str, tuple[int, Record, bool]] = {}  # by sequence: version, record, ended
-        self.flushing = False
+        self.flushing = self.gathering = False
 
 
 class Keeping:
@@ -155,11 +156,19 @@
         for record in self.book.of(owner_name):
             self.lost(self.book.take(record.sequence, self.me))
 
-    def _soon(self, peer: Peer) -> None:
-        """Tell it once this turn is over, all in one message."""
-        if not peer.flushing:
+    def _soon(self, peer: Peer, waits: bool) -> None:
+        """Tell it once this turn is over, or a little later where nothing waits, all in one message."""
+        if waits and not peer.flushing:
             peer.flushing = True
             self.clock.callLater(0, self._flush, peer)
+        elif not waits and not peer.gathering:
+            peer.gathering = True
+            self.clock.callLater(GATHER, self._gathered, peer)
+
+    def _gathered(self, peer: Peer) -> None:
+        peer.gathering = False
+        if peer.outbox:
+            self._flush(peer)
 
     def _flush(self, peer: Peer) -> None:
         peer.flushing = False
@@ -252,7 +261,7 @@
                 continue
             peer = self.peer(name)
             peer.outbox[label] = owned.version, owned.record, ended
-            self._soon(peer)
+            self._soon(peer, not ended)
 
     def _tell_here(self, label: str, run: str, ended: bool) -> None:
         """This node keeps word itself of what it took over."""
