An engine that has forgotten an attempt is no proof that it never ran

Seen on reading the change again, then by a test that fails without the mend: a stand-in forgets an attempt stream_bound after its end, and a claim that comes later got "never" for it, as the reply's age was that of the process alone. Lines: ClaimedWork.claim in emulator/claimed.py.

Change: the reply's age is also bounded by how long the engine remembers; attempts from before it count as unknown, so the sequence ends aborted. The message's comment says so.

--- a/myrtlehub/emulator/claimed.py
+++ b/myrtlehub/emulator/claimed.py
@@ -108,7 +108,8 @@
             granted=granted,
             close=asked.close,
         )
-        reply = pb.ClaimReply(granted=granted, age=now - self.fences.since)
+        # What is over is forgotten after the bound: of what was sent before that, nothing here is no proof.
+        reply = pb.ClaimReply(granted=granted, age=min(now - self.fences.since, self.bound))
         if not granted:
             return reply.SerializeToString()
         jobs = self.jobs.get(asked.sequence, [])
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -358,6 +358,18 @@
     assert once.check() == "aborted"
 
 
+def test_an_engine_that_has_forgotten_an_attempt_is_no_proof_that_it_never_ran() -> None:
+    f = fleet(stream_bound="300ms", step="5ms")
+    asked = Asked(f, "post")
+    while len(f.what("fetching")) < 2:  # the warm one's, and its own: its writer has it, and has not begun
+        f.net.run(0.002)
+    f.kill("n0")
+    asked.stream.tries.come_backs = 10  # it comes long after the answer was whole, and let go
+    f.run(9.0)
+    assert not asked.ids and asked.check() == "aborted"
+    assert len([r for r in f.what("ran") if r.more["mark"] == asked.mark]) == 1
+
+
 def test_a_stream_is_kept_for_its_bound_and_no_longer() -> None:
     f = fleet(stream_bound="300ms", step="50ms")
     asked = Asked(f, "post")
