First byte late: no attempt for who has left, or to who drains, after a stall

Cause: on a kept connection the request went into the buffer in the very turn of its decision, so that what lay in the kernel meanwhile (the client's end, word that the engine drains) was read after it or beside it. Forced on real sockets: a stopped process with a request and 0.4 s old word of draining unread sent it to the draining engine, each time. Change: the first byte goes two turns later on a kept connection, one turn after a new one stands; standing is looked at on both; a kept one found closed before it is left for a new one. Where our own descriptors are used up no engine is blamed any more: that was UNREACHED, now UNSENT.

--- a/myrtlehub/http1/client.py
+++ b/myrtlehub/http1/client.py
@@ -33,7 +33,7 @@
         """The answer is whole, by its own framing."""
 
     def unwanted(self) -> None:
-        """It was not to be sent any more once a connection stood: nothing of it has left."""
+        """It was not to be sent any more, or no connection could be made here: nothing has left."""
         self.broke(False)
 
     def broke(self, sent: bool) -> None:
@@ -75,7 +75,7 @@
         self.asking, call = asking, asking.call
         self.sent = self.chunked = self.in_chunk = self.answered = False
         self._informational = 0
-        headers = [(b"Host", asking.host), *call.headers]
+        headers = [(b"Host", asking.address.encode()), *call.headers]
         if call.body or call.method == b"POST":
             headers.append((b"Content-Length", b"%d" % len(call.body)))
         parts = [self.http.send(h11.Request(method=call.method, target=call.target, headers=headers))]
@@ -146,7 +146,6 @@
                 and not http.trailing_data[0] and not self.gone and self.pool.trusts()):
             http.start_next_cycle()
             self.used = True
-            self.free_since = self.clock.seconds()
             self.pool.freed(self)
         else:
             self.close()
@@ -165,6 +164,7 @@
     def close(self) -> None:
         """Now, whatever is on its way."""
         if not self.gone:
+            self.gone = True
             self.pool.dropped(self)
             hang_up(self.transport)
 
@@ -188,12 +188,13 @@
 class Asking:
     """One request on its way: waiting for a connection, on one, or over."""
 
-    def __init__(self, pool: "Pool", key: str, host: bytes, call: Call, watcher: Watcher,
+    def __init__(self, pool: "Pool", key: str, address: str, call: Call, watcher: Watcher,
                  still: Callable[[], bool]) -> None:
-        self.pool, self.key, self.host, self.call, self.watcher = pool, key, host, call, watcher
+        self.pool, self.key, self.address, self.call, self.watcher = pool, key, address, call, watcher
         self.still = still
         self.connection: ClientConnection | None = None
         self.dialing = None
+        self.stands_since = pool.clock.seconds()  # the later of its coming and its connection's
         self.over = self.paused = False
 
     def finished(self) -> None:
@@ -210,8 +211,11 @@
             dialing.cancel()
         if self.connection is not None:
             connection, self.connection = self.connection, None
-            connection.asking = None
-            connection.close()
+            if connection.asking is None:
+                self.pool.freed(connection)  # nothing was written on it yet
+            else:
+                connection.asking = None
+                connection.close()
 
     def pause(self) -> None:
         """Read no more of the answer for now."""
@@ -242,25 +246,50 @@
             still: Callable[[], bool] = lambda: True) -> Asking:
         """Send `call`; `within`: seconds for which a kept connection may have lain unused.
 
-        0: the usual; below 0: a new connection. `still` is asked before the first byte on a connection that
-        had to be made first: whether it is still to be sent.
+        0: the usual; below 0: a new connection. `still` is asked before the first byte: whether it is still
+        to be sent.
         """
-        asking = Asking(self, key, address.encode(), call, watcher, still)
+        asking = Asking(self, key, address, call, watcher, still)
         kept = self._kept(key, within or self.idle)
         if kept is not None:
-            self.reused += 1
             asking.connection = kept
-            kept.ask(asking)
-            return asking
+            self.clock.callLater(0, self.clock.callLater, 0, self._first_byte, asking, kept)
+        else:
+            self._dial(asking)
+        return asking
+
+    def _dial(self, asking: "Asking") -> None:
         if self.count >= self.most and not self._make_room():
-            self.clock.callLater(0, self._unreached, asking)
-            return asking
+            # No descriptor of ours is free: that is no fault of the peer's.
+            self.clock.callLater(0, self._unwanted, asking)
+            return
         self.count += 1
         self.made += 1
-        asking.dialing = self.dial(address)(_One(lambda: ClientConnection(self, key)))
+        asking.dialing = self.dial(asking.address)(_One(lambda: ClientConnection(self, asking.key)))
         asking.dialing.addCallbacks(self._dialed, self._not_dialed, callbackArgs=(asking,),
                                     errbackArgs=(asking,))
-        return asking
+
+    def _first_byte(self, asking: "Asking", connection: ClientConnection) -> None:
+        """Send it, if it is still wanted.
+
+        On a kept connection two turns after it was asked for, on a new one a turn after it stood. Guards
+        against what lies unread in the kernel where this process was held up: that the client has left, or
+        that the engine drains, has been read in the turn between, and came long before.
+        """
+        if asking.over:
+            return
+        if connection.gone:
+            asking.connection = None
+            if connection.used:  # its peer has closed it meanwhile: nothing was written on it
+                self._dial(asking)
+            else:
+                self._unreached(asking)
+        elif not asking.still():
+            self.freed(connection)
+            self._unwanted(asking)
+        else:
+            self.reused += connection.used
+            connection.ask(asking)
 
     def _kept(self, key: str, within: float) -> ClientConnection | None:
         """A free one, lately used, whose last answer has nothing behind it."""
@@ -295,13 +324,8 @@
         if asking.over:
             connection.close()
             return
-        if not asking.still():
-            connection.close()
-            asking.finished()
-            asking.watcher.unwanted()
-            return
-        asking.connection = connection
-        connection.ask(asking)
+        asking.connection, asking.stands_since = connection, self.clock.seconds()
+        self.clock.callLater(0, self._first_byte, asking, connection)
 
     def _not_dialed(self, failure: object, asking: Asking) -> None:
         self.count -= 1
@@ -313,8 +337,17 @@
             asking.finished()
             asking.watcher.broke(False)
 
+    def _unwanted(self, asking: Asking) -> None:
+        if not asking.over:
+            asking.finished()
+            asking.watcher.unwanted()
+
     def freed(self, connection: ClientConnection) -> None:
-        """Its answer is whole; it may be used again."""
+        """Its answer is whole, or it was not asked; it may be used again."""
+        if connection.gone or not self.trusts():
+            connection.close()
+            return
+        connection.free_since = self.clock.seconds()
         self._free.setdefault(connection.key, []).append(connection)
         if self._sweeping is None:
             self._sweeping = self.clock.callLater(1.0, self._sweep)
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -98,12 +98,12 @@
         elif self.end is not None and self.end.outcome == itf.READ:
             try:
                 kept = _kept.decode(self.body).cached_tokens
-            except (msgspec.DecodeError, ValueError):
+            except (msgspec.DecodeError, ValueError, RecursionError):
                 kept = 0.0
             self._tell(self.end, kept, self.load)
 
     def unwanted(self) -> None:
-        self._tell(End(itf.UNSENT), why="left meanwhile")
+        self._tell(End(itf.UNSENT), why="not sent")
 
     def broke(self, sent: bool) -> None:
         if sent:
@@ -150,6 +150,8 @@
         self.dials: dict[str, str] = {}
         self.streams: dict[_Attempt, None] = {}
         self.given_up: dict[str, float] = {}  # sequences by when an attempt was last given up or broke
+        self.releases: set[_Release] = set()  # words of release that no engine has answered yet
+        self.second_words = 0  # of those that are still to be sent again
         clock.callLater(LOOK, self._look)
 
     def name(self, engine: int) -> str:
@@ -193,7 +195,8 @@
         once = self.host.door.rows[held.arrival.traffic].once and (
             not attempt.reads or held.label in self.given_up)
         # Guards against an engine that drains or goes while a connection to it comes up, which may take
-        # longer than the grace: its standing is looked at once more before the first byte.
+        # longer than the grace, or while this process was held up: its standing is looked at once more before
+        # the first byte.
         watcher.asking = attempt.call = self.pool.ask(
             name, self.dials[name], call, watcher, -1.0 if once else 0.0, lambda: self.serves(attempt.engine))
 
@@ -218,8 +221,13 @@
         if label in self.given_up:
             # Guards against a read that ended well as its connection closed, and was held after that word,
             # and against an engine that heard the word before it saw the writer's connection close.
+            self.second_words += 1
             self.clock.callLater(SURE_AFTER, self._release_again, targets, label)
 
+    def owes(self) -> bool:
+        """Whether an engine is still to be told to let go of something."""
+        return bool(self.releases) or self.second_words > 0
+
     def _told(self, engine: int, label: str) -> list[tuple[str, str]]:
         """Names and addresses that a release goes to, in turn: the holder, again, then engines that run.
 
@@ -235,6 +243,7 @@
         return [(n, self.dials[n]) for n in order if n in self.dials]
 
     def _release_again(self, targets: list[tuple[str, str]], label: str) -> None:
+        self.second_words -= 1
         if not self.at_work(label):
             _Release(self, targets, label)
 
@@ -294,6 +303,7 @@
         self.call = Call(b"DELETE", b"/state/" + label.encode(), [])
         self.askings: list[Asking] = []
         self.timer = None
+        engines.releases.add(self)
         self._try()
 
     def _try(self) -> None:
@@ -313,6 +323,7 @@
             self.timer.reset(0)  # refused or broken: the next one at once
 
     def _over(self) -> None:
+        self.engines.releases.discard(self)
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         askings, self.askings = self.askings, []
