Lingering close; a client behind a flood is seen to go; nobody is closed unheard

Now the send side is shut, what comes is thrown away until the client ends or LINGER is over. - Reading stopped at 64 KiB behind an open request (AHEAD_MOST), so its client's end was never read, and the request was sent on seconds after it had gone. Now one largest request is kept, the rest read and thrown away, then 413. - With all places taken a connection that had just come was cut unheard. Lingering connections count among those of clients, and give way first.

--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -2,9 +2,12 @@
 
 HEAD_MOST = 16 * 1024  # bytes of a head or of a chunk's line: what servers commonly take
 BODY_MOST = 256 * 1024  # bytes of a request's body, as the platform states
-AHEAD_MOST = 64 * 1024  # bytes that may wait behind an open request: one read of the socket
+AHEAD_MOST = HEAD_MOST + BODY_MOST  # bytes that are kept behind an open request: the largest one
+SPILL_MOST = 64 * 1024 * 1024  # bytes beyond these that are read and thrown away, so that its client's end is
+# seen; who sends more, a third of a second of one core, is cut
 WHOLE_WITHIN = 2.0  # seconds for a request to be whole, and for a new connection to speak: 3 s are owed
-LINGER = 3.0  # seconds for a last answer to leave before its connection is cut
+LINGER = 3.0  # seconds for a last answer to leave and its client to close, before the connection is cut
+FIRST_WITHIN = 0.3  # seconds for a new connection to speak while the process ends: clients ask as they come
 IDLE = 5.0  # seconds that a client's connection may lie unused: kept ones cost memory
 STALL = 20.0  # seconds for which a client may take nothing of a stream
 SMALL_BODY = 64 * 1024  # bytes of an engine's answer that is not a stream: a report or a count
--- a/myrtlehub/http1/server.py
+++ b/myrtlehub/http1/server.py
@@ -7,7 +7,8 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from myrtlehub.http1.bounds import (
-    AHEAD_MOST, BODY_MOST, HEAD_MOST, HEARD_AT_LEAST, HEARD_WITHIN, IDLE, LINGER, STALL, WHOLE_WITHIN)
+    AHEAD_MOST, BODY_MOST, FIRST_WITHIN, HEAD_MOST, HEARD_AT_LEAST, HEARD_WITHIN, IDLE, LINGER, SPILL_MOST,
+    STALL, WHOLE_WITHIN)
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout",
@@ -71,7 +72,7 @@
         """End the connection without a last chunk: the answer is not whole."""
         if not self.over:
             self.over = True
-            self._connection.shut()
+            self._connection.linger()
 
     # as producer: the client's connection asks to wait
 
@@ -94,18 +95,19 @@
         self.site, self.clock = site, site.clock
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
         self.open: Exchange | None = None
-        self.idle_since = self.clock.seconds()
-        self.used = self.closing = self.gone = False  # a request was whole once; shut by us; lost
+        self.idle_since = self.clock.seconds()  # or since when it lingers
+        self.used = self.closing = self.gone = False  # a request was whole once; lingers; lost
+        self.dropped = False  # cut to make room: lost within a turn
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
-        self._size = self._ahead = 0
+        self._size = self._ahead = self._spilt = 0
         self._timer = None
         self._stall = None
 
     def connectionMade(self) -> None:  # noqa: N802
         if hasattr(self.transport, "setTcpNoDelay"):
             self.transport.setTcpNoDelay(True)
-        self._due(WHOLE_WITHIN)
+        self._due(FIRST_WITHIN if self.site.closing else WHOLE_WITHIN)
         self.site.opened(self)
 
     def _due(self, delay: float) -> None:
@@ -121,7 +123,7 @@
         elif self._head is not None or self._ahead:
             self.refuse(408)
         else:
-            self.shut()
+            self.linger()
 
     @property
     def unused(self) -> bool:
@@ -132,6 +134,9 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.closing:
+            return  # thrown away, never sent on: what lies unread at the close would reset the last answer
+        if self._spilt or self.open is not None and self._ahead + len(data) > AHEAD_MOST:
+            self._spill(len(data))
             return
         if self.unused:
             self._due(WHOLE_WITHIN)
@@ -139,8 +144,16 @@
         self.http.receive_data(data)
         if self.open is None:
             self._read()
-        elif self._ahead > AHEAD_MOST:
-            self.transport.pauseProducing()
+
+    def _spill(self, size: int) -> None:
+        """More comes behind an open request than is kept.
+
+        Guards against reading no more of it: the client's end lies behind these bytes, and its request would
+        be sent on long after it has gone.
+        """
+        self._spilt += size
+        if self._spilt > SPILL_MOST:
+            self.transport.abortConnection()
 
     def _read(self) -> None:
         while self.open is None and not self.closing:
@@ -150,6 +163,8 @@
                 self.refuse(fault.error_status_hint or 400)
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                if self._spilt:
+                    self.refuse(413)  # the rest of it was thrown away
                 return
             self._take(event)
 
@@ -241,13 +256,12 @@
         # Guards against a stream whose head had gone out, without a word of closing, before the site began to
         # drain: its client would send its next request on this connection, to a process that is about to end.
         if not done or (self.site.closing and not self._ahead):
-            self.shut()
+            self.linger()
             return
         self.http.start_next_cycle()
         self.idle_since = self.clock.seconds()
         self._due(WHOLE_WITHIN if self._ahead else IDLE)
-        self.transport.resumeProducing()
-        if self._ahead:
+        if self._ahead or self._spilt:
             # a turn later: what is pipelined must not be answered deeper and deeper in one call
             self.clock.callLater(0, self._read_on)
 
@@ -263,18 +277,38 @@
                 self._out(h11.EndOfMessage())
             except h11.LocalProtocolError:
                 pass  # nothing can be said on it any more; it is closed all the same
-        self.shut()
+        self.linger()
+
+    def linger(self) -> None:
+        """Lingering close: end our side once what was said has left, and read on until the client ends too.
 
-    def shut(self) -> None:
-        """Close once what was said has left."""
+        Guards against bytes that are unread, or come, as the socket closes: they would make the close a
+        reset, which takes what the client has not read of its last answer with it. Nothing read from now on
+        is used.
+        """
         if self.closing or self.gone:
             return
-        self.closing = True
+        self.closing, self.idle_since = True, self.clock.seconds()
         self._body = []
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self.transport.loseWriteConnection()
         self._due(LINGER)
 
+    def drop(self) -> None:
+        """Make room at once: nothing is owed on it."""
+        self.closing = self.dropped = True
+        self.transport.abortConnection()
+
+    def drain(self) -> None:
+        """The process ends: close if nothing of a request has come, but hear who has just connected."""
+        if self.closing or not self.unused:
+            return
+        left = 0.0 if self.used else FIRST_WITHIN - (self.clock.seconds() - self.idle_since)
+        if left > 0.0:
+            self._due(left)
+        else:
+            self.linger()
+
     def stalled(self, stalled: bool) -> None:
         """The client takes nothing of its stream, or takes it again."""
         if stalled and self._stall is None:
@@ -312,8 +346,9 @@
                  at_once: int = 50) -> None:
         self.clock, self.asked, self.most, self.at_once = clock, asked, most, at_once
         self.connections: dict[ServerConnection, None] = {}  # in the order of their coming
-        self.closing = False
+        self.closing = self._held = False
         self._room = None
+        self.on_full: Callable[[bool], None] = lambda full: None  # whether to accept no more for a moment
 
     def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
         return ServerConnection(self)
@@ -321,22 +356,55 @@
     def opened(self, connection: ServerConnection) -> None:
         """Where there are too many, room is made once what these have sent was read."""
         self.connections[connection] = None
-        if len(self.connections) > self.most + self.at_once:
+        if self._count() > self.most + self.at_once:
             # None that came this turn is closed for another: what it has sent is not read yet.
-            unused = [c for c in self.connections if c.unused and not c.closing
-                      and self.clock.seconds() - c.idle_since >= HEARD_AT_LEAST]
-            min(unused, key=lambda c: c.idle_since, default=connection).shut()
+            spare = self._spare(HEARD_AT_LEAST)
+            if spare:
+                spare[0].drop()
+            elif self._spare(0.0):
+                self._hold()
+            else:
+                connection.drop()  # all others have requests open
         elif len(self.connections) > self.most and (self._room is None or not self._room.active()):
             self._room = self.clock.callLater(HEARD_WITHIN, self._make_room)
 
-    def _make_room(self) -> None:
-        """Close the longest unused, never one that had no time to be heard, or has a request open."""
+    def _hold(self) -> None:
+        """Accept no more until those that have just come were heard; who comes waits with the system."""
+        if not self._held:
+            self._held = True
+            self.on_full(True)
+            self.clock.callLater(HEARD_AT_LEAST, self._go_on)
+
+    def _go_on(self) -> None:
+        for connection in self._spare(HEARD_AT_LEAST)[:max(0, self._count() - self.most)]:
+            connection.drop()
+        if self._count() > self.most + self.at_once and self._spare(0.0):
+            self.clock.callLater(HEARD_AT_LEAST, self._go_on)
+        else:
+            self._held = False
+            self.on_full(False)
+
+    def _count(self) -> int:
+        """Connections that hold a descriptor for longer than this turn."""
+        return sum(not c.dropped for c in self.connections)
+
+    def _spare(self, heard: float) -> list[ServerConnection]:
+        """Those that room is made of, in this order: who lingers, then who is unused; the longest first.
+
+        Never one that had no time to be heard, or has a request open.
+        """
         now = self.clock.seconds()
-        unused = [c for c in self.connections
-                  if c.unused and not c.closing and now - c.idle_since >= HEARD_WITHIN]
-        unused.sort(key=lambda c: c.idle_since)
-        for connection in unused[:max(0, len(self.connections) - self.most)]:
-            connection.shut()
+        spare = [c for c in self.connections
+                 if (c.closing or c.unused) and not c.dropped and now - c.idle_since >= heard]
+        return sorted(spare, key=lambda c: (not c.closing, c.idle_since))
+
+    def _make_room(self) -> None:
+        """Cut who lingers, and close the longest unused; who then does not end is cut at the next look."""
+        for connection in self._spare(HEARD_WITHIN)[:max(0, self._count() - self.most)]:
+            if connection.closing:
+                connection.drop()
+            else:
+                connection.linger()
         if len(self.connections) > self.most:
             self._room = self.clock.callLater(HEARD_WITHIN, self._make_room)
 
@@ -352,5 +420,4 @@
         """Nothing new: unused connections close now, the others after their answer."""
         self.closing = True
         for connection in list(self.connections):
-            if connection.unused:
-                connection.shut()
+            connection.drain()
--- a/tests/memnet.py
+++ b/tests/memnet.py
@@ -16,11 +16,11 @@
 
     def __init__(self, net: "Net", host: str) -> None:
         self.net, self.host, self.out, self.other, self.protocol = net, host, [], None, None
-        self.closing = self.dead = self.stalled = self.paused = False
+        self.closing = self.dead = self.stalled = self.paused = self.ending = False
         self.producer, self.pulled = None, False
 
     def write(self, data: bytes) -> None:
-        if not (self.closing or self.dead):
+        if not (self.closing or self.dead or self.ending):
             self.out.append(data)
             if self.producer and self.stalled and not self.pulled:
                 self.producer.pauseProducing()
@@ -45,6 +45,10 @@
     def loseConnection(self) -> None:  # noqa: N802
         self.closing = True
 
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """The other end closes as soon as it has read the end, unless its protocol `stays`."""
+        self.ending = True
+
     def abortConnection(self) -> None:  # noqa: N802
         self.net.cut(self)
 
@@ -117,7 +121,8 @@
                 pipe.other.protocol.dataReceived(data)
                 if pipe.producer and pipe.pulled and not pipe.out:
                     pipe.producer.resumeProducing()
-            elif pipe.closing and not pipe.dead:
+            elif not pipe.dead and (
+                    pipe.closing or pipe.ending and not getattr(pipe.other.protocol, "stays", False)):
                 self.cut(pipe, clean=True)
                 moved = True
         return moved
