Unusable configurations are one line with file, key and fix; deep nesting is no crash

Causes: limits or Caps that are no object, classes without a name, ended the program with a traceback (exit 1); a body, a list or a report nested 60,000 deep raised RecursionError, which nobody caught: a client got a reset in place of its 400, and discovery was never called again.

--- a/myrtlehub/relay/events.py
+++ b/myrtlehub/relay/events.py
@@ -72,7 +72,7 @@
     def _usage(self, event: bytes) -> None:
         try:
             usage = _tail.decode(event.partition(b":")[2].strip()).usage
-        except (msgspec.DecodeError, ValueError):
+        except (msgspec.DecodeError, ValueError, RecursionError):
             return
         if usage is not None:
             self.tokens = int(usage.completion_tokens)
--- a/myrtlehub/relay/front.py
+++ b/myrtlehub/relay/front.py
@@ -4,11 +4,10 @@
 
 from myrtlehub.http1.server import Exchange
 from myrtlehub.node.host import Held, Host
-from myrtlehub.relay.told import Desk, Refused
+from myrtlehub.relay.told import HELD_MOST, Desk, Refused
 
 READY, CHAT = b"/up", b"/v1/chat/completions"
 STREAM = ((b"Content-Type", b"text/event-stream"),)
-HELD_MOST = 20000  # sequences that a node holds, unless the settings say fewer
 
 
 class _Waiting:
--- a/myrtlehub/relay/told.py
+++ b/myrtlehub/relay/told.py
@@ -14,6 +14,8 @@
 STATES = {"active": "serving", "leaving": "draining", "left": "gone"}
 SAFE = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
 ID_MOST = 128  # bytes of an id: it becomes a part of a path
+SOCKETS_LEAST = 96  # descriptors with which a node still has some for clients and some for engines
+HELD_MOST = 20000  # sequences that a node holds, unless the settings say fewer
 DIGITS_MOST = 12  # of a whole number from outside: beyond any time or length
 
 
@@ -91,34 +93,43 @@
 def _address(text: object, key: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not (host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        raise BadNews(f"{key}: {text!r} is not an address of the form HOST:PORT")
+        raise BadNews(f"{key}: {text!r} is no address; write it as HOST:PORT")
     return host, int(port)
 
 
+def read_json(data: bytes) -> object:
+    """What was written; BadNews where it can't be read, however deep it is nested."""
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.DecodeError, ValueError, RecursionError) as fault:
+        raise BadNews(f"is not JSON: {fault}") from fault
+
+
 def read_told(path: str) -> Told:
-    """The file, checked as far as a node needs it; BadNews names the key."""
+    """The file, checked as far as a node needs it; BadNews names the key and says what to do."""
     try:
-        told = msgspec.json.decode(Path(path).read_bytes())
+        told = read_json(Path(path).read_bytes())
     except OSError as fault:
-        raise BadNews(f"RELAY_CONFIG: {path}: {fault.strerror}") from fault
-    except msgspec.DecodeError as fault:
-        raise BadNews(f"RELAY_CONFIG: {path} is not JSON: {fault}") from fault
+        raise BadNews(f"RELAY_CONFIG: {fault.strerror}; name a file that can be read") from fault
+    except BadNews as fault:
+        raise BadNews(f"RELAY_CONFIG: {fault}; write it whole, as one JSON object") from fault
     if not isinstance(told, dict):
-        raise BadNews(f"RELAY_CONFIG: {path} has to be a JSON object")
+        raise BadNews("RELAY_CONFIG: is no JSON object; write it as one")
     for key in ("listen", "discovery", "settings"):
         if key not in told:
-            raise BadNews(f"{key}: is missing in {path}")
-    if not isinstance(told["settings"], dict):
-        raise BadNews("settings: has to be an object")
+            raise BadNews(f"{key}: is missing; add it")
+    limits = told.get("limits") or {}
+    for key, value in (("settings", told["settings"]), ("limits", limits)):
+        if not isinstance(value, dict):
+            raise BadNews(f"{key}: is no object; write it as the platform does")
     _address(told["discovery"], "discovery")
     try:
         seed = int(str(told.get("seed", "0")), 16)
     except ValueError as fault:
-        raise BadNews(f"seed: {told['seed']!r} is not a number in hexadecimal") from fault
-    limits = told.get("limits") or {}
+        raise BadNews(f"seed: {told['seed']!r} is no number; write it in hexadecimal") from fault
     sockets = limits.get("sockets", 1024)
-    if not isinstance(sockets, int) or sockets < 64:
-        raise BadNews(f"limits.sockets: {sockets!r} has to be a whole number of at least 64")
+    if not isinstance(sockets, int) or sockets < SOCKETS_LEAST:
+        raise BadNews(f"limits.sockets: {sockets!r} is too few, or no number; allow {SOCKETS_LEAST} or more")
     known = told.get("known")
     return Told(str(told.get("name", "")), _address(told["listen"], "listen"), told["discovery"], seed,
                 sockets, told["settings"], known if isinstance(known, dict) else None)
@@ -126,19 +137,46 @@
 
 def terms_of(told: Told) -> itf.Terms:
     """The module's terms; BadNews where the settings lack a key that it needs."""
+    for key in ("Caps", "Invariants", "Specifics"):
+        if not isinstance(told.settings.get(key, {}), dict):
+            raise BadNews(f"settings.{key}: is no object; write it as the platform does")
+    for key in ("Classes", "Orgs"):
+        rows = told.settings.get(key) or []
+        if not (isinstance(rows, list) and all(isinstance(r, dict) and isinstance(r.get("Name"), str)
+                                               for r in rows)):
+            raise BadNews(f"settings.{key}: is no list of objects with a Name; write it as the platform does")
     try:
         return decode_terms(told.settings, told.seed)
     except KeyError as fault:
-        raise BadNews(f"settings: {fault.args[0]} is missing or unknown") from fault
+        raise BadNews(f"settings: {fault.args[0]} is missing or unknown; add it or mend it") from fault
     except (TypeError, AttributeError, ValueError, IndexError) as fault:
-        raise BadNews(f"settings: {fault}") from fault
+        raise BadNews(f"settings: {fault}; write them as the platform does") from fault
+
+
+class Caps(NamedTuple):
+    """What the platform allows of connections and sequences."""
+
+    connect: float  # seconds for a connection to an engine to stand
+    keep: float  # seconds after which engines close unused connections
+    most_held: int
+
+
+def caps_of(told: Told) -> Caps:
+    """Read them; BadNews names the one that is no number above 0."""
+    caps = told.settings.get("Caps", {})
+    figures = {"ConnectTimeoutMs": 250.0, "KeepaliveMs": 30000.0, "MostHeld": HELD_MOST}
+    for key in figures:
+        value = figures[key] = caps.get(key, figures[key])
+        if not isinstance(value, (int, float)) or value <= 0:
+            raise BadNews(f"settings.Caps.{key}: {value!r} is no number above 0; write one")
+    return Caps(figures["ConnectTimeoutMs"] / 1e3, figures["KeepaliveMs"] / 1e3, int(figures["MostHeld"]))
 
 
 def load_of(text: bytes) -> itf.Load | None:
     """A load report; one that can't be read is none."""
     try:
         report = msgspec.json.decode(text, type=dict[str, float])
-    except (msgspec.DecodeError, ValueError):
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return None
     return decode_load(report)
 
@@ -256,7 +294,7 @@
 def _check_body(body: bytes) -> None:
     try:
         msgspec.json.decode(body, type=_Body)
-    except (msgspec.DecodeError, ValueError) as fault:
+    except (msgspec.DecodeError, ValueError, RecursionError) as fault:
         raise Refused(400, "the body is no chat request") from fault
 
 
