A change is told within 6 s where connections to discovery are slow to stand

Cause: a call was given up 1 s after it was made, its dial included; a dial of 0.97 s and an answer of 0.05 s never came to anything, call after call, for as long as it lasted (driven clock, five kinds of trouble, three phases). The second now counts from the connection's standing, and the sum of the constants, 5.12 s, stands beside them.

--- a/myrtlehub/relay/discovery.py
+++ b/myrtlehub/relay/discovery.py
@@ -3,14 +3,16 @@
 from collections.abc import Callable
 from random import Random
 
-import msgspec
-
 from myrtlehub.http1.client import Asking, Call, Pool, Watcher
-from myrtlehub.relay.told import BadNews, Desk, News
+from myrtlehub.relay.told import BadNews, Desk, News, read_json
 
 PATH = b"/discovery/hosts"
+# A change counts as told 6 s after discovery had it. At the worst a watch falls silent just after it was
+# sent, and the next connection is slow: WATCH, ANSWER_WITHIN, CALL_AGAIN, DIAL_WITHIN and ANSWER_WITHIN, in
+# all 5.12 s.
 WATCH = 2.0  # seconds that a watch may wait: an agent that went silent is noticed that soon
 ANSWER_WITHIN = 1.0  # seconds for an answer beyond that wait
+DIAL_WITHIN = 1.0  # seconds for a connection to stand
 # Seconds from call to call while there is no list: what the agent has counts as told from the moment at
 # which it has it, a call that it took while it was silent is never answered, and the least grace is 250 ms.
 CALL_AGAIN = 0.12
@@ -90,15 +92,25 @@
         answer = _Answer(lambda body: self._answered(asking, body))
         asking = self.pool.ask(self.address, self.address, Call(b"GET", target, []), answer)
         self._askings.append(asking)
-        self._later(wait + ANSWER_WITHIN, self._late, asking)
+        self._later(wait + ANSWER_WITHIN, self._late, asking, wait)
         if self.version is None:
             # beside the one that is out, which is left its time: this process may itself be late to read
             self._later(CALL_AGAIN, self._call)
 
-    def _late(self, asking: Asking) -> None:
-        if asking in self._askings:
-            asking.cancel()
-            self._answered(asking, None)
+    def _late(self, asking: Asking, wait: float) -> None:
+        """Give it up once its connection has stood for as long as an answer may take.
+
+        Guards against calls given up just as their connection stands, again and again, where each takes
+        almost as long to stand as an answer may.
+        """
+        if asking not in self._askings:
+            return
+        left = asking.stands_since + wait + ANSWER_WITHIN - self.clock.seconds()
+        if asking.dialing is not None or left > 0.001:
+            self._later(max(left, CALL_AGAIN), self._late, asking, wait)
+            return
+        asking.cancel()
+        self._answered(asking, None)
 
     def _answered(self, asking: Asking, body: bytes | None) -> None:
         if self._closed or asking not in self._askings:
@@ -107,10 +119,10 @@
         try:
             if body is None:
                 raise BadNews("no answer")
-            news = self.desk.news(msgspec.json.decode(body), self.clock.seconds())
+            news = self.desk.news(read_json(body), self.clock.seconds())
             if self.version is None and not news.whole:
                 raise BadNews("whole: the first answer has to be the whole list")
-        except (BadNews, msgspec.DecodeError) as fault:
+        except BadNews as fault:
             self._failed(str(fault))
             return
         if self._fails:
