--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -7,16 +7,20 @@
 from myrtlehub.http1.client import Pool
 from myrtlehub.http1.server import Site
 from myrtlehub.node.host import Host
-from myrtlehub.relay.discovery import Discovery
+from myrtlehub.relay.discovery import DIAL_WITHIN, Discovery
 from myrtlehub.relay.engines import Engines
 from myrtlehub.relay.front import Front
-from myrtlehub.relay.told import Desk, News, Told, terms_of
+from myrtlehub.relay.told import Desk, News, Told, caps_of, terms_of
 
-CLIENTS_PART = 0.45  # of the descriptors, for clients' connections: a third may hold requests
-AT_ONCE_PART = 0.12  # of them, for clients' connections that have just come, until room is made
-ENGINES_PART = 0.38  # of them, for engines: a request has one attempt out, and releases come beside
+DISCOVERY_MOST = 18  # connections to discovery: one in 120 ms while it is silent, each for 2 s at most
+ACCEPTS_MOST = 32  # connections accepted in a turn: until the next one none of them can be closed
+OWN = 14  # standard streams, selector, wakers, port and its spare, configuration, modules read late
+RESERVE = DISCOVERY_MOST + ACCEPTS_MOST + OWN  # descriptors that neither clients nor engines get
+# Parts of the descriptors beside these:
+CLIENTS_PART = 0.47  # for clients' connections, lingering ones among them: a third may hold requests
+AT_ONCE_PART = 0.13  # for clients' connections that have just come, until room is made
+ENGINES_PART = 0.40  # for engines: a request has one attempt out, and releases come beside
 KEPT_PART = 0.4  # of the time after which engines close unused connections, for which ours are used again
-DISCOVERY_MOST = 12  # connections to discovery: as many calls are out at most, while it is silent
 KNOWN_FOR = 1.0  # seconds after the start for which discovery is waited for, before the list given is used
 
 
@@ -28,20 +32,18 @@
                  host_class: type[Host] = Host) -> None:
         self.told, self.clock, self.log = told, clock, log
         self.terms = terms_of(told)
-        caps = told.settings.get("Caps", {})
-        connect, keep = caps.get("ConnectTimeoutMs", 250.0) / 1e3, caps.get("KeepaliveMs", 30000.0) / 1e3
+        caps, room = caps_of(told), told.sockets - RESERVE
         self.desk = Desk(told, self.terms, epoch)
-        self.pool = Pool(clock, lambda address: dial(address, connect), int(ENGINES_PART * told.sockets),
-                         KEPT_PART * keep)
+        self.pool = Pool(clock, lambda address: dial(address, caps.connect), int(ENGINES_PART * room),
+                         KEPT_PART * caps.keep)
         self.engines = Engines(clock, self.pool, log)
         self.host = host_class(Router(self.terms), self.desk, self.terms, clock, self.engines, "", log)
         self.engines.host = self.host
         self.host.on_back = self.engines.ended
-        self.front = Front(self.host, self.desk, caps.get("MostHeld", 20000))
+        self.front = Front(self.host, self.desk, caps.most_held)
         self.front.ready = self._ready
-        self.site = Site(clock, self.front.asked, int(CLIENTS_PART * told.sockets),
-                         int(AT_ONCE_PART * told.sockets))
-        there = Pool(clock, lambda address: dial(address, 1.0), DISCOVERY_MOST, 5.0)
+        self.site = Site(clock, self.front.asked, int(CLIENTS_PART * room), int(AT_ONCE_PART * room))
+        there = Pool(clock, lambda address: dial(address, DIAL_WITHIN), DISCOVERY_MOST, 5.0)
         self.discovery = Discovery(clock, there, told.discovery, self.desk, self._heard,
                                    Random(told.seed + 1), log)
         self._known = self._opened = False
@@ -90,8 +92,12 @@
         self.host.list_news(news.lines, news.whole, news.version)
 
     def busy(self) -> bool:
-        """Whether anything is owed to a client, or to an engine."""
-        return bool(self.host.held) or self.site.open_exchanges() > 0
+        """Whether anything is owed to a client, or to an engine.
+
+        Of clients' connections each counts until it is lost: half a request may be whole yet, a last answer
+        may not have left, and bytes that come as the process ends would reset what its client has not read.
+        """
+        return bool(self.host.held) or bool(self.site.connections) or self.engines.owes()
 
     def measure_lag(self) -> None:
         """Beat from here on, so that the desk knows how late this process runs."""
--- a/myrtlehub/relay/reload.py
+++ b/myrtlehub/relay/reload.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from myrtlehub.relay.told import BadNews, read_told
+from myrtlehub.relay.told import BadNews, Told, read_told
 
 NOTICE = 0.5  # seconds after SIGTERM for which connections still come: the front needs as long to notice
-FLUSH = 0.1  # seconds for the last answers to leave
+LOOK = 0.1  # seconds from look to look at what is still owed
 
 
 class Drain:
@@ -28,23 +28,34 @@
     def _close(self) -> None:
         self.stop_listening()
         self.site.drain()
-        self._wait(0)
-
-    def _wait(self, quiet: int) -> None:
-        """End once nothing was open for two looks: a request may just be coming in."""
-        quiet = 0 if self.busy() else quiet + 1
-        if quiet > 2:
-            self.end()
+        self._wait()
+
+    def _wait(self) -> None:
+        """End once nothing is owed any more.
+
+        All that may be owed has a bound of its own: a request its abandon time, half of one WHOLE_WITHIN, a
+        last answer LINGER, a word of release its tries, a stream its engine's end or silence. So there is
+        none here: who wants the process gone before that sends SIGKILL, as the platform does 3.7 s after
+        SIGTERM at the soonest.
+        """
+        if self.busy():
+            self.clock.callLater(LOOK, self._wait)
         else:
-            self.clock.callLater(FLUSH, self._wait, quiet)
+            self.end()
+
 
+def reload(path: str, now: Told, moved: Callable[[str], None], log: Callable[..., None]) -> None:
+    """SIGHUP: discovery moves to where the file says; a file that can't be used changes nothing.
 
-def reload(path: str, moved: Callable[[str], None], log: Callable[..., None]) -> None:
-    """SIGHUP: discovery moves to where the file says; a file that can't be used changes nothing."""
+    `now`: what is in force. All but discovery's address needs a restart, and is named.
+    """
     try:
         told = read_told(path)
     except BadNews as fault:
         log("configuration kept", why=str(fault))
         return
-    log("configuration read", discovery=told.discovery)
+    pairs = {"name": (told.name, now.name), "listen": (told.listen, now.listen),
+             "limits": (told.sockets, now.sockets), "settings": (told.settings, now.settings)}
+    log("configuration read", discovery=told.discovery,
+        not_applied=sorted(key for key, (new, old) in pairs.items() if new != old))
     moved(told.discovery)
