A state behind a cut is released by way of an engine that was heard of late

Ruled out: kept connections that are stale (each try failed by its dial's time-out), the two turns before the first byte (0.2 ms at each try). Change: those heard last come first; what a head, an event or an answer tells is noted by name. Test: test_a_state_behind_a_cut_is_released_by_way_of_an_engine_that_was_heard_of_late, fails without.

--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -42,6 +42,7 @@
 
     def head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         fields = dict(headers)
+        self.engines.note_heard(self.attempt.engine)
         self.end = of_head(self.attempt.reads, status, fields.get(b"x-turned-away") == b"1")
         if b"x-pressure" in fields:
             self.load = load_of(fields[b"x-pressure"])
@@ -63,6 +64,7 @@
                 return
             if whole:
                 now = self.host.clock.seconds()
+                self.engines.note_heard(self.attempt.engine)
                 self.gap, self.heard_at = max(self.gap, now - self.heard_at), now
                 attempt = self.attempt
                 if attempt.begun:
@@ -152,6 +154,7 @@
         self.given_up: dict[str, float] = {}  # sequences by when an attempt was last given up or broke
         self.releases: set[_Release] = set()  # words of release that no engine has answered yet
         self.second_words = 0  # of those that are still to be sent again
+        self.heard_at: dict[str, float] = {}  # by name: when an engine last said something
         clock.callLater(LOOK, self._look)
 
     def name(self, engine: int) -> str:
@@ -163,6 +166,10 @@
         engines = self.host.door.engines
         return not engines.gone(engine) and engines.rows[engine].state == "serving"
 
+    def note_heard(self, engine: int) -> None:
+        """It says something: it can be reached."""
+        self.heard_at[self.name(engine)] = self.clock.seconds()
+
     def moved(self, name: str, dial: str) -> None:
         """Where an engine is reached from now on."""
         if self.dials.get(name, dial) != dial:
@@ -232,13 +239,15 @@
         """Names and addresses that a release goes to, in turn: the holder, again, then engines that run.
 
         Any engine passes it on to all. Guards against a holder that drained and ended while its state had
-        moved, or was on its way, to a writer.
+        moved, or was on its way, to a writer; and, as those heard last come first, against a cut that holds
+        off the holder and whoever is next to it in the list.
         """
         first = self.name(engine)
         attempts = next((h.attempts for h in self.host.held.values() if h.label == label), [])
         names = [self.name(a.engine) for a in reversed(attempts)]
         names += [r.address for r in self.host.door.engines.rows if r.state == "serving"]
         others = [n for n in dict.fromkeys(names) if n != first]
+        others.sort(key=lambda n: -self.heard_at.get(n, 0.0))
         order = [first, first, *others][:len(RELEASE_TRIES)]
         return [(n, self.dials[n]) for n in order if n in self.dials]
 
@@ -274,6 +283,7 @@
         """See `Carrier`."""
         self.pool.close_idle(address)
         self.dials.pop(address, None)
+        self.heard_at.pop(address, None)
 
     # -- silent streams ---------------------------------------------------------------------------
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -887,3 +887,26 @@
     client.transport.loseConnection()
     rig.run(0.1)
     assert b"/state/a1" in rig.engines["w1"].released() + rig.engines["w2"].released()
+
+
+def test_a_state_behind_a_cut_is_released_by_way_of_an_engine_that_was_heard_of_late() -> None:
+    """Seen on split+brink: the reader and the next three engines of the list were all behind the cut."""
+    for heard in ("w2", "w5", "w6"):
+        rig = Rig("r1 w1 w2 w3 w4 w5 w6")
+        for peer in rig.engines.values():
+            if peer is not rig.engines["r1"]:
+                peer.answer = silent
+        client = rig.ask("a1", LONG)
+        rig.run(0.2)
+        rig.engines[heard].answer = rig.by_default
+        for other in rig.engines:
+            if other != heard:
+                rig.net.silent.add(f"{other}:1")
+        label = 0
+        while not any(a[2].get(b"x-txn", b"").startswith(b"b") for a in rig.engines[heard].chats()):
+            rig.ask(f"b{label}", 50, left=4000)
+            label += 1
+            assert label < 100
+        client.transport.loseConnection()
+        rig.run(0.4)
+        assert b"/state/a1" in rig.engines[heard].released(), heard
