Names: bootstrap, list update, pending request, connection pool, slow start

Told, News, BadNews, Asking, Pool, hang_up, stale and _cold_pass were words of the house for these and for a malformed file or list, an abortive close and a stale connection; relay/told.py is now relay/bootstrap.py. The rig's class of requests has a name of its own, as a test that counts what the collector finds by class name took it for the program's.

--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -524,7 +524,7 @@
             return KEEP if seq.out() else self._give_up(seq)  # rule 2
         if self.state[engine] != SERVING:
             return KEEP  # rule 3: nothing new from the moment we are told
-        if not self._cold_pass(engine, seq, now):
+        if not self._slow_start(engine, seq, now):
             return KEEP  # rule 4
         claim = (0.0, 0.0) if seq.state_at >= 0 else self.table.claim(engine, seq.a, now)
         home = seq.homes.get(engine, 2) if seq.split else 2
@@ -684,9 +684,9 @@
         self.started[i], self.table.rows[i] = e.started, {}
 
     def _usable(self, i: int, seq: Seq, now: float) -> bool:
-        return self.state[i] == SERVING and self._cold_pass(i, seq, now) and not self._blamed(i, now)
+        return self.state[i] == SERVING and self._slow_start(i, seq, now) and not self._blamed(i, now)
 
-    def _cold_pass(self, i: int, seq: Seq, now: float) -> bool:
+    def _slow_start(self, i: int, seq: Seq, now: float) -> bool:
         """Rule 4: a cold engine is only for a part of all sequences, which each draws once.
 
         So the sends of all nodes come to that part of what an engine is usually sent, however many nodes
--- a/myrtlehub/http1/client.py
+++ b/myrtlehub/http1/client.py
@@ -40,7 +40,7 @@
         """No whole answer comes; `sent`: the request's last byte had left, so that it may have run."""
 
 
-def hang_up(transport: object) -> None:
+def abortive_close(transport: object) -> None:
     """End a connection so that its peer is told before anything that is written after this.
 
     Guards against abortConnection alone: the reactor closes the socket a turn later, after what was written
@@ -56,10 +56,10 @@
 class ClientConnection(Protocol):
     """One connection to a peer. `pool` hears when it is free again and when it is lost."""
 
-    def __init__(self, pool: "Pool", key: str) -> None:
+    def __init__(self, pool: "ConnectionPool", key: str) -> None:
         self.pool, self.key, self.clock = pool, key, pool.clock
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
-        self.asking: Asking | None = None
+        self.pending: PendingRequest | None = None
         self.free_since = 0.0
         self.sent = self.gone = self.chunked = self.in_chunk = False
         self.used = self.answered = False  # it had a request before this one; the answer has begun
@@ -70,12 +70,12 @@
         if hasattr(self.transport, "setTcpNoDelay"):
             self.transport.setTcpNoDelay(True)
 
-    def ask(self, asking: "Asking") -> None:
+    def ask(self, pending: "PendingRequest") -> None:
         """Send a request; the connection has to be free."""
-        self.asking, call = asking, asking.call
+        self.pending, call = pending, pending.call
         self.sent = self.chunked = self.in_chunk = self.answered = False
         self._informational = 0
-        headers = [(b"Host", asking.address.encode()), *call.headers]
+        headers = [(b"Host", pending.address.encode()), *call.headers]
         if call.body or call.method == b"POST":
             headers.append((b"Content-Length", b"%d" % len(call.body)))
         parts = [self.http.send(h11.Request(method=call.method, target=call.target, headers=headers))]
@@ -98,12 +98,12 @@
         """The connection is lost."""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self.asking is None:  # nothing was asked: it has no further use
+        if self.pending is None:  # nothing was asked: it has no further use
             self.close()
             return
         try:
             self.http.receive_data(data)
-            while self.asking is not None:
+            while self.pending is not None:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED or not self._take(event):
                     return
@@ -111,7 +111,7 @@
             self._broke()
 
     def _take(self, event: object) -> bool:
-        kind, watcher = type(event), self.asking.watcher
+        kind, watcher = type(event), self.pending.watcher
         self.answered = True
         if kind is h11.Data:
             self._chunk = len(event.data) + (0 if event.chunk_start else self._chunk)
@@ -140,7 +140,7 @@
         return self.in_chunk or bool(self.http.trailing_data[0])
 
     def _ended(self) -> None:
-        asking, self.asking = self.asking, None
+        pending, self.pending = self.pending, None
         http = self.http
         if (self.sent and http.our_state is h11.DONE and http.their_state is h11.DONE
                 and not http.trailing_data[0] and not self.gone and self.pool.trusts()):
@@ -149,29 +149,29 @@
             self.pool.freed(self)
         else:
             self.close()
-        asking.finished()
-        asking.watcher.ended()
+        pending.finished()
+        pending.watcher.ended()
 
     def _broke(self) -> None:
-        asking, self.asking = self.asking, None
+        pending, self.pending = self.pending, None
         self.close()
-        if asking is not None:
+        if pending is not None:
             if self.used and not self.answered:
-                self.pool.stale()
-            asking.finished()
-            asking.watcher.broke(self.sent)
+                self.pool.saw_stale()
+            pending.finished()
+            pending.watcher.broke(self.sent)
 
     def close(self) -> None:
         """Now, whatever is on its way."""
         if not self.gone:
             self.gone = True
             self.pool.dropped(self)
-            hang_up(self.transport)
+            abortive_close(self.transport)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         self.gone = True
         self.pool.dropped(self)
-        if self.asking is not None:
+        if self.pending is not None:
             self._broke()
 
 
@@ -185,10 +185,10 @@
         return self.make()
 
 
-class Asking:
+class PendingRequest:
     """One request on its way: waiting for a connection, on one, or over."""
 
-    def __init__(self, pool: "Pool", key: str, address: str, call: Call, watcher: Watcher,
+    def __init__(self, pool: "ConnectionPool", key: str, address: str, call: Call, watcher: Watcher,
                  still: Callable[[], bool]) -> None:
         self.pool, self.key, self.address, self.call, self.watcher = pool, key, address, call, watcher
         self.still = still
@@ -211,10 +211,10 @@
             dialing.cancel()
         if self.connection is not None:
             connection, self.connection = self.connection, None
-            if connection.asking is None:
+            if connection.pending is None:
                 self.pool.freed(connection)  # nothing was written on it yet
             else:
-                connection.asking = None
+                connection.pending = None
                 connection.close()
 
     def pause(self) -> None:
@@ -230,7 +230,7 @@
             self.connection.transport.resumeProducing()
 
 
-class Pool:
+class ConnectionPool:
     """Connections by peer. `dial(address)` gives a way there: called with a factory, fires when it is up."""
 
     def __init__(self, clock: object, dial: Callable[[str], Callable], most: int, idle: float) -> None:
@@ -243,53 +243,53 @@
         self._sweeping = None
 
     def ask(self, key: str, address: str, call: Call, watcher: Watcher, within: float = 0.0,
-            still: Callable[[], bool] = lambda: True) -> Asking:
+            still: Callable[[], bool] = lambda: True) -> PendingRequest:
         """Send `call`; `within`: seconds for which a kept connection may have lain unused.
 
         0: the usual; below 0: a new connection. `still` is asked before the first byte: whether it is still
         to be sent.
         """
-        asking = Asking(self, key, address, call, watcher, still)
+        pending = PendingRequest(self, key, address, call, watcher, still)
         kept = self._kept(key, within or self.idle)
         if kept is not None:
-            asking.connection = kept
-            self.clock.callLater(0, self.clock.callLater, 0, self._first_byte, asking, kept)
+            pending.connection = kept
+            self.clock.callLater(0, self.clock.callLater, 0, self._first_byte, pending, kept)
         else:
-            self._dial(asking)
-        return asking
+            self._dial(pending)
+        return pending
 
-    def _dial(self, asking: "Asking") -> None:
+    def _dial(self, pending: "PendingRequest") -> None:
         if self.count >= self.most and not self._make_room():
             # No descriptor of ours is free: that is no fault of the peer's.
-            self.clock.callLater(0, self._unwanted, asking)
+            self.clock.callLater(0, self._unwanted, pending)
             return
         self.count += 1
         self.made += 1
-        asking.dialing = self.dial(asking.address)(_One(lambda: ClientConnection(self, asking.key)))
-        asking.dialing.addCallbacks(self._dialed, self._not_dialed, callbackArgs=(asking,),
-                                    errbackArgs=(asking,))
+        pending.dialing = self.dial(pending.address)(_One(lambda: ClientConnection(self, pending.key)))
+        pending.dialing.addCallbacks(self._dialed, self._not_dialed, callbackArgs=(pending,),
+                                    errbackArgs=(pending,))
 
-    def _first_byte(self, asking: "Asking", connection: ClientConnection) -> None:
+    def _first_byte(self, pending: "PendingRequest", connection: ClientConnection) -> None:
         """Send it, if it is still wanted.
 
         On a kept connection two turns after it was asked for, on a new one a turn after it stood. Guards
         against what lies unread in the kernel where this process was held up: that the client has left, or
         that the engine drains, has been read in the turn between, and came long before.
         """
-        if asking.over:
+        if pending.over:
             return
         if connection.gone:
-            asking.connection = None
+            pending.connection = None
             if connection.used:  # its peer has closed it meanwhile: nothing was written on it
-                self._dial(asking)
+                self._dial(pending)
             else:
-                self._unreached(asking)
-        elif not asking.still():
+                self._unreached(pending)
+        elif not pending.still():
             self.freed(connection)
-            self._unwanted(asking)
+            self._unwanted(pending)
         else:
             self.reused += connection.used
-            connection.ask(asking)
+            connection.ask(pending)
 
     def _kept(self, key: str, within: float) -> ClientConnection | None:
         """A free one, lately used, whose last answer has nothing behind it."""
@@ -303,7 +303,7 @@
                 return free.pop(i)
         return None
 
-    def stale(self) -> None:
+    def saw_stale(self) -> None:
         """A kept connection broke under its next request: for a while all kept ones may be dead unseen."""
         self._trusted_at = self.clock.seconds() + STALE_FOR
 
@@ -318,29 +318,29 @@
             oldest.close()
         return oldest is not None
 
-    def _dialed(self, connection: ClientConnection, asking: Asking) -> None:
-        asking.dialing = None
+    def _dialed(self, connection: ClientConnection, pending: PendingRequest) -> None:
+        pending.dialing = None
         self._up.add(connection)
-        if asking.over:
+        if pending.over:
             connection.close()
             return
-        asking.connection, asking.stands_since = connection, self.clock.seconds()
-        self.clock.callLater(0, self._first_byte, asking, connection)
+        pending.connection, pending.stands_since = connection, self.clock.seconds()
+        self.clock.callLater(0, self._first_byte, pending, connection)
 
-    def _not_dialed(self, failure: object, asking: Asking) -> None:
+    def _not_dialed(self, failure: object, pending: PendingRequest) -> None:
         self.count -= 1
-        asking.dialing = None
-        self._unreached(asking)
-
-    def _unreached(self, asking: Asking) -> None:
-        if not asking.over:
-            asking.finished()
-            asking.watcher.broke(False)
-
-    def _unwanted(self, asking: Asking) -> None:
-        if not asking.over:
-            asking.finished()
-            asking.watcher.unwanted()
+        pending.dialing = None
+        self._unreached(pending)
+
+    def _unreached(self, pending: PendingRequest) -> None:
+        if not pending.over:
+            pending.finished()
+            pending.watcher.broke(False)
+
+    def _unwanted(self, pending: PendingRequest) -> None:
+        if not pending.over:
+            pending.finished()
+            pending.watcher.unwanted()
 
     def freed(self, connection: ClientConnection) -> None:
         """Its answer is whole, or it was not asked; it may be used again."""
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -15,7 +15,7 @@
 from myrtlehub.node.process import on_signal, on_term, settle_memory
 from myrtlehub.relay.node import ACCEPTS_MOST, RelayNode
 from myrtlehub.relay.reload import Drain, reload
-from myrtlehub.relay.told import SOCKETS_LEAST, BadNews, Told, read_told
+from myrtlehub.relay.bootstrap import SOCKETS_LEAST, Malformed, Bootstrap, read_bootstrap
 
 BACKLOG = 511  # connections that may wait to be accepted: bursts come by hundreds
 QUIET = frozenset(("answer", "engine", "attempt", "broken", "refused"))  # too many, unless they are asked for
@@ -60,13 +60,13 @@
             self.doRead()
 
 
-def _allowed(told: Told) -> Told:
+def _allowed(told: Bootstrap) -> Bootstrap:
     """With as many descriptors as the system gives this process, if these are fewer."""
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     if limit == resource.RLIM_INFINITY or limit >= told.sockets:
         return told
     if limit < SOCKETS_LEAST:
-        raise BadNews(f"limits.sockets: the system allows it {limit}; allow {SOCKETS_LEAST} or more")
+        raise Malformed(f"limits.sockets: the system allows it {limit}; allow {SOCKETS_LEAST} or more")
     return told._replace(sockets=limit)
 
 
@@ -95,7 +95,7 @@
     on_signal(signal.SIGHUP, lambda: reload(path, told, node.discovery.move, _log), reactor)
     on_term(end, reactor)
     try:
-        told = read_told(path)
+        told = read_bootstrap(path)
         node = RelayNode(_allowed(told), SteadyClock(reactor), dial, time.time() - time.monotonic(), _log)
         port = BoundedPort(told.listen[1], node.site, BACKLOG, told.listen[0], reactor)
         port.startListening()
@@ -104,7 +104,7 @@
         port.stopReading()
         node.on_open = port.startReading
         node.site.on_full = port.hold
-    except BadNews as fault:
+    except Malformed as fault:
         _fail(f"{path}: {fault}")
     except CannotListenError as fault:
         _fail(f"{path}: listen: {fault}; name an address that is free here")
--- a/myrtlehub/relay/told.py
+++ b/myrtlehub/relay/bootstrap.py
@@ -19,7 +19,7 @@
 DIGITS_MOST = 12  # of a whole number from outside: beyond any time or length
 
 
-class BadNews(ValueError):
+class Malformed(ValueError):
     """A configuration or a list that can't be used. The text names the key."""
 
 
@@ -54,7 +54,7 @@
         return self._replace(**figures)
 
 
-class News(NamedTuple):
+class ListUpdate(NamedTuple):
     """What discovery tells."""
 
     version: int
@@ -70,7 +70,7 @@
     front: str = "chat"
 
 
-class Told(NamedTuple):
+class Bootstrap(NamedTuple):
     """The configuration."""
 
     name: str
@@ -93,64 +93,64 @@
 def _address(text: object, key: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not (host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        raise BadNews(f"{key}: {text!r} is no address; write it as HOST:PORT")
+        raise Malformed(f"{key}: {text!r} is no address; write it as HOST:PORT")
     return host, int(port)
 
 
 def read_json(data: bytes) -> object:
-    """What was written; BadNews where it can't be read, however deep it is nested."""
+    """What was written; Malformed where it can't be read, however deep it is nested."""
     try:
         return msgspec.json.decode(data)
     except (msgspec.DecodeError, ValueError, RecursionError) as fault:
-        raise BadNews(f"is not JSON: {fault}") from fault
+        raise Malformed(f"is not JSON: {fault}") from fault
 
 
-def read_told(path: str) -> Told:
-    """The file, checked as far as a node needs it; BadNews names the key and says what to do."""
+def read_bootstrap(path: str) -> Bootstrap:
+    """The file, checked as far as a node needs it; Malformed names the key and says what to do."""
     try:
         told = read_json(Path(path).read_bytes())
     except OSError as fault:
-        raise BadNews(f"RELAY_CONFIG: {fault.strerror}; name a file that can be read") from fault
-    except BadNews as fault:
-        raise BadNews(f"RELAY_CONFIG: {fault}; write it whole, as one JSON object") from fault
+        raise Malformed(f"RELAY_CONFIG: {fault.strerror}; name a file that can be read") from fault
+    except Malformed as fault:
+        raise Malformed(f"RELAY_CONFIG: {fault}; write it whole, as one JSON object") from fault
     if not isinstance(told, dict):
-        raise BadNews("RELAY_CONFIG: is no JSON object; write it as one")
+        raise Malformed("RELAY_CONFIG: is no JSON object; write it as one")
     for key in ("listen", "discovery", "settings"):
         if key not in told:
-            raise BadNews(f"{key}: is missing; add it")
+            raise Malformed(f"{key}: is missing; add it")
     limits = told.get("limits") or {}
     for key, value in (("settings", told["settings"]), ("limits", limits)):
         if not isinstance(value, dict):
-            raise BadNews(f"{key}: is no object; write it as the platform does")
+            raise Malformed(f"{key}: is no object; write it as the platform does")
     _address(told["discovery"], "discovery")
     try:
         seed = int(str(told.get("seed", "0")), 16)
     except ValueError as fault:
-        raise BadNews(f"seed: {told['seed']!r} is no number; write it in hexadecimal") from fault
+        raise Malformed(f"seed: {told['seed']!r} is no number; write it in hexadecimal") from fault
     sockets = limits.get("sockets", 1024)
     if not isinstance(sockets, int) or sockets < SOCKETS_LEAST:
-        raise BadNews(f"limits.sockets: {sockets!r} is too few, or no number; allow {SOCKETS_LEAST} or more")
+        raise Malformed(f"limits.sockets: {sockets!r} is no number, or too few; allow {SOCKETS_LEAST}")
     known = told.get("known")
-    return Told(str(told.get("name", "")), _address(told["listen"], "listen"), told["discovery"], seed,
+    return Bootstrap(str(told.get("name", "")), _address(told["listen"], "listen"), told["discovery"], seed,
                 sockets, told["settings"], known if isinstance(known, dict) else None)
 
 
-def terms_of(told: Told) -> itf.Terms:
-    """The module's terms; BadNews where the settings lack a key that it needs."""
+def terms_of(told: Bootstrap) -> itf.Terms:
+    """The module's terms; Malformed where the settings lack a key that it needs."""
     for key in ("Caps", "Invariants", "Specifics"):
         if not isinstance(told.settings.get(key, {}), dict):
-            raise BadNews(f"settings.{key}: is no object; write it as the platform does")
+            raise Malformed(f"settings.{key}: is no object; write it as the platform does")
     for key in ("Classes", "Orgs"):
         rows = told.settings.get(key) or []
         if not (isinstance(rows, list) and all(isinstance(r, dict) and isinstance(r.get("Name"), str)
                                                for r in rows)):
-            raise BadNews(f"settings.{key}: is no list of objects with a Name; write it as the platform does")
+            raise Malformed(f"settings.{key}: is no list of objects with a Name; write it as one")
     try:
         return decode_terms(told.settings, told.seed)
     except KeyError as fault:
-        raise BadNews(f"settings: {fault.args[0]} is missing or unknown; add it or mend it") from fault
+        raise Malformed(f"settings: {fault.args[0]} is missing or unknown; add it or mend it") from fault
     except (TypeError, AttributeError, ValueError, IndexError) as fault:
-        raise BadNews(f"settings: {fault}; write them as the platform does") from fault
+        raise Malformed(f"settings: {fault}; write them as the platform does") from fault
 
 
 class Caps(NamedTuple):
@@ -161,14 +161,14 @@
     most_held: int
 
 
-def caps_of(told: Told) -> Caps:
-    """Read them; BadNews names the one that is no number above 0."""
+def caps_of(told: Bootstrap) -> Caps:
+    """Read them; Malformed names the one that is no number above 0."""
     caps = told.settings.get("Caps", {})
     figures = {"ConnectTimeoutMs": 250.0, "KeepaliveMs": 30000.0, "MostHeld": HELD_MOST}
     for key in figures:
         value = figures[key] = caps.get(key, figures[key])
         if not isinstance(value, (int, float)) or value <= 0:
-            raise BadNews(f"settings.Caps.{key}: {value!r} is no number above 0; write one")
+            raise Malformed(f"settings.Caps.{key}: {value!r} is no number above 0; write one")
     return Caps(figures["ConnectTimeoutMs"] / 1e3, figures["KeepaliveMs"] / 1e3, int(figures["MostHeld"]))
 
 
@@ -184,7 +184,7 @@
 class Desk:
     """The host's door: names from outside as indices, requests as arrivals, the list as rows."""
 
-    def __init__(self, told: Told, terms: itf.Terms, epoch: float) -> None:
+    def __init__(self, told: Bootstrap, terms: itf.Terms, epoch: float) -> None:
         s = told.settings
         self.rows = [TrafficLine(c["Name"], t.repeats == itf.ONCE_ONLY)
                      for c, t in zip(s["Classes"], terms.traffic, strict=True)]
@@ -198,14 +198,14 @@
         # Unix time when our clock showed 0: taken once, so that an engine's start is always the same moment.
         self.epoch = epoch
 
-    def news(self, told: object, now: float) -> News:
-        """What discovery wrote; entries that can't be read are left out alone, BadNews where nothing can.
+    def update(self, told: object, now: float) -> ListUpdate:
+        """What discovery wrote; entries that can't be read are left out alone, Malformed where nothing can.
 
         A notice that an engine leaves or has left is never left out, whatever else of the entry can't be
         read: what was told of it before stands for the rest.
         """
         if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
-            raise BadNews("hosts: is missing")
+            raise Malformed("hosts: is missing")
         lines = [line for line in (self._line(e, now) or self._notice(e) for e in told["hosts"])
                  if line is not None]
         if told.get("whole"):
@@ -216,7 +216,7 @@
             else:
                 self.lines[line.address] = line
         version = told.get("seq")
-        return News(version if isinstance(version, int) else 0, bool(told.get("whole")), lines)
+        return ListUpdate(version if isinstance(version, int) else 0, bool(told.get("whole")), lines)
 
     def _notice(self, e: object) -> EngineLine | None:
         """An entry that can't be read, as far as it is a notice of leaving of an engine that we know."""
@@ -239,7 +239,7 @@
                 return None
             age = now - (born / 1e3 - self.epoch) if born else 0.0
             return EngineLine(e["host"], kind, zone, cell, share, state, age, dial)
-        except (KeyError, TypeError, ValueError, AttributeError, BadNews):
+        except (KeyError, TypeError, ValueError, AttributeError, Malformed):
             return None
 
     def arrival(self, request: Request, now: float) -> tuple[str, Asked, itf.Arrival]:
--- a/myrtlehub/relay/discovery.py
+++ b/myrtlehub/relay/discovery.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
-from myrtlehub.http1.client import Asking, Call, Pool, Watcher
-from myrtlehub.relay.told import BadNews, Desk, News, read_json
+from myrtlehub.http1.client import PendingRequest, Call, ConnectionPool, Watcher
+from myrtlehub.relay.bootstrap import Malformed, Desk, ListUpdate, read_json
 
 PATH = b"/discovery/hosts"
 # A change counts as told 6 s after discovery had it. At the worst a watch falls silent just after it was
@@ -39,16 +39,17 @@
 
 
 class Discovery:
-    """`tell(news)` is called with each whole list and each change, in order."""
+    """`tell(update)` is called with each whole list and each change, in order."""
 
-    def __init__(self, clock: object, pool: Pool, address: str, desk: Desk, tell: Callable[[News], None],
-                 random: Random, log: Callable[..., None] = lambda event, **more: None) -> None:
+    def __init__(self, clock: object, pool: ConnectionPool, address: str, desk: Desk,
+                 tell: Callable[[ListUpdate], None], random: Random,
+                 log: Callable[..., None] = lambda event, **more: None) -> None:
         self.clock, self.pool, self.address, self.desk, self.tell = clock, pool, address, desk, tell
         self.random, self.log = random, log
         self.version: int | None = None  # None: the whole list is to be read next
         self.heard = False
         self._fails = 0
-        self._askings: list[Asking] = []  # calls that are out; more than one only while it is silent
+        self._pending: list[PendingRequest] = []  # calls that are out; more than one only while it is silent
         self._timers: list = []
         self._closed = False
 
@@ -76,9 +77,9 @@
         for timer in timers:
             if timer.active():
                 timer.cancel()
-        askings, self._askings = self._askings, []
-        for asking in askings:
-            asking.cancel()
+        requests, self._pending = self._pending, []
+        for pending in requests:
+            pending.cancel()
 
     def _later(self, delay: float, call: Callable, *args: object) -> None:
         self._timers = [t for t in self._timers if t.active()]
@@ -89,48 +90,48 @@
         if self.version is not None:
             wait = WATCH
             target += b"?since=%d&timeout_ms=%d" % (self.version, WATCH * 1000)
-        answer = _Answer(lambda body: self._answered(asking, body))
-        asking = self.pool.ask(self.address, self.address, Call(b"GET", target, []), answer)
-        self._askings.append(asking)
-        self._later(wait + ANSWER_WITHIN, self._late, asking, wait)
+        answer = _Answer(lambda body: self._answered(pending, body))
+        pending = self.pool.ask(self.address, self.address, Call(b"GET", target, []), answer)
+        self._pending.append(pending)
+        self._later(wait + ANSWER_WITHIN, self._late, pending, wait)
         if self.version is None:
             # beside the one that is out, which is left its time: this process may itself be late to read
             self._later(CALL_AGAIN, self._call)
 
-    def _late(self, asking: Asking, wait: float) -> None:
+    def _late(self, pending: PendingRequest, wait: float) -> None:
         """Give it up once its connection has stood for as long as an answer may take.
 
         Guards against calls given up just as their connection stands, again and again, where each takes
         almost as long to stand as an answer may.
         """
-        if asking not in self._askings:
+        if pending not in self._pending:
             return
-        left = asking.stands_since + wait + ANSWER_WITHIN - self.clock.seconds()
-        if asking.dialing is not None or left > 0.001:
-            self._later(max(left, CALL_AGAIN), self._late, asking, wait)
+        left = pending.stands_since + wait + ANSWER_WITHIN - self.clock.seconds()
+        if pending.dialing is not None or left > 0.001:
+            self._later(max(left, CALL_AGAIN), self._late, pending, wait)
             return
-        asking.cancel()
-        self._answered(asking, None)
+        pending.cancel()
+        self._answered(pending, None)
 
-    def _answered(self, asking: Asking, body: bytes | None) -> None:
-        if self._closed or asking not in self._askings:
+    def _answered(self, pending: PendingRequest, body: bytes | None) -> None:
+        if self._closed or pending not in self._pending:
             return
-        self._askings.remove(asking)
+        self._pending.remove(pending)
         try:
             if body is None:
-                raise BadNews("no answer")
-            news = self.desk.news(read_json(body), self.clock.seconds())
-            if self.version is None and not news.whole:
-                raise BadNews("whole: the first answer has to be the whole list")
-        except BadNews as fault:
+                raise Malformed("no answer")
+            update = self.desk.update(read_json(body), self.clock.seconds())
+            if self.version is None and not update.whole:
+                raise Malformed("whole: the first answer has to be the whole list")
+        except Malformed as fault:
             self._failed(str(fault))
             return
         if self._fails:
             self.log("discovery is back", after=self._fails)
         self._stop()
-        self._fails, self.version, self.heard = 0, news.version, True
-        if news.lines or news.whole:
-            self.tell(news)
+        self._fails, self.version, self.heard = 0, update.version, True
+        if update.lines or update.whole:
+            self.tell(update)
         # a turn later, so that answers at once are no recursion; a watch is renewed well within its 200 ms
         self._later(0, self._call)
 
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -6,11 +6,11 @@
 
 from myrtlehub import interface as itf
 from myrtlehub.http1.bounds import SMALL_BODY
-from myrtlehub.http1.client import Asking, Call, Pool, Watcher
+from myrtlehub.http1.client import PendingRequest, Call, ConnectionPool, Watcher
 from myrtlehub.node.host import Attempt, Host
 from myrtlehub.relay.events import Events, Spoilt
 from myrtlehub.relay.outcomes import End, of_break, of_head
-from myrtlehub.relay.told import load_of
+from myrtlehub.relay.bootstrap import load_of
 
 LOOK = 0.25  # seconds between looks at streams that are silent
 HALF_FOR = 2.5  # seconds for the rest of an event or chunk: engines write them whole; 5 s are owed
@@ -38,7 +38,7 @@
         self.body = b""
         self.heard_at = self.gap = 0.0  # when an event last came; the longest pause between two
         self.half_since: float | None = None  # since when the rest of an event, chunk or stream is owed
-        self.asking: Asking | None = None
+        self.pending: PendingRequest | None = None
 
     def head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         fields = dict(headers)
@@ -54,7 +54,7 @@
             self._tell(self.end)  # the body tells no more; its connection ends by itself
 
     def data(self, data: bytes) -> None:
-        if self.asking is None:
+        if self.pending is None:
             return  # its end was told by the head
         if self.events is not None:
             try:
@@ -78,12 +78,12 @@
 
     def owes(self) -> bool:
         """Whether the engine has begun an event, a chunk or its end, and has not finished it."""
-        connection = self.asking.connection
+        connection = self.pending.connection
         return bool(self.events.rest) or self.events.done or connection is not None and connection.owes()
 
     def spoil(self, why: str) -> None:
         """What comes can't be used: the attempt may have run, its connection has no further use."""
-        self.asking.cancel()
+        self.pending.cancel()
         self._tell(of_break(True), why=why)
 
     def ended(self) -> None:
@@ -145,7 +145,7 @@
 class Engines:
     """Attempts, releases and probes. `dials` says where each engine is reached, by its name in the list."""
 
-    def __init__(self, clock: object, pool: Pool,
+    def __init__(self, clock: object, pool: ConnectionPool,
                  log: Callable[..., None] = lambda event, **more: None) -> None:
         self.clock, self.pool, self.log = clock, pool, log
         self.host: Host | None = None
@@ -186,7 +186,7 @@
                  gap=round(watcher.gap, 2) if watcher is not None else 0.0)
         if watcher is not None:
             # they refer to one another, and to the whole request: only the collector would free them
-            attempt.call = watcher.asking = None
+            attempt.call = watcher.pending = None
 
     # -- the host's Carrier -----------------------------------------------------------------------
 
@@ -204,7 +204,7 @@
         # Guards against an engine that drains or goes while a connection to it comes up, which may take
         # longer than the grace, or while this process was held up: its standing is looked at once more before
         # the first byte.
-        watcher.asking = attempt.call = self.pool.ask(
+        watcher.pending = attempt.call = self.pool.ask(
             name, self.dials[name], call, watcher, -1.0 if once else 0.0, lambda: self.serves(attempt.engine))
 
     def cancel(self, attempt: Attempt) -> None:
@@ -270,10 +270,10 @@
                 then(sound, load_of(body) if sound else None)
 
         def late() -> None:
-            asking.cancel()
+            pending.cancel()
             then(False, None)
         timer = self.clock.callLater(timeout, late)
-        asking = self.pool.ask(name, self.dials[name], Call(b"GET", b"/metrics/load", []), _Once(answered))
+        pending = self.pool.ask(name, self.dials[name], Call(b"GET", b"/metrics/load", []), _Once(answered))
 
     def close_idle(self, engine: int) -> None:
         """See `Carrier`."""
@@ -292,7 +292,7 @@
         self.clock.callLater(LOOK, self._look)
         now = self.clock.seconds()
         for stream in list(self.streams):
-            if stream.asking.paused:
+            if stream.pending.paused:
                 stream.half_since, stream.heard_at = None, now  # it is the client that takes nothing
             elif not stream.owes():
                 stream.half_since = None
@@ -311,19 +311,19 @@
     def __init__(self, engines: Engines, targets: list[tuple[str, str]], label: str) -> None:
         self.engines, self.targets, self.label = engines, targets, label
         self.call = Call(b"DELETE", b"/state/" + label.encode(), [])
-        self.askings: list[Asking] = []
+        self.requests: list[PendingRequest] = []
         self.timer = None
         engines.releases.add(self)
         self._try()
 
     def _try(self) -> None:
-        engines, tried = self.engines, len(self.askings)
+        engines, tried = self.engines, len(self.requests)
         if tried >= len(self.targets) or tried and engines.at_work(self.label):
             self._over()
             return
         name, dial = self.targets[tried]
         self.timer = engines.clock.callLater(RELEASE_TRIES[tried], self._try)
-        self.askings.append(engines.pool.ask(name, dial, self.call, _Once(self._answered),
+        self.requests.append(engines.pool.ask(name, dial, self.call, _Once(self._answered),
                                              -1.0 if tried else 0.0))
 
     def _answered(self, sound: bool, body: bytes) -> None:
@@ -336,6 +336,6 @@
         self.engines.releases.discard(self)
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        askings, self.askings = self.askings, []
-        for asking in askings:
-            asking.cancel()
+        requests, self.requests = self.requests, []
+        for pending in requests:
+            pending.cancel()
--- a/myrtlehub/relay/events.py
+++ b/myrtlehub/relay/events.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from myrtlehub import interface as itf
-from myrtlehub.relay.told import load_of
+from myrtlehub.relay.bootstrap import load_of
 
 EVENT_MOST = 128 * 1024  # bytes of one event: they hold a few tokens
 FIELDS = (b"data:", b":", b"event:", b"id:", b"retry:")  # with what an event, or a comment, begins
--- a/myrtlehub/relay/front.py
+++ b/myrtlehub/relay/front.py
@@ -4,7 +4,7 @@
 
 from myrtlehub.http1.server import Exchange
 from myrtlehub.node.host import Held, Host
-from myrtlehub.relay.told import HELD_MOST, Desk, Refused
+from myrtlehub.relay.bootstrap import HELD_MOST, Desk, Refused
 
 READY, CHAT = b"/up", b"/v1/chat/completions"
 STREAM = ((b"Content-Type", b"text/event-stream"),)
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -4,13 +4,13 @@
 from random import Random
 
 from myrtlehub.decide import Router
-from myrtlehub.http1.client import Pool
+from myrtlehub.http1.client import ConnectionPool
 from myrtlehub.http1.server import Site
 from myrtlehub.node.host import Host
 from myrtlehub.relay.discovery import DIAL_WITHIN, Discovery
 from myrtlehub.relay.engines import Engines
 from myrtlehub.relay.front import Front
-from myrtlehub.relay.told import Desk, News, Told, caps_of, terms_of
+from myrtlehub.relay.bootstrap import Desk, ListUpdate, Bootstrap, caps_of, terms_of
 
 DISCOVERY_MOST = 18  # connections to discovery: one in 120 ms while it is silent, each for 2 s at most
 ACCEPTS_MOST = 32  # connections accepted in a turn: until the next one none of them can be closed
@@ -27,15 +27,15 @@
 class RelayNode:
     """One node. `dial(address, seconds)` gives a way there; `epoch`: Unix time when the clock showed 0."""
 
-    def __init__(self, told: Told, clock: object, dial: Callable[[str, float], Callable],
+    def __init__(self, told: Bootstrap, clock: object, dial: Callable[[str, float], Callable],
                  epoch: float = 0.0, log: Callable[..., None] = lambda event, **more: None,
                  host_class: type[Host] = Host) -> None:
         self.told, self.clock, self.log = told, clock, log
         self.terms = terms_of(told)
         caps, room = caps_of(told), told.sockets - RESERVE
         self.desk = Desk(told, self.terms, epoch)
-        self.pool = Pool(clock, lambda address: dial(address, caps.connect), int(ENGINES_PART * room),
-                         KEPT_PART * caps.keep)
+        self.pool = ConnectionPool(clock, lambda address: dial(address, caps.connect),
+                                   int(ENGINES_PART * room), KEPT_PART * caps.keep)
         self.engines = Engines(clock, self.pool, log)
         self.host = host_class(Router(self.terms), self.desk, self.terms, clock, self.engines, "", log)
         self.engines.host = self.host
@@ -43,7 +43,7 @@
         self.front = Front(self.host, self.desk, caps.most_held)
         self.front.ready = self._ready
         self.site = Site(clock, self.front.asked, int(CLIENTS_PART * room), int(AT_ONCE_PART * room))
-        there = Pool(clock, lambda address: dial(address, DIAL_WITHIN), DISCOVERY_MOST, 5.0)
+        there = ConnectionPool(clock, lambda address: dial(address, DIAL_WITHIN), DISCOVERY_MOST, 5.0)
         self.discovery = Discovery(clock, there, told.discovery, self.desk, self._heard,
                                    Random(told.seed + 1), log)
         self._known = self._opened = False
@@ -62,12 +62,12 @@
         """
         if not self.discovery.heard and self.told.known is not None:
             try:
-                news = self.desk.news(self.told.known, self.clock.seconds())
+                update = self.desk.update(self.told.known, self.clock.seconds())
             except ValueError as fault:
                 self.log("known list left out", why=str(fault))
             else:
                 self._known = True
-                self._news(news._replace(whole=True))
+                self._update(update._replace(whole=True))
         self.open()
 
     def open(self) -> None:
@@ -81,15 +81,15 @@
         """A list is held: the present one, or after a while the one that was given."""
         return self.discovery.heard or self._known
 
-    def _heard(self, news: News) -> None:
-        self._news(news)
+    def _heard(self, update: ListUpdate) -> None:
+        self._update(update)
         self.open()
 
-    def _news(self, news: News) -> None:
-        for line in news.lines:
+    def _update(self, update: ListUpdate) -> None:
+        for line in update.lines:
             if line.dial:
                 self.engines.moved(line.address, line.dial)
-        self.host.list_news(news.lines, news.whole, news.version)
+        self.host.list_news(update.lines, update.whole, update.version)
 
     def busy(self) -> bool:
         """Whether anything is owed to a client, or to an engine.
--- a/myrtlehub/relay/reload.py
+++ b/myrtlehub/relay/reload.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from myrtlehub.relay.told import BadNews, Told, read_told
+from myrtlehub.relay.bootstrap import Malformed, Bootstrap, read_bootstrap
 
 NOTICE = 0.5  # seconds after SIGTERM for which connections still come: the front needs as long to notice
 LOOK = 0.1  # seconds from look to look at what is still owed
@@ -44,14 +44,14 @@
             self.end()
 
 
-def reload(path: str, now: Told, moved: Callable[[str], None], log: Callable[..., None]) -> None:
+def reload(path: str, now: Bootstrap, moved: Callable[[str], None], log: Callable[..., None]) -> None:
     """SIGHUP: discovery moves to where the file says; a file that can't be used changes nothing.
 
     `now`: what is in force. All but discovery's address needs a restart, and is named.
     """
     try:
-        told = read_told(path)
-    except BadNews as fault:
+        told = read_bootstrap(path)
+    except Malformed as fault:
         log("configuration kept", why=str(fault))
         return
     pairs = {"name": (told.name, now.name), "listen": (told.listen, now.listen),
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -10,7 +10,7 @@
 from twisted.internet.task import Clock
 
 from myrtlehub.relay.node import RelayNode
-from myrtlehub.relay.told import Told
+from myrtlehub.relay.bootstrap import Bootstrap
 
 SETTINGS = {
     "Balancers": 2, "Ordinal": 0, "Zones": ["z"], "MyZone": "z", "PeriodMs": 4.0, "OverShareWorth": 0.1,
@@ -135,7 +135,7 @@
         self.version, self.waiting, self.silent = 1, [], silent
         self.discovery = Peer(self._list)
         self.net.listen("disco:1", self.discovery)
-        told = Told("n0", ("127.0.0.1", 1), "disco:1", 7, sockets, {**SETTINGS, **settings},
+        told = Bootstrap("n0", ("127.0.0.1", 1), "disco:1", 7, sockets, {**SETTINGS, **settings},
                     self.whole() if known else None)
         self.logged = []
         self.node = RelayNode(told, self.clock, lambda address, within: self.net.dialer(address),
--- a/tests/socketrig.py
+++ b/tests/socketrig.py
@@ -27,7 +27,7 @@
 ROOT = Path(__file__).parent.parent
 
 
-class Request(NamedTuple):
+class Incoming(NamedTuple):
     """A whole request, as a peer read it."""
 
     method: bytes
@@ -78,7 +78,7 @@
             pass
         self.over.set()
 
-    def _read(self) -> Request | None:
+    def _read(self) -> Incoming | None:
         http, head, body = h11.Connection(h11.SERVER), None, b""
         while True:
             event = http.next_event()
@@ -92,17 +92,17 @@
             elif type(event) is h11.Data:
                 body += event.data
             elif type(event) is h11.EndOfMessage:
-                return Request(bytes(head.method), bytes(head.target), dict(head.headers), body, self,
+                return Incoming(bytes(head.method), bytes(head.target), dict(head.headers), body, self,
                                time.monotonic())
 
 
 class Peer:
     """Listens, a thread a connection; `script(wire, request)` is called with each whole request."""
 
-    def __init__(self, script: Callable[[Wire, Request], None]) -> None:
+    def __init__(self, script: Callable[[Wire, Incoming], None]) -> None:
         self.script = script
-        self.all: list[Request] = []
-        self.asked: queue.Queue[Request] = queue.Queue()
+        self.all: list[Incoming] = []
+        self.asked: queue.Queue[Incoming] = queue.Queue()
         self.wires: list[Wire] = []
         self.listener = socket.create_server((HOST, 0), backlog=511)
         self.address = f"{HOST}:{self.listener.getsockname()[1]}"
@@ -118,7 +118,7 @@
             self.wires.append(Wire(self, sock))
             threading.Thread(target=self.wires[-1].serve, daemon=True).start()
 
-    def next(self, method: bytes = b"") -> Request:
+    def next(self, method: bytes = b"") -> Incoming:
         """The next request (of that method): waited for."""
         while True:
             try:
@@ -149,7 +149,7 @@
         self.name = name
         super().__init__(self.by_default)
 
-    def by_default(self, wire: Wire, request: Request) -> None:
+    def by_default(self, wire: Wire, request: Incoming) -> None:
         if request.method == b"DELETE":
             wire.say(RELEASED)
         else:
@@ -189,7 +189,7 @@
     def whole(self) -> dict:
         return {"seq": self.version, "whole": True, "hosts": list(self.lines.values())}
 
-    def _answer(self, wire: Wire, request: Request) -> None:
+    def _answer(self, wire: Wire, request: Incoming) -> None:
         query = parse_qs(urlsplit(request.target.decode()).query)
         with self.turn:
             if self.silent:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,7 +9,7 @@
 
 import pytest
 from relayrig import DONE, EVENT, HEAD, RELEASED, SETTINGS, USAGE, WHOLE, chat, chunk
-from socketrig import ROOT, WITHIN, Client, Crowd, Request, Rig, Wire, line_of, run_line, until
+from socketrig import ROOT, WITHIN, Client, Crowd, Incoming, Rig, Wire, line_of, run_line, until
 
 LONG = 2000  # prompt tokens from which a reader is used
 LAST = b"0\r\n\r\n"
@@ -27,7 +27,7 @@
     time.sleep(seconds)
 
 
-def deaf(wire: Wire, request: Request) -> None:
+def deaf(wire: Wire, request: Incoming) -> None:
     """An engine that takes all and answers nothing."""
 
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -260,7 +260,7 @@
             a = itf.Arrival(0, -1, 300.0, 10.0, 0, 0, 0.0, 400.0, 0.0)
             router = random.choices(routers, parts)[0]
             sends = [r for r in router.arrive(now, seq, a) if r[0] == "send"]
-            if router._cold_pass(0, router.seqs[seq], now):
+            if router._slow_start(0, router.seqs[seq], now):
                 sent.append(now)  # as if whoever may go to the cold one did
             else:
                 assert all(r[2] for r in sends)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -18,7 +18,7 @@
 from myrtlehub.relay.events import EVENT_MOST, Events, Spoilt
 from myrtlehub.relay.outcomes import HEADS, of_break, of_head
 from myrtlehub.relay.reload import Drain, reload
-from myrtlehub.relay.told import BadNews, load_of, read_told
+from myrtlehub.relay.bootstrap import Malformed, load_of, read_bootstrap
 
 LONG = 2000  # prompt tokens from which a reader is used
 
@@ -769,8 +769,8 @@
     path = tmp_path / "c.json"
     if text is not None:
         path.write_text(text)
-    with pytest.raises(BadNews, match=names):
-        read_told(str(path))
+    with pytest.raises(Malformed, match=names):
+        read_bootstrap(str(path))
 
 
 def test_the_program_ends_with_2_and_one_line_where_settings_lack_a_key(tmp_path: object) -> None:
@@ -830,7 +830,7 @@
     """On real sockets: the peer sees the end of one connection before the first byte on another."""
     import socket
 
-    from myrtlehub.http1.client import hang_up
+    from myrtlehub.http1.client import abortive_close
 
     class Transport:
         def __init__(self, near: socket.socket) -> None:
@@ -844,11 +844,11 @@
 
     near, far = socket.socketpair()
     transport = Transport(near)
-    hang_up(transport)
+    abortive_close(transport)
     far.setblocking(False)
     assert far.recv(1) == b"" and transport.aborted
     near.close()
-    hang_up(transport)  # lost already: nothing is raised
+    abortive_close(transport)  # lost already: nothing is raised
     far.close()
 
 
