All headers of a request go on to engines, Idempotency-Key among them

Cause: Desk.arrival passed on seven headers that it knew and dropped all others. By it engines know a repeat. Change: all go on but those of the connection itself (RFC 9110, 7.6.1, and what Connection names) and those written anew. Test: test_all_headers_go_on_to_engines_but_those_of_the_clients_connection, fails without.

--- a/myrtlehub/relay/bootstrap.py
+++ b/myrtlehub/relay/bootstrap.py
@@ -246,7 +246,7 @@
         """A request as id, what goes on of it, and what the module is told; Refused if it is malformed."""
         fields: dict[bytes, bytes] = {}
         for name, value in request.headers:
-            if name in PASSED or name in READ:
+            if name in READ:
                 if name in fields:
                     raise Refused(400, f"{name.decode()} is there twice")
                 fields[name] = value
@@ -276,13 +276,28 @@
             key_of(fields.get(b"x-entity", b"").decode("latin-1")),
             key_of(labels.get(b"prefix", b"").decode("latin-1")), float(shared), float(most), expected,
             resent == b"again", bool(resent) and resent != b"again")
-        passed = [(name, value) for name, value in fields.items() if name in PASSED]
+        own = _own_of_connection(request.headers)
+        passed = [(name, value) for name, value in request.headers if name not in own]
         return ident.decode(), Asked(request.target, passed, request.body), arrival
 
 
-# Headers of a request that go on to engines as they are, and those that are only read.
-PASSED = frozenset((b"x-txn", b"x-lane", b"x-org", b"x-entity", b"x-labels", b"x-resent", b"content-type"))
-READ = frozenset((b"x-remaining-ms", b"x-estimate"))
+# Headers of a request by which we go: each may be there once.
+READ = frozenset((b"x-txn", b"x-lane", b"x-org", b"x-entity", b"x-labels", b"x-resent", b"content-type",
+                  b"x-remaining-ms", b"x-estimate"))
+# Headers that are between two ends of a connection, by RFC 9110 (7.6.1), or written anew: all others go on.
+OWN = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"te", b"trailer",
+                 b"proxy-authorization", b"transfer-encoding", b"upgrade", b"expect", b"host",
+                 b"content-length", b"x-remaining-ms", b"x-estimate"))
+
+
+def _own_of_connection(headers: list[tuple[bytes, bytes]]) -> frozenset[bytes]:
+    """Names that don't go on to engines: those above, and those that the client's Connection names.
+
+    Guards against dropping what an engine acts on: by Idempotency-Key it knows a repeat of what it has done.
+    """
+    named = [part.strip().lower() for name, value in headers if name == b"connection"
+             for part in value.split(b",")]
+    return OWN.union(named) if named else OWN
 
 
 class _Body(msgspec.Struct):
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -68,6 +68,7 @@
             elif type(event) is h11.EndOfMessage:
                 # the next request on this connection is read afresh, whatever was answered raw
                 self.http = h11.Connection(h11.SERVER)
+                self.last_headers = list(self.head.headers)
                 self.peer.asked.append((self.head.method, self.head.target, dict(self.head.headers),
                                         self.body, self))
                 self.peer.answer(self, self.head, self.body)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -54,6 +54,20 @@
     assert not rig.engines["r1"].asked and not client.lost and not rig.node.host.held
 
 
+def test_all_headers_go_on_to_engines_but_those_of_the_clients_connection() -> None:
+    """Seen at ribeira-alta: an engine knows a repeat by its Idempotency-Key, which was left out."""
+    rig = Rig()
+    rig.ask("a1", LONG, more=b"Idempotency-Key: k7\r\nAuthorization: Bearer t\r\n"
+            b"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\n"
+            b"TE: trailers\r\nX-Note: one\r\nX-Note: two\r\n")
+    for name in ("r1", "w1"):
+        far = rig.engines[name].asked[0]
+        assert far[2][b"idempotency-key"] == b"k7" and far[2][b"authorization"] == b"Bearer t"
+        assert not {b"connection", b"x-hop", b"keep-alive", b"te"} & set(far[2])
+        assert [v for n, v in far[4].last_headers if n == b"x-note"] == [b"one", b"two"]
+        assert [n for n, _ in far[4].last_headers].count(b"x-remaining-ms") == 1
+
+
 def test_long_prompt_is_read_first_and_the_same_request_goes_on_to_the_writer() -> None:
     rig = Rig()
     client = rig.ask("a1", LONG)
