A release that nobody answered before the next attempt is told again at the end

Found by reading from there: as soon as the next attempt of a sequence was out, _Release gave up its tries, and the second word was dropped, for good; the host takes the state for told then, and nobody ever said it again. Now such a word waits until the sequence is over and goes on. Test: test_a_release_that_nobody_answered_before_the_next_attempt_is_told_again_at_the_end, fails without.

--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -17,6 +17,7 @@
 SILENT_FOR = 4.2  # seconds without an event, until a stream is ended: 5 s are owed after a last one
 SURE_AFTER = 0.25  # seconds to a second word of release where an attempt may have ended after the first
 GIVEN_UP_FOR = 60.0  # seconds for which a given up attempt is remembered: no sequence waits longer
+OVER_LOOK = 0.1  # seconds from look to look at whether a sequence is over whose release nobody has answered
 RELEASE_TRIES = (0.12, 0.2, 0.3, 0.6, 0.8)  # seconds from try to try of a release, each on a new connection
 
 
@@ -253,8 +254,7 @@
 
     def _release_again(self, targets: list[tuple[str, str]], label: str) -> None:
         self.second_words -= 1
-        if not self.at_work(label):
-            _Release(self, targets, label)
+        _Release(self, targets, label, again=True)
 
     def at_work(self, label: str) -> bool:
         """Whether an attempt of it is out: its state may be a new one, which a late word would take away."""
@@ -306,25 +306,43 @@
 
 
 class _Release:
-    """Tells engines to let go, one after another on new connections, until one has answered."""
+    """Tells engines to let go, one after another on new connections, until one has answered.
 
-    def __init__(self, engines: Engines, targets: list[tuple[str, str]], label: str) -> None:
+    While an attempt of the sequence is out nothing more is said, as its state may be a new one, which a late
+    word would take away. What no engine has answered by then is said again once the sequence is over.
+    """
+
+    def __init__(self, engines: Engines, targets: list[tuple[str, str]], label: str,
+                 again: bool = False) -> None:
         self.engines, self.targets, self.label = engines, targets, label
         self.call = Call(b"DELETE", b"/state/" + label.encode(), [])
         self.requests: list[PendingRequest] = []
         self.timer = None
         engines.releases.add(self)
-        self._try()
+        if again and engines.at_work(label):
+            self._wait()
+        else:
+            self._try()
 
     def _try(self) -> None:
         engines, tried = self.engines, len(self.requests)
-        if tried >= len(self.targets) or tried and engines.at_work(self.label):
+        if tried >= len(self.targets):
             self._over()
             return
+        if tried and engines.at_work(self.label):
+            self._give_up_tries()
+            self._wait()
+            return
         name, dial = self.targets[tried]
         self.timer = engines.clock.callLater(RELEASE_TRIES[tried], self._try)
         self.requests.append(engines.pool.ask(name, dial, self.call, _Once(self._answered),
-                                             -1.0 if tried else 0.0))
+                                              -1.0 if tried else 0.0))
+
+    def _wait(self) -> None:
+        if any(h.label == self.label for h in self.engines.host.held.values()):
+            self.timer = self.engines.clock.callLater(OVER_LOOK, self._wait)
+        else:
+            self._try()
 
     def _answered(self, sound: bool, body: bytes) -> None:
         if sound:
@@ -336,6 +354,9 @@
         self.engines.releases.discard(self)
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
+        self._give_up_tries()
+
+    def _give_up_tries(self) -> None:
         requests, self.requests = self.requests, []
         for pending in requests:
             pending.cancel()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -15,6 +15,7 @@
 from twisted.internet import task
 
 from myrtlehub import interface as itf
+from myrtlehub.http1.bounds import AHEAD_ALL
 from myrtlehub.relay.events import EVENT_MOST, Events, Spoilt
 from myrtlehub.relay.outcomes import HEADS, of_break, of_head
 from myrtlehub.relay.reload import Drain, reload
@@ -396,6 +397,25 @@
     assert [a[2][b"x-txn"] for a in rig.engines["w1"].asked] == [b"a1", b"a2"]
 
 
+def test_what_waits_behind_open_requests_is_bounded_over_all_connections_and_given_back() -> None:
+    rig = Rig("w1", sockets=400)
+    rig.engines["w1"].answer = silent
+    clients = [rig.ask(f"a{i}") for i in range(60)]
+    for client in clients:
+        client.say(chat("b", body=b'{"messages":["' + b"x" * 200_000 + b'"]}'))
+        rig.run(0.01)
+    assert 7_500_000 < rig.node.site.ahead <= AHEAD_ALL
+    for far in rig.engines["w1"].connections:
+        far.say(WHOLE) if not far.lost else None
+    rig.run(0.2)
+    told = [c.statuses for c in clients]
+    assert [200, 413] in told and all(t[0] == 200 for t in told)
+    for client in clients:
+        client.transport.loseConnection()
+    rig.run(0.5)
+    assert rig.node.site.ahead == 0 and not rig.node.site.connections
+
+
 def test_hundreds_of_silent_connections_leave_room_for_one_that_asks() -> None:
     rig = Rig("w1", sockets=100)
     silent_ones = [rig.client() for _ in range(90)]
@@ -924,3 +944,29 @@
         client.transport.loseConnection()
         rig.run(0.4)
         assert b"/state/a1" in rig.engines[heard].released(), heard
+
+
+def test_a_release_that_nobody_answered_before_the_next_attempt_is_told_again_at_the_end() -> None:
+    """A state is let go as no writer is there; its reader is deaf, and the sequence is read anew."""
+    rig = Rig("r1 w1")
+    deaf = [True]
+
+    def read(far: Far, head: object, body: bytes) -> None:
+        if head.method == b"POST":
+            if len(rig.engines["r1"].chats()) == 1:
+                rig.change(w1=rig.line("w1", "leaving"))
+            far.say(READ_DONE)
+        elif not deaf[0]:
+            far.say(RELEASED)
+    rig.engines["w1"].answer = lambda far, head, body: far.say(WHOLE) if head.method == b"POST" else None
+    rig.engines["r1"].answer = read
+    client = rig.ask("a1", LONG)
+    while not rig.engines["r1"].released():
+        rig.run(0.01)
+    rig.change(w1=rig.line("w1"))
+    rig.run(0.05)
+    assert client.statuses == [200] and len(rig.engines["r1"].chats()) == 2
+    told, deaf[0] = len(rig.engines["r1"].released()), False
+    rig.run(1.0)
+    assert len(rig.engines["r1"].released()) > told
+    assert not rig.node.engines.owes() and not rig.node.host.held
