--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -3,6 +3,7 @@
 HEAD_MOST = 16 * 1024  # bytes of a head or of a chunk's line: what servers commonly take
 BODY_MOST = 256 * 1024  # bytes of a request's body, as the platform states
 AHEAD_MOST = HEAD_MOST + BODY_MOST  # bytes that are kept behind an open request: the largest one
+AHEAD_ALL = 8 * 1024 * 1024  # the same of all connections together: hundreds may do so at once
 SPILL_MOST = 64 * 1024 * 1024  # bytes beyond these that are read and thrown away, so that its client's end is
 # seen; who sends more, a third of a second of one core, is cut
 WHOLE_WITHIN = 2.0  # seconds for a request to be whole, and for a new connection to speak: 3 s are owed
--- a/myrtlehub/http1/server.py
+++ b/myrtlehub/http1/server.py
@@ -7,8 +7,8 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from myrtlehub.http1.bounds import (
-    AHEAD_MOST, BODY_MOST, FIRST_WITHIN, HEAD_MOST, HEARD_AT_LEAST, HEARD_WITHIN, IDLE, LINGER, SPILL_MOST,
-    STALL, WHOLE_WITHIN)
+    AHEAD_ALL, AHEAD_MOST, BODY_MOST, FIRST_WITHIN, HEAD_MOST, HEARD_AT_LEAST, HEARD_WITHIN, IDLE, LINGER,
+    SPILL_MOST, STALL, WHOLE_WITHIN)
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout",
@@ -135,16 +135,22 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.closing:
             return  # thrown away, never sent on: what lies unread at the close would reset the last answer
-        if self._spilt or self.open is not None and self._ahead + len(data) > AHEAD_MOST:
+        if self._spilt or self.open is not None and (
+                self._ahead + len(data) > AHEAD_MOST or self.site.ahead + len(data) > AHEAD_ALL):
             self._spill(len(data))
             return
         if self.unused:
             self._due(WHOLE_WITHIN)
-        self._ahead += len(data)
+        self._wait_ahead(self._ahead + len(data))
         self.http.receive_data(data)
         if self.open is None:
             self._read()
 
+    def _wait_ahead(self, size: int) -> None:
+        """So many bytes that came are not read as a whole request yet."""
+        self.site.ahead += size - self._ahead
+        self._ahead = size
+
     def _spill(self, size: int) -> None:
         """More comes behind an open request than is kept.
 
@@ -204,7 +210,7 @@
     def _whole(self) -> None:
         head, body = self._head, b"".join(self._body)
         self._head, self._body = None, []
-        self._ahead = len(self.http.trailing_data[0])
+        self._wait_ahead(len(self.http.trailing_data[0]))
         self.used = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
@@ -327,6 +333,7 @@
             self._timer.cancel()
         self._timer = None  # one that has fired refers to this
         self.stalled(False)
+        self._wait_ahead(0)
         self.site.closed(self)
         exchange, self.open = self.open, None
         if exchange is not None:
@@ -346,6 +353,7 @@
                  at_once: int = 50) -> None:
         self.clock, self.asked, self.most, self.at_once = clock, asked, most, at_once
         self.connections: dict[ServerConnection, None] = {}  # in the order of their coming
+        self.ahead = 0  # bytes of all connections that are not read as whole requests yet
         self.closing = self._held = False
         self._room = None
         self.on_full: Callable[[bool], None] = lambda full: None  # whether to accept no more for a moment
