--- a/benchmarks/between.py
+++ b/benchmarks/between.py
@@ -44,8 +44,9 @@
 def main(earlier: str, scenario: str, seeds: int) -> None:
     """Play days with every second node of EARLIER, a checkout."""
     ends: list = []
-    reactor.callWhenRunning(lambda: play(scenario, earlier, seeds).addBoth(ends.append).addBoth(
-        lambda ignored: reactor.stop()))
+    reactor.callWhenRunning(
+        lambda: play(scenario, earlier, seeds).addBoth(ends.append).addBoth(lambda ignored: reactor.stop())
+    )
     reactor.run()
     if ends[0] not in (True, False):
         ends[0].printTraceback()
--- a/benchmarks/explore.py
+++ b/benchmarks/explore.py
@@ -24,8 +24,10 @@
     world = Shape(kinds, **shape)
     at = time.perf_counter()
     found = explore(start(world), Moves(world), depth, most)
-    click.echo(f"{' '.join(kinds)}: {found.states} worlds, {found.moves} moves, depth {found.depth}, "
-               f"{'all reachable' if found.complete else 'cut off'}, {time.perf_counter() - at:.0f} s")
+    click.echo(
+        f"{' '.join(kinds)}: {found.states} worlds, {found.moves} moves, depth {found.depth}, "
+        f"{'all reachable' if found.complete else 'cut off'}, {time.perf_counter() - at:.0f} s"
+    )
     if found.breach:
         click.echo("\n".join((found.breach, *("    " + label for label in found.trace))))
         sys.exit(1)
--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -42,9 +42,14 @@
 
 def text(count: int, weight: int, without: int) -> str:
     """A whole file; one engine has weight 0."""
-    return "engines:\n" + "".join(
-        f"  - {{address: '{address(i)}', kind: writer, zone: z, weight: {0 if i == without else weight}}}\n"
-        for i in range(count)) + "end: yes\n"
+    return (
+        "engines:\n"
+        + "".join(
+            f"  - {{address: '{address(i)}', kind: writer, zone: z, weight: {0 if i == without else weight}}}\n"
+            for i in range(count)
+        )
+        + "end: yes\n"
+    )
 
 
 def address(i: int) -> str:
@@ -88,21 +93,36 @@
         path, listening = self.folder / "engines.yaml", []
         path.write_text(text(self.count, 1, -1))
         for i in range(4):
-            sheet = StandSheet(name=f"s{i}", listen=f"127.0.0.1:{self.ports[1 + i]}", writes=True, slots=400,
-                               queue=5000, step="1ms", step_crowd=0.0, read_rate=10000000,
-                               memory="100M tokens")
+            sheet = StandSheet(
+                name=f"s{i}",
+                listen=f"127.0.0.1:{self.ports[1 + i]}",
+                writes=True,
+                slots=400,
+                queue=5000,
+                step="1ms",
+                step_crowd=0.0,
+                read_rate=10000000,
+                memory="100M tokens",
+            )
             stand = StandIn(sheet, CLOCK, None, Recorder("s", CLOCK))
             stand.recorder.note = lambda *args, **more: None
             listening.append(reactor.listenTCP(self.ports[1 + i], stand.server, interface="127.0.0.1"))
         aside = ReadAside(reactor).start()
         node = self.node = Node(
-            parse(SHEET, NodeSheet), CLOCK, self.dial, base=self.folder, notify=Notifier(reactor).watch,
-            reader=aside.read, beside=lambda work, then: deferToThread(work).addCallback(then))
+            parse(SHEET, NodeSheet),
+            CLOCK,
+            self.dial,
+            base=self.folder,
+            notify=Notifier(reactor).watch,
+            reader=aside.read,
+            beside=lambda work, then: deferToThread(work).addCallback(then),
+        )
         start = node.links.start
 
         def carried(attempt: object) -> None:
             self.sent(attempt)
             start(attempt)
+
         node.links.start = carried
         listening.append(reactor.listenTCP(self.ports[0], node.server, interface="127.0.0.1"))
         self.version = node.host.list_version
@@ -150,8 +170,9 @@
 
     def ask(self) -> None:
         call = self.channel.call("/myrtlehub.v1.Chat/Generate", CallWatcher())
-        call.send(chat_pb2.GenerateRequest(
-            traffic_type="ask", prompt_tokens=100, most_output=8).SerializeToString())
+        call.send(
+            chat_pb2.GenerateRequest(traffic_type="ask", prompt_tokens=100, most_output=8).SerializeToString()
+        )
         call.half_close()
 
 
@@ -176,10 +197,13 @@
             with tempfile.TemporaryDirectory() as folder:
                 one = Run(count, Path(folder), rounds, rate)
                 yield one.play()
-            click.echo(f"{count:>5} engines: file to first send by it {shown(one.first)}; "
-                       f"weight 0 in the file to last send {shown(one.last)}; "
-                       f"longest turn meanwhile {shown(one.turns)}, in 0.6 s before {shown(one.calm)}; "
-                       f"{one.rate:g} sequences a second")
+            click.echo(
+                f"{count:>5} engines: file to first send by it {shown(one.first)}; "
+                f"weight 0 in the file to last send {shown(one.last)}; "
+                f"longest turn meanwhile {shown(one.turns)}, in 0.6 s before {shown(one.calm)}; "
+                f"{one.rate:g} sequences a second"
+            )
+
     play(run)
 
 
--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -23,7 +23,9 @@
     """A file of engines; another `cell_of` changes every one of them."""
     return "engines:\n" + "".join(
         f"  - {{address: '10.{i >> 8}.{i & 255}.1:7200', kind: {'writer' if i % 2 else 'reader'}, "
-        f"zone: north, cell: {i // 8 + cell_of}}}\n" for i in range(count))
+        f"zone: north, cell: {i // 8 + cell_of}}}\n"
+        for i in range(count)
+    )
 
 
 @click.command()
@@ -54,10 +56,14 @@
             judge.read(9.0, files.read(("a.yaml",), base).rows[:-1], "files")
             grown = tracemalloc.get_traced_memory()[0]
             tracemalloc.stop()
-        click.echo(f"{count:>5} engines: " + "; ".join(
-            f"{name} {r * 1e3:.1f} ms read, {j * 1e3:.1f} ms judged, {t * 1e3:.1f} ms taken"
-            for name, (r, j, t) in zip(("first", "all changed"), out, strict=True))
-            + f"; {grown / 1024:.0f} KiB for a version with one engine less")
+        click.echo(
+            f"{count:>5} engines: "
+            + "; ".join(
+                f"{name} {r * 1e3:.1f} ms read, {j * 1e3:.1f} ms judged, {t * 1e3:.1f} ms taken"
+                for name, (r, j, t) in zip(("first", "all changed"), out, strict=True)
+            )
+            + f"; {grown / 1024:.0f} KiB for a version with one engine less"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -39,19 +39,49 @@
         self.node, self.admin = f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}"
         self.processes = Processes(folder)
         for i, address in enumerate(self.engines):
-            self.processes.start("engine", f"e{i}", {
-                "name": f"e{i}", "listen": address, "writes": True, "slots": slots, "queue": 5000, "step":
-                step, "step_crowd": 0.0, "read_rate": 10000000, "memory": "100M tokens"})
-        self.node_process = self.processes.start("node", "n", {
-            "node": {"name": "n", "listen": self.node, "admin": self.admin, "zone": "z",
-                     "most_sequences": 100000},
-            "traffic": [{"name": "ask", "repeats": "repeatable", "latency_slo": "500s",
-                         "abandon_time": "600s"}],
-            "kinds": [{"name": "writer", "writes": True, "memory": "100M tokens"}], "zones": ["z"],
-            "rules": {"drain_grace": "250ms", "let_go": "500ms", "cold_share": 0.25, "cold_time": "10s",
-                      "fall_multiple": 2.5, "fall_time": "1s"},
-            "list": {"engines": [{"address": a, "kind": "writer", "zone": "z"} for a in self.engines]}},
-            node_from)
+            self.processes.start(
+                "engine",
+                f"e{i}",
+                {
+                    "name": f"e{i}",
+                    "listen": address,
+                    "writes": True,
+                    "slots": slots,
+                    "queue": 5000,
+                    "step": step,
+                    "step_crowd": 0.0,
+                    "read_rate": 10000000,
+                    "memory": "100M tokens",
+                },
+            )
+        self.node_process = self.processes.start(
+            "node",
+            "n",
+            {
+                "node": {
+                    "name": "n",
+                    "listen": self.node,
+                    "admin": self.admin,
+                    "zone": "z",
+                    "most_sequences": 100000,
+                },
+                "traffic": [
+                    {"name": "ask", "repeats": "repeatable", "latency_slo": "500s", "abandon_time": "600s"}
+                ],
+                "kinds": [{"name": "writer", "writes": True, "memory": "100M tokens"}],
+                "zones": ["z"],
+                "rules": {
+                    "drain_grace": "250ms",
+                    "let_go": "500ms",
+                    "cold_share": 0.25,
+                    "cold_time": "10s",
+                    "fall_multiple": 2.5,
+                    "fall_time": "1s",
+                },
+                "list": {"engines": [{"address": a, "kind": "writer", "zone": "z"} for a in self.engines]},
+            },
+            node_from,
+        )
 
     def node_cpu(self) -> float:
         """Seconds of processor that the node has used."""
@@ -93,8 +123,9 @@
 def ask(channel: Channel, straight: bool, watch: Watch, prompt: int, output: int, name: str) -> object:
     """One sequence, straight at an engine or through a node."""
     if straight:
-        request = engine_pb2.WriteRequest(work=engine_pb2.Work(
-            sequence=name, traffic_type="ask", prompt_tokens=prompt, most_output=output))
+        request = engine_pb2.WriteRequest(
+            work=engine_pb2.Work(sequence=name, traffic_type="ask", prompt_tokens=prompt, most_output=output)
+        )
         call = channel.call("/myrtlehub.v1.Engine/Write", watch)
     else:
         request = chat_pb2.GenerateRequest(traffic_type="ask", prompt_tokens=prompt, most_output=output)
@@ -133,14 +164,31 @@
     direct = [Channel(CLOCK, dial(a), a) for a in rig.engines]
     first = {True: HdrHistogram(1, 60_000_000, 3), False: HdrHistogram(1, 60_000_000, 3)}
     tally: dict = {}
-    other = subprocess.Popen([sys.executable, __file__, "--load", rig.node, "--rate", str(rate - measured),
-                              "--seconds", str(seconds + 2.0)])
+    other = subprocess.Popen(
+        [
+            sys.executable,
+            __file__,
+            "--load",
+            rig.node,
+            "--rate",
+            str(rate - measured),
+            "--seconds",
+            str(seconds + 2.0),
+        ]
+    )
     yield deferLater(reactor, 2.0, lambda: None)
 
     def one(count: int) -> None:
         straight = count % 2 == 1
-        ask(direct[count // 2 % len(direct)] if straight else through, straight,
-            Watch(first[straight], tally), 200, 60, f"d{count}")
+        ask(
+            direct[count // 2 % len(direct)] if straight else through,
+            straight,
+            Watch(first[straight], tally),
+            200,
+            60,
+            f"d{count}",
+        )
+
     cpu = rig.node_cpu()
     opened(2 * measured, seconds, random, one)
     yield deferLater(reactor, seconds, lambda: None)
@@ -172,8 +220,12 @@
     yield deferLater(reactor, 1.0, lambda: None)
     for channel in channels:
         channel.close()
-    return {"streams": streams, "tokens_a_second": tokens / at, "node_processor": cpu / at,
-            "tokens_a_processor_second": tokens / cpu}
+    return {
+        "streams": streams,
+        "tokens_a_second": tokens / at,
+        "node_processor": cpu / at,
+        "tokens_a_processor_second": tokens / cpu,
+    }
 
 
 @inlineCallbacks
@@ -182,7 +234,8 @@
     dial = dialer(reactor)
     for address in rig.engines:
         yield Channel(CLOCK, dial(address), address).unary(
-            "/myrtlehub.v1.Stand/Misbehave", engine_pb2.Misbehaviour(how="hang").SerializeToString())
+            "/myrtlehub.v1.Stand/Misbehave", engine_pb2.Misbehaviour(how="hang").SerializeToString()
+        )
     channels = [Channel(CLOCK, dial(rig.node), rig.node) for _ in range(8)]
     tally: dict = {}
     calls = [ask(channels[i % 8], False, Watch(None, tally), 200, 200, "") for i in range(400)]
@@ -227,6 +280,7 @@
                 result["held"] = yield held(rig, 3000)
             finally:
                 rig.stop()
+
     play(run)
     if as_json:
         click.echo(json.dumps(result))
@@ -237,8 +291,10 @@
         click.echo(f"first token {name:<9} p50 {p50:6.2f} ms  p99 {p99:6.2f} ms")
     for row in result["relay"]:
         each = row["tokens_a_processor_second"]
-        click.echo(f"{row['streams']:>4} streams: {row['tokens_a_second']:8.0f} tokens a second, node uses "
-                   f"{row['node_processor']:.2f} of a core, {each:.0f} a core-second")
+        click.echo(
+            f"{row['streams']:>4} streams: {row['tokens_a_second']:8.0f} tokens a second, node uses "
+            f"{row['node_processor']:.2f} of a core, {each:.0f} a core-second"
+        )
     click.echo(f"node at {lat['rate']:.0f} sequences a second: {lat['node_processor']:.2f} of a core")
     click.echo(f"held sequence: {result['held']['bytes_each'] / 1024:.1f} KiB")
 
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -27,9 +27,13 @@
         path, log = self.folder / f"{name}.yaml", self.folder / f"{name}.log"
         with path.open("w") as file:
             YAML(typ="safe").dump(tree, file)
-        process = subprocess.Popen([sys.executable, "-m", f"myrtlehub.cli.{program}", path],
-                                   stdout=log.open("wb"), stderr=subprocess.STDOUT, cwd=cwd,
-                                   env={**os.environ, "PYTHONPATH": os.path.abspath(cwd)})
+        process = subprocess.Popen(
+            [sys.executable, "-m", f"myrtlehub.cli.{program}", path],
+            stdout=log.open("wb"),
+            stderr=subprocess.STDOUT,
+            cwd=cwd,
+            env={**os.environ, "PYTHONPATH": os.path.abspath(cwd)},
+        )
         self.running.append(process)
         while b'"ready"' not in log.read_bytes():
             if process.poll() is not None:
--- a/benchmarks/rolls.py
+++ b/benchmarks/rolls.py
@@ -83,9 +83,7 @@
     ask.add_argument("--at-once", type=int, default=2)
     ask.add_argument("--kinds", nargs="*", default=list(ENDS))
     args = ask.parse_args()
-    print(
-        "| program | rolls | as stated | by stage 2 | rules broken | held | s, p50 and max | goodput |"
-    )
+    print("| program | rolls | as stated | by stage 2 | rules broken | held | s, p50 and max | goodput |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     with tempfile.TemporaryDirectory() as name, ThreadPoolExecutor(args.at_once) as pool:
         for kind in args.kinds:
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -33,8 +33,10 @@
 MIX = (("ask", 0.5), ("post", 0.2), ("bulk", 0.3))
 SLO = {"ask": 1.5, "post": 1.5, "bulk": 3.0}
 UTILITY = {"ask": 1.0, "post": 4.0, "bulk": 0.25}
-MACHINES = {"reader": Machine(slots=4, read_rate=12000.0, memory=200_000.0),
-            "writer": Machine(slots=12, memory=60_000.0, read_rate=12000.0, step=0.02)}
+MACHINES = {
+    "reader": Machine(slots=4, read_rate=12000.0, memory=200_000.0),
+    "writer": Machine(slots=12, memory=60_000.0, read_rate=12000.0, step=0.02),
+}
 FIRST = 10.0
 CAPACITY = 26.0  # sequences a second of this mix that the fleet below just keeps up with
 
@@ -64,7 +66,7 @@
         if in_hand < 0.5 * self.limit:
             return
         gradient = max(0.5, min(1.0, 1.5 * self._long / max(self._short, 1e-6)))
-        wanted = gradient * self.limit + self.limit ** 0.5
+        wanted = gradient * self.limit + self.limit**0.5
         self.limit = max(LEAST, min(MOST, 0.98 * self.limit + 0.02 * wanted))
 
 
@@ -102,7 +104,7 @@
         off = (self.AIM - self._mean) / self.AIM
         if off > 0.0 and in_hand < 0.8 * self.limit:
             return
-        step = self.GAIN * max(-1.0, off) / self.limit ** 0.5
+        step = self.GAIN * max(-1.0, off) / self.limit**0.5
         self.limit = max(LEAST, min(MOST, self.limit * (1.0 + step)))
 
 
@@ -113,8 +115,9 @@
     """One run: utility within the SLO, all of it asked for, answers, attempts a first try."""
     rows = [EngineRow(address=f"r{i}:1", kind="reader", zone="z") for i in range(2)]
     rows += [EngineRow(address=f"w{i}:1", kind="writer", zone="z") for i in range(4)]
-    fleet = ModelFleet(nodes, lambda i: parse(SHEET.format(i=i, n=nodes, seed=seed + i), NodeSheet), rows,
-                       MACHINES, seed)
+    fleet = ModelFleet(
+        nodes, lambda i: parse(SHEET.format(i=i, n=nodes, seed=seed + i), NodeSheet), rows, MACHINES, seed
+    )
     random, begin = Random(seed), fleet.clock.seconds()
     gates = [Admission(Random(seed + i), UTILITY, WAYS[way]()) for i in range(nodes)]
     good = asked_for = 0.0
@@ -142,6 +145,7 @@
         def begun(client: ModelClient) -> None:
             gates[node].begun(fleet.clock.seconds(), now - arrived + client.first, SLO[asked.traffic_type])
             pump(node)
+
         fleet.ask(node, asked._replace(time_left=max(0.05, left)), ended, begun)
 
     def pump(node: int) -> None:
@@ -165,17 +169,30 @@
         fleet.clock.callLater(random.expovariate(CAPACITY * load), arrive)
         name = random.choices([n for n, _ in MIX], [s for _, s in MIX])[0]
         asked_for += UTILITY[name]
-        asked = Asked(name, prompt=random.choice([300, 900, 2500]), most_output=random.randint(60, 240),
-                      session=f"s{random.randrange(400)}", mark=f"m{random.randrange(10**9)}")
+        asked = Asked(
+            name,
+            prompt=random.choice([300, 900, 2500]),
+            most_output=random.randint(60, 240),
+            session=f"s{random.randrange(400)}",
+            mark=f"m{random.randrange(10**9)}",
+        )
         node = random.randrange(nodes)
         gates[node].ask(now, name, SLO[name], (asked, now))
         pump(node)
         shed(node)
+
     arrive()
     at = time.perf_counter()
     fleet.run(begin + seconds + 12.0)
-    return {"way": way, "load": load, "seed": seed, "good": good / seconds, "asked": asked_for / seconds,
-            "answers": dict(answers), "took": time.perf_counter() - at}
+    return {
+        "way": way,
+        "load": load,
+        "seed": seed,
+        "good": good / seconds,
+        "asked": asked_for / seconds,
+        "answers": dict(answers),
+        "took": time.perf_counter() - at,
+    }
 
 
 @click.command()
@@ -186,14 +203,19 @@
 @click.option("--jobs", default=6)
 def main(seconds: float, seeds: int, loads: str, ways: str, jobs: int) -> None:
     """Print a table of goodput."""
-    plays = [(w, float(x), s, seconds)
-             for w in ways.split(",") for x in loads.split(",") for s in range(seeds)]
+    plays = [
+        (w, float(x), s, seconds) for w in ways.split(",") for x in loads.split(",") for s in range(seeds)
+    ]
     with ProcessPoolExecutor(jobs) as pool:
         runs = list(pool.map(play, *zip(*plays, strict=True)))
-    best = max(sum(r["good"] for r in runs if (r["way"], r["load"]) == key) / seeds
-               for key in {(r["way"], r["load"]) for r in runs})
-    click.echo(f"utility within the SLO a second, share of the best ({best:.1f}); mean of {seeds} seeds, "
-               f"{seconds:g} s each (simulated)")
+    best = max(
+        sum(r["good"] for r in runs if (r["way"], r["load"]) == key) / seeds
+        for key in {(r["way"], r["load"]) for r in runs}
+    )
+    click.echo(
+        f"utility within the SLO a second, share of the best ({best:.1f}); mean of {seeds} seeds, "
+        f"{seconds:g} s each (simulated)"
+    )
     click.echo("way        " + "".join(f"{float(x):>8g}x" for x in loads.split(",")))
     for way in ways.split(","):
         line = f"{way:<11}"
--- a/benchmarks/told.py
+++ b/benchmarks/told.py
@@ -34,6 +34,7 @@
     def looked() -> None:
         for method in ("Show", "Figures"):
             admin.unary(SERVICE + method, b"", timeout=2.0)
+
     cost: dict[bool, list[float]] = {False: [], True: []}
     for i in range(count + 2):
         looks = LoopingCall(looked)
@@ -61,10 +62,16 @@
     from types import SimpleNamespace
 
     from myrtlehub.node.figures import Figures
+
     row = SimpleNamespace(name="ask", utility=1.0, latency_slo=1.0, slo_per_1000_tokens=0.0, late_share=0.0)
     host = SimpleNamespace(door=SimpleNamespace(rows=[row]))
-    held = SimpleNamespace(arrival=SimpleNamespace(traffic=0, prompt=500.0), attempts=[1, 2], since=1.0,
-                           life=SimpleNamespace(state="generated"), first_at=1.2)
+    held = SimpleNamespace(
+        arrival=SimpleNamespace(traffic=0, prompt=500.0),
+        attempts=[1, 2],
+        since=1.0,
+        life=SimpleNamespace(state="generated"),
+        first_at=1.2,
+    )
     figures = Figures()
     figures.follow(host)
     began = time.process_time()
@@ -90,12 +97,17 @@
             finally:
                 rig.stop()
         for looks, name in ((False, "without looks"), (True, "with looks")):
-            print(f"{name}: {statistics.mean(c for c, _ in cost[looks]) / each * 1e6:.0f} us of processor a "
-                  f"sequence, {len(cost[looks])} windows of {each}")
+            print(
+                f"{name}: {statistics.mean(c for c, _ in cost[looks]) / each * 1e6:.0f} us of processor a "
+                f"sequence, {len(cost[looks])} windows of {each}"
+            )
         pairs = [(b - a) / seconds for (a, _), (b, seconds) in zip(cost[False], cost[True], strict=True)]
-        print(f"a look every {look:g} s takes {statistics.mean(pairs) * 100:.2f}% of a core, pair by pair "
-              f"(deviation of the mean {statistics.stdev(pairs) / len(pairs) ** 0.5 * 100:.2f})")
+        print(
+            f"a look every {look:g} s takes {statistics.mean(pairs) * 100:.2f}% of a core, pair by pair "
+            f"(deviation of the mean {statistics.stdev(pairs) / len(pairs) ** 0.5 * 100:.2f})"
+        )
         print(f"sums: {counting() * 1e6:.1f} us an answer")
+
     play(run)
 
 
--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -57,6 +57,7 @@
         for name, seconds in cost.items():
             click.echo(f"{name:<6} {seconds * 1e6:.0f} us of processor a sequence")
         click.echo(f"ratio  {cost['here'] / cost['other']:.3f}")
+
     play(run)
 
 
--- a/examples/ask_twisted.py
+++ b/examples/ask_twisted.py
@@ -16,9 +16,10 @@
     host, port = address.rsplit(":", 1)
     channel = Channel(reactor, TCP4ClientEndpoint(reactor, host, int(port)).connect, address)
     client = Client(channel, reactor)
-    stream = client.generate(Ask("ask", prompt_tokens=3000, most_output=60, repeats="repeatable",
-                                 within=20.0),
-                             lambda ids: print(*ids, end=" ", flush=True))
+    stream = client.generate(
+        Ask("ask", prompt_tokens=3000, most_output=60, repeats="repeatable", within=20.0),
+        lambda ids: print(*ids, end=" ", flush=True),
+    )
     answer = yield stream.done
     print(f"\n{answer.tokens} tokens in {answer.tries} tries")
     channel.close()
--- a/examples/book_aio.py
+++ b/examples/book_aio.py
@@ -9,8 +9,9 @@
 
 async def main(address: str) -> None:
     async with Client(address) as client:
-        stream = client.generate(Ask("post", prompt_tokens=900, most_output=40, mark="invoice-1044",
-                                     within=20.0))
+        stream = client.generate(
+            Ask("post", prompt_tokens=900, most_output=40, mark="invoice-1044", within=20.0)
+        )
         try:
             async for ids in stream:
                 print(*ids, end=" ", flush=True)
--- a/examples/roll.py
+++ b/examples/roll.py
@@ -54,16 +54,19 @@
                 processes.append(start("myrtlehub.cli.engine", path))
             for i in range(3):
                 for which, wait in (("", "2s"), (".new", "1s")):
-                    (folder / f"hub-{i + 1}{which}.yaml").write_text(NODE.format(
-                        name=f"hub-{i + 1}", port=7121 + i, admin=7111 + i, index=i, wait=wait))
+                    (folder / f"hub-{i + 1}{which}.yaml").write_text(
+                        NODE.format(name=f"hub-{i + 1}", port=7121 + i, admin=7111 + i, index=i, wait=wait)
+                    )
                 processes.append(start("myrtlehub.cli.node", folder / f"hub-{i + 1}.yaml"))
             over = threading.Event()
-            callers = [threading.Thread(target=ask, args=(f"127.0.0.1:{7121 + i % 3}", over))
-                       for i in range(6)]
+            callers = [
+                threading.Thread(target=ask, args=(f"127.0.0.1:{7121 + i % 3}", over)) for i in range(6)
+            ]
             for caller in callers:
                 caller.start()
-            code = subprocess.run([sys.executable, "-m", "myrtlehub.cli.roll", "run",
-                                   str(folder / "plan.yaml")]).returncode
+            code = subprocess.run(
+                [sys.executable, "-m", "myrtlehub.cli.roll", "run", str(folder / "plan.yaml")]
+            ).returncode
             over.set()
             for caller in callers:
                 caller.join()
@@ -79,8 +82,9 @@
     with Client(node) as client:
         while not over.is_set():
             try:
-                for _ in client.generate(Ask("ask", prompt_tokens=300, most_output=12, repeats="repeatable",
-                                             within=10.0)):
+                for _ in client.generate(
+                    Ask("ask", prompt_tokens=300, most_output=12, repeats="repeatable", within=10.0)
+                ):
                     pass
             except Rejected as fault:
                 over.wait(fault.wait)
--- a/myrtlehub/batching/gather.py
+++ b/myrtlehub/batching/gather.py
@@ -29,13 +29,16 @@
         self._due: dict[Hashable, float] = {}
         self._gap: dict[Hashable, tuple[float, float]] = {}  # by key: mean seconds between, last
 
-    def add(self, now: float, key: Hashable, request: object, tokens: float, items: int,
-            time_left: float) -> list[list[object]]:
+    def add(
+        self, now: float, key: Hashable, request: object, tokens: float, items: int, time_left: float
+    ) -> list[list[object]]:
         """A request; the groups to send now. If it is in none of them it waits, `next_at` says until when."""
         likely = self._pace(now, key) <= self.w.wait
         group, out = self._groups.get(key, ()), []
-        if group and (sum(t for _, t, _ in group) + tokens > self.w.tokens
-                      or sum(n for _, _, n in group) + items > self.w.items):
+        if group and (
+            sum(t for _, t, _ in group) + tokens > self.w.tokens
+            or sum(n for _, _, n in group) + items > self.w.items
+        ):
             out.append(self._take(key))  # what waits goes without it
         wait = min(self.w.wait, time_left * (1.0 - self.w.least_left)) if likely else 0.0
         if tokens >= self.w.tokens or items >= self.w.items or (wait <= 0.0 and key not in self._groups):
--- a/myrtlehub/cli/common.py
+++ b/myrtlehub/cli/common.py
@@ -37,24 +37,31 @@
 def logger(**always: object) -> Callable[..., None]:
     """JSON lines on standard output; `log(event, field=...)`."""
     structlog.configure(
-        processors=[structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.EventRenamer("event"),
-                    structlog.processors.JSONRenderer(serializer=_json)],
-        logger_factory=structlog.WriteLoggerFactory(sys.stdout), cache_logger_on_first_use=True)
+        processors=[
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.EventRenamer("event"),
+            structlog.processors.JSONRenderer(serializer=_json),
+        ],
+        logger_factory=structlog.WriteLoggerFactory(sys.stdout),
+        cache_logger_on_first_use=True,
+    )
     globalLogBeginner.beginLoggingTo([textFileLogObserver(sys.stderr)], redirectStandardIO=False)
     bound = structlog.get_logger().bind(**always)
 
     def log(event: str, **more: object) -> None:
         bound.info(event, **more)
         sys.stdout.flush()
+
     return log
 
 
 def dialer(reactor: object) -> Callable[[str], Callable]:
     """`dial(address)` for channels, over TCP."""
+
     def dial(address: str) -> Callable:
         host, port = address.rsplit(":", 1)
         return TCP4ClientEndpoint(reactor, host, int(port), timeout=30).connect
+
     return dial
 
 
--- a/myrtlehub/cli/engine.py
+++ b/myrtlehub/cli/engine.py
@@ -26,6 +26,7 @@
     from myrtlehub.emulator.server import StandIn
     from myrtlehub.records import Recorder
     from myrtlehub.node.clock import SteadyClock
+
     log, clock = logger(engine=sheet.name), SteadyClock(reactor)
     recorder = Recorder(sheet.listen, clock, sheet.records)
 
@@ -34,6 +35,7 @@
         recorder.close()
         sys.stdout.flush()
         os._exit(3)
+
     stand = StandIn(sheet, clock, dialer(reactor), recorder, fallen)
     listen(reactor, sheet.listen, stand.server)
     on_term(reactor.stop, reactor)
--- a/myrtlehub/cli/list.py
+++ b/myrtlehub/cli/list.py
@@ -23,12 +23,23 @@
     faults = list(reading.faults)
     if not faults:
         sheet = sheet_of(node_file, NodeSheet) if node_file else None
-        kinds = {k.name: k for k in sheet.kinds} if sheet else {
-            r.kind: KindRow(name=r.kind, reads="read" in r.kind or "mixed" in r.kind or "both" in r.kind,
-                            writes="read" not in r.kind) for r in reading.rows}
+        kinds = (
+            {k.name: k for k in sheet.kinds}
+            if sheet
+            else {
+                r.kind: KindRow(
+                    name=r.kind,
+                    reads="read" in r.kind or "mixed" in r.kind or "both" in r.kind,
+                    writes="read" not in r.kind,
+                )
+                for r in reading.rows
+            }
+        )
         zones = sheet.zones if sheet else [r.zone for r in reading.rows]
-        faults = [f"{', '.join(paths)}: {f}" for f in unsound(
-            reading.rows, kinds, zones, sheet.engines_may.read_alone if sheet else True)]
+        faults = [
+            f"{', '.join(paths)}: {f}"
+            for f in unsound(reading.rows, kinds, zones, sheet.engines_may.read_alone if sheet else True)
+        ]
     if faults:
         fail("\n".join(faults))
     return reading
@@ -36,16 +47,23 @@
 
 def shown(change: Difference) -> list[str]:
     """A difference, a line an engine."""
+
     def row(r: EngineRow) -> str:
         return f"{r.address} ({r.kind}, zone {r.zone}, cell {r.cell}, weight {r.weight:g}, {r.state})"
+
     lines = [f"+ {row(r)}" for r in change.added] + [f"- {row(r)}" for r in change.gone]
     lines += [f"~ {r.address}: drains" for r in change.draining]
-    return lines + [f"~ {r.address}: " + ", ".join(f"{f} is now {getattr(r, f)}" for f in fields)
-                    for r, fields in change.changed]
+    return lines + [
+        f"~ {r.address}: " + ", ".join(f"{f} is now {getattr(r, f)}" for f in fields)
+        for r, fields in change.changed
+    ]
 
 
-NODE_FILE = click.option("--node-file", type=click.Path(path_type=Path),
-                         help="A node's file, for its kinds and zones; without it kinds are guessed by name.")
+NODE_FILE = click.option(
+    "--node-file",
+    type=click.Path(path_type=Path),
+    help="A node's file, for its kinds and zones; without it kinds are guessed by name.",
+)
 
 
 @main.command()
@@ -80,6 +98,7 @@
     from myrtlehub.cli.common import dialer
     from myrtlehub.proto import admin_pb2 as pb
     from myrtlehub.rpc.channel import Channel
+
     if ":" not in node:
         fail(f"--node {node}: write it as host:port")
     channel, got = Channel(reactor, dialer(reactor)(node), node), []
@@ -87,6 +106,7 @@
     def ask() -> None:
         done = channel.unary("/myrtlehub.v1.NodeAdmin/Show", b"", timeout=5.0)
         done.addBoth(got.append).addBoth(lambda ignored: reactor.stop())
+
     reactor.callWhenRunning(ask)
     reactor.run()
     if not isinstance(got[0], bytes):
@@ -94,8 +114,10 @@
     state = pb.NodeState.FromString(got[0])
     old = ", OLD: no source had a good one at the start" if state.list_old else ""
     where = state.list_source or "its file"
-    click.echo(f"version {state.list_version}, {state.list_age:.1f} s old, from {where}"
-               f"{old}; digest {state.list_digest or '-'}")
+    click.echo(
+        f"version {state.list_version}, {state.list_age:.1f} s old, from {where}"
+        f"{old}; digest {state.list_digest or '-'}"
+    )
     for e in state.engines:
         click.echo(f"  {e.address} {e.kind} zone {e.zone} cell {e.cell} weight {e.weight:g} {e.state}")
     for r in state.refused:
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -34,12 +34,21 @@
     from myrtlehub.node.clock import SteadyClock
     from myrtlehub.node.node import Node
     from myrtlehub.node.revision import settings
+
     log = logger(node=sheet.node.name)
     run = f"{time.time_ns() // 1000 % 2**40:x}-{os.getpid():x}"
     notify = Notifier(reactor).watch if sheet.list.files else lambda paths, changed: None
-    node = Node(sheet, SteadyClock(reactor), dialer(reactor), run, log, base=config.parent, notify=notify,
-                reader=ReadAside(reactor).start().read if sheet.list.files else None,
-                beside=lambda work, then: deferToThread(work).addCallback(then))
+    node = Node(
+        sheet,
+        SteadyClock(reactor),
+        dialer(reactor),
+        run,
+        log,
+        base=config.parent,
+        notify=notify,
+        reader=ReadAside(reactor).start().read if sheet.list.files else None,
+        beside=lambda work, then: deferToThread(work).addCallback(then),
+    )
     port = listen(reactor, sheet.node.listen, node.server)
     if sheet.node.admin:
         listen(reactor, sheet.node.admin, node.admin)
@@ -50,10 +59,19 @@
         if not node.leaving:
             port.stopListening()
             node.drain().addCallback(lambda ignored: reactor.stop())
+
     on_term(drain, reactor)
     node.on_leave = drain
-    reactor.callWhenRunning(lambda: log("ready", listen=sheet.node.listen, engines=len(sheet.list.engines),
-                                        program=node.program, settings=settings(sheet), run=run))
+    reactor.callWhenRunning(
+        lambda: log(
+            "ready",
+            listen=sheet.node.listen,
+            engines=len(sheet.list.engines),
+            program=node.program,
+            settings=settings(sheet),
+            run=run,
+        )
+    )
     node.measure_lag()
     settle_memory()
     reactor.run(installSignalHandlers=False)
--- a/myrtlehub/cli/roll.py
+++ b/myrtlehub/cli/roll.py
@@ -27,10 +27,12 @@
 
     from myrtlehub.cli.roller import CannotRoll, Roller
     from myrtlehub.node.clock import SteadyClock
+
     sheet = sheet_of(plan, PlanSheet)
     try:
-        return Roller(sheet, plan.read_text(), plan.resolve().parent, SteadyClock(reactor),
-                      dialer(reactor), say)
+        return Roller(
+            sheet, plan.read_text(), plan.resolve().parent, SteadyClock(reactor), dialer(reactor), say
+        )
     except CannotRoll as fault:
         fail(f"{plan}: {fault}")
 
@@ -53,6 +55,7 @@
 
     from myrtlehub.cli.roller import CannotRoll
     from myrtlehub.node.process import on_term
+
     roller, codes = _roller(plan, _say), []
 
     def begin() -> None:
@@ -64,6 +67,7 @@
             reactor.stop()
             return
         done.addBoth(codes.append).addBoth(lambda ignored: reactor.stop())
+
     on_term(reactor.stop, reactor)  # the journal has all: `resume` goes on
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
@@ -75,6 +79,7 @@
 def check(plan: Path) -> None:
     """Check PLAN and all files that it names, and say what it would do. Exit 0: sound. 2: not."""
     from myrtlehub.cli.roller import CannotRoll
+
     roller = _roller(plan, _say)
     names = [n.name for n in roller.sheet.nodes]
     try:
@@ -85,8 +90,10 @@
         fail(str(fault))
     for number, stage in enumerate(roller.plan.stages, 1):
         click.echo(f"stage {number}: {', '.join(names[i] for i in stage)}")
-    click.echo(f"{plan}: sound; {len(names)} nodes, {len(roller.plan.stages)} stages, "
-               f"{len(roller._judge(['each']).guards)} guards")
+    click.echo(
+        f"{plan}: sound; {len(names)} nodes, {len(roller.plan.stages)} stages, "
+        f"{len(roller._judge(['each']).guards)} guards"
+    )
 
 
 @main.command()
@@ -108,6 +115,7 @@
 def undo(plan: Path) -> None:
     """Take back a change, whatever it has come to. Where a controller is at work, it is told."""
     from filelock import FileLock, Timeout
+
     path = _roller(plan, _say).journal.path
     if not path.exists():
         fail(f"{path}: there is no such journal, so there is nothing to undo")
@@ -127,6 +135,7 @@
 def show(plan: Path) -> None:
     """Where the change of PLAN stands, by its journal, and what led there. Asks no node."""
     from myrtlehub.rollout.journal import JournalBroken, unpack
+
     roller = _roller(plan, _say)
     path = roller.journal.path
     try:
@@ -141,8 +150,10 @@
             who = head.nodes[entry.who] if entry.who >= 0 else "change"
             click.echo(f"{who}: {entry.event}: {entry.why}")
     standing = roller.standing
-    click.echo(f"{standing.change}, stage {standing.stage + 1} of {len(roller.plan.stages)}, "
-               f"{standing.verdicts} let pass")
+    click.echo(
+        f"{standing.change}, stage {standing.stage + 1} of {len(roller.plan.stages)}, "
+        f"{standing.verdicts} let pass"
+    )
     for name, state in zip(head.nodes, standing.nodes, strict=True):
         click.echo(f"  {name}: {state}")
 
--- a/myrtlehub/cli/roller.py
+++ b/myrtlehub/cli/roller.py
@@ -451,8 +451,9 @@
         )
         if before is None or before.run != s.run:
             target.born = self.hands.born(s.pid)
-            self._put(Entry(time.time(), "process", node,
-                            more={"run": s.run, "pid": s.pid, "born": target.born}))
+            self._put(
+                Entry(time.time(), "process", node, more={"run": s.run, "pid": s.pid, "born": target.born})
+            )
         target.lost, target.missed, target.coming = False, 0, False
         return None
 
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/variant.py
@@ -39,6 +39,7 @@
             if chance() < share(a):
                 return [("reject", ident, 0.5), ("done", ident)]
             return super().arrive(now, ident, a)
+
     works.Router = Refusing
 
 
@@ -47,6 +48,7 @@
 
     def later(self: Links, attempt: object) -> None:
         self.clock.callLater(SLOWER, lambda: start(self, attempt) if attempt.out else None)
+
     Links.start = later
 
 
@@ -62,18 +64,22 @@
         if not kept:
             leak(self)
         measure(self)
+
     node.Node.measure_lag = both
 
 
 def _crashes() -> None:
     from twisted.internet import reactor
+
     name = Path(sys.argv[1]).name.split(".")[0]
 
     def crash() -> None:
         # the day's records have to say that this process ends here, as nobody else can
         Recorder("variant", SteadyClock(reactor), Path(os.environ[FOLDER]) / f"crash-{os.getpid()}.rec").note(
-            "killed", who=name)
+            "killed", who=name
+        )
         os._exit(3)
+
     reactor.callLater(CRASH_AFTER, crash)
 
 
@@ -84,6 +90,7 @@
     def share(a: Arrival) -> float:
         with_it = len({p.name for p in folder.glob("half-*") if Path(f"/proc/{p.name[5:]}").exists()})
         return HALF if 2 * with_it >= int(os.environ[NODES]) else 0.0
+
     _refusing(share)
 
 
@@ -95,6 +102,7 @@
 def _foreign() -> None:
     """What it stores is of a later form; it rejects most, so that the earlier program comes back to it."""
     from myrtlehub.membership import store
+
     store.FORM += 1
     store.SCHEMA = store.SCHEMA.replace("NOT NULL)", "NOT NULL, more TEXT NOT NULL DEFAULT '')")
     _refusing(lambda a: 0.8)
@@ -124,6 +132,7 @@
     os.environ[revision.LABEL] = f"variant {kind}"
     KINDS[kind]()
     from myrtlehub.cli.node import main as hub_node
+
     hub_node()
 
 
--- a/myrtlehub/client/aio.py
+++ b/myrtlehub/client/aio.py
@@ -56,8 +56,10 @@
     def calls(self, tries: Tries) -> grpc.aio.UnaryStreamMultiCallable:
         """The method of the next call, at its node."""
         return self._channels[tries.place % len(self._channels)].unary_stream(
-            tries.path(), request_serializer=pb.GenerateRequest.SerializeToString,
-            response_deserializer=pb.GenerateReply.FromString)
+            tries.path(),
+            request_serializer=pb.GenerateRequest.SerializeToString,
+            response_deserializer=pb.GenerateReply.FromString,
+        )
 
     def generate(self, ask: Ask) -> Stream:
         """Ask; iterate with `async for`. Raises Rejected, Aborted or NotTaken from the iteration."""
--- a/myrtlehub/client/batches.py
+++ b/myrtlehub/client/batches.py
@@ -46,8 +46,13 @@
 
     def terms(self, attempt: int) -> pb.Terms:
         """The terms of a try, counted from 0."""
-        return pb.Terms(traffic_type=self.traffic_type, tenant=self.tenant, mark=self.mark,
-                        repeated=attempt > 0, time_left_ms=int(self.first_within * 1000))
+        return pb.Terms(
+            traffic_type=self.traffic_type,
+            tenant=self.tenant,
+            mark=self.mark,
+            repeated=attempt > 0,
+            time_left_ms=int(self.first_within * 1000),
+        )
 
 
 def inputs_of(texts: Sequence[bytes], tokens: Sequence[int] | None) -> list[pb.Input]:
@@ -91,8 +96,9 @@
     def _call(self, path: str, request: object, reply: type, ask: BatchAsk) -> Iterator[object]:
         """Replies of the try that was generated; whatever may not be tried again is raised."""
         form = self._channel.unary_stream if path.endswith("Stream") else self._channel.unary_unary
-        call = form(path, request_serializer=type(request).SerializeToString,
-                    response_deserializer=reply.FromString)
+        call = form(
+            path, request_serializer=type(request).SerializeToString, response_deserializer=reply.FromString
+        )
         tries = Tries(ask, time.monotonic(), random.random)
         while True:
             request.terms.CopyFrom(ask.terms(tries.count))
@@ -116,8 +122,14 @@
                 return
             time.sleep(wait)
 
-    def embed(self, texts: Sequence[bytes], ask: BatchAsk, tokens: Sequence[int] | None = None,
-              dimensions: int = 0, normalise: bool = False) -> list[array | BadInput]:
+    def embed(
+        self,
+        texts: Sequence[bytes],
+        ask: BatchAsk,
+        tokens: Sequence[int] | None = None,
+        dimensions: int = 0,
+        normalise: bool = False,
+    ) -> list[array | BadInput]:
         """A vector an input, in their order, all of one version of the model (`self.model`)."""
         request = pb.EmbedRequest(inputs=inputs_of(texts, tokens), dimensions=dimensions, normalise=normalise)
         out: list[array | BadInput | None] = [None] * len(texts)
@@ -126,23 +138,35 @@
                 out[vector.index] = vector_of(vector)
         return out
 
-    def embed_stream(self, texts: Sequence[bytes], ask: BatchAsk, tokens: Sequence[int] | None = None,
-                     dimensions: int = 0, normalise: bool = False,
-                     ) -> Iterator[tuple[int, array | BadInput]]:
+    def embed_stream(
+        self,
+        texts: Sequence[bytes],
+        ask: BatchAsk,
+        tokens: Sequence[int] | None = None,
+        dimensions: int = 0,
+        normalise: bool = False,
+    ) -> Iterator[tuple[int, array | BadInput]]:
         """Index and vector, as they are ready. What came stands, whatever is raised at the end; it is not
         tried again by itself once something came, as another try may find another version."""
         request = pb.EmbedRequest(inputs=inputs_of(texts, tokens), dimensions=dimensions, normalise=normalise)
         for reply in self._call(EMBED + "Stream", request, pb.EmbedReply, ask):
             yield from ((v.index, vector_of(v)) for v in reply.vectors)
 
-    def rank(self, query: bytes, documents: Sequence[bytes], ask: BatchAsk, top: int = 0,
-             tokens: Sequence[int] | None = None) -> list[Ranked]:
+    def rank(
+        self,
+        query: bytes,
+        documents: Sequence[bytes],
+        ask: BatchAsk,
+        top: int = 0,
+        tokens: Sequence[int] | None = None,
+    ) -> list[Ranked]:
         """Scores in the order of the documents, or the best `top` in falling order."""
         request = pb.RankRequest(query=pb.Input(text=query), documents=inputs_of(documents, tokens), top=top)
         return [ranked_of(s) for reply in self._call(RANK, request, pb.RankReply, ask) for s in reply.scores]
 
-    def rank_stream(self, query: bytes, documents: Sequence[bytes], ask: BatchAsk,
-                    tokens: Sequence[int] | None = None) -> Iterator[Ranked]:
+    def rank_stream(
+        self, query: bytes, documents: Sequence[bytes], ask: BatchAsk, tokens: Sequence[int] | None = None
+    ) -> Iterator[Ranked]:
         """Scores as they are ready; see `embed_stream`."""
         request = pb.RankRequest(query=pb.Input(text=query), documents=inputs_of(documents, tokens))
         for reply in self._call(RANK + "Stream", request, pb.RankReply, ask):
--- a/myrtlehub/client/promise.py
+++ b/myrtlehub/client/promise.py
@@ -37,11 +37,19 @@
     def message(self, attempt: int) -> pb.GenerateRequest:
         """The request of a try, counted from 0."""
         return pb.GenerateRequest(
-            traffic_type=self.traffic_type, tenant=self.tenant, session=self.session,
-            shared_prefix=self.shared_prefix, shared_tokens=self.shared_tokens,
+            traffic_type=self.traffic_type,
+            tenant=self.tenant,
+            session=self.session,
+            shared_prefix=self.shared_prefix,
+            shared_tokens=self.shared_tokens,
             prompt_tokens=self.prompt_tokens,
-            most_output=self.most_output, time_left_ms=int(self.first_within * 1000), mark=self.mark,
-            repeated=attempt > 0, prompt=self.prompt, may_move=True)
+            most_output=self.most_output,
+            time_left_ms=int(self.first_within * 1000),
+            mark=self.mark,
+            repeated=attempt > 0,
+            prompt=self.prompt,
+            may_move=True,
+        )
 
 
 class Generated(NamedTuple):
@@ -161,7 +169,7 @@
         if not unnamed and (end.answer == "rejected" or end.unprocessed):
             wait = max(end.wait, 0.02) * (1.0 + 0.5 * self.random())
         elif unnamed or end.answer in ("aborted", "lost") and self.ask.repeats == REPEATABLE:
-            wait = 0.05 * 2.0 ** self.count * (0.5 + self.random())
+            wait = 0.05 * 2.0**self.count * (0.5 + self.random())
         else:
             return None
         if now + wait >= self.until:
--- a/myrtlehub/client/sync.py
+++ b/myrtlehub/client/sync.py
@@ -81,8 +81,9 @@
 class Client(Connected):
     """Sequences at one node."""
 
-    def __init__(self, address: str = "", channel: grpc.Channel | None = None,
-                 others: Iterable[str] = ()) -> None:
+    def __init__(
+        self, address: str = "", channel: grpc.Channel | None = None, others: Iterable[str] = ()
+    ) -> None:
         """`others`: nodes at which it comes back for what the first has lost."""
         super().__init__(address, channel)
         self._others = [grpc.insecure_channel(a) for a in others]
@@ -91,8 +92,10 @@
         """The method of the next call, at its node."""
         channels = [self._channel, *self._others]
         return channels[tries.place % len(channels)].unary_stream(
-            tries.path(), request_serializer=pb.GenerateRequest.SerializeToString,
-            response_deserializer=pb.GenerateReply.FromString)
+            tries.path(),
+            request_serializer=pb.GenerateRequest.SerializeToString,
+            response_deserializer=pb.GenerateReply.FromString,
+        )
 
     def close(self) -> None:
         """Close the channels that are ours."""
--- a/myrtlehub/client/tx.py
+++ b/myrtlehub/client/tx.py
@@ -32,9 +32,13 @@
         end = self.end
         if end is None:
             said = f"{status.code.name}: {status.message}"
-            end = (End("invalid", said=status.message) if status.code == Code.INVALID_ARGUMENT
-                   else End("aborted", said=said) if status.code == Code.ABORTED  # another node has it
-                   else End("lost", said=said, unprocessed=status.unprocessed))
+            end = (
+                End("invalid", said=status.message)
+                if status.code == Code.INVALID_ARGUMENT
+                else End("aborted", said=said)
+                if status.code == Code.ABORTED  # another node has it
+                else End("lost", said=said, unprocessed=status.unprocessed)
+            )
         self.stream.over(end)
 
 
@@ -57,7 +61,8 @@
         self._timer = None
         channels = self.client.channels
         self._call = channels[tries.place % len(channels)].call(
-            tries.path(), _Try(self), timeout=max(0.001, tries.until - now))
+            tries.path(), _Try(self), timeout=max(0.001, tries.until - now)
+        )
         self._call.send(tries.request(now).SerializeToString())
         self._call.half_close()
 
@@ -93,8 +98,13 @@
     """Sequences at one node, on a channel of the caller's; `others`: nodes at which it comes back for what
     the first has lost."""
 
-    def __init__(self, channel: Channel, clock: object, draw: Callable[[], float] = random.random,
-                 others: Iterable[Channel] = ()) -> None:
+    def __init__(
+        self,
+        channel: Channel,
+        clock: object,
+        draw: Callable[[], float] = random.random,
+        others: Iterable[Channel] = (),
+    ) -> None:
         self.channels, self.clock, self.random = [channel, *others], clock, draw
 
     def generate(self, ask: Ask, on_tokens: Callable[[tuple[int, ...]], None]) -> Stream:
--- a/myrtlehub/config/load.py
+++ b/myrtlehub/config/load.py
@@ -11,9 +11,14 @@
 
 M = TypeVar("M", bound="Sheet")
 PLAIN = {
-    "missing": "is missing", "extra_forbidden": "is not known here", "int_type": "has to be a whole number",
-    "float_type": "has to be a number", "string_type": "has to be text", "list_type": "has to be a list",
-    "bool_type": "has to be yes or no", "model_type": "has to be a group of fields",
+    "missing": "is missing",
+    "extra_forbidden": "is not known here",
+    "int_type": "has to be a whole number",
+    "float_type": "has to be a number",
+    "string_type": "has to be text",
+    "list_type": "has to be a list",
+    "bool_type": "has to be yes or no",
+    "model_type": "has to be a group of fields",
 }
 
 
--- a/myrtlehub/config/plans.py
+++ b/myrtlehub/config/plans.py
@@ -99,10 +99,14 @@
     drain_within: Duration = 20.0  # a node that has not left by then is killed
     start_within: Duration = 30.0  # a node that has not proven itself by then has failed
     guards: Annotated[list[GuardRow], Field(min_length=1)] = [
-        GuardRow(figure="served", worse=0.005), GuardRow(figure="served", worse=0.01, traffic="each"),
-        GuardRow(figure="rejected", worse=0.005), GuardRow(figure="aborted", worse=0.005),
-        GuardRow(figure="first_token", worse=0.05), GuardRow(figure="attempts", worse=0.05),
-        GuardRow(figure="memory", worse=20.0)]
+        GuardRow(figure="served", worse=0.005),
+        GuardRow(figure="served", worse=0.01, traffic="each"),
+        GuardRow(figure="rejected", worse=0.005),
+        GuardRow(figure="aborted", worse=0.005),
+        GuardRow(figure="first_token", worse=0.05),
+        GuardRow(figure="attempts", worse=0.05),
+        GuardRow(figure="memory", worse=20.0),
+    ]
     alarm: Share = 0.01  # of equal versions, that may be taken for worse
     most_lost: Duration = 30.0  # utility that it may cost, as what the fleet is asked in this time
     journal: str = ""  # empty: beside the plan
@@ -128,8 +132,11 @@
             except ValueError as fault:
                 raise ValueError(f"{name}: {fault}; write braces twice where they are meant") from fault
             if strange:
-                raise ValueError(f"{name}: {{{sorted(strange)[0]}}} is not known; "
-                                 + " and ".join(f"{{{k}}}" for k in sorted(known)) + " are")
+                raise ValueError(
+                    f"{name}: {{{sorted(strange)[0]}}} is not known; "
+                    + " and ".join(f"{{{k}}}" for k in sorted(known))
+                    + " are"
+                )
         if self.change.program is not None and not self.settings:
             raise ValueError("settings: say where each node's file is, with {name}")
         if self.one_zone > len(self.stages):
--- a/myrtlehub/config/sheets.py
+++ b/myrtlehub/config/sheets.py
@@ -81,7 +81,15 @@
     age: Duration = 0.0
     model: str = ""  # version of what embeds or ranks there
     FIGURES: ClassVar[tuple[str, ...]] = (
-        "address", "kind", "zone", "cell", "weight", "state", "age", "model")
+        "address",
+        "kind",
+        "zone",
+        "cell",
+        "weight",
+        "state",
+        "age",
+        "model",
+    )
 
     @cached_property
     def figures(self) -> tuple:
@@ -258,10 +266,13 @@
             raise ValueError(f"node.zone {self.node.zone!r} is not among zones: {', '.join(self.zones)}")
         if self.node.index >= self.node.nodes:
             raise ValueError(f"node.index {self.node.index} needs node.nodes above it, not {self.node.nodes}")
-        for what, names in (("traffic", [t.name for t in self.traffic]), ("kinds", [k.name
-                                                                                    for k in self.kinds]),
-                            ("zones", self.zones), ("tenants", [t.name for t in self.tenants]),
-                            ("list.engines", [e.address for e in self.list.engines])):
+        for what, names in (
+            ("traffic", [t.name for t in self.traffic]),
+            ("kinds", [k.name for k in self.kinds]),
+            ("zones", self.zones),
+            ("tenants", [t.name for t in self.tenants]),
+            ("list.engines", [e.address for e in self.list.engines]),
+        ):
             twice = sorted({n for n in names if names.count(n) > 1})
             if twice:
                 raise ValueError(f"{what}: {', '.join(twice)} named more than once")
@@ -298,15 +309,20 @@
         if asked and not self.engines_may.probe:
             raise ValueError("reports.how: probe needs engines_may.probe: yes, or load would never be known")
         if self.engines_may.probe and not asked:
-            raise ValueError("engines_may.probe: load comes with answers here, so nothing is probed; say no, "
-                             "or reports.how: probe")
+            raise ValueError(
+                "engines_may.probe: load comes with answers here, so nothing is probed; say no, "
+                "or reports.how: probe"
+            )
         set_here = [f for f in ("probe_price", "probe_timeout") if f in self.reports.model_fields_set]
         if set_here and not asked:
-            raise ValueError(f"reports.{set_here[0]}: nothing is probed where reports.how is answers; "
-                             "drop it")
+            raise ValueError(
+                f"reports.{set_here[0]}: nothing is probed where reports.how is answers; drop it"
+            )
         if asked and any(t.front != "chat" for t in self.traffic):
-            raise ValueError("reports.how: batches need load with their answers; drop traffic types to embed "
-                             "or rank, or say answers")
+            raise ValueError(
+                "reports.how: batches need load with their answers; drop traffic types to embed "
+                "or rank, or say answers"
+            )
 
 
 def check_engines(sheet: NodeSheet, engines: list[EngineRow]) -> None:
@@ -314,11 +330,14 @@
     kinds = {k.name for k in sheet.kinds}
     for engine in engines:
         if engine.kind not in kinds:
-            raise ValueError(f"engine {engine.address}: kind {engine.kind!r} is not among kinds: "
-                             f"{', '.join(sorted(kinds))}")
+            raise ValueError(
+                f"engine {engine.address}: kind {engine.kind!r} is not among kinds: "
+                f"{', '.join(sorted(kinds))}"
+            )
         if engine.zone not in sheet.zones:
-            raise ValueError(f"engine {engine.address}: zone {engine.zone!r} is not among zones: "
-                             f"{', '.join(sheet.zones)}")
+            raise ValueError(
+                f"engine {engine.address}: zone {engine.zone!r} is not among zones: {', '.join(sheet.zones)}"
+            )
 
 
 class Mishaps(Sheet):
--- a/myrtlehub/emulator/model.py
+++ b/myrtlehub/emulator/model.py
@@ -245,8 +245,9 @@
 
     def load(self) -> dict[str, float]:
         """The load report."""
-        unread = sum(t.prompt for _, t in self.read_queue) + sum(t.prompt for _, t,
-                                                                 _ in self.reading.values())
+        unread = sum(t.prompt for _, t in self.read_queue) + sum(
+            t.prompt for _, t, _ in self.reading.values()
+        )
         unread += sum(s.task.prompt for s in self.write_queue)
         unread += sum(s.task.prompt for s in self.running.values() if not s.ran)
         batches = sum(t for _, t, _ in self.batch_queue) + sum(t for _, t in self.batching.values())
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -32,8 +32,9 @@
 class _Job(Receiver):
     """One attempt being served here."""
 
-    def __init__(self, stand: "StandIn", call: ServerCall, work: pb.Work, reads: bool,
-                 state: pb.State | None) -> None:
+    def __init__(
+        self, stand: "StandIn", call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None
+    ) -> None:
         self.stand, self.call, self.work, self.reads, self.state = stand, call, work, reads, state
         self.answer: Deferred | None = None
         self.fetching: Channel | None = None
@@ -103,8 +104,9 @@
             whole = status.code == Code.OK and self.tokens >= job.state.tokens
             job.note("fetched", whole=whole)
             if whole and self.stand.hits("full_after_fetch"):
-                self.stand.act([*self.stand.model.cancel(self.stand.clock.seconds(), job),
-                                ("refused", job, False)])
+                self.stand.act(
+                    [*self.stand.model.cancel(self.stand.clock.seconds(), job), ("refused", job, False)]
+                )
                 return
             self.stand.act(self.stand.model.fetched(self.stand.clock.seconds(), job, whole))
 
@@ -112,8 +114,14 @@
 class StandIn:
     """One stand-in. `dial(address)` makes a channel's way to another engine."""
 
-    def __init__(self, sheet: StandSheet, clock: object, dial: Callable[[str], Callable], recorder: Recorder,
-                 on_fallen: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        sheet: StandSheet,
+        clock: object,
+        dial: Callable[[str], Callable],
+        recorder: Recorder,
+        on_fallen: Callable[[], None] = lambda: None,
+    ) -> None:
         self.sheet, self.clock, self.dial, self.recorder = sheet, clock, dial, recorder
         self.on_fallen = on_fallen
         now = clock.seconds()
@@ -125,30 +133,56 @@
         self.model_name = sheet.model
         self.claimed = ClaimedWork(self, sheet.stream_bound)
         self.alarm = Alarm(clock, self._tick)
-        for name, handler in (("Read", unary(self._read)), ("Write", server_stream(self._write)),
-                              ("Release", unary(self._release)), ("Probe", unary(self._probe)),
-                              ("Claim", unary(lambda call, data: self.claimed.claim(data))),
-                              ("Fetch", server_stream(self._fetch))):
+        for name, handler in (
+            ("Read", unary(self._read)),
+            ("Write", server_stream(self._write)),
+            ("Release", unary(self._release)),
+            ("Probe", unary(self._probe)),
+            ("Claim", unary(lambda call, data: self.claimed.claim(data))),
+            ("Fetch", server_stream(self._fetch)),
+        ):
             self.server.add(SERVICE + name, handler)
         self.server.add(SERVICE + "Batch", server_stream(self._batch))
         self.server.add("/myrtlehub.v1.Stand/Misbehave", unary(self._misbehave))
         m = self.model.m
-        recorder.note("up", address=sheet.listen, cold=sheet.cold, slots=m.slots, cold_share=m.cold_share,
-                      cold_time=m.cold_time, fall_multiple=m.fall_multiple, fall_time=m.fall_time)
+        recorder.note(
+            "up",
+            address=sheet.listen,
+            cold=sheet.cold,
+            slots=m.slots,
+            cold_share=m.cold_share,
+            cold_time=m.cold_time,
+            fall_multiple=m.fall_multiple,
+            fall_time=m.fall_time,
+        )
 
     # -- what is asked ----------------------------------------------------------------------------
 
     def _task(self, work: pb.Work) -> Task:
-        return Task(work.sequence, work.prompt_tokens, work.most_output, work.session, work.shared_prefix,
-                    work.shared_tokens, work.mark,
-                    self.clock.seconds() + work.first_within_ms / 1000.0 if work.first_within_ms else NEVER)
+        return Task(
+            work.sequence,
+            work.prompt_tokens,
+            work.most_output,
+            work.session,
+            work.shared_prefix,
+            work.shared_tokens,
+            work.mark,
+            self.clock.seconds() + work.first_within_ms / 1000.0 if work.first_within_ms else NEVER,
+        )
 
     def _take(self, call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None) -> _Job:
         job = _Job(self, call, work, reads, state)
         self.claimed.admit(job)
-        job.note("got", reads=reads, node=job.node, mark=work.mark, traffic=work.traffic_type,
-                 list=first(call.metadata, "myrtle-list"), hung=self.model.hung,
-                 work=self.model.work(self._task(work), reads, state is not None))
+        job.note(
+            "got",
+            reads=reads,
+            node=job.node,
+            mark=work.mark,
+            traffic=work.traffic_type,
+            list=first(call.metadata, "myrtle-list"),
+            hung=self.model.hung,
+            work=self.model.work(self._task(work), reads, state is not None),
+        )
         return job
 
     def _read(self, call: ServerCall, data: bytes) -> Deferred:
@@ -181,9 +215,17 @@
         tokens = sum(i.tokens for i in request.items) + len(request.items) * request.work.shared_tokens
         job = _Job(self, call, request.work, False, None)
         job.batch = request
-        job.note("got", reads=False, node=job.node, mark=request.work.mark, traffic=request.work.traffic_type,
-                 list=first(call.metadata, "myrtle-list"), hung=self.model.hung, items=len(request.items),
-                 work=tokens / self.model.m.batch_rate)
+        job.note(
+            "got",
+            reads=False,
+            node=job.node,
+            mark=request.work.mark,
+            traffic=request.work.traffic_type,
+            list=first(call.metadata, "myrtle-list"),
+            hung=self.model.hung,
+            items=len(request.items),
+            work=tokens / self.model.m.batch_rate,
+        )
         self.jobs.add(job)
         if request.model and request.model != self.model_name:
             self.act([("refused", job, False)])
@@ -198,15 +240,24 @@
         request, results = job.batch, []
         for index, item in enumerate(request.items):
             if item.tokens > self.sheet.longest_input:
-                results.append(pb.ItemResult(index=index, error=f"{item.tokens} tokens are more than the "
-                                             f"{self.sheet.longest_input:g} that {self.model_name} takes"))
+                results.append(
+                    pb.ItemResult(
+                        index=index,
+                        error=f"{item.tokens} tokens are more than the "
+                        f"{self.sheet.longest_input:g} that {self.model_name} takes",
+                    )
+                )
             elif request.task == "embed":
                 size = request.dimensions or self.sheet.dimensions
-                results.append(pb.ItemResult(index=index, vector=vector_of(
-                    item.text, self.model_name, size, request.normalise)))
+                results.append(
+                    pb.ItemResult(
+                        index=index, vector=vector_of(item.text, self.model_name, size, request.normalise)
+                    )
+                )
             else:
-                results.append(pb.ItemResult(index=index, score=score_of(
-                    request.query, item.text, self.model_name)))
+                results.append(
+                    pb.ItemResult(index=index, score=score_of(request.query, item.text, self.model_name))
+                )
         half = len(results) // 2
         for piece in (results[:half], results[half:]):
             if piece:
@@ -220,8 +271,9 @@
         job.stopped = True
         self.jobs.discard(job)
         job.note("ended", tokens=len(results))
-        job.call.send(pb.BatchReply(ended=pb.BatchEnded(
-            model=self.model_name, load=self._load())).SerializeToString())
+        job.call.send(
+            pb.BatchReply(ended=pb.BatchEnded(model=self.model_name, load=self._load())).SerializeToString()
+        )
         job.call.finish()
 
     def _release(self, call: ServerCall, data: bytes) -> bytes:
@@ -312,9 +364,13 @@
     def _on_read(self, job: _Job, kept: float, tokens: float) -> None:
         job.note("held", tokens=tokens)
         job.close(fence.HELD)
-        job.answer.callback(pb.ReadReply(
-            read=pb.State(engine=self.sheet.listen, handle=job.work.sequence, tokens=int(tokens)),
-            kept_tokens=int(kept), load=self._load()).SerializeToString())
+        job.answer.callback(
+            pb.ReadReply(
+                read=pb.State(engine=self.sheet.listen, handle=job.work.sequence, tokens=int(tokens)),
+                kept_tokens=int(kept),
+                load=self._load(),
+            ).SerializeToString()
+        )
 
     def hits(self, mishap: str) -> bool:
         """Whether chance wants this mishap now."""
@@ -337,8 +393,10 @@
             job.breaks_after = self.random.randint(1, 10)
 
     def _on_tokens(self, job: _Job, count: int) -> None:
-        ids = [token(self.sheet.listen, job.work.sequence, job.work.attempt, len(job.made) + i)
-               for i in range(count)]
+        ids = [
+            token(self.sheet.listen, job.work.sequence, job.work.attempt, len(job.made) + i)
+            for i in range(count)
+        ]
         job.made += ids
         job.send(pb.WriteReply(tokens=chat.Tokens(ids=ids)).SerializeToString())
         if job.breaks_after:
@@ -353,8 +411,9 @@
     def _on_ended(self, job: _Job, kept: float, tokens: int) -> None:
         job.close(fence.ENDED)
         job.note("ended", tokens=tokens, sum=sum_of(job.made))
-        job.ended = pb.WriteReply(ended=pb.Ended(
-            tokens=tokens, kept_tokens=int(kept), load=self._load())).SerializeToString()
+        job.ended = pb.WriteReply(
+            ended=pb.Ended(tokens=tokens, kept_tokens=int(kept), load=self._load())
+        ).SerializeToString()
         job.send(job.ended)
         job.finish()
 
--- a/myrtlehub/http1/client.py
+++ b/myrtlehub/http1/client.py
@@ -142,8 +142,14 @@
     def _ended(self) -> None:
         pending, self.pending = self.pending, None
         http = self.http
-        if (self.sent and http.our_state is h11.DONE and http.their_state is h11.DONE
-                and not http.trailing_data[0] and not self.gone and self.pool.trusts()):
+        if (
+            self.sent
+            and http.our_state is h11.DONE
+            and http.their_state is h11.DONE
+            and not http.trailing_data[0]
+            and not self.gone
+            and self.pool.trusts()
+        ):
             http.start_next_cycle()
             self.used = True
             self.pool.freed(self)
@@ -188,8 +194,15 @@
 class PendingRequest:
     """One request on its way: waiting for a connection, on one, or over."""
 
-    def __init__(self, pool: "ConnectionPool", key: str, address: str, call: Call, watcher: Watcher,
-                 still: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        pool: "ConnectionPool",
+        key: str,
+        address: str,
+        call: Call,
+        watcher: Watcher,
+        still: Callable[[], bool],
+    ) -> None:
         self.pool, self.key, self.address, self.call, self.watcher = pool, key, address, call, watcher
         self.still = still
         self.connection: ClientConnection | None = None
@@ -242,8 +255,15 @@
         self._up: set[ClientConnection] = set()
         self._sweeping = None
 
-    def ask(self, key: str, address: str, call: Call, watcher: Watcher, within: float = 0.0,
-            still: Callable[[], bool] = lambda: True) -> PendingRequest:
+    def ask(
+        self,
+        key: str,
+        address: str,
+        call: Call,
+        watcher: Watcher,
+        within: float = 0.0,
+        still: Callable[[], bool] = lambda: True,
+    ) -> PendingRequest:
         """Send `call`; `within`: seconds for which a kept connection may have lain unused.
 
         0: the usual; below 0: a new connection. `still` is asked before the first byte: whether it is still
@@ -266,8 +286,9 @@
         self.count += 1
         self.made += 1
         pending.dialing = self.dial(pending.address)(_One(lambda: ClientConnection(self, pending.key)))
-        pending.dialing.addCallbacks(self._dialed, self._not_dialed, callbackArgs=(pending,),
-                                    errbackArgs=(pending,))
+        pending.dialing.addCallbacks(
+            self._dialed, self._not_dialed, callbackArgs=(pending,), errbackArgs=(pending,)
+        )
 
     def _first_byte(self, pending: "PendingRequest", connection: ClientConnection) -> None:
         """Send it, if it is still wanted.
--- a/myrtlehub/http1/server.py
+++ b/myrtlehub/http1/server.py
@@ -7,14 +7,35 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from myrtlehub.http1.bounds import (
-    AHEAD_ALL, AHEAD_MOST, BODY_MOST, FIRST_WITHIN, HEAD_MOST, HEARD_AT_LEAST, HEARD_WITHIN, IDLE, LINGER,
-    SPILL_MOST, STALL, WHOLE_WITHIN)
-
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           408: b"Request Timeout",
-           409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
-           500: b"Internal Server Error", 501: b"Not Implemented", 502: b"Bad Gateway",
-           503: b"Service Unavailable", 504: b"Gateway Timeout"}
+    AHEAD_ALL,
+    AHEAD_MOST,
+    BODY_MOST,
+    FIRST_WITHIN,
+    HEAD_MOST,
+    HEARD_AT_LEAST,
+    HEARD_WITHIN,
+    IDLE,
+    LINGER,
+    SPILL_MOST,
+    STALL,
+    WHOLE_WITHIN,
+)
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
 
 
 class Request(NamedTuple):
@@ -135,8 +156,11 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.closing:
             return  # thrown away, never sent on: what lies unread at the close would reset the last answer
-        if self._spilt or self.open is not None and (
-                self._ahead + len(data) > AHEAD_MOST or self.site.ahead + len(data) > AHEAD_ALL):
+        if (
+            self._spilt
+            or self.open is not None
+            and (self._ahead + len(data) > AHEAD_MOST or self.site.ahead + len(data) > AHEAD_ALL)
+        ):
             self._spill(len(data))
             return
         if self.unused:
@@ -349,8 +373,9 @@
 
     noisy = False
 
-    def __init__(self, clock: object, asked: Callable[[Exchange], None], most: int = 1000,
-                 at_once: int = 50) -> None:
+    def __init__(
+        self, clock: object, asked: Callable[[Exchange], None], most: int = 1000, at_once: int = 50
+    ) -> None:
         self.clock, self.asked, self.most, self.at_once = clock, asked, most, at_once
         self.connections: dict[ServerConnection, None] = {}  # in the order of their coming
         self.ahead = 0  # bytes of all connections that are not read as whole requests yet
@@ -384,7 +409,7 @@
             self.clock.callLater(HEARD_AT_LEAST, self._go_on)
 
     def _go_on(self) -> None:
-        for connection in self._spare(HEARD_AT_LEAST)[:max(0, self._count() - self.most)]:
+        for connection in self._spare(HEARD_AT_LEAST)[: max(0, self._count() - self.most)]:
             connection.drop()
         if self._count() > self.most + self.at_once and self._spare(0.0):
             self.clock.callLater(HEARD_AT_LEAST, self._go_on)
@@ -402,13 +427,16 @@
         Never one that had no time to be heard, or has a request open.
         """
         now = self.clock.seconds()
-        spare = [c for c in self.connections
-                 if (c.closing or c.unused) and not c.dropped and now - c.idle_since >= heard]
+        spare = [
+            c
+            for c in self.connections
+            if (c.closing or c.unused) and not c.dropped and now - c.idle_since >= heard
+        ]
         return sorted(spare, key=lambda c: (not c.closing, c.idle_since))
 
     def _make_room(self) -> None:
         """Cut who lingers, and close the longest unused; who then does not end is cut at the next look."""
-        for connection in self._spare(HEARD_WITHIN)[:max(0, self._count() - self.most)]:
+        for connection in self._spare(HEARD_WITHIN)[: max(0, self._count() - self.most)]:
             if connection.closing:
                 connection.drop()
             else:
--- a/myrtlehub/lab/batches.py
+++ b/myrtlehub/lab/batches.py
@@ -43,15 +43,25 @@
         count = random.randint(low, high)
         if row.repeats != "repeatable":
             count = min(count, 200)  # such a batch goes whole to one engine
-        inputs = tuple((f"{row.name}-{min(int(random.paretovariate(0.6)), 10**7)}".encode(),
-                        random.randint(*row.prompt)) for _ in range(count))
+        inputs = tuple(
+            (f"{row.name}-{min(int(random.paretovariate(0.6)), 10**7)}".encode(), random.randint(*row.prompt))
+            for _ in range(count)
+        )
         # The tokens of a text are a function of the text.
-        inputs = tuple((text, row.prompt[0] + sum(text) % (row.prompt[1] - row.prompt[0] + 1))
-                       for text, _ in inputs)
-        wanted.append(WantedBatch(
-            at, row, f"b{len(wanted)}", inputs, random.random() < 0.4,
-            random.randint(1, 10) if row.front == "rank" and random.random() < 0.3 else 0,
-            0.3 * random.random() if random.random() < scenario.clients.leave else float("inf")))
+        inputs = tuple(
+            (text, row.prompt[0] + sum(text) % (row.prompt[1] - row.prompt[0] + 1)) for text, _ in inputs
+        )
+        wanted.append(
+            WantedBatch(
+                at,
+                row,
+                f"b{len(wanted)}",
+                inputs,
+                random.random() < 0.4,
+                random.randint(1, 10) if row.front == "rank" and random.random() < 0.3 else 0,
+                0.3 * random.random() if random.random() < scenario.clients.leave else float("inf"),
+            )
+        )
     return wanted
 
 
@@ -70,14 +80,16 @@
         left = w.row.abandon_time
         self.asks(left, left)
         f.tries += 1
-        terms = pb.Terms(traffic_type=w.row.name, time_left_ms=int(left * 1000), mark=w.mark,
-                         repeated=self.number > 0)
+        terms = pb.Terms(
+            traffic_type=w.row.name, time_left_ms=int(left * 1000), mark=w.mark, repeated=self.number > 0
+        )
         inputs = [pb.Input(text=t, tokens=n) for t, n in w.inputs]
         if w.row.front == "embed":
             request = pb.EmbedRequest(terms=terms, inputs=inputs)
         else:
-            request = pb.RankRequest(terms=terms, documents=inputs, top=w.top,
-                                     query=pb.Input(text=w.mark.encode(), tokens=12))
+            request = pb.RankRequest(
+                terms=terms, documents=inputs, top=w.top, query=pb.Input(text=w.mark.encode(), tokens=12)
+            )
         path = PATHS[w.row.front] + ("Stream" if self.streams else "")
         self.call = f.channels[self.node].call(path, self, timeout=left + 5.0)
         self.call.send(request.SerializeToString())
@@ -103,8 +115,13 @@
             self.wait = reply.final.rejected.wait_ms / 1000.0
             self.model = reply.final.generated.model
             f.kept += reply.final.generated.kept
-            f.recorder.note("final", call=self.name, answer=self.answer, tokens=len(self.items),
-                            behind=f.behind(f.clock.seconds()))
+            f.recorder.note(
+                "final",
+                call=self.name,
+                answer=self.answer,
+                tokens=len(self.items),
+                behind=f.behind(f.clock.seconds()),
+            )
             self.check()
 
     def check(self) -> None:
@@ -121,7 +138,7 @@
             whole = list(range(len(w.inputs)))
             if w.top:
                 scores = [score_of(w.mark.encode(), t, self.model) for t, _ in w.inputs]
-                whole = sorted(whole, key=lambda i: (-scores[i], i))[:w.top]
+                whole = sorted(whole, key=lambda i: (-scores[i], i))[: w.top]
             if (sorted(self.order) if self.streams else self.order) != whole:
                 f.wrong(self, f"{len(self.order)} of {len(whole)} items, or not in order")
         elif self.items and not self.streams:
@@ -137,9 +154,17 @@
 class BatchClients(Callers):
     """All clients of the batch fronts. `models`: versions that engines have in the course of the day."""
 
-    def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
-                 random: Random, rate: float, behind: Callable[[float], float],
-                 models: tuple[str, ...] = ("m1", "m2")) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        clock: object,
+        nodes: dict[str, Callable],
+        recorder: Recorder,
+        random: Random,
+        rate: float,
+        behind: Callable[[float], float],
+        models: tuple[str, ...] = ("m1", "m2"),
+    ) -> None:
         super().__init__(scenario, clock, nodes, recorder, random)
         self.behind, self.models = behind, models
         self.wanted = draw(scenario, rate, random)
@@ -178,5 +203,11 @@
 
     def figures(self) -> dict:
         """For the verdict."""
-        return {"batches": len(self.wanted), "tries": self.tries, "items": self.checked, "kept": self.kept,
-                "answers": self.answers, "faults": self.faults}
+        return {
+            "batches": len(self.wanted),
+            "tries": self.tries,
+            "items": self.checked,
+            "kept": self.kept,
+            "answers": self.answers,
+            "faults": self.faults,
+        }
--- a/myrtlehub/lab/cases.py
+++ b/myrtlehub/lab/cases.py
@@ -8,11 +8,17 @@
 
 NEAR = 0.02  # seconds within which two things count as at once
 CASES = (
-    "writer lost mid-stream, once-only", "client left after the read, before the fetch",
-    "client left amid the fetch", "client left after the last piece, before the first token",
-    "reader lost amid a fetch", "full after the fetch", "answer and time-out at once",
-    "client left as the answer ended", "tokened at the edge of its dedup window",
-    "client came back at another node")
+    "writer lost mid-stream, once-only",
+    "client left after the read, before the fetch",
+    "client left amid the fetch",
+    "client left after the last piece, before the first token",
+    "reader lost amid a fetch",
+    "full after the fetch",
+    "answer and time-out at once",
+    "client left as the answer ended",
+    "tokened at the edge of its dedup window",
+    "client came back at another node",
+)
 
 
 class CaseCounter:
@@ -86,9 +92,14 @@
 
     def cancels(self) -> dict:
         """How soon leaving reached the engines: counts, and seconds at p50 and p99."""
-        return {name: {"count": h.total_count, **{
-            f"p{p}": round(h.get_value_at_percentile(p) / 1e6, 4) for p in (50, 99)}}
-            for name, h in (("stopped", self.stopped), ("released", self.released)) if h.total_count}
+        return {
+            name: {
+                "count": h.total_count,
+                **{f"p{p}": round(h.get_value_at_percentile(p) / 1e6, 4) for p in (50, 99)},
+            }
+            for name, h in (("stopped", self.stopped), ("released", self.released))
+            if h.total_count
+        }
 
     def _left(self, now: float, at: dict) -> None:
         """The client went away: which stage was it at?"""
--- a/myrtlehub/lab/checker.py
+++ b/myrtlehub/lab/checker.py
@@ -12,8 +12,13 @@
 from myrtlehub.records import Record
 
 SLACK = 0.1  # seconds granted to turns of busy processes on one machine, on top of what the rules grant
-RULES = {1: "one final answer", 2: "no effect twice", 3: "drains kept", 4: "no cold engine pushed over",
-         5: "nothing left pinned"}
+RULES = {
+    1: "one final answer",
+    2: "no effect twice",
+    3: "drains kept",
+    4: "no cold engine pushed over",
+    5: "nothing left pinned",
+}
 
 
 class Breach(NamedTuple):
@@ -27,8 +32,23 @@
 class _Call:
     """One try of a client."""
 
-    __slots__ = ("name", "node", "traffic", "mark", "asked", "left", "whole", "seq", "answer", "over",
-                 "begun", "gone", "answered_at", "after", "went_on")
+    __slots__ = (
+        "name",
+        "node",
+        "traffic",
+        "mark",
+        "asked",
+        "left",
+        "whole",
+        "seq",
+        "answer",
+        "over",
+        "begun",
+        "gone",
+        "answered_at",
+        "after",
+        "went_on",
+    )
 
     def __init__(self, name: str, at: float, more: dict) -> None:
         self.name, self.asked = name, at
@@ -160,8 +180,12 @@
         if more["answer"] == "generated" and "sum" in more:
             made = self.made.get(more["seq"], ())
             if (more["ids"], more["sum"]) not in made:
-                self._breach(1, at, f"{call.name}: its {more['ids']} tokens are not those that a writer made "
-                                    f"for {more['seq']}: {', '.join(str(n) for n, _ in made) or 'none'}")
+                self._breach(
+                    1,
+                    at,
+                    f"{call.name}: its {more['ids']} tokens are not those that a writer made "
+                    f"for {more['seq']}: {', '.join(str(n) for n, _ in made) or 'none'}",
+                )
         bound = call.whole if call.begun else min(call.left, call.whole)
         self._check_late(at, call, call.answer, bound, more)
 
@@ -180,8 +204,12 @@
     def _over(self, at: float, who: str, more: dict) -> None:
         call = self.calls[more["call"]]
         call.over = more["code"]
-        excused = call.gone or more["unprocessed"] or call.over == "INVALID_ARGUMENT" or any(
-            call.asked - 1.0 <= t <= at for t in self.killed.get(call.node, ()))
+        excused = (
+            call.gone
+            or more["unprocessed"]
+            or call.over == "INVALID_ARGUMENT"
+            or any(call.asked - 1.0 <= t <= at for t in self.killed.get(call.node, ()))
+        )
         if not call.answer and not excused:
             # whether its client came back for it is known by the end
             self.unanswered.append((at, call))
@@ -205,17 +233,22 @@
         earlier = [w for w in self.writes.setdefault(mark or seq, []) if not w.refused]
         self.writes[mark or seq].append(write)
         if earlier and row.get("repeats") == "once-only":
-            self._breach(2, at,
-                         f"once-only {mark}: {seq} sent to {who}, but {earlier[0].engine} got it before "
-                                "and did not refuse it")
+            self._breach(
+                2,
+                at,
+                f"once-only {mark}: {seq} sent to {who}, but {earlier[0].engine} got it before "
+                "and did not refuse it",
+            )
         elif earlier and row.get("repeats") == "tokened":
             first = earlier[0]
             if self._group(row, who) != self._group(row, first.engine):
-                self._breach(2, at,
-                             f"tokened {mark}: sent to {who}, outside the dedup group of {first.engine}")
+                self._breach(
+                    2, at, f"tokened {mark}: sent to {who}, outside the dedup group of {first.engine}"
+                )
             elif at > first.at + row["dedup_window"] + self.slack:
-                self._breach(2, at,
-                             f"tokened {mark}: sent to {who} {at - first.at:.2f} s later, past the window")
+                self._breach(
+                    2, at, f"tokened {mark}: sent to {who} {at - first.at:.2f} s later, past the window"
+                )
 
     def _group(self, row: dict, engine: str) -> object:
         e = self.engines.setdefault(engine, _Engine())
@@ -250,8 +283,12 @@
         self.counts[3] += 1
         until = self.told.get((more["node"], who))
         if until is not None and at > until + self.slack:
-            self._breach(3, at, f"{more['seq']} sent by {more['node']} to {who}, {at - until:.3f} s past the "
-                                "grace of its drain")
+            self._breach(
+                3,
+                at,
+                f"{more['seq']} sent by {more['node']} to {who}, {at - until:.3f} s past the "
+                "grace of its drain",
+            )
 
     # -- rule 4 -----------------------------------------------------------------------------------
 
@@ -277,8 +314,12 @@
         total = sum(w for _, w in engine.sent)
         if total > budget and not engine.over:
             engine.over = True
-            self._breach(4, at, f"{who}, cold for {age:.2f} s, was sent {total:.2f} slot-seconds within "
-                                f"{f['fall_time']:g} s; {budget:.2f} push it over")
+            self._breach(
+                4,
+                at,
+                f"{who}, cold for {age:.2f} s, was sent {total:.2f} slot-seconds within "
+                f"{f['fall_time']:g} s; {budget:.2f} push it over",
+            )
 
     def _fell(self, at: float, who: str, more: dict) -> None:
         if not self.engines[who].over:
@@ -330,12 +371,16 @@
         for engine, since in list(self.held.get(seq, {}).items()):
             if only and engine != only:
                 continue
-            if any(since - 60.0 < t <= since + self.let_go + self.slack for t in self.killed.get(node, ())
-                   if self._run_of(seq, node, t)):
+            if any(
+                since - 60.0 < t <= since + self.let_go + self.slack
+                for t in self.killed.get(node, ())
+                if self._run_of(seq, node, t)
+            ):
                 continue  # what a killed node held is no longer its duty
             if at - since > self.let_go + self.slack:
-                self._breach(5, at,
-                             f"{engine} held the state of {seq} for {at - since:.3f} s with no attempt out")
+                self._breach(
+                    5, at, f"{engine} held the state of {seq} for {at - since:.3f} s with no attempt out"
+                )
 
     def _run_of(self, seq: str, node: str, killed: float) -> bool:
         """Whether the run of the node that took this sequence is the one that was killed then."""
@@ -348,11 +393,16 @@
         """What can be said only of the whole; returns all breaches, by time."""
         for at, call in self.unanswered:
             # Who asked a node that stood still, and never heard that it was taken, has nothing to come for.
-            still = not call.seq and any(who == call.node and a <= at and call.asked <= b
-                                         for who, a, b in self.paused)
+            still = not call.seq and any(
+                who == call.node and a <= at and call.asked <= b for who, a, b in self.paused
+            )
             if not call.went_on and not still:
-                self._breach(1, at, f"{call.name}: ended {call.over} without a final answer; its node was "
-                                    "not killed, and its client did not come back")
+                self._breach(
+                    1,
+                    at,
+                    f"{call.name}: ended {call.over} without a final answer; its node was "
+                    "not killed, and its client did not come back",
+                )
         for call in self.calls.values():
             if not call.over and not call.gone:
                 bound = call.whole if call.begun else call.left
@@ -369,13 +419,17 @@
     def _check_rejected(self, call: _Call) -> None:
         row = self.traffic.get(call.traffic, {})
         free = row.get("repeats") == "repeatable" or (
-            row.get("repeats") == "tokened" and row.get("dedup_group") == "all")
+            row.get("repeats") == "tokened" and row.get("dedup_group") == "all"
+        )
         if free or not call.seq:
             return
         bad = [w for w in self.writes.get(call.mark or call.seq, ()) if w.seq == call.seq and not w.refused]
         if bad:
-            self._breach(2, call.answered_at,
-                         f"{call.name} rejected, but {bad[0].engine} got {call.seq} and did not refuse it")
+            self._breach(
+                2,
+                call.answered_at,
+                f"{call.name} rejected, but {bad[0].engine} got {call.seq} and did not refuse it",
+            )
 
 
 def check(records: Iterable[Record]) -> Checker:
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -63,14 +63,28 @@
         open_sessions.append((session, prompt + output // 4, prefix, shared))
         del open_sessions[:-40]
         draws = random.random(), random.random(), random.random()
-        wanted.append(Wanted(
-            at, row, f"m{count}", session, prefix, shared, prompt, output,
-            random.choice(scenario.tenants).name if scenario.tenants else "",
-            scenario.clients.leave_within * draws[1] if draws[0] < scenario.clients.leave else float("inf"),
-            draws[2] < scenario.clients.silent,
-            random.randint(1, 4) if random.random() < scenario.clients.leave_on_token else 0,
-            0.015 * random.random(),
-            0.1 + 0.5 * random.random() if random.random() < scenario.clients.hurried else row.abandon_time))
+        wanted.append(
+            Wanted(
+                at,
+                row,
+                f"m{count}",
+                session,
+                prefix,
+                shared,
+                prompt,
+                output,
+                random.choice(scenario.tenants).name if scenario.tenants else "",
+                scenario.clients.leave_within * draws[1]
+                if draws[0] < scenario.clients.leave
+                else float("inf"),
+                draws[2] < scenario.clients.silent,
+                random.randint(1, 4) if random.random() < scenario.clients.leave_on_token else 0,
+                0.015 * random.random(),
+                0.1 + 0.5 * random.random()
+                if random.random() < scenario.clients.hurried
+                else row.abandon_time,
+            )
+        )
 
 
 def hash_of(text: str) -> int:
@@ -90,27 +104,44 @@
 
     def figures(self) -> dict:
         """For the verdict: counts, seconds at p50 and p99, goodput."""
+
         def quantiles(h: HdrHistogram) -> dict:
             if not h.total_count:
                 return {}
             return {f"p{p}": round(h.get_value_at_percentile(p) / 1e6, 4) for p in (50, 99)}
-        return {"sequences": self.asked, "tries": self.tries, "answers": dict(sorted(self.answers.items())),
-                "first_token": quantiles(self.first), "per_token": quantiles(self.gap),
-                "goodput": round(self.good / self.utility, 4) if self.utility else None}
+
+        return {
+            "sequences": self.asked,
+            "tries": self.tries,
+            "answers": dict(sorted(self.answers.items())),
+            "first_token": quantiles(self.first),
+            "per_token": quantiles(self.gap),
+            "goodput": round(self.good / self.utility, 4) if self.utility else None,
+        }
 
 
 class Callers:
     """A channel to each node, and what clients record on them."""
 
-    def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
-                 random: Random) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        clock: object,
+        nodes: dict[str, Callable],
+        recorder: Recorder,
+        random: Random,
+    ) -> None:
         self.scenario, self.clock, self.recorder, self.random = scenario, clock, recorder, random
         takeover = scenario.takeover
-        bounds = TransportBounds() if takeover is None else TransportBounds(
-            keepalive=takeover.keepalive, keepalive_timeout=takeover.keepalive)
+        bounds = (
+            TransportBounds()
+            if takeover is None
+            else TransportBounds(keepalive=takeover.keepalive, keepalive_timeout=takeover.keepalive)
+        )
         self.channels = {
             name: Channel(clock, dial, name, bounds, Random(random.random()), connect_timeout=0.5)
-            for name, dial in nodes.items()}
+            for name, dial in nodes.items()
+        }
         self.names = sorted(nodes)
         self.open = 0
         self.on_quiet: Callable[[], None] = lambda: None
@@ -136,8 +167,9 @@
         """Record that it is asked now: seconds until the first of an answer is owed, and all of it."""
         f, w = self.fleet, self.wanted
         self.asked_at = f.clock.seconds()
-        f.recorder.note("ask", call=self.name, node=self.node, traffic=w.row.name, mark=w.mark, left=left,
-                        whole=whole)
+        f.recorder.note(
+            "ask", call=self.name, node=self.node, traffic=w.row.name, mark=w.mark, left=left, whole=whole
+        )
 
     def leave(self) -> None:
         """The client goes away."""
@@ -147,16 +179,18 @@
             self.call.cancel()
 
     def ended(self, status: Status) -> None:
-        self.fleet.recorder.note("over", call=self.name, code=status.code.name,
-                                 unprocessed=status.unprocessed)
+        self.fleet.recorder.note(
+            "over", call=self.name, code=status.code.name, unprocessed=status.unprocessed
+        )
         self.fleet.over(self, status)
 
 
 class _Try(Try):
     """Of one sequence; `back`: the one before, for whose rest it comes."""
 
-    def __init__(self, fleet: "ClientFleet", wanted: Wanted, number: int, node: str,
-                 back: "_Try | None" = None) -> None:
+    def __init__(
+        self, fleet: "ClientFleet", wanted: Wanted, number: int, node: str, back: "_Try | None" = None
+    ) -> None:
         super().__init__(fleet, wanted, number, node)
         self.tokens, self.token_at, self.in_time = 0, 0.0, False
         self.back, self.seq, self.moved = back, "", False
@@ -179,10 +213,18 @@
         self.asks(left, whole)
         f.tallies[w.row.name].tries += 1
         request = pb.GenerateRequest(
-            traffic_type=w.row.name, tenant=w.tenant, session=w.session, shared_prefix=w.prefix,
-            shared_tokens=w.shared, prompt_tokens=w.prompt, most_output=w.output, mark=w.mark,
-            repeated=self.number > 0, time_left_ms=int(left * 1000) if not self.ids else 0,
-            may_move=f.comes_back)
+            traffic_type=w.row.name,
+            tenant=w.tenant,
+            session=w.session,
+            shared_prefix=w.prefix,
+            shared_tokens=w.shared,
+            prompt_tokens=w.prompt,
+            most_output=w.output,
+            mark=w.mark,
+            repeated=self.number > 0,
+            time_left_ms=int(left * 1000) if not self.ids else 0,
+            may_move=f.comes_back,
+        )
         if self.back is not None:
             f.recorder.note("goes on", call=self.name, after=self.back.name, tokens=self.ids)
             request.resume.sequence, request.resume.tokens = self.seq, self.ids
@@ -232,8 +274,9 @@
             f.recorder.note("moved", call=self.name)
             return
         more = {"ids": self.ids, "sum": self.sum, "seq": self.seq} if f.comes_back else {}
-        f.recorder.note("final", call=self.name, answer=which, tokens=self.tokens, behind=f.behind(now),
-                        **more)
+        f.recorder.note(
+            "final", call=self.name, answer=which, tokens=self.tokens, behind=f.behind(now), **more
+        )
         self.answer = self.answer or which
         self.wait = reply.rejected.wait_ms / 1000.0
 
@@ -241,8 +284,15 @@
 class ClientFleet(Callers):
     """All clients. `dial(node)` is a channel's way to a node."""
 
-    def __init__(self, scenario: Scenario, clock: object, nodes: dict[str, Callable], recorder: Recorder,
-                 random: Random, rate: float) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        clock: object,
+        nodes: dict[str, Callable],
+        recorder: Recorder,
+        random: Random,
+        rate: float,
+    ) -> None:
         super().__init__(scenario, clock, nodes, recorder, random)
         takeover = scenario.takeover
         self.comes_back = takeover is not None and takeover.on
@@ -299,8 +349,9 @@
         lost = not done.answer and not done.gone and done.seq and not status.unprocessed
         if lost and self.comes_back and done.number < COME_BACKS and status.code != Code.ABORTED:
             others = [n for n in self.names if n != done.node] or self.names
-            self.clock.callLater(0.15 * self.random.random() * (1 + done.number), self._back, done,
-                                 self.random.choice(others))
+            self.clock.callLater(
+                0.15 * self.random.random() * (1 + done.number), self._back, done, self.random.choice(others)
+            )
             return
         if not done.answer and status.unprocessed and done.back is not None and done.number < COME_BACKS:
             self.clock.callLater(0.1 * (1 + done.number), self._back, done, self.random.choice(self.names))
@@ -315,14 +366,23 @@
             self._try(w, done.number + 1, self.random.choice(others))
             return
         safe = done.answer == "rejected" or (
-            row.repeats == "repeatable" and (done.answer == "aborted" or not done.answer))
+            row.repeats == "repeatable" and (done.answer == "aborted" or not done.answer)
+        )
         if again and safe:
             wait = done.wait * (1.0 + 0.5 * self.random.random()) if done.answer == "rejected" else 0.05
             self.clock.callLater(wait, self._try, w, done.number + 1, self.random.choice(self.names))
             return
         self.open -= 1
-        tally.answers[done.answer or ("left" if done.gone else "node lost" if status.code == Code.UNAVAILABLE
-                                      else status.code.name.lower())] += 1
+        tally.answers[
+            done.answer
+            or (
+                "left"
+                if done.gone
+                else "node lost"
+                if status.code == Code.UNAVAILABLE
+                else status.code.name.lower()
+            )
+        ] += 1
         if done.answer == "generated":
             tally.good += row.utility * (1.0 if done.in_time else row.late_share)
         elif done.gone:
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -51,9 +51,15 @@
     env: dict[str, str] = {}
     checkouts: dict[str, str] = {}  # processes that another version of the program runs, by name
 
-    def __init__(self, scenario: Scenario, folder: Path, reactor: object, sequences: int = 0,
-                 seed: int | None = None,
-                 say: Callable[[str], None] = lambda line: None) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        folder: Path,
+        reactor: object,
+        sequences: int = 0,
+        seed: int | None = None,
+        say: Callable[[str], None] = lambda line: None,
+    ) -> None:
         self.s, self.folder, self.reactor, self.say = scenario, folder, reactor, say
         self.clock = SteadyClock(reactor)
         self.seed = scenario.seed if seed is None else seed
@@ -62,11 +68,15 @@
         names = scenario.names()
         ports = free_ports(2 * len(names))
         self.address = {n: f"{HOST}:{p}" for n, p in zip(names, ports, strict=False)}
-        self.admin = {n: f"{HOST}:{p}" for n, p in zip(names, ports[len(names):], strict=True)
-                      if n[:4] == "node"}
+        self.admin = {
+            n: f"{HOST}:{p}" for n, p in zip(names, ports[len(names) :], strict=True) if n[:4] == "node"
+        }
         self.engines = [n for n in names if n not in self.admin]
-        self.cell = {n: i % scenario.fleet.cells for kind in KINDS
-                     for i, n in enumerate(n for n in names if n.startswith(kind))}
+        self.cell = {
+            n: i % scenario.fleet.cells
+            for kind in KINDS
+            for i, n in enumerate(n for n in names if n.startswith(kind))
+        }
         self.model = dict.fromkeys(self.engines, "m1")
         self.processes = Processes(reactor, folder, self._ended)
         self.running: dict[str, Process] = {}
@@ -79,11 +89,26 @@
         self.clients: ClientFleet | None = None
         self.batches: BatchClients | None = None
         self.started = 0.0
-        self.writers = [] if scenario.list_files is None else [
-            ListWriter(n, folder / f"list-{n}", scenario.list_files, self.clock, Random(self.random.random()),
-                       self.recorder, self._listed) for n in sorted(self.admin)]
-        self.traffic = [t.model_dump(exclude={"share", "prompt", "output", "prefixes", "shared", "turns"})
-                        for t in scenario.traffic]
+        self.writers = (
+            []
+            if scenario.list_files is None
+            else [
+                ListWriter(
+                    n,
+                    folder / f"list-{n}",
+                    scenario.list_files,
+                    self.clock,
+                    Random(self.random.random()),
+                    self.recorder,
+                    self._listed,
+                )
+                for n in sorted(self.admin)
+            ]
+        )
+        self.traffic = [
+            t.model_dump(exclude={"share", "prompt", "output", "prefixes", "shared", "turns"})
+            for t in scenario.traffic
+        ]
 
     # -- processes --------------------------------------------------------------------------------
 
@@ -117,40 +142,80 @@
         machine = self.s.machine(kind)
         rules = self.s.rules
         return {
-            "name": name, "listen": self.address[name], **KINDS[kind], "model": self.model[name],
-            "cold": cold, "cold_share": rules.cold_share,
-            "cold_time": f"{rules.cold_time}s", "fall_multiple": rules.fall_multiple,
-            "fall_time": f"{rules.fall_time}s", "seed": self.seed * 1000 + self.engines.index(name),
+            "name": name,
+            "listen": self.address[name],
+            **KINDS[kind],
+            "model": self.model[name],
+            "cold": cold,
+            "cold_share": rules.cold_share,
+            "cold_time": f"{rules.cold_time}s",
+            "fall_multiple": rules.fall_multiple,
+            "fall_time": f"{rules.fall_time}s",
+            "seed": self.seed * 1000 + self.engines.index(name),
             "records": str(self.folder / f"{name}.{self.runs[name]}.rec"),
-            **units(machine, ("step", "begin", "batch_base"), ("memory", "kept"))}
+            **units(machine, ("step", "begin", "batch_base"), ("memory", "kept")),
+        }
 
     def _node_file(self, name: str) -> dict:
         s, index = self.s, int(name.split("-")[1]) - 1
-        rows = [{**t, **{k: f"{t[k]:.9f}s" for k in (
-            "latency_slo", "slo_per_1000_tokens", "abandon_time", "pace", "dedup_window")}} for t in
-            self.traffic]
+        rows = [
+            {
+                **t,
+                **{
+                    k: f"{t[k]:.9f}s"
+                    for k in ("latency_slo", "slo_per_1000_tokens", "abandon_time", "pace", "dedup_window")
+                },
+            }
+            for t in self.traffic
+        ]
         return {
-            "node": {"name": name, "listen": self.address[name], "admin": self.admin[name], "index": index,
-                     "nodes": s.fleet.nodes, "zone": "north", "seed": self.seed * 100 + index},
-            "traffic": rows, "zones": ["north"], "tenants": [t.model_dump() for t in s.tenants],
-            "kinds": [{"name": kind, **does, "memory": f"{s.machine(kind).memory:.0f} tokens"}
-                      for kind, does in KINDS.items() if any(e.startswith(kind + "-") for e in self.engines)],
+            "node": {
+                "name": name,
+                "listen": self.address[name],
+                "admin": self.admin[name],
+                "index": index,
+                "nodes": s.fleet.nodes,
+                "zone": "north",
+                "seed": self.seed * 100 + index,
+            },
+            "traffic": rows,
+            "zones": ["north"],
+            "tenants": [t.model_dump() for t in s.tenants],
+            "kinds": [
+                {"name": kind, **does, "memory": f"{s.machine(kind).memory:.0f} tokens"}
+                for kind, does in KINDS.items()
+                if any(e.startswith(kind + "-") for e in self.engines)
+            ],
             "rules": units(s.rules, ("answer_slack", "drain_grace", "let_go", "cold_time", "fall_time")),
-            "list": self._list_of(name)}
+            "list": self._list_of(name),
+        }
 
     def _list_of(self, node: str) -> dict:
         files = self.s.list_files
         if files is None:
             return {"pushed": True, "engines": [self._row(e) for e in self.engines]}
-        return {"files": [f"list-{node}"], "quiet": f"{files.quiet}s", "poll": f"{files.poll}s",
-                "confirm": {"most_removed": files.most_removed, "after": "1s"}, "damp": {"flaps": "off"},
-                "end_marked": True, **({"store": f"{node}.db"} if files.store else {})}
+        return {
+            "files": [f"list-{node}"],
+            "quiet": f"{files.quiet}s",
+            "poll": f"{files.poll}s",
+            "confirm": {"most_removed": files.most_removed, "after": "1s"},
+            "damp": {"flaps": "off"},
+            "end_marked": True,
+            **({"store": f"{node}.db"} if files.store else {}),
+        }
 
     def _row(self, engine: str) -> dict:
         state, started = self.standing[engine]
         age = self.clock.seconds() - started if started else 0.0
-        return {"address": self.address[engine], "kind": engine.split("-")[0], "zone": "north",
-                "cell": self.cell[engine], "state": state, "age": f"{age:.6f}s", **self._model_of(engine)}
+        return {
+            "address": self.address[engine],
+            "kind": engine.split("-")[0],
+            "zone": "north",
+            "cell": self.cell[engine],
+            "state": state,
+            "age": f"{age:.6f}s",
+            **self._model_of(engine),
+        }
 
     def _model_of(self, engine: str) -> dict:
         does = KINDS[engine.split("-")[0]]
@@ -179,23 +244,36 @@
         if not self._runs(node):
             return
         age = self.clock.seconds() - started if started else 0.0
-        news = admin_pb2.ListNews(engines=[admin_pb2.ListedEngine(
-            address=self.address[engine], kind=engine.split("-")[0], zone="north", cell=self.cell[engine],
-            state=state, age=age, **self._model_of(engine))])
+        news = admin_pb2.ListNews(
+            engines=[
+                admin_pb2.ListedEngine(
+                    address=self.address[engine],
+                    kind=engine.split("-")[0],
+                    zone="north",
+                    cell=self.cell[engine],
+                    state=state,
+                    age=age,
+                    **self._model_of(engine),
+                )
+            ]
+        )
         done = self._channel(self.admin[node]).unary(
-            "/myrtlehub.v1.NodeAdmin/PushList", news.SerializeToString(), timeout=2.0)
+            "/myrtlehub.v1.NodeAdmin/PushList", news.SerializeToString(), timeout=2.0
+        )
         done.addCallbacks(
             lambda reply: self._note_told(node, engine, state),
-            lambda failure: self.recorder.note("not told", node=node, engine=self.address[engine],
-                                               state=state,
-                                               why=failure.getErrorMessage()))
+            lambda failure: self.recorder.note(
+                "not told", node=node, engine=self.address[engine], state=state, why=failure.getErrorMessage()
+            ),
+        )
 
     def _runs(self, node: str) -> bool:
         return node in self.running and self.running[node].running
 
     def _note_told(self, node: str, engine: str, state: str) -> None:
-        self.recorder.note("told", node=node, engine=self.address[engine], state=state,
-                           grace=self.s.rules.drain_grace)
+        self.recorder.note(
+            "told", node=node, engine=self.address[engine], state=state, grace=self.s.rules.drain_grace
+        )
 
     def fault(self, row: FaultRow) -> None:
         """Begin one fault."""
@@ -214,11 +292,17 @@
                     self.model[name] = "m2"
                     self.news(name, "serving")
                 done = self._channel(self.address[name]).unary(
-                    "/myrtlehub.v1.Stand/Misbehave", engine_pb2.Misbehaviour(
-                        how=row.do, factor=row.factor, seconds=row.lasts,
-                        model=self.model[name]).SerializeToString(), timeout=2.0)
-                done.addErrback(lambda failure, name=name: self.unclean.append(
-                    f"{name} could not be told to misbehave: {failure.getErrorMessage()}"))
+                    "/myrtlehub.v1.Stand/Misbehave",
+                    engine_pb2.Misbehaviour(
+                        how=row.do, factor=row.factor, seconds=row.lasts, model=self.model[name]
+                    ).SerializeToString(),
+                    timeout=2.0,
+                )
+                done.addErrback(
+                    lambda failure, name=name: self.unclean.append(
+                        f"{name} could not be told to misbehave: {failure.getErrorMessage()}"
+                    )
+                )
 
     def _node_fault(self, row: FaultRow, name: str) -> None:
         process = self.running[name]
@@ -243,8 +327,9 @@
             self.clock.callLater(lasts, self._back, name)
 
     def _back(self, name: str) -> None:
-        self.spawn(name, cold=True).addCallbacks(lambda process: self._is_back(name),
-                                                 lambda why: self.unclean.append(why.getErrorMessage()))
+        self.spawn(name, cold=True).addCallbacks(
+            lambda process: self._is_back(name), lambda why: self.unclean.append(why.getErrorMessage())
+        )
 
     def _is_back(self, name: str) -> None:
         self.say(f"{name} is back")
@@ -263,9 +348,14 @@
     def play(self) -> Iterator:
         """Play it all; fires with the verdict."""
         s = self.s
-        self.recorder.note("terms", traffic=self.traffic, let_go=s.rules.let_go, slack=SLACK,
-                           answer_slack=s.rules.answer_slack, engines=[
-            (self.address[e], self.cell[e], "north") for e in self.engines])
+        self.recorder.note(
+            "terms",
+            traffic=self.traffic,
+            let_go=s.rules.let_go,
+            slack=SLACK,
+            answer_slack=s.rules.answer_slack,
+            engines=[(self.address[e], self.cell[e], "north") for e in self.engines],
+        )
         for writer in self.writers:
             writer.start()
         self.say(f"starting {len(self.admin)} nodes and {len(self.engines)} engines")
@@ -275,11 +365,23 @@
             if failed:
                 raise DayFailed(failed[0])
             recorder = Recorder("client", self.clock, self.folder / "client.rec")
-            clients = self.clients = ClientFleet(s, self.clock, {
-                n: self.dial(self.address[n]) for n in self.admin}, recorder, self.random, self.rate)
-            batches = self.batches = BatchClients(s, self.clock, {
-                n: self.dial(self.address[n]) for n in self.admin}, recorder, self.random, s.batch_rate,
-                clients.behind)
+            clients = self.clients = ClientFleet(
+                s,
+                self.clock,
+                {n: self.dial(self.address[n]) for n in self.admin},
+                recorder,
+                self.random,
+                self.rate,
+            )
+            batches = self.batches = BatchClients(
+                s,
+                self.clock,
+                {n: self.dial(self.address[n]) for n in self.admin},
+                recorder,
+                self.random,
+                s.batch_rate,
+                clients.behind,
+            )
             self.started = self.clock.seconds()
             clients.start()
             batches.start()
@@ -329,8 +431,10 @@
         for channel in self.channels.values():
             channel.close()
         for kind in (self.admin, self.engines):
-            yield self.processes.end([self.running[n] for n in kind if n in self.running
-                                      and self.running[n].running], self._overdue)
+            yield self.processes.end(
+                [self.running[n] for n in kind if n in self.running and self.running[n].running],
+                self._overdue,
+            )
 
     def _overdue(self, process: Process) -> None:
         self.unclean.append(f"{process.name} did not end in time")
@@ -357,16 +461,24 @@
             "lists": self._lists_figures(),
             "batches": self.batches.figures() if self.batches.wanted else None,
             "unclean": self.unclean,
-            "attempts": dict(sorted(self.seen.items())), "cases": dict(self.cases.counts),
-            "cancels": self.cases.cancels(), "excused": checker.excused,
+            "attempts": dict(sorted(self.seen.items())),
+            "cases": dict(self.cases.counts),
+            "cancels": self.cases.cancels(),
+            "excused": checker.excused,
             "client_behind": round(self.clients.lag.worst, 3),
-            "traffic": {n: t.figures() for n, t in self.clients.tallies.items()}}
+            "traffic": {n: t.figures() for n, t in self.clients.tallies.items()},
+        }
 
     def _lists_figures(self) -> dict | None:
         if not self.writers:
             return None
-        return {**self.lists.figures(), **{name: sum(getattr(w, name) for w in self.writers)
-                                           for name in ("versions", "torn", "wrong", "deleted")}}
+        return {
+            **self.lists.figures(),
+            **{
+                name: sum(getattr(w, name) for w in self.writers)
+                for name in ("versions", "torn", "wrong", "deleted")
+            },
+        }
 
     def _watch(self, records: Iterator[Record]) -> Iterator[Record]:
         self.seen: Counter[str] = Counter()
@@ -383,63 +495,94 @@
 
 def rules_of(checker: Checker) -> list[dict]:
     """The five rules: how many things each was checked on, and what broke it."""
-    return [{"rule": rule, "name": name, "checked": checker.counts[rule],
-             "breaches": [b.text for b in checker.breaches
-                          if b.rule == rule]} for rule, name in RULES.items()]
+    return [
+        {
+            "rule": rule,
+            "name": name,
+            "checked": checker.counts[rule],
+            "breaches": [b.text for b in checker.breaches if b.rule == rule],
+        }
+        for rule, name in RULES.items()
+    ]
 
 
 def as_text(verdict: dict) -> str:
     """The verdict for people."""
     lines = ["", "rule                               checked  verdict"]
     for r in verdict["rules"]:
-        lines.append(f"{r['rule']} {r['name']:<32} {r['checked']:>7}  "
-                     + (f"BROKEN {len(r['breaches'])} times" if r["breaches"] else "kept"))
+        lines.append(
+            f"{r['rule']} {r['name']:<32} {r['checked']:>7}  "
+            + (f"BROKEN {len(r['breaches'])} times" if r["breaches"] else "kept")
+        )
         lines += [f"    {text}" for text in r["breaches"][:5]]
     lines += [f"not clean: {text}" for text in verdict["unclean"]]
     lines += ["", "hard cases hit: " + "; ".join(f"{k} {n}" for k, n in verdict["cases"].items() if n)]
     for what, c in verdict["cancels"].items():
-        lines.append(f"after a client left: {what} within {c['p50'] * 1000:.0f} ms at p50, "
-                     f"{c['p99'] * 1000:.0f} ms at p99 ({c['count']} times)")
+        lines.append(
+            f"after a client left: {what} within {c['p50'] * 1000:.0f} ms at p50, "
+            f"{c['p99'] * 1000:.0f} ms at p99 ({c['count']} times)"
+        )
     if verdict["excused"]:
-        lines.append(f"not judged: {verdict['excused']} answers that came late to a client process which "
-                     f"itself ran up to {verdict['client_behind']:.2f} s behind")
+        lines.append(
+            f"not judged: {verdict['excused']} answers that came late to a client process which "
+            f"itself ran up to {verdict['client_behind']:.2f} s behind"
+        )
     if verdict["lists"]:
         lines += [*lists_as_text(verdict["lists"])]
     if verdict["batches"]:
         b = verdict["batches"]
-        lines.append(f"batches: {b['batches']} in {b['tries']} tries, {b['items']} items checked, "
-                     f"{b['kept']} of them kept from before, {len(b['faults'])} answers wrong")
+        lines.append(
+            f"batches: {b['batches']} in {b['tries']} tries, {b['items']} items checked, "
+            f"{b['kept']} of them kept from before, {len(b['faults'])} answers wrong"
+        )
         lines += [f"    {text}" for text in b["faults"][:5]]
-        lines += [f"    {name}: " + ", ".join(f"{n} {a}" for a, n in sorted(answers.items()))
-                  for name, answers in sorted(b["answers"].items())]
+        lines += [
+            f"    {name}: " + ", ".join(f"{n} {a}" for a, n in sorted(answers.items()))
+            for name, answers in sorted(b["answers"].items())
+        ]
     lines += ["", "schedule attempts: " + ", ".join(f"{n} {k}" for k, n in verdict["attempts"].items()), ""]
-    lines.append(f"{'traffic type':<14}{'seqs':>6}{'tries':>7}{'generated':>11}{'rejected':>10}{'aborted':>9}"
-                 f"{'other':>7}{'first token p50/p99':>22}{'per token p50/p99':>20}{'goodput':>9}")
+    lines.append(
+        f"{'traffic type':<14}{'seqs':>6}{'tries':>7}{'generated':>11}{'rejected':>10}{'aborted':>9}"
+        f"{'other':>7}{'first token p50/p99':>22}{'per token p50/p99':>20}{'goodput':>9}"
+    )
     for name, t in verdict["traffic"].items():
         a = t["answers"]
         other = sum(n for k, n in a.items() if k not in ("generated", "rejected", "aborted"))
-        first, gap = (" / ".join(f"{t[k].get(p, 0.0) * 1000:.0f}" for p in ("p50", "p99")) + " ms"
-                      for k in ("first_token", "per_token"))
+        first, gap = (
+            " / ".join(f"{t[k].get(p, 0.0) * 1000:.0f}" for p in ("p50", "p99")) + " ms"
+            for k in ("first_token", "per_token")
+        )
         goodput = "-" if t["goodput"] is None else f"{t['goodput']:.3f}"
-        lines.append(f"{name:<14}{t['sequences']:>6}{t['tries']:>7}{a.get('generated', 0):>11}"
-                     f"{a.get('rejected', 0):>10}{a.get('aborted', 0):>9}{other:>7}{first:>22}{gap:>20}"
-                     f"{goodput:>9}")
-    lines += ["", "all rules kept" if verdict["kept"] else "NOT KEPT",
-              "(simulated: stand-in engines on loopback)"]
+        lines.append(
+            f"{name:<14}{t['sequences']:>6}{t['tries']:>7}{a.get('generated', 0):>11}"
+            f"{a.get('rejected', 0):>10}{a.get('aborted', 0):>9}{other:>7}{first:>22}{gap:>20}"
+            f"{goodput:>9}"
+        )
+    lines += [
+        "",
+        "all rules kept" if verdict["kept"] else "NOT KEPT",
+        "(simulated: stand-in engines on loopback)",
+    ]
     return "\n".join(lines)
 
 
 def lists_as_text(f: dict) -> list[str]:
     """What became of the files of engines."""
-    lines = [f"lists written: {f['versions']} whole, {f['torn']} torn, {f['wrong']} wrong, "
-             f"{f['deleted']} deleted; {f['versions_used']} seen in use; {f['attempts']} attempts, "
-             "each by a version that was whole: " + ("NO" if f["breaches"] else "yes")]
+    lines = [
+        f"lists written: {f['versions']} whole, {f['torn']} torn, {f['wrong']} wrong, "
+        f"{f['deleted']} deleted; {f['versions_used']} seen in use; {f['attempts']} attempts, "
+        "each by a version that was whole: " + ("NO" if f["breaches"] else "yes")
+    ]
     lines += [f"    {text}" for text in f["breaches"][:5]]
-    for key, what in (("first_send", "a whole list on disk to the first send by it"),
-                      ("last_send", "a removal on disk to the last send there")):
+    for key, what in (
+        ("first_send", "a whole list on disk to the first send by it"),
+        ("last_send", "a removal on disk to the last send there"),
+    ):
         if f[key]["count"]:
-            lines.append(f"from {what}: {f[key]['p50'] * 1000:.0f} ms at p50, "
-                         f"{f[key]['p99'] * 1000:.0f} ms at p99 ({f[key]['count']} times)")
+            lines.append(
+                f"from {what}: {f[key]['p50'] * 1000:.0f} ms at p50, "
+                f"{f[key]['p99'] * 1000:.0f} ms at p99 ({f[key]['count']} times)"
+            )
     return lines
 
 
--- a/myrtlehub/lab/lists.py
+++ b/myrtlehub/lab/lists.py
@@ -43,8 +43,16 @@
 class ListWriter:
     """Writes one node's file. `rows()` gives the list as it stands."""
 
-    def __init__(self, node: str, folder: Path, group: ListFilesGroup, clock: object, random: Random,
-                 recorder: Recorder, rows: Callable[[], list[dict]]) -> None:
+    def __init__(
+        self,
+        node: str,
+        folder: Path,
+        group: ListFilesGroup,
+        clock: object,
+        random: Random,
+        recorder: Recorder,
+        rows: Callable[[], list[dict]],
+    ) -> None:
         self.node, self.path, self.group, self.clock = node, folder / "engines.yaml", group, clock
         self.random, self.recorder, self.rows = random, recorder, rows
         self.versions = self.torn = self.wrong = self.deleted = 0
@@ -82,7 +90,7 @@
         if chance < g.torn:
             self.torn += 1
             data = text_of(self._drawn()).encode()
-            self._write(data[:self.random.randrange(len(data) - 4)], "torn")
+            self._write(data[: self.random.randrange(len(data) - 4)], "torn")
         elif chance < g.torn + g.wrong:
             self.wrong += 1
             self._write(broken(self._drawn(), self.random.randrange(4)).encode(), "wrong")
@@ -97,8 +105,9 @@
         rows = [{**r, "weight": self.random.randint(1, 9)} for r in self.rows()]
         if self.random.random() < self.group.drains:
             kinds = [r["kind"] + str(r["cell"]) for r in rows if r["state"] == "serving"]
-            spare = [r for r in rows if r["state"] == "serving" and
-                     kinds.count(r["kind"] + str(r["cell"])) > 1]
+            spare = [
+                r for r in rows if r["state"] == "serving" and kinds.count(r["kind"] + str(r["cell"])) > 1
+            ]
             if spare:
                 self.random.choice(spare)["weight"] = 0
         return rows
@@ -108,8 +117,11 @@
         rows = self._drawn()
         version = make(0, [EngineRow(**r) for r in rows], "", 0.0)
         self.recorder.note(
-            "wrote", node=self.node, digest=version.digest[:SEEN],
-            serving=[a for a, e in version.engines.items() if e.state == "serving"])
+            "wrote",
+            node=self.node,
+            digest=version.digest[:SEEN],
+            serving=[a for a, e in version.engines.items() if e.state == "serving"],
+        )
         data = text_of(rows).encode()
         if rename:
             other = self.path.with_name(".engines.new")
@@ -200,9 +212,11 @@
             self._removal_over((node, engine))
         self.in_use[node] = digest
         self.since[node] = at
-        return [Record(at, "list", "told", {"node": node, "engine": e, "state": state, "grace": self.grace})
-                for state, change in (("gone", was - serving), ("serving", serving - was))
-                for e in sorted(change)]
+        return [
+            Record(at, "list", "told", {"node": node, "engine": e, "state": state, "grace": self.grace})
+            for state, change in (("gone", was - serving), ("serving", serving - was))
+            for e in sorted(change)
+        ]
 
     def finish(self, at: float) -> None:
         """At the end every node has to route by what last lay whole on its disk."""
@@ -210,13 +224,28 @@
             self._removal_over(key)
         for node, (written, digest, lies) in self.last.items():
             if lies and self.in_use.get(node) != digest:
-                self.breaches.append(f"{node} ended by version {self.in_use.get(node)}, not by {digest}, "
-                                     f"written {at - written:.1f} s before the end")
+                self.breaches.append(
+                    f"{node} ended by version {self.in_use.get(node)}, not by {digest}, "
+                    f"written {at - written:.1f} s before the end"
+                )
 
     def figures(self) -> dict:
         """Seconds at p50 and p99."""
+
         def quantiles(h: HdrHistogram) -> dict:
-            return {"count": h.total_count, **{f"p{p}": round(h.get_value_at_percentile(p) / 1e6, 4)
-                                               for p in (50, 99)}} if h.total_count else {"count": 0}
-        return {"attempts": self.attempts, "versions_used": self.used, "breaches": self.breaches,
-                "first_send": quantiles(self.first_send), "last_send": quantiles(self.last_send)}
+            return (
+                {
+                    "count": h.total_count,
+                    **{f"p{p}": round(h.get_value_at_percentile(p) / 1e6, 4) for p in (50, 99)},
+                }
+                if h.total_count
+                else {"count": 0}
+            )
+
+        return {
+            "attempts": self.attempts,
+            "versions_used": self.used,
+            "breaches": self.breaches,
+            "first_send": quantiles(self.first_send),
+            "last_send": quantiles(self.last_send),
+        }
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -84,10 +84,21 @@
             return
         asked, held, now = attempt.held.asked, attempt.held, self.fleet.clock.seconds()
         self.jobs[key] = attempt
-        task = Task(held.label, asked.prompt, asked.most_output, asked.session, asked.prefix, asked.shared,
-                    asked.mark, held.abandon_at)
-        self.act(self.model.read(now, key, task) if attempt.reads
-                 else self.model.write(now, key, task, attempt.claims is not None))
+        task = Task(
+            held.label,
+            asked.prompt,
+            asked.most_output,
+            asked.session,
+            asked.prefix,
+            asked.shared,
+            asked.mark,
+            held.abandon_at,
+        )
+        self.act(
+            self.model.read(now, key, task)
+            if attempt.reads
+            else self.model.write(now, key, task, attempt.claims is not None)
+        )
 
     def cancel(self, key: int) -> None:
         """Nobody waits for it any more."""
@@ -118,6 +129,7 @@
 
         def done() -> None:
             target.act(target.model.release(self.fleet.clock.seconds(), label))
+
         self.fleet.clock.callLater(LINK, done)
 
     def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
@@ -134,8 +146,14 @@
 class ModelClient:
     """Who waits for one answer; `on_begun(client)` and `on_end(client)` are told once."""
 
-    def __init__(self, host: Host, asked: Asked, now: float, on_end: Callable[["ModelClient"], None],
-                 on_begun: Callable[["ModelClient"], None]) -> None:
+    def __init__(
+        self,
+        host: Host,
+        asked: Asked,
+        now: float,
+        on_end: Callable[["ModelClient"], None],
+        on_begun: Callable[["ModelClient"], None],
+    ) -> None:
         self.host, self.asked, self.since, self.on_end, self.on_begun = host, asked, now, on_end, on_begun
         self.first = self.wait = 0.0
         self.answer = ""
@@ -165,13 +183,20 @@
 class ModelFleet:
     """Nodes by their file's sheet, engines by kind. `sheet(index)` gives a node's."""
 
-    def __init__(self, nodes: int, sheet: Callable[[int], NodeSheet], rows: list[EngineRow],
-                 machines: dict[str, Machine], seed: int) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        sheet: Callable[[int], NodeSheet],
+        rows: list[EngineRow],
+        machines: dict[str, Machine],
+        seed: int,
+    ) -> None:
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.attempts = 0
-        self.engines = {r.address: ModelEngine(self, r.address, machines[r.kind], seed + i)
-                        for i, r in enumerate(rows)}
+        self.engines = {
+            r.address: ModelEngine(self, r.address, machines[r.kind], seed + i) for i, r in enumerate(rows)
+        }
         self.hosts: list[Host] = []
         for i in range(nodes):
             mine = sheet(i)
@@ -181,8 +206,13 @@
             host.list_news(rows, True)
             self.hosts.append(host)
 
-    def ask(self, node: int, asked: Asked, on_end: Callable[[ModelClient], None],
-            on_begun: Callable[[ModelClient], None] = lambda client: None) -> ModelClient:
+    def ask(
+        self,
+        node: int,
+        asked: Asked,
+        on_end: Callable[[ModelClient], None],
+        on_begun: Callable[[ModelClient], None] = lambda client: None,
+    ) -> ModelClient:
         """Hand a sequence to a node."""
         host = self.hosts[node]
         now = self.clock.seconds()
--- a/myrtlehub/lab/processes.py
+++ b/myrtlehub/lab/processes.py
@@ -112,13 +112,15 @@
 class Processes:
     """All processes of one trial. `on_end(process)` is told of each end."""
 
-    def __init__(self, reactor: object, folder: Path,
-                 on_end: Callable[[Process], None] = lambda process: None) -> None:
+    def __init__(
+        self, reactor: object, folder: Path, on_end: Callable[[Process], None] = lambda process: None
+    ) -> None:
         self.reactor, self.folder, self.on_end = reactor, folder, on_end
         self.all: list[Process] = []
 
-    def start(self, name: str, argv: list[str], env: dict[str, str] | None = None,
-              checkout: str | None = None) -> Process:
+    def start(
+        self, name: str, argv: list[str], env: dict[str, str] | None = None, checkout: str | None = None
+    ) -> Process:
         """Start a program of ours, `argv[0]` being its module; its `ready` fires once it says so.
 
         `checkout`: a folder with another version of the program, which is run instead.
@@ -127,9 +129,17 @@
         self.all.append(process)
         process.ended.addCallback(self._ended, process)
         self.reactor.spawnProcess(
-            process, sys.executable, [sys.executable, "-m", *argv],
-            {**os.environ, "PYTHONUNBUFFERED": "1", **({"PYTHONPATH": checkout} if checkout else {}),
-             **(env or {})}, checkout)
+            process,
+            sys.executable,
+            [sys.executable, "-m", *argv],
+            {
+                **os.environ,
+                "PYTHONUNBUFFERED": "1",
+                **({"PYTHONPATH": checkout} if checkout else {}),
+                **(env or {}),
+            },
+            checkout,
+        )
         return process
 
     def _ended(self, code: int, process: Process) -> int:
@@ -150,6 +160,7 @@
                 if process.running:
                     overdue(process)
                     process.signal("KILL")
+
             limit = self.reactor.callLater(END_WITHIN, late)
             process.ended.addCallback(lambda code, limit=limit: (limit.active() and limit.cancel(), code)[1])
         return DeferredList([p.ended for p in some])
--- a/myrtlehub/lab/rolling.py
+++ b/myrtlehub/lab/rolling.py
@@ -30,7 +30,8 @@
         roll = self.roll = self.s.roll
         self.stepped = ["myrtlehub.cli.stepped"] if roll.sets_clocks else []
         self.node_program = self.stepped + (
-            ["myrtlehub.cli.variant", roll.was] if roll.was else ["myrtlehub.cli.node"])
+            ["myrtlehub.cli.variant", roll.was] if roll.was else ["myrtlehub.cli.node"]
+        )
         self.env = {FOLDER: str(self.folder), NODES: str(len(self.admin))}
         self.wires: dict[str, Wire] = {}
         self.controller: Process | None = None
@@ -68,13 +69,21 @@
         for name in self.admin:
             self._write(f"{name}.new", self._new_file(name))
             self.wires[name] = Wire(self.reactor, self.admin[name], self.say).listen()
-        change = ({"program": {"was": self._command(roll.was), "now": self._command(roll.now)}}
-                  if roll.now else {"settings": {"was": "{name}.yaml", "now": "{name}.new.yaml"}})
-        tree = {"change": change, "settings": "{name}.yaml", "start": self._command(roll.was),
-                "nodes": [{"name": n, "admin": self.wires[n].address, "zone": "north"}
-                          for n in sorted(self.admin)],
-                "stages": [{"nodes" if isinstance(s, int) else "share": s} for s in roll.stages],
-                **roll.plan}
+        change = (
+            {"program": {"was": self._command(roll.was), "now": self._command(roll.now)}}
+            if roll.now
+            else {"settings": {"was": "{name}.yaml", "now": "{name}.new.yaml"}}
+        )
+        tree = {
+            "change": change,
+            "settings": "{name}.yaml",
+            "start": self._command(roll.was),
+            "nodes": [
+                {"name": n, "admin": self.wires[n].address, "zone": "north"} for n in sorted(self.admin)
+            ],
+            "stages": [{"nodes" if isinstance(s, int) else "share": s} for s in roll.stages],
+            **roll.plan,
+        }
         path = self.folder / "roll.yaml"
         path.write_text(json.dumps(tree))  # which is YAML, and takes numbers of any reader's kind
         return path
@@ -95,8 +104,11 @@
 
     def _spawn_controller(self, *words: str) -> Process:
         self.controllers += 1
-        process = self.processes.start(f"controller-{self.controllers}", [
-            *self.stepped, "myrtlehub.cli.roll", *words, str(self.folder / "roll.yaml")], self.env)
+        process = self.processes.start(
+            f"controller-{self.controllers}",
+            [*self.stepped, "myrtlehub.cli.roll", *words, str(self.folder / "roll.yaml")],
+            self.env,
+        )
         self.expected_dead.add(process)
         process.ended.addCallback(self._controller_ended, process)
         process.on_line = self._heard
@@ -199,8 +211,11 @@
         as_stated = self.roll_code == ENDS[self.roll.ends]
         verdict["roll"] = {
             "ends": {v: k for k, v in ENDS.items()}.get(self.roll_code, f"exit {self.roll_code}"),
-            "as_stated": as_stated, "seconds": round(self.over_at - self.began_at, 1),
-            "revisions_at_the_end": len(self.revisions), "controllers": self.controllers}
+            "as_stated": as_stated,
+            "seconds": round(self.over_at - self.began_at, 1),
+            "revisions_at_the_end": len(self.revisions),
+            "controllers": self.controllers,
+        }
         if len(self.revisions) > 1 and self.roll.ends != "stuck":
             verdict["unclean"].append(f"{len(self.revisions)} revisions are left in the fleet")
         verdict["kept"] = verdict["kept"] and as_stated and not verdict["unclean"]
@@ -210,6 +225,8 @@
 def rolling_as_text(verdict: dict) -> str:
     """The verdict for people, the roll's last."""
     r = verdict["roll"]
-    return (f"{as_text(verdict)}\nthe roll: {r['ends']} after {r['seconds']} s, "
-            f"{'as stated' if r['as_stated'] else 'NOT AS STATED'}; {r['controllers']} controllers, "
-            f"{r['revisions_at_the_end']} revisions at the end")
+    return (
+        f"{as_text(verdict)}\nthe roll: {r['ends']} after {r['seconds']} s, "
+        f"{'as stated' if r['as_stated'] else 'NOT AS STATED'}; {r['controllers']} controllers, "
+        f"{r['revisions_at_the_end']} revisions at the end"
+    )
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -13,8 +13,12 @@
 
 # What engines of each name do, as their files and the nodes' say it.
 KINDS = {
-    "reader": {"reads": True}, "writer": {"writes": True}, "mixed": {"writes": True, "embeds": True},
-    "embedder": {"embeds": True}, "ranker": {"ranks": True}}
+    "reader": {"reads": True},
+    "writer": {"writes": True},
+    "mixed": {"writes": True, "embeds": True},
+    "embedder": {"embeds": True},
+    "ranker": {"ranks": True},
+}
 
 
 class FleetGroup(Sheet):
@@ -107,8 +111,22 @@
     """One thing that goes wrong, at a moment from the start of the traffic."""
 
     at: Duration
-    do: Literal["crash", "kill", "drain", "hang", "refuse", "error", "slow", "flush", "break", "model",
-                "pause", "cut off", "cut out", "leave"]
+    do: Literal[
+        "crash",
+        "kill",
+        "drain",
+        "hang",
+        "refuse",
+        "error",
+        "slow",
+        "flush",
+        "break",
+        "model",
+        "pause",
+        "cut off",
+        "cut out",
+        "leave",
+    ]
     whom: Annotated[list[str], Field(min_length=1)]
     lasts: Duration = 0.0
     factor: Annotated[float, Field(ge=0)] = 0.0
@@ -185,8 +203,10 @@
         for fault in self.faults:
             for name in fault.whom:
                 if name not in known:
-                    raise ValueError(f"fault at {fault.at:g}s: {name!r} is not in this fleet; "
-                                     f"it has {', '.join(sorted(known))}")
+                    raise ValueError(
+                        f"fault at {fault.at:g}s: {name!r} is not in this fleet; "
+                        f"it has {', '.join(sorted(known))}"
+                    )
             if fault.do in OF_NODES[2:4] and self.takeover is None:
                 raise ValueError(f"fault at {fault.at:g}s: nodes talk to each other only with takeover")
             if fault.at > self.length:
@@ -202,6 +222,12 @@
     def names(self) -> list[str]:
         """All processes of the fleet."""
         f = self.fleet
-        counts = {"node": f.nodes, "reader": f.readers, "writer": f.writers, "mixed": f.mixed,
-                  "embedder": f.embedders, "ranker": f.rankers}
+        counts = {
+            "node": f.nodes,
+            "reader": f.readers,
+            "writer": f.writers,
+            "mixed": f.mixed,
+            "embedder": f.embedders,
+            "ranker": f.rankers,
+        }
         return [f"{kind}-{i + 1}" for kind, count in counts.items() for i in range(count)]
--- a/myrtlehub/lab/wires.py
+++ b/myrtlehub/lab/wires.py
@@ -95,7 +95,8 @@
         factory = Factory.forProtocol(lambda: far)
         factory.noisy = False
         TCP4ClientEndpoint(self.reactor, host, int(port)).connect(factory).addErrback(
-            lambda failure: near.transport.abortConnection())
+            lambda failure: near.transport.abortConnection()
+        )
 
     def cut(self) -> None:
         """Connections reset, and new ones are closed as they come, until it is mended."""
--- a/myrtlehub/limits/admit.py
+++ b/myrtlehub/limits/admit.py
@@ -53,9 +53,9 @@
         self._mean = share if not self._mean else self._mean + FRESH * (share - self._mean)
         queue = 1.0 - self._least / max(self._mean, 1e-6)
         if queue > LONG:
-            self.limit = max(LEAST, self.limit - 1.0 / self.limit ** 0.5)
+            self.limit = max(LEAST, self.limit - 1.0 / self.limit**0.5)
         elif queue < SHORT and in_hand >= NEAR * self.limit:
-            self.limit = min(MOST, self.limit + 1.0 / self.limit ** 0.5)
+            self.limit = min(MOST, self.limit + 1.0 / self.limit**0.5)
 
 
 class Admission:
--- a/myrtlehub/limits/ledger.py
+++ b/myrtlehub/limits/ledger.py
@@ -81,8 +81,11 @@
 
     def wrong(self) -> list[str]:
         """Accounts whose sum does not hold, and sums that are not those of their streams."""
-        out = [f"{key}: {a.came} came, {a.left} left, {a.dropped} dropped, {a.held} held"
-               for key, (a, _, _) in self._streams.items() if a.came != a.left + a.dropped + a.held]
+        out = [
+            f"{key}: {a.came} came, {a.left} left, {a.dropped} dropped, {a.held} held"
+            for key, (a, _, _) in self._streams.items()
+            if a.came != a.left + a.dropped + a.held
+        ]
         n = self.node
         if n.came != n.left + n.dropped + n.held:
             out.append(f"node: {n.came} came, {n.left} left, {n.dropped} dropped, {n.held} held")
@@ -102,8 +105,11 @@
 
     def room(self, peer: Hashable, tenant: Hashable, size: int) -> str:
         """Which budget so much more would break, empty if none."""
-        for what, account in (("node", self.node), ("peer", self.peers.get(peer)),
-                              ("tenant", self.tenants.get(tenant) if tenant else None)):
+        for what, account in (
+            ("node", self.node),
+            ("peer", self.peers.get(peer)),
+            ("tenant", self.tenants.get(tenant) if tenant else None),
+        ):
             if account is not None and account.held + size > self.bound(what):
                 return what
         return "" if size <= self.bound("peer") else "peer"
@@ -132,8 +138,10 @@
     hold nothing are never cut.
     """
     out, freed = [], 0
-    for s in sorted((s for s in streams if s.held),
-                    key=lambda s: (not s.stalled, -s.held / max(s.utility, 1e-9), str(s.key))):
+    for s in sorted(
+        (s for s in streams if s.held),
+        key=lambda s: (not s.stalled, -s.held / max(s.utility, 1e-9), str(s.key)),
+    ):
         if freed >= size:
             break
         out.append(s.key)
--- a/myrtlehub/membership/aside.py
+++ b/myrtlehub/membership/aside.py
@@ -29,7 +29,7 @@
         if len(self.data) >= 4:
             size = int.from_bytes(self.data[:4])
             if len(self.data) >= 4 + size:
-                reply, self.data = bytes(self.data[4:4 + size]), self.data[4 + size:]
+                reply, self.data = bytes(self.data[4 : 4 + size]), self.data[4 + size :]
                 self.aside.replied(reply)
 
     def errReceived(self, data: bytes) -> None:  # noqa: N802
@@ -64,8 +64,9 @@
         """Have the process ready: to fork a node in service holds it up."""
         if self._pipe is None:
             self._pipe, self.started, self.said = _Pipe(self), self.started + 1, b""
-            self.reactor.spawnProcess(self._pipe, sys.executable,
-                                      [sys.executable, "-m", "myrtlehub.membership.reader"], os.environ)
+            self.reactor.spawnProcess(
+                self._pipe, sys.executable, [sys.executable, "-m", "myrtlehub.membership.reader"], os.environ
+            )
         return self
 
     def _ask(self) -> None:
@@ -90,8 +91,16 @@
                 yield
         self._rows = {r.address: r for r in rows}
         yield
-        then(Reading(tuple(rows), tuple(reply.files), tuple(reply.faults), reply.digest, reply.missing,
-                     reply.content))
+        then(
+            Reading(
+                tuple(rows),
+                tuple(reply.files),
+                tuple(reply.faults),
+                reply.digest,
+                reply.missing,
+                reply.content,
+            )
+        )
 
     def _broke(self, failure: Failure, then: Then) -> None:
         then(Reading((), (), (f"files could not be read: {failure.getErrorMessage()}",), "", False))
@@ -109,8 +118,18 @@
             return
         (_, then), self._asked = self._asked, None
         said = self.said.decode(errors="replace").strip().splitlines()
-        then(Reading((), (), (f"files could not be read: the reading process died {TRIES} times: "
-                              f"{said[-1] if said else 'it said nothing'}",), "", False))
+        then(
+            Reading(
+                (),
+                (),
+                (
+                    f"files could not be read: the reading process died {TRIES} times: "
+                    f"{said[-1] if said else 'it said nothing'}",
+                ),
+                "",
+                False,
+            )
+        )
 
     def close(self) -> None:
         """End the process."""
--- a/myrtlehub/membership/files.py
+++ b/myrtlehub/membership/files.py
@@ -31,8 +31,9 @@
     for pattern in patterns:
         path = base / pattern
         if path.is_dir():
-            names = sorted(str(p) for p in path.iterdir() if p.suffix in (".yaml", ".yml")
-                           and p.name[0] != ".")
+            names = sorted(
+                str(p) for p in path.iterdir() if p.suffix in (".yaml", ".yml") and p.name[0] != "."
+            )
         elif any(c in pattern for c in "*?["):
             names = sorted(glob(str(path)))
         else:
--- a/myrtlehub/membership/judge.py
+++ b/myrtlehub/membership/judge.py
@@ -36,8 +36,9 @@
     again_at: float = float("inf")  # when to judge the same reading once more
 
 
-def unsound(rows: Iterable[EngineRow], kinds: dict[str, KindRow], zones: Iterable[str],
-            self_read: bool = True) -> list[str]:
+def unsound(
+    rows: Iterable[EngineRow], kinds: dict[str, KindRow], zones: Iterable[str], self_read: bool = True
+) -> list[str]:
     """What is wrong with a whole list, a line each; empty if it can be routed by."""
     rows, faults, seen, zones = list(rows), [], {}, set(zones)
     for row in rows:
@@ -46,11 +47,15 @@
             faults.append(f"engine {row.address} is listed twice, with {same} figures; keep one")
         seen[row.address] = row
         if row.kind not in kinds:
-            faults.append(f"engine {row.address}: kind {row.kind!r} is not among kinds: "
-                          f"{', '.join(sorted(kinds))}; mend the name, or add the kind")
+            faults.append(
+                f"engine {row.address}: kind {row.kind!r} is not among kinds: "
+                f"{', '.join(sorted(kinds))}; mend the name, or add the kind"
+            )
         if row.zone not in zones:
-            faults.append(f"engine {row.address}: zone {row.zone!r} is not among zones: "
-                          f"{', '.join(sorted(zones))}; mend the name, or add the zone")
+            faults.append(
+                f"engine {row.address}: zone {row.zone!r} is not among zones: "
+                f"{', '.join(sorted(zones))}; mend the name, or add the zone"
+            )
     up = [r for r in rows if r.state == "serving" and r.weight > 0.0 and r.kind in kinds]
     writers = {r.cell for r in up if kinds[r.kind].writes}
     readers = {r.cell for r in up if kinds[r.kind].reads}
@@ -72,8 +77,9 @@
 class ListJudge:
     """Readings in, versions out. `now` is the node's clock, which only advances."""
 
-    def __init__(self, terms: Terms, kinds: dict[str, KindRow], zones: Iterable[str],
-                 self_read: bool = True) -> None:
+    def __init__(
+        self, terms: Terms, kinds: dict[str, KindRow], zones: Iterable[str], self_read: bool = True
+    ) -> None:
         self.terms, self.kinds, self.zones, self.self_read = terms, kinds, tuple(zones), self_read
         self.version: Version | None = None
         self.number = 0  # of the last version taken, here or before a restart
@@ -95,8 +101,15 @@
             self.lost_at = now
         return self.refuse(now, source, why)
 
-    def read(self, now: float, rows: Iterable[EngineRow], source: str, old: bool = False,
-             silent: frozenset[str] = frozenset(), digest: str = "") -> Verdict:
+    def read(
+        self,
+        now: float,
+        rows: Iterable[EngineRow],
+        source: str,
+        old: bool = False,
+        silent: frozenset[str] = frozenset(),
+        digest: str = "",
+    ) -> Verdict:
         """A whole reading. `silent`: engines that do not answer us, which speaks for their removal; `digest`:
         of the rows, where it is known already."""
         rows = list(rows)
@@ -115,8 +128,10 @@
             return Verdict(SAME, again_at=damped_until)
         wait = self._too_much(now, candidate, change, silent)
         if wait is not None:
-            why = (f"takes away {self._share(change, silent):.0%} of the engines at once, over "
-                   f"{self.terms.most_removed:.0%}: held until a second reading confirms it")
+            why = (
+                f"takes away {self._share(change, silent):.0%} of the engines at once, over "
+                f"{self.terms.most_removed:.0%}: held until a second reading confirms it"
+            )
             return Verdict(HOLD, why, again_at=wait)
         return self._take(now, candidate, change)._replace(again_at=damped_until)
 
@@ -134,8 +149,9 @@
         lost |= {r.address for r, fields in change.changed if "kind" in fields}
         return sum(a in lost and a not in silent for a in serving) / max(1, len(serving))
 
-    def _too_much(self, now: float, candidate: Version, change: Difference,
-                  silent: frozenset[str]) -> float | None:
+    def _too_much(
+        self, now: float, candidate: Version, change: Difference, silent: frozenset[str]
+    ) -> float | None:
         """When the reading may be judged again, if it has to wait; None if it may be taken."""
         if self.terms.most_removed >= 1.0 or self._share(change, silent) <= self.terms.most_removed:
             return None
@@ -158,8 +174,9 @@
             # Safe either way: one that is said to be gone only drains meanwhile, one that comes stays out.
             if address in before:
                 row = before[address].having(state="draining")
-                engines = engines.set(address, before[address] if before[address].state == "draining"
-                                      else row)
+                engines = engines.set(
+                    address, before[address] if before[address].state == "draining" else row
+                )
             else:
                 engines = engines.delete(address)
         if engines is candidate.engines:
--- a/myrtlehub/membership/notify.py
+++ b/myrtlehub/membership/notify.py
@@ -26,13 +26,22 @@
         """Call `changed` whenever something in these directories does; may be called again with others."""
         if self._notifier is None:
             return
-        mask = (inotify.IN_MODIFY | inotify.IN_ATTRIB | inotify.IN_CLOSE_WRITE | inotify.IN_MOVED_TO
-                | inotify.IN_MOVED_FROM | inotify.IN_CREATE | inotify.IN_DELETE | inotify.IN_DELETE_SELF)
+        mask = (
+            inotify.IN_MODIFY
+            | inotify.IN_ATTRIB
+            | inotify.IN_CLOSE_WRITE
+            | inotify.IN_MOVED_TO
+            | inotify.IN_MOVED_FROM
+            | inotify.IN_CREATE
+            | inotify.IN_DELETE
+            | inotify.IN_DELETE_SELF
+        )
 
         def on_event(ignored: object, path: FilePath, what: int) -> None:
             if what & (inotify.IN_DELETE_SELF | inotify.IN_IGNORED):
                 self._watched.discard(path.path.decode() if isinstance(path.path, bytes) else path.path)
             changed()
+
         for path in paths:
             if path in self._watched:
                 continue
--- a/myrtlehub/membership/store.py
+++ b/myrtlehub/membership/store.py
@@ -40,15 +40,18 @@
     def _open(self) -> sqlite3.Connection:
         if self._db is None:
             try:
-                db = sqlite3.connect(self.path, isolation_level=None, timeout=2.0,
-                                     check_same_thread=False)  # one thread at a time, not always the same
+                db = sqlite3.connect(
+                    self.path, isolation_level=None, timeout=2.0, check_same_thread=False
+                )  # one thread at a time, not always the same
                 db.execute("PRAGMA journal_mode=WAL")
                 db.execute("PRAGMA synchronous=FULL")
                 form = db.execute("PRAGMA user_version").fetchone()[0]
                 if form > FORM:
                     db.close()
-                    raise StoreBroken(f"{self.path}: is of form {form}, and this version knows forms up to "
-                                      f"{FORM}; it is left as it is")
+                    raise StoreBroken(
+                        f"{self.path}: is of form {form}, and this version knows forms up to "
+                        f"{FORM}; it is left as it is"
+                    )
                 db.execute(SCHEMA)
                 db.execute(f"PRAGMA user_version={FORM}")
             except sqlite3.Error as fault:
@@ -65,13 +68,22 @@
             self.step("begin")
             db.execute("BEGIN IMMEDIATE")
             self.step("insert")
-            db.execute("INSERT OR REPLACE INTO versions (number, source, digest, sum, rows) "
-                       "VALUES (?, ?, ?, ?, ?)", (
-                version.number, version.source, version.digest,
-                _sum(version.number, version.source, version.digest, rows), rows))
+            db.execute(
+                "INSERT OR REPLACE INTO versions (number, source, digest, sum, rows) VALUES (?, ?, ?, ?, ?)",
+                (
+                    version.number,
+                    version.source,
+                    version.digest,
+                    _sum(version.number, version.source, version.digest, rows),
+                    rows,
+                ),
+            )
             self.step("prune")
-            db.execute("DELETE FROM versions WHERE number NOT IN "
-                       "(SELECT number FROM versions ORDER BY number DESC LIMIT ?)", (KEPT,))
+            db.execute(
+                "DELETE FROM versions WHERE number NOT IN "
+                "(SELECT number FROM versions ORDER BY number DESC LIMIT ?)",
+                (KEPT,),
+            )
             self.step("commit")
             db.execute("COMMIT")
             self.step("done")
@@ -87,8 +99,11 @@
         if not self.path.exists():
             return None
         try:
-            found = self._open().execute(
-                "SELECT number, source, digest, sum, rows FROM versions ORDER BY number DESC").fetchall()
+            found = (
+                self._open()
+                .execute("SELECT number, source, digest, sum, rows FROM versions ORDER BY number DESC")
+                .fetchall()
+            )
         except sqlite3.Error as fault:
             self.close()
             raise StoreBroken(f"{self.path}: {fault}") from fault
--- a/myrtlehub/membership/version.py
+++ b/myrtlehub/membership/version.py
@@ -34,10 +34,12 @@
 
     def rows(self) -> list[EngineRow]:
         """The change as rows: what is gone says so."""
-        return [*self.added, *self.draining, *(row for row, _ in self.changed),
-                *(row.having(state="gone") for row in self.gone)]
-
-
+        return [
+            *self.added,
+            *self.draining,
+            *(row for row, _ in self.changed),
+            *(row.having(state="gone") for row in self.gone),
+        ]
 
 
 def digest_of(rows: Iterable[EngineRow]) -> str:
@@ -46,8 +48,9 @@
     return xxhash.xxh3_128_hexdigest(repr(figures).encode())
 
 
-def make(number: int, rows: Iterable[EngineRow], source: str, now: float, old: bool = False,
-         digest: str = "") -> Version:
+def make(
+    number: int, rows: Iterable[EngineRow], source: str, now: float, old: bool = False, digest: str = ""
+) -> Version:
     """A version of these rows; `digest`, where it is known already."""
     rows = [served(r) for r in rows if r.state != "gone"]
     return Version(number, Map({r.address: r for r in rows}), source, digest or digest_of(rows), now, old)
--- a/myrtlehub/membership/watched.py
+++ b/myrtlehub/membership/watched.py
@@ -22,12 +22,22 @@
 class WatchedList:
     """A list source. `notify(paths, changed)` asks the system to call `changed` when one of them does."""
 
-    def __init__(self, patterns: Iterable[str], base: Path, judge: ListJudge, clock: object, poll: float,
-                 quiet: float, store: VersionStore | None = None, log: Log = lambda event, **more: None,
-                 notify: Callable[[list[str], Callable[[], None]], None] = lambda paths, changed: None,
-                 silent: Callable[[], frozenset[str]] = frozenset,
-                 reader: Reader | None = None, end_marked: bool = False,
-                 beside: Beside = lambda work, then: then(work())) -> None:
+    def __init__(
+        self,
+        patterns: Iterable[str],
+        base: Path,
+        judge: ListJudge,
+        clock: object,
+        poll: float,
+        quiet: float,
+        store: VersionStore | None = None,
+        log: Log = lambda event, **more: None,
+        notify: Callable[[list[str], Callable[[], None]], None] = lambda paths, changed: None,
+        silent: Callable[[], frozenset[str]] = frozenset,
+        reader: Reader | None = None,
+        end_marked: bool = False,
+        beside: Beside = lambda work, then: then(work()),
+    ) -> None:
         self.patterns, self.base, self.judge, self.clock = tuple(patterns), base, judge, clock
         self.poll, self.quiet, self.store, self.log = poll, quiet, store, log
         self.end_marked = end_marked
@@ -54,8 +64,11 @@
         self._act(self._verdict(reading, self.clock.seconds(), frozenset()))
         if self.judge.version is None and stored is not None:
             number, source, rows = stored
-            self._act(self.judge.read(self.clock.seconds(), rows, f"store, version {number} from {source}",
-                                      old=True))
+            self._act(
+                self.judge.read(
+                    self.clock.seconds(), rows, f"store, version {number} from {source}", old=True
+                )
+            )
         self.notify(self._paths(), self.changed)
         self._polling = self.clock.callLater(self.poll, self._poll)
 
@@ -131,8 +144,12 @@
     def _verdict(self, reading: files.Reading, now: float, silent: frozenset[str]) -> Verdict:
         source = "files"
         if reading.missing:
-            return self.judge.lost(now, source, "; ".join(reading.faults) or
-                                   f"no file is there for {', '.join(self.patterns)}; the last list stays")
+            return self.judge.lost(
+                now,
+                source,
+                "; ".join(reading.faults)
+                or f"no file is there for {', '.join(self.patterns)}; the last list stays",
+            )
         if reading.faults:
             return self.judge.refuse(now, source, "; ".join(reading.faults))
         return self.judge.read(now, reading.rows, source, silent=silent, digest=reading.content)
@@ -144,13 +161,23 @@
         if verdict.do == SAME:
             return
         if verdict.do in (REFUSE, HOLD):
-            self.log("list " + {REFUSE: "refused", HOLD: "held back"}[verdict.do], why=verdict.why,
-                     version=self.judge.version.number if self.judge.version else 0)
+            self.log(
+                "list " + {REFUSE: "refused", HOLD: "held back"}[verdict.do],
+                why=verdict.why,
+                version=self.judge.version.number if self.judge.version else 0,
+            )
             return
         assert verdict.do == TAKE
         version = verdict.version
-        self.log("list taken", version=version.number, digest=version.digest, engines=len(version.engines),
-                 added=len(verdict.change.added), gone=len(verdict.change.gone), old=version.old)
+        self.log(
+            "list taken",
+            version=version.number,
+            digest=version.digest,
+            engines=len(version.engines),
+            added=len(verdict.change.added),
+            gone=len(verdict.change.gone),
+            old=version.old,
+        )
         if not verdict.change:
             self._take(list(version.engines.values()), True, version.number, version.digest)
         else:
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -34,9 +34,16 @@
 
     def serve(self, server: object) -> None:
         """Add the methods."""
-        for name, run in (("PushList", self.push_list), ("Show", self.show), ("Limits", self.limits),
-                          ("Figures", self.figures), ("Stage", self.stage), ("Apply", self.apply),
-                          ("Obey", self.obey), ("Leave", self.leave)):
+        for name, run in (
+            ("PushList", self.push_list),
+            ("Show", self.show),
+            ("Limits", self.limits),
+            ("Figures", self.figures),
+            ("Stage", self.stage),
+            ("Apply", self.apply),
+            ("Obey", self.obey),
+            ("Leave", self.leave),
+        ):
             server.add(SERVICE + name, unary(run))
 
     def _ordered(self, order: pb.Order, what: str) -> None:
@@ -101,13 +108,30 @@
             engines.setdefault(row.zone, 0)
             engines[row.zone] += row.state == "serving" and row.weight > 0.0
         return pb.NodeFigures(
-            format=FORMAT, run=node.run, memory=memory(), processor=processor(),
-            age=node.clock.seconds() - node.started, engines=engines, traffic=[pb.TrafficFigures(
-                name=name, asked=s.asked, utility=s.utility, served=s.served, answers=s.answers,
-                attempts=s.attempts, begun=s.first.total_count, first_log=s.first_log,
-                first={i.value_iterated_to: i.count_at_value_iterated_to
-                       for i in s.first.get_recorded_iterator()})
-                for name, s in sorted(node.figures.by_type.items())]).SerializeToString()
+            format=FORMAT,
+            run=node.run,
+            memory=memory(),
+            processor=processor(),
+            age=node.clock.seconds() - node.started,
+            engines=engines,
+            traffic=[
+                pb.TrafficFigures(
+                    name=name,
+                    asked=s.asked,
+                    utility=s.utility,
+                    served=s.served,
+                    answers=s.answers,
+                    attempts=s.attempts,
+                    begun=s.first.total_count,
+                    first_log=s.first_log,
+                    first={
+                        i.value_iterated_to: i.count_at_value_iterated_to
+                        for i in s.first.get_recorded_iterator()
+                    },
+                )
+                for name, s in sorted(node.figures.by_type.items())
+            ],
+        ).SerializeToString()
 
     def push_list(self, call: ServerCall, data: bytes) -> bytes:
         """News of the list, taken whole or not at all."""
@@ -115,10 +139,19 @@
             raise RpcError(Code.FAILED_PRECONDITION, "list.pushed is no in this node's file")
         news = pb.ListNews.FromString(data)
         try:
-            rows = [EngineRow(address=e.address, kind=e.kind, zone=e.zone, cell=e.cell, weight=e.weight
-                              or 1.0,
-                              state=e.state or "serving", age=f"{e.age:.6f}s", model=e.model)
-                    for e in news.engines]
+            rows = [
+                EngineRow(
+                    address=e.address,
+                    kind=e.kind,
+                    zone=e.zone,
+                    cell=e.cell,
+                    weight=e.weight or 1.0,
+                    state=e.state or "serving",
+                    age=f"{e.age:.6f}s",
+                    model=e.model,
+                )
+                for e in news.engines
+            ]
             check_engines(self.sheet, rows)
         except (ValidationError, ValueError) as fault:
             first = fault.errors()[0] if isinstance(fault, ValidationError) else None
@@ -131,12 +164,17 @@
         """What is held for clients, and who was cut off."""
         peers, node, now = self.peers, self.peers.ledger.node, self.host.clock.seconds()
         return pb.LimitsState(
-            came=node.came, left=node.left, dropped=node.dropped, held=node.held,
-            most_held=peers.ledger.bound("node"), calls=len(peers.calls),
+            came=node.came,
+            left=node.left,
+            dropped=node.dropped,
+            held=node.held,
+            most_held=peers.ledger.bound("node"),
+            calls=len(peers.calls),
             connections=len({id(w.call.stream.protocol) for w in peers.calls.values()}),
             near=[pb.NearLimit(what=w, name=n, held=h, most=m) for w, n, h, m in peers.near()],
             cuts=[pb.Cut(age=now - at, peer=p, tenant=t, why=why) for at, p, t, why in peers.cuts],
-            counts=peers.counts).SerializeToString()
+            counts=peers.counts,
+        ).SerializeToString()
 
     def show(self, call: ServerCall, data: bytes) -> bytes:
         """What the node routes by."""
@@ -147,18 +185,42 @@
             more["refused"] = [pb.Refusal(age=now - at, source=s, why=why) for at, s, why in judge.refused]
             if judge.version is not None:
                 v = judge.version
-                more.update(list_source=v.source, list_age=judge.age(now), list_digest=v.digest,
-                            list_old=v.old)
+                more.update(
+                    list_source=v.source, list_age=judge.age(now), list_digest=v.digest, list_old=v.old
+                )
         rows = [engines.rows[i] for i in engines.at.values() if not engines.gone(i)]
         node = self.node
-        more.update(program=node.program, settings=revision.settings(self.sheet), run=node.run,
-                    pid=os.getpid(), age=now - node.started, leaving=node.leaving, proven=node.proven,
-                    generation=self.orders.generation, controller=self.orders.controller, format=FORMAT,
-                    staged=self.staged[0] if self.staged else "",
-                    by_old=sum(len(w.host.held) for w in node.old))
+        more.update(
+            program=node.program,
+            settings=revision.settings(self.sheet),
+            run=node.run,
+            pid=os.getpid(),
+            age=now - node.started,
+            leaving=node.leaving,
+            proven=node.proven,
+            generation=self.orders.generation,
+            controller=self.orders.controller,
+            format=FORMAT,
+            staged=self.staged[0] if self.staged else "",
+            by_old=sum(len(w.host.held) for w in node.old),
+        )
         return pb.NodeState(
             **more,
-            list_version=self.host.list_version, sequences=len(self.host.held),
-            attempts_out=self.host.attempts_out(), taken=self.host.taken, answered=dict(self.host.answered),
-            engines=[pb.ListedEngine(address=r.address, state=r.state, kind=r.kind, zone=r.zone, cell=r.cell,
-                                     weight=r.weight, model=r.model) for r in rows]).SerializeToString()
+            list_version=self.host.list_version,
+            sequences=len(self.host.held),
+            attempts_out=self.host.attempts_out(),
+            taken=self.host.taken,
+            answered=dict(self.host.answered),
+            engines=[
+                pb.ListedEngine(
+                    address=r.address,
+                    state=r.state,
+                    kind=r.kind,
+                    zone=r.zone,
+                    cell=r.cell,
+                    weight=r.weight,
+                    model=r.model,
+                )
+                for r in rows
+            ],
+        ).SerializeToString()
--- a/myrtlehub/node/batches.py
+++ b/myrtlehub/node/batches.py
@@ -87,9 +87,14 @@
             for i in indices:
                 item = batch.want.items[i]
                 task.items.add(text=item.text, tokens=item.tokens)
-        asked = want.asked._replace(prompt=max(1, self.size), most_output=1, time_left=max(0.001, left),
-                                    shared=want.besides, batch=task.SerializeToString(),
-                                    deadline_in=float("inf"))
+        asked = want.asked._replace(
+            prompt=max(1, self.size),
+            most_output=1,
+            time_left=max(0.001, left),
+            shared=want.besides,
+            batch=task.SerializeToString(),
+            deadline_in=float("inf"),
+        )
         try:
             arrival = desk.host.door.arrival(asked, desk.clock.seconds())
         except NotTaken as fault:  # the whole was let in, so this is about a part: nothing ran
@@ -103,7 +108,7 @@
         model, results = raw
         at = 0
         for batch, part, indices in self.owners:
-            mine = results[at:at + len(indices)]
+            mine = results[at : at + len(indices)]
             at += len(indices)
             batch.part_done(part, mine, model)
 
@@ -141,8 +146,9 @@
 class Batch:
     """One request, until its final answer."""
 
-    def __init__(self, desk: "BatchDesk", want: Want, asker: Asker, abandon_at: float,
-                 repeatable: bool) -> None:
+    def __init__(
+        self, desk: "BatchDesk", want: Want, asker: Asker, abandon_at: float, repeatable: bool
+    ) -> None:
         self.desk, self.want, self.asker = desk, want, asker
         self.abandon_at, self.repeatable = abandon_at, repeatable
         self.model = desk.model(want.front)
@@ -187,8 +193,14 @@
         elif not self.repeatable:
             self.send([todo])
         elif not self.desk.gather(self, todo):
-            self.send(split([self.cost(i) for i in todo], self.desk.room(self.want.front),
-                            self.desk.engines(self.want.front)), todo)
+            self.send(
+                split(
+                    [self.cost(i) for i in todo],
+                    self.desk.room(self.want.front),
+                    self.desk.engines(self.want.front),
+                ),
+                todo,
+            )
 
     def _kept(self, key: Hashable) -> pb.ItemResult | None:
         if not (self.want.keep and self.repeatable and self.join.model):
@@ -278,8 +290,11 @@
     def late(self) -> None:
         """Its time is over. Pieces that are out have been given up by the module at the same moment."""
         out = any(p.held is not None for p in self.pieces.values())
-        self.give_up(Answer("rejected" if self.repeatable or not out else "aborted", self.desk.wait,
-                            "its time was over"))
+        self.give_up(
+            Answer(
+                "rejected" if self.repeatable or not out else "aborted", self.desk.wait, "its time was over"
+            )
+        )
 
     def cut(self, why: str) -> None:
         """Its client takes too little, or holds too much here."""
@@ -301,8 +316,15 @@
             self.errors = sum(r.WhichOneof("result") == "error" for _, r in results)
             if not self.want.streams:
                 self.asker.results(results)
-        self.desk.host.log("batch", answer=answer.kind, traffic_type=self.want.asked.traffic_type,
-                           items=len(self.want.items), parts=self.parts, kept=self.kept, errors=self.errors)
+        self.desk.host.log(
+            "batch",
+            answer=answer.kind,
+            traffic_type=self.want.asked.traffic_type,
+            items=len(self.want.items),
+            parts=self.parts,
+            kept=self.kept,
+            errors=self.errors,
+        )
         self.asker.final(answer, self.join.model, self.errors, self.kept)
 
     def _close(self) -> None:
@@ -323,8 +345,12 @@
         self.host, self.sheet, self.clock, self.wait = host, sheet, clock, sheet.node.max_wait
         self.kept = KeptResults(b.keep)
         self.gatherer = Gatherer(Window(b.gather, b.gather_tokens, b.gather_items, b.gather_left))
-        self.shares = FrontShares({f: max(t.utility for t in sheet.traffic if t.front == f)
-                                   for f in {t.front for t in sheet.traffic}})
+        self.shares = FrontShares(
+            {
+                f: max(t.utility for t in sheet.traffic if t.front == f)
+                for f in {t.front for t in sheet.traffic}
+            }
+        )
         self.fronts = [f for f in ("embed", "rank") if f in self.shares.utility]
         self.fields: list[str] = []  # fronts, in the order of the module's fields; empty: there is only one
         self._common: set[str] = set()  # kinds that do the work of several fronts
@@ -338,8 +364,11 @@
 
     def _room(self, front: str) -> Room:
         kinds = [k for k in self.sheet.kinds if k.does(front)]
-        return Room(min((k.batch for k in kinds), default=1.0),
-                    min((k.batch_items for k in kinds), default=1), self.sheet.batches.least_part)
+        return Room(
+            min((k.batch for k in kinds), default=1.0),
+            min((k.batch_items for k in kinds), default=1),
+            self.sheet.batches.least_part,
+        )
 
     def room(self, front: str) -> Room:
         """Of one part: what every kind of the front takes."""
@@ -369,7 +398,8 @@
         common = [kinds[r.kind] for r in up if r.kind in self._common]
         for front in self.shares.utility:
             self.shares.alone[front] = any(
-                kinds[r.kind].does(front) and r.kind not in self._common for r in up)
+                kinds[r.kind].does(front) and r.kind not in self._common for r in up
+            )
         self.shares.room = sum(k.batch for k in common) / self.sheet.node.nodes
         self.clock.callLater(0, self.pump)
 
@@ -391,8 +421,10 @@
         row = self.host.door.rows[arrival.traffic]
         repeatable, room = row.repeats == "repeatable", self.room(want.front)
         if not repeatable and (total > room.tokens or len(want.items) > room.items):
-            raise NotTaken(f"inputs: traffic type {row.name!r} is not repeatable, so its batches go whole to "
-                           f"one engine: at most {room.items} items and {room.tokens:g} tokens")
+            raise NotTaken(
+                f"inputs: traffic type {row.name!r} is not repeatable, so its batches go whole to "
+                f"one engine: at most {room.items} items and {room.tokens:g} tokens"
+            )
         batch = Batch(self, want._replace(asked=asked), asker, now + arrival.time_left, repeatable)
         asker.taken(batch)
         if len(self.host.held) + len(self.open) >= self.sheet.node.most_sequences:
--- a/myrtlehub/node/calls.py
+++ b/myrtlehub/node/calls.py
@@ -30,9 +30,16 @@
 
 def asked_of(terms: pb.Terms, deadline_in: float) -> Asked:
     """What all batches have in common with chat."""
-    return Asked(terms.traffic_type, terms.tenant, prompt=1, most_output=1,
-                 time_left=terms.time_left_ms / 1000.0, deadline_in=deadline_in, mark=terms.mark,
-                 repeated=terms.repeated)
+    return Asked(
+        terms.traffic_type,
+        terms.tenant,
+        prompt=1,
+        most_output=1,
+        time_left=terms.time_left_ms / 1000.0,
+        deadline_in=deadline_in,
+        mark=terms.mark,
+        repeated=terms.repeated,
+    )
 
 
 def tokens_of(item: pb.Input) -> int:
@@ -90,9 +97,11 @@
             self.batch.left()
 
 
-def serve(front: Front, desk: BatchDesk, server: object, closed: Callable[[], bool],
-          peers: PeerWatch) -> None:
+def serve(
+    front: Front, desk: BatchDesk, server: object, closed: Callable[[], bool], peers: PeerWatch
+) -> None:
     """Add both forms of a front's method."""
+
     def method(streams: bool) -> Callable[[ServerCall, bytes], Receiver]:
         def run(call: ServerCall, data: bytes) -> Receiver:
             try:
@@ -109,11 +118,14 @@
                 want = front.want(request, streams)
                 want = want._replace(asked=asked_of(terms, call.time_left()))
                 batch = desk.take(want, mine)
-                peers.open(call, "batch", terms.tenant, desk.utility(terms.traffic_type), len(data),
-                           batch.cut)
+                peers.open(
+                    call, "batch", terms.tenant, desk.utility(terms.traffic_type), len(data), batch.cut
+                )
             except (NotTaken, ValueError) as fault:
                 raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
             return mine
+
         return run
+
     server.add(front.unary, server_stream(method(False)))
     server.add(front.stream, server_stream(method(True)))
--- a/myrtlehub/node/changes.py
+++ b/myrtlehub/node/changes.py
@@ -20,13 +20,16 @@
     """Raises Unfit where `then` cannot follow `now` in a node whose list has these rows."""
     for name in FIXED:
         if getattr(now.node, name) != getattr(then.node, name):
-            raise Unfit(f"node.{name}: cannot change from {getattr(now.node, name)!r} to "
-                        f"{getattr(then.node, name)!r} in place; roll the program")
+            raise Unfit(
+                f"node.{name}: cannot change from {getattr(now.node, name)!r} to "
+                f"{getattr(then.node, name)!r} in place; roll the program"
+            )
     if bool(now.list.files) != bool(then.list.files) or now.list.pushed != then.list.pushed:
         raise Unfit("list: where the list comes from cannot change in place; roll the program")
     if now.list.files and (now.list != then.list or now.kinds != then.kinds or now.zones != then.zones):
-        raise Unfit("list, kinds, zones: what watched files are read by cannot change in place; "
-                    "roll the program")
+        raise Unfit(
+            "list, kinds, zones: what watched files are read by cannot change in place; roll the program"
+        )
     if not (then.list.files or then.list.pushed):
         rows = then.list.engines
     kinds = {k.name: k for k in then.kinds}
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -142,18 +142,36 @@
 
 def asked_of(request: pb.GenerateRequest, deadline_in: float) -> Asked:
     """A request's fields, in our units."""
-    return Asked(request.traffic_type, request.tenant, request.session, request.shared_prefix,
-                 request.shared_tokens, request.prompt_tokens, request.most_output, request.time_left_ms /
-                 1000.0,
-                 deadline_in, request.mark, request.repeated, request.expected_ms / 1000.0, request.prompt)
+    return Asked(
+        request.traffic_type,
+        request.tenant,
+        request.session,
+        request.shared_prefix,
+        request.shared_tokens,
+        request.prompt_tokens,
+        request.most_output,
+        request.time_left_ms / 1000.0,
+        deadline_in,
+        request.mark,
+        request.repeated,
+        request.expected_ms / 1000.0,
+        request.prompt,
+    )
 
 
 class ChatFront:
     """Serves Chat on a server, for a host."""
 
-    def __init__(self, host: Host, most_sequences: int, wait: float, shares: FrontShares,
-                 peers: PeerWatch, gate: Admission | None = None,
-                 turned_away: Callable[[TrafficRow], None] = lambda row: None) -> None:
+    def __init__(
+        self,
+        host: Host,
+        most_sequences: int,
+        wait: float,
+        shares: FrontShares,
+        peers: PeerWatch,
+        gate: Admission | None = None,
+        turned_away: Callable[[TrafficRow], None] = lambda row: None,
+    ) -> None:
         self.turned_away = turned_away  # told of each sequence that was never taken
         self.host, self.most, self.wait, self.shares, self.peers = host, most_sequences, wait, shares, peers
         self.closed = False
@@ -220,8 +238,15 @@
         """Hand it to the module; its id is said with the first message."""
         self._hand(waiting, asked, "", arrival)
 
-    def _hand(self, waiting: _Waiting, asked: Asked, label: str, arrival: object, before: int = 0,
-              handle: object = None) -> None:
+    def _hand(
+        self,
+        waiting: _Waiting,
+        asked: Asked,
+        label: str,
+        arrival: object,
+        before: int = 0,
+        handle: object = None,
+    ) -> None:
         label = label or self.host.next_label()
         waiting.named(label)
         if waiting.may_move:
@@ -239,8 +264,10 @@
         def hand(label: str, arrival: object, before: int, handle: object) -> None:
             waiting.takeover = None
             self._hand(waiting, wanted.asked, label, arrival, before, handle)
-        waiting.takeover = Takeover(wanted, self.keeping, self.links, self.host, waiting, hand,
-                                    waiting.superseded, self.claims)
+
+        waiting.takeover = Takeover(
+            wanted, self.keeping, self.links, self.host, waiting, hand, waiting.superseded, self.claims
+        )
         waiting.takeover.start()
 
     def hand_over(self) -> None:
--- a/myrtlehub/node/door.py
+++ b/myrtlehub/node/door.py
@@ -69,5 +69,15 @@
         left = min(a.time_left or row.abandon_time, row.abandon_time, a.deadline_in - self.slack)
         left = self.lag.left(now, left)
         return itf.Arrival(
-            traffic, self.tenants.get(a.tenant, -1), float(a.prompt), left, key_of(a.session),
-            key_of(a.prefix), float(a.shared), float(a.most_output), a.expected, False, a.repeated)
+            traffic,
+            self.tenants.get(a.tenant, -1),
+            float(a.prompt),
+            left,
+            key_of(a.session),
+            key_of(a.prefix),
+            float(a.shared),
+            float(a.most_output),
+            a.expected,
+            False,
+            a.repeated,
+        )
--- a/myrtlehub/node/embed.py
+++ b/myrtlehub/node/embed.py
@@ -19,5 +19,11 @@
     return pb.EmbedReply(vectors=[pb.Vector(index=i, packed=r.vector, error=r.error) for i, r in results])
 
 
-EMBED = Front("embed", "/myrtlehub.v1.Embeddings/Embed", "/myrtlehub.v1.Embeddings/EmbedStream",
-              pb.EmbedRequest, want, reply)
+EMBED = Front(
+    "embed",
+    "/myrtlehub.v1.Embeddings/Embed",
+    "/myrtlehub.v1.Embeddings/EmbedStream",
+    pb.EmbedRequest,
+    want,
+    reply,
+)
--- a/myrtlehub/node/fields.py
+++ b/myrtlehub/node/fields.py
@@ -14,8 +14,13 @@
 class Fields:
     """`make(terms)` gives a router; `kinds` and `traffic` say which kinds and traffic types a field has."""
 
-    def __init__(self, make: Callable[[itf.Terms], object], terms: Sequence[itf.Terms],
-                 kinds: Sequence[frozenset[int]], field_of_traffic: Sequence[int]) -> None:
+    def __init__(
+        self,
+        make: Callable[[itf.Terms], object],
+        terms: Sequence[itf.Terms],
+        kinds: Sequence[frozenset[int]],
+        field_of_traffic: Sequence[int],
+    ) -> None:
         self.routers = [make(t) for t in terms]
         self.kinds, self.field_of_traffic = kinds, field_of_traffic
         self._field_of: dict[int, int] = {}  # by sequence
@@ -68,8 +73,11 @@
     def shut(self, now: float, f: int, shut: bool) -> list[tuple]:
         """Keep a field from engines that others have as well, or let it in again."""
         (self._shut.add if shut else self._shut.discard)(f)
-        again = [self._seen_by(f, e._replace(fresh=False)) for born, e in self._told[f].values()
-                 if born == self._born[e.engine] and e.kind in self.kinds[f] and self._common(e)]
+        again = [
+            self._seen_by(f, e._replace(fresh=False))
+            for born, e in self._told[f].values()
+            if born == self._born[e.engine] and e.kind in self.kinds[f] and self._common(e)
+        ]
         return self._own(f, self.routers[f].engines(now, again, False))
 
     def arrive(self, now: float, seq: int, a: itf.Arrival) -> list[tuple]:
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -14,7 +14,19 @@
 from myrtlehub.membership.rows import Row
 from myrtlehub.node.indices import EngineIndices
 from myrtlehub.state.lives import (
-    ANSWER, ANSWER_LIFE, ATTEMPT, BEGIN, HOLD, LATE, OUT, PASS, READ_ENDS, TELL_RELEASE, Life, write_ends)
+    ANSWER,
+    ANSWER_LIFE,
+    ATTEMPT,
+    BEGIN,
+    HOLD,
+    LATE,
+    OUT,
+    PASS,
+    READ_ENDS,
+    TELL_RELEASE,
+    Life,
+    write_ends,
+)
 
 NEVER = float("inf")
 
@@ -73,11 +85,23 @@
 class Attempt:
     """One schedule attempt."""
 
-    __slots__ = ("held", "number", "engine", "reads", "since", "until", "timer", "life", "claims", "call",
-                 "kind")
-
-    def __init__(self, held: "Held", number: int, engine: int, reads: bool, since: float,
-                 until: float, kind: str = "") -> None:
+    __slots__ = (
+        "held",
+        "number",
+        "engine",
+        "reads",
+        "since",
+        "until",
+        "timer",
+        "life",
+        "claims",
+        "call",
+        "kind",
+    )
+
+    def __init__(
+        self, held: "Held", number: int, engine: int, reads: bool, since: float, until: float, kind: str = ""
+    ) -> None:
         self.kind = kind  # of the engine when it was sent: the list may change it meanwhile
         self.held, self.number, self.engine, self.reads = held, number, engine, reads
         self.since, self.until = since, until
@@ -108,11 +132,26 @@
 class Held:
     """One sequence that the host holds for the module."""
 
-    __slots__ = ("seq", "label", "asked", "arrival", "client", "since", "abandon_at", "life", "attempts",
-                 "holds", "begun", "first_at", "tokens", "before")
-
-    def __init__(self, seq: int, label: str, asked: object, arrival: itf.Arrival, client: Client,
-                 now: float) -> None:
+    __slots__ = (
+        "seq",
+        "label",
+        "asked",
+        "arrival",
+        "client",
+        "since",
+        "abandon_at",
+        "life",
+        "attempts",
+        "holds",
+        "begun",
+        "first_at",
+        "tokens",
+        "before",
+    )
+
+    def __init__(
+        self, seq: int, label: str, asked: object, arrival: itf.Arrival, client: Client, now: float
+    ) -> None:
         self.seq, self.label, self.asked, self.arrival, self.client = seq, label, asked, arrival, client
         self.since, self.abandon_at = now, now + arrival.time_left
         self.life = Life(ANSWER_LIFE)
@@ -127,8 +166,16 @@
 class Host:
     """The module's host: `router` decides, `carrier` moves, `clock` is the node's only clock."""
 
-    def __init__(self, router: object, door: Door, terms: itf.Terms, clock: object, carrier: Carrier,
-                 prefix: str = "", log: Callable[..., None] = lambda event, **more: None) -> None:
+    def __init__(
+        self,
+        router: object,
+        door: Door,
+        terms: itf.Terms,
+        clock: object,
+        carrier: Carrier,
+        prefix: str = "",
+        log: Callable[..., None] = lambda event, **more: None,
+    ) -> None:
         self.router, self.door, self.terms, self.clock = router, door, terms, clock
         self.carrier, self.prefix, self.log = carrier, prefix, log
         self.held: dict[int, Held] = {}
@@ -138,9 +185,26 @@
         self._next = 0
         self._calls: deque[tuple] = deque()
         self._busy = False
-        self._verbs = {name: getattr(self, "_" + name) for name in (
-            "send", "release", "cancel", "reject", "abort", "wake", "close", "watch", "relist", "note",
-            "done", "hold", "move", "probe", "tell")}
+        self._verbs = {
+            name: getattr(self, "_" + name)
+            for name in (
+                "send",
+                "release",
+                "cancel",
+                "reject",
+                "abort",
+                "wake",
+                "close",
+                "watch",
+                "relist",
+                "note",
+                "done",
+                "hold",
+                "move",
+                "probe",
+                "tell",
+            )
+        }
         self.probe_timeout = 0.25
         self.on_idle: Callable[[], None] = lambda: None
         self.on_sent: Callable[[Attempt], None] = lambda attempt: None
@@ -177,8 +241,15 @@
         """The id by which the next sequence taken is known outside."""
         return f"{self.prefix}{self._next}"
 
-    def take(self, asked: object, arrival: itf.Arrival, client: Client, label: str = "", before: int = 0,
-             handle: object = None) -> Held:
+    def take(
+        self,
+        asked: object,
+        arrival: itf.Arrival,
+        client: Client,
+        label: str = "",
+        before: int = 0,
+        handle: object = None,
+    ) -> Held:
         """A sequence came in. From here on one final answer is owed, before its time is over.
 
         `label`: by which engines know it, where its client gave it one, or another node had it before, with
@@ -250,8 +321,15 @@
             held.tokens += 1
             held.client.tokens(raw)
 
-    def ended(self, attempt: Attempt, outcome: str, kept: float = 0.0, load: itf.Load | None = None,
-              handle: object = None, tokens: int = 0) -> None:
+    def ended(
+        self,
+        attempt: Attempt,
+        outcome: str,
+        kept: float = 0.0,
+        load: itf.Load | None = None,
+        handle: object = None,
+        tokens: int = 0,
+    ) -> None:
         """How an attempt ended; said once, what comes later is dropped."""
         begun = attempt.begun
         if attempt.life.step(outcome) == LATE:
@@ -321,8 +399,9 @@
             hold = held.holds.setdefault(engine, Hold(engine))
             hold.life.step("send")
         else:
-            claims = [h for h in held.holds.values() if h.handle is not None and h.life.state in ("held",
-                                                                                                  "maybe")]
+            claims = [
+                h for h in held.holds.values() if h.handle is not None and h.life.state in ("held", "maybe")
+            ]
             if claims:
                 attempt.claims = claims[-1]
                 attempt.claims.life.step("claim")
@@ -414,8 +493,16 @@
         self.answered[answer] += 1
         first = round(held.first_at - held.since, 4) if held.first_at else None
         row = self.door.rows[held.arrival.traffic]
-        self.log("answer", seq=held.label, answer=answer, traffic_type=row.name, attempts=len(held.attempts),
-                 first_token=first, took=round(self.clock.seconds() - held.since, 4), **more)
+        self.log(
+            "answer",
+            seq=held.label,
+            answer=answer,
+            traffic_type=row.name,
+            attempts=len(held.attempts),
+            first_token=first,
+            took=round(self.clock.seconds() - held.since, 4),
+            **more,
+        )
         self.on_answer(held)
 
     def _timed_out(self, attempt: Attempt) -> None:
--- a/myrtlehub/node/indices.py
+++ b/myrtlehub/node/indices.py
@@ -27,8 +27,9 @@
         self._gone: set[int] = set()
         self._free: list[int] = []
 
-    def listings(self, rows: Iterable[Row], whole: bool, kinds: dict[str, int], zones: dict[str, int],
-                 now: float) -> list[itf.Listing]:
+    def listings(
+        self, rows: Iterable[Row], whole: bool, kinds: dict[str, int], zones: dict[str, int], now: float
+    ) -> list[itf.Listing]:
         """News of the list as listings, in order; engines it removes are remembered until they are unused."""
         listings, seen, at = [], set(), self.at
         for row in rows:
@@ -47,8 +48,19 @@
                 self._gone.add(index)
             else:
                 self._gone.discard(index)
-            listings.append(itf.Listing(index, fresh, state, kinds[kind], zones[zone], cell,
-                                        now - age if age else 0.0, weight, self._marks[index]))
+            listings.append(
+                itf.Listing(
+                    index,
+                    fresh,
+                    state,
+                    kinds[kind],
+                    zones[zone],
+                    cell,
+                    now - age if age else 0.0,
+                    weight,
+                    self._marks[index],
+                )
+            )
         if whole:
             self._gone.update(i for i in self.at.values() if i not in seen)
         return listings
