--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -90,8 +90,9 @@
         which = reply.WhichOneof("reply")
         if which == "ended":
             ended = reply.ended
-            self.host.ended(attempt, itf.GENERATED, float(ended.kept_tokens), load_of(ended),
-                            tokens=ended.tokens)
+            self.host.ended(
+                attempt, itf.GENERATED, float(ended.kept_tokens), load_of(ended), tokens=ended.tokens
+            )
         elif which == "refused":
             self.host.ended(attempt, itf.FULL, float(reply.refused.no_state), load_of(reply.refused))
 
@@ -123,8 +124,15 @@
 class Links:
     """Channels by engine address. `dial(address)` gives a channel's way there."""
 
-    def __init__(self, clock: object, dial: Callable[[str], Callable], name: str, random: Random,
-                 connect_timeout: float, bounds: TransportBounds | None = None) -> None:
+    def __init__(
+        self,
+        clock: object,
+        dial: Callable[[str], Callable],
+        name: str,
+        random: Random,
+        connect_timeout: float,
+        bounds: TransportBounds | None = None,
+    ) -> None:
         self.clock, self.dial, self.name, self.random = clock, dial, name, random
         self.connect_timeout, self.bounds = connect_timeout, bounds or TransportBounds()
         self.channels: dict[str, Channel] = {}
@@ -141,20 +149,34 @@
         channel = self.channels.get(address)
         if channel is None:
             channel = self.channels[address] = Channel(
-                self.clock, self.dial(address), address, self.bounds, self.random,
-                connect_timeout=self.connect_timeout)
+                self.clock,
+                self.dial(address),
+                address,
+                self.bounds,
+                self.random,
+                connect_timeout=self.connect_timeout,
+            )
         return channel
 
     def start(self, attempt: Attempt) -> None:
         held, asked = attempt.held, attempt.held.asked
         claim = self.claim_of(held.label)
         work = pb.Work(
-            epoch=claim.epoch, owner=claim.owner,
-            sequence=held.label, attempt=held.before + attempt.number,
-            traffic_type=asked.traffic_type, tenant=asked.tenant,
-            session=asked.session, shared_prefix=asked.prefix, shared_tokens=asked.shared,
-            prompt_tokens=asked.prompt, most_output=asked.most_output, mark=asked.mark, prompt=asked.text,
-            first_within_ms=max(1, int((held.abandon_at - self.clock.seconds()) * 1000)))
+            epoch=claim.epoch,
+            owner=claim.owner,
+            sequence=held.label,
+            attempt=held.before + attempt.number,
+            traffic_type=asked.traffic_type,
+            tenant=asked.tenant,
+            session=asked.session,
+            shared_prefix=asked.prefix,
+            shared_tokens=asked.shared,
+            prompt_tokens=asked.prompt,
+            most_output=asked.most_output,
+            mark=asked.mark,
+            prompt=asked.text,
+            first_within_ms=max(1, int((held.abandon_at - self.clock.seconds()) * 1000)),
+        )
         if asked.batch:
             # Fields of two serialised messages, one after the other, are those of one.
             path, watcher = "Batch", _Batch(self.host, attempt)
@@ -168,8 +190,12 @@
             request = pb.WriteRequest(work=work, state=attempt.claims.handle if attempt.claims else None)
             timeout = asked.deadline_in - (self.clock.seconds() - held.since)
             timeout, data = timeout + LATE if timeout != NEVER else None, request.SerializeToString()
-        meta = (("myrtle-seq", held.label), ("myrtle-attempt", str(work.attempt)),
-                ("myrtle-node", self.name), ("myrtle-list", self.host.list_label))
+        meta = (
+            ("myrtle-seq", held.label),
+            ("myrtle-attempt", str(work.attempt)),
+            ("myrtle-node", self.name),
+            ("myrtle-list", self.host.list_label),
+        )
         attempt.call = self.channel(attempt.engine).call(SERVICE + path, watcher, meta, timeout)
         attempt.call.send(data)
         attempt.call.half_close()
@@ -180,15 +206,17 @@
 
     def release(self, engine: int, label: str) -> None:
         claim = self.claim_of(label)
-        done = self.channel(engine).unary(SERVICE + "Release",
-                                          pb.ReleaseRequest(
-                                              sequence=label, epoch=claim.epoch,
-                                              owner=claim.owner).SerializeToString(), timeout=1.0)
+        done = self.channel(engine).unary(
+            SERVICE + "Release",
+            pb.ReleaseRequest(sequence=label, epoch=claim.epoch, owner=claim.owner).SerializeToString(),
+            timeout=1.0,
+        )
         done.addErrback(lambda failure: None)  # an engine that cannot be told lets go by its own bound
 
     def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
-        done = self.channel(engine).unary(SERVICE + "Probe", pb.ProbeRequest().SerializeToString(),
-                                          timeout=timeout)
+        done = self.channel(engine).unary(
+            SERVICE + "Probe", pb.ProbeRequest().SerializeToString(), timeout=timeout
+        )
         done.addCallback(pb.ProbeReply.FromString)
         # A reply that is none counts as no word; what `then` itself does wrong is not hidden.
         done.addCallbacks(lambda reply: then(True, load_of(reply)), lambda failure: then(False, None))
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -29,12 +29,19 @@
 class Node:
     """One node on a clock. `server` and `admin` are factories to listen with; `dial` reaches engines."""
 
-    def __init__(self, sheet: NodeSheet, clock: object, dial: Callable[[str], Callable], run: str = "0",
-                 log: Callable[..., None] = lambda event, **more: None,
-                 host_class: type[Host] = Host, base: Path = Path("."),
-                 notify: Callable = lambda paths, changed: None,
-                 reader: Callable | None = None,
-                 beside: Callable = lambda work, then: then(work())) -> None:
+    def __init__(
+        self,
+        sheet: NodeSheet,
+        clock: object,
+        dial: Callable[[str], Callable],
+        run: str = "0",
+        log: Callable[..., None] = lambda event, **more: None,
+        host_class: type[Host] = Host,
+        base: Path = Path("."),
+        notify: Callable = lambda paths, changed: None,
+        reader: Callable | None = None,
+        beside: Callable = lambda work, then: then(work()),
+    ) -> None:
         self.clock, self.log, self.run = clock, log, run
         self.program = revision.program()
         self.started = clock.seconds()
@@ -46,17 +53,23 @@
         if self.keeping is not None:
             self.keeping.lost = lambda record: let_go(self.links, record)
             if not sheet.engines_may.claims:
-                log("takeover", why="engines answer no claims here: streams end with their node, and what "
-                    "may have run is not sent again")
+                log(
+                    "takeover",
+                    why="engines answer no claims here: streams end with their node, and what "
+                    "may have run is not sent again",
+                )
         self.old: list[Works] = []  # replaced, with sequences in hand
         self.proven_from = 0  # generated before the settings that hold were applied
         self.leaving = False
         self._done: Deferred | None = None
         self._limit: object | None = None  # while it drains
         limits = sheet.limits
-        self.server = Server(clock, TransportBounds(message=sheet.node.prompt_limit,
-                                                    idle_streamless=limits.idle),
-                             most=limits.connections, most_by_peer=limits.peer_connections)
+        self.server = Server(
+            clock,
+            TransportBounds(message=sheet.node.prompt_limit, idle_streamless=limits.idle),
+            most=limits.connections,
+            most_by_peer=limits.peer_connections,
+        )
         self.works.serve(self.server)
         self.admin = Server(clock)
         self.source = self._source(sheet, base, notify, reader, beside)
@@ -86,8 +99,9 @@
         for works in (self.works, *self.old):
             works.list_news(rows, whole, number, digest)
 
-    def _source(self, sheet: NodeSheet, base: Path, notify: Callable, reader: Callable | None,
-                beside: Callable) -> StaticList | WatchedList:
+    def _source(
+        self, sheet: NodeSheet, base: Path, notify: Callable, reader: Callable | None, beside: Callable
+    ) -> StaticList | WatchedList:
         part = sheet.list
         if not part.files:
             return StaticList(part.engines)
@@ -96,10 +110,26 @@
         flaps = NEVER_DAMPED if damp.flaps == "off" else damp.flaps
         judge = ListJudge(
             Confirmation(most, part.confirm.after, flaps, damp.within, damp.quiet_for),
-            {k.name: k for k in sheet.kinds}, sheet.zones, sheet.engines_may.read_alone)
+            {k.name: k for k in sheet.kinds},
+            sheet.zones,
+            sheet.engines_may.read_alone,
+        )
         store = VersionStore(base / part.store) if part.store else None
-        return WatchedList(part.files, base, judge, self.clock, part.poll, part.quiet, store, self.log,
-                           notify, lambda: self.links.silent(), reader, part.end_marked, beside)
+        return WatchedList(
+            part.files,
+            base,
+            judge,
+            self.clock,
+            part.poll,
+            part.quiet,
+            store,
+            self.log,
+            notify,
+            lambda: self.links.silent(),
+            reader,
+            part.end_marked,
+            beside,
+        )
 
     def apply(self, sheet: NodeSheet) -> None:
         """From the next sequence on these settings hold. What `changes.unfit` says of them has to be
--- a/myrtlehub/node/peers.py
+++ b/myrtlehub/node/peers.py
@@ -21,8 +21,15 @@
 
     __slots__ = ("call", "name", "tenant", "utility", "request", "pace", "cut", "was_cut", "settled")
 
-    def __init__(self, call: ServerCall, name: str, tenant: str, utility: float, request: int,
-                 cut: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        call: ServerCall,
+        name: str,
+        tenant: str,
+        utility: float,
+        request: int,
+        cut: Callable[[str], None],
+    ) -> None:
         self.call, self.name, self.tenant, self.utility = call, name, tenant, utility
         self.request, self.cut = request, cut  # bytes of the request, held until it is over
         self.pace: Pace | None = None  # while something waits for its client
@@ -33,8 +40,14 @@
 class PeerWatch:
     """All clients' calls of a node."""
 
-    def __init__(self, limits: LimitsGroup, clock: object, log: Callable[..., None],
-                 retries: RetryBudget | None, max_wait: float) -> None:
+    def __init__(
+        self,
+        limits: LimitsGroup,
+        clock: object,
+        log: Callable[..., None],
+        retries: RetryBudget | None,
+        max_wait: float,
+    ) -> None:
         self.retries, self.max_wait = retries, max_wait
         self.limits, self.clock, self.log = limits, clock, log
         self.ledger = Ledger(Budgets(limits.held_bytes, limits.peer_share, limits.tenant_share))
@@ -71,8 +84,15 @@
             self.log("turned away", peer=call.peer, tenant=tenant, budget=what, bytes=size)
         return not what
 
-    def open(self, call: ServerCall, name: str, tenant: str, utility: float, request: int,
-             cut: Callable[[str], None]) -> None:
+    def open(
+        self,
+        call: ServerCall,
+        name: str,
+        tenant: str,
+        utility: float,
+        request: int,
+        cut: Callable[[str], None],
+    ) -> None:
         """A call was taken."""
         key, self._next = self._next, self._next + 1
         self.calls[key] = Watched(call, name, tenant, utility, request, cut)
@@ -87,8 +107,13 @@
         if w.settled == (s.put, s.taken, s.dropped, over):
             return  # most streams, at most looks
         w.settled = s.put, s.taken, s.dropped, over
-        self.ledger.settle(key, s.put + w.request, s.taken + (w.request if over else 0), s.dropped,
-                           s.buffered + (0 if over else w.request))
+        self.ledger.settle(
+            key,
+            s.put + w.request,
+            s.taken + (w.request if over else 0),
+            s.dropped,
+            s.buffered + (0 if over else w.request),
+        )
 
     def _look(self) -> None:
         """At all open streams."""
@@ -106,8 +131,11 @@
                 least = self.limits.least_rate
                 self.cut(key, "slow", f"it took under {least:g} bytes a second of what waited")
         for what, name, size in list(self.ledger.over()):
-            streams = [Held(k, self.ledger.held_by(k), w.utility, w.pace.stalled(now) if w.pace else 0.0)
-                       for k in self.ledger.of(what, name) if not (w := self.calls[k]).was_cut]
+            streams = [
+                Held(k, self.ledger.held_by(k), w.utility, w.pace.stalled(now) if w.pace else 0.0)
+                for k in self.ledger.of(what, name)
+                if not (w := self.calls[k]).was_cut
+            ]
             for key in given_up(streams, size):
                 bound = self.ledger.bound(what)
                 self.cut(key, "memory", f"the {what} holds more than its {bound} bytes here")
@@ -137,9 +165,12 @@
 
     def near(self) -> list[tuple[str, str, int, int]]:
         """Peers and tenants that hold over half of their budget: what, who, bytes held, bound."""
-        return [(what, str(name), a.held, self.ledger.bound(what))
-                for what, table in (("peer", self.ledger.peers), ("tenant", self.ledger.tenants))
-                for name, a in table.items() if a.held * 2 > self.ledger.bound(what)]
+        return [
+            (what, str(name), a.held, self.ledger.bound(what))
+            for what, table in (("peer", self.ledger.peers), ("tenant", self.ledger.tenants))
+            for name, a in table.items()
+            if a.held * 2 > self.ledger.bound(what)
+        ]
 
 
 def host_of(peer: str) -> str:
--- a/myrtlehub/node/rank.py
+++ b/myrtlehub/node/rank.py
@@ -23,9 +23,10 @@
     """Scores by index, or the best `top` in falling order; of equals the earlier document comes first."""
     if request.top:
         results = sorted(results, key=lambda r: (r[1].WhichOneof("result") == "error", -r[1].score, r[0]))
-        results = results[:request.top]
+        results = results[: request.top]
     return pb.RankReply(scores=[pb.Score(index=i, score=r.score, error=r.error) for i, r in results])
 
 
-RANK = Front("rank", "/myrtlehub.v1.Rerank/Rank", "/myrtlehub.v1.Rerank/RankStream", pb.RankRequest, want,
-             reply)
+RANK = Front(
+    "rank", "/myrtlehub.v1.Rerank/Rank", "/myrtlehub.v1.Rerank/RankStream", pb.RankRequest, want, reply
+)
--- a/myrtlehub/node/takeover.py
+++ b/myrtlehub/node/takeover.py
@@ -29,12 +29,18 @@
 # What one takeover is about. `found`, `none`: keepers have answered; `stood`: engines have; `go on`, `again`,
 # `give up`: what `course` says; `lost`: another node has it by a higher claim; `left`: its client went away.
 EVENTS = "found none stood goon again giveup tokens whole broke lost left"
-TAKEOVER = table("takeover", "asking", "answered handed lost left", """
+TAKEOVER = table(
+    "takeover",
+    "asking",
+    "answered handed lost left",
+    """
 asking: found -> claiming / claim; none again -> handed / hand; giveup -> answered / answer; lost -> lost / tell; left -> left / nothing; stood goon tokens whole broke -> = / breach
 claiming: stood -> claiming / decide; goon -> attaching / attach; again -> handed / hand; giveup -> answered / answer; lost -> lost / tell; left -> left / nothing; found none tokens whole broke -> = / breach
 attaching: tokens -> streaming / pass; whole -> answered / answer; broke giveup -> answered / answer; lost -> lost / tell; left -> left / nothing; found none stood goon again -> = / breach
 streaming: tokens -> = / pass; whole -> answered / answer; broke giveup -> answered / answer; lost -> lost / tell; left -> left / nothing; found none stood goon again -> = / breach
-""", EVENTS)  # noqa: E501
+""",
+    EVENTS,
+)  # noqa: E501
 
 
 class Wanted(NamedTuple):
@@ -77,11 +83,15 @@
             self.timer = self.keeping.clock.callLater(left, self.out_of_time)
         names = keepers(node_of(self.wanted.sequence), self.keeping.zones, self.keeping.group.copies)
         asked = [self.keeping.ask(name, self.wanted.sequence) for name in names]
-        self._gather(asked, lambda r: r is not None and r.HasField("record"),
-                     lambda replies: self._asked(names, replies))
+        self._gather(
+            asked,
+            lambda r: r is not None and r.HasField("record"),
+            lambda replies: self._asked(names, replies),
+        )
 
-    def _gather(self, asked: list[Deferred], enough: Callable[[object], bool],
-                then: Callable[[list], None]) -> None:
+    def _gather(
+        self, asked: list[Deferred], enough: Callable[[object], bool], then: Callable[[list], None]
+    ) -> None:
         """Call `then` with all replies; once one is enough, those that are not there soon count as none."""
         got, over, left = [None] * len(asked), [], [len(asked)]
 
@@ -96,6 +106,7 @@
                 done()
             elif enough(reply):
                 self.keeping.clock.callLater(self.keeping.group.patience, done)
+
         for i, deferred in enumerate(asked):
             deferred.addCallback(heard, i)
             deferred.addErrback(lambda failure: self.keeping.log("fault", text=failure.getTraceback()))
@@ -153,8 +164,11 @@
         self.keeping.adopt(self.host, self.record, runs, unsure)
         self.life.step("found")
         engines = list(dict.fromkeys(i.engine for i in self.record.intents))
-        self._gather([self._claim(engine) for engine in engines], _streams,
-                     lambda replies: self._claimed(engines, replies))
+        self._gather(
+            [self._claim(engine) for engine in engines],
+            _streams,
+            lambda replies: self._claimed(engines, replies),
+        )
 
     def _claim(self, engine: str) -> Deferred:
         if not self.claims:
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -44,8 +44,9 @@
     """One settings' worth of a node. `number` counts the changes of settings that this process has
     applied."""
 
-    def __init__(self, sheet: NodeSheet, around: Around, number: int = 0,
-                 before: "Works | None" = None) -> None:
+    def __init__(
+        self, sheet: NodeSheet, around: Around, number: int = 0, before: "Works | None" = None
+    ) -> None:
         self.sheet, self.around, self.number = sheet, around, number
         node, terms, fronts = sheet.node, terms_of(sheet), fronts_of(sheet)
         clock, log = around.clock, around.log
@@ -55,8 +56,9 @@
         run = f"{around.run}~{number}" if number else around.run
         keeping = around.keeping
         carrier = self.links if keeping is None else Gate(self.links, keeping)
-        self.host = around.host_class(self._router(fronts), Door(sheet), terms, clock, carrier,
-                                      f"{node.name}.{run}.", log)
+        self.host = around.host_class(
+            self._router(fronts), Door(sheet), terms, clock, carrier, f"{node.name}.{run}.", log
+        )
         if before is not None:
             self.links.channels = before.links.channels  # a change of settings makes no new connections
             self.host.door.lag = before.host.door.lag
@@ -71,17 +73,28 @@
             def answered(held: Held) -> None:
                 counted(held)
                 keeping.answered(held.label)
+
             self.host.on_answer = answered
         limits = sheet.limits
         retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
         self.peers = PeerWatch(limits, clock, log, retries, node.max_wait)
         self.desk = BatchDesk(self.host, sheet, clock)
-        gate = Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic}) if (
-            limits.admit) else None
+        gate = (
+            Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic})
+            if (limits.admit)
+            else None
+        )
         self.fronts = fronts
         self.desk.fields = fronts if len(fronts) > 1 else []
-        self.front = ChatFront(self.host, node.most_sequences, node.max_wait, self.desk.shares, self.peers,
-                               gate, around.figures.turned_away)
+        self.front = ChatFront(
+            self.host,
+            node.most_sequences,
+            node.max_wait,
+            self.desk.shares,
+            self.peers,
+            gate,
+            around.figures.turned_away,
+        )
         self.front.keeping, self.front.links = keeping, self.links
         self.front.claims = sheet.engines_may.claims
         self.host.start()
@@ -91,8 +104,12 @@
         if len(fronts) == 1:
             return Router(terms_of(self.sheet, fronts[0]))
         kinds = [frozenset(i for i, k in enumerate(self.sheet.kinds) if k.does(f)) for f in fronts]
-        return Fields(Router, [terms_of(self.sheet, f) for f in fronts], kinds,
-                      [fronts.index(t.front) for t in self.sheet.traffic])
+        return Fields(
+            Router,
+            [terms_of(self.sheet, f) for f in fronts],
+            kinds,
+            [fronts.index(t.front) for t in self.sheet.traffic],
+        )
 
     def serve(self, server: object) -> None:
         """Take all new calls from here on: methods are replaced in one turn, those in hand keep their
--- a/myrtlehub/records.py
+++ b/myrtlehub/records.py
@@ -60,7 +60,7 @@
     data = Path(path).read_bytes()
     if not data.startswith(HEAD):
         raise ValueError(f"{path}: not a file of records")
-    data = data[len(HEAD):]
+    data = data[len(HEAD) :]
     raw = bytearray()
     while data:  # a process that came back appends a frame of its own
         unpacker = zstandard.ZstdDecompressor().decompressobj()
@@ -72,8 +72,8 @@
     unpack = msgspec.msgpack.Decoder(tuple[float, str, str, dict])
     at = 0
     while at + 4 <= len(raw):
-        size = int.from_bytes(raw[at:at + 4])
+        size = int.from_bytes(raw[at : at + 4])
         if at + 4 + size > len(raw):
             return
-        yield Record(*unpack.decode(memoryview(raw)[at + 4:at + 4 + size]))
+        yield Record(*unpack.decode(memoryview(raw)[at + 4 : at + 4 + size]))
         at += 4 + size
--- a/myrtlehub/relay/bootstrap.py
+++ b/myrtlehub/relay/bootstrap.py
@@ -131,8 +131,15 @@
     if not isinstance(sockets, int) or sockets < SOCKETS_LEAST:
         raise Malformed(f"limits.sockets: {sockets!r} is no number, or too few; allow {SOCKETS_LEAST}")
     known = told.get("known")
-    return Bootstrap(str(told.get("name", "")), _address(told["listen"], "listen"), told["discovery"], seed,
-                sockets, told["settings"], known if isinstance(known, dict) else None)
+    return Bootstrap(
+        str(told.get("name", "")),
+        _address(told["listen"], "listen"),
+        told["discovery"],
+        seed,
+        sockets,
+        told["settings"],
+        known if isinstance(known, dict) else None,
+    )
 
 
 def terms_of(told: Bootstrap) -> itf.Terms:
@@ -142,8 +149,10 @@
             raise Malformed(f"settings.{key}: is no object; write it as the platform does")
     for key in ("Classes", "Orgs"):
         rows = told.settings.get(key) or []
-        if not (isinstance(rows, list) and all(isinstance(r, dict) and isinstance(r.get("Name"), str)
-                                               for r in rows)):
+        if not (
+            isinstance(rows, list)
+            and all(isinstance(r, dict) and isinstance(r.get("Name"), str) for r in rows)
+        ):
             raise Malformed(f"settings.{key}: is no list of objects with a Name; write it as one")
     try:
         return decode_terms(told.settings, told.seed)
@@ -186,8 +195,10 @@
 
     def __init__(self, told: Bootstrap, terms: itf.Terms, epoch: float) -> None:
         s = told.settings
-        self.rows = [TrafficLine(c["Name"], t.repeats == itf.ONCE_ONLY)
-                     for c, t in zip(s["Classes"], terms.traffic, strict=True)]
+        self.rows = [
+            TrafficLine(c["Name"], t.repeats == itf.ONCE_ONLY)
+            for c, t in zip(s["Classes"], terms.traffic, strict=True)
+        ]
         self.traffic = {row.name: i for i, row in enumerate(self.rows)}
         self.tenants = {t["Name"]: i for i, t in enumerate(s.get("Orgs") or [])}
         self.kinds = {k: i for i, k in enumerate(s.get("MachineTypes") or [""])}
@@ -206,8 +217,11 @@
         """
         if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
             raise Malformed("hosts: is missing")
-        lines = [line for line in (self._line(e, now) or self._notice(e) for e in told["hosts"])
-                 if line is not None]
+        lines = [
+            line
+            for line in (self._line(e, now) or self._notice(e) for e in told["hosts"])
+            if line is not None
+        ]
         if told.get("whole"):
             self.lines = {}
         for line in lines:
@@ -272,22 +286,56 @@
         resent = fields.get(b"x-resent", b"")
         expected = _number(fields[b"x-estimate"], "X-Estimate") / 1e3 if b"x-estimate" in fields else 0.0
         arrival = itf.Arrival(
-            traffic, tenant, float(prompt), self.lag.left(now, left),
+            traffic,
+            tenant,
+            float(prompt),
+            self.lag.left(now, left),
             key_of(fields.get(b"x-entity", b"").decode("latin-1")),
-            key_of(labels.get(b"prefix", b"").decode("latin-1")), float(shared), float(most), expected,
-            resent == b"again", bool(resent) and resent != b"again")
+            key_of(labels.get(b"prefix", b"").decode("latin-1")),
+            float(shared),
+            float(most),
+            expected,
+            resent == b"again",
+            bool(resent) and resent != b"again",
+        )
         own = _own_of_connection(request.headers)
         passed = [(name, value) for name, value in request.headers if name not in own]
         return ident.decode(), Asked(request.target, passed, request.body), arrival
 
 
 # Headers of a request by which we go: each may be there once.
-READ = frozenset((b"x-txn", b"x-lane", b"x-org", b"x-entity", b"x-labels", b"x-resent", b"content-type",
-                  b"x-remaining-ms", b"x-estimate"))
+READ = frozenset(
+    (
+        b"x-txn",
+        b"x-lane",
+        b"x-org",
+        b"x-entity",
+        b"x-labels",
+        b"x-resent",
+        b"content-type",
+        b"x-remaining-ms",
+        b"x-estimate",
+    )
+)
 # Headers that are between two ends of a connection, by RFC 9110 (7.6.1), or written anew: all others go on.
-OWN = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"te", b"trailer",
-                 b"proxy-authorization", b"transfer-encoding", b"upgrade", b"expect", b"host",
-                 b"content-length", b"x-remaining-ms", b"x-estimate"))
+OWN = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"te",
+        b"trailer",
+        b"proxy-authorization",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"host",
+        b"content-length",
+        b"x-remaining-ms",
+        b"x-estimate",
+    )
+)
 
 
 def _own_of_connection(headers: list[tuple[bytes, bytes]]) -> frozenset[bytes]:
@@ -295,8 +343,9 @@
 
     Guards against dropping what an engine acts on: by Idempotency-Key it knows a repeat of what it has done.
     """
-    named = [part.strip().lower() for name, value in headers if name == b"connection"
-             for part in value.split(b",")]
+    named = [
+        part.strip().lower() for name, value in headers if name == b"connection" for part in value.split(b",")
+    ]
     return OWN.union(named) if named else OWN
 
 
--- a/myrtlehub/relay/discovery.py
+++ b/myrtlehub/relay/discovery.py
@@ -41,9 +41,16 @@
 class Discovery:
     """`tell(update)` is called with each whole list and each change, in order."""
 
-    def __init__(self, clock: object, pool: ConnectionPool, address: str, desk: Desk,
-                 tell: Callable[[ListUpdate], None], random: Random,
-                 log: Callable[..., None] = lambda event, **more: None) -> None:
+    def __init__(
+        self,
+        clock: object,
+        pool: ConnectionPool,
+        address: str,
+        desk: Desk,
+        tell: Callable[[ListUpdate], None],
+        random: Random,
+        log: Callable[..., None] = lambda event, **more: None,
+    ) -> None:
         self.clock, self.pool, self.address, self.desk, self.tell = clock, pool, address, desk, tell
         self.random, self.log = random, log
         self.version: int | None = None  # None: the whole list is to be read next
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -113,8 +113,9 @@
             self.engines.note_unsure(self.attempt.held.label)
         self._tell(of_break(sent), why="broke")
 
-    def _tell(self, end: End, kept: float = 0.0, load: itf.Load | None = None, tokens: int = 0,
-              why: str = "") -> None:
+    def _tell(
+        self, end: End, kept: float = 0.0, load: itf.Load | None = None, tokens: int = 0, why: str = ""
+    ) -> None:
         self.engines.streams.pop(self, None)
         if why:
             self.engines.log("broken", seq=self.attempt.held.label, number=self.attempt.number, why=why)
@@ -146,8 +147,9 @@
 class Engines:
     """Attempts, releases and probes. `dials` says where each engine is reached, by its name in the list."""
 
-    def __init__(self, clock: object, pool: ConnectionPool,
-                 log: Callable[..., None] = lambda event, **more: None) -> None:
+    def __init__(
+        self, clock: object, pool: ConnectionPool, log: Callable[..., None] = lambda event, **more: None
+    ) -> None:
         self.clock, self.pool, self.log = clock, pool, log
         self.host: Host | None = None
         self.dials: dict[str, str] = {}
@@ -180,11 +182,18 @@
     def ended(self, attempt: Attempt) -> None:
         """Any attempt's end, whoever caused it: a line for whoever asks for all of them."""
         watcher = attempt.call.watcher if attempt.call is not None else None
-        self.log("attempt", seq=attempt.held.label, number=attempt.number, engine=self.name(attempt.engine),
-                 kind=attempt.kind, reads=attempt.reads, state=attempt.life.state,
-                 took=round(self.clock.seconds() - attempt.since, 4),
-                 timed=self.clock.seconds() >= attempt.until,
-                 gap=round(watcher.gap, 2) if watcher is not None else 0.0)
+        self.log(
+            "attempt",
+            seq=attempt.held.label,
+            number=attempt.number,
+            engine=self.name(attempt.engine),
+            kind=attempt.kind,
+            reads=attempt.reads,
+            state=attempt.life.state,
+            took=round(self.clock.seconds() - attempt.since, 4),
+            timed=self.clock.seconds() >= attempt.until,
+            gap=round(watcher.gap, 2) if watcher is not None else 0.0,
+        )
         if watcher is not None:
             # they refer to one another, and to the whole request: only the collector would free them
             attempt.call = watcher.pending = None
@@ -201,12 +210,14 @@
         # Guards against a kept connection that its peer closed unseen: what may not run twice would be lost.
         # And against a next attempt that is there before the end of one given up: a new one takes longer.
         once = self.host.door.rows[held.arrival.traffic].once and (
-            not attempt.reads or held.label in self.given_up)
+            not attempt.reads or held.label in self.given_up
+        )
         # Guards against an engine that drains or goes while a connection to it comes up, which may take
         # longer than the grace, or while this process was held up: its standing is looked at once more before
         # the first byte.
         watcher.pending = attempt.call = self.pool.ask(
-            name, self.dials[name], call, watcher, -1.0 if once else 0.0, lambda: self.serves(attempt.engine))
+            name, self.dials[name], call, watcher, -1.0 if once else 0.0, lambda: self.serves(attempt.engine)
+        )
 
     def cancel(self, attempt: Attempt) -> None:
         """See `Carrier`."""
@@ -249,7 +260,7 @@
         names += [r.address for r in self.host.door.engines.rows if r.state == "serving"]
         others = [n for n in dict.fromkeys(names) if n != first]
         others.sort(key=lambda n: -self.heard_at.get(n, 0.0))
-        order = [first, first, *others][:len(RELEASE_TRIES)]
+        order = [first, first, *others][: len(RELEASE_TRIES)]
         return [(n, self.dials[n]) for n in order if n in self.dials]
 
     def _release_again(self, targets: list[tuple[str, str]], label: str) -> None:
@@ -272,6 +283,7 @@
         def late() -> None:
             pending.cancel()
             then(False, None)
+
         timer = self.clock.callLater(timeout, late)
         pending = self.pool.ask(name, self.dials[name], Call(b"GET", b"/metrics/load", []), _Once(answered))
 
@@ -312,8 +324,9 @@
     word would take away. What no engine has answered by then is said again once the sequence is over.
     """
 
-    def __init__(self, engines: Engines, targets: list[tuple[str, str]], label: str,
-                 again: bool = False) -> None:
+    def __init__(
+        self, engines: Engines, targets: list[tuple[str, str]], label: str, again: bool = False
+    ) -> None:
         self.engines, self.targets, self.label = engines, targets, label
         self.call = Call(b"DELETE", b"/state/" + label.encode(), [])
         self.requests: list[PendingRequest] = []
@@ -335,8 +348,9 @@
             return
         name, dial = self.targets[tried]
         self.timer = engines.clock.callLater(RELEASE_TRIES[tried], self._try)
-        self.requests.append(engines.pool.ask(name, dial, self.call, _Once(self._answered),
-                                              -1.0 if tried else 0.0))
+        self.requests.append(
+            engines.pool.ask(name, dial, self.call, _Once(self._answered), -1.0 if tried else 0.0)
+        )
 
     def _wait(self) -> None:
         if any(h.label == self.label for h in self.engines.host.held.values()):
--- a/myrtlehub/relay/events.py
+++ b/myrtlehub/relay/events.py
@@ -45,7 +45,7 @@
         """Whole events, as they came; Spoilt where something is none."""
         data = self.rest + data if self.rest else data
         end = data.rfind(b"\n\n")
-        whole, self.rest = (data[:end + 2], data[end + 2:]) if end >= 0 else (b"", data)
+        whole, self.rest = (data[: end + 2], data[end + 2 :]) if end >= 0 else (b"", data)
         for event in whole.split(b"\n\n") if whole else ():
             if event:
                 self._look(event.lstrip(b"\n"))
@@ -63,7 +63,7 @@
             raise Spoilt
         if event.startswith(b":"):
             if event.startswith(REPORT):
-                self.load = load_of(event[len(REPORT):].strip()) or self.load
+                self.load = load_of(event[len(REPORT) :].strip()) or self.load
         elif b'"usage"' in event:
             self._usage(event)
         elif event.endswith(DONE):
@@ -83,6 +83,6 @@
         """The stream is over; Spoilt if half an event is left."""
         rest = self.rest.strip(b"\n")
         if rest.startswith(REPORT):
-            self.load = load_of(rest[len(REPORT):].strip()) or self.load
+            self.load = load_of(rest[len(REPORT) :].strip()) or self.load
         elif rest and not rest.startswith(b":"):
             raise Spoilt
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -27,15 +27,25 @@
 class RelayNode:
     """One node. `dial(address, seconds)` gives a way there; `epoch`: Unix time when the clock showed 0."""
 
-    def __init__(self, told: Bootstrap, clock: object, dial: Callable[[str, float], Callable],
-                 epoch: float = 0.0, log: Callable[..., None] = lambda event, **more: None,
-                 host_class: type[Host] = Host) -> None:
+    def __init__(
+        self,
+        told: Bootstrap,
+        clock: object,
+        dial: Callable[[str, float], Callable],
+        epoch: float = 0.0,
+        log: Callable[..., None] = lambda event, **more: None,
+        host_class: type[Host] = Host,
+    ) -> None:
         self.told, self.clock, self.log = told, clock, log
         self.terms = terms_of(told)
         caps, room = caps_of(told), told.sockets - RESERVE
         self.desk = Desk(told, self.terms, epoch)
-        self.pool = ConnectionPool(clock, lambda address: dial(address, caps.connect),
-                                   int(ENGINES_PART * room), KEPT_PART * caps.keep)
+        self.pool = ConnectionPool(
+            clock,
+            lambda address: dial(address, caps.connect),
+            int(ENGINES_PART * room),
+            KEPT_PART * caps.keep,
+        )
         self.engines = Engines(clock, self.pool, log)
         self.host = host_class(Router(self.terms), self.desk, self.terms, clock, self.engines, "", log)
         self.engines.host = self.host
@@ -44,8 +54,9 @@
         self.front.ready = self._ready
         self.site = Site(clock, self.front.asked, int(CLIENTS_PART * room), int(AT_ONCE_PART * room))
         there = ConnectionPool(clock, lambda address: dial(address, DIAL_WITHIN), DISCOVERY_MOST, 5.0)
-        self.discovery = Discovery(clock, there, told.discovery, self.desk, self._heard,
-                                   Random(told.seed + 1), log)
+        self.discovery = Discovery(
+            clock, there, told.discovery, self.desk, self._heard, Random(told.seed + 1), log
+        )
         self._known = self._opened = False
         self.on_open: Callable[[], None] = lambda: None  # clients may come from now on
 
--- a/myrtlehub/relay/outcomes.py
+++ b/myrtlehub/relay/outcomes.py
@@ -16,8 +16,10 @@
 HEADS = {
     (True, 202, False): End(itf.READ),
     (False, 200, False): End(itf.GENERATED),
-    (True, 503, True): End(itf.FULL), (False, 503, True): End(itf.FULL),
-    (True, 504, True): End(itf.FULL), (False, 504, True): End(itf.FULL),
+    (True, 503, True): End(itf.FULL),
+    (False, 503, True): End(itf.FULL),
+    (True, 504, True): End(itf.FULL),
+    (False, 504, True): End(itf.FULL),
     (False, 410, True): End(itf.FULL, no_state=True),
 }
 
--- a/myrtlehub/relay/reload.py
+++ b/myrtlehub/relay/reload.py
@@ -11,8 +11,14 @@
 class Drain:
     """An orderly end: take what still comes, close what is unused, answer all that was taken."""
 
-    def __init__(self, clock: object, site: object, busy: Callable[[], bool],
-                 stop_listening: Callable[[], None], end: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        clock: object,
+        site: object,
+        busy: Callable[[], bool],
+        stop_listening: Callable[[], None],
+        end: Callable[[], None],
+    ) -> None:
         self.clock, self.site, self.busy = clock, site, busy
         self.stop_listening, self.end = stop_listening, end
         self.begun = False
@@ -54,8 +60,15 @@
     except Malformed as fault:
         log("configuration kept", why=str(fault))
         return
-    pairs = {"name": (told.name, now.name), "listen": (told.listen, now.listen),
-             "limits": (told.sockets, now.sockets), "settings": (told.settings, now.settings)}
-    log("configuration read", discovery=told.discovery,
-        not_applied=sorted(key for key, (new, old) in pairs.items() if new != old))
+    pairs = {
+        "name": (told.name, now.name),
+        "listen": (told.listen, now.listen),
+        "limits": (told.sockets, now.sockets),
+        "settings": (told.settings, now.settings),
+    }
+    log(
+        "configuration read",
+        discovery=told.discovery,
+        not_applied=sorted(key for key, (new, old) in pairs.items() if new != old),
+    )
     moved(told.discovery)
--- a/myrtlehub/rollout/course.py
+++ b/myrtlehub/rollout/course.py
@@ -50,8 +50,9 @@
         raise ValueError("stages have to name each node once, and none that is not in the fleet")
     if not all(plan.stages) or not plan.stages or plan.most_away < 1:
         raise ValueError("a plan needs a stage, no empty one, and at least one node that may be away")
-    return Standing(plan.change_table.first, -1, (plan.node_table.first,) * plan.nodes, frozenset(),
-                    (0,) * plan.nodes)
+    return Standing(
+        plan.change_table.first, -1, (plan.node_table.first,) * plan.nodes, frozenset(), (0,) * plan.nodes
+    )
 
 
 def away(s: Standing) -> set[int]:
@@ -85,7 +86,7 @@
         absent |= {who}
     elif event in ("leaving", "was", "old", "new", "proven", "other"):
         absent -= {who}
-    s = s._replace(nodes=s.nodes[:who] + (state,) + s.nodes[who + 1:], absent=absent)
+    s = s._replace(nodes=s.nodes[:who] + (state,) + s.nodes[who + 1 :], absent=absent)
     in_place = plan.how == IN_PLACE
     if do == t.CHANGE:
         acts.append((APPLY if in_place else LEAVE, who))
@@ -98,7 +99,7 @@
         s = _fleet(plan, s, "failed", acts)
     elif do == t.DIED:
         deaths = min(s.deaths[who] + 1, DEATHS + 1)
-        s = s._replace(deaths=s.deaths[:who] + (deaths,) + s.deaths[who + 1:])
+        s = s._replace(deaths=s.deaths[:who] + (deaths,) + s.deaths[who + 1 :])
         acts.append((t.BEGIN, who))
         # One end of one node may be anybody's doing: the stage is held and watched anew. A second one is not.
         s = _fleet(plan, s, "failed" if deaths > DEATHS else "trouble", acts)
--- a/myrtlehub/rollout/journal.py
+++ b/myrtlehub/rollout/journal.py
@@ -71,8 +71,10 @@
     except msgspec.DecodeError as fault:
         raise JournalBroken(f"its first line is not one of ours: {fault}") from fault
     if head.format > FORMAT:
-        raise JournalBroken(f"it is in format {head.format}, and this version knows formats up to {FORMAT}; "
-                            "go on with the version that wrote it")
+        raise JournalBroken(
+            f"it is in format {head.format}, and this version knows formats up to {FORMAT}; "
+            "go on with the version that wrote it"
+        )
     return head
 
 
--- a/myrtlehub/rollout/judge.py
+++ b/myrtlehub/rollout/judge.py
@@ -104,8 +104,9 @@
         s = self.sums
         live = (below > 0.0) & (block.roles != AWAY) & ~troubled[self.zone]
         value = np.divide(above, below, out=np.zeros_like(above), where=live)
-        base = self._unchanged(value, np.where(live & (block.roles == UNCHANGED), below, 0.0),
-                               block.measuring)
+        base = self._unchanged(
+            value, np.where(live & (block.roles == UNCHANGED), below, 0.0), block.measuring
+        )
         live &= ~np.isnan(base)
         off = np.where(live, value - np.nan_to_num(base), 0.0)
         weight = np.where(live, below, 0.0)
--- a/myrtlehub/rollout/stages.py
+++ b/myrtlehub/rollout/stages.py
@@ -19,8 +19,10 @@
     largest = max(sizes, key=lambda z: (sizes[z], z))
     at_first = counts[one_zone - 1] if one_zone else 0
     if at_first > sizes[largest]:
-        raise ValueError(f"the first {one_zone} stages change {at_first} nodes and are to stay in one zone, "
-                         f"but the largest, {largest!r}, has {sizes[largest]}")
+        raise ValueError(
+            f"the first {one_zone} stages change {at_first} nodes and are to stay in one zone, "
+            f"but the largest, {largest!r}, has {sizes[largest]}"
+        )
     order = [i for i, z in enumerate(zones) if z == largest][:at_first]
     rest = [i for i in range(len(zones)) if i not in set(order)]
     place: Counter[str] = Counter()
--- a/myrtlehub/rollout/tables.py
+++ b/myrtlehub/rollout/tables.py
@@ -20,7 +20,11 @@
 # why. From `course`: `go` and `put` (its turn; by another process, or in place), `all` (its stage is ready),
 # `undo`. By the clock: `warm`, `overdue`. From a verdict: `pass`.
 NODE_EVENTS = "go put leaving was old new proven other gone quit refused all warm pass overdue undo"
-NODE = table("node", "waiting", "undone", """
+NODE = table(
+    "node",
+    "waiting",
+    "undone",
+    """
 waiting: go -> draining / change; put -> starting / change; leaving was old gone quit -> = / nothing; new proven other -> stuck / fail; undo -> undone / nothing; refused all warm pass overdue -> = / breach
 draining: leaving -> = / nothing; was old -> = / change; gone quit -> starting / begin; new -> starting / nothing; proven -> ready / nothing; overdue -> = / kill; other refused -> failed / fail; undo -> undoing / nothing; go put all warm pass -> = / breach
 starting: new -> = / nothing; proven -> ready / nothing; was old -> = / change; leaving -> = / nothing; gone -> = / begin; quit overdue refused other -> failed / fail; undo -> undoing / unchange; go put all warm pass -> = / breach
@@ -32,7 +36,9 @@
 returning: was -> = / nothing; old -> undone / nothing; leaving -> = / nothing; gone -> = / begin old; quit -> = / begin old; new proven -> undoing / unchange; overdue other refused -> stuck / tell; undo -> = / nothing; go put all warm pass -> = / breach
 failed: undo -> undoing / unchange; leaving was old new proven other gone quit refused all warm overdue pass -> = / nothing; go put -> = / breach
 stuck: undo -> undoing / unchange; leaving was old new proven other gone quit refused all warm overdue pass -> = / nothing; go put -> = / breach
-""", NODE_EVENTS)  # noqa: E501
+""",
+    NODE_EVENTS,
+)  # noqa: E501
 
 MEASURE, NEXT, WATCH, HOLD, UNDO, FINISH = "measure", "next", "watch", "hold", "undo", "finish"
 
@@ -42,7 +48,11 @@
 # the time for this state is over; `back`: all that was changed is undone; `wedged`: a node is stuck and no
 # other is in motion.
 CHANGE_EVENTS = "begin measured ready warm pass last worse trouble clear failed bound undo back wedged"
-COURSE = table("change", "planned", "undone", """
+COURSE = table(
+    "change",
+    "planned",
+    "undone",
+    """
 planned: begin -> measuring / measure; undo -> undone / finish; measured ready warm pass last worse trouble clear failed bound back wedged -> = / breach
 measuring: measured -> changing / next; trouble clear begin -> = / nothing; bound undo worse failed -> undoing / undo; ready warm pass last back wedged -> = / breach
 changing: ready -> settling / nothing; trouble clear begin -> = / nothing; worse failed bound undo wedged -> undoing / undo; measured warm pass last back -> = / breach
@@ -52,7 +62,9 @@
 undoing: back -> undone / finish; wedged -> stuck / tell; undo worse failed bound trouble clear begin ready warm -> = / nothing; measured pass last -> = / breach
 stuck: undo -> undoing / undo; back -> undone / finish; worse failed bound trouble clear begin ready warm wedged -> = / nothing; measured pass last -> = / breach
 kept: undo -> undoing / undo; worse failed bound trouble clear begin wedged -> = / nothing; measured ready warm pass last back -> = / breach
-""", CHANGE_EVENTS)  # noqa: E501
+""",
+    CHANGE_EVENTS,
+)  # noqa: E501
 
 TABLES = (NODE, COURSE)
 MOVING = ("draining", "starting", "undoing", "returning")  # a node's states in which it may be away
--- a/myrtlehub/rollout/world.py
+++ b/myrtlehub/rollout/world.py
@@ -89,7 +89,7 @@
         return ""
 
     def _put(self, w: World, i: int, **more: object) -> World:
-        w = w._replace(truth=w.truth[:i] + (w.truth[i]._replace(**more),) + w.truth[i + 1:])
+        w = w._replace(truth=w.truth[:i] + (w.truth[i]._replace(**more),) + w.truth[i + 1 :])
         return w
 
     def _act(self, w: World) -> tuple[str, World, str]:
@@ -102,8 +102,9 @@
         elif verb in (tables.BEGIN, tables.BEGIN_OLD) and not x.up:
             revision = NEW if verb == tables.BEGIN else OLD
             exits = (self.s.bad if revision == NEW else self.s.old_bad) == "exits"
-            after = self._put(after, i, revision=revision, up=not exits, leaving=False, proven=False,
-                              ours=True)
+            after = self._put(
+                after, i, revision=revision, up=not exits, leaving=False, proven=False, ours=True
+            )
         elif verb == tables.KILL:
             after = self._put(after, i, up=False, leaving=False)
         return label, after, self._wrong(after)
@@ -133,8 +134,12 @@
     def _verdicts(self, w: World) -> Iterator[tuple[str, World, str]]:
         s = w.standing
         last = s.stage == len(self.plan.stages) - 1
-        events = {"planned": ("begin",), "measuring": ("measured",),
-                  "watching": ("last" if last else "pass", "worse", "trouble"), "holding": ("clear", "worse")}
+        events = {
+            "planned": ("begin",),
+            "measuring": ("measured",),
+            "watching": ("last" if last else "pass", "worse", "trouble"),
+            "holding": ("clear", "worse"),
+        }
         for event in events.get(s.change, ()):
             yield self._event(w, FLEET, event)
 
--- a/myrtlehub/rpc/channel.py
+++ b/myrtlehub/rpc/channel.py
@@ -15,7 +15,16 @@
 from myrtlehub.rpc.guards import BackOff, TransportBounds
 from myrtlehub.rpc.http2 import Http2Protocol, Stream
 from myrtlehub.rpc.status import (
-    Code, Metadata, RpcError, Status, decode_message, encode_timeout, from_http, from_reset, parse_code)
+    Code,
+    Metadata,
+    RpcError,
+    Status,
+    decode_message,
+    encode_timeout,
+    from_http,
+    from_reset,
+    parse_code,
+)
 
 IDLE, CONNECTING, READY, WAITING = "idle", "connecting", "ready", "waiting"
 
@@ -36,8 +45,14 @@
 class ClientCall:
     """One call. What is sent before the connection stands is held until it does."""
 
-    def __init__(self, channel: "Channel", path: str, meta: Iterable[tuple[str, str | bytes]],
-                 timeout: float | None, watcher: CallWatcher) -> None:
+    def __init__(
+        self,
+        channel: "Channel",
+        path: str,
+        meta: Iterable[tuple[str, str | bytes]],
+        timeout: float | None,
+        watcher: CallWatcher,
+    ) -> None:
         self.channel, self.path, self.watcher = channel, path, watcher
         self.deadline = None if timeout is None else channel.clock.seconds() + timeout
         self.stream: Stream | None = None
@@ -129,10 +144,15 @@
         protocol.streams[stream.id] = stream
         stream.on_headers, stream.on_data, stream.on_lost = self._headers, self._data, self._lost
         stream.on_end = self._end
-        headers = [(":method", "POST"), (":scheme", "http"), (":path", self.path),
-                   (":authority", self.channel.authority), ("te", "trailers"),
-                   ("content-type", "application/grpc+proto"),
-                   ("user-agent", self.channel.user_agent)]
+        headers = [
+            (":method", "POST"),
+            (":scheme", "http"),
+            (":path", self.path),
+            (":authority", self.channel.authority),
+            ("te", "trailers"),
+            ("content-type", "application/grpc+proto"),
+            ("user-agent", self.channel.user_agent),
+        ]
         if self.deadline is not None:
             headers.append(("grpc-timeout", encode_timeout(self.deadline - self.channel.clock.seconds())))
         if self.channel.encoding != "identity":
@@ -216,8 +236,14 @@
             self._conclude(Status(Code.UNAVAILABLE, f"connection lost: {why}", broken=True))
         else:
             refused = error == ErrorCodes.REFUSED_STREAM
-            self._conclude(Status(from_reset(error), f"stream reset by peer, error {int(error)}",
-                                  unprocessed=refused, broken=not refused))
+            self._conclude(
+                Status(
+                    from_reset(error),
+                    f"stream reset by peer, error {int(error)}",
+                    unprocessed=refused,
+                    broken=not refused,
+                )
+            )
 
     def _never_seen(self) -> None:
         """A GOAWAY says that the peer's application did not see this call."""
@@ -270,6 +296,7 @@
                 def late() -> None:
                     stream.on_headers(*held)
                     on_end()
+
                 stream.on_end = late
             else:
                 stream.on_headers(event.headers, event.stream_ended is not None)
@@ -316,10 +343,17 @@
     for it at most `connect_timeout` seconds. Calls past the peer's MAX_CONCURRENT_STREAMS queue here.
     """
 
-    def __init__(self, clock: object, dial: Callable[[Factory], Deferred], authority: str,
-                 bounds: TransportBounds | None = None, random: Random | None = None,
-                 encoding: str = "identity", connect_timeout: float = 1.0,
-                 user_agent: str = "grpc-python-myrtlehub/0.2") -> None:
+    def __init__(
+        self,
+        clock: object,
+        dial: Callable[[Factory], Deferred],
+        authority: str,
+        bounds: TransportBounds | None = None,
+        random: Random | None = None,
+        encoding: str = "identity",
+        connect_timeout: float = 1.0,
+        user_agent: str = "grpc-python-myrtlehub/0.2",
+    ) -> None:
         self.clock, self.dial, self.authority = clock, dial, authority
         self.bounds, self.encoding, self.user_agent = bounds or TransportBounds(), encoding, user_agent
         self.connect_timeout = connect_timeout
@@ -332,8 +366,13 @@
         self._timer = None
         self._why = "never connected"
 
-    def call(self, path: str, watcher: CallWatcher, meta: Iterable[tuple[str, str | bytes]] = (),
-             timeout: float | None = None) -> ClientCall:
+    def call(
+        self,
+        path: str,
+        watcher: CallWatcher,
+        meta: Iterable[tuple[str, str | bytes]] = (),
+        timeout: float | None = None,
+    ) -> ClientCall:
         """Start a call of any shape; the watcher may hear `ended` only after this returns."""
         call = ClientCall(self, path, meta, timeout, watcher)
         if self.closed or self.state == WAITING:
@@ -347,18 +386,29 @@
             self._room(self.protocol)
         return call
 
-    def unary(self, path: str, request: bytes, meta: Iterable[tuple[str, str | bytes]] = (),
-              timeout: float | None = None) -> Deferred:
+    def unary(
+        self,
+        path: str,
+        request: bytes,
+        meta: Iterable[tuple[str, str | bytes]] = (),
+        timeout: float | None = None,
+    ) -> Deferred:
         """One request, one reply; the Deferred fails with RpcError and may be cancelled."""
         return self._gather(path, [request], meta, timeout, False)
 
-    def collect(self, path: str, requests: list[bytes], meta: Iterable[tuple[str, str | bytes]] = (),
-                timeout: float | None = None) -> Deferred:
+    def collect(
+        self,
+        path: str,
+        requests: list[bytes],
+        meta: Iterable[tuple[str, str | bytes]] = (),
+        timeout: float | None = None,
+    ) -> Deferred:
         """Send all requests, gather all replies; for short streams."""
         return self._gather(path, requests, meta, timeout, True)
 
-    def _gather(self, path: str, requests: list[bytes], meta: Iterable, timeout: float | None,
-                streams: bool) -> Deferred:
+    def _gather(
+        self, path: str, requests: list[bytes], meta: Iterable, timeout: float | None, streams: bool
+    ) -> Deferred:
         deferred = Deferred(lambda ignored: call.cancel())
         call = self.call(path, _Once(deferred, streams), meta, timeout)
         for request in requests:
--- a/myrtlehub/rpc/framing.py
+++ b/myrtlehub/rpc/framing.py
@@ -61,13 +61,14 @@
             if packed > 1:
                 raise RpcError(Code.INTERNAL, f"compressed flag is {packed}, neither 0 nor 1")
             if length > self.limit:
-                raise RpcError(Code.RESOURCE_EXHAUSTED,
-                               f"message of {length} bytes is over the limit of {self.limit}")
+                raise RpcError(
+                    Code.RESOURCE_EXHAUSTED, f"message of {length} bytes is over the limit of {self.limit}"
+                )
             if size - at - HEAD.size < length:
                 self._need = HEAD.size + length
                 break
             at += HEAD.size
-            message = data[at:at + length]
+            message = data[at : at + length]
             at += length
             messages.append(self._unpack(message) if packed else message)
         else:
--- a/myrtlehub/rpc/guards.py
+++ b/myrtlehub/rpc/guards.py
@@ -19,9 +19,16 @@
     settings_timeout: float = 10.0  # for the peer's preface and first SETTINGS
     idle_streamless: float = 0.0  # a server closes a connection without streams after this; 0: never
     # Guards against peers that make us work for nothing (CVE-2023-44487 and its kin): (burst, rate).
-    abuse: dict[str, tuple[float, float]] = field(default_factory=lambda: {
-        "RST_STREAM": (400.0, 200.0), "PING": (20.0, 2.0), "SETTINGS": (20.0, 1.0),
-        "PRIORITY": (400.0, 100.0), "empty DATA": (200.0, 50.0), "WINDOW_UPDATE": (20000.0, 20000.0)})
+    abuse: dict[str, tuple[float, float]] = field(
+        default_factory=lambda: {
+            "RST_STREAM": (400.0, 200.0),
+            "PING": (20.0, 2.0),
+            "SETTINGS": (20.0, 1.0),
+            "PRIORITY": (400.0, 100.0),
+            "empty DATA": (200.0, 50.0),
+            "WINDOW_UPDATE": (20000.0, 20000.0),
+        }
+    )
 
 
 class AbuseMeter:
@@ -43,14 +50,15 @@
 class BackOff:
     """Waits between tries to connect: growing, jittered, reset by success."""
 
-    def __init__(self, random: object, least: float = 0.05, most: float = 2.0, factor: float = 1.6,
-                 jitter: float = 0.2) -> None:
+    def __init__(
+        self, random: object, least: float = 0.05, most: float = 2.0, factor: float = 1.6, jitter: float = 0.2
+    ) -> None:
         self._random, self._least, self._most = random, least, most
         self._factor, self._jitter, self._tries = factor, jitter, 0
 
     def next(self) -> float:
         """Seconds until the next try."""
-        wait = min(self._most, self._least * self._factor ** self._tries)
+        wait = min(self._most, self._least * self._factor**self._tries)
         self._tries += 1
         return wait * (1.0 + self._jitter * (2.0 * self._random() - 1.0))
 
--- a/myrtlehub/rpc/http2.py
+++ b/myrtlehub/rpc/http2.py
@@ -12,8 +12,16 @@
 from h2.connection import ConnectionState, H2Connection
 from h2.errors import ErrorCodes
 from h2.events import (
-    ConnectionTerminated, DataReceived, PingAckReceived, PingReceived, PriorityUpdated, RemoteSettingsChanged,
-    StreamEnded, StreamReset, WindowUpdated)
+    ConnectionTerminated,
+    DataReceived,
+    PingAckReceived,
+    PingReceived,
+    PriorityUpdated,
+    RemoteSettingsChanged,
+    StreamEnded,
+    StreamReset,
+    WindowUpdated,
+)
 from h2.exceptions import H2Error, StreamClosedError
 from h2.settings import SettingCodes, Settings
 from h2.stream import StreamState
@@ -62,8 +70,11 @@
         stream = self.streams.get(stream_id)
         if stream is None:
             return 0
-        return min(stream.outbound_flow_control_window, self.outbound_flow_control_window,
-                   self.max_outbound_frame_size)
+        return min(
+            stream.outbound_flow_control_window,
+            self.outbound_flow_control_window,
+            self.max_outbound_frame_size,
+        )
 
     def quick_receive(self, stream_id: int, size: int) -> bool:
         """Account for a plain DATA frame on a stream that is open; False where h2 has to judge it.
@@ -73,8 +84,11 @@
         stream = self.streams.get(stream_id)
         if stream is None or stream._expected_content_length is not None:
             return False
-        machine, mine, all_ = (stream.state_machine, stream._inbound_window_manager,
-                               self._inbound_flow_control_window_manager)
+        machine, mine, all_ = (
+            stream.state_machine,
+            stream._inbound_window_manager,
+            self._inbound_flow_control_window_manager,
+        )
         if machine.state not in _RECEIVES or not machine.headers_received or machine.trailers_received:
             return False
         if size > mine.current_window_size or size > all_.current_window_size:
@@ -251,11 +265,16 @@
 
     def __init__(self, clock: object, bounds: TransportBounds) -> None:
         self.clock, self.bounds = clock, bounds
-        self.conn = LiveConnection(H2Configuration(
-            client_side=self.client_side, header_encoding="latin-1", validate_outbound_headers=False,
-            # A node chose the engines that it calls; a server checks whoever comes.
-            validate_inbound_headers=not self.client_side,
-            normalize_outbound_headers=False))
+        self.conn = LiveConnection(
+            H2Configuration(
+                client_side=self.client_side,
+                header_encoding="latin-1",
+                validate_outbound_headers=False,
+                # A node chose the engines that it calls; a server checks whoever comes.
+                validate_inbound_headers=not self.client_side,
+                normalize_outbound_headers=False,
+            )
+        )
         self.conn.encoder = PlainEncoder()
         self.streams: dict[int, Stream] = {}
         self.ready = self.lost = False
@@ -279,8 +298,11 @@
         b = self.bounds
         # As initial values: what is set later counts, to h2, only from the peer's acknowledgement.
         values = {
-            SettingCodes.INITIAL_WINDOW_SIZE: b.stream_window, SettingCodes.MAX_FRAME_SIZE: b.frame,
-            SettingCodes.MAX_HEADER_LIST_SIZE: b.header_list, SettingCodes.MAX_CONCURRENT_STREAMS: b.streams}
+            SettingCodes.INITIAL_WINDOW_SIZE: b.stream_window,
+            SettingCodes.MAX_FRAME_SIZE: b.frame,
+            SettingCodes.MAX_HEADER_LIST_SIZE: b.header_list,
+            SettingCodes.MAX_CONCURRENT_STREAMS: b.streams,
+        }
         if self.client_side:
             values[SettingCodes.ENABLE_PUSH] = 0
         self.conn.local_settings = Settings(self.client_side, values)
@@ -389,13 +411,14 @@
                 if run < at and not self._through_h2(data[run:at]):
                     return
                 run = at
-                stream_id = int.from_bytes(data[at + 5:at + 9]) & EVERY_STREAM
-                if not self.conn.incoming_buffer._headers_buffer and self.conn.quick_receive(stream_id,
-                                                                                             length):
+                stream_id = int.from_bytes(data[at + 5 : at + 9]) & EVERY_STREAM
+                if not self.conn.incoming_buffer._headers_buffer and self.conn.quick_receive(
+                    stream_id, length
+                ):
                     self._credit += length
                     stream = self.streams.get(stream_id)
                     if stream is not None and not stream.closed:
-                        stream.receive(data[at + 9:end], length)
+                        stream.receive(data[at + 9 : end], length)
                         if self.close_reason:
                             return
                     run = end
@@ -488,8 +511,11 @@
         self._abused("PRIORITY")
 
     def _on_goaway(self, event: ConnectionTerminated) -> None:
-        self.goaway_received(int(event.error_code), event.last_stream_id,
-                             (event.additional_data or b"").decode(errors="replace"))
+        self.goaway_received(
+            int(event.error_code),
+            event.last_stream_id,
+            (event.additional_data or b"").decode(errors="replace"),
+        )
 
     # What each end adds.
 
@@ -620,6 +646,13 @@
         self._choked = True
 
     HANDLERS = {
-        DataReceived: _on_data, StreamEnded: _on_end, StreamReset: _on_reset, WindowUpdated: _on_window,
-        RemoteSettingsChanged: _on_settings, PingReceived: _on_ping, PingAckReceived: _on_ping_ack,
-        PriorityUpdated: _on_priority, ConnectionTerminated: _on_goaway}
+        DataReceived: _on_data,
+        StreamEnded: _on_end,
+        StreamReset: _on_reset,
+        WindowUpdated: _on_window,
+        RemoteSettingsChanged: _on_settings,
+        PingReceived: _on_ping,
+        PingAckReceived: _on_ping_ack,
+        PriorityUpdated: _on_priority,
+        ConnectionTerminated: _on_goaway,
+    }
--- a/myrtlehub/rpc/server.py
+++ b/myrtlehub/rpc/server.py
@@ -35,8 +35,15 @@
 class ServerCall:
     """One call being served. `deadline` is on the server's clock, None where the client set none."""
 
-    def __init__(self, server: "Server", stream: Stream, path: str, meta: Metadata, encoding: str,
-                 accepts: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        server: "Server",
+        stream: Stream,
+        path: str,
+        meta: Metadata,
+        encoding: str,
+        accepts: tuple[str, ...],
+    ) -> None:
         self.server, self.stream, self.path, self.metadata = server, stream, path, meta
         self.deadline: float | None = None
         self.receiver = Receiver()
@@ -88,8 +95,9 @@
         self.stream.protocol.conn.send_headers(self.stream.id, headers + self._first)
         self.stream.protocol.soon()
 
-    def finish(self, code: Code = Code.OK, message: str = "",
-               trailers: Iterable[tuple[str, str | bytes]] = ()) -> None:
+    def finish(
+        self, code: Code = Code.OK, message: str = "", trailers: Iterable[tuple[str, str | bytes]] = ()
+    ) -> None:
         """End the call; trailers-only where nothing was sent."""
         if self.over:
             return
@@ -315,8 +323,14 @@
 
     noisy = False
 
-    def __init__(self, clock: object, bounds: TransportBounds | None = None, compress: bool = False,
-                 most: int = 0, most_by_peer: int = 0) -> None:
+    def __init__(
+        self,
+        clock: object,
+        bounds: TransportBounds | None = None,
+        compress: bool = False,
+        most: int = 0,
+        most_by_peer: int = 0,
+    ) -> None:
         """`most` connections in all, and of one peer's address; 0: any number."""
         self.most, self.most_by_peer = most, most_by_peer
         self.clock, self.bounds, self.compress = clock, bounds or TransportBounds(), compress
@@ -362,8 +376,10 @@
             refuse = [(":status", "415")]
         if refuse:
             why = RpcError(Code.UNKNOWN, "not a gRPC request: POST and content-type application/grpc")
-            self._refuse(stream, [*refuse, ("grpc-status", str(int(why.status.code))),
-                                  ("grpc-message", why.status.message)])
+            self._refuse(
+                stream,
+                [*refuse, ("grpc-status", str(int(why.status.code))), ("grpc-message", why.status.message)],
+            )
             return
         encoding = known.get("grpc-encoding", "identity")
         accepts = tuple(e.strip() for e in known.get("grpc-accept-encoding", "").split(","))
--- a/myrtlehub/rpc/status.py
+++ b/myrtlehub/rpc/status.py
@@ -57,12 +57,23 @@
         super().__init__(f"{self.status.code.name}: {self.status.message}")
 
 
-_HTTP = {400: Code.INTERNAL, 401: Code.UNAUTHENTICATED, 403: Code.PERMISSION_DENIED, 404: Code.UNIMPLEMENTED,
-         429: Code.UNAVAILABLE, 502: Code.UNAVAILABLE, 503: Code.UNAVAILABLE, 504: Code.UNAVAILABLE}
-
-_RESET = {ErrorCodes.REFUSED_STREAM: Code.UNAVAILABLE, ErrorCodes.CANCEL: Code.CANCELLED,
-          ErrorCodes.ENHANCE_YOUR_CALM: Code.RESOURCE_EXHAUSTED,
-          ErrorCodes.INADEQUATE_SECURITY: Code.PERMISSION_DENIED}
+_HTTP = {
+    400: Code.INTERNAL,
+    401: Code.UNAUTHENTICATED,
+    403: Code.PERMISSION_DENIED,
+    404: Code.UNIMPLEMENTED,
+    429: Code.UNAVAILABLE,
+    502: Code.UNAVAILABLE,
+    503: Code.UNAVAILABLE,
+    504: Code.UNAVAILABLE,
+}
+
+_RESET = {
+    ErrorCodes.REFUSED_STREAM: Code.UNAVAILABLE,
+    ErrorCodes.CANCEL: Code.CANCELLED,
+    ErrorCodes.ENHANCE_YOUR_CALM: Code.RESOURCE_EXHAUSTED,
+    ErrorCodes.INADEQUATE_SECURITY: Code.PERMISSION_DENIED,
+}
 
 
 def from_http(status: int) -> Code:
--- a/myrtlehub/simhost.py
+++ b/myrtlehub/simhost.py
@@ -14,8 +14,14 @@
 from myrtlehub.decode import decode_load, decode_terms
 
 OUTCOMES = {
-    "ok": itf.GENERATED, "read": itf.READ, "full": itf.FULL, "connect_failed": itf.UNREACHED,
-    "moot": itf.UNSENT, "error": itf.ERROR, "timeout": itf.TIMEOUT, "reset": itf.RESET,
+    "ok": itf.GENERATED,
+    "read": itf.READ,
+    "full": itf.FULL,
+    "connect_failed": itf.UNREACHED,
+    "moot": itf.UNSENT,
+    "error": itf.ERROR,
+    "timeout": itf.TIMEOUT,
+    "reset": itf.RESET,
     "cancelled": itf.CANCELLED,
 }
 STATES = {"SERVING": itf.SERVING, "DRAINING": itf.DRAINING, "DELETED": itf.GONE}
@@ -79,10 +85,19 @@
             index = self.engine_at[ident]
             seen.add(index)
             (self.gone.add if state == itf.GONE else self.gone.discard)(index)
-            listings.append(itf.Listing(
-                index, fresh, state, self.kinds.get(e.get("Type"), 0), self.zones.get(e.get("Dc"), 0),
-                e.get("Cluster", 0), e.get("StartTimeMs", 0.0) / 1e3, e.get("Heft", 1.0),
-                crc32(ident.encode())))
+            listings.append(
+                itf.Listing(
+                    index,
+                    fresh,
+                    state,
+                    self.kinds.get(e.get("Type"), 0),
+                    self.zones.get(e.get("Dc"), 0),
+                    e.get("Cluster", 0),
+                    e.get("StartTimeMs", 0.0) / 1e3,
+                    e.get("Heft", 1.0),
+                    crc32(ident.encode()),
+                )
+            )
         if mode != "INCREMENTAL":
             self.gone.update(i for i in self.engine_at.values() if i not in seen)
         results = self.router.engines(now, listings, mode != "INCREMENTAL")
@@ -94,12 +109,23 @@
         seq, self.next_seq = self.next_seq, self.next_seq + 1
         self.seq_at[event["Rid"]], self.seq_ids[seq] = seq, event["Rid"]
         options = event.get("Options", 0)
-        return self.router.arrive(now, seq, itf.Arrival(
-            self.traffic[event["Grade"]], self.tenants.get(event.get("ClientGroup"), -1),
-            event.get("InputLen", 0.0), event["TimeBudgetMs"] / 1e3, event.get("Chat", 0),
-            event.get("Prefix", 0), event.get("SharedLen", 0.0), event.get("MaxTokens", 0.0),
-            event.get("PredictedMs", 0.0) / 1e3 if options & 1 else 0.0,
-            bool(options & 16), bool(options & 2)))
+        return self.router.arrive(
+            now,
+            seq,
+            itf.Arrival(
+                self.traffic[event["Grade"]],
+                self.tenants.get(event.get("ClientGroup"), -1),
+                event.get("InputLen", 0.0),
+                event["TimeBudgetMs"] / 1e3,
+                event.get("Chat", 0),
+                event.get("Prefix", 0),
+                event.get("SharedLen", 0.0),
+                event.get("MaxTokens", 0.0),
+                event.get("PredictedMs", 0.0) / 1e3 if options & 1 else 0.0,
+                bool(options & 16),
+                bool(options & 2),
+            ),
+        )
 
     def response(self, event: dict, now: float) -> list[tuple]:
         engine = self.engine(event["Engine"])
@@ -107,9 +133,15 @@
         seq, results = self.seq_at.get(event["Rid"]), []
         if seq is not None:
             results = self.router.ended(
-                now, seq, event.get("Copy", 0), OUTCOMES[event["StateCode"]],
-                event.get("LatencyMs", 0.0) / 1e3, event.get("Settled", False), event.get("Info", 0),
-                decode_load(event.get("Telemetry")))
+                now,
+                seq,
+                event.get("Copy", 0),
+                OUTCOMES[event["StateCode"]],
+                event.get("LatencyMs", 0.0) / 1e3,
+                event.get("Settled", False),
+                event.get("Info", 0),
+                decode_load(event.get("Telemetry")),
+            )
         self.free_if_over(engine)
         return results
 
@@ -127,8 +159,13 @@
         if verb == "PING_RESULT":
             engine = self.engine(event["Engine"])
             self.engine_uses[engine] = max(0, self.engine_uses[engine] - 1)
-            results = router.probed(now, engine, event.get("StateCode") == "ok",
-                                    event.get("LatencyMs", 0.0) / 1e3, decode_load(event.get("Telemetry")))
+            results = router.probed(
+                now,
+                engine,
+                event.get("StateCode") == "ok",
+                event.get("LatencyMs", 0.0) / 1e3,
+                decode_load(event.get("Telemetry")),
+            )
             self.free_if_over(engine)
             return results
         if verb == "MESSAGE":
@@ -180,8 +217,12 @@
         elif verb == "note":
             order.update(verb="TRACE", Words=args[0])
         else:
-            order["verb"] = {"release": "UNHOLD", "abort": "REPORT_FAILURE", "move": "REBALANCE",
-                             "relist": "READ_LIST"}[verb]
+            order["verb"] = {
+                "release": "UNHOLD",
+                "abort": "REPORT_FAILURE",
+                "move": "REBALANCE",
+                "relist": "READ_LIST",
+            }[verb]
         return order
 
 
--- a/myrtlehub/state/lives.py
+++ b/myrtlehub/state/lives.py
@@ -64,18 +64,30 @@
 # where
 # tokens proved it, in `ran`. A read has no effect, however it ends.
 ATTEMPT_EVENTS = "tokens read generated full unreached unsent error timeout reset cancelled"
-ATTEMPT = table("attempt", "writing", "harmless unknown ran", """
+ATTEMPT = table(
+    "attempt",
+    "writing",
+    "harmless unknown ran",
+    """
 reading: read full unreached unsent error timeout reset cancelled -> harmless / answer; tokens generated -> = / breach
 writing: tokens -> streaming / begin; generated -> ran / answer; full unreached unsent -> harmless / answer; error timeout reset cancelled -> unknown / answer; read -> = / breach
 streaming: tokens -> = / pass; generated -> ran / answer; full unreached unsent error timeout reset cancelled -> ran / answer; read -> = / breach
-""", ATTEMPT_EVENTS)  # noqa: E501
+""",
+    ATTEMPT_EVENTS,
+)  # noqa: E501
 
 # What a client is told. `flowing` is bound to one attempt; from a final state on, nothing is said.
 ANSWER_EVENTS = "first more whole broke reject abort leave late"
-ANSWER_LIFE = table("answer", "owed", "generated rejected aborted left", """
+ANSWER_LIFE = table(
+    "answer",
+    "owed",
+    "generated rejected aborted left",
+    """
 owed: first -> flowing / pass; more -> = / breach; whole -> generated / answer; broke -> = / nothing; reject -> rejected / answer; abort late -> aborted / answer; leave -> left / nothing
 flowing: first -> = / stop; more -> = / pass; whole -> generated / answer; broke -> aborted / answer; reject -> aborted / answer; abort late -> aborted / answer; leave -> left / nothing
-""", ANSWER_EVENTS)  # noqa: E501
+""",
+    ANSWER_EVENTS,
+)  # noqa: E501
 
 # What one reader holds for one sequence, as far as the node can know. `claimed` and `reading`: an attempt
 # is out
@@ -83,7 +95,11 @@
 # `again`: a read is out where an earlier one may have left its state, which a refusal does not take away.
 # `tried`: a claim on what may be there; a read given up may still finish after it, whatever the claim found.
 HOLD_EVENTS = "send done refused lost claim fetched kept missing unsure release"
-HOLD = table("hold", "none", "", """
+HOLD = table(
+    "hold",
+    "none",
+    "",
+    """
 none: send -> reading / nothing; release -> = / nothing; claim fetched kept missing unsure done refused lost -> = / breach
 reading: done -> held / keep; refused -> none / nothing; lost -> maybe / nothing; release -> = / nothing; send claim fetched kept missing unsure -> = / breach
 again: done -> held / keep; refused lost -> maybe / nothing; release -> = / nothing; send claim fetched kept missing unsure -> = / breach
@@ -91,11 +107,21 @@
 maybe: claim -> tried / nothing; release -> none / tell release; send -> again / nothing; fetched kept missing unsure done refused lost -> = / breach
 claimed: fetched -> none / nothing; kept -> held / nothing; missing -> none / nothing; unsure -> maybe / nothing; release -> = / nothing; send claim done refused lost -> = / breach
 tried: fetched kept missing unsure -> maybe / nothing; release -> = / nothing; send claim done refused lost -> = / breach
-""", HOLD_EVENTS)  # noqa: E501
+""",
+    HOLD_EVENTS,
+)  # noqa: E501
 
 TABLES = (ATTEMPT, ANSWER_LIFE, HOLD)
-READ_ENDS = {"read": "done", "full": "refused", "unreached": "refused", "unsent": "refused", "error": "lost",
-             "timeout": "lost", "reset": "lost", "cancelled": "lost"}
+READ_ENDS = {
+    "read": "done",
+    "full": "refused",
+    "unreached": "refused",
+    "unsent": "refused",
+    "error": "lost",
+    "timeout": "lost",
+    "reset": "lost",
+    "cancelled": "lost",
+}
 OUT = ("reading", "writing", "streaming")
 
 
--- a/myrtlehub/state/world.py
+++ b/myrtlehub/state/world.py
@@ -9,12 +9,32 @@
 from typing import NamedTuple
 
 from myrtlehub.state.lives import (
-    ANSWER_LIFE, ATTEMPT, BREACH, HOLD, OUT, PASS, READ_ENDS, TELL_RELEASE, Table, may_have_run, write_ends)
+    ANSWER_LIFE,
+    ATTEMPT,
+    BREACH,
+    HOLD,
+    OUT,
+    PASS,
+    READ_ENDS,
+    TELL_RELEASE,
+    Table,
+    may_have_run,
+    write_ends,
+)
 
 REPEATABLE, TOKENED, ONCE = "repeatable", "tokened", "once-only"
 # What is true of an attempt at its engine.
 COMING, THERE, RUNS, DONE, READ, REFUSED, NO_STATE, DEAD, DEAD_RAN = (
-    "coming", "there", "runs", "done", "read", "refused", "no state", "dead", "dead, ran")
+    "coming",
+    "there",
+    "runs",
+    "done",
+    "read",
+    "refused",
+    "no state",
+    "dead",
+    "dead, ran",
+)
 RAN = (RUNS, DONE, DEAD_RAN)
 COULD_RUN = (COMING, THERE)
 
@@ -73,8 +93,10 @@
 
 def start(shape: Shape) -> World:
     """Each sequence taken by a node, nothing sent."""
-    tries = tuple(Try(i, i % shape.nodes, shape.answer.first, (shape.hold.first,) * shape.readers)
-                  for i in range(len(shape.kinds)))
+    tries = tuple(
+        Try(i, i % shape.nodes, shape.answer.first, (shape.hold.first,) * shape.readers)
+        for i in range(len(shape.kinds))
+    )
     return World(tries, (True,) * (shape.readers + shape.writers))
 
 
@@ -106,11 +128,11 @@
         return step if step is not None else (state, BREACH)
 
     def _put(self, w: World, i: int, t: Try) -> World:
-        return w._replace(tries=w.tries[:i] + (t,) + w.tries[i + 1:])
+        return w._replace(tries=w.tries[:i] + (t,) + w.tries[i + 1 :])
 
     def _att(self, w: World, i: int, j: int, a: Att) -> World:
         t = w.tries[i]
-        return self._put(w, i, t._replace(attempts=t.attempts[:j] + (a,) + t.attempts[j + 1:]))
+        return self._put(w, i, t._replace(attempts=t.attempts[:j] + (a,) + t.attempts[j + 1 :]))
 
     def _reader(self, engine: int) -> bool:
         return engine < self.s.readers
@@ -122,8 +144,9 @@
         return tuple(a.life for a in t.attempts if not self._reader(a.engine))
 
     def _effects(self, w: World, seq: int) -> int:
-        return sum(a.truth in RAN for t in w.tries if t.seq == seq for a in t.attempts
-                   if not self._reader(a.engine))
+        return sum(
+            a.truth in RAN for t in w.tries if t.seq == seq for a in t.attempts if not self._reader(a.engine)
+        )
 
     # -- what the node may do ---------------------------------------------------------------------
 
@@ -159,8 +182,9 @@
             claims = max((r for r, h in enumerate(holds) if h in ("held", "maybe")), default=-1)
             if claims >= 0:
                 holds[claims], do = self._step(self.s.hold, holds[claims], "claim")
-        a = Att(engine, "reading" if self._reader(engine) else "writing", COMING if w.up[engine] else DEAD,
-                claims)
+        a = Att(
+            engine, "reading" if self._reader(engine) else "writing", COMING if w.up[engine] else DEAD, claims
+        )
         after = self._put(w, i, t._replace(holds=tuple(holds), attempts=(*t.attempts, a)))
         if (t.node, engine) in w.told:
             breach = "rule 3: sent to an engine that drains"
@@ -178,7 +202,8 @@
         w = self._put(w, i, t._replace(answer=answer))
         if answer == "rejected":
             bad = self.s.kinds[t.seq] != REPEATABLE and any(
-                a.truth in RAN + COULD_RUN for a in t.attempts if not self._reader(a.engine))
+                a.truth in RAN + COULD_RUN for a in t.attempts if not self._reader(a.engine)
+            )
             if bad:
                 return label, w, f"rule 2: {t.seq} was rejected, and an attempt has run or still can"
         return label, self._cancel_all(w, i), ""
@@ -219,8 +244,9 @@
         if t.answer == "owed" and not t.late:
             late = self._put(w, i, t._replace(late=True))
             free = self.s.kinds[t.seq] == REPEATABLE or not may_have_run(self._lives(t))
-            label, after, breach = self._answer(late, i, "reject" if free else "abort",
-                                                f"abandon time of {i}")
+            label, after, breach = self._answer(
+                late, i, "reject" if free else "abort", f"abandon time of {i}"
+            )
             yield label, after, breach
         if t.seq not in w.past_window and self.s.kinds[t.seq] == TOKENED and t.attempts:
             yield f"window of {t.seq} passes", w._replace(past_window=w.past_window | {t.seq}), ""
@@ -230,8 +256,9 @@
         again = t.answer == "rejected" or (kind == REPEATABLE and (t.answer == "aborted" or t.lost))
         mine = [x for x in w.tries if x.seq == t.seq]
         if again and mine[-1] is t and len(mine) < self.s.tries:
-            new = Try(t.seq, (t.node + 1) % self.s.nodes, self.s.answer.first,
-                      (self.s.hold.first,) * self.s.readers)
+            new = Try(
+                t.seq, (t.node + 1) % self.s.nodes, self.s.answer.first, (self.s.hold.first,) * self.s.readers
+            )
             yield f"client of {i} returns", w._replace(tries=(*w.tries, new)), ""
 
     # -- the engines ------------------------------------------------------------------------------
@@ -307,8 +334,9 @@
         w = self._put(w, i, t._replace(answer=answer, holds=tuple(holds)))
         return label, self._att(w, i, j, a._replace(life=life)), breach
 
-    def _end(self, w: World, i: int, j: int, outcome: str, label: str,
-             no_state: bool = False) -> tuple[str, World, str]:
+    def _end(
+        self, w: World, i: int, j: int, outcome: str, label: str, no_state: bool = False
+    ) -> tuple[str, World, str]:
         began = w.tries[i].attempts[j].life == "streaming"
         w, breach = self._learn(w, i, j, outcome, no_state)
         t = w.tries[i]
@@ -347,7 +375,7 @@
     def _faults(self, w: World) -> Iterator[tuple[str, World, str]]:
         hit = w._replace(faults=w.faults + 1)
         for engine, up in enumerate(w.up):
-            flipped = hit._replace(up=w.up[:engine] + (not up,) + w.up[engine + 1:])
+            flipped = hit._replace(up=w.up[:engine] + (not up,) + w.up[engine + 1 :])
             if up:
                 yield f"engine {engine} crashes", self._crash(flipped, engine), ""
             else:
@@ -355,8 +383,11 @@
                 yield f"engine {engine} is back, cold", back, ""
             for node in range(self.s.nodes):
                 if (node, engine) not in w.told:
-                    yield (f"node {node} is told that {engine} drains",
-                           hit._replace(told=w.told | {(node, engine)}), "")
+                    yield (
+                        f"node {node} is told that {engine} drains",
+                        hit._replace(told=w.told | {(node, engine)}),
+                        "",
+                    )
         for i, t in enumerate(w.tries):
             for j, a in enumerate(t.attempts):
                 if a.link and a.life in OUT and not t.lost:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -75,9 +75,17 @@
 class Fleet:
     """Engines are named "R0".."W1" with the digit their cell, and numbered in order: R0.0, R0.1, ..."""
 
-    def __init__(self, engines: str = "R0 W0 W0", nodes: int = 1, host: type[Host] = Host,
-                 base: Path | None = None, lists: str = "", more: str = "", tell: str = "max_wait: 2s",
-                 **machine: object) -> None:
+    def __init__(
+        self,
+        engines: str = "R0 W0 W0",
+        nodes: int = 1,
+        host: type[Host] = Host,
+        base: Path | None = None,
+        lists: str = "",
+        more: str = "",
+        tell: str = "max_wait: 2s",
+        **machine: object,
+    ) -> None:
         """With `base` node n0's list comes from the files in base/list-n0; `lists` has more of `list:`."""
         self.clock = Clock()
         self.clock.advance(1000.0)
@@ -91,8 +99,13 @@
         self.rows: dict[str, dict] = {}
         for i, word in enumerate(engines.split()):
             name = f"{word}{chr(97 + i)}"
-            self.rows[name] = {"address": f"{name}:1", "kind": KIND_OF[word[0]], "zone": "north",
-                               "cell": int(word[1]), **({"model": "m1"} if word[0] in "EKM" else {})}
+            self.rows[name] = {
+                "address": f"{name}:1",
+                "kind": KIND_OF[word[0]],
+                "zone": "north",
+                "cell": int(word[1]),
+                **({"model": "m1"} if word[0] in "EKM" else {}),
+            }
             self.engine(name)
         self.nodes = {f"n{i}": self.node(i) for i in range(nodes)}
         self.channels = {name: Channel(self.clock, self.net.dialer(f"{name}:1"), name) for name in self.nodes}
@@ -104,46 +117,88 @@
         return recorder
 
     def engine(self, name: str, cold: bool = False) -> None:
-        sheet = StandSheet(name=name, listen=f"{name}:1", reads=name[0] == "R", writes=name[0] in "WM",
-                           embeds=name[0] in "EM", ranks=name[0] == "K",
-                           cold=cold, **self.machine)
+        sheet = StandSheet(
+            name=name,
+            listen=f"{name}:1",
+            reads=name[0] == "R",
+            writes=name[0] in "WM",
+            embeds=name[0] in "EM",
+            ranks=name[0] == "K",
+            cold=cold,
+            **self.machine,
+        )
         self.stands[name] = StandIn(
-            sheet, self.clock, lambda address: self.net.dialer(address,
-                                                               f"{name}:1"), self.recorder(f"{name}:1"),
-            lambda: self.net.kill(f"{name}:1"))
+            sheet,
+            self.clock,
+            lambda address: self.net.dialer(address, f"{name}:1"),
+            self.recorder(f"{name}:1"),
+            lambda: self.net.kill(f"{name}:1"),
+        )
         self.net.listen(f"{name}:1", self.stands[name].server)
 
     def text(self, index: int) -> str:
         """A node's file, of a list that is pushed."""
-        rows = ", ".join("{" + ", ".join(f"{k}: {v!r}" for k, v in r.items()) + "}"
-                         for r in self.rows.values())
+        rows = ", ".join(
+            "{" + ", ".join(f"{k}: {v!r}" for k, v in r.items()) + "}" for r in self.rows.values()
+        )
         lists = f"{{pushed: yes, engines: [{rows}]}}"
         if self.base is not None:
             lists = f"{{files: [list-n{index}]{self.lists}}}"
-        return SHEET.format(index=index, nodes=self.nodes_count, lists=lists, tell=self.tell_wait,
-                            traffic=FRONTS if self.fronts else "", kinds=KINDS if self.fronts else ""
-                            ) + self.more
+        return (
+            SHEET.format(
+                index=index,
+                nodes=self.nodes_count,
+                lists=lists,
+                tell=self.tell_wait,
+                traffic=FRONTS if self.fronts else "",
+                kinds=KINDS if self.fronts else "",
+            )
+            + self.more
+        )
 
     def node(self, index: int, run: str = "1", text: str = "", **more: object) -> Node:
         if self.base is not None:
             more.setdefault("base", self.base)
         sheet = parse(text or self.text(index), NodeSheet)
-        node = Node(sheet, self.clock, lambda address: self.net.dialer(address, f"n{index}:1"), run,
-                    host_class=self.host, **more)
+        node = Node(
+            sheet,
+            self.clock,
+            lambda address: self.net.dialer(address, f"n{index}:1"),
+            run,
+            host_class=self.host,
+            **more,
+        )
         self.net.listen(f"n{index}:1", node.server)
         self.net.listen(f"n{index}:2", node.admin)
         return node
 
-    def ask(self, traffic: str = "ask", prompt: int = 2000, node: str = "n0", left: float = 4.0,
-            output: int = 100,
-            mark: str = "", timeout: float | None = None, text: bytes = b"", **more: object) -> Caller:
+    def ask(
+        self,
+        traffic: str = "ask",
+        prompt: int = 2000,
+        node: str = "n0",
+        left: float = 4.0,
+        output: int = 100,
+        mark: str = "",
+        timeout: float | None = None,
+        text: bytes = b"",
+        **more: object,
+    ) -> Caller:
         name = f"c{len(self.calls)}"
         mark = mark or f"m{len(self.calls)}"
         caller = Caller(self, name, node, traffic, mark, left if timeout is None else min(left, timeout))
         call = caller.call = self.channels[node].call("/myrtlehub.v1.Chat/Generate", caller, timeout=timeout)
-        call.send(chat_pb2.GenerateRequest(
-            traffic_type=traffic, prompt_tokens=prompt, most_output=output, mark=mark,
-            time_left_ms=int(left * 1000), prompt=text, **more).SerializeToString())
+        call.send(
+            chat_pb2.GenerateRequest(
+                traffic_type=traffic,
+                prompt_tokens=prompt,
+                most_output=output,
+                mark=mark,
+                time_left_ms=int(left * 1000),
+                prompt=text,
+                **more,
+            ).SerializeToString()
+        )
         call.half_close()
         self.calls.append(caller)
         return caller
@@ -155,18 +210,33 @@
     def tell(self, engine: str, state: str, age: float = 0.0) -> None:
         """News of the list, to all nodes."""
         row = self.rows[engine]
-        news = admin_pb2.ListNews(engines=[admin_pb2.ListedEngine(
-            address=row["address"], kind=row["kind"], zone="north", cell=row["cell"], state=state, age=age)])
+        news = admin_pb2.ListNews(
+            engines=[
+                admin_pb2.ListedEngine(
+                    address=row["address"],
+                    kind=row["kind"],
+                    zone="north",
+                    cell=row["cell"],
+                    state=state,
+                    age=age,
+                )
+            ]
+        )
         for name in self.nodes:
             channel = Channel(self.clock, self.net.dialer(f"{name}:2"), name)
             done = channel.unary("/myrtlehub.v1.NodeAdmin/PushList", news.SerializeToString())
-            done.addCallback(lambda reply, name=name: self.day.note(
-                "told", node=name, engine=row["address"], state=state, grace=0.25))
+            done.addCallback(
+                lambda reply, name=name: self.day.note(
+                    "told", node=name, engine=row["address"], state=state, grace=0.25
+                )
+            )
 
     def misbehave(self, engine: str, how: str, factor: float = 0.0, seconds: float = 0.0) -> None:
         channel = Channel(self.clock, self.net.dialer(f"{engine}:1"), engine)
-        channel.unary("/myrtlehub.v1.Stand/Misbehave", engine_pb2.Misbehaviour(
-            how=how, factor=factor, seconds=seconds).SerializeToString())
+        channel.unary(
+            "/myrtlehub.v1.Stand/Misbehave",
+            engine_pb2.Misbehaviour(how=how, factor=factor, seconds=seconds).SerializeToString(),
+        )
 
     def kill(self, name: str) -> None:
         """A process dies outright."""
@@ -185,4 +255,3 @@
 
     def what(self, what: str, who: str = "") -> list[Record]:
         return [r for r in self.log if r.what == what and r.who.startswith(who)]
-
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,6 +7,7 @@
 from myrtlehub.decide import Router
 from myrtlehub.state.lives import Step, Table
 
+
 def changed(table: Table, **steps: Step) -> Table:
     """A table with some results changed; keys are state__event."""
     new = dict(table.steps)
@@ -21,11 +22,35 @@
 BOOK = itf.TrafficType(itf.ONCE_ONLY, 2.0, 4e-5, 10.0, 0.07, 3.0, 0.3)
 MARK = itf.TrafficType(itf.TOKENED, 2.0, 4e-5, 10.0, 0.07, 1.0, 0.3, "cell", 5.0)
 TERMS = itf.Terms(
-    seed=7, node=0, nodes=2, zone=0, traffic=(CHAT, BOOK, MARK), reads=(True, False, True),
-    writes=(False, True, True), memory=(200000.0, 100000.0, 150000.0), quotas=(), self_read=True,
-    may_hold=False, may_cancel=True, may_resume=False, may_probe=False, may_tell=False, second_copies=True,
-    most_attempts=5, let_go=0.5, drain_grace=0.25, cold_share=0.25, cold_time=12.0, fall_multiple=2.5,
-    fall_time=1.0, answer_slack=0.016, tick=0.004, max_wait=2.0, over_share_utility=0.1, ask_for_list=False)
+    seed=7,
+    node=0,
+    nodes=2,
+    zone=0,
+    traffic=(CHAT, BOOK, MARK),
+    reads=(True, False, True),
+    writes=(False, True, True),
+    memory=(200000.0, 100000.0, 150000.0),
+    quotas=(),
+    self_read=True,
+    may_hold=False,
+    may_cancel=True,
+    may_resume=False,
+    may_probe=False,
+    may_tell=False,
+    second_copies=True,
+    most_attempts=5,
+    let_go=0.5,
+    drain_grace=0.25,
+    cold_share=0.25,
+    cold_time=12.0,
+    fall_multiple=2.5,
+    fall_time=1.0,
+    answer_slack=0.016,
+    tick=0.004,
+    max_wait=2.0,
+    over_share_utility=0.1,
+    ask_for_list=False,
+)
 READER, WRITER, BOTH = 0, 1, 2
 
 
@@ -36,34 +61,61 @@
         self.router, self.lines, self.now, self.count = Router(TERMS._replace(**terms)), [], 100.0, 0
         self.router.start(self.now)
         kinds = {"R": READER, "W": WRITER, "B": BOTH}
-        self.listed = [itf.Listing(i, True, itf.SERVING, kinds[e[0]], int(e[1]), int(e[1]), 0.0, 1.0,
-                                   i * 2654435761 % 2 ** 32)
-                       for i, e in enumerate(engines.split())]
+        self.listed = [
+            itf.Listing(
+                i, True, itf.SERVING, kinds[e[0]], int(e[1]), int(e[1]), 0.0, 1.0, i * 2654435761 % 2**32
+            )
+            for i, e in enumerate(engines.split())
+        ]
         self.say("engines " + engines, self.router.engines(self.now, self.listed, True))
 
     def say(self, what: str, results: list[tuple]) -> None:
         self.lines.append(f"{self.now - 100.0:7.3f}  {what}")
-        self.lines.extend("         -> " + " ".join(
-            f"{x:g}" if isinstance(x, float) else str(x) for x in r) for r in results if r[0] != "wake")
-
-    def take(self, traffic: int = 0, prompt: float = 3000.0, left: float = 10.0, session: int = 0,
-             prefix: int = 0, shared: float = 0.0) -> int:
+        self.lines.extend(
+            "         -> " + " ".join(f"{x:g}" if isinstance(x, float) else str(x) for x in r)
+            for r in results
+            if r[0] != "wake"
+        )
+
+    def take(
+        self,
+        traffic: int = 0,
+        prompt: float = 3000.0,
+        left: float = 10.0,
+        session: int = 0,
+        prefix: int = 0,
+        shared: float = 0.0,
+    ) -> int:
         seq, self.count = self.count, self.count + 1
         a = itf.Arrival(traffic, -1, prompt, left, session, prefix, shared, 400.0, 0.0)
-        self.say(f"seq {seq} {TERMS.traffic[traffic].repeats} prompt {prompt:g}",
-                 self.router.arrive(self.now, seq, a))
+        self.say(
+            f"seq {seq} {TERMS.traffic[traffic].repeats} prompt {prompt:g}",
+            self.router.arrive(self.now, seq, a),
+        )
         return seq
 
-    def ended(self, seq: int, attempt: int, outcome: str, kept: float = 0.0, settled: bool = False,
-              load: itf.Load | None = None, latency: float = 0.1) -> None:
+    def ended(
+        self,
+        seq: int,
+        attempt: int,
+        outcome: str,
+        kept: float = 0.0,
+        settled: bool = False,
+        load: itf.Load | None = None,
+        latency: float = 0.1,
+    ) -> None:
         told = f" {load.memory_share:g} of memory held" if load else ""
-        self.say(f"seq {seq} attempt {attempt} {outcome} kept {kept:g}{told}",
-                 self.router.ended(self.now, seq, attempt, outcome, latency, settled, kept, load))
+        self.say(
+            f"seq {seq} attempt {attempt} {outcome} kept {kept:g}{told}",
+            self.router.ended(self.now, seq, attempt, outcome, latency, settled, kept, load),
+        )
 
     def probed(self, engine: int, load: itf.Load | None) -> None:
         """An answer to a probe; None: it timed out."""
-        self.say(f"probe of {engine} {'answered' if load else 'timed out'}", self.router.probed(
-            self.now, engine, load is not None, 0.001 if load else 0.25, load))
+        self.say(
+            f"probe of {engine} {'answered' if load else 'timed out'}",
+            self.router.probed(self.now, engine, load is not None, 0.001 if load else 0.25, load),
+        )
 
     def sends(self) -> dict[int, list[int]]:
         """Engines to which each sequence was sent, in order."""
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -18,7 +18,8 @@
         parts = [part.strip() for part in line.split("|")]
         if len(parts) != 3 or not all(parts) or "::" not in parts[0] or parts[0] in known:
             raise pytest.UsageError(
-                f"KNOWN-RED.txt:{number}: {line!r} is not 'test id | cause | issue', each test once")
+                f"KNOWN-RED.txt:{number}: {line!r} is not 'test id | cause | issue', each test once"
+            )
         known[parts[0]] = (parts[1], parts[2])
     if len(known) > MOST:
         raise pytest.UsageError(f"KNOWN-RED.txt: {len(known)} lines; {MOST} at most")
--- a/tests/memnet.py
+++ b/tests/memnet.py
@@ -70,6 +70,7 @@
             done = Deferred()
             self.clock.callLater(0, self._connect, host, who, factory, done)
             return done
+
         return dial
 
     def _connect(self, host: str, who: str, factory: object, done: Deferred) -> None:
@@ -122,7 +123,8 @@
                 if pipe.producer and pipe.pulled and not pipe.out:
                     pipe.producer.resumeProducing()
             elif not pipe.dead and (
-                    pipe.closing or pipe.ending and not getattr(pipe.other.protocol, "stays", False)):
+                pipe.closing or pipe.ending and not getattr(pipe.other.protocol, "stays", False)
+            ):
                 self.cut(pipe, clean=True)
                 moved = True
         return moved
@@ -134,8 +136,9 @@
             for _ in range(200):
                 self.clock.advance(0)
                 moved = self.pump()
-                if not moved and not any(c.getTime() <= self.clock.seconds()
-                                         for c in self.clock.getDelayedCalls()):
+                if not moved and not any(
+                    c.getTime() <= self.clock.seconds() for c in self.clock.getDelayedCalls()
+                ):
                     break
             else:
                 raise AssertionError("the network does not come to rest")
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -13,23 +13,56 @@
 from myrtlehub.relay.bootstrap import Bootstrap
 
 SETTINGS = {
-    "Balancers": 2, "Ordinal": 0, "Zones": ["z"], "MyZone": "z", "PeriodMs": 4.0, "OverShareWorth": 0.1,
-    "MachineTypes": ["r", "w", "m"], "Orgs": [{"Name": "acme", "QuotaPerS": 100.0}],
+    "Balancers": 2,
+    "Ordinal": 0,
+    "Zones": ["z"],
+    "MyZone": "z",
+    "PeriodMs": 4.0,
+    "OverShareWorth": 0.1,
+    "MachineTypes": ["r", "w", "m"],
+    "Orgs": [{"Name": "acme", "QuotaPerS": 100.0}],
     "Classes": [
-        {"Name": "ask", "Effect": "idempotent", "AimMs": 2000.0, "GiveUpMs": 5000.0, "Credit": 1.0,
-         "LateWorth": 0.3},
-        {"Name": "post", "Effect": "at_most_once", "AimMs": 2000.0, "GiveUpMs": 5000.0, "Credit": 3.0}],
-    "Caps": {"Cancel": True, "MostTries": 5, "RetryAfter": True, "MaxRetryAfterMs": 2000.0,
-             "ConnectTimeoutMs": 250.0, "KeepaliveMs": 30000.0, "SecondCopies": True},
-    "Invariants": {"AnswerSlackMs": 16.0, "ColdMs": 10000.0, "ColdShare": 0.25, "DrainGraceMs": 250.0,
-                   "FallMs": 1000.0, "FallMultiple": 2.5},
+        {
+            "Name": "ask",
+            "Effect": "idempotent",
+            "AimMs": 2000.0,
+            "GiveUpMs": 5000.0,
+            "Credit": 1.0,
+            "LateWorth": 0.3,
+        },
+        {"Name": "post", "Effect": "at_most_once", "AimMs": 2000.0, "GiveUpMs": 5000.0, "Credit": 3.0},
+    ],
+    "Caps": {
+        "Cancel": True,
+        "MostTries": 5,
+        "RetryAfter": True,
+        "MaxRetryAfterMs": 2000.0,
+        "ConnectTimeoutMs": 250.0,
+        "KeepaliveMs": 30000.0,
+        "SecondCopies": True,
+    },
+    "Invariants": {
+        "AnswerSlackMs": 16.0,
+        "ColdMs": 10000.0,
+        "ColdShare": 0.25,
+        "DrainGraceMs": 250.0,
+        "FallMs": 1000.0,
+        "FallMultiple": 2.5,
+    },
     "Report": {"How": "inline", "Names": ["x0", "x1"]},
-    "Specifics": {"DutyByKind": ["read", "write", "both"], "KvTokens": [200000, 200000, 200000],
-                  "LetGoByMs": 500.0, "SelfPrefill": True, "TokenAimMs": [50.0, 50.0]},
+    "Specifics": {
+        "DutyByKind": ["read", "write", "both"],
+        "KvTokens": [200000, 200000, 200000],
+        "LetGoByMs": 500.0,
+        "SelfPrefill": True,
+        "TokenAimMs": [50.0, 50.0],
+    },
 }
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"ab"},"finish_reason":null}]}\n\n'
-USAGE = (b'data: {"choices":[],"usage":{"prompt_tokens":100,"completion_tokens":2,'
-         b'"prompt_tokens_details":{"cached_tokens":64}}}\n\n')
+USAGE = (
+    b'data: {"choices":[],"usage":{"prompt_tokens":100,"completion_tokens":2,'
+    b'"prompt_tokens_details":{"cached_tokens":64}}}\n\n'
+)
 DONE = b"data: [DONE]\n\n"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -39,8 +72,10 @@
 
 
 WHOLE = HEAD + chunk(EVENT) + chunk(EVENT) + chunk(USAGE) + chunk(DONE) + b"0\r\n\r\n"
-READ_DONE = (b"HTTP/1.1 202 Accepted\r\nContent-Length: 21\r\nX-Pressure: {\"x0\":0.5,\"x1\":2.0}\r\n\r\n"
-             b'{"cached_tokens":640}')
+READ_DONE = (
+    b'HTTP/1.1 202 Accepted\r\nContent-Length: 21\r\nX-Pressure: {"x0":0.5,"x1":2.0}\r\n\r\n'
+    b'{"cached_tokens":640}'
+)
 RELEASED = b"HTTP/1.1 204 No Content\r\n\r\n"
 
 
@@ -69,8 +104,9 @@
                 # the next request on this connection is read afresh, whatever was answered raw
                 self.http = h11.Connection(h11.SERVER)
                 self.last_headers = list(self.head.headers)
-                self.peer.asked.append((self.head.method, self.head.target, dict(self.head.headers),
-                                        self.body, self))
+                self.peer.asked.append(
+                    (self.head.method, self.head.target, dict(self.head.headers), self.body, self)
+                )
                 self.peer.answer(self, self.head, self.body)
                 return
 
@@ -124,8 +160,14 @@
 class Rig:
     """Engines are named by kind and number: r1, w1, m1; each is at "NAME:1"."""
 
-    def __init__(self, engines: str = "r1 w1", sockets: int = 200, known: bool = True,
-                 silent: bool = False, **settings: object) -> None:
+    def __init__(
+        self,
+        engines: str = "r1 w1",
+        sockets: int = 200,
+        known: bool = True,
+        silent: bool = False,
+        **settings: object,
+    ) -> None:
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.net = Net(self.clock)
@@ -136,18 +178,39 @@
         self.version, self.waiting, self.silent = 1, [], silent
         self.discovery = Peer(self._list)
         self.net.listen("disco:1", self.discovery)
-        told = Bootstrap("n0", ("127.0.0.1", 1), "disco:1", 7, sockets, {**SETTINGS, **settings},
-                    self.whole() if known else None)
+        told = Bootstrap(
+            "n0",
+            ("127.0.0.1", 1),
+            "disco:1",
+            7,
+            sockets,
+            {**SETTINGS, **settings},
+            self.whole() if known else None,
+        )
         self.logged = []
-        self.node = RelayNode(told, self.clock, lambda address, within: self.net.dialer(address),
-                              0.0, lambda event, **more: self.logged.append((event, more)))
+        self.node = RelayNode(
+            told,
+            self.clock,
+            lambda address, within: self.net.dialer(address),
+            0.0,
+            lambda event, **more: self.logged.append((event, more)),
+        )
         self.net.listen("node", self.node.site)
         self.node.start()
         self.run(0.05)
 
     def line(self, name: str, health: str = "active", **more: object) -> dict:
-        return {"host": name, "dial": f"{name}:1", "site": "z", "class": name[0], "block": 0,
-                "health": health, "share": 1.0, "born_ms": 0, **more}
+        return {
+            "host": name,
+            "dial": f"{name}:1",
+            "site": "z",
+            "class": name[0],
+            "block": 0,
+            "health": health,
+            "share": 1.0,
+            "born_ms": 0,
+            **more,
+        }
 
     def whole(self) -> dict:
         return {"seq": 1, "whole": True, "hosts": list(self.lines.values())}
@@ -194,8 +257,15 @@
         self.run(0.0)
         return made[0]
 
-    def ask(self, label: str = "a1", prompt: int = 100, traffic: str = "ask", left: int = 4000,
-            client: Asker | None = None, more: bytes = b"") -> Asker:
+    def ask(
+        self,
+        label: str = "a1",
+        prompt: int = 100,
+        traffic: str = "ask",
+        left: int = 4000,
+        client: Asker | None = None,
+        more: bytes = b"",
+    ) -> Asker:
         """A client that asks."""
         client = client or self.client()
         client.say(chat(label, prompt, traffic, left, more))
@@ -203,9 +273,17 @@
         return client
 
 
-def chat(label: str = "a1", prompt: int = 100, traffic: str = "ask", left: int = 4000,
-         more: bytes = b"", body: bytes = b'{"model":"chat","messages":[]}') -> bytes:
-    return (b"POST /v1/chat/completions?v=1 HTTP/1.1\r\nHost: service\r\nX-Txn: %s\r\nX-Lane: %s\r\n"
-            b"X-Org: acme\r\nX-Entity: s1\r\nX-Remaining-Ms: %d\r\nX-Labels: prompt_len=%d,max_out=100\r\n%s"
-            b"Content-Length: %d\r\n\r\n%s"
-            % (label.encode(), traffic.encode(), left, prompt, more, len(body), body))
+def chat(
+    label: str = "a1",
+    prompt: int = 100,
+    traffic: str = "ask",
+    left: int = 4000,
+    more: bytes = b"",
+    body: bytes = b'{"model":"chat","messages":[]}',
+) -> bytes:
+    return (
+        b"POST /v1/chat/completions?v=1 HTTP/1.1\r\nHost: service\r\nX-Txn: %s\r\nX-Lane: %s\r\n"
+        b"X-Org: acme\r\nX-Entity: s1\r\nX-Remaining-Ms: %d\r\nX-Labels: prompt_len=%d,max_out=100\r\n%s"
+        b"Content-Length: %d\r\n\r\n%s"
+        % (label.encode(), traffic.encode(), left, prompt, more, len(body), body)
+    )
--- a/tests/socketrig.py
+++ b/tests/socketrig.py
@@ -92,8 +92,9 @@
             elif type(event) is h11.Data:
                 body += event.data
             elif type(event) is h11.EndOfMessage:
-                return Incoming(bytes(head.method), bytes(head.target), dict(head.headers), body, self,
-                               time.monotonic())
+                return Incoming(
+                    bytes(head.method), bytes(head.target), dict(head.headers), body, self, time.monotonic()
+                )
 
 
 class Peer:
@@ -200,15 +201,26 @@
                 self.turn.wait_for(lambda: self.version > since or self.silent, wait)
                 if self.silent:
                     return
-                said = {"seq": self.version, "whole": False, "hosts": [
-                    line for name, line in self.lines.items() if self.changed[name] > since]}
+                said = {
+                    "seq": self.version,
+                    "whole": False,
+                    "hosts": [line for name, line in self.lines.items() if self.changed[name] > since],
+                }
         body = json.dumps(said).encode()
         wire.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
 
 def line_of(engine: Engine, health: str = "active") -> dict:
-    return {"host": engine.name, "dial": engine.address, "site": "z", "class": engine.name[0], "block": 0,
-            "health": health, "share": 1.0, "born_ms": 0}
+    return {
+        "host": engine.name,
+        "dial": engine.address,
+        "site": "z",
+        "class": engine.name[0],
+        "block": 0,
+        "health": health,
+        "share": 1.0,
+        "born_ms": 0,
+    }
 
 
 class Client:
@@ -292,12 +304,26 @@
 class Relay:
     """The program. `descriptors` is its limit, set for the child alone and told in its configuration."""
 
-    def __init__(self, folder: Path, discovery: str, descriptors: int = 256, argv: list[str] | None = None,
-                 known: dict | None = None, listen: str = "", **settings: object) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        discovery: str,
+        descriptors: int = 256,
+        argv: list[str] | None = None,
+        known: dict | None = None,
+        listen: str = "",
+        **settings: object,
+    ) -> None:
         folder.mkdir(exist_ok=True)
         self.path, self.address = folder / "config.json", listen or free_address()
-        self.told = {"name": "n0", "listen": self.address, "discovery": discovery, "seed": "7",
-                     "limits": {"sockets": descriptors}, "settings": {**SETTINGS, **settings}}
+        self.told = {
+            "name": "n0",
+            "listen": self.address,
+            "discovery": discovery,
+            "seed": "7",
+            "limits": {"sockets": descriptors},
+            "settings": {**SETTINGS, **settings},
+        }
         if known is not None:
             self.told["known"] = known
         self.tell()
@@ -306,9 +332,13 @@
         self.errors = (folder / "errors").open("w+b")
         env = {**os.environ, "RELAY_CONFIG": str(self.path), "RELAY_LOG": "all", "PYTHONPATH": str(ROOT)}
         self.process = subprocess.Popen(
-            argv or [sys.executable, "-m", "myrtlehub.relay"], env=env, cwd=ROOT, stdout=subprocess.PIPE,
+            argv or [sys.executable, "-m", "myrtlehub.relay"],
+            env=env,
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
             stderr=self.errors,
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)),
+        )
         threading.Thread(target=self._read, daemon=True).start()
 
     def tell(self, **told: object) -> None:
@@ -326,14 +356,18 @@
             self.turn.notify_all()
 
     def has_said(self, event: str, **fields: object) -> list[dict]:
-        return [x for x in list(self.lines) if x["event"] == event
-                and all(x.get(k) == v for k, v in fields.items())]
+        return [
+            x
+            for x in list(self.lines)
+            if x["event"] == event and all(x.get(k) == v for k, v in fields.items())
+        ]
 
     def said(self, event: str, **fields: object) -> dict:
         """A line of its log: waited for."""
         with self.turn:
             there = self.turn.wait_for(
-                lambda: self.has_said(event, **fields) or self.has_said("no more"), WITHIN)
+                lambda: self.has_said(event, **fields) or self.has_said("no more"), WITHIN
+            )
         found = self.has_said(event, **fields)
         assert there and found, f"it never said {event} {fields}: {self.lines[-5:]} {self.wrong()}"
         return found[0]
@@ -350,8 +384,9 @@
     def stop(self) -> None:
         """Hold it: what comes meanwhile lies in the kernel."""
         self.signal("STOP")
-        until(lambda: f"/proc/{self.process.pid}/stat",
-              lambda text: text.rpartition(")")[2].split()[0] == "T")
+        until(
+            lambda: f"/proc/{self.process.pid}/stat", lambda text: text.rpartition(")")[2].split()[0] == "T"
+        )
 
     def go_on(self) -> None:
         self.signal("CONT")
@@ -378,8 +413,11 @@
 
         def lie(text: str) -> bool:
             rows = [line.split() for line in text.splitlines()[1:]]
-            return any(r[1].endswith(here) and r[2].endswith(there)
-                       and int(r[4].partition(":")[2], 16) == count for r in rows)
+            return any(
+                r[1].endswith(here) and r[2].endswith(there) and int(r[4].partition(":")[2], 16) == count
+                for r in rows
+            )
+
         until(lambda: "/proc/net/tcp", lie)
 
     def refuses(self) -> None:
@@ -420,6 +458,7 @@
 def run_line() -> list[str]:
     """`run` of the deploy file, as the platform starts it."""
     import tomllib
+
     run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     return ["/bin/sh", "-c", run.replace(".venv/bin/python", shlex.quote(sys.executable))]
 
--- a/tests/test_admit.py
+++ b/tests/test_admit.py
@@ -11,8 +11,14 @@
 from myrtlehub.limits.admit import Admission, Vegas
 
 UTILITY = {"low": 0.5, "high": 4.0}
-STEPS = st.lists(st.tuples(st.sampled_from(["ask", "ask", "ask", "begin", "fail", "leave", "wait"]),
-                           st.sampled_from(["low", "high"]), st.floats(0.0, 3.0)), max_size=150)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["ask", "ask", "ask", "begin", "fail", "leave", "wait"]),
+        st.sampled_from(["low", "high"]),
+        st.floats(0.0, 3.0),
+    ),
+    max_size=150,
+)
 
 
 @given(STEPS)
@@ -29,6 +35,7 @@
         for item in gate.shed(now):
             waiting.remove(item)
             seen[item] = seen.get(item, 0) + 1
+
     for what, name, amount in steps:
         if what == "ask":
             gate.ask(now, name, 1.0, count)
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -113,8 +113,16 @@
     assert g.drop("k", "e") and not g.drop("k", "e") and g.next_at() == float("inf")
 
 
-REQUESTS = st.lists(st.tuples(st.floats(0.0, 0.01), st.sampled_from("ab"), st.integers(1, 1200),
-                              st.integers(1, 9), st.floats(0.001, 1.0)), max_size=80)
+REQUESTS = st.lists(
+    st.tuples(
+        st.floats(0.0, 0.01),
+        st.sampled_from("ab"),
+        st.integers(1, 1200),
+        st.integers(1, 9),
+        st.floats(0.001, 1.0),
+    ),
+    max_size=80,
+)
 
 
 @given(REQUESTS)
@@ -210,8 +218,9 @@
 class Asking(CallWatcher):
     """One call of a batch front."""
 
-    def __init__(self, fleet: Fleet, path: str, request: object, reply: type, streams: bool,
-                 timeout: float | None) -> None:
+    def __init__(
+        self, fleet: Fleet, path: str, request: object, reply: type, streams: bool, timeout: float | None
+    ) -> None:
         self.fleet, self.reply, self.request, self.streams = fleet, reply, request, streams
         self.items: dict[int, object] = {}
         self.order: list[int] = []
@@ -236,19 +245,34 @@
         self.status = status
 
 
-def embed(f: Fleet, texts: list[bytes], traffic: str = "vec", streams: bool = False, tokens: int = 50,
-          left: float = 4.0, timeout: float | None = None, mark: str = "", **more: object) -> Asking:
+def embed(
+    f: Fleet,
+    texts: list[bytes],
+    traffic: str = "vec",
+    streams: bool = False,
+    tokens: int = 50,
+    left: float = 4.0,
+    timeout: float | None = None,
+    mark: str = "",
+    **more: object,
+) -> Asking:
     request = pb.EmbedRequest(
         terms=pb.Terms(traffic_type=traffic, time_left_ms=int(left * 1000), mark=mark),
-        inputs=[pb.Input(text=t, tokens=tokens) for t in texts], **more)
+        inputs=[pb.Input(text=t, tokens=tokens) for t in texts],
+        **more,
+    )
     return Asking(f, "/myrtlehub.v1.Embeddings/Embed", request, pb.EmbedReply, streams, timeout)
 
 
-def rank(f: Fleet, query: bytes, documents: list[bytes], streams: bool = False, top: int = 0,
-         tokens: int = 50) -> Asking:
-    request = pb.RankRequest(terms=pb.Terms(traffic_type="sort"), top=top,
-                             query=pb.Input(text=query, tokens=10),
-                             documents=[pb.Input(text=d, tokens=tokens) for d in documents])
+def rank(
+    f: Fleet, query: bytes, documents: list[bytes], streams: bool = False, top: int = 0, tokens: int = 50
+) -> Asking:
+    request = pb.RankRequest(
+        terms=pb.Terms(traffic_type="sort"),
+        top=top,
+        query=pb.Input(text=query, tokens=10),
+        documents=[pb.Input(text=d, tokens=tokens) for d in documents],
+    )
     return Asking(f, "/myrtlehub.v1.Rerank/Rank", request, pb.RankReply, streams, None)
 
 
@@ -299,8 +323,10 @@
 
 def test_an_input_over_length_errs_alone_by_index_and_duplicates_are_done_once() -> None:
     f = Fleet("R0 W0 E0", longest_input="400 tokens")
-    request = pb.EmbedRequest(terms=pb.Terms(traffic_type="vec"), inputs=[
-        pb.Input(text=b"a" * (n % 3 + 1), tokens=500 if n == 7 else 50) for n in range(12)])
+    request = pb.EmbedRequest(
+        terms=pb.Terms(traffic_type="vec"),
+        inputs=[pb.Input(text=b"a" * (n % 3 + 1), tokens=500 if n == 7 else 50) for n in range(12)],
+    )
     asking = Asking(f, "/myrtlehub.v1.Embeddings/Embed", request, pb.EmbedReply, False, None)
     f.run(1.0)
     assert asking.final == "generated" and asking.done.errors == 1
@@ -449,14 +475,24 @@
     at_rest(f)
 
 
-@pytest.mark.parametrize("request_, said", [
-    (pb.EmbedRequest(terms=pb.Terms(traffic_type="vec")), "inputs: there is none"),
-    (pb.EmbedRequest(terms=pb.Terms(traffic_type="ask"), inputs=[pb.Input(text=b"x")]),
-     "is for the front 'chat'"),
-    (pb.EmbedRequest(terms=pb.Terms(traffic_type="nothing"), inputs=[pb.Input(text=b"x")]), "is not one of"),
-    (pb.EmbedRequest(terms=pb.Terms(traffic_type="vec"), inputs=[pb.Input(text=b"x")] * 4097),
-     "4097 are more than the 4096"),
-])
+@pytest.mark.parametrize(
+    "request_, said",
+    [
+        (pb.EmbedRequest(terms=pb.Terms(traffic_type="vec")), "inputs: there is none"),
+        (
+            pb.EmbedRequest(terms=pb.Terms(traffic_type="ask"), inputs=[pb.Input(text=b"x")]),
+            "is for the front 'chat'",
+        ),
+        (
+            pb.EmbedRequest(terms=pb.Terms(traffic_type="nothing"), inputs=[pb.Input(text=b"x")]),
+            "is not one of",
+        ),
+        (
+            pb.EmbedRequest(terms=pb.Terms(traffic_type="vec"), inputs=[pb.Input(text=b"x")] * 4097),
+            "4097 are more than the 4096",
+        ),
+    ],
+)
 def test_a_bad_request_is_told_what_to_mend(request_: pb.EmbedRequest, said: str) -> None:
     f = Fleet("R0 W0 E0")
     asking = Asking(f, "/myrtlehub.v1.Embeddings/Embed", request_, pb.EmbedReply, False, None)
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -66,8 +66,9 @@
         places[struck[0]] += 1
         answers[caller.answer or "none"] += 1
         where = f"{way} at {at}, {struck[0]}"
-        breaches = [b for b in judge(f).breaches if not (
-            way == "stall" and b.rule == 5 and "client" not in struck[0])]
+        breaches = [
+            b for b in judge(f).breaches if not (way == "stall" and b.rule == 5 and "client" not in struck[0])
+        ]
         assert not breaches, (where, [b.text for b in breaches])
         # Over a stalled link a release cannot come: then the reader's own bound, 3 s, lets go.
         holds = {r.more["seq"]: r.at for r in f.what("held")}
@@ -111,6 +112,7 @@
                 f.kill("W0a")
             return
         deliver(data)
+
     link.other.protocol.dataReceived = some
     f.run(4.0)
     return f, caller, crossed
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -96,12 +96,16 @@
     assert {c.answer for c in f.calls} == {"generated"} and not node.old
 
 
-@pytest.mark.parametrize(("was", "now", "said"), [
-    ("name: writer, writes: yes", "name: writer, reads: yes", "could end a sequence of 'ask'"),
-    ("name: writer, writes: yes", "name: scribe, writes: yes", "kind 'writer' is not among kinds"),
-    ("zones: [north]", "zones: [north, south]\nrules_: 1", "rules_: is not known here"),
-    ("listen: \"n0:1\"", "listen: \"n0:7\"", "cannot change from 'n0:1' to 'n0:7' in place"),
-    ("{pushed: yes", "{pushed: no", "where the list comes from cannot change in place")])
+@pytest.mark.parametrize(
+    ("was", "now", "said"),
+    [
+        ("name: writer, writes: yes", "name: writer, reads: yes", "could end a sequence of 'ask'"),
+        ("name: writer, writes: yes", "name: scribe, writes: yes", "kind 'writer' is not among kinds"),
+        ("zones: [north]", "zones: [north, south]\nrules_: 1", "rules_: is not known here"),
+        ('listen: "n0:1"', 'listen: "n0:7"', "cannot change from 'n0:1' to 'n0:7' in place"),
+        ("{pushed: yes", "{pushed: no", "where the list comes from cannot change in place"),
+    ],
+)
 def test_what_cannot_be_routed_by_is_refused_where_it_is_staged(was: str, now: str, said: str) -> None:
     f = Fleet()
     admin = Admin(f)
@@ -152,6 +156,7 @@
 
     def drain() -> None:
         node.drain().addCallback(lambda none: ends.append(f.clock.seconds()))
+
     node.on_leave = drain
     admin.say("Leave", admin.order(run=node.run))
     drain()  # SIGTERM comes as well
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -40,8 +40,13 @@
     assert some.again(aborted, 100.0) is None  # they would come twice
     last = tries(tries=2)
     assert last.again(rejected, 100.0) and last.again(rejected, 100.6) is None
-    for end, kind in ((rejected, Rejected), (aborted, Aborted), (lost, Aborted), (End("invalid"), NotTaken),
-                      (End("lost", unprocessed=True), Rejected)):
+    for end, kind in (
+        (rejected, Rejected),
+        (aborted, Aborted),
+        (lost, Aborted),
+        (End("invalid"), NotTaken),
+        (End("lost", unprocessed=True), Rejected),
+    ):
         with pytest.raises(kind):
             tries().result(end)
     assert tries().result(End("generated", count=7)) == Generated(7, 0)
@@ -55,6 +60,7 @@
         stream = client.generate(Ask(*args, **more), seen.append)
         stream.done.addBoth(ends.append)
         return stream
+
     ask("ask", 3000, 40, repeats="repeatable")
     f.run(3.0)
     assert ends == [Generated(len(seen), 1)] and seen
@@ -81,23 +87,32 @@
     """A node and an engine of each kind, each a process."""
     ports = free_ports(6)
     text = (ROOT / "examples" / "node.yaml").read_text()
-    for old, new in (("127.0.0.1:7100", f"127.0.0.1:{ports[0]}"), ("127.0.0.1:7101", f"127.0.0.1:{ports[1]}"),
-                     ("10.0.0.1:7200", f"127.0.0.1:{ports[2]}"), ("10.0.0.2:7200", f"127.0.0.1:{ports[3]}"),
-                     ("10.0.0.3:7200", f"127.0.0.1:{ports[4]}"), ("10.0.0.4:7200", f"127.0.0.1:{ports[5]}")):
+    for old, new in (
+        ("127.0.0.1:7100", f"127.0.0.1:{ports[0]}"),
+        ("127.0.0.1:7101", f"127.0.0.1:{ports[1]}"),
+        ("10.0.0.1:7200", f"127.0.0.1:{ports[2]}"),
+        ("10.0.0.2:7200", f"127.0.0.1:{ports[3]}"),
+        ("10.0.0.3:7200", f"127.0.0.1:{ports[4]}"),
+        ("10.0.0.4:7200", f"127.0.0.1:{ports[5]}"),
+    ):
         assert old in text
         text = text.replace(old, new)
     (tmp_path / "node.yaml").write_text(text)
     (tmp_path / "r.yaml").write_text(f"{{name: r, listen: '127.0.0.1:{ports[2]}', reads: yes}}")
     (tmp_path / "w.yaml").write_text(f"{{name: w, listen: '127.0.0.1:{ports[3]}', writes: yes, step: 2ms}}")
-    (tmp_path / "e.yaml").write_text(f"{{name: e, listen: '127.0.0.1:{ports[4]}', embeds: yes, "
-                                     f"longest_input: 900 tokens}}")
+    (tmp_path / "e.yaml").write_text(
+        f"{{name: e, listen: '127.0.0.1:{ports[4]}', embeds: yes, longest_input: 900 tokens}}"
+    )
     (tmp_path / "k.yaml").write_text(f"{{name: k, listen: '127.0.0.1:{ports[5]}', ranks: yes}}")
     running = []
     for name in ("r", "w", "e", "k", "node"):
         program = "node" if name == "node" else "engine"
-        process = subprocess.Popen([sys.executable, "-m", f"myrtlehub.cli.{program}",
-                                    tmp_path / f"{name}.yaml"],
-                                   stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=ROOT)
+        process = subprocess.Popen(
+            [sys.executable, "-m", f"myrtlehub.cli.{program}", tmp_path / f"{name}.yaml"],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            cwd=ROOT,
+        )
         running.append(process)
         while b'"ready"' not in process.stdout.readline():
             assert process.poll() is None
@@ -110,10 +125,19 @@
 
 
 def test_examples_run(node: str) -> None:
-    for name, said in (("ask_sync.py", " tokens in 1 tries"), ("book_aio.py", "booked: "),
-                       ("ask_twisted.py", " tokens in 1 tries"), ("embed_and_rank.py", "made by m1\n")):
-        run = subprocess.run([sys.executable, ROOT / "examples" / name, node], capture_output=True, text=True,
-                             timeout=60, cwd=ROOT)
+    for name, said in (
+        ("ask_sync.py", " tokens in 1 tries"),
+        ("book_aio.py", "booked: "),
+        ("ask_twisted.py", " tokens in 1 tries"),
+        ("embed_and_rank.py", "made by m1\n"),
+    ):
+        run = subprocess.run(
+            [sys.executable, ROOT / "examples" / name, node],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=ROOT,
+        )
         assert run.returncode == 0 and said in run.stdout, run.stderr
 
 
@@ -128,7 +152,8 @@
             assert i == 13 or vector.tobytes() == packed_of(texts[i], "m1", 6, True)
         streamed = dict(batches.embed_stream(texts, ask))
         assert len(streamed) == 700 and all(
-            streamed[i].tobytes() == packed_of(t, "m1", 16, False) for i, t in enumerate(texts))
+            streamed[i].tobytes() == packed_of(t, "m1", 16, False) for i, t in enumerate(texts)
+        )
         sort = BatchAsk("sort", within=20.0)
         scores = [score_of(b"q", t, "m1") for t in texts]
         assert batches.rank(b"q", texts, sort) == list(enumerate(scores))
@@ -143,8 +168,14 @@
 
 def test_hub_list_shows_what_a_node_routes_by(node: str) -> None:
     def show(where: str) -> subprocess.CompletedProcess:
-        return subprocess.run([sys.executable, "-m", "myrtlehub.cli.list", "show", "--node", where],
-                              capture_output=True, text=True, timeout=60, cwd=ROOT)
+        return subprocess.run(
+            [sys.executable, "-m", "myrtlehub.cli.list", "show", "--node", where],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=ROOT,
+        )
+
     shown = show(ADMIN[node])
     lines = shown.stdout.splitlines()
     assert shown.returncode == 0 and lines[0].startswith("version 1, ") and "from its file" in lines[0]
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -29,7 +29,8 @@
 @pytest.mark.parametrize("by", [-3600.0, 3600.0])
 def test_timers_do_not_go_by_the_wall_clock(by: float) -> None:
     """Set back, they would come an hour late; set ahead, all at once."""
-    run = subprocess.run([sys.executable, "-c", SET.format(by=by)], capture_output=True, text=True,
-                         timeout=60)
+    run = subprocess.run(
+        [sys.executable, "-c", SET.format(by=by)], capture_output=True, text=True, timeout=60
+    )
     took, _, said = run.stdout.strip().partition(" ")
     assert 0.3 <= float(took) < 5.0 and said == "[]", run
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -28,29 +28,65 @@
     assert [load(p, Scenario).names()[0] for p in sorted((ROOT / "scenarios").glob("*.yaml"))]
 
 
-@pytest.mark.parametrize(("old", "new", "said"), [
-    ("drain_within: 10s", "drain_within: 10",
-     "n.yaml:9: node.drain_within: a unit is missing; write it like 250ms or 2s (found 10)"),
-    ("drain_within: 10s", "drain_within: 10 parsecs",
-     "n.yaml:9: node.drain_within: unit 'parsecs' is not one of us, ms, s, m, min, h (found '10 parsecs')"),
-    ("drain_within:", "drain_witin:",
-     "n.yaml:9: node.drain_witin: is not known here; did you mean 'drain_within'?"),
-    ("abandon_time: 10s", "abandon_time: 1s",
-     "n.yaml:11: traffic[0](ask): abandon_time has to be longer than latency_slo"),
-    ("repeats: once-only", "repeats: sometimes",
-     "n.yaml:17: traffic[1](post).repeats: should be 'repeatable', 'tokened' or 'once-only' "
-     "(found 'sometimes')"),
-    ("  let_go: 500ms\n", "", "n.yaml:29: rules.let_go: is missing; add it"),
-    ("zone: north", "zone: nowhere", "n.yaml:1: file: node.zone 'nowhere' is not among zones: north, south"),
-    ("kind: writer", "kind: wirter",
-     "n.yaml:1: file: engine 10.0.0.2:7200: kind 'wirter' is not among kinds: "
-                                     "embedder, ranker, reader, writer"),
-    ("10.0.0.2:7200", "10.0.0.1:7200", "n.yaml:1: file: list.engines: 10.0.0.1:7200 named more than once"),
-    ("hold: no", "hold: yes",
-     "n.yaml:1: file: engines_may.hold: engines of myrtlehub.v1 cannot do this; say no"),
-    ("index: 0", "index: 3", "n.yaml:1: file: node.index 3 needs node.nodes above it, not 3"),
-    ("utility: 3", "utility: -3", "n.yaml:20: traffic[1](post).utility: should be greater than 0 (found -3)"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        (
+            "drain_within: 10s",
+            "drain_within: 10",
+            "n.yaml:9: node.drain_within: a unit is missing; write it like 250ms or 2s (found 10)",
+        ),
+        (
+            "drain_within: 10s",
+            "drain_within: 10 parsecs",
+            "n.yaml:9: node.drain_within: unit 'parsecs' is not one of us, ms, s, m, min, h (found '10 parsecs')",
+        ),
+        (
+            "drain_within:",
+            "drain_witin:",
+            "n.yaml:9: node.drain_witin: is not known here; did you mean 'drain_within'?",
+        ),
+        (
+            "abandon_time: 10s",
+            "abandon_time: 1s",
+            "n.yaml:11: traffic[0](ask): abandon_time has to be longer than latency_slo",
+        ),
+        (
+            "repeats: once-only",
+            "repeats: sometimes",
+            "n.yaml:17: traffic[1](post).repeats: should be 'repeatable', 'tokened' or 'once-only' "
+            "(found 'sometimes')",
+        ),
+        ("  let_go: 500ms\n", "", "n.yaml:29: rules.let_go: is missing; add it"),
+        (
+            "zone: north",
+            "zone: nowhere",
+            "n.yaml:1: file: node.zone 'nowhere' is not among zones: north, south",
+        ),
+        (
+            "kind: writer",
+            "kind: wirter",
+            "n.yaml:1: file: engine 10.0.0.2:7200: kind 'wirter' is not among kinds: "
+            "embedder, ranker, reader, writer",
+        ),
+        (
+            "10.0.0.2:7200",
+            "10.0.0.1:7200",
+            "n.yaml:1: file: list.engines: 10.0.0.1:7200 named more than once",
+        ),
+        (
+            "hold: no",
+            "hold: yes",
+            "n.yaml:1: file: engines_may.hold: engines of myrtlehub.v1 cannot do this; say no",
+        ),
+        ("index: 0", "index: 3", "n.yaml:1: file: node.index 3 needs node.nodes above it, not 3"),
+        (
+            "utility: 3",
+            "utility: -3",
+            "n.yaml:20: traffic[1](post).utility: should be greater than 0 (found -3)",
+        ),
+    ],
+)
 def test_a_fault_names_line_field_and_fix(old: str, new: str, said: str) -> None:
     assert old in SOUND
     assert faults(SOUND.replace(old, new, 1)) == [said]
@@ -76,10 +112,18 @@
 
 def test_programs_refuse_wrong_files_with_one_line_and_2(tmp_path: Path) -> None:
     (tmp_path / "n.yaml").write_text(SOUND.replace("drain_within: 10s", "drain_within: 10"))
-    for program, argument in (("node", tmp_path / "n.yaml"), ("engine", tmp_path / "none.yaml"),
-                              ("day", "no-such-day")):
-        run = subprocess.run([sys.executable, "-m", f"myrtlehub.cli.{program}", argument], cwd=ROOT,
-                             capture_output=True, text=True, timeout=60)
+    for program, argument in (
+        ("node", tmp_path / "n.yaml"),
+        ("engine", tmp_path / "none.yaml"),
+        ("day", "no-such-day"),
+    ):
+        run = subprocess.run(
+            [sys.executable, "-m", f"myrtlehub.cli.{program}", argument],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         assert run.returncode == 2 and run.stderr.count("\n") == 1 and not run.stdout, run.stderr
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -51,8 +51,10 @@
     node = rig.peopled("w1")
     client = Client(node.address)
     node.stop()
-    client.say(chat("a1") + chat("a2") + b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
-               b"Content-Length: 200000\r\n\r\n" + b"x" * 60_000)
+    client.say(
+        chat("a1") + chat("a2") + b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        b"Content-Length: 200000\r\n\r\n" + b"x" * 60_000
+    )
     node.go_on()
     assert client.status() == 200
     client.until(LAST)
@@ -117,8 +119,9 @@
     node = rig.peopled("w1")
     client = Client(node.address)
     node.stop()
-    client.say(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n"
-               + b"x" * 200_000)
+    client.say(
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 200_000
+    )
     node.go_on()
     assert client.status() == 413
     client.say(b"x" * 100_000)
@@ -195,10 +198,12 @@
     node = rig.peopled("r1 w1")
     told = []
     rig.engines["w1"].script = lambda wire, request: (
-        told.append(request) if request.method == b"DELETE" else None)
+        told.append(request) if request.method == b"DELETE" else None
+    )
     read = rig.engines["r1"].by_default
     rig.engines["r1"].script = lambda wire, request: (
-        told.append(request) if request.method == b"DELETE" else read(wire, request))
+        told.append(request) if request.method == b"DELETE" else read(wire, request)
+    )
     client = Client(node.address).say(chat("a1", LONG))
     rig.engines["w1"].next(b"POST")
     node.signal("TERM")
@@ -212,7 +217,8 @@
 def test_a_release_that_is_answered_lets_the_process_go(rig: Rig) -> None:
     node = rig.peopled("r1 w1")
     rig.engines["w1"].script = lambda wire, request: (
-        wire.say(RELEASED) if request.method == b"DELETE" else None)
+        wire.say(RELEASED) if request.method == b"DELETE" else None
+    )
     client = Client(node.address).say(chat("a1", LONG))
     rig.engines["w1"].next(b"POST")
     node.signal("TERM")
@@ -227,7 +233,8 @@
     node = rig.peopled("w1")
     big = b'data: {"choices":[{"delta":{"content":"' + b"y" * 60_000 + b'"}}]}\n\n'
     rig.engines["w1"].script = lambda wire, request: wire.say(
-        HEAD + chunk(big) * 120 + chunk(USAGE + DONE) + LAST)
+        HEAD + chunk(big) * 120 + chunk(USAGE + DONE) + LAST
+    )
     client = Client(node.address, window=4096).say(chat("a1"))
     taken = 0
     while not node.has_said("answer", seq="a1", answer="generated"):
@@ -317,7 +324,7 @@
 def test_a_half_written_file_at_sighup_is_kept_out_and_the_whole_one_taken(rig: Rig) -> None:
     node = rig.peopled("w1")
     whole = node.path.read_text()
-    node.path.write_text(whole[:len(whole) // 2])
+    node.path.write_text(whole[: len(whole) // 2])
     node.signal("HUP")
     node.said("configuration kept")
     node.path.write_text(whole)
@@ -326,20 +333,35 @@
     assert Client(node.address).say(chat("a1")).status() == 200
 
 
-@pytest.mark.parametrize(("told", "key"), [
-    ({"limits": [1]}, "limits"), ({"limits": {"sockets": 10}}, "limits.sockets"), ({"seed": "xyz"}, "seed"),
-    ({"settings": {"Classes": "all"}}, "settings"), ({"settings": {"Caps": 5}}, "settings"),
-    ({"settings": {"Classes": [{}]}}, "settings"), ({"discovery": 5}, "discovery"),
-    ({"listen": "x"}, "listen")])
+@pytest.mark.parametrize(
+    ("told", "key"),
+    [
+        ({"limits": [1]}, "limits"),
+        ({"limits": {"sockets": 10}}, "limits.sockets"),
+        ({"seed": "xyz"}, "seed"),
+        ({"settings": {"Classes": "all"}}, "settings"),
+        ({"settings": {"Caps": 5}}, "settings"),
+        ({"settings": {"Classes": [{}]}}, "settings"),
+        ({"discovery": 5}, "discovery"),
+        ({"listen": "x"}, "listen"),
+    ],
+)
 def test_an_unusable_configuration_is_one_line_with_file_key_and_fix(
-        tmp_path: Path, told: dict, key: str) -> None:
+    tmp_path: Path, told: dict, key: str
+) -> None:
     path = tmp_path / "config.json"
     if isinstance(told.get("settings"), dict):
         told = {"settings": {**SETTINGS, **told["settings"]}}
     here = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS}
     path.write_text(json.dumps({**here, **told}))
-    done = subprocess.run([sys.executable, "-m", "myrtlehub.relay"], capture_output=True, text=True,
-                          check=False, env={"RELAY_CONFIG": str(path)}, cwd=ROOT)
+    done = subprocess.run(
+        [sys.executable, "-m", "myrtlehub.relay"],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={"RELAY_CONFIG": str(path)},
+        cwd=ROOT,
+    )
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1, done.stderr
     assert f"{path}: {key}" in done.stderr and "; " in done.stderr  # where, what, and what to do
 
@@ -428,9 +450,15 @@
     base, memory = node.descriptors(), node.memory()
     chunked = chat().partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
     deep = b'{"messages":' + b"[" * 60_000
-    kinds = {b"nonsense\r\n\r\n": 400, chat(body=b"[" * 60_000): 400, chat(body=deep): 400,
-             chat(more=b"X-A: " + b"y" * 30_000 + b"\r\n"): 431,
-             chunked + chunk(b"x" * 200_000) * 2: 413, chat()[:-3]: 408, b"POST /v1/ch": 408}
+    kinds = {
+        b"nonsense\r\n\r\n": 400,
+        chat(body=b"[" * 60_000): 400,
+        chat(body=deep): 400,
+        chat(more=b"X-A: " + b"y" * 30_000 + b"\r\n"): 431,
+        chunked + chunk(b"x" * 200_000) * 2: 413,
+        chat()[:-3]: 408,
+        b"POST /v1/ch": 408,
+    }
     for _ in range(4):
         crowd = [(Client(node.address).say(said), status) for said, status in kinds.items()]
         good = Client(node.address).say(chat(f"a{time.monotonic()}"))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -251,8 +251,10 @@
         routers = [Router(TERMS._replace(seed=i, node=i, nodes=nodes)) for i in range(nodes)]
         parts = [random.random() ** 3 + 0.02 for _ in routers]  # some get several times the mean
         now, sent = 100.0, []
-        rows = [itf.Listing(i, True, itf.SERVING, WRITER, 0, 0, 0.0 if i else now, 1.0,
-                            i * 2654435761 % 2**32) for i in range(engines)]
+        rows = [
+            itf.Listing(i, True, itf.SERVING, WRITER, 0, 0, 0.0 if i else now, 1.0, i * 2654435761 % 2**32)
+            for i in range(engines)
+        ]
         for router in routers:
             router.engines(now, rows, True)
         for seq in range(1800):
@@ -271,7 +273,7 @@
             share = TERMS.cold_share + (1.0 - TERMS.cold_share) * 0.5 * (at - 100.0) / TERMS.cold_time
             budget = TERMS.fall_multiple * share * can_do * TERMS.fall_time
             came = sum(at <= other < at + TERMS.fall_time for other in sent)
-            assert came <= budget + 2.0 * budget ** 0.5 + 2.0, (nodes, at, came, budget)
+            assert came <= budget + 2.0 * budget**0.5 + 2.0, (nodes, at, came, budget)
 
 
 def test_cold_budget_of_all_nodes_together() -> None:
@@ -286,7 +288,7 @@
             engine = sent_to(benches[tick % nodes], prompt=300.0)
             if tick >= 240:
                 spans.append(engine == 1)
-        told = " ".join(str(sum(spans[i:i + 8])) for i in range(0, 80, 8))
+        told = " ".join(str(sum(spans[i : i + 8])) for i in range(0, 80, 8))
         lines.lines.append(f"{nodes} nodes, sends to a cold engine second by second: {told}")
     lines.check("cold_budget")
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,8 +8,11 @@
 
 def test_every_ending_names_a_test_that_exists_or_says_that_there_is_none() -> None:
     there = set(re.findall(r"^def (test_\w+)", "".join(p.read_text() for p in HERE.glob("test_*.py")), re.M))
-    rows = [line for line in (HERE.parent / "docs" / "design" / "endings.md").read_text().splitlines()
-            if line.startswith("| ") and not line.startswith(("| ---", "| path"))]
+    rows = [
+        line
+        for line in (HERE.parent / "docs" / "design" / "endings.md").read_text().splitlines()
+        if line.startswith("| ") and not line.startswith(("| ---", "| path"))
+    ]
     assert len(rows) > 30
     for row in rows:
         named = re.findall(r"`(test_\w+)`", row.split("|")[-2])
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -37,6 +37,7 @@
                 if outcome == itf.GENERATED:
                     push(now + 0.05, "began", r[1], n, 0.05)
                 push(now + 0.1, "ended", r[1], n, outcome, 0.1, outcome == itf.GENERATED, 0.0, None)
+
     attempts: dict[int, int] = {}
     carry(0.0, router.start(0.0))
     carry(0.0, router.engines(0.0, [listing(i, k, True) for i, k in enumerate(kinds)], True))
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -25,6 +25,7 @@
             results = getattr(self.router, name)(now, *args)
             self.said.append((now, name, args, list(results)))
             return results
+
         return call
 
 
@@ -37,23 +38,48 @@
     """Terms as the wire says them."""
     ms = 1e3
     return {
-        "Balancers": terms.nodes, "Ordinal": terms.node, "Zones": ["z"], "MyZone": "z",
+        "Balancers": terms.nodes,
+        "Ordinal": terms.node,
+        "Zones": ["z"],
+        "MyZone": "z",
         "PeriodMs": terms.tick * ms,
-        "MachineTypes": [f"k{i}"
-                         for i in range(len(terms.reads))], "OverShareWorth": terms.over_share_utility,
-        "Classes": [{"Name": f"t{i}", "Effect": EFFECTS[t.repeats], "AimMs": t.latency_slo * ms,
-                     "GiveUpMs": t.abandon_time * ms, "Credit": t.utility, "LateWorth": t.late_share,
-                     "DedupScope": t.dedup_group, "WindowMs": t.dedup_window * ms}
-                    for i, t in enumerate(terms.traffic)],
-        "Caps": {"Cancel": terms.may_cancel, "MostTries": terms.most_attempts, "RetryAfter": True,
-                 "MaxRetryAfterMs": terms.max_wait * ms},
-        "Invariants": {"AnswerSlackMs": terms.answer_slack * ms, "ColdMs": terms.cold_time * ms,
-                       "ColdShare": terms.cold_share, "DrainGraceMs": terms.drain_grace * ms,
-                       "FallMs": terms.fall_time * ms, "FallMultiple": terms.fall_multiple},
-        "Specifics": {"DutyByKind": ["read" if r else "write" for r in terms.reads],
-                      "KvTokens": list(terms.memory),
-                      "LetGoByMs": terms.let_go * ms, "SelfPrefill": terms.self_read,
-                      "TokenAimMs": [t.pace * ms for t in terms.traffic]}}
+        "MachineTypes": [f"k{i}" for i in range(len(terms.reads))],
+        "OverShareWorth": terms.over_share_utility,
+        "Classes": [
+            {
+                "Name": f"t{i}",
+                "Effect": EFFECTS[t.repeats],
+                "AimMs": t.latency_slo * ms,
+                "GiveUpMs": t.abandon_time * ms,
+                "Credit": t.utility,
+                "LateWorth": t.late_share,
+                "DedupScope": t.dedup_group,
+                "WindowMs": t.dedup_window * ms,
+            }
+            for i, t in enumerate(terms.traffic)
+        ],
+        "Caps": {
+            "Cancel": terms.may_cancel,
+            "MostTries": terms.most_attempts,
+            "RetryAfter": True,
+            "MaxRetryAfterMs": terms.max_wait * ms,
+        },
+        "Invariants": {
+            "AnswerSlackMs": terms.answer_slack * ms,
+            "ColdMs": terms.cold_time * ms,
+            "ColdShare": terms.cold_share,
+            "DrainGraceMs": terms.drain_grace * ms,
+            "FallMs": terms.fall_time * ms,
+            "FallMultiple": terms.fall_multiple,
+        },
+        "Specifics": {
+            "DutyByKind": ["read" if r else "write" for r in terms.reads],
+            "KvTokens": list(terms.memory),
+            "LetGoByMs": terms.let_go * ms,
+            "SelfPrefill": terms.self_read,
+            "TokenAimMs": [t.pace * ms for t in terms.traffic],
+        },
+    }
 
 
 def event_of(name: str, args: tuple, engines: dict[int, str]) -> dict:
@@ -62,29 +88,55 @@
         entries = []
         for e in args[0]:
             engines.setdefault(e.engine, f"e{e.engine}")
-            entries.append({"Engine": engines[e.engine], "Type": f"k{e.kind}", "State": STATES[e.state],
-                            "Dc": "z",
-                            "Cluster": e.cell, "StartTimeMs": e.started * 1e3, "Heft": e.weight})
+            entries.append(
+                {
+                    "Engine": engines[e.engine],
+                    "Type": f"k{e.kind}",
+                    "State": STATES[e.state],
+                    "Dc": "z",
+                    "Cluster": e.cell,
+                    "StartTimeMs": e.started * 1e3,
+                    "Heft": e.weight,
+                }
+            )
         return {"verb": "MEMBERS", "Mode": "FULL" if args[1] else "INCREMENTAL", "Entries": entries}
     if name == "wake":
         return {"verb": "WAKEUP", "Name": str(args[0])}
     event = {"Rid": f"r{args[0]}"}
     if name == "arrive":
         a = args[1]
-        return {**event, "verb": "REQ", "InputLen": a.prompt, "TimeBudgetMs": a.time_left * 1e3, "Chat":
-        a.session,
-                "Prefix": a.prefix, "SharedLen": a.shared, "MaxTokens": a.most_output, "Grade":
-                f"t{a.traffic}", "Options": 2 * a.repeated}
+        return {
+            **event,
+            "verb": "REQ",
+            "InputLen": a.prompt,
+            "TimeBudgetMs": a.time_left * 1e3,
+            "Chat": a.session,
+            "Prefix": a.prefix,
+            "SharedLen": a.shared,
+            "MaxTokens": a.most_output,
+            "Grade": f"t{a.traffic}",
+            "Options": 2 * a.repeated,
+        }
     if name == "left":
         return {**event, "verb": "DROPPED"}
     if name == "began":
         return {**event, "verb": "ESTABLISHED", "Copy": args[1], "LatencyMs": args[2] * 1e3}
     seq, copy, outcome, latency, settled, kept, load = args
-    report = {FACTORS[f][0]: v / FACTORS[f][1] for f, v in load._asdict().items()
-              if v is not None} if load else None
-    return {**event, "verb": "RESPONSE", "Copy": copy, "StateCode": WORDS[outcome],
-            "LatencyMs": latency * 1e3,
-            "Settled": settled, "Info": kept, "Telemetry": report}
+    report = (
+        {FACTORS[f][0]: v / FACTORS[f][1] for f, v in load._asdict().items() if v is not None}
+        if load
+        else None
+    )
+    return {
+        **event,
+        "verb": "RESPONSE",
+        "Copy": copy,
+        "StateCode": WORDS[outcome],
+        "LatencyMs": latency * 1e3,
+        "Settled": settled,
+        "Info": kept,
+        "Telemetry": report,
+    }
 
 
 def plain(results: list[tuple]) -> list[tuple]:
@@ -95,8 +147,15 @@
     f = Fleet("R0 R1 W0 W0 W1", host=NotedHost, slots=3)
     host = f.nodes["n0"].host
     for i in range(60):
-        f.ask(("ask", "post", "note")[i % 3], prompt=100 + 997 * (i % 5), output=60, session=f"s{i % 9}",
-              shared_prefix=f"p{i % 4}", shared_tokens=90, left=1.0 + (i % 4))
+        f.ask(
+            ("ask", "post", "note")[i % 3],
+            prompt=100 + 997 * (i % 5),
+            output=60,
+            session=f"s{i % 9}",
+            shared_prefix=f"p{i % 4}",
+            shared_tokens=90,
+            left=1.0 + (i % 4),
+        )
         f.run(0.04)
         if i == 15:
             f.misbehave("W0c", "refuse", 0.7, seconds=0.6)
@@ -125,7 +184,8 @@
     marks = {e.engine: e.mark for _, name, args, _ in host.router.said if name == "engines" for e in args[0]}
     listed = fresh.engines
     fresh.engines = lambda now, listings, whole: listed(
-        now, [e._replace(mark=marks[e.engine]) for e in listings], whole)
+        now, [e._replace(mark=marks[e.engine]) for e in listings], whole
+    )
     verbs, attempts = set(), {}
     for now, name, args, results in host.router.said[1:]:
         event = event_of(name, args, engines)
@@ -141,7 +201,14 @@
                 attempts[seq, sum(k[0] == seq for k in attempts)] = result[2]
     assert {"send", "release", "wake", "done", "cancel"} <= verbs and len(host.router.said) > 150
     assert {name for _, name, _, _ in host.router.said} == {
-        "start", "engines", "arrive", "began", "ended", "left", "wake"}
+        "start",
+        "engines",
+        "arrive",
+        "began",
+        "ended",
+        "left",
+        "wake",
+    }
 
 
 def test_results_that_the_terms_rule_out_stop_the_host() -> None:
@@ -169,12 +236,14 @@
             seen.append(token)
             depth.pop()
             return [("note", f"{token}a"), ("note", f"{token}b")]
+
     host.router = Script()
 
     def note(text: str) -> None:
         seen.append(text)
         if text == "1a":
             host._say("wake", 2)
+
     host._verbs["note"] = note
     host._say("wake", 1)
     assert seen == [1, "1a", "1b", 2, "2a", "2b"]
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -8,12 +8,23 @@
 from myrtlehub.lab.manynodes import Harm, ManyNodes, Trouble, roles_of
 from myrtlehub.rollout.judge import AWAY, PASS, TROUBLE, UNSURE, WORSE, Guard, Judge, Verdict, said
 
-GUARDS = (Guard("served", 0.005, -1.0), Guard("served", 0.01, -1.0, "post"), Guard("rejected", 0.005),
-          Guard("first_token", 0.05))
-
-
-def watch(nodes: int, changed: int, seed: int, most: int = 40, harm: Harm | None = None,
-          troubles: tuple[Trouble, ...] = (), **more: float) -> tuple[Verdict, Judge, int]:
+GUARDS = (
+    Guard("served", 0.005, -1.0),
+    Guard("served", 0.01, -1.0, "post"),
+    Guard("rejected", 0.005),
+    Guard("first_token", 0.05),
+)
+
+
+def watch(
+    nodes: int,
+    changed: int,
+    seed: int,
+    most: int = 40,
+    harm: Harm | None = None,
+    troubles: tuple[Trouble, ...] = (),
+    **more: float,
+) -> tuple[Verdict, Judge, int]:
     """Measure 24 blocks, then watch until something is said."""
     fleet = ManyNodes(nodes, 2, seed, 5.0, harm, troubles)
     judge = Judge(GUARDS, fleet.zones, 12, **more)
@@ -35,9 +46,14 @@
         assert verdict.says == PASS, (seed, verdict.why)
 
 
-@pytest.mark.parametrize(("harm", "figure"), [
-    (Harm(0.1), "served: "), (Harm(slower=0.3), "first_token"),
-    (Harm(0.3, one_type=True), "served of post")])
+@pytest.mark.parametrize(
+    ("harm", "figure"),
+    [
+        (Harm(0.1), "served: "),
+        (Harm(slower=0.3), "first_token"),
+        (Harm(0.3, one_type=True), "served of post"),
+    ],
+)
 def test_a_worse_version_is_stopped_and_its_figure_named(harm: Harm, figure: str) -> None:
     for seed in range(8):
         verdict, _, blocks = watch(24, 3, seed, harm=harm)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -68,6 +68,7 @@
     def stall() -> None:
         f.clock.advance(0.3)  # nothing crosses, no timer is heard
         f.net.run(0.0)
+
     stall()
     caller = f.ask(prompt=1500, left=1.0)
     at = f.clock.seconds()
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -31,8 +31,15 @@
     """A fleet whose files stand before its nodes start."""
     for i in range(more.get("nodes", 1)):
         (base / f"list-n{i}").mkdir()
-    rows = [{"address": f"{w}{chr(97 + i)}:1", "kind": "reader" if w[0] == "R" else "writer", "zone": "north",
-             "cell": int(w[1])} for i, w in enumerate(engines.split())]
+    rows = [
+        {
+            "address": f"{w}{chr(97 + i)}:1",
+            "kind": "reader" if w[0] == "R" else "writer",
+            "zone": "north",
+            "cell": int(w[1]),
+        }
+        for i, w in enumerate(engines.split())
+    ]
     for i in range(more.get("nodes", 1)):
         (base / f"list-n{i}" / "engines.yaml").write_text(text_of(rows))
     return Fleet(engines, base=base, lists=lists, **more)
@@ -40,8 +47,11 @@
 
 def write(f: Fleet, node: str = "n0", **changed: dict) -> None:
     """The list with some engines changed, or left out where that is None."""
-    rows = [{**r, **(changed.get(e) or {})} for e, r in f.rows.items()
-            if e not in changed or changed[e] is not None]
+    rows = [
+        {**r, **(changed.get(e) or {})}
+        for e, r in f.rows.items()
+        if e not in changed or changed[e] is not None
+    ]
     path = f.base / f"list-{node}" / "engines.yaml"
     path.with_name(".new").write_text(text_of(rows))
     path.with_name(".new").rename(path)
@@ -79,18 +89,22 @@
     # Each names file and line of what is wrong, or says what to do.
     assert len(refused) > 5
     assert [why for why in refused if not (re.search(r"engines\.yaml:\d+: ", why) or "; " in why)] == []
-    print(f"{writer.versions} versions, {writer.torn} torn, {writer.wrong} wrong, {writer.deleted} deleted; "
-          f"{watch.used} seen in use; {watch.attempts} attempts")
+    print(
+        f"{writer.versions} versions, {writer.torn} torn, {writer.wrong} wrong, {writer.deleted} deleted; "
+        f"{watch.used} seen in use; {watch.attempts} attempts"
+    )
 
 
 @pytest.mark.parametrize("fault", ["partial", "stale", "back"])
 def test_the_watch_sees_a_node_that_breaks_its_word(fault: str) -> None:
     """Records made by hand: what the watch is for has to be seen."""
+
     def wrote(at: float, digest: str, *serving: str) -> Record:
         return Record(at, "day", "wrote", {"node": "n", "digest": digest, "serving": list(serving)})
 
     def got(at: float, version: str, engine: str = "a") -> Record:
         return Record(at, engine, "got", {"node": "n", "seq": "n.1.7", "list": version})
+
     sound = [wrote(0.0, "aa", "a", "b"), got(1.0, "1-aa"), wrote(2.0, "bb", "a"), got(3.0, "2-bb")]
     more = {"partial": [got(4.0, "3-cc")], "stale": [wrote(5.0, "dd", "a")], "back": [got(4.0, "1-aa")]}
     for extra, count in (([], 0), (more[fault], 1)):
@@ -99,7 +113,10 @@
         watch.finish(9.0)
         assert len(watch.breaches) == count
     assert [(t.at, t.more["engine"], t.more["state"]) for t in told[:3]] == [
-        (1.0, "a", "serving"), (1.0, "b", "serving"), (3.0, "b", "gone")]
+        (1.0, "a", "serving"),
+        (1.0, "b", "serving"),
+        (3.0, "b", "gone"),
+    ]
 
 
 def test_an_engine_moved_between_kinds_with_work_out(tmp_path: Path) -> None:
@@ -123,14 +140,21 @@
 
 
 def test_half_the_engines_go_while_once_only_work_is_in_flight_and_nodes_hear_seconds_apart(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     f = begin(tmp_path, "R0 R0 W0 W0 R1 R1 W1 W1", nodes=3, read_rate=20000.0, slots=40)
     random = Random(9)
     gone = {e: None for e in f.rows if e[1] == "1"}
     calls, heard, began = [], {}, f.clock.seconds()
     for i in range(150):
-        calls.append(f.ask(random.choice(["post", "post", "note"]), prompt=random.choice([300, 3000]),
-                           output=40, node=f"n{i % 3}"))
+        calls.append(
+            f.ask(
+                random.choice(["post", "post", "note"]),
+                prompt=random.choice([300, 3000]),
+                output=40,
+                node=f"n{i % 3}",
+            )
+        )
         at = f.clock.seconds() - began
         for node, when in (("n0", 1.0), ("n1", 2.5), ("n2", 4.0)):
             if at >= when and node not in heard:
@@ -166,7 +190,7 @@
     cuts = [i for i, c in enumerate(whole) if c == "\n"][:-1]  # whole lines: these parse, most of them
     parsed = 0
     for cut in cuts:
-        path.write_text(whole[:cut + 1])
+        path.write_text(whole[: cut + 1])
         f.run(0.4)
         assert node.host.list_label == first
         parsed += not read(["list-n0"], tmp_path).faults
@@ -200,6 +224,7 @@
 
     def refused(path: Path) -> bytes:  # tests may run as one who may read everything
         raise PermissionError(13, "Permission denied", str(path))
+
     monkeypatch.setattr(Path, "read_bytes", refused)
     write(f, W0c={"weight": 3})
     f.run(0.5)
@@ -213,8 +238,15 @@
 
 def test_two_thousand_engines_of_which_all_change_at_once(tmp_path: Path) -> None:
     f = begin(tmp_path, "R0 W0 W0")
-    more = {f"X{i}": {"address": f"x{i}:1", "kind": "writer" if i % 2 else "reader", "zone": "north",
-                      "cell": 1 + i // 50} for i in range(1997)}
+    more = {
+        f"X{i}": {
+            "address": f"x{i}:1",
+            "kind": "writer" if i % 2 else "reader",
+            "zone": "north",
+            "cell": 1 + i // 50,
+        }
+        for i in range(1997)
+    }
     f.rows.update(more)
     write(f)
     f.run(0.5)
@@ -273,13 +305,20 @@
 
 
 def test_the_reading_process_says_what_a_reading_here_says_and_its_death_loses_nothing(
-        tmp_path: Path, monkeypatch: object) -> None:
+    tmp_path: Path, monkeypatch: object
+) -> None:
     monkeypatch.setattr(aside_module, "cooperate", at_once)
     path, pipes, readings = tmp_path / "e.yaml", Pipes(), []
     aside = aside_module.ReadAside(pipes).start()
     try:
-        path.write_text(text_of([{"address": f"w{i}:1", "kind": "writer", "zone": "z", "cell": i,
-                                  "weight": i / 7} for i in range(700)]))
+        path.write_text(
+            text_of(
+                [
+                    {"address": f"w{i}:1", "kind": "writer", "zone": "z", "cell": i, "weight": i / 7}
+                    for i in range(700)
+                ]
+            )
+        )
         aside.read(["e.yaml"], tmp_path, True, readings.append)
         pipes.say()
         here = read(["e.yaml"], tmp_path, True)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -52,15 +52,21 @@
     assert make(1, rows("r1 w1"), "t", 0.0).digest == make(7, rows("w1 r1"), "u", 9.0).digest
 
 
-@pytest.mark.parametrize(("listed", "said"), [
-    (rows("r1"), "no engine that serves can write"), (rows("w1"), "no engine that serves can read"),
-    (rows("r1 w1 w1"), "w1:1 is listed twice, with the same figures"),
-    ([*rows("r1 w1"), row("w1", weight=2.0)], "w1:1 is listed twice, with different figures"),
-    ([*rows("r1 w1"), row("r2", cell=3)], "cell 3 has readers and no writer"),
-    ([*rows("r1 w1"), row("w2", kind="mixer")], "kind 'mixer' is not among kinds: reader, writer"),
-    ([*rows("r1 w1"), row("w2", zone="y")], "zone 'y' is not among zones: z"),
-    (rows("r1 w1", state="draining"), "no engine that serves can write"),
-    ([], "no engine that serves can write"), (rows("r1 w1", weight=0.0), "no engine that serves can write")])
+@pytest.mark.parametrize(
+    ("listed", "said"),
+    [
+        (rows("r1"), "no engine that serves can write"),
+        (rows("w1"), "no engine that serves can read"),
+        (rows("r1 w1 w1"), "w1:1 is listed twice, with the same figures"),
+        ([*rows("r1 w1"), row("w1", weight=2.0)], "w1:1 is listed twice, with different figures"),
+        ([*rows("r1 w1"), row("r2", cell=3)], "cell 3 has readers and no writer"),
+        ([*rows("r1 w1"), row("w2", kind="mixer")], "kind 'mixer' is not among kinds: reader, writer"),
+        ([*rows("r1 w1"), row("w2", zone="y")], "zone 'y' is not among zones: z"),
+        (rows("r1 w1", state="draining"), "no engine that serves can write"),
+        ([], "no engine that serves can write"),
+        (rows("r1 w1", weight=0.0), "no engine that serves can write"),
+    ],
+)
 def test_lists_that_cannot_be_routed_by_are_refused_and_the_last_stays(listed: list, said: str) -> None:
     j = judge()
     assert j.read(0.0, rows("r1 w1 w2"), "t").do == TAKE
@@ -105,12 +111,15 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.sampled_from(["r1 w1", "r1 w1 w2", "r1 r2 w1 w2 w3", "r1 w9", "", "r1", "w1", "lost"]),
-                max_size=12))
+@given(
+    st.lists(
+        st.sampled_from(["r1 w1", "r1 w1 w2", "r1 r2 w1 w2 w3", "r1 w9", "", "r1", "w1", "lost"]), max_size=12
+    )
+)
 def test_any_versions_and_losses_end_in_the_last_sound_one(readings: list[str]) -> None:
     j, mirror, last = judge(most_removed=1.0, flaps=99), {}, None
     for i, names in enumerate(readings):
-        verdict = (j.lost(float(i), "t", "gone") if names == "lost" else j.read(float(i), rows(names), "t"))
+        verdict = j.lost(float(i), "t", "gone") if names == "lost" else j.read(float(i), rows(names), "t")
         if verdict.do == TAKE:
             for r in verdict.change.rows() if verdict.change else verdict.version.engines.values():
                 mirror.pop(r.address, None)
@@ -125,8 +134,10 @@
 
 
 def text(names: str, **more: object) -> str:
-    lines = [f"  - {{address: '{r.address}', kind: {r.kind}, zone: z, cell: {r.cell}, weight: {r.weight}}}"
-             for r in rows(names, **more)]
+    lines = [
+        f"  - {{address: '{r.address}', kind: {r.kind}, zone: z, cell: {r.cell}, weight: {r.weight}}}"
+        for r in rows(names, **more)
+    ]
     return "engines:\n" + "\n".join(lines) + "\n"
 
 
@@ -135,8 +146,16 @@
         self.clock, self.taken, self.logged, self.folder = Clock(), [], [], folder
         self.engines: dict[str, EngineRow] = {}
         self.judge = judge(most_removed=1.0, flaps=10**6)
-        self.list = WatchedList(patterns, folder, self.judge, self.clock, 1.0, 0.1,
-                                log=lambda event, **m: self.logged.append((event, m)), **more)
+        self.list = WatchedList(
+            patterns,
+            folder,
+            self.judge,
+            self.clock,
+            1.0,
+            0.1,
+            log=lambda event, **m: self.logged.append((event, m)),
+            **more,
+        )
         self.list.follow(self.take)
 
     def take(self, listed: list[EngineRow], whole: bool, number: int, digest: str) -> None:
@@ -184,11 +203,14 @@
     path = tmp_path / "a.yaml"
     path.write_text(text("r1 w1 w2"))
     w = Watch(tmp_path)
-    for torn, said in (("engines:\n  - {address: 'r1:1', kind: rea", "a.yaml:2: not YAML"), ("engines: [",
-                                                                                             "not YAML"),
-                       ("engine:\n", "did you mean 'engines'?"), ("", "a file of fields is wanted"),
-                       (text("r1 w1").replace("kind: writer", "kind: wirter"), "kind 'wirter' is not among"),
-                       (text("r1"), "no engine that serves can write")):
+    for torn, said in (
+        ("engines:\n  - {address: 'r1:1', kind: rea", "a.yaml:2: not YAML"),
+        ("engines: [", "not YAML"),
+        ("engine:\n", "did you mean 'engines'?"),
+        ("", "a file of fields is wanted"),
+        (text("r1 w1").replace("kind: writer", "kind: wirter"), "kind 'wirter' is not among"),
+        (text("r1"), "no engine that serves can write"),
+    ):
         path.write_text(torn)
         w.list.changed()
         w.run(0.5)
@@ -243,7 +265,7 @@
     for i in range(150):
         names = f"r1 w{i % 7} w{7 + i % 3}"
         whole = text(names)
-        path.write_text(whole[:random.randrange(len(whole))] if i % 3 else whole)
+        path.write_text(whole[: random.randrange(len(whole))] if i % 3 else whole)
         w.list.changed()
         w.clock.advance(random.choice([0.01, 0.01, 0.03, 0.15]))
         path.write_text(whole)
@@ -284,7 +306,7 @@
     whole = path.read_bytes()
     used = 0
     for at in range(0, len(whole), 37):
-        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x10]) + whole[at + 1:])
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x10]) + whole[at + 1 :])
         for extra in ("-wal", "-shm"):
             Path(f"{path}{extra}").unlink(missing_ok=True)
         store = VersionStore(path)
@@ -298,7 +320,7 @@
             used += 1
             assert [r.address for r in found[2]] in (["r1:1", "w1:1"], ["r1:1", "w1:1", "w2:1"]), at
     assert used > 10
-    path.write_bytes(whole[:len(whole) // 2])
+    path.write_bytes(whole[: len(whole) // 2])
     with pytest.raises(StoreBroken):
         VersionStore(path).last()
 
@@ -321,8 +343,16 @@
     listed.mkdir()
     (listed / "engines.yaml").write_text(text("reader1 w1"))
     taken, clock = [], Clock()
-    watched = WatchedList([str(listed)], tmp_path, judge(), clock, 1.0, 0.1, store,
-                          lambda event, **more: said.append((event, more)))
+    watched = WatchedList(
+        [str(listed)],
+        tmp_path,
+        judge(),
+        clock,
+        1.0,
+        0.1,
+        store,
+        lambda event, **more: said.append((event, more)),
+    )
     watched.follow(lambda rows, *more: taken.append(len(rows)))
     clock.pump([0.5] * 10)
     assert taken and [e for e, _ in said if e in ("store not used", "list not stored")]
@@ -348,9 +378,9 @@
     store = VersionStore(path)
     store.keep(make(1, rows("r1 w1"), "t", 0.0))
     store.close()
-    run = subprocess.run([sys.executable, "-c", KILLED.format(root=str(here.parent), tests=str(here)),
-                          step, path],
-                         timeout=60)
+    run = subprocess.run(
+        [sys.executable, "-c", KILLED.format(root=str(here.parent), tests=str(here)), step, path], timeout=60
+    )
     assert run.returncode == -signal.SIGKILL
     number, _, found = VersionStore(path).last()
     assert (number, len(found)) == ((2, 3) if step == "done" else (1, 2))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -9,15 +9,21 @@
 from myrtlehub.node.host import Attempt, Held, Host
 from myrtlehub.rpc.guards import TransportBounds
 
-ROWS = [{"name": "ask", "repeats": "repeatable", "dedup_group": "all", "dedup_window": 0.0},
-        {"name": "post", "repeats": "once-only", "dedup_group": "all", "dedup_window": 0.0},
-        {"name": "note", "repeats": "tokened", "dedup_group": "cell", "dedup_window": 5.0}]
+ROWS = [
+    {"name": "ask", "repeats": "repeatable", "dedup_group": "all", "dedup_window": 0.0},
+    {"name": "post", "repeats": "once-only", "dedup_group": "all", "dedup_window": 0.0},
+    {"name": "note", "repeats": "tokened", "dedup_group": "cell", "dedup_window": 5.0},
+]
 
 
 def judge(fleet: Fleet) -> Checker:
     fleet.day.note("ends")
-    terms = {"traffic": ROWS, "let_go": 0.5, "slack": 0.05, "engines": [
-        (r["address"], r["cell"], r["zone"]) for r in fleet.rows.values()]}
+    terms = {
+        "traffic": ROWS,
+        "let_go": 0.5,
+        "slack": 0.05,
+        "engines": [(r["address"], r["cell"], r["zone"]) for r in fleet.rows.values()],
+    }
     return check([Record(0.0, "day", "terms", terms), *fleet.log])
 
 
@@ -39,8 +45,10 @@
 
 def test_a_question_goes_to_a_reader_its_state_to_a_writer_and_tokens_come_back() -> None:
     f = Fleet()
-    split, short = f.ask(prompt=3000, session="s", shared_prefix="p", shared_tokens=900), f.ask("post",
-                                                                                                prompt=200)
+    split, short = (
+        f.ask(prompt=3000, session="s", shared_prefix="p", shared_tokens=900),
+        f.ask("post", prompt=200),
+    )
     f.run(4.0)
     assert (split.answer, short.answer) == ("generated", "generated") and split.tokens > 5
     assert [r.who for r in f.what("got")][:1] == ["R0a:1"] and len(f.what("ran")) == 2
@@ -52,9 +60,13 @@
 
 def test_requests_that_are_wrong_are_told_why_and_not_taken() -> None:
     f = Fleet()
-    for more, said in [({"traffic": "nope"}, "not one of ask, note, post"), ({"prompt": 0}, "prompt_tokens"),
-                       ({"output": 0}, "most_output"), ({"shared_tokens": 5000}, "shared_tokens"),
-                       ({"traffic": "note", "mark": "x" * 201}, "longer than 200")]:
+    for more, said in [
+        ({"traffic": "nope"}, "not one of ask, note, post"),
+        ({"prompt": 0}, "prompt_tokens"),
+        ({"output": 0}, "most_output"),
+        ({"shared_tokens": 5000}, "shared_tokens"),
+        ({"traffic": "note", "mark": "x" * 201}, "longer than 200"),
+    ]:
         caller = f.ask(**more)
         f.run(0.1)
         assert caller.status.code.name == "INVALID_ARGUMENT" and said in caller.status.message
@@ -161,7 +173,7 @@
     others = [f.ask(prompt=100, output=200) for _ in range(3)]
     f.run(60.0)
     assert all(c.answer == "generated" for c in others) and stuck.answer == ""
-    waiting, = f.nodes["n0"].server.calls
+    (waiting,) = f.nodes["n0"].server.calls
     pulled = next(iter(f.nodes["n0"].host.held.values())).begun.call.stream
     here = waiting.buffered + sum(map(len, pulled._held))
     poured = sum(job.call.buffered for job in f.stands["W0a"].jobs)
@@ -214,8 +226,9 @@
             f.engine("W0c", cold=True)
             f.tell("W0c", "serving", age=0.001)
     f.run(6.0)
-    assert len(f.what("up", "W0c")) == 2 and [r for r in f.what("got", "W0c") if r.at > f.what("up",
-                                                                                               "W0c")[1].at]
+    assert len(f.what("up", "W0c")) == 2 and [
+        r for r in f.what("got", "W0c") if r.at > f.what("up", "W0c")[1].at
+    ]
     kept(f)
 
 
@@ -414,10 +427,18 @@
     f.run(6.0)
 
 
-@pytest.mark.parametrize(("host", "trouble", "rule"), [
-    (TellsTwice, no_room, 1), (Forgets, no_room, 1), (ClaimsNotRun, broken_streams, 2),
-    (RejectsAll, hung_post, 2), (IgnoresDrains, drained, 3), (ForgetsAge, cold_rush, 4),
-    (KeepsStates, left_after_read, 5)])
+@pytest.mark.parametrize(
+    ("host", "trouble", "rule"),
+    [
+        (TellsTwice, no_room, 1),
+        (Forgets, no_room, 1),
+        (ClaimsNotRun, broken_streams, 2),
+        (RejectsAll, hung_post, 2),
+        (IgnoresDrains, drained, 3),
+        (ForgetsAge, cold_rush, 4),
+        (KeepsStates, left_after_read, 5),
+    ],
+)
 def test_a_broken_host_is_caught_by_its_rule(host: type[Host], trouble: object, rule: int) -> None:
     for kind, wanted in ((Host, set()), (host, {rule})):
         engines = {no_room: "R0 W0", cold_rush: "R0 W0 W0 W0 W0"}.get(trouble, "R0 W0 W0")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,8 +14,12 @@
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.status import Code
 
-EVENTS = st.lists(st.tuples(st.sampled_from(["open", "put", "take", "drop", "close"]), st.integers(0, 5),
-                            st.integers(1, 5000)), max_size=120)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["open", "put", "take", "drop", "close"]), st.integers(0, 5), st.integers(1, 5000)
+    ),
+    max_size=120,
+)
 
 
 @given(EVENTS)
@@ -59,13 +63,19 @@
     ledger = Ledger(Budgets(20_000, 0.5, 0.5))
     ledger.open("a", "p", "t")
     ledger.settle("a", 100, 40, 0, 50)
-    assert ledger.wrong() == ["a: 100 came, 40 left, 0 dropped, 50 held",
-                              "node: 100 came, 40 left, 0 dropped, 50 held"]
+    assert ledger.wrong() == [
+        "a: 100 came, 40 left, 0 dropped, 50 held",
+        "node: 100 came, 40 left, 0 dropped, 50 held",
+    ]
 
 
 def test_whose_memory_is_given_up_first() -> None:
-    streams = [Held("dear", 900, 3.0, 0.0), Held("cheap", 500, 1.0, 0.0), Held("stuck", 100, 3.0, 2.0),
-               Held("empty", 0, 0.1, 9.0)]
+    streams = [
+        Held("dear", 900, 3.0, 0.0),
+        Held("cheap", 500, 1.0, 0.0),
+        Held("stuck", 100, 3.0, 2.0),
+        Held("empty", 0, 0.1, 9.0),
+    ]
     assert given_up(streams, 50) == ["stuck"]
     assert given_up(streams, 150) == ["stuck", "cheap"]
     assert given_up(streams, 10**6) == ["stuck", "cheap", "dear"]
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -102,13 +102,16 @@
     assert (probed.report_on_probe, probed.probe_price, probed.may_probe) == (True, 0.01, True)
 
 
-@pytest.mark.parametrize(("text", "key"), [
-    (CHAT_ONLY + "reports: {how: probe}\n", "reports.how"),
-    (CHAT_ONLY.replace("hold: no}", "hold: no, probe: yes}"), "engines_may.probe"),
-    (CHAT_ONLY + "reports: {probe_price: 0.01}\n", "reports.probe_price"),
-    (CHAT_ONLY + "reports: {probe_timeout: 1s}\n", "reports.probe_timeout"),
-    (SOUND.replace("hold: no}", "hold: no, probe: yes}") + "reports: {how: probe}\n", "reports.how"),
-])
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        (CHAT_ONLY + "reports: {how: probe}\n", "reports.how"),
+        (CHAT_ONLY.replace("hold: no}", "hold: no, probe: yes}"), "engines_may.probe"),
+        (CHAT_ONLY + "reports: {probe_price: 0.01}\n", "reports.probe_price"),
+        (CHAT_ONLY + "reports: {probe_timeout: 1s}\n", "reports.probe_timeout"),
+        (SOUND.replace("hold: no}", "hold: no, probe: yes}") + "reports: {how: probe}\n", "reports.how"),
+    ],
+)
 def test_a_file_that_mixes_the_shapes_is_refused_by_key(text: str, key: str) -> None:
     with pytest.raises(Faults) as caught:
         parse(text, NodeSheet, "n.yaml")
@@ -129,12 +132,14 @@
     """A node of a shape and two engines on loopback, and the node's address."""
     ports = free_ports(4)
     text = CHAT_ONLY.replace("127.0.0.1:7100", f"127.0.0.1:{ports[0]}").replace(
-        "127.0.0.1:7101", f"127.0.0.1:{ports[1]}")
+        "127.0.0.1:7101", f"127.0.0.1:{ports[1]}"
+    )
     for at, kind in ((2, "r"), (3, "w")):
         text = text.replace(f"10.0.0.{at - 1}:7200", f"127.0.0.1:{ports[at]}")
         (folder / f"{kind}.yaml").write_text(
             f"{{name: {kind}, listen: '127.0.0.1:{ports[at]}', {'reads' if kind == 'r' else 'writes'}: yes, "
-            f"step: 2ms, reports: {engines_tell}, records: '{folder / kind}.records'}}")
+            f"step: 2ms, reports: {engines_tell}, records: '{folder / kind}.records'}}"
+        )
     text = re.sub(r'    - \{address: "10.*\n', "", text)
     if shape == "probe":
         text = text.replace("hold: no}", "hold: no, probe: yes}") + "reports: {how: probe}\n"
@@ -142,20 +147,30 @@
     running = []
     for name in ("r", "w", "node"):
         program = f"myrtlehub.cli.{'node' if name == 'node' else 'engine'}"
-        process = subprocess.Popen([sys.executable, "-m", program, folder / f"{name}.yaml"],
-                                   stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=ROOT)
+        process = subprocess.Popen(
+            [sys.executable, "-m", program, folder / f"{name}.yaml"],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            cwd=ROOT,
+        )
         running.append(process)
         while b'"ready"' not in process.stdout.readline():
             assert process.poll() is None
     return running, f"127.0.0.1:{ports[0]}"
 
 
-@pytest.mark.parametrize(("shape", "engines_tell"), [
-    ("probe", "probe"), ("probe", "answers"), ("answers", "answers")])
+@pytest.mark.parametrize(
+    ("shape", "engines_tell"), [("probe", "probe"), ("probe", "answers"), ("answers", "answers")]
+)
 def test_one_build_serves_both_shapes_on_loopback(tmp_path: Path, shape: str, engines_tell: str) -> None:
     running, address = processes(tmp_path, shape, engines_tell)
-    run = subprocess.run([sys.executable, ROOT / "examples" / "ask_sync.py", address], capture_output=True,
-                         text=True, timeout=60, cwd=ROOT)
+    run = subprocess.run(
+        [sys.executable, ROOT / "examples" / "ask_sync.py", address],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=ROOT,
+    )
     for process in reversed(running):
         process.send_signal(signal.SIGTERM)
         assert process.wait(20) == 0
@@ -167,6 +182,11 @@
 
 def test_a_mixed_file_ends_the_program_with_one_line_and_2(tmp_path: Path) -> None:
     (tmp_path / "node.yaml").write_text(CHAT_ONLY + "reports: {how: probe}\n")
-    run = subprocess.run([sys.executable, "-m", "myrtlehub.cli.node", tmp_path / "node.yaml"], cwd=ROOT,
-                         capture_output=True, text=True, timeout=30)
+    run = subprocess.run(
+        [sys.executable, "-m", "myrtlehub.cli.node", tmp_path / "node.yaml"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
     assert run.returncode == 2 and run.stderr.count("\n") == 1 and "reports.how: probe needs" in run.stderr
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,21 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from relayrig import (
-    DONE, EVENT, HEAD, READ_DONE, RELEASED, SETTINGS, USAGE, WHOLE, Far, Rig, _Dialed, answer, chat, chunk)
+    DONE,
+    EVENT,
+    HEAD,
+    READ_DONE,
+    RELEASED,
+    SETTINGS,
+    USAGE,
+    WHOLE,
+    Far,
+    Rig,
+    _Dialed,
+    answer,
+    chat,
+    chunk,
+)
 
 from twisted.internet import task
 
@@ -31,7 +45,7 @@
         size, _, body = body.partition(b"\r\n")
         if int(size, 16) == 0:
             return out + b"<end>"
-        out, body = out + body[:int(size, 16)], body[int(size, 16) + 2:]
+        out, body = out + body[: int(size, 16)], body[int(size, 16) + 2 :]
     return out
 
 
@@ -58,9 +72,13 @@
 def test_all_headers_go_on_to_engines_but_those_of_the_clients_connection() -> None:
     """Seen at ribeira-alta: an engine knows a repeat by its Idempotency-Key, which was left out."""
     rig = Rig()
-    rig.ask("a1", LONG, more=b"Idempotency-Key: k7\r\nAuthorization: Bearer t\r\n"
-            b"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\n"
-            b"TE: trailers\r\nX-Note: one\r\nX-Note: two\r\n")
+    rig.ask(
+        "a1",
+        LONG,
+        more=b"Idempotency-Key: k7\r\nAuthorization: Bearer t\r\n"
+        b"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\n"
+        b"TE: trailers\r\nX-Note: one\r\nX-Note: two\r\n",
+    )
     for name in ("r1", "w1"):
         far = rig.engines[name].asked[0]
         assert far[2][b"idempotency-key"] == b"k7" and far[2][b"authorization"] == b"Bearer t"
@@ -93,7 +111,8 @@
     heard = []
     rig.node.host.router._report = lambda i, load, now: heard.append((i, load))
     rig.engines["w1"].answer = lambda far, head, body: far.say(
-        HEAD + chunk(EVENT + USAGE) + chunk(DONE + b': X-Pressure: {"x0":0.25,"x1":1.5}\n\n') + b"0\r\n\r\n")
+        HEAD + chunk(EVENT + USAGE) + chunk(DONE + b': X-Pressure: {"x0":0.25,"x1":1.5}\n\n') + b"0\r\n\r\n"
+    )
     rig.ask("a1", LONG)
     assert [load.memory_share for _, load in heard] == [0.5, 0.25]
     assert [load.unread for _, load in heard] == [2000.0, 1500.0]
@@ -114,24 +133,29 @@
     assert (of_break(False).outcome, of_break(True).outcome) == (itf.UNREACHED, itf.RESET)
 
 
-@pytest.mark.parametrize(("traffic", "said", "status"), [
-    ("ask", answer(500), 200),  # repeatable: it may go again
-    ("post", answer(500), 502),  # may have run: no promise
-    ("post", answer(503, mark=True), 200),  # did not run: it goes again
-    ("post", answer(503), 502),  # without its mark it proves nothing
-    ("post", b"\x00\x01noise\r\n\r\n", 502),
-    ("ask", b"\x00\x01noise\r\n\r\n", 200),
-    ("post", b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000, 502),  # a head that does not end
-    ("post", HEAD + b"zz\r\n" + EVENT, 502),  # a chunk's size that can't be read
-    ("post", HEAD + chunk(b"\x8a\x93 noise"), 502),
-    ("post", HEAD + b"0\r\n\r\n", 502),  # a stream without an event
-])
+@pytest.mark.parametrize(
+    ("traffic", "said", "status"),
+    [
+        ("ask", answer(500), 200),  # repeatable: it may go again
+        ("post", answer(500), 502),  # may have run: no promise
+        ("post", answer(503, mark=True), 200),  # did not run: it goes again
+        ("post", answer(503), 502),  # without its mark it proves nothing
+        ("post", b"\x00\x01noise\r\n\r\n", 502),
+        ("ask", b"\x00\x01noise\r\n\r\n", 200),
+        ("post", b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000, 502),  # a head that does not end
+        ("post", HEAD + b"zz\r\n" + EVENT, 502),  # a chunk's size that can't be read
+        ("post", HEAD + chunk(b"\x8a\x93 noise"), 502),
+        ("post", HEAD + b"0\r\n\r\n", 502),  # a stream without an event
+    ],
+)
 def test_what_a_writer_says_first_decides_whether_it_goes_again(
-        traffic: str, said: bytes, status: int) -> None:
+    traffic: str, said: bytes, status: int
+) -> None:
     rig = Rig("w1 w2")
 
     def first(far: Far, head: object, body: bytes) -> None:
         far.say(said if len(rig.engines["w1"].chats() + rig.engines["w2"].chats()) == 1 else WHOLE)
+
     for peer in rig.engines.values():
         peer.answer = first
     client = rig.ask("a1", traffic=traffic)
@@ -152,7 +176,8 @@
 def test_a_writer_that_has_lost_the_state_is_told_from_one_that_is_full() -> None:
     rig = Rig("r1 m1")
     rig.engines["m1"].answer = lambda far, head, body: far.say(
-        answer(410, mark=True) if len(rig.engines["m1"].chats()) == 1 else WHOLE)
+        answer(410, mark=True) if len(rig.engines["m1"].chats()) == 1 else WHOLE
+    )
     client = rig.ask("a1", LONG)
     rig.run(0.2)
     assert client.statuses == [200]
@@ -162,8 +187,10 @@
 # -- streams ------------------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"zz\r\n", chunk(b"\x00\xffnoise"), b"ffff\r\n" + EVENT + b"\r\n" + chunk(EVENT), b"3\r\n" + EVENT])
+@pytest.mark.parametrize(
+    "spoilt",
+    [b"zz\r\n", chunk(b"\x00\xffnoise"), b"ffff\r\n" + EVENT + b"\r\n" + chunk(EVENT), b"3\r\n" + EVENT],
+)
 def test_a_stream_spoilt_later_ends_the_clients_connection_without_the_last_chunk(spoilt: bytes) -> None:
     rig = Rig("w1")
     rig.engines["w1"].answer = lambda far, head, body: far.say(HEAD + chunk(EVENT) + spoilt)
@@ -206,7 +233,8 @@
 def test_what_lies_behind_a_good_answer_is_never_another_requests_answer() -> None:
     rig = Rig("w1")
     rig.engines["w1"].answer = lambda far, head, body: far.say(
-        b"HTTP/1.1 103 Early Hints\r\n\r\n" + WHOLE + (HEAD + chunk(b"data: other\n\n") + b"0\r\n\r\n"))
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" + WHOLE + (HEAD + chunk(b"data: other\n\n") + b"0\r\n\r\n")
+    )
     client = rig.ask("a1")
     assert stream_of(client.got).endswith(b"<end>") and b"other" not in client.got
     assert rig.engines["w1"].connections[0].lost
@@ -249,10 +277,10 @@
 
 @given(st.lists(st.integers(1, 40), max_size=30))
 def test_events_are_cut_the_same_however_they_come(cuts: list[int]) -> None:
-    text = EVENT + USAGE + b": X-Pressure: {\"x0\":0.5}\n\n" + DONE
+    text = EVENT + USAGE + b': X-Pressure: {"x0":0.5}\n\n' + DONE
     events, out, at = Events(), b"", 0
     for cut in [*cuts, len(text)]:
-        out += events.feed(text[at:at + cut])
+        out += events.feed(text[at : at + cut])
         at += cut
     events.end()
     assert out == text and events.kept == 64.0 and events.done
@@ -293,6 +321,7 @@
             far.say(READ_DONE)
         elif len(rig.engines["r1"].released()) > 1:
             far.say(RELEASED)
+
     rig.engines["r1"].answer = deaf_once
     client = rig.ask("a1", LONG)
     client.transport.loseConnection()
@@ -304,28 +333,31 @@
 # -- clients ------------------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize(("said", "status"), [
-    (chat(traffic="none"), 400),
-    (chat().replace(b"X-Txn: a1\r\n", b""), 400),
-    (chat(more=b"X-Txn: a2\r\n"), 400),
-    (chat("a%2F1"), 400),
-    (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: soon"), 400),
-    (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: -5"), 400),
-    (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: 1e3"), 400),
-    (chat().replace(b"prompt_len=100", b"prompt_len=many"), 400),
-    (chat().replace(b"X-Org: acme", b"X-Org: nobody"), 400),
-    (chat(body=b"not json"), 400),
-    (chat(body=b'{"model":"chat"}'), 400),
-    (chat().replace(b"POST", b"GET", 1), 405),
-    (chat().replace(b"/v1/chat", b"/v2/chat", 1), 404),
-    (chat().replace(b"Content-Length: 30", b"Content-Length: 30\r\nTransfer-Encoding: chunked"), 400),
-    (chat().replace(b"Content-Length: 30", b"Content-Length: 30\r\nContent-Length: 31"), 400),
-    (chat().replace(b"Content-Length: 30", b"Content-Length: -1"), 400),
-    (chat().replace(b"Content-Length: 30", b"Content-Length: 60000000"), 413),
-    (chat().replace(b"Content-Length: 30", b"Content-Length: 99999999999999999999"), 413),
-    (chat(more=b"X-A: " + b"y" * 30000 + b"\r\n"), 431),
-    (b"\x16\x03\x01 what is this\r\n\r\n", 400),
-])
+@pytest.mark.parametrize(
+    ("said", "status"),
+    [
+        (chat(traffic="none"), 400),
+        (chat().replace(b"X-Txn: a1\r\n", b""), 400),
+        (chat(more=b"X-Txn: a2\r\n"), 400),
+        (chat("a%2F1"), 400),
+        (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: soon"), 400),
+        (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: -5"), 400),
+        (chat().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: 1e3"), 400),
+        (chat().replace(b"prompt_len=100", b"prompt_len=many"), 400),
+        (chat().replace(b"X-Org: acme", b"X-Org: nobody"), 400),
+        (chat(body=b"not json"), 400),
+        (chat(body=b'{"model":"chat"}'), 400),
+        (chat().replace(b"POST", b"GET", 1), 405),
+        (chat().replace(b"/v1/chat", b"/v2/chat", 1), 404),
+        (chat().replace(b"Content-Length: 30", b"Content-Length: 30\r\nTransfer-Encoding: chunked"), 400),
+        (chat().replace(b"Content-Length: 30", b"Content-Length: 30\r\nContent-Length: 31"), 400),
+        (chat().replace(b"Content-Length: 30", b"Content-Length: -1"), 400),
+        (chat().replace(b"Content-Length: 30", b"Content-Length: 60000000"), 413),
+        (chat().replace(b"Content-Length: 30", b"Content-Length: 99999999999999999999"), 413),
+        (chat(more=b"X-A: " + b"y" * 30000 + b"\r\n"), 431),
+        (b"\x16\x03\x01 what is this\r\n\r\n", 400),
+    ],
+)
 def test_what_is_malformed_is_told_at_once_closed_and_never_passed_on(said: bytes, status: int) -> None:
     rig = Rig("w1")
     client = rig.client()
@@ -338,8 +370,11 @@
 def test_a_request_hidden_behind_a_doubtful_length_is_not_read() -> None:
     rig = Rig("w1")
     client = rig.client()
-    client.say(chat().replace(b"Content-Length: 30", b"Content-Length: 5\r\nTransfer-Encoding: chunked")
-               + b"0\r\n\r\n" + chat("hidden"))
+    client.say(
+        chat().replace(b"Content-Length: 30", b"Content-Length: 5\r\nTransfer-Encoding: chunked")
+        + b"0\r\n\r\n"
+        + chat("hidden")
+    )
     rig.run(0.5)
     assert client.statuses == [400] and not rig.engines["w1"].asked
 
@@ -473,6 +508,7 @@
 
     def spoilt(far: Far, head: object, body: bytes) -> None:
         far.say(RELEASED if head.method == b"DELETE" else HEAD + chunk(EVENT) + b"xyz")
+
     gc.collect()
     gc.disable()
     try:
@@ -524,8 +560,11 @@
     assert len(rig.waiting) == 1 and set(rig.node.desk.engines.at) == {"w1", "w2"}
 
 
-@pytest.mark.parametrize("spoilt", [{"dial": 7}, {"class": "x"}, {"site": None}, {"share": "much"},
-                                    {"block": "b"}, {"born_ms": []}], ids=str)
+@pytest.mark.parametrize(
+    "spoilt",
+    [{"dial": 7}, {"class": "x"}, {"site": None}, {"share": "much"}, {"block": "b"}, {"born_ms": []}],
+    ids=str,
+)
 @pytest.mark.parametrize("health", ["leaving", "left"])
 def test_a_notice_of_leaving_counts_whatever_else_cannot_be_read(spoilt: dict, health: str) -> None:
     rig = Rig("w1 w2")
@@ -555,7 +594,9 @@
         def later(factory: object) -> object:
             done = task.deferLater(rig.clock, 0.2, lambda: None)
             return done.addCallback(lambda none: dial(factory))
+
         return later
+
     rig.net.dialer = slow
     client = rig.ask("a1", traffic="post")
     first = coming[0][:2]
@@ -635,7 +676,7 @@
 
 
 def _half(rig: Rig, far: Far) -> None:
-    far.say(b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"seq\":")
+    far.say(b'HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{"seq":')
 
 
 def _endless(rig: Rig, far: Far) -> None:
@@ -644,15 +685,20 @@
     def more() -> None:
         far.say(b" " * 1000)
         rig.clock.callLater(0.1, more)
+
     more()
 
 
 WATCH_TROUBLES = {
-    "silent": lambda rig, far: None, "half an answer": _half, "an endless answer": _endless,
+    "silent": lambda rig, far: None,
+    "half an answer": _half,
+    "an endless answer": _endless,
     "reset": lambda rig, far: far.transport.abortConnection(),
-    "not JSON": lambda rig, far: far.say(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{\"s"),
+    "not JSON": lambda rig, far: far.say(b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{"s'),
     "nested too deep": lambda rig, far: far.say(
-        b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"[" * 100_000)}
+        b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"[" * 100_000
+    ),
+}
 
 
 @pytest.mark.parametrize("trouble", WATCH_TROUBLES)
@@ -669,10 +715,13 @@
             if address != "disco:1":
                 return way
             return lambda factory: task.deferLater(rig.clock, dial, lambda: None).addCallback(
-                lambda none: way(factory))
+                lambda none: way(factory)
+            )
+
         rig.net.dialer, list_now = slow, rig.discovery.answer
         rig.discovery.answer = lambda far, head, body, rig=rig, list_now=list_now: rig.clock.callLater(
-            0.05, list_now, far, head, body)
+            0.05, list_now, far, head, body
+        )
         rig.run(phase)
         rig.lines["w1"] = rig.line("w1", "leaving")  # from now on discovery has it
         rig.version += 1
@@ -693,15 +742,13 @@
     logged = []
     path = tmp_path / "c.json"
     path.write_text("{")
-    reload(str(path), rig.node.told, rig.node.discovery.move,
-           lambda event, **more: logged.append(event))
+    reload(str(path), rig.node.told, rig.node.discovery.move, lambda event, **more: logged.append(event))
     assert logged == ["configuration kept"] and rig.node.discovery.address == "disco:1"
     rig.net.listen("disco:2", rig.discovery)
     path.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "disco:2", "settings": {}}))
     rig.lines["w2"] = rig.line("w2")
     rig.engines["w2"] = rig.engines["w1"]
-    reload(str(path), rig.node.told, rig.node.discovery.move,
-           lambda event, **more: logged.append(event))
+    reload(str(path), rig.node.told, rig.node.discovery.move, lambda event, **more: logged.append(event))
     rig.run(0.1)
     assert rig.node.discovery.address == "disco:2" and "w2" in rig.node.desk.engines.at
 
@@ -712,6 +759,7 @@
         client.say(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
         rig.run(0.02)
         return client.statuses[0]
+
     assert up(Rig("w1")) == 200
     rig = Rig("w1", known=False)
     assert up(rig) == 200
@@ -750,8 +798,13 @@
     rig.engines["w1"].answer = silent
     taken = rig.ask("a1")
     ended, stopped = [], []
-    drain = Drain(rig.clock, rig.node.site, rig.node.busy, lambda: stopped.append(rig.clock.seconds()),
-                  lambda: ended.append(rig.clock.seconds()))
+    drain = Drain(
+        rig.clock,
+        rig.node.site,
+        rig.node.busy,
+        lambda: stopped.append(rig.clock.seconds()),
+        lambda: ended.append(rig.clock.seconds()),
+    )
     at = rig.clock.seconds()
     drain.start()
     drain.start()
@@ -775,11 +828,13 @@
     def begin(far: Far, head: object, body: bytes) -> None:
         far.say(HEAD + chunk(EVENT))
         streams.append(far)
+
     rig.engines["w1"].answer = begin
     client = rig.ask("a1")
     ended: list[float] = []
-    drain = Drain(rig.clock, rig.node.site, rig.node.busy, lambda: None,
-                  lambda: ended.append(rig.clock.seconds()))
+    drain = Drain(
+        rig.clock, rig.node.site, rig.node.busy, lambda: None, lambda: ended.append(rig.clock.seconds())
+    )
     assert client.got.endswith(chunk(EVENT)) and b"Connection: close" not in client.got
     drain.start()
     rig.run(1.5)
@@ -791,14 +846,20 @@
     assert len(streams) == 1 and ended and rig.node.host.taken == 1
 
 
-@pytest.mark.parametrize(("text", "names"), [
-    (None, "RELAY_CONFIG"), ("[]", "RELAY_CONFIG"), ("{", "RELAY_CONFIG"),
-    ('{"discovery":"a:1","settings":{}}', "listen"), ('{"listen":"a:1","settings":{}}', "discovery"),
-    ('{"listen":"a:1","discovery":"a:1"}', "settings"),
-    ('{"listen":"a","discovery":"a:1","settings":{}}', "listen"),
-    ('{"listen":"a:1","discovery":"a:x","settings":{}}', "discovery"),
-    ('{"listen":"a:1","discovery":"a:1","settings":{},"limits":{"sockets":"many"}}', "limits.sockets"),
-])
+@pytest.mark.parametrize(
+    ("text", "names"),
+    [
+        (None, "RELAY_CONFIG"),
+        ("[]", "RELAY_CONFIG"),
+        ("{", "RELAY_CONFIG"),
+        ('{"discovery":"a:1","settings":{}}', "listen"),
+        ('{"listen":"a:1","settings":{}}', "discovery"),
+        ('{"listen":"a:1","discovery":"a:1"}', "settings"),
+        ('{"listen":"a","discovery":"a:1","settings":{}}', "listen"),
+        ('{"listen":"a:1","discovery":"a:x","settings":{}}', "discovery"),
+        ('{"listen":"a:1","discovery":"a:1","settings":{},"limits":{"sockets":"many"}}', "limits.sockets"),
+    ],
+)
 def test_a_bad_configuration_is_named_by_its_key(tmp_path: object, text: str | None, names: str) -> None:
     path = tmp_path / "c.json"
     if text is not None:
@@ -811,8 +872,9 @@
     path = tmp_path / "c.json"
     path.write_text('{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"Zones":[]}}')
     for env in ({"RELAY_CONFIG": str(path)}, {}):
-        done = subprocess.run([sys.executable, "-m", "myrtlehub.relay"], env=env, capture_output=True,
-                              text=True, check=False)
+        done = subprocess.run(
+            [sys.executable, "-m", "myrtlehub.relay"], env=env, capture_output=True, text=True, check=False
+        )
         assert done.returncode == 2 and len(done.stderr.splitlines()) == 1
         assert "RELAY_CONFIG" in done.stderr or "listen" in done.stderr or "Classes" in done.stderr
 
@@ -820,9 +882,26 @@
 def test_what_run_imports_leaves_out_the_other_fronts_and_their_libraries() -> None:
     said = subprocess.run(
         [sys.executable, "-c", "import sys, myrtlehub.relay.__main__; print(*sys.modules)"],
-        capture_output=True, text=True, check=True).stdout.split()
-    unwanted = {"pydantic", "ruamel", "ruamel.yaml", "google", "h2", "immutables", "structlog", "click",
-                "grpc", "zstandard", "myrtlehub.rpc", "myrtlehub.config", "myrtlehub.proto", "myrtlehub.lab"}
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout.split()
+    unwanted = {
+        "pydantic",
+        "ruamel",
+        "ruamel.yaml",
+        "google",
+        "h2",
+        "immutables",
+        "structlog",
+        "click",
+        "grpc",
+        "zstandard",
+        "myrtlehub.rpc",
+        "myrtlehub.config",
+        "myrtlehub.proto",
+        "myrtlehub.lab",
+    }
     assert not unwanted & set(said) and "myrtlehub.decide" in said
 
 
@@ -958,6 +1037,7 @@
             far.say(READ_DONE)
         elif not deaf[0]:
             far.say(RELEASED)
+
     rig.engines["w1"].answer = lambda far, head, body: None
     rig.engines["r1"].answer = read
     client = rig.ask("a1", LONG)
