--- a/tests/test_roll_processes.py
+++ b/tests/test_roll_processes.py
@@ -11,36 +11,72 @@
 
 TRAFFIC = {"latency_slo": "2s", "abandon_time": "5s", "prompt": [50, 200], "output": [5, 20]}
 DAY = {
-    "length": "100s", "rate": 24, "fleet": {"nodes": 4, "readers": 2, "writers": 3},
+    "length": "100s",
+    "rate": 24,
+    "fleet": {"nodes": 4, "readers": 2, "writers": 3},
     "reader": {"slots": 8, "queue": 60, "read_rate": 20000},
     "writer": {"slots": 30, "queue": 60, "read_rate": 12000, "step": "10ms"},
     "clients": {"retries": 2, "whole": "12s"},
-    "traffic": [{"name": "ask", "share": 0.8, "repeats": "repeatable", **TRAFFIC},
-                {"name": "post", "share": 0.2, "repeats": "once-only", **TRAFFIC}],
-    "rules": {"answer_slack": "50ms", "drain_grace": "250ms", "let_go": "500ms", "cold_share": 0.25,
-              "cold_time": "4s", "fall_multiple": 2.5, "fall_time": "1s"}}
+    "traffic": [
+        {"name": "ask", "share": 0.8, "repeats": "repeatable", **TRAFFIC},
+        {"name": "post", "share": 0.2, "repeats": "once-only", **TRAFFIC},
+    ],
+    "rules": {
+        "answer_slack": "50ms",
+        "drain_grace": "250ms",
+        "let_go": "500ms",
+        "cold_share": 0.25,
+        "cold_time": "4s",
+        "fall_multiple": 2.5,
+        "fall_time": "1s",
+    },
+}
 ROLL = {
-    "stages": [1, 1.0], "plan": {
-        "measure": "3s", "warm": "300ms", "watch": "5s", "block": "500ms", "look": "200ms", "hold": "20s",
-        "drain_within": "5s", "start_within": "12s", "alarm": 0.05, "guards": [
-            {"figure": "rejected", "worse": 0.1}, {"figure": "served", "worse": 0.2}]}}
+    "stages": [1, 1.0],
+    "plan": {
+        "measure": "3s",
+        "warm": "300ms",
+        "watch": "5s",
+        "block": "500ms",
+        "look": "200ms",
+        "hold": "20s",
+        "drain_within": "5s",
+        "start_within": "12s",
+        "alarm": 0.05,
+        "guards": [{"figure": "rejected", "worse": 0.1}, {"figure": "served", "worse": 0.2}],
+    },
+}
 ROLLS = {
     "a good program, its controller killed twice": {
-        "now": "equal", "ends": "kept", "faults": [{"after": "changing", "do": "kill controller"},
-                                                   {"after": "watching", "do": "kill controller"}]},
+        "now": "equal",
+        "ends": "kept",
+        "faults": [
+            {"after": "changing", "do": "kill controller"},
+            {"after": "watching", "do": "kill controller"},
+        ],
+    },
     "a program that exits at its start": {"now": "exits", "ends": "undone"},
     "a program that rejects most": {"now": "rejects-most", "ends": "undone"},
     "settings, while a writer crashes": {"now": "", "settings": {"node.max_wait": "1s"}, "ends": "kept"},
     "nodes that ignore all orders to leave": {"was": "deaf", "now": "equal", "ends": "kept"},
     "wall clocks of the controller and a node set back by an hour": {
-        "now": "equal", "ends": "kept", "faults": [
+        "now": "equal",
+        "ends": "kept",
+        "faults": [
             {"after": "measuring", "do": "set clock back", "whom": ["node-3"]},
-            {"after": "changing", "do": "set clock back", "whom": ["controller"]}]},
+            {"after": "changing", "do": "set clock back", "whom": ["controller"]},
+        ],
+    },
     "a program whose store the earlier one cannot read": {"now": "foreign", "ends": "undone"},
     "a node that the controller cannot reach for a while": {
-        "now": "equal", "ends": "kept", "faults": [
+        "now": "equal",
+        "ends": "kept",
+        "faults": [
             {"after": "changing", "do": "stall", "whom": ["node-2"]},
-            {"after": "watching", "at": "2s", "do": "mend", "whom": ["node-2"]}]}}
+            {"after": "watching", "at": "2s", "do": "mend", "whom": ["node-2"]},
+        ],
+    },
+}
 AT_ONCE = 3  # days: they mostly wait
 
 
@@ -57,9 +93,25 @@
             day["faults"] = [{"at": "4s", "do": "crash", "whom": ["writer-2"], "lasts": "2s"}]
         (folder / "day.yaml").write_text(json.dumps(day))
         with (folder / "out").open("w") as out, (folder / "err").open("w") as err:
-            at_work.append((name, folder, subprocess.Popen(
-                [sys.executable, "-m", "myrtlehub.cli.day", str(folder / "day.yaml"), "--json", "--keep",
-                 str(folder / "kept")], stdout=out, stderr=err)))
+            at_work.append(
+                (
+                    name,
+                    folder,
+                    subprocess.Popen(
+                        [
+                            sys.executable,
+                            "-m",
+                            "myrtlehub.cli.day",
+                            str(folder / "day.yaml"),
+                            "--json",
+                            "--keep",
+                            str(folder / "kept"),
+                        ],
+                        stdout=out,
+                        stderr=err,
+                    ),
+                )
+            )
         while len(at_work) >= AT_ONCE or (at_work and seed == len(ROLLS) - 1):
             done, where, process = at_work.pop(0)
             played[done] = process.wait(), where
@@ -100,8 +152,13 @@
     plan.write_text(PLAN)
 
     def run(**more: object) -> subprocess.CompletedProcess:
-        return subprocess.run([sys.executable, "-m", "myrtlehub.cli.roll", "run", str(plan)],
-                              capture_output=True, text=True, **more)
+        return subprocess.run(
+            [sys.executable, "-m", "myrtlehub.cli.roll", "run", str(plan)],
+            capture_output=True,
+            text=True,
+            **more,
+        )
+
     full = run(preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (room, room)))
     assert full.returncode == 4 and "nothing was done" in full.stderr, full.stderr
     assert not full.stdout and journal.stat().st_size == room
--- a/tests/test_roller.py
+++ b/tests/test_roller.py
@@ -71,8 +71,15 @@
 class Rig:
     """A fleet with traffic, and a controller that may die. `bad`: what the new program does at its start."""
 
-    def __init__(self, folder: Path, change: str = PROGRAM, nodes: int = 3, bad: str = "", old_bad: str = "",
-                 plan: str = "") -> None:
+    def __init__(
+        self,
+        folder: Path,
+        change: str = PROGRAM,
+        nodes: int = 3,
+        bad: str = "",
+        old_bad: str = "",
+        plan: str = "",
+    ) -> None:
         self.folder, self.bad, self.old_bad = folder, bad, old_bad
         self.f = Fleet("R0 W0 W0", nodes=nodes)
         self.runs, self.asked, self.most_away = 0, 0, 0
@@ -90,8 +97,10 @@
 
     def _at_home(self, i: int, node: Node, program: str) -> None:
         node.program = program
-        node.on_leave = lambda: node.leaving or node.drain().addCallback(
-            lambda none: self.f.nodes.get(f"n{i}") is node and self.gone(i))
+        node.on_leave = lambda: (
+            node.leaving
+            or node.drain().addCallback(lambda none: self.f.nodes.get(f"n{i}") is node and self.gone(i))
+        )
 
     def gone(self, i: int) -> None:
         self.f.kill(f"n{i}")
@@ -123,11 +132,18 @@
                 self.dead = True
             if self.dead:
                 raise Died(name)
+
         sheet = parse(self.text, PlanSheet)
         self.steps = steps
-        self.roller = Roller(sheet, self.text, self.folder, self.f.clock,
-                             lambda address: self.f.net.dialer(address, "operator"),
-                             lambda event, **more: self.said.append({"event": event, **more}), step)
+        self.roller = Roller(
+            sheet,
+            self.text,
+            self.folder,
+            self.f.clock,
+            lambda address: self.f.net.dialer(address, "operator"),
+            lambda event, **more: self.said.append({"event": event, **more}),
+            step,
+        )
         self.roller.hands = Hands(self)
         self.roller.run(again, undo).addBoth(self.codes.append)
 
@@ -167,8 +183,9 @@
     rig = Rig(tmp_path)
     rig.control()
     assert rig.run() == 0 and rig.programs() == ["new"] * 3 and rig.most_away == 1
-    assert not [c for c in rig.f.calls if c.answer in ("aborted", "")
-                and not (c.status and c.status.unprocessed)][:-20]
+    assert not [
+        c for c in rig.f.calls if c.answer in ("aborted", "") and not (c.status and c.status.unprocessed)
+    ][:-20]
     with pytest.raises(CannotRoll, match="is there already; hub-roll resume"):
         rig.control()
     with pytest.raises(CannotRoll, match="the change is over: kept"):
@@ -262,8 +279,14 @@
     other.__dict__.update(rig.__dict__, codes=[], said=[], text=text)
     (tmp_path / "two.journal").write_bytes((tmp_path / "one.journal").read_bytes())  # on another machine
     sheet = parse(other.text, PlanSheet)
-    second = Roller(sheet, rig.text, tmp_path, rig.f.clock, lambda a: rig.f.net.dialer(a, "operator"),
-                    lambda event, **more: other.said.append({"event": event, **more}))
+    second = Roller(
+        sheet,
+        rig.text,
+        tmp_path,
+        rig.f.clock,
+        lambda a: rig.f.net.dialer(a, "operator"),
+        lambda event, **more: other.said.append({"event": event, **more}),
+    )
     second.hands = Hands(rig)
     second.run(again=True).addBoth(other.codes.append)
     code = rig.run()
@@ -334,7 +357,8 @@
 
 
 def test_a_process_is_known_by_when_it_began_and_not_by_a_clock_that_is_set(
-        tmp_path: Path, monkeypatch: object) -> None:
+    tmp_path: Path, monkeypatch: object
+) -> None:
     hands = shell.Hands(tmp_path)
     with subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE) as process:
         shown, born = Shown(("p", "s"), "run", process.pid), hands.born(process.pid)
@@ -360,6 +384,7 @@
         if file == rig.roller.journal._file:
             raise OSError(28, "No space left on device")
         return write(file, data)
+
     monkeypatch.setattr(shell.os, "write", full)
     assert rig.run() == shell.NO_JOURNAL and "No space left" in rig.roller.reason
     assert rig.roller.standing == standing and rig.runs == runs
@@ -379,12 +404,16 @@
     assert "the operator asked for it" in str(rig.said)
 
 
-@pytest.mark.parametrize(("was", "now", "said"), [
-    ("{nodes: 1}, {share: 1.0}", "{nodes: 2}, {nodes: 2}", "stages have to grow"),
-    ("most_away: 1", "most_away: 3", "at least one of the 3 nodes has to stay"),
-    ("settings: \"{name}.yaml\"", "settings: \"{nme}.yaml\"", "{nme} is not known"),
-    ("watch: 3s", "watch: 2s", "three blocks or more"),
-    ("name: n1", "name: n0", "name n0 stands more than once")])
+@pytest.mark.parametrize(
+    ("was", "now", "said"),
+    [
+        ("{nodes: 1}, {share: 1.0}", "{nodes: 2}, {nodes: 2}", "stages have to grow"),
+        ("most_away: 1", "most_away: 3", "at least one of the 3 nodes has to stay"),
+        ('settings: "{name}.yaml"', 'settings: "{nme}.yaml"', "{nme} is not known"),
+        ("watch: 3s", "watch: 2s", "three blocks or more"),
+        ("name: n1", "name: n0", "name n0 stands more than once"),
+    ],
+)
 def test_a_plan_that_cannot_be_carried_out_is_refused(tmp_path: Path, was: str, now: str, said: str) -> None:
     rig = Rig(tmp_path)
     assert was in rig.text
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -77,14 +77,20 @@
     "trouble is taken for a pass": change(watching__trouble=Step("changing", "next")),
     "a node that leaves counts as back at once": node(draining__leaving=Step("ready", "nothing")),
     "an undone node is begun with the new program, and believed": node(
-        undoing__gone=Step("returning", "begin"), undoing__quit=Step("returning", "begin"),
-        returning__new=Step("undone", "nothing"), returning__proven=Step("undone", "nothing")),
-    "a node still by the new revision counts as undone": node(undoing__new=Step("undone", "nothing"),
-                                                              undoing__proven=Step("undone", "nothing")),
+        undoing__gone=Step("returning", "begin"),
+        undoing__quit=Step("returning", "begin"),
+        returning__new=Step("undone", "nothing"),
+        returning__proven=Step("undone", "nothing"),
+    ),
+    "a node still by the new revision counts as undone": node(
+        undoing__new=Step("undone", "nothing"), undoing__proven=Step("undone", "nothing")
+    ),
     "a dead changed node is brought back by the old program": node(
-        watched__gone=Step("watched", "begin old"), watched__quit=Step("watched", "begin old")),
-    "a node is undone by leaving it as it is": node(kept__undo=Step("undone", "nothing"),
-                                                    watched__undo=Step("undone", "nothing")),
+        watched__gone=Step("watched", "begin old"), watched__quit=Step("watched", "begin old")
+    ),
+    "a node is undone by leaving it as it is": node(
+        kept__undo=Step("undone", "nothing"), watched__undo=Step("undone", "nothing")
+    ),
     "a waiting node is asked to leave when it is seen": node(waiting__old=Step("waiting", "change")),
     "a change is kept while it is held": change(holding__bound=Step("kept", "finish")),
     "an order that the clock repeats has no row": node(undoing__overdue=Step("undoing", "breach")),
@@ -101,8 +107,14 @@
 
 def test_a_second_death_of_a_changed_node_undoes_and_a_first_one_holds() -> None:
     s = course.first(THREE)
-    for who, event in ((FLEET, "begin"), (FLEET, "measured"), (0, "gone"), (0, "new"), (0, "proven"),
-                       (0, "warm")):
+    for who, event in (
+        (FLEET, "begin"),
+        (FLEET, "measured"),
+        (0, "gone"),
+        (0, "new"),
+        (0, "proven"),
+        (0, "warm"),
+    ):
         s, _ = course.step(THREE, s, who, event)
     assert s.change == "watching" and s.nodes == ("watched", "waiting", "waiting")
     s, acts = course.step(THREE, s, 0, "quit")
@@ -135,9 +147,11 @@
 
 
 def test_a_journal_cut_at_any_byte_gives_its_whole_lines() -> None:
-    lines = [pack(Head(FORMAT, "p", ["a", "b"])),
-             *(pack(Entry(1.5, f"e{i}", i - 1, "why", {"generation": i})) for i in range(4))]
-    data, ends = b"".join(lines), [sum(map(len, lines[:i + 1])) for i in range(5)]
+    lines = [
+        pack(Head(FORMAT, "p", ["a", "b"])),
+        *(pack(Entry(1.5, f"e{i}", i - 1, "why", {"generation": i})) for i in range(4)),
+    ]
+    data, ends = b"".join(lines), [sum(map(len, lines[: i + 1])) for i in range(5)]
     for cut in range(len(data) + 1):
         whole = sum(end <= cut for end in ends)
         if not whole:
@@ -185,6 +199,7 @@
     def counted(run: str, n: float) -> Counted:
         sums = Sums(n, n, n - 1, 1, 0, n, n, 0.0, ((100, int(n) - 1), (900, 1)))
         return Counted(run, {"ask": sums}, 1e6 * n, {"a": 4})
+
     blocks = Blocks(3)
     blocks.block([counted("1", 10)] * 3, ["waiting"] * 3, 5.0, True)
     b = blocks.block([counted("1", 30), counted("2", 30), None], ["waiting"] * 3, 5.0, True)
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -9,7 +9,13 @@
 from h2.errors import ErrorCodes
 from h2.events import ConnectionTerminated, ResponseReceived, StreamReset, TrailersReceived
 from hyperframe.frame import (
-    ContinuationFrame, DataFrame, HeadersFrame, PingFrame, RstStreamFrame, SettingsFrame)
+    ContinuationFrame,
+    DataFrame,
+    HeadersFrame,
+    PingFrame,
+    RstStreamFrame,
+    SettingsFrame,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 from memnet import Net
@@ -109,11 +115,12 @@
 def test_what_framing_refuses() -> None:
     bomb = gzip.compress(b"0" * 10**6)
     for raw, encoding, code in [
-            (framing.HEAD.pack(0, 65), "identity", Code.RESOURCE_EXHAUSTED),
-            (framing.HEAD.pack(1, len(bomb)) + bomb, "gzip", Code.RESOURCE_EXHAUSTED),
-            (framing.HEAD.pack(1, 3) + b"abc", "gzip", Code.INTERNAL),
-            (framing.HEAD.pack(1, 3) + b"abc", "identity", Code.INTERNAL),
-            (framing.HEAD.pack(2, 0), "identity", Code.INTERNAL)]:
+        (framing.HEAD.pack(0, 65), "identity", Code.RESOURCE_EXHAUSTED),
+        (framing.HEAD.pack(1, len(bomb)) + bomb, "gzip", Code.RESOURCE_EXHAUSTED),
+        (framing.HEAD.pack(1, 3) + b"abc", "gzip", Code.INTERNAL),
+        (framing.HEAD.pack(1, 3) + b"abc", "identity", Code.INTERNAL),
+        (framing.HEAD.pack(2, 0), "identity", Code.INTERNAL),
+    ]:
         reader = framing.MessageReader(2000 if "gzip" in encoding else 64, encoding)
         with pytest.raises(RpcError) as caught:
             reader.feed(raw)
@@ -169,6 +176,7 @@
 
     def crash(call: ServerCall, data: bytes) -> bytes:
         raise KeyError("secret")
+
     rig.server.add("/t.T/Crash", unary(crash))
     assert rig.unary("/t.T/None", b"").code == Code.UNIMPLEMENTED
     ended = rig.unary("/t.T/Crash", b"")
@@ -226,6 +234,7 @@
 
         def stopProducing(self) -> None:  # noqa: N802
             self.on = False
+
     rig.server.add("/t.T/Pour", lambda call: (Source(call), Receiver())[1])
     call = rig.channel.call("/t.T/Pour", heard)
     call.pauseProducing()
@@ -316,8 +325,11 @@
 
     def __init__(self, rig: Rig, preface: bool = True) -> None:
         self.rig, self.got, self.gone = rig, bytearray(), False
-        self.h2 = H2Connection(H2Configuration(
-            client_side=True, validate_outbound_headers=False, normalize_outbound_headers=False))
+        self.h2 = H2Connection(
+            H2Configuration(
+                client_side=True, validate_outbound_headers=False, normalize_outbound_headers=False
+            )
+        )
         rig.net.dialer("s", "raw")(self)
         rig.net.run()
         if preface:
@@ -343,10 +355,18 @@
         data, self.got = bytes(self.got), bytearray()
         return self.h2.receive_data(data)
 
-    def ask(self, path: str = "/t.T/One", drop: str = "", body: bytes | None = b"\0\0\0\0\1x",
-            **more: str) -> dict:
-        headers = {":method": "POST", ":scheme": "http", ":path": path, ":authority": "s", "te": "trailers",
-                   "content-type": "application/grpc", **{k.replace("_", "-"): v for k, v in more.items()}}
+    def ask(
+        self, path: str = "/t.T/One", drop: str = "", body: bytes | None = b"\0\0\0\0\1x", **more: str
+    ) -> dict:
+        headers = {
+            ":method": "POST",
+            ":scheme": "http",
+            ":path": path,
+            ":authority": "s",
+            "te": "trailers",
+            "content-type": "application/grpc",
+            **{k.replace("_", "-"): v for k, v in more.items()},
+        }
         headers.pop(drop, None)
         stream = self.h2.get_next_available_stream_id()
         self.h2.send_headers(stream, list(headers.items()))
@@ -367,19 +387,27 @@
     assert heard.messages[-1] == b"on" and heard.status is None
 
 
-@pytest.mark.parametrize(("send", "want"), [
-    (lambda raw: b"GET / HTTP/1.1\r\n\r\n" + b"x" * 64, ErrorCodes.PROTOCOL_ERROR),
-    (lambda raw: PREFACE + DataFrame(1, b"x" * 40000).serialize(), ErrorCodes.FRAME_SIZE_ERROR),
-    (lambda raw: PREFACE + b"".join(PingFrame(0, b"12345678").serialize() for _ in range(500)),
-     ErrorCodes.ENHANCE_YOUR_CALM),
-    (lambda raw: PREFACE + b"".join(SettingsFrame(0, {3: i}).serialize() for i in range(500)),
-     ErrorCodes.ENHANCE_YOUR_CALM),
-    (lambda raw: PREFACE + rapid_resets(raw, 2000), ErrorCodes.ENHANCE_YOUR_CALM),
-    (lambda raw: PREFACE + continuations(raw, 500), None),
-    (lambda raw: PREFACE + big_headers(raw), ErrorCodes.ENHANCE_YOUR_CALM),
-    (lambda raw: PREFACE + b"\0\0\1\0\0\0\0\0\0x", ErrorCodes.PROTOCOL_ERROR),
-    (lambda raw: PREFACE + b"\xff" * 200, None),
-], ids=["preface", "size", "pings", "settings", "resets", "continuations", "headers", "stream0", "noise"])
+@pytest.mark.parametrize(
+    ("send", "want"),
+    [
+        (lambda raw: b"GET / HTTP/1.1\r\n\r\n" + b"x" * 64, ErrorCodes.PROTOCOL_ERROR),
+        (lambda raw: PREFACE + DataFrame(1, b"x" * 40000).serialize(), ErrorCodes.FRAME_SIZE_ERROR),
+        (
+            lambda raw: PREFACE + b"".join(PingFrame(0, b"12345678").serialize() for _ in range(500)),
+            ErrorCodes.ENHANCE_YOUR_CALM,
+        ),
+        (
+            lambda raw: PREFACE + b"".join(SettingsFrame(0, {3: i}).serialize() for i in range(500)),
+            ErrorCodes.ENHANCE_YOUR_CALM,
+        ),
+        (lambda raw: PREFACE + rapid_resets(raw, 2000), ErrorCodes.ENHANCE_YOUR_CALM),
+        (lambda raw: PREFACE + continuations(raw, 500), None),
+        (lambda raw: PREFACE + big_headers(raw), ErrorCodes.ENHANCE_YOUR_CALM),
+        (lambda raw: PREFACE + b"\0\0\1\0\0\0\0\0\0x", ErrorCodes.PROTOCOL_ERROR),
+        (lambda raw: PREFACE + b"\xff" * 200, None),
+    ],
+    ids=["preface", "size", "pings", "settings", "resets", "continuations", "headers", "stream0", "noise"],
+)
 def test_garbage_closes_its_connection_and_no_other(send: object, want: int | None) -> None:
     rig = Rig()
     heard = Heard()
@@ -398,8 +426,14 @@
 
 
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + SettingsFrame(0).serialize()
-REQUEST = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/t.T/Never"), (b":authority", b"s"),
-           (b"te", b"trailers"), (b"content-type", b"application/grpc")]
+REQUEST = [
+    (b":method", b"POST"),
+    (b":scheme", b"http"),
+    (b":path", b"/t.T/Never"),
+    (b":authority", b"s"),
+    (b"te", b"trailers"),
+    (b"content-type", b"application/grpc"),
+]
 
 
 def rapid_resets(raw: Raw, count: int) -> bytes:
@@ -417,7 +451,7 @@
 
 def big_headers(raw: Raw) -> bytes:
     block = raw.h2.encoder.encode(REQUEST + [(b"x-%d" % i, b"v" * 1000) for i in range(60)])
-    parts = [block[i:i + 16000] for i in range(0, len(block), 16000)]
+    parts = [block[i : i + 16000] for i in range(0, len(block), 16000)]
     out = HeadersFrame(1, parts[0]).serialize()
     for part in parts[1:-1]:
         out += ContinuationFrame(1, part).serialize()
--- a/tests/test_rpc_grpcio.py
+++ b/tests/test_rpc_grpcio.py
@@ -72,8 +72,10 @@
 
 @pytest.fixture
 def theirs(ours: tuple[Server, int]) -> Iterator[grpc.Channel]:
-    with grpc.insecure_channel(f"127.0.0.1:{ours[1]}", [
-            ("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1)]) as channel:
+    with grpc.insecure_channel(
+        f"127.0.0.1:{ours[1]}",
+        [("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1)],
+    ) as channel:
         yield channel
 
 
@@ -88,7 +90,8 @@
     big = Random(1).randbytes(BIG)
     assert theirs.unary_unary("/t.T/One", **RAW)(big, timeout=30) == big[::-1]
     packed = theirs.unary_unary("/t.T/One", **RAW)(
-        b"abc" * 1000, compression=grpc.Compression.Gzip, timeout=30)
+        b"abc" * 1000, compression=grpc.Compression.Gzip, timeout=30
+    )
     assert packed == b"cba" * 1000
     with pytest.raises(grpc.RpcError) as caught:
         theirs.unary_unary("/t.T/One", **RAW)(bytes(17 * 2**20), timeout=30)
@@ -125,7 +128,8 @@
 
 def test_their_client_metadata(theirs: grpc.Channel) -> None:
     reply, call = theirs.unary_unary("/t.T/Meta", **RAW).with_call(
-        b"", metadata=[("word", "plain text"), ("raw-bin", b"\0\xffx")])
+        b"", metadata=[("word", "plain text"), ("raw-bin", b"\0\xffx")]
+    )
     first = dict(call.initial_metadata())
     assert (first["seen"], first["raw-bin"]) == ("plain text", b"\0\xffx") and reply == b""
     stream = theirs.stream_stream("/t.T/Echo", **RAW)(iter([]))
@@ -156,11 +160,13 @@
             "/t.T/One": grpc.unary_unary_rpc_method_handler(lambda data, ctx: data[::-1]),
             "/t.T/Join": grpc.stream_unary_rpc_method_handler(lambda parts, ctx: b"".join(parts)),
             "/t.T/Count": grpc.unary_stream_rpc_method_handler(
-                lambda data, ctx: (b"%d" % i for i in range(int(data)))),
+                lambda data, ctx: (b"%d" % i for i in range(int(data)))
+            ),
             "/t.T/Echo": grpc.stream_stream_rpc_method_handler(lambda parts, ctx: parts),
             "/t.T/Meta": grpc.unary_unary_rpc_method_handler(self.meta),
             "/t.T/Fail": grpc.unary_unary_rpc_method_handler(
-                lambda data, ctx: ctx.abort(grpc.StatusCode.DATA_LOSS, "50% lost: é")),
+                lambda data, ctx: ctx.abort(grpc.StatusCode.DATA_LOSS, "50% lost: é")
+            ),
             "/t.T/Wait": grpc.unary_stream_rpc_method_handler(self.wait),
         }
         return h.get(details.method)
@@ -185,13 +191,17 @@
 @pytest.fixture
 def far() -> Iterator[tuple[Theirs, Channel]]:
     handler = Theirs()
-    server = grpc.server(ThreadPoolExecutor(16), [handler], options=[
-        ("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1)],
-        compression=grpc.Compression.Gzip)
+    server = grpc.server(
+        ThreadPoolExecutor(16),
+        [handler],
+        options=[("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1)],
+        compression=grpc.Compression.Gzip,
+    )
     port = server.add_insecure_port("127.0.0.1:0")
     server.start()
-    channel = Channel(reactor, TCP4ClientEndpoint(reactor, "127.0.0.1", port).connect, f"127.0.0.1:{port}",
-                      random=Random(2))
+    channel = Channel(
+        reactor, TCP4ClientEndpoint(reactor, "127.0.0.1", port).connect, f"127.0.0.1:{port}", random=Random(2)
+    )
     yield handler, channel
     there(lambda: channel.close())
     server.stop(None).wait()
@@ -229,6 +239,7 @@
 
     def start() -> None:
         channel.call("/t.T/Meta", heard, [("word", "w"), ("raw-bin", b"\0\xff")]).send(b"")
+
     there(start)
     assert done.wait(10) and dict(heard.first)["seen"] == "w"
     assert dict(heard.status.trailers)["raw-bin"] == b"\0\xff"
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -7,7 +7,18 @@
 
 from myrtlehub.state.explore import Found, explore, replay
 from myrtlehub.state.lives import (
-    ANSWER_LIFE, ATTEMPT, HOLD, LATE, TABLES, Broken, Life, Step, Table, mermaid, write_ends)
+    ANSWER_LIFE,
+    ATTEMPT,
+    HOLD,
+    LATE,
+    TABLES,
+    Broken,
+    Life,
+    Step,
+    Table,
+    mermaid,
+    write_ends,
+)
 from myrtlehub.state.world import ONCE, REPEATABLE, TOKENED, Moves, Shape, start
 
 PAGE = Path(__file__).parents[1] / "docs" / "design" / "sequence-life.md"
@@ -41,18 +52,29 @@
         Life(HOLD).step("claim")
     with pytest.raises(Broken, match="attempt: sneeze"):
         Life(ATTEMPT).step("sneeze")
-    assert [write_ends(o, n) for o, n in (("full", True), ("full", False), ("unsent", False), ("reset",
-                                                                                               False),
-                                          ("generated", False))] == [
-        "missing", "kept", "kept", "unsure", "fetched"]
-
-
-@pytest.mark.parametrize(("shape", "least"), [
-    (Shape((ONCE,), readers=1, faults=1, tries=1), 15000),
-    (Shape((REPEATABLE,), readers=1, faults=1, tries=1), 30000),
-    (Shape((REPEATABLE,), readers=1, faults=0, tries=1, cancels=False), 4000),
-    (Shape((TOKENED,), readers=1, faults=1, tries=1), 15000),
-    (Shape((ONCE,), readers=1, writers=1, attempts=3, faults=0, tries=1), 3000)], ids=str)
+    assert [
+        write_ends(o, n)
+        for o, n in (
+            ("full", True),
+            ("full", False),
+            ("unsent", False),
+            ("reset", False),
+            ("generated", False),
+        )
+    ] == ["missing", "kept", "kept", "unsure", "fetched"]
+
+
+@pytest.mark.parametrize(
+    ("shape", "least"),
+    [
+        (Shape((ONCE,), readers=1, faults=1, tries=1), 15000),
+        (Shape((REPEATABLE,), readers=1, faults=1, tries=1), 30000),
+        (Shape((REPEATABLE,), readers=1, faults=0, tries=1, cancels=False), 4000),
+        (Shape((TOKENED,), readers=1, faults=1, tries=1), 15000),
+        (Shape((ONCE,), readers=1, writers=1, attempts=3, faults=0, tries=1), 3000),
+    ],
+    ids=str,
+)
 def test_a_small_world_is_visited_whole_and_keeps_the_rules(shape: Shape, least: int) -> None:
     found = run(shape)
     assert found.complete and not found.breach, (found.breach, found.trace)
@@ -66,21 +88,42 @@
 
 
 FAULTS = {
-    "a reset is taken for not run": ("attempt", changed(ATTEMPT, writing__reset=Step("harmless",
-                                                                                     "answer")), "rule 2"),
+    "a reset is taken for not run": (
+        "attempt",
+        changed(ATTEMPT, writing__reset=Step("harmless", "answer")),
+        "rule 2",
+    ),
     "a time-out is taken for not run": (
-        "attempt", changed(ATTEMPT, writing__timeout=Step("harmless", "answer")), "rule 2"),
+        "attempt",
+        changed(ATTEMPT, writing__timeout=Step("harmless", "answer")),
+        "rule 2",
+    ),
     "an abort is not said": ("answer", changed(ANSWER_LIFE, owed__abort=Step("owed", "nothing")), "rule 1"),
-    "tokens after a rejection": ("answer", changed(ANSWER_LIFE, rejected__first=Step("rejected", "pass")),
-                                 "rule 1"),
-    "a broken stream is not told": ("answer", changed(ANSWER_LIFE, flowing__broke=Step("flowing",
-                                                                                       "nothing")), "rule 1"),
-    "a lost read is taken to hold nothing": ("hold", changed(HOLD, reading__lost=Step("none", "nothing")),
-                                             "rule 5"),
+    "tokens after a rejection": (
+        "answer",
+        changed(ANSWER_LIFE, rejected__first=Step("rejected", "pass")),
+        "rule 1",
+    ),
+    "a broken stream is not told": (
+        "answer",
+        changed(ANSWER_LIFE, flowing__broke=Step("flowing", "nothing")),
+        "rule 1",
+    ),
+    "a lost read is taken to hold nothing": (
+        "hold",
+        changed(HOLD, reading__lost=Step("none", "nothing")),
+        "rule 5",
+    ),
     "a refused second read forgets the first": (
-        "hold", changed(HOLD, again__refused=Step("none", "nothing")), "rule 5"),
-    "a claim in vain forgets a late read": ("hold", changed(HOLD, tried__missing=Step("none", "nothing")),
-                                            "rule 5"),
+        "hold",
+        changed(HOLD, again__refused=Step("none", "nothing")),
+        "rule 5",
+    ),
+    "a claim in vain forgets a late read": (
+        "hold",
+        changed(HOLD, tried__missing=Step("none", "nothing")),
+        "rule 5",
+    ),
 }
 
 
@@ -88,8 +131,9 @@
 def test_a_seeded_fault_is_found_and_its_trace_replays(name: str) -> None:
     which, table, rule = FAULTS[name]
     for kind in (ONCE, REPEATABLE):
-        shape = Shape((kind,), readers=1, faults=1, tries=1)._replace(**{which: table,
-                                                                         "cancels": which != "answer"})
+        shape = Shape((kind,), readers=1, faults=1, tries=1)._replace(
+            **{which: table, "cancels": which != "answer"}
+        )
         found = run(shape)
         if found.breach:
             break
