--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 
-.PHONY: run test setup protos bench sites
+.PHONY: run test lint format setup protos bench sites
 
 $(VENV)/.ready: requirements.txt requirements-roll.txt requirements-dev.txt pyproject.toml
 	test -d $(VENV) || python3 -m venv $(VENV)
@@ -12,10 +12,19 @@
 
 setup: $(VENV)/.ready
 
-test: setup
+lint: setup
+	$(VENV)/bin/ruff format --check
 	$(VENV)/bin/ruff check
 	$(VENV)/bin/lint-imports
-	PYTHONHASHSEED=1 $(PY) -m pytest -q
+
+format: setup
+	$(VENV)/bin/ruff format
+	$(VENV)/bin/ruff check --fix
+
+# All tests, or one part's: `make test PART=recovery` runs those that name the part in file or test name.
+PART :=
+test: lint
+	PYTHONHASHSEED=1 $(PY) -m pytest -q $(if $(PART),-k "$(PART)")
 
 protos: setup
 	.ci/protos
--- a/benchmarks/between.py
+++ b/benchmarks/between.py
@@ -29,7 +29,7 @@
     for seed in range(1, seeds + 1):
         with tempfile.TemporaryDirectory() as folder:
             day = Day(load(found(scenario), Scenario), Path(folder), reactor, seed=seed)
-            day.checkouts = {n: earlier for n in sorted(day.admin)[::2]}
+            day.checkouts = dict.fromkeys(sorted(day.admin)[::2], earlier)
             verdict = yield day.play()
         click.echo(f"seed {seed}, {len(day.checkouts)} of {len(day.admin)} nodes of {earlier}")
         click.echo(as_text(verdict))
--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -21,11 +21,11 @@
 from myrtlehub.config.sheets import NodeSheet, StandSheet
 from myrtlehub.emulator.server import StandIn
 from myrtlehub.lab.day import free_ports
-from myrtlehub.records import Recorder
 from myrtlehub.membership.aside import ReadAside
 from myrtlehub.membership.notify import Notifier
 from myrtlehub.node.node import Node
 from myrtlehub.proto import chat_pb2
+from myrtlehub.records import Recorder
 from myrtlehub.rpc.channel import CallWatcher, Channel
 
 SHEET = """
--- a/benchmarks/judges.py
+++ b/benchmarks/judges.py
@@ -17,7 +17,7 @@
 from typing import NamedTuple
 
 os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")  # one process a core is enough
-import numpy as np  # noqa: E402
+import numpy as np
 from scipy.stats import ttest_ind
 
 from myrtlehub.lab.manynodes import Harm, ManyNodes, Trouble, roles_of, stages
--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import click
+from twisted.internet.task import Clock
 
 from myrtlehub.config.load import load
 from myrtlehub.config.sheets import KindRow, NodeSheet
@@ -16,7 +17,6 @@
 from myrtlehub.membership.judge import ListJudge, Terms
 from myrtlehub.membership.version import digest_of
 from myrtlehub.node.node import Node
-from twisted.internet.task import Clock
 
 
 def text(count: int, cell_of: int) -> str:
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -52,7 +52,8 @@
 
 class Gradient:
     """The limit follows the gradient of latency, long over short term, with room for a queue of its root
-    (as Netflix's concurrency-limits describes its Gradient2)."""
+    (as Netflix's concurrency-limits describes its Gradient2).
+    """
 
     def __init__(self) -> None:
         self.limit, self._long, self._short = FIRST, 0.0, 0.0
--- a/myrtlehub/batching/join.py
+++ b/myrtlehub/batching/join.py
@@ -57,7 +57,8 @@
 
     def done(self, part: int, results: Sequence[object], model: str) -> str:
         """A part was generated; its results in the order of its items. What follows: hand them out and go on
-        waiting, do the part again, or the answer stands."""
+        waiting, do the part again, or the answer stands.
+        """
         items = self._open.pop(part, None)
         if items is None or self.answer is not None:
             return OVER
--- a/myrtlehub/cli/engine.py
+++ b/myrtlehub/cli/engine.py
@@ -24,8 +24,8 @@
     from twisted.internet import reactor
 
     from myrtlehub.emulator.server import StandIn
-    from myrtlehub.records import Recorder
     from myrtlehub.node.clock import SteadyClock
+    from myrtlehub.records import Recorder
 
     log, clock = logger(engine=sheet.name), SteadyClock(reactor)
     recorder = Recorder(sheet.listen, clock, sheet.records)
--- a/myrtlehub/cli/list.py
+++ b/myrtlehub/cli/list.py
@@ -19,7 +19,7 @@
 
 def sound(paths: tuple[str, ...], node_file: Path | None) -> files.Reading:
     """Read files whole; all their faults a line each on standard error, and exit 2."""
-    reading = files.read(paths, Path("."))
+    reading = files.read(paths, Path())
     faults = list(reading.faults)
     if not faults:
         sheet = sheet_of(node_file, NodeSheet) if node_file else None
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -26,7 +26,6 @@
         click.echo(f"{config}: sound; {len(sheet.list.engines)} engines, {len(sheet.traffic)} traffic types")
         return
     from twisted.internet import reactor
-
     from twisted.internet.threads import deferToThread
 
     from myrtlehub.membership.aside import ReadAside
--- a/myrtlehub/cli/roller.py
+++ b/myrtlehub/cli/roller.py
@@ -150,7 +150,8 @@
 
     def born(self, pid: int) -> int:
         """Ticks from the machine's start to that of a process, which tell it from another one of its number;
-        0: not known. Wall clocks are set meanwhile, and would tell a living process from itself."""
+        0: not known. Wall clocks are set meanwhile, and would tell a living process from itself.
+        """
         try:
             return int(Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[19])
         except (OSError, ValueError, IndexError):
--- a/myrtlehub/client/batches.py
+++ b/myrtlehub/client/batches.py
@@ -147,7 +147,8 @@
         normalise: bool = False,
     ) -> Iterator[tuple[int, array | BadInput]]:
         """Index and vector, as they are ready. What came stands, whatever is raised at the end; it is not
-        tried again by itself once something came, as another try may find another version."""
+        tried again by itself once something came, as another try may find another version.
+        """
         request = pb.EmbedRequest(inputs=inputs_of(texts, tokens), dimensions=dimensions, normalise=normalise)
         for reply in self._call(EMBED + "Stream", request, pb.EmbedReply, ask):
             yield from ((v.index, vector_of(v)) for v in reply.vectors)
--- a/myrtlehub/client/promise.py
+++ b/myrtlehub/client/promise.py
@@ -168,7 +168,7 @@
         unnamed = end.answer == "rejected" and not end.wait
         if not unnamed and (end.answer == "rejected" or end.unprocessed):
             wait = max(end.wait, 0.02) * (1.0 + 0.5 * self.random())
-        elif unnamed or end.answer in ("aborted", "lost") and self.ask.repeats == REPEATABLE:
+        elif unnamed or (end.answer in ("aborted", "lost") and self.ask.repeats == REPEATABLE):
             wait = 0.05 * 2.0**self.count * (0.5 + self.random())
         else:
             return None
--- a/myrtlehub/client/tx.py
+++ b/myrtlehub/client/tx.py
@@ -96,7 +96,8 @@
 
 class Client:
     """Sequences at one node, on a channel of the caller's; `others`: nodes at which it comes back for what
-    the first has lost."""
+    the first has lost.
+    """
 
     def __init__(
         self,
--- a/myrtlehub/decide.py
+++ b/myrtlehub/decide.py
@@ -13,8 +13,25 @@
 from statistics import median, median_high
 
 from myrtlehub.interface import (
-    CANCELLED, DRAINING, FULL, GENERATED, ONCE_ONLY, READ, REPEATABLE, RESET, SERVING, TOKENED, UNREACHED,
-    UNSENT, Arrival, Listing, Load, NodeCalls, Terms, TrafficType)
+    CANCELLED,
+    DRAINING,
+    FULL,
+    GENERATED,
+    ONCE_ONLY,
+    READ,
+    REPEATABLE,
+    RESET,
+    SERVING,
+    TOKENED,
+    UNREACHED,
+    UNSENT,
+    Arrival,
+    Listing,
+    Load,
+    NodeCalls,
+    Terms,
+    TrafficType,
+)
 
 PASS, KEEP, END = "pass", "keep", "end"
 
@@ -322,8 +339,8 @@
             due = seq.attempts or now - seq.since > PATIENCE * (seq.slo_at - seq.since)
             if now >= seq.abandon_at:
                 self._give_up(seq)
-            elif seq.id in self.kept and (due or misses < KEPT_TRIES and (
-                    now > seq.looked + pause and self.heard_at > seq.looked)):
+            elif seq.id in self.kept and (due or (misses < KEPT_TRIES and (
+                    now > seq.looked + pause and self.heard_at > seq.looked))):
                 self._run(seq, now)
                 misses += seq.id in self.kept
         return self._finish(now)
--- a/myrtlehub/emulator/model.py
+++ b/myrtlehub/emulator/model.py
@@ -69,7 +69,7 @@
 class Running:
     """A stream being written."""
 
-    __slots__ = ("key", "task", "kept", "done", "total", "holds", "ready_at", "ran", "fetches")
+    __slots__ = ("done", "fetches", "holds", "kept", "key", "ran", "ready_at", "task", "total")
 
     def __init__(self, key: object, task: Task, total: int, fetches: bool) -> None:
         self.key, self.task, self.total, self.fetches = key, task, total, fetches
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -10,10 +10,10 @@
 from myrtlehub.emulator.claimed import ClaimedWork, Line, claim_of, sum_of, token
 from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
 from myrtlehub.emulator.vectors import score_of, vector_of
-from myrtlehub.recovery import fence
-from myrtlehub.records import Recorder
 from myrtlehub.proto import chat_pb2 as chat
 from myrtlehub.proto import engine_pb2 as pb
+from myrtlehub.records import Recorder
+from myrtlehub.recovery import fence
 from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.metadata import first
 from myrtlehub.rpc.server import Receiver, Server, ServerCall, server_stream, unary
--- a/myrtlehub/http1/server.py
+++ b/myrtlehub/http1/server.py
@@ -156,9 +156,8 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.closing:
             return  # thrown away, never sent on: what lies unread at the close would reset the last answer
-        if (
-            self._spilt
-            or self.open is not None
+        if self._spilt or (
+            self.open is not None
             and (self._ahead + len(data) > AHEAD_MOST or self.site.ahead + len(data) > AHEAD_ALL)
         ):
             self._spill(len(data))
@@ -223,7 +222,7 @@
             return 431
         names = [name for name, _ in event.headers]
         lengths = names.count(b"content-length")
-        if lengths > 1 or lengths and b"transfer-encoding" in names:
+        if lengths > 1 or (lengths and b"transfer-encoding" in names):
             return 400  # where it ends could be read in two ways
         if lengths:
             length = dict(event.headers)[b"content-length"]
--- a/myrtlehub/lab/batches.py
+++ b/myrtlehub/lab/batches.py
@@ -9,9 +9,9 @@
 
 from myrtlehub.emulator.vectors import score_of, vector_of
 from myrtlehub.lab.clients import Callers, Try
-from myrtlehub.records import Recorder
 from myrtlehub.lab.scenario import Scenario, TrafficMix
 from myrtlehub.proto import items_pb2 as pb
+from myrtlehub.records import Recorder
 from myrtlehub.rpc.status import Status
 
 PATHS = {"embed": "/myrtlehub.v1.Embeddings/Embed", "rank": "/myrtlehub.v1.Rerank/Rank"}
--- a/myrtlehub/lab/checker.py
+++ b/myrtlehub/lab/checker.py
@@ -33,21 +33,21 @@
     """One try of a client."""
 
     __slots__ = (
-        "name",
-        "node",
-        "traffic",
-        "mark",
-        "asked",
-        "left",
-        "whole",
-        "seq",
+        "after",
         "answer",
-        "over",
+        "answered_at",
+        "asked",
         "begun",
         "gone",
-        "answered_at",
-        "after",
+        "left",
+        "mark",
+        "name",
+        "node",
+        "over",
+        "seq",
+        "traffic",
         "went_on",
+        "whole",
     )
 
     def __init__(self, name: str, at: float, more: dict) -> None:
@@ -63,7 +63,7 @@
 class _Write:
     """One attempt to write that an engine got."""
 
-    __slots__ = ("seq", "engine", "at", "refused", "ran", "over")
+    __slots__ = ("at", "engine", "over", "ran", "refused", "seq")
 
     def __init__(self, seq: str, engine: str, at: float) -> None:
         self.seq, self.engine, self.at = seq, engine, at
@@ -71,7 +71,7 @@
 
 
 class _Engine:
-    __slots__ = ("up", "cold", "figures", "sent", "cell", "zone", "over")
+    __slots__ = ("cell", "cold", "figures", "over", "sent", "up", "zone")
 
     def __init__(self) -> None:
         self.up, self.cold, self.figures, self.over = 0.0, False, {}, False
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -1,5 +1,6 @@
 """The client fleet: an open loop of sequences drawn ahead from a seed, and how clients take what they are
-told."""
+told.
+"""
 
 from binascii import crc32
 from collections import Counter
@@ -9,10 +10,10 @@
 
 from hdrh.histogram import HdrHistogram
 
-from myrtlehub.records import Recorder
 from myrtlehub.lab.scenario import Scenario, TrafficMix
 from myrtlehub.limits.lag import LagMeter
 from myrtlehub.proto import chat_pb2 as pb
+from myrtlehub.records import Recorder
 from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.status import Code, Status
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -83,7 +83,7 @@
         self.runs: Counter[str] = Counter()
         self.expected_dead: set[Process] = set()
         self.unclean: list[str] = []
-        self.standing = {e: ("serving", 0.0) for e in self.engines}  # by the list: state, started
+        self.standing = dict.fromkeys(self.engines, ("serving", 0.0))  # by the list: state, started
         self.recorder = Recorder("day", self.clock, folder / "day.rec")
         self.channels: dict[str, Channel] = {}
         self.clients: ClientFleet | None = None
--- a/myrtlehub/lab/lists.py
+++ b/myrtlehub/lab/lists.py
@@ -15,9 +15,9 @@
 from ruamel.yaml.compat import StringIO
 
 from myrtlehub.config.sheets import EngineRow
-from myrtlehub.records import Record, Recorder
 from myrtlehub.lab.scenario import ListFilesGroup
 from myrtlehub.membership.version import make
+from myrtlehub.records import Record, Recorder
 
 SEEN = 16  # letters of a digest that go with an attempt
 
@@ -159,10 +159,9 @@
         elif r.what == "unwrote" and r.more["node"] in self.last:
             at, digest, _ = self.last[r.more["node"]]
             self.last[r.more["node"]] = (at, digest, False)
-        elif r.what == "killed" and r.more["who"] in self.last:
-            at, digest, _ = self.last[r.more["who"]]  # a node that is down follows nothing
-            self.last[r.more["who"]] = (at, digest, False)
-        elif r.what == "killed" and r.more["who"] in self.last:
+        elif (r.what == "killed" and r.more["who"] in self.last) or (
+            r.what == "killed" and r.more["who"] in self.last
+        ):
             at, digest, _ = self.last[r.more["who"]]  # a node that is down follows nothing
             self.last[r.more["who"]] = (at, digest, False)
         elif r.what == "got" and "-" in r.more.get("list", ""):
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+
 from twisted.internet.task import Clock
 
 from myrtlehub import interface as itf
--- a/myrtlehub/lab/processes.py
+++ b/myrtlehub/lab/processes.py
@@ -152,7 +152,8 @@
 
     def end(self, some: list[Process], overdue: Callable[[Process], None]) -> Deferred:
         """SIGTERM; who has not ended within END_WITHIN is told to `overdue` and killed. Fires at the last
-        end."""
+        end.
+        """
         for process in some:
             process.signal("TERM")
 
--- a/myrtlehub/limits/ledger.py
+++ b/myrtlehub/limits/ledger.py
@@ -11,7 +11,7 @@
 class Account:
     """One sum."""
 
-    __slots__ = ("came", "left", "dropped", "held", "streams")
+    __slots__ = ("came", "dropped", "held", "left", "streams")
 
     def __init__(self) -> None:
         self.came = self.left = self.dropped = self.held = 0
--- a/myrtlehub/limits/pace.py
+++ b/myrtlehub/limits/pace.py
@@ -12,7 +12,7 @@
 class Pace:
     """One stream."""
 
-    __slots__ = ("window", "least", "_seen", "stalled_since")
+    __slots__ = ("_seen", "least", "stalled_since", "window")
 
     def __init__(self, window: float, least: float) -> None:
         """`least` bytes a second, over `window` seconds; 0: no peer is too slow."""
--- a/myrtlehub/membership/judge.py
+++ b/myrtlehub/membership/judge.py
@@ -111,7 +111,8 @@
         digest: str = "",
     ) -> Verdict:
         """A whole reading. `silent`: engines that do not answer us, which speaks for their removal; `digest`:
-        of the rows, where it is known already."""
+        of the rows, where it is known already.
+        """
         rows = list(rows)
         faults = unsound(rows, self.kinds, self.zones, self.self_read)
         if faults:
--- a/myrtlehub/membership/source.py
+++ b/myrtlehub/membership/source.py
@@ -39,7 +39,8 @@
 
     def rows(self, instead: Sequence[EngineRow] | None = None) -> list[EngineRow]:
         """The list as it stands. `instead`: a file's section that takes its place, where nothing is
-        pushed."""
+        pushed.
+        """
         if instead is not None:
             self._rows = {row.address: row for row in instead}
         return list(self._rows.values())
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -1,5 +1,6 @@
 """The node's admin service: news of the list where the file allows it, what the node routes by, its figures,
-and orders of whoever rolls a change out."""
+and orders of whoever rolls a change out.
+"""
 
 import os
 
--- a/myrtlehub/node/figures.py
+++ b/myrtlehub/node/figures.py
@@ -20,7 +20,7 @@
 class TrafficSums:
     """Of one traffic type."""
 
-    __slots__ = ("asked", "utility", "served", "answers", "attempts", "first", "first_log")
+    __slots__ = ("answers", "asked", "attempts", "first", "first_log", "served", "utility")
 
     def __init__(self) -> None:
         self.asked = self.attempts = 0
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/host.py
@@ -86,17 +86,17 @@
     """One schedule attempt."""
 
     __slots__ = (
+        "call",
+        "claims",
+        "engine",
         "held",
+        "kind",
+        "life",
         "number",
-        "engine",
         "reads",
         "since",
-        "until",
         "timer",
-        "life",
-        "claims",
-        "call",
-        "kind",
+        "until",
     )
 
     def __init__(
@@ -123,7 +123,7 @@
 class Hold:
     """What one reader holds for one sequence, and the handle by which it is fetched."""
 
-    __slots__ = ("engine", "life", "handle")
+    __slots__ = ("engine", "handle", "life")
 
     def __init__(self, engine: int) -> None:
         self.engine, self.life, self.handle = engine, Life(HOLD), None
@@ -133,20 +133,20 @@
     """One sequence that the host holds for the module."""
 
     __slots__ = (
-        "seq",
-        "label",
-        "asked",
-        "arrival",
-        "client",
-        "since",
         "abandon_at",
-        "life",
+        "arrival",
+        "asked",
         "attempts",
-        "holds",
+        "before",
         "begun",
+        "client",
         "first_at",
+        "holds",
+        "label",
+        "life",
+        "seq",
+        "since",
         "tokens",
-        "before",
     )
 
     def __init__(
--- a/myrtlehub/node/keeping.py
+++ b/myrtlehub/node/keeping.py
@@ -73,7 +73,8 @@
 
 class Keeping:
     """One node's part, as owner and as keeper. `lost(record)` is told of each record of a lost owner that
-    nobody came for."""
+    nobody came for.
+    """
 
     def __init__(
         self,
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -37,7 +37,7 @@
         run: str = "0",
         log: Callable[..., None] = lambda event, **more: None,
         host_class: type[Host] = Host,
-        base: Path = Path("."),
+        base: Path = Path(),
         notify: Callable = lambda paths, changed: None,
         reader: Callable | None = None,
         beside: Callable = lambda work, then: then(work()),
@@ -133,7 +133,8 @@
 
     def apply(self, sheet: NodeSheet) -> None:
         """From the next sequence on these settings hold. What `changes.unfit` says of them has to be
-        nothing."""
+        nothing.
+        """
         before = self.works
         rows = self.source.rows(sheet.list.engines if not sheet.list.pushed else None)
         self.works = Works(sheet, self.around, before.number + 1, before)
--- a/myrtlehub/node/peers.py
+++ b/myrtlehub/node/peers.py
@@ -19,7 +19,7 @@
 class Watched:
     """One call. `cut(reason)` ends it with an aborted answer, where it has none yet."""
 
-    __slots__ = ("call", "name", "tenant", "utility", "request", "pace", "cut", "was_cut", "settled")
+    __slots__ = ("call", "cut", "name", "pace", "request", "settled", "tenant", "utility", "was_cut")
 
     def __init__(
         self,
@@ -59,7 +59,8 @@
 
     def refuses(self, call: ServerCall, tenant: str, repeated: bool, size: int, full: bool) -> float | None:
         """None: this request of `size` bytes may come in. Else nothing runs, and it may come again after so
-        many seconds: over its tenant's budget of repeats, or the node is full, or it would break a budget."""
+        many seconds: over its tenant's budget of repeats, or the node is full, or it would break a budget.
+        """
         wait = self._again(tenant, repeated)
         if wait is None and (full or not self._room(call, tenant, size)):
             wait = self.max_wait
--- a/myrtlehub/node/takeover.py
+++ b/myrtlehub/node/takeover.py
@@ -40,7 +40,7 @@
 streaming: tokens -> = / pass; whole -> answered / answer; broke giveup -> answered / answer; lost -> lost / tell; left -> left / nothing; found none stood goon again -> = / breach
 """,
     EVENTS,
-)  # noqa: E501
+)
 
 
 class Wanted(NamedTuple):
@@ -54,7 +54,8 @@
 
 class Takeover:
     """One sequence being taken over. `client` hears what a host's client hears; `hand` gives it to the
-    host, as an arrival of this node; `lost` is called where another node has it."""
+    host, as an arrival of this node; `lost` is called where another node has it.
+    """
 
     def __init__(
         self,
--- a/myrtlehub/node/terms.py
+++ b/myrtlehub/node/terms.py
@@ -3,7 +3,6 @@
 from myrtlehub import interface as itf
 from myrtlehub.config.sheets import NodeSheet
 
-
 # By front: which kinds read for it, which write. What has a single stage is written, with nothing to read.
 STAGES = {
     "chat": (lambda kind: kind.reads, lambda kind: kind.writes),
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -42,7 +42,8 @@
 
 class Works:
     """One settings' worth of a node. `number` counts the changes of settings that this process has
-    applied."""
+    applied.
+    """
 
     def __init__(
         self, sheet: NodeSheet, around: Around, number: int = 0, before: "Works | None" = None
@@ -113,7 +114,8 @@
 
     def serve(self, server: object) -> None:
         """Take all new calls from here on: methods are replaced in one turn, those in hand keep their
-        objects."""
+        objects.
+        """
         self.front.serve(server)
         for front in FRONTS:
             if front.name in self.fronts:
--- a/myrtlehub/recovery/fence.py
+++ b/myrtlehub/recovery/fence.py
@@ -48,7 +48,8 @@
 
 class Fences:
     """All fences of one engine, for as long as a claim may still come. An engine that restarted knows none,
-    and says since when it knows."""
+    and says since when it knows.
+    """
 
     def __init__(self, most: int, since: float) -> None:
         self.most, self.since = most, since
--- a/myrtlehub/recovery/owner.py
+++ b/myrtlehub/recovery/owner.py
@@ -32,7 +32,8 @@
 
     def told_late(self, runs: dict[str, str]) -> Self:
         """Nobody kept word of it so far, and now somebody can: the record has all that was sent, and what
-        comes next needs their word."""
+        comes next needs their word.
+        """
         return self._replace(runs=tuple(sorted(runs.items())), has=(-1,) * len(runs))
 
     def intends(self, intent: Intent) -> Self:
--- a/myrtlehub/recovery/records.py
+++ b/myrtlehub/recovery/records.py
@@ -19,7 +19,8 @@
 
 class Claim(NamedTuple):
     """Who has a sequence: the higher one, by number and then by name, has it. Names are a node's and its
-    process's, so that a node that came back is another owner than before."""
+    process's, so that a node that came back is another owner than before.
+    """
 
     epoch: int
     owner: str
--- a/myrtlehub/recovery/world.py
+++ b/myrtlehub/recovery/world.py
@@ -199,7 +199,8 @@
 
     def _gives_up(self, w: World, i: int, o: Owner) -> Iterator[tuple[str, World]]:
         """Nothing more is sent. Rejected only where that is sure: the first owner's client may have gone to
-        another node meanwhile, who takes over closes all engines first."""
+        another node meanwhile, who takes over closes all engines first.
+        """
         yield f"{i} aborts", self._put(w, i, o._replace(phase="over", answer="aborted"))
         if i == FIRST:
             refused = all(
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -13,9 +13,9 @@
 
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.process import on_signal, on_term, settle_memory
+from myrtlehub.relay.bootstrap import SOCKETS_LEAST, Bootstrap, Malformed, read_bootstrap
 from myrtlehub.relay.node import ACCEPTS_MOST, RelayNode
 from myrtlehub.relay.reload import Drain, reload
-from myrtlehub.relay.bootstrap import SOCKETS_LEAST, Malformed, Bootstrap, read_bootstrap
 
 BACKLOG = 511  # connections that may wait to be accepted: bursts come by hundreds
 QUIET = frozenset(("answer", "engine", "attempt", "broken", "refused"))  # too many, unless they are asked for
--- a/myrtlehub/relay/discovery.py
+++ b/myrtlehub/relay/discovery.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
-from myrtlehub.http1.client import PendingRequest, Call, ConnectionPool, Watcher
-from myrtlehub.relay.bootstrap import Malformed, Desk, ListUpdate, read_json
+from myrtlehub.http1.client import Call, ConnectionPool, PendingRequest, Watcher
+from myrtlehub.relay.bootstrap import Desk, ListUpdate, Malformed, read_json
 
 PATH = b"/discovery/hosts"
 # A change counts as told 6 s after discovery had it. At the worst a watch falls silent just after it was
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -6,11 +6,11 @@
 
 from myrtlehub import interface as itf
 from myrtlehub.http1.bounds import SMALL_BODY
-from myrtlehub.http1.client import PendingRequest, Call, ConnectionPool, Watcher
+from myrtlehub.http1.client import Call, ConnectionPool, PendingRequest, Watcher
 from myrtlehub.node.host import Attempt, Host
+from myrtlehub.relay.bootstrap import load_of
 from myrtlehub.relay.events import Events, Spoilt
 from myrtlehub.relay.outcomes import End, of_break, of_head
-from myrtlehub.relay.bootstrap import load_of
 
 LOOK = 0.25  # seconds between looks at streams that are silent
 HALF_FOR = 2.5  # seconds for the rest of an event or chunk: engines write them whole; 5 s are owed
@@ -80,7 +80,7 @@
     def owes(self) -> bool:
         """Whether the engine has begun an event, a chunk or its end, and has not finished it."""
         connection = self.pending.connection
-        return bool(self.events.rest) or self.events.done or connection is not None and connection.owes()
+        return bool(self.events.rest) or self.events.done or (connection is not None and connection.owes())
 
     def spoil(self, why: str) -> None:
         """What comes can't be used: the attempt may have run, its connection has no further use."""
--- a/myrtlehub/relay/events.py
+++ b/myrtlehub/relay/events.py
@@ -49,7 +49,7 @@
         for event in whole.split(b"\n\n") if whole else ():
             if event:
                 self._look(event.lstrip(b"\n"))
-        if len(self.rest) > EVENT_MOST or self.rest and not self._may_begin(self.rest.lstrip(b"\n")):
+        if len(self.rest) > EVENT_MOST or (self.rest and not self._may_begin(self.rest.lstrip(b"\n"))):
             raise Spoilt
         return whole
 
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -7,10 +7,10 @@
 from myrtlehub.http1.client import ConnectionPool
 from myrtlehub.http1.server import Site
 from myrtlehub.node.host import Host
+from myrtlehub.relay.bootstrap import Bootstrap, Desk, ListUpdate, caps_of, terms_of
 from myrtlehub.relay.discovery import DIAL_WITHIN, Discovery
 from myrtlehub.relay.engines import Engines
 from myrtlehub.relay.front import Front
-from myrtlehub.relay.bootstrap import Desk, ListUpdate, Bootstrap, caps_of, terms_of
 
 DISCOVERY_MOST = 18  # connections to discovery: one in 120 ms while it is silent, each for 2 s at most
 ACCEPTS_MOST = 32  # connections accepted in a turn: until the next one none of them can be closed
--- a/myrtlehub/relay/reload.py
+++ b/myrtlehub/relay/reload.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from myrtlehub.relay.bootstrap import Malformed, Bootstrap, read_bootstrap
+from myrtlehub.relay.bootstrap import Bootstrap, Malformed, read_bootstrap
 
 NOTICE = 0.5  # seconds after SIGTERM for which connections still come: the front needs as long to notice
 LOOK = 0.1  # seconds from look to look at what is still owed
--- a/myrtlehub/rollout/judge.py
+++ b/myrtlehub/rollout/judge.py
@@ -39,7 +39,8 @@
 
 class Guard(NamedTuple):
     """One figure that may not get worse. A figure is a sum over a sum: served utility over utility asked, and
-    so on."""
+    so on.
+    """
 
     figure: str
     margin: float  # by how much worse is not acceptable, in the figure's unit
@@ -137,7 +138,8 @@
 
     def _unchanged(self, value: np.ndarray, weight: np.ndarray, measuring: bool) -> np.ndarray:
         """By node: the figure of the unchanged nodes of its zone; where there are none, that of all unchanged
-        nodes, and by how much the zone differed from them before. `weight` is 0 of all other nodes."""
+        nodes, and by how much the zone differed from them before. `weight` is 0 of all other nodes.
+        """
         by_zone = np.bincount(self.zone, weight, len(self.zones["lead"]))
         sums = np.bincount(self.zone, value * weight, len(by_zone))
         total = float(weight.sum())
@@ -152,7 +154,8 @@
 
     def noise(self) -> float:
         """Variance of a block's figure times its weight, within nodes; wider where a block resembles the last
-        one."""
+        one.
+        """
         s = self.sums
         mean, mass = _mean(s["off"], s["weight"])
         freedom = max(1.0, float(s["count"].sum() - (mass > 0.0).sum()))
@@ -190,7 +193,8 @@
     ) -> None:
         """`zones` by node; `watch`: blocks for which a stage is watched; `alarm`: share of equal versions
         that may be called worse, over all guards and looks of a stage; `most_lost`: utility that the whole
-        change may cost, as blocks of what the fleet is asked."""
+        change may cost, as blocks of what the fleet is asked.
+        """
         self.guards, self.watch, self.alarm, self.most_lost = tuple(guards), watch, alarm, most_lost
         self.names = sorted(set(zones))
         self.zone = np.array([self.names.index(z) for z in zones])
@@ -319,7 +323,8 @@
 
     def recall(self, known: dict) -> None:
         """Go on from there: what was watched after it is watched anew. KeyError, ValueError: it is of another
-        fleet, or another version."""
+        fleet, or another version.
+        """
         for key, tally in self.tallies.items():
             tally.recall(known["tallies"][" ".join(key)])
         self.usual, self.asked = list(known["usual"]), list(known["asked"])
@@ -369,7 +374,8 @@
 
     def _lost(self, served: Compared) -> float:
         """Utility that the change has cost, where it surely cost some, in blocks of what the fleet is
-        asked."""
+        asked.
+        """
         if served.low <= 0.0 or not self.asked:
             return 0.0
         return served.harm * self.got / (sum(self.asked) / len(self.asked))
--- a/myrtlehub/rollout/seen.py
+++ b/myrtlehub/rollout/seen.py
@@ -49,7 +49,8 @@
 
 def event_of(shown: Shown, old: Revision, new: Revision) -> str:
     """The node's event. An empty part of a revision is not known yet, and matches anything but the old
-    one's."""
+    one's.
+    """
     if shown.leaving:
         return "leaving"
     if shown.revision == old:
@@ -88,7 +89,8 @@
         self, counted: Sequence[Counted | None], states: Sequence[str], seconds: float, measuring: bool
     ) -> Block:
         """What became between this look and the last; a node counts where both looks saw the same process, in
-        the same standing."""
+        the same standing.
+        """
         roles = np.full(self.nodes, AWAY)
         sums: dict[tuple[str, str], tuple[np.ndarray, np.ndarray]] = {}
         seen: dict[str, list[int]] = {}
--- a/myrtlehub/rollout/tables.py
+++ b/myrtlehub/rollout/tables.py
@@ -38,7 +38,7 @@
 stuck: undo -> undoing / unchange; leaving was old new proven other gone quit refused all warm overdue pass -> = / nothing; go put -> = / breach
 """,
     NODE_EVENTS,
-)  # noqa: E501
+)
 
 MEASURE, NEXT, WATCH, HOLD, UNDO, FINISH = "measure", "next", "watch", "hold", "undo", "finish"
 
@@ -64,7 +64,7 @@
 kept: undo -> undoing / undo; worse failed bound trouble clear begin wedged -> = / nothing; measured ready warm pass last back -> = / breach
 """,
     CHANGE_EVENTS,
-)  # noqa: E501
+)
 
 TABLES = (NODE, COURSE)
 MOVING = ("draining", "starting", "undoing", "returning")  # a node's states in which it may be away
--- a/myrtlehub/state/explore.py
+++ b/myrtlehub/state/explore.py
@@ -51,7 +51,8 @@
 
 def replay(first: W, moves: Moves, trace: Iterable[str]) -> tuple[W, str]:
     """Follow a trace by its labels; the last world and the breach. KeyError where a label is not a move
-    there."""
+    there.
+    """
     world, breach = first, ""
     for label in trace:
         world, breach = {name: (after, found) for name, after, found in moves(world)}[label]
--- a/myrtlehub/state/lives.py
+++ b/myrtlehub/state/lives.py
@@ -74,7 +74,7 @@
 streaming: tokens -> = / pass; generated -> ran / answer; full unreached unsent error timeout reset cancelled -> ran / answer; read -> = / breach
 """,
     ATTEMPT_EVENTS,
-)  # noqa: E501
+)
 
 # What a client is told. `flowing` is bound to one attempt; from a final state on, nothing is said.
 ANSWER_EVENTS = "first more whole broke reject abort leave late"
@@ -87,7 +87,7 @@
 flowing: first -> = / stop; more -> = / pass; whole -> generated / answer; broke -> aborted / answer; reject -> aborted / answer; abort late -> aborted / answer; leave -> left / nothing
 """,
     ANSWER_EVENTS,
-)  # noqa: E501
+)
 
 # What one reader holds for one sequence, as far as the node can know. `claimed` and `reading`: an attempt
 # is out
@@ -109,7 +109,7 @@
 tried: fetched kept missing unsure -> maybe / nothing; release -> = / nothing; send claim done refused lost -> = / breach
 """,
     HOLD_EVENTS,
-)  # noqa: E501
+)
 
 TABLES = (ATTEMPT, ANSWER_LIFE, HOLD)
 READ_ENDS = {
@@ -132,14 +132,15 @@
 class Life:
     """One machine being lived."""
 
-    __slots__ = ("table", "state")
+    __slots__ = ("state", "table")
 
     def __init__(self, table: Table, state: str = "") -> None:
         self.table, self.state = table, state or table.first
 
     def step(self, event: str) -> str:
         """Take an event; what the owner has to do. Raises Broken where the table has no row, or says
-        breach."""
+        breach.
+        """
         step = self.table.steps.get((self.state, event))
         if step is None or step.do == BREACH:
             raise Broken(f"{self.table.name}: {event} in state {self.state}")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,5 +1,6 @@
 """A whole fleet in one process: real nodes, engines and clients on an in-memory network and a driven
-clock."""
+clock.
+"""
 
 from pathlib import Path
 
@@ -9,10 +10,10 @@
 from myrtlehub.config.load import parse
 from myrtlehub.config.sheets import NodeSheet, StandSheet
 from myrtlehub.emulator.server import StandIn
-from myrtlehub.records import Record, Recorder
 from myrtlehub.node.host import Host
 from myrtlehub.node.node import Node
 from myrtlehub.proto import admin_pb2, chat_pb2, engine_pb2
+from myrtlehub.records import Record, Recorder
 from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.status import Status
 
--- a/tests/memnet.py
+++ b/tests/memnet.py
@@ -123,7 +123,7 @@
                 if pipe.producer and pipe.pulled and not pipe.out:
                     pipe.producer.resumeProducing()
             elif not pipe.dead and (
-                pipe.closing or pipe.ending and not getattr(pipe.other.protocol, "stays", False)
+                pipe.closing or (pipe.ending and not getattr(pipe.other.protocol, "stays", False))
             ):
                 self.cut(pipe, clean=True)
                 moved = True
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -9,8 +9,8 @@
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import Clock
 
-from myrtlehub.relay.node import RelayNode
 from myrtlehub.relay.bootstrap import Bootstrap
+from myrtlehub.relay.node import RelayNode
 
 SETTINGS = {
     "Balancers": 2,
--- a/tests/socketrig.py
+++ b/tests/socketrig.py
@@ -1,5 +1,6 @@
 """The relay as a process on loopback, between scripted peers on real sockets. Gates are events, never times:
-whatever a test waits for is waited for until it is there, and `WITHIN` only bounds a wait in vain."""
+whatever a test waits for is waited for until it is there, and `WITHIN` only bounds a wait in vain.
+"""
 
 import json
 import os
@@ -164,7 +165,7 @@
         self.turn = threading.Condition()
         self.silent, self.version = silent, 1
         self.lines = {e.name: line_of(e) for e in engines}
-        self.changed = {name: 1 for name in self.lines}
+        self.changed = dict.fromkeys(self.lines, 1)
         super().__init__(self._answer)
 
     def change(self, **health: str) -> float:
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -32,7 +32,7 @@
         pipe.stalled = pipe.other.stalled = True
     else:
         f.net.cut(pipe)
-    if client and way != "crash" or pipe.other.host == "client":
+    if (client and way != "crash") or pipe.other.host == "client":
         f.client.note("left", call=caller.name)  # nothing that a node does can reach this client now
     return f"{pipe.host} to {pipe.other.host}"
 
@@ -92,7 +92,8 @@
 
 def bytes_of_stream(cut_at: int) -> tuple[Fleet, Caller, int]:
     """A post that is written without a reader; its writer dies once `cut_at` bytes of its stream have
-    crossed."""
+    crossed.
+    """
     f = Fleet("W0", step="10ms")
     warm = f.ask("ask", prompt=10, output=10)
     f.run(0.5)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -16,12 +16,12 @@
 from twisted.internet.defer import Deferred
 
 from myrtlehub.lab.lists import ListWatch, ListWriter, text_of
-from myrtlehub.records import Record
 from myrtlehub.lab.scenario import ListFilesGroup
 from myrtlehub.membership import aside as aside_module
 from myrtlehub.membership.files import read
 from myrtlehub.membership.version import digest_of
 from myrtlehub.membership.watched import WatchedList
+from myrtlehub.records import Record
 
 VERSIONS = int(os.environ.get("MYRTLEHUB_VERSIONS", "150"))
 MARKED = ", end_marked: yes, quiet: 30ms, poll: 200ms, damp: {flaps: off}, confirm: {most_removed: any}"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """The list: versions, what is taken, held back and refused, files caught half-written, a store that is
-killed."""
+killed.
+"""
 
 import os
 import signal
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,8 +5,8 @@
 
 from myrtlehub import interface as itf
 from myrtlehub.lab.checker import RULES, Checker, check
-from myrtlehub.records import Record
 from myrtlehub.node.host import Attempt, Held, Host
+from myrtlehub.records import Record
 from myrtlehub.rpc.guards import TransportBounds
 
 ROWS = [
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -13,9 +13,9 @@
 from myrtlehub.config.load import Faults, parse
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.lab.day import free_ports
-from myrtlehub.records import read
 from myrtlehub.node.host import Host
 from myrtlehub.node.terms import terms_of
+from myrtlehub.records import read
 
 PROBED = """
 engines_may: {probe: yes}
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,5 +1,6 @@
 """Taking work over: the small world keeps the rules, seeded faults are found, and the pure parts by
-themselves."""
+themselves.
+"""
 
 from collections.abc import Callable
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -25,15 +25,14 @@
     chat,
     chunk,
 )
-
 from twisted.internet import task
 
 from myrtlehub import interface as itf
 from myrtlehub.http1.bounds import AHEAD_ALL
+from myrtlehub.relay.bootstrap import Malformed, load_of, read_bootstrap
 from myrtlehub.relay.events import EVENT_MOST, Events, Spoilt
 from myrtlehub.relay.outcomes import HEADS, of_break, of_head
 from myrtlehub.relay.reload import Drain, reload
-from myrtlehub.relay.bootstrap import Malformed, load_of, read_bootstrap
 
 LONG = 2000  # prompt tokens from which a reader is used
 
@@ -587,7 +586,7 @@
     def slow(address: str, who: str = "client") -> object:
         """To whichever engine is chosen first, a connection takes 0.2 s."""
         dial = dialer(address, who)
-        if address[0] != "w" or coming and coming[0] != address:
+        if address[0] != "w" or (coming and coming[0] != address):
             return dial
         coming.append(address)
 
--- a/tests/test_roll_processes.py
+++ b/tests/test_roll_processes.py
@@ -1,5 +1,6 @@
 """Rolling changes of real processes on loopback: nodes, engines, clients, a controller that is killed. Each
-day ends with its roll, whenever that is, and is judged by the five rules and by how the roll had to end."""
+day ends with its roll, whenever that is, and is judged by the five rules and by how the roll had to end.
+"""
 
 import json
 import resource
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,5 +1,6 @@
 """Work in hand survives its node: real nodes, engines and the client library on an in-memory network, the
-node lost at every boundary of the exchange."""
+node lost at every boundary of the exchange.
+"""
 
 from collections import Counter
 from collections.abc import Callable
@@ -219,7 +220,8 @@
 @pytest.mark.parametrize("more", ["", "a keeper", "the taker"])
 def test_a_node_killed_at_every_boundary(traffic: str, more: str) -> None:
     """Before and after the record, the read, the state, the write, each token, the answer. With it goes one
-    of its keepers, or whoever takes over."""
+    of its keepers, or whoever takes over.
+    """
     count = boundaries(traffic)
     assert count > 40
     ends: Counter[str] = Counter()
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -1,5 +1,6 @@
 """Nodes as processes that are killed, paused, cut off and told to leave; others go on with what they had. The
-day is judged by the five rules, from what passed on sockets, and by what became of work in hand."""
+day is judged by the five rules, from what passed on sockets, and by what became of work in hand.
+"""
 
 import json
 import subprocess
