--- a/benchmarks/fresh.py
+++ b/benchmarks/fresh.py
@@ -14,12 +14,12 @@
 
 from myrtlehub.config.load import parse
 from myrtlehub.config.sheets import EngineRow, NodeSheet
-from myrtlehub.decide import Router
 from myrtlehub.emulator.model import Machine
-from myrtlehub.interface import SERVING, Listing
 from myrtlehub.lab.modelled import ModelClient, ModelFleet
-from myrtlehub.node.door import Asked
-from myrtlehub.node.terms import terms_of
+from myrtlehub.node.request_decoder import DecodedRequest
+from myrtlehub.node.router_config import router_config_of
+from myrtlehub.routing.contract import EndpointUpdate, EngineState
+from myrtlehub.routing.router import Router
 
 SHEET = """
 node: {{name: n{i}, listen: "n{i}:1", index: {i}, nodes: {n}, zone: z, seed: {seed}}}
@@ -53,7 +53,7 @@
 
     def ask(at: float) -> None:
         session, prefix = f"s{random.randrange(120)}", random.randrange(8)
-        asked = Asked(
+        asked = DecodedRequest(
             "ask",
             session=session,
             prefix=f"p{prefix}",
@@ -76,7 +76,7 @@
     def replace() -> None:
         for i, host in enumerate(fleet.hosts):
             old = host.router
-            new = host.router = _Both(Router(terms_of(sheets[i])), old)
+            new = host.router = _Both(Router(router_config_of(sheets[i])), old)
             new.begin(fleet.clock.seconds(), host.door.engines.at.values())
 
     if fresh:
@@ -94,10 +94,12 @@
     def begin(self, now: float, engines: object) -> None:
         old = self.old
         self.new.start(now)
-        self.new.engines(
+        self.new.update_endpoints(
             now,
             [
-                Listing(i, True, SERVING, old.kind[i], old.zone[i], old.cell[i], 0.0, 1.0, old.mark[i])
+                EndpointUpdate(
+                    i, True, EngineState.SERVING, old.kind[i], old.zone[i], old.cell[i], 0.0, 1.0, old.mark[i]
+                )
                 for i in sorted(engines)
             ],
             True,
@@ -105,7 +107,7 @@
 
     def __getattr__(self, name: str) -> object:
         def call(now: float, *args: object) -> list[tuple]:
-            if name in ("engines", "wake"):
+            if name in ("update_endpoints", "wake"):
                 return getattr(self.old, name)(now, *args) + getattr(self.new, name)(now, *args)
             mine = self.old if name != "arrive" and args[0] in self.old.seqs else self.new
             return getattr(mine, name)(now, *args)
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -16,7 +16,7 @@
 from myrtlehub.emulator.model import Machine
 from myrtlehub.lab.modelled import ModelClient, ModelFleet
 from myrtlehub.limits.admit import LEAST, MOST, NEVER, Admission, Vegas
-from myrtlehub.node.door import Asked
+from myrtlehub.node.request_decoder import DecodedRequest
 
 SHEET = """
 node: {{name: n{i}, listen: "n{i}:1", index: {i}, nodes: {n}, zone: z, seed: {seed}}}
@@ -135,7 +135,7 @@
             gates[client.node].failed(now, True)
             pump(client.node)
 
-    def send(node: int, asked: Asked, arrived: float) -> None:
+    def send(node: int, asked: DecodedRequest, arrived: float) -> None:
         now = fleet.clock.seconds()
         left = (4.0 if asked.traffic_type != "bulk" else 8.0) - (now - arrived)
 
@@ -170,7 +170,7 @@
         fleet.clock.callLater(random.expovariate(CAPACITY * load), arrive)
         name = random.choices([n for n, _ in MIX], [s for _, s in MIX])[0]
         asked_for += UTILITY[name]
-        asked = Asked(
+        asked = DecodedRequest(
             name,
             prompt=random.choice([300, 900, 2500]),
             most_output=random.randint(60, 240),
--- a/examples/ask_sync.py
+++ b/examples/ask_sync.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from myrtlehub.client import Aborted, Ask, NotTaken, Rejected
+from myrtlehub.client import Aborted, Ask, InvalidRequestError, Rejected
 from myrtlehub.client.sync import Client
 
 with Client(sys.argv[1]) as client:
@@ -15,5 +15,5 @@
         sys.exit(f"rejected, nothing ran; come again in {fault.wait:g} s")
     except Aborted as fault:
         sys.exit(f"aborted after {fault.tokens_seen} tokens: {fault}")
-    except NotTaken as fault:
+    except InvalidRequestError as fault:
         sys.exit(f"malformed: {fault}")
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/variant.py
@@ -15,12 +15,12 @@
 
 from twisted.internet.defer import Deferred
 
-from myrtlehub.interface import Arrival
 from myrtlehub.lab.rolling import FOLDER, NODES
 from myrtlehub.node import node, revision, works
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.links import Links
 from myrtlehub.records import Recorder
+from myrtlehub.routing.contract import Action, Arrival, Forget, Reject
 
 CRASH_AFTER = 5.0  # seconds, of `crashes`
 SLOWER = 0.06  # seconds by which `slow` sends later: about a third of a first token's time
@@ -35,9 +35,9 @@
     chance = Random(7).random
 
     class Refusing(works.Router):
-        def arrive(self, now: float, ident: int, a: Arrival) -> list[tuple]:
+        def arrive(self, now: float, ident: int, a: Arrival) -> list[Action]:
             if chance() < share(a):
-                return [("reject", ident, 0.5), ("done", ident)]
+                return [Reject(ident, 0.5), Forget(ident)]
             return super().arrive(now, ident, a)
 
     works.Router = Refusing
--- a/myrtlehub/client/__init__.py
+++ b/myrtlehub/client/__init__.py
@@ -4,6 +4,6 @@
 and ends with one final answer: generated as a value, rejected and aborted as exceptions.
 """
 
-from myrtlehub.client.promise import Aborted, Ask, Generated, NotAnswered, NotTaken, Rejected
+from myrtlehub.client.promise import Aborted, Ask, Generated, InvalidRequestError, NotAnswered, Rejected
 
-__all__ = ["Aborted", "Ask", "Generated", "NotAnswered", "NotTaken", "Rejected"]
+__all__ = ["Aborted", "Ask", "Generated", "InvalidRequestError", "NotAnswered", "Rejected"]
--- a/myrtlehub/client/aio.py
+++ b/myrtlehub/client/aio.py
@@ -62,7 +62,7 @@
         )
 
     def generate(self, ask: Ask) -> Stream:
-        """Ask; iterate with `async for`. Raises Rejected, Aborted or NotTaken from the iteration."""
+        """Ask; iterate with `async for`. The iteration raises Rejected, Aborted or InvalidRequestError."""
         return Stream(self, ask)
 
     async def __aenter__(self) -> "Client":
--- a/myrtlehub/client/batches.py
+++ b/myrtlehub/client/batches.py
@@ -86,7 +86,7 @@
 
 
 class Batches(Connected):
-    """Batches at one node; raises Rejected, Aborted or NotTaken, as `sync.Client` does."""
+    """Batches at one node; raises Rejected, Aborted or InvalidRequestError, as `sync.Client` does."""
 
     def __init__(self, address: str = "", channel: grpc.Channel | None = None) -> None:
         super().__init__(address, channel)
--- a/myrtlehub/client/promise.py
+++ b/myrtlehub/client/promise.py
@@ -77,7 +77,7 @@
     """No promise: it may have run. A once-only request must not be sent again without a person's word."""
 
 
-class NotTaken(NotAnswered):
+class InvalidRequestError(NotAnswered):
     """The request is malformed; it was not taken and nothing ran. The text names the field."""
 
 
@@ -183,7 +183,7 @@
         """The value of a generated answer; every other end is raised."""
         if end.answer == "generated":
             return Generated(end.count, self.count)
-        kind = {"rejected": Rejected, "invalid": NotTaken}.get(end.answer, Aborted)
+        kind = {"rejected": Rejected, "invalid": InvalidRequestError}.get(end.answer, Aborted)
         if end.unprocessed:
             kind = Rejected
         fault = kind(end.said, self.tokens, self.count)
--- a/myrtlehub/client/sync.py
+++ b/myrtlehub/client/sync.py
@@ -104,5 +104,5 @@
             channel.close()
 
     def generate(self, ask: Ask) -> Stream:
-        """Ask; iterate over what comes. Raises Rejected, Aborted or NotTaken from the iteration."""
+        """Ask; iterate over what comes. The iteration raises Rejected, Aborted or InvalidRequestError."""
         return Stream(self, ask)
--- a/myrtlehub/client/tx.py
+++ b/myrtlehub/client/tx.py
@@ -43,7 +43,7 @@
 
 
 class Stream:
-    """One request under way. `done` fires with Generated, or fails with Rejected, Aborted or NotTaken.
+    """One request under way. `done` fires with Generated, or with Rejected, Aborted, InvalidRequestError.
 
     Cancelling `done` stops the node and its engines as well. `pauseProducing` and `resumeProducing` hold
     up the tokens at their source.
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -9,14 +9,14 @@
 
 from twisted.internet.task import Clock
 
-from myrtlehub import interface as itf
 from myrtlehub.config.sheets import EngineRow, NodeSheet
-from myrtlehub.decide import Router
 from myrtlehub.emulator.alarm import Alarm
 from myrtlehub.emulator.model import EngineModel, Machine, Task
-from myrtlehub.node.door import Asked, Door
-from myrtlehub.node.host import Attempt, Held, Host
-from myrtlehub.node.terms import terms_of
+from myrtlehub.node.action_executor import ActionExecutor, Attempt, InFlightSequence
+from myrtlehub.node.request_decoder import DecodedRequest, RequestDecoder
+from myrtlehub.node.router_config import router_config_of
+from myrtlehub.routing import contract
+from myrtlehub.routing.router import Router
 
 LINK = 0.0004  # seconds, one way
 FETCH = 250_000.0  # tokens a second
@@ -53,17 +53,17 @@
 
     def _tell(self, attempt: Attempt, event: tuple) -> None:
         host, word = attempt.held.client.host, event[0]
-        load = itf.Load(**self.model.load())
+        load = contract.LoadReport(**self.model.load())
         if word == "tokens":
             (host.more if attempt.begun else host.began)(attempt, b"")
         elif word == "read":
-            host.ended(attempt, itf.READ, event[2], load, self.address)
+            host.ended(attempt, contract.Outcome.READ, event[2], load, self.address)
         elif word == "ended":
-            host.ended(attempt, itf.GENERATED, event[2], load, tokens=event[3])
+            host.ended(attempt, contract.Outcome.GENERATED, event[2], load, tokens=event[3])
         elif word == "refused":
-            host.ended(attempt, itf.FULL, float(event[2]), load)
+            host.ended(attempt, contract.Outcome.FULL, float(event[2]), load)
         else:
-            host.ended(attempt, itf.ERROR if word == "failed" else itf.TIMEOUT)
+            host.ended(attempt, contract.Outcome.ERROR if word == "failed" else contract.Outcome.TIMEOUT)
 
     def _fetch(self, key: int) -> None:
         attempt = self.jobs.get(key)
@@ -107,7 +107,7 @@
             self.act(self.model.cancel(self.fleet.clock.seconds(), key))
 
 
-class ModelCarrier:
+class ModelTransport:
     """A host's carrier over modelled links."""
 
     def __init__(self, fleet: "ModelFleet") -> None:
@@ -133,9 +133,11 @@
 
         self.fleet.clock.callLater(LINK, done)
 
-    def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
+    def probe(
+        self, engine: int, timeout: float, then: Callable[[bool, contract.LoadReport | None], None]
+    ) -> None:
         target = self.fleet.engines[self.host.door.engines.rows[engine].address]
-        self.fleet.clock.callLater(2 * LINK, lambda: then(True, itf.Load(**target.model.load())))
+        self.fleet.clock.callLater(2 * LINK, lambda: then(True, contract.LoadReport(**target.model.load())))
 
     def close_idle(self, engine: int) -> None:
         """There are no connections."""
@@ -149,8 +151,8 @@
 
     def __init__(
         self,
-        host: Host,
-        asked: Asked,
+        host: ActionExecutor,
+        asked: DecodedRequest,
         now: float,
         on_end: Callable[["ModelClient"], None],
         on_begun: Callable[["ModelClient"], None],
@@ -158,7 +160,7 @@
         self.host, self.asked, self.since, self.on_end, self.on_begun = host, asked, now, on_end, on_begun
         self.first = self.wait = 0.0
         self.answer = ""
-        self.held: Held | None = None
+        self.held: InFlightSequence | None = None
 
     def tokens(self, raw: bytes) -> None:
         """The first is what counts."""
@@ -198,11 +200,13 @@
         self.engines = {
             r.address: ModelEngine(self, r.address, machines[r.kind], seed + i) for i, r in enumerate(rows)
         }
-        self.hosts: list[Host] = []
+        self.hosts: list[ActionExecutor] = []
         for i in range(nodes):
             mine = sheet(i)
-            terms, carrier = terms_of(mine), ModelCarrier(self)
-            host = carrier.host = Host(Router(terms), Door(mine), terms, self.clock, carrier, f"n{i}.")
+            terms, carrier = router_config_of(mine), ModelTransport(self)
+            host = carrier.host = ActionExecutor(
+                Router(terms), RequestDecoder(mine), terms, self.clock, carrier, f"n{i}."
+            )
             host.start()
             host.list_news(rows, True)
             self.hosts.append(host)
@@ -210,7 +214,7 @@
     def ask(
         self,
         node: int,
-        asked: Asked,
+        asked: DecodedRequest,
         on_end: Callable[[ModelClient], None],
         on_begun: Callable[[ModelClient], None] = lambda client: None,
     ) -> ModelClient:
--- a/myrtlehub/node/host.py
+++ b/myrtlehub/node/action_executor.py
@@ -1,7 +1,7 @@
 """The host: calls the module with what happens, and carries out each result in the order it came.
 
 It decides nothing. It owes every result of the contract in `interface.py`, knows no sockets (what it needs of
-them is `Carrier`), and keeps one promise of its own: a client is answered at most once, and hears nothing
+them is `EngineTransport`), and keeps one promise of its own: a client is answered at most once, and hears nothing
 after.
 """
 
@@ -10,9 +10,9 @@
 from functools import partial
 from typing import Protocol
 
-from myrtlehub import interface as itf
 from myrtlehub.membership.rows import Row
-from myrtlehub.node.indices import EngineIndices
+from myrtlehub.node.endpoint_index import EndpointIndex
+from myrtlehub.routing import contract
 from myrtlehub.state.lives import (
     ANSWER,
     ANSWER_LIFE,
@@ -31,7 +31,7 @@
 NEVER = float("inf")
 
 
-class ContractBroken(Exception):
+class ContractViolationError(Exception):
     """The module asked for what the terms say it may not ask for."""
 
 
@@ -51,16 +51,16 @@
         """Final."""
 
 
-class Door(Protocol):
+class RequestDecoder(Protocol):
     """Names from outside against indices; `rows` are the traffic types, with a name and a front."""
 
     rows: list
     kinds: dict[str, int]
     zones: dict[str, int]
-    engines: EngineIndices
+    engines: EndpointIndex
 
 
-class Carrier(Protocol):
+class EngineTransport(Protocol):
     """Carries attempts to engines and says, through the host, what became of them."""
 
     def start(self, attempt: "Attempt") -> None:
@@ -72,7 +72,9 @@
     def release(self, engine: int, label: str) -> None:
         """Tell an engine to let go of what it holds for a sequence."""
 
-    def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
+    def probe(
+        self, engine: int, timeout: float, then: Callable[[bool, contract.LoadReport | None], None]
+    ) -> None:
         """Ask an engine for its load; `then(sound, load)` is called once, not before control is back."""
 
     def close_idle(self, engine: int) -> None:
@@ -100,14 +102,21 @@
     )
 
     def __init__(
-        self, held: "Held", number: int, engine: int, reads: bool, since: float, until: float, kind: str = ""
+        self,
+        held: "InFlightSequence",
+        number: int,
+        engine: int,
+        reads: bool,
+        since: float,
+        until: float,
+        kind: str = "",
     ) -> None:
         self.kind = kind  # of the engine when it was sent: the list may change it meanwhile
         self.held, self.number, self.engine, self.reads = held, number, engine, reads
         self.since, self.until = since, until
         self.timer = self.call = None
         self.life = Life(ATTEMPT, "reading" if reads else "writing")
-        self.claims: Hold | None = None  # a writer's: the state that it is to fetch
+        self.claims: HeldState | None = None  # a writer's: the state that it is to fetch
 
     @property
     def out(self) -> bool:
@@ -120,7 +129,7 @@
         return self.life.state == "streaming"
 
 
-class Hold:
+class HeldState:
     """What one reader holds for one sequence, and the handle by which it is fetched."""
 
     __slots__ = ("engine", "handle", "life")
@@ -129,7 +138,7 @@
         self.engine, self.life, self.handle = engine, Life(HOLD), None
 
 
-class Held:
+class InFlightSequence:
     """One sequence that the host holds for the module."""
 
     __slots__ = (
@@ -150,67 +159,66 @@
     )
 
     def __init__(
-        self, seq: int, label: str, asked: object, arrival: itf.Arrival, client: Client, now: float
+        self, seq: int, label: str, asked: object, arrival: contract.Arrival, client: Client, now: float
     ) -> None:
         self.seq, self.label, self.asked, self.arrival, self.client = seq, label, asked, arrival, client
         self.since, self.abandon_at = now, now + arrival.time_left
         self.life = Life(ANSWER_LIFE)
         self.attempts: list[Attempt] = []
-        self.holds: dict[int, Hold] = {}  # by engine
+        self.holds: dict[int, HeldState] = {}  # by engine
         self.begun: Attempt | None = None  # the attempt whose answer the client is getting
         self.first_at = 0.0
         self.tokens = 0
         self.before = 0  # attempts of owners before this node
 
 
-class Host:
+class ActionExecutor:
     """The module's host: `router` decides, `carrier` moves, `clock` is the node's only clock."""
 
     def __init__(
         self,
         router: object,
-        door: Door,
-        terms: itf.Terms,
+        door: RequestDecoder,
+        terms: contract.RouterConfig,
         clock: object,
-        carrier: Carrier,
+        carrier: EngineTransport,
         prefix: str = "",
         log: Callable[..., None] = lambda event, **more: None,
     ) -> None:
         self.router, self.door, self.terms, self.clock = router, door, terms, clock
         self.carrier, self.prefix, self.log = carrier, prefix, log
-        self.held: dict[int, Held] = {}
+        self.held: dict[int, InFlightSequence] = {}
         self.answered: Counter[str] = Counter()
         self.taken = self.list_version = 0
         self.list_label = "0"  # number and digest of the version that decisions are made by
         self._next = 0
         self._calls: deque[tuple] = deque()
         self._busy = False
-        self._verbs = {
-            name: getattr(self, "_" + name)
-            for name in (
-                "send",
-                "release",
-                "cancel",
-                "reject",
-                "abort",
-                "wake",
-                "close",
-                "watch",
-                "relist",
-                "note",
-                "done",
-                "hold",
-                "move",
-                "probe",
-                "tell",
-            )
+        self._handlers: dict[type, Callable[..., None]] = {
+            contract.Send: self._send,
+            contract.Release: self._release,
+            contract.CancelAttempt: self._cancel,
+            contract.Reject: self._reject,
+            contract.Abort: self._abort,
+            contract.ScheduleWakeup: self._schedule_wakeup,
+            contract.CloseIdle: self._close_idle,
+            contract.WatchEndpoints: self._watch_endpoints,
+            contract.PollEndpoints: self._poll_endpoints,
+            contract.LogNote: self._log_note,
+            contract.Forget: self._forget,
+            contract.Probe: self._probe,
+            contract.Reserve: self._refuse_action,
+            contract.Migrate: self._refuse_action,
+            contract.Gossip: self._refuse_action,
         }
         self.probe_timeout = 0.25
         self.on_idle: Callable[[], None] = lambda: None
         self.on_sent: Callable[[Attempt], None] = lambda attempt: None
         self.on_back: Callable[[Attempt], None] = lambda attempt: None
-        self.on_answer: Callable[[Held], None] = lambda held: None  # once a sequence, with its final answer
-        self.on_begun: Callable[[Held], None] = lambda held: None
+        self.on_answer: Callable[[InFlightSequence], None] = lambda held: (
+            None
+        )  # once a sequence, with its final answer
+        self.on_begun: Callable[[InFlightSequence], None] = lambda held: None
         self.reread_list: Callable[[], None] = lambda: None
 
     # -- calls from outside -----------------------------------------------------------------------
@@ -233,7 +241,7 @@
                 self.log("engine", engine=row.address, standing=row.state, list_version=self.list_version)
         for address in sorted(left):
             self.log("engine", engine=address, standing="gone", list_version=self.list_version)
-        self._say("engines", listings, whole)
+        self._say("update_endpoints", listings, whole)
         for address in self.door.engines.sweep():
             self.carrier.forget(address)
 
@@ -244,23 +252,23 @@
     def take(
         self,
         asked: object,
-        arrival: itf.Arrival,
+        arrival: contract.Arrival,
         client: Client,
         label: str = "",
         before: int = 0,
         handle: object = None,
-    ) -> Held:
+    ) -> InFlightSequence:
         """A sequence came in. From here on one final answer is owed, before its time is over.
 
         `label`: by which engines know it, where its client gave it one, or another node had it before, with
-        so many attempts (`before`); `handle`: of the state that `arrival.held_at` holds for it.
+        so many attempts (`before`); `handle`: of the state that `arrival.state_held_by` holds for it.
         """
         label, seq = label or self.next_label(), self._next
         self._next += 1
-        held = self.held[seq] = Held(seq, label, asked, arrival, client, self.clock.seconds())
+        held = self.held[seq] = InFlightSequence(seq, label, asked, arrival, client, self.clock.seconds())
         held.before = before
         if handle is not None:
-            hold = held.holds[arrival.held_at] = Hold(arrival.held_at)
+            hold = held.holds[arrival.state_held_by] = HeldState(arrival.state_held_by)
             hold.life.step("send")
             hold.life.step("done")
             hold.handle = handle
@@ -268,31 +276,31 @@
         self._say("arrive", seq, arrival)
         return held
 
-    def left(self, held: Held) -> None:
+    def left(self, held: InFlightSequence) -> None:
         """The client went away: nothing more is owed, and what runs for it is stopped."""
         if held.life.step("leave") != LATE:
             self._close_answer(held)
 
-    def out_of_time(self, held: Held, reason: str) -> None:
+    def out_of_time(self, held: InFlightSequence, reason: str) -> None:
         """The bound on the whole stream is due, or the node goes: abort what has no answer yet."""
         if held.life.step("late") == ANSWER:
             held.client.aborted(reason)
             self._close_answer(held)
 
-    def hand_over(self, held: Held) -> None:
+    def hand_over(self, held: InFlightSequence) -> None:
         """Another node goes on with it: nothing more is owed here, and a stream that runs is left to it."""
         stream, held.begun = held.begun, None
         if held.life.step("leave") == LATE:
             return
         self._note_answer(held)
-        self._say("left", held.seq)
+        self._say("client_left", held.seq)
         if stream is not None and stream.out:
-            self.ended(stream, itf.CANCELLED)
+            self.ended(stream, contract.Outcome.CANCELLED)
 
-    def _close_answer(self, held: Held) -> None:
+    def _close_answer(self, held: InFlightSequence) -> None:
         """The answer was not the module's doing: tell it, and stop a stream that nobody reads any more."""
         self._note_answer(held)
-        self._say("left", held.seq)
+        self._say("client_left", held.seq)
         if held.begun is not None:
             self._stop(held.begun)
 
@@ -326,7 +334,7 @@
         attempt: Attempt,
         outcome: str,
         kept: float = 0.0,
-        load: itf.Load | None = None,
+        load: contract.LoadReport | None = None,
         handle: object = None,
         tokens: int = 0,
     ) -> None:
@@ -336,16 +344,16 @@
             return
         held, now = attempt.held, self.clock.seconds()
         self._disarm(attempt)
-        if begun and outcome in (itf.FULL, itf.UNREACHED, itf.UNSENT):
+        if begun and outcome in (contract.Outcome.FULL, contract.Outcome.UNREACHED, contract.Outcome.UNSENT):
             # Guards against an engine that takes its word back: what has streamed has run.
-            outcome, kept = itf.RESET, 0.0
+            outcome, kept = contract.Outcome.RESET, 0.0
         if attempt.reads:
             hold = held.holds[attempt.engine]
             hold.handle = handle
             self._hold_step(held, hold, READ_ENDS[outcome])
         elif attempt.claims is not None:
             self._hold_step(held, attempt.claims, write_ends(outcome, bool(kept)))
-        if outcome == itf.GENERATED and held.begun in (None, attempt):
+        if outcome == contract.Outcome.GENERATED and held.begun in (None, attempt):
             if held.life.step("whole") == ANSWER:
                 self._note_answer(held, tokens=tokens)
                 held.client.generated(tokens)
@@ -375,8 +383,8 @@
         try:
             while self._calls:
                 call, args = self._calls.popleft()
-                for result in getattr(self.router, call)(self.clock.seconds(), *args):
-                    self._verbs[result[0]](*result[1:])
+                for action in getattr(self.router, call)(self.clock.seconds(), *args):
+                    self._handlers[type(action)](*action)
         finally:
             self._busy = False
         if not self.held:
@@ -396,7 +404,7 @@
         self.door.engines.used(engine)
         self.on_sent(attempt)
         if reads:
-            hold = held.holds.setdefault(engine, Hold(engine))
+            hold = held.holds.setdefault(engine, HeldState(engine))
             hold.life.step("send")
         else:
             claims = [
@@ -406,7 +414,7 @@
                 attempt.claims = claims[-1]
                 attempt.claims.life.step("claim")
         if held.life.over:
-            self.clock.callLater(0, self.ended, attempt, itf.UNSENT)
+            self.clock.callLater(0, self.ended, attempt, contract.Outcome.UNSENT)
             return
         attempt.timer = self.clock.callLater(max(0.0, until - now), self._timed_out, attempt)
         self.carrier.start(attempt)
@@ -417,7 +425,7 @@
             if self._hold_step(held, hold, "release") == TELL_RELEASE:
                 self.carrier.release(hold.engine, held.label)
 
-    def _hold_step(self, held: Held, hold: Hold, event: str) -> str:
+    def _hold_step(self, held: InFlightSequence, hold: HeldState, event: str) -> str:
         do = hold.life.step(event)
         if hold.life.state == "none":
             held.holds.pop(hold.engine, None)
@@ -434,7 +442,7 @@
     def _abort(self, seq: int) -> None:
         self._answer(self.held[seq], "abort", 0.0)
 
-    def _answer(self, held: Held, event: str, wait: float) -> None:
+    def _answer(self, held: InFlightSequence, event: str, wait: float) -> None:
         if held.life.step(event) != ANSWER:
             return
         self._note_answer(held)
@@ -443,41 +451,39 @@
         else:
             held.client.aborted("no engine could answer in time, and it may have run")
 
-    def _wake(self, delay: float, token: int) -> None:
+    def _schedule_wakeup(self, delay: float, token: int) -> None:
         self.clock.callLater(delay, self._say, "wake", token)
 
-    def _close(self, engine: int) -> None:
+    def _close_idle(self, engine: int) -> None:
         self.carrier.close_idle(engine)
 
-    def _watch(self, on: bool) -> None:
+    def _watch_endpoints(self, on: bool) -> None:
         """Sources hand over news without being asked; only terms with `ask_for_list` bring this result."""
 
-    def _relist(self) -> None:
+    def _poll_endpoints(self) -> None:
         self.reread_list()
 
-    def _note(self, text: str) -> None:
+    def _log_note(self, text: str) -> None:
         self.log("note", text=text)
 
-    def _done(self, seq: int) -> None:
+    def _forget(self, seq: int) -> None:
         # its attempts refer to it: without this only the collector would free them, and the request with them
         held = self.held.pop(seq)
         held.attempts, held.begun = [], None
 
-    def _never(self, *args: object) -> None:
-        raise ContractBroken(f"a result that the terms rule out: {args}")
-
-    _hold = _move = _tell = _never
+    def _refuse_action(self, *fields: object) -> None:
+        raise ContractViolationError(f"an action that the configuration rules out: {fields}")
 
     def _probe(self, engine: int) -> None:
         if not self.terms.may_probe:
-            self._never("probe", engine)
+            self._refuse_action(engine)
         since = self.clock.seconds()
         # Guards against word on an engine whose index was handed on meanwhile.
         self.door.engines.used(engine)
         self.carrier.probe(engine, self.probe_timeout, partial(self._probed, engine, since))
 
-    def _probed(self, engine: int, since: float, sound: bool, load: itf.Load | None) -> None:
-        self._say("probed", engine, sound, self.clock.seconds() - since, load)
+    def _probed(self, engine: int, since: float, sound: bool, load: contract.LoadReport | None) -> None:
+        self._say("probe_ended", engine, sound, self.clock.seconds() - since, load)
         self._unused(engine)
 
     # -- small steps ------------------------------------------------------------------------------
@@ -488,7 +494,7 @@
         if address:
             self.carrier.forget(address)
 
-    def _note_answer(self, held: Held, **more: object) -> None:
+    def _note_answer(self, held: InFlightSequence, **more: object) -> None:
         answer = held.life.state
         self.answered[answer] += 1
         first = round(held.first_at - held.since, 4) if held.first_at else None
@@ -508,12 +514,12 @@
     def _timed_out(self, attempt: Attempt) -> None:
         if attempt.out:
             self.carrier.cancel(attempt)
-            self.ended(attempt, itf.TIMEOUT)
+            self.ended(attempt, contract.Outcome.TIMEOUT)
 
     def _stop(self, attempt: Attempt) -> None:
         if attempt.out:
             self.carrier.cancel(attempt)
-            self.ended(attempt, itf.CANCELLED)
+            self.ended(attempt, contract.Outcome.CANCELLED)
 
     def _disarm(self, attempt: Attempt) -> None:
         if attempt.timer is not None and attempt.timer.active():
--- a/myrtlehub/node/batches.py
+++ b/myrtlehub/node/batches.py
@@ -18,8 +18,8 @@
 from myrtlehub.batching.parts import Room, split
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.limits.shares import FrontShares
-from myrtlehub.node.door import Asked, NotTaken
-from myrtlehub.node.host import Attempt, Held, Host
+from myrtlehub.node.action_executor import ActionExecutor, Attempt, InFlightSequence
+from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
 from myrtlehub.proto import engine_pb2 as pb
 
 ENTRY = 400  # bytes that a kept result takes beside itself
@@ -36,7 +36,7 @@
     """A request as a front decoded it."""
 
     front: str
-    asked: Asked  # of the whole batch; prompt and most_output are filled in here
+    asked: DecodedRequest  # of the whole batch; prompt and most_output are filled in here
     items: Sequence[Item]
     besides: int  # tokens that each item costs beside its own
     streams: bool
@@ -66,7 +66,7 @@
         self.owners: list[tuple[Batch, int, list[int]]] = []  # batch, number of its part, its items
         self.wanted: set[Batch] = set()  # those of them that still wait for it
         self.size = 0  # tokens
-        self.held: Held | None = None
+        self.held: InFlightSequence | None = None
         self.over = False
 
     def add(self, batch: "Batch", part: int, indices: list[int]) -> None:
@@ -97,7 +97,7 @@
         )
         try:
             arrival = desk.host.door.arrival(asked, desk.clock.seconds())
-        except NotTaken as fault:  # the whole was let in, so this is about a part: nothing ran
+        except InvalidRequestError as fault:  # the whole was let in, so this is about a part: nothing ran
             self.rejected(0.0, str(fault))
             return
         self.held = desk.host.take(asked, arrival, self)
@@ -340,7 +340,7 @@
 class BatchDesk:
     """All batches of a node."""
 
-    def __init__(self, host: Host, sheet: NodeSheet, clock: object) -> None:
+    def __init__(self, host: ActionExecutor, sheet: NodeSheet, clock: object) -> None:
         b = sheet.batches
         self.host, self.sheet, self.clock, self.wait = host, sheet, clock, sheet.node.max_wait
         self.kept = KeptResults(b.keep)
@@ -408,12 +408,12 @@
         return self.host.door.rows[self.host.door.traffic[traffic_type]].utility
 
     def take(self, want: Want, asker: Asker) -> Batch:
-        """A request came in. Raises NotTaken, naming the field."""
+        """A request came in. Raises InvalidRequestError, naming the field."""
         most = self.sheet.batches.most_items
         if not want.items:
-            raise NotTaken("inputs: there is none")
+            raise InvalidRequestError("inputs: there is none")
         if len(want.items) > most:
-            raise NotTaken(f"inputs: {len(want.items)} are more than the {most} of one request")
+            raise InvalidRequestError(f"inputs: {len(want.items)} are more than the {most} of one request")
         total = sum(i.tokens + want.besides for i in want.items)
         asked = want.asked._replace(prompt=max(1, total), most_output=1, front=want.front)
         now = self.clock.seconds()
@@ -421,7 +421,7 @@
         row = self.host.door.rows[arrival.traffic]
         repeatable, room = row.repeats == "repeatable", self.room(want.front)
         if not repeatable and (total > room.tokens or len(want.items) > room.items):
-            raise NotTaken(
+            raise InvalidRequestError(
                 f"inputs: traffic type {row.name!r} is not repeatable, so its batches go whole to "
                 f"one engine: at most {room.items} items and {room.tokens:g} tokens"
             )
--- a/myrtlehub/node/calls.py
+++ b/myrtlehub/node/calls.py
@@ -5,8 +5,8 @@
 
 from myrtlehub.batching.join import Answer
 from myrtlehub.node.batches import Batch, BatchDesk, Want
-from myrtlehub.node.door import Asked, NotTaken
 from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
 from myrtlehub.proto import engine_pb2
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.proto.chat_pb2 import Aborted, Rejected
@@ -28,9 +28,9 @@
     reply: Callable[[list[tuple[int, engine_pb2.ItemResult]], object], object]  # results of one message
 
 
-def asked_of(terms: pb.Terms, deadline_in: float) -> Asked:
+def asked_of(terms: pb.Terms, deadline_in: float) -> DecodedRequest:
     """What all batches have in common with chat."""
-    return Asked(
+    return DecodedRequest(
         terms.traffic_type,
         terms.tenant,
         prompt=1,
@@ -121,7 +121,7 @@
                 peers.open(
                     call, "batch", terms.tenant, desk.utility(terms.traffic_type), len(data), batch.cut
                 )
-            except (NotTaken, ValueError) as fault:
+            except (InvalidRequestError, ValueError) as fault:
                 raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
             return mine
 
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -1,15 +1,15 @@
-"""The chat front: Chat.Generate as Asked and Client. Decodes and encodes; decides nothing."""
+"""The chat front: Chat.Generate as DecodedRequest and Client. Decodes and encodes; decides nothing."""
 
 from collections.abc import Callable
 
 from myrtlehub.config.sheets import TrafficRow
 from myrtlehub.limits.admit import NEVER, Admission
 from myrtlehub.limits.shares import FrontShares
-from myrtlehub.node.door import Asked, NotTaken
-from myrtlehub.node.host import Held, Host
+from myrtlehub.node.action_executor import ActionExecutor, InFlightSequence
 from myrtlehub.node.keeping import Keeping
 from myrtlehub.node.links import Links
 from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
 from myrtlehub.node.takeover import Takeover, Wanted
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.server import Receiver, ServerCall, server_stream
@@ -21,9 +21,9 @@
 class _Waiting(Receiver):
     """One client's stream: what the host tells it, and back-pressure the other way."""
 
-    def __init__(self, host: Host, call: ServerCall) -> None:
+    def __init__(self, host: ActionExecutor, call: ServerCall) -> None:
         self.host, self.call = host, call
-        self.held: Held | None = None
+        self.held: InFlightSequence | None = None
         self.timer = None
         # Where there is admission: the front, and what waits at its gate.
         self.front: ChatFront | None = None
@@ -140,9 +140,9 @@
         """The stream is over; `lost` says so as well."""
 
 
-def asked_of(request: pb.GenerateRequest, deadline_in: float) -> Asked:
+def asked_of(request: pb.GenerateRequest, deadline_in: float) -> DecodedRequest:
     """A request's fields, in our units."""
-    return Asked(
+    return DecodedRequest(
         request.traffic_type,
         request.tenant,
         request.session,
@@ -164,7 +164,7 @@
 
     def __init__(
         self,
-        host: Host,
+        host: ActionExecutor,
         most_sequences: int,
         wait: float,
         shares: FrontShares,
@@ -204,7 +204,7 @@
         asked = asked_of(request, call.time_left())
         try:
             arrival = self.host.door.arrival(asked, self.host.clock.seconds())
-        except NotTaken as fault:
+        except InvalidRequestError as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
         full = self.closed or len(self.host.held) >= self.most
         wait = self.peers.refuses(call, asked.tenant, asked.repeated, len(data), full)
@@ -212,7 +212,7 @@
             self.turned_away(self.host.door.rows[arrival.traffic])
             waiting.rejected(wait)  # not taken: nothing ran
             return waiting
-        self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt)
+        self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt_tokens)
         call.stream.registerProducer(waiting, True)
         if call.deadline is not None:
             now, slack = self.host.clock.seconds(), self.host.terms.answer_slack
@@ -234,14 +234,14 @@
             self.pump()
         return waiting
 
-    def _take(self, waiting: _Waiting, asked: Asked, arrival: object) -> None:
+    def _take(self, waiting: _Waiting, asked: DecodedRequest, arrival: object) -> None:
         """Hand it to the module; its id is said with the first message."""
         self._hand(waiting, asked, "", arrival)
 
     def _hand(
         self,
         waiting: _Waiting,
-        asked: Asked,
+        asked: DecodedRequest,
         label: str,
         arrival: object,
         before: int = 0,
--- a/myrtlehub/node/indices.py
+++ b/myrtlehub/node/endpoint_index.py
@@ -5,18 +5,22 @@
 
 import xxhash
 
-from myrtlehub import interface as itf
 from myrtlehub.membership.rows import Row, served
+from myrtlehub.routing import contract
 
-STATES = {"serving": itf.SERVING, "draining": itf.DRAINING, "gone": itf.GONE}
+STATES = {
+    "serving": contract.EngineState.SERVING,
+    "draining": contract.EngineState.DRAINING,
+    "gone": contract.EngineState.GONE,
+}
 
 
-def key_of(text: str) -> int:
+def hash_key(text: str) -> int:
     """A session or prefix as a whole number below 2^53, never 0; 0 for none."""
     return (xxhash.xxh3_64_intdigest(text.encode()) >> 11) or 1 if text else 0
 
 
-class EngineIndices:
+class EndpointIndex:
     """Engines by address and by dense index; an index is handed on only once nothing of its engine is out."""
 
     def __init__(self) -> None:
@@ -29,7 +33,7 @@
 
     def listings(
         self, rows: Iterable[Row], whole: bool, kinds: dict[str, int], zones: dict[str, int], now: float
-    ) -> list[itf.Listing]:
+    ) -> list[contract.EndpointUpdate]:
         """News of the list as listings, in order; engines it removes are remembered until they are unused."""
         listings, seen, at = [], set(), self.at
         for row in rows:
@@ -38,18 +42,18 @@
             state, index = STATES[word], at.get(address)
             fresh = index is None
             if fresh:
-                if state == itf.GONE:
+                if state == contract.EngineState.GONE:
                     continue
                 index = at[address] = self._new(row)
             else:
                 self.rows[index] = row
             seen.add(index)
-            if state == itf.GONE:
+            if state == contract.EngineState.GONE:
                 self._gone.add(index)
             else:
                 self._gone.discard(index)
             listings.append(
-                itf.Listing(
+                contract.EndpointUpdate(
                     index,
                     fresh,
                     state,
--- a/myrtlehub/node/figures.py
+++ b/myrtlehub/node/figures.py
@@ -10,7 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from myrtlehub.config.sheets import TrafficRow
-from myrtlehub.node.host import Held, Host
+from myrtlehub.node.action_executor import ActionExecutor, InFlightSequence
 
 LONGEST = 600_000_000  # microseconds that a first token can be kept as having taken
 DIGITS = 2  # significant, of a first token's time: 1 in 100 is finer than any guard
@@ -37,7 +37,7 @@
         self.by_type: dict[str, TrafficSums] = {}
         self.generated = 0
 
-    def follow(self, host: Host) -> None:
+    def follow(self, host: ActionExecutor) -> None:
         """Count a host's answers."""
         host.on_answer = lambda held: self._answered(host, held)
 
@@ -55,7 +55,7 @@
         sums.utility += row.utility
         sums.answers["rejected"] += 1
 
-    def _answered(self, host: Host, held: Held) -> None:
+    def _answered(self, host: ActionExecutor, held: InFlightSequence) -> None:
         row, answer = host.door.rows[held.arrival.traffic], held.life.state
         sums = self.of(row.name)
         sums.asked += 1
@@ -70,7 +70,7 @@
             sums.first_log += math.log(took)
         if answer == "generated":
             self.generated += 1
-            slo = row.latency_slo + row.slo_per_1000_tokens * held.arrival.prompt / 1000.0
+            slo = row.latency_slo + row.slo_per_1000_tokens * held.arrival.prompt_tokens / 1000.0
             in_time = held.first_at - held.since <= slo
             sums.served += row.utility * (1.0 if in_time else row.late_share)
 
--- a/myrtlehub/node/keeping.py
+++ b/myrtlehub/node/keeping.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from myrtlehub.config.sheets import TakeoverGroup
-from myrtlehub.node.host import Attempt, Held, Host
+from myrtlehub.node.action_executor import ActionExecutor, Attempt, InFlightSequence
 from myrtlehub.proto import peers_pb2 as pb
 from myrtlehub.recovery import owner
 from myrtlehub.recovery.detect import EVERY, Detector
@@ -91,7 +91,7 @@
         self.addresses = {p.name: p.address for p in group.peers}
         self.peers: dict[str, Peer] = {}
         self.owned: dict[str, Owned] = {}
-        self.hosts: dict[str, Host] = {}  # of sequences in hand here
+        self.hosts: dict[str, ActionExecutor] = {}  # of sequences in hand here
         self.parked: dict[str, tuple[Attempt, Callable[[str], None], object]] = {}
         self.told_at: dict[str, float] = {}  # by sequence: when its keepers were last told
         self.former: dict[
@@ -211,7 +211,7 @@
         owned = self.owned.get(sequence)
         return owned.record.claim if owned is not None else self.former.get(sequence, NOBODY)
 
-    def adopt(self, host: Host, record: Record, runs: dict[str, str], unsure: set[str]) -> None:
+    def adopt(self, host: ActionExecutor, record: Record, runs: dict[str, str], unsure: set[str]) -> None:
         """A sequence that was taken over is this node's from now on; `runs`: the keepers that may have it."""
         owned = Owned.begun(record, runs, taken=True)
         for keeper in unsure:
@@ -224,7 +224,7 @@
         self.told_at[record.sequence] = self.clock.seconds()
         self.counts["taken over"] += 1
 
-    def intends(self, host: Host, attempt: Attempt, then: Callable[[str], None]) -> str:
+    def intends(self, host: ActionExecutor, attempt: Attempt, then: Callable[[str], None]) -> str:
         """An attempt is to be sent: `go`, `never`, or `wait`, and `then` is told which of the two."""
         held, now = attempt.held, self.clock.seconds()
         label = held.label
@@ -320,7 +320,7 @@
             host.hand_over(held)
             held.client.superseded("another node has this sequence now")
 
-    def begun(self, held: Held) -> None:
+    def begun(self, held: InFlightSequence) -> None:
         """Its answer streams: keepers hear so with the next beat."""
         owned = self.owned.get(held.label)
         if owned is not None and not owned.record.streams:
@@ -407,7 +407,7 @@
         self.links, self.keeping = links, keeping
 
     def start(self, attempt: Attempt) -> None:
-        """See `host.Carrier`."""
+        """See `host.EngineTransport`."""
         host = self.links.host
         says = self.keeping.intends(host, attempt, partial(self._then, attempt))
         if says == owner.GO:
@@ -424,14 +424,14 @@
             self.links.host.ended(attempt, "unsent")
 
     def cancel(self, attempt: Attempt) -> None:
-        """See `host.Carrier`."""
+        """See `host.EngineTransport`."""
         if attempt.call is None:
             self.keeping.unpark(attempt.held.label)
         else:
             self.links.cancel(attempt)
 
     def release(self, engine: int, label: str) -> None:
-        """See `host.Carrier`."""
+        """See `host.EngineTransport`."""
         if label not in self.keeping.moved:  # what is held for it is for whoever goes on with it
             self.links.release(engine, label)
 
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -1,12 +1,12 @@
-"""One connection an engine, and what is said on it: the host's Carrier over gRPC."""
+"""One connection an engine, and what is said on it: the host's EngineTransport over gRPC."""
 
 from collections.abc import Callable
 from random import Random
 
-from myrtlehub import interface as itf
-from myrtlehub.node.host import NEVER, Attempt, Host
+from myrtlehub.node.action_executor import NEVER, ActionExecutor, Attempt
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.recovery.records import NOBODY, Claim
+from myrtlehub.routing import contract
 from myrtlehub.rpc.channel import WAITING, CallWatcher, Channel
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.status import Code, Status
@@ -16,12 +16,14 @@
 LATE = 0.05  # seconds past its time-out at which the engine's own deadline for an attempt falls
 
 
-def load_of(message: object) -> itf.Load | None:
+def load_of(message: object) -> contract.LoadReport | None:
     """A load report as the module's, None where there is none."""
     if not message.HasField("load"):
         return None
     load = message.load
-    return itf.Load(**{f: getattr(load, f) for f in itf.Load._fields if load.HasField(f)})
+    return contract.LoadReport(
+        **{f: getattr(load, f) for f in contract.LoadReport._fields if load.HasField(f)}
+    )
 
 
 def outcome_of(status: Status) -> str:
@@ -30,16 +32,16 @@
     Only what surely never reached the engine's program counts as not having run.
     """
     if status.unprocessed:
-        return itf.UNREACHED
+        return contract.Outcome.UNREACHED
     if status.broken:
-        return itf.RESET
-    return itf.TIMEOUT if status.code == Code.DEADLINE_EXCEEDED else itf.ERROR
+        return contract.Outcome.RESET
+    return contract.Outcome.TIMEOUT if status.code == Code.DEADLINE_EXCEEDED else contract.Outcome.ERROR
 
 
 class _Watcher(CallWatcher):
     """Of an attempt: what its call brings, told to the host."""
 
-    def __init__(self, host: Host, attempt: Attempt) -> None:
+    def __init__(self, host: ActionExecutor, attempt: Attempt) -> None:
         self.host, self.attempt = host, attempt
 
     def parsed(self, kind: type, data: bytes) -> object | None:
@@ -48,7 +50,7 @@
             return kind.FromString(data)
         except ValueError:
             self.attempt.call.cancel()
-            self.host.ended(self.attempt, itf.ERROR)
+            self.host.ended(self.attempt, contract.Outcome.ERROR)
             return None
 
     def ended(self, status: Status) -> None:
@@ -70,9 +72,9 @@
             return
         load = load_of(reply)
         if reply.HasField("read"):
-            self.host.ended(self.attempt, itf.READ, float(reply.kept_tokens), load, reply.read)
+            self.host.ended(self.attempt, contract.Outcome.READ, float(reply.kept_tokens), load, reply.read)
         else:
-            self.host.ended(self.attempt, itf.FULL, 0.0, load_of(reply.refused) or load)
+            self.host.ended(self.attempt, contract.Outcome.FULL, 0.0, load_of(reply.refused) or load)
 
 
 class _Write(_Watcher):
@@ -91,16 +93,22 @@
         if which == "ended":
             ended = reply.ended
             self.host.ended(
-                attempt, itf.GENERATED, float(ended.kept_tokens), load_of(ended), tokens=ended.tokens
+                attempt,
+                contract.Outcome.GENERATED,
+                float(ended.kept_tokens),
+                load_of(ended),
+                tokens=ended.tokens,
             )
         elif which == "refused":
-            self.host.ended(attempt, itf.FULL, float(reply.refused.no_state), load_of(reply.refused))
+            self.host.ended(
+                attempt, contract.Outcome.FULL, float(reply.refused.no_state), load_of(reply.refused)
+            )
 
 
 class _Batch(_Watcher):
     """A part of a batch: its results count once all are there, and one that broke off is done again."""
 
-    def __init__(self, host: Host, attempt: Attempt) -> None:
+    def __init__(self, host: ActionExecutor, attempt: Attempt) -> None:
         super().__init__(host, attempt)
         self.results: list[pb.ItemResult] = []
 
@@ -116,9 +124,11 @@
             self.results.extend(reply.items.results)
         elif which == "ended":
             self.host.began(attempt, (reply.ended.model, self.results))
-            self.host.ended(attempt, itf.GENERATED, 0.0, load_of(reply.ended), tokens=len(self.results))
+            self.host.ended(
+                attempt, contract.Outcome.GENERATED, 0.0, load_of(reply.ended), tokens=len(self.results)
+            )
         elif which == "refused":
-            self.host.ended(attempt, itf.FULL, 0.0, load_of(reply.refused))
+            self.host.ended(attempt, contract.Outcome.FULL, 0.0, load_of(reply.refused))
 
 
 class Links:
@@ -136,7 +146,7 @@
         self.clock, self.dial, self.name, self.random = clock, dial, name, random
         self.connect_timeout, self.bounds = connect_timeout, bounds or TransportBounds()
         self.channels: dict[str, Channel] = {}
-        self.host: Host | None = None
+        self.host: ActionExecutor | None = None
         # By which claim this node has a sequence, where nodes take work over.
         self.claim_of: Callable[[str], Claim] = lambda label: NOBODY
 
@@ -178,7 +188,7 @@
             first_within_ms=max(1, int((held.abandon_at - self.clock.seconds()) * 1000)),
         )
         if asked.batch:
-            # Fields of two serialised messages, one after the other, are those of one.
+            # EnginePools of two serialised messages, one after the other, are those of one.
             path, watcher = "Batch", _Batch(self.host, attempt)
             data = pb.BatchRequest(work=work).SerializeToString() + asked.batch
             timeout = attempt.until - self.clock.seconds() + LATE
@@ -213,7 +223,9 @@
         )
         done.addErrback(lambda failure: None)  # an engine that cannot be told lets go by its own bound
 
-    def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
+    def probe(
+        self, engine: int, timeout: float, then: Callable[[bool, contract.LoadReport | None], None]
+    ) -> None:
         done = self.channel(engine).unary(
             SERVICE + "Probe", pb.ProbeRequest().SerializeToString(), timeout=timeout
         )
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -13,9 +13,9 @@
 from myrtlehub.membership.store import VersionStore
 from myrtlehub.membership.watched import WatchedList
 from myrtlehub.node import revision
+from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.admin import NodeAdmin
 from myrtlehub.node.figures import Figures
-from myrtlehub.node.host import Host
 from myrtlehub.node.keeping import Keeping
 from myrtlehub.node.takeover import let_go
 from myrtlehub.node.works import Around, Works
@@ -36,7 +36,7 @@
         dial: Callable[[str], Callable],
         run: str = "0",
         log: Callable[..., None] = lambda event, **more: None,
-        host_class: type[Host] = Host,
+        host_class: type[ActionExecutor] = ActionExecutor,
         base: Path = Path(),
         notify: Callable = lambda paths, changed: None,
         reader: Callable | None = None,
--- a/myrtlehub/node/rank.py
+++ b/myrtlehub/node/rank.py
@@ -4,7 +4,7 @@
 
 from myrtlehub.node.batches import Item, Want
 from myrtlehub.node.calls import Front, tokens_of
-from myrtlehub.node.door import Asked
+from myrtlehub.node.request_decoder import DecodedRequest
 from myrtlehub.proto import engine_pb2
 from myrtlehub.proto import items_pb2 as pb
 
@@ -16,7 +16,7 @@
     items = [Item(d.text, tokens_of(d)) for d in request.documents]
     task = engine_pb2.BatchRequest(task="rank", query=request.query.text)
     like = xxhash.xxh3_128_digest(request.query.text)
-    return Want("rank", Asked(""), items, tokens_of(request.query), streams, task, like, False)
+    return Want("rank", DecodedRequest(""), items, tokens_of(request.query), streams, task, like, False)
 
 
 def reply(results: list[tuple[int, engine_pb2.ItemResult]], request: pb.RankRequest) -> pb.RankReply:
--- a/myrtlehub/node/door.py
+++ b/myrtlehub/node/request_decoder.py
@@ -2,19 +2,19 @@
 
 from typing import NamedTuple
 
-from myrtlehub import interface as itf
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.limits.lag import LagMeter
-from myrtlehub.node.indices import EngineIndices, key_of
+from myrtlehub.node.endpoint_index import EndpointIndex, hash_key
+from myrtlehub.routing import contract
 
 MARK_LIMIT = 200
 
 
-class NotTaken(Exception):
+class InvalidRequestError(Exception):
     """A request that is malformed: it was not taken, and nothing ran. The text says what to mend."""
 
 
-class Asked(NamedTuple):
+class DecodedRequest(NamedTuple):
     """A request as it came, whatever the front."""
 
     traffic_type: str
@@ -34,7 +34,7 @@
     batch: bytes = b""  # of a part: a BatchRequest without its `work`
 
 
-class Door:
+class RequestDecoder:
     """Names of a node's file against indices, and requests against what the file allows."""
 
     def __init__(self, sheet: NodeSheet) -> None:
@@ -44,37 +44,43 @@
         self.kinds = {k.name: i for i, k in enumerate(sheet.kinds)}
         self.zones = {z: i for i, z in enumerate(sheet.zones)}
         self.slack = sheet.rules.answer_slack
-        self.engines = EngineIndices()
+        self.engines = EndpointIndex()
         self.lag = LagMeter()  # beats come from whoever runs the node; without any it takes nothing off
 
-    def arrival(self, a: Asked, now: float) -> itf.Arrival:
-        """Raises NotTaken, naming the field."""
+    def arrival(self, a: DecodedRequest, now: float) -> contract.Arrival:
+        """Raises InvalidRequestError, naming the field."""
         if a.traffic_type not in self.traffic:
-            raise NotTaken(f"traffic_type {a.traffic_type!r} is not one of {', '.join(sorted(self.traffic))}")
+            raise InvalidRequestError(
+                f"traffic_type {a.traffic_type!r} is not one of {', '.join(sorted(self.traffic))}"
+            )
         if a.tenant and self.tenants and a.tenant not in self.tenants:
-            raise NotTaken(f"tenant {a.tenant!r} is not known here")
+            raise InvalidRequestError(f"tenant {a.tenant!r} is not known here")
         for name in ("prompt", "most_output"):
             if getattr(a, name) < 1:
-                raise NotTaken(f"{name}{'_tokens' if name == 'prompt' else ''} has to be at least 1")
+                raise InvalidRequestError(
+                    f"{name}{'_tokens' if name == 'prompt' else ''} has to be at least 1"
+                )
         if a.shared > a.prompt:
-            raise NotTaken(f"shared_tokens {a.shared} is more than prompt_tokens {a.prompt}")
+            raise InvalidRequestError(f"shared_tokens {a.shared} is more than prompt_tokens {a.prompt}")
         traffic = self.traffic[a.traffic_type]
         row = self.rows[traffic]
         if row.front != a.front:
-            raise NotTaken(f"traffic_type {a.traffic_type!r} is for the front {row.front!r}")
+            raise InvalidRequestError(f"traffic_type {a.traffic_type!r} is for the front {row.front!r}")
         if row.repeats == "tokened" and not a.mark:
-            raise NotTaken(f"mark is required for traffic type {a.traffic_type!r}: repeats are known by it")
+            raise InvalidRequestError(
+                f"mark is required for traffic type {a.traffic_type!r}: repeats are known by it"
+            )
         if len(a.mark.encode()) > MARK_LIMIT:
-            raise NotTaken(f"mark is longer than {MARK_LIMIT} bytes")
+            raise InvalidRequestError(f"mark is longer than {MARK_LIMIT} bytes")
         left = min(a.time_left or row.abandon_time, row.abandon_time, a.deadline_in - self.slack)
         left = self.lag.left(now, left)
-        return itf.Arrival(
+        return contract.Arrival(
             traffic,
             self.tenants.get(a.tenant, -1),
             float(a.prompt),
             left,
-            key_of(a.session),
-            key_of(a.prefix),
+            hash_key(a.session),
+            hash_key(a.prefix),
             float(a.shared),
             float(a.most_output),
             a.expected,
--- a/myrtlehub/node/takeover.py
+++ b/myrtlehub/node/takeover.py
@@ -10,8 +10,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from myrtlehub import interface as itf
-from myrtlehub.node.host import Client, Host
+from myrtlehub.node.action_executor import ActionExecutor, Client
 from myrtlehub.node.keeping import Keeping, unpacked
 from myrtlehub.node.links import SERVICE, TOKENS, Links
 from myrtlehub.proto import engine_pb2 as pb
@@ -19,6 +18,7 @@
 from myrtlehub.recovery.course import Doing, Standing
 from myrtlehub.recovery.keepers import keepers, node_of
 from myrtlehub.recovery.records import Intent, Record, joined
+from myrtlehub.routing import contract
 from myrtlehub.rpc.channel import CallWatcher
 from myrtlehub.rpc.status import Code, Status
 from myrtlehub.state.lives import LATE, Life, table
@@ -49,7 +49,7 @@
     sequence: str
     seen: int  # tokens that it has
     asked: object  # the request, as at the first time
-    arrival: itf.Arrival
+    arrival: contract.Arrival
 
 
 class Takeover:
@@ -62,7 +62,7 @@
         wanted: Wanted,
         keeping: Keeping,
         links: Links,
-        host: Host,
+        host: ActionExecutor,
         client: Client,
         hand: Callable[..., None],
         lost: Callable[[str], None],
@@ -221,11 +221,11 @@
             )
             handle = None
             if doing.do == course.HELD and doing.engine in at:
-                arrival = arrival._replace(held_at=at[doing.engine])
+                arrival = arrival._replace(state_held_by=at[doing.engine])
                 handle = self.states.get(doing.engine)
             if doing.ran is not None and doing.ran.engine in at:
                 ago = self.keeping.clock.seconds() - doing.ran.at
-                arrival = arrival._replace(ran_at=at[doing.ran.engine], ran_ago=ago)
+                arrival = arrival._replace(may_have_run_at=at[doing.ran.engine], may_have_run_ago=ago)
             self.hand(sequence, arrival, len(self.record.intents), handle)
         else:
             self.life.step("giveup")
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -8,22 +8,22 @@
 from typing import NamedTuple
 
 from myrtlehub.config.sheets import EngineRow, NodeSheet
-from myrtlehub.decide import Router
 from myrtlehub.limits.admit import Admission
 from myrtlehub.limits.retries import RetryBudget
+from myrtlehub.node.action_executor import ActionExecutor, InFlightSequence
 from myrtlehub.node.batches import BatchDesk
 from myrtlehub.node.calls import serve
 from myrtlehub.node.chat import ChatFront
-from myrtlehub.node.door import Door
 from myrtlehub.node.embed import EMBED
-from myrtlehub.node.fields import Fields
+from myrtlehub.node.engine_pools import EnginePools
 from myrtlehub.node.figures import Figures
-from myrtlehub.node.host import Held, Host
 from myrtlehub.node.keeping import Gate, Keeping
 from myrtlehub.node.links import Links
 from myrtlehub.node.peers import PeerWatch
 from myrtlehub.node.rank import RANK
-from myrtlehub.node.terms import fronts_of, terms_of
+from myrtlehub.node.request_decoder import RequestDecoder
+from myrtlehub.node.router_config import fronts_of, router_config_of
+from myrtlehub.routing.router import Router
 
 FRONTS = (EMBED, RANK)  # beside chat
 
@@ -35,7 +35,7 @@
     dial: Callable[[str], Callable]
     run: str
     log: Callable[..., None]
-    host_class: type[Host]
+    host_class: type[ActionExecutor]
     figures: Figures
     keeping: Keeping | None = None
 
@@ -49,7 +49,7 @@
         self, sheet: NodeSheet, around: Around, number: int = 0, before: "Works | None" = None
     ) -> None:
         self.sheet, self.around, self.number = sheet, around, number
-        node, terms, fronts = sheet.node, terms_of(sheet), fronts_of(sheet)
+        node, terms, fronts = sheet.node, router_config_of(sheet), fronts_of(sheet)
         clock, log = around.clock, around.log
         self.links = Links(clock, around.dial, node.name, Random(node.seed + 1), node.connect_timeout)
         # The id names the run and the settings as well: a node that came back must not speak of old
@@ -58,7 +58,7 @@
         keeping = around.keeping
         carrier = self.links if keeping is None else Gate(self.links, keeping)
         self.host = around.host_class(
-            self._router(fronts), Door(sheet), terms, clock, carrier, f"{node.name}.{run}.", log
+            self._router(fronts), RequestDecoder(sheet), terms, clock, carrier, f"{node.name}.{run}.", log
         )
         if before is not None:
             self.links.channels = before.links.channels  # a change of settings makes no new connections
@@ -71,7 +71,7 @@
         if keeping is not None:
             counted = self.host.on_answer
 
-            def answered(held: Held) -> None:
+            def answered(held: InFlightSequence) -> None:
                 counted(held)
                 keeping.answered(held.label)
 
@@ -103,11 +103,11 @@
     def _router(self, fronts: list[str]) -> object:
         """The module; where several fronts are served, once a field of engines."""
         if len(fronts) == 1:
-            return Router(terms_of(self.sheet, fronts[0]))
+            return Router(router_config_of(self.sheet, fronts[0]))
         kinds = [frozenset(i for i, k in enumerate(self.sheet.kinds) if k.does(f)) for f in fronts]
-        return Fields(
+        return EnginePools(
             Router,
-            [terms_of(self.sheet, f) for f in fronts],
+            [router_config_of(self.sheet, f) for f in fronts],
             kinds,
             [fronts.index(t.front) for t in self.sheet.traffic],
         )
--- a/myrtlehub/relay/bootstrap.py
+++ b/myrtlehub/relay/bootstrap.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from myrtlehub import interface as itf
-from myrtlehub.decode import decode_load, decode_terms
 from myrtlehub.http1.server import Request
 from myrtlehub.limits.lag import LagMeter
-from myrtlehub.node.indices import EngineIndices, key_of
+from myrtlehub.node.endpoint_index import EndpointIndex, hash_key
+from myrtlehub.platform_settings import load_report_from_platform, router_config_from_settings
+from myrtlehub.routing import contract
 
 STATES = {"active": "serving", "leaving": "draining", "left": "gone"}
 SAFE = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
@@ -142,7 +142,7 @@
     )
 
 
-def terms_of(told: Bootstrap) -> itf.Terms:
+def router_config_of(told: Bootstrap) -> contract.RouterConfig:
     """The module's terms; Malformed where the settings lack a key that it needs."""
     for key in ("Caps", "Invariants", "Specifics"):
         if not isinstance(told.settings.get(key, {}), dict):
@@ -155,7 +155,7 @@
         ):
             raise Malformed(f"settings.{key}: is no list of objects with a Name; write it as one")
     try:
-        return decode_terms(told.settings, told.seed)
+        return router_config_from_settings(told.settings, told.seed)
     except KeyError as fault:
         raise Malformed(f"settings: {fault.args[0]} is missing or unknown; add it or mend it") from fault
     except (TypeError, AttributeError, ValueError, IndexError) as fault:
@@ -181,29 +181,29 @@
     return Caps(figures["ConnectTimeoutMs"] / 1e3, figures["KeepaliveMs"] / 1e3, int(figures["MostHeld"]))
 
 
-def load_of(text: bytes) -> itf.Load | None:
+def load_of(text: bytes) -> contract.LoadReport | None:
     """A load report; one that can't be read is none."""
     try:
         report = msgspec.json.decode(text, type=dict[str, float])
     except (msgspec.DecodeError, ValueError, RecursionError):
         return None
-    return decode_load(report)
+    return load_report_from_platform(report)
 
 
 class Desk:
     """The host's door: names from outside as indices, requests as arrivals, the list as rows."""
 
-    def __init__(self, told: Bootstrap, terms: itf.Terms, epoch: float) -> None:
+    def __init__(self, told: Bootstrap, terms: contract.RouterConfig, epoch: float) -> None:
         s = told.settings
         self.rows = [
-            TrafficLine(c["Name"], t.repeats == itf.ONCE_ONLY)
+            TrafficLine(c["Name"], t.retry_semantics == contract.RetrySemantics.AT_MOST_ONCE)
             for c, t in zip(s["Classes"], terms.traffic, strict=True)
         ]
         self.traffic = {row.name: i for i, row in enumerate(self.rows)}
         self.tenants = {t["Name"]: i for i, t in enumerate(s.get("Orgs") or [])}
         self.kinds = {k: i for i, k in enumerate(s.get("MachineTypes") or [""])}
         self.zones = {z: i for i, z in enumerate(s.get("Zones") or [""])}
-        self.engines = EngineIndices()
+        self.engines = EndpointIndex()
         self.lines: dict[str, EngineLine] = {}  # by name, as each was last told; who has left is not kept
         self.lag = LagMeter()
         # Unix time when our clock showed 0: taken once, so that an engine's start is always the same moment.
@@ -256,7 +256,7 @@
         except (KeyError, TypeError, ValueError, AttributeError, Malformed):
             return None
 
-    def arrival(self, request: Request, now: float) -> tuple[str, Asked, itf.Arrival]:
+    def arrival(self, request: Request, now: float) -> tuple[str, Asked, contract.Arrival]:
         """A request as id, what goes on of it, and what the module is told; Refused if it is malformed."""
         fields: dict[bytes, bytes] = {}
         for name, value in request.headers:
@@ -285,13 +285,13 @@
         _check_body(request.body)
         resent = fields.get(b"x-resent", b"")
         expected = _number(fields[b"x-estimate"], "X-Estimate") / 1e3 if b"x-estimate" in fields else 0.0
-        arrival = itf.Arrival(
+        arrival = contract.Arrival(
             traffic,
             tenant,
             float(prompt),
             self.lag.left(now, left),
-            key_of(fields.get(b"x-entity", b"").decode("latin-1")),
-            key_of(labels.get(b"prefix", b"").decode("latin-1")),
+            hash_key(fields.get(b"x-entity", b"").decode("latin-1")),
+            hash_key(labels.get(b"prefix", b"").decode("latin-1")),
             float(shared),
             float(most),
             expected,
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -1,16 +1,16 @@
-"""The host's Carrier over HTTP/1.1: attempts, releases and probes on connections to engines."""
+"""The host's EngineTransport over HTTP/1.1: attempts, releases and probes on connections to engines."""
 
 from collections.abc import Callable
 
 import msgspec
 
-from myrtlehub import interface as itf
 from myrtlehub.http1.bounds import SMALL_BODY
 from myrtlehub.http1.client import Call, ConnectionPool, PendingRequest, Watcher
-from myrtlehub.node.host import Attempt, Host
+from myrtlehub.node.action_executor import ActionExecutor, Attempt
 from myrtlehub.relay.bootstrap import load_of
 from myrtlehub.relay.events import Events, Spoilt
 from myrtlehub.relay.outcomes import End, of_break, of_head
+from myrtlehub.routing import contract
 
 LOOK = 0.25  # seconds between looks at streams that are silent
 HALF_FOR = 2.5  # seconds for the rest of an event or chunk: engines write them whole; 5 s are owed
@@ -35,7 +35,7 @@
         self.engines, self.host, self.attempt = engines, engines.host, attempt
         self.end: End | None = None
         self.events: Events | None = None
-        self.load: itf.Load | None = None
+        self.load: contract.LoadReport | None = None
         self.body = b""
         self.heard_at = self.gap = 0.0  # when an event last came; the longest pause between two
         self.half_since: float | None = None  # since when the rest of an event, chunk or stream is owed
@@ -47,11 +47,11 @@
         self.end = of_head(self.attempt.reads, status, fields.get(b"x-turned-away") == b"1")
         if b"x-pressure" in fields:
             self.load = load_of(fields[b"x-pressure"])
-        if self.end.outcome == itf.GENERATED:
+        if self.end.outcome == contract.Outcome.GENERATED:
             self.events = Events()
             self.heard_at = self.host.clock.seconds()
             self.engines.streams[self] = None
-        elif self.end.outcome != itf.READ:
+        elif self.end.outcome != contract.Outcome.READ:
             self._tell(self.end)  # the body tells no more; its connection ends by itself
 
     def data(self, data: bytes) -> None:
@@ -98,7 +98,7 @@
                 self._tell(self.end, self.events.kept, self.events.load or self.load, self.events.tokens)
             else:
                 self._tell(of_break(True))  # a stream without an event answers nothing
-        elif self.end is not None and self.end.outcome == itf.READ:
+        elif self.end is not None and self.end.outcome == contract.Outcome.READ:
             try:
                 kept = _kept.decode(self.body).cached_tokens
             except (msgspec.DecodeError, ValueError, RecursionError):
@@ -106,7 +106,7 @@
             self._tell(self.end, kept, self.load)
 
     def unwanted(self) -> None:
-        self._tell(End(itf.UNSENT), why="not sent")
+        self._tell(End(contract.Outcome.UNSENT), why="not sent")
 
     def broke(self, sent: bool) -> None:
         if sent:
@@ -114,13 +114,18 @@
         self._tell(of_break(sent), why="broke")
 
     def _tell(
-        self, end: End, kept: float = 0.0, load: itf.Load | None = None, tokens: int = 0, why: str = ""
+        self,
+        end: End,
+        kept: float = 0.0,
+        load: contract.LoadReport | None = None,
+        tokens: int = 0,
+        why: str = "",
     ) -> None:
         self.engines.streams.pop(self, None)
         if why:
             self.engines.log("broken", seq=self.attempt.held.label, number=self.attempt.number, why=why)
         kept = kept or float(end.no_state)
-        handle = True if end.outcome == itf.READ else None
+        handle = True if end.outcome == contract.Outcome.READ else None
         self.host.ended(self.attempt, end.outcome, kept, load or self.load, handle, tokens)
 
 
@@ -151,7 +156,7 @@
         self, clock: object, pool: ConnectionPool, log: Callable[..., None] = lambda event, **more: None
     ) -> None:
         self.clock, self.pool, self.log = clock, pool, log
-        self.host: Host | None = None
+        self.host: ActionExecutor | None = None
         self.dials: dict[str, str] = {}
         self.streams: dict[_Attempt, None] = {}
         self.given_up: dict[str, float] = {}  # sequences by when an attempt was last given up or broke
@@ -198,10 +203,10 @@
             # they refer to one another, and to the whole request: only the collector would free them
             attempt.call = watcher.pending = None
 
-    # -- the host's Carrier -----------------------------------------------------------------------
+    # -- the host's EngineTransport -----------------------------------------------------------------------
 
     def start(self, attempt: Attempt) -> None:
-        """See `Carrier`."""
+        """See `EngineTransport`."""
         held, now = attempt.held, self.clock.seconds()
         asked, name = held.asked, self.name(attempt.engine)
         wait = max(1, int((attempt.until - now) * 1000))
@@ -220,7 +225,7 @@
         )
 
     def cancel(self, attempt: Attempt) -> None:
-        """See `Carrier`."""
+        """See `EngineTransport`."""
         self.note_unsure(attempt.held.label)
         if attempt.call is not None:
             self.streams.pop(attempt.call.watcher, None)
@@ -234,7 +239,7 @@
             del self.given_up[next(iter(self.given_up))]
 
     def release(self, engine: int, label: str) -> None:
-        """See `Carrier`."""
+        """See `EngineTransport`."""
         targets = self._told(engine, label)
         _Release(self, targets, label)
         if label in self.given_up:
@@ -271,8 +276,10 @@
         """Whether an attempt of it is out: its state may be a new one, which a late word would take away."""
         return any(h.label == label and any(a.out for a in h.attempts) for h in self.host.held.values())
 
-    def probe(self, engine: int, timeout: float, then: Callable[[bool, itf.Load | None], None]) -> None:
-        """See `Carrier`."""
+    def probe(
+        self, engine: int, timeout: float, then: Callable[[bool, contract.LoadReport | None], None]
+    ) -> None:
+        """See `EngineTransport`."""
         name, timer = self.name(engine), None
 
         def answered(sound: bool, body: bytes) -> None:
@@ -288,11 +295,11 @@
         pending = self.pool.ask(name, self.dials[name], Call(b"GET", b"/metrics/load", []), _Once(answered))
 
     def close_idle(self, engine: int) -> None:
-        """See `Carrier`."""
+        """See `EngineTransport`."""
         self.pool.close_idle(self.name(engine))
 
     def forget(self, address: str) -> None:
-        """See `Carrier`."""
+        """See `EngineTransport`."""
         self.pool.close_idle(address)
         self.dials.pop(address, None)
         self.heard_at.pop(address, None)
--- a/myrtlehub/relay/events.py
+++ b/myrtlehub/relay/events.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from myrtlehub import interface as itf
 from myrtlehub.relay.bootstrap import load_of
+from myrtlehub.routing import contract
 
 EVENT_MOST = 128 * 1024  # bytes of one event: they hold a few tokens
 FIELDS = (b"data:", b":", b"event:", b"id:", b"retry:")  # with what an event, or a comment, begins
@@ -38,7 +38,7 @@
         self.rest = b""
         self.kept = 0.0
         self.tokens = 0
-        self.load: itf.Load | None = None
+        self.load: contract.LoadReport | None = None
         self.done = False  # its last event came
 
     def feed(self, data: bytes) -> bytes:
--- a/myrtlehub/relay/front.py
+++ b/myrtlehub/relay/front.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from myrtlehub.http1.server import Exchange
-from myrtlehub.node.host import Held, Host
+from myrtlehub.node.action_executor import ActionExecutor, InFlightSequence
 from myrtlehub.relay.bootstrap import HELD_MOST, Desk, Refused
 
 READY, CHAT = b"/up", b"/v1/chat/completions"
@@ -15,7 +15,7 @@
 
     def __init__(self, front: "Front", exchange: Exchange, label: str) -> None:
         self.front, self.exchange, self.label = front, exchange, label
-        self.held: Held | None = None
+        self.held: InFlightSequence | None = None
         exchange.on_lost, exchange.on_pause, exchange.on_resume = self._lost, self._pause, self._resume
 
     def tokens(self, raw: bytes) -> None:
@@ -38,7 +38,7 @@
         else:
             self.exchange.answer(502)
 
-    def _over(self) -> Held | None:
+    def _over(self) -> InFlightSequence | None:
         """Nothing more is said; what was held.
 
         Guards against memory that only the collector would free, seconds to minutes later: exchange, this and
@@ -68,7 +68,7 @@
 class Front:
     """What is asked on any client's connection comes here."""
 
-    def __init__(self, host: Host, desk: Desk, most: int = HELD_MOST) -> None:
+    def __init__(self, host: ActionExecutor, desk: Desk, most: int = HELD_MOST) -> None:
         self.host, self.desk, self.most = host, desk, most
         self.open: dict[str, _Waiting] = {}  # by the client's id
         self.ready: Callable[[], bool] = lambda: True
@@ -106,7 +106,7 @@
             return
         waiting = _Waiting(self, exchange, label)
         if len(self.host.held) >= self.most:
-            waiting.rejected(self.host.terms.max_wait)  # not taken: nothing ran
+            waiting.rejected(self.host.terms.max_retry_after)  # not taken: nothing ran
             return
         self.open[label] = waiting
         held = self.host.take(asked, arrival, waiting, label)
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable
 from random import Random
 
-from myrtlehub.decide import Router
 from myrtlehub.http1.client import ConnectionPool
 from myrtlehub.http1.server import Site
-from myrtlehub.node.host import Host
-from myrtlehub.relay.bootstrap import Bootstrap, Desk, ListUpdate, caps_of, terms_of
+from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.relay.bootstrap import Bootstrap, Desk, ListUpdate, caps_of, router_config_of
 from myrtlehub.relay.discovery import DIAL_WITHIN, Discovery
 from myrtlehub.relay.engines import Engines
 from myrtlehub.relay.front import Front
+from myrtlehub.routing.router import Router
 
 DISCOVERY_MOST = 18  # connections to discovery: one in 120 ms while it is silent, each for 2 s at most
 ACCEPTS_MOST = 32  # connections accepted in a turn: until the next one none of them can be closed
@@ -34,10 +34,10 @@
         dial: Callable[[str, float], Callable],
         epoch: float = 0.0,
         log: Callable[..., None] = lambda event, **more: None,
-        host_class: type[Host] = Host,
+        host_class: type[ActionExecutor] = ActionExecutor,
     ) -> None:
         self.told, self.clock, self.log = told, clock, log
-        self.terms = terms_of(told)
+        self.terms = router_config_of(told)
         caps, room = caps_of(told), told.sockets - RESERVE
         self.desk = Desk(told, self.terms, epoch)
         self.pool = ConnectionPool(
--- a/myrtlehub/relay/outcomes.py
+++ b/myrtlehub/relay/outcomes.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from myrtlehub import interface as itf
+from myrtlehub.routing import contract
 
 
 class End(NamedTuple):
@@ -14,21 +14,21 @@
 
 # (reads, status, marked as turned away) -> end. Whatever is not here proves nothing, and is an error.
 HEADS = {
-    (True, 202, False): End(itf.READ),
-    (False, 200, False): End(itf.GENERATED),
-    (True, 503, True): End(itf.FULL),
-    (False, 503, True): End(itf.FULL),
-    (True, 504, True): End(itf.FULL),
-    (False, 504, True): End(itf.FULL),
-    (False, 410, True): End(itf.FULL, no_state=True),
+    (True, 202, False): End(contract.Outcome.READ),
+    (False, 200, False): End(contract.Outcome.GENERATED),
+    (True, 503, True): End(contract.Outcome.FULL),
+    (False, 503, True): End(contract.Outcome.FULL),
+    (True, 504, True): End(contract.Outcome.FULL),
+    (False, 504, True): End(contract.Outcome.FULL),
+    (False, 410, True): End(contract.Outcome.FULL, no_state=True),
 }
 
 
 def of_head(reads: bool, status: int, turned_away: bool) -> End:
     """What an answer's head says; READ and GENERATED hold once the answer is whole."""
-    return HEADS.get((reads, status, turned_away), End(itf.ERROR))
+    return HEADS.get((reads, status, turned_away), End(contract.Outcome.ERROR))
 
 
 def of_break(sent: bool) -> End:
     """No whole answer came: what was not sent whole can't have run."""
-    return End(itf.RESET if sent else itf.UNREACHED)
+    return End(contract.Outcome.RESET if sent else contract.Outcome.UNREACHED)
--- a/myrtlehub/decide.py
+++ b/myrtlehub/routing/router.py
@@ -1,6 +1,6 @@
 """All decisions of a myrtlehub node: which engine reads a sequence, which writes it, when to give up.
 
-A host makes one `Router(terms)` a node and calls it with what happened (`arrive`, `ended`, `wake`, ...);
+A host makes one `Router(config)` a node and calls it with what happened (`arrive`, `ended`, `wake`, ...);
 each call returns the list of results to carry out, verb first. Calls, results and types are described in
 `myrtlehub/interface.py`. A sequence passes `Router.chain`, a stage after another: a stage passes it on, keeps
 it for later or ends it; what comes back from an engine runs the same chain the other way. Every send goes
@@ -12,25 +12,27 @@
 from random import Random
 from statistics import median, median_high
 
-from myrtlehub.interface import (
-    CANCELLED,
-    DRAINING,
-    FULL,
-    GENERATED,
-    ONCE_ONLY,
-    READ,
-    REPEATABLE,
-    RESET,
-    SERVING,
-    TOKENED,
-    UNREACHED,
-    UNSENT,
+from myrtlehub.routing.contract import (
+    Abort,
+    Action,
     Arrival,
-    Listing,
-    Load,
-    NodeCalls,
-    Terms,
+    CancelAttempt,
+    DedupGroup,
+    EndpointUpdate,
+    EngineState,
+    Forget,
+    LoadReport,
+    Outcome,
+    Probe,
+    Reject,
+    Release,
+    RetrySemantics,
+    RouterConfig,
+    ScheduleWakeup,
+    Send,
     TrafficType,
+    UnusedCalls,
+    WatchEndpoints,
 )
 
 PASS, KEEP, END = "pass", "keep", "end"
@@ -85,7 +87,7 @@
 UNSEEN = (0.0, float("-inf"))
 # What we hold of each engine, in parallel arrays by its index, with the value at its start.
 FIGURES = {
-    "state": DRAINING, "kind": 0, "zone": 0, "cell": 0, "started": 0.0, "mark": 0,
+    "state": EngineState.DRAINING, "kind": 0, "zone": 0, "cell": 0, "started": 0.0, "mark": 0,
     "own_unread": 0.0,  # tokens that we sent to be read there and that are not read yet
     "own_reads": 0,
     "asked": float("-inf"),  # when it was last probed
@@ -119,7 +121,7 @@
         self.whose = (a.tenant, a.traffic)
         self.abandon_at = answer_by
         # some come with little time left: what this try has left is what counts
-        self.slo_at = min(answer_by, now + kind.latency_slo + kind.slo_per_token * a.prompt)
+        self.slo_at = min(answer_by, now + kind.latency_slo + kind.slo_per_token * a.prompt_tokens)
         self.writer = self.reader = self.state_at = self.bound = -1  # engines
         self.split, self.state_since, self.plan, self.due = False, 0.0, None, (0.0, 0.0)
         self.attempts: list[Attempt] = []
@@ -145,7 +147,7 @@
     def claim(self, engine: int, a: Arrival, now: float) -> tuple[float, float]:
         """Tokens of this prompt that the engine should keep, and when we last saw that."""
         best, row = (0.0, 0.0), self.rows[engine]
-        for key, most in ((a.session, a.prompt), (-a.prefix, a.shared)) if row else ():
+        for key, most in ((a.session, a.prompt_tokens), (-a.prefix, a.shared_tokens)) if row else ():
             if not key or key not in row:
                 continue
             tokens, seen = row[key]
@@ -156,7 +158,7 @@
 
     def feed(self, engine: int, a: Arrival, now: float) -> None:
         row = self.rows[engine]
-        for key, tokens in ((a.session, a.prompt), (-a.prefix, a.shared)):
+        for key, tokens in ((a.session, a.prompt_tokens), (-a.prefix, a.shared_tokens)):
             if key:
                 row.pop(key, None)
                 row[key] = (tokens, now)
@@ -169,16 +171,16 @@
         self.rows[engine] = {k: v for k, v in self.rows[engine].items() if v[1] > seen}
 
 
-class Router(NodeCalls):
+class Router(UnusedCalls):
     """The decisions of one node."""
 
-    def __init__(self, terms: Terms) -> None:
-        self.terms = terms
-        self.random = Random(terms.seed).random
+    def __init__(self, config: RouterConfig) -> None:
+        self.config = config
+        self.random = Random(config.seed).random
         self.seqs: dict[int, Seq] = {}
         self.kept: dict[int, Seq] = {}
         self.table = KeptTable()
-        self.results: list[tuple] = []
+        self.results: list[Action] = []
         self.wake_at = float("inf")
         self.now = self.timed_at = self.heard_at = 0.0
         self.usual: dict[tuple, float] = {}  # running means: what of, and of which kind, cell or traffic type
@@ -204,30 +206,30 @@
 
     # -- calls ------------------------------------------------------------------------------------
 
-    def start(self, now: float) -> list[tuple]:
-        return [("watch", True)] if self.terms.ask_for_list else []
+    def start(self, now: float) -> list[Action]:
+        return [WatchEndpoints(True)] if self.config.polls_endpoints else []
 
-    list_failed = start
+    endpoint_list_failed = start
 
-    def engines(self, now: float, listings: list, whole: bool) -> list[tuple]:
+    def update_endpoints(self, now: float, listings: list, whole: bool) -> list[Action]:
         self.now = self.heard_at = now
         for e in listings:
             while len(self.state) <= e.engine:
                 for name, zero in FIGURES.items():
                     getattr(self, name).append(zero)
                 self.table.rows.append({})
-            if e.fresh or e.started > self.started[e.engine] + 0.001:
+            if e.is_new or e.started_at > self.started[e.engine] + 0.001:
                 self._reset(e.engine, e)
             i = e.engine
             self.state[i], self.kind[i], self.zone[i], self.cell[i] = e.state, e.kind, e.zone, e.cell
-            self.mark[i] = e.mark
+            self.mark[i] = e.hash_seed
         if whole:
             for i in set(range(len(self.state))) - {e.engine for e in listings}:
-                self.state[i] = DRAINING
-        up = [i for i, state in enumerate(self.state) if state == SERVING]
-        self.writers = [i for i in up if self.terms.writes[self.kind[i]]]
+                self.state[i] = EngineState.DRAINING
+        up = [i for i, state in enumerate(self.state) if state == EngineState.SERVING]
+        self.writers = [i for i in up if self.config.writes[self.kind[i]]]
         writers = set(self.writers)
-        self.readers = [i for i in up if self.terms.reads[self.kind[i]] and i not in writers]
+        self.readers = [i for i in up if self.config.reads[self.kind[i]] and i not in writers]
         ratio = CELL_SLACK * len(self.writers) / max(1, len(self.readers))
         beside = Counter(self.cell[i] for i in self.writers)
         near = Counter(self.cell[i] for i in self.readers)
@@ -235,20 +237,20 @@
         self.alike = Counter(self.kind[i] for i in up)
         return self._finish(now)
 
-    def arrive(self, now: float, ident: int, a: Arrival) -> list[tuple]:
+    def arrive(self, now: float, ident: int, a: Arrival) -> list[Action]:
         self.now = now
-        answer_by = now + a.time_left - max(2 * self.terms.tick, 0.004)
-        seq = self.seqs[ident] = Seq(ident, a, self.terms.traffic[a.traffic], now, answer_by)
+        answer_by = now + a.time_left - max(2 * self.config.tick, 0.004)
+        seq = self.seqs[ident] = Seq(ident, a, self.config.traffic[a.traffic], now, answer_by)
         seq.lot = self.random()
-        if a.held_at >= 0:
-            seq.state_at, seq.reader, seq.state_since = a.held_at, a.held_at, now
-        if a.ran_at >= 0:
-            seq.may_run = [self._group(seq.kind, a.ran_at), now - a.ran_ago]
+        if a.state_held_by >= 0:
+            seq.state_at, seq.reader, seq.state_since = a.state_held_by, a.state_held_by, now
+        if a.may_have_run_at >= 0:
+            seq.may_run = [self._group(seq.kind, a.may_have_run_at), now - a.may_have_run_ago]
         self._count("sent", a.tenant)
-        quota = self.terms.quotas[a.tenant] / self.terms.nodes if a.tenant >= 0 else 0.0
+        quota = self.config.quotas[a.tenant] / self.config.node_count if a.tenant >= 0 else 0.0
         seq.over_share = 0.0 < quota * SHARE_SKEW < self._often("sent", a.tenant) - SHARE_SLACK / USUAL_SPAN
-        if self.terms.report_on_probe and self.terms.may_probe:
-            allowed = min(PROBES_MOST, PROBE_SPEND / max(self.terms.probe_price, 1e-6))
+        if self.config.load_by_probe_only and self.config.may_probe:
+            allowed = min(PROBES_MOST, PROBE_SPEND / max(self.config.probe_price, 1e-6))
             self.probes = min(self.probes + allowed, 3.0 * PROBES_MOST)
             self._ask(seq, now)
         if seq.awaits:
@@ -257,7 +259,7 @@
             self._run(seq, now)
         return self._finish(now)
 
-    def probed(self, now: float, engine: int, sound: bool, latency: float, load: Load | None) -> list[tuple]:
+    def probe_ended(self, now: float, engine: int, sound: bool, latency: float, load: LoadReport | None) -> list[Action]:
         self.now = self.heard_at = now
         if load is not None:
             self._report(engine, load, now)
@@ -287,9 +289,9 @@
             if e >= 0 and self.probes >= 1.0 and now > self.asked[e] + PROBE_AGAIN:
                 self.probes, self.asked[e] = self.probes - 1.0, now
                 seq.awaits.add(e)
-                self.results.append(("probe", e))
+                self.results.append(Probe(e))
 
-    def began(self, now: float, ident: int, attempt: int, latency: float) -> list[tuple]:
+    def began(self, now: float, ident: int, attempt: int, latency: float) -> list[Action]:
         self.now = self.heard_at = now
         seq = self.seqs.get(ident)
         if seq is not None and attempt < len(seq.attempts):
@@ -302,14 +304,14 @@
             self._timed(seq, now)
             if t.fetches and self.cell[seq.reader] != self.cell[e]:
                 way = 2 * self.cell[seq.reader] + (self.zone[seq.reader] != self.zone[e])
-                self._mean("link", way, latency / max(500.0, seq.a.prompt), 0.2)
+                self._mean("link", way, latency / max(500.0, seq.a.prompt_tokens), 0.2)
             else:
                 self._note(self.tardy, e, max(0.0, latency - t.unread / self._rate(e)), 0.3)
             self.own_unread[e], t.unread = max(0.0, self.own_unread[e] - t.unread), 0.0
         return self._finish(now)
 
     def ended(self, now: float, ident: int, attempt: int, outcome: str, latency: float, settled: bool,
-              kept: float, load: Load | None) -> list[tuple]:
+              kept: float, load: LoadReport | None) -> list[Action]:
         self.now = self.heard_at = now
         seq = self.seqs.get(ident)
         if seq is not None and attempt < len(seq.attempts) and seq.attempts[attempt].out:
@@ -321,17 +323,17 @@
                 back(seq, t, now)
         return self._finish(now)
 
-    def left(self, now: float, ident: int) -> list[tuple]:
+    def client_left(self, now: float, ident: int) -> list[Action]:
         seq = self.seqs.get(ident)
         if seq is not None and not seq.over:
             self._end(seq, None)
         return self._finish(now)
 
-    def wake(self, now: float, token: int) -> list[tuple]:
+    def wake(self, now: float, token: int) -> list[Action]:
         self.now = now
         if now >= self.wake_at - 0.001:
             self.wake_at = float("inf")
-        misses, pause = 0, LOOK_AGAIN[self.terms.report_on_probe]
+        misses, pause = 0, LOOK_AGAIN[self.config.load_by_probe_only]
         for seq in sorted(self.seqs.values(), key=lambda s: (s.over_share, s.slo_at, s.id)):
             if seq.over or seq.begun:
                 continue
@@ -361,13 +363,13 @@
 
     def _unpin(self, seq: Seq, now: float, share: float) -> None:
         """Rule 5: what no writer takes in this share of the time is let go, and would be read anew."""
-        if now > seq.state_since + share * self.terms.let_go:
-            self.results.append(("release", seq.id))
+        if now > seq.state_since + share * self.config.state_timeout:
+            self.results.append(Release(seq.id))
             seq.state_at, seq.state_since = -1, float("inf")
 
     def _wait_here(self, seq: Seq, now: float) -> str:
         if seq.over_share or now - seq.since > PATIENCE * (seq.slo_at - seq.since):
-            return self._give_up(seq, self.terms.max_wait)
+            return self._give_up(seq, self.config.max_retry_after)
         return KEEP
 
     def _timed(self, seq: Seq, now: float) -> None:
@@ -414,7 +416,7 @@
         """What a writer is worth to a sequence, in kept tokens."""
         at = seq.state_at
         # Guards against many nodes that all follow a prefix to writers of which they cannot ask.
-        near_kept = NEAR_KEPT * self.terms.report_on_probe
+        near_kept = NEAR_KEPT * self.config.load_by_probe_only
 
         def score(w: int) -> float:
             kept = self.table.claim(w, seq.a, now)[0]
@@ -422,7 +424,7 @@
             delay += self._wait(w) + TARDY_COST * self._seen(self.tardy, w)
             drag = self.usual.get(("drag", self.kind[w]), 0.0) + self._seen(self.drag, w)
             room = ROOM_TOKENS * (self._free(w, seq) - DRAG_COST * drag)
-            home = HOME_TOKENS * (self.zone[w] == self.terms.zone) - RATE_LIKELY * delay
+            home = HOME_TOKENS * (self.zone[w] == self.config.zone) - RATE_LIKELY * delay
             beside = plan[0].get(self.cell[w]) if plan else None
             near = near_kept * beside[0][0] if beside else 0.0
             return room + max(kept, near) + home + self.random()
@@ -438,7 +440,7 @@
             # fading, as what turns all away learns nothing more
             off = self.usual.get(("took", 0), HOPE) / max(0.001, self.usual.get(("reckoned", 0), 1.0)) - HOPE
             off = HOPE + off * 0.5 ** ((now - self.timed_at) / SEEN_FADE)
-            sure = SURE_PART if self.terms.report_on_probe else 1.0
+            sure = SURE_PART if self.config.load_by_probe_only else 1.0
             if not seq.attempts and delay * off > sure * (seq.slo_at - now):
                 # Guards against engines whose queues hold only what comes too late, whatever filled them.
                 return self._wait_here(seq, now)
@@ -446,7 +448,7 @@
             if seq.reader == -2:
                 return KEEP  # no reader to be had, and the writer cannot read
             # Guards against running out of attempts where many refuse: a read would take the last two.
-            short = seq.refused and self.terms.most_attempts - len(seq.attempts) <= 2 and self._reads_alone(w)
+            short = seq.refused and self.config.max_attempts - len(seq.attempts) <= 2 and self._reads_alone(w)
             seq.split = seq.reader >= 0 and not short
         return PASS
 
@@ -455,13 +457,13 @@
         limit = max(0.1, READ_ROOM * (seq.slo_at - now))
         near, far, chance = {}, {}, self.random()
         key = self._key(seq)
-        fade = QUEUE_FADE * (1.0 + ALIKE_NODES / self.terms.nodes)
+        fade = QUEUE_FADE * (1.0 + ALIKE_NODES / self.config.node_count)
         able = [r for r in self.readers if r not in seq.avoid and self._usable(r, seq, now)]
         able = self._willing(able, seq, now)
         homes = seq.homes = self._homes(seq, key, able)
         for r in able:
             claim = self._expect(r, seq, now, homes.get(r, 2))
-            takes = (self._backlog(r) + seq.a.prompt - claim) / self._rate(r)
+            takes = (self._backlog(r) + seq.a.prompt_tokens - claim) / self._rate(r)
             # Guards against cells whose few readers all nodes take to be free: what is not known of them is
             # judged by how many readers a writer of that cell has, against the fleet.
             known = 0.5 ** ((now - self.unread[r][1]) / fade)
@@ -479,7 +481,7 @@
     def _read_plan(self, w: int, seq: Seq, now: float, plan: tuple[dict, dict],
                    kept: float | None = None) -> tuple[float, int]:
         """Seconds until the prompt is read for this writer, and by which reader (-1: by itself)."""
-        uncached = seq.a.prompt - (self.table.claim(w, seq.a, now)[0] if kept is None else kept)
+        uncached = seq.a.prompt_tokens - (self.table.claim(w, seq.a, now)[0] if kept is None else kept)
         able = self._reads_alone(w)
         alone = SELF_DRAG * uncached / self._rate(w)
         if able and (SPLIT_TOKENS <= 0 or uncached < SPLIT_TOKENS):
@@ -518,11 +520,11 @@
         return places
 
     def _reads_alone(self, w: int) -> bool:
-        return self.terms.reads[self.kind[w]] or self.terms.self_read
+        return self.config.reads[self.kind[w]] or self.config.writers_can_read
 
     def _expect(self, r: int, seq: Seq, now: float, home: int) -> float:
         """Tokens that a reader should keep: by our table, or as others have lately turned out."""
-        luck = self.usual.get(("luck", home), HOME_LUCK[home]) * seq.a.prompt if seq.a.shared else 0.0
+        luck = self.usual.get(("luck", home), HOME_LUCK[home]) * seq.a.prompt_tokens if seq.a.shared_tokens else 0.0
         return max(self.table.claim(r, seq.a, now)[0], luck)
 
     def _fetch(self, r: int, w: int, seq: Seq) -> float:
@@ -530,23 +532,23 @@
 
     def _move(self, r: int, zones: bool, seq: Seq) -> float:
         """Seconds that moves out of a reader's cell, or to another zone, have lately taken."""
-        return seq.a.prompt * self.usual.get(("link", 2 * self.cell[r] + zones), FAR_PACE)
+        return seq.a.prompt_tokens * self.usual.get(("link", 2 * self.cell[r] + zones), FAR_PACE)
 
     def _gate(self, seq: Seq, now: float) -> str:
         """The one place that every send passes; each of the five rules is kept here."""
         engine = seq.reader if seq.split else seq.writer
-        if seq.over or now >= seq.abandon_at or len(seq.attempts) >= self.terms.most_attempts:
+        if seq.over or now >= seq.abandon_at or len(seq.attempts) >= self.config.max_attempts:
             return self._give_up(seq)  # rule 1: answered by now, or nothing more may be sent
         if seq.out() or not self._may_go_again(seq, engine, now):
             return KEEP if seq.out() else self._give_up(seq)  # rule 2
-        if self.state[engine] != SERVING:
+        if self.state[engine] != EngineState.SERVING:
             return KEEP  # rule 3: nothing new from the moment we are told
         if not self._slow_start(engine, seq, now):
             return KEEP  # rule 4
         claim = (0.0, 0.0) if seq.state_at >= 0 else self.table.claim(engine, seq.a, now)
         home = seq.homes.get(engine, 2) if seq.split else 2
         sure = self._expect(engine, seq, now, home) if seq.split else claim[0]
-        unread = 0.0 if seq.state_at >= 0 else max(0.0, seq.a.prompt - sure)
+        unread = 0.0 if seq.state_at >= 0 else max(0.0, seq.a.prompt_tokens - sure)
         t = Attempt(engine, seq.split, now, unread, self._backlog(engine), claim)
         t.home = home
         # one time-out a sequence: those that fire under mere load make load
@@ -560,21 +562,21 @@
             self.table.feed(engine, seq.a, now)
             self._mean("unread", -1, unread, 0.05)
         self.waits, self.frees = {}, {}
-        self.results.append(("send", seq.id, engine, timeout))
+        self.results.append(Send(seq.id, engine, timeout))
         return PASS
 
     def _may_go_again(self, seq: Seq, engine: int, now: float) -> bool:
         """Rule 2: what may have run goes again only as its traffic type allows."""
-        if not seq.may_run or seq.kind.repeats == REPEATABLE:
+        if not seq.may_run or seq.kind.retry_semantics == RetrySemantics.IDEMPOTENT:
             return True
-        if seq.kind.repeats == ONCE_ONLY:
+        if seq.kind.retry_semantics == RetrySemantics.AT_MOST_ONCE:
             return False
         until = seq.may_run[1] + seq.kind.dedup_window  # it has to be there by then
-        remembered = now + self.terms.connect_time + WINDOW_MARGIN < until
+        remembered = now + self.config.connect_timeout + WINDOW_MARGIN < until
         return remembered and self._group(seq.kind, engine) == seq.may_run[0]
 
     def _group(self, kind: TrafficType, engine: int) -> int:
-        return getattr(self, kind.dedup_group)[engine] if kind.dedup_group != "all" else 0
+        return getattr(self, kind.dedup_group)[engine] if kind.dedup_group != DedupGroup.ALL else 0
 
     # -- the way back -----------------------------------------------------------------------------
 
@@ -583,14 +585,14 @@
         t.out, kind = False, self.kind[t.engine]
         gap = self.alike[kind] / max(self._often("done", kind), 0.01)
         self.usual["half", kind] = min(max(SEEN_FADE, gap), RARE_FADE * SEEN_FADE)
-        if t.outcome in (GENERATED, READ):
+        if t.outcome in (Outcome.GENERATED, Outcome.READ):
             self.taken[t.engine, *seq.whose] = now + REFUSED_FOR
             if t.reads:
                 self._note(self.failing, t.engine, 0.0, 0.3)
-                self._pace(t, t.latency, seq.a.prompt - t.kept)
+                self._pace(t, t.latency, seq.a.prompt_tokens - t.kept)
                 self._count("done", kind)
-                if t.claim < 64.0 and seq.a.shared:
-                    self._mean("luck", t.home, t.kept / seq.a.prompt, 0.1)
+                if t.claim < 64.0 and seq.a.shared_tokens:
+                    self._mean("luck", t.home, t.kept / seq.a.prompt_tokens, 0.1)
             if seq.begun:
                 # Guards against engines, and kinds of them, that begin in time and write slowly.
                 more = t.latency / max(self._mean("stream", seq.a.traffic, t.latency, 0.05), 0.01) - 1.0
@@ -600,30 +602,30 @@
                 if t.claim >= 64.0 and t.kept < 0.5 * t.claim:
                     self.table.void_until(t.engine, t.claimed_at)
                 self.table.feed(t.engine, seq.a, now)
-        elif t.outcome == FULL and not t.kept:
+        elif t.outcome == Outcome.FULL and not t.kept:
             seq.refused = True
             self.refused[t.engine, *seq.whose] = now + REFUSED_FOR
             self.taken.pop((t.engine, *seq.whose), None)
-        elif t.outcome not in (FULL, UNSENT, CANCELLED):
-            self._note(self.failing, t.engine, 1.0, 0.7 if t.outcome == UNREACHED else 0.5)
-            if t.outcome in (UNREACHED, RESET) and self._seen(self.failing, t.engine) > DYING:
+        elif t.outcome not in (Outcome.FULL, Outcome.UNSENT, Outcome.CANCELLED):
+            self._note(self.failing, t.engine, 1.0, 0.7 if t.outcome == Outcome.UNREACHED else 0.5)
+            if t.outcome in (Outcome.UNREACHED, Outcome.RESET) and self._seen(self.failing, t.engine) > DYING:
                 # Guards against pushing over what died and came back, seconds before the list says so. One
                 # reset is no death: connections break, and streams are spoilt, at engines that run on.
                 self.started[t.engine], self.table.rows[t.engine] = now, {}
         self.own_unread[t.engine] = max(0.0, self.own_unread[t.engine] - t.unread)
         self.own_reads[t.engine] -= t.reads
-        if not (seq.may_run or t.reads or t.outcome in (GENERATED, READ, FULL, UNREACHED, UNSENT)):
+        if not (seq.may_run or t.reads or t.outcome in (Outcome.GENERATED, Outcome.READ, Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT)):
             seq.may_run = [self._group(seq.kind, t.engine), t.since]
 
     def _follow(self, seq: Seq, t: Attempt, now: float) -> None:
         """Where the sequence stands after an outcome."""
-        if t.outcome == READ and t.reads and not seq.begun:
+        if t.outcome == Outcome.READ and t.reads and not seq.begun:
             seq.state_at, seq.state_since = t.engine, now
-        elif t.outcome == FULL and t.kept and not t.reads:
+        elif t.outcome == Outcome.FULL and t.kept and not t.reads:
             seq.state_at = -1
-        elif t.outcome not in (GENERATED, READ, UNSENT):
+        elif t.outcome not in (Outcome.GENERATED, Outcome.READ, Outcome.UNSENT):
             seq.avoid.add(t.engine)
-            if t.outcome != UNREACHED:  # the time runs on while connections fail to come up
+            if t.outcome != Outcome.UNREACHED:  # the time runs on while connections fail to come up
                 seq.state_since = now
 
     def _conclude(self, seq: Seq, t: Attempt, now: float) -> None:
@@ -633,7 +635,7 @@
         elif not self._may_go_again(seq, t.engine, now):
             self._give_up(seq)  # nothing more may be tried: say so at once
         elif not seq.out():
-            if t.outcome == UNREACHED and seq.state_since > 0.0:
+            if t.outcome == Outcome.UNREACHED and seq.state_since > 0.0:
                 # Guards against writers that are cut off: try after try, each a connection that does not come
                 # up, the state would stay held. One more may be tried while it cannot outlast the time.
                 self._unpin(seq, now, 0.75)
@@ -645,17 +647,17 @@
         """A final answer at once: a rejection where that is true, else an abort."""
         self._timed(seq, self.now)
         unsure = bool(seq.may_run or seq.out())  # a read still out counts until it is known to have ended
-        free = seq.kind.repeats == REPEATABLE or (
-            seq.kind.repeats == TOKENED and seq.kind.dedup_group == "all")
-        self._end(seq, ("reject", seq.id, wait) if free or not unsure else ("abort", seq.id))
+        free = seq.kind.retry_semantics == RetrySemantics.IDEMPOTENT or (
+            seq.kind.retry_semantics == RetrySemantics.IDEMPOTENCY_KEY and seq.kind.dedup_group == DedupGroup.ALL)
+        self._end(seq, Reject(seq.id, wait) if free or not unsure else Abort(seq.id))
         return END
 
-    def _end(self, seq: Seq, answer: tuple | None) -> None:
+    def _end(self, seq: Seq, answer: Action | None) -> None:
         seq.over = True
         if answer:
             self.results.append(answer)
-        if self.terms.may_cancel and not seq.begun:
-            self.results.extend(("cancel", seq.id, i) for i in seq.out())
+        if self.config.may_cancel and not seq.begun:
+            self.results.extend(CancelAttempt(seq.id, i) for i in seq.out())
         self._let_go(seq)
 
     def _bind(self, seq: Seq, writer: int) -> None:
@@ -674,34 +676,34 @@
         self.kept.pop(seq.id, None)
         self._bind(seq, -1)
         if not seq.out():
-            if seq.a.held_at >= 0 or any(t.reads for t in seq.attempts):
-                self.results.append(("release", seq.id))
-            self.results.append(("done", seq.id))
+            if seq.a.state_held_by >= 0 or any(t.reads for t in seq.attempts):
+                self.results.append(Release(seq.id))
+            self.results.append(Forget(seq.id))
             self.seqs.pop(seq.id, None)
 
-    def _finish(self, now: float) -> list[tuple]:
+    def _finish(self, now: float) -> list[Action]:
         waiting = [s.abandon_at for s in self.seqs.values() if not s.over and not s.begun]
         if waiting:
             pause = max(0.001, min(SWEEP, min(waiting) - now) if self.kept else min(waiting) - now)
             if now + pause < self.wake_at - 0.0005:
                 self.wake_at = now + pause
-                self.results.append(("wake", pause, 0))
+                self.results.append(ScheduleWakeup(pause, 0))
         results, self.results = self.results, []
         self.waits, self.frees = {}, {}
         return results
 
     # -- figures of the engines -------------------------------------------------------------------
 
-    def _reset(self, i: int, e: Listing) -> None:
+    def _reset(self, i: int, e: EndpointUpdate) -> None:
         """A process that has just started keeps nothing, and has done nothing yet."""
         for name, zero in FIGURES.items():
-            if e.fresh or not (name.startswith("own_") or name == "bound"):
+            if e.is_new or not (name.startswith("own_") or name == "bound"):
                 getattr(self, name)[i] = zero
         self.memory[i] = (-self.usual.get(("memory", e.kind), 0.0), self.now)  # it holds nothing
-        self.started[i], self.table.rows[i] = e.started, {}
+        self.started[i], self.table.rows[i] = e.started_at, {}
 
     def _usable(self, i: int, seq: Seq, now: float) -> bool:
-        return self.state[i] == SERVING and self._slow_start(i, seq, now) and not self._blamed(i, now)
+        return self.state[i] == EngineState.SERVING and self._slow_start(i, seq, now) and not self._blamed(i, now)
 
     def _slow_start(self, i: int, seq: Seq, now: float) -> bool:
         """Rule 4: a cold engine is only for a part of all sequences, which each draws once.
@@ -709,14 +711,14 @@
         So the sends of all nodes come to that part of what an engine is usually sent, however many nodes
         there are and however little each has seen; none saves up sends, or draws again by trying again.
         """
-        terms, age = self.terms, now - self.started[i]
-        if not terms.fall_time or not self.started[i] or age > terms.cold_time:
+        config, age = self.config, now - self.started[i]
+        if not config.overload_window or not self.started[i] or age > config.cold_time:
             return True
-        warmed = COLD_RAMP * max(0.0, age) / max(terms.cold_time, 0.001)
-        share = terms.cold_share + (1.0 - terms.cold_share) * warmed
-        alike = len(self.writers if terms.writes[self.kind[i]] else self.readers)
+        warmed = COLD_RAMP * max(0.0, age) / max(config.cold_time, 0.001)
+        share = config.cold_share + (1.0 - config.cold_share) * warmed
+        alike = len(self.writers if config.writes[self.kind[i]] else self.readers)
         lot = (seq.lot + self.mark[i] * 0.6180339887) % 1.0
-        return lot * max(1, alike) < COLD_PART * share * terms.fall_multiple
+        return lot * max(1, alike) < COLD_PART * share * config.overload_multiple
 
     def _often(self, what: str, which: int) -> float:
         """How many of what is counted there have lately been a second."""
@@ -749,7 +751,7 @@
         return share > BLAME and share > BLAME + median(
             self._seen(self.failing, j) for j in self.writers + self.readers)
 
-    def _report(self, i: int, load: Load, now: float) -> None:
+    def _report(self, i: int, load: LoadReport, now: float) -> None:
         kind, share = self.kind[i], load.memory_share
         if share is not None:
             self._note(self.memory, i, share - self._mean("memory", kind, share, 0.1), 1.0)
@@ -761,14 +763,14 @@
             self._note(self.unread, i, told - self._mean("unread", kind, told, 0.1), 1.0)
 
     def _need(self, seq: Seq) -> float:
-        return seq.a.prompt + LIKELY_OUTPUT * seq.a.most_output
+        return seq.a.prompt_tokens + LIKELY_OUTPUT * seq.a.max_output_tokens
 
     def _free(self, i: int, seq: Seq) -> float:
         """Share of a writer's memory left with this sequence and all that is meant for it.
 
         A few nodes that see the same reports lean as we do; of many, our own few sends tell nothing.
         """
-        memory = self.terms.memory[self.kind[i]] or MEMORY_LIKELY
+        memory = self.config.memory[self.kind[i]] or MEMORY_LIKELY
         free = self.frees.get(i)
         if free is None:
             mean, others = self.promised / max(1, len(self.writers)), self._others()
@@ -783,13 +785,13 @@
         Guards against uneven entry: a node that gets several times its even part, and takes the others to get
         as much, would see all writers full of what nobody sends. What tenants may send in all bounds it.
         """
-        ours = sum(self._often("sent", tenant) for tenant in range(len(self.terms.quotas)))
-        all_sent = sum(self.terms.quotas)
-        return min(self.terms.nodes - 1.0, max(0.0, all_sent / ours - 1.0)) if ours and all_sent else (
-            self.terms.nodes - 1.0)
+        ours = sum(self._often("sent", tenant) for tenant in range(len(self.config.quotas)))
+        all_sent = sum(self.config.quotas)
+        return min(self.config.node_count - 1.0, max(0.0, all_sent / ours - 1.0)) if ours and all_sent else (
+            self.config.node_count - 1.0)
 
     def _backlog(self, i: int) -> float:
-        alike = self.own_unread[i] * min(self.terms.nodes - 1, ALIKE_NODES)
+        alike = self.own_unread[i] * min(self.config.node_count - 1, ALIKE_NODES)
         others = self.usual.get(("unread", self.kind[i]), alike) + self._seen(self.unread, i)
         return self.own_unread[i] + max(0.0, others)
 
--- a/myrtlehub/simhost.py
+++ b/myrtlehub/simulator.py
@@ -1,6 +1,6 @@
 """Wire adapter: decodes batches into calls, encodes results, maps ids to indices; decides nothing.
 
-`python -m myrtlehub.simhost` reads one JSON batch a line on standard input and answers each with
+`python -m myrtlehub.simulator` reads one JSON batch a line on standard input and answers each with
 one line on standard output. Each node named on the wire has a router of its own.
 """
 
@@ -9,22 +9,53 @@
 
 import msgspec
 
-from myrtlehub import interface as itf
-from myrtlehub.decide import Router
-from myrtlehub.decode import decode_load, decode_terms
+from myrtlehub.platform_settings import load_report_from_platform, router_config_from_settings
+from myrtlehub.routing import contract
+from myrtlehub.routing.router import Router
 
 OUTCOMES = {
-    "ok": itf.GENERATED,
-    "read": itf.READ,
-    "full": itf.FULL,
-    "connect_failed": itf.UNREACHED,
-    "moot": itf.UNSENT,
-    "error": itf.ERROR,
-    "timeout": itf.TIMEOUT,
-    "reset": itf.RESET,
-    "cancelled": itf.CANCELLED,
+    "ok": contract.Outcome.GENERATED,
+    "read": contract.Outcome.READ,
+    "full": contract.Outcome.FULL,
+    "connect_failed": contract.Outcome.UNREACHED,
+    "moot": contract.Outcome.UNSENT,
+    "error": contract.Outcome.ERROR,
+    "timeout": contract.Outcome.TIMEOUT,
+    "reset": contract.Outcome.RESET,
+    "cancelled": contract.Outcome.CANCELLED,
 }
-STATES = {"SERVING": itf.SERVING, "DRAINING": itf.DRAINING, "DELETED": itf.GONE}
+STATES = {
+    "SERVING": contract.EngineState.SERVING,
+    "DRAINING": contract.EngineState.DRAINING,
+    "DELETED": contract.EngineState.GONE,
+}
+
+WIRE_VERBS = {
+    contract.Send: "PLACE",
+    contract.Reserve: "BOOK_SEAT",
+    contract.Release: "UNHOLD",
+    contract.CancelAttempt: "UNDO_SEND",
+    contract.Reject: "BOUNCE",
+    contract.Abort: "REPORT_FAILURE",
+    contract.Migrate: "REBALANCE",
+    contract.ScheduleWakeup: "DEFER",
+    contract.Probe: "PROBE",
+    contract.CloseIdle: "CLOSE_IDLE",
+    contract.Gossip: "NOTIFY",
+    contract.WatchEndpoints: "LISTEN",
+    contract.PollEndpoints: "READ_LIST",
+    contract.LogNote: "TRACE",
+}
+SEQUENCE_ACTIONS = (
+    contract.Send,
+    contract.Reserve,
+    contract.Release,
+    contract.CancelAttempt,
+    contract.Reject,
+    contract.Abort,
+    contract.Migrate,
+    contract.Forget,
+)
 
 
 class WireError(Exception):
@@ -46,10 +77,10 @@
         self.engine_uses: list[int] = []  # attempts out, so that an index in use is not handed on
         self.gone: set[int] = set()
         self.free: list[int] = []
-        self.seq_at: dict[str, int] = {}
-        self.seq_ids: dict[int, str] = {}
-        self.next_seq = 0
-        self.router = Router(decode_terms(s, event.get("Entropy", 0)))
+        self.sequence_at: dict[str, int] = {}
+        self.sequence_ids: dict[int, str] = {}
+        self.next_sequence = 0
+        self.router = Router(router_config_from_settings(s, event.get("Entropy", 0)))
         self.pending = self.router.start(now)
 
     def engine(self, ident: str) -> int:
@@ -63,15 +94,15 @@
             self.free.append(engine)
             del self.engine_at[self.engine_ids[engine]]
 
-    def members(self, event: dict, now: float) -> list[tuple]:
+    def members(self, event: dict, now: float) -> list[contract.Action]:
         mode = event["Mode"]
         if mode == "FAILED":
-            return self.router.list_failed(now)
+            return self.router.endpoint_list_failed(now)
         listings, seen = [], set()
         for e in event.get("Entries") or []:
             ident, state = e["Engine"], STATES[e.get("State", "SERVING")]
             fresh = ident not in self.engine_at
-            if fresh and state == itf.GONE:
+            if fresh and state == contract.EngineState.GONE:
                 continue
             if fresh:
                 if self.free:
@@ -84,9 +115,9 @@
                 self.engine_at[ident] = index
             index = self.engine_at[ident]
             seen.add(index)
-            (self.gone.add if state == itf.GONE else self.gone.discard)(index)
+            (self.gone.add if state == contract.EngineState.GONE else self.gone.discard)(index)
             listings.append(
-                itf.Listing(
+                contract.EndpointUpdate(
                     index,
                     fresh,
                     state,
@@ -100,19 +131,19 @@
             )
         if mode != "INCREMENTAL":
             self.gone.update(i for i in self.engine_at.values() if i not in seen)
-        results = self.router.engines(now, listings, mode != "INCREMENTAL")
+        results = self.router.update_endpoints(now, listings, mode != "INCREMENTAL")
         for index in sorted(self.gone):
             self.free_if_over(index)
         return results
 
-    def request(self, event: dict, now: float) -> list[tuple]:
-        seq, self.next_seq = self.next_seq, self.next_seq + 1
-        self.seq_at[event["Rid"]], self.seq_ids[seq] = seq, event["Rid"]
+    def request(self, event: dict, now: float) -> list[contract.Action]:
+        seq, self.next_sequence = self.next_sequence, self.next_sequence + 1
+        self.sequence_at[event["Rid"]], self.sequence_ids[seq] = seq, event["Rid"]
         options = event.get("Options", 0)
         return self.router.arrive(
             now,
             seq,
-            itf.Arrival(
+            contract.Arrival(
                 self.traffic[event["Grade"]],
                 self.tenants.get(event.get("ClientGroup"), -1),
                 event.get("InputLen", 0.0),
@@ -127,10 +158,10 @@
             ),
         )
 
-    def response(self, event: dict, now: float) -> list[tuple]:
+    def response(self, event: dict, now: float) -> list[contract.Action]:
         engine = self.engine(event["Engine"])
         self.engine_uses[engine] = max(0, self.engine_uses[engine] - 1)
-        seq, results = self.seq_at.get(event["Rid"]), []
+        seq, results = self.sequence_at.get(event["Rid"]), []
         if seq is not None:
             results = self.router.ended(
                 now,
@@ -140,12 +171,12 @@
                 event.get("LatencyMs", 0.0) / 1e3,
                 event.get("Settled", False),
                 event.get("Info", 0),
-                decode_load(event.get("Telemetry")),
+                load_report_from_platform(event.get("Telemetry")),
             )
         self.free_if_over(engine)
         return results
 
-    def call(self, event: dict, now: float) -> list[tuple]:
+    def call(self, event: dict, now: float) -> list[contract.Action]:
         """Hand one event to the router."""
         verb, router = event["verb"], self.router
         if verb == "REQ":
@@ -159,70 +190,61 @@
         if verb == "PING_RESULT":
             engine = self.engine(event["Engine"])
             self.engine_uses[engine] = max(0, self.engine_uses[engine] - 1)
-            results = router.probed(
+            results = router.probe_ended(
                 now,
                 engine,
                 event.get("StateCode") == "ok",
                 event.get("LatencyMs", 0.0) / 1e3,
-                decode_load(event.get("Telemetry")),
+                load_report_from_platform(event.get("Telemetry")),
             )
             self.free_if_over(engine)
             return results
         if verb == "MESSAGE":
-            return router.heard(now, event["Who"], event.get("Content", ""))
+            return router.gossip_received(now, event["Who"], event.get("Content", ""))
         if verb not in ("ESTABLISHED", "DROPPED", "NOTE"):
             raise WireError(f"unknown verb {verb}")
-        seq = self.seq_at.get(event["Rid"])
+        seq = self.sequence_at.get(event["Rid"])
         if seq is None:
             return []
         if verb == "ESTABLISHED":
             return router.began(now, seq, event.get("Copy", 0), event.get("LatencyMs", 0.0) / 1e3)
         if verb == "DROPPED":
-            return router.left(now, seq)
+            return router.client_left(now, seq)
         engine = self.engine(event["Engine"])
-        return router.hold_answered(now, seq, event.get("Copy", 0), engine, event["What"] == 1)
+        return router.reservation_answered(now, seq, event.get("Copy", 0), engine, event["What"] == 1)
 
-    def encode(self, result: tuple) -> dict | None:
-        """One result as an action, or None where it is only for the adapter."""
-        verb, args = result[0], result[1:]
-        order = {"verb": "", "NodeId": self.name}
-        if verb in ("send", "hold", "release", "cancel", "reject", "abort", "move", "done"):
-            order["Rid"] = self.seq_ids[args[0]]
-        if verb == "send":
-            self.engine_uses[args[1]] += 1
-            order.update(verb="PLACE", Engine=self.engine_ids[args[1]])
-            if args[2]:
-                order["AllowForMs"] = args[2] * 1e3
-        elif verb == "hold":
-            order.update(verb="BOOK_SEAT", Engine=self.engine_ids[args[1]])
-        elif verb == "cancel":
-            order.update(verb="UNDO_SEND", Copy=args[1])
-        elif verb == "reject":
-            order["verb"] = "BOUNCE"
-            if args[1]:
-                order["WaitMs"] = args[1] * 1e3
-        elif verb == "done":
-            del self.seq_at[self.seq_ids.pop(args[0])]
-            return None
-        elif verb == "wake":
-            order.update(verb="DEFER", SpanMs=args[0] * 1e3, Name=str(args[1]))
-        elif verb in ("probe", "close"):
-            # Guards against a probe that answers for an engine whose index was handed on meanwhile.
-            self.engine_uses[args[0]] += verb == "probe"
-            order.update(verb="PROBE" if verb == "probe" else "CLOSE_IDLE", Engine=self.engine_ids[args[0]])
-        elif verb == "tell":
-            order.update(verb="NOTIFY", NeighbourId="all" if args[0] is None else args[0], Content=args[1])
-        elif verb == "watch":
-            order.update(verb="LISTEN", Active=args[0])
-        elif verb == "note":
-            order.update(verb="TRACE", Words=args[0])
-        else:
-            order["verb"] = {
-                "release": "UNHOLD",
-                "abort": "REPORT_FAILURE",
-                "move": "REBALANCE",
-                "relist": "READ_LIST",
-            }[verb]
+    def encode(self, action: contract.Action) -> dict | None:
+        """One action as the wire has it, or None where it is only for the adapter."""
+        order = {"verb": WIRE_VERBS.get(type(action)), "NodeId": self.name}
+        if isinstance(action, SEQUENCE_ACTIONS):
+            order["Rid"] = self.sequence_ids[action.sequence]
+        match action:
+            case contract.Forget(sequence):
+                del self.sequence_at[self.sequence_ids.pop(sequence)]
+                return None
+            case contract.Send(_, engine, timeout):
+                self.engine_uses[engine] += 1
+                order["Engine"] = self.engine_ids[engine]
+                if timeout:
+                    order["AllowForMs"] = timeout * 1e3
+            case contract.Reserve(_, engine) | contract.CloseIdle(engine):
+                order["Engine"] = self.engine_ids[engine]
+            case contract.Probe(engine):
+                # Guards against a probe that answers for an engine whose index was handed on meanwhile.
+                self.engine_uses[engine] += 1
+                order["Engine"] = self.engine_ids[engine]
+            case contract.CancelAttempt(_, attempt):
+                order["Copy"] = attempt
+            case contract.Reject(_, retry_after) if retry_after:
+                order["WaitMs"] = retry_after * 1e3
+            case contract.ScheduleWakeup(delay, token):
+                order.update(SpanMs=delay * 1e3, Name=str(token))
+            case contract.Gossip(node, payload):
+                order.update(NeighbourId="all" if node is None else node, Content=payload)
+            case contract.WatchEndpoints(enabled):
+                order["Active"] = enabled
+            case contract.LogNote(text):
+                order["Words"] = text
         return order
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,7 +10,7 @@
 from myrtlehub.config.load import parse
 from myrtlehub.config.sheets import NodeSheet, StandSheet
 from myrtlehub.emulator.server import StandIn
-from myrtlehub.node.host import Host
+from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.node import Node
 from myrtlehub.proto import admin_pb2, chat_pb2, engine_pb2
 from myrtlehub.records import Record, Recorder
@@ -80,7 +80,7 @@
         self,
         engines: str = "R0 W0 W0",
         nodes: int = 1,
-        host: type[Host] = Host,
+        host: type[ActionExecutor] = ActionExecutor,
         base: Path | None = None,
         lists: str = "",
         more: str = "",
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,8 +3,8 @@
 import difflib
 from pathlib import Path
 
-from myrtlehub import interface as itf
-from myrtlehub.decide import Router
+from myrtlehub.routing import contract
+from myrtlehub.routing.router import Router
 from myrtlehub.state.lives import Step, Table
 
 
@@ -18,40 +18,54 @@
     return table._replace(steps=new)
 
 
-CHAT = itf.TrafficType(itf.REPEATABLE, 2.0, 4e-5, 10.0, 0.07, 1.0, 0.3)
-BOOK = itf.TrafficType(itf.ONCE_ONLY, 2.0, 4e-5, 10.0, 0.07, 3.0, 0.3)
-MARK = itf.TrafficType(itf.TOKENED, 2.0, 4e-5, 10.0, 0.07, 1.0, 0.3, "cell", 5.0)
-TERMS = itf.Terms(
+CHAT = contract.TrafficType(contract.RetrySemantics.IDEMPOTENT, 2.0, 4e-5, 10.0, 0.07, 1.0, 0.3)
+BOOK = contract.TrafficType(contract.RetrySemantics.AT_MOST_ONCE, 2.0, 4e-5, 10.0, 0.07, 3.0, 0.3)
+MARK = contract.TrafficType(
+    contract.RetrySemantics.IDEMPOTENCY_KEY, 2.0, 4e-5, 10.0, 0.07, 1.0, 0.3, contract.DedupGroup.CELL, 5.0
+)
+TERMS = contract.RouterConfig(
     seed=7,
     node=0,
-    nodes=2,
+    node_count=2,
     zone=0,
     traffic=(CHAT, BOOK, MARK),
     reads=(True, False, True),
     writes=(False, True, True),
     memory=(200000.0, 100000.0, 150000.0),
     quotas=(),
-    self_read=True,
-    may_hold=False,
+    writers_can_read=True,
+    may_reserve=False,
     may_cancel=True,
-    may_resume=False,
+    may_migrate=False,
     may_probe=False,
-    may_tell=False,
-    second_copies=True,
-    most_attempts=5,
-    let_go=0.5,
+    may_gossip=False,
+    may_hedge=True,
+    max_attempts=5,
+    state_timeout=0.5,
     drain_grace=0.25,
     cold_share=0.25,
     cold_time=12.0,
-    fall_multiple=2.5,
-    fall_time=1.0,
+    overload_multiple=2.5,
+    overload_window=1.0,
     answer_slack=0.016,
     tick=0.004,
-    max_wait=2.0,
-    over_share_utility=0.1,
-    ask_for_list=False,
+    max_retry_after=2.0,
+    over_quota_utility=0.1,
+    polls_endpoints=False,
 )
 READER, WRITER, BOTH = 0, 1, 2
+TRACE_WORDS = {  # as the traces under tests/traces name the actions
+    contract.Send: "send",
+    contract.Release: "release",
+    contract.CancelAttempt: "cancel",
+    contract.Reject: "reject",
+    contract.Abort: "abort",
+    contract.Probe: "probe",
+    contract.CloseIdle: "close",
+    contract.WatchEndpoints: "watch",
+    contract.Forget: "done",
+}
+TRACE_FIELDS = {"started_at": "started"}  # of an engine's entry, likewise
 
 
 class Bench:
@@ -62,19 +76,28 @@
         self.router.start(self.now)
         kinds = {"R": READER, "W": WRITER, "B": BOTH}
         self.listed = [
-            itf.Listing(
-                i, True, itf.SERVING, kinds[e[0]], int(e[1]), int(e[1]), 0.0, 1.0, i * 2654435761 % 2**32
+            contract.EndpointUpdate(
+                i,
+                True,
+                contract.EngineState.SERVING,
+                kinds[e[0]],
+                int(e[1]),
+                int(e[1]),
+                0.0,
+                1.0,
+                i * 2654435761 % 2**32,
             )
             for i, e in enumerate(engines.split())
         ]
-        self.say("engines " + engines, self.router.engines(self.now, self.listed, True))
+        self.say("engines " + engines, self.router.update_endpoints(self.now, self.listed, True))
 
-    def say(self, what: str, results: list[tuple]) -> None:
+    def say(self, what: str, results: list[contract.Action]) -> None:
         self.lines.append(f"{self.now - 100.0:7.3f}  {what}")
         self.lines.extend(
-            "         -> " + " ".join(f"{x:g}" if isinstance(x, float) else str(x) for x in r)
+            "         -> "
+            + " ".join([TRACE_WORDS[type(r)], *(f"{x:g}" if isinstance(x, float) else str(x) for x in r)])
             for r in results
-            if r[0] != "wake"
+            if not isinstance(r, contract.ScheduleWakeup)
         )
 
     def take(
@@ -87,9 +110,9 @@
         shared: float = 0.0,
     ) -> int:
         seq, self.count = self.count, self.count + 1
-        a = itf.Arrival(traffic, -1, prompt, left, session, prefix, shared, 400.0, 0.0)
+        a = contract.Arrival(traffic, -1, prompt, left, session, prefix, shared, 400.0, 0.0)
         self.say(
-            f"seq {seq} {TERMS.traffic[traffic].repeats} prompt {prompt:g}",
+            f"seq {seq} {TERMS.traffic[traffic].retry_semantics} prompt {prompt:g}",
             self.router.arrive(self.now, seq, a),
         )
         return seq
@@ -101,7 +124,7 @@
         outcome: str,
         kept: float = 0.0,
         settled: bool = False,
-        load: itf.Load | None = None,
+        load: contract.LoadReport | None = None,
         latency: float = 0.1,
     ) -> None:
         told = f" {load.memory_share:g} of memory held" if load else ""
@@ -110,11 +133,11 @@
             self.router.ended(self.now, seq, attempt, outcome, latency, settled, kept, load),
         )
 
-    def probed(self, engine: int, load: itf.Load | None) -> None:
+    def probed(self, engine: int, load: contract.LoadReport | None) -> None:
         """An answer to a probe; None: it timed out."""
         self.say(
             f"probe of {engine} {'answered' if load else 'timed out'}",
-            self.router.probed(self.now, engine, load is not None, 0.001 if load else 0.25, load),
+            self.router.probe_ended(self.now, engine, load is not None, 0.001 if load else 0.25, load),
         )
 
     def sends(self) -> dict[int, list[int]]:
@@ -130,11 +153,15 @@
         self.say(f"seq {seq} attempt {attempt} began", self.router.began(self.now, seq, attempt, 0.05))
 
     def list(self, engine: int, **change: object) -> None:
-        entry = self.listed[engine]._replace(fresh=False, **change)
-        self.say(f"engine {engine} {change}", self.router.engines(self.now, [entry], False))
+        entry = self.listed[engine]._replace(is_new=False, **change)
+        named = {
+            TRACE_FIELDS.get(k, k): int(v) if isinstance(v, contract.EngineState) else v
+            for k, v in change.items()
+        }
+        self.say(f"engine {engine} {named}", self.router.update_endpoints(self.now, [entry], False))
 
     def left(self, seq: int) -> None:
-        self.say(f"seq {seq} client left", self.router.left(self.now, seq))
+        self.say(f"seq {seq} client left", self.router.client_left(self.now, seq))
 
     def wait(self, seconds: float, step: float = 0.025) -> None:
         """Let time pass, waking the router as it asks."""
@@ -142,7 +169,7 @@
         while self.now < until - 1e-9:
             self.now = min(until, self.now + step)
             results = self.router.wake(self.now, 0)
-            if any(r[0] != "wake" for r in results):
+            if any(not isinstance(r, contract.ScheduleWakeup) for r in results):
                 self.say("time", results)
 
     def check(self, name: str) -> None:
--- a/tests/socketrig.py
+++ b/tests/socketrig.py
@@ -383,7 +383,7 @@
             self.process.send_signal(signal.Signals[f"SIG{name}"])
 
     def stop(self) -> None:
-        """Hold it: what comes meanwhile lies in the kernel."""
+        """HeldState it: what comes meanwhile lies in the kernel."""
         self.signal("STOP")
         until(
             lambda: f"/proc/{self.process.pid}/stat", lambda text: text.rpartition(")")[2].split()[0] == "T"
--- a/tests/test_host.py
+++ b/tests/test_action_executor.py
@@ -2,16 +2,16 @@
 
 from fleet import Fleet
 
-from myrtlehub import decode, simhost
-from myrtlehub import interface as itf
-from myrtlehub.decide import Router
-from myrtlehub.node.host import ContractBroken, Host
-from myrtlehub.node.terms import terms_of
+from myrtlehub import platform_settings, simulator
+from myrtlehub.node.action_executor import ActionExecutor, ContractViolationError
+from myrtlehub.node.router_config import router_config_of
+from myrtlehub.routing import contract
+from myrtlehub.routing.router import Router
 
-WORDS = {v: k for k, v in simhost.OUTCOMES.items()}
-EFFECTS = {v: k for k, v in decode.REPEATS.items()}
-STATES = {v: k for k, v in simhost.STATES.items()}
-FACTORS = {ours: (wire, factor) for wire, (ours, factor) in decode.LOAD_UNITS.items()}
+WORDS = {v: k for k, v in simulator.OUTCOMES.items()}
+EFFECTS = {v: k for k, v in platform_settings.REPEATS.items()}
+STATES = {v: k for k, v in simulator.STATES.items()}
+FACTORS = {ours: (wire, factor) for wire, (ours, factor) in platform_settings.LOAD_UNITS.items()}
 
 
 class Noted:
@@ -21,7 +21,7 @@
         self.router, self.said = router, []
 
     def __getattr__(self, name: str) -> object:
-        def call(now: float, *args: object) -> list[tuple]:
+        def call(now: float, *args: object) -> list[contract.Action]:
             results = getattr(self.router, name)(now, *args)
             self.said.append((now, name, args, list(results)))
             return results
@@ -29,26 +29,26 @@
         return call
 
 
-class NotedHost(Host):
+class NotedHost(ActionExecutor):
     def __init__(self, router: Router, *args: object) -> None:
         super().__init__(Noted(router), *args)
 
 
-def settings_of(terms: itf.Terms) -> dict:
+def settings_of(terms: contract.RouterConfig) -> dict:
     """Terms as the wire says them."""
     ms = 1e3
     return {
-        "Balancers": terms.nodes,
+        "Balancers": terms.node_count,
         "Ordinal": terms.node,
         "Zones": ["z"],
         "MyZone": "z",
         "PeriodMs": terms.tick * ms,
         "MachineTypes": [f"k{i}" for i in range(len(terms.reads))],
-        "OverShareWorth": terms.over_share_utility,
+        "OverShareWorth": terms.over_quota_utility,
         "Classes": [
             {
                 "Name": f"t{i}",
-                "Effect": EFFECTS[t.repeats],
+                "Effect": EFFECTS[t.retry_semantics],
                 "AimMs": t.latency_slo * ms,
                 "GiveUpMs": t.abandon_time * ms,
                 "Credit": t.utility,
@@ -60,31 +60,31 @@
         ],
         "Caps": {
             "Cancel": terms.may_cancel,
-            "MostTries": terms.most_attempts,
+            "MostTries": terms.max_attempts,
             "RetryAfter": True,
-            "MaxRetryAfterMs": terms.max_wait * ms,
+            "MaxRetryAfterMs": terms.max_retry_after * ms,
         },
         "Invariants": {
             "AnswerSlackMs": terms.answer_slack * ms,
             "ColdMs": terms.cold_time * ms,
             "ColdShare": terms.cold_share,
             "DrainGraceMs": terms.drain_grace * ms,
-            "FallMs": terms.fall_time * ms,
-            "FallMultiple": terms.fall_multiple,
+            "FallMs": terms.overload_window * ms,
+            "FallMultiple": terms.overload_multiple,
         },
         "Specifics": {
             "DutyByKind": ["read" if r else "write" for r in terms.reads],
             "KvTokens": list(terms.memory),
-            "LetGoByMs": terms.let_go * ms,
-            "SelfPrefill": terms.self_read,
-            "TokenAimMs": [t.pace * ms for t in terms.traffic],
+            "LetGoByMs": terms.state_timeout * ms,
+            "SelfPrefill": terms.writers_can_read,
+            "TokenAimMs": [t.seconds_per_token * ms for t in terms.traffic],
         },
     }
 
 
 def event_of(name: str, args: tuple, engines: dict[int, str]) -> dict:
     """One of the host's calls, as the wire says it."""
-    if name == "engines":
+    if name == "update_endpoints":
         entries = []
         for e in args[0]:
             engines.setdefault(e.engine, f"e{e.engine}")
@@ -95,7 +95,7 @@
                     "State": STATES[e.state],
                     "Dc": "z",
                     "Cluster": e.cell,
-                    "StartTimeMs": e.started * 1e3,
+                    "StartTimeMs": e.started_at * 1e3,
                     "Heft": e.weight,
                 }
             )
@@ -108,20 +108,20 @@
         return {
             **event,
             "verb": "REQ",
-            "InputLen": a.prompt,
+            "InputLen": a.prompt_tokens,
             "TimeBudgetMs": a.time_left * 1e3,
             "Chat": a.session,
             "Prefix": a.prefix,
-            "SharedLen": a.shared,
-            "MaxTokens": a.most_output,
+            "SharedLen": a.shared_tokens,
+            "MaxTokens": a.max_output_tokens,
             "Grade": f"t{a.traffic}",
-            "Options": 2 * a.repeated,
+            "Options": 2 * a.is_retry,
         }
-    if name == "left":
+    if name == "client_left":
         return {**event, "verb": "DROPPED"}
     if name == "began":
         return {**event, "verb": "ESTABLISHED", "Copy": args[1], "LatencyMs": args[2] * 1e3}
-    seq, copy, outcome, latency, settled, kept, load = args
+    _, copy, outcome, latency, settled, kept, load = args
     report = (
         {FACTORS[f][0]: v / FACTORS[f][1] for f, v in load._asdict().items() if v is not None}
         if load
@@ -139,7 +139,7 @@
     }
 
 
-def plain(results: list[tuple]) -> list[tuple]:
+def plain(results: list[contract.Action]) -> list[contract.Action]:
     return [tuple(round(x, 6) if isinstance(x, float) else x for x in r) for r in results]
 
 
@@ -174,19 +174,24 @@
             f.misbehave("R1b", "hang", seconds=2.0)
             f.tell("R0a", "draining")
     f.run(8.0)
-    terms = terms_of(f.nodes["n0"].sheet)
+    terms = router_config_of(f.nodes["n0"].sheet)
     settings = settings_of(terms)
-    assert simhost.decode_terms(settings, terms.seed) == terms
-    adapter = simhost.Node("n0", {"Settings": settings, "Entropy": terms.seed}, host.router.said[0][0])
+    assert simulator.router_config_from_settings(settings, terms.seed) == terms
+    adapter = simulator.Node("n0", {"Settings": settings, "Entropy": terms.seed}, host.router.said[0][0])
     # Both tell engines apart by a mark made of their addresses; the adapter knows them by other words here.
     fresh = adapter.router = Router(terms)
     engines: dict[int, str] = {}
-    marks = {e.engine: e.mark for _, name, args, _ in host.router.said if name == "engines" for e in args[0]}
-    listed = fresh.engines
-    fresh.engines = lambda now, listings, whole: listed(
-        now, [e._replace(mark=marks[e.engine]) for e in listings], whole
+    marks = {
+        e.engine: e.hash_seed
+        for _, name, args, _ in host.router.said
+        if name == "update_endpoints"
+        for e in args[0]
+    }
+    listed = fresh.update_endpoints
+    fresh.update_endpoints = lambda now, listings, whole: listed(
+        now, [e._replace(hash_seed=marks[e.engine]) for e in listings], whole
     )
-    verbs, attempts = set(), {}
+    kinds, attempts = set(), {}
     for now, name, args, results in host.router.said[1:]:
         event = event_of(name, args, engines)
         if event["verb"] == "RESPONSE":
@@ -195,18 +200,25 @@
         assert plain(again) == plain(results), (now, name, args)
         for result in results:
             adapter.encode(result)
-            verbs.add(result[0])
-            if result[0] == "send":
-                seq = result[1]
-                attempts[seq, sum(k[0] == seq for k in attempts)] = result[2]
-    assert {"send", "release", "wake", "done", "cancel"} <= verbs and len(host.router.said) > 150
+            kinds.add(type(result))
+            if isinstance(result, contract.Send):
+                seq = result.sequence
+                attempts[seq, sum(k[0] == seq for k in attempts)] = result.engine
+    expected = {
+        contract.Send,
+        contract.Release,
+        contract.ScheduleWakeup,
+        contract.Forget,
+        contract.CancelAttempt,
+    }
+    assert expected <= kinds and len(host.router.said) > 150
     assert {name for _, name, _, _ in host.router.said} == {
         "start",
-        "engines",
+        "update_endpoints",
         "arrive",
         "began",
         "ended",
-        "left",
+        "client_left",
         "wake",
     }
 
@@ -214,15 +226,14 @@
 def test_results_that_the_terms_rule_out_stop_the_host() -> None:
     f = Fleet()
     host = f.nodes["n0"].host
-    for verb in ("hold", "move", "probe", "tell"):
-        result = (verb, 0) if verb == "probe" else (verb, 0, 0)
-        host.router.wake = lambda now, token, result=result: [result]
+    for action in (contract.Reserve(0, 0), contract.Migrate(0), contract.Probe(0), contract.Gossip(0, "")):
+        host.router.wake = lambda now, token, action=action: [action]
         try:
             host._say("wake", 0)
-        except ContractBroken as fault:
+        except ContractViolationError as fault:
             assert "rule out" in str(fault)
         else:
-            raise AssertionError(verb)
+            raise AssertionError(action)
 
 
 def test_results_are_carried_out_in_their_order_and_calls_never_nest() -> None:
@@ -230,12 +241,12 @@
     host, seen, depth = f.nodes["n0"].host, [], []
 
     class Script:
-        def wake(self, now: float, token: int) -> list[tuple]:
+        def wake(self, now: float, token: int) -> list[contract.Action]:
             assert not depth, "called from within a call's results"
             depth.append(1)
             seen.append(token)
             depth.pop()
-            return [("note", f"{token}a"), ("note", f"{token}b")]
+            return [contract.LogNote(f"{token}a"), contract.LogNote(f"{token}b")]
 
     host.router = Script()
 
@@ -244,6 +255,6 @@
         if text == "1a":
             host._say("wake", 2)
 
-    host._verbs["note"] = note
+    host._handlers[contract.LogNote] = note
     host._say("wake", 1)
     assert seen == [1, "1a", "1b", 2, "2a", "2b"]
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -9,7 +9,7 @@
 import pytest
 from fleet import Fleet
 
-from myrtlehub.client import Aborted, Ask, Generated, NotTaken, Rejected
+from myrtlehub.client import Aborted, Ask, Generated, InvalidRequestError, Rejected
 from myrtlehub.client.batches import BatchAsk, Batches
 from myrtlehub.client.promise import End, Tries
 from myrtlehub.client.tx import Client
@@ -44,7 +44,7 @@
         (rejected, Rejected),
         (aborted, Aborted),
         (lost, Aborted),
-        (End("invalid"), NotTaken),
+        (End("invalid"), InvalidRequestError),
         (End("lost", unprocessed=True), Rejected),
     ):
         with pytest.raises(kind):
@@ -66,7 +66,7 @@
     assert ends == [Generated(len(seen), 1)] and seen
     ask("nope", 3000, 40)
     f.run(0.1)
-    assert ends[1].check(NotTaken) and "traffic_type" in ends[1].getErrorMessage()
+    assert ends[1].check(InvalidRequestError) and "traffic_type" in ends[1].getErrorMessage()
     f.misbehave("W0b", "hang", seconds=3.0)
     f.run(0.05)
     ask("post", 100, 40, first_within=1.0)
@@ -160,7 +160,7 @@
         best = sorted(range(700), key=lambda i: -scores[i])[:9]
         assert [r.index for r in batches.rank(b"q", texts, sort, top=9)] == best
         assert sorted(batches.rank_stream(b"q", texts, sort)) == list(enumerate(scores))
-        with pytest.raises(NotTaken, match="is for the front 'embed'"):
+        with pytest.raises(InvalidRequestError, match="is for the front 'embed'"):
             batches.rank(b"q", texts, ask)
         with pytest.raises(Rejected):  # nothing can be done in that time, and nothing runs twice for it
             batches.embed(texts, BatchAsk("vec", first_within=0.002, within=0.3, tries=2), dimensions=3)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -3,10 +3,10 @@
 import pytest
 from fleet import Fleet
 
-from myrtlehub import interface as itf
 from myrtlehub.lab.checker import RULES, Checker, check
-from myrtlehub.node.host import Attempt, Held, Host
+from myrtlehub.node.action_executor import ActionExecutor, Attempt, InFlightSequence
 from myrtlehub.records import Record
+from myrtlehub.routing import contract
 from myrtlehub.rpc.guards import TransportBounds
 
 ROWS = [
@@ -298,7 +298,10 @@
     f.run(0.1)
     host = f.nodes["n0"].host
     attempt = host.held[0].attempts[0]
-    steps = [lambda: host.ended(attempt, itf.GENERATED, tokens=0), lambda: host._timed_out(attempt)]
+    steps = [
+        lambda: host.ended(attempt, contract.Outcome.GENERATED, tokens=0),
+        lambda: host._timed_out(attempt),
+    ]
     for step in steps if answer_first else reversed(steps):
         step()
     f.run(5.0)
@@ -335,39 +338,41 @@
 # -- hosts that are broken on purpose: each has to be caught, by its rule ------------------------------
 
 
-class TellsTwice(Host):
+class TellsTwice(ActionExecutor):
     def _reject(self, seq: int, wait: float) -> None:
         self.held[seq].client.call.finish = lambda *args: None
         super()._reject(seq, wait)
         self.held[seq].client.rejected(wait)
 
 
-class Forgets(Host):
+class Forgets(ActionExecutor):
     def _reject(self, seq: int, wait: float) -> None:
         self.held[seq].life.step("reject")
 
 
-class ClaimsNotRun(Host):
+class ClaimsNotRun(ActionExecutor):
     def ended(self, attempt: Attempt, outcome: str, *args: object, **more: object) -> None:
-        super().ended(attempt, itf.FULL if outcome == itf.RESET else outcome, *args, **more)
+        super().ended(
+            attempt, contract.Outcome.FULL if outcome == contract.Outcome.RESET else outcome, *args, **more
+        )
 
 
-class RejectsAll(Host):
+class RejectsAll(ActionExecutor):
     def _abort(self, seq: int) -> None:
         self._reject(seq, 0.0)
 
 
-class IgnoresDrains(Host):
+class IgnoresDrains(ActionExecutor):
     def list_news(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
         super().list_news([r.having(state="serving") for r in rows], whole)
 
 
-class ForgetsAge(Host):
+class ForgetsAge(ActionExecutor):
     def list_news(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
         super().list_news([r.having(age=0.0) for r in rows], whole)
 
 
-class KeepsStates(Host):
+class KeepsStates(ActionExecutor):
     def _release(self, seq: int) -> None:
         pass
 
@@ -439,8 +444,8 @@
         (KeepsStates, left_after_read, 5),
     ],
 )
-def test_a_broken_host_is_caught_by_its_rule(host: type[Host], trouble: object, rule: int) -> None:
-    for kind, wanted in ((Host, set()), (host, {rule})):
+def test_a_broken_host_is_caught_by_its_rule(host: type[ActionExecutor], trouble: object, rule: int) -> None:
+    for kind, wanted in ((ActionExecutor, set()), (host, {rule})):
         engines = {no_room: "R0 W0", cold_rush: "R0 W0 W0 W0 W0"}.get(trouble, "R0 W0 W0")
         f = Fleet(engines, host=kind, queue=200)
         trouble(f)
@@ -450,4 +455,6 @@
 
 
 def test_a_held_sequence_is_small() -> None:
-    assert not hasattr(Held(0, "x", None, itf.Arrival(0, -1, 1, 1, 0, 0, 0, 1, 0), None, 0.0), "__dict__")
+    assert not hasattr(
+        InFlightSequence(0, "x", None, contract.Arrival(0, -1, 1, 1, 0, 0, 0, 1, 0), None, 0.0), "__dict__"
+    )
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -13,8 +13,8 @@
 from myrtlehub.config.load import Faults, parse
 from myrtlehub.config.sheets import NodeSheet
 from myrtlehub.lab.day import free_ports
-from myrtlehub.node.host import Host
-from myrtlehub.node.terms import terms_of
+from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.node.router_config import router_config_of
 from myrtlehub.records import read
 
 PROBED = """
@@ -26,7 +26,7 @@
 CHAT_ONLY = re.sub(r"  - \{name: (vec|sort).*\n", "", SOUND)
 
 
-class Heard(Host):
+class Heard(ActionExecutor):
     """A host that writes down each word on a probe."""
 
     def __init__(self, *args: object) -> None:
@@ -97,9 +97,12 @@
 def test_terms_come_from_the_file_and_defaults_leave_them_as_they_were() -> None:
     moved_file = CHAT_ONLY.replace("hold: no}", "hold: no, probe: yes}")
     moved_file += "reports: {how: probe, probe_price: 0.01}\n"
-    plain, probed = terms_of(parse(CHAT_ONLY, NodeSheet)), terms_of(parse(moved_file, NodeSheet))
-    assert (plain.report_on_probe, plain.probe_price, plain.may_probe) == (False, 0.0, False)
-    assert (probed.report_on_probe, probed.probe_price, probed.may_probe) == (True, 0.01, True)
+    plain, probed = (
+        router_config_of(parse(CHAT_ONLY, NodeSheet)),
+        router_config_of(parse(moved_file, NodeSheet)),
+    )
+    assert (plain.load_by_probe_only, plain.probe_price, plain.may_probe) == (False, 0.0, False)
+    assert (probed.load_by_probe_only, probed.probe_price, probed.may_probe) == (True, 0.01, True)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -27,12 +27,12 @@
 )
 from twisted.internet import task
 
-from myrtlehub import interface as itf
 from myrtlehub.http1.bounds import AHEAD_ALL
 from myrtlehub.relay.bootstrap import Malformed, load_of, read_bootstrap
 from myrtlehub.relay.events import EVENT_MOST, Events, Spoilt
 from myrtlehub.relay.outcomes import HEADS, of_break, of_head
 from myrtlehub.relay.reload import Drain, reload
+from myrtlehub.routing import contract
 
 LONG = 2000  # prompt tokens from which a reader is used
 
@@ -126,10 +126,15 @@
         assert of_head(reads, status, mark) == end
     for reads in (True, False):
         for status in (201, 204, 301, 400, 404, 410, 429, 500, 502, 503, 504):
-            assert of_head(reads, status, False).outcome == itf.ERROR  # without its mark it proves nothing
-        assert of_head(reads, 500, True).outcome == itf.ERROR
-    assert of_head(True, 200, False).outcome == of_head(False, 202, False).outcome == itf.ERROR
-    assert (of_break(False).outcome, of_break(True).outcome) == (itf.UNREACHED, itf.RESET)
+            assert (
+                of_head(reads, status, False).outcome == contract.Outcome.ERROR
+            )  # without its mark it proves nothing
+        assert of_head(reads, 500, True).outcome == contract.Outcome.ERROR
+    assert of_head(True, 200, False).outcome == of_head(False, 202, False).outcome == contract.Outcome.ERROR
+    assert (of_break(False).outcome, of_break(True).outcome) == (
+        contract.Outcome.UNREACHED,
+        contract.Outcome.RESET,
+    )
 
 
 @pytest.mark.parametrize(
@@ -283,7 +288,7 @@
         at += cut
     events.end()
     assert out == text and events.kept == 64.0 and events.done
-    assert events.load == itf.Load(memory_share=0.5)
+    assert events.load == contract.LoadReport(memory_share=0.5)
 
 
 def test_an_event_without_end_and_half_an_event_at_the_end_spoil_it() -> None:
@@ -526,7 +531,7 @@
         gc.set_debug(0)
         gc.garbage.clear()
         gc.enable()
-    held = ("Held", "_Waiting", "Exchange", "Request", "Asked", "Attempt", "_Attempt")
+    held = ("InFlightSequence", "_Waiting", "Exchange", "Request", "Asked", "Attempt", "_Attempt")
     assert not {n: left[n] for n in held if left[n]}
 
 
@@ -901,7 +906,7 @@
         "myrtlehub.proto",
         "myrtlehub.lab",
     }
-    assert not unwanted & set(said) and "myrtlehub.decide" in said
+    assert not unwanted & set(said) and "myrtlehub.routing.router" in said
 
 
 def test_settings_of_these_tests_are_those_of_the_simulators_first_message() -> None:
--- a/tests/test_simhost.py
+++ b/tests/test_simulator.py
@@ -61,7 +61,7 @@
 
 def host(*lines: str) -> tuple[int, list[list[str]], str]:
     run = subprocess.run(
-        [sys.executable, "-m", "myrtlehub.simhost"],
+        [sys.executable, "-m", "myrtlehub.simulator"],
         input="\n".join(lines) + "\n",
         capture_output=True,
         text=True,
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -64,7 +64,7 @@
         return Client(channels[0], self.clock, lambda: next(self.draws) * 0.37 % 1.0, channels[1:])
 
 
-class Asked:
+class DecodedRequest:
     """One sequence asked for with the library, and all that its caller saw."""
 
     def __init__(
@@ -124,7 +124,7 @@
     f = Taking(*args, **more)
     clients: dict[str, Client] = {}
     f.asker = lambda first: clients.setdefault(first, f.library(first))
-    warm = Asked(f, "ask")
+    warm = DecodedRequest(f, "ask")
     f.run(2.5)
     assert warm.check() == "generated"
     return f
@@ -144,7 +144,7 @@
 @pytest.mark.parametrize("traffic", REPEATS)
 def test_a_stream_goes_on_without_a_token_missing_or_twice(traffic: str) -> None:
     f = fleet()
-    asked = Asked(f, traffic)
+    asked = DecodedRequest(f, traffic)
     while len(asked.ids) < 5:
         f.run(0.02)
     f.kill("n0")
@@ -165,7 +165,7 @@
     f.run(0.5)
     counts = f.nodes["n0"].keeping.counts
     before = counts["unprotected"]
-    asked = Asked(f, "post")
+    asked = DecodedRequest(f, "post")
     while len(asked.ids) < 2:
         f.run(0.02)
     assert counts["unprotected"] == before + 1
@@ -182,7 +182,7 @@
 @pytest.mark.parametrize("traffic", REPEATS)
 def test_a_state_that_is_held_is_written_from_and_not_read_again(traffic: str) -> None:
     f = fleet()
-    asked = Asked(f, traffic)
+    asked = DecodedRequest(f, traffic)
     while not [r for r in f.what("held") if r.more["seq"] == asked.stream.tries.sequence != ""]:
         f.run(0.0)
         f.net.run(0.002)
@@ -197,7 +197,7 @@
 
 def test_without_takeover_the_same_loss_ends_the_stream() -> None:
     f = fleet(claims=False)
-    asked = Asked(f, "post")
+    asked = DecodedRequest(f, "post")
     while len(asked.ids) < 5:
         f.run(0.02)
     f.kill("n0")
@@ -209,7 +209,7 @@
 def boundaries(traffic: str) -> int:
     f = fleet()
     f.net.crossed = 0
-    asked = Asked(f, traffic)
+    asked = DecodedRequest(f, traffic)
     while asked.end is None:
         f.run(0.1)
     assert asked.check() == "generated"
@@ -229,7 +229,7 @@
     for at in range(1, count + 1, step):
         f = fleet()
         f.net.crossed = 0
-        asked = Asked(f, traffic)
+        asked = DecodedRequest(f, traffic)
         struck: list[str] = []
 
         def strike(pipe: Pipe, f: Taking = f, struck: list[str] = struck) -> None:
@@ -288,7 +288,7 @@
 @pytest.mark.parametrize("traffic", REPEATS)
 def test_a_node_that_was_only_paused_undoes_and_repeats_nothing_when_it_wakes(traffic: str) -> None:
     f = fleet()
-    asked = Asked(f, traffic)
+    asked = DecodedRequest(f, traffic)
     while len(asked.ids) < 5:
         f.run(0.02)
     go_on = pause(f, "n0")
@@ -303,12 +303,12 @@
 
 def test_two_copies_of_a_client_get_one_answer() -> None:
     f = fleet()
-    asked = Asked(f, "post")
+    asked = DecodedRequest(f, "post")
     while len(asked.ids) < 3:
         f.run(0.02)
     f.kill("n0")
     with patch.object(Stream, "_start", lambda stream: None):
-        other = Asked(f, "post", first="n2")
+        other = DecodedRequest(f, "post", first="n2")
     other.mark, other.ids = asked.mark, list(asked.ids)
     tries = other.stream.tries
     tries.sequence, tries.resumes, tries.tokens = asked.stream.tries.sequence, True, len(asked.ids)
@@ -322,7 +322,7 @@
 
 def test_nobody_comes_back_and_all_is_let_go() -> None:
     f = fleet(state_bound="60s", stream_bound="60s")
-    asked = Asked(f, "post", within=0.6)
+    asked = DecodedRequest(f, "post", within=0.6)
     while len(asked.ids) < 2:
         f.run(0.02)
     f.kill("n0")
@@ -334,7 +334,7 @@
 
 def test_a_node_that_leaves_hands_its_streams_over_at_once() -> None:
     f = fleet()
-    some = [Asked(f, traffic) for traffic in REPEATS]
+    some = [DecodedRequest(f, traffic) for traffic in REPEATS]
     while min(len(a.ids) for a in some) < 3:
         f.run(0.02)
     node, began, done = f.nodes["n0"], f.clock.seconds(), []
@@ -349,7 +349,7 @@
 
 def test_an_engine_that_restarted_meanwhile_counts_as_having_run() -> None:
     f = fleet("R0 W0")
-    once, free = Asked(f, "post"), Asked(f, "ask")
+    once, free = DecodedRequest(f, "post"), DecodedRequest(f, "ask")
     while not (once.ids and free.ids):
         f.run(0.02)
     f.kill("n0")
@@ -362,7 +362,7 @@
 
 def test_an_engine_that_has_forgotten_an_attempt_is_no_proof_that_it_never_ran() -> None:
     f = fleet(stream_bound="300ms", step="5ms")
-    asked = Asked(f, "post")
+    asked = DecodedRequest(f, "post")
     while len(f.what("fetching")) < 2:  # the warm one's, and its own: its writer has it, and has not begun
         f.net.run(0.002)
     f.kill("n0")
@@ -374,7 +374,7 @@
 
 def test_a_stream_is_kept_for_its_bound_and_no_longer() -> None:
     f = fleet(stream_bound="300ms", step="50ms")
-    asked = Asked(f, "post")
+    asked = DecodedRequest(f, "post")
     while len(asked.ids) < 2:
         f.run(0.02)
     f.kill("n0")
