--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -139,7 +139,7 @@
             self.calm.record_value(int(self.worst * 1e6) or 1)
             # the engine that drains is the one that was just sent to: the worst case
             self.index_without = self.latest
-            self.without = int(node.host.door.engines.rows[self.latest].address[1:-2])
+            self.without = int(node.host.decoder.engines.rows[self.latest].address[1:-2])
             at = CLOCK.seconds()
             path.with_name("new").write_text(text(self.count, 2 + i, self.without))
             path.with_name("new").rename(path)
--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -50,7 +50,7 @@
                 judged = time.perf_counter() - at
                 rows = verdict.change.rows() if verdict.change else list(verdict.version.engines.values())
                 at = time.perf_counter()
-                node.host.list_news(rows, not verdict.change, verdict.version.number)
+                node.host.update_endpoints(rows, not verdict.change, verdict.version.number)
                 out.append((read, judged, time.perf_counter() - at))
             tracemalloc.start()
             judge.read(9.0, files.read(("a.yaml",), base).rows[:-1], "files")
--- a/benchmarks/told.py
+++ b/benchmarks/told.py
@@ -64,20 +64,20 @@
     from myrtlehub.node.figures import Figures
 
     row = SimpleNamespace(name="ask", utility=1.0, latency_slo=1.0, slo_per_1000_tokens=0.0, late_share=0.0)
-    host = SimpleNamespace(door=SimpleNamespace(rows=[row]))
+    host = SimpleNamespace(decoder=SimpleNamespace(rows=[row]))
     held = SimpleNamespace(
         arrival=SimpleNamespace(traffic=0, prompt=500.0),
         attempts=[1, 2],
-        since=1.0,
-        life=SimpleNamespace(state="generated"),
-        first_at=1.2,
+        accepted_at=1.0,
+        answer=SimpleNamespace(state="generated"),
+        first_token_at=1.2,
     )
     figures = Figures()
     figures.follow(host)
     began = time.process_time()
     for i in range(times):
-        held.first_at = 1.1 + i % 100 / 500.0
-        host.on_answer(held)
+        held.first_token_at = 1.1 + i % 100 / 500.0
+        host.on_answered(held)
     return (time.process_time() - began) / times
 
 
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -74,7 +74,7 @@
     node.measure_lag()
     settle_memory()
     reactor.run(installSignalHandlers=False)
-    log("ended", **{k: v for k, v in sorted(node.host.answered.items())})
+    log("ended", **{k: v for k, v in sorted(node.host.answer_counts.items())})
 
 
 if __name__ == "__main__":
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/variant.py
@@ -47,7 +47,7 @@
     start = Links.start
 
     def later(self: Links, attempt: object) -> None:
-        self.clock.callLater(SLOWER, lambda: start(self, attempt) if attempt.out else None)
+        self.clock.callLater(SLOWER, lambda: start(self, attempt) if attempt.is_outstanding else None)
 
     Links.start = later
 
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -52,10 +52,10 @@
         self.act(self.model.tick(self.fleet.clock.seconds()))
 
     def _tell(self, attempt: Attempt, event: tuple) -> None:
-        host, word = attempt.held.client.host, event[0]
+        host, word = attempt.sequence.client.host, event[0]
         load = contract.LoadReport(**self.model.load())
         if word == "tokens":
-            (host.more if attempt.begun else host.began)(attempt, b"")
+            (host.tokens_received if attempt.is_streaming else host.began)(attempt, b"")
         elif word == "read":
             host.ended(attempt, contract.Outcome.READ, event[2], load, self.address)
         elif word == "ended":
@@ -69,7 +69,7 @@
         attempt = self.jobs.get(key)
         if attempt is None:
             return
-        reader, label = self.fleet.engines[attempt.claims.handle], attempt.held.label
+        reader, label = self.fleet.engines[attempt.fetched_state.handle], attempt.sequence.sequence_id
         takes = 2 * LINK + reader.model.state_tokens(label) / FETCH
         self.fleet.clock.callLater(takes, self._fetched, key, reader, label)
 
@@ -81,24 +81,24 @@
 
     def take(self, key: int, attempt: Attempt) -> None:
         """An attempt arrives."""
-        if not attempt.out:
+        if not attempt.is_outstanding:
             return
-        asked, held, now = attempt.held.asked, attempt.held, self.fleet.clock.seconds()
+        asked, held, now = attempt.sequence.request, attempt.sequence, self.fleet.clock.seconds()
         self.jobs[key] = attempt
         task = Task(
-            held.label,
+            held.sequence_id,
             asked.prompt,
             asked.most_output,
             asked.session,
             asked.prefix,
             asked.shared,
             asked.mark,
-            held.abandon_at,
+            held.deadline,
         )
         self.act(
             self.model.read(now, key, task)
             if attempt.reads
-            else self.model.write(now, key, task, attempt.claims is not None)
+            else self.model.write(now, key, task, attempt.fetched_state is not None)
         )
 
     def cancel(self, key: int) -> None:
@@ -115,7 +115,7 @@
         self._next = 0
 
     def start(self, attempt: Attempt) -> None:
-        address = self.host.door.engines.rows[attempt.engine].address
+        address = self.host.decoder.engines.rows[attempt.engine].address
         key, self.fleet.attempts = self.fleet.attempts, self.fleet.attempts + 1
         attempt.call = self.fleet.engines[address], key
         self.fleet.clock.callLater(LINK, self.fleet.engines[address].take, key, attempt)
@@ -126,7 +126,7 @@
             self.fleet.clock.callLater(LINK, engine.cancel, key)
 
     def release(self, engine: int, label: str) -> None:
-        target = self.fleet.engines[self.host.door.engines.rows[engine].address]
+        target = self.fleet.engines[self.host.decoder.engines.rows[engine].address]
 
         def done() -> None:
             target.act(target.model.release(self.fleet.clock.seconds(), label))
@@ -136,7 +136,7 @@
     def probe(
         self, engine: int, timeout: float, then: Callable[[bool, contract.LoadReport | None], None]
     ) -> None:
-        target = self.fleet.engines[self.host.door.engines.rows[engine].address]
+        target = self.fleet.engines[self.host.decoder.engines.rows[engine].address]
         self.fleet.clock.callLater(2 * LINK, lambda: then(True, contract.LoadReport(**target.model.load())))
 
     def close_idle(self, engine: int) -> None:
@@ -208,7 +208,7 @@
                 Router(terms), RequestDecoder(mine), terms, self.clock, carrier, f"n{i}."
             )
             host.start()
-            host.list_news(rows, True)
+            host.update_endpoints(rows, True)
             self.hosts.append(host)
 
     def ask(
@@ -222,7 +222,7 @@
         host = self.hosts[node]
         now = self.clock.seconds()
         client = ModelClient(host, asked, now, on_end, on_begun)
-        client.held = host.take(asked, host.door.arrival(asked, now), client)
+        client.held = host.accept(asked, host.decoder.arrival(asked, now), client)
         return client
 
     def run(self, until: float) -> None:
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -85,7 +85,7 @@
         except changes.Unfit as fault:
             raise RpcError(Code.FAILED_PRECONDITION, str(fault)) from fault
         self.node.apply(sheet)
-        self.node.log("applied", settings=digest, by_old=sum(len(w.host.held) for w in self.node.old))
+        self.node.log("applied", settings=digest, by_old=sum(len(w.host.in_flight) for w in self.node.old))
         return pb.OrderTaken(settings=digest, changed=True).SerializeToString()
 
     def obey(self, call: ServerCall, data: bytes) -> bytes:
@@ -179,7 +179,7 @@
 
     def show(self, call: ServerCall, data: bytes) -> bytes:
         """What the node routes by."""
-        engines = self.host.door.engines
+        engines = self.host.decoder.engines
         judge, now = getattr(self.source, "judge", None), self.host.clock.seconds()
         more = {}
         if judge is not None:
@@ -203,15 +203,15 @@
             controller=self.orders.controller,
             format=FORMAT,
             staged=self.staged[0] if self.staged else "",
-            by_old=sum(len(w.host.held) for w in node.old),
+            by_old=sum(len(w.host.in_flight) for w in node.old),
         )
         return pb.NodeState(
             **more,
             list_version=self.host.list_version,
-            sequences=len(self.host.held),
+            sequences=len(self.host.in_flight),
             attempts_out=self.host.attempts_out(),
-            taken=self.host.taken,
-            answered=dict(self.host.answered),
+            taken=self.host.accepted_count,
+            answered=dict(self.host.answer_counts),
             engines=[
                 pb.ListedEngine(
                     address=r.address,
--- a/myrtlehub/node/batches.py
+++ b/myrtlehub/node/batches.py
@@ -96,11 +96,11 @@
             deadline_in=float("inf"),
         )
         try:
-            arrival = desk.host.door.arrival(asked, desk.clock.seconds())
+            arrival = desk.host.decoder.arrival(asked, desk.clock.seconds())
         except InvalidRequestError as fault:  # the whole was let in, so this is about a part: nothing ran
             self.rejected(0.0, str(fault))
             return
-        self.held = desk.host.take(asked, arrival, self)
+        self.held = desk.host.accept(asked, arrival, self)
 
     # what the host says
 
@@ -136,7 +136,7 @@
         if self.wanted:
             return
         if self.held is not None and not self.over:
-            self.desk.host.left(self.held)
+            self.desk.host.client_left(self.held)
             self._came()
         elif self.held is None:
             self.over = True
@@ -354,8 +354,8 @@
         self.fronts = [f for f in ("embed", "rank") if f in self.shares.utility]
         self.fields: list[str] = []  # fronts, in the order of the module's fields; empty: there is only one
         self._common: set[str] = set()  # kinds that do the work of several fronts
-        host.on_sent = lambda attempt: self._placed(attempt, 1)
-        host.on_back = lambda attempt: self._placed(attempt, -1)
+        host.on_attempt_sent = lambda attempt: self._placed(attempt, 1)
+        host.on_attempt_ended = lambda attempt: self._placed(attempt, -1)
         self.open: set[Batch] = set()
         self._timer = None
         self._models: dict[str, str] = {}
@@ -386,8 +386,8 @@
         """Which versions there are, and how much room common engines have for us."""
         if not self.fronts:
             return  # a node for chat alone takes its lists without us
-        rows, kinds = self.host.door.engines.rows, {k.name: k for k in self.sheet.kinds}
-        up = [rows[i] for i in self.host.door.engines.at.values() if rows[i].state == "serving"]
+        rows, kinds = self.host.decoder.engines.rows, {k.name: k for k in self.sheet.kinds}
+        up = [rows[i] for i in self.host.decoder.engines.at.values() if rows[i].state == "serving"]
         for front in self.fronts:
             models = Counter(r.model for r in up if kinds[r.kind].does(front) and r.model)
             self._models[front] = max(sorted(models), key=models.__getitem__, default="")
@@ -405,7 +405,7 @@
 
     def utility(self, traffic_type: str) -> float:
         """Of one batch."""
-        return self.host.door.rows[self.host.door.traffic[traffic_type]].utility
+        return self.host.decoder.rows[self.host.decoder.traffic[traffic_type]].utility
 
     def take(self, want: Want, asker: Asker) -> Batch:
         """A request came in. Raises InvalidRequestError, naming the field."""
@@ -417,8 +417,8 @@
         total = sum(i.tokens + want.besides for i in want.items)
         asked = want.asked._replace(prompt=max(1, total), most_output=1, front=want.front)
         now = self.clock.seconds()
-        arrival = self.host.door.arrival(asked, now)
-        row = self.host.door.rows[arrival.traffic]
+        arrival = self.host.decoder.arrival(asked, now)
+        row = self.host.decoder.rows[arrival.traffic]
         repeatable, room = row.repeats == "repeatable", self.room(want.front)
         if not repeatable and (total > room.tokens or len(want.items) > room.items):
             raise InvalidRequestError(
@@ -427,7 +427,7 @@
             )
         batch = Batch(self, want._replace(asked=asked), asker, now + arrival.time_left, repeatable)
         asker.taken(batch)
-        if len(self.host.held) + len(self.open) >= self.sheet.node.most_sequences:
+        if len(self.host.in_flight) + len(self.open) >= self.sheet.node.most_sequences:
             batch.give_up(Answer("rejected", self.wait, "the node is full"))
             return batch
         self.open.add(batch)
@@ -485,7 +485,7 @@
 
     def _placed(self, attempt: Attempt, sign: int) -> None:
         """A part went to an engine, or came back."""
-        asked = attempt.held.asked
+        asked = attempt.sequence.request
         if not (self.fields and asked.front != "chat" and attempt.kind in self._common):
             return
         self._weigh(asked.front, sign * asked.prompt)
@@ -493,7 +493,9 @@
     def _weigh(self, front: str, tokens: float) -> None:
         """Whether the front may use common engines, after so much more or less of it there."""
         if self.fields and self.shares.room and self.shares.placed(self.clock.seconds(), front, tokens):
-            self.clock.callLater(0, self.host.shut, self.fields.index(front), self.shares.shut[front])
+            self.clock.callLater(
+                0, self.host.set_pool_closed, self.fields.index(front), self.shares.shut[front]
+            )
 
     def pump(self) -> None:
         """Room may have grown."""
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -1,4 +1,4 @@
-"""The chat front: Chat.Generate as DecodedRequest and Client. Decodes and encodes; decides nothing."""
+"""The chat front: Chat.Generate as DecodedRequest and ResponseSink. Decodes and encodes; decides nothing."""
 
 from collections.abc import Callable
 
@@ -62,7 +62,7 @@
     def cut(self, why: str) -> None:
         """By a limit on its client."""
         if self.held is not None:
-            self.host.out_of_time(self.held, why)
+            self.host.deadline_passed(self.held, why)
         else:
             self.rejected(0.0)  # it had not been let in: nothing ran
 
@@ -113,9 +113,9 @@
             return
         if self.may_move and self.linger and code == Code.UNAVAILABLE:
             # Its connection broke: it comes back for the rest, here or elsewhere, and then supersedes this.
-            self.host.clock.callLater(self.linger, self.host.left, self.held)
+            self.host.clock.callLater(self.linger, self.host.client_left, self.held)
         else:
-            self.host.left(self.held)
+            self.host.client_left(self.held)
 
     # the client's stream as consumer: a client that does not read holds up its writer's stream
 
@@ -128,8 +128,8 @@
         """The call from which its stream comes."""
         if self.takeover is not None:
             return self.takeover.call
-        attempt = self.held.begun if self.held is not None else None
-        return attempt.call if attempt is not None and attempt.out else None
+        attempt = self.held.streaming_attempt if self.held is not None else None
+        return attempt.call if attempt is not None and attempt.is_outstanding else None
 
     def resumeProducing(self) -> None:  # noqa: N802
         call = self._source()
@@ -203,22 +203,22 @@
             raise RpcError(Code.INVALID_ARGUMENT, "resume.sequence: has to be in Resume, and nowhere else")
         asked = asked_of(request, call.time_left())
         try:
-            arrival = self.host.door.arrival(asked, self.host.clock.seconds())
+            arrival = self.host.decoder.arrival(asked, self.host.clock.seconds())
         except InvalidRequestError as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
-        full = self.closed or len(self.host.held) >= self.most
+        full = self.closed or len(self.host.in_flight) >= self.most
         wait = self.peers.refuses(call, asked.tenant, asked.repeated, len(data), full)
         if wait is not None:
-            self.turned_away(self.host.door.rows[arrival.traffic])
+            self.turned_away(self.host.decoder.rows[arrival.traffic])
             waiting.rejected(wait)  # not taken: nothing ran
             return waiting
         self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt_tokens)
         call.stream.registerProducer(waiting, True)
         if call.deadline is not None:
-            now, slack = self.host.clock.seconds(), self.host.terms.answer_slack
-            due = self.host.door.lag.left(now, call.time_left() - slack)
+            now, slack = self.host.clock.seconds(), self.host.config.answer_slack
+            due = self.host.decoder.lag.left(now, call.time_left() - slack)
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
-        row = self.host.door.rows[arrival.traffic]
+        row = self.host.decoder.rows[arrival.traffic]
         self.peers.open(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
         if self.keeping is not None:
             waiting.may_move, waiting.linger = request.may_move, self.keeping.group.comes_back
@@ -247,11 +247,11 @@
         before: int = 0,
         handle: object = None,
     ) -> None:
-        label = label or self.host.next_label()
+        label = label or self.host.next_sequence_id()
         waiting.named(label)
         if waiting.may_move:
             self._follow(waiting)
-        waiting.held = self.host.take(asked, arrival, waiting, label, before, handle)
+        waiting.held = self.host.accept(asked, arrival, waiting, label, before, handle)
 
     def _follow(self, waiting: _Waiting) -> None:
         self.waiting = {w for w in self.waiting if not w.call.over}
@@ -277,7 +277,7 @@
                 waiting.takeover.hand_over()
                 waiting.moved()
             elif waiting.held is not None:
-                self.keeping.leave(waiting.held.label)
+                self.keeping.leave(waiting.held.sequence_id)
                 held, waiting.held = waiting.held, None
                 waiting.moved()
                 self.host.hand_over(held)
@@ -303,4 +303,4 @@
         elif waiting.held is None:
             waiting.rejected(self.wait)  # it still waits at the gate
         else:
-            self.host.out_of_time(waiting.held, "the call's deadline came before the end of the answer")
+            self.host.deadline_passed(waiting.held, "the call's deadline came before the end of the answer")
--- a/myrtlehub/node/engine_pools.py
+++ b/myrtlehub/node/engine_pools.py
@@ -74,7 +74,7 @@
     def _common(self, e: contract.EndpointUpdate) -> bool:
         return sum(e.kind in kinds for kinds in self.kinds) > 1
 
-    def shut(self, now: float, f: int, shut: bool) -> list[contract.Action]:
+    def set_pool_closed(self, now: float, f: int, shut: bool) -> list[contract.Action]:
         """Keep a field from engines that others have as well, or let it in again."""
         (self._shut.add if shut else self._shut.discard)(f)
         again = [
--- a/myrtlehub/node/figures.py
+++ b/myrtlehub/node/figures.py
@@ -39,7 +39,7 @@
 
     def follow(self, host: ActionExecutor) -> None:
         """Count a host's answers."""
-        host.on_answer = lambda held: self._answered(host, held)
+        host.on_answered = lambda held: self._answered(host, held)
 
     def of(self, name: str) -> TrafficSums:
         """The sums of a traffic type."""
@@ -56,7 +56,7 @@
         sums.answers["rejected"] += 1
 
     def _answered(self, host: ActionExecutor, held: InFlightSequence) -> None:
-        row, answer = host.door.rows[held.arrival.traffic], held.life.state
+        row, answer = host.decoder.rows[held.arrival.traffic], held.answer.state
         sums = self.of(row.name)
         sums.asked += 1
         sums.answers[answer] += 1
@@ -64,14 +64,14 @@
         if answer == "left":
             return  # nobody waited for it: no utility was there to earn
         sums.utility += row.utility
-        if held.first_at:
-            took = max(1e-6, held.first_at - held.since)
+        if held.first_token_at:
+            took = max(1e-6, held.first_token_at - held.accepted_at)
             sums.first.record_value(min(LONGEST, max(1, int(took * 1e6))))
             sums.first_log += math.log(took)
         if answer == "generated":
             self.generated += 1
             slo = row.latency_slo + row.slo_per_1000_tokens * held.arrival.prompt_tokens / 1000.0
-            in_time = held.first_at - held.since <= slo
+            in_time = held.first_token_at - held.accepted_at <= slo
             sums.served += row.utility * (1.0 if in_time else row.late_share)
 
 
--- a/myrtlehub/node/keeping.py
+++ b/myrtlehub/node/keeping.py
@@ -226,25 +226,25 @@
 
     def intends(self, host: ActionExecutor, attempt: Attempt, then: Callable[[str], None]) -> str:
         """An attempt is to be sent: `go`, `never`, or `wait`, and `then` is told which of the two."""
-        held, now = attempt.held, self.clock.seconds()
-        label = held.label
+        held, now = attempt.sequence, self.clock.seconds()
+        label = held.sequence_id
         owned = self.owned.get(label)
         if owned is None:
             runs = {name: self.peer(name).run for name in self.mine if self.peer(name).run}
             if attempt.number:
                 return owner.GO  # it was begun by settings without takeover
             self.counts["unprotected"] += not runs
-            longest = held.asked.deadline_in if held.asked.deadline_in < LONGEST else LONGEST
+            longest = held.request.deadline_in if held.request.deadline_in < LONGEST else LONGEST
             record = Record(
                 label,
                 Claim(1, self.me),
-                host.door.rows[held.arrival.traffic].repeats,
+                host.decoder.rows[held.arrival.traffic].repeats,
                 now + max(held.arrival.time_left, longest),
             )
             owned = Owned.begun(record, runs)
             self.hosts[label] = host
-        engine = host.door.engines.rows[attempt.engine].address
-        owned = owned.intends(Intent(held.before + attempt.number, engine, attempt.reads, now))
+        engine = host.decoder.engines.rows[attempt.engine].address
+        owned = owned.intends(Intent(held.earlier_attempts + attempt.number, engine, attempt.reads, now))
         self.owned[label] = owned
         self._tell(label)
         says = owned.may_send()
@@ -307,7 +307,7 @@
             attempt, then, _ = self.parked[label]
             self.unpark(label)
             self.counts["never sent"] += says == owner.NEVER
-            if attempt.out:
+            if attempt.is_outstanding:
                 then(says)
 
     def _superseded(self, label: str) -> None:
@@ -315,19 +315,19 @@
         host, epoch = self.hosts[label], self.owned[label].record.claim.epoch
         self.leave(label)
         self.log("superseded", seq=label, epoch=epoch)
-        for held in [h for h in host.held.values() if h.label == label]:
+        for held in [h for h in host.in_flight.values() if h.sequence_id == label]:
             # What it has at engines is the other one's now: a reset from here could come before its claim.
             host.hand_over(held)
             held.client.superseded("another node has this sequence now")
 
     def begun(self, held: InFlightSequence) -> None:
         """Its answer streams: keepers hear so with the next beat."""
-        owned = self.owned.get(held.label)
+        owned = self.owned.get(held.sequence_id)
         if owned is not None and not owned.record.streams:
-            self.owned[held.label] = owned._replace(record=owned.record._replace(streams=True))
+            self.owned[held.sequence_id] = owned._replace(record=owned.record._replace(streams=True))
             for name, _ in owned.runs:
                 self.peer(name).outbox.setdefault(
-                    held.label, (owned.version, self.owned[held.label].record, False)
+                    held.sequence_id, (owned.version, self.owned[held.sequence_id].record, False)
                 )
 
     def answered(self, label: str) -> None:
@@ -416,7 +416,7 @@
             self.keeping.clock.callLater(0, self._then, attempt, says)
 
     def _then(self, attempt: Attempt, says: str) -> None:
-        if not attempt.out:
+        if not attempt.is_outstanding:
             return
         if says == owner.GO:
             self.links.start(attempt)
@@ -426,7 +426,7 @@
     def cancel(self, attempt: Attempt) -> None:
         """See `host.EngineTransport`."""
         if attempt.call is None:
-            self.keeping.unpark(attempt.held.label)
+            self.keeping.unpark(attempt.sequence.sequence_id)
         else:
             self.links.cancel(attempt)
 
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -81,9 +81,9 @@
     def message(self, data: bytes) -> None:
         attempt = self.attempt
         if data[:1] == b"\x0a":
-            if attempt.begun:
-                self.host.more(attempt, data)
-            elif attempt.out:
+            if attempt.is_streaming:
+                self.host.tokens_received(attempt, data)
+            elif attempt.is_outstanding:
                 self.host.began(attempt, data)
             return
         reply = self.parsed(pb.WriteReply, data)
@@ -114,7 +114,7 @@
 
     def message(self, data: bytes) -> None:
         attempt = self.attempt
-        if not attempt.out:
+        if not attempt.is_outstanding:
             return
         reply = self.parsed(pb.BatchReply, data)
         if reply is None:
@@ -152,7 +152,7 @@
 
     def channel(self, engine: int) -> Channel:
         """The engine's channel; made at its first use."""
-        return self.to(self.host.door.engines.rows[engine].address)
+        return self.to(self.host.decoder.engines.rows[engine].address)
 
     def to(self, address: str) -> Channel:
         """The channel to an address."""
@@ -169,13 +169,13 @@
         return channel
 
     def start(self, attempt: Attempt) -> None:
-        held, asked = attempt.held, attempt.held.asked
-        claim = self.claim_of(held.label)
+        held, asked = attempt.sequence, attempt.sequence.request
+        claim = self.claim_of(held.sequence_id)
         work = pb.Work(
             epoch=claim.epoch,
             owner=claim.owner,
-            sequence=held.label,
-            attempt=held.before + attempt.number,
+            sequence=held.sequence_id,
+            attempt=held.earlier_attempts + attempt.number,
             traffic_type=asked.traffic_type,
             tenant=asked.tenant,
             session=asked.session,
@@ -185,23 +185,25 @@
             most_output=asked.most_output,
             mark=asked.mark,
             prompt=asked.text,
-            first_within_ms=max(1, int((held.abandon_at - self.clock.seconds()) * 1000)),
+            first_within_ms=max(1, int((held.deadline - self.clock.seconds()) * 1000)),
         )
         if asked.batch:
             # EnginePools of two serialised messages, one after the other, are those of one.
             path, watcher = "Batch", _Batch(self.host, attempt)
             data = pb.BatchRequest(work=work).SerializeToString() + asked.batch
-            timeout = attempt.until - self.clock.seconds() + LATE
+            timeout = attempt.times_out_at - self.clock.seconds() + LATE
         elif attempt.reads:
             path, watcher, request = "Read", _Read(self.host, attempt), pb.ReadRequest(work=work)
-            timeout, data = attempt.until - self.clock.seconds() + LATE, request.SerializeToString()
+            timeout, data = attempt.times_out_at - self.clock.seconds() + LATE, request.SerializeToString()
         else:
             path, watcher = "Write", _Write(self.host, attempt)
-            request = pb.WriteRequest(work=work, state=attempt.claims.handle if attempt.claims else None)
-            timeout = asked.deadline_in - (self.clock.seconds() - held.since)
+            request = pb.WriteRequest(
+                work=work, state=attempt.fetched_state.handle if attempt.fetched_state else None
+            )
+            timeout = asked.deadline_in - (self.clock.seconds() - held.accepted_at)
             timeout, data = timeout + LATE if timeout != NEVER else None, request.SerializeToString()
         meta = (
-            ("myrtle-seq", held.label),
+            ("myrtle-seq", held.sequence_id),
             ("myrtle-attempt", str(work.attempt)),
             ("myrtle-node", self.name),
             ("myrtle-list", self.host.list_label),
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -76,7 +76,7 @@
         self.on_leave: Callable[[], None] = lambda: None  # an order to leave came: the caller drains
         self.control = NodeAdmin(self)
         self.control.serve(self.admin)
-        self.host.reread_list = self.source.reread
+        self.host.poll_endpoints = self.source.reread
         self.source.follow(self._list_news)
 
     @property
@@ -93,7 +93,7 @@
     @property
     def proven(self) -> bool:
         """Whether it holds a list and has generated a sequence by what it now runs."""
-        return bool(self.host.door.engines.at) and self.figures.generated > self.proven_from
+        return bool(self.host.decoder.engines.at) and self.figures.generated > self.proven_from
 
     def _list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
         for works in (self.works, *self.old):
@@ -140,8 +140,8 @@
         self.works = Works(sheet, self.around, before.number + 1, before)
         self.proven_from = self.figures.generated
         self.works.front.closed = before.front.closed
-        self.host.reread_list = before.host.reread_list
-        before.host.reread_list = lambda: None
+        self.host.poll_endpoints = before.host.poll_endpoints
+        before.host.poll_endpoints = lambda: None
         self.works.list_news(rows, True, before.host.list_version + 1)
         for old in (before, *self.old):  # they send on, for what they hold: the list is theirs too
             old.list_news(rows, True, before.host.list_version + 1)
@@ -159,10 +159,10 @@
     def measure_lag(self) -> None:
         """Beat from here on, so that the door knows how late this process runs."""
         now = self.clock.seconds()
-        before = self.host.door.lag.worst
-        due = self.host.door.lag.beat(now)
-        if self.host.door.lag.worst > max(before, LAG_SAID):
-            self.log("lag", seconds=round(self.host.door.lag.worst, 3))
+        before = self.host.decoder.lag.worst
+        due = self.host.decoder.lag.beat(now)
+        if self.host.decoder.lag.worst > max(before, LAG_SAID):
+            self.log("lag", seconds=round(self.host.decoder.lag.worst, 3))
         self.clock.callLater(max(0.0, due - now), self.measure_lag)
 
     def drain(self) -> Deferred:
@@ -178,7 +178,9 @@
         self.front.closed = True
         self.server.drain()
         within = self.sheet.node.drain_within
-        self.log("draining", sequences=sum(len(w.host.held) for w in (self.works, *self.old)), within=within)
+        self.log(
+            "draining", sequences=sum(len(w.host.in_flight) for w in (self.works, *self.old)), within=within
+        )
         self._limit = self.clock.callLater(within, self._cut)
         for works in (self.works, *self.old):
             works.host.on_idle = self._idle
--- a/myrtlehub/node/takeover.py
+++ b/myrtlehub/node/takeover.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from myrtlehub.node.action_executor import ActionExecutor, Client
+from myrtlehub.node.action_executor import ActionExecutor, ResponseSink
 from myrtlehub.node.keeping import Keeping, unpacked
 from myrtlehub.node.links import SERVICE, TOKENS, Links
 from myrtlehub.proto import engine_pb2 as pb
@@ -63,7 +63,7 @@
         keeping: Keeping,
         links: Links,
         host: ActionExecutor,
-        client: Client,
+        client: ResponseSink,
         hand: Callable[..., None],
         lost: Callable[[str], None],
         claims: bool,
@@ -80,7 +80,7 @@
     def start(self) -> None:
         """Ask the keepers of the node that took it first."""
         if not self.wanted.seen:
-            left = max(0.0, self.wanted.arrival.time_left - self.host.terms.answer_slack)
+            left = max(0.0, self.wanted.arrival.time_left - self.host.config.answer_slack)
             self.timer = self.keeping.clock.callLater(left, self.out_of_time)
         names = keepers(node_of(self.wanted.sequence), self.keeping.zones, self.keeping.group.copies)
         asked = [self.keeping.ask(name, self.wanted.sequence) for name in names]
@@ -203,7 +203,7 @@
         return Standing(intent, row.says, row.tokens, row.first)
 
     def _repeats(self) -> str:
-        return self.host.door.rows[self.wanted.arrival.traffic].repeats
+        return self.host.decoder.rows[self.wanted.arrival.traffic].repeats
 
     def _do(self, doing: Doing) -> None:
         sequence = self.wanted.sequence
@@ -213,7 +213,7 @@
         elif doing.do in (course.AGAIN, course.HELD):
             self.life.step("again")
             self._disarm()
-            at = self.host.door.engines.at
+            at = self.host.decoder.engines.at
             arrival = self.wanted.arrival._replace(
                 time_left=max(
                     0.0, self.wanted.arrival.time_left - (self.keeping.clock.seconds() - self.began)
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -62,20 +62,20 @@
         )
         if before is not None:
             self.links.channels = before.links.channels  # a change of settings makes no new connections
-            self.host.door.lag = before.host.door.lag
+            self.host.decoder.lag = before.host.decoder.lag
         self.links.host = self.host
         if keeping is not None:
             self.links.claim_of, self.host.on_begun = keeping.claim_of, keeping.begun
         self.host.probe_timeout = sheet.reports.probe_timeout
         around.figures.follow(self.host)
         if keeping is not None:
-            counted = self.host.on_answer
+            counted = self.host.on_answered
 
             def answered(held: InFlightSequence) -> None:
                 counted(held)
-                keeping.answered(held.label)
+                keeping.answered(held.sequence_id)
 
-            self.host.on_answer = answered
+            self.host.on_answered = answered
         limits = sheet.limits
         retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
         self.peers = PeerWatch(limits, clock, log, retries, node.max_wait)
@@ -126,19 +126,19 @@
 
     def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
         """News of the list, as far as these settings know its kinds and zones."""
-        door = self.host.door
-        known = [r for r in rows if r.kind in door.kinds and r.zone in door.zones]
-        self.host.list_news(known, whole, number, digest)
+        decoder = self.host.decoder
+        known = [r for r in rows if r.kind in decoder.kinds and r.zone in decoder.zones]
+        self.host.update_endpoints(known, whole, number, digest)
         self.desk.list_changed()
 
     @property
     def idle(self) -> bool:
         """Whether nothing is in hand."""
-        return not self.host.held and not self.desk.open
+        return not self.host.in_flight and not self.desk.open
 
     def cut(self, why: str) -> None:
         """Answer all that is in hand now."""
         for batch in list(self.desk.open):
             batch.late()
-        for held in list(self.host.held.values()):
-            self.host.out_of_time(held, why)
+        for held in list(self.host.in_flight.values()):
+            self.host.deadline_passed(held, why)
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -113,7 +113,7 @@
     node.start()
     settle_memory()
     reactor.run(installSignalHandlers=False)
-    _log("ended", **{k: v for k, v in sorted(node.host.answered.items())})
+    _log("ended", **{k: v for k, v in sorted(node.host.answer_counts.items())})
 
 
 if __name__ == "__main__":
--- a/myrtlehub/relay/engines.py
+++ b/myrtlehub/relay/engines.py
@@ -68,9 +68,9 @@
                 self.engines.note_heard(self.attempt.engine)
                 self.gap, self.heard_at = max(self.gap, now - self.heard_at), now
                 attempt = self.attempt
-                if attempt.begun:
-                    self.host.more(attempt, whole)
-                elif attempt.out:
+                if attempt.is_streaming:
+                    self.host.tokens_received(attempt, whole)
+                elif attempt.is_outstanding:
                     self.host.began(attempt, whole)
         else:
             self.body += data
@@ -94,7 +94,7 @@
             except Spoilt:
                 self._tell(of_break(True), why="half an event at the end")
                 return
-            if self.attempt.begun:
+            if self.attempt.is_streaming:
                 self._tell(self.end, self.events.kept, self.events.load or self.load, self.events.tokens)
             else:
                 self._tell(of_break(True))  # a stream without an event answers nothing
@@ -110,7 +110,7 @@
 
     def broke(self, sent: bool) -> None:
         if sent:
-            self.engines.note_unsure(self.attempt.held.label)
+            self.engines.note_unsure(self.attempt.sequence.sequence_id)
         self._tell(of_break(sent), why="broke")
 
     def _tell(
@@ -123,7 +123,9 @@
     ) -> None:
         self.engines.streams.pop(self, None)
         if why:
-            self.engines.log("broken", seq=self.attempt.held.label, number=self.attempt.number, why=why)
+            self.engines.log(
+                "broken", seq=self.attempt.sequence.sequence_id, number=self.attempt.number, why=why
+            )
         kept = kept or float(end.no_state)
         handle = True if end.outcome == contract.Outcome.READ else None
         self.host.ended(self.attempt, end.outcome, kept, load or self.load, handle, tokens)
@@ -167,11 +169,11 @@
 
     def name(self, engine: int) -> str:
         """Its name in the list."""
-        return self.host.door.engines.rows[engine].address
+        return self.host.decoder.engines.rows[engine].address
 
     def serves(self, engine: int) -> bool:
         """Whether the list has it for new work."""
-        engines = self.host.door.engines
+        engines = self.host.decoder.engines
         return not engines.gone(engine) and engines.rows[engine].state == "serving"
 
     def note_heard(self, engine: int) -> None:
@@ -189,14 +191,14 @@
         watcher = attempt.call.watcher if attempt.call is not None else None
         self.log(
             "attempt",
-            seq=attempt.held.label,
+            seq=attempt.sequence.sequence_id,
             number=attempt.number,
             engine=self.name(attempt.engine),
             kind=attempt.kind,
             reads=attempt.reads,
-            state=attempt.life.state,
-            took=round(self.clock.seconds() - attempt.since, 4),
-            timed=self.clock.seconds() >= attempt.until,
+            state=attempt.state_machine.state,
+            took=round(self.clock.seconds() - attempt.sent_at, 4),
+            timed=self.clock.seconds() >= attempt.times_out_at,
             gap=round(watcher.gap, 2) if watcher is not None else 0.0,
         )
         if watcher is not None:
@@ -207,15 +209,15 @@
 
     def start(self, attempt: Attempt) -> None:
         """See `EngineTransport`."""
-        held, now = attempt.held, self.clock.seconds()
-        asked, name = held.asked, self.name(attempt.engine)
-        wait = max(1, int((attempt.until - now) * 1000))
+        held, now = attempt.sequence, self.clock.seconds()
+        asked, name = held.request, self.name(attempt.engine)
+        wait = max(1, int((attempt.times_out_at - now) * 1000))
         call = Call(b"POST", asked.target, [*asked.headers, (b"x-remaining-ms", b"%d" % wait)], asked.body)
         watcher = _Attempt(self, attempt)
         # Guards against a kept connection that its peer closed unseen: what may not run twice would be lost.
         # And against a next attempt that is there before the end of one given up: a new one takes longer.
-        once = self.host.door.rows[held.arrival.traffic].once and (
-            not attempt.reads or held.label in self.given_up
+        once = self.host.decoder.rows[held.arrival.traffic].once and (
+            not attempt.reads or held.sequence_id in self.given_up
         )
         # Guards against an engine that drains or goes while a connection to it comes up, which may take
         # longer than the grace, or while this process was held up: its standing is looked at once more before
@@ -226,7 +228,7 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """See `EngineTransport`."""
-        self.note_unsure(attempt.held.label)
+        self.note_unsure(attempt.sequence.sequence_id)
         if attempt.call is not None:
             self.streams.pop(attempt.call.watcher, None)
             attempt.call.cancel()
@@ -260,9 +262,9 @@
         off the holder and whoever is next to it in the list.
         """
         first = self.name(engine)
-        attempts = next((h.attempts for h in self.host.held.values() if h.label == label), [])
+        attempts = next((h.attempts for h in self.host.in_flight.values() if h.sequence_id == label), [])
         names = [self.name(a.engine) for a in reversed(attempts)]
-        names += [r.address for r in self.host.door.engines.rows if r.state == "serving"]
+        names += [r.address for r in self.host.decoder.engines.rows if r.state == "serving"]
         others = [n for n in dict.fromkeys(names) if n != first]
         others.sort(key=lambda n: -self.heard_at.get(n, 0.0))
         order = [first, first, *others][: len(RELEASE_TRIES)]
@@ -274,7 +276,10 @@
 
     def at_work(self, label: str) -> bool:
         """Whether an attempt of it is out: its state may be a new one, which a late word would take away."""
-        return any(h.label == label and any(a.out for a in h.attempts) for h in self.host.held.values())
+        return any(
+            h.sequence_id == label and any(a.is_outstanding for a in h.attempts)
+            for h in self.host.in_flight.values()
+        )
 
     def probe(
         self, engine: int, timeout: float, then: Callable[[bool, contract.LoadReport | None], None]
@@ -360,7 +365,7 @@
         )
 
     def _wait(self) -> None:
-        if any(h.label == self.label for h in self.engines.host.held.values()):
+        if any(h.sequence_id == self.label for h in self.engines.host.in_flight.values()):
             self.timer = self.engines.clock.callLater(OVER_LOOK, self._wait)
         else:
             self._try()
--- a/myrtlehub/relay/front.py
+++ b/myrtlehub/relay/front.py
@@ -11,7 +11,7 @@
 
 
 class _Waiting:
-    """One client whose sequence is held: the host's Client."""
+    """One client whose sequence is held: the host's ResponseSink."""
 
     def __init__(self, front: "Front", exchange: Exchange, label: str) -> None:
         self.front, self.exchange, self.label = front, exchange, label
@@ -52,16 +52,16 @@
     def _lost(self) -> None:
         held = self._over()
         if held is not None:
-            self.front.host.left(held)
+            self.front.host.client_left(held)
 
     def _pause(self) -> None:
-        attempt = self.held.begun if self.held is not None else None
-        if attempt is not None and attempt.out:
+        attempt = self.held.streaming_attempt if self.held is not None else None
+        if attempt is not None and attempt.is_outstanding:
             attempt.call.pause()
 
     def _resume(self) -> None:
-        attempt = self.held.begun if self.held is not None else None
-        if attempt is not None and attempt.out:
+        attempt = self.held.streaming_attempt if self.held is not None else None
+        if attempt is not None and attempt.is_outstanding:
             attempt.call.resume()
 
 
@@ -105,10 +105,10 @@
             self._refuse(exchange, fault.status, str(fault))
             return
         waiting = _Waiting(self, exchange, label)
-        if len(self.host.held) >= self.most:
-            waiting.rejected(self.host.terms.max_retry_after)  # not taken: nothing ran
+        if len(self.host.in_flight) >= self.most:
+            waiting.rejected(self.host.config.max_retry_after)  # not taken: nothing ran
             return
         self.open[label] = waiting
-        held = self.host.take(asked, arrival, waiting, label)
+        held = self.host.accept(asked, arrival, waiting, label)
         if label in self.open:  # else it was answered at once
             waiting.held = held
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -49,7 +49,7 @@
         self.engines = Engines(clock, self.pool, log)
         self.host = host_class(Router(self.terms), self.desk, self.terms, clock, self.engines, "", log)
         self.engines.host = self.host
-        self.host.on_back = self.engines.ended
+        self.host.on_attempt_ended = self.engines.ended
         self.front = Front(self.host, self.desk, caps.most_held)
         self.front.ready = self._ready
         self.site = Site(clock, self.front.asked, int(CLIENTS_PART * room), int(AT_ONCE_PART * room))
@@ -100,7 +100,7 @@
         for line in update.lines:
             if line.dial:
                 self.engines.moved(line.address, line.dial)
-        self.host.list_news(update.lines, update.whole, update.version)
+        self.host.update_endpoints(update.lines, update.whole, update.version)
 
     def busy(self) -> bool:
         """Whether anything is owed to a client, or to an engine.
@@ -108,7 +108,7 @@
         Of clients' connections each counts until it is lost: half a request may be whole yet, a last answer
         may not have left, and bytes that come as the process ends would reset what its client has not read.
         """
-        return bool(self.host.held) or bool(self.site.connections) or self.engines.owes()
+        return bool(self.host.in_flight) or bool(self.site.connections) or self.engines.owes()
 
     def measure_lag(self) -> None:
         """Beat from here on, so that the desk knows how late this process runs."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -248,7 +248,7 @@
         else:
             self.net.kill(f"{name}:2")
             dead = self.nodes.pop(name)
-            dead.host._say = lambda *args: None
+            dead.host._call_router = lambda *args: None
             dead.links.close()
 
     def run(self, seconds: float) -> None:
--- a/tests/test_action_executor.py
+++ b/tests/test_action_executor.py
@@ -229,7 +229,7 @@
     for action in (contract.Reserve(0, 0), contract.Migrate(0), contract.Probe(0), contract.Gossip(0, "")):
         host.router.wake = lambda now, token, action=action: [action]
         try:
-            host._say("wake", 0)
+            host._call_router("wake", 0)
         except ContractViolationError as fault:
             assert "rule out" in str(fault)
         else:
@@ -253,8 +253,8 @@
     def note(text: str) -> None:
         seen.append(text)
         if text == "1a":
-            host._say("wake", 2)
+            host._call_router("wake", 2)
 
     host._handlers[contract.LogNote] = note
-    host._say("wake", 1)
+    host._call_router("wake", 1)
     assert seen == [1, "1a", "1b", 2, "2a", "2b"]
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -507,7 +507,7 @@
     slow.call.pauseProducing()
     f.run(2.0)
     assert not any(s.model.batching or s.model.batch_queue for s in f.stands.values())
-    assert not f.nodes["n0"].host.held
+    assert not f.nodes["n0"].host.in_flight
     slow.call.resumeProducing()
     f.run(1.0)
     assert slow.final == "generated" and len(slow.items) == 1000
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -60,7 +60,7 @@
     # the new settings know the traffic type no more, and another in its place
     text = f.text(0).replace("name: ask", "name: query")
     taken = admin.change(text)
-    assert taken.changed and node.host is not old and old.held
+    assert taken.changed and node.host is not old and old.in_flight
     state = admin.show()
     assert (state.program, state.settings) == (before.program, taken.settings)
     assert state.settings != before.settings
@@ -90,8 +90,8 @@
     f.tell("W0b", "draining")
     f.run(0.1)
     for host in (old.host, node.host):
-        index = host.door.engines.at["W0b:1"]
-        assert host.door.engines.rows[index].state == "draining"
+        index = host.decoder.engines.at["W0b:1"]
+        assert host.decoder.engines.rows[index].state == "draining"
     f.run(8.0)
     assert {c.answer for c in f.calls} == {"generated"} and not node.old
 
--- a/tests/test_engine_pools.py
+++ b/tests/test_engine_pools.py
@@ -140,7 +140,7 @@
 def test_a_field_that_is_shut_out_sees_common_engines_drain_and_nothing_else() -> None:
     f = fields()
     f.update_endpoints(0.0, [listing(0, 0, True), listing(1, 1, True), listing(2, 2, True)], True)
-    f.shut(1.0, 1, True)
+    f.set_pool_closed(1.0, 1, True)
     assert (
         f.routers[1].listed[1:] == [([(2, False, contract.EngineState.DRAINING)], False)]
         and len(f.routers[0].listed) == 1
@@ -148,7 +148,7 @@
     f.update_endpoints(2.0, [listing(2, 2)], False)  # news of it meanwhile lets nothing in
     assert f.routers[1].listed[2:] == [([(2, False, contract.EngineState.DRAINING)], False)]
     f.update_endpoints(3.0, [listing(2, 2, state=contract.EngineState.DRAINING)], False)
-    f.shut(4.0, 1, False)
+    f.set_pool_closed(4.0, 1, False)
     assert f.routers[1].listed[4:] == [
         ([(2, False, contract.EngineState.DRAINING)], False)
     ]  # the list says so by now
@@ -160,10 +160,10 @@
     """One has changed its kind and one a whole list no longer names, while the field was shut out."""
     f = fields()
     f.update_endpoints(0.0, [listing(i, 2, True) for i in range(3)], True)
-    f.shut(1.0, 1, True)
+    f.set_pool_closed(1.0, 1, True)
     f.update_endpoints(2.0, [listing(0, 0)], False)
     f.update_endpoints(3.0, [listing(0, 0), listing(1, 2)], True)
-    f.shut(4.0, 1, False)
+    f.set_pool_closed(4.0, 1, False)
     assert f.routers[1].listed[-1] == (
         [(1, False, contract.EngineState.SERVING), (2, False, contract.EngineState.GONE)],
         False,
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -35,7 +35,7 @@
 
 def nothing_left(f: Fleet) -> None:
     """Every node and engine that lives has let go of everything."""
-    assert all(not n.host.held and not n.host.attempts_out() for n in f.nodes.values())
+    assert all(not n.host.in_flight and not n.host.attempts_out() for n in f.nodes.values())
     for stand in f.stands.values():
         m = stand.model
         if not m.fallen:
@@ -70,7 +70,7 @@
         caller = f.ask(**more)
         f.run(0.1)
         assert caller.status.code.name == "INVALID_ARGUMENT" and said in caller.status.message
-    assert f.nodes["n0"].host.taken == 0
+    assert f.nodes["n0"].host.accepted_count == 0
     kept(f)
 
 
@@ -85,7 +85,7 @@
     f.run(5.0)
     assert (post.answer, ask.answer) == ("aborted", "aborted") and len(f.what("ran")) == 2
     kept(f)
-    assert not f.nodes["n0"].host.held
+    assert not f.nodes["n0"].host.in_flight
 
 
 def test_a_reader_dies_after_the_read_and_before_the_fetch() -> None:
@@ -158,7 +158,7 @@
     f.run(after)
     f.leave(caller)
     f.run(3.0)
-    assert caller.answer == "" and f.nodes["n0"].host.answered == ({"left": 1} if f.what("got") else {})
+    assert caller.answer == "" and f.nodes["n0"].host.answer_counts == ({"left": 1} if f.what("got") else {})
     assert not f.what("ended")
     kept(f)
     nothing_left(f)
@@ -174,7 +174,7 @@
     f.run(60.0)
     assert all(c.answer == "generated" for c in others) and stuck.answer == ""
     (waiting,) = f.nodes["n0"].server.calls
-    pulled = next(iter(f.nodes["n0"].host.held.values())).begun.call.stream
+    pulled = next(iter(f.nodes["n0"].host.in_flight.values())).streaming_attempt.call.stream
     here = waiting.buffered + sum(map(len, pulled._held))
     poured = sum(job.call.buffered for job in f.stands["W0a"].jobs)
     assert 65536 < here <= 65536 + 2 * link.stream_window and poured > 20000  # it stays at the writer
@@ -297,7 +297,7 @@
     caller = f.ask("post", prompt=100)
     f.run(0.1)
     host = f.nodes["n0"].host
-    attempt = host.held[0].attempts[0]
+    attempt = host.in_flight[0].attempts[0]
     steps = [
         lambda: host.ended(attempt, contract.Outcome.GENERATED, tokens=0),
         lambda: host._timed_out(attempt),
@@ -306,7 +306,7 @@
         step()
     f.run(5.0)
     assert caller.answer == ("generated" if answer_first else "aborted") and len(f.what("final")) == 1
-    assert host.answered.total() == 1 and not host.held
+    assert host.answer_counts.total() == 1 and not host.in_flight
 
 
 def test_an_engine_does_not_begin_what_cannot_begin_in_time() -> None:
@@ -340,14 +340,14 @@
 
 class TellsTwice(ActionExecutor):
     def _reject(self, seq: int, wait: float) -> None:
-        self.held[seq].client.call.finish = lambda *args: None
+        self.in_flight[seq].client.call.finish = lambda *args: None
         super()._reject(seq, wait)
-        self.held[seq].client.rejected(wait)
+        self.in_flight[seq].client.rejected(wait)
 
 
 class Forgets(ActionExecutor):
     def _reject(self, seq: int, wait: float) -> None:
-        self.held[seq].life.step("reject")
+        self.in_flight[seq].answer.step("reject")
 
 
 class ClaimsNotRun(ActionExecutor):
@@ -363,13 +363,13 @@
 
 
 class IgnoresDrains(ActionExecutor):
-    def list_news(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
-        super().list_news([r.having(state="serving") for r in rows], whole)
+    def update_endpoints(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
+        super().update_endpoints([r.having(state="serving") for r in rows], whole)
 
 
 class ForgetsAge(ActionExecutor):
-    def list_news(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
-        super().list_news([r.having(age=0.0) for r in rows], whole)
+    def update_endpoints(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
+        super().update_endpoints([r.having(age=0.0) for r in rows], whole)
 
 
 class KeepsStates(ActionExecutor):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -198,7 +198,7 @@
     calls = [f.ask(prompt=3000, output=10, text=b"x" * 50_000) for _ in range(100)]
     exact(f, 0.5)
     peers = f.nodes["n0"].peers
-    assert peers.counts["turned away"] == 81 and len(f.nodes["n0"].host.held) == 19
+    assert peers.counts["turned away"] == 81 and len(f.nodes["n0"].host.in_flight) == 19
     assert sum(c.answer == "rejected" for c in calls) == 81 and 900_000 < peers.ledger.node.held <= 1_000_000
     exact(f, 8.0)
     assert all(c.answer for c in calls) and peers.ledger.node.held == 0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -65,7 +65,7 @@
     method, target, headers, body, _ = rig.engines["w1"].asked[0]
     assert (method, target, body) == (b"POST", b"/v1/chat/completions?v=1", b'{"model":"chat","messages":[]}')
     assert headers[b"x-txn"] == b"a1" and 3900 <= int(headers[b"x-remaining-ms"]) <= 4000
-    assert not rig.engines["r1"].asked and not client.lost and not rig.node.host.held
+    assert not rig.engines["r1"].asked and not client.lost and not rig.node.host.in_flight
 
 
 def test_all_headers_go_on_to_engines_but_those_of_the_clients_connection() -> None:
@@ -231,7 +231,7 @@
     rig.engines["w1"].answer = lambda far, head, body: far.say(HEAD + chunk(EVENT))
     client = rig.ask("a1")
     rig.run(4.9)  # 5 s are owed after a last event
-    assert client.lost and not rig.node.host.held
+    assert client.lost and not rig.node.host.in_flight
 
 
 def test_what_lies_behind_a_good_answer_is_never_another_requests_answer() -> None:
@@ -313,7 +313,7 @@
     assert rig.engines["r1"].chats()[0][4].lost  # given up by closing its connection
     # twice, as the read may have ended well after the first word
     assert rig.engines["r1"].released() == [b"/state/a1"] * 2
-    assert not rig.node.host.held
+    assert not rig.node.host.in_flight
 
 
 def test_a_release_is_tried_again_on_a_new_connection_until_it_is_answered() -> None:
@@ -368,7 +368,7 @@
     client.say(said)
     rig.run(0.1)
     assert client.statuses == [status] and client.lost
-    assert not rig.engines["w1"].asked and not rig.node.host.held
+    assert not rig.engines["w1"].asked and not rig.node.host.in_flight
 
 
 def test_a_request_hidden_behind_a_doubtful_length_is_not_read() -> None:
@@ -424,7 +424,7 @@
     client.say(chat()[:-5])
     client.transport.loseConnection()
     rig.run(0.1)
-    assert not rig.node.site.connections and not rig.node.host.held
+    assert not rig.node.site.connections and not rig.node.host.in_flight
 
 
 def test_pipelined_requests_are_answered_in_turn() -> None:
@@ -498,7 +498,7 @@
         rig.ask(f"a{i}", LONG if i % 3 == 0 else 100).transport.loseConnection()
     rig.run(1.0)
     node = rig.node
-    assert not node.host.held and not node.front.open and not node.site.connections
+    assert not node.host.in_flight and not node.front.open and not node.site.connections
     assert not node.engines.streams and not node.host.router.seqs
     assert node.pool.count == sum(len(free) for free in node.pool._free.values())
 
@@ -624,7 +624,7 @@
             rig.clock.advance(0)
         client.transport.other.protocol.connectionLost(None)
         rig.run(0.2)
-        assert not rig.engines["w1"].chats() and not rig.node.host.held, turns
+        assert not rig.engines["w1"].chats() and not rig.node.host.in_flight, turns
         assert rig.node.pool.count == sum(len(free) for free in rig.node.pool._free.values())
 
 
@@ -847,7 +847,7 @@
     client.say(chat("a2"))  # at once: it crosses the close, or finds it closed
     rig.run(1.0)
     assert stream_of(client.got).endswith(DONE + b"<end>") and client.lost
-    assert len(streams) == 1 and ended and rig.node.host.taken == 1
+    assert len(streams) == 1 and ended and rig.node.host.accepted_count == 1
 
 
 @pytest.mark.parametrize(
@@ -1055,4 +1055,4 @@
     told, deaf[0] = len(rig.engines["r1"].released()), False
     rig.run(1.0)
     assert len(rig.engines["r1"].released()) > told
-    assert not rig.node.engines.owes() and not rig.node.host.held
+    assert not rig.node.engines.owes() and not rig.node.host.in_flight
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -133,7 +133,7 @@
 def settled(f: Taking) -> None:
     """Nothing is left behind anywhere."""
     for node in f.nodes.values():
-        assert not node.host.held and not node.host.attempts_out()
+        assert not node.host.in_flight and not node.host.attempts_out()
         assert not node.keeping.owned and not node.keeping.parked
         assert not node.keeping.book.records, node.keeping.book.records
     for name, stand in f.stands.items():
@@ -267,15 +267,15 @@
         if pipe.host in mine:
             pipe.pauseProducing()
     kept = {h: f.net.hosts.pop(h) for h in mine}
-    say, flush = node.host._say, node.keeping._flush
+    say, flush = node.host._call_router, node.keeping._flush
     late: list[tuple] = []
-    node.host._say = lambda *args: late.append((say, args))
+    node.host._call_router = lambda *args: late.append((say, args))
     node.keeping._flush = lambda *args: late.append((flush, args))
 
     def go_on() -> None:
         f.net.silent -= set(mine)
         f.net.hosts.update(kept)
-        node.host._say, node.keeping._flush = say, flush
+        node.host._call_router, node.keeping._flush = say, flush
         for pipe in f.net.pipes:
             if pipe.host in mine:
                 pipe.resumeProducing()
