--- a/myrtlehub/node/request_decoder.py
+++ b/myrtlehub/node/request_decoder.py
@@ -1,17 +1,18 @@
-"""The door: names and ids from outside become small indices, and what may not come in is told why."""
+"""The request decoder: turns names and ids from outside into dense indices, and checks requests."""
 
 from typing import NamedTuple
 
-from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.config.sheets import NodeSheet, TrafficRow
 from myrtlehub.limits.lag import LagMeter
 from myrtlehub.node.endpoint_index import EndpointIndex, hash_key
 from myrtlehub.routing import contract
 
-MARK_LIMIT = 200
+MAX_MARK_BYTES = 200
+NO_TENANT = -1
 
 
 class InvalidRequestError(Exception):
-    """A request that is malformed: it was not taken, and nothing ran. The text says what to mend."""
+    """A request is malformed: it was not accepted, and nothing ran. The text says what to correct."""
 
 
 class DecodedRequest(NamedTuple):
@@ -21,69 +22,83 @@
     tenant: str = ""
     session: str = ""
     prefix: str = ""
-    shared: int = 0
-    prompt: int = 0
-    most_output: int = 0
+    shared: int = 0  # tokens of the prompt that are the prefix
+    prompt: int = 0  # tokens
+    most_output: int = 0  # tokens
     time_left: float = 0.0  # seconds; 0: the traffic type's abandon time
     deadline_in: float = float("inf")  # seconds to the call's own deadline
-    mark: str = ""
-    repeated: bool = False
-    expected: float = 0.0
+    mark: str = ""  # idempotency key
+    repeated: bool = False  # it is a retry
+    expected: float = 0.0  # seconds of answer, a rough estimate; 0: none
     text: bytes = b""
     front: str = "chat"
     batch: bytes = b""  # of a part: a BatchRequest without its `work`
 
 
 class RequestDecoder:
-    """Names of a node's file against indices, and requests against what the file allows."""
+    """Names of a node's settings against indices, and requests against what the settings allow."""
 
     def __init__(self, sheet: NodeSheet) -> None:
-        self.traffic = {t.name: i for i, t in enumerate(sheet.traffic)}
         self.rows = sheet.traffic
-        self.tenants = {t.name: i for i, t in enumerate(sheet.tenants)}
-        self.kinds = {k.name: i for i, k in enumerate(sheet.kinds)}
-        self.zones = {z: i for i, z in enumerate(sheet.zones)}
+        self.traffic = {row.name: index for index, row in enumerate(sheet.traffic)}
+        self.tenants = {tenant.name: index for index, tenant in enumerate(sheet.tenants)}
+        self.kinds = {kind.name: index for index, kind in enumerate(sheet.kinds)}
+        self.zones = {zone: index for index, zone in enumerate(sheet.zones)}
         self.slack = sheet.rules.answer_slack
         self.engines = EndpointIndex()
-        self.lag = LagMeter()  # beats come from whoever runs the node; without any it takes nothing off
-
-    def arrival(self, a: DecodedRequest, now: float) -> contract.Arrival:
-        """Raises InvalidRequestError, naming the field."""
-        if a.traffic_type not in self.traffic:
-            raise InvalidRequestError(
-                f"traffic_type {a.traffic_type!r} is not one of {', '.join(sorted(self.traffic))}"
-            )
-        if a.tenant and self.tenants and a.tenant not in self.tenants:
-            raise InvalidRequestError(f"tenant {a.tenant!r} is not known here")
-        for name in ("prompt", "most_output"):
-            if getattr(a, name) < 1:
-                raise InvalidRequestError(
-                    f"{name}{'_tokens' if name == 'prompt' else ''} has to be at least 1"
-                )
-        if a.shared > a.prompt:
-            raise InvalidRequestError(f"shared_tokens {a.shared} is more than prompt_tokens {a.prompt}")
-        traffic = self.traffic[a.traffic_type]
+        self.lag = LagMeter()  # whoever runs the node measures; without that it takes nothing off
+
+    def arrival(self, request: DecodedRequest, now: float) -> contract.Arrival:
+        """Return what the router is told of a request.
+
+        Raises:
+            InvalidRequestError: the request is malformed; the text names the field.
+        """
+        self._check_names(request)
+        _check_tokens(request)
+        traffic = self.traffic[request.traffic_type]
         row = self.rows[traffic]
-        if row.front != a.front:
-            raise InvalidRequestError(f"traffic_type {a.traffic_type!r} is for the front {row.front!r}")
-        if row.repeats == "tokened" and not a.mark:
-            raise InvalidRequestError(
-                f"mark is required for traffic type {a.traffic_type!r}: repeats are known by it"
-            )
-        if len(a.mark.encode()) > MARK_LIMIT:
-            raise InvalidRequestError(f"mark is longer than {MARK_LIMIT} bytes")
-        left = min(a.time_left or row.abandon_time, row.abandon_time, a.deadline_in - self.slack)
-        left = self.lag.left(now, left)
+        _check_traffic_type(request, row)
+        time_left = min(
+            request.time_left or row.abandon_time, row.abandon_time, request.deadline_in - self.slack
+        )
         return contract.Arrival(
-            traffic,
-            self.tenants.get(a.tenant, -1),
-            float(a.prompt),
-            left,
-            hash_key(a.session),
-            hash_key(a.prefix),
-            float(a.shared),
-            float(a.most_output),
-            a.expected,
-            False,
-            a.repeated,
+            traffic=traffic,
+            tenant=self.tenants.get(request.tenant, NO_TENANT),
+            prompt_tokens=float(request.prompt),
+            time_left=self.lag.left(now, time_left),
+            session=hash_key(request.session),
+            prefix=hash_key(request.prefix),
+            shared_tokens=float(request.shared),
+            max_output_tokens=float(request.most_output),
+            expected_seconds=request.expected,
+            is_retry=request.repeated,
         )
+
+    def _check_names(self, request: DecodedRequest) -> None:
+        if request.traffic_type not in self.traffic:
+            known = ", ".join(sorted(self.traffic))
+            raise InvalidRequestError(f"traffic_type {request.traffic_type!r} is not one of {known}")
+        if request.tenant and self.tenants and request.tenant not in self.tenants:
+            raise InvalidRequestError(f"tenant {request.tenant!r} is not known here")
+
+
+def _check_tokens(request: DecodedRequest) -> None:
+    if request.prompt < 1:
+        raise InvalidRequestError("prompt_tokens has to be at least 1")
+    if request.most_output < 1:
+        raise InvalidRequestError("most_output has to be at least 1")
+    if request.shared > request.prompt:
+        raise InvalidRequestError(
+            f"shared_tokens {request.shared} is more than prompt_tokens {request.prompt}"
+        )
+
+
+def _check_traffic_type(request: DecodedRequest, row: TrafficRow) -> None:
+    name = request.traffic_type
+    if row.front != request.front:
+        raise InvalidRequestError(f"traffic_type {name!r} is for the front {row.front!r}")
+    if row.repeats == contract.RetrySemantics.IDEMPOTENCY_KEY and not request.mark:
+        raise InvalidRequestError(f"mark is required for traffic type {name!r}: repeats are known by it")
+    if len(request.mark.encode()) > MAX_MARK_BYTES:
+        raise InvalidRequestError(f"mark is longer than {MAX_MARK_BYTES} bytes")
--- a/myrtlehub/node/router_config.py
+++ b/myrtlehub/node/router_config.py
@@ -1,52 +1,65 @@
-"""A node's settings as the configuration of its router."""
+"""A node's settings as the configuration of its routers."""
 
-from myrtlehub.config.sheets import NodeSheet
+from collections.abc import Callable
+from typing import NamedTuple
+
+from myrtlehub.config.sheets import KindRow, NodeSheet, TrafficRow
 from myrtlehub.routing import contract
 
-# By front: which kinds read for it, which write. What has a single stage is written, with nothing to read.
-STAGES = {
-    "chat": (lambda kind: kind.reads, lambda kind: kind.writes),
-    "embed": (lambda kind: False, lambda kind: kind.embeds),
-    "rank": (lambda kind: False, lambda kind: kind.ranks),
+
+class FrontStages(NamedTuple):
+    """Which kinds of engines read for a front, and which write."""
+
+    reads: Callable[[KindRow], bool]
+    writes: Callable[[KindRow], bool]
+
+
+# What has a single stage is written, with nothing to read.
+STAGES_BY_FRONT = {
+    "chat": FrontStages(lambda kind: kind.reads, lambda kind: kind.writes),
+    "embed": FrontStages(lambda kind: False, lambda kind: kind.embeds),
+    "rank": FrontStages(lambda kind: False, lambda kind: kind.ranks),
 }
 
 
 def fronts_of(sheet: NodeSheet) -> list[str]:
-    """Fronts that have a traffic type, chat first."""
-    used = {t.front for t in sheet.traffic}
-    return [f for f in STAGES if f in used]
+    """List the fronts that have a traffic type, chat first."""
+    used = {row.front for row in sheet.traffic}
+    return [front for front in STAGES_BY_FRONT if front in used]
+
+
+def traffic_type_of(row: TrafficRow) -> contract.TrafficType:
+    """Return a row of the settings as the router's traffic type."""
+    return contract.TrafficType(
+        retry_semantics=contract.RetrySemantics(row.repeats),
+        # What is done in one stage is there whole or not at all: its abandon time is what has to be met.
+        latency_slo=row.latency_slo if row.front == "chat" else row.abandon_time,
+        slo_per_token=row.slo_per_1000_tokens / 1000.0,
+        abandon_time=row.abandon_time,
+        seconds_per_token=row.pace,
+        utility=row.utility,
+        late_share=row.late_share,
+        dedup_group=contract.DedupGroup(row.dedup_group),
+        dedup_window=row.dedup_window,
+    )
 
 
 def router_config_of(sheet: NodeSheet, front: str = "chat") -> contract.RouterConfig:
-    """The router's configuration for one front; everything it reads comes from the file."""
-    reads, writes = STAGES[front]
+    """Return the configuration of the router for one front; all of it comes from the settings."""
+    stages = STAGES_BY_FRONT[front]
+    is_chat = front == "chat"
     node, rules, may = sheet.node, sheet.rules, sheet.engines_may
-    # What is done in one stage is there whole or not at all: its abandon time is what has to be met.
-    traffic = tuple(
-        contract.TrafficType(
-            contract.RetrySemantics(t.repeats),
-            t.latency_slo if t.front == "chat" else t.abandon_time,
-            t.slo_per_1000_tokens / 1000.0,
-            t.abandon_time,
-            t.pace,
-            t.utility,
-            t.late_share,
-            contract.DedupGroup(t.dedup_group),
-            t.dedup_window,
-        )
-        for t in sheet.traffic
-    )
     return contract.RouterConfig(
         seed=node.seed,
         node=node.index,
         node_count=node.nodes,
         zone=sheet.zones.index(node.zone),
-        traffic=traffic,
-        reads=tuple(reads(k) for k in sheet.kinds),
-        writes=tuple(writes(k) for k in sheet.kinds),
-        memory=tuple(k.memory for k in sheet.kinds),
-        quotas=tuple(t.quota * (front == "chat") for t in sheet.tenants),
-        writers_can_read=may.read_alone or front != "chat",
+        traffic=tuple(traffic_type_of(row) for row in sheet.traffic),
+        reads=tuple(stages.reads(kind) for kind in sheet.kinds),
+        writes=tuple(stages.writes(kind) for kind in sheet.kinds),
+        memory=tuple(kind.memory for kind in sheet.kinds),
+        quotas=tuple(tenant.quota * is_chat for tenant in sheet.tenants),
+        writers_can_read=may.read_alone or not is_chat,
         may_reserve=may.hold,
         may_cancel=may.cancel,
         may_migrate=may.resume,
