Request decoder: fields of a decoded request named as in the routing contract

Cause: shared, prompt, most_output, repeated and expected did not say their unit, and the contract names the same facts otherwise.

Change: identifiers only: shared_tokens, prompt_tokens, max_output_tokens, is_retry, expected_seconds. Messages on the wire and error lines keep their words.

Tests not run yet, the machine's cores are taken.

--- a/benchmarks/fresh.py
+++ b/benchmarks/fresh.py
@@ -57,9 +57,9 @@
             "ask",
             session=session,
             prefix=f"p{prefix}",
-            shared=1500,
-            prompt=random.randint(1600, 4000),
-            most_output=200,
+            shared_tokens=1500,
+            prompt_tokens=random.randint(1600, 4000),
+            max_output_tokens=200,
         )
 
         def over(client: ModelClient) -> None:
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -172,8 +172,8 @@
         asked_for += UTILITY[name]
         asked = DecodedRequest(
             name,
-            prompt=random.choice([300, 900, 2500]),
-            most_output=random.randint(60, 240),
+            prompt_tokens=random.choice([300, 900, 2500]),
+            max_output_tokens=random.randint(60, 240),
             session=f"s{random.randrange(400)}",
             mark=f"m{random.randrange(10**9)}",
         )
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -88,11 +88,11 @@
         self.jobs[key] = attempt
         task = Task(
             held.sequence_id,
-            asked.prompt,
-            asked.most_output,
+            asked.prompt_tokens,
+            asked.max_output_tokens,
             asked.session,
             asked.prefix,
-            asked.shared,
+            asked.shared_tokens,
             asked.mark,
             held.deadline,
         )
--- a/myrtlehub/node/batches.py
+++ b/myrtlehub/node/batches.py
@@ -89,10 +89,10 @@
                 item = batch.want.items[i]
                 task.items.add(text=item.text, tokens=item.tokens)
         asked = want.asked._replace(
-            prompt=max(1, self.size),
-            most_output=1,
+            prompt_tokens=max(1, self.size),
+            max_output_tokens=1,
             time_left=max(0.001, left),
-            shared=want.besides,
+            shared_tokens=want.besides,
             batch=task.SerializeToString(),
             deadline_in=float("inf"),
         )
@@ -416,7 +416,7 @@
         if len(want.items) > most:
             raise InvalidRequestError(f"inputs: {len(want.items)} are more than the {most} of one request")
         total = sum(i.tokens + want.besides for i in want.items)
-        asked = want.asked._replace(prompt=max(1, total), most_output=1, front=want.front)
+        asked = want.asked._replace(prompt_tokens=max(1, total), max_output_tokens=1, front=want.front)
         now = self.clock.seconds()
         arrival = self.host.decoder.arrival(asked, now)
         row = self.host.decoder.rows[arrival.traffic]
@@ -489,7 +489,7 @@
         asked = attempt.sequence.request
         if not (self.fields and asked.front != "chat" and attempt.kind in self._common):
             return
-        self._weigh(asked.front, sign * asked.prompt)
+        self._weigh(asked.front, sign * asked.prompt_tokens)
 
     def _weigh(self, front: str, tokens: float) -> None:
         """Whether the front may use common engines, after so much more or less of it there."""
--- a/myrtlehub/node/calls.py
+++ b/myrtlehub/node/calls.py
@@ -33,12 +33,12 @@
     return DecodedRequest(
         terms.traffic_type,
         terms.tenant,
-        prompt=1,
-        most_output=1,
+        prompt_tokens=1,
+        max_output_tokens=1,
         time_left=terms.time_left_ms / 1000.0,
         deadline_in=deadline_in,
         mark=terms.mark,
-        repeated=terms.repeated,
+        is_retry=terms.repeated,
     )
 
 
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -208,7 +208,7 @@
         except InvalidRequestError as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
         full = self.closed or len(self.host.in_flight) >= self.most
-        wait = self.peers.refuses(call, asked.tenant, asked.repeated, len(data), full)
+        wait = self.peers.refuses(call, asked.tenant, asked.is_retry, len(data), full)
         if wait is not None:
             self.turned_away(self.host.decoder.rows[arrival.traffic])
             waiting.rejected(wait)  # not taken: nothing ran
--- a/myrtlehub/node/request_decoder.py
+++ b/myrtlehub/node/request_decoder.py
@@ -22,14 +22,14 @@
     tenant: str = ""
     session: str = ""
     prefix: str = ""
-    shared: int = 0  # tokens of the prompt that are the prefix
-    prompt: int = 0  # tokens
-    most_output: int = 0  # tokens
+    shared_tokens: int = 0  # of the prompt, those of the prefix
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
     time_left: float = 0.0  # seconds; 0: the traffic type's abandon time
     deadline_in: float = float("inf")  # seconds to the call's own deadline
     mark: str = ""  # idempotency key
-    repeated: bool = False  # it is a retry
-    expected: float = 0.0  # seconds of answer, a rough estimate; 0: none
+    is_retry: bool = False
+    expected_seconds: float = 0.0  # seconds of answer, a rough estimate; 0: none
     text: bytes = b""
     front: str = "chat"
     batch: bytes = b""  # of a part: a BatchRequest without its `work`
@@ -65,14 +65,14 @@
         return contract.Arrival(
             traffic=traffic,
             tenant=self.tenants.get(request.tenant, NO_TENANT),
-            prompt_tokens=float(request.prompt),
+            prompt_tokens=float(request.prompt_tokens),
             time_left=self.lag.left(now, time_left),
             session=hash_key(request.session),
             prefix=hash_key(request.prefix),
-            shared_tokens=float(request.shared),
-            max_output_tokens=float(request.most_output),
-            expected_seconds=request.expected,
-            is_retry=request.repeated,
+            shared_tokens=float(request.shared_tokens),
+            max_output_tokens=float(request.max_output_tokens),
+            expected_seconds=request.expected_seconds,
+            is_retry=request.is_retry,
         )
 
     def _check_names(self, request: DecodedRequest) -> None:
@@ -84,13 +84,13 @@
 
 
 def _check_tokens(request: DecodedRequest) -> None:
-    if request.prompt < 1:
+    if request.prompt_tokens < 1:
         raise InvalidRequestError("prompt_tokens has to be at least 1")
-    if request.most_output < 1:
+    if request.max_output_tokens < 1:
         raise InvalidRequestError("most_output has to be at least 1")
-    if request.shared > request.prompt:
+    if request.shared_tokens > request.prompt_tokens:
         raise InvalidRequestError(
-            f"shared_tokens {request.shared} is more than prompt_tokens {request.prompt}"
+            f"shared_tokens {request.shared_tokens} is more than prompt_tokens {request.prompt_tokens}"
         )
 
 
