--- a/myrtlehub/node/action_executor.py
+++ b/myrtlehub/node/action_executor.py
@@ -1,200 +1,35 @@
-"""The host: calls the module with what happens, and carries out each result in the order it came.
+"""The action executor: executes each action of a router, in their order.
 
-It decides nothing. It owes every result of the contract in `interface.py`, knows no sockets (what it needs of
-them is `EngineTransport`), and keeps one promise of its own: a client is answered at most once, and hears nothing
-after.
+It decides nothing and knows no sockets: what it needs of the program around it is in `protocols`, what it
+knows of a sequence in `sequences`. It promises one thing of its own: a client gets one final answer at most,
+and nothing after it.
 """
 
-from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
 
-from myrtlehub.membership.rows import Row
-from myrtlehub.node.endpoint_index import EndpointIndex
+from myrtlehub.node.router_driver import RouterCall, RouterDriver
+from myrtlehub.node.sequences import Attempt, InFlightSequence, ReadState
 from myrtlehub.routing import contract
-from myrtlehub.state.lives import (
-    ANSWER,
-    ANSWER_LIFE,
-    ATTEMPT,
-    BEGIN,
-    HOLD,
-    LATE,
-    OUT,
-    PASS,
-    READ_ENDS,
-    TELL_RELEASE,
-    Life,
-    write_ends,
-)
+from myrtlehub.state.answer import AnswerEffect, AnswerEvent, AnswerState
+from myrtlehub.state.read_state import ReadStateEffect, ReadStateEvent
 
 NEVER = float("inf")
 
 
 class ContractViolationError(Exception):
-    """The module asked for what the terms say it may not ask for."""
+    """The router asked for an action that its configuration does not allow."""
 
+    def __init__(self, action: contract.Action) -> None:
+        super().__init__(f"the settings rule out an action that the router asked for: {action}")
+        self.action = action
 
-class Client(Protocol):
-    """Who waits for the answer of one sequence."""
 
-    def tokens(self, raw: bytes) -> None:
-        """A token message, as the engine sent it."""
+class ActionExecutor(RouterDriver):
+    """Executes what a router decides; one method for each type of action."""
 
-    def generated(self, tokens: int) -> None:
-        """Final."""
-
-    def rejected(self, wait: float) -> None:
-        """Final; `wait` in seconds."""
-
-    def aborted(self, reason: str) -> None:
-        """Final."""
-
-
-class RequestDecoder(Protocol):
-    """Names from outside against indices; `rows` are the traffic types, with a name and a front."""
-
-    rows: list
-    kinds: dict[str, int]
-    zones: dict[str, int]
-    engines: EndpointIndex
-
-
-class EngineTransport(Protocol):
-    """Carries attempts to engines and says, through the host, what became of them."""
-
-    def start(self, attempt: "Attempt") -> None:
-        """Send it. May not call back before it returns control to the reactor."""
-
-    def cancel(self, attempt: "Attempt") -> None:
-        """Reset it at the engine; nothing of it is reported any more."""
-
-    def release(self, engine: int, label: str) -> None:
-        """Tell an engine to let go of what it holds for a sequence."""
-
-    def probe(
-        self, engine: int, timeout: float, then: Callable[[bool, contract.LoadReport | None], None]
-    ) -> None:
-        """Ask an engine for its load; `then(sound, load)` is called once, not before control is back."""
-
-    def close_idle(self, engine: int) -> None:
-        """Close an unused connection."""
-
-    def forget(self, address: str) -> None:
-        """The engine is off the list and unused."""
-
-
-class Attempt:
-    """One schedule attempt."""
-
-    __slots__ = (
-        "call",
-        "claims",
-        "engine",
-        "held",
-        "kind",
-        "life",
-        "number",
-        "reads",
-        "since",
-        "timer",
-        "until",
-    )
-
-    def __init__(
-        self,
-        held: "InFlightSequence",
-        number: int,
-        engine: int,
-        reads: bool,
-        since: float,
-        until: float,
-        kind: str = "",
-    ) -> None:
-        self.kind = kind  # of the engine when it was sent: the list may change it meanwhile
-        self.held, self.number, self.engine, self.reads = held, number, engine, reads
-        self.since, self.until = since, until
-        self.timer = self.call = None
-        self.life = Life(ATTEMPT, "reading" if reads else "writing")
-        self.claims: HeldState | None = None  # a writer's: the state that it is to fetch
-
-    @property
-    def out(self) -> bool:
-        """Whether its end is still to come."""
-        return self.life.state in OUT
-
-    @property
-    def begun(self) -> bool:
-        """Whether its answer streams."""
-        return self.life.state == "streaming"
-
-
-class HeldState:
-    """What one reader holds for one sequence, and the handle by which it is fetched."""
-
-    __slots__ = ("engine", "handle", "life")
-
-    def __init__(self, engine: int) -> None:
-        self.engine, self.life, self.handle = engine, Life(HOLD), None
-
-
-class InFlightSequence:
-    """One sequence that the host holds for the module."""
-
-    __slots__ = (
-        "abandon_at",
-        "arrival",
-        "asked",
-        "attempts",
-        "before",
-        "begun",
-        "client",
-        "first_at",
-        "holds",
-        "label",
-        "life",
-        "seq",
-        "since",
-        "tokens",
-    )
-
-    def __init__(
-        self, seq: int, label: str, asked: object, arrival: contract.Arrival, client: Client, now: float
-    ) -> None:
-        self.seq, self.label, self.asked, self.arrival, self.client = seq, label, asked, arrival, client
-        self.since, self.abandon_at = now, now + arrival.time_left
-        self.life = Life(ANSWER_LIFE)
-        self.attempts: list[Attempt] = []
-        self.holds: dict[int, HeldState] = {}  # by engine
-        self.begun: Attempt | None = None  # the attempt whose answer the client is getting
-        self.first_at = 0.0
-        self.tokens = 0
-        self.before = 0  # attempts of owners before this node
-
-
-class ActionExecutor:
-    """The module's host: `router` decides, `carrier` moves, `clock` is the node's only clock."""
-
-    def __init__(
-        self,
-        router: object,
-        door: RequestDecoder,
-        terms: contract.RouterConfig,
-        clock: object,
-        carrier: EngineTransport,
-        prefix: str = "",
-        log: Callable[..., None] = lambda event, **more: None,
-    ) -> None:
-        self.router, self.door, self.terms, self.clock = router, door, terms, clock
-        self.carrier, self.prefix, self.log = carrier, prefix, log
-        self.held: dict[int, InFlightSequence] = {}
-        self.answered: Counter[str] = Counter()
-        self.taken = self.list_version = 0
-        self.list_label = "0"  # number and digest of the version that decisions are made by
-        self._next = 0
-        self._calls: deque[tuple] = deque()
-        self._busy = False
-        self._handlers: dict[type, Callable[..., None]] = {
+    def _make_handlers(self) -> dict[type, Callable[[contract.Action], None]]:
+        return {
             contract.Send: self._send,
             contract.Release: self._release,
             contract.CancelAttempt: self._cancel,
@@ -211,317 +46,99 @@
             contract.Migrate: self._refuse_action,
             contract.Gossip: self._refuse_action,
         }
-        self.probe_timeout = 0.25
-        self.on_idle: Callable[[], None] = lambda: None
-        self.on_sent: Callable[[Attempt], None] = lambda attempt: None
-        self.on_back: Callable[[Attempt], None] = lambda attempt: None
-        self.on_answer: Callable[[InFlightSequence], None] = lambda held: (
-            None
-        )  # once a sequence, with its final answer
-        self.on_begun: Callable[[InFlightSequence], None] = lambda held: None
-        self.reread_list: Callable[[], None] = lambda: None
 
-    # -- calls from outside -----------------------------------------------------------------------
+    # -- actions, one method each -----------------------------------------------------------------
 
-    def start(self) -> None:
-        """Once, before all others."""
-        self._say("start")
-
-    def list_news(self, rows: list[Row], whole: bool, number: int = 0, digest: str = "") -> None:
-        """A change to the list, or the whole of it, as one call to the module; `number` is its version's."""
-        engines = self.door.engines
-        at = engines.at
-        before = {r.address: engines.rows[at[r.address]].state for r in rows if r.address in at}
-        left = set(at).difference(r.address for r in rows) if whole else ()
-        listings = engines.listings(rows, whole, self.door.kinds, self.door.zones, self.clock.seconds())
-        self.list_version = number or self.list_version + 1
-        self.list_label = f"{self.list_version}-{digest[:16]}" if digest else str(self.list_version)
-        for row in rows:
-            if before.get(row.address, "gone") != row.state:
-                self.log("engine", engine=row.address, standing=row.state, list_version=self.list_version)
-        for address in sorted(left):
-            self.log("engine", engine=address, standing="gone", list_version=self.list_version)
-        self._say("update_endpoints", listings, whole)
-        for address in self.door.engines.sweep():
-            self.carrier.forget(address)
-
-    def next_label(self) -> str:
-        """The id by which the next sequence taken is known outside."""
-        return f"{self.prefix}{self._next}"
-
-    def take(
-        self,
-        asked: object,
-        arrival: contract.Arrival,
-        client: Client,
-        label: str = "",
-        before: int = 0,
-        handle: object = None,
-    ) -> InFlightSequence:
-        """A sequence came in. From here on one final answer is owed, before its time is over.
-
-        `label`: by which engines know it, where its client gave it one, or another node had it before, with
-        so many attempts (`before`); `handle`: of the state that `arrival.state_held_by` holds for it.
-        """
-        label, seq = label or self.next_label(), self._next
-        self._next += 1
-        held = self.held[seq] = InFlightSequence(seq, label, asked, arrival, client, self.clock.seconds())
-        held.before = before
-        if handle is not None:
-            hold = held.holds[arrival.state_held_by] = HeldState(arrival.state_held_by)
-            hold.life.step("send")
-            hold.life.step("done")
-            hold.handle = handle
-        self.taken += 1
-        self._say("arrive", seq, arrival)
-        return held
-
-    def left(self, held: InFlightSequence) -> None:
-        """The client went away: nothing more is owed, and what runs for it is stopped."""
-        if held.life.step("leave") != LATE:
-            self._close_answer(held)
-
-    def out_of_time(self, held: InFlightSequence, reason: str) -> None:
-        """The bound on the whole stream is due, or the node goes: abort what has no answer yet."""
-        if held.life.step("late") == ANSWER:
-            held.client.aborted(reason)
-            self._close_answer(held)
-
-    def hand_over(self, held: InFlightSequence) -> None:
-        """Another node goes on with it: nothing more is owed here, and a stream that runs is left to it."""
-        stream, held.begun = held.begun, None
-        if held.life.step("leave") == LATE:
-            return
-        self._note_answer(held)
-        self._say("client_left", held.seq)
-        if stream is not None and stream.out:
-            self.ended(stream, contract.Outcome.CANCELLED)
-
-    def _close_answer(self, held: InFlightSequence) -> None:
-        """The answer was not the module's doing: tell it, and stop a stream that nobody reads any more."""
-        self._note_answer(held)
-        self._say("client_left", held.seq)
-        if held.begun is not None:
-            self._stop(held.begun)
-
-    def began(self, attempt: Attempt, raw: bytes) -> None:
-        """The first token message of an attempt."""
-        held = attempt.held
-        if attempt.life.step("tokens") != BEGIN:
-            return
-        self._disarm(attempt)
-        if attempt.claims is not None:
-            self._hold_step(held, attempt.claims, "fetched")
-            attempt.claims = None
-        if held.life.step("first") != PASS:
-            self._stop(attempt)  # raced with a final answer, or with a copy: nobody reads it
-            return
-        held.begun, held.first_at = attempt, self.clock.seconds()
-        self.on_begun(held)
-        self._say("began", held.seq, attempt.number, held.first_at - attempt.since)
-        held.tokens += 1
-        held.client.tokens(raw)
-
-    def more(self, attempt: Attempt, raw: bytes) -> None:
-        """Token messages go through as they are."""
-        held = attempt.held
-        if held.begun is attempt and held.life.step("more") == PASS:
-            held.tokens += 1
-            held.client.tokens(raw)
-
-    def ended(
-        self,
-        attempt: Attempt,
-        outcome: str,
-        kept: float = 0.0,
-        load: contract.LoadReport | None = None,
-        handle: object = None,
-        tokens: int = 0,
-    ) -> None:
-        """How an attempt ended; said once, what comes later is dropped."""
-        begun = attempt.begun
-        if attempt.life.step(outcome) == LATE:
-            return
-        held, now = attempt.held, self.clock.seconds()
-        self._disarm(attempt)
-        if begun and outcome in (contract.Outcome.FULL, contract.Outcome.UNREACHED, contract.Outcome.UNSENT):
-            # Guards against an engine that takes its word back: what has streamed has run.
-            outcome, kept = contract.Outcome.RESET, 0.0
+    def _send(self, action: contract.Send) -> None:
+        sequence, engine, now = self.in_flight[action.sequence], action.engine, self.clock.seconds()
+        attempt = self._new_attempt(sequence, engine, action.timeout, now)
+        sequence.attempts.append(attempt)
+        self.decoder.engines.mark_used(engine)
+        self.on_attempt_sent(attempt)
         if attempt.reads:
-            hold = held.holds[attempt.engine]
-            hold.handle = handle
-            self._hold_step(held, hold, READ_ENDS[outcome])
-        elif attempt.claims is not None:
-            self._hold_step(held, attempt.claims, write_ends(outcome, bool(kept)))
-        if outcome == contract.Outcome.GENERATED and held.begun in (None, attempt):
-            if held.life.step("whole") == ANSWER:
-                self._note_answer(held, tokens=tokens)
-                held.client.generated(tokens)
-        elif held.begun is attempt and held.life.step("broke") == ANSWER:
-            self._note_answer(held)
-            held.client.aborted(f"the stream broke: {outcome}")
-        self._say("ended", held.seq, attempt.number, outcome, now - attempt.since, held.life.over, kept, load)
-        self.on_back(attempt)
-        self._unused(attempt.engine)
-
-    def shut(self, field: int, shut: bool) -> None:
-        """Keep one field's work from engines that it shares with others, or let it in again."""
-        self._say("shut", field, shut)
-
-    def attempts_out(self) -> int:
-        """Schedule attempts that are out."""
-        return sum(a.out for h in self.held.values() for a in h.attempts)
-
-    # -- to the module ----------------------------------------------------------------------------
-
-    def _say(self, call: str, *args: object) -> None:
-        """Call the module; what results cause is said after all results of this call, never between."""
-        self._calls.append((call, args))
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._calls:
-                call, args = self._calls.popleft()
-                for action in getattr(self.router, call)(self.clock.seconds(), *args):
-                    self._handlers[type(action)](*action)
-        finally:
-            self._busy = False
-        if not self.held:
-            self.on_idle()
-
-    # -- results, one method each -----------------------------------------------------------------
-
-    def _send(self, seq: int, engine: int, timeout: float) -> None:
-        held, now = self.held[seq], self.clock.seconds()
-        name = self.door.engines.rows[engine].kind
-        kind = self.door.kinds[name]
-        # Work of a single stage has nothing to read, whatever else its engine does.
-        reads = not self.terms.writes[kind] and self.door.rows[held.arrival.traffic].front == "chat"
-        until = min(held.abandon_at, now + timeout if timeout else NEVER)
-        attempt = Attempt(held, len(held.attempts), engine, reads, now, until, name)
-        held.attempts.append(attempt)
-        self.door.engines.used(engine)
-        self.on_sent(attempt)
-        if reads:
-            hold = held.holds.setdefault(engine, HeldState(engine))
-            hold.life.step("send")
+            read_state = sequence.read_states.setdefault(engine, ReadState(engine))
+            read_state.state_machine.step(ReadStateEvent.SEND)
         else:
-            claims = [
-                h for h in held.holds.values() if h.handle is not None and h.life.state in ("held", "maybe")
-            ]
-            if claims:
-                attempt.claims = claims[-1]
-                attempt.claims.life.step("claim")
-        if held.life.over:
+            attempt.fetched_state = sequence.claimable_state()
+            if attempt.fetched_state is not None:
+                attempt.fetched_state.state_machine.step(ReadStateEvent.CLAIM)
+        if sequence.answer.is_final:
             self.clock.callLater(0, self.ended, attempt, contract.Outcome.UNSENT)
             return
-        attempt.timer = self.clock.callLater(max(0.0, until - now), self._timed_out, attempt)
-        self.carrier.start(attempt)
-
-    def _release(self, seq: int) -> None:
-        held = self.held[seq]
-        for hold in list(held.holds.values()):
-            if self._hold_step(held, hold, "release") == TELL_RELEASE:
-                self.carrier.release(hold.engine, held.label)
-
-    def _hold_step(self, held: InFlightSequence, hold: HeldState, event: str) -> str:
-        do = hold.life.step(event)
-        if hold.life.state == "none":
-            held.holds.pop(hold.engine, None)
-        return do
+        delay = max(0.0, attempt.times_out_at - now)
+        attempt.timer = self.clock.callLater(delay, self._timed_out, attempt)
+        self.transport.start(attempt)
 
-    def _cancel(self, seq: int, number: int) -> None:
-        attempt = self.held[seq].attempts[number]
-        if not attempt.begun:
+    def _new_attempt(self, sequence: InFlightSequence, engine: int, timeout: float, now: float) -> Attempt:
+        kind = self.decoder.engines.rows[engine].kind
+        is_chat = self.decoder.rows[sequence.arrival.traffic].front == "chat"
+        # Work of a single stage has nothing to read, whatever else its engine does.
+        reads = is_chat and not self.config.writes[self.decoder.kinds[kind]]
+        times_out_at = min(sequence.deadline, now + timeout if timeout else NEVER)
+        return Attempt(sequence, len(sequence.attempts), engine, reads, now, times_out_at, kind)
+
+    def _release(self, action: contract.Release) -> None:
+        sequence = self.in_flight[action.sequence]
+        for read_state in list(sequence.read_states.values()):
+            effect = sequence.step_read_state(read_state, ReadStateEvent.RELEASE)
+            if effect == ReadStateEffect.SEND_RELEASE:
+                self.transport.release(read_state.engine, sequence.sequence_id)
+
+    def _cancel(self, action: contract.CancelAttempt) -> None:
+        attempt = self.in_flight[action.sequence].attempts[action.attempt]
+        if not attempt.is_streaming:
             self._stop(attempt)
 
-    def _reject(self, seq: int, wait: float) -> None:
-        self._answer(self.held[seq], "reject", wait)
+    def _reject(self, action: contract.Reject) -> None:
+        self._answer(self.in_flight[action.sequence], AnswerEvent.REJECT, action.retry_after)
 
-    def _abort(self, seq: int) -> None:
-        self._answer(self.held[seq], "abort", 0.0)
+    def _abort(self, action: contract.Abort) -> None:
+        self._answer(self.in_flight[action.sequence], AnswerEvent.ABORT)
 
-    def _answer(self, held: InFlightSequence, event: str, wait: float) -> None:
-        if held.life.step(event) != ANSWER:
+    def _answer(self, sequence: InFlightSequence, event: AnswerEvent, retry_after: float = 0.0) -> None:
+        if sequence.answer.step(event) != AnswerEffect.ANSWER:
             return
-        self._note_answer(held)
-        if held.life.state == "rejected":
-            held.client.rejected(wait)
+        self._note_answer(sequence)
+        if sequence.answer.state == AnswerState.REJECTED:
+            sequence.client.rejected(retry_after)
         else:
-            held.client.aborted("no engine could answer in time, and it may have run")
-
-    def _schedule_wakeup(self, delay: float, token: int) -> None:
-        self.clock.callLater(delay, self._say, "wake", token)
-
-    def _close_idle(self, engine: int) -> None:
-        self.carrier.close_idle(engine)
-
-    def _watch_endpoints(self, on: bool) -> None:
-        """Sources hand over news without being asked; only terms with `ask_for_list` bring this result."""
+            sequence.client.aborted("no engine could answer in time, and it may have run")
 
-    def _poll_endpoints(self) -> None:
-        self.reread_list()
+    def _schedule_wakeup(self, action: contract.ScheduleWakeup) -> None:
+        self.clock.callLater(action.delay, self._call_router, RouterCall.WAKE, action.token)
 
-    def _log_note(self, text: str) -> None:
-        self.log("note", text=text)
+    def _close_idle(self, action: contract.CloseIdle) -> None:
+        self.transport.close_idle(action.engine)
 
-    def _forget(self, seq: int) -> None:
-        # its attempts refer to it: without this only the collector would free them, and the request with them
-        held = self.held.pop(seq)
-        held.attempts, held.begun = [], None
+    def _watch_endpoints(self, action: contract.WatchEndpoints) -> None:
+        """Do nothing: changes come unasked; only a configuration with `polls_endpoints` leads here."""
 
-    def _refuse_action(self, *fields: object) -> None:
-        raise ContractViolationError(f"an action that the configuration rules out: {fields}")
+    def _poll_endpoints(self, _action: contract.PollEndpoints) -> None:
+        self.poll_endpoints()
 
-    def _probe(self, engine: int) -> None:
-        if not self.terms.may_probe:
-            self._refuse_action(engine)
-        since = self.clock.seconds()
-        # Guards against word on an engine whose index was handed on meanwhile.
-        self.door.engines.used(engine)
-        self.carrier.probe(engine, self.probe_timeout, partial(self._probed, engine, since))
+    def _log_note(self, action: contract.LogNote) -> None:
+        self.log("note", text=action.text)
 
-    def _probed(self, engine: int, since: float, sound: bool, load: contract.LoadReport | None) -> None:
-        self._say("probe_ended", engine, sound, self.clock.seconds() - since, load)
-        self._unused(engine)
+    def _forget(self, action: contract.Forget) -> None:
+        # Its attempts refer to it: without this only the garbage collector would free them and the request.
+        sequence = self.in_flight.pop(action.sequence)
+        sequence.attempts = []
+        sequence.streaming_attempt = None
 
-    # -- small steps ------------------------------------------------------------------------------
+    def _refuse_action(self, action: contract.Action) -> None:
+        raise ContractViolationError(action)
 
-    def _unused(self, engine: int) -> None:
-        """An attempt or a probe there is over; an engine that has left the list goes with its last."""
-        address = self.door.engines.unused(engine)
-        if address:
-            self.carrier.forget(address)
+    def _probe(self, action: contract.Probe) -> None:
+        if not self.config.may_probe:
+            self._refuse_action(action)
+        # Guards against a report on an engine whose index was handed on meanwhile.
+        self.decoder.engines.mark_used(action.engine)
+        then = partial(self._probed, action.engine, self.clock.seconds())
+        self.transport.probe(action.engine, self.probe_timeout, then)
 
-    def _note_answer(self, held: InFlightSequence, **more: object) -> None:
-        answer = held.life.state
-        self.answered[answer] += 1
-        first = round(held.first_at - held.since, 4) if held.first_at else None
-        row = self.door.rows[held.arrival.traffic]
-        self.log(
-            "answer",
-            seq=held.label,
-            answer=answer,
-            traffic_type=row.name,
-            attempts=len(held.attempts),
-            first_token=first,
-            took=round(self.clock.seconds() - held.since, 4),
-            **more,
-        )
-        self.on_answer(held)
-
-    def _timed_out(self, attempt: Attempt) -> None:
-        if attempt.out:
-            self.carrier.cancel(attempt)
-            self.ended(attempt, contract.Outcome.TIMEOUT)
-
-    def _stop(self, attempt: Attempt) -> None:
-        if attempt.out:
-            self.carrier.cancel(attempt)
-            self.ended(attempt, contract.Outcome.CANCELLED)
-
-    def _disarm(self, attempt: Attempt) -> None:
-        if attempt.timer is not None and attempt.timer.active():
-            attempt.timer.cancel()
-        attempt.timer = None
+    def _probed(
+        self, engine: int, sent_at: float, is_answered: bool, load: contract.LoadReport | None
+    ) -> None:
+        latency = self.clock.seconds() - sent_at
+        self._call_router(RouterCall.PROBE_ENDED, engine, is_answered, latency, load)
+        self._mark_unused(engine)
