Package routing/policy: all routing decisions in modules with one job each

Cause: router.py was one class of 650 lines and 54 methods; tuned values stood apart from what they tune, and engines were parallel lists with short names. Change: policy/ has the router, writer selection, read placement, admission, retries, engine estimates, prefix cache and load probing, each with its constants; records, accounts, statistics and the calls stand outside it, without a tuned value. Engines, attempts and sequences are slotted records. Tests of routing split by subject, with names in terms of the field; the traces are as they were. Tests not run yet.

--- a/benchmarks/fresh.py
+++ b/benchmarks/fresh.py
@@ -19,7 +19,7 @@
 from myrtlehub.node.request_decoder import DecodedRequest
 from myrtlehub.node.router_config import router_config_of
 from myrtlehub.routing.contract import EndpointUpdate, EngineState
-from myrtlehub.routing.router import Router
+from myrtlehub.routing.policy.router import Router
 
 SHEET = """
 node: {{name: n{i}, listen: "n{i}:1", index: {i}, nodes: {n}, zone: z, seed: {seed}}}
@@ -97,10 +97,8 @@
         self.new.update_endpoints(
             now,
             [
-                EndpointUpdate(
-                    i, True, EngineState.SERVING, old.kind[i], old.zone[i], old.cell[i], 0.0, 1.0, old.mark[i]
-                )
-                for i in sorted(engines)
+                EndpointUpdate(i, True, EngineState.SERVING, e.kind, e.zone, e.cell, 0.0, 1.0, e.hash_seed)
+                for i, e in ((i, old.estimates.engines[i]) for i in sorted(engines))
             ],
             True,
         )
@@ -109,7 +107,7 @@
         def call(now: float, *args: object) -> list[tuple]:
             if name in ("update_endpoints", "wake"):
                 return getattr(self.old, name)(now, *args) + getattr(self.new, name)(now, *args)
-            mine = self.old if name != "arrive" and args[0] in self.old.seqs else self.new
+            mine = self.old if name != "arrive" and args[0] in self.old.sequences else self.new
             return getattr(mine, name)(now, *args)
 
         return call
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -16,7 +16,7 @@
 from myrtlehub.node.request_decoder import DecodedRequest, RequestDecoder
 from myrtlehub.node.router_config import router_config_of
 from myrtlehub.routing import contract
-from myrtlehub.routing.router import Router
+from myrtlehub.routing.policy.router import Router
 
 LINK = 0.0004  # seconds, one way
 FETCH = 250_000.0  # tokens a second
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -23,7 +23,7 @@
 from myrtlehub.node.rank import RANK
 from myrtlehub.node.request_decoder import RequestDecoder
 from myrtlehub.node.router_config import fronts_of, router_config_of
-from myrtlehub.routing.router import Router
+from myrtlehub.routing.policy.router import Router
 
 FRONTS = (EMBED, RANK)  # beside chat
 
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -10,7 +10,7 @@
 from myrtlehub.relay.discovery import DIAL_WITHIN, Discovery
 from myrtlehub.relay.engines import Engines
 from myrtlehub.relay.front import Front
-from myrtlehub.routing.router import Router
+from myrtlehub.routing.policy.router import Router
 
 DISCOVERY_MOST = 18  # connections to discovery: one in 120 ms while it is silent, each for 2 s at most
 ACCEPTS_MOST = 32  # connections accepted in a turn: until the next one none of them can be closed
--- a/myrtlehub/simulator.py
+++ b/myrtlehub/simulator.py
@@ -11,7 +11,7 @@
 
 from myrtlehub.platform_settings import load_report_from_platform, router_config_from_settings
 from myrtlehub.routing import contract
-from myrtlehub.routing.router import Router
+from myrtlehub.routing.policy.router import Router
 
 OUTCOMES = {
     "ok": contract.Outcome.GENERATED,
--- a/tests/test_action_executor.py
+++ b/tests/test_action_executor.py
@@ -6,7 +6,7 @@
 from myrtlehub.node.action_executor import ActionExecutor, ContractViolationError
 from myrtlehub.node.router_config import router_config_of
 from myrtlehub.routing import contract
-from myrtlehub.routing.router import Router
+from myrtlehub.routing.policy.router import Router
 
 WORDS = {v: k for k, v in simulator.OUTCOMES.items()}
 EFFECTS = {v: k for k, v in platform_settings.REPEATS.items()}
--- a/tests/test_engine_pools.py
+++ b/tests/test_engine_pools.py
@@ -4,11 +4,11 @@
 from random import Random
 
 from fleet import Fleet
-from helpers import TERMS
+from router_bench import CONFIG as TERMS
 
 from myrtlehub.node.engine_pools import EnginePools
 from myrtlehub.routing import contract
-from myrtlehub.routing.router import Router
+from myrtlehub.routing.policy.router import Router
 
 
 def played(router: object, beside: bool) -> list[contract.Action]:
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -91,7 +91,7 @@
     f.ask(prompt=3000)
     f.run(2.0)
     assert not f.nodes["n0"].host.words and f.calls[0].answer == "generated"
-    assert ("memory", 0) in f.nodes["n0"].host.router.usual
+    assert 0 in f.nodes["n0"].host.router.estimates.usual_memory
 
 
 def test_terms_come_from_the_file_and_defaults_leave_them_as_they_were() -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -108,7 +108,7 @@
 def test_reports_reach_the_module_from_heads_and_from_the_tail_of_streams() -> None:
     rig = Rig()
     heard = []
-    rig.node.host.router._report = lambda i, load, now: heard.append((i, load))
+    rig.node.host.router.estimates.load_reported = lambda engine, load: heard.append((engine.index, load))
     rig.engines["w1"].answer = lambda far, head, body: far.say(
         HEAD + chunk(EVENT + USAGE) + chunk(DONE + b': X-Pressure: {"x0":0.25,"x1":1.5}\n\n') + b"0\r\n\r\n"
     )
@@ -499,7 +499,7 @@
     rig.run(1.0)
     node = rig.node
     assert not node.host.held and not node.front.open and not node.site.connections
-    assert not node.engines.streams and not node.host.router.seqs
+    assert not node.engines.streams and not node.host.router.sequences
     assert node.pool.count == sum(len(free) for free in node.pool._free.values())
 
 
@@ -608,7 +608,7 @@
     rig.change(**{first: rig.line(first, news)})
     rig.run(0.4)
     assert client.statuses == [200]  # known not to have run: it went to the other one
-    assert not rig.engines[first].chats() and rig.node.host.router.state
+    assert not rig.engines[first].chats() and rig.node.host.router.estimates.engines
     other = next(n for n in ("w1", "w2") if n != first)
     assert len(rig.engines[other].chats()) == 1
     assert ("broken", "not sent") in [(e, m.get("why")) for e, m in rig.logged]
@@ -650,8 +650,9 @@
     rig = Rig("w1 w2")
     rig.node.pool.most = 0
     assert rig.ask("a1", traffic="post").statuses == [503]  # known not to have run
-    assert all(not rig.node.host.router._blamed(i, rig.clock.seconds()) for i in (0, 1))
-    assert not any(seen for seen, _ in rig.node.host.router.failing)
+    estimates = rig.node.host.router.estimates
+    assert all(not estimates.is_outlier(engine) for engine in estimates.engines[:2])
+    assert not any(engine.failures.value for engine in estimates.engines)
 
 
 def test_a_silent_discovery_is_left_and_called_again() -> None:
@@ -906,7 +907,7 @@
         "myrtlehub.proto",
         "myrtlehub.lab",
     }
-    assert not unwanted & set(said) and "myrtlehub.routing.router" in said
+    assert not unwanted & set(said) and "myrtlehub.routing.policy.router" in said
 
 
 def test_settings_of_these_tests_are_those_of_the_simulators_first_message() -> None:
