Package simulator: ids, wire words, one node and the program apart

Cause: the simulator adapter was one file with a class that kept ids, called the router and encoded its actions; parameters of one letter, three lint rules ignored. Change: simulator/ has wire, ids, node and __main__; platform_settings reads settings in short functions with fields by name. Wire names and error lines stay. Tests not run yet.

--- a/myrtlehub/platform_settings.py
+++ b/myrtlehub/platform_settings.py
@@ -3,12 +3,17 @@
 The simulator adapter and the relay share it. It decides nothing.
 """
 
-from myrtlehub.routing import contract
+from collections.abc import Mapping
+from typing import Any
 
-REPEATS = {
-    "idempotent": contract.RetrySemantics.IDEMPOTENT,
-    "deduplicated": contract.RetrySemantics.IDEMPOTENCY_KEY,
-    "at_most_once": contract.RetrySemantics.AT_MOST_ONCE,
+from myrtlehub.routing.contract import LoadReport, RetrySemantics, RouterConfig, TrafficType
+
+Settings = Mapping[str, Any]  # as decoded from JSON
+
+RETRY_SEMANTICS = {
+    "idempotent": RetrySemantics.IDEMPOTENT,
+    "deduplicated": RetrySemantics.IDEMPOTENCY_KEY,
+    "at_most_once": RetrySemantics.AT_MOST_ONCE,
 }
 LOAD_UNITS = {  # wire name: field, factor
     "x0": ("memory_share", 1.0),
@@ -18,68 +23,91 @@
     "avg_ms": ("latency", 0.001),
     "active": ("active", 1.0),
 }
+READING_DUTIES = ("read", "both")
+WRITING_DUTIES = ("write", "both")
 
 
-def router_config_from_settings(s: dict, seed: int) -> contract.RouterConfig:
+def router_config_from_settings(settings: Settings, seed: int) -> RouterConfig:
     """Read the settings of a node's start; unknown keys are ignored."""
-    caps, rules, special = s.get("Caps", {}), s.get("Invariants", {}), s.get("Specifics", {})
-    classes, kinds, zones = s["Classes"], s.get("MachineTypes") or [""], s.get("Zones") or [""]
-    duties = special.get("DutyByKind") or ["both"] * len(kinds)
-    extra = special.get("AimUsPer1000PromptTokens") or [0.0] * len(classes)
-    paces = special.get("TokenAimMs") or [0.0] * len(classes)
-    traffic = tuple(
-        contract.TrafficType(
-            REPEATS[c.get("Effect", "at_most_once")],
-            c["AimMs"] / 1e3,
-            extra[i] / 1e9,
-            c["GiveUpMs"] / 1e3,
-            paces[i] / 1e3,
-            c.get("Credit", 1.0),
-            c.get("LateWorth", 0.0),
-            c.get("DedupScope", "all"),
-            c.get("WindowMs", 0.0) / 1e3,
-        )
-        for i, c in enumerate(classes)
-    )
-    mine = s.get("MyZone", "")
-    return contract.RouterConfig(
+    capabilities = settings.get("Caps", {})
+    rules = settings.get("Invariants", {})
+    specifics = settings.get("Specifics", {})
+    traffic = _traffic_types(settings, specifics)
+    kinds = settings.get("MachineTypes") or [""]
+    duties = specifics.get("DutyByKind") or ["both"] * len(kinds)
+    return RouterConfig(
         seed=seed,
-        node=s.get("Ordinal", 0),
-        node_count=s.get("Balancers", 1),
-        zone=zones.index(mine) if mine in zones else 0,
+        node=settings.get("Ordinal", 0),
+        node_count=settings.get("Balancers", 1),
+        zone=_zone_index(settings),
         traffic=traffic,
-        reads=tuple(d in ("read", "both") for d in duties),
-        writes=tuple(d in ("write", "both") for d in duties),
-        memory=tuple(special.get("KvTokens") or [0.0] * len(kinds)),
-        quotas=tuple(t.get("QuotaPerS", 0.0) for t in s.get("Orgs") or []),
-        writers_can_read=special.get("SelfPrefill", False),
-        may_reserve=special.get("HoldsAllowed", False),
-        may_cancel=caps.get("Cancel", False),
-        may_migrate=special.get("Resume", False),
-        may_probe=caps.get("Probing", False),
-        may_gossip=caps.get("Peers", False),
-        may_hedge=caps.get("SecondCopies", False),
-        max_attempts=caps.get("MostTries", 1),
-        state_timeout=special.get("LetGoByMs", 0.0) / 1e3,
+        reads=tuple(duty in READING_DUTIES for duty in duties),
+        writes=tuple(duty in WRITING_DUTIES for duty in duties),
+        memory=tuple(specifics.get("KvTokens") or [0.0] * len(kinds)),
+        quotas=tuple(tenant.get("QuotaPerS", 0.0) for tenant in settings.get("Orgs") or []),
+        writers_can_read=specifics.get("SelfPrefill", False),
+        may_reserve=specifics.get("HoldsAllowed", False),
+        may_cancel=capabilities.get("Cancel", False),
+        may_migrate=specifics.get("Resume", False),
+        may_probe=capabilities.get("Probing", False),
+        may_gossip=capabilities.get("Peers", False),
+        may_hedge=capabilities.get("SecondCopies", False),
+        max_attempts=capabilities.get("MostTries", 1),
+        state_timeout=specifics.get("LetGoByMs", 0.0) / 1e3,
         drain_grace=rules.get("DrainGraceMs", 0.0) / 1e3,
         cold_share=rules.get("ColdShare", 0.0),
         cold_time=rules.get("ColdMs", 0.0) / 1e3,
         overload_multiple=rules.get("FallMultiple", 0.0),
         overload_window=rules.get("FallMs", 0.0) / 1e3,
         answer_slack=rules.get("AnswerSlackMs", 0.0) / 1e3,
-        tick=s.get("PeriodMs", 0.0) / 1e3,
-        max_retry_after=caps.get("MaxRetryAfterMs", 0.0) / 1e3 if caps.get("RetryAfter") else 0.0,
-        over_quota_utility=s.get("OverShareWorth", 1.0),
-        polls_endpoints=s.get("Discovery") == "ask",
-        load_by_probe_only=s.get("Report", {}).get("How") == "on_probe",
-        connect_timeout=caps.get("ConnectTimeoutMs", 0.0) / 1e3,
-        probe_price=s.get("Prices", {}).get("Probe", 0.0),
+        tick=settings.get("PeriodMs", 0.0) / 1e3,
+        max_retry_after=_max_retry_after(capabilities),
+        over_quota_utility=settings.get("OverShareWorth", 1.0),
+        polls_endpoints=settings.get("Discovery") == "ask",
+        load_by_probe_only=settings.get("Report", {}).get("How") == "on_probe",
+        connect_timeout=capabilities.get("ConnectTimeoutMs", 0.0) / 1e3,
+        probe_price=settings.get("Prices", {}).get("Probe", 0.0),
+    )
+
+
+def _traffic_types(settings: Settings, specifics: Settings) -> tuple[TrafficType, ...]:
+    classes = settings["Classes"]
+    prompt_time = specifics.get("AimUsPer1000PromptTokens") or [0.0] * len(classes)
+    token_time = specifics.get("TokenAimMs") or [0.0] * len(classes)
+    return tuple(
+        TrafficType(
+            retry_semantics=RETRY_SEMANTICS[traffic.get("Effect", "at_most_once")],
+            latency_slo=traffic["AimMs"] / 1e3,
+            slo_per_token=prompt_time[index] / 1e9,
+            abandon_time=traffic["GiveUpMs"] / 1e3,
+            seconds_per_token=token_time[index] / 1e3,
+            utility=traffic.get("Credit", 1.0),
+            late_share=traffic.get("LateWorth", 0.0),
+            dedup_group=traffic.get("DedupScope", "all"),
+            dedup_window=traffic.get("WindowMs", 0.0) / 1e3,
+        )
+        for index, traffic in enumerate(classes)
     )
 
 
-def load_report_from_platform(report: dict | None) -> contract.LoadReport | None:
-    """Turn a load report into our figures, or None where there is none."""
+def _zone_index(settings: Settings) -> int:
+    zones = settings.get("Zones") or [""]
+    own_zone = settings.get("MyZone", "")
+    return zones.index(own_zone) if own_zone in zones else 0
+
+
+def _max_retry_after(capabilities: Settings) -> float:
+    """Return 0 where clients are given no wait."""
+    return capabilities.get("MaxRetryAfterMs", 0.0) / 1e3 if capabilities.get("RetryAfter") else 0.0
+
+
+def load_report_from_platform(report: Mapping[str, float] | None) -> LoadReport | None:
+    """Read a load report, or return None where there is none; unknown figures are ignored."""
     if not report:
         return None
-    known = {LOAD_UNITS[k][0]: v * LOAD_UNITS[k][1] for k, v in report.items() if k in LOAD_UNITS}
-    return contract.LoadReport(**known)
+    figures = {}
+    for name, value in report.items():
+        if name in LOAD_UNITS:
+            field, factor = LOAD_UNITS[name]
+            figures[field] = value * factor
+    return LoadReport(**figures)
--- /dev/null
+++ b/myrtlehub/simulator/__main__.py
@@ -0,0 +1,82 @@
+"""Answers batches of the operators' simulator, one a line."""
+
+import sys
+
+import msgspec
+
+from myrtlehub.routing.contract import Action
+from myrtlehub.simulator.node import Node
+from myrtlehub.simulator.wire import Event, Order, WireError
+
+INVALID_INPUT = 2  # exit status
+
+
+def play(nodes: dict[str, Node], batch: Event) -> Order:
+    """Answer one batch."""
+    now = batch["MomentMs"] / 1e3
+    orders: list[Order] = []
+    for event in batch["events"]:
+        name = event["NodeId"]
+        if event["verb"] == "KILL":
+            nodes.pop(name, None)
+            # what it had ordered in this batch is lost with it
+            orders = [order for order in orders if order["NodeId"] != name]
+            continue
+        actions = _call_node(nodes, name, event, now)
+        orders.extend(order for order in map(nodes[name].encode, actions) if order)
+    return {"frame": batch["frame"], "orders": orders}
+
+
+def _call_node(nodes: dict[str, Node], name: str, event: Event, now: float) -> list[Action]:
+    verb = event["verb"]
+    if verb == "SPAWN":
+        nodes[name] = Node(name, event, now)
+        return nodes[name].start_actions
+    if name not in nodes:
+        raise WireError(f"{verb} for {name}, which has not been started")
+    return nodes[name].call(event, now)
+
+
+class Simulation:
+    """All nodes of a simulation, and the frame that was read last."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Node] = {}
+        self.frame: int | None = None
+        self._decode = msgspec.json.Decoder().decode
+        self._encode = msgspec.json.Encoder().encode
+
+    def answer(self, line: bytes) -> bytes:
+        """Answer one line of input, or raise a `WireError` that says what is wrong with it and where."""
+        try:
+            batch = self._decode(line)
+            if not isinstance(batch, dict):
+                raise WireError("a batch has to be an object")
+            self.frame = batch.get("frame")
+            return self._encode(play(self.nodes, batch))
+        except msgspec.DecodeError as error:
+            raise WireError(f"after frame {self.frame}: not JSON: {error}") from error
+        except KeyError as error:
+            raise WireError(f"frame {self.frame}: missing or unknown: {error}") from error
+        except (WireError, TypeError, ValueError) as error:
+            raise WireError(f"frame {self.frame}: {error}") from error
+
+
+def main() -> int:
+    """Answer batches until input ends."""
+    simulation = Simulation()
+    for line in sys.stdin.buffer:
+        if not line.strip():
+            continue
+        try:
+            reply = simulation.answer(line)
+        except WireError as error:
+            print(f"simhost: {error}", file=sys.stderr)
+            return INVALID_INPUT
+        sys.stdout.buffer.write(reply + b"\n")
+        sys.stdout.buffer.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_action_executor.py
+++ b/tests/test_action_executor.py
@@ -9,7 +9,7 @@
 from myrtlehub.routing.policy.router import Router
 
 WORDS = {v: k for k, v in simulator.OUTCOMES.items()}
-EFFECTS = {v: k for k, v in platform_settings.REPEATS.items()}
+EFFECTS = {v: k for k, v in platform_settings.RETRY_SEMANTICS.items()}
 STATES = {v: k for k, v in simulator.STATES.items()}
 FACTORS = {ours: (wire, factor) for wire, (ours, factor) in platform_settings.LOAD_UNITS.items()}
 
@@ -176,7 +176,7 @@
     f.run(8.0)
     terms = router_config_of(f.nodes["n0"].sheet)
     settings = settings_of(terms)
-    assert simulator.router_config_from_settings(settings, terms.seed) == terms
+    assert platform_settings.router_config_from_settings(settings, terms.seed) == terms
     adapter = simulator.Node("n0", {"Settings": settings, "Entropy": terms.seed}, host.router.said[0][0])
     # Both tell engines apart by a mark made of their addresses; the adapter knows them by other words here.
     fresh = adapter.router = Router(terms)
