--- a/myrtlehub/routing/calls.py
+++ b/myrtlehub/routing/calls.py
@@ -1,6 +1,6 @@
 """The calls of a node, taken into the records of a router; what they lead to is decided in `policy`."""
 
-from abc import abstractmethod
+from abc import ABC, abstractmethod
 
 from myrtlehub.routing import contract
 from myrtlehub.routing.contract import Action, Arrival, LoadReport, Outcome
@@ -11,12 +11,12 @@
 WAKEUP_TOLERANCE = 0.001  # seconds by which a wake-up may come early
 
 
-class RouterCalls(contract.UnusedCalls):
+class RouterCalls(contract.UnusedCalls, ABC):
     """Holds the sequences of a node, and collects the actions of each call."""
 
-    def __init__(self, engines: EngineTable, wakeup_interval: float) -> None:
-        self.config = engines.config
-        self.engines = engines
+    def __init__(self, table: EngineTable, wakeup_interval: float) -> None:
+        self.config = table.config
+        self.table = table
         self.wakeup_interval = wakeup_interval  # seconds at most, while sequences wait at this node
         self.sequences: dict[int, Sequence] = {}
         self.waiting: dict[int, Sequence] = {}  # that wait at this node
@@ -73,22 +73,22 @@
     ) -> list[Action]:
         """Take the complete endpoint list, or a change to it."""
         self._heard(now)
-        self.engines.update(updates, is_complete)
+        self.table.update(updates, is_complete)
         self._endpoints_changed()
         return self._finish(now)
 
     def arrive(self, now: float, ident: int, arrival: Arrival) -> list[Action]:
         """Take a sequence."""
-        self.engines.now = now
+        self.table.now = now
         sequence = self.sequences[ident] = self._accept(now, ident, arrival)
-        engines = self.engines.engines
+        engines = self.table.engines
         if arrival.state_held_by >= 0:  # its former owner had it read
             sequence.state_at = engines[arrival.state_held_by]
-            sequence.reader = engines[arrival.state_held_by]
+            sequence.reader = sequence.state_at
             sequence.state_since = now
         if arrival.may_have_run_at >= 0:
             sequence.may_have_run(engines[arrival.may_have_run_at], now - arrival.may_have_run_ago)
-        self.engines.arrivals.add(arrival.tenant, now)
+        self.table.arrivals.add(arrival.tenant, now)
         self._admit(sequence, now)
         return self._finish(now)
 
@@ -97,9 +97,9 @@
     ) -> list[Action]:
         """Take the end of a probe; what awaited no other is placed."""
         self._heard(now)
-        probed = self.engines.engines[engine]
+        probed = self.table.engines[engine]
         if load is not None:
-            self.engines.load_reported(probed, load)
+            self.table.load_reported(probed, load)
         else:
             self._probe_unanswered(probed)
         for sequence in [waiting for waiting in self.waiting.values() if probed in waiting.awaited_probes]:
@@ -137,7 +137,7 @@
             ended = attempts[attempt]
             ended.end(outcome, latency, is_answered, cached_tokens)
             if load is not None:
-                self.engines.load_reported(ended.engine, load)
+                self.table.load_reported(ended.engine, load)
             self._attempt_ended(sequence, ended, now)
         return self._finish(now)
 
@@ -150,14 +150,14 @@
 
     def wake(self, now: float, token: int) -> list[Action]:
         """Take a wake-up that was asked for."""
-        self.engines.now = now
+        self.table.now = now
         if now >= self.wake_at - WAKEUP_TOLERANCE:
             self.wake_at = float("inf")
         self._place_waiting(now)
         return self._finish(now)
 
     def _heard(self, now: float) -> None:
-        self.engines.now = now
+        self.table.now = now
         self.heard_at = now
 
     def _finish(self, now: float) -> list[Action]:
@@ -173,5 +173,5 @@
                 self.actions.append(contract.ScheduleWakeup(delay, 0))
         actions = self.actions
         self.actions = []
-        self.engines.forget_derived()
+        self.table.forget_derived()
         return actions
--- a/myrtlehub/routing/engine_table.py
+++ b/myrtlehub/routing/engine_table.py
@@ -1,6 +1,7 @@
 """The engines by index, with what a node counts and observes of them.
 
-Nothing here is tuned: how fast observations fade, and what each weighs, is passed in by the policy.
+Nothing here is tuned: how fast observations fade, and what each weighs, is passed in by the policy. All that
+is observed of an engine is held against what is usual for its kind, and fades to that with time.
 """
 
 from collections import Counter
@@ -18,6 +19,8 @@
 )
 
 SAME_START = 0.001  # seconds within which two times of a start are one, as they are rounded on their way
+MIN_RATE = 0.01  # a second, and
+MIN_DURATION = 0.01  # seconds: less is not divided by
 FAILURES = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.UNREACHED)
 
 
@@ -153,7 +156,7 @@
     def attempt_began(self, attempt: Attempt, latency: float, has_moved: bool) -> None:
         """Learn from an answer that has begun; if its state came from another cell, not how late it was."""
         engine = attempt.engine
-        self._is_well(engine)
+        self._observe_success(engine)
         self._read_took(attempt, latency, attempt.uncached_tokens)
         if not has_moved:
             late = max(0.0, latency - attempt.uncached_tokens / self.read_rate(engine))
@@ -164,10 +167,10 @@
     def attempt_ended(self, sequence: Sequence, attempt: Attempt) -> None:
         """Learn from how an attempt ended, and count it no more."""
         engine = attempt.engine
-        gap = self.serving_by_kind[engine.kind] / max(self.starts.rate(engine.kind, self.now), 0.01)
+        gap = self.serving_by_kind[engine.kind] / max(self.starts.rate(engine.kind, self.now), MIN_RATE)
         self.half_lives[engine.kind] = min(max(self.settings.half_life, gap), self.settings.max_half_life)
         if attempt.has_succeeded and attempt.is_read:
-            self._is_well(engine)
+            self._observe_success(engine)
             self._read_took(attempt, attempt.latency, sequence.arrival.prompt_tokens - attempt.cached_tokens)
         if attempt.has_succeeded and sequence.has_begun:
             self._answer_took(engine, sequence.arrival.traffic, attempt.latency)
@@ -178,14 +181,14 @@
         engine.own_backlog = max(0.0, engine.own_backlog - attempt.uncached_tokens)
         engine.own_reads -= attempt.is_read
 
-    def _is_well(self, engine: Engine) -> None:
+    def _observe_success(self, engine: Engine) -> None:
         engine.failures = self.moved(engine.failures, engine, 0.0, self.settings.engine_weight)
         self.starts.add(engine.kind, self.now)
 
     def _answer_took(self, engine: Engine, traffic: int, latency: float) -> None:
         """Learn which engines, and kinds of them, begin in time and write slowly."""
         usual = self.usual_duration.observe(traffic, latency, self.settings.sequence_weight)
-        longer = latency / max(usual, 0.01) - 1.0
+        longer = latency / max(usual, MIN_DURATION) - 1.0
         longer -= self.usual_slowdown.observe(engine.kind, longer, self.settings.kind_weight)
         engine.slowdown = self.moved(engine.slowdown, engine, longer, self.settings.slowdown_weight)
 
--- a/myrtlehub/routing/records.py
+++ b/myrtlehub/routing/records.py
@@ -99,7 +99,7 @@
         self.cache.clear()
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt of a sequence at an engine."""
 
@@ -147,7 +147,7 @@
     by_zone: dict[int | None, PlannedRead]  # the soonest for writers of a zone; None: of other zones
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Sequence:
     """A sequence that this node has accepted."""
 
--- a/myrtlehub/routing/statistics.py
+++ b/myrtlehub/routing/statistics.py
@@ -7,6 +7,7 @@
 from statistics import median_high
 from typing import NamedTuple
 
+MIN_ESTIMATE = 0.001  # less is not divided by
 LN_2 = 0.69  # to two digits, as all rates have been reckoned so far
 GOLDEN_RATIO_64 = 0x9E3779B97F4A7C15  # 2**64 over the golden ratio: spreads neighbouring keys
 
@@ -105,7 +106,7 @@
 
     def factor(self, now: float) -> float:
         """Return the factor."""
-        estimated = max(0.001, self._estimated.get(1.0))
+        estimated = max(MIN_ESTIMATE, self._estimated.get(1.0))
         off = self._actual.get(self.usual) / estimated - self.usual
         return self.usual + off * 0.5 ** ((now - self.seen_at) / self.half_life)
 
--- a/tests/test_simulator.py
+++ b/tests/test_simulator.py
@@ -1,4 +1,4 @@
-"""Wire lines through the adapter's real process."""
+"""Wire lines through the real process of the simulator adapter."""
 
 import json
 import subprocess
@@ -6,7 +6,7 @@
 
 import pytest
 
-ENGINES = [
+ENTRIES = [
     {"Engine": "e-w", "Type": "decode", "State": "SERVING", "Dc": "z"},
     {"Engine": "e-r", "Type": "prefill", "State": "SERVING", "Dc": "z"},
 ]
@@ -21,13 +21,14 @@
     "Orgs": [{"Name": "t", "QuotaPerS": 5}],
     "Specifics": {"DutyByKind": ["read", "write"], "SelfPrefill": True, "LetGoByMs": 500},
 }
-START = [
+START_EVENTS = [
     {"verb": "SPAWN", "NodeId": "node-0", "Entropy": 5, "Settings": SETTINGS},
-    {"verb": "MEMBERS", "NodeId": "node-0", "Mode": "SAVED", "Epoch": 1, "Entries": ENGINES},
+    {"verb": "MEMBERS", "NodeId": "node-0", "Mode": "SAVED", "Epoch": 1, "Entries": ENTRIES},
 ]
+SHOWN_FIELDS = ("verb", "Rid", "Engine", "Copy")
 
 
-def ask(rid: str, tokens: int) -> dict:
+def request(rid: str, tokens: int) -> dict:
     return {
         "verb": "REQ",
         "NodeId": "node-0",
@@ -41,25 +42,30 @@
     }
 
 
-def answer(rid: str, copy: int, engine: str, code: str, settled: bool = False) -> dict:
+def response(rid: str, attempt: int, engine: str, code: str, is_answered: bool = False) -> dict:
     return {
         "verb": "RESPONSE",
         "NodeId": "node-0",
         "Rid": rid,
-        "Copy": copy,
+        "Copy": attempt,
         "Engine": engine,
         "StateCode": code,
         "LatencyMs": 9.5,
-        "Settled": settled,
+        "Settled": is_answered,
         "Telemetry": {"x0": 0.1, "zz": 3},
     }
 
 
+def dropped(rid: str) -> dict:
+    return {"verb": "DROPPED", "NodeId": "node-0", "Rid": rid}
+
+
 def batch(frame: int, *events: dict) -> str:
     return json.dumps({"MomentMs": 1000.0 + frame, "frame": frame, "events": list(events)})
 
 
-def host(*lines: str) -> tuple[int, list[list[str]], str]:
+def play(*lines: str) -> tuple[int, list[list[str]], str]:
+    """Exit status, what each reply orders but for wake-ups, and the error output."""
     run = subprocess.run(
         [sys.executable, "-m", "myrtlehub.simulator"],
         input="\n".join(lines) + "\n",
@@ -67,31 +73,36 @@
         text=True,
         timeout=60,
     )
-    replies = [json.loads(line) for line in run.stdout.splitlines()]
-    short = [
+    replies = [json.loads(line)["orders"] for line in run.stdout.splitlines()]
+    shown = [
         [
-            " ".join(str(o[k]) for k in ("verb", "Rid", "Engine", "Copy") if k in o)
-            for o in r["orders"]
-            if o["verb"] != "DEFER"
+            " ".join(str(order[field]) for field in SHOWN_FIELDS if field in order)
+            for order in orders
+            if order["verb"] != "DEFER"
         ]
-        for r in replies
+        for orders in replies
     ]
-    return run.returncode, short, run.stderr
+    return run.returncode, shown, run.stderr
 
 
-def test_a_sequence_through_both_stages() -> None:
-    code, replies, err = host(
+def test_a_sequence_passes_both_stages() -> None:
+    status, replies, errors = play(
         batch(1),
-        batch(2, *START),
-        batch(3, ask("c:a", 3000), ask("c:b", 200)),
-        batch(4, answer("c:a", 0, "e-r", "read")),
-        batch(5, answer("c:b", 0, "e-w", "ok", True)),
-        batch(6, {"verb": "DROPPED", "NodeId": "node-0", "Rid": "c:b"}),  # ended a moment ago
-        batch(7, {"verb": "DROPPED", "NodeId": "node-0", "Rid": "c:a"}),
-        batch(8, answer("c:a", 1, "e-w", "cancelled", True), {"verb": "KILL", "NodeId": "node-0"}, *START),
+        batch(2, *START_EVENTS),
+        batch(3, request("c:a", 3000), request("c:b", 200)),
+        batch(4, response("c:a", 0, "e-r", "read")),
+        batch(5, response("c:b", 0, "e-w", "ok", True)),
+        batch(6, dropped("c:b")),  # ended a moment ago
+        batch(7, dropped("c:a")),
+        batch(
+            8,
+            response("c:a", 1, "e-w", "cancelled", True),
+            {"verb": "KILL", "NodeId": "node-0"},
+            *START_EVENTS,
+        ),
         batch(9, {"verb": "MEMBERS", "NodeId": "node-0", "Mode": "FAILED"}),
     )
-    assert (code, err) == (0, "")
+    assert (status, errors) == (0, "")
     assert replies == [
         [],
         [],
@@ -106,7 +117,7 @@
 
 
 @pytest.mark.parametrize(
-    ("line", "said"),
+    ("line", "error"),
     [
         ("{not json", "not JSON"),
         (batch(3, {"verb": "SHRUG", "NodeId": "node-0"}), "unknown verb SHRUG"),
@@ -115,7 +126,7 @@
         ("[]", "an object"),
     ],
 )
-def test_malformed_input_ends_with_a_plain_line(line: str, said: str) -> None:
-    code, replies, err = host(batch(2, *START), line)
-    assert code == 2 and len(replies) == 1
-    assert said in err and err.startswith("simhost: ") and err.count("\n") == 1
+def test_malformed_input_ends_with_one_error_line(line: str, error: str) -> None:
+    status, replies, errors = play(batch(2, *START_EVENTS), line)
+    assert status == 2 and len(replies) == 1
+    assert error in errors and errors.startswith("simhost: ") and errors.count("\n") == 1
