Join: routing policy, simulator package

Cause: the parts were made side by side. Change: this part is joined, conflicts resolved keeping both sides.

--- a/tests/test_action_executor.py
+++ b/tests/test_action_executor.py
@@ -10,10 +10,10 @@
 from myrtlehub.node.action_executor import ActionExecutor, ContractViolationError
 from myrtlehub.node.router_config import router_config_of
 from myrtlehub.routing import contract
-from myrtlehub.routing.router import Router
+from myrtlehub.routing.policy.router import Router
 
 OUTCOME_CODES = {ours: wire for wire, ours in simulator.OUTCOMES.items()}
-EFFECTS = {ours: wire for wire, ours in platform_settings.REPEATS.items()}
+EFFECTS = {ours: wire for wire, ours in platform_settings.RETRY_SEMANTICS.items()}
 ENGINE_STATES = {ours: wire for wire, ours in simulator.STATES.items()}
 LOAD_UNITS = {ours: (wire, factor) for wire, (ours, factor) in platform_settings.LOAD_UNITS.items()}
 MS = 1e3
@@ -240,7 +240,7 @@
     calls = f.nodes["n0"].host.router.calls
     config = router_config_of(f.nodes["n0"].sheet)
     settings = wire_settings_of(config)
-    assert simulator.router_config_from_settings(settings, config.seed) == config
+    assert platform_settings.router_config_from_settings(settings, config.seed) == config
     adapter = simulator.Node("n0", {"Settings": settings, "Entropy": config.seed}, calls[0].now)
     adapter.router = Router(config)
     use_hash_seeds_of(calls, adapter.router)
