Batching and batch fronts in field terms, one concern a file

Cause: batching/ and node/batches.py spoke in metaphors (Join, Gatherer, Shelf, Desk, Asker, Want), node/batches.py held five concerns in 515 lines, verdicts were bare words, groups and cache entries bare tuples and lists. Behaviour, wire, settings and log lines are meant to be as before.

--- a/benchmarks/kept.py
+++ b/benchmarks/kept.py
@@ -1,6 +1,6 @@
 """Kept results: hit share and cost of three published ways, side by side on the same draws. Simulated.
 
-S3-FIFO is what the node uses (`batching/kept.py`). LRU and W-TinyLFU (Einziger, Friedman, Manes, "TinyLFU: a
+S3-FIFO is what the node uses (`batching/result_cache.py`). LRU and W-TinyLFU (Einziger, Friedman, Manes, "TinyLFU: a
 highly efficient cache admission policy", 2017; a window of one per cent, a segmented main part, a count-min
 sketch that is halved as it ages) are written here for the comparison. `python benchmarks/kept.py`.
 """
@@ -12,7 +12,7 @@
 
 import click
 
-from myrtlehub.batching.kept import Shelf
+from myrtlehub.batching.result_cache import S3FifoCache
 
 ROOM = 2000  # entries, all of one size
 
@@ -99,12 +99,12 @@
     """Ours."""
 
     def __init__(self) -> None:
-        self.shelf = Shelf(ROOM * 10)
+        self.cache = S3FifoCache(ROOM * 10)
 
     def ask(self, key: int) -> bool:
-        if self.shelf.get(key) is not None:
+        if self.cache.get(key) is not None:
             return True
-        self.shelf.add(key, True, 10)
+        self.cache.add(key, True, 10)
         return False
 
 
--- /dev/null
+++ b/myrtlehub/node/batch_fronts/front_capacity.py
@@ -0,0 +1,48 @@
+"""What the endpoint list and the settings say of the engines of each batch front."""
+
+from collections import Counter
+from collections.abc import Sequence
+
+from myrtlehub.batching.batch_split import PartLimits
+from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.membership.rows import Row
+
+
+class FrontCapacity:
+    """Engines, their common part limits and their model version, by front."""
+
+    def __init__(self, sheet: NodeSheet, fronts: Sequence[str]) -> None:
+        self._sheet = sheet
+        self._fronts = fronts
+        self._models: dict[str, str] = {}
+        self._engine_counts: dict[str, int] = {}
+        self._part_limits = {front: self._common_limits(front) for front in fronts}
+
+    def _common_limits(self, front: str) -> PartLimits:
+        kinds = [kind for kind in self._sheet.kinds if kind.does(front)]
+        return PartLimits(
+            min((kind.batch for kind in kinds), default=1.0),
+            min((kind.batch_items for kind in kinds), default=1),
+            self._sheet.batches.least_part,
+        )
+
+    def part_limits(self, front: str) -> PartLimits:
+        """Return the limits that every kind of engine of the front observes."""
+        return self._part_limits[front]
+
+    def engine_count(self, front: str) -> int:
+        """Return the number of engines that serve the front, at least 1."""
+        return self._engine_counts.get(front, 1)
+
+    def model(self, front: str) -> str:
+        """Return the version that most engines of the front have; empty where the list names none."""
+        return self._models.get(front, "")
+
+    def update(self, serving: Sequence[Row]) -> None:
+        """Take the engines that serve, by the endpoint list."""
+        kinds = {kind.name: kind for kind in self._sheet.kinds}
+        for front in self._fronts:
+            rows = [row for row in serving if kinds[row.kind].does(front)]
+            models = Counter(row.model for row in rows if row.model)
+            self._models[front] = max(sorted(models), key=models.__getitem__, default="")
+            self._engine_counts[front] = max(1, len(rows))
--- /dev/null
+++ b/myrtlehub/node/batch_fronts/grpc_front.py
@@ -0,0 +1,177 @@
+"""The gRPC calls of batch fronts: one request, and one reply or a stream of replies."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from myrtlehub.batching.result_merger import BatchAnswer, BatchOutcome
+from myrtlehub.node.batch_fronts.batch_request import BatchRequest, BatchSummary, IndexedResult
+from myrtlehub.node.batch_fronts.coordinator import BatchCoordinator
+from myrtlehub.node.batch_fronts.in_flight_batch import InFlightBatch
+from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
+from myrtlehub.proto import items_pb2 as pb
+from myrtlehub.proto.chat_pb2 import Aborted, Rejected
+from myrtlehub.rpc.server import Receiver, Server, ServerCall, server_stream
+from myrtlehub.rpc.status import Code, RpcError
+
+BYTES_PER_TOKEN = 4  # taken where a client states no tokens
+MAX_RESULTS_PER_MESSAGE = 256  # of a stream
+
+RequestMessage = pb.EmbedRequest | pb.RankRequest
+ReplyMessage = pb.EmbedReply | pb.RankReply
+
+
+class BatchFront(NamedTuple):
+    """What makes a front."""
+
+    name: str
+    unary_path: str
+    stream_path: str
+    request_type: type[RequestMessage]
+    decode_request: Callable[[RequestMessage, bool], BatchRequest]  # ValueError names the field
+    encode_reply: Callable[[list[IndexedResult], RequestMessage], ReplyMessage]
+
+
+def decode_terms(terms: pb.Terms, deadline_in: float) -> DecodedRequest:
+    """Decode what all batches have in common with chat."""
+    return DecodedRequest(
+        terms.traffic_type,
+        terms.tenant,
+        prompt_tokens=1,
+        max_output_tokens=1,
+        time_left=terms.time_left_ms / 1000.0,
+        deadline_in=deadline_in,
+        mark=terms.mark,
+        is_retry=terms.repeated,
+    )
+
+
+def item_tokens(item: pb.Input) -> int:
+    """Return the tokens of an input as stated, else an estimate by its length."""
+    return item.tokens or max(1, len(item.text) // BYTES_PER_TOKEN)
+
+
+class BatchCall(Receiver):
+    """One client's call."""
+
+    def __init__(self, front: BatchFront, call: ServerCall, request: RequestMessage, is_stream: bool) -> None:
+        self._front = front
+        self._call = call
+        self._request = request
+        self._is_stream = is_stream
+        self._batch: InFlightBatch | None = None
+        self._unsent: list[IndexedResult] = []
+
+    def accepted(self, batch: InFlightBatch) -> None:
+        """Take the batch."""
+        self._batch = batch
+
+    def send_results(self, results: list[IndexedResult]) -> None:
+        """Take results: send them on a stream, else collect them for the one reply."""
+        self._unsent.extend(results)
+        if not self._is_stream:
+            return
+        while len(self._unsent) >= MAX_RESULTS_PER_MESSAGE:
+            self._send(self._unsent[:MAX_RESULTS_PER_MESSAGE])
+            del self._unsent[:MAX_RESULTS_PER_MESSAGE]
+        if self._unsent:
+            # Results that are ready in this turn of the reactor share one message.
+            self._call.server.clock.callLater(0, self._send_unsent)
+
+    def _send_unsent(self) -> None:
+        if self._unsent and not self._call.over:
+            self._send(self._unsent)
+            self._unsent = []
+
+    def _send(self, results: list[IndexedResult]) -> None:
+        self._call.send(self._front.encode_reply(results, self._request).SerializeToString())
+
+    def send_answer(self, answer: BatchAnswer, summary: BatchSummary) -> None:
+        """Send the final answer, with all results if the call is unary."""
+        if self._is_stream:
+            self._send_unsent()
+            last = self._front.encode_reply([], self._request)
+        else:
+            last = self._front.encode_reply(self._unsent, self._request)
+        last.final.CopyFrom(self._encode_final(answer, summary))
+        self._call.send(last.SerializeToString())
+        self._call.finish()
+
+    def _encode_final(self, answer: BatchAnswer, summary: BatchSummary) -> pb.Final:
+        if answer.outcome == BatchOutcome.REJECTED:
+            return pb.Final(rejected=Rejected(wait_ms=round(answer.retry_after * 1000)))
+        if answer.outcome == BatchOutcome.ABORTED:
+            return pb.Final(aborted=Aborted(reason=answer.reason))
+        item_count = len(self._batch.request.items) if self._batch is not None else 0
+        return pb.Final(
+            generated=pb.Done(
+                model=summary.model,
+                items=item_count,
+                errors=summary.error_count,
+                kept=summary.cached_count,
+            )
+        )
+
+    def lost(self, code: Code) -> None:
+        """Take note that the client went away."""
+        if self._batch is not None:
+            self._batch.client_left()
+
+
+class BatchMethod:
+    """One method of a front."""
+
+    def __init__(
+        self,
+        front: BatchFront,
+        coordinator: BatchCoordinator,
+        is_closed: Callable[[], bool],
+        peers: PeerWatch,
+        is_stream: bool,
+    ) -> None:
+        self._front = front
+        self._coordinator = coordinator
+        self._is_closed = is_closed
+        self._peers = peers
+        self._is_stream = is_stream
+
+    def accept(self, call: ServerCall, data: bytes) -> Receiver:
+        """Take a call with its request."""
+        request = self._parse(data)
+        batch_call = BatchCall(self._front, call, request, self._is_stream)
+        terms = request.terms
+        retry_after = self._peers.refuses(call, terms.tenant, terms.repeated, len(data), self._is_closed())
+        if retry_after is not None:
+            rejection = BatchAnswer(BatchOutcome.REJECTED, retry_after)
+            batch_call.send_answer(rejection, BatchSummary("", 0, 0))
+            return batch_call
+        try:
+            batch_request = self._front.decode_request(request, self._is_stream)
+            batch_request = batch_request._replace(terms=decode_terms(terms, call.time_left()))
+            batch = self._coordinator.accept(batch_request, batch_call)
+            utility = self._coordinator.utility(terms.traffic_type)
+            self._peers.open(call, "batch", terms.tenant, utility, len(data), batch.cut_off)
+        except (InvalidRequestError, ValueError) as error:
+            raise RpcError(Code.INVALID_ARGUMENT, str(error)) from error
+        return batch_call
+
+    def _parse(self, data: bytes) -> RequestMessage:
+        request_type = self._front.request_type
+        try:
+            return request_type.FromString(data)
+        except ValueError as error:
+            raise RpcError(Code.INVALID_ARGUMENT, f"not a {request_type.__name__}: {error}") from error
+
+
+def serve_front(
+    front: BatchFront,
+    coordinator: BatchCoordinator,
+    server: Server,
+    is_closed: Callable[[], bool],
+    peers: PeerWatch,
+) -> None:
+    """Serve the unary and the streaming method of a front."""
+    unary = BatchMethod(front, coordinator, is_closed, peers, False)
+    stream = BatchMethod(front, coordinator, is_closed, peers, True)
+    server.add(front.unary_path, server_stream(unary.accept))
+    server.add(front.stream_path, server_stream(stream.accept))
--- /dev/null
+++ b/myrtlehub/node/batch_fronts/in_flight_batch.py
@@ -0,0 +1,256 @@
+"""One batch, from its request to its final answer."""
+
+from collections.abc import Hashable, Sequence
+from typing import TYPE_CHECKING, NamedTuple
+
+import xxhash
+
+from myrtlehub.batching.batch_split import split_batch
+from myrtlehub.batching.result_merger import BatchAnswer, BatchOutcome, MergeVerdict, ResultMerger
+from myrtlehub.node.batch_fronts.batch_request import (
+    BatchClient,
+    BatchItem,
+    BatchRequest,
+    BatchSummary,
+    IndexedResult,
+)
+from myrtlehub.node.batch_fronts.engine_batch import BatchPart, EngineBatch
+from myrtlehub.node.protocols import Timer
+from myrtlehub.proto.engine_pb2 import ItemResult
+
+if TYPE_CHECKING:
+    from myrtlehub.node.batch_fronts.coordinator import BatchCoordinator
+
+CACHE_ENTRY_OVERHEAD = 400  # bytes that a cached result takes beside itself
+
+
+class ItemKey(NamedTuple):
+    """What a result depends on, beside the model; the key of the cache, and of duplicates in one batch."""
+
+    text_digest: bytes
+    tokens: int
+    group_key: Hashable
+
+
+class InFlightBatch:
+    """A batch: its items, the parts that run, and what has come of them."""
+
+    def __init__(
+        self,
+        coordinator: "BatchCoordinator",
+        request: BatchRequest,
+        client: BatchClient,
+        abandon_at: float,
+        is_repeatable: bool,
+    ) -> None:
+        self.request = request
+        self.client = client
+        self.abandon_at = abandon_at
+        self.is_repeatable = is_repeatable
+        self.engine_batches: dict[int, EngineBatch] = {}  # by part
+        self.is_over = False
+        self.timer: Timer | None = None
+        self.waiting_items: list[int] = []  # while the batch waits for others to share an engine batch,
+        self.waiting_key: Hashable | None = None  # and under which key
+        self._coordinator = coordinator
+        model = coordinator.capacity.model(request.front)
+        self._merger: ResultMerger[ItemResult] = ResultMerger(len(request.items), request.is_stream, model)
+        self._keys: list[ItemKey] = []  # by item, once the batch has begun
+        self._duplicates: dict[int, list[int]] = {}  # by the first item of the same key
+        self._cached_count = 0
+        self._error_count = 0
+        self._part_count = 0
+
+    @property
+    def model(self) -> str:
+        """The version that the batch is pinned to; empty if to none yet."""
+        return self._merger.model
+
+    def begin(self) -> None:
+        """Answer items from the cache, and send the others to engines."""
+        if not self._keys:
+            self._keys = [self._item_key(item) for item in self.request.items]
+        first_items = self._find_duplicates()
+        cached = []
+        uncached = []
+        for index in first_items:
+            result = self._cached_result(index)
+            if result is None:
+                uncached.append(index)
+            else:
+                cached.append(IndexedResult(index, result))
+        self._cached_count = 0
+        for index, result in cached:
+            self._set_cached(index, result)
+        if self._merger.answer_if_complete():
+            self._finish()
+        elif not self.is_repeatable:
+            self._send_parts([uncached])
+        elif not self._coordinator.share_engine_batch(self, uncached):
+            self._send_parts(self._split(uncached))
+
+    def _item_key(self, item: BatchItem) -> ItemKey:
+        return ItemKey(xxhash.xxh3_128_digest(item.text), item.tokens, self.request.group_key)
+
+    def _find_duplicates(self) -> list[int]:
+        """Note items with the key of an earlier one, and return all others."""
+        self._duplicates.clear()
+        first_of: dict[ItemKey, int] = {}
+        for index, key in enumerate(self._keys):
+            if key in first_of:
+                self._duplicates.setdefault(first_of[key], []).append(index)
+            else:
+                first_of[key] = index
+        return list(first_of.values())
+
+    def _cached_result(self, index: int) -> ItemResult | None:
+        if not (self.request.is_cacheable and self.is_repeatable and self.model):
+            return None
+        return self._coordinator.cache.get(self.request.terms.tenant, self.model, self._keys[index])
+
+    def _set_cached(self, index: int, result: ItemResult) -> None:
+        for same in (index, *self._duplicates.get(index, ())):
+            self._cached_count += 1
+            self._merger.set_result(same, result)
+            if self.request.is_stream:
+                self.client.send_results([IndexedResult(same, result)])
+
+    def _split(self, indices: Sequence[int]) -> list[list[int]]:
+        capacity = self._coordinator.capacity
+        front = self.request.front
+        costs = [self.request.cost(index) for index in indices]
+        parts = split_batch(costs, capacity.part_limits(front), capacity.engine_count(front))
+        return [[indices[position] for position in part] for part in parts]
+
+    def _send_parts(self, parts: list[list[int]]) -> None:
+        engine_batches = []
+        for indices in parts:
+            engine_batch = EngineBatch(self._coordinator.dispatcher, self.request, self.model)
+            engine_batch.add(self.new_part(indices))
+            engine_batches.append(engine_batch)
+        for engine_batch in engine_batches:
+            if not self.is_over:
+                self._coordinator.dispatcher.send(engine_batch)
+
+    def new_part(self, indices: list[int]) -> BatchPart:
+        """Make a part of these items."""
+        self._part_count += 1
+        self._merger.begin_part(self._part_count, indices)
+        return BatchPart(self, self._part_count, indices)
+
+    def part_generated(self, part: BatchPart, results: Sequence[ItemResult], model: str) -> None:
+        """Take the results of a part, made by this version of the model."""
+        engine_batch = self.engine_batches.pop(part.number, None)
+        if self.is_over or engine_batch is None:
+            return
+        if len(results) != len(part.indices):
+            self._fail(part.number, BatchAnswer(BatchOutcome.ABORTED, 0.0, "an engine left out items"))
+            return
+        verdict = self._merger.part_generated(part.number, results, model)
+        if verdict == MergeVerdict.RETRY_PART:
+            self._retry(part, model)
+            return
+        for index, result in zip(part.indices, results, strict=True):
+            self._take_result(index, result, model)
+        if verdict == MergeVerdict.ANSWERED or self._merger.answer_if_complete():
+            self._finish()
+
+    def _retry(self, part: BatchPart, model: str) -> None:
+        if self._merger.may_restart():
+            self._restart(model)
+        else:
+            self._send_parts([part.indices])
+
+    def _take_result(self, index: int, result: ItemResult, model: str) -> None:
+        if self.request.is_cacheable and self.is_repeatable and not _is_error(result):
+            size = result.ByteSize() + CACHE_ENTRY_OVERHEAD
+            self._coordinator.cache.add(self.request.terms.tenant, model, self._keys[index], result, size)
+        duplicates = self._duplicates.get(index, ())
+        if self.request.is_stream:
+            self.client.send_results([IndexedResult(same, result) for same in (index, *duplicates)])
+        for same in duplicates:
+            self._merger.set_result(same, result)
+
+    def part_failed(self, number: int, failure: BatchAnswer) -> None:
+        """Take note that a part ended without results."""
+        if self.is_over or self.engine_batches.pop(number, None) is None:
+            return
+        if failure.outcome == BatchOutcome.REJECTED:
+            served_model = self._coordinator.capacity.model(self.request.front)
+            is_model_gone = served_model not in ("", self.model)
+            if is_model_gone and self._merger.may_restart():
+                self._restart(served_model)
+                return
+        self._fail(number, failure)
+
+    def _fail(self, number: int, failure: BatchAnswer) -> None:
+        if self._merger.part_failed(number, failure) == MergeVerdict.ANSWERED:
+            self._finish()
+
+    def _restart(self, model: str) -> None:
+        self._leave_engine_batches()
+        self._merger.restart(model)
+        self.begin()
+
+    def client_left(self) -> None:
+        """End without an answer: the client went away."""
+        if not self.is_over:
+            self._close()
+
+    def deadline_passed(self) -> None:
+        """Answer that the time is over. The router has given up the parts at engines at the same moment."""
+        is_sent = any(engine_batch.sequence is not None for engine_batch in self.engine_batches.values())
+        may_have_run = is_sent and not self.is_repeatable
+        outcome = BatchOutcome.ABORTED if may_have_run else BatchOutcome.REJECTED
+        self.answer(BatchAnswer(outcome, self._coordinator.retry_after, "its time was over"))
+
+    def cut_off(self, reason: str) -> None:
+        """Abort: the client takes too little, or too much memory is in use for it."""
+        self.answer(BatchAnswer(BatchOutcome.ABORTED, 0.0, reason))
+
+    def answer(self, answer: BatchAnswer) -> None:
+        """Give this answer, whatever the parts do; nothing happens if there is one already."""
+        if not self.is_over:
+            self._merger.answer = answer
+            self._finish()
+
+    def _finish(self) -> None:
+        answer = self._merger.answer
+        if self.is_over or answer is None:
+            return
+        self._close()
+        if answer.outcome == BatchOutcome.GENERATED:
+            results = [IndexedResult(index, result) for index, result in enumerate(self._merger.results)]
+            self._error_count = sum(_is_error(result) for _, result in results)
+            if not self.request.is_stream:
+                self.client.send_results(results)
+        self._log_answer(answer.outcome)
+        self.client.send_answer(answer, BatchSummary(self.model, self._error_count, self._cached_count))
+
+    def _log_answer(self, outcome: BatchOutcome) -> None:
+        self._coordinator.executor.log(
+            "batch",
+            answer=outcome.value,
+            traffic_type=self.request.terms.traffic_type,
+            items=len(self.request.items),
+            parts=self._part_count,
+            kept=self._cached_count,
+            errors=self._error_count,
+        )
+
+    def _close(self) -> None:
+        self.is_over = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self._coordinator.closed(self)
+        self._leave_engine_batches()
+
+    def _leave_engine_batches(self) -> None:
+        engine_batches = self.engine_batches
+        self.engine_batches = {}
+        for engine_batch in engine_batches.values():
+            engine_batch.batch_left(self)
+
+
+def _is_error(result: ItemResult) -> bool:
+    return result.WhichOneof("result") == "error"
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -86,7 +86,7 @@
 
     host = property(lambda self: self.works.host)
     links = property(lambda self: self.works.links)
-    desk = property(lambda self: self.works.desk)
+    batches = property(lambda self: self.works.batches)
     front = property(lambda self: self.works.front)
     peers = property(lambda self: self.works.peers)
 
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -11,22 +11,22 @@
 from myrtlehub.limits.admit import Admission
 from myrtlehub.limits.retries import RetryBudget
 from myrtlehub.node.action_executor import ActionExecutor
-from myrtlehub.node.batches import BatchDesk
-from myrtlehub.node.calls import serve
+from myrtlehub.node.batch_fronts.coordinator import BatchCoordinator
+from myrtlehub.node.batch_fronts.embeddings import EMBEDDINGS
+from myrtlehub.node.batch_fronts.grpc_front import serve_front
+from myrtlehub.node.batch_fronts.rerank import RERANK
 from myrtlehub.node.chat import ChatFront
-from myrtlehub.node.embed import EMBED
 from myrtlehub.node.engine_pools import EnginePools
 from myrtlehub.node.figures import Figures
 from myrtlehub.node.keeping import Gate, Keeping
 from myrtlehub.node.links import Links
 from myrtlehub.node.peers import PeerWatch
-from myrtlehub.node.rank import RANK
 from myrtlehub.node.request_decoder import RequestDecoder
 from myrtlehub.node.router_config import fronts_of, router_config_of
 from myrtlehub.node.sequences import InFlightSequence
 from myrtlehub.routing.policy.router import Router
 
-FRONTS = (EMBED, RANK)  # beside chat
+FRONTS = (EMBEDDINGS, RERANK)  # beside chat
 
 
 class Around(NamedTuple):
@@ -80,19 +80,19 @@
         limits = sheet.limits
         retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
         self.peers = PeerWatch(limits, clock, log, retries, node.max_wait)
-        self.desk = BatchDesk(self.host, sheet, clock)
+        self.batches = BatchCoordinator(self.host, sheet, clock)
         gate = (
             Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic})
             if (limits.admit)
             else None
         )
         self.fronts = fronts
-        self.desk.fields = fronts if len(fronts) > 1 else []
+        self.batches.dispatcher.pooled_fronts = fronts if len(fronts) > 1 else []
         self.front = ChatFront(
             self.host,
             node.most_sequences,
             node.max_wait,
-            self.desk.shares,
+            self.batches.shares,
             self.peers,
             gate,
             around.figures.turned_away,
@@ -120,9 +120,9 @@
         self.front.serve(server)
         for front in FRONTS:
             if front.name in self.fronts:
-                serve(front, self.desk, server, lambda: self.front.closed, self.peers)
+                serve_front(front, self.batches, server, lambda: self.front.closed, self.peers)
             else:
-                for path in (front.unary, front.stream):
+                for path in (front.unary_path, front.stream_path):
                     server.methods.pop(path, None)
 
     def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
@@ -130,16 +130,16 @@
         decoder = self.host.decoder
         known = [r for r in rows if r.kind in decoder.kinds and r.zone in decoder.zones]
         self.host.update_endpoints(known, whole, number, digest)
-        self.desk.list_changed()
+        self.batches.endpoints_changed()
 
     @property
     def idle(self) -> bool:
         """Whether nothing is in hand."""
-        return not self.host.in_flight and not self.desk.open
+        return not self.host.in_flight and not self.batches.in_flight
 
     def cut(self, why: str) -> None:
         """Answer all that is in hand now."""
-        for batch in list(self.desk.open):
-            batch.late()
+        for batch in list(self.batches.in_flight):
+            batch.deadline_passed()
         for held in list(self.host.in_flight.values()):
             self.host.deadline_passed(held, why)
--- /dev/null
+++ b/tests/batch_calls.py
@@ -0,0 +1,123 @@
+"""Calls of the batch fronts on a fleet, for tests."""
+
+from fleet import Fleet
+from test_path import nothing_left
+
+from myrtlehub.emulator.vectors import vector_of
+from myrtlehub.proto import items_pb2 as pb
+from myrtlehub.rpc.channel import CallWatcher
+from myrtlehub.rpc.status import Status
+
+
+class BatchCallWatcher(CallWatcher):
+    """One call of a batch front."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        path: str,
+        request: pb.EmbedRequest | pb.RankRequest,
+        reply_type: type[pb.EmbedReply | pb.RankReply],
+        is_stream: bool,
+        timeout: float | None,
+    ) -> None:
+        self.fleet = fleet
+        self.request = request
+        self.is_stream = is_stream
+        self._reply_type = reply_type
+        self.items: dict[int, pb.Vector | pb.Score] = {}
+        self.order: list[int] = []
+        self.final = ""
+        self.status: Status | None = None
+        self.retry_after = 0.0
+        self.done_at = 0.0
+        self.done: pb.Done | None = None
+        self.call = fleet.channels["n0"].call(path + ("Stream" if is_stream else ""), self, timeout=timeout)
+        self.call.send(request.SerializeToString())
+        self.call.half_close()
+
+    def message(self, data: bytes) -> None:
+        """Take a reply."""
+        reply = self._reply_type.FromString(data)
+        assert not self.final, "nothing comes after the final answer"
+        for item in getattr(reply, "vectors", None) or getattr(reply, "scores", ()):
+            assert item.index not in self.items
+            self.items[item.index] = item
+            self.order.append(item.index)
+        if reply.HasField("final"):
+            self.final = reply.final.WhichOneof("answer")
+            self.done_at = self.fleet.clock.seconds()
+            self.done = reply.final.generated
+            self.retry_after = reply.final.rejected.wait_ms / 1000.0
+
+    def ended(self, status: Status) -> None:
+        """Take the status."""
+        self.status = status
+
+
+def embed(
+    fleet: Fleet,
+    texts: list[bytes],
+    traffic_type: str = "vec",
+    is_stream: bool = False,
+    tokens: int = 50,
+    time_left: float = 4.0,
+    timeout: float | None = None,
+    mark: str = "",
+    **more: object,
+) -> BatchCallWatcher:
+    """Ask for embeddings."""
+    request = pb.EmbedRequest(
+        terms=pb.Terms(traffic_type=traffic_type, time_left_ms=int(time_left * 1000), mark=mark),
+        inputs=[pb.Input(text=t, tokens=tokens) for t in texts],
+        **more,
+    )
+    return BatchCallWatcher(
+        fleet, "/myrtlehub.v1.Embeddings/Embed", request, pb.EmbedReply, is_stream, timeout
+    )
+
+
+def rank(
+    fleet: Fleet,
+    query: bytes,
+    documents: list[bytes],
+    is_stream: bool = False,
+    top: int = 0,
+    tokens: int = 50,
+) -> BatchCallWatcher:
+    """Ask for scores of documents."""
+    request = pb.RankRequest(
+        terms=pb.Terms(traffic_type="sort"),
+        top=top,
+        query=pb.Input(text=query, tokens=10),
+        documents=[pb.Input(text=d, tokens=tokens) for d in documents],
+    )
+    return BatchCallWatcher(fleet, "/myrtlehub.v1.Rerank/Rank", request, pb.RankReply, is_stream, None)
+
+
+def texts(count: int, seed: int = 0) -> list[bytes]:
+    """Make inputs that differ from those of other seeds."""
+    return [f"{seed}/{i}".encode() for i in range(count)]
+
+
+def assert_vectors(call: BatchCallWatcher, model: str = "m1", only: set[int] | None = None) -> None:
+    """Check that every vector has its value, at its place; with `only`, that just these came."""
+    inputs = call.request.inputs
+    assert set(call.items) == (set(range(len(inputs))) if only is None else only)
+    for i, vector in call.items.items():
+        size = call.request.dimensions or 16
+        expected = vector_of(inputs[i].text, model, size, call.request.normalise)
+        assert vector.packed == expected or vector.error
+
+
+def assert_nothing_in_flight(fleet: Fleet) -> None:
+    """Check that neither nodes nor engines have anything left of a batch or a sequence."""
+    nothing_left(fleet)
+    for node in fleet.nodes.values():
+        batches = node.batches
+        assert (
+            not batches.in_flight and batches.batcher.is_empty and not any(batches.shares._waiting.values())
+        )
+        assert all(abs(out) < 1e-6 for out in batches.shares.out.values())
+    for engine in fleet.stands.values():
+        assert engine.model.fallen or not (engine.model.batching or engine.model.batch_queue)
--- /dev/null
+++ b/tests/test_batch_fronts.py
@@ -0,0 +1,277 @@
+"""The embeddings and rerank fronts on a whole fleet."""
+
+import struct
+
+import pytest
+from batch_calls import BatchCallWatcher, assert_nothing_in_flight, assert_vectors, embed, rank, texts
+from fleet import Fleet
+from test_path import kept
+
+from myrtlehub.config.sheets import EngineRow
+from myrtlehub.emulator.vectors import score_of, vector_of
+from myrtlehub.proto import items_pb2 as pb
+from myrtlehub.rpc.status import Code
+
+
+def test_both_fronts_answer_completely_and_in_order() -> None:
+    fleet = Fleet("R0 W0 E0 E0 E0 K0 K0")
+    one = embed(fleet, texts(300), normalise=True, dimensions=8)
+    stream = embed(fleet, texts(300, 1), is_stream=True)
+    ranked, best = rank(fleet, b"q", texts(200)), rank(fleet, b"q", texts(200), top=5)
+    chat = fleet.ask(prompt=2000, output=20)
+    fleet.run(3.0)
+    assert [c.final for c in (one, stream, ranked, best)] == ["generated"] * 4 and chat.answer == "generated"
+    assert_vectors(one)
+    assert_vectors(stream)
+    assert one.order == list(range(300)) and one.done.items == 300 and one.done.model == "m1"
+    assert abs(sum(x * x for x in struct.unpack("<8f", one.items[7].packed)) - 1.0) < 1e-5
+    scores = [score_of(b"q", t, "m1") for t in texts(200)]
+    assert [ranked.items[i].score for i in range(200)] == scores
+    assert best.order == sorted(range(200), key=lambda i: -scores[i])[:5]
+    parts = [r for r in fleet.what("got") if r.more["traffic"] == "vec"]
+    assert len({r.who for r in parts}) == 3 and max(r.more["items"] for r in parts) <= 64
+    kept(fleet)
+    assert_nothing_in_flight(fleet)
+
+
+def test_a_too_long_input_gets_an_error_of_its_own_and_duplicates_run_once() -> None:
+    fleet = Fleet("R0 W0 E0", longest_input="400 tokens")
+    request = pb.EmbedRequest(
+        terms=pb.Terms(traffic_type="vec"),
+        inputs=[pb.Input(text=b"a" * (n % 3 + 1), tokens=500 if n == 7 else 50) for n in range(12)],
+    )
+    call = BatchCallWatcher(fleet, "/myrtlehub.v1.Embeddings/Embed", request, pb.EmbedReply, False, None)
+    fleet.run(1.0)
+    assert call.final == "generated" and call.done.errors == 1
+    assert "500 tokens are more than the 400" in call.items[7].error and not call.items[7].packed
+    assert_vectors(call)
+    sent = sum(r.more["items"] for r in fleet.what("got") if r.more["traffic"] == "vec")
+    assert sent == 4  # a, aa, aaa, and aa at 500 tokens
+    assert_nothing_in_flight(fleet)
+
+
+def test_parts_of_an_engine_that_dies_are_retried_alone() -> None:
+    fleet = Fleet("R0 W0 E0 E0 E0", batch_rate=20000.0)
+    call, stream = embed(fleet, texts(400)), embed(fleet, texts(400, 3), is_stream=True)
+    fleet.run(0.25)
+    assert len(fleet.what("ended")) >= 2 and not call.final
+    fleet.kill("E0d")
+    fleet.run(3.7)
+    assert call.final == "generated" and stream.final == "generated"
+    assert_vectors(call)
+    assert_vectors(stream)
+    sent = [(r.more["seq"], r.who) for r in fleet.what("got") if r.more["traffic"] == "vec"]
+    assert len(sent) > len({s for s, _ in sent})  # some went again,
+    assert len([s for s, _ in sent]) < 2 * len({s for s, _ in sent})  # and only some
+    kept(fleet)
+    assert_nothing_in_flight(fleet)
+
+
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_a_deadline_that_only_a_part_of_the_batch_can_meet(is_stream: bool) -> None:
+    fleet = Fleet("R0 W0 E0", batch_rate=10000.0, batch_queue=100)
+    call = embed(fleet, texts(600), is_stream=is_stream, time_left=1.0)  # 3 s of work
+    began = fleet.clock.seconds()
+    fleet.run(3.0)
+    assert call.final == "rejected" and call.done_at - began <= 1.0
+    if is_stream:
+        assert 50 < len(call.items) < 600
+        assert_vectors(call, only=set(call.items))
+    else:
+        assert not call.items
+    fleet.run(2.0)
+    assert_nothing_in_flight(fleet)
+
+
+def test_no_answer_has_vectors_of_two_versions() -> None:
+    fleet = Fleet("R0 W0 E0 E0 E0", batch_rate=10000.0, batch_queue=100)
+    stream, whole = embed(fleet, texts(400, 1), is_stream=True), embed(fleet, texts(400))
+    fleet.run(0.5)
+    assert stream.items and not whole.final
+    for name in ("E0c", "E0d", "E0e"):  # all are rolled over at once, with parts out
+        fleet.stands[name].model_name = "m2"
+    fleet.run(0.3)
+    for name in ("E0c", "E0d", "E0e"):
+        fleet.rows[name]["model"] = "m2"
+    source = fleet.nodes["n0"].source
+    source.push([EngineRow(**fleet.rows[n]) for n in fleet.rows], True)
+    fleet.run(4.0)
+    for call in (whole, stream):
+        if call.final == "generated":
+            assert_vectors(call, call.done.model)
+        else:
+            assert call.final == "rejected"
+        values = {v.packed for v in call.items.values()}
+        both = texts(400) + texts(400, 1)
+        first, second = ({vector_of(t, m, 16, False) for t in both} for m in ("m1", "m2"))
+        assert not (values & first and values & second)
+    assert whole.final == "generated" and whole.done.model == "m2"  # nothing had been sent: it restarted
+    assert stream.final == "rejected" and stream.items
+    again = embed(fleet, texts(400, 1))
+    fleet.run(3.0)
+    assert again.final == "generated" and again.done.kept == 0
+    assert_vectors(again, "m2")
+    assert_nothing_in_flight(fleet)
+
+
+def test_results_are_cached_by_tenant_and_version() -> None:
+    fleet = Fleet("R0 W0 E0")
+    first = embed(fleet, texts(40))
+    fleet.run(1.0)
+    before = len(fleet.what("got"))
+    second, part = embed(fleet, texts(40)), embed(fleet, texts(40)[:5] + texts(5, 9), is_stream=True)
+    fleet.run(1.0)
+    assert first.done.kept == 0 and second.done.kept == 40 and part.done.kept == 5
+    assert_vectors(second)
+    assert_vectors(part)
+    assert len(fleet.what("got")) == before + 1
+    other = embed(fleet, texts(40), dimensions=4)  # another question
+    fleet.run(1.0)
+    assert other.done.kept == 0
+    assert_vectors(other)
+    assert_nothing_in_flight(fleet)
+
+
+def test_small_requests_share_an_engine_batch_and_each_gets_its_own_results() -> None:
+    fleet = Fleet("R0 W0 E0")
+    calls = []
+    for i in range(60):
+        calls.append(embed(fleet, texts(2, i)))
+        fleet.run(0.001 if i % 10 else 0.004)
+    fleet.run(1.0)
+    assert all(c.final == "generated" for c in calls)
+    for call in calls:
+        assert_vectors(call)
+    got = [r for r in fleet.what("got") if r.more["traffic"] == "vec"]
+    assert len(got) < 35 and sum(r.more["items"] for r in got) == 120
+    assert_nothing_in_flight(fleet)
+
+
+def test_a_client_that_leaves_a_shared_engine_batch_does_not_affect_the_others() -> None:
+    fleet = Fleet("R0 W0 E0", batch_rate=500.0, more="batches: {gather: 20ms}")
+    for i in range(8):
+        embed(fleet, texts(1, 50 + i), tokens=1)
+        fleet.run(0.002)
+    fleet.run(1.0)
+    calls = [embed(fleet, texts(2, i)) for i in range(4)]
+    fleet.run(0.1)
+    calls[1].call.cancel()
+    fleet.run(0.2)
+    calls[2].call.cancel()
+    fleet.run(3.0)
+    assert [c.final for c in calls] == ["generated", "", "", "generated"]
+    assert_vectors(calls[0])
+    assert_vectors(calls[3])
+    all_gone = [embed(fleet, texts(5, 100 + i), tokens=40) for i in range(2)]
+    fleet.run(0.3)
+    stops = len(fleet.what("stopped"))
+    for call in all_gone:
+        call.call.cancel()
+    fleet.run(0.5)
+    assert len(fleet.what("stopped")) > stops  # nobody waits: the engine is told to stop
+    fleet.run(3.0)
+    assert_nothing_in_flight(fleet)
+
+
+def test_a_batch_that_is_not_idempotent_is_sent_whole_and_not_retried() -> None:
+    fleet = Fleet("R0 W0 E0 E0", batch_rate=1000.0)
+    lost, fine = embed(fleet, texts(30), "vec1", mark="a"), embed(fleet, texts(20, 1), "vec1", mark="b")
+    fleet.run(0.2)
+    fleet.kill(next(r.who[:-2] for r in fleet.what("ran") if r.more["mark"] == "a"))
+    fleet.run(5.0)
+    assert lost.final == "aborted" and fine.final == "generated"
+    assert len([r for r in fleet.what("got") if r.more["mark"] == "a"]) == 1
+    big = embed(fleet, texts(65), "vec1")
+    fleet.run(0.1)
+    assert big.status.code == Code.INVALID_ARGUMENT and "at most 64 items" in big.status.message
+    kept(fleet)
+    assert_nothing_in_flight(fleet)
+
+
+@pytest.mark.parametrize(
+    ("request_", "message"),
+    [
+        (pb.EmbedRequest(terms=pb.Terms(traffic_type="vec")), "inputs: there is none"),
+        (
+            pb.EmbedRequest(terms=pb.Terms(traffic_type="ask"), inputs=[pb.Input(text=b"x")]),
+            "is for the front 'chat'",
+        ),
+        (
+            pb.EmbedRequest(terms=pb.Terms(traffic_type="nothing"), inputs=[pb.Input(text=b"x")]),
+            "is not one of",
+        ),
+        (
+            pb.EmbedRequest(terms=pb.Terms(traffic_type="vec"), inputs=[pb.Input(text=b"x")] * 4097),
+            "4097 are more than the 4096",
+        ),
+    ],
+)
+def test_an_invalid_request_is_refused_with_its_field(request_: pb.EmbedRequest, message: str) -> None:
+    fleet = Fleet("R0 W0 E0")
+    call = BatchCallWatcher(fleet, "/myrtlehub.v1.Embeddings/Embed", request_, pb.EmbedReply, False, None)
+    fleet.run(0.1)
+    assert call.status.code == Code.INVALID_ARGUMENT and message in call.status.message
+    assert_nothing_in_flight(fleet)
+
+
+def test_a_client_that_reads_slowly_occupies_no_engine() -> None:
+    fleet = Fleet("R0 W0 K0 K0")
+    slow = rank(fleet, b"q", texts(1000), is_stream=True)
+    slow.call.pauseProducing()
+    fleet.run(2.0)
+    assert not any(s.model.batching or s.model.batch_queue for s in fleet.stands.values())
+    assert not fleet.nodes["n0"].host.in_flight
+    slow.call.resumeProducing()
+    fleet.run(1.0)
+    assert slow.final == "generated" and len(slow.items) == 1000
+    assert_nothing_in_flight(fleet)
+
+
+def test_a_flood_of_embeddings_leaves_chat_its_share_of_engines() -> None:
+    fleet = Fleet("R0 M0 M0", batch_rate=20000.0, batch_queue=400, slots=16)
+    flood = [embed(fleet, texts(200, i), is_stream=True) for i in range(12)]
+    fleet.run(0.05)
+    chats = []
+    for _ in range(20):
+        chats.append(fleet.ask(prompt=300, output=20))
+        fleet.run(0.05)
+    batches = fleet.nodes["n0"].batches
+    assert batches.shares.room == 8000.0 and batches.shares.out["embed"] <= 0.5 * batches.shares.room + 4000.0
+    fleet.run(4.0)
+    assert all(c.answer == "generated" for c in chats)
+    finals = {c.final for c in flood}
+    assert finals <= {"generated", "rejected"} and "generated" in finals
+    kept(fleet)
+    fleet.run(4.0)
+    assert_nothing_in_flight(fleet)
+
+
+def test_a_front_with_engines_of_its_own_keeps_to_its_share_of_common_ones() -> None:
+    fleet = Fleet("R0 M0 M0 E0", batch_rate=20000.0, batch_queue=400, slots=16)
+    host, batches = fleet.nodes["n0"].host, fleet.nodes["n0"].batches
+    alone = embed(fleet, texts(600), is_stream=True)
+    fleet.run(0.1)
+    assert batches.shares.common["embed"] > 0.0  # nobody else asks: it may use all
+    fleet.run(2.0)
+    assert alone.final == "generated"
+    chats, flood, most = [], [], 0.0
+    for i in range(30):
+        chats.append(fleet.ask(prompt=300, output=20))
+        flood.append(embed(fleet, texts(150, i), is_stream=True))
+        fleet.run(0.04)
+        if i > 5:
+            most = max(most, batches.shares.common["embed"])
+    assert most <= 0.5 * batches.shares.room + 4000.0
+    seen = {r.who for r in fleet.what("got") if r.more["traffic"] == "vec"}
+    assert "E0d:1" in seen and any(batches.shares.shut.values())
+    fleet.run(6.0)
+    assert all(c.answer == "generated" for c in chats)
+    fleet.run(90.0)  # nobody asks any more
+    late = embed(fleet, texts(5, 999))
+    fleet.run(1.0)
+    assert late.final == "generated" and not any(batches.shares.shut.values())
+    assert sum(c.final == "generated" for c in flood) > 10
+    router = host.router
+    assert all(router.routers[1].state[i] == 0 for i in router._told[1])  # let in again
+    kept(fleet)
+    assert_nothing_in_flight(fleet)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,10 +1,10 @@
 """Clients that take too little or too much: what is held for them adds up, and who is cut off for it."""
 
 import pytest
+from batch_calls import embed, rank, texts
 from fleet import Caller, Fleet
 from hypothesis import given
 from hypothesis import strategies as st
-from test_batches import embed, rank, texts
 from test_path import judge, kept, nothing_left
 
 from myrtlehub.limits.ledger import Budgets, Held, Ledger, given_up
@@ -210,7 +210,7 @@
 def test_batches_count_too_and_admin_says_who_was_cut() -> None:
     f = Fleet("R0 W0 E0 K0", more="limits: {rate_window: 2s}")
     f.channels["n0"].bounds = TransportBounds(stream_window=1024)
-    stuck, fine = rank(f, b"q", texts(1500), streams=True), embed(f, texts(20))
+    stuck, fine = rank(f, b"q", texts(1500), is_stream=True), embed(f, texts(20))
     stuck.call.pauseProducing()
     exact(f, 4.0)
     assert fine.final == "generated" and f.nodes["n0"].peers.counts["slow"] == 1
