--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -26,7 +26,8 @@
 from myrtlehub.node.node import Node
 from myrtlehub.proto import chat_pb2
 from myrtlehub.records import Recorder
-from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.client_call import CallWatcher
 
 SHEET = """
 node: {name: n, listen: "127.0.0.1:1", zone: z}
--- a/benchmarks/fronts.py
+++ b/benchmarks/fronts.py
@@ -21,7 +21,8 @@
 from myrtlehub.lab.day import free_ports
 from myrtlehub.proto import chat_pb2
 from myrtlehub.proto import items_pb2 as pb
-from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Status
 
 RULES = {
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -24,7 +24,8 @@
 from myrtlehub.cli.common import dialer
 from myrtlehub.lab.day import free_ports
 from myrtlehub.proto import chat_pb2, engine_pb2
-from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Status
 
 TICKS = os.sysconf("SC_CLK_TCK")
--- a/myrtlehub/client/tx.py
+++ b/myrtlehub/client/tx.py
@@ -7,7 +7,8 @@
 
 from myrtlehub.client.promise import Ask, End, NotAnswered, Tries, end_of
 from myrtlehub.proto import chat_pb2 as pb
-from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Code, Status
 
 
--- a/myrtlehub/emulator/claimed.py
+++ b/myrtlehub/emulator/claimed.py
@@ -10,7 +10,7 @@
 from myrtlehub.recovery import fence
 from myrtlehub.recovery.fence import Fences
 from myrtlehub.recovery.records import Claim
-from myrtlehub.rpc.server import Receiver, ServerCall
+from myrtlehub.rpc.server_call import Receiver, ServerCall
 from myrtlehub.rpc.status import Code, RpcError
 
 FENCES_MOST = 20000  # sequences of which the highest claim is remembered: minutes of the busiest stand-in
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -14,9 +14,12 @@
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.records import Recorder
 from myrtlehub.recovery import fence
-from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.metadata import first
-from myrtlehub.rpc.server import Receiver, Server, ServerCall, server_stream, unary
+from myrtlehub.rpc.method_handlers import server_stream, unary
+from myrtlehub.rpc.server import Server
+from myrtlehub.rpc.server_call import Receiver, ServerCall
 from myrtlehub.rpc.status import Code, RpcError, Status
 
 SERVICE = "/myrtlehub.v1.Engine/"
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -14,9 +14,10 @@
 from myrtlehub.limits.lag import LagMeter
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.records import Recorder
-from myrtlehub.rpc.channel import CallWatcher, Channel
-from myrtlehub.rpc.guards import TransportBounds
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Code, Status
+from myrtlehub.rpc.transport_limits import TransportLimits
 
 PATH, RESUME = "/myrtlehub.v1.Chat/Generate", "/myrtlehub.v1.Chat/Resume"
 COME_BACKS = 12  # of one sequence, at most
@@ -135,9 +136,9 @@
         self.scenario, self.clock, self.recorder, self.random = scenario, clock, recorder, random
         takeover = scenario.takeover
         bounds = (
-            TransportBounds()
+            TransportLimits()
             if takeover is None
-            else TransportBounds(keepalive=takeover.keepalive, keepalive_timeout=takeover.keepalive)
+            else TransportLimits(keepalive_interval=takeover.keepalive, keepalive_timeout=takeover.keepalive)
         )
         self.channels = {
             name: Channel(clock, dial, name, bounds, Random(random.random()), connect_timeout=0.5)
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -12,7 +12,8 @@
 from myrtlehub.node.figures import memory, processor
 from myrtlehub.proto import admin_pb2 as pb
 from myrtlehub.rollout.orders import FORMAT, Order, OrderBook
-from myrtlehub.rpc.server import ServerCall, unary
+from myrtlehub.rpc.method_handlers import unary
+from myrtlehub.rpc.server_call import ServerCall
 from myrtlehub.rpc.status import Code, RpcError
 
 SERVICE = "/myrtlehub.v1.NodeAdmin/"
--- a/myrtlehub/node/batch_fronts/grpc_front.py
+++ b/myrtlehub/node/batch_fronts/grpc_front.py
@@ -11,7 +11,9 @@
 from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.proto.chat_pb2 import Aborted, Rejected
-from myrtlehub.rpc.server import Receiver, Server, ServerCall, server_stream
+from myrtlehub.rpc.method_handlers import server_stream
+from myrtlehub.rpc.server import Server
+from myrtlehub.rpc.server_call import Receiver, ServerCall
 from myrtlehub.rpc.status import Code, RpcError
 
 BYTES_PER_TOKEN = 4  # taken where a client states no tokens
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -13,7 +13,8 @@
 from myrtlehub.node.sequences import InFlightSequence
 from myrtlehub.node.takeover import Takeover, Wanted
 from myrtlehub.proto import chat_pb2 as pb
-from myrtlehub.rpc.server import Receiver, ServerCall, server_stream
+from myrtlehub.rpc.method_handlers import server_stream
+from myrtlehub.rpc.server_call import Receiver, ServerCall
 from myrtlehub.rpc.status import Code, RpcError
 
 PATH, RESUME = "/myrtlehub.v1.Chat/Generate", "/myrtlehub.v1.Chat/Resume"
--- a/myrtlehub/node/keeping.py
+++ b/myrtlehub/node/keeping.py
@@ -18,7 +18,9 @@
 from myrtlehub.recovery.owner import Owned
 from myrtlehub.recovery.records import NOBODY, Book, Claim, Intent, Record
 from myrtlehub.rpc.channel import Channel
-from myrtlehub.rpc.server import Server, ServerCall, unary
+from myrtlehub.rpc.method_handlers import unary
+from myrtlehub.rpc.server import Server
+from myrtlehub.rpc.server_call import ServerCall
 from myrtlehub.rpc.status import Code, RpcError
 
 SERVICE = "/myrtlehub.v1.Peers/"
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -8,9 +8,10 @@
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.recovery.records import NOBODY, Claim
 from myrtlehub.routing import contract
-from myrtlehub.rpc.channel import WAITING, CallWatcher, Channel
-from myrtlehub.rpc.guards import TransportBounds
+from myrtlehub.rpc.channel import Channel, ChannelState
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Code, Status
+from myrtlehub.rpc.transport_limits import TransportLimits
 
 SERVICE = "/myrtlehub.v1.Engine/"
 TOKENS = 0x0A  # first byte of a reply whose oneof is field 1: tokens, in WriteReply and GenerateReply alike
@@ -142,10 +143,10 @@
         name: str,
         random: Random,
         connect_timeout: float,
-        bounds: TransportBounds | None = None,
+        bounds: TransportLimits | None = None,
     ) -> None:
         self.clock, self.dial, self.name, self.random = clock, dial, name, random
-        self.connect_timeout, self.bounds = connect_timeout, bounds or TransportBounds()
+        self.connect_timeout, self.bounds = connect_timeout, bounds or TransportLimits()
         self.channels: dict[str, Channel] = {}
         self.host: ActionExecutor | None = None
         # By which claim this node has a sequence, where nodes take work over.
@@ -247,7 +248,7 @@
 
     def silent(self) -> frozenset[str]:
         """Engines to which no connection could be made of late: their own word that they are gone."""
-        return frozenset(a for a, c in self.channels.items() if c.state == WAITING)
+        return frozenset(a for a, c in self.channels.items() if c.state == ChannelState.TRANSIENT_FAILURE)
 
     def close(self) -> None:
         """Close all; the node ends."""
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -19,8 +19,8 @@
 from myrtlehub.node.keeping import Keeping
 from myrtlehub.node.takeover import let_go
 from myrtlehub.node.works import Around, Works
-from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.server import Server
+from myrtlehub.rpc.transport_limits import TransportLimits
 
 LAG_SAID = 0.1  # seconds; a new worst lateness of the process above this is logged
 LOOK_IDLE = 0.5  # seconds between looks at whether replaced settings still have work in hand
@@ -66,9 +66,9 @@
         limits = sheet.limits
         self.server = Server(
             clock,
-            TransportBounds(message=sheet.node.prompt_limit, idle_streamless=limits.idle),
-            most=limits.connections,
-            most_by_peer=limits.peer_connections,
+            TransportLimits(max_message=sheet.node.prompt_limit, idle_timeout=limits.idle),
+            max_connections=limits.connections,
+            max_connections_per_host=limits.peer_connections,
         )
         self.works.serve(self.server)
         self.admin = Server(clock)
@@ -146,7 +146,7 @@
         for old in (before, *self.old):  # they send on, for what they hold: the list is theirs too
             old.list_news(rows, True, before.host.list_version + 1)
         self.works.serve(self.server)
-        self.server.bounds = replace(self.server.bounds, message=sheet.node.prompt_limit)
+        self.server.limits = replace(self.server.limits, max_message=sheet.node.prompt_limit)
         self.old.append(before)
         self._retire()
 
--- a/myrtlehub/node/peers.py
+++ b/myrtlehub/node/peers.py
@@ -11,7 +11,7 @@
 from myrtlehub.limits.ledger import Budgets, Held, Ledger, given_up
 from myrtlehub.limits.pace import STEP, Pace
 from myrtlehub.limits.retries import RetryBudget
-from myrtlehub.rpc.server import ServerCall
+from myrtlehub.rpc.server_call import ServerCall
 
 KEPT = 50  # cuts remembered
 
@@ -105,14 +105,14 @@
     def _settle(self, key: int, w: Watched) -> None:
         s = w.call.stream
         over = w.call.over
-        if w.settled == (s.put, s.taken, s.dropped, over):
+        if w.settled == (s.bytes_queued, s.bytes_sent, s.bytes_dropped, over):
             return  # most streams, at most looks
-        w.settled = s.put, s.taken, s.dropped, over
+        w.settled = s.bytes_queued, s.bytes_sent, s.bytes_dropped, over
         self.ledger.settle(
             key,
-            s.put + w.request,
-            s.taken + (w.request if over else 0),
-            s.dropped,
+            s.bytes_queued + w.request,
+            s.bytes_sent + (w.request if over else 0),
+            s.bytes_dropped,
             s.buffered + (0 if over else w.request),
         )
 
@@ -146,7 +146,7 @@
     def _slow(self, w: Watched, now: float) -> bool:
         if w.pace is None:
             w.pace = Pace(self.limits.rate_window, self.limits.least_rate)
-        return w.pace.look(now, w.call.stream.taken, w.call.stream.buffered)
+        return w.pace.look(now, w.call.stream.bytes_sent, w.call.stream.buffered)
 
     def cut(self, key: int, count: str, why: str) -> None:
         """What waits for it is dropped; it is told that it was aborted, and reset if it ignores that."""
--- a/myrtlehub/node/takeover.py
+++ b/myrtlehub/node/takeover.py
@@ -20,7 +20,7 @@
 from myrtlehub.recovery.keepers import keepers, node_of
 from myrtlehub.recovery.records import Intent, Record, joined
 from myrtlehub.routing import contract
-from myrtlehub.rpc.channel import CallWatcher
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Code, Status
 from myrtlehub.state.lives import LATE, Life, table
 
--- a/myrtlehub/rpc/framing.py
+++ b/myrtlehub/rpc/framing.py
@@ -1,4 +1,4 @@
-"""Length-prefixed messages: sans-I/O, any split of bytes gives the same messages."""
+"""Length-prefixed messages of gRPC. Free of I/O: any split of the bytes gives the same messages."""
 
 import gzip
 import zlib
@@ -6,87 +6,99 @@
 
 from myrtlehub.rpc.status import Code, RpcError
 
-HEAD = Struct(">BI")
-ENCODINGS = ("identity", "gzip")
+MESSAGE_PREFIX = Struct(">BI")  # compressed flag, length
+IDENTITY = "identity"
+GZIP = "gzip"
+ENCODINGS = (IDENTITY, GZIP)
+ACCEPTED_ENCODINGS = ",".join(ENCODINGS)
+GZIP_LEVEL = 6
+GZIP_WINDOW_BITS = 31  # what zlib takes for the gzip format
 
 
-def frame(message: bytes, encoding: str = "identity") -> bytes:
-    """One message with its five-byte head."""
-    if encoding == "gzip":
-        packed = gzip.compress(message, 6, mtime=0)
-        return HEAD.pack(1, len(packed)) + packed
-    return HEAD.pack(0, len(message)) + message
+def frame(message: bytes, encoding: str = IDENTITY) -> bytes:
+    """Return a message with its prefix."""
+    if encoding == GZIP:
+        packed = gzip.compress(message, GZIP_LEVEL, mtime=0)
+        return MESSAGE_PREFIX.pack(1, len(packed)) + packed
+    return MESSAGE_PREFIX.pack(0, len(message)) + message
 
 
-def _inflate(data: bytes, limit: int) -> bytes:
-    # Guards against a small message that unpacks to fill memory: no more than the limit is ever produced.
-    unpacker = zlib.decompressobj(wbits=31)
+def _decompress(data: bytes, max_size: int) -> bytes:
+    """Decompress a message, but never to more than `max_size` bytes: a small one could fill the memory."""
+    decompressor = zlib.decompressobj(wbits=GZIP_WINDOW_BITS)
     try:
-        message = unpacker.decompress(data, limit + 1)
-    except zlib.error as fault:
-        raise RpcError(Code.INTERNAL, f"message does not unpack: {fault}") from fault
-    if len(message) > limit:
-        raise RpcError(Code.RESOURCE_EXHAUSTED, f"message unpacks to more than {limit} bytes")
-    if not unpacker.eof or unpacker.unused_data:
+        message = decompressor.decompress(data, max_size + 1)
+    except zlib.error as error:
+        raise RpcError(Code.INTERNAL, f"message does not unpack: {error}") from error
+    if len(message) > max_size:
+        raise RpcError(Code.RESOURCE_EXHAUSTED, f"message unpacks to more than {max_size} bytes")
+    if not decompressor.eof or decompressor.unused_data:
         raise RpcError(Code.INTERNAL, "message does not unpack: truncated or trailing data")
     return message
 
 
 class MessageReader:
-    """Collects bytes and gives whole messages.
+    """Collects bytes and returns whole messages.
 
-    `limit` is the most bytes of one message, before and after unpacking. Errors are `RpcError`: INTERNAL for
-    malformed framing, RESOURCE_EXHAUSTED for size, UNIMPLEMENTED for an encoding not known here.
+    `max_size` is the limit on the bytes of one message, before and after decompression. Errors are
+    `RpcError`: INTERNAL for malformed framing, RESOURCE_EXHAUSTED for size, UNIMPLEMENTED for an encoding
+    that is not known here.
     """
 
-    def __init__(self, limit: int, encoding: str = "identity") -> None:
-        self.limit, self.encoding = limit, encoding
+    def __init__(self, max_size: int, encoding: str = IDENTITY) -> None:
+        self._max_size = max_size
+        self._encoding = encoding
         self._parts: list[bytes] = []
         self._size = 0
-        self._need = HEAD.size
+        self._needed = MESSAGE_PREFIX.size  # bytes until a message may be complete
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Messages completed by these bytes, in order."""
+        """Return the messages that these bytes complete, in order."""
         if self._parts:
-            # Parts are joined only when enough is there: a long message costs one copy, not one a frame.
+            # Parts are joined only once a message is complete: a long one costs one copy, not one a frame.
             self._parts.append(data)
             self._size += len(data)
-            if self._size < self._need:
+            if self._size < self._needed:
                 return []
             data = b"".join(self._parts)
             self._parts.clear()
-        messages, at, size = [], 0, len(data)
-        while size - at >= HEAD.size:
-            packed, length = HEAD.unpack_from(data, at)
-            if packed > 1:
-                raise RpcError(Code.INTERNAL, f"compressed flag is {packed}, neither 0 nor 1")
-            if length > self.limit:
-                raise RpcError(
-                    Code.RESOURCE_EXHAUSTED, f"message of {length} bytes is over the limit of {self.limit}"
-                )
-            if size - at - HEAD.size < length:
-                self._need = HEAD.size + length
+        messages = []
+        position = 0
+        size = len(data)
+        while size - position >= MESSAGE_PREFIX.size:
+            is_compressed, length = MESSAGE_PREFIX.unpack_from(data, position)
+            if is_compressed > 1 or length > self._max_size:
+                self._refuse(is_compressed, length)
+            begin = position + MESSAGE_PREFIX.size
+            if size - begin < length:
+                self._needed = MESSAGE_PREFIX.size + length
                 break
-            at += HEAD.size
-            message = data[at : at + length]
-            at += length
-            messages.append(self._unpack(message) if packed else message)
+            position = begin + length
+            message = data[begin:position]
+            messages.append(self._decode(message) if is_compressed else message)
         else:
-            self._need = HEAD.size
-        rest = data[at:]
+            self._needed = MESSAGE_PREFIX.size
+        rest = data[position:]
         self._size = len(rest)
         if rest:
             self._parts.append(rest)
         return messages
 
-    def _unpack(self, message: bytes) -> bytes:
-        if self.encoding == "gzip":
-            return _inflate(message, self.limit)
-        if self.encoding == "identity":
+    def _refuse(self, compressed_flag: int, length: int) -> None:
+        if compressed_flag > 1:
+            raise RpcError(Code.INTERNAL, f"compressed flag is {compressed_flag}, neither 0 nor 1")
+        raise RpcError(
+            Code.RESOURCE_EXHAUSTED, f"message of {length} bytes is over the limit of {self._max_size}"
+        )
+
+    def _decode(self, message: bytes) -> bytes:
+        if self._encoding == GZIP:
+            return _decompress(message, self._max_size)
+        if self._encoding == IDENTITY:
             raise RpcError(Code.INTERNAL, "compressed flag set, but grpc-encoding is identity")
-        raise RpcError(Code.UNIMPLEMENTED, f"grpc-encoding {self.encoding} is not supported")
+        raise RpcError(Code.UNIMPLEMENTED, f"grpc-encoding {self._encoding} is not supported")
 
     def finish(self) -> None:
-        """Say that the stream ended; INTERNAL if it ended inside a message."""
+        """Take note that the stream ended; INTERNAL if it ended inside a message."""
         if self._size:
             raise RpcError(Code.INTERNAL, f"stream ended inside a message, {self._size} bytes in")
--- a/myrtlehub/rpc/metadata.py
+++ b/myrtlehub/rpc/metadata.py
@@ -1,21 +1,25 @@
-"""Metadata against HTTP/2 headers: `-bin` values are bytes here and base64 on the wire."""
+"""Metadata as HTTP/2 headers: values of `-bin` keys are bytes here, and base64 on the wire."""
 
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 from collections.abc import Iterable
-from re import compile as pattern
+from re import compile as compile_pattern
 
 from myrtlehub.rpc.status import Code, Metadata, RpcError
 
-_KEY = pattern(r"[0-9a-z_.\-]+")
-_VALUE = pattern(r"[\x20-\x7e]*")
+_KEY = compile_pattern(r"[0-9a-z_.\-]+")
+_VALUE = compile_pattern(r"[\x20-\x7e]*")
 RESERVED = ("content-type", "te", "user-agent", "connection", "host")
 
 Headers = list[tuple[str, str]]
 
 
 def encode(metadata: Iterable[tuple[str, str | bytes]]) -> Headers:
-    """Headers for metadata; ValueError names a key or value that may not travel."""
+    """Return headers for metadata.
+
+    Raises:
+        ValueError: a key or value may not be sent; the text names it.
+    """
     headers = []
     for key, value in metadata:
         if not _KEY.fullmatch(key) or key.startswith("grpc-") or key in RESERVED:
@@ -31,7 +35,11 @@
 
 
 def decode(headers: Iterable[tuple[str, str]]) -> Metadata:
-    """Application metadata among received headers; INTERNAL where a -bin value is not base64."""
+    """Return the application's metadata among received headers.
+
+    Raises:
+        RpcError: INTERNAL, if the value of a `-bin` key is not base64.
+    """
     metadata = []
     for key, value in headers:
         if key[0] == ":" or key.startswith("grpc-") or key in RESERVED:
@@ -39,17 +47,21 @@
         if not key.endswith("-bin"):
             metadata.append((key, value))
             continue
-        for part in value.split(","):  # peers may join repeated binary headers
-            part = part.strip()
-            try:
-                metadata.append((key, b64decode(part + "=" * (-len(part) % 4), validate=True)))
-            except (Base64Error, ValueError) as fault:
-                raise RpcError(Code.INTERNAL, f"metadata {key} is not base64: {fault}") from fault
+        # Peers may join repeated binary headers by commas.
+        metadata.extend((key, _decode_base64(key, part.strip())) for part in value.split(","))
     return tuple(metadata)
 
 
+def _decode_base64(key: str, text: str) -> bytes:
+    padding = "=" * (-len(text) % 4)
+    try:
+        return b64decode(text + padding, validate=True)
+    except (Base64Error, ValueError) as error:
+        raise RpcError(Code.INTERNAL, f"metadata {key} is not base64: {error}") from error
+
+
 def first(metadata: Metadata, key: str, default: str = "") -> str:
-    """The first text value under a key."""
+    """Return the first text value of a key."""
     for name, value in metadata:
         if name == key and isinstance(value, str):
             return value
--- /dev/null
+++ b/myrtlehub/rpc/method_handlers.py
@@ -0,0 +1,133 @@
+"""Handlers of methods that take one request, or collect all requests."""
+
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.python.failure import Failure
+
+from myrtlehub.rpc.server_call import Receiver, ServerCall
+from myrtlehub.rpc.status import Code, RpcError
+
+Handler = Callable[[ServerCall], Receiver]
+Reply = bytes | Deferred  # a Deferred of bytes
+
+
+class _ReplySender:
+    """Sends one reply, which may come later, and ends the call."""
+
+    def __init__(self, call: ServerCall) -> None:
+        self._call = call
+        self._reply: Deferred | None = None
+
+    def run(self, method: Callable[..., Reply], *arguments: object) -> None:
+        """Run a method for its reply."""
+        self._reply = maybeDeferred(method, *arguments)
+        self._reply.addCallbacks(self._send, self._fail)
+
+    def _send(self, reply: bytes) -> None:
+        self._call.send(reply)
+        self._call.finish()
+
+    def _fail(self, failure: Failure) -> None:
+        if self._call.over:
+            return
+        if failure.check(RpcError):
+            self._call.fail(failure.value)
+        else:
+            self._call.crash(failure)
+
+    def cancel(self) -> None:
+        """Cancel a reply that is still to come."""
+        if self._reply is not None:
+            self._reply.addErrback(lambda failure: None)
+            self._reply.cancel()
+
+
+class _SingleRequest(Receiver):
+    """Takes exactly one request message."""
+
+    def __init__(self, call: ServerCall) -> None:
+        self._call = call
+        self._request: bytes | None = None
+
+    def message(self, data: bytes) -> None:
+        """Take the request."""
+        if self._request is not None:
+            raise RpcError(Code.UNIMPLEMENTED, "more than one request message on a call that takes one")
+        self._request = data
+
+    def finished(self) -> None:
+        """Run the method."""
+        if self._request is None:
+            raise RpcError(Code.UNIMPLEMENTED, "no request message on a call that takes one")
+        self._run(self._request)
+
+    def _run(self, request: bytes) -> None:
+        raise NotImplementedError
+
+
+class _UnaryCall(_SingleRequest):
+    def __init__(self, call: ServerCall, method: Callable[[ServerCall, bytes], Reply]) -> None:
+        super().__init__(call)
+        self._method = method
+        self._sender = _ReplySender(call)
+
+    def _run(self, request: bytes) -> None:
+        self._sender.run(self._method, self._call, request)
+
+    def lost(self, code: Code) -> None:
+        """Cancel the reply."""
+        self._sender.cancel()
+
+
+class _ServerStreamCall(_SingleRequest):
+    def __init__(self, call: ServerCall, method: Callable[[ServerCall, bytes], Receiver | None]) -> None:
+        super().__init__(call)
+        self._method = method
+        self._receiver: Receiver | None = None
+
+    def _run(self, request: bytes) -> None:
+        self._receiver = self._method(self._call, request)
+
+    def lost(self, code: Code) -> None:
+        """Tell what the method returned."""
+        if isinstance(self._receiver, Receiver):
+            self._receiver.lost(code)
+
+
+class _ClientStreamCall(Receiver):
+    def __init__(self, call: ServerCall, method: Callable[[ServerCall, list[bytes]], Reply]) -> None:
+        self._call = call
+        self._method = method
+        self._requests: list[bytes] = []
+        self._sender = _ReplySender(call)
+
+    def message(self, data: bytes) -> None:
+        """Collect a request."""
+        self._requests.append(data)
+
+    def finished(self) -> None:
+        """Run the method."""
+        self._sender.run(self._method, self._call, self._requests)
+
+    def lost(self, code: Code) -> None:
+        """Cancel the reply."""
+        self._sender.cancel()
+
+
+def unary(method: Callable[[ServerCall, bytes], Reply]) -> Handler:
+    """Handle a method of one request and one reply, which may be a Deferred."""
+    return lambda call: _UnaryCall(call, method)
+
+
+def server_stream(method: Callable[[ServerCall, bytes], Receiver | None]) -> Handler:
+    """Handle a method of one request and many replies.
+
+    The method sends them and finishes the call; the Receiver that it returns is told if the call is `lost`.
+    """
+    return lambda call: _ServerStreamCall(call, method)
+
+
+def client_stream(method: Callable[[ServerCall, list[bytes]], Reply]) -> Handler:
+    """Handle a method of many requests, which are collected, and one reply."""
+    return lambda call: _ClientStreamCall(call, method)
--- a/myrtlehub/rpc/status.py
+++ b/myrtlehub/rpc/status.py
@@ -1,6 +1,6 @@
-"""gRPC status codes, how they travel in headers, and what HTTP/2 failures mean in them.
+"""Status codes of gRPC, their form in headers, and the codes of HTTP and HTTP/2 failures.
 
-Source: the gRPC over HTTP/2 protocol page and the HTTP-to-gRPC status mapping page of the gRPC project.
+Source: the pages of the gRPC project on gRPC over HTTP/2, and on the mapping of HTTP to gRPC status codes.
 """
 
 from enum import IntEnum
@@ -57,7 +57,7 @@
         super().__init__(f"{self.status.code.name}: {self.status.message}")
 
 
-_HTTP = {
+_CODES_OF_HTTP = {
     400: Code.INTERNAL,
     401: Code.UNAUTHENTICATED,
     403: Code.PERMISSION_DENIED,
@@ -68,7 +68,7 @@
     504: Code.UNAVAILABLE,
 }
 
-_RESET = {
+_CODES_OF_RESET = {
     ErrorCodes.REFUSED_STREAM: Code.UNAVAILABLE,
     ErrorCodes.CANCEL: Code.CANCELLED,
     ErrorCodes.ENHANCE_YOUR_CALM: Code.RESOURCE_EXHAUSTED,
@@ -77,17 +77,17 @@
 
 
 def from_http(status: int) -> Code:
-    """The code of a response that carries no grpc-status."""
-    return _HTTP.get(status, Code.UNKNOWN)
+    """Return the code of a response without grpc-status."""
+    return _CODES_OF_HTTP.get(status, Code.UNKNOWN)
 
 
 def from_reset(error: int) -> Code:
-    """The code of a stream that the peer reset."""
-    return _RESET.get(error, Code.INTERNAL)
+    """Return the code of a stream that the peer reset."""
+    return _CODES_OF_RESET.get(error, Code.INTERNAL)
 
 
 def parse_code(text: str) -> Code:
-    """grpc-status as a code; UNKNOWN where it is not one."""
+    """Return the code of a grpc-status header; UNKNOWN where it is none."""
     try:
         return Code(int(text))
     except ValueError:
@@ -95,30 +95,37 @@
 
 
 def encode_message(text: str) -> str:
-    """Percent-encode a grpc-message: printable ASCII but for '%' stays."""
-    return quote_from_bytes(text.encode(), safe="".join(chr(c) for c in range(32, 127) if c != 37))
+    """Percent-encode a grpc-message; printable ASCII except '%' stays."""
+    return quote_from_bytes(text.encode(), safe=_PLAIN_CHARACTERS)
 
 
 def decode_message(text: str) -> str:
-    """The reverse; bytes that are no UTF-8 are replaced, never an error."""
+    """Decode a grpc-message; bytes that are no UTF-8 are replaced, and are no error."""
     return unquote_to_bytes(text).decode(errors="replace")
 
 
+_PLAIN_CHARACTERS = "".join(chr(code) for code in range(32, 127) if chr(code) != "%")
+_MAX_TIMEOUT_COUNT = 10**8  # exclusive: at most eight digits
+_MAX_TIMEOUT = "99999999H"
 _UNITS = {"H": 3600.0, "M": 60.0, "S": 1.0, "m": 1e-3, "u": 1e-6, "n": 1e-9}
 
 
 def encode_timeout(seconds: float) -> str:
-    """grpc-timeout: at most eight digits and a unit, rounded down: no hop lengthens a deadline."""
+    """Return a grpc-timeout header: rounded down, so that no hop lengthens a deadline."""
     seconds = max(0.0, seconds)
     for unit in "numSMH":
         count = int(seconds / _UNITS[unit] + 1e-9)
-        if count < 100_000_000:
+        if count < _MAX_TIMEOUT_COUNT:
             return f"{count}{unit}"
-    return "99999999H"
+    return _MAX_TIMEOUT
 
 
 def decode_timeout(text: str) -> float:
-    """Seconds. ValueError where the header is malformed."""
+    """Return the seconds of a grpc-timeout header.
+
+    Raises:
+        ValueError: the header is malformed.
+    """
     digits, unit = text[:-1], text[-1:]
     if not (1 <= len(digits) <= 8 and digits.isascii() and digits.isdigit() and unit in _UNITS):
         raise ValueError(f"grpc-timeout {text!r} is not 1 to 8 digits and one of H M S m u n")
--- a/tests/batch_calls.py
+++ b/tests/batch_calls.py
@@ -5,7 +5,7 @@
 
 from myrtlehub.emulator.vectors import vector_of
 from myrtlehub.proto import items_pb2 as pb
-from myrtlehub.rpc.channel import CallWatcher
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Status
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,7 +14,8 @@
 from myrtlehub.node.node import Node
 from myrtlehub.proto import admin_pb2, chat_pb2, engine_pb2
 from myrtlehub.records import Record, Recorder
-from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.rpc.channel import Channel
+from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Status
 
 SHEET = """
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -7,7 +7,7 @@
 from memnet import Pipe
 from test_path import judge
 
-from myrtlehub.rpc.guards import TransportBounds
+from myrtlehub.rpc.transport_limits import TransportLimits
 
 WAYS = ("reset", "stall", "crash")
 
@@ -86,8 +86,8 @@
 
 
 def test_a_silent_link_is_given_up_by_its_pings() -> None:
-    bounds = TransportBounds()
-    assert bounds.keepalive + bounds.keepalive_timeout <= 30.0
+    bounds = TransportLimits()
+    assert bounds.keepalive_interval + bounds.keepalive_timeout <= 30.0
 
 
 def bytes_of_stream(cut_at: int) -> tuple[Fleet, Caller, int]:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -8,7 +8,7 @@
 from myrtlehub.node.sequences import Attempt, InFlightSequence
 from myrtlehub.records import Record
 from myrtlehub.routing import contract
-from myrtlehub.rpc.guards import TransportBounds
+from myrtlehub.rpc.transport_limits import TransportLimits
 from myrtlehub.state.answer import AnswerEvent
 
 ROWS = [
@@ -168,8 +168,8 @@
 
 def test_a_client_that_reads_nothing_holds_up_its_own_stream_only() -> None:
     f = Fleet("W0", step="2ms", slots=8, more="limits: {least_rate: 0}")  # else it would be cut off
-    link = f.nodes["n0"].links.bounds = TransportBounds(stream_window=16384)
-    f.channels["n0"].bounds = TransportBounds(stream_window=4096)
+    link = f.nodes["n0"].links.bounds = TransportLimits(stream_window=16384)
+    f.channels["n0"].limits = TransportLimits(stream_window=4096)
     stuck = f.ask(prompt=100, output=190000, left=4.0)
     stuck.call.pauseProducing()
     others = [f.ask(prompt=100, output=200) for _ in range(3)]
@@ -177,7 +177,7 @@
     assert all(c.answer == "generated" for c in others) and stuck.answer == ""
     (waiting,) = f.nodes["n0"].server.calls
     pulled = next(iter(f.nodes["n0"].host.in_flight.values())).streaming_attempt.call.stream
-    here = waiting.buffered + sum(map(len, pulled._held))
+    here = waiting.buffered + sum(map(len, pulled._received))
     poured = sum(job.call.buffered for job in f.stands["W0a"].jobs)
     assert 65536 < here <= 65536 + 2 * link.stream_window and poured > 20000  # it stays at the writer
     f.leave(stuck)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,8 +11,8 @@
 from myrtlehub.limits.pace import STEP, Pace
 from myrtlehub.proto import admin_pb2
 from myrtlehub.rpc.channel import Channel
-from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.status import Code
+from myrtlehub.rpc.transport_limits import TransportLimits
 
 EVENTS = st.lists(
     st.tuples(
@@ -116,7 +116,7 @@
 
 def slow_fleet(more: str = "", **machine: object) -> Fleet:
     f = Fleet("W0", step="1ms", slots=8, more=f"limits: {{rate_window: 5s, linger: 2s{more}}}", **machine)
-    f.channels["n0"].bounds = TransportBounds(stream_window=4096)
+    f.channels["n0"].limits = TransportLimits(stream_window=4096)
     return f
 
 
@@ -209,7 +209,7 @@
 
 def test_batches_count_too_and_admin_says_who_was_cut() -> None:
     f = Fleet("R0 W0 E0 K0", more="limits: {rate_window: 2s}")
-    f.channels["n0"].bounds = TransportBounds(stream_window=1024)
+    f.channels["n0"].limits = TransportLimits(stream_window=1024)
     stuck, fine = rank(f, b"q", texts(1500), is_stream=True), embed(f, texts(20))
     stuck.call.pauseProducing()
     exact(f, 4.0)
--- a/tests/test_rpc_grpcio.py
+++ b/tests/test_rpc_grpcio.py
@@ -1,30 +1,32 @@
-"""Our server against grpcio's client, and grpcio's server against our channel, on loopback sockets."""
+"""Interoperability with grpcio: its client with our server, and our channel with its server."""
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
 import grpc
 import pytest
-from test_rpc import Echo, Heard
+from rpc_rig import EchoReceiver, RecordingWatcher
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
 from twisted.internet.threads import blockingCallFromThread
 
 from myrtlehub.rpc.channel import Channel
-from myrtlehub.rpc.guards import TransportBounds
-from myrtlehub.rpc.server import Server, ServerCall, client_stream, server_stream, unary
+from myrtlehub.rpc.method_handlers import client_stream, server_stream, unary
+from myrtlehub.rpc.server import Server
+from myrtlehub.rpc.server_call import ServerCall
 from myrtlehub.rpc.status import Code, RpcError
+from myrtlehub.rpc.transport_limits import TransportLimits
 
 BIG = 8 * 2**20
 RAW = {"request_serializer": None, "response_deserializer": None}
 
 
 @pytest.fixture(scope="module", autouse=True)
-def turning() -> Iterator[None]:
-    """The reactor turns in a thread of its own while this module runs."""
+def running_reactor() -> Iterator[None]:
+    """Run the reactor in a thread of its own while this module runs."""
     thread = threading.Thread(target=reactor.run, kwargs={"installSignalHandlers": False}, daemon=True)
     thread.start()
     yield
@@ -32,7 +34,7 @@
     thread.join(10)
 
 
-def there(call: object, *args: object) -> object:
+def in_reactor(call: Callable[..., object], *args: object) -> object:
     return blockingCallFromThread(reactor, call, *args)
 
 
@@ -40,19 +42,19 @@
 
 
 @pytest.fixture
-def ours() -> Iterator[tuple[Server, int]]:
-    server = Server(reactor, TransportBounds(streams=400), compress=True)
+def our_server() -> Iterator[tuple[Server, int]]:
+    server = Server(reactor, TransportLimits(max_streams=400), compress=True)
     later = Deferred()
-    server.add("/t.T/Echo", Echo)
+    server.add("/t.T/Echo", EchoReceiver)
     server.add("/t.T/One", unary(lambda call, data: data[::-1]))
     server.add("/t.T/Join", client_stream(lambda call, parts: b"".join(parts)))
     server.add("/t.T/Never", unary(lambda call, data: later))
     server.add("/t.T/Meta", unary(show_meta))
     server.add("/t.T/Fail", unary(fail))
     server.add("/t.T/Count", server_stream(count))
-    port = there(TCP4ServerEndpoint(reactor, 0, interface="127.0.0.1").listen, server)
+    port = in_reactor(TCP4ServerEndpoint(reactor, 0, interface="127.0.0.1").listen, server)
     yield server, port.getHost().port
-    there(port.stopListening)
+    in_reactor(port.stopListening)
 
 
 def fail(call: ServerCall, data: bytes) -> bytes:
@@ -71,54 +73,58 @@
 
 
 @pytest.fixture
-def theirs(ours: tuple[Server, int]) -> Iterator[grpc.Channel]:
+def grpcio_channel(our_server: tuple[Server, int]) -> Iterator[grpc.Channel]:
     with grpc.insecure_channel(
-        f"127.0.0.1:{ours[1]}",
+        f"127.0.0.1:{our_server[1]}",
         [("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1)],
     ) as channel:
         yield channel
 
 
-def test_their_client_all_shapes(theirs: grpc.Channel) -> None:
-    assert theirs.unary_unary("/t.T/One", **RAW)(b"abc") == b"cba"
-    assert theirs.stream_unary("/t.T/Join", **RAW)(iter([b"a", b"", b"c"])) == b"ac"
-    assert list(theirs.unary_stream("/t.T/Count", **RAW)(b"300")) == [b"%d" % i for i in range(300)]
-    assert list(theirs.stream_stream("/t.T/Echo", **RAW)(iter([b"x", b"", b"z"]))) == [b"x", b"", b"z"]
+def test_grpcio_client_unary_and_streaming_calls(grpcio_channel: grpc.Channel) -> None:
+    assert grpcio_channel.unary_unary("/t.T/One", **RAW)(b"abc") == b"cba"
+    assert grpcio_channel.stream_unary("/t.T/Join", **RAW)(iter([b"a", b"", b"c"])) == b"ac"
+    assert list(grpcio_channel.unary_stream("/t.T/Count", **RAW)(b"300")) == [b"%d" % i for i in range(300)]
+    assert list(grpcio_channel.stream_stream("/t.T/Echo", **RAW)(iter([b"x", b"", b"z"]))) == [
+        b"x",
+        b"",
+        b"z",
+    ]
 
 
-def test_their_client_large_and_packed(theirs: grpc.Channel) -> None:
+def test_grpcio_client_large_and_compressed_messages(grpcio_channel: grpc.Channel) -> None:
     big = Random(1).randbytes(BIG)
-    assert theirs.unary_unary("/t.T/One", **RAW)(big, timeout=30) == big[::-1]
-    packed = theirs.unary_unary("/t.T/One", **RAW)(
+    assert grpcio_channel.unary_unary("/t.T/One", **RAW)(big, timeout=30) == big[::-1]
+    packed = grpcio_channel.unary_unary("/t.T/One", **RAW)(
         b"abc" * 1000, compression=grpc.Compression.Gzip, timeout=30
     )
     assert packed == b"cba" * 1000
     with pytest.raises(grpc.RpcError) as caught:
-        theirs.unary_unary("/t.T/One", **RAW)(bytes(17 * 2**20), timeout=30)
+        grpcio_channel.unary_unary("/t.T/One", **RAW)(bytes(17 * 2**20), timeout=30)
     assert caught.value.code() == grpc.StatusCode.RESOURCE_EXHAUSTED
 
 
-def test_their_client_errors_deadlines_cancellation(theirs: grpc.Channel) -> None:
+def test_grpcio_client_errors_deadlines_and_cancellation(grpcio_channel: grpc.Channel) -> None:
     with pytest.raises(grpc.RpcError) as caught:
-        theirs.unary_unary("/t.T/Fail", **RAW)(b"")
+        grpcio_channel.unary_unary("/t.T/Fail", **RAW)(b"")
     assert caught.value.code() == grpc.StatusCode.FAILED_PRECONDITION
     assert caught.value.details() == "100% wrong: ünï"
     with pytest.raises(grpc.RpcError) as caught:
-        theirs.unary_unary("/t.T/Nope", **RAW)(b"")
+        grpcio_channel.unary_unary("/t.T/Nope", **RAW)(b"")
     assert caught.value.code() == grpc.StatusCode.UNIMPLEMENTED
     with pytest.raises(grpc.RpcError) as caught:
-        theirs.unary_unary("/t.T/Never", **RAW)(b"", timeout=0.2)
+        grpcio_channel.unary_unary("/t.T/Never", **RAW)(b"", timeout=0.2)
     assert caught.value.code() == grpc.StatusCode.DEADLINE_EXCEEDED
-    Echo.calls = []
+    EchoReceiver.calls = []
     told = threading.Event()
-    lost, Echo.lost = Echo.lost, lambda self, code: (lost(self, code), told.set())[0]
+    lost, EchoReceiver.lost = EchoReceiver.lost, lambda self, code: (lost(self, code), told.set())[0]
     try:
-        stream = theirs.stream_stream("/t.T/Echo", **RAW)(held_open(told))
+        stream = grpcio_channel.stream_stream("/t.T/Echo", **RAW)(held_open(told))
         assert next(stream) == b"first"
         stream.cancel()
-        assert told.wait(10) and Echo.calls[0].end == Code.CANCELLED
+        assert told.wait(10) and EchoReceiver.calls[0].end == Code.CANCELLED
     finally:
-        Echo.lost = lost
+        EchoReceiver.lost = lost
 
 
 def held_open(until: threading.Event) -> Iterator[bytes]:
@@ -126,35 +132,37 @@
     until.wait(10)
 
 
-def test_their_client_metadata(theirs: grpc.Channel) -> None:
-    reply, call = theirs.unary_unary("/t.T/Meta", **RAW).with_call(
+def test_grpcio_client_metadata(grpcio_channel: grpc.Channel) -> None:
+    reply, call = grpcio_channel.unary_unary("/t.T/Meta", **RAW).with_call(
         b"", metadata=[("word", "plain text"), ("raw-bin", b"\0\xffx")]
     )
     first = dict(call.initial_metadata())
     assert (first["seen"], first["raw-bin"]) == ("plain text", b"\0\xffx") and reply == b""
-    stream = theirs.stream_stream("/t.T/Echo", **RAW)(iter([]))
+    stream = grpcio_channel.stream_stream("/t.T/Echo", **RAW)(iter([]))
     assert list(stream) == [] and dict(stream.trailing_metadata())["end-bin"] == b"\0\xff"
 
 
-def test_their_client_200_streams_at_once(theirs: grpc.Channel) -> None:
-    streams = [theirs.unary_stream("/t.T/Count", **RAW)(b"20") for _ in range(200)]
+def test_grpcio_client_200_concurrent_streams(grpcio_channel: grpc.Channel) -> None:
+    streams = [grpcio_channel.unary_stream("/t.T/Count", **RAW)(b"20") for _ in range(200)]
     assert [len(list(s)) for s in streams] == [20] * 200
 
 
-def test_their_client_through_our_drain(ours: tuple[Server, int], theirs: grpc.Channel) -> None:
+def test_grpcio_client_during_our_drain(our_server: tuple[Server, int], grpcio_channel: grpc.Channel) -> None:
     go = threading.Event()
-    stream = theirs.stream_stream("/t.T/Echo", **RAW)(held_open(go))
+    stream = grpcio_channel.stream_stream("/t.T/Echo", **RAW)(held_open(go))
     assert next(stream) == b"first"
-    drained = there(lambda: [ours[0].drain()])[0]
+    drained = in_reactor(lambda: [our_server[0].drain()])[0]
     go.set()
     assert list(stream) == [] and stream.code() == grpc.StatusCode.OK
-    there(lambda: drained)
+    in_reactor(lambda: drained)
 
 
 # -- our channel, their server -----------------------------------------------------------------------
 
 
-class Theirs(grpc.GenericRpcHandler):
+class GrpcioHandler(grpc.GenericRpcHandler):
+    """The methods of a server of grpcio."""
+
     def service(self, details: grpc.HandlerCallDetails) -> grpc.RpcMethodHandler | None:
         h = {
             "/t.T/One": grpc.unary_unary_rpc_method_handler(lambda data, ctx: data[::-1]),
@@ -189,8 +197,8 @@
 
 
 @pytest.fixture
-def far() -> Iterator[tuple[Theirs, Channel]]:
-    handler = Theirs()
+def grpcio_server() -> Iterator[tuple[GrpcioHandler, Channel]]:
+    handler = GrpcioHandler()
     server = grpc.server(
         ThreadPoolExecutor(16),
         [handler],
@@ -203,60 +211,62 @@
         reactor, TCP4ClientEndpoint(reactor, "127.0.0.1", port).connect, f"127.0.0.1:{port}", random=Random(2)
     )
     yield handler, channel
-    there(lambda: channel.close())
+    in_reactor(lambda: channel.close())
     server.stop(None).wait()
 
 
-def test_our_channel_all_shapes(far: tuple[Theirs, Channel]) -> None:
-    channel = far[1]
-    assert there(channel.unary, "/t.T/One", b"abc") == b"cba"
-    assert there(channel.collect, "/t.T/Join", [b"a", b"", b"c"]) == [b"ac"]
-    assert there(channel.collect, "/t.T/Count", [b"300"]) == [b"%d" % i for i in range(300)]
-    assert there(channel.collect, "/t.T/Echo", [b"x", b"", b"z" * 70000]) == [b"x", b"", b"z" * 70000]
+def test_our_channel_unary_and_streaming_calls(grpcio_server: tuple[GrpcioHandler, Channel]) -> None:
+    channel = grpcio_server[1]
+    assert in_reactor(channel.unary, "/t.T/One", b"abc") == b"cba"
+    assert in_reactor(channel.collect, "/t.T/Join", [b"a", b"", b"c"]) == [b"ac"]
+    assert in_reactor(channel.collect, "/t.T/Count", [b"300"]) == [b"%d" % i for i in range(300)]
+    assert in_reactor(channel.collect, "/t.T/Echo", [b"x", b"", b"z" * 70000]) == [b"x", b"", b"z" * 70000]
 
 
-def test_our_channel_large_and_packed(far: tuple[Theirs, Channel]) -> None:
-    channel, big = far[1], Random(1).randbytes(BIG)
-    assert there(channel.unary, "/t.T/One", big) == big[::-1]
-    there(lambda: setattr(channel, "encoding", "gzip"))
-    assert there(channel.unary, "/t.T/One", b"abc" * 1000) == b"cba" * 1000
+def test_our_channel_large_and_compressed_messages(grpcio_server: tuple[GrpcioHandler, Channel]) -> None:
+    channel, big = grpcio_server[1], Random(1).randbytes(BIG)
+    assert in_reactor(channel.unary, "/t.T/One", big) == big[::-1]
+    in_reactor(lambda: setattr(channel, "encoding", "gzip"))
+    assert in_reactor(channel.unary, "/t.T/One", b"abc" * 1000) == b"cba" * 1000
 
 
-def test_our_channel_errors_metadata_deadline(far: tuple[Theirs, Channel]) -> None:
-    handler, channel = far
+def test_our_channel_errors_metadata_deadline(grpcio_server: tuple[GrpcioHandler, Channel]) -> None:
+    handler, channel = grpcio_server
     with pytest.raises(RpcError) as caught:
-        there(channel.unary, "/t.T/Fail", b"")
+        in_reactor(channel.unary, "/t.T/Fail", b"")
     assert caught.value.status[:2] == (Code.DATA_LOSS, "50% lost: é")
     with pytest.raises(RpcError) as caught:
-        there(channel.unary, "/t.T/Nope", b"")
+        in_reactor(channel.unary, "/t.T/Nope", b"")
     assert caught.value.status.code == Code.UNIMPLEMENTED
     with pytest.raises(RpcError) as caught:
-        there(channel.collect, "/t.T/Wait", [b""], (), 0.4)
+        in_reactor(channel.collect, "/t.T/Wait", [b""], (), 0.4)
     assert caught.value.status.code == Code.DEADLINE_EXCEEDED and 0.0 < handler.time_left <= 0.4
     assert handler.stopped.wait(10)
-    heard, done = Heard(), threading.Event()
-    heard.ended = lambda status: (setattr(heard, "status", status), done.set())[0]
+    watcher, done = RecordingWatcher(), threading.Event()
+    watcher.ended = lambda status: (setattr(watcher, "status", status), done.set())[0]
 
     def start() -> None:
-        channel.call("/t.T/Meta", heard, [("word", "w"), ("raw-bin", b"\0\xff")]).send(b"")
+        channel.call("/t.T/Meta", watcher, [("word", "w"), ("raw-bin", b"\0\xff")]).send(b"")
 
-    there(start)
-    assert done.wait(10) and dict(heard.first)["seen"] == "w"
-    assert dict(heard.status.trailers)["raw-bin"] == b"\0\xff"
+    in_reactor(start)
+    assert done.wait(10) and dict(watcher.initial_metadata)["seen"] == "w"
+    assert dict(watcher.status.trailers)["raw-bin"] == b"\0\xff"
 
 
-def test_our_channel_cancels(far: tuple[Theirs, Channel]) -> None:
-    handler, channel = far
-    heard, begun, done = Heard(), threading.Event(), threading.Event()
-    heard.message = lambda data: begun.set()
-    heard.ended = lambda status: (setattr(heard, "status", status), done.set())[0]
-    call = there(lambda: channel.call("/t.T/Wait", heard))
-    there(lambda: (call.send(b""), call.half_close())[0])
+def test_our_channel_cancels(grpcio_server: tuple[GrpcioHandler, Channel]) -> None:
+    handler, channel = grpcio_server
+    watcher, begun, done = RecordingWatcher(), threading.Event(), threading.Event()
+    watcher.message = lambda data: begun.set()
+    watcher.ended = lambda status: (setattr(watcher, "status", status), done.set())[0]
+    call = in_reactor(lambda: channel.call("/t.T/Wait", watcher))
+    in_reactor(lambda: (call.send(b""), call.half_close())[0])
     assert begun.wait(10)
-    there(lambda: call.cancel())
-    assert done.wait(10) and heard.status.code == Code.CANCELLED and handler.stopped.wait(10)
+    in_reactor(lambda: call.cancel())
+    assert done.wait(10) and watcher.status.code == Code.CANCELLED and handler.stopped.wait(10)
 
 
-def test_our_channel_200_streams_at_once(far: tuple[Theirs, Channel]) -> None:
-    got = there(lambda: gatherResults([far[1].collect("/t.T/Count", [b"20"]) for _ in range(200)]))
+def test_our_channel_200_concurrent_streams(grpcio_server: tuple[GrpcioHandler, Channel]) -> None:
+    got = in_reactor(
+        lambda: gatherResults([grpcio_server[1].collect("/t.T/Count", [b"20"]) for _ in range(200)])
+    )
     assert [len(g) for g in got] == [20] * 200
--- /dev/null
+++ b/tests/test_rpc_invalid_peers.py
@@ -0,0 +1,126 @@
+"""Peers that break the protocol, flood, or are silent."""
+
+from collections.abc import Callable
+
+import pytest
+from h2.errors import ErrorCodes
+from h2.events import ConnectionTerminated
+from hyperframe.frame import (
+    ContinuationFrame,
+    DataFrame,
+    HeadersFrame,
+    PingFrame,
+    RstStreamFrame,
+    SettingsFrame,
+)
+from rpc_rig import RawClient, RecordingWatcher, RpcRig
+
+from myrtlehub.rpc.client_call import ClientCall
+from myrtlehub.rpc.status import Code
+from myrtlehub.rpc.transport_limits import TransportLimits
+
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + SettingsFrame(0).serialize()
+REQUEST = [
+    (b":method", b"POST"),
+    (b":scheme", b"http"),
+    (b":path", b"/t.T/Never"),
+    (b":authority", b"s"),
+    (b"te", b"trailers"),
+    (b"content-type", b"application/grpc"),
+]
+
+
+def rapid_resets(raw: RawClient, count: int) -> bytes:
+    out = []
+    for i in range(count):
+        out.append(HeadersFrame(2 * i + 1, raw.h2.encoder.encode(REQUEST), flags=["END_HEADERS"]).serialize())
+        out.append(RstStreamFrame(2 * i + 1, 8).serialize())
+    return b"".join(out)
+
+
+def continuations(raw: RawClient, count: int) -> bytes:
+    head = HeadersFrame(1, raw.h2.encoder.encode(REQUEST)).serialize()
+    return head + ContinuationFrame(1, b"").serialize() * count
+
+
+def big_headers(raw: RawClient) -> bytes:
+    block = raw.h2.encoder.encode(REQUEST + [(b"x-%d" % i, b"v" * 1000) for i in range(60)])
+    parts = [block[i : i + 16000] for i in range(0, len(block), 16000)]
+    out = HeadersFrame(1, parts[0]).serialize()
+    for part in parts[1:-1]:
+        out += ContinuationFrame(1, part).serialize()
+    return out + ContinuationFrame(1, parts[-1], flags=["END_HEADERS"]).serialize()
+
+
+def assert_call_continues(rig: RpcRig, watcher: RecordingWatcher, call: ClientCall) -> None:
+    call.send(b"on")
+    rig.net.run(0.1)
+    assert watcher.messages[-1] == b"on" and watcher.status is None
+
+
+@pytest.mark.parametrize(
+    ("make_bytes", "error"),
+    [
+        (lambda raw: b"GET / HTTP/1.1\r\n\r\n" + b"x" * 64, ErrorCodes.PROTOCOL_ERROR),
+        (lambda raw: PREFACE + DataFrame(1, b"x" * 40000).serialize(), ErrorCodes.FRAME_SIZE_ERROR),
+        (
+            lambda raw: PREFACE + b"".join(PingFrame(0, b"12345678").serialize() for _ in range(500)),
+            ErrorCodes.ENHANCE_YOUR_CALM,
+        ),
+        (
+            lambda raw: PREFACE + b"".join(SettingsFrame(0, {3: i}).serialize() for i in range(500)),
+            ErrorCodes.ENHANCE_YOUR_CALM,
+        ),
+        (lambda raw: PREFACE + rapid_resets(raw, 2000), ErrorCodes.ENHANCE_YOUR_CALM),
+        (lambda raw: PREFACE + continuations(raw, 500), None),
+        (lambda raw: PREFACE + big_headers(raw), ErrorCodes.ENHANCE_YOUR_CALM),
+        (lambda raw: PREFACE + b"\0\0\1\0\0\0\0\0\0x", ErrorCodes.PROTOCOL_ERROR),
+        (lambda raw: PREFACE + b"\xff" * 200, None),
+    ],
+    ids=["preface", "size", "pings", "settings", "resets", "continuations", "headers", "stream0", "noise"],
+)
+def test_invalid_frames_close_their_connection_and_no_other(
+    make_bytes: Callable[[RawClient], bytes], error: int | None
+) -> None:
+    rig = RpcRig()
+    watcher = RecordingWatcher()
+    call = rig.channel.call("/t.T/Never", watcher)
+    rig.net.run(0.1)
+    raw = RawClient(rig, sends_preface=False)
+    raw.h2.initiate_connection()
+    raw.h2.data_to_send()
+    events = raw.exchange(make_bytes(raw))
+    rig.net.run(2.0)
+    errors = [e.error_code for e in events if isinstance(e, ConnectionTerminated)]
+    assert raw.is_lost and errors and errors[-1] != 0
+    assert error is None or errors[-1] == error
+    assert len(rig.server.connections) == 1
+    assert_call_continues(rig, watcher, call)
+
+
+def test_requests_that_are_not_grpc_are_refused() -> None:
+    rig = RpcRig()
+    raw = RawClient(rig)
+    assert raw.request()["grpc-status"] == "0"
+    assert raw.request(content_type="text/html")[":status"] == "415"
+    assert raw.request(drop="content-type")[":status"] == "415"
+    assert raw.request(**{":method": "GET"})[":status"] == "405"
+    assert raw.request(drop="te")["grpc-status"] == str(int(Code.INTERNAL))
+    assert raw.request(path="/no.Such/Method")["grpc-status"] == str(int(Code.UNIMPLEMENTED))
+    assert raw.request(grpc_timeout="soon")["grpc-status"] == str(int(Code.INTERNAL))
+    refused = raw.request(grpc_encoding="br")
+    assert refused["grpc-status"] == str(int(Code.UNIMPLEMENTED))
+    assert "gzip" in refused["grpc-accept-encoding"]
+    assert raw.request(body=b"\0\0\0\0\x09x")["grpc-status"] == str(int(Code.INTERNAL))  # truncated
+    assert raw.request(body=b"\0\x7f\0\0\0")["grpc-status"] == str(int(Code.RESOURCE_EXHAUSTED))
+    assert raw.request(body=b"")["grpc-status"] == str(int(Code.UNIMPLEMENTED))  # no message
+    assert raw.request(body=b"\0\0\0\0\0" * 2)["grpc-status"] == str(int(Code.UNIMPLEMENTED))  # two
+    assert raw.request(bad_bin="!")["grpc-status"] == str(int(Code.INTERNAL))
+    assert raw.request()["grpc-status"] == "0" and not raw.is_lost
+
+
+def test_a_peer_that_never_sends_settings_is_disconnected() -> None:
+    rig = RpcRig(TransportLimits(settings_timeout=1.0))
+    raw = RawClient(rig, sends_preface=False)
+    rig.net.run(2.5)
+    assert raw.is_lost
--- /dev/null
+++ b/tests/test_rpc_messages.py
@@ -0,0 +1,82 @@
+"""Framing, metadata and status: the forms on the wire, without any connection."""
+
+import gzip
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from myrtlehub.rpc import framing, metadata, status
+from myrtlehub.rpc.status import Code, RpcError
+
+
+@given(st.lists(st.binary(max_size=300), max_size=8), st.data(), st.booleans())
+def test_any_split_gives_the_same_messages(
+    messages: list[bytes], data: st.DataObject, is_compressed: bool
+) -> None:
+    encoding = "gzip" if is_compressed else "identity"
+    raw = b"".join(framing.frame(m, encoding) for m in messages)
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(raw)), max_size=10)))
+    reader, got = framing.MessageReader(1000, encoding), []
+    for a, b in zip([0, *cuts], [*cuts, len(raw)], strict=True):
+        got += reader.feed(raw[a:b])
+    reader.finish()
+    assert got == messages
+
+
+@given(st.lists(st.binary(max_size=60), max_size=6), st.sampled_from(["identity", "gzip", "br"]))
+def test_fuzzed_bytes_give_messages_or_an_rpc_error(parts: list[bytes], encoding: str) -> None:
+    reader = framing.MessageReader(64, encoding)
+    code = None
+    try:
+        for part in parts:
+            assert all(len(m) <= 64 for m in reader.feed(part))
+        reader.finish()
+    except RpcError as error:
+        code = error.status.code
+    assert code in (None, Code.INTERNAL, Code.RESOURCE_EXHAUSTED, Code.UNIMPLEMENTED)
+
+
+def test_malformed_and_too_large_messages_are_refused() -> None:
+    bomb = gzip.compress(b"0" * 10**6)
+    for raw, encoding, code in [
+        (framing.MESSAGE_PREFIX.pack(0, 65), "identity", Code.RESOURCE_EXHAUSTED),
+        (framing.MESSAGE_PREFIX.pack(1, len(bomb)) + bomb, "gzip", Code.RESOURCE_EXHAUSTED),
+        (framing.MESSAGE_PREFIX.pack(1, 3) + b"abc", "gzip", Code.INTERNAL),
+        (framing.MESSAGE_PREFIX.pack(1, 3) + b"abc", "identity", Code.INTERNAL),
+        (framing.MESSAGE_PREFIX.pack(2, 0), "identity", Code.INTERNAL),
+    ]:
+        reader = framing.MessageReader(2000 if "gzip" in encoding else 64, encoding)
+        with pytest.raises(RpcError) as caught:
+            reader.feed(raw)
+        assert caught.value.status.code == code
+    reader = framing.MessageReader(64)
+    reader.feed(framing.MESSAGE_PREFIX.pack(0, 5) + b"ab")
+    with pytest.raises(RpcError, match="inside a message"):
+        reader.finish()
+
+
+@given(st.floats(0, 1e7))
+def test_an_encoded_timeout_is_never_longer(seconds: float) -> None:
+    text = status.encode_timeout(seconds)
+    assert len(text) <= 9 and status.decode_timeout(text) <= seconds + 1e-6
+    assert status.decode_timeout(text) >= seconds * 0.999 - 1e-8
+
+
+@given(st.text(max_size=50))
+def test_status_messages_survive_percent_encoding(text: str) -> None:
+    wire = status.encode_message(text)
+    assert wire.isascii() and wire.isprintable() and status.decode_message(wire) == text
+
+
+def test_malformed_timeouts_and_metadata_are_refused() -> None:
+    for text in ("", "5", "S", "123456789S", "-1S", "1.5S", "٣S", "5x"):
+        with pytest.raises(ValueError, match="grpc-timeout"):
+            status.decode_timeout(text)
+    for key, value in (("Upper", "x"), ("grpc-x", "x"), ("te", "x"), ("a b", "x"), ("k", "\n"), ("k", b"x")):
+        with pytest.raises(ValueError, match="metadata"):
+            metadata.encode([(key, value)])
+    with pytest.raises(RpcError):
+        metadata.decode([("x-bin", "!!")])
+    raw = metadata.decode([("x-bin", "AP8,AQ=="), ("k", "v")])
+    assert raw == (("x-bin", b"\0\xff"), ("x-bin", b"\1"), ("k", "v"))
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -18,7 +18,7 @@
 from myrtlehub.node.node import Node
 from myrtlehub.recovery.keepers import keepers
 from myrtlehub.rpc.channel import Channel
-from myrtlehub.rpc.guards import TransportBounds
+from myrtlehub.rpc.transport_limits import TransportLimits
 
 REPEATS = {"ask": "repeatable", "post": "once-only", "note": "tokened"}
 STREAM = 40  # most tokens of an answer
@@ -59,7 +59,7 @@
 
     def library(self, first: str = "n0") -> Client:
         names = [first, *(n for n in sorted(self.channels) if n != first)]
-        bounds = TransportBounds(keepalive=0.4, keepalive_timeout=0.4)
+        bounds = TransportLimits(keepalive_interval=0.4, keepalive_timeout=0.4)
         channels = [Channel(self.clock, self.net.dialer(f"{n}:1"), n, bounds) for n in names]
         return Client(channels[0], self.clock, lambda: next(self.draws) * 0.37 % 1.0, channels[1:])
 
