--- a/benchmarks/relayed.py
+++ b/benchmarks/relayed.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from myrtlehub.relay.events import Events
+from myrtlehub.relay.event_stream import EventStreamParser
 
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"abcdabcdabcd"},"finish_reason":null}]}\n\n'
 COUNT = 20_000
@@ -21,7 +21,7 @@
     client.receive_data(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
     client.next_event(), client.next_event()
     client.send(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
-    events, took = Events(), [0.0, 0.0, 0.0]
+    events, took = EventStreamParser(), [0.0, 0.0, 0.0]
     for _ in range(COUNT):
         at = [time.perf_counter()]
         engine.receive_data(chunk)
--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -1,21 +1,27 @@
 """Bounds of the HTTP/1.1 layer; each says why it is what it is."""
 
-HEAD_MOST = 16 * 1024  # bytes of a head or of a chunk's line: what servers commonly take
-BODY_MOST = 256 * 1024  # bytes of a request's body, as the platform states
-AHEAD_MOST = HEAD_MOST + BODY_MOST  # bytes that are kept behind an open request: the largest one
-AHEAD_ALL = 8 * 1024 * 1024  # the same of all connections together: hundreds may do so at once
-SPILL_MOST = 64 * 1024 * 1024  # bytes beyond these that are read and thrown away, so that its client's end is
-# seen; who sends more, a third of a second of one core, is cut
-WHOLE_WITHIN = 2.0  # seconds for a request to be whole, and for a new connection to speak: 3 s are owed
-LINGER = 3.0  # seconds for a last answer to leave and its client to close, before the connection is cut
-FIRST_WITHIN = 0.3  # seconds for a new connection to speak while the process ends: clients ask as they come
-IDLE = 5.0  # seconds that a client's connection may lie unused: kept ones cost memory
-STALL = 20.0  # seconds for which a client may take nothing of a stream
-SMALL_BODY = 64 * 1024  # bytes of an engine's answer that is not a stream: a report or a count
-CHUNK_MOST = 256 * 1024  # bytes of one chunk of a stream: events are far smaller, so more is not ours
-INFORMATIONAL_MOST = 8  # answers of 1xx ahead of one: a peer that goes on has nothing else to say
-SETTLED = 0.05  # seconds a kept connection lies before its next use: what was sent behind an answer shows
-HEARD_WITHIN = 0.05  # seconds in which what a new connection has sent is surely read
-HEARD_AT_LEAST = 0.02  # the same where there is no room at all: some turns of the reactor
-STALE_FOR = 30.0  # seconds without kept connections after one broke under its next request: a new one costs
-# its peer a millisecond or two, a request that may have run costs an attempt
+MAX_HEAD_BYTES = 16 * 1024  # of a head or of a chunk's line: what servers commonly take
+MAX_BODY_BYTES = 256 * 1024  # of a request's body, as the platform states
+MAX_READ_AHEAD_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES  # kept behind an open request: the largest one
+MAX_TOTAL_READ_AHEAD_BYTES = 8 * 1024 * 1024  # of all connections together: hundreds may do so at once
+# Read and discarded beyond these, so that the client's end is seen. Whoever sends more, which takes a third
+# of a second of one core, is disconnected.
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
+REQUEST_TIMEOUT_S = 2.0  # for a request to be complete, and for a new connection to send: 3 s are allowed
+LINGER_TIMEOUT_S = (
+    3.0  # for a last response to leave and its client to close, before the connection is aborted
+)
+# For a new connection to send its first byte during a graceful shutdown: clients send as they connect.
+DRAINING_FIRST_BYTE_TIMEOUT_S = 0.3
+IDLE_TIMEOUT_S = 5.0  # for which a client's connection may lie unused: idle ones cost memory
+STALLED_WRITE_TIMEOUT_S = 20.0  # for which a client may take nothing of a stream
+MAX_SMALL_RESPONSE_BYTES = 64 * 1024  # of an engine's response that is not a stream: a report or a count
+MAX_CHUNK_BYTES = 256 * 1024  # of one chunk of a stream: events are far smaller, so more is not an event
+MAX_INFORMATIONAL_RESPONSES = 8  # of 1xx before a response: a peer that goes on has nothing else to say
+# An idle connection lies this long before its next use, so that surplus bytes behind a response show.
+MIN_IDLE_BEFORE_REUSE_S = 0.05
+READ_GRACE_S = 0.05  # in which what a new connection has sent is surely read
+MIN_READ_GRACE_S = 0.02  # the same where there is no room at all: some turns of the reactor
+# Without reuse after a reused connection broke under its next request: a new connection costs its peer a
+# millisecond or two, a request that may have run costs an attempt.
+REUSE_SUSPENSION_S = 30.0
--- /dev/null
+++ b/myrtlehub/http1/interfaces.py
@@ -0,0 +1,53 @@
+"""What this package needs of the reactor: a clock with timers, and transports."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Timer(Protocol):
+    """A call that is due later."""
+
+    def active(self) -> bool:
+        """Whether it is still due."""
+
+    def cancel(self) -> None:
+        """Do not make the call."""
+
+    def reset(self, delay: float, /) -> None:
+        """Make the call so many seconds from now."""
+
+
+class Clock(Protocol):
+    """Time in seconds, and timers."""
+
+    def seconds(self) -> float:
+        """Return the time now; it never goes back."""
+
+    def callLater(self, delay: float, call: Callable, /, *args: Any) -> Timer:  # noqa: ANN401, N802
+        """Make a call `delay` seconds from now."""
+
+
+class Transport(Protocol):
+    """As much of a TCP transport as an abortive close needs."""
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Close the connection at once; what was written may be lost."""
+
+
+class Connecting(Protocol):
+    """A connection that is being made: a deferred that fires with its protocol."""
+
+    def addCallbacks(  # noqa: N802
+        self,
+        callback: Callable,
+        errback: Callable,
+        *,
+        callbackArgs: tuple,  # noqa: N803
+        errbackArgs: tuple,  # noqa: N803
+    ) -> object:
+        """Say what to call when it is made, or when it fails."""
+
+    def cancel(self) -> None:
+        """Give it up."""
--- /dev/null
+++ b/myrtlehub/http1/pending_request.py
@@ -0,0 +1,68 @@
+"""A request to a peer from its coming to its end: waiting for a connection, on one, or finished."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from myrtlehub.http1.client_connection import ClientConnection, ClientRequest, ResponseHandler
+from myrtlehub.http1.interfaces import Connecting
+
+if TYPE_CHECKING:
+    from myrtlehub.http1.connection_pool import ConnectionPool
+
+
+class PendingRequest:
+    """One request on its way. `still_wanted` is asked before the first byte is written."""
+
+    def __init__(
+        self,
+        pool: "ConnectionPool",
+        key: str,
+        address: str,
+        request: ClientRequest,
+        handler: ResponseHandler,
+        still_wanted: Callable[[], bool],
+    ) -> None:
+        self.pool = pool
+        self.key = key
+        self.address = address
+        self.request = request
+        self.handler = handler
+        self.still_wanted = still_wanted
+        self.connection: ClientConnection | None = None
+        self.connecting: Connecting | None = None
+        self.ready_since = pool.clock.seconds()  # the later of its coming and its connection's
+        self.finished = False
+        self.paused = False
+
+    def mark_finished(self) -> None:
+        """Note that nothing more comes of it."""
+        self.finished = True
+        self.connection = None
+
+    def cancel(self) -> None:
+        """Give it up: its connection is closed, and its handler is not called any more."""
+        if self.finished:
+            return
+        self.finished = True
+        if self.connecting is not None:
+            connecting, self.connecting = self.connecting, None
+            connecting.cancel()
+        if self.connection is not None:
+            connection, self.connection = self.connection, None
+            if connection.pending is None:
+                self.pool.add_idle(connection)  # nothing was written on it yet
+            else:
+                connection.pending = None
+                connection.close()
+
+    def pause(self) -> None:
+        """Read no more of the response for now."""
+        if self.connection is not None:
+            self.paused = True
+            self.connection.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self.connection is not None:
+            self.paused = False
+            self.connection.transport.resumeProducing()
--- /dev/null
+++ b/myrtlehub/http1/server_exchange.py
@@ -0,0 +1,91 @@
+"""One request of a client and the response to it, as whoever responds sees them."""
+
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, NamedTuple
+
+from myrtlehub.http1.interfaces import Headers
+
+if TYPE_CHECKING:
+    from myrtlehub.http1.server_connection import ServerConnection
+
+
+class ServerRequest(NamedTuple):
+    """A complete request; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+def _ignore() -> None:
+    """Nobody listens."""
+
+
+class ServerExchange:
+    """One request and its response. Whoever responds sets `on_lost`, `on_pause` and `on_resume`."""
+
+    def __init__(self, connection: "ServerConnection", request: ServerRequest) -> None:
+        self._connection = connection
+        self.request = request
+        self.started = False
+        self.finished = False
+        self.clear_callbacks()
+
+    def clear_callbacks(self) -> None:
+        """Call nobody any more, and refer to nobody."""
+        self.on_lost: Callable[[], None] = _ignore
+        self.on_pause: Callable[[], None] = _ignore
+        self.on_resume: Callable[[], None] = _ignore
+
+    def respond(
+        self,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]] = (),
+        body: bytes = b"",
+        close: bool = False,
+    ) -> None:
+        """Send a complete response."""
+        if self.finished or self.started:
+            return
+        self.started = True
+        self.finished = True
+        headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        self._connection.respond(status, headers, body, close)
+
+    def start_stream(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Send the head of a streamed response."""
+        self.started = True
+        self._connection.start_stream(self, status, [*headers, (b"Transfer-Encoding", b"chunked")])
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the stream."""
+        if not self.finished:
+            self._connection.write(data)
+
+    def finish(self) -> None:
+        """Send the last chunk."""
+        if not self.finished:
+            self.finished = True
+            self._connection.finish()
+
+    def abort(self) -> None:
+        """End the connection without a last chunk: the response is not complete."""
+        if not self.finished:
+            self.finished = True
+            self._connection.linger()
+
+    # As producer of the transport: the client's connection asks to wait.
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """The client takes nothing at present."""
+        self._connection.set_stalled(True)
+        self.on_pause()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """The client takes data again."""
+        self._connection.set_stalled(False)
+        self.on_resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: `on_lost` is called as well."""
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -5,26 +5,30 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.tcp import Port
 
+from myrtlehub.http1.connection_pool import Dial
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.process import on_signal, on_term, settle_memory
-from myrtlehub.relay.bootstrap import SOCKETS_LEAST, Bootstrap, Malformed, read_bootstrap
-from myrtlehub.relay.node import ACCEPTS_MOST, RelayNode
-from myrtlehub.relay.reload import Drain, reload
+from myrtlehub.relay.errors import SettingsError
+from myrtlehub.relay.graceful_shutdown import GracefulShutdown
+from myrtlehub.relay.node import MAX_ACCEPTS_PER_TURN, RelayNode
+from myrtlehub.relay.node_settings import MIN_DESCRIPTORS, NodeSettings, read_node_settings
+from myrtlehub.relay.settings_reload import reload_settings
 
 BACKLOG = 511  # connections that may wait to be accepted: bursts come by hundreds
-QUIET = frozenset(("answer", "engine", "attempt", "broken", "refused"))  # too many, unless they are asked for
-ALL = os.environ.get("RELAY_LOG") == "all"
+# Events that are too many to be logged, unless RELAY_LOG asks for all of them.
+DETAILED_EVENTS = frozenset(("answer", "engine", "attempt", "broken", "request rejected"))
+LOG_ALL = os.environ.get("RELAY_LOG") == "all"
 
 
-def _log(event: str, **more: object) -> None:
-    if ALL or event not in QUIET:
-        print(msgspec.json.encode({"event": event, **more}).decode(), flush=True)
+def _log(event: str, **fields: Any) -> None:  # noqa: ANN401
+    if LOG_ALL or event not in DETAILED_EVENTS:
+        print(msgspec.json.encode({"event": event, **fields}).decode(), flush=True)
 
 
 def _fail(text: str) -> None:
@@ -38,36 +42,98 @@
     Guards against descriptors that run out before the first of a rush is closed for another.
     """
 
-    _accepts = ACCEPTS_MOST
+    _accepts = MAX_ACCEPTS_PER_TURN
 
     @property
     def numberAccepts(self) -> int:  # noqa: N802
+        """How many connections to accept in a turn."""
         return self._accepts
 
     @numberAccepts.setter
     def numberAccepts(self, count: int) -> None:  # noqa: N802
-        self._accepts = min(count, ACCEPTS_MOST)
+        self._accepts = min(count, MAX_ACCEPTS_PER_TURN)
 
-    def hold(self, full: bool) -> None:
+    def set_full(self, full: bool) -> None:
         """Accept no more for a moment, or go on, unless it was closed meanwhile."""
         if self.connected:
             (self.stopReading if full else self.startReading)()
 
     def accept_all(self) -> None:
-        """Who waits was taken by this machine, and is owed an answer."""
-        for _ in range(BACKLOG // ACCEPTS_MOST + 1):
-            self.numberAccepts = ACCEPTS_MOST
+        """Accept all who wait: they were taken by this machine, and an answer is due to them."""
+        for _ in range(BACKLOG // MAX_ACCEPTS_PER_TURN + 1):
+            self.numberAccepts = MAX_ACCEPTS_PER_TURN
             self.doRead()
 
 
-def _allowed(told: Bootstrap) -> Bootstrap:
-    """With as many descriptors as the system gives this process, if these are fewer."""
+def _within_process_limit(settings: NodeSettings) -> NodeSettings:
+    """Return the settings with as many descriptors as the system allows this process, if these are fewer."""
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if limit == resource.RLIM_INFINITY or limit >= told.sockets:
-        return told
-    if limit < SOCKETS_LEAST:
-        raise Malformed(f"limits.sockets: the system allows it {limit}; allow {SOCKETS_LEAST} or more")
-    return told._replace(sockets=limit)
+    if limit == resource.RLIM_INFINITY or limit >= settings.descriptors:
+        return settings
+    if limit < MIN_DESCRIPTORS:
+        raise SettingsError(f"limits.sockets: the system allows it {limit}; allow {MIN_DESCRIPTORS} or more")
+    return settings._replace(descriptors=limit)
+
+
+class Program:
+    """The process: a node, its port, and what signals do."""
+
+    def __init__(self, path: str, reactor: Any) -> None:  # noqa: ANN401
+        self.path = path
+        self.reactor = reactor
+        # Before the file is read and the port bound: whoever writes a newer file meanwhile, or wants the
+        # process gone once clients wait, is heard as soon as the reactor runs.
+        on_signal(signal.SIGHUP, self._on_hangup, reactor)
+        on_term(self._on_terminate, reactor)
+        self.settings = read_node_settings(path)
+        self.node = RelayNode(
+            _within_process_limit(self.settings),
+            SteadyClock(reactor),
+            self._dial,
+            time.time() - time.monotonic(),
+            _log,
+        )
+        self.port = self._listen()
+        self.shutdown = GracefulShutdown(
+            self.node.clock, self.node.listener, self.node.is_busy, self._stop_listening, reactor.stop
+        )
+
+    def _listen(self) -> BoundedPort:
+        """Bind the port, and accept nobody until the node lets clients in.
+
+        Guards against requests that are there before the list: what waited for a restarted node would be read
+        in the turn in which discovery's first answer comes, and be sent by an old list.
+        """
+        listen = self.settings.listen
+        port = BoundedPort(listen.port, self.node.listener, BACKLOG, listen.host, self.reactor)
+        port.startListening()
+        port.stopReading()
+        self.node.on_open = port.startReading
+        self.node.listener.on_full = port.set_full
+        return port
+
+    def _dial(self, address: str, timeout: float) -> Dial:
+        host, port = address.rsplit(":", 1)
+        return TCP4ClientEndpoint(self.reactor, host, int(port), timeout=timeout).connect
+
+    def _on_hangup(self) -> None:
+        reload_settings(self.path, self.settings, self.node.discovery.move, _log)
+
+    def _on_terminate(self) -> None:
+        self.node.open()  # who waits to be accepted was taken by this machine, and an answer is due
+        self.shutdown.start()
+
+    def _stop_listening(self) -> None:
+        self.port.accept_all()
+        self.port.stopListening()
+
+    def run(self) -> None:
+        """Run until SIGTERM and the end of all that is in flight."""
+        self.node.measure_lag()
+        self.node.start()
+        settle_memory()
+        self.reactor.run(installSignalHandlers=False)
+        _log("ended", **dict(sorted(self.node.executor.answer_counts.items())))
 
 
 def main() -> None:
@@ -78,42 +144,13 @@
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
-    def dial(address: str, within: float) -> Callable:
-        host, port = address.rsplit(":", 1)
-        return TCP4ClientEndpoint(reactor, host, int(port), timeout=within).connect
-
-    def end() -> None:
-        node.open()  # what waits to be accepted was taken by this machine, and is owed an answer
-        drain.start()
-
-    def close() -> None:
-        port.accept_all()
-        port.stopListening()
-
-    # Before the file is read and the port bound: whoever writes a newer file meanwhile, or wants the process
-    # gone once clients wait, is heard as soon as the reactor runs.
-    on_signal(signal.SIGHUP, lambda: reload(path, told, node.discovery.move, _log), reactor)
-    on_term(end, reactor)
     try:
-        told = read_bootstrap(path)
-        node = RelayNode(_allowed(told), SteadyClock(reactor), dial, time.time() - time.monotonic(), _log)
-        port = BoundedPort(told.listen[1], node.site, BACKLOG, told.listen[0], reactor)
-        port.startListening()
-        # Guards against requests that are there before the list: what waited for a restarted node would be
-        # read in the turn in which discovery's first answer comes, and be sent by an old list.
-        port.stopReading()
-        node.on_open = port.startReading
-        node.site.on_full = port.hold
-    except Malformed as fault:
-        _fail(f"{path}: {fault}")
-    except CannotListenError as fault:
-        _fail(f"{path}: listen: {fault}; name an address that is free here")
-    drain = Drain(node.clock, node.site, node.busy, close, reactor.stop)
-    node.measure_lag()
-    node.start()
-    settle_memory()
-    reactor.run(installSignalHandlers=False)
-    _log("ended", **{k: v for k, v in sorted(node.host.answer_counts.items())})
+        program = Program(path, reactor)
+    except SettingsError as error:
+        _fail(f"{path}: {error}")
+    except CannotListenError as error:
+        _fail(f"{path}: listen: {error}; name an address that is free here")
+    program.run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/myrtlehub/relay/endpoint_list.py
@@ -0,0 +1,120 @@
+"""Endpoint lists as discovery writes them, decoded into endpoint entries."""
+
+from enum import StrEnum
+from typing import Any, NamedTuple, Self
+
+from myrtlehub.relay.errors import EndpointListError
+from myrtlehub.relay.parsing import parse_address
+
+
+class EndpointState(StrEnum):
+    """The state of an engine in the list; the values are those of `node.endpoint_index`."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+STATE_BY_HEALTH = {
+    "active": EndpointState.SERVING,
+    "leaving": EndpointState.DRAINING,
+    "left": EndpointState.GONE,
+}
+LEAVING_STATES = (EndpointState.DRAINING, EndpointState.GONE)
+
+
+class EndpointEntry(NamedTuple):
+    """One engine of the list. `address` is its name, `dial_address` where it is reached."""
+
+    address: str
+    kind: str
+    zone: str
+    cell: int
+    weight: float
+    state: EndpointState
+    age: float
+    dial_address: str
+    model: str = ""
+
+    @property
+    def figures(self) -> tuple:
+        """The fields that rows of all sources have."""
+        return (*self[:7], self.model)
+
+    def having(self, **figures: Any) -> Self:  # noqa: ANN401
+        """Return the same with some fields replaced."""
+        return self._replace(**figures)
+
+
+class EndpointListUpdate(NamedTuple):
+    """A complete list, or changes to it."""
+
+    version: int
+    complete: bool
+    entries: list[EndpointEntry]
+
+
+class EndpointListDecoder:
+    """Decodes lists and changes, and remembers the last entry of each engine.
+
+    `kinds` and `zones` are the names that the settings allow; `epoch` is the Unix time when the node's clock
+    showed 0, taken once, so that an engine's start is always the same moment.
+    """
+
+    def __init__(self, kinds: dict[str, int], zones: dict[str, int], epoch: float) -> None:
+        self.kinds = kinds
+        self.zones = zones
+        self.epoch = epoch
+        self.entries: dict[str, EndpointEntry] = {}  # by name; engines that are gone are not kept
+
+    def decode(self, message: Any, now: float) -> EndpointListUpdate:  # noqa: ANN401
+        """Decode what discovery wrote; EndpointListError where nothing of it can be read.
+
+        Entries that can't be read are left out alone. A notice that an engine drains or is gone is never left
+        out, whatever else of the entry can't be read: its last entry supplies the rest.
+        """
+        if not isinstance(message, dict) or not isinstance(message.get("hosts"), list):
+            raise EndpointListError("hosts: is missing")
+        decoded = (self._decode_entry(host, now) or self._leaving_notice(host) for host in message["hosts"])
+        entries = [entry for entry in decoded if entry is not None]
+        if message.get("whole"):
+            self.entries = {}
+        for entry in entries:
+            if entry.state == EndpointState.GONE:
+                self.entries.pop(entry.address, None)
+            else:
+                self.entries[entry.address] = entry
+        version = message.get("seq")
+        return EndpointListUpdate(
+            version if isinstance(version, int) else 0, bool(message.get("whole")), entries
+        )
+
+    def _leaving_notice(self, host: Any) -> EndpointEntry | None:  # noqa: ANN401
+        """Read an unreadable entry as far as it is a notice that an engine drains or is gone."""
+        if not isinstance(host, dict) or not isinstance(host.get("host"), str):
+            return None
+        state = STATE_BY_HEALTH.get(str(host.get("health")))
+        entry = self.entries.get(host["host"])
+        if entry is None or state not in LEAVING_STATES:
+            return None
+        return entry._replace(state=state)
+
+    def _decode_entry(self, host: Any, now: float) -> EndpointEntry | None:  # noqa: ANN401
+        try:
+            state = STATE_BY_HEALTH[host["health"]]
+            born_ms = host.get("born_ms") or 0
+            dial_address = host.get("dial", "")
+            if state != EndpointState.GONE and parse_address(dial_address) is None:
+                return None
+            kind = host.get("class", "")
+            zone = host.get("site", "")
+            weight = float(host.get("share", 1.0))
+            cell = host.get("block", 0)
+            if kind not in self.kinds or zone not in self.zones:
+                return None
+            if not (isinstance(host["host"], str) and host["host"] and isinstance(cell, int)):
+                return None
+            age = now - (born_ms / 1e3 - self.epoch) if born_ms else 0.0
+            return EndpointEntry(host["host"], kind, zone, cell, weight, state, age, dial_address)
+        except (KeyError, TypeError, ValueError, AttributeError):
+            return None
--- /dev/null
+++ b/myrtlehub/relay/engine_client.py
@@ -0,0 +1,140 @@
+"""The action executor's engine transport over HTTP/1.1: attempts, releases and probes."""
+
+from collections.abc import Callable
+
+from myrtlehub.http1.client_connection import ClientRequest
+from myrtlehub.http1.connection_pool import NEW_CONNECTION, ConnectionPool
+from myrtlehub.http1.interfaces import Clock
+from myrtlehub.node.action_executor import ActionExecutor, Attempt
+from myrtlehub.relay.attempt_response import AttemptResponseHandler
+from myrtlehub.relay.engine_directory import EngineDirectory
+from myrtlehub.relay.event_log import Log, no_log
+from myrtlehub.relay.one_shot_response import OneShotResponse
+from myrtlehub.relay.parsing import parse_load_report
+from myrtlehub.relay.request_decoder import RequestDecoder
+from myrtlehub.relay.state_release import StateReleaser
+from myrtlehub.relay.stream_monitor import StreamMonitor
+from myrtlehub.relay.uncertain_attempts import UncertainAttempts
+from myrtlehub.routing import contract
+
+LOAD_PATH = b"/metrics/load"
+
+
+class EngineClient:
+    """Carries attempts, releases and probes to engines; `attach` gives it the executor that it reports to."""
+
+    def __init__(
+        self, clock: Clock, pool: ConnectionPool, decoder: RequestDecoder, log: Log = no_log
+    ) -> None:
+        self.clock = clock
+        self.pool = pool
+        self.decoder = decoder
+        self.log = log
+        self.executor: ActionExecutor | None = None
+        self.directory = EngineDirectory(clock, pool, decoder.engines)
+        self.uncertain_attempts = UncertainAttempts(clock)
+        self.releaser = StateReleaser(clock, pool, self.directory)
+        self.stream_monitor = StreamMonitor(clock)
+
+    def attach(self, executor: ActionExecutor) -> None:
+        """Report to this executor, and hear from it of each attempt that has ended."""
+        self.executor = executor
+        self.releaser.in_flight = executor.in_flight
+        executor.on_attempt_ended = self.attempt_ended
+
+    def attempt_ended(self, attempt: Attempt) -> None:
+        """Log an attempt's end, whoever caused it, and free its response."""
+        handler = attempt.call.handler if attempt.call is not None else None
+        now = self.clock.seconds()
+        self.log(
+            "attempt",
+            seq=attempt.sequence.sequence_id,
+            number=attempt.number,
+            engine=self.directory.name(attempt.engine),
+            kind=attempt.kind,
+            reads=attempt.reads,
+            state=attempt.state_machine.state,
+            took=round(now - attempt.sent_at, 4),
+            timed=now >= attempt.times_out_at,
+            gap=round(handler.longest_gap, 2) if handler is not None else 0.0,
+        )
+        if handler is not None:
+            # they refer to one another, and to the whole request: only the collector would free them
+            attempt.call = handler.pending = None
+
+    # -- EngineTransport of the action executor ---------------------------------------------------
+
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt; see `EngineTransport`."""
+        sequence = attempt.sequence
+        passed = sequence.request
+        name = self.directory.name(attempt.engine)
+        time_left_ms = max(1, int((attempt.times_out_at - self.clock.seconds()) * 1000))
+        headers = [*passed.headers, (b"x-remaining-ms", b"%d" % time_left_ms)]
+        request = ClientRequest(b"POST", passed.target, headers, passed.body)
+        handler = AttemptResponseHandler(self, attempt)
+        # Guards against an engine that drains or goes while a connection to it comes up, which may take
+        # longer than the grace, or while this process was delayed: its state is looked at once more before
+        # the first byte.
+        handler.pending = attempt.call = self.pool.send(
+            name,
+            self.directory.dial_addresses[name],
+            request,
+            handler,
+            NEW_CONNECTION if self._needs_new_connection(attempt) else 0.0,
+            lambda: self.directory.is_serving(attempt.engine),
+        )
+
+    def _needs_new_connection(self, attempt: Attempt) -> bool:
+        """Return whether no idle connection may be used.
+
+        Guards against an idle connection that its peer closed unseen: what may not run twice would be lost.
+        And against a next attempt that is there before the end of a cancelled one: a new connection takes
+        longer.
+        """
+        sequence = attempt.sequence
+        return self.decoder.rows[sequence.arrival.traffic].at_most_once and (
+            not attempt.reads or sequence.sequence_id in self.uncertain_attempts
+        )
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give an attempt up; see `EngineTransport`."""
+        self.uncertain_attempts.note(attempt.sequence.sequence_id)
+        if attempt.call is not None:
+            self.stream_monitor.remove(attempt.call.handler)
+            attempt.call.cancel()
+
+    def release(self, engine: int, sequence_id: str) -> None:
+        """Release read state; see `EngineTransport`."""
+        self.releaser.release(engine, sequence_id, sequence_id in self.uncertain_attempts)
+
+    def probe(
+        self, engine: int, timeout: float, then: Callable[[bool, contract.LoadReport | None], None]
+    ) -> None:
+        """Ask an engine for its load; see `EngineTransport`."""
+        name = self.directory.name(engine)
+
+        def on_end(succeeded: bool, body: bytes) -> None:
+            if timer.active():
+                timer.cancel()
+                then(succeeded, parse_load_report(body) if succeeded else None)
+
+        def on_timeout() -> None:
+            pending.cancel()
+            then(False, None)
+
+        timer = self.clock.callLater(timeout, on_timeout)
+        pending = self.pool.send(
+            name,
+            self.directory.dial_addresses[name],
+            ClientRequest(b"GET", LOAD_PATH, []),
+            OneShotResponse(on_end),
+        )
+
+    def close_idle(self, engine: int) -> None:
+        """Close idle connections to an engine; see `EngineTransport`."""
+        self.pool.close_idle(self.directory.name(engine))
+
+    def forget(self, address: str) -> None:
+        """Forget an engine; see `EngineTransport`."""
+        self.directory.forget(address)
--- /dev/null
+++ b/myrtlehub/relay/stream_monitor.py
@@ -0,0 +1,37 @@
+"""Looks at engines' streams from time to time, and ends those that make no progress."""
+
+from typing import Protocol
+
+from myrtlehub.http1.interfaces import Clock
+
+CHECK_INTERVAL_S = 0.25
+
+
+class Stream(Protocol):
+    """A stream of an engine."""
+
+    def check_progress(self, now: float) -> None:
+        """End it if it makes none."""
+
+
+class StreamMonitor:
+    """All streams that are open at present, in the order of their beginning."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.streams: dict[Stream, None] = {}
+        clock.callLater(CHECK_INTERVAL_S, self._check)
+
+    def add(self, stream: Stream) -> None:
+        """Look at this stream from now on."""
+        self.streams[stream] = None
+
+    def remove(self, stream: Stream) -> None:
+        """Look at it no more, if it is there."""
+        self.streams.pop(stream, None)
+
+    def _check(self) -> None:
+        self.clock.callLater(CHECK_INTERVAL_S, self._check)
+        now = self.clock.seconds()
+        for stream in list(self.streams):
+            stream.check_progress(now)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,1 +1,1 @@
-pytest_plugins = ["known_red"]
+pytest_plugins = ["known_red", "socketrig"]
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -2,204 +2,185 @@
 
 import json
 from collections.abc import Callable
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 import h11
 from memnet import Net
+from relaymessages import COMPLETE_STREAM, READ_RESPONSE, RELEASE_RESPONSE, SETTINGS, chat_request
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import Clock
 
-from myrtlehub.relay.bootstrap import Bootstrap
 from myrtlehub.relay.node import RelayNode
+from myrtlehub.relay.node_settings import NodeSettings
+from myrtlehub.relay.parsing import SocketAddress
 
-SETTINGS = {
-    "Balancers": 2,
-    "Ordinal": 0,
-    "Zones": ["z"],
-    "MyZone": "z",
-    "PeriodMs": 4.0,
-    "OverShareWorth": 0.1,
-    "MachineTypes": ["r", "w", "m"],
-    "Orgs": [{"Name": "acme", "QuotaPerS": 100.0}],
-    "Classes": [
-        {
-            "Name": "ask",
-            "Effect": "idempotent",
-            "AimMs": 2000.0,
-            "GiveUpMs": 5000.0,
-            "Credit": 1.0,
-            "LateWorth": 0.3,
-        },
-        {"Name": "post", "Effect": "at_most_once", "AimMs": 2000.0, "GiveUpMs": 5000.0, "Credit": 3.0},
-    ],
-    "Caps": {
-        "Cancel": True,
-        "MostTries": 5,
-        "RetryAfter": True,
-        "MaxRetryAfterMs": 2000.0,
-        "ConnectTimeoutMs": 250.0,
-        "KeepaliveMs": 30000.0,
-        "SecondCopies": True,
-    },
-    "Invariants": {
-        "AnswerSlackMs": 16.0,
-        "ColdMs": 10000.0,
-        "ColdShare": 0.25,
-        "DrainGraceMs": 250.0,
-        "FallMs": 1000.0,
-        "FallMultiple": 2.5,
-    },
-    "Report": {"How": "inline", "Names": ["x0", "x1"]},
-    "Specifics": {
-        "DutyByKind": ["read", "write", "both"],
-        "KvTokens": [200000, 200000, 200000],
-        "LetGoByMs": 500.0,
-        "SelfPrefill": True,
-        "TokenAimMs": [50.0, 50.0],
-    },
-}
-EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"ab"},"finish_reason":null}]}\n\n'
-USAGE = (
-    b'data: {"choices":[],"usage":{"prompt_tokens":100,"completion_tokens":2,'
-    b'"prompt_tokens_details":{"cached_tokens":64}}}\n\n'
-)
-DONE = b"data: [DONE]\n\n"
-HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-WHOLE = HEAD + chunk(EVENT) + chunk(EVENT) + chunk(USAGE) + chunk(DONE) + b"0\r\n\r\n"
-READ_DONE = (
-    b'HTTP/1.1 202 Accepted\r\nContent-Length: 21\r\nX-Pressure: {"x0":0.5,"x1":2.0}\r\n\r\n'
-    b'{"cached_tokens":640}'
-)
-RELEASED = b"HTTP/1.1 204 No Content\r\n\r\n"
-
-
-def answer(status: int, mark: bool = False, more: bytes = b"") -> bytes:
-    return b"HTTP/1.1 %d X\r\n%s%sContent-Length: 0\r\n\r\n" % (status, b"X-Turned-Away: 1\r\n" * mark, more)
-
-
-class Far(Protocol):
-    """One connection to a scripted peer; requests are parsed by h11, answers are raw bytes."""
-
-    def __init__(self, peer: "Peer") -> None:
-        self.peer, self.http, self.lost = peer, h11.Connection(h11.SERVER), False
-        self.head, self.body = None, b""
+
+class ReceivedRequest(NamedTuple):
+    """A complete request, as a peer read it."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+    connection: "PeerConnection"
+
+
+class PeerConnection(Protocol):
+    """One connection to a scripted peer; requests are parsed by h11, responses are raw bytes."""
+
+    def __init__(self, peer: "ScriptedPeer") -> None:
+        self.peer = peer
+        self.http = h11.Connection(h11.SERVER)
+        self.lost = False
+        self.head: h11.Request | None = None
+        self.body = b""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read one request, and follow the peer's script."""
         self.http.receive_data(data)
         while True:
             event = self.http.next_event()
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
             if type(event) is h11.Request:
-                self.head, self.body = event, b""
+                self.head = event
+                self.body = b""
             elif type(event) is h11.Data:
                 self.body += event.data
             elif type(event) is h11.EndOfMessage:
-                # the next request on this connection is read afresh, whatever was answered raw
-                self.http = h11.Connection(h11.SERVER)
-                self.last_headers = list(self.head.headers)
-                self.peer.asked.append(
-                    (self.head.method, self.head.target, dict(self.head.headers), self.body, self)
-                )
-                self.peer.answer(self, self.head, self.body)
+                self._complete()
                 return
 
-    def say(self, data: bytes) -> None:
+    def _complete(self) -> None:
+        # the next request on this connection is read afresh, whatever was answered raw
+        self.http = h11.Connection(h11.SERVER)
+        head = self.head
+        self.last_headers = list(head.headers)
+        self.peer.requests.append(
+            ReceivedRequest(head.method, head.target, dict(head.headers), self.body, self)
+        )
+        self.peer.script(self, head, self.body)
+
+    def send(self, data: bytes) -> None:
+        """Send raw bytes."""
         self.transport.write(data)
 
     def connectionLost(self, reason: object) -> None:  # noqa: N802
+        """Note it."""
         self.lost = True
 
 
-class Peer(Factory):
-    def __init__(self, answer: Callable[[Far, h11.Request, bytes], None]) -> None:
-        self.answer, self.asked, self.connections = answer, [], []
+Script = Callable[[PeerConnection, h11.Request, bytes], None]
+
 
-    def buildProtocol(self, addr: object) -> Far:  # noqa: N802
-        self.connections.append(Far(self))
+class ScriptedPeer(Factory):
+    """A peer of the node; `script(connection, head, body)` is called with each complete request."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.requests: list[ReceivedRequest] = []
+        self.connections: list[PeerConnection] = []
+
+    def buildProtocol(self, addr: object) -> PeerConnection:  # noqa: N802
+        """Return the protocol of a new connection."""
+        self.connections.append(PeerConnection(self))
         return self.connections[-1]
 
-    def chats(self) -> list:
-        return [a for a in self.asked if a[0] == b"POST"]
+    def chat_requests(self) -> list[ReceivedRequest]:
+        """Return the attempts that came."""
+        return [request for request in self.requests if request.method == b"POST"]
+
+    def released_paths(self) -> list[bytes]:
+        """Return the paths of the releases that came."""
+        return [request.target for request in self.requests if request.method == b"DELETE"]
+
 
-    def released(self) -> list[bytes]:
-        return [a[1] for a in self.asked if a[0] == b"DELETE"]
+def never_respond(connection: PeerConnection, head: h11.Request, body: bytes) -> None:
+    """Be an engine that takes work and never responds to it."""
+    if head.method == b"DELETE":
+        connection.send(RELEASE_RESPONSE)
 
 
-class Asker(Protocol):
-    """A client's connection: what it got, raw."""
+class RawClient(Protocol):
+    """A client's connection: what it received, raw."""
 
     def __init__(self) -> None:
-        self.got, self.lost = b"", False
+        self.received = b""
+        self.lost = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.got += data
+        """Keep it."""
+        self.received += data
 
     def connectionLost(self, reason: object) -> None:  # noqa: N802
+        """Note it."""
         self.lost = True
 
-    def say(self, data: bytes) -> None:
+    def send(self, data: bytes) -> None:
+        """Send raw bytes."""
         self.transport.write(data)
 
     @property
     def statuses(self) -> list[int]:
-        return [int(part[:3]) for part in self.got.split(b"HTTP/1.1 ")[1:]]
+        """The statuses of the responses that came."""
+        return [int(part[:3]) for part in self.received.split(b"HTTP/1.1 ")[1:]]
 
 
-class _Dialed(Factory):
-    def buildProtocol(self, addr: object) -> Asker:  # noqa: N802
-        return Asker()
+class RawClientFactory(Factory):
+    """Makes clients' connections."""
 
+    def buildProtocol(self, addr: object) -> RawClient:  # noqa: N802
+        """Return the protocol of a new connection."""
+        return RawClient()
 
-class Rig:
+
+class RelayRig:
     """Engines are named by kind and number: r1, w1, m1; each is at "NAME:1"."""
 
     def __init__(
         self,
         engines: str = "r1 w1",
-        sockets: int = 200,
-        known: bool = True,
-        silent: bool = False,
-        **settings: object,
+        descriptors: int = 200,
+        with_fallback_list: bool = True,
+        silent_discovery: bool = False,
+        **settings: Any,  # noqa: ANN401
     ) -> None:
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.net = Net(self.clock)
-        self.lines = {name: self.line(name) for name in engines.split()}
-        self.engines = {name: Peer(self.by_default) for name in self.lines}
+        self.entries = {name: self.entry(name) for name in engines.split()}
+        self.engines = {name: ScriptedPeer(self.default_script) for name in self.entries}
         for name, peer in self.engines.items():
             self.net.listen(f"{name}:1", peer)
-        self.version, self.waiting, self.silent = 1, [], silent
-        self.discovery = Peer(self._list)
+        self.version = 1
+        self.open_watches: list[PeerConnection] = []
+        self.discovery_is_silent = silent_discovery
+        self.discovery = ScriptedPeer(self._discovery_script)
         self.net.listen("disco:1", self.discovery)
-        told = Bootstrap(
-            "n0",
-            ("127.0.0.1", 1),
-            "disco:1",
-            7,
-            sockets,
-            {**SETTINGS, **settings},
-            self.whole() if known else None,
+        node_settings = NodeSettings(
+            name="n0",
+            listen=SocketAddress("127.0.0.1", 1),
+            discovery="disco:1",
+            seed=7,
+            descriptors=descriptors,
+            platform={**SETTINGS, **settings},
+            fallback_list=self.complete_list() if with_fallback_list else None,
         )
-        self.logged = []
+        self.logged: list[tuple[str, dict[str, Any]]] = []
         self.node = RelayNode(
-            told,
+            node_settings,
             self.clock,
-            lambda address, within: self.net.dialer(address),
+            lambda address, timeout: self.net.dialer(address),
             0.0,
-            lambda event, **more: self.logged.append((event, more)),
+            lambda event, **fields: self.logged.append((event, fields)),
         )
-        self.net.listen("node", self.node.site)
+        self.net.listen("node", self.node.listener)
         self.node.start()
         self.run(0.05)
 
-    def line(self, name: str, health: str = "active", **more: object) -> dict:
+    def entry(self, name: str, health: str = "active", **fields: Any) -> dict[str, Any]:  # noqa: ANN401
+        """Return an engine's entry of the endpoint list."""
         return {
             "host": name,
             "dial": f"{name}:1",
@@ -209,81 +190,71 @@
             "health": health,
             "share": 1.0,
             "born_ms": 0,
-            **more,
+            **fields,
         }
 
-    def whole(self) -> dict:
-        return {"seq": 1, "whole": True, "hosts": list(self.lines.values())}
+    def complete_list(self) -> dict[str, Any]:
+        """Return the complete list, as its first version."""
+        return {"seq": 1, "whole": True, "hosts": list(self.entries.values())}
 
-    def _list(self, far: Far, head: h11.Request, body: bytes) -> None:
+    def _discovery_script(self, connection: PeerConnection, head: h11.Request, body: bytes) -> None:
         query = parse_qs(urlsplit(head.target.decode()).query)
-        if self.silent or "since" in query:
-            self.waiting.append(far)
+        if self.discovery_is_silent or "since" in query:
+            self.open_watches.append(connection)
         else:
-            self.tell(far, {**self.whole(), "seq": self.version})
+            self.send_list(connection, {**self.complete_list(), "seq": self.version})
 
-    def tell(self, far: Far, said: dict) -> None:
-        body = json.dumps(said).encode()
-        far.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+    def send_list(self, connection: PeerConnection, message: dict[str, Any]) -> None:
+        """Answer a request of the discovery client."""
+        body = json.dumps(message).encode()
+        connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
-    def change(self, **lines: dict) -> None:
-        """Answer the watch."""
-        self.lines.update(lines)
+    def update_list(self, **entries: dict[str, Any]) -> None:
+        """Answer the watch with changed entries."""
+        self.entries.update(entries)
         self.version += 1
-        self.tell(self.waiting.pop(), {"seq": self.version, "whole": False, "hosts": list(lines.values())})
+        changes = {"seq": self.version, "whole": False, "hosts": list(entries.values())}
+        self.send_list(self.open_watches.pop(), changes)
         self.run(0.02)
 
-    def answer_silent(self) -> None:
-        """Discovery speaks again: with the whole list, on the calls that still wait."""
-        self.silent = False
-        waiting, self.waiting = self.waiting, []
-        for far in waiting:
-            if not far.lost:
-                self.tell(far, {**self.whole(), "seq": self.version})
+    def resume_discovery(self) -> None:
+        """Let discovery answer again: with the complete list, on the requests that still wait."""
+        self.discovery_is_silent = False
+        watches, self.open_watches = self.open_watches, []
+        for connection in watches:
+            if not connection.lost:
+                self.send_list(connection, {**self.complete_list(), "seq": self.version})
 
-    def by_default(self, far: Far, head: h11.Request, body: bytes) -> None:
+    def default_script(self, connection: PeerConnection, head: h11.Request, body: bytes) -> None:
+        """Be a sound engine."""
         if head.method == b"DELETE":
-            far.say(RELEASED)
+            connection.send(RELEASE_RESPONSE)
         else:
-            name = next(n for n, peer in self.engines.items() if peer is far.peer)
-            far.say(READ_DONE if name[0] == "r" else WHOLE)
+            name = next(name for name, peer in self.engines.items() if peer is connection.peer)
+            connection.send(READ_RESPONSE if name[0] == "r" else COMPLETE_STREAM)
 
     def run(self, seconds: float = 0.1) -> None:
+        """Let time pass."""
         self.net.run(seconds)
 
-    def client(self) -> Asker:
-        made = []
-        self.net.dialer("node")(_Dialed()).addCallback(made.append)
+    def client(self) -> RawClient:
+        """Return a new client's connection."""
+        made: list[RawClient] = []
+        self.net.dialer("node")(RawClientFactory()).addCallback(made.append)
         self.run(0.0)
         return made[0]
 
-    def ask(
+    def request(
         self,
-        label: str = "a1",
+        sequence_id: str = "a1",
         prompt: int = 100,
         traffic: str = "ask",
-        left: int = 4000,
-        client: Asker | None = None,
-        more: bytes = b"",
-    ) -> Asker:
-        """A client that asks."""
+        remaining_ms: int = 4000,
+        client: RawClient | None = None,
+        headers: bytes = b"",
+    ) -> RawClient:
+        """Send a request, and return its client."""
         client = client or self.client()
-        client.say(chat(label, prompt, traffic, left, more))
+        client.send(chat_request(sequence_id, prompt, traffic, remaining_ms, headers))
         self.run(0.02)
         return client
-
-
-def chat(
-    label: str = "a1",
-    prompt: int = 100,
-    traffic: str = "ask",
-    left: int = 4000,
-    more: bytes = b"",
-    body: bytes = b'{"model":"chat","messages":[]}',
-) -> bytes:
-    return (
-        b"POST /v1/chat/completions?v=1 HTTP/1.1\r\nHost: service\r\nX-Txn: %s\r\nX-Lane: %s\r\n"
-        b"X-Org: acme\r\nX-Entity: s1\r\nX-Remaining-Ms: %d\r\nX-Labels: prompt_len=%d,max_out=100\r\n%s"
-        b"Content-Length: %d\r\n\r\n%s"
-        % (label.encode(), traffic.encode(), left, prompt, more, len(body), body)
-    )
--- /dev/null
+++ b/tests/socketpeers.py
@@ -0,0 +1,233 @@
+"""Scripted engines and a scripted discovery on real sockets."""
+
+import json
+import queue
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+from relaymessages import COMPLETE_STREAM, READ_RESPONSE, RELEASE_RESPONSE
+
+HOST = "127.0.0.1"
+TIMEOUT_S = 15.0  # for what has to come
+
+
+class ReceivedRequest(NamedTuple):
+    """A complete request, as a peer read it."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+    connection: "PeerConnection"
+    received_at: float
+
+    @property
+    def sequence_id(self) -> str:
+        """The client's id of the request."""
+        return self.headers.get(b"x-txn", b"").decode()
+
+
+class PeerConnection:
+    """One connection to a peer."""
+
+    def __init__(self, peer: "ScriptedPeer", sock: socket.socket) -> None:
+        self.peer = peer
+        self.sock = sock
+        self.closed = threading.Event()  # its other end closed or reset it
+
+    def send(self, data: bytes) -> None:
+        """Send raw bytes."""
+        try:
+            self.sock.sendall(data)
+        except OSError:
+            self.closed.set()
+
+    def reset(self) -> None:
+        """Break it: the other end sees a reset."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close()
+
+    def close(self) -> None:
+        """Close it, whatever its state."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+
+    def serve(self) -> None:
+        """Read requests one after another, until the other end closes."""
+        with suppress(OSError):
+            while (request := self._read()) is not None:
+                self.peer.all_requests.append(request)
+                self.peer.unread_requests.put(request)
+                self.peer.script(self, request)
+        self.closed.set()
+
+    def _read(self) -> ReceivedRequest | None:
+        http = h11.Connection(h11.SERVER)
+        head: h11.Request | None = None
+        body = b""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                data = self.sock.recv(65536)
+                if not data:
+                    return None
+                http.receive_data(data)
+            elif type(event) is h11.Request:
+                head = event
+            elif type(event) is h11.Data:
+                body += event.data
+            elif type(event) is h11.EndOfMessage:
+                return ReceivedRequest(
+                    bytes(head.method), bytes(head.target), dict(head.headers), body, self, time.monotonic()
+                )
+
+
+Script = Callable[[PeerConnection, ReceivedRequest], None]
+
+
+class ScriptedPeer:
+    """Listens, with a thread a connection; `script(connection, request)` is called with each request."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.all_requests: list[ReceivedRequest] = []
+        self.unread_requests: queue.Queue[ReceivedRequest] = queue.Queue()
+        self.connections: list[PeerConnection] = []
+        self.listener = socket.create_server((HOST, 0), backlog=511)
+        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.connections.append(PeerConnection(self, sock))
+            threading.Thread(target=self.connections[-1].serve, daemon=True).start()
+
+    def next_request(self, method: bytes = b"") -> ReceivedRequest:
+        """Wait for the next request (of that method)."""
+        while True:
+            try:
+                request = self.unread_requests.get(timeout=TIMEOUT_S)
+            except queue.Empty:
+                raise AssertionError("no request came") from None
+            if request.method == method or not method:
+                return request
+
+    def sequence_ids(self, method: bytes = b"POST") -> list[str]:
+        """Return the ids of the requests that came, of attempts or of releases."""
+        return [
+            request.sequence_id or request.target.decode().rpartition("/")[2]
+            for request in list(self.all_requests)
+            if request.method == method
+        ]
+
+    def close(self) -> None:
+        """Refuse connections from now on, and break those that are there."""
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in self.connections:
+            connection.close()
+
+
+class Engine(ScriptedPeer):
+    """Writes complete streams, or reads where its name begins with r; frees state when told."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        super().__init__(self.default_script)
+
+    def default_script(self, connection: PeerConnection, request: ReceivedRequest) -> None:
+        """Be a sound engine."""
+        if request.method == b"DELETE":
+            connection.send(RELEASE_RESPONSE)
+        else:
+            connection.send(READ_RESPONSE if self.name[0] == "r" else COMPLETE_STREAM)
+
+
+class Discovery(ScriptedPeer):
+    """The endpoint list. `silent`: requests that come meanwhile are never answered."""
+
+    def __init__(self, *engines: Engine, silent: bool = False) -> None:
+        self.changed = threading.Condition()
+        self.silent = silent
+        self.version = 1
+        self.entries = {engine.name: entry_of(engine) for engine in engines}
+        self.version_of = dict.fromkeys(self.entries, 1)  # by engine: of its last change
+        super().__init__(self._answer)
+
+    def change(self, **health: str) -> float:
+        """Change engines' health; returns when."""
+        with self.changed:
+            self.version += 1
+            for name, value in health.items():
+                self.entries[name] = {**self.entries[name], "health": value}
+                self.version_of[name] = self.version
+            self.changed.notify_all()
+        return time.monotonic()
+
+    def fall_silent(self) -> None:
+        """Answer nothing from now on."""
+        with self.changed:
+            self.silent = True
+            self.changed.notify_all()
+
+    def come_back(self) -> float:
+        """Answer again; returns since when."""
+        with self.changed:
+            self.silent = False
+        return time.monotonic()
+
+    def complete_list(self) -> dict[str, Any]:
+        """Return the complete list."""
+        return {"seq": self.version, "whole": True, "hosts": list(self.entries.values())}
+
+    def _answer(self, connection: PeerConnection, request: ReceivedRequest) -> None:
+        query = parse_qs(urlsplit(request.target.decode()).query)
+        with self.changed:
+            if self.silent:
+                return
+            message = self.complete_list()
+            if "since" in query:
+                since = int(query["since"][0])
+                timeout = int(query["timeout_ms"][0]) / 1e3
+                self.changed.wait_for(lambda: self.version > since or self.silent, timeout)
+                if self.silent:
+                    return
+                message = {
+                    "seq": self.version,
+                    "whole": False,
+                    "hosts": [entry for name, entry in self.entries.items() if self.version_of[name] > since],
+                }
+        body = json.dumps(message).encode()
+        connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+def entry_of(engine: Engine, health: str = "active") -> dict[str, Any]:
+    """Return an engine's entry of the endpoint list."""
+    return {
+        "host": engine.name,
+        "dial": engine.address,
+        "site": "z",
+        "class": engine.name[0],
+        "block": 0,
+        "health": health,
+        "share": 1.0,
+        "born_ms": 0,
+    }
+
+
+def never_respond(connection: PeerConnection, request: ReceivedRequest) -> None:
+    """Be an engine that takes all and responds to nothing."""
--- /dev/null
+++ b/tests/test_http1_client.py
@@ -0,0 +1,117 @@
+"""The HTTP/1.1 client under a relay node: reuse of connections, surplus bytes, cancelled connects."""
+
+import socket
+
+from relaymessages import COMPLETE_STREAM, LAST_CHUNK, STREAM_HEAD, chat_request, chunk, stream_of
+from relayrig import RelayRig
+
+from myrtlehub.http1.client_connection import abortive_close
+
+
+def test_connections_are_reused_for_the_next_request() -> None:
+    rig = RelayRig()
+    client = rig.request("a1")
+    rig.run(0.2)
+    rig.request("a2", client=client)
+    assert client.statuses == [200, 200]
+    assert len(rig.engines["w1"].connections) == 1 and rig.node.pool.reused == 1
+
+
+def test_surplus_bytes_behind_a_response_are_never_another_requests_response() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(
+        b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        + COMPLETE_STREAM
+        + (STREAM_HEAD + chunk(b"data: other\n\n") + LAST_CHUNK)
+    )
+    client = rig.request("a1")
+    assert stream_of(client.received).endswith(b"<end>") and b"other" not in client.received
+    assert rig.engines["w1"].connections[0].lost
+    rig.run(0.2)
+    client = rig.request("a2")
+    assert client.statuses == [200] and len(rig.engines["w1"].connections) == 2
+
+
+def test_late_surplus_bytes_close_the_idle_connection() -> None:
+    rig = RelayRig("w1")
+    rig.request("a1")
+    rig.engines["w1"].connections[0].send(COMPLETE_STREAM)
+    rig.run(0.1)
+    assert rig.engines["w1"].connections[0].lost
+
+
+def test_too_many_1xx_responses_are_an_error() -> None:
+    rig = RelayRig("w1")
+    early = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 50
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(early + COMPLETE_STREAM)
+    assert rig.request("a1", traffic="post").statuses == [502]
+
+
+def test_a_connect_that_completes_as_it_is_cancelled_is_closed_with_nothing_written() -> None:
+    """The client leaves in the turn in which its connection to the engine is made, or in the one after."""
+    for turns in (0, 1, 2, 3):
+        rig = RelayRig("w1")
+        client = rig.client()
+        client.transport.other.protocol.dataReceived(chat_request("a1"))  # the connect is under way
+        for _ in range(turns):
+            rig.clock.advance(0)
+        client.transport.other.protocol.connectionLost(None)
+        rig.run(0.2)
+        assert not rig.engines["w1"].chat_requests() and not rig.node.executor.in_flight, turns
+        assert rig.node.pool.count == sum(len(idle) for idle in rig.node.pool._idle.values())
+
+
+def test_reuse_is_suspended_after_a_reused_connection_broke() -> None:
+    rig = RelayRig("w1 w2")
+    for i in range(4):
+        rig.request(f"a{i}")
+    rig.run(0.2)
+    idle = [
+        connection for peer in rig.engines.values() for connection in peer.connections if not connection.lost
+    ]
+    assert idle
+    for connection in idle:
+        connection.dataReceived = lambda data, connection=connection: connection.transport.abortConnection()
+    made, reused = rig.node.pool.made, rig.node.pool.reused
+    assert rig.request("b1").statuses == [200]  # the first breaks, and is retried on a new one
+    for i in range(3):
+        rig.run(0.2)
+        assert rig.request(f"c{i}").statuses == [200]
+    assert rig.node.pool.reused == reused + 1 and rig.node.pool.made >= made + 4
+    rig.run(31.0)
+    rig.request("d1")
+    rig.run(0.2)
+    rig.request("d2")
+    assert rig.node.pool.reused > reused + 1
+
+
+def test_an_at_most_once_request_uses_a_new_connection() -> None:
+    rig = RelayRig("w1")
+    for i in range(3):
+        rig.request(f"a{i}", traffic="post")
+        rig.run(0.2)
+    assert rig.node.pool.reused == 0 and len(rig.engines["w1"].connections) == 3
+
+
+def test_an_abortive_close_is_seen_before_anything_written_later() -> None:
+    """On real sockets: the peer sees the end of one connection before the first byte on another."""
+
+    class Transport:
+        def __init__(self, near: socket.socket) -> None:
+            self.near = near
+            self.aborted = False
+
+        def getHandle(self) -> socket.socket:  # noqa: N802
+            return self.near
+
+        def abortConnection(self) -> None:  # noqa: N802
+            self.aborted = True  # as the reactor does: the socket is closed a turn later
+
+    near, far = socket.socketpair()
+    transport = Transport(near)
+    abortive_close(transport)
+    far.setblocking(False)
+    assert far.recv(1) == b"" and transport.aborted
+    near.close()
+    abortive_close(transport)  # lost already: nothing is raised
+    far.close()
--- /dev/null
+++ b/tests/test_http1_server.py
@@ -0,0 +1,157 @@
+"""The HTTP/1.1 server under a relay node: malformed requests, pipelining, read-ahead, admission."""
+
+import pytest
+from relaymessages import COMPLETE_STREAM, chat_request, chunk
+from relayrig import RawClient, RawClientFactory, RelayRig, never_respond
+
+from myrtlehub.http1.bounds import MAX_TOTAL_READ_AHEAD_BYTES
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (chat_request(traffic="none"), 400),
+        (chat_request().replace(b"X-Txn: a1\r\n", b""), 400),
+        (chat_request(headers=b"X-Txn: a2\r\n"), 400),
+        (chat_request("a%2F1"), 400),
+        (chat_request().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: soon"), 400),
+        (chat_request().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: -5"), 400),
+        (chat_request().replace(b"X-Remaining-Ms: 4000", b"X-Remaining-Ms: 1e3"), 400),
+        (chat_request().replace(b"prompt_len=100", b"prompt_len=many"), 400),
+        (chat_request().replace(b"X-Org: acme", b"X-Org: nobody"), 400),
+        (chat_request(body=b"not json"), 400),
+        (chat_request(body=b'{"model":"chat"}'), 400),
+        (chat_request().replace(b"POST", b"GET", 1), 405),
+        (chat_request().replace(b"/v1/chat", b"/v2/chat", 1), 404),
+        (
+            chat_request().replace(
+                b"Content-Length: 30", b"Content-Length: 30\r\nTransfer-Encoding: chunked"
+            ),
+            400,
+        ),
+        (chat_request().replace(b"Content-Length: 30", b"Content-Length: 30\r\nContent-Length: 31"), 400),
+        (chat_request().replace(b"Content-Length: 30", b"Content-Length: -1"), 400),
+        (chat_request().replace(b"Content-Length: 30", b"Content-Length: 60000000"), 413),
+        (chat_request().replace(b"Content-Length: 30", b"Content-Length: 99999999999999999999"), 413),
+        (chat_request(headers=b"X-A: " + b"y" * 30000 + b"\r\n"), 431),
+        (b"\x16\x03\x01 what is this\r\n\r\n", 400),
+    ],
+)
+def test_a_malformed_request_is_rejected_at_once_closed_and_never_forwarded(data: bytes, status: int) -> None:
+    rig = RelayRig("w1")
+    client = rig.client()
+    client.send(data)
+    rig.run(0.1)
+    assert client.statuses == [status] and client.lost
+    assert not rig.engines["w1"].requests and not rig.node.executor.in_flight
+
+
+def test_a_request_behind_an_ambiguous_length_is_not_read() -> None:
+    rig = RelayRig("w1")
+    client = rig.client()
+    client.send(
+        chat_request().replace(b"Content-Length: 30", b"Content-Length: 5\r\nTransfer-Encoding: chunked")
+        + b"0\r\n\r\n"
+        + chat_request("hidden")
+    )
+    rig.run(0.5)
+    assert client.statuses == [400] and not rig.engines["w1"].requests
+
+
+def test_a_chunked_body_is_forwarded_with_its_length_and_one_too_long_rejected() -> None:
+    rig = RelayRig("w1")
+    body = b'{"model":"chat","messages":[]}'
+    head = chat_request().partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+    client = rig.client()
+    client.send(head + chunk(body[:7]) + chunk(body[7:]) + b"0\r\n\r\n")
+    rig.run(0.1)
+    assert client.statuses == [200] and rig.engines["w1"].requests[0].body == body
+    client = rig.client()
+    client.send(head + chunk(b"x" * 200_000))
+    client.send(chunk(b"x" * 200_000))
+    rig.run(0.1)
+    assert client.statuses == [413] and client.lost
+
+
+@pytest.mark.parametrize("data", [b"", b"POST /v1/chat", chat_request()[:-5]])
+def test_silent_connections_and_half_requests_end_within_3_s(data: bytes) -> None:
+    rig = RelayRig("w1")
+    client = rig.client()
+    if data:
+        client.send(data)
+    rig.run(2.5)
+    assert client.lost and client.statuses == ([408] if data else [])
+
+
+def test_half_a_request_and_a_close_leave_nothing() -> None:
+    rig = RelayRig("w1")
+    client = rig.client()
+    client.send(chat_request()[:-5])
+    client.transport.loseConnection()
+    rig.run(0.1)
+    assert not rig.node.listener.connections and not rig.node.executor.in_flight
+
+
+def test_pipelined_requests_are_answered_in_turn() -> None:
+    rig = RelayRig("w1")
+    client = rig.client()
+    client.send(chat_request("a1") + chat_request("a2") + b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+    rig.run(0.3)
+    assert client.statuses == [200, 200, 200]
+    assert [request.headers[b"x-txn"] for request in rig.engines["w1"].requests] == [b"a1", b"a2"]
+
+
+def test_read_ahead_is_bounded_over_all_connections_and_freed() -> None:
+    rig = RelayRig("w1", descriptors=400)
+    rig.engines["w1"].script = never_respond
+    clients = [rig.request(f"a{i}") for i in range(60)]
+    for client in clients:
+        client.send(chat_request("b", body=b'{"messages":["' + b"x" * 200_000 + b'"]}'))
+        rig.run(0.01)
+    assert 7_500_000 < rig.node.listener.total_read_ahead <= MAX_TOTAL_READ_AHEAD_BYTES
+    for connection in rig.engines["w1"].connections:
+        connection.send(COMPLETE_STREAM) if not connection.lost else None
+    rig.run(0.2)
+    statuses = [client.statuses for client in clients]
+    assert [200, 413] in statuses and all(first == 200 for first, *_ in statuses)
+    for client in clients:
+        client.transport.loseConnection()
+    rig.run(0.5)
+    assert rig.node.listener.total_read_ahead == 0 and not rig.node.listener.connections
+
+
+def test_many_silent_connections_leave_room_for_a_request() -> None:
+    rig = RelayRig("w1", descriptors=100)
+    silent_clients = [rig.client() for _ in range(90)]
+    rig.run(0.3)
+    assert len(rig.node.listener.connections) <= rig.node.listener.max_connections
+    assert rig.request("a1").statuses == [200]
+    rig.run(3.0)
+    assert all(client.lost for client in silent_clients)
+
+
+def test_a_request_amid_a_burst_of_silent_connections_is_read() -> None:
+    """Seen on a crowded day: new connections were closed before what they had sent was read."""
+    rig = RelayRig("w1", descriptors=100)
+    rig.engines["w1"].script = never_respond
+    made: list[RawClient] = []
+    for i in range(400):
+        if i % 50 == 0:
+            rig.run(0.03)
+        rig.net.dialer("node")(RawClientFactory()).addCallback(made.append)
+        if i % 50 == 25:
+            rig.clock.advance(0)
+            made[-1].send(chat_request(f"a{i}"))
+    rig.run(0.2)
+    assert len(rig.node.front.open) == 8
+    assert len(rig.node.listener.connections) <= rig.node.listener.max_connections
+
+
+def test_a_connection_with_an_open_request_is_never_closed_for_another() -> None:
+    rig = RelayRig("w1", descriptors=140)
+    rig.engines["w1"].script = never_respond
+    open_clients = [rig.request(f"a{i}") for i in range(20)]
+    for _ in range(60):
+        rig.client()
+    rig.run(1.0)
+    assert not any(client.lost for client in open_clients)
--- /dev/null
+++ b/tests/test_relay_discovery.py
@@ -0,0 +1,224 @@
+"""The discovery client: changes, unreadable entries, silence, and the start of a node."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from relayrig import PeerConnection, RelayRig
+from twisted.internet import task
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory
+
+Dial = Callable[[Factory], Deferred]
+Dialer = Callable[..., Dial]
+
+
+def test_a_change_is_applied_and_the_watch_renewed_at_once() -> None:
+    rig = RelayRig("w1 w2")
+    rig.update_list(w1=rig.entry("w1", "leaving"))
+    assert len(rig.open_watches) == 1  # the next watch is there
+    for i in range(6):
+        rig.request(f"a{i}")
+    assert not rig.engines["w1"].chat_requests() and len(rig.engines["w2"].chat_requests()) == 6
+    assert b"since=2" in rig.discovery.requests[-1].target
+
+
+def test_an_engine_that_moved_is_reached_at_its_new_address() -> None:
+    rig = RelayRig("w1")
+    rig.request("a0")
+    rig.net.listen("new:1", rig.engines["w1"])
+    old = rig.engines["w1"].connections[0]
+    rig.update_list(w1=rig.entry("w1", dial="new:1"))
+    rig.run(0.1)
+    assert old.lost
+    assert rig.request("a1").statuses == [200]
+
+
+def test_unreadable_entries_do_not_end_the_watch() -> None:
+    rig = RelayRig("w1")
+    connection = rig.open_watches.pop()
+    hosts = [{"host": 5}, None, rig.entry("x9"), rig.entry("w2")]
+    rig.send_list(connection, {"seq": 2, "whole": False, "hosts": hosts})
+    rig.run(0.05)
+    assert len(rig.open_watches) == 1 and set(rig.node.decoder.engines.index_of) == {"w1", "w2"}
+
+
+@pytest.mark.parametrize(
+    "unreadable",
+    [{"dial": 7}, {"class": "x"}, {"site": None}, {"share": "much"}, {"block": "b"}, {"born_ms": []}],
+    ids=str,
+)
+@pytest.mark.parametrize("health", ["leaving", "left"])
+def test_a_leaving_notice_counts_whatever_else_cannot_be_read(
+    unreadable: dict[str, Any], health: str
+) -> None:
+    rig = RelayRig("w1 w2")
+    rig.update_list(w1=rig.entry("w1", health, **unreadable))
+    for i in range(6):
+        assert rig.request(f"a{i}").statuses == [200]
+    assert not rig.engines["w1"].chat_requests() and len(rig.engines["w2"].chat_requests()) == 6
+    connection = rig.open_watches.pop()
+    # no notice of leaving: left out alone
+    rig.send_list(connection, {"seq": 9, "whole": False, "hosts": [rig.entry("w2", **unreadable)]})
+    rig.run(0.02)
+    assert rig.request("b").statuses == [200]
+
+
+@pytest.mark.parametrize("health", ["leaving", "left"])
+def test_an_engine_that_leaves_during_a_connect_gets_nothing(health: str) -> None:
+    rig = RelayRig("w1 w2")
+    delayed: list[str] = []
+    dialer = rig.net.dialer
+
+    def slow_dialer(address: str, who: str = "client") -> Dial:
+        """Take 0.2 s for a connection to whichever engine is chosen first."""
+        dial = dialer(address, who)
+        if address[0] != "w" or (delayed and delayed[0] != address):
+            return dial
+        delayed.append(address)
+
+        def dial_later(factory: Factory) -> Deferred:
+            done = task.deferLater(rig.clock, 0.2, lambda: None)
+            return done.addCallback(lambda none: dial(factory))
+
+        return dial_later
+
+    rig.net.dialer = slow_dialer
+    client = rig.request("a1", traffic="post")
+    first = delayed[0][:2]
+    assert not client.statuses and not rig.engines[first].chat_requests()
+    rig.update_list(**{first: rig.entry(first, health)})
+    rig.run(0.4)
+    assert client.statuses == [200]  # known not to have run: it went to the other one
+    assert not rig.engines[first].chat_requests() and rig.node.executor.router.estimates.engines
+    other = next(name for name in ("w1", "w2") if name != first)
+    assert len(rig.engines[other].chat_requests()) == 1
+    assert ("broken", "not sent") in [(event, fields.get("why")) for event, fields in rig.logged]
+
+
+def test_a_silent_discovery_is_polled_again() -> None:
+    rig = RelayRig("w1")
+    count = len(rig.discovery.requests)
+    rig.run(8.0)
+    assert len(rig.discovery.requests) > count + 1
+    assert rig.request("a1").statuses == [200]
+
+
+def test_the_return_of_a_silent_discovery_is_noticed_within_the_grace() -> None:
+    """It answers no request that it took while it was silent, and what it has counts at once."""
+    for silence in (3.3, 4.0, 5.21, 6.77, 8.05):
+        rig = RelayRig("w1 w2")
+        rig.discovery_is_silent = True
+        rig.run(silence)
+        rig.discovery_is_silent = False
+        rig.open_watches.clear()
+        rig.entries["w1"] = rig.entry("w1", "leaving")
+        rig.run(0.2)
+        assert rig.node.decoder.engines.rows[rig.node.decoder.engines.index_of["w1"]].state == "draining", silence
+        count = len(rig.discovery.requests)
+        assert count < 10 + 9 * silence  # a request in 120 ms
+        rig.run(1.0)
+        assert len(rig.discovery.requests) == count  # one watch, and no request beside it
+
+
+def _answer_half(rig: RelayRig, connection: PeerConnection) -> None:
+    connection.send(b'HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{"seq":')
+
+
+def _answer_endlessly(rig: RelayRig, connection: PeerConnection) -> None:
+    connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n{")
+
+    def more() -> None:
+        connection.send(b" " * 1000)
+        rig.clock.callLater(0.1, more)
+
+    more()
+
+
+WATCH_FAULTS = {
+    "silent": lambda rig, connection: None,
+    "half an answer": _answer_half,
+    "an endless answer": _answer_endlessly,
+    "reset": lambda rig, connection: connection.transport.abortConnection(),
+    "not JSON": lambda rig, connection: connection.send(b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{"s'),
+    "nested too deep": lambda rig, connection: connection.send(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"[" * 100_000
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", WATCH_FAULTS)
+@pytest.mark.parametrize("connect_time", [0.0, 0.97])
+def test_a_change_is_applied_within_6_s_in_the_worst_phase_of_a_watch(
+    fault: str, connect_time: float
+) -> None:
+    """The watch goes wrong just after it was sent, and connections to discovery take long to be made."""
+    for phase in (0.0, 0.7, 1.9):
+        rig = RelayRig("w1 w2")
+        rig.update_list(w2=rig.entry("w2"))  # the next watch has just been sent
+        dialer = rig.net.dialer
+
+        def slow_dialer(
+            address: str, who: str = "client", rig: RelayRig = rig, dialer: Dialer = dialer
+        ) -> Dial:
+            dial = dialer(address, who)
+            if address != "disco:1":
+                return dial
+            return lambda factory: task.deferLater(rig.clock, connect_time, lambda: None).addCallback(
+                lambda none: dial(factory)
+            )
+
+        rig.net.dialer = slow_dialer
+        answer_at_once = rig.discovery.script
+        rig.discovery.script = lambda connection, head, body, rig=rig, answer=answer_at_once: (
+            rig.clock.callLater(0.05, answer, connection, head, body)
+        )
+        rig.run(phase)
+        rig.entries["w1"] = rig.entry("w1", "leaving")  # from now on discovery has it
+        rig.version += 1
+        watch = rig.open_watches.pop()
+        for connection in rig.discovery.connections:
+            if connection is not watch and not connection.lost:
+                connection.transport.abortConnection()  # none is idle beside it
+        WATCH_FAULTS[fault](rig, watch)
+        at, engines = rig.clock.seconds(), rig.node.decoder.engines
+        while engines.rows[engines.index_of["w1"]].state != "draining":
+            rig.run(0.05)
+            assert rig.clock.seconds() < at + 6.0, (fault, phase)
+        assert rig.node.discovery.pool.count <= 18
+
+
+def test_a_node_is_ready_with_a_fresh_list_with_or_without_a_fallback_list() -> None:
+    def ready_status(rig: RelayRig) -> int:
+        client = rig.client()
+        client.send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        rig.run(0.02)
+        return client.statuses[0]
+
+    assert ready_status(RelayRig("w1")) == 200
+    rig = RelayRig("w1", with_fallback_list=False)
+    assert ready_status(rig) == 200
+    rig.net.kill("disco:1")
+
+
+def test_a_restarted_node_does_not_use_the_fallback_list_while_discovery_has_a_newer() -> None:
+    rig = RelayRig("w1 w2", silent_discovery=True)
+    opened = []
+    rig.node.on_open = lambda: opened.append(rig.clock.seconds())
+    early = rig.request("a1")  # it waited for the node to accept it
+    rig.run(0.3)
+    assert not opened and not rig.engines["w1"].chat_requests() and not rig.engines["w2"].chat_requests()
+    rig.entries["w1"] = rig.entry("w1", "leaving")
+    rig.resume_discovery()
+    rig.run(0.2)
+    assert len(opened) == 1 and early.statuses == [200]
+    assert not rig.engines["w1"].chat_requests() and len(rig.engines["w2"].chat_requests()) == 1
+
+
+def test_a_silent_discovery_makes_a_node_use_the_fallback_list() -> None:
+    rig = RelayRig("w1", silent_discovery=True)
+    opened = []
+    rig.node.on_open = lambda: opened.append(rig.clock.seconds())
+    early = rig.request("a1")
+    rig.run(1.2)
+    assert len(opened) == 1 and early.statuses == [200]
--- /dev/null
+++ b/tests/test_relay_memory.py
@@ -0,0 +1,55 @@
+"""Memory of a relay node: what was answered is freed at once."""
+
+import gc
+from collections import Counter
+
+import h11
+from relaymessages import EVENT, LONG_PROMPT, RELEASE_RESPONSE, STREAM_HEAD, chunk
+from relayrig import PeerConnection, RelayRig
+
+from myrtlehub.http1.server_exchange import ServerExchange, ServerRequest
+from myrtlehub.node.action_executor import Attempt, InFlightSequence
+from myrtlehub.relay.attempt_response import AttemptResponseHandler
+from myrtlehub.relay.client_front import ExchangeSink
+from myrtlehub.relay.request_decoder import DecodedRequest, EngineRequest
+
+# All that refers to a request; the classes themselves, so that a renamed one can't be missed.
+REQUEST_CLASSES = (
+    InFlightSequence,
+    ExchangeSink,
+    ServerExchange,
+    ServerRequest,
+    h11.Request,
+    DecodedRequest,
+    EngineRequest,
+    Attempt,
+    AttemptResponseHandler,
+)
+
+
+def test_answered_requests_are_freed_without_the_garbage_collector() -> None:
+    """Each refers to a whole request: between two full collections tens of MB would come together."""
+    rig = RelayRig("r1 w1 w2")
+
+    def malformed_stream(connection: PeerConnection, head: h11.Request, body: bytes) -> None:
+        connection.send(RELEASE_RESPONSE if head.method == b"DELETE" else STREAM_HEAD + chunk(EVENT) + b"xyz")
+
+    gc.collect()
+    gc.disable()
+    try:
+        for i in range(40):
+            if i == 30:
+                rig.engines["w1"].script = rig.engines["w2"].script = malformed_stream
+            client = rig.request(f"a{i}", LONG_PROMPT if i % 2 else 100, "post" if i % 3 else "ask")
+            client.transport.loseConnection()
+            rig.run(0.1)
+        rig.request("b", remaining_ms=300)
+        rig.run(9.0)
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        gc.collect()
+        garbage = Counter(type(item) for item in gc.garbage)
+    finally:
+        gc.set_debug(0)
+        gc.garbage.clear()
+        gc.enable()
+    assert not {kind: garbage[kind] for kind in REQUEST_CLASSES if garbage[kind]}
--- /dev/null
+++ b/tests/test_relay_process.py
@@ -0,0 +1,270 @@
+"""The relay as a process on real sockets: signals, settings files, discovery and restarts."""
+
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from relaymessages import (
+    COMPLETE_STREAM,
+    DONE,
+    EVENT,
+    LAST_CHUNK,
+    LONG_PROMPT,
+    RELEASE_RESPONSE,
+    SETTINGS,
+    STREAM_HEAD,
+    USAGE,
+    chat_request,
+    chunk,
+)
+from socketpeers import ReceivedRequest, entry_of, never_respond
+from socketrig import ROOT, Client, SilentClients, SocketRig, deployed_argv, stay_stopped, wait_for_file
+
+
+def test_half_a_request_at_sigterm_is_still_answered(rig: SocketRig) -> None:
+    """Crossing: its first bytes were read before the signal, its last one comes after the port has closed."""
+    node = rig.start("w1")
+    client = Client(node.address).send(chat_request("a1")[:-5])
+    node.wait_for_unread(client, 0)
+    node.signal("TERM")
+    node.wait_for_closed_port()
+    # it would have exited 0.3 s after its port closed; half of 2 s are left
+    assert node.exit_code(timeout=0.45) is None
+    client.send(chat_request("a1")[-5:])
+    assert client.read_status() == 200
+    assert client.read_rest().endswith(LAST_CHUNK)
+    node.assert_clean_exit()
+
+
+def test_clients_accepted_as_the_port_closes_are_answered(rig: SocketRig) -> None:
+    """Crossing: it connects while the node is stopped, and is accepted in the turn that closes the port."""
+    node = rig.start("w1")
+    first = Client(node.address).send(chat_request("a0", remaining_ms=3000))
+    first.read_until(LAST_CHUNK)
+    node.signal("TERM")
+    assert first.read_rest() == b""
+    first.close()
+    node.stop()
+    late = [Client(node.address).send(chat_request(f"b{i}")) for i in range(5)]
+    stay_stopped(0.7)
+    node.go_on()
+    assert [client.read_status() for client in late] == [200] * 5
+    node.assert_clean_exit()
+
+
+def test_releases_are_tried_to_their_end_before_the_process_exits(rig: SocketRig) -> None:
+    """Crossing: the last client leaves after the port has closed, and no engine answers the release."""
+    node = rig.start("r1 w1")
+    releases: list[ReceivedRequest] = []
+    rig.engines["w1"].script = lambda connection, request: (
+        releases.append(request) if request.method == b"DELETE" else None
+    )
+    default_script = rig.engines["r1"].default_script
+    rig.engines["r1"].script = lambda connection, request: (
+        releases.append(request) if request.method == b"DELETE" else default_script(connection, request)
+    )
+    client = Client(node.address).send(chat_request("a1", LONG_PROMPT))
+    rig.engines["w1"].next_request(b"POST")
+    node.signal("TERM")
+    node.wait_for_closed_port()
+    client.close()
+    node.assert_clean_exit()
+    # at the reader twice and then at the writer, and all of it again: the first may have come early
+    assert len(releases) == 6 and {request.target for request in releases} == {b"/state/a1"}
+
+
+def test_an_answered_release_lets_the_process_exit(rig: SocketRig) -> None:
+    node = rig.start("r1 w1")
+    rig.engines["w1"].script = lambda connection, request: (
+        connection.send(RELEASE_RESPONSE) if request.method == b"DELETE" else None
+    )
+    client = Client(node.address).send(chat_request("a1", LONG_PROMPT))
+    rig.engines["w1"].next_request(b"POST")
+    node.signal("TERM")
+    node.wait_for_closed_port()
+    client.close()
+    node.assert_clean_exit()
+    assert rig.engines["r1"].sequence_ids(b"DELETE") == ["a1", "a1"]
+
+
+def test_a_slow_client_gets_the_end_of_its_response(rig: SocketRig) -> None:
+    """Crossing: its stream is whole at the node and lies in the process, as SIGTERM comes."""
+    node = rig.start("w1")
+    big = b'data: {"choices":[{"delta":{"content":"' + b"y" * 60_000 + b'"}}]}\n\n'
+    rig.engines["w1"].script = lambda connection, request: connection.send(
+        STREAM_HEAD + chunk(big) * 120 + chunk(USAGE + DONE) + LAST_CHUNK
+    )
+    client = Client(node.address, window=4096).send(chat_request("a1"))
+    read = 0
+    while not node.find_logged("answer", seq="a1", answer="generated"):
+        read += len(client.sock.recv(16384))
+    node.signal("TERM")
+    assert node.exit_code(timeout=1.2) is None
+    tail = client.read_rest()
+    assert tail.endswith(chunk(USAGE + DONE) + LAST_CHUNK) and read + len(tail) > 120 * len(big)
+    node.assert_clean_exit()
+
+
+def test_a_stream_continues_to_its_end_after_sigterm(rig: SocketRig) -> None:
+    node = rig.start("w1")
+    rig.engines["w1"].script = lambda connection, request: connection.send(STREAM_HEAD + chunk(EVENT))
+    client = Client(node.address).send(chat_request("a1"))
+    client.read_until(EVENT)
+    node.signal("TERM")
+    node.wait_for_closed_port()
+    for _ in range(3):
+        rig.engines["w1"].connections[0].send(chunk(EVENT))
+        client.read_until(EVENT)  # each is there before the next is written: nothing is held back or lumped
+    rig.engines["w1"].connections[0].send(chunk(DONE) + LAST_CHUNK)
+    assert client.read_rest().endswith(LAST_CHUNK)
+    node.assert_clean_exit()
+
+
+def test_sigterm_before_the_first_list_answers_waiting_clients(rig: SocketRig) -> None:
+    """Crossing: nobody was accepted yet, as discovery is silent."""
+    node = rig.start("w1", silent=True)
+    wait_for_file(
+        lambda: "/proc/net/tcp", lambda text: f":{int(node.address.rpartition(':')[2]):04X} " in text
+    )
+    client = Client(node.address).send(chat_request("a1", remaining_ms=1500))
+    rig.discovery.next_request()
+    node.signal("TERM")
+    assert client.read_status() == 503
+    assert client.read_rest() == b""
+    node.assert_clean_exit()
+
+
+def test_more_signals_during_a_shutdown_change_nothing_but_discovery(rig: SocketRig) -> None:
+    node = rig.start("w1")
+    rig.engines["w1"].script = never_respond
+    client = Client(node.address).send(chat_request("a1", remaining_ms=4500))
+    rig.engines["w1"].next_request(b"POST")
+    node.signal("TERM", "TERM", "INT")
+    node.wait_for_closed_port()
+    node.path.write_text("{")
+    node.signal("HUP")
+    assert "not JSON" in node.wait_for_log("configuration kept")["why"]
+    node.signal("TERM")
+    rig.engines["w1"].connections[0].send(COMPLETE_STREAM)
+    assert client.read_status() == 200
+    assert client.read_rest().endswith(LAST_CHUNK)
+    node.assert_clean_exit()
+
+
+def test_sighup_to_a_process_that_has_just_started_does_not_end_it(rig: SocketRig) -> None:
+    """Crossing: it comes before any line of ours has run."""
+    rig.start("w1")
+    node = rig.start_relay(argv=deployed_argv())
+    wait_for_file(lambda: f"/proc/{node.process.pid}/cmdline", lambda text: not text.startswith("/bin/sh"))
+    node.signal("HUP")
+    node.wait_for_log("ready")
+    node.signal("TERM")
+    node.assert_clean_exit()
+
+
+def test_sighup_moves_discovery_and_names_what_needs_a_restart(rig: SocketRig) -> None:
+    node = rig.start("w1")
+    former_discovery = rig.discovery
+    rig.start("w2")
+    settings = {**node.config["settings"], "OverShareWorth": 0.7}
+    node.write_config(discovery=rig.discovery.address, settings=settings, limits={"sockets": 300})
+    node.signal("HUP")
+    line = node.wait_for_log("configuration read")
+    assert line["discovery"] == rig.discovery.address and line["not_applied"] == ["limits", "settings"]
+    node.wait_for_log("engine", engine="w2", standing="serving")
+    node.wait_for_log("engine", engine="w1", standing="gone")
+    former_discovery.change(w1="active")
+    client = Client(node.address)
+    assert client.send(chat_request("a1")).read_status() == 200
+    assert rig.engines["w2"].sequence_ids() == ["a1"]
+
+
+def test_a_half_written_file_at_sighup_is_ignored_and_the_complete_one_applied(rig: SocketRig) -> None:
+    node = rig.start("w1")
+    complete = node.path.read_text()
+    node.path.write_text(complete[: len(complete) // 2])
+    node.signal("HUP")
+    node.wait_for_log("configuration kept")
+    node.path.write_text(complete)
+    node.signal("HUP")
+    assert node.wait_for_log("configuration read")["not_applied"] == []
+    assert Client(node.address).send(chat_request("a1")).read_status() == 200
+
+
+@pytest.mark.parametrize(
+    ("fields", "key"),
+    [
+        ({"limits": [1]}, "limits"),
+        ({"limits": {"sockets": 10}}, "limits.sockets"),
+        ({"seed": "xyz"}, "seed"),
+        ({"settings": {"Classes": "all"}}, "settings"),
+        ({"settings": {"Caps": 5}}, "settings"),
+        ({"settings": {"Classes": [{}]}}, "settings"),
+        ({"discovery": 5}, "discovery"),
+        ({"listen": "x"}, "listen"),
+    ],
+)
+def test_invalid_settings_are_one_line_with_file_key_and_fix(
+    tmp_path: Path, fields: dict[str, Any], key: str
+) -> None:
+    path = tmp_path / "config.json"
+    if isinstance(fields.get("settings"), dict):
+        fields = {"settings": {**SETTINGS, **fields["settings"]}}
+    base = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    path.write_text(json.dumps({**base, **fields}))
+    done = subprocess.run(
+        [sys.executable, "-m", "myrtlehub.relay"],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={"RELAY_CONFIG": str(path)},
+        cwd=ROOT,
+    )
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1, done.stderr
+    assert f"{path}: {key}" in done.stderr and "; " in done.stderr  # where, what, and what to do
+
+
+def test_the_return_of_discovery_is_noticed_while_idle_clients_fill_the_descriptors(rig: SocketRig) -> None:
+    """Crossing: as many connections as the process may have descriptors, and more that wait, all silent."""
+    node = rig.start("w1 w2", descriptors=128)
+    rig.discovery.fall_silent()
+    node.wait_for_log("discovery does not answer")
+    silent_clients = SilentClients(node.address, 300)
+    wait_for_file(lambda: f"/proc/{node.process.pid}/stat", lambda text: node.descriptor_count() > 60)
+    rig.discovery.entries["w1"] = entry_of(rig.engines["w1"], "leaving")
+    rig.discovery.version += 1
+    back = rig.discovery.come_back()
+    node.wait_for_log("engine", engine="w1", standing="draining")
+    assert time.monotonic() - back < 6.0
+    ids = [f"a{i}" for i in range(10)]
+    requests = [chat_request(sequence_id, remaining_ms=3000) for sequence_id in ids]
+    assert [Client(node.address).send(request).read_status() for request in requests] == [200] * 10
+    assert rig.engines["w2"].sequence_ids() == ids and not rig.engines["w1"].sequence_ids()
+    silent_clients.close()
+    node.signal("TERM")
+    node.assert_clean_exit()
+
+
+def test_nine_of_ten_processes_restarted_together_are_ready_within_10_s(rig: SocketRig) -> None:
+    rig.start("w1")
+    first = [rig.start_relay() for _ in range(9)]
+    for node in first:
+        node.wait_for_log("ready")
+    for node in rig.relays:
+        node.kill()
+    at = time.monotonic()
+    again = [
+        rig.start_relay(listen=node.address, fallback_list=rig.discovery.complete_list())
+        for node in list(rig.relays)
+    ]
+    took = []
+    for node in again:
+        node.wait_for_log("ready")
+        took.append(time.monotonic() - at)
+    assert len(took) == 10 and sorted(took)[8] < 10.0
+    for node in again:
+        assert Client(node.address).send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").read_status() == 200
--- /dev/null
+++ b/tests/test_relay_races.py
@@ -0,0 +1,195 @@
+"""Rare moments of the relay on real sockets: each test forces two things to cross, and says which."""
+
+import time
+
+from relaymessages import LAST_CHUNK, STREAM_HEAD, chat_request, chunk
+from socketpeers import TIMEOUT_S, never_respond
+from socketrig import Client, SocketRig, stay_stopped, wait_for_file
+
+
+def test_a_disconnect_behind_a_flood_of_bytes_is_noticed(rig: SocketRig) -> None:
+    """Crossing: its end lies behind bytes that wait for an open request."""
+    node = rig.start("w1 w2")
+    rig.discovery.change(w1="leaving", w2="leaving")
+    node.wait_for_log("engine", engine="w2", standing="draining")
+    Client(node.address).send(chat_request("a1", remaining_ms=12000) + b"x" * 400_000).close()
+    node.wait_for_log("answer", seq="a1", answer="left")
+    rig.discovery.change(w1="active", w2="active")
+    node.wait_for_log("engine", engine="w2", standing="serving")
+    assert Client(node.address).send(chat_request("a2")).read_status() == 200
+    assert rig.engines["w1"].sequence_ids() + rig.engines["w2"].sequence_ids() == ["a2"]
+
+
+def test_pipelined_requests_are_answered_in_turn_and_a_flood_behind_them_with_413(rig: SocketRig) -> None:
+    node = rig.start("w1")
+    client = Client(node.address)
+    node.stop()
+    client.send(
+        chat_request("a1") + chat_request("a2") + b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        b"Content-Length: 200000\r\n\r\n" + b"x" * 60_000
+    )
+    node.go_on()
+    assert client.read_status() == 200
+    client.read_until(LAST_CHUNK)
+    client.send(b"x" * 140_000 + b"y" * 600_000)
+    assert client.read_status() == 200
+    client.read_until(LAST_CHUNK)
+    assert 400 <= client.read_status() <= 413
+    assert client.read_rest() == b""
+    assert rig.engines["w1"].sequence_ids() == ["a1", "a2"]
+
+
+def test_a_client_that_left_while_the_node_was_stopped_gets_no_attempt(rig: SocketRig) -> None:
+    """Crossing: its request and its end lie in the kernel together, beside an idle connection."""
+    node = rig.start("w1")
+    first = Client(node.address).send(chat_request("a0"))
+    first.read_until(LAST_CHUNK)
+    node.stop()
+    gone = [Client(node.address).send(chat_request(f"b{i}")) for i in range(8)]
+    for client in gone:
+        client.close()
+    stay_stopped(0.2)
+    node.go_on()
+    for i in range(8):
+        node.wait_for_log("answer", seq=f"b{i}", answer="left")
+    assert Client(node.address).send(chat_request("a1")).read_status() == 200
+    assert rig.engines["w1"].sequence_ids() == ["a0", "a1"]
+
+
+def test_an_engine_that_drains_between_a_decision_and_its_first_byte_gets_nothing(rig: SocketRig) -> None:
+    """Crossing: the notice that it drains lies in the kernel, older than the grace, beside a request."""
+    node = rig.start("w1")
+    client = Client(node.address).send(chat_request("a0"))
+    client.read_until(LAST_CHUNK)
+    node.stop()
+    client.send(chat_request("a1", remaining_ms=1500))
+    rig.discovery.change(w1="leaving")
+    stay_stopped(0.4)
+    node.go_on()
+    assert client.read_status() == 503
+    assert rig.engines["w1"].sequence_ids() == ["a0"]
+
+
+def test_a_deadline_that_passed_while_the_node_was_stopped_is_answered_at_once(rig: SocketRig) -> None:
+    """Crossing: its deadline passes while the process is stopped."""
+    node = rig.start("w1")
+    rig.engines["w1"].script = never_respond
+    client = Client(node.address).send(chat_request("a1", remaining_ms=600))
+    rig.engines["w1"].next_request(b"POST")
+    node.stop()
+    stay_stopped(0.8)
+    at = time.monotonic()
+    node.go_on()
+    assert client.read_status() == 503
+    assert time.monotonic() - at < 0.5  # half a second after its deadline a request is lost
+
+
+def test_a_client_that_still_sends_can_read_the_last_response(rig: SocketRig) -> None:
+    """Crossing: bytes lie unread, and more come, as the connection is closed."""
+    node = rig.start("w1")
+    client = Client(node.address)
+    node.stop()
+    client.send(
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 200_000
+    )
+    node.go_on()
+    assert client.read_status() == 413
+    client.send(b"x" * 100_000)
+    assert client.read_rest(keep_open=True) == b""  # an end, and no reset
+    client.send(b"x" * 1000)
+    assert client.socket_error() == 0  # SOL_SOCKET, SO_ERROR: nor after it
+
+
+def test_a_request_on_a_draining_connection_is_never_forwarded(rig: SocketRig) -> None:
+    """Crossing: it is written after the node's end of a resting connection was read, before it closed."""
+    node = rig.start("w1")
+    client = Client(node.address).send(chat_request("a1"))
+    client.read_until(LAST_CHUNK)
+    node.signal("TERM")
+    assert client.read_rest(keep_open=True) == b""
+    client.send(chat_request("a2"))
+    assert client.socket_error() == 0  # no reset: what was answered before stays readable
+    client.close()
+    node.assert_clean_exit()
+    assert rig.engines["w1"].sequence_ids() == ["a1"]
+
+
+def test_lingering_connections_count_and_close(rig: SocketRig) -> None:
+    """Crossing: clients that were rejected keep their ends open, as many as there are descriptors."""
+    node = rig.start("w1", descriptors=128)
+    base = node.descriptor_count()
+    bad = []
+    for _ in range(200):
+        bad.append(Client(node.address).send(b"nonsense\r\n\r\n"))
+        assert bad[-1].read_status() == 400
+        assert node.descriptor_count() <= 128
+    good = Client(node.address).send(chat_request("a1"))
+    assert good.read_status() == 200
+    wait_for_file(
+        lambda: f"/proc/{node.process.pid}/limits", lambda text: node.descriptor_count() <= base + 3
+    )
+    node.signal("TERM")
+    node.assert_clean_exit()
+
+
+def test_an_at_most_once_request_whose_last_byte_left_is_not_retried(rig: SocketRig) -> None:
+    """Crossing: the engine has read all of it, and breaks the connection without a response."""
+    node = rig.start("w1 w2")
+    for name in ("w1", "w2"):
+        rig.engines[name].script = lambda connection, request: connection.reset()
+    client = Client(node.address).send(chat_request("a1", traffic="post"))
+    assert client.read_status() == 502
+    assert len(rig.engines["w1"].sequence_ids() + rig.engines["w2"].sequence_ids()) == 1
+
+
+def test_a_late_second_response_is_never_the_next_requests_response(rig: SocketRig) -> None:
+    """Crossing: it comes while the connection lies unused, and the next request comes in the same turn."""
+    node = rig.start("w1")
+    first = Client(node.address).send(chat_request("a0"))
+    first.read_until(LAST_CHUNK)
+    node.stop()
+    rig.engines["w1"].connections[0].send(STREAM_HEAD + chunk(b"data: other\n\n") + LAST_CHUNK)
+    second = Client(node.address).send(chat_request("a1"))
+    stay_stopped(0.1)
+    node.go_on()
+    assert b"other" not in second.read_until(LAST_CHUNK)
+    assert rig.engines["w1"].sequence_ids() == ["a0", "a1"] and len(rig.engines["w1"].connections) == 2
+
+
+def test_an_endless_response_ends_as_possibly_run_and_its_connection_is_closed(rig: SocketRig) -> None:
+    node = rig.start("w1")
+    rig.engines["w1"].script = lambda connection, request: connection.send(
+        b"HTTP/1.1 200 OK\r\nX-Y: " + b"z" * 4_000_000
+    )
+    client = Client(node.address).send(chat_request("a1", traffic="post"))
+    assert client.read_status() == 502
+    assert rig.engines["w1"].connections[0].closed.wait(TIMEOUT_S)
+
+
+def test_bad_requests_get_their_4xx_and_free_descriptors_and_memory(rig: SocketRig) -> None:
+    node = rig.start("w1", descriptors=200)
+    assert Client(node.address).send(chat_request("a0")).read_status() == 200
+    base, memory = node.descriptor_count(), node.memory_mb()
+    chunked = chat_request().partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+    deep = b'{"messages":' + b"[" * 60_000
+    kinds = {
+        b"nonsense\r\n\r\n": 400,
+        chat_request(body=b"[" * 60_000): 400,
+        chat_request(body=deep): 400,
+        chat_request(headers=b"X-A: " + b"y" * 30_000 + b"\r\n"): 431,
+        chunked + chunk(b"x" * 200_000) * 2: 413,
+        chat_request()[:-3]: 408,
+        b"POST /v1/ch": 408,
+    }
+    for _ in range(4):
+        crowd = [(Client(node.address).send(data), status) for data, status in kinds.items()]
+        good = Client(node.address).send(chat_request(f"a{time.monotonic()}"))
+        assert good.read_status() == 200
+        for client, status in crowd:
+            assert client.read_status() == status
+            client.close()
+        good.close()
+    wait_for_file(lambda: "/proc/self/stat", lambda text: node.descriptor_count() <= base + 2)
+    assert node.memory_mb() < memory + 12.0  # what a thousand of the largest leave is freed
+    node.signal("TERM")
+    node.assert_clean_exit()
--- /dev/null
+++ b/tests/test_relay_releases.py
@@ -0,0 +1,114 @@
+"""Releases of read state: to whom, how often, and through whom."""
+
+import h11
+from relaymessages import COMPLETE_STREAM, LONG_PROMPT, READ_RESPONSE, RELEASE_RESPONSE
+from relayrig import PeerConnection, RelayRig, never_respond
+
+
+def test_a_client_that_disconnects_during_a_read_has_its_state_released() -> None:
+    rig = RelayRig()
+    rig.engines["r1"].script = never_respond
+    client = rig.request("a1", LONG_PROMPT)
+    client.transport.loseConnection()
+    rig.run(0.3)
+    assert rig.engines["r1"].chat_requests()[0].connection.lost  # cancelled by closing its connection
+    # twice, as the read may have ended well after the first release
+    assert rig.engines["r1"].released_paths() == [b"/state/a1"] * 2
+    assert not rig.node.executor.in_flight
+
+
+def test_a_release_is_retried_on_a_new_connection_until_it_is_answered() -> None:
+    rig = RelayRig()
+    rig.engines["w1"].script = never_respond
+
+    def answer_the_second(connection: PeerConnection, head: h11.Request, body: bytes) -> None:
+        if head.method == b"POST":
+            connection.send(READ_RESPONSE)
+        elif len(rig.engines["r1"].released_paths()) > 1:
+            connection.send(RELEASE_RESPONSE)
+
+    rig.engines["r1"].script = answer_the_second
+    client = rig.request("a1", LONG_PROMPT)
+    client.transport.loseConnection()
+    rig.run(0.2)
+    assert rig.engines["r1"].released_paths() == [b"/state/a1"] * 2
+    assert len({id(request.connection) for request in rig.engines["r1"].requests[1:]}) == 2
+
+
+def test_a_cancelled_writer_has_the_state_released_twice() -> None:
+    rig = RelayRig()
+    rig.engines["w1"].script = never_respond
+    client = rig.request("a1", LONG_PROMPT)
+    client.transport.loseConnection()
+    rig.run(1.0)
+    assert rig.engines["r1"].released_paths() == [b"/state/a1"] * 2
+    assert not rig.node.engine_client.releaser.has_outstanding_attempt("a1")
+
+
+def test_a_state_whose_reader_is_gone_is_released_through_another_engine() -> None:
+    """Seen on a day of replacements: the reader drained and ended while the writer waited for its state."""
+    rig = RelayRig("r1 w1 w2")
+    for name in ("w1", "w2"):
+        rig.engines[name].script = never_respond
+    client = rig.request("a1", LONG_PROMPT)
+    rig.run(0.1)
+    rig.net.kill("r1:1")
+    client.transport.loseConnection()
+    rig.run(0.1)
+    assert b"/state/a1" in rig.engines["w1"].released_paths() + rig.engines["w2"].released_paths()
+
+
+def test_a_state_behind_a_partition_is_released_through_the_engine_last_heard() -> None:
+    """Seen on split+brink: the reader and the next three engines of the list were behind the partition."""
+    for heard in ("w2", "w5", "w6"):
+        rig = RelayRig("r1 w1 w2 w3 w4 w5 w6")
+        for peer in rig.engines.values():
+            if peer is not rig.engines["r1"]:
+                peer.script = never_respond
+        client = rig.request("a1", LONG_PROMPT)
+        rig.run(0.2)
+        rig.engines[heard].script = rig.default_script
+        for other in rig.engines:
+            if other != heard:
+                rig.net.silent.add(f"{other}:1")
+        count = 0
+        while not any(
+            request.headers.get(b"x-txn", b"").startswith(b"b")
+            for request in rig.engines[heard].chat_requests()
+        ):
+            rig.request(f"b{count}", 50, remaining_ms=4000)
+            count += 1
+            assert count < 100
+        client.transport.loseConnection()
+        rig.run(0.4)
+        assert b"/state/a1" in rig.engines[heard].released_paths(), heard
+
+
+def test_a_release_unanswered_before_the_next_attempt_is_sent_again_at_the_end() -> None:
+    """A state is released for lack of a writer; its reader does not answer, and the sequence is read anew."""
+    rig = RelayRig("r1 w1")
+    answers_releases = [False]
+
+    def read(connection: PeerConnection, head: h11.Request, body: bytes) -> None:
+        if head.method == b"POST":
+            if len(rig.engines["r1"].chat_requests()) == 1:
+                rig.update_list(w1=rig.entry("w1", "leaving"))
+            connection.send(READ_RESPONSE)
+        elif answers_releases[0]:
+            connection.send(RELEASE_RESPONSE)
+
+    rig.engines["w1"].script = lambda connection, head, body: None
+    rig.engines["r1"].script = read
+    client = rig.request("a1", LONG_PROMPT)
+    while not rig.engines["r1"].released_paths():
+        rig.run(0.01)
+    rig.update_list(w1=rig.entry("w1"))
+    rig.run(0.5)  # its write is out while the tries of the release would be
+    rig.engines["w1"].chat_requests()[0].connection.send(COMPLETE_STREAM)
+    rig.run(0.01)
+    assert client.statuses == [200] and len(rig.engines["r1"].chat_requests()) == 2
+    count = len(rig.engines["r1"].released_paths())
+    answers_releases[0] = True
+    rig.run(1.0)
+    assert len(rig.engines["r1"].released_paths()) > count
+    assert not rig.node.engine_client.releaser.is_busy() and not rig.node.executor.in_flight
--- /dev/null
+++ b/tests/test_relay_streams.py
@@ -0,0 +1,99 @@
+"""Engines' streams through a relay node: malformed, endless, silent and paused ones."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from relaymessages import DONE, EVENT, LAST_CHUNK, STREAM_HEAD, USAGE, chunk, stream_of
+from relayrig import RelayRig
+
+from myrtlehub.relay.errors import EventStreamError
+from myrtlehub.relay.event_stream import MAX_EVENT_BYTES, EventStreamParser
+from myrtlehub.routing import contract
+
+
+@pytest.mark.parametrize(
+    "malformed",
+    [b"zz\r\n", chunk(b"\x00\xffnoise"), b"ffff\r\n" + EVENT + b"\r\n" + chunk(EVENT), b"3\r\n" + EVENT],
+)
+def test_a_malformed_stream_ends_the_clients_connection_without_the_last_chunk(malformed: bytes) -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(
+        STREAM_HEAD + chunk(EVENT) + malformed
+    )
+    client = rig.request("a1")
+    rig.run(4.0)
+    assert client.lost and not stream_of(client.received).endswith(b"<end>")
+    assert stream_of(client.received).startswith(EVENT) and client.statuses == [200]
+    assert len(rig.engines["w1"].chat_requests()) == 1  # a stream that has begun is not retried
+
+
+def test_an_endless_chunk_ends_the_stream_within_5_s() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(
+        STREAM_HEAD + chunk(EVENT) + b"c0000000\r\n"
+    )
+    client = rig.request("a1")
+    connection = rig.engines["w1"].connections[0]
+    for _ in range(9):
+        connection.send(b"data: xxxx")  # bytes that never become an event are no sign of life
+        rig.run(0.5)
+    assert client.lost and connection.lost
+
+
+def test_a_stream_with_a_pause_of_seconds_is_not_ended() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD + chunk(EVENT))
+    client = rig.request("a1")
+    rig.run(3.0)
+    rig.engines["w1"].connections[0].send(chunk(EVENT + USAGE + DONE) + LAST_CHUNK)
+    rig.run(0.1)
+    assert stream_of(client.received) == EVENT + EVENT + USAGE + DONE + b"<end>"
+
+
+def test_a_silent_stream_is_ended() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD + chunk(EVENT))
+    client = rig.request("a1")
+    rig.run(4.9)  # due within 5 s of the last event
+    assert client.lost and not rig.node.executor.in_flight
+
+
+def test_a_client_that_reads_nothing_pauses_its_writer_alone() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD + chunk(EVENT))
+    client = rig.request("a1")
+    near = client.transport.other
+    near.stalled = True
+    engine = rig.engines["w1"].connections[0]
+    engine.send(chunk(EVENT))
+    rig.run(0.05)
+    assert engine.transport.other.paused  # no more is read of the engine's stream
+    near.stalled = False
+    near.producer.resumeProducing()
+    engine.send(chunk(USAGE + DONE) + LAST_CHUNK)
+    rig.run(0.05)
+    assert stream_of(client.received) == EVENT + EVENT + USAGE + DONE + b"<end>"
+
+
+@given(st.lists(st.integers(1, 40), max_size=30))
+def test_events_are_split_the_same_for_any_segmentation(cuts: list[int]) -> None:
+    text = EVENT + USAGE + b': X-Pressure: {"x0":0.5}\n\n' + DONE
+    events = EventStreamParser()
+    out = b""
+    at = 0
+    for cut in [*cuts, len(text)]:
+        out += events.feed(text[at : at + cut])
+        at += cut
+    events.end()
+    assert out == text and events.cached_tokens == 64.0 and events.done
+    assert events.load == contract.LoadReport(memory_share=0.5)
+
+
+def test_an_endless_event_and_half_an_event_at_the_end_are_errors() -> None:
+    events = EventStreamParser()
+    with pytest.raises(EventStreamError):
+        events.feed(b"data: " + b"x" * MAX_EVENT_BYTES)
+    events = EventStreamParser()
+    assert events.feed(EVENT + b"data: half") == EVENT
+    with pytest.raises(EventStreamError):
+        events.end()
