--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -51,8 +51,8 @@
     port = listen(reactor, sheet.node.listen, node.server)
     if sheet.node.admin:
         listen(reactor, sheet.node.admin, node.admin)
-    if node.keeping is not None:
-        listen(reactor, sheet.takeover.listen, node.keeping.server)
+    if node.replication is not None:
+        listen(reactor, sheet.takeover.listen, node.replication.server)
 
     def drain() -> None:
         if not node.leaving:
--- a/myrtlehub/emulator/claimed.py
+++ b/myrtlehub/emulator/claimed.py
@@ -7,9 +7,8 @@
 
 from myrtlehub.proto import chat_pb2 as chat
 from myrtlehub.proto import engine_pb2 as pb
-from myrtlehub.recovery import fence
-from myrtlehub.recovery.fence import Fences
-from myrtlehub.recovery.records import Claim
+from myrtlehub.recovery.fencing import AttemptState, FenceTable
+from myrtlehub.recovery.sequence_records import Ownership
 from myrtlehub.rpc.server import Receiver, ServerCall
 from myrtlehub.rpc.status import Code, RpcError
 
@@ -17,9 +16,9 @@
 VOCABULARY = 120  # ids of one byte on the wire
 
 
-def claim_of(message: object) -> Claim:
+def ownership_of(message: object) -> Ownership:
     """Who has a sequence, by a message with `epoch` and `owner`."""
-    return Claim(message.epoch, message.owner)
+    return Ownership(message.epoch, message.owner)
 
 
 def token(writer: str, sequence: str, attempt: int, index: int) -> int:
@@ -50,23 +49,23 @@
     def __init__(self, stand: object, bound: float) -> None:
         """`bound`: seconds for which a stream that nobody reads is kept, made on, and then ended."""
         self.stand, self.bound = stand, bound
-        self.fences = Fences(FENCES_MOST, stand.clock.seconds())
+        self.fences = FenceTable(FENCES_MOST, stand.clock.seconds())
         self.jobs: dict[str, list] = {}
 
     def keeps(self, job: object) -> bool:
         """Whether an attempt outlives its node."""
-        return bool(self.bound and job.claim.epoch)
+        return bool(self.bound and job.ownership.epoch)
 
     def admit(self, job: object) -> None:
         """Work comes by a claim: RpcError where there is a higher one."""
-        if not job.claim.epoch:
+        if not job.ownership.epoch:
             return
-        if not self.fences.admits(job.work.sequence, job.claim):
-            held = self.fences.of(job.work.sequence)
+        if not self.fences.admit(job.work.sequence, job.ownership):
+            fence = self.fences.fence_of(job.work.sequence)
             raise RpcError(
                 Code.FAILED_PRECONDITION,
-                f"superseded: {job.work.sequence} is {held.claim.owner}'s "
-                f"by epoch {held.claim.epoch}{', closed' if held.closed else ''}",
+                f"superseded: {job.work.sequence} is {fence.ownership.owner}'s "
+                f"by epoch {fence.ownership.epoch}{', closed' if fence.is_closed else ''}",
             )
         if self.bound:
             self.jobs.setdefault(job.work.sequence, []).append(job)
@@ -96,25 +95,25 @@
     def claim(self, data: bytes) -> bytes:
         """See `Engine.Claim`."""
         asked = pb.ClaimRequest.FromString(data)
-        claim, now = claim_of(asked), self.stand.clock.seconds()
+        ownership, now = ownership_of(asked), self.stand.clock.seconds()
         if not self.bound:
             raise RpcError(Code.UNIMPLEMENTED, "this engine ends a stream with its connection")
-        granted = self.fences.claim(asked.sequence, claim, asked.close)
+        granted = self.fences.claim(asked.sequence, ownership, asked.close)
         self.stand.recorder.note(
             "claimed",
             seq=asked.sequence,
-            epoch=claim.epoch,
-            owner=claim.owner,
+            epoch=ownership.epoch,
+            owner=ownership.owner,
             granted=granted,
             close=asked.close,
         )
         # What is over is forgotten after the bound: of what was sent before that, nothing here is no proof.
-        reply = pb.ClaimReply(granted=granted, age=min(now - self.fences.since, self.bound))
+        reply = pb.ClaimReply(granted=granted, age=min(now - self.fences.known_since, self.bound))
         if not granted:
             return reply.SerializeToString()
         jobs = self.jobs.get(asked.sequence, [])
         for job in jobs:
-            if job.claim < claim and job.call is not None and not job.stopped:
+            if job.ownership < ownership and job.call is not None and not job.stopped:
                 call = job.call
                 if job.reads:
                     job.stop("superseded")  # its answer would go to who has it no longer
@@ -131,19 +130,19 @@
 
     def _stood(self, job: object) -> pb.Stood:
         says, state = job.says, None
-        if says == fence.HELD:
+        if says == AttemptState.HOLDS_READ_STATE:
             tokens = self.stand.model.state_tokens(job.work.sequence)
             if tokens:
                 state = pb.State(engine=self.stand.sheet.listen, handle=job.work.sequence, tokens=int(tokens))
             else:
-                says = fence.NEVER  # a read has no effect: what it held is gone
+                says = AttemptState.NEVER  # a read has no effect: what it held is gone
         return pb.Stood(number=job.work.attempt, says=says, tokens=len(job.made), state=state)
 
     def attach(self, call: ServerCall, request: pb.WriteRequest) -> Receiver:
         """Go on with a stream from a token on."""
         work, start = request.work, getattr(request.attach, "from")
-        claim = claim_of(work)
-        if not self.fences.admits(work.sequence, claim):
+        ownership = ownership_of(work)
+        if not self.fences.admit(work.sequence, ownership):
             raise RpcError(Code.FAILED_PRECONDITION, "superseded")
         job = next(
             (j for j in self.jobs.get(work.sequence, ()) if j.work.attempt == work.attempt and not j.reads),
@@ -151,16 +150,16 @@
         )
         if (
             job is None
-            or job.says not in (fence.WAITING, fence.WRITING, fence.ENDED)
+            or job.says not in (AttemptState.WAITING, AttemptState.WRITING, AttemptState.ENDED)
             or start > len(job.made)
         ):
             call.send(pb.WriteReply(refused=pb.Refused()).SerializeToString())
             call.finish()
             return Receiver()
-        job.note("attached", node=claim.owner, start=start)
+        job.note("attached", node=ownership.owner, start=start)
         line = Line(job, call)
         job.lines.append(line)
-        job.call, job.claim = call, claim
+        job.call, job.ownership = call, ownership
         for at in range(start, len(job.made), 64):
             ids = job.made[at : at + 64]
             call.send(pb.WriteReply(tokens=chat.Tokens(ids=ids)).SerializeToString())
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -7,13 +7,13 @@
 
 from myrtlehub.config.sheets import StandSheet
 from myrtlehub.emulator.alarm import Alarm
-from myrtlehub.emulator.claimed import ClaimedWork, Line, claim_of, sum_of, token
+from myrtlehub.emulator.claimed import ClaimedWork, Line, ownership_of, sum_of, token
 from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
 from myrtlehub.emulator.vectors import score_of, vector_of
 from myrtlehub.proto import chat_pb2 as chat
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.records import Recorder
-from myrtlehub.recovery import fence
+from myrtlehub.recovery.fencing import AttemptState
 from myrtlehub.rpc.channel import CallWatcher, Channel
 from myrtlehub.rpc.metadata import first
 from myrtlehub.rpc.server import Receiver, Server, ServerCall, server_stream, unary
@@ -43,8 +43,10 @@
         self.batch: pb.BatchRequest | None = None
         self.breaks_after = 0  # tokens; 0: it does not
         self.node = first(call.metadata, "myrtle-node")
-        self.claim = claim_of(work)
-        self.says = fence.READING if reads else fence.WAITING  # of it, to whoever claims the sequence
+        self.ownership = ownership_of(work)
+        self.says = (
+            AttemptState.READING if reads else AttemptState.WAITING
+        )  # of it, to whoever claims the sequence
         self.lines = [Line(self, call)]  # calls by which it was read
         self.made: list[int] = []  # tokens
         self.ended: bytes | None = None  # the stream's last message
@@ -70,7 +72,7 @@
         self.note("stopped", why=why, ran=self.ran)
         if self.fetching is not None:
             self.fetching.cancel()
-        self.close(fence.STOPPED if self.ran else fence.NEVER)
+        self.close(AttemptState.STOPPED if self.ran else AttemptState.NEVER)
         self.stand.act(self.stand.model.cancel(self.stand.clock.seconds(), self))
 
     def close(self, says: str) -> None:
@@ -279,7 +281,7 @@
     def _release(self, call: ServerCall, data: bytes) -> bytes:
         request = pb.ReleaseRequest.FromString(data)
         seq = request.sequence
-        if request.epoch and not self.claimed.fences.admits(seq, claim_of(request)):
+        if request.epoch and not self.claimed.fences.admit(seq, ownership_of(request)):
             return pb.ReleaseReply().SerializeToString()  # it is another node's now
         tokens = self.model.state_tokens(seq)
         self.act(self.model.release(self.clock.seconds(), seq))
@@ -363,7 +365,7 @@
 
     def _on_read(self, job: _Job, kept: float, tokens: float) -> None:
         job.note("held", tokens=tokens)
-        job.close(fence.HELD)
+        job.close(AttemptState.HOLDS_READ_STATE)
         job.answer.callback(
             pb.ReadReply(
                 read=pb.State(engine=self.sheet.listen, handle=job.work.sequence, tokens=int(tokens)),
@@ -387,7 +389,7 @@
         job.fetching.half_close()
 
     def _on_ran(self, job: _Job) -> None:
-        job.ran, job.says = True, fence.WRITING
+        job.ran, job.says = True, AttemptState.WRITING
         job.note("ran", mark=job.work.mark, traffic=job.work.traffic_type)
         if job.batch is None and self.hits("break_stream"):
             job.breaks_after = self.random.randint(1, 10)
@@ -409,7 +411,7 @@
                     job.stop("broken")
 
     def _on_ended(self, job: _Job, kept: float, tokens: int) -> None:
-        job.close(fence.ENDED)
+        job.close(AttemptState.ENDED)
         job.note("ended", tokens=tokens, sum=sum_of(job.made))
         job.ended = pb.WriteReply(
             ended=pb.Ended(tokens=tokens, kept_tokens=int(kept), load=self._load())
@@ -418,7 +420,7 @@
         job.finish()
 
     def _on_refused(self, job: _Job, no_state: bool) -> None:
-        job.close(fence.REFUSED)
+        job.close(AttemptState.REFUSED)
         job.note("refused", no_state=no_state)
         refused = pb.Refused(no_state=no_state, load=self._load())
         if job.batch is not None:
@@ -443,7 +445,7 @@
         self._fail(job, "expired", late)
 
     def _fail(self, job: _Job, what: str, fault: RpcError) -> None:
-        job.close(fence.NEVER)  # neither begun nor to be begun any more
+        job.close(AttemptState.NEVER)  # neither begun nor to be begun any more
         job.note(what)
         if job.reads:
             job.answer.errback(fault)
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -6,12 +6,12 @@
 from myrtlehub.limits.admit import NEVER, Admission
 from myrtlehub.limits.shares import FrontShares
 from myrtlehub.node.action_executor import ActionExecutor
-from myrtlehub.node.keeping import Keeping
 from myrtlehub.node.links import Links
 from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.replication.replication import Replication
+from myrtlehub.node.replication.takeover import Takeover, TakeoverRequest
 from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
 from myrtlehub.node.sequences import InFlightSequence
-from myrtlehub.node.takeover import Takeover, Wanted
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.server import Receiver, ServerCall, server_stream
 from myrtlehub.rpc.status import Code, RpcError
@@ -109,7 +109,7 @@
         self._disarm()
         self._over()
         if self.takeover is not None:
-            self.takeover.left()
+            self.takeover.client_left()
         if self.held is None:
             return
         if self.may_move and self.linger and code == Code.UNAVAILABLE:
@@ -177,7 +177,7 @@
         self.host, self.most, self.wait, self.shares, self.peers = host, most_sequences, wait, shares, peers
         self.closed = False
         self.gate: Admission | None = gate
-        self.keeping: Keeping | None = None
+        self.replication: Replication | None = None
         self.claims = False  # whether engines answer claims
         self.links: Links | None = None
         self.waiting: set[_Waiting] = set()  # of clients that come back by themselves
@@ -186,7 +186,7 @@
     def serve(self, server: object) -> None:
         """Add the methods."""
         server.add(PATH, server_stream(self.generate))
-        if self.keeping is not None:
+        if self.replication is not None:
             server.add(RESUME, server_stream(self.resume))
 
     def resume(self, call: ServerCall, data: bytes) -> Receiver:
@@ -221,10 +221,12 @@
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
         row = self.host.decoder.rows[arrival.traffic]
         self.peers.open(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
-        if self.keeping is not None:
-            waiting.may_move, waiting.linger = request.may_move, self.keeping.group.comes_back
+        if self.replication is not None:
+            waiting.may_move, waiting.linger = request.may_move, self.replication.settings.comes_back
             if again:
-                self._resume(waiting, Wanted(request.resume.sequence, request.resume.tokens, asked, arrival))
+                self._resume(
+                    waiting, TakeoverRequest(request.resume.sequence, request.resume.tokens, asked, arrival)
+                )
                 return waiting
         if self.gate is None:
             self._take(waiting, asked, arrival)
@@ -258,16 +260,16 @@
         self.waiting = {w for w in self.waiting if not w.call.over}
         self.waiting.add(waiting)
 
-    def _resume(self, waiting: _Waiting, wanted: Wanted) -> None:
+    def _resume(self, waiting: _Waiting, wanted: TakeoverRequest) -> None:
         """A client came back for what another node had, or this one."""
         self._follow(waiting)
 
         def hand(label: str, arrival: object, before: int, handle: object) -> None:
             waiting.takeover = None
-            self._hand(waiting, wanted.asked, label, arrival, before, handle)
+            self._hand(waiting, wanted.request, label, arrival, before, handle)
 
         waiting.takeover = Takeover(
-            wanted, self.keeping, self.links, self.host, waiting, hand, waiting.superseded, self.claims
+            wanted, self.replication, self.links, self.host, waiting, hand, waiting.superseded, self.claims
         )
         waiting.takeover.start()
 
@@ -278,7 +280,7 @@
                 waiting.takeover.hand_over()
                 waiting.moved()
             elif waiting.held is not None:
-                self.keeping.leave(waiting.held.sequence_id)
+                self.replication.publisher.leave(waiting.held.sequence_id)
                 held, waiting.held = waiting.held, None
                 waiting.moved()
                 self.host.hand_over(held)
@@ -300,7 +302,7 @@
 
     def _out_of_time(self, waiting: _Waiting) -> None:
         if waiting.takeover is not None:
-            waiting.takeover.out_of_time()
+            waiting.takeover.deadline_passed()
         elif waiting.held is None:
             waiting.rejected(self.wait)  # it still waits at the gate
         else:
--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -6,7 +6,7 @@
 from myrtlehub.node.action_executor import NEVER, ActionExecutor
 from myrtlehub.node.sequences import Attempt
 from myrtlehub.proto import engine_pb2 as pb
-from myrtlehub.recovery.records import NOBODY, Claim
+from myrtlehub.recovery.sequence_records import UNOWNED, Ownership
 from myrtlehub.routing import contract
 from myrtlehub.rpc.channel import WAITING, CallWatcher, Channel
 from myrtlehub.rpc.guards import TransportBounds
@@ -149,7 +149,7 @@
         self.channels: dict[str, Channel] = {}
         self.host: ActionExecutor | None = None
         # By which claim this node has a sequence, where nodes take work over.
-        self.claim_of: Callable[[str], Claim] = lambda label: NOBODY
+        self.claim_of: Callable[[str], Ownership] = lambda label: UNOWNED
 
     def channel(self, engine: int) -> Channel:
         """The engine's channel; made at its first use."""
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -16,8 +16,8 @@
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.admin import NodeAdmin
 from myrtlehub.node.figures import Figures
-from myrtlehub.node.keeping import Keeping
-from myrtlehub.node.takeover import let_go
+from myrtlehub.node.replication.engine_claims import close_at_engines
+from myrtlehub.node.replication.replication import Replication
 from myrtlehub.node.works import Around, Works
 from myrtlehub.rpc.guards import TransportBounds
 from myrtlehub.rpc.server import Server
@@ -47,11 +47,11 @@
         self.started = clock.seconds()
         self.figures = Figures()
         group = sheet.takeover
-        self.keeping = group and Keeping(group, sheet.node.name, run, clock, dial, log)
-        self.around = Around(clock, dial, run, log, host_class, self.figures, self.keeping)
+        self.replication = group and Replication(group, sheet.node.name, run, clock, dial, log)
+        self.around = Around(clock, dial, run, log, host_class, self.figures, self.replication)
         self.works = Works(sheet, self.around)
-        if self.keeping is not None:
-            self.keeping.lost = lambda record: let_go(self.links, record)
+        if self.replication is not None:
+            self.replication.service.on_abandoned = lambda record: close_at_engines(self.links, record)
             if not sheet.engines_may.claims:
                 log(
                     "takeover",
@@ -184,7 +184,7 @@
         self._limit = self.clock.callLater(within, self._cut)
         for works in (self.works, *self.old):
             works.host.on_idle = self._idle
-            if self.keeping is not None and self.sheet.engines_may.claims:
+            if self.replication is not None and self.sheet.engines_may.claims:
                 works.front.hand_over()
         self._done.addCallback(lambda none: done.callback(None))
         self._idle()
--- /dev/null
+++ b/myrtlehub/node/replication/replication.py
@@ -0,0 +1,82 @@
+"""Replication of one node, as owner and as replica."""
+
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.interfaces import IReactorTime
+
+from myrtlehub.config.sheets import TakeoverGroup
+from myrtlehub.node.replication.peer_connections import PeerConnections
+from myrtlehub.node.replication.record_publisher import RecordPublisher
+from myrtlehub.node.replication.replica_service import ReplicaService
+from myrtlehub.node.replication.wire import CALL_TIMEOUT, PEERS_SERVICE
+from myrtlehub.proto import peers_pb2 as pb
+from myrtlehub.recovery.failure_detector import HEARTBEAT_INTERVAL
+from myrtlehub.recovery.replica_placement import origin_node, replicas_of
+from myrtlehub.recovery.replica_store import ReplicaStore
+from myrtlehub.rpc.server import Server
+
+
+class Replication:
+    """One node's part: publishes its own records, stores those of others, and sends heartbeats."""
+
+    def __init__(
+        self,
+        settings: TakeoverGroup,
+        node: str,
+        incarnation: str,
+        clock: IReactorTime,
+        dial: Callable[[str], Callable],
+        log: Callable[..., None],
+    ) -> None:
+        self.settings = settings
+        self.node = node
+        self.clock = clock
+        self.log = log
+        self.zones = {row.name: row.zone for row in settings.peers}
+        addresses = {row.name: row.address for row in settings.peers}
+        self.owner = f"{node}.{incarnation}"
+        self.store = ReplicaStore(settings.keep)
+        self.connections = PeerConnections(node, incarnation, addresses, clock, dial, log)
+        self.publisher = RecordPublisher(
+            self.owner,
+            replicas_of(node, self.zones, settings.copies),
+            settings.patience,
+            self.connections,
+            self.store,
+            clock,
+            log,
+        )
+        self.connections.observer = self.publisher
+        self.service = ReplicaService(node, incarnation, self.store, settings.comes_back, clock, log)
+        clock.callLater(0, self._heartbeat)
+
+    @property
+    def server(self) -> Server:
+        """What other nodes connect to."""
+        return self.service.server
+
+    def _heartbeat(self) -> None:
+        now = self.clock.seconds()
+        self.clock.callLater(HEARTBEAT_INTERVAL, self._heartbeat)
+        self.publisher.send_heartbeats()
+        self.publisher.assign_missing_replicas()
+        self.service.check_owners(now)
+
+    def replicas_of_sequence(self, sequence_id: str) -> list[str]:
+        """Return the replicas of the node that accepted a sequence."""
+        return replicas_of(origin_node(sequence_id), self.zones, self.settings.copies)
+
+    def fetch_record(self, replica: str, sequence_id: str) -> Deferred:
+        """Ask a replica for a record: fires with its `TakeReply`, or with None if it was not reached."""
+        request = pb.TakeRequest(sequence=sequence_id, by=self.owner)
+        if replica == self.node:
+            return succeed(self.service.hand_out(request))
+        done = self.connections.peer(replica).channel.unary(
+            PEERS_SERVICE + "Take", request.SerializeToString(), timeout=CALL_TIMEOUT
+        )
+        return done.addCallbacks(pb.TakeReply.FromString, lambda failure: None)
+
+    def close(self) -> None:
+        """Close all connections: the node ends."""
+        self.connections.close()
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -17,10 +17,11 @@
 from myrtlehub.node.embed import EMBED
 from myrtlehub.node.engine_pools import EnginePools
 from myrtlehub.node.figures import Figures
-from myrtlehub.node.keeping import Gate, Keeping
 from myrtlehub.node.links import Links
 from myrtlehub.node.peers import PeerWatch
 from myrtlehub.node.rank import RANK
+from myrtlehub.node.replication.replicated_transport import ReplicatedTransport
+from myrtlehub.node.replication.replication import Replication
 from myrtlehub.node.request_decoder import RequestDecoder
 from myrtlehub.node.router_config import fronts_of, router_config_of
 from myrtlehub.node.sequences import InFlightSequence
@@ -38,7 +39,7 @@
     log: Callable[..., None]
     host_class: type[ActionExecutor]
     figures: Figures
-    keeping: Keeping | None = None
+    replication: Replication | None = None
 
 
 class Works:
@@ -56,8 +57,8 @@
         # The id names the run and the settings as well: a node that came back must not speak of old
         # sequences.
         run = f"{around.run}~{number}" if number else around.run
-        keeping = around.keeping
-        carrier = self.links if keeping is None else Gate(self.links, keeping)
+        replication = around.replication
+        carrier = self.links if replication is None else ReplicatedTransport(self.links, replication)
         self.host = around.host_class(
             self._router(fronts), RequestDecoder(sheet), terms, clock, carrier, f"{node.name}.{run}.", log
         )
@@ -65,16 +66,17 @@
             self.links.channels = before.links.channels  # a change of settings makes no new connections
             self.host.decoder.lag = before.host.decoder.lag
         self.links.host = self.host
-        if keeping is not None:
-            self.links.claim_of, self.host.on_begun = keeping.claim_of, keeping.begun
+        if replication is not None:
+            publisher = replication.publisher
+            self.links.claim_of, self.host.on_begun = publisher.ownership_of, publisher.answer_started
         self.host.probe_timeout = sheet.reports.probe_timeout
         around.figures.follow(self.host)
-        if keeping is not None:
+        if replication is not None:
             counted = self.host.on_answered
 
             def answered(held: InFlightSequence) -> None:
                 counted(held)
-                keeping.answered(held.sequence_id)
+                replication.publisher.answered(held.sequence_id)
 
             self.host.on_answered = answered
         limits = sheet.limits
@@ -97,7 +99,7 @@
             gate,
             around.figures.turned_away,
         )
-        self.front.keeping, self.front.links = keeping, self.links
+        self.front.replication, self.front.links = replication, self.links
         self.front.claims = sheet.engines_may.claims
         self.host.start()
 
--- /dev/null
+++ b/myrtlehub/recovery/model/checker_model.py
@@ -0,0 +1,60 @@
+"""All steps of the model, and the rules that each state after them is checked by."""
+
+from collections.abc import Iterator
+
+from myrtlehub.recovery.model import network_steps, owner_steps, takeover_steps
+from myrtlehub.recovery.model.state import (
+    FIRST_OWNER,
+    Answer,
+    ModelOwner,
+    ModelParameters,
+    ModelState,
+    Phase,
+    Step,
+)
+from myrtlehub.recovery.sequence_records import RetrySemantics
+
+
+class RecoveryModel:
+    """The model as the model checker calls it: a state's labels, next states and violations."""
+
+    def __init__(self, parameters: ModelParameters) -> None:
+        self.parameters = parameters
+
+    def __call__(self, state: ModelState) -> Iterator[tuple[str, ModelState, str]]:
+        """Yield all that can happen next."""
+        for label, after in self._steps(state):
+            yield label, after, self._violation(after)
+
+    def _violation(self, state: ModelState) -> str:
+        """Say which rule a state violates; empty if it violates none."""
+        if self.parameters.retry_semantics == RetrySemantics.AT_MOST_ONCE and state.effects > 1:
+            return f"rule 2: it ran {state.effects} times"
+        was_rejected = any(owner.answer == Answer.REJECTED for owner in state.owners)
+        if was_rejected and state.effects and self.parameters.retry_semantics != RetrySemantics.IDEMPOTENT:
+            return "rule 2: a client was told that nothing ran, and it ran"
+        return ""
+
+    def _steps(self, state: ModelState) -> Iterator[Step]:
+        for index, owner in enumerate(state.owners):
+            yield from self._owner_steps(state, index, owner)
+        yield from network_steps.deliver_messages(self.parameters, state)
+        yield from network_steps.run_attempts(state)
+        if state.faults < self.parameters.faults:
+            yield from network_steps.restart_processes(self.parameters, state)
+
+    def _owner_steps(self, state: ModelState, index: int, owner: ModelOwner) -> Iterator[Step]:
+        match owner.phase:
+            case Phase.IDLE if not state.owners[FIRST_OWNER].answer:
+                after = state.with_owner(index, owner._replace(phase=Phase.ASKING_REPLICAS))
+                yield Step(f"client comes to {index}", after)
+            case Phase.ASKING_REPLICAS:
+                yield from takeover_steps.ask_replicas(self.parameters, state, index, owner)
+            case Phase.CLAIMING_ENGINES:
+                yield from takeover_steps.claim_engines(self.parameters, state, index, owner)
+            case Phase.INTENDING:
+                yield from owner_steps.intend(self.parameters, state, index, owner)
+            case Phase.WAITING:
+                yield from owner_steps.wait_for_replicas(self.parameters, state, index, owner)
+            case Phase.SENT:
+                yield from owner_steps.observe_attempt(state, index, owner)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,250 +1,297 @@
-"""Taking work over: the small world keeps the rules, seeded faults are found, and the pure parts by
-themselves.
-"""
+"""Recovery: the model keeps its rules, seeded faults are found, and the pure parts by themselves."""
 
 from collections.abc import Callable
 
 import pytest
 
-from myrtlehub.recovery import course, fence, records
-from myrtlehub.recovery.course import Doing, Standing, decide
-from myrtlehub.recovery.detect import EVERY, SILENT, Detector
-from myrtlehub.recovery.fence import Fence, Fences
-from myrtlehub.recovery.keepers import keepers, node_of, order
-from myrtlehub.recovery.owner import GO, NEVER, WAIT, Owned
-from myrtlehub.recovery.records import (
-    FULL,
-    KEPT,
-    ONCE_ONLY,
-    REPEATABLE,
-    SUPERSEDED,
-    TOKENED,
-    Book,
-    Claim,
-    Intent,
-    Record,
+from myrtlehub.recovery.failure_detector import HEARTBEAT_INTERVAL, SILENCE_TIMEOUT, FailureDetector
+from myrtlehub.recovery.fencing import AttemptState, ClaimResult, Fence, FenceTable
+from myrtlehub.recovery.model import ModelParameters, RecoveryModel, initial_state
+from myrtlehub.recovery.ownership import OwnedSequence, SendDecision
+from myrtlehub.recovery.recovery_decision import (
+    STREAMING_STATES,
+    AttemptReport,
+    RecoveryAction,
+    RecoveryDecision,
+    decide,
+)
+from myrtlehub.recovery.replica_placement import origin_node, rank_nodes, replicas_of
+from myrtlehub.recovery.replica_store import ReplicaStore
+from myrtlehub.recovery.sequence_records import (
+    AttemptIntent,
+    MergeResult,
+    Ownership,
+    ReplicaReply,
+    RetrySemantics,
+    SequenceRecord,
+    merge_update,
 )
-from myrtlehub.recovery.world import Moves, Shape, start
 from myrtlehub.state.explore import explore, replay
 
+IDEMPOTENT = RetrySemantics.IDEMPOTENT
+IDEMPOTENCY_KEY = RetrySemantics.IDEMPOTENCY_KEY
+AT_MOST_ONCE = RetrySemantics.AT_MOST_ONCE
+
 
 @pytest.mark.parametrize(
-    "shape",
-    [Shape(keepers=1, takers=1, attempts=2, faults=1), Shape(keepers=1, takers=2, attempts=1, faults=0)],
+    "parameters",
+    [
+        ModelParameters(replicas=1, takers=1, attempts=2, faults=1),
+        ModelParameters(replicas=1, takers=2, attempts=1, faults=0),
+    ],
     ids=["paused, one fault", "two takers"],
 )
-def test_a_once_only_sequence_runs_once_whoever_takes_it_over(shape: Shape) -> None:
-    """With one keeper the world is visited whole."""
-    found = explore(start(shape), Moves(shape), 200, 200_000)
+def test_a_sequence_runs_at_most_once_whoever_takes_it_over(parameters: ModelParameters) -> None:
+    """With one replica all states are visited."""
+    found = explore(initial_state(parameters), RecoveryModel(parameters), 200, 200_000)
     assert found.complete and not found.breach, (found.breach, found.trace)
     assert found.states > 5000
 
 
 @pytest.mark.parametrize(
-    "shape",
-    [Shape(takers=1, attempts=2, faults=1), Shape(takers=2, attempts=1, faults=0)],
+    "parameters",
+    [ModelParameters(takers=1, attempts=2, faults=1), ModelParameters(takers=2, attempts=1, faults=0)],
     ids=["paused, one fault", "two takers"],
 )
-def test_the_same_with_two_keepers_as_far_as_it_is_looked_at(shape: Shape) -> None:
-    """Cut off here; benchmarks/takes.py goes on."""
-    found = explore(start(shape), Moves(shape), 200, 30_000)
+def test_at_most_once_with_two_replicas_in_a_part_of_the_states(parameters: ModelParameters) -> None:
+    """The search ends here before all states are visited."""
+    found = explore(initial_state(parameters), RecoveryModel(parameters), 200, 30_000)
     assert not found.breach and found.depth > 8, (found.breach, found.trace)
 
 
-def _kept_by_anybody(held: Record | None, told: Record) -> tuple[Record, str]:
-    return told, KEPT
+def _store_any_update(stored: SequenceRecord | None, update: SequenceRecord) -> MergeResult:
+    return MergeResult(update, ReplicaReply.STORED)
 
 
-def _forgets_intents(held: Record | None, told: Record) -> tuple[Record, str]:
-    if held is not None and told.claim < held.claim:
-        return held, SUPERSEDED
-    return told, KEPT
+def _send_unless(
+    may_skip_waiting: Callable[[OwnedSequence], bool],
+) -> Callable[[OwnedSequence], SendDecision]:
+    return lambda owned: SendDecision.SEND if may_skip_waiting(owned) else owned.send_decision()
 
 
-def _sent_unless(skips: Callable[[Owned], bool]) -> Callable[[Owned], str]:
-    return lambda o: GO if skips(o) else o.may_send()
+def _decide_as_if_never_sent(
+    *states: AttemptState,
+) -> Callable[[str, list[AttemptReport], int, bool], RecoveryDecision]:
+    """Make a decision that counts attempts in these states as attempts that were never sent."""
 
+    def wrong_decide(
+        retry_semantics: str, reports: list[AttemptReport], client_tokens: int, is_complete: bool = True
+    ) -> RecoveryDecision:
+        changed = [
+            report._replace(state=AttemptState.NEVER) if report.state in states else report
+            for report in reports
+        ]
+        return decide(retry_semantics, changed, client_tokens, is_complete)
 
-def _unknown_is_harmless(repeats: str, standings: list[Standing], seen: int, whole: bool = True) -> Doing:
-    return decide(
-        repeats,
-        [s._replace(says=fence.NEVER) if s.says == fence.UNKNOWN else s for s in standings],
-        seen,
-        whole,
-    )
+    return wrong_decide
 
 
-def _ended_is_harmless(repeats: str, standings: list[Standing], seen: int, whole: bool = True) -> Doing:
-    return decide(
-        repeats,
-        [s._replace(says=fence.NEVER) if s.says in course.GOES_ON else s for s in standings],
-        seen,
-        whole,
-    )
+def _acknowledge_by_any_process(
+    owned: OwnedSequence, replica: str, incarnation: str, version: int, reply: str
+) -> OwnedSequence:
+    return owned.acknowledge(replica, dict(owned.replicas).get(replica, incarnation), version, reply)
 
 
-def _heard_of_any_process(o: Owned, keeper: str, run: str, version: int, word: str) -> Owned:
-    return o.heard(keeper, dict(o.runs).get(keeper, run), version, word)
+def _grant_any_claim(fence: Fence, ownership: Ownership, close: bool) -> ClaimResult:
+    return ClaimResult(Fence(ownership, fence.is_closed or close), granted=True)
+
+
+def _grant_claims_past_a_closed_fence(fence: Fence, ownership: Ownership, close: bool) -> ClaimResult:
+    if ownership < fence.ownership:
+        return ClaimResult(fence, granted=False)
+    return ClaimResult(Fence(ownership, close), granted=True)
 
 
 FAULTS = {
-    "a keeper takes word of an owner that was superseded": Shape(kept=_kept_by_anybody),
-    "a taker gets the record by the old claim": Shape(taken=lambda held, by, least: held),
-    "an engine takes work by any claim": Shape(admits=lambda f, claim: True),
-    "an engine grants any claim and says nothing of the higher one": Shape(
-        raised=lambda f, claim, close: (Fence(claim, f.closed or close), True)
+    "a replica accepts updates of a superseded owner": ModelParameters(merge_update=_store_any_update),
+    "a taker gets the record without a higher epoch": ModelParameters(
+        transfer=lambda stored, new_owner, least_epoch: stored
+    ),
+    "an engine accepts work with any ownership": ModelParameters(admits=lambda fence, ownership: True),
+    "an engine grants any claim and does not mention the higher one": ModelParameters(
+        claim_fence=_grant_any_claim
+    ),
+    "attempts are sent before their replicas know": ModelParameters(
+        send_decision=_send_unless(lambda owned: not owned.is_superseded)
+    ),
+    "a later attempt is sent with the replicas that answered": ModelParameters(
+        send_decision=_send_unless(
+            lambda owned: not owned.is_superseded and set(owned.lagging_replicas()) <= owned.uncertain
+        )
     ),
-    "attempts are sent before their keepers know": Shape(may_send=_sent_unless(lambda o: not o.superseded)),
-    "a later attempt goes with the keepers that answered": Shape(
-        may_send=_sent_unless(lambda o: not o.superseded and set(o.behind()) <= o.unsure)
+    "an owner goes on though it was superseded": ModelParameters(
+        send_decision=_send_unless(lambda owned: owned.is_superseded)
     ),
-    "an owner goes on though it was superseded": Shape(may_send=_sent_unless(lambda o: o.superseded)),
-    "an engine that restarted counts as one that got nothing": Shape(decide=_unknown_is_harmless),
-    "what has run is sent again": Shape(decide=_ended_is_harmless),
-    "a closed fence lets others past": Shape(
-        raised=lambda f, claim, close: (Fence(claim, close), True) if claim >= f.claim else (f, False)
+    "an engine that restarted counts as one that got nothing": ModelParameters(
+        decide=_decide_as_if_never_sent(AttemptState.UNKNOWN)
+    ),
+    "what has run is sent again": ModelParameters(decide=_decide_as_if_never_sent(*STREAMING_STATES)),
+    "a closed fence lets others past": ModelParameters(claim_fence=_grant_claims_past_a_closed_fence),
+    "the reply of another incarnation of a replica counts": ModelParameters(
+        acknowledge=_acknowledge_by_any_process
     ),
-    "word of another process of a keeper counts": Shape(heard=_heard_of_any_process),
 }
 
 
 @pytest.mark.parametrize("name", FAULTS)
 def test_a_seeded_fault_is_found_and_its_trace_replays(name: str) -> None:
-    for more in (
-        {"keepers": 1, "takers": 1, "faults": 0},
-        {"keepers": 1, "takers": 1, "faults": 1},
-        {"keepers": 1, "takers": 2, "faults": 0},
+    for size in (
+        {"replicas": 1, "takers": 1, "faults": 0},
+        {"replicas": 1, "takers": 1, "faults": 1},
+        {"replicas": 1, "takers": 2, "faults": 0},
         {"takers": 1, "faults": 1},
         {"takers": 2, "attempts": 1, "faults": 0},
     ):
-        shape = FAULTS[name]._replace(**more)
-        found = explore(start(shape), Moves(shape), 200, 120_000)
+        parameters = FAULTS[name]._replace(**size)
+        found = explore(initial_state(parameters), RecoveryModel(parameters), 200, 120_000)
         if found.breach:
             break
     assert found.breach, name
-    assert replay(start(shape), Moves(shape), found.trace)[1] == found.breach
+    _, violation = replay(initial_state(parameters), RecoveryModel(parameters), found.trace)
+    assert violation == found.breach
 
 
 # -- the parts ------------------------------------------------------------------------------------------
 
 
-def record(name: str, repeats: str = ONCE_ONLY, epoch: int = 1, until: float = 9.0, **more: object) -> Record:
-    return Record(name, Claim(epoch, "a"), repeats, until, **more)
+def record(
+    sequence_id: str,
+    retry_semantics: str = AT_MOST_ONCE,
+    epoch: int = 1,
+    expires_at: float = 9.0,
+    intents: tuple[AttemptIntent, ...] = (),
+    is_streaming: bool = False,
+) -> SequenceRecord:
+    ownership = Ownership(epoch, "a")
+    return SequenceRecord(sequence_id, ownership, retry_semantics, expires_at, intents, is_streaming)
 
 
-def test_keepers_are_the_same_for_all_and_move_little() -> None:
+def test_replicas_are_the_same_for_all_nodes_and_move_little() -> None:
     zones = {f"n{i}": "xyz"[i % 3] for i in range(60)}
     for node in zones:
-        first = keepers(node, zones, 2)
-        assert node not in first and zones[node] not in {zones[k] for k in first}
-        assert len({zones[k] for k in first}) == 2 and order(node, dict(reversed(zones.items())))[:2] == first
-    without = {n: z for n, z in zones.items() if n != "n7"}
-    moved = [n for n in without if keepers(n, without, 2) != keepers(n, zones, 2)]
-    assert all("n7" in keepers(n, zones, 2) for n in moved) and len(moved) < 10
-    load = [sum(k in keepers(n, zones, 2) for n in zones) for k in zones]
+        first = replicas_of(node, zones, 2)
+        assert node not in first and zones[node] not in {zones[replica] for replica in first}
+        assert (
+            len({zones[replica] for replica in first}) == 2
+            and rank_nodes(node, dict(reversed(zones.items())))[:2] == first
+        )
+    without = {node: zone for node, zone in zones.items() if node != "n7"}
+    moved = [node for node in without if replicas_of(node, without, 2) != replicas_of(node, zones, 2)]
+    assert all("n7" in replicas_of(node, zones, 2) for node in moved) and len(moved) < 10
+    load = [sum(replica in replicas_of(node, zones, 2) for node in zones) for replica in zones]
     assert max(load) <= 9 and sum(load) == 120
-    assert keepers("a", {"a": "z", "b": "z"}, 2) == ["b"] and node_of("n.1.run~2.77") == "n.1"
+    assert replicas_of("a", {"a": "z", "b": "z"}, 2) == ["b"] and origin_node("n.1.run~2.77") == "n.1"
 
 
-def test_a_book_gives_way_in_the_stated_order_and_never_what_was_taken_over() -> None:
-    book = Book(4)
-    rows = [
+def test_a_replica_store_evicts_in_the_stated_order_and_never_what_was_handed_out() -> None:
+    store = ReplicaStore(4)
+    records = [
         record("once"),
-        record("token", TOKENED),
-        record("streams", REPEATABLE, streams=True),
-        record("plain", REPEATABLE),
+        record("token", IDEMPOTENCY_KEY),
+        record("streams", IDEMPOTENT, is_streaming=True),
+        record("plain", IDEMPOTENT),
     ]
-    assert [book.keep(r) for r in rows] == [KEPT] * 4
-    assert book.keep(record("more")) == KEPT and "plain" not in book.records
-    assert book.keep(record("late", REPEATABLE)) == FULL  # worth less than all that is held
-    assert book.keep(record("two")) == KEPT and "streams" not in book.records
-    assert book.take("once", "b").claim == Claim(2, "b") and book.take("gone", "b") is None
+    assert [store.store(r) for r in records] == [ReplicaReply.STORED] * 4
+    assert store.store(record("more")) == ReplicaReply.STORED and "plain" not in store.records
+    assert store.store(record("late", IDEMPOTENT)) == ReplicaReply.FULL  # it ranks below all that is held
+    assert store.store(record("two")) == ReplicaReply.STORED and "streams" not in store.records
+    assert store.hand_out("once", "b").ownership == Ownership(2, "b") and store.hand_out("gone", "b") is None
     for i in range(6):
-        book.keep(record(f"x{i}"))
-    assert "once" in book.records and len(book.records) == 4
-    assert book.keep(record("once")) == SUPERSEDED == book.end("once", Claim(1, "a"))
-    assert book.end("once", Claim(2, "b")) == KEPT and "once" not in book.records
-    assert book.overdue(8.9) == [] and len(book.overdue(9.0)) == 3
+        store.store(record(f"x{i}"))
+    assert "once" in store.records and len(store.records) == 4
+    assert store.store(record("once")) == ReplicaReply.SUPERSEDED == store.end("once", Ownership(1, "a"))
+    assert store.end("once", Ownership(2, "b")) == ReplicaReply.STORED and "once" not in store.records
+    assert store.remove_expired(8.9) == [] and len(store.remove_expired(9.0)) == 3
 
 
-def test_a_record_told_late_takes_no_intent_away() -> None:
-    first, second = Intent(0, "w1", False, 1.0), Intent(1, "w2", False, 2.0)
-    held, word = records.kept(
-        record("s", intents=(first, second), streams=True), record("s", intents=(first,))
+def test_a_late_update_removes_no_intent() -> None:
+    first, second = AttemptIntent(0, "w1", False, 1.0), AttemptIntent(1, "w2", False, 2.0)
+    merged, reply = merge_update(
+        record("s", intents=(first, second), is_streaming=True), record("s", intents=(first,))
     )
-    assert word == KEPT and held.intents == (first, second) and held.streams
-
-
-def test_what_an_owner_may_send_by_what_its_keepers_said() -> None:
-    one, two = Intent(0, "w1", False, 0.0), Intent(1, "w2", False, 0.0)
-    o = Owned.begun(record("s"), {"k1": "r", "k2": "r"}).intends(one)
-    assert o.may_send() == WAIT
-    half = o.heard("k1", "r", 1, KEPT)
-    assert half.may_send() == WAIT and half.unheard("k2").may_send() == GO  # the very first one
-    assert half.heard("k2", "r", 1, FULL).may_send() == GO
-    later = half.unheard("k2").intends(two).heard("k1", "r", 2, KEPT)
-    assert later.may_send() == NEVER and later.heard("k2", "r", 2, KEPT).may_send() == GO
-    assert later.heard("k2", "other", 2, KEPT).may_send() == NEVER  # it began anew meanwhile
-    assert o.heard("k1", "r", 1, SUPERSEDED).may_send() == NEVER
-    free = Owned.begun(record("s", REPEATABLE), {"k1": "r"}).intends(one)
-    assert free.may_send() == GO
+    assert reply == ReplicaReply.STORED and merged.intents == (first, second) and merged.is_streaming
+
+
+def test_what_an_owner_may_send_by_what_its_replicas_replied() -> None:
+    one, two = AttemptIntent(0, "w1", False, 0.0), AttemptIntent(1, "w2", False, 0.0)
+    stored, full, superseded = ReplicaReply.STORED, ReplicaReply.FULL, ReplicaReply.SUPERSEDED
+    send, wait, never = SendDecision.SEND, SendDecision.WAIT, SendDecision.NEVER
+    owned = OwnedSequence.begin(record("s"), {"k1": "r", "k2": "r"}).add_intent(one)
+    assert owned.send_decision() == wait
+    half = owned.acknowledge("k1", "r", 1, stored)
+    # The very first intent may go with the replicas that answered.
+    assert half.send_decision() == wait and half.mark_uncertain("k2").send_decision() == send
+    assert half.acknowledge("k2", "r", 1, full).send_decision() == send
+    later = half.mark_uncertain("k2").add_intent(two).acknowledge("k1", "r", 2, stored)
+    assert later.send_decision() == never and later.acknowledge("k2", "r", 2, stored).send_decision() == send
+    assert later.acknowledge("k2", "other", 2, stored).send_decision() == never  # it restarted meanwhile
+    assert owned.acknowledge("k1", "r", 1, superseded).send_decision() == never
+    idempotent = OwnedSequence.begin(record("s", IDEMPOTENT), {"k1": "r"}).add_intent(one)
+    assert idempotent.send_decision() == send
 
 
 @pytest.mark.parametrize(
-    ("repeats", "says", "seen", "do"),
+    ("retry_semantics", "state", "client_tokens", "action"),
     [
-        (ONCE_ONLY, fence.WRITING, 3, course.ATTACH),
-        (ONCE_ONLY, fence.ENDED, 0, course.ATTACH),
-        (ONCE_ONLY, fence.WAITING, 0, course.ATTACH),
-        (ONCE_ONLY, fence.UNKNOWN, 0, course.ABORT),
-        (ONCE_ONLY, fence.STOPPED, 0, course.ABORT),
-        (ONCE_ONLY, fence.REFUSED, 0, course.AGAIN),
-        (ONCE_ONLY, fence.NEVER, 0, course.AGAIN),
-        (REPEATABLE, fence.UNKNOWN, 0, course.AGAIN),
-        (REPEATABLE, fence.UNKNOWN, 3, course.ABORT),
-        (TOKENED, fence.STOPPED, 0, course.AGAIN),
+        (AT_MOST_ONCE, AttemptState.WRITING, 3, RecoveryAction.ATTACH),
+        (AT_MOST_ONCE, AttemptState.ENDED, 0, RecoveryAction.ATTACH),
+        (AT_MOST_ONCE, AttemptState.WAITING, 0, RecoveryAction.ATTACH),
+        (AT_MOST_ONCE, AttemptState.UNKNOWN, 0, RecoveryAction.ABORT),
+        (AT_MOST_ONCE, AttemptState.STOPPED, 0, RecoveryAction.ABORT),
+        (AT_MOST_ONCE, AttemptState.REFUSED, 0, RecoveryAction.RETRY),
+        (AT_MOST_ONCE, AttemptState.NEVER, 0, RecoveryAction.RETRY),
+        (IDEMPOTENT, AttemptState.UNKNOWN, 0, RecoveryAction.RETRY),
+        (IDEMPOTENT, AttemptState.UNKNOWN, 3, RecoveryAction.ABORT),
+        (IDEMPOTENCY_KEY, AttemptState.STOPPED, 0, RecoveryAction.RETRY),
     ],
 )
-def test_what_becomes_of_a_sequence(repeats: str, says: str, seen: int, do: str) -> None:
-    intent = Intent(0, "w1", False, 0.0)
-    doing = decide(repeats, [Standing(intent, says, 20)], seen)
-    assert doing.do == do
-    assert doing.ran == (
-        intent if (repeats, do) != (ONCE_ONLY, course.AGAIN) and do == course.AGAIN else None
-    )
-
-
-def test_a_held_state_is_written_from_and_a_missing_record_is_no_proof() -> None:
-    read, write = Intent(0, "r1", True, 0.0), Intent(1, "w1", False, 0.0)
-    found = [Standing(read, fence.HELD), Standing(write, fence.REFUSED)]
-    assert decide(ONCE_ONLY, found, 0)[:3] == (course.HELD, "r1", 0)
-    assert decide(ONCE_ONLY, [], 0, whole=False).do == course.ABORT
-    assert decide(REPEATABLE, [], 0, whole=False).do == course.AGAIN
-    gone = [Standing(write, fence.WRITING, 40, first=10)]
-    assert decide(REPEATABLE, gone, 4).do == course.ABORT  # the tokens in between are not kept any more
-    assert decide(REPEATABLE, gone, 10).do == course.ATTACH
-
-
-def test_fences_refuse_whatever_is_older_and_forget_the_oldest() -> None:
-    f = Fences(2, 0.0)
-    assert f.admits("s", Claim(1, "a")) and f.claim("s", Claim(2, "b")) and not f.admits("s", Claim(1, "a"))
-    assert not f.claim("s", Claim(2, "a")) and f.admits("s", Claim(2, "b"))
-    assert f.claim("s", Claim(2, "b"), close=True) and not f.claim("s", Claim(3, "c"))
-    assert not f.admits("s", Claim(2, "b")) and f.claim("s", Claim(2, "b"), close=True)
-    assert f.admits("t", Claim(1, "a")) and f.admits("u", Claim(1, "a")) and f.of("s") == Fence()
-
-
-def test_who_looks_late_accuses_nobody() -> None:
-    d = Detector(0.0)
-    assert d.heard("a", "1", 0.0) == "" and d.heard("b", "1", 0.0) == ""
+def test_what_becomes_of_a_sequence(
+    retry_semantics: RetrySemantics, state: AttemptState, client_tokens: int, action: RecoveryAction
+) -> None:
+    intent = AttemptIntent(0, "w1", False, 0.0)
+    decision = decide(retry_semantics, [AttemptReport(intent, state, 20)], client_tokens)
+    assert decision.action == action
+    may_have_run = retry_semantics != AT_MOST_ONCE and action == RecoveryAction.RETRY
+    assert decision.may_have_run == (intent if may_have_run else None)
+
+
+def test_a_read_state_is_used_and_a_missing_record_is_no_proof() -> None:
+    read, write = AttemptIntent(0, "r1", True, 0.0), AttemptIntent(1, "w1", False, 0.0)
+    reports = [
+        AttemptReport(read, AttemptState.HOLDS_READ_STATE),
+        AttemptReport(write, AttemptState.REFUSED),
+    ]
+    assert decide(AT_MOST_ONCE, reports, 0)[:3] == (RecoveryAction.USE_READ_STATE, "r1", 0)
+    assert decide(AT_MOST_ONCE, [], 0, is_complete=False).action == RecoveryAction.ABORT
+    assert decide(IDEMPOTENT, [], 0, is_complete=False).action == RecoveryAction.RETRY
+    gone = [AttemptReport(write, AttemptState.WRITING, 40, first_token=10)]
+    # The engine no longer has the tokens in between.
+    assert decide(IDEMPOTENT, gone, 4).action == RecoveryAction.ABORT
+    assert decide(IDEMPOTENT, gone, 10).action == RecoveryAction.ATTACH
+
+
+def test_fences_refuse_lower_ownership_and_forget_the_oldest() -> None:
+    table = FenceTable(2, 0.0)
+    first, second = Ownership(1, "a"), Ownership(2, "b")
+    assert table.admit("s", first) and table.claim("s", second) and not table.admit("s", first)
+    assert not table.claim("s", Ownership(2, "a")) and table.admit("s", second)
+    assert table.claim("s", second, close=True) and not table.claim("s", Ownership(3, "c"))
+    assert not table.admit("s", second) and table.claim("s", second, close=True)
+    assert table.admit("t", first) and table.admit("u", first) and table.fence_of("s") == Fence()
+
+
+def test_a_failure_detector_that_checks_late_suspects_nobody() -> None:
+    detector = FailureDetector(0.0)
+    assert detector.record_heartbeat("a", "1", 0.0) == "" and detector.record_heartbeat("b", "1", 0.0) == ""
     now = 0.0
-    while now < SILENT + 2 * EVERY:
-        now += EVERY
-        d.heard("b", "1", now)
-        silent = d.look(now)
-    assert silent == [("a", "1")] and d.heard("b", "2", now) == "1"
-    d.forget("a")
-    assert d.look(now + 60.0) == [] and d.look(now + 60.0 + EVERY) == []  # it was paused itself
+    while now < SILENCE_TIMEOUT + 2 * HEARTBEAT_INTERVAL:
+        now += HEARTBEAT_INTERVAL
+        detector.record_heartbeat("b", "1", now)
+        silent = detector.check(now)
+    assert silent == [("a", "1")] and detector.record_heartbeat("b", "2", now) == "1"
+    detector.forget("a")
+    late = now + 60.0
+    assert detector.check(late) == [] and detector.check(late + HEARTBEAT_INTERVAL) == []  # it was paused
     for i in range(8):
-        silent = d.look(now + 60.0 + EVERY * (2 + i))
+        silent = detector.check(late + HEARTBEAT_INTERVAL * (2 + i))
     assert silent == [("b", "2")]
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -1,5 +1,7 @@
-"""Nodes as processes that are killed, paused, cut off and told to leave; others go on with what they had. The
-day is judged by the five rules, from what passed on sockets, and by what became of work in hand.
+"""Takeover between processes: nodes are killed, paused, cut off and drained, and others continue their work.
+
+The scenario is judged by the five rules, from what passed on sockets, and by what became of in-flight
+sequences.
 """
 
 import json
@@ -10,7 +12,7 @@
 import pytest
 
 from myrtlehub.lab.checker import Checker
-from myrtlehub.node.takeover import TAKEOVER
+from myrtlehub.node.replication.takeover_machine import TAKEOVER_TABLE
 from myrtlehub.records import Record
 
 TRAFFIC = {"latency_slo": "2s", "abandon_time": "5s", "prompt": [50, 300], "output": [150, 400]}
@@ -47,7 +49,7 @@
 }
 
 
-def play(folder: Path, **takeover: object) -> dict:
+def run_scenario(folder: Path, **takeover: object) -> dict:
     day = {**DAY, "takeover": {**DAY["takeover"], **takeover}}
     (folder / "day.yaml").write_text(json.dumps(day))
     done = subprocess.run(
@@ -70,8 +72,8 @@
 
 
 @pytest.mark.parametrize("claims", [True, False], ids=["engines answer claims", "engines answer none"])
-def test_a_day_of_losses_keeps_the_rules_and_work_goes_on(tmp_path: Path, claims: bool) -> None:
-    verdict = play(tmp_path, claims=claims)
+def test_a_scenario_of_losses_keeps_the_rules_and_work_continues(tmp_path: Path, claims: bool) -> None:
+    verdict = run_scenario(tmp_path, claims=claims)
     breaches = [b for r in verdict["rules"] for b in r["breaches"]]
     assert not breaches and not verdict["unclean"], (breaches, verdict["unclean"])
     lost = verdict["takeover"]["lost"]
@@ -89,8 +91,8 @@
         assert not streaming["generated"] and not verdict["takeover"]["does"].get("attach"), lost
 
 
-def test_the_life_of_a_takeover_has_a_result_for_every_event() -> None:
-    assert not TAKEOVER.holes()
+def test_a_takeover_has_a_transition_for_every_event_in_every_state() -> None:
+    assert not TAKEOVER_TABLE.missing()
 
 
 # -- the checker: a takeover that went wrong is seen ------------------------------------------------------
@@ -143,16 +145,22 @@
     Record(2.4, "w2", "ran", {**WORK, "attempt": 1}),
 ]
 WRONG = {
-    "what runs is sent to another engine": (GOOD[:12] + AGAIN + GOOD[12:], 2, "sent to w2"),
+    "what runs is sent to another engine": ([*GOOD[:12], *AGAIN, *GOOD[12:]], 2, "sent to w2"),
     "a token is missing": (
-        GOOD[:13] + [Record(3.1, "client", "final", {**GOOD[13].more, "ids": 8, "sum": 76})] + GOOD[14:],
+        [
+            *GOOD[:13],
+            Record(3.1, "client", "final", {**GOOD[13].more, "ids": 8, "sum": 76}),
+            *GOOD[14:],
+        ],
         1,
         "are not those that a writer made",
     ),
     "an answer after an answer": (
-        GOOD[:6]
-        + [Record(1.9, "client", "final", {"call": "m.0", "answer": "aborted", "tokens": 4})]
-        + GOOD[6:],
+        [
+            *GOOD[:6],
+            Record(1.9, "client", "final", {"call": "m.0", "answer": "aborted", "tokens": 4}),
+            *GOOD[6:],
+        ],
         1,
         "came back though m.0 was aborted",
     ),
@@ -169,7 +177,8 @@
 
 def test_a_good_takeover_is_no_breach() -> None:
     assert not judged(GOOD)
-    never = [r for r in GOOD if r.what != "ran"][:11] + [
+    never = [
+        *[r for r in GOOD if r.what != "ran"][:11],
         Record(2.15, "w1", "stopped", {"seq": "n1.r.0", "attempt": 0, "why": "UNAVAILABLE", "ran": False}),
         GOOD[11],
         *AGAIN,
