Emulator: claims, the served attempt and token ids in modules of their own

Change: emulator/claims.py (ClaimableJobs), emulator/job.py (Job, StreamCall, StateFetch) and emulator/tokens.py; server.py keeps the rest. The events that are recorded stay as they are.

--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -7,17 +7,20 @@
 
 from myrtlehub.config.sheets import StandSheet
 from myrtlehub.emulator.alarm import Alarm
-from myrtlehub.emulator.claimed import ClaimedWork, Line, ownership_of, sum_of, token
+from myrtlehub.emulator.claims import ClaimableJobs
+from myrtlehub.emulator.job import Job, StateFetch
 from myrtlehub.emulator.model import NEVER, EngineModel, Machine, Task
+from myrtlehub.emulator.tokens import checksum, token_id
 from myrtlehub.emulator.vectors import score_of, vector_of
 from myrtlehub.proto import chat_pb2 as chat
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.records import Recorder
 from myrtlehub.recovery.fencing import AttemptState
-from myrtlehub.rpc.channel import CallWatcher, Channel
+from myrtlehub.recovery.sequence_records import Ownership
+from myrtlehub.rpc.channel import Channel
 from myrtlehub.rpc.metadata import first
 from myrtlehub.rpc.server import Receiver, Server, ServerCall, server_stream, unary
-from myrtlehub.rpc.status import Code, RpcError, Status
+from myrtlehub.rpc.status import Code, RpcError
 
 SERVICE = "/myrtlehub.v1.Engine/"
 PIECE = 512  # tokens of state in a piece
@@ -29,90 +32,6 @@
     return Machine(**{name: getattr(sheet, name) for name in Machine.__dataclass_fields__})
 
 
-class _Job(Receiver):
-    """One attempt being served here."""
-
-    def __init__(
-        self, stand: "StandIn", call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None
-    ) -> None:
-        self.stand, self.call, self.work, self.reads, self.state = stand, call, work, reads, state
-        self.answer: Deferred | None = None
-        self.fetching: Channel | None = None
-        self.stopped = False
-        self.ran = False
-        self.batch: pb.BatchRequest | None = None
-        self.breaks_after = 0  # tokens; 0: it does not
-        self.node = first(call.metadata, "myrtle-node")
-        self.ownership = ownership_of(work)
-        self.says = (
-            AttemptState.READING if reads else AttemptState.WAITING
-        )  # of it, to whoever claims the sequence
-        self.lines = [Line(self, call)]  # calls by which it was read
-        self.made: list[int] = []  # tokens
-        self.ended: bytes | None = None  # the stream's last message
-
-    def note(self, what: str, **more: object) -> None:
-        self.stand.recorder.note(what, seq=self.work.sequence, attempt=self.work.attempt, **more)
-
-    def lost(self, code: Code) -> None:
-        """The node reset the call, its deadline passed or its connection broke."""
-        self.lost_by(self.lines[0].call, code)
-
-    def lost_by(self, call: ServerCall, code: Code) -> None:
-        """The same of any call by which it is read; who was superseded stops nothing."""
-        if self.stopped or call is not self.call:
-            return
-        if code == Code.UNAVAILABLE and not self.reads and self.stand.claimed.keeps(self):
-            self.stand.claimed.orphaned(self)
-        else:
-            self.stop(code.name)
-
-    def stop(self, why: str) -> None:
-        """Nobody wants it any more, or nobody came for it."""
-        self.note("stopped", why=why, ran=self.ran)
-        if self.fetching is not None:
-            self.fetching.cancel()
-        self.close(AttemptState.STOPPED if self.ran else AttemptState.NEVER)
-        self.stand.act(self.stand.model.cancel(self.stand.clock.seconds(), self))
-
-    def close(self, says: str) -> None:
-        """It is over, and this is what is so of it."""
-        self.stopped, self.says = True, says
-        self.stand.jobs.discard(self)
-        self.stand.claimed.over(self)
-
-    def send(self, data: bytes) -> None:
-        """To whoever reads it now."""
-        if self.call is not None:
-            self.call.send(data)
-
-    def finish(self) -> None:
-        """The call by which it is read is over."""
-        if self.call is not None:
-            self.call.finish()
-
-
-class _Fetch(CallWatcher):
-    def __init__(self, stand: "StandIn", job: _Job) -> None:
-        self.stand, self.job, self.tokens = stand, job, 0
-
-    def message(self, data: bytes) -> None:
-        self.tokens += pb.StatePiece.FromString(data).tokens
-
-    def ended(self, status: Status) -> None:
-        job = self.job
-        job.fetching = None
-        if not job.stopped:
-            whole = status.code == Code.OK and self.tokens >= job.state.tokens
-            job.note("fetched", whole=whole)
-            if whole and self.stand.hits("full_after_fetch"):
-                self.stand.act(
-                    [*self.stand.model.cancel(self.stand.clock.seconds(), job), ("refused", job, False)]
-                )
-                return
-            self.stand.act(self.stand.model.fetched(self.stand.clock.seconds(), job, whole))
-
-
 class StandIn:
     """One stand-in. `dial(address)` makes a channel's way to another engine."""
 
@@ -131,16 +50,16 @@
         self.random = Random(sheet.seed + 1)
         self.server = Server(clock)
         self.channels: dict[str, Channel] = {}
-        self.jobs: set[_Job] = set()
+        self.jobs: set[Job] = set()
         self.model_name = sheet.model
-        self.claimed = ClaimedWork(self, sheet.stream_bound)
+        self.claims = ClaimableJobs(self, sheet.stream_bound)
         self.alarm = Alarm(clock, self._tick)
         for name, handler in (
             ("Read", unary(self._read)),
             ("Write", server_stream(self._write)),
             ("Release", unary(self._release)),
             ("Probe", unary(self._probe)),
-            ("Claim", unary(lambda call, data: self.claimed.claim(data))),
+            ("Claim", unary(lambda call, data: self.claims.claim(data))),
             ("Fetch", server_stream(self._fetch)),
         ):
             self.server.add(SERVICE + name, handler)
@@ -172,9 +91,9 @@
             self.clock.seconds() + work.first_within_ms / 1000.0 if work.first_within_ms else NEVER,
         )
 
-    def _take(self, call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None) -> _Job:
-        job = _Job(self, call, work, reads, state)
-        self.claimed.admit(job)
+    def _take(self, call: ServerCall, work: pb.Work, reads: bool, state: pb.State | None) -> Job:
+        job = Job(self, call, work, reads, state)
+        self.claims.admit(job)
         job.note(
             "got",
             reads=reads,
@@ -200,7 +119,7 @@
             raise RpcError(Code.FAILED_PRECONDITION, "this engine does not write")
         request = pb.WriteRequest.FromString(data)
         if request.HasField("attach"):
-            return self.claimed.attach(call, request)
+            return self.claims.attach(call, request)
         state = request.state if request.HasField("state") else None
         job = self._take(call, request.work, False, state)
         self.jobs.add(job)
@@ -215,7 +134,7 @@
         if not {"embed": self.sheet.embeds, "rank": self.sheet.ranks}.get(request.task):
             raise RpcError(Code.FAILED_PRECONDITION, f"this engine has no work {request.task!r}")
         tokens = sum(i.tokens for i in request.items) + len(request.items) * request.work.shared_tokens
-        job = _Job(self, call, request.work, False, None)
+        job = Job(self, call, request.work, False, None)
         job.batch = request
         job.note(
             "got",
@@ -237,7 +156,7 @@
         self.act(self.model.batch(self.clock.seconds(), job, tokens, until))
         return job
 
-    def _on_batched(self, job: _Job) -> None:
+    def _on_batched(self, job: Job) -> None:
         """Results in pieces, the longest inputs with an error of their own, then the end."""
         request, results = job.batch, []
         for index, item in enumerate(request.items):
@@ -265,12 +184,12 @@
             if piece:
                 job.call.send(pb.BatchReply(items=pb.ItemResults(results=piece)).SerializeToString())
             if self.hits("break_stream"):
-                job.stopped = True
+                job.is_over = True
                 self.jobs.discard(job)
                 job.note("broken")
                 self.clock.callLater(0, job.call.stream.reset, 2)
                 return
-        job.stopped = True
+        job.is_over = True
         self.jobs.discard(job)
         job.note("ended", tokens=len(results))
         job.call.send(
@@ -281,7 +200,7 @@
     def _release(self, call: ServerCall, data: bytes) -> bytes:
         request = pb.ReleaseRequest.FromString(data)
         seq = request.sequence
-        if request.epoch and not self.claimed.fences.admit(seq, ownership_of(request)):
+        if request.epoch and not self.claims.fences.admit(seq, Ownership(request.epoch, request.owner)):
             return pb.ReleaseReply().SerializeToString()  # it is another node's now
         tokens = self.model.state_tokens(seq)
         self.act(self.model.release(self.clock.seconds(), seq))
@@ -333,7 +252,7 @@
         if asked.how == "model":
             self.model_name = asked.model
         elif asked.how == "break":
-            for job in sorted((j for j in self.jobs if j.ran), key=lambda j: j.work.sequence):
+            for job in sorted((j for j in self.jobs if j.has_run), key=lambda j: j.work.sequence):
                 if job.call is not None and self.random.random() < (asked.factor or 1.0):
                     job.note("broken")
                     job.call.stream.reset(2)  # INTERNAL_ERROR
@@ -363,7 +282,7 @@
     def _report(self) -> pb.LoadReport:
         return pb.LoadReport(**self.model.load())
 
-    def _on_read(self, job: _Job, kept: float, tokens: float) -> None:
+    def _on_read(self, job: Job, kept: float, tokens: float) -> None:
         job.note("held", tokens=tokens)
         job.close(AttemptState.HOLDS_READ_STATE)
         job.answer.callback(
@@ -379,47 +298,48 @@
         share = getattr(self.sheet.mishaps, mishap)
         return share > 0.0 and self.random.random() < share
 
-    def _on_fetch(self, job: _Job) -> None:
+    def _on_fetch(self, job: Job) -> None:
         job.note("fetching")
-        address = job.state.engine
+        address = job.read_state.engine
         if address not in self.channels:
             self.channels[address] = Channel(self.clock, self.dial(address), address, random=self.random)
-        job.fetching = self.channels[address].call(SERVICE + "Fetch", _Fetch(self, job))
-        job.fetching.send(pb.FetchRequest(handle=job.state.handle).SerializeToString())
-        job.fetching.half_close()
+        job.fetch = self.channels[address].call(SERVICE + "Fetch", StateFetch(self, job))
+        job.fetch.send(pb.FetchRequest(handle=job.read_state.handle).SerializeToString())
+        job.fetch.half_close()
 
-    def _on_ran(self, job: _Job) -> None:
-        job.ran, job.says = True, AttemptState.WRITING
+    def _on_ran(self, job: Job) -> None:
+        job.has_run = True
+        job.attempt_state = AttemptState.WRITING
         job.note("ran", mark=job.work.mark, traffic=job.work.traffic_type)
         if job.batch is None and self.hits("break_stream"):
             job.breaks_after = self.random.randint(1, 10)
 
-    def _on_tokens(self, job: _Job, count: int) -> None:
+    def _on_tokens(self, job: Job, count: int) -> None:
         ids = [
-            token(self.sheet.listen, job.work.sequence, job.work.attempt, len(job.made) + i)
+            token_id(self.sheet.listen, job.work.sequence, job.work.attempt, len(job.token_ids) + i)
             for i in range(count)
         ]
-        job.made += ids
+        job.token_ids += ids
         job.send(pb.WriteReply(tokens=chat.Tokens(ids=ids)).SerializeToString())
         if job.breaks_after:
             job.breaks_after -= 1
-            if not job.breaks_after and not job.stopped:
+            if not job.breaks_after and not job.is_over:
                 job.note("broken")
                 if job.call is not None:
                     self.clock.callLater(0, job.call.stream.reset, 2)
                 else:
                     job.stop("broken")
 
-    def _on_ended(self, job: _Job, kept: float, tokens: int) -> None:
+    def _on_ended(self, job: Job, kept: float, tokens: int) -> None:
         job.close(AttemptState.ENDED)
-        job.note("ended", tokens=tokens, sum=sum_of(job.made))
-        job.ended = pb.WriteReply(
+        job.note("ended", tokens=tokens, sum=checksum(job.token_ids))
+        job.final_message = pb.WriteReply(
             ended=pb.Ended(tokens=tokens, kept_tokens=int(kept), load=self._load())
         ).SerializeToString()
-        job.send(job.ended)
+        job.send(job.final_message)
         job.finish()
 
-    def _on_refused(self, job: _Job, no_state: bool) -> None:
+    def _on_refused(self, job: Job, no_state: bool) -> None:
         job.close(AttemptState.REFUSED)
         job.note("refused", no_state=no_state)
         refused = pb.Refused(no_state=no_state, load=self._load())
@@ -433,18 +353,18 @@
             job.send(pb.WriteReply(refused=refused).SerializeToString())
             job.finish()
 
-    def _fail_late(self, job: _Job) -> None:
-        if not job.stopped:
+    def _fail_late(self, job: Job) -> None:
+        if not job.is_over:
             self._on_failed(job)
 
-    def _on_failed(self, job: _Job) -> None:
+    def _on_failed(self, job: Job) -> None:
         self._fail(job, "failed", RpcError(Code.INTERNAL, "the engine failed"))
 
-    def _on_expired(self, job: _Job) -> None:
+    def _on_expired(self, job: Job) -> None:
         late = RpcError(Code.DEADLINE_EXCEEDED, "its time was over before it could begin")
         self._fail(job, "expired", late)
 
-    def _fail(self, job: _Job, what: str, fault: RpcError) -> None:
+    def _fail(self, job: Job, what: str, fault: RpcError) -> None:
         job.close(AttemptState.NEVER)  # neither begun nor to be begun any more
         job.note(what)
         if job.reads:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -12,7 +12,7 @@
 
 from myrtlehub.client.promise import Aborted, Ask, Generated, NotAnswered, Rejected
 from myrtlehub.client.tx import Client, Stream
-from myrtlehub.emulator.claimed import token
+from myrtlehub.emulator.tokens import token_id
 from myrtlehub.node.node import Node
 from myrtlehub.recovery.replica_placement import replicas_of
 from myrtlehub.rpc.channel import Channel
@@ -102,7 +102,8 @@
             assert len(ran) <= 1, [(r.who, r.more) for r in ran]
         if self.ids:
             made = [
-                [token(r.who, r.more["seq"], r.more["attempt"], i) for i in range(len(self.ids))] for r in ran
+                [token_id(r.who, r.more["seq"], r.more["attempt"], i) for i in range(len(self.ids))]
+                for r in ran
             ]
             assert self.ids in made, (self.ids, ran)
         if isinstance(self.end, Generated):
