node.replication: claims at engines and what they report apart from the takeover

Change: EngineClaims sends the claims and turns the replies into attempt reports. Tests: not run yet, the machine's cores are taken.

--- a/myrtlehub/node/replication/takeover.py
+++ b/myrtlehub/node/replication/takeover.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.links import SERVICE, Links
 from myrtlehub.node.protocols import ResponseSink
 from myrtlehub.node.replication.attached_stream import AttachedStream
-from myrtlehub.node.replication.engine_claims import claim_at_engine
+from myrtlehub.node.replication.engine_claims import EngineClaims, has_stream, is_refused
 from myrtlehub.node.replication.replication import Replication
 from myrtlehub.node.replication.reply_collector import ReplyCollector
 from myrtlehub.node.replication.takeover_machine import TAKEOVER_TABLE, TakeoverEffect, TakeoverEvent
@@ -22,21 +22,17 @@
 from myrtlehub.node.request_decoder import DecodedRequest
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.proto import peers_pb2
-from myrtlehub.recovery.fencing import AttemptState
 from myrtlehub.recovery.recovery_decision import (
-    STREAMING_STATES,
     AttemptReport,
     RecoveryAction,
     RecoveryDecision,
     decide,
 )
-from myrtlehub.recovery.sequence_records import AttemptIntent, SequenceRecord, merge_copies
+from myrtlehub.recovery.sequence_records import SequenceRecord, merge_copies
 from myrtlehub.routing.contract import Arrival
 from myrtlehub.rpc.channel import ClientCall
 from myrtlehub.state.state_machine import CommonEffect, StateMachine
 
-CLOCK_SLACK = 0.5  # seconds by which two machines may differ on how long ago an attempt was sent
-
 
 class TakeoverRequest(NamedTuple):
     """What a client came back for."""
@@ -89,7 +85,7 @@
         self.engines_answer_claims = engines_answer_claims
         self.machine = StateMachine(TAKEOVER_TABLE)
         self.record: SequenceRecord | None = None
-        self.read_states: dict[str, pb.State] = {}  # by engine that holds one
+        self.claims: EngineClaims | None = None
         self.call: ClientCall | None = None  # the stream that it attached to
         self.timer = None  # until the first token is due
         self.started_at = self.clock.seconds()
@@ -164,12 +160,8 @@
         unreached = {name for name, reply in answers.items() if reply is None}
         self.publisher.adopt(self.executor, self.record, incarnations, unreached)
         self.machine.step(TakeoverEvent.RECORD_FOUND)
-        engines = list(dict.fromkeys(intent.engine for intent in self.record.intents))
-        self._collect(
-            [self._claim(engine) for engine in engines],
-            _reports_stream,
-            lambda claim_replies: self._engines_answered(engines, claim_replies),
-        )
+        self.claims = EngineClaims(self.links, self.record)
+        self._collect(self.claims.send(self.engines_answer_claims), has_stream, self._engines_answered)
 
     def _recover_without_record(self) -> None:
         decision = decide(self._retry_semantics(), [], self.request.client_tokens, is_complete=False)
@@ -183,38 +175,18 @@
         else:
             self.client.aborted(decision.reason)
 
-    def _claim(self, engine: str) -> Deferred:
-        if not self.engines_answer_claims:
-            return succeed(None)
-        return claim_at_engine(self.links, engine, self.record, close=False)
-
-    def _engines_answered(self, engines: list[str], replies: list[pb.ClaimReply | None]) -> None:
+    def _engines_answered(self, replies: list[pb.ClaimReply | None]) -> None:
         if self.machine.is_final:
             return
-        if any(reply is not None and not reply.granted for reply in replies):
+        if any(is_refused(reply) for reply in replies):
             self.superseded("another node has claimed it")
             return
-        by_engine = dict(zip(engines, replies, strict=True))
-        reports = [self._report_of(intent, by_engine[intent.engine]) for intent in self.record.intents]
+        reports = self.claims.reports(replies, self.clock.seconds())
         self.machine.step(TakeoverEvent.ENGINES_REPORTED)
         decision = decide(self._retry_semantics(), reports, self.request.client_tokens)
         self._log(decision, reports)
         self._carry_out(decision)
 
-    def _report_of(self, intent: AttemptIntent, reply: pb.ClaimReply | None) -> AttemptReport:
-        """Return what an engine reported of one attempt."""
-        if reply is None:
-            return AttemptReport(intent, AttemptState.UNKNOWN)
-        row = next((row for row in reply.attempts if row.number == intent.attempt), None)
-        if row is None:
-            age = self.clock.seconds() - intent.intended_at + CLOCK_SLACK
-            # Of an attempt from before the time that the engine remembers, no report proves nothing.
-            return AttemptReport(intent, AttemptState.UNKNOWN if age > reply.age else AttemptState.NEVER)
-        state = AttemptState(row.says)
-        if state == AttemptState.HOLDS_READ_STATE and row.HasField("state"):
-            self.read_states[intent.engine] = row.state
-        return AttemptReport(intent, state, row.tokens, row.first)
-
     def _retry_semantics(self) -> str:
         return self.executor.decoder.rows[self.request.arrival.traffic].repeats
 
@@ -242,7 +214,7 @@
         handle = None
         if decision.action == RecoveryAction.USE_READ_STATE and decision.engine in engine_indices:
             arrival = arrival._replace(state_held_by=engine_indices[decision.engine])
-            handle = self.read_states.get(decision.engine)
+            handle = self.claims.read_states.get(decision.engine)
         earlier = decision.may_have_run
         if earlier is not None and earlier.engine in engine_indices:
             arrival = arrival._replace(
@@ -321,8 +293,3 @@
 
 def _has_record(reply: peers_pb2.TakeReply | None) -> bool:
     return reply is not None and reply.HasField("record")
-
-
-def _reports_stream(reply: pb.ClaimReply | None) -> bool:
-    """Return whether an engine has a stream to go on with: no other one matters much then."""
-    return reply is not None and any(row.says in STREAMING_STATES for row in reply.attempts)
