node.client_limits: limits on clients in field terms, typed calls and cuts

Cause: node/peers.py named its classes for neither clients nor limits, passed tuples, and opened a call with six positional values that stood twice. Change: ClientLimits takes a LimitedCall; cuts, near limits and counters are types whose values are those of the admin protocol. Log events turned away and cut are request rejected and client cut off. tests/test_peers.py is tests/test_client_limits.py, with the same assertions. Tests: not run yet, the machine's cores are taken.

--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -31,7 +31,7 @@
     host = property(lambda self: self.node.host)
     sheet = property(lambda self: self.node.sheet)
     source = property(lambda self: self.node.source)
-    peers = property(lambda self: self.node.peers)
+    client_limits = property(lambda self: self.node.client_limits)
 
     def serve(self, server: object) -> None:
         """Add the methods."""
@@ -163,18 +163,18 @@
 
     def limits(self, call: ServerCall, data: bytes) -> bytes:
         """What is held for clients, and who was cut off."""
-        peers, node, now = self.peers, self.peers.ledger.node, self.host.clock.seconds()
+        limits, node, now = self.client_limits, self.client_limits.ledger.node, self.host.clock.seconds()
         return pb.LimitsState(
             came=node.came,
             left=node.left,
             dropped=node.dropped,
             held=node.held,
-            most_held=peers.ledger.bound("node"),
-            calls=len(peers.calls),
-            connections=len({id(w.call.stream.protocol) for w in peers.calls.values()}),
-            near=[pb.NearLimit(what=w, name=n, held=h, most=m) for w, n, h, m in peers.near()],
-            cuts=[pb.Cut(age=now - at, peer=p, tenant=t, why=why) for at, p, t, why in peers.cuts],
-            counts=peers.counts,
+            most_held=limits.ledger.bound("node"),
+            calls=len(limits.calls),
+            connections=len({id(w.call.stream.protocol) for w in limits.calls.values()}),
+            near=[pb.NearLimit(what=w, name=n, held=h, most=m) for w, n, h, m in limits.near_limits()],
+            cuts=[pb.Cut(age=now - at, peer=p, tenant=t, why=why) for at, p, t, why in limits.cuts],
+            counts=limits.counts,
         ).SerializeToString()
 
     def show(self, call: ServerCall, data: bytes) -> bytes:
--- a/myrtlehub/node/calls.py
+++ b/myrtlehub/node/calls.py
@@ -5,7 +5,7 @@
 
 from myrtlehub.batching.join import Answer
 from myrtlehub.node.batches import Batch, BatchDesk, Want
-from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.client_limits import ClientLimits, LimitedCall
 from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
 from myrtlehub.proto import engine_pb2
 from myrtlehub.proto import items_pb2 as pb
@@ -98,7 +98,7 @@
 
 
 def serve(
-    front: Front, desk: BatchDesk, server: object, closed: Callable[[], bool], peers: PeerWatch
+    front: Front, desk: BatchDesk, server: object, closed: Callable[[], bool], client_limits: ClientLimits
 ) -> None:
     """Add both forms of a front's method."""
 
@@ -110,7 +110,7 @@
                 raise RpcError(Code.INVALID_ARGUMENT, f"not a {front.request.__name__}: {fault}") from fault
             mine = BatchCall(front, call, request, streams)
             terms = request.terms
-            wait = peers.refuses(call, terms.tenant, terms.repeated, len(data), closed())
+            wait = client_limits.retry_after(call, terms.tenant, terms.repeated, len(data), closed())
             if wait is not None:
                 mine.final(Answer("rejected", wait), "", 0, 0)  # not taken: nothing ran
                 return mine
@@ -118,9 +118,8 @@
                 want = front.want(request, streams)
                 want = want._replace(asked=asked_of(terms, call.time_left()))
                 batch = desk.take(want, mine)
-                peers.open(
-                    call, "batch", terms.tenant, desk.utility(terms.traffic_type), len(data), batch.cut
-                )
+                utility = desk.utility(terms.traffic_type)
+                client_limits.track(LimitedCall(call, "batch", terms.tenant, utility, len(data), batch.cut))
             except (InvalidRequestError, ValueError) as fault:
                 raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
             return mine
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -6,8 +6,8 @@
 from myrtlehub.limits.admit import NEVER, Admission
 from myrtlehub.limits.shares import FrontShares
 from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.node.client_limits import ClientLimits, LimitedCall
 from myrtlehub.node.links import Links
-from myrtlehub.node.peers import PeerWatch
 from myrtlehub.node.replication.replication import Replication
 from myrtlehub.node.replication.takeover import Takeover, TakeoverRequest
 from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
@@ -169,12 +169,13 @@
         most_sequences: int,
         wait: float,
         shares: FrontShares,
-        peers: PeerWatch,
+        client_limits: ClientLimits,
         gate: Admission | None = None,
         turned_away: Callable[[TrafficRow], None] = lambda row: None,
     ) -> None:
         self.turned_away = turned_away  # told of each sequence that was never taken
-        self.host, self.most, self.wait, self.shares, self.peers = host, most_sequences, wait, shares, peers
+        self.host, self.most, self.wait, self.shares = host, most_sequences, wait, shares
+        self.client_limits = client_limits
         self.closed = False
         self.gate: Admission | None = gate
         self.replication: Replication | None = None
@@ -208,7 +209,7 @@
         except InvalidRequestError as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
         full = self.closed or len(self.host.in_flight) >= self.most
-        wait = self.peers.refuses(call, asked.tenant, asked.is_retry, len(data), full)
+        wait = self.client_limits.retry_after(call, asked.tenant, asked.is_retry, len(data), full)
         if wait is not None:
             self.turned_away(self.host.decoder.rows[arrival.traffic])
             waiting.rejected(wait)  # not taken: nothing ran
@@ -220,7 +221,9 @@
             due = self.host.decoder.lag.left(now, call.time_left() - slack)
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
         row = self.host.decoder.rows[arrival.traffic]
-        self.peers.open(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
+        self.client_limits.track(
+            LimitedCall(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
+        )
         if self.replication is not None:
             waiting.may_move, waiting.linger = request.may_move, self.replication.settings.comes_back
             if again:
--- /dev/null
+++ b/myrtlehub/node/client_limits.py
@@ -0,0 +1,243 @@
+"""Limits on clients: memory is accounted to them, and those that take too little or use too much are cut off.
+
+`ClientLimits` checks all open streams a few times a second; between checks it costs two additions a message.
+What is decided is in `limits/`.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import NamedTuple
+
+from twisted.internet.interfaces import IReactorTime
+
+from myrtlehub.config.sheets import LimitsGroup
+from myrtlehub.limits.ledger import Budgets, Held, Ledger, given_up
+from myrtlehub.limits.pace import STEP, Pace
+from myrtlehub.limits.retries import RetryBudget
+from myrtlehub.rpc.server import ServerCall
+
+MAX_CUTS = 50  # that are remembered
+
+
+class LimitCounter(StrEnum):
+    """What is counted; the values are those of the admin protocol (`LimitsState.counts`)."""
+
+    SLOW = "slow"
+    MEMORY = "memory"
+    REJECTED = "turned away"
+    RETRY_REJECTED = "repeats turned away"
+
+
+class CutOff(NamedTuple):
+    """A client that was cut off."""
+
+    at: float
+    peer: str
+    tenant: str
+    reason: str
+
+
+class NearLimit(NamedTuple):
+    """A peer or tenant that uses over half of its budget."""
+
+    scope: str
+    name: str
+    in_use: int  # bytes
+    limit: int
+
+
+class SettledCounters(NamedTuple):
+    """A stream's counters when the ledger last saw them."""
+
+    put: int
+    taken: int
+    dropped: int
+    is_over: bool
+
+
+@dataclass(slots=True, eq=False)
+class LimitedCall:
+    """One call of a client. `abort(reason)` ends it with an aborted answer, if it has none yet."""
+
+    call: ServerCall
+    name: str
+    tenant: str
+    utility: float
+    request_size: int  # bytes of the request, in memory until the call is over
+    abort: Callable[[str], None]
+    rate: Pace | None = None  # while something waits for its client
+    is_cut_off: bool = False
+    settled: SettledCounters | None = None
+
+
+class ClientLimits:
+    """The limits on all clients' calls of a node."""
+
+    def __init__(
+        self,
+        limits: LimitsGroup,
+        clock: IReactorTime,
+        log: Callable[..., None],
+        retry_budget: RetryBudget | None,
+        max_retry_after: float,
+    ) -> None:
+        self.limits = limits
+        self.clock = clock
+        self.log = log
+        self.retry_budget = retry_budget
+        self.max_retry_after = max_retry_after
+        self.ledger = Ledger(Budgets(limits.held_bytes, limits.peer_share, limits.tenant_share))
+        self.calls: dict[int, LimitedCall] = {}
+        self.cuts: deque[CutOff] = deque(maxlen=MAX_CUTS)
+        self.counts: dict[str, int] = dict.fromkeys(LimitCounter, 0)
+        self._next_key = 0
+        self._timer = None
+
+    def retry_after(
+        self, call: ServerCall, tenant: str, is_retry: bool, size: int, is_full: bool
+    ) -> float | None:
+        """Return None if this request of `size` bytes may come in, else the wait that its rejection asks for.
+
+        It is rejected if it is over its tenant's retry budget, the node is full, or it would exceed a memory
+        budget.
+        """
+        wait = self._wait_for_retry_budget(tenant, is_retry)
+        if wait is None and (is_full or not self._fits(call, tenant, size)):
+            wait = self.max_retry_after
+        return wait
+
+    def _wait_for_retry_budget(self, tenant: str, is_retry: bool) -> float | None:
+        if self.retry_budget is None:
+            return None
+        now = self.clock.seconds()
+        if not is_retry:
+            self.retry_budget.first(now, tenant)
+            return None
+        wait = self.retry_budget.repeat(now, tenant, self.max_retry_after)
+        if wait is not None:
+            self.counts[LimitCounter.RETRY_REJECTED] += 1
+        return wait
+
+    def _fits(self, call: ServerCall, tenant: str, size: int) -> bool:
+        exceeded = self.ledger.room(host_of(call.peer), tenant, size)
+        if exceeded:
+            self.counts[LimitCounter.REJECTED] += 1
+            self.log("request rejected", peer=call.peer, tenant=tenant, budget=exceeded, bytes=size)
+        return not exceeded
+
+    def track(self, limited: LimitedCall) -> None:
+        """Account for a call that was accepted, until it is over and its client has taken all."""
+        key = self._next_key
+        self._next_key += 1
+        self.calls[key] = limited
+        self.ledger.open(key, host_of(limited.call.peer), limited.tenant)
+        self._settle(key, limited)
+        if self._timer is None:
+            self._timer = self.clock.callLater(STEP, self._check)
+
+    def _settle(self, key: int, limited: LimitedCall) -> None:
+        stream = limited.call.stream
+        is_over = limited.call.over
+        counters = SettledCounters(stream.put, stream.taken, stream.dropped, is_over)
+        if limited.settled == counters:
+            return  # most streams, at most checks
+        limited.settled = counters
+        size = limited.request_size
+        self.ledger.settle(
+            key,
+            stream.put + size,
+            stream.taken + (size if is_over else 0),
+            stream.dropped,
+            stream.buffered + (0 if is_over else size),
+        )
+
+    # -- checks -----------------------------------------------------------------------------------
+
+    def _check(self) -> None:
+        self._timer = None
+        now = self.clock.seconds()
+        for key, limited in list(self.calls.items()):
+            self._settle(key, limited)
+            self._check_call(key, limited, now)
+        self._enforce_budgets(now)
+        if self.calls:
+            self._timer = self.clock.callLater(STEP, self._check)
+
+    def _check_call(self, key: int, limited: LimitedCall, now: float) -> None:
+        stream = limited.call.stream
+        if stream.closed or (limited.call.over and not stream.buffered):
+            self.ledger.close(key)
+            del self.calls[key]
+        elif not stream.buffered:
+            limited.rate = None
+        elif self._is_too_slow(limited, now) and not limited.is_cut_off:
+            least_rate = self.limits.least_rate
+            self._cut_off(
+                key, LimitCounter.SLOW, f"it took under {least_rate:g} bytes a second of what waited"
+            )
+
+    def _is_too_slow(self, limited: LimitedCall, now: float) -> bool:
+        if limited.rate is None:
+            limited.rate = Pace(self.limits.rate_window, self.limits.least_rate)
+        stream = limited.call.stream
+        return limited.rate.look(now, stream.taken, stream.buffered)
+
+    def _enforce_budgets(self, now: float) -> None:
+        for scope, name, excess in list(self.ledger.over()):
+            streams = [
+                self._usage(key, now) for key in self.ledger.of(scope, name) if not self.calls[key].is_cut_off
+            ]
+            limit = self.ledger.bound(scope)
+            for key in given_up(streams, excess):
+                self._cut_off(key, LimitCounter.MEMORY, f"the {scope} holds more than its {limit} bytes here")
+
+    def _usage(self, key: int, now: float) -> Held:
+        limited = self.calls[key]
+        stalled = limited.rate.stalled(now) if limited.rate else 0.0
+        return Held(key, self.ledger.held_by(key), limited.utility, stalled)
+
+    def _cut_off(self, key: int, counter: LimitCounter, reason: str) -> None:
+        """Drop what waits for a client and tell it that it was aborted; it is reset if it ignores that."""
+        limited = self.calls[key]
+        limited.is_cut_off = True
+        call = limited.call
+        stream = call.stream
+        self.counts[counter] += 1
+        self.cuts.append(CutOff(self.clock.seconds(), call.peer, limited.tenant, reason))
+        self.log(
+            "client cut off",
+            seq=limited.name,
+            peer=call.peer,
+            tenant=limited.tenant,
+            why=reason,
+            held=stream.buffered,
+        )
+        if call.over:
+            stream.reset()  # its answer was complete, and the client did not take it
+        else:
+            stream.drop()
+            limited.abort(reason)
+            self.clock.callLater(self.limits.linger, lambda: None if stream.closed else stream.reset())
+        self._settle(key, limited)
+
+    def near_limits(self) -> list[NearLimit]:
+        """List the peers and tenants that use over half of their budget."""
+        near = []
+        for scope, accounts in (
+            ("peer", self.ledger.peers),
+            ("tenant", self.ledger.tenants),
+        ):
+            limit = self.ledger.bound(scope)
+            near += [
+                NearLimit(scope, str(name), account.held, limit)
+                for name, account in accounts.items()
+                if account.held * 2 > limit
+            ]
+        return near
+
+
+def host_of(peer: str) -> str:
+    """Return a peer's address without the port: all of its connections count together."""
+    return peer.rsplit(":", 1)[0]
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -88,7 +88,7 @@
     links = property(lambda self: self.works.links)
     desk = property(lambda self: self.works.desk)
     front = property(lambda self: self.works.front)
-    peers = property(lambda self: self.works.peers)
+    client_limits = property(lambda self: self.works.client_limits)
 
     @property
     def proven(self) -> bool:
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -14,11 +14,11 @@
 from myrtlehub.node.batches import BatchDesk
 from myrtlehub.node.calls import serve
 from myrtlehub.node.chat import ChatFront
+from myrtlehub.node.client_limits import ClientLimits
 from myrtlehub.node.embed import EMBED
 from myrtlehub.node.engine_pools import EnginePools
 from myrtlehub.node.figures import Figures
 from myrtlehub.node.links import Links
-from myrtlehub.node.peers import PeerWatch
 from myrtlehub.node.rank import RANK
 from myrtlehub.node.replication.replicated_transport import ReplicatedTransport
 from myrtlehub.node.replication.replication import Replication
@@ -81,7 +81,7 @@
             self.host.on_answered = answered
         limits = sheet.limits
         retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
-        self.peers = PeerWatch(limits, clock, log, retries, node.max_wait)
+        self.client_limits = ClientLimits(limits, clock, log, retries, node.max_wait)
         self.desk = BatchDesk(self.host, sheet, clock)
         gate = (
             Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic})
@@ -95,7 +95,7 @@
             node.most_sequences,
             node.max_wait,
             self.desk.shares,
-            self.peers,
+            self.client_limits,
             gate,
             around.figures.turned_away,
         )
@@ -122,7 +122,7 @@
         self.front.serve(server)
         for front in FRONTS:
             if front.name in self.fronts:
-                serve(front, self.desk, server, lambda: self.front.closed, self.peers)
+                serve(front, self.desk, server, lambda: self.front.closed, self.client_limits)
             else:
                 for path in (front.unary, front.stream):
                     server.methods.pop(path, None)
--- a/tests/test_peers.py
+++ b/tests/test_client_limits.py
@@ -111,7 +111,7 @@
     for _ in range(round(seconds / 0.25)):
         f.run(0.25)
         for node in f.nodes.values():
-            assert not node.peers.ledger.wrong()
+            assert not node.client_limits.ledger.wrong()
 
 
 def slow_fleet(more: str = "", **machine: object) -> Fleet:
@@ -131,14 +131,14 @@
     f = slow_fleet()
     stuck, others = hog(f), [f.ask(prompt=100, output=200) for _ in range(3)]
     exact(f, 5.0)
-    assert f.stands["W0a"].model.running and not f.nodes["n0"].peers.cuts
+    assert f.stands["W0a"].model.running and not f.nodes["n0"].client_limits.cuts
     exact(f, 3.0)
     assert not f.stands["W0a"].model.running  # the engine was told to stop
     stuck.call.resumeProducing()
     exact(f, 1.0)
     assert stuck.answer == "aborted" and stuck.status.code == Code.OK  # it is told, once it reads
     assert all(c.answer == "generated" for c in others)
-    peers = f.nodes["n0"].peers
+    peers = f.nodes["n0"].client_limits
     assert peers.counts["slow"] == 1 and "under 50 bytes a second" in peers.cuts[0][3]
     assert peers.ledger.node.held == 0 and peers.ledger.node.dropped > 1000 and not peers.calls
     late = [b.text for b in judge(f).breaches]
@@ -150,8 +150,8 @@
     f = slow_fleet()
     stuck = hog(f)
     exact(f, 12.0)
-    assert not f.nodes["n0"].server.calls and not f.nodes["n0"].peers.calls
-    assert not f.nodes["n0"].peers.ledger.node.held
+    assert not f.nodes["n0"].server.calls and not f.nodes["n0"].client_limits.calls
+    assert not f.nodes["n0"].client_limits.ledger.node.held
     stuck.call.resumeProducing()
     exact(f, 1.0)
     assert stuck.status.code != Code.OK and stuck.answer == ""
@@ -167,7 +167,7 @@
         exact(f, 3.0)
         caller.call.resumeProducing()
     exact(f, 8.0)
-    assert caller.answer == "generated" and not f.nodes["n0"].peers.cuts
+    assert caller.answer == "generated" and not f.nodes["n0"].client_limits.cuts
     nothing_left(f)
 
 
@@ -177,7 +177,7 @@
     for c in less:
         c.call.pauseProducing()
     exact(f, 3.0)
-    peers = f.nodes["n0"].peers
+    peers = f.nodes["n0"].client_limits
     assert peers.counts["memory"] >= 1 and peers.ledger.node.held <= 20_000 + 3 * 500
     for c in (worth, *less):
         c.call.resumeProducing()
@@ -197,7 +197,7 @@
     f.run(0.05)
     calls = [f.ask(prompt=3000, output=10, text=b"x" * 50_000) for _ in range(100)]
     exact(f, 0.5)
-    peers = f.nodes["n0"].peers
+    peers = f.nodes["n0"].client_limits
     assert peers.counts["turned away"] == 81 and len(f.nodes["n0"].host.in_flight) == 19
     assert sum(c.answer == "rejected" for c in calls) == 81 and 900_000 < peers.ledger.node.held <= 1_000_000
     exact(f, 8.0)
@@ -213,7 +213,7 @@
     stuck, fine = rank(f, b"q", texts(1500), streams=True), embed(f, texts(20))
     stuck.call.pauseProducing()
     exact(f, 4.0)
-    assert fine.final == "generated" and f.nodes["n0"].peers.counts["slow"] == 1
+    assert fine.final == "generated" and f.nodes["n0"].client_limits.counts["slow"] == 1
     channel, got = Channel(f.clock, f.net.dialer("n0:2"), "n0"), []
     channel.unary("/myrtlehub.v1.NodeAdmin/Limits", b"").addCallback(got.append)
     f.run(0.1)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -76,7 +76,7 @@
     without, _ = storm("any")
     with_it, f = storm("0.2")
     assert with_it < 0.5 * without, (without, with_it)
-    assert f.nodes["n0"].peers.counts["repeats turned away"] > 100
+    assert f.nodes["n0"].client_limits.counts["repeats turned away"] > 100
     c = f.ask(prompt=100, output=20)
     f.run(1.0)
     assert c.answer == "generated"
