--- a/myrtlehub/node/replication/record_publisher.py
+++ b/myrtlehub/node/replication/record_publisher.py
@@ -15,9 +15,8 @@
 from myrtlehub.node.sequences import Attempt, InFlightSequence
 from myrtlehub.recovery.ownership import OwnedSequence, SendDecision
 from myrtlehub.recovery.replica_store import ReplicaStore
-from myrtlehub.recovery.sequence_records import AttemptIntent, Ownership, SequenceRecord
+from myrtlehub.recovery.sequence_records import FIRST_EPOCH, AttemptIntent, Ownership, SequenceRecord
 
-FIRST_EPOCH = 1
 MAX_LIFETIME = 60.0  # seconds for which a record is held at most beyond its sequence's abandon time
 MAX_UPDATE_AGE = 0.25  # seconds after an update within which a send may follow; later replicas are told anew
 
--- a/myrtlehub/recovery/model/state.py
+++ b/myrtlehub/recovery/model/state.py
@@ -8,7 +8,13 @@
 from myrtlehub.recovery.fencing import AttemptState, ClaimResult, Fence
 from myrtlehub.recovery.ownership import OwnedSequence, SendDecision
 from myrtlehub.recovery.recovery_decision import AttemptReport, RecoveryDecision
-from myrtlehub.recovery.sequence_records import MergeResult, Ownership, RetrySemantics, SequenceRecord
+from myrtlehub.recovery.sequence_records import (
+    FIRST_EPOCH,
+    MergeResult,
+    Ownership,
+    RetrySemantics,
+    SequenceRecord,
+)
 
 Item = TypeVar("Item")
 
@@ -209,7 +215,9 @@
 
 def initial_state(parameters: ModelParameters) -> ModelState:
     """Return the state in which the first owner has accepted the sequence, and nothing was sent."""
-    record = SequenceRecord("s", Ownership(1, OWNER_NAMES[FIRST_OWNER]), parameters.retry_semantics, 9.0)
+    record = SequenceRecord(
+        "s", Ownership(FIRST_EPOCH, OWNER_NAMES[FIRST_OWNER]), parameters.retry_semantics, 9.0
+    )
     incarnations = {replica_name(index): "0" for index in range(parameters.replicas)}
     first = ModelOwner(OwnedSequence.begin(record, incarnations), Phase.INTENDING)
     return ModelState(
--- a/myrtlehub/recovery/replica_store.py
+++ b/myrtlehub/recovery/replica_store.py
@@ -1,6 +1,7 @@
 """The store of one replica: the sequence records that it holds for other nodes, bounded in count."""
 
 from myrtlehub.recovery.sequence_records import (
+    FIRST_EPOCH,
     Ownership,
     ReplicaReply,
     RetrySemantics,
@@ -12,7 +13,6 @@
 
 # Records are evicted in this order, and of one kind those first whose answer has not begun.
 EVICTION_ORDER = (RetrySemantics.IDEMPOTENT, RetrySemantics.IDEMPOTENCY_KEY, RetrySemantics.AT_MOST_ONCE)
-FIRST_EPOCH = 1  # of a sequence that nobody has taken over
 
 
 class ReplicaStore:
--- a/myrtlehub/recovery/sequence_records.py
+++ b/myrtlehub/recovery/sequence_records.py
@@ -47,6 +47,7 @@
 
 
 UNOWNED = Ownership(0, "")
+FIRST_EPOCH = 1  # of a sequence that nobody has taken over
 
 
 class AttemptIntent(NamedTuple):
