--- a/myrtlehub/node/client_limits.py
+++ b/myrtlehub/node/client_limits.py
@@ -10,12 +10,11 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from twisted.internet.interfaces import IReactorTime
-
 from myrtlehub.config.sheets import LimitsGroup
 from myrtlehub.limits.ledger import Budgets, Held, Ledger, given_up
 from myrtlehub.limits.pace import STEP, Pace
 from myrtlehub.limits.retries import RetryBudget
+from myrtlehub.node.protocols import Clock, Log
 from myrtlehub.rpc.server import ServerCall
 
 MAX_CUTS = 50  # that are remembered
@@ -78,8 +77,8 @@
     def __init__(
         self,
         limits: LimitsGroup,
-        clock: IReactorTime,
-        log: Callable[..., None],
+        clock: Clock,
+        log: Log,
         retry_budget: RetryBudget | None,
         max_retry_after: float,
     ) -> None:
--- a/myrtlehub/node/replication/peer_connections.py
+++ b/myrtlehub/node/replication/peer_connections.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from twisted.internet.interfaces import IReactorTime
-
+from myrtlehub.node.protocols import Clock, Log
 from myrtlehub.node.replication.wire import CALL_TIMEOUT, FORMAT_VERSION, PEERS_SERVICE, encode_record
 from myrtlehub.proto import peers_pb2 as pb
 from myrtlehub.recovery.sequence_records import SequenceRecord
@@ -53,9 +52,9 @@
         node: str,
         incarnation: str,
         addresses: dict[str, str],
-        clock: IReactorTime,
+        clock: Clock,
         dial: Callable[[str], Callable],
-        log: Callable[..., None],
+        log: Log,
     ) -> None:
         self.node = node
         self.incarnation = incarnation
--- a/myrtlehub/node/replication/record_publisher.py
+++ b/myrtlehub/node/replication/record_publisher.py
@@ -7,9 +7,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from twisted.internet.interfaces import IDelayedCall, IReactorTime
-
 from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.node.protocols import Clock, Log, Timer
 from myrtlehub.node.replication.former_ownerships import FormerOwnerships
 from myrtlehub.node.replication.peer_connections import PeerConnections, PendingUpdate
 from myrtlehub.node.sequences import Attempt, InFlightSequence
@@ -37,7 +36,7 @@
 
     attempt: Attempt
     on_decision: DecisionCallback
-    timer: IDelayedCall
+    timer: Timer
 
 
 @dataclass(slots=True)
@@ -59,8 +58,8 @@
         patience: float,
         connections: PeerConnections,
         local_store: ReplicaStore,
-        clock: IReactorTime,
-        log: Callable[..., None],
+        clock: Clock,
+        log: Log,
     ) -> None:
         """Make a publisher.
 
--- a/myrtlehub/node/replication/replica_service.py
+++ b/myrtlehub/node/replication/replica_service.py
@@ -6,8 +6,7 @@
 
 from collections.abc import Callable
 
-from twisted.internet.interfaces import IReactorTime
-
+from myrtlehub.node.protocols import Clock, Log
 from myrtlehub.node.replication.wire import FORMAT_VERSION, PEERS_SERVICE, decode_record, encode_record
 from myrtlehub.proto import peers_pb2 as pb
 from myrtlehub.recovery.failure_detector import FailureDetector
@@ -26,8 +25,8 @@
         incarnation: str,
         store: ReplicaStore,
         return_timeout: float,
-        clock: IReactorTime,
-        log: Callable[..., None],
+        clock: Clock,
+        log: Log,
     ) -> None:
         """Make the service; `return_timeout`: seconds for which clients of a failed owner are waited for."""
         self.incarnation = incarnation
--- a/myrtlehub/node/replication/replication.py
+++ b/myrtlehub/node/replication/replication.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.interfaces import IReactorTime
 
 from myrtlehub.config.sheets import TakeoverGroup
+from myrtlehub.node.protocols import Clock, Log
 from myrtlehub.node.replication.peer_connections import PeerConnections
 from myrtlehub.node.replication.record_publisher import RecordPublisher
 from myrtlehub.node.replication.replica_service import ReplicaService
@@ -25,9 +25,9 @@
         settings: TakeoverGroup,
         node: str,
         incarnation: str,
-        clock: IReactorTime,
+        clock: Clock,
         dial: Callable[[str], Callable],
-        log: Callable[..., None],
+        log: Log,
     ) -> None:
         self.settings = settings
         self.node = node
--- a/myrtlehub/node/replication/reply_collector.py
+++ b/myrtlehub/node/replication/reply_collector.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
+
+from myrtlehub.node.protocols import Clock, Log
 
 
 class ReplyCollector:
@@ -18,8 +19,8 @@
         is_sufficient: Callable[[object], bool],
         on_done: Callable[[list], None],
         patience: float,
-        clock: IReactorTime,
-        log: Callable[..., None],
+        clock: Clock,
+        log: Log,
     ) -> None:
         self.is_sufficient = is_sufficient
         self.on_done = on_done
--- a/myrtlehub/node/replication/takeover.py
+++ b/myrtlehub/node/replication/takeover.py
@@ -12,7 +12,7 @@
 
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.links import SERVICE, Links
-from myrtlehub.node.protocols import ResponseSink
+from myrtlehub.node.protocols import ResponseSink, Timer
 from myrtlehub.node.replication.attached_stream import AttachedStream
 from myrtlehub.node.replication.engine_claims import EngineClaims, has_stream, is_refused
 from myrtlehub.node.replication.replication import Replication
@@ -87,7 +87,7 @@
         self.record: SequenceRecord | None = None
         self.claims: EngineClaims | None = None
         self.call: ClientCall | None = None  # the stream that it attached to
-        self.timer = None  # until the first token is due
+        self.timer: Timer | None = None  # until the first token is due
         self.started_at = self.clock.seconds()
         self.asked_at = 0.0  # when the replicas had answered
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -26,7 +26,7 @@
     SequenceRecord,
     merge_update,
 )
-from myrtlehub.state.explore import explore, replay
+from myrtlehub.state.model_checker import check_model, replay
 
 IDEMPOTENT = RetrySemantics.IDEMPOTENT
 IDEMPOTENCY_KEY = RetrySemantics.IDEMPOTENCY_KEY
@@ -43,8 +43,8 @@
 )
 def test_a_sequence_runs_at_most_once_whoever_takes_it_over(parameters: ModelParameters) -> None:
     """With one replica all states are visited."""
-    found = explore(initial_state(parameters), RecoveryModel(parameters), 200, 200_000)
-    assert found.complete and not found.breach, (found.breach, found.trace)
+    found = check_model(initial_state(parameters), RecoveryModel(parameters), 200, 200_000)
+    assert found.is_complete and not found.violation, (found.violation, found.trace)
     assert found.states > 5000
 
 
@@ -55,8 +55,8 @@
 )
 def test_at_most_once_with_two_replicas_in_a_part_of_the_states(parameters: ModelParameters) -> None:
     """The search ends here before all states are visited."""
-    found = explore(initial_state(parameters), RecoveryModel(parameters), 200, 30_000)
-    assert not found.breach and found.depth > 8, (found.breach, found.trace)
+    found = check_model(initial_state(parameters), RecoveryModel(parameters), 200, 30_000)
+    assert not found.violation and found.depth > 8, (found.violation, found.trace)
 
 
 def _store_any_update(stored: SequenceRecord | None, update: SequenceRecord) -> MergeResult:
@@ -143,12 +143,12 @@
         {"takers": 2, "attempts": 1, "faults": 0},
     ):
         parameters = FAULTS[name]._replace(**size)
-        found = explore(initial_state(parameters), RecoveryModel(parameters), 200, 120_000)
-        if found.breach:
+        found = check_model(initial_state(parameters), RecoveryModel(parameters), 200, 120_000)
+        if found.violation:
             break
-    assert found.breach, name
+    assert found.violation, name
     _, violation = replay(initial_state(parameters), RecoveryModel(parameters), found.trace)
-    assert violation == found.breach
+    assert violation == found.violation
 
 
 # -- the parts ------------------------------------------------------------------------------------------
