--- a/myrtlehub/node/links.py
+++ b/myrtlehub/node/links.py
@@ -148,8 +148,8 @@
         self.connect_timeout, self.bounds = connect_timeout, bounds or TransportBounds()
         self.channels: dict[str, Channel] = {}
         self.host: ActionExecutor | None = None
-        # By which claim this node has a sequence, where nodes take work over.
-        self.claim_of: Callable[[str], Ownership] = lambda label: UNOWNED
+        # By which ownership this node has a sequence, if nodes replicate their work.
+        self.ownership_of: Callable[[str], Ownership] = lambda label: UNOWNED
 
     def channel(self, engine: int) -> Channel:
         """The engine's channel; made at its first use."""
@@ -171,10 +171,10 @@
 
     def start(self, attempt: Attempt) -> None:
         held, asked = attempt.sequence, attempt.sequence.request
-        claim = self.claim_of(held.sequence_id)
+        ownership = self.ownership_of(held.sequence_id)
         work = pb.Work(
-            epoch=claim.epoch,
-            owner=claim.owner,
+            epoch=ownership.epoch,
+            owner=ownership.owner,
             sequence=held.sequence_id,
             attempt=held.earlier_attempts + attempt.number,
             traffic_type=asked.traffic_type,
@@ -218,10 +218,12 @@
             attempt.call.cancel()
 
     def release(self, engine: int, label: str) -> None:
-        claim = self.claim_of(label)
+        ownership = self.ownership_of(label)
         done = self.channel(engine).unary(
             SERVICE + "Release",
-            pb.ReleaseRequest(sequence=label, epoch=claim.epoch, owner=claim.owner).SerializeToString(),
+            pb.ReleaseRequest(
+                sequence=label, epoch=ownership.epoch, owner=ownership.owner
+            ).SerializeToString(),
             timeout=1.0,
         )
         done.addErrback(lambda failure: None)  # an engine that cannot be told lets go by its own bound
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -68,7 +68,7 @@
         self.links.host = self.host
         if replication is not None:
             publisher = replication.publisher
-            self.links.claim_of, self.host.on_begun = publisher.ownership_of, publisher.answer_started
+            self.links.ownership_of, self.host.on_begun = publisher.ownership_of, publisher.answer_started
         self.host.probe_timeout = sheet.reports.probe_timeout
         around.figures.follow(self.host)
         if replication is not None:
