Join: recovery, replication, client limits

Cause: the parts were made side by side. Change: this part is joined, conflicts resolved keeping both sides.

--- a/myrtlehub/node/batch_fronts/grpc_front.py
+++ b/myrtlehub/node/batch_fronts/grpc_front.py
@@ -7,7 +7,7 @@
 from myrtlehub.node.batch_fronts.batch_request import BatchRequest, BatchSummary, IndexedResult
 from myrtlehub.node.batch_fronts.coordinator import BatchCoordinator
 from myrtlehub.node.batch_fronts.in_flight_batch import InFlightBatch
-from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.client_limits import ClientLimits, LimitedCall
 from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.proto.chat_pb2 import Aborted, Rejected
@@ -128,13 +128,13 @@
         front: BatchFront,
         coordinator: BatchCoordinator,
         is_closed: Callable[[], bool],
-        peers: PeerWatch,
+        client_limits: ClientLimits,
         is_stream: bool,
     ) -> None:
         self._front = front
         self._coordinator = coordinator
         self._is_closed = is_closed
-        self._peers = peers
+        self._client_limits = client_limits
         self._is_stream = is_stream
 
     def accept(self, call: ServerCall, data: bytes) -> Receiver:
@@ -142,7 +142,9 @@
         request = self._parse(data)
         batch_call = BatchCall(self._front, call, request, self._is_stream)
         terms = request.terms
-        retry_after = self._peers.refuses(call, terms.tenant, terms.repeated, len(data), self._is_closed())
+        retry_after = self._client_limits.retry_after(
+            call, terms.tenant, terms.repeated, len(data), self._is_closed()
+        )
         if retry_after is not None:
             rejection = BatchAnswer(BatchOutcome.REJECTED, retry_after)
             batch_call.send_answer(rejection, BatchSummary("", 0, 0))
@@ -152,7 +154,9 @@
             batch_request = batch_request._replace(terms=decode_terms(terms, call.time_left()))
             batch = self._coordinator.accept(batch_request, batch_call)
             utility = self._coordinator.utility(terms.traffic_type)
-            self._peers.open(call, "batch", terms.tenant, utility, len(data), batch.cut_off)
+            self._client_limits.track(
+                LimitedCall(call, "batch", terms.tenant, utility, len(data), batch.cut_off)
+            )
         except (InvalidRequestError, ValueError) as error:
             raise RpcError(Code.INVALID_ARGUMENT, str(error)) from error
         return batch_call
@@ -170,10 +174,10 @@
     coordinator: BatchCoordinator,
     server: Server,
     is_closed: Callable[[], bool],
-    peers: PeerWatch,
+    client_limits: ClientLimits,
 ) -> None:
     """Serve the unary and the streaming method of a front."""
-    unary = BatchMethod(front, coordinator, is_closed, peers, False)
-    stream = BatchMethod(front, coordinator, is_closed, peers, True)
+    unary = BatchMethod(front, coordinator, is_closed, client_limits, False)
+    stream = BatchMethod(front, coordinator, is_closed, client_limits, True)
     server.add(front.unary_path, server_stream(unary.accept))
     server.add(front.stream_path, server_stream(stream.accept))
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -6,12 +6,12 @@
 from myrtlehub.limits.admit import NEVER, Admission
 from myrtlehub.limits.shares import FrontShares
 from myrtlehub.node.action_executor import ActionExecutor
-from myrtlehub.node.keeping import Keeping
+from myrtlehub.node.client_limits import ClientLimits, LimitedCall
 from myrtlehub.node.links import Links
-from myrtlehub.node.peers import PeerWatch
+from myrtlehub.node.replication.replication import Replication
+from myrtlehub.node.replication.takeover import Takeover, TakeoverRequest
 from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
 from myrtlehub.node.sequences import InFlightSequence
-from myrtlehub.node.takeover import Takeover, Wanted
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.method_handlers import server_stream
 from myrtlehub.rpc.server_call import Receiver, ServerCall
@@ -110,7 +110,7 @@
         self._disarm()
         self._over()
         if self.takeover is not None:
-            self.takeover.left()
+            self.takeover.client_left()
         if self.held is None:
             return
         if self.may_move and self.linger and code == Code.UNAVAILABLE:
@@ -170,15 +170,16 @@
         most_sequences: int,
         wait: float,
         shares: FrontShares,
-        peers: PeerWatch,
+        client_limits: ClientLimits,
         gate: Admission | None = None,
         turned_away: Callable[[TrafficRow], None] = lambda row: None,
     ) -> None:
         self.turned_away = turned_away  # told of each sequence that was never taken
-        self.host, self.most, self.wait, self.shares, self.peers = host, most_sequences, wait, shares, peers
+        self.host, self.most, self.wait, self.shares = host, most_sequences, wait, shares
+        self.client_limits = client_limits
         self.closed = False
         self.gate: Admission | None = gate
-        self.keeping: Keeping | None = None
+        self.replication: Replication | None = None
         self.claims = False  # whether engines answer claims
         self.links: Links | None = None
         self.waiting: set[_Waiting] = set()  # of clients that come back by themselves
@@ -187,7 +188,7 @@
     def serve(self, server: object) -> None:
         """Add the methods."""
         server.add(PATH, server_stream(self.generate))
-        if self.keeping is not None:
+        if self.replication is not None:
             server.add(RESUME, server_stream(self.resume))
 
     def resume(self, call: ServerCall, data: bytes) -> Receiver:
@@ -209,7 +210,7 @@
         except InvalidRequestError as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
         full = self.closed or len(self.host.in_flight) >= self.most
-        wait = self.peers.refuses(call, asked.tenant, asked.is_retry, len(data), full)
+        wait = self.client_limits.retry_after(call, asked.tenant, asked.is_retry, len(data), full)
         if wait is not None:
             self.turned_away(self.host.decoder.rows[arrival.traffic])
             waiting.rejected(wait)  # not taken: nothing ran
@@ -221,11 +222,15 @@
             due = self.host.decoder.lag.left(now, call.time_left() - slack)
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
         row = self.host.decoder.rows[arrival.traffic]
-        self.peers.open(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
-        if self.keeping is not None:
-            waiting.may_move, waiting.linger = request.may_move, self.keeping.group.comes_back
+        self.client_limits.track(
+            LimitedCall(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
+        )
+        if self.replication is not None:
+            waiting.may_move, waiting.linger = request.may_move, self.replication.settings.comes_back
             if again:
-                self._resume(waiting, Wanted(request.resume.sequence, request.resume.tokens, asked, arrival))
+                self._resume(
+                    waiting, TakeoverRequest(request.resume.sequence, request.resume.tokens, asked, arrival)
+                )
                 return waiting
         if self.gate is None:
             self._take(waiting, asked, arrival)
@@ -259,16 +264,16 @@
         self.waiting = {w for w in self.waiting if not w.call.over}
         self.waiting.add(waiting)
 
-    def _resume(self, waiting: _Waiting, wanted: Wanted) -> None:
+    def _resume(self, waiting: _Waiting, wanted: TakeoverRequest) -> None:
         """A client came back for what another node had, or this one."""
         self._follow(waiting)
 
         def hand(label: str, arrival: object, before: int, handle: object) -> None:
             waiting.takeover = None
-            self._hand(waiting, wanted.asked, label, arrival, before, handle)
+            self._hand(waiting, wanted.request, label, arrival, before, handle)
 
         waiting.takeover = Takeover(
-            wanted, self.keeping, self.links, self.host, waiting, hand, waiting.superseded, self.claims
+            wanted, self.replication, self.links, self.host, waiting, hand, waiting.superseded, self.claims
         )
         waiting.takeover.start()
 
@@ -279,7 +284,7 @@
                 waiting.takeover.hand_over()
                 waiting.moved()
             elif waiting.held is not None:
-                self.keeping.leave(waiting.held.sequence_id)
+                self.replication.publisher.leave(waiting.held.sequence_id)
                 held, waiting.held = waiting.held, None
                 waiting.moved()
                 self.host.hand_over(held)
@@ -301,7 +306,7 @@
 
     def _out_of_time(self, waiting: _Waiting) -> None:
         if waiting.takeover is not None:
-            waiting.takeover.out_of_time()
+            waiting.takeover.deadline_passed()
         elif waiting.held is None:
             waiting.rejected(self.wait)  # it still waits at the gate
         else:
--- a/tests/test_batch_fronts.py
+++ b/tests/test_batch_fronts.py
@@ -272,6 +272,6 @@
     assert late.final == "generated" and not any(batches.shares.shut.values())
     assert sum(c.final == "generated" for c in flood) > 10
     router = host.router
-    assert all(router.routers[1].state[i] == 0 for i in router._told[1])  # let in again
+    assert all(router.routers[1].estimates.engines[i].state == 0 for i in router._known[1])  # let in again
     kept(fleet)
     assert_nothing_in_flight(fleet)
--- a/tests/test_relay_discovery.py
+++ b/tests/test_relay_discovery.py
@@ -114,7 +114,8 @@
         rig.open_watches.clear()
         rig.entries["w1"] = rig.entry("w1", "leaving")
         rig.run(0.2)
-        assert rig.node.decoder.engines.rows[rig.node.decoder.engines.index_of["w1"]].state == "draining", silence
+        engines = rig.node.decoder.engines
+        assert engines.rows[engines.index_of["w1"]].state == "draining", silence
         count = len(rig.discovery.requests)
         assert count < 10 + 9 * silence  # a request in 120 ms
         rig.run(1.0)
