--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 
 .PHONY: run test lint format setup protos bench sites
 
-$(VENV)/.ready: requirements.txt requirements-roll.txt requirements-dev.txt pyproject.toml
+$(VENV)/.ready: requirements.txt requirements-rollout.txt requirements-dev.txt pyproject.toml
 	test -d $(VENV) || python3 -m venv $(VENV)
-	$(PY) -m pip -q install -r requirements.txt -r requirements-roll.txt -r requirements-dev.txt
+	$(PY) -m pip -q install -r requirements.txt -r requirements-rollout.txt -r requirements-dev.txt
 	$(PY) -m pip -q install --no-deps --no-build-isolation -e . 2>/dev/null || $(PY) -m pip -q install --no-deps -e .
 	touch $@
 
--- a/benchmarks/judges.py
+++ b/benchmarks/judges.py
@@ -21,7 +21,9 @@
 from scipy.stats import ttest_ind
 
 from myrtlehub.lab.manynodes import Harm, ManyNodes, Trouble, roles_of, stages
-from myrtlehub.rollout.judge import CHANGED, PASS, TROUBLE, UNCHANGED, WORSE, Block, Guard, Judge
+from myrtlehub.rollout.canary_analysis import CanaryAnalysis, Outcome
+from myrtlehub.rollout.samples import NodeRole, SampleWindow
+from myrtlehub.rollout.statistics import Guard
 
 MEASURE, WARM, WATCH, AWAY_SHARE, HOLD_MOST = 24, 2, 12, 0.08, 60
 BLOCK = 5.0
@@ -58,54 +60,57 @@
     """Changed nodes now against the same nodes before, by a threshold, at the end of each watch."""
 
     def __init__(self, zones: list[str]) -> None:
-        self.blocks: list[Block] = []
+        self.blocks: list[SampleWindow] = []
         self.since = 0
 
-    def add(self, block: Block) -> None:
+    def add(self, block: SampleWindow) -> None:
         self.blocks.append(block)
 
-    def watch_anew(self) -> None:
+    def restart_observation(self) -> None:
         self.since = len(self.blocks)
 
-    def stage_begun(self) -> None:
+    def start_stage(self) -> None:
         """Needs no word of it."""
 
     def verdict(self) -> str:
         watched = self.blocks[self.since :]
         if len(watched) < WATCH:
-            return "unsure"
-        return WORSE if any(self.worse(g, watched) for g in GUARDS) else PASS
+            return Outcome.UNDECIDED
+        return Outcome.WORSE if any(self.worse(g, watched) for g in GUARDS) else Outcome.PASS
 
-    def worse(self, g: Guard, watched: list[Block]) -> bool:
-        now = self.share(g, watched, CHANGED)
-        before = self.share(g, [b for b in self.blocks if b.measuring], UNCHANGED)
+    def worse(self, g: Guard, watched: list[SampleWindow]) -> bool:
+        now = self.share(g, watched, NodeRole.CHANGED)
+        before = self.share(g, [b for b in self.blocks if b.is_baseline], NodeRole.UNCHANGED)
         return g.sign * (now - before) >= g.margin
 
-    def share(self, g: Guard, blocks: list[Block], role: int) -> float:
-        above = sum(b.sums[g.figure, g.traffic][0][b.roles == role].sum() for b in blocks)
-        below = sum(b.sums[g.figure, g.traffic][1][b.roles == role].sum() for b in blocks)
+    def share(self, g: Guard, blocks: list[SampleWindow], role: int) -> float:
+        above = sum(b.figures[g.figure, g.traffic][0][b.roles == role].sum() for b in blocks)
+        below = sum(b.figures[g.figure, g.traffic][1][b.roles == role].sum() for b in blocks)
         return above / below if below else 0.0
 
 
 class FixedBeside(FixedBefore):
     """Changed against unchanged nodes in the same time, by a threshold."""
 
-    def worse(self, g: Guard, watched: list[Block]) -> bool:
-        if not (watched[-1].roles == UNCHANGED).any():
+    def worse(self, g: Guard, watched: list[SampleWindow]) -> bool:
+        if not (watched[-1].roles == NodeRole.UNCHANGED).any():
             return False
-        return g.sign * (self.share(g, watched, CHANGED) - self.share(g, watched, UNCHANGED)) >= g.margin
+        return (
+            g.sign * (self.share(g, watched, NodeRole.CHANGED) - self.share(g, watched, NodeRole.UNCHANGED))
+            >= g.margin
+        )
 
 
 class FixedLength(FixedBefore):
     """Welch's t over nodes, once, at the end of each watch; 0.01 over all guards."""
 
-    def worse(self, g: Guard, watched: list[Block]) -> bool:
-        above = sum(b.sums[g.figure, g.traffic][0] for b in watched)
-        below = sum(b.sums[g.figure, g.traffic][1] for b in watched)
+    def worse(self, g: Guard, watched: list[SampleWindow]) -> bool:
+        above = sum(b.figures[g.figure, g.traffic][0] for b in watched)
+        below = sum(b.figures[g.figure, g.traffic][1] for b in watched)
         roles = watched[-1].roles
         of = [
             above[(roles == r) & (below > 0)] / below[(roles == r) & (below > 0)]
-            for r in (CHANGED, UNCHANGED)
+            for r in (NodeRole.CHANGED, NodeRole.UNCHANGED)
         ]
         if min(map(len, of)) < 2:
             return False
@@ -120,12 +125,13 @@
     """Ours."""
 
     def __init__(self, zones: list[str]) -> None:
-        self.judge = Judge(GUARDS, zones, WATCH)
-        self.add, self.watch_anew = self.judge.add, self.judge.watch_anew
-        self.stage_begun = self.judge.stage_begun
+        self.judge = CanaryAnalysis(GUARDS, zones, WATCH)
+        self.add = self.judge.add
+        self.restart_observation = self.judge.restart_observation
+        self.start_stage = self.judge.start_stage
 
     def verdict(self) -> str:
-        return self.judge.verdict().says
+        return self.judge.verdict().outcome
 
 
 JUDGES = {
@@ -156,7 +162,7 @@
     asked = fleet.asked / MEASURE
     step, done = max(1, round(nodes * AWAY_SHARE)), 0
     for stage, until in enumerate(stages(nodes)):
-        judge.stage_begun()
+        judge.start_stage()
         while done < until:
             judge.add(fleet.block(roles_of(nodes, done, min(step, until - done))))
             done += min(step, until - done)
@@ -164,15 +170,15 @@
             block = fleet.block(roles_of(nodes, done))
             block.roles[:done] = 0
             judge.add(block)
-        judge.watch_anew()
+        judge.restart_observation()
         held = 0
         while True:
             judge.add(fleet.block(roles_of(nodes, done)))
             says = judge.verdict()
-            held += says == TROUBLE
-            if says == WORSE or held > HOLD_MOST:
+            held += says == Outcome.DISTURBANCE
+            if says == Outcome.WORSE or held > HOLD_MOST:
                 return End(True, stage, fleet.at - MEASURE, fleet.lost / asked)
-            if says == PASS:
+            if says == Outcome.PASS:
                 break
     return End(False, len(stages(nodes)), fleet.at - MEASURE, fleet.lost / asked)
 
--- a/examples/roll.py
+++ b/examples/rollout.py
@@ -1,7 +1,7 @@
-"""A rolling change to try: two stand-in engines, three nodes, some traffic, and `hub-roll run` on
+"""A rolling change to try: two stand-in engines, three nodes, some traffic, and `hub-rollout run` on
 examples/rolling-settings.yaml. Everything runs on loopback and ends by itself. Simulated.
 
-    python examples/roll.py
+    python examples/rollout.py
 """
 
 import shutil
@@ -43,7 +43,7 @@
 
 
 def main() -> int:
-    """Exit code of hub-roll."""
+    """Exit code of hub-rollout."""
     with tempfile.TemporaryDirectory() as name:
         folder, processes = Path(name), []
         shutil.copy(HERE / "rolling-settings.yaml", folder / "plan.yaml")
@@ -65,7 +65,7 @@
             for caller in callers:
                 caller.start()
             code = subprocess.run(
-                [sys.executable, "-m", "myrtlehub.cli.roll", "run", str(folder / "plan.yaml")]
+                [sys.executable, "-m", "myrtlehub.cli.rollout", "run", str(folder / "plan.yaml")]
             ).returncode
             over.set()
             for caller in callers:
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -32,7 +32,7 @@
     from myrtlehub.membership.notify import Notifier
     from myrtlehub.node.clock import SteadyClock
     from myrtlehub.node.node import Node
-    from myrtlehub.node.revision import settings
+    from myrtlehub.node.revision import settings_digest
 
     log = logger(node=sheet.node.name)
     run = f"{time.time_ns() // 1000 % 2**40:x}-{os.getpid():x}"
@@ -67,7 +67,7 @@
             listen=sheet.node.listen,
             engines=len(sheet.list.engines),
             program=node.program,
-            settings=settings(sheet),
+            settings=settings_digest(sheet),
             run=run,
         )
     )
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/variant.py
@@ -129,7 +129,7 @@
     kind = sys.argv.pop(1)
     if kind not in KINDS:
         sys.exit(f"{kind!r} is not one of {', '.join(KINDS)}")
-    os.environ[revision.LABEL] = f"variant {kind}"
+    os.environ[revision.BUILD_LABEL_VARIABLE] = f"variant {kind}"
     KINDS[kind]()
     from myrtlehub.cli.node import main as hub_node
 
--- a/myrtlehub/lab/manynodes.py
+++ b/myrtlehub/lab/manynodes.py
@@ -10,7 +10,7 @@
 
 import numpy as np
 
-from myrtlehub.rollout.judge import ALL, AWAY, CHANGED, UNCHANGED, Block
+from myrtlehub.rollout.samples import ALL_TRAFFIC, FigureKey, NodeRatios, NodeRole, SampleWindow
 
 TYPES = ("ask", "post", "note")
 MIX = np.array([0.6, 0.3, 0.1])
@@ -60,8 +60,8 @@
         self.at = 0
         self.lost = self.asked = 0.0  # utility that the change took; that was asked for
 
-    def block(self, roles: np.ndarray, measuring: bool = False) -> Block:
-        """One block; AWAY nodes ask nothing."""
+    def block(self, roles: np.ndarray, measuring: bool = False) -> SampleWindow:
+        """One block; UNAVAILABLE nodes ask nothing."""
         r, n = self.random, self.nodes
         self.drift = 0.7 * self.drift + r.normal(0.0, 0.01, n)
         self.hurry = 0.7 * self.hurry + r.normal(0.0, 0.03, n)
@@ -75,7 +75,7 @@
                 for z in range(len(self.weather)):
                     if t.zone in (-1, z):
                         engines[f"zone-{z}"] -= round(30 * t.engines)
-        mine = (roles == CHANGED).astype(float)
+        mine = (roles == NodeRole.CHANGED).astype(float)
         if self.harm.others_from <= mine.mean():
             mine = np.ones(n)
         elif self.harm.others_from < 1.0:
@@ -83,8 +83,8 @@
         share = np.clip(SERVED + self.level + self.drift + self.weather[self.zone] - hit, 0.02, 0.998)
         late = self.pace + self.hurry + 4.0 * hit + mine * np.log1p(self.harm.slower)
         late -= 2.0 * self.weather[self.zone]
-        up = roles != AWAY
-        sums: dict[tuple[str, str], tuple[np.ndarray, np.ndarray]] = {}
+        up = roles != NodeRole.UNAVAILABLE
+        sums: dict[FigureKey, NodeRatios] = {}
         total = np.zeros(n), np.zeros(n)
         for i, name in enumerate(TYPES):
             asked = r.poisson(self.rate * self.length * MIX[i]) * up
@@ -93,19 +93,19 @@
             took = r.binomial(whole, np.clip(mine * takes, 0.0, 1.0))
             self.lost += took.sum()
             served = (whole - took).astype(float)
-            sums["served", name] = served, asked.astype(float)
+            sums[FigureKey("served", name)] = NodeRatios(served, asked.astype(float))
             total = total[0] + served, total[1] + asked
         self.asked += total[1].sum()
-        sums["served", ALL] = total
-        sums["rejected", ALL] = (
+        sums[FigureKey("served", ALL_TRAFFIC)] = NodeRatios(*total)
+        sums[FigureKey("rejected", ALL_TRAFFIC)] = NodeRatios(
             r.binomial(np.maximum(0, (total[1] - total[0]).astype(int)), 0.6) * 1.0,
             total[1],
         )
         begun = np.maximum(total[0], 1.0)
         first = begun * (late - 1.5) + r.normal(0.0, 0.8, n) * np.sqrt(begun)
-        sums["first_token", ALL] = first * up, begun * up
+        sums[FigureKey("first_token", ALL_TRAFFIC)] = NodeRatios(first * up, begun * up)
         self.at += 1
-        return Block(roles.copy(), sums, engines, measuring)
+        return SampleWindow(roles.copy(), sums, engines, measuring)
 
 
 def stages(nodes: int) -> list[int]:
@@ -115,7 +115,7 @@
 
 def roles_of(nodes: int, changed: int, away: int = 0) -> np.ndarray:
     """The first so many changed, the next so many away."""
-    roles = np.full(nodes, UNCHANGED)
-    roles[:changed] = CHANGED
-    roles[changed : changed + away] = AWAY
+    roles = np.full(nodes, NodeRole.UNCHANGED)
+    roles[:changed] = NodeRole.CHANGED
+    roles[changed : changed + away] = NodeRole.UNAVAILABLE
     return roles
--- a/myrtlehub/lab/rolling.py
+++ b/myrtlehub/lab/rolling.py
@@ -1,4 +1,4 @@
-"""A day amid which the program or the settings of all nodes are changed in stages, by `hub-roll`."""
+"""A day amid which the program or the settings of all nodes are changed in stages, by `hub-rollout`."""
 
 import json
 import os
@@ -19,7 +19,7 @@
 
 FOLDER = "HUB_VARIANT_FOLDER"  # variable: where variants of a program leave word for one another
 NODES = "HUB_VARIANT_NODES"  # variable: how many nodes the fleet has
-ENDS = {"kept": 0, "undone": 1, "stuck": 3}  # exit codes of hub-roll
+ENDS = {"kept": 0, "undone": 1, "stuck": 3}  # exit codes of hub-rollout
 
 
 class RollingDay(Day):
@@ -106,7 +106,7 @@
         self.controllers += 1
         process = self.processes.start(
             f"controller-{self.controllers}",
-            [*self.stepped, "myrtlehub.cli.roll", *words, str(self.folder / "roll.yaml")],
+            [*self.stepped, "myrtlehub.cli.rollout", *words, str(self.folder / "roll.yaml")],
             self.env,
         )
         self.expected_dead.add(process)
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -8,10 +8,11 @@
 
 from myrtlehub.config.load import Faults
 from myrtlehub.config.sheets import EngineRow, NodeSheet, check_engines
-from myrtlehub.node import changes, revision
 from myrtlehub.node.figures import memory, processor
+from myrtlehub.node.revision import settings_digest
+from myrtlehub.node.settings_change import SettingsChangeError, parse_settings, validate_change
 from myrtlehub.proto import admin_pb2 as pb
-from myrtlehub.rollout.orders import FORMAT, Order, OrderBook
+from myrtlehub.rollout.node_orders import FORMAT_VERSION, Order, OrderValidator
 from myrtlehub.rpc.server import ServerCall, unary
 from myrtlehub.rpc.status import Code, RpcError
 
@@ -25,7 +26,7 @@
     def __init__(self, node: object) -> None:
         self.node = node
         number, _, controller = os.environ.get(GENERATION, "").partition(" ")
-        self.orders = OrderBook(node.run, int(number) if number.isdecimal() else 0, controller)
+        self.orders = OrderValidator(node.run, int(number) if number.isdecimal() else 0, controller)
         self.staged: tuple[str, NodeSheet] | None = None  # digest, settings
 
     host = property(lambda self: self.node.host)
@@ -58,13 +59,13 @@
         request = pb.StagedSettings.FromString(data)
         self._ordered(request.order, "stage")
         try:
-            sheet = changes.read(request.text)
-            changes.check(self.sheet, sheet, self.source.rows())
+            sheet = parse_settings(request.text)
+            validate_change(self.sheet, sheet, self.source.rows())
         except Faults as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
-        except changes.Unfit as fault:
+        except SettingsChangeError as fault:
             raise RpcError(Code.FAILED_PRECONDITION, str(fault)) from fault
-        digest = revision.settings(sheet)
+        digest = settings_digest(sheet)
         self.staged = digest, sheet
         self.node.log("staged", settings=digest)
         return pb.OrderTaken(settings=digest, changed=True).SerializeToString()
@@ -73,7 +74,7 @@
         """What was staged, from the next sequence on."""
         order = pb.Order.FromString(data)
         self._ordered(order, "apply")
-        if order.settings == revision.settings(self.sheet):
+        if order.settings == settings_digest(self.sheet):
             return pb.OrderTaken(settings=order.settings).SerializeToString()  # it was done before
         if self.staged is None or self.staged[0] != order.settings:
             raise RpcError(Code.FAILED_PRECONDITION, f"settings {order.settings} are not staged here")
@@ -81,8 +82,8 @@
             raise RpcError(Code.FAILED_PRECONDITION, "this node is leaving")
         (digest, sheet), self.staged = self.staged, None
         try:
-            changes.check(self.sheet, sheet, self.source.rows())  # the list may have changed since
-        except changes.Unfit as fault:
+            validate_change(self.sheet, sheet, self.source.rows())  # the list may have changed since
+        except SettingsChangeError as fault:
             raise RpcError(Code.FAILED_PRECONDITION, str(fault)) from fault
         self.node.apply(sheet)
         self.node.log("applied", settings=digest, by_old=sum(len(w.host.held) for w in self.node.old))
@@ -91,7 +92,7 @@
     def obey(self, call: ServerCall, data: bytes) -> bytes:
         """Orders of an older controller are refused from here on."""
         self._ordered(pb.Order.FromString(data), "obey")
-        return pb.OrderTaken(settings=revision.settings(self.sheet)).SerializeToString()
+        return pb.OrderTaken(settings=settings_digest(self.sheet)).SerializeToString()
 
     def leave(self, call: ServerCall, data: bytes) -> bytes:
         """Drain and end."""
@@ -99,7 +100,7 @@
         changed = not self.node.leaving
         if changed:
             self.node.clock.callLater(0, self.node.on_leave)  # the reply leaves first
-        return pb.OrderTaken(settings=revision.settings(self.sheet), changed=changed).SerializeToString()
+        return pb.OrderTaken(settings=settings_digest(self.sheet), changed=changed).SerializeToString()
 
     def figures(self, call: ServerCall, data: bytes) -> bytes:
         """Sums since the start."""
@@ -109,7 +110,7 @@
             engines.setdefault(row.zone, 0)
             engines[row.zone] += row.state == "serving" and row.weight > 0.0
         return pb.NodeFigures(
-            format=FORMAT,
+            format=FORMAT_VERSION,
             run=node.run,
             memory=memory(),
             processor=processor(),
@@ -193,7 +194,7 @@
         node = self.node
         more.update(
             program=node.program,
-            settings=revision.settings(self.sheet),
+            settings=settings_digest(self.sheet),
             run=node.run,
             pid=os.getpid(),
             age=now - node.started,
@@ -201,7 +202,7 @@
             proven=node.proven,
             generation=self.orders.generation,
             controller=self.orders.controller,
-            format=FORMAT,
+            format=FORMAT_VERSION,
             staged=self.staged[0] if self.staged else "",
             by_old=sum(len(w.host.held) for w in node.old),
         )
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -12,11 +12,11 @@
 from myrtlehub.membership.source import StaticList
 from myrtlehub.membership.store import VersionStore
 from myrtlehub.membership.watched import WatchedList
-from myrtlehub.node import revision
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.admin import NodeAdmin
 from myrtlehub.node.figures import Figures
 from myrtlehub.node.keeping import Keeping
+from myrtlehub.node.revision import program_digest
 from myrtlehub.node.takeover import let_go
 from myrtlehub.node.works import Around, Works
 from myrtlehub.rpc.guards import TransportBounds
@@ -43,7 +43,7 @@
         beside: Callable = lambda work, then: then(work()),
     ) -> None:
         self.clock, self.log, self.run = clock, log, run
-        self.program = revision.program()
+        self.program = program_digest()
         self.started = clock.seconds()
         self.figures = Figures()
         group = sheet.takeover
--- /dev/null
+++ b/myrtlehub/node/settings_change.py
@@ -0,0 +1,70 @@
+"""Settings that are to replace a running node's: validated whole before any of them applies."""
+
+from myrtlehub.config.load import parse
+from myrtlehub.config.sheets import EngineRow, NodeSheet
+from myrtlehub.membership.judge import unsound
+
+FIXED_FIELDS = ("name", "listen", "admin", "zone")  # of `node`: they change with the process alone
+
+
+class SettingsChangeError(Exception):
+    """The node could not route by these settings, or cannot change to them in place; the text says why."""
+
+
+def parse_settings(text: str) -> NodeSheet:
+    """Parse a node's settings file.
+
+    Raises:
+        Faults: the text is wrong, one line each.
+    """
+    return parse(text, NodeSheet, "staged")
+
+
+def validate_change(current: NodeSheet, staged: NodeSheet, rows: list[EngineRow]) -> None:
+    """Check that a node whose endpoint list has these rows can change to the staged settings in place.
+
+    Raises:
+        SettingsChangeError: it cannot.
+    """
+    _check_fixed_fields(current, staged)
+    _check_list_source(current, staged)
+    if not (staged.list.files or staged.list.pushed):
+        rows = staged.list.engines
+    faults = _routing_faults(staged, rows)
+    if faults:
+        raise SettingsChangeError("; ".join(faults))
+
+
+def _check_fixed_fields(current: NodeSheet, staged: NodeSheet) -> None:
+    for name in FIXED_FIELDS:
+        before = getattr(current.node, name)
+        after = getattr(staged.node, name)
+        if before != after:
+            raise SettingsChangeError(
+                f"node.{name}: cannot change from {before!r} to {after!r} in place; roll the program"
+            )
+
+
+def _check_list_source(current: NodeSheet, staged: NodeSheet) -> None:
+    if bool(current.list.files) != bool(staged.list.files) or current.list.pushed != staged.list.pushed:
+        raise SettingsChangeError("list: where the list comes from cannot change in place; roll the program")
+    if current.list.files and (
+        current.list != staged.list or current.kinds != staged.kinds or current.zones != staged.zones
+    ):
+        raise SettingsChangeError(
+            "list, kinds, zones: what watched files are read by cannot change in place; roll the program"
+        )
+
+
+def _routing_faults(staged: NodeSheet, rows: list[EngineRow]) -> list[str]:
+    """List why these rows could not be routed to by the staged settings."""
+    kinds = {kind.name: kind for kind in staged.kinds}
+    faults = unsound(rows, kinds, staged.zones, staged.engines_may.read_alone)
+    serving = [
+        kinds[row.kind] for row in rows if row.state == "serving" and row.weight > 0.0 and row.kind in kinds
+    ]
+    for traffic in staged.traffic:
+        chat = traffic.front == "chat"
+        if not any(kind.writes if chat else kind.does(traffic.front) for kind in serving):
+            faults.append(f"no engine on the list could end a sequence of {traffic.name!r}")
+    return faults
--- /dev/null
+++ b/myrtlehub/rollout/model.py
@@ -0,0 +1,234 @@
+"""A small model around the progress of a rollout, for exhaustive search.
+
+Nodes come, go and die, and the controller dies at any boundary. Beside what the controller believes stands
+what is true of each process, and on that the guarantees are checked.
+"""
+
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import NamedTuple
+
+from myrtlehub.rollout.progress import (
+    FLEET,
+    Action,
+    NodeAction,
+    RolloutPlan,
+    RolloutState,
+    initial_state,
+    step,
+)
+from myrtlehub.rollout.states import MOVING_STATES, NodeEvent, NodeState, RolloutEvent, RolloutPhase
+from myrtlehub.state.state_machine import InvalidTransitionError
+
+OLD = 0
+NEW = 1
+END_PHASES = frozenset({RolloutPhase.COMMITTED, RolloutPhase.ROLLED_BACK, RolloutPhase.STUCK})
+STATUS_EVENTS = {  # by revision, and whether it is proven
+    (OLD, False): NodeEvent.OLD_STARTED,
+    (OLD, True): NodeEvent.OLD_PROVEN,
+    (NEW, False): NodeEvent.NEW_STARTED,
+    (NEW, True): NodeEvent.NEW_PROVEN,
+}
+Move = tuple[str, "ModelState", str]  # label, next state, violated guarantee or ""
+
+
+class ProgramFault(StrEnum):
+    """What a program does wrong once it is started."""
+
+    NONE = ""
+    EXITS = "exits"
+    NEVER_READY = "never ready"
+
+
+class ProcessState(NamedTuple):
+    """What is true of one node."""
+
+    revision: int = OLD
+    is_up: bool = True
+    is_draining: bool = False
+    is_proven: bool = True
+    is_own_child: bool = False  # the controller that now runs started it
+    was_killed: bool = False  # a fault took it down: that is nobody's order
+
+
+class ModelState(NamedTuple):
+    """All of it."""
+
+    rollout: RolloutState
+    processes: tuple[ProcessState, ...]
+    pending: tuple[Action, ...] = ()  # asked for, not yet carried out
+    faults: int = 0
+
+
+class ModelConfig(NamedTuple):
+    """How large it is, and what may go wrong."""
+
+    plan: RolloutPlan
+    max_faults: int = 1  # deaths of nodes and of the controller, orders to roll back, in one history together
+    new_fault: ProgramFault = ProgramFault.NONE
+    old_fault: ProgramFault = ProgramFault.NONE  # of the old program, once it is started anew
+
+
+def initial_model_state(config: ModelConfig) -> ModelState:
+    """Return the state before anything was done."""
+    return ModelState(initial_state(config.plan), (ProcessState(),) * config.plan.node_count)
+
+
+class ModelMoves:
+    """All that can happen next; an instance is called with a state and yields moves."""
+
+    def __init__(self, config: ModelConfig) -> None:
+        self.config = config
+        self.plan = config.plan
+
+    def __call__(self, state: ModelState) -> Iterator[Move]:
+        """Yield all moves from a state."""
+        if state.pending:
+            yield self._carry_out_action(state)
+        else:
+            yield from self._status_moves(state)
+            yield from self._timer_moves(state)
+            yield from self._verdict_moves(state)
+        yield from self._process_moves(state)
+        if state.faults < self.config.max_faults:
+            yield from self._fault_moves(state)
+
+    def _take(self, state: ModelState, node: int, event: NodeEvent | RolloutEvent, label: str = "") -> Move:
+        label = label or f"{event} {'' if node == FLEET else node}".strip()
+        try:
+            result = step(self.plan, state.rollout, node, event)
+        except InvalidTransitionError as error:
+            return label, state, f"broken: {error}"
+        node_actions = tuple(action for action in result.actions if action.node != FLEET)
+        after = state._replace(rollout=result.state, pending=state.pending + node_actions)
+        return self._checked(label, after)
+
+    def _checked(self, label: str, after: ModelState) -> Move:
+        return label, after, self._violation(after)
+
+    def _violation(self, state: ModelState) -> str:
+        rollout = state.rollout
+        if rollout.stage > rollout.stages_passed:
+            return f"stage {rollout.stage} began with {rollout.stages_passed} verdicts"
+        if rollout.phase is RolloutPhase.COMMITTED and not all(
+            state.processes[node].revision == NEW for stage in self.plan.stages for node in stage
+        ):
+            return "kept, and a node has the old revision"
+        if rollout.phase is RolloutPhase.ROLLED_BACK and any(
+            process.is_up and process.revision == NEW and not process.is_draining
+            for process in state.processes
+        ):
+            return "undone, and a node has the new revision"
+        unavailable = [
+            node
+            for node, process in enumerate(state.processes)
+            if (not process.is_up or process.is_draining) and not process.was_killed
+        ]
+        if len(unavailable) > self.plan.max_unavailable:
+            return f"nodes {unavailable} are away by order, {self.plan.max_unavailable} may be"
+        return ""
+
+    def _carry_out_action(self, state: ModelState) -> Move:
+        kind, node = state.pending[0]
+        after = state._replace(pending=state.pending[1:])
+        process = state.processes[node]
+        is_up = process.is_up
+        if kind is NodeAction.LEAVE and is_up:
+            after = _with_process(after, node, process._replace(is_draining=True))
+        elif kind is NodeAction.APPLY_NEW and is_up:
+            after = _with_process(after, node, process._replace(revision=NEW))
+        elif kind is NodeAction.APPLY_OLD and is_up:
+            after = _with_process(after, node, process._replace(revision=OLD))
+        elif kind is NodeAction.START_NEW and not is_up:
+            after = self._started(after, node, NEW)
+        elif kind is NodeAction.START_OLD and not is_up:
+            after = self._started(after, node, OLD)
+        elif kind is NodeAction.KILL:
+            after = _with_process(after, node, process._replace(is_up=False, is_draining=False))
+        return self._checked(f"{kind} {node}", after)
+
+    def _started(self, state: ModelState, node: int, revision: int) -> ModelState:
+        process = state.processes[node]._replace(
+            revision=revision,
+            is_up=self._fault_of(revision) is not ProgramFault.EXITS,
+            is_draining=False,
+            is_proven=False,
+            is_own_child=True,
+        )
+        return _with_process(state, node, process)
+
+    def _fault_of(self, revision: int) -> ProgramFault:
+        return self.config.new_fault if revision == NEW else self.config.old_fault
+
+    def _status_moves(self, state: ModelState) -> Iterator[Move]:
+        for node, process in enumerate(state.processes):
+            event = _status_event(process)
+            label, after, violation = self._take(state, node, event, f"{node} is seen {event}")
+            if violation or after != state:
+                yield label, after, violation
+
+    def _timer_moves(self, state: ModelState) -> Iterator[Move]:
+        rollout = state.rollout
+        for node, node_state in enumerate(rollout.nodes):
+            if node_state is NodeState.WARMING:
+                yield self._take(state, node, NodeEvent.WARMED_UP)
+            comes_back = node_state is NodeState.RESTARTING_OLD
+            if node_state in MOVING_STATES and (state.processes[node].is_up or comes_back):
+                yield self._take(state, node, NodeEvent.OVERDUE)
+        if rollout.phase in (RolloutPhase.CHANGING, RolloutPhase.SETTLING, RolloutPhase.ON_HOLD):
+            yield self._take(state, FLEET, RolloutEvent.TIME_LIMIT)
+
+    def _verdict_moves(self, state: ModelState) -> Iterator[Move]:
+        is_last = state.rollout.stage == len(self.plan.stages) - 1
+        passed = RolloutEvent.LAST_STAGE_PASSED if is_last else RolloutEvent.STAGE_PASSED
+        events = {
+            RolloutPhase.PLANNED: (RolloutEvent.BEGIN,),
+            RolloutPhase.MEASURING: (RolloutEvent.BASELINE_MEASURED,),
+            RolloutPhase.OBSERVING: (passed, RolloutEvent.WORSE, RolloutEvent.DISTURBANCE),
+            RolloutPhase.ON_HOLD: (RolloutEvent.DISTURBANCE_OVER, RolloutEvent.WORSE),
+        }
+        for event in events.get(state.rollout.phase, ()):
+            yield self._take(state, FLEET, event)
+
+    def _process_moves(self, state: ModelState) -> Iterator[Move]:
+        for node, process in enumerate(state.processes):
+            if process.is_draining:
+                after = _with_process(
+                    state, node, process._replace(is_up=False, is_draining=False, is_own_child=False)
+                )
+                yield self._checked(f"{node} has left", after)
+            never_ready = self._fault_of(process.revision) is ProgramFault.NEVER_READY
+            if process.is_up and not process.is_proven and not never_ready:
+                yield (
+                    f"{node} proves itself",
+                    _with_process(state, node, process._replace(is_proven=True)),
+                    "",
+                )
+
+    def _fault_moves(self, state: ModelState) -> Iterator[Move]:
+        faulty = state._replace(faults=state.faults + 1)
+        phase = state.rollout.phase
+        if phase is not RolloutPhase.PLANNED and phase not in END_PHASES:
+            yield self._take(faulty, FLEET, RolloutEvent.ROLL_BACK, "the operator undoes")
+        orphans = tuple(process._replace(is_own_child=False) for process in faulty.processes)
+        yield "the controller dies and resumes", faulty._replace(pending=(), processes=orphans), ""
+        for node, process in enumerate(state.processes):
+            if process.is_up and not process.is_draining:
+                yield (
+                    f"{node} is killed",
+                    _with_process(faulty, node, process._replace(is_up=False, was_killed=True)),
+                    "",
+                )
+
+
+def _status_event(process: ProcessState) -> NodeEvent:
+    if not process.is_up:
+        return NodeEvent.EXITED if process.is_own_child else NodeEvent.GONE
+    if process.is_draining:
+        return NodeEvent.SEEN_DRAINING
+    return STATUS_EVENTS[process.revision, process.is_proven]
+
+
+def _with_process(state: ModelState, node: int, process: ProcessState) -> ModelState:
+    processes = state.processes
+    return state._replace(processes=(*processes[:node], process, *processes[node + 1 :]))
--- a/tests/test_roller.py
+++ b/tests/test_rollout_controller.py
@@ -1,20 +1,24 @@
 """The controller against real nodes on an in-memory network and a driven clock, killed at every boundary."""
 
+import os
 import subprocess
 import sys
+import time
+from functools import cache
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import numpy as np
 import pytest
 from fleet import Fleet
 
-from myrtlehub.cli import roller as shell
-from myrtlehub.cli.roller import CannotRoll, Roller
 from myrtlehub.config.load import parse
 from myrtlehub.config.plans import PlanSheet
 from myrtlehub.node.node import Node
-from myrtlehub.rollout.journal import pack, unpack
-from myrtlehub.rollout.seen import Shown
+from myrtlehub.rollout.journal_format import decode_journal, encode_line
+from myrtlehub.rollout_controller.controller import RolloutController
+from myrtlehub.rollout_controller.errors import ExitCode, RolloutError
+from myrtlehub.rollout_controller.process_supervisor import ProcessIdentity, ProcessSupervisor
 
 PLAN = """
 change: {change}
@@ -37,34 +41,41 @@
 SETTINGS = '{settings: {was: "{name}.yaml", now: "{name}.new.yaml"}}'
 
 
-class Died(BaseException):
+class KilledError(BaseException):
     """The controller is killed here."""
 
 
-class Hands(shell.Hands):
+class InMemorySupervisor(ProcessSupervisor):
     """Processes of the in-memory fleet."""
 
     def __init__(self, rig: "Rig") -> None:
-        self.rig, self.ours = rig, set()
+        self.rig = rig
+        self.started: set[int] = set()
 
-    def born(self, pid: int) -> int:
+    def start_ticks(self, pid: int) -> int:
+        """Return that it is not known."""
         return 0
 
-    def alive(self, node: int, shown: object, born: int) -> bool:
+    def is_alive(self, node: int, known: ProcessIdentity | None) -> bool:
+        """Whether the fleet has the node."""
         return f"n{node}" in self.rig.f.nodes
 
-    def coming(self, node: int, shown: object) -> bool:
+    def is_starting(self, node: int, known: ProcessIdentity | None) -> bool:
+        """Return False: a node that is started answers at once."""
         return False
 
-    def quit(self, node: int) -> bool:
-        return node in self.ours and not self.alive(node, None, 0)
+    def has_exited(self, node: int) -> bool:
+        """Whether the node was started here and is gone."""
+        return node in self.started and not self.is_alive(node, None)
 
-    def begin(self, node: int, name: str, command: str, generation: str) -> None:
-        self.ours.add(node)
+    def start(self, node: int, name: str, command: str, generation: str) -> None:
+        """Add the node to the fleet."""
+        self.started.add(node)
         self.rig.begin(node, command.split()[2], generation)
 
-    def kill(self, node: int, shown: object, born: int) -> None:
-        if self.alive(node, shown, born):
+    def kill(self, node: int, known: ProcessIdentity | None) -> None:
+        """Take the node out of the fleet."""
+        if self.is_alive(node, known):
             self.rig.gone(node)
 
 
@@ -91,7 +102,7 @@
             (folder / f"n{i}.new.yaml").write_text(self.f.text(i).replace("max_wait: 2s", then))
         rows = ", ".join(f'{{name: n{i}, admin: "n{i}:2", zone: z}}' for i in range(nodes))
         self.text = PLAN.format(change=change, nodes=rows) + plan
-        self.roller: Roller | None = None
+        self.controller: RolloutController | None = None
         self.dead = False
         self.codes: list = []
 
@@ -131,11 +142,11 @@
             if steps[0] == die_at:
                 self.dead = True
             if self.dead:
-                raise Died(name)
+                raise KilledError(name)
 
         sheet = parse(self.text, PlanSheet)
         self.steps = steps
-        self.roller = Roller(
+        self.controller = RolloutController(
             sheet,
             self.text,
             self.folder,
@@ -143,16 +154,18 @@
             lambda address: self.f.net.dialer(address, "operator"),
             lambda event, **more: self.said.append({"event": event, **more}),
             step,
+            InMemorySupervisor(self),
         )
-        self.roller.hands = Hands(self)
-        self.roller.run(again, undo).addBoth(self.codes.append)
+        self.controller.run(again, undo).addBoth(self.codes.append)
 
     def bury(self) -> None:
         """The controller was killed: nothing of it happens any more, and its lock is free."""
-        self.roller._over, self.dead, self.codes = True, False, []
-        for target in self.roller.targets:
-            target.channel.close()
-        self.roller.journal.close()
+        self.controller.abandon()
+        self.dead = False
+        self.codes = []
+        for tracked in self.controller.nodes:
+            tracked.client.close()
+        self.controller.journal.close()
 
     def run_some(self) -> None:
         """One more sequence, and a fifth of a second."""
@@ -168,8 +181,8 @@
         while not self.codes and not self.dead and self.f.clock.seconds() < until:
             self.run_some()
         if self.dead:
-            raise Died
-        assert self.codes, f"no end after {seconds} s: {self.roller.standing}"
+            raise KilledError
+        assert self.codes, f"no end after {seconds} s: {self.controller.state}"
         return self.codes[-1]
 
     def programs(self) -> list[str]:
@@ -186,13 +199,13 @@
     assert not [
         c for c in rig.f.calls if c.answer in ("aborted", "") and not (c.status and c.status.unprocessed)
     ][:-20]
-    with pytest.raises(CannotRoll, match="is there already; hub-roll resume"):
+    with pytest.raises(RolloutError, match="is there already; hub-rollout resume"):
         rig.control()
-    with pytest.raises(CannotRoll, match="the change is over: kept"):
+    with pytest.raises(RolloutError, match="the change is over: kept"):
         rig.control(again=True)
     text = rig.text.replace("most_away: 1", "most_away: 2")
     rig.text, whole = text, rig.text
-    with pytest.raises(CannotRoll, match="was written for another plan"):
+    with pytest.raises(RolloutError, match="was written for another plan"):
         rig.control(again=True)
     rig.text = whole
 
@@ -235,16 +248,41 @@
     assert rig.run() == 1 and rig.programs() == ["old"] * 3
 
 
-@pytest.mark.parametrize("change", [SETTINGS, PROGRAM], ids=["settings", "program"])
-def test_a_controller_killed_at_any_boundary_is_resumed_to_the_same_end(tmp_path: Path, change: str) -> None:
-    """Every boundary: before and after each write, sync and act. Nothing happens twice with harm."""
-    (tmp_path / "whole").mkdir()
-    rig = Rig(tmp_path / "whole", change)
-    rig.control()
-    assert rig.run() == 0
-    boundaries = rig.steps[0]
+CHANGES = pytest.mark.parametrize("change", [SETTINGS, PROGRAM], ids=["settings", "program"])
+SLICES = 12  # of the boundaries, so that they can run in parallel
+BEYOND_THE_END = 4  # boundaries from this one on are behind the end of the change
+
+
+@cache
+def boundary_count(change: str) -> int:
+    """Count the boundaries of a rollout that nobody kills: before and after each write, sync and action."""
+    with TemporaryDirectory() as folder:
+        rig = Rig(Path(folder), change)
+        rig.control()
+        assert rig.run() == 0
+    return rig.steps[0]
+
+
+def boundaries_of(change: str, part: int) -> range:
+    """Return every twelfth boundary, from the one of this number on."""
+    return range(1 + part, boundary_count(change) - BEYOND_THE_END + 1, SLICES)
+
+
+@CHANGES
+def test_the_slices_have_each_boundary_once(change: str) -> None:
+    boundaries = boundary_count(change)
     assert boundaries > 60
-    for die_at in range(1, boundaries - 3):  # the last are behind the end of the change
+    covered = [boundary for part in range(SLICES) for boundary in boundaries_of(change, part)]
+    assert sorted(covered) == list(range(1, boundaries - 3))
+
+
+@CHANGES
+@pytest.mark.parametrize("part", range(SLICES))
+def test_a_controller_killed_at_any_boundary_is_resumed_to_the_same_end(
+    tmp_path: Path, change: str, part: int
+) -> None:
+    """Every boundary: before and after each write, sync and action. Nothing happens twice with harm."""
+    for die_at in boundaries_of(change, part):
         folder = tmp_path / str(die_at)
         folder.mkdir()
         rig = Rig(folder, change)
@@ -252,45 +290,46 @@
         try:
             rig.control(die_at=die_at)
             rig.run()
-        except Died:
+        except KilledError:
             died = True
         assert died, die_at
         rig.bury()
-        whole = (folder / "roll.journal").read_bytes() if (folder / "roll.journal").exists() else b""
+        journal = folder / "roll.journal"
+        whole = journal.read_bytes() if journal.exists() else b""
         rig.control(again=bool(whole))
-        assert rig.run() == 0, (die_at, rig.roller.standing)
+        assert rig.run() == 0, (die_at, rig.controller.state)
         changed = rig.waits() if change == SETTINGS else rig.programs()
         assert changed == ([1.0] * 3 if change == SETTINGS else ["new"] * 3), die_at
         assert rig.most_away <= 1 and rig.runs == (0 if change == SETTINGS else 3), die_at
-        _, entries, _ = unpack((folder / "roll.journal").read_bytes())
+        entries = decode_journal(journal.read_bytes()).entries
         assert sum(e.event in ("pass", "last") for e in entries) == 2
 
 
 def test_of_two_controllers_the_older_one_does_nothing_more(tmp_path: Path) -> None:
     rig = Rig(tmp_path, plan="journal: one.journal\n")
     rig.control()
-    first = rig.roller
-    while first.standing.change != "watching":
+    first = rig.controller
+    while first.state.phase != "watching":
         rig.run_some()
-    with pytest.raises(CannotRoll, match="another controller is at work"):
+    with pytest.raises(RolloutError, match="another controller is at work"):
         rig.control(again=True)
     other = Rig.__new__(Rig)
     text = rig.text.replace("one.journal", "two.journal")
     other.__dict__.update(rig.__dict__, codes=[], said=[], text=text)
     (tmp_path / "two.journal").write_bytes((tmp_path / "one.journal").read_bytes())  # on another machine
     sheet = parse(other.text, PlanSheet)
-    second = Roller(
+    second = RolloutController(
         sheet,
         rig.text,
         tmp_path,
         rig.f.clock,
         lambda a: rig.f.net.dialer(a, "operator"),
         lambda event, **more: other.said.append({"event": event, **more}),
+        supervisor=InMemorySupervisor(rig),
     )
-    second.hands = Hands(rig)
     second.run(again=True).addBoth(other.codes.append)
     code = rig.run()
-    assert code == shell.TAKEN_OVER and "does nothing more" in first.reason
+    assert code == ExitCode.SUPERSEDED and "does nothing more" in first.reason
     rig.codes = other.codes
     assert rig.run() == 0 and rig.programs() == ["new"] * 3
 
@@ -298,15 +337,15 @@
 def test_a_node_that_the_controller_cannot_reach_is_left_alone_until_it_can(tmp_path: Path) -> None:
     rig = Rig(tmp_path)
     rig.control()
-    while rig.roller.standing.nodes[0] != "watched":
+    while rig.controller.state.nodes[0] != "watched":
         rig.run_some()
     kept = rig.f.net.hosts["n0:2"]
     rig.f.net.kill("n0:2")
     runs, node = rig.runs, rig.f.nodes["n0"]
     for _ in range(100):  # longer than a stage may be held amid trouble
         rig.run_some()
-    assert rig.runs == runs and rig.f.nodes["n0"] is node and rig.roller.targets[0].lost
-    assert rig.roller.standing.change == "holding" and "no contact with n0" in str(rig.said)
+    assert rig.runs == runs and rig.f.nodes["n0"] is node and rig.controller.nodes[0].is_unreachable
+    assert rig.controller.state.phase == "holding" and "no contact with n0" in str(rig.said)
     rig.f.net.listen("n0:2", kept)
     assert rig.run() == 0 and rig.programs() == ["new"] * 3
 
@@ -314,7 +353,7 @@
 def test_the_only_changed_node_killed_by_something_else_is_held_and_not_undone(tmp_path: Path) -> None:
     rig = Rig(tmp_path)
     rig.control()
-    while rig.roller.standing.nodes[0] != "watched":
+    while rig.controller.state.nodes[0] != "watched":
         rig.run_some()
     rig.gone(0)
     assert rig.run() == 0 and rig.programs() == ["new"] * 3
@@ -324,71 +363,75 @@
 def test_a_resumed_controller_knows_the_time_before_the_change(tmp_path: Path) -> None:
     rig = Rig(tmp_path)
     rig.control()
-    while rig.roller.standing.change != "watching":
+    while rig.controller.state.phase != "watching":
         rig.run_some()
-    before = rig.roller.judge
+    before = rig.controller.record.analysis
     rig.bury()
     rig.control(again=True)
-    after = rig.roller.judge
-    assert before.usual and after.usual == before.usual
+    after = rig.controller.record.analysis
+    assert before.disturbance.baseline_served
+    assert after.disturbance.baseline_served == before.disturbance.baseline_served
     for key, tally in after.tallies.items():
         old = before.tallies[key].sums["pre_weight"]
         assert np.allclose(tally.sums["pre_weight"], old) and old.any()
     assert rig.run() == 0 and rig.programs() == ["new"] * 3
-    _, entries, _ = unpack((tmp_path / "roll.journal").read_bytes())
-    assert [e.event for e in entries if "judged" in e.more] == ["measured", "pass", "last"]
+    entries = decode_journal((tmp_path / "roll.journal").read_bytes()).entries
+    assert [e.event for e in entries if "judged" in e.details] == ["measured", "pass", "last"]
 
 
 def test_figures_of_another_fleet_in_the_journal_only_widen_the_bounds(tmp_path: Path) -> None:
     rig = Rig(tmp_path)
     rig.control()
-    while rig.roller.standing.change != "watching":
+    while rig.controller.state.phase != "watching":
         rig.run_some()
     rig.bury()
     path = tmp_path / "roll.journal"
-    head, entries, _ = unpack(path.read_bytes())
+    header, entries, _ = decode_journal(path.read_bytes())
     for entry in entries:
-        if "judged" in entry.more:
-            entry.more["judged"]["tallies"] = {}
-    path.write_bytes(b"".join(map(pack, [head, *entries])))
+        if "judged" in entry.details:
+            entry.details["judged"]["tallies"] = {}
+    path.write_bytes(b"".join(map(encode_line, [header, *entries])))
     rig.control(again=True)
     assert any(s["event"] == "unlearned" for s in rig.said)
     assert rig.run() == 0 and rig.programs() == ["new"] * 3
 
 
 def test_a_process_is_known_by_when_it_began_and_not_by_a_clock_that_is_set(
-    tmp_path: Path, monkeypatch: object
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    hands = shell.Hands(tmp_path)
+    supervisor = ProcessSupervisor(tmp_path)
     with subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE) as process:
-        shown, born = Shown(("p", "s"), "run", process.pid), hands.born(process.pid)
-        assert born > 0 and hands.alive(0, shown, born)
-        now = shell.time.time()
-        monkeypatch.setattr(shell.time, "time", lambda: now - 3600.0)
-        assert hands.alive(0, shown, born)  # by the wall clock it has not been begun yet
-        assert not hands.alive(0, shown, born - 1)  # another process, which got its number
+        known = ProcessIdentity(process.pid, supervisor.start_ticks(process.pid))
+        assert known.start_ticks > 0 and supervisor.is_alive(0, known)
+        now = time.time()
+        monkeypatch.setattr(time, "time", lambda: now - 3600.0)
+        assert supervisor.is_alive(0, known)  # by the wall clock it has not been begun yet
+        earlier = known._replace(start_ticks=known.start_ticks - 1)
+        assert not supervisor.is_alive(0, earlier)  # another process, which got its number
         process.kill()
         process.wait()
-        assert not hands.alive(0, shown, born) and hands.born(process.pid) == 0
+        assert not supervisor.is_alive(0, known) and supervisor.start_ticks(process.pid) == 0
 
 
-def test_a_full_disk_stops_the_controller_and_nothing_follows(tmp_path: Path, monkeypatch: object) -> None:
+def test_a_full_disk_stops_the_controller_and_nothing_follows(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     rig = Rig(tmp_path)
     rig.control()
-    while rig.roller.standing.change != "watching":
+    while rig.controller.state.phase != "watching":
         rig.run_some()
-    standing, runs = rig.roller.standing, rig.runs
-    write = shell.os.write
+    state, runs = rig.controller.state, rig.runs
+    write = os.write
 
     def full(file: int, data: bytes) -> int:
-        if file == rig.roller.journal._file:
+        if file == rig.controller.journal._file:
             raise OSError(28, "No space left on device")
         return write(file, data)
 
-    monkeypatch.setattr(shell.os, "write", full)
-    assert rig.run() == shell.NO_JOURNAL and "No space left" in rig.roller.reason
-    assert rig.roller.standing == standing and rig.runs == runs
-    monkeypatch.setattr(shell.os, "write", write)
+    monkeypatch.setattr(os, "write", full)
+    assert rig.run() == ExitCode.JOURNAL_NOT_WRITABLE and "No space left" in rig.controller.reason
+    assert rig.controller.state == state and rig.runs == runs
+    monkeypatch.setattr(os, "write", write)
     rig.codes.clear()
     rig.control(again=True)
     assert rig.run() == 0 and rig.programs() == ["new"] * 3
@@ -397,9 +440,9 @@
 def test_an_undo_amid_a_stage_takes_back_all_and_starts_nothing_else(tmp_path: Path) -> None:
     rig = Rig(tmp_path)
     rig.control()
-    while rig.roller.standing.stage < 1 or "starting" not in rig.roller.standing.nodes:
+    while rig.controller.state.stage < 1 or "starting" not in rig.controller.state.nodes:
         rig.run_some()
-    Path(f"{rig.roller.journal.path}.undo").touch()
+    Path(f"{rig.controller.journal.path}.undo").touch()
     assert rig.run() == 1 and rig.programs() == ["old"] * 3 and rig.most_away == 1
     assert "the operator asked for it" in str(rig.said)
 
@@ -426,4 +469,4 @@
     rig = Rig(tmp_path)
     rig.f.nodes["n2"].program = "third"
     rig.control()
-    assert rig.run() == 2 and "more than one revision already" in rig.roller.reason
+    assert rig.run() == 2 and "more than one revision already" in rig.controller.reason
--- a/tests/test_roll_processes.py
+++ b/tests/test_rollout_processes.py
@@ -1,5 +1,7 @@
-"""Rolling changes of real processes on loopback: nodes, engines, clients, a controller that is killed. Each
-day ends with its roll, whenever that is, and is judged by the five rules and by how the roll had to end.
+"""Rollouts over real processes on loopback: nodes, engines, clients, a controller that is killed.
+
+Each scenario ends with its rollout, whenever that is, and is checked by the five rules and by how the rollout
+had to end.
 """
 
 import json
@@ -11,7 +13,7 @@
 import pytest
 
 TRAFFIC = {"latency_slo": "2s", "abandon_time": "5s", "prompt": [50, 200], "output": [5, 20]}
-DAY = {
+SCENARIO = {
     "length": "100s",
     "rate": 24,
     "fleet": {"nodes": 4, "readers": 2, "writers": 3},
@@ -32,7 +34,7 @@
         "fall_time": "1s",
     },
 }
-ROLL = {
+ROLLOUT = {
     "stages": [1, 1.0],
     "plan": {
         "measure": "3s",
@@ -47,7 +49,7 @@
         "guards": [{"figure": "rejected", "worse": 0.1}, {"figure": "served", "worse": 0.2}],
     },
 }
-ROLLS = {
+ROLLOUTS = {
     "a good program, its controller killed twice": {
         "now": "equal",
         "ends": "kept",
@@ -78,16 +80,16 @@
         ],
     },
 }
-AT_ONCE = 3  # days: they mostly wait
+AT_ONCE = 3  # scenarios: they mostly wait
 
 
 @pytest.fixture(scope="module")
-def days(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[int, Path]]:
-    """All days played: exit code and folder of each."""
+def outcomes(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[int, Path]]:
+    """All scenarios played: exit code and folder of each."""
     played, at_work = {}, []
-    for seed, (name, roll) in enumerate(ROLLS.items()):
+    for seed, (name, roll) in enumerate(ROLLOUTS.items()):
         folder = tmp_path_factory.mktemp("day")
-        day = {**DAY, "seed": seed, "roll": {**ROLL, **roll}}
+        day = {**SCENARIO, "seed": seed, "roll": {**ROLLOUT, **roll}}
         if "store" in name:
             day["list_files"] = {"store": True, "torn": 0.0, "wrong": 0.0, "deleted": 0.0}
         if "crashes" in name:
@@ -113,15 +115,15 @@
                     ),
                 )
             )
-        while len(at_work) >= AT_ONCE or (at_work and seed == len(ROLLS) - 1):
+        while len(at_work) >= AT_ONCE or (at_work and seed == len(ROLLOUTS) - 1):
             done, where, process = at_work.pop(0)
             played[done] = process.wait(), where
     return played
 
 
-@pytest.mark.parametrize("name", ROLLS)
-def test_a_roll_ends_as_stated_and_the_rules_are_kept(days: dict, name: str) -> None:
-    code, folder = days[name]
+@pytest.mark.parametrize("name", ROLLOUTS)
+def test_a_rollout_ends_as_stated_and_no_rule_is_broken(outcomes: dict, name: str) -> None:
+    code, folder = outcomes[name]
     err = (folder / "err").read_text()[-3000:]
     assert code in (0, 1), err
     verdict = json.loads((folder / "out").read_text())
@@ -136,7 +138,7 @@
             assert '"clock set", "by": -3600.0' in (folder / "kept" / f"{who}.log").read_text(), who
     if "good program" in name:
         assert verdict["roll"]["controllers"] == 3
-        assert not any(a.get("aborted", 0) for a in answers), said  # nothing is lost in a good roll
+        assert not any(a.get("aborted", 0) for a in answers), said  # nothing is lost in a good rollout
 
 
 PLAN = """
@@ -154,7 +156,7 @@
 
     def run(**more: object) -> subprocess.CompletedProcess:
         return subprocess.run(
-            [sys.executable, "-m", "myrtlehub.cli.roll", "run", str(plan)],
+            [sys.executable, "-m", "myrtlehub.cli.rollout", "run", str(plan)],
             capture_output=True,
             text=True,
             **more,
--- a/tests/test_changes.py
+++ b/tests/test_settings_change.py
@@ -3,10 +3,11 @@
 import pytest
 from fleet import Fleet
 
-from myrtlehub.node import changes, revision
 from myrtlehub.node.node import Node
+from myrtlehub.node.revision import program_digest, settings_digest
+from myrtlehub.node.settings_change import parse_settings
 from myrtlehub.proto import admin_pb2 as pb
-from myrtlehub.rollout.orders import FORMAT
+from myrtlehub.rollout.node_orders import FORMAT_VERSION
 from myrtlehub.rpc.channel import Channel
 from myrtlehub.rpc.status import Code
 
@@ -30,7 +31,7 @@
         return got[0]
 
     def order(self, generation: int = 1, **more: object) -> pb.Order:
-        return pb.Order(format=FORMAT, generation=generation, controller=self.controller, **more)
+        return pb.Order(format=FORMAT_VERSION, generation=generation, controller=self.controller, **more)
 
     def stage(self, text: str, generation: int = 1) -> bytes | tuple[Code, str]:
         return self.say("Stage", pb.StagedSettings(order=self.order(generation), text=text))
@@ -139,8 +140,8 @@
         assert code == Code.PERMISSION_DENIED and ("obeys 2" in text or "controller c2's" in text)
     code, text = new.say("Leave", new.order(3, run="another"))
     assert "for process another" in text and not f.nodes["n0"].leaving
-    code, text = new.say("Apply", pb.Order(format=FORMAT + 1, generation=9, controller="c9"))
-    assert f"knows formats up to {FORMAT}" in text
+    code, text = new.say("Apply", pb.Order(format=FORMAT_VERSION + 1, generation=9, controller="c9"))
+    assert f"knows formats up to {FORMAT_VERSION}" in text
     assert (new.show().generation, new.show().controller) == (2, "c2")
 
 
@@ -192,10 +193,10 @@
 
 def test_a_revision_is_the_same_for_all_nodes_of_a_fleet_and_not_for_other_settings() -> None:
     f = Fleet(nodes=2)
-    sheets = [changes.read(f.text(i)) for i in range(2)]
-    assert revision.settings(sheets[0]) == revision.settings(sheets[1])
-    assert revision.settings(sheets[0]) != revision.settings(changes.read(new_text(f)))
+    sheets = [parse_settings(f.text(i)) for i in range(2)]
+    assert settings_digest(sheets[0]) == settings_digest(sheets[1])
+    assert settings_digest(sheets[0]) != settings_digest(parse_settings(new_text(f)))
     f.tell("W0b", "draining")
     f.run(0.1)
-    assert isinstance(f.nodes["n0"], Node) and f.nodes["n0"].program == revision.program()
-    assert len(revision.program()) == 16
+    assert isinstance(f.nodes["n0"], Node) and f.nodes["n0"].program == program_digest()
+    assert len(program_digest()) == 16
