--- a/tests/test_rollout_controller.py
+++ b/tests/test_rollout_controller.py
@@ -327,7 +327,7 @@
         lambda event, **more: other.said.append({"event": event, **more}),
         supervisor=InMemorySupervisor(rig),
     )
-    second.run(again=True).addBoth(other.codes.append)
+    second.run(resume=True).addBoth(other.codes.append)
     code = rig.run()
     assert code == ExitCode.SUPERSEDED and "does nothing more" in first.reason
     rig.codes = other.codes
