--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,1 +1,1 @@
-pytest_plugins = ["known_red", "socketrig"]
+pytest_plugins = ["known_red", "program_groups", "socketrig"]
