--- a/benchmarks/between.py
+++ b/benchmarks/between.py
@@ -16,8 +16,8 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks, returnValue
 
-from myrtlehub.cli.day import found
-from myrtlehub.config.load import load
+from myrtlehub.cli.day import find_scenario
+from myrtlehub.config.loader import load_config
 from myrtlehub.lab.day import Day, as_text
 from myrtlehub.lab.scenario import Scenario
 
@@ -28,7 +28,7 @@
     kept = True
     for seed in range(1, seeds + 1):
         with tempfile.TemporaryDirectory() as folder:
-            day = Day(load(found(scenario), Scenario), Path(folder), reactor, seed=seed)
+            day = Day(load_config(find_scenario(scenario), Scenario), Path(folder), reactor, seed=seed)
             day.checkouts = dict.fromkeys(sorted(day.admin)[::2], earlier)
             verdict = yield day.play()
         click.echo(f"seed {seed}, {len(day.checkouts)} of {len(day.admin)} nodes of {earlier}")
--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -17,12 +17,13 @@
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.internet.threads import deferToThread
 
-from myrtlehub.config.load import parse
-from myrtlehub.config.sheets import NodeSheet, StandSheet
+from myrtlehub.config.emulated_engine import EmulatedEngineConfig
+from myrtlehub.config.loader import parse_config
+from myrtlehub.config.node import NodeConfig
 from myrtlehub.emulator.server import StandIn
 from myrtlehub.lab.day import free_ports
-from myrtlehub.membership.aside import ReadAside
-from myrtlehub.membership.notify import Notifier
+from myrtlehub.membership.file_notifier import FileNotifier
+from myrtlehub.membership.reader_process import ReaderProcess
 from myrtlehub.node.node import Node
 from myrtlehub.proto import chat_pb2
 from myrtlehub.records import Recorder
@@ -94,7 +95,7 @@
         path, listening = self.folder / "engines.yaml", []
         path.write_text(text(self.count, 1, -1))
         for i in range(4):
-            sheet = StandSheet(
+            sheet = EmulatedEngineConfig(
                 name=f"s{i}",
                 listen=f"127.0.0.1:{self.ports[1 + i]}",
                 writes=True,
@@ -108,13 +109,13 @@
             stand = StandIn(sheet, CLOCK, None, Recorder("s", CLOCK))
             stand.recorder.note = lambda *args, **more: None
             listening.append(reactor.listenTCP(self.ports[1 + i], stand.server, interface="127.0.0.1"))
-        aside = ReadAside(reactor).start()
+        aside = ReaderProcess(reactor).start()
         node = self.node = Node(
-            parse(SHEET, NodeSheet),
+            parse_config(SHEET, NodeConfig),
             CLOCK,
             self.dial,
             base=self.folder,
-            notify=Notifier(reactor).watch,
+            notify=FileNotifier(reactor).watch,
             reader=aside.read,
             beside=lambda work, then: deferToThread(work).addCallback(then),
         )
--- a/benchmarks/fresh.py
+++ b/benchmarks/fresh.py
@@ -12,8 +12,9 @@
 from random import Random
 from statistics import mean, quantiles
 
-from myrtlehub.config.load import parse
-from myrtlehub.config.sheets import EngineRow, NodeSheet
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.loader import parse_config
+from myrtlehub.config.node import NodeConfig
 from myrtlehub.emulator.model import Machine
 from myrtlehub.lab.modelled import ModelClient, ModelFleet
 from myrtlehub.node.request_decoder import DecodedRequest
@@ -39,7 +40,7 @@
     """(asked at, seconds to the first token, 1.0 if in time) of what was asked after the change."""
     seed, fresh, rate = args
     rows = [
-        EngineRow(address=f"{k}{i}:1", kind=kind, zone="z", cell=i % 2)
+        EndpointConfig(address=f"{k}{i}:1", kind=kind, zone="z", cell=i % 2)
         for k, kind, n in (("r", "reader", 4), ("w", "writer", 6))
         for i in range(n)
     ]
@@ -47,7 +48,7 @@
         "reader": Machine(slots=4, read_rate=12000.0, memory=200_000.0, kept=60000.0),
         "writer": Machine(slots=12, memory=90_000.0, read_rate=9000.0, step=0.02, kept=30000.0),
     }
-    sheets = [parse(SHEET.format(i=i, n=NODES, seed=seed * 100 + i), NodeSheet) for i in range(NODES)]
+    sheets = [parse_config(SHEET.format(i=i, n=NODES, seed=seed * 100 + i), NodeConfig) for i in range(NODES)]
     fleet = ModelFleet(NODES, sheets.__getitem__, rows, machines, seed)
     random, begin, out = Random(seed), fleet.clock.seconds(), []
 
--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -11,11 +11,12 @@
 import click
 from twisted.internet.task import Clock
 
-from myrtlehub.config.load import load
-from myrtlehub.config.sheets import KindRow, NodeSheet
-from myrtlehub.membership import files
-from myrtlehub.membership.judge import ListJudge, Terms
-from myrtlehub.membership.version import digest_of
+from myrtlehub.config.engines import EngineKindConfig
+from myrtlehub.config.loader import load_config
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.membership.list_version import content_digest
+from myrtlehub.membership.snapshot import read_snapshot
+from myrtlehub.membership.validation import ListValidator, ValidationConfig
 from myrtlehub.node.node import Node
 
 
@@ -31,29 +32,35 @@
 @click.command()
 def main() -> None:
     """Print milliseconds by number of engines."""
-    sheet = load(Path(__file__).parents[1] / "examples" / "node.yaml", NodeSheet)
+    sheet = load_config(Path(__file__).parents[1] / "examples" / "node.yaml", NodeConfig)
     for count in (10, 200, 2000):
         with tempfile.TemporaryDirectory() as folder:
             base, clock = Path(folder), Clock()
             node = Node(sheet, clock, lambda address: None)
-            kinds = {k.name: KindRow(name=k.name, reads=k.reads, writes=k.writes) for k in sheet.kinds}
-            judge = ListJudge(Terms(1.0), kinds, sheet.zones)
+            kinds = {
+                k.name: EngineKindConfig(name=k.name, reads=k.reads, writes=k.writes) for k in sheet.kinds
+            }
+            validator = ListValidator(ValidationConfig(1.0), kinds, sheet.zones)
             out = []
             for cell_of in (0, 1):  # the second time every engine changes
                 (base / "a.yaml").write_text(text(count, cell_of))
                 at = time.perf_counter()
-                reading = files.read(("a.yaml",), base)
+                snapshot = read_snapshot(("a.yaml",), base)
                 read = time.perf_counter() - at
-                digest = digest_of(reading.rows)  # as the reading process hands it over
+                digest = content_digest(snapshot.endpoints)  # as the reading process hands it over
                 at = time.perf_counter()
-                verdict = judge.read(float(cell_of), reading.rows, "files", digest=digest)
+                verdict = validator.validate(float(cell_of), snapshot.endpoints, "files", digest=digest)
                 judged = time.perf_counter() - at
-                rows = verdict.change.rows() if verdict.change else list(verdict.version.engines.values())
+                rows = (
+                    verdict.difference.updates()
+                    if verdict.difference
+                    else list(verdict.version.endpoints.values())
+                )
                 at = time.perf_counter()
-                node.host.update_endpoints(rows, not verdict.change, verdict.version.number)
+                node.host.update_endpoints(rows, not verdict.difference, verdict.version.number)
                 out.append((read, judged, time.perf_counter() - at))
             tracemalloc.start()
-            judge.read(9.0, files.read(("a.yaml",), base).rows[:-1], "files")
+            validator.validate(9.0, read_snapshot(("a.yaml",), base).endpoints[:-1], "files")
             grown = tracemalloc.get_traced_memory()[0]
             tracemalloc.stop()
         click.echo(
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -11,11 +11,12 @@
 
 import click
 
-from myrtlehub.config.load import parse
-from myrtlehub.config.sheets import EngineRow, NodeSheet
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.loader import parse_config
+from myrtlehub.config.node import NodeConfig
 from myrtlehub.emulator.model import Machine
 from myrtlehub.lab.modelled import ModelClient, ModelFleet
-from myrtlehub.limits.admit import LEAST, MOST, NEVER, Admission, Vegas
+from myrtlehub.limits.admission import MAX_LIMIT, MIN_LIMIT, NEVER, AdmissionController, VegasLimiter
 from myrtlehub.node.request_decoder import DecodedRequest
 
 SHEET = """
@@ -44,7 +45,7 @@
 class Unlimited:
     """No limit: everything goes to the module."""
 
-    limit = MOST
+    limit = MAX_LIMIT
 
     def sample(self, now: float, share: float | None, in_hand: int) -> None:
         """Nothing is learnt."""
@@ -68,7 +69,7 @@
             return
         gradient = max(0.5, min(1.0, 1.5 * self._long / max(self._short, 1e-6)))
         wanted = gradient * self.limit + self.limit**0.5
-        self.limit = max(LEAST, min(MOST, 0.98 * self.limit + 0.02 * wanted))
+        self.limit = max(MIN_LIMIT, min(MAX_LIMIT, 0.98 * self.limit + 0.02 * wanted))
 
 
 class Aimd:
@@ -81,10 +82,10 @@
         """`share`: of its latency SLO that a beginning took; None: there was none in time."""
         if share is None or share > 1.0:
             if now > self._cut_at + 0.2:
-                self.limit, self._cut_at = max(LEAST, self.limit * 0.9), now
+                self.limit, self._cut_at = max(MIN_LIMIT, self.limit * 0.9), now
         elif in_hand >= 0.8 * self.limit:
             # Until something was late for the first time nobody knows how much is too much: twice as fast.
-            self.limit = min(MOST, self.limit + (1.0 if self._cut_at < 0.0 else 1.0 / self.limit))
+            self.limit = min(MAX_LIMIT, self.limit + (1.0 if self._cut_at < 0.0 else 1.0 / self.limit))
 
 
 class Target:
@@ -106,21 +107,25 @@
         if off > 0.0 and in_hand < 0.8 * self.limit:
             return
         step = self.GAIN * max(-1.0, off) / self.limit**0.5
-        self.limit = max(LEAST, min(MOST, self.limit * (1.0 + step)))
+        self.limit = max(MIN_LIMIT, min(MAX_LIMIT, self.limit * (1.0 + step)))
 
 
-WAYS = {"none": Unlimited, "aimd": Aimd, "gradient": Gradient, "vegas": Vegas, "target": Target}
+WAYS = {"none": Unlimited, "aimd": Aimd, "gradient": Gradient, "vegas": VegasLimiter, "target": Target}
 
 
 def play(way: str, load: float, seed: int, seconds: float, nodes: int = 2) -> dict:
     """One run: utility within the SLO, all of it asked for, answers, attempts a first try."""
-    rows = [EngineRow(address=f"r{i}:1", kind="reader", zone="z") for i in range(2)]
-    rows += [EngineRow(address=f"w{i}:1", kind="writer", zone="z") for i in range(4)]
+    rows = [EndpointConfig(address=f"r{i}:1", kind="reader", zone="z") for i in range(2)]
+    rows += [EndpointConfig(address=f"w{i}:1", kind="writer", zone="z") for i in range(4)]
     fleet = ModelFleet(
-        nodes, lambda i: parse(SHEET.format(i=i, n=nodes, seed=seed + i), NodeSheet), rows, MACHINES, seed
+        nodes,
+        lambda i: parse_config(SHEET.format(i=i, n=nodes, seed=seed + i), NodeConfig),
+        rows,
+        MACHINES,
+        seed,
     )
     random, begin = Random(seed), fleet.clock.seconds()
-    gates = [Admission(Random(seed + i), UTILITY, WAYS[way]()) for i in range(nodes)]
+    gates = [AdmissionController(Random(seed + i), UTILITY, WAYS[way]()) for i in range(nodes)]
     good = asked_for = 0.0
     armed: list = [None] * nodes
     answers: Counter[str] = Counter()
@@ -144,21 +149,21 @@
             over(client)
 
         def begun(client: ModelClient) -> None:
-            gates[node].begun(fleet.clock.seconds(), now - arrived + client.first, SLO[asked.traffic_type])
+            gates[node].started(fleet.clock.seconds(), now - arrived + client.first, SLO[asked.traffic_type])
             pump(node)
 
         fleet.ask(node, asked._replace(time_left=max(0.05, left)), ended, begun)
 
     def pump(node: int) -> None:
         now = fleet.clock.seconds()
-        while (item := gates[node].next(now)) is not None:
+        while (item := gates[node].admit_next(now)) is not None:
             send(node, *item)
 
     def shed(node: int) -> None:
         now = fleet.clock.seconds()
-        for _ in gates[node].shed(now):
+        for _ in gates[node].take_shed(now):
             answers["shed"] += 1
-        due = gates[node].due_at()
+        due = gates[node].next_shed_at()
         if due < float("inf") and (armed[node] is None or not armed[node].active()):
             armed[node] = fleet.clock.callLater(max(0.001, due - now), shed, node)
 
@@ -178,7 +183,7 @@
             mark=f"m{random.randrange(10**9)}",
         )
         node = random.randrange(nodes)
-        gates[node].ask(now, name, SLO[name], (asked, now))
+        gates[node].enqueue(now, name, SLO[name], (asked, now))
         pump(node)
         shed(node)
 
--- a/myrtlehub/cli/day.py
+++ b/myrtlehub/cli/day.py
@@ -1,18 +1,31 @@
-"""hub-day: plays a scripted day with real processes and judges it."""
+"""hub-day: plays a scenario with real processes and gives a verdict on it."""
 
 import json
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING, NamedTuple
 
 import click
+from twisted.python.failure import Failure
 
-from myrtlehub.cli.common import fail, sheet_of
+from myrtlehub.cli.common import fail, load_or_exit
 from myrtlehub.lab.scenario import Scenario
 
+if TYPE_CHECKING:
+    from myrtlehub.lab.day import Day
 
-def found(name: str) -> Path:
-    """A scenario by path, or by name among scenarios/."""
+
+class Kind(NamedTuple):
+    """What plays a scenario, and how its verdict is printed."""
+
+    player: type["Day"]
+    to_text: Callable[[dict], str]
+
+
+def find_scenario(name: str) -> Path:
+    """Return a scenario by path, or by name among scenarios/."""
     for path in (
         Path(name),
         Path("scenarios") / f"{name}.yaml",
@@ -20,7 +33,7 @@
     ):
         if path.is_file():
             return path
-    fail(f"no scenario {name!r}: neither a file nor a name under scenarios/")
+    return fail(f"no scenario {name!r}: neither a file nor a name under scenarios/")
 
 
 @click.command()
@@ -43,51 +56,63 @@
     traffic and faults, and checks the five rules against what clients and engines recorded on their sockets.
     Exit 0: all kept. 1: a rule was broken, or a process ended as it should not. 2: it could not be played.
     """
-    sheet = sheet_of(found(scenario), Scenario)
+    plan = load_or_exit(find_scenario(scenario), Scenario)
     if keep is not None and keep.exists() and any(keep.iterdir()):
         fail(f"--keep {keep}: not empty")
-    from twisted.internet import reactor
-
-    from myrtlehub.lab.day import Day, DayFailed, as_text, save
-    from myrtlehub.lab.rolling import RollingDay, rolling_as_text
-    from myrtlehub.lab.takeover import TakeoverDay, takeover_as_text
-
-    kind, text = (
-        (RollingDay, rolling_as_text)
-        if sheet.roll
-        else (TakeoverDay, takeover_as_text)
-        if sheet.takeover
-        else (Day, as_text)
-    )
+    kind = _kind_of(plan)
     with tempfile.TemporaryDirectory(prefix="hub-day-") as temporary:
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        verdicts: list = []
-
-        def say(line: str) -> None:
-            if not quiet:
-                at = day.clock.seconds() - day.started if day.started else 0.0
-                click.echo(f"{at:6.1f} s  {line}", err=True)
-
-        day = kind(sheet, folder.resolve(), reactor, sequences or 0, seed, say)
-
-        def start() -> None:
-            day.play().addBoth(verdicts.append).addBoth(lambda ignored: reactor.stop())
-
-        reactor.callWhenRunning(start)
-        reactor.run()
-        if not verdicts:
-            fail("interrupted")
-        verdict = verdicts[0]
-        if not isinstance(verdict, dict):
-            if verdict.check(DayFailed):
-                fail(f"the day could not be played: {verdict.getErrorMessage()}")
-            verdict.printTraceback(sys.stderr)
-            sys.exit(2)
-        save(verdict, folder)
-        click.echo(json.dumps(verdict) if as_json else text(verdict))
+        verdict = _play(kind.player, plan, folder, sequences or 0, seed, quiet)
+        click.echo(json.dumps(verdict) if as_json else kind.to_text(verdict))
     sys.exit(0 if verdict["kept"] else 1)
 
 
+def _kind_of(scenario: Scenario) -> Kind:
+    from myrtlehub.lab.day import Day, as_text
+    from myrtlehub.lab.rolling import RollingDay, rolling_as_text
+    from myrtlehub.lab.takeover import TakeoverDay, takeover_as_text
+
+    if scenario.roll:
+        return Kind(RollingDay, rolling_as_text)
+    if scenario.takeover:
+        return Kind(TakeoverDay, takeover_as_text)
+    return Kind(Day, as_text)
+
+
+def _play(
+    player: type["Day"], scenario: Scenario, folder: Path, sequences: int, seed: int | None, quiet: bool
+) -> dict:
+    """Play in a reactor that runs until the end; return the verdict, and save it in the folder."""
+    from twisted.internet import reactor
+
+    from myrtlehub.lab.day import DayFailed, save
+
+    results: list[dict | Failure] = []
+
+    def report(line: str) -> None:
+        if not quiet:
+            at = day.clock.seconds() - day.started if day.started else 0.0
+            click.echo(f"{at:6.1f} s  {line}", err=True)
+
+    day = player(scenario, folder.resolve(), reactor, sequences, seed, report)
+
+    def start() -> None:
+        day.play().addBoth(results.append).addBoth(lambda ignored: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if not results:
+        fail("interrupted")
+    verdict = results[0]
+    if isinstance(verdict, Failure):
+        if verdict.check(DayFailed):
+            fail(f"the day could not be played: {verdict.getErrorMessage()}")
+        verdict.printTraceback(sys.stderr)
+        sys.exit(2)
+    save(verdict, folder)
+    return verdict
+
+
 if __name__ == "__main__":
     main()
--- a/myrtlehub/cli/engine.py
+++ b/myrtlehub/cli/engine.py
@@ -1,4 +1,4 @@
-"""hub-engine: a stand-in engine (simulated)."""
+"""hub-engine: an emulated engine (simulated)."""
 
 import os
 import sys
@@ -6,40 +6,43 @@
 
 import click
 
-from myrtlehub.cli.common import dialer, listen, logger, sheet_of
-from myrtlehub.config.sheets import StandSheet
+from myrtlehub.cli.common import dialer, listen, load_or_exit, logger
+from myrtlehub.config.emulated_engine import EmulatedEngineConfig
 from myrtlehub.node.process import on_term, settle_memory
 
+FELL = 3  # exit code of an engine that was overloaded while cold
+
 
 @click.command()
 @click.argument("config", type=click.Path(path_type=Path))
 def main(config: Path) -> None:
-    """Run a stand-in engine by CONFIG, a YAML file (docs/operators/config.md).
+    """Run an emulated engine by CONFIG, a YAML file (docs/operators/config.md).
 
     It serves gRPC myrtlehub.v1.Engine like a model server would, with made-up figures, and
     myrtlehub.v1.Stand, by which trials tell it to misbehave. Exit 2: CONFIG or an address is wrong. Exit
     3: it was pushed over while cold.
     """
-    sheet = sheet_of(config, StandSheet)
+    settings = load_or_exit(config, EmulatedEngineConfig)
     from twisted.internet import reactor
 
     from myrtlehub.emulator.server import StandIn
     from myrtlehub.node.clock import SteadyClock
     from myrtlehub.records import Recorder
 
-    log, clock = logger(engine=sheet.name), SteadyClock(reactor)
-    recorder = Recorder(sheet.listen, clock, sheet.records)
+    log = logger(engine=settings.name)
+    clock = SteadyClock(reactor)
+    recorder = Recorder(settings.listen, clock, settings.records)
 
-    def fallen() -> None:
+    def on_fall() -> None:
         log("fell", why="pushed over while cold")
         recorder.close()
         sys.stdout.flush()
-        os._exit(3)
+        os._exit(FELL)
 
-    stand = StandIn(sheet, clock, dialer(reactor), recorder, fallen)
-    listen(reactor, sheet.listen, stand.server)
+    engine = StandIn(settings, clock, dialer(reactor), recorder, on_fall)
+    listen(reactor, settings.listen, engine.server)
     on_term(reactor.stop, reactor)
-    reactor.callWhenRunning(lambda: log("ready", listen=sheet.listen, cold=sheet.cold))
+    reactor.callWhenRunning(lambda: log("ready", listen=settings.listen, cold=settings.cold))
     settle_memory()
     reactor.run(installSignalHandlers=False)
     recorder.close()
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -3,13 +3,20 @@
 import os
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
+from twisted.internet.base import ReactorBase
+from twisted.internet.interfaces import IListeningPort
 
-from myrtlehub.cli.common import dialer, listen, logger, sheet_of
-from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.cli.common import dialer, listen, load_or_exit, logger
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.membership.interfaces import Log
 from myrtlehub.node.process import on_term, settle_memory
 
+if TYPE_CHECKING:
+    from myrtlehub.node.node import Node
+
 
 @click.command()
 @click.argument("config", type=click.Path(path_type=Path))
@@ -21,60 +28,79 @@
     answer and one an engine's change of standing, on standard output. SIGTERM drains: nothing new is taken,
     what is held is answered within node.drain_within, exit 0. Exit 2: CONFIG or an address is wrong.
     """
-    sheet = sheet_of(config, NodeSheet)
+    settings = load_or_exit(config, NodeConfig)
     if check:
-        click.echo(f"{config}: sound; {len(sheet.list.engines)} engines, {len(sheet.traffic)} traffic types")
+        engines = len(settings.list.engines)
+        click.echo(f"{config}: sound; {engines} engines, {len(settings.traffic)} traffic types")
         return
     from twisted.internet import reactor
+
+    log = logger(node=settings.node.name)
+    node = _make_node(settings, config.parent, reactor, log)
+    chat_port = _listen(settings, node, reactor)
+    _drain_on_term(node, chat_port, reactor)
+    reactor.callWhenRunning(_log_ready, settings, node, log)
+    node.measure_lag()
+    settle_memory()
+    reactor.run(installSignalHandlers=False)
+    log("ended", **dict(sorted(node.host.answer_counts.items())))
+
+
+def _make_node(settings: NodeConfig, base: Path, reactor: ReactorBase, log: Log) -> "Node":
     from twisted.internet.threads import deferToThread
 
-    from myrtlehub.membership.aside import ReadAside
-    from myrtlehub.membership.notify import Notifier
+    from myrtlehub.membership.endpoint_watcher import poll_only
+    from myrtlehub.membership.file_notifier import FileNotifier
+    from myrtlehub.membership.reader_process import ReaderProcess
     from myrtlehub.node.clock import SteadyClock
     from myrtlehub.node.node import Node
-    from myrtlehub.node.revision import settings_digest
 
-    log = logger(node=sheet.node.name)
     run = f"{time.time_ns() // 1000 % 2**40:x}-{os.getpid():x}"
-    notify = Notifier(reactor).watch if sheet.list.files else lambda paths, changed: None
-    node = Node(
-        sheet,
+    notify = FileNotifier(reactor).watch if settings.list.files else poll_only
+    return Node(
+        settings,
         SteadyClock(reactor),
         dialer(reactor),
         run,
         log,
-        base=config.parent,
+        base=base,
         notify=notify,
-        reader=ReadAside(reactor).start().read if sheet.list.files else None,
-        beside=lambda work, then: deferToThread(work).addCallback(then),
+        reader=ReaderProcess(reactor).start().read if settings.list.files else None,
+        beside=lambda work, callback: deferToThread(work).addCallback(callback),
     )
-    port = listen(reactor, sheet.node.listen, node.server)
-    if sheet.node.admin:
-        listen(reactor, sheet.node.admin, node.admin)
+
+
+def _listen(settings: NodeConfig, node: "Node", reactor: ReactorBase) -> IListeningPort:
+    """Listen on all addresses; return the port that clients use."""
+    chat_port = listen(reactor, settings.node.listen, node.server)
+    if settings.node.admin:
+        listen(reactor, settings.node.admin, node.admin)
     if node.replication is not None:
-        listen(reactor, sheet.takeover.listen, node.replication.server)
+        listen(reactor, settings.takeover.listen, node.replication.server)
+    return chat_port
+
 
+def _drain_on_term(node: "Node", chat_port: IListeningPort, reactor: ReactorBase) -> None:
     def drain() -> None:
         if not node.leaving:
-            port.stopListening()
+            chat_port.stopListening()
             node.drain().addCallback(lambda ignored: reactor.stop())
 
     on_term(drain, reactor)
     node.on_leave = drain
-    reactor.callWhenRunning(
-        lambda: log(
-            "ready",
-            listen=sheet.node.listen,
-            engines=len(sheet.list.engines),
-            program=node.program,
-            settings=settings_digest(sheet),
-            run=run,
-        )
+
+
+def _log_ready(settings: NodeConfig, node: "Node", log: Log) -> None:
+    from myrtlehub.node.revision import settings_digest
+
+    log(
+        "ready",
+        listen=settings.node.listen,
+        engines=len(settings.list.engines),
+        program=node.program,
+        settings=settings_digest(settings),
+        run=node.run,
     )
-    node.measure_lag()
-    settle_memory()
-    reactor.run(installSignalHandlers=False)
-    log("ended", **{k: v for k, v in sorted(node.host.answer_counts.items())})
 
 
 if __name__ == "__main__":
--- a/myrtlehub/cli/rollout.py
+++ b/myrtlehub/cli/rollout.py
@@ -9,8 +9,8 @@
 
 import click
 
-from myrtlehub.cli.common import dialer, fail, sheet_of
-from myrtlehub.config.plans import PlanSheet
+from myrtlehub.cli.common import dialer, fail, load_or_exit
+from myrtlehub.config.rollout_plan import RolloutPlanConfig
 
 if TYPE_CHECKING:
     from myrtlehub.rollout.journal_format import DecodedJournal
@@ -46,7 +46,7 @@
     from myrtlehub.node.clock import SteadyClock
     from myrtlehub.rollout_controller.controller import RolloutController
 
-    sheet = sheet_of(plan, PlanSheet)
+    sheet = load_or_exit(plan, RolloutPlanConfig)
     with _plan_errors(plan):
         return RolloutController(
             sheet,
--- a/myrtlehub/cli/stepped.py
+++ b/myrtlehub/cli/stepped.py
@@ -1,4 +1,4 @@
-"""Runs a program of ours whose wall clock is set while it runs, for trials.
+"""Runs a program of this package whose wall clock is set while it runs, for trials.
 
     python -m myrtlehub.cli.stepped MODULE [ARGUMENT ...]
 
@@ -11,25 +11,32 @@
 import sys
 import time
 
-HOUR = 3600.0
+HOUR = 3600.0  # seconds
 
-_true, _off = time.time, [0.0]
 
+class SteppedClock:
+    """The wall clock as the program sees it."""
 
-def _shown() -> float:
-    return _true() + _off[0]
+    def __init__(self) -> None:
+        self._true_time = time.time
+        self._offset = 0.0
 
+    def time(self) -> float:
+        """Return what `time.time` is to return."""
+        return self._true_time() + self._offset
 
-def _set(by: float) -> None:
-    _off[0] += by
-    print(f'{{"event": "clock set", "by": {by}}}', flush=True)
+    def step(self, seconds: float) -> None:
+        """Set the clock, and say so on standard output."""
+        self._offset += seconds
+        print(f'{{"event": "clock set", "by": {seconds}}}', flush=True)
 
 
 def main() -> None:
-    """Patch the clock before anything of the program is imported, and be the program."""
-    time.time = _shown
-    signal.signal(signal.SIGUSR1, lambda *ignored: _set(-HOUR))
-    signal.signal(signal.SIGUSR2, lambda *ignored: _set(HOUR))
+    """Patch the clock before anything of the program is imported, and run the program."""
+    clock = SteppedClock()
+    time.time = clock.time
+    signal.signal(signal.SIGUSR1, lambda *ignored: clock.step(-HOUR))
+    signal.signal(signal.SIGUSR2, lambda *ignored: clock.step(HOUR))
     del sys.argv[0]
     runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
 
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/variant.py
@@ -1,4 +1,4 @@
-"""Programs that are not what they should be, for trials of rolling changes: a node with one stated fault.
+"""Nodes with one stated fault, for trials of rollouts.
 
     python -m myrtlehub.cli.variant KIND CONFIG
 
@@ -19,26 +19,30 @@
 from myrtlehub.node import node, revision, works
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.links import Links
+from myrtlehub.node.sequences import Attempt
 from myrtlehub.records import Recorder
 from myrtlehub.routing.contract import Action, Arrival, Forget, Reject
 
 CRASH_AFTER = 5.0  # seconds, of `crashes`
 SLOWER = 0.06  # seconds by which `slow` sends later: about a third of a first token's time
 LEAK = 2_000_000  # bytes a second, of `leaks`
-REJECTS = 0.02  # share of sequences that `rejects` turns away besides
-SPOILS = 0.5  # share of the second traffic type that `spoils` turns away
-HALF = 0.3  # share that `half` turns away, once half of the nodes have it
+REJECTS = 0.02  # share of sequences that `rejects` rejects besides
+REJECTS_MOST = 0.8  # of `rejects-most`, and of `foreign`
+SPOILS = 0.5  # share of the second traffic type that `spoils` rejects
+SPOILED_TRAFFIC = 1  # index of that type
+HALF = 0.3  # share that `half` rejects, once half of the nodes have it
+RETRY_AFTER = 0.5  # seconds, of these rejections
 
 
 def _refusing(share: Callable[[Arrival], float]) -> None:
-    """Have the module reject this share of what arrives."""
-    chance = Random(7).random
+    """Have the router reject this share of what arrives."""
+    draw = Random(7).random
 
     class Refusing(works.Router):
-        def arrive(self, now: float, ident: int, a: Arrival) -> list[Action]:
-            if chance() < share(a):
-                return [Reject(ident, 0.5), Forget(ident)]
-            return super().arrive(now, ident, a)
+        def arrive(self, now: float, ident: int, arrival: Arrival) -> list[Action]:
+            if draw() < share(arrival):
+                return [Reject(ident, RETRY_AFTER), Forget(ident)]
+            return super().arrive(now, ident, arrival)
 
     works.Router = Refusing
 
@@ -46,26 +50,26 @@
 def _slow() -> None:
     start = Links.start
 
-    def later(self: Links, attempt: object) -> None:
+    def start_late(self: Links, attempt: Attempt) -> None:
         self.clock.callLater(SLOWER, lambda: start(self, attempt) if attempt.is_outstanding else None)
 
-    Links.start = later
+    Links.start = start_late
 
 
 def _leaks() -> None:
-    kept: list[bytes] = []
+    leaked: list[bytes] = []
     measure = node.Node.measure_lag
 
     def leak(self: node.Node) -> None:
-        kept.append(b"\1" * (LEAK // 10))
+        leaked.append(b"\1" * (LEAK // 10))
         self.clock.callLater(0.1, leak, self)
 
-    def both(self: node.Node) -> None:
-        if not kept:
+    def measure_and_leak(self: node.Node) -> None:
+        if not leaked:
             leak(self)
         measure(self)
 
-    node.Node.measure_lag = both
+    node.Node.measure_lag = measure_and_leak
 
 
 def _crashes() -> None:
@@ -74,7 +78,7 @@
     name = Path(sys.argv[1]).name.split(".")[0]
 
     def crash() -> None:
-        # the day's records have to say that this process ends here, as nobody else can
+        # The records have to say that this process ends here, as nothing else can.
         Recorder("variant", SteadyClock(reactor), Path(os.environ[FOLDER]) / f"crash-{os.getpid()}.rec").note(
             "killed", who=name
         )
@@ -87,25 +91,29 @@
     folder = Path(os.environ[FOLDER])
     (folder / f"half-{os.getpid()}").touch()
 
-    def share(a: Arrival) -> float:
-        with_it = len({p.name for p in folder.glob("half-*") if Path(f"/proc/{p.name[5:]}").exists()})
+    def share(arrival: Arrival) -> float:
+        with_it = len(
+            {file.name for file in folder.glob("half-*") if Path(f"/proc/{file.name[5:]}").exists()}
+        )
         return HALF if 2 * with_it >= int(os.environ[NODES]) else 0.0
 
     _refusing(share)
 
 
 def _deaf() -> None:
-    """Neither SIGTERM nor an order to leave makes it end."""
+    """Do not end on SIGTERM, nor on an order to leave."""
     node.Node.drain = lambda self: Deferred()
 
 
 def _foreign() -> None:
-    """What it stores is of a later form; it rejects most, so that the earlier program comes back to it."""
-    from myrtlehub.membership import store
+    """Store by a later schema; reject most, so that the earlier program is rolled back to."""
+    from myrtlehub.membership import version_store
 
-    store.FORM += 1
-    store.SCHEMA = store.SCHEMA.replace("NOT NULL)", "NOT NULL, more TEXT NOT NULL DEFAULT '')")
-    _refusing(lambda a: 0.8)
+    version_store.SCHEMA_VERSION += 1
+    version_store.SCHEMA = version_store.SCHEMA.replace(
+        "NOT NULL)", "NOT NULL, more TEXT NOT NULL DEFAULT '')"
+    )
+    _refusing(lambda arrival: REJECTS_MOST)
 
 
 KINDS: dict[str, Callable[[], None]] = {
@@ -115,9 +123,9 @@
     "crashes": _crashes,
     "slow": _slow,
     "leaks": _leaks,
-    "rejects": lambda: _refusing(lambda a: REJECTS),
-    "rejects-most": lambda: _refusing(lambda a: 0.8),
-    "spoils": lambda: _refusing(lambda a: SPOILS * (a.traffic == 1)),
+    "rejects": lambda: _refusing(lambda arrival: REJECTS),
+    "rejects-most": lambda: _refusing(lambda arrival: REJECTS_MOST),
+    "spoils": lambda: _refusing(lambda arrival: SPOILS * (arrival.traffic == SPOILED_TRAFFIC)),
     "half": _half,
     "deaf": _deaf,
     "foreign": _foreign,
@@ -125,7 +133,7 @@
 
 
 def main() -> None:
-    """Be a node of this kind."""
+    """Run a node of this kind."""
     kind = sys.argv.pop(1)
     if kind not in KINDS:
         sys.exit(f"{kind!r} is not one of {', '.join(KINDS)}")
--- a/myrtlehub/emulator/server.py
+++ b/myrtlehub/emulator/server.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import Deferred
 
-from myrtlehub.config.sheets import StandSheet
+from myrtlehub.config.emulated_engine import EmulatedEngineConfig
 from myrtlehub.emulator.alarm import Alarm
 from myrtlehub.emulator.claims import ClaimableJobs
 from myrtlehub.emulator.job import Job, StateFetch
@@ -29,7 +29,7 @@
 PIECE_BYTES = 512  # stands for far more: figures of time come from the model
 
 
-def machine_of(sheet: StandSheet) -> Machine:
+def machine_of(sheet: EmulatedEngineConfig) -> Machine:
     """The model's figures of a stand-in's file."""
     return Machine(**{name: getattr(sheet, name) for name in Machine.__dataclass_fields__})
 
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        sheet: StandSheet,
+        sheet: EmulatedEngineConfig,
         clock: object,
         dial: Callable[[str], Callable],
         recorder: Recorder,
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -11,7 +11,7 @@
 from hdrh.histogram import HdrHistogram
 
 from myrtlehub.lab.scenario import Scenario, TrafficMix
-from myrtlehub.limits.lag import LagMeter
+from myrtlehub.limits.event_loop_lag import LagMeter
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.records import Recorder
 from myrtlehub.rpc.channel import Channel
@@ -310,7 +310,7 @@
 
     def _beat(self) -> None:
         now = self.clock.seconds()
-        self._beating = self.clock.callLater(self.lag.beat(now) - now, self._beat)
+        self._beating = self.clock.callLater(self.lag.tick(now) - now, self._beat)
 
     def behind(self, now: float) -> float:
         """By how much this process may itself be late to see what it now sees."""
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -12,7 +12,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.task import LoopingCall, deferLater
 
-from myrtlehub.config.sheets import RulesGroup
+from myrtlehub.config.traffic import RulesConfig
 from myrtlehub.lab.batches import BatchClients
 from myrtlehub.lab.cases import CaseCounter
 from myrtlehub.lab.checker import RULES, SLACK, Checker, check
@@ -32,7 +32,9 @@
     """The day could not be played; the text says why."""
 
 
-def units(group: MachineGroup | RulesGroup, durations: tuple[str, ...], tokens: tuple[str, ...] = ()) -> dict:
+def units(
+    group: MachineGroup | RulesConfig, durations: tuple[str, ...], tokens: tuple[str, ...] = ()
+) -> dict:
     """A group's fields as a file has to say them, with units."""
     out = {}
     for name, value in group.model_dump().items():
--- a/myrtlehub/lab/lists.py
+++ b/myrtlehub/lab/lists.py
@@ -14,9 +14,9 @@
 from ruamel.yaml import YAML
 from ruamel.yaml.compat import StringIO
 
-from myrtlehub.config.sheets import EngineRow
+from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.lab.scenario import ListFilesGroup
-from myrtlehub.membership.version import make
+from myrtlehub.membership.list_version import make_version
 from myrtlehub.records import Record, Recorder
 
 SEEN = 16  # letters of a digest that go with an attempt
@@ -115,12 +115,12 @@
     def _whole(self, rename: bool) -> None:
         self.versions += 1
         rows = self._drawn()
-        version = make(0, [EngineRow(**r) for r in rows], "", 0.0)
+        version = make_version(0, [EndpointConfig(**r) for r in rows], "", 0.0)
         self.recorder.note(
             "wrote",
             node=self.node,
             digest=version.digest[:SEEN],
-            serving=[a for a, e in version.engines.items() if e.state == "serving"],
+            serving=[a for a, e in version.endpoints.items() if e.state == "serving"],
         )
         data = text_of(rows).encode()
         if rename:
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -9,7 +9,8 @@
 
 from twisted.internet.task import Clock
 
-from myrtlehub.config.sheets import EngineRow, NodeSheet
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.node import NodeConfig
 from myrtlehub.emulator.alarm import Alarm
 from myrtlehub.emulator.model import EngineModel, Machine, Task
 from myrtlehub.node.action_executor import ActionExecutor
@@ -190,8 +191,8 @@
     def __init__(
         self,
         nodes: int,
-        sheet: Callable[[int], NodeSheet],
-        rows: list[EngineRow],
+        sheet: Callable[[int], NodeConfig],
+        rows: list[EndpointConfig],
         machines: dict[str, Machine],
         seed: int,
     ) -> None:
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario.py
@@ -4,8 +4,10 @@
 
 from pydantic import Field, model_validator
 
-from myrtlehub.config.load import Sheet
-from myrtlehub.config.sheets import Mishaps, RulesGroup, Share, TenantRow, TrafficRow
+from myrtlehub.config.emulated_engine import FaultInjectionConfig
+from myrtlehub.config.field_types import Share
+from myrtlehub.config.loader import ConfigModel
+from myrtlehub.config.traffic import RulesConfig, TenantConfig, TrafficTypeConfig
 from myrtlehub.config.units import Duration, Tokens
 
 Count = Annotated[int, Field(ge=1)]
@@ -21,7 +23,7 @@
 }
 
 
-class FleetGroup(Sheet):
+class FleetGroup(ConfigModel):
     """How many processes of each kind; engines are dealt to cells and zones in turn."""
 
     nodes: Count = 1
@@ -33,7 +35,7 @@
     cells: Count = 1
 
 
-class MachineGroup(Sheet):
+class MachineGroup(ConfigModel):
     """Figures of a made-up machine; the stand-in's own are used where none is given."""
 
     slots: Count = 8
@@ -50,10 +52,10 @@
     batch_slots: Count = 1
     batch_queue: Annotated[int, Field(ge=0)] = 16
     batch_drag: Annotated[float, Field(ge=0)] = 0.5
-    mishaps: Mishaps = Mishaps()
+    mishaps: FaultInjectionConfig = FaultInjectionConfig()
 
 
-class TrafficMix(TrafficRow):
+class TrafficMix(TrafficTypeConfig):
     """A traffic type and what its sequences look like."""
 
     share: Annotated[float, Field(gt=0)]
@@ -64,7 +66,7 @@
     turns: Count = 1
 
 
-class ClientsGroup(Sheet):
+class ClientsGroup(ConfigModel):
     """How clients behave."""
 
     retries: Annotated[int, Field(ge=0)] = 1
@@ -76,7 +78,7 @@
     whole: Duration = 20.0  # deadline of the whole call
 
 
-class ListFilesGroup(Sheet):
+class ListFilesGroup(ConfigModel):
     """Nodes read the list from files, which hasty hands write; each node has its own copy."""
 
     quiet: Duration = 0.03
@@ -96,7 +98,7 @@
 OF_NODES = ("kill", "pause", "cut off", "cut out", "leave")
 
 
-class TakeoverDayGroup(Sheet):
+class TakeoverDayGroup(ConfigModel):
     """Nodes keep word of one another's work, and clients come back."""
 
     copies: Count = 2
@@ -107,7 +109,7 @@
     on: bool = True  # no: the same day without takeover, for comparison
 
 
-class FaultRow(Sheet):
+class FaultRow(ConfigModel):
     """One thing that goes wrong, at a moment from the start of the traffic."""
 
     at: Duration
@@ -143,7 +145,7 @@
         return self
 
 
-class RollFault(Sheet):
+class RollFault(ConfigModel):
     """One thing that goes wrong with the controller, or between it and a node."""
 
     at: Duration = 0.0  # from the start of the traffic, or from `after`
@@ -153,7 +155,7 @@
     lasts: Duration = 0.5  # until a killed controller is resumed
 
 
-class RollGroup(Sheet):
+class RollGroup(ConfigModel):
     """A rolling change amid the day, and how it has to end."""
 
     at: Duration = 1.0
@@ -172,7 +174,7 @@
         return any(f.do == "set clock back" for f in self.faults)
 
 
-class Scenario(Sheet):
+class Scenario(ConfigModel):
     """A whole day."""
 
     about: str = ""
@@ -185,9 +187,9 @@
     batcher: MachineGroup = MachineGroup()  # embedders and rankers
     batch_rate: Annotated[float, Field(ge=0)] = 0.0  # batches a second, beside `rate`
     traffic: Annotated[list[TrafficMix], Field(min_length=1)]
-    tenants: list[TenantRow] = []
+    tenants: list[TenantConfig] = []
     clients: ClientsGroup = ClientsGroup()
-    rules: RulesGroup
+    rules: RulesConfig
     list_delay: Duration = 0.0  # until the first node hears news of the list
     list_spread: Duration = 0.0  # more, at most, until the last does
     list_files: ListFilesGroup | None = None  # instead of pushed news
--- a/myrtlehub/membership/notify.py
+++ b/myrtlehub/membership/file_notifier.py
@@ -1,4 +1,4 @@
-"""Told of changes by the system: inotify by way of Twisted. Without it the poll alone finds them."""
+"""Notification of file changes by inotify, by way of Twisted. Without inotify the poll alone finds them."""
 
 from collections.abc import Callable
 
@@ -6,24 +6,27 @@
     from twisted.internet import inotify
 except ImportError:  # not Linux
     inotify = None
+from twisted.internet.interfaces import IReactorFDSet
 from twisted.python.filepath import FilePath
 
+ChangeCallback = Callable[[], None]
 
-class Notifier:
+
+class FileNotifier:
     """Watches directories, as names come, go and are replaced in them; one for a reactor."""
 
-    def __init__(self, reactor: object) -> None:
+    def __init__(self, reactor: IReactorFDSet) -> None:
         self._notifier = None
         self._watched: set[str] = set()
         if inotify is not None:
             try:
                 self._notifier = inotify.INotify(reactor)
                 self._notifier.startReading()
-            except OSError:  # no watches left to be had: the poll goes on
+            except OSError:  # no inotify instance is left: the poll goes on
                 self._notifier = None
 
-    def watch(self, paths: list[str], changed: Callable[[], None]) -> None:
-        """Call `changed` whenever something in these directories does; may be called again with others."""
+    def watch(self, directories: list[str], callback: ChangeCallback) -> None:
+        """Call `callback` at each change in these directories; may be called again with others."""
         if self._notifier is None:
             return
         mask = (
@@ -37,16 +40,16 @@
             | inotify.IN_DELETE_SELF
         )
 
-        def on_event(ignored: object, path: FilePath, what: int) -> None:
-            if what & (inotify.IN_DELETE_SELF | inotify.IN_IGNORED):
+        def on_event(ignored: inotify.INotify, path: FilePath, event: int) -> None:
+            if event & (inotify.IN_DELETE_SELF | inotify.IN_IGNORED):
                 self._watched.discard(path.path.decode() if isinstance(path.path, bytes) else path.path)
-            changed()
+            callback()
 
-        for path in paths:
-            if path in self._watched:
+        for directory in directories:
+            if directory in self._watched:
                 continue
             try:
-                self._notifier.watch(FilePath(path.encode()), mask=mask, callbacks=[on_event])
-                self._watched.add(path)
+                self._notifier.watch(FilePath(directory.encode()), mask=mask, callbacks=[on_event])
             except (OSError, inotify.INotifyError):
                 continue
+            self._watched.add(directory)
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -6,8 +6,10 @@
 
 from pydantic import ValidationError
 
-from myrtlehub.config.load import Faults
-from myrtlehub.config.sheets import EngineRow, NodeSheet, check_engines
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.loader import ConfigError
+from myrtlehub.config.node import NodeConfig, check_endpoints
+from myrtlehub.limits.resource_ledger import BudgetScope
 from myrtlehub.node.figures import memory, processor
 from myrtlehub.node.revision import settings_digest
 from myrtlehub.node.settings_change import SettingsChangeError, parse_settings, validate_change
@@ -28,7 +30,7 @@
         self.node = node
         number, _, controller = os.environ.get(GENERATION, "").partition(" ")
         self.orders = OrderValidator(node.run, int(number) if number.isdecimal() else 0, controller)
-        self.staged: tuple[str, NodeSheet] | None = None  # digest, settings
+        self.staged: tuple[str, NodeConfig] | None = None  # digest, settings
 
     host = property(lambda self: self.node.host)
     sheet = property(lambda self: self.node.sheet)
@@ -61,8 +63,8 @@
         self._ordered(request.order, "stage")
         try:
             sheet = parse_settings(request.text)
-            validate_change(self.sheet, sheet, self.source.rows())
-        except Faults as fault:
+            validate_change(self.sheet, sheet, self.source.endpoints())
+        except ConfigError as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
         except SettingsChangeError as fault:
             raise RpcError(Code.FAILED_PRECONDITION, str(fault)) from fault
@@ -83,7 +85,7 @@
             raise RpcError(Code.FAILED_PRECONDITION, "this node is leaving")
         (digest, sheet), self.staged = self.staged, None
         try:
-            validate_change(self.sheet, sheet, self.source.rows())  # the list may have changed since
+            validate_change(self.sheet, sheet, self.source.endpoints())  # the list may have changed since
         except SettingsChangeError as fault:
             raise RpcError(Code.FAILED_PRECONDITION, str(fault)) from fault
         self.node.apply(sheet)
@@ -107,7 +109,7 @@
         """Sums since the start."""
         node = self.node
         engines: dict[str, int] = {}
-        for row in self.source.rows():
+        for row in self.source.endpoints():
             engines.setdefault(row.zone, 0)
             engines[row.zone] += row.state == "serving" and row.weight > 0.0
         return pb.NodeFigures(
@@ -143,7 +145,7 @@
         news = pb.ListNews.FromString(data)
         try:
             rows = [
-                EngineRow(
+                EndpointConfig(
                     address=e.address,
                     kind=e.kind,
                     zone=e.zone,
@@ -155,7 +157,7 @@
                 )
                 for e in news.engines
             ]
-            check_engines(self.sheet, rows)
+            check_endpoints(self.sheet, rows)
         except (ValidationError, ValueError) as fault:
             first = fault.errors()[0] if isinstance(fault, ValidationError) else None
             said = f"{first['loc'][0]}: {first['msg']} (found {first['input']!r})" if first else str(fault)
@@ -167,11 +169,11 @@
         """What is held for clients, and who was cut off."""
         limits, node, now = self.client_limits, self.client_limits.ledger.node, self.host.clock.seconds()
         return pb.LimitsState(
-            came=node.came,
-            left=node.left,
+            came=node.received,
+            left=node.delivered,
             dropped=node.dropped,
-            held=node.held,
-            most_held=limits.ledger.bound("node"),
+            held=node.in_use,
+            most_held=limits.ledger.limit(BudgetScope.NODE),
             calls=len(limits.calls),
             connections=len({id(w.call.stream.protocol) for w in limits.calls.values()}),
             near=[pb.NearLimit(what=w, name=n, held=h, most=m) for w, n, h, m in limits.near_limits()],
@@ -182,14 +184,19 @@
     def show(self, call: ServerCall, data: bytes) -> bytes:
         """What the node routes by."""
         engines = self.host.decoder.engines
-        judge, now = getattr(self.source, "judge", None), self.host.clock.seconds()
+        validator, now = getattr(self.source, "validator", None), self.host.clock.seconds()
         more = {}
-        if judge is not None:
-            more["refused"] = [pb.Refusal(age=now - at, source=s, why=why) for at, s, why in judge.refused]
-            if judge.version is not None:
-                v = judge.version
+        if validator is not None:
+            more["refused"] = [
+                pb.Refusal(age=now - at, source=s, why=why) for at, s, why in validator.rejections
+            ]
+            if validator.version is not None:
+                v = validator.version
                 more.update(
-                    list_source=v.source, list_age=judge.age(now), list_digest=v.digest, list_old=v.old
+                    list_source=v.source,
+                    list_age=validator.age(now),
+                    list_digest=v.digest,
+                    list_old=v.from_store,
                 )
         rows = [engines.rows[i] for i in engines.index_of.values() if not engines.is_gone(i)]
         node = self.node
--- a/myrtlehub/node/batch_fronts/coordinator.py
+++ b/myrtlehub/node/batch_fronts/coordinator.py
@@ -6,7 +6,7 @@
 from myrtlehub.batching.dynamic_batcher import NEVER, BatchingWindow, DynamicBatcher
 from myrtlehub.batching.result_cache import ResultCache
 from myrtlehub.batching.result_merger import BatchAnswer, BatchOutcome
-from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.config.node import NodeConfig
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.batch_fronts.batch_request import BatchClient, BatchRequest
 from myrtlehub.node.batch_fronts.dispatcher import BatchDispatcher
@@ -31,7 +31,7 @@
 class BatchCoordinator:
     """The batches of a node."""
 
-    def __init__(self, executor: ActionExecutor, sheet: NodeSheet, clock: Clock) -> None:
+    def __init__(self, executor: ActionExecutor, sheet: NodeConfig, clock: Clock) -> None:
         settings = sheet.batches
         self.executor = executor
         self.clock = clock
@@ -92,7 +92,7 @@
         self.in_flight.add(batch)
         # What waits here, and not at an engine, is answered by the same moment.
         batch.timer = self.clock.callLater(max(0.0, arrival.time_left), batch.deadline_passed)
-        self.shares.asked(now, request.front, total_tokens)
+        self.shares.add_demand(now, request.front, total_tokens)
         batch.begin()
         return batch
 
--- a/myrtlehub/node/batch_fronts/dispatcher.py
+++ b/myrtlehub/node/batch_fronts/dispatcher.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
-from myrtlehub.config.sheets import NodeSheet
-from myrtlehub.limits.shares import FrontShares
-from myrtlehub.membership.rows import Row
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.limits.fair_share import FairShare
+from myrtlehub.membership.endpoint import Endpoint
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.batch_fronts.engine_batch import EngineBatch
 from myrtlehub.node.batch_fronts.front_capacity import FrontCapacity
@@ -18,10 +18,10 @@
 class BatchDispatcher:
     """The engine batches of a node, and what its fronts have at common engines."""
 
-    def __init__(self, executor: ActionExecutor, sheet: NodeSheet, clock: Clock) -> None:
+    def __init__(self, executor: ActionExecutor, sheet: NodeConfig, clock: Clock) -> None:
         self.executor = executor
         self.clock = clock
-        self.shares = FrontShares(_utility_by_front(sheet))
+        self.shares = FairShare(_utility_by_front(sheet))
         self.fronts = [front for front in BATCH_FRONTS if front in self.shares.utility]
         self.pooled_fronts: list[str] = []  # in the order of the engine pools; empty: there is one router
         self._sheet = sheet
@@ -35,20 +35,20 @@
         front = engine_batch.request.front
         size = engine_batch.token_count
         self._update_share(front, 0.0)
-        if self.shares.waiting(front) or not self.shares.may_send(now, front, size):
-            self.shares.wait(front, engine_batch, size)
+        if self.shares.queue_length(front) or not self.shares.may_send(now, front, size):
+            self.shares.enqueue(front, engine_batch, size)
             return
-        self.shares.sent(front, size)
+        self.shares.record_sent(front, size)
         engine_batch.start()
 
     def drop(self, engine_batch: EngineBatch) -> None:
         """Remove an engine batch that waits, and that nobody wants any more."""
-        self.shares.drop(engine_batch.request.front, engine_batch)
+        self.shares.cancel(engine_batch.request.front, engine_batch)
 
     def ended(self, engine_batch: EngineBatch) -> None:
         """Take note that an engine batch ended; another one may be sent."""
         front = engine_batch.request.front
-        self.shares.came(front, engine_batch.token_count)
+        self.shares.record_done(front, engine_batch.token_count)
         self._update_share(front, 0.0)
         self.clock.callLater(0, self._send_waiting_of, front)
 
@@ -58,28 +58,28 @@
             self._send_waiting_of(front)
 
     def _send_waiting_of(self, front: str) -> None:
-        while (engine_batch := self.shares.next(self.clock.seconds(), front)) is not None:
+        while (engine_batch := self.shares.next_piece(self.clock.seconds(), front)) is not None:
             if engine_batch.wanted_by:
                 engine_batch.start()
             else:
-                self.shares.came(front, engine_batch.token_count)
+                self.shares.record_done(front, engine_batch.token_count)
 
-    def update_shares(self, serving: Sequence[Row], capacity: FrontCapacity) -> None:
+    def update_shares(self, serving: Sequence[Endpoint], capacity: FrontCapacity) -> None:
         """Take the engines that serve, by the endpoint list: the shares are of the common ones."""
         kinds = {kind.name: kind for kind in self._sheet.kinds}
         node_count = self._sheet.node.nodes
         for front in self.fronts:
-            self.shares.serve(front, capacity.engine_count(front), node_count)
+            self.shares.set_engine_count(front, capacity.engine_count(front), node_count)
         fronts = self.shares.utility
         self._common_kinds = {
-            kind.name for kind in kinds.values() if sum(kind.does(front) for front in fronts) > 1
+            kind.name for kind in kinds.values() if sum(kind.serves(front) for front in fronts) > 1
         }
         for front in fronts:
-            self.shares.alone[front] = any(
-                kinds[row.kind].does(front) and row.kind not in self._common_kinds for row in serving
+            self.shares.has_own_engines[front] = any(
+                kinds[row.kind].serves(front) and row.kind not in self._common_kinds for row in serving
             )
         common = [kinds[row.kind] for row in serving if row.kind in self._common_kinds]
-        self.shares.room = sum(kind.batch for kind in common) / node_count
+        self.shares.common_capacity = sum(kind.batch for kind in common) / node_count
 
     def _attempt_moved(self, attempt: Attempt, sign: int) -> None:
         """Take note that an attempt was sent to an engine, or has ended there."""
@@ -89,14 +89,14 @@
 
     def _update_share(self, front: str, tokens: float) -> None:
         """Open or close common engines to a front, after it has so many more or fewer tokens there."""
-        if not (self.pooled_fronts and self.shares.room):
+        if not (self.pooled_fronts and self.shares.common_capacity):
             return
-        if self.shares.placed(self.clock.seconds(), front, tokens):
+        if self.shares.update_common_tokens(self.clock.seconds(), front, tokens):
             pool = self.pooled_fronts.index(front)
-            self.clock.callLater(0, self.executor.set_pool_closed, pool, self.shares.shut[front])
+            self.clock.callLater(0, self.executor.set_pool_closed, pool, self.shares.excluded[front])
 
 
-def _utility_by_front(sheet: NodeSheet) -> dict[str, float]:
+def _utility_by_front(sheet: NodeConfig) -> dict[str, float]:
     return {
         front: max(traffic.utility for traffic in sheet.traffic if traffic.front == front)
         for front in {traffic.front for traffic in sheet.traffic}
--- a/myrtlehub/node/batch_fronts/front_capacity.py
+++ b/myrtlehub/node/batch_fronts/front_capacity.py
@@ -4,14 +4,14 @@
 from collections.abc import Sequence
 
 from myrtlehub.batching.batch_split import PartLimits
-from myrtlehub.config.sheets import NodeSheet
-from myrtlehub.membership.rows import Row
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.membership.endpoint import Endpoint
 
 
 class FrontCapacity:
     """Engines, their common part limits and their model version, by front."""
 
-    def __init__(self, sheet: NodeSheet, fronts: Sequence[str]) -> None:
+    def __init__(self, sheet: NodeConfig, fronts: Sequence[str]) -> None:
         self._sheet = sheet
         self._fronts = fronts
         self._models: dict[str, str] = {}
@@ -19,7 +19,7 @@
         self._part_limits = {front: self._common_limits(front) for front in fronts}
 
     def _common_limits(self, front: str) -> PartLimits:
-        kinds = [kind for kind in self._sheet.kinds if kind.does(front)]
+        kinds = [kind for kind in self._sheet.kinds if kind.serves(front)]
         return PartLimits(
             min((kind.batch for kind in kinds), default=1.0),
             min((kind.batch_items for kind in kinds), default=1),
@@ -38,11 +38,11 @@
         """Return the version that most engines of the front have; empty where the list names none."""
         return self._models.get(front, "")
 
-    def update(self, serving: Sequence[Row]) -> None:
+    def update(self, serving: Sequence[Endpoint]) -> None:
         """Take the engines that serve, by the endpoint list."""
         kinds = {kind.name: kind for kind in self._sheet.kinds}
         for front in self._fronts:
-            rows = [row for row in serving if kinds[row.kind].does(front)]
+            rows = [row for row in serving if kinds[row.kind].serves(front)]
             models = Counter(row.model for row in rows if row.model)
             self._models[front] = max(sorted(models), key=models.__getitem__, default="")
             self._engine_counts[front] = max(1, len(rows))
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from myrtlehub.config.sheets import TrafficRow
-from myrtlehub.limits.admit import NEVER, Admission
-from myrtlehub.limits.shares import FrontShares
+from myrtlehub.config.traffic import TrafficTypeConfig
+from myrtlehub.limits.admission import NEVER, AdmissionController
+from myrtlehub.limits.fair_share import FairShare
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.client_limits import ClientLimits, LimitedCall
 from myrtlehub.node.links import Links
@@ -30,7 +30,7 @@
         # Where there is admission: the front, and what waits at its gate.
         self.front: ChatFront | None = None
         self.item: tuple | None = None
-        self.row: TrafficRow | None = None
+        self.row: TrafficTypeConfig | None = None
         self.came = 0.0
         self.let_in = False
         self.takeover: Takeover | None = None  # while it is taken over from another node
@@ -47,7 +47,7 @@
     def _begun(self) -> None:
         self.let_in = False
         now = self.host.clock.seconds()
-        self.front.gate.begun(now, now - self.came, self.row.latency_slo)
+        self.front.gate.started(now, now - self.came, self.row.latency_slo)
         self.host.clock.callLater(0, self.front.pump)
 
     def _over(self) -> None:
@@ -58,7 +58,7 @@
             self.front.gate.failed(self.host.clock.seconds(), had_time)
             self.host.clock.callLater(0, self.front.pump)
         elif self.item is not None:
-            self.front.gate.drop(self.item)
+            self.front.gate.cancel(self.item)
         self.item = None
 
     def cut(self, why: str) -> None:
@@ -169,16 +169,16 @@
         host: ActionExecutor,
         most_sequences: int,
         wait: float,
-        shares: FrontShares,
+        shares: FairShare,
         client_limits: ClientLimits,
-        gate: Admission | None = None,
-        turned_away: Callable[[TrafficRow], None] = lambda row: None,
+        gate: AdmissionController | None = None,
+        turned_away: Callable[[TrafficTypeConfig], None] = lambda row: None,
     ) -> None:
         self.turned_away = turned_away  # told of each sequence that was never taken
         self.host, self.most, self.wait, self.shares = host, most_sequences, wait, shares
         self.client_limits = client_limits
         self.closed = False
-        self.gate: Admission | None = gate
+        self.gate: AdmissionController | None = gate
         self.replication: Replication | None = None
         self.claims = False  # whether engines answer claims
         self.links: Links | None = None
@@ -215,11 +215,11 @@
             self.turned_away(self.host.decoder.rows[arrival.traffic])
             waiting.rejected(wait)  # not taken: nothing ran
             return waiting
-        self.shares.asked(self.host.clock.seconds(), "chat", arrival.prompt_tokens)
+        self.shares.add_demand(self.host.clock.seconds(), "chat", arrival.prompt_tokens)
         call.stream.registerProducer(waiting, True)
         if call.deadline is not None:
             now, slack = self.host.clock.seconds(), self.host.config.answer_slack
-            due = self.host.decoder.lag.left(now, call.time_left() - slack)
+            due = self.host.decoder.lag.time_left(now, call.time_left() - slack)
             waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
         row = self.host.decoder.rows[arrival.traffic]
         self.client_limits.track(
@@ -237,7 +237,7 @@
         else:
             waiting.row, waiting.came, waiting.front = row, self.host.clock.seconds(), self
             waiting.item = (waiting, asked, arrival)
-            self.gate.ask(waiting.came, row.name, row.latency_slo, waiting.item)
+            self.gate.enqueue(waiting.came, row.name, row.latency_slo, waiting.item)
             self.pump()
         return waiting
 
@@ -292,15 +292,15 @@
     def pump(self) -> None:
         """Let in what may come in, and tell what is shed."""
         now = self.host.clock.seconds()
-        while (item := self.gate.next(now)) is not None:
+        while (item := self.gate.admit_next(now)) is not None:
             waiting, asked, arrival = item
             waiting.let_in = True
             self._take(waiting, asked, arrival._replace(time_left=arrival.time_left - (now - waiting.came)))
-        for waiting, _, _ in self.gate.shed(now):
+        for waiting, _, _ in self.gate.take_shed(now):
             waiting.item = None
             self.turned_away(waiting.row)
-            waiting.rejected(self.gate.wait_hint(self.wait))
-        due = self.gate.due_at()
+            waiting.rejected(self.gate.retry_after(self.wait))
+        due = self.gate.next_shed_at()
         if due < NEVER and (self._timer is None or not self._timer.active()):
             self._timer = self.host.clock.callLater(max(0.001, due - now), self.pump)
 
--- a/myrtlehub/node/client_limits.py
+++ b/myrtlehub/node/client_limits.py
@@ -10,10 +10,16 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from myrtlehub.config.sheets import LimitsGroup
-from myrtlehub.limits.ledger import Budgets, Held, Ledger, given_up
-from myrtlehub.limits.pace import STEP, Pace
-from myrtlehub.limits.retries import RetryBudget
+from myrtlehub.config.limits import LimitsConfig
+from myrtlehub.limits.minimum_rate import CHECK_INTERVAL, MinimumRateMonitor
+from myrtlehub.limits.resource_ledger import (
+    BudgetScope,
+    MemoryBudgets,
+    ResourceLedger,
+    StreamUsage,
+    select_streams_to_shed,
+)
+from myrtlehub.limits.retry_budget import RetryBudget
 from myrtlehub.node.protocols import Clock, Log
 from myrtlehub.rpc.server_call import ServerCall
 
@@ -66,7 +72,7 @@
     utility: float
     request_size: int  # bytes of the request, in memory until the call is over
     abort: Callable[[str], None]
-    rate: Pace | None = None  # while something waits for its client
+    rate: MinimumRateMonitor | None = None  # while something waits for its client
     is_cut_off: bool = False
     settled: SettledCounters | None = None
 
@@ -76,7 +82,7 @@
 
     def __init__(
         self,
-        limits: LimitsGroup,
+        limits: LimitsConfig,
         clock: Clock,
         log: Log,
         retry_budget: RetryBudget | None,
@@ -87,7 +93,7 @@
         self.log = log
         self.retry_budget = retry_budget
         self.max_retry_after = max_retry_after
-        self.ledger = Ledger(Budgets(limits.held_bytes, limits.peer_share, limits.tenant_share))
+        self.ledger = ResourceLedger(MemoryBudgets(limits.held_bytes, limits.peer_share, limits.tenant_share))
         self.calls: dict[int, LimitedCall] = {}
         self.cuts: deque[CutOff] = deque(maxlen=MAX_CUTS)
         self.counts: dict[str, int] = dict.fromkeys(LimitCounter, 0)
@@ -112,15 +118,15 @@
             return None
         now = self.clock.seconds()
         if not is_retry:
-            self.retry_budget.first(now, tenant)
+            self.retry_budget.record_first_attempt(now, tenant)
             return None
-        wait = self.retry_budget.repeat(now, tenant, self.max_retry_after)
+        wait = self.retry_budget.spend_retry(now, tenant, self.max_retry_after)
         if wait is not None:
             self.counts[LimitCounter.RETRY_REJECTED] += 1
         return wait
 
     def _fits(self, call: ServerCall, tenant: str, size: int) -> bool:
-        exceeded = self.ledger.room(host_of(call.peer), tenant, size)
+        exceeded = self.ledger.exceeded_by(host_of(call.peer), tenant, size)
         if exceeded:
             self.counts[LimitCounter.REJECTED] += 1
             self.log("request rejected", peer=call.peer, tenant=tenant, budget=exceeded, bytes=size)
@@ -134,7 +140,7 @@
         self.ledger.open(key, host_of(limited.call.peer), limited.tenant)
         self._settle(key, limited)
         if self._timer is None:
-            self._timer = self.clock.callLater(STEP, self._check)
+            self._timer = self.clock.callLater(CHECK_INTERVAL, self._check)
 
     def _settle(self, key: int, limited: LimitedCall) -> None:
         stream = limited.call.stream
@@ -162,7 +168,7 @@
             self._check_call(key, limited, now)
         self._enforce_budgets(now)
         if self.calls:
-            self._timer = self.clock.callLater(STEP, self._check)
+            self._timer = self.clock.callLater(CHECK_INTERVAL, self._check)
 
     def _check_call(self, key: int, limited: LimitedCall, now: float) -> None:
         stream = limited.call.stream
@@ -179,23 +185,25 @@
 
     def _is_too_slow(self, limited: LimitedCall, now: float) -> bool:
         if limited.rate is None:
-            limited.rate = Pace(self.limits.rate_window, self.limits.least_rate)
+            limited.rate = MinimumRateMonitor(self.limits.rate_window, self.limits.least_rate)
         stream = limited.call.stream
-        return limited.rate.look(now, stream.bytes_sent, stream.buffered)
+        return limited.rate.is_too_slow(now, stream.bytes_sent, stream.buffered)
 
     def _enforce_budgets(self, now: float) -> None:
-        for scope, name, excess in list(self.ledger.over()):
+        for scope, name, excess in list(self.ledger.overruns()):
             streams = [
-                self._usage(key, now) for key in self.ledger.of(scope, name) if not self.calls[key].is_cut_off
+                self._usage(key, now)
+                for key in self.ledger.streams_of(scope, name)
+                if not self.calls[key].is_cut_off
             ]
-            limit = self.ledger.bound(scope)
-            for key in given_up(streams, excess):
+            limit = self.ledger.limit(scope)
+            for key in select_streams_to_shed(streams, excess):
                 self._cut_off(key, LimitCounter.MEMORY, f"the {scope} holds more than its {limit} bytes here")
 
-    def _usage(self, key: int, now: float) -> Held:
+    def _usage(self, key: int, now: float) -> StreamUsage:
         limited = self.calls[key]
-        stalled = limited.rate.stalled(now) if limited.rate else 0.0
-        return Held(key, self.ledger.held_by(key), limited.utility, stalled)
+        stalled = limited.rate.stalled_seconds(now) if limited.rate else 0.0
+        return StreamUsage(key, self.ledger.usage(key), limited.utility, stalled)
 
     def _cut_off(self, key: int, counter: LimitCounter, reason: str) -> None:
         """Drop what waits for a client and tell it that it was aborted; it is reset if it ignores that."""
@@ -225,14 +233,14 @@
         """List the peers and tenants that use over half of their budget."""
         near = []
         for scope, accounts in (
-            ("peer", self.ledger.peers),
-            ("tenant", self.ledger.tenants),
+            (BudgetScope.PEER, self.ledger.peers),
+            (BudgetScope.TENANT, self.ledger.tenants),
         ):
-            limit = self.ledger.bound(scope)
+            limit = self.ledger.limit(scope)
             near += [
-                NearLimit(scope, str(name), account.held, limit)
+                NearLimit(scope, str(name), account.in_use, limit)
                 for name, account in accounts.items()
-                if account.held * 2 > limit
+                if account.in_use * 2 > limit
             ]
         return near
 
--- a/myrtlehub/node/endpoint_index.py
+++ b/myrtlehub/node/endpoint_index.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from myrtlehub.membership.rows import Row, served
+from myrtlehub.membership.endpoint import Endpoint, with_effective_state
 from myrtlehub.routing import contract
 
 STATES = {
@@ -30,7 +30,7 @@
 
     def __init__(self) -> None:
         self.index_of: dict[str, int] = {}  # by address
-        self.rows: list[Row] = []  # by index
+        self.rows: list[Endpoint] = []  # by index
         self._use_counts: list[int] = []  # by index: attempts and probes that are outstanding
         self._hash_seeds: list[int] = []  # by index
         self._gone: set[int] = set()
@@ -38,7 +38,7 @@
 
     def apply(
         self,
-        rows: Iterable[Row],
+        rows: Iterable[Endpoint],
         is_complete: bool,
         kinds: Mapping[str, int],
         zones: Mapping[str, int],
@@ -51,7 +51,7 @@
         updates = []
         listed = set()
         for row in rows:
-            effective = served(row)
+            effective = with_effective_state(row)
             update = self._update_of(effective, kinds, zones, now)
             if update is None:
                 continue
@@ -62,10 +62,10 @@
         return updates
 
     def _update_of(
-        self, row: Row, kinds: Mapping[str, int], zones: Mapping[str, int], now: float
+        self, row: Endpoint, kinds: Mapping[str, int], zones: Mapping[str, int], now: float
     ) -> contract.EndpointUpdate | None:
         """Enter one row; None for an engine that left and was not known."""
-        address, kind, zone, cell, weight, state_name, age, _ = row.figures
+        address, kind, zone, cell, weight, state_name, age, _ = row.field_values
         state, index = STATES[state_name], self.index_of.get(address)
         is_new = index is None
         if index is None:
@@ -91,7 +91,7 @@
             self._hash_seeds[index],
         )
 
-    def _new_index(self, row: Row) -> int:
+    def _new_index(self, row: Endpoint) -> int:
         hash_seed = crc32(row.address.encode())
         if self._free:
             index = self._free.popleft()
--- a/myrtlehub/node/figures.py
+++ b/myrtlehub/node/figures.py
@@ -9,7 +9,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from myrtlehub.config.sheets import TrafficRow
+from myrtlehub.config.traffic import TrafficTypeConfig
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.sequences import InFlightSequence
 
@@ -49,7 +49,7 @@
             sums = self.by_type[name] = TrafficSums()
         return sums
 
-    def turned_away(self, row: TrafficRow) -> None:
+    def turned_away(self, row: TrafficTypeConfig) -> None:
         """Refused at the door: nothing was taken, and it counts all the same."""
         sums = self.of(row.name)
         sums.asked += 1
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -6,12 +6,13 @@
 
 from twisted.internet.defer import Deferred
 
-from myrtlehub.config.sheets import EngineRow, NodeSheet
-from myrtlehub.membership.judge import NEVER_DAMPED, ListJudge
-from myrtlehub.membership.judge import Terms as Confirmation
-from myrtlehub.membership.source import StaticList
-from myrtlehub.membership.store import VersionStore
-from myrtlehub.membership.watched import WatchedList
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.membership.endpoint_source import StaticEndpointSource
+from myrtlehub.membership.endpoint_watcher import EndpointWatcher, WatchConfig
+from myrtlehub.membership.flap_damping import NEVER_DAMPED
+from myrtlehub.membership.validation import ANY_REMOVED, ListValidator, ValidationConfig
+from myrtlehub.membership.version_store import VersionStore
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.admin import NodeAdmin
 from myrtlehub.node.figures import Figures
@@ -31,7 +32,7 @@
 
     def __init__(
         self,
-        sheet: NodeSheet,
+        sheet: NodeConfig,
         clock: object,
         dial: Callable[[str], Callable],
         run: str = "0",
@@ -76,11 +77,11 @@
         self.on_leave: Callable[[], None] = lambda: None  # an order to leave came: the caller drains
         self.control = NodeAdmin(self)
         self.control.serve(self.admin)
-        self.host.poll_endpoints = self.source.reread
+        self.host.poll_endpoints = self.source.republish
         self.source.follow(self._list_news)
 
     @property
-    def sheet(self) -> NodeSheet:
+    def sheet(self) -> NodeConfig:
         """The settings that hold."""
         return self.works.sheet
 
@@ -95,48 +96,44 @@
         """Whether it holds a list and has generated a sequence by what it now runs."""
         return bool(self.host.decoder.engines.index_of) and self.figures.generated > self.proven_from
 
-    def _list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
+    def _list_news(self, rows: list[EndpointConfig], whole: bool, number: int = 0, digest: str = "") -> None:
         for works in (self.works, *self.old):
             works.list_news(rows, whole, number, digest)
 
     def _source(
-        self, sheet: NodeSheet, base: Path, notify: Callable, reader: Callable | None, beside: Callable
-    ) -> StaticList | WatchedList:
+        self, sheet: NodeConfig, base: Path, notify: Callable, reader: Callable | None, beside: Callable
+    ) -> StaticEndpointSource | EndpointWatcher:
         part = sheet.list
         if not part.files:
-            return StaticList(part.engines)
-        most = 1.0 if part.confirm.most_removed == "any" else part.confirm.most_removed
+            return StaticEndpointSource(part.engines)
+        most = ANY_REMOVED if part.confirm.most_removed == "any" else part.confirm.most_removed
         damp = part.damp
         flaps = NEVER_DAMPED if damp.flaps == "off" else damp.flaps
-        judge = ListJudge(
-            Confirmation(most, part.confirm.after, flaps, damp.within, damp.quiet_for),
+        validator = ListValidator(
+            ValidationConfig(most, part.confirm.after, flaps, damp.within, damp.quiet_for),
             {k.name: k for k in sheet.kinds},
             sheet.zones,
             sheet.engines_may.read_alone,
         )
         store = VersionStore(base / part.store) if part.store else None
-        return WatchedList(
-            part.files,
-            base,
-            judge,
+        return EndpointWatcher(
+            WatchConfig(tuple(part.files), base, part.poll, part.quiet, part.end_marked),
+            validator,
             self.clock,
-            part.poll,
-            part.quiet,
-            store,
-            self.log,
-            notify,
-            lambda: self.links.silent(),
-            reader,
-            part.end_marked,
-            beside,
+            store=store,
+            log=self.log,
+            notify=notify,
+            unresponsive=lambda: self.links.silent(),
+            reader=reader,
+            run_in_background=beside,
         )
 
-    def apply(self, sheet: NodeSheet) -> None:
+    def apply(self, sheet: NodeConfig) -> None:
         """From the next sequence on these settings hold. What `changes.unfit` says of them has to be
         nothing.
         """
         before = self.works
-        rows = self.source.rows(sheet.list.engines if not sheet.list.pushed else None)
+        rows = self.source.endpoints(sheet.list.engines if not sheet.list.pushed else None)
         self.works = Works(sheet, self.around, before.number + 1, before)
         self.proven_from = self.figures.generated
         self.works.front.closed = before.front.closed
@@ -160,7 +157,7 @@
         """Beat from here on, so that the door knows how late this process runs."""
         now = self.clock.seconds()
         before = self.host.decoder.lag.worst
-        due = self.host.decoder.lag.beat(now)
+        due = self.host.decoder.lag.tick(now)
         if self.host.decoder.lag.worst > max(before, LAG_SAID):
             self.log("lag", seconds=round(self.host.decoder.lag.worst, 3))
         self.clock.callLater(max(0.0, due - now), self.measure_lag)
--- a/myrtlehub/node/replication/replication.py
+++ b/myrtlehub/node/replication/replication.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from myrtlehub.config.sheets import TakeoverGroup
+from myrtlehub.config.takeover import TakeoverConfig
 from myrtlehub.node.protocols import Clock, Log
 from myrtlehub.node.replication.peer_connections import PeerConnections
 from myrtlehub.node.replication.record_publisher import RecordPublisher
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        settings: TakeoverGroup,
+        settings: TakeoverConfig,
         node: str,
         incarnation: str,
         clock: Clock,
--- a/myrtlehub/node/request_decoder.py
+++ b/myrtlehub/node/request_decoder.py
@@ -2,8 +2,9 @@
 
 from typing import NamedTuple
 
-from myrtlehub.config.sheets import NodeSheet, TrafficRow
-from myrtlehub.limits.lag import LagMeter
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.config.traffic import TrafficTypeConfig
+from myrtlehub.limits.event_loop_lag import LagMeter
 from myrtlehub.node.endpoint_index import EndpointIndex, hash_key
 from myrtlehub.routing import contract
 
@@ -38,7 +39,7 @@
 class RequestDecoder:
     """Names of a node's settings against indices, and requests against what the settings allow."""
 
-    def __init__(self, sheet: NodeSheet) -> None:
+    def __init__(self, sheet: NodeConfig) -> None:
         self.rows = sheet.traffic
         self.traffic = {row.name: index for index, row in enumerate(sheet.traffic)}
         self.tenants = {tenant.name: index for index, tenant in enumerate(sheet.tenants)}
@@ -66,7 +67,7 @@
             traffic=traffic,
             tenant=self.tenants.get(request.tenant, NO_TENANT),
             prompt_tokens=float(request.prompt_tokens),
-            time_left=self.lag.left(now, time_left),
+            time_left=self.lag.time_left(now, time_left),
             session=hash_key(request.session),
             prefix=hash_key(request.prefix),
             shared_tokens=float(request.shared_tokens),
@@ -94,7 +95,7 @@
         )
 
 
-def _check_traffic_type(request: DecodedRequest, row: TrafficRow) -> None:
+def _check_traffic_type(request: DecodedRequest, row: TrafficTypeConfig) -> None:
     name = request.traffic_type
     if row.front != request.front:
         raise InvalidRequestError(f"traffic_type {name!r} is for the front {row.front!r}")
--- a/myrtlehub/node/revision.py
+++ b/myrtlehub/node/revision.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.config.node import NodeConfig
 
 BUILD_LABEL_VARIABLE = (
     "HUB_BUILD"  # what an operator's build adds to the package's files, such as its libraries
@@ -28,7 +28,7 @@
     return digest.hexdigest()
 
 
-def settings_digest(sheet: NodeSheet) -> str:
+def settings_digest(sheet: NodeConfig) -> str:
     """Return the digest of a node's settings, without the engines and what is each node's own."""
     fields = sheet.model_dump(mode="json")
     for name in OWN_FIELDS:
--- a/myrtlehub/node/router_config.py
+++ b/myrtlehub/node/router_config.py
@@ -3,15 +3,17 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from myrtlehub.config.sheets import KindRow, NodeSheet, TrafficRow
+from myrtlehub.config.engines import EngineKindConfig
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.config.traffic import TrafficTypeConfig
 from myrtlehub.routing import contract
 
 
 class FrontStages(NamedTuple):
     """Which kinds of engines read for a front, and which write."""
 
-    reads: Callable[[KindRow], bool]
-    writes: Callable[[KindRow], bool]
+    reads: Callable[[EngineKindConfig], bool]
+    writes: Callable[[EngineKindConfig], bool]
 
 
 # What has a single stage is written, with nothing to read.
@@ -22,13 +24,13 @@
 }
 
 
-def fronts_of(sheet: NodeSheet) -> list[str]:
+def fronts_of(sheet: NodeConfig) -> list[str]:
     """List the fronts that have a traffic type, chat first."""
     used = {row.front for row in sheet.traffic}
     return [front for front in STAGES_BY_FRONT if front in used]
 
 
-def traffic_type_of(row: TrafficRow) -> contract.TrafficType:
+def traffic_type_of(row: TrafficTypeConfig) -> contract.TrafficType:
     """Return a row of the settings as the router's traffic type."""
     return contract.TrafficType(
         retry_semantics=contract.RetrySemantics(row.repeats),
@@ -44,7 +46,7 @@
     )
 
 
-def router_config_of(sheet: NodeSheet, front: str = "chat") -> contract.RouterConfig:
+def router_config_of(sheet: NodeConfig, front: str = "chat") -> contract.RouterConfig:
     """Return the configuration of the router for one front; all of it comes from the settings."""
     stages = STAGES_BY_FRONT[front]
     is_chat = front == "chat"
--- a/myrtlehub/node/router_driver.py
+++ b/myrtlehub/node/router_driver.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 from enum import StrEnum
 
-from myrtlehub.membership.rows import Row
+from myrtlehub.membership.endpoint import Endpoint
 from myrtlehub.node.protocols import (
     Clock,
     Decoder,
@@ -102,7 +102,7 @@
         self._call_router(RouterCall.START)
 
     def update_endpoints(
-        self, rows: Sequence[Row], is_complete: bool, version: int = 0, digest: str = ""
+        self, rows: Sequence[Endpoint], is_complete: bool, version: int = 0, digest: str = ""
     ) -> None:
         """Take the complete endpoint list, or a change to it; `version` 0 counts on from the last one."""
         decoder, engines = self.decoder, self.decoder.engines
--- a/myrtlehub/node/settings_change.py
+++ b/myrtlehub/node/settings_change.py
@@ -1,8 +1,9 @@
 """Settings that are to replace a running node's: validated whole before any of them applies."""
 
-from myrtlehub.config.load import parse
-from myrtlehub.config.sheets import EngineRow, NodeSheet
-from myrtlehub.membership.judge import unsound
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.loader import parse_config
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.membership.validation import find_list_faults
 
 FIXED_FIELDS = ("name", "listen", "admin", "zone")  # of `node`: they change with the process alone
 
@@ -11,16 +12,16 @@
     """The node could not route by these settings, or cannot change to them in place; the text says why."""
 
 
-def parse_settings(text: str) -> NodeSheet:
+def parse_settings(text: str) -> NodeConfig:
     """Parse a node's settings file.
 
     Raises:
         Faults: the text is wrong, one line each.
     """
-    return parse(text, NodeSheet, "staged")
+    return parse_config(text, NodeConfig, "staged")
 
 
-def validate_change(current: NodeSheet, staged: NodeSheet, rows: list[EngineRow]) -> None:
+def validate_change(current: NodeConfig, staged: NodeConfig, rows: list[EndpointConfig]) -> None:
     """Check that a node whose endpoint list has these rows can change to the staged settings in place.
 
     Raises:
@@ -35,7 +36,7 @@
         raise SettingsChangeError("; ".join(faults))
 
 
-def _check_fixed_fields(current: NodeSheet, staged: NodeSheet) -> None:
+def _check_fixed_fields(current: NodeConfig, staged: NodeConfig) -> None:
     for name in FIXED_FIELDS:
         before = getattr(current.node, name)
         after = getattr(staged.node, name)
@@ -45,7 +46,7 @@
             )
 
 
-def _check_list_source(current: NodeSheet, staged: NodeSheet) -> None:
+def _check_list_source(current: NodeConfig, staged: NodeConfig) -> None:
     if bool(current.list.files) != bool(staged.list.files) or current.list.pushed != staged.list.pushed:
         raise SettingsChangeError("list: where the list comes from cannot change in place; roll the program")
     if current.list.files and (
@@ -56,15 +57,15 @@
         )
 
 
-def _routing_faults(staged: NodeSheet, rows: list[EngineRow]) -> list[str]:
+def _routing_faults(staged: NodeConfig, rows: list[EndpointConfig]) -> list[str]:
     """List why these rows could not be routed to by the staged settings."""
     kinds = {kind.name: kind for kind in staged.kinds}
-    faults = unsound(rows, kinds, staged.zones, staged.engines_may.read_alone)
+    faults = find_list_faults(rows, kinds, staged.zones, staged.engines_may.read_alone)
     serving = [
         kinds[row.kind] for row in rows if row.state == "serving" and row.weight > 0.0 and row.kind in kinds
     ]
     for traffic in staged.traffic:
         chat = traffic.front == "chat"
-        if not any(kind.writes if chat else kind.does(traffic.front) for kind in serving):
+        if not any(kind.writes if chat else kind.serves(traffic.front) for kind in serving):
             faults.append(f"no engine on the list could end a sequence of {traffic.name!r}")
     return faults
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -7,9 +7,10 @@
 from random import Random
 from typing import NamedTuple
 
-from myrtlehub.config.sheets import EngineRow, NodeSheet
-from myrtlehub.limits.admit import Admission
-from myrtlehub.limits.retries import RetryBudget
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.limits.admission import AdmissionController
+from myrtlehub.limits.retry_budget import RetryBudget
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.batch_fronts.coordinator import BatchCoordinator
 from myrtlehub.node.batch_fronts.embeddings import EMBEDDINGS
@@ -48,7 +49,7 @@
     """
 
     def __init__(
-        self, sheet: NodeSheet, around: Around, number: int = 0, before: "Works | None" = None
+        self, sheet: NodeConfig, around: Around, number: int = 0, before: "Works | None" = None
     ) -> None:
         self.sheet, self.around, self.number = sheet, around, number
         node, terms, fronts = sheet.node, router_config_of(sheet), fronts_of(sheet)
@@ -84,7 +85,7 @@
         self.client_limits = ClientLimits(limits, clock, log, retries, node.max_wait)
         self.batches = BatchCoordinator(self.host, sheet, clock)
         gate = (
-            Admission(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic})
+            AdmissionController(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic})
             if (limits.admit)
             else None
         )
@@ -107,7 +108,7 @@
         """The module; where several fronts are served, once a field of engines."""
         if len(fronts) == 1:
             return Router(router_config_of(self.sheet, fronts[0]))
-        kinds = [frozenset(i for i, k in enumerate(self.sheet.kinds) if k.does(f)) for f in fronts]
+        kinds = [frozenset(i for i, k in enumerate(self.sheet.kinds) if k.serves(f)) for f in fronts]
         return EnginePools(
             Router,
             [router_config_of(self.sheet, f) for f in fronts],
@@ -127,7 +128,7 @@
                 for path in (front.unary_path, front.stream_path):
                     server.methods.pop(path, None)
 
-    def list_news(self, rows: list[EngineRow], whole: bool, number: int = 0, digest: str = "") -> None:
+    def list_news(self, rows: list[EndpointConfig], whole: bool, number: int = 0, digest: str = "") -> None:
         """News of the list, as far as these settings know its kinds and zones."""
         decoder = self.host.decoder
         known = [r for r in rows if r.kind in decoder.kinds and r.zone in decoder.zones]
--- a/myrtlehub/relay/endpoint_list.py
+++ b/myrtlehub/relay/endpoint_list.py
@@ -37,13 +37,13 @@
     model: str = ""
 
     @property
-    def figures(self) -> tuple:
+    def field_values(self) -> tuple:
         """The fields that rows of all sources have."""
         return (*self[:7], self.model)
 
-    def having(self, **figures: Any) -> Self:  # noqa: ANN401
+    def with_fields(self, **fields: Any) -> Self:  # noqa: ANN401
         """Return the same with some fields replaced."""
-        return self._replace(**figures)
+        return self._replace(**fields)
 
 
 class EndpointListUpdate(NamedTuple):
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -166,5 +166,5 @@
     def measure_lag(self) -> None:
         """Beat from here on, so that the decoder knows how late this process runs."""
         now = self.clock.seconds()
-        due = self.decoder.lag.beat(now)
+        due = self.decoder.lag.tick(now)
         self.clock.callLater(max(0.0, due - now), self.measure_lag)
--- a/myrtlehub/relay/request_decoder.py
+++ b/myrtlehub/relay/request_decoder.py
@@ -6,7 +6,7 @@
 
 from myrtlehub.http1.interfaces import Headers
 from myrtlehub.http1.server_exchange import ServerRequest
-from myrtlehub.limits.lag import LagMeter
+from myrtlehub.limits.event_loop_lag import LagMeter
 from myrtlehub.node.endpoint_index import EndpointIndex, hash_key
 from myrtlehub.relay.errors import RejectedRequestError
 from myrtlehub.relay.node_settings import NodeSettings
@@ -91,7 +91,7 @@
             traffic=traffic,
             tenant=tenant,
             prompt_tokens=float(size.prompt),
-            time_left=self.lag.left(now, stated_time),
+            time_left=self.lag.time_left(now, stated_time),
             session=hash_key(fields.get(b"x-entity", b"").decode("latin-1")),
             prefix=hash_key(labels.get(b"prefix", b"").decode("latin-1")),
             shared_tokens=float(size.shared),
--- a/myrtlehub/rollout_controller/controller.py
+++ b/myrtlehub/rollout_controller/controller.py
@@ -11,7 +11,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 
-from myrtlehub.config.plans import PlanSheet
+from myrtlehub.config.rollout_plan import RolloutPlanConfig
 from myrtlehub.rollout.journal_format import BookkeepingEvent, JournalEntry, last_generation
 from myrtlehub.rollout.progress import FLEET, Action, NodeAction, RolloutState
 from myrtlehub.rollout.samples import timer_event
@@ -41,7 +41,7 @@
 
     def __init__(
         self,
-        sheet: PlanSheet,
+        sheet: RolloutPlanConfig,
         text: str,
         base: Path,
         reactor: IReactorTime,
--- a/myrtlehub/rollout_controller/plan_files.py
+++ b/myrtlehub/rollout_controller/plan_files.py
@@ -7,9 +7,9 @@
 
 import xxhash
 
-from myrtlehub.config.load import Faults, load
-from myrtlehub.config.plans import PlanSheet
-from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.config.loader import ConfigError, load_config
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.config.rollout_plan import RolloutPlanConfig
 from myrtlehub.node.revision import settings_digest
 from myrtlehub.rollout.canary_analysis import CanaryAnalysis
 from myrtlehub.rollout.journal_format import JournalHeader
@@ -35,7 +35,7 @@
 class PlanFiles:
     """A plan and the files beside it."""
 
-    def __init__(self, sheet: PlanSheet, text: str, base: Path) -> None:
+    def __init__(self, sheet: RolloutPlanConfig, text: str, base: Path) -> None:
         """Take a plan's sheet and text; `base` is the folder that its paths are relative to.
 
         Raises:
@@ -105,15 +105,15 @@
         pattern = getattr(settings_change, side) if settings_change else self.sheet.settings
         return self.base / pattern.format(name=self.names[node], settings="")
 
-    def settings(self, node: int, side: PlanSide) -> NodeSheet:
+    def settings(self, node: int, side: PlanSide) -> NodeConfig:
         """Load a node's settings file.
 
         Raises:
             RolloutError: it is not there, or wrong.
         """
         try:
-            return load(self.settings_path(node, side), NodeSheet)
-        except Faults as error:
+            return load_config(self.settings_path(node, side), NodeConfig)
+        except ConfigError as error:
             raise RolloutError(str(error)) from error
 
     def start_command(self, node: int, side: PlanSide) -> str:
--- a/myrtlehub/rollout_controller/remote_supervisor.py
+++ b/myrtlehub/rollout_controller/remote_supervisor.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.threads import deferToThread
 
-from myrtlehub.config.plans import PlanSheet, ProcessesGroup
+from myrtlehub.config.rollout_plan import ProcessCommands, RolloutPlanConfig
 from myrtlehub.rollout_controller.process_supervisor import (
     UNKNOWN_START,
     ProcessIdentity,
@@ -22,7 +22,7 @@
 class RemoteSupervisor(ProcessSupervisor):
     """Runs an operator's commands for nodes on other machines."""
 
-    def __init__(self, log_folder: Path, names: list[str], commands: ProcessesGroup) -> None:
+    def __init__(self, log_folder: Path, names: list[str], commands: ProcessCommands) -> None:
         super().__init__(log_folder)
         self.names = names
         self.commands = commands
@@ -66,7 +66,7 @@
         return done.returncode
 
 
-def make_supervisor(sheet: PlanSheet, base: Path) -> ProcessSupervisor:
+def make_supervisor(sheet: RolloutPlanConfig, base: Path) -> ProcessSupervisor:
     """Make the supervisor that a plan asks for; logs of nodes that it starts go to the plan's folder."""
     if sheet.processes:
         return RemoteSupervisor(base, [node.name for node in sheet.nodes], sheet.processes)
--- a/myrtlehub/rollout_controller/stage_supervision.py
+++ b/myrtlehub/rollout_controller/stage_supervision.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from myrtlehub.config.plans import PlanSheet
+from myrtlehub.config.rollout_plan import RolloutPlanConfig
 from myrtlehub.rollout.canary_analysis import Outcome, Verdict
 from myrtlehub.rollout.progress import stage_nodes
 from myrtlehub.rollout.samples import NodeTimeouts
@@ -23,7 +23,7 @@
     details: Details | None = None
 
 
-def node_timeouts(sheet: PlanSheet, is_unreachable: bool) -> NodeTimeouts:
+def node_timeouts(sheet: RolloutPlanConfig, is_unreachable: bool) -> NodeTimeouts:
     """Return how long a node may be in a state; one that cannot be reached is not hurried."""
     extra = sheet.hold if is_unreachable else 0.0
     return NodeTimeouts(sheet.drain_within + extra, sheet.start_within + extra, sheet.warm)
@@ -32,7 +32,7 @@
 class StageSupervision:
     """Watches the clock of the phase and the figures of the stage."""
 
-    def __init__(self, sheet: PlanSheet, record: RolloutRecord, nodes: list[TrackedNode]) -> None:
+    def __init__(self, sheet: RolloutPlanConfig, record: RolloutRecord, nodes: list[TrackedNode]) -> None:
         self.verdict = Verdict(Outcome.UNDECIDED, "nothing was watched yet")
         self.phase_since = 0.0  # seconds of the reactor's clock
         self._sheet = sheet
--- a/tests/batch_calls.py
+++ b/tests/batch_calls.py
@@ -115,9 +115,7 @@
     nothing_left(fleet)
     for node in fleet.nodes.values():
         batches = node.batches
-        assert (
-            not batches.in_flight and batches.batcher.is_empty and not any(batches.shares._waiting.values())
-        )
-        assert all(abs(out) < 1e-6 for out in batches.shares.out.values())
+        assert not batches.in_flight and batches.batcher.is_empty and not any(batches.shares._queues.values())
+        assert all(abs(out) < 1e-6 for out in batches.shares.tokens_in_flight.values())
     for engine in fleet.stands.values():
         assert engine.model.fallen or not (engine.model.batching or engine.model.batch_queue)
--- /dev/null
+++ b/tests/endpointlists.py
@@ -0,0 +1,36 @@
+"""Endpoint lists for tests: endpoints named for what they do, validators, and files of lists."""
+
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.engines import EngineKindConfig
+from myrtlehub.membership.validation import ListValidator, ValidationConfig
+
+KINDS = {
+    "reader": EngineKindConfig(name="reader", reads=True),
+    "writer": EngineKindConfig(name="writer", writes=True),
+}
+
+
+def make_endpoint(name: str, **fields: object) -> EndpointConfig:
+    """Make an endpoint: a reader if its name begins with "r", else a writer."""
+    kind = "reader" if name[0] == "r" else "writer"
+    return EndpointConfig(**{"address": f"{name}:1", "kind": kind, "zone": "z", **fields})
+
+
+def make_endpoints(names: str, **fields: object) -> list[EndpointConfig]:
+    """Make endpoints of names that blanks divide."""
+    return [make_endpoint(name, **fields) for name in names.split()]
+
+
+def make_validator(**config: float) -> ListValidator:
+    """Make a validator that knows KINDS."""
+    return ListValidator(ValidationConfig(**config), KINDS, ["z"])
+
+
+def list_text(names: str, **fields: object) -> str:
+    """Return the text of a file that lists these endpoints."""
+    lines = [
+        f"  - {{address: '{endpoint.address}', kind: {endpoint.kind}, zone: z, cell: {endpoint.cell}, "
+        f"weight: {endpoint.weight}}}"
+        for endpoint in make_endpoints(names, **fields)
+    ]
+    return "engines:\n" + "\n".join(lines) + "\n"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,8 +7,9 @@
 from memnet import Net
 from twisted.internet.task import Clock
 
-from myrtlehub.config.load import parse
-from myrtlehub.config.sheets import NodeSheet, StandSheet
+from myrtlehub.config.emulated_engine import EmulatedEngineConfig
+from myrtlehub.config.loader import parse_config
+from myrtlehub.config.node import NodeConfig
 from myrtlehub.emulator.server import StandIn
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.node import Node
@@ -119,7 +120,7 @@
         return recorder
 
     def engine(self, name: str, cold: bool = False) -> None:
-        sheet = StandSheet(
+        sheet = EmulatedEngineConfig(
             name=name,
             listen=f"{name}:1",
             reads=name[0] == "R",
@@ -161,7 +162,7 @@
     def node(self, index: int, run: str = "1", text: str = "", **more: object) -> Node:
         if self.base is not None:
             more.setdefault("base", self.base)
-        sheet = parse(text or self.text(index), NodeSheet)
+        sheet = parse_config(text or self.text(index), NodeConfig)
         node = Node(
             sheet,
             self.clock,
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,158 @@
+"""Admission control: the limit follows latency, the highest utility goes first, each is answered once."""
+
+from random import Random
+
+from fleet import Fleet
+from hypothesis import given
+from hypothesis import strategies as st
+from test_path import kept, nothing_left
+
+from myrtlehub.limits import admission
+from myrtlehub.limits.admission import AdmissionController, VegasLimiter
+
+UTILITY = {"low": 0.5, "high": 4.0}
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["ask", "ask", "ask", "begin", "fail", "leave", "wait"]),
+        st.sampled_from(["low", "high"]),
+        st.floats(0.0, 3.0),
+    ),
+    max_size=150,
+)
+
+
+@given(STEPS)
+def test_each_sequence_is_admitted_shed_or_cancelled_once_and_the_count_is_exact(steps: list) -> None:
+    controller = AdmissionController(Random(1), UTILITY)
+    now, count = 0.0, 0
+    controller.limiter.limit = 5.0
+    waiting: set[int] = set()
+    admitted: list[int] = []
+    ended: dict[int, int] = {}
+
+    def collect() -> None:
+        while (item := controller.admit_next(now)) is not None:
+            waiting.remove(item)
+            admitted.append(item)
+            ended[item] = ended.get(item, 0) + 1
+        for item in controller.take_shed(now):
+            waiting.remove(item)
+            ended[item] = ended.get(item, 0) + 1
+
+    for step, traffic_type, amount in steps:
+        if step == "ask":
+            controller.enqueue(now, traffic_type, 1.0, count)
+            waiting.add(count)
+            count += 1
+        elif step == "begin" and admitted:
+            admitted.pop(0)
+            controller.started(now, amount, 1.0)
+        elif step == "fail" and admitted:
+            admitted.pop(0)
+            controller.failed(now, amount > 1.0)
+        elif step == "leave" and waiting:
+            gone = min(waiting)
+            assert controller.cancel(gone) and not controller.cancel(gone)
+            waiting.remove(gone)
+            ended[gone] = ended.get(gone, 0) + 1
+        else:
+            now += amount
+        collect()
+        assert (
+            controller.in_flight == len(admitted)
+            and admission.MIN_LIMIT <= controller.limiter.limit <= admission.MAX_LIMIT
+        )
+        assert len(waiting) <= 2 + admission.QUEUE_SHARE * max(controller.limiter.limit, 10.0)
+    now += 10.0
+    collect()
+    assert not waiting and set(ended) == set(range(count)) and set(ended.values()) <= {1}
+
+
+def test_highest_utility_is_admitted_first_and_lowest_is_shed() -> None:
+    controller = AdmissionController(Random(1), UTILITY)
+    controller.limiter.limit = 4.0
+    for i in range(4):
+        controller.enqueue(0.0, "low", 1.0, f"in{i}")
+        assert controller.admit_next(0.0) == f"in{i}"
+    controller.enqueue(0.0, "low", 1.0, "a")
+    controller.enqueue(0.1, "high", 1.0, "b")
+    controller.enqueue(0.1, "low", 1.0, "c")
+    assert list(controller.take_shed(0.1)) == [] and controller.admit_next(0.1) is None
+    controller.enqueue(0.2, "high", 1.0, "d")  # over half of the limit is queued: the lowest utility is shed
+    assert list(controller.take_shed(0.2)) == ["c"]
+    controller.started(0.2, 0.2, 1.0)
+    assert controller.admit_next(0.2) == "b"
+    assert list(controller.take_shed(0.401)) == ["a"]  # queued for 0.4 of its latency objective
+    assert controller.next_shed_at() == 0.2 + admission.MAX_WAIT_SHARE
+
+
+def test_limit_falls_as_latency_grows_and_recovers() -> None:
+    vegas = VegasLimiter()
+    for _ in range(300):
+        vegas.sample(0.0, 0.1, 1000)
+    high = vegas.limit
+    assert high > admission.INITIAL_LIMIT
+    for _ in range(500):
+        vegas.sample(1.0, 0.6, 1000)
+    low = vegas.limit
+    assert low < 0.8 * high
+    for _ in range(500):
+        vegas.sample(2.0, 0.12, 1000)
+    assert vegas.limit > low
+    idle = vegas.limit
+    for _ in range(500):
+        vegas.sample(3.0, 0.12, 1)  # little in flight: that it is fast says nothing of more load
+    assert vegas.limit == idle
+    for _ in range(500):
+        vegas.sample(25.0, 0.5, 1000)  # the fleet has changed: the least latency is measured anew
+    assert vegas.limit > idle
+
+
+def overload(admits: str) -> tuple[dict, Fleet]:
+    """Offer far more than two writers can do, half of it of three times the utility; count the timely."""
+    f = Fleet("R0 R0 W0 W0", slots=10, step="20ms", read_rate=12000.0, more=f"limits: {{admit: {admits}}}")
+    random, good, calls = Random(5), {"ask": 0, "post": 0}, []
+    for _ in range(600):
+        c = f.ask(random.choice(["ask", "post"]), prompt=random.choice([300, 1500]), output=60)
+        c.since = f.clock.seconds()
+        calls.append(c)
+        f.run(0.004)
+    f.run(6.0)
+    first = {r.more["call"]: r.at for r in f.what("token")}
+    for c in calls:
+        assert c.answer in ("generated", "rejected", "aborted")
+        kind = next(r.more["traffic"] for r in f.what("ask") if r.more["call"] == c.name)
+        good[kind] += c.answer == "generated" and first[c.name] - c.since <= 1.0
+    kept(f)
+    nothing_left(f)
+    return good, f
+
+
+def test_under_overload_admission_raises_the_utility_that_is_answered_in_time() -> None:
+    without, _ = overload("no")
+    with_it, f = overload("yes")
+    utility = [good["ask"] + 3 * good["post"] for good in (without, with_it)]
+    assert utility[1] > 1.2 * utility[0], (without, with_it)
+    controller = f.nodes["n0"].front.gate
+    assert controller.in_flight == 0 and not controller._queue
+    c = f.ask(prompt=300, output=20)
+    f.run(2.0)
+    assert c.answer == "generated"  # afterwards all is as before
+
+
+def test_clients_that_leave_the_queue_leave_no_state() -> None:
+    f = Fleet("W0", slots=2, step="50ms", more="limits: {admit: yes}")
+    controller = f.nodes["n0"].front.gate
+    controller.limiter.limit = 4.0
+    f.misbehave("W0a", "hang", seconds=3.0)
+    f.run(0.05)
+    calls = [f.ask("post", prompt=100, output=200) for _ in range(9)]
+    f.run(0.05)
+    assert controller.in_flight == 4 and controller._queue
+    for c in calls:
+        if not c.answer:
+            f.leave(c)
+    f.run(4.0)
+    assert controller.in_flight == 0 and not controller._queue
+    kept(f)
+    nothing_left(f)
--- a/tests/test_batch_fronts.py
+++ b/tests/test_batch_fronts.py
@@ -7,7 +7,7 @@
 from fleet import Fleet
 from test_path import kept
 
-from myrtlehub.config.sheets import EngineRow
+from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.emulator.vectors import score_of, vector_of
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.rpc.status import Code
@@ -94,7 +94,7 @@
     for name in ("E0c", "E0d", "E0e"):
         fleet.rows[name]["model"] = "m2"
     source = fleet.nodes["n0"].source
-    source.push([EngineRow(**fleet.rows[n]) for n in fleet.rows], True)
+    source.push([EndpointConfig(**fleet.rows[n]) for n in fleet.rows], True)
     fleet.run(4.0)
     for call in (whole, stream):
         if call.final == "generated":
@@ -236,7 +236,10 @@
         chats.append(fleet.ask(prompt=300, output=20))
         fleet.run(0.05)
     batches = fleet.nodes["n0"].batches
-    assert batches.shares.room == 8000.0 and batches.shares.out["embed"] <= 0.5 * batches.shares.room + 4000.0
+    assert (
+        batches.shares.common_capacity == 8000.0
+        and batches.shares.tokens_in_flight["embed"] <= 0.5 * batches.shares.common_capacity + 4000.0
+    )
     fleet.run(4.0)
     assert all(c.answer == "generated" for c in chats)
     finals = {c.final for c in flood}
@@ -251,7 +254,7 @@
     host, batches = fleet.nodes["n0"].host, fleet.nodes["n0"].batches
     alone = embed(fleet, texts(600), is_stream=True)
     fleet.run(0.1)
-    assert batches.shares.common["embed"] > 0.0  # nobody else asks: it may use all
+    assert batches.shares.common_tokens["embed"] > 0.0  # nobody else asks: it may use all
     fleet.run(2.0)
     assert alone.final == "generated"
     chats, flood, most = [], [], 0.0
@@ -260,16 +263,16 @@
         flood.append(embed(fleet, texts(150, i), is_stream=True))
         fleet.run(0.04)
         if i > 5:
-            most = max(most, batches.shares.common["embed"])
-    assert most <= 0.5 * batches.shares.room + 4000.0
+            most = max(most, batches.shares.common_tokens["embed"])
+    assert most <= 0.5 * batches.shares.common_capacity + 4000.0
     seen = {r.who for r in fleet.what("got") if r.more["traffic"] == "vec"}
-    assert "E0d:1" in seen and any(batches.shares.shut.values())
+    assert "E0d:1" in seen and any(batches.shares.excluded.values())
     fleet.run(6.0)
     assert all(c.answer == "generated" for c in chats)
     fleet.run(90.0)  # nobody asks any more
     late = embed(fleet, texts(5, 999))
     fleet.run(1.0)
-    assert late.final == "generated" and not any(batches.shares.shut.values())
+    assert late.final == "generated" and not any(batches.shares.excluded.values())
     assert sum(c.final == "generated" for c in flood) > 10
     router = host.router
     assert all(router.routers[1].estimates.engines[i].state == 0 for i in router._known[1])  # let in again
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -166,10 +166,10 @@
             batches.embed(texts, BatchAsk("vec", first_within=0.002, within=0.3, tries=2), dimensions=3)
 
 
-def test_hub_list_shows_what_a_node_routes_by(node: str) -> None:
+def test_hub_endpoints_shows_what_a_node_routes_by(node: str) -> None:
     def show(where: str) -> subprocess.CompletedProcess:
         return subprocess.run(
-            [sys.executable, "-m", "myrtlehub.cli.list", "show", "--node", where],
+            [sys.executable, "-m", "myrtlehub.cli.endpoints", "show", "--node", where],
             capture_output=True,
             text=True,
             timeout=60,
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -7,8 +7,13 @@
 from hypothesis import strategies as st
 from test_path import judge, kept, nothing_left
 
-from myrtlehub.limits.ledger import Budgets, Held, Ledger, given_up
-from myrtlehub.limits.pace import STEP, Pace
+from myrtlehub.limits.minimum_rate import CHECK_INTERVAL, MinimumRateMonitor
+from myrtlehub.limits.resource_ledger import (
+    MemoryBudgets,
+    ResourceLedger,
+    StreamUsage,
+    select_streams_to_shed,
+)
 from myrtlehub.proto import admin_pb2
 from myrtlehub.rpc.channel import Channel
 from myrtlehub.rpc.status import Code
@@ -24,7 +29,7 @@
 
 @given(EVENTS)
 def test_the_ledger_balances_after_any_reads_writes_drops_and_closes(events: list) -> None:
-    ledger, streams = Ledger(Budgets(20_000, 0.5, 0.5)), {}
+    ledger, streams = ResourceLedger(MemoryBudgets(20_000, 0.5, 0.5)), {}
     came = left = 0
     for what, key, size in events:
         if what == "open" and key not in streams:
@@ -40,30 +45,34 @@
             elif what == "close":
                 ledger.close(key)
                 del streams[key]
-                assert not ledger.wrong()
+                assert not ledger.find_imbalances()
                 continue
             else:
                 s[1 if what == "take" else 2] += size
                 s[3] -= size
                 left += size * (what == "take")
             ledger.settle(key, *s)
-        assert not ledger.wrong()
+        assert not ledger.find_imbalances()
     node = ledger.node
-    assert (node.came, node.left) == (came, left) and node.held == sum(s[3] for s in streams.values())
-    for what, name, size in ledger.over():
-        keys = given_up([Held(k, ledger.held_by(k), 1.0, 0.0) for k in ledger.of(what, name)], size)
-        assert sum(ledger.held_by(k) for k in keys) >= size
-        assert sum(ledger.held_by(k) for k in keys[:-1]) < size  # no more than needed
+    assert (node.received, node.delivered) == (came, left) and node.in_use == sum(
+        s[3] for s in streams.values()
+    )
+    for what, name, size in ledger.overruns():
+        keys = select_streams_to_shed(
+            [StreamUsage(k, ledger.usage(k), 1.0, 0.0) for k in ledger.streams_of(what, name)], size
+        )
+        assert sum(ledger.usage(k) for k in keys) >= size
+        assert sum(ledger.usage(k) for k in keys[:-1]) < size  # no more than needed
     for key in list(streams):
         ledger.close(key)
-    assert not ledger.wrong() and not node.held and not ledger.peers and not ledger.tenants
+    assert not ledger.find_imbalances() and not node.in_use and not ledger.peers and not ledger.tenants
 
 
 def test_an_imbalance_is_found() -> None:
-    ledger = Ledger(Budgets(20_000, 0.5, 0.5))
+    ledger = ResourceLedger(MemoryBudgets(20_000, 0.5, 0.5))
     ledger.open("a", "p", "t")
     ledger.settle("a", 100, 40, 0, 50)
-    assert ledger.wrong() == [
+    assert ledger.find_imbalances() == [
         "a: 100 came, 40 left, 0 dropped, 50 held",
         "node: 100 came, 40 left, 0 dropped, 50 held",
     ]
@@ -71,24 +80,24 @@
 
 def test_which_streams_are_shed_first() -> None:
     streams = [
-        Held("dear", 900, 3.0, 0.0),
-        Held("cheap", 500, 1.0, 0.0),
-        Held("stuck", 100, 3.0, 2.0),
-        Held("empty", 0, 0.1, 9.0),
+        StreamUsage("dear", 900, 3.0, 0.0),
+        StreamUsage("cheap", 500, 1.0, 0.0),
+        StreamUsage("stuck", 100, 3.0, 2.0),
+        StreamUsage("empty", 0, 0.1, 9.0),
     ]
-    assert given_up(streams, 50) == ["stuck"]
-    assert given_up(streams, 150) == ["stuck", "cheap"]
-    assert given_up(streams, 10**6) == ["stuck", "cheap", "dear"]
+    assert select_streams_to_shed(streams, 50) == ["stuck"]
+    assert select_streams_to_shed(streams, 150) == ["stuck", "cheap"]
+    assert select_streams_to_shed(streams, 10**6) == ["stuck", "cheap", "dear"]
 
 
 def too_slow_at(takes: list[tuple[float, int]], until: float, least: float = 50.0) -> float | None:
     """When a peer that takes so many bytes at these moments, with more waiting, is found too slow."""
-    pace, at, taken = Pace(5.0, least), 0.0, 0
+    pace, at, taken = MinimumRateMonitor(5.0, least), 0.0, 0
     while at < until:
         taken = sum(n for when, n in takes if when <= at)
-        if pace.look(at, taken, 1000):
+        if pace.is_too_slow(at, taken, 1000):
             return at
-        at += STEP
+        at += CHECK_INTERVAL
     return None
 
 
@@ -100,10 +109,10 @@
     assert too_slow_at(stalls, 60.0) is None  # three seconds, and on
     assert too_slow_at([(i / 4, 200) for i in range(40)], 60.0) == 14.5  # stops for good at 9.75
     assert too_slow_at([], 60.0, least=0.0) is None
-    pace = Pace(5.0, 50.0)
+    pace = MinimumRateMonitor(5.0, 50.0)
     for i in range(200):  # nothing waits for it: that it takes nothing is not its doing
-        assert not pace.look(i * STEP, 0, 0)
-    assert pace.stalled(50.0) == 0.0
+        assert not pace.is_too_slow(i * CHECK_INTERVAL, 0, 0)
+    assert pace.stalled_seconds(50.0) == 0.0
 
 
 def run_with_balanced_ledger(fleet: Fleet, seconds: float) -> None:
@@ -111,7 +120,7 @@
     for _ in range(round(seconds / 0.25)):
         fleet.run(0.25)
         for node in fleet.nodes.values():
-            assert not node.client_limits.ledger.wrong()
+            assert not node.client_limits.ledger.find_imbalances()
 
 
 def slow_fleet(more: str = "", **machine: object) -> Fleet:
@@ -140,7 +149,7 @@
     assert all(c.answer == "generated" for c in others)
     limits = fleet.nodes["n0"].client_limits
     assert limits.counts["slow"] == 1 and "under 50 bytes a second" in limits.cuts[0][3]
-    assert limits.ledger.node.held == 0 and limits.ledger.node.dropped > 1000 and not limits.calls
+    assert limits.ledger.node.in_use == 0 and limits.ledger.node.dropped > 1000 and not limits.calls
     late = [b.text for b in judge(fleet).breaches]
     assert late == ["c0: first token 4.000 s late"]  # by its own doing: it read nothing for 8 s
     nothing_left(fleet)
@@ -151,7 +160,7 @@
     stuck = ask_without_reading(fleet)
     run_with_balanced_ledger(fleet, 12.0)
     assert not fleet.nodes["n0"].server.calls and not fleet.nodes["n0"].client_limits.calls
-    assert not fleet.nodes["n0"].client_limits.ledger.node.held
+    assert not fleet.nodes["n0"].client_limits.ledger.node.in_use
     stuck.call.resumeProducing()
     run_with_balanced_ledger(fleet, 1.0)
     assert stuck.status.code != Code.OK and stuck.answer == ""
@@ -178,7 +187,7 @@
         c.call.pauseProducing()
     run_with_balanced_ledger(fleet, 3.0)
     limits = fleet.nodes["n0"].client_limits
-    assert limits.counts["memory"] >= 1 and limits.ledger.node.held <= 20_000 + 3 * 500
+    assert limits.counts["memory"] >= 1 and limits.ledger.node.in_use <= 20_000 + 3 * 500
     for c in (worth, *less):
         c.call.resumeProducing()
     run_with_balanced_ledger(fleet, 1.0)
@@ -199,9 +208,11 @@
     run_with_balanced_ledger(fleet, 0.5)
     limits = fleet.nodes["n0"].client_limits
     assert limits.counts["turned away"] == 81 and len(fleet.nodes["n0"].host.in_flight) == 19
-    assert sum(c.answer == "rejected" for c in calls) == 81 and 900_000 < limits.ledger.node.held <= 1_000_000
+    assert (
+        sum(c.answer == "rejected" for c in calls) == 81 and 900_000 < limits.ledger.node.in_use <= 1_000_000
+    )
     run_with_balanced_ledger(fleet, 8.0)
-    assert all(c.answer for c in calls) and limits.ledger.node.held == 0
+    assert all(c.answer for c in calls) and limits.ledger.node.in_use == 0
     assert len({r.more["mark"] for r in fleet.what("got")}) == 19
     kept(fleet)
     nothing_left(fleet)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,4 +1,4 @@
-"""Files that are wrong draw one clear line a fault; generated code is fresh."""
+"""Each fault of a file gives one clear line; generated code is up to date."""
 
 import subprocess
 import sys
@@ -7,29 +7,30 @@
 import pytest
 
 from myrtlehub.config import units
-from myrtlehub.config.load import Faults, load, parse
-from myrtlehub.config.sheets import NodeSheet, StandSheet
+from myrtlehub.config.emulated_engine import EmulatedEngineConfig
+from myrtlehub.config.loader import ConfigError, load_config, parse_config
+from myrtlehub.config.node import NodeConfig
 from myrtlehub.lab.scenario import Scenario
 
 ROOT = Path(__file__).parents[1]
-SOUND = (ROOT / "examples" / "node.yaml").read_text()
+VALID = (ROOT / "examples" / "node.yaml").read_text()
 
 
-def faults(text: str) -> list[str]:
-    with pytest.raises(Faults) as caught:
-        parse(text, NodeSheet, "n.yaml")
+def fault_lines(text: str) -> list[str]:
+    with pytest.raises(ConfigError) as caught:
+        parse_config(text, NodeConfig, "n.yaml")
     return caught.value.lines
 
 
-def test_the_examples_are_sound() -> None:
-    sheet = parse(SOUND, NodeSheet)
+def test_the_examples_are_valid() -> None:
+    sheet = parse_config(VALID, NodeConfig)
     assert sheet.rules.let_go == 0.5 and sheet.kinds[0].memory == 200000.0
-    assert load(ROOT / "examples" / "engine.yaml", StandSheet).writes
-    assert [load(p, Scenario).names()[0] for p in sorted((ROOT / "scenarios").glob("*.yaml"))]
+    assert load_config(ROOT / "examples" / "engine.yaml", EmulatedEngineConfig).writes
+    assert [load_config(p, Scenario).names()[0] for p in sorted((ROOT / "scenarios").glob("*.yaml"))]
 
 
 @pytest.mark.parametrize(
-    ("old", "new", "said"),
+    ("old", "new", "line"),
     [
         (
             "drain_within: 10s",
@@ -39,7 +40,8 @@
         (
             "drain_within: 10s",
             "drain_within: 10 parsecs",
-            "n.yaml:9: node.drain_within: unit 'parsecs' is not one of us, ms, s, m, min, h (found '10 parsecs')",
+            "n.yaml:9: node.drain_within: unit 'parsecs' is not one of us, ms, s, m, min, h "
+            "(found '10 parsecs')",
         ),
         (
             "drain_within:",
@@ -87,31 +89,33 @@
         ),
     ],
 )
-def test_a_fault_names_line_field_and_fix(old: str, new: str, said: str) -> None:
-    assert old in SOUND
-    assert faults(SOUND.replace(old, new, 1)) == [said]
+def test_a_fault_names_line_field_and_fix(old: str, new: str, line: str) -> None:
+    assert old in VALID
+    assert fault_lines(VALID.replace(old, new, 1)) == [line]
 
 
-def test_all_faults_are_told_at_once_and_yaml_that_is_none() -> None:
-    lines = faults(SOUND.replace("drain_within: 10s", "drain_within: 10").replace("index: 0", "index: x"))
+def test_all_faults_are_reported_at_once() -> None:
+    lines = fault_lines(
+        VALID.replace("drain_within: 10s", "drain_within: 10").replace("index: 0", "index: x")
+    )
     assert len(lines) == 2
-    assert faults("node: [")[0].startswith("n.yaml:1: not YAML: ")
-    assert faults("- a") == ["n.yaml:1: a file of fields is wanted, found CommentedSeq"]
-    with pytest.raises(Faults, match="no-such-file.yaml:1: cannot be read: No such file"):
-        load("no-such-file.yaml", NodeSheet)
+    assert fault_lines("node: [")[0].startswith("n.yaml:1: not YAML: ")
+    assert fault_lines("- a") == ["n.yaml:1: a file of fields is wanted, found CommentedSeq"]
+    with pytest.raises(ConfigError, match=r"no-such-file\.yaml:1: cannot be read: No such file"):
+        load_config("no-such-file.yaml", NodeConfig)
 
 
-def test_units() -> None:
+def test_units_are_parsed_and_numbers_without_one_rejected() -> None:
     assert [units.duration(t) for t in ("250ms", "2 s", "1.5m", "0.5us", 0)] == [0.25, 2.0, 90.0, 5e-7, 0.0]
     assert [units.size(t) for t in ("64KiB", "1 MB", "5B")] == [65536, 10**6, 5]
     assert [units.tokens(t) for t in ("200k tokens", "5 tokens", "1.5M tokens")] == [2e5, 5.0, 1.5e6]
     for bad in (True, 5, "5", "", "ms", "-1s", "1e3s", None, [1]):
-        with pytest.raises(ValueError):
+        with pytest.raises(ValueError, match="write it like 250ms or 2s"):
             units.duration(bad)
 
 
-def test_programs_refuse_wrong_files_with_one_line_and_2(tmp_path: Path) -> None:
-    (tmp_path / "n.yaml").write_text(SOUND.replace("drain_within: 10s", "drain_within: 10"))
+def test_programs_exit_with_2_and_one_line_on_invalid_files(tmp_path: Path) -> None:
+    (tmp_path / "n.yaml").write_text(VALID.replace("drain_within: 10s", "drain_within: 10"))
     for program, argument in (
         ("node", tmp_path / "n.yaml"),
         ("engine", tmp_path / "none.yaml"),
@@ -127,7 +131,7 @@
         assert run.returncode == 2 and run.stderr.count("\n") == 1 and not run.stdout, run.stderr
 
 
-def test_generated_code_is_fresh(tmp_path: Path) -> None:
+def test_generated_code_is_up_to_date(tmp_path: Path) -> None:
     subprocess.run([ROOT / ".ci" / "protos", tmp_path], check=True, timeout=60)
     made = sorted((tmp_path / "myrtlehub" / "proto").glob("*_pb2.py"))
     kept = sorted((ROOT / "myrtlehub" / "proto").glob("*_pb2.py"))
--- a/tests/test_lists.py
+++ b/tests/test_endpoint_files.py
@@ -1,26 +1,21 @@
-"""Nodes whose list is in files, seen from their engines: by which version was each attempt sent?
+"""Nodes that follow endpoint files, seen from their engines: by which version was each attempt sent?
 
 `MYRTLEHUB_VERSIONS=5000` plays that many; the default keeps the tests short.
 """
 
 import os
 import re
-import subprocess
 from pathlib import Path
 from random import Random
-from types import SimpleNamespace
 
 import pytest
 from fleet import Fleet
 from test_path import kept, nothing_left
-from twisted.internet.defer import Deferred
 
 from myrtlehub.lab.lists import ListWatch, ListWriter, text_of
 from myrtlehub.lab.scenario import ListFilesGroup
-from myrtlehub.membership import aside as aside_module
-from myrtlehub.membership.files import read
-from myrtlehub.membership.version import digest_of
-from myrtlehub.membership.watched import WatchedList
+from myrtlehub.membership.endpoint_watcher import EndpointWatcher
+from myrtlehub.membership.snapshot import read_snapshot
 from myrtlehub.records import Record
 
 VERSIONS = int(os.environ.get("MYRTLEHUB_VERSIONS", "150"))
@@ -57,13 +52,13 @@
     path.with_name(".new").rename(path)
 
 
-def test_no_attempt_goes_by_a_version_that_never_was_whole(tmp_path: Path) -> None:
+def test_every_attempt_goes_by_a_version_that_was_complete_on_disk(tmp_path: Path) -> None:
     f = begin(tmp_path, read_rate=30000.0, slots=40, step="4ms")
     standing = [{**r, "state": "serving", "age": "0s"} for r in f.rows.values()]
     group = ListFilesGroup(every="200ms", burst=8)
     writer = ListWriter("n0", tmp_path / "list-n0", group, f.clock, Random(3), f.day, lambda: standing)
-    version = f.nodes["n0"].source.judge.version
-    f.day.note("wrote", node="n0", digest=version.digest[:16], serving=sorted(version.engines))
+    version = f.nodes["n0"].source.validator.version
+    f.day.note("wrote", node="n0", digest=version.digest[:16], serving=sorted(version.endpoints))
     writer.start()
     random, asked = Random(4), 0
     while writer.versions < VERSIONS:
@@ -85,8 +80,8 @@
     f.log[:] = sorted([*told, *f.log], key=lambda r: r.at)  # told before what goes by it
     kept(f)
     nothing_left(f)
-    refused = [why for _, _, why in f.nodes["n0"].source.judge.refused]
-    # Each names file and line of what is wrong, or says what to do.
+    refused = [rejection.reason for rejection in f.nodes["n0"].source.validator.rejections]
+    # Each names file and line of the fault, or says what to do.
     assert len(refused) > 5
     assert [why for why in refused if not (re.search(r"engines\.yaml:\d+: ", why) or "; " in why)] == []
     print(
@@ -96,8 +91,8 @@
 
 
 @pytest.mark.parametrize("fault", ["partial", "stale", "back"])
-def test_the_watch_sees_a_node_that_breaks_its_word(fault: str) -> None:
-    """Records made by hand: what the watch is for has to be seen."""
+def test_the_checker_finds_attempts_by_wrong_versions(fault: str) -> None:
+    """Records made by hand: the checker has to find what it is for."""
 
     def wrote(at: float, digest: str, *serving: str) -> Record:
         return Record(at, "day", "wrote", {"node": "n", "digest": digest, "serving": list(serving)})
@@ -119,7 +114,7 @@
     ]
 
 
-def test_an_engine_moved_between_kinds_with_work_out(tmp_path: Path) -> None:
+def test_an_endpoint_changes_its_kind_with_attempts_in_flight(tmp_path: Path) -> None:
     f = begin(tmp_path, "R0 R0 W0 W0", read_rate=30000.0)
     stream = f.ask("post", prompt=2000, output=200)
     f.run(0.5)
@@ -139,7 +134,7 @@
     nothing_left(f)
 
 
-def test_half_the_engines_go_while_once_only_work_is_in_flight_and_nodes_hear_seconds_apart(
+def test_half_the_endpoints_are_removed_with_attempts_in_flight_at_nodes_seconds_apart(
     tmp_path: Path,
 ) -> None:
     f = begin(tmp_path, "R0 R0 W0 W0 R1 R1 W1 W1", nodes=3, read_rate=20000.0, slots=40)
@@ -165,13 +160,13 @@
     assert set(heard) == {"n0", "n1", "n2"}
     for node, when in heard.items():
         sends = [r.at for r in f.what("got") if r.more["node"] == node and r.who[:-2] in gone]
-        assert sends and max(sends) < when + 0.5  # two quiet looks, and the grace
+        assert sends and max(sends) < when + 0.5  # two snapshots with the quiet time between, and the grace
     assert all(c.answer for c in calls) and sum(c.answer == "generated" for c in calls) > 140
     kept(f)
     nothing_left(f)
 
 
-def test_half_the_engines_at_once_wait_for_a_second_reading(tmp_path: Path) -> None:
+def test_removal_of_half_the_endpoints_waits_for_a_second_snapshot(tmp_path: Path) -> None:
     lists = MARKED.replace("most_removed: any", "most_removed: 0.4, after: 1s")
     f = begin(tmp_path, "R0 R0 W0 W0 W0", lists=lists)
     write(f, W0c=None, W0d=None, R0a=None)
@@ -181,7 +176,7 @@
     assert len(f.nodes["n0"].host.decoder.engines.index_of) == 2
 
 
-def test_a_file_without_its_last_line_is_unfinished_however_long_it_lies(tmp_path: Path) -> None:
+def test_a_file_without_its_end_mark_is_never_accepted(tmp_path: Path) -> None:
     f = begin(tmp_path)
     path = tmp_path / "list-n0" / "engines.yaml"
     whole = path.read_text()
@@ -193,12 +188,12 @@
         path.write_text(whole[: cut + 1])
         f.run(0.4)
         assert node.host.list_label == first
-        parsed += not read(["list-n0"], tmp_path).faults
+        parsed += not read_snapshot(["list-n0"], tmp_path).faults
     assert parsed > len(cuts) / 2
-    assert "write the file whole, end: yes last" in node.source.judge.refused[-1][2]
+    assert "write the file whole, end: yes last" in node.source.validator.rejections[-1].reason
 
 
-def test_a_clock_set_back_hides_no_change(tmp_path: Path) -> None:
+def test_a_modification_time_in_the_past_hides_no_change(tmp_path: Path) -> None:
     f = begin(tmp_path)
     path = tmp_path / "list-n0" / "engines.yaml"
     os.utime(path, (2e9, 2e9))
@@ -217,7 +212,7 @@
     assert f.nodes["n0"].host.list_label != again
 
 
-def test_a_file_that_may_not_be_read_any_more_keeps_the_list(tmp_path: Path, monkeypatch: object) -> None:
+def test_an_unreadable_file_leaves_the_last_list_in_use(tmp_path: Path, monkeypatch: object) -> None:
     f = begin(tmp_path)
     real, node = Path.read_bytes, f.nodes["n0"]
     label = node.host.list_label
@@ -229,14 +224,14 @@
     write(f, W0c={"weight": 3})
     f.run(0.5)
     assert node.host.list_label == label
-    assert "cannot be read: Permission denied" in node.source.judge.refused[-1][2]
+    assert "cannot be read: Permission denied" in node.source.validator.rejections[-1].reason
     monkeypatch.setattr(Path, "read_bytes", real)
     write(f, W0c={"weight": 5})
     f.run(0.5)
     assert node.host.list_label != label
 
 
-def test_two_thousand_engines_of_which_all_change_at_once(tmp_path: Path) -> None:
+def test_two_thousand_endpoints_that_all_change_at_once(tmp_path: Path) -> None:
     f = begin(tmp_path, "R0 W0 W0")
     more = {
         f"X{i}": {
@@ -263,92 +258,4 @@
     c = f.ask(prompt=2000, output=10)
     f.run(2.0)
     assert c.answer == "generated"
-    assert isinstance(node.source, WatchedList) and node.source.judge.number == 4
-
-
-class Pipes:
-    """A reactor that starts reading processes for real, and hands over what they said when asked to."""
-
-    def __init__(self) -> None:
-        self.started = []
-
-    def spawnProcess(self, protocol: object, program: str, args: list, env: object) -> None:  # noqa: N802
-        run = subprocess.Popen(args, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
-        protocol.transport = self
-        self.started.append((protocol, run))
-
-    def write(self, data: bytes) -> None:
-        run = self.started[-1][1]
-        try:
-            run.stdin.write(data)
-            run.stdin.flush()
-        except BrokenPipeError:
-            pass
-
-    def say(self) -> None:
-        """Hand over one whole reply, in two pieces, or the end of the process."""
-        protocol, run = self.started[-1]
-        head = run.stdout.read(4)
-        if len(head) < 4:
-            protocol.errReceived(run.stderr.read())
-            run.communicate()
-            protocol.processEnded(None)
-            return
-        body = run.stdout.read(int.from_bytes(head))
-        protocol.outReceived(head + body[:7])
-        protocol.outReceived(body[7:])
-
-    def end(self) -> None:
-        for _, run in self.started:
-            run.kill()
-            run.communicate()
-
-
-def test_the_reading_process_says_what_a_reading_here_says_and_its_death_loses_nothing(
-    tmp_path: Path, monkeypatch: object
-) -> None:
-    monkeypatch.setattr(aside_module, "cooperate", at_once)
-    path, pipes, readings = tmp_path / "e.yaml", Pipes(), []
-    aside = aside_module.ReadAside(pipes).start()
-    try:
-        path.write_text(
-            text_of(
-                [
-                    {"address": f"w{i}:1", "kind": "writer", "zone": "z", "cell": i, "weight": i / 7}
-                    for i in range(700)
-                ]
-            )
-        )
-        aside.read(["e.yaml"], tmp_path, True, readings.append)
-        pipes.say()
-        here = read(["e.yaml"], tmp_path, True)
-        assert readings[0]._replace(content="") == here and readings[0].content == digest_of(here.rows)
-        path.write_text(path.read_text().replace("cell: 3,", "cell: 9,").replace("cell: 3\n", "cell: 9\n"))
-        aside.read(["e.yaml"], tmp_path, True, readings.append)
-        pipes.started[-1][1].kill()  # with the request out
-        pipes.say()
-        assert len(pipes.started) == 2 and len(readings) == 1
-        pipes.say()  # asked again of a new process
-        assert readings[1]._replace(content="") == read(["e.yaml"], tmp_path, True)
-        changed = [i for i in range(700) if readings[1].rows[i] is not readings[0].rows[i]]
-        assert changed == [3]  # what is the same is the same object
-        path.write_text("engines: [")
-        aside.read(["e.yaml"], tmp_path, True, readings.append)
-        pipes.say()
-        assert readings[2].faults and readings[2].faults[0].startswith(f"{path}:1: not YAML")
-        aside.read(["e.yaml"], tmp_path, True, readings.append)
-        for _ in range(aside_module.TRIES):  # it dies each time: the list stays, and the node says why
-            pipes.started[-1][1].kill()
-            pipes.say()
-        assert "the reading process died 3 times" in readings[3].faults[0] and not readings[3].missing
-    finally:
-        pipes.end()
-
-
-def at_once(work: object) -> object:
-    """`cooperate` without a reactor."""
-    for _ in work:
-        pass
-    done = Deferred()
-    done.callback(None)
-    return SimpleNamespace(whenDone=lambda: done)
+    assert isinstance(node.source, EndpointWatcher) and node.source.validator.number == 4
--- /dev/null
+++ b/tests/test_endpoint_watcher.py
@@ -0,0 +1,168 @@
+"""Watched endpoint files: half-written, torn, renamed and lost ones, and a start from the version store."""
+
+from pathlib import Path
+from random import Random
+
+from endpointlists import list_text, make_validator
+from twisted.internet.task import Clock
+
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.membership.endpoint_watcher import EndpointWatcher, WatchConfig
+from myrtlehub.membership.snapshot import read_snapshot
+from myrtlehub.membership.version_store import VersionStore
+
+
+class WatcherRig:
+    """A watcher on a driven clock, and the list that its listener has."""
+
+    def __init__(
+        self, folder: Path, patterns: tuple[str, ...] = ("a.yaml",), store: VersionStore | None = None
+    ) -> None:
+        self.clock = Clock()
+        self.received: list[tuple[int, list[str]]] = []  # version numbers, and the addresses then
+        self.logged: list[tuple[str, dict]] = []
+        self.endpoints: dict[str, EndpointConfig] = {}
+        self.validator = make_validator(max_removed=1.0, max_flaps=10**6)
+        self.watcher = EndpointWatcher(
+            WatchConfig(patterns, folder, poll_interval=1.0, quiet_time=0.1),
+            self.validator,
+            self.clock,
+            store=store,
+            log=lambda event, **fields: self.logged.append((event, fields)),
+        )
+        self.watcher.follow(self.receive)
+
+    def receive(self, endpoints: list[EndpointConfig], complete: bool, number: int, digest: str) -> None:
+        """Be the listener."""
+        if complete:
+            self.endpoints.clear()
+        for endpoint in endpoints:
+            self.endpoints.pop(endpoint.address, None)
+            if endpoint.state != "gone":
+                self.endpoints[endpoint.address] = endpoint
+        self.received.append((number, sorted(self.endpoints)))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+
+    def names(self) -> str:
+        """Return the names that the listener has."""
+        return " ".join(address[:-2] for address in sorted(self.endpoints))
+
+    def received_names(self) -> list[str]:
+        """Return the names that the listener had, version by version."""
+        return [" ".join(address[:-2] for address in addresses) for _, addresses in self.received]
+
+
+def test_a_half_written_file_is_never_routed_by(tmp_path: Path) -> None:
+    path = tmp_path / "a.yaml"
+    before, after = list_text("r1 w1 w2"), list_text("r1 w1 w2 w3 w4")
+    path.write_text(before)
+    rig = WatcherRig(tmp_path)
+    for cut in range(len(after)):
+        # A prefix that parses as a complete list, and then lies quiet, is a list that somebody wrote.
+        snapshot = read_snapshot(("a.yaml",), tmp_path)
+        path.write_text(after[:cut])
+        rig.watcher.files_changed()
+        rig.run(0.05)
+        path.write_text(after[:cut] + " ")
+        rig.watcher.files_changed()
+        rig.run(0.05)
+        assert rig.names() == "r1 w1 w2", (cut, snapshot.faults)
+    path.write_text(after)
+    rig.watcher.files_changed()
+    rig.run(0.5)
+    assert rig.names() == "r1 w1 w2 w3 w4"
+    assert set(rig.received_names()) <= {"r1 w1 w2", "r1 w1 w2 w3 w4"}
+
+
+def test_torn_files_that_lie_quiet_are_rejected_with_line_and_fix(tmp_path: Path) -> None:
+    path = tmp_path / "a.yaml"
+    path.write_text(list_text("r1 w1 w2"))
+    rig = WatcherRig(tmp_path)
+    for torn, reason in (
+        ("engines:\n  - {address: 'r1:1', kind: rea", "a.yaml:2: not YAML"),
+        ("engines: [", "not YAML"),
+        ("engine:\n", "did you mean 'engines'?"),
+        ("", "a file of fields is wanted"),
+        (list_text("r1 w1").replace("kind: writer", "kind: wirter"), "kind 'wirter' is not among"),
+        (list_text("r1"), "no engine that serves can write"),
+    ):
+        path.write_text(torn)
+        rig.watcher.files_changed()
+        rig.run(0.5)
+        assert rig.names() == "r1 w1 w2" and rig.logged[-1][0] == "list refused"
+        assert reason in rig.logged[-1][1]["why"]
+
+
+def test_renames_symlinks_and_lost_directories_are_followed(tmp_path: Path) -> None:
+    folder = tmp_path / "d"
+    folder.mkdir()
+    (folder / "1.yaml").write_text(list_text("r1 w1"))
+    (folder / ".hidden.yaml").write_text("garbage: [")
+    rig = WatcherRig(tmp_path, ("d",))
+    (tmp_path / "new").write_text(list_text("w2"))
+    (tmp_path / "new").replace(folder / "2.yaml")  # atomic rename, found by the poll alone
+    rig.run(1.6)
+    assert rig.names() == "r1 w1 w2"
+    (tmp_path / "real").write_text(list_text("w3"))
+    (folder / "3.yaml").symlink_to(tmp_path / "real")
+    rig.run(1.6)
+    assert rig.names() == "r1 w1 w2 w3"
+    (tmp_path / "real2").write_text(list_text("w4"))
+    (tmp_path / "link").symlink_to(tmp_path / "real2")
+    (tmp_path / "link").replace(folder / "3.yaml")  # symlink swapped
+    rig.run(1.6)
+    assert rig.names() == "r1 w1 w2 w4"
+    folder.rename(tmp_path / "elsewhere")
+    rig.run(1.6)
+    assert rig.names() == "r1 w1 w2 w4" and rig.logged[-1][0] == "list refused"
+    assert rig.validator.source_lost_at is not None
+    assert rig.validator.age(rig.clock.seconds() + 5.0) > 5.0
+    folder.mkdir()
+    (folder / "9.yaml").write_text(list_text("r1 w9"))
+    rig.run(1.6)
+    assert rig.names() == "r1 w9" and rig.validator.source_lost_at is None
+    (folder / "8.yaml").write_text(list_text("w9", weight=2.0))  # two files in conflict
+    rig.run(1.6)
+    assert rig.names() == "r1 w9" and "has other figures in" in rig.logged[-1][1]["why"]
+
+
+def test_a_burst_of_complete_and_torn_writes_ends_in_the_last_valid_list(tmp_path: Path) -> None:
+    path, random = tmp_path / "a.yaml", Random(5)
+    path.write_text(list_text("r1 w1"))
+    rig, written = WatcherRig(tmp_path), {"r1 w1"}
+    for i in range(150):
+        names = f"r1 w{i % 7} w{7 + i % 3}"
+        complete = list_text(names)
+        path.write_text(complete[: random.randrange(len(complete))] if i % 3 else complete)
+        rig.watcher.files_changed()
+        rig.clock.advance(random.choice([0.01, 0.01, 0.03, 0.15]))
+        path.write_text(complete)
+        rig.watcher.files_changed()
+        written.add(" ".join(sorted(names.split())))
+        rig.clock.advance(0.01)
+    rig.run(1.0)
+    assert rig.names() == " ".join(sorted(names.split()))
+    for received in rig.received_names():
+        assert received in written
+    assert [number for number, _ in rig.received] == list(range(1, len(rig.received) + 1))
+
+
+def test_a_start_without_valid_files_uses_the_stored_version(tmp_path: Path) -> None:
+    (tmp_path / "a.yaml").write_text(list_text("r1 w1"))
+    rig = WatcherRig(tmp_path, store=VersionStore(tmp_path / "s.db"))
+    (tmp_path / "a.yaml").write_text(list_text("r1 w1 w2"))
+    rig.run(1.6)
+    rig.watcher.store.close()
+    (tmp_path / "a.yaml").unlink()
+    rig = WatcherRig(tmp_path, store=VersionStore(tmp_path / "s.db"))
+    version = rig.validator.version
+    assert rig.names() == "r1 w1 w2" and version.from_store and "version 2" in version.source
+    (tmp_path / "a.yaml").write_text(list_text("r1 w5"))
+    rig.run(1.6)
+    version = rig.validator.version
+    assert rig.names() == "r1 w5" and not version.from_store and version.number == 4
+    rig.watcher.store.close()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -367,12 +367,12 @@
 
 class IgnoresDrains(ActionExecutor):
     def update_endpoints(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
-        super().update_endpoints([r.having(state="serving") for r in rows], whole)
+        super().update_endpoints([r.with_fields(state="serving") for r in rows], whole)
 
 
 class ForgetsAge(ActionExecutor):
     def update_endpoints(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
-        super().update_endpoints([r.having(age=0.0) for r in rows], whole)
+        super().update_endpoints([r.with_fields(age=0.0) for r in rows], whole)
 
 
 class KeepsStates(ActionExecutor):
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -10,8 +10,8 @@
 from fleet import Fleet
 from test_path import kept, nothing_left
 
-from myrtlehub.config.load import Faults, parse
-from myrtlehub.config.sheets import NodeSheet
+from myrtlehub.config.loader import ConfigError, parse_config
+from myrtlehub.config.node import NodeConfig
 from myrtlehub.lab.day import free_ports
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.router_config import router_config_of
@@ -98,8 +98,8 @@
     moved_file = CHAT_ONLY.replace("hold: no}", "hold: no, probe: yes}")
     moved_file += "reports: {how: probe, probe_price: 0.01}\n"
     plain, probed = (
-        router_config_of(parse(CHAT_ONLY, NodeSheet)),
-        router_config_of(parse(moved_file, NodeSheet)),
+        router_config_of(parse_config(CHAT_ONLY, NodeConfig)),
+        router_config_of(parse_config(moved_file, NodeConfig)),
     )
     assert (plain.load_by_probe_only, plain.probe_price, plain.may_probe) == (False, 0.0, False)
     assert (probed.load_by_probe_only, probed.probe_price, probed.may_probe) == (True, 0.01, True)
@@ -116,8 +116,8 @@
     ],
 )
 def test_a_file_that_mixes_the_shapes_is_refused_by_key(text: str, key: str) -> None:
-    with pytest.raises(Faults) as caught:
-        parse(text, NodeSheet, "n.yaml")
+    with pytest.raises(ConfigError) as caught:
+        parse_config(text, NodeConfig, "n.yaml")
     assert len(caught.value.lines) == 1 and f"file: {key}: " in caught.value.lines[0]
 
 
--- a/tests/test_retries.py
+++ b/tests/test_retry_budget.py
@@ -1,4 +1,4 @@
-"""Retry budgets: what a storm of repeats may cost, and that nobody is shut out."""
+"""Retry budgets: what a retry storm may cost, and that nobody is shut out."""
 
 from collections import Counter
 from random import Random
@@ -8,44 +8,47 @@
 from hypothesis import strategies as st
 from test_path import kept, nothing_left
 
-from myrtlehub.limits import retries
-from myrtlehub.limits.retries import RetryBudget
+from myrtlehub.limits import retry_budget
+from myrtlehub.limits.retry_budget import RetryBudget
 
-TRIES = st.lists(st.tuples(st.booleans(), st.sampled_from("ab"), st.floats(0.0, 0.5)), max_size=300)
+ATTEMPTS = st.lists(st.tuples(st.booleans(), st.sampled_from("ab"), st.floats(0.0, 0.5)), max_size=300)
 
 
-@given(TRIES, st.sampled_from([0.0, 0.2, 1.0]))
-def test_repeats_that_go_on_are_bounded_by_what_first_tries_earned(tries: list, ratio: float) -> None:
+@given(ATTEMPTS, st.sampled_from([0.0, 0.2, 1.0]))
+def test_admitted_retries_are_bounded_by_what_first_attempts_earned(attempts: list, ratio: float) -> None:
     budget, now = RetryBudget(ratio, Random(1)), 0.0
-    first, let = Counter(), Counter()
-    for is_first, tenant, gap in tries:
+    first, admitted = Counter(), Counter()
+    for is_first, tenant, gap in attempts:
         now += gap
         if is_first:
-            budget.first(now, tenant)
+            budget.record_first_attempt(now, tenant)
             first[tenant] += 1
             continue
-        wait = budget.repeat(now, tenant, 2.0)
-        let[tenant] += wait is None
-        assert wait is None or 1.0 <= wait <= 2.0 * retries.GROWTH
-        assert let[tenant] <= retries.BURST + ratio * first[tenant] + retries.REFILL * now + 1e-6
-    assert len(budget._rows) <= 2
+        wait = budget.spend_retry(now, tenant, 2.0)
+        admitted[tenant] += wait is None
+        assert wait is None or 1.0 <= wait <= 2.0 * retry_budget.MAX_WAIT_GROWTH
+        assert (
+            admitted[tenant]
+            <= retry_budget.BURST + ratio * first[tenant] + retry_budget.REFILL_PER_S * now + 1e-6
+        )
+    assert len(budget._credits) <= 2
 
 
-def test_waits_grow_for_who_hammers_and_a_lone_client_is_never_shut_out() -> None:
+def test_retry_after_grows_under_load_and_a_lone_client_is_never_shut_out() -> None:
     budget = RetryBudget(0.2, Random(1))
-    for _ in range(int(retries.BURST)):
-        assert budget.repeat(0.0, "t", 2.0) is None
-    waits = [budget.repeat(0.0, "t", 2.0) for _ in range(200)]
+    for _ in range(int(retry_budget.BURST)):
+        assert budget.spend_retry(0.0, "t", 2.0) is None
+    waits = [budget.spend_retry(0.0, "t", 2.0) for _ in range(200)]
     assert sum(waits[:20]) < sum(waits[-20:]) and len(set(waits)) > 190  # and spread
-    assert budget.repeat(0.0, "other", 2.0) is None
-    assert budget.repeat(15.0, "t", 2.0) is None
+    assert budget.spend_retry(0.0, "other", 2.0) is None
+    assert budget.spend_retry(15.0, "t", 2.0) is None
     for i in range(5000):
-        budget.first(20.0, f"t{i}")
-    assert len(budget._rows) == retries.TENANTS
+        budget.record_first_attempt(20.0, f"t{i}")
+    assert len(budget._credits) == retry_budget.MAX_TENANTS
 
 
 def storm(ratio: str) -> tuple[float, Fleet]:
-    """Two writers are down for 3 s while clients come and come again; attempts at engines a first try."""
+    """Count attempts at engines for each first one, while two writers are down for 3 s and clients retry."""
     f = Fleet("W0 W0", slots=20, step="5ms", more=f"limits: {{retries: {ratio}}}")
     for name in f.stands:
         f.misbehave(name, "refuse", factor=1.0, seconds=3.0)
@@ -72,7 +75,7 @@
     return len(f.what("got")) / firsts, f
 
 
-def test_a_storm_after_an_outage_is_bounded() -> None:
+def test_a_retry_storm_after_an_outage_is_bounded() -> None:
     without, _ = storm("any")
     with_it, f = storm("0.2")
     assert with_it < 0.5 * without, (without, with_it)
--- a/tests/test_rollout_controller.py
+++ b/tests/test_rollout_controller.py
@@ -12,8 +12,8 @@
 import pytest
 from fleet import Fleet
 
-from myrtlehub.config.load import parse
-from myrtlehub.config.plans import PlanSheet
+from myrtlehub.config.loader import parse_config
+from myrtlehub.config.rollout_plan import RolloutPlanConfig
 from myrtlehub.node.node import Node
 from myrtlehub.rollout.journal_format import decode_journal, encode_line
 from myrtlehub.rollout_controller.controller import RolloutController
@@ -144,7 +144,7 @@
             if self.dead:
                 raise KilledError(name)
 
-        sheet = parse(self.text, PlanSheet)
+        sheet = parse_config(self.text, RolloutPlanConfig)
         self.steps = steps
         self.controller = RolloutController(
             sheet,
@@ -317,7 +317,7 @@
     text = rig.text.replace("one.journal", "two.journal")
     other.__dict__.update(rig.__dict__, codes=[], said=[], text=text)
     (tmp_path / "two.journal").write_bytes((tmp_path / "one.journal").read_bytes())  # on another machine
-    sheet = parse(other.text, PlanSheet)
+    sheet = parse_config(other.text, RolloutPlanConfig)
     second = RolloutController(
         sheet,
         rig.text,
--- /dev/null
+++ b/tests/test_validation.py
@@ -0,0 +1,152 @@
+"""List versions and their validation: what is accepted, deferred, rejected and damped."""
+
+import pytest
+from endpointlists import make_endpoint, make_endpoints, make_validator
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.membership.list_version import compare_versions, make_version
+from myrtlehub.membership.validation import ValidationOutcome
+
+NO_WRITER = "no engine that serves can write"
+
+
+def test_difference_leads_from_one_version_to_the_next() -> None:
+    before = make_version(1, make_endpoints("r1 w1 w2 w3"), "t", 0.0)
+    listed = [
+        make_endpoint("r1"),
+        make_endpoint("w1", state="draining"),
+        make_endpoint("w2", weight=0.0),
+        make_endpoint("w4", cell=2),
+    ]
+    after = make_version(2, listed, "t", 1.0)
+    difference = compare_versions(before.endpoints, after.endpoints)
+    assert [e.address for e in difference.added] == ["w4:1"] and [e.address for e in difference.removed] == [
+        "w3:1"
+    ]
+    assert [e.address for e in difference.draining] == ["w1:1"]
+    changed = [(e.address, e.state, fields) for e, fields in difference.changed]
+    assert changed == [("w2:1", "draining", ("weight", "state"))]
+
+
+def test_order_of_endpoints_makes_no_new_version() -> None:
+    before = make_version(1, make_endpoints("r1 w1 w2 w3"), "t", 0.0)
+    reordered = make_version(9, reversed(make_endpoints("r1 w1 w2 w3")), "t", 5.0)
+    assert not compare_versions(before.endpoints, reordered.endpoints)
+    digests = {
+        make_version(1, make_endpoints("r1 w1"), "t", 0.0).digest,
+        make_version(7, make_endpoints("w1 r1"), "u", 9.0).digest,
+    }
+    assert len(digests) == 1
+
+
+@pytest.mark.parametrize(
+    ("listed", "reason"),
+    [
+        (make_endpoints("r1"), NO_WRITER),
+        (make_endpoints("w1"), "no engine that serves can read"),
+        (make_endpoints("r1 w1 w1"), "w1:1 is listed twice, with the same figures"),
+        (
+            [*make_endpoints("r1 w1"), make_endpoint("w1", weight=2.0)],
+            "w1:1 is listed twice, with different figures",
+        ),
+        ([*make_endpoints("r1 w1"), make_endpoint("r2", cell=3)], "cell 3 has readers and no writer"),
+        (
+            [*make_endpoints("r1 w1"), make_endpoint("w2", kind="mixer")],
+            "kind 'mixer' is not among kinds: reader, writer",
+        ),
+        ([*make_endpoints("r1 w1"), make_endpoint("w2", zone="y")], "zone 'y' is not among zones: z"),
+        (make_endpoints("r1 w1", state="draining"), NO_WRITER),
+        ([], NO_WRITER),
+        (make_endpoints("r1 w1", weight=0.0), NO_WRITER),
+    ],
+)
+def test_lists_that_cannot_be_routed_by_are_rejected_and_the_last_stays(
+    listed: list[EndpointConfig], reason: str
+) -> None:
+    validator = make_validator()
+    assert validator.validate(0.0, make_endpoints("r1 w1 w2"), "t").outcome == ValidationOutcome.ACCEPTED
+    verdict = validator.validate(1.0, listed, "t")
+    assert verdict.outcome == ValidationOutcome.REJECTED and reason in verdict.reason
+    assert validator.version.number == 1 and len(validator.version.endpoints) == 3
+    assert reason in validator.rejections[-1].reason
+    validator.validate(2.0, listed, "t")
+    assert len(validator.rejections) == 1  # remembered once, not for each snapshot
+
+
+def test_large_removal_waits_for_a_second_snapshot() -> None:
+    many, few = make_endpoints("r1 w1 w2 w3 w4 w5"), make_endpoints("r1 w1")
+    validator = make_validator(max_removed=0.5, confirm_after=2.0)
+    validator.validate(0.0, many, "t")
+    verdict = validator.validate(1.0, few, "t")
+    assert verdict.outcome == ValidationOutcome.DEFERRED and "67%" in verdict.reason
+    assert verdict.recheck_at == 3.0
+    assert validator.validate(2.0, few, "t").outcome == ValidationOutcome.DEFERRED
+    assert validator.validate(2.5, many, "t").outcome == ValidationOutcome.UNCHANGED
+    again = validator.validate(2.6, few, "t")
+    assert again.recheck_at == pytest.approx(4.6)  # it was undone meanwhile: it waits anew
+    accepted = validator.validate(4.6, few, "t")
+    assert accepted.outcome == ValidationOutcome.ACCEPTED
+    assert len(accepted.difference.removed) == 4 and accepted.version.number == 2
+
+
+def test_large_removal_of_unresponsive_endpoints_is_accepted() -> None:
+    validator = make_validator(max_removed=0.5)
+    validator.validate(0.0, make_endpoints("r1 w1 w2 w3 w4 w5"), "t")
+    verdict = validator.validate(1.0, make_endpoints("r1 w1"), "t", unresponsive=frozenset({"w4:1", "w5:1"}))
+    assert verdict.outcome == ValidationOutcome.ACCEPTED
+
+
+def test_confirmation_of_removals_can_be_switched_off() -> None:
+    validator = make_validator(max_removed=1.0)  # "any"
+    validator.validate(0.0, make_endpoints("r1 w1 w2 w3 w4 w5"), "t")
+    assert validator.validate(0.1, make_endpoints("r1 w1"), "t").outcome == ValidationOutcome.ACCEPTED
+
+
+def test_draining_counts_as_removal() -> None:
+    validator = make_validator(max_removed=0.5)
+    validator.validate(0.0, make_endpoints("r1 w1 w2 w3 w4 w5"), "t")
+    drained = [*make_endpoints("r1 w1"), *make_endpoints("w2 w3 w4 w5", state="draining")]
+    assert validator.validate(1.0, drained, "t").outcome == ValidationOutcome.DEFERRED
+
+
+def test_flapping_endpoint_is_damped() -> None:
+    validator = make_validator(max_flaps=3, flap_window=30.0, flap_quiet_time=10.0)
+    states, recheck_times = [], []
+    for i in range(12):
+        verdict = validator.validate(float(i), make_endpoints("r1 w1 w2" if i % 2 else "r1 w1 w2 w3"), "t")
+        recheck_times.append(verdict.recheck_at)
+        endpoints = validator.version.endpoints
+        states.append(endpoints["w3:1"].state if "w3:1" in endpoints else "-")
+    assert states[:3] == ["serving", "-", "serving"] and set(states[5:]) <= {"draining", "-"}
+    assert recheck_times[10] == 13.0  # ten seconds after the last change that was accepted
+    quiet = validator.validate(40.0, make_endpoints("r1 w1 w2 w3"), "t")
+    assert quiet.outcome in (ValidationOutcome.ACCEPTED, ValidationOutcome.UNCHANGED)
+    assert validator.version.endpoints["w3:1"].state == "serving"
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.sampled_from(["r1 w1", "r1 w1 w2", "r1 r2 w1 w2 w3", "r1 w9", "", "r1", "w1", "lost"]), max_size=12
+    )
+)
+def test_listener_always_has_the_last_valid_list(snapshots: list[str]) -> None:
+    validator = make_validator(max_removed=1.0, max_flaps=99)
+    followed: dict[str, EndpointConfig] = {}
+    last_valid: list[EndpointConfig] = []
+    for i, names in enumerate(snapshots):
+        if names == "lost":
+            verdict = validator.source_lost(float(i), "t", "gone")
+        else:
+            verdict = validator.validate(float(i), make_endpoints(names), "t")
+        if verdict.outcome == ValidationOutcome.ACCEPTED:
+            complete = verdict.version.endpoints.values()
+            for endpoint in verdict.difference.updates() if verdict.difference else complete:
+                followed.pop(endpoint.address, None)
+                if endpoint.state != "gone":
+                    followed[endpoint.address] = endpoint
+        if names not in ("", "r1", "w1", "lost"):
+            last_valid = make_endpoints(names)
+    assert followed == {endpoint.address: endpoint for endpoint in last_valid}
--- /dev/null
+++ b/tests/test_version_store.py
@@ -0,0 +1,104 @@
+"""The version store: flipped bits, later schema versions, and a process killed at each step of a save."""
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from endpointlists import list_text, make_endpoints, make_validator
+from twisted.internet.task import Clock
+
+from myrtlehub.membership.endpoint_watcher import EndpointWatcher, WatchConfig
+from myrtlehub.membership.list_version import make_version
+from myrtlehub.membership.version_store import VersionStore, VersionStoreError
+
+
+def test_a_corrupted_or_truncated_store_is_not_used(tmp_path: Path) -> None:
+    path = tmp_path / "s.db"
+    store = VersionStore(path)
+    store.save(make_version(1, make_endpoints("r1 w1"), "t", 0.0))
+    store.save(make_version(2, make_endpoints("r1 w1 w2"), "t", 0.0))
+    store.close()
+    intact = path.read_bytes()
+    used = 0
+    for at in range(0, len(intact), 37):
+        path.write_bytes(intact[:at] + bytes([intact[at] ^ 0x10]) + intact[at + 1 :])
+        for extra in ("-wal", "-shm"):
+            Path(f"{path}{extra}").unlink(missing_ok=True)
+        store = VersionStore(path)
+        try:
+            found = store.load_latest()
+        except VersionStoreError:
+            continue
+        finally:
+            store.close()
+        if found is not None:
+            used += 1
+            addresses = [endpoint.address for endpoint in found.endpoints]
+            assert addresses in (["r1:1", "w1:1"], ["r1:1", "w1:1", "w2:1"]), at
+    assert used > 10
+    path.write_bytes(intact[: len(intact) // 2])
+    with pytest.raises(VersionStoreError):
+        VersionStore(path).load_latest()
+
+
+def test_a_store_of_a_later_schema_is_reported_and_not_changed(tmp_path: Path) -> None:
+    """As after a rollback of the program."""
+    path = tmp_path / "s.db"
+    later = VersionStore(path)
+    later.save(make_version(1, make_endpoints("r1 w1"), "t", 0.0))
+    later._connection.execute("ALTER TABLE versions ADD COLUMN more TEXT NOT NULL DEFAULT ''")
+    same_schema = VersionStore(path)
+    assert same_schema.load_latest().number == 1  # one column more is no hindrance
+    same_schema.close()  # an open connection would keep the log from being written back
+    later._connection.execute("INSERT INTO versions SELECT 7, source, digest, sum, rows, 'x' FROM versions")
+    later._connection.execute("PRAGMA user_version=2")
+    later.close()
+    before = path.read_bytes()
+    store = VersionStore(path)
+    with pytest.raises(VersionStoreError, match="of form 2, and this version knows forms up to 1"):
+        store.save(make_version(8, make_endpoints("r1 w1 w2"), "t", 0.0))
+    listed = tmp_path / "list"
+    listed.mkdir()
+    (listed / "engines.yaml").write_text(list_text("reader1 w1"))
+    received: list[int] = []
+    logged: list[str] = []
+    clock = Clock()
+    watcher = EndpointWatcher(
+        WatchConfig([str(listed)], tmp_path, poll_interval=1.0, quiet_time=0.1),
+        make_validator(),
+        clock,
+        store=store,
+        log=lambda event, **fields: logged.append(event),
+    )
+    watcher.follow(lambda endpoints, *more: received.append(len(endpoints)))
+    clock.pump([0.5] * 10)
+    assert received and {"store not used", "list not stored"} & set(logged)
+    assert path.read_bytes() == before
+
+
+SAVE_AND_BE_KILLED = """
+import os, signal, sys
+sys.path[:0] = [{root!r}, {tests!r}]
+from endpointlists import make_endpoints
+from myrtlehub.membership.list_version import make_version
+from myrtlehub.membership.version_store import VersionStore
+def on_step(name):
+    if name == sys.argv[1]:
+        os.kill(os.getpid(), signal.SIGKILL)
+VersionStore(sys.argv[2], on_step).save(make_version(2, make_endpoints("r1 w1 w2"), "t", 0.0))
+"""
+
+
+@pytest.mark.parametrize("step", ["open", "begin", "insert", "prune", "commit", "done"])
+def test_a_save_killed_at_any_step_leaves_an_intact_version(step: str, tmp_path: Path) -> None:
+    path, here = tmp_path / "s.db", Path(__file__).parent
+    store = VersionStore(path)
+    store.save(make_version(1, make_endpoints("r1 w1"), "t", 0.0))
+    store.close()
+    script = SAVE_AND_BE_KILLED.format(root=str(here.parent), tests=str(here))
+    run = subprocess.run([sys.executable, "-c", script, step, path], timeout=60)
+    assert run.returncode == -signal.SIGKILL
+    found = VersionStore(path).load_latest()
+    assert (found.number, len(found.endpoints)) == ((2, 3) if step == "done" else (1, 2))
