Relay: log protocol of the node, slots of exchange, sink and pending request

Change: relay uses node.protocols.Log; ServerExchange, PendingRequest and ExchangeSink have slots; parameters of the response sink are named as in its protocol.

--- a/myrtlehub/http1/pending_request.py
+++ b/myrtlehub/http1/pending_request.py
@@ -13,6 +13,20 @@
 class PendingRequest:
     """One request on its way. `still_wanted` is asked before the first byte is written."""
 
+    __slots__ = (
+        "address",
+        "connecting",
+        "connection",
+        "finished",
+        "handler",
+        "key",
+        "paused",
+        "pool",
+        "ready_since",
+        "request",
+        "still_wanted",
+    )
+
     def __init__(
         self,
         pool: "ConnectionPool",
--- a/myrtlehub/http1/server_exchange.py
+++ b/myrtlehub/http1/server_exchange.py
@@ -25,6 +25,8 @@
 class ServerExchange:
     """One request and its response. Whoever responds sets `on_lost`, `on_pause` and `on_resume`."""
 
+    __slots__ = ("_connection", "finished", "on_lost", "on_pause", "on_resume", "request", "started")
+
     def __init__(self, connection: "ServerConnection", request: ServerRequest) -> None:
         self._connection = connection
         self.request = request
--- a/myrtlehub/relay/client_front.py
+++ b/myrtlehub/relay/client_front.py
@@ -17,6 +17,8 @@
 class ExchangeSink:
     """The action executor's response sink of one sequence: writes to the client's exchange."""
 
+    __slots__ = ("exchange", "front", "sequence", "sequence_id")
+
     def __init__(self, front: "ClientFront", exchange: ServerExchange, sequence_id: str) -> None:
         self.front = front
         self.exchange = exchange
@@ -26,21 +28,21 @@
         exchange.on_pause = self._on_pause
         exchange.on_resume = self._on_resume
 
-    def tokens(self, raw: bytes) -> None:
+    def tokens(self, message: bytes) -> None:
         """Pass events on to the client."""
         if not self.exchange.started:
             self.exchange.start_stream(200, STREAM_HEADERS)
-        self.exchange.write(raw)
+        self.exchange.write(message)
 
     def generated(self, tokens: int) -> None:
         """End the stream."""
         self._detach()
         self.exchange.finish()
 
-    def rejected(self, wait: float) -> None:
-        """Respond that nothing ran, or that it may run again, `wait` seconds from now if that is not 0."""
+    def rejected(self, retry_after: float) -> None:
+        """Respond that nothing ran, or that it may run again, after `retry_after` seconds if that is not 0."""
         self._detach()
-        self.exchange.respond(503, ((b"Retry-After", b"%.3f" % wait),) if wait else ())
+        self.exchange.respond(503, ((b"Retry-After", b"%.3f" % retry_after),) if retry_after else ())
 
     def aborted(self, reason: str) -> None:
         """Respond without a promise, or end a stream that has begun."""
--- a/myrtlehub/relay/engine_client.py
+++ b/myrtlehub/relay/engine_client.py
@@ -6,9 +6,10 @@
 from myrtlehub.http1.connection_pool import NEW_CONNECTION, ConnectionPool
 from myrtlehub.http1.interfaces import Clock
 from myrtlehub.node.action_executor import ActionExecutor, Attempt
+from myrtlehub.node.protocols import Log
 from myrtlehub.relay.attempt_response import AttemptResponseHandler
 from myrtlehub.relay.engine_directory import EngineDirectory
-from myrtlehub.relay.event_log import Log, no_log
+from myrtlehub.relay.event_log import no_log
 from myrtlehub.relay.one_shot_response import OneShotResponse
 from myrtlehub.relay.parsing import parse_load_report
 from myrtlehub.relay.request_decoder import RequestDecoder
--- a/myrtlehub/relay/event_log.py
+++ b/myrtlehub/relay/event_log.py
@@ -1,14 +1,5 @@
-"""The log that the relay's parts write to."""
+"""The log of events where nobody reads it; `node.protocols.Log` says what a log is."""
 
-from typing import Any, Protocol
 
-
-class Log(Protocol):
-    """Writes one event with its fields."""
-
-    def __call__(self, event: str, **fields: Any) -> None:  # noqa: ANN401
-        """Write it."""
-
-
-def no_log(event: str, **fields: Any) -> None:  # noqa: ANN401
+def no_log(event: str, **fields: object) -> None:
     """Write nothing."""
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -8,12 +8,13 @@
 from myrtlehub.http1.interfaces import Clock
 from myrtlehub.http1.listener import ConnectionListener
 from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.node.protocols import Log
 from myrtlehub.relay.client_front import ClientFront
 from myrtlehub.relay.discovery_client import CONNECT_TIMEOUT_S, DiscoveryClient
 from myrtlehub.relay.endpoint_list import EndpointListDecoder, EndpointListUpdate
 from myrtlehub.relay.engine_client import EngineClient
 from myrtlehub.relay.errors import EndpointListError
-from myrtlehub.relay.event_log import Log, no_log
+from myrtlehub.relay.event_log import no_log
 from myrtlehub.relay.node_settings import NodeSettings, router_config_of
 from myrtlehub.relay.platform_limits import platform_limits_of
 from myrtlehub.relay.request_decoder import RequestDecoder
--- a/myrtlehub/relay/settings_reload.py
+++ b/myrtlehub/relay/settings_reload.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from myrtlehub.node.protocols import Log
 from myrtlehub.relay.errors import SettingsError
-from myrtlehub.relay.event_log import Log
 from myrtlehub.relay.node_settings import NodeSettings, read_node_settings
 
 
