--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,11 @@
 	$(VENV)/bin/ruff check --fix
 
 # All tests, or one part's: `make test PART=recovery` runs those that name the part in file or test name.
-# Tests that start programs are in few groups (`xdist_group`): a group's tests run one after another.
+# Tests that start programs are in few groups (tests/program_groups.py), run one after another.
 PART :=
 WORKERS := 6
 test: lint
-	PYTHONHASHSEED=1 $(PY) -m pytest -q -n $(WORKERS) --dist loadgroup $(if $(PART),-k "$(PART)")
+	PYTHONHASHSEED=1 $(PY) -m pytest -q -n $(WORKERS) $(if $(PART),-k "$(PART)")
 
 protos: setup
 	.ci/protos
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -4,7 +4,6 @@
 lines, or names that is no test, ends the run: the list is short, and does not outlive its tests.
 """
 
-from collections.abc import Container
 from pathlib import Path
 
 import pytest
@@ -27,11 +26,6 @@
     return known
 
 
-def plain_id(node_id: str, known: Container[str]) -> str:
-    """Return a test's id without the group that pytest-xdist appends to it as `@GROUP`."""
-    return node_id if node_id in known else node_id.rpartition("@")[0] or node_id
-
-
 class KnownRed:
     """Lets these tests fail, and says at the end how each did."""
 
@@ -40,7 +34,7 @@
 
     @pytest.hookimpl(trylast=True)
     def pytest_collection_modifyitems(self, session: pytest.Session, items: list[pytest.Item]) -> None:
-        there = {plain_id(item.nodeid, self.known): item for item in items}
+        there = {item.nodeid: item for item in items}
         files = {item.nodeid.partition("::")[0] for item in items}
         for name, (cause, issue) in self.known.items():
             file = name.partition("::")[0]
@@ -50,9 +44,8 @@
                 raise pytest.UsageError(f"KNOWN-RED.txt: {name} is no test")
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
-        name = plain_id(report.nodeid, self.known)
-        if name in self.known and (report.when == "call" or report.outcome != "passed"):
-            self.outcomes[name] = "failed" if report.outcome == "skipped" else report.outcome
+        if report.nodeid in self.known and (report.when == "call" or report.outcome != "passed"):
+            self.outcomes[report.nodeid] = "failed" if report.outcome == "skipped" else report.outcome
 
     def pytest_terminal_summary(self, terminalreporter: object) -> None:
         for name, outcome in self.outcomes.items():
--- a/tests/program_groups.py
+++ b/tests/program_groups.py
@@ -1,7 +1,8 @@
 """Groups of tests that start programs: a group's tests run one after another, on one worker of pytest-xdist.
 
 So at most as many of them run at once as there are groups, however many workers there are: they are bound to
-real time, and programs of two tests neither take one another's ports nor all cores.
+real time, and programs of two tests neither take one another's ports nor all cores. All other tests go to
+whichever worker is free.
 """
 
 from pathlib import Path
@@ -18,13 +19,24 @@
 }
 
 
-@pytest.hookimpl(tryfirst=True)
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Mark each test that starts programs with its group."""
-    for item in items:
-        group = GROUP_OF_FILE.get(item.path.name)
-        if group is not None:
-            item.add_marker(pytest.mark.xdist_group(group))
+def group_of(node_id: str) -> str:
+    """Return the group of a test; a test that starts no program is a group of its own."""
+    return GROUP_OF_FILE.get(Path(node_id.partition("::")[0]).name, node_id)
+
+
+class ProgramGroupPlugin:
+    """Has pytest-xdist schedule by these groups."""
+
+    @pytest.hookimpl
+    def pytest_xdist_make_scheduler(self, config: pytest.Config, log: object) -> object:
+        """Make the scheduler of a run with workers."""
+        from xdist.scheduler import LoadScopeScheduling
+
+        class GroupScheduling(LoadScopeScheduling):
+            def _split_scope(self, nodeid: str) -> str:
+                return group_of(nodeid)
+
+        return GroupScheduling(config, log)
 
 
 def pytest_configure(config: pytest.Config) -> None:
@@ -37,3 +49,5 @@
     missing = [name for name in GROUP_OF_FILE if not (folder / name).exists()]
     if missing:
         raise pytest.UsageError(f"program_groups.py: there is no {', '.join(missing)}")
+    if config.pluginmanager.hasplugin("xdist"):
+        config.pluginmanager.register(ProgramGroupPlugin(), "program groups")
