--- a/myrtlehub/relay/client_front.py
+++ b/myrtlehub/relay/client_front.py
@@ -40,7 +40,7 @@
         self.exchange.finish()
 
     def rejected(self, retry_after: float) -> None:
-        """Respond that nothing ran, or that it may run again, after `retry_after` seconds if that is not 0."""
+        """Respond that nothing ran, or that it may run again; `retry_after` in seconds, 0 for none."""
         self._detach()
         self.exchange.respond(503, ((b"Retry-After", b"%.3f" % retry_after),) if retry_after else ())
 
