--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -270,6 +270,15 @@
         decode_journal(encode_line(JournalHeader(FORMAT_VERSION + 1, "p", [])))
 
 
+def test_a_line_has_the_bytes_of_earlier_versions() -> None:
+    entry = JournalEntry(1.5, "quit", 2, "w", {"a": 1})
+    line = b'15be43bb2f545f5c {"at":1.5,"event":"quit","who":2,"why":"w","more":{"a":1}}\n'
+    assert encode_line(entry) == line
+    assert encode_line(JournalEntry(1.5, "quit")) == b'a288c3d4b56a59a3 {"at":1.5,"event":"quit"}\n'
+    header = encode_line(JournalHeader(FORMAT_VERSION, "p", ["a"]))
+    assert decode_journal(header + line).entries == [entry]
+
+
 def test_orders_of_an_older_controller_are_refused_in_words() -> None:
     validator = OrderValidator("run1")
     assert not validator.refusal(Order(FORMAT_VERSION, 2, "x", "run1")) and not validator.refusal(
