--- a/examples/ask_twisted.py
+++ b/examples/ask_twisted.py
@@ -1,4 +1,4 @@
-"""Ask from a Twisted program: python examples/ask_twisted.py 127.0.0.1:7100"""
+"""Ask from a Twisted program: `python examples/ask_twisted.py 127.0.0.1:7100`."""
 
 import sys
 
--- a/examples/book_aio.py
+++ b/examples/book_aio.py
@@ -1,4 +1,4 @@
-"""Book an entry, which must never run twice, with asyncio: python examples/book_aio.py 127.0.0.1:7100"""
+"""Book an entry, which must never run twice, with asyncio: `python examples/book_aio.py 127.0.0.1:7100`."""
 
 import asyncio
 import sys
@@ -8,6 +8,7 @@
 
 
 async def main(address: str) -> None:
+    """Book one entry at the node of this address."""
     async with Client(address) as client:
         stream = client.generate(
             Ask("post", prompt_tokens=900, most_output=40, mark="invoice-1044", within=20.0)
--- a/examples/rollout.py
+++ b/examples/rollout.py
@@ -1,5 +1,6 @@
-"""A rolling change to try: two stand-in engines, three nodes, some traffic, and `hub-rollout run` on
-examples/rolling-settings.yaml. Everything runs on loopback and ends by itself. Simulated.
+"""Try a rollout: two emulated engines, three nodes, some traffic, and `hub-rollout run`.
+
+The plan is examples/rolling-settings.yaml. Everything runs on loopback and ends by itself. Simulated.
 
     python examples/rollout.py
 """
--- a/examples/takeover.py
+++ b/examples/takeover.py
@@ -1,4 +1,5 @@
-"""A stream that survives its node: two stand-in engines, three nodes, one of them killed amid an answer.
+"""Try a takeover: two emulated engines and three nodes, one of them killed amid an answer.
+
 Everything runs on loopback and ends by itself. Simulated.
 
     python examples/takeover.py
--- a/myrtlehub/client/batches.py
+++ b/myrtlehub/client/batches.py
@@ -146,8 +146,10 @@
         dimensions: int = 0,
         normalise: bool = False,
     ) -> Iterator[tuple[int, array | BadInput]]:
-        """Index and vector, as they are ready. What came stands, whatever is raised at the end; it is not
-        tried again by itself once something came, as another try may find another version.
+        """Yield index and vector as they are ready.
+
+        What came stands, whatever is raised at the end; once something came it is not retried, as another
+        attempt may find another version of the model.
         """
         request = pb.EmbedRequest(inputs=inputs_of(texts, tokens), dimensions=dimensions, normalise=normalise)
         for reply in self._call(EMBED + "Stream", request, pb.EmbedReply, ask):
--- a/myrtlehub/client/tx.py
+++ b/myrtlehub/client/tx.py
@@ -96,8 +96,9 @@
 
 
 class Client:
-    """Sequences at one node, on a channel of the caller's; `others`: nodes at which it comes back for what
-    the first has lost.
+    """Sequences at one node, on a channel of the caller's.
+
+    `others`: nodes at which it resumes what the first one lost.
     """
 
     def __init__(
--- a/myrtlehub/proto/__init__.py
+++ b/myrtlehub/proto/__init__.py
@@ -0,0 +1,1 @@
+"""The public services: `.proto` files, and the code that protoc generates from them."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,1 +1,3 @@
+"""Plugins of the test run."""
+
 pytest_plugins = ["known_red", "program_groups", "socketrig"]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,6 +1,4 @@
-"""A whole fleet in one process: real nodes, engines and clients on an in-memory network and a driven
-clock.
-"""
+"""A fleet in one process: real nodes, engines and clients, a network in memory and a driven clock."""
 
 from pathlib import Path
 
--- a/tests/memnet.py
+++ b/tests/memnet.py
@@ -7,6 +7,8 @@
 
 
 class Address:
+    """An address as transports show it."""
+
     def __init__(self, host: str) -> None:
         self.host, self.port = host, 1
 
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -91,9 +91,7 @@
 
 
 def bytes_of_stream(cut_at: int) -> tuple[Fleet, Caller, int]:
-    """A post that is written without a reader; its writer dies once `cut_at` bytes of its stream have
-    crossed.
-    """
+    """Run a post without a reader whose writer dies once `cut_at` bytes of its stream have crossed."""
     f = Fleet("W0", step="10ms")
     warm = f.ask("ask", prompt=10, output=10)
     f.run(0.5)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -194,7 +194,7 @@
     f.run(6.0)
     answers = [c.answer for c in calls]
     assert set(answers) == {"aborted", "generated"} or set(answers) == {"aborted"}
-    assert len([r for r in f.what("final")]) == 16
+    assert len(f.what("final")) == 16
     kept(f)
     nothing_left(f)
 
@@ -341,6 +341,8 @@
 
 
 class TellsTwice(ActionExecutor):
+    """Sends a rejection twice."""
+
     def _reject(self, action: contract.Reject) -> None:
         client = self.in_flight[action.sequence].client
         client.call.finish = lambda *args: None
@@ -349,11 +351,15 @@
 
 
 class Forgets(ActionExecutor):
+    """Never sends a rejection."""
+
     def _reject(self, action: contract.Reject) -> None:
         self.in_flight[action.sequence].answer.step(AnswerEvent.REJECT)
 
 
 class ClaimsNotRun(ActionExecutor):
+    """Reports an attempt that was reset as one that did not run."""
+
     def ended(self, attempt: Attempt, outcome: str, *args: object, **more: object) -> None:
         super().ended(
             attempt, contract.Outcome.FULL if outcome == contract.Outcome.RESET else outcome, *args, **more
@@ -361,21 +367,29 @@
 
 
 class RejectsAll(ActionExecutor):
+    """Rejects what may have run."""
+
     def _abort(self, action: contract.Abort) -> None:
         self._reject(contract.Reject(action.sequence, 0.0))
 
 
 class IgnoresDrains(ActionExecutor):
+    """Takes draining engines for serving ones."""
+
     def update_endpoints(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
         super().update_endpoints([r.with_fields(state="serving") for r in rows], whole)
 
 
 class ForgetsAge(ActionExecutor):
+    """Takes cold engines for warm ones."""
+
     def update_endpoints(self, rows: list, whole: bool, number: int = 0, digest: str = "") -> None:
         super().update_endpoints([r.with_fields(age=0.0) for r in rows], whole)
 
 
 class KeepsStates(ActionExecutor):
+    """Never releases a read state."""
+
     def _release(self, action: contract.Release) -> None:
         pass
 
