--- a/examples/ask_twisted.py
+++ b/examples/ask_twisted.py
@@ -13,6 +13,7 @@
 
 @inlineCallbacks
 def main(reactor: object, address: str) -> object:
+    """Ask one question and print the answer."""
     host, port = address.rsplit(":", 1)
     channel = Channel(reactor, TCP4ClientEndpoint(reactor, host, int(port)).connect, address)
     client = Client(channel, reactor)
