node.client_limits: scope, timer and settled counters typed by the ledger's terms

Cause: the scope of a near limit was a bare string, and counters went to the ledger by position. Change: BudgetScope, Timer, keyword arguments.

--- a/myrtlehub/node/client_limits.py
+++ b/myrtlehub/node/client_limits.py
@@ -20,7 +20,7 @@
     select_streams_to_shed,
 )
 from myrtlehub.limits.retry_budget import RetryBudget
-from myrtlehub.node.protocols import Clock, Log
+from myrtlehub.node.protocols import Clock, Log, Timer
 from myrtlehub.rpc.server_call import ServerCall
 
 MAX_CUTS = 50  # that are remembered
@@ -47,7 +47,7 @@
 class NearLimit(NamedTuple):
     """A peer or tenant that uses over half of its budget."""
 
-    scope: str
+    scope: BudgetScope
     name: str
     in_use: int  # bytes
     limit: int
@@ -56,8 +56,8 @@
 class SettledCounters(NamedTuple):
     """A stream's counters when the ledger last saw them."""
 
-    put: int
-    taken: int
+    queued: int  # bytes
+    sent: int
     dropped: int
     is_over: bool
 
@@ -98,7 +98,7 @@
         self.cuts: deque[CutOff] = deque(maxlen=MAX_CUTS)
         self.counts: dict[str, int] = dict.fromkeys(LimitCounter, 0)
         self._next_key = 0
-        self._timer = None
+        self._timer: Timer | None = None
 
     def retry_after(
         self, call: ServerCall, tenant: str, is_retry: bool, size: int, is_full: bool
@@ -152,10 +152,10 @@
         size = limited.request_size
         self.ledger.settle(
             key,
-            stream.bytes_queued + size,
-            stream.bytes_sent + (size if is_over else 0),
-            stream.bytes_dropped,
-            stream.buffered + (0 if is_over else size),
+            received=stream.bytes_queued + size,
+            delivered=stream.bytes_sent + (size if is_over else 0),
+            dropped=stream.bytes_dropped,
+            in_use=stream.buffered + (0 if is_over else size),
         )
 
     # -- checks -----------------------------------------------------------------------------------
