--- a/myrtlehub/node/router_driver.py
+++ b/myrtlehub/node/router_driver.py
@@ -28,7 +28,8 @@
 DEFAULT_PROBE_TIMEOUT = 0.25  # seconds
 # Read once a token: a look-up in an enumeration costs as much as a step.
 _MORE_TOKENS, _PASS = AnswerEvent.MORE_TOKENS, AnswerEffect.PASS
-_REFUSALS = (contract.Outcome.FULL, contract.Outcome.UNREACHED, contract.Outcome.UNSENT)
+_REFUSALS = (AttemptEvent.FULL, AttemptEvent.UNREACHED, AttemptEvent.UNSENT)
+_EVENT_OF_OUTCOME = {outcome: AttemptEvent(outcome.value) for outcome in contract.Outcome}
 
 
 class RouterCall(StrEnum):
@@ -253,14 +254,15 @@
             tokens: number of those generated.
         """
         was_streaming = attempt.is_streaming
-        if attempt.state_machine.step(AttemptEvent(outcome)) == CommonEffect.LATE:
+        event = _EVENT_OF_OUTCOME[outcome]
+        if attempt.state_machine.step(event) == CommonEffect.LATE:
             return
         sequence, latency = attempt.sequence, self.clock.seconds() - attempt.sent_at
         attempt.stop_timer()
-        if was_streaming and outcome in _REFUSALS:
+        if was_streaming and event in _REFUSALS:
             # Guards against an engine that refuses what it has begun: what has streamed has run.
-            outcome, cached_tokens = contract.Outcome.RESET, 0.0
-        sequence.settle_read_state(attempt, AttemptEvent(outcome), bool(cached_tokens), handle)
+            event, outcome, cached_tokens = AttemptEvent.RESET, contract.Outcome.RESET, 0.0
+        sequence.settle_read_state(attempt, event, bool(cached_tokens), handle)
         self._settle_answer(attempt, outcome, tokens)
         self._call_router(
             RouterCall.ENDED,
@@ -320,7 +322,7 @@
             self.transport.forget(address)
 
     def _note_answer(self, sequence: InFlightSequence, **more: object) -> None:
-        answer = sequence.answer.state.value
+        answer = str(sequence.answer.state)  # the plain word: it is counted and logged
         self.answer_counts[answer] += 1
         latency = sequence.first_token_latency
         self.log(
--- a/myrtlehub/node/sequences.py
+++ b/myrtlehub/node/sequences.py
@@ -19,6 +19,7 @@
 
 # Read once a token: a look-up in an enumeration costs more than the comparison.
 _STREAMING = AttemptState.STREAMING
+_NO_STATE = ReadStateStatus.NONE
 
 
 class Attempt:
@@ -154,7 +155,7 @@
     def step_read_state(self, read_state: ReadState, event: ReadStateEvent) -> StrEnum:
         """Step a read state and return the effect; one that is gone is dropped."""
         effect = read_state.state_machine.step(event)
-        if read_state.state_machine.state == ReadStateStatus.NONE:
+        if read_state.state_machine.state is _NO_STATE:
             self.read_states.pop(read_state.engine, None)
         return effect
 
