Test of a front's share: reads the pool's engines in the router's new terms

Change: it reads EnginePools._known and the estimates' engines; the same fact is asserted (every known engine is serving again).

--- a/tests/test_batch_fronts.py
+++ b/tests/test_batch_fronts.py
@@ -10,6 +10,7 @@
 from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.emulator.vectors import score_of, vector_of
 from myrtlehub.proto import items_pb2 as pb
+from myrtlehub.routing.contract import EngineState
 from myrtlehub.rpc.status import Code
 
 
@@ -274,7 +275,7 @@
     fleet.run(1.0)
     assert late.final == "generated" and not any(batches.shares.excluded.values())
     assert sum(c.final == "generated" for c in flood) > 10
-    router = host.router
-    assert all(router.routers[1].estimates.engines[i].state == 0 for i in router._known[1])  # let in again
+    engines = host.router.routers[1].estimates.engines
+    assert all(engines[index].state == EngineState.SERVING for index in host.router._known[1])  # let in again
     kept(fleet)
     assert_nothing_in_flight(fleet)
