--- a/myrtlehub/batching/result_cache.py
+++ b/myrtlehub/batching/result_cache.py
@@ -134,9 +134,13 @@
         """Bytes in use."""
         return sum(cache.used for cache in self._caches.values())
 
+    def cache_of(self, tenant: Hashable, model: str) -> S3FifoCache[Value] | None:
+        """Return the cache of a tenant's results by one version, or None if there is none yet."""
+        return self._touch(CacheKey(tenant, model))
+
     def get(self, tenant: Hashable, model: str, key: Hashable) -> Value | None:
         """Return a cached result, or None."""
-        cache = self._touch(CacheKey(tenant, model))
+        cache = self.cache_of(tenant, model)
         return cache.get(key) if cache is not None else None
 
     def add(self, tenant: Hashable, model: str, key: Hashable, value: Value, size: int) -> None:
--- a/myrtlehub/node/batch_fronts/in_flight_batch.py
+++ b/myrtlehub/node/batch_fronts/in_flight_batch.py
@@ -9,7 +9,6 @@
 from myrtlehub.batching.result_merger import BatchAnswer, BatchOutcome, MergeVerdict, ResultMerger
 from myrtlehub.node.batch_fronts.batch_request import (
     BatchClient,
-    BatchItem,
     BatchRequest,
     BatchSummary,
     IndexedResult,
@@ -69,16 +68,8 @@
     def begin(self) -> None:
         """Answer items from the cache, and send the others to engines."""
         if not self._keys:
-            self._keys = [self._item_key(item) for item in self.request.items]
-        first_items = self._find_duplicates()
-        cached = []
-        uncached = []
-        for index in first_items:
-            result = self._cached_result(index)
-            if result is None:
-                uncached.append(index)
-            else:
-                cached.append(IndexedResult(index, result))
+            self._keys = self._item_keys()
+        cached, uncached = self._look_up(self._find_duplicates())
         self._cached_count = 0
         for index, result in cached:
             self._set_cached(index, result)
@@ -89,8 +80,10 @@
         elif not self._coordinator.share_engine_batch(self, uncached):
             self._send_parts(self._split(uncached))
 
-    def _item_key(self, item: BatchItem) -> ItemKey:
-        return ItemKey(xxhash.xxh3_128_digest(item.text), item.tokens, self.request.group_key)
+    def _item_keys(self) -> list[ItemKey]:
+        digest = xxhash.xxh3_128_digest
+        group_key = self.request.group_key
+        return [ItemKey(digest(item.text), item.tokens, group_key) for item in self.request.items]
 
     def _find_duplicates(self) -> list[int]:
         """Note items with the key of an earlier one, and return all others."""
@@ -103,10 +96,22 @@
                 first_of[key] = index
         return list(first_of.values())
 
-    def _cached_result(self, index: int) -> ItemResult | None:
+    def _look_up(self, indices: list[int]) -> tuple[list[IndexedResult], list[int]]:
+        """Return the results that are cached, and the items that are not."""
         if not (self.request.is_cacheable and self.is_repeatable and self.model):
-            return None
-        return self._coordinator.cache.get(self.request.terms.tenant, self.model, self._keys[index])
+            return [], indices
+        cache = self._coordinator.cache.cache_of(self.request.terms.tenant, self.model)
+        if cache is None:
+            return [], indices
+        cached = []
+        uncached = []
+        for index in indices:
+            result = cache.get(self._keys[index])
+            if result is None:
+                uncached.append(index)
+            else:
+                cached.append(IndexedResult(index, result))
+        return cached, uncached
 
     def _set_cached(self, index: int, result: ItemResult) -> None:
         for same in (index, *self._duplicates.get(index, ())):
--- a/myrtlehub/rpc/frame_writer.py
+++ b/myrtlehub/rpc/frame_writer.py
@@ -28,7 +28,8 @@
     def mark(self, stream: Stream) -> None:
         """Send what this stream has queued, with the rest of this turn."""
         self._pending[stream] = None
-        self.schedule_flush()
+        if self._flush_call is None:
+            self.schedule_flush()
 
     def mark_without_flush(self, stream: Stream) -> None:
         """Send what this stream has queued with the next flush."""
--- a/myrtlehub/rpc/stream.py
+++ b/myrtlehub/rpc/stream.py
@@ -48,6 +48,8 @@
         self.closed = False
         self.paused = False
         self._writer = protocol.writer
+        self._send_buffer = protocol.limits.send_buffer
+        self._window = protocol.limits.stream_window
         self._send_queue: deque[bytes] = deque()
         self._is_partly_sent = False  # the first write in the queue
         self._producer: Producer | None = None
@@ -78,11 +80,7 @@
         self.buffered += size
         self.bytes_queued += size
         self._writer.mark(self)
-        if (
-            self.buffered > self.protocol.limits.send_buffer
-            and self._producer
-            and not self._is_producer_paused
-        ):
+        if self.buffered > self._send_buffer and self._producer and not self._is_producer_paused:
             self._is_producer_paused = True
             if self._is_push_producer:
                 self._producer.pauseProducing()
@@ -150,7 +148,7 @@
 
     def drained(self) -> None:
         """Let the producer continue, if enough bytes were sent."""
-        if self._producer is None or self.buffered > self.protocol.limits.send_buffer // 2:
+        if self._producer is None or self.buffered > self._send_buffer // 2:
             return
         if self._is_producer_paused or not self._is_push_producer:
             self._is_producer_paused = False
@@ -168,7 +166,7 @@
             self._enlarge_window()
 
     def _enlarge_window(self) -> None:
-        if self._unacknowledged * 2 >= self.protocol.limits.stream_window and not self.received_end:
+        if self._unacknowledged * 2 >= self._window and not self.received_end:
             self.protocol.enlarge_window(self, self._unacknowledged)
             self._unacknowledged = 0
 
