--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -83,8 +83,8 @@
         self.latest = attempt.engine
         if attempt.engine == self.index_without:
             self.last_sent = now
-        if self.wanted is not None and self.node.host.list_version > self.version:
-            self.version, wanted, self.wanted = self.node.host.list_version, self.wanted, None
+        if self.wanted is not None and self.node.executor.list_version > self.version:
+            self.version, wanted, self.wanted = self.node.executor.list_version, self.wanted, None
             wanted.callback(now)
 
     index_without = latest = -1
@@ -119,15 +119,15 @@
             reader=aside.read,
             beside=lambda work, then: deferToThread(work).addCallback(then),
         )
-        start = node.links.start
+        start = node.transport.start
 
         def carried(attempt: object) -> None:
             self.sent(attempt)
             start(attempt)
 
-        node.links.start = carried
+        node.transport.start = carried
         listening.append(reactor.listenTCP(self.ports[0], node.server, interface="127.0.0.1"))
-        self.version = node.host.list_version
+        self.version = node.executor.list_version
         self.channel = Channel(CLOCK, TCP4ClientEndpoint(reactor, "127.0.0.1", self.ports[0]).connect, "n")
         asking = LoopingCall(self.ask)
         asking.start(1.0 / self.rate)
@@ -141,7 +141,7 @@
             self.calm.record_value(int(self.worst * 1e6) or 1)
             # the engine that drains is the one that was just sent to: the worst case
             self.index_without = self.latest
-            self.without = int(node.host.decoder.engines.rows[self.latest].address[1:-2])
+            self.without = int(node.executor.decoder.engines.rows[self.latest].address[1:-2])
             at = CLOCK.seconds()
             path.with_name("new").write_text(text(self.count, 2 + i, self.without))
             path.with_name("new").rename(path)
@@ -159,7 +159,7 @@
         node.source.stop()
         aside.close()
         yield deferLater(reactor, 0.5, lambda: None)
-        node.links.close()
+        node.transport.close()
         for port in listening:
             yield port.stopListening()
 
--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -57,7 +57,7 @@
                     else list(verdict.version.endpoints.values())
                 )
                 at = time.perf_counter()
-                node.host.update_endpoints(rows, not verdict.difference, verdict.version.number)
+                node.executor.update_endpoints(rows, not verdict.difference, verdict.version.number)
                 out.append((read, judged, time.perf_counter() - at))
             tracemalloc.start()
             validator.validate(9.0, read_snapshot(("a.yaml",), base).endpoints[:-1], "files")
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -43,7 +43,7 @@
     node.measure_lag()
     settle_memory()
     reactor.run(installSignalHandlers=False)
-    log("ended", **dict(sorted(node.host.answer_counts.items())))
+    log("ended", **dict(sorted(node.executor.answer_counts.items())))
 
 
 def _make_node(settings: NodeConfig, base: Path, reactor: ReactorBase, log: Log) -> "Node":
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/variant.py
@@ -18,7 +18,7 @@
 from myrtlehub.lab.rolling import FOLDER, NODES
 from myrtlehub.node import node, revision, works
 from myrtlehub.node.clock import SteadyClock
-from myrtlehub.node.links import Links
+from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
 from myrtlehub.node.sequences import Attempt
 from myrtlehub.records import Recorder
 from myrtlehub.routing.contract import Action, Arrival, Forget, Reject
@@ -48,12 +48,12 @@
 
 
 def _slow() -> None:
-    start = Links.start
+    start = GrpcEngineTransport.start
 
-    def start_late(self: Links, attempt: Attempt) -> None:
+    def start_late(self: GrpcEngineTransport, attempt: Attempt) -> None:
         self.clock.callLater(SLOWER, lambda: start(self, attempt) if attempt.is_outstanding else None)
 
-    Links.start = start_late
+    GrpcEngineTransport.start = start_late
 
 
 def _leaks() -> None:
--- a/myrtlehub/node/admin.py
+++ b/myrtlehub/node/admin.py
@@ -32,7 +32,7 @@
         self.orders = OrderValidator(node.run, int(number) if number.isdecimal() else 0, controller)
         self.staged: tuple[str, NodeConfig] | None = None  # digest, settings
 
-    host = property(lambda self: self.node.host)
+    executor = property(lambda self: self.node.executor)
     sheet = property(lambda self: self.node.sheet)
     source = property(lambda self: self.node.source)
     client_limits = property(lambda self: self.node.client_limits)
@@ -89,7 +89,9 @@
         except SettingsChangeError as fault:
             raise RpcError(Code.FAILED_PRECONDITION, str(fault)) from fault
         self.node.apply(sheet)
-        self.node.log("applied", settings=digest, by_old=sum(len(w.host.in_flight) for w in self.node.old))
+        self.node.log(
+            "applied", settings=digest, by_old=sum(len(w.executor.in_flight) for w in self.node.old)
+        )
         return pb.OrderTaken(settings=digest, changed=True).SerializeToString()
 
     def obey(self, call: ServerCall, data: bytes) -> bytes:
@@ -163,11 +165,11 @@
             said = f"{first['loc'][0]}: {first['msg']} (found {first['input']!r})" if first else str(fault)
             raise RpcError(Code.INVALID_ARGUMENT, said) from fault
         self.source.push(rows, news.whole)
-        return pb.ListTaken(version=self.host.list_version).SerializeToString()
+        return pb.ListTaken(version=self.executor.list_version).SerializeToString()
 
     def limits(self, call: ServerCall, data: bytes) -> bytes:
         """What is held for clients, and who was cut off."""
-        limits, node, now = self.client_limits, self.client_limits.ledger.node, self.host.clock.seconds()
+        limits, node, now = self.client_limits, self.client_limits.ledger.node, self.executor.clock.seconds()
         return pb.LimitsState(
             came=node.received,
             left=node.delivered,
@@ -183,8 +185,8 @@
 
     def show(self, call: ServerCall, data: bytes) -> bytes:
         """What the node routes by."""
-        engines = self.host.decoder.engines
-        validator, now = getattr(self.source, "validator", None), self.host.clock.seconds()
+        engines = self.executor.decoder.engines
+        validator, now = getattr(self.source, "validator", None), self.executor.clock.seconds()
         more = {}
         if validator is not None:
             more["refused"] = [
@@ -212,15 +214,15 @@
             controller=self.orders.controller,
             format=FORMAT_VERSION,
             staged=self.staged[0] if self.staged else "",
-            by_old=sum(len(w.host.in_flight) for w in node.old),
+            by_old=sum(len(w.executor.in_flight) for w in node.old),
         )
         return pb.NodeState(
             **more,
-            list_version=self.host.list_version,
-            sequences=len(self.host.in_flight),
-            attempts_out=self.host.attempts_out(),
-            taken=self.host.accepted_count,
-            answered=dict(self.host.answer_counts),
+            list_version=self.executor.list_version,
+            sequences=len(self.executor.in_flight),
+            attempts_out=self.executor.attempts_out(),
+            taken=self.executor.accepted_count,
+            answered=dict(self.executor.answer_counts),
             engines=[
                 pb.ListedEngine(
                     address=r.address,
--- a/myrtlehub/node/chat.py
+++ b/myrtlehub/node/chat.py
@@ -7,7 +7,7 @@
 from myrtlehub.limits.fair_share import FairShare
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.client_limits import ClientLimits, LimitedCall
-from myrtlehub.node.links import Links
+from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
 from myrtlehub.node.replication.replication import Replication
 from myrtlehub.node.replication.takeover import Takeover, TakeoverRequest
 from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
@@ -21,10 +21,10 @@
 
 
 class _Waiting(Receiver):
-    """One client's stream: what the host tells it, and back-pressure the other way."""
+    """One client's stream: what the executor tells it, and back-pressure the other way."""
 
-    def __init__(self, host: ActionExecutor, call: ServerCall) -> None:
-        self.host, self.call = host, call
+    def __init__(self, executor: ActionExecutor, call: ServerCall) -> None:
+        self.executor, self.call = executor, call
         self.held: InFlightSequence | None = None
         self.timer = None
         # Where there is admission: the front, and what waits at its gate.
@@ -37,7 +37,7 @@
         self.may_move = False  # its client comes back by itself, at any node
         self.linger = 0.0  # seconds for which such a client may be gone until it counts as having left
 
-    # what the host says
+    # what the executor says
 
     def tokens(self, raw: bytes) -> None:
         if self.let_in:
@@ -46,17 +46,17 @@
 
     def _begun(self) -> None:
         self.let_in = False
-        now = self.host.clock.seconds()
+        now = self.executor.clock.seconds()
         self.front.gate.started(now, now - self.came, self.row.latency_slo)
-        self.host.clock.callLater(0, self.front.pump)
+        self.executor.clock.callLater(0, self.front.pump)
 
     def _over(self) -> None:
         """It ended without a beginning, or while it waited at the gate."""
         if self.let_in:
             self.let_in = False
             had_time = self.item[2].time_left >= self.row.latency_slo
-            self.front.gate.failed(self.host.clock.seconds(), had_time)
-            self.host.clock.callLater(0, self.front.pump)
+            self.front.gate.failed(self.executor.clock.seconds(), had_time)
+            self.executor.clock.callLater(0, self.front.pump)
         elif self.item is not None:
             self.front.gate.cancel(self.item)
         self.item = None
@@ -64,7 +64,7 @@
     def cut(self, why: str) -> None:
         """By a limit on its client."""
         if self.held is not None:
-            self.host.deadline_passed(self.held, why)
+            self.executor.deadline_passed(self.held, why)
         else:
             self.rejected(0.0)  # it had not been let in: nothing ran
 
@@ -115,9 +115,9 @@
             return
         if self.may_move and self.linger and code == Code.UNAVAILABLE:
             # Its connection broke: it comes back for the rest, here or elsewhere, and then supersedes this.
-            self.host.clock.callLater(self.linger, self.host.client_left, self.held)
+            self.executor.clock.callLater(self.linger, self.executor.client_left, self.held)
         else:
-            self.host.client_left(self.held)
+            self.executor.client_left(self.held)
 
     # the client's stream as consumer: a client that does not read holds up its writer's stream
 
@@ -162,11 +162,11 @@
 
 
 class ChatFront:
-    """Serves Chat on a server, for a host."""
+    """Serves Chat on a server, for a executor."""
 
     def __init__(
         self,
-        host: ActionExecutor,
+        executor: ActionExecutor,
         most_sequences: int,
         wait: float,
         shares: FairShare,
@@ -175,13 +175,13 @@
         turned_away: Callable[[TrafficTypeConfig], None] = lambda row: None,
     ) -> None:
         self.turned_away = turned_away  # told of each sequence that was never taken
-        self.host, self.most, self.wait, self.shares = host, most_sequences, wait, shares
+        self.executor, self.most, self.wait, self.shares = executor, most_sequences, wait, shares
         self.client_limits = client_limits
         self.closed = False
         self.gate: AdmissionController | None = gate
         self.replication: Replication | None = None
         self.claims = False  # whether engines answer claims
-        self.links: Links | None = None
+        self.transport: GrpcEngineTransport | None = None
         self.waiting: set[_Waiting] = set()  # of clients that come back by themselves
         self._timer = None
 
@@ -197,7 +197,7 @@
 
     def generate(self, call: ServerCall, data: bytes, again: bool = False) -> Receiver:
         """One sequence."""
-        waiting = _Waiting(self.host, call)
+        waiting = _Waiting(self.executor, call)
         try:
             request = pb.GenerateRequest.FromString(data)
         except ValueError as fault:
@@ -206,22 +206,22 @@
             raise RpcError(Code.INVALID_ARGUMENT, "resume.sequence: has to be in Resume, and nowhere else")
         asked = asked_of(request, call.time_left())
         try:
-            arrival = self.host.decoder.arrival(asked, self.host.clock.seconds())
+            arrival = self.executor.decoder.arrival(asked, self.executor.clock.seconds())
         except InvalidRequestError as fault:
             raise RpcError(Code.INVALID_ARGUMENT, str(fault)) from fault
-        full = self.closed or len(self.host.in_flight) >= self.most
+        full = self.closed or len(self.executor.in_flight) >= self.most
         wait = self.client_limits.retry_after(call, asked.tenant, asked.is_retry, len(data), full)
         if wait is not None:
-            self.turned_away(self.host.decoder.rows[arrival.traffic])
+            self.turned_away(self.executor.decoder.rows[arrival.traffic])
             waiting.rejected(wait)  # not taken: nothing ran
             return waiting
-        self.shares.add_demand(self.host.clock.seconds(), "chat", arrival.prompt_tokens)
+        self.shares.add_demand(self.executor.clock.seconds(), "chat", arrival.prompt_tokens)
         call.stream.registerProducer(waiting, True)
         if call.deadline is not None:
-            now, slack = self.host.clock.seconds(), self.host.config.answer_slack
-            due = self.host.decoder.lag.time_left(now, call.time_left() - slack)
-            waiting.timer = self.host.clock.callLater(max(0.0, due), self._out_of_time, waiting)
-        row = self.host.decoder.rows[arrival.traffic]
+            now, slack = self.executor.clock.seconds(), self.executor.config.answer_slack
+            due = self.executor.decoder.lag.time_left(now, call.time_left() - slack)
+            waiting.timer = self.executor.clock.callLater(max(0.0, due), self._out_of_time, waiting)
+        row = self.executor.decoder.rows[arrival.traffic]
         self.client_limits.track(
             LimitedCall(call, asked.mark, asked.tenant, row.utility, len(data), waiting.cut)
         )
@@ -235,7 +235,7 @@
         if self.gate is None:
             self._take(waiting, asked, arrival)
         else:
-            waiting.row, waiting.came, waiting.front = row, self.host.clock.seconds(), self
+            waiting.row, waiting.came, waiting.front = row, self.executor.clock.seconds(), self
             waiting.item = (waiting, asked, arrival)
             self.gate.enqueue(waiting.came, row.name, row.latency_slo, waiting.item)
             self.pump()
@@ -254,11 +254,11 @@
         before: int = 0,
         handle: object = None,
     ) -> None:
-        label = label or self.host.next_sequence_id()
+        label = label or self.executor.next_sequence_id()
         waiting.named(label)
         if waiting.may_move:
             self._follow(waiting)
-        waiting.held = self.host.accept(asked, arrival, waiting, label, before, handle)
+        waiting.held = self.executor.accept(asked, arrival, waiting, label, before, handle)
 
     def _follow(self, waiting: _Waiting) -> None:
         self.waiting = {w for w in self.waiting if not w.call.over}
@@ -273,7 +273,14 @@
             self._hand(waiting, wanted.request, label, arrival, before, handle)
 
         waiting.takeover = Takeover(
-            wanted, self.replication, self.links, self.host, waiting, hand, waiting.superseded, self.claims
+            wanted,
+            self.replication,
+            self.transport,
+            self.executor,
+            waiting,
+            hand,
+            waiting.superseded,
+            self.claims,
         )
         waiting.takeover.start()
 
@@ -287,11 +294,11 @@
                 self.replication.publisher.leave(waiting.held.sequence_id)
                 held, waiting.held = waiting.held, None
                 waiting.moved()
-                self.host.hand_over(held)
+                self.executor.hand_over(held)
 
     def pump(self) -> None:
         """Let in what may come in, and tell what is shed."""
-        now = self.host.clock.seconds()
+        now = self.executor.clock.seconds()
         while (item := self.gate.admit_next(now)) is not None:
             waiting, asked, arrival = item
             waiting.let_in = True
@@ -302,7 +309,7 @@
             waiting.rejected(self.gate.retry_after(self.wait))
         due = self.gate.next_shed_at()
         if due < NEVER and (self._timer is None or not self._timer.active()):
-            self._timer = self.host.clock.callLater(max(0.001, due - now), self.pump)
+            self._timer = self.executor.clock.callLater(max(0.001, due - now), self.pump)
 
     def _out_of_time(self, waiting: _Waiting) -> None:
         if waiting.takeover is not None:
@@ -310,4 +317,6 @@
         elif waiting.held is None:
             waiting.rejected(self.wait)  # it still waits at the gate
         else:
-            self.host.deadline_passed(waiting.held, "the call's deadline came before the end of the answer")
+            self.executor.deadline_passed(
+                waiting.held, "the call's deadline came before the end of the answer"
+            )
--- /dev/null
+++ b/myrtlehub/node/engine_transport/engine_requests.py
@@ -0,0 +1,77 @@
+"""The protobuf messages that the engine transport sends, and the deadlines of their calls."""
+
+from typing import NamedTuple
+
+from myrtlehub.node.action_executor import NEVER, ActionExecutor
+from myrtlehub.node.engine_transport.attempt_watcher import AttemptWatcher
+from myrtlehub.node.engine_transport.batch_attempt import BatchWatcher
+from myrtlehub.node.engine_transport.read_attempt import ReadWatcher
+from myrtlehub.node.engine_transport.write_attempt import WriteWatcher
+from myrtlehub.node.sequences import Attempt
+from myrtlehub.proto import engine_pb2 as pb
+from myrtlehub.recovery.sequence_records import Ownership
+
+DEADLINE_MARGIN = 0.05  # seconds past its timeout at which the engine's own deadline for an attempt falls
+
+
+class EngineRequest(NamedTuple):
+    """One call to an engine."""
+
+    method: str
+    watcher: AttemptWatcher
+    timeout: float | None  # seconds; None: no deadline
+    data: bytes
+
+
+def work_of(attempt: Attempt, ownership: Ownership, now: float) -> pb.Work:
+    """Return what all requests have in common."""
+    sequence = attempt.sequence
+    request = sequence.request
+    return pb.Work(
+        epoch=ownership.epoch,
+        owner=ownership.owner,
+        sequence=sequence.sequence_id,
+        attempt=sequence.earlier_attempts + attempt.number,
+        traffic_type=request.traffic_type,
+        tenant=request.tenant,
+        session=request.session,
+        shared_prefix=request.prefix,
+        shared_tokens=request.shared_tokens,
+        prompt_tokens=request.prompt_tokens,
+        most_output=request.max_output_tokens,
+        mark=request.mark,
+        prompt=request.text,
+        first_within_ms=max(1, int((sequence.deadline - now) * 1000)),
+    )
+
+
+def request_of(executor: ActionExecutor, attempt: Attempt, work: pb.Work, now: float) -> EngineRequest:
+    """Return the request of an attempt: a part of a batch, a read or a write."""
+    if attempt.sequence.request.batch:
+        return _batch_request(executor, attempt, work, now)
+    if attempt.reads:
+        return _read_request(executor, attempt, work, now)
+    return _write_request(executor, attempt, work, now)
+
+
+def _batch_request(executor: ActionExecutor, attempt: Attempt, work: pb.Work, now: float) -> EngineRequest:
+    # Fields of two serialised messages, one after the other, are those of one.
+    data = pb.BatchRequest(work=work).SerializeToString() + attempt.sequence.request.batch
+    timeout = attempt.times_out_at - now + DEADLINE_MARGIN
+    return EngineRequest("Batch", BatchWatcher(executor, attempt), timeout, data)
+
+
+def _read_request(executor: ActionExecutor, attempt: Attempt, work: pb.Work, now: float) -> EngineRequest:
+    data = pb.ReadRequest(work=work).SerializeToString()
+    timeout = attempt.times_out_at - now + DEADLINE_MARGIN
+    return EngineRequest("Read", ReadWatcher(executor, attempt), timeout, data)
+
+
+def _write_request(executor: ActionExecutor, attempt: Attempt, work: pb.Work, now: float) -> EngineRequest:
+    sequence = attempt.sequence
+    state = attempt.fetched_state.handle if attempt.fetched_state else None
+    data = pb.WriteRequest(work=work, state=state).SerializeToString()
+    # A stream may last longer than the attempt's timeout, which is for its first token.
+    time_left = sequence.request.deadline_in - (now - sequence.accepted_at)
+    timeout = time_left + DEADLINE_MARGIN if time_left != NEVER else None
+    return EngineRequest("Write", WriteWatcher(executor, attempt), timeout, data)
--- /dev/null
+++ b/myrtlehub/node/engine_transport/write_attempt.py
@@ -0,0 +1,44 @@
+"""The replies to a write: a stream of tokens, and a final message."""
+
+from myrtlehub.node.engine_transport.attempt_watcher import AttemptWatcher, load_report_of
+from myrtlehub.proto import engine_pb2 as pb
+from myrtlehub.routing import contract
+
+# The first byte of a reply whose oneof is field 1: tokens, in WriteReply and GenerateReply alike. Such a
+# message goes to the client as it came.
+TOKENS_TAG = 0x0A
+TOKENS_PREFIX = bytes((TOKENS_TAG,))
+
+
+class WriteWatcher(AttemptWatcher):
+    """Watches an attempt at a writer."""
+
+    def message(self, data: bytes) -> None:
+        """Take tokens or the final reply."""
+        attempt = self.attempt
+        if data[:1] == TOKENS_PREFIX:
+            if attempt.is_streaming:
+                self.executor.tokens_received(attempt, data)
+            elif attempt.is_outstanding:
+                self.executor.began(attempt, data)
+            return
+        reply = self.parse(pb.WriteReply, data)
+        if reply is not None:
+            self._final_reply(reply)
+
+    def _final_reply(self, reply: pb.WriteReply) -> None:
+        which = reply.WhichOneof("reply")
+        if which == "ended":
+            ended = reply.ended
+            self.executor.ended(
+                self.attempt,
+                contract.Outcome.GENERATED,
+                float(ended.kept_tokens),
+                load_report_of(ended),
+                tokens=ended.tokens,
+            )
+        elif which == "refused":
+            refused = reply.refused
+            self.executor.ended(
+                self.attempt, contract.Outcome.FULL, float(refused.no_state), load_report_of(refused)
+            )
--- a/myrtlehub/node/figures.py
+++ b/myrtlehub/node/figures.py
@@ -38,9 +38,9 @@
         self.by_type: dict[str, TrafficSums] = {}
         self.generated = 0
 
-    def follow(self, host: ActionExecutor) -> None:
-        """Count a host's answers."""
-        host.on_answered = lambda held: self._answered(host, held)
+    def follow(self, executor: ActionExecutor) -> None:
+        """Count a executor's answers."""
+        executor.on_answered = lambda held: self._answered(executor, held)
 
     def of(self, name: str) -> TrafficSums:
         """The sums of a traffic type."""
@@ -56,8 +56,8 @@
         sums.utility += row.utility
         sums.answers["rejected"] += 1
 
-    def _answered(self, host: ActionExecutor, held: InFlightSequence) -> None:
-        row, answer = host.decoder.rows[held.arrival.traffic], held.answer.state
+    def _answered(self, executor: ActionExecutor, held: InFlightSequence) -> None:
+        row, answer = executor.decoder.rows[held.arrival.traffic], held.answer.state
         sums = self.of(row.name)
         sums.asked += 1
         sums.answers[answer] += 1
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -1,4 +1,4 @@
-"""A whole node: file, door, module, host, links and fronts put together. Where it listens is the caller's."""
+"""A whole node: settings, decoder, router, executor, transport and fronts. Where it listens is the caller's."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -37,7 +37,7 @@
         dial: Callable[[str], Callable],
         run: str = "0",
         log: Callable[..., None] = lambda event, **more: None,
-        host_class: type[ActionExecutor] = ActionExecutor,
+        executor_class: type[ActionExecutor] = ActionExecutor,
         base: Path = Path(),
         notify: Callable = lambda paths, changed: None,
         reader: Callable | None = None,
@@ -49,10 +49,10 @@
         self.figures = Figures()
         group = sheet.takeover
         self.replication = group and Replication(group, sheet.node.name, run, clock, dial, log)
-        self.around = Around(clock, dial, run, log, host_class, self.figures, self.replication)
+        self.around = Around(clock, dial, run, log, executor_class, self.figures, self.replication)
         self.works = Works(sheet, self.around)
         if self.replication is not None:
-            self.replication.service.on_abandoned = lambda record: close_at_engines(self.links, record)
+            self.replication.service.on_abandoned = lambda record: close_at_engines(self.transport, record)
             if not sheet.engines_may.claims:
                 log(
                     "takeover",
@@ -77,7 +77,7 @@
         self.on_leave: Callable[[], None] = lambda: None  # an order to leave came: the caller drains
         self.control = NodeAdmin(self)
         self.control.serve(self.admin)
-        self.host.poll_endpoints = self.source.republish
+        self.executor.poll_endpoints = self.source.republish
         self.source.follow(self._list_news)
 
     @property
@@ -85,8 +85,8 @@
         """The settings that hold."""
         return self.works.sheet
 
-    host = property(lambda self: self.works.host)
-    links = property(lambda self: self.works.links)
+    executor = property(lambda self: self.works.executor)
+    transport = property(lambda self: self.works.transport)
     batches = property(lambda self: self.works.batches)
     front = property(lambda self: self.works.front)
     client_limits = property(lambda self: self.works.client_limits)
@@ -94,7 +94,7 @@
     @property
     def proven(self) -> bool:
         """Whether it holds a list and has generated a sequence by what it now runs."""
-        return bool(self.host.decoder.engines.index_of) and self.figures.generated > self.proven_from
+        return bool(self.executor.decoder.engines.index_of) and self.figures.generated > self.proven_from
 
     def _list_news(self, rows: list[EndpointConfig], whole: bool, number: int = 0, digest: str = "") -> None:
         for works in (self.works, *self.old):
@@ -123,7 +123,7 @@
             store=store,
             log=self.log,
             notify=notify,
-            unresponsive=lambda: self.links.silent(),
+            unresponsive=lambda: self.transport.unreachable_engines(),
             reader=reader,
             run_in_background=beside,
         )
@@ -137,11 +137,11 @@
         self.works = Works(sheet, self.around, before.number + 1, before)
         self.proven_from = self.figures.generated
         self.works.front.closed = before.front.closed
-        self.host.poll_endpoints = before.host.poll_endpoints
-        before.host.poll_endpoints = lambda: None
-        self.works.list_news(rows, True, before.host.list_version + 1)
+        self.executor.poll_endpoints = before.executor.poll_endpoints
+        before.executor.poll_endpoints = lambda: None
+        self.works.list_news(rows, True, before.executor.list_version + 1)
         for old in (before, *self.old):  # they send on, for what they hold: the list is theirs too
-            old.list_news(rows, True, before.host.list_version + 1)
+            old.list_news(rows, True, before.executor.list_version + 1)
         self.works.serve(self.server)
         self.server.limits = replace(self.server.limits, max_message=sheet.node.prompt_limit)
         self.old.append(before)
@@ -156,10 +156,10 @@
     def measure_lag(self) -> None:
         """Beat from here on, so that the door knows how late this process runs."""
         now = self.clock.seconds()
-        before = self.host.decoder.lag.worst
-        due = self.host.decoder.lag.tick(now)
-        if self.host.decoder.lag.worst > max(before, LAG_SAID):
-            self.log("lag", seconds=round(self.host.decoder.lag.worst, 3))
+        before = self.executor.decoder.lag.worst
+        due = self.executor.decoder.lag.tick(now)
+        if self.executor.decoder.lag.worst > max(before, LAG_SAID):
+            self.log("lag", seconds=round(self.executor.decoder.lag.worst, 3))
         self.clock.callLater(max(0.0, due - now), self.measure_lag)
 
     def drain(self) -> Deferred:
@@ -176,11 +176,13 @@
         self.server.drain()
         within = self.sheet.node.drain_within
         self.log(
-            "draining", sequences=sum(len(w.host.in_flight) for w in (self.works, *self.old)), within=within
+            "draining",
+            sequences=sum(len(w.executor.in_flight) for w in (self.works, *self.old)),
+            within=within,
         )
         self._limit = self.clock.callLater(within, self._cut)
         for works in (self.works, *self.old):
-            works.host.on_idle = self._idle
+            works.executor.on_idle = self._idle
             if self.replication is not None and self.sheet.engines_may.claims:
                 works.front.hand_over()
         self._done.addCallback(lambda none: done.callback(None))
@@ -190,7 +192,7 @@
     def _idle(self) -> None:
         if self._limit is not None and all(w.idle for w in (self.works, *self.old)):
             for works in (self.works, *self.old):
-                works.host.on_idle = lambda: None
+                works.executor.on_idle = lambda: None
             limit, self._limit = self._limit, None  # once: whoever was replaced may say again that it is idle
             if limit.active():
                 limit.cancel()
--- a/myrtlehub/node/replication/attached_stream.py
+++ b/myrtlehub/node/replication/attached_stream.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from myrtlehub.node.links import TOKENS
+from myrtlehub.node.engine_transport.write_attempt import TOKENS_TAG
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Code, Status
@@ -35,7 +35,7 @@
         """Take one message of the engine."""
         if self.is_final:
             return
-        if data[0] == TOKENS:
+        if data[0] == TOKENS_TAG:
             self.observer.tokens_received(data)
             return
         self.is_final = True
--- a/myrtlehub/node/replication/engine_claims.py
+++ b/myrtlehub/node/replication/engine_claims.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from myrtlehub.node.links import SERVICE, Links
+from myrtlehub.node.engine_transport.transport import SERVICE, GrpcEngineTransport
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.recovery.fencing import AttemptState
 from myrtlehub.recovery.recovery_decision import STREAMING_STATES, AttemptReport
@@ -17,8 +17,8 @@
 class EngineClaims:
     """The claims of one sequence at all engines in its record, and what they report of its attempts."""
 
-    def __init__(self, links: Links, record: SequenceRecord) -> None:
-        self.links = links
+    def __init__(self, transport: GrpcEngineTransport, record: SequenceRecord) -> None:
+        self.transport = transport
         self.record = record
         self.engines = _engines_of(record)
         self.read_states: dict[str, pb.State] = {}  # by engine that holds one
@@ -27,7 +27,7 @@
         """Claim the sequence at each engine; each Deferred fires with a `ClaimReply` or None."""
         if not engines_answer_claims:
             return [succeed(None) for _ in self.engines]
-        return [claim_at_engine(self.links, engine, self.record, close=False) for engine in self.engines]
+        return [claim_at_engine(self.transport, engine, self.record, close=False) for engine in self.engines]
 
     def reports(self, replies: Iterable[pb.ClaimReply | None], now: float) -> list[AttemptReport]:
         """Return what the engines reported of each attempt; `replies` in the order of `engines`."""
@@ -58,7 +58,9 @@
     return reply is not None and any(row.says in STREAMING_STATES for row in reply.attempts)
 
 
-def claim_at_engine(links: Links, engine: str, record: SequenceRecord, close: bool) -> Deferred:
+def claim_at_engine(
+    transport: GrpcEngineTransport, engine: str, record: SequenceRecord, close: bool
+) -> Deferred:
     """Claim a sequence at an engine: fires with its `ClaimReply`, or with None if none came.
 
     `close`: nothing may run for the sequence any more, by any ownership.
@@ -69,14 +71,16 @@
         owner=record.ownership.owner,
         close=close,
     )
-    done = links.to(engine).unary(SERVICE + "Claim", request.SerializeToString(), timeout=CLAIM_TIMEOUT)
+    done = transport.channel_to(engine).unary(
+        SERVICE + "Claim", request.SerializeToString(), timeout=CLAIM_TIMEOUT
+    )
     return done.addCallbacks(pb.ClaimReply.FromString, lambda failure: None)
 
 
-def close_at_engines(links: Links, record: SequenceRecord) -> None:
+def close_at_engines(transport: GrpcEngineTransport, record: SequenceRecord) -> None:
     """Stop what runs and release what is held for a sequence that no client came back for."""
     for engine in _engines_of(record):
-        claim_at_engine(links, engine, record, close=True)
+        claim_at_engine(transport, engine, record, close=True)
 
 
 def _engines_of(record: SequenceRecord) -> list[str]:
--- a/myrtlehub/node/replication/replicated_transport.py
+++ b/myrtlehub/node/replication/replicated_transport.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from myrtlehub.node.links import Links
+from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
 from myrtlehub.node.replication.replication import Replication
 from myrtlehub.node.sequences import Attempt
 from myrtlehub.recovery.ownership import SendDecision
@@ -11,21 +11,21 @@
 
 
 class ReplicatedTransport:
-    """Holds attempts back for `RecordPublisher`; all else is passed to the links to engines.
+    """Holds attempts back for `RecordPublisher`; all else is passed to the transport.
 
     Implements `protocols.EngineTransport`.
     """
 
-    def __init__(self, links: Links, replication: Replication) -> None:
-        self.links = links
+    def __init__(self, transport: GrpcEngineTransport, replication: Replication) -> None:
+        self.transport = transport
         self.replication = replication
         self.publisher = replication.publisher
 
     def start(self, attempt: Attempt) -> None:
         """Send an attempt, now or once its replicas have acknowledged it."""
-        decision = self.publisher.intend(self.links.host, attempt, partial(self._decided, attempt))
+        decision = self.publisher.intend(self.transport.executor, attempt, partial(self._decided, attempt))
         if decision == SendDecision.SEND:
-            self.links.start(attempt)
+            self.transport.start(attempt)
         elif decision == SendDecision.NEVER:
             self.replication.clock.callLater(0, self._decided, attempt, decision)
 
@@ -33,30 +33,30 @@
         if not attempt.is_outstanding:
             return
         if decision == SendDecision.SEND:
-            self.links.start(attempt)
+            self.transport.start(attempt)
         else:
-            self.links.host.ended(attempt, Outcome.UNSENT)
+            self.transport.executor.ended(attempt, Outcome.UNSENT)
 
     def cancel(self, attempt: Attempt) -> None:
         """Reset an attempt, or drop it if it was not sent yet."""
         if attempt.call is None:
             self.publisher.cancel_waiting_send(attempt.sequence.sequence_id)
         else:
-            self.links.cancel(attempt)
+            self.transport.cancel(attempt)
 
     def release(self, engine: int, sequence_id: str) -> None:
         """Release the read state of a sequence, unless another node continues it."""
         if not self.publisher.former.has_moved(sequence_id):
-            self.links.release(engine, sequence_id)
+            self.transport.release(engine, sequence_id)
 
     def probe(self, engine: int, timeout: float, on_reply: Callable[[bool, LoadReport | None], None]) -> None:
         """Ask an engine for its load."""
-        self.links.probe(engine, timeout, on_reply)
+        self.transport.probe(engine, timeout, on_reply)
 
     def close_idle(self, engine: int) -> None:
         """Close an unused connection."""
-        self.links.close_idle(engine)
+        self.transport.close_idle(engine)
 
     def forget(self, address: str) -> None:
         """Forget an engine that is off the endpoint list and unused."""
-        self.links.forget(address)
+        self.transport.forget(address)
--- a/myrtlehub/node/replication/takeover.py
+++ b/myrtlehub/node/replication/takeover.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred
 
 from myrtlehub.node.action_executor import ActionExecutor
-from myrtlehub.node.links import SERVICE, Links
+from myrtlehub.node.engine_transport.transport import SERVICE, GrpcEngineTransport
 from myrtlehub.node.protocols import ResponseSink, Timer
 from myrtlehub.node.replication.attached_stream import AttachedStream
 from myrtlehub.node.replication.engine_claims import EngineClaims, has_stream, is_refused
@@ -66,7 +66,7 @@
         self,
         request: TakeoverRequest,
         replication: Replication,
-        links: Links,
+        transport: GrpcEngineTransport,
         executor: ActionExecutor,
         client: TakeoverClient,
         send_again: SendAgain,
@@ -77,7 +77,7 @@
         self.replication = replication
         self.publisher = replication.publisher
         self.clock = replication.clock
-        self.links = links
+        self.transport = transport
         self.executor = executor
         self.client = client
         self.send_again = send_again
@@ -160,7 +160,7 @@
         unreached = {name for name, reply in answers.items() if reply is None}
         self.publisher.adopt(self.executor, self.record, incarnations, unreached)
         self.machine.step(TakeoverEvent.RECORD_FOUND)
-        self.claims = EngineClaims(self.links, self.record)
+        self.claims = EngineClaims(self.transport, self.record)
         self._collect(self.claims.send(self.engines_answer_claims), has_stream, self._engines_answered)
 
     def _recover_without_record(self) -> None:
@@ -237,9 +237,9 @@
         metadata = (
             ("myrtle-seq", sequence_id),
             ("myrtle-attempt", str(decision.attempt)),
-            ("myrtle-node", self.links.name),
+            ("myrtle-node", self.transport.name),
         )
-        channel = self.links.to(decision.engine)
+        channel = self.transport.channel_to(decision.engine)
         self.call = channel.call(SERVICE + "Write", AttachedStream(self), metadata)
         self.call.send(pb.WriteRequest(work=work, attach=attach).SerializeToString())
         self.call.half_close()
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -1,4 +1,4 @@
-"""What a node does by one reading of its settings: door, module, host, links and fronts. A node has one that
+"""What a node does by one reading of its settings: door, module, executor, transport and fronts. A node has one that
 takes new sequences; one that was replaced goes on with those it has, by the settings that they began with,
 and then ends.
 """
@@ -19,8 +19,8 @@
 from myrtlehub.node.chat import ChatFront
 from myrtlehub.node.client_limits import ClientLimits
 from myrtlehub.node.engine_pools import EnginePools
+from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
 from myrtlehub.node.figures import Figures
-from myrtlehub.node.links import Links
 from myrtlehub.node.replication.replicated_transport import ReplicatedTransport
 from myrtlehub.node.replication.replication import Replication
 from myrtlehub.node.request_decoder import RequestDecoder
@@ -38,7 +38,7 @@
     dial: Callable[[str], Callable]
     run: str
     log: Callable[..., None]
-    host_class: type[ActionExecutor]
+    executor_class: type[ActionExecutor]
     figures: Figures
     replication: Replication | None = None
 
@@ -54,36 +54,43 @@
         self.sheet, self.around, self.number = sheet, around, number
         node, terms, fronts = sheet.node, router_config_of(sheet), fronts_of(sheet)
         clock, log = around.clock, around.log
-        self.links = Links(clock, around.dial, node.name, Random(node.seed + 1), node.connect_timeout)
+        self.transport = GrpcEngineTransport(
+            clock, around.dial, node.name, Random(node.seed + 1), node.connect_timeout
+        )
         # The id names the run and the settings as well: a node that came back must not speak of old
         # sequences.
         run = f"{around.run}~{number}" if number else around.run
         replication = around.replication
-        carrier = self.links if replication is None else ReplicatedTransport(self.links, replication)
-        self.host = around.host_class(
+        carrier = self.transport if replication is None else ReplicatedTransport(self.transport, replication)
+        self.executor = around.executor_class(
             self._router(fronts), RequestDecoder(sheet), terms, clock, carrier, f"{node.name}.{run}.", log
         )
         if before is not None:
-            self.links.channels = before.links.channels  # a change of settings makes no new connections
-            self.host.decoder.lag = before.host.decoder.lag
-        self.links.host = self.host
+            self.transport.channels = (
+                before.transport.channels
+            )  # a change of settings makes no new connections
+            self.executor.decoder.lag = before.executor.decoder.lag
+        self.transport.executor = self.executor
         if replication is not None:
             publisher = replication.publisher
-            self.links.ownership_of, self.host.on_begun = publisher.ownership_of, publisher.answer_started
-        self.host.probe_timeout = sheet.reports.probe_timeout
-        around.figures.follow(self.host)
+            self.transport.ownership_of, self.executor.on_begun = (
+                publisher.ownership_of,
+                publisher.answer_started,
+            )
+        self.executor.probe_timeout = sheet.reports.probe_timeout
+        around.figures.follow(self.executor)
         if replication is not None:
-            counted = self.host.on_answered
+            counted = self.executor.on_answered
 
             def answered(held: InFlightSequence) -> None:
                 counted(held)
                 replication.publisher.answered(held.sequence_id)
 
-            self.host.on_answered = answered
+            self.executor.on_answered = answered
         limits = sheet.limits
         retries = None if limits.retries == "any" else RetryBudget(limits.retries, Random(node.seed + 3))
         self.client_limits = ClientLimits(limits, clock, log, retries, node.max_wait)
-        self.batches = BatchCoordinator(self.host, sheet, clock)
+        self.batches = BatchCoordinator(self.executor, sheet, clock)
         gate = (
             AdmissionController(Random(node.seed + 2), {t.name: t.utility for t in sheet.traffic})
             if (limits.admit)
@@ -92,7 +99,7 @@
         self.fronts = fronts
         self.batches.dispatcher.pooled_fronts = fronts if len(fronts) > 1 else []
         self.front = ChatFront(
-            self.host,
+            self.executor,
             node.most_sequences,
             node.max_wait,
             self.batches.shares,
@@ -100,9 +107,9 @@
             gate,
             around.figures.turned_away,
         )
-        self.front.replication, self.front.links = replication, self.links
+        self.front.replication, self.front.transport = replication, self.transport
         self.front.claims = sheet.engines_may.claims
-        self.host.start()
+        self.executor.start()
 
     def _router(self, fronts: list[str]) -> object:
         """The module; where several fronts are served, once a field of engines."""
@@ -130,19 +137,19 @@
 
     def list_news(self, rows: list[EndpointConfig], whole: bool, number: int = 0, digest: str = "") -> None:
         """News of the list, as far as these settings know its kinds and zones."""
-        decoder = self.host.decoder
+        decoder = self.executor.decoder
         known = [r for r in rows if r.kind in decoder.kinds and r.zone in decoder.zones]
-        self.host.update_endpoints(known, whole, number, digest)
+        self.executor.update_endpoints(known, whole, number, digest)
         self.batches.endpoints_changed()
 
     @property
     def idle(self) -> bool:
         """Whether nothing is in hand."""
-        return not self.host.in_flight and not self.batches.in_flight
+        return not self.executor.in_flight and not self.batches.in_flight
 
     def cut(self, why: str) -> None:
         """Answer all that is in hand now."""
         for batch in list(self.batches.in_flight):
             batch.deadline_passed()
-        for held in list(self.host.in_flight.values()):
-            self.host.deadline_passed(held, why)
+        for held in list(self.executor.in_flight.values()):
+            self.executor.deadline_passed(held, why)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -91,7 +91,7 @@
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.net = Net(self.clock)
-        self.host, self.machine, self.nodes_count = host, machine, nodes
+        self.executor_class, self.machine, self.nodes_count = host, machine, nodes
         self.base, self.lists, self.more, self.tell_wait = base, lists, more, tell
         self.fronts = any(word[0] in "EKM" for word in engines.split())
         self.log: list[Record] = []  # of all ends, in the order in which it happened
@@ -166,7 +166,7 @@
             self.clock,
             lambda address: self.net.dialer(address, f"n{index}:1"),
             run,
-            host_class=self.host,
+            executor_class=self.executor_class,
             **more,
         )
         self.net.listen(f"n{index}:1", node.server)
@@ -248,8 +248,8 @@
         else:
             self.net.kill(f"{name}:2")
             dead = self.nodes.pop(name)
-            dead.host._call_router = lambda *args: None
-            dead.links.close()
+            dead.executor._call_router = lambda *args: None
+            dead.transport.close()
 
     def run(self, seconds: float) -> None:
         self.net.run(seconds)
--- a/tests/test_action_executor.py
+++ b/tests/test_action_executor.py
@@ -237,7 +237,7 @@
 
 def test_executor_and_simulator_get_the_same_actions() -> None:
     f = run_with_faults()
-    calls = f.nodes["n0"].host.router.calls
+    calls = f.nodes["n0"].executor.router.calls
     config = router_config_of(f.nodes["n0"].sheet)
     settings = wire_settings_of(config)
     assert platform_settings.router_config_from_settings(settings, config.seed) == config
@@ -282,7 +282,7 @@
     ids=lambda action: type(action).__name__,
 )
 def test_an_action_that_the_configuration_rules_out_raises(action: contract.Action) -> None:
-    host = Fleet().nodes["n0"].host
+    host = Fleet().nodes["n0"].executor
     host.router.wake = lambda now, token: [action]
     with pytest.raises(ContractViolationError, match="rule out") as caught:
         host._call_router("wake", 0)
@@ -290,7 +290,7 @@
 
 
 def test_actions_are_executed_in_order_and_router_calls_never_nest() -> None:
-    host, seen, depth = Fleet().nodes["n0"].host, [], []
+    host, seen, depth = Fleet().nodes["n0"].executor, [], []
 
     class ScriptedRouter:
         def wake(self, now: float, token: int) -> list[contract.Action]:
--- a/tests/test_batch_fronts.py
+++ b/tests/test_batch_fronts.py
@@ -221,7 +221,7 @@
     slow.call.pauseProducing()
     fleet.run(2.0)
     assert not any(s.model.batching or s.model.batch_queue for s in fleet.stands.values())
-    assert not fleet.nodes["n0"].host.in_flight
+    assert not fleet.nodes["n0"].executor.in_flight
     slow.call.resumeProducing()
     fleet.run(1.0)
     assert slow.final == "generated" and len(slow.items) == 1000
@@ -252,7 +252,7 @@
 
 def test_a_front_with_engines_of_its_own_keeps_to_its_share_of_common_ones() -> None:
     fleet = Fleet("R0 M0 M0 E0", batch_rate=20000.0, batch_queue=400, slots=16)
-    host, batches = fleet.nodes["n0"].host, fleet.nodes["n0"].batches
+    host, batches = fleet.nodes["n0"].executor, fleet.nodes["n0"].batches
     alone = embed(fleet, texts(600), is_stream=True)
     fleet.run(0.1)
     assert batches.shares.common_tokens["embed"] > 0.0  # nobody else asks: it may use all
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -77,7 +77,7 @@
             ran = [r for r in f.what("ran") if r.more["mark"] == caller.mark]
             assert len(ran) <= 1, where
         for node in f.nodes.values():
-            assert not node.host.in_flight and not node.host.attempts_out(), where
+            assert not node.executor.in_flight and not node.executor.attempts_out(), where
         for name, stand in f.stands.items():
             m = stand.model
             assert m.fallen or not (m.states or m.running or m.reading or m.write_queue), (where, name)
@@ -126,5 +126,5 @@
         assert not judge(f).breaches, (cut, [b.text for b in judge(f).breaches])
         answers[caller.answer] += 1
         assert sum(r.more["mark"] == caller.mark for r in f.what("ran")) <= 1
-        assert not f.nodes["n0"].host.in_flight
+        assert not f.nodes["n0"].executor.in_flight
     assert set(answers) == {"aborted", "generated"} and answers["aborted"] > 80, answers
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -207,7 +207,7 @@
     calls = [fleet.ask(prompt=3000, output=10, text=b"x" * 50_000) for _ in range(100)]
     run_with_balanced_ledger(fleet, 0.5)
     limits = fleet.nodes["n0"].client_limits
-    assert limits.counts["turned away"] == 81 and len(fleet.nodes["n0"].host.in_flight) == 19
+    assert limits.counts["turned away"] == 81 and len(fleet.nodes["n0"].executor.in_flight) == 19
     assert (
         sum(c.answer == "rejected" for c in calls) == 81 and 900_000 < limits.ledger.node.in_use <= 1_000_000
     )
--- a/tests/test_endpoint_files.py
+++ b/tests/test_endpoint_files.py
@@ -123,7 +123,7 @@
     f.stands[where].sheet = f.stands[where].sheet.model_copy(update={"reads": True})
     write(f, **{where: {"kind": "reader"}})
     f.run(1.0)
-    engines = f.nodes["n0"].host.decoder.engines
+    engines = f.nodes["n0"].executor.decoder.engines
     assert engines.rows[engines.index_of[f"{where}:1"]].kind == "reader"
     after = [f.ask("post", prompt=2000, output=20) for _ in range(6)]
     f.run(4.0)
@@ -171,9 +171,9 @@
     f = begin(tmp_path, "R0 R0 W0 W0 W0", lists=lists)
     write(f, W0c=None, W0d=None, R0a=None)
     f.run(0.6)
-    assert len(f.nodes["n0"].host.decoder.engines.index_of) == 5  # held back
+    assert len(f.nodes["n0"].executor.decoder.engines.index_of) == 5  # held back
     f.run(1.5)
-    assert len(f.nodes["n0"].host.decoder.engines.index_of) == 2
+    assert len(f.nodes["n0"].executor.decoder.engines.index_of) == 2
 
 
 def test_a_file_without_its_end_mark_is_never_accepted(tmp_path: Path) -> None:
@@ -181,13 +181,13 @@
     path = tmp_path / "list-n0" / "engines.yaml"
     whole = path.read_text()
     node = f.nodes["n0"]
-    first = node.host.list_label
+    first = node.executor.list_label
     cuts = [i for i, c in enumerate(whole) if c == "\n"][:-1]  # whole lines: these parse, most of them
     parsed = 0
     for cut in cuts:
         path.write_text(whole[: cut + 1])
         f.run(0.4)
-        assert node.host.list_label == first
+        assert node.executor.list_label == first
         parsed += not read_snapshot(["list-n0"], tmp_path).faults
     assert parsed > len(cuts) / 2
     assert "write the file whole, end: yes last" in node.source.validator.rejections[-1].reason
@@ -198,24 +198,24 @@
     path = tmp_path / "list-n0" / "engines.yaml"
     os.utime(path, (2e9, 2e9))
     f.run(0.5)
-    first = f.nodes["n0"].host.list_label
+    first = f.nodes["n0"].executor.list_label
     write(f, W0c={"weight": 3})
     os.utime(path, (1e9, 1e9))  # older than what it replaces
     f.run(0.5)
-    assert f.nodes["n0"].host.list_label != first
-    again = f.nodes["n0"].host.list_label
+    assert f.nodes["n0"].executor.list_label != first
+    again = f.nodes["n0"].executor.list_label
     before = path.stat()
     write(f, W0c={"weight": 4})
     os.utime(path, ns=(before.st_atime_ns, before.st_mtime_ns))  # the same time and size as before
     assert path.stat().st_size == before.st_size
     f.run(0.5)
-    assert f.nodes["n0"].host.list_label != again
+    assert f.nodes["n0"].executor.list_label != again
 
 
 def test_an_unreadable_file_leaves_the_last_list_in_use(tmp_path: Path, monkeypatch: object) -> None:
     f = begin(tmp_path)
     real, node = Path.read_bytes, f.nodes["n0"]
-    label = node.host.list_label
+    label = node.executor.list_label
 
     def refused(path: Path) -> bytes:  # tests may run as one who may read everything
         raise PermissionError(13, "Permission denied", str(path))
@@ -223,12 +223,12 @@
     monkeypatch.setattr(Path, "read_bytes", refused)
     write(f, W0c={"weight": 3})
     f.run(0.5)
-    assert node.host.list_label == label
+    assert node.executor.list_label == label
     assert "cannot be read: Permission denied" in node.source.validator.rejections[-1].reason
     monkeypatch.setattr(Path, "read_bytes", real)
     write(f, W0c={"weight": 5})
     f.run(0.5)
-    assert node.host.list_label != label
+    assert node.executor.list_label != label
 
 
 def test_two_thousand_endpoints_that_all_change_at_once(tmp_path: Path) -> None:
@@ -246,15 +246,15 @@
     write(f)
     f.run(0.5)
     node = f.nodes["n0"]
-    assert len(node.host.decoder.engines.index_of) == 2000
+    assert len(node.executor.decoder.engines.index_of) == 2000
     write(f, **{e: {"cell": r["cell"] + 100, "weight": 2} for e, r in f.rows.items()})
     f.run(0.5)
-    rows = node.host.decoder.engines.rows
+    rows = node.executor.decoder.engines.rows
     assert len(rows) == 2000 and all(r.cell >= 100 and r.weight == 2 for r in rows)
     f.rows = {e: {**f.rows[e], "cell": 100} for e in ("R0a", "W0b", "W0c")}
     write(f)
     f.run(0.5)
-    assert sorted(node.host.decoder.engines.index_of) == ["R0a:1", "W0b:1", "W0c:1"]
+    assert sorted(node.executor.decoder.engines.index_of) == ["R0a:1", "W0b:1", "W0c:1"]
     c = f.ask(prompt=2000, output=10)
     f.run(2.0)
     assert c.answer == "generated"
--- a/tests/test_engine_pools.py
+++ b/tests/test_engine_pools.py
@@ -199,5 +199,5 @@
 
 
 def test_a_single_pool_has_no_pools_around_its_router() -> None:
-    assert type(Fleet().nodes["n0"].host.router) is Router
-    assert type(Fleet("R0 W0 E0 K0").nodes["n0"].host.router) is EnginePools
+    assert type(Fleet().nodes["n0"].executor.router) is Router
+    assert type(Fleet("R0 W0 E0 K0").nodes["n0"].executor.router) is EnginePools
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -37,7 +37,7 @@
 
 def nothing_left(f: Fleet) -> None:
     """Every node and engine that lives has let go of everything."""
-    assert all(not n.host.in_flight and not n.host.attempts_out() for n in f.nodes.values())
+    assert all(not n.executor.in_flight and not n.executor.attempts_out() for n in f.nodes.values())
     for stand in f.stands.values():
         m = stand.model
         if not m.fallen:
@@ -72,7 +72,7 @@
         caller = f.ask(**more)
         f.run(0.1)
         assert caller.status.code.name == "INVALID_ARGUMENT" and said in caller.status.message
-    assert f.nodes["n0"].host.accepted_count == 0
+    assert f.nodes["n0"].executor.accepted_count == 0
     kept(f)
 
 
@@ -87,7 +87,7 @@
     f.run(5.0)
     assert (post.answer, ask.answer) == ("aborted", "aborted") and len(f.what("ran")) == 2
     kept(f)
-    assert not f.nodes["n0"].host.in_flight
+    assert not f.nodes["n0"].executor.in_flight
 
 
 def test_a_reader_dies_after_the_read_and_before_the_fetch() -> None:
@@ -147,10 +147,10 @@
     kept(f)
     f.tell("W0b", "gone")
     f.run(0.5)
-    assert "W0b:1" not in f.nodes["n0"].links.channels
+    assert "W0b:1" not in f.nodes["n0"].transport.channels
     f.tell("W0b", "serving")
     f.run(0.1)
-    assert f.nodes["n0"].host.list_version == 4
+    assert f.nodes["n0"].executor.list_version == 4
 
 
 @pytest.mark.parametrize("after", [0.0, 0.05, 0.2, 0.25, 0.6])
@@ -160,7 +160,9 @@
     f.run(after)
     f.leave(caller)
     f.run(3.0)
-    assert caller.answer == "" and f.nodes["n0"].host.answer_counts == ({"left": 1} if f.what("got") else {})
+    assert caller.answer == "" and f.nodes["n0"].executor.answer_counts == (
+        {"left": 1} if f.what("got") else {}
+    )
     assert not f.what("ended")
     kept(f)
     nothing_left(f)
@@ -168,7 +170,7 @@
 
 def test_a_client_that_reads_nothing_holds_up_its_own_stream_only() -> None:
     f = Fleet("W0", step="2ms", slots=8, more="limits: {least_rate: 0}")  # else it would be cut off
-    link = f.nodes["n0"].links.bounds = TransportLimits(stream_window=16384)
+    link = f.nodes["n0"].transport.transport_limits = TransportLimits(stream_window=16384)
     f.channels["n0"].limits = TransportLimits(stream_window=4096)
     stuck = f.ask(prompt=100, output=190000, left=4.0)
     stuck.call.pauseProducing()
@@ -176,7 +178,7 @@
     f.run(60.0)
     assert all(c.answer == "generated" for c in others) and stuck.answer == ""
     (waiting,) = f.nodes["n0"].server.calls
-    pulled = next(iter(f.nodes["n0"].host.in_flight.values())).streaming_attempt.call.stream
+    pulled = next(iter(f.nodes["n0"].executor.in_flight.values())).streaming_attempt.call.stream
     here = waiting.buffered + sum(map(len, pulled._received))
     poured = sum(job.call.buffered for job in f.stands["W0a"].jobs)
     assert 65536 < here <= 65536 + 2 * link.stream_window and poured > 20000  # it stays at the writer
@@ -267,7 +269,7 @@
     f.rows["X0z"] = {"address": "X0z:1", "kind": "mixer", "zone": "north", "cell": 0}
     f.tell("X0z", "serving")
     f.run(0.1)
-    assert f.nodes["n0"].host.list_version == 1 and not f.what("told")
+    assert f.nodes["n0"].executor.list_version == 1 and not f.what("told")
 
 
 def test_a_writer_refuses_after_it_has_fetched() -> None:
@@ -298,7 +300,7 @@
     f.run(0.02)
     caller = f.ask("post", prompt=100)
     f.run(0.1)
-    host = f.nodes["n0"].host
+    host = f.nodes["n0"].executor
     attempt = host.in_flight[0].attempts[0]
     steps = [
         lambda: host.ended(attempt, contract.Outcome.GENERATED, tokens=0),
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -44,7 +44,7 @@
 
 def test_load_comes_by_probes_and_steers_what_follows() -> None:
     f = moved()
-    host = f.nodes["n0"].host
+    host = f.nodes["n0"].executor
     f.ask(prompt=3000)
     f.run(2.0)
     assert {w[0] for w in host.words} >= {"R0a:1", "W0b:1", "W0c:1"} and all(w[1] for w in host.words)
@@ -68,7 +68,7 @@
     caller = f.ask(prompt=3000)
     f.run(4.0)
     assert caller.answer == "generated"
-    words = [w for w in f.nodes["n0"].host.words if w[0] == "W0b:1"]
+    words = [w for w in f.nodes["n0"].executor.words if w[0] == "W0b:1"]
     assert words and not any(sound for _, sound, _ in words)  # timed out: a word too, and the only one
     kept(f)
     nothing_left(f)
@@ -82,16 +82,16 @@
     f.run(0.01)
     f.tell("W0b", "gone")
     f.run(3.0)  # the probe times out after the engine has left the list
-    assert any(w[0] == "W0b:1" for w in f.nodes["n0"].host.words)
-    assert len(f.nodes["n0"].host.decoder.engines.index_of) == 2
+    assert any(w[0] == "W0b:1" for w in f.nodes["n0"].executor.words)
+    assert len(f.nodes["n0"].executor.decoder.engines.index_of) == 2
 
 
 def test_old_shape_sends_no_probe_and_reads_loads_from_answers() -> None:
     f = Fleet("R0 W0 W0", host=Heard)
     f.ask(prompt=3000)
     f.run(2.0)
-    assert not f.nodes["n0"].host.words and f.calls[0].answer == "generated"
-    assert 0 in f.nodes["n0"].host.router.estimates.usual_memory
+    assert not f.nodes["n0"].executor.words and f.calls[0].answer == "generated"
+    assert 0 in f.nodes["n0"].executor.router.estimates.usual_memory
 
 
 def test_terms_come_from_the_file_and_defaults_leave_them_as_they_were() -> None:
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -57,11 +57,11 @@
     early = f.ask("ask", output=200)
     f.run(0.5)
     assert early.tokens and not early.answer
-    old = node.host
+    old = node.executor
     # the new settings know the traffic type no more, and another in its place
     text = f.text(0).replace("name: ask", "name: query")
     taken = admin.change(text)
-    assert taken.changed and node.host is not old and old.in_flight
+    assert taken.changed and node.executor is not old and old.in_flight
     state = admin.show()
     assert (state.program, state.settings) == (before.program, taken.settings)
     assert state.settings != before.settings
@@ -82,15 +82,15 @@
     for _ in range(4):
         f.ask("ask", output=300)
     f.run(0.6)
-    channels = dict(node.links.channels)
+    channels = dict(node.transport.channels)
     admin.change(new_text(f))
     old = node.old[0]
     f.ask("ask")
     f.run(0.5)
-    assert node.links.channels == channels
+    assert node.transport.channels == channels
     f.tell("W0b", "draining")
     f.run(0.1)
-    for host in (old.host, node.host):
+    for host in (old.executor, node.executor):
         index = host.decoder.engines.index_of["W0b:1"]
         assert host.decoder.engines.rows[index].state == "draining"
     f.run(8.0)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -134,7 +134,7 @@
 def settled(fleet: ReplicatedFleet) -> None:
     """Check that nothing is left behind anywhere."""
     for node in fleet.nodes.values():
-        assert not node.host.in_flight and not node.host.attempts_out()
+        assert not node.executor.in_flight and not node.executor.attempts_out()
         assert not node.replication.publisher.sequences and not node.replication.publisher.waiting_sends
         assert not node.replication.store.records, node.replication.store.records
     for name, stand in fleet.stands.items():
@@ -270,15 +270,15 @@
         if pipe.host in mine:
             pipe.pauseProducing()
     kept = {h: fleet.net.hosts.pop(h) for h in mine}
-    say, flush = node.host._call_router, node.replication.connections.flush
+    say, flush = node.executor._call_router, node.replication.connections.flush
     late: list[tuple] = []
-    node.host._call_router = lambda *args: late.append((say, args))
+    node.executor._call_router = lambda *args: late.append((say, args))
     node.replication.connections.flush = lambda *args: late.append((flush, args))
 
     def go_on() -> None:
         fleet.net.silent -= set(mine)
         fleet.net.hosts.update(kept)
-        node.host._call_router, node.replication.connections.flush = say, flush
+        node.executor._call_router, node.replication.connections.flush = say, flush
         for pipe in fleet.net.pipes:
             if pipe.host in mine:
                 pipe.resumeProducing()
