Chat front: call, request decoding and admission queue a file each

Cause: chat.py had the client's call, admission and takeover in two classes that knew each other's fields, and queued tuples. Change: package chat_front; QueuedRequest for tuples, AdmissionQueue with the timer, ChatCall for the response.

--- /dev/null
+++ b/myrtlehub/node/chat_front/chat_front.py
@@ -0,0 +1,203 @@
+"""The methods of the chat front."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from myrtlehub.config.traffic import TrafficTypeConfig
+from myrtlehub.limits.admission import AdmissionController
+from myrtlehub.limits.fair_share import FairShare
+from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.node.chat_front.admission_queue import AdmissionQueue, QueuedRequest
+from myrtlehub.node.chat_front.chat_call import ChatCall
+from myrtlehub.node.chat_front.request_message import decode_request, parse_request
+from myrtlehub.node.client_limits import ClientLimits, LimitedCall
+from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
+from myrtlehub.node.replication.replication import Replication
+from myrtlehub.node.replication.takeover import Takeover, TakeoverRequest
+from myrtlehub.node.request_decoder import DecodedRequest, InvalidRequestError
+from myrtlehub.proto import engine_pb2
+from myrtlehub.routing.contract import Arrival
+from myrtlehub.rpc.method_handlers import server_stream
+from myrtlehub.rpc.server import Server
+from myrtlehub.rpc.server_call import Receiver, ServerCall
+from myrtlehub.rpc.status import Code, RpcError
+
+GENERATE_PATH = "/myrtlehub.v1.Chat/Generate"
+RESUME_PATH = "/myrtlehub.v1.Chat/Resume"
+FRONT_NAME = "chat"
+
+
+class TakeoverSupport(NamedTuple):
+    """What the front needs to resume sequences that other nodes accepted."""
+
+    replication: Replication
+    transport: GrpcEngineTransport
+    engines_answer_claims: bool
+
+
+class ChatFrontLimits(NamedTuple):
+    """What bounds the sequences of the front."""
+
+    max_sequences: int  # in flight
+    max_retry_after: float  # seconds
+    fair_share: FairShare  # of engines that several fronts use
+    clients: ClientLimits
+    admission: AdmissionController[QueuedRequest] | None  # None: all that arrives is admitted
+
+
+class ChatFront:
+    """Serves Chat for one action executor."""
+
+    def __init__(
+        self,
+        executor: ActionExecutor,
+        limits: ChatFrontLimits,
+        takeover_support: TakeoverSupport | None = None,
+        on_rejected: Callable[[TrafficTypeConfig], None] = lambda row: None,
+    ) -> None:
+        """Make a front.
+
+        Args:
+            executor: runs the sequences.
+            limits: of the front.
+            takeover_support: None where nodes do not replicate sequence records.
+            on_rejected: takes the traffic type of each request that is rejected before the executor has it.
+        """
+        self.executor = executor
+        self.limits = limits
+        self.takeover_support = takeover_support
+        self.on_rejected = on_rejected
+        self.is_closed = False  # all that arrives is rejected
+        self.admission: AdmissionQueue | None = None
+        if limits.admission is not None:
+            self.admission = AdmissionQueue(
+                limits.admission, executor.clock, limits.max_retry_after, self._admitted, on_rejected
+            )
+        self._movable_calls: set[ChatCall] = set()  # of clients that resume by themselves
+
+    def serve(self, server: Server) -> None:
+        """Serve the methods."""
+        server.add(GENERATE_PATH, server_stream(self.generate))
+        if self.takeover_support is not None:
+            server.add(RESUME_PATH, server_stream(self.resume))
+
+    def generate(self, call: ServerCall, data: bytes) -> Receiver:
+        """Take a new sequence."""
+        return self._take_call(call, data, is_resume=False)
+
+    def resume(self, call: ServerCall, data: bytes) -> Receiver:
+        """Take a sequence that its client has begun at another node, or here."""
+        return self._take_call(call, data, is_resume=True)
+
+    def _take_call(self, call: ServerCall, data: bytes, is_resume: bool) -> ChatCall:
+        chat_call = ChatCall(self.executor, call)
+        message = parse_request(data, is_resume)
+        request = decode_request(message, call.time_left())
+        arrival = self._arrival(request)
+        row = self.executor.decoder.rows[arrival.traffic]
+        is_full = self.is_closed or len(self.executor.in_flight) >= self.limits.max_sequences
+        clients = self.limits.clients
+        retry_after = clients.retry_after(call, request.tenant, request.is_retry, len(data), is_full)
+        if retry_after is not None:
+            self.on_rejected(row)
+            chat_call.rejected(retry_after)  # it was not accepted: nothing ran
+            return chat_call
+        self.limits.fair_share.add_demand(self.executor.clock.seconds(), FRONT_NAME, arrival.prompt_tokens)
+        call.stream.registerProducer(chat_call, True)
+        self._arm_deadline(chat_call)
+        clients.track(
+            LimitedCall(call, request.mark, request.tenant, row.utility, len(data), chat_call.cut_off)
+        )
+        if self.takeover_support is not None:
+            chat_call.may_move = message.may_move
+            chat_call.resume_grace = self.takeover_support.replication.settings.comes_back
+        if is_resume:
+            self._take_over(
+                chat_call, TakeoverRequest(message.resume.sequence, message.resume.tokens, request, arrival)
+            )
+        elif self.admission is None:
+            self._accept(chat_call, request, arrival)
+        else:
+            arrived_at = self.executor.clock.seconds()
+            self.admission.enqueue(QueuedRequest(chat_call, request, arrival, row, arrived_at))
+        return chat_call
+
+    def _arrival(self, request: DecodedRequest) -> Arrival:
+        try:
+            return self.executor.decoder.arrival(request, self.executor.clock.seconds())
+        except InvalidRequestError as error:
+            raise RpcError(Code.INVALID_ARGUMENT, str(error)) from error
+
+    def _arm_deadline(self, chat_call: ChatCall) -> None:
+        call = chat_call.call
+        if call.deadline is None:
+            return
+        executor = self.executor
+        time_left = call.time_left() - executor.config.answer_slack
+        delay = executor.decoder.lag.time_left(executor.clock.seconds(), time_left)
+        chat_call.deadline_timer = executor.clock.callLater(
+            max(0.0, delay), chat_call.deadline_passed, self.limits.max_retry_after
+        )
+
+    def _admitted(self, queued: QueuedRequest, arrival: Arrival) -> None:
+        self._accept(queued.chat_call, queued.request, arrival)
+
+    def _accept(
+        self,
+        chat_call: ChatCall,
+        request: DecodedRequest,
+        arrival: Arrival,
+        sequence_id: str = "",
+        earlier_attempts: int = 0,
+        handle: engine_pb2.State | None = None,
+    ) -> None:
+        """Give a sequence to the executor; its id is sent with the first message."""
+        sequence_id = sequence_id or self.executor.next_sequence_id()
+        chat_call.named(sequence_id)
+        if chat_call.may_move:
+            self._track_movable(chat_call)
+        chat_call.sequence = self.executor.accept(
+            request, arrival, chat_call, sequence_id, earlier_attempts, handle
+        )
+
+    # -- takeover ---------------------------------------------------------------------------------
+
+    def _track_movable(self, chat_call: ChatCall) -> None:
+        self._movable_calls = {open_call for open_call in self._movable_calls if not open_call.call.over}
+        self._movable_calls.add(chat_call)
+
+    def _take_over(self, chat_call: ChatCall, request: TakeoverRequest) -> None:
+        """Take over a sequence whose client has come back for the rest of the answer."""
+        self._track_movable(chat_call)
+
+        def send_again(
+            sequence_id: str, arrival: Arrival, earlier_attempts: int, handle: engine_pb2.State | None
+        ) -> None:
+            chat_call.takeover = None
+            self._accept(chat_call, request.request, arrival, sequence_id, earlier_attempts, handle)
+
+        support = self.takeover_support
+        chat_call.takeover = Takeover(
+            request,
+            support.replication,
+            support.transport,
+            self.executor,
+            chat_call,
+            send_again,
+            chat_call.superseded,
+            support.engines_answer_claims,
+        )
+        chat_call.takeover.start()
+
+    def hand_over(self) -> None:
+        """Leave sequences to other nodes as this one ends: clients that may move are told to resume there."""
+        for chat_call in [movable for movable in self._movable_calls if not movable.call.over]:
+            if chat_call.takeover is not None:
+                chat_call.takeover.hand_over()
+                chat_call.moved()
+            elif chat_call.sequence is not None:
+                sequence = chat_call.sequence
+                self.takeover_support.replication.publisher.leave(sequence.sequence_id)
+                chat_call.sequence = None
+                chat_call.moved()
+                self.executor.hand_over(sequence)
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -136,7 +136,7 @@
         rows = self.source.endpoints(sheet.list.engines if not sheet.list.pushed else None)
         self.works = Works(sheet, self.around, before.number + 1, before)
         self.proven_from = self.figures.generated
-        self.works.front.closed = before.front.closed
+        self.works.front.is_closed = before.front.is_closed
         self.executor.poll_endpoints = before.executor.poll_endpoints
         before.executor.poll_endpoints = lambda: None
         self.works.list_news(rows, True, before.executor.list_version + 1)
@@ -172,7 +172,7 @@
             self._done.addCallback(lambda none: done.callback(None))
             return done
         self._done, self.leaving = Deferred(), True
-        self.front.closed = True
+        self.front.is_closed = True
         self.server.drain()
         within = self.sheet.node.drain_within
         self.log(
--- a/myrtlehub/node/works.py
+++ b/myrtlehub/node/works.py
@@ -16,7 +16,7 @@
 from myrtlehub.node.batch_fronts.embeddings import EMBEDDINGS
 from myrtlehub.node.batch_fronts.grpc_front import serve_front
 from myrtlehub.node.batch_fronts.rerank import RERANK
-from myrtlehub.node.chat import ChatFront
+from myrtlehub.node.chat_front.chat_front import ChatFront, ChatFrontLimits, TakeoverSupport
 from myrtlehub.node.client_limits import ClientLimits
 from myrtlehub.node.engine_pools import EnginePools
 from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
@@ -100,17 +100,20 @@
         self.batches.dispatcher.pooled_fronts = fronts if len(fronts) > 1 else []
         self.front = ChatFront(
             self.executor,
-            node.most_sequences,
-            node.max_wait,
-            self.batches.shares,
-            self.client_limits,
-            gate,
+            ChatFrontLimits(
+                node.most_sequences, node.max_wait, self.batches.shares, self.client_limits, gate
+            ),
+            self._takeover_support(),
             around.figures.turned_away,
         )
-        self.front.replication, self.front.transport = replication, self.transport
-        self.front.claims = sheet.engines_may.claims
         self.executor.start()
 
+    def _takeover_support(self) -> TakeoverSupport | None:
+        replication = self.around.replication
+        if replication is None:
+            return None
+        return TakeoverSupport(replication, self.transport, self.sheet.engines_may.claims)
+
     def _router(self, fronts: list[str]) -> object:
         """The module; where several fronts are served, once a field of engines."""
         if len(fronts) == 1:
@@ -130,7 +133,7 @@
         self.front.serve(server)
         for front in FRONTS:
             if front.name in self.fronts:
-                serve_front(front, self.batches, server, lambda: self.front.closed, self.client_limits)
+                serve_front(front, self.batches, server, lambda: self.front.is_closed, self.client_limits)
             else:
                 for path in (front.unary_path, front.stream_path):
                     server.methods.pop(path, None)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -133,7 +133,7 @@
     with_it, f = overload("yes")
     utility = [good["ask"] + 3 * good["post"] for good in (without, with_it)]
     assert utility[1] > 1.2 * utility[0], (without, with_it)
-    controller = f.nodes["n0"].front.gate
+    controller = f.nodes["n0"].front.admission.controller
     assert controller.in_flight == 0 and not controller._queue
     c = f.ask(prompt=300, output=20)
     f.run(2.0)
@@ -142,7 +142,7 @@
 
 def test_clients_that_leave_the_queue_leave_no_state() -> None:
     f = Fleet("W0", slots=2, step="50ms", more="limits: {admit: yes}")
-    controller = f.nodes["n0"].front.gate
+    controller = f.nodes["n0"].front.admission.controller
     controller.limiter.limit = 4.0
     f.misbehave("W0a", "hang", seconds=3.0)
     f.run(0.05)
--- a/tests/test_rollout_controller.py
+++ b/tests/test_rollout_controller.py
@@ -129,7 +129,7 @@
         number, _, controller = generation.partition(" ")
         node.control.orders.generation, node.control.orders.controller = int(number), controller
         if bad == "never ready":
-            node.front.closed = True
+            node.front.is_closed = True
 
     def control(self, again: bool = False, die_at: int = 0, undo: bool = False) -> None:
         """Start a controller; it is killed at its boundary of this number, from 1."""
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -184,7 +184,7 @@
     assert (sums["post"].utility, sums["post"].served) == (6.0, 6.0)  # of utility 3 each
     assert sums["ask"].begun == sum(sums["ask"].first.values()) == 4 and sums["ask"].attempts >= 5
     assert dict(figures.engines) == {"north": 3} and figures.memory > 10**6 and figures.run == "1"
-    f.nodes["n0"].front.closed = True
+    f.nodes["n0"].front.is_closed = True
     f.ask("ask")
     f.run(0.2)
     figures = pb.NodeFigures.FromString(admin.say("Figures"))
