Node runtime, drain, counters and admin: one concern a file, types for object

Cause: works.py, node.py, admin.py and figures.py did several jobs each, with parameters typed object.

--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -156,7 +156,7 @@
         beat.stop()
         asking.stop()
         self.channel.close()
-        node.source.stop()
+        node.endpoint_source.stop()
         aside.close()
         yield deferLater(reactor, 0.5, lambda: None)
         node.transport.close()
--- a/benchmarks/told.py
+++ b/benchmarks/told.py
@@ -21,7 +21,7 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from myrtlehub.cli.common import dialer
-from myrtlehub.node.admin import SERVICE
+from myrtlehub.node.admin.service import SERVICE
 from myrtlehub.rpc.channel import Channel
 
 
@@ -61,7 +61,7 @@
     """Seconds that one answer's sums take."""
     from types import SimpleNamespace
 
-    from myrtlehub.node.figures import Figures
+    from myrtlehub.node.traffic_counters import TrafficCounters
 
     row = SimpleNamespace(name="ask", utility=1.0, latency_slo=1.0, slo_per_1000_tokens=0.0, late_share=0.0)
     host = SimpleNamespace(decoder=SimpleNamespace(rows=[row]))
@@ -72,8 +72,8 @@
         answer=SimpleNamespace(state="generated"),
         first_token_at=1.2,
     )
-    figures = Figures()
-    figures.follow(host)
+    counters = TrafficCounters()
+    counters.follow(host)
     began = time.process_time()
     for i in range(times):
         held.first_token_at = 1.1 + i % 100 / 500.0
--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -82,7 +82,7 @@
 
 def _drain_on_term(node: "Node", chat_port: IListeningPort, reactor: ReactorBase) -> None:
     def drain() -> None:
-        if not node.leaving:
+        if not node.is_draining:
             chat_port.stopListening()
             node.drain().addCallback(lambda ignored: reactor.stop())
 
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/variant.py
@@ -16,7 +16,7 @@
 from twisted.internet.defer import Deferred
 
 from myrtlehub.lab.rolling import FOLDER, NODES
-from myrtlehub.node import node, revision, works
+from myrtlehub.node import node, node_runtime, revision
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
 from myrtlehub.node.sequences import Attempt
@@ -38,13 +38,13 @@
     """Have the router reject this share of what arrives."""
     draw = Random(7).random
 
-    class Refusing(works.Router):
+    class Refusing(node_runtime.Router):
         def arrive(self, now: float, ident: int, arrival: Arrival) -> list[Action]:
             if draw() < share(arrival):
                 return [Reject(ident, RETRY_AFTER), Forget(ident)]
             return super().arrive(now, ident, arrival)
 
-    works.Router = Refusing
+    node_runtime.Router = Refusing
 
 
 def _slow() -> None:
--- a/myrtlehub/node/__init__.py
+++ b/myrtlehub/node/__init__.py
@@ -0,0 +1,28 @@
+"""A node: takes sequences from clients, has a router decide, and sends attempts to engines.
+
+    node                  a whole node: servers, endpoint list, change of settings, drain
+    node_runtime          what runs by one reading of the settings
+    drain                 waits until nothing is in flight
+    endpoint_list_source  the source of the endpoint list, by the settings
+    chat_front            the methods of chat
+    batch_fronts          the methods of embeddings and rerank
+    client_limits         memory and rate limits on clients
+    request_decoder       names from outside as indices; checks of requests
+    endpoint_index        engines by address and by index
+    action_executor       executes a router's actions, over `router_driver`, which calls the router
+    sequences             in-flight sequences, their attempts and read states
+    protocols             what the action executor needs of the program around it
+    engine_pools          a router for each pool of engines
+    router_config         settings as the configuration of routers
+    engine_transport      attempts over gRPC
+    replication           sequence records on other nodes, takeover of their sequences
+    admin                 the admin service
+    settings_change       validation of staged settings
+    revision              digests of program and settings
+    traffic_counters      counters by traffic type
+    process_usage         memory and processor time of the process
+    clock, process        clock, signals and memory of a process; the relay uses them, too
+
+Routing itself is in `myrtlehub.routing`, gRPC in `myrtlehub.rpc`; listening and the command line are in
+`myrtlehub.cli`. The relay (`myrtlehub.relay`) shares the action executor and what that stands on.
+"""
--- /dev/null
+++ b/myrtlehub/node/admin/endpoint_list_push.py
@@ -0,0 +1,56 @@
+"""Changes of the endpoint list that a client of the admin service pushes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pydantic import ValidationError
+
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.node import check_endpoints
+from myrtlehub.proto import admin_pb2 as pb
+from myrtlehub.rpc.status import Code, RpcError
+
+if TYPE_CHECKING:
+    from myrtlehub.node.node import Node
+
+DEFAULT_WEIGHT = 1.0
+DEFAULT_STATE = "serving"
+
+
+def push_endpoint_list(node: Node, data: bytes) -> pb.ListTaken:
+    """Take a complete list or a change to it, whole or not at all.
+
+    Raises:
+        RpcError: the node's list is not pushed, or an endpoint is malformed.
+    """
+    if not node.sheet.list.pushed:
+        raise RpcError(Code.FAILED_PRECONDITION, "list.pushed is no in this node's file")
+    message = pb.ListNews.FromString(data)
+    try:
+        endpoints = [_endpoint(engine) for engine in message.engines]
+        check_endpoints(node.sheet, endpoints)
+    except ValueError as error:
+        raise RpcError(Code.INVALID_ARGUMENT, _describe(error)) from error
+    node.endpoint_source.push(endpoints, message.whole)
+    return pb.ListTaken(version=node.executor.list_version)
+
+
+def _endpoint(engine: pb.ListedEngine) -> EndpointConfig:
+    return EndpointConfig(
+        address=engine.address,
+        kind=engine.kind,
+        zone=engine.zone,
+        cell=engine.cell,
+        weight=engine.weight or DEFAULT_WEIGHT,
+        state=engine.state or DEFAULT_STATE,
+        age=f"{engine.age:.6f}s",
+        model=engine.model,
+    )
+
+
+def _describe(error: ValueError) -> str:
+    if not isinstance(error, ValidationError):
+        return str(error)
+    first = error.errors()[0]
+    return f"{first['loc'][0]}: {first['msg']} (found {first['input']!r})"
--- /dev/null
+++ b/myrtlehub/node/admin/node_state.py
@@ -0,0 +1,76 @@
+"""What a node runs and routes by, as a message."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+from myrtlehub.membership.validation import ListValidator
+from myrtlehub.node.endpoint_index import EndpointIndex
+from myrtlehub.node.revision import settings_digest
+from myrtlehub.proto import admin_pb2 as pb
+from myrtlehub.rollout.node_orders import FORMAT_VERSION
+
+if TYPE_CHECKING:
+    from myrtlehub.node.admin.orders import OrderHandlers
+    from myrtlehub.node.node import Node
+
+
+def node_state(node: Node, orders: OrderHandlers) -> pb.NodeState:
+    """Return the state of a node."""
+    now = node.clock.seconds()
+    executor = node.executor
+    state = pb.NodeState(
+        program=node.program,
+        settings=settings_digest(node.sheet),
+        run=node.run,
+        pid=os.getpid(),
+        age=now - node.started_at,
+        leaving=node.is_draining,
+        proven=node.is_proven,
+        generation=orders.validator.generation,
+        controller=orders.validator.controller,
+        format=FORMAT_VERSION,
+        staged=orders.staged.digest if orders.staged else "",
+        by_old=node.replaced_sequence_count(),
+        list_version=executor.list_version,
+        sequences=len(executor.in_flight),
+        attempts_out=executor.attempts_out(),
+        taken=executor.accepted_count,
+        answered=dict(executor.answer_counts),
+        engines=_listed_engines(executor.decoder.engines),
+    )
+    # Only a list that comes from files is validated.
+    validator = getattr(node.endpoint_source, "validator", None)
+    if validator is not None:
+        _add_list_state(state, validator, now)
+    return state
+
+
+def _listed_engines(engines: EndpointIndex) -> list[pb.ListedEngine]:
+    rows = [engines.rows[index] for index in engines.index_of.values() if not engines.is_gone(index)]
+    return [
+        pb.ListedEngine(
+            address=row.address,
+            state=row.state,
+            kind=row.kind,
+            zone=row.zone,
+            cell=row.cell,
+            weight=row.weight,
+            model=row.model,
+        )
+        for row in rows
+    ]
+
+
+def _add_list_state(state: pb.NodeState, validator: ListValidator, now: float) -> None:
+    state.refused.extend(
+        pb.Refusal(age=now - rejection.at, source=rejection.source, why=rejection.reason)
+        for rejection in validator.rejections
+    )
+    version = validator.version
+    if version is not None:
+        state.list_source = version.source
+        state.list_age = validator.age(now)
+        state.list_digest = version.digest
+        state.list_old = version.from_store
--- /dev/null
+++ b/myrtlehub/node/admin/orders.py
@@ -0,0 +1,103 @@
+"""Orders of a rollout's controller: stage and apply settings, obey, leave."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING, NamedTuple
+
+from myrtlehub.config.loader import ConfigError
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.node.revision import settings_digest
+from myrtlehub.node.settings_change import SettingsChangeError, parse_settings, validate_change
+from myrtlehub.proto import admin_pb2 as pb
+from myrtlehub.rollout.node_orders import Order, OrderValidator
+from myrtlehub.rpc.server_call import ServerCall
+from myrtlehub.rpc.status import Code, RpcError
+
+if TYPE_CHECKING:
+    from myrtlehub.node.node import Node
+
+# Environment variable with which a controller starts a node: "GENERATION CONTROLLER".
+GENERATION_VARIABLE = "HUB_ROLL_GENERATION"
+
+
+class StagedSettings(NamedTuple):
+    """Settings that were validated and wait to be applied."""
+
+    digest: str
+    settings: NodeConfig
+
+
+def _initial_validator(incarnation: str) -> OrderValidator:
+    """Return a validator that knows the controller which started this process, if one did."""
+    generation, _, controller = os.environ.get(GENERATION_VARIABLE, "").partition(" ")
+    return OrderValidator(incarnation, int(generation) if generation.isdecimal() else 0, controller)
+
+
+class OrderHandlers:
+    """The methods of NodeAdmin that carry an `Order`."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.validator = _initial_validator(node.run)
+        self.staged: StagedSettings | None = None
+
+    def _validate(self, order: pb.Order, method: str) -> None:
+        reason = self.validator.refusal(Order(order.format, order.generation, order.controller, order.run))
+        if reason:
+            self.node.log("order refused", order=method, why=reason)
+            raise RpcError(Code.PERMISSION_DENIED, reason)
+
+    def stage(self, _call: ServerCall, data: bytes) -> bytes:
+        """Validate settings, and keep them until they are applied."""
+        request = pb.StagedSettings.FromString(data)
+        self._validate(request.order, "stage")
+        try:
+            settings = parse_settings(request.text)
+            self._validate_change(settings)
+        except ConfigError as error:
+            raise RpcError(Code.INVALID_ARGUMENT, str(error)) from error
+        digest = settings_digest(settings)
+        self.staged = StagedSettings(digest, settings)
+        self.node.log("staged", settings=digest)
+        return pb.OrderTaken(settings=digest, changed=True).SerializeToString()
+
+    def _validate_change(self, settings: NodeConfig) -> None:
+        try:
+            validate_change(self.node.sheet, settings, self.node.endpoint_source.endpoints())
+        except SettingsChangeError as error:
+            raise RpcError(Code.FAILED_PRECONDITION, str(error)) from error
+
+    def apply(self, _call: ServerCall, data: bytes) -> bytes:
+        """Apply the staged settings, from the next sequence on."""
+        order = pb.Order.FromString(data)
+        self._validate(order, "apply")
+        if order.settings == settings_digest(self.node.sheet):
+            return pb.OrderTaken(settings=order.settings).SerializeToString()  # it was applied before
+        staged = self._take_staged(order.settings)
+        self._validate_change(staged.settings)  # the endpoint list may have changed since
+        self.node.apply(staged.settings)
+        self.node.log("applied", settings=staged.digest, by_old=self.node.replaced_sequence_count())
+        return pb.OrderTaken(settings=staged.digest, changed=True).SerializeToString()
+
+    def _take_staged(self, digest: str) -> StagedSettings:
+        staged = self.staged
+        if staged is None or staged.digest != digest:
+            raise RpcError(Code.FAILED_PRECONDITION, f"settings {digest} are not staged here")
+        if self.node.is_draining:
+            raise RpcError(Code.FAILED_PRECONDITION, "this node is leaving")
+        self.staged = None
+        return staged
+
+    def obey(self, _call: ServerCall, data: bytes) -> bytes:
+        """Note the controller's generation: orders of an older controller are refused from here on."""
+        self._validate(pb.Order.FromString(data), "obey")
+        return pb.OrderTaken(settings=settings_digest(self.node.sheet)).SerializeToString()
+
+    def leave(self, _call: ServerCall, data: bytes) -> bytes:
+        """Drain and end."""
+        self._validate(pb.Order.FromString(data), "leave")
+        changed = not self.node.is_draining
+        if changed:
+            self.node.clock.callLater(0, self.node.on_leave)  # the reply leaves first
+        return pb.OrderTaken(settings=settings_digest(self.node.sheet), changed=changed).SerializeToString()
--- /dev/null
+++ b/myrtlehub/node/admin/service.py
@@ -0,0 +1,55 @@
+"""The methods of the admin service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from myrtlehub.node.admin.endpoint_list_push import push_endpoint_list
+from myrtlehub.node.admin.figures import node_figures
+from myrtlehub.node.admin.limits_state import limits_state
+from myrtlehub.node.admin.node_state import node_state
+from myrtlehub.node.admin.orders import OrderHandlers
+from myrtlehub.rpc.method_handlers import unary
+from myrtlehub.rpc.server import Server
+from myrtlehub.rpc.server_call import ServerCall
+
+if TYPE_CHECKING:
+    from myrtlehub.node.node import Node
+
+SERVICE = "/myrtlehub.v1.NodeAdmin/"
+
+
+class NodeAdmin:
+    """Serves NodeAdmin for a node."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.orders = OrderHandlers(node)
+
+    def serve(self, server: Server) -> None:
+        """Serve the methods."""
+        methods = {
+            "PushList": self._push_list,
+            "Show": self._show,
+            "Limits": self._limits,
+            "Figures": self._figures,
+            "Stage": self.orders.stage,
+            "Apply": self.orders.apply,
+            "Obey": self.orders.obey,
+            "Leave": self.orders.leave,
+        }
+        for name, method in methods.items():
+            server.add(SERVICE + name, unary(method))
+
+    def _push_list(self, _call: ServerCall, data: bytes) -> bytes:
+        return push_endpoint_list(self.node, data).SerializeToString()
+
+    def _show(self, _call: ServerCall, _data: bytes) -> bytes:
+        return node_state(self.node, self.orders).SerializeToString()
+
+    def _limits(self, _call: ServerCall, _data: bytes) -> bytes:
+        now = self.node.clock.seconds()
+        return limits_state(self.node.client_limits, now).SerializeToString()
+
+    def _figures(self, _call: ServerCall, _data: bytes) -> bytes:
+        return node_figures(self.node).SerializeToString()
--- a/myrtlehub/node/node.py
+++ b/myrtlehub/node/node.py
@@ -1,6 +1,9 @@
-"""A whole node: settings, decoder, router, executor, transport and fronts. Where it listens is the caller's."""
+"""A whole node: its servers, its endpoint list and the runtime of its settings.
 
-from collections.abc import Callable
+Where it listens is the caller's.
+"""
+
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -8,197 +11,224 @@
 
 from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.membership.endpoint_source import StaticEndpointSource
-from myrtlehub.membership.endpoint_watcher import EndpointWatcher, WatchConfig
-from myrtlehub.membership.flap_damping import NEVER_DAMPED
-from myrtlehub.membership.validation import ANY_REMOVED, ListValidator, ValidationConfig
-from myrtlehub.membership.version_store import VersionStore
+from myrtlehub.membership.endpoint_watcher import SnapshotReader, WatchDirectories, poll_only
+from myrtlehub.membership.interfaces import RunInBackground, no_log, run_now
 from myrtlehub.node.action_executor import ActionExecutor
-from myrtlehub.node.admin import NodeAdmin
-from myrtlehub.node.figures import Figures
+from myrtlehub.node.admin.service import NodeAdmin
+from myrtlehub.node.batch_fronts.coordinator import BatchCoordinator
+from myrtlehub.node.chat_front.chat_front import ChatFront
+from myrtlehub.node.client_limits import ClientLimits
+from myrtlehub.node.drain import Drain
+from myrtlehub.node.endpoint_list_source import FileAccess, make_endpoint_source
+from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
+from myrtlehub.node.node_runtime import NodeRuntime, RuntimeContext
+from myrtlehub.node.protocols import Clock, Log
 from myrtlehub.node.replication.engine_claims import close_at_engines
 from myrtlehub.node.replication.replication import Replication
 from myrtlehub.node.revision import program_digest
-from myrtlehub.node.works import Around, Works
+from myrtlehub.node.traffic_counters import TrafficCounters
 from myrtlehub.rpc.server import Server
 from myrtlehub.rpc.transport_limits import TransportLimits
 
-LAG_SAID = 0.1  # seconds; a new worst lateness of the process above this is logged
-LOOK_IDLE = 0.5  # seconds between looks at whether replaced settings still have work in hand
+MIN_LOGGED_LAG = 0.1  # seconds; a new worst event loop lag above this is logged
+IDLE_CHECK_INTERVAL = 0.5  # seconds between checks whether replaced runtimes still have sequences
+
+
+def _ignore() -> None:
+    """Take no note."""
 
 
 class Node:
-    """One node on a clock. `server` and `admin` are factories to listen with; `dial` reaches engines."""
+    """One node on a clock. `server` and `admin` are factories to listen with."""
 
     def __init__(
         self,
         sheet: NodeConfig,
-        clock: object,
+        clock: Clock,
         dial: Callable[[str], Callable],
         run: str = "0",
-        log: Callable[..., None] = lambda event, **more: None,
+        log: Log = no_log,
         executor_class: type[ActionExecutor] = ActionExecutor,
         base: Path = Path(),
-        notify: Callable = lambda paths, changed: None,
-        reader: Callable | None = None,
-        beside: Callable = lambda work, then: then(work()),
+        notify: WatchDirectories = poll_only,
+        reader: SnapshotReader | None = None,
+        beside: RunInBackground = run_now,
     ) -> None:
-        self.clock, self.log, self.run = clock, log, run
+        """Start a node.
+
+        Args:
+            sheet: its settings.
+            clock: its clock.
+            dial: returns how a channel connects to an address.
+            run: names its incarnation.
+            log: the operators' log.
+            executor_class: executes the actions of its router.
+            base: folder that relative paths of the settings start from.
+            notify: tells of changes in folders.
+            reader: reads the files of the endpoint list.
+            beside: runs what may block.
+        """
+        self.clock = clock
+        self.log = log
+        self.run = run
         self.program = program_digest()
-        self.started = clock.seconds()
-        self.figures = Figures()
-        group = sheet.takeover
-        self.replication = group and Replication(group, sheet.node.name, run, clock, dial, log)
-        self.around = Around(clock, dial, run, log, executor_class, self.figures, self.replication)
-        self.works = Works(sheet, self.around)
-        if self.replication is not None:
-            self.replication.service.on_abandoned = lambda record: close_at_engines(self.transport, record)
-            if not sheet.engines_may.claims:
-                log(
-                    "takeover",
-                    why="engines answer no claims here: streams end with their node, and what "
-                    "may have run is not sent again",
-                )
-        self.old: list[Works] = []  # replaced, with sequences in hand
-        self.proven_from = 0  # generated before the settings that hold were applied
-        self.leaving = False
-        self._done: Deferred | None = None
-        self._limit: object | None = None  # while it drains
-        limits = sheet.limits
-        self.server = Server(
+        self.started_at = clock.seconds()
+        self.counters = TrafficCounters()
+        self.replication = self._make_replication(sheet, dial)
+        self.context = RuntimeContext(clock, dial, run, log, executor_class, self.counters, self.replication)
+        self.runtime = NodeRuntime(sheet, self.context)
+        self._follow_replication()
+        self.replaced_runtimes: list[NodeRuntime] = []  # that have sequences in flight
+        self._generated_before = 0  # answers that were generated before the present settings were applied
+        self.is_draining = False
+        self._drain: Drain | None = None
+        self.server = self._make_server()
+        self.runtime.serve(self.server)
+        self.admin = Server(clock)
+        self.endpoint_source = make_endpoint_source(
+            sheet,
+            FileAccess(base, notify, reader, beside),
             clock,
-            TransportLimits(max_message=sheet.node.prompt_limit, idle_timeout=limits.idle),
+            log,
+            lambda: self.transport.unreachable_engines(),
+        )
+        self.on_leave: Callable[[], None] = _ignore  # an order to leave came: the caller drains
+        self.admin_service = NodeAdmin(self)
+        self.admin_service.serve(self.admin)
+        self.executor.poll_endpoints = self.endpoint_source.republish
+        self.endpoint_source.follow(self._update_endpoints)
+
+    # -- parts ------------------------------------------------------------------------------------
+
+    def _make_replication(self, sheet: NodeConfig, dial: Callable[[str], Callable]) -> Replication | None:
+        if not sheet.takeover:
+            return None
+        return Replication(sheet.takeover, sheet.node.name, self.run, self.clock, dial, self.log)
+
+    def _follow_replication(self) -> None:
+        if self.replication is None:
+            return
+        self.replication.service.on_abandoned = lambda record: close_at_engines(self.transport, record)
+        if not self.sheet.engines_may.claims:
+            self.log(
+                "takeover",
+                why="engines answer no claims here: streams end with their node, and what "
+                "may have run is not sent again",
+            )
+
+    def _make_server(self) -> Server:
+        limits = self.sheet.limits
+        return Server(
+            self.clock,
+            TransportLimits(max_message=self.sheet.node.prompt_limit, idle_timeout=limits.idle),
             max_connections=limits.connections,
             max_connections_per_host=limits.peer_connections,
         )
-        self.works.serve(self.server)
-        self.admin = Server(clock)
-        self.source = self._source(sheet, base, notify, reader, beside)
-        self.on_leave: Callable[[], None] = lambda: None  # an order to leave came: the caller drains
-        self.control = NodeAdmin(self)
-        self.control.serve(self.admin)
-        self.executor.poll_endpoints = self.source.republish
-        self.source.follow(self._list_news)
 
     @property
     def sheet(self) -> NodeConfig:
-        """The settings that hold."""
-        return self.works.sheet
+        """The present settings."""
+        return self.runtime.sheet
 
-    executor = property(lambda self: self.works.executor)
-    transport = property(lambda self: self.works.transport)
-    batches = property(lambda self: self.works.batches)
-    front = property(lambda self: self.works.front)
-    client_limits = property(lambda self: self.works.client_limits)
+    @property
+    def executor(self) -> ActionExecutor:
+        """The action executor of the present settings."""
+        return self.runtime.executor
 
     @property
-    def proven(self) -> bool:
-        """Whether it holds a list and has generated a sequence by what it now runs."""
-        return bool(self.executor.decoder.engines.index_of) and self.figures.generated > self.proven_from
-
-    def _list_news(self, rows: list[EndpointConfig], whole: bool, number: int = 0, digest: str = "") -> None:
-        for works in (self.works, *self.old):
-            works.list_news(rows, whole, number, digest)
-
-    def _source(
-        self, sheet: NodeConfig, base: Path, notify: Callable, reader: Callable | None, beside: Callable
-    ) -> StaticEndpointSource | EndpointWatcher:
-        part = sheet.list
-        if not part.files:
-            return StaticEndpointSource(part.engines)
-        most = ANY_REMOVED if part.confirm.most_removed == "any" else part.confirm.most_removed
-        damp = part.damp
-        flaps = NEVER_DAMPED if damp.flaps == "off" else damp.flaps
-        validator = ListValidator(
-            ValidationConfig(most, part.confirm.after, flaps, damp.within, damp.quiet_for),
-            {k.name: k for k in sheet.kinds},
-            sheet.zones,
-            sheet.engines_may.read_alone,
-        )
-        store = VersionStore(base / part.store) if part.store else None
-        return EndpointWatcher(
-            WatchConfig(tuple(part.files), base, part.poll, part.quiet, part.end_marked),
-            validator,
-            self.clock,
-            store=store,
-            log=self.log,
-            notify=notify,
-            unresponsive=lambda: self.transport.unreachable_engines(),
-            reader=reader,
-            run_in_background=beside,
-        )
+    def transport(self) -> GrpcEngineTransport:
+        """The engine transport of the present settings."""
+        return self.runtime.transport
+
+    @property
+    def batches(self) -> BatchCoordinator:
+        """The batches of the present settings."""
+        return self.runtime.batches
+
+    @property
+    def front(self) -> ChatFront:
+        """The chat front of the present settings."""
+        return self.runtime.front
+
+    @property
+    def client_limits(self) -> ClientLimits:
+        """The limits on clients of the present settings."""
+        return self.runtime.client_limits
+
+    @property
+    def is_proven(self) -> bool:
+        """Whether it has an endpoint list and has generated an answer by its present settings."""
+        has_endpoints = bool(self.executor.decoder.engines.index_of)
+        return has_endpoints and self.counters.generated > self._generated_before
+
+    def _all_runtimes(self) -> tuple[NodeRuntime, ...]:
+        return (self.runtime, *self.replaced_runtimes)
+
+    def _update_endpoints(
+        self, endpoints: Sequence[EndpointConfig], is_complete: bool, version: int = 0, digest: str = ""
+    ) -> None:
+        for runtime in self._all_runtimes():
+            runtime.update_endpoints(endpoints, is_complete, version, digest)
+
+    # -- change of settings -----------------------------------------------------------------------
 
     def apply(self, sheet: NodeConfig) -> None:
-        """From the next sequence on these settings hold. What `changes.unfit` says of them has to be
-        nothing.
-        """
-        before = self.works
-        rows = self.source.endpoints(sheet.list.engines if not sheet.list.pushed else None)
-        self.works = Works(sheet, self.around, before.number + 1, before)
-        self.proven_from = self.figures.generated
-        self.works.front.is_closed = before.front.is_closed
-        self.executor.poll_endpoints = before.executor.poll_endpoints
-        before.executor.poll_endpoints = lambda: None
-        self.works.list_news(rows, True, before.executor.list_version + 1)
-        for old in (before, *self.old):  # they send on, for what they hold: the list is theirs too
-            old.list_news(rows, True, before.executor.list_version + 1)
-        self.works.serve(self.server)
+        """Apply settings from the next sequence on; `settings_change.validate_change` has passed them."""
+        former = self.runtime
+        endpoints = self.endpoint_source.endpoints(sheet.list.engines if not sheet.list.pushed else None)
+        self.runtime = NodeRuntime(sheet, self.context, former.number + 1, former)
+        self._generated_before = self.counters.generated
+        self.front.is_closed = former.front.is_closed
+        self.executor.poll_endpoints = former.executor.poll_endpoints
+        former.executor.poll_endpoints = _ignore
+        self.runtime.update_endpoints(endpoints, True, former.executor.list_version + 1)
+        # Replaced runtimes go on sending for their sequences: the list is theirs, too.
+        for runtime in (former, *self.replaced_runtimes):
+            runtime.update_endpoints(endpoints, True, former.executor.list_version + 1)
+        self.runtime.serve(self.server)
         self.server.limits = replace(self.server.limits, max_message=sheet.node.prompt_limit)
-        self.old.append(before)
-        self._retire()
+        self.replaced_runtimes.append(former)
+        self._drop_idle_runtimes()
+
+    def _drop_idle_runtimes(self) -> None:
+        self.replaced_runtimes = [runtime for runtime in self.replaced_runtimes if not runtime.is_idle]
+        if self.replaced_runtimes:
+            self.clock.callLater(IDLE_CHECK_INTERVAL, self._drop_idle_runtimes)
+
+    def replaced_sequence_count(self) -> int:
+        """Count the in-flight sequences of replaced settings."""
+        return sum(len(runtime.executor.in_flight) for runtime in self.replaced_runtimes)
 
-    def _retire(self) -> None:
-        """Let go of replaced settings that have nothing in hand."""
-        self.old = [w for w in self.old if not w.idle]
-        if self.old:
-            self.clock.callLater(LOOK_IDLE, self._retire)
+    # -- event loop lag ---------------------------------------------------------------------------
 
     def measure_lag(self) -> None:
-        """Beat from here on, so that the door knows how late this process runs."""
+        """Measure the event loop lag from here on: the request decoder takes it off deadlines."""
+        lag = self.executor.decoder.lag
         now = self.clock.seconds()
-        before = self.executor.decoder.lag.worst
-        due = self.executor.decoder.lag.tick(now)
-        if self.executor.decoder.lag.worst > max(before, LAG_SAID):
-            self.log("lag", seconds=round(self.executor.decoder.lag.worst, 3))
+        worst_before = lag.worst
+        due = lag.tick(now)
+        if lag.worst > max(worst_before, MIN_LOGGED_LAG):
+            self.log("lag", seconds=round(lag.worst, 3))
         self.clock.callLater(max(0.0, due - now), self.measure_lag)
 
+    # -- drain ------------------------------------------------------------------------------------
+
     def drain(self) -> Deferred:
-        """Take nothing new; fires once all held is answered, at the latest after `drain_within`.
+        """Accept nothing new; fires once all is answered, at the latest after `drain_within`.
 
         A second call, as where SIGTERM comes amid an order to leave, fires with the first.
         """
-        done = Deferred()
-        if self._done is not None:
-            self._done.addCallback(lambda none: done.callback(None))
-            return done
-        self._done, self.leaving = Deferred(), True
+        if self._drain is None:
+            self._start_drain()
+        return self._drain.wait()
+
+    def _start_drain(self) -> None:
+        self.is_draining = True
         self.front.is_closed = True
         self.server.drain()
         within = self.sheet.node.drain_within
-        self.log(
-            "draining",
-            sequences=sum(len(w.executor.in_flight) for w in (self.works, *self.old)),
-            within=within,
-        )
-        self._limit = self.clock.callLater(within, self._cut)
-        for works in (self.works, *self.old):
-            works.executor.on_idle = self._idle
-            if self.replication is not None and self.sheet.engines_may.claims:
-                works.front.hand_over()
-        self._done.addCallback(lambda none: done.callback(None))
-        self._idle()
-        return done
-
-    def _idle(self) -> None:
-        if self._limit is not None and all(w.idle for w in (self.works, *self.old)):
-            for works in (self.works, *self.old):
-                works.executor.on_idle = lambda: None
-            limit, self._limit = self._limit, None  # once: whoever was replaced may say again that it is idle
-            if limit.active():
-                limit.cancel()
-            # a turn or two for the last answers to leave
-            self.clock.callLater(0.05, self._done.callback, None)
-
-    def _cut(self) -> None:
-        for works in (self.works, *self.old):
-            works.cut("the node is going down")
+        runtimes = self._all_runtimes()
+        sequences = sum(len(runtime.executor.in_flight) for runtime in runtimes)
+        self.log("draining", sequences=sequences, within=within)
+        self._drain = Drain(self.clock, runtimes, within)
+        self._drain.start(hands_over=self.replication is not None and self.sheet.engines_may.claims)
--- /dev/null
+++ b/myrtlehub/node/node_runtime.py
@@ -0,0 +1,220 @@
+"""What a node runs by one reading of its settings: router, executor, transport, limits and fronts.
+
+A node has one runtime that takes new sequences. One whose settings were replaced goes on with the sequences
+that it has, by the settings that they began with, and then ends.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import NamedTuple
+
+from myrtlehub.config.endpoints import EndpointConfig
+from myrtlehub.config.node import NodeConfig
+from myrtlehub.limits.admission import AdmissionController
+from myrtlehub.limits.retry_budget import RetryBudget
+from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.node.batch_fronts.coordinator import BatchCoordinator
+from myrtlehub.node.batch_fronts.embeddings import EMBEDDINGS
+from myrtlehub.node.batch_fronts.grpc_front import serve_front
+from myrtlehub.node.batch_fronts.rerank import RERANK
+from myrtlehub.node.chat_front.admission_queue import QueuedRequest
+from myrtlehub.node.chat_front.chat_front import ChatFront, ChatFrontLimits, TakeoverSupport
+from myrtlehub.node.client_limits import ClientLimits
+from myrtlehub.node.engine_pools import EnginePools
+from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
+from myrtlehub.node.protocols import Clock, EngineTransport, Log
+from myrtlehub.node.replication.replicated_transport import ReplicatedTransport
+from myrtlehub.node.replication.replication import Replication
+from myrtlehub.node.request_decoder import RequestDecoder
+from myrtlehub.node.router_config import fronts_of, router_config_of
+from myrtlehub.node.sequences import InFlightSequence
+from myrtlehub.node.traffic_counters import TrafficCounters
+from myrtlehub.routing import contract
+from myrtlehub.routing.policy.router import Router
+from myrtlehub.rpc.server import Server
+
+BATCH_FRONTS = (EMBEDDINGS, RERANK)
+# What is drawn at random in one part does not shift the draws of another: each has a seed of its own, counted
+# from the node's.
+TRANSPORT_SEED_OFFSET = 1
+ADMISSION_SEED_OFFSET = 2
+RETRY_BUDGET_SEED_OFFSET = 3
+ANY_RETRIES = "any"  # `limits.retries`: no retry budget
+
+
+class RuntimeContext(NamedTuple):
+    """What all runtimes of one node have in common."""
+
+    clock: Clock
+    dial: Callable[[str], Callable]  # how channels connect to an address
+    incarnation: str
+    log: Log
+    executor_class: type[ActionExecutor]
+    counters: TrafficCounters
+    replication: Replication | None = None
+
+
+class NodeRuntime:
+    """One settings' worth of a node."""
+
+    def __init__(
+        self,
+        sheet: NodeConfig,
+        context: RuntimeContext,
+        number: int = 0,
+        predecessor: "NodeRuntime | None" = None,
+    ) -> None:
+        """Start a runtime; it takes calls once `serve` is called.
+
+        Args:
+            sheet: the settings.
+            context: what it shares with other runtimes of the node.
+            number: how many changes of settings this process has applied.
+            predecessor: the runtime whose settings these replace.
+        """
+        self.sheet = sheet
+        self.context = context
+        self.number = number
+        self.fronts = fronts_of(sheet)
+        self.transport = self._make_transport()
+        self.executor = self._make_executor()
+        self.transport.executor = self.executor
+        if predecessor is not None:
+            self._share_with(predecessor)
+        self._follow_answers()
+        self.client_limits = self._make_client_limits()
+        self.batches = BatchCoordinator(self.executor, sheet, context.clock)
+        self.batches.dispatcher.pooled_fronts = self.fronts if len(self.fronts) > 1 else []
+        self.front = self._make_chat_front()
+        self.executor.start()
+
+    # -- parts ------------------------------------------------------------------------------------
+
+    def _make_transport(self) -> GrpcEngineTransport:
+        node = self.sheet.node
+        return GrpcEngineTransport(
+            self.context.clock,
+            self.context.dial,
+            node.name,
+            Random(node.seed + TRANSPORT_SEED_OFFSET),
+            node.connect_timeout,
+        )
+
+    def _make_executor(self) -> ActionExecutor:
+        context = self.context
+        # Ids name the incarnation and the settings: a node that came back must not speak of old sequences.
+        run = f"{context.incarnation}~{self.number}" if self.number else context.incarnation
+        transport: EngineTransport = self.transport
+        if context.replication is not None:
+            transport = ReplicatedTransport(self.transport, context.replication)
+        executor = context.executor_class(
+            self._make_router(),
+            RequestDecoder(self.sheet),
+            router_config_of(self.sheet),
+            context.clock,
+            transport,
+            f"{self.sheet.node.name}.{run}.",
+            context.log,
+        )
+        executor.probe_timeout = self.sheet.reports.probe_timeout
+        return executor
+
+    def _make_router(self) -> contract.Router:
+        """Return the router; where several fronts are served, one for each engine pool."""
+        sheet, fronts = self.sheet, self.fronts
+        if len(fronts) == 1:
+            return Router(router_config_of(sheet, fronts[0]))
+        return EnginePools(
+            Router,
+            [router_config_of(sheet, front) for front in fronts],
+            [
+                frozenset(index for index, kind in enumerate(sheet.kinds) if kind.serves(front))
+                for front in fronts
+            ],
+            [fronts.index(row.front) for row in sheet.traffic],
+        )
+
+    def _share_with(self, predecessor: "NodeRuntime") -> None:
+        self.transport.channels = predecessor.transport.channels  # a change of settings opens no connection
+        self.executor.decoder.lag = predecessor.executor.decoder.lag
+
+    def _follow_answers(self) -> None:
+        counters, replication = self.context.counters, self.context.replication
+        counters.follow(self.executor)
+        if replication is None:
+            return
+        publisher = replication.publisher
+        count_answer = self.executor.on_answered
+
+        def answered(sequence: InFlightSequence) -> None:
+            count_answer(sequence)
+            publisher.answered(sequence.sequence_id)
+
+        self.executor.on_answered = answered
+        self.executor.on_begun = publisher.answer_started
+        self.transport.ownership_of = publisher.ownership_of
+
+    def _make_client_limits(self) -> ClientLimits:
+        node, limits = self.sheet.node, self.sheet.limits
+        retry_budget = None
+        if limits.retries != ANY_RETRIES:
+            retry_budget = RetryBudget(limits.retries, Random(node.seed + RETRY_BUDGET_SEED_OFFSET))
+        return ClientLimits(limits, self.context.clock, self.context.log, retry_budget, node.max_wait)
+
+    def _make_chat_front(self) -> ChatFront:
+        node = self.sheet.node
+        limits = ChatFrontLimits(
+            max_sequences=node.most_sequences,
+            max_retry_after=node.max_wait,
+            fair_share=self.batches.shares,
+            clients=self.client_limits,
+            admission=self._make_admission_controller(),
+        )
+        return ChatFront(
+            self.executor, limits, self._takeover_support(), self.context.counters.record_rejected
+        )
+
+    def _make_admission_controller(self) -> AdmissionController[QueuedRequest] | None:
+        if not self.sheet.limits.admit:
+            return None
+        utility = {row.name: row.utility for row in self.sheet.traffic}
+        return AdmissionController(Random(self.sheet.node.seed + ADMISSION_SEED_OFFSET), utility)
+
+    def _takeover_support(self) -> TakeoverSupport | None:
+        replication = self.context.replication
+        if replication is None:
+            return None
+        return TakeoverSupport(replication, self.transport, self.sheet.engines_may.claims)
+
+    # -- what the node does with it ---------------------------------------------------------------
+
+    def serve(self, server: Server) -> None:
+        """Take all new calls from here on; calls that are in flight stay with the runtime that took them."""
+        self.front.serve(server)
+        for front in BATCH_FRONTS:
+            if front.name in self.fronts:
+                serve_front(front, self.batches, server, lambda: self.front.is_closed, self.client_limits)
+            else:
+                for path in (front.unary_path, front.stream_path):
+                    server.methods.pop(path, None)
+
+    def update_endpoints(
+        self, endpoints: Sequence[EndpointConfig], is_complete: bool, version: int = 0, digest: str = ""
+    ) -> None:
+        """Take the endpoint list or a change to it, as far as these settings know its kinds and zones."""
+        decoder = self.executor.decoder
+        known = [row for row in endpoints if row.kind in decoder.kinds and row.zone in decoder.zones]
+        self.executor.update_endpoints(known, is_complete, version, digest)
+        self.batches.endpoints_changed()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is in flight."""
+        return not self.executor.in_flight and not self.batches.in_flight
+
+    def abort_all(self, reason: str) -> None:
+        """Answer all that is in flight, now."""
+        for batch in list(self.batches.in_flight):
+            batch.deadline_passed()
+        for sequence in list(self.executor.in_flight.values()):
+            self.executor.deadline_passed(sequence, reason)
--- a/myrtlehub/node/process.py
+++ b/myrtlehub/node/process.py
@@ -3,21 +3,32 @@
 import gc
 import signal
 from collections.abc import Callable
+from typing import Protocol
+
+# Of the collector's generations: the youngest is collected rarely, as few objects here are in cycles.
+COLLECTOR_THRESHOLDS = (20_000, 20, 50)
+
+
+class ThreadSafeReactor(Protocol):
+    """What is needed of a reactor."""
+
+    def callFromThread(self, call: Callable[[], None]) -> object:  # noqa: N802
+        """Call in the event loop."""
 
 
 def settle_memory() -> None:
-    """Keep what start-up made out of the collector's way: its pauses would be seen as latency."""
+    """Exempt what start-up made from garbage collection: its pauses would be seen as latency."""
     gc.collect()
     gc.freeze()
-    gc.set_threshold(20_000, 20, 50)
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
 
 
-def on_term(call: Callable[[], None], reactor: object) -> None:
-    """SIGTERM and SIGINT ask for an orderly end."""
+def on_term(call: Callable[[], None], reactor: ThreadSafeReactor) -> None:
+    """Have the reactor call it on SIGTERM and SIGINT, which ask for an orderly end."""
     for name in (signal.SIGTERM, signal.SIGINT):
         on_signal(name, call, reactor)
 
 
-def on_signal(name: signal.Signals, call: Callable[[], None], reactor: object) -> None:
+def on_signal(name: signal.Signals, call: Callable[[], None], reactor: ThreadSafeReactor) -> None:
     """Have the reactor call it, whenever the signal comes."""
     signal.signal(name, lambda *ignored: reactor.callFromThread(call))
--- /dev/null
+++ b/myrtlehub/node/traffic_counters.py
@@ -0,0 +1,95 @@
+"""Counters of a node by traffic type, since its start; canary analysis compares them between nodes.
+
+They cost a few additions an answer, and say nothing of a single sequence.
+"""
+
+import math
+from collections import Counter
+from functools import partial
+
+from hdrh.histogram import HdrHistogram
+
+from myrtlehub.config.traffic import TrafficTypeConfig
+from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.node.sequences import InFlightSequence
+from myrtlehub.state.answer import AnswerState
+
+MICROSECONDS = 1e6  # in a second
+MAX_LATENCY = 600_000_000  # microseconds; longer latencies are recorded as this
+HISTOGRAM_DIGITS = 2  # significant: 1 in 100 is finer than any threshold of canary analysis
+MIN_LATENCY_SECONDS = 1e-6  # guards the logarithm
+
+
+class TrafficTypeCounters:
+    """Counters of one traffic type."""
+
+    __slots__ = (
+        "answers",
+        "attempts",
+        "earned_utility",
+        "first_token_histogram",
+        "first_token_log_sum",
+        "offered_utility",
+        "requests",
+    )
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.attempts = 0
+        self.offered_utility = 0.0  # of all requests whose client stayed
+        self.earned_utility = 0.0  # the part of it that answers earned
+        self.answers: Counter[str] = Counter()
+        self.first_token_histogram = HdrHistogram(1, MAX_LATENCY, HISTOGRAM_DIGITS)  # microseconds
+        self.first_token_log_sum = 0.0  # of the natural logarithms of seconds
+
+    def record_first_token(self, latency: float) -> None:
+        """Record the seconds to a first token."""
+        latency = max(MIN_LATENCY_SECONDS, latency)
+        microseconds = max(1, int(latency * MICROSECONDS))
+        self.first_token_histogram.record_value(min(MAX_LATENCY, microseconds))
+        self.first_token_log_sum += math.log(latency)
+
+
+class TrafficCounters:
+    """Counters of one process, over all settings that it had."""
+
+    def __init__(self) -> None:
+        self.by_type: dict[str, TrafficTypeCounters] = {}
+        self.generated = 0
+
+    def follow(self, executor: ActionExecutor) -> None:
+        """Count an executor's answers."""
+        executor.on_answered = partial(self._answered, executor)
+
+    def of_type(self, name: str) -> TrafficTypeCounters:
+        """Return the counters of a traffic type; made at their first use."""
+        counters = self.by_type.get(name)
+        if counters is None:
+            counters = self.by_type[name] = TrafficTypeCounters()
+        return counters
+
+    def record_rejected(self, row: TrafficTypeConfig) -> None:
+        """Count a request that was rejected before the executor had it."""
+        counters = self.of_type(row.name)
+        counters.requests += 1
+        counters.offered_utility += row.utility
+        counters.answers[AnswerState.REJECTED.value] += 1
+
+    def _answered(self, executor: ActionExecutor, sequence: InFlightSequence) -> None:
+        row = executor.decoder.rows[sequence.arrival.traffic]
+        answer = sequence.answer.state
+        counters = self.of_type(row.name)
+        counters.requests += 1
+        counters.answers[answer] += 1
+        counters.attempts += len(sequence.attempts)
+        if answer == AnswerState.CLIENT_LEFT:
+            return  # nobody waited for it: there was no utility to earn
+        counters.offered_utility += row.utility
+        latency = sequence.first_token_at - sequence.accepted_at
+        if sequence.first_token_at:
+            counters.record_first_token(latency)
+        if answer == AnswerState.GENERATED:
+            self.generated += 1
+            prompt_share = row.slo_per_1000_tokens * sequence.arrival.prompt_tokens / 1000.0
+            is_in_time = latency <= row.latency_slo + prompt_share
+            counters.earned_utility += row.utility * (1.0 if is_in_time else row.late_share)
--- a/myrtlehub/rollout_controller/node_client.py
+++ b/myrtlehub/rollout_controller/node_client.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from myrtlehub.node.admin import SERVICE
+from myrtlehub.node.admin.service import SERVICE
 from myrtlehub.proto import admin_pb2 as pb
 from myrtlehub.rollout.samples import NodeCounters, NodeStatus, Revision, TrafficCounters
 from myrtlehub.rpc.channel import Channel
--- a/myrtlehub/rollout_controller/process_supervisor.py
+++ b/myrtlehub/rollout_controller/process_supervisor.py
@@ -9,7 +9,7 @@
 import psutil
 from twisted.internet.defer import Deferred
 
-from myrtlehub.node.admin import GENERATION
+from myrtlehub.node.admin.orders import GENERATION_VARIABLE
 
 UNKNOWN_START = 0
 STAT_START_TIME = 19  # index of the start time among the fields of /proc/PID/stat after the program's name
@@ -76,7 +76,7 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
-                env={**os.environ, GENERATION: generation},
+                env={**os.environ, GENERATION_VARIABLE: generation},
             )
 
     def kill(self, node: int, known: ProcessIdentity | None) -> None:
--- a/tests/test_batch_fronts.py
+++ b/tests/test_batch_fronts.py
@@ -94,7 +94,7 @@
     fleet.run(0.3)
     for name in ("E0c", "E0d", "E0e"):
         fleet.rows[name]["model"] = "m2"
-    source = fleet.nodes["n0"].source
+    source = fleet.nodes["n0"].endpoint_source
     source.push([EndpointConfig(**fleet.rows[n]) for n in fleet.rows], True)
     fleet.run(4.0)
     for call in (whole, stream):
--- a/tests/test_endpoint_files.py
+++ b/tests/test_endpoint_files.py
@@ -57,7 +57,7 @@
     standing = [{**r, "state": "serving", "age": "0s"} for r in f.rows.values()]
     group = ListFilesGroup(every="200ms", burst=8)
     writer = ListWriter("n0", tmp_path / "list-n0", group, f.clock, Random(3), f.day, lambda: standing)
-    version = f.nodes["n0"].source.validator.version
+    version = f.nodes["n0"].endpoint_source.validator.version
     f.day.note("wrote", node="n0", digest=version.digest[:16], serving=sorted(version.endpoints))
     writer.start()
     random, asked = Random(4), 0
@@ -80,7 +80,7 @@
     f.log[:] = sorted([*told, *f.log], key=lambda r: r.at)  # told before what goes by it
     kept(f)
     nothing_left(f)
-    refused = [rejection.reason for rejection in f.nodes["n0"].source.validator.rejections]
+    refused = [rejection.reason for rejection in f.nodes["n0"].endpoint_source.validator.rejections]
     # Each names file and line of the fault, or says what to do.
     assert len(refused) > 5
     assert [why for why in refused if not (re.search(r"engines\.yaml:\d+: ", why) or "; " in why)] == []
@@ -190,7 +190,7 @@
         assert node.executor.list_label == first
         parsed += not read_snapshot(["list-n0"], tmp_path).faults
     assert parsed > len(cuts) / 2
-    assert "write the file whole, end: yes last" in node.source.validator.rejections[-1].reason
+    assert "write the file whole, end: yes last" in node.endpoint_source.validator.rejections[-1].reason
 
 
 def test_a_modification_time_in_the_past_hides_no_change(tmp_path: Path) -> None:
@@ -224,7 +224,7 @@
     write(f, W0c={"weight": 3})
     f.run(0.5)
     assert node.executor.list_label == label
-    assert "cannot be read: Permission denied" in node.source.validator.rejections[-1].reason
+    assert "cannot be read: Permission denied" in node.endpoint_source.validator.rejections[-1].reason
     monkeypatch.setattr(Path, "read_bytes", real)
     write(f, W0c={"weight": 5})
     f.run(0.5)
@@ -258,4 +258,4 @@
     c = f.ask(prompt=2000, output=10)
     f.run(2.0)
     assert c.answer == "generated"
-    assert isinstance(node.source, EndpointWatcher) and node.source.validator.number == 4
+    assert isinstance(node.endpoint_source, EndpointWatcher) and node.endpoint_source.validator.number == 4
--- a/tests/test_rollout_controller.py
+++ b/tests/test_rollout_controller.py
@@ -109,7 +109,7 @@
     def _at_home(self, i: int, node: Node, program: str) -> None:
         node.program = program
         node.on_leave = lambda: (
-            node.leaving
+            node.is_draining
             or node.drain().addCallback(lambda none: self.f.nodes.get(f"n{i}") is node and self.gone(i))
         )
 
@@ -127,7 +127,10 @@
         self.f.nodes[f"n{i}"] = node
         self._at_home(i, node, program)
         number, _, controller = generation.partition(" ")
-        node.control.orders.generation, node.control.orders.controller = int(number), controller
+        node.admin_service.orders.validator.generation, node.admin_service.orders.validator.controller = (
+            int(number),
+            controller,
+        )
         if bad == "never ready":
             node.front.is_closed = True
 
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -71,7 +71,7 @@
     assert early.answer == late.answer == "generated"
     assert strange.status.code == Code.INVALID_ARGUMENT and "'ask' is not one of" in strange.status.message
     labels = {r.more["seq"] for r in f.what("seq")}
-    assert len(labels) == 2 and not node.old and admin.show().proven
+    assert len(labels) == 2 and not node.replaced_runtimes and admin.show().proven
     again = admin.say("Apply", admin.order(settings=taken.settings))  # the same order once more
     assert not pb.OrderTaken.FromString(again).changed
 
@@ -84,7 +84,7 @@
     f.run(0.6)
     channels = dict(node.transport.channels)
     admin.change(new_text(f))
-    old = node.old[0]
+    old = node.replaced_runtimes[0]
     f.ask("ask")
     f.run(0.5)
     assert node.transport.channels == channels
@@ -94,7 +94,7 @@
         index = host.decoder.engines.index_of["W0b:1"]
         assert host.decoder.engines.rows[index].state == "draining"
     f.run(8.0)
-    assert {c.answer for c in f.calls} == {"generated"} and not node.old
+    assert {c.answer for c in f.calls} == {"generated"} and not node.replaced_runtimes
 
 
 @pytest.mark.parametrize(
@@ -139,7 +139,7 @@
         code, text = old.stage(new_text(f), generation)
         assert code == Code.PERMISSION_DENIED and ("obeys 2" in text or "controller c2's" in text)
     code, text = new.say("Leave", new.order(3, run="another"))
-    assert "for process another" in text and not f.nodes["n0"].leaving
+    assert "for process another" in text and not f.nodes["n0"].is_draining
     code, text = new.say("Apply", pb.Order(format=FORMAT_VERSION + 1, generation=9, controller="c9"))
     assert f"knows formats up to {FORMAT_VERSION}" in text
     assert (new.show().generation, new.show().controller) == (2, "c2")
