--- a/myrtlehub/cli/node.py
+++ b/myrtlehub/cli/node.py
@@ -43,7 +43,7 @@
     node.measure_lag()
     settle_memory()
     reactor.run(installSignalHandlers=False)
-    log("ended", **dict(sorted(node.host.answer_counts.items())))
+    log("ended", **dict(sorted(node.executor.answer_counts.items())))
 
 
 def _make_node(settings: NodeConfig, base: Path, reactor: ReactorBase, log: Log) -> "Node":
@@ -82,7 +82,7 @@
 
 def _drain_on_term(node: "Node", chat_port: IListeningPort, reactor: ReactorBase) -> None:
     def drain() -> None:
-        if not node.leaving:
+        if not node.is_draining:
             chat_port.stopListening()
             node.drain().addCallback(lambda ignored: reactor.stop())
 
--- a/tests/test_action_executor.py
+++ b/tests/test_action_executor.py
@@ -181,7 +181,7 @@
 
 def run_with_faults() -> Fleet:
     """Run a small fleet through refusals, a client that leaves, a killed engine, a restart and a drain."""
-    f = Fleet("R0 R1 W0 W0 W1", host=RecordingExecutor, slots=3)
+    f = Fleet("R0 R1 W0 W0 W1", executor_class=RecordingExecutor, slots=3)
     for i in range(60):
         f.ask(
             ("ask", "post", "note")[i % 3],
@@ -237,7 +237,7 @@
 
 def test_executor_and_simulator_get_the_same_actions() -> None:
     f = run_with_faults()
-    calls = f.nodes["n0"].host.router.calls
+    calls = f.nodes["n0"].executor.router.calls
     config = router_config_of(f.nodes["n0"].sheet)
     settings = wire_settings_of(config)
     assert platform_settings.router_config_from_settings(settings, config.seed) == config
@@ -282,7 +282,7 @@
     ids=lambda action: type(action).__name__,
 )
 def test_an_action_that_the_configuration_rules_out_raises(action: contract.Action) -> None:
-    host = Fleet().nodes["n0"].host
+    host = Fleet().nodes["n0"].executor
     host.router.wake = lambda now, token: [action]
     with pytest.raises(ContractViolationError, match="rule out") as caught:
         host._call_router("wake", 0)
@@ -290,7 +290,7 @@
 
 
 def test_actions_are_executed_in_order_and_router_calls_never_nest() -> None:
-    host, seen, depth = Fleet().nodes["n0"].host, [], []
+    host, seen, depth = Fleet().nodes["n0"].executor, [], []
 
     class ScriptedRouter:
         def wake(self, now: float, token: int) -> list[contract.Action]:
--- a/tests/test_batch_fronts.py
+++ b/tests/test_batch_fronts.py
@@ -5,7 +5,7 @@
 import pytest
 from batch_calls import BatchCallWatcher, assert_nothing_in_flight, assert_vectors, embed, rank, texts
 from fleet import Fleet
-from test_path import kept
+from test_request_path import assert_rules_kept
 
 from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.emulator.vectors import score_of, vector_of
@@ -31,7 +31,7 @@
     assert best.order == sorted(range(200), key=lambda i: -scores[i])[:5]
     parts = [r for r in fleet.what("got") if r.more["traffic"] == "vec"]
     assert len({r.who for r in parts}) == 3 and max(r.more["items"] for r in parts) <= 64
-    kept(fleet)
+    assert_rules_kept(fleet)
     assert_nothing_in_flight(fleet)
 
 
@@ -64,7 +64,7 @@
     sent = [(r.more["seq"], r.who) for r in fleet.what("got") if r.more["traffic"] == "vec"]
     assert len(sent) > len({s for s, _ in sent})  # some went again,
     assert len([s for s, _ in sent]) < 2 * len({s for s, _ in sent})  # and only some
-    kept(fleet)
+    assert_rules_kept(fleet)
     assert_nothing_in_flight(fleet)
 
 
@@ -94,7 +94,7 @@
     fleet.run(0.3)
     for name in ("E0c", "E0d", "E0e"):
         fleet.rows[name]["model"] = "m2"
-    source = fleet.nodes["n0"].source
+    source = fleet.nodes["n0"].endpoint_source
     source.push([EndpointConfig(**fleet.rows[n]) for n in fleet.rows], True)
     fleet.run(4.0)
     for call in (whole, stream):
@@ -185,7 +185,7 @@
     big = embed(fleet, texts(65), "vec1")
     fleet.run(0.1)
     assert big.status.code == Code.INVALID_ARGUMENT and "at most 64 items" in big.status.message
-    kept(fleet)
+    assert_rules_kept(fleet)
     assert_nothing_in_flight(fleet)
 
 
@@ -221,7 +221,7 @@
     slow.call.pauseProducing()
     fleet.run(2.0)
     assert not any(s.model.batching or s.model.batch_queue for s in fleet.stands.values())
-    assert not fleet.nodes["n0"].host.in_flight
+    assert not fleet.nodes["n0"].executor.in_flight
     slow.call.resumeProducing()
     fleet.run(1.0)
     assert slow.final == "generated" and len(slow.items) == 1000
@@ -245,14 +245,14 @@
     assert all(c.answer == "generated" for c in chats)
     finals = {c.final for c in flood}
     assert finals <= {"generated", "rejected"} and "generated" in finals
-    kept(fleet)
+    assert_rules_kept(fleet)
     fleet.run(4.0)
     assert_nothing_in_flight(fleet)
 
 
 def test_a_front_with_engines_of_its_own_keeps_to_its_share_of_common_ones() -> None:
     fleet = Fleet("R0 M0 M0 E0", batch_rate=20000.0, batch_queue=400, slots=16)
-    host, batches = fleet.nodes["n0"].host, fleet.nodes["n0"].batches
+    host, batches = fleet.nodes["n0"].executor, fleet.nodes["n0"].batches
     alone = embed(fleet, texts(600), is_stream=True)
     fleet.run(0.1)
     assert batches.shares.common_tokens["embed"] > 0.0  # nobody else asks: it may use all
@@ -277,5 +277,5 @@
     assert sum(c.final == "generated" for c in flood) > 10
     engines = host.router.routers[1].estimates.engines
     assert all(engines[index].state == EngineState.SERVING for index in host.router._known[1])  # let in again
-    kept(fleet)
+    assert_rules_kept(fleet)
     assert_nothing_in_flight(fleet)
--- a/tests/test_rollout_controller.py
+++ b/tests/test_rollout_controller.py
@@ -109,7 +109,7 @@
     def _at_home(self, i: int, node: Node, program: str) -> None:
         node.program = program
         node.on_leave = lambda: (
-            node.leaving
+            node.is_draining
             or node.drain().addCallback(lambda none: self.f.nodes.get(f"n{i}") is node and self.gone(i))
         )
 
@@ -127,9 +127,12 @@
         self.f.nodes[f"n{i}"] = node
         self._at_home(i, node, program)
         number, _, controller = generation.partition(" ")
-        node.control.orders.generation, node.control.orders.controller = int(number), controller
+        node.admin_service.orders.validator.generation, node.admin_service.orders.validator.controller = (
+            int(number),
+            controller,
+        )
         if bad == "never ready":
-            node.front.closed = True
+            node.front.is_closed = True
 
     def control(self, again: bool = False, die_at: int = 0, undo: bool = False) -> None:
         """Start a controller; it is killed at its boundary of this number, from 1."""
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -57,11 +57,11 @@
     early = f.ask("ask", output=200)
     f.run(0.5)
     assert early.tokens and not early.answer
-    old = node.host
+    old = node.executor
     # the new settings know the traffic type no more, and another in its place
     text = f.text(0).replace("name: ask", "name: query")
     taken = admin.change(text)
-    assert taken.changed and node.host is not old and old.in_flight
+    assert taken.changed and node.executor is not old and old.in_flight
     state = admin.show()
     assert (state.program, state.settings) == (before.program, taken.settings)
     assert state.settings != before.settings
@@ -71,7 +71,7 @@
     assert early.answer == late.answer == "generated"
     assert strange.status.code == Code.INVALID_ARGUMENT and "'ask' is not one of" in strange.status.message
     labels = {r.more["seq"] for r in f.what("seq")}
-    assert len(labels) == 2 and not node.old and admin.show().proven
+    assert len(labels) == 2 and not node.replaced_runtimes and admin.show().proven
     again = admin.say("Apply", admin.order(settings=taken.settings))  # the same order once more
     assert not pb.OrderTaken.FromString(again).changed
 
@@ -82,19 +82,19 @@
     for _ in range(4):
         f.ask("ask", output=300)
     f.run(0.6)
-    channels = dict(node.links.channels)
+    channels = dict(node.transport.channels)
     admin.change(new_text(f))
-    old = node.old[0]
+    old = node.replaced_runtimes[0]
     f.ask("ask")
     f.run(0.5)
-    assert node.links.channels == channels
+    assert node.transport.channels == channels
     f.tell("W0b", "draining")
     f.run(0.1)
-    for host in (old.host, node.host):
+    for host in (old.executor, node.executor):
         index = host.decoder.engines.index_of["W0b:1"]
         assert host.decoder.engines.rows[index].state == "draining"
     f.run(8.0)
-    assert {c.answer for c in f.calls} == {"generated"} and not node.old
+    assert {c.answer for c in f.calls} == {"generated"} and not node.replaced_runtimes
 
 
 @pytest.mark.parametrize(
@@ -139,7 +139,7 @@
         code, text = old.stage(new_text(f), generation)
         assert code == Code.PERMISSION_DENIED and ("obeys 2" in text or "controller c2's" in text)
     code, text = new.say("Leave", new.order(3, run="another"))
-    assert "for process another" in text and not f.nodes["n0"].leaving
+    assert "for process another" in text and not f.nodes["n0"].is_draining
     code, text = new.say("Apply", pb.Order(format=FORMAT_VERSION + 1, generation=9, controller="c9"))
     assert f"knows formats up to {FORMAT_VERSION}" in text
     assert (new.show().generation, new.show().controller) == (2, "c2")
@@ -184,7 +184,7 @@
     assert (sums["post"].utility, sums["post"].served) == (6.0, 6.0)  # of utility 3 each
     assert sums["ask"].begun == sum(sums["ask"].first.values()) == 4 and sums["ask"].attempts >= 5
     assert dict(figures.engines) == {"north": 3} and figures.memory > 10**6 and figures.run == "1"
-    f.nodes["n0"].front.closed = True
+    f.nodes["n0"].front.is_closed = True
     f.ask("ask")
     f.run(0.2)
     figures = pb.NodeFigures.FromString(admin.say("Figures"))
