--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	.ci/protos
 
 run: setup
-	$(VENV)/bin/hub-day bad-day
+	$(VENV)/bin/hub-scenario bad-day
 
 bench: setup
 	$(PY) benchmarks/relay.py
--- a/benchmarks/between.py
+++ b/benchmarks/between.py
@@ -16,7 +16,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks, returnValue
 
-from myrtlehub.cli.day import find_scenario
+from myrtlehub.cli.scenario import find_scenario
 from myrtlehub.config.loader import load_config
 from myrtlehub.lab.day import Day, as_text
 from myrtlehub.lab.scenario import Scenario
--- a/benchmarks/rolls.py
+++ b/benchmarks/rolls.py
@@ -34,7 +34,7 @@
 
 
 def play(kind: str, seed: int, folder: Path) -> dict:
-    """One day; what `hub-day --json` says, and what the controller said."""
+    """One day; what `hub-scenario --json` says, and what the controller said."""
     with (ROOT / "scenarios" / "rolling.yaml").open() as file:
         tree = YAML(typ="safe").load(file)
     roll = tree["roll"]
@@ -48,7 +48,7 @@
         [
             sys.executable,
             "-m",
-            "myrtlehub.cli.day",
+            "myrtlehub.cli.scenario",
             str(where / "day.json"),
             "--seed",
             str(seed),
--- a/benchmarks/takeovers.py
+++ b/benchmarks/takeovers.py
@@ -3,7 +3,7 @@
     python benchmarks/takeovers.py [--seeds 3] [--scenario takeover] [--at-once 2] [--chart
     docs/charts/takeover.png]
 
-Days of real processes on loopback by `hub-day`. Prints Markdown: by kind of repeat and by where a sequence
+Days of real processes on loopback by `hub-scenario`. Prints Markdown: by kind of repeat and by where a sequence
 stood when its node was lost, how many there were and the share that ended generated; the pause that clients
 saw.
 """
@@ -32,7 +32,7 @@
     path = folder / f"{seed}-{on}.json"
     path.write_text(json.dumps(tree))
     done = subprocess.run(
-        [sys.executable, "-m", "myrtlehub.cli.day", str(path), "--seed", str(seed), "--json", "--quiet"],
+        [sys.executable, "-m", "myrtlehub.cli.scenario", str(path), "--seed", str(seed), "--json", "--quiet"],
         capture_output=True,
         text=True,
     )
--- a/examples/rollout.py
+++ b/examples/rollout.py
@@ -52,7 +52,7 @@
             for port, does in ((7131, "reads"), (7132, "writes")):
                 path = folder / f"{does}.yaml"
                 path.write_text(f"{{name: {does}, listen: '127.0.0.1:{port}', {does}: yes, slots: 16}}\n")
-                processes.append(start("myrtlehub.cli.engine", path))
+                processes.append(start("myrtlehub.cli.emulator", path))
             for i in range(3):
                 for which, wait in (("", "2s"), (".new", "1s")):
                     (folder / f"hub-{i + 1}{which}.yaml").write_text(
--- a/examples/takeover.py
+++ b/examples/takeover.py
@@ -58,7 +58,7 @@
                 path.write_text(
                     f"{{name: {does}, listen: '127.0.0.1:{port}', {does}: yes, stream_bound: 5s}}\n"
                 )
-                engines.append(start("myrtlehub.cli.engine", path))
+                engines.append(start("myrtlehub.cli.emulator", path))
             for i in range(3):
                 path = folder / f"hub-{i + 1}.yaml"
                 path.write_text(NODE.format(i=i + 1, index=i, port=7161 + i, peer=7141 + i))
--- a/myrtlehub/cli/engine.py
+++ b/myrtlehub/cli/emulator.py
@@ -1,4 +1,4 @@
-"""hub-engine: an emulated engine (simulated)."""
+"""hub-emulator: an emulated engine (simulated)."""
 
 import os
 import sys
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/faulty_node.py
@@ -1,6 +1,6 @@
 """Nodes with one stated fault, for trials of rollouts.
 
-    python -m myrtlehub.cli.variant KIND CONFIG
+    python -m myrtlehub.cli.faulty_node KIND CONFIG
 
 The node is the real one; only what the kind names is different. It shows a revision of its own.
 """
--- a/myrtlehub/cli/day.py
+++ b/myrtlehub/cli/scenario.py
@@ -1,4 +1,4 @@
-"""hub-day: plays a scenario with real processes and gives a verdict on it."""
+"""hub-scenario: plays a scenario with real processes and gives a verdict on it."""
 
 import json
 import sys
@@ -50,9 +50,9 @@
 def main(
     scenario: str, sequences: int | None, seed: int | None, keep: Path | None, as_json: bool, quiet: bool
 ) -> None:
-    """Play SCENARIO: a YAML file, or the name of one under scenarios/ (try: hub-day bad-day).
+    """Play SCENARIO: a YAML file, or the name of one under scenarios/ (try: hub-scenario bad-day).
 
-    Starts nodes, stand-in engines and clients on loopback, each node and engine a process of its own, plays
+    Starts nodes, emulated engines and clients on loopback, each node and engine a process of its own, plays
     traffic and faults, and checks the five rules against what clients and engines recorded on their sockets.
     Exit 0: all kept. 1: a rule was broken, or a process ended as it should not. 2: it could not be played.
     """
@@ -60,7 +60,7 @@
     if keep is not None and keep.exists() and any(keep.iterdir()):
         fail(f"--keep {keep}: not empty")
     kind = _kind_of(plan)
-    with tempfile.TemporaryDirectory(prefix="hub-day-") as temporary:
+    with tempfile.TemporaryDirectory(prefix="hub-scenario-") as temporary:
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         verdict = _play(kind.player, plan, folder, sequences or 0, seed, quiet)
--- a/myrtlehub/cli/stepped.py
+++ b/myrtlehub/cli/stepped_clock.py
@@ -1,6 +1,6 @@
 """Runs a program of this package whose wall clock is set while it runs, for trials.
 
-    python -m myrtlehub.cli.stepped MODULE [ARGUMENT ...]
+    python -m myrtlehub.cli.stepped_clock MODULE [ARGUMENT ...]
 
 SIGUSR1 sets it back by an hour, SIGUSR2 ahead by one. Nothing else of the process is changed; the machine's
 clock is left alone.
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -131,7 +131,7 @@
         if name in self.admin:
             argv = [*self.node_program, str(self._write(name, self._node_file(name)))]
         else:
-            argv = ["myrtlehub.cli.engine", str(self._write(name, self._engine_file(name, cold)))]
+            argv = ["myrtlehub.cli.emulator", str(self._write(name, self._engine_file(name, cold)))]
         process = self.running[name] = self.processes.start(name, argv, self.env, self.checkouts.get(name))
         return process.ready
 
--- a/myrtlehub/lab/rolling.py
+++ b/myrtlehub/lab/rolling.py
@@ -28,9 +28,9 @@
     def __init__(self, *args: object, **more: object) -> None:
         super().__init__(*args, **more)
         roll = self.roll = self.s.roll
-        self.stepped = ["myrtlehub.cli.stepped"] if roll.sets_clocks else []
+        self.stepped = ["myrtlehub.cli.stepped_clock"] if roll.sets_clocks else []
         self.node_program = self.stepped + (
-            ["myrtlehub.cli.variant", roll.was] if roll.was else ["myrtlehub.cli.node"]
+            ["myrtlehub.cli.faulty_node", roll.was] if roll.was else ["myrtlehub.cli.node"]
         )
         self.env = {FOLDER: str(self.folder), NODES: str(len(self.admin))}
         self.wires: dict[str, Wire] = {}
@@ -61,7 +61,7 @@
         return tree
 
     def _command(self, kind: str) -> str:
-        program = ["myrtlehub.cli.variant", kind] if kind else ["myrtlehub.cli.node"]
+        program = ["myrtlehub.cli.faulty_node", kind] if kind else ["myrtlehub.cli.node"]
         return " ".join([sys.executable, "-m", *self.stepped, *program, "{settings}"])
 
     def _plan(self) -> Path:
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -104,7 +104,7 @@
                         [
                             sys.executable,
                             "-m",
-                            "myrtlehub.cli.day",
+                            "myrtlehub.cli.scenario",
                             str(folder / "day.yaml"),
                             "--json",
                             "--keep",
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -56,7 +56,7 @@
         [
             sys.executable,
             "-m",
-            "myrtlehub.cli.day",
+            "myrtlehub.cli.scenario",
             str(folder / "day.yaml"),
             "--json",
             "--quiet",
