Emulated engine: model by stages, typed events, fault injection, server by concern

Change: StandIn is EmulatedEngine; misbehave is inject_fault and FaultService (the RPC keeps its name); alarm is timer; events are NamedTuples; prefill, decode and batch stages, prefix cache, warm-up, state transfer and batch results have modules of their own. Tests follow by identifier.

--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -20,7 +20,7 @@
 from myrtlehub.config.emulated_engine import EmulatedEngineConfig
 from myrtlehub.config.loader import parse_config
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.emulator.server import StandIn
+from myrtlehub.emulator.server import EmulatedEngine
 from myrtlehub.lab.day import free_ports
 from myrtlehub.membership.file_notifier import FileNotifier
 from myrtlehub.membership.reader_process import ReaderProcess
@@ -106,7 +106,7 @@
                 read_rate=10000000,
                 memory="100M tokens",
             )
-            stand = StandIn(sheet, CLOCK, None, Recorder("s", CLOCK))
+            stand = EmulatedEngine(sheet, CLOCK, None, Recorder("s", CLOCK))
             stand.recorder.note = lambda *args, **more: None
             listening.append(reactor.listenTCP(self.ports[1 + i], stand.server, interface="127.0.0.1"))
         aside = ReaderProcess(reactor).start()
--- a/benchmarks/fresh.py
+++ b/benchmarks/fresh.py
@@ -15,7 +15,7 @@
 from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.config.loader import parse_config
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.emulator.model import Machine
+from myrtlehub.emulator.machine import Machine
 from myrtlehub.lab.modelled import ModelClient, ModelFleet
 from myrtlehub.node.request_decoder import DecodedRequest
 from myrtlehub.node.router_config import router_config_of
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -14,7 +14,7 @@
 from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.config.loader import parse_config
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.emulator.model import Machine
+from myrtlehub.emulator.machine import Machine
 from myrtlehub.lab.modelled import ModelClient, ModelFleet
 from myrtlehub.limits.admission import MAX_LIMIT, MIN_LIMIT, NEVER, AdmissionController, VegasLimiter
 from myrtlehub.node.request_decoder import DecodedRequest
--- a/myrtlehub/cli/emulator.py
+++ b/myrtlehub/cli/emulator.py
@@ -10,7 +10,7 @@
 from myrtlehub.config.emulated_engine import EmulatedEngineConfig
 from myrtlehub.node.process import on_term, settle_memory
 
-FELL = 3  # exit code of an engine that was overloaded while cold
+CRASHED = 3  # exit code of an engine that was overloaded while cold
 
 
 @click.command()
@@ -19,13 +19,13 @@
     """Run an emulated engine by CONFIG, a YAML file (docs/operators/config.md).
 
     It serves gRPC myrtlehub.v1.Engine like a model server would, with made-up figures, and
-    myrtlehub.v1.Stand, by which trials tell it to misbehave. Exit 2: CONFIG or an address is wrong. Exit
+    myrtlehub.v1.Stand, by which tests inject faults. Exit 2: CONFIG or an address is wrong. Exit
     3: it was pushed over while cold.
     """
     settings = load_or_exit(config, EmulatedEngineConfig)
     from twisted.internet import reactor
 
-    from myrtlehub.emulator.server import StandIn
+    from myrtlehub.emulator.server import EmulatedEngine
     from myrtlehub.node.clock import SteadyClock
     from myrtlehub.records import Recorder
 
@@ -33,13 +33,13 @@
     clock = SteadyClock(reactor)
     recorder = Recorder(settings.listen, clock, settings.records)
 
-    def on_fall() -> None:
+    def on_crashed() -> None:
         log("fell", why="pushed over while cold")
         recorder.close()
         sys.stdout.flush()
-        os._exit(FELL)
+        os._exit(CRASHED)
 
-    engine = StandIn(settings, clock, dialer(reactor), recorder, on_fall)
+    engine = EmulatedEngine(settings, clock, dialer(reactor), recorder, on_crashed)
     listen(reactor, settings.listen, engine.server)
     on_term(reactor.stop, reactor)
     reactor.callWhenRunning(lambda: log("ready", listen=settings.listen, cold=settings.cold))
--- a/myrtlehub/emulator/claims.py
+++ b/myrtlehub/emulator/claims.py
@@ -5,6 +5,7 @@
 
 from typing import TYPE_CHECKING, NoReturn
 
+from myrtlehub.emulator.events import FreeReason
 from myrtlehub.emulator.job import Job, StreamCall
 from myrtlehub.proto import chat_pb2 as chat
 from myrtlehub.proto import engine_pb2 as pb
@@ -15,7 +16,7 @@
 from myrtlehub.rpc.status import Code, RpcError
 
 if TYPE_CHECKING:
-    from myrtlehub.emulator.server import StandIn
+    from myrtlehub.emulator.server import EmulatedEngine
 
 MAX_FENCES = 20000  # minutes of the busiest emulated engine
 TOKENS_PER_MESSAGE = 64  # when earlier tokens are sent to a call that attached
@@ -24,7 +25,7 @@
 class ClaimableJobs:
     """Attempts of sequences that may be taken over, by sequence, for as long as a claim may still come."""
 
-    def __init__(self, engine: "StandIn", stream_bound: float) -> None:
+    def __init__(self, engine: "EmulatedEngine", stream_bound: float) -> None:
         """Make an empty one; `stream_bound`: seconds for which a stream that nobody reads continues."""
         self.engine = engine
         self.stream_bound = stream_bound
@@ -122,7 +123,7 @@
         for job in jobs:
             if not job.is_over:
                 job.stop("closed")
-        self.engine.act(self.engine.model.release(now, sequence_id, "closed"))
+        self.engine.act(self.engine.model.release(now, sequence_id, FreeReason.CLOSED))
 
     def _report(self, job: Job) -> pb.Stood:
         attempt_state = job.attempt_state
@@ -130,7 +131,7 @@
         if attempt_state == AttemptState.HOLDS_READ_STATE:
             tokens = self.engine.model.state_tokens(job.work.sequence)
             if tokens:
-                address = self.engine.sheet.listen
+                address = self.engine.config.listen
                 read_state = pb.State(engine=address, handle=job.work.sequence, tokens=int(tokens))
             else:
                 attempt_state = AttemptState.NEVER  # a read has no effect, and its state is gone
--- /dev/null
+++ b/myrtlehub/emulator/fault_service.py
@@ -0,0 +1,55 @@
+"""How an emulated engine serves `Stand.Misbehave`, by which tests inject faults."""
+
+from typing import TYPE_CHECKING
+
+from myrtlehub.emulator.faults import FaultKind, UnknownFaultError
+from myrtlehub.emulator.state_transfer import HTTP2_INTERNAL_ERROR
+from myrtlehub.proto import engine_pb2 as pb
+from myrtlehub.rpc.server_call import ServerCall
+from myrtlehub.rpc.status import Code, RpcError
+
+if TYPE_CHECKING:
+    from myrtlehub.emulator.server import EmulatedEngine
+
+
+class FaultService:
+    """Injects faults into one engine."""
+
+    def __init__(self, engine: "EmulatedEngine") -> None:
+        self._engine = engine
+
+    def inject(self, call: ServerCall, data: bytes) -> bytes:
+        """Serve one call."""
+        engine = self._engine
+        request = pb.Misbehaviour.FromString(data)
+        engine.recorder.note("misbehaves", how=request.how, factor=request.factor, seconds=request.seconds)
+        try:
+            self._inject(request)
+        except UnknownFaultError as error:
+            raise RpcError(Code.INVALID_ARGUMENT, str(error)) from error
+        engine.act([])
+        return pb.Misbehaving().SerializeToString()
+
+    def _inject(self, request: pb.Misbehaviour) -> None:
+        kind = _kind_of(request.how)
+        if kind == FaultKind.MODEL:
+            self._engine.model_name = request.model
+        elif kind == FaultKind.BREAK:
+            self._break_streams(request.factor or 1.0)
+        else:
+            now = self._engine.clock.seconds()
+            self._engine.model.inject_fault(now, kind, request.factor, request.seconds)
+
+    def _break_streams(self, share: float) -> None:
+        running = [job for job in self._engine.jobs if job.has_run]
+        for job in sorted(running, key=lambda job: job.work.sequence):
+            if job.call is not None and self._engine.random.random() < share:
+                job.note("broken")
+                job.call.stream.reset(HTTP2_INTERNAL_ERROR)
+
+
+def _kind_of(word: str) -> FaultKind:
+    try:
+        return FaultKind(word)
+    except ValueError:
+        raise UnknownFaultError(word) from None
--- a/myrtlehub/emulator/job.py
+++ b/myrtlehub/emulator/job.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import Deferred
 
+from myrtlehub.emulator.events import Refused
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.recovery.fencing import AttemptState
 from myrtlehub.recovery.sequence_records import Ownership
@@ -14,7 +15,7 @@
 from myrtlehub.rpc.status import Code, Status
 
 if TYPE_CHECKING:
-    from myrtlehub.emulator.server import StandIn
+    from myrtlehub.emulator.server import EmulatedEngine
 
 
 class StreamCall(Receiver):
@@ -33,7 +34,12 @@
     """One attempt being served."""
 
     def __init__(
-        self, engine: "StandIn", call: ServerCall, work: pb.Work, reads: bool, read_state: pb.State | None
+        self,
+        engine: "EmulatedEngine",
+        call: ServerCall,
+        work: pb.Work,
+        reads: bool,
+        read_state: pb.State | None,
     ) -> None:
         self.engine = engine
         self.call: ServerCall | None = call  # None: nobody reads the stream
@@ -100,7 +106,7 @@
 class StateFetch(CallWatcher):
     """A writer's call to a reader that fetches a read state."""
 
-    def __init__(self, engine: "StandIn", job: Job) -> None:
+    def __init__(self, engine: "EmulatedEngine", job: Job) -> None:
         self.engine = engine
         self.job = job
         self.tokens = 0
@@ -119,6 +125,6 @@
         is_whole = status.code == Code.OK and self.tokens >= job.read_state.tokens
         job.note("fetched", whole=is_whole)
         if is_whole and self.engine.hits("full_after_fetch"):
-            self.engine.act([*self.engine.model.cancel(now, job), ("refused", job, False)])
+            self.engine.act([*self.engine.model.cancel(now, job), Refused(job)])
             return
         self.engine.act(self.engine.model.fetched(now, job, is_whole))
--- /dev/null
+++ b/myrtlehub/emulator/machine.py
@@ -0,0 +1,51 @@
+"""Figures of an emulated machine, and the attempts that it is given."""
+
+from collections.abc import Hashable
+from dataclasses import dataclass
+from typing import NamedTuple, TypeAlias
+
+NEVER = float("inf")
+TIME_TOLERANCE = 1e-9  # seconds by which a timer may fire early
+
+AttemptKey: TypeAlias = Hashable
+
+
+@dataclass(frozen=True)
+class Machine:
+    """Figures of an emulated machine; times are seconds, memory and cached text are tokens.
+
+    The fields have the names of the emulated engine's file (config/emulated_engine.py).
+    """
+
+    slots: int = 8
+    queue: int = 32
+    memory: float = 200000.0
+    read_rate: float = 16000.0
+    step: float = 0.02
+    step_crowd: float = 0.5
+    fetch_rate: float = 250000.0
+    kept: float = 60000.0
+    cold_share: float = 0.25
+    cold_time: float = 10.0
+    fall_multiple: float = 2.5
+    fall_time: float = 1.0
+    state_bound: float = 3.0
+    begin: float = 0.0  # from a read state to the first step of its answer
+    batch_base: float = 0.006
+    batch_rate: float = 60000.0
+    batch_slots: int = 1
+    batch_queue: int = 16
+    batch_drag: float = 0.5
+
+
+class Task(NamedTuple):
+    """One attempt as the engine received it."""
+
+    sequence_id: str
+    prompt: float
+    max_output: float
+    session: str = ""
+    prefix: str = ""
+    shared_tokens: float = 0.0
+    idempotency_key: str = ""
+    start_before: float = NEVER  # not begun after this time
--- a/myrtlehub/lab/modelled.py
+++ b/myrtlehub/lab/modelled.py
@@ -11,8 +11,22 @@
 
 from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.emulator.alarm import Alarm
-from myrtlehub.emulator.model import EngineModel, Machine, Task
+from myrtlehub.emulator.events import (
+    AnswerDone,
+    Crashed,
+    Failed,
+    FetchNeeded,
+    FreeReason,
+    ModelEvent,
+    PromptRead,
+    Refused,
+    Started,
+    StateFreed,
+    TokensGenerated,
+)
+from myrtlehub.emulator.machine import Machine, Task
+from myrtlehub.emulator.model import EngineModel
+from myrtlehub.emulator.timer import ModelTimer
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.request_decoder import DecodedRequest, RequestDecoder
 from myrtlehub.node.router_config import router_config_of
@@ -31,41 +45,46 @@
         self.fleet, self.address = fleet, address
         self.model = EngineModel(machine, seed)
         self.jobs: dict[int, Attempt] = {}
-        self.alarm = Alarm(fleet.clock, self._tick)
+        self.timer = ModelTimer(fleet.clock, self._tick)
 
-    def act(self, events: list[tuple]) -> None:
+    def act(self, events: list[ModelEvent]) -> None:
         """Hand over what happened, a link's time later, and set the next wake-up."""
         clock = self.fleet.clock
         for event in events:
-            if event[0] in ("fell", "freed", "ran"):
+            if isinstance(event, Crashed | StateFreed | Started):
                 continue
-            if event[0] == "fetch":
-                self._fetch(event[1])
+            if isinstance(event, FetchNeeded):
+                self._fetch(event.key)
                 continue
-            attempt = self.jobs.get(event[1])
+            attempt = self.jobs.get(event.key)
             if attempt is None:
                 continue
-            if event[0] != "tokens":
-                del self.jobs[event[1]]
+            if not isinstance(event, TokensGenerated):
+                del self.jobs[event.key]
             clock.callLater(LINK, self._tell, attempt, event)
-        self.alarm.set(self.model.next_at())
+        self.timer.set(self.model.next_at())
 
     def _tick(self) -> None:
         self.act(self.model.tick(self.fleet.clock.seconds()))
 
-    def _tell(self, attempt: Attempt, event: tuple) -> None:
-        host, word = attempt.sequence.client.host, event[0]
+    def _tell(self, attempt: Attempt, event: ModelEvent) -> None:
+        host = attempt.sequence.client.host
         load = contract.LoadReport(**self.model.load())
-        if word == "tokens":
-            (host.tokens_received if attempt.is_streaming else host.began)(attempt, b"")
-        elif word == "read":
-            host.ended(attempt, contract.Outcome.READ, event[2], load, self.address)
-        elif word == "ended":
-            host.ended(attempt, contract.Outcome.GENERATED, event[2], load, tokens=event[3])
-        elif word == "refused":
-            host.ended(attempt, contract.Outcome.FULL, float(event[2]), load)
-        else:
-            host.ended(attempt, contract.Outcome.ERROR if word == "failed" else contract.Outcome.TIMEOUT)
+        match event:
+            case TokensGenerated():
+                (host.tokens_received if attempt.is_streaming else host.began)(attempt, b"")
+            case PromptRead():
+                host.ended(attempt, contract.Outcome.READ, event.cached_tokens, load, self.address)
+            case AnswerDone():
+                host.ended(
+                    attempt, contract.Outcome.GENERATED, event.cached_tokens, load, tokens=event.tokens
+                )
+            case Refused():
+                host.ended(attempt, contract.Outcome.FULL, float(event.no_state), load)
+            case Failed():
+                host.ended(attempt, contract.Outcome.ERROR)
+            case _:
+                host.ended(attempt, contract.Outcome.TIMEOUT)
 
     def _fetch(self, key: int) -> None:
         attempt = self.jobs.get(key)
@@ -78,7 +97,7 @@
     def _fetched(self, key: int, reader: "ModelEngine", label: str) -> None:
         now = self.fleet.clock.seconds()
         whole = reader.model.state_tokens(label) > 0.0
-        reader.act(reader.model.release(now, label, "fetched"))
+        reader.act(reader.model.release(now, label, FreeReason.FETCHED))
         self.act(self.model.fetched(now, key, whole))
 
     def take(self, key: int, attempt: Attempt) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,7 +8,7 @@
 from myrtlehub.config.emulated_engine import EmulatedEngineConfig
 from myrtlehub.config.loader import parse_config
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.emulator.server import StandIn
+from myrtlehub.emulator.server import EmulatedEngine
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.node import Node
 from myrtlehub.proto import admin_pb2, chat_pb2, engine_pb2
@@ -96,7 +96,7 @@
         self.fronts = any(word[0] in "EKM" for word in engines.split())
         self.log: list[Record] = []  # of all ends, in the order in which it happened
         self.day, self.client = self.recorder("day"), self.recorder("client")
-        self.stands: dict[str, StandIn] = {}
+        self.stands: dict[str, EmulatedEngine] = {}
         self.rows: dict[str, dict] = {}
         for i, word in enumerate(engines.split()):
             name = f"{word}{chr(97 + i)}"
@@ -128,7 +128,7 @@
             cold=cold,
             **self.machine,
         )
-        self.stands[name] = StandIn(
+        self.stands[name] = EmulatedEngine(
             sheet,
             self.clock,
             lambda address: self.net.dialer(address, f"{name}:1"),
@@ -244,7 +244,7 @@
         self.day.note("killed", who=f"{name}:1" if name in self.stands else name)
         self.net.kill(f"{name}:1")
         if name in self.stands:
-            self.stands[name].model.fallen = True
+            self.stands[name].model.has_crashed = True
         else:
             self.net.kill(f"{name}:2")
             dead = self.nodes.pop(name)
--- a/tests/test_batch_fronts.py
+++ b/tests/test_batch_fronts.py
@@ -220,7 +220,7 @@
     slow = rank(fleet, b"q", texts(1000), is_stream=True)
     slow.call.pauseProducing()
     fleet.run(2.0)
-    assert not any(s.model.batching or s.model.batch_queue for s in fleet.stands.values())
+    assert not any(s.model.batches.running or s.model.batches.queue for s in fleet.stands.values())
     assert not fleet.nodes["n0"].host.in_flight
     slow.call.resumeProducing()
     fleet.run(1.0)
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -80,7 +80,9 @@
             assert not node.host.in_flight and not node.host.attempts_out(), where
         for name, stand in f.stands.items():
             m = stand.model
-            assert m.fallen or not (m.states or m.running or m.reading or m.write_queue), (where, name)
+            assert m.has_crashed or not (
+                m.prefill.read_states or m.decode.running or m.prefill.running or m.decode.queue
+            ), (where, name)
     assert sum(places.values()) >= count - 2 and len(places) >= 6, places
     assert answers["generated"] and (answers["aborted"] or way != "reset" or traffic != "post"), answers
 
@@ -107,7 +109,7 @@
         if left < len(data):
             if left > 0:
                 deliver(data[:left])
-            if not f.stands["W0a"].model.fallen:
+            if not f.stands["W0a"].model.has_crashed:
                 f.kill("W0a")
             return
         deliver(data)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -79,7 +79,7 @@
     f.run(0.5)
     stopped.done.cancel()
     f.run(0.5)
-    assert not f.stands["W0b"].model.running and not f.nodes["n0"].host.in_flight
+    assert not f.stands["W0b"].model.decode.running and not f.nodes["n0"].host.in_flight
 
 
 @pytest.fixture
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -140,9 +140,9 @@
     fleet = slow_fleet()
     stuck, others = ask_without_reading(fleet), [fleet.ask(prompt=100, output=200) for _ in range(3)]
     run_with_balanced_ledger(fleet, 5.0)
-    assert fleet.stands["W0a"].model.running and not fleet.nodes["n0"].client_limits.cuts
+    assert fleet.stands["W0a"].model.decode.running and not fleet.nodes["n0"].client_limits.cuts
     run_with_balanced_ledger(fleet, 3.0)
-    assert not fleet.stands["W0a"].model.running  # the engine was told to stop
+    assert not fleet.stands["W0a"].model.decode.running  # the engine was told to stop
     stuck.call.resumeProducing()
     run_with_balanced_ledger(fleet, 1.0)
     assert stuck.answer == "aborted" and stuck.status.code == Code.OK  # it is told, once it reads
--- a/tests/test_endpoint_files.py
+++ b/tests/test_endpoint_files.py
@@ -120,7 +120,7 @@
     f.run(0.5)
     assert stream.tokens and not stream.answer
     where = f.what("ran")[-1].who[:-2]
-    f.stands[where].sheet = f.stands[where].sheet.model_copy(update={"reads": True})
+    f.stands[where].config = f.stands[where].config.model_copy(update={"reads": True})
     write(f, **{where: {"kind": "reader"}})
     f.run(1.0)
     engines = f.nodes["n0"].host.decoder.engines
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -40,9 +40,10 @@
     assert all(not n.host.in_flight and not n.host.attempts_out() for n in f.nodes.values())
     for stand in f.stands.values():
         m = stand.model
-        if not m.fallen:
-            assert not m.states and not m.running and not m.write_queue and not m.reading
-            assert abs(m.held) < 1e-6
+        if not m.has_crashed:
+            assert not m.prefill.read_states and not m.decode.running
+            assert not m.decode.queue and not m.prefill.running
+            assert abs(m.resources.used_memory) < 1e-6
 
 
 def test_a_question_goes_to_a_reader_its_state_to_a_writer_and_tokens_come_back() -> None:
@@ -214,7 +215,7 @@
     checker = kept(f)
     assert checker.counts[2] >= 6
     for stand in f.stands.values():  # what the dead node's streams held was let go as their connection broke
-        assert not stand.model.running and not stand.model.states
+        assert not stand.model.decode.running and not stand.model.prefill.read_states
 
 
 def test_a_cold_restart_with_all_nodes_sending() -> None:
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -50,13 +50,13 @@
     assert {w[0] for w in host.words} >= {"R0a:1", "W0b:1", "W0c:1"} and all(w[1] for w in host.words)
     assert all(w[2].memory_share is not None and w[2].unread is not None for w in host.words)
     assert not f.what("load") and [c.answer for c in f.calls] == ["generated"]
-    f.stands["W0b"].model.held = 199000.0  # its memory is full of what others asked for
+    f.stands["W0b"].model.resources.used_memory = 199000.0  # its memory is full of what others asked for
     for _ in range(8):
         f.ask(prompt=400)
         f.run(0.4)
     wrote = [r.who for r in f.what("got") if not r.more["reads"]][1:]
     assert wrote and set(wrote) == {"W0c:1"}
-    f.stands["W0b"].model.held = 0.0
+    f.stands["W0b"].model.resources.used_memory = 0.0
     f.run(4.0)
     kept(f)
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -139,7 +139,9 @@
         assert not node.replication.store.records, node.replication.store.records
     for name, stand in fleet.stands.items():
         model = stand.model
-        assert model.fallen or not (model.states or model.running or model.reading or model.write_queue), name
+        assert model.has_crashed or not (
+            model.prefill.read_states or model.decode.running or model.prefill.running or model.decode.queue
+        ), name
 
 
 @pytest.mark.parametrize("traffic", REPEATS)
