--- a/benchmarks/fresh.py
+++ b/benchmarks/fresh.py
@@ -16,7 +16,7 @@
 from myrtlehub.config.loader import parse_config
 from myrtlehub.config.node import NodeConfig
 from myrtlehub.emulator.machine import Machine
-from myrtlehub.lab.modelled import ModelClient, ModelFleet
+from myrtlehub.lab.in_process_fleet import InProcessClient, InProcessFleet
 from myrtlehub.node.request_decoder import DecodedRequest
 from myrtlehub.node.router_config import router_config_of
 from myrtlehub.routing.contract import EndpointUpdate, EngineState
@@ -49,7 +49,7 @@
         "writer": Machine(slots=12, memory=90_000.0, read_rate=9000.0, step=0.02, kept=30000.0),
     }
     sheets = [parse_config(SHEET.format(i=i, n=NODES, seed=seed * 100 + i), NodeConfig) for i in range(NODES)]
-    fleet = ModelFleet(NODES, sheets.__getitem__, rows, machines, seed)
+    fleet = InProcessFleet(NODES, sheets.__getitem__, rows, machines, seed)
     random, begin, out = Random(seed), fleet.clock.seconds(), []
 
     def ask(at: float) -> None:
@@ -63,9 +63,9 @@
             max_output_tokens=200,
         )
 
-        def over(client: ModelClient) -> None:
+        def over(client: InProcessClient) -> None:
             if at >= AT:
-                out.append((at - AT, client.first, float(0.0 < client.first <= 1.0)))
+                out.append((at - AT, client.first_token, float(0.0 < client.first_token <= 1.0)))
 
         fleet.ask(random.randrange(NODES), asked, over)
 
@@ -75,7 +75,7 @@
         fleet.clock.callLater(at, ask, at)
 
     def replace() -> None:
-        for i, host in enumerate(fleet.hosts):
+        for i, host in enumerate(fleet.executors):
             old = host.router
             new = host.router = _Both(Router(router_config_of(sheets[i])), old)
             new.begin(fleet.clock.seconds(), host.decoder.engines.index_of.values())
--- a/benchmarks/judges.py
+++ b/benchmarks/judges.py
@@ -3,7 +3,7 @@
 
     python benchmarks/judges.py [--seeds 1000] [--out docs/charts]
 
-Simulated: `lab/manynodes`, blocks of 5 s. Each cell plays whole changes: measuring 24 blocks, four stages (2,
+Simulated: `lab/fleet_model`, blocks of 5 s. Each cell plays whole changes: measuring 24 blocks, four stages (2,
 10, 40, 100 per cent), each changed at 8 per cent of the fleet at a time, warmed for 2 blocks and watched for
 12. With trouble, an engine failure of one zone and a burst over all come at moments drawn by chance. Prints
 Markdown; writes charts.
@@ -20,7 +20,7 @@
 import numpy as np
 from scipy.stats import ttest_ind
 
-from myrtlehub.lab.manynodes import Harm, ManyNodes, Trouble, roles_of, stages
+from myrtlehub.lab.fleet_model import Disturbance, FleetModel, Regression, roles_of, stages
 from myrtlehub.rollout.canary_analysis import CanaryAnalysis, Outcome
 from myrtlehub.rollout.samples import NodeRole, SampleWindow
 from myrtlehub.rollout.statistics import Guard
@@ -35,15 +35,15 @@
     Guard("first_token", 0.05),
 )
 HARMS = {
-    "equal": Harm(),
-    "1% less": Harm(0.01),
-    "2% less": Harm(0.02),
-    "5% less": Harm(0.05),
-    "10% less": Harm(0.1),
-    "one type 10% less": Harm(0.1, one_type=True),
-    "10% slower": Harm(slower=0.1),
-    "30% slower": Harm(slower=0.3),
-    "5% less from half on": Harm(0.05, others_from=0.39),
+    "equal": Regression(),
+    "1% less": Regression(0.01),
+    "2% less": Regression(0.02),
+    "5% less": Regression(0.05),
+    "10% less": Regression(0.1),
+    "one type 10% less": Regression(0.1, one_type=True),
+    "10% slower": Regression(slower=0.1),
+    "30% slower": Regression(slower=0.3),
+    "5% less from half on": Regression(0.05, others_from=0.39),
 }
 
 
@@ -142,12 +142,12 @@
 }
 
 
-def troubles_of(seed: int, zones: int) -> tuple[Trouble, ...]:
+def troubles_of(seed: int, zones: int) -> tuple[Disturbance, ...]:
     """An engine failure of one zone and a burst, somewhere in the change."""
     r = np.random.default_rng(seed + 10**6)
     return (
-        Trouble(int(r.integers(30, 90)), int(r.integers(4, 12)), int(r.integers(zones)), 0.2, 0.35),
-        Trouble(int(r.integers(30, 120)), int(r.integers(2, 6)), -1, 0.1, 0.0),
+        Disturbance(int(r.integers(30, 90)), int(r.integers(4, 12)), int(r.integers(zones)), 0.2, 0.35),
+        Disturbance(int(r.integers(30, 120)), int(r.integers(2, 6)), -1, 0.1, 0.0),
     )
 
 
@@ -155,32 +155,32 @@
     """One change from its first block to its last node, or to its undoing."""
     name, harm, nodes, troubled, seed = args
     zones = 4 if nodes > 50 else 2
-    fleet = ManyNodes(nodes, zones, seed, BLOCK, HARMS[harm], troubles_of(seed, zones) if troubled else ())
+    fleet = FleetModel(nodes, zones, seed, BLOCK, HARMS[harm], troubles_of(seed, zones) if troubled else ())
     judge = JUDGES[name](fleet.zones)
     for _ in range(MEASURE):
-        judge.add(fleet.block(roles_of(nodes, 0), True))
+        judge.add(fleet.advance(roles_of(nodes, 0), True))
     asked = fleet.asked / MEASURE
     step, done = max(1, round(nodes * AWAY_SHARE)), 0
     for stage, until in enumerate(stages(nodes)):
         judge.start_stage()
         while done < until:
-            judge.add(fleet.block(roles_of(nodes, done, min(step, until - done))))
+            judge.add(fleet.advance(roles_of(nodes, done, min(step, until - done))))
             done += min(step, until - done)
         for _ in range(WARM):  # warming nodes are not compared, though what they lose counts
-            block = fleet.block(roles_of(nodes, done))
+            block = fleet.advance(roles_of(nodes, done))
             block.roles[:done] = 0
             judge.add(block)
         judge.restart_observation()
         held = 0
         while True:
-            judge.add(fleet.block(roles_of(nodes, done)))
+            judge.add(fleet.advance(roles_of(nodes, done)))
             says = judge.verdict()
             held += says == Outcome.DISTURBANCE
             if says == Outcome.WORSE or held > HOLD_MOST:
-                return End(True, stage, fleet.at - MEASURE, fleet.lost / asked)
+                return End(True, stage, fleet.step - MEASURE, fleet.lost / asked)
             if says == Outcome.PASS:
                 break
-    return End(False, len(stages(nodes)), fleet.at - MEASURE, fleet.lost / asked)
+    return End(False, len(stages(nodes)), fleet.step - MEASURE, fleet.lost / asked)
 
 
 def unguarded(harm: str, nodes: int) -> float:
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -15,7 +15,7 @@
 from myrtlehub.config.loader import parse_config
 from myrtlehub.config.node import NodeConfig
 from myrtlehub.emulator.machine import Machine
-from myrtlehub.lab.modelled import ModelClient, ModelFleet
+from myrtlehub.lab.in_process_fleet import InProcessClient, InProcessFleet
 from myrtlehub.limits.admission import MAX_LIMIT, MIN_LIMIT, NEVER, AdmissionController, VegasLimiter
 from myrtlehub.node.request_decoder import DecodedRequest
 
@@ -117,7 +117,7 @@
     """One run: utility within the SLO, all of it asked for, answers, attempts a first try."""
     rows = [EndpointConfig(address=f"r{i}:1", kind="reader", zone="z") for i in range(2)]
     rows += [EndpointConfig(address=f"w{i}:1", kind="writer", zone="z") for i in range(4)]
-    fleet = ModelFleet(
+    fleet = InProcessFleet(
         nodes,
         lambda i: parse_config(SHEET.format(i=i, n=nodes, seed=seed + i), NodeConfig),
         rows,
@@ -130,13 +130,13 @@
     armed: list = [None] * nodes
     answers: Counter[str] = Counter()
 
-    def over(client: ModelClient) -> None:
+    def over(client: InProcessClient) -> None:
         nonlocal good
-        name, now = client.asked.traffic_type, fleet.clock.seconds()
+        name, now = client.request.traffic_type, fleet.clock.seconds()
         answers[client.answer] += 1
-        if client.answer == "generated" and client.waited + client.first <= SLO[name]:
+        if client.answer == "generated" and client.waited + client.first_token <= SLO[name]:
             good += UTILITY[name]
-        if not client.first:
+        if not client.first_token:
             gates[client.node].failed(now, True)
             pump(client.node)
 
@@ -144,12 +144,14 @@
         now = fleet.clock.seconds()
         left = (4.0 if asked.traffic_type != "bulk" else 8.0) - (now - arrived)
 
-        def ended(client: ModelClient) -> None:
+        def ended(client: InProcessClient) -> None:
             client.node, client.waited = node, now - arrived
             over(client)
 
-        def begun(client: ModelClient) -> None:
-            gates[node].started(fleet.clock.seconds(), now - arrived + client.first, SLO[asked.traffic_type])
+        def begun(client: InProcessClient) -> None:
+            gates[node].started(
+                fleet.clock.seconds(), now - arrived + client.first_token, SLO[asked.traffic_type]
+            )
             pump(node)
 
         fleet.ask(node, asked._replace(time_left=max(0.05, left)), ended, begun)
--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -14,7 +14,7 @@
 
 from myrtlehub.config.traffic import RulesConfig
 from myrtlehub.lab.batches import BatchClients
-from myrtlehub.lab.cases import CaseCounter
+from myrtlehub.lab.case_coverage import CaseCounter
 from myrtlehub.lab.checker import RULES, SLACK, Checker, check
 from myrtlehub.lab.clients import ClientFleet
 from myrtlehub.lab.lists import ListWatch, ListWriter
--- a/myrtlehub/lab/rolling.py
+++ b/myrtlehub/lab/rolling.py
@@ -11,9 +11,9 @@
 from twisted.internet.task import deferLater
 
 from myrtlehub.lab.day import Day, as_text
+from myrtlehub.lab.fault_proxy import FaultProxy
 from myrtlehub.lab.processes import Process
 from myrtlehub.lab.scenario import RollFault
-from myrtlehub.lab.wires import Wire
 from myrtlehub.proto import admin_pb2
 from myrtlehub.records import Recorder
 
@@ -23,7 +23,7 @@
 
 
 class RollingDay(Day):
-    """One day with a roll. The controller reaches each node by a wire of ours; clients do so directly."""
+    """One day with a roll. The controller reaches each node by a fault proxy; clients do so directly."""
 
     def __init__(self, *args: object, **more: object) -> None:
         super().__init__(*args, **more)
@@ -33,7 +33,7 @@
             ["myrtlehub.cli.faulty_node", roll.was] if roll.was else ["myrtlehub.cli.node"]
         )
         self.env = {FOLDER: str(self.folder), NODES: str(len(self.admin))}
-        self.wires: dict[str, Wire] = {}
+        self.proxies: dict[str, FaultProxy] = {}
         self.controller: Process | None = None
         self.ended: Deferred = Deferred()
         self.roll_code: int | None = None
@@ -68,7 +68,7 @@
         roll = self.roll
         for name in self.admin:
             self._write(f"{name}.new", self._new_file(name))
-            self.wires[name] = Wire(self.reactor, self.admin[name], self.say).listen()
+            self.proxies[name] = FaultProxy(self.reactor, self.admin[name], self.say).listen()
         change = (
             {"program": {"was": self._command(roll.was), "now": self._command(roll.now)}}
             if roll.now
@@ -79,7 +79,7 @@
             "settings": "{name}.yaml",
             "start": self._command(roll.was),
             "nodes": [
-                {"name": n, "admin": self.wires[n].address, "zone": "north"} for n in sorted(self.admin)
+                {"name": n, "admin": self.proxies[n].address, "zone": "north"} for n in sorted(self.admin)
             ],
             "stages": [{"nodes" if isinstance(s, int) else "share": s} for s in roll.stages],
             **roll.plan,
@@ -94,7 +94,7 @@
         super().news(engine, state, started)
         for name in self.admin:  # whoever begins anew reads it from its file
             self._write(name, self._node_file(name))
-            if self.wires:
+            if self.proxies:
                 self._write(f"{name}.new", self._new_file(name))
 
     def _runs(self, node: str) -> bool:
@@ -158,7 +158,7 @@
                 (self.controller if name == "controller" else self.running[name]).signal("USR1")
             return
         for name in fault.whom:
-            (self.wires[name].stall if fault.do == "stall" else self.wires[name].mend)()
+            (self.proxies[name].stall if fault.do == "stall" else self.proxies[name].restore)()
 
     def _resume(self) -> None:
         self.controller = self._spawn_controller("resume")
@@ -185,8 +185,8 @@
             if pid and pid not in mine:
                 os.kill(pid, signal.SIGTERM)
         yield deferLater(self.reactor, 0.5 if self.started else 0.0, lambda: None)
-        for wire in self.wires.values():
-            yield wire.close()
+        for proxy in self.proxies.values():
+            yield proxy.close()
         result = yield super()._end()
         returnValue(result)
 
--- a/myrtlehub/lab/takeover.py
+++ b/myrtlehub/lab/takeover.py
@@ -5,19 +5,19 @@
 from statistics import quantiles
 
 from myrtlehub.lab.day import Day, as_text
+from myrtlehub.lab.fault_proxy import Direction, FaultProxy
 from myrtlehub.lab.processes import HOST, free_ports
 from myrtlehub.lab.scenario import FaultRow
-from myrtlehub.lab.wires import BACK, THERE, Wire
 
 
 class TakeoverDay(Day):
-    """One day. Each node reaches each other one by a wire of ours; clients and engines do so directly."""
+    """One day. Each node reaches each other one by a fault proxy; clients and engines do so directly."""
 
     def __init__(self, *args: object, **more: object) -> None:
         super().__init__(*args, **more)
         nodes = sorted(self.admin)
         self.peer_at = {n: f"{HOST}:{p}" for n, p in zip(nodes, free_ports(len(nodes)), strict=True)}
-        self.wires: dict[tuple[str, str], Wire] = {}
+        self.proxies: dict[tuple[str, str], FaultProxy] = {}
 
     # -- files ------------------------------------------------------------------------------------
 
@@ -35,7 +35,7 @@
                 {
                     "name": n,
                     "zone": "north",
-                    "address": self.peer_at[n] if n == name else self._wire(name, n).address,
+                    "address": self.peer_at[n] if n == name else self._proxy(name, n).address,
                 }
                 for n in sorted(self.peer_at)
             ],
@@ -48,10 +48,10 @@
             tree["stream_bound"] = f"{t.stream_bound}s"
         return tree
 
-    def _wire(self, one: str, other: str) -> Wire:
-        if (one, other) not in self.wires:
-            self.wires[one, other] = Wire(self.reactor, self.peer_at[other]).listen()
-        return self.wires[one, other]
+    def _proxy(self, one: str, other: str) -> FaultProxy:
+        if (one, other) not in self.proxies:
+            self.proxies[one, other] = FaultProxy(self.reactor, self.peer_at[other]).listen()
+        return self.proxies[one, other]
 
     # -- faults -----------------------------------------------------------------------------------
 
@@ -59,17 +59,17 @@
         if row.do not in ("cut off", "cut out"):
             super()._node_fault(row, name)
             return
-        mine = [w for (one, other), w in self.wires.items() if name in (one, other)]
-        for (one, other), wire in self.wires.items():
+        mine = [w for (one, other), w in self.proxies.items() if name in (one, other)]
+        for (one, other), proxy in self.proxies.items():
             if row.do == "cut off" and name in (one, other):
-                wire.stall()
+                proxy.stall()
             elif row.do == "cut out" and name == one:
-                wire.stall(THERE)
+                proxy.stall(Direction.FORWARD)
             elif row.do == "cut out" and name == other:
-                wire.stall(BACK)
+                proxy.stall(Direction.BACKWARD)
         self.recorder.note("cut", who=name, how=row.do, lasts=row.lasts)
-        for wire in mine:
-            self.clock.callLater(row.lasts, wire.mend)
+        for proxy in mine:
+            self.clock.callLater(row.lasts, proxy.restore)
 
     def _ended(self, process: object) -> None:
         leaves = process.code == 0  # told to: its successor is another process
@@ -80,8 +80,8 @@
 
     def verdict(self) -> dict:
         verdict = super().verdict()
-        for wire in self.wires.values():
-            wire.close()
+        for proxy in self.proxies.values():
+            proxy.close()
         verdict["takeover"] = {**self._clients_saw(), **self._nodes_said()}
         return verdict
 
--- a/tests/test_canary_analysis.py
+++ b/tests/test_canary_analysis.py
@@ -5,7 +5,7 @@
 import numpy as np
 import pytest
 
-from myrtlehub.lab.manynodes import Harm, ManyNodes, Trouble, roles_of
+from myrtlehub.lab.fleet_model import Disturbance, FleetModel, Regression, roles_of
 from myrtlehub.rollout.canary_analysis import CanaryAnalysis, Outcome, Verdict
 from myrtlehub.rollout.samples import NodeRole
 from myrtlehub.rollout.statistics import Guard
@@ -24,18 +24,18 @@
     changed: int,
     seed: int,
     most: int = 40,
-    harm: Harm | None = None,
-    troubles: tuple[Trouble, ...] = (),
+    harm: Regression | None = None,
+    troubles: tuple[Disturbance, ...] = (),
     **more: float,
 ) -> tuple[Verdict, CanaryAnalysis, int]:
     """Measure 24 windows, then watch until something is said."""
-    fleet = ManyNodes(nodes, 2, seed, 5.0, harm, troubles)
+    fleet = FleetModel(nodes, 2, seed, 5.0, harm, troubles)
     analysis = CanaryAnalysis(GUARDS, fleet.zones, 12, **more)
     for _ in range(24):
-        analysis.add(fleet.block(roles_of(nodes, 0), True))
+        analysis.add(fleet.advance(roles_of(nodes, 0), True))
     analysis.restart_observation()
     for _ in range(most):
-        analysis.add(fleet.block(roles_of(nodes, changed)))
+        analysis.add(fleet.advance(roles_of(nodes, changed)))
         verdict = analysis.verdict()
         if verdict.outcome in (Outcome.WORSE, Outcome.PASS):
             break
@@ -52,12 +52,12 @@
 @pytest.mark.parametrize(
     ("harm", "figure"),
     [
-        (Harm(0.1), "served: "),
-        (Harm(slower=0.3), "first_token"),
-        (Harm(0.3, one_type=True), "served of post"),
+        (Regression(0.1), "served: "),
+        (Regression(slower=0.3), "first_token"),
+        (Regression(0.3, one_type=True), "served of post"),
     ],
 )
-def test_a_worse_version_is_stopped_and_its_figure_named(harm: Harm, figure: str) -> None:
+def test_a_worse_version_is_stopped_and_its_figure_named(harm: Regression, figure: str) -> None:
     for seed in range(8):
         verdict, _, windows = watch(24, 3, seed, harm=harm)
         assert verdict.outcome == Outcome.WORSE and figure in verdict.reason and windows <= 13, (
@@ -74,13 +74,13 @@
 def test_an_engine_failure_where_the_only_changed_node_is_does_not_stop_it() -> None:
     """A tenth of the utility of one zone goes, with a third of its engines, while stage one is watched."""
     for seed in range(10):
-        verdict, analysis, windows = watch(24, 1, seed, troubles=(Trouble(28, 8, 0, 0.1, 0.35),))
+        verdict, analysis, windows = watch(24, 1, seed, troubles=(Disturbance(28, 8, 0, 0.1, 0.35),))
         assert verdict.outcome == Outcome.PASS and windows >= 12, (seed, verdict)
         assert any(t.any() for t in analysis.disturbance.disturbed_zones)
 
 
 def test_a_burst_that_hits_all_is_a_disturbance_and_named() -> None:
-    verdict, analysis, _ = watch(24, 3, 1, most=6, troubles=(Trouble(26, 99, -1, 0.2, 0.0),))
+    verdict, analysis, _ = watch(24, 3, 1, most=6, troubles=(Disturbance(26, 99, -1, 0.2, 0.0),))
     assert (
         verdict.outcome == Outcome.DISTURBANCE
         and "the fleet serves" in verdict.reason
@@ -90,7 +90,7 @@
 
 def test_a_change_that_hurts_the_others_is_held_and_named_once_it_has_outlasted_a_burst() -> None:
     for seed in range(5):
-        verdict, analysis, windows = watch(24, 12, seed, harm=Harm(0.05, others_from=0.5))
+        verdict, analysis, windows = watch(24, 12, seed, harm=Regression(0.05, others_from=0.5))
         assert verdict.outcome == Outcome.WORSE and "hurts the others" in verdict.reason, (
             seed,
             verdict.reason,
@@ -98,24 +98,24 @@
         assert 2 * analysis.watch <= windows < 40 and not any(c.low > 0.0 for c in verdict.comparisons)
 
 
-@pytest.mark.parametrize("trouble", [Trouble(26, 12, -1, 0.1, 0.0), Trouble(26, 99, 0, 0.1, 0.35)])
-def test_a_burst_that_passes_or_engines_that_go_are_not_blamed_on_the_change(trouble: Trouble) -> None:
+@pytest.mark.parametrize("trouble", [Disturbance(26, 12, -1, 0.1, 0.0), Disturbance(26, 99, 0, 0.1, 0.35)])
+def test_a_burst_that_passes_or_engines_that_go_are_not_blamed_on_the_change(trouble: Disturbance) -> None:
     for seed in range(5):
         verdict, _, _ = watch(24, 12, seed, most=45, troubles=(trouble,))
         assert verdict.outcome in (Outcome.PASS, Outcome.DISTURBANCE), (seed, verdict.reason)
 
 
 def test_an_analysis_restored_from_a_snapshot_gives_the_same_verdict() -> None:
-    fleet = ManyNodes(24, 2, 4, 5.0, Harm(0.1))
+    fleet = FleetModel(24, 2, 4, 5.0, Regression(0.1))
     first, second = (CanaryAnalysis(GUARDS, fleet.zones, 12) for _ in range(2))
     for _ in range(24):
-        first.add(fleet.block(roles_of(24, 0), True))
+        first.add(fleet.advance(roles_of(24, 0), True))
     second.restore(json.loads(json.dumps(first.snapshot())))
     for analysis in (first, second):
         analysis.start_stage()
         analysis.restart_observation()
     for _ in range(8):
-        block = fleet.block(roles_of(24, 3))
+        block = fleet.advance(roles_of(24, 3))
         first.add(block)
         second.add(block)
     for guard in GUARDS:
@@ -129,7 +129,7 @@
 
 
 def test_a_verdict_needs_windows_and_both_groups() -> None:
-    verdict, _, _ = watch(24, 3, 3, most=2, harm=Harm(0.5))
+    verdict, _, _ = watch(24, 3, 3, most=2, harm=Regression(0.5))
     assert verdict.outcome == Outcome.UNDECIDED and not verdict.comparisons
     everybody, _, _ = watch(24, 24, 3)
     assert (
@@ -139,26 +139,26 @@
 
 def test_utility_lost_bounds_a_change_whose_harm_is_below_every_margin() -> None:
     loose = (Guard("served", 0.5, -1.0),)
-    fleet = ManyNodes(24, 2, 5, 5.0, Harm(0.2))
+    fleet = FleetModel(24, 2, 5, 5.0, Regression(0.2))
     analysis = CanaryAnalysis(loose, fleet.zones, 12, max_lost=0.2)
     for _ in range(24):
-        analysis.add(fleet.block(roles_of(24, 0), True))
+        analysis.add(fleet.advance(roles_of(24, 0), True))
     analysis.restart_observation()
     for _ in range(12):
-        analysis.add(fleet.block(roles_of(24, 6)))
+        analysis.add(fleet.advance(roles_of(24, 6)))
     verdict = analysis.verdict()
     assert verdict.outcome == Outcome.WORSE and "may be lost" in verdict.reason
 
 
 def test_an_unavailable_node_counts_for_nothing() -> None:
-    fleet = ManyNodes(6, 2, 9)
+    fleet = FleetModel(6, 2, 9)
     analysis = CanaryAnalysis(GUARDS, fleet.zones, 3)
     for _ in range(5):
-        analysis.add(fleet.block(roles_of(6, 0), True))
+        analysis.add(fleet.advance(roles_of(6, 0), True))
     roles = roles_of(6, 1)
     roles[1] = NodeRole.UNAVAILABLE
     for _ in range(5):
-        block = fleet.block(roles)
+        block = fleet.advance(roles)
         for above, below in block.figures.values():
             above[1], below[1] = -1e9, 1.0  # whatever such a node says
         analysis.add(block)
