Tests start the emulator and read its batch stage by their new names

Cause: test_probe names the module in an f-string and batch_calls reads the model; both were overlooked. Change: the two names.

--- a/tests/batch_calls.py
+++ b/tests/batch_calls.py
@@ -118,4 +118,4 @@
         assert not batches.in_flight and batches.batcher.is_empty and not any(batches.shares._queues.values())
         assert all(abs(out) < 1e-6 for out in batches.shares.tokens_in_flight.values())
     for engine in fleet.stands.values():
-        assert engine.model.fallen or not (engine.model.batching or engine.model.batch_queue)
+        assert engine.model.has_crashed or not (engine.model.batches.running or engine.model.batches.queue)
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -149,7 +149,7 @@
     (folder / "node.yaml").write_text(text)
     running = []
     for name in ("r", "w", "node"):
-        program = f"myrtlehub.cli.{'node' if name == 'node' else 'engine'}"
+        program = f"myrtlehub.cli.{'node' if name == 'node' else 'emulator'}"
         process = subprocess.Popen(
             [sys.executable, "-m", program, folder / f"{name}.yaml"],
             stdout=subprocess.PIPE,
