Program names in three tests' and benchmarks' arguments

Cause: test_client, test_config and three benchmarks name the program in an argument; they were overlooked.

--- a/benchmarks/fronts.py
+++ b/benchmarks/fronts.py
@@ -145,7 +145,7 @@
             "embedder": {"embeds": True},
         }[kind]
         name = f"e{self.count}"
-        self.p.start("engine", name, {"name": name, "listen": address, **does, **more})
+        self.p.start("emulator", name, {"name": name, "listen": address, **does, **more})
         return address
 
     def texts(self, count: int) -> list[bytes]:
--- a/benchmarks/keeping.py
+++ b/benchmarks/keeping.py
@@ -38,7 +38,7 @@
         self.processes = Processes(folder)
         for i, address in enumerate(engines):
             self.processes.start(
-                "engine",
+                "emulator",
                 f"e{i}",
                 {
                     "name": f"e{i}",
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -41,7 +41,7 @@
         self.processes = Processes(folder)
         for i, address in enumerate(self.engines):
             self.processes.start(
-                "engine",
+                "emulator",
                 f"e{i}",
                 {
                     "name": f"e{i}",
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -106,7 +106,7 @@
     (tmp_path / "k.yaml").write_text(f"{{name: k, listen: '127.0.0.1:{ports[5]}', ranks: yes}}")
     running = []
     for name in ("r", "w", "e", "k", "node"):
-        program = "node" if name == "node" else "engine"
+        program = "node" if name == "node" else "emulator"
         process = subprocess.Popen(
             [sys.executable, "-m", f"myrtlehub.cli.{program}", tmp_path / f"{name}.yaml"],
             stdout=subprocess.PIPE,
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -118,8 +118,8 @@
     (tmp_path / "n.yaml").write_text(VALID.replace("drain_within: 10s", "drain_within: 10"))
     for program, argument in (
         ("node", tmp_path / "n.yaml"),
-        ("engine", tmp_path / "none.yaml"),
-        ("day", "no-such-day"),
+        ("emulator", tmp_path / "none.yaml"),
+        ("scenario", "no-such-day"),
     ):
         run = subprocess.run(
             [sys.executable, "-m", f"myrtlehub.cli.{program}", argument],
