Lab: the rule checker as a package, a rule a module

Change: Checker is RuleChecker, check is check_records, RULES is RULE_NAMES with the enum Rule; texts stay.

--- a/myrtlehub/lab/day.py
+++ b/myrtlehub/lab/day.py
@@ -15,10 +15,12 @@
 from myrtlehub.config.traffic import RulesConfig
 from myrtlehub.lab.batches import BatchClients
 from myrtlehub.lab.case_coverage import CaseCounter
-from myrtlehub.lab.checker import RULES, SLACK, Checker, check
 from myrtlehub.lab.clients import ClientFleet
 from myrtlehub.lab.lists import ListWatch, ListWriter
 from myrtlehub.lab.processes import HOST, Process, Processes, free_ports
+from myrtlehub.lab.rule_checker.checker import RuleChecker, check_records
+from myrtlehub.lab.rule_checker.findings import RULE_NAMES
+from myrtlehub.lab.rule_checker.scenario_facts import SLACK
 from myrtlehub.lab.scenario import KINDS, OF_NODES, FaultRow, MachineGroup, Scenario
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.proto import admin_pb2, engine_pb2
@@ -454,7 +456,7 @@
         """Rules and figures, from the records alone."""
         paths = sorted(self.folder.glob("*.rec"))
         self.lists = ListWatch(self.s.rules.drain_grace)
-        checker = check(self._watch(heapq.merge(*map(read, paths), key=lambda r: r.at)))
+        checker = check_records(self._watch(heapq.merge(*map(read, paths), key=lambda r: r.at)))
         self.lists.finish(checker.now)
         return {
             "seed": self.seed,
@@ -495,7 +497,7 @@
             yield record
 
 
-def rules_of(checker: Checker) -> list[dict]:
+def rules_of(checker: RuleChecker) -> list[dict]:
     """The five rules: how many things each was checked on, and what broke it."""
     return [
         {
@@ -504,7 +506,7 @@
             "checked": checker.counts[rule],
             "breaches": [b.text for b in checker.breaches if b.rule == rule],
         }
-        for rule, name in RULES.items()
+        for rule, name in RULE_NAMES.items()
     ]
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -3,7 +3,8 @@
 import pytest
 from fleet import Fleet
 
-from myrtlehub.lab.checker import RULES, Checker, check
+from myrtlehub.lab.rule_checker.checker import RuleChecker, check_records
+from myrtlehub.lab.rule_checker.findings import RULE_NAMES
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.sequences import Attempt, InFlightSequence
 from myrtlehub.records import Record
@@ -18,7 +19,7 @@
 ]
 
 
-def judge(fleet: Fleet) -> Checker:
+def judge(fleet: Fleet) -> RuleChecker:
     fleet.day.note("ends")
     terms = {
         "traffic": ROWS,
@@ -26,10 +27,10 @@
         "slack": 0.05,
         "engines": [(r["address"], r["cell"], r["zone"]) for r in fleet.rows.values()],
     }
-    return check([Record(0.0, "day", "terms", terms), *fleet.log])
+    return check_records([Record(0.0, "day", "terms", terms), *fleet.log])
 
 
-def kept(fleet: Fleet) -> Checker:
+def kept(fleet: Fleet) -> RuleChecker:
     checker = judge(fleet)
     assert not checker.breaches, "\n".join(b.text for b in checker.breaches)
     return checker
@@ -469,7 +470,7 @@
         trouble(f)
         found = judge(f)
         assert {b.rule for b in found.breaches} == wanted, [b.text for b in found.breaches]
-        assert set(found.counts) == set(RULES)
+        assert set(found.counts) == set(RULE_NAMES)
 
 
 def test_a_held_sequence_is_small() -> None:
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from myrtlehub.lab.checker import Checker
+from myrtlehub.lab.rule_checker.checker import RuleChecker
 from myrtlehub.node.replication.takeover_machine import TAKEOVER_TABLE
 from myrtlehub.records import Record
 
@@ -169,7 +169,7 @@
 
 
 def judged(records: list[Record]) -> list:
-    checker = Checker()
+    checker = RuleChecker()
     for record in records:
         checker.see(record)
     return checker.finish()
