--- a/benchmarks/between.py
+++ b/benchmarks/between.py
@@ -18,8 +18,9 @@
 
 from myrtlehub.cli.scenario import find_scenario
 from myrtlehub.config.loader import load_config
-from myrtlehub.lab.day import Day, as_text
-from myrtlehub.lab.scenario import Scenario
+from myrtlehub.lab.scenario_file import Scenario
+from myrtlehub.lab.scenario_runner import ScenarioRunner
+from myrtlehub.lab.verdict import verdict_text
 
 
 @inlineCallbacks
@@ -28,11 +29,15 @@
     kept = True
     for seed in range(1, seeds + 1):
         with tempfile.TemporaryDirectory() as folder:
-            day = Day(load_config(find_scenario(scenario), Scenario), Path(folder), reactor, seed=seed)
-            day.checkouts = dict.fromkeys(sorted(day.admin)[::2], earlier)
+            day = ScenarioRunner(
+                load_config(find_scenario(scenario), Scenario), Path(folder), reactor, seed=seed
+            )
+            day.checkouts = dict.fromkeys(sorted(day.layout.admin_addresses)[::2], earlier)
             verdict = yield day.play()
-        click.echo(f"seed {seed}, {len(day.checkouts)} of {len(day.admin)} nodes of {earlier}")
-        click.echo(as_text(verdict))
+        click.echo(
+            f"seed {seed}, {len(day.checkouts)} of {len(day.layout.admin_addresses)} nodes of {earlier}"
+        )
+        click.echo(verdict_text(verdict))
         kept = kept and verdict["kept"]
     returnValue(kept)
 
--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -21,7 +21,7 @@
 from myrtlehub.config.loader import parse_config
 from myrtlehub.config.node import NodeConfig
 from myrtlehub.emulator.server import EmulatedEngine
-from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.processes import free_ports
 from myrtlehub.membership.file_notifier import FileNotifier
 from myrtlehub.membership.reader_process import ReaderProcess
 from myrtlehub.node.node import Node
--- a/benchmarks/fronts.py
+++ b/benchmarks/fronts.py
@@ -18,7 +18,7 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from myrtlehub.cli.common import dialer
-from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.processes import free_ports
 from myrtlehub.proto import chat_pb2
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.rpc.channel import Channel
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -22,7 +22,7 @@
 from twisted.internet.task import deferLater
 
 from myrtlehub.cli.common import dialer
-from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.processes import free_ports
 from myrtlehub.proto import chat_pb2, engine_pb2
 from myrtlehub.rpc.channel import Channel
 from myrtlehub.rpc.client_call import CallWatcher
--- a/myrtlehub/cli/faulty_node.py
+++ b/myrtlehub/cli/faulty_node.py
@@ -15,7 +15,7 @@
 
 from twisted.internet.defer import Deferred
 
-from myrtlehub.lab.rolling import FOLDER, NODES
+from myrtlehub.lab.rollout_scenario import FOLDER_VARIABLE, NODE_COUNT_VARIABLE
 from myrtlehub.node import node, revision, works
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.links import Links
@@ -79,23 +79,23 @@
 
     def crash() -> None:
         # The records have to say that this process ends here, as nothing else can.
-        Recorder("variant", SteadyClock(reactor), Path(os.environ[FOLDER]) / f"crash-{os.getpid()}.rec").note(
-            "killed", who=name
-        )
+        Recorder(
+            "variant", SteadyClock(reactor), Path(os.environ[FOLDER_VARIABLE]) / f"crash-{os.getpid()}.rec"
+        ).note("killed", who=name)
         os._exit(3)
 
     reactor.callLater(CRASH_AFTER, crash)
 
 
 def _half() -> None:
-    folder = Path(os.environ[FOLDER])
+    folder = Path(os.environ[FOLDER_VARIABLE])
     (folder / f"half-{os.getpid()}").touch()
 
     def share(arrival: Arrival) -> float:
         with_it = len(
             {file.name for file in folder.glob("half-*") if Path(f"/proc/{file.name[5:]}").exists()}
         )
-        return HALF if 2 * with_it >= int(os.environ[NODES]) else 0.0
+        return HALF if 2 * with_it >= int(os.environ[NODE_COUNT_VARIABLE]) else 0.0
 
     _refusing(share)
 
--- a/myrtlehub/cli/scenario.py
+++ b/myrtlehub/cli/scenario.py
@@ -11,16 +11,16 @@
 from twisted.python.failure import Failure
 
 from myrtlehub.cli.common import fail, load_or_exit
-from myrtlehub.lab.scenario import Scenario
+from myrtlehub.lab.scenario_file import Scenario
 
 if TYPE_CHECKING:
-    from myrtlehub.lab.day import Day
+    from myrtlehub.lab.scenario_runner import ScenarioRunner
 
 
-class Kind(NamedTuple):
+class ScenarioKind(NamedTuple):
     """What plays a scenario, and how its verdict is printed."""
 
-    player: type["Day"]
+    runner_class: type["ScenarioRunner"]
     to_text: Callable[[dict], str]
 
 
@@ -63,42 +63,49 @@
     with tempfile.TemporaryDirectory(prefix="hub-scenario-") as temporary:
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        verdict = _play(kind.player, plan, folder, sequences or 0, seed, quiet)
+        verdict = _play(kind.runner_class, plan, folder, sequences or 0, seed, quiet)
         click.echo(json.dumps(verdict) if as_json else kind.to_text(verdict))
     sys.exit(0 if verdict["kept"] else 1)
 
 
-def _kind_of(scenario: Scenario) -> Kind:
-    from myrtlehub.lab.day import Day, as_text
-    from myrtlehub.lab.rolling import RollingDay, rolling_as_text
-    from myrtlehub.lab.takeover import TakeoverDay, takeover_as_text
+def _kind_of(scenario: Scenario) -> ScenarioKind:
+    from myrtlehub.lab.rollout_scenario import RolloutRunner, rollout_text
+    from myrtlehub.lab.scenario_runner import ScenarioRunner
+    from myrtlehub.lab.takeover_scenario import TakeoverRunner, takeover_text
+    from myrtlehub.lab.verdict import verdict_text
 
     if scenario.roll:
-        return Kind(RollingDay, rolling_as_text)
+        return ScenarioKind(RolloutRunner, rollout_text)
     if scenario.takeover:
-        return Kind(TakeoverDay, takeover_as_text)
-    return Kind(Day, as_text)
+        return ScenarioKind(TakeoverRunner, takeover_text)
+    return ScenarioKind(ScenarioRunner, verdict_text)
 
 
 def _play(
-    player: type["Day"], scenario: Scenario, folder: Path, sequences: int, seed: int | None, quiet: bool
+    runner_class: type["ScenarioRunner"],
+    scenario: Scenario,
+    folder: Path,
+    sequences: int,
+    seed: int | None,
+    quiet: bool,
 ) -> dict:
     """Play in a reactor that runs until the end; return the verdict, and save it in the folder."""
     from twisted.internet import reactor
 
-    from myrtlehub.lab.day import DayFailed, save
+    from myrtlehub.lab.scenario_runner import ScenarioFailedError
+    from myrtlehub.lab.verdict import save
 
     results: list[dict | Failure] = []
 
     def report(line: str) -> None:
         if not quiet:
-            at = day.clock.seconds() - day.started if day.started else 0.0
+            at = runner.clock.seconds() - runner.started if runner.started else 0.0
             click.echo(f"{at:6.1f} s  {line}", err=True)
 
-    day = player(scenario, folder.resolve(), reactor, sequences, seed, report)
+    runner = runner_class(scenario, folder.resolve(), reactor, sequences, seed, report)
 
     def start() -> None:
-        day.play().addBoth(results.append).addBoth(lambda ignored: reactor.stop())
+        runner.play().addBoth(results.append).addBoth(lambda ignored: reactor.stop())
 
     reactor.callWhenRunning(start)
     reactor.run()
@@ -106,7 +113,7 @@
         fail("interrupted")
     verdict = results[0]
     if isinstance(verdict, Failure):
-        if verdict.check(DayFailed):
+        if verdict.check(ScenarioFailedError):
             fail(f"the day could not be played: {verdict.getErrorMessage()}")
         verdict.printTraceback(sys.stderr)
         sys.exit(2)
--- a/myrtlehub/lab/batches.py
+++ b/myrtlehub/lab/batches.py
@@ -9,7 +9,7 @@
 
 from myrtlehub.emulator.vectors import score_of, vector_of
 from myrtlehub.lab.clients import Callers, Try
-from myrtlehub.lab.scenario import Scenario, TrafficMix
+from myrtlehub.lab.scenario_file import Scenario, TrafficMix
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.records import Recorder
 from myrtlehub.rpc.status import Status
--- a/myrtlehub/lab/clients.py
+++ b/myrtlehub/lab/clients.py
@@ -10,7 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from myrtlehub.lab.scenario import Scenario, TrafficMix
+from myrtlehub.lab.scenario_file import Scenario, TrafficMix
 from myrtlehub.limits.event_loop_lag import LagMeter
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.records import Recorder
--- a/myrtlehub/lab/lists.py
+++ b/myrtlehub/lab/lists.py
@@ -15,7 +15,7 @@
 from ruamel.yaml.compat import StringIO
 
 from myrtlehub.config.endpoints import EndpointConfig
-from myrtlehub.lab.scenario import ListFilesGroup
+from myrtlehub.lab.scenario_file import ListFilesConfig
 from myrtlehub.membership.list_version import make_version
 from myrtlehub.records import Record, Recorder
 
@@ -47,7 +47,7 @@
         self,
         node: str,
         folder: Path,
-        group: ListFilesGroup,
+        group: ListFilesConfig,
         clock: object,
         random: Random,
         recorder: Recorder,
--- a/myrtlehub/lab/processes.py
+++ b/myrtlehub/lab/processes.py
@@ -1,11 +1,13 @@
-"""Many processes on loopback: started, waited for by what they say and not for time, signalled, ended."""
+"""Many processes on loopback: started, waited for by their events and not for time, signalled, ended."""
 
+import contextlib
 import os
 import signal
 import socket
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any, NamedTuple, TypeAlias
 
 import msgspec
 from twisted.internet.defer import Deferred, DeferredList
@@ -13,166 +15,206 @@
 from twisted.internet.protocol import ProcessProtocol
 from twisted.python.failure import Failure
 
+from myrtlehub.lab.interfaces import Reactor
+from myrtlehub.rpc.clock import Timer
+
 HOST = "127.0.0.1"
-TAIL = 2000  # bytes of a process's last words that are kept for whoever asks why it ended
+OUTPUT_TAIL = 2000  # bytes of a process's last output, for whoever asks why it ended
 END_WITHIN = 15.0  # seconds after SIGTERM until a process counts as one that does not end
+READY = "ready"
+
+LogLine: TypeAlias = dict[str, Any]  # a JSON line of a program, with its `event`
+
 
+class ProcessFailedError(Exception):
+    """A process ended before the event that was waited for.
+
+    Attributes:
+        name: of the process.
+        event: that was waited for.
+        output: the last of what it wrote.
+    """
+
+    def __init__(self, name: str, event: str, output: str) -> None:
+        what = "did not start" if event == READY else f"ended before it said {event!r}"
+        super().__init__(f"{name} {what}: {output}")
+        self.name = name
+        self.event = event
+        self.output = output
 
-class ProcessFailed(Exception):
-    """A process did not do what was waited for; the text says why."""
+
+class _Waiter(NamedTuple):
+    event: str
+    fields: LogLine
+    done: Deferred
+
+    def matches(self, event: str, line: LogLine) -> bool:
+        return self.event == event and _has_fields(line, self.fields)
 
 
 class Process(ProcessProtocol):
-    """One process. Its standard output is JSON lines with an `event`, as all programs of ours write."""
+    """One process. Its standard output is JSON lines with an `event`, as all our programs write."""
 
     def __init__(self, name: str, log: Path) -> None:
         self.name = name
         self.ended: Deferred = Deferred()  # fires with the exit code, less than 0 for a signal
         self.ready: Deferred = Deferred()
-        self.code: int | None = None
-        self.out = log.open("ab")
-        self.tail = b""
-        self._rest = b""
-        self._said: dict[str, dict] = {}  # the last line of each event
-        self._waiters: list[tuple[str, dict, Deferred]] = []
-        self.on_line: Callable[[dict], None] = lambda said: None
-        self.heard("ready").chainDeferred(self.ready)
+        self.exit_code: int | None = None
+        self.on_line: Callable[[LogLine], None] = lambda line: None
+        self._log = log.open("ab")
+        self._tail = b""
+        self._unfinished_line = b""
+        self._last_lines: dict[str, LogLine] = {}  # by event
+        self._waiters: list[_Waiter] = []
+        self.wait_for(READY).chainDeferred(self.ready)
 
     @property
-    def running(self) -> bool:
+    def is_running(self) -> bool:
         """Whether it has not ended."""
-        return self.code is None
+        return self.exit_code is None
 
-    def heard(self, event: str, **fields: object) -> Deferred:
-        """Fires with the first line of an event that has these fields, the last such line said included.
+    def wait_for(self, event: str, **fields: object) -> Deferred:
+        """Fire with the first line of an event that has these fields, the last such line included.
 
-        Fails with ProcessFailed where the process ends before.
+        Fails with ProcessFailedError where the process ends before.
         """
-        done, last = Deferred(), self._said.get(event)
-        if last is not None and _has(last, fields):
+        done = Deferred()
+        last = self._last_lines.get(event)
+        if last is not None and _has_fields(last, fields):
             done.callback(last)
-        elif self.code is not None:
-            done.errback(self._why(event))
+        elif self.exit_code is not None:
+            done.errback(self._failure(event))
         else:
-            self._waiters.append((event, fields, done))
+            self._waiters.append(_Waiter(event, fields, done))
         return done
 
     def outReceived(self, data: bytes) -> None:  # noqa: N802
-        self.out.write(data)
-        self.out.flush()
-        *lines, self._rest = (self._rest + data).split(b"\n")
+        """Take standard output."""
+        self._write_log(data)
+        *lines, self._unfinished_line = (self._unfinished_line + data).split(b"\n")
         for line in lines:
-            self._line(line)
-
-    def _line(self, line: bytes) -> None:
-        try:
-            said = msgspec.json.decode(line)
-        except msgspec.DecodeError:
-            self.tail = (self.tail + line + b"\n")[-TAIL:]
-            return
-        event = said.get("event", "") if isinstance(said, dict) else ""
-        self._said[event] = said
-        self.on_line(said)
-        due = [w for w in self._waiters if w[0] == event and _has(said, w[1])]
-        self._waiters = [w for w in self._waiters if w not in due]
-        for _, _, done in due:
-            done.callback(said)
+            self._line_received(line)
 
     def errReceived(self, data: bytes) -> None:  # noqa: N802
-        self.out.write(data)
-        self.out.flush()
-        self.tail = (self.tail + data)[-TAIL:]
+        """Take standard error."""
+        self._write_log(data)
+        self._tail = (self._tail + data)[-OUTPUT_TAIL:]
 
     def processEnded(self, reason: Failure) -> None:  # noqa: N802
+        """Take the end of the process."""
         status = reason.value
-        self.code = status.exitCode if status.exitCode is not None else -(status.signal or 0)
-        self.out.close()
-        waiters, self._waiters = self._waiters, []
-        for event, _, done in waiters:
-            done.errback(self._why(event))
-        self.ended.callback(self.code)
-
-    def _why(self, event: str) -> ProcessFailed:
-        said = (self.tail + self._rest).decode(errors="replace").strip()
-        what = "did not start" if event == "ready" else f"ended before it said {event!r}"
-        return ProcessFailed(f"{self.name} {what}: {said}")
+        self.exit_code = status.exitCode if status.exitCode is not None else -(status.signal or 0)
+        self._log.close()
+        waiters = self._waiters
+        self._waiters = []
+        for waiter in waiters:
+            waiter.done.errback(self._failure(waiter.event))
+        self.ended.callback(self.exit_code)
 
     def signal(self, name: str) -> None:
         """Send a signal, as KILL, if it still runs."""
-        try:
+        with contextlib.suppress(ProcessExitedAlready):
             self.transport.signalProcess(int(signal.Signals[f"SIG{name}"]))
-        except ProcessExitedAlready:
-            pass
+
+    def _write_log(self, data: bytes) -> None:
+        self._log.write(data)
+        self._log.flush()
+
+    def _line_received(self, line: bytes) -> None:
+        try:
+            fields = msgspec.json.decode(line)
+        except msgspec.DecodeError:
+            self._tail = (self._tail + line + b"\n")[-OUTPUT_TAIL:]
+            return
+        event = fields.get("event", "") if isinstance(fields, dict) else ""
+        self._last_lines[event] = fields
+        self.on_line(fields)
+        due = [waiter for waiter in self._waiters if waiter.matches(event, fields)]
+        self._waiters = [waiter for waiter in self._waiters if waiter not in due]
+        for waiter in due:
+            waiter.done.callback(fields)
+
+    def _failure(self, event: str) -> ProcessFailedError:
+        output = (self._tail + self._unfinished_line).decode(errors="replace").strip()
+        return ProcessFailedError(self.name, event, output)
 
 
-def _has(said: dict, fields: dict) -> bool:
-    return all(said.get(k) == v for k, v in fields.items())
+def _has_fields(line: LogLine, fields: LogLine) -> bool:
+    return all(line.get(name) == value for name, value in fields.items())
 
 
 class Processes:
-    """All processes of one trial. `on_end(process)` is told of each end."""
+    """All processes of one scenario; `on_end(process)` is called at each end."""
 
     def __init__(
-        self, reactor: object, folder: Path, on_end: Callable[[Process], None] = lambda process: None
+        self, reactor: Reactor, folder: Path, on_end: Callable[[Process], None] = lambda process: None
     ) -> None:
-        self.reactor, self.folder, self.on_end = reactor, folder, on_end
-        self.all: list[Process] = []
+        self._reactor = reactor
+        self._folder = folder
+        self._on_end = on_end
+        self._all: list[Process] = []
 
     def start(
-        self, name: str, argv: list[str], env: dict[str, str] | None = None, checkout: str | None = None
+        self,
+        name: str,
+        module_and_arguments: list[str],
+        env: dict[str, str] | None = None,
+        checkout: str | None = None,
     ) -> Process:
-        """Start a program of ours, `argv[0]` being its module; its `ready` fires once it says so.
+        """Start one of our programs; its `ready` fires once it logs that event.
 
         `checkout`: a folder with another version of the program, which is run instead.
         """
-        process = Process(name, self.folder / f"{name}.log")
-        self.all.append(process)
+        process = Process(name, self._folder / f"{name}.log")
+        self._all.append(process)
         process.ended.addCallback(self._ended, process)
-        self.reactor.spawnProcess(
+        python_path = {"PYTHONPATH": checkout} if checkout else {}
+        self._reactor.spawnProcess(
             process,
             sys.executable,
-            [sys.executable, "-m", *argv],
-            {
-                **os.environ,
-                "PYTHONUNBUFFERED": "1",
-                **({"PYTHONPATH": checkout} if checkout else {}),
-                **(env or {}),
-            },
+            [sys.executable, "-m", *module_and_arguments],
+            {**os.environ, "PYTHONUNBUFFERED": "1", **python_path, **(env or {})},
             checkout,
         )
         return process
 
-    def _ended(self, code: int, process: Process) -> int:
-        self.on_end(process)
-        return code
+    def running(self) -> list[Process]:
+        """Return those that have not ended."""
+        return [process for process in self._all if process.is_running]
 
-    def alive(self) -> list[Process]:
-        """Those that have not ended."""
-        return [p for p in self.all if p.running]
+    def end(self, processes: list[Process], on_overdue: Callable[[Process], None]) -> Deferred:
+        """Send SIGTERM; fires when all have ended.
 
-    def end(self, some: list[Process], overdue: Callable[[Process], None]) -> Deferred:
-        """SIGTERM; who has not ended within END_WITHIN is told to `overdue` and killed. Fires at the last
-        end.
+        Whatever has not ended within END_WITHIN is passed to `on_overdue` and killed.
         """
-        for process in some:
+        for process in processes:
             process.signal("TERM")
+            limit = self._reactor.callLater(END_WITHIN, self._kill_overdue, process, on_overdue)
+            process.ended.addCallback(_cancel_and_pass, limit)
+        return DeferredList([process.ended for process in processes])
+
+    def _kill_overdue(self, process: Process, on_overdue: Callable[[Process], None]) -> None:
+        if process.is_running:
+            on_overdue(process)
+            process.signal("KILL")
+
+    def _ended(self, exit_code: int, process: Process) -> int:
+        self._on_end(process)
+        return exit_code
 
-            def late(process: Process = process) -> None:
-                if process.running:
-                    overdue(process)
-                    process.signal("KILL")
 
-            limit = self.reactor.callLater(END_WITHIN, late)
-            process.ended.addCallback(lambda code, limit=limit: (limit.active() and limit.cancel(), code)[1])
-        return DeferredList([p.ended for p in some])
+def _cancel_and_pass(exit_code: int, limit: Timer) -> int:
+    if limit.active():
+        limit.cancel()
+    return exit_code
 
 
 def free_ports(count: int) -> list[int]:
-    """Loopback ports that were free a moment ago."""
-    held = [socket.socket() for _ in range(count)]
-    for s in held:
-        s.bind((HOST, 0))
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
+    """Return loopback ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
     return ports
--- a/myrtlehub/lab/scenario.py
+++ b/myrtlehub/lab/scenario_file.py
@@ -1,4 +1,4 @@
-"""What a scenario file may say: fleet, traffic, timed faults, seed."""
+"""The scenario file: fleet, traffic, timed faults, seed."""
 
 from typing import Annotated, Literal, Self
 
@@ -14,7 +14,7 @@
 Span = Annotated[list[int], Field(min_length=2, max_length=2)]
 
 # What engines of each name do, as their files and the nodes' say it.
-KINDS = {
+ENGINE_KINDS = {
     "reader": {"reads": True},
     "writer": {"writes": True},
     "mixed": {"writes": True, "embeds": True},
@@ -23,7 +23,7 @@
 }
 
 
-class FleetGroup(ConfigModel):
+class FleetConfig(ConfigModel):
     """How many processes of each kind; engines are dealt to cells and zones in turn."""
 
     nodes: Count = 1
@@ -35,8 +35,8 @@
     cells: Count = 1
 
 
-class MachineGroup(ConfigModel):
-    """Figures of a made-up machine; the stand-in's own are used where none is given."""
+class MachineConfig(ConfigModel):
+    """Figures of a made-up machine; the emulated engine's own are used where none is given."""
 
     slots: Count = 8
     queue: Annotated[int, Field(ge=0)] = 32
@@ -62,11 +62,11 @@
     prompt: Span
     output: Span
     prefixes: Annotated[int, Field(ge=0)] = 4
-    shared: Span = [0, 0]
+    shared: Span = Field(default_factory=lambda: [0, 0])
     turns: Count = 1
 
 
-class ClientsGroup(ConfigModel):
+class ClientsConfig(ConfigModel):
     """How clients behave."""
 
     retries: Annotated[int, Field(ge=0)] = 1
@@ -78,8 +78,8 @@
     whole: Duration = 20.0  # deadline of the whole call
 
 
-class ListFilesGroup(ConfigModel):
-    """Nodes read the list from files, which hasty hands write; each node has its own copy."""
+class ListFilesConfig(ConfigModel):
+    """Nodes read the endpoint list from files that are written carelessly; each node has its own copy."""
 
     quiet: Duration = 0.03
     poll: Duration = 0.5
@@ -93,23 +93,27 @@
     store: bool = True
 
 
-# Of nodes alone: stopped and continued; cut off from other nodes, in one direction (`cut out`: others do not
-# hear it) or both; told to leave by SIGTERM. Clients and engines reach it all the while.
-OF_NODES = ("kill", "pause", "cut off", "cut out", "leave")
+PAUSE = "pause"  # of a node: its process is stopped and continued
+CUT_OFF = "cut off"  # cut off from other nodes, in both directions
+CUT_OUT = "cut out"  # in one direction: others do not hear it
+LEAVE = "leave"  # told to leave by SIGTERM
+NODE_FAULTS = ("kill", PAUSE, CUT_OFF, CUT_OUT, LEAVE)  # clients and engines reach it meanwhile
+PEER_FAULTS = (CUT_OFF, CUT_OUT)
+TIMED_NODE_FAULTS = (PAUSE, CUT_OFF, CUT_OUT)
 
 
-class TakeoverDayGroup(ConfigModel):
-    """Nodes keep word of one another's work, and clients come back."""
+class TakeoverScenarioConfig(ConfigModel):
+    """Nodes hold replicas of one another's sequence records, and clients resume."""
 
     copies: Count = 2
     stream_bound: Duration = 6.0  # of engines
     comes_back: Duration = 2.0
     keepalive: Duration = 0.5  # from ping to ping of clients, and until an answer
     claims: bool = True  # whether engines answer claims
-    on: bool = True  # no: the same day without takeover, for comparison
+    on: bool = True  # no: the same scenario without takeover, for comparison
 
 
-class FaultRow(ConfigModel):
+class FaultConfig(ConfigModel):
     """One thing that goes wrong, at a moment from the start of the traffic."""
 
     at: Duration
@@ -135,101 +139,106 @@
 
     @model_validator(mode="after")
     def _sound(self) -> Self:
-        nodes = [w for w in self.whom if w.startswith("node-")]
-        if nodes and self.do not in OF_NODES:
-            raise ValueError(f"{self.do} is for engines; nodes can have {', '.join(OF_NODES)}")
-        if self.do in OF_NODES and len(nodes) != len(self.whom):
+        nodes = [name for name in self.whom if name.startswith("node-")]
+        if nodes and self.do not in NODE_FAULTS:
+            raise ValueError(f"{self.do} is for engines; nodes can have {', '.join(NODE_FAULTS)}")
+        if self.do in NODE_FAULTS and len(nodes) != len(self.whom):
             raise ValueError(f"{self.do} is for nodes; an engine can crash")
-        if self.do in OF_NODES[1:4] and not self.lasts:
+        if self.do in TIMED_NODE_FAULTS and not self.lasts:
             raise ValueError(f"{self.do}: say how long it lasts")
         return self
 
 
-class RollFault(ConfigModel):
+class RolloutFaultConfig(ConfigModel):
     """One thing that goes wrong with the controller, or between it and a node."""
 
     at: Duration = 0.0  # from the start of the traffic, or from `after`
     after: str = ""  # from when the controller first says that the change is in this state
     do: Literal["kill controller", "stall", "mend", "set clock back"]
-    whom: list[str] = []  # nodes; a clock is also "controller"'s
+    whom: list[str] = Field(default_factory=list)  # nodes; a clock is also "controller"'s
     lasts: Duration = 0.5  # until a killed controller is resumed
 
 
-class RollGroup(ConfigModel):
-    """A rolling change amid the day, and how it has to end."""
+class RolloutScenarioConfig(ConfigModel):
+    """A rollout during the scenario, and how it has to end."""
 
     at: Duration = 1.0
-    was: str = ""  # variant of the program that nodes run at first; empty: the program itself
-    now: str = "equal"  # variant that they are changed to; empty: only settings change
-    settings: dict[str, str | int | float | bool] = {}  # what the new settings say, by field: node.max_wait
+    was: str = ""  # kind of faulty node that nodes run at first; empty: the program itself
+    now: str = "equal"  # kind that they are changed to; empty: only settings change
+    # what the new settings say, by field: node.max_wait
+    settings: dict[str, str | int | float | bool] = Field(default_factory=dict)
     stages: Annotated[list[int | float], Field(min_length=1)]
-    plan: dict[str, str | int | float | list] = {}  # more of the plan, as in its file
+    plan: dict[str, str | int | float | list] = Field(
+        default_factory=dict
+    )  # more of the plan, as in its file
     ends: Literal["kept", "undone", "stuck"]
     undo_at: Duration = 0.0  # the operator undoes then; 0: never
-    faults: list[RollFault] = []
+    faults: list[RolloutFaultConfig] = Field(default_factory=list)
 
     @property
     def sets_clocks(self) -> bool:
         """Whether the wall clock of a process is set meanwhile."""
-        return any(f.do == "set clock back" for f in self.faults)
+        return any(fault.do == "set clock back" for fault in self.faults)
 
 
 class Scenario(ConfigModel):
-    """A whole day."""
+    """A whole scenario."""
 
     about: str = ""
     seed: int = 1
     length: Duration
     rate: Annotated[float, Field(gt=0)]  # sequences a second
-    fleet: FleetGroup
-    reader: MachineGroup = MachineGroup()
-    writer: MachineGroup = MachineGroup()
-    batcher: MachineGroup = MachineGroup()  # embedders and rankers
+    fleet: FleetConfig
+    reader: MachineConfig = MachineConfig()
+    writer: MachineConfig = MachineConfig()
+    batcher: MachineConfig = MachineConfig()  # embedders and rankers
     batch_rate: Annotated[float, Field(ge=0)] = 0.0  # batches a second, beside `rate`
     traffic: Annotated[list[TrafficMix], Field(min_length=1)]
-    tenants: list[TenantConfig] = []
-    clients: ClientsGroup = ClientsGroup()
+    tenants: list[TenantConfig] = Field(default_factory=list)
+    clients: ClientsConfig = ClientsConfig()
     rules: RulesConfig
     list_delay: Duration = 0.0  # until the first node hears news of the list
     list_spread: Duration = 0.0  # more, at most, until the last does
-    list_files: ListFilesGroup | None = None  # instead of pushed news
-    faults: list[FaultRow] = []
-    roll: RollGroup | None = None
-    takeover: TakeoverDayGroup | None = None
+    list_files: ListFilesConfig | None = None  # instead of pushed news
+    faults: list[FaultConfig] = Field(default_factory=list)
+    roll: RolloutScenarioConfig | None = None
+    takeover: TakeoverScenarioConfig | None = None
 
     @model_validator(mode="after")
     def _sound(self) -> Self:
-        known = set(self.names())
-        if self.batch_rate and all(t.front == "chat" for t in self.traffic):
+        if self.batch_rate and all(traffic.front == "chat" for traffic in self.traffic):
             raise ValueError("batch_rate: no traffic type has the front embed or rank")
+        known = set(self.names())
         for fault in self.faults:
-            for name in fault.whom:
-                if name not in known:
-                    raise ValueError(
-                        f"fault at {fault.at:g}s: {name!r} is not in this fleet; "
-                        f"it has {', '.join(sorted(known))}"
-                    )
-            if fault.do in OF_NODES[2:4] and self.takeover is None:
-                raise ValueError(f"fault at {fault.at:g}s: nodes talk to each other only with takeover")
-            if fault.at > self.length:
-                raise ValueError(f"fault at {fault.at:g}s comes after the day, which lasts {self.length:g}s")
+            self._check_fault(fault, known)
         return self
 
-    def machine(self, kind: str) -> MachineGroup:
-        """Figures of the engines of a kind; `mixed` are writers that also embed."""
+    def _check_fault(self, fault: FaultConfig, known: set[str]) -> None:
+        for name in fault.whom:
+            if name not in known:
+                raise ValueError(
+                    f"fault at {fault.at:g}s: {name!r} is not in this fleet; "
+                    f"it has {', '.join(sorted(known))}"
+                )
+        if fault.do in PEER_FAULTS and self.takeover is None:
+            raise ValueError(f"fault at {fault.at:g}s: nodes talk to each other only with takeover")
+        if fault.at > self.length:
+            raise ValueError(f"fault at {fault.at:g}s comes after the day, which lasts {self.length:g}s")
+
+    def machine(self, kind: str) -> MachineConfig:
+        """Return figures of the engines of a kind; `mixed` are writers that also embed."""
         if kind in ("embedder", "ranker"):
             return self.batcher
         return self.reader if kind == "reader" else self.writer
 
     def names(self) -> list[str]:
-        """All processes of the fleet."""
-        f = self.fleet
+        """Return the names of all processes of the fleet."""
         counts = {
-            "node": f.nodes,
-            "reader": f.readers,
-            "writer": f.writers,
-            "mixed": f.mixed,
-            "embedder": f.embedders,
-            "ranker": f.rankers,
+            "node": self.fleet.nodes,
+            "reader": self.fleet.readers,
+            "writer": self.fleet.writers,
+            "mixed": self.fleet.mixed,
+            "embedder": self.fleet.embedders,
+            "ranker": self.fleet.rankers,
         }
-        return [f"{kind}-{i + 1}" for kind, count in counts.items() for i in range(count)]
+        return [f"{kind}-{index + 1}" for kind, count in counts.items() for index in range(count)]
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -15,7 +15,7 @@
 from myrtlehub.client.tx import Client
 from myrtlehub.emulator.vectors import score_of
 from myrtlehub.emulator.vectors import vector_of as packed_of
-from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.processes import free_ports
 
 ROOT = Path(__file__).parents[1]
 ADMIN: dict[str, str] = {}  # admin addresses, by clients' address
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -10,7 +10,7 @@
 from myrtlehub.config.emulated_engine import EmulatedEngineConfig
 from myrtlehub.config.loader import ConfigError, load_config, parse_config
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.lab.scenario import Scenario
+from myrtlehub.lab.scenario_file import Scenario
 
 ROOT = Path(__file__).parents[1]
 VALID = (ROOT / "examples" / "node.yaml").read_text()
--- a/tests/test_endpoint_files.py
+++ b/tests/test_endpoint_files.py
@@ -13,7 +13,7 @@
 from test_path import kept, nothing_left
 
 from myrtlehub.lab.lists import ListWatch, ListWriter, text_of
-from myrtlehub.lab.scenario import ListFilesGroup
+from myrtlehub.lab.scenario_file import ListFilesConfig
 from myrtlehub.membership.endpoint_watcher import EndpointWatcher
 from myrtlehub.membership.snapshot import read_snapshot
 from myrtlehub.records import Record
@@ -55,7 +55,7 @@
 def test_every_attempt_goes_by_a_version_that_was_complete_on_disk(tmp_path: Path) -> None:
     f = begin(tmp_path, read_rate=30000.0, slots=40, step="4ms")
     standing = [{**r, "state": "serving", "age": "0s"} for r in f.rows.values()]
-    group = ListFilesGroup(every="200ms", burst=8)
+    group = ListFilesConfig(every="200ms", burst=8)
     writer = ListWriter("n0", tmp_path / "list-n0", group, f.clock, Random(3), f.day, lambda: standing)
     version = f.nodes["n0"].source.validator.version
     f.day.note("wrote", node="n0", digest=version.digest[:16], serving=sorted(version.endpoints))
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -12,7 +12,7 @@
 
 from myrtlehub.config.loader import ConfigError, parse_config
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.processes import free_ports
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.router_config import router_config_of
 from myrtlehub.records import read
