--- a/myrtlehub/lab/scenario_runner.py
+++ b/myrtlehub/lab/scenario_runner.py
@@ -12,11 +12,11 @@
 
 from myrtlehub.lab.batches import BatchClients
 from myrtlehub.lab.clients import ClientFleet
+from myrtlehub.lab.endpoint_list_writer import EndpointListWriter
 from myrtlehub.lab.endpoint_publisher import GONE, SERVING, EndpointPublisher
 from myrtlehub.lab.fault_scheduler import FaultScheduler
 from myrtlehub.lab.fleet_layout import ZONE, make_layout
 from myrtlehub.lab.interfaces import Reactor
-from myrtlehub.lab.lists import ListWriter
 from myrtlehub.lab.process_files import ProcessFiles
 from myrtlehub.lab.processes import Process, Processes
 from myrtlehub.lab.rule_checker.scenario_facts import SLACK
@@ -94,12 +94,12 @@
         self.faults = self.faults_class(self)
         self._list_writers = self._make_list_writers()
 
-    def _make_list_writers(self) -> list[ListWriter]:
+    def _make_list_writers(self) -> list[EndpointListWriter]:
         group = self.scenario.list_files
         if group is None:
             return []
         return [
-            ListWriter(
+            EndpointListWriter(
                 node,
                 self.folder / f"list-{node}",
                 group,
--- a/myrtlehub/lab/verdict.py
+++ b/myrtlehub/lab/verdict.py
@@ -10,7 +10,8 @@
 from myrtlehub.lab.batches import BatchClients
 from myrtlehub.lab.case_coverage import CaseCounter
 from myrtlehub.lab.clients import ClientFleet
-from myrtlehub.lab.lists import ListWatch, ListWriter
+from myrtlehub.lab.endpoint_list_checker import EndpointListChecker
+from myrtlehub.lab.endpoint_list_writer import EndpointListWriter
 from myrtlehub.lab.rule_checker.checker import RuleChecker, check_records
 from myrtlehub.lab.rule_checker.findings import RULE_NAMES
 from myrtlehub.lab.scenario_file import Scenario
@@ -30,7 +31,7 @@
     def __init__(self, scenario: Scenario) -> None:
         self.attempts: Counter[str] = Counter()
         self.cases = CaseCounter()
-        self.lists = ListWatch(scenario.rules.drain_grace)
+        self.lists = EndpointListChecker(scenario.rules.drain_grace)
 
     def observe(self, records: Iterator[Record]) -> Iterator[Record]:
         """Pass records on, each after what follows from it of endpoint lists."""
@@ -51,7 +52,7 @@
     unclean: list[str],
     clients: ClientFleet,
     batches: BatchClients,
-    list_writers: list[ListWriter],
+    list_writers: list[EndpointListWriter],
 ) -> Verdict:
     """Check all records of a folder; return the verdict."""
     paths = sorted(folder.glob("*.rec"))
@@ -89,7 +90,7 @@
     ]
 
 
-def _list_figures(lists: ListWatch, writers: list[ListWriter]) -> dict | None:
+def _list_figures(lists: EndpointListChecker, writers: list[EndpointListWriter]) -> dict | None:
     if not writers:
         return None
     written = {name: sum(getattr(writer, name) for writer in writers) for name in WRITER_COUNTS}
--- a/tests/test_endpoint_files.py
+++ b/tests/test_endpoint_files.py
@@ -12,7 +12,8 @@
 from fleet import Fleet
 from test_path import kept, nothing_left
 
-from myrtlehub.lab.lists import ListWatch, ListWriter, text_of
+from myrtlehub.lab.endpoint_list_checker import EndpointListChecker
+from myrtlehub.lab.endpoint_list_writer import EndpointListWriter, list_text
 from myrtlehub.lab.scenario_file import ListFilesConfig
 from myrtlehub.membership.endpoint_watcher import EndpointWatcher
 from myrtlehub.membership.snapshot import read_snapshot
@@ -36,7 +37,7 @@
         for i, w in enumerate(engines.split())
     ]
     for i in range(more.get("nodes", 1)):
-        (base / f"list-n{i}" / "engines.yaml").write_text(text_of(rows))
+        (base / f"list-n{i}" / "engines.yaml").write_text(list_text(rows))
     return Fleet(engines, base=base, lists=lists, **more)
 
 
@@ -48,7 +49,7 @@
         if e not in changed or changed[e] is not None
     ]
     path = f.base / f"list-{node}" / "engines.yaml"
-    path.with_name(".new").write_text(text_of(rows))
+    path.with_name(".new").write_text(list_text(rows))
     path.with_name(".new").rename(path)
 
 
@@ -56,7 +57,9 @@
     f = begin(tmp_path, read_rate=30000.0, slots=40, step="4ms")
     standing = [{**r, "state": "serving", "age": "0s"} for r in f.rows.values()]
     group = ListFilesConfig(every="200ms", burst=8)
-    writer = ListWriter("n0", tmp_path / "list-n0", group, f.clock, Random(3), f.day, lambda: standing)
+    writer = EndpointListWriter(
+        "n0", tmp_path / "list-n0", group, f.clock, Random(3), f.day, lambda: standing
+    )
     version = f.nodes["n0"].source.validator.version
     f.day.note("wrote", node="n0", digest=version.digest[:16], serving=sorted(version.endpoints))
     writer.start()
@@ -70,7 +73,7 @@
     for _ in range(5):
         f.ask("ask", prompt=100, output=10)
     f.run(5.0)
-    watch, told = ListWatch(0.25), []
+    watch, told = EndpointListChecker(0.25), []
     for record in f.log:
         told += watch.see(record)
     watch.finish(f.clock.seconds())
@@ -103,7 +106,7 @@
     sound = [wrote(0.0, "aa", "a", "b"), got(1.0, "1-aa"), wrote(2.0, "bb", "a"), got(3.0, "2-bb")]
     more = {"partial": [got(4.0, "3-cc")], "stale": [wrote(5.0, "dd", "a")], "back": [got(4.0, "1-aa")]}
     for extra, count in (([], 0), (more[fault], 1)):
-        watch = ListWatch(0.25)
+        watch = EndpointListChecker(0.25)
         told = [t for r in [*sound, *extra] for t in watch.see(r)]
         watch.finish(9.0)
         assert len(watch.breaches) == count
--- a/tests/test_reader_process.py
+++ b/tests/test_reader_process.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ProcessProtocol
 
-from myrtlehub.lab.lists import text_of
+from myrtlehub.lab.endpoint_list_writer import list_text
 from myrtlehub.membership import reader_process
 from myrtlehub.membership.list_version import content_digest
 from myrtlehub.membership.snapshot import Snapshot, read_snapshot
@@ -105,7 +105,7 @@
         {"address": f"w{i}:1", "kind": "writer", "zone": "z", "cell": i, "weight": i / 7}
         for i in range(ENDPOINTS)
     ]
-    path.write_text(text_of(endpoints))
+    path.write_text(list_text(endpoints))
 
 
 def test_snapshots_equal_those_read_here_and_deaths_lose_no_request(
