Lab: simulated clients as a package, chat and batch fronts apart

Change: clients and batches are the package simulated_clients: plans, calls, clients and tally; ClientFleet is ChatClients, draw is plan_sequences and plan_batches.

--- a/myrtlehub/lab/scenario_runner.py
+++ b/myrtlehub/lab/scenario_runner.py
@@ -10,8 +10,6 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.task import LoopingCall, deferLater
 
-from myrtlehub.lab.batches import BatchClients
-from myrtlehub.lab.clients import ClientFleet
 from myrtlehub.lab.endpoint_list_writer import EndpointListWriter
 from myrtlehub.lab.endpoint_publisher import GONE, SERVING, EndpointPublisher
 from myrtlehub.lab.fault_scheduler import FaultScheduler
@@ -21,6 +19,8 @@
 from myrtlehub.lab.processes import Process, Processes
 from myrtlehub.lab.rule_checker.scenario_facts import SLACK
 from myrtlehub.lab.scenario_file import Scenario
+from myrtlehub.lab.simulated_clients.batch_clients import BatchClients
+from myrtlehub.lab.simulated_clients.chat_clients import ChatClients
 from myrtlehub.lab.verdict import Verdict, judge_records
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.records import Recorder
@@ -76,7 +76,7 @@
         self.expected_ends: set[Process] = set()
         self.unclean: list[str] = []  # what went wrong beside the rules
         self.recorder = Recorder("day", self.clock, folder / "day.rec")
-        self.clients: ClientFleet | None = None
+        self.clients: ChatClients | None = None
         self.batches: BatchClients | None = None
         self.started = 0.0
         self._incarnations: Counter[str] = Counter()
@@ -243,7 +243,7 @@
         recorder.close()
 
     def _make_clients(self, recorder: Recorder) -> None:
-        self.clients = ClientFleet(
+        self.clients = ChatClients(
             self.scenario, self.clock, self._dial_nodes(), recorder, self.random, self.rate
         )
         self.batches = BatchClients(
@@ -267,7 +267,7 @@
         """Fire when the traffic is nearly over."""
         return deferLater(self.reactor, self.scenario.length - LAST_LIST_WRITE, lambda: None)
 
-    def _until_quiet(self, fleet: ClientFleet | BatchClients) -> Deferred:
+    def _until_quiet(self, fleet: ChatClients | BatchClients) -> Deferred:
         """Fire once its last call is over, or is long past its time."""
         quiet = Deferred()
         fleet.on_quiet = lambda: None if quiet.called else quiet.callback(None)
--- a/myrtlehub/lab/verdict.py
+++ b/myrtlehub/lab/verdict.py
@@ -7,14 +7,14 @@
 from pathlib import Path
 from typing import Any, TypeAlias
 
-from myrtlehub.lab.batches import BatchClients
 from myrtlehub.lab.case_coverage import CaseCounter
-from myrtlehub.lab.clients import ClientFleet
 from myrtlehub.lab.endpoint_list_checker import EndpointListChecker
 from myrtlehub.lab.endpoint_list_writer import EndpointListWriter
 from myrtlehub.lab.rule_checker.checker import RuleChecker, check_records
 from myrtlehub.lab.rule_checker.findings import RULE_NAMES
 from myrtlehub.lab.scenario_file import Scenario
+from myrtlehub.lab.simulated_clients.batch_clients import BatchClients
+from myrtlehub.lab.simulated_clients.chat_clients import ChatClients
 from myrtlehub.records import Record, read
 
 MOST_BREACHES_SHOWN = 5  # of each rule
@@ -50,7 +50,7 @@
     scenario: Scenario,
     seed: int,
     unclean: list[str],
-    clients: ClientFleet,
+    clients: ChatClients,
     batches: BatchClients,
     list_writers: list[EndpointListWriter],
 ) -> Verdict:
@@ -66,7 +66,7 @@
         "kept": not is_broken,
         "rules": _rule_figures(checker),
         "lists": _list_figures(observer.lists, list_writers),
-        "batches": batches.figures() if batches.wanted else None,
+        "batches": batches.figures() if batches.planned else None,
         "unclean": unclean,
         "attempts": dict(sorted(observer.attempts.items())),
         "cases": dict(observer.cases.counts),
