--- a/myrtlehub/emulator/batch_stage.py
+++ b/myrtlehub/emulator/batch_stage.py
@@ -51,7 +51,9 @@
 
     def next_at(self) -> float:
         """Return when something is next due."""
-        return min((batch.ready_at for batch in self.running.values()), default=NEVER)
+        if not self.running:
+            return NEVER
+        return min(batch.ready_at for batch in self.running.values())
 
     def advance(self, now: float, stream_count: int, events: list[ModelEvent]) -> None:
         """Do what is due by now; streams that run beside a batch make it slower."""
--- a/myrtlehub/emulator/decode_stage.py
+++ b/myrtlehub/emulator/decode_stage.py
@@ -88,8 +88,8 @@
 
     def next_at(self) -> float:
         """Return when something is next due."""
-        preparing = (stream.ready_at for stream in self.running.values() if not stream.has_started)
-        return min(self._step_at, min(preparing, default=NEVER))
+        preparing = [stream.ready_at for stream in self.running.values() if not stream.has_started]
+        return min(self._step_at, *preparing) if preparing else self._step_at
 
     def advance(self, now: float, events: list[ModelEvent]) -> None:
         """Do what is due by now."""
@@ -127,7 +127,7 @@
             self._step_at += duration  # reading here delays the streams that run
 
     def _start_prepared(self, now: float, events: list[ModelEvent]) -> None:
-        for stream in list(self.running.values()):
+        for stream in self.running.values():
             if stream.has_started or stream.ready_at > now + TIME_TOLERANCE:
                 continue
             stream.has_started = True
@@ -138,21 +138,24 @@
                 self._step_at = now
 
     def _step(self, now: float, events: list[ModelEvent]) -> None:
-        for stream in list(self.running.values()):
-            if stream.has_started and stream.ready_at <= now + TIME_TOLERANCE:
-                self._generate_token(stream, events)
+        self._generate_tokens(now, events)
         self._preempt_newest()
         self._fill_slots(now, events)
         self._step_at = now + self._step_seconds()
 
-    def _generate_token(self, stream: Stream, events: list[ModelEvent]) -> None:
-        stream.generated += 1
-        stream.used_memory += 1
-        self._resources.used_memory += 1
-        events.append(TokensGenerated(stream.key, 1))
-        if stream.generated >= stream.total:
-            self._drop(stream)
-            events.append(AnswerDone(stream.key, stream.cached_tokens, stream.generated))
+    def _generate_tokens(self, now: float, events: list[ModelEvent]) -> None:
+        resources = self._resources
+        ready_by = now + TIME_TOLERANCE
+        for stream in list(self.running.values()):
+            if not stream.has_started or stream.ready_at > ready_by:
+                continue
+            stream.generated += 1
+            stream.used_memory += 1
+            resources.used_memory += 1
+            events.append(TokensGenerated(stream.key, 1))
+            if stream.generated >= stream.total:
+                self._drop(stream)
+                events.append(AnswerDone(stream.key, stream.cached_tokens, stream.generated))
 
     def _preempt_newest(self) -> None:
         """Queue the newest streams again, to be read anew, while memory is exceeded."""
--- a/myrtlehub/emulator/model.py
+++ b/myrtlehub/emulator/model.py
@@ -152,8 +152,7 @@
         faults = self.resources.faults
         if faults.is_hung:
             return faults.end_at
-        stages = (self.prefill, self.decode, self.batches)
-        return min(faults.end_at, *(stage.next_at() for stage in stages))
+        return min(faults.end_at, self.prefill.next_at(), self.decode.next_at(), self.batches.next_at())
 
     def tick(self, now: float) -> list[ModelEvent]:
         """Do all that is due by now."""
--- a/myrtlehub/emulator/prefill_stage.py
+++ b/myrtlehub/emulator/prefill_stage.py
@@ -81,8 +81,10 @@
 
     def next_at(self) -> float:
         """Return when something is next due."""
-        next_ready = min((read.ready_at for read in self.running.values()), default=NEVER)
-        return min(next_ready, self._next_state_expiry())
+        next_expiry = self._next_state_expiry()
+        if not self.running:
+            return next_expiry
+        return min(next_expiry, *(read.ready_at for read in self.running.values()))
 
     def advance(self, now: float, events: list[ModelEvent]) -> None:
         """Do what is due by now."""
