--- a/benchmarks/fronts.py
+++ b/benchmarks/fronts.py
@@ -18,7 +18,7 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from myrtlehub.cli.common import dialer
-from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.processes import free_ports
 from myrtlehub.proto import chat_pb2
 from myrtlehub.proto import items_pb2 as pb
 from myrtlehub.rpc.channel import Channel
@@ -145,7 +145,7 @@
             "embedder": {"embeds": True},
         }[kind]
         name = f"e{self.count}"
-        self.p.start("engine", name, {"name": name, "listen": address, **does, **more})
+        self.p.start("emulator", name, {"name": name, "listen": address, **does, **more})
         return address
 
     def texts(self, count: int) -> list[bytes]:
--- a/myrtlehub/cli/variant.py
+++ b/myrtlehub/cli/faulty_node.py
@@ -1,6 +1,6 @@
 """Nodes with one stated fault, for trials of rollouts.
 
-    python -m myrtlehub.cli.variant KIND CONFIG
+    python -m myrtlehub.cli.faulty_node KIND CONFIG
 
 The node is the real one; only what the kind names is different. It shows a revision of its own.
 """
@@ -15,7 +15,7 @@
 
 from twisted.internet.defer import Deferred
 
-from myrtlehub.lab.rolling import FOLDER, NODES
+from myrtlehub.lab.rollout_scenario import FOLDER_VARIABLE, NODE_COUNT_VARIABLE
 from myrtlehub.node import node, node_runtime, revision
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.engine_transport.transport import GrpcEngineTransport
@@ -79,23 +79,23 @@
 
     def crash() -> None:
         # The records have to say that this process ends here, as nothing else can.
-        Recorder("variant", SteadyClock(reactor), Path(os.environ[FOLDER]) / f"crash-{os.getpid()}.rec").note(
-            "killed", who=name
-        )
+        Recorder(
+            "variant", SteadyClock(reactor), Path(os.environ[FOLDER_VARIABLE]) / f"crash-{os.getpid()}.rec"
+        ).note("killed", who=name)
         os._exit(3)
 
     reactor.callLater(CRASH_AFTER, crash)
 
 
 def _half() -> None:
-    folder = Path(os.environ[FOLDER])
+    folder = Path(os.environ[FOLDER_VARIABLE])
     (folder / f"half-{os.getpid()}").touch()
 
     def share(arrival: Arrival) -> float:
         with_it = len(
             {file.name for file in folder.glob("half-*") if Path(f"/proc/{file.name[5:]}").exists()}
         )
-        return HALF if 2 * with_it >= int(os.environ[NODES]) else 0.0
+        return HALF if 2 * with_it >= int(os.environ[NODE_COUNT_VARIABLE]) else 0.0
 
     _refusing(share)
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -15,7 +15,7 @@
 from myrtlehub.client.tx import Client
 from myrtlehub.emulator.vectors import score_of
 from myrtlehub.emulator.vectors import vector_of as packed_of
-from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.processes import free_ports
 
 ROOT = Path(__file__).parents[1]
 ADMIN: dict[str, str] = {}  # admin addresses, by clients' address
@@ -79,7 +79,7 @@
     f.run(0.5)
     stopped.done.cancel()
     f.run(0.5)
-    assert not f.stands["W0b"].model.running and not f.nodes["n0"].executor.in_flight
+    assert not f.stands["W0b"].model.decode.running and not f.nodes["n0"].executor.in_flight
 
 
 @pytest.fixture
@@ -106,7 +106,7 @@
     (tmp_path / "k.yaml").write_text(f"{{name: k, listen: '127.0.0.1:{ports[5]}', ranks: yes}}")
     running = []
     for name in ("r", "w", "e", "k", "node"):
-        program = "node" if name == "node" else "engine"
+        program = "node" if name == "node" else "emulator"
         process = subprocess.Popen(
             [sys.executable, "-m", f"myrtlehub.cli.{program}", tmp_path / f"{name}.yaml"],
             stdout=subprocess.PIPE,
--- a/tests/test_load_probes.py
+++ b/tests/test_load_probes.py
@@ -12,7 +12,7 @@
 
 from myrtlehub.config.loader import ConfigError, parse_config
 from myrtlehub.config.node import NodeConfig
-from myrtlehub.lab.day import free_ports
+from myrtlehub.lab.processes import free_ports
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.router_config import router_config_of
 from myrtlehub.records import read
@@ -52,13 +52,13 @@
     )
     assert all(w[2].memory_share is not None and w[2].unread is not None for w in executor.probe_results)
     assert not f.what("load") and [c.answer for c in f.calls] == ["generated"]
-    f.stands["W0b"].model.held = 199000.0  # its memory is full of what others asked for
+    f.stands["W0b"].model.resources.used_memory = 199000.0  # its memory is full of what others asked for
     for _ in range(8):
         f.ask(prompt=400)
         f.run(0.4)
     wrote = [r.who for r in f.what("got") if not r.more["reads"]][1:]
     assert wrote and set(wrote) == {"W0c:1"}
-    f.stands["W0b"].model.held = 0.0
+    f.stands["W0b"].model.resources.used_memory = 0.0
     f.run(4.0)
     assert_rules_kept(f)
 
@@ -151,7 +151,7 @@
     (folder / "node.yaml").write_text(text)
     running = []
     for name in ("r", "w", "node"):
-        program = f"myrtlehub.cli.{'node' if name == 'node' else 'engine'}"
+        program = f"myrtlehub.cli.{'node' if name == 'node' else 'emulator'}"
         process = subprocess.Popen(
             [sys.executable, "-m", program, folder / f"{name}.yaml"],
             stdout=subprocess.PIPE,
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -3,7 +3,8 @@
 import pytest
 from fleet import Fleet
 
-from myrtlehub.lab.checker import RULES, Checker, check
+from myrtlehub.lab.rule_checker.checker import RuleChecker, check_records
+from myrtlehub.lab.rule_checker.findings import RULE_NAMES
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.sequences import Attempt, InFlightSequence
 from myrtlehub.records import Record
@@ -18,7 +19,7 @@
 ]
 
 
-def check_rules(fleet: Fleet) -> Checker:
+def check_rules(fleet: Fleet) -> RuleChecker:
     fleet.day.note("ends")
     terms = {
         "traffic": ROWS,
@@ -26,10 +27,10 @@
         "slack": 0.05,
         "engines": [(r["address"], r["cell"], r["zone"]) for r in fleet.rows.values()],
     }
-    return check([Record(0.0, "day", "terms", terms), *fleet.log])
+    return check_records([Record(0.0, "day", "terms", terms), *fleet.log])
 
 
-def assert_rules_kept(fleet: Fleet) -> Checker:
+def assert_rules_kept(fleet: Fleet) -> RuleChecker:
     checker = check_rules(fleet)
     assert not checker.breaches, "\n".join(b.text for b in checker.breaches)
     return checker
@@ -40,9 +41,10 @@
     assert all(not n.executor.in_flight and not n.executor.attempts_out() for n in f.nodes.values())
     for stand in f.stands.values():
         m = stand.model
-        if not m.fallen:
-            assert not m.states and not m.running and not m.write_queue and not m.reading
-            assert abs(m.held) < 1e-6
+        if not m.has_crashed:
+            assert not m.prefill.read_states and not m.decode.running
+            assert not m.decode.queue and not m.prefill.running
+            assert abs(m.resources.used_memory) < 1e-6
 
 
 def test_prompt_is_read_its_state_fetched_and_tokens_streamed() -> None:
@@ -216,7 +218,7 @@
     checker = assert_rules_kept(f)
     assert checker.counts[2] >= 6
     for stand in f.stands.values():  # what the dead node's streams held was let go as their connection broke
-        assert not stand.model.running and not stand.model.states
+        assert not stand.model.decode.running and not stand.model.prefill.read_states
 
 
 def test_cold_engine_gets_load_again_after_its_restart() -> None:
@@ -472,7 +474,7 @@
         trouble(f)
         found = check_rules(f)
         assert {b.rule for b in found.breaches} == wanted, [b.text for b in found.breaches]
-        assert set(found.counts) == set(RULES)
+        assert set(found.counts) == set(RULE_NAMES)
 
 
 def test_a_held_sequence_is_small() -> None:
