Client library: errors end in Error, typed results, modules named for their job

Cause: the client library had exceptions without the suffix that the linter asks for, results and repeats as bare words, and modules named promise, sync, aio, tx and batches. Change: RejectedError, AbortedError and AnswerError; enums for the outcome and the retry semantics; requests, results, errors and retries as modules, and sync, asyncio, Twisted and batch clients, whose receive path stands once.

--- a/examples/ask_sync.py
+++ b/examples/ask_sync.py
@@ -2,18 +2,26 @@
 
 import sys
 
-from myrtlehub.client import Aborted, Ask, InvalidRequestError, Rejected
-from myrtlehub.client.sync import Client
+from myrtlehub.client import AbortedError, ChatRequest, InvalidRequestError, RejectedError, RetrySemantics
+from myrtlehub.client.sync_client import Client
 
 with Client(sys.argv[1]) as client:
-    stream = client.generate(Ask("ask", prompt_tokens=400, most_output=60, repeats="repeatable", within=20.0))
+    stream = client.generate(
+        ChatRequest(
+            "ask",
+            prompt_tokens=400,
+            max_output_tokens=60,
+            retry_semantics=RetrySemantics.IDEMPOTENT,
+            timeout=20.0,
+        )
+    )
     try:
         for ids in stream:
             print(*ids, end=" ", flush=True)
-        print(f"\n{stream.answer.tokens} tokens in {stream.answer.tries} tries")
-    except Rejected as fault:
-        sys.exit(f"rejected, nothing ran; come again in {fault.wait:g} s")
-    except Aborted as fault:
-        sys.exit(f"aborted after {fault.tokens_seen} tokens: {fault}")
-    except InvalidRequestError as fault:
-        sys.exit(f"malformed: {fault}")
+        print(f"\n{stream.answer.tokens} tokens in {stream.answer.attempts} attempts")
+    except RejectedError as error:
+        sys.exit(f"rejected, nothing ran; retry after {error.retry_after:g} s")
+    except AbortedError as error:
+        sys.exit(f"aborted after {error.tokens_received} tokens: {error}")
+    except InvalidRequestError as error:
+        sys.exit(f"malformed: {error}")
--- a/examples/ask_twisted.py
+++ b/examples/ask_twisted.py
@@ -3,26 +3,33 @@
 import sys
 
 from twisted.internet import task
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IReactorTCP
 
-from myrtlehub.client import Ask
-from myrtlehub.client.tx import Client
+from myrtlehub.client import ChatRequest, RetrySemantics
+from myrtlehub.client.twisted_client import Client
 from myrtlehub.rpc.channel import Channel
 
 
 @inlineCallbacks
-def main(reactor: object, address: str) -> object:
+def main(reactor: IReactorTCP, address: str) -> Deferred:
     """Ask one question and print the answer."""
     host, port = address.rsplit(":", 1)
     channel = Channel(reactor, TCP4ClientEndpoint(reactor, host, int(port)).connect, address)
     client = Client(channel, reactor)
     stream = client.generate(
-        Ask("ask", prompt_tokens=3000, most_output=60, repeats="repeatable", within=20.0),
+        ChatRequest(
+            "ask",
+            prompt_tokens=3000,
+            max_output_tokens=60,
+            retry_semantics=RetrySemantics.IDEMPOTENT,
+            timeout=20.0,
+        ),
         lambda ids: print(*ids, end=" ", flush=True),
     )
     answer = yield stream.done
-    print(f"\n{answer.tokens} tokens in {answer.tries} tries")
+    print(f"\n{answer.tokens} tokens in {answer.attempts} attempts")
     channel.close()
 
 
--- a/examples/embed_and_rank.py
+++ b/examples/embed_and_rank.py
@@ -2,19 +2,20 @@
 
 import sys
 
-from myrtlehub.client import NotAnswered
-from myrtlehub.client.batches import BadInput, BatchAsk, Batches
+from myrtlehub.client import AnswerError
+from myrtlehub.client.batch_client import BatchClient, BatchOptions, InputError
 
 TEXTS = [b"The invoice was paid in March.", b"Cats sleep most of the day.", b"VAT is due each quarter."]
 
-with Batches(sys.argv[1]) as batches:
+with BatchClient(sys.argv[1]) as client:
     try:
-        for text, vector in zip(TEXTS, batches.embed(TEXTS, BatchAsk("vec"), normalise=True), strict=True):
-            bad = isinstance(vector, BadInput)
-            shown = vector.said if bad else f"{len(vector)} numbers, the first {vector[0]:+.3f}"
-            print(f"{text.decode()}: {shown}")
-        print(f"made by {batches.model}")
-        for place in batches.rank(b"When is tax due?", TEXTS, BatchAsk("sort"), top=2):
-            print(f"{place.score:.3f} {TEXTS[place.index].decode()}")
-    except NotAnswered as fault:
-        sys.exit(f"{type(fault).__name__.lower()}: {fault}")
+        for text, vector in zip(TEXTS, client.embed(TEXTS, BatchOptions("vec"), normalise=True), strict=True):
+            if isinstance(vector, InputError):
+                print(f"{text.decode()}: {vector.reason}")
+            else:
+                print(f"{text.decode()}: {len(vector)} numbers, the first {vector[0]:+.3f}")
+        print(f"made by {client.model}")
+        for document in client.rank(b"When is tax due?", TEXTS, BatchOptions("sort"), top=2):
+            print(f"{document.score:.3f} {TEXTS[document.index].decode()}")
+    except AnswerError as error:
+        sys.exit(f"{error.outcome}: {error}")
--- a/examples/rollout.py
+++ b/examples/rollout.py
@@ -12,8 +12,8 @@
 import threading
 from pathlib import Path
 
-from myrtlehub.client import Ask, Rejected
-from myrtlehub.client.sync import Client
+from myrtlehub.client import ChatRequest, RejectedError, RetrySemantics
+from myrtlehub.client.sync_client import Client
 
 HERE = Path(__file__).parent
 NODE = """
@@ -84,11 +84,17 @@
         while not over.is_set():
             try:
                 for _ in client.generate(
-                    Ask("ask", prompt_tokens=300, most_output=12, repeats="repeatable", within=10.0)
+                    ChatRequest(
+                        "ask",
+                        prompt_tokens=300,
+                        max_output_tokens=12,
+                        retry_semantics=RetrySemantics.IDEMPOTENT,
+                        timeout=10.0,
+                    )
                 ):
                     pass
-            except Rejected as fault:
-                over.wait(fault.wait)
+            except RejectedError as error:
+                over.wait(error.retry_after)
 
 
 if __name__ == "__main__":
--- a/examples/takeover.py
+++ b/examples/takeover.py
@@ -12,8 +12,8 @@
 import time
 from pathlib import Path
 
-from myrtlehub.client import Ask
-from myrtlehub.client.sync import Client
+from myrtlehub.client import ChatRequest
+from myrtlehub.client.sync_client import Client
 
 NODE = """
 node: {{name: hub-{i}, listen: "127.0.0.1:{port}", index: {index}, nodes: 3, zone: north}}
@@ -65,7 +65,9 @@
                 nodes.append(start("myrtlehub.cli.node", path))
             time.sleep(0.5)  # nodes have to have found one another
             with Client("127.0.0.1:7161", others=["127.0.0.1:7162", "127.0.0.1:7163"]) as client:
-                stream = client.generate(Ask("post", prompt_tokens=900, most_output=200, first_within=5.0))
+                stream = client.generate(
+                    ChatRequest("post", prompt_tokens=900, max_output_tokens=200, first_token_timeout=5.0)
+                )
                 count, last = 0, time.monotonic()
                 for ids in stream:
                     count += len(ids)
--- a/myrtlehub/client/__init__.py
+++ b/myrtlehub/client/__init__.py
@@ -1,9 +1,25 @@
 """Client library for a myrtlehub node.
 
-`sync.Client` and `aio.Client` stand on grpcio (extra `client`), `tx.Client` on Twisted. Each gives the tokens
-and ends with one final answer: generated as a value, rejected and aborted as exceptions.
+- `requests`, `errors`, `results`: requests, the errors that are raised, and the outcome of an attempt.
+- `retries`: whether and when an attempt is followed by another; pure, shared by all clients.
+- `sync_client`, `asyncio_client`, `batch_client`: clients over grpcio (extra `client`), with what they share
+  in `grpcio_calls`.
+- `twisted_client`: a client over this project's own gRPC channel.
+
+Each client yields tokens and ends with one final answer: a generated one is a value, every other outcome is
+raised as an `AnswerError`. The server side lives in `myrtlehub.node`.
 """
 
-from myrtlehub.client.promise import Aborted, Ask, Generated, InvalidRequestError, NotAnswered, Rejected
+from myrtlehub.client.errors import AbortedError, AnswerError, InvalidRequestError, RejectedError
+from myrtlehub.client.requests import ChatRequest, RetrySemantics
+from myrtlehub.client.results import Generated
 
-__all__ = ["Aborted", "Ask", "Generated", "InvalidRequestError", "NotAnswered", "Rejected"]
+__all__ = [
+    "AbortedError",
+    "AnswerError",
+    "ChatRequest",
+    "Generated",
+    "InvalidRequestError",
+    "RejectedError",
+    "RetrySemantics",
+]
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,4 +1,4 @@
-"""The client library keeps the promise of each answer; examples run against real processes."""
+"""The clients retry as each answer allows; the examples run against real processes."""
 
 import signal
 import subprocess
@@ -9,10 +9,18 @@
 import pytest
 from fleet import Fleet
 
-from myrtlehub.client import Aborted, Ask, Generated, InvalidRequestError, Rejected
-from myrtlehub.client.batches import BatchAsk, Batches
-from myrtlehub.client.promise import End, Tries
-from myrtlehub.client.tx import Client
+from myrtlehub.client import (
+    AbortedError,
+    ChatRequest,
+    Generated,
+    InvalidRequestError,
+    RejectedError,
+    RetrySemantics,
+)
+from myrtlehub.client.batch_client import BatchClient, BatchOptions
+from myrtlehub.client.results import AttemptResult, Outcome
+from myrtlehub.client.retries import RetryState
+from myrtlehub.client.twisted_client import ChatStream, Client
 from myrtlehub.emulator.vectors import score_of
 from myrtlehub.emulator.vectors import vector_of as packed_of
 from myrtlehub.lab.day import free_ports
@@ -21,47 +29,59 @@
 ADMIN: dict[str, str] = {}  # admin addresses, by clients' address
 
 
-def tries(repeats: str = "once-only", **more: object) -> Tries:
-    return Tries(Ask("t", 10, 10, repeats=repeats, **more), 100.0, lambda: 0.5)
+def retry_state(
+    retry_semantics: RetrySemantics = RetrySemantics.AT_MOST_ONCE, **options: object
+) -> RetryState:
+    """Return a state at time 100 whose random draws are all 0.5."""
+    request = ChatRequest("t", 10, 10, retry_semantics=retry_semantics, **options)
+    return RetryState(request, 100.0, lambda: 0.5)
 
 
-def test_what_goes_again_by_itself() -> None:
-    lost, aborted, rejected = End("lost"), End("aborted"), End("rejected", 0.4)
-    assert tries().again(rejected, 100.0) == pytest.approx(0.5)  # after the wait named, spread
-    unnamed = tries(tries=5)
-    assert [unnamed.again(End("rejected"), 100.0) for _ in range(3)] == pytest.approx([0.1, 0.2, 0.4])
-    assert tries().again(aborted, 100.0) is None and tries().again(lost, 100.0) is None
-    assert tries("tokened").again(lost, 100.0) is None
-    assert tries("repeatable").again(lost, 100.0) == pytest.approx(0.1)
-    assert tries().again(End("lost", unprocessed=True), 100.0) is not None  # never reached the node
-    assert tries(within=0.3).again(rejected, 100.0) is None  # no time for it
-    some = tries("repeatable")
+def test_which_outcomes_are_retried_and_after_which_delay() -> None:
+    lost, aborted, rejected = (
+        AttemptResult(Outcome.LOST),
+        AttemptResult(Outcome.ABORTED),
+        AttemptResult(Outcome.REJECTED, 0.4),
+    )
+    assert retry_state().next_delay(rejected, 100.0) == pytest.approx(0.5)  # after the wait named, spread
+    unnamed = retry_state(max_attempts=5)
+    assert [unnamed.next_delay(AttemptResult(Outcome.REJECTED), 100.0) for _ in range(3)] == pytest.approx(
+        [0.1, 0.2, 0.4]
+    )
+    assert retry_state().next_delay(aborted, 100.0) is None and retry_state().next_delay(lost, 100.0) is None
+    assert retry_state(RetrySemantics.IDEMPOTENCY_KEY).next_delay(lost, 100.0) is None
+    assert retry_state(RetrySemantics.IDEMPOTENT).next_delay(lost, 100.0) == pytest.approx(0.1)
+    assert (
+        retry_state().next_delay(AttemptResult(Outcome.LOST, unprocessed=True), 100.0) is not None
+    )  # never reached the node
+    assert retry_state(timeout=0.3).next_delay(rejected, 100.0) is None  # no time for it
+    some = retry_state(RetrySemantics.IDEMPOTENT)
     some.tokens = 3
-    assert some.again(aborted, 100.0) is None  # they would come twice
-    last = tries(tries=2)
-    assert last.again(rejected, 100.0) and last.again(rejected, 100.6) is None
+    assert some.next_delay(aborted, 100.0) is None  # they would come twice
+    last = retry_state(max_attempts=2)
+    assert last.next_delay(rejected, 100.0) and last.next_delay(rejected, 100.6) is None
     for end, kind in (
-        (rejected, Rejected),
-        (aborted, Aborted),
-        (lost, Aborted),
-        (End("invalid"), InvalidRequestError),
-        (End("lost", unprocessed=True), Rejected),
+        (rejected, RejectedError),
+        (aborted, AbortedError),
+        (lost, AbortedError),
+        (AttemptResult(Outcome.INVALID), InvalidRequestError),
+        (AttemptResult(Outcome.LOST, unprocessed=True), RejectedError),
     ):
         with pytest.raises(kind):
-            tries().result(end)
-    assert tries().result(End("generated", count=7)) == Generated(7, 0)
+            retry_state().final_answer(end)
+    assert retry_state().final_answer(AttemptResult(Outcome.GENERATED, count=7)) == Generated(7, 0)
 
 
-def test_the_twisted_client_on_a_driven_clock() -> None:
+def test_the_twisted_client_retries_and_cancels_on_a_driven_clock() -> None:
     f = Fleet("R0 W0")
     client, seen, ends = Client(f.channels["n0"], f.clock, lambda: 0.5), [], []
 
-    def ask(*args: object, **more: object) -> object:
-        stream = client.generate(Ask(*args, **more), seen.append)
+    def ask(*args: object, **options: object) -> ChatStream:
+        stream = client.generate(ChatRequest(*args, **options), seen.append)
         stream.done.addBoth(ends.append)
         return stream
 
-    ask("ask", 3000, 40, repeats="repeatable")
+    ask("ask", 3000, 40, retry_semantics=RetrySemantics.IDEMPOTENT)
     f.run(3.0)
     assert ends == [Generated(len(seen), 1)] and seen
     ask("nope", 3000, 40)
@@ -69,12 +89,20 @@
     assert ends[1].check(InvalidRequestError) and "traffic_type" in ends[1].getErrorMessage()
     f.misbehave("W0b", "hang", seconds=3.0)
     f.run(0.05)
-    ask("post", 100, 40, first_within=1.0)
-    ask("ask", 100, 40, repeats="repeatable", first_within=1.0, within=40.0, tries=30)
+    ask("post", 100, 40, first_token_timeout=1.0)
+    ask(
+        "ask",
+        100,
+        40,
+        retry_semantics=RetrySemantics.IDEMPOTENT,
+        first_token_timeout=1.0,
+        timeout=40.0,
+        max_attempts=30,
+    )
     f.run(1.5)
-    assert ends[2].check(Aborted)  # it may have run: never by itself
+    assert ends[2].check(AbortedError)  # it may have run: never by itself
     f.run(35.0)
-    assert ends[3].tries > 1  # rejected, and again after the wait named, until the engine was well
+    assert ends[3].attempts > 1  # rejected, and again after the wait named, until the engine was well
     stopped = ask("ask", 100, 400)
     f.run(0.5)
     stopped.done.cancel()
@@ -126,9 +154,9 @@
 
 def test_examples_run(node: str) -> None:
     for name, said in (
-        ("ask_sync.py", " tokens in 1 tries"),
-        ("book_aio.py", "booked: "),
-        ("ask_twisted.py", " tokens in 1 tries"),
+        ("ask_sync.py", " tokens in 1 attempts"),
+        ("book_asyncio.py", "booked: "),
+        ("ask_twisted.py", " tokens in 1 attempts"),
         ("embed_and_rank.py", "made by m1\n"),
     ):
         run = subprocess.run(
@@ -141,29 +169,32 @@
         assert run.returncode == 0 and said in run.stdout, run.stderr
 
 
-def test_grpcio_as_the_client_of_both_batch_services(node: str) -> None:
-    texts, ask = [f"text {i}".encode() for i in range(700)], BatchAsk("vec", within=20.0)
-    with Batches(node) as batches:
+def test_batch_client_of_both_batch_services(node: str) -> None:
+    texts = [f"text {i}".encode() for i in range(700)]
+    options = BatchOptions("vec", timeout=20.0)
+    with BatchClient(node) as client:
         tokens = [1000 if i == 13 else 20 for i in range(700)]
-        vectors = batches.embed(texts, ask, tokens, dimensions=6, normalise=True)
-        assert batches.answer.tries == 1 and batches.model == "m1" and len(vectors) == 700
-        assert vectors[13].said.startswith("1000 tokens are more than the 900")
+        vectors = client.embed(texts, options, tokens, dimensions=6, normalise=True)
+        assert client.answer.attempts == 1 and client.model == "m1" and len(vectors) == 700
+        assert vectors[13].reason.startswith("1000 tokens are more than the 900")
         for i, vector in enumerate(vectors):
             assert i == 13 or vector.tobytes() == packed_of(texts[i], "m1", 6, True)
-        streamed = dict(batches.embed_stream(texts, ask))
+        streamed = dict(client.embed_stream(texts, options))
         assert len(streamed) == 700 and all(
             streamed[i].tobytes() == packed_of(t, "m1", 16, False) for i, t in enumerate(texts)
         )
-        sort = BatchAsk("sort", within=20.0)
+        sort = BatchOptions("sort", timeout=20.0)
         scores = [score_of(b"q", t, "m1") for t in texts]
-        assert batches.rank(b"q", texts, sort) == list(enumerate(scores))
+        assert client.rank(b"q", texts, sort) == list(enumerate(scores))
         best = sorted(range(700), key=lambda i: -scores[i])[:9]
-        assert [r.index for r in batches.rank(b"q", texts, sort, top=9)] == best
-        assert sorted(batches.rank_stream(b"q", texts, sort)) == list(enumerate(scores))
+        assert [r.index for r in client.rank(b"q", texts, sort, top=9)] == best
+        assert sorted(client.rank_stream(b"q", texts, sort)) == list(enumerate(scores))
         with pytest.raises(InvalidRequestError, match="is for the front 'embed'"):
-            batches.rank(b"q", texts, ask)
-        with pytest.raises(Rejected):  # nothing can be done in that time, and nothing runs twice for it
-            batches.embed(texts, BatchAsk("vec", first_within=0.002, within=0.3, tries=2), dimensions=3)
+            client.rank(b"q", texts, options)
+        with pytest.raises(RejectedError):  # nothing can be done in that time, and nothing runs twice for it
+            client.embed(
+                texts, BatchOptions("vec", attempt_timeout=0.002, timeout=0.3, max_attempts=2), dimensions=3
+            )
 
 
 def test_hub_endpoints_shows_what_a_node_routes_by(node: str) -> None:
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -178,7 +178,7 @@
         process.send_signal(signal.SIGTERM)
         assert process.wait(20) == 0
         process.stdout.close()
-    assert run.returncode == 0 and " tokens in 1 tries" in run.stdout, run.stderr
+    assert run.returncode == 0 and " tokens in 1 attempts" in run.stdout, run.stderr
     seen = {name: {r.what for r in read(tmp_path / f"{name}.records")} for name in "rw"}
     assert any("probed" in said for said in seen.values()) == (shape == "probe")
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,8 +10,15 @@
 from memnet import Pipe
 from twisted.python.failure import Failure
 
-from myrtlehub.client.promise import Aborted, Ask, Generated, NotAnswered, Rejected
-from myrtlehub.client.tx import Client, Stream
+from myrtlehub.client import (
+    AbortedError,
+    AnswerError,
+    ChatRequest,
+    Generated,
+    RejectedError,
+    RetrySemantics,
+)
+from myrtlehub.client.twisted_client import ChatStream, Client
 from myrtlehub.emulator.tokens import token_id
 from myrtlehub.node.node import Node
 from myrtlehub.recovery.replica_placement import replicas_of
@@ -70,18 +77,18 @@
     ) -> None:
         self.fleet, self.ids, self.at = fleet, [], []
         self.mark = f"{traffic}{next(fleet.draws)}"
-        ask = Ask(
+        request = ChatRequest(
             traffic,
             3000,
             STREAM,
-            repeats=REPEATS[traffic],
-            mark=self.mark,
-            first_within=4.0,
-            within=within,
+            retry_semantics=RetrySemantics(REPEATS[traffic]),
+            idempotency_key=self.mark,
+            first_token_timeout=4.0,
+            timeout=within,
             **more,
         )
         self.end: object = None
-        self.stream: Stream = fleet.asker(first).generate(ask, self._tokens)
+        self.stream: ChatStream = fleet.asker(first).generate(request, self._tokens)
         self.stream.done.addCallbacks(self._ended, self._failed)
 
     def _tokens(self, ids: tuple[int, ...]) -> None:
@@ -114,10 +121,10 @@
             ]
             assert len(self.ids) in ended
             return "generated"
-        assert isinstance(self.end, NotAnswered), self.end
-        if isinstance(self.end, Rejected):
+        assert isinstance(self.end, AnswerError), self.end
+        if isinstance(self.end, RejectedError):
             assert not ran or REPEATS[self.mark.rstrip("0123456789")] != "once-only"
-        return type(self.end).__name__.lower()
+        return str(self.end.outcome)
 
 
 def make_fleet(*args: object, **more: object) -> ReplicatedFleet:
@@ -184,12 +191,12 @@
 def test_a_read_state_is_used_and_its_prompt_not_read_again(traffic: str) -> None:
     fleet = make_fleet()
     asked = ClientSequence(fleet, traffic)
-    while not [r for r in fleet.what("held") if r.more["seq"] == asked.stream.tries.sequence != ""]:
+    while not [r for r in fleet.what("held") if r.more["seq"] == asked.stream.retries.sequence != ""]:
         fleet.run(0.0)
         fleet.net.run(0.002)
     fleet.kill("n0")
     fleet.run(8.0)
-    seq = asked.stream.tries.sequence
+    seq = asked.stream.retries.sequence
     assert asked.check() == "generated" and seq.startswith("n0."), seq
     got = [r.more["reads"] for r in fleet.what("got") if r.more["seq"] == seq]
     fetched = [r.more["whole"] for r in fleet.what("fetched") if r.more["seq"] == seq]
@@ -245,7 +252,7 @@
         if more == "the taker":
             while not struck and asked.end is None:
                 fleet.run(0.05)
-            taker = sorted(fleet.channels)[1 + (asked.stream.tries.place or 1) % 1]
+            taker = sorted(fleet.channels)[1 + (asked.stream.retries.node_index or 1) % 1]
             fleet.run(0.25)
             if taker in fleet.nodes and len(fleet.nodes) > 2:
                 fleet.kill(taker)
@@ -300,7 +307,7 @@
     go_on()
     fleet.run(9.0)
     assert asked.check() == "generated"
-    assert not [r for r in fleet.what("stopped") if r.more["seq"] == asked.stream.tries.sequence]
+    assert not [r for r in fleet.what("stopped") if r.more["seq"] == asked.stream.retries.sequence]
     settled(fleet)
 
 
@@ -310,12 +317,12 @@
     while len(asked.ids) < 3:
         fleet.run(0.02)
     fleet.kill("n0")
-    with patch.object(Stream, "_start", lambda stream: None):
+    with patch.object(ChatStream, "_start_call", lambda stream: None):
         other = ClientSequence(fleet, "post", first="n2")
     other.mark, other.ids = asked.mark, list(asked.ids)
-    tries = other.stream.tries
-    tries.sequence, tries.resumes, tries.tokens = asked.stream.tries.sequence, True, len(asked.ids)
-    other.stream._start()
+    retries = other.stream.retries
+    retries.sequence, retries.resuming, retries.tokens = asked.stream.retries.sequence, True, len(asked.ids)
+    other.stream._start_call()
     fleet.run(9.0)
     ends = sorted([asked.check(), other.check()])
     assert ends in (["aborted", "generated"], ["aborted", "aborted"]), ends
@@ -329,7 +336,7 @@
     while len(asked.ids) < 2:
         fleet.run(0.02)
     fleet.kill("n0")
-    asked.stream.tries.until = 0.0
+    asked.stream.retries.deadline = 0.0
     fleet.run(5.0)
     settled(fleet)
     assert any(r.more["why"] == "closed" for r in fleet.what("stopped")) or fleet.what("ended")
@@ -359,7 +366,9 @@
     fleet.kill("W0b")
     fleet.engine("W0b")
     fleet.run(10.0)
-    assert isinstance(once.end, Aborted) and isinstance(free.end, Aborted)  # its tokens were handed out
+    assert isinstance(once.end, AbortedError) and isinstance(
+        free.end, AbortedError
+    )  # its tokens were handed out
     assert once.check() == "aborted"
 
 
@@ -370,7 +379,7 @@
     while len(fleet.what("fetching")) < 2:
         fleet.net.run(0.002)
     fleet.kill("n0")
-    asked.stream.tries.come_backs = 10  # it comes long after the answer was whole, and let go
+    asked.stream.retries.resumes = 10  # it comes long after the answer was whole, and let go
     fleet.run(9.0)
     assert not asked.ids and asked.check() == "aborted"
     assert len([r for r in fleet.what("ran") if r.more["mark"] == asked.mark]) == 1
@@ -382,7 +391,7 @@
     while len(asked.ids) < 2:
         fleet.run(0.02)
     fleet.kill("n0")
-    asked.stream.tries.come_backs = 5  # it comes late
+    asked.stream.retries.resumes = 5  # it comes late
     fleet.run(8.0)
     assert asked.check() == "aborted" and any(r.more["why"] == "bound" for r in fleet.what("stopped"))
     settled(fleet)
