Ports for started programs lie below those of outgoing connections

Cause: a takeover scenario found a port taken (Errno 98, one run of three): ports came from the range from which the system serves outgoing connections of tests that run beside. Change: lab.processes.free_ports takes them below, from another place in each process.

--- a/myrtlehub/lab/processes.py
+++ b/myrtlehub/lab/processes.py
@@ -1,11 +1,12 @@
 """Many processes on loopback: started, waited for by their events and not for time, signalled, ended."""
 
 import contextlib
+import itertools
 import os
 import signal
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any, NamedTuple, TypeAlias
 
@@ -19,6 +20,9 @@
 from myrtlehub.rpc.clock import Timer
 
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_PORT = 30_000  # the system gives ports from 32,768 on to outgoing connections
+PORTS_BETWEEN_PROCESSES = 199  # so that runs side by side begin at other places
 OUTPUT_TAIL = 2000  # bytes of a process's last output, for whoever asks why it ended
 END_WITHIN = 15.0  # seconds after SIGTERM until a process counts as one that does not end
 READY = "ready"
@@ -209,12 +213,26 @@
     return exit_code
 
 
+def _port_candidates() -> Iterator[int]:
+    """Yield all ports of the range in turn, from a place that depends on this process."""
+    first = os.getpid() * PORTS_BETWEEN_PROCESSES % (LAST_PORT - FIRST_PORT)
+    for offset in itertools.count(first):
+        yield FIRST_PORT + offset % (LAST_PORT - FIRST_PORT)
+
+
+_CANDIDATES = _port_candidates()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return loopback ports that were free a moment ago.
+
+    They are below those that the system gives to outgoing connections, and no port is returned twice in a
+    process until all were: so neither a connection nor another run takes one before its program listens.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_CANDIDATES)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            ports.append(port)
     return ports
