--- a/tests/batch_calls.py
+++ b/tests/batch_calls.py
@@ -1,7 +1,7 @@
 """Calls of the batch fronts on a fleet, for tests."""
 
 from fleet import Fleet
-from test_path import nothing_left
+from test_request_path import assert_nothing_left
 
 from myrtlehub.emulator.vectors import vector_of
 from myrtlehub.proto import items_pb2 as pb
@@ -112,7 +112,7 @@
 
 def assert_nothing_in_flight(fleet: Fleet) -> None:
     """Check that neither nodes nor engines have anything left of a batch or a sequence."""
-    nothing_left(fleet)
+    assert_nothing_left(fleet)
     for node in fleet.nodes.values():
         batches = node.batches
         assert not batches.in_flight and batches.batcher.is_empty and not any(batches.shares._queues.values())
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -80,7 +80,7 @@
         self,
         engines: str = "R0 W0 W0",
         nodes: int = 1,
-        host: type[ActionExecutor] = ActionExecutor,
+        executor_class: type[ActionExecutor] = ActionExecutor,
         base: Path | None = None,
         lists: str = "",
         more: str = "",
@@ -91,7 +91,7 @@
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.net = Net(self.clock)
-        self.executor_class, self.machine, self.nodes_count = host, machine, nodes
+        self.executor_class, self.machine, self.nodes_count = executor_class, machine, nodes
         self.base, self.lists, self.more, self.tell_wait = base, lists, more, tell
         self.fronts = any(word[0] in "EKM" for word in engines.split())
         self.log: list[Record] = []  # of all ends, in the order in which it happened
--- a/tests/program_groups.py
+++ b/tests/program_groups.py
@@ -13,7 +13,7 @@
     "test_rollout_processes.py": "rollout programs",
     "test_takeover_processes.py": "other programs",
     "test_client.py": "other programs",
-    "test_probe.py": "other programs",
+    "test_load_probes.py": "other programs",
     "test_relay_process.py": "other programs",
     "test_relay_races.py": "other programs",
 }
--- a/tests/test_action_executor.py
+++ b/tests/test_action_executor.py
@@ -181,7 +181,7 @@
 
 def run_with_faults() -> Fleet:
     """Run a small fleet through refusals, a client that leaves, a killed engine, a restart and a drain."""
-    f = Fleet("R0 R1 W0 W0 W1", host=RecordingExecutor, slots=3)
+    f = Fleet("R0 R1 W0 W0 W1", executor_class=RecordingExecutor, slots=3)
     for i in range(60):
         f.ask(
             ("ask", "post", "note")[i % 3],
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,7 +5,7 @@
 from fleet import Fleet
 from hypothesis import given
 from hypothesis import strategies as st
-from test_path import kept, nothing_left
+from test_request_path import assert_nothing_left, assert_rules_kept
 
 from myrtlehub.limits import admission
 from myrtlehub.limits.admission import AdmissionController, VegasLimiter
@@ -123,8 +123,8 @@
         assert c.answer in ("generated", "rejected", "aborted")
         kind = next(r.more["traffic"] for r in f.what("ask") if r.more["call"] == c.name)
         good[kind] += c.answer == "generated" and first[c.name] - c.since <= 1.0
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
     return good, f
 
 
@@ -154,5 +154,5 @@
             f.leave(c)
     f.run(4.0)
     assert controller.in_flight == 0 and not controller._queue
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
--- a/tests/test_batch_fronts.py
+++ b/tests/test_batch_fronts.py
@@ -5,7 +5,7 @@
 import pytest
 from batch_calls import BatchCallWatcher, assert_nothing_in_flight, assert_vectors, embed, rank, texts
 from fleet import Fleet
-from test_path import kept
+from test_request_path import assert_rules_kept
 
 from myrtlehub.config.endpoints import EndpointConfig
 from myrtlehub.emulator.vectors import score_of, vector_of
@@ -31,7 +31,7 @@
     assert best.order == sorted(range(200), key=lambda i: -scores[i])[:5]
     parts = [r for r in fleet.what("got") if r.more["traffic"] == "vec"]
     assert len({r.who for r in parts}) == 3 and max(r.more["items"] for r in parts) <= 64
-    kept(fleet)
+    assert_rules_kept(fleet)
     assert_nothing_in_flight(fleet)
 
 
@@ -64,7 +64,7 @@
     sent = [(r.more["seq"], r.who) for r in fleet.what("got") if r.more["traffic"] == "vec"]
     assert len(sent) > len({s for s, _ in sent})  # some went again,
     assert len([s for s, _ in sent]) < 2 * len({s for s, _ in sent})  # and only some
-    kept(fleet)
+    assert_rules_kept(fleet)
     assert_nothing_in_flight(fleet)
 
 
@@ -185,7 +185,7 @@
     big = embed(fleet, texts(65), "vec1")
     fleet.run(0.1)
     assert big.status.code == Code.INVALID_ARGUMENT and "at most 64 items" in big.status.message
-    kept(fleet)
+    assert_rules_kept(fleet)
     assert_nothing_in_flight(fleet)
 
 
@@ -245,7 +245,7 @@
     assert all(c.answer == "generated" for c in chats)
     finals = {c.final for c in flood}
     assert finals <= {"generated", "rejected"} and "generated" in finals
-    kept(fleet)
+    assert_rules_kept(fleet)
     fleet.run(4.0)
     assert_nothing_in_flight(fleet)
 
@@ -277,5 +277,5 @@
     assert sum(c.final == "generated" for c in flood) > 10
     engines = host.router.routers[1].estimates.engines
     assert all(engines[index].state == EngineState.SERVING for index in host.router._known[1])  # let in again
-    kept(fleet)
+    assert_rules_kept(fleet)
     assert_nothing_in_flight(fleet)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -5,7 +5,7 @@
 from fleet import Caller, Fleet
 from hypothesis import given
 from hypothesis import strategies as st
-from test_path import judge, kept, nothing_left
+from test_request_path import assert_nothing_left, assert_rules_kept, check_rules
 
 from myrtlehub.limits.minimum_rate import CHECK_INTERVAL, MinimumRateMonitor
 from myrtlehub.limits.resource_ledger import (
@@ -150,9 +150,9 @@
     limits = fleet.nodes["n0"].client_limits
     assert limits.counts["slow"] == 1 and "under 50 bytes a second" in limits.cuts[0][3]
     assert limits.ledger.node.in_use == 0 and limits.ledger.node.dropped > 1000 and not limits.calls
-    late = [b.text for b in judge(fleet).breaches]
+    late = [b.text for b in check_rules(fleet).breaches]
     assert late == ["c0: first token 4.000 s late"]  # by its own doing: it read nothing for 8 s
-    nothing_left(fleet)
+    assert_nothing_left(fleet)
 
 
 def test_a_client_that_ignores_its_final_answer_is_reset() -> None:
@@ -164,7 +164,7 @@
     stuck.call.resumeProducing()
     run_with_balanced_ledger(fleet, 1.0)
     assert stuck.status.code != Code.OK and stuck.answer == ""
-    nothing_left(fleet)
+    assert_nothing_left(fleet)
 
 
 def test_a_client_that_stalls_for_three_seconds_gets_all() -> None:
@@ -177,7 +177,7 @@
         caller.call.resumeProducing()
     run_with_balanced_ledger(fleet, 8.0)
     assert caller.answer == "generated" and not fleet.nodes["n0"].client_limits.cuts
-    nothing_left(fleet)
+    assert_nothing_left(fleet)
 
 
 def test_a_peer_over_its_budget_loses_the_streams_of_least_utility() -> None:
@@ -197,7 +197,7 @@
         if not c.answer:
             fleet.leave(c)
     run_with_balanced_ledger(fleet, 2.0)
-    nothing_left(fleet)
+    assert_nothing_left(fleet)
 
 
 def test_a_hundred_long_prompts_are_rejected_at_the_bound_and_nothing_runs() -> None:
@@ -214,8 +214,8 @@
     run_with_balanced_ledger(fleet, 8.0)
     assert all(c.answer for c in calls) and limits.ledger.node.in_use == 0
     assert len({r.more["mark"] for r in fleet.what("got")}) == 19
-    kept(fleet)
-    nothing_left(fleet)
+    assert_rules_kept(fleet)
+    assert_nothing_left(fleet)
 
 
 def test_batches_are_limited_too_and_admin_reports_who_was_cut_off() -> None:
@@ -234,7 +234,7 @@
     assert "bytes a second" in state.cuts[0].why
     stuck.call.resumeProducing()
     run_with_balanced_ledger(fleet, 6.0)
-    nothing_left(fleet)
+    assert_nothing_left(fleet)
 
 
 @pytest.mark.parametrize("most", ["connections: 3", "peer_connections: 3"])
--- a/tests/test_endpoint_files.py
+++ b/tests/test_endpoint_files.py
@@ -10,7 +10,7 @@
 
 import pytest
 from fleet import Fleet
-from test_path import kept, nothing_left
+from test_request_path import assert_nothing_left, assert_rules_kept
 
 from myrtlehub.lab.lists import ListWatch, ListWriter, text_of
 from myrtlehub.lab.scenario import ListFilesGroup
@@ -78,8 +78,8 @@
     assert watch.attempts >= asked and watch.used > VERSIONS / 20 and len(told) > VERSIONS / 20
     assert writer.torn > VERSIONS / 5 and writer.wrong > VERSIONS / 10
     f.log[:] = sorted([*told, *f.log], key=lambda r: r.at)  # told before what goes by it
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
     refused = [rejection.reason for rejection in f.nodes["n0"].endpoint_source.validator.rejections]
     # Each names file and line of the fault, or says what to do.
     assert len(refused) > 5
@@ -130,8 +130,8 @@
     assert stream.answer == "generated" and [c.answer for c in after] == ["generated"] * 6
     late = [r for r in f.what("got", where) if r.at > f.what("ran")[0].at + 1.0]
     assert all(r.more["reads"] for r in late) and late  # it reads from now on, and writes nothing new
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
 def test_half_the_endpoints_are_removed_with_attempts_in_flight_at_nodes_seconds_apart(
@@ -162,8 +162,8 @@
         sends = [r.at for r in f.what("got") if r.more["node"] == node and r.who[:-2] in gone]
         assert sends and max(sends) < when + 0.5  # two snapshots with the quiet time between, and the grace
     assert all(c.answer for c in calls) and sum(c.answer == "generated" for c in calls) > 140
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
 def test_removal_of_half_the_endpoints_waits_for_a_second_snapshot(tmp_path: Path) -> None:
--- a/tests/test_probe.py
+++ b/tests/test_load_probes.py
@@ -1,4 +1,4 @@
-"""Engines that tell their load to probes alone: what the node asks, hears and refuses; stand-ins only."""
+"""Engines that report load to probes alone, on emulated engines."""
 
 import re
 import signal
@@ -8,7 +8,7 @@
 
 import pytest
 from fleet import Fleet
-from test_path import kept, nothing_left
+from test_request_path import assert_nothing_left, assert_rules_kept
 
 from myrtlehub.config.loader import ConfigError, parse_config
 from myrtlehub.config.node import NodeConfig
@@ -26,29 +26,31 @@
 CHAT_ONLY = re.sub(r"  - \{name: (vec|sort).*\n", "", SOUND)
 
 
-class Heard(ActionExecutor):
-    """A host that writes down each word on a probe."""
+class ProbeRecordingExecutor(ActionExecutor):
+    """An executor that records the result of each probe."""
 
     def __init__(self, *args: object) -> None:
         super().__init__(*args)
-        self.words: list[tuple] = []
+        self.probe_results: list[tuple] = []
 
     def _probed(self, engine: int, since: float, sound: bool, load: object) -> None:
-        self.words.append((self.decoder.engines.rows[engine].address, sound, load))
+        self.probe_results.append((self.decoder.engines.rows[engine].address, sound, load))
         super()._probed(engine, since, sound, load)
 
 
-def moved(engines: str = "R0 W0 W0", **more: object) -> Fleet:
-    return Fleet(engines, host=Heard, more=PROBED, reports="probe", **more)
+def probing_fleet(engines: str = "R0 W0 W0", **more: object) -> Fleet:
+    return Fleet(engines, executor_class=ProbeRecordingExecutor, more=PROBED, reports="probe", **more)
 
 
-def test_load_comes_by_probes_and_steers_what_follows() -> None:
-    f = moved()
-    host = f.nodes["n0"].executor
+def test_load_reports_of_probes_steer_later_sequences() -> None:
+    f = probing_fleet()
+    executor = f.nodes["n0"].executor
     f.ask(prompt=3000)
     f.run(2.0)
-    assert {w[0] for w in host.words} >= {"R0a:1", "W0b:1", "W0c:1"} and all(w[1] for w in host.words)
-    assert all(w[2].memory_share is not None and w[2].unread is not None for w in host.words)
+    assert {w[0] for w in executor.probe_results} >= {"R0a:1", "W0b:1", "W0c:1"} and all(
+        w[1] for w in executor.probe_results
+    )
+    assert all(w[2].memory_share is not None and w[2].unread is not None for w in executor.probe_results)
     assert not f.what("load") and [c.answer for c in f.calls] == ["generated"]
     f.stands["W0b"].model.held = 199000.0  # its memory is full of what others asked for
     for _ in range(8):
@@ -58,43 +60,43 @@
     assert wrote and set(wrote) == {"W0c:1"}
     f.stands["W0b"].model.held = 0.0
     f.run(4.0)
-    kept(f)
+    assert_rules_kept(f)
 
 
-def test_an_engine_that_does_not_answer_a_probe_keeps_nothing_waiting() -> None:
-    f = moved()
+def test_unanswered_probe_delays_no_sequence() -> None:
+    f = probing_fleet()
     f.misbehave("W0b", "hang", seconds=30.0)
     f.run(0.1)
     caller = f.ask(prompt=3000)
     f.run(4.0)
     assert caller.answer == "generated"
-    words = [w for w in f.nodes["n0"].executor.words if w[0] == "W0b:1"]
+    words = [w for w in f.nodes["n0"].executor.probe_results if w[0] == "W0b:1"]
     assert words and not any(sound for _, sound, _ in words)  # timed out: a word too, and the only one
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
-def test_a_probe_out_keeps_the_index_of_an_engine_that_left() -> None:
-    f = moved()
+def test_outstanding_probe_reserves_the_index_of_a_removed_engine() -> None:
+    f = probing_fleet()
     f.misbehave("W0b", "hang", seconds=30.0)
     f.run(0.1)
     f.ask(prompt=300)
     f.run(0.01)
     f.tell("W0b", "gone")
     f.run(3.0)  # the probe times out after the engine has left the list
-    assert any(w[0] == "W0b:1" for w in f.nodes["n0"].executor.words)
+    assert any(w[0] == "W0b:1" for w in f.nodes["n0"].executor.probe_results)
     assert len(f.nodes["n0"].executor.decoder.engines.index_of) == 2
 
 
-def test_old_shape_sends_no_probe_and_reads_loads_from_answers() -> None:
-    f = Fleet("R0 W0 W0", host=Heard)
+def test_without_probes_load_comes_from_replies() -> None:
+    f = Fleet("R0 W0 W0", executor_class=ProbeRecordingExecutor)
     f.ask(prompt=3000)
     f.run(2.0)
-    assert not f.nodes["n0"].executor.words and f.calls[0].answer == "generated"
+    assert not f.nodes["n0"].executor.probe_results and f.calls[0].answer == "generated"
     assert 0 in f.nodes["n0"].executor.router.estimates.usual_memory
 
 
-def test_terms_come_from_the_file_and_defaults_leave_them_as_they_were() -> None:
+def test_probe_settings_reach_the_router_config_and_default_to_off() -> None:
     moved_file = CHAT_ONLY.replace("hold: no}", "hold: no, probe: yes}")
     moved_file += "reports: {how: probe, probe_price: 0.01}\n"
     plain, probed = (
@@ -115,13 +117,13 @@
         (SOUND.replace("hold: no}", "hold: no, probe: yes}") + "reports: {how: probe}\n", "reports.how"),
     ],
 )
-def test_a_file_that_mixes_the_shapes_is_refused_by_key(text: str, key: str) -> None:
+def test_contradictory_probe_settings_are_refused_with_their_key(text: str, key: str) -> None:
     with pytest.raises(ConfigError) as caught:
         parse_config(text, NodeConfig, "n.yaml")
     assert len(caught.value.lines) == 1 and f"file: {key}: " in caught.value.lines[0]
 
 
-def test_no_wait_is_told_where_none_may_be() -> None:
+def test_rejection_asks_for_no_wait_where_max_wait_is_zero() -> None:
     f = Fleet("R0 W0", more="", tell="max_wait: 0s")
     for name in ("R0a", "W0b"):
         f.tell(name, "draining")
@@ -165,7 +167,7 @@
 @pytest.mark.parametrize(
     ("shape", "engines_tell"), [("probe", "probe"), ("probe", "answers"), ("answers", "answers")]
 )
-def test_one_build_serves_both_shapes_on_loopback(tmp_path: Path, shape: str, engines_tell: str) -> None:
+def test_node_process_serves_with_and_without_probes(tmp_path: Path, shape: str, engines_tell: str) -> None:
     running, address = processes(tmp_path, shape, engines_tell)
     run = subprocess.run(
         [sys.executable, ROOT / "examples" / "ask_sync.py", address],
@@ -183,7 +185,7 @@
     assert any("probed" in said for said in seen.values()) == (shape == "probe")
 
 
-def test_a_mixed_file_ends_the_program_with_one_line_and_2(tmp_path: Path) -> None:
+def test_contradictory_probe_settings_end_the_program_with_exit_code_2(tmp_path: Path) -> None:
     (tmp_path / "node.yaml").write_text(CHAT_ONLY + "reports: {how: probe}\n")
     run = subprocess.run(
         [sys.executable, "-m", "myrtlehub.cli.node", tmp_path / "node.yaml"],
--- a/tests/test_boundaries.py
+++ b/tests/test_message_boundaries.py
@@ -5,7 +5,7 @@
 import pytest
 from fleet import Caller, Fleet
 from memnet import Pipe
-from test_path import judge
+from test_request_path import check_rules
 
 from myrtlehub.rpc.transport_limits import TransportLimits
 
@@ -54,7 +54,7 @@
 
 @pytest.mark.parametrize("traffic", ["post", "ask", "note"])
 @pytest.mark.parametrize("way", WAYS)
-def test_a_fault_at_every_boundary(traffic: str, way: str) -> None:
+def test_rules_are_kept_with_a_fault_at_each_message_boundary(traffic: str, way: str) -> None:
     count = crossings(traffic)
     assert count > 15
     answers: Counter[str] = Counter()
@@ -67,7 +67,9 @@
         answers[caller.answer or "none"] += 1
         where = f"{way} at {at}, {struck[0]}"
         breaches = [
-            b for b in judge(f).breaches if not (way == "stall" and b.rule == 5 and "client" not in struck[0])
+            b
+            for b in check_rules(f).breaches
+            if not (way == "stall" and b.rule == 5 and "client" not in struck[0])
         ]
         assert not breaches, (where, [b.text for b in breaches])
         # Over a stalled link a release cannot come: then the reader's own bound, 3 s, lets go.
@@ -85,7 +87,7 @@
     assert answers["generated"] and (answers["aborted"] or way != "reset" or traffic != "post"), answers
 
 
-def test_a_silent_link_is_given_up_by_its_pings() -> None:
+def test_keepalive_closes_a_silent_connection_within_30_seconds() -> None:
     bounds = TransportLimits()
     assert bounds.keepalive_interval + bounds.keepalive_timeout <= 30.0
 
@@ -117,13 +119,13 @@
     return f, caller, crossed
 
 
-def test_a_writer_that_dies_at_any_byte_of_a_once_only_stream() -> None:
+def test_writer_lost_at_any_byte_never_repeats_an_at_most_once_sequence() -> None:
     _, caller, total = bytes_of_stream(10**6)
     assert caller.answer == "generated" and 100 < total < 2000
     answers: Counter[str] = Counter()
     for cut in range(total + 1):
         f, caller, _ = bytes_of_stream(cut)
-        assert not judge(f).breaches, (cut, [b.text for b in judge(f).breaches])
+        assert not check_rules(f).breaches, (cut, [b.text for b in check_rules(f).breaches])
         answers[caller.answer] += 1
         assert sum(r.more["mark"] == caller.mark for r in f.what("ran")) <= 1
         assert not f.nodes["n0"].executor.in_flight
--- a/tests/test_path.py
+++ b/tests/test_request_path.py
@@ -1,4 +1,4 @@
-"""The whole path on a driven clock: the hard cases, the rules by the checker, and hosts broken on purpose."""
+"""The whole request path on a driven clock: hard cases, rules by the checker, executors broken on purpose."""
 
 import pytest
 from fleet import Fleet
@@ -18,7 +18,7 @@
 ]
 
 
-def judge(fleet: Fleet) -> Checker:
+def check_rules(fleet: Fleet) -> Checker:
     fleet.day.note("ends")
     terms = {
         "traffic": ROWS,
@@ -29,13 +29,13 @@
     return check([Record(0.0, "day", "terms", terms), *fleet.log])
 
 
-def kept(fleet: Fleet) -> Checker:
-    checker = judge(fleet)
+def assert_rules_kept(fleet: Fleet) -> Checker:
+    checker = check_rules(fleet)
     assert not checker.breaches, "\n".join(b.text for b in checker.breaches)
     return checker
 
 
-def nothing_left(f: Fleet) -> None:
+def assert_nothing_left(f: Fleet) -> None:
     """Every node and engine that lives has let go of everything."""
     assert all(not n.executor.in_flight and not n.executor.attempts_out() for n in f.nodes.values())
     for stand in f.stands.values():
@@ -45,7 +45,7 @@
             assert abs(m.held) < 1e-6
 
 
-def test_a_question_goes_to_a_reader_its_state_to_a_writer_and_tokens_come_back() -> None:
+def test_prompt_is_read_its_state_fetched_and_tokens_streamed() -> None:
     f = Fleet()
     split, short = (
         f.ask(prompt=3000, session="s", shared_prefix="p", shared_tokens=900),
@@ -55,12 +55,12 @@
     assert (split.answer, short.answer) == ("generated", "generated") and split.tokens > 5
     assert [r.who for r in f.what("got")][:1] == ["R0a:1"] and len(f.what("ran")) == 2
     assert [r.more["why"] for r in f.what("freed")] == ["fetched"]
-    checker = kept(f)
+    checker = assert_rules_kept(f)
     assert checker.counts[1] == 2 and checker.counts[2] == 2 and checker.counts[5] == 1
-    nothing_left(f)
+    assert_nothing_left(f)
 
 
-def test_requests_that_are_wrong_are_told_why_and_not_taken() -> None:
+def test_malformed_requests_are_refused_with_the_field_and_not_accepted() -> None:
     f = Fleet()
     for more, said in [
         ({"traffic": "nope"}, "not one of ask, note, post"),
@@ -73,10 +73,10 @@
         f.run(0.1)
         assert caller.status.code.name == "INVALID_ARGUMENT" and said in caller.status.message
     assert f.nodes["n0"].executor.accepted_count == 0
-    kept(f)
+    assert_rules_kept(f)
 
 
-def test_a_writer_that_dies_mid_stream_aborts_a_once_only_and_it_never_runs_again() -> None:
+def test_writer_lost_mid_stream_aborts_an_at_most_once_sequence_without_retry() -> None:
     f = Fleet()
     post, ask = f.ask("post", prompt=200, output=400), f.ask(prompt=200, output=400)
     f.run(0.3)
@@ -86,11 +86,11 @@
         f.kill(writer[:-2])
     f.run(5.0)
     assert (post.answer, ask.answer) == ("aborted", "aborted") and len(f.what("ran")) == 2
-    kept(f)
+    assert_rules_kept(f)
     assert not f.nodes["n0"].executor.in_flight
 
 
-def test_a_reader_dies_after_the_read_and_before_the_fetch() -> None:
+def test_reader_lost_between_read_and_fetch_leads_to_a_retry() -> None:
     f = Fleet("R0 R0 W0", slots=1)
     f.ask(prompt=300, output=100)  # keeps the writer's only slot
     f.run(0.1)
@@ -102,10 +102,10 @@
     f.run(8.0)
     assert [r.more["no_state"] for r in f.what("refused")] == [True]
     assert late.answer == "generated"  # known not to have run: read anew elsewhere
-    kept(f)
+    assert_rules_kept(f)
 
 
-def test_a_writer_accepts_and_never_answers() -> None:
+def test_hung_writer_leads_to_a_final_answer_at_the_deadline() -> None:
     f = Fleet("R0 W0")
     f.misbehave("W0b", "hang")
     f.run(0.05)
@@ -117,22 +117,22 @@
     f.misbehave("W0b", "well")
     f.run(3.0)
     assert not f.what("ran")
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
-def test_half_the_writers_refuse() -> None:
+def test_refusing_writers_lead_to_retries_elsewhere() -> None:
     f = Fleet("R0 W0 W0")
     f.misbehave("W0b", "refuse", 1.0)
     f.run(0.05)
     calls = [f.ask("post" if i % 2 else "ask", prompt=200, output=40) for i in range(12)]
     f.run(8.0)
     assert [c.answer for c in calls] == ["generated"] * 12 and f.what("refused")
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
-def test_an_engine_drains_while_streams_run() -> None:
+def test_draining_engine_ends_its_streams_and_gets_no_new_ones() -> None:
     f = Fleet("R0 W0 W0")
     calls = [f.ask(prompt=200, output=200) for _ in range(6)]
     f.run(0.2)
@@ -144,7 +144,7 @@
     f.run(8.0)
     assert all(c.answer == "generated" for c in calls)
     assert not [r for r in f.what("got", "W0b") if r.at > drained_from]
-    kept(f)
+    assert_rules_kept(f)
     f.tell("W0b", "gone")
     f.run(0.5)
     assert "W0b:1" not in f.nodes["n0"].transport.channels
@@ -154,7 +154,7 @@
 
 
 @pytest.mark.parametrize("after", [0.0, 0.05, 0.2, 0.25, 0.6])
-def test_a_client_goes_away_at_each_stage(after: float) -> None:
+def test_client_that_leaves_at_each_stage_frees_everything(after: float) -> None:
     f = Fleet(read_rate=15000.0)
     caller = f.ask("post", prompt=3000, output=300)  # read until 0.2, fetched by 0.22, then streams
     f.run(after)
@@ -164,11 +164,11 @@
         {"left": 1} if f.what("got") else {}
     )
     assert not f.what("ended")
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
-def test_a_client_that_reads_nothing_holds_up_its_own_stream_only() -> None:
+def test_back_pressure_of_a_client_pauses_its_own_stream_only() -> None:
     f = Fleet("W0", step="2ms", slots=8, more="limits: {least_rate: 0}")  # else it would be cut off
     link = f.nodes["n0"].transport.transport_limits = TransportLimits(stream_window=16384)
     f.channels["n0"].limits = TransportLimits(stream_window=4096)
@@ -184,11 +184,11 @@
     assert 65536 < here <= 65536 + 2 * link.stream_window and poured > 20000  # it stays at the writer
     f.leave(stuck)
     f.run(1.0)
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
-def test_a_final_answer_racing_with_a_cancel() -> None:
+def test_final_answer_that_races_with_a_cancel_is_sent_once() -> None:
     f = Fleet("R0 W0")
     f.misbehave("W0b", "hang", seconds=1.95)
     f.run(0.02)
@@ -197,11 +197,11 @@
     answers = [c.answer for c in calls]
     assert set(answers) == {"aborted", "generated"} or set(answers) == {"aborted"}
     assert len(f.what("final")) == 16
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
-def test_a_node_killed_and_back_with_nothing_never_repeats_a_once_only() -> None:
+def test_restarted_node_never_repeats_an_at_most_once_sequence() -> None:
     f = Fleet("R0 W0 W0", nodes=2)
     calls = [f.ask("post", prompt=200 + 2000 * (i % 2), output=300, node="n0") for i in range(6)]
     f.run(0.3)
@@ -213,13 +213,13 @@
     other = f.ask("ask", prompt=200, node="n1")
     f.run(6.0)
     assert (again.answer, other.answer) == ("generated", "generated")
-    checker = kept(f)
+    checker = assert_rules_kept(f)
     assert checker.counts[2] >= 6
     for stand in f.stands.values():  # what the dead node's streams held was let go as their connection broke
         assert not stand.model.running and not stand.model.states
 
 
-def test_a_cold_restart_with_all_nodes_sending() -> None:
+def test_cold_engine_gets_load_again_after_its_restart() -> None:
     f = Fleet("R0 R0 W0 W0", nodes=3, slots=4)
     for i in range(200):
         f.ask(prompt=200 + 1500 * (i % 2), output=60, node=f"n{i % 3}")
@@ -233,10 +233,10 @@
     assert len(f.what("up", "W0c")) == 2 and [
         r for r in f.what("got", "W0c") if r.at > f.what("up", "W0c")[1].at
     ]
-    kept(f)
+    assert_rules_kept(f)
 
 
-def test_the_whole_deadline_aborts_a_stream_that_has_begun() -> None:
+def test_call_deadline_aborts_a_stream_that_has_begun() -> None:
     f = Fleet("W0", step="100ms")
     caller = f.ask("post", prompt=100, output=5000, timeout=2.0)
     f.run(1.9)
@@ -244,11 +244,11 @@
     f.run(0.3)
     assert caller.answer == "aborted" and caller.status.code.name == "OK"
     f.run(1.0)
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
-def test_sigterm_drains() -> None:
+def test_drain_ends_streams_within_drain_within() -> None:
     f = Fleet("W0")
     short, long = f.ask(prompt=100, output=40), f.ask("post", prompt=100, output=4000)
     f.run(0.2)
@@ -261,10 +261,10 @@
     assert late.status.unprocessed and short.answer == "generated" and not long.answer and not gone
     f.run(1.0)
     assert long.answer == "aborted" and gone  # within drain_within, 3 s
-    kept(f)
+    assert_rules_kept(f)
 
 
-def test_news_of_the_list_is_taken_whole_or_not_at_all() -> None:
+def test_pushed_endpoint_list_is_accepted_whole_or_not_at_all() -> None:
     f = Fleet()
     f.rows["X0z"] = {"address": "X0z:1", "kind": "mixer", "zone": "north", "cell": 0}
     f.tell("X0z", "serving")
@@ -272,48 +272,48 @@
     assert f.nodes["n0"].executor.list_version == 1 and not f.what("told")
 
 
-def test_a_writer_refuses_after_it_has_fetched() -> None:
+def test_writer_that_refuses_after_its_fetch_leads_to_a_new_read() -> None:
     f = Fleet("R0 W0 W0", mishaps={"full_after_fetch": 0.5})
     calls = [f.ask("post", prompt=2500, output=10) for _ in range(12)]
     f.run(6.0)
     refused = [r for r in f.what("refused") if not r.more["no_state"]]
     assert refused and [r for r in f.what("refused") if r.more["no_state"]]  # then its state is not there
     assert sum(c.answer == "generated" for c in calls) > 6 and all(c.answer for c in calls)
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
-def test_a_fetch_that_breaks_off_is_known_not_to_have_run() -> None:
+def test_broken_fetch_counts_as_not_run() -> None:
     f = Fleet("R0 W0", mishaps={"lose_fetch": 0.5})
     calls = [f.ask("post", prompt=2500, output=10) for _ in range(8)]
     f.run(8.0)
     assert f.what("fetch lost") and all(c.answer for c in calls)
     assert sum(c.answer == "generated" for c in calls) >= 4
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
 
 
 @pytest.mark.parametrize("answer_first", [True, False])
-def test_the_answer_and_the_time_out_in_one_turn(answer_first: bool) -> None:
+def test_answer_and_timeout_in_one_turn_give_one_final_answer(answer_first: bool) -> None:
     f = Fleet("W0")
     f.misbehave("W0a", "hang")
     f.run(0.02)
     caller = f.ask("post", prompt=100)
     f.run(0.1)
-    host = f.nodes["n0"].executor
-    attempt = host.in_flight[0].attempts[0]
+    executor = f.nodes["n0"].executor
+    attempt = executor.in_flight[0].attempts[0]
     steps = [
-        lambda: host.ended(attempt, contract.Outcome.GENERATED, tokens=0),
-        lambda: host._timed_out(attempt),
+        lambda: executor.ended(attempt, contract.Outcome.GENERATED, tokens=0),
+        lambda: executor._timed_out(attempt),
     ]
     for step in steps if answer_first else reversed(steps):
         step()
     f.run(5.0)
     assert caller.answer == ("generated" if answer_first else "aborted") and len(f.what("final")) == 1
-    assert host.answer_counts.total() == 1 and not host.in_flight
+    assert executor.answer_counts.total() == 1 and not executor.in_flight
 
 
-def test_an_engine_does_not_begin_what_cannot_begin_in_time() -> None:
+def test_engine_does_not_start_what_is_past_its_deadline() -> None:
     f = Fleet("W0", slots=1)
     f.ask(prompt=100, output=200)
     f.run(0.1)
@@ -324,7 +324,7 @@
     assert late.answer != "generated" and len(f.what("expired")) == 1 and len(f.what("ran")) == 1
 
 
-def test_a_client_comes_back_at_another_node() -> None:
+def test_client_retry_at_another_node_runs_once() -> None:
     f = Fleet("R0 W0 W0", nodes=2)
     f.misbehave("W0b", "hang", seconds=3.0)
     f.misbehave("W0c", "hang", seconds=3.0)
@@ -336,10 +336,10 @@
     again = f.ask("ask", prompt=200, mark="q-1", node="n1", repeated=True)
     f.run(4.0)
     assert again.answer == "generated" and not [r for r in f.what("ran") if r.more["mark"] == "inv-1"]
-    kept(f)
+    assert_rules_kept(f)
 
 
-# -- hosts that are broken on purpose: each has to be caught, by its rule ------------------------------
+# -- executors that are broken on purpose: each has to be caught, by its rule ------------------------------
 
 
 class TellsTwice(ActionExecutor):
@@ -452,7 +452,7 @@
 
 
 @pytest.mark.parametrize(
-    ("host", "trouble", "rule"),
+    ("executor_class", "trouble", "rule"),
     [
         (TellsTwice, no_room, 1),
         (Forgets, no_room, 1),
@@ -463,12 +463,14 @@
         (KeepsStates, left_after_read, 5),
     ],
 )
-def test_a_broken_host_is_caught_by_its_rule(host: type[ActionExecutor], trouble: object, rule: int) -> None:
-    for kind, wanted in ((ActionExecutor, set()), (host, {rule})):
+def test_broken_executor_is_caught_by_its_rule(
+    executor_class: type[ActionExecutor], trouble: object, rule: int
+) -> None:
+    for kind, wanted in ((ActionExecutor, set()), (executor_class, {rule})):
         engines = {no_room: "R0 W0", cold_rush: "R0 W0 W0 W0 W0"}.get(trouble, "R0 W0 W0")
-        f = Fleet(engines, host=kind, queue=200)
+        f = Fleet(engines, executor_class=kind, queue=200)
         trouble(f)
-        found = judge(f)
+        found = check_rules(f)
         assert {b.rule for b in found.breaches} == wanted, [b.text for b in found.breaches]
         assert set(found.counts) == set(RULES)
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -6,7 +6,7 @@
 from fleet import Caller, Fleet
 from hypothesis import given
 from hypothesis import strategies as st
-from test_path import kept, nothing_left
+from test_request_path import assert_nothing_left, assert_rules_kept
 
 from myrtlehub.limits import retry_budget
 from myrtlehub.limits.retry_budget import RetryBudget
@@ -70,8 +70,8 @@
                 again.append((now + 0.05, tries + 1))  # a client that does not heed the wait
         f.run(0.02)
     f.run(6.0)
-    kept(f)
-    nothing_left(f)
+    assert_rules_kept(f)
+    assert_nothing_left(f)
     return len(f.what("got")) / firsts, f
 
 
