--- a/myrtlehub/lab/process_files.py
+++ b/myrtlehub/lab/process_files.py
@@ -9,6 +9,7 @@
 from myrtlehub.lab.fleet_layout import ZONE, FleetLayout, kind_of
 from myrtlehub.lab.scenario_file import ENGINE_KINDS, MachineConfig, Scenario
 
+NODE_PROGRAM = "myrtlehub.cli.node"
 WHOLE_NUMBERS_FROM = 1e6  # tokens, that are written without an exponent
 SCENARIO_FIELDS = {"share", "prompt", "output", "prefixes", "shared", "turns"}  # of traffic; not a node's
 TRAFFIC_DURATIONS = ("latency_slo", "slo_per_1000_tokens", "abandon_time", "pace", "dedup_window")
--- a/myrtlehub/lab/rollout_scenario.py
+++ b/myrtlehub/lab/rollout_scenario.py
@@ -1,38 +1,30 @@
 """A scenario during which program or settings of all nodes are changed in stages, by `hub-rollout`."""
 
-import json
 import os
 import signal
-import sys
 from collections.abc import Generator
 from enum import StrEnum
-from pathlib import Path
 from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
 from twisted.internet.task import deferLater
 
 from myrtlehub.lab.fault_proxy import FaultProxy
-from myrtlehub.lab.fleet_layout import ZONE
-from myrtlehub.lab.process_files import ProcessFiles
 from myrtlehub.lab.processes import LogLine, Process
+from myrtlehub.lab.rollout_files import RolloutFiles
 from myrtlehub.lab.scenario_file import RolloutFaultConfig, RolloutScenarioConfig
-from myrtlehub.lab.scenario_runner import NODE_PROGRAM, ScenarioRunner
+from myrtlehub.lab.scenario_runner import ScenarioRunner
 from myrtlehub.lab.verdict import Verdict, verdict_text
 from myrtlehub.proto import admin_pb2
 from myrtlehub.records import Recorder
 
 FOLDER_VARIABLE = "HUB_VARIANT_FOLDER"  # where faulty nodes leave files for one another
 NODE_COUNT_VARIABLE = "HUB_VARIANT_NODES"  # how many nodes the fleet has
-FAULTY_NODE_PROGRAM = "myrtlehub.cli.faulty_node"
-STEPPED_CLOCK_PROGRAM = "myrtlehub.cli.stepped_clock"
 CONTROLLER_PROGRAM = "myrtlehub.cli.rollout"
 SHOW_METHOD = "/myrtlehub.v1.NodeAdmin/Show"
-DRAIN_WITHIN = "3s"
 END_PAUSE = 0.5  # seconds in which nodes of other parents can end, once they were told to
 CONTROLLER = "controller"  # in a fault's `whom`
 REPORTED_EVENTS = ("change", "tell", "refused", "fault", "end")
-NEW_SUFFIX = ".new"  # of the name of a node's file with new settings
 
 
 class RolloutEnd(StrEnum):
@@ -71,27 +63,6 @@
         return self.now
 
 
-class RolloutFiles(ProcessFiles):
-    """Files of a fleet during a rollout."""
-
-    def node_file(self, name: str) -> dict:
-        """Return the file of a node, which has to end soon when told to."""
-        tree = super().node_file(name)
-        tree["node"]["drain_within"] = DRAIN_WITHIN
-        return tree
-
-    def write_new_file(self, name: str) -> None:
-        """Write the file of a node with the settings that are rolled out."""
-        tree = self.node_file(name)
-        for field, value in self._scenario.roll.settings.items():
-            *path, last = field.split(".")
-            group = tree
-            for part in path:
-                group = group.setdefault(part, {})
-            group[last] = json.loads(json.dumps(value))  # plain, whatever reader it came by
-        self.write(f"{name}{NEW_SUFFIX}", tree)
-
-
 class RolloutRunner(ScenarioRunner):
     """Plays one scenario with a rollout; the controller reaches each node by a fault proxy."""
 
@@ -100,8 +71,7 @@
     def __init__(self, *args: Any, **options: Any) -> None:  # noqa: ANN401
         super().__init__(*args, **options)
         self._rollout: RolloutScenarioConfig = self.scenario.roll
-        self._clock_program = [STEPPED_CLOCK_PROGRAM] if self._rollout.sets_clocks else []
-        self.node_program = [*self._clock_program, *_node_program(self._rollout.was)]
+        self.node_program = self.files.node_program(self._rollout.was)
         self.environment = {
             FOLDER_VARIABLE: str(self.folder),
             NODE_COUNT_VARIABLE: str(len(self.layout.nodes)),
@@ -155,44 +125,17 @@
         if rollout.undo_at:
             self.clock.callLater(max(0.0, rollout.undo_at - rollout.at), self._start_controller, "undo")
 
-    @property
-    def _plan_path(self) -> Path:
-        return self.folder / "roll.yaml"
-
     def _write_plan(self) -> None:
-        rollout = self._rollout
         for node, address in self.layout.admin_addresses.items():
             self.files.write_new_file(node)
             self._proxies[node] = FaultProxy(self.reactor, address, self.report).listen()
-        tree = {
-            "change": self._change(),
-            "settings": "{name}.yaml",
-            "start": self._command(rollout.was),
-            "nodes": [
-                {"name": node, "admin": self._proxies[node].address, "zone": ZONE}
-                for node in self.layout.nodes
-            ],
-            "stages": [{"nodes" if isinstance(size, int) else "share": size} for size in rollout.stages],
-            **rollout.plan,
-        }
-        # JSON is YAML, and takes numbers of any reader's kind.
-        self._plan_path.write_text(json.dumps(tree))
-
-    def _change(self) -> dict[str, dict[str, str]]:
-        rollout = self._rollout
-        if rollout.now:
-            return {"program": {"was": self._command(rollout.was), "now": self._command(rollout.now)}}
-        return {"settings": {"was": "{name}.yaml", "now": f"{{name}}{NEW_SUFFIX}.yaml"}}
-
-    def _command(self, kind: str) -> str:
-        program = [*self._clock_program, *_node_program(kind)]
-        return " ".join([sys.executable, "-m", *program, "{settings}"])
+        self.files.write_plan({node: proxy.address for node, proxy in self._proxies.items()})
 
     def _start_controller(self, command: str) -> Process:
         self._controller_count += 1
         process = self.processes.start(
             f"controller-{self._controller_count}",
-            [*self._clock_program, CONTROLLER_PROGRAM, command, str(self._plan_path)],
+            [*self.files.clock_program, CONTROLLER_PROGRAM, command, str(self.files.plan_path)],
             self.environment,
         )
         self.expected_ends.add(process)
@@ -303,11 +246,6 @@
         recorder.close()
 
 
-def _node_program(kind: str) -> list[str]:
-    """Return the program of a kind of faulty node, or the real one where none is named."""
-    return [FAULTY_NODE_PROGRAM, kind] if kind else [NODE_PROGRAM]
-
-
 def rollout_text(verdict: Verdict) -> str:
     """Return the verdict for people, the rollout's end last."""
     rollout = verdict["roll"]
--- a/myrtlehub/lab/scenario_runner.py
+++ b/myrtlehub/lab/scenario_runner.py
@@ -7,7 +7,6 @@
 from typing import ClassVar
 
 from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.task import LoopingCall, deferLater
 
 from myrtlehub.lab.endpoint_list_writer import EndpointListWriter
@@ -15,7 +14,8 @@
 from myrtlehub.lab.fault_scheduler import FaultScheduler
 from myrtlehub.lab.fleet_layout import ZONE, make_layout
 from myrtlehub.lab.interfaces import Reactor
-from myrtlehub.lab.process_files import ProcessFiles
+from myrtlehub.lab.process_calls import ProcessCalls
+from myrtlehub.lab.process_files import NODE_PROGRAM, ProcessFiles
 from myrtlehub.lab.processes import Process, Processes
 from myrtlehub.lab.rule_checker.scenario_facts import SLACK
 from myrtlehub.lab.scenario_file import Scenario
@@ -24,17 +24,12 @@
 from myrtlehub.lab.verdict import Verdict, judge_records
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.records import Recorder
-from myrtlehub.rpc.channel import Channel
 
-NODE_PROGRAM = "myrtlehub.cli.node"
 ENGINE_PROGRAM = "myrtlehub.cli.emulator"
 LAST_LIST_WRITE = (
     1.5  # seconds before the end of the traffic at which list files are written for the last time
 )
 REPORT_INTERVAL = 5.0  # seconds
-DIAL_TIMEOUT = 2  # seconds
-CALL_TIMEOUT = 2.0
-CONNECT_TIMEOUT = 1.0
 OPEN_CALL_GRACE = 5.0  # seconds past their deadline in which open calls are waited for
 RELEASE_GRACE = 0.3  # seconds past the release time after which a read state that is left shows
 
@@ -80,7 +75,7 @@
         self.batches: BatchClients | None = None
         self.started = 0.0
         self._incarnations: Counter[str] = Counter()
-        self._channels: dict[str, Channel] = {}
+        self._calls = ProcessCalls(reactor, self.clock)
         self.publisher = EndpointPublisher(
             scenario,
             self.layout,
@@ -113,18 +108,9 @@
 
     # -- processes --------------------------------------------------------------------------------
 
-    def dial(self, address: str) -> Callable:
-        """Return a channel's way to an address."""
-        host, port = address.rsplit(":", 1)
-        return TCP4ClientEndpoint(self.reactor, host, int(port), timeout=DIAL_TIMEOUT).connect
-
     def call(self, address: str, method: str, request: bytes) -> Deferred:
         """Make a unary call to a process."""
-        if address not in self._channels:
-            self._channels[address] = Channel(
-                self.clock, self.dial(address), address, connect_timeout=CONNECT_TIMEOUT
-            )
-        return self._channels[address].unary(method, request, timeout=CALL_TIMEOUT)
+        return self._calls.call(address, method, request)
 
     def _call_admin(self, node: str, method: str, request: bytes) -> Deferred:
         return self.call(self.layout.admin_addresses[node], method, request)
@@ -257,7 +243,7 @@
         )
 
     def _dial_nodes(self) -> dict[str, Callable]:
-        return {node: self.dial(self.layout.addresses[node]) for node in self.layout.admin_addresses}
+        return {node: self._calls.dial(self.layout.addresses[node]) for node in self.layout.admin_addresses}
 
     def on_traffic_started(self) -> None:
         """Begin what is timed from the start of the traffic."""
@@ -281,8 +267,7 @@
     @inlineCallbacks
     def end_processes(self) -> Generator[Deferred, object, None]:
         """End the nodes, then the engines."""
-        for channel in self._channels.values():
-            channel.close()
+        self._calls.close()
         for names in (self.layout.admin_addresses, self.layout.engines):
             running = [self.running[name] for name in names if name in self.running]
             yield self.processes.end([process for process in running if process.is_running], self._overdue)
