--- a/benchmarks/fronts.py
+++ b/benchmarks/batch_throughput.py
@@ -1,7 +1,7 @@
-"""Batches: cut against whole, gathered against one by one, and chat beside a flood of embeddings. Simulated.
+"""Batches: split or whole, merged or one by one, and chat beside a flood of embeddings. Simulated.
 
-`python benchmarks/fronts.py` starts stand-in engines and nodes as processes on loopback; what is compared is
-asked for in turn in one run, so that both see the same machine.
+`python benchmarks/batch_throughput.py` starts emulated engines and nodes as processes on loopback; what is
+compared runs in turn in one run, so that both meet the same state of the machine.
 """
 
 import json
@@ -11,8 +11,8 @@
 from random import Random
 
 import click
+from bench_processes import CLOCK, NODE_RULES, Processes, run_reactor
 from hdrh.histogram import HdrHistogram
-from rig import CLOCK, Processes, play
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
 from twisted.internet.task import LoopingCall, deferLater
@@ -25,17 +25,8 @@
 from myrtlehub.rpc.client_call import CallWatcher
 from myrtlehub.rpc.status import Status
 
-RULES = {
-    "drain_grace": "250ms",
-    "let_go": "500ms",
-    "cold_share": 0.25,
-    "cold_time": "10s",
-    "fall_multiple": 2.5,
-    "fall_time": "1s",
-}
 
-
-class Done(CallWatcher):
+class CallResult(CallWatcher):
     """One call: when the first token or the whole answer came, and what it was."""
 
     def __init__(self, chat: bool) -> None:
@@ -43,6 +34,7 @@
         self.answer = ""
 
     def message(self, data: bytes) -> None:
+        """Take a reply: the first token, or the final answer."""
         self.first = self.first or CLOCK.seconds()
         if self.chat:
             self.answer = chat_pb2.GenerateReply.FromString(data).WhichOneof("reply")
@@ -50,12 +42,13 @@
             self.answer = pb.EmbedReply.FromString(data).final.WhichOneof("answer") or self.answer
 
     def ended(self, status: Status) -> None:
+        """Fire `done`."""
         self.done.callback(self)
 
 
-def vectors(channel: Channel, texts: list[bytes], tokens: int) -> Done:
+def vectors(channel: Channel, texts: list[bytes], tokens: int) -> CallResult:
     """Ask for a batch."""
-    watcher = Done(False)
+    watcher = CallResult(False)
     call = channel.call("/myrtlehub.v1.Embeddings/Embed", watcher)
     call.send(
         pb.EmbedRequest(
@@ -66,9 +59,9 @@
     return watcher
 
 
-def chat(channel: Channel, prompt: int, output: int) -> Done:
+def chat(channel: Channel, prompt: int, output: int) -> CallResult:
     """Ask a question."""
-    watcher = Done(True)
+    watcher = CallResult(True)
     call = channel.call("/myrtlehub.v1.Chat/Generate", watcher)
     call.send(
         chat_pb2.GenerateRequest(
@@ -123,7 +116,7 @@
                 "traffic": traffic,
                 "kinds": [{**k, **more.get(k["name"], {})} for k in kinds if k["name"] in used],
                 "zones": ["z"],
-                "rules": RULES,
+                "rules": NODE_RULES,
                 "batches": batches,
                 "list": {
                     "engines": [
@@ -223,7 +216,7 @@
         flood_channel = Channel(CLOCK, channel.dial, "flood")
         seen = {False: HdrHistogram(1, 60_000_000, 3), True: HdrHistogram(1, 60_000_000, 3)}
         good = {False: 0, True: 0}
-        floods: list[Done] = []
+        floods: list[CallResult] = []
         for i in range(2 * self.rounds):
             flooded = bool(i % 2)
             loop = LoopingCall(lambda: floods.append(vectors(flood_channel, self.texts(200), 60)))
@@ -257,7 +250,7 @@
         click.echo(json.dumps({"chat_p99_beside_to_alone": round(ratio, 3)}))
 
 
-def quantile(results: list[tuple[bool, Done]], q: float) -> float:
+def quantile(results: list[tuple[bool, CallResult]], q: float) -> float:
     """Milliseconds."""
     times = sorted((r.first - r.began) * 1e3 for _, r in results)
     return times[min(len(times) - 1, int(len(times) * q / 100))]
@@ -286,7 +279,7 @@
                     finally:
                         bench.p.stop()
 
-    play(run)
+    run_reactor(run)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/bench_processes.py
@@ -0,0 +1,117 @@
+"""What the benchmarks share: engines and nodes as processes on loopback, and a run of the reactor."""
+
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from ruamel.yaml import YAML
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from myrtlehub.lab.processes import HOST, free_ports
+from myrtlehub.node.clock import SteadyClock
+
+CLOCK = SteadyClock(reactor)
+CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+STOP_TIMEOUT = 20  # seconds
+
+NODE_RULES = {
+    "drain_grace": "250ms",
+    "let_go": "500ms",
+    "cold_share": 0.25,
+    "cold_time": "10s",
+    "fall_multiple": 2.5,
+    "fall_time": "1s",
+}
+
+
+class Processes:
+    """Child processes of this project's programs, with their settings and logs in one folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.running: list[subprocess.Popen] = []
+
+    def start(self, program: str, name: str, settings: dict, checkout: str = ".") -> subprocess.Popen:
+        """Start a program of a checkout and wait until it is ready."""
+        path = self.folder / f"{name}.yaml"
+        log = self.folder / f"{name}.log"
+        with path.open("w") as file:
+            YAML(typ="safe").dump(settings, file)
+        process = subprocess.Popen(
+            [sys.executable, "-m", f"myrtlehub.cli.{program}", path],
+            stdout=log.open("wb"),
+            stderr=subprocess.STDOUT,
+            cwd=checkout,
+            env={**os.environ, "PYTHONPATH": str(Path(checkout).resolve())},
+        )
+        self.running.append(process)
+        while b'"ready"' not in log.read_bytes():
+            if process.poll() is not None:
+                raise SystemExit(log.read_text())
+        return process
+
+    def stop(self) -> None:
+        """End all processes, the last started first."""
+        for process in reversed(self.running):
+            process.terminate()
+            process.wait(STOP_TIMEOUT)
+
+
+def fast_writer_settings(name: str, address: str, step: str, slots: int) -> dict:
+    """Settings of an emulated writer that is never the bottleneck of a measurement."""
+    return {
+        "name": name,
+        "listen": address,
+        "writes": True,
+        "slots": slots,
+        "queue": 5000,
+        "step": step,
+        "step_crowd": 0.0,
+        "read_rate": 10000000,
+        "memory": "100M tokens",
+    }
+
+
+def writer_pool_settings(engines: list[str]) -> dict:
+    """The part of a node's settings that describes a pool of such writers."""
+    return {
+        "kinds": [{"name": "writer", "writes": True, "memory": "100M tokens"}],
+        "zones": ["z"],
+        "rules": NODE_RULES,
+        "list": {"engines": [{"address": address, "kind": "writer", "zone": "z"} for address in engines]},
+    }
+
+
+def free_addresses(count: int) -> list[str]:
+    """Loopback addresses with ports that are free at present."""
+    return [f"{HOST}:{port}" for port in free_ports(count)]
+
+
+def cpu_seconds(pid: int) -> float:
+    """Processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    user_ticks, system_ticks = int(fields[11]), int(fields[12])
+    return (user_ticks + system_ticks) / CLOCK_TICKS_PER_SECOND
+
+
+def resident_bytes(pid: int) -> int:
+    """Resident memory of a process."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    raise RuntimeError(f"process {pid} has no VmRSS")
+
+
+def run_reactor(benchmark: Callable[[], Deferred]) -> None:
+    """Run the reactor until the benchmark is done; show a failure and exit 1."""
+    failures: list = []
+    reactor.callWhenRunning(
+        lambda: benchmark().addErrback(failures.append).addBoth(lambda ignored: reactor.stop())
+    )
+    reactor.run()
+    if failures:
+        failures[0].printTraceback()
+        sys.exit(1)
--- a/benchmarks/judges.py
+++ b/benchmarks/canary_methods.py
@@ -1,9 +1,9 @@
-"""The judge of rolling changes on a modelled fleet, beside simpler ones: false stops, detection, utility
-lost.
+"""Canary analysis of rollouts on a modelled fleet, beside simpler methods. Simulated.
 
-    python benchmarks/judges.py [--seeds 1000] [--out docs/charts]
+    python benchmarks/canary_methods.py [--seeds 1000] [--out docs/charts]
 
-Simulated: `lab/fleet_model`, blocks of 5 s. Each cell plays whole changes: measuring 24 blocks, four stages (2,
+False stops, detection and lost utility in `lab/fleet_model`, sample windows of 5 s. Each cell plays whole
+rollouts: measuring 24 blocks, four stages (2,
 10, 40, 100 per cent), each changed at 8 per cent of the fleet at a time, warmed for 2 blocks and watched for
 12. With trouble, an engine failure of one zone and a burst over all come at moments drawn by chance. Prints
 Markdown; writes charts.
@@ -47,8 +47,8 @@
 }
 
 
-class End(NamedTuple):
-    """What became of one change."""
+class RolloutResult(NamedTuple):
+    """What became of one rollout."""
 
     stopped: bool
     stage: int
@@ -56,57 +56,65 @@
     lost: float  # utility that the change took, over what the fleet asks in a block
 
 
-class FixedBefore:
-    """Changed nodes now against the same nodes before, by a threshold, at the end of each watch."""
+class ThresholdBeforeAfter:
+    """Changed nodes now against the same nodes before, by a threshold, at the end of each observation."""
 
     def __init__(self, zones: list[str]) -> None:
         self.blocks: list[SampleWindow] = []
         self.since = 0
 
     def add(self, block: SampleWindow) -> None:
+        """Take the next sample window."""
         self.blocks.append(block)
 
     def restart_observation(self) -> None:
+        """Judge only by the windows from here on."""
         self.since = len(self.blocks)
 
     def start_stage(self) -> None:
-        """Needs no word of it."""
+        """Do nothing: the method has no state by stage."""
 
-    def verdict(self) -> str:
+    def verdict(self) -> Outcome:
+        """Return the outcome of the present observation."""
         watched = self.blocks[self.since :]
         if len(watched) < WATCH:
             return Outcome.UNDECIDED
-        return Outcome.WORSE if any(self.worse(g, watched) for g in GUARDS) else Outcome.PASS
-
-    def worse(self, g: Guard, watched: list[SampleWindow]) -> bool:
-        now = self.share(g, watched, NodeRole.CHANGED)
-        before = self.share(g, [b for b in self.blocks if b.is_baseline], NodeRole.UNCHANGED)
-        return g.sign * (now - before) >= g.margin
-
-    def share(self, g: Guard, blocks: list[SampleWindow], role: int) -> float:
-        above = sum(b.figures[g.figure, g.traffic][0][b.roles == role].sum() for b in blocks)
-        below = sum(b.figures[g.figure, g.traffic][1][b.roles == role].sum() for b in blocks)
+        return Outcome.WORSE if any(self.worse(guard, watched) for guard in GUARDS) else Outcome.PASS
+
+    def worse(self, guard: Guard, watched: list[SampleWindow]) -> bool:
+        """Whether the changed nodes are worse by this guard."""
+        now = self.share(guard, watched, NodeRole.CHANGED)
+        before = self.share(guard, [b for b in self.blocks if b.is_baseline], NodeRole.UNCHANGED)
+        return guard.sign * (now - before) >= guard.margin
+
+    def share(self, guard: Guard, blocks: list[SampleWindow], role: int) -> float:
+        """Return the guard's figure over the nodes of a role."""
+        above = sum(b.figures[guard.figure, guard.traffic][0][b.roles == role].sum() for b in blocks)
+        below = sum(b.figures[guard.figure, guard.traffic][1][b.roles == role].sum() for b in blocks)
         return above / below if below else 0.0
 
 
-class FixedBeside(FixedBefore):
+class ThresholdConcurrent(ThresholdBeforeAfter):
     """Changed against unchanged nodes in the same time, by a threshold."""
 
-    def worse(self, g: Guard, watched: list[SampleWindow]) -> bool:
+    def worse(self, guard: Guard, watched: list[SampleWindow]) -> bool:
+        """Whether the changed nodes are worse by this guard."""
         if not (watched[-1].roles == NodeRole.UNCHANGED).any():
             return False
         return (
-            g.sign * (self.share(g, watched, NodeRole.CHANGED) - self.share(g, watched, NodeRole.UNCHANGED))
-            >= g.margin
+            guard.sign
+            * (self.share(guard, watched, NodeRole.CHANGED) - self.share(guard, watched, NodeRole.UNCHANGED))
+            >= guard.margin
         )
 
 
-class FixedLength(FixedBefore):
+class WelchTest(ThresholdBeforeAfter):
     """Welch's t over nodes, once, at the end of each watch; 0.01 over all guards."""
 
-    def worse(self, g: Guard, watched: list[SampleWindow]) -> bool:
-        above = sum(b.figures[g.figure, g.traffic][0] for b in watched)
-        below = sum(b.figures[g.figure, g.traffic][1] for b in watched)
+    def worse(self, guard: Guard, watched: list[SampleWindow]) -> bool:
+        """Whether the changed nodes are worse by this guard."""
+        above = sum(b.figures[guard.figure, guard.traffic][0] for b in watched)
+        below = sum(b.figures[guard.figure, guard.traffic][1] for b in watched)
         roles = watched[-1].roles
         of = [
             above[(roles == r) & (below > 0)] / below[(roles == r) & (below > 0)]
@@ -114,15 +122,15 @@
         ]
         if min(map(len, of)) < 2:
             return False
-        harm = g.sign * (of[0].mean() - of[1].mean())
-        side = "greater" if g.sign > 0 else "less"
-        return harm >= g.margin and ttest_ind(*of, equal_var=False, alternative=side).pvalue < 0.01 / len(
+        harm = guard.sign * (of[0].mean() - of[1].mean())
+        side = "greater" if guard.sign > 0 else "less"
+        return harm >= guard.margin and ttest_ind(*of, equal_var=False, alternative=side).pvalue < 0.01 / len(
             GUARDS
         )
 
 
 class Sequential:
-    """Ours."""
+    """The sequential analysis that the rollout controller uses."""
 
     def __init__(self, zones: list[str]) -> None:
         self.judge = CanaryAnalysis(GUARDS, zones, WATCH)
@@ -130,14 +138,15 @@
         self.restart_observation = self.judge.restart_observation
         self.start_stage = self.judge.start_stage
 
-    def verdict(self) -> str:
+    def verdict(self) -> Outcome:
+        """Return the outcome of the present observation."""
         return self.judge.verdict().outcome
 
 
-JUDGES = {
-    "threshold, before and after": FixedBefore,
-    "threshold, beside": FixedBeside,
-    "fixed length, Welch's t": FixedLength,
+METHODS = {
+    "threshold, before and after": ThresholdBeforeAfter,
+    "threshold, beside": ThresholdConcurrent,
+    "fixed length, Welch's t": WelchTest,
     "sequential (taken)": Sequential,
 }
 
@@ -151,12 +160,12 @@
     )
 
 
-def play(args: tuple[str, str, int, bool, int]) -> End:
-    """One change from its first block to its last node, or to its undoing."""
+def run_rollout(args: tuple[str, str, int, bool, int]) -> RolloutResult:
+    """Run one rollout from its first sample window to its last node, or to its rollback."""
     name, harm, nodes, troubled, seed = args
     zones = 4 if nodes > 50 else 2
     fleet = FleetModel(nodes, zones, seed, BLOCK, HARMS[harm], troubles_of(seed, zones) if troubled else ())
-    judge = JUDGES[name](fleet.zones)
+    judge = METHODS[name](fleet.zones)
     for _ in range(MEASURE):
         judge.add(fleet.advance(roles_of(nodes, 0), True))
     asked = fleet.asked / MEASURE
@@ -177,10 +186,10 @@
             says = judge.verdict()
             held += says == Outcome.DISTURBANCE
             if says == Outcome.WORSE or held > HOLD_MOST:
-                return End(True, stage, fleet.step - MEASURE, fleet.lost / asked)
+                return RolloutResult(True, stage, fleet.step - MEASURE, fleet.lost / asked)
             if says == Outcome.PASS:
                 break
-    return End(False, len(stages(nodes)), fleet.step - MEASURE, fleet.lost / asked)
+    return RolloutResult(False, len(stages(nodes)), fleet.step - MEASURE, fleet.lost / asked)
 
 
 def unguarded(harm: str, nodes: int) -> float:
@@ -195,7 +204,7 @@
     ask = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     ask.add_argument("--seeds", type=int, default=1000)
     ask.add_argument("--out", type=Path, default=Path("docs/charts"))
-    ask.add_argument("--judges", nargs="*", default=list(JUDGES))
+    ask.add_argument("--judges", nargs="*", default=list(METHODS))
     ask.add_argument("--nodes", type=int, nargs="*", default=[24, 200])
     ask.add_argument("--harms", nargs="*", default=list(HARMS))
     args = ask.parse_args()
@@ -215,7 +224,7 @@
                     for harm in args.harms:
                         ends = list(
                             pool.map(
-                                play,
+                                run_rollout,
                                 [(name, harm, nodes, troubled, s) for s in range(args.seeds)],
                                 chunksize=8,
                             )
@@ -226,7 +235,7 @@
     chart(rows, args.out)
 
 
-def line(name: str, harm: str, nodes: int, ends: list[End]) -> str:
+def line(name: str, harm: str, nodes: int, ends: list[RolloutResult]) -> str:
     """One row of the table."""
     stops = [e for e in ends if e.stopped]
     passes = [e for e in ends if not e.stopped]
@@ -252,7 +261,7 @@
     figure, panels = plt.subplots(1, len(cells), figsize=(5 * len(cells), 4.5), sharey=True, squeeze=False)
     harms = [h for h in HARMS if any(r[1] == h for r in rows)]
     for panel, (nodes, troubled) in zip(panels[0], cells, strict=True):
-        names = [n for n in JUDGES if any(r[0] == n for r in rows)]
+        names = [n for n in METHODS if any(r[0] == n for r in rows)]
         for i, name in enumerate(names):
             mine = {r[1]: r[4] for r in rows if r[0] == name and r[2:4] == (nodes, troubled)}
             shares = [sum(e.stopped for e in mine[h]) / len(mine[h]) for h in harms]
--- a/benchmarks/compare_speed.py
+++ b/benchmarks/compare_speed.py
@@ -63,8 +63,8 @@
 
 def relay_costs(trees: dict[str, Path], rounds: int) -> Samples:
     """Seconds of a node's processor a token, by turns; engines and clients are those of the working tree."""
-    from relay import Rig, relay
-    from rig import play
+    from bench_processes import run_reactor
+    from relay import SingleNodeFleet, measure_throughput
 
     samples: Samples = {name: [] for name in trees}
 
@@ -73,14 +73,14 @@
         for number in range(rounds):
             for name in list(trees) if number % 2 else list(trees)[::-1]:
                 with tempfile.TemporaryDirectory() as folder:
-                    rig = Rig(Path(folder), 3, "10ms", 400, str(trees[name]))
+                    fleet = SingleNodeFleet(Path(folder), 3, "10ms", 400, str(trees[name]))
                     try:
-                        found = yield relay(rig, STREAMS, RELAY_SECONDS)
+                        found = yield measure_throughput(fleet, STREAMS, RELAY_SECONDS)
                     finally:
-                        rig.stop()
+                        fleet.stop()
                 samples[name].append(1.0 / found["tokens_a_processor_second"])
 
-    play(run)
+    run_reactor(run)
     return samples
 
 
--- a/benchmarks/relayed.py
+++ b/benchmarks/event_relay_cost.py
@@ -1,4 +1,4 @@
-"""What h11 costs a relayed event: a chunk read from an engine, cut into events, written to a client."""
+"""What h11 costs a relayed event: a chunk read from an engine, parsed and written to a client."""
 
 import time
 
--- a/benchmarks/follow.py
+++ b/benchmarks/list_propagation.py
@@ -1,7 +1,7 @@
-"""How soon a node follows a list in files, and how long it stands still for it, at 10, 200 and 2,000 engines.
+"""How soon a node routes by a changed list file, and its longest event loop turn, by number of engines.
 
-Simulated: all in one process over loopback; every address of the list leads to one of four stand-ins, which
-see by which version each attempt was sent. `python benchmarks/follow.py`.
+Simulated: all in one process over loopback, at 10, 200 and 2,000 engines; every address of the list leads to
+one of four emulated engines. `python benchmarks/list_propagation.py`.
 """
 
 import tempfile
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 import click
+from bench_processes import CLOCK, run_reactor
 from hdrh.histogram import HdrHistogram
-from rig import CLOCK, play
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -37,25 +37,27 @@
 zones: [z]
 rules:
   {drain_grace: 250ms, let_go: 500ms, cold_share: 0.25, cold_time: 10s, fall_multiple: 2.5, fall_time: 1s}
-list: {files: [engines.yaml], quiet: 100ms, confirm: {most_removed: any}, damp: {flaps: off}, end_marked: yes,
-  store: s.db}
+list: {files: [engines.yaml], quiet: 100ms, confirm: {most_removed: any}, damp: {flaps: off},
+  end_marked: yes, store: s.db}
 """
 
 
-def text(count: int, weight: int, without: int) -> str:
-    """A whole file; one engine has weight 0."""
+def list_text(count: int, weight: int, drained: int) -> str:
+    """Return a whole list file; the drained engine has weight 0."""
     return (
         "engines:\n"
         + "".join(
-            f"  - {{address: '{address(i)}', kind: writer, zone: z, weight: {0 if i == without else weight}}}\n"
-            for i in range(count)
+            f"  - {{address: '{address(index)}', kind: writer, zone: z, "
+            f"weight: {0 if index == drained else weight}}}\n"
+            for index in range(count)
         )
         + "end: yes\n"
     )
 
 
-def address(i: int) -> str:
-    return f"e{i}:1"
+def address(index: int) -> str:
+    """Return the address of an engine."""
+    return f"e{index}:1"
 
 
 class Run:
@@ -93,7 +95,7 @@
     def play(self) -> Iterator:
         """All rounds."""
         path, listening = self.folder / "engines.yaml", []
-        path.write_text(text(self.count, 1, -1))
+        path.write_text(list_text(self.count, 1, -1))
         for i in range(4):
             sheet = EmulatedEngineConfig(
                 name=f"s{i}",
@@ -143,7 +145,7 @@
             self.index_without = self.latest
             self.without = int(node.executor.decoder.engines.rows[self.latest].address[1:-2])
             at = CLOCK.seconds()
-            path.with_name("new").write_text(text(self.count, 2 + i, self.without))
+            path.with_name("new").write_text(list_text(self.count, 2 + i, self.without))
             path.with_name("new").rename(path)
             written = CLOCK.seconds()
             self.beat_at, self.worst = written, 0.0  # writing the file is not the node's doing
@@ -171,6 +173,7 @@
         self.worst, self.beat_at = max(self.worst, now - self.beat_at - 0.001), now
 
     def ask(self) -> None:
+        """Send a sequence to the node."""
         call = self.channel.call("/myrtlehub.v1.Chat/Generate", CallWatcher())
         call.send(
             chat_pb2.GenerateRequest(traffic_type="ask", prompt_tokens=100, most_output=8).SerializeToString()
@@ -206,7 +209,7 @@
                 f"{one.rate:g} sequences a second"
             )
 
-    play(run)
+    run_reactor(run)
 
 
 if __name__ == "__main__":
--- a/benchmarks/lists.py
+++ b/benchmarks/list_update_cost.py
@@ -1,6 +1,6 @@
-"""What a list of engines costs a node: reading, judging, taking it; memory a version. Simulated fleet.
+"""What an endpoint list costs a node: reading, validating, applying it; memory per version. Simulated fleet.
 
-Reading is done by a process of its own; judging and taking are turns of the node, one each.
+Reading is done by a process of its own; validating and applying are turns of the node, one each.
 """
 
 import tempfile
@@ -20,11 +20,11 @@
 from myrtlehub.node.node import Node
 
 
-def text(count: int, cell_of: int) -> str:
-    """A file of engines; another `cell_of` changes every one of them."""
+def list_text(count: int, first_cell: int) -> str:
+    """Return a list file; another `first_cell` changes every engine."""
     return "engines:\n" + "".join(
         f"  - {{address: '10.{i >> 8}.{i & 255}.1:7200', kind: {'writer' if i % 2 else 'reader'}, "
-        f"zone: north, cell: {i // 8 + cell_of}}}\n"
+        f"zone: north, cell: {i // 8 + first_cell}}}\n"
         for i in range(count)
     )
 
@@ -42,15 +42,15 @@
             }
             validator = ListValidator(ValidationConfig(1.0), kinds, sheet.zones)
             out = []
-            for cell_of in (0, 1):  # the second time every engine changes
-                (base / "a.yaml").write_text(text(count, cell_of))
+            for first_cell in (0, 1):  # the second time every engine changes
+                (base / "a.yaml").write_text(list_text(count, first_cell))
                 at = time.perf_counter()
                 snapshot = read_snapshot(("a.yaml",), base)
                 read = time.perf_counter() - at
                 digest = content_digest(snapshot.endpoints)  # as the reading process hands it over
                 at = time.perf_counter()
-                verdict = validator.validate(float(cell_of), snapshot.endpoints, "files", digest=digest)
-                judged = time.perf_counter() - at
+                verdict = validator.validate(float(first_cell), snapshot.endpoints, "files", digest=digest)
+                validated = time.perf_counter() - at
                 rows = (
                     verdict.difference.updates()
                     if verdict.difference
@@ -58,7 +58,7 @@
                 )
                 at = time.perf_counter()
                 node.executor.update_endpoints(rows, not verdict.difference, verdict.version.number)
-                out.append((read, judged, time.perf_counter() - at))
+                out.append((read, validated, time.perf_counter() - at))
             tracemalloc.start()
             validator.validate(9.0, read_snapshot(("a.yaml",), base).endpoints[:-1], "files")
             grown = tracemalloc.get_traced_memory()[0]
@@ -66,7 +66,7 @@
         click.echo(
             f"{count:>5} engines: "
             + "; ".join(
-                f"{name} {r * 1e3:.1f} ms read, {j * 1e3:.1f} ms judged, {t * 1e3:.1f} ms taken"
+                f"{name} {r * 1e3:.1f} ms read, {j * 1e3:.1f} ms validated, {t * 1e3:.1f} ms applied"
                 for name, (r, j, t) in zip(("first", "all changed"), out, strict=True)
             )
             + f"; {grown / 1024:.0f} KiB for a version with one engine less"
--- a/benchmarks/between.py
+++ b/benchmarks/mixed_versions.py
@@ -1,11 +1,10 @@
-"""A fleet of an earlier version of the program and of this one, side by side, through a day of faults.
-Simulated.
+"""Scenario over a fleet of two versions: every second node runs an earlier checkout. Simulated.
 
     git worktree add /tmp/earlier COMMIT
-    python benchmarks/between.py /tmp/earlier [--scenario bad-day] [--seeds 3]
+    python benchmarks/mixed_versions.py /tmp/earlier [--scenario bad-day] [--seeds 3]
 
-Every second node is the earlier program, engines are of this one. The verdict is the day's own: the five
-rules, from what passed on sockets. Exit 1 where one was broken.
+Engines are of this version. The verdict is that of the scenario: the five rules, checked on what passed on
+sockets. Exit 1 if one was broken.
 """
 
 import sys
@@ -24,22 +23,21 @@
 
 
 @inlineCallbacks
-def play(scenario: str, earlier: str, seeds: int) -> Deferred:
-    """All days, one after another; whether the rules were kept in all."""
-    kept = True
+def run_scenarios(scenario: str, earlier: str, seeds: int) -> Deferred:
+    """Run a scenario for each seed; whether every run obeyed the rules."""
+    all_obeyed = True
     for seed in range(1, seeds + 1):
         with tempfile.TemporaryDirectory() as folder:
-            day = ScenarioRunner(
+            runner = ScenarioRunner(
                 load_config(find_scenario(scenario), Scenario), Path(folder), reactor, seed=seed
             )
-            day.checkouts = dict.fromkeys(sorted(day.layout.admin_addresses)[::2], earlier)
-            verdict = yield day.play()
-        click.echo(
-            f"seed {seed}, {len(day.checkouts)} of {len(day.layout.admin_addresses)} nodes of {earlier}"
-        )
+            runner.checkouts = dict.fromkeys(sorted(runner.layout.admin_addresses)[::2], earlier)
+            verdict = yield runner.play()
+        node_count = len(runner.layout.admin_addresses)
+        click.echo(f"seed {seed}, {len(runner.checkouts)} of {node_count} nodes of {earlier}")
         click.echo(verdict_text(verdict))
-        kept = kept and verdict["kept"]
-    returnValue(kept)
+        all_obeyed = all_obeyed and verdict["kept"]
+    returnValue(all_obeyed)
 
 
 @click.command()
@@ -47,10 +45,14 @@
 @click.option("--scenario", default="bad-day")
 @click.option("--seeds", default=3)
 def main(earlier: str, scenario: str, seeds: int) -> None:
-    """Play days with every second node of EARLIER, a checkout."""
+    """Run scenarios with every second node of EARLIER, a checkout."""
     ends: list = []
     reactor.callWhenRunning(
-        lambda: play(scenario, earlier, seeds).addBoth(ends.append).addBoth(lambda ignored: reactor.stop())
+        lambda: (
+            run_scenarios(scenario, earlier, seeds)
+            .addBoth(ends.append)
+            .addBoth(lambda ignored: reactor.stop())
+        )
     )
     reactor.run()
     if ends[0] not in (True, False):
--- /dev/null
+++ b/benchmarks/observation_cost.py
@@ -0,0 +1,115 @@
+"""What a controller's polling costs a node, in time windows with and without polls. Simulated.
+
+    python benchmarks/observation_cost.py [--windows 24] [--each 60] [--interval 1]
+
+One node as a process on loopback, some thirty sequences a second; in every second window it is polled for
+`Show` and `Figures` as often as a controller does. Beside it: what updating the counters costs an answer, in
+this process. Prints processor time per sequence, and the share of a core that polls take.
+"""
+
+import statistics
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import click
+from bench_processes import CLOCK, run_reactor
+from relay import ReplyWatcher, SingleNodeFleet, start_sequence
+from twisted.internet import reactor
+from twisted.internet.defer import DeferredList, inlineCallbacks
+from twisted.internet.task import LoopingCall, deferLater
+
+from myrtlehub.cli.common import dialer
+from myrtlehub.node.admin.service import SERVICE
+from myrtlehub.rpc.channel import Channel
+
+
+@inlineCallbacks
+def measure_windows(fleet: SingleNodeFleet, count: int, each: int, interval: float) -> Iterator:
+    """Return processor seconds and duration of each window, without polls and with them."""
+    channel = Channel(CLOCK, dialer(reactor)(fleet.node), fleet.node)
+    admin = Channel(CLOCK, dialer(reactor)(fleet.admin), fleet.admin)
+
+    def poll() -> None:
+        for method in ("Show", "Figures"):
+            admin.unary(SERVICE + method, b"", timeout=2.0)
+
+    cost: dict[bool, list[float]] = {False: [], True: []}
+    for window in range(count + 2):
+        polls = LoopingCall(poll)
+        if window % 2:
+            polls.start(interval, now=True)
+        before, began = fleet.node_cpu(), CLOCK.seconds()
+        done = []
+        for _ in range(each):
+            watcher = ReplyWatcher(None, {})
+            start_sequence(channel, False, watcher, 200, 20, "")
+            done.append(watcher.done)
+            yield deferLater(reactor, 0.03, lambda: None)  # some thirty a second, as a node sees them
+        yield DeferredList(done)
+        if polls.running:
+            polls.stop()
+        if window >= 2:  # the first of each kind warms up
+            cost[bool(window % 2)].append((fleet.node_cpu() - before, CLOCK.seconds() - began))
+    channel.close()
+    admin.close()
+    return cost
+
+
+def counter_update_cost(times: int = 20000) -> float:
+    """Seconds that updating the counters takes for one answer."""
+    from types import SimpleNamespace
+
+    from myrtlehub.node.traffic_counters import TrafficCounters
+
+    row = SimpleNamespace(name="ask", utility=1.0, latency_slo=1.0, slo_per_1000_tokens=0.0, late_share=0.0)
+    host = SimpleNamespace(decoder=SimpleNamespace(rows=[row]))
+    sequence = SimpleNamespace(
+        arrival=SimpleNamespace(traffic=0, prompt=500.0),
+        attempts=[1, 2],
+        accepted_at=1.0,
+        answer=SimpleNamespace(state="generated"),
+        first_token_at=1.2,
+    )
+    counters = TrafficCounters()
+    counters.follow(host)
+    began = time.process_time()
+    for i in range(times):
+        sequence.first_token_at = 1.1 + i % 100 / 500.0
+        host.on_answered(sequence)
+    return (time.process_time() - began) / times
+
+
+@click.command()
+@click.option("--windows", "count", default=24)
+@click.option("--each", default=60)
+@click.option("--interval", default=1.0, help="Seconds between polls.")
+def main(count: int, each: int, interval: float) -> None:
+    """Print the cost."""
+
+    @inlineCallbacks
+    def run() -> Iterator:
+        with tempfile.TemporaryDirectory() as here:
+            fleet = SingleNodeFleet(Path(here), 2, "2ms", 400)
+            try:
+                cost = yield measure_windows(fleet, count, each, interval)
+            finally:
+                fleet.stop()
+        for polled, name in ((False, "without polls"), (True, "with polls")):
+            print(
+                f"{name}: {statistics.mean(c for c, _ in cost[polled]) / each * 1e6:.0f} us of processor a "
+                f"sequence, {len(cost[polled])} windows of {each}"
+            )
+        pairs = [(b - a) / seconds for (a, _), (b, seconds) in zip(cost[False], cost[True], strict=True)]
+        print(
+            f"a poll every {interval:g} s takes {statistics.mean(pairs) * 100:.2f}% of a core, pair by pair "
+            f"(deviation of the mean {statistics.stdev(pairs) / len(pairs) ** 0.5 * 100:.2f})"
+        )
+        print(f"counters: {counter_update_cost() * 1e6:.1f} us an answer")
+
+    run_reactor(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,12 +1,10 @@
-"""Added latency, tokens relayed and memory held by one node, side by side in one run. Simulated.
+"""Added latency, tokens relayed and memory per in-flight sequence of one node. Simulated.
 
-`python benchmarks/relay.py` starts stand-in engines and one node as processes of their own on loopback and
-asks
-in turn straight at an engine and through the node, so that both see the same machine at the same moment.
+`python benchmarks/relay.py` starts emulated engines and one node as processes on loopback and sends sequences
+in turn straight to an engine and through the node, so that both meet the same state of the machine.
 """
 
 import json
-import os
 import subprocess
 import sys
 import tempfile
@@ -15,154 +13,134 @@
 from random import Random
 
 import click
+from bench_processes import (
+    CLOCK,
+    Processes,
+    cpu_seconds,
+    fast_writer_settings,
+    free_addresses,
+    resident_bytes,
+    run_reactor,
+    writer_pool_settings,
+)
 from hdrh.histogram import HdrHistogram
-from rig import CLOCK, Processes, play
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
 from myrtlehub.cli.common import dialer
-from myrtlehub.lab.processes import free_ports
 from myrtlehub.proto import chat_pb2, engine_pb2
 from myrtlehub.rpc.channel import Channel
-from myrtlehub.rpc.client_call import CallWatcher
+from myrtlehub.rpc.client_call import CallWatcher, ClientCall
 from myrtlehub.rpc.status import Status
 
-TICKS = os.sysconf("SC_CLK_TCK")
+TOKENS_FIELD_TAG = b"\x0a"  # first byte of a reply that has tokens
 
 
-class Rig:
-    """One node, some writers."""
+class SingleNodeFleet:
+    """One node and some writers, as processes."""
 
-    def __init__(self, folder: Path, engines: int, step: str, slots: int, node_from: str = ".") -> None:
-        ports = free_ports(engines + 2)
-        self.engines = [f"127.0.0.1:{p}" for p in ports[2:]]
-        self.node, self.admin = f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}"
+    def __init__(self, folder: Path, engines: int, step: str, slots: int, node_checkout: str = ".") -> None:
+        self.node, self.admin, *self.engines = free_addresses(engines + 2)
         self.processes = Processes(folder)
-        for i, address in enumerate(self.engines):
-            self.processes.start(
-                "emulator",
-                f"e{i}",
-                {
-                    "name": f"e{i}",
-                    "listen": address,
-                    "writes": True,
-                    "slots": slots,
-                    "queue": 5000,
-                    "step": step,
-                    "step_crowd": 0.0,
-                    "read_rate": 10000000,
-                    "memory": "100M tokens",
-                },
-            )
-        self.node_process = self.processes.start(
-            "node",
-            "n",
-            {
-                "node": {
-                    "name": "n",
-                    "listen": self.node,
-                    "admin": self.admin,
-                    "zone": "z",
-                    "most_sequences": 100000,
-                },
-                "traffic": [
-                    {"name": "ask", "repeats": "repeatable", "latency_slo": "500s", "abandon_time": "600s"}
-                ],
-                "kinds": [{"name": "writer", "writes": True, "memory": "100M tokens"}],
-                "zones": ["z"],
-                "rules": {
-                    "drain_grace": "250ms",
-                    "let_go": "500ms",
-                    "cold_share": 0.25,
-                    "cold_time": "10s",
-                    "fall_multiple": 2.5,
-                    "fall_time": "1s",
-                },
-                "list": {"engines": [{"address": a, "kind": "writer", "zone": "z"} for a in self.engines]},
-            },
-            node_from,
-        )
+        for index, address in enumerate(self.engines):
+            name = f"e{index}"
+            self.processes.start("emulator", name, fast_writer_settings(name, address, step, slots))
+        self.node_process = self.processes.start("node", "n", self._node_settings(), node_checkout)
+
+    def _node_settings(self) -> dict:
+        node = {"name": "n", "listen": self.node, "admin": self.admin, "zone": "z", "most_sequences": 100000}
+        traffic = {"name": "ask", "repeats": "repeatable", "latency_slo": "500s", "abandon_time": "600s"}
+        return {"node": node, "traffic": [traffic], **writer_pool_settings(self.engines)}
 
     def node_cpu(self) -> float:
         """Seconds of processor that the node has used."""
-        fields = Path(f"/proc/{self.node_process.pid}/stat").read_text().rsplit(")", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / TICKS
+        return cpu_seconds(self.node_process.pid)
 
     def node_memory(self) -> int:
-        """Bytes resident."""
-        for line in Path(f"/proc/{self.node_process.pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) * 1024
-        raise RuntimeError("no VmRSS")
+        """Bytes of the node that are resident."""
+        return resident_bytes(self.node_process.pid)
 
     def stop(self) -> None:
-        """End what was started."""
+        """End the processes."""
         self.processes.stop()
 
 
-class Watch(CallWatcher):
-    """Time to the first token, and tokens."""
+class ReplyWatcher(CallWatcher):
+    """Records the time to the first token and counts tokens and statuses of a call."""
 
     def __init__(self, first: HdrHistogram | None, tally: dict) -> None:
-        self.asked, self.first, self.tally = CLOCK.seconds(), first, tally
+        self.started_at = CLOCK.seconds()
+        self.first = first
+        self.tally = tally
         self.done = Deferred()
         self.tokens = 0
 
     def message(self, data: bytes) -> None:
-        if data[:1] == b"\x0a":
+        """Count a message of one token; others are final answers."""
+        if data[:1] == TOKENS_FIELD_TAG:
             self.tokens += 1
             self.tally["tokens"] = self.tally.get("tokens", 0) + 1
             if self.tokens == 1 and self.first is not None:
-                self.first.record_value(max(1, int((CLOCK.seconds() - self.asked) * 1e6)))
+                self.first.record_value(max(1, int((CLOCK.seconds() - self.started_at) * 1e6)))
 
     def ended(self, status: Status) -> None:
+        """Count the status and fire `done`."""
         self.tally[status.code.name] = self.tally.get(status.code.name, 0) + 1
         self.done.callback(None)
 
 
-def ask(channel: Channel, straight: bool, watch: Watch, prompt: int, output: int, name: str) -> object:
-    """One sequence, straight at an engine or through a node."""
+def start_sequence(
+    channel: Channel, straight: bool, watcher: ReplyWatcher, prompt: int, output: int, name: str
+) -> ClientCall:
+    """Start a sequence, straight at an engine or through a node."""
     if straight:
         request = engine_pb2.WriteRequest(
             work=engine_pb2.Work(sequence=name, traffic_type="ask", prompt_tokens=prompt, most_output=output)
         )
-        call = channel.call("/myrtlehub.v1.Engine/Write", watch)
+        call = channel.call("/myrtlehub.v1.Engine/Write", watcher)
     else:
         request = chat_pb2.GenerateRequest(traffic_type="ask", prompt_tokens=prompt, most_output=output)
-        call = channel.call("/myrtlehub.v1.Chat/Generate", watch)
+        call = channel.call("/myrtlehub.v1.Chat/Generate", watcher)
     call.send(request.SerializeToString())
     call.half_close()
     return call
 
 
-def opened(rate: float, seconds: float, random: Random, ask_one: Callable[[int], None]) -> None:
-    """Call `ask_one` at moments drawn ahead, whatever becomes of earlier ones."""
+def schedule_open_loop(rate: float, seconds: float, random: Random, start_one: Callable[[int], None]) -> None:
+    """Call `start_one` at moments drawn in advance, whatever becomes of earlier ones."""
     at, count = random.expovariate(rate), 0
     while at < seconds:
-        CLOCK.callLater(at, ask_one, count)
+        CLOCK.callLater(at, start_one, count)
         at += random.expovariate(rate)
         count += 1
 
 
 @inlineCallbacks
-def load(address: str, rate: float, seconds: float) -> Iterator:
-    """Sequences through the node that nobody measures; in a process of its own."""
+def run_background_load(address: str, rate: float, seconds: float) -> Iterator:
+    """Send unmeasured sequences through the node, in a process of its own."""
     channel, tally = Channel(CLOCK, dialer(reactor)(address), address), {}
-    opened(rate, seconds, Random(2), lambda count: ask(channel, False, Watch(None, tally), 200, 60, ""))
+    schedule_open_loop(
+        rate,
+        seconds,
+        Random(2),
+        lambda count: start_sequence(channel, False, ReplyWatcher(None, tally), 200, 60, ""),
+    )
     yield deferLater(reactor, seconds, lambda: None)
     channel.close()
 
 
 @inlineCallbacks
-def latency(rig: Rig, rate: float, measured: float, seconds: float, random: Random) -> Iterator:
-    """Open loop at `rate` through the node, `measured` of it from here, and as many straight at the engines.
+def measure_latency(
+    fleet: SingleNodeFleet, rate: float, measured: float, seconds: float, random: Random
+) -> Iterator:
+    """Run an open loop at `rate` through the node, `measured` of it from here, and as many straight.
 
-    The rest comes from another process: tokens of others would queue in this one ahead of those timed.
+    The rest comes from another process: its tokens would queue in this one ahead of those that are timed.
     """
     dial = dialer(reactor)
-    through = Channel(CLOCK, dial(rig.node), rig.node)
-    direct = [Channel(CLOCK, dial(a), a) for a in rig.engines]
+    through = Channel(CLOCK, dial(fleet.node), fleet.node)
+    direct = [Channel(CLOCK, dial(a), a) for a in fleet.engines]
     first = {True: HdrHistogram(1, 60_000_000, 3), False: HdrHistogram(1, 60_000_000, 3)}
     tally: dict = {}
     other = subprocess.Popen(
@@ -170,7 +148,7 @@
             sys.executable,
             __file__,
             "--load",
-            rig.node,
+            fleet.node,
             "--rate",
             str(rate - measured),
             "--seconds",
@@ -179,21 +157,21 @@
     )
     yield deferLater(reactor, 2.0, lambda: None)
 
-    def one(count: int) -> None:
+    def start_measured(count: int) -> None:
         straight = count % 2 == 1
-        ask(
+        start_sequence(
             direct[count // 2 % len(direct)] if straight else through,
             straight,
-            Watch(first[straight], tally),
+            ReplyWatcher(first[straight], tally),
             200,
             60,
             f"d{count}",
         )
 
-    cpu = rig.node_cpu()
-    opened(2 * measured, seconds, random, one)
+    cpu = fleet.node_cpu()
+    schedule_open_loop(2 * measured, seconds, random, start_measured)
     yield deferLater(reactor, seconds, lambda: None)
-    cpu = (rig.node_cpu() - cpu) / seconds
+    cpu = (fleet.node_cpu() - cpu) / seconds
     yield deferLater(reactor, 1.5, lambda: None)
     other.wait(30)
     for channel in (through, *direct):
@@ -207,15 +185,18 @@
 
 
 @inlineCallbacks
-def relay(rig: Rig, streams: int, seconds: float) -> Iterator:
-    """Many streams through the node: tokens a second, and tokens for each second of its processor."""
-    channels = [Channel(CLOCK, dialer(reactor)(rig.node), rig.node) for _ in range(4)]
+def measure_throughput(fleet: SingleNodeFleet, streams: int, seconds: float) -> Iterator:
+    """Run many streams through the node; tokens per second, and per second of its processor."""
+    channels = [Channel(CLOCK, dialer(reactor)(fleet.node), fleet.node) for _ in range(4)]
     tally: dict = {}
-    calls = [ask(channels[i % 4], False, Watch(None, tally), 200, 1_000_000, "") for i in range(streams)]
+    calls = [
+        start_sequence(channels[i % 4], False, ReplyWatcher(None, tally), 200, 1_000_000, "")
+        for i in range(streams)
+    ]
     yield deferLater(reactor, 2.0, lambda: None)
-    tokens, cpu, at = tally.get("tokens", 0), rig.node_cpu(), CLOCK.seconds()
+    tokens, cpu, at = tally.get("tokens", 0), fleet.node_cpu(), CLOCK.seconds()
     yield deferLater(reactor, seconds, lambda: None)
-    tokens, cpu, at = tally["tokens"] - tokens, rig.node_cpu() - cpu, CLOCK.seconds() - at
+    tokens, cpu, at = tally["tokens"] - tokens, fleet.node_cpu() - cpu, CLOCK.seconds() - at
     for call in calls:
         call.cancel()
     yield deferLater(reactor, 1.0, lambda: None)
@@ -230,21 +211,25 @@
 
 
 @inlineCallbacks
-def held(rig: Rig, count: int) -> Iterator:
-    """Bytes a held sequence: the node's growth with many that wait, engines hung."""
+def measure_memory(fleet: SingleNodeFleet, count: int) -> Iterator:
+    """Bytes per in-flight sequence: the node's growth with many that wait for hung engines."""
     dial = dialer(reactor)
-    for address in rig.engines:
+    for address in fleet.engines:
         yield Channel(CLOCK, dial(address), address).unary(
             "/myrtlehub.v1.Stand/Misbehave", engine_pb2.Misbehaviour(how="hang").SerializeToString()
         )
-    channels = [Channel(CLOCK, dial(rig.node), rig.node) for _ in range(8)]
+    channels = [Channel(CLOCK, dial(fleet.node), fleet.node) for _ in range(8)]
     tally: dict = {}
-    calls = [ask(channels[i % 8], False, Watch(None, tally), 200, 200, "") for i in range(400)]
+    calls = [
+        start_sequence(channels[i % 8], False, ReplyWatcher(None, tally), 200, 200, "") for i in range(400)
+    ]
     yield deferLater(reactor, 2.0, lambda: None)
-    before = rig.node_memory()
-    calls += [ask(channels[i % 8], False, Watch(None, tally), 200, 200, "") for i in range(count)]
+    before = fleet.node_memory()
+    calls += [
+        start_sequence(channels[i % 8], False, ReplyWatcher(None, tally), 200, 200, "") for i in range(count)
+    ]
     yield deferLater(reactor, 6.0, lambda: None)
-    grown = rig.node_memory() - before
+    grown = fleet.node_memory() - before
     for call in calls:
         call.cancel()
     yield deferLater(reactor, 1.0, lambda: None)
@@ -257,9 +242,11 @@
 @click.option("--load", "address", hidden=True)
 @click.option("--rate", default=100.0, hidden=True)
 def main(seconds: float, as_json: bool, address: str | None, rate: float) -> None:
-    """Measure one node beside the straight way."""
+    """Measure one node beside direct calls to engines."""
     if address:
-        reactor.callWhenRunning(lambda: load(address, rate, seconds).addBoth(lambda ignored: reactor.stop()))
+        reactor.callWhenRunning(
+            lambda: run_background_load(address, rate, seconds).addBoth(lambda ignored: reactor.stop())
+        )
         reactor.run()
         return
     result: dict = {}
@@ -267,22 +254,22 @@
     @inlineCallbacks
     def run() -> Iterator:
         with tempfile.TemporaryDirectory() as folder:
-            rig = Rig(Path(folder), 3, "20ms", 200)
+            fleet = SingleNodeFleet(Path(folder), 3, "20ms", 200)
             try:
-                result["latency"] = yield latency(rig, 130.0, 30.0, seconds, Random(1))
+                result["latency"] = yield measure_latency(fleet, 130.0, 30.0, seconds, Random(1))
             finally:
-                rig.stop()
+                fleet.stop()
         with tempfile.TemporaryDirectory() as folder:
-            rig = Rig(Path(folder), 3, "10ms", 400)
+            fleet = SingleNodeFleet(Path(folder), 3, "10ms", 400)
             try:
                 result["relay"] = []
                 for streams in (30, 100, 300):
-                    result["relay"].append((yield relay(rig, streams, seconds / 3)))
-                result["held"] = yield held(rig, 3000)
+                    result["relay"].append((yield measure_throughput(fleet, streams, seconds / 3)))
+                result["held"] = yield measure_memory(fleet, 3000)
             finally:
-                rig.stop()
+                fleet.stop()
 
-    play(run)
+    run_reactor(run)
     if as_json:
         click.echo(json.dumps(result))
         return
@@ -297,7 +284,7 @@
             f"{row['node_processor']:.2f} of a core, {each:.0f} a core-second"
         )
     click.echo(f"node at {lat['rate']:.0f} sequences a second: {lat['node_processor']:.2f} of a core")
-    click.echo(f"held sequence: {result['held']['bytes_each'] / 1024:.1f} KiB")
+    click.echo(f"in-flight sequence: {result['held']['bytes_each'] / 1024:.1f} KiB")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/replication_cost.py
@@ -0,0 +1,149 @@
+"""What replication of sequence records costs: the same fleet with takeover and without. Simulated.
+
+    python benchmarks/replication_cost.py [--rounds 21] [--each 90] [--repeats once-only]
+
+Two fleets of three nodes and two engines each, all processes on loopback, with sequences in turn. Prints
+processor time of all three nodes per sequence, time to the first token, and memory per node.
+"""
+
+import statistics
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+
+import click
+from bench_processes import (
+    CLOCK,
+    Processes,
+    cpu_seconds,
+    fast_writer_settings,
+    free_addresses,
+    resident_bytes,
+    run_reactor,
+    writer_pool_settings,
+)
+from hdrh.histogram import HdrHistogram
+from relay import ReplyWatcher, start_sequence
+from twisted.internet import reactor
+from twisted.internet.defer import DeferredList, inlineCallbacks
+from twisted.internet.task import deferLater
+
+from myrtlehub.cli.common import dialer
+from myrtlehub.rpc.channel import Channel
+
+NODES, ENGINES = 3, 2
+
+
+class ReplicatedFleet:
+    """Three nodes and their engines, as processes, with takeover or without."""
+
+    def __init__(self, folder: Path, takeover: bool, repeats: str) -> None:
+        addresses = free_addresses(2 * NODES + ENGINES)
+        self.nodes = addresses[:NODES]
+        self.peers = addresses[NODES : 2 * NODES]
+        self.engines = addresses[2 * NODES :]
+        self.takeover = takeover
+        self.repeats = repeats
+        self.processes = Processes(folder)
+        for index, address in enumerate(self.engines):
+            settings = fast_writer_settings(f"e{index}", address, "2ms", 400)
+            if takeover:
+                settings["stream_bound"] = "5s"
+            self.processes.start("emulator", f"e{index}", settings)
+        self.running = [
+            self.processes.start("node", f"n{index}", self._node_settings(index)) for index in range(NODES)
+        ]
+
+    def _node_settings(self, index: int) -> dict:
+        node = {
+            "name": f"n{index}",
+            "listen": self.nodes[index],
+            "zone": "z",
+            "index": index,
+            "nodes": NODES,
+        }
+        traffic = {"name": "ask", "repeats": self.repeats, "latency_slo": "20s", "abandon_time": "30s"}
+        if self.repeats == "tokened":
+            traffic["dedup_window"] = "5s"
+        settings = {"node": node, "traffic": [traffic], **writer_pool_settings(self.engines)}
+        if self.takeover:
+            peers = [
+                {"name": f"n{number}", "address": address, "zone": "z"}
+                for number, address in enumerate(self.peers)
+            ]
+            settings["engines_may"] = {"claims": True}
+            settings["takeover"] = {"listen": self.peers[index], "peers": peers}
+        return settings
+
+    def cpu(self) -> float:
+        """Seconds of processor that all nodes have used."""
+        return sum(cpu_seconds(process.pid) for process in self.running)
+
+    def memory(self) -> float:
+        """Resident megabytes, the mean of the nodes."""
+        return statistics.mean(resident_bytes(process.pid) / 2**20 for process in self.running)
+
+
+@inlineCallbacks
+def measure_rounds(fleets: dict[str, ReplicatedFleet], rounds: int, each: int) -> Iterator:
+    """Run rounds of sequences at each fleet in turn; processor time and time to the first token."""
+    dial = dialer(reactor)
+    channels = {name: [Channel(CLOCK, dial(a), a) for a in fleet.nodes] for name, fleet in fleets.items()}
+    first = {name: HdrHistogram(1, 60_000_000, 3) for name in fleets}
+    used: dict[str, list[float]] = {name: [] for name in fleets}
+    yield deferLater(reactor, 1.0, lambda: None)
+    for round_index in range(rounds):
+        for name, fleet in fleets.items():
+            before, done = fleet.cpu(), []
+            for number in range(each):
+                watcher = ReplyWatcher(first[name] if round_index else None, {})
+                start_sequence(channels[name][number % NODES], False, watcher, 200, 20, "")
+                done.append(watcher.done)
+                yield deferLater(reactor, 0.008, lambda: None)
+            yield DeferredList(done)
+            if round_index:  # the first round warms both up
+                used[name].append((fleet.cpu() - before) / each)
+    for some in channels.values():
+        for channel in some:
+            channel.close()
+    return used, first
+
+
+@click.command()
+@click.option("--rounds", default=21)
+@click.option("--each", default=90)
+@click.option("--repeats", default="once-only")
+def main(rounds: int, each: int, repeats: str) -> None:
+    """Print the cost."""
+
+    @inlineCallbacks
+    def run() -> Iterator:
+        with tempfile.TemporaryDirectory() as one, tempfile.TemporaryDirectory() as two:
+            fleets = {
+                "off": ReplicatedFleet(Path(one), False, repeats),
+                "on": ReplicatedFleet(Path(two), True, repeats),
+            }
+            try:
+                used, first = yield measure_rounds(fleets, rounds, each)
+                memory = {name: fleet.memory() for name, fleet in fleets.items()}
+            finally:
+                for fleet in fleets.values():
+                    fleet.processes.stop()
+        for name in fleets:
+            p50, p99 = (first[name].get_value_at_percentile(p) / 1000 for p in (50, 99))
+            print(
+                f"{name:<4} {statistics.median(used[name]) * 1e6:.0f} us of processor a sequence, "
+                f"first token p50 {p50:.1f} ms, p99 {p99:.1f} ms, {memory[name]:.0f} MB a node"
+            )
+        ratios = [b / a for a, b in zip(used["off"], used["on"], strict=True)]
+        p99 = [first[n].get_value_at_percentile(99) for n in ("off", "on")]
+        print(
+            f"{repeats}: processor on/off {statistics.median(ratios):.3f} (median of {len(ratios)} pairs), "
+            f"first token p99 {p99[1] / p99[0]:.3f}"
+        )
+
+    run_reactor(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/kept.py
+++ b/benchmarks/result_cache_policies.py
@@ -1,8 +1,10 @@
-"""Kept results: hit share and cost of three published ways, side by side on the same draws. Simulated.
+"""Result cache: hit share and cost of three published policies on the same draws. Simulated.
 
-S3-FIFO is what the node uses (`batching/result_cache.py`). LRU and W-TinyLFU (Einziger, Friedman, Manes, "TinyLFU: a
-highly efficient cache admission policy", 2017; a window of one per cent, a segmented main part, a count-min
-sketch that is halved as it ages) are written here for the comparison. `python benchmarks/kept.py`.
+S3-FIFO is what the node uses (`batching/result_cache.py`). LRU and W-TinyLFU (Einziger, Friedman, Manes,
+"TinyLFU: a highly efficient cache admission policy", 2017; a window of one per cent, a segmented main part, a
+count-min sketch that is halved as it ages) are written here for the comparison.
+
+    python benchmarks/result_cache_policies.py [--count 150000] [--seeds 3]
 """
 
 import time
@@ -14,47 +16,53 @@
 
 from myrtlehub.batching.result_cache import S3FifoCache
 
-ROOM = 2000  # entries, all of one size
+CAPACITY = 2000  # entries, all of one size
 
 
 class Lru:
-    """The plain one."""
+    """Least recently used."""
 
     def __init__(self) -> None:
         self.rows: OrderedDict = OrderedDict()
 
-    def ask(self, key: int) -> bool:
+    def lookup(self, key: int) -> bool:
+        """Whether the key is cached; insert it if not."""
         if key in self.rows:
             self.rows.move_to_end(key)
             return True
         self.rows[key] = None
-        if len(self.rows) > ROOM:
+        if len(self.rows) > CAPACITY:
             self.rows.popitem(last=False)
         return False
 
 
-class Sketch:
-    """Count-min, four rows of small counters, halved every ten times the room."""
+class CountMinSketch:
+    """Count-min: four rows of small counters, halved every ten times the capacity."""
 
     def __init__(self, width: int) -> None:
-        self.width, self.rows, self.count = width, [bytearray(width) for _ in range(4)], 0
+        self.width = width
+        self.rows = [bytearray(width) for _ in range(4)]
+        self.count = 0
 
-    def places(self, key: int) -> Iterator[tuple[bytearray, int]]:
+    def counters(self, key: int) -> Iterator[tuple[bytearray, int]]:
+        """Yield row and index of each counter of a key."""
         for i, row in enumerate(self.rows):
             yield row, hash((key, i)) % self.width
 
     def add(self, key: int) -> None:
-        for row, at in self.places(key):
+        """Count a key."""
+        for row, at in self.counters(key):
             row[at] = min(15, row[at] + 1)
         self.count += 1
-        if self.count >= 10 * ROOM:
+        if self.count >= 10 * CAPACITY:
             self.count //= 2
             for row in self.rows:
                 for i, n in enumerate(row):
                     row[i] = n >> 1
 
-    def often(self, key: int) -> int:
-        return min(row[at] for row, at in self.places(key))
+    def frequency(self, key: int) -> int:
+        """Estimate how often a key was counted."""
+        return min(row[at] for row, at in self.counters(key))
 
 
 class TinyLfu:
@@ -64,11 +72,12 @@
         self.window: OrderedDict = OrderedDict()
         self.probation: OrderedDict = OrderedDict()
         self.protected: OrderedDict = OrderedDict()
-        self.sketch = Sketch(4 * ROOM)
-        self.most_window = max(1, ROOM // 100)
-        self.most_protected = int(0.8 * (ROOM - self.most_window))
+        self.sketch = CountMinSketch(4 * CAPACITY)
+        self.most_window = max(1, CAPACITY // 100)
+        self.most_protected = int(0.8 * (CAPACITY - self.most_window))
 
-    def ask(self, key: int) -> bool:
+    def lookup(self, key: int) -> bool:
+        """Whether the key is cached; insert it if not."""
         self.sketch.add(key)
         if key in self.window:
             self.window.move_to_end(key)
@@ -85,23 +94,24 @@
         self.window[key] = None
         if len(self.window) > self.most_window:
             candidate = self.window.popitem(last=False)[0]
-            if len(self.probation) + len(self.protected) < ROOM - self.most_window:
+            if len(self.probation) + len(self.protected) < CAPACITY - self.most_window:
                 self.probation[candidate] = None
             elif self.probation:
                 victim = next(iter(self.probation))
-                if self.sketch.often(candidate) > self.sketch.often(victim):
+                if self.sketch.frequency(candidate) > self.sketch.frequency(victim):
                     del self.probation[victim]
                     self.probation[candidate] = None
         return False
 
 
 class S3Fifo:
-    """Ours."""
+    """S3-FIFO, as the node uses it."""
 
     def __init__(self) -> None:
-        self.cache = S3FifoCache(ROOM * 10)
+        self.cache = S3FifoCache(CAPACITY * 10)
 
-    def ask(self, key: int) -> bool:
+    def lookup(self, key: int) -> bool:
+        """Whether the key is cached; insert it if not."""
         if self.cache.get(key) is not None:
             return True
         self.cache.add(key, True, 10)
@@ -119,7 +129,7 @@
         if kind == "flood, four for one":
             out += [(10**6 + 4 * i + j, False) for j in range(4)]
         elif kind == "flood in one go, at half" and i == count // 2:
-            out += [(10**7 + j, False) for j in range(20 * ROOM)]
+            out += [(10**7 + j, False) for j in range(20 * CAPACITY)]
         elif kind == "drift" and i % 20_000 == 0:
             shift = i
         out.append((k + (shift if kind == "drift" else 0), True))
@@ -130,23 +140,23 @@
 @click.option("--count", default=150_000)
 @click.option("--seeds", default=3)
 def main(count: int, seeds: int) -> None:
-    """Print hit shares and microseconds an ask."""
-    click.echo(f"room for {ROOM} of 40,000 keys, {count:,} asks, mean of {seeds} seeds (simulated)")
+    """Print hit shares and microseconds per lookup."""
+    click.echo(f"room for {CAPACITY} of 40,000 keys, {count:,} lookups, mean of {seeds} seeds (simulated)")
     for kind in ("zipf", "flood, four for one", "flood in one go, at half", "drift"):
-        said = []
-        for way in (Lru, TinyLfu, S3Fifo):
-            hits = asked = total = 0
+        columns = []
+        for policy in (Lru, TinyLfu, S3Fifo):
+            hits = requests = total = 0
             took = 0.0
             for seed in range(seeds):
-                cache, stream = way(), draws(kind, count, Random(seed))
+                cache, stream = policy(), draws(kind, count, Random(seed))
                 at = time.perf_counter()
-                results = [cache.ask(k) for k, _ in stream]
+                results = [cache.lookup(k) for k, _ in stream]
                 took += time.perf_counter() - at
                 hits += sum(r for r, (_, counts) in zip(results, stream, strict=True) if counts)
-                asked += sum(counts for _, counts in stream)
+                requests += sum(counts for _, counts in stream)
                 total += len(stream)
-            said.append(f"{way.__name__} {hits / asked:.3f} ({took / total * 1e6:.2f} us)")
-        click.echo(f"{kind:<26} " + ", ".join(said))
+            columns.append(f"{policy.__name__} {hits / requests:.3f} ({took / total * 1e6:.2f} us)")
+        click.echo(f"{kind:<26} " + ", ".join(columns))
 
 
 if __name__ == "__main__":
--- a/benchmarks/rolls.py
+++ b/benchmarks/rollout_outcomes.py
@@ -1,10 +1,10 @@
-"""Rolls of real processes, many times: equal programs that have to be kept, bad ones that have to be undone.
+"""Rollouts of real processes: equal programs have to be kept, bad ones rolled back.
 
-    python benchmarks/rolls.py [--each 20] [--at-once 2] [--kinds equal slow ...]
+    python benchmarks/rollout_outcomes.py [--each 20] [--at-once 2] [--kinds equal slow ...]
 
-Simulated: `scenarios/rolling.yaml` (eight nodes, nine stand-in engines on loopback) with the program of each
-kind, a seed a roll. Prints Markdown: how many ended as they should, by which stage, and seconds of the roll.
-A roll also fails here where a rule was broken or a process ended as it should not.
+Simulated: `scenarios/rolling.yaml` (eight nodes, nine emulated engines on loopback) with the program of
+each kind, a seed a rollout. Prints Markdown: how many ended as expected, by which stage, and their seconds.
+A rollout also fails here if a rule was broken or a process ended unexpectedly.
 """
 
 import argparse
--- a/benchmarks/fresh.py
+++ b/benchmarks/router_restart.py
@@ -1,9 +1,9 @@
-"""What a node loses when its module begins anew and knows nothing of its engines.
+"""What replacing the routers of a fleet costs: new ones know nothing of their engines.
 
-    python benchmarks/fresh.py [--seeds 40]
+    python benchmarks/router_restart.py [--seeds 40]
 
-Simulated, on a driven clock: modelled nodes and engines. After 40 s all modules of the fleet are replaced by
-fresh ones at once, as a change of settings in place would at worst; beside it the same seed with nothing
+Simulated, on a driven clock: modelled nodes and engines. After 40 s all routers of the fleet are replaced by
+new ones at once, as a change of settings in place would at worst; beside it the same seed with nothing
 replaced. Figures are of sequences asked in the stated seconds after it.
 """
 
@@ -36,7 +36,7 @@
 RATES = {"half load": 22.0, "near capacity": 40.0}
 
 
-def play(args: tuple[int, bool, float]) -> list[tuple[float, float, float]]:
+def run_fleet(args: tuple[int, bool, float]) -> list[tuple[float, float, float]]:
     """(asked at, seconds to the first token, 1.0 if in time) of what was asked after the change."""
     seed, fresh, rate = args
     rows = [
@@ -77,7 +77,7 @@
     def replace() -> None:
         for i, host in enumerate(fleet.executors):
             old = host.router
-            new = host.router = _Both(Router(router_config_of(sheets[i])), old)
+            new = host.router = _RouterHandover(Router(router_config_of(sheets[i])), old)
             new.begin(fleet.clock.seconds(), host.decoder.engines.index_of.values())
 
     if fresh:
@@ -86,8 +86,8 @@
     return out
 
 
-class _Both:
-    """A fresh module for what comes; the old one ends what it has. Their wakes are told to both."""
+class _RouterHandover:
+    """A new router for new sequences; the old one ends those that it has. Both receive wakes."""
 
     def __init__(self, new: Router, old: Router) -> None:
         self.new, self.old = new, old
@@ -125,7 +125,9 @@
         for load, rate in RATES.items():
             ends = {
                 fresh: [
-                    x for some in pool.map(play, [(s, fresh, rate) for s in range(args.seeds)]) for x in some
+                    x
+                    for some in pool.map(run_fleet, [(s, fresh, rate) for s in range(args.seeds)])
+                    for x in some
                 ]
                 for fresh in (False, True)
             }
--- a/benchmarks/takeovers.py
+++ b/benchmarks/takeovers.py
@@ -1,11 +1,11 @@
-"""What becomes of work in hand when nodes are lost, with takeover and without, on the same days. Simulated.
+"""What becomes of in-flight sequences when nodes are lost, with takeover and without. Simulated.
 
-    python benchmarks/takeovers.py [--seeds 3] [--scenario takeover] [--at-once 2] [--chart
-    docs/charts/takeover.png]
+    python benchmarks/takeovers.py [--seeds 3] [--scenario takeover] [--at-once 2]
+        [--chart docs/charts/takeover.png]
 
-Days of real processes on loopback by `hub-scenario`. Prints Markdown: by kind of repeat and by where a sequence
-stood when its node was lost, how many there were and the share that ended generated; the pause that clients
-saw.
+Scenarios of real processes on loopback by `hub-scenario`. Prints Markdown: by retry semantics and by where a
+sequence stood when its node was lost, how many there were and the share that ended generated; the pause that
+clients saw.
 """
 
 import argparse
@@ -67,7 +67,7 @@
         asked = sum(t["sequences"] for d in some for t in d["traffic"].values())
         print(
             f"takeover {'on' if on else 'off'}: {len(some)} days, {asked} sequences, "
-            f"{breaches} broken rules, unclean {sum((d['unclean'] for d in some), [])[:3]}"
+            f"{breaches} broken rules, unclean {[fault for d in some for fault in d['unclean']][:3]}"
         )
         for d in some:
             t = d["takeover"]
