A connection's factory does not refer to the request that it was made for

Seen: soak 87 of 96 MB; a node that took 4,800 requests of 8 KB on real sockets grew from 37 to 63 MB, and a full collection freed 1,188 Client, Connector and _WrappingFactory, as many PendingRequest, Attempt, InFlightSequence and EngineRequest, 621 ServerConnection. Ruled out: UncertainAttempts, reactor timers, the prompt caches (none of them among what was freed). Change: the factory holds the key.

--- a/myrtlehub/http1/connection_pool.py
+++ b/myrtlehub/http1/connection_pool.py
@@ -1,6 +1,7 @@
 """A bounded pool of connections to peers, by peer."""
 
 from collections.abc import Callable
+from functools import partial
 
 from twisted.internet.protocol import Factory
 
@@ -89,7 +90,9 @@
             return
         self.count += 1
         self.made += 1
-        factory = _SingleConnectionFactory(lambda: ClientConnection(self, pending.key))
+        # It must not refer to the request: the reactor keeps factory, connector and transport in a cycle, for
+        # as long as the connection is up and then until a full garbage collection, hours later.
+        factory = _SingleConnectionFactory(partial(ClientConnection, self, pending.key))
         pending.connecting = self.dialer(pending.address)(factory)
         pending.connecting.addCallbacks(
             self._connected_to_peer, self._connect_failed, callbackArgs=(pending,), errbackArgs=(pending,)
