--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -25,3 +25,7 @@
 # Without reuse after a reused connection broke under its next request: a new connection costs its peer a
 # millisecond or two, a request that may have run costs an attempt.
 REUSE_SUSPENSION_S = 30.0
+# From try to try of a connection that this machine has no resources for, doubled each time; with the retries
+# as many as a connection to a peer may take (0.3 s), after which whoever asked decides anew.
+LOCAL_RETRY_DELAY_S = 0.02
+MAX_LOCAL_RETRIES = 4
--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -1,18 +1,15 @@
 """One connection to a peer, with one request at a time on it."""
 
+import typing
 from contextlib import suppress
 from socket import SHUT_WR
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import h11
 from twisted.internet.protocol import Protocol
 
 from myrtlehub.http1.bounds import MAX_CHUNK_BYTES, MAX_HEAD_BYTES, MAX_INFORMATIONAL_RESPONSES
-from myrtlehub.http1.interfaces import Headers, Transport
-
-if TYPE_CHECKING:
-    from myrtlehub.http1.connection_pool import ConnectionPool
-    from myrtlehub.http1.pending_request import PendingRequest
+from myrtlehub.http1.interfaces import Clock, Headers, Transport
 
 
 class ClientRequest(NamedTuple):
@@ -44,6 +41,35 @@
         """No complete response comes; `request_sent`: the last byte had left, so that it may have run."""
 
 
+class OutstandingRequest(typing.Protocol):
+    """A request as its connection sees it."""
+
+    request: ClientRequest
+    address: str
+    handler: ResponseHandler
+
+    def mark_finished(self) -> None:
+        """Note that nothing more comes of it."""
+
+
+class ConnectionOwner(typing.Protocol):
+    """What a connection tells whoever made it."""
+
+    clock: Clock
+
+    def add_idle(self, connection: "ClientConnection") -> None:
+        """Keep it for reuse: its response is complete."""
+
+    def remove(self, connection: "ClientConnection") -> None:
+        """Forget it: it is closed or lost."""
+
+    def suspend_reuse(self) -> None:
+        """Use no idle connection for a while: one broke under its next request."""
+
+    def reuse_allowed(self) -> bool:
+        """Return whether connections are kept and used again."""
+
+
 def abortive_close(transport: Transport) -> None:
     """End a connection so that its peer is told before anything that is written after this.
 
@@ -60,12 +86,12 @@
 class ClientConnection(Protocol):
     """One connection to a peer. `pool` is told when it is free again and when it is lost."""
 
-    def __init__(self, pool: "ConnectionPool", key: str) -> None:
+    def __init__(self, pool: ConnectionOwner, key: str) -> None:
         self.pool = pool
         self.key = key
         self.clock = pool.clock
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self.pending: PendingRequest | None = None
+        self.pending: OutstandingRequest | None = None
         self.idle_since = 0.0
         self.request_sent = False
         self.lost = False
@@ -82,7 +108,7 @@
         if hasattr(self.transport, "setTcpNoDelay"):
             self.transport.setTcpNoDelay(True)
 
-    def send_request(self, pending: "PendingRequest") -> None:
+    def send_request(self, pending: OutstandingRequest) -> None:
         """Send a request; the connection has to be free."""
         self.pending = pending
         self.request_sent = False
--- a/myrtlehub/http1/connection_pool.py
+++ b/myrtlehub/http1/connection_pool.py
@@ -1,11 +1,17 @@
 """A bounded pool of connections to peers, by peer."""
 
+import errno
 from collections.abc import Callable
 from functools import partial
 
 from twisted.internet.protocol import Factory
 
-from myrtlehub.http1.bounds import MIN_IDLE_BEFORE_REUSE_S, REUSE_SUSPENSION_S
+from myrtlehub.http1.bounds import (
+    LOCAL_RETRY_DELAY_S,
+    MAX_LOCAL_RETRIES,
+    MIN_IDLE_BEFORE_REUSE_S,
+    REUSE_SUSPENSION_S,
+)
 from myrtlehub.http1.client_connection import ClientConnection, ClientRequest, ResponseHandler
 from myrtlehub.http1.interfaces import Clock, Connecting, Timer
 from myrtlehub.http1.pending_request import PendingRequest
@@ -13,6 +19,23 @@
 SWEEP_INTERVAL_S = 1.0  # between looks for connections that were idle for too long
 NEW_CONNECTION = -1.0  # as `max_idle` of a request: use no idle connection
 
+# Errors of connect(2) and socket(2) that tell of this machine alone, and nothing of the peer.
+LOCAL_ERRORS = frozenset(
+    (
+        errno.EADDRNOTAVAIL,
+        errno.EADDRINUSE,
+        errno.EAGAIN,
+        errno.EACCES,
+        errno.EPERM,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ENETUNREACH,
+        errno.ENETDOWN,
+    )
+)
+
 Dial = Callable[[Factory], Connecting]
 
 
@@ -20,6 +43,11 @@
     return True
 
 
+def is_local_error(failure: object) -> bool:
+    """Return whether a connection failed for a reason of this machine's, which is no fault of the peer."""
+    return getattr(getattr(failure, "value", None), "osError", None) in LOCAL_ERRORS
+
+
 class _SingleConnectionFactory(Factory):
     noisy = False
 
@@ -84,20 +112,30 @@
         return pending
 
     def _connect(self, pending: PendingRequest) -> None:
+        if pending.finished:
+            return
         if self.count >= self.max_connections and not self._close_longest_idle():
-            # No descriptor of ours is free: that is no fault of the peer's.
-            self.clock.callLater(0, self._report_not_sent, pending)
+            self._retry_locally(pending)
             return
-        self.count += 1
-        self.made += 1
         # It must not refer to the request: the reactor keeps factory, connector and transport in a cycle, for
         # as long as the connection is up and then until a full garbage collection, hours later.
         factory = _SingleConnectionFactory(partial(ClientConnection, self, pending.key))
         pending.connecting = self.dialer(pending.address)(factory)
+        self.count += 1
+        self.made += 1
         pending.connecting.addCallbacks(
             self._connected_to_peer, self._connect_failed, callbackArgs=(pending,), errbackArgs=(pending,)
         )
 
+    def _retry_locally(self, pending: PendingRequest) -> None:
+        """Connect again in a moment: a resource of this machine is short, which is no fault of the peer's."""
+        if pending.local_failures >= MAX_LOCAL_RETRIES:
+            self.clock.callLater(0, self._report_not_sent, pending)
+            return
+        delay = LOCAL_RETRY_DELAY_S * 2**pending.local_failures
+        pending.local_failures += 1
+        self.clock.callLater(delay, self._connect, pending)
+
     def _write_if_wanted(self, pending: PendingRequest, connection: ClientConnection) -> None:
         """Send the request, if it is still wanted.
 
@@ -162,7 +200,10 @@
     def _connect_failed(self, failure: object, pending: PendingRequest) -> None:
         self.count -= 1
         pending.connecting = None
-        self._report_unreachable(pending)
+        if is_local_error(failure):
+            self._retry_locally(pending)
+        else:
+            self._report_unreachable(pending)
 
     def _report_unreachable(self, pending: PendingRequest) -> None:
         if not pending.finished:
--- a/myrtlehub/http1/pending_request.py
+++ b/myrtlehub/http1/pending_request.py
@@ -1,17 +1,18 @@
 """A request to a peer from its coming to its end: waiting for a connection, on one, or finished."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
-from myrtlehub.http1.client_connection import ClientConnection, ClientRequest, ResponseHandler
+from myrtlehub.http1.client_connection import (
+    ClientConnection,
+    ClientRequest,
+    ConnectionOwner,
+    ResponseHandler,
+)
 from myrtlehub.http1.interfaces import Connecting
 
-if TYPE_CHECKING:
-    from myrtlehub.http1.connection_pool import ConnectionPool
-
 
 class PendingRequest:
-    """One request on its way. `still_wanted` is asked before the first byte is written."""
+    """One request on its way; `local_failures` counts the tries that this machine had no resources for."""
 
     __slots__ = (
         "address",
@@ -20,6 +21,7 @@
         "finished",
         "handler",
         "key",
+        "local_failures",
         "paused",
         "pool",
         "ready_since",
@@ -29,7 +31,7 @@
 
     def __init__(
         self,
-        pool: "ConnectionPool",
+        pool: ConnectionOwner,
         key: str,
         address: str,
         request: ClientRequest,
@@ -45,9 +47,15 @@
         self.connection: ClientConnection | None = None
         self.connecting: Connecting | None = None
         self.ready_since = pool.clock.seconds()  # the later of its coming and its connection's
+        self.local_failures = 0
         self.finished = False
         self.paused = False
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether its last byte has left, and its response is still to come."""
+        return self.connection is not None and self.connection.request_sent
+
     def mark_finished(self) -> None:
         """Note that nothing more comes of it."""
         self.finished = True
--- a/tests/test_relay_local_failures.py
+++ b/tests/test_relay_local_failures.py
@@ -51,6 +51,56 @@
     node.assert_clean_exit()
 
 
+@pytest.mark.parametrize("name", LOCAL_ERRORS)
+def test_an_at_most_once_request_outlasts_a_local_error_of_connect(
+    rig: SocketRig, faults: FaultControlFile, name: str
+) -> None:
+    """It surely has not run, and no engine is to blame."""
+    node = rig.start("w1 w2", argv=faults.argv())
+    faults.set(connect=name)
+    client = Client(node.address).send(chat_request("a1", traffic="post"))
+    faults.wait_for_injected("connect", 3)
+    faults.set()
+    assert client.read_status() == 200
+    assert not [line for line in node.find_logged("attempt") if line["state"] in ("unreached", "failed")]
+    assert len(rig.engines["w1"].sequence_ids() + rig.engines["w2"].sequence_ids()) == 1
+
+
+def test_a_socket_that_cannot_be_made_is_no_fault_of_the_engine(
+    rig: SocketRig, faults: FaultControlFile
+) -> None:
+    node = rig.start("w1", argv=faults.argv())
+    faults.set(socket="ENFILE")
+    client = Client(node.address).send(chat_request("a1", traffic="post"))
+    faults.wait_for_injected("socket", 3)
+    faults.set()
+    assert client.read_status() == 200
+
+
+@pytest.mark.parametrize("name", ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "ECONNABORTED"])
+def test_a_client_is_accepted_after_accepts_failed(
+    rig: SocketRig, faults: FaultControlFile, name: str
+) -> None:
+    node = rig.start("w1", argv=faults.argv())
+    faults.set(accept=name)
+    client = Client(node.address).send(chat_request("a1"))
+    faults.wait_for_injected("accept", 2)
+    faults.set()
+    assert client.read_status() == 200
+
+
+def test_short_reads_and_writes_change_nothing(rig: SocketRig, faults: FaultControlFile) -> None:
+    node = rig.start("r1 w1", argv=faults.argv())
+    faults.set(send="short", recv="short", share=0.7)
+    statuses = []
+    for number in range(4):
+        client = Client(node.address).send(chat_request(f"a{number}", LONG_PROMPT if number % 2 else 100))
+        statuses.append(client.read_status())
+        client.read_until(b"[DONE]")
+        client.close()
+    assert statuses == [200] * 4
+
+
 def test_a_log_on_a_full_device_costs_no_answer_and_no_change(rig: SocketRig) -> None:
     """Crossing: the device is full as the node opens, and as discovery fails."""
     with Path("/dev/full").open("wb") as full:
--- a/tests/test_relay_releases.py
+++ b/tests/test_relay_releases.py
@@ -112,3 +112,56 @@
     rig.run(1.0)
     assert len(rig.engines["r1"].released_paths()) > count
     assert not rig.node.engine_client.releaser.is_busy() and not rig.node.executor.in_flight
+
+
+def engines_that_refuse(rig: RelayRig, *names: str) -> dict[str, object]:
+    """Have these engines refuse all connections; returns what to listen with again."""
+    hosts = {f"{name}:1": rig.net.hosts[f"{name}:1"] for name in names}
+    for host in hosts:
+        rig.net.kill(host)
+    return hosts
+
+
+def test_a_release_that_all_engines_refuse_for_a_moment_is_sent_again() -> None:
+    """Crossing: the client leaves while all engines restart; refusals take no time, and no try is left."""
+    rig = RelayRig("r1 w1")
+    rig.engines["w1"].script = never_respond
+    client = rig.request("a1", LONG_PROMPT)
+    rig.run(0.1)
+    hosts = engines_that_refuse(rig, "r1", "w1")
+    client.transport.loseConnection()
+    rig.run(1.5)
+    assert not rig.engines["r1"].released_paths() and rig.node.engine_client.releaser.is_busy()
+    rig.net.hosts.update(hosts)
+    rig.run(1.5)
+    assert b"/state/a1" in rig.engines["r1"].released_paths() + rig.engines["w1"].released_paths()
+    assert not rig.node.engine_client.releaser.is_busy()
+
+
+def test_a_release_outlasts_a_lack_of_connections() -> None:
+    """Crossing: the client leaves while all connections to engines are taken."""
+    rig = RelayRig("r1 w1")
+    rig.engines["w1"].script = never_respond
+    client = rig.request("a1", LONG_PROMPT)
+    rig.run(0.1)
+    rig.node.pool.close_idle("r1")
+    most, rig.node.pool.max_connections = rig.node.pool.max_connections, 0
+    client.transport.loseConnection()
+    rig.run(1.0)
+    assert not rig.engines["r1"].released_paths()
+    rig.node.pool.max_connections = most
+    rig.run(2.0)
+    assert b"/state/a1" in rig.engines["r1"].released_paths()
+
+
+def test_a_release_that_nobody_ever_takes_is_given_up_after_10_s() -> None:
+    rig = RelayRig("r1 w1")
+    rig.engines["w1"].script = never_respond
+    client = rig.request("a1", LONG_PROMPT)
+    rig.run(0.1)
+    engines_that_refuse(rig, "r1", "w1")
+    client.transport.loseConnection()
+    rig.run(9.0)
+    assert rig.node.engine_client.releaser.is_busy()
+    rig.run(3.0)
+    assert not rig.node.engine_client.releaser.is_busy()
