Logging never blocks, never raises; the last events of all kinds stay in memory

Seen: with standard output on a full device the node raised out of RelayNode.open in discovery's callback, accepted nobody and never asked discovery again; with RELAY_LOG=all and an undrained pipe of 4 KB it answered 14 requests and then none; where the log's reader was gone, none. Cause: _log was print with flush, on the one thread, in the middle of whatever logged. Change: LogWriter polls before each write of at most PIPE_BUF bytes, keeps 256 KB at most, counts what it drops and says so; EventLog never raises and keeps the last 2,000 events; uncaught errors go to standard error by the same writer.

--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -7,7 +7,6 @@
 import time
 from typing import Any
 
-import msgspec
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.tcp import Port
 
@@ -15,20 +14,18 @@
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.process import on_signal, on_term, settle_memory
 from myrtlehub.relay.errors import SettingsError
+from myrtlehub.relay.event_log import EventLog
 from myrtlehub.relay.graceful_shutdown import GracefulShutdown
+from myrtlehub.relay.log_writer import LogWriter
 from myrtlehub.relay.node import MAX_ACCEPTS_PER_TURN, RelayNode
 from myrtlehub.relay.node_settings import MIN_DESCRIPTORS, NodeSettings, read_node_settings
 from myrtlehub.relay.settings_reload import reload_settings
+from myrtlehub.relay.uncaught_errors import log_uncaught_errors
 
 BACKLOG = 511  # connections that may wait to be accepted: bursts come by hundreds
-# Events that are too many to be logged, unless RELAY_LOG asks for all of them.
-DETAILED_EVENTS = frozenset(("answer", "engine", "attempt", "broken", "request rejected"))
-LOG_ALL = os.environ.get("RELAY_LOG") == "all"
-
-
-def _log(event: str, **fields: Any) -> None:  # noqa: ANN401
-    if LOG_ALL or event not in DETAILED_EVENTS:
-        print(msgspec.json.encode({"event": event, **fields}).decode(), flush=True)
+STANDARD_OUTPUT = 1
+STANDARD_ERROR = 2
+LAST_FLUSH_S = 0.2  # for which the end of the process waits for a slow reader of its log
 
 
 def _fail(text: str) -> None:
@@ -81,6 +78,8 @@
     def __init__(self, path: str, reactor: Any) -> None:  # noqa: ANN401
         self.path = path
         self.reactor = reactor
+        clock = SteadyClock(reactor)
+        self.log = EventLog(LogWriter(STANDARD_OUTPUT), clock.seconds, os.environ.get("RELAY_LOG") == "all")
         # Before the file is read and the port bound: whoever writes a newer file meanwhile, or wants the
         # process gone once clients wait, is heard as soon as the reactor runs.
         on_signal(signal.SIGHUP, self._on_hangup, reactor)
@@ -88,10 +87,10 @@
         self.settings = read_node_settings(path)
         self.node = RelayNode(
             _within_process_limit(self.settings),
-            SteadyClock(reactor),
+            clock,
             self._dial,
             time.time() - time.monotonic(),
-            _log,
+            self.log,
         )
         self.port = self._listen()
         self.shutdown = GracefulShutdown(
@@ -117,7 +116,7 @@
         return TCP4ClientEndpoint(self.reactor, host, int(port), timeout=timeout).connect
 
     def _on_hangup(self) -> None:
-        reload_settings(self.path, self.settings, self.node.discovery.move, _log)
+        reload_settings(self.path, self.settings, self.node.discovery.move, self.log)
 
     def _on_terminate(self) -> None:
         self.node.open()  # who waits to be accepted was taken by this machine, and an answer is due
@@ -133,7 +132,8 @@
         self.node.start()
         settle_memory()
         self.reactor.run(installSignalHandlers=False)
-        _log("ended", **dict(sorted(self.node.executor.answer_counts.items())))
+        self.log("ended", **dict(sorted(self.node.executor.answer_counts.items())))
+        self.log.flush(LAST_FLUSH_S)
 
 
 def main() -> None:
@@ -144,6 +144,7 @@
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
+    log_uncaught_errors(LogWriter(STANDARD_ERROR))
     try:
         program = Program(path, reactor)
     except SettingsError as error:
--- /dev/null
+++ b/tests/test_log_writer.py
@@ -0,0 +1,109 @@
+"""The log writer: bounded, never blocking, never raising, and what it drops is counted."""
+
+import os
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from myrtlehub.relay.event_log import MAX_DUMPED_EVENTS, EventLog
+from myrtlehub.relay.log_writer import LogWriter
+
+LINE = b"x" * 1023 + b"\n"
+
+
+class Pipe:
+    """A pipe whose reading end is read on demand."""
+
+    def __init__(self) -> None:
+        self.reading, self.writing = os.pipe()
+        os.set_blocking(self.reading, False)
+
+    def read_all(self) -> bytes:
+        """Return what lies in it."""
+        parts = []
+        try:
+            while part := os.read(self.reading, 65536):
+                parts.append(part)
+        except BlockingIOError:
+            pass
+        return b"".join(parts)
+
+
+@pytest.fixture(name="pipe")
+def open_pipe() -> Iterator[Pipe]:
+    pipe = Pipe()
+    yield pipe
+    os.close(pipe.reading)
+    os.close(pipe.writing)
+
+
+def test_lines_are_whole_and_in_order_whatever_the_reader_takes(pipe: Pipe) -> None:
+    writer = LogWriter(pipe.writing, max_bytes=1 << 20)
+    lines = [b"%05d" % number + b"y" * (number % 5000) + b"\n" for number in range(200)]
+    read = b""
+    for line in lines:
+        writer.write_line(line)
+        if len(line) % 7 == 0:
+            read += pipe.read_all()
+    while data := pipe.read_all():
+        read += data
+        writer.flush()
+    assert read == b"".join(lines) and writer.dropped_count == 0
+
+
+def test_what_a_full_pipe_does_not_take_is_dropped_and_reported_once(pipe: Pipe) -> None:
+    writer = LogWriter(pipe.writing, max_bytes=8 * len(LINE))
+    for _ in range(200):
+        writer.write_line(LINE)
+    dropped = writer.dropped_count
+    assert 0 < dropped < 200
+    read = b""
+    while data := pipe.read_all():
+        read += data
+        writer.flush()
+    writer.write_line(b"next\n")
+    writer.write_line(b"last\n")
+    tail = (read + pipe.read_all()).splitlines()[-3:]
+    assert tail == [b'{"event":"log lines dropped","count":%d}' % dropped, b"next", b"last"]
+
+
+def test_a_full_device_and_a_closed_descriptor_raise_nothing() -> None:
+    with Path("/dev/full").open("wb") as full:
+        writer = LogWriter(full.fileno(), max_bytes=2 * len(LINE))
+        for _ in range(4):
+            writer.write_line(LINE)
+    assert writer.dropped_count == 2
+    writer.write_line(LINE)  # its descriptor is closed now
+    assert writer.dropped_count == 3
+
+
+class Unreadable:
+    """A field that cannot be written as text."""
+
+    def __str__(self) -> str:
+        raise ValueError
+
+
+def test_a_field_that_cannot_be_encoded_raises_nothing(pipe: Pipe) -> None:
+    log = EventLog(LogWriter(pipe.writing), lambda: 0.0)
+    log("odd", value=Unreadable())
+    log("odd", value="\ud800")
+    log("fine", value=object)
+    lines = pipe.read_all().splitlines()
+    assert len(lines) == 3 and all(b"unreadable event" in line for line in lines[:2])
+
+
+def test_details_stay_in_memory_until_a_dump_which_is_bounded_and_rare(pipe: Pipe) -> None:
+    now = [100.0]
+    log = EventLog(LogWriter(pipe.writing, max_bytes=1 << 20), lambda: now[0])
+    for number in range(5000):
+        log("attempt", number=number)
+    assert pipe.read_all() == b""
+    log.dump()
+    log.dump()  # at once: nothing more
+    lines = pipe.read_all().splitlines()
+    assert len(lines) == MAX_DUMPED_EVENTS and b'"number":4999' in lines[-1] and b'"at":100.0' in lines[-1]
+    now[0] += 11.0
+    log.dump()
+    assert pipe.read_all()
--- a/tests/test_relay_local_failures.py
+++ b/tests/test_relay_local_failures.py
@@ -9,7 +9,7 @@
 from faultcontrol import FaultControlFile
 from relaymessages import LONG_PROMPT, READ_RESPONSE, RELEASE_RESPONSE, chat_request
 from socketpeers import PeerConnection, ReceivedRequest, never_respond
-from socketrig import Client, SocketRig
+from socketrig import Client, RelayProcess, SocketRig
 
 LOCAL_ERRORS = ("EADDRNOTAVAIL", "ENOBUFS", "ENFILE", "EMFILE", "ENOMEM", "EACCES", "ENETUNREACH")
 
@@ -122,3 +122,25 @@
     yield writing
     os.close(reading)
     os.close(writing)
+
+
+def test_a_log_that_nobody_drains_costs_no_answer(rig: SocketRig, full_pipe: int) -> None:
+    node: RelayProcess = rig.start("w1", stdout=full_pipe)
+    statuses = []
+    for number in range(60):
+        client = Client(node.address).send(chat_request(f"a{number}"))
+        statuses.append(client.read_status())
+        client.close()
+    assert statuses == [200] * 60
+    node.signal("TERM")
+    assert node.exit_code() == 0
+
+
+def test_a_log_whose_reader_is_gone_costs_no_answer(rig: SocketRig) -> None:
+    reading, writing = os.pipe()
+    os.close(reading)
+    node = rig.start("w1", stdout=writing)
+    os.close(writing)
+    assert Client(node.address).send(chat_request("a1")).read_status() == 200
+    node.signal("TERM")
+    assert node.exit_code() == 0
