--- a/tests/test_relay_discovery.py
+++ b/tests/test_relay_discovery.py
@@ -223,3 +223,11 @@
     early = rig.request("a1")
     rig.run(1.2)
     assert len(opened) == 1 and early.statuses == [200]
+
+
+def test_a_wall_clock_set_back_makes_no_engine_cold_for_an_hour() -> None:
+    """Crossing: the process starts after the step, and an engine's start seems to lie in the future."""
+    rig = RelayRig("w1")
+    rig.update_list(w1=rig.entry("w1", born_ms=(rig.clock.seconds() + 3600.0) * 1000))
+    rig.run(15.0)  # cold engines are warm after 10 s
+    assert [rig.request(f"a{number}", remaining_ms=500).statuses for number in range(6)] == [[200]] * 6
