Whatever recurs goes on, whatever one of its turns raises

Cause: an exception between a timer's firing and its renewal ended the chain for good. Change: each is renewed first, or in finally; the actions left of a call are executed in the next turn; a send that raised counts as not sent. Found on the way: a list that can never be applied is asked for every 0.12 s, not in each turn.

--- a/myrtlehub/http1/connection_pool.py
+++ b/myrtlehub/http1/connection_pool.py
@@ -228,11 +228,13 @@
     def _sweep(self) -> None:
         self._sweep_timer = None
         now = self.clock.seconds()
-        for idle in list(self._idle.values()):
-            for connection in [c for c in idle if now - c.idle_since > self.max_idle]:
-                connection.close()
-        if self._idle:
-            self._sweep_timer = self.clock.callLater(SWEEP_INTERVAL_S, self._sweep)
+        try:
+            for idle in list(self._idle.values()):
+                for connection in [c for c in idle if now - c.idle_since > self.max_idle]:
+                    connection.close()
+        finally:  # whatever a transport raises, the others are looked at again
+            if self._idle:
+                self._sweep_timer = self.clock.callLater(SWEEP_INTERVAL_S, self._sweep)
 
     def remove(self, connection: ClientConnection) -> None:
         """Forget a connection that is closed or lost."""
--- a/myrtlehub/node/action_executor.py
+++ b/myrtlehub/node/action_executor.py
@@ -67,7 +67,11 @@
             return
         delay = max(0.0, attempt.times_out_at - now)
         attempt.timer = self.clock.callLater(delay, self._timed_out, attempt)
-        self.transport.start(attempt)
+        try:
+            self.transport.start(attempt)
+        except BaseException:  # nothing is written before a later turn
+            self.clock.callLater(0, self.ended, attempt, contract.Outcome.UNSENT)
+            raise
 
     def _new_attempt(self, sequence: InFlightSequence, engine: int, timeout: float, now: float) -> Attempt:
         kind = self.decoder.engines.rows[engine].kind
@@ -122,6 +126,7 @@
     def _forget(self, action: contract.Forget) -> None:
         # Its attempts refer to it: without this only the garbage collector would free them and the request.
         sequence = self.in_flight.pop(action.sequence)
+        self.on_forgotten(sequence)
         sequence.attempts = []
         sequence.streaming_attempt = None
 
--- a/myrtlehub/node/router_driver.py
+++ b/myrtlehub/node/router_driver.py
@@ -54,8 +54,8 @@
     """Calls a router with what happens; the one place where in-flight sequences change.
 
     Whoever runs it may set the callbacks: `on_attempt_sent`, `on_attempt_ended`, `on_begun` with the first
-    tokens of a sequence, `on_answered` with its final answer, `on_idle` with no sequence left, and
-    `poll_endpoints`.
+    tokens of a sequence, `on_answered` with its final answer, `on_forgotten` with one that the router is done
+    with, `on_idle` with no sequence left, and `poll_endpoints`.
     """
 
     def __init__(
@@ -90,6 +90,7 @@
         self.on_attempt_ended: Callable[[Attempt], None] = _ignore
         self.on_begun: Callable[[InFlightSequence], None] = _ignore
         self.on_answered: Callable[[InFlightSequence], None] = _ignore
+        self.on_forgotten: Callable[[InFlightSequence], None] = _ignore
         self.poll_endpoints: Callable[[], None] = _ignore
 
     def _make_handlers(self) -> dict[type, Callable[[contract.Action], None]]:
@@ -306,13 +307,34 @@
         try:
             while self._pending_calls:
                 call, arguments = self._pending_calls.popleft()
-                for action in getattr(self.router, call)(self.clock.seconds(), *arguments):
-                    self._handlers[type(action)](action)
+                actions = getattr(self.router, call)(self.clock.seconds(), *arguments)
+                self._execute(deque(actions))
         finally:
             self._is_calling = False
+            if self._pending_calls:  # something was raised: what happened meanwhile is reported all the same
+                self.clock.callLater(0, self._report_pending)
         if not self.in_flight:
             self.on_idle()
 
+    def _report_pending(self) -> None:
+        """Make the calls of the router that an exception left behind."""
+        if self._pending_calls and not self._is_calling:
+            call, arguments = self._pending_calls.popleft()
+            self._call_router(call, *arguments)
+
+    def _execute(self, actions: deque[contract.Action]) -> None:
+        """Execute all actions of a call, whatever one of them raises.
+
+        Guards against a wake-up or a release behind it that would be lost with it, for good.
+        """
+        while actions:
+            action = actions.popleft()
+            try:
+                self._handlers[type(action)](action)
+            except BaseException:
+                self.clock.callLater(0, self._execute, actions)
+                raise
+
     # -- small steps ------------------------------------------------------------------------------
 
     def _mark_unused(self, engine: int) -> None:
--- a/myrtlehub/relay/discovery_client.py
+++ b/myrtlehub/relay/discovery_client.py
@@ -101,6 +101,10 @@
         self._failures = 0
         self._send()
 
+    def is_armed(self) -> bool:
+        """Return whether something is due that goes on to follow the list."""
+        return self._closed or any(timer.active() for timer in self._timers)
+
     def close(self) -> None:
         """Stop for good: the node ends."""
         self._closed = True
@@ -116,9 +120,10 @@
         for pending in requests:
             pending.cancel()
 
-    def _call_later(self, delay: float, call: Callable[..., None], *args: Any) -> None:  # noqa: ANN401
-        self._timers = [timer for timer in self._timers if timer.active()]
-        self._timers.append(self.clock.callLater(delay, call, *args))
+    def _call_later(self, delay: float, call: Callable[..., None], *args: Any) -> Timer:  # noqa: ANN401
+        timer = self.clock.callLater(delay, call, *args)
+        self._timers = [*(other for other in self._timers if other.active()), timer]
+        return timer
 
     def _send(self) -> None:
         watch_time = 0.0
@@ -127,12 +132,14 @@
             watch_time = WATCH_S
             target += b"?since=%d&timeout_ms=%d" % (self.version, WATCH_S * 1000)
         response = _ListResponse(lambda body: self._on_body(pending, body))
+        # Before all that may raise: without it nothing would ever be heard of discovery again.
+        next_request = self._call_later(RETRY_INTERVAL_S, self._send)
         pending = self.pool.send(self.address, self.address, ClientRequest(b"GET", target, []), response)
         self._pending.append(pending)
         self._call_later(watch_time + RESPONSE_TIMEOUT_S, self._on_timeout, pending, watch_time)
-        if self.version is None:
-            # beside the one that is out, which is left its time: this process may itself be late to read
-            self._call_later(RETRY_INTERVAL_S, self._send)
+        if self.version is not None:
+            # Only without a list is one sent beside it: this process may itself be late to read.
+            next_request.cancel()
 
     def _on_timeout(self, pending: PendingRequest, watch_time: float) -> None:
         """Give a request up once its connection has been up for as long as a response may take.
@@ -162,12 +169,15 @@
             self.log("discovery answers again", after=self._failures)
         self._stop()
         self._failures = 0
-        self.version = update.version
         self.has_answered = True
+        # Where the update can't be applied, the complete list is read anew.
+        next_request = self._call_later(RETRY_INTERVAL_S, self._send)
+        self.version = None
         if update.entries or update.complete:
             self.on_update(update)
+        self.version = update.version
         # a turn later, so that answers at once are no recursion; a watch is renewed well within its 200 ms
-        self._call_later(0, self._send)
+        next_request.reset(0)
 
     def _decode(self, body: bytes | None) -> EndpointListUpdate:
         if body is None:
@@ -180,8 +190,8 @@
     def _on_failure(self, reason: str) -> None:
         """Begin with the complete list, and request it again and again until it is there."""
         self._failures += 1
-        if self._failures == 1:
-            self.log("discovery does not answer", why=reason)
         if self.version is not None:
             self.version = None
             self._call_later(RETRY_INTERVAL_S * (0.5 + 0.5 * self.random.random()), self._send)
+        if self._failures == 1:
+            self.log("discovery does not answer", why=reason)
--- a/myrtlehub/relay/graceful_shutdown.py
+++ b/myrtlehub/relay/graceful_shutdown.py
@@ -40,13 +40,15 @@
         if self.started:
             return
         self.started = True
-        self.listener.drain()
         self.clock.callLater(ACCEPT_PERIOD_S, self._close)
+        self.listener.drain()
 
     def _close(self) -> None:
-        self.stop_listening()
-        self.listener.drain()
-        self._end_when_idle()
+        self.clock.callLater(0, self._end_when_idle)  # first: whatever closing raises, the process ends
+        try:
+            self.stop_listening()
+        finally:
+            self.listener.drain()
 
     def _end_when_idle(self) -> None:
         """End once nothing is in flight any more.
@@ -56,7 +58,11 @@
         silence. So there is none here: who wants the process gone before that sends SIGKILL, as the platform
         does 3.7 s after SIGTERM at the soonest.
         """
-        if self.is_busy():
-            self.clock.callLater(CHECK_INTERVAL_S, self._end_when_idle)
-        else:
+        is_busy = True
+        try:
+            is_busy = self.is_busy()
+        finally:  # where that raises, it is looked at again
+            if is_busy:
+                self.clock.callLater(CHECK_INTERVAL_S, self._end_when_idle)
+        if not is_busy:
             self.end()
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -7,6 +7,7 @@
 from myrtlehub.http1.connection_pool import ConnectionPool, Dial
 from myrtlehub.http1.interfaces import Clock
 from myrtlehub.http1.listener import ConnectionListener
+from myrtlehub.limits.event_loop_lag import TICK_PERIOD
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.protocols import Log
 from myrtlehub.relay.client_front import ClientFront
@@ -120,22 +121,22 @@
 
         Not before: it may be from before this process was started, and what discovery has counts.
         """
-        if not self.discovery.has_answered and self.settings.fallback_list is not None:
-            try:
+        try:
+            if not self.discovery.has_answered and self.settings.fallback_list is not None:
                 update = self.endpoint_list.decode(self.settings.fallback_list, self.clock.seconds())
-            except EndpointListError as error:
-                self.log("fallback endpoint list rejected", why=str(error))
-            else:
                 self._uses_fallback = True
                 self._apply(update._replace(complete=True))
-        self.open()
+        except EndpointListError as error:
+            self.log("fallback endpoint list rejected", why=str(error))
+        finally:
+            self.open()
 
     def open(self) -> None:
         """Let clients in, once."""
         if not self._opened:
             self._opened = True
-            self.log("ready", name=self.settings.name, engines=len(self.decoder.engines.rows))
             self.on_open()
+            self.log("ready", name=self.settings.name, engines=len(self.decoder.engines.rows))
 
     def _is_ready(self) -> bool:
         """Return whether a list is there: the present one, or after a while the fallback."""
@@ -167,5 +168,8 @@
     def measure_lag(self) -> None:
         """Beat from here on, so that the decoder knows how late this process runs."""
         now = self.clock.seconds()
-        due = self.decoder.lag.tick(now)
-        self.clock.callLater(max(0.0, due - now), self.measure_lag)
+        due = now + TICK_PERIOD
+        try:
+            due = self.decoder.lag.tick(now)
+        finally:
+            self.clock.callLater(max(0.0, due - now), self.measure_lag)
--- a/myrtlehub/relay/stream_monitor.py
+++ b/myrtlehub/relay/stream_monitor.py
@@ -20,7 +20,11 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.streams: dict[Stream, None] = {}
-        clock.callLater(CHECK_INTERVAL_S, self._check)
+        self._timer = clock.callLater(CHECK_INTERVAL_S, self._check)
+
+    def is_armed(self) -> bool:
+        """Return whether the next look is due."""
+        return self._timer.active()
 
     def add(self, stream: Stream) -> None:
         """Look at this stream from now on."""
@@ -31,7 +35,15 @@
         self.streams.pop(stream, None)
 
     def _check(self) -> None:
-        self.clock.callLater(CHECK_INTERVAL_S, self._check)
-        now = self.clock.seconds()
-        for stream in list(self.streams):
-            stream.check_progress(now)
+        self._timer = self.clock.callLater(CHECK_INTERVAL_S, self._check)
+        self._check_each(list(self.streams), self.clock.seconds())
+
+    def _check_each(self, streams: list[Stream], now: float) -> None:
+        """Look at all of them, whatever a look at one of them raises."""
+        while streams:
+            stream = streams.pop(0)
+            try:
+                stream.check_progress(now)
+            except BaseException:
+                self.clock.callLater(0, self._check_each, streams, now)
+                raise
--- a/tests/test_relay_rearming.py
+++ b/tests/test_relay_rearming.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 
 import pytest
-from relayrig import RelayRig
+from relaymessages import LONG_PROMPT, STREAM_HEAD
+from relayrig import RelayRig, never_respond
+
+from myrtlehub.relay.graceful_shutdown import GracefulShutdown
 
 
 class PlantedError(Exception):
@@ -46,3 +49,123 @@
     for number in range(6):
         assert rig.request(f"a{number}").statuses == [200]
     assert not rig.engines["w1"].chat_requests()
+    assert rig.node.discovery.is_armed()
+
+
+def test_a_list_that_can_never_be_applied_is_asked_for_in_turns() -> None:
+    rig = RelayRig("w1")
+    rig.node.discovery.on_update = Failing(rig.node.discovery.on_update, count=10_000)
+    with pytest.raises(PlantedError):
+        rig.update_list(w1=rig.entry("w1", "leaving"))
+    before = len(rig.discovery.requests)
+    run(rig, 1.0)
+    assert 5 <= len(rig.discovery.requests) - before <= 10
+
+
+def test_discovery_is_asked_again_where_a_request_could_not_be_sent() -> None:
+    rig = RelayRig("w1")
+    rig.node.discovery.pool.send = failing = Failing(rig.node.discovery.pool.send, count=3)
+    rig.discovery.connections[-1].transport.abortConnection()
+    run(rig, 1.0)
+    assert failing.raised == 3 and rig.open_watches and rig.node.discovery.is_armed()
+
+
+def test_a_discovery_that_cannot_be_logged_is_asked_again() -> None:
+    rig = RelayRig("w1")
+    rig.node.discovery.log = Failing(rig.node.discovery.log)
+    rig.discovery.connections[-1].transport.abortConnection()
+    run(rig, 1.0)
+    assert rig.node.discovery.version == 1 and rig.node.discovery.is_armed()
+
+
+def test_streams_are_looked_at_beside_and_after_one_whose_look_raises() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD)
+    rig.request("a1")
+    rig.request("a2")
+    monitor = rig.node.engine_client.stream_monitor
+    first, second = monitor.streams
+    first.check_progress = Failing(first.check_progress, count=10_000)
+    looks = []
+    second.check_progress = looks.append
+    run(rig, 2.0)
+    assert len(looks) >= 7 and monitor.is_armed()
+
+
+def test_idle_connections_are_swept_after_one_that_raised() -> None:
+    rig = RelayRig("w1")
+    rig.request("a1")
+    pool = rig.node.pool
+    connection = next(iter(pool._idle["w1"]))
+    connection.close = Failing(connection.close)
+    run(rig, pool.max_idle + 3.0)
+    assert pool.count == 0
+
+
+def test_the_lag_is_measured_after_a_tick_that_raised() -> None:
+    rig = RelayRig("w1")
+    rig.node.measure_lag()
+    lag = rig.node.decoder.lag
+    lag.tick = failing = Failing(lag.tick)
+    run(rig, 0.5)
+    assert failing.raised == 1 and lag.age(rig.clock.seconds()) == 0.0
+
+
+def test_a_release_is_sent_after_one_that_could_not_be() -> None:
+    rig = RelayRig("r1 w1")
+    rig.engines["w1"].script = never_respond
+    client = rig.request("a1", LONG_PROMPT)
+    rig.run(0.1)
+    rig.node.pool.send = Failing(rig.node.pool.send, count=2)
+    client.transport.loseConnection()
+    run(rig, 1.0)
+    assert b"/state/a1" in rig.engines["r1"].released_paths()
+    assert not rig.node.engine_client.releaser.is_busy()
+
+
+@pytest.mark.parametrize("method", ["drain", "stop_listening", "is_busy"])
+def test_the_process_ends_whatever_a_step_of_its_shutdown_raises(method: str) -> None:
+    rig = RelayRig("w1")
+    ended: list[float] = []
+    shutdown = GracefulShutdown(
+        rig.clock,
+        rig.node.listener,
+        rig.node.is_busy,
+        lambda: None,
+        lambda: ended.append(rig.clock.seconds()),
+    )
+    if method == "drain":
+        rig.node.listener.drain = Failing(rig.node.listener.drain)
+    else:
+        setattr(shutdown, method, Failing(getattr(shutdown, method)))
+    if method == "drain":
+        with pytest.raises(PlantedError):
+            shutdown.start()
+    else:
+        shutdown.start()
+    run(rig, 1.5)
+    assert ended
+
+
+def test_a_request_whose_send_raised_goes_again() -> None:
+    rig = RelayRig("w1 w2")
+    rig.node.engine_client.start = Failing(rig.node.engine_client.start)
+    with pytest.raises(PlantedError):
+        rig.request("a1", traffic="post")
+    run(rig, 0.2)
+    assert len(rig.engines["w1"].chat_requests() + rig.engines["w2"].chat_requests()) == 1
+    assert not rig.node.executor.in_flight
+
+
+def test_a_deadline_is_kept_though_an_action_before_its_timer_raised() -> None:
+    """The wake-up is the last action of a call: lost once, it would never be asked for again."""
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = never_respond
+    executor = rig.node.executor
+    executor.on_attempt_sent = Failing(executor.on_attempt_sent)
+    with pytest.raises(PlantedError):
+        rig.request("a1", remaining_ms=500)
+    run(rig, 1.0)
+    client = rig.request("a2", remaining_ms=500)
+    run(rig, 1.0)
+    assert client.statuses == [503] and not executor.in_flight
