One guard before the first byte; invariants are checked and counted; reasons of closes

Seen: X-Remaining-Ms was reckoned as an attempt was decided, up to connect time and two turns before its first byte; before that byte the engine's state alone was looked at again. Change: state/invariants.py has one verdict for sending, closing, answering, forgetting and recurring. EngineClient asks it at the first byte: client, time, engine, dedup window (Router.check_send, 0.2 s for a node held up as it writes, from 0.05) and slow start; what is withheld is counted. Violations are counted, logged with the request's id and followed by the recorded events; counters leave every 10 s and at the end. An answer that is overdue at two looks is given. Each close of a client's connection has a reason. ConnectionListener accepts no more while all connections have requests open (it took them beyond the bound), and does not sort all for each accept. The circle of imports of listener, connection and exchange is opened by two protocols.

--- a/myrtlehub/http1/connection_pool.py
+++ b/myrtlehub/http1/connection_pool.py
@@ -14,7 +14,7 @@
 )
 from myrtlehub.http1.client_connection import ClientConnection, ClientRequest, ResponseHandler
 from myrtlehub.http1.interfaces import Clock, Connecting, Timer
-from myrtlehub.http1.pending_request import PendingRequest
+from myrtlehub.http1.pending_request import AtFirstByte, PendingRequest
 
 SWEEP_INTERVAL_S = 1.0  # between looks for connections that were idle for too long
 NEW_CONNECTION = -1.0  # as `max_idle` of a request: use no idle connection
@@ -39,8 +39,8 @@
 Dial = Callable[[Factory], Connecting]
 
 
-def _always() -> bool:
-    return True
+def _unchanged(request: ClientRequest) -> ClientRequest:
+    return request
 
 
 def is_local_error(failure: object) -> bool:
@@ -89,7 +89,7 @@
         request: ClientRequest,
         handler: ResponseHandler,
         max_idle: float = 0.0,
-        still_wanted: Callable[[], bool] = _always,
+        at_first_byte: AtFirstByte = _unchanged,
     ) -> PendingRequest:
         """Send a request to the peer `key` at `address`.
 
@@ -100,9 +100,10 @@
             handler: Receives the response.
             max_idle: Seconds for which a reused connection may have been idle; 0 is the pool's own bound,
                 NEW_CONNECTION reuses none.
-            still_wanted: Asked before the first byte is written.
+            at_first_byte: Called before the first byte is written, with the request; returns what is
+                written, or None where nothing is wanted any more.
         """
-        pending = PendingRequest(self, key, address, request, handler, still_wanted)
+        pending = PendingRequest(self, key, address, request, handler, at_first_byte)
         idle = self._take_idle(key, max_idle or self.max_idle)
         if idle is not None:
             pending.connection = idle
@@ -151,12 +152,18 @@
                 self._connect(pending)
             else:
                 self._report_unreachable(pending)
-        elif not pending.still_wanted():
+        else:
+            self._write_first_byte(pending, connection)
+
+    def _write_first_byte(self, pending: PendingRequest, connection: ClientConnection) -> None:
+        request = pending.at_first_byte(pending.request)
+        if request is None:
             self.add_idle(connection)
             self._report_not_sent(pending)
-        else:
-            self.reused += connection.had_request
-            connection.send_request(pending)
+            return
+        pending.request = request
+        self.reused += connection.had_request
+        connection.send_request(pending)
 
     def _take_idle(self, key: str, max_idle: float) -> ClientConnection | None:
         """Return an idle connection, lately used, whose last response has nothing behind it."""
--- a/myrtlehub/http1/listener.py
+++ b/myrtlehub/http1/listener.py
@@ -6,7 +6,7 @@
 
 from myrtlehub.http1.bounds import MIN_READ_GRACE_S, READ_GRACE_S
 from myrtlehub.http1.interfaces import Clock, Timer
-from myrtlehub.http1.server_connection import ServerConnection
+from myrtlehub.http1.server_connection import CloseReason, ServerConnection
 from myrtlehub.http1.server_exchange import ServerExchange
 
 
@@ -14,6 +14,15 @@
     """Nobody listens."""
 
 
+def _ignore_close(reason: CloseReason, exchange: ServerExchange | None) -> None:
+    """Nobody listens."""
+
+
+def _closing_order(connection: ServerConnection) -> tuple[bool, float]:
+    """Sort lingering connections before unused ones, in each part the longest so first."""
+    return (not connection.closing, connection.idle_since)
+
+
 class ConnectionListener(Factory):
     """All connections of clients: `max_connections` of them, and `burst` more for a moment.
 
@@ -24,6 +33,8 @@
         total_read_ahead: Bytes of all connections that are not read as complete requests yet.
         draining: The process ends: nothing new is wanted.
         on_full: Called with whether to accept no more connections for a moment.
+        on_closing: Called with the reason for each close from this side, and the request that is open on the
+            connection, if any.
     """
 
     noisy = False
@@ -43,6 +54,8 @@
         self.total_read_ahead = 0
         self.draining = False
         self.on_full: Callable[[bool], None] = _ignore_full
+        self.on_closing: Callable[[CloseReason, ServerExchange | None], None] = _ignore_close
+        self._dropped_count = 0  # that are still to be lost
         self._paused = False
         self._room_timer: Timer | None = None
 
@@ -54,14 +67,13 @@
         """Admit a connection; where there are too many, room is made once what these have sent was read."""
         self.connections[connection] = None
         if self._count() > self.max_connections + self.burst:
-            # None that came this turn is closed for another: what it has sent is not read yet.
+            # None that came this turn is closed for another: what it has sent is not read yet. Where all
+            # others have requests open, who comes next waits in the system's queue: none is closed unheard.
             closable = self._closable(MIN_READ_GRACE_S)
             if closable:
-                closable[0].drop()
-            elif self._closable(0.0):
-                self._pause_accepting()
+                self._drop(min(closable, key=_closing_order))
             else:
-                connection.drop()  # all others have requests open
+                self._pause_accepting()
         elif len(self.connections) > self.max_connections and not self._makes_room():
             self._room_timer = self.clock.callLater(READ_GRACE_S, self._make_room)
 
@@ -76,47 +88,59 @@
             self.clock.callLater(MIN_READ_GRACE_S, self._try_to_resume)
 
     def _try_to_resume(self) -> None:
-        for connection in self._closable(MIN_READ_GRACE_S)[: self._surplus()]:
-            connection.drop()
-        if self._count() > self.max_connections + self.burst and self._closable(0.0):
-            self.clock.callLater(MIN_READ_GRACE_S, self._try_to_resume)
-        else:
-            self._paused = False
-            self.on_full(False)
+        try:
+            for connection in self._first_closable(MIN_READ_GRACE_S):
+                self._drop(connection)
+        finally:  # whatever a transport raises: nobody would ever be accepted again
+            if self._count() > self.max_connections + self.burst:
+                self.clock.callLater(MIN_READ_GRACE_S, self._try_to_resume)
+            else:
+                self._paused = False
+                self.on_full(False)
 
     def _count(self) -> int:
         """Return how many connections have a descriptor for longer than this turn."""
-        return sum(not c.dropped for c in self.connections)
-
-    def _surplus(self) -> int:
-        return max(0, self._count() - self.max_connections)
+        return len(self.connections) - self._dropped_count
 
     def _closable(self, min_age: float) -> list[ServerConnection]:
-        """Return those that may be closed: lingering ones, then unused ones; in each part the longest first.
-
-        Never one that had no time to be read, or has a request open.
-        """
+        """Return those that may be closed: never one that had no time to be read, or has a request open."""
         now = self.clock.seconds()
-        closable = [
+        return [
             c
             for c in self.connections
             if (c.closing or c.unused) and not c.dropped and now - c.idle_since >= min_age
         ]
-        return sorted(closable, key=lambda c: (not c.closing, c.idle_since))
+
+    def _first_closable(self, min_age: float) -> list[ServerConnection]:
+        """Return as many of those as there are connections too many, in the order of their closing."""
+        surplus = max(0, self._count() - self.max_connections)
+        return sorted(self._closable(min_age), key=_closing_order)[:surplus] if surplus else []
+
+    def _drop(self, connection: ServerConnection) -> None:
+        self._dropped_count += 1
+        connection.drop()
 
     def _make_room(self) -> None:
         """Drop lingering connections, and close the longest unused; those are dropped at the next look."""
-        for connection in self._closable(READ_GRACE_S)[: self._surplus()]:
-            if connection.closing:
-                connection.drop()
-            else:
-                connection.linger()
-        if len(self.connections) > self.max_connections:
-            self._room_timer = self.clock.callLater(READ_GRACE_S, self._make_room)
+        try:
+            for connection in self._first_closable(READ_GRACE_S):
+                if connection.closing:
+                    self._drop(connection)
+                else:
+                    connection.linger(CloseReason.ROOM)
+        finally:
+            if len(self.connections) > self.max_connections:
+                self._room_timer = self.clock.callLater(READ_GRACE_S, self._make_room)
 
     def connection_closed(self, connection: ServerConnection) -> None:
         """Forget a connection that is lost."""
-        self.connections.pop(connection, None)
+        if connection in self.connections:
+            del self.connections[connection]
+            self._dropped_count -= connection.dropped
+
+    def connection_closing(self, reason: CloseReason, exchange: ServerExchange | None) -> None:
+        """Pass on that this side closes a connection."""
+        self.on_closing(reason, exchange)
 
     def drain(self) -> None:
         """Take nothing new: unused connections close now, the others after their response."""
--- a/myrtlehub/http1/pending_request.py
+++ b/myrtlehub/http1/pending_request.py
@@ -10,12 +10,16 @@
 )
 from myrtlehub.http1.interfaces import Connecting
 
+# Called just before the first byte: the request as it is written, or None where it is not wanted any more.
+AtFirstByte = Callable[[ClientRequest], ClientRequest | None]
+
 
 class PendingRequest:
     """One request on its way; `local_failures` counts the tries that this machine had no resources for."""
 
     __slots__ = (
         "address",
+        "at_first_byte",
         "connecting",
         "connection",
         "finished",
@@ -26,7 +30,6 @@
         "pool",
         "ready_since",
         "request",
-        "still_wanted",
     )
 
     def __init__(
@@ -36,14 +39,14 @@
         address: str,
         request: ClientRequest,
         handler: ResponseHandler,
-        still_wanted: Callable[[], bool],
+        at_first_byte: AtFirstByte,
     ) -> None:
         self.pool = pool
         self.key = key
         self.address = address
         self.request = request
         self.handler = handler
-        self.still_wanted = still_wanted
+        self.at_first_byte = at_first_byte
         self.connection: ClientConnection | None = None
         self.connecting: Connecting | None = None
         self.ready_since = pool.clock.seconds()  # the later of its coming and its connection's
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -1,7 +1,8 @@
 """One client's connection: reads requests, writes responses, closes in an orderly way."""
 
+import typing
+from enum import StrEnum
 from http import HTTPStatus
-from typing import TYPE_CHECKING
 
 import h11
 from twisted.internet.protocol import Protocol
@@ -17,13 +18,10 @@
     REQUEST_TIMEOUT_S,
     STALLED_WRITE_TIMEOUT_S,
 )
-from myrtlehub.http1.interfaces import Headers, Timer
+from myrtlehub.http1.interfaces import Clock, Headers, Timer
 from myrtlehub.http1.request_assembler import RequestAssembler
 from myrtlehub.http1.server_exchange import ServerExchange
 
-if TYPE_CHECKING:
-    from myrtlehub.http1.listener import ConnectionListener
-
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -41,6 +39,46 @@
 }
 
 
+class CloseReason(StrEnum):
+    """Why this side closes a client's connection."""
+
+    UNUSED = "unused"  # for longer than connections are kept
+    LAST_RESPONSE = "last response"  # its response said that it closes, or the process ends
+    MALFORMED = "malformed"  # a request that cannot be read, or is not complete in time
+    STREAM_BROKE = "stream broke"  # its response is not complete
+    DRAINING = "draining"  # the process ends
+    ROOM = "room"  # for others
+    LINGERED = "lingered"  # its client did not take the last response, or did not close
+    STALLED = "stalled"  # its client took nothing of a stream
+    FLOOD = "flood"  # its client sent far too much
+
+
+class ConnectionSupervisor(typing.Protocol):
+    """What a connection asks, and tells, whoever admitted it.
+
+    Attributes:
+        clock: The clock.
+        draining: The process ends: nothing new is wanted.
+        total_read_ahead: Bytes of all connections that are not read as complete requests yet.
+    """
+
+    clock: Clock
+    draining: bool
+    total_read_ahead: int
+
+    def connection_opened(self, connection: "ServerConnection") -> None:
+        """Admit a connection."""
+
+    def connection_closed(self, connection: "ServerConnection") -> None:
+        """Forget a connection that is lost."""
+
+    def connection_closing(self, reason: CloseReason, exchange: ServerExchange | None) -> None:
+        """Take note that this side closes it; `exchange` is its open request, if any."""
+
+    def on_request(self, exchange: ServerExchange) -> None:
+        """Handle a complete request."""
+
+
 class ServerConnection(Protocol):
     """One client's connection, with one request at a time on it.
 
@@ -53,7 +91,7 @@
         dropped: It was aborted to make room: lost within a turn.
     """
 
-    def __init__(self, listener: "ConnectionListener") -> None:
+    def __init__(self, listener: ConnectionSupervisor) -> None:
         self.listener = listener
         self.clock = listener.clock
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -86,11 +124,11 @@
     def _on_deadline(self) -> None:
         """Act on an incomplete request, an unused connection, or a last response that does not leave."""
         if self.closing:
-            self.transport.abortConnection()
+            self._abort(CloseReason.LINGERED)
         elif self._assembler.started or self._read_ahead:
             self.reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
-            self.linger()
+            self.linger(CloseReason.DRAINING if self.listener.draining else CloseReason.UNUSED)
 
     @property
     def unused(self) -> bool:
@@ -131,7 +169,7 @@
         """
         self._discarded += size
         if self._discarded > MAX_DISCARDED_BYTES:
-            self.transport.abortConnection()
+            self._abort(CloseReason.FLOOD)
 
     def _read_requests(self) -> None:
         while self.exchange is None and not self.closing:
@@ -220,7 +258,7 @@
         # began to drain: its client would send its next request on this connection, to a process that is
         # about to end.
         if not done or (self.listener.draining and not self._read_ahead):
-            self.linger()
+            self.linger(CloseReason.LAST_RESPONSE)
             return
         self.http.start_next_cycle()
         self.idle_since = self.clock.seconds()
@@ -237,7 +275,12 @@
                 self._write_event(h11.EndOfMessage())
             except h11.LocalProtocolError:
                 pass  # nothing can be written on it any more; it is closed all the same
-        self.linger()
+        self.linger(CloseReason.MALFORMED)
+
+    def abort_response(self) -> None:
+        """Close without the end of the response: it is not complete."""
+        self.exchange = None
+        self.linger(CloseReason.STREAM_BROKE)
 
     def set_stalled(self, stalled: bool) -> None:
         """Note that the client takes nothing of its stream, or takes it again."""
@@ -249,11 +292,15 @@
             self._stall_timer = None
 
     def _on_stall_timeout(self) -> None:
-        self.transport.abortConnection()
+        self._abort(CloseReason.STALLED)
 
     # -- closing ----------------------------------------------------------------------------------
 
-    def linger(self) -> None:
+    def _abort(self, reason: CloseReason) -> None:
+        self.listener.connection_closing(reason, None)  # its client has given up the response, if any
+        self.transport.abortConnection()
+
+    def linger(self, reason: CloseReason) -> None:
         """Close in a lingering way: end our side once all has left, and read on until the client ends too.
 
         Guards against bytes that are unread, or come, as the socket closes: they would make the close a
@@ -263,6 +310,7 @@
         if self.closing or self.lost:
             return
         self.closing = True
+        self.listener.connection_closing(reason, self.exchange)
         self.idle_since = self.clock.seconds()
         self._assembler.discard_body()
         self.transport.unregisterProducer()
@@ -271,6 +319,7 @@
 
     def drop(self) -> None:
         """Make room at once: no response is due on it."""
+        self.listener.connection_closing(CloseReason.ROOM, self.exchange)
         self.closing = True
         self.dropped = True
         self.transport.abortConnection()
@@ -285,7 +334,7 @@
         if time_left > 0.0:
             self._set_deadline(time_left)
         else:
-            self.linger()
+            self.linger(CloseReason.DRAINING)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Stop all timers, and tell whoever responds."""
--- a/myrtlehub/http1/server_exchange.py
+++ b/myrtlehub/http1/server_exchange.py
@@ -1,13 +1,10 @@
 """One request of a client and the response to it, as whoever responds sees them."""
 
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple, Protocol
 
 from myrtlehub.http1.interfaces import Headers
 
-if TYPE_CHECKING:
-    from myrtlehub.http1.server_connection import ServerConnection
-
 
 class ServerRequest(NamedTuple):
     """A complete request; header names are in lower case."""
@@ -18,6 +15,28 @@
     body: bytes
 
 
+class ResponseWriter(Protocol):
+    """The connection of a request, as its exchange writes to it."""
+
+    def respond(self, status: int, headers: Headers, body: bytes, close: bool) -> None:
+        """Write a complete response."""
+
+    def start_stream(self, exchange: "ServerExchange", status: int, headers: Headers) -> None:
+        """Write the head of a streamed response."""
+
+    def write(self, data: bytes) -> None:
+        """Write a part of a streamed response."""
+
+    def finish(self) -> None:
+        """End the response."""
+
+    def abort_response(self) -> None:
+        """Close the connection without the end of the response."""
+
+    def set_stalled(self, stalled: bool) -> None:
+        """Note that the client takes nothing of its stream, or takes it again."""
+
+
 def _ignore() -> None:
     """Nobody listens."""
 
@@ -27,7 +46,7 @@
 
     __slots__ = ("_connection", "finished", "on_lost", "on_pause", "on_resume", "request", "started")
 
-    def __init__(self, connection: "ServerConnection", request: ServerRequest) -> None:
+    def __init__(self, connection: ResponseWriter, request: ServerRequest) -> None:
         self._connection = connection
         self.request = request
         self.started = False
@@ -75,7 +94,7 @@
         """End the connection without a last chunk: the response is not complete."""
         if not self.finished:
             self.finished = True
-            self._connection.linger()
+            self._connection.abort_response()
 
     # As producer of the transport: the client's connection asks to wait.
 
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -92,6 +92,7 @@
             time.time() - time.monotonic(),
             self.log,
         )
+        self.node.monitor.on_violation = self.log.dump
         self.port = self._listen()
         self.shutdown = GracefulShutdown(
             self.node.clock, self.node.listener, self.node.is_busy, self._stop_listening, reactor.stop
@@ -132,6 +133,7 @@
         self.node.start()
         settle_memory()
         self.reactor.run(installSignalHandlers=False)
+        self.node.monitor.log_counters()
         self.log("ended", **dict(sorted(self.node.executor.answer_counts.items())))
         self.log.flush(LAST_FLUSH_S)
 
--- a/myrtlehub/relay/client_front.py
+++ b/myrtlehub/relay/client_front.py
@@ -8,6 +8,7 @@
 from myrtlehub.relay.errors import RejectedRequestError
 from myrtlehub.relay.platform_limits import DEFAULT_MAX_IN_FLIGHT
 from myrtlehub.relay.request_decoder import RequestDecoder
+from myrtlehub.state.invariants import InvariantCounter, broken_by_answer
 
 READY_PATH = b"/up"
 CHAT_PATH = b"/v1/chat/completions"
@@ -36,22 +37,28 @@
 
     def generated(self, tokens: int) -> None:
         """End the stream."""
-        self._detach()
+        self._detach_answered()
         self.exchange.finish()
 
     def rejected(self, retry_after: float) -> None:
         """Respond that nothing ran, or that it may run again; `retry_after` in seconds, 0 for none."""
-        self._detach()
+        self._detach_answered()
         self.exchange.respond(503, ((b"Retry-After", b"%.3f" % retry_after),) if retry_after else ())
 
     def aborted(self, reason: str) -> None:
         """Respond without a promise, or end a stream that has begun."""
-        self._detach()
+        self._detach_answered()
         if self.exchange.started:
             self.exchange.abort()
         else:
             self.exchange.respond(502)
 
+    def _detach_answered(self) -> None:
+        """Pass nothing more on, as this is the final answer."""
+        has_final_answer = self.sequence_id not in self.front.open
+        self.front.invariants.check(broken_by_answer(has_final_answer), self.sequence_id)
+        self._detach()
+
     def _detach(self) -> InFlightSequence | None:
         """Pass nothing more on; returns the sequence.
 
@@ -94,8 +101,13 @@
     """
 
     def __init__(
-        self, executor: ActionExecutor, decoder: RequestDecoder, max_in_flight: int = DEFAULT_MAX_IN_FLIGHT
+        self,
+        executor: ActionExecutor,
+        decoder: RequestDecoder,
+        invariants: InvariantCounter,
+        max_in_flight: int = DEFAULT_MAX_IN_FLIGHT,
     ) -> None:
+        self.invariants = invariants
         self.executor = executor
         self.decoder = decoder
         self.max_in_flight = max_in_flight
@@ -135,10 +147,10 @@
             return
         sequence_id = decoded.sequence_id
         sink = ExchangeSink(self, exchange, sequence_id)
+        self.open[sequence_id] = sink
         if len(self.executor.in_flight) >= self.max_in_flight:
             sink.rejected(self.executor.config.max_retry_after)  # not accepted: nothing ran
             return
-        self.open[sequence_id] = sink
         sequence = self.executor.accept(decoded.engine_request, decoded.arrival, sink, sequence_id)
         if sequence_id in self.open:  # else it was answered at once
             sink.sequence = sequence
--- a/myrtlehub/relay/engine_client.py
+++ b/myrtlehub/relay/engine_client.py
@@ -1,6 +1,7 @@
 """The action executor's engine transport over HTTP/1.1: attempts, releases and probes."""
 
 from collections.abc import Callable
+from functools import partial
 
 from myrtlehub.http1.client_connection import ClientRequest
 from myrtlehub.http1.connection_pool import NEW_CONNECTION, ConnectionPool
@@ -17,17 +18,28 @@
 from myrtlehub.relay.stream_monitor import StreamMonitor
 from myrtlehub.relay.uncertain_attempts import UncertainAttempts
 from myrtlehub.routing import contract
+from myrtlehub.state.answer import AnswerState
+from myrtlehub.state.invariants import InvariantCounter, SendFacts, broken_by_send
 
 LOAD_PATH = b"/metrics/load"
+# By which an engine is told less than is left. It may be told 0.15 s too much, all of which this process may
+# be held up between reading its clock and writing; the way here and there and a turn or two take the rest.
+TOLD_TIME_MARGIN_S = 0.02
 
 
 class EngineClient:
     """Carries attempts, releases and probes to engines; `attach` gives it the executor that it reports to."""
 
     def __init__(
-        self, clock: Clock, pool: ConnectionPool, decoder: RequestDecoder, log: Log = no_log
+        self,
+        clock: Clock,
+        pool: ConnectionPool,
+        decoder: RequestDecoder,
+        invariants: InvariantCounter,
+        log: Log = no_log,
     ) -> None:
         self.clock = clock
+        self.invariants = invariants
         self.pool = pool
         self.decoder = decoder
         self.log = log
@@ -70,20 +82,42 @@
         sequence = attempt.sequence
         passed = sequence.request
         name = self.directory.name(attempt.engine)
-        time_left_ms = max(1, int((attempt.times_out_at - self.clock.seconds()) * 1000))
-        headers = [*passed.headers, (b"x-remaining-ms", b"%d" % time_left_ms)]
-        request = ClientRequest(b"POST", passed.target, headers, passed.body)
+        request = ClientRequest(b"POST", passed.target, passed.headers, passed.body)
         handler = AttemptResponseHandler(self, attempt)
-        # Guards against an engine that drains or goes while a connection to it comes up, which may take
-        # longer than the grace, or while this process was delayed: its state is looked at once more before
-        # the first byte.
         handler.pending = attempt.call = self.pool.send(
             name,
             self.directory.dial_addresses[name],
             request,
             handler,
             NEW_CONNECTION if self._needs_new_connection(attempt) else 0.0,
-            lambda: self.directory.is_serving(attempt.engine),
+            partial(self._at_first_byte, attempt),
+        )
+
+    def _at_first_byte(self, attempt: Attempt, request: ClientRequest) -> ClientRequest | None:
+        """Return the request with the time left now; None if sending it now would break a rule.
+
+        Guards against what has changed since the decision: a connection may take longer to come up than the
+        grace of a draining engine, and this process may have been delayed.
+        """
+        time_left = attempt.times_out_at - self.clock.seconds()
+        broken = broken_by_send(self._send_facts(attempt, time_left))
+        if broken is not None:
+            self.invariants.note_withheld(broken)
+            sequence_id = attempt.sequence.sequence_id
+            self.log("withheld", seq=sequence_id, number=attempt.number, why=broken)
+            return None
+        told_ms = max(1, int((time_left - TOLD_TIME_MARGIN_S) * 1000))
+        return request._replace(headers=[*request.headers, (b"x-remaining-ms", b"%d" % told_ms)])
+
+    def _send_facts(self, attempt: Attempt, time_left: float) -> SendFacts:
+        sequence = attempt.sequence
+        check = self.executor.router.check_send(self.clock.seconds(), sequence.number, attempt.number)
+        return SendFacts(
+            client_is_present=sequence.answer.state == AnswerState.OWED,
+            time_left=time_left,
+            engine_is_serving=self.directory.is_serving(attempt.engine),
+            is_in_slow_start_share=check.in_slow_start_share,
+            may_run=check.may_run,
         )
 
     def _needs_new_connection(self, attempt: Attempt) -> bool:
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -16,6 +16,7 @@
 from myrtlehub.relay.engine_client import EngineClient
 from myrtlehub.relay.errors import EndpointListError
 from myrtlehub.relay.event_log import no_log
+from myrtlehub.relay.invariant_monitor import InvariantMonitor, RecurringTimer
 from myrtlehub.relay.node_settings import NodeSettings, router_config_of
 from myrtlehub.relay.platform_limits import platform_limits_of
 from myrtlehub.relay.request_decoder import RequestDecoder
@@ -80,15 +81,22 @@
             budget.engines,
             REUSE_SHARE * limits.keepalive,
         )
-        self.engine_client = EngineClient(clock, self.pool, self.decoder, log)
+        self.monitor = InvariantMonitor(clock, log)
+        self.engine_client = EngineClient(clock, self.pool, self.decoder, self.monitor.counter, log)
         self.executor = executor_class(
             Router(self.config), self.decoder, self.config, clock, self.engine_client, "", log
         )
         self.engine_client.attach(self.executor)
-        self.front = ClientFront(self.executor, self.decoder, limits.max_in_flight)
+        self.monitor.attach(self.executor)
+        self.front = ClientFront(self.executor, self.decoder, self.monitor.counter, limits.max_in_flight)
         self.front.is_ready = self._is_ready
         self.listener = ConnectionListener(clock, self.front.on_request, budget.clients, budget.client_burst)
+        self.listener.on_closing = self.monitor.connection_closing
         self.discovery = self._make_discovery(dialer)
+        self.monitor.timers = [
+            RecurringTimer("discovery", self.discovery.is_armed),
+            RecurringTimer("stream monitor", self.engine_client.stream_monitor.is_armed),
+        ]
         self.on_open: Callable[[], None] = lambda: None  # clients may come from now on
         self._uses_fallback = False
         self._opened = False
@@ -113,6 +121,7 @@
     def start(self) -> None:
         """Follow discovery; clients are let in once it has answered, or after a while all the same."""
         self.executor.start()
+        self.monitor.start()
         self.discovery.start()
         self.clock.callLater(FALLBACK_DELAY_S, self._use_fallback_list)
 
--- a/myrtlehub/routing/contract.py
+++ b/myrtlehub/routing/contract.py
@@ -258,6 +258,18 @@
 )
 
 
+class SendCheck(NamedTuple):
+    """What still holds of a decided attempt, just before its first byte.
+
+    Attributes:
+        may_run: An earlier attempt is known not to have run, or another run does no harm there and then.
+        in_slow_start_share: The engine is warm, or cold and this sequence is of the share that it may have.
+    """
+
+    may_run: bool
+    in_slow_start_share: bool
+
+
 class Router(Protocol):
     """What a node calls; the first argument is always the present time.
 
@@ -313,6 +325,9 @@
     def wake(self, now: float, token: int) -> list[Action]:
         """Take a wake-up that was asked for."""
 
+    def check_send(self, now: float, sequence: int, attempt: int) -> SendCheck:
+        """Return what still holds of an attempt before its first byte; changes nothing."""
+
 
 class UnusedCalls:
     """The calls that a router may leave as they are, where it never asks for what they answer."""
--- a/myrtlehub/routing/policy/retries.py
+++ b/myrtlehub/routing/policy/retries.py
@@ -4,7 +4,9 @@
 from myrtlehub.routing.records import Attempt, Engine, Sequence
 
 CAPACITY_MEMORY = 20.0  # seconds for which an engine that was full for a tenant and type is their last choice
-CONNECTED_MARGIN = 0.05  # seconds that a retry may take to an engine once its connection stands
+# Seconds that a retry may take from the decision, or its last check, to the engine: for 0.15 a node may be
+# held up between reading its clock and writing; two turns of the event loop and the way there take 0.05.
+SEND_MARGIN = 0.15 + 0.05
 NOT_RUN = (  # outcomes after which no answer can have run unknown to us
     Outcome.GENERATED,
     Outcome.READ,
@@ -16,14 +18,20 @@
 
 def may_run_at(sequence: Sequence, engine: Engine, now: float, config: RouterConfig) -> bool:
     """Rule 2: what may have run goes again only as its traffic type allows."""
-    traffic = sequence.traffic
+    # it has to be there while the engines still know its idempotency key
+    arrives_at = now + config.connect_timeout + SEND_MARGIN
+    return may_arrive_at(sequence, engine, arrives_at, config)
+
+
+def may_arrive_at(sequence: Sequence, engine: Engine, arrives_at: float, config: RouterConfig) -> bool:
+    """Rule 2, for an attempt that is at the engine at that time."""
     first = sequence.possible_run
+    traffic = sequence.traffic
     if first is None or traffic.retry_semantics == RetrySemantics.IDEMPOTENT:
         return True
     if traffic.retry_semantics == RetrySemantics.AT_MOST_ONCE:
         return False
-    # it has to be there while the engines still know its idempotency key
-    is_in_time = now + config.connect_timeout + CONNECTED_MARGIN < first.sent_at + traffic.dedup_window
+    is_in_time = arrives_at < first.sent_at + traffic.dedup_window
     return is_in_time and engine.dedup_group(traffic) == first.dedup_group
 
 
--- a/myrtlehub/routing/policy/router.py
+++ b/myrtlehub/routing/policy/router.py
@@ -123,6 +123,17 @@
             engine.cache.add(arrival, now)
         self.actions.append(contract.Send(sequence.id, engine.index, timeout))
 
+    def check_send(self, now: float, ident: int, attempt: int) -> contract.SendCheck:
+        """Return what still holds of an attempt before its first byte; changes nothing."""
+        sequence = self.sequences.get(ident)
+        if sequence is None or attempt >= len(sequence.attempts):
+            return contract.SendCheck(may_run=False, in_slow_start_share=False)
+        engine = sequence.attempts[attempt].engine
+        return contract.SendCheck(
+            may_run=retries.may_arrive_at(sequence, engine, now + retries.SEND_MARGIN, self.config),
+            in_slow_start_share=self.admission.in_slow_start_share(engine, sequence, now),
+        )
+
     def _attempt_began(self, sequence: Sequence, attempt: Attempt, now: float, latency: float) -> None:
         writer, reader = attempt.engine, sequence.reader
         is_reported = (
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -155,3 +155,22 @@
         rig.client()
     rig.run(1.0)
     assert not any(client.lost for client in open_clients)
+
+
+def test_no_more_are_accepted_while_all_connections_have_requests_open() -> None:
+    """Crossing: who comes then would be taken beyond the bound, or closed though it may have asked."""
+    rig = RelayRig("w1", descriptors=100)
+    rig.engines["w1"].script = never_respond
+    listener = rig.node.listener
+    paused: list[bool] = []
+    listener.on_full = paused.append
+    most = listener.max_connections + listener.burst
+    clients = [rig.request(f"a{number}", remaining_ms=9000) for number in range(most)]
+    assert not paused
+    late = rig.request("late", remaining_ms=9000)
+    rig.run(0.5)
+    assert paused == [True] and not late.lost and len(rig.node.front.open) == most + 1
+    clients[0].transport.loseConnection()
+    clients[1].transport.loseConnection()
+    rig.run(0.2)
+    assert paused == [True, False]
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,173 @@
+"""The invariants of a node: each verdict, and for each a planted breach that the counters of a relay find."""
+
+from collections.abc import Callable
+
+import pytest
+from relaymessages import COMPLETE_STREAM, LONG_PROMPT
+from relayrig import RelayRig, never_respond
+
+from myrtlehub.http1.server_connection import CloseReason
+from myrtlehub.state.answer import AnswerState
+from myrtlehub.state.invariants import (
+    Invariant,
+    InvariantCounter,
+    SendFacts,
+    broken_by_answer,
+    broken_by_close,
+    broken_by_forgetting,
+    broken_by_send,
+    broken_by_timer,
+    broken_by_waiting,
+)
+
+SOUND = SendFacts(
+    client_is_present=True,
+    time_left=1.0,
+    engine_is_serving=True,
+    is_in_slow_start_share=True,
+    may_run=True,
+)
+
+
+@pytest.mark.parametrize(
+    ("change", "broken"),
+    [
+        ({}, None),
+        ({"client_is_present": False}, Invariant.CLIENT_PRESENT),
+        ({"time_left": 0.0}, Invariant.TIME_LEFT),
+        ({"engine_is_serving": False}, Invariant.ENGINE_SERVING),
+        ({"is_in_slow_start_share": False}, Invariant.SLOW_START),
+        ({"may_run": False}, Invariant.MAY_RUN),
+        ({"may_run": False, "client_is_present": False}, Invariant.CLIENT_PRESENT),
+    ],
+)
+def test_a_send_is_made_only_if_all_holds(change: dict[str, object], broken: Invariant | None) -> None:
+    assert broken_by_send(SOUND._replace(**change)) is broken
+
+
+def test_the_other_verdicts() -> None:
+    assert broken_by_close(has_open_request=False, client_has_closed=False) is None
+    assert broken_by_close(has_open_request=True, client_has_closed=True) is None
+    assert broken_by_close(has_open_request=True, client_has_closed=False) is Invariant.ANSWER_BEFORE_CLOSE
+    assert broken_by_answer(False) is None and broken_by_answer(True) is Invariant.ONE_FINAL_ANSWER
+    assert broken_by_forgetting(True, False) is None
+    assert broken_by_forgetting(False, False) is Invariant.ONE_FINAL_ANSWER
+    assert broken_by_forgetting(True, True) is Invariant.STATE_RELEASED
+    assert broken_by_waiting(0.1, 0.1) is None and broken_by_waiting(0.11, 0.1) is Invariant.ANSWER_IN_TIME
+    assert broken_by_timer(True) is None and broken_by_timer(False) is Invariant.TIMER_ARMED
+
+
+def test_violations_are_counted_by_kind_and_reported_with_their_request() -> None:
+    reported: list[tuple[Invariant, str]] = []
+    counter = InvariantCounter(lambda invariant, sequence_id: reported.append((invariant, sequence_id)))
+    assert counter.check(None, "a1")
+    assert not counter.check(Invariant.STATE_RELEASED, "a2")
+    assert not counter.check(Invariant.STATE_RELEASED, "a3")
+    assert counter.violations == {"state released": 2}
+    assert reported == [(Invariant.STATE_RELEASED, "a2"), (Invariant.STATE_RELEASED, "a3")]
+
+
+# -- planted breaches, each found by the counters of a running node --------------------------------
+
+
+def plant_second_answer(rig: RelayRig) -> None:
+    """Answer a sequence twice."""
+    rig.engines["w1"].script = never_respond
+    rig.request("a1")
+    sink = rig.node.front.open["a1"]
+    sink.rejected(0.0)
+    sink.generated(1)
+
+
+def plant_forgotten_answer(rig: RelayRig) -> None:
+    """Forget a sequence that has no answer."""
+    rig.engines["w1"].script = never_respond
+    rig.request("a1")
+    (sequence,) = rig.node.executor.in_flight.values()
+    rig.node.executor.on_forgotten(sequence)
+
+
+def plant_forgotten_state(rig: RelayRig) -> None:
+    """Forget a sequence whose state nobody has released."""
+    rig.engines["w1"].script = never_respond
+    rig.request("a1", LONG_PROMPT)
+    rig.run(0.1)
+    (sequence,) = rig.node.executor.in_flight.values()
+    sequence.answer.state = AnswerState.REJECTED
+    rig.node.executor.on_forgotten(sequence)
+
+
+def plant_close_under_a_request(rig: RelayRig) -> None:
+    """Close a connection with an open request, for room."""
+    rig.engines["w1"].script = never_respond
+    rig.request("a1")
+    next(iter(rig.node.listener.connections)).linger(CloseReason.ROOM)
+
+
+def plant_late_answer(rig: RelayRig) -> None:
+    """Have the router forget its wake-ups."""
+    rig.engines["w1"].script = never_respond
+    rig.node.executor.router._place_waiting = lambda now: None
+    rig.request("a1", remaining_ms=300)
+    (sequence,) = rig.node.executor.in_flight.values()
+    sequence.attempts[0].stop_timer()
+    rig.run(1.0)
+
+
+def plant_dead_timer(rig: RelayRig) -> None:
+    """Stop to follow discovery."""
+    rig.node.discovery._stop()
+    rig.run(11.0)
+
+
+PLANTED: dict[Invariant, list[Callable[[RelayRig], None]]] = {
+    Invariant.ONE_FINAL_ANSWER: [plant_second_answer, plant_forgotten_answer],
+    Invariant.STATE_RELEASED: [plant_forgotten_state],
+    Invariant.ANSWER_BEFORE_CLOSE: [plant_close_under_a_request],
+    Invariant.ANSWER_IN_TIME: [plant_late_answer],
+    Invariant.TIMER_ARMED: [plant_dead_timer],
+}
+WITHHELD = (
+    Invariant.CLIENT_PRESENT,
+    Invariant.TIME_LEFT,
+    Invariant.ENGINE_SERVING,
+    Invariant.SLOW_START,
+    Invariant.MAY_RUN,
+)
+
+
+def test_every_invariant_is_either_withheld_or_has_a_planted_breach() -> None:
+    assert set(PLANTED) | set(WITHHELD) == set(Invariant) and not set(PLANTED) & set(WITHHELD)
+
+
+@pytest.mark.parametrize(
+    ("invariant", "plant"), [(invariant, plant) for invariant, plants in PLANTED.items() for plant in plants]
+)
+def test_a_planted_breach_is_counted_and_logged(
+    invariant: Invariant, plant: Callable[[RelayRig], None]
+) -> None:
+    rig = RelayRig("r1 w1")
+    dumps: list[None] = []
+    rig.node.monitor.on_violation = lambda: dumps.append(None)
+    plant(rig)
+    assert rig.node.monitor.counter.violations[invariant.value] >= 1
+    assert dumps and [
+        fields
+        for event, fields in rig.logged
+        if event == "invariant violated" and fields["invariant"] == invariant
+    ]
+
+
+def test_a_sound_node_violates_nothing_and_writes_its_counters() -> None:
+    rig = RelayRig("r1 w1 w2")
+    for number in range(10):
+        rig.request(f"a{number}", LONG_PROMPT if number % 2 else 100, "post" if number % 3 else "ask")
+    rig.engines["w1"].script = rig.engines["w2"].script = never_respond
+    client = rig.request("b", LONG_PROMPT)
+    client.transport.loseConnection()
+    rig.run(11.0)
+    for connection in rig.engines["w1"].connections:
+        connection.send(COMPLETE_STREAM) if not connection.lost else None
+    counters = [fields for event, fields in rig.logged if event == "counters"]
+    assert counters and counters[-1]["violations"] == {} and counters[-1]["in_flight"] == 0
+    assert counters[-1]["answers"] == {"generated": 10, "left": 1}
--- a/tests/test_relay_rearming.py
+++ b/tests/test_relay_rearming.py
@@ -4,7 +4,7 @@
 
 import pytest
 from relaymessages import LONG_PROMPT, STREAM_HEAD
-from relayrig import RelayRig, never_respond
+from relayrig import RawClientFactory, RelayRig, never_respond
 
 from myrtlehub.relay.graceful_shutdown import GracefulShutdown
 
@@ -169,3 +169,30 @@
     client = rig.request("a2", remaining_ms=500)
     run(rig, 1.0)
     assert client.statuses == [503] and not executor.in_flight
+
+
+def test_an_answer_that_the_router_does_not_give_is_given_in_time_and_counted() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = never_respond
+    rig.node.executor.router._place_waiting = lambda now: None  # its wake-ups do nothing any more
+    client = rig.request("a1", remaining_ms=500)
+    attempt = next(iter(rig.node.executor.in_flight.values())).attempts[0]
+    attempt.stop_timer()
+    run(rig, 0.8)
+    assert client.statuses == [502]
+    assert rig.node.monitor.counter.violations == {"answer in time": 1}
+    assert [fields["seq"] for event, fields in rig.logged if event == "invariant violated"] == ["a1"]
+
+
+def test_connections_are_accepted_again_after_one_that_could_not_be_dropped() -> None:
+    rig = RelayRig("w1", descriptors=100)
+    listener = rig.node.listener
+    paused: list[bool] = []
+    listener.on_full = paused.append
+    listener._drop = Failing(listener._drop)
+    for _ in range(listener.max_connections + listener.burst + 3):
+        rig.net.dialer("node")(RawClientFactory())
+    run(rig, 0.5)
+    assert True in paused and paused[-1] is False
+    run(rig, 4.0)
+    assert len(listener.connections) <= listener.max_connections
