Engines' starts by what a node knows without its wall clock

Seen by reading, then forced: after a step of an hour back a process took each engine for cold for an hour, as it seemed to start in the future; after one forward none for cold. An engine that started in this very moment had the age 0, which stands for long ago: it was taken for warm (found by the test of the guard, which withheld nothing). Cause: ages were reckoned by an epoch read once from the wall clock. Change: nobody starts in the future, which moves the epoch; an engine that appears or restarts between two answers of discovery has started since the first of them, less the 6 s of a notice; the same start is always the same moment; an age is above 0.

--- a/myrtlehub/relay/discovery_client.py
+++ b/myrtlehub/relay/discovery_client.py
@@ -182,7 +182,9 @@
     def _decode(self, body: bytes | None) -> EndpointListUpdate:
         if body is None:
             raise EndpointListError("no answer")
-        update = self.decoder.decode(parse_json(body), self.clock.seconds())
+        now = self.clock.seconds()
+        update = self.decoder.decode(parse_json(body), now)
+        self.decoder.starts.discovery_answered(now)  # not the fallback list, which may be old
         if self.version is None and not update.complete:
             raise EndpointListError("whole: the first answer has to be the whole list")
         return update
--- a/myrtlehub/relay/endpoint_list.py
+++ b/myrtlehub/relay/endpoint_list.py
@@ -3,9 +3,19 @@
 from enum import StrEnum
 from typing import Any, NamedTuple, Self
 
+from myrtlehub.relay.engine_starts import EngineStarts
 from myrtlehub.relay.errors import EndpointListError
 from myrtlehub.relay.parsing import parse_address
 
+MIN_AGE_S = 1e-6  # of an engine that has just started: an age of 0 stands for long ago
+
+
+def _born_ms(host: Any) -> float:  # noqa: ANN401
+    """Return when an entry says that its engine started, in Unix milliseconds; 0: long ago, or unreadable."""
+    born_ms = host.get("born_ms") if isinstance(host, dict) else None
+    is_number = isinstance(born_ms, (int, float)) and not isinstance(born_ms, bool)
+    return born_ms if is_number and 0.0 < born_ms < float("inf") else 0.0
+
 
 class EndpointState(StrEnum):
     """The state of an engine in the list; the values are those of `node.endpoint_index`."""
@@ -58,13 +68,13 @@
     """Decodes lists and changes, and remembers the last entry of each engine.
 
     `kinds` and `zones` are the names that the settings allow; `epoch` is the Unix time when the node's clock
-    showed 0, taken once, so that an engine's start is always the same moment.
+    showed 0.
     """
 
     def __init__(self, kinds: dict[str, int], zones: dict[str, int], epoch: float) -> None:
         self.kinds = kinds
         self.zones = zones
-        self.epoch = epoch
+        self.starts = EngineStarts(epoch)
         self.entries: dict[str, EndpointEntry] = {}  # by name; engines that are gone are not kept
 
     def decode(self, message: Any, now: float) -> EndpointListUpdate:  # noqa: ANN401
@@ -75,6 +85,7 @@
         """
         if not isinstance(message, dict) or not isinstance(message.get("hosts"), list):
             raise EndpointListError("hosts: is missing")
+        self.starts.correct(max(map(_born_ms, message["hosts"]), default=0.0), now)
         decoded = (self._decode_entry(host, now) or self._leaving_notice(host) for host in message["hosts"])
         entries = [entry for entry in decoded if entry is not None]
         if message.get("whole"):
@@ -82,6 +93,7 @@
         for entry in entries:
             if entry.state == EndpointState.GONE:
                 self.entries.pop(entry.address, None)
+                self.starts.forget(entry.address)
             else:
                 self.entries[entry.address] = entry
         version = message.get("seq")
@@ -102,7 +114,9 @@
     def _decode_entry(self, host: Any, now: float) -> EndpointEntry | None:  # noqa: ANN401
         try:
             state = STATE_BY_HEALTH[host["health"]]
-            born_ms = host.get("born_ms") or 0
+            born_ms = _born_ms(host)
+            if host.get("born_ms") and not born_ms:
+                return None
             dial_address = host.get("dial", "")
             if state != EndpointState.GONE and parse_address(dial_address) is None:
                 return None
@@ -114,7 +128,9 @@
                 return None
             if not (isinstance(host["host"], str) and host["host"] and isinstance(cell, int)):
                 return None
-            age = now - (born_ms / 1e3 - self.epoch) if born_ms else 0.0
+            age = 0.0
+            if born_ms:
+                age = max(MIN_AGE_S, now - self.starts.started_at(host["host"], born_ms, now))
             return EndpointEntry(host["host"], kind, zone, cell, weight, state, age, dial_address)
         except (KeyError, TypeError, ValueError, AttributeError):
             return None
--- /dev/null
+++ b/tests/test_engine_starts.py
@@ -0,0 +1,88 @@
+"""When engines started, for a node whose wall clock was stepped before it began, or is right."""
+
+import pytest
+
+from myrtlehub.relay.endpoint_list import EndpointListDecoder
+
+NOW = 5000.0  # by the node's clock
+UNIX_NOW = 1_700_000_000.0
+HOUR = 3600.0
+
+
+def decoder(wall_clock_error: float = 0.0) -> EndpointListDecoder:
+    """Return that of a node that began just now, whose wall clock is so far ahead."""
+    return EndpointListDecoder({"w": 0}, {"z": 0}, UNIX_NOW + wall_clock_error - NOW)
+
+
+def host(name: str, age: float | None, now: float = NOW, **fields: object) -> dict[str, object]:
+    """Return an entry of an engine that started `age` seconds before `now`; None: long ago."""
+    born_ms = 0 if age is None else (UNIX_NOW + (now - NOW) - age) * 1000
+    return {
+        "host": name,
+        "dial": "127.0.0.1:1",
+        "site": "z",
+        "class": "w",
+        "block": 0,
+        "health": "active",
+        "born_ms": born_ms,
+        **fields,
+    }
+
+
+def ages(
+    decoder: EndpointListDecoder, now: float, *hosts: dict[str, object], whole: bool = True
+) -> list[float]:
+    """Return the ages that a list has."""
+    update = decoder.decode({"seq": 1, "whole": whole, "hosts": list(hosts)}, now)
+    decoder.starts.discovery_answered(now)
+    return [round(entry.age, 3) for entry in update.entries]
+
+
+def test_with_a_right_clock_ages_are_as_stated() -> None:
+    assert ages(decoder(), NOW, host("w1", 3.0), host("w2", None), host("w3", 500.0)) == [3.0, 0.0, 500.0]
+
+
+def test_a_clock_set_back_by_an_hour_makes_no_engine_start_in_the_future() -> None:
+    """Each would be taken for cold for an hour; now just the newest is, for its usual time."""
+    back = decoder(-HOUR)
+    first = ages(back, NOW, host("w1", 30.0), host("w2", 500.0), host("w3", None))
+    assert first == [0.0, 470.0, 0.0] and back.entries["w1"].age > 0.0
+    assert ages(back, NOW + 20.0, host("w1", 50.0, NOW + 20.0), host("w2", 520.0, NOW + 20.0)) == [
+        20.0,
+        490.0,
+    ]
+
+
+@pytest.mark.parametrize("error", [HOUR, -HOUR, 5.0, -5.0])
+def test_an_engine_that_appears_while_a_node_watches_is_new_whatever_the_clock_says(error: float) -> None:
+    watching = decoder(error)
+    ages(watching, NOW, host("w1", None))
+    (age,) = ages(watching, NOW + 2.0, host("w2", 1.0, NOW + 2.0), whole=False)
+    assert 0.0 <= age <= 8.0
+
+
+@pytest.mark.parametrize("error", [HOUR, -HOUR])
+def test_an_engine_that_restarts_while_a_node_watches_is_new(error: float) -> None:
+    watching = decoder(error)
+    ages(watching, NOW, host("w1", 900.0))
+    (age,) = ages(watching, NOW + 2.0, host("w1", 0.5, NOW + 2.0), whole=False)
+    assert 0.0 <= age <= 8.0
+
+
+def test_a_start_is_always_the_same_moment() -> None:
+    """Guards against an engine that seems to have restarted, and whose cache is forgotten, at each list."""
+    watching = decoder(-HOUR)
+    ages(watching, NOW, host("w1", 400.0))
+    before = NOW - watching.entries["w1"].age
+    ages(watching, NOW + 9.0, host("w1", 409.0, NOW + 9.0), host("w2", 1.0, NOW + 9.0))
+    assert NOW + 9.0 - watching.entries["w1"].age == pytest.approx(before)
+
+
+def test_an_engine_that_has_started_this_moment_is_not_one_of_long_ago() -> None:
+    exact = decoder()
+    ages(exact, NOW, host("w1", 0.0))
+    assert exact.entries["w1"].age > 0.0
+
+
+def test_an_entry_whose_start_cannot_be_read_is_left_out() -> None:
+    assert ages(decoder(), NOW, host("w1", 1.0, born_ms="soon"), host("w2", 1.0, born_ms=[1])) == []
--- a/tests/test_relay_first_byte.py
+++ b/tests/test_relay_first_byte.py
@@ -56,6 +56,21 @@
     assert client.statuses == [503]
 
 
+def test_nothing_is_sent_to_an_engine_that_turns_out_cold() -> None:
+    """Crossing: its restart is told while a connection to it comes up, and this one is not of its share."""
+    rig = slow_rig("w1 w2")
+    rig.engines["w1"].script = rig.engines["w2"].script = never_respond
+    for number in range(12):
+        rig.request(f"a{number}", traffic="post")
+    now_ms = rig.clock.seconds() * 1000
+    restarted = {name: rig.entry(name, born_ms=now_ms) for name in ("w1", "w2")}
+    rig.update_list(**restarted)
+    rig.run(SLOW_CONNECT_S + 0.05)
+    sent = len(rig.engines["w1"].chat_requests() + rig.engines["w2"].chat_requests())
+    withheld = rig.node.monitor.counter.withheld["slow start"]
+    assert withheld >= 6 and sent <= 3
+
+
 @pytest.mark.parametrize(("held_up", "is_sent"), [(0.0, True), (0.6, False)])
 def test_a_retry_is_not_sent_once_its_dedup_window_is_over(held_up: float, is_sent: bool) -> None:
     """Crossing: the process is held up between the decision and the connection."""
