--- a/tests/test_relay_first_byte.py
+++ b/tests/test_relay_first_byte.py
@@ -1,7 +1,7 @@
 """What is checked and told just before the first byte of an attempt, however long its connection took."""
 
 import pytest
-from relaymessages import SETTINGS
+from relaymessages import COMPLETE_STREAM, SETTINGS, chat_request
 from relayrig import RelayRig, never_respond
 from twisted.internet import task
 from twisted.internet.defer import Deferred
@@ -89,3 +89,28 @@
     sent = sum(len(engine.chat_requests()) for engine in engines)
     assert sent == 1 + is_sent
     assert rig.node.monitor.counter.withheld["may run"] == (not is_sent)
+
+
+def test_a_pipelined_request_counts_from_its_own_last_byte() -> None:
+    """Crossing: it waits here behind the stream of the request before it, while its client's time runs on."""
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = never_respond
+    client = rig.client()
+    client.send(chat_request("a1", remaining_ms=3000) + chat_request("a2", remaining_ms=3000))
+    rig.run(1.0)
+    rig.engines["w1"].chat_requests()[0].connection.send(COMPLETE_STREAM)
+    rig.run(0.3)
+    second = rig.engines["w1"].chat_requests()[1]
+    assert second.headers[b"x-txn"] == b"a2"
+    assert int(second.headers[b"x-remaining-ms"]) <= 2000
+
+
+def test_a_pipelined_request_whose_time_is_over_is_refused_unsent() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = never_respond
+    client = rig.client()
+    client.send(chat_request("a1", remaining_ms=3000) + chat_request("a2", remaining_ms=800))
+    rig.run(1.0)
+    rig.engines["w1"].chat_requests()[0].connection.send(COMPLETE_STREAM)
+    rig.run(0.1)
+    assert client.statuses == [200, 503] and len(rig.engines["w1"].chat_requests()) == 1
--- a/tests/test_relay_local_failures.py
+++ b/tests/test_relay_local_failures.py
@@ -9,7 +9,7 @@
 from faultcontrol import FaultControlFile
 from relaymessages import LONG_PROMPT, READ_RESPONSE, RELEASE_RESPONSE, chat_request
 from socketpeers import PeerConnection, ReceivedRequest, never_respond
-from socketrig import Client, RelayProcess, SocketRig
+from socketrig import Client, RelayProcess, SocketRig, stay_stopped
 
 LOCAL_ERRORS = ("EADDRNOTAVAIL", "ENOBUFS", "ENFILE", "EMFILE", "ENOMEM", "EACCES", "ENETUNREACH")
 
@@ -144,3 +144,21 @@
     assert Client(node.address).send(chat_request("a1")).read_status() == 200
     node.signal("TERM")
     assert node.exit_code() == 0
+
+
+def test_a_request_that_waited_to_be_accepted_counts_from_its_coming(
+    rig: SocketRig, faults: FaultControlFile
+) -> None:
+    """Found by the fault soak: accept failed for a while, and engines were told the client's whole time."""
+    node = rig.start("w1", argv=faults.argv())
+    faults.set(accept="ENFILE")
+    client = Client(node.address).send(chat_request("a1", remaining_ms=4000))
+    faults.wait_for_injected("accept", 1)
+    stay_stopped(1.0)
+    faults.set()
+    assert client.read_status() == 200
+    assert int(rig.engines["w1"].next_request(b"POST").headers[b"x-remaining-ms"]) <= 3150
+    client.close()
+    # who comes later has not waited
+    assert Client(node.address).send(chat_request("a2", remaining_ms=4000)).read_status() == 200
+    assert int(rig.engines["w1"].next_request(b"POST").headers[b"x-remaining-ms"]) >= 3500
