A request counts from its last byte, wherever it had to wait for the node

Cause: the time left counted from when a request was decoded. Behind an open request of its connection, behind an accept that fails or is paused, or before the first list, it had waited for up to seconds, and engines were told all of the client's time. Change: ServerRequest.received_at: when its last byte came (ByteArrivals); for what is read at once on a connection that waited to be accepted, since when accept was not possible. BoundedPort accepts by itself: where Twisted's port has no descriptor it accepts the client in order to close it, unread, and then calls accept again and again; this one leaves it in the queue and pauses 20 ms.

--- a/myrtlehub/http1/listener.py
+++ b/myrtlehub/http1/listener.py
@@ -32,6 +32,7 @@
         connections: The connections, in the order of their coming.
         total_read_ahead: Bytes of all connections that are not read as complete requests yet.
         draining: The process ends: nothing new is wanted.
+        waiting_since: Since when those that are accepted now may have waited for that; None: not at all.
         on_full: Called with whether to accept no more connections for a moment.
         on_closing: Called with the reason for each close from this side, and the request that is open on the
             connection, if any.
@@ -53,6 +54,7 @@
         self.connections: dict[ServerConnection, None] = {}
         self.total_read_ahead = 0
         self.draining = False
+        self.waiting_since: float | None = None
         self.on_full: Callable[[bool], None] = _ignore_full
         self.on_closing: Callable[[CloseReason, ServerExchange | None], None] = _ignore_close
         self._dropped_count = 0  # that are still to be lost
--- a/myrtlehub/http1/request_assembler.py
+++ b/myrtlehub/http1/request_assembler.py
@@ -55,13 +55,13 @@
         self._parts.append(bytes(data))
         return None
 
-    def finish(self) -> ServerRequest:
-        """Return the complete request, and be free for the next one."""
+    def finish(self, received_at: float) -> ServerRequest:
+        """Return the complete request, whose last byte came then, and be free for the next one."""
         head = self._head
         body = b"".join(self._parts)
         self._head = None
         self._parts = []
-        return ServerRequest(bytes(head.method), bytes(head.target), list(head.headers), body)
+        return ServerRequest(bytes(head.method), bytes(head.target), list(head.headers), body, received_at)
 
     def discard_body(self) -> None:
         """Free what has come of a body: its request is not read any further."""
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -15,9 +15,11 @@
     MAX_HEAD_BYTES,
     MAX_READ_AHEAD_BYTES,
     MAX_TOTAL_READ_AHEAD_BYTES,
+    READ_GRACE_S,
     REQUEST_TIMEOUT_S,
     STALLED_WRITE_TIMEOUT_S,
 )
+from myrtlehub.http1.byte_arrivals import ByteArrivals
 from myrtlehub.http1.interfaces import Clock, Headers, Timer
 from myrtlehub.http1.request_assembler import RequestAssembler
 from myrtlehub.http1.server_exchange import ServerExchange
@@ -60,10 +62,12 @@
         clock: The clock.
         draining: The process ends: nothing new is wanted.
         total_read_ahead: Bytes of all connections that are not read as complete requests yet.
+        waiting_since: Since when those that are accepted now may have waited for that; None: not at all.
     """
 
     clock: Clock
     draining: bool
+    waiting_since: float | None
     total_read_ahead: int
 
     def connection_opened(self, connection: "ServerConnection") -> None:
@@ -102,6 +106,8 @@
         self.lost = False
         self.dropped = False
         self._assembler = RequestAssembler()
+        self._arrivals = ByteArrivals()
+        self._waiting_since = listener.waiting_since
         self._read_ahead = 0  # bytes that came and are not read as a complete request yet
         self._discarded = 0
         self._deadline: Timer | None = None
@@ -147,10 +153,18 @@
         if self.unused:
             self._set_deadline(REQUEST_TIMEOUT_S)
         self._set_read_ahead(self._read_ahead + len(data))
+        self._arrivals.add(len(data), self._arrival_time())
         self.http.receive_data(data)
         if self.exchange is None:
             self._read_requests()
 
+    def _arrival_time(self) -> float:
+        """Return when what is read now came, at the earliest: it may have waited to be accepted."""
+        now = self.clock.seconds()
+        waiting_since, self._waiting_since = self._waiting_since, None
+        is_first_read = waiting_since is not None and now - self.idle_since <= READ_GRACE_S
+        return waiting_since if is_first_read else now
+
     def _exceeds_read_ahead(self, size: int) -> bool:
         return (
             self._read_ahead + size > MAX_READ_AHEAD_BYTES
@@ -201,8 +215,9 @@
 
     def _open_exchange(self) -> None:
         """A request is complete: hand it on."""
-        request = self._assembler.finish()
-        self._set_read_ahead(len(self.http.trailing_data[0]))
+        unread = len(self.http.trailing_data[0])
+        request = self._assembler.finish(self._arrivals.consume(unread))
+        self._set_read_ahead(unread)
         self.had_request = True
         if self._deadline is not None and self._deadline.active():
             self._deadline.cancel()
--- a/myrtlehub/http1/server_exchange.py
+++ b/myrtlehub/http1/server_exchange.py
@@ -7,12 +7,17 @@
 
 
 class ServerRequest(NamedTuple):
-    """A complete request; header names are in lower case."""
+    """A complete request; header names are in lower case.
+
+    Attributes:
+        received_at: When its last byte came, by the connection's clock; it may have waited since.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
+    received_at: float
 
 
 class ResponseWriter(Protocol):
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -8,21 +8,20 @@
 from typing import Any
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.tcp import Port
 
 from myrtlehub.http1.connection_pool import Dial
 from myrtlehub.node.clock import SteadyClock
 from myrtlehub.node.process import on_signal, on_term, settle_memory
+from myrtlehub.relay.bounded_port import BoundedPort
 from myrtlehub.relay.errors import SettingsError
 from myrtlehub.relay.event_log import EventLog
 from myrtlehub.relay.graceful_shutdown import GracefulShutdown
 from myrtlehub.relay.log_writer import LogWriter
-from myrtlehub.relay.node import MAX_ACCEPTS_PER_TURN, RelayNode
+from myrtlehub.relay.node import RelayNode
 from myrtlehub.relay.node_settings import MIN_DESCRIPTORS, NodeSettings, read_node_settings
 from myrtlehub.relay.settings_reload import reload_settings
 from myrtlehub.relay.uncaught_errors import log_uncaught_errors
 
-BACKLOG = 511  # connections that may wait to be accepted: bursts come by hundreds
 STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
 LAST_FLUSH_S = 0.2  # for which the end of the process waits for a slow reader of its log
@@ -33,35 +32,6 @@
     sys.exit(2)
 
 
-class BoundedPort(Port):
-    """Accepts so many connections a turn at most, whatever the reactor has seen of late.
-
-    Guards against descriptors that run out before the first of a rush is closed for another.
-    """
-
-    _accepts = MAX_ACCEPTS_PER_TURN
-
-    @property
-    def numberAccepts(self) -> int:  # noqa: N802
-        """How many connections to accept in a turn."""
-        return self._accepts
-
-    @numberAccepts.setter
-    def numberAccepts(self, count: int) -> None:  # noqa: N802
-        self._accepts = min(count, MAX_ACCEPTS_PER_TURN)
-
-    def set_full(self, full: bool) -> None:
-        """Accept no more for a moment, or go on, unless it was closed meanwhile."""
-        if self.connected:
-            (self.stopReading if full else self.startReading)()
-
-    def accept_all(self) -> None:
-        """Accept all who wait: they were taken by this machine, and an answer is due to them."""
-        for _ in range(BACKLOG // MAX_ACCEPTS_PER_TURN + 1):
-            self.numberAccepts = MAX_ACCEPTS_PER_TURN
-            self.doRead()
-
-
 def _within_process_limit(settings: NodeSettings) -> NodeSettings:
     """Return the settings with as many descriptors as the system allows this process, if these are fewer."""
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -105,10 +75,10 @@
         in the turn in which discovery's first answer comes, and be sent by an old list.
         """
         listen = self.settings.listen
-        port = BoundedPort(listen.port, self.node.listener, BACKLOG, listen.host, self.reactor)
+        port = BoundedPort(self.node.listener, self.node.clock, (listen.host, listen.port), self.reactor)
         port.startListening()
-        port.stopReading()
-        self.node.on_open = port.startReading
+        port.pause()
+        self.node.on_open = port.resume
         self.node.listener.on_full = port.set_full
         return port
 
--- a/myrtlehub/relay/request_decoder.py
+++ b/myrtlehub/relay/request_decoder.py
@@ -91,7 +91,8 @@
             traffic=traffic,
             tenant=tenant,
             prompt_tokens=float(size.prompt),
-            time_left=self.lag.time_left(now, stated_time),
+            # It may have waited here behind another request of its connection.
+            time_left=self.lag.time_left(now, stated_time - (now - request.received_at)),
             session=hash_key(fields.get(b"x-entity", b"").decode("latin-1")),
             prefix=hash_key(labels.get(b"prefix", b"").decode("latin-1")),
             shared_tokens=float(size.shared),
