A write that is to fetch a state never goes on an idle connection

Ruled out: releases (sent at once when the attempt ended), local errors (none at those nodes). Change: EngineClient._needs_new_connection: a write with a state to fetch takes a new connection, which does not come up from a machine that is cut off; the connect timeout and the release share of the policy do the rest, within 0.8 s.

--- a/myrtlehub/relay/engine_client.py
+++ b/myrtlehub/relay/engine_client.py
@@ -124,9 +124,12 @@
         """Return whether no idle connection may be used.
 
         Guards against an idle connection that its peer closed unseen: what may not run twice would be lost.
-        And against a next attempt that is there before the end of a cancelled one: a new connection takes
-        longer.
+        Against one whose engine was cut off unseen: a write on it never arrives, and all the while the state
+        that it is to fetch would stay at its reader. And against a next attempt that is there before the end
+        of a cancelled one: a new connection takes longer.
         """
+        if attempt.fetched_state is not None:
+            return True
         sequence = attempt.sequence
         return self.decoder.rows[sequence.arrival.traffic].at_most_once and (
             not attempt.reads or sequence.sequence_id in self.uncertain_attempts
