--- a/myrtlehub/cli/fault_soak.py
+++ b/myrtlehub/cli/fault_soak.py
@@ -14,6 +14,7 @@
 from myrtlehub.lab.fault_soak.schedule import Schedule, TroubleKind, shrink
 
 MAX_SEEDS = 1000
+MAX_SHOWN_PER_RULE = 4
 RUN_PATIENCE_S = 60.0  # beyond the length of a run
 
 
@@ -141,8 +142,11 @@
         f"{result.ends}, withheld {result.withheld}, driver lag {result.driver_lag} s; "
         f"{len(schedule.troubles)} troubles: {kinds}"
     )
-    for finding in result.findings[:8]:
-        click.echo(f"    {finding.rule}: {finding.subject}: {finding.detail}")
+    shown: Counter[str] = Counter()
+    for finding in result.findings:
+        shown[finding.rule] += 1
+        if shown[finding.rule] <= MAX_SHOWN_PER_RULE:
+            click.echo(f"    {finding.rule}: {finding.subject}: {finding.detail}")
     return bool(result.findings)
 
 
--- a/myrtlehub/lab/fault_soak/fault_launcher.py
+++ b/myrtlehub/lab/fault_soak/fault_launcher.py
@@ -6,6 +6,9 @@
     {"connect": "EADDRNOTAVAIL", "accept": "EMFILE", "socket": "ENFILE", "send": "short",
      "recv": "ETIMEDOUT", "write": "ENOSPC", "clock": -3600.0, "share": 0.5}
 
+`unreachable` lists addresses, HOST:PORT, to which no connection comes up: they are made to `blackhole`, a
+host and a port whose queue is full.
+
 `share` is the share of calls that fail, drawn from the seed in $FAULT_SEED. Each injected fault is written to
 CONTROL.injected, so that a test can wait for it. Clocks that only advance are never touched.
 """
@@ -22,7 +25,8 @@
 from pathlib import Path
 from typing import Any
 
-SHORT = "short"  # of sends and receives: one byte at a time
+SHORT = "short"  # of sends and receives: some bytes at a time
+SHORT_BYTES = 64
 FILENO_POSITION = 4  # of the descriptor among a socket's arguments: it is none that is made
 SEED_VARIABLE = "FAULT_SEED"
 _real_time = time.time
@@ -88,7 +92,11 @@
     def connect_ex(self, address: Any) -> int:  # noqa: ANN401
         """Connect, or return the number of an error."""
         name = self.control.draw("connect")
-        return getattr(errno, name) if name else super().connect_ex(address)
+        if name:
+            return getattr(errno, name)
+        faults = self.control.faults
+        is_cut_off = f"{address[0]}:{address[1]}" in faults.get("unreachable", ())
+        return super().connect_ex(tuple(faults["blackhole"]) if is_cut_off else address)
 
     def accept(self) -> tuple[socket.socket, Any]:
         """Accept, or raise."""
@@ -96,18 +104,18 @@
         return super().accept()
 
     def send(self, data: bytes, *flags: int) -> int:
-        """Send all, one byte, or raise."""
+        """Send all, a little, or raise."""
         name = self.control.draw("send")
         if name and name != SHORT:
             raise _error(name)
-        return super().send(data[:1] if name else data, *flags)
+        return super().send(data[:SHORT_BYTES] if name else data, *flags)
 
     def recv(self, size: int, *flags: int) -> bytes:
-        """Receive, one byte at most, or raise."""
+        """Receive, a little at most, or raise."""
         name = self.control.draw("recv")
         if name and name != SHORT:
             raise _error(name)
-        return super().recv(1 if name else size, *flags)
+        return super().recv(SHORT_BYTES if name else size, *flags)
 
 
 def faulty_write(control: FaultControl) -> Callable[[int, bytes], int]:
--- a/myrtlehub/lab/fault_soak/node_process.py
+++ b/myrtlehub/lab/fault_soak/node_process.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import shlex
 import signal
 import subprocess
 import sys
@@ -16,6 +17,7 @@
 
 LAUNCHER = "myrtlehub.lab.fault_soak.fault_launcher"
 RELAY = "myrtlehub.relay"
+IGNORE_HANGUP = "trap '' HUP; exec "  # as `run` of the deploy file does, until the program can hear it
 POLL_INTERVAL_S = 0.03
 ACCEPTS_AFTER_TERM_S = 0.25  # for which clients still come after SIGTERM
 DESCRIPTORS = 256
@@ -76,6 +78,12 @@
             "faults.json", {name: value for name, value in self._faults.items() if value is not None}
         )
 
+    def cut_off(self, address: str, is_cut_off: bool) -> None:
+        """Let no connection to an address come up, or let them again."""
+        unreachable = set(self._faults.get("unreachable", ()))
+        unreachable = unreachable | {address} if is_cut_off else unreachable - {address}
+        self.set_faults(unreachable=sorted(unreachable))
+
     def start(self) -> None:
         """Start the process, and watch it from then on."""
         self._starts += 1
@@ -86,7 +94,8 @@
             "RELAY_CONFIG": str(self.folder / "config.json"),
             "FAULT_SEED": str(self.number),
         }
-        argv = [sys.executable, "-m", LAUNCHER, str(self.folder / "faults.json"), self.program]
+        command = [sys.executable, "-m", LAUNCHER, str(self.folder / "faults.json"), self.program]
+        argv = ["/bin/sh", "-c", IGNORE_HANGUP + shlex.join(command)]
         with (
             (self.folder / f"log.{self._starts}").open("wb") as log,
             (self.folder / f"errors.{self._starts}").open("wb") as errors,
--- a/myrtlehub/lab/fault_soak/oracle.py
+++ b/myrtlehub/lab/fault_soak/oracle.py
@@ -211,9 +211,9 @@
     def _longest_unused(self, state: HeldState, until: float) -> float:
         """Return the longest time in which the state was held and no attempt of its request was out."""
         used = sorted(
-            (a.arrived_at, a.ended_at if a.ended_at is not None else until)
+            (a.arrived_at, end)
             for a in self.attempts[state.id]
-            if a.arrived_at < until and (a.ended_at is None or a.ended_at > state.since)
+            if a.arrived_at < until and (end := self._out_until(a, until)) > state.since
         )
         longest = 0.0
         free_from = state.since
@@ -222,6 +222,14 @@
             free_from = max(free_from, end)
         return max(longest, until - free_from)
 
+    def _out_until(self, attempt: AttemptRecord, until: float) -> float:
+        """Return when the node can know that an attempt has ended: not while its answer is cut off."""
+        ended_at = attempt.ended_at if attempt.ended_at is not None else until
+        cuts = [
+            cut.end for cut in self.records.cuts if cut.engine == attempt.engine and cut.begin <= ended_at
+        ]
+        return max([ended_at, *(end for end in cuts if end >= attempt.began_at)])
+
     def _judge_processes(self) -> Iterator[Finding]:
         for ended in self.records.exits:
             if not ended.was_asked or ended.code != 0 or ended.errors:
--- a/myrtlehub/lab/fault_soak/runner.py
+++ b/myrtlehub/lab/fault_soak/runner.py
@@ -12,6 +12,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from myrtlehub.lab.fault_soak.blackhole import Blackhole
 from myrtlehub.lab.fault_soak.clients import ClientPopulation, Manner
 from myrtlehub.lab.fault_soak.discovery import DiscoveryAgent, EndpointBook
 from myrtlehub.lab.fault_soak.engines import Engine, StateStore
@@ -98,6 +99,9 @@
             for agent in self.agents
         ]
         self.clients = ClientPopulation(reactor, self.records, schedule.seed, CLIENT_RATE)
+        self.blackhole = Blackhole()
+        for node in self.nodes:
+            node.set_faults(blackhole=self.blackhole.address)
         self._done = Deferred()
         self._probes: dict[int, list[RequestRecord]] = {}
 
@@ -209,9 +213,13 @@
     def _engine_cut(self, trouble: Trouble) -> None:
         engine = self.engines[trouble.target]
         engine.proxy.stall()
+        for node in self.nodes:
+            node.cut_off(engine.proxy.address, True)
         self.reactor.callLater(trouble.length, self._end_cut, engine, time.monotonic())
 
     def _end_cut(self, engine: Engine, begin: float) -> None:
+        for node in self.nodes:
+            node.cut_off(engine.proxy.address, False)
         engine.proxy.cut()  # what waited is lost, and all connections are reset
         engine.proxy.restore()
         self.records.cuts.append(EngineCut(engine.name, begin, time.monotonic()))
