--- a/tests/test_relay_local_failures.py
+++ b/tests/test_relay_local_failures.py
@@ -162,3 +162,16 @@
     # who comes later has not waited
     assert Client(node.address).send(chat_request("a2", remaining_ms=4000)).read_status() == 200
     assert int(rig.engines["w1"].next_request(b"POST").headers[b"x-remaining-ms"]) >= 3500
+
+
+def test_a_node_starts_though_sockets_cannot_be_made_for_a_moment(
+    rig: SocketRig, faults: FaultControlFile
+) -> None:
+    """Found by the fault soak: a node that restarted in such a moment refused to start."""
+    rig.start("w1")
+    faults.set(socket="ENFILE")
+    node = rig.start_relay(argv=faults.argv())
+    faults.wait_for_injected("socket", 2)
+    faults.set()
+    node.wait_for_log("ready")
+    assert Client(node.address).send(chat_request("a1")).read_status() == 200
