A start waits for resources that are short for a moment; counters say the worst lag

Change: reading the settings, binding the port and installing the reactor are tried for 5 s where descriptors or memory are short (EMFILE, ENFILE, ENOBUFS, ENOMEM); a port that is taken, and a wrong file, end the start at once as before.

--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from functools import partial
 from typing import Any
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -20,6 +21,7 @@
 from myrtlehub.relay.node import RelayNode
 from myrtlehub.relay.node_settings import MIN_DESCRIPTORS, NodeSettings, read_node_settings
 from myrtlehub.relay.settings_reload import reload_settings
+from myrtlehub.relay.start_patience import with_patience
 from myrtlehub.relay.uncaught_errors import log_uncaught_errors
 
 STANDARD_OUTPUT = 1
@@ -54,7 +56,7 @@
         # process gone once clients wait, is heard as soon as the reactor runs.
         on_signal(signal.SIGHUP, self._on_hangup, reactor)
         on_term(self._on_terminate, reactor)
-        self.settings = read_node_settings(path)
+        self.settings = with_patience(partial(read_node_settings, path))
         self.node = RelayNode(
             _within_process_limit(self.settings),
             clock,
@@ -76,7 +78,7 @@
         """
         listen = self.settings.listen
         port = BoundedPort(self.node.listener, self.node.clock, (listen.host, listen.port), self.reactor)
-        port.startListening()
+        with_patience(port.startListening)
         port.pause()
         self.node.on_open = port.resume
         self.node.listener.on_full = port.set_full
@@ -108,14 +110,20 @@
         self.log.flush(LAST_FLUSH_S)
 
 
+def _install_reactor() -> Any:  # noqa: ANN401
+    from twisted.internet import reactor
+
+    return reactor
+
+
 def main() -> None:
     """Run until SIGTERM; exit 2 with a line where the configuration can't be used."""
     path = os.environ.get("RELAY_CONFIG", "")
     if not path:
         _fail("RELAY_CONFIG: is not set; name the configuration file by it")
-    from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
+    reactor = with_patience(_install_reactor)
     log_uncaught_errors(LogWriter(STANDARD_ERROR))
     try:
         program = Program(path, reactor)
--- a/myrtlehub/relay/invariant_monitor.py
+++ b/myrtlehub/relay/invariant_monitor.py
@@ -38,6 +38,7 @@
         counter: What was withheld and violated so far.
         timers: What has to recur for as long as the node runs.
         on_violation: Called after a violation was logged.
+        worst_lag: Returns by how many seconds this process ran late at worst.
     """
 
     def __init__(self, clock: Clock, log: Log) -> None:
@@ -46,6 +47,7 @@
         self.counter = InvariantCounter(self._violated)
         self.timers: list[RecurringTimer] = []
         self.on_violation: Callable[[], None] = lambda: None
+        self.worst_lag: Callable[[], float] = lambda: 0.0
         self.executor: ActionExecutor | None = None
         self._timer: Timer | None = None
         self._late_before: set[int] = set()  # numbers of sequences that were late at the last look
@@ -72,6 +74,7 @@
             "counters",
             answers=dict(sorted(self.executor.answer_counts.items())),
             in_flight=len(self.executor.in_flight),
+            worst_lag=round(self.worst_lag(), 3),
             withheld=dict(sorted(self.counter.withheld.items())),
             violations=dict(sorted(self.counter.violations.items())),
         )
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -88,6 +88,7 @@
         )
         self.engine_client.attach(self.executor)
         self.monitor.attach(self.executor)
+        self.monitor.worst_lag = lambda: self.decoder.lag.worst
         self.front = ClientFront(self.executor, self.decoder, self.monitor.counter, limits.max_in_flight)
         self.front.is_ready = self._is_ready
         self.listener = ConnectionListener(clock, self.front.on_request, budget.clients, budget.client_burst)
