--- /dev/null
+++ b/tests/test_byte_arrivals.py
@@ -0,0 +1,50 @@
+"""When bytes came, by their position, and patience at the start."""
+
+import errno
+from pathlib import Path
+
+import pytest
+
+from myrtlehub.http1.byte_arrivals import MERGED_WITHIN_S, ByteArrivals
+from myrtlehub.relay.start_patience import lacks_resources, with_patience
+
+
+def test_a_message_counts_from_its_own_last_byte() -> None:
+    arrivals = ByteArrivals()
+    arrivals.add(100, 1.0)  # the first message, and half of the second
+    arrivals.add(50, 2.0)  # its rest, and the third
+    assert arrivals.consume(unread=90) == 1.0
+    assert arrivals.consume(unread=30) == 2.0
+    assert arrivals.consume(unread=0) == 2.0
+    arrivals.add(10, 7.0)
+    assert arrivals.consume(unread=0) == 7.0
+
+
+def test_what_comes_within_a_moment_counts_from_its_begin_so_that_a_flood_of_bytes_takes_no_memory() -> None:
+    arrivals = ByteArrivals()
+    for number in range(10_000):
+        arrivals.add(1, number * MERGED_WITHIN_S / 100)
+    assert len(arrivals._pieces) <= 101
+    received_at = arrivals.consume(unread=5_000)
+    assert 50 * MERGED_WITHIN_S - MERGED_WITHIN_S <= received_at <= 50 * MERGED_WITHIN_S
+
+
+def test_a_lack_of_resources_is_told_from_a_wrong_configuration() -> None:
+    wrapped = ValueError("settings")
+    wrapped.__cause__ = OSError(errno.EMFILE, "too many open files")
+    assert lacks_resources(OSError(errno.ENFILE, "")) and lacks_resources(wrapped)
+    assert not lacks_resources(OSError(errno.EADDRINUSE, "")) and not lacks_resources(ValueError())
+
+
+def test_a_start_is_tried_again_only_for_a_lack_of_resources() -> None:
+    tries: list[int] = []
+
+    def make() -> str:
+        tries.append(len(tries))
+        if len(tries) < 3:
+            raise OSError(errno.ENOMEM, "no memory")
+        return "made"
+
+    assert with_patience(make) == "made" and len(tries) == 3
+    with pytest.raises(FileNotFoundError):
+        with_patience(Path("/nowhere/at/all").read_bytes)
--- a/tests/test_event_loop_lag.py
+++ b/tests/test_event_loop_lag.py
@@ -63,6 +63,18 @@
     assert meter.time_left(at, 4.0) == 4.0 and round(meter.worst, 3) == 0.3
 
 
+def test_what_a_late_turn_reads_last_has_waited_for_that_turn_too() -> None:
+    """Crossing: the process waits for a core, and then has many sockets to read, for longer than a tick."""
+    meter = event_loop_lag.LagMeter()
+    due = meter.tick(10.0)
+    late = due + 0.2
+    next_due = meter.tick(late)
+    for reading in (0.0, 0.01, 0.03, 0.1, 0.3):
+        assert meter.age(late + reading) >= 0.2 + reading - event_loop_lag.TICK_PERIOD - 1e-9
+    meter.tick(next_due)  # the next turn is on time
+    assert meter.age(next_due) == 0.0
+
+
 def late_by(measured: bool) -> float:
     """A client asks a node that stands still for 0.3 s again and again, and no engine answers."""
     f = Fleet("R0 W0 W0")
