What a late turn reads last has waited for that turn too

Cause: LagMeter.age took a late tick for over after TICK_PERIOD, also where no tick had come since: requests that a turn read later than that counted as having come just now, though they had waited for a core and for those read before them. Change: until the next tick the age is the late tick's lag and the time since.

--- a/myrtlehub/limits/event_loop_lag.py
+++ b/myrtlehub/limits/event_loop_lag.py
@@ -57,10 +57,14 @@
     def age(self, now: float) -> float:
         """Return a bound on how long ago what is read in this turn arrived.
 
-        It is as late as the tick that is overdue, or as the last one.
+        It is as late as the tick that is overdue, or as the last one. Where that was late and no other has
+        come since, the same turn goes on: what it reads last has waited for what it read before, too.
         """
         last = self._samples[-1] if self._samples else NO_SAMPLE
-        return max(self._overdue(now), last.lag if now - last.at < TICK_PERIOD else 0.0)
+        since_tick = now - last.at
+        if since_tick < TICK_PERIOD:
+            return max(self._overdue(now), last.lag)
+        return max(self._overdue(now), last.lag + since_tick if last.lag > NEGLIGIBLE_LAG else 0.0)
 
     def delay(self, now: float) -> float:
         """Return how late a timer that is set now may fire: the worst of the recent ticks."""
