Fault soak: a table that repeated its keys and an unused parameter are gone

On reading once more: SPAN_NAMES gave each kind its own name; _lost_its_node did not read 'since'. Behaviour as before.

--- a/myrtlehub/lab/fault_soak/oracle.py
+++ b/myrtlehub/lab/fault_soak/oracle.py
@@ -195,14 +195,14 @@
         allowed = self.terms.state_timeout + HELD_SLACK_S + self.tolerance
         for state in self.records.states:
             request = self.records.requests.get(state.id)
-            if request is None or self._lost_its_node(request, state.since):
+            if request is None or self._lost_its_node(request):
                 continue
             pinned = self._longest_unused(state, state.until)
             unable = self._unable(request, UNCONNECTED, state.since, state.until)
             if pinned > allowed + self._stopped(request) + unable:
                 yield Finding("pinned", state.id, f"{pinned:.3f} s at {state.engine} with no attempt out")
 
-    def _lost_its_node(self, request: RequestRecord, since: float) -> bool:
+    def _lost_its_node(self, request: RequestRecord) -> bool:
         return any(
             span.node == request.node and span.what == "kill" and span.end >= request.sent_at
             for span in self.records.spans
--- a/myrtlehub/lab/fault_soak/runner.py
+++ b/myrtlehub/lab/fault_soak/runner.py
@@ -33,10 +33,6 @@
 END_TIMEOUT_S = 16.0  # for all nodes to end after SIGTERM
 HALF_REQUEST_S = 3.0  # in which half a request is answered or closed
 HELD_UP_S = 3.0  # likewise, longer at a node that was stopped or could not accept
-SPAN_NAMES = {
-    TroubleKind.NODE_KILL: "kill",
-    TroubleKind.BROKEN_SOCKETS: "broken sockets",
-}
 CALLS = {
     TroubleKind.CONNECT_FAILS: ("connect",),
     TroubleKind.SOCKET_FAILS: ("socket",),
@@ -143,8 +139,7 @@
 
     def _fail_calls(self, trouble: Trouble) -> None:
         node = self.nodes[trouble.target]
-        name = SPAN_NAMES.get(trouble.kind, trouble.kind.value)
-        span = self.records.begin(node.number, name, time.monotonic())
+        span = self.records.begin(node.number, trouble.kind.value, time.monotonic())
         error = trouble.error or "short"
         node.set_faults(share=trouble.share, **dict.fromkeys(CALLS[trouble.kind], error))
         self.reactor.callLater(trouble.length, self._end_calls, trouble, span)
