Logs of the relay: sends, outcomes, releases, closes of engine connections, times

Cause: the report of pre-production could not tell when an attempt was sent, how it ended, whether a read state was released and why a sequence was answered: the log has no times, and none of these events. Change: attempt_sent, release_sent, release_ended and peer_connection_closed; attempt_ended has the outcome, sequence_answered the last outcome and the time left, counters the age of the oldest read state and the releases by result, each line the Unix time. No behaviour towards clients or engines changed.

--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -5,6 +5,7 @@
 from myrtlehub.http1.bounds import MAX_CHUNK_BYTES, MAX_HEAD_BYTES, MAX_INFORMATIONAL_RESPONSES
 from myrtlehub.http1.client_interfaces import ConnectionOwner, OutstandingRequest
 from myrtlehub.http1.client_request import ClientRequest, RequestFailure
+from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.headers import Header
 from myrtlehub.http1.tcp_transport import TcpProtocol, abortive_close
 
@@ -72,7 +73,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received data as a response; close the connection if no request is pending."""
         if self.pending is None:
-            self.close()
+            self.close(PeerCloseReason.SURPLUS_DATA)
             return
         try:
             self.http.receive_data(data)
@@ -131,13 +132,13 @@
             self.has_completed_request = True
             self.pool.add_idle(self)
         else:
-            self.close()
+            self.close(PeerCloseReason.NOT_REUSABLE)
         pending.mark_finished()
         pending.handler.on_complete()
 
     def _fail(self) -> None:
         pending, self.pending = self.pending, None
-        self.close()
+        self.close(PeerCloseReason.REQUEST_FAILED)
         if pending is not None:
             if self.has_completed_request and not self._has_response_begun:
                 self.pool.suspend_reuse()
@@ -147,16 +148,16 @@
                 RequestFailure.RESPONSE_FAILED if is_sent else RequestFailure.SEND_FAILED
             )
 
-    def close(self) -> None:
+    def close(self, reason: PeerCloseReason) -> None:
         """Close the connection at once; data in transit is discarded."""
         if not self.is_closed:
             self.is_closed = True
-            self.pool.remove(self)
+            self.pool.remove(self, reason)
             abortive_close(self.transport)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Remove the connection from the pool, and fail its request, if any."""
         self.is_closed = True
-        self.pool.remove(self)
+        self.pool.remove(self, PeerCloseReason.LOST)
         if self.pending is not None:
             self._fail()
--- a/myrtlehub/http1/client_interfaces.py
+++ b/myrtlehub/http1/client_interfaces.py
@@ -5,6 +5,7 @@
 
 from myrtlehub.clock import Clock
 from myrtlehub.http1.client_request import ClientRequest, ResponseHandler
+from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.tcp_transport import Transport
 
 
@@ -52,7 +53,7 @@
     def has_partial_data(self) -> bool:
         """Return whether the peer has sent a part of a chunk, or of its size line."""
 
-    def close(self) -> None:
+    def close(self, reason: PeerCloseReason) -> None:
         """Close the connection at once."""
 
 
@@ -64,7 +65,7 @@
     def add_idle(self, connection: PooledConnection) -> None:
         """Store a connection for reuse."""
 
-    def remove(self, connection: PooledConnection) -> None:
+    def remove(self, connection: PooledConnection, reason: PeerCloseReason) -> None:
         """Remove a connection that is closed or lost."""
 
     def suspend_reuse(self) -> None:
--- a/myrtlehub/http1/close_reason.py
+++ b/myrtlehub/http1/close_reason.py
@@ -1,4 +1,4 @@
-"""Reasons for which the server closes a client's connection."""
+"""Reasons for which connections are closed: those of clients, and those to peers such as engines."""
 
 from enum import StrEnum
 
@@ -15,3 +15,16 @@
     LINGER_TIMEOUT = "linger_timeout"  # the client did not read the last response and close in time
     WRITE_TIMEOUT = "write_timeout"  # the client read nothing of a stream for too long
     PIPELINE_FLOOD = "pipeline_flood"  # the client sent too much data while its request was open
+
+
+class PeerCloseReason(StrEnum):
+    """Reason for which a connection to a peer was closed; the values appear in the log."""
+
+    LOST = "lost"  # the peer closed or reset it, or the network reported an error
+    SURPLUS_DATA = "surplus_data"  # the peer sent data while no request was pending
+    NOT_REUSABLE = "not_reusable"  # its response was complete, and it cannot or may not carry another request
+    REQUEST_FAILED = "request_failed"  # its response could not be parsed
+    CANCELLED = "cancelled"  # the request on it, or the one that it was made for, was cancelled
+    IDLE_TIMEOUT = "idle_timeout"
+    ROOM_NEEDED = "room_needed"  # it was idle for longest, and another connection was needed
+    CLOSED_BY_ROUTER = "closed_by_router"  # the router asked to close the idle connections to the peer
--- a/myrtlehub/http1/connection_pool.py
+++ b/myrtlehub/http1/connection_pool.py
@@ -10,9 +10,11 @@
 from myrtlehub.http1.client_connection import ClientConnection
 from myrtlehub.http1.client_interfaces import Connecting, PooledConnection
 from myrtlehub.http1.client_request import ClientRequest, RequestFailure, ResponseHandler
+from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.idle_connections import IdleConnections
 from myrtlehub.http1.local_errors import is_local_error
 from myrtlehub.http1.pending_request import FirstByteHook, PendingRequest
+from myrtlehub.log_events import Log, LogEvent, no_log
 
 Dial = Callable[[Factory], Connecting]
 
@@ -44,9 +46,15 @@
     """
 
     def __init__(
-        self, clock: Clock, dialer: Callable[[str], Dial], max_connections: int, max_idle: float
+        self,
+        clock: Clock,
+        dialer: Callable[[str], Dial],
+        max_connections: int,
+        max_idle: float,
+        log: Log = no_log,
     ) -> None:
         self.clock = clock
+        self.log = log
         self.dialer = dialer
         self.max_connections = max_connections
         self.idle = IdleConnections(clock, max_idle)
@@ -143,7 +151,7 @@
         pending.connecting = None
         self._connected.add(connection)
         if pending.is_finished:
-            connection.close()
+            connection.close(PeerCloseReason.CANCELLED)
             return
         pending.connection = connection
         pending.ready_since = self.clock.seconds()
@@ -165,7 +173,7 @@
     def add_idle(self, connection: PooledConnection) -> None:
         """Store a connection for reuse, after a complete response or if nothing was sent on it."""
         if connection.is_closed or not self.idle.is_reuse_allowed():
-            connection.close()
+            connection.close(PeerCloseReason.NOT_REUSABLE)
             return
         self.idle.add(connection)
 
@@ -177,14 +185,21 @@
         """Return whether idle connections may be reused now."""
         return self.idle.is_reuse_allowed()
 
-    def remove(self, connection: PooledConnection) -> None:
+    def remove(self, connection: PooledConnection, reason: PeerCloseReason) -> None:
         """Remove a connection that is closed or lost."""
         if connection in self._connected:
             self._connected.discard(connection)
             self.count -= 1
+            is_unanswered = connection.pending is not None
+            self.log(
+                LogEvent.PEER_CONNECTION_CLOSED,
+                peer=connection.peer,
+                reason=reason,
+                is_unanswered=is_unanswered,
+            )
         self.idle.remove(connection)
 
     def close_idle(self, peer: str) -> None:
         """Close the idle connections to a peer."""
         for connection in self.idle.of_peer(peer):
-            connection.close()
+            connection.close(PeerCloseReason.CLOSED_BY_ROUTER)
--- a/myrtlehub/http1/idle_connections.py
+++ b/myrtlehub/http1/idle_connections.py
@@ -3,6 +3,7 @@
 from myrtlehub.clock import Clock, Timer
 from myrtlehub.http1.bounds import MIN_IDLE_BEFORE_REUSE_S, REUSE_SUSPENSION_S
 from myrtlehub.http1.client_interfaces import PooledConnection
+from myrtlehub.http1.close_reason import PeerCloseReason
 
 SWEEP_INTERVAL_S = 1.0  # between checks for connections that have been idle for longer than `max_idle`
 
@@ -74,7 +75,7 @@
         candidates = (connections[0] for connections in self._by_peer.values() if connections)
         oldest = min(candidates, key=lambda connection: connection.idle_since, default=None)
         if oldest is not None:
-            oldest.close()
+            oldest.close(PeerCloseReason.ROOM_NEEDED)
         return oldest is not None
 
     def _sweep(self) -> None:
@@ -86,7 +87,7 @@
                     connection for connection in connections if now - connection.idle_since > self.max_idle
                 ]
                 for connection in expired:
-                    connection.close()
+                    connection.close(PeerCloseReason.IDLE_TIMEOUT)
         finally:  # schedule the next sweep even if closing a transport raises
             if self._by_peer:
                 self._sweep_timer = self.clock.callLater(SWEEP_INTERVAL_S, self._sweep)
--- a/myrtlehub/http1/pending_request.py
+++ b/myrtlehub/http1/pending_request.py
@@ -4,6 +4,7 @@
 
 from myrtlehub.http1.client_interfaces import Connecting, ConnectionOwner, PooledConnection
 from myrtlehub.http1.client_request import ClientRequest, ResponseHandler
+from myrtlehub.http1.close_reason import PeerCloseReason
 
 # Called just before the first byte is written; returns the request to write, or None to abandon it.
 FirstByteHook = Callable[[ClientRequest], ClientRequest | None]
@@ -85,7 +86,7 @@
                 self.pool.add_idle(connection)  # nothing was written on it yet
             else:
                 connection.pending = None
-                connection.close()
+                connection.close(PeerCloseReason.CANCELLED)
 
     def pause(self) -> None:
         """Pause reading of the response."""
--- a/myrtlehub/lab/fault_soak/planted_faults.py
+++ b/myrtlehub/lab/fault_soak/planted_faults.py
@@ -70,7 +70,7 @@
     """Send one request for each release, even if it fails."""
 
     def on_end(self: StateRelease, succeeded: bool, body: bytes) -> None:
-        self._finish()
+        self._finish(state_release.ReleaseResult.EXPIRED)
 
     replace_attribute(StateRelease, "_on_end", on_end)
     state_release.RELEASE_TIMEOUT_S = 0.0
--- a/myrtlehub/node/sequence_lifecycle.py
+++ b/myrtlehub/node/sequence_lifecycle.py
@@ -136,6 +136,8 @@
             answer=answer,
             traffic_type=self.decoder.rows[sequence.arrival.traffic].name,
             attempts=len(sequence.attempts),
+            last_outcome=sequence.attempts[-1].outcome if sequence.attempts else None,
+            time_left_s=round(sequence.deadline - self.clock.seconds(), 4),
             first_token_s=None if latency is None else round(latency, 4),
             duration_s=round(self.clock.seconds() - sequence.accepted_at, 4),
             **more,
@@ -205,12 +207,14 @@
         event = _EVENT_OF_OUTCOME[outcome]
         if attempt.state_machine.step(event) == CommonEffect.LATE:
             return
-        sequence, latency = attempt.sequence, self.clock.seconds() - attempt.sent_at
+        sequence, now = attempt.sequence, self.clock.seconds()
+        latency = now - attempt.sent_at
         attempt.stop_timer()
         if was_streaming and event in _REJECTIONS:
             # A rejection after tokens must not count as one: the attempt has run.
             event, outcome, cached_tokens = AttemptEvent.RESET, contract.Outcome.RESET, 0.0
-        sequence.resolve_read_state(attempt, event, bool(cached_tokens), handle)
+        attempt.outcome = outcome
+        sequence.resolve_read_state(attempt, event, bool(cached_tokens), handle, now)
         self._resolve_answer(attempt, outcome, tokens)
         self._report_end(attempt, outcome, latency, cached_tokens, load)
         for observer in self._observers:
--- a/myrtlehub/node/sequences.py
+++ b/myrtlehub/node/sequences.py
@@ -35,6 +35,7 @@
         "is_read",
         "kind",
         "number",
+        "outcome",
         "sent_at",
         "sequence",
         "state_machine",
@@ -63,6 +64,7 @@
         self.call: TransportCall | None = None
         self.state_machine = StateMachine(ATTEMPT, AttemptState.READING if is_read else AttemptState.WRITING)
         self.claimed_state: ReadState | None = None  # the state that a write is to fetch
+        self.outcome: contract.Outcome | None = None  # None until it has ended
 
     @property
     def is_outstanding(self) -> bool:
@@ -84,12 +86,15 @@
 class ReadState:
     """The read state that one reader holds for one sequence, and the handle by which writers fetch it."""
 
-    __slots__ = ("engine", "handle", "state_machine")
+    __slots__ = ("engine", "handle", "state_machine", "unfetched_since")
 
     def __init__(self, engine: int) -> None:
         self.engine = engine
         self.state_machine = StateMachine(READ_STATE)
         self.handle: StateHandle | None = None
+        # Clock time in seconds since which the reader may have had the state, unfetched: the end of the last
+        # read. A write that claims the state does not change it. None until a read has ended.
+        self.unfetched_since: float | None = None
 
     @classmethod
     def read_for_former_owner(cls, engine: int, handle: StateHandle) -> Self:
@@ -163,11 +168,17 @@
         return effect
 
     def resolve_read_state(
-        self, attempt: Attempt, outcome: AttemptEvent, is_state_missing: bool, handle: StateHandle | None
+        self,
+        attempt: Attempt,
+        outcome: AttemptEvent,
+        is_state_missing: bool,
+        handle: StateHandle | None,
+        now: float,
     ) -> None:
-        """Step the read state that an attempt made or claimed, by the attempt's outcome."""
+        """Step the read state that an attempt made or claimed, by the attempt's outcome at a time."""
         if attempt.is_read:
             read_state = self.read_states[attempt.engine]
+            read_state.unfetched_since = now
             read_state.handle = handle
             self.step_read_state(read_state, event_of_read_end(outcome))
         elif attempt.claimed_state is not None:
--- a/myrtlehub/relay/engines/engine_client.py
+++ b/myrtlehub/relay/engines/engine_client.py
@@ -60,7 +60,7 @@
         self.log = log
         self.directory = EngineDirectory(clock, pool, decoder.engines)
         self.uncertain_attempts = UncertainAttempts(clock)
-        self.releaser = StateReleaser(clock, pool, self.directory)
+        self.releaser = StateReleaser(clock, pool, self.directory, log)
         self.stream_monitor = StreamMonitor(clock)
 
     def attach(self, executor: ActionExecutor) -> None:
@@ -81,6 +81,7 @@
             engine_kind=attempt.kind,
             is_read=attempt.is_read,
             state=attempt.state_machine.state,
+            outcome=attempt.outcome,
             duration_s=round(now - attempt.sent_at, 4),
             timed_out=now >= attempt.times_out_at,
             longest_gap_s=round(handler.longest_gap, 2) if handler is not None else 0.0,
@@ -122,8 +123,22 @@
             self.log(LogEvent.SEND_WITHHELD, sequence_id=sequence_id, attempt=attempt.number, reason=broken)
             return None
         remaining_ms = max(1, int((time_left - REMAINING_TIME_MARGIN_S) * 1000))
+        self._log_sent(attempt, remaining_ms)
         return request._replace(headers=[*request.headers, Header(b"x-remaining-ms", b"%d" % remaining_ms)])
 
+    def _log_sent(self, attempt: Attempt, remaining_ms: int) -> None:
+        connection = attempt.call.connection if isinstance(attempt.call, PendingRequest) else None
+        self.log(
+            LogEvent.ATTEMPT_SENT,
+            sequence_id=attempt.sequence.sequence_id,
+            attempt=attempt.number,
+            engine=self.directory.name(attempt.engine),
+            is_read=attempt.is_read,
+            fetches_state=attempt.claimed_state is not None,
+            is_reused=connection is not None and connection.has_completed_request,
+            remaining_ms=remaining_ms,
+        )
+
     def _send_facts(self, attempt: Attempt, time_left: float) -> SendFacts:
         sequence = attempt.sequence
         check = self.executor.router.check_send(self.clock.seconds(), sequence.number, attempt.number)
--- a/myrtlehub/relay/engines/state_release.py
+++ b/myrtlehub/relay/engines/state_release.py
@@ -1,12 +1,15 @@
 """Releases of read state: requests to engines to free the state that a reader stores for a sequence."""
 
+from collections import Counter
 from collections.abc import Iterator, Mapping
+from enum import StrEnum
 from typing import NamedTuple
 
 from myrtlehub.clock import Clock, Timer
 from myrtlehub.http1.client_request import ClientRequest
 from myrtlehub.http1.connection_pool import ConnectionPool
 from myrtlehub.http1.pending_request import PendingRequest
+from myrtlehub.log_events import Log, LogEvent, no_log
 from myrtlehub.node.sequences import InFlightSequence
 from myrtlehub.relay.engines.engine_directory import EngineDirectory
 from myrtlehub.relay.engines.small_response import SmallResponseHandler
@@ -27,6 +30,14 @@
 MAX_OUTSTANDING_REQUESTS = 5  # per release, as each occupies a connection
 
 
+class ReleaseResult(StrEnum):
+    """How a release ended; the values are logged and counted."""
+
+    CONFIRMED = "confirmed"  # an engine answered it with success
+    UNCONFIRMED = "unconfirmed"  # it was sent in full on a new connection, and no engine answered
+    EXPIRED = "expired"  # no engine answered within RELEASE_TIMEOUT_S
+
+
 class ReleaseTarget(NamedTuple):
     """An engine to which a release is sent."""
 
@@ -40,12 +51,17 @@
     Attributes:
         in_flight: The executor's in-flight sequences, by number.
         unanswered: The releases without a successful response.
+        result_counts: Releases that have ended, by the value of their `ReleaseResult`.
     """
 
-    def __init__(self, clock: Clock, pool: ConnectionPool, directory: EngineDirectory) -> None:
+    def __init__(
+        self, clock: Clock, pool: ConnectionPool, directory: EngineDirectory, log: Log = no_log
+    ) -> None:
         self.clock = clock
         self.pool = pool
         self.directory = directory
+        self.log = log
+        self.result_counts: Counter[str] = Counter()
         self.in_flight: Mapping[int, InFlightSequence] = {}
         self.unanswered: set[StateRelease] = set()
         self._scheduled_count = 0  # second releases that are still to be sent
@@ -142,7 +158,8 @@
         self._first: PendingRequest | None = None  # the only request that may use an idle connection
         self._pending: list[PendingRequest] = []
         self._timer: Timer | None = None
-        self._expires_at = releaser.clock.seconds() + RELEASE_TIMEOUT_S
+        self._begun_at = releaser.clock.seconds()
+        self._expires_at = self._begun_at + RELEASE_TIMEOUT_S
         releaser.unanswered.add(self)
         if is_second and releaser.has_outstanding_attempt(sequence_id):
             self._wait_for_sequence_end()
@@ -153,7 +170,7 @@
         releaser = self.releaser
         is_delivered = self._request_count > 0 and not self._round and self._was_delivered()
         if is_delivered or releaser.clock.seconds() >= self._expires_at:
-            self._finish()
+            self._finish(ReleaseResult.UNCONFIRMED if is_delivered else ReleaseResult.EXPIRED)
             return
         if self._request_count and releaser.has_outstanding_attempt(self.sequence_id):
             self._cancel_requests()
@@ -182,6 +199,13 @@
             may_reuse=is_first,
         )
         self._pending.append(pending)
+        self.releaser.log(
+            LogEvent.RELEASE_SENT,
+            sequence_id=self.sequence_id,
+            engine=target.name,
+            reader=self.reader,
+            request=self._request_count,
+        )
         if is_first:
             self._first = pending
 
@@ -211,7 +235,7 @@
 
     def _on_end(self, succeeded: bool, body: bytes) -> None:
         if succeeded:
-            self._finish()
+            self._finish(ReleaseResult.CONFIRMED)
         elif self._timer is not None and self._timer.active():
             self._timer.reset(self._delay_after_failure())
 
@@ -222,8 +246,18 @@
         backoff: float = ROUND_BACKOFF_S * 2 ** (self._round_count - 1)
         return min(backoff, MAX_ROUND_BACKOFF_S)
 
-    def _finish(self) -> None:
-        self.releaser.unanswered.discard(self)
+    def _finish(self, result: ReleaseResult) -> None:
+        releaser = self.releaser
+        releaser.unanswered.discard(self)
+        releaser.result_counts[result.value] += 1
+        releaser.log(
+            LogEvent.RELEASE_ENDED,
+            sequence_id=self.sequence_id,
+            engine=self.reader,
+            result=result,
+            requests=self._request_count,
+            duration_s=round(releaser.clock.seconds() - self._begun_at, 4),
+        )
         self._first = None
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
--- a/myrtlehub/relay/monitoring/event_log.py
+++ b/myrtlehub/relay/monitoring/event_log.py
@@ -1,6 +1,7 @@
 """The event log: JSON lines, and a flight recorder with the latest events, which is dumped at violations."""
 
 import itertools
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -15,17 +16,22 @@
     (
         LogEvent.SEQUENCE_ANSWERED,
         LogEvent.ENGINE_STATE_CHANGED,
+        LogEvent.ATTEMPT_SENT,
         LogEvent.ATTEMPT_ENDED,
         LogEvent.ATTEMPT_FAILED,
         LogEvent.REQUEST_REJECTED,
         LogEvent.SEND_WITHHELD,
+        LogEvent.RELEASE_SENT,
+        LogEvent.RELEASE_ENDED,
         LogEvent.CONNECTION_CLOSED,
+        LogEvent.PEER_CONNECTION_CLOSED,
     )
 )
 MAX_RECORDED_EVENTS = 2000  # events in the flight recorder
 MAX_DUMPED_EVENTS = 300  # events written by one dump
 DUMP_INTERVAL_S = 10.0  # shortest time between two dumps, so that repeated violations do not flood the log
 TIME_DIGITS = 4  # decimal places of the seconds in a dump
+UNIX_TIME_DIGITS = 3  # decimal places of the Unix time of each line
 _line_encoder = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -46,12 +52,21 @@
         writer: Writes the lines.
         now: Returns the node's time in seconds.
         log_all: Whether to write detailed events too.
+        unix_time: Returns the wall clock's Unix time in seconds, which each line has as `time`. Nothing but
+            the log may depend on it, because a wall clock can be set.
     """
 
-    def __init__(self, writer: LogWriter, now: Callable[[], float], log_all: bool = False) -> None:
+    def __init__(
+        self,
+        writer: LogWriter,
+        now: Callable[[], float],
+        log_all: bool = False,
+        unix_time: Callable[[], float] = time.time,
+    ) -> None:
         self._writer = writer
         self._now = now
         self._log_all = log_all
+        self._unix_time = unix_time
         self._recorded: deque[RecordedEvent] = deque(maxlen=MAX_RECORDED_EVENTS)
         self._last_dump_at = float("-inf")
 
@@ -62,11 +77,12 @@
             self._write(event, fields)
 
     def _write(self, event: LogEvent, fields: dict[str, object]) -> None:
+        logged_at = round(self._unix_time(), UNIX_TIME_DIGITS)
         try:
-            line = _line_encoder.encode({"event": event, **fields})
+            line = _line_encoder.encode({"event": event, "time": logged_at, **fields})
         except (TypeError, ValueError) as error:
             line = _line_encoder.encode(
-                {"event": LogEvent.EVENT_NOT_ENCODABLE, "reason": type(error).__name__}
+                {"event": LogEvent.EVENT_NOT_ENCODABLE, "time": logged_at, "reason": type(error).__name__}
             )
         self._writer.write_line(line + b"\n")
 
--- a/myrtlehub/relay/monitoring/invariant_monitor.py
+++ b/myrtlehub/relay/monitoring/invariant_monitor.py
@@ -1,6 +1,6 @@
 """Checks of a running node's invariants, and the periodic log line with its counters."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from myrtlehub.clock import Clock
@@ -41,6 +41,7 @@
         timers: The periodic tasks that must always have their next run scheduled.
         on_violation: Called after a violation has been logged.
         worst_lag: Returns the largest event loop lag so far, in seconds.
+        release_counts: Returns the ended releases of read state, by result.
         executor: Owns the sequences that are checked; set by `attach`.
     """
 
@@ -53,6 +54,7 @@
         self.timers: list[RecurringTimer] = []
         self.on_violation: Callable[[], None] = lambda: None
         self.worst_lag: Callable[[], float] = lambda: 0.0
+        self.release_counts: Callable[[], Mapping[str, int]] = dict
         self._overdue_at_last_check: set[int] = set()  # by sequence number
         self._next_counters_at = clock.seconds() + COUNTERS_INTERVAL_S
 
@@ -77,11 +79,24 @@
             LogEvent.COUNTERS,
             answers=dict(sorted(self.executor.answer_counts.items())),
             in_flight=len(self.executor.in_flight),
+            oldest_read_state_s=round(self._oldest_read_state(), 3),
+            releases=dict(sorted(self.release_counts().items())),
             worst_lag_s=round(self.worst_lag(), 3),
             withheld=dict(sorted(self.counter.withheld.items())),
             violations=dict(sorted(self.counter.violations.items())),
         )
 
+    def _oldest_read_state(self) -> float:
+        """Return for how many seconds the oldest read state has not been fetched; 0.0 if there is none."""
+        now = self.clock.seconds()
+        ages = (
+            now - read_state.unfetched_since
+            for sequence in self.executor.in_flight.values()
+            for read_state in sequence.read_states.values()
+            if read_state.unfetched_since is not None
+        )
+        return max(ages, default=0.0)
+
     def _log_violation(self, invariant: Invariant, sequence_id: str) -> None:
         self.log(LogEvent.INVARIANT_VIOLATED, invariant=invariant, sequence_id=sequence_id)
         self.on_violation()
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -68,6 +68,7 @@
             lambda address: dialer(address, self.limits.connect_timeout),
             self.budget.engines,
             REUSE_SHARE * self.limits.keepalive,
+            log,
         )
         self.monitor = InvariantMonitor(clock, log)
         self.engine_client = EngineClient(clock, self.pool, self.decoder, self.monitor.counter, log)
@@ -90,6 +91,7 @@
         self.engine_client.attach(executor)
         self.monitor.attach(executor)
         self.monitor.worst_lag = lambda: self.decoder.lag.worst
+        self.monitor.release_counts = lambda: self.engine_client.releaser.result_counts
         return executor
 
     def _make_front(self) -> ClientFront:
@@ -110,6 +112,7 @@
             lambda address: dialer(address, CONNECT_TIMEOUT_S),
             MAX_DISCOVERY_CONNECTIONS,
             DISCOVERY_MAX_IDLE_S,
+            self.log,
         )
         return DiscoveryClient(
             self.clock,
