Failing tests: states held and releases lost when a send never arrives

Cause: shown, not fixed yet: a request that the own system accepted counts as one that arrived at its engine.

--- a/tests/support/socketpeers.py
+++ b/tests/support/socketpeers.py
@@ -64,6 +64,8 @@
         """Read requests one after another, until the other end closes."""
         with suppress(OSError):
             while (request := self._read()) is not None:
+                if self.peer.is_cut_off:
+                    continue
                 self.peer.all_requests.append(request)
                 self.peer.unread_requests.put(request)
                 self.peer.script(self, request)
@@ -94,10 +96,16 @@
 
 
 class ScriptedPeer:
-    """A server, with one thread per connection, that calls `script(connection, request)` for each request."""
+    """A server, with one thread per connection, that calls `script(connection, request)` for each request.
+
+    Attributes:
+        is_cut_off: Whether nothing arrives: connections are established and stay open, as their handshake is
+            the system's, but no request on them is received; see `cut_off`.
+    """
 
     def __init__(self, script: Script) -> None:
         self.script = script
+        self.is_cut_off = False
         self.all_requests: list[ReceivedRequest] = []
         self.unread_requests: queue.Queue[ReceivedRequest] = queue.Queue()
         self.connections: list[PeerConnection] = []
@@ -115,6 +123,16 @@
             self.connections.append(PeerConnection(self, sock))
             threading.Thread(target=self.connections[-1].serve, daemon=True).start()
 
+    def cut_off(self) -> None:
+        """Receive no request from now on, without an error on any connection."""
+        self.is_cut_off = True
+
+    def restore(self) -> None:
+        """Receive requests again; connections of the time before are reset, with what was sent on them."""
+        for connection in self.connections:
+            connection.reset()
+        self.is_cut_off = False
+
     def next_request(self, method: bytes = b"") -> ReceivedRequest:
         """Wait for the next unread request, and return it; if `method` is given, skip those of others."""
         while True:
