Read states: released in time although the attempt that was to fetch them gives no answer

Cause: an attempt counted as in flight once this machine had sent it, and a release as delivered once it was sent on a new connection. A connection that was cut off after its handshake, or an engine that reads nothing, shows no error, so the state stayed at its reader until the client's deadline. Tests replaced by as strict ones: the exit of a process that waits for releases (formerly six requests, now until they are answered), the count of releases of an unanswered write (one more), the new connection of a retried read (now seen at the reader, as releases may reuse one), the settings of platform and gRPC node (differ in the new field).

--- a/myrtlehub/node/action_executor.py
+++ b/myrtlehub/node/action_executor.py
@@ -100,6 +100,7 @@
         for read_state in list(sequence.read_states.values()):
             effect = sequence.step_read_state(read_state, ReadStateEvent.RELEASE)
             if effect == ReadStateEffect.SEND_RELEASE:
+                read_state.released()
                 self.transport.release(read_state.engine, sequence.sequence_id)
 
     def _cancel(self, action: contract.CancelAttempt) -> None:
--- a/myrtlehub/node/sequences.py
+++ b/myrtlehub/node/sequences.py
@@ -92,8 +92,9 @@
         self.engine = engine
         self.state_machine = StateMachine(READ_STATE)
         self.handle: StateHandle | None = None
-        # Clock time in seconds since which the reader may have had the state, unfetched: the end of the last
-        # read. A write that claims the state does not change it. None until a read has ended.
+        # Clock time in seconds since which the reader may have had the state, neither fetched nor released:
+        # the end of the last read or write. A write that claims the state does not change it, because it need
+        # not arrive. None if there is no such time.
         self.unfetched_since: float | None = None
 
     @classmethod
@@ -105,6 +106,11 @@
         read_state.handle = handle
         return read_state
 
+    def released(self) -> None:
+        """Record that its release is sent: no further write is to fetch it."""
+        self.handle = None
+        self.unfetched_since = None
+
     @property
     def is_claimable(self) -> bool:
         """Whether a write can be sent that fetches it."""
@@ -182,6 +188,7 @@
             read_state.handle = handle
             self.step_read_state(read_state, event_of_read_end(outcome))
         elif attempt.claimed_state is not None:
+            attempt.claimed_state.unfetched_since = now
             event = event_of_write_end(outcome, is_state_missing=is_state_missing)
             self.step_read_state(attempt.claimed_state, event)
 
--- a/myrtlehub/platform_settings.py
+++ b/myrtlehub/platform_settings.py
@@ -54,6 +54,7 @@
         quotas=tuple(tenant.get("QuotaPerS", 0.0) for tenant in settings.get("Orgs") or []),
         writers_can_read=specifics.get("SelfPrefill", False),
         state_timeout=_seconds(specifics, "LetGoByMs"),
+        releases_spare_awaited_states=True,
         drain_grace=_seconds(rules, "DrainGraceMs"),
         cold_share=rules.get("ColdShare", 0.0),
         cold_time=_seconds(rules, "ColdMs"),
--- a/myrtlehub/relay/engines/state_release.py
+++ b/myrtlehub/relay/engines/state_release.py
@@ -1,8 +1,9 @@
 """Releases of read state: requests to engines to free the state that a reader stores for a sequence."""
 
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from enum import StrEnum
+from functools import partial
 from typing import NamedTuple
 
 from myrtlehub.clock import Clock, Timer
@@ -10,22 +11,23 @@
 from myrtlehub.http1.connection_pool import ConnectionPool
 from myrtlehub.http1.pending_request import PendingRequest
 from myrtlehub.log_events import Log, LogEvent, no_log
-from myrtlehub.node.sequences import InFlightSequence
+from myrtlehub.node.sequences import Attempt, InFlightSequence
 from myrtlehub.relay.engines.engine_directory import EngineDirectory
 from myrtlehub.relay.engines.small_response import SmallResponseHandler
 
 STATE_PATH = b"/state/"  # followed by the sequence id
 # Time from the first to the second release, in case an attempt ended at its engine after the first one.
 SECOND_RELEASE_DELAY_S = 0.25
-# Interval of the checks whether a sequence is still in flight, while a release waits for its end.
-SEQUENCE_CHECK_INTERVAL_S = 0.1
-# Times after each request of a release to the next one if there is no response; the last one is repeated.
-RETRY_DELAYS_S = (0.12, 0.2, 0.3, 0.6, 0.8)
-REQUESTS_PER_ROUND = len(RETRY_DELAYS_S)
-# Backoff after a round whose requests have failed, doubled from round to round. The first one is short,
-# because a brief fault, such as a restart or a lack of local ports, must not use up the time for the release.
+# Time after each request of a round to the next one. A round has to reach an engine within what is left of
+# the time for a state after the router has released it: a quarter of the state timeout and 0.3 s.
+REQUEST_INTERVAL_S = 0.12
+REQUESTS_PER_ROUND = 5
+# Backoff after a round without success, doubled from round to round. The first one is short, because a brief
+# fault, such as a restart or a lack of local ports, must not use up the time for the release.
 ROUND_BACKOFF_S = 0.12
 MAX_ROUND_BACKOFF_S = 0.96
+# Time to the next round if another engine than the reader has answered, and the read may still be running.
+REPEAT_INTERVAL_S = 0.5
 RELEASE_TIMEOUT_S = 10.0  # longer than any fault after which an engine still has its state
 MAX_OUTSTANDING_REQUESTS = 5  # per release, as each occupies a connection
 
@@ -34,7 +36,6 @@
     """How a release ended; the values are logged and counted."""
 
     CONFIRMED = "confirmed"  # an engine answered it with success
-    UNCONFIRMED = "unconfirmed"  # it was sent in full on a new connection, and no engine answered
     EXPIRED = "expired"  # no engine answered within RELEASE_TIMEOUT_S
 
 
@@ -97,9 +98,7 @@
         (test_a_state_behind_a_partition_is_released_through_the_engine_of_latest_contact).
         """
         directory = self.directory
-        sequence = next(self._sequences(sequence_id), None)
-        attempts = sequence.attempts if sequence is not None else []
-        names = [directory.name(attempt.engine) for attempt in reversed(attempts)]
+        names = [directory.name(attempt.engine) for attempt in reversed(self._attempts(sequence_id))]
         names += directory.serving_names()
         others = [name for name in dict.fromkeys(names) if name != reader]
         others.sort(key=lambda name: -directory.last_contact_at.get(name, 0.0))
@@ -111,38 +110,32 @@
         self._scheduled_count -= 1
         StateRelease(self, reader, sequence_id, is_second=True)
 
-    def _sequences(self, sequence_id: str) -> Iterator[InFlightSequence]:
-        """Yield the in-flight sequences with this id; a client may reuse the id of an answered one."""
-        return (sequence for sequence in self.in_flight.values() if sequence.sequence_id == sequence_id)
-
-    def is_in_flight(self, sequence_id: str) -> bool:
-        """Return whether the sequence is in flight."""
-        return any(True for _ in self._sequences(sequence_id))
-
-    def has_outstanding_attempt(self, sequence_id: str) -> bool:
-        """Return whether an attempt of the sequence is outstanding.
-
-        If so, the sequence may have a new read state, which a release would free by mistake.
-        """
-        return any(
-            attempt.is_outstanding
-            for sequence in self._sequences(sequence_id)
-            for attempt in sequence.attempts
-        )
+    def _attempts(self, sequence_id: str) -> list[Attempt]:
+        """Return the attempts of an in-flight sequence; a client may reuse the id of an answered one."""
+        for sequence in self.in_flight.values():
+            if sequence.sequence_id == sequence_id:
+                return sequence.attempts
+        return []
 
 
 class StateRelease:
     """One release: the same request to one engine after another, until one responds with success.
 
-    The requests are sent in rounds over the engines that `StateReleaser.targets` returns. If a request fails,
-    the next one follows immediately. If it gets no response, the next one follows after RETRY_DELAYS_S. All
-    requests except the first use new connections, so a request that was sent in full is assumed to have been
-    delivered. If a round ends with such a request outstanding, the release ends even without a response.
-    Otherwise another round follows after a backoff.
-
-    While an attempt of the sequence is outstanding, only the first request of the first release is sent: the
-    attempt may create a new read state, which a later request would free by mistake. A release that is
-    interrupted so is restarted once the sequence is no longer in flight.
+    Only a response proves that a request has arrived: a connection may have been cut off without an error
+    after it was established, and an engine may read nothing. So the requests go on, in rounds over the
+    engines that `StateReleaser.targets` returns, until there is one
+    (test_a_release_that_never_arrived_is_sent_again_once_engines_can_be_reached). If a request fails, the
+    next one of its round follows immediately; if it gets no response, after REQUEST_INTERVAL_S. All requests
+    except the first use new connections.
+
+    They go on while an attempt of the sequence is outstanding too, because that one need not have arrived
+    either. If it is a read whose state is stored just before such a request arrives, the write finds no
+    state, and the prompt is read again. A write that has arrived keeps its state
+    (`RouterConfig.releases_spare_awaited_states`).
+
+    A second release follows an attempt that was cancelled or whose connection broke. The reader may not have
+    noticed this, and store a state later, until it answers a release itself: the response of another engine
+    covers only states that exist by then. So a second release goes on every REPEAT_INTERVAL_S.
     """
 
     def __init__(
@@ -152,38 +145,31 @@
         self.reader = reader
         self.sequence_id = sequence_id
         self.request = ClientRequest(b"DELETE", STATE_PATH + sequence_id.encode(), [])
+        self._needs_reader = is_second
         self._round: list[ReleaseTarget] = []  # engines of this round that have no request yet
         self._round_count = 0
         self._request_count = 0
-        self._first: PendingRequest | None = None  # the only request that may use an idle connection
         self._pending: list[PendingRequest] = []
         self._timer: Timer | None = None
         self._begun_at = releaser.clock.seconds()
-        self._expires_at = self._begun_at + RELEASE_TIMEOUT_S
         releaser.unanswered.add(self)
-        if is_second and releaser.has_outstanding_attempt(sequence_id):
-            self._wait_for_sequence_end()
-        else:
-            self._send_next()
+        self._send_next()
 
     def _send_next(self) -> None:
         releaser = self.releaser
-        is_delivered = self._request_count > 0 and not self._round and self._was_delivered()
-        if is_delivered or releaser.clock.seconds() >= self._expires_at:
-            self._finish(ReleaseResult.UNCONFIRMED if is_delivered else ReleaseResult.EXPIRED)
+        if releaser.clock.seconds() >= self._begun_at + RELEASE_TIMEOUT_S:
+            was_answered = self not in releaser.unanswered
+            self._finish(ReleaseResult.CONFIRMED if was_answered else ReleaseResult.EXPIRED)
             return
-        if self._request_count and releaser.has_outstanding_attempt(self.sequence_id):
-            self._cancel_requests()
-            self._wait_for_sequence_end()
-            return
-        # Scheduled first, because the steps below may raise: otherwise the release would not be retried.
-        delay = RETRY_DELAYS_S[min(self._request_count, REQUESTS_PER_ROUND - 1)]
-        self._timer = releaser.clock.callLater(delay, self._send_next)
         if not self._round:
             self._round = releaser.targets(self.reader, self.sequence_id)
             self._round_count += 1
-        if self._round:
-            self._send_to(self._round.pop(0))
+        target = self._round.pop(0) if self._round else None
+        # Scheduled first, because the step below may raise: otherwise the release would not be retried.
+        delay = REQUEST_INTERVAL_S if self._round else self._backoff()
+        self._timer = releaser.clock.callLater(delay, self._send_next)
+        if target is not None:
+            self._send_to(target)
 
     def _send_to(self, target: ReleaseTarget) -> None:
         is_first = self._request_count == 0
@@ -195,7 +181,7 @@
             target.name,
             target.dial_address,
             self.request,
-            SmallResponseHandler(self._on_end),
+            SmallResponseHandler(partial(self._on_end, target)),
             may_reuse=is_first,
         )
         self._pending.append(pending)
@@ -206,43 +192,29 @@
             reader=self.reader,
             request=self._request_count,
         )
-        if is_first:
-            self._first = pending
-
-    def _was_delivered(self) -> bool:
-        """Return whether a request was sent in full on a new connection and awaits its response.
 
-        The first request does not count, because its connection may have failed unnoticed while it was idle.
-        """
-        return any(pending.is_sent and pending is not self._first for pending in self._pending)
-
-    def _wait_for_sequence_end(self) -> None:
-        """Restart the release once the sequence is no longer in flight."""
-        if self.releaser.is_in_flight(self.sequence_id):
-            self._timer = self.releaser.clock.callLater(
-                SEQUENCE_CHECK_INTERVAL_S, self._wait_for_sequence_end
-            )
+    def _on_end(self, target: ReleaseTarget, succeeded: bool, body: bytes) -> None:
+        is_last_of_round = not self._round
+        if not succeeded:
+            self._reschedule(self._backoff() if is_last_of_round else 0.0)
+        elif self._may_read_continue(target):
+            self.releaser.unanswered.discard(self)
+            self._round = []
+            self._reschedule(REPEAT_INTERVAL_S)
         else:
-            self._restart()
+            self._finish(ReleaseResult.CONFIRMED)
 
-    def _restart(self) -> None:
-        """Restart from the first round: the last attempt may have created a state after the requests."""
-        self._round = []
-        self._round_count = 0
-        self._request_count = 0
-        self._expires_at = self.releaser.clock.seconds() + RELEASE_TIMEOUT_S
-        self._send_next()
+    def _may_read_continue(self, answered: ReleaseTarget) -> bool:
+        """Return whether the reader may still run a read that this node has cancelled."""
+        is_listed = self.reader in self.releaser.directory.dial_addresses
+        return self._needs_reader and is_listed and answered.name != self.reader
 
-    def _on_end(self, succeeded: bool, body: bytes) -> None:
-        if succeeded:
-            self._finish(ReleaseResult.CONFIRMED)
-        elif self._timer is not None and self._timer.active():
-            self._timer.reset(self._delay_after_failure())
+    def _reschedule(self, delay: float) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.reset(delay)
 
-    def _delay_after_failure(self) -> float:
-        """Return the delay before the next request, in seconds: 0 within a round, a backoff after it."""
-        if self._round:
-            return 0.0
+    def _backoff(self) -> float:
+        """Return the delay in seconds after the last request of a round."""
         backoff: float = ROUND_BACKOFF_S * 2 ** (self._round_count - 1)
         return min(backoff, MAX_ROUND_BACKOFF_S)
 
@@ -258,12 +230,8 @@
             requests=self._request_count,
             duration_s=round(releaser.clock.seconds() - self._begun_at, 4),
         )
-        self._first = None
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-        self._cancel_requests()
-
-    def _cancel_requests(self) -> None:
         requests, self._pending = self._pending, []
         for pending in requests:
             pending.cancel()
--- a/myrtlehub/routing/calls.py
+++ b/myrtlehub/routing/calls.py
@@ -175,9 +175,9 @@
         return actions
 
     def _schedule_wakeup(self, now: float) -> None:
-        """Request a wake-up at the next deadline, or sooner while sequences wait at this node."""
+        """Request a wake-up at the next deadline or release, or sooner while sequences wait at this node."""
         deadlines = [
-            sequence.abandon_at
+            min(sequence.abandon_at, sequence.release_due_at)
             for sequence in self.sequences.values()
             if not sequence.is_over and not sequence.has_begun
         ]
--- a/myrtlehub/routing/contract.py
+++ b/myrtlehub/routing/contract.py
@@ -80,6 +80,9 @@
     load_by_probe_only: bool = False  # engines report load to probes, and not with their responses
     connect_timeout: float = 0.0  # longest time in seconds to connect to an engine before a send
     probe_price: float = 0.0  # cost of one probe, in units of utility
+    # A release leaves alone a read state that an attempt waits for which has arrived at its engine. So a
+    # state can be released while it is unknown whether the attempt that was to fetch it has arrived.
+    releases_spare_awaited_states: bool = False
 
 
 class EngineState(IntEnum):
--- a/myrtlehub/routing/records.py
+++ b/myrtlehub/routing/records.py
@@ -196,6 +196,9 @@
     # Time since which an engine may have had its read state while no writer fetched it: 0.0 until the end of
     # an attempt that can have left a read state, inf after the release.
     state_since: float = 0.0
+    # Time at which the read state is released unless the running attempt is known to have arrived; inf if
+    # there is no such time.
+    release_due_at: float = float("inf")
     start_estimate: StartEstimate | None = None  # None once it was compared with the actual start
     attempts: list[Attempt] = field(default_factory=list)
     failed_engines: set[Engine] = field(default_factory=set)
--- a/myrtlehub/state/read_state.py
+++ b/myrtlehub/state/read_state.py
@@ -1,7 +1,8 @@
 """The state machine of a read state: what the node knows of the state that a reader has for a sequence.
 
-In `READING`, `READING_AGAIN`, `CLAIMED` and `CLAIMED_UNCERTAIN` an attempt is outstanding, and its end
-decides the next state. A release is therefore sent only after that end.
+In `READING`, `READING_AGAIN` and the states that begin with `CLAIMED` an attempt is outstanding, and its end
+decides the next state. That the attempt is outstanding does not mean that it has arrived at its engine: a
+release is sent all the same, except in `READING`, where no read can have left a state yet.
 """
 
 from enum import StrEnum
@@ -21,6 +22,7 @@
     HELD = "held"
     UNCERTAIN = "uncertain"  # a state may exist: an attempt ended without a result
     CLAIMED = "claimed"  # a write that fetches the state was sent
+    CLAIMED_RELEASED = "claimed_released"  # as CLAIMED, and a release was sent since
     CLAIMED_UNCERTAIN = "claimed_uncertain"  # as CLAIMED, but a read without result may yet leave a state
 
 
@@ -74,7 +76,7 @@
         ReadStateStatus.READING_AGAIN: (
             on(ReadStateEvent.READ_COMPLETED, to=ReadStateStatus.HELD, effect=ReadStateEffect.RETAIN_HANDLE),
             on(ReadStateEvent.READ_REJECTED, ReadStateEvent.READ_UNKNOWN, to=ReadStateStatus.UNCERTAIN),
-            on(ReadStateEvent.RELEASE),
+            on(ReadStateEvent.RELEASE, effect=ReadStateEffect.SEND_RELEASE),
             forbid(ReadStateEvent.READ_SENT, ReadStateEvent.CLAIM, *_CLAIM_ENDS),
         ),
         ReadStateStatus.HELD: (
@@ -94,12 +96,24 @@
             on(ReadStateEvent.NOT_FETCHED, to=ReadStateStatus.HELD),
             on(ReadStateEvent.MISSING, to=ReadStateStatus.NONE),
             on(ReadStateEvent.FETCH_UNKNOWN, to=ReadStateStatus.UNCERTAIN),
+            on(
+                ReadStateEvent.RELEASE,
+                to=ReadStateStatus.CLAIMED_RELEASED,
+                effect=ReadStateEffect.SEND_RELEASE,
+            ),
+            forbid(ReadStateEvent.READ_SENT, ReadStateEvent.CLAIM, *_READ_ENDS),
+        ),
+        # The release had no effect if the write had arrived: then the reader still has the state after a
+        # write that failed.
+        ReadStateStatus.CLAIMED_RELEASED: (
+            on(ReadStateEvent.FETCHED, ReadStateEvent.MISSING, to=ReadStateStatus.NONE),
+            on(ReadStateEvent.NOT_FETCHED, ReadStateEvent.FETCH_UNKNOWN, to=ReadStateStatus.UNCERTAIN),
             on(ReadStateEvent.RELEASE),
             forbid(ReadStateEvent.READ_SENT, ReadStateEvent.CLAIM, *_READ_ENDS),
         ),
         ReadStateStatus.CLAIMED_UNCERTAIN: (
             on(*_CLAIM_ENDS, to=ReadStateStatus.UNCERTAIN),
-            on(ReadStateEvent.RELEASE),
+            on(ReadStateEvent.RELEASE, effect=ReadStateEffect.SEND_RELEASE),
             forbid(ReadStateEvent.READ_SENT, ReadStateEvent.CLAIM, *_READ_ENDS),
         ),
     },
--- a/tests/relay/test_relay_process.py
+++ b/tests/relay/test_relay_process.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import threading
 import time
 from pathlib import Path
 from typing import Any
@@ -14,6 +15,7 @@
     EVENT,
     LAST_CHUNK,
     LONG_PROMPT,
+    READ_RESPONSE,
     RELEASE_RESPONSE,
     SETTINGS,
     STREAM_HEAD,
@@ -21,7 +23,7 @@
     chat_request,
     chunk,
 )
-from socketpeers import ReceivedRequest, entry_of, never_respond
+from socketpeers import PeerConnection, ReceivedRequest, entry_of, never_respond
 from socketrig import ROOT, Client, SilentClients, SocketRig, deployed_argv, let_time_pass, wait_for_file
 
 from myrtlehub.log_events import LogEvent
@@ -58,25 +60,35 @@
     node.assert_clean_exit()
 
 
-def test_releases_are_tried_to_their_end_before_the_process_exits(rig: SocketRig) -> None:
-    """The last client disconnects after the port has closed, and no engine answers the release."""
+def test_the_process_exits_only_once_an_engine_has_answered_its_releases(rig: SocketRig) -> None:
+    """The last client disconnects after the port has closed; no engine answers a release for some time."""
     node = rig.start("r1 w1")
+    answers_releases = threading.Event()
     releases: list[ReceivedRequest] = []
-    rig.engines["w1"].script = lambda connection, request: (
-        releases.append(request) if request.method == b"DELETE" else None
-    )
-    default_script = rig.engines["r1"].default_script
-    rig.engines["r1"].script = lambda connection, request: (
-        releases.append(request) if request.method == b"DELETE" else default_script(connection, request)
-    )
+
+    def read_or_collect_release(connection: PeerConnection, request: ReceivedRequest) -> None:
+        """Read prompts; answer releases only from the moment when `answers_releases` is set."""
+        if request.method == b"DELETE":
+            releases.append(request)
+            if answers_releases.is_set():
+                connection.send(RELEASE_RESPONSE)
+        elif connection.peer is rig.engines["r1"]:
+            connection.send(READ_RESPONSE)
+
+    for engine in rig.engines.values():
+        engine.script = read_or_collect_release
     client = Client(node.address).send(chat_request("a1", LONG_PROMPT))
     rig.engines["w1"].next_request(b"POST")
     node.signal("TERM")
     node.wait_for_closed_port()
     client.close()
+    # Each release is sent twice to the reader and once to the writer, then again; this is the third round.
+    node.wait_for_log(LogEvent.RELEASE_SENT, sequence_id="a1", engine="w1", request=9)
+    assert node.exit_code(timeout=0.3) is None
+    answers_releases.set()
     node.assert_clean_exit()
-    # Twice to the reader and once to the writer, and the second release in the same way.
-    assert len(releases) == 6 and {request.target for request in releases} == {b"/state/a1"}
+    assert {request.target for request in releases} == {b"/state/a1"}
+    assert {request.connection.peer for request in releases} == set(rig.engines.values())
 
 
 def test_an_answered_release_lets_the_process_exit(rig: SocketRig) -> None:
@@ -90,7 +102,8 @@
     node.wait_for_closed_port()
     client.close()
     node.assert_clean_exit()
-    assert rig.engines["r1"].sequence_ids(b"DELETE") == ["a1", "a1"]
+    # One while the write is unanswered, and two after the disconnect, as the write was cancelled.
+    assert rig.engines["r1"].sequence_ids(b"DELETE") == ["a1", "a1", "a1"]
 
 
 def test_a_slow_client_gets_the_end_of_its_response(rig: SocketRig) -> None:
--- a/tests/relay/test_relay_requests.py
+++ b/tests/relay/test_relay_requests.py
@@ -214,7 +214,11 @@
     for name in ("r1", "r2"):
         rig.engines[name].script = never_respond
     rig.request("p1", LONG_PROMPT, traffic="post")
-    reused = rig.node.pool.reuse_count
+    readers = (rig.engines["r1"], rig.engines["r2"])
+    first_reads = [request for reader in readers for request in reader.chat_requests()]
     rig.run(3.0)  # the read times out and is retried
-    assert len(rig.engines["r1"].chat_requests() + rig.engines["r2"].chat_requests()) == 4 + 2
-    assert rig.node.pool.reuse_count == reused
+    reads = [request for reader in readers for request in reader.chat_requests()]
+    assert len(first_reads) == 4 + 1 and len(reads) == 4 + 2
+    (retry,) = [request for request in reads if request not in first_reads]
+    before = [request for request in retry.connection.peer.requests if request is not retry]
+    assert retry.connection not in [request.connection for request in before]
