--- a/myrtlehub/relay/monitoring/invariant_monitor.py
+++ b/myrtlehub/relay/monitoring/invariant_monitor.py
@@ -1,6 +1,6 @@
 """Checks of a running node's invariants, and the periodic log line with its counters."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple
 
 from myrtlehub.clock import Clock
@@ -9,13 +9,14 @@
 from myrtlehub.log_events import Log, LogEvent
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.executor_observer import ExecutorObserver
-from myrtlehub.node.sequences import InFlightSequence
+from myrtlehub.node.sequences import InFlightSequence, ReadState
 from myrtlehub.state.answer import AnswerState
 from myrtlehub.state.invariants import (
     Invariant,
     InvariantCounter,
     broken_by_close,
     broken_by_forgetting,
+    broken_by_holding,
     broken_by_timer,
     broken_by_waiting,
 )
@@ -24,6 +25,9 @@
 COUNTERS_INTERVAL_S = 10.0
 # Seconds by which an answer may be late without a violation; clients accept it up to 0.5 s late.
 LATE_ANSWER_TOLERANCE_S = 0.1
+# Checks in a row that have to find a read state held too long: if the process was suspended, the first one
+# may run before the router's wake-up that releases it.
+CHECKS_UNTIL_HELD = 2
 
 
 class RecurringTimer(NamedTuple):
@@ -33,6 +37,21 @@
     is_armed: Callable[[], bool]
 
 
+class HeldState(NamedTuple):
+    """A read state that is neither fetched nor released: the number of its sequence, and its reader's."""
+
+    sequence: int
+    engine: int
+
+
+class UnfetchedState(NamedTuple):
+    """A read state that is neither fetched nor released, and since when, in seconds of the clock."""
+
+    sequence: InFlightSequence
+    read_state: ReadState
+    since: float
+
+
 class InvariantMonitor(ExecutorObserver):
     """Checks invariants that no single code path can check, such as overdue answers and stopped timers.
 
@@ -56,6 +75,7 @@
         self.worst_lag: Callable[[], float] = lambda: 0.0
         self.release_counts: Callable[[], Mapping[str, int]] = dict
         self._overdue_at_last_check: set[int] = set()  # by sequence number
+        self._checks_held: dict[HeldState, int] = {}  # number of checks in a row that found it held too long
         self._next_counters_at = clock.seconds() + COUNTERS_INTERVAL_S
 
     def attach(self, executor: ActionExecutor) -> None:
@@ -89,13 +109,29 @@
     def _oldest_read_state(self) -> float:
         """Return for how many seconds the oldest read state has not been fetched; 0.0 if there is none."""
         now = self.clock.seconds()
-        ages = (
-            now - read_state.unfetched_since
-            for sequence in self.executor.in_flight.values()
-            for read_state in sequence.read_states.values()
-            if read_state.unfetched_since is not None
-        )
-        return max(ages, default=0.0)
+        return max((now - state.since for state in self._unfetched_states()), default=0.0)
+
+    def _unfetched_states(self) -> Iterator[UnfetchedState]:
+        """Yield each read state that is neither fetched nor released.
+
+        When an answer begins, engines free by themselves what they hold for its sequence.
+        """
+        for sequence in self.executor.in_flight.values():
+            for read_state in sequence.read_states.values():
+                if read_state.unfetched_since is not None and sequence.first_token_at is None:
+                    yield UnfetchedState(sequence, read_state, read_state.unfetched_since)
+
+    def _check_states(self, now: float) -> None:
+        """Check that each read state is fetched or released in time, even if an attempt is in flight."""
+        checks_before, self._checks_held = self._checks_held, {}
+        for state in self._unfetched_states():
+            broken = broken_by_holding(now - state.since, self.executor.config.state_timeout)
+            if broken is None:
+                continue
+            held = HeldState(state.sequence.number, state.read_state.engine)
+            self._checks_held[held] = checks_before.get(held, 0) + 1
+            if self._checks_held[held] == CHECKS_UNTIL_HELD:
+                self.counter.check(broken, state.sequence.sequence_id)
 
     def _log_violation(self, invariant: Invariant, sequence_id: str) -> None:
         self.log(LogEvent.INVARIANT_VIOLATED, invariant=invariant, sequence_id=sequence_id)
@@ -113,6 +149,7 @@
         for sequence in overdue:
             broken = broken_by_waiting(now - sequence.deadline, LATE_ANSWER_TOLERANCE_S)
             self.counter.check(broken, sequence.sequence_id)
+        self._check_states(now)
         if now >= self._next_counters_at:
             self._next_counters_at = now + COUNTERS_INTERVAL_S
             for timer in self.timers:
--- a/myrtlehub/state/invariants.py
+++ b/myrtlehub/state/invariants.py
@@ -25,6 +25,7 @@
     ONE_FINAL_ANSWER = "one final answer"  # each sequence gets one, and nothing after it
     ANSWER_IN_TIME = "answer in time"  # the final answer is given before the deadline
     STATE_RELEASED = "state released"  # each read state was fetched, or its release was sent
+    STATE_IN_TIME = "state in time"  # a read state is fetched or its release sent within the state timeout
     TIMER_ARMED = "timer armed"  # the next run of each recurring call is scheduled
 
 
@@ -80,6 +81,11 @@
     return Invariant.ANSWER_IN_TIME if overdue > tolerance else None
 
 
+def broken_by_holding(held: float, timeout: float) -> Invariant | None:
+    """Return the invariant violated by a read state neither fetched nor released for `held` s, or None."""
+    return Invariant.STATE_IN_TIME if held > timeout else None
+
+
 def broken_by_timer(is_armed: bool) -> Invariant | None:
     """Return the invariant that a recurring call violates, or None; `is_armed`: its next run is scheduled."""
     return None if is_armed else Invariant.TIMER_ARMED
--- a/tests/relay/test_relay_releases.py
+++ b/tests/relay/test_relay_releases.py
@@ -2,7 +2,7 @@
 
 import h11
 from relaymessages import COMPLETE_STREAM, LONG_PROMPT, READ_RESPONSE, RELEASE_RESPONSE
-from relayrig import PeerConnection, RelayRig, never_respond
+from relayrig import PeerConnection, RelayRig, ScriptedPeer, never_respond
 from twisted.internet import task
 from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
@@ -119,6 +119,27 @@
     assert not rig.node.engine_client.releaser.is_busy() and not rig.node.executor.in_flight
 
 
+def test_a_state_that_a_cut_off_reader_stores_late_is_released_once_it_can_be_reached() -> None:
+    """The cancel of a read does not arrive either; another engine answers the releases meanwhile."""
+    rig = RelayRig("r1 w1")
+    rig.engines["r1"].script = never_respond
+    client = rig.request("a1", LONG_PROMPT)
+    rig.run(0.1)
+    reader = rig.net.hosts["r1:1"]
+    rig.net.hosts["r1:1"] = ScriptedPeer(lambda connection, head, body: None)
+    client.transport.loseConnection()
+    rig.run(3.0)
+    assert b"/state/a1" in rig.engines["w1"].released_paths()
+    assert not rig.engines["r1"].released_paths() and not rig.node.engine_client.releaser.is_busy()
+    rig.net.hosts["r1:1"] = reader
+    rig.engines["r1"].script = rig.default_script
+    rig.run(1.0)
+    assert b"/state/a1" in rig.engines["r1"].released_paths()
+    count = len(rig.engines["r1"].requests)
+    rig.run(2.0)
+    assert len(rig.engines["r1"].requests) == count  # its answer ends the releases
+
+
 def engines_that_refuse(rig: RelayRig, *names: str) -> dict[str, object]:
     """Make these engines refuse all connections; return their hosts, to be restored later."""
     hosts = {f"{name}:1": rig.net.hosts[f"{name}:1"] for name in names}
--- a/tests/state/test_invariants.py
+++ b/tests/state/test_invariants.py
@@ -16,6 +16,7 @@
     broken_by_answer,
     broken_by_close,
     broken_by_forgetting,
+    broken_by_holding,
     broken_by_send,
     broken_by_timer,
     broken_by_waiting,
@@ -54,6 +55,7 @@
     assert broken_by_forgetting(False, False) is Invariant.ONE_FINAL_ANSWER
     assert broken_by_forgetting(True, True) is Invariant.STATE_RELEASED
     assert broken_by_waiting(0.1, 0.1) is None and broken_by_waiting(0.11, 0.1) is Invariant.ANSWER_IN_TIME
+    assert broken_by_holding(0.5, 0.5) is None and broken_by_holding(0.51, 0.5) is Invariant.STATE_IN_TIME
     assert broken_by_timer(True) is None and broken_by_timer(False) is Invariant.TIMER_ARMED
 
 
@@ -130,10 +132,19 @@
     rig.run(11.0)
 
 
+def plant_held_state(rig: RelayRig) -> None:
+    """Have the router keep a read state for as long as a write is unanswered."""
+    rig.engines["w1"].script = never_respond
+    rig.node.executor.router.admission.release_due_at = lambda sequence: float("inf")
+    rig.request("a1", LONG_PROMPT)
+    rig.run(1.0)
+
+
 PLANTED: dict[Invariant, list[Callable[[RelayRig], None]]] = {
     Invariant.ONE_FINAL_ANSWER: [plant_second_answer, plant_forgotten_answer],
     Invariant.STATE_RELEASED: [plant_forgotten_state],
     Invariant.ANSWER_BEFORE_CLOSE: [plant_close_under_a_request],
+    Invariant.STATE_IN_TIME: [plant_held_state],
     Invariant.ANSWER_IN_TIME: [plant_late_answer],
     Invariant.TIMER_ARMED: [plant_dead_timer],
 }
