Read states: the node checks whether an unanswered attempt has arrived before it releases

Change: at 0.45 of the state timeout the router has the relay ask the engine on a new connection, and the system whether the attempt's bytes were acknowledged; only if that shows nothing is the state released at 0.75. The simulator's attempts always end, and the gRPC node has no check, so there it is off. A release waits again for attempts that count as arrived, until the router gives them up. The monitor's check knows arrived attempts.

--- a/myrtlehub/http1/tcp_transport.py
+++ b/myrtlehub/http1/tcp_transport.py
@@ -1,5 +1,8 @@
 """TCP transports: interfaces of those of the reactor, a base class for protocols, and the abortive close."""
 
+import fcntl
+import sys
+import termios
 from collections.abc import Callable
 from contextlib import suppress
 from socket import SHUT_WR, socket
@@ -7,6 +10,8 @@
 
 from twisted.internet import protocol
 
+C_INT_BYTES = 4  # size of the integer by which `ioctl` returns a number of bytes
+
 
 class AbortableTransport(Protocol):
     """A transport that can be closed without sending its queued data."""
@@ -59,6 +64,18 @@
             set_no_delay(True)
 
 
+def unacknowledged_bytes(transport: AbortableTransport) -> int:
+    """Return how many sent bytes the peer's system has not acknowledged; 0 if this system cannot tell."""
+    get_handle: Callable[[], socket] | None = getattr(transport, "getHandle", None)
+    if get_handle is None:
+        return 0
+    try:
+        size = fcntl.ioctl(get_handle().fileno(), termios.TIOCOUTQ, bytes(C_INT_BYTES))
+    except OSError:
+        return 0
+    return int.from_bytes(size, sys.byteorder)
+
+
 def abortive_close(transport: AbortableTransport) -> None:
     """Close a connection so that its peer sees the end before data written later on other connections.
 
--- a/myrtlehub/log_events.py
+++ b/myrtlehub/log_events.py
@@ -27,6 +27,7 @@
     CONNECTION_CLOSED = "connection_closed"
     PEER_CONNECTION_CLOSED = "peer_connection_closed"
     ATTEMPT_SENT = "attempt_sent"
+    ATTEMPT_ARRIVED = "attempt_arrived"
     ATTEMPT_ENDED = "attempt_ended"
     ATTEMPT_FAILED = "attempt_failed"
     SEND_WITHHELD = "send_withheld"
--- a/myrtlehub/node/action_executor.py
+++ b/myrtlehub/node/action_executor.py
@@ -40,6 +40,7 @@
             contract.Send: self._send,
             contract.Release: self._release,
             contract.CancelAttempt: self._cancel,
+            contract.CheckArrival: self._check_arrival,
             contract.Reject: self._reject,
             contract.Abort: self._abort,
             contract.ScheduleWakeup: self._schedule_wakeup,
@@ -97,12 +98,23 @@
 
     def _release(self, action: contract.Release) -> None:
         sequence = self.in_flight[action.sequence]
+        for attempt in sequence.attempts:
+            attempt.may_be_lost = attempt.may_be_lost or attempt.is_outstanding
+        sequence.unfetched_since = None
         for read_state in list(sequence.read_states.values()):
             effect = sequence.step_read_state(read_state, ReadStateEvent.RELEASE)
             if effect == ReadStateEffect.SEND_RELEASE:
-                read_state.released()
+                read_state.handle = None  # no further write is to fetch it
                 self.transport.release(read_state.engine, sequence.sequence_id)
 
+    def _check_arrival(self, action: contract.CheckArrival) -> None:
+        if not self.config.may_check_arrival:
+            self._reject_action(action)
+        attempt = self.in_flight[action.sequence].attempts[action.attempt]
+        if attempt.is_outstanding:
+            for observer in self._observers:
+                observer.arrival_check_requested(attempt)
+
     def _cancel(self, action: contract.CancelAttempt) -> None:
         attempt = self.in_flight[action.sequence].attempts[action.attempt]
         if not attempt.is_streaming:
--- a/myrtlehub/node/executor_observer.py
+++ b/myrtlehub/node/executor_observer.py
@@ -36,5 +36,11 @@
     def executor_idle(self) -> None:
         """Called after each call of the router that leaves no sequence in flight."""
 
+    def arrival_check_requested(self, attempt: Attempt) -> None:
+        """Called when the router asks whether an attempt has arrived (`contract.CheckArrival`).
+
+        If it has, `SequenceLifecycle.attempt_arrived` is to be called in a later turn; otherwise nothing.
+        """
+
     def endpoints_requested(self) -> None:
         """Called when the router asks for the complete endpoint list (`contract.PollEndpoints`)."""
--- a/myrtlehub/node/sequence_lifecycle.py
+++ b/myrtlehub/node/sequence_lifecycle.py
@@ -176,6 +176,13 @@
         sequence.token_count += 1
         sequence.client.tokens(message)
 
+    def attempt_arrived(self, attempt: Attempt) -> None:
+        """Report to the router that an attempt has arrived at its engine, unless it has ended or begun."""
+        if attempt.is_outstanding and not attempt.is_streaming:
+            sequence = attempt.sequence
+            sequence.unfetched_since = None
+            self._call_router(lambda now: self.router.attempt_arrived(now, sequence.number, attempt.number))
+
     def tokens_received(self, attempt: Attempt, message: TokenMessage) -> None:
         """Pass further tokens of an attempt to the client, unchanged."""
         sequence = attempt.sequence
--- a/myrtlehub/node/sequences.py
+++ b/myrtlehub/node/sequences.py
@@ -34,6 +34,7 @@
         "engine",
         "is_read",
         "kind",
+        "may_be_lost",
         "number",
         "outcome",
         "sent_at",
@@ -64,6 +65,8 @@
         self.call: TransportCall | None = None
         self.state_machine = StateMachine(ATTEMPT, AttemptState.READING if is_read else AttemptState.WRITING)
         self.claimed_state: ReadState | None = None  # the state that a write is to fetch
+        # The router released the read states although it is outstanding, as it may not have arrived.
+        self.may_be_lost = False
         self.outcome: contract.Outcome | None = None  # None until it has ended
 
     @property
@@ -86,16 +89,12 @@
 class ReadState:
     """The read state that one reader holds for one sequence, and the handle by which writers fetch it."""
 
-    __slots__ = ("engine", "handle", "state_machine", "unfetched_since")
+    __slots__ = ("engine", "handle", "state_machine")
 
     def __init__(self, engine: int) -> None:
         self.engine = engine
         self.state_machine = StateMachine(READ_STATE)
         self.handle: StateHandle | None = None
-        # Clock time in seconds since which the reader may have had the state, neither fetched nor released:
-        # the end of the last read or write. A write that claims the state does not change it, because it need
-        # not arrive. None if there is no such time.
-        self.unfetched_since: float | None = None
 
     @classmethod
     def read_for_former_owner(cls, engine: int, handle: StateHandle) -> Self:
@@ -106,11 +105,6 @@
         read_state.handle = handle
         return read_state
 
-    def released(self) -> None:
-        """Record that its release is sent: no further write is to fetch it."""
-        self.handle = None
-        self.unfetched_since = None
-
     @property
     def is_claimable(self) -> bool:
         """Whether a write can be sent that fetches it."""
@@ -135,6 +129,7 @@
         "sequence_id",
         "streaming_attempt",
         "token_count",
+        "unfetched_since",
     )
 
     def __init__(
@@ -156,6 +151,9 @@
         self.answer = StateMachine(ANSWER)
         self.attempts: list[Attempt] = []
         self.read_states: dict[int, ReadState] = {}  # by engine
+        # Clock time in seconds since which an engine may have had a read state that was neither fetched nor
+        # released, with no attempt that is known to have arrived; None if there is no such time.
+        self.unfetched_since: float | None = None
         self.streaming_attempt: Attempt | None = None  # the attempt whose tokens the client gets
         self.first_token_at: float | None = None  # None: no token has come yet
         self.token_count = 0
@@ -184,13 +182,13 @@
         """Step the read state that an attempt made or claimed, by the attempt's outcome at a time."""
         if attempt.is_read:
             read_state = self.read_states[attempt.engine]
-            read_state.unfetched_since = now
             read_state.handle = handle
             self.step_read_state(read_state, event_of_read_end(outcome))
         elif attempt.claimed_state is not None:
-            attempt.claimed_state.unfetched_since = now
             event = event_of_write_end(outcome, is_state_missing=is_state_missing)
             self.step_read_state(attempt.claimed_state, event)
+        if outcome not in (AttemptEvent.UNREACHED, AttemptEvent.UNSENT):  # these have not arrived
+            self.unfetched_since = now if self.read_states else None
 
     def claimable_state(self) -> ReadState | None:
         """Return the read state that the next write is to fetch: the one that was made last."""
--- a/myrtlehub/relay/engines/engine_client.py
+++ b/myrtlehub/relay/engines/engine_client.py
@@ -13,10 +13,11 @@
 from myrtlehub.node.executor_observer import ExecutorObserver
 from myrtlehub.node.sequences import Attempt, InFlightSequence
 from myrtlehub.relay.clients.request_decoder import EngineRequest, RequestDecoder
+from myrtlehub.relay.engines.arrival_check import ArrivalCheck
 from myrtlehub.relay.engines.attempt_response import AttemptResponseHandler
 from myrtlehub.relay.engines.engine_directory import EngineDirectory
 from myrtlehub.relay.engines.small_response import SmallResponseHandler
-from myrtlehub.relay.engines.state_release import StateReleaser
+from myrtlehub.relay.engines.state_release import ReleaseTarget, StateReleaser
 from myrtlehub.relay.engines.stream_monitor import StreamMonitor
 from myrtlehub.relay.engines.uncertain_attempts import UncertainAttempts
 from myrtlehub.relay.errors import UnknownRequestTypeError
@@ -91,6 +92,22 @@
             # request in memory until the next full garbage collection.
             attempt.call = handler.pending = None
 
+    def arrival_check_requested(self, attempt: Attempt) -> None:
+        """Check whether an attempt has arrived; see `ExecutorObserver`."""
+        name = self.directory.name(attempt.engine)
+        target = ReleaseTarget(name, self.directory.dial_addresses[name])
+        ArrivalCheck(self.clock, self.pool, attempt, target, self._attempt_arrived).start()
+
+    def _attempt_arrived(self, attempt: Attempt) -> None:
+        self.log(
+            LogEvent.ATTEMPT_ARRIVED,
+            sequence_id=attempt.sequence.sequence_id,
+            attempt=attempt.number,
+            engine=self.directory.name(attempt.engine),
+            since_sent_s=round(self.clock.seconds() - attempt.sent_at, 4),
+        )
+        self.executor.attempt_arrived(attempt)
+
     # -- EngineTransport of the action executor ---------------------------------------------------
 
     def start(self, attempt: Attempt) -> None:
--- a/myrtlehub/relay/engines/state_release.py
+++ b/myrtlehub/relay/engines/state_release.py
@@ -28,6 +28,8 @@
 MAX_ROUND_BACKOFF_S = 0.96
 # Time to the next round if another engine than the reader has answered, and the read may still be running.
 REPEAT_INTERVAL_S = 0.5
+# Interval of the checks whether a release has to wait any longer for an attempt of its sequence.
+ATTEMPT_CHECK_INTERVAL_S = 0.05
 RELEASE_TIMEOUT_S = 10.0  # longer than any fault after which an engine still has its state
 MAX_OUTSTANDING_REQUESTS = 5  # per release, as each occupies a connection
 
@@ -86,7 +88,11 @@
 
     def is_busy(self) -> bool:
         """Return whether a release is unanswered, or a second release is still to be sent."""
-        return bool(self.unanswered) or self._scheduled_count > 0
+        return self.pending_count() > 0
+
+    def pending_count(self) -> int:
+        """Return the number of unanswered releases and of second releases that are still to be sent."""
+        return len(self.unanswered) + self._scheduled_count
 
     def targets(self, reader: str, sequence_id: str) -> list[ReleaseTarget]:
         """Return the engines of one round, in order: the reader twice, then other engines.
@@ -110,6 +116,15 @@
         self._scheduled_count -= 1
         StateRelease(self, reader, sequence_id, is_second=True)
 
+    def has_outstanding_attempt(self, sequence_id: str) -> bool:
+        """Return whether an attempt of the sequence is outstanding that counts as arrived.
+
+        If so, the sequence may have a new read state, which a release would free by mistake.
+        """
+        return any(
+            attempt.is_outstanding and not attempt.may_be_lost for attempt in self._attempts(sequence_id)
+        )
+
     def _attempts(self, sequence_id: str) -> list[Attempt]:
         """Return the attempts of an in-flight sequence; a client may reuse the id of an answered one."""
         for sequence in self.in_flight.values():
@@ -128,10 +143,9 @@
     next one of its round follows immediately; if it gets no response, after REQUEST_INTERVAL_S. All requests
     except the first use new connections.
 
-    They go on while an attempt of the sequence is outstanding too, because that one need not have arrived
-    either. If it is a read whose state is stored just before such a request arrives, the write finds no
-    state, and the prompt is read again. A write that has arrived keeps its state
-    (`RouterConfig.releases_spare_awaited_states`).
+    While an attempt of the sequence is outstanding that counts as arrived, only the first request of the
+    first release is sent: the attempt may create a new read state, or wait for one, which a later request
+    would free by mistake. Afterwards the release starts again.
 
     A second release follows an attempt that was cancelled or whose connection broke. The reader may not have
     noticed this, and store a state later, until it answers a release itself: the response of another engine
@@ -153,7 +167,10 @@
         self._timer: Timer | None = None
         self._begun_at = releaser.clock.seconds()
         releaser.unanswered.add(self)
-        self._send_next()
+        if is_second and releaser.has_outstanding_attempt(sequence_id):
+            self._wait_for_attempt()
+        else:
+            self._send_next()
 
     def _send_next(self) -> None:
         releaser = self.releaser
@@ -161,6 +178,10 @@
             was_answered = self not in releaser.unanswered
             self._finish(ReleaseResult.CONFIRMED if was_answered else ReleaseResult.EXPIRED)
             return
+        if self._request_count and releaser.has_outstanding_attempt(self.sequence_id):
+            self._cancel_requests()
+            self._wait_for_attempt()
+            return
         if not self._round:
             self._round = releaser.targets(self.reader, self.sequence_id)
             self._round_count += 1
@@ -193,6 +214,17 @@
             request=self._request_count,
         )
 
+    def _wait_for_attempt(self) -> None:
+        """Start again once no attempt that counts as arrived is outstanding."""
+        if self.releaser.has_outstanding_attempt(self.sequence_id):
+            self._timer = self.releaser.clock.callLater(ATTEMPT_CHECK_INTERVAL_S, self._wait_for_attempt)
+            return
+        self._round = []
+        self._round_count = 0
+        self._request_count = 0
+        self._begun_at = self.releaser.clock.seconds()
+        self._send_next()
+
     def _on_end(self, target: ReleaseTarget, succeeded: bool, body: bytes) -> None:
         is_last_of_round = not self._round
         if not succeeded:
@@ -232,6 +264,9 @@
         )
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self._cancel_requests()
+
+    def _cancel_requests(self) -> None:
         requests, self._pending = self._pending, []
         for pending in requests:
             pending.cancel()
--- a/myrtlehub/relay/monitoring/event_log.py
+++ b/myrtlehub/relay/monitoring/event_log.py
@@ -17,6 +17,7 @@
         LogEvent.SEQUENCE_ANSWERED,
         LogEvent.ENGINE_STATE_CHANGED,
         LogEvent.ATTEMPT_SENT,
+        LogEvent.ATTEMPT_ARRIVED,
         LogEvent.ATTEMPT_ENDED,
         LogEvent.ATTEMPT_FAILED,
         LogEvent.REQUEST_REJECTED,
--- a/myrtlehub/relay/monitoring/invariant_monitor.py
+++ b/myrtlehub/relay/monitoring/invariant_monitor.py
@@ -1,6 +1,6 @@
 """Checks of a running node's invariants, and the periodic log line with its counters."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from myrtlehub.clock import Clock
@@ -9,7 +9,7 @@
 from myrtlehub.log_events import Log, LogEvent
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.executor_observer import ExecutorObserver
-from myrtlehub.node.sequences import InFlightSequence, ReadState
+from myrtlehub.node.sequences import InFlightSequence
 from myrtlehub.state.answer import AnswerState
 from myrtlehub.state.invariants import (
     Invariant,
@@ -37,21 +37,6 @@
     is_armed: Callable[[], bool]
 
 
-class HeldState(NamedTuple):
-    """A read state that is neither fetched nor released: the number of its sequence, and its reader's."""
-
-    sequence: int
-    engine: int
-
-
-class UnfetchedState(NamedTuple):
-    """A read state that is neither fetched nor released, and since when, in seconds of the clock."""
-
-    sequence: InFlightSequence
-    read_state: ReadState
-    since: float
-
-
 class InvariantMonitor(ExecutorObserver):
     """Checks invariants that no single code path can check, such as overdue answers and stopped timers.
 
@@ -75,7 +60,8 @@
         self.worst_lag: Callable[[], float] = lambda: 0.0
         self.release_counts: Callable[[], Mapping[str, int]] = dict
         self._overdue_at_last_check: set[int] = set()  # by sequence number
-        self._checks_held: dict[HeldState, int] = {}  # number of checks in a row that found it held too long
+        # By sequence number: the number of checks in a row that found its read states held too long.
+        self._checks_held: dict[int, int] = {}
         self._next_counters_at = clock.seconds() + COUNTERS_INTERVAL_S
 
     def attach(self, executor: ActionExecutor) -> None:
@@ -109,29 +95,29 @@
     def _oldest_read_state(self) -> float:
         """Return for how many seconds the oldest read state has not been fetched; 0.0 if there is none."""
         now = self.clock.seconds()
-        return max((now - state.since for state in self._unfetched_states()), default=0.0)
+        return max((now - since for since in self._unfetched_since().values()), default=0.0)
 
-    def _unfetched_states(self) -> Iterator[UnfetchedState]:
-        """Yield each read state that is neither fetched nor released.
+    def _unfetched_since(self) -> dict[int, float]:
+        """Return since when read states are neither fetched nor released, by sequence number.
 
         When an answer begins, engines free by themselves what they hold for its sequence.
         """
-        for sequence in self.executor.in_flight.values():
-            for read_state in sequence.read_states.values():
-                if read_state.unfetched_since is not None and sequence.first_token_at is None:
-                    yield UnfetchedState(sequence, read_state, read_state.unfetched_since)
+        return {
+            number: sequence.unfetched_since
+            for number, sequence in self.executor.in_flight.items()
+            if sequence.unfetched_since is not None and sequence.first_token_at is None
+        }
 
     def _check_states(self, now: float) -> None:
-        """Check that each read state is fetched or released in time, even if an attempt is in flight."""
+        """Check that read states are fetched or released in time, unless an attempt has arrived meanwhile."""
         checks_before, self._checks_held = self._checks_held, {}
-        for state in self._unfetched_states():
-            broken = broken_by_holding(now - state.since, self.executor.config.state_timeout)
+        for number, since in self._unfetched_since().items():
+            broken = broken_by_holding(now - since, self.executor.config.state_timeout)
             if broken is None:
                 continue
-            held = HeldState(state.sequence.number, state.read_state.engine)
-            self._checks_held[held] = checks_before.get(held, 0) + 1
-            if self._checks_held[held] == CHECKS_UNTIL_HELD:
-                self.counter.check(broken, state.sequence.sequence_id)
+            self._checks_held[number] = checks_before.get(number, 0) + 1
+            if self._checks_held[number] == CHECKS_UNTIL_HELD:
+                self.counter.check(broken, self.executor.in_flight[number].sequence_id)
 
     def _log_violation(self, invariant: Invariant, sequence_id: str) -> None:
         self.log(LogEvent.INVARIANT_VIOLATED, invariant=invariant, sequence_id=sequence_id)
--- a/myrtlehub/relay/settings/node_settings.py
+++ b/myrtlehub/relay/settings/node_settings.py
@@ -109,7 +109,7 @@
         if not _is_list_of_named_objects(platform.get(key) or []):
             raise SettingsError(f"settings.{key}: is no list of objects with a Name; write it as one")
     try:
-        return router_config_from_settings(platform, settings.seed)
+        return router_config_from_settings(platform, settings.seed)._replace(may_check_arrival=True)
     except KeyError as error:
         raise SettingsError(f"settings: {error.args[0]} is missing or unknown; add it or mend it") from error
     except (TypeError, AttributeError, ValueError, IndexError) as error:
--- a/myrtlehub/routing/calls.py
+++ b/myrtlehub/routing/calls.py
@@ -147,6 +147,13 @@
             self._attempt_ended(sequence, ended, now)
         return self._finish(now)
 
+    def attempt_arrived(self, now: float, sequence_id: int, attempt: int) -> list[Action]:
+        """Handle the sign that a running attempt has arrived at its engine."""
+        sequence = self.sequences.get(sequence_id)
+        if sequence is not None and attempt in sequence.running_attempts():
+            sequence.expect_no_release()
+        return self._finish(now)
+
     def client_left(self, now: float, sequence_id: int) -> list[Action]:
         """Handle the disconnection of a client that has no final answer yet."""
         sequence = self.sequences.get(sequence_id)
@@ -175,9 +182,9 @@
         return actions
 
     def _schedule_wakeup(self, now: float) -> None:
-        """Request a wake-up at the next deadline or release, or sooner while sequences wait at this node."""
+        """Request a wake-up at the next deadline, check or release, or sooner while sequences wait here."""
         deadlines = [
-            min(sequence.abandon_at, sequence.release_due_at)
+            min(sequence.abandon_at, sequence.check_due_at, sequence.release_due_at)
             for sequence in self.sequences.values()
             if not sequence.is_over and not sequence.has_begun
         ]
--- a/myrtlehub/routing/contract.py
+++ b/myrtlehub/routing/contract.py
@@ -80,9 +80,9 @@
     load_by_probe_only: bool = False  # engines report load to probes, and not with their responses
     connect_timeout: float = 0.0  # longest time in seconds to connect to an engine before a send
     probe_price: float = 0.0  # cost of one probe, in units of utility
-    # A release leaves alone a read state that an attempt waits for which has arrived at its engine. So a
-    # state can be released while it is unknown whether the attempt that was to fetch it has arrived.
-    releases_spare_awaited_states: bool = False
+    # The node can check whether an attempt has arrived at its engine. Without this, each attempt that was
+    # sent counts as arrived until it ends.
+    may_check_arrival: bool = False
 
 
 class EngineState(IntEnum):
@@ -182,6 +182,13 @@
     attempt: int
 
 
+class CheckArrival(NamedTuple):
+    """Check whether a running attempt has arrived; if it has, `Router.attempt_arrived` is called."""
+
+    sequence: int
+    attempt: int
+
+
 class Reject(NamedTuple):
     """End a sequence and tell its client that it did not run, or that a retry does no harm."""
 
@@ -256,6 +263,7 @@
     | CancelAttempt
     | Reject
     | Abort
+    | CheckArrival
     | Migrate
     | ScheduleWakeup
     | Probe
@@ -336,6 +344,9 @@
     ) -> list[Action]:
         """Handle an engine's response to `Reserve`."""
 
+    def attempt_arrived(self, now: float, sequence: int, attempt: int) -> list[Action]:
+        """Handle the sign that a running attempt has arrived, after `CheckArrival`."""
+
     def client_left(self, now: float, sequence: int) -> list[Action]:
         """Handle the disconnection of a client that has no final answer yet."""
 
@@ -355,7 +366,11 @@
 
 
 class OptionalCalls:
-    """Default calls of routers that never return the optional actions `Reserve`, `Probe` and `Gossip`."""
+    """Default calls of routers that never return the optional actions `Reserve`, `Probe` and so on."""
+
+    def attempt_arrived(self, now: float, sequence: int, attempt: int) -> list[Action]:
+        """Ignore the result of a `CheckArrival`."""
+        return []
 
     def reservation_answered(
         self, now: float, sequence: int, attempt: int, engine: int, is_reserved: bool
--- a/myrtlehub/routing/policy/admission.py
+++ b/myrtlehub/routing/policy/admission.py
@@ -28,9 +28,12 @@
 QUOTA_SKEW = 1.25  # multiple of an even part of a quota that each node admits, as nodes get uneven traffic
 # Share of the state timeout after which a waiting sequence releases its read state.
 STATE_TIMEOUT_SHARE = 0.5
-# The same after a failed connection to a writer, so that one more writer can be tried first, and while no
-# engine has answered the attempt that was to fetch the state.
+# The same after a failed connection to a writer, so that one more writer can be tried first, and while it is
+# not known that the attempt which was to fetch the state has arrived.
 UNREACHED_STATE_TIMEOUT_SHARE = 0.75
+# Share of the state timeout after which the node checks whether an unanswered attempt has arrived. Most
+# answers begin earlier, and the time until the release is enough for the check.
+ARRIVAL_CHECK_SHARE = 0.45
 INITIAL_DELAY_FACTOR = 0.5  # actual over estimated start delay, before any starts were observed
 MAX_DELAY_FACTOR = 5.0  # upper bound of that ratio in one sample, so that one stall has a limited effect
 MAX_DELAY_WEIGHT = 0.3  # upper bound of one sample's weight in the averages, however old the last sample is
@@ -130,25 +133,23 @@
             actual = min(now - estimate.made_at, MAX_DELAY_FACTOR * estimate.delay)
             self.delay_error.observe(estimate.delay, actual, MAX_DELAY_WEIGHT, now)
 
-    def release_due_at(self, sequence: Sequence) -> float:
-        """Rule 5: return when to release the read state if the attempt that is sent now is not answered.
+    def expect_arrival(self, sequence: Sequence) -> None:
+        """Rule 5: set when to check whether this attempt has arrived, and when to release the state.
 
         An attempt that was sent need not have arrived: its connection may have been cut off without an error,
-        or its engine may read nothing. Only the engine's answer proves the arrival, and an attempt that has
-        not arrived does not stop the time for which a read state may be held. The release does no harm if the
-        attempt has arrived (`RouterConfig.releases_spare_awaited_states`).
+        or its engine may read nothing. Then it does not stop the time for which a read state may be held.
+        Only the engine shows that it has arrived, by an answer or by the check. Without that, the state is
+        released, although the attempt may have arrived after all: it then finds no state.
         Test: `test_a_state_is_released_in_time_although_its_write_never_arrives`.
-
-        Returns:
-            The time in seconds; infinity if no engine can have a read state, or the release could do harm.
         """
+        sequence.expect_no_release()
         had_read = sequence.arrival.state_engine is not None or any(
             attempt.is_read and not attempt.is_running for attempt in sequence.attempts
         )
-        may_have_state = had_read and sequence.state_since > 0.0
-        if not may_have_state or not self.config.releases_spare_awaited_states:
-            return float("inf")
-        return sequence.state_since + UNREACHED_STATE_TIMEOUT_SHARE * self.config.state_timeout
+        if had_read and sequence.state_since > 0.0 and self.config.may_check_arrival:
+            timeout = self.config.state_timeout
+            sequence.check_due_at = sequence.state_since + ARRIVAL_CHECK_SHARE * timeout
+            sequence.release_due_at = sequence.state_since + UNREACHED_STATE_TIMEOUT_SHARE * timeout
 
     def retains_state_too_long(self, sequence: Sequence, now: float, share: float) -> bool:
         """Rule 5: return whether a read state was not fetched within a share of the state timeout."""
--- a/myrtlehub/routing/policy/router.py
+++ b/myrtlehub/routing/policy/router.py
@@ -79,6 +79,9 @@
                 continue
             if now >= sequence.release_due_at:
                 self._release_state(sequence)
+            elif now >= sequence.check_due_at:
+                sequence.check_due_at = float("inf")
+                self.actions.append(contract.CheckArrival(sequence.id, len(sequence.attempts) - 1))
             if sequence.id not in self.waiting:
                 continue
             may_try = failed_placements < MAX_FAILED_PLACEMENTS and self._may_place_again(sequence, now)
@@ -123,7 +126,8 @@
     def _release_state(self, sequence: Sequence) -> None:
         self.actions.append(contract.Release(sequence.id))
         sequence.state_engine = None
-        sequence.state_since = sequence.release_due_at = float("inf")
+        sequence.state_since = float("inf")
+        sequence.expect_no_release()
 
     def _send(self, sequence: Sequence, engine: Engine, now: float) -> None:
         """Send the next attempt: a read if the sequence is split, else one that writes the answer."""
@@ -135,7 +139,7 @@
         attempt = self._new_attempt(sequence, engine, now)
         self.estimates.assign(sequence, sequence.writer)
         sequence.attempts.append(attempt)
-        sequence.release_due_at = self.admission.release_due_at(sequence)
+        self.admission.expect_arrival(sequence)
         self.estimates.attempt_sent(attempt)
         if not attempt.fetches_state:  # engines cache the prompts that they read, and not fetched states
             engine.cache.add(arrival, now)
@@ -164,7 +168,7 @@
 
     def _attempt_began(self, sequence: Sequence, attempt: Attempt, now: float, latency: float) -> None:
         writer, source = attempt.engine, sequence.reader
-        sequence.release_due_at = float("inf")
+        sequence.expect_no_release()
         # Once the answer has started, load reports include the memory of the sequence, which is no longer
         # counted as assigned. If reports do not include memory, it stays assigned until the sequence ends.
         is_reported = writer.kind in self.estimates.usual_memory
@@ -178,7 +182,7 @@
 
     def _attempt_ended(self, sequence: Sequence, attempt: Attempt, now: float) -> None:
         self.estimates.attempt_ended(sequence, attempt)
-        sequence.release_due_at = float("inf")
+        sequence.expect_no_release()
         if attempt.has_succeeded:
             self.reads.hit_rates.observe_success(sequence, attempt, now)
         retries.record_capacity(sequence, attempt, now)
--- a/myrtlehub/routing/records.py
+++ b/myrtlehub/routing/records.py
@@ -196,8 +196,9 @@
     # Time since which an engine may have had its read state while no writer fetched it: 0.0 until the end of
     # an attempt that can have left a read state, inf after the release.
     state_since: float = 0.0
-    # Time at which the read state is released unless the running attempt is known to have arrived; inf if
-    # there is no such time.
+    # While an attempt runs that may not have arrived, and an engine may have a read state: when to check
+    # whether it has arrived, and when to release the state if that is still unknown. Otherwise inf.
+    check_due_at: float = float("inf")
     release_due_at: float = float("inf")
     start_estimate: StartEstimate | None = None  # None once it was compared with the actual start
     attempts: list[Attempt] = field(default_factory=list)
@@ -219,6 +220,10 @@
         """Record that an attempt sent to an engine at a time may have run."""
         self.possible_run = PossibleRun(engine.dedup_group(self.traffic), sent_at)
 
+    def expect_no_release(self) -> None:
+        """Forget when to check the arrival of the running attempt and to release the read state."""
+        self.check_due_at = self.release_due_at = float("inf")
+
     def running_attempts(self) -> list[int]:
         """Return the numbers of the attempts that have not ended."""
         return [number for number, attempt in enumerate(self.attempts) if attempt.is_running]
--- a/myrtlehub/state/read_state.py
+++ b/myrtlehub/state/read_state.py
@@ -103,8 +103,8 @@
             ),
             forbid(ReadStateEvent.READ_SENT, ReadStateEvent.CLAIM, *_READ_ENDS),
         ),
-        # The release had no effect if the write had arrived: then the reader still has the state after a
-        # write that failed.
+        # The release had no effect if the write was fetching the state already: then the reader still has it
+        # after a write that failed or was rejected.
         ReadStateStatus.CLAIMED_RELEASED: (
             on(ReadStateEvent.FETCHED, ReadStateEvent.MISSING, to=ReadStateStatus.NONE),
             on(ReadStateEvent.NOT_FETCHED, ReadStateEvent.FETCH_UNKNOWN, to=ReadStateStatus.UNCERTAIN),
--- a/tests/node/test_action_executor.py
+++ b/tests/node/test_action_executor.py
@@ -270,10 +270,7 @@
     calls = fleet.nodes["n0"].executor.router.calls
     config = router_config_of(fleet.nodes["n0"].sheet)
     settings = wire_settings_of(config)
-    # Of the two, only the platform's releases spare a state that a write waits for.
-    assert platform_settings.router_config_from_settings(settings, config.seed) == config._replace(
-        releases_spare_awaited_states=True
-    )
+    assert platform_settings.router_config_from_settings(settings, config.seed) == config
     adapter = simulator.Node("n0", {"Settings": settings, "Entropy": config.seed}, calls[0].now)
     adapter.router = Router(config)
     use_hash_seeds_of(calls, adapter.router)
--- a/tests/relay/test_relay_releases.py
+++ b/tests/relay/test_relay_releases.py
@@ -47,7 +47,7 @@
     client.transport.loseConnection()
     rig.run(1.0)
     assert rig.engines["r1"].released_paths() == [b"/state/a1"] * 2
-    assert rig.node.executor.outstanding_attempt_count() == 0
+    assert not rig.node.engine_client.releaser.has_outstanding_attempt("a1")
 
 
 def test_a_state_whose_reader_has_ended_is_released_through_another_engine() -> None:
--- a/tests/state/test_invariants.py
+++ b/tests/state/test_invariants.py
@@ -135,7 +135,7 @@
 def plant_held_state(rig: RelayRig) -> None:
     """Have the router keep a read state for as long as a write is unanswered."""
     rig.engines["w1"].script = never_respond
-    rig.node.executor.router.admission.release_due_at = lambda sequence: float("inf")
+    rig.node.executor.router.admission.expect_arrival = lambda sequence: None
     rig.request("a1", LONG_PROMPT)
     rig.run(1.0)
 
