Shutdown by the earliest SIGKILL that the settings allow, with a log of what is owed

Cause: the operators' newest terms: SIGKILL may come as early as the longest deadline (3 s at most) plus 0.7 s after SIGTERM, and a request that came later than 0.7 s after SIGTERM has to be answered completely by then. Change: the instant is computed from the settings; requests that certainly came over 0.5 s after SIGTERM are rejected at once; 0.15 s before the instant a node that is still busy logs shutdown_unfinished with sequences, connections and releases by stage.

--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -71,6 +71,11 @@
         else:
             self.linger(CloseReason.DRAINING if self.listener.is_draining else CloseReason.IDLE_TIMEOUT)
 
+    @property
+    def has_open_request(self) -> bool:
+        """Whether a request awaits the end of its response."""
+        return self.exchange is not None
+
     @property
     def is_unused(self) -> bool:
         """Whether no byte of a request has come since the last response."""
--- a/myrtlehub/http1/server_interfaces.py
+++ b/myrtlehub/http1/server_interfaces.py
@@ -20,6 +20,10 @@
     is_closing: bool
     is_dropped: bool
 
+    @property
+    def has_open_request(self) -> bool:
+        """Whether a request awaits the end of its response."""
+
     @property
     def is_unused(self) -> bool:
         """Whether no byte of a request has come since the last response."""
--- a/myrtlehub/log_events.py
+++ b/myrtlehub/log_events.py
@@ -15,6 +15,7 @@
     # Programs
     READY = "ready"
     DRAINING = "draining"
+    SHUTDOWN_UNFINISHED = "shutdown_unfinished"
     ENDED = "ended"
     EVENT_LOOP_LAG = "event_loop_lag"
     UNEXPECTED_ERROR = "unexpected_error"
--- a/myrtlehub/platform_settings.py
+++ b/myrtlehub/platform_settings.py
@@ -28,6 +28,12 @@
     factor: float
 
 
+# The platform sends SIGKILL as early as the longest deadline of the deployment, of which it counts at most
+# this many seconds, and KILL_MARGIN_S after SIGTERM. A request that came later than KILL_MARGIN_S after
+# SIGTERM has to have its complete answer by then.
+MAX_COUNTED_DEADLINE_S = 3.0
+KILL_MARGIN_S = 0.7
+
 LOAD_VALUES = {  # by name on the wire
     "x0": LoadValue("memory_share", 1.0),
     "x1": LoadValue("unread", 1000.0),  # thousands of tokens
@@ -54,7 +60,6 @@
         quotas=tuple(tenant.get("QuotaPerS", 0.0) for tenant in settings.get("Orgs") or []),
         writers_can_read=specifics.get("SelfPrefill", False),
         state_timeout=_seconds(specifics, "LetGoByMs"),
-        releases_spare_awaited_states=True,
         drain_grace=_seconds(rules, "DrainGraceMs"),
         cold_share=rules.get("ColdShare", 0.0),
         cold_time=_seconds(rules, "ColdMs"),
@@ -71,6 +76,12 @@
     )
 
 
+def earliest_kill(settings: Settings) -> float:
+    """Return the seconds from SIGTERM to the earliest SIGKILL of a node with these settings."""
+    deadlines = [_seconds(traffic, "GiveUpMs") for traffic in settings.get("Classes") or []]
+    return min(MAX_COUNTED_DEADLINE_S, max(deadlines, default=MAX_COUNTED_DEADLINE_S)) + KILL_MARGIN_S
+
+
 class _EngineKinds(TypedDict):
     """The fields of `RouterConfig` that have one value for each kind of engine."""
 
--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -20,7 +20,7 @@
 from myrtlehub.relay.monitoring.uncaught_errors import log_uncaught_errors
 from myrtlehub.relay.node import RelayNode
 from myrtlehub.relay.process.bounded_port import BoundedPort
-from myrtlehub.relay.process.graceful_shutdown import GracefulShutdown
+from myrtlehub.relay.process.graceful_shutdown import REPORT_MARGIN_S, GracefulShutdown
 from myrtlehub.relay.process.startup_retry import retry_on_resource_shortage
 from myrtlehub.relay.settings.node_settings import MIN_DESCRIPTORS, NodeSettings, read_node_settings
 from myrtlehub.relay.settings.settings_reload import reload_settings
@@ -69,7 +69,13 @@
         self.node.monitor.on_violation = self.log.dump
         self.port = self._listen()
         self.shutdown = GracefulShutdown(
-            self.node.clock, self.node.listener, self.node.is_busy, self._stop_listening, reactor.stop
+            self.node.clock,
+            self.node.listener,
+            self.node.is_busy,
+            self._stop_listening,
+            reactor.stop,
+            self.node.limits.earliest_kill - REPORT_MARGIN_S,
+            self._log_pending_work,
         )
 
     def _listen(self) -> BoundedPort:
@@ -97,8 +103,13 @@
     def _on_terminate(self) -> None:
         # For clients in the accept queue the connection is already established, so they need a response.
         self.node.open()
+        self.node.begin_shutdown()
         self.shutdown.start()
 
+    def _log_pending_work(self) -> None:
+        self.log(LogEvent.SHUTDOWN_UNFINISHED, **self.node.pending_work()._asdict())
+        self.node.monitor.log_counters()
+
     def _stop_listening(self) -> None:
         self.port.accept_all()
         self.port.stopListening()  # type: ignore[no-untyped-call] # Twisted has no annotation
--- a/myrtlehub/relay/clients/client_front.py
+++ b/myrtlehub/relay/clients/client_front.py
@@ -109,6 +109,8 @@
     Attributes:
         open_sinks: The sinks of sequences without a final answer, by sequence id.
         is_ready: Returns whether the node has an endpoint list.
+        refuses_from: Clock time in seconds; requests whose last byte arrives later are rejected at once, as
+            the process may be killed before they are answered completely.
         rejected_count: Number of malformed requests so far.
     """
 
@@ -125,6 +127,7 @@
         self.max_in_flight = max_in_flight
         self.open_sinks: dict[str, ExchangeSink] = {}
         self.is_ready: Callable[[], bool] = lambda: True
+        self.refuses_from = float("inf")
         self.rejected_count = 0
 
     def on_request(self, exchange: ServerExchange) -> None:
@@ -160,9 +163,14 @@
         sequence_id = decoded.sequence_id
         sink = ExchangeSink(self, exchange, sequence_id)
         self.open_sinks[sequence_id] = sink
-        if len(self.executor.in_flight) >= self.max_in_flight:
+        if self._is_too_late(exchange) or len(self.executor.in_flight) >= self.max_in_flight:
             sink.rejected(self.executor.config.max_retry_after)
             return
         sequence = self.executor.accept(decoded.engine_request, decoded.arrival, sink, sequence_id)
         if sequence_id in self.open_sinks:  # otherwise accept() has already answered it
             sink.sequence = sequence
+
+    def _is_too_late(self, exchange: ServerExchange) -> bool:
+        """Return whether a request certainly came after `refuses_from`: data may be read late."""
+        age = self.decoder.lag.age(self.executor.clock.seconds())
+        return exchange.request.received_at - age > self.refuses_from
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -9,6 +9,7 @@
 from myrtlehub.limits.event_loop_lag import TICK_PERIOD
 from myrtlehub.log_events import Log, LogEvent, no_log
 from myrtlehub.node.action_executor import ActionExecutor
+from myrtlehub.platform_settings import KILL_MARGIN_S
 from myrtlehub.relay.clients.client_front import ClientFront
 from myrtlehub.relay.clients.request_decoder import RequestDecoder
 from myrtlehub.relay.discovery.discovery_client import CONNECT_TIMEOUT_S, DiscoveryClient
@@ -17,6 +18,7 @@
 from myrtlehub.relay.errors import EndpointListError
 from myrtlehub.relay.monitoring.invariant_monitor import InvariantMonitor, RecurringTimer
 from myrtlehub.relay.process.descriptor_budget import MAX_DISCOVERY_CONNECTIONS, DescriptorBudget
+from myrtlehub.relay.process.pending_work import PendingWork, count_connections, count_sequences
 from myrtlehub.relay.settings.node_settings import NodeSettings, router_config_of
 from myrtlehub.relay.settings.platform_limits import platform_limits_of
 from myrtlehub.routing.policy.router import Router
@@ -25,6 +27,10 @@
 # Fraction of the engines' keep-alive time for which idle connections are reused. Near the end of that time,
 # an engine might close the connection while a request is in transit.
 REUSE_SHARE = 0.4
+# Time after SIGTERM until which requests are still accepted. Later than KILL_MARGIN_S they would have to be
+# answered completely before the earliest SIGKILL. This process may handle the signal late, and for a request
+# that it may have read late it assumes the earliest time.
+LAST_REQUEST_S = KILL_MARGIN_S - 0.2
 FALLBACK_DELAY_S = 1.0  # from the start until the fallback list is used, if discovery has not answered
 
 Dialer = Callable[[str, float], Dial]
@@ -180,6 +186,19 @@
             or self.engine_client.releaser.is_busy()
         )
 
+    def begin_shutdown(self) -> None:
+        """Reject requests that come too late to be answered completely before the earliest SIGKILL."""
+        refuses_from = self.clock.seconds() + LAST_REQUEST_S
+        self.front.refuses_from = min(self.front.refuses_from, refuses_from)
+
+    def pending_work(self) -> PendingWork:
+        """Return what this node still owes to clients and engines."""
+        return PendingWork(
+            count_sequences(self.executor.in_flight.values()),
+            count_connections(self.listener.connections),
+            self.engine_client.releaser.pending_count(),
+        )
+
     def measure_lag(self) -> None:
         """Measure the event loop lag now and periodically; see `LagMeter`."""
         now = self.clock.seconds()
--- a/myrtlehub/relay/process/graceful_shutdown.py
+++ b/myrtlehub/relay/process/graceful_shutdown.py
@@ -8,6 +8,8 @@
 # Time after SIGTERM during which connections are still accepted, because the load balancer may need this long
 # to stop sending new ones.
 ACCEPT_PERIOD_S = 0.5
+# Time from the report of what is still pending to the earliest SIGKILL, as the process may be delayed.
+REPORT_MARGIN_S = 0.15
 IDLE_CHECK_INTERVAL_S = 0.1  # between checks of whether the node is still busy
 
 
@@ -27,6 +29,8 @@
         is_busy: Returns whether anything in flight still needs the process; see `RelayNode.is_busy`.
         stop_listening: Closes the port for clients.
         end: Called once, when the node is no longer busy.
+        report_delay: Seconds after the start at which `report` is called, unless the shutdown has ended.
+        report: Reports what is still pending.
     """
 
     def __init__(
@@ -36,12 +40,16 @@
         is_busy: Callable[[], bool],
         stop_listening: Callable[[], None],
         end: Callable[[], None],
+        report_delay: float = 0.0,
+        report: Callable[[], None] | None = None,
     ) -> None:
         self.clock = clock
         self.listener = listener
         self.is_busy = is_busy
         self.stop_listening = stop_listening
         self.end = end
+        self.report_delay = report_delay
+        self.report = report
         self._is_started = False
 
     def start(self) -> None:
@@ -50,6 +58,8 @@
             return
         self._is_started = True
         self.clock.callLater(ACCEPT_PERIOD_S, self._close)
+        if self.report is not None:
+            self.clock.callLater(self.report_delay, self.report)
         self.listener.drain()
 
     def _close(self) -> None:
@@ -66,7 +76,8 @@
         No timeout is needed here, because everything in flight has its own time limit: sequences have their
         deadlines, partial requests REQUEST_TIMEOUT_S, last responses LINGER_TIMEOUT_S, and releases
         RELEASE_TIMEOUT_S. A stream ends when the engine ends it, or after SILENCE_TIMEOUT_S without an event.
-        The platform sends SIGKILL no earlier than 3.7 s after SIGTERM.
+        The platform sends SIGKILL no earlier than `PlatformLimits.earliest_kill` after SIGTERM; a process
+        that is still busy shortly before that reports what is pending, and goes on.
         """
         is_busy = True
         try:
--- a/myrtlehub/relay/settings/platform_limits.py
+++ b/myrtlehub/relay/settings/platform_limits.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from myrtlehub.platform_settings import earliest_kill
 from myrtlehub.relay.errors import SettingsError
 from myrtlehub.relay.settings.node_settings import NodeSettings
 
@@ -17,11 +18,13 @@
         connect_timeout: Seconds within which a connection to an engine has to be established.
         keepalive: Seconds after which engines close idle connections.
         max_in_flight: Largest number of in-flight sequences.
+        earliest_kill: Seconds from SIGTERM to the earliest SIGKILL.
     """
 
     connect_timeout: float
     keepalive: float
     max_in_flight: int
+    earliest_kill: float
 
 
 def platform_limits_of(settings: NodeSettings) -> PlatformLimits:
@@ -44,4 +47,5 @@
         connect_timeout=limits["ConnectTimeoutMs"] / 1e3,
         keepalive=limits["KeepaliveMs"] / 1e3,
         max_in_flight=int(limits["MostHeld"]),
+        earliest_kill=earliest_kill(settings.platform),
     )
--- a/tests/relay/test_relay_shutdown.py
+++ b/tests/relay/test_relay_shutdown.py
@@ -1,6 +1,7 @@
 """Graceful shutdown of a relay node, in memory."""
 
 import h11
+import pytest
 from relaymessages import (
     COMPLETE_STREAM,
     DONE,
@@ -13,6 +14,7 @@
 )
 from relayrig import PeerConnection, RelayRig, never_respond
 
+from myrtlehub.platform_settings import earliest_kill
 from myrtlehub.relay.process.graceful_shutdown import GracefulShutdown
 
 
@@ -45,6 +47,34 @@
     assert accepted.lost and late.lost and ended
 
 
+def test_a_request_that_is_complete_in_time_after_sigterm_is_served() -> None:
+    """Requests that are complete later are rejected: their answers may not be complete before SIGKILL."""
+    rig = RelayRig("w1")
+    early, late = rig.client(), rig.client()
+    for client, sequence_id in ((early, "a1"), (late, "a2")):
+        client.send(chat_request(sequence_id)[:-5])
+    rig.run(0.01)
+    rig.node.begin_shutdown()
+    rig.node.listener.drain()
+    rig.run(0.45)
+    early.send(chat_request("a1")[-5:])
+    rig.run(0.1)
+    late.send(chat_request("a2")[-5:])
+    rig.run(0.1)
+    assert early.statuses == [200] and late.statuses == [503]
+    assert b"Connection: close" in late.received
+    assert [request.headers[b"x-txn"] for request in rig.engines["w1"].chat_requests()] == [b"a1"]
+
+
+def test_the_earliest_sigkill_follows_from_the_longest_deadline() -> None:
+    def earliest(*deadlines_ms: float) -> float:
+        return earliest_kill({"Classes": [{"GiveUpMs": deadline} for deadline in deadlines_ms]})
+
+    assert earliest(400.0, 900.0) == pytest.approx(1.6)
+    assert earliest(400.0, 10000.0) == pytest.approx(3.7)
+    assert earliest() == pytest.approx(3.7)
+
+
 def test_a_stream_that_ends_after_sigterm_closes_its_connection() -> None:
     """Its head was sent without `Connection: close`, so the client may send its next request."""
     rig = RelayRig("w1")
