--- a/myrtlehub/cli/fault_soak.py
+++ b/myrtlehub/cli/fault_soak.py
@@ -149,7 +149,8 @@
     verdict = ", ".join(f"{rule} {count}" for rule, count in sorted(counts.items())) or "kept"
     click.echo(
         f"seed {schedule.seed}: {verdict}; {result.requests} requests, {result.attempts} attempts, "
-        f"{result.ends}, withheld {result.withheld}, driver lag {result.driver_lag} s; "
+        f"{result.ends}, withheld {result.withheld}, {result.killed} of {result.shutdowns} shutdowns "
+        f"ended by SIGKILL, driver lag {result.driver_lag} s; deadline {schedule.deadline_s} s; "
         f"{len(schedule.faults)} troubles: {kinds}"
     )
     shown: Counter[str] = Counter()
@@ -157,6 +158,8 @@
         shown[finding.rule] += 1
         if shown[finding.rule] <= MAX_SHOWN_PER_RULE:
             click.echo(f"    {finding.rule}: {finding.subject}: {finding.detail}")
+            for line in result.evidence.get(finding.subject, ()):
+                click.echo(f"        {line}")
     return bool(result.findings)
 
 
--- a/myrtlehub/lab/fault_soak/answer_checks.py
+++ b/myrtlehub/lab/fault_soak/answer_checks.py
@@ -6,7 +6,14 @@
 from myrtlehub.lab.fault_soak.faults import FaultKind
 from myrtlehub.lab.fault_soak.findings import Finding, Rule
 from myrtlehub.lab.fault_soak.record_index import RecordIndex
-from myrtlehub.lab.fault_soak.records import AttemptEnd, AttemptRecord, RequestRecord, ResponseEnd
+from myrtlehub.lab.fault_soak.records import (
+    AttemptEnd,
+    AttemptRecord,
+    NodeShutdown,
+    RequestRecord,
+    ResponseEnd,
+)
+from myrtlehub.platform_settings import KILL_MARGIN_S
 
 MAX_LATE_ANSWER_S = 0.5  # by which a final answer may come after the deadline
 # Faults after which a client on the node's connections cannot be reached any more.
@@ -17,6 +24,10 @@
     """Yield breaches by the answer to a request, or by its absence."""
     if request.end == ResponseEnd.CLIENT_DISCONNECTED or _was_disconnected(index, request):
         return
+    shutdown = index.kill_of(request)
+    if shutdown is not None:
+        yield from _check_killed(index, request, shutdown)
+        return
     if request.end == ResponseEnd.UNANSWERED:
         was_forwarded = bool(index.attempts(request.request_id))
         # A node may close an idle connection while the next request on it is under way, but not after it has
@@ -32,6 +43,14 @@
         yield from _check_stream(index, request)
 
 
+def _check_killed(index: RecordIndex, request: RequestRecord, shutdown: NodeShutdown) -> Iterator[Finding]:
+    """Yield a breach if a request was open at SIGKILL that came too late after SIGTERM to be excused."""
+    since = request.sent_at - shutdown.terminated_at
+    if since > KILL_MARGIN_S + index.tolerance + index.stopped_time(request):
+        detail = f"open at SIGKILL, although it came {since:.3f} s after SIGTERM"
+        yield Finding(Rule.FINAL_ANSWER, request.request_id, detail)
+
+
 def _was_disconnected(index: RecordIndex, request: RequestRecord) -> bool:
     """Return whether a fault may have broken the client's connection."""
     return any(
--- a/myrtlehub/lab/fault_soak/engine_connection.py
+++ b/myrtlehub/lab/fault_soak/engine_connection.py
@@ -121,6 +121,10 @@
             if not engine.faults.hangs:
                 self.transport.write(RELEASED)
             return
+        if head.method == b"GET":
+            if not engine.faults.hangs:
+                self.transport.write(response(HTTPStatus.NOT_FOUND))  # the settings allow no probes
+            return
         headers = dict(head.headers)
         self.attempt = AttemptRecord(
             headers[b"x-txn"].decode(),
--- a/myrtlehub/lab/fault_soak/engine_fault_injector.py
+++ b/myrtlehub/lab/fault_soak/engine_fault_injector.py
@@ -36,6 +36,9 @@
             case FaultKind.ENGINE_CUT:
                 self._begin_cut(engine)
                 self._reactor.callLater(fault.duration_s, self._end_cut, engine, time.monotonic())
+            case FaultKind.ENGINE_SILENT:
+                engine.proxy.stall()
+                self._reactor.callLater(fault.duration_s, self._end_cut, engine, time.monotonic())
             case _:
                 _set_response_fault(engine, fault.kind, True)
                 self._reactor.callLater(fault.duration_s, _set_response_fault, engine, fault.kind, False)
--- a/myrtlehub/lab/fault_soak/faults.py
+++ b/myrtlehub/lab/fault_soak/faults.py
@@ -39,6 +39,11 @@
     DISCOVERY_SLOW = "discovery slow"
     DISCOVERY_TRUNCATES = "discovery torn"
     WATCH_SILENT = "watch silent"  # open watches are never answered; later ones are
+    NODE_SIGNALS = "node signals"  # SIGTERM among other signals, in one of several orders
+    NODES_TERM = "nodes term"  # SIGTERM to several nodes, one after another
+    NODE_CROWD = "node crowd"  # idle clients connect, as many as the node may have descriptors
+    # Connections to it are established and stay open, and no byte passes; at the end, all are reset.
+    ENGINE_SILENT = "engine silent"
 
     @property
     def target(self) -> FaultTarget:
--- a/myrtlehub/lab/fault_soak/fleet.py
+++ b/myrtlehub/lab/fault_soak/fleet.py
@@ -42,6 +42,7 @@
                 folder / f"n{agent.node}",
                 agent.addresses,
                 records,
+                schedule.deadline_s,
                 program,
             )
             for agent in self.agents
--- a/myrtlehub/lab/fault_soak/node_process.py
+++ b/myrtlehub/lab/fault_soak/node_process.py
@@ -13,9 +13,10 @@
 
 from myrtlehub.lab.fault_soak.fault_control import CallFaults, write_atomically
 from myrtlehub.lab.fault_soak.fleet_settings import HOST, platform_settings
-from myrtlehub.lab.fault_soak.records import NodeExit, RunRecords
+from myrtlehub.lab.fault_soak.records import NodeExit, NodeShutdown, RunRecords
 from myrtlehub.lab.interfaces import Reactor
 from myrtlehub.lab.processes import LogLine, free_ports
+from myrtlehub.platform_settings import earliest_kill
 
 LAUNCHER = "myrtlehub.lab.fault_soak.fault_launcher"
 RELAY = "myrtlehub.relay"
@@ -37,6 +38,7 @@
         folder: Folder for the files of the node, which is created.
         discovery_addresses: The two addresses of its discovery agent.
         records: Where exits are recorded.
+        deadline_s: Deadline of all traffic types in seconds.
         program: Module that is run as the node.
 
     Attributes:
@@ -53,6 +55,7 @@
         folder: Path,
         discovery_addresses: list[str],
         records: RunRecords,
+        deadline_s: float,
         program: str = RELAY,
     ) -> None:
         self.reactor = reactor
@@ -64,7 +67,7 @@
         self.call_faults = CallFaults()
         self._discovery_addresses = discovery_addresses
         self._discovery_position = 0
-        self._settings = platform_settings(node_count, number)
+        self._settings = platform_settings(node_count, number, deadline_s)
         self._process: subprocess.Popen[bytes] | None = None
         self._start_count = 0
         self._terminated_at: float | None = None
@@ -107,6 +110,7 @@
             **os.environ,
             "RELAY_CONFIG": str(self.folder / "config.json"),
             "FAULT_SEED": str(self.number),
+            "RELAY_LOG": "all",
         }
         command = [sys.executable, "-m", LAUNCHER, str(self.folder / "faults.json"), self.program]
         argv = ["/bin/sh", "-c", IGNORE_HANGUP + shlex.join(command)]
@@ -157,10 +161,21 @@
     def terminate(self, restarts: bool = True) -> None:
         """Send SIGTERM; `restarts`: a new process is started once this one has exited."""
         self._restarts = restarts
-        if self._terminated_at is None:
+        if self._terminated_at is None and self._process is not None and self.is_running:
             self._terminated_at = time.monotonic()
+            shutdown = NodeShutdown(self.number, self._terminated_at)
+            self.records.shutdowns.append(shutdown)
+            delay = earliest_kill(self._settings)
+            self.reactor.callLater(delay, self._kill_unless_ended, self._process, shutdown)
         self.signal(signal.SIGTERM)
 
+    def _kill_unless_ended(self, process: subprocess.Popen[bytes], shutdown: NodeShutdown) -> None:
+        """Kill a process that got SIGTERM, at the earliest instant at which the platform may."""
+        if process.poll() is None:
+            shutdown.killed_at = time.monotonic()
+            self._was_killed = True
+            process.kill()
+
     def kill(self) -> None:
         """Send SIGKILL."""
         self._was_killed = True
@@ -173,6 +188,16 @@
             self._write_config()
             self.signal(signal.SIGHUP)
 
+    def lines_about(self, text: str, max_lines: int) -> list[str]:
+        """Return the last lines of this node's logs that contain a text, each after the name of its file."""
+        lines = [
+            f"n{self.number}/{path.name}: {line}"
+            for path in sorted(self.folder.glob("log.*"))
+            for line in path.read_text(errors="replace").splitlines()
+            if text in line
+        ]
+        return lines[-max_lines:]
+
     def log_lines(self) -> Iterator[LogLine]:
         """Yield the log lines of all processes so far, in the order of their starts by file name."""
         for path in sorted(self.folder.glob("log.*")):
--- a/myrtlehub/lab/fault_soak/record_index.py
+++ b/myrtlehub/lab/fault_soak/record_index.py
@@ -7,6 +7,7 @@
     AttemptRecord,
     EngineCut,
     NodeFault,
+    NodeShutdown,
     RequestRecord,
     RunRecords,
 )
@@ -58,6 +59,15 @@
             if fault.begin <= end and fault.end >= begin
         )
 
+    def kill_of(self, request: RequestRecord) -> NodeShutdown | None:
+        """Return the shutdown that ended by SIGKILL while a request was open, if there is one."""
+        for shutdown in self.records.shutdowns:
+            if shutdown.node != request.node or shutdown.killed_at is None:
+                continue
+            if request.sent_at <= shutdown.killed_at <= request.open_until + self.tolerance:
+                return shutdown
+        return None
+
     def cuts_of(self, attempt: AttemptRecord) -> list[EngineCut]:
         """Return the cuts of an attempt's engine."""
         return [cut for cut in self.records.cuts if cut.engine == attempt.engine]
--- a/myrtlehub/lab/fault_soak/records.py
+++ b/myrtlehub/lab/fault_soak/records.py
@@ -197,6 +197,22 @@
     errors: str
 
 
+@dataclass(slots=True)
+class NodeShutdown:
+    """A shutdown of a node.
+
+    Attributes:
+        node: Number of the node.
+        terminated_at: Time of the first SIGTERM.
+        killed_at: Time of SIGKILL, which comes at the earliest instant that the settings allow if the process
+            has not ended; None if it has.
+    """
+
+    node: int
+    terminated_at: float
+    killed_at: float | None = None
+
+
 @dataclass(slots=True)
 class IncompleteRequest:
     """A request of which the client sent only the beginning; the node has to close its connection."""
@@ -217,6 +233,7 @@
         changes: Changes of the endpoint list.
         node_faults: Faults that were injected into nodes; some rules do not apply to a node during its fault.
         cuts: Losses of bytes between engines and nodes.
+        shutdowns: Shutdowns of nodes, in the order of their start.
         exits: Exits of nodes' processes, except for those that were killed and wrote nothing.
         incomplete_requests: Requests whose clients sent only the beginning.
         node_violations: Invariant violations by the nodes' own logs, one entry for each.
@@ -231,6 +248,7 @@
     changes: list[EngineChange] = field(default_factory=list)
     node_faults: list[NodeFault] = field(default_factory=list)
     cuts: list[EngineCut] = field(default_factory=list)
+    shutdowns: list[NodeShutdown] = field(default_factory=list)
     exits: list[NodeExit] = field(default_factory=list)
     incomplete_requests: list[IncompleteRequest] = field(default_factory=list)
     node_violations: list[str] = field(default_factory=list)
--- a/myrtlehub/lab/fault_soak/soak_result.py
+++ b/myrtlehub/lab/fault_soak/soak_result.py
@@ -17,6 +17,9 @@
         ends: Number of requests by how they ended.
         withheld: Number of sends that the nodes withheld, by invariant.
         driver_lag: Largest event loop lag of the driver in seconds.
+        killed: Number of shutdowns that SIGKILL ended.
+        shutdowns: Number of shutdowns.
+        evidence: By subject of a finding, what the records and the node's own log say of it.
     """
 
     schedule: Schedule
@@ -26,3 +29,6 @@
     ends: dict[str, int]
     withheld: dict[str, int]
     driver_lag: float
+    killed: int
+    shutdowns: int
+    evidence: dict[str, tuple[str, ...]]
--- a/tests/lab/test_fault_soak_schedules.py
+++ b/tests/lab/test_fault_soak_schedules.py
@@ -31,6 +31,10 @@
     "discovery slow",
     "discovery torn",
     "watch silent",
+    "node signals",
+    "nodes term",
+    "node crowd",
+    "engine silent",
 ]
 
 
@@ -79,10 +83,14 @@
             }
             for kind in KIND_NAMES
         ],
+        "deadline": 1.2,
     }
     path = tmp_path / "schedule.json"
     path.write_text(json.dumps(stored))
     schedule = Schedule.read(path)
     schedule.write(path)
     assert json.loads(path.read_text()) == stored
+    del stored["deadline"]  # schedules of earlier versions have none
+    path.write_text(json.dumps(stored))
+    assert Schedule.read(path).deadline_s == 3.0
     assert [kind.value for kind in FaultKind] == KIND_NAMES  # draws depend on the order
