Time told: bytes that wait in the system count from when they were there

The first read of a connection that waited to be accepted counts from that wait, but bytes of the same request that later reads return counted from those. Shown by a process test: accept fails for 1 s, reads return 64 bytes; the engine was told 3,978 ms of 4,000. Change: after a read that leaves a request incomplete, the bytes that the system still holds are recorded with the time of that read.

--- a/myrtlehub/http1/request_reader.py
+++ b/myrtlehub/http1/request_reader.py
@@ -92,6 +92,10 @@
         self._arrivals.add(len(data), arrived_at)
         self._http.receive_data(data)
 
+    def expect_unread(self, size: int, arrived_at: float) -> None:
+        """Record that `size` further bytes, which are not read yet, have arrived at a time in seconds."""
+        self._arrivals.add_unread(size, arrived_at)
+
     def discard(self, size: int) -> None:
         """Count bytes that the caller has discarded."""
         self._discarded_bytes += size
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -20,7 +20,7 @@
 from myrtlehub.http1.server_exchange import ServerExchange
 from myrtlehub.http1.server_interfaces import ConnectionSupervisor
 from myrtlehub.http1.server_request import ServerRequest
-from myrtlehub.http1.tcp_transport import Producer, TcpProtocol
+from myrtlehub.http1.tcp_transport import Producer, TcpProtocol, unread_bytes
 from myrtlehub.http1.timeout import Timeout
 
 
@@ -95,9 +95,12 @@
             return
         if self.is_unused:
             self._restart_timeout(REQUEST_TIMEOUT_S)
-        reader.receive_data(data, self._arrival_time())
+        arrived_at = self._arrival_time()
+        reader.receive_data(data, arrived_at)
         if self.exchange is None:
             self._read_requests()
+        if reader.has_partial_request and not self.is_lost:
+            reader.expect_unread(unread_bytes(self.transport), arrived_at)
 
     def _arrival_time(self) -> float:
         """Return the earliest time at which data read now can have arrived.
--- a/myrtlehub/http1/tcp_transport.py
+++ b/myrtlehub/http1/tcp_transport.py
@@ -66,11 +66,20 @@
 
 def unacknowledged_bytes(transport: AbortableTransport) -> int:
     """Return how many sent bytes the peer's system has not acknowledged; 0 if this system cannot tell."""
+    return _queued_bytes(transport, termios.TIOCOUTQ)
+
+
+def unread_bytes(transport: AbortableTransport) -> int:
+    """Return how many bytes have arrived and are not read yet; 0 if this system cannot tell."""
+    return _queued_bytes(transport, termios.FIONREAD)
+
+
+def _queued_bytes(transport: AbortableTransport, query: int) -> int:
     get_handle: Callable[[], socket] | None = getattr(transport, "getHandle", None)
     if get_handle is None:
         return 0
     try:
-        size = fcntl.ioctl(get_handle().fileno(), termios.TIOCOUTQ, bytes(C_INT_BYTES))
+        size = fcntl.ioctl(get_handle().fileno(), query, bytes(C_INT_BYTES))
     except OSError:
         return 0
     return int.from_bytes(size, sys.byteorder)
--- a/tests/http1/test_byte_arrivals.py
+++ b/tests/http1/test_byte_arrivals.py
@@ -29,6 +29,18 @@
     assert 50 * MERGE_INTERVAL_S - MERGE_INTERVAL_S <= received_at <= 50 * MERGE_INTERVAL_S
 
 
+def test_bytes_that_were_unread_count_from_when_they_were_seen_first() -> None:
+    arrivals = ByteArrivals()
+    arrivals.add(64, 1.0)
+    arrivals.add_unread(100, 1.0)
+    arrivals.add(64, 2.0)
+    arrivals.add_unread(36, 2.0)
+    arrivals.add(36, 3.0)
+    assert arrivals.consume(unread=0) == 1.0
+    arrivals.add(10, 4.0)  # came after these
+    assert arrivals.consume(unread=0) == 4.0
+
+
 def test_a_lack_of_resources_is_distinguished_from_a_wrong_configuration() -> None:
     wrapped = ValueError("settings")
     wrapped.__cause__ = OSError(errno.EMFILE, "too many open files")
--- a/tests/relay/test_relay_local_failures.py
+++ b/tests/relay/test_relay_local_failures.py
@@ -168,6 +168,25 @@
     assert int(rig.engines["w1"].next_request(b"POST").headers[b"x-remaining-ms"]) >= 3500
 
 
+def test_bytes_that_are_read_late_count_from_when_they_were_in_the_system(
+    rig: SocketRig, faults: FaultControlFile
+) -> None:
+    """Found by the fault soak: a request waited to be accepted, and then each read returned few bytes.
+
+    Its first bytes counted from the wait, its last one from when it was read, so engines were sent more time
+    than the client had left.
+    """
+    node = rig.start("w1", argv=faults.argv())
+    faults.set(accept="ENFILE")
+    client = Client(node.address).send(chat_request("a1", remaining_ms=4000))
+    faults.wait_for_injected("accept", 1)
+    let_time_pass(1.0)
+    faults.set(recv="short")
+    assert client.read_status() == 200
+    assert faults.injected_count("recv") > 2
+    assert int(rig.engines["w1"].next_request(b"POST").headers[b"x-remaining-ms"]) <= 3150
+
+
 def test_a_node_starts_after_sockets_briefly_could_not_be_created(
     rig: SocketRig, faults: FaultControlFile
 ) -> None:
