--- a/myrtlehub/lab/fault_soak/node_process.py
+++ b/myrtlehub/lab/fault_soak/node_process.py
@@ -21,10 +21,11 @@
 LAUNCHER = "myrtlehub.lab.fault_soak.fault_launcher"
 RELAY = "myrtlehub.relay"
 # As in the `run` command of the deploy file: SIGHUP is ignored until the program has installed its handler.
-IGNORE_HANGUP = "trap '' HUP; exec "
+IGNORE_HANGUP = "trap '' HUP; "
 POLL_INTERVAL_S = 0.03
 CLIENTS_AFTER_TERM_S = 0.25  # in which new clients still connect after SIGTERM
 DESCRIPTOR_LIMIT = 256
+LAUNCHER_DESCRIPTORS = 8  # that the launcher needs beside those of the node
 RELOAD_COUNT = 3
 
 
@@ -113,7 +114,8 @@
             "RELAY_LOG": "all",
         }
         command = [sys.executable, "-m", LAUNCHER, str(self.folder / "faults.json"), self.program]
-        argv = ["/bin/sh", "-c", IGNORE_HANGUP + shlex.join(command)]
+        limit = f"ulimit -n {DESCRIPTOR_LIMIT + LAUNCHER_DESCRIPTORS}; exec "
+        argv = ["/bin/sh", "-c", IGNORE_HANGUP + limit + shlex.join(command)]
         with self._log_path.open("wb") as log, self._errors_path.open("wb") as errors:
             process = subprocess.Popen(argv, env=environment, stdout=log, stderr=errors)
         self._process = process
@@ -135,7 +137,9 @@
         errors = self._errors_path.read_text(errors="replace")
         if not self._was_killed or errors:
             was_requested = self._terminated_at is not None or self._was_killed
-            code = 0 if self._was_killed else code
+            # SIGTERM may come before the program has its handler. It has logged and accepted nothing then.
+            ended_at_start = code == -signal.SIGTERM and self._log_path.stat().st_size == 0
+            code = 0 if self._was_killed or (was_requested and ended_at_start) else code
             self.records.exits.append(NodeExit(self.number, time.monotonic(), code, was_requested, errors))
         if self._restarts:
             self.start()
--- a/myrtlehub/lab/fault_soak/planted_faults.py
+++ b/myrtlehub/lab/fault_soak/planted_faults.py
@@ -26,8 +26,11 @@
 from myrtlehub.relay.engines.engine_directory import EngineDirectory
 from myrtlehub.relay.engines.state_release import StateRelease, StateReleaser
 from myrtlehub.relay.monitoring.invariant_monitor import InvariantMonitor
+from myrtlehub.relay.node import RelayNode
+from myrtlehub.relay.process.graceful_shutdown import GracefulShutdown
 from myrtlehub.routing.contract import RetrySemantics, RouterConfig
 from myrtlehub.routing.policy import admission, retries
+from myrtlehub.routing.policy.admission import Admission
 from myrtlehub.routing.policy.router import Router
 from myrtlehub.routing.records import Engine, Sequence
 from myrtlehub.state.invariants import SendFacts
@@ -187,6 +190,52 @@
     replace_attribute(InvariantMonitor, "_check", _do_nothing)
 
 
+def trust_sent_attempts() -> None:
+    """Count each attempt that was sent as arrived, so that its read state is not released meanwhile."""
+    replace_attribute(Admission, "expect_arrival", _do_nothing)
+    replace_attribute(InvariantMonitor, "_check_states", _do_nothing)
+
+
+def accept_until_killed() -> None:
+    """Accept requests after SIGTERM for as long as connections are open."""
+    replace_attribute(RelayNode, "begin_shutdown", _do_nothing)
+    replace_attribute(ServerConnection, "drain", _do_nothing)
+    replace_attribute(ServerConnection, "finish", _finish_and_stay_open)
+
+
+def _finish_and_stay_open(self: ServerConnection) -> None:
+    """End a response as if the listener did not drain."""
+    was_draining, self.listener.is_draining = self.listener.is_draining, False
+    try:
+        _original_finish(self)
+    finally:
+        self.listener.is_draining = was_draining
+
+
+_original_finish = ServerConnection.finish
+
+
+def end_at_second_signal() -> None:
+    """End the process at once if a signal follows SIGTERM."""
+    original = GracefulShutdown.start
+
+    def start(self: GracefulShutdown) -> None:
+        if self._is_started:
+            self.end()
+        original(self)
+
+    replace_attribute(GracefulShutdown, "start", start)
+
+
+def accept_without_bound() -> None:
+    """Accept clients without a bound, so that descriptors run out."""
+    replace_attribute(ConnectionListener, "connection_opened", _admit)
+
+
+def _admit(self: ConnectionListener, connection: AdmittedConnection) -> None:
+    self.connections[connection] = None
+
+
 # By the value of $PLANTED_FAULT; operators type these names.
 PLANT_BY_NAME: dict[str, Callable[[], None]] = {
     "release_once": do_not_retry_releases,
@@ -201,6 +250,10 @@
     "swallow_ends": omit_stream_ends,
     "close_for_room": drop_used_connections,
     "never_answer_late": ignore_deadlines,
+    "trust_sent": trust_sent_attempts,
+    "accept_until_killed": accept_until_killed,
+    "end_at_second_signal": end_at_second_signal,
+    "accept_without_bound": accept_without_bound,
 }
 
 
