--- a/myrtlehub/relay/monitoring/invariant_monitor.py
+++ b/myrtlehub/relay/monitoring/invariant_monitor.py
@@ -1,7 +1,7 @@
 """Checks of a running node's invariants, and the periodic log line with its counters."""
 
 from collections.abc import Callable, Mapping
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from myrtlehub.clock import Clock
 from myrtlehub.http1.close_reason import CloseReason
@@ -37,6 +37,16 @@
     is_armed: Callable[[], bool]
 
 
+class NodeFigures(Protocol):
+    """Figures of a node that its counters show."""
+
+    def worst_lag(self) -> float:
+        """Return the largest event loop lag so far, in seconds."""
+
+    def release_counts(self) -> Mapping[str, int]:
+        """Return the ended releases of read state, by result."""
+
+
 class InvariantMonitor(ExecutorObserver):
     """Checks invariants that no single code path can check, such as overdue answers and stopped timers.
 
@@ -44,12 +54,12 @@
         counter: Counts withheld sends and violations.
         timers: The periodic tasks that must always have their next run scheduled.
         on_violation: Called after a violation has been logged.
-        worst_lag: Returns the largest event loop lag so far, in seconds.
-        release_counts: Returns the ended releases of read state, by result.
         executor: Owns the sequences that are checked; set by `attach`.
+        figures: The node's figures for the counters; set by `attach`.
     """
 
     executor: ActionExecutor
+    figures: NodeFigures
 
     def __init__(self, clock: Clock, log: Log) -> None:
         self.clock = clock
@@ -57,16 +67,15 @@
         self.counter = InvariantCounter(self._log_violation)
         self.timers: list[RecurringTimer] = []
         self.on_violation: Callable[[], None] = lambda: None
-        self.worst_lag: Callable[[], float] = lambda: 0.0
-        self.release_counts: Callable[[], Mapping[str, int]] = dict
         self._overdue_at_last_check: set[int] = set()  # by sequence number
         # By sequence number: the number of checks in a row that found its read states held too long.
         self._checks_held: dict[int, int] = {}
         self._next_counters_at = clock.seconds() + COUNTERS_INTERVAL_S
 
-    def attach(self, executor: ActionExecutor) -> None:
-        """Set the executor whose sequences are checked, and observe it."""
+    def attach(self, executor: ActionExecutor, figures: NodeFigures) -> None:
+        """Set the executor whose sequences are checked, and observe it; set the source of figures."""
         self.executor = executor
+        self.figures = figures
         executor.add_observer(self)
 
     def start(self) -> None:
@@ -86,8 +95,8 @@
             answers=dict(sorted(self.executor.answer_counts.items())),
             in_flight=len(self.executor.in_flight),
             oldest_read_state_s=round(self._oldest_read_state(), 3),
-            releases=dict(sorted(self.release_counts().items())),
-            worst_lag_s=round(self.worst_lag(), 3),
+            releases=dict(sorted(self.figures.release_counts().items())),
+            worst_lag_s=round(self.figures.worst_lag(), 3),
             withheld=dict(sorted(self.counter.withheld.items())),
             violations=dict(sorted(self.counter.violations.items())),
         )
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -1,6 +1,6 @@
 """A relay node, assembled from its parts."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 
 from myrtlehub.clock import Clock
@@ -95,9 +95,7 @@
             Router(self.config), self.decoder, self.config, self.clock, self.engine_client, "", self.log
         )
         self.engine_client.attach(executor)
-        self.monitor.attach(executor)
-        self.monitor.worst_lag = lambda: self.decoder.lag.worst
-        self.monitor.release_counts = lambda: self.engine_client.releaser.result_counts
+        self.monitor.attach(executor, self)
         return executor
 
     def _make_front(self) -> ClientFront:
@@ -191,6 +189,14 @@
         refuses_from = self.clock.seconds() + LAST_REQUEST_S
         self.front.refuses_from = min(self.front.refuses_from, refuses_from)
 
+    def worst_lag(self) -> float:
+        """Return the largest event loop lag so far, in seconds."""
+        return self.decoder.lag.worst
+
+    def release_counts(self) -> Mapping[str, int]:
+        """Return the ended releases of read state, by result."""
+        return self.engine_client.releaser.result_counts
+
     def pending_work(self) -> PendingWork:
         """Return what this node still owes to clients and engines."""
         return PendingWork(
