--- a/tests/relay/test_relay_local_failures.py
+++ b/tests/relay/test_relay_local_failures.py
@@ -168,6 +168,23 @@
     assert int(rig.engines["w1"].next_request(b"POST").headers[b"x-remaining-ms"]) >= 3500
 
 
+def test_a_client_that_cannot_be_accepted_as_the_port_closes_is_answered_later(
+    rig: SocketRig, faults: FaultControlFile
+) -> None:
+    """Found by the fault soak: accept() failed during a shutdown, and the port closed over its queue."""
+    node = rig.start("w1", argv=faults.argv())
+    faults.set(accept="ENFILE")
+    client = Client(node.address).send(chat_request("a1", remaining_ms=4000))
+    faults.wait_for_injected("accept", 1)
+    node.signal("TERM")
+    let_time_pass(0.7)  # longer than the port stays open without such a fault
+    assert node.exit_code(timeout=0.0) is None
+    faults.set()
+    assert client.read_status() == 200
+    client.close()
+    node.assert_clean_exit()
+
+
 def test_bytes_that_are_read_late_count_from_when_they_were_in_the_system(
     rig: SocketRig, faults: FaultControlFile
 ) -> None:
