Shutdown: the port stays open until clients that wait can be accepted

Change: accept_all() tells whether accepting fails; the shutdown then closes the port later, trying every 0.02 s.

--- a/myrtlehub/relay/__main__.py
+++ b/myrtlehub/relay/__main__.py
@@ -110,9 +110,11 @@
         self.log(LogEvent.SHUTDOWN_UNFINISHED, **self.node.pending_work()._asdict())
         self.node.monitor.log_counters()
 
-    def _stop_listening(self) -> None:
-        self.port.accept_all()
+    def _stop_listening(self) -> bool:
+        if not self.port.accept_all():
+            return True
         self.port.stopListening()  # type: ignore[no-untyped-call] # Twisted has no annotation
+        return False
 
     def run(self) -> None:
         """Run until SIGTERM has been received and nothing is in flight any more."""
--- a/myrtlehub/relay/process/bounded_port.py
+++ b/myrtlehub/relay/process/bounded_port.py
@@ -37,10 +37,12 @@
         self._clock = clock
         # Time since when connections may have been waiting in the accept queue; None if it was empty.
         self._stalled_since: float | None = None
+        self._has_accept_failed = False  # the last `doRead` could not accept for lack of a resource
 
     def doRead(self) -> None:  # noqa: N802
         """Accept pending connections, and set the listener's `waiting_since` meanwhile."""
         self._listener.waiting_since = self._stalled_since
+        self._has_accept_failed = False
         try:
             for _ in range(MAX_ACCEPTS_PER_TURN):
                 accepted, peer = self.socket.accept()
@@ -48,6 +50,7 @@
         except BlockingIOError:
             self._stalled_since = None  # the accept queue is empty
         except OSError:
+            self._has_accept_failed = True
             self.pause()
             self._clock.callLater(RETRY_DELAY_S, self.resume)
         finally:
@@ -89,7 +92,14 @@
             self.startReading()  # type: ignore[no-untyped-call] # Twisted has no annotation
             self.doRead()
 
-    def accept_all(self) -> None:
-        """Accept all connections in the accept queue: they are established, so they need a response."""
+    def accept_all(self) -> bool:
+        """Accept all connections in the accept queue: they are established, so they need a response.
+
+        Returns:
+            False if some may be left there, because accepting fails at present.
+        """
         for _ in range(BACKLOG // MAX_ACCEPTS_PER_TURN + 1):
             self.doRead()
+            if self._has_accept_failed:
+                return False
+        return True
--- a/myrtlehub/relay/process/graceful_shutdown.py
+++ b/myrtlehub/relay/process/graceful_shutdown.py
@@ -10,6 +10,7 @@
 ACCEPT_PERIOD_S = 0.5
 # Time from the report of what is still pending to the earliest SIGKILL, as the process may be delayed.
 REPORT_MARGIN_S = 0.15
+ACCEPT_RETRY_INTERVAL_S = 0.02  # while clients cannot be accepted, and the port cannot be closed
 IDLE_CHECK_INTERVAL_S = 0.1  # between checks of whether the node is still busy
 
 
@@ -27,7 +28,8 @@
         clock: Schedules the steps.
         listener: The connections of clients.
         is_busy: Returns whether anything in flight still needs the process; see `RelayNode.is_busy`.
-        stop_listening: Closes the port for clients.
+        stop_listening: Closes the port for clients. Returns True if it has to be called again, as clients
+            that wait to be accepted cannot be accepted at present.
         end: Called once, when the node is no longer busy.
         report_delay: Seconds after the start at which `report` is called, unless the shutdown has ended.
         report: Reports what is still pending.
@@ -38,7 +40,7 @@
         clock: Clock,
         listener: Drainable,
         is_busy: Callable[[], bool],
-        stop_listening: Callable[[], None],
+        stop_listening: Callable[[], bool],
         end: Callable[[], None],
         report_delay: float = 0.0,
         report: Callable[[], None] | None = None,
@@ -63,11 +65,19 @@
         self.listener.drain()
 
     def _close(self) -> None:
-        # Scheduled first, so that the process ends even if a step below raises.
-        self.clock.callLater(0, self._end_when_idle)
+        """Close the port, or try again soon; the process ends even if a step raises.
+
+        Clients in the accept queue need a response, so the port is not closed over them
+        (`test_a_client_that_cannot_be_accepted_as_the_port_closes_is_answered_later`).
+        """
+        must_retry = False
         try:
-            self.stop_listening()
+            must_retry = self.stop_listening()
         finally:
+            if must_retry:
+                self.clock.callLater(ACCEPT_RETRY_INTERVAL_S, self._close)
+            else:
+                self.clock.callLater(0, self._end_when_idle)
             self.listener.drain()
 
     def _end_when_idle(self) -> None:
