Arrival check: its request is cancelled after 1 s

Cause: found by a last reading of the change: an engine that is cut off shows no error, and the check's request was never cancelled, so each check of it kept a connection. Result: the new test fails without the change and passes with it; 92 tests of releases, unarrived attempts, state and pages passed.

--- a/myrtlehub/relay/engines/arrival_check.py
+++ b/myrtlehub/relay/engines/arrival_check.py
@@ -12,6 +12,10 @@
 from myrtlehub.relay.engines.state_release import ReleaseTarget
 
 ALIVE_PATH = b"/alive"  # each engine answers it, with 404 where the platform allows no probes
+# After which the request is cancelled: an engine that is cut off shows no error, and each request that it
+# does not answer would keep a connection
+# (test_the_check_of_an_engine_that_never_answers_keeps_no_connection).
+CHECK_TIMEOUT_S = 1.0
 RECHECK_INTERVAL_S = 0.03  # while the attempt is not sent, or sent bytes are not acknowledged
 
 
@@ -65,7 +69,10 @@
             return
         request = ClientRequest(b"GET", ALIVE_PATH, [])
         handler = _AnyResponseHandler(self._on_response)
-        self._pool.send(self._target.name, self._target.dial_address, request, handler, may_reuse=False)
+        pending = self._pool.send(
+            self._target.name, self._target.dial_address, request, handler, may_reuse=False
+        )
+        self._clock.callLater(CHECK_TIMEOUT_S, pending.cancel)
 
     def _is_unanswered(self) -> bool:
         return self._attempt.is_outstanding and not self._attempt.is_streaming
--- a/tests/relay/test_relay_releases.py
+++ b/tests/relay/test_relay_releases.py
@@ -140,6 +140,17 @@
     assert len(rig.engines["r1"].requests) == count  # its answer ends the releases
 
 
+def test_the_check_of_an_engine_that_never_answers_keeps_no_connection() -> None:
+    """The engine stays silent with no error, so only the node can end the request of the check."""
+    rig = RelayRig("r1 w1")
+    rig.engines["w1"].script = lambda connection, head, body: None
+    rig.request("a1", LONG_PROMPT, remaining_ms=1000)
+    rig.run(0.4)
+    assert [request.method for request in rig.engines["w1"].requests] == [b"POST", b"GET"]
+    rig.run(3.0)
+    assert all(connection.lost for connection in rig.engines["w1"].connections)
+
+
 def engines_that_refuse(rig: RelayRig, *names: str) -> dict[str, object]:
     """Make these engines refuse all connections; return their hosts, to be restored later."""
     hosts = {f"{name}:1": rig.net.hosts[f"{name}:1"] for name in names}
