--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Exit 0: the rule held; 1: it was broken; 2: the case could not run. TROUBLE=0 plays it without the disruption.
+# Writes record.txt in this folder. Exit 0: the rule held; 1: it was broken; 2: the case could not run.
+# TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review/standins exec .venv/bin/python review/1/case.py
