--- a/review/standins/stand_ins.py
+++ b/review/standins/stand_ins.py
@@ -316,6 +316,9 @@
         code = RULE_HELD if has_held else RULE_BROKEN
     except (RuntimeError, OSError, TimeoutError) as error:
         record(f"the case could not run: {error!r}")
-    record(f"exit {code}")
-    print(f"{folder.name}: exit {code}")
-    sys.exit(code)
+    finally:  # an unexpected error of a stand-in must not look like a broken rule
+        if code == COULD_NOT_RUN and (error := sys.exc_info()[1]) is not None:
+            record(f"unexpected error: {error!r}")
+        record(f"exit {code}")
+        print(f"{folder.name}: exit {code}")
+        sys.exit(code)
