An event that comes in many parts costs time in proportion to its size

Cause: the event parser copied and searched the whole incomplete event for each part, and a read of an engine's response was handled to its end in one turn of the event loop.

Change: the parser searches the new part alone. Responses of engines and discovery are parsed by the scheduler of the client requests, under one budget a turn, with the same limit of header fields. A paused response is neither read nor parsed.

--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -2,11 +2,18 @@
 
 import h11
 
-from myrtlehub.http1.bounds import MAX_CHUNK_BYTES, MAX_HEAD_BYTES, MAX_INFORMATIONAL_RESPONSES
+from myrtlehub.http1.bounds import (
+    MAX_CHUNK_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_HEADERS,
+    MAX_INCOMPLETE_LINES,
+    MAX_INFORMATIONAL_RESPONSES,
+)
 from myrtlehub.http1.client_interfaces import ConnectionOwner, OutstandingRequest
 from myrtlehub.http1.client_request import ClientRequest, RequestFailure
 from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.headers import Header
+from myrtlehub.http1.input_buffer import InputBuffer
 from myrtlehub.http1.tcp_transport import TcpProtocol, abortive_close
 
 _ParserEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -30,6 +37,9 @@
         self.is_request_sent = False
         self.is_closed = False
         self.has_completed_request = False
+        self._input = InputBuffer()
+        self._is_parsing_deferred = False
+        self._is_response_paused = False
         self._has_response_begun = False
         self._is_chunked = False
         self._is_inside_chunk = False
@@ -41,6 +51,7 @@
         """Send a request; the connection has to be idle."""
         self.pending = pending
         self.is_request_sent = False
+        self._is_response_paused = False
         self._has_response_begun = False
         self._is_chunked = False
         self._is_inside_chunk = False
@@ -75,14 +86,61 @@
         if self.pending is None:
             self.close(PeerCloseReason.SURPLUS_DATA)
             return
+        self._input.append(data)
+        self.pool.parse_scheduler.data_received(self)
+
+    def parse_step(self) -> bool:
+        """Parse one element of a response; return False if nothing can be parsed at present."""
+        pending = self.pending
+        if pending is None or self._is_response_paused:
+            return False
         try:
-            self.http.receive_data(data)
-            while (pending := self.pending) is not None:
-                event = self.http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED or not self._handle_event(event, pending):
-                    return
+            event = self.http.next_event()
         except h11.RemoteProtocolError:
             self._fail()
+            return False
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return self._pass_next_piece()
+        return self._handle_event(event, pending)
+
+    def _pass_next_piece(self) -> bool:
+        """Pass more data to the parser, which has an incomplete element or none."""
+        if self.http.trailing_data[0].count(b"\n") > MAX_INCOMPLETE_LINES:
+            self._fail()
+            return False
+        if not self._input:
+            return False
+        self.http.receive_data(self._input.take_piece())
+        return True
+
+    def pause_input(self) -> None:
+        """Stop reading from the socket until the received data is parsed."""
+        self._is_parsing_deferred = True
+        self.transport.pauseProducing()
+
+    def resume_input(self) -> None:
+        """Read from the socket again, unless the response is paused."""
+        self._is_parsing_deferred = False
+        self._resume_reading()
+
+    def abort_parsing(self) -> None:
+        """Close the connection, because a response could not be handled."""
+        self.close(PeerCloseReason.REQUEST_FAILED)
+
+    def pause_response(self) -> None:
+        """Stop reading and parsing the response."""
+        self._is_response_paused = True
+        self.transport.pauseProducing()
+
+    def resume_response(self) -> None:
+        """Read and parse the response again."""
+        self._is_response_paused = False
+        self._resume_reading()
+        self.pool.parse_scheduler.data_received(self)
+
+    def _resume_reading(self) -> None:
+        if not (self.is_closed or self._is_parsing_deferred or self._is_response_paused):
+            self.transport.resumeProducing()
 
     def _handle_event(self, event: _ParserEvent, pending: OutstandingRequest) -> bool:
         """Handle one event of the parser; return False if it made the request fail."""
@@ -94,6 +152,11 @@
                 self._fail()
                 return False
             pending.handler.on_data(bytes(event.data))
+        elif (
+            isinstance(event, (h11.Response, h11.InformationalResponse)) and len(event.headers) > MAX_HEADERS
+        ):
+            self._fail()
+            return False
         elif type(event) is h11.Response:
             self._is_chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
             headers = [Header(name, value) for name, value in event.headers]
@@ -112,7 +175,7 @@
 
     def has_partial_data(self) -> bool:
         """Return whether the peer has sent an incomplete chunk or chunk size line."""
-        return self._is_inside_chunk or bool(self.http.trailing_data[0])
+        return self._is_inside_chunk or bool(self._input) or bool(self.http.trailing_data[0])
 
     def _is_reusable(self) -> bool:
         http = self.http
@@ -120,6 +183,7 @@
             self.is_request_sent
             and http.our_state is h11.DONE
             and http.their_state is h11.DONE
+            and not self._input
             and not http.trailing_data[0]
             and not self.is_closed
             and self.pool.is_reuse_allowed()
@@ -152,12 +216,18 @@
         """Abort the connection; data that is not sent yet is discarded."""
         if not self.is_closed:
             self.is_closed = True
+            self._release_input()
             self.pool.remove(self, reason)
             abortive_close(self.transport)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Remove the connection from the pool, and fail its pending request, if any."""
         self.is_closed = True
+        self._release_input()
         self.pool.remove(self, PeerCloseReason.LOST)
         if self.pending is not None:
             self._fail()
+
+    def _release_input(self) -> None:
+        self._input.clear()
+        self.pool.parse_scheduler.remove(self)
--- a/myrtlehub/http1/client_interfaces.py
+++ b/myrtlehub/http1/client_interfaces.py
@@ -6,6 +6,7 @@
 from myrtlehub.clock import Clock
 from myrtlehub.http1.client_request import ClientRequest, ResponseHandler
 from myrtlehub.http1.close_reason import PeerCloseReason
+from myrtlehub.http1.parse_scheduler import ParseScheduler
 from myrtlehub.http1.tcp_transport import Transport
 
 
@@ -53,14 +54,26 @@
     def has_partial_data(self) -> bool:
         """Return whether the peer has sent an incomplete chunk or chunk size line."""
 
+    def pause_response(self) -> None:
+        """Stop reading and parsing the response."""
+
+    def resume_response(self) -> None:
+        """Read and parse the response again."""
+
     def close(self, reason: PeerCloseReason) -> None:
         """Abort the connection; data that is not sent yet is discarded."""
 
 
 class ConnectionOwner(Protocol):
-    """The part of a connection pool that its connections and requests use."""
+    """The part of a connection pool that its connections and requests use.
+
+    Attributes:
+        clock: Clock of the pool.
+        parse_scheduler: Scheduler that parses the responses.
+    """
 
     clock: Clock
+    parse_scheduler: ParseScheduler
 
     def add_idle(self, connection: PooledConnection) -> None:
         """Store an idle connection for reuse."""
--- a/myrtlehub/http1/connection_pool.py
+++ b/myrtlehub/http1/connection_pool.py
@@ -13,6 +13,7 @@
 from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.idle_connections import IdleConnections
 from myrtlehub.http1.local_errors import is_local_error
+from myrtlehub.http1.parse_scheduler import ParseScheduler
 from myrtlehub.http1.pending_request import FirstByteHook, PendingRequest
 from myrtlehub.log_events import Log, LogEvent, no_log
 
@@ -39,6 +40,7 @@
     Attributes:
         dialer: Given HOST:PORT, returns a function that connects a protocol factory to that address.
         max_connections: Upper bound of `count`.
+        parse_scheduler: Scheduler that parses the responses; one of its own by default.
         idle: The idle connections.
         count: Number of connections that are open or being established.
         opened_count: Total number of connection attempts, including failed ones.
@@ -52,8 +54,10 @@
         max_connections: int,
         max_idle: float,
         log: Log = no_log,
+        parse_scheduler: ParseScheduler | None = None,
     ) -> None:
         self.clock = clock
+        self.parse_scheduler = parse_scheduler or ParseScheduler(clock)
         self.log = log
         self.dialer = dialer
         self.max_connections = max_connections
--- a/myrtlehub/http1/pending_request.py
+++ b/myrtlehub/http1/pending_request.py
@@ -92,10 +92,10 @@
         """Pause reading of the response."""
         if self.connection is not None:
             self.is_paused = True
-            self.connection.transport.pauseProducing()
+            self.connection.pause_response()
 
     def resume(self) -> None:
         """Resume reading of the response."""
         if self.connection is not None:
             self.is_paused = False
-            self.connection.transport.resumeProducing()
+            self.connection.resume_response()
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -137,7 +137,7 @@
         """Return whether an event, a chunk or, after `[DONE]`, the body is incomplete."""
         parser = self._event_parser
         connection = self._outstanding_request().connection
-        return (parser is not None and (bool(parser.incomplete) or parser.is_done)) or (
+        return (parser is not None and (parser.has_incomplete_event or parser.is_done)) or (
             connection is not None and connection.has_partial_data()
         )
 
--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -8,6 +8,9 @@
 
 MAX_EVENT_BYTES = 128 * 1024  # an event has only a few tokens; a longer one is malformed
 EVENT_PREFIXES = (b"data:", b":", b"event:", b"id:", b"retry:")  # the lone colon starts a comment
+EVENT_END = b"\n\n"
+# Bytes that show whether an event has a valid prefix, after the one line end that may precede it.
+EVENT_START_BYTES = 1 + max(map(len, EVENT_PREFIXES))
 DONE_MARKER = b"[DONE]"
 LOAD_COMMENT_PREFIX = b": X-Pressure:"
 
@@ -32,7 +35,6 @@
     """Parses one event stream.
 
     Attributes:
-        incomplete: The received part of an incomplete event.
         cached_tokens: Number of prompt tokens that the engine had cached, as the usage event states it.
         token_count: Number of generated tokens, as the usage event states it.
         load: The latest load report in the stream, if any.
@@ -40,32 +42,50 @@
     """
 
     def __init__(self) -> None:
-        self.incomplete = b""
+        self._incomplete = bytearray()  # the received part of an incomplete event
         self.cached_tokens = 0.0
         self.token_count = 0
         self.load: contract.LoadReport | None = None
         self.is_done = False
 
+    @property
+    def has_incomplete_event(self) -> bool:
+        """Whether a part of an event was received, but not its end."""
+        return bool(self._incomplete)
+
     def feed(self, data: bytes) -> bytes:
         """Add received data, and return the bytes of the events that it completes, unchanged.
 
+        Only the new data is searched, so the cost of an event does not grow with the number of its parts.
+
         Raises:
             EventStreamError: The data is not an event stream, or an event is too long.
         """
-        data = self.incomplete + data if self.incomplete else data
-        end = data.rfind(b"\n\n")
-        complete, self.incomplete = (data[: end + 2], data[end + 2 :]) if end >= 0 else (b"", data)
-        for event in complete.split(b"\n\n") if complete else ():
+        # The first byte of the end of an event may have been the last one received.
+        search_from = max(0, len(self._incomplete) - 1)
+        self._incomplete += data
+        complete = self._take_complete_events(search_from)
+        for event in complete.split(EVENT_END) if complete else ():
             if event:
                 self._process_event(event.lstrip(b"\n"))
-        if len(self.incomplete) > MAX_EVENT_BYTES:
+        if len(self._incomplete) > MAX_EVENT_BYTES:
             raise EventStreamError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-        if self.incomplete and not self._is_event_start(self.incomplete.lstrip(b"\n")):
+        if not self._is_event_start(self._incomplete[:EVENT_START_BYTES].lstrip(b"\n")):
             raise EventStreamError("the data is not the start of an event")
         return complete
 
+    def _take_complete_events(self, search_from: int) -> bytes:
+        """Remove and return all complete events; the end of the last one is not before `search_from`."""
+        position = self._incomplete.rfind(EVENT_END, search_from)
+        if position < 0:
+            return b""
+        end = position + len(EVENT_END)
+        complete = bytes(self._incomplete[:end])
+        del self._incomplete[:end]
+        return complete
+
     @staticmethod
-    def _is_event_start(text: bytes) -> bool:
+    def _is_event_start(text: bytes | bytearray) -> bool:
         """Return whether the text can be the start of an event."""
         return not text or any(
             text.startswith(prefix) or prefix.startswith(text) for prefix in EVENT_PREFIXES
@@ -102,7 +122,7 @@
         Raises:
             EventStreamError: The last event is incomplete. A final comment needs no blank line after it.
         """
-        incomplete = self.incomplete.strip(b"\n")
+        incomplete = bytes(self._incomplete).strip(b"\n")
         if incomplete.startswith(LOAD_COMMENT_PREFIX):
             self._parse_load(incomplete)
         elif incomplete and not incomplete.startswith(b":"):
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -6,6 +6,7 @@
 from myrtlehub.clock import Clock
 from myrtlehub.http1.connection_pool import ConnectionPool, Dial
 from myrtlehub.http1.listener import ConnectionListener
+from myrtlehub.http1.parse_scheduler import ParseScheduler
 from myrtlehub.limits.event_loop_lag import TICK_PERIOD
 from myrtlehub.log_events import Log, LogEvent, no_log
 from myrtlehub.node.action_executor import ActionExecutor
@@ -70,12 +71,14 @@
         self.descriptor_budget = DescriptorBudget.for_process(settings.max_descriptors)
         self.decoder = RequestDecoder(settings, self.config)
         self.endpoint_list = EndpointListDecoder(self.decoder.kinds, self.decoder.zones, clock_epoch)
+        self._parse_scheduler = ParseScheduler(clock)  # one for all connections: they share a turn
         self.pool = ConnectionPool(
             clock,
             lambda address: dialer(address, self.limits.connect_timeout),
             self.descriptor_budget.engines,
             IDLE_REUSE_FRACTION * self.limits.keepalive,
             log,
+            self._parse_scheduler,
         )
         self.monitor = InvariantMonitor(clock, log)
         self.engine_client = EngineClient(clock, self.pool, self.decoder, self.monitor.counter, log)
@@ -112,6 +115,7 @@
             self.front.on_request,
             self.descriptor_budget.clients,
             self.descriptor_budget.client_burst,
+            self._parse_scheduler,
         )
         listener.on_closing = self.monitor.connection_closing
         return listener
@@ -123,6 +127,7 @@
             MAX_DISCOVERY_CONNECTIONS,
             DISCOVERY_MAX_IDLE_S,
             self.log,
+            self._parse_scheduler,
         )
         return DiscoveryClient(
             self.clock,
--- a/tests/relay/test_relay_floods.py
+++ b/tests/relay/test_relay_floods.py
@@ -3,10 +3,12 @@
 from pathlib import Path
 
 from floods import Flood
-from relaymessages import chat_request, chunk
+from relaymessages import EVENT, LAST_CHUNK, STREAM_HEAD, chat_request, chunk
+from socketpeers import PeerConnection, ReceivedRequest
 from socketrig import Client, SocketRig
 
 CLIENT_COUNT = 100
+STREAM_COUNT = 16
 DESCRIPTORS = 1024
 CHUNKED_HEAD = chat_request("flood").partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
 # Memory in MB that the node may take for the flood. The smallest limit of a node with so many descriptors is
@@ -34,3 +36,30 @@
     flood.close()
     assert statuses == [200] * 5
     assert grown_mb < MAX_FLOOD_MEMORY_MB
+
+
+def test_usual_requests_are_answered_in_time_beside_events_that_never_end(rig: SocketRig) -> None:
+    """Guards against a turn of the event loop that lasts seconds, since each part of an event costs more."""
+    node = rig.start("w1 w2")
+
+    def respond(connection: PeerConnection, request: ReceivedRequest) -> None:
+        engine = next(engine for engine in rig.engines.values() if engine is connection.peer)
+        if not request.sequence_id.startswith("endless"):
+            engine.default_script(connection, request)
+            return
+        connection.send(STREAM_HEAD + chunk(EVENT) + chunk(b"data: "))
+        while not connection.closed.is_set():
+            connection.send(chunk(b"x") * 10_000)
+
+    for engine in rig.engines.values():
+        engine.script = respond
+    requests = [chat_request(f"endless{number}") for number in range(STREAM_COUNT)]
+    endless_clients = [Client(node.address).send(request) for request in requests]
+    assert [client.read_status() for client in endless_clients] == [200] * STREAM_COUNT
+    statuses = []
+    for number in range(5):
+        client = Client(node.address).send(chat_request(f"a{number}", remaining_ms=2000))
+        statuses.append(client.read_status())
+        client.close()
+    assert statuses == [200] * 5
+    assert all(LAST_CHUNK not in client.read_rest() for client in endless_clients)
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -1,5 +1,7 @@
 """Engine streams through a relay node: malformed, endless, silent and paused ones."""
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -97,3 +99,18 @@
     assert events.feed(EVENT + b"data: half") == EVENT
     with pytest.raises(EventStreamError):
         events.end()
+
+
+def test_the_cost_of_a_part_of_an_event_does_not_grow_with_the_event() -> None:
+    """Guards against a copy or a search of the whole event for each of its parts."""
+
+    def cost_of_parts(event_bytes: int) -> float:
+        parser = EventStreamParser()
+        parser.feed(b"data: " + b"x" * event_bytes)
+        started_at = time.process_time()
+        for _ in range(1000):
+            parser.feed(b"x")
+        return time.process_time() - started_at
+
+    small, large = (min(cost_of_parts(size) for _ in range(5)) for size in (10, MAX_EVENT_BYTES - 2000))
+    assert large < 10 * small
