The requests of all clients together stay within the node's memory limit

Cause: each request was limited by itself, and limits.memory_mb was not read.

Change: incomplete and open requests of all connections are counted. Over an eighth of the memory limit the largest incomplete requests are rejected with 503; over a quarter, new requests are.

--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -9,8 +9,10 @@
 MAX_BODY_BYTES = 256 * 1024  # of a request body; the platform guarantees this maximum
 # Buffered on one connection after its open request: the largest possible request.
 MAX_READ_AHEAD_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES
-# Buffered on all connections after their open requests: hundreds of clients may pipeline at once.
-MAX_TOTAL_READ_AHEAD_BYTES = 8 * 1024 * 1024
+# Incomplete requests of all connections together, where the deployment states no limit on memory.
+MAX_INCOMPLETE_BYTES = 8 * 1024 * 1024
+# Bodies of the open requests of all connections together, likewise.
+MAX_OPEN_BYTES = 32 * 1024 * 1024
 # Read and discarded on one connection after its read-ahead is full, so that a disconnect is still detected.
 # Reading this much takes a third of a second of one core; a client that sends more is disconnected.
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
--- a/myrtlehub/http1/listener.py
+++ b/myrtlehub/http1/listener.py
@@ -9,6 +9,7 @@
 from myrtlehub.http1.close_reason import CloseReason
 from myrtlehub.http1.parse_scheduler import ParseScheduler
 from myrtlehub.http1.read_progress import ReadProgress
+from myrtlehub.http1.request_memory import RequestMemory, RequestMemoryLimits
 from myrtlehub.http1.server_connection import ServerConnection
 from myrtlehub.http1.server_exchange import ServerExchange
 from myrtlehub.http1.server_interfaces import AdmittedConnection
@@ -36,7 +37,7 @@
     Attributes:
         connections: The connections in the order of their admission; the dict is used as an ordered set.
         parse_scheduler: Scheduler that parses the data of all connections; one of its own by default.
-        total_read_ahead: Bytes held for all connections that are not part of a complete request yet.
+        memory: Memory of the requests of all connections.
         is_draining: Whether a graceful shutdown is in progress, in which idle connections are closed.
         accept_queued_since: Clock time in seconds since which connections accepted now may have been
             waiting in the accept queue; None if they have not. Set by the port.
@@ -53,6 +54,7 @@
         max_connections: int = 1000,
         burst: int = 50,
         parse_scheduler: ParseScheduler | None = None,
+        memory_limits: RequestMemoryLimits | None = None,
     ) -> None:
         self.clock = clock
         self.parse_scheduler = parse_scheduler or ParseScheduler(clock)
@@ -60,7 +62,7 @@
         self.max_connections = max_connections
         self.burst = burst
         self.connections: dict[AdmittedConnection, None] = {}
-        self.total_read_ahead = 0
+        self.memory = RequestMemory(memory_limits or RequestMemoryLimits())
         self.is_draining = False
         self.accept_queued_since: float | None = None
         self.on_full: Callable[[bool], None] = _ignore_full
@@ -163,6 +165,10 @@
             if len(self.connections) > self.max_connections:
                 self._schedule_eviction()
 
+    def limit_incomplete_requests(self) -> None:
+        """Reject the largest incomplete requests while all together exceed their limit."""
+        self.memory.reject_largest(self.connections)
+
     def connection_closed(self, connection: AdmittedConnection) -> None:
         """Remove a connection that was lost."""
         if connection in self.connections:
--- a/myrtlehub/http1/request_reader.py
+++ b/myrtlehub/http1/request_reader.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 import h11
 
@@ -10,11 +10,11 @@
     MAX_DISCARDED_BYTES,
     MAX_INCOMPLETE_LINES,
     MAX_READ_AHEAD_BYTES,
-    MAX_TOTAL_READ_AHEAD_BYTES,
 )
 from myrtlehub.http1.byte_arrivals import ByteArrivals
 from myrtlehub.http1.input_buffer import InputBuffer
 from myrtlehub.http1.partial_request import PartialRequest, head_error
+from myrtlehub.http1.request_memory import RequestMemory
 from myrtlehub.http1.server_request import ServerRequest
 
 
@@ -37,35 +37,30 @@
 ReadEvent = ServerRequest | RequestRejection | ContinueExpected | PartRead
 
 
-class ReadAheadCounter(Protocol):
-    """A counter that all connections of a listener share.
-
-    Attributes:
-        total_read_ahead: Bytes held for all connections that are not part of a complete request yet.
-    """
-
-    total_read_ahead: int
-
-
 class RequestReader:
     """Parses received data into requests, one at a time.
 
-    Data that follows an open request is buffered, up to MAX_READ_AHEAD_BYTES for the connection and up to
-    MAX_TOTAL_READ_AHEAD_BYTES for all connections. Data beyond that is read and discarded. If it were left
+    Data that follows an open request is buffered, up to MAX_READ_AHEAD_BYTES for the connection and up to the
+    limit of `RequestMemory` for all connections. Data beyond that is read and discarded. If it were left
     unread in the socket, the end of the connection after it would not be detected, and the open request would
     continue long after its client has disconnected.
     Test: `test_a_disconnect_behind_many_buffered_bytes_is_noticed`.
     """
 
-    def __init__(self, http: h11.Connection, shared_counter: ReadAheadCounter) -> None:
+    def __init__(self, http: h11.Connection, memory: RequestMemory) -> None:
         self._http = http
-        self._shared_counter = shared_counter
+        self._memory = memory
         self._input = InputBuffer()
         self._partial: PartialRequest | None = None
         self._arrivals = ByteArrivals()
         self._read_ahead_bytes = 0
         self._discarded_bytes = 0
 
+    @property
+    def read_ahead_bytes(self) -> int:
+        """Bytes held that are not part of a complete request yet."""
+        return self._read_ahead_bytes
+
     @property
     def has_read_ahead(self) -> bool:
         """Whether data was received that is not part of a complete request yet."""
@@ -88,10 +83,7 @@
 
     def may_buffer(self, size: int) -> bool:
         """Return whether `size` more bytes may be buffered."""
-        return (
-            self._read_ahead_bytes + size <= MAX_READ_AHEAD_BYTES
-            and self._shared_counter.total_read_ahead + size <= MAX_TOTAL_READ_AHEAD_BYTES
-        )
+        return self._read_ahead_bytes + size <= MAX_READ_AHEAD_BYTES and self._memory.may_read_ahead(size)
 
     def receive_data(self, data: bytes, arrived_at: float) -> None:
         """Buffer data for `next_event`.
@@ -182,5 +174,5 @@
         self._set_read_ahead(len(self._input) + unparsed + body_bytes)
 
     def _set_read_ahead(self, size: int) -> None:
-        self._shared_counter.total_read_ahead += size - self._read_ahead_bytes
+        self._memory.incomplete_bytes += size - self._read_ahead_bytes
         self._read_ahead_bytes = size
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -47,7 +47,7 @@
         self.is_closing = False
         self.is_lost = False
         self.is_dropped = False
-        self._reader = RequestReader(self.http, listener)
+        self._reader = RequestReader(self.http, listener.memory)
         self._input_paused_at = self.idle_since
         self._accept_queued_since = listener.accept_queued_since
         self._timeout = Timeout(self.clock)  # limits a request, an idle period or a lingering close
@@ -83,6 +83,12 @@
         """Whether no byte of a request has arrived since the last response."""
         return self.exchange is None and not self._reader.has_partial_request
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes held of an incomplete request that can be rejected; 0 if there is none."""
+        may_reject = self.exchange is None and not self.is_closing and not self.is_lost
+        return self._reader.read_ahead_bytes if may_reject else 0
+
     # -- reading ----------------------------------------------------------------------------------
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -103,6 +109,7 @@
             self.listener.parse_scheduler.data_received(self)
         if reader.has_partial_request and not self.is_lost:
             reader.record_unread(unread_bytes(self.transport), arrived_at)
+            self.listener.limit_incomplete_requests()
 
     def _arrival_time(self) -> float:
         """Return the earliest time at which the data that is being read can have arrived.
@@ -154,7 +161,20 @@
         self.has_received_request = True
         self._timeout.cancel()
         self.exchange = ServerExchange(self, request)
-        self.listener.on_request(self.exchange)
+        memory = self.listener.memory
+        has_memory = memory.may_open(len(request.body))
+        memory.open_bytes += len(request.body)
+        if has_memory:
+            self.listener.on_request(self.exchange)
+        else:
+            self.exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _close_exchange(self) -> ServerExchange | None:
+        """Remove and return the open request, if any."""
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            self.listener.memory.open_bytes -= len(exchange.request.body)
+        return exchange
 
     def _read_pipelined(self) -> None:
         if not self.is_lost and self.exchange is None:
@@ -203,7 +223,7 @@
         self._write_event(h11.EndOfMessage())
         self.transport.unregisterProducer()
         self.set_stalled(False)
-        self.exchange = None
+        self._close_exchange()
         is_complete = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
         has_read_ahead = self._reader.has_read_ahead
         if not is_complete or (self.listener.is_draining and not has_read_ahead):
@@ -228,7 +248,7 @@
 
     def abort_response(self) -> None:
         """Close the connection without the end of the response, which marks it as incomplete."""
-        self.exchange = None
+        self._close_exchange()
         self.linger(CloseReason.STREAM_FAILED)
 
     def set_stalled(self, is_stalled: bool) -> None:
@@ -292,7 +312,7 @@
         self._reader.close()
         self.listener.parse_scheduler.remove(self)
         self.listener.connection_closed(self)
-        exchange, self.exchange = self.exchange, None
+        exchange = self._close_exchange()
         if exchange is not None:
             exchange.is_finished = True
             exchange.on_lost()
--- a/myrtlehub/http1/server_interfaces.py
+++ b/myrtlehub/http1/server_interfaces.py
@@ -5,6 +5,7 @@
 from myrtlehub.clock import Clock
 from myrtlehub.http1.close_reason import CloseReason
 from myrtlehub.http1.parse_scheduler import ParseScheduler
+from myrtlehub.http1.request_memory import RequestMemory
 from myrtlehub.http1.server_exchange import ServerExchange
 
 
@@ -30,6 +31,13 @@
     def is_idle(self) -> bool:
         """Whether no byte of a request has arrived since the last response."""
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes held of an incomplete request that can be rejected; 0 if there is none."""
+
+    def reject(self, status: int) -> None:
+        """Respond with an error, and close the connection."""
+
     def linger(self, reason: CloseReason) -> None:
         """Start a lingering close."""
 
@@ -47,7 +55,7 @@
         clock: Clock of the connections' timeouts.
         is_draining: Whether a graceful shutdown is in progress, in which idle connections are closed.
         parse_scheduler: Scheduler that parses the data of all connections.
-        total_read_ahead: Bytes held for all connections that are not part of a complete request yet.
+        memory: Memory of the requests of all connections.
         accept_queued_since: Clock time in seconds since which connections accepted now may have been
             waiting in the accept queue; None if they have not.
     """
@@ -55,12 +63,15 @@
     clock: Clock
     is_draining: bool
     parse_scheduler: ParseScheduler
-    total_read_ahead: int
+    memory: RequestMemory
     accept_queued_since: float | None
 
     def connection_opened(self, connection: AdmittedConnection) -> None:
         """Admit a connection."""
 
+    def limit_incomplete_requests(self) -> None:
+        """Reject the largest incomplete requests while all together exceed their limit."""
+
     def connection_closed(self, connection: AdmittedConnection) -> None:
         """Remove a connection that was lost."""
 
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -19,6 +19,7 @@
 from myrtlehub.relay.errors import EndpointListError
 from myrtlehub.relay.monitoring.invariant_monitor import InvariantMonitor, RecurringTimer
 from myrtlehub.relay.process.descriptor_budget import MAX_DISCOVERY_CONNECTIONS, DescriptorBudget
+from myrtlehub.relay.process.memory_budget import request_memory_limits
 from myrtlehub.relay.process.pending_work import PendingWork, count_connections, count_sequences
 from myrtlehub.relay.settings.node_settings import NodeSettings, router_config_of
 from myrtlehub.relay.settings.platform_limits import platform_limits_of
@@ -116,6 +117,7 @@
             self.descriptor_budget.clients,
             self.descriptor_budget.client_burst,
             self._parse_scheduler,
+            request_memory_limits(self.settings.max_memory_mb),
         )
         listener.on_closing = self.monitor.connection_closing
         return listener
--- a/myrtlehub/relay/settings/node_settings.py
+++ b/myrtlehub/relay/settings/node_settings.py
@@ -23,6 +23,7 @@
         discovery_address: HOST:PORT of the discovery service.
         seed: Seed of the node's random number generators.
         max_descriptors: Maximum number of open file descriptors of the process.
+        max_memory_mb: Memory in MB over which the platform kills the process; None if it states no limit.
         platform_settings: The platform's settings, with the keys of the simulator's first message.
         fallback_list: Endpoint list to use if discovery does not answer at start-up, or None.
     """
@@ -34,6 +35,7 @@
     max_descriptors: int
     platform_settings: dict[str, Any]
     fallback_list: dict[str, Any] | None
+    max_memory_mb: float | None = None
 
 
 def read_node_settings(path: str) -> NodeSettings:
@@ -57,6 +59,9 @@
         raise SettingsError(
             f"limits.sockets: {max_descriptors!r} is not an integer of at least {MIN_DESCRIPTORS}; correct it"
         )
+    max_memory_mb = limits.get("memory_mb")
+    if max_memory_mb is not None and not _is_positive_number(max_memory_mb):
+        raise SettingsError(f"limits.memory_mb: {max_memory_mb!r} is not a number above 0; correct it")
     fallback_list = fields.get("known")
     return NodeSettings(
         name=str(fields.get("name", "")),
@@ -66,9 +71,14 @@
         max_descriptors=max_descriptors,
         platform_settings=fields["settings"],
         fallback_list=fallback_list if isinstance(fallback_list, dict) else None,
+        max_memory_mb=max_memory_mb,
     )
 
 
+def _is_positive_number(value: Any) -> bool:  # noqa: ANN401
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and value > 0
+
+
 def _read_object(path: str) -> dict[str, Any]:
     try:
         fields = parse_json(Path(path).read_bytes())
--- a/tests/http1/test_http1_server.py
+++ b/tests/http1/test_http1_server.py
@@ -4,7 +4,7 @@
 from relaymessages import COMPLETE_STREAM, chat_request, chunk
 from relayrig import RawClient, RawClientFactory, RelayRig, never_respond
 
-from myrtlehub.http1.bounds import MAX_TOTAL_READ_AHEAD_BYTES
+from myrtlehub.http1.bounds import MAX_INCOMPLETE_BYTES
 
 
 @pytest.mark.parametrize(
@@ -110,7 +110,7 @@
     for client in clients:
         client.send(chat_request("b", body=b'{"messages":["' + b"x" * 200_000 + b'"]}'))
         rig.run(0.01)
-    assert 7_500_000 < rig.node.listener.total_read_ahead <= MAX_TOTAL_READ_AHEAD_BYTES
+    assert 7_500_000 < rig.node.listener.memory.incomplete_bytes <= MAX_INCOMPLETE_BYTES
     for connection in rig.engines["w1"].connections:
         connection.send(COMPLETE_STREAM) if not connection.lost else None
     rig.run(0.2)
@@ -119,7 +119,7 @@
     for client in clients:
         client.transport.loseConnection()
     rig.run(0.5)
-    assert rig.node.listener.total_read_ahead == 0 and not rig.node.listener.connections
+    assert rig.node.listener.memory.incomplete_bytes == 0 and not rig.node.listener.connections
 
 
 def test_many_silent_connections_leave_capacity_for_a_request() -> None:
--- a/tests/http1/test_parse_scheduler.py
+++ b/tests/http1/test_parse_scheduler.py
@@ -128,7 +128,7 @@
         rig.run(0.002)
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    assert rig.node.listener.total_read_ahead == 200_000
+    assert rig.node.listener.memory.incomplete_bytes == 200_000
     assert after - before < 2 * 200_000
 
 
--- a/tests/relay/test_relay_floods.py
+++ b/tests/relay/test_relay_floods.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+import pytest
 from floods import Flood
 from relaymessages import EVENT, LAST_CHUNK, STREAM_HEAD, chat_request, chunk
 from socketpeers import PeerConnection, ReceivedRequest
@@ -11,9 +12,11 @@
 STREAM_COUNT = 16
 DESCRIPTORS = 1024
 CHUNKED_HEAD = chat_request("flood").partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
-# Memory in MB that the node may take for the flood. The smallest limit of a node with so many descriptors is
-# 112 MB, and 300 clients may send at once; a node without clients takes some 30 MB.
-MAX_FLOOD_MEMORY_MB = (112 - 30) / 3
+MAX_REQUESTING_CLIENTS = DESCRIPTORS // 3  # clients hold at most a third of the descriptors for requests
+MEMORY_LIMIT_MB = 112  # the smallest limit of a node with so many descriptors
+# Memory in MB that the node may take for the flood, as three times as many clients may send at once; a node
+# without clients takes some 30 MB.
+MAX_FLOOD_MEMORY_MB = (MEMORY_LIMIT_MB - 30) / 3
 
 
 def peak_memory_mb(process_id: int) -> float:
@@ -63,3 +66,25 @@
         client.close()
     assert statuses == [200] * 5
     assert all(LAST_CHUNK not in client.read_rest() for client in endless_clients)
+
+
+@pytest.mark.parametrize("is_complete", [False, True], ids=["incomplete", "complete"])
+def test_large_requests_of_many_clients_stay_within_the_memory_limit(
+    rig: SocketRig, is_complete: bool
+) -> None:
+    """Guards against requests that are each below their limit and together take the node over its memory."""
+    node = rig.start(
+        "w1", descriptors=DESCRIPTORS, limits={"sockets": DESCRIPTORS, "memory_mb": MEMORY_LIMIT_MB}
+    )
+    for engine in rig.engines.values():
+        engine.script = lambda connection, request: None
+    clients = []
+    for number in range(MAX_REQUESTING_CLIENTS):
+        request = chat_request(f"a{number}", body=b'{"messages":["' + b"x" * 255_000 + b'"]}')
+        clients.append(Client(node.address).send(request if is_complete else request[:-1]))
+    statuses = [client.read_status() for client in clients]
+    assert peak_memory_mb(node.process.pid) < MEMORY_LIMIT_MB
+    assert 503 in statuses
+    for client in clients:
+        client.close()
+    assert Client(node.address).send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").read_status() == 200
--- a/tests/support/relayrig.py
+++ b/tests/support/relayrig.py
@@ -158,6 +158,7 @@
         descriptors: Number of file descriptors that the node may use.
         with_fallback_list: Whether the node's settings have the endpoint list as its fallback list.
         silent_discovery: Whether discovery answers nothing until `resume_discovery`.
+        max_memory_mb: Memory in MB that the platform allows the node, or None.
         settings: Platform settings that replace those of `SETTINGS`.
 
     Attributes:
@@ -172,6 +173,7 @@
         descriptors: int = 200,
         with_fallback_list: bool = True,
         silent_discovery: bool = False,
+        max_memory_mb: float | None = None,
         **settings: object,
     ) -> None:
         self.clock = Clock()
@@ -194,6 +196,7 @@
             max_descriptors=descriptors,
             platform_settings={**SETTINGS, **settings},
             fallback_list=self.complete_list() if with_fallback_list else None,
+            max_memory_mb=max_memory_mb,
         )
         self.logged: list[LoggedEvent] = []
         self.node = RelayNode(
--- a/tests/support/socketrig.py
+++ b/tests/support/socketrig.py
@@ -133,6 +133,7 @@
         fallback_list: Endpoint list to use if discovery does not answer at the start, or None.
         listen: HOST:PORT at which it listens; empty for a port that is free.
         stdout: Its standard output, as for `Popen`; the log is read only if this is `PIPE`.
+        limits: The limits in its settings; None for that of descriptors alone.
         settings: Platform settings that replace those of `SETTINGS`.
 
     Attributes:
@@ -148,6 +149,7 @@
         fallback_list: dict[str, object] | None = None,
         listen: str = "",
         stdout: int = subprocess.PIPE,
+        limits: dict[str, object] | None = None,
         **settings: object,
     ) -> None:
         folder.mkdir(exist_ok=True)
@@ -158,7 +160,7 @@
             "listen": self.address,
             "discovery": discovery,
             "seed": "7",
-            "limits": {"sockets": descriptors},
+            "limits": limits or {"sockets": descriptors},
             "settings": {**SETTINGS, **settings},
         }
         if fallback_list is not None:
