Responses do not wait behind new requests, and no deferred connection starves

New data always came before continued data; a stream was deferred for the rest of its slice although nothing was left to parse; and responses shared a queue with new requests.

Change: new and continued data alternate; a connection without unparsed data is not deferred; responses have a scheduler of their own.

--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -16,6 +16,7 @@
 from myrtlehub.http1.input_buffer import InputBuffer
 from myrtlehub.http1.tcp_transport import TcpProtocol, abortive_close
 
+CHUNK_END_BYTES = 2  # the line end after a chunk, which the parser reads with the next chunk
 _ParserEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -90,18 +91,27 @@
         self.pool.parse_scheduler.data_received(self)
 
     def parse_step(self) -> bool:
-        """Parse one element of a response; return False if nothing can be parsed at present."""
-        pending = self.pending
-        if pending is None or self._is_response_paused:
-            return False
-        try:
-            event = self.http.next_event()
-        except h11.RemoteProtocolError:
-            self._fail()
-            return False
-        if event is h11.NEED_DATA or event is h11.PAUSED:
-            return self._pass_next_piece()
-        return self._handle_event(event, pending)
+        """Parse the next element of a response, and those after it that need no more data.
+
+        Returns:
+            Whether there is more data; without any, the connection must not be deferred.
+        """
+        while (pending := self.pending) is not None and not self._is_response_paused:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError:
+                self._fail()
+                return False
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return self._pass_next_piece()
+            if not self._handle_event(event, pending):
+                return False
+            if self._unparsed_bytes() > CHUNK_END_BYTES:
+                return True
+        return False
+
+    def _unparsed_bytes(self) -> int:
+        return len(self._input) + len(self.http.trailing_data[0])
 
     def _pass_next_piece(self) -> bool:
         """Pass more data to the parser, which has an incomplete element or none."""
@@ -175,7 +185,7 @@
 
     def has_partial_data(self) -> bool:
         """Return whether the peer has sent an incomplete chunk or chunk size line."""
-        return self._is_inside_chunk or bool(self._input) or bool(self.http.trailing_data[0])
+        return self._is_inside_chunk or self._unparsed_bytes() > 0
 
     def _is_reusable(self) -> bool:
         http = self.http
@@ -183,8 +193,7 @@
             self.is_request_sent
             and http.our_state is h11.DONE
             and http.their_state is h11.DONE
-            and not self._input
-            and not http.trailing_data[0]
+            and self._unparsed_bytes() == 0
             and not self.is_closed
             and self.pool.is_reuse_allowed()
         )
--- a/myrtlehub/http1/parse_scheduler.py
+++ b/myrtlehub/http1/parse_scheduler.py
@@ -32,8 +32,8 @@
 
     Data is parsed when it arrives, for up to SLICE_S per connection and TURN_BUDGET_S per turn. The rest is
     deferred, and its connection is not read from meanwhile, so a peer cannot add to it. Deferred connections
-    get one slice each in turn; those that had no slice since they were read come first, so that a short
-    message does not wait for long ones.
+    get one slice each in turn: alternately one that had no slice since it was read, so that a short message
+    does not wait for all long ones, and one that had, so that many short ones do not stop a long one.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -43,6 +43,7 @@
         self._with_slice: dict[Parser, None] = {}
         self._time_left = TURN_BUDGET_S
         self._is_turn_scheduled = False
+        self._was_without_slice = False  # whether the last deferred connection that was parsed had no slice
 
     def data_received(self, parser: Parser) -> None:
         """Parse the new data of a connection now, or defer it if this turn's time is used up."""
@@ -97,10 +98,17 @@
                 self._schedule_turn()
 
     def _parse_deferred(self) -> None:
-        queue = self._without_slice or self._with_slice
+        queue = self._next_queue()
         parser = next(iter(queue))
         del queue[parser]
         if self._parse(parser):
             self._with_slice[parser] = None
         else:
             parser.resume_input()
+
+    def _next_queue(self) -> dict[Parser, None]:
+        """Return the queue to take a connection from: the two alternate unless one is empty."""
+        self._was_without_slice = bool(self._without_slice) and not (
+            self._was_without_slice and self._with_slice
+        )
+        return self._without_slice if self._was_without_slice else self._with_slice
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -136,7 +136,7 @@
             self._write_event(h11.InformationalResponse(status_code=HTTPStatus.CONTINUE, headers=[]))
         elif not isinstance(event, PartRead):
             self._open_exchange(event)
-        return True
+        return self.exchange is None and not self.is_closing
 
     def pause_input(self) -> None:
         """Stop reading from the socket until the received data is parsed."""
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -72,14 +72,15 @@
         self.descriptor_budget = DescriptorBudget.for_process(settings.max_descriptors)
         self.decoder = RequestDecoder(settings, self.config)
         self.endpoint_list = EndpointListDecoder(self.decoder.kinds, self.decoder.zones, clock_epoch)
-        self._parse_scheduler = ParseScheduler(clock)  # one for all connections: they share a turn
+        # Separate from that of the listener, so that streams in progress do not wait for new requests.
+        self._response_scheduler = ParseScheduler(clock)
         self.pool = ConnectionPool(
             clock,
             lambda address: dialer(address, self.limits.connect_timeout),
             self.descriptor_budget.engines,
             IDLE_REUSE_FRACTION * self.limits.keepalive,
             log,
-            self._parse_scheduler,
+            self._response_scheduler,
         )
         self.monitor = InvariantMonitor(clock, log)
         self.engine_client = EngineClient(clock, self.pool, self.decoder, self.monitor.counter, log)
@@ -116,7 +117,7 @@
             self.front.on_request,
             self.descriptor_budget.clients,
             self.descriptor_budget.client_burst,
-            self._parse_scheduler,
+            ParseScheduler(self.clock),
             request_memory_limits(self.settings.max_memory_mb),
         )
         listener.on_closing = self.monitor.connection_closing
@@ -129,7 +130,7 @@
             MAX_DISCOVERY_CONNECTIONS,
             DISCOVERY_MAX_IDLE_S,
             self.log,
-            self._parse_scheduler,
+            self._response_scheduler,
         )
         return DiscoveryClient(
             self.clock,
