Further requests are read only while the client reads its responses

A client that sends requests and reads nothing makes the node's memory grow without a bound.

Cause: only streams had back-pressure from the transport. Short responses were written whatever was read.

Change: the connection itself is the producer of its transport. A stream is paused as before; without one, no further request is read or parsed until the responses are read, and the client is disconnected after the 20 s that a client has which stops reading its stream. A client that reads the end of a stream slowly has them too, instead of the idle timeout of 5 s.

--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -20,7 +20,7 @@
 from myrtlehub.http1.server_exchange import ServerExchange
 from myrtlehub.http1.server_interfaces import ConnectionRegistry
 from myrtlehub.http1.server_request import ServerRequest
-from myrtlehub.http1.tcp_transport import Producer, TcpProtocol, unread_bytes
+from myrtlehub.http1.tcp_transport import TcpProtocol, unread_bytes
 from myrtlehub.http1.timeout import Timeout
 
 
@@ -49,6 +49,8 @@
         self.is_dropped = False
         self._reader = RequestReader(self.http, listener.memory)
         self._input_paused_at = self.idle_since
+        self._is_parsing_deferred = False
+        self._is_output_full = False
         self._accept_queued_since = listener.accept_queued_since
         self._timeout = Timeout(self.clock)  # limits a request, an idle period or a lingering close
         self._stall_timeout = Timeout(self.clock)
@@ -56,6 +58,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Start the timeout for the first request, and register with the listener."""
         super().connectionMade()
+        self.transport.registerProducer(self, True)
         self._restart_timeout(
             DRAINING_FIRST_BYTE_TIMEOUT_S if self.listener.is_draining else REQUEST_TIMEOUT_S
         )
@@ -125,7 +128,7 @@
 
     def parse_step(self) -> bool:
         """Parse one element of a request; return False if nothing can be parsed at present."""
-        if self.exchange is not None or self.is_closing or self.is_lost:
+        if self.exchange is not None or self.is_closing or self.is_lost or self._is_output_full:
             return False
         event = self._reader.next_event()
         if event is None:
@@ -140,6 +143,7 @@
 
     def pause_input(self) -> None:
         """Stop reading from the socket until the received data is parsed."""
+        self._is_parsing_deferred = True
         self._input_paused_at = self.clock.seconds()
         self.transport.pauseProducing()
 
@@ -149,8 +153,13 @@
         Data that has arrived meanwhile counts from the pause, the earliest possible time.
         Test: `test_data_that_arrives_while_reading_is_paused_counts_from_the_pause`.
         """
+        self._is_parsing_deferred = False
         if not self.is_lost:
             self._reader.record_unread(unread_bytes(self.transport), self._input_paused_at)
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if not (self.is_lost or self._is_parsing_deferred or self._is_output_full):
             self.transport.resumeProducing()
 
     def abort_parsing(self) -> None:
@@ -199,10 +208,9 @@
             self._write_event(h11.Data(data=body))
         self.finish()
 
-    def start_stream(self, producer: Producer, status: int, headers: Headers) -> None:
-        """Write the head of a streamed response, and pause `producer` while the client reads nothing."""
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Write the head of a streamed response."""
         if not self.is_lost:
-            self.transport.registerProducer(producer, True)
             self._write_head(status, headers, False)
 
     def write(self, data: bytes) -> None:
@@ -221,8 +229,6 @@
         if self.is_lost or self.is_closing:
             return
         self._write_event(h11.EndOfMessage())
-        self.transport.unregisterProducer()
-        self.set_stalled(False)
         self._close_exchange()
         is_complete = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
         has_read_ahead = self._reader.has_read_ahead
@@ -231,6 +237,9 @@
             return
         self.http.start_next_cycle()
         self.idle_since = self.clock.seconds()
+        if self._is_output_full:
+            self._pause_requests()
+            return
         self._restart_timeout(REQUEST_TIMEOUT_S if has_read_ahead else IDLE_TIMEOUT_S)
         if has_read_ahead or self._reader.is_discarding:
             # Pipelined requests are read in the next reactor turn, to avoid recursion.
@@ -251,12 +260,37 @@
         self._close_exchange()
         self.linger(CloseReason.STREAM_FAILED)
 
-    def set_stalled(self, is_stalled: bool) -> None:
-        """Start the timeout of a client that has stopped reading its stream, or stop it."""
-        if is_stalled:
-            self._stall_timeout.start_once(STALLED_WRITE_TIMEOUT_S, self._on_stall_timeout)
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Pause the open stream, or the reading of requests: the client does not read its responses."""
+        self._is_output_full = True
+        self._stall_timeout.start_once(STALLED_WRITE_TIMEOUT_S, self._on_stall_timeout)
+        if self.exchange is not None:
+            self.exchange.on_pause()
         else:
-            self._stall_timeout.clear()
+            self._pause_requests()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Resume the open stream, or the reading of requests: the client has read its responses."""
+        self._is_output_full = False
+        self._stall_timeout.clear()
+        if self.exchange is not None:
+            self.exchange.on_resume()
+        elif not (self.is_closing or self.is_lost):
+            self._restart_timeout(REQUEST_TIMEOUT_S if self._reader.has_read_ahead else IDLE_TIMEOUT_S)
+            self._resume_reading()
+            self._read_pipelined()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: `connectionLost` is called as well and handles the loss."""
+
+    def _pause_requests(self) -> None:
+        """Read no further request until the client has read the responses to the earlier ones.
+
+        The responses would add up in memory. The stall timeout takes the place of the others.
+        Test: `test_requests_of_a_client_that_reads_no_response_are_not_answered_without_end`.
+        """
+        self._timeout.cancel()
+        self.transport.pauseProducing()
 
     def _on_stall_timeout(self) -> None:
         self._abort(CloseReason.WRITE_TIMEOUT)
@@ -282,6 +316,10 @@
         self.idle_since = self.clock.seconds()
         self._reader.discard_input()
         self.transport.unregisterProducer()
+        if self._is_output_full:
+            self._is_output_full = False
+            self._stall_timeout.clear()
+            self._resume_reading()
         self.transport.loseWriteConnection()
         self._restart_timeout(LINGER_TIMEOUT_S)
 
@@ -308,7 +346,7 @@
         """Stop all timers, and report the loss to the listener and to the open request, if any."""
         self.is_lost = True
         self._timeout.clear()
-        self.set_stalled(False)
+        self._stall_timeout.clear()
         self._reader.close()
         self.listener.parse_scheduler.remove(self)
         self.listener.connection_closed(self)
--- a/myrtlehub/http1/server_exchange.py
+++ b/myrtlehub/http1/server_exchange.py
@@ -5,7 +5,6 @@
 
 from myrtlehub.http1.headers import Header, Headers
 from myrtlehub.http1.server_request import ServerRequest
-from myrtlehub.http1.tcp_transport import Producer
 
 
 class ResponseWriter(Protocol):
@@ -14,8 +13,8 @@
     def respond(self, status: int, headers: Headers, body: bytes, must_close: bool) -> None:
         """Write a complete response."""
 
-    def start_stream(self, producer: Producer, status: int, headers: Headers) -> None:
-        """Write the head of a streamed response, and apply back-pressure to `producer`."""
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Write the head of a streamed response."""
 
     def write(self, data: bytes) -> None:
         """Write a part of a streamed response."""
@@ -26,16 +25,13 @@
     def abort_response(self) -> None:
         """Close the connection without the end of the response."""
 
-    def set_stalled(self, is_stalled: bool) -> None:
-        """Start or stop the timeout of a client that has stopped reading its stream."""
-
 
 def _do_nothing() -> None:
     """Do nothing: no callback is set."""
 
 
 class ServerExchange:
-    """A request and its response; while the response is streamed, a push producer of the transport.
+    """A request and its response.
 
     Attributes:
         request: The request.
@@ -83,7 +79,7 @@
         """Send the head of a streamed response."""
         self.is_started = True
         all_headers = [*headers, Header(b"Transfer-Encoding", b"chunked")]
-        self._connection.start_stream(self, status, all_headers)
+        self._connection.start_stream(status, all_headers)
 
     def write(self, data: bytes) -> None:
         """Send a part of the stream."""
@@ -101,16 +97,3 @@
         if not self.is_finished:
             self.is_finished = True
             self._connection.abort_response()
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Handle back-pressure: the client has stopped reading."""
-        self._connection.set_stalled(True)
-        self.on_pause()
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Handle the end of back-pressure: the client reads again."""
-        self._connection.set_stalled(False)
-        self.on_resume()
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Do nothing: `on_lost` is called as well and handles the loss."""
--- a/tests/http1/test_http1_server.py
+++ b/tests/http1/test_http1_server.py
@@ -4,7 +4,7 @@
 from relaymessages import COMPLETE_STREAM, chat_request, chunk
 from relayrig import RawClient, RawClientFactory, RelayRig, never_respond
 
-from myrtlehub.http1.bounds import MAX_INCOMPLETE_BYTES
+from myrtlehub.http1.bounds import MAX_INCOMPLETE_BYTES, STALLED_WRITE_TIMEOUT_S
 
 
 @pytest.mark.parametrize(
@@ -122,6 +122,30 @@
     assert rig.node.listener.memory.incomplete_bytes == 0 and not rig.node.listener.connections
 
 
+def test_requests_of_a_client_that_reads_no_response_are_not_answered_without_end() -> None:
+    """Guards against responses that add up in memory for a client that sends requests and reads nothing."""
+    rig = RelayRig("w1")
+    client = rig.client()
+    node_pipe = client.transport.other
+    node_pipe.stalled = True
+    client.send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n" * 1000)
+    rig.run(3.0)
+    assert 0 < b"".join(node_pipe.outgoing).count(b"HTTP/1.1 200") <= 2 and node_pipe.paused
+    node_pipe.stalled = False
+    node_pipe.producer.resumeProducing()
+    rig.run(0.5)
+    assert client.statuses == [200] * 1000 and not client.lost
+
+
+def test_a_client_that_sends_requests_and_reads_no_response_is_disconnected() -> None:
+    rig = RelayRig("w1")
+    client = rig.client()
+    client.transport.other.stalled = True
+    client.send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n" * 1000)
+    rig.run(STALLED_WRITE_TIMEOUT_S + 1.0)
+    assert client.lost and not rig.node.listener.connections
+
+
 def test_many_silent_connections_leave_capacity_for_a_request() -> None:
     rig = RelayRig("w1", descriptors=100)
     silent_clients = [rig.client() for _ in range(90)]
