--- a/tests/http1/test_byte_arrivals.py
+++ b/tests/http1/test_byte_arrivals.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from myrtlehub.http1.byte_arrivals import MERGE_INTERVAL_S, ByteArrivals
+from myrtlehub.http1.byte_arrivals import MAX_SEGMENTS, MERGE_INTERVAL_S, ByteArrivals
 from myrtlehub.relay.process.startup_retry import is_resource_shortage, retry_on_resource_shortage
 
 
@@ -29,6 +29,20 @@
     assert 50 * MERGE_INTERVAL_S - MERGE_INTERVAL_S <= received_at <= 50 * MERGE_INTERVAL_S
 
 
+def test_bytes_that_trickle_in_for_minutes_take_few_segments_with_no_later_arrival_times() -> None:
+    """Guards against memory that grows with each byte behind an open request."""
+    arrivals = ByteArrivals()
+    interval = 2 * MERGE_INTERVAL_S
+    count = 10_000
+    for number in range(count):
+        arrivals.add(1, number * interval)
+        assert len(arrivals._segments) <= MAX_SEGMENTS
+    duration = count * interval
+    for unread in (7_000, 2_500, 0):
+        last_byte_at = (count - unread - 1) * interval
+        assert last_byte_at - duration / (MAX_SEGMENTS / 4) <= arrivals.consume(unread) <= last_byte_at
+
+
 def test_unread_bytes_keep_the_arrival_time_of_their_first_record() -> None:
     arrivals = ByteArrivals()
     arrivals.add(64, 1.0)
