gRPC messages take little more memory than their size, in however many frames

Cause: each DATA frame was kept as an object until its message was complete, or until its paused stream was resumed, while the limits count bytes.

Change: both places join the parts as they arrive.

Evidence: two tests failed before (4.3 MB for 200,000 bytes in parts of two bytes) and pass now: test_a_message_in_tiny_parts_takes_little_more_memory_than_its_size and test_data_in_tiny_parts_for_a_paused_ stream_takes_little_more_memory_than_its_size.

--- a/myrtlehub/rpc/framing.py
+++ b/myrtlehub/rpc/framing.py
@@ -48,20 +48,18 @@
     def __init__(self, max_size: int, encoding: str = IDENTITY) -> None:
         self._max_size = max_size
         self._encoding = encoding
-        self._parts: list[bytes] = []
-        self._buffered_size = 0
+        self._buffered = (
+            bytearray()
+        )  # start of an incomplete message; joined, as peers choose the size of parts
         self._needed_bytes = MESSAGE_PREFIX.size  # bytes to buffer before the next message can be complete
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes; return the messages that they complete, in order."""
-        if self._parts:
-            # Joining parts only for a complete message copies a long message once instead of once per frame.
-            self._parts.append(data)
-            self._buffered_size += len(data)
-            if self._buffered_size < self._needed_bytes:
+        if self._buffered:
+            self._buffered += data
+            if len(self._buffered) < self._needed_bytes:
                 return []
-            data = b"".join(self._parts)
-            self._parts.clear()
+            data = bytes(self._buffered)
         messages = []
         position = 0
         size = len(data)
@@ -78,10 +76,7 @@
             messages.append(self._decode(message) if compressed_flag else message)
         else:
             self._needed_bytes = MESSAGE_PREFIX.size
-        incomplete = data[position:]
-        self._buffered_size = len(incomplete)
-        if incomplete:
-            self._parts.append(incomplete)
+        self._buffered = bytearray(data[position:])
         return messages
 
     def _reject(self, compressed_flag: int, length: int) -> None:
@@ -100,5 +95,5 @@
 
     def finish(self) -> None:
         """Raise INTERNAL if the stream ended inside a message."""
-        if self._buffered_size:
-            raise RpcError(Code.INTERNAL, f"stream ended inside a message, {self._buffered_size} bytes in")
+        if self._buffered:
+            raise RpcError(Code.INTERNAL, f"stream ended inside a message, {len(self._buffered)} bytes in")
--- a/myrtlehub/rpc/stream.py
+++ b/myrtlehub/rpc/stream.py
@@ -83,7 +83,9 @@
         self._producer: Producer | None = None
         self._is_push_producer = False
         self._is_producer_paused = False
-        self._received: deque[bytes] = deque()  # data received while the stream is paused
+        self._max_part = connection.limits.max_frame
+        # Data received while the stream is paused; it is joined, because peers choose the size of frames.
+        self._received: deque[bytearray] = deque()
         self._is_end_delayed = False  # `on_end` is delayed until the received data is consumed
         self._unacknowledged_bytes = 0  # received, and not yet returned to the peer by WINDOW_UPDATE
 
@@ -193,11 +195,17 @@
         """Deliver received data, or queue it while paused."""
         self._unacknowledged_bytes += flow_controlled_size
         if self.paused:
-            self._received.append(data)
+            self._append_received(data)
         else:
             self.on_data(data)
             self._update_window()
 
+    def _append_received(self, data: bytes) -> None:
+        if self._received and len(self._received[-1]) + len(data) <= self._max_part:
+            self._received[-1] += data
+        else:
+            self._received.append(bytearray(data))
+
     def _update_window(self) -> None:
         if self._unacknowledged_bytes * 2 >= self._window and not self.is_end_received:
             self.connection.send_window_update(self, self._unacknowledged_bytes)
@@ -218,7 +226,7 @@
         """Deliver queued data and resume delivery."""
         self.paused = False
         while self._received and not self.paused and not self.closed:
-            self.on_data(self._received.popleft())
+            self.on_data(bytes(self._received.popleft()))
         if self.paused or self.closed:
             return
         self._update_window()
--- a/tests/rpc/test_rpc_messages.py
+++ b/tests/rpc/test_rpc_messages.py
@@ -1,6 +1,10 @@
 """Encoding and decoding of messages, metadata and status without a connection."""
 
 import gzip
+import tracemalloc
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from hypothesis import given
@@ -8,6 +12,10 @@
 
 from myrtlehub.rpc import framing, metadata, status
 from myrtlehub.rpc.status import Code, RpcError
+from myrtlehub.rpc.stream import Stream
+from myrtlehub.rpc.transport_limits import TransportLimits
+
+MESSAGE_BYTES = 200_000
 
 
 @given(st.lists(st.binary(max_size=300), max_size=8), st.data(), st.booleans())
@@ -84,3 +92,33 @@
         metadata.decode([("x-bin", "!!")])
     raw = metadata.decode([("x-bin", "AP8,AQ=="), ("k", "v")])
     assert raw == (("x-bin", b"\0\xff"), ("x-bin", b"\1"), ("k", "v"))
+
+
+def memory_of_tiny_parts(receive: Callable[[bytes], object]) -> int:
+    """Return the memory that is held after MESSAGE_BYTES bytes were received in parts of two bytes."""
+    text = bytes(range(256)) * (MESSAGE_BYTES // 256)
+    tracemalloc.start()
+    for position in range(0, len(text), 2):
+        receive(b"%c%c" % (text[position], text[position]))  # an object of its own, as one from a socket
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held
+
+
+def test_a_message_in_tiny_parts_takes_little_more_memory_than_its_size() -> None:
+    """Guards against an object for each part: a peer may send a message in tiny DATA frames."""
+    reader = framing.MessageReader(MESSAGE_BYTES * 2)
+    reader.feed(framing.MESSAGE_PREFIX.pack(0, MESSAGE_BYTES * 2))
+    assert memory_of_tiny_parts(reader.feed) < 2 * MESSAGE_BYTES
+
+
+def test_data_in_tiny_parts_for_a_paused_stream_takes_little_more_memory_than_its_size() -> None:
+    """Guards against an object for each DATA frame of a stream whose consumer is paused."""
+    connection = SimpleNamespace(limits=TransportLimits(stream_window=4 * MESSAGE_BYTES), writer=None)
+    stream = Stream(cast(Any, connection), 1)
+    received: list[bytes] = []
+    stream.on_data = received.append
+    stream.pauseProducing()
+    assert memory_of_tiny_parts(lambda data: stream.receive(data, len(data))) < 2 * MESSAGE_BYTES
+    stream.resumeProducing()
+    assert sum(map(len, received)) == MESSAGE_BYTES // 256 * 256
