A rejection whose body does not end frees its connection after half a second

An engine whose rejections do not end takes one connection of the node for each attempt.

Cause: the rest of a response that ended its attempt by the status was ignored without a limit of time.

Change: such a response has 0.5 s to end; then its connection is closed instead of reused.

Evidence: test_a_rejection_whose_body_does_not_end_frees_its_connection failed before in all three forms (no connection closed) and passes now.

--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -46,6 +46,8 @@
 # Time without reuse of connections after a reused one failed. A new connection costs its peer a millisecond
 # or two; a request that may have been executed costs an attempt.
 REUSE_SUSPENSION_S = 30.0
+# Time for the rest of a response that nobody needs. After it the connection is closed instead of reused.
+DISCARD_TIMEOUT_S = 0.5
 # First backoff after a connection attempt failed for lack of a local resource; it doubles with each retry.
 # All retries together take 0.3 s, as long as establishing a connection to a peer may take.
 CONNECT_RETRY_DELAY_S = 0.02
--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -3,6 +3,7 @@
 import h11
 
 from myrtlehub.http1.bounds import (
+    DISCARD_TIMEOUT_S,
     MAX_CHUNK_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEADERS,
@@ -15,6 +16,7 @@
 from myrtlehub.http1.headers import Header
 from myrtlehub.http1.input_buffer import InputBuffer
 from myrtlehub.http1.tcp_transport import TcpProtocol, abortive_close
+from myrtlehub.http1.timeout import Timeout
 
 CHUNK_END_BYTES = 2  # the line end after a chunk, which the parser reads with the next chunk
 _ParserEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -47,6 +49,7 @@
         self._informational_count = 0
         self._chunk_bytes = 0
         self._unwritten_data: bytes | None = None
+        self._discard_timeout = Timeout(self.clock)
 
     def send_request(self, pending: OutstandingRequest) -> None:
         """Send a request; the connection has to be idle."""
@@ -198,8 +201,23 @@
             and self.pool.is_reuse_allowed()
         )
 
+    def discard_response(self) -> None:
+        """Close the connection unless the rest of the response, which nobody needs, arrives soon.
+
+        Test: `test_a_rejection_whose_body_does_not_end_frees_its_connection`.
+        """
+        if self.pending is not None:
+            self._discard_timeout.restart(DISCARD_TIMEOUT_S, self._on_discard_timeout)
+
+    def _on_discard_timeout(self) -> None:
+        pending, self.pending = self.pending, None
+        if pending is not None:
+            pending.mark_finished()
+            self.close(PeerCloseReason.REQUEST_FAILED)
+
     def _complete(self, pending: OutstandingRequest) -> None:
         self.pending = None
+        self._discard_timeout.clear()
         if self._is_reusable():
             self.http.start_next_cycle()
             self.has_completed_request = True
@@ -238,5 +256,6 @@
             self._fail()
 
     def _release_input(self) -> None:
+        self._discard_timeout.clear()
         self._input.clear()
         self.pool.parse_scheduler.remove(self)
--- a/myrtlehub/http1/client_interfaces.py
+++ b/myrtlehub/http1/client_interfaces.py
@@ -60,6 +60,9 @@
     def resume_response(self) -> None:
         """Read and parse the response again."""
 
+    def discard_response(self) -> None:
+        """Close the connection unless the rest of the response, which nobody needs, arrives soon."""
+
     def close(self, reason: PeerCloseReason) -> None:
         """Abort the connection; data that is not sent yet is discarded."""
 
--- a/myrtlehub/http1/pending_request.py
+++ b/myrtlehub/http1/pending_request.py
@@ -88,6 +88,11 @@
                 connection.pending = None
                 connection.close(PeerCloseReason.CANCELLED)
 
+    def discard_response(self) -> None:
+        """Close the connection unless the rest of the response, which nobody needs, arrives soon."""
+        if self.connection is not None:
+            self.connection.discard_response()
+
     def pause(self) -> None:
         """Pause reading of the response."""
         if self.connection is not None:
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -99,7 +99,9 @@
             self._last_event_at = self.executor.clock.seconds()
             self.client.stream_monitor.add(self)
         elif end.outcome != contract.Outcome.READ:
+            pending = self._outstanding_request()
             self._report_end(end)  # the attempt ends here, and the body is ignored
+            pending.discard_response()
 
     def on_data(self, data: bytes) -> None:
         """Pass the complete events of a stream to the executor, or store the body of a read's response."""
--- a/tests/http1/test_http1_client.py
+++ b/tests/http1/test_http1_client.py
@@ -2,6 +2,7 @@
 
 import socket
 
+import pytest
 from relaymessages import COMPLETE_STREAM, LAST_CHUNK, STREAM_HEAD, chat_request, chunk, stream_of
 from relayrig import RelayRig
 
@@ -87,6 +88,26 @@
     assert rig.node.pool.reuse_count > reused + 1
 
 
+@pytest.mark.parametrize("body_start", [b"", b"x", b"\r\n1\r\nx"], ids=["none", "part", "endless"])
+def test_a_rejection_whose_body_does_not_end_frees_its_connection(body_start: bytes) -> None:
+    """Guards against engines that take all connections of the node with responses that do not end."""
+    rig = RelayRig("w1")
+    length = b"Transfer-Encoding: chunked\r\n" if b"1" in body_start else b"Content-Length: 9\r\n"
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(
+        b"HTTP/1.1 503 X\r\nX-Turned-Away: 1\r\n" + length + b"\r\n" + body_start.removeprefix(b"\r\n")
+    )
+    for number in range(5):
+        rig.request(f"a{number}", remaining_ms=300)
+    connections = rig.engines["w1"].connections
+    for _ in range(10):
+        for connection in connections:
+            connection.send(b"\r\n1\r\nx") if b"1" in body_start and not connection.lost else None
+        rig.run(0.1)
+    rig.run(1.0)
+    assert connections and all(connection.lost for connection in connections)
+    assert rig.node.pool.count == 0
+
+
 def test_an_at_most_once_request_uses_a_new_connection() -> None:
     rig = RelayRig("w1")
     for i in range(3):
