KNOWN-RED.txt has one entry for each fault; a script that shows one may be named too

Change: a line may name a script, which has to exist. It lets no test fail and is printed, so it does not count as one of the three tests at most; all earlier checks of the list stay. A fourth test beside a script still ends the run (new case).

--- a/tests/repository/test_known_red.py
+++ b/tests/repository/test_known_red.py
@@ -65,8 +65,11 @@
         "test_some.py | c | issue 1\n",
         "test_some.py::test_red | c | issue 1\n" * 2,
         "\n",
+        "gone.sh | c | issue 1\n",
+        "".join(f"test_some.py::test_{name} | c | issue 1\n" for name in ("red", "green", "other", "fourth"))
+        + "case.sh | c | issue 1\n",
     ],
-    ids=range(8),
+    ids=range(10),
 )
 def test_a_fourth_line_an_unknown_test_or_a_malformed_line_fails_the_run(tmp_path: Path, lines: str) -> None:
     code, said = run(tmp_path, lines)
@@ -94,6 +97,15 @@
     assert code == 4 and "KNOWN-RED.txt: test_some.py::test_gone is no test" in said
 
 
+def test_a_line_may_name_a_script_which_lets_no_test_fail_and_is_printed(tmp_path: Path) -> None:
+    (tmp_path / "case.sh").write_text("exit 1\n")
+    tests = "".join(f"test_some.py::test_{name} | c | issue 1\n" for name in ("red", "green"))
+    code, said = run(tmp_path, tests + "case.sh | a cause | issue 1\n")
+    assert code == 0 and "KNOWN-RED not run: case.sh | a cause | issue 1" in said
+    code, said = run(tmp_path, tests + "case.sh | a cause | issue 1\n", other=False)
+    assert code == 1 and "test_other" in said
+
+
 def test_a_line_may_name_a_method_or_a_parameter_set(tmp_path: Path) -> None:
     (tmp_path / "test_more.py").write_text(
         "import pytest\n"
--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -1,8 +1,11 @@
 """KNOWN-RED.txt: tests that fail because of an open defect, one per line: test id | cause | issue.
 
-They run; only these may fail, and each is printed with its outcome. A malformed line, more than three lines
+They run; only these may fail, and each is printed with its outcome. A malformed line, more than three tests
 or a line that names no test end the run, so that the list stays short and does not outlive its tests. A file
 that the run does not collect is only checked to exist.
+
+A line may also name a script that shows a defect, by its path. The run does not start scripts, so such a line
+lets no test fail; it is printed, and the script has to exist.
 """
 
 from collections.abc import Generator
@@ -12,7 +15,8 @@
 
 import pytest
 
-MAX_LINES = 3  # lines; each listed test no longer guards against regressions
+MAX_TESTS = 3  # each listed test no longer guards against regressions
+SCRIPT_SUFFIX = ".sh"
 MadeItems = pytest.Item | pytest.Collector | list[pytest.Item | pytest.Collector] | None
 
 
@@ -32,16 +36,25 @@
     known: dict[str, KnownRedLine] = {}
     for number, line in enumerate(text.splitlines(), 1):
         parts = [part.strip() for part in line.split("|")]
-        if len(parts) != 3 or not all(parts) or "::" not in parts[0] or parts[0] in known:
+        if len(parts) != 3 or not all(parts) or not _is_id(parts[0]) or parts[0] in known:
             raise pytest.UsageError(
                 f"KNOWN-RED.txt:{number}: {line!r} is not 'test id | cause | issue', each test once"
             )
         known[parts[0]] = KnownRedLine(parts[1], parts[2])
-    if len(known) > MAX_LINES:
-        raise pytest.UsageError(f"KNOWN-RED.txt: {len(known)} lines; {MAX_LINES} at most")
+    test_count = sum(not _is_script(name) for name in known)
+    if test_count > MAX_TESTS:
+        raise pytest.UsageError(f"KNOWN-RED.txt: {test_count} tests; {MAX_TESTS} at most")
     return known
 
 
+def _is_id(name: str) -> bool:
+    return _is_script(name) or "::" in name
+
+
+def _is_script(name: str) -> bool:
+    return "::" not in name and name.endswith(SCRIPT_SUFFIX)
+
+
 class KnownRed:
     """Lets these tests fail, and prints the outcome of each at the end of the run."""
 
@@ -64,7 +77,7 @@
         """Mark the listed tests as expected failures.
 
         Raises:
-            pytest.UsageError: a line names no test, as far as its file was collected.
+            pytest.UsageError: a line names no script and no test, as far as its file was collected.
         """
         for name in self.known:
             if not self._may_exist(name, session.config.rootpath):
@@ -75,6 +88,8 @@
 
     def _may_exist(self, name: str, root: Path) -> bool:
         """Return False if the file is missing, or a collected file or class does not define the test."""
+        if _is_script(name):
+            return (root / name).is_file()
         path, bracket, parameters = name.partition("[")
         parts = path.split("::")
         ids = ["::".join(parts[:length]) for length in range(1, len(parts))] + [path + bracket + parameters]
