Rejections for lack of memory are logged with a reason of their own

Cause: an incomplete request rejected with 503 was logged as malformed, and an open one not at all, so that the log could not tell overload by large requests from malformed ones.

--- a/myrtlehub/http1/close_reason.py
+++ b/myrtlehub/http1/close_reason.py
@@ -9,6 +9,9 @@
     IDLE_TIMEOUT = "idle_timeout"  # no request data arrived within the idle or first-request timeout
     LAST_RESPONSE = "last_response"  # the response announced the close, or ended during a graceful shutdown
     MALFORMED_REQUEST = "malformed_request"  # after a response with status 400, 408, 413 or 431
+    MEMORY_LIMIT = (
+        "memory_limit"  # after a response with status 503: the requests of all clients are too large
+    )
     STREAM_FAILED = "stream_failed"  # the node aborted an incomplete response
     DRAINING = "draining"  # the connection was idle during a graceful shutdown
     CONNECTION_LIMIT = "connection_limit"  # evicted for a newer connection after the limit was reached
--- a/myrtlehub/http1/request_memory.py
+++ b/myrtlehub/http1/request_memory.py
@@ -1,7 +1,6 @@
 """Memory of the requests of all client connections together."""
 
 from collections.abc import Iterable
-from http import HTTPStatus
 from typing import NamedTuple, Protocol
 
 from myrtlehub.http1.bounds import MAX_INCOMPLETE_BYTES, MAX_OPEN_BYTES
@@ -26,8 +25,8 @@
     def incomplete_bytes(self) -> int:
         """Bytes held of an incomplete request that can be rejected; 0 if there is none."""
 
-    def reject(self, status: int) -> None:
-        """Respond with an error, and free the incomplete request."""
+    def reject_for_memory(self) -> None:
+        """Respond with 503, and free the incomplete request."""
 
 
 class RequestMemory:
@@ -63,4 +62,4 @@
         for connection in by_size:
             if self.incomplete_bytes <= self.limits.incomplete_bytes or not connection.incomplete_bytes:
                 return
-            connection.reject(HTTPStatus.SERVICE_UNAVAILABLE)
+            connection.reject_for_memory()
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -169,14 +169,13 @@
     def _open_exchange(self, request: ServerRequest) -> None:
         self.has_received_request = True
         self._timeout.cancel()
-        self.exchange = ServerExchange(self, request)
         memory = self.listener.memory
-        has_memory = memory.may_open(len(request.body))
+        if not memory.may_open(len(request.body)):
+            self.reject_for_memory()
+            return
         memory.open_bytes += len(request.body)
-        if has_memory:
-            self.listener.on_request(self.exchange)
-        else:
-            self.exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE)
+        self.exchange = ServerExchange(self, request)
+        self.listener.on_request(self.exchange)
 
     def _close_exchange(self) -> ServerExchange | None:
         """Remove and return the open request, if any."""
@@ -245,15 +244,19 @@
             # Pipelined requests are read in the next reactor turn, to avoid recursion.
             self.clock.callLater(0, self._read_pipelined)
 
-    def reject(self, status: int) -> None:
-        """Respond with the status of a client error, and close the connection."""
+    def reject_for_memory(self) -> None:
+        """Respond with 503 and close, because the requests of all clients take too much memory."""
+        self.reject(HTTPStatus.SERVICE_UNAVAILABLE, CloseReason.MEMORY_LIMIT)
+
+    def reject(self, status: int, reason: CloseReason = CloseReason.MALFORMED_REQUEST) -> None:
+        """Respond with the status of an error, and close the connection."""
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             try:
                 self._write_head(status, [Header(b"Content-Length", b"0")], True)
                 self._write_event(h11.EndOfMessage())
             except h11.LocalProtocolError:
                 pass  # the state of the parser allows no response; the connection is closed without one
-        self.linger(CloseReason.MALFORMED_REQUEST)
+        self.linger(reason)
 
     def abort_response(self) -> None:
         """Close the connection without the end of the response, which marks it as incomplete."""
--- a/myrtlehub/http1/server_interfaces.py
+++ b/myrtlehub/http1/server_interfaces.py
@@ -35,8 +35,8 @@
     def incomplete_bytes(self) -> int:
         """Bytes held of an incomplete request that can be rejected; 0 if there is none."""
 
-    def reject(self, status: int) -> None:
-        """Respond with an error, and close the connection."""
+    def reject_for_memory(self) -> None:
+        """Respond with 503 and close, because the requests of all clients take too much memory."""
 
     def linger(self, reason: CloseReason) -> None:
         """Start a lingering close."""
