Incomplete events of all streams together stay within a share of the memory

Cause: an event had a limit of 128 KiB, and the events of all streams together had none.

Change: the stream monitor counts incomplete events. Over an eighth of the node's memory limit (8 MiB without one) the streams with the largest ones end, with the reason memory_limit.

Evidence: test_incomplete_events_of_all_streams_are_limited_and_a_usual_stream_is_complete fails with the limit taken out (1,000,060 bytes of 1,000,000, no stream ends) and passes with it.

--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -40,6 +40,7 @@
 
     MALFORMED_EVENT = "malformed_event"
     BODY_TOO_LARGE = "body_too_large"
+    MEMORY_LIMIT = "memory_limit"
     TRUNCATED_STREAM = "truncated_stream"
     INCOMPLETE_EVENT_TIMEOUT = "incomplete_event_timeout"
     SILENCE_TIMEOUT = "silence_timeout"
@@ -130,6 +131,7 @@
                 self.executor.tokens_received(attempt, events)
             elif attempt.is_outstanding:
                 self.executor.attempt_began(attempt, events)
+        self.client.stream_monitor.record_incomplete(self, parser.incomplete_bytes)
 
     def _outstanding_request(self) -> PendingRequest:
         if self.pending is None:
@@ -140,7 +142,7 @@
         """Return whether an event, a chunk or, after `[DONE]`, the body is incomplete."""
         parser = self._event_parser
         connection = self._outstanding_request().connection
-        return (parser is not None and (parser.has_incomplete_event or parser.is_done)) or (
+        return (parser is not None and (parser.incomplete_bytes > 0 or parser.is_done)) or (
             connection is not None and connection.has_partial_data()
         )
 
@@ -162,6 +164,10 @@
         elif now - self._last_event_at > SILENCE_TIMEOUT_S:
             self.fail(FailureReason.SILENCE_TIMEOUT)
 
+    def fail_for_memory(self) -> None:
+        """End the stream, because the incomplete events of all streams take too much memory."""
+        self.fail(FailureReason.MEMORY_LIMIT)
+
     def fail(self, reason: FailureReason) -> None:
         """Close the connection, and report a failure after which the request may have been executed."""
         self._outstanding_request().cancel()
--- a/myrtlehub/relay/engines/engine_client.py
+++ b/myrtlehub/relay/engines/engine_client.py
@@ -36,6 +36,14 @@
 class EngineClient(ExecutorObserver):
     """Sends attempts, releases of read state and probes to engines.
 
+    Args:
+        clock: The clock of the node.
+        pool: The connections to engines.
+        decoder: The decoder of clients' requests.
+        invariants: The counter of violated invariants.
+        max_incomplete_bytes: Limit of the incomplete events of all streams.
+        log: The event log.
+
     Attributes:
         executor: The executor that receives the outcomes; set by `attach` before any attempt is started.
         directory: Addresses of the engines.
@@ -52,6 +60,7 @@
         pool: ConnectionPool,
         decoder: RequestDecoder,
         invariants: InvariantCounter,
+        max_incomplete_bytes: int,
         log: Log = no_log,
     ) -> None:
         self.clock = clock
@@ -62,7 +71,7 @@
         self.directory = EngineDirectory(clock, pool, decoder.engines)
         self.uncertain_attempts = UncertainAttempts(clock)
         self.releaser = StateReleaser(clock, pool, self.directory, log)
-        self.stream_monitor = StreamMonitor(clock)
+        self.stream_monitor = StreamMonitor(clock, max_incomplete_bytes)
 
     def attach(self, executor: ActionExecutor) -> None:
         """Set the executor that receives the outcomes, and observe the end of its attempts."""
--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -49,9 +49,9 @@
         self.is_done = False
 
     @property
-    def has_incomplete_event(self) -> bool:
-        """Whether a part of an event was received, but not its end."""
-        return bool(self._incomplete)
+    def incomplete_bytes(self) -> int:
+        """Bytes received of an event that is not complete yet."""
+        return len(self._incomplete)
 
     def feed(self, data: bytes) -> bytes:
         """Add received data, and return the bytes of the events that it completes, unchanged.
--- a/myrtlehub/relay/engines/stream_monitor.py
+++ b/myrtlehub/relay/engines/stream_monitor.py
@@ -1,4 +1,4 @@
-"""Periodic check that ends engines' response streams without progress."""
+"""Ends engines' response streams that make no progress, or whose incomplete events take too much memory."""
 
 from typing import Protocol
 
@@ -13,17 +13,24 @@
     def check_progress(self, now: float) -> None:
         """End the stream if it has made no progress for too long."""
 
+    def fail_for_memory(self) -> None:
+        """End the stream, because the incomplete events of all streams take too much memory."""
+
 
 class StreamMonitor:
-    """Checks the progress of all open streams periodically.
+    """Checks the progress of all open streams periodically, and limits their incomplete events together.
 
     Attributes:
-        streams: The open streams, in the order in which they were added.
+        streams: Bytes of the incomplete event of each open stream, in the order in which they were added.
+        incomplete_bytes: Bytes of the incomplete events of all streams.
+        max_incomplete_bytes: Limit of `incomplete_bytes`.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, max_incomplete_bytes: int) -> None:
         self.clock = clock
-        self.streams: dict[Stream, None] = {}
+        self.streams: dict[Stream, int] = {}
+        self.incomplete_bytes = 0
+        self.max_incomplete_bytes = max_incomplete_bytes
         self._timer = clock.callLater(CHECK_INTERVAL_S, self._check)
 
     def is_armed(self) -> bool:
@@ -32,11 +39,23 @@
 
     def add(self, stream: Stream) -> None:
         """Add a stream to the periodic check."""
-        self.streams[stream] = None
+        self.streams[stream] = 0
 
     def remove(self, stream: Stream) -> None:
         """Remove a stream from the periodic check, if it was added."""
-        self.streams.pop(stream, None)
+        self.incomplete_bytes -= self.streams.pop(stream, 0)
+
+    def record_incomplete(self, stream: Stream, size: int) -> None:
+        """Record the bytes of a stream's incomplete event; over the limit, end the streams with the largest.
+
+        Events are small, and engines write each in one piece, so usual streams are not the largest ones.
+        """
+        if stream not in self.streams:
+            return
+        self.incomplete_bytes += size - self.streams[stream]
+        self.streams[stream] = size
+        while self.incomplete_bytes > self.max_incomplete_bytes:
+            max(self.streams, key=lambda other: self.streams[other]).fail_for_memory()
 
     def _check(self) -> None:
         self._timer = self.clock.callLater(CHECK_INTERVAL_S, self._check)
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -83,7 +83,10 @@
             self._response_scheduler,
         )
         self.monitor = InvariantMonitor(clock, log)
-        self.engine_client = EngineClient(clock, self.pool, self.decoder, self.monitor.counter, log)
+        self.memory_limits = request_memory_limits(settings.max_memory_mb)
+        self.engine_client = EngineClient(
+            clock, self.pool, self.decoder, self.monitor.counter, self.memory_limits.incomplete_bytes, log
+        )
         self.executor = self._make_executor(executor_class)
         self.front = self._make_front()
         self.listener = self._make_listener()
@@ -118,7 +121,7 @@
             self.descriptor_budget.clients,
             self.descriptor_budget.client_burst,
             ParseScheduler(self.clock),
-            request_memory_limits(self.settings.max_memory_mb),
+            self.memory_limits,
         )
         listener.on_closing = self.monitor.connection_closing
         return listener
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -114,3 +114,23 @@
 
     small, large = (min(cost_of_parts(size) for _ in range(5)) for size in (10, MAX_EVENT_BYTES - 2000))
     assert large < 10 * small
+
+
+def test_incomplete_events_of_all_streams_are_limited_and_a_usual_stream_is_complete() -> None:
+    """Guards against events that are each below their limit and together take the node over its memory."""
+    rig = RelayRig("w1", max_memory_mb=8.0)
+    limit = rig.node.memory_limits.incomplete_bytes
+    monitor = rig.node.engine_client.stream_monitor
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD + chunk(EVENT))
+    clients = [rig.request(f"a{number}") for number in range(21)]
+    usual, *spoilt = rig.engines["w1"].connections
+    for connection in spoilt:
+        connection.send(chunk(b"data: " + b"x" * 100_000))
+        rig.run(0.01)
+        assert monitor.incomplete_bytes <= limit
+    usual.send(chunk(EVENT + USAGE + DONE) + LAST_CHUNK)
+    rig.run(0.1)
+    assert stream_of(clients[0].received).endswith(DONE + b"<end>")
+    assert sum(client.lost for client in clients) >= 20 - limit // 100_000
+    rig.run(5.0)
+    assert monitor.incomplete_bytes == 0 and not monitor.streams
