Watches that are answered at once without a change are repeated after a pause

Cause: each response to a watch led to the next watch in the next turn, also one without a change.

Responses with changes are followed at once, as before.

Evidence: test_watches_that_are_answered_at_once_without_a_change_are_not_repeated_without_a_pause failed before (the network does not come to rest) and passes now. Tests of discovery: 37 passed.

--- a/myrtlehub/relay/discovery/discovery_client.py
+++ b/myrtlehub/relay/discovery/discovery_client.py
@@ -179,8 +179,17 @@
         if update.entries or update.is_complete:
             self.on_update(update)
         self.version = update.version
-        # Sent in the next reactor turn, because an immediate response would cause recursion.
-        next_request.reset(0)
+        # Sent in the next reactor turn at the earliest, because an immediate response would cause recursion.
+        next_request.reset(self._pause_after(pending, update))
+
+    def _pause_after(self, pending: PendingRequest, update: EndpointListUpdate) -> float:
+        """Return the seconds before the next watch: none, unless a watch was answered early with no change.
+
+        A watch continues if the next one comes within 200 ms of the last response (the operators' protocol).
+        """
+        is_unchanged = not update.entries and not update.is_complete
+        was_early = self.clock.seconds() - pending.ready_since < WATCH_DURATION_S / 2
+        return RETRY_INTERVAL_S if is_unchanged and was_early else 0.0
 
     def _decode(self, body: bytes | None) -> EndpointListUpdate:
         if body is None:
--- a/tests/relay/test_relay_discovery.py
+++ b/tests/relay/test_relay_discovery.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import h11
 import pytest
 from relaymessages import LAST_CHUNK, chunk
 from relayrig import PeerConnection, RelayRig
@@ -13,6 +14,7 @@
 from twisted.internet.protocol import Factory
 
 from myrtlehub.log_events import LogEvent
+from myrtlehub.relay.discovery.discovery_client import RETRY_INTERVAL_S
 
 Dial = Callable[[Factory], Deferred]
 Dialer = Callable[..., Dial]
@@ -240,6 +242,29 @@
     assert [rig.request(f"a{number}", remaining_ms=500).statuses for number in range(6)] == [[200]] * 6
 
 
+def test_watches_that_are_answered_at_once_without_a_change_are_not_repeated_without_a_pause() -> None:
+    """Guards against a discovery service that takes all of the node's time with responses without content."""
+    rig = RelayRig("w1 w2")
+
+    def respond_at_once(connection: PeerConnection, head: h11.Request, body: bytes) -> None:
+        rig.send_list(connection, {"seq": rig.version, "whole": False, "hosts": []})
+
+    default_script = rig.discovery.script
+    rig.discovery.script = respond_at_once
+    respond_at_once(
+        rig.open_watches.pop(), h11.Request(method="GET", target="/", headers=[("Host", "x")]), b""
+    )
+    requests_before = len(rig.discovery.requests)
+    rig.run(1.0)
+    assert len(rig.discovery.requests) - requests_before <= 1.0 / RETRY_INTERVAL_S + 1
+    rig.discovery.script = default_script
+    rig.run(0.2)  # a watch continues if the next one comes within 200 ms of the last response
+    rig.update_list(w1=rig.entry("w1", "leaving"))
+    for number in range(4):
+        rig.request(f"a{number}")
+    assert not rig.engines["w1"].chat_requests() and len(rig.engines["w2"].chat_requests()) == 4
+
+
 def test_a_list_in_tiny_chunks_takes_little_more_memory_than_its_size_and_is_applied() -> None:
     """Guards against an object for each chunk: 200 KB of a list took 8.4 MB of memory."""
     rig = RelayRig("w1")
