Three comments say what is so: groups of connections, and no measured costs

Change: comments and one docstring.

Evidence: the syntax trees of the three files are the same without the module docstring; lint clean, tests of http1 and repository: 101 passed.

--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -4,7 +4,7 @@
 
 MAX_HEAD_BYTES = 16 * 1024  # of a message head or the size line of a chunk; a common limit of servers
 MAX_HEADERS = 100  # header fields of a message; a common limit of servers
-# Lines of an incomplete head or trailer. The parser handles all of them in one step, at some 4 us a line.
+# Lines of an incomplete head or trailer, since the parser handles all of them in one step.
 MAX_INCOMPLETE_LINES = 2 * MAX_HEADERS
 MAX_BODY_BYTES = 256 * 1024  # of a request body; the platform guarantees this maximum
 # Buffered on one connection after its open request: the largest possible request.
--- a/myrtlehub/http1/parse_scheduler.py
+++ b/myrtlehub/http1/parse_scheduler.py
@@ -1,4 +1,4 @@
-"""Time slices of the event loop for parsing received data, shared by all connections of a process."""
+"""Time slices of the event loop for parsing the data received on a group of connections."""
 
 from typing import Protocol
 
--- a/myrtlehub/relay/process/memory_budget.py
+++ b/myrtlehub/relay/process/memory_budget.py
@@ -3,8 +3,8 @@
 from myrtlehub.http1.request_memory import RequestMemoryLimits
 
 BYTES_PER_MB = 1_000_000
-# Fractions of the process's memory. The program itself takes some 30 MB, and an open request is held twice
-# while it is sent to an engine.
+# Fractions of the process's memory. The rest is for the program itself, and for the second copy of an open
+# request while it is sent to an engine.
 INCOMPLETE_FRACTION = 1 / 8
 OPEN_FRACTION = 1 / 4
 
