--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 9: engines hang, all connections to engines are in use, and read states are released too late."""
+"""Case 9: writers are full, all connections to engines are in use, and read states are released too late."""
 
 import asyncio
 import random
@@ -11,43 +11,37 @@
 import platform_standins as standins  # noqa: E402 - the folder of the stand-ins is on the path only now
 
 SOCKETS = 256
-MAX_OPEN = 85  # requests at once: a third of the descriptors
-RATE = 35.0  # requests a second
-READERS, WRITERS = 2, 6
-HANGING = 4  # of the 8 engines
-HANGS_AT_S = (6.0, 30.0)
-HANG_S = 8.0
-END_AT_S = 52.0
+CLIENTS = 85  # with one request open each: a third of the descriptors
+READERS, WRITERS = 2, 4
+FULL = 2  # writers that are full at a time
+FULL_FROM_S, FULL_S, TURN_S = 10.0, 30.0, 3.0
+END_AT_S = 44.0
+EVENT_S, EVENTS = 0.5, (26, 44)  # streams of 13 to 22 s: 190 to 320 tokens, one every 70 ms
 HOLD_LIMIT_S = 0.5 + 0.3 + standins.SLACK_S  # LetGoByMs, 300 ms more, and the slack on sockets
+PAUSE_S = (0.1, 0.5)  # of a client between its requests
 PROMPT_TOKENS = 2000
 
 
-class Clients:
-    """Clients that have at most MAX_OPEN requests open, and wait 5 to 10 s for a first token."""
+class Writer(standins.Engine):
+    """A writer whose streams differ in length."""
 
-    def __init__(self, node: standins.Node, record: standins.Record, seed: int) -> None:
-        self.node = node
-        self.record = record
-        self.random = random.Random(seed)
-        self.open = 0
-        self.most_open = 0
-        self.asked: list[asyncio.Task[standins.Answer]] = []
+    async def _stream(self, attempt: standins.Attempt, writer: asyncio.StreamWriter) -> None:
+        self.events = random.Random(attempt.request_id).randint(*EVENTS)
+        await super()._stream(attempt, writer)
 
-    def arrive(self) -> None:
-        """Send a request, unless as many are open as there may be."""
-        if self.open < MAX_OPEN:
-            lane = self.random.choice(("ask", "ask", "ask", "ask", "post"))
-            remaining_ms = self.random.randint(5000, 10000)
-            request = standins.Request(f"q{len(self.asked):05d}", lane, remaining_ms, PROMPT_TOKENS)
-            self.asked.append(asyncio.ensure_future(self._ask(request)))
 
-    async def _ask(self, request: standins.Request) -> standins.Answer:
-        self.open += 1
-        self.most_open = max(self.most_open, self.open)
-        try:
-            return await standins.ask(self.node.address, request, self.record)
-        finally:
-            self.open -= 1
+async def client(
+    number: int, node: standins.Node, record: standins.Record, answers: list[standins.Answer], end_at: float
+) -> None:
+    """Send one request after another, each on a new connection."""
+    draw = random.Random(number)
+    count = 0
+    while record.now() < end_at:
+        await asyncio.sleep(draw.uniform(*PAUSE_S))
+        count += 1
+        lane = "post" if draw.random() < 0.2 else "ask"
+        request = standins.Request(f"q{number:02d}-{count:03d}", lane, 10000, PROMPT_TOKENS)
+        answers.append(await standins.ask(node.address, request, record))
 
 
 def unattended(hold: standins.Hold, attempts: list[standins.Attempt]) -> float:
@@ -82,26 +76,29 @@
     record = stage.record
     world = standins.World(record)
     readers = [standins.Engine(world, f"r{number}", True) for number in range(READERS)]
-    writers = [standins.Engine(world, f"w{number}", False) for number in range(WRITERS)]
+    writers = [Writer(world, f"w{number}", False) for number in range(WRITERS)]
     for engine in [*readers, *writers]:
-        engine.read_s, engine.events, engine.event_s = 0.15, 10, 0.12
+        engine.read_s, engine.first_event_s, engine.event_s = 0.2, 0.2, EVENT_S
         await engine.start()
     discovery = standins.Discovery(record, [*readers, *writers])
     await discovery.start()
     node = await stage.start_node(standins.settings(), discovery, SOCKETS)
-    clients = Clients(node, record, 1)
+    answers: list[standins.Answer] = []
     began_at = record.now()
+    clients = [
+        asyncio.ensure_future(client(number, node, record, answers, began_at + END_AT_S))
+        for number in range(CLIENTS)
+    ]
     while (passed := record.now() - began_at) < END_AT_S:
-        should_hang = standins.trouble_is_on() and any(at <= passed < at + HANG_S for at in HANGS_AT_S)
-        if should_hang != writers[0].hangs:
-            for engine in writers[:HANGING]:
-                engine.set_hang(should_hang)
-        clients.arrive()
-        await asyncio.sleep(clients.random.expovariate(RATE))
-    answers = await asyncio.gather(*clients.asked)
+        turn = int((passed - FULL_FROM_S) / TURN_S) % WRITERS
+        is_on = standins.trouble_is_on() and 0 <= passed - FULL_FROM_S < FULL_S
+        full = {writers[(turn + each) % WRITERS].name for each in range(FULL)} if is_on else set()
+        for engine in writers:
+            engine.slots = 0 if engine.name in full else 1000
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*clients)
     served = sum(answer.status == 200 and answer.is_whole for answer in answers)
-    counts = f"{len(answers)} requests, {served} served, {clients.most_open} open at once at most"
-    return standins.verdict(record, judge(world), counts)
+    return standins.verdict(record, judge(world), f"{len(answers)} requests, {served} served")
 
 
 if __name__ == "__main__":
