Releases and arrival checks have their own connections to engines

Cause: releases and arrival checks, which free what attempts occupy, took their connections from the attempts' pool. At 256 descriptors that pool has 76 connections for up to 85 open requests. While streams used all of them, a release polled for one after 20 to 160 ms, and any request that came in between was served first; then it failed and began again. Releases to engines that hang kept up to five connections each for 10 s, the same cause among releases.

Change: two pools with a part of the descriptors each. Attempts and load probes keep their 40%; releases and checks get 7%, taken from clients' connections (47 -> 45%) and from the burst allowance (13 -> 8%). A request that finds no connection waits in a queue in place of polling. In the second pool a request that is unanswered for 0.12 s gives way to one that waits.

Why it works: no number of attempts can use a connection of the second pool, and none of its requests can keep one for long while another waits.

The three new tests fail without the change: no release at the reader, no arrival, no release at the running reader. Tests that named the one pool name the pools; the one on a lack of connections closes both.

--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -52,3 +52,6 @@
 # All retries together take 0.3 s, as long as establishing a connection to a peer may take.
 CONNECT_RETRY_DELAY_S = 0.02
 MAX_CONNECT_RETRIES = 4
+# Time that a request waits for one of the pool's connections, and the interval of the checks for one.
+MAX_CONNECTION_WAIT_S = 0.3
+CONNECTION_CHECK_INTERVAL_S = 0.02
--- a/myrtlehub/http1/client_interfaces.py
+++ b/myrtlehub/http1/client_interfaces.py
@@ -11,7 +11,7 @@
 
 
 class OutstandingRequest(Protocol):
-    """The part of a pending request that its connection uses.
+    """The part of a pending request that its connection and its pool use.
 
     Attributes:
         request: The request to send.
@@ -26,6 +26,9 @@
     def mark_finished(self) -> None:
         """Record that the request has ended, and drop the reference to its connection."""
 
+    def cancel(self) -> None:
+        """Cancel the request without calling its handler; close its connection if it was used."""
+
 
 class PooledConnection(Protocol):
     """The part of a connection to a peer that its pool and its request use.
@@ -81,6 +84,9 @@
     def add_idle(self, connection: PooledConnection) -> None:
         """Store an idle connection for reuse."""
 
+    def request_finished(self, pending: OutstandingRequest) -> None:
+        """Record that a request was completed, has failed or was cancelled."""
+
     def remove(self, connection: PooledConnection, reason: PeerCloseReason) -> None:
         """Remove a connection that is closed or lost."""
 
--- a/myrtlehub/http1/connection_pool.py
+++ b/myrtlehub/http1/connection_pool.py
@@ -1,14 +1,21 @@
 """Bounded pool of connections to peers."""
 
+from collections import deque
 from collections.abc import Callable
 from functools import partial
+from typing import NamedTuple
 
 from twisted.internet.protocol import Factory
 
 from myrtlehub.clock import Clock
-from myrtlehub.http1.bounds import CONNECT_RETRY_DELAY_S, MAX_CONNECT_RETRIES
+from myrtlehub.http1.bounds import (
+    CONNECT_RETRY_DELAY_S,
+    CONNECTION_CHECK_INTERVAL_S,
+    MAX_CONNECT_RETRIES,
+    MAX_CONNECTION_WAIT_S,
+)
 from myrtlehub.http1.client_connection import ClientConnection
-from myrtlehub.http1.client_interfaces import ConnectionAttempt, PooledConnection
+from myrtlehub.http1.client_interfaces import ConnectionAttempt, OutstandingRequest, PooledConnection
 from myrtlehub.http1.client_request import ClientRequest, RequestFailure, ResponseHandler
 from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.idle_connections import IdleConnections
@@ -34,12 +41,24 @@
         return self.make_connection()
 
 
+class _WaitingRequest(NamedTuple):
+    """A request that waits for a connection, and the clock time in seconds at which it began to wait."""
+
+    pending: PendingRequest
+    since: float
+
+
 class ConnectionPool:
     """Sends requests to peers, each on an idle connection or on a new one.
 
+    If all connections are in use, requests wait in the order in which they came, MAX_CONNECTION_WAIT_S at
+    most.
+
     Attributes:
         dialer: Given HOST:PORT, returns a function that connects a protocol factory to that address.
         max_connections: Upper bound of `count`.
+        preemption_age: Seconds after which an unanswered request fails if another one waits for a connection;
+            infinite if none may fail for another.
         parse_scheduler: Scheduler that parses the responses; one of its own by default.
         idle: The idle connections.
         count: Number of connections that are open or being established.
@@ -55,9 +74,11 @@
         max_idle: float,
         log: Log = no_log,
         parse_scheduler: ParseScheduler | None = None,
+        preemption_age: float = float("inf"),
     ) -> None:
         self.clock = clock
         self.parse_scheduler = parse_scheduler or ParseScheduler(clock)
+        self.preemption_age = preemption_age
         self.log = log
         self.dialer = dialer
         self.max_connections = max_connections
@@ -66,6 +87,10 @@
         self.opened_count = 0
         self.reuse_count = 0
         self._open_connections: set[PooledConnection] = set()
+        self._waiting: deque[_WaitingRequest] = deque()
+        self._is_check_scheduled = False
+        # Clock times in seconds at which the open requests got their connection, in this order.
+        self._started_at: dict[OutstandingRequest, float] = {}
 
     def send(
         self,
@@ -91,6 +116,7 @@
         idle = self.idle.take(peer) if may_reuse else None
         if idle is not None:
             pending.connection = idle
+            self._started_at[pending] = self.clock.seconds()
             self.clock.callLater(0, self.clock.callLater, 0, self._write_unless_cancelled, pending, idle)
         else:
             self._connect(pending)
@@ -99,9 +125,51 @@
     def _connect(self, pending: PendingRequest) -> None:
         if pending.is_finished:
             return
-        if self.count >= self.max_connections and not self.idle.close_longest_idle():
-            self._retry_connect(pending)
-            return
+        if self._waiting or not self._make_room():
+            self._waiting.append(_WaitingRequest(pending, self.clock.seconds()))
+            self._schedule_check()
+        else:
+            self._dial(pending)
+
+    def _make_room(self) -> bool:
+        """Return whether a connection may be opened; close one that is idle or stalled if that is needed."""
+        return self.count < self.max_connections or self.idle.close_longest_idle() or self._preempt()
+
+    def _preempt(self) -> bool:
+        """Fail the request unanswered for longest if that is too long; return whether this made room."""
+        oldest = next(iter(self._started_at), None)
+        if oldest is None or self.clock.seconds() - self._started_at[oldest] < self.preemption_age:
+            return False
+        oldest.cancel()
+        oldest.handler.on_failure(RequestFailure.RESPONSE_FAILED)
+        return self.count < self.max_connections
+
+    def _schedule_check(self) -> None:
+        if not self._is_check_scheduled:
+            self._is_check_scheduled = True
+            self.clock.callLater(CONNECTION_CHECK_INTERVAL_S, self._serve_waiting)
+
+    def _serve_waiting(self) -> None:
+        """Connect waiting requests in order while there is room, and fail those that waited too long."""
+        self._is_check_scheduled = False
+        try:
+            while self._waiting:
+                pending, since = self._waiting[0]
+                if pending.is_finished:
+                    self._waiting.popleft()
+                elif self._make_room():
+                    self._waiting.popleft()
+                    self._dial(pending)
+                elif self.clock.seconds() - since >= MAX_CONNECTION_WAIT_S:
+                    self._waiting.popleft()
+                    self._fail_request(pending, RequestFailure.NOT_SENT)
+                else:
+                    return
+        finally:
+            if self._waiting:
+                self._schedule_check()
+
+    def _dial(self, pending: PendingRequest) -> None:
         # The factory must not refer to the request. Factory, connector and transport form a reference cycle
         # that is only freed by a full garbage collection after the connection is closed, hours later.
         # Test: `test_a_request_is_freed_when_it_ends_even_if_its_connection_stays_open`.
@@ -109,6 +177,7 @@
         pending.connecting = self.dialer(pending.address)(factory)
         self.count += 1
         self.opened_count += 1
+        self._started_at[pending] = self.clock.seconds()
         pending.connecting.addCallbacks(
             self._on_connected, self._on_connect_failed, callbackArgs=(pending,), errbackArgs=(pending,)
         )
@@ -189,6 +258,10 @@
         """Return whether idle connections may be reused now."""
         return self.idle.is_reuse_allowed()
 
+    def request_finished(self, pending: OutstandingRequest) -> None:
+        """Record that a request was completed, has failed or was cancelled."""
+        self._started_at.pop(pending, None)
+
     def remove(self, connection: PooledConnection, reason: PeerCloseReason) -> None:
         """Remove a connection that is closed or lost."""
         if connection in self._open_connections:
--- a/myrtlehub/http1/pending_request.py
+++ b/myrtlehub/http1/pending_request.py
@@ -71,12 +71,14 @@
         """Record that the request has ended, and drop the reference to its connection."""
         self.is_finished = True
         self.connection = None
+        self.pool.request_finished(self)
 
     def cancel(self) -> None:
         """Cancel the request without calling its handler; close its connection if it was used."""
         if self.is_finished:
             return
         self.is_finished = True
+        self.pool.request_finished(self)
         if self.connecting is not None:
             connecting, self.connecting = self.connecting, None
             connecting.cancel()
--- a/myrtlehub/relay/engines/engine_directory.py
+++ b/myrtlehub/relay/engines/engine_directory.py
@@ -1,9 +1,9 @@
 """Addresses of the engines, and the time at which each last sent data."""
 
 from myrtlehub.clock import Clock
-from myrtlehub.http1.connection_pool import ConnectionPool
 from myrtlehub.membership.endpoint import EndpointState
 from myrtlehub.node.endpoint_index import EndpointIndex
+from myrtlehub.relay.engines.engine_pools import EnginePools
 
 
 class EngineDirectory:
@@ -14,9 +14,9 @@
         last_contact_at: Clock time in seconds at which each engine last sent data, by name.
     """
 
-    def __init__(self, clock: Clock, pool: ConnectionPool, index: EndpointIndex) -> None:
+    def __init__(self, clock: Clock, pools: EnginePools, index: EndpointIndex) -> None:
         self.clock = clock
-        self.pool = pool
+        self.pools = pools
         self.index = index
         self.dial_addresses: dict[str, str] = {}
         self.last_contact_at: dict[str, float] = {}
@@ -42,11 +42,11 @@
     def set_address(self, name: str, dial_address: str) -> None:
         """Set the HOST:PORT of an engine, and close its idle connections if the address has changed."""
         if self.dial_addresses.get(name, dial_address) != dial_address:
-            self.pool.close_idle(name)
+            self.pools.close_idle(name)
         self.dial_addresses[name] = dial_address
 
     def forget(self, name: str) -> None:
         """Remove an engine that is not in the endpoint list and has no outstanding attempt or probe."""
-        self.pool.close_idle(name)
+        self.pools.close_idle(name)
         self.dial_addresses.pop(name, None)
         self.last_contact_at.pop(name, None)
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -16,6 +16,8 @@
 from myrtlehub.relay.discovery.discovery_client import CONNECT_TIMEOUT_S, DiscoveryClient
 from myrtlehub.relay.discovery.endpoint_list import EndpointListDecoder, EndpointListUpdate
 from myrtlehub.relay.engines.engine_client import EngineClient
+from myrtlehub.relay.engines.engine_pools import EnginePools
+from myrtlehub.relay.engines.state_release import REQUEST_INTERVAL_S
 from myrtlehub.relay.errors import EndpointListError
 from myrtlehub.relay.monitoring.invariant_monitor import InvariantMonitor, RecurringTimer
 from myrtlehub.relay.process.descriptor_budget import MAX_DISCOVERY_CONNECTIONS, DescriptorBudget
@@ -74,18 +76,16 @@
         self.endpoint_list = EndpointListDecoder(self.decoder.kinds, self.decoder.zones, clock_epoch)
         # Separate from that of the listener, so that streams in progress do not wait for new requests.
         self._response_scheduler = ParseScheduler(clock)
-        self.pool = ConnectionPool(
-            clock,
-            lambda address: dialer(address, self.limits.connect_timeout),
-            self.descriptor_budget.engines,
-            IDLE_REUSE_FRACTION * self.limits.keepalive,
-            log,
-            self._response_scheduler,
-        )
+        self.engine_pools = self._make_engine_pools(dialer)
         self.monitor = InvariantMonitor(clock, log)
         self.memory_limits = request_memory_limits(settings.max_memory_mb)
         self.engine_client = EngineClient(
-            clock, self.pool, self.decoder, self.monitor.counter, self.memory_limits.incomplete_bytes, log
+            clock,
+            self.engine_pools,
+            self.decoder,
+            self.monitor.counter,
+            self.memory_limits.incomplete_bytes,
+            log,
         )
         self.executor = self._make_executor(executor_class)
         self.front = self._make_front()
@@ -99,6 +99,23 @@
         self._uses_fallback_list = False
         self._is_open = False
 
+    def _make_engine_pools(self, dialer: Dialer) -> EnginePools:
+        def make_pool(max_connections: int, preemption_age: float) -> ConnectionPool:
+            return ConnectionPool(
+                self.clock,
+                lambda address: dialer(address, self.limits.connect_timeout),
+                max_connections,
+                IDLE_REUSE_FRACTION * self.limits.keepalive,
+                self.log,
+                self._response_scheduler,
+                preemption_age,
+            )
+
+        budget = self.descriptor_budget
+        return EnginePools(
+            make_pool(budget.attempts, float("inf")), make_pool(budget.cleanup, REQUEST_INTERVAL_S)
+        )
+
     def _make_executor(self, executor_class: type[ActionExecutor]) -> ActionExecutor:
         executor = executor_class(
             Router(self.config), self.decoder, self.config, self.clock, self.engine_client, "", self.log
--- a/myrtlehub/relay/process/descriptor_budget.py
+++ b/myrtlehub/relay/process/descriptor_budget.py
@@ -11,9 +11,11 @@
 RESERVED_DESCRIPTORS = MAX_DISCOVERY_CONNECTIONS + MAX_ACCEPTS_PER_TURN + PROCESS_OVERHEAD_DESCRIPTORS
 
 # Fractions of the unreserved descriptors:
-CLIENT_FRACTION = 0.47  # client connections, including lingering ones; a third may have open requests
-CLIENT_BURST_FRACTION = 0.13  # client connections beyond that, until the listener has closed unused ones
-ENGINE_FRACTION = 0.40  # engine connections: one per request in flight, and those of releases
+CLIENT_FRACTION = 0.45  # client connections, including lingering ones; a third may have open requests
+CLIENT_BURST_FRACTION = 0.08  # client connections beyond that, until the listener has closed unused ones
+ATTEMPT_FRACTION = 0.40  # engine connections of attempts, one each, and of load probes
+# Engine connections of releases and of arrival checks. Attempts may use up theirs, and must not delay these.
+CLEANUP_FRACTION = 0.07
 
 
 class DescriptorBudget(NamedTuple):
@@ -22,12 +24,14 @@
     Attributes:
         clients: Client connections.
         client_burst: Client connections beyond `clients`, for a short time.
-        engines: Engine connections.
+        attempts: Engine connections of attempts and load probes.
+        cleanup: Engine connections of releases and arrival checks.
     """
 
     clients: int
     client_burst: int
-    engines: int
+    attempts: int
+    cleanup: int
 
     @classmethod
     def for_process(cls, descriptors: int) -> "DescriptorBudget":
@@ -36,5 +40,6 @@
         return cls(
             int(CLIENT_FRACTION * available),
             int(CLIENT_BURST_FRACTION * available),
-            int(ENGINE_FRACTION * available),
+            int(ATTEMPT_FRACTION * available),
+            int(CLEANUP_FRACTION * available),
         )
--- a/tests/relay/test_relay_releases.py
+++ b/tests/relay/test_relay_releases.py
@@ -8,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from myrtlehub.http1.connection_pool import Dial
+from myrtlehub.log_events import LogEvent
 
 
 def test_a_client_that_disconnects_during_a_read_has_its_state_released() -> None:
@@ -176,21 +177,77 @@
 
 
 def test_a_release_survives_a_lack_of_connections() -> None:
-    """The client disconnects while all connections to engines are in use."""
+    """The client disconnects while all connections to engines are in use, also those for releases."""
     rig = RelayRig("r1 w1")
     rig.engines["w1"].script = never_respond
     client = rig.request("a1", LONG_PROMPT)
     rig.run(0.1)
-    rig.node.pool.close_idle("r1")
-    limit, rig.node.pool.max_connections = rig.node.pool.max_connections, 0
+    rig.node.engine_pools.close_idle("r1")
+    limits = [pool.max_connections for pool in rig.node.engine_pools]
+    for pool in rig.node.engine_pools:
+        pool.max_connections = 0
     client.transport.loseConnection()
     rig.run(1.0)
     assert not rig.engines["r1"].released_paths()
-    rig.node.pool.max_connections = limit
+    for pool, limit in zip(rig.node.engine_pools, limits, strict=True):
+        pool.max_connections = limit
     rig.run(2.0)
     assert b"/state/a1" in rig.engines["r1"].released_paths()
 
 
+def never_respond_to_attempts(connection: PeerConnection, head: h11.Request, body: bytes) -> None:
+    """Act as an engine that responds to releases and arrival checks alone."""
+    if head.method != b"POST":
+        connection.send(RELEASE_RESPONSE)
+
+
+def use_all_connections_of_attempts(rig: RelayRig, except_for: int = 0) -> None:
+    """Send requests that engines do not answer, one for each connection of attempts but the last ones."""
+    attempts = rig.node.engine_pools.attempts
+    for number in range(attempts.max_connections - except_for):
+        rig.request(f"s{number}")
+    assert attempts.count == attempts.max_connections - except_for and not len(attempts.idle)
+
+
+# Guards against read states that are held for seconds because streams use all connections to engines.
+def test_a_state_is_released_while_attempts_use_all_connections() -> None:
+    rig = RelayRig("r1 w1", descriptors=96)
+    rig.engines["w1"].script = never_respond
+    use_all_connections_of_attempts(rig)
+    reader = rig.node.decoder.engines.index_by_address["r1"]
+    rig.node.engine_client.release(reader, "a1")
+    rig.run(0.05)
+    assert rig.engines["r1"].released_paths() == [b"/state/a1"]
+    assert not rig.node.engine_client.releaser.is_busy()
+
+
+# Guards against states that are released although their write has arrived, since its check got no connection.
+def test_an_arrival_is_checked_while_attempts_use_all_connections() -> None:
+    rig = RelayRig("r1 w1", descriptors=96)
+    rig.engines["w1"].script = never_respond_to_attempts
+    use_all_connections_of_attempts(rig, except_for=1)
+    rig.request("a1", LONG_PROMPT)
+    rig.run(1.0)
+    assert LogEvent.ATTEMPT_ARRIVED in [logged.event for logged in rig.logged]
+    assert not rig.engines["r1"].released_paths()
+
+
+# Guards against releases to engines that hang: they would take the connections of those to other engines.
+def test_a_state_is_released_while_many_releases_are_unanswered() -> None:
+    rig = RelayRig("r1 r2 w1", descriptors=96)
+    rig.engines["r1"].script = rig.engines["w1"].script = lambda connection, head, body: None
+    cleanup = rig.node.engine_pools.cleanup
+    hanging, running = (rig.node.decoder.engines.index_by_address[name] for name in ("r1", "r2"))
+    for number in range(cleanup.max_connections):
+        rig.node.engine_client.release(hanging, f"h{number}")
+    rig.run(0.05)
+    assert cleanup.count == cleanup.max_connections
+    rig.node.engine_client.release(running, "a1")
+    rig.run(0.3)
+    assert b"/state/a1" in rig.engines["r2"].released_paths()
+    assert cleanup.count <= cleanup.max_connections
+
+
 def test_a_release_that_all_engines_reject_expires_after_10_s() -> None:
     rig = RelayRig("r1 w1")
     rig.engines["w1"].script = never_respond
