The relay's pools of connections to engines are named engine_connections

Cause: the relay's new EnginePools had the name of another class, the groups of engines in node/engine_pools.py.

Change: EngineConnections in relay/engines/engine_connections.py, and attributes of that name. Nothing else.

--- a/myrtlehub/relay/engines/engine_client.py
+++ b/myrtlehub/relay/engines/engine_client.py
@@ -14,8 +14,8 @@
 from myrtlehub.relay.clients.request_decoder import EngineRequest, RequestDecoder
 from myrtlehub.relay.engines.arrival_check import ArrivalCheck
 from myrtlehub.relay.engines.attempt_response import AttemptResponseHandler
+from myrtlehub.relay.engines.engine_connections import EngineConnections
 from myrtlehub.relay.engines.engine_directory import EngineDirectory
-from myrtlehub.relay.engines.engine_pools import EnginePools
 from myrtlehub.relay.engines.small_response import SmallResponseHandler
 from myrtlehub.relay.engines.state_release import EngineAddress, StateReleaser
 from myrtlehub.relay.engines.stream_monitor import StreamMonitor
@@ -38,7 +38,7 @@
 
     Args:
         clock: The clock of the node.
-        pools: The connections to engines.
+        connections: The connections to engines.
         decoder: The decoder of clients' requests.
         invariants: The counter of violated invariants.
         max_incomplete_bytes: Limit of the incomplete events of all streams.
@@ -57,7 +57,7 @@
     def __init__(
         self,
         clock: Clock,
-        pools: EnginePools,
+        connections: EngineConnections,
         decoder: RequestDecoder,
         invariants: InvariantCounter,
         max_incomplete_bytes: int,
@@ -65,12 +65,12 @@
     ) -> None:
         self.clock = clock
         self.invariants = invariants
-        self.pools = pools
+        self.connections = connections
         self.decoder = decoder
         self.log = log
-        self.directory = EngineDirectory(clock, pools, decoder.engines)
+        self.directory = EngineDirectory(clock, connections, decoder.engines)
         self.uncertain_attempts = UncertainAttempts(clock)
-        self.releaser = StateReleaser(clock, pools.cleanup, self.directory, log)
+        self.releaser = StateReleaser(clock, connections.cleanup, self.directory, log)
         self.stream_monitor = StreamMonitor(clock, max_incomplete_bytes)
 
     def attach(self, executor: ActionExecutor) -> None:
@@ -105,7 +105,7 @@
         """Check whether an attempt has arrived; see `ExecutorObserver`."""
         name = self.directory.name(attempt.engine)
         address = EngineAddress(name, self.directory.dial_addresses[name])
-        ArrivalCheck(self.clock, self.pools.cleanup, attempt, address, self._attempt_arrived).start()
+        ArrivalCheck(self.clock, self.connections.cleanup, attempt, address, self._attempt_arrived).start()
 
     def _attempt_arrived(self, attempt: Attempt) -> None:
         self.log(
@@ -125,7 +125,7 @@
         name = self.directory.name(attempt.engine)
         request = ClientRequest(b"POST", engine_request.target, engine_request.headers, engine_request.body)
         handler = AttemptResponseHandler(self, attempt)
-        handler.pending = attempt.transport_call = self.pools.attempts.send(
+        handler.pending = attempt.transport_call = self.connections.attempts.send(
             name,
             self.directory.dial_addresses[name],
             request,
@@ -226,7 +226,7 @@
             on_result(False, None)
 
         timer = self.clock.callLater(timeout, on_timeout)
-        pending = self.pools.attempts.send(
+        pending = self.connections.attempts.send(
             name,
             self.directory.dial_addresses[name],
             ClientRequest(b"GET", LOAD_PATH, []),
@@ -235,7 +235,7 @@
 
     def close_idle(self, engine: int) -> None:
         """Close the idle connections to an engine; see `EngineTransport`."""
-        self.pools.close_idle(self.directory.name(engine))
+        self.connections.close_idle(self.directory.name(engine))
 
     def forget(self, address: str) -> None:
         """Remove an engine; see `EngineTransport`."""
--- a/myrtlehub/relay/engines/engine_pools.py
+++ b/myrtlehub/relay/engines/engine_connections.py
@@ -5,7 +5,7 @@
 from myrtlehub.http1.connection_pool import ConnectionPool
 
 
-class EnginePools(NamedTuple):
+class EngineConnections(NamedTuple):
     """Connections to engines, in two pools with a limit each.
 
     Releases free what attempts occupy, so attempts must not be able to use up the connections of releases
--- a/myrtlehub/relay/engines/engine_directory.py
+++ b/myrtlehub/relay/engines/engine_directory.py
@@ -3,7 +3,7 @@
 from myrtlehub.clock import Clock
 from myrtlehub.membership.endpoint import EndpointState
 from myrtlehub.node.endpoint_index import EndpointIndex
-from myrtlehub.relay.engines.engine_pools import EnginePools
+from myrtlehub.relay.engines.engine_connections import EngineConnections
 
 
 class EngineDirectory:
@@ -14,9 +14,9 @@
         last_contact_at: Clock time in seconds at which each engine last sent data, by name.
     """
 
-    def __init__(self, clock: Clock, pools: EnginePools, index: EndpointIndex) -> None:
+    def __init__(self, clock: Clock, connections: EngineConnections, index: EndpointIndex) -> None:
         self.clock = clock
-        self.pools = pools
+        self.connections = connections
         self.index = index
         self.dial_addresses: dict[str, str] = {}
         self.last_contact_at: dict[str, float] = {}
@@ -42,11 +42,11 @@
     def set_address(self, name: str, dial_address: str) -> None:
         """Set the HOST:PORT of an engine, and close its idle connections if the address has changed."""
         if self.dial_addresses.get(name, dial_address) != dial_address:
-            self.pools.close_idle(name)
+            self.connections.close_idle(name)
         self.dial_addresses[name] = dial_address
 
     def forget(self, name: str) -> None:
         """Remove an engine that is not in the endpoint list and has no outstanding attempt or probe."""
-        self.pools.close_idle(name)
+        self.connections.close_idle(name)
         self.dial_addresses.pop(name, None)
         self.last_contact_at.pop(name, None)
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -16,7 +16,7 @@
 from myrtlehub.relay.discovery.discovery_client import CONNECT_TIMEOUT_S, DiscoveryClient
 from myrtlehub.relay.discovery.endpoint_list import EndpointListDecoder, EndpointListUpdate
 from myrtlehub.relay.engines.engine_client import EngineClient
-from myrtlehub.relay.engines.engine_pools import EnginePools
+from myrtlehub.relay.engines.engine_connections import EngineConnections
 from myrtlehub.relay.engines.state_release import REQUEST_INTERVAL_S
 from myrtlehub.relay.errors import EndpointListError
 from myrtlehub.relay.monitoring.invariant_monitor import InvariantMonitor, RecurringTimer
@@ -76,12 +76,12 @@
         self.endpoint_list = EndpointListDecoder(self.decoder.kinds, self.decoder.zones, clock_epoch)
         # Separate from that of the listener, so that streams in progress do not wait for new requests.
         self._response_scheduler = ParseScheduler(clock)
-        self.engine_pools = self._make_engine_pools(dialer)
+        self.engine_connections = self._make_engine_connections(dialer)
         self.monitor = InvariantMonitor(clock, log)
         self.memory_limits = request_memory_limits(settings.max_memory_mb)
         self.engine_client = EngineClient(
             clock,
-            self.engine_pools,
+            self.engine_connections,
             self.decoder,
             self.monitor.counter,
             self.memory_limits.incomplete_bytes,
@@ -99,7 +99,7 @@
         self._uses_fallback_list = False
         self._is_open = False
 
-    def _make_engine_pools(self, dialer: Dialer) -> EnginePools:
+    def _make_engine_connections(self, dialer: Dialer) -> EngineConnections:
         def make_pool(max_connections: int, preemption_age: float) -> ConnectionPool:
             return ConnectionPool(
                 self.clock,
@@ -112,7 +112,7 @@
             )
 
         budget = self.descriptor_budget
-        return EnginePools(
+        return EngineConnections(
             make_pool(budget.attempts, float("inf")), make_pool(budget.cleanup, REQUEST_INTERVAL_S)
         )
 
--- a/tests/http1/test_http1_client.py
+++ b/tests/http1/test_http1_client.py
@@ -15,7 +15,7 @@
     rig.run(0.2)
     rig.request("a2", client=client)
     assert client.statuses == [200, 200]
-    assert len(rig.engines["w1"].connections) == 1 and rig.node.engine_pools.attempts.reuse_count == 1
+    assert len(rig.engines["w1"].connections) == 1 and rig.node.engine_connections.attempts.reuse_count == 1
 
 
 def test_surplus_data_after_a_response_is_never_used_for_another_request() -> None:
@@ -61,7 +61,7 @@
         client.transport.other.protocol.connectionLost(None)
         rig.run(0.2)
         assert not rig.engines["w1"].chat_requests() and not rig.node.executor.in_flight, turns
-        assert rig.node.engine_pools.attempts.count == len(rig.node.engine_pools.attempts.idle)
+        assert rig.node.engine_connections.attempts.count == len(rig.node.engine_connections.attempts.idle)
 
 
 def test_reuse_is_suspended_after_a_reused_connection_failed() -> None:
@@ -75,20 +75,23 @@
     assert idle
     for connection in idle:
         connection.dataReceived = lambda data, connection=connection: connection.transport.abortConnection()
-    opened, reused = rig.node.engine_pools.attempts.opened_count, rig.node.engine_pools.attempts.reuse_count
+    opened, reused = (
+        rig.node.engine_connections.attempts.opened_count,
+        rig.node.engine_connections.attempts.reuse_count,
+    )
     assert rig.request("b1").statuses == [200]  # the reused connection fails; the retry uses a new one
     for i in range(3):
         rig.run(0.2)
         assert rig.request(f"c{i}").statuses == [200]
     assert (
-        rig.node.engine_pools.attempts.reuse_count == reused + 1
-        and rig.node.engine_pools.attempts.opened_count >= opened + 4
+        rig.node.engine_connections.attempts.reuse_count == reused + 1
+        and rig.node.engine_connections.attempts.opened_count >= opened + 4
     )
     rig.run(31.0)
     rig.request("d1")
     rig.run(0.2)
     rig.request("d2")
-    assert rig.node.engine_pools.attempts.reuse_count > reused + 1
+    assert rig.node.engine_connections.attempts.reuse_count > reused + 1
 
 
 @pytest.mark.parametrize("body_start", [b"", b"x", b"\r\n1\r\nx"], ids=["none", "part", "endless"])
@@ -108,7 +111,7 @@
         rig.run(0.1)
     rig.run(1.0)
     assert connections and all(connection.lost for connection in connections)
-    assert rig.node.engine_pools.attempts.count == 0
+    assert rig.node.engine_connections.attempts.count == 0
 
 
 def test_an_at_most_once_request_uses_a_new_connection() -> None:
@@ -116,7 +119,7 @@
     for i in range(3):
         rig.request(f"a{i}", traffic="post")
         rig.run(0.2)
-    assert rig.node.engine_pools.attempts.reuse_count == 0 and len(rig.engines["w1"].connections) == 3
+    assert rig.node.engine_connections.attempts.reuse_count == 0 and len(rig.engines["w1"].connections) == 3
 
 
 def test_a_peer_sees_an_abortive_close_before_data_written_later() -> None:
--- a/tests/relay/test_relay_rearming.py
+++ b/tests/relay/test_relay_rearming.py
@@ -97,7 +97,7 @@
 def test_idle_connections_are_closed_after_one_whose_close_raised() -> None:
     rig = RelayRig("w1")
     rig.request("a1")
-    pool = rig.node.engine_pools.attempts
+    pool = rig.node.engine_connections.attempts
     connection = pool.idle.of_peer("w1")[0]
     connection.close = FailingCallable(connection.close)
     run_despite_errors(rig, pool.idle.max_idle + 3.0)
@@ -118,7 +118,7 @@
     rig.engines["w1"].script = never_respond
     client = rig.request("a1", LONG_PROMPT)
     rig.run(0.1)
-    pool = rig.node.engine_pools.cleanup
+    pool = rig.node.engine_connections.cleanup
     pool.send = FailingCallable(pool.send, count=2)
     client.transport.loseConnection()
     run_despite_errors(rig, 1.0)
--- a/tests/relay/test_relay_releases.py
+++ b/tests/relay/test_relay_releases.py
@@ -182,14 +182,14 @@
     rig.engines["w1"].script = never_respond
     client = rig.request("a1", LONG_PROMPT)
     rig.run(0.1)
-    rig.node.engine_pools.close_idle("r1")
-    limits = [pool.max_connections for pool in rig.node.engine_pools]
-    for pool in rig.node.engine_pools:
+    rig.node.engine_connections.close_idle("r1")
+    limits = [pool.max_connections for pool in rig.node.engine_connections]
+    for pool in rig.node.engine_connections:
         pool.max_connections = 0
     client.transport.loseConnection()
     rig.run(1.0)
     assert not rig.engines["r1"].released_paths()
-    for pool, limit in zip(rig.node.engine_pools, limits, strict=True):
+    for pool, limit in zip(rig.node.engine_connections, limits, strict=True):
         pool.max_connections = limit
     rig.run(2.0)
     assert b"/state/a1" in rig.engines["r1"].released_paths()
@@ -203,7 +203,7 @@
 
 def use_all_connections_of_attempts(rig: RelayRig, except_for: int = 0) -> None:
     """Send requests that engines do not answer, one for each connection of attempts but the last ones."""
-    attempts = rig.node.engine_pools.attempts
+    attempts = rig.node.engine_connections.attempts
     for number in range(attempts.max_connections - except_for):
         rig.request(f"s{number}")
     assert attempts.count == attempts.max_connections - except_for and not len(attempts.idle)
@@ -236,7 +236,7 @@
 def test_a_state_is_released_while_many_releases_are_unanswered() -> None:
     rig = RelayRig("r1 r2 w1", descriptors=96)
     rig.engines["r1"].script = rig.engines["w1"].script = lambda connection, head, body: None
-    cleanup = rig.node.engine_pools.cleanup
+    cleanup = rig.node.engine_connections.cleanup
     hanging, running = (rig.node.decoder.engines.index_by_address[name] for name in ("r1", "r2"))
     for number in range(cleanup.max_connections):
         rig.node.engine_client.release(hanging, f"h{number}")
--- a/tests/relay/test_relay_requests.py
+++ b/tests/relay/test_relay_requests.py
@@ -173,7 +173,7 @@
     node = rig.node
     assert not node.executor.in_flight and not node.front.open_sinks and not node.listener.connections
     assert not node.engine_client.stream_monitor.streams and not node.executor.router.sequences
-    assert node.engine_pools.attempts.count == len(node.engine_pools.attempts.idle)
+    assert node.engine_connections.attempts.count == len(node.engine_connections.attempts.idle)
 
 
 def _leads_to_a_writer(pipe: Pipe) -> bool:
@@ -200,7 +200,7 @@
 
 def test_a_lack_of_local_descriptors_is_not_attributed_to_engines() -> None:
     rig = RelayRig("w1 w2")
-    rig.node.engine_pools.attempts.max_connections = 0
+    rig.node.engine_connections.attempts.max_connections = 0
     client = rig.request("a1", traffic="post")
     assert not client.statuses  # each of the five attempts waits for a connection
     rig.run(2.0)
