Placements take a bounded share of the time, so requests are read in time

Cause: a placement compares all engines (some 30 ms at 3,200) and nothing bounded its time. A new request was placed while its bytes were parsed, so one placement used up the turn's time for parsing, and the requests behind it waited unparsed, where neither their deadline nor the limit on waiting counts. Waiting sequences and retries were placed in the same way.

Change: the router asks a budget before a placement that compares engines. The node's budget is a token bucket: 0.7 of the time, 10 ms at once. A sequence that gets no time waits like one without a free engine, so its deadline, the limit on waiting and its read state's release are kept. The timeout of an incomplete request does not end one whose data is not parsed yet. Relay and gRPC node have the budget; the simulator has none, its decisions are the same.

Why it works: besides sockets and timers, a turn of the event loop contains 10 ms of placements and one more at most, whatever a placement costs.

--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -12,6 +12,7 @@
     MAX_HEAD_BYTES,
     REQUEST_TIMEOUT_S,
     STALLED_WRITE_TIMEOUT_S,
+    UNPARSED_EXTENSION_S,
 )
 from myrtlehub.http1.close_reason import CloseReason
 from myrtlehub.http1.headers import Header, Headers
@@ -68,9 +69,15 @@
         self._timeout.restart(delay, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        """Handle the timeout of an incomplete request, an idle connection or a lingering close."""
+        """Handle the timeout of an incomplete request, an idle connection or a lingering close.
+
+        A request is not incomplete while this process has data of it to parse: it is read first, and then
+        its own deadline counts. Test: `test_a_request_that_arrived_in_time_is_not_rejected_as_incomplete`.
+        """
         if self.is_closing:
             self._abort(CloseReason.LINGER_TIMEOUT)
+        elif self._is_parsing_deferred:
+            self._restart_timeout(UNPARSED_EXTENSION_S)
         elif self._reader.has_partial_request:
             self.reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
--- a/myrtlehub/node/node_runtime.py
+++ b/myrtlehub/node/node_runtime.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Sequence
+from functools import partial
 from random import Random
 from typing import Final, NamedTuple
 
@@ -13,6 +14,7 @@
 from myrtlehub.config.node import NodeConfig
 from myrtlehub.limits.admission import AdmissionController
 from myrtlehub.limits.retry_budget import RetryBudget
+from myrtlehub.limits.time_bucket import TimeBucket
 from myrtlehub.log_events import Log
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.batch_fronts.coordinator import BatchCoordinator
@@ -34,7 +36,7 @@
 from myrtlehub.node.sequences import InFlightSequence
 from myrtlehub.node.traffic_counters import TrafficCounters
 from myrtlehub.routing import contract
-from myrtlehub.routing.policy.router import Router
+from myrtlehub.routing.policy.router import MAX_PLACEMENT_BURST, MAX_PLACEMENT_TIME_SHARE, Router
 from myrtlehub.rpc.channel import Dialer
 from myrtlehub.rpc.server import Server
 
@@ -132,7 +134,7 @@
         if context.replication is not None:
             transport = ReplicatedTransport(self.transport, context.replication)
         executor = context.executor_class(
-            self._make_router(),
+            self._make_router(context.clock),
             self.decoder,
             router_config_of(self.settings),
             context.clock,
@@ -143,13 +145,14 @@
         executor.probe_timeout = self.settings.reports.probe_timeout
         return executor
 
-    def _make_router(self) -> contract.Router:
+    def _make_router(self, clock: Clock) -> contract.Router:
         """Return the router of the only front, or with several fronts the routers of their engine pools."""
         settings, fronts = self.settings, self.fronts
+        placement_budget = TimeBucket(clock, MAX_PLACEMENT_TIME_SHARE, MAX_PLACEMENT_BURST)
         if len(fronts) == 1:
-            return Router(router_config_of(settings, fronts[0]))
+            return Router(router_config_of(settings, fronts[0]), placement_budget)
         return EnginePools(
-            Router,
+            partial(Router, placement_budget=placement_budget),
             [router_config_of(settings, front) for front in fronts],
             [
                 frozenset(index for index, kind in enumerate(settings.kinds) if kind.serves(front))
--- a/myrtlehub/relay/monitoring/invariant_monitor.py
+++ b/myrtlehub/relay/monitoring/invariant_monitor.py
@@ -43,6 +43,9 @@
     def max_lag(self) -> float:
         """Return the largest event loop lag so far, in seconds."""
 
+    def postponed_placement_count(self) -> int:
+        """Return how often a sequence had to wait because the time for placements was used up."""
+
     def release_counts(self) -> Mapping[str, int]:
         """Return the number of ended releases of read state by result."""
 
@@ -96,6 +99,7 @@
             in_flight=len(self.executor.in_flight),
             oldest_read_state_s=round(self._oldest_read_state_age(), 3),
             releases=dict(sorted(self.statistics.release_counts().items())),
+            placements_postponed=self.statistics.postponed_placement_count(),
             worst_lag_s=round(self.statistics.max_lag(), 3),
             withheld=dict(sorted(self.counter.withheld.items())),
             violations=dict(sorted(self.counter.violations.items())),
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -8,6 +8,7 @@
 from myrtlehub.http1.listener import ConnectionListener
 from myrtlehub.http1.parse_scheduler import ParseScheduler
 from myrtlehub.limits.event_loop_lag import TICK_PERIOD
+from myrtlehub.limits.time_bucket import TimeBucket
 from myrtlehub.log_events import Log, LogEvent, no_log
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.platform_settings import KILL_MARGIN_S
@@ -25,7 +26,7 @@
 from myrtlehub.relay.process.pending_work import PendingWork, count_connections, count_sequences
 from myrtlehub.relay.settings.node_settings import NodeSettings, router_config_of
 from myrtlehub.relay.settings.platform_limits import platform_limits_of
-from myrtlehub.routing.policy.router import Router
+from myrtlehub.routing.policy.router import MAX_PLACEMENT_BURST, MAX_PLACEMENT_TIME_SHARE, Router
 
 DISCOVERY_MAX_IDLE_S = 5.0  # after which an idle connection to discovery is closed
 # Fraction of the engines' keep-alive timeout during which an idle connection is reused. Near the end of the
@@ -87,6 +88,7 @@
             self.memory_limits.incomplete_bytes,
             log,
         )
+        self.placement_budget = TimeBucket(clock, MAX_PLACEMENT_TIME_SHARE, MAX_PLACEMENT_BURST)
         self.executor = self._make_executor(executor_class)
         self.front = self._make_front()
         self.listener = self._make_listener()
@@ -118,7 +120,13 @@
 
     def _make_executor(self, executor_class: type[ActionExecutor]) -> ActionExecutor:
         executor = executor_class(
-            Router(self.config), self.decoder, self.config, self.clock, self.engine_client, "", self.log
+            Router(self.config, self.placement_budget),
+            self.decoder,
+            self.config,
+            self.clock,
+            self.engine_client,
+            "",
+            self.log,
         )
         self.engine_client.attach(executor)
         self.monitor.attach(executor, self)
@@ -227,6 +235,10 @@
         """Return the largest event loop lag so far, in seconds."""
         return self.decoder.lag_meter.max_lag
 
+    def postponed_placement_count(self) -> int:
+        """Return how often a sequence had to wait because the time for placements was used up."""
+        return self.placement_budget.refused_count
+
     def release_counts(self) -> Mapping[str, int]:
         """Return the number of ended releases of read state, by result."""
         return self.engine_client.releaser.result_counts
--- a/myrtlehub/routing/calls.py
+++ b/myrtlehub/routing/calls.py
@@ -41,7 +41,7 @@
         """Place an arriving sequence, or probe engines before that."""
 
     @abstractmethod
-    def _place(self, sequence: Sequence, now: float) -> None:
+    def _place_within_budget(self, sequence: Sequence, now: float) -> None:
         """Send the next attempt of a sequence, or let the sequence wait, or end it."""
 
     @abstractmethod
@@ -110,7 +110,7 @@
         for sequence in [waiting for waiting in self.waiting.values() if probed in waiting.pending_probes]:
             sequence.pending_probes.discard(probed)
             if not sequence.pending_probes and sequence.id in self.waiting:
-                self._place(sequence, now)
+                self._place_within_budget(sequence, now)
         return self._finish_call(now)
 
     def began(self, now: float, sequence_id: int, attempt: int, latency: float) -> list[Action]:
--- a/myrtlehub/routing/contract.py
+++ b/myrtlehub/routing/contract.py
@@ -364,6 +364,27 @@
         """Check an attempt again just before its first byte; does not change the router's state."""
 
 
+class PlacementBudget(Protocol):
+    """Limits the share of the node's time that placements take."""
+
+    def try_begin(self) -> bool:
+        """Return whether a placement may begin now; if so, its time counts until `end`."""
+
+    def end(self) -> None:
+        """End the time of a placement."""
+
+
+class UnlimitedPlacements:
+    """A budget for routers whose time does not count, such as that of a simulated node."""
+
+    def try_begin(self) -> bool:
+        """Return True."""
+        return True
+
+    def end(self) -> None:
+        """Do nothing."""
+
+
 class OptionalCalls:
     """Default implementations for routers that do not use the actions `Reserve`, `Probe` and so on."""
 
--- a/myrtlehub/routing/policy/router.py
+++ b/myrtlehub/routing/policy/router.py
@@ -29,12 +29,27 @@
 )
 PROBED_PLACEMENT_INTERVAL = 0.4  # the same if engines report load to probes only, since reports are rarer
 MAX_FAILED_PLACEMENTS = 3  # sequences per wake-up that are placed and keep waiting; limits the cost with many
+# Share of the node's time for placements that compare engines; the rest reads requests, relays answers and
+# keeps deadlines.
+MAX_PLACEMENT_TIME_SHARE = 0.7
+MAX_PLACEMENT_BURST = 0.01  # seconds of such placements at once; everything else at the node waits for them
 
 
 class Router(BaseRouter):
-    """The router of one node."""
+    """The router of one node.
 
-    def __init__(self, config: RouterConfig) -> None:
+    Args:
+        config: The configuration.
+        placement_budget: While it is used up, no sequence is placed whose placement compares engines; it
+            waits at this node, where its deadline and the limit on its wait are kept.
+    """
+
+    def __init__(
+        self,
+        config: RouterConfig,
+        placement_budget: contract.PlacementBudget = contract.UnlimitedPlacements(),  # noqa: B008 - has no state
+    ) -> None:
+        self.placement_budget = placement_budget
         # The only source of randomness, so that decisions are reproducible from the seed and the events.
         self.random = Random(config.seed).random
         self.estimates = EngineEstimates(config)
@@ -59,13 +74,18 @@
 
     def _admit(self, sequence: Sequence, now: float) -> None:
         sequence.is_over_quota = self.admission.is_over_quota(sequence.arrival.tenant)
-        if self.load_probing.is_enabled:
+        if not self.load_probing.is_enabled:
+            self._place_within_budget(sequence, now)
+        elif self.placement_budget.try_begin():
             probed = self.load_probing.select(sequence, now)
+            self.placement_budget.end()
             self.pending_actions.extend(contract.Probe(engine.index) for engine in probed)
-        if sequence.pending_probes:
-            self.waiting[sequence.id] = sequence
+            if sequence.pending_probes:
+                self.waiting[sequence.id] = sequence
+            else:
+                self._place_within_budget(sequence, now)
         else:
-            self._place(sequence, now)
+            self.waiting[sequence.id] = sequence
 
     def _place_waiting(self, now: float) -> None:
         failed_placements = 0
@@ -88,7 +108,7 @@
                 continue
             may_try = failed_placements < MAX_FAILED_PLACEMENTS and self._may_place_again(sequence, now)
             if may_try or sequence.attempts or self.admission.has_exceeded_wait_limit(sequence, now):
-                self._place(sequence, now)
+                self._place_within_budget(sequence, now)
                 failed_placements += sequence.id in self.waiting
 
     def _may_place_again(self, sequence: Sequence, now: float) -> bool:
@@ -97,6 +117,31 @@
         last_placed_at = sequence.last_placed_at
         return now > last_placed_at + interval and self.last_feedback_at > last_placed_at
 
+    def _place_within_budget(self, sequence: Sequence, now: float) -> None:
+        """Place a sequence, or let it wait for a later call if the time for placements is used up.
+
+        A sequence that has waited for its limit without an attempt is rejected then. A write that fetches a
+        read state from the writer that was selected for it is sent in any case, since that takes no time.
+        Test: `test_requests_are_answered_in_time_however_long_a_placement_takes`.
+        """
+        fetches_state = sequence.state_engine is not None
+        is_selected = fetches_state and self.writer_selection.former_writer(sequence, now) is not None
+        if is_selected:
+            self._place(sequence, now)
+        elif self.placement_budget.try_begin():
+            self._place(sequence, now)
+            self.placement_budget.end()
+        elif not sequence.attempts and self.admission.has_exceeded_wait_limit(sequence, now):
+            self._reject_or_abort(sequence, self.config.max_retry_after)
+        else:
+            self._wait(sequence, now)
+
+    def _wait(self, sequence: Sequence, now: float) -> None:
+        """Let a sequence wait at this node; release its read state if that has waited for long enough."""
+        self.waiting[sequence.id] = sequence
+        if sequence.attempts and not sequence.running_attempts():
+            self._release_expired_state(sequence, now, admission.STATE_RELEASE_SHARE)
+
     def _place(self, sequence: Sequence, now: float) -> None:
         """Run the stages, and send the next attempt if each of them selects an engine."""
         self.waiting.pop(sequence.id, None)
@@ -105,9 +150,7 @@
         if isinstance(result, Engine):
             self._send(sequence, result, now)
         elif result is NotPlaced.WAIT:
-            self.waiting[sequence.id] = sequence
-            if sequence.attempts and not sequence.running_attempts():
-                self._release_expired_state(sequence, now, admission.STATE_RELEASE_SHARE)
+            self._wait(sequence, now)
         else:
             self._reject_or_abort(
                 sequence, self.config.max_retry_after if result is NotPlaced.REJECT else 0.0
@@ -203,7 +246,7 @@
                 # Each failed connection to a writer uses up a part of the state timeout
                 # (`test_a_read_state_is_released_in_time_while_writers_cannot_be_reached`).
                 self._release_expired_state(sequence, now, admission.UNREACHED_STATE_RELEASE_SHARE)
-            self._place(sequence, now)
+            self._place_within_budget(sequence, now)
 
     def _reject_or_abort(self, sequence: Sequence, retry_after: float = 0.0) -> None:
         """End a sequence with a rejection if that is allowed, else with an abort."""
--- a/myrtlehub/routing/policy/writer_selection.py
+++ b/myrtlehub/routing/policy/writer_selection.py
@@ -39,7 +39,7 @@
 
     def select(self, sequence: Sequence, now: float) -> Engine | NotPlaced:
         """Return the writer selected for the last attempt if it is still usable, else the best writer."""
-        if (writer := self._former_writer(sequence, now)) is not None:
+        if (writer := self.former_writer(sequence, now)) is not None:
             return writer
         # The candidates, which ranked best before the probes, have just reported their load.
         candidates = sequence.candidate_writers or self.estimates.writers
@@ -61,7 +61,7 @@
         sequence.writer = max(free or usable, key=score)
         return sequence.writer
 
-    def _former_writer(self, sequence: Sequence, now: float) -> Engine | None:
+    def former_writer(self, sequence: Sequence, now: float) -> Engine | None:
         """Return the writer selected for the last attempt, or None if there is none or it is not usable."""
         writer = sequence.writer
         if writer is None or writer in sequence.failed_engines:
