In large fleets a placement compares 200 engines at most

Change: in fleets of more than 200 engines, writer selection, read placement and load probing compare candidates (policy/candidate_engines.py): parts of cells, 16 engines each, that hold the former writer and the engines that keep the prompt, that follow the prefix on a ring that is the same on all nodes, and others drawn at random. Writer first, split and reader in the writer's cell are as before, among the candidates. Up to 200 engines all are candidates, with no random draw more than before.

How much service the choice costs beside a full comparison is not measured.

--- a/myrtlehub/routing/policy/load_probing.py
+++ b/myrtlehub/routing/policy/load_probing.py
@@ -48,7 +48,8 @@
     def _probe_targets(self, sequence: Sequence, now: float) -> list[Engine]:
         """Return the best writers, their readers and a random engine, in the order of priority."""
         estimates, arrival = self.estimates, sequence.arrival
-        usable = self.writer_selection.admission.usable_engines(estimates.writers, sequence, now)
+        candidates = sequence.candidates.writers
+        usable = self.writer_selection.admission.usable_engines(candidates, sequence, now)
         plan = self.read_placement.plan(sequence, now)
         ranked = sorted(usable, key=self.writer_selection.score(sequence, plan, now), reverse=True)
         sequence.candidate_writers = ranked[:CANDIDATE_WRITER_COUNT]
--- a/myrtlehub/routing/policy/read_placement.py
+++ b/myrtlehub/routing/policy/read_placement.py
@@ -146,7 +146,7 @@
         readers = self._usable_readers(sequence, now)
         key = affinity_key(sequence)
         weights = [rendezvous_weight(key, reader.hash_seed) for reader in readers]
-        affinity = sequence.affinity = affinity_by_reader(arrival.session, readers, weights)
+        affinity = sequence.affinity = self._affinity(sequence, readers, weights)
         expected_cached_tokens = self.hit_rates.expected_cached_tokens(arrival)
         for reader, weight in zip(readers, weights, strict=True):
             estimated = expected_cached_tokens[affinity.get(reader, Affinity.OTHER)]
@@ -157,8 +157,19 @@
                 seconds += sequence.slo_deadline - now
             yield reader, cached, weight, seconds
 
+    def _affinity(
+        self, sequence: Sequence, readers: list[Engine], weights: list[int]
+    ) -> dict[Engine, Affinity]:
+        """Return the affinity of the usable readers; in a large fleet, of those on which all nodes agree."""
+        agreed = sequence.candidates.affinity_readers
+        if agreed is not None:
+            weight_of = dict(zip(readers, weights, strict=True))
+            readers = [reader for reader in readers if reader in agreed]
+            weights = [weight_of[reader] for reader in readers]
+        return affinity_by_reader(sequence.arrival.session, readers, weights)
+
     def _usable_readers(self, sequence: Sequence, now: float) -> list[Engine]:
-        readers = [reader for reader in self.estimates.readers if reader not in sequence.failed_engines]
+        readers = [reader for reader in sequence.candidates.readers if reader not in sequence.failed_engines]
         return prefer_accepting(self.admission.usable_engines(readers, sequence, now), sequence, now)
 
     def choose_read(
--- a/myrtlehub/routing/policy/router.py
+++ b/myrtlehub/routing/policy/router.py
@@ -11,6 +11,7 @@
 from myrtlehub.routing.calls import BaseRouter
 from myrtlehub.routing.contract import Action, Arrival, Outcome, RouterConfig
 from myrtlehub.routing.policy import admission, retries
+from myrtlehub.routing.policy.candidate_engines import CandidateEngines
 from myrtlehub.routing.policy.engine_estimates import EngineEstimates
 from myrtlehub.routing.policy.load_probing import LoadProbing
 from myrtlehub.routing.policy.read_placement import ReadPlacement
@@ -54,12 +55,14 @@
         self.random = Random(config.seed).random
         self.estimates = EngineEstimates(config)
         super().__init__(self.estimates, WAKEUP_INTERVAL)
+        self.candidates = CandidateEngines(self.estimates, self.random)
         self.admission = admission.Admission(self.estimates)
         self.read_placement = ReadPlacement(self.estimates, self.admission, self.random)
         self.writer_selection = WriterSelection(self.estimates, self.admission, self.read_placement)
         self.load_probing = LoadProbing(self.estimates, self.read_placement, self.writer_selection)
 
     def _on_endpoints_changed(self) -> None:
+        self.candidates.update()
         self.read_placement.update_reader_shares()
 
     def _on_probe_timeout(self, engine: Engine) -> None:
@@ -77,6 +80,7 @@
         if not self.load_probing.is_enabled:
             self._place_within_budget(sequence, now)
         elif self.placement_budget.try_begin():
+            sequence.candidates = self.candidates.select(sequence)
             probed = self.load_probing.select(sequence, now)
             self.placement_budget.end()
             self.pending_actions.extend(contract.Probe(engine.index) for engine in probed)
@@ -158,6 +162,7 @@
 
     def _run_stages(self, sequence: Sequence, now: float) -> Engine | NotPlaced:
         """Return the engine for the next attempt, or the `NotPlaced` of the first stage that selects none."""
+        sequence.candidates = self.candidates.select(sequence)
         writer = self.writer_selection.select(sequence, now)
         if isinstance(writer, NotPlaced):
             return writer
@@ -190,6 +195,7 @@
         self.estimates.attempt_sent(attempt)
         if not attempt.fetches_state:  # engines cache prompts that they read, but not fetched states
             engine.cache.add(arrival, now)
+            self.candidates.record_prompt(arrival, engine)
         self.pending_actions.append(contract.Send(sequence.id, engine.index, timeout))
 
     def _new_attempt(self, sequence: Sequence, engine: Engine, now: float) -> Attempt:
--- a/myrtlehub/routing/policy/writer_selection.py
+++ b/myrtlehub/routing/policy/writer_selection.py
@@ -41,15 +41,16 @@
         """Return the writer selected for the last attempt if it is still usable, else the best writer."""
         if (writer := self.former_writer(sequence, now)) is not None:
             return writer
-        # The candidates, which ranked best before the probes, have just reported their load.
-        candidates = sequence.candidate_writers or self.estimates.writers
+        # The candidates that ranked best before the probes have just reported their load.
+        all_candidates = sequence.candidates.writers
+        candidates = sequence.candidate_writers or all_candidates
         sequence.candidate_writers = []
         usable = self._preferred_writers(candidates, sequence, now)
         free = [
             engine for engine in usable if self.estimates.free_memory_share(engine, sequence) > MIN_FREE_SHARE
         ]
-        if not free and candidates is not self.estimates.writers:
-            return self.select(sequence, now)  # among all writers
+        if not free and candidates is not all_candidates:
+            return self.select(sequence, now)  # among all candidates
         if not usable:
             return NotPlaced.WAIT
         if not free and not sequence.attempts:
--- a/myrtlehub/routing/records.py
+++ b/myrtlehub/routing/records.py
@@ -3,6 +3,7 @@
 The records make no routing decisions; `routing.policy` makes them.
 """
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from typing import NamedTuple
@@ -168,6 +169,23 @@
     by_zone: dict[int | None, ReadEstimate]
 
 
+class Candidates(NamedTuple):
+    """The engines that are compared for one placement.
+
+    Attributes:
+        writers: Serving engines that write.
+        readers: Serving engines that only read.
+        affinity_readers: Those readers that may have an affinity to the prompt; None: all.
+    """
+
+    writers: list[Engine]
+    readers: list[Engine]
+    affinity_readers: Set[Engine] | None = None
+
+
+NO_CANDIDATES = Candidates([], [])
+
+
 @dataclass(slots=True, eq=False)
 class Sequence:
     """A sequence that this node has accepted."""
@@ -206,6 +224,7 @@
     possible_run: PossibleRun | None = None
     pending_probes: set[Engine] = field(default_factory=set)
     candidate_writers: list[Engine] = field(default_factory=list)  # ranked best before the probes
+    candidates: Candidates = NO_CANDIDATES  # compared in its present placement
 
     def __post_init__(self) -> None:
         arrival = self.arrival
