Router calls and releases look at what is due, not at all sequences and engines

Cause: each call of the router searched all sequences in flight for the next deadline, each wake-up sorted all of them, each failing engine took the median of the whole fleet, and each round of a release sorted all engines.

Change: due times are in a heap; a wake-up handles the sequences that are due or wait; the median is calculated once between changes of a failure rate; a round of a release takes the first of the engines by last contact.

--- a/myrtlehub/relay/engines/engine_directory.py
+++ b/myrtlehub/relay/engines/engine_directory.py
@@ -1,5 +1,7 @@
 """Addresses of the engines, and the time at which each last sent data."""
 
+from collections.abc import Iterator
+
 from myrtlehub.clock import Clock
 from myrtlehub.membership.endpoint import EndpointState
 from myrtlehub.node.endpoint_index import EndpointIndex
@@ -11,7 +13,7 @@
 
     Attributes:
         dial_addresses: HOST:PORT of each engine, by name.
-        last_contact_at: Clock time in seconds at which each engine last sent data, by name.
+        last_contact_at: Clock time in seconds at which each engine last sent data, by name, the latest last.
     """
 
     def __init__(self, clock: Clock, connections: EngineConnections, index: EndpointIndex) -> None:
@@ -31,13 +33,21 @@
             not self.index.is_removed(engine) and self.index.endpoints[engine].state == EndpointState.SERVING
         )
 
-    def serving_names(self) -> list[str]:
-        """Return the names of all engines in state serving."""
-        return [row.address for row in self.index.endpoints if row.state == EndpointState.SERVING]
+    def serving_names(self) -> Iterator[str]:
+        """Yield the names of all engines in state serving, the one that sent data last first."""
+        for name in reversed(self.last_contact_at):
+            engine = self.index.index_by_address.get(name)
+            if engine is not None and self.is_serving(engine):
+                yield name
+        for engine, row in enumerate(self.index.endpoints):
+            if row.address not in self.last_contact_at and self.is_serving(engine):
+                yield row.address
 
     def record_contact(self, engine: int) -> None:
         """Record that the engine has just sent data, so that it is reachable."""
-        self.last_contact_at[self.name(engine)] = self.clock.seconds()
+        name = self.name(engine)
+        self.last_contact_at.pop(name, None)  # reinserts the name at the end
+        self.last_contact_at[name] = self.clock.seconds()
 
     def set_address(self, name: str, dial_address: str) -> None:
         """Set the HOST:PORT of an engine, and close its idle connections if the address has changed."""
--- a/myrtlehub/relay/engines/state_release.py
+++ b/myrtlehub/relay/engines/state_release.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from enum import StrEnum
 from functools import partial
+from itertools import islice
 from typing import NamedTuple
 
 from myrtlehub.clock import Clock, Timer
@@ -103,9 +104,9 @@
         (test_a_state_behind_a_partition_is_released_through_the_engine_of_latest_contact).
         """
         directory = self.directory
-        names = [directory.name(attempt.engine) for attempt in reversed(self._attempts_of(sequence_id))]
-        names += directory.serving_names()
-        others = [name for name in dict.fromkeys(names) if name != reader]
+        own = [directory.name(attempt.engine) for attempt in reversed(self._attempts_of(sequence_id))]
+        serving = islice(directory.serving_names(), REQUESTS_PER_ROUND)
+        others = [name for name in dict.fromkeys([*own, *serving]) if name != reader]
         others.sort(key=lambda name: -directory.last_contact_at.get(name, 0.0))
         order = [reader, reader, *others][:REQUESTS_PER_ROUND]
         addresses = directory.dial_addresses
--- a/myrtlehub/routing/calls.py
+++ b/myrtlehub/routing/calls.py
@@ -5,6 +5,8 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
+from heapq import heappop, heappush, heapreplace
+from typing import NamedTuple
 
 from myrtlehub.routing import contract
 from myrtlehub.routing.contract import Action, Arrival, LoadReport, Outcome
@@ -15,6 +17,13 @@
 WAKEUP_TOLERANCE = 0.001  # seconds by which timers may fire early
 
 
+class DueTime(NamedTuple):
+    """A time at which a sequence may be due; it can have become later since."""
+
+    due_at: float
+    sequence_id: int
+
+
 class BaseRouter(contract.OptionalCalls, ABC):
     """Maintains the sequences of a node, and collects the actions of the current call."""
 
@@ -27,6 +36,8 @@
         self.pending_actions: list[Action] = []  # of the current call
         self.next_wakeup_at = float("inf")  # inf if no wake-up is requested
         self.last_feedback_at = 0.0  # time of the last event from an engine or the endpoint list
+        # A heap with an entry for each sequence that waits for the start of its answer.
+        self._due_times: list[DueTime] = []
 
     @abstractmethod
     def _on_endpoints_changed(self) -> None:
@@ -85,6 +96,7 @@
         """Accept an arriving sequence."""
         self.engine_table.now = now
         sequence = self.sequences[sequence_id] = self._new_sequence(now, sequence_id, arrival)
+        self._add_due_time(sequence)
         engines = self.engine_table.engines
         if arrival.state_engine is not None:  # a takeover: the prompt was read for the former owner
             sequence.state_engine = engines[arrival.state_engine]
@@ -181,16 +193,45 @@
         self.engine_table.clear_memo()
         return actions
 
+    def _add_due_time(self, sequence: Sequence) -> None:
+        """Record when a sequence is due; required whenever that becomes earlier."""
+        heappush(self._due_times, DueTime(sequence.next_due_at, sequence.id))
+
+    def _open_sequence(self, sequence_id: int) -> Sequence | None:
+        """Return a sequence that waits for the start of its answer; None if it does not."""
+        sequence = self.sequences.get(sequence_id)
+        return None if sequence is None or sequence.is_over or sequence.has_begun else sequence
+
+    def _due_sequences(self, now: float) -> list[Sequence]:
+        """Return the sequences that are due, in any order."""
+        due: dict[int, Sequence] = {}
+        while self._due_times and self._due_times[0].due_at <= now:
+            sequence = self._open_sequence(heappop(self._due_times).sequence_id)
+            if sequence is not None:
+                due[sequence.id] = sequence
+        for sequence in due.values():
+            self._add_due_time(sequence)
+        return list(due.values())
+
+    def _next_due_at(self) -> float | None:
+        """Return when the next sequence is due, or None if no sequence waits for the start of its answer."""
+        while self._due_times:
+            earliest = self._due_times[0]
+            sequence = self._open_sequence(earliest.sequence_id)
+            if sequence is None:
+                heappop(self._due_times)
+            elif sequence.next_due_at > earliest.due_at:
+                heapreplace(self._due_times, DueTime(sequence.next_due_at, sequence.id))
+            else:
+                return earliest.due_at
+        return None
+
     def _schedule_wakeup(self, now: float) -> None:
         """Request a wake-up for the next deadline, arrival check or release; sooner while sequences wait."""
-        deadlines = [
-            min(sequence.abandon_at, sequence.arrival_check_due_at, sequence.state_release_due_at)
-            for sequence in self.sequences.values()
-            if not sequence.is_over and not sequence.has_begun
-        ]
-        if not deadlines:
+        next_due_at = self._next_due_at()
+        if next_due_at is None:
             return
-        delay = min(deadlines) - now
+        delay = next_due_at - now
         if self.waiting:
             delay = min(self.wakeup_interval, delay)
         delay = max(MIN_WAKEUP_DELAY, delay)
--- a/myrtlehub/routing/engine_table.py
+++ b/myrtlehub/routing/engine_table.py
@@ -81,9 +81,11 @@
         """Discard the memoized values, which are valid only while their inputs are unchanged."""
         self.queueing_delays: dict[int, float] = {}  # seconds, by index of the engine
         self.free_memory_shares: dict[int, float] = {}  # by index of the writer
+        self.median_failure_rate: float | None = None  # of the serving engines
 
     def update(self, updates: Iterable[EndpointUpdate], is_complete: bool) -> None:
         """Apply the complete endpoint list, or a change to it."""
+        self.median_failure_rate = None
         for update in updates:
             while len(self.engines) <= update.engine:
                 self.engines.append(Engine(len(self.engines), PromptCache(self.settings.cache)))
@@ -195,6 +197,7 @@
     def attempt_ended(self, sequence: Sequence, attempt: Attempt) -> None:
         """Update the estimates from the outcome of an attempt, and remove it from its engine's backlog."""
         engine = attempt.engine
+        self.median_failure_rate = None
         self._update_half_life(engine.kind)
         if attempt.has_succeeded and attempt.is_read:
             self._observe_success(engine)
@@ -220,6 +223,7 @@
         )
 
     def _observe_success(self, engine: Engine) -> None:
+        self.median_failure_rate = None
         engine.failure_rate = self.updated_observation(
             engine.failure_rate, engine, 0.0, self.settings.engine_weight
         )
--- a/myrtlehub/routing/policy/engine_estimates.py
+++ b/myrtlehub/routing/policy/engine_estimates.py
@@ -128,5 +128,8 @@
         decayed_rate = self.decayed(engine.failure_rate, engine)
         if decayed_rate <= OUTLIER_FAILURE_RATE_MARGIN:
             return False
-        fleet_rates = (self.decayed(other.failure_rate, other) for other in self.writers + self.readers)
-        return decayed_rate > OUTLIER_FAILURE_RATE_MARGIN + median(fleet_rates)
+        if self.median_failure_rate is None:
+            self.median_failure_rate = median(
+                self.decayed(other.failure_rate, other) for other in self.writers + self.readers
+            )
+        return decayed_rate > OUTLIER_FAILURE_RATE_MARGIN + self.median_failure_rate
--- a/myrtlehub/routing/policy/router.py
+++ b/myrtlehub/routing/policy/router.py
@@ -93,8 +93,10 @@
 
     def _place_waiting(self, now: float) -> None:
         failed_placements = 0
+        # In a dict, because a sequence that waits can be due as well.
+        concerned = {sequence.id: sequence for sequence in self._due_sequences(now)} | self.waiting
         by_urgency = sorted(
-            self.sequences.values(),
+            concerned.values(),
             key=lambda sequence: (sequence.is_over_quota, sequence.slo_deadline, sequence.id),
         )
         for sequence in by_urgency:
@@ -192,6 +194,7 @@
         self.estimates.assign_writer(sequence, sequence.writer)
         sequence.attempts.append(attempt)
         self.admission.expect_arrival(sequence)
+        self._add_due_time(sequence)
         self.estimates.attempt_sent(attempt)
         if not attempt.fetches_state:  # engines cache prompts that they read, but not fetched states
             engine.cache.add(arrival, now)
--- a/myrtlehub/routing/records.py
+++ b/myrtlehub/routing/records.py
@@ -239,6 +239,11 @@
         """Record that an attempt which was sent to an engine may have run."""
         self.possible_run = PossibleRun(engine.dedup_group(self.traffic), sent_at)
 
+    @property
+    def next_due_at(self) -> float:
+        """The earliest of the times of its deadline, its arrival check and the release of its read state."""
+        return min(self.abandon_at, self.arrival_check_due_at, self.state_release_due_at)
+
     def clear_release_timers(self) -> None:
         """Cancel the arrival check and the release of the read state that are due later."""
         self.arrival_check_due_at = self.state_release_due_at = float("inf")
