Responses that end with their connection are complete

Cause: at the end of a connection its open request failed, and the parser was not told. The end of the connection is the end of a body without length (RFC 9112, 6.3). Streams, reads and releases of engines pass the same code.

Change: an orderly close is passed to the parser; a reset completes nothing. As such a body does not show whether it is whole, its content has to: a stream needs its [DONE], a read's result complete JSON, as lists do already. A broken stream to an HTTP/1.0 client ends with a reset, since a close made it look whole.

Why it works: h11 completes a body without length at the end, and raises for any other body that is incomplete, so each form is decided in one place for all peers.

--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -15,7 +15,7 @@
 from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.headers import Header
 from myrtlehub.http1.input_buffer import InputBuffer
-from myrtlehub.http1.tcp_transport import TcpProtocol, abortive_close
+from myrtlehub.http1.tcp_transport import TcpProtocol, abortive_close, is_orderly_close
 from myrtlehub.http1.timeout import Timeout
 
 CHUNK_END_BYTES = 2  # the line end after a chunk, which the parser reads with the next chunk
@@ -248,13 +248,28 @@
             abortive_close(self.transport)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
-        """Remove the connection from the pool, and fail its pending request, if any."""
+        """Remove the connection from the pool, and complete or fail its pending request, if any."""
         self.is_closed = True
+        if self.pending is not None and is_orderly_close(reason):
+            self._parse_end()
         self._release_input()
         self.pool.remove(self, PeerCloseReason.LOST)
         if self.pending is not None:
             self._fail()
 
+    def _parse_end(self) -> None:
+        """Parse what is left, and the end of the connection.
+
+        A response without a length ends with its connection (RFC 9112, section 6.3); to any other one, the
+        end is an error. A reset connection ends no response, because data may be missing.
+        Test: `test_a_response_ends_in_each_form_that_http_has`.
+        """
+        self.pool.parse_scheduler.remove(self)
+        while self.parse_step():
+            pass
+        self.http.receive_data(b"")
+        self.parse_step()
+
     def _release_input(self) -> None:
         self._discard_timeout.clear()
         self._input.clear()
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -24,6 +24,8 @@
 from myrtlehub.http1.tcp_transport import TcpProtocol, unread_bytes
 from myrtlehub.http1.timeout import Timeout
 
+HTTP_1_0 = b"1.0"
+
 
 class ServerConnection(TcpProtocol):
     """Client connection that handles one request at a time.
@@ -266,9 +268,16 @@
         self.linger(reason)
 
     def abort_response(self) -> None:
-        """Close the connection without the end of the response, which marks it as incomplete."""
+        """Close the connection without the end of the response, which marks it as incomplete.
+
+        A response to HTTP/1.0 has no chunks and ends with its connection, so only a reset shows that it is
+        incomplete. Test: `test_a_broken_stream_looks_incomplete_to_an_http_1_0_client`.
+        """
         self._close_exchange()
-        self.linger(CloseReason.STREAM_FAILED)
+        if self.http.their_http_version == HTTP_1_0:
+            self._abort(CloseReason.STREAM_FAILED)
+        else:
+            self.linger(CloseReason.STREAM_FAILED)
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the open stream, or the reading of requests: the client does not read its responses."""
--- a/myrtlehub/http1/tcp_transport.py
+++ b/myrtlehub/http1/tcp_transport.py
@@ -9,6 +9,8 @@
 from typing import Protocol
 
 from twisted.internet import protocol
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
 
 C_INT_BYTES = 4  # size of the integer by which `ioctl` returns a number of bytes
 
@@ -64,6 +66,15 @@
             set_no_delay(True)
 
 
+def is_orderly_close(reason: object) -> bool:
+    """Return whether the peer closed the connection after all of its data, rather than by a reset.
+
+    Args:
+        reason: The argument of `connectionLost`.
+    """
+    return isinstance(reason, Failure) and isinstance(reason.value, ConnectionDone)
+
+
 def unacknowledged_bytes(transport: AbortableTransport) -> int:
     """Return how many sent bytes the peer's kernel has not acknowledged; 0 if that is unknown."""
     return _queued_bytes(transport, termios.TIOCOUTQ)
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -42,6 +42,7 @@
     BODY_TOO_LARGE = "body_too_large"
     MEMORY_LIMIT = "memory_limit"
     TRUNCATED_STREAM = "truncated_stream"
+    TRUNCATED_BODY = "truncated_body"
     INCOMPLETE_EVENT_TIMEOUT = "incomplete_event_timeout"
     SILENCE_TIMEOUT = "silence_timeout"
     NOT_SENT = "not_sent"
@@ -80,6 +81,7 @@
         self.pending: PendingRequest | None = None
         self.longest_event_gap = 0.0
         self._end: AttemptEnd | None = None  # None until the head is received
+        self._ends_with_connection = False  # its end does not show whether the body is complete
         self._event_parser: EventStreamParser | None = None  # None unless the response is a stream
         self._load_report: contract.LoadReport | None = None
         self._body = BodyBuffer(MAX_SMALL_RESPONSE_BYTES)
@@ -90,6 +92,7 @@
         """Determine the outcome from the status and the headers."""
         fields = dict(headers)
         self.client.directory.record_contact(self.attempt.engine)
+        self._ends_with_connection = not fields.keys() & {b"content-length", b"transfer-encoding"}
         end = self._end = attempt_end_of_response(
             self.attempt.is_read, status, fields.get(b"x-turned-away") == b"1"
         )
@@ -192,6 +195,11 @@
         try:
             cached_tokens = _read_result_decoder.decode(bytes(self._body)).cached_tokens
         except (msgspec.DecodeError, ValueError, RecursionError):
+            if self._ends_with_connection:
+                # The engine may have ended while it responded.
+                self.client.uncertain_attempts.add(self.attempt.sequence.sequence_id)
+                self._report_end(attempt_end_of_failure(True), reason=FailureReason.TRUNCATED_BODY)
+                return
             cached_tokens = 0.0
         self._report_end(end, cached_tokens, self._load_report)
 
@@ -199,6 +207,10 @@
         try:
             parser.end()
         except EventStreamError:
+            is_complete = False
+        else:
+            is_complete = parser.is_done or not self._ends_with_connection
+        if not is_complete:
             self._report_end(attempt_end_of_failure(True), reason=FailureReason.TRUNCATED_STREAM)
             return
         if self.attempt.is_streaming:
--- a/tests/support/relayrig.py
+++ b/tests/support/relayrig.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import Clock
 
+from myrtlehub.http1.tcp_transport import is_orderly_close
 from myrtlehub.log_events import LogEvent
 from myrtlehub.relay.node import RelayNode
 from myrtlehub.relay.parsing import SocketAddress
@@ -115,21 +116,29 @@
 
 
 class RawClient(Protocol):
-    """A client's connection, which stores the received bytes."""
+    """A client's connection, which stores the received bytes.
+
+    Attributes:
+        received: The received bytes.
+        lost: Whether the connection is lost.
+        was_reset: Whether the node broke it, rather than closing it after all of its data.
+    """
 
     transport: Pipe  # type: ignore[assignment]  # zope's ITransport declares methods without `self`
 
     def __init__(self) -> None:
         self.received = b""
         self.lost = False
+        self.was_reset = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Store the bytes."""
         self.received += data
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
-        """Record that the connection is lost."""
+        """Record that the connection is lost, and how."""
         self.lost = True
+        self.was_reset = not is_orderly_close(reason)
 
     def send(self, data: bytes) -> None:
         """Send raw bytes."""
