An id that may have run does not run again after its client has left

Cause: what may run again is decided from the attempts of a sequence, and the sequence is forgotten once its client has left or has its answer. The same id made a new sequence without attempts; only ids of open requests were refused.

An at-most-once id gets 502, a deduplicated one is placed like a retry in its group and window, one with an outstanding attempt gets 409, and none gets 503.

Why it works: the record is made when the write ends, whatever ends it, and while it is outstanding the id counts as open, so that no moment is without either.

--- a/myrtlehub/relay/clients/client_front.py
+++ b/myrtlehub/relay/clients/client_front.py
@@ -9,9 +9,11 @@
 from myrtlehub.log_events import LogEvent
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.sequences import InFlightSequence
-from myrtlehub.relay.clients.request_decoder import RequestDecoder
+from myrtlehub.relay.clients.request_decoder import DecodedRequest, RequestDecoder
+from myrtlehub.relay.engines.run_history import RunHistory
 from myrtlehub.relay.errors import RejectedRequestError
 from myrtlehub.relay.settings.platform_limits import DEFAULT_MAX_IN_FLIGHT
+from myrtlehub.routing import contract
 from myrtlehub.state.invariants import InvariantCounter, violated_by_answer
 
 READINESS_PATH = b"/up"
@@ -117,12 +119,14 @@
         self,
         executor: ActionExecutor,
         decoder: RequestDecoder,
+        run_history: RunHistory,
         invariants: InvariantCounter,
         max_in_flight: int = DEFAULT_MAX_IN_FLIGHT,
     ) -> None:
         self.invariants = invariants
         self.executor = executor
         self.decoder = decoder
+        self.run_history = run_history
         self.max_in_flight = max_in_flight
         self.open_sinks: dict[str, ClientResponseSink] = {}
         self.is_ready: Callable[[], bool] = lambda: True
@@ -154,21 +158,44 @@
     def _accept(self, exchange: ServerExchange) -> None:
         try:
             decoded = self.decoder.decode(exchange.request, self.executor.clock.seconds())
-            if decoded.sequence_id in self.open_sinks:
+            sequence_id = decoded.sequence_id
+            if sequence_id in self.open_sinks or self.run_history.is_running(sequence_id):
                 raise RejectedRequestError(HTTPStatus.CONFLICT, "X-Txn is already the id of an open request")
         except RejectedRequestError as error:
             self._reject_malformed(exchange, error.status, str(error))
             return
-        sequence_id = decoded.sequence_id
         sink = ClientResponseSink(self, exchange, sequence_id)
         self.open_sinks[sequence_id] = sink
-        if self._arrived_after_cutoff(exchange) or len(self.executor.in_flight) >= self.max_in_flight:
+        arrival = self._after_earlier_run(decoded)
+        is_full = self._arrived_after_cutoff(exchange) or len(self.executor.in_flight) >= self.max_in_flight
+        if arrival is None or (is_full and arrival.may_have_run_at is not None):
+            reason = "a request with this X-Txn may have run"
+            self.executor.log(LogEvent.REQUEST_REJECTED, status=HTTPStatus.BAD_GATEWAY, reason=reason)
+            sink.aborted(reason)
+            return
+        if is_full:
             sink.rejected(self.executor.config.max_retry_after)
             return
-        sequence = self.executor.accept(decoded.engine_request, decoded.arrival, sink, sequence_id)
+        sequence = self.executor.accept(decoded.engine_request, arrival, sink, sequence_id)
         if sequence_id in self.open_sinks:  # accept() may already have answered it
             sink.sequence = sequence
 
+    def _after_earlier_run(self, decoded: DecodedRequest) -> contract.Arrival | None:
+        """Return the arrival of a request, with its earlier possible run, if any; None if it must not run.
+
+        Test: `test_an_id_that_ran_does_not_run_again_after_its_client_left`.
+        """
+        arrival = decoded.arrival
+        run = self.run_history.find(decoded.sequence_id)
+        semantics = self.executor.config.traffic[arrival.traffic].retry_semantics
+        if run is None or semantics == contract.RetrySemantics.IDEMPOTENT:
+            return arrival
+        engine = self.decoder.engines.index_by_address.get(run.engine)
+        if engine is None or semantics == contract.RetrySemantics.AT_MOST_ONCE:
+            return None
+        run_ago = self.executor.clock.seconds() - run.sent_at
+        return arrival._replace(may_have_run_at=engine, may_have_run_ago=run_ago)
+
     def _arrived_after_cutoff(self, exchange: ServerExchange) -> bool:
         """Return whether the last byte of a request certainly arrived after `reject_after`.
 
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -72,6 +72,7 @@
     Attributes:
         pending: The request; None once the attempt has ended.
         longest_event_gap: The longest time between two events so far, in seconds.
+        was_sent: Whether the request had been sent completely when the attempt was cancelled.
     """
 
     def __init__(self, client: AttemptClient, attempt: Attempt) -> None:
@@ -80,6 +81,7 @@
         self.attempt = attempt
         self.pending: PendingRequest | None = None
         self.longest_event_gap = 0.0
+        self.was_sent = False
         self._end: AttemptEnd | None = None  # None until the head is received
         self._ends_with_connection = False  # its end does not show whether the body is complete
         self._event_parser: EventStreamParser | None = None  # None unless the response is a stream
@@ -180,6 +182,7 @@
         """Close the connection without reporting an outcome to the executor."""
         self.client.stream_monitor.remove(self)
         if self.pending is not None:
+            self.was_sent = self.pending.is_sent
             self.pending.cancel()
 
     def on_complete(self) -> None:
@@ -250,3 +253,11 @@
         self.executor.attempt_ended(
             self.attempt, end.outcome, cached_tokens, load or self._load_report, handle, token_count
         )
+
+
+def response_handler(attempt: Attempt) -> AttemptResponseHandler | None:
+    """Return the response handler of an attempt; None if the attempt was not started or has ended."""
+    if not isinstance(attempt.transport_call, PendingRequest):
+        return None
+    handler = attempt.transport_call.handler
+    return handler if isinstance(handler, AttemptResponseHandler) else None
--- a/myrtlehub/relay/engines/engine_client.py
+++ b/myrtlehub/relay/engines/engine_client.py
@@ -13,9 +13,10 @@
 from myrtlehub.node.sequences import Attempt, InFlightSequence
 from myrtlehub.relay.clients.request_decoder import EngineRequest, RequestDecoder
 from myrtlehub.relay.engines.arrival_check import ArrivalCheck
-from myrtlehub.relay.engines.attempt_response import AttemptResponseHandler
+from myrtlehub.relay.engines.attempt_response import AttemptResponseHandler, response_handler
 from myrtlehub.relay.engines.engine_connections import EngineConnections
 from myrtlehub.relay.engines.engine_directory import EngineDirectory
+from myrtlehub.relay.engines.run_history import RunHistory
 from myrtlehub.relay.engines.small_response import SmallResponseHandler
 from myrtlehub.relay.engines.state_release import EngineAddress, StateReleaser
 from myrtlehub.relay.engines.stream_monitor import StreamMonitor
@@ -40,6 +41,7 @@
         clock: The clock of the node.
         connections: The connections to engines.
         decoder: The decoder of clients' requests.
+        config: The configuration of the router.
         invariants: The counter of violated invariants.
         max_incomplete_bytes: Limit of the incomplete events of all streams.
         log: The event log.
@@ -48,6 +50,7 @@
         executor: The executor that receives the outcomes; set by `attach` before any attempt is started.
         directory: Addresses of the engines.
         uncertain_attempts: Ids of sequences with an ended attempt that its engine may still be running.
+        run_history: Requests that may have run and must not run again.
         releaser: Sends releases of read state.
         stream_monitor: Ends streams that make no progress.
     """
@@ -59,6 +62,7 @@
         clock: Clock,
         connections: EngineConnections,
         decoder: RequestDecoder,
+        config: contract.RouterConfig,
         invariants: InvariantCounter,
         max_incomplete_bytes: int,
         log: Log = no_log,
@@ -70,6 +74,7 @@
         self.log = log
         self.directory = EngineDirectory(clock, connections, decoder.engines)
         self.uncertain_attempts = UncertainAttempts(clock)
+        self.run_history = RunHistory(clock, decoder.engines, config)
         self.releaser = StateReleaser(clock, connections.cleanup, self.directory, log)
         self.stream_monitor = StreamMonitor(clock, max_incomplete_bytes)
 
@@ -77,11 +82,13 @@
         """Set the executor that receives the outcomes, and observe the end of its attempts."""
         self.executor = executor
         self.releaser.in_flight = executor.in_flight
+        # Added first, because it needs what `attempt_ended` of this class drops.
+        executor.add_observer(self.run_history)
         executor.add_observer(self)
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Log the end of an attempt, and drop the references to its response handler."""
-        handler = _response_handler(attempt)
+        handler = response_handler(attempt)
         now = self.clock.seconds()
         self.log(
             LogEvent.ATTEMPT_ENDED,
@@ -202,7 +209,7 @@
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt; see `EngineTransport`."""
         self.uncertain_attempts.add(attempt.sequence.sequence_id)
-        handler = _response_handler(attempt)
+        handler = response_handler(attempt)
         if handler is not None:
             handler.cancel()
 
@@ -247,11 +254,3 @@
     if not isinstance(sequence.request, EngineRequest):
         raise UnknownRequestTypeError(sequence.sequence_id)
     return sequence.request
-
-
-def _response_handler(attempt: Attempt) -> AttemptResponseHandler | None:
-    """Return the response handler of an attempt; None if the attempt was not started or has ended."""
-    if not isinstance(attempt.transport_call, PendingRequest):
-        return None
-    handler = attempt.transport_call.handler
-    return handler if isinstance(handler, AttemptResponseHandler) else None
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -84,6 +84,7 @@
             clock,
             self.engine_connections,
             self.decoder,
+            self.config,
             self.monitor.counter,
             self.memory_limits.incomplete_bytes,
             log,
@@ -134,7 +135,11 @@
 
     def _make_front(self) -> ClientRequestHandler:
         front = ClientRequestHandler(
-            self.executor, self.decoder, self.monitor.counter, self.limits.max_in_flight
+            self.executor,
+            self.decoder,
+            self.engine_client.run_history,
+            self.monitor.counter,
+            self.limits.max_in_flight,
         )
         front.is_ready = self._is_ready
         return front
