Answers of discovery that come up to 4 s late are used

Cause: a request without an answer after 1 s was cancelled with its connection, and the next one had the same limit, so that no later answer was ever used.

Change: such a request still counts as unanswered and others follow it, but up to four of them, begun a second apart, are kept for 3 s more. The first answer to any request is used and ends the others; that to an overdue watch is valid, since the node still has the version that it asked from.

Why it works: at any time a request is outstanding that began at most 1 s after the change and is kept for 4 s, so the change is known within 6 s.

--- a/myrtlehub/relay/discovery/discovery_client.py
+++ b/myrtlehub/relay/discovery/discovery_client.py
@@ -1,6 +1,7 @@
 """Client for the discovery service: fetches the complete endpoint list, then watches for changes."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -20,7 +21,15 @@
 # connection is slow, which takes WATCH_DURATION_S + RESPONSE_TIMEOUT_S + RETRY_INTERVAL_S + CONNECT_TIMEOUT_S
 # + RESPONSE_TIMEOUT_S = 5.12 s.
 WATCH_DURATION_S = 2.0  # how long discovery may delay its response to a watch while the list is unchanged
-RESPONSE_TIMEOUT_S = 1.0  # limit for a response; for a watch, in addition to WATCH_DURATION_S
+# Time after which a request counts as unanswered, and others are sent; for a watch, in addition to
+# WATCH_DURATION_S.
+RESPONSE_TIMEOUT_S = 1.0
+# Some unanswered requests are kept for this time, because discovery may only be slow. With one more in each
+# OVERDUE_INTERVAL_S, a response that takes this long is known RESPONSE_TIMEOUT_S + OVERDUE_INTERVAL_S after a
+# change at most, in addition to the time that it takes: less than 6 s.
+OVERDUE_TIMEOUT_S = 3.0
+OVERDUE_INTERVAL_S = 1.0
+MAX_OVERDUE_REQUESTS = 4
 CONNECT_TIMEOUT_S = 1.0
 # Interval of requests while there is no current list. It is short because discovery does not answer earlier
 # requests once it responds again, and because a draining engine may accept requests for only 250 ms after
@@ -53,6 +62,31 @@
         self.on_body(None)
 
 
+@dataclass(slots=True, eq=False)
+class _ListRequest:
+    """An outstanding request for the complete list or for changes.
+
+    Attributes:
+        since_version: The version after which changes are requested; None for the complete list.
+        pending: The request; None before it is sent.
+        overdue_since: Clock time in seconds since which it counts as unanswered, or None.
+    """
+
+    since_version: int | None
+    pending: PendingRequest | None = None
+    overdue_since: float | None = None
+
+    @property
+    def watch_duration(self) -> float:
+        """Seconds for which discovery may delay its response while the list is unchanged."""
+        return 0.0 if self.since_version is None else WATCH_DURATION_S
+
+    def cancel(self) -> None:
+        """Cancel the request."""
+        if self.pending is not None:
+            self.pending.cancel()
+
+
 class DiscoveryClient:
     """Watches the endpoint list, and calls `on_update` with each complete list and each change, in order.
 
@@ -82,7 +116,7 @@
         self.version: int | None = None
         self.has_answered = False
         self._failure_count = 0  # since the last valid response
-        self._pending: list[PendingRequest] = []  # several only while discovery does not respond
+        self._requests: list[_ListRequest] = []  # several only while discovery does not respond
         self._timers: list[Timer] = []
         self._is_closed = False
 
@@ -116,9 +150,9 @@
         for timer in timers:
             if timer.active():
                 timer.cancel()
-        requests, self._pending = self._pending, []
-        for pending in requests:
-            pending.cancel()
+        requests, self._requests = self._requests, []
+        for request in requests:
+            request.cancel()
 
     def _call_later(self, delay: float, call: Callable[..., None], *args: Any) -> Timer:  # noqa: ANN401
         timer = self.clock.callLater(delay, call, *args)
@@ -127,46 +161,73 @@
 
     def _send_request(self) -> None:
         """Send a watch from the current version, or request the complete list if there is no version."""
-        watch_duration = 0.0
+        request = _ListRequest(self.version)
         target = LIST_PATH
-        if self.version is not None:
-            watch_duration = WATCH_DURATION_S
-            target += b"?since=%d&timeout_ms=%d" % (self.version, WATCH_DURATION_S * 1000)
-        response = _ListResponseHandler(lambda body: self._on_response(pending, body))
+        if request.since_version is not None:
+            target += b"?since=%d&timeout_ms=%d" % (request.since_version, WATCH_DURATION_S * 1000)
+        response = _ListResponseHandler(lambda body: self._on_response(request, body))
         # Scheduled before the send, because that may raise, and no request would ever be sent again.
         next_request = self._call_later(RETRY_INTERVAL_S, self._send_request)
-        pending = self.pool.send(self.address, self.address, ClientRequest(b"GET", target, []), response)
-        self._pending.append(pending)
-        self._call_later(watch_duration + RESPONSE_TIMEOUT_S, self._on_timeout, pending, watch_duration)
-        if self.version is not None:
+        request.pending = self.pool.send(
+            self.address, self.address, ClientRequest(b"GET", target, []), response
+        )
+        self._requests.append(request)
+        self._call_later(request.watch_duration + RESPONSE_TIMEOUT_S, self._on_timeout, request)
+        if request.since_version is not None:
             # Unlike requests for the complete list, a watch is not repeated while it is outstanding: its
             # response may have arrived while this process was suspended, and be waiting to be read.
             next_request.cancel()
 
-    def _on_timeout(self, pending: PendingRequest, watch_duration: float) -> None:
-        """Cancel a request that has no response within its time limit.
+    def _on_timeout(self, request: _ListRequest) -> None:
+        """Count a request as unanswered; cancel it, or keep it for some time as overdue.
 
         The limit starts when the connection is established, not when the request is submitted. Otherwise, if
         establishing a connection always took almost RESPONSE_TIMEOUT_S, every request would be cancelled just
         after it was sent.
         """
-        if pending not in self._pending:
+        pending = request.pending
+        if request not in self._requests or pending is None:
             return
-        time_left = pending.ready_since + watch_duration + RESPONSE_TIMEOUT_S - self.clock.seconds()
+        time_left = pending.ready_since + request.watch_duration + RESPONSE_TIMEOUT_S - self.clock.seconds()
         if pending.connecting is not None or time_left > TIMER_TOLERANCE_S:
-            self._call_later(max(time_left, RETRY_INTERVAL_S), self._on_timeout, pending, watch_duration)
+            self._call_later(max(time_left, RETRY_INTERVAL_S), self._on_timeout, request)
             return
-        pending.cancel()
-        self._on_response(pending, None)
+        if self._may_be_overdue():
+            request.overdue_since = self.clock.seconds()
+            self._call_later(OVERDUE_TIMEOUT_S, self._give_up, request)
+        else:
+            self._give_up(request)
+        self._on_failure("no response in time")
+
+    def _may_be_overdue(self) -> bool:
+        """Return whether one more unanswered request is kept."""
+        overdue_since = [
+            request.overdue_since for request in self._requests if request.overdue_since is not None
+        ]
+        return not overdue_since or (
+            len(overdue_since) < MAX_OVERDUE_REQUESTS
+            and self.clock.seconds() - max(overdue_since) >= OVERDUE_INTERVAL_S
+        )
 
-    def _on_response(self, pending: PendingRequest, body: bytes | None) -> None:
-        if self._is_closed or pending not in self._pending:
+    def _give_up(self, request: _ListRequest) -> None:
+        if request in self._requests:
+            self._requests.remove(request)
+            request.cancel()
+
+    def _on_response(self, request: _ListRequest, body: bytes | None) -> None:
+        """Apply a response. The response to an overdue watch is as good as any.
+
+        It has the changes since a version, and the list still has that version: a response that is applied
+        ends all other requests.
+        """
+        if self._is_closed or request not in self._requests:
             return
-        self._pending.remove(pending)
+        self._requests.remove(request)
         try:
-            update = self._decode(body)
+            update = self._decode(request, body)
         except (EndpointListError, MalformedJsonError) as error:
-            self._on_failure(str(error))
+            if request.overdue_since is None:
+                self._on_failure(str(error))
             return
         if self._failure_count:
             self.log(LogEvent.DISCOVERY_RECOVERED, failed_polls=self._failure_count)
@@ -180,25 +241,26 @@
             self.on_update(update)
         self.version = update.version
         # Sent in the next reactor turn at the earliest, because an immediate response would cause recursion.
-        next_request.reset(self._pause_after(pending, update))
+        next_request.reset(self._pause_after(request, update))
 
-    def _pause_after(self, pending: PendingRequest, update: EndpointListUpdate) -> float:
+    def _pause_after(self, request: _ListRequest, update: EndpointListUpdate) -> float:
         """Return the seconds before the next watch: none, unless a watch was answered early with no change.
 
         A watch continues if the next one comes within 200 ms of the last response (the operators' protocol).
         """
         is_unchanged = not update.entries and not update.is_complete
-        was_early = self.clock.seconds() - pending.ready_since < WATCH_DURATION_S / 2
+        pending = request.pending
+        was_early = pending is not None and self.clock.seconds() - pending.ready_since < WATCH_DURATION_S / 2
         return RETRY_INTERVAL_S if is_unchanged and was_early else 0.0
 
-    def _decode(self, body: bytes | None) -> EndpointListUpdate:
+    def _decode(self, request: _ListRequest, body: bytes | None) -> EndpointListUpdate:
         if body is None:
             raise EndpointListError("no usable response")
         now = self.clock.seconds()
         update = self.decoder.decode(parse_json(body), now)
         # Not done in the decoder, which also decodes the fallback list; that list may be outdated.
         self.decoder.start_times.record_discovery_response(now)
-        if self.version is None and not update.is_complete:
+        if request.since_version is None and not update.is_complete:
             raise EndpointListError("whole: the first response must have the complete list")
         return update
 
--- a/tests/relay/test_relay_discovery.py
+++ b/tests/relay/test_relay_discovery.py
@@ -4,6 +4,7 @@
 import tracemalloc
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 import h11
 import pytest
@@ -284,3 +285,73 @@
     rig.run(0.05)
     assert after - before < 2 * len(padding)
     assert set(rig.node.decoder.engines.index_by_address) == {"w1", "w2"}
+
+
+class SlowDiscovery:
+    """Discovery that answers as the protocol says, but sends each response late."""
+
+    def __init__(self, rig: RelayRig, delay: float) -> None:
+        self.rig = rig
+        self.delay = delay
+        self.watches: dict[PeerConnection, int] = {}  # the version since which changes are requested
+        rig.discovery.script = self.respond
+
+    def respond(self, connection: PeerConnection, head: h11.Request, body: bytes) -> None:
+        """Respond with the complete list, or to a watch."""
+        query = parse_qs(urlsplit(head.target.decode()).query)
+        if "since" not in query:
+            self.send_late(connection, {**self.rig.complete_list(), "seq": self.rig.version})
+            return
+        self.watches[connection] = int(query["since"][0])
+        if self.watches[connection] < self.rig.version:
+            self.end_watch(connection)
+        else:
+            self.rig.clock.callLater(int(query["timeout_ms"][0]) / 1000, self.end_watch, connection)
+
+    def end_watch(self, connection: PeerConnection) -> None:
+        """Respond to a watch with all entries if the list has changed, else with none."""
+        since = self.watches.pop(connection, None)
+        if since is not None:
+            hosts = list(self.rig.entries.values()) if since < self.rig.version else []
+            self.send_late(connection, {"seq": self.rig.version, "whole": False, "hosts": hosts})
+
+    def change(self, **entries: dict[str, object]) -> None:
+        """Change entries of the list."""
+        self.rig.entries.update(entries)
+        self.rig.version += 1
+        for connection in list(self.watches):
+            self.end_watch(connection)
+
+    def send_late(self, connection: PeerConnection, message: dict[str, object]) -> None:
+        """Send a message, composed now, after the delay."""
+
+        def send() -> None:
+            if not connection.lost:
+                self.rig.send_list(connection, message)
+
+        self.rig.clock.callLater(self.delay, send)
+
+
+# Guards against a discovery whose responses are late, so that none is ever used and no drain is heard of.
+@pytest.mark.parametrize("delay", [0.9, 1.1, 1.5, 2.5, 3.0])
+def test_a_change_is_applied_within_6_s_although_each_response_is_late(delay: float) -> None:
+    for phase in (0.0, 0.3, 1.0, 1.9, 2.1, 2.9, 3.1, 4.2, 6.5):
+        rig = RelayRig("w1 w2")
+        discovery = SlowDiscovery(rig, delay)
+        rig.update_list(w2=rig.entry("w2"))
+        rig.run(10.0 + phase)
+        discovery.change(w1=rig.entry("w1", "leaving"))
+        changed_at, engines = rig.clock.seconds(), rig.node.decoder.engines
+        while engines.endpoints[engines.index_by_address["w1"]].state != "draining":
+            rig.run(0.05)
+            assert rig.clock.seconds() < changed_at + 6.0, phase
+        assert rig.node.discovery.pool.count <= 18
+
+
+def test_a_slow_discovery_is_asked_for_few_complete_lists() -> None:
+    rig = RelayRig("w1")
+    SlowDiscovery(rig, 1.5)
+    rig.update_list(w1=rig.entry("w1"))
+    rig.run(60.0)
+    complete = [request for request in rig.discovery.requests if b"since" not in request.target]
+    assert len(complete) < 120
--- a/tests/relay/test_relay_response_endings.py
+++ b/tests/relay/test_relay_response_endings.py
@@ -11,7 +11,12 @@
 
 from myrtlehub.http1.bounds import MAX_SMALL_RESPONSE_BYTES
 from myrtlehub.log_events import LogEvent
-from myrtlehub.relay.discovery.discovery_client import MAX_LIST_BYTES, RESPONSE_TIMEOUT_S, WATCH_DURATION_S
+from myrtlehub.relay.discovery.discovery_client import (
+    MAX_LIST_BYTES,
+    OVERDUE_TIMEOUT_S,
+    RESPONSE_TIMEOUT_S,
+    WATCH_DURATION_S,
+)
 from myrtlehub.routing.contract import EngineState
 
 EVENTS = EVENT + EVENT + USAGE + DONE
@@ -197,8 +202,8 @@
     rig = RelayRig("w1")
     watch = rig.open_watches.pop()
     watch.send(form.response(200, b'{"seq":2,"hosts":['))
-    handler = rig.node.discovery._pending[0].handler
-    for _ in range(round((WATCH_DURATION_S + RESPONSE_TIMEOUT_S) / 0.02) + 1):
+    handler = rig.node.discovery._requests[0].pending.handler
+    for _ in range(round((WATCH_DURATION_S + RESPONSE_TIMEOUT_S + OVERDUE_TIMEOUT_S) / 0.02) + 1):
         if not watch.lost:
             watch.send(b" " * 65536)
         rig.run(0.02)
