Candidates are freed after a placement, and other nodes are counted once a call

Change: the lists are dropped after the stages, and the number is kept until the next call.

Repository and routing tests pass.

--- a/myrtlehub/routing/engine_table.py
+++ b/myrtlehub/routing/engine_table.py
@@ -81,6 +81,7 @@
         """Discard the memoized values, which are valid only while their inputs are unchanged."""
         self.queueing_delays: dict[int, float] = {}  # seconds, by index of the engine
         self.free_memory_shares: dict[int, float] = {}  # by index of the writer
+        self.equivalent_other_nodes: float | None = None  # nodes with this one's traffic
         self.median_failure_rate: float | None = None  # of the serving engines
 
     def update(self, updates: Iterable[EndpointUpdate], is_complete: bool) -> None:
--- a/myrtlehub/routing/policy/engine_estimates.py
+++ b/myrtlehub/routing/policy/engine_estimates.py
@@ -68,7 +68,9 @@
         free = self.free_memory_shares.get(writer.index)
         if free is None:
             own, mean = writer.assigned_tokens, self.assigned_tokens / max(1, len(self.writers))
-            others = self._equivalent_other_nodes()
+            others = self.equivalent_other_nodes
+            if others is None:
+                others = self.equivalent_other_nodes = self._equivalent_other_nodes()
             assigned = own + others * mean + min(others, MAX_CORRELATED_NODES) * (own - mean)
             used = self.mean_memory_share.get(writer.kind, 0.0) + self.decayed(
                 writer.memory_deviation, writer
--- a/myrtlehub/routing/policy/router.py
+++ b/myrtlehub/routing/policy/router.py
@@ -17,7 +17,14 @@
 from myrtlehub.routing.policy.read_placement import ReadPlacement
 from myrtlehub.routing.policy.writer_selection import WriterSelection
 from myrtlehub.routing.prompt_cache import NO_ENTRY
-from myrtlehub.routing.records import Affinity, Attempt, Engine, NotPlaced, Sequence
+from myrtlehub.routing.records import (
+    NO_CANDIDATES,
+    Affinity,
+    Attempt,
+    Engine,
+    NotPlaced,
+    Sequence,
+)
 
 ANSWER_MARGIN_TICKS = 2  # multiple of `RouterConfig.tick` by which the final answer precedes the abandon time
 MIN_ANSWER_MARGIN = 0.004  # seconds; lower bound of that margin, in which the client gets the answer
@@ -43,15 +50,15 @@
     Args:
         config: The configuration.
         placement_budget: While it is used up, no sequence is placed whose placement compares engines; it
-            waits at this node, where its deadline and the limit on its wait are kept.
+            waits at this node, where its deadline and the limit on its wait are kept. None: no limit.
     """
 
     def __init__(
         self,
         config: RouterConfig,
-        placement_budget: contract.PlacementBudget = contract.UnlimitedPlacements(),  # noqa: B008 - has no state
+        placement_budget: contract.PlacementBudget | None = None,
     ) -> None:
-        self.placement_budget = placement_budget
+        self.placement_budget = placement_budget or contract.UnlimitedPlacements()
         # The only source of randomness, so that decisions are reproducible from the seed and the events.
         self.random = Random(config.seed).random
         self.estimates = EngineEstimates(config)
@@ -83,6 +90,7 @@
         elif self.placement_budget.try_begin():
             sequence.candidates = self.candidates.select(sequence)
             probed = self.load_probing.select(sequence, now)
+            sequence.candidates = NO_CANDIDATES
             self.placement_budget.end()
             self.pending_actions.extend(contract.Probe(engine.index) for engine in probed)
             if sequence.pending_probes:
@@ -175,6 +183,7 @@
         if isinstance(writer, NotPlaced):
             return writer
         engine = self.read_placement.place(sequence, writer, now)
+        sequence.candidates = NO_CANDIDATES  # only needed by the stages before
         if isinstance(engine, NotPlaced):
             return engine
         return self.admission.check_attempt(sequence, engine, now) or engine
