The handler of clients' requests knows earlier runs by an interface

Cause: relay/clients imported relay/engines for RunHistory, against the import contract of the relay's sub-packages.

Change: PossibleRun and the interface EarlierRuns stand in relay/clients. The behaviour is the same.

--- a/myrtlehub/relay/clients/client_front.py
+++ b/myrtlehub/relay/clients/client_front.py
@@ -9,8 +9,8 @@
 from myrtlehub.log_events import LogEvent
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.sequences import InFlightSequence
+from myrtlehub.relay.clients.earlier_runs import EarlierRuns
 from myrtlehub.relay.clients.request_decoder import DecodedRequest, RequestDecoder
-from myrtlehub.relay.engines.run_history import RunHistory
 from myrtlehub.relay.errors import RejectedRequestError
 from myrtlehub.relay.settings.platform_limits import DEFAULT_MAX_IN_FLIGHT
 from myrtlehub.routing import contract
@@ -123,14 +123,14 @@
         self,
         executor: ActionExecutor,
         decoder: RequestDecoder,
-        run_history: RunHistory,
+        earlier_runs: EarlierRuns,
         invariants: InvariantCounter,
         max_in_flight: int = DEFAULT_MAX_IN_FLIGHT,
     ) -> None:
         self.invariants = invariants
         self.executor = executor
         self.decoder = decoder
-        self.run_history = run_history
+        self.earlier_runs = earlier_runs
         self.max_in_flight = max_in_flight
         self.open_sinks: dict[str, ClientResponseSink] = {}
         self.is_ready: Callable[[], bool] = lambda: True
@@ -163,7 +163,7 @@
         try:
             decoded = self.decoder.decode(exchange.request, self.executor.clock.seconds())
             sequence_id = decoded.sequence_id
-            if sequence_id in self.open_sinks or self.run_history.is_running(sequence_id):
+            if sequence_id in self.open_sinks or self.earlier_runs.is_running(sequence_id):
                 raise RejectedRequestError(HTTPStatus.CONFLICT, "X-Txn is already the id of an open request")
         except RejectedRequestError as error:
             self._reject_malformed(exchange, error.status, str(error))
@@ -190,7 +190,7 @@
         Test: `test_an_id_that_ran_does_not_run_again_after_its_client_left`.
         """
         arrival = decoded.arrival
-        run = self.run_history.find(decoded.sequence_id)
+        run = self.earlier_runs.find(decoded.sequence_id)
         semantics = self.executor.config.traffic[arrival.traffic].retry_semantics
         if run is None or semantics == contract.RetrySemantics.IDEMPOTENT:
             return arrival
--- a/myrtlehub/relay/engines/run_history.py
+++ b/myrtlehub/relay/engines/run_history.py
@@ -1,11 +1,10 @@
 """Requests that run or may have run, so that none runs a second time when its id comes again."""
 
-from typing import NamedTuple
-
 from myrtlehub.clock import Clock
 from myrtlehub.node.endpoint_index import EndpointIndex
 from myrtlehub.node.executor_observer import ExecutorObserver
 from myrtlehub.node.sequences import Attempt
+from myrtlehub.relay.clients.earlier_runs import PossibleRun
 from myrtlehub.relay.engines.attempt_response import response_handler
 from myrtlehub.routing.contract import Outcome, RetrySemantics, RouterConfig
 
@@ -15,13 +14,6 @@
 STOPPED_OUTCOMES = frozenset((Outcome.CANCELLED, Outcome.TIMEOUT))  # by this node, whether sent or not
 
 
-class PossibleRun(NamedTuple):
-    """The first attempt of a request that may have run: the name of its engine, and when it was sent."""
-
-    engine: str
-    sent_at: float  # clock time in seconds
-
-
 class RunHistory(ExecutorObserver):
     """The possible runs of recent requests, by id, other than those that may be repeated without harm.
 
