The log says how a stream broke: framing, events, end mark, and who closed the connection

Change: stream_broken is always written when a stream breaks that its client was reading, with the request id, engine, reason, framing, events, end mark and silence; attempt_ended has the same fields; counters has attempt_failures by reason; the close of a peer's connection says closed_by_peer or lost; a request that is refused because the node shuts down or has too many open is logged with this reason.

--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -250,10 +250,11 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Remove the connection from the pool, and complete or fail its pending request, if any."""
         self.is_closed = True
-        if self.pending is not None and is_orderly_close(reason):
+        is_orderly = is_orderly_close(reason)
+        if self.pending is not None and is_orderly:
             self._parse_end()
         self._release_input()
-        self.pool.remove(self, PeerCloseReason.LOST)
+        self.pool.remove(self, PeerCloseReason.CLOSED_BY_PEER if is_orderly else PeerCloseReason.LOST)
         if self.pending is not None:
             self._fail()
 
--- a/myrtlehub/http1/close_reason.py
+++ b/myrtlehub/http1/close_reason.py
@@ -23,7 +23,8 @@
 class PeerCloseReason(StrEnum):
     """Reason for which a connection to a peer was closed; the values appear in the log."""
 
-    LOST = "lost"  # the peer closed or reset it, or the network reported an error
+    CLOSED_BY_PEER = "closed_by_peer"  # after all of the peer's data
+    LOST = "lost"  # the peer reset it, or the network reported an error
     SURPLUS_DATA = "surplus_data"  # the peer sent data while no request was pending
     NOT_REUSABLE = "not_reusable"  # the response was complete, but the connection must not be reused
     REQUEST_FAILED = "request_failed"  # the response was malformed or exceeded a limit
--- a/myrtlehub/log_events.py
+++ b/myrtlehub/log_events.py
@@ -31,6 +31,7 @@
     ATTEMPT_ARRIVED = "attempt_arrived"
     ATTEMPT_ENDED = "attempt_ended"
     ATTEMPT_FAILED = "attempt_failed"
+    STREAM_BROKEN = "stream_broken"
     SEND_WITHHELD = "send_withheld"
     RELEASE_SENT = "release_sent"
     RELEASE_ENDED = "release_ended"
--- a/myrtlehub/relay/clients/client_front.py
+++ b/myrtlehub/relay/clients/client_front.py
@@ -178,6 +178,9 @@
             sink.aborted(reason)
             return
         if is_full:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            reason = "the node shuts down" if self._arrived_after_cutoff(exchange) else "too many are open"
+            self.executor.log(LogEvent.REQUEST_REJECTED, status=status, reason=reason)
             sink.rejected(self.executor.config.max_retry_after)
             return
         sequence = self.executor.accept(decoded.engine_request, arrival, sink, sequence_id)
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -1,5 +1,7 @@
 """Handles the response to an attempt, and reports tokens and the outcome to the action executor."""
 
+from collections import Counter
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import Protocol
 
@@ -51,6 +53,21 @@
     CONNECTION_FAILED = "connection_failed"
 
 
+class Framing(StrEnum):
+    """What shows the end of a response's body; the values are logged."""
+
+    CHUNKED = "chunked"  # the last chunk
+    LENGTH = "length"  # the number of its bytes
+    CONNECTION = "connection"  # the end of the connection, which may also cut it off
+
+
+def _framing_of(fields: Mapping[bytes, bytes]) -> Framing:
+    """Return the framing that header fields declare (RFC 9112, section 6.3)."""
+    if b"transfer-encoding" in fields:
+        return Framing.CHUNKED
+    return Framing.LENGTH if b"content-length" in fields else Framing.CONNECTION
+
+
 class _ReadResult(msgspec.Struct):
     cached_tokens: float = 0.0
 
@@ -65,6 +82,7 @@
     directory: EngineDirectory
     uncertain_attempts: UncertainAttempts
     stream_monitor: StreamMonitor
+    failure_counts: Counter[str]
     log: Log
 
 
@@ -74,6 +92,8 @@
     Attributes:
         pending: The request; None once the attempt has ended.
         longest_event_gap: The longest time between two events so far, in seconds.
+        status: Status of the response; None before its head.
+        framing: What shows the end of the response's body; None before its head.
         was_sent: Whether the request had been sent completely when the attempt was cancelled.
     """
 
@@ -85,7 +105,8 @@
         self.longest_event_gap = 0.0
         self.was_sent = False
         self._end: AttemptEnd | None = None  # None until the head is received
-        self._ends_with_connection = False  # its end does not show whether the body is complete
+        self.status: int | None = None
+        self.framing: Framing | None = None
         self._event_parser: EventStreamParser | None = None  # None unless the response is a stream
         self._load_report: contract.LoadReport | None = None
         self._body = BodyBuffer(MAX_SMALL_RESPONSE_BYTES)
@@ -96,7 +117,8 @@
         """Determine the outcome from the status and the headers."""
         fields = dict(headers)
         self.client.directory.record_contact(self.attempt.engine)
-        self._ends_with_connection = not fields.keys() & {b"content-length", b"transfer-encoding"}
+        self.status = status
+        self.framing = _framing_of(fields)
         end = self._end = attempt_end_of_response(
             self.attempt.is_read, status, fields.get(b"x-turned-away") == b"1"
         )
@@ -205,7 +227,7 @@
         try:
             cached_tokens = _read_result_decoder.decode(bytes(self._body)).cached_tokens
         except (msgspec.DecodeError, ValueError, RecursionError):
-            if self._ends_with_connection:
+            if self.framing is Framing.CONNECTION:
                 # The engine may have ended while it responded.
                 self.client.uncertain_attempts.add(self.attempt.sequence.sequence_id)
                 self._report_end(attempt_end_of_failure(True), reason=FailureReason.TRUNCATED_BODY)
@@ -219,7 +241,7 @@
         except EventStreamError:
             is_complete = False
         else:
-            is_complete = parser.is_done or not self._ends_with_connection
+            is_complete = parser.is_done or self.framing is not Framing.CONNECTION
         if not is_complete:
             self._report_end(attempt_end_of_failure(True), reason=FailureReason.TRUNCATED_STREAM)
             return
@@ -248,12 +270,7 @@
     ) -> None:
         self.client.stream_monitor.remove(self)
         if reason is not None:
-            self.client.log(
-                LogEvent.ATTEMPT_FAILED,
-                sequence_id=self.attempt.sequence.sequence_id,
-                attempt=self.attempt.number,
-                reason=reason,
-            )
+            self._log_failure(reason)
         # For a rejected write, the executor takes a value above 0 to mean that the reader had no read state.
         cached_tokens = cached_tokens or float(end.is_state_missing)
         handle = True if end.outcome == contract.Outcome.READ else None
@@ -261,6 +278,32 @@
             self.attempt, end.outcome, cached_tokens, load or self._load_report, handle, token_count
         )
 
+    def _log_failure(self, reason: FailureReason) -> None:
+        self.client.failure_counts[reason.value] += 1
+        sequence_id = self.attempt.sequence.sequence_id
+        self.client.log(
+            LogEvent.ATTEMPT_FAILED, sequence_id=sequence_id, attempt=self.attempt.number, reason=reason
+        )
+        if self.attempt.is_streaming:
+            self.client.log(
+                LogEvent.STREAM_BROKEN,
+                sequence_id=sequence_id,
+                engine=self.client.directory.name(self.attempt.engine),
+                reason=reason,
+                silence_s=round(self.executor.clock.seconds() - self._last_event_at, 3),
+                **self.progress_fields(),
+            )
+
+    def progress_fields(self) -> dict[str, object]:
+        """Return what was received of the response, as fields of a log line."""
+        parser = self._event_parser
+        return {
+            "status": self.status,
+            "framing": self.framing,
+            "events": parser.event_count if parser is not None else 0,
+            "has_end_mark": parser is not None and parser.is_done,
+        }
+
 
 def response_handler(attempt: Attempt) -> AttemptResponseHandler | None:
     """Return the response handler of an attempt; None if the attempt was not started or has ended."""
--- a/myrtlehub/relay/engines/engine_client.py
+++ b/myrtlehub/relay/engines/engine_client.py
@@ -1,5 +1,6 @@
 """The engine transport over HTTP/1.1, for attempts, releases of read state, and probes."""
 
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol, runtime_checkable
@@ -62,6 +63,7 @@
         run_history: Requests that may have run and must not run again.
         releaser: Sends releases of read state.
         stream_monitor: Ends streams that make no progress.
+        failure_counts: Number of failed attempts, by the value of their `FailureReason`.
     """
 
     executor: ActionExecutor
@@ -86,6 +88,7 @@
         self.run_history = RunHistory(clock, decoder.engines, config)
         self.releaser = StateReleaser(clock, connections.cleanup, self.directory, log)
         self.stream_monitor = StreamMonitor(clock, max_incomplete_bytes)
+        self.failure_counts: Counter[str] = Counter()
 
     def attach(self, executor: ActionExecutor) -> None:
         """Set the executor that receives the outcomes, and observe the end of its attempts."""
@@ -111,6 +114,7 @@
             duration_s=round(now - attempt.sent_at, 4),
             timed_out=now >= attempt.times_out_at,
             longest_gap_s=round(handler.longest_event_gap, 2) if handler is not None else 0.0,
+            **(handler.progress_fields() if handler is not None else {}),
         )
         if handler is not None:
             # Break the reference cycle of attempt, request and handler. It would keep the client's request in
--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -39,6 +39,7 @@
         token_count: Number of generated tokens, as the usage event states it.
         load: The latest load report in the stream, if any.
         is_done: Whether the final event `[DONE]` was received.
+        event_count: Number of complete events, without comments.
     """
 
     def __init__(self) -> None:
@@ -47,6 +48,7 @@
         self.token_count = 0
         self.load: contract.LoadReport | None = None
         self.is_done = False
+        self.event_count = 0
 
     @property
     def incomplete_bytes(self) -> int:
@@ -98,7 +100,9 @@
         if event.startswith(b":"):
             if event.startswith(LOAD_COMMENT_PREFIX):
                 self._parse_load(event)
-        elif b'"usage"' in event:
+            return
+        self.event_count += 1
+        if b'"usage"' in event:
             self._parse_usage(event)
         elif event.endswith(DONE_MARKER):
             self.is_done = True
--- a/myrtlehub/relay/monitoring/invariant_monitor.py
+++ b/myrtlehub/relay/monitoring/invariant_monitor.py
@@ -49,6 +49,9 @@
     def release_counts(self) -> Mapping[str, int]:
         """Return the number of ended releases of read state by result."""
 
+    def attempt_failure_counts(self) -> Mapping[str, int]:
+        """Return the number of failed attempts by reason."""
+
 
 class InvariantMonitor(ExecutorObserver):
     """Checks invariants that span several code paths, such as overdue answers and stopped timers.
@@ -99,6 +102,7 @@
             in_flight=len(self.executor.in_flight),
             oldest_read_state_s=round(self._oldest_read_state_age(), 3),
             releases=dict(sorted(self.statistics.release_counts().items())),
+            attempt_failures=dict(sorted(self.statistics.attempt_failure_counts().items())),
             placements_postponed=self.statistics.postponed_placement_count(),
             worst_lag_s=round(self.statistics.max_lag(), 3),
             withheld=dict(sorted(self.counter.withheld.items())),
--- a/myrtlehub/relay/node.py
+++ b/myrtlehub/relay/node.py
@@ -248,6 +248,10 @@
         """Return the number of ended releases of read state, by result."""
         return self.engine_client.releaser.result_counts
 
+    def attempt_failure_counts(self) -> Mapping[str, int]:
+        """Return the number of failed attempts, by reason."""
+        return self.engine_client.failure_counts
+
     def pending_work(self) -> PendingWork:
         """Return the sequences, client connections and releases that are not finished."""
         return PendingWork(
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -8,6 +8,7 @@
 from relaymessages import DONE, EVENT, LAST_CHUNK, STREAM_HEAD, USAGE, chunk, stream_of
 from relayrig import RelayRig
 
+from myrtlehub.log_events import LogEvent
 from myrtlehub.relay.engines.event_stream import MAX_EVENT_BYTES, EventStreamParser
 from myrtlehub.relay.errors import EventStreamError
 from myrtlehub.routing import contract
@@ -164,3 +165,29 @@
     assert sum(client.lost for client in clients) >= 20 - limit // 100_000
     rig.run(5.0)
     assert monitor.incomplete_bytes == 0 and not monitor.streams
+
+
+def test_the_log_says_why_and_after_what_a_stream_broke() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: (
+        connection.send(STREAM_HEAD + chunk(EVENT)),
+        rig.clock.callLater(0.01, rig.net.cut, connection.transport, True),
+    )
+    rig.request("a1")
+    rig.run(0.1)
+    broken = [logged.fields for logged in rig.logged if logged.event == LogEvent.STREAM_BROKEN]
+    assert [fields["reason"] for fields in broken] == ["connection_failed"]
+    assert broken[0].items() >= {"sequence_id": "a1", "engine": "w1", "framing": "chunked"}.items()
+    assert broken[0].items() >= {"status": 200, "events": 1, "has_end_mark": False}.items()
+    assert rig.node.attempt_failure_counts() == {"connection_failed": 1}
+    closed = [logged.fields for logged in rig.logged if logged.event == LogEvent.PEER_CONNECTION_CLOSED]
+    assert [fields["reason"] for fields in closed if fields["peer"] == "w1"] == ["closed_by_peer"]
+
+
+def test_the_log_says_why_a_request_was_not_accepted() -> None:
+    rig = RelayRig("w1")
+    rig.node.begin_shutdown()
+    rig.run(1.0)
+    assert rig.request("a1").statuses == [503]
+    rejected = [logged.fields for logged in rig.logged if logged.event == LogEvent.REQUEST_REJECTED]
+    assert [fields["reason"] for fields in rejected] == ["the node shuts down"]
