A stream is complete only if both its framing and its content have ended

Cause: a stream with chunks or a length counted as complete when its framing had ended, whatever its content was. Only a body that ends with its connection had to show its [DONE], and that mark was also seen in other fields, in texts and before further events; half an event, or an event in which the engine says that it failed, was passed on like any other.

Change: one class, ResponseCompleteness, decides by both ends. The event parser reads the data fields of an event, wants JSON in them, takes [DONE] as the end only where it is the whole data, after at least one event, and nothing may follow it. A broken first event leaves the request free to be retried; later ones end the client's stream without the last chunk. A failed stream's engine may still run, so its read state is released twice, as after a cancel.

Read and written by the same class: the silence of a stream is now decided in sender_activity, with the same limits as before.

--- a/myrtlehub/clock.py
+++ b/myrtlehub/clock.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+TIMER_TOLERANCE_S = 0.001  # a timer may fire early by this much
+
 
 class Timer(Protocol):
     """A scheduled call, such as Twisted's `IDelayedCall`."""
--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -15,9 +15,11 @@
 from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.headers import Header
 from myrtlehub.http1.input_buffer import InputBuffer
+from myrtlehub.http1.receive_activity import ReceiveActivity
 from myrtlehub.http1.tcp_transport import TcpProtocol, abortive_close, is_orderly_close
 from myrtlehub.http1.timeout import Timeout
 
+MAX_PARTIAL_LINE_BYTES = 256  # of the size line of a chunk with its extensions, while it is incomplete
 CHUNK_END_BYTES = 2  # the line end after a chunk, which the parser reads with the next chunk
 _ParserEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
@@ -40,6 +42,7 @@
         self.is_request_sent = False
         self.is_closed = False
         self.has_completed_request = False
+        self.activity = ReceiveActivity(self.clock)
         self._input = InputBuffer()
         self._is_parsing_deferred = False
         self._is_response_paused = False
@@ -60,6 +63,7 @@
         self._is_chunked = False
         self._is_inside_chunk = False
         self._informational_count = 0
+        self.activity.restart()
         self._unwritten_data = self._serialize(pending.request, pending.address)
         self.transport.registerProducer(self, False)
 
@@ -90,6 +94,7 @@
         if self.pending is None:
             self.close(PeerCloseReason.SURPLUS_DATA)
             return
+        self.activity.record()
         self._input.append(data)
         self.pool.parse_scheduler.data_received(self)
 
@@ -187,8 +192,8 @@
         return True
 
     def has_partial_data(self) -> bool:
-        """Return whether the peer has sent an incomplete chunk or chunk size line."""
-        return self._is_inside_chunk or self._unparsed_bytes() > 0
+        """Return whether the peer has sent an incomplete chunk, or size line of usual length."""
+        return self._is_inside_chunk or 0 < self._unparsed_bytes() <= MAX_PARTIAL_LINE_BYTES
 
     def _is_reusable(self) -> bool:
         http = self.http
--- a/myrtlehub/http1/client_interfaces.py
+++ b/myrtlehub/http1/client_interfaces.py
@@ -7,6 +7,7 @@
 from myrtlehub.http1.client_request import ClientRequest, ResponseHandler
 from myrtlehub.http1.close_reason import PeerCloseReason
 from myrtlehub.http1.parse_scheduler import ParseScheduler
+from myrtlehub.http1.receive_activity import ReceiveActivity
 from myrtlehub.http1.tcp_transport import Transport
 
 
@@ -41,6 +42,7 @@
         is_request_sent: Whether the last byte of the current request has been sent.
         has_completed_request: Whether an earlier request was completed on this connection.
         transport: TCP transport of the connection.
+        activity: When the peer has sent data of the current response.
     """
 
     peer: str
@@ -50,12 +52,13 @@
     is_request_sent: bool
     has_completed_request: bool
     transport: Transport
+    activity: ReceiveActivity
 
     def send_request(self, pending: OutstandingRequest) -> None:
         """Send a request; the connection has to be idle."""
 
     def has_partial_data(self) -> bool:
-        """Return whether the peer has sent an incomplete chunk or chunk size line."""
+        """Return whether the peer has sent an incomplete chunk, or size line of usual length."""
 
     def pause_response(self) -> None:
         """Stop reading and parsing the response."""
--- a/myrtlehub/relay/discovery/discovery_client.py
+++ b/myrtlehub/relay/discovery/discovery_client.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from myrtlehub.clock import Clock, Timer
+from myrtlehub.clock import TIMER_TOLERANCE_S, Clock, Timer
 from myrtlehub.http1.body_buffer import BodyBuffer
 from myrtlehub.http1.client_request import ClientRequest, RequestFailure, ResponseHandler
 from myrtlehub.http1.connection_pool import ConnectionPool
@@ -36,7 +36,6 @@
 # discovery was notified of the drain.
 RETRY_INTERVAL_S = 0.12
 MAX_LIST_BYTES = 4 * 1024 * 1024  # limit for the body of a response
-TIMER_TOLERANCE_S = 0.001  # a timer may fire early by this much
 STATUS_OK = 200
 
 
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -1,8 +1,6 @@
 """Handles the response to an attempt, and reports tokens and the outcome to the action executor."""
 
 from collections import Counter
-from collections.abc import Mapping
-from enum import StrEnum
 from typing import Protocol
 
 import msgspec
@@ -10,62 +8,26 @@
 from myrtlehub.http1.body_buffer import BodyBuffer
 from myrtlehub.http1.bounds import MAX_SMALL_RESPONSE_BYTES
 from myrtlehub.http1.client_request import RequestFailure, ResponseHandler
+from myrtlehub.http1.framing import Framing, framing_of
 from myrtlehub.http1.headers import Headers
 from myrtlehub.http1.pending_request import PendingRequest
 from myrtlehub.log_events import Log, LogEvent
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.sequences import Attempt
 from myrtlehub.relay.engines.engine_directory import EngineDirectory
-from myrtlehub.relay.engines.event_stream import EventStreamParser
+from myrtlehub.relay.engines.failure_reason import FailureReason
 from myrtlehub.relay.engines.response_outcomes import (
     AttemptEnd,
     attempt_end_of_failure,
     attempt_end_of_response,
 )
+from myrtlehub.relay.engines.response_stream import ResponseStream
 from myrtlehub.relay.engines.stream_monitor import StreamMonitor
 from myrtlehub.relay.engines.uncertain_attempts import UncertainAttempts
 from myrtlehub.relay.errors import AttemptEndedError, EventStreamError
 from myrtlehub.relay.parsing import parse_load_report
 from myrtlehub.routing import contract
-
-# Limit for receiving the rest of the first event. Engines write an event in one piece, and until the first
-# one is complete, the request may be retried.
-INCOMPLETE_EVENT_TIMEOUT_S = 2.5
-# Limit for the time between two events, and from the last one to the end of the stream. A running engine may
-# pause for seconds, and the platform has a client wait for 5 s; the rest is for delays of this process.
-SILENCE_TIMEOUT_S = 4.88
-
-
-TIMER_TOLERANCE_S = 0.001  # a timer may fire early by this much
-
-
-class FailureReason(StrEnum):
-    """Why an attempt failed; the values are logged, and documented in docs/operators/relay.md."""
-
-    MALFORMED_EVENT = "malformed_event"
-    BODY_TOO_LARGE = "body_too_large"
-    MEMORY_LIMIT = "memory_limit"
-    TRUNCATED_STREAM = "truncated_stream"
-    TRUNCATED_BODY = "truncated_body"
-    INCOMPLETE_EVENT_TIMEOUT = "incomplete_event_timeout"
-    SILENCE_TIMEOUT = "silence_timeout"
-    NOT_SENT = "not_sent"
-    CONNECTION_FAILED = "connection_failed"
-
-
-class Framing(StrEnum):
-    """What shows the end of a response's body; the values are logged."""
-
-    CHUNKED = "chunked"  # the last chunk
-    LENGTH = "length"  # the number of its bytes
-    CONNECTION = "connection"  # the end of the connection, which may also cut it off
-
-
-def _framing_of(fields: Mapping[bytes, bytes]) -> Framing:
-    """Return the framing that header fields declare (RFC 9112, section 6.3)."""
-    if b"transfer-encoding" in fields:
-        return Framing.CHUNKED
-    return Framing.LENGTH if b"content-length" in fields else Framing.CONNECTION
+from myrtlehub.state.response_completeness import MissingEnd
 
 
 class _ReadResult(msgspec.Struct):
@@ -85,13 +47,15 @@
     failure_counts: Counter[str]
     log: Log
 
+    def is_at_most_once(self, attempt: Attempt) -> bool:
+        """Return whether the sequence of an attempt must not be executed twice."""
+
 
 class AttemptResponseHandler(ResponseHandler):
     """Handles the response to one attempt.
 
     Attributes:
         pending: The request; None once the attempt has ended.
-        longest_event_gap: The longest time between two events so far, in seconds.
         status: Status of the response; None before its head.
         framing: What shows the end of the response's body; None before its head.
         was_sent: Whether the request had been sent completely when the attempt was cancelled.
@@ -102,31 +66,33 @@
         self.executor = client.executor
         self.attempt = attempt
         self.pending: PendingRequest | None = None
-        self.longest_event_gap = 0.0
         self.was_sent = False
         self._end: AttemptEnd | None = None  # None until the head is received
         self.status: int | None = None
         self.framing: Framing | None = None
-        self._event_parser: EventStreamParser | None = None  # None unless the response is a stream
+        self._stream: ResponseStream | None = None  # None unless the response is a stream
         self._load_report: contract.LoadReport | None = None
         self._body = BodyBuffer(MAX_SMALL_RESPONSE_BYTES)
-        self._last_event_at = 0.0
-        self._incomplete_since: float | None = None  # start of an incomplete event, chunk or stream end
+
+    @property
+    def longest_event_gap(self) -> float:
+        """The longest time between two events so far, in seconds."""
+        return 0.0 if self._stream is None else self._stream.longest_event_gap
 
     def on_head(self, status: int, headers: Headers) -> None:
         """Determine the outcome from the status and the headers."""
         fields = dict(headers)
         self.client.directory.record_contact(self.attempt.engine)
         self.status = status
-        self.framing = _framing_of(fields)
+        self.framing = framing_of(fields)
         end = self._end = attempt_end_of_response(
             self.attempt.is_read, status, fields.get(b"x-turned-away") == b"1"
         )
         if b"x-pressure" in fields:
             self._load_report = parse_load_report(fields[b"x-pressure"])
         if end.outcome == contract.Outcome.GENERATED:
-            self._event_parser = EventStreamParser()
-            self._last_event_at = self.executor.clock.seconds()
+            may_retry = not self.client.is_at_most_once(self.attempt)
+            self._stream = ResponseStream(self.executor.clock, may_retry)
             self.client.stream_monitor.add(self)
         elif end.outcome != contract.Outcome.READ:
             pending = self._outstanding_request()
@@ -137,66 +103,56 @@
         """Pass the complete events of a stream to the executor, or store the body of a read's response."""
         if self.pending is None:
             return  # the attempt ended when the head was received
-        if self._event_parser is not None:
-            self._on_stream_data(self._event_parser, data)
+        if self._stream is not None:
+            self._on_stream_data(self._stream, data)
         else:
             self._body.append(data)
             if self._body.is_too_large:
                 self.fail(FailureReason.BODY_TOO_LARGE)
 
-    def _on_stream_data(self, parser: EventStreamParser, data: bytes) -> None:
+    def _on_stream_data(self, stream: ResponseStream, data: bytes) -> None:
         try:
-            events = parser.feed(data)
+            events = stream.feed(data)
         except EventStreamError:
             self.fail(FailureReason.MALFORMED_EVENT)
             return
+        attempt = self.attempt
         if events:
-            now = self.executor.clock.seconds()
-            attempt = self.attempt
             self.client.directory.record_contact(attempt.engine)
-            self.longest_event_gap = max(self.longest_event_gap, now - self._last_event_at)
-            self._last_event_at = now
             if attempt.is_streaming:
                 self.executor.tokens_received(attempt, events)
+            elif stream.has_failed:
+                self.fail(FailureReason.ENGINE_ERROR)
+                return
             elif attempt.is_outstanding:
                 self.executor.attempt_began(attempt, events)
-        self.client.stream_monitor.record_incomplete(self, parser.incomplete_bytes)
+        self.client.stream_monitor.record_incomplete(self, stream.incomplete_bytes)
 
     def _outstanding_request(self) -> PendingRequest:
         if self.pending is None:
             raise AttemptEndedError(self.attempt.sequence.sequence_id, self.attempt.number)
         return self.pending
 
-    def _is_incomplete(self) -> bool:
-        """Return whether an event, a chunk or, after `[DONE]`, the body is incomplete."""
-        parser = self._event_parser
-        connection = self._outstanding_request().connection
-        return (parser is not None and (parser.incomplete_bytes > 0 or parser.is_done)) or (
-            connection is not None and connection.has_partial_data()
-        )
-
     @property
     def due_at(self) -> float:
-        """Clock time in seconds at which the stream ends unless an event is received."""
-        return self._last_event_at + SILENCE_TIMEOUT_S
+        """Clock time in seconds at which the stream ends unless more of it is received."""
+        connection = None if self.pending is None else self.pending.connection
+        return self._open_stream().due_at(connection)
+
+    def _open_stream(self) -> ResponseStream:
+        if self._stream is None:
+            raise AttemptEndedError(self.attempt.sequence.sequence_id, self.attempt.number)
+        return self._stream
 
     def check_progress(self, now: float) -> None:
-        """Fail the attempt if the first event stays incomplete, or no event is received, for too long.
-
-        Received bytes that do not complete an event do not count as progress
-        (test_an_endless_chunk_ends_the_stream_within_5_s).
-        """
-        if self._outstanding_request().is_paused:
-            self._incomplete_since = None
-            self._last_event_at = now  # the client delays the stream, not the engine
-        elif self.attempt.is_streaming or not self._is_incomplete():
-            self._incomplete_since = None
-        elif self._incomplete_since is None:
-            self._incomplete_since = now
-        if self._incomplete_since is not None and now - self._incomplete_since > INCOMPLETE_EVENT_TIMEOUT_S:
-            self.fail(FailureReason.INCOMPLETE_EVENT_TIMEOUT)
-        elif now >= self.due_at - TIMER_TOLERANCE_S:
-            self.fail(FailureReason.SILENCE_TIMEOUT)
+        """Fail the attempt if its engine does not send the stream any more; see `sender_activity`."""
+        pending, stream = self._outstanding_request(), self._open_stream()
+        if pending.is_paused:
+            stream.restart_silence(pending.connection)  # the client delays the stream, not the engine
+            return
+        reason = stream.failure(now, pending.connection)
+        if reason is not None:
+            self.fail(reason)
 
     def fail_for_memory(self) -> None:
         """End the stream, because the incomplete events of all streams take too much memory."""
@@ -205,6 +161,7 @@
     def fail(self, reason: FailureReason) -> None:
         """Close the connection, and report a failure after which the request may have been executed."""
         self._outstanding_request().cancel()
+        self.client.uncertain_attempts.add(self.attempt.sequence.sequence_id)
         self._report_end(attempt_end_of_failure(True), reason=reason)
 
     def cancel(self) -> None:
@@ -218,8 +175,8 @@
         """End the attempt after a complete response was received."""
         if self._end is None:
             return
-        if self._event_parser is not None:
-            self._complete_stream(self._end, self._event_parser)
+        if self._stream is not None:
+            self._complete_stream(self._end, self._stream)
         elif self._end.outcome == contract.Outcome.READ:
             self._complete_read(self._end)
 
@@ -235,20 +192,14 @@
             cached_tokens = 0.0
         self._report_end(end, cached_tokens, self._load_report)
 
-    def _complete_stream(self, end: AttemptEnd, parser: EventStreamParser) -> None:
-        try:
-            parser.end()
-        except EventStreamError:
-            is_complete = False
-        else:
-            is_complete = parser.is_done or self.framing is not Framing.CONNECTION
-        if not is_complete:
-            self._report_end(attempt_end_of_failure(True), reason=FailureReason.TRUNCATED_STREAM)
-            return
-        if self.attempt.is_streaming:
-            self._report_end(end, parser.cached_tokens, parser.load or self._load_report, parser.token_count)
+    def _complete_stream(self, end: AttemptEnd, stream: ResponseStream) -> None:
+        missing = stream.end()
+        if missing is None:
+            self._report_end(end, stream.cached_tokens, stream.load or self._load_report, stream.token_count)
         else:
-            self._report_end(attempt_end_of_failure(True))  # a stream without events is a failure
+            self._report_end(
+                attempt_end_of_failure(True), reason=FailureReason.TRUNCATED_STREAM, missing=missing
+            )
 
     def on_failure(self, failure: RequestFailure) -> None:
         """Report a failure; if the request was sent completely, the engine may have executed it."""
@@ -267,10 +218,11 @@
         load: contract.LoadReport | None = None,
         token_count: int = 0,
         reason: FailureReason | None = None,
+        missing: MissingEnd | None = None,
     ) -> None:
         self.client.stream_monitor.remove(self)
         if reason is not None:
-            self._log_failure(reason)
+            self._log_failure(reason, missing)
         # For a rejected write, the executor takes a value above 0 to mean that the reader had no read state.
         cached_tokens = cached_tokens or float(end.is_state_missing)
         handle = True if end.outcome == contract.Outcome.READ else None
@@ -278,7 +230,7 @@
             self.attempt, end.outcome, cached_tokens, load or self._load_report, handle, token_count
         )
 
-    def _log_failure(self, reason: FailureReason) -> None:
+    def _log_failure(self, reason: FailureReason, missing: MissingEnd | None) -> None:
         self.client.failure_counts[reason.value] += 1
         sequence_id = self.attempt.sequence.sequence_id
         self.client.log(
@@ -290,18 +242,19 @@
                 sequence_id=sequence_id,
                 engine=self.client.directory.name(self.attempt.engine),
                 reason=reason,
-                silence_s=round(self.executor.clock.seconds() - self._last_event_at, 3),
+                missing=missing,
+                silence_s=round(self._open_stream().silence, 3),
                 **self.progress_fields(),
             )
 
     def progress_fields(self) -> dict[str, object]:
         """Return what was received of the response, as fields of a log line."""
-        parser = self._event_parser
+        stream = self._stream
         return {
             "status": self.status,
             "framing": self.framing,
-            "events": parser.event_count if parser is not None else 0,
-            "has_end_mark": parser is not None and parser.is_done,
+            "events": 0 if stream is None else stream.event_count,
+            "has_end_mark": stream is not None and stream.completeness.has_content_end,
         }
 
 
--- a/myrtlehub/relay/engines/engine_client.py
+++ b/myrtlehub/relay/engines/engine_client.py
@@ -215,11 +215,14 @@
         """
         if attempt.claimed_state is not None:
             return True
-        sequence = attempt.sequence
-        return self.decoder.traffic_types[sequence.arrival.traffic].is_at_most_once and (
-            not attempt.is_read or sequence.sequence_id in self.uncertain_attempts
+        return self.is_at_most_once(attempt) and (
+            not attempt.is_read or attempt.sequence.sequence_id in self.uncertain_attempts
         )
 
+    def is_at_most_once(self, attempt: Attempt) -> bool:
+        """Return whether the sequence of an attempt must not be executed twice."""
+        return self.decoder.traffic_types[attempt.sequence.arrival.traffic].is_at_most_once
+
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt; see `EngineTransport`."""
         self.uncertain_attempts.add(attempt.sequence.sequence_id)
--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -1,16 +1,23 @@
 """Parser for the server-sent events of an engine's response stream. It does no I/O."""
 
+import re
+
 import msgspec
 
-from myrtlehub.relay.errors import EventStreamError
-from myrtlehub.relay.parsing import parse_load_report
+from myrtlehub.relay.errors import EventStreamError, MalformedJsonError
+from myrtlehub.relay.parsing import parse_json, parse_load_report
 from myrtlehub.routing import contract
+from myrtlehub.state.response_completeness import ResponseCompleteness
 
 MAX_EVENT_BYTES = 128 * 1024  # an event has only a few tokens; a longer one is malformed
 EVENT_PREFIXES = (b"data:", b":", b"event:", b"id:", b"retry:")  # the lone colon starts a comment
-EVENT_END = b"\n\n"
-# Bytes that show whether an event has a valid prefix, after the one line end that may precede it.
-EVENT_START_BYTES = 1 + max(map(len, EVENT_PREFIXES))
+DATA_FIELD = b"data:"
+# Bytes that show whether an event has a valid prefix, after the line end that may precede it.
+EVENT_START_BYTES = 2 + max(map(len, EVENT_PREFIXES))
+EVENT_ENDS = (b"\n\n", b"\n\r\n")
+MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
+EVENT_SEPARATOR = re.compile(b"|".join(EVENT_ENDS))
+LINE_ENDS = b"\r\n"
 DONE_MARKER = b"[DONE]"
 LOAD_COMMENT_PREFIX = b": X-Pressure:"
 
@@ -24,11 +31,12 @@
     completion_tokens: float = 0.0
 
 
-class _UsageEvent(msgspec.Struct):
+class _StreamEvent(msgspec.Struct):
     usage: _Usage | None = None
+    error: object = None
 
 
-_usage_decoder = msgspec.json.Decoder(_UsageEvent)
+_event_decoder = msgspec.json.Decoder(_StreamEvent)
 
 
 class EventStreamParser:
@@ -38,8 +46,8 @@
         cached_tokens: Number of prompt tokens that the engine had cached, as the usage event states it.
         token_count: Number of generated tokens, as the usage event states it.
         load: The latest load report in the stream, if any.
-        is_done: Whether the final event `[DONE]` was received.
-        event_count: Number of complete events, without comments.
+        completeness: Whether the stream is complete; its content ends with the event `[DONE]`.
+        event_count: Number of complete events with data, among them `[DONE]`.
     """
 
     def __init__(self) -> None:
@@ -47,7 +55,7 @@
         self.cached_tokens = 0.0
         self.token_count = 0
         self.load: contract.LoadReport | None = None
-        self.is_done = False
+        self.completeness = ResponseCompleteness()
         self.event_count = 0
 
     @property
@@ -61,73 +69,120 @@
         Only the new data is searched, so the cost of an event does not grow with the number of its parts.
 
         Raises:
-            EventStreamError: The data is not an event stream, or an event is too long.
+            EventStreamError: The data is not an event stream, an event is too long or malformed, or it comes
+                after the end of the content.
         """
-        # The first byte of the end of an event may have been the last one received.
-        search_from = max(0, len(self._incomplete) - 1)
+        # The first bytes of the end of an event may have been the last ones received.
+        search_from = max(0, len(self._incomplete) - (MAX_EVENT_END_BYTES - 1))
         self._incomplete += data
         complete = self._take_complete_events(search_from)
-        for event in complete.split(EVENT_END) if complete else ():
-            if event:
-                self._process_event(event.lstrip(b"\n"))
+        for event in _split_events(complete):
+            self._process_event(event)
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise EventStreamError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-        if not self._is_event_start(self._incomplete[:EVENT_START_BYTES].lstrip(b"\n")):
+        if not _is_event_start(self._incomplete[:EVENT_START_BYTES].lstrip(LINE_ENDS)):
             raise EventStreamError("the data is not the start of an event")
         return complete
 
     def _take_complete_events(self, search_from: int) -> bytes:
         """Remove and return all complete events; the end of the last one is not before `search_from`."""
-        position = self._incomplete.rfind(EVENT_END, search_from)
-        if position < 0:
+        end = max(_end_after_last(self._incomplete, mark, search_from) for mark in EVENT_ENDS)
+        if not end:
             return b""
-        end = position + len(EVENT_END)
         complete = bytes(self._incomplete[:end])
         del self._incomplete[:end]
         return complete
 
-    @staticmethod
-    def _is_event_start(text: bytes | bytearray) -> bool:
-        """Return whether the text can be the start of an event."""
-        return not text or any(
-            text.startswith(prefix) or prefix.startswith(text) for prefix in EVENT_PREFIXES
-        )
-
     def _process_event(self, event: bytes) -> None:
-        """Validate a complete event, and store its usage, load report or `[DONE]` marker, if any."""
+        """Validate a complete event, and store what it states."""
         if not event.startswith(EVENT_PREFIXES):
             raise EventStreamError("the data is not the start of an event")
-        if event.startswith(b":"):
-            if event.startswith(LOAD_COMMENT_PREFIX):
-                self._parse_load(event)
+        if event.startswith(LOAD_COMMENT_PREFIX):
+            self._parse_load(event)
+        data = _data_of(event)
+        if not data:  # a comment, or an event that the standard has clients ignore
             return
+        if self.completeness.has_content_end:
+            raise EventStreamError("the stream goes on after its end")
+        if data == DONE_MARKER:
+            self._process_end_marker()
+        else:
+            self._process_data(data)
         self.event_count += 1
-        if b'"usage"' in event:
-            self._parse_usage(event)
-        elif event.endswith(DONE_MARKER):
-            self.is_done = True
 
-    def _parse_load(self, comment: bytes) -> None:
-        self.load = parse_load_report(comment[len(LOAD_COMMENT_PREFIX) :].strip()) or self.load
+    def _process_end_marker(self) -> None:
+        if not self.event_count:
+            raise EventStreamError("the stream ends before its first event")
+        self.completeness.content_ended()
 
-    def _parse_usage(self, event: bytes) -> None:
-        try:
-            usage = _usage_decoder.decode(event.partition(b":")[2].strip()).usage
-        except (msgspec.DecodeError, ValueError, RecursionError):
-            return
-        if usage is not None:
-            self.token_count = int(usage.completion_tokens)
-            if usage.prompt_tokens_details is not None:
-                self.cached_tokens = usage.prompt_tokens_details.cached_tokens
+    def _process_data(self, data: bytes) -> None:
+        self.completeness.part_received()
+        fields = _decode_fields(data)
+        if fields.error is not None:
+            self.completeness.content_failed()
+        if fields.usage is not None:
+            self._store_usage(fields.usage)
+
+    def _store_usage(self, usage: _Usage) -> None:
+        self.token_count = int(usage.completion_tokens)
+        if usage.prompt_tokens_details is not None:
+            self.cached_tokens = usage.prompt_tokens_details.cached_tokens
+
+    def _parse_load(self, comment: bytes) -> None:
+        first_line = comment.partition(b"\n")[0]
+        self.load = parse_load_report(first_line[len(LOAD_COMMENT_PREFIX) :].strip()) or self.load
 
     def end(self) -> None:
-        """Process the end of the stream.
+        """Process the end of the response, as its framing shows it.
 
         Raises:
             EventStreamError: The last event is incomplete. A final comment needs no blank line after it.
         """
-        incomplete = bytes(self._incomplete).strip(b"\n")
+        self.completeness.framing_ended()
+        incomplete = bytes(self._incomplete).strip(LINE_ENDS)
         if incomplete.startswith(LOAD_COMMENT_PREFIX):
             self._parse_load(incomplete)
         elif incomplete and not incomplete.startswith(b":"):
             raise EventStreamError("the stream ends within an event")
+
+
+def _end_after_last(text: bytearray, mark: bytes, search_from: int) -> int:
+    """Return the position after the last mark that does not begin before `search_from`; 0 without one."""
+    position = text.rfind(mark, search_from)
+    return position + len(mark) if position >= 0 else 0
+
+
+def _split_events(text: bytes) -> list[bytes]:
+    """Return complete events without the blank lines after them."""
+    events = EVENT_SEPARATOR.split(text) if b"\r" in text else text.split(EVENT_ENDS[0])
+    return [event for event in (part.lstrip(LINE_ENDS) for part in events) if event]
+
+
+def _is_event_start(text: bytes | bytearray) -> bool:
+    """Return whether the text can be the start of an event."""
+    return not text or any(text.startswith(prefix) or prefix.startswith(text) for prefix in EVENT_PREFIXES)
+
+
+def _data_of(event: bytes) -> bytes | None:
+    """Return the data of an event, joined from all of its data fields; None if it has none."""
+    if b"\n" not in event:
+        return event[len(DATA_FIELD) :].strip() if event.startswith(DATA_FIELD) else None
+    fields = [line[len(DATA_FIELD) :] for line in event.split(b"\n") if line.startswith(DATA_FIELD)]
+    return b"\n".join(fields).strip() if fields else None
+
+
+def _decode_fields(data: bytes) -> _StreamEvent:
+    """Return the fields that the router uses; the defaults if they have other types.
+
+    Raises:
+        EventStreamError: The data is not JSON.
+    """
+    try:
+        return _event_decoder.decode(data)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        pass
+    try:
+        parse_json(data)
+    except MalformedJsonError as error:
+        raise EventStreamError(f"the data of an event {error}") from error
+    return _StreamEvent()
--- /dev/null
+++ b/myrtlehub/relay/engines/response_stream.py
@@ -0,0 +1,121 @@
+"""The stream of one response: its events, whether it is complete, and how long its engine has been silent."""
+
+from myrtlehub.clock import TIMER_TOLERANCE_S, Clock
+from myrtlehub.http1.client_interfaces import PooledConnection
+from myrtlehub.relay.engines.event_stream import EventStreamParser
+from myrtlehub.relay.engines.failure_reason import FailureReason
+from myrtlehub.relay.engines.sender_activity import Activity, due_at
+from myrtlehub.relay.errors import EventStreamError
+from myrtlehub.routing import contract
+from myrtlehub.state.response_completeness import MissingEnd, ResponseCompleteness
+
+
+class ResponseStream:
+    """The stream of one response.
+
+    Args:
+        clock: The node's clock.
+        may_retry: Whether the request may be executed again before the first event of its stream.
+
+    Attributes:
+        longest_event_gap: The longest time between two events so far, in seconds.
+    """
+
+    def __init__(self, clock: Clock, may_retry: bool) -> None:
+        self.longest_event_gap = 0.0
+        self._clock = clock
+        self._may_retry = may_retry
+        self._parser = EventStreamParser()
+        self._last_event_at = clock.seconds()
+
+    @property
+    def completeness(self) -> ResponseCompleteness:
+        """Whether the stream is complete."""
+        return self._parser.completeness
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether the engine has sent an event that says that it failed."""
+        return not self.completeness.is_content_valid
+
+    @property
+    def event_count(self) -> int:
+        """Number of complete events with data."""
+        return self._parser.event_count
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes received of an event that is not complete yet."""
+        return self._parser.incomplete_bytes
+
+    @property
+    def cached_tokens(self) -> float:
+        """Number of prompt tokens that the engine had cached, as it states."""
+        return self._parser.cached_tokens
+
+    @property
+    def token_count(self) -> int:
+        """Number of generated tokens, as the engine states."""
+        return self._parser.token_count
+
+    @property
+    def load(self) -> contract.LoadReport | None:
+        """The latest load report in the stream, if any."""
+        return self._parser.load
+
+    @property
+    def silence(self) -> float:
+        """Seconds since the latest event."""
+        return self._clock.seconds() - self._last_event_at
+
+    def feed(self, data: bytes) -> bytes:
+        """Add received data, and return the bytes of complete events and comments.
+
+        Raises:
+            EventStreamError: The data does not belong to an event stream.
+        """
+        was_ended = self.completeness.has_content_end
+        complete = self._parser.feed(data)
+        if complete and not was_ended:
+            self.longest_event_gap = max(self.longest_event_gap, self.silence)
+            self._last_event_at = self._clock.seconds()
+        return complete
+
+    def end(self) -> MissingEnd | None:
+        """Process the end of the framing; return what the stream lacks, or None if it is complete."""
+        try:
+            self._parser.end()
+        except EventStreamError:
+            return MissingEnd.CONTENT
+        return self.completeness.missing
+
+    def restart_silence(self, connection: PooledConnection | None) -> None:
+        """Count silence from now, because the stream is not read at present."""
+        self._last_event_at = self._clock.seconds()
+        if connection is not None:
+            connection.activity.restart()
+
+    def due_at(self, connection: PooledConnection | None) -> float:
+        """Return the clock time in seconds at which the stream ends unless more of it is received."""
+        return due_at(self._activity(connection))
+
+    def _activity(self, connection: PooledConnection | None) -> Activity:
+        return Activity(
+            last_event_at=self._last_event_at,
+            last_byte_at=self._last_event_at if connection is None else connection.activity.last_at,
+            longest_pause_s=0.0 if connection is None else connection.activity.longest_pause_s,
+            has_begun=self.event_count > 0,
+            is_partial=self._is_partial(connection),
+            has_content_end=self.completeness.has_content_end,
+            may_retry=self._may_retry,
+        )
+
+    def _is_partial(self, connection: PooledConnection | None) -> bool:
+        return self._parser.incomplete_bytes > 0 or (connection is not None and connection.has_partial_data())
+
+    def failure(self, now: float, connection: PooledConnection | None) -> FailureReason | None:
+        """Return why the stream has to end now; None if its engine may still be sending it."""
+        if now >= self.due_at(connection) - TIMER_TOLERANCE_S:
+            is_first = self.event_count == 0 and self._is_partial(connection)
+            return FailureReason.INCOMPLETE_EVENT_TIMEOUT if is_first else FailureReason.SILENCE_TIMEOUT
+        return None
--- a/myrtlehub/state/__init__.py
+++ b/myrtlehub/state/__init__.py
@@ -3,6 +3,8 @@
     state_machine      generic state machines and transition tables
     attempt, answer    transition tables for an attempt and for the answer of a sequence
     read_state         transition table for the read state that a reader keeps for a sequence
+    response_completeness
+                       whether a response whose content marks its own end is complete
     invariants         conditions checked on each send, connection close, final answer and sequence removal
     model              data types of the model: nodes, engines, sequences and a network
     model_router, model_client, model_engine, model_node, model_faults
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -118,7 +118,7 @@
         parsed += events.feed(text[position : position + cut])
         position += cut
     events.end()
-    assert parsed == text and events.cached_tokens == 64.0 and events.is_done
+    assert parsed == text and events.cached_tokens == 64.0 and events.completeness.has_content_end
     assert events.load == contract.LoadReport(memory_share=0.5)
 
 
