A stream goes on as long as bytes of an event come, however slowly its engine writes

Cause: only complete events counted as a sign that the engine works. An event that took over 4.88 s to arrive, or a first event that took over 2.5 s, ended its stream; comments and line ends after [DONE] counted as events and kept a stream open that had ended.

Evidence: tests/relay/test_relay_slow_engines.py, a relay process and real sockets.

Change: sender_activity decides by the latest event and the latest byte. A silent stream ends 4.88 s after its last event as before. Bytes of an incomplete event or chunk extend this by 2.5 s, or by 1.25 times the longest pause that the stream has had (4.88 s at most). From 2.5 s on the part has to be the start of a valid event. After [DONE] nothing extends the time. The first event of a request that must not run twice has 4.88 s in place of 2.5 s, as ending it earlier serves nobody.

test_an_endless_chunk_ends_the_stream_within_5_s holds unchanged: its bytes cannot become an event.

--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -93,6 +93,7 @@
         if end.outcome == contract.Outcome.GENERATED:
             may_retry = not self.client.is_at_most_once(self.attempt)
             self._stream = ResponseStream(self.executor.clock, may_retry)
+            self._stream.restart_silence(self._outstanding_request().connection)
             self.client.stream_monitor.add(self)
         elif end.outcome != contract.Outcome.READ:
             pending = self._outstanding_request()
--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -20,6 +20,7 @@
 LINE_ENDS = b"\r\n"
 DONE_MARKER = b"[DONE]"
 LOAD_COMMENT_PREFIX = b": X-Pressure:"
+TRUNCATED_JSON = "Input data was truncated"  # the message of msgspec for a document that may go on
 
 
 class _PromptDetails(msgspec.Struct):
@@ -132,6 +133,14 @@
         first_line = comment.partition(b"\n")[0]
         self.load = parse_load_report(first_line[len(LOAD_COMMENT_PREFIX) :].strip()) or self.load
 
+    def may_go_on(self) -> bool:
+        """Return whether the received part of an incomplete event can be the start of a valid one."""
+        *lines, last_line = bytes(self._incomplete).lstrip(LINE_ENDS).split(b"\n")
+        if not (all(map(_is_event_start, lines)) and _is_event_start(last_line)):
+            return False
+        data = _data_of(bytes(self._incomplete).lstrip(LINE_ENDS))
+        return not data or DONE_MARKER.startswith(data) or _may_become_json(data)
+
     def end(self) -> None:
         """Process the end of the response, as its framing shows it.
 
@@ -186,3 +195,14 @@
     except MalformedJsonError as error:
         raise EventStreamError(f"the data of an event {error}") from error
     return _StreamEvent()
+
+
+def _may_become_json(data: bytes) -> bool:
+    """Return whether the data is JSON, or can be the start of a JSON document."""
+    try:
+        msgspec.json.decode(data)
+    except msgspec.DecodeError as error:
+        return str(error) == TRUNCATED_JSON
+    except (ValueError, RecursionError):
+        return False
+    return True
--- a/myrtlehub/relay/engines/response_stream.py
+++ b/myrtlehub/relay/engines/response_stream.py
@@ -4,7 +4,7 @@
 from myrtlehub.http1.client_interfaces import PooledConnection
 from myrtlehub.relay.engines.event_stream import EventStreamParser
 from myrtlehub.relay.engines.failure_reason import FailureReason
-from myrtlehub.relay.engines.sender_activity import Activity, due_at
+from myrtlehub.relay.engines.sender_activity import UNCHECKED_PART_S, Activity, due_at
 from myrtlehub.relay.errors import EventStreamError
 from myrtlehub.routing import contract
 from myrtlehub.state.response_completeness import MissingEnd, ResponseCompleteness
@@ -90,7 +90,7 @@
         return self.completeness.missing
 
     def restart_silence(self, connection: PooledConnection | None) -> None:
-        """Count silence from now, because the stream is not read at present."""
+        """Count silence from now: the stream begins, or its client does not let it be read."""
         self._last_event_at = self._clock.seconds()
         if connection is not None:
             connection.activity.restart()
@@ -118,4 +118,6 @@
         if now >= self.due_at(connection) - TIMER_TOLERANCE_S:
             is_first = self.event_count == 0 and self._is_partial(connection)
             return FailureReason.INCOMPLETE_EVENT_TIMEOUT if is_first else FailureReason.SILENCE_TIMEOUT
+        if self.silence >= UNCHECKED_PART_S and not self._parser.may_go_on():
+            return FailureReason.MALFORMED_EVENT
         return None
--- a/myrtlehub/relay/engines/sender_activity.py
+++ b/myrtlehub/relay/engines/sender_activity.py
@@ -1,6 +1,8 @@
 """Whether the engine of an open stream still sends it. All streams are ended by this decision. No I/O.
 
-A client may be left waiting for 5 s after the last event of an engine that runs (the operators' protocol).
+A client may be left waiting for 5 s after the last event of an engine that runs, and a stream that its engine
+still writes must not be cut off, however slowly (the operators' protocol). So silence is counted from the
+latest event, and bytes that do not complete an event extend the time, as long as they can belong to one.
 """
 
 from typing import NamedTuple
@@ -9,6 +11,12 @@
 SILENCE_TIMEOUT_S = 4.88
 # Limit for silence within the first event of a request that may be retried.
 FIRST_EVENT_TIMEOUT_S = 2.5
+# Limit for silence after bytes that do not complete an event: as long as the longest pause of this stream and
+# a part of it more, but at least this.
+MIN_PARTIAL_TIMEOUT_S = 2.5
+PAUSE_FACTOR = 1.25
+# Silence after which the received part of an event is checked: it must be the start of a valid event.
+UNCHECKED_PART_S = 2.5
 
 
 class Activity(NamedTuple):
@@ -39,5 +47,6 @@
     if activity.has_content_end or not activity.is_partial:
         return after_event
     if not activity.has_begun:
-        return min(after_event, activity.last_event_at + FIRST_EVENT_TIMEOUT_S)
-    return after_event
+        return activity.last_byte_at + (FIRST_EVENT_TIMEOUT_S if activity.may_retry else SILENCE_TIMEOUT_S)
+    pause = max(MIN_PARTIAL_TIMEOUT_S, PAUSE_FACTOR * activity.longest_pause_s)
+    return max(after_event, activity.last_byte_at + min(SILENCE_TIMEOUT_S, pause))
