A comment before the first event does not end the wait for the first token

Cause: the event parser returns complete comments and blank lines like events, and whatever it returned first counted as the first token: the attempt became the client's, and its deadline stopped.

Change: comments before the first event are kept back, as many as an event may have bytes, and passed on with it. Until then the deadline runs and the request may be retried.

--- a/myrtlehub/relay/engines/response_stream.py
+++ b/myrtlehub/relay/engines/response_stream.py
@@ -2,7 +2,7 @@
 
 from myrtlehub.clock import TIMER_TOLERANCE_S, Clock
 from myrtlehub.http1.client_interfaces import PooledConnection
-from myrtlehub.relay.engines.event_stream import EventStreamParser
+from myrtlehub.relay.engines.event_stream import MAX_EVENT_BYTES, EventStreamParser
 from myrtlehub.relay.engines.failure_reason import FailureReason
 from myrtlehub.relay.engines.sender_activity import UNCHECKED_PART_S, Activity, due_at
 from myrtlehub.relay.errors import EventStreamError
@@ -26,6 +26,7 @@
         self._clock = clock
         self._may_retry = may_retry
         self._parser = EventStreamParser()
+        self._early_comments = b""  # kept back, because the client's wait ends with what it gets first
         self._last_event_at = clock.seconds()
 
     @property
@@ -45,8 +46,8 @@
 
     @property
     def incomplete_bytes(self) -> int:
-        """Bytes received of an event that is not complete yet."""
-        return self._parser.incomplete_bytes
+        """Bytes held of what is not passed on yet."""
+        return self._parser.incomplete_bytes + len(self._early_comments)
 
     @property
     def cached_tokens(self) -> float:
@@ -69,7 +70,7 @@
         return self._clock.seconds() - self._last_event_at
 
     def feed(self, data: bytes) -> bytes:
-        """Add received data, and return the bytes of complete events and comments.
+        """Add received data, and return the bytes to pass on: none before the first event is complete.
 
         Raises:
             EventStreamError: The data does not belong to an event stream.
@@ -79,7 +80,13 @@
         if complete and not was_ended:
             self.longest_event_gap = max(self.longest_event_gap, self.silence)
             self._last_event_at = self._clock.seconds()
-        return complete
+        if self.event_count:
+            early_comments, self._early_comments = self._early_comments, b""
+            return early_comments + complete
+        self._early_comments += complete
+        if len(self._early_comments) > MAX_EVENT_BYTES:
+            raise EventStreamError(f"over {MAX_EVENT_BYTES} bytes of comments before the first event")
+        return b""
 
     def end(self) -> MissingEnd | None:
         """Process the end of the framing; return what the stream lacks, or None if it is complete."""
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -13,6 +13,8 @@
 from myrtlehub.relay.errors import EventStreamError
 from myrtlehub.routing import contract
 
+COMMENT = b": accepted\n\n"
+
 
 @pytest.mark.parametrize(
     "malformed",
@@ -167,6 +169,17 @@
     assert monitor.incomplete_bytes == 0 and not monitor.streams
 
 
+def test_comments_before_the_first_event_are_passed_on_with_it() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD + chunk(COMMENT))
+    client = rig.request("a1", remaining_ms=4000)
+    rig.run(3.0)
+    assert client.statuses == []
+    rig.engines["w1"].connections[0].send(chunk(EVENT + USAGE + DONE) + LAST_CHUNK)
+    rig.run(0.1)
+    assert stream_of(client.received) == COMMENT + EVENT + USAGE + DONE + b"<end>"
+
+
 def test_the_log_says_why_and_after_what_a_stream_broke() -> None:
     rig = RelayRig("w1")
     rig.engines["w1"].script = lambda connection, head, body: (
