An event may be as long as the platform's limit for a body

Seen by callers: a long answer that came in one event of over 128 KiB was cut off as malformed.

Change: the limit is 256 KiB. The limits for the incomplete events of all streams together are as before.

--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -9,7 +9,7 @@
 from myrtlehub.routing import contract
 from myrtlehub.state.response_completeness import ResponseCompleteness
 
-MAX_EVENT_BYTES = 128 * 1024  # an event has only a few tokens; a longer one is malformed
+MAX_EVENT_BYTES = 256 * 1024  # the platform's limit for a body
 EVENT_PREFIXES = (b"data:", b":", b"event:", b"id:", b"retry:")  # the lone colon starts a comment
 DATA_FIELD = b"data:"
 # Bytes that show whether an event has a valid prefix, after the line end that may precede it.
--- a/tests/relay/test_relay_slow_engines.py
+++ b/tests/relay/test_relay_slow_engines.py
@@ -13,6 +13,7 @@
 ENGINES = 40  # so many that none is ejected for its failures
 CLIENT_TIMEOUT_S = 40.0  # of tests that fail
 REST = USAGE + DONE
+LONG_EVENT = EVENT.replace(b"ab", b"ab" * 100_000)
 PING = b": ping\n\n"
 
 
@@ -63,6 +64,7 @@
     ],
     "the head in bytes": [Writes(STREAM_HEAD, 0.03, 1), Writes(chunk(EVENT)), END],
     "its last events in bytes": [BEGIN, Writes(chunk(REST), 0.05, 1), Writes(LAST_CHUNK)],
+    "a long event": [BEGIN, Writes(chunk(LONG_EVENT), 0.1, 3000), END],
     "with a length": [Writes(LENGTH_HEAD + EVENT), Writes(EVENT, 0.1, 1), Writes(REST)],
     "to the end of its connection": [Writes(CLOSE_HEAD + EVENT), Writes(EVENT, 0.1, 1), Writes(REST)],
 }
