A malformed gRPC message ends its own call alone

Seen by callers: one malformed reply of an engine broke all streams on its connection to a gRPC node; a client whose request was no message got INTERNAL in place of INVALID_ARGUMENT.

Cause: protobuf raises DecodeError, which is no ValueError, so the handlers of malformed replies and requests never ran, and the exception closed the HTTP/2 connection. A stream that a takeover had attached to failed the same way by an empty message. Found while reading by which sign each path knows that a message is whole.

Change: the handlers catch DecodeError. Otherwise the gRPC side is sound by reading: messages arrive whole and in order or not at all, a stream is complete only with its final reply, and the status alone completes nothing.

--- a/myrtlehub/node/batch_fronts/grpc_front.py
+++ b/myrtlehub/node/batch_fronts/grpc_front.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Generic, NamedTuple, TypeAlias, TypeVar
 
+from google.protobuf.message import DecodeError
+
 from myrtlehub.batching.result_merger import BatchAnswer, BatchOutcome
 from myrtlehub.config.traffic import Front
 from myrtlehub.node.batch_fronts.batch_request import BatchRequest, BatchSummary, IndexedResult
@@ -167,7 +169,7 @@
     def _parse(self, data: bytes) -> RequestT:
         try:
             request: RequestT = self._front.request_type.FromString(data)
-        except ValueError as error:
+        except DecodeError as error:
             name = self._front.request_type.__name__
             raise RpcError(Code.INVALID_ARGUMENT, f"not a {name}: {error}") from error
         return request
--- a/myrtlehub/node/chat_front/request_message.py
+++ b/myrtlehub/node/chat_front/request_message.py
@@ -1,5 +1,7 @@
 """Decodes the protobuf request of chat."""
 
+from google.protobuf.message import DecodeError
+
 from myrtlehub.node.request_decoder import DecodedRequest
 from myrtlehub.proto import chat_pb2 as pb
 from myrtlehub.rpc.status import Code, RpcError
@@ -13,7 +15,7 @@
     """
     try:
         message = pb.GenerateRequest.FromString(data)
-    except ValueError as error:
+    except DecodeError as error:
         raise RpcError(Code.INVALID_ARGUMENT, f"not a GenerateRequest: {error}") from error
     if is_resume != bool(message.resume.sequence):
         raise RpcError(Code.INVALID_ARGUMENT, "resume.sequence: has to be in Resume, and nowhere else")
--- a/myrtlehub/node/engine_transport/attempt_watcher.py
+++ b/myrtlehub/node/engine_transport/attempt_watcher.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol, TypeVar
 
-from google.protobuf.message import Message
+from google.protobuf.message import DecodeError, Message
 
 from myrtlehub.node.action_executor import ActionExecutor
 from myrtlehub.node.sequences import Attempt
@@ -62,7 +62,7 @@
         """Parse a reply; if it is malformed, end the attempt with an error and return None."""
         try:
             return reply_type.FromString(data)
-        except ValueError:
+        except DecodeError:
             call = call_of(self.attempt)
             if call is not None:
                 call.cancel()
--- a/myrtlehub/node/replication/attached_stream.py
+++ b/myrtlehub/node/replication/attached_stream.py
@@ -2,8 +2,10 @@
 
 from typing import Protocol
 
+from google.protobuf.message import DecodeError
+
 from myrtlehub.node.engine_transport.transport import ENGINE_SERVICE, GrpcEngineTransport
-from myrtlehub.node.engine_transport.write_attempt import TOKENS_TAG
+from myrtlehub.node.engine_transport.write_attempt import TOKENS_PREFIX
 from myrtlehub.node.replication.takeover_interfaces import TakeoverRequest
 from myrtlehub.proto import engine_pb2 as pb
 from myrtlehub.recovery.sequence_records import AttemptIntent, SequenceRecord
@@ -41,11 +43,15 @@
         """Handle one message from the engine."""
         if self.is_finished:
             return
-        if data[0] == TOKENS_TAG:
+        if data[:1] == TOKENS_PREFIX:
             self.observer.tokens_received(data)
             return
         self.is_finished = True
-        reply = pb.WriteReply.FromString(data)
+        try:
+            reply = pb.WriteReply.FromString(data)
+        except DecodeError:
+            self.observer.stream_failed("a reply of the engine is malformed")
+            return
         if reply.WhichOneof("reply") == "ended":
             self.observer.stream_completed(reply.ended.tokens)
         else:
