The fault soak draws streams that are truncated, slow or delayed, and judges their ends

Its clients idled or stopped after SIGTERM, and its proxies passed a reset on as an orderly close.

Proxies pass a reset on as a reset.

--- a/myrtlehub/lab/fault_proxy.py
+++ b/myrtlehub/lab/fault_proxy.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 
-from myrtlehub.http1.tcp_transport import TcpProtocol, Transport
+from myrtlehub.http1.tcp_transport import TcpProtocol, Transport, is_orderly_close
 from myrtlehub.lab.interfaces import ListeningPort, Reactor
 
 HOST = "127.0.0.1"
@@ -87,12 +87,16 @@
         del self.buffered[:max_pieces]
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Close the other connection too, unless this direction is stalled, as after a network failure."""
+        """End the other connection in the same way, unless this direction is stalled."""
         self.is_lost = True
         if self in self.proxy.connections:
             self.proxy.connections.remove(self)
-        if self.peer is not None and not self.peer.is_lost and not self.direction.is_stalled:
+        if self.peer is None or self.peer.is_lost or self.direction.is_stalled:
+            return
+        if is_orderly_close(reason):
             self.peer.transport.loseConnection()
+        else:
+            self.peer.transport.abortConnection()
 
 
 class FaultProxy(Factory):
--- a/myrtlehub/lab/fault_soak/answer_checks.py
+++ b/myrtlehub/lab/fault_soak/answer_checks.py
@@ -15,7 +15,10 @@
 )
 from myrtlehub.platform_settings import KILL_MARGIN_S
 
-MAX_LATE_ANSWER_S = 0.5  # by which a final answer may come after the deadline
+MAX_LATE_ANSWER_S = 0.5  # by which a final answer or a first event may come after the deadline
+MAX_WAIT_S = 5.0  # from the last byte of an engine's stream to the end of the client's
+# An engine that wrote to its stream this shortly before its end was still writing it.
+MAX_ENGINE_PAUSE_S = 1.5
 # Faults after which a client on the node's connections cannot be reached any more.
 DISCONNECTING_FAULTS = (FaultKind.NODE_KILL, FaultKind.BROKEN_SOCKETS)
 
@@ -38,7 +41,7 @@
     elif request.end == ResponseEnd.OPEN and not request.event_count:
         yield Finding(Rule.FINAL_ANSWER, request.request_id, "no answer at all")
     elif not request.event_count:
-        yield from _check_lateness(index, request)
+        yield from _check_lateness(index, request, request.open_until)
     elif request.status == HTTPStatus.OK:
         yield from _check_stream(index, request)
 
@@ -59,16 +62,19 @@
     )
 
 
-def _check_lateness(index: RecordIndex, request: RequestRecord) -> Iterator[Finding]:
-    late = request.open_until - max(request.deadline, request.answerable_at)
+def _check_lateness(index: RecordIndex, request: RequestRecord, answered_at: float) -> Iterator[Finding]:
+    late = answered_at - max(request.deadline, request.answerable_at)
     delay = index.stopped_time(request) + index.fault_time(
-        request, request.sent_at, request.open_until, FaultKind.ACCEPT_FAILS
+        request, request.sent_at, answered_at, FaultKind.ACCEPT_FAILS
     )
     if late > MAX_LATE_ANSWER_S + delay + index.tolerance:
         yield Finding(Rule.FINAL_ANSWER, request.request_id, f"answered {late:.3f} s late")
 
 
 def _check_stream(index: RecordIndex, request: RequestRecord) -> Iterator[Finding]:
+    if request.first_event_at is not None:
+        yield from _check_lateness(index, request, request.first_event_at)
+    yield from _check_wait(index, request)
     attempts = index.attempts(request.request_id)
     complete_counts = [a.event_count for a in attempts if a.end == AttemptEnd.COMPLETE]
     if request.end == ResponseEnd.COMPLETE and request.event_count not in complete_counts:
@@ -78,6 +84,32 @@
         yield Finding(Rule.FINAL_ANSWER, request.request_id, "its stream never ends")
     if request.end == ResponseEnd.CUT and _has_complete_stream(index, request):
         yield Finding(Rule.FINAL_ANSWER, request.request_id, "its stream was cut, its engine's is whole")
+    if request.end == ResponseEnd.CUT and _was_still_written(index, request):
+        yield Finding(Rule.FINAL_ANSWER, request.request_id, "its stream was cut, its engine still wrote it")
+
+
+def _check_wait(index: RecordIndex, request: RequestRecord) -> Iterator[Finding]:
+    """Yield a breach if the client waited too long for the end of a stream that its engine had stopped."""
+    written = [a.last_byte_at for a in index.attempts(request.request_id) if a.last_byte_at is not None]
+    if not written:
+        return
+    wait = request.open_until - max(written)
+    if wait > MAX_WAIT_S + index.stopped_time(request) + index.tolerance:
+        detail = f"its stream ended {wait:.3f} s after its engine's last byte"
+        yield Finding(Rule.FINAL_ANSWER, request.request_id, detail)
+
+
+def _was_still_written(index: RecordIndex, request: RequestRecord) -> bool:
+    """Return whether the node broke off the stream of an engine that was still writing a sound one."""
+    return any(
+        write.end == AttemptEnd.LOST
+        and not write.is_spoilt
+        and write.last_byte_at is not None
+        and write.event_count >= request.event_count
+        and write.running_until - write.last_byte_at < MAX_ENGINE_PAUSE_S
+        and not _may_have_lost_bytes(index, write)
+        for write in index.attempts(request.request_id)
+    )
 
 
 def _has_complete_stream(index: RecordIndex, request: RequestRecord) -> bool:
@@ -89,7 +121,8 @@
     ]
     is_complete = any(write.end == AttemptEnd.COMPLETE for write in writes)
     is_explained = any(
-        write.end == AttemptEnd.LOST and write.event_count >= request.event_count for write in writes
+        write.end in (AttemptEnd.LOST, AttemptEnd.BROKEN_OFF) and write.event_count >= request.event_count
+        for write in writes
     )
     return is_complete and not is_explained
 
--- a/myrtlehub/lab/fault_soak/client_connection.py
+++ b/myrtlehub/lab/fault_soak/client_connection.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections import defaultdict
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -25,10 +26,13 @@
 INCOMPLETE_REQUEST_PATIENCE_S = 6.0  # until the client of an incomplete request closes the connection
 INCOMPLETE_REQUEST_TIME_LEFT_MS = 2000
 BURST_REQUESTS = (1, 4)  # that a bursting client sends at once
-MAX_BURSTS = 20  # of one connection
+MAX_BURSTS = 20  # of one connection, unless its node was terminated
+# After SIGTERM to its node, until an idle client sends again.
+HURRIED_START_S = (0.0, 0.4)
+HURRIED_INTERVAL_S = 0.02  # from then on, from a response to the next request
 PIPELINED_REQUESTS = (2, 4)
 RESET_SHARE = 0.5  # of disconnects that reset the connection; the others close it gracefully
-EVENT_END = b"\n\n"
+EVENT_BEGIN = b"data: "
 
 
 class ClientBehavior(StrEnum):
@@ -55,6 +59,7 @@
     reactor: Reactor
     records: RunRecords
     random: random.Random
+    connections: "defaultdict[int, set[ClientConnection]]"
 
     def new_request(self, node: int, previous: RequestRecord | None, is_first: bool) -> SentRequest:
         """Make a request, and record it as sent now."""
@@ -81,10 +86,12 @@
         self._is_first = True
         self._incomplete_sent_at: float | None = None
         self._burst_count = 0
+        self._is_hurried = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Start the client's behavior: send its first requests, or a part of one, or nothing."""
         super().connectionMade()
+        self.population.connections[self.node].add(self)
         draw = self.population.random
         match self.behavior:
             case ClientBehavior.INCOMPLETE:
@@ -100,6 +107,18 @@
             case ClientBehavior.PATIENT:
                 self._send()
 
+    def node_terminated(self) -> None:
+        """Use the connection for as long as it is open: the node has got SIGTERM."""
+        self._is_hurried = True
+        if self.behavior == ClientBehavior.PATIENT and not self.open_requests:
+            self.population.reactor.callLater(
+                self.population.random.uniform(*HURRIED_START_S), self._send_unless_waiting
+            )
+
+    def _send_unless_waiting(self) -> None:
+        if not self.open_requests:
+            self._send()
+
     def _send_incomplete(self) -> None:
         data = chat_request(
             f"half{id(self)}", TrafficType.IDEMPOTENT, SHORT_PROMPT_TOKENS, INCOMPLETE_REQUEST_TIME_LEFT_MS
@@ -121,7 +140,7 @@
         )
 
     def _send_burst(self) -> None:
-        if self._burst_count < MAX_BURSTS:
+        if self._burst_count < MAX_BURSTS or self._is_hurried:
             self._burst_count += 1
             for _ in range(self.population.random.randint(*BURST_REQUESTS)):
                 self._send()
@@ -174,7 +193,9 @@
             self._body = b""
         elif isinstance(event, h11.Data):
             self._body += bytes(event.data)
-            record.event_count = self._body.count(EVENT_END)
+            record.event_count = self._body.count(EVENT_BEGIN)
+            if record.event_count and record.first_event_at is None:
+                record.first_event_at = time.monotonic()
         elif isinstance(event, h11.EndOfMessage):
             self._end_response(record)
 
@@ -186,14 +207,19 @@
             self._http.start_next_cycle()
         if self.open_requests:
             return
-        if self.behavior == ClientBehavior.BURSTING:
+        reactor = self.population.reactor
+        if self.behavior == ClientBehavior.BURSTING and not self._is_hurried:
             self._send_burst()
+        elif self.behavior == ClientBehavior.BURSTING:
+            reactor.callLater(HURRIED_INTERVAL_S, self._send_burst)
         elif self.behavior == ClientBehavior.PATIENT:
-            self.population.reactor.callLater(self.population.random.uniform(*IDLE_PERIOD_S), self._send)
+            idle = HURRIED_INTERVAL_S if self._is_hurried else self.population.random.uniform(*IDLE_PERIOD_S)
+            reactor.callLater(idle, self._send_unless_waiting)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Record how the open requests ended."""
         self.is_lost = True
+        self.population.connections[self.node].discard(self)
         now = time.monotonic()
         if self._incomplete_sent_at is not None:
             incomplete = IncompleteRequest(self.node, self._incomplete_sent_at, now)
--- a/myrtlehub/lab/fault_soak/clients.py
+++ b/myrtlehub/lab/fault_soak/clients.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections import defaultdict
 from collections.abc import Callable
 
 from twisted.internet.protocol import ClientFactory
@@ -41,6 +42,7 @@
         rate: New clients per second and node.
         deadline_s: Deadline of all traffic types in seconds.
         is_stopped: No more clients connect by themselves.
+        connections: Open connections by node.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.rate = rate
         self.deadline_s = deadline_s
         self.is_stopped = False
+        self.connections: defaultdict[int, set[ClientConnection]] = defaultdict(set)
         self._request_count = 0
 
     def connect_repeatedly(self, node: int, address: Callable[[], str | None]) -> None:
@@ -73,6 +76,11 @@
         host, port = address.rsplit(":", 1)
         self.reactor.connectTCP(host, int(port), _ClientFactory(self, node, behavior))
 
+    def node_terminated(self, node: int) -> None:
+        """Let the clients of a node that has got SIGTERM use their connections as long as these are open."""
+        for connection in list(self.connections[node]):
+            connection.node_terminated()
+
     def new_request(self, node: int, previous: RequestRecord | None, is_first: bool) -> SentRequest:
         """Make a request, and record it as sent now.
 
--- a/myrtlehub/lab/fault_soak/engine.py
+++ b/myrtlehub/lab/fault_soak/engine.py
@@ -57,7 +57,7 @@
     def reset_connections(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
-            connection.transport.abortConnection()
+            connection.break_off()
 
     def start(self) -> None:
         """Start again after `stop`, without read states."""
--- a/myrtlehub/lab/fault_soak/engine_connection.py
+++ b/myrtlehub/lab/fault_soak/engine_connection.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Protocol
 
@@ -10,25 +10,19 @@
 
 from myrtlehub.lab.fault_proxy import FaultProxy
 from myrtlehub.lab.fault_soak.engine_responses import (
-    EVENT,
     INVALID_CHUNKS,
     READ_BODY,
     RELEASED,
-    STREAM_END,
-    STREAM_END_EVENTS,
-    STREAM_HEAD,
-    chunk,
     response,
 )
 from myrtlehub.lab.fault_soak.records import AttemptEnd, AttemptRecord, ReadStateRecord, RunRecords
 from myrtlehub.lab.fault_soak.state_store import StateStore
+from myrtlehub.lab.fault_soak.stream_plan import Ending, StreamFaults, StreamPlan, draw_plan
 from myrtlehub.lab.fault_soak.tcp_peer import TcpPeer
 from myrtlehub.lab.interfaces import Reactor
 
 READ_DURATION_S = (0.02, 0.25)
 FIRST_EVENT_DELAY_S = (0.01, 0.15)  # from the last byte of a request to the first event of its stream
-EVENT_INTERVAL_S = (0.01, 0.12)
-EVENT_COUNT = (2, 8)
 ERROR_DELAY_S = 0.02
 STREAM_FAULT_SHARE = 0.5  # chance of a fault at each event while streams are faulty
 SECOND_RESPONSE_DELAY_S = 0.003
@@ -46,6 +40,7 @@
     hangs: bool = False
     resets_connections: bool = False
     sends_invalid_streams: bool = False
+    streams: StreamFaults = field(default_factory=StreamFaults)
 
 
 class EngineOfConnection(Protocol):
@@ -165,7 +160,7 @@
             return
         self._store_state(attempt.request_id)
         if self.engine.faults.resets_connections:
-            self.transport.abortConnection()
+            self.break_off()
             return
         self._answer(attempt, AttemptEnd.COMPLETE, response(HTTPStatus.ACCEPTED, body=READ_BODY))
 
@@ -181,28 +176,61 @@
         if self.attempt is not attempt:
             return
         self.engine.store.free(attempt.request_id)
-        self.transport.write(STREAM_HEAD)
-        self._continue_stream(attempt, self.engine.random.randint(*EVENT_COUNT))
+        plan = draw_plan(self.engine.random, self.engine.faults.streams)
+        attempt.is_spoilt = not plan.is_complete
+        self._write(attempt, plan.head)
+        self._write_piece(attempt, plan, 0)
 
-    def _continue_stream(self, attempt: AttemptRecord, remaining_events: int) -> None:
+    def _write_piece(self, attempt: AttemptRecord, plan: StreamPlan, position: int) -> None:
+        """Write a piece of a stream, and schedule the next one or the end."""
         if self.attempt is not attempt:
             return
         draw, faults = self.engine.random, self.engine.faults
         if faults.resets_connections and draw.random() < STREAM_FAULT_SHARE:
-            self.transport.abortConnection()
+            self.break_off()
         elif faults.sends_invalid_streams and draw.random() < STREAM_FAULT_SHARE:
-            self.transport.write(draw.choice(INVALID_CHUNKS))  # and nothing more: the stream does not end
-        elif remaining_events:
-            attempt.event_count += 1
-            self.transport.write(chunk(EVENT))
-            interval = draw.uniform(*EVENT_INTERVAL_S)
-            self.engine.reactor.callLater(interval, self._continue_stream, attempt, remaining_events - 1)
+            attempt.is_spoilt = True
+            self._write(attempt, draw.choice(INVALID_CHUNKS))  # and nothing more: the stream does not end
         else:
-            attempt.event_count += STREAM_END_EVENTS
-            self._answer(attempt, AttemptEnd.COMPLETE, STREAM_END)
-            if faults.sends_invalid_streams:
-                second = response(HTTPStatus.OK, body=b"late")
-                self.engine.reactor.callLater(SECOND_RESPONSE_DELAY_S, self._write_if_open, second)
+            piece = plan.pieces[position]
+            attempt.event_count += piece.events
+            self._write(attempt, piece.data)
+            self._schedule_next(attempt, plan, position + 1)
+
+    def _schedule_next(self, attempt: AttemptRecord, plan: StreamPlan, position: int) -> None:
+        if position < len(plan.pieces):
+            pause = plan.pieces[position].pause_s
+            self.engine.reactor.callLater(pause, self._write_piece, attempt, plan, position)
+        else:
+            self._end_stream(attempt, plan)
+
+    def _end_stream(self, attempt: AttemptRecord, plan: StreamPlan) -> None:
+        if plan.is_complete:
+            self._answer(attempt, AttemptEnd.COMPLETE, b"")
+        elif plan.has_framing_end:
+            self._end_attempt(AttemptEnd.BROKEN_OFF)  # the next request may follow
+        if plan.ending is Ending.CLOSE:
+            self._end_attempt(AttemptEnd.BROKEN_OFF)
+            self.transport.loseConnection()
+        elif plan.ending is Ending.RESET:
+            self.break_off()
+        elif plan.is_complete and self.engine.faults.sends_invalid_streams:
+            second = response(HTTPStatus.OK, body=b"late")
+            self.engine.reactor.callLater(SECOND_RESPONSE_DELAY_S, self._write_if_open, second)
+
+    def _write(self, attempt: AttemptRecord, data: bytes) -> None:
+        attempt.last_byte_at = time.monotonic()
+        self.transport.write(data)
+
+    def break_off(self) -> None:
+        """Reset the connection; an attempt that runs on it ends without a complete response."""
+        self._end_attempt(AttemptEnd.BROKEN_OFF)
+        self.transport.abortConnection()
+
+    def _end_attempt(self, end: AttemptEnd) -> None:
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            _end_attempt(attempt, end)
 
     def _answer(self, attempt: AttemptRecord, end: AttemptEnd, data: bytes) -> None:
         """Write the end of a response, unless the attempt has ended meanwhile."""
--- a/myrtlehub/lab/fault_soak/engine_fault_injector.py
+++ b/myrtlehub/lab/fault_soak/engine_fault_injector.py
@@ -81,6 +81,12 @@
             faults.resets_connections = is_active
         case FaultKind.ENGINE_INVALID_STREAMS:
             faults.sends_invalid_streams = is_active
+        case FaultKind.ENGINE_TRUNCATES:
+            faults.streams.truncates = is_active
+        case FaultKind.ENGINE_WRITES_SLOWLY:
+            faults.streams.writes_slowly = is_active
+        case FaultKind.ENGINE_DELAYS:
+            faults.streams.delays = is_active
         case FaultKind.ENGINE_HANGS:
             faults.hangs = is_active
             if not is_active:
--- a/myrtlehub/lab/fault_soak/engine_responses.py
+++ b/myrtlehub/lab/fault_soak/engine_responses.py
@@ -1,9 +1,15 @@
 """The bytes that emulated engines send."""
 
+from enum import StrEnum
+
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
 USAGE = b'data: {"choices":[],"usage":{"prompt_tokens":100,"completion_tokens":2}}\n\n'
 DONE = b"data: [DONE]\n\n"
-STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+TRUNCATED_EVENT = EVENT[:40] + b"\n\n"
+ERROR_EVENT = b'data: {"error":{"message":"out of memory"}}\n\n'
+COMMENT = b": accepted\n\n"
+DONE_COMMENT = b": [DONE]\n\n"
+LAST_CHUNK = b"0\r\n\r\n"
 RELEASED = b"HTTP/1.1 204 No Content\r\n\r\n"
 READ_BODY = b'{"cached_tokens":0}'
 UNFINISHED_CHUNK = b"40\r\ndata: {"
@@ -16,8 +22,20 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-STREAM_END = chunk(USAGE) + chunk(DONE) + b"0\r\n\r\n"
-STREAM_END_EVENTS = 2
+class Framing(StrEnum):
+    """What shows the end of a stream."""
+
+    CHUNKED = "chunked"
+    LENGTH = "length"
+    CONNECTION = "connection"
+
+
+_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+STREAM_HEAD_BY_FRAMING = {
+    Framing.CHUNKED: _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+    Framing.LENGTH: _HEAD + b"Content-Length: %d\r\n\r\n",
+    Framing.CONNECTION: _HEAD + b"Connection: close\r\n\r\n",
+}
 
 
 def response(status: int, is_rejection: bool = False, body: bytes = b"") -> bytes:
--- a/myrtlehub/lab/fault_soak/faults.py
+++ b/myrtlehub/lab/fault_soak/faults.py
@@ -44,6 +44,9 @@
     NODE_CROWD = "node crowd"  # idle clients connect, as many as the node may have descriptors
     # Connections to it are established and stay open, and no byte passes; at the end, all are reset.
     ENGINE_SILENT = "engine silent"
+    ENGINE_TRUNCATES = "engine truncates"  # streams in all framings, some of which are not complete
+    ENGINE_WRITES_SLOWLY = "engine slow"  # one event of each stream is written in small pieces, over seconds
+    ENGINE_DELAYS = "engine delays"  # comments come for seconds before the first event of each stream
 
     @property
     def target(self) -> FaultTarget:
--- a/myrtlehub/lab/fault_soak/node_process.py
+++ b/myrtlehub/lab/fault_soak/node_process.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import msgspec
@@ -29,6 +29,10 @@
 RELOAD_COUNT = 3
 
 
+def _ignore_termination(node: int) -> None:
+    """Do nothing: no callback is set."""
+
+
 class NodeProcess:
     """Starts a node, and starts it again whenever its process has exited.
 
@@ -46,6 +50,7 @@
         number: Number of the node.
         address: Where clients connect, HOST:PORT.
         call_faults: The active faults of system calls and clock; see `set_call_faults`.
+        on_terminated: Called with the number of the node just after the first SIGTERM to a process.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
         self.program = program
         self.address = f"{HOST}:{free_ports(1)[0]}"
         self.call_faults = CallFaults()
+        self.on_terminated: Callable[[int], None] = _ignore_termination
         self._discovery_addresses = discovery_addresses
         self._discovery_position = 0
         self._settings = platform_settings(node_count, number, deadline_s)
@@ -171,6 +177,7 @@
             self.records.shutdowns.append(shutdown)
             delay = earliest_kill_delay(self._settings)
             self.reactor.callLater(delay, self._kill_unless_ended, self._process, shutdown)
+            self.reactor.callLater(0.0, self.on_terminated, self.number)
         self.signal(signal.SIGTERM)
 
     def _kill_unless_ended(self, process: subprocess.Popen[bytes], shutdown: NodeShutdown) -> None:
--- a/myrtlehub/lab/fault_soak/planted_faults.py
+++ b/myrtlehub/lab/fault_soak/planted_faults.py
@@ -21,9 +21,11 @@
 from myrtlehub.node.sequences import Attempt
 from myrtlehub.relay.__main__ import main as run_relay
 from myrtlehub.relay.discovery.discovery_client import DiscoveryClient
-from myrtlehub.relay.engines import state_release
+from myrtlehub.relay.engines import response_stream, sender_activity, state_release
 from myrtlehub.relay.engines.engine_client import EngineClient
 from myrtlehub.relay.engines.engine_directory import EngineDirectory
+from myrtlehub.relay.engines.response_stream import ResponseStream
+from myrtlehub.relay.engines.sender_activity import Activity
 from myrtlehub.relay.engines.state_release import StateRelease, StateReleaser
 from myrtlehub.relay.monitoring.invariant_monitor import InvariantMonitor
 from myrtlehub.relay.node import RelayNode
@@ -34,6 +36,7 @@
 from myrtlehub.routing.policy.router import Router
 from myrtlehub.routing.records import Engine, Sequence
 from myrtlehub.state.invariants import SendPreconditions
+from myrtlehub.state.response_completeness import ResponseCompleteness
 
 VARIABLE = "PLANTED_FAULT"
 SHARE_UNIT = 64  # of object addresses, by which some streams are selected
@@ -236,6 +239,29 @@
     self.connections[connection] = None
 
 
+def trust_framing() -> None:
+    """Count a stream as complete when its framing has ended."""
+    replace_attribute(ResponseCompleteness, "missing", None)
+
+
+def ignore_bytes() -> None:
+    """Count only complete events as a sign that an engine still sends."""
+
+    def due_at(activity: Activity) -> float:
+        return activity.last_event_at + sender_activity.SILENCE_TIMEOUT_S
+
+    replace_attribute(response_stream, "due_at", due_at)
+
+
+def take_comments_for_events() -> None:
+    """Pass comments on before the first event, which ends the client's wait."""
+
+    def feed(self: ResponseStream, data: bytes) -> bytes:
+        return self._parser.feed(data)
+
+    replace_attribute(ResponseStream, "feed", feed)
+
+
 # By the value of $PLANTED_FAULT; operators type these names.
 PLANT_BY_NAME: dict[str, Callable[[], None]] = {
     "release_once": do_not_retry_releases,
@@ -254,6 +280,9 @@
     "accept_until_killed": accept_until_killed,
     "end_at_second_signal": end_at_second_signal,
     "accept_without_bound": accept_without_bound,
+    "trust_framing": trust_framing,
+    "ignore_bytes": ignore_bytes,
+    "comments_begin": take_comments_for_events,
 }
 
 
--- a/myrtlehub/lab/fault_soak/records.py
+++ b/myrtlehub/lab/fault_soak/records.py
@@ -44,6 +44,7 @@
     COMPLETE = "complete"
     FAILED = "failed"  # the response was an error
     LOST = "lost"  # the connection was lost
+    BROKEN_OFF = "broken off"  # the engine ended the response before it was complete
 
 
 @dataclass(slots=True)
@@ -62,6 +63,7 @@
         ended_at: Time at which it ended; None while it is open.
         status: HTTP status of the response; None before the response.
         event_count: Events of the response that were received.
+        first_event_at: Time of the first event; None before it.
         end: How it ended.
     """
 
@@ -77,6 +79,7 @@
     status: int | None = None
     event_count: int = 0
     end: ResponseEnd = ResponseEnd.OPEN
+    first_event_at: float | None = None
 
     @property
     def deadline(self) -> float:
@@ -108,6 +111,8 @@
         event_count: Events that the engine sent.
         ended_at: Time at which it ended; None while it runs.
         end: How it ended.
+        last_byte_at: Time at which the engine wrote the latest byte of its stream; None without one.
+        is_spoilt: Whether the engine sent a stream that is malformed or not complete.
     """
 
     request_id: str
@@ -119,6 +124,8 @@
     event_count: int = 0
     ended_at: float | None = None
     end: AttemptEnd = AttemptEnd.RUNNING
+    last_byte_at: float | None = None
+    is_spoilt: bool = False
 
     @property
     def running_until(self) -> float:
--- a/myrtlehub/lab/fault_soak/runner.py
+++ b/myrtlehub/lab/fault_soak/runner.py
@@ -51,6 +51,7 @@
         """Start the nodes and the clients, and schedule the rest of the run; fires with the result."""
         self._measure_lag(time.monotonic())
         for node in self._fleet.nodes:
+            node.on_terminated = self._clients.node_terminated
             node.start()
             self._clients.connect_repeatedly(node.number, node.address_for_clients)
         schedule_faults(self._reactor, self._schedule, self._fleet, self._clients)
--- a/tests/lab/test_fault_soak.py
+++ b/tests/lab/test_fault_soak.py
@@ -11,6 +11,8 @@
 from myrtlehub.lab.fault_soak.schedule import Schedule
 from myrtlehub.lab.fault_soak.soak_result import SoakResult
 
+STREAM_FAULTS = (FaultKind.ENGINE_TRUNCATES, FaultKind.ENGINE_WRITES_SLOWLY, FaultKind.ENGINE_DELAYS)
+
 
 def play(schedule: Schedule) -> SoakResult:
     """Play a schedule in a process of its own."""
@@ -51,6 +53,7 @@
         (2, (FaultKind.NODE_SIGNALS, FaultKind.NODES_TERM, FaultKind.NODE_CROWD, FaultKind.ENGINE_DRAIN)),
         (3, (FaultKind.NODE_TERM, FaultKind.SHORT_CALLS, FaultKind.ACCEPT_FAILS, FaultKind.ENGINE_SILENT)),
         (6, (FaultKind.NODE_SIGNALS, FaultKind.ENGINE_RESETS, FaultKind.WATCH_SILENT, FaultKind.NODE_KILL)),
+        (33, (*STREAM_FAULTS, FaultKind.NODE_SIGNALS)),
     ],
 )
 def test_a_seeded_soak_breaks_no_rule(seed: int, kinds: tuple[FaultKind, ...]) -> None:
--- a/tests/lab/test_fault_soak_rules.py
+++ b/tests/lab/test_fault_soak_rules.py
@@ -9,6 +9,7 @@
     AttemptEnd,
     AttemptRecord,
     EngineChange,
+    EngineCut,
     EngineHealth,
     NodeExit,
     ReadStateRecord,
@@ -89,6 +90,38 @@
     assert broken_rules(records) == [Rule.FINAL_ANSWER]
 
 
+@pytest.mark.parametrize(
+    ("last_byte_at", "is_spoilt", "broken"),
+    [
+        (10.9, False, [Rule.FINAL_ANSWER]),  # the node broke off what the engine still wrote
+        (9.0, False, []),  # the engine had been silent
+        (10.9, True, []),
+    ],
+)
+def test_a_stream_that_is_cut_while_its_engine_writes_it_is_a_breach(
+    last_byte_at: float, is_spoilt: bool, broken: list[Rule]
+) -> None:
+    records = sound_records()
+    records.requests["a"].end = ResponseEnd.CUT
+    write = records.attempts[1]
+    write.end, write.last_byte_at, write.is_spoilt = AttemptEnd.LOST, last_byte_at, is_spoilt
+    assert broken_rules(records) == broken
+    records.cuts = [EngineCut("w1", 10.8, 11.0)]
+    assert broken_rules(records) == []
+
+
+def test_a_late_first_event_and_a_late_end_of_a_stream_are_breaches() -> None:
+    records = sound_records()
+    request, write = records.requests["a"], records.attempts[1]
+    request.first_event_at, write.last_byte_at = request.deadline + 0.4, 11.0
+    request.ended_at = 15.9
+    assert broken_rules(records) == []
+    request.first_event_at = request.deadline + 0.6
+    assert broken_rules(records) == [Rule.FINAL_ANSWER]
+    request.first_event_at, request.ended_at = 10.5, 16.1
+    assert broken_rules(records) == [Rule.FINAL_ANSWER]
+
+
 @pytest.mark.parametrize(
     ("traffic", "first_end", "gap", "broken"),
     [
--- a/tests/lab/test_fault_soak_schedules.py
+++ b/tests/lab/test_fault_soak_schedules.py
@@ -35,6 +35,9 @@
     "nodes term",
     "node crowd",
     "engine silent",
+    "engine truncates",
+    "engine slow",
+    "engine delays",
 ]
 
 
