A connection leaves its pool although the handler of its last data raises

Cause: when a peer closed its connection, the end was parsed before the connection left its pool. A handler that raised there left the pool's count one too high for good, and its request without an end.

Change: the connection is removed, and its request fails, whether or not a handler raised.

Measured: test_a_connection_leaves_its_pool_although_the_handler_of_its_last_data_raises failed before for on_complete, and passes now (for on_data it passed before too).

--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -256,12 +256,14 @@
         """Remove the connection from the pool, and complete or fail its pending request, if any."""
         self.is_closed = True
         is_orderly = is_orderly_close(reason)
-        if self.pending is not None and is_orderly:
-            self._parse_end()
-        self._release_input()
-        self.pool.remove(self, PeerCloseReason.CLOSED_BY_PEER if is_orderly else PeerCloseReason.LOST)
-        if self.pending is not None:
-            self._fail()
+        try:
+            if self.pending is not None and is_orderly:
+                self._parse_end()
+        finally:  # the pool must not count this connection any more, even if a handler raised
+            self._release_input()
+            self.pool.remove(self, PeerCloseReason.CLOSED_BY_PEER if is_orderly else PeerCloseReason.LOST)
+            if self.pending is not None:
+                self._fail()
 
     def _parse_end(self) -> None:
         """Parse what is left, and the end of the connection.
--- a/tests/relay/test_relay_rearming.py
+++ b/tests/relay/test_relay_rearming.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import pytest
-from relaymessages import LONG_PROMPT, STREAM_HEAD
+from relaymessages import DONE, EVENT, LONG_PROMPT, STREAM_HEAD, USAGE
 from relayrig import RawClientFactory, RelayRig, never_respond
 
 from myrtlehub.log_events import LogEvent
@@ -104,6 +104,23 @@
     assert pool.count == 0
 
 
+@pytest.mark.parametrize("method", ["on_data", "on_complete"])
+def test_a_connection_leaves_its_pool_although_the_handler_of_its_last_data_raises(method: str) -> None:
+    rig = RelayRig("w1")
+    head = STREAM_HEAD.replace(b"Transfer-Encoding: chunked", b"Connection: close")
+    rig.engines["w1"].script = lambda connection, request, body: connection.send(head)
+    rig.request("a1", traffic="post")
+    pool = rig.node.engine_connections.attempts
+    connection = rig.engines["w1"].connections[0]
+    pending = next(iter(rig.node.executor.in_flight.values())).attempts[0].transport_call
+    failing = FailingCallable(getattr(pending.handler, method))
+    setattr(pending.handler, method, failing)
+    connection.send(EVENT + USAGE + DONE)
+    connection.transport.loseConnection()
+    run_despite_errors(rig, 0.1)
+    assert failing.raised == 1 and pool.count == 0
+
+
 def test_the_lag_is_measured_after_a_tick_that_raised() -> None:
     rig = RelayRig("w1")
     rig.node.measure_lag()
