--- a/myrtlehub/relay/engines/run_history.py
+++ b/myrtlehub/relay/engines/run_history.py
@@ -6,11 +6,10 @@
 from myrtlehub.node.sequences import Attempt
 from myrtlehub.relay.clients.earlier_runs import PossibleRun
 from myrtlehub.relay.engines.attempt_response import response_handler
-from myrtlehub.routing.contract import Outcome, RetrySemantics, RouterConfig
+from myrtlehub.routing.contract import NOT_RUN_OUTCOMES, Outcome, RetrySemantics, RouterConfig
 
 RETENTION_S = 600.0  # far longer than any client waits
 MAX_RUNS = 20_000  # some minutes of a node's traffic
-NOT_RUN_OUTCOMES = frozenset((Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT))
 STOPPED_OUTCOMES = frozenset((Outcome.CANCELLED, Outcome.TIMEOUT))  # by this node, whether sent or not
 
 
--- a/myrtlehub/routing/contract.py
+++ b/myrtlehub/routing/contract.py
@@ -107,6 +107,9 @@
     CANCELLED = "cancelled"
 
 
+NOT_RUN_OUTCOMES = frozenset((Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT))  # the engine ran nothing
+
+
 class EndpointUpdate(NamedTuple):
     """The entry of one engine in the endpoint list."""
 
--- a/myrtlehub/routing/policy/retries.py
+++ b/myrtlehub/routing/policy/retries.py
@@ -1,6 +1,6 @@
 """Retries: which engines may run a sequence after an earlier attempt, and which are preferred."""
 
-from myrtlehub.routing.contract import DedupGroup, Outcome, RetrySemantics, RouterConfig
+from myrtlehub.routing.contract import NOT_RUN_OUTCOMES, DedupGroup, Outcome, RetrySemantics, RouterConfig
 from myrtlehub.routing.records import Attempt, Engine, Sequence
 
 CAPACITY_TTL = 20.0  # seconds for which an engine's acceptance or rejection of a workload is valid
@@ -8,13 +8,8 @@
 # at its engine. The process can be suspended for 0.15 s between reading the clock and writing; two iterations
 # of the event loop and the network take 0.05 s.
 SEND_MARGIN = 0.15 + 0.05
-NOT_RUN_OUTCOMES = (  # after these outcomes, the sequence has not run or this node has its result
-    Outcome.GENERATED,
-    Outcome.READ,
-    Outcome.FULL,
-    Outcome.UNREACHED,
-    Outcome.UNSENT,
-)
+# After these outcomes, the sequence has not run or this node has its result.
+NO_UNKNOWN_RUN_OUTCOMES = NOT_RUN_OUTCOMES | {Outcome.GENERATED, Outcome.READ}
 
 
 def may_run_at(sequence: Sequence, engine: Engine, now: float, config: RouterConfig) -> bool:
@@ -78,7 +73,7 @@
 def record_outcome(sequence: Sequence, attempt: Attempt, now: float) -> None:
     """Record a possible run, a read state or a failed engine from the outcome of an attempt."""
     outcome = attempt.outcome
-    if sequence.possible_run is None and not attempt.is_read and outcome not in NOT_RUN_OUTCOMES:
+    if sequence.possible_run is None and not attempt.is_read and outcome not in NO_UNKNOWN_RUN_OUTCOMES:
         sequence.record_possible_run(attempt.engine, attempt.sent_at)
     if outcome == Outcome.READ and attempt.is_read and not sequence.has_begun:
         sequence.state_engine = attempt.engine
--- a/myrtlehub/rpc/keepalive.py
+++ b/myrtlehub/rpc/keepalive.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable
 
-from myrtlehub.clock import Clock, Timer
+from myrtlehub.clock import TIMER_TOLERANCE_S, Clock, Timer
 from myrtlehub.rpc.transport_limits import TransportLimits
 
-TIMER_TOLERANCE = 0.001  # seconds by which a timer may fire early
 MIN_CHECK_DELAY = 0.01  # seconds between checks, so that rounding cannot cause a busy loop
 
 
@@ -58,7 +57,8 @@
         if self.is_ping_unanswered and time_since_received >= limits.keepalive_timeout:
             self._on_ping_timeout()
             return
-        if time_since_received >= limits.keepalive_interval - TIMER_TOLERANCE and not self.is_ping_unanswered:
+        is_silent = time_since_received >= limits.keepalive_interval - TIMER_TOLERANCE_S
+        if is_silent and not self.is_ping_unanswered:
             self.is_ping_unanswered = True
             self._send_ping()
         time_until_ping = limits.keepalive_interval - time_since_received
--- a/tests/relay/test_relay_incomplete_streams.py
+++ b/tests/relay/test_relay_incomplete_streams.py
@@ -10,7 +10,7 @@
 import pytest
 from relaymessages import DONE, EVENT, LAST_CHUNK, RELEASE_RESPONSE, USAGE, chat_request, chunk
 from socketpeers import TIMEOUT_S, PeerConnection, ReceivedRequest
-from socketrig import Client, RelayProcess, SocketRig
+from socketrig import Client, RelayProcess, SocketRig, in_parallel
 
 FINISH = b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n'
 ANSWER = EVENT + EVENT + FINISH + USAGE + DONE
@@ -131,12 +131,11 @@
     is_complete: bool
 
 
-def receive(node: RelayProcess, request_id: str, is_http_1_0: bool) -> Stream:
-    """Send a request, and receive its response."""
+def receive(node: RelayProcess, request_id: str) -> Stream:
+    """Send a request by the version of HTTP that its id states, and receive its response."""
     client = Client(node.address)
-    request = chat_request(request_id, traffic="post").replace(
-        b"X-Entity: s1", b"X-Entity: " + request_id.encode()
-    )
+    is_http_1_0 = request_id.endswith("http10")
+    request = chat_request(request_id, traffic="post", session=request_id)
     client.send(request.replace(b"HTTP/1.1", b"HTTP/1.0", 1) if is_http_1_0 else request)
     data, was_reset = b"", False
     try:
@@ -157,18 +156,8 @@
     node = rig.start(" ".join(f"w{number}" for number in range(ENGINES)))
     for engine in rig.engines.values():
         engine.script = respond
-    streams: dict[str, Stream] = {}
     request_ids = [f"f{n}-{v}" for n in range(len(ENDINGS) + len(COMPLETE)) for v in ("http11", "http10")]
-
-    def receive_one(request_id: str) -> None:
-        streams[request_id] = receive(node, request_id, request_id.endswith("http10"))
-
-    threads = [threading.Thread(target=receive_one, args=(request_id,)) for request_id in request_ids]
-    for position in range(0, len(threads), 20):
-        for thread in threads[position : position + 20]:
-            thread.start()
-        for thread in threads[position : position + 20]:
-            thread.join()
+    streams = in_parallel(lambda request_id: receive(node, request_id), request_ids, at_most=20)
     yield streams
     rig.close()
 
--- a/tests/relay/test_relay_races.py
+++ b/tests/relay/test_relay_races.py
@@ -5,10 +5,12 @@
 import pytest
 from relaymessages import LAST_CHUNK, LONG_PROMPT, STREAM_HEAD, chat_request, chunk
 from socketpeers import TIMEOUT_S, never_respond
-from socketrig import Client, SocketRig, let_time_pass, wait_for_file
+from socketrig import Client, RelayProcess, SocketRig, let_time_pass, wait_for_file
 
 from myrtlehub.log_events import LogEvent
 
+DEPARTED_CLIENTS = 8
+
 
 def test_a_disconnect_behind_many_buffered_bytes_is_noticed(rig: SocketRig) -> None:
     """The client's FIN arrives behind bytes that are buffered while its request is open."""
@@ -42,19 +44,24 @@
     assert rig.engines["w1"].sequence_ids() == ["a1", "a2"]
 
 
+def send_and_leave(node: RelayProcess, requests: list[bytes]) -> None:
+    """Let clients send the requests b0, b1 and so on to a suspended node and leave; resume the node."""
+    departed = [Client(node.address).send(request) for request in requests]
+    for client in departed:
+        client.close()
+    let_time_pass(0.2)
+    node.resume()
+    for i in range(len(requests)):
+        node.wait_for_log(LogEvent.SEQUENCE_ANSWERED, sequence_id=f"b{i}", answer="left")
+
+
 def test_a_client_that_left_while_the_node_was_stopped_gets_no_attempt(rig: SocketRig) -> None:
     """Requests and FINs wait in the kernel together, and an idle connection to the engine could be reused."""
     node = rig.start("w1")
     first = Client(node.address).send(chat_request("a0"))
     first.read_until(LAST_CHUNK)
     node.suspend()
-    departed = [Client(node.address).send(chat_request(f"b{i}")) for i in range(8)]
-    for client in departed:
-        client.close()
-    let_time_pass(0.2)
-    node.resume()
-    for i in range(8):
-        node.wait_for_log(LogEvent.SEQUENCE_ANSWERED, sequence_id=f"b{i}", answer="left")
+    send_and_leave(node, [chat_request(f"b{i}") for i in range(DEPARTED_CLIENTS)])
     assert Client(node.address).send(chat_request("a1")).read_status() == 200
     assert rig.engines["w1"].sequence_ids() == ["a0", "a1"]
 
@@ -67,15 +74,8 @@
 ) -> None:
     node = rig.start("r1 w1 w2")
     node.suspend()
-    departed = [Client(node.address) for _ in range(8)]
-    for i, client in enumerate(departed):
-        client.send(chat_request(f"b{i}", prompt, "post") + b"x" * unread_bytes)
-    for client in departed:
-        client.close()
-    let_time_pass(0.2)
-    node.resume()
-    for i in range(8):
-        node.wait_for_log(LogEvent.SEQUENCE_ANSWERED, sequence_id=f"b{i}", answer="left")
+    unread = b"x" * unread_bytes
+    send_and_leave(node, [chat_request(f"b{i}", prompt, "post") + unread for i in range(DEPARTED_CLIENTS)])
     assert Client(node.address).send(chat_request("a1")).read_status() == 200
     assert [name for engine in rig.engines.values() for name in engine.sequence_ids()] == ["a1"]
 
--- a/tests/relay/test_relay_slow_engines.py
+++ b/tests/relay/test_relay_slow_engines.py
@@ -1,6 +1,5 @@
 """Engines that write their streams slowly, on a relay process and real sockets."""
 
-import threading
 import time
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -8,7 +7,7 @@
 import pytest
 from relaymessages import DONE, EVENT, LAST_CHUNK, RELEASE_RESPONSE, STREAM_HEAD, USAGE, chat_request, chunk
 from socketpeers import PeerConnection, ReceivedRequest
-from socketrig import Client, RelayProcess, SocketRig, let_time_pass
+from socketrig import Client, RelayProcess, SocketRig, in_parallel, let_time_pass
 
 ENGINES = 40  # so many that none is ejected for its failures
 CLIENT_TIMEOUT_S = 40.0  # of tests that fail
@@ -117,8 +116,7 @@
     """Send a request, and receive its response."""
     client = Client(node.address)
     client.sock.settimeout(CLIENT_TIMEOUT_S)
-    request = chat_request(request_id, traffic="post", remaining_ms=4900)
-    client.send(request.replace(b"X-Entity: s1", b"X-Entity: " + request_id.encode()))
+    client.send(chat_request(request_id, traffic="post", remaining_ms=4900, session=request_id))
     data, began_at = b"", time.monotonic()
     while b"\r\n0\r\n\r\n" not in data and (part := client.sock.recv(65536)):
         began_at = began_at if EVENT in data else time.monotonic()
@@ -133,20 +131,8 @@
     node = rig.start(" ".join(f"w{number}" for number in range(ENGINES)))
     for engine in rig.engines.values():
         engine.script = respond
-    streams: dict[str, Stream] = {}
-
-    def receive_one(name: str, request_id: str) -> None:
-        streams[name] = receive(node, request_id)
-
-    threads = [
-        threading.Thread(target=receive_one, args=(name, f"f{position}"))
-        for position, name in enumerate([*RUNNING, *SPOILT])
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    yield streams
+    names = [*RUNNING, *SPOILT]
+    yield in_parallel(lambda name: receive(node, f"f{names.index(name)}"), names)
     rig.close()
 
 
--- a/tests/relay/test_relay_slow_readers.py
+++ b/tests/relay/test_relay_slow_readers.py
@@ -13,7 +13,7 @@
 import pytest
 from relaymessages import COMPLETE_STREAM, EVENT, LONG_PROMPT, STREAM_HEAD, chat_request, chunk, response
 from socketpeers import Discovery, Engine
-from socketrig import Client, RelayProcess, SocketRig, let_time_pass
+from socketrig import Client, RelayProcess, SocketRig, in_parallel, let_time_pass
 
 from myrtlehub.log_events import LogEvent
 
@@ -52,7 +52,10 @@
     "sends responses with status 100": lambda piece: b"HTTP/1.1 100 Continue\r\n\r\n" * (piece < 4),
     "answers early": early(COMPLETE_STREAM),
 }
-CASES = list(itertools.product(BEHAVIORS, ("ask", "post"), (100, LONG_PROMPT)))
+CASES = {
+    " - ".join(map(str, case)): case
+    for case in itertools.product(BEHAVIORS, ("ask", "post"), (100, LONG_PROMPT))
+}
 
 
 class SlowEngine(Engine):
@@ -75,7 +78,7 @@
             if found is None:  # a release or an arrival check
                 sock.sendall(response(204))
                 return
-            behavior = BEHAVIORS[CASES[int(found[1])][0]]
+            behavior = BEHAVIORS[list(CASES.values())[int(found[1])][0]]
             for piece in itertools.count(1):
                 answer = behavior(piece)
                 if answer is None or not data:
@@ -92,11 +95,12 @@
     late_s: float
 
 
-def ask(node: RelayProcess, request_id: str, traffic: str, prompt: int) -> Answer:
+def ask(node: RelayProcess, case: str) -> Answer:
     """Send a large request, and wait for the first event or for the end of its response."""
     client = Client(node.address)
-    request = chat_request(request_id, prompt, traffic, REMAINING_MS, body=LARGE_BODY)
-    client.send(request.replace(b"X-Entity: s1", b"X-Entity: " + request_id.encode()))
+    request_id = f"f{list(CASES).index(case)}"
+    _, traffic, prompt = CASES[case]
+    client.send(chat_request(request_id, prompt, traffic, REMAINING_MS, body=LARGE_BODY, session=request_id))
     sent_at = time.monotonic()
     status = client.read_status()
     if status == HTTPStatus.OK:
@@ -106,7 +110,7 @@
 
 
 @pytest.fixture(name="answers", scope="module")
-def received_answers(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[int, Answer]]:
+def received_answers(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Answer]]:
     """Yield the answers to all cases, as clients of one node received them at the same time."""
     rig = SocketRig(tmp_path_factory.mktemp("answers"))
     rig.engines = {name: SlowEngine(name) for name in ENGINES.split()}
@@ -114,23 +118,12 @@
     rig.peers += [*rig.engines.values(), rig.discovery]
     node = rig.start_relay(descriptors=512)
     node.wait_for_log(LogEvent.READY)
-    answers: dict[int, Answer] = {}
-
-    def ask_one(number: int) -> None:
-        _, traffic, prompt = CASES[number]
-        answers[number] = ask(node, f"f{number}", traffic, prompt)
-
-    threads = [threading.Thread(target=ask_one, args=(number,)) for number in range(len(CASES))]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    yield answers
+    yield in_parallel(lambda case: ask(node, case), list(CASES))
     rig.close()
 
 
-@pytest.mark.parametrize("number", range(len(CASES)), ids=[" - ".join(map(str, case)) for case in CASES])
+@pytest.mark.parametrize("case", CASES)
 def test_a_large_request_that_is_read_slowly_gets_its_final_answer_in_time(
-    answers: dict[int, Answer], number: int
+    answers: dict[str, Answer], case: str
 ) -> None:
-    assert answers[number].late_s < MAX_LATE_S, answers[number]
+    assert answers[case].late_s < MAX_LATE_S, answers[case]
--- a/tests/support/relaymessages.py
+++ b/tests/support/relaymessages.py
@@ -84,13 +84,23 @@
     remaining_ms: int = 4000,
     headers: bytes = b"",
     body: bytes = b'{"model":"chat","messages":[]}',
+    session: str = "s1",
 ) -> bytes:
     """Return the bytes of a request."""
     return (
         b"POST /v1/chat/completions?v=1 HTTP/1.1\r\nHost: service\r\nX-Txn: %s\r\nX-Lane: %s\r\n"
-        b"X-Org: acme\r\nX-Entity: s1\r\nX-Remaining-Ms: %d\r\nX-Labels: prompt_len=%d,max_out=100\r\n%s"
+        b"X-Org: acme\r\nX-Entity: %s\r\nX-Remaining-Ms: %d\r\nX-Labels: prompt_len=%d,max_out=100\r\n%s"
         b"Content-Length: %d\r\n\r\n%s"
-        % (sequence_id.encode(), traffic.encode(), remaining_ms, prompt, headers, len(body), body)
+        % (
+            sequence_id.encode(),
+            traffic.encode(),
+            session.encode(),
+            remaining_ms,
+            prompt,
+            headers,
+            len(body),
+            body,
+        )
     )
 
 
--- a/tests/support/socketrig.py
+++ b/tests/support/socketrig.py
@@ -17,8 +17,9 @@
 import time
 import tomllib
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import IO, Any
+from typing import IO, Any, TypeVar
 
 import pytest
 from paths import ROOT
@@ -27,6 +28,7 @@
 
 from myrtlehub.log_events import LogEvent
 
+Result = TypeVar("Result")
 PAGE_BYTES = 4096  # unit of the sizes in /proc/PID/statm
 END_OF_LOG = "end of log"  # event that the rig appends when the process has closed its standard output
 
@@ -309,6 +311,12 @@
     raise AssertionError(f"the condition never became true for the text of {path()}")
 
 
+def in_parallel(call: Callable[[str], Result], names: list[str], at_most: int = 60) -> dict[str, Result]:
+    """Call a function with each name, `at_most` at a time; return the results by name."""
+    with ThreadPoolExecutor(at_most) as pool:
+        return dict(zip(names, pool.map(call, names), strict=True))
+
+
 def free_address() -> str:
     """Return HOST:PORT of the loopback interface, with a port that is free at present."""
     with socket.socket() as sock:
