An empty error in an event is none, and a stream's due time is computed once a check

An event with an empty error object counted as a failure of its engine; each check of the streams computed the due time of each up to three times.

Change: only an error with content says that the engine failed; the due times are computed once to schedule the next check.

--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -119,7 +119,7 @@
     def _process_data(self, data: bytes) -> None:
         self.completeness.part_received()
         fields = _decode_fields(data)
-        if fields.error is not None:
+        if fields.error:
             self.completeness.content_failed()
         if fields.usage is not None:
             self._store_usage(fields.usage)
--- a/myrtlehub/relay/engines/stream_monitor.py
+++ b/myrtlehub/relay/engines/stream_monitor.py
@@ -66,7 +66,8 @@
 
     def _check(self) -> None:
         now = self.clock.seconds()
-        next_due_at = min((stream.due_at for stream in self.streams if stream.due_at > now), default=now)
+        due_times = [stream.due_at for stream in self.streams]
+        next_due_at = min((due_at for due_at in due_times if due_at > now), default=now)
         delay = min(max(next_due_at - now, MIN_CHECK_INTERVAL_S), CHECK_INTERVAL_S)
         self._timer = self.clock.callLater(delay if next_due_at > now else CHECK_INTERVAL_S, self._check)
         self._check_each(list(self.streams), now)
