The part of an event that ends within a CRLF counts as one that may go on

A part of an event that ended with the first byte of a blank line in CRLF was taken for malformed, if its engine paused there for over 2.5 s.

--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -135,10 +135,10 @@
 
     def may_go_on(self) -> bool:
         """Return whether the received part of an incomplete event can be the start of a valid one."""
-        *lines, last_line = bytes(self._incomplete).lstrip(LINE_ENDS).split(b"\n")
-        if not (all(map(_is_event_start, lines)) and _is_event_start(last_line)):
+        event = bytes(self._incomplete).lstrip(LINE_ENDS)
+        if not all(_is_event_start(line.rstrip(b"\r")) for line in event.split(b"\n")):
             return False
-        data = _data_of(bytes(self._incomplete).lstrip(LINE_ENDS))
+        data = _data_of(event)
         return not data or DONE_MARKER.startswith(data) or _may_become_json(data)
 
     def end(self) -> None:
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -124,6 +124,34 @@
     assert events.load == contract.LoadReport(memory_share=0.5)
 
 
+@pytest.mark.parametrize(
+    ("part", "may_go_on"),
+    [
+        (b"", True),
+        (b"da", True),
+        (b'data: {"choices":[{"del', True),
+        (b'data: {"choices":[]}\r\n\r', True),
+        (b"event: x\nid: 1\ndata: [DO", True),
+        (b": half a comm", True),
+        (b"data: xxxx", False),
+        (b'data: {"a":1}data: {"a":1}', False),
+        (b'data: {"a":1}\nnope', False),
+    ],
+)
+def test_the_part_of_an_event_shows_whether_it_can_become_a_valid_one(part: bytes, may_go_on: bool) -> None:
+    events = EventStreamParser()
+    events.feed(EVENT + part)
+    assert events.may_go_on() == may_go_on
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_lines_may_end_in_both_ways(line_end: bytes) -> None:
+    events = EventStreamParser()
+    text = (EVENT + USAGE + DONE).replace(b"\n", line_end)
+    parsed = b"".join(events.feed(text[i : i + 1]) for i in range(len(text)))
+    assert parsed == text and events.completeness.has_content_end and events.cached_tokens == 64.0
+
+
 def test_an_oversized_event_and_an_incomplete_last_event_are_errors() -> None:
     events = EventStreamParser()
     with pytest.raises(EventStreamError):
