Responses in chunks have the limits of their content, and none for a single chunk

Cause: one chunk had a limit of 256 KiB, whatever the response was. What it was for has limits of its own: an event 256 KiB, the incomplete events of all streams an eighth of the memory, a list 4 MiB, a small response 64 KiB.

--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -17,7 +17,6 @@
 # Reading this much takes a third of a second of one core; a client that sends more is disconnected.
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 MAX_SMALL_RESPONSE_BYTES = 64 * 1024  # of a response that is not streamed: a load report or a token count
-MAX_CHUNK_BYTES = 256 * 1024  # of one chunk of a stream; events are far smaller
 MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses before the final one; a peer that sends more is faulty
 
 # Timeouts of client connections to the server, in seconds
--- a/tests/relay/test_relay_slow_engines.py
+++ b/tests/relay/test_relay_slow_engines.py
@@ -64,6 +64,11 @@
     "the head in bytes": [Writes(STREAM_HEAD, 0.03, 1), Writes(chunk(EVENT)), END],
     "its last events in bytes": [BEGIN, Writes(chunk(REST), 0.05, 1), Writes(LAST_CHUNK)],
     "a long event": [BEGIN, Writes(chunk(LONG_EVENT), 0.1, 3000), END],
+    "a chunk of 300 KB": [
+        Writes(STREAM_HEAD),
+        Writes(chunk(EVENT * 4000 + REST), 0.05, 20_000),
+        Writes(LAST_CHUNK),
+    ],
     "with a length": [Writes(LENGTH_HEAD + EVENT), Writes(EVENT, 0.1, 1), Writes(REST)],
     "to the end of its connection": [Writes(CLOSE_HEAD + EVENT), Writes(EVENT, 0.1, 1), Writes(REST)],
 }
