--- a/myrtlehub/relay/engines/run_history.py
+++ b/myrtlehub/relay/engines/run_history.py
@@ -6,6 +6,7 @@
 from myrtlehub.node.sequences import Attempt
 from myrtlehub.relay.clients.earlier_runs import PossibleRun
 from myrtlehub.relay.engines.attempt_response import response_handler
+from myrtlehub.relay.engines.recent_entries import RecentEntries
 from myrtlehub.routing.contract import NOT_RUN_OUTCOMES, Outcome, RetrySemantics, RouterConfig
 
 RETENTION_S = 600.0  # far longer than any client waits
@@ -26,11 +27,10 @@
     """
 
     def __init__(self, clock: Clock, engines: EndpointIndex, config: RouterConfig) -> None:
-        self._clock = clock
         self._engines = engines
         self._config = config
         self._running: dict[str, int] = {}  # number of outstanding writes by id
-        self._runs: dict[str, PossibleRun] = {}  # the earliest ended first
+        self._runs: RecentEntries[PossibleRun] = RecentEntries(clock, RETENTION_S, MAX_RUNS)
 
     def is_running(self, sequence_id: str) -> bool:
         """Return whether a write of the request is outstanding, also one whose client has left."""
@@ -38,9 +38,7 @@
 
     def find(self, sequence_id: str) -> PossibleRun | None:
         """Return the first attempt of a request with this id that may have run, or None."""
-        run = self._runs.get(sequence_id)
-        is_expired = run is not None and run.sent_at < self._clock.seconds() - RETENTION_S
-        return None if is_expired else run
+        return self._runs.get(sequence_id)
 
     def attempt_started(self, attempt: Attempt) -> None:
         """Count an outstanding write; see `ExecutorObserver`."""
@@ -58,21 +56,12 @@
             self._running[sequence_id] = count
         if _may_have_run(attempt) and sequence_id not in self._runs:
             engine = self._engines.endpoints[attempt.engine].address
-            self._runs[sequence_id] = PossibleRun(engine, attempt.sent_at)
-            self._remove_oldest()
+            self._runs.add(sequence_id, PossibleRun(engine, attempt.sent_at))
 
     def _is_recorded(self, attempt: Attempt) -> bool:
         traffic = self._config.traffic[attempt.sequence.arrival.traffic]
         return not attempt.is_read and traffic.retry_semantics != RetrySemantics.IDEMPOTENT
 
-    def _remove_oldest(self) -> None:
-        expired_before = self._clock.seconds() - RETENTION_S
-        while self._runs:
-            oldest = next(iter(self._runs))
-            if len(self._runs) <= MAX_RUNS and self._runs[oldest].sent_at >= expired_before:
-                return
-            del self._runs[oldest]
-
 
 def _may_have_run(attempt: Attempt) -> bool:
     """Return whether an engine may have received the last byte of an ended attempt."""
