Engines are not asked for a coding in which the relay cannot read events

Cause: the Accept-Encoding of a client was forwarded, so an engine could answer with a compressed stream, as usual HTTP libraries ask for one. The relay would take its bytes for malformed events and end the attempt. From reading of the response path; not seen in a run.

Change: Accept-Encoding is not forwarded; all other headers are as before.

--- a/myrtlehub/relay/clients/request_headers.py
+++ b/myrtlehub/relay/clients/request_headers.py
@@ -21,8 +21,8 @@
         b"x-estimate",
     )
 )
-# Headers that are not forwarded: hop-by-hop headers (RFC 9110, section 7.6.1) and those of which the relay
-# sends its own. All others are forwarded.
+# Headers that are not forwarded: hop-by-hop headers (RFC 9110, section 7.6.1), those of which the relay sends
+# its own, and Accept-Encoding, as the relay has to read the events of the response. All others are forwarded.
 NOT_FORWARDED_HEADERS = frozenset(
     (
         b"connection",
@@ -37,6 +37,7 @@
         b"expect",
         b"host",
         b"content-length",
+        b"accept-encoding",
         b"x-remaining-ms",
         b"x-estimate",
     )
--- a/tests/relay/test_relay_requests.py
+++ b/tests/relay/test_relay_requests.py
@@ -226,3 +226,11 @@
     (retry,) = [request for request in all_reads if request not in first_reads]
     before = [request for request in retry.connection.peer.requests if request is not retry]
     assert retry.connection not in [request.connection for request in before]
+
+
+def test_engines_are_not_asked_for_a_coding_in_which_the_relay_cannot_read_events() -> None:
+    rig = RelayRig("w1")
+    client = rig.request("a1", headers=b"Accept-Encoding: gzip, br\r\nAccept: text/event-stream\r\n")
+    assert client.statuses == [200]
+    sent = rig.engines["w1"].chat_requests()[0].headers
+    assert b"accept-encoding" not in sent and sent[b"accept"] == b"text/event-stream"
