The soak keeps attempts in the order of their records, not of the kernel's coarse times

Cause: a fault of the check, since attempts have the kernel's time: that clock has ticks of some milliseconds, and the check of retries sorted attempts by it. The nodes' logs show the order: rejected at 998.136, the further write sent after it.

Change: attempts are judged in the order in which engines recorded them, as it was before, when both orders were the same. The bounds are unchanged.

--- a/myrtlehub/lab/fault_soak/attempt_checks.py
+++ b/myrtlehub/lab/fault_soak/attempt_checks.py
@@ -21,7 +21,8 @@
 
 def check_attempts(index: RecordIndex, request: RequestRecord, terms: RuleTerms) -> Iterator[Finding]:
     """Yield a finding for each attempt of a request that breaks a rule."""
-    attempts = sorted(index.attempts(request.request_id), key=lambda attempt: attempt.arrived_at)
+    # In the order of their records: the kernel's times of arrival are exact to some milliseconds only.
+    attempts = index.attempts(request.request_id)
     allowance = index.stopped_time(request) + index.tolerance
     for attempt in attempts:
         if request.disconnected_at is not None:
--- a/tests/lab/test_fault_soak_rules.py
+++ b/tests/lab/test_fault_soak_rules.py
@@ -145,6 +145,17 @@
     assert broken_rules(records) == broken
 
 
+def test_a_retry_whose_arrival_has_an_earlier_time_than_the_rejection_is_no_breach() -> None:
+    """The kernel's clock has ticks of some milliseconds."""
+    records = sound_records(TrafficType.AT_MOST_ONCE)
+    records.states = []
+    records.attempts[0] = AttemptRecord(
+        "a", "w2", False, 10.052, 10.052, 1900, 0, 10.053, AttemptEnd.REJECTED
+    )
+    records.attempts[1].arrived_at = records.attempts[1].first_byte_at = 10.05
+    assert broken_rules(records) == []
+
+
 def test_an_attempt_after_a_disconnect_and_too_much_remaining_time_are_breaches() -> None:
     records = sound_records()
     request = records.requests["a"]
