--- a/myrtlehub/http1/tcp_transport.py
+++ b/myrtlehub/http1/tcp_transport.py
@@ -91,14 +91,19 @@
 
 def is_closed_by_peer(transport: AbortableTransport) -> bool:
     """Return whether the end of the connection was received, even behind unread data; False if unknown."""
+    info = tcp_info(transport, 1)
+    return info is not None and info[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
+
+def tcp_info(transport: AbortableTransport, size: int) -> bytes | None:
+    """Return the first `size` bytes of Linux's `struct tcp_info` of a connection; None if it is unknown."""
     get_handle: Callable[[], socket] | None = getattr(transport, "getHandle", None)
     if get_handle is None or TCP_INFO is None:
-        return False
+        return None
     try:
-        info = get_handle().getsockopt(IPPROTO_TCP, TCP_INFO, 1)
+        return get_handle().getsockopt(IPPROTO_TCP, TCP_INFO, size)
     except OSError:
-        return False
-    return info[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
+        return None
 
 
 def _queued_bytes(transport: AbortableTransport, query: int) -> int:
--- a/myrtlehub/lab/fault_soak/engine_responses.py
+++ b/myrtlehub/lab/fault_soak/engine_responses.py
@@ -1,6 +1,6 @@
 """The bytes that emulated engines send."""
 
-from enum import StrEnum
+from myrtlehub.http1.framing import Framing
 
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
 USAGE = b'data: {"choices":[],"usage":{"prompt_tokens":100,"completion_tokens":2}}\n\n'
@@ -22,14 +22,6 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-class Framing(StrEnum):
-    """What shows the end of a stream."""
-
-    CHUNKED = "chunked"
-    LENGTH = "length"
-    CONNECTION = "connection"
-
-
 _HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 STREAM_HEAD_BY_FRAMING = {
     Framing.CHUNKED: _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
--- a/myrtlehub/lab/fault_soak/planted_faults.py
+++ b/myrtlehub/lab/fault_soak/planted_faults.py
@@ -257,7 +257,7 @@
     """Pass comments on before the first event, which ends the client's wait."""
 
     def feed(self: ResponseStream, data: bytes) -> bytes:
-        return self._parser.feed(data)
+        return self.parser.feed(data)
 
     replace_attribute(ResponseStream, "feed", feed)
 
--- a/myrtlehub/lab/fault_soak/stream_plan.py
+++ b/myrtlehub/lab/fault_soak/stream_plan.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from myrtlehub.http1.framing import Framing
 from myrtlehub.lab.fault_soak.engine_responses import (
     COMMENT,
     DONE,
@@ -15,7 +16,6 @@
     STREAM_HEAD_BY_FRAMING,
     TRUNCATED_EVENT,
     USAGE,
-    Framing,
     chunk,
 )
 
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -196,7 +196,8 @@
     def _complete_stream(self, end: AttemptEnd, stream: ResponseStream) -> None:
         missing = stream.end()
         if missing is None:
-            self._report_end(end, stream.cached_tokens, stream.load or self._load_report, stream.token_count)
+            parser = stream.parser
+            self._report_end(end, parser.cached_tokens, parser.load or self._load_report, parser.token_count)
         else:
             self._report_end(
                 attempt_end_of_failure(True), reason=FailureReason.TRUNCATED_STREAM, missing=missing
@@ -250,12 +251,12 @@
 
     def progress_fields(self) -> dict[str, object]:
         """Return what was received of the response, as fields of a log line."""
-        stream = self._stream
+        parser = None if self._stream is None else self._stream.parser
         return {
             "status": self.status,
             "framing": self.framing,
-            "events": 0 if stream is None else stream.event_count,
-            "has_end_mark": stream is not None and stream.completeness.has_content_end,
+            "events": 0 if parser is None else parser.event_count,
+            "has_end_mark": parser is not None and parser.completeness.has_content_end,
         }
 
 
--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -117,7 +117,6 @@
         self.completeness.content_ended()
 
     def _process_data(self, data: bytes) -> None:
-        self.completeness.part_received()
         fields = _decode_fields(data)
         if fields.error:
             self.completeness.content_failed()
--- a/myrtlehub/relay/engines/response_stream.py
+++ b/myrtlehub/relay/engines/response_stream.py
@@ -6,8 +6,7 @@
 from myrtlehub.relay.engines.failure_reason import FailureReason
 from myrtlehub.relay.engines.sender_activity import UNCHECKED_PART_S, Activity, due_at
 from myrtlehub.relay.errors import EventStreamError
-from myrtlehub.routing import contract
-from myrtlehub.state.response_completeness import MissingEnd, ResponseCompleteness
+from myrtlehub.state.response_completeness import MissingEnd
 
 
 class ResponseStream:
@@ -18,6 +17,7 @@
         may_retry: Whether the request may be executed again before the first event of its stream.
 
     Attributes:
+        parser: The parser of its events, with what they state.
         longest_event_gap: The longest time between two events so far, in seconds.
     """
 
@@ -25,44 +25,19 @@
         self.longest_event_gap = 0.0
         self._clock = clock
         self._may_retry = may_retry
-        self._parser = EventStreamParser()
+        self.parser = EventStreamParser()
         self._early_comments = b""  # kept back, because the client's wait ends with what it gets first
         self._last_event_at = clock.seconds()
 
-    @property
-    def completeness(self) -> ResponseCompleteness:
-        """Whether the stream is complete."""
-        return self._parser.completeness
-
     @property
     def has_failed(self) -> bool:
         """Whether the engine has sent an event that says that it failed."""
-        return not self.completeness.is_content_valid
-
-    @property
-    def event_count(self) -> int:
-        """Number of complete events with data."""
-        return self._parser.event_count
+        return not self.parser.completeness.is_content_valid
 
     @property
     def incomplete_bytes(self) -> int:
         """Bytes held of what is not passed on yet."""
-        return self._parser.incomplete_bytes + len(self._early_comments)
-
-    @property
-    def cached_tokens(self) -> float:
-        """Number of prompt tokens that the engine had cached, as it states."""
-        return self._parser.cached_tokens
-
-    @property
-    def token_count(self) -> int:
-        """Number of generated tokens, as the engine states."""
-        return self._parser.token_count
-
-    @property
-    def load(self) -> contract.LoadReport | None:
-        """The latest load report in the stream, if any."""
-        return self._parser.load
+        return self.parser.incomplete_bytes + len(self._early_comments)
 
     @property
     def silence(self) -> float:
@@ -75,12 +50,12 @@
         Raises:
             EventStreamError: The data does not belong to an event stream.
         """
-        was_ended = self.completeness.has_content_end
-        complete = self._parser.feed(data)
+        was_ended = self.parser.completeness.has_content_end
+        complete = self.parser.feed(data)
         if complete and not was_ended:
             self.longest_event_gap = max(self.longest_event_gap, self.silence)
             self._last_event_at = self._clock.seconds()
-        if self.event_count:
+        if self.parser.event_count:
             early_comments, self._early_comments = self._early_comments, b""
             return early_comments + complete
         self._early_comments += complete
@@ -91,10 +66,10 @@
     def end(self) -> MissingEnd | None:
         """Process the end of the framing; return what the stream lacks, or None if it is complete."""
         try:
-            self._parser.end()
+            self.parser.end()
         except EventStreamError:
             return MissingEnd.CONTENT
-        return self.completeness.missing
+        return self.parser.completeness.missing
 
     def restart_silence(self, connection: PooledConnection | None) -> None:
         """Count silence from now: the stream begins, or its client does not let it be read."""
@@ -111,20 +86,20 @@
             last_event_at=self._last_event_at,
             last_byte_at=self._last_event_at if connection is None else connection.activity.last_at,
             longest_pause_s=0.0 if connection is None else connection.activity.longest_pause_s,
-            has_begun=self.event_count > 0,
+            has_begun=self.parser.event_count > 0,
             is_partial=self._is_partial(connection),
-            has_content_end=self.completeness.has_content_end,
+            has_content_end=self.parser.completeness.has_content_end,
             may_retry=self._may_retry,
         )
 
     def _is_partial(self, connection: PooledConnection | None) -> bool:
-        return self._parser.incomplete_bytes > 0 or (connection is not None and connection.has_partial_data())
+        return self.parser.incomplete_bytes > 0 or (connection is not None and connection.has_partial_data())
 
     def failure(self, now: float, connection: PooledConnection | None) -> FailureReason | None:
         """Return why the stream has to end now; None if its engine may still be sending it."""
         if now >= self.due_at(connection) - TIMER_TOLERANCE_S:
-            is_first = self.event_count == 0 and self._is_partial(connection)
+            is_first = self.parser.event_count == 0 and self._is_partial(connection)
             return FailureReason.INCOMPLETE_EVENT_TIMEOUT if is_first else FailureReason.SILENCE_TIMEOUT
-        if self.silence >= UNCHECKED_PART_S and not self._parser.may_go_on():
+        if self.silence >= UNCHECKED_PART_S and not self.parser.may_go_on():
             return FailureReason.MALFORMED_EVENT
         return None
--- a/myrtlehub/routing/policy/retries.py
+++ b/myrtlehub/routing/policy/retries.py
@@ -24,7 +24,7 @@
 
 
 def may_run_on_arrival(sequence: Sequence, engine: Engine, arrives_at: float, config: RouterConfig) -> bool:
-    """Return whether an attempt that arrives at an engine at a time may run there (invariant 2)."""
+    """Return whether an attempt may run at an engine if it arrives there at `arrives_at` (invariant 2)."""
     first = sequence.possible_run
     traffic = sequence.traffic
     if first is None or traffic.retry_semantics == RetrySemantics.IDEMPOTENT:
--- a/myrtlehub/state/response_completeness.py
+++ b/myrtlehub/state/response_completeness.py
@@ -3,7 +3,7 @@
 Such a response has two ends. That of its content is a part that says so, such as the event `[DONE]` of a
 stream. That of its framing is the last chunk, the last byte of its length or the close of its connection. A
 peer that fails in between may send either end without the other, so a response is complete only if both have
-arrived, and the end of the content as the last part of the content.
+arrived. The parser of the content refuses what follows its end.
 """
 
 from enum import StrEnum
@@ -14,7 +14,7 @@
 
     CONTENT = "content"  # the framing has ended, the content has not
     FRAMING = "framing"  # the connection or the call has ended before the framing
-    VALID_CONTENT = "valid_content"  # the content says that the peer failed, or goes on after its own end
+    VALID_CONTENT = "valid_content"  # the content says that the peer failed
 
 
 class ResponseCompleteness:
@@ -33,14 +33,8 @@
         self.has_framing_end = False
         self.is_content_valid = True
 
-    def part_received(self) -> None:
-        """Record a part of the content that is not its end."""
-        if self.has_content_end:
-            self.is_content_valid = False
-
     def content_ended(self) -> None:
         """Record the end of the content."""
-        self.part_received()
         self.has_content_end = True
 
     def content_failed(self) -> None:
