--- a/tests/relay/test_relay_incomplete_streams.py
+++ b/tests/relay/test_relay_incomplete_streams.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 import pytest
-from relaymessages import DONE, EVENT, LAST_CHUNK, RELEASE_RESPONSE, USAGE, chat_request, chunk
+from relaymessages import DONE, EVENT, LAST_CHUNK, USAGE, chat_request, chunk
 from socketpeers import TIMEOUT_S, PeerConnection, ReceivedRequest
 from socketrig import Client, RelayProcess, SocketRig, in_parallel
 
@@ -109,9 +109,6 @@
 
 def respond(connection: PeerConnection, request: ReceivedRequest) -> None:
     """Respond in the form that the id of the request states, by its position."""
-    if request.method == b"DELETE":
-        connection.send(RELEASE_RESPONSE)
-        return
     answered.add(request.sequence_id)
     all_endings = [*ENDINGS.values(), *COMPLETE.values()]
     ending = all_endings[int(request.sequence_id.partition("-")[0][1:])]
@@ -153,9 +150,7 @@
 def received_streams(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Stream]]:
     """Yield the streams of all forms, as clients of one node received them, by the ids of the requests."""
     rig = SocketRig(tmp_path_factory.mktemp("streams"))
-    node = rig.start(" ".join(f"w{number}" for number in range(ENGINES)))
-    for engine in rig.engines.values():
-        engine.script = respond
+    node = rig.start_writers(ENGINES, respond)
     request_ids = [f"f{n}-{v}" for n in range(len(ENDINGS) + len(COMPLETE)) for v in ("http11", "http10")]
     streams = in_parallel(lambda request_id: receive(node, request_id), request_ids, at_most=20)
     yield streams
--- a/tests/relay/test_relay_slow_engines.py
+++ b/tests/relay/test_relay_slow_engines.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 import pytest
-from relaymessages import DONE, EVENT, LAST_CHUNK, RELEASE_RESPONSE, STREAM_HEAD, USAGE, chat_request, chunk
+from relaymessages import DONE, EVENT, LAST_CHUNK, STREAM_HEAD, USAGE, chat_request, chunk
 from socketpeers import PeerConnection, ReceivedRequest
 from socketrig import Client, RelayProcess, SocketRig, in_parallel, let_time_pass
 
@@ -96,9 +96,6 @@
 
 def respond(connection: PeerConnection, request: ReceivedRequest) -> None:
     """Respond in the form that the id of the request states, by its position."""
-    if request.method == b"DELETE":
-        connection.send(RELEASE_RESPONSE)
-        return
     form = FORMS[int(request.sequence_id[1:])]
     for writes in form:
         for start in range(0, len(writes.data), writes.piece_bytes):
@@ -133,9 +130,7 @@
 def received_streams(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Stream]]:
     """Yield the streams of all forms, as clients of one node received them at the same time."""
     rig = SocketRig(tmp_path_factory.mktemp("streams"))
-    node = rig.start(" ".join(f"w{number}" for number in range(ENGINES)))
-    for engine in rig.engines.values():
-        engine.script = respond
+    node = rig.start_writers(ENGINES, respond)
     names = [*RUNNING, *SPOILT]
     yield in_parallel(lambda name: receive(node, f"f{names.index(name)}"), names)
     rig.close()
--- a/tests/support/socketrig.py
+++ b/tests/support/socketrig.py
@@ -23,8 +23,17 @@
 
 import pytest
 from paths import ROOT
-from relaymessages import SETTINGS
-from socketpeers import HOST, TIMEOUT_S, Discovery, Engine, ScriptedPeer
+from relaymessages import RELEASE_RESPONSE, SETTINGS
+from socketpeers import (
+    HOST,
+    TIMEOUT_S,
+    Discovery,
+    Engine,
+    PeerConnection,
+    ReceivedRequest,
+    Script,
+    ScriptedPeer,
+)
 
 from myrtlehub.log_events import LogEvent
 
@@ -358,6 +367,20 @@
             node.wait_for_log(LogEvent.READY)
         return node
 
+    def start_writers(self, count: int, script: Script) -> RelayProcess:
+        """Start writers that answer attempts by the same script, discovery and a node; wait until ready."""
+        node = self.start(" ".join(f"w{number}" for number in range(count)))
+
+        def respond(connection: PeerConnection, request: ReceivedRequest) -> None:
+            if request.method == b"DELETE":
+                connection.send(RELEASE_RESPONSE)
+            else:
+                script(connection, request)
+
+        for engine in self.engines.values():
+            engine.script = respond
+        return node
+
     def start_relay(self, **relay: Any) -> RelayProcess:  # noqa: ANN401 (arguments of RelayProcess)
         """Start another node, with the same discovery."""
         node = RelayProcess(self.folder / f"n{len(self.relays)}", self.discovery.address, **relay)
