--- a/tests/support/program_groups.py
+++ b/tests/support/program_groups.py
@@ -22,6 +22,7 @@
     "test_relay_memory_process.py": "other programs",
     "test_relay_incomplete_streams.py": "other programs",
     "test_relay_slow_engines.py": "other programs",
+    "test_relay_endless_responses.py": "other programs",
     "test_relay_slow_readers.py": "other programs",
     "test_fault_soak.py": "fault soak",
 }
