The log says what a broken stream had announced and begun: bytes of chunk, framing, event

Cause of the gap: the line stream_broken said silence_timeout alone, so a claim of gigabytes, a size line without end and half an event looked alike. Behaviour is unchanged.

--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -12,6 +12,7 @@
 from myrtlehub.http1.client_interfaces import ConnectionOwner, OutstandingRequest
 from myrtlehub.http1.client_request import ClientRequest, RequestFailure
 from myrtlehub.http1.close_reason import PeerCloseReason
+from myrtlehub.http1.framing_progress import FramingProgress
 from myrtlehub.http1.headers import Header
 from myrtlehub.http1.input_buffer import InputBuffer
 from myrtlehub.http1.receive_activity import ReceiveActivity
@@ -42,12 +43,11 @@
         self.is_closed = False
         self.has_completed_request = False
         self.activity = ReceiveActivity(self.clock)
+        self.framing_progress = FramingProgress()
         self._input = InputBuffer()
         self._is_parsing_deferred = False
         self._is_response_paused = False
         self._has_response_begun = False
-        self._is_chunked = False
-        self._is_inside_chunk = False
         self._informational_count = 0
         self._unwritten_data: bytes | None = None
         self._discard_timeout = Timeout(self.clock)
@@ -58,9 +58,8 @@
         self.is_request_sent = False
         self._is_response_paused = False
         self._has_response_begun = False
-        self._is_chunked = False
-        self._is_inside_chunk = False
         self._informational_count = 0
+        self.framing_progress = FramingProgress()
         self.activity.restart()
         self._unwritten_data = self._serialize(pending.request, pending.address)
         self.transport.registerProducer(self, False)
@@ -103,6 +102,8 @@
             Whether there is more data; without any, the connection must not be deferred.
         """
         while (pending := self.pending) is not None and not self._is_response_paused:
+            if self.framing_progress.expects_size_line:
+                self.framing_progress.read_size_line(self.http.trailing_data[0])
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError:
@@ -121,7 +122,9 @@
 
     def _pass_next_piece(self) -> bool:
         """Pass more data to the parser, which has an incomplete element or none."""
-        if self.http.trailing_data[0].count(b"\n") > MAX_INCOMPLETE_LINES:
+        incomplete = self.http.trailing_data[0]
+        self.framing_progress.incomplete_bytes = len(incomplete)
+        if incomplete.count(b"\n") > MAX_INCOMPLETE_LINES:
             self._fail()
             return False
         if not self._input:
@@ -162,7 +165,7 @@
         """Handle one event of the parser; return False if it made the request fail."""
         self._has_response_begun = True
         if type(event) is h11.Data:
-            self._is_inside_chunk = self._is_chunked and not event.chunk_end
+            self.framing_progress.content_received(len(event.data), event.chunk_end)
             pending.handler.on_data(bytes(event.data))
         elif (
             isinstance(event, (h11.Response, h11.InformationalResponse)) and len(event.headers) > MAX_HEADERS
@@ -170,8 +173,8 @@
             self._fail()
             return False
         elif type(event) is h11.Response:
-            self._is_chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
             headers = [Header(name, value) for name, value in event.headers]
+            self.framing_progress.begin(dict(headers))
             pending.handler.on_head(event.status_code, headers)
         elif type(event) is h11.InformationalResponse:
             self._informational_count += 1
@@ -187,7 +190,7 @@
 
     def has_partial_data(self) -> bool:
         """Return whether the peer has sent an incomplete chunk, or size line of usual length."""
-        return self._is_inside_chunk or 0 < self._unparsed_bytes() <= MAX_PARTIAL_LINE_BYTES
+        return self.framing_progress.is_chunk_open or 0 < self._unparsed_bytes() <= MAX_PARTIAL_LINE_BYTES
 
     def _is_reusable(self) -> bool:
         http = self.http
--- a/myrtlehub/http1/client_interfaces.py
+++ b/myrtlehub/http1/client_interfaces.py
@@ -6,6 +6,7 @@
 from myrtlehub.clock import Clock
 from myrtlehub.http1.client_request import ClientRequest, ResponseHandler
 from myrtlehub.http1.close_reason import PeerCloseReason
+from myrtlehub.http1.framing_progress import FramingProgress
 from myrtlehub.http1.parse_scheduler import ParseScheduler
 from myrtlehub.http1.receive_activity import ReceiveActivity
 from myrtlehub.http1.tcp_transport import Transport
@@ -43,6 +44,7 @@
         has_completed_request: Whether an earlier request was completed on this connection.
         transport: TCP transport of the connection.
         activity: When the peer has sent data of the current response.
+        framing_progress: What the framing of the current response has announced; an object for each response.
     """
 
     peer: str
@@ -53,6 +55,7 @@
     has_completed_request: bool
     transport: Transport
     activity: ReceiveActivity
+    framing_progress: FramingProgress
 
     def send_request(self, pending: OutstandingRequest) -> None:
         """Send a request; the connection has to be idle."""
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -8,7 +8,8 @@
 from myrtlehub.http1.body_buffer import BodyBuffer
 from myrtlehub.http1.bounds import MAX_SMALL_RESPONSE_BYTES
 from myrtlehub.http1.client_request import RequestFailure, ResponseHandler
-from myrtlehub.http1.framing import Framing, framing_of
+from myrtlehub.http1.framing import Framing
+from myrtlehub.http1.framing_progress import FramingProgress
 from myrtlehub.http1.headers import Headers
 from myrtlehub.http1.pending_request import PendingRequest
 from myrtlehub.log_events import Log, LogEvent
@@ -57,7 +58,7 @@
     Attributes:
         pending: The request; None once the attempt has ended.
         status: Status of the response; None before its head.
-        framing: What shows the end of the response's body; None before its head.
+        framing_progress: What the framing of the response has announced; None before its head.
         was_sent: Whether the request had been sent completely when the attempt was cancelled.
     """
 
@@ -69,7 +70,7 @@
         self.was_sent = False
         self._end: AttemptEnd | None = None  # None until the head is received
         self.status: int | None = None
-        self.framing: Framing | None = None
+        self.framing_progress: FramingProgress | None = None
         self._stream: ResponseStream | None = None  # None unless the response is a stream
         self._load_report: contract.LoadReport | None = None
         self._body = BodyBuffer(MAX_SMALL_RESPONSE_BYTES)
@@ -84,7 +85,8 @@
         fields = dict(headers)
         self.client.directory.record_contact(self.attempt.engine)
         self.status = status
-        self.framing = framing_of(fields)
+        connection = None if self.pending is None else self.pending.connection
+        self.framing_progress = None if connection is None else connection.framing_progress
         end = self._end = attempt_end_of_response(
             self.attempt.is_read, status, fields.get(b"x-turned-away") == b"1"
         )
@@ -185,7 +187,7 @@
         try:
             cached_tokens = _read_result_decoder.decode(bytes(self._body)).cached_tokens
         except (msgspec.DecodeError, ValueError, RecursionError):
-            if self.framing is Framing.CONNECTION:
+            if self.framing_progress is not None and self.framing_progress.framing is Framing.CONNECTION:
                 # The engine may have ended while it responded.
                 self.client.uncertain_attempts.add(self.attempt.sequence.sequence_id)
                 self._report_end(attempt_end_of_failure(True), reason=FailureReason.TRUNCATED_BODY)
@@ -252,11 +254,15 @@
     def progress_fields(self) -> dict[str, object]:
         """Return what was received of the response, as fields of a log line."""
         parser = None if self._stream is None else self._stream.parser
+        framing = self.framing_progress
         return {
             "status": self.status,
-            "framing": self.framing,
+            "framing": None if framing is None else framing.framing,
             "events": 0 if parser is None else parser.event_count,
             "has_end_mark": parser is not None and parser.completeness.has_content_end,
+            "incomplete_event_bytes": 0 if parser is None else parser.incomplete_bytes,
+            "incomplete_framing_bytes": 0 if framing is None else framing.incomplete_bytes,
+            "announced_bytes": 0 if framing is None else framing.announced_bytes,
         }
 
 
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -232,3 +232,22 @@
     assert rig.request("a1").statuses == [503]
     rejected = [logged.fields for logged in rig.logged if logged.event == LogEvent.REQUEST_REJECTED]
     assert [fields["reason"] for fields in rejected] == ["the node shuts down"]
+
+
+@pytest.mark.parametrize(
+    ("data", "fields"),
+    [
+        (b"1000\r\n" + EVENT, {"announced_bytes": 4096 - len(EVENT), "incomplete_framing_bytes": 0}),
+        (b"4d;name=", {"announced_bytes": 77, "incomplete_framing_bytes": 8}),
+        (chunk(EVENT[:30]), {"incomplete_event_bytes": 30, "announced_bytes": 0}),
+    ],
+)
+def test_the_log_says_what_a_stream_that_broke_had_begun(data: bytes, fields: dict[str, object]) -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(
+        STREAM_HEAD + chunk(EVENT) + data
+    )
+    rig.request("a1")
+    rig.run(10.0)
+    (broken,) = [logged.fields for logged in rig.logged if logged.event == LogEvent.STREAM_BROKEN]
+    assert broken.items() >= fields.items()
