A chunk or length that announces more than can be meant fails its response at once

Cause: a claim was believed. The parser does not tell the size of a chunk, and the limit of 256 KiB for one chunk, by content received, went with; a large chunk has to stay possible.

Each sound event in the chunk counted as life, so no bound ran.

Change: FramingProgress reads a size line while it comes. A response whose chunk or length announces more than its handler accepts fails there: 64 MiB of a stream, 4 MiB of an endpoint list, 64 KiB of any other; content that is not over that is passed on as before. So do requests of clients (413 at the size line; 256 KiB, as for their bodies). Before the first event the attempt counts as one that may have run; a once-only request is sent nowhere else. A head that rejects stays a rejection, whatever its body claims: the attempt has ended and is not reported again. The log has oversized_response with announced_bytes, and malformed_response apart from connection_failed.

test_a_list_without_end_is_given_up: its chunk now ends at once, and the watch after it, which the rig does not answer, had timed out when the test looked; it stops at the end of the response and checks the same.

--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -16,6 +16,9 @@
 # Read and discarded on one connection after its read-ahead is full, so that a disconnect is still detected.
 # Reading this much takes a third of a second of one core; a client that sends more is disconnected.
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
+# That a chunk or a length of a streamed response may announce. Streams have no limit in all, as each of their
+# events is passed on; none is as long as this, and a peer that announces more is faulty.
+MAX_STREAM_ANNOUNCEMENT_BYTES = 64 * 1024 * 1024
 MAX_SMALL_RESPONSE_BYTES = 64 * 1024  # of a response that is not streamed: a load report or a token count
 MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses before the final one; a peer that sends more is faulty
 
--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -49,6 +49,7 @@
         self._is_response_paused = False
         self._has_response_begun = False
         self._informational_count = 0
+        self._is_at_end = False  # the parser has got all data and the end of the connection
         self._unwritten_data: bytes | None = None
         self._discard_timeout = Timeout(self.clock)
 
@@ -104,10 +105,15 @@
         while (pending := self.pending) is not None and not self._is_response_paused:
             if self.framing_progress.expects_size_line:
                 self.framing_progress.read_size_line(self.http.trailing_data[0])
+            if self._announces_too_much(pending):
+                self._fail(RequestFailure.OVERSIZED_RESPONSE)
+                return False
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError:
-                self._fail()
+                self._fail(
+                    RequestFailure.RESPONSE_FAILED if self._is_at_end else RequestFailure.MALFORMED_RESPONSE
+                )
                 return False
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return self._pass_next_piece()
@@ -117,6 +123,9 @@
                 return True
         return False
 
+    def _announces_too_much(self, pending: OutstandingRequest) -> bool:
+        return self.framing_progress.announced_bytes > pending.handler.max_announced_bytes
+
     def _unparsed_bytes(self) -> int:
         return len(self._input) + len(self.http.trailing_data[0])
 
@@ -125,7 +134,7 @@
         incomplete = self.http.trailing_data[0]
         self.framing_progress.incomplete_bytes = len(incomplete)
         if incomplete.count(b"\n") > MAX_INCOMPLETE_LINES:
-            self._fail()
+            self._fail(RequestFailure.MALFORMED_RESPONSE)
             return False
         if not self._input:
             return False
@@ -170,7 +179,7 @@
         elif (
             isinstance(event, (h11.Response, h11.InformationalResponse)) and len(event.headers) > MAX_HEADERS
         ):
-            self._fail()
+            self._fail(RequestFailure.MALFORMED_RESPONSE)
             return False
         elif type(event) is h11.Response:
             headers = [Header(name, value) for name, value in event.headers]
@@ -179,12 +188,12 @@
         elif type(event) is h11.InformationalResponse:
             self._informational_count += 1
             if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
-                self._fail()
+                self._fail(RequestFailure.MALFORMED_RESPONSE)
                 return False
         elif type(event) is h11.EndOfMessage:
             self._complete(pending)
         else:
-            self._fail()
+            self._fail(RequestFailure.MALFORMED_RESPONSE)
             return False
         return True
 
@@ -229,17 +238,14 @@
         pending.mark_finished()
         pending.handler.on_complete()
 
-    def _fail(self) -> None:
+    def _fail(self, failure: RequestFailure = RequestFailure.RESPONSE_FAILED) -> None:
         pending, self.pending = self.pending, None
         self.close(PeerCloseReason.REQUEST_FAILED)
         if pending is not None:
             if self.has_completed_request and not self._has_response_begun:
                 self.pool.suspend_reuse()
             pending.mark_finished()
-            is_sent = self.is_request_sent
-            pending.handler.on_failure(
-                RequestFailure.RESPONSE_FAILED if is_sent else RequestFailure.SEND_FAILED
-            )
+            pending.handler.on_failure(failure if self.is_request_sent else RequestFailure.SEND_FAILED)
 
     def close(self, reason: PeerCloseReason) -> None:
         """Abort the connection; data that is not sent yet is discarded."""
@@ -272,6 +278,7 @@
         self.pool.parse_scheduler.remove(self)
         while self.parse_step():
             pass
+        self._is_at_end = True
         self.http.receive_data(b"")
         self.parse_step()
 
--- a/myrtlehub/http1/client_request.py
+++ b/myrtlehub/http1/client_request.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from myrtlehub.http1.bounds import MAX_SMALL_RESPONSE_BYTES
 from myrtlehub.http1.headers import Headers
 
 
@@ -16,19 +17,33 @@
 
 
 class RequestFailure(StrEnum):
-    """Progress of a failed request, which determines whether the peer may have executed it."""
+    """How a request failed, which determines whether the peer may have executed it."""
 
     NOT_SENT = "not_sent"  # no byte sent: abandoned by the sender, or no local resource for a connection
     SEND_FAILED = "send_failed"  # peer unreachable, or connection lost before the last byte: not executed
-    RESPONSE_FAILED = "response_failed"  # sent completely, no complete response: may have been executed
+    # Sent completely, so that it may have been executed, but without a complete response:
+    RESPONSE_FAILED = "response_failed"  # the connection was lost
+    MALFORMED_RESPONSE = "malformed_response"  # the response is not HTTP, or an element is over its limit
+    OVERSIZED_RESPONSE = "oversized_response"  # it announces more content than the handler accepts
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the peer may have executed the request."""
+        return self not in (RequestFailure.NOT_SENT, RequestFailure.SEND_FAILED)
 
 
 class ResponseHandler:
     """Handler of one response.
 
     The last call is `on_complete` or `on_failure`; there is none of them if the request is cancelled.
+
+    Attributes:
+        max_announced_bytes: Limit for the content that a chunk or the length of the response announces. A
+            response that announces more fails at once, as the content may go on for ever.
     """
 
+    max_announced_bytes = MAX_SMALL_RESPONSE_BYTES
+
     def on_head(self, status: int, headers: Headers) -> None:
         """Handle the status and the headers, whose names are in lower case."""
 
--- a/myrtlehub/http1/framing_progress.py
+++ b/myrtlehub/http1/framing_progress.py
@@ -20,8 +20,8 @@
 
     Attributes:
         framing: What shows the end of the content; None before the head.
-        announced_bytes: Bytes that are still to come of the present chunk, or of the length; 0 if the end of
-            the connection is the end of the content. While a size line is not complete, what it claims so far.
+        announced_bytes: Bytes that are still to come of the present chunk, or of the length; 0 if the content
+            ends with the connection. While a size line is not complete, what it claims so far.
         incomplete_bytes: Bytes received of an element that is not complete: a head, a size line, the line end
             after a chunk, or a trailer.
     """
--- a/myrtlehub/http1/partial_request.py
+++ b/myrtlehub/http1/partial_request.py
@@ -6,6 +6,7 @@
 
 from myrtlehub.http1.body_buffer import BodyBuffer
 from myrtlehub.http1.bounds import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS
+from myrtlehub.http1.framing_progress import FramingProgress
 from myrtlehub.http1.headers import Header
 from myrtlehub.http1.server_request import ServerRequest
 
@@ -32,10 +33,12 @@
 class PartialRequest:
     """The head of a request and the part of its body received so far."""
 
-    __slots__ = ("_body", "_head")
+    __slots__ = ("_body", "_framing_progress", "_head")
 
     def __init__(self, head: h11.Request) -> None:
         self._head = head
+        self._framing_progress = FramingProgress()
+        self._framing_progress.begin(dict(head.headers))
         self._body = BodyBuffer(MAX_BODY_BYTES)
 
     @property
@@ -43,8 +46,29 @@
         """Number of bytes of the body received so far."""
         return len(self._body)
 
-    def add(self, data: bytes) -> HTTPStatus | None:
-        """Append a part of the body; return the status for rejecting the request if the body is too large."""
+    @property
+    def expects_size_line(self) -> bool:
+        """Whether the next data belongs to the size line of a chunk; see `read_size_line`."""
+        return self._framing_progress.expects_size_line
+
+    def read_size_line(self, unparsed: bytes) -> HTTPStatus | None:
+        """Read a size line, complete or not; return the status for rejecting what it announces, if any.
+
+        Args:
+            unparsed: The data that the parser has not consumed, which starts with the line.
+        """
+        self._framing_progress.read_size_line(unparsed)
+        is_too_large = self._framing_progress.announced_bytes > MAX_BODY_BYTES
+        return HTTPStatus.REQUEST_ENTITY_TOO_LARGE if is_too_large else None
+
+    def add(self, data: bytes, is_chunk_end: bool) -> HTTPStatus | None:
+        """Append a part of the body; return the status for rejecting the request if the body is too large.
+
+        Args:
+            data: The part.
+            is_chunk_end: Whether a chunk ends with it.
+        """
+        self._framing_progress.content_received(len(data), is_chunk_end)
         self._body.append(data)
         return HTTPStatus.REQUEST_ENTITY_TOO_LARGE if self._body.is_too_large else None
 
--- a/myrtlehub/http1/request_reader.py
+++ b/myrtlehub/http1/request_reader.py
@@ -111,6 +111,11 @@
 
     def next_event(self) -> ReadEvent | None:
         """Parse the next element of the received data; return None if more data is needed."""
+        partial = self._partial
+        if partial is not None and partial.expects_size_line:
+            status = partial.read_size_line(self._http.trailing_data[0])
+            if status is not None:
+                return RequestRejection(status)
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
@@ -137,7 +142,7 @@
         if self._partial is None:
             return PartRead()
         if type(event) is h11.Data:
-            status = self._partial.add(event.data)
+            status = self._partial.add(event.data, event.chunk_end)
             return RequestRejection(status) if status else PartRead()
         if type(event) is h11.EndOfMessage:
             return self._complete_request(self._partial)
--- a/myrtlehub/relay/discovery/discovery_client.py
+++ b/myrtlehub/relay/discovery/discovery_client.py
@@ -42,6 +42,8 @@
 class _ListResponseHandler(ResponseHandler):
     """Collects a response, and calls `on_body` once: with the body, or with None if it cannot be used."""
 
+    max_announced_bytes = MAX_LIST_BYTES
+
     def __init__(self, on_body: Callable[[bytes | None], None]) -> None:
         self.on_body = on_body
         self.body = BodyBuffer(MAX_LIST_BYTES)
--- a/myrtlehub/relay/engines/attempt_response.py
+++ b/myrtlehub/relay/engines/attempt_response.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from myrtlehub.http1.body_buffer import BodyBuffer
-from myrtlehub.http1.bounds import MAX_SMALL_RESPONSE_BYTES
+from myrtlehub.http1.bounds import MAX_SMALL_RESPONSE_BYTES, MAX_STREAM_ANNOUNCEMENT_BYTES
 from myrtlehub.http1.client_request import RequestFailure, ResponseHandler
 from myrtlehub.http1.framing import Framing
 from myrtlehub.http1.framing_progress import FramingProgress
@@ -38,6 +38,15 @@
 _read_result_decoder = msgspec.json.Decoder(_ReadResult)
 
 
+REASON_BY_FAILURE = {
+    RequestFailure.NOT_SENT: FailureReason.NOT_SENT,
+    RequestFailure.SEND_FAILED: FailureReason.CONNECTION_FAILED,
+    RequestFailure.RESPONSE_FAILED: FailureReason.CONNECTION_FAILED,
+    RequestFailure.MALFORMED_RESPONSE: FailureReason.MALFORMED_RESPONSE,
+    RequestFailure.OVERSIZED_RESPONSE: FailureReason.OVERSIZED_RESPONSE,
+}
+
+
 class AttemptClient(Protocol):
     """The part of `EngineClient` that response handlers use."""
 
@@ -69,6 +78,7 @@
         self.pending: PendingRequest | None = None
         self.was_sent = False
         self._end: AttemptEnd | None = None  # None until the head is received
+        self._has_ended = False  # the end of the attempt was reported
         self.status: int | None = None
         self.framing_progress: FramingProgress | None = None
         self._stream: ResponseStream | None = None  # None unless the response is a stream
@@ -95,6 +105,7 @@
         if end.outcome == contract.Outcome.GENERATED:
             may_retry = not self.client.is_at_most_once(self.attempt)
             self._stream = ResponseStream(self.executor.clock, may_retry)
+            self.max_announced_bytes = MAX_STREAM_ANNOUNCEMENT_BYTES
             self._stream.restart_silence(self._outstanding_request().connection)
             self.client.stream_monitor.add(self)
         elif end.outcome != contract.Outcome.READ:
@@ -207,13 +218,15 @@
 
     def on_failure(self, failure: RequestFailure) -> None:
         """Report a failure; if the request was sent completely, the engine may have executed it."""
+        if self._has_ended:
+            return  # its head ended the attempt, and nobody needs the rest of the response
+        reason = REASON_BY_FAILURE[failure]
         if failure is RequestFailure.NOT_SENT:
-            self._report_end(AttemptEnd(contract.Outcome.UNSENT), reason=FailureReason.NOT_SENT)
+            self._report_end(AttemptEnd(contract.Outcome.UNSENT), reason=reason)
             return
-        may_have_run = failure is RequestFailure.RESPONSE_FAILED
-        if may_have_run:
+        if failure.may_have_run:
             self.client.uncertain_attempts.add(self.attempt.sequence.sequence_id)
-        self._report_end(attempt_end_of_failure(may_have_run), reason=FailureReason.CONNECTION_FAILED)
+        self._report_end(attempt_end_of_failure(failure.may_have_run), reason=reason)
 
     def _report_end(
         self,
@@ -224,6 +237,7 @@
         reason: FailureReason | None = None,
         missing: MissingEnd | None = None,
     ) -> None:
+        self._has_ended = True
         self.client.stream_monitor.remove(self)
         if reason is not None:
             self._log_failure(reason, missing)
--- a/myrtlehub/relay/engines/failure_reason.py
+++ b/myrtlehub/relay/engines/failure_reason.py
@@ -16,3 +16,5 @@
     SILENCE_TIMEOUT = "silence_timeout"
     NOT_SENT = "not_sent"
     CONNECTION_FAILED = "connection_failed"
+    MALFORMED_RESPONSE = "malformed_response"
+    OVERSIZED_RESPONSE = "oversized_response"
--- a/tests/http1/test_http1_server.py
+++ b/tests/http1/test_http1_server.py
@@ -200,3 +200,14 @@
     clients[1].transport.loseConnection()
     rig.run(0.2)
     assert full_states == [True, False]
+
+
+@pytest.mark.parametrize("size_line", [b"c0000000\r\n", b"c0000000", b"40001;name="])
+def test_a_chunk_that_claims_more_than_a_body_may_have_is_rejected_at_its_size_line(size_line: bytes) -> None:
+    rig = RelayRig()
+    client = rig.client()
+    client.send(
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + size_line
+    )
+    rig.run(0.02)
+    assert client.statuses == [413]
--- a/tests/relay/test_relay_response_endings.py
+++ b/tests/relay/test_relay_response_endings.py
@@ -230,8 +230,9 @@
     watch.send(form.response(200, b'{"seq":2,"hosts":['))
     handler = rig.node.discovery._requests[0].pending.handler
     for _ in range(round((WATCH_DURATION_S + RESPONSE_TIMEOUT_S + OVERDUE_TIMEOUT_S) / 0.02) + 1):
-        if not watch.lost:
-            watch.send(b" " * 65536)
+        if watch.lost:
+            break
+        watch.send(b" " * 65536)
         rig.run(0.02)
         assert len(handler.body) <= MAX_LIST_BYTES
     assert watch.lost
@@ -252,6 +253,34 @@
     assert rig.engines["r1"].connections[0].lost
 
 
+CLAIMS = (b"Content-Length: 3000000000\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\nc0000000")
+
+
+# Guards against a claim that is believed, so that a list or a read waits for content that never comes.
+@pytest.mark.parametrize("claim", CLAIMS)
+def test_a_list_that_claims_gigabytes_is_fetched_again_at_once(claim: bytes) -> None:
+    rig = RelayRig("w1")
+    watch = rig.open_watches.pop()
+    watch.send(b"HTTP/1.1 200 OK\r\n" + claim)
+    rig.run(0.2)
+    assert watch.lost and rig.node.discovery.version == 1 and rig.open_watches
+
+
+@pytest.mark.parametrize("claim", CLAIMS)
+def test_a_read_that_claims_gigabytes_is_repeated_elsewhere_at_once(claim: bytes) -> None:
+    rig = RelayRig("r1 r2 w1")
+    for name in ("r1", "r2"):
+        rig.engines[name].script = lambda connection, head, body: (
+            connection.send(b"HTTP/1.1 202 X\r\n" + claim)
+            if not rig.engines["r1"].chat_requests() or not rig.engines["r2"].chat_requests()
+            else rig.default_script(connection, head, body)
+        )
+    client = rig.request("a1", LONG_PROMPT)
+    rig.run(0.3)
+    assert client.statuses == [200]
+    assert rig.engines["r1"].connections[0].lost or rig.engines["r2"].connections[0].lost
+
+
 @forms_without_length
 def test_a_stream_without_end_is_given_up(form: Form) -> None:
     rig = RelayRig("w1")
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from relaymessages import DONE, EVENT, LAST_CHUNK, STREAM_HEAD, USAGE, chunk, stream_of
+from relaymessages import DONE, EVENT, LAST_CHUNK, STREAM_HEAD, USAGE, chunk, response, stream_of
 from relayrig import RelayRig
 
 from myrtlehub.log_events import LogEvent
@@ -251,3 +251,26 @@
     rig.run(10.0)
     (broken,) = [logged.fields for logged in rig.logged if logged.event == LogEvent.STREAM_BROKEN]
     assert broken.items() >= fields.items()
+
+
+# Guards against a claim that is believed: a rejection stays one, other responses fail once it is read.
+def test_a_rejection_that_claims_gigabytes_is_a_rejection() -> None:
+    rig = RelayRig("w1")
+    rejection = response(503, rejected=True).replace(b"Content-Length: 0", b"Content-Length: 3000000000")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(rejection)
+    client = rig.request("a1", traffic="post", remaining_ms=500)
+    rig.run(1.0)
+    assert client.statuses == [503]
+    assert all(connection.lost for connection in rig.engines["w1"].connections)
+    failed = [logged.fields["reason"] for logged in rig.logged if logged.event == LogEvent.ATTEMPT_FAILED]
+    assert failed == []
+
+
+def test_the_log_names_a_claim_that_ended_a_stream() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(
+        STREAM_HEAD + chunk(EVENT) + b"c0000000\r\n" + EVENT
+    )
+    rig.request("a1")
+    (broken,) = [logged.fields for logged in rig.logged if logged.event == LogEvent.STREAM_BROKEN]
+    assert broken.items() >= {"reason": "oversized_response", "announced_bytes": 3 << 30}.items()
