Line ends between events keep no stream open, and comments there have a limit

Cause: two line ends were taken as the end of an event although none had begun, and a lone line end as the start of one. Comments after the first event had no limit at all, those before it one by size.

Change: the parser counts events and comments (block_count), and only those count as life; a stream is within an event once a byte of it has come. Comments and line ends without an event may hold 256 KiB, as an event may, before and after the first event.

--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -49,6 +49,7 @@
         load: The latest load report in the stream, if any.
         completeness: Whether the stream is complete; its content ends with the event `[DONE]`.
         event_count: Number of complete events with data, among them `[DONE]`.
+        block_count: Number of complete events and comments; line ends between them are neither.
     """
 
     def __init__(self) -> None:
@@ -58,6 +59,12 @@
         self.load: contract.LoadReport | None = None
         self.completeness = ResponseCompleteness()
         self.event_count = 0
+        self.block_count = 0
+
+    @property
+    def is_within_event(self) -> bool:
+        """Whether an event or a comment has begun and is not complete."""
+        return bool(self._incomplete.strip(LINE_ENDS))
 
     @property
     def incomplete_bytes(self) -> int:
@@ -96,6 +103,7 @@
 
     def _process_event(self, event: bytes) -> None:
         """Validate a complete event, and store what it states."""
+        self.block_count += 1
         if not event.startswith(EVENT_PREFIXES):
             raise EventStreamError("the data is not the start of an event")
         if event.startswith(LOAD_COMMENT_PREFIX):
--- a/myrtlehub/relay/engines/response_stream.py
+++ b/myrtlehub/relay/engines/response_stream.py
@@ -27,6 +27,7 @@
         self._may_retry = may_retry
         self.parser = EventStreamParser()
         self._early_comments = b""  # kept back, because the client's wait ends with what it gets first
+        self._bytes_since_event = 0  # of comments and line ends
         self._last_event_at = clock.seconds()
         self._activity = ContentActivity(clock)
 
@@ -53,18 +54,23 @@
         """
         self._activity.record()
         was_ended = self.parser.completeness.has_content_end
+        blocks_before, events_before = self.parser.block_count, self.parser.event_count
         complete = self.parser.feed(data)
-        if complete and not was_ended:
+        if self.parser.block_count > blocks_before and not was_ended:
             self.longest_event_gap = max(self.longest_event_gap, self.silence)
             self._last_event_at = self._clock.seconds()
+        self._limit_comments(len(complete), self.parser.event_count > events_before)
         if self.parser.event_count:
             early_comments, self._early_comments = self._early_comments, b""
             return early_comments + complete
         self._early_comments += complete
-        if len(self._early_comments) > MAX_EVENT_BYTES:
-            raise EventStreamError(f"over {MAX_EVENT_BYTES} bytes of comments before the first event")
         return b""
 
+    def _limit_comments(self, size: int, has_event: bool) -> None:
+        self._bytes_since_event = 0 if has_event else self._bytes_since_event + size
+        if self._bytes_since_event > MAX_EVENT_BYTES:
+            raise EventStreamError(f"over {MAX_EVENT_BYTES} bytes of comments without an event")
+
     def end(self) -> MissingEnd | None:
         """Process the end of the framing; return what the stream lacks, or None if it is complete."""
         try:
@@ -87,7 +93,7 @@
                 last_content_at=self._activity.last_at,
                 longest_pause_s=self._activity.longest_pause_s,
                 has_begun=self.parser.event_count > 0,
-                is_within_event=self.parser.incomplete_bytes > 0,
+                is_within_event=self.parser.is_within_event,
                 has_content_end=self.parser.completeness.has_content_end,
                 may_retry=self._may_retry,
             )
@@ -96,7 +102,7 @@
     def failure(self, now: float) -> FailureReason | None:
         """Return why the stream has to end now; None if its engine may still be sending it."""
         if now >= self.due_at - TIMER_TOLERANCE_S:
-            is_first = self.parser.event_count == 0 and self.parser.incomplete_bytes > 0
+            is_first = self.parser.event_count == 0 and self.parser.is_within_event
             return FailureReason.INCOMPLETE_EVENT_TIMEOUT if is_first else FailureReason.SILENCE_TIMEOUT
         if self.silence >= UNCHECKED_PART_S and not self.parser.may_go_on():
             return FailureReason.MALFORMED_EVENT
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -274,3 +274,30 @@
     rig.request("a1")
     (broken,) = [logged.fields for logged in rig.logged if logged.event == LogEvent.STREAM_BROKEN]
     assert broken.items() >= {"reason": "oversized_response", "announced_bytes": 3 << 30}.items()
+
+
+# Guards against a stream that is kept by what is neither an event nor a comment.
+@pytest.mark.parametrize("filler", [b"\n", b"\r\n", b"\n\n", b"\r"])
+def test_line_ends_between_events_keep_no_stream_open(filler: bytes) -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD + chunk(EVENT))
+    client = rig.request("a1")
+    for _ in range(49):
+        rig.engines["w1"].connections[0].send(chunk(filler))
+        rig.run(0.1)
+    assert client.lost and not stream_of(client.received).endswith(b"<end>")
+
+
+# Guards against comments without end, of which nothing but their size shows that no event will follow.
+def test_comments_without_an_event_are_limited_as_an_event_is() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD + chunk(EVENT))
+    client = rig.request("a1")
+    comment = chunk(b":" + b"x" * 1000 + b"\n\n")
+    for _ in range(MAX_EVENT_BYTES // 1000 - 1):
+        rig.engines["w1"].connections[0].send(comment)
+        rig.run(0.02)
+    assert not client.lost
+    rig.engines["w1"].connections[0].send(comment * 2)
+    rig.run(0.02)
+    assert client.lost
