A client of HTTP/1.0 gets what its stream had before it broke

Seen by callers: a client of HTTP/1.0 got no byte, only a reset, if its stream broke in the turn of the event loop in which its first event came. A request that was read and closed with no answer is lost.

Cause: the abort discards what was written in the same turn, as the transport writes in the next poll.

Change: the abort comes two turns later, after that poll; the connection counts as closing from the start, and reads nothing more.

--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -285,10 +285,26 @@
         """
         self._close_exchange()
         if self.http.their_http_version == HTTP_1_0:
-            self._abort(CloseReason.STREAM_FAILED)
+            self._abort_once_written(CloseReason.STREAM_FAILED)
         else:
             self.linger(CloseReason.STREAM_FAILED)
 
+    def _abort_once_written(self, reason: CloseReason) -> None:
+        """Abort the connection two reactor turns later.
+
+        The poll in between writes what was passed on in this turn; an abort would discard it.
+        Test: `test_an_http_1_0_client_gets_what_its_stream_had_before_it_broke`.
+        """
+        if self.is_closing or self.is_lost:
+            return
+        self.is_closing = True
+        self.idle_since = self.clock.seconds()
+        self.clock.callLater(0.0, self.clock.callLater, 0.0, self._abort_unless_lost, reason)
+
+    def _abort_unless_lost(self, reason: CloseReason) -> None:
+        if not self.is_lost:
+            self._abort(reason)
+
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the open stream, or the reading of requests: the client does not read its responses."""
         self._is_output_full = True
--- a/tests/relay/test_relay_response_endings.py
+++ b/tests/relay/test_relay_response_endings.py
@@ -8,6 +8,7 @@
 import pytest
 from relaymessages import DONE, EVENT, LONG_PROMPT, STREAM_HEAD, USAGE, chat_request, chunk, stream_of
 from relayrig import PeerConnection, RelayRig
+from socketrig import Client, SocketRig
 
 from myrtlehub.http1.bounds import MAX_SMALL_RESPONSE_BYTES
 from myrtlehub.log_events import LogEvent
@@ -316,3 +317,17 @@
     assert client.statuses == [200]
     assert client.received.partition(b"\r\n\r\n")[2] == EVENTS
     assert client.lost and client.was_reset == is_broken
+
+
+# Guards against a first event that is discarded with the connection, so that its client gets nothing at all.
+def test_an_http_1_0_client_gets_what_its_stream_had_before_it_broke(rig: SocketRig) -> None:
+    node = rig.start("w1")
+    rig.engines["w1"].script = lambda connection, request: connection.send(
+        STREAM_HEAD + chunk(EVENTS) + b"c0000000\r\n"
+    )
+    for number in range(20):
+        client = Client(node.address)
+        client.send(chat_request(f"a{number}", traffic="post").replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+        assert client.read_until(EVENTS)
+        with pytest.raises(ConnectionResetError):
+            client.read_rest()
--- a/tests/support/program_groups.py
+++ b/tests/support/program_groups.py
@@ -24,6 +24,7 @@
     "test_relay_slow_engines.py": "other programs",
     "test_relay_endless_responses.py": "other programs",
     "test_relay_slow_readers.py": "other programs",
+    "test_relay_response_endings.py": "other programs",
     "test_fault_soak.py": "fault soak",
 }
 
