A gRPC connection whose frame never ends is closed: only complete frames show life

Seen: a peer that sends a frame's bytes one by one was never detected, at a frame of 16 KiB for hours; its connection and the streams on it, of clients and of engines, stayed open.

Cause: each byte read counted as the answer to the keepalive ping.

Change: the frame reader says whether it completed a frame, and only that resets the keepalive. A frame has the interval and the timeout together, 30 s by default, for its 16 KiB at most.

--- a/myrtlehub/rpc/frame_reader.py
+++ b/myrtlehub/rpc/frame_reader.py
@@ -44,8 +44,12 @@
         self._incomplete_data = b""  # start of an incomplete frame or preface
         self._unacknowledged_bytes = 0  # received, and not yet returned to the peer by WINDOW_UPDATE
 
-    def read(self, data: bytes) -> None:
-        """Process received bytes; an incomplete frame is buffered until the remainder arrives."""
+    def read(self, data: bytes) -> bool:
+        """Process received bytes; an incomplete frame is buffered until the remainder arrives.
+
+        Returns:
+            Whether a frame or the preface was completed.
+        """
         if self._incomplete_data:
             data = self._incomplete_data + data
         if not self._is_preface_expected:
@@ -55,6 +59,7 @@
         else:
             self._is_preface_expected = False
             self._read_frames(data, len(CLIENT_PREFACE))
+        return len(self._incomplete_data) < len(data)
 
     def _read_frames(self, data: bytes, position: int) -> None:
         unprocessed_start = 0  # offset of the first byte not yet passed to h2 or a stream
--- a/myrtlehub/rpc/http2_protocol.py
+++ b/myrtlehub/rpc/http2_protocol.py
@@ -115,13 +115,13 @@
         """Process received bytes and send the resulting frames."""
         if self.close_reason:
             return
-        self._keepalive.received_at = self.clock.seconds()
-        self._keepalive.is_ping_unanswered = False
         self.writer.is_reading = True
         try:
-            self._reader.read(data)
+            has_completed_frame = self._reader.read(data)
         finally:
             self.writer.is_reading = False
+        if has_completed_frame:
+            self._keepalive.frame_received()
         if not self.close_reason:
             self._reader.update_connection_window()
             self.writer.flush()
--- a/myrtlehub/rpc/keepalive.py
+++ b/myrtlehub/rpc/keepalive.py
@@ -1,4 +1,4 @@
-"""Detects unresponsive peers: no SETTINGS in time, or no bytes after a keepalive ping."""
+"""Detects unresponsive peers: no SETTINGS in time, or no complete frame after a keepalive ping."""
 
 from collections.abc import Callable
 
@@ -9,7 +9,11 @@
 
 
 class Keepalive:
-    """Monitor of one connection, which updates the public attributes when it receives bytes."""
+    """Monitor of one connection, which reports each complete frame.
+
+    Bytes of a frame that is not complete do not count: a peer could send them for ever.
+    Test: `test_a_connection_whose_frame_never_ends_is_closed`.
+    """
 
     def __init__(
         self,
@@ -19,8 +23,8 @@
         on_settings_timeout: Callable[[], None],
         on_ping_timeout: Callable[[], None],
     ) -> None:
-        self.received_at = 0.0
-        self.is_ping_unanswered = False
+        self._received_at = 0.0
+        self._is_ping_unanswered = False
         self._clock = clock
         self._limits = limits
         self._send_ping = send_ping
@@ -30,9 +34,14 @@
 
     def start(self) -> None:
         """Start the timeout for the peer's first SETTINGS frame."""
-        self.received_at = self._clock.seconds()
+        self._received_at = self._clock.seconds()
         self._timer = self._clock.callLater(self._limits.settings_timeout, self._settings_timed_out)
 
+    def frame_received(self) -> None:
+        """Record a complete frame, which shows that the peer is alive."""
+        self._received_at = self._clock.seconds()
+        self._is_ping_unanswered = False
+
     def settings_received(self) -> None:
         """Start the keepalive checks, as the connection is established."""
         if self._timer is not None:
@@ -53,14 +62,14 @@
     def _check(self) -> None:
         self._timer = None
         limits = self._limits
-        time_since_received = self._clock.seconds() - self.received_at
-        if self.is_ping_unanswered and time_since_received >= limits.keepalive_timeout:
+        time_since_received = self._clock.seconds() - self._received_at
+        if self._is_ping_unanswered and time_since_received >= limits.keepalive_timeout:
             self._on_ping_timeout()
             return
         is_silent = time_since_received >= limits.keepalive_interval - TIMER_TOLERANCE_S
-        if is_silent and not self.is_ping_unanswered:
-            self.is_ping_unanswered = True
+        if is_silent and not self._is_ping_unanswered:
+            self._is_ping_unanswered = True
             self._send_ping()
         time_until_ping = limits.keepalive_interval - time_since_received
-        delay = limits.keepalive_timeout if self.is_ping_unanswered else time_until_ping
+        delay = limits.keepalive_timeout if self._is_ping_unanswered else time_until_ping
         self._timer = self._clock.callLater(max(MIN_CHECK_DELAY, delay), self._check)
--- a/myrtlehub/rpc/transport_limits.py
+++ b/myrtlehub/rpc/transport_limits.py
@@ -49,8 +49,8 @@
     connection_window: int = 16 * MIB
     max_streams: int = 1000  # MAX_CONCURRENT_STREAMS advertised to the peer
     send_buffer: int = 64 * KIB  # per stream; a producer is suspended above it
-    keepalive_interval: float = 20.0  # a ping is sent after this time without received bytes; 0: never
-    keepalive_timeout: float = 10.0  # after a ping; the connection is closed if no bytes arrive
+    keepalive_interval: float = 20.0  # a ping is sent after this time without a complete frame; 0: never
+    keepalive_timeout: float = 10.0  # after a ping; the connection is closed if no frame is completed
     settings_timeout: float = 10.0  # for the peer's preface and first SETTINGS frame
     idle_timeout: float = 0.0  # of a connection without streams; 0: none; not enforced yet
     frame_rates: dict[FrameKind, FrameRate] = field(default_factory=_default_frame_rates)
--- a/tests/rpc/test_rpc_invalid_peers.py
+++ b/tests/rpc/test_rpc_invalid_peers.py
@@ -126,3 +126,15 @@
     raw = RawClient(rig, sends_preface=False)
     rig.net.run(2.5)
     assert raw.is_lost
+
+
+# Guards against a frame that never ends, each byte of which counted as a sign of life.
+def test_a_connection_whose_frame_never_ends_is_closed() -> None:
+    rig = RpcRig(server_limits=TransportLimits(keepalive_interval=5.0, keepalive_timeout=2.0))
+    raw = RawClient(rig)
+    raw.request("/t.T/Never")
+    raw.transport.write(DataFrame(1, b"x" * 1000).serialize()[:20])
+    for _ in range(75):
+        raw.transport.write(b"x")
+        rig.net.run(0.1)
+    assert raw.is_lost
