The request of a gRPC call has to be complete within 30 s, also without a deadline

Seen: a client that sends the message of its request byte by byte, in complete frames and without a deadline, kept its call and up to 16 MiB for ever.

Cause: the size of a message had a bound, its time had none.

Change: a call that takes one message (all calls of the node, the engines and the peers do) ends with DEADLINE_EXCEEDED if it is not complete after request_timeout.

--- a/myrtlehub/rpc/method_handlers.py
+++ b/myrtlehub/rpc/method_handlers.py
@@ -47,11 +47,19 @@
 
 
 class _SingleRequest(Receiver):
-    """Receiver of exactly one request message."""
+    """Receiver of exactly one request message, which has to be complete in time."""
 
     def __init__(self, call: ServerCall) -> None:
         self._call = call
         self._request: bytes | None = None
+        self._timer = call.clock.callLater(call.request_timeout, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        self._call.fail(RpcError(Code.DEADLINE_EXCEEDED, "the request was not complete in time"))
+
+    def _stop_timer(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
 
     def message(self, data: bytes) -> None:
         """Store the request; a second one is an error."""
@@ -61,6 +69,7 @@
 
     def finished(self) -> None:
         """Run the method with the request."""
+        self._stop_timer()
         if self._request is None:
             raise RpcError(Code.UNIMPLEMENTED, "no request message on a call that takes one")
         self._run(self._request)
@@ -80,6 +89,7 @@
 
     def lost(self, code: Code) -> None:
         """Cancel the reply."""
+        self._stop_timer()
         self._sender.cancel()
 
 
@@ -94,6 +104,7 @@
 
     def lost(self, code: Code) -> None:
         """Forward to the receiver that the method returned, if any."""
+        self._stop_timer()
         if isinstance(self._receiver, Receiver):
             self._receiver.lost(code)
 
--- a/myrtlehub/rpc/server_call.py
+++ b/myrtlehub/rpc/server_call.py
@@ -81,6 +81,11 @@
         stream.on_end = self._end_received
         stream.on_lost = self._stream_lost
 
+    @property
+    def request_timeout(self) -> float:
+        """Seconds that the client has for the message of a call that takes one."""
+        return self._owner.limits.request_timeout
+
     @property
     def buffered(self) -> int:
         """Number of bytes queued for the client."""
--- a/myrtlehub/rpc/transport_limits.py
+++ b/myrtlehub/rpc/transport_limits.py
@@ -51,6 +51,7 @@
     send_buffer: int = 64 * KIB  # per stream; a producer is suspended above it
     keepalive_interval: float = 20.0  # a ping is sent after this time without a complete frame; 0: never
     keepalive_timeout: float = 10.0  # after a ping; the connection is closed if no frame is completed
+    request_timeout: float = 30.0  # for the message of a call that takes one, besides the call's deadline
     settings_timeout: float = 10.0  # for the peer's preface and first SETTINGS frame
     idle_timeout: float = 0.0  # of a connection without streams; 0: none; not enforced yet
     frame_rates: dict[FrameKind, FrameRate] = field(default_factory=_default_frame_rates)
--- a/tests/rpc/test_rpc_invalid_peers.py
+++ b/tests/rpc/test_rpc_invalid_peers.py
@@ -4,7 +4,7 @@
 
 import pytest
 from h2.errors import ErrorCodes
-from h2.events import ConnectionTerminated
+from h2.events import ConnectionTerminated, ResponseReceived
 from hyperframe.frame import (
     ContinuationFrame,
     DataFrame,
@@ -138,3 +138,19 @@
         raw.transport.write(b"x")
         rig.net.run(0.1)
     assert raw.is_lost
+
+
+# Guards against a request that never ends, on a connection that is alive and a call without a deadline.
+def test_a_request_that_is_not_complete_in_time_ends_its_call() -> None:
+    rig = RpcRig(server_limits=TransportLimits(request_timeout=5.0))
+    raw = RawClient(rig)
+    raw.h2.send_headers(1, [*REQUEST_HEADERS[:2], (b":path", b"/t.T/One"), *REQUEST_HEADERS[3:]])
+    raw.h2.send_data(1, b"\0\0\0\xff\xff")
+    raw.exchange(raw.h2.data_to_send())
+    trailers: list[tuple[bytes, bytes]] = []
+    for _ in range(17):
+        if not trailers:
+            raw.h2.send_data(1, b"x")
+        for event in raw.exchange(raw.h2.data_to_send()):
+            trailers += event.headers if isinstance(event, ResponseReceived) else []
+    assert dict(trailers)[b"grpc-status"] == b"%d" % Code.DEADLINE_EXCEEDED
