A body that never ends is rejected although it always leaves something to parse

Seen: ten clients that sent bodies in chunks of one byte at full speed got their 408 after 9.7 s or not within 15 s; clients that send what never ends are owed an error within 3 s.

Cause: the timeout of a request was extended while data of it waited to be parsed, again and again, and each read brought more such data: what trickles in extended its own bound.

Change: data that was read before the timeout is parsed first, however long that takes, as before; data that is read after it extends the timeout by 0.8 s at most.

--- a/myrtlehub/http1/bounds.py
+++ b/myrtlehub/http1/bounds.py
@@ -26,8 +26,10 @@
 
 # For receiving a complete request, and for the first request on a new connection. The platform allows 3 s.
 REQUEST_TIMEOUT_S = 2.0
-# Extension of the timeout of a request of which data has arrived and is not parsed yet, which is repeated.
+# Extension of the timeout of a request of which data was read and is not parsed yet, which is repeated.
 UNPARSED_EXTENSION_S = 0.1
+# Limit of the extensions for data that is read after the timeout: a client can send such data for ever.
+MAX_LATE_DATA_EXTENSION_S = 0.8
 # For the client to read the last response and close the connection, before the server aborts it.
 LINGER_TIMEOUT_S = 3.0
 # For the first byte on a new connection during a graceful shutdown; clients send as soon as they connect.
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -10,6 +10,7 @@
     IDLE_TIMEOUT_S,
     LINGER_TIMEOUT_S,
     MAX_HEAD_BYTES,
+    MAX_LATE_DATA_EXTENSION_S,
     REQUEST_TIMEOUT_S,
     STALLED_WRITE_TIMEOUT_S,
     UNPARSED_EXTENSION_S,
@@ -54,6 +55,8 @@
         self._reader = RequestReader(self.http, listener.memory)
         self._presence = ClientPresence()
         self._input_paused_at = self.idle_since
+        self._has_timed_out = False  # the timeout of the present request, which may be extended
+        self._late_data_since: float | None = None  # clock time of the first data that was read after it
         self._is_parsing_deferred = False
         self._is_output_full = False
         self._accept_queued_since = listener.accept_queued_since
@@ -64,23 +67,44 @@
         """Start the timeout for the first request, and register with the listener."""
         super().connectionMade()
         self.transport.registerProducer(self, True)
-        self._restart_timeout(
-            DRAINING_FIRST_BYTE_TIMEOUT_S if self.listener.is_draining else REQUEST_TIMEOUT_S
-        )
+        self._restart_request_timeout()
+        if self.listener.is_draining:
+            self._restart_timeout(DRAINING_FIRST_BYTE_TIMEOUT_S)
         self.listener.connection_opened(self)
 
     def _restart_timeout(self, delay: float) -> None:
         self._timeout.restart(delay, self._on_timeout)
 
+    def _restart_request_timeout(self) -> None:
+        self._has_timed_out = False
+        self._late_data_since = None
+        self._restart_timeout(REQUEST_TIMEOUT_S)
+
+    def _restart_next_timeout(self) -> None:
+        """Limit the next request, if data of it was read, or else the time without one."""
+        if self._reader.has_read_ahead:
+            self._restart_request_timeout()
+        else:
+            self._restart_timeout(IDLE_TIMEOUT_S)
+
+    def _may_extend_timeout(self) -> bool:
+        """Return whether an incomplete request, of which there is data to parse, gets more time."""
+        now = self.clock.seconds()
+        late_for = 0.0 if self._late_data_since is None else now - self._late_data_since
+        return self._is_parsing_deferred and late_for < MAX_LATE_DATA_EXTENSION_S
+
     def _on_timeout(self) -> None:
         """Handle the timeout of an incomplete request, an idle connection or a lingering close.
 
         A request is not incomplete while this process has data of it to parse: it is read first, and then
         its own deadline counts. Test: `test_a_request_that_arrived_in_time_is_not_rejected_as_incomplete`.
+        Data that is read after the timeout extends it only so far.
+        Test: `test_a_body_without_end_that_takes_long_to_parse_is_rejected`.
         """
         if self.is_closing:
             self._abort(CloseReason.LINGER_TIMEOUT)
-        elif self._is_parsing_deferred:
+        elif self._may_extend_timeout():
+            self._has_timed_out = True
             self._restart_timeout(UNPARSED_EXTENSION_S)
         elif self._reader.has_partial_request:
             self.reject(HTTPStatus.REQUEST_TIMEOUT)
@@ -118,7 +142,9 @@
                 self._abort(CloseReason.PIPELINE_FLOOD)
             return
         if self.is_idle:
-            self._restart_timeout(REQUEST_TIMEOUT_S)
+            self._restart_request_timeout()
+        if self._has_timed_out and self._late_data_since is None:
+            self._late_data_since = self.clock.seconds()
         arrived_at = self._arrival_time()
         reader.receive_data(data, arrived_at)
         if self.exchange is None:
@@ -258,7 +284,7 @@
         if self._is_output_full:
             self._pause_requests()
             return
-        self._restart_timeout(REQUEST_TIMEOUT_S if has_read_ahead else IDLE_TIMEOUT_S)
+        self._restart_next_timeout()
         if has_read_ahead or self._reader.is_discarding:
             # Pipelined requests are read in the next reactor turn, to avoid recursion.
             self.clock.callLater(0, self._read_pipelined)
@@ -321,7 +347,7 @@
         if self.exchange is not None:
             self.exchange.on_resume()
         elif not (self.is_closing or self.is_lost):
-            self._restart_timeout(REQUEST_TIMEOUT_S if self._reader.has_read_ahead else IDLE_TIMEOUT_S)
+            self._restart_next_timeout()
             self._resume_reading()
             self._read_pipelined()
 
--- a/tests/relay/test_relay_overload.py
+++ b/tests/relay/test_relay_overload.py
@@ -4,7 +4,7 @@
 from relaymessages import LONG_PROMPT, chat_request
 from relayrig import RawClient, RelayRig
 
-from myrtlehub.http1.bounds import REQUEST_TIMEOUT_S
+from myrtlehub.http1.bounds import MAX_LATE_DATA_EXTENSION_S, REQUEST_TIMEOUT_S
 from myrtlehub.routing.policy.admission import MAX_WAIT_SHARE
 from myrtlehub.routing.policy.router import MAX_PLACEMENT_TIME_SHARE
 from myrtlehub.routing.records import Engine, NotPlaced, Sequence
@@ -131,3 +131,19 @@
     receive(client, chat_request("a1")[:-1])
     rig.run(1.5 * REQUEST_TIMEOUT_S)
     assert client.statuses == [408]
+
+
+# Guards against a body that never ends and always leaves something to parse, which extended its timeout.
+def test_a_body_without_end_that_takes_long_to_parse_is_rejected() -> None:
+    rig = RelayRig("w1")
+    client = rig.client()
+    head = chat_request("a1").partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+    receive(client, head)
+    began_at = rig.clock.seconds()
+    while not client.received and rig.clock.seconds() < began_at + 3 * REQUEST_TIMEOUT_S:
+        delay_parsing(rig, 4 * PARSE_STEP_S)
+        receive(client, b"1\r\nx\r\n")
+        rig.run(PARSE_STEP_S)
+    assert client.statuses == [408]
+    late_s = rig.clock.seconds() - began_at - REQUEST_TIMEOUT_S
+    assert late_s < MAX_LATE_DATA_EXTENSION_S + 8 * PARSE_STEP_S
