The fault soak draws claims of gigabytes and framing that never ends, and judges them

Change: kinds 'engine claims' and 'engine trickles' (half of their streams sound, in one chunk or behind long size lines); an attempt records when something in its stream began that never ends, and a client that is kept for over 5 s after that is a finding.

--- a/myrtlehub/lab/fault_soak/answer_checks.py
+++ b/myrtlehub/lab/fault_soak/answer_checks.py
@@ -16,7 +16,8 @@
 from myrtlehub.platform_settings import KILL_MARGIN_S
 
 MAX_LATE_ANSWER_S = 0.5  # by which a final answer or a first event may come after the deadline
-MAX_WAIT_S = 5.0  # from the last byte of an engine's stream to the end of the client's
+# From the last byte of an engine's stream, or from what never ends in it, to the end of the client's.
+MAX_WAIT_S = 5.0
 # An engine that wrote to its stream this shortly before its end was still writing it.
 MAX_ENGINE_PAUSE_S = 1.5
 # Faults after which a client on the node's connections cannot be reached any more.
@@ -75,6 +76,7 @@
     if request.first_event_at is not None:
         yield from _check_lateness(index, request, request.first_event_at)
     yield from _check_wait(index, request)
+    yield from _check_endless(index, request)
     attempts = index.attempts(request.request_id)
     complete_counts = [a.event_count for a in attempts if a.end == AttemptEnd.COMPLETE]
     if request.end == ResponseEnd.COMPLETE and request.event_count not in complete_counts:
@@ -99,6 +101,17 @@
         yield Finding(Rule.FINAL_ANSWER, request.request_id, detail)
 
 
+def _check_endless(index: RecordIndex, request: RequestRecord) -> Iterator[Finding]:
+    """Yield a breach if a stream was kept for too long after something in it that never ends had begun."""
+    for attempt in index.attempts(request.request_id):
+        if attempt.endless_since is None or not attempt.event_count:
+            continue
+        wait = min(request.open_until, attempt.running_until) - attempt.endless_since
+        if wait > MAX_WAIT_S + index.stopped_time(request) + index.tolerance:
+            detail = f"its stream was kept for {wait:.3f} s after something in it that never ends had begun"
+            yield Finding(Rule.FINAL_ANSWER, request.request_id, detail)
+
+
 def _was_still_written(index: RecordIndex, request: RequestRecord) -> bool:
     """Return whether the node broke off the stream of an engine that was still writing a sound one."""
     return any(
--- a/myrtlehub/lab/fault_soak/engine_connection.py
+++ b/myrtlehub/lab/fault_soak/engine_connection.py
@@ -196,6 +196,8 @@
             self._write(attempt, draw.choice(INVALID_CHUNKS))  # and nothing more: the stream does not end
         else:
             piece = plan.pieces[position]
+            if position == plan.endless_from:
+                attempt.endless_since = time.monotonic()
             attempt.event_count += piece.events
             self._write(attempt, piece.data)
             self._schedule_next(attempt, plan, position + 1)
--- a/myrtlehub/lab/fault_soak/engine_fault_injector.py
+++ b/myrtlehub/lab/fault_soak/engine_fault_injector.py
@@ -8,6 +8,7 @@
 from myrtlehub.lab.fault_soak.fleet import Fleet
 from myrtlehub.lab.fault_soak.node_process import NodeProcess
 from myrtlehub.lab.fault_soak.records import EngineCut, EngineHealth, RunRecords
+from myrtlehub.lab.fault_soak.stream_plan import StreamFaults
 from myrtlehub.lab.interfaces import Reactor
 
 RESTART_DURATION_S = 0.8
@@ -81,13 +82,23 @@
             faults.resets_connections = is_active
         case FaultKind.ENGINE_INVALID_STREAMS:
             faults.sends_invalid_streams = is_active
-        case FaultKind.ENGINE_TRUNCATES:
-            faults.streams.truncates = is_active
-        case FaultKind.ENGINE_WRITES_SLOWLY:
-            faults.streams.writes_slowly = is_active
-        case FaultKind.ENGINE_DELAYS:
-            faults.streams.delays = is_active
         case FaultKind.ENGINE_HANGS:
             faults.hangs = is_active
             if not is_active:
                 engine.reset_connections()  # requests that were accepted meanwhile get no response
+        case _:
+            _set_stream_fault(faults.streams, kind, is_active)
+
+
+def _set_stream_fault(streams: StreamFaults, kind: FaultKind, is_active: bool) -> None:
+    match kind:
+        case FaultKind.ENGINE_TRUNCATES:
+            streams.truncates = is_active
+        case FaultKind.ENGINE_WRITES_SLOWLY:
+            streams.writes_slowly = is_active
+        case FaultKind.ENGINE_DELAYS:
+            streams.delays = is_active
+        case FaultKind.ENGINE_CLAIMS:
+            streams.claims = is_active
+        case FaultKind.ENGINE_TRICKLES:
+            streams.trickles = is_active
--- a/myrtlehub/lab/fault_soak/faults.py
+++ b/myrtlehub/lab/fault_soak/faults.py
@@ -48,6 +48,9 @@
     ENGINE_WRITES_SLOWLY = "engine slow"  # one event of each stream is written in small pieces, over seconds
     ENGINE_DELAYS = "engine delays"  # comments come for seconds before the first event of each stream
 
+    ENGINE_CLAIMS = "engine claims"  # chunks that claim gigabytes, or hold all of a sound stream
+    ENGINE_TRICKLES = "engine trickles"  # framing that never ends, or long size lines of a sound stream
+
     @property
     def target(self) -> FaultTarget:
         """What faults of this kind are injected into."""
--- a/myrtlehub/lab/fault_soak/planted_faults.py
+++ b/myrtlehub/lab/fault_soak/planted_faults.py
@@ -8,6 +8,7 @@
 from collections import abc
 from collections.abc import Callable
 
+from myrtlehub.http1.client_connection import ClientConnection
 from myrtlehub.http1.client_request import ClientRequest
 from myrtlehub.http1.close_reason import CloseReason
 from myrtlehub.http1.headers import Header
@@ -48,6 +49,10 @@
     return True
 
 
+def _return_false(*_: object, **__: object) -> bool:
+    return False
+
+
 def _do_nothing(*_: object, **__: object) -> None:
     """Do nothing."""
 
@@ -262,6 +267,20 @@
     replace_attribute(ResponseStream, "feed", feed)
 
 
+def believe_claims() -> None:
+    """Wait for whatever a chunk or a length claims."""
+    replace_attribute(ClientConnection, "_announces_too_much", _return_false)
+
+
+def count_line_ends() -> None:
+    """Count each content as a sign that an engine still writes events, line ends too."""
+
+    def due_at(activity: SenderActivity) -> float:
+        return activity.last_content_at + sender_activity.SILENCE_TIMEOUT_S
+
+    replace_attribute(response_stream, "due_at", due_at)
+
+
 # By the value of $PLANTED_FAULT; operators type these names.
 PLANT_BY_NAME: dict[str, Callable[[], None]] = {
     "release_once": do_not_retry_releases,
@@ -283,6 +302,8 @@
     "trust_framing": trust_framing,
     "ignore_bytes": ignore_bytes,
     "comments_begin": take_comments_for_events,
+    "believe_claims": believe_claims,
+    "count_line_ends": count_line_ends,
 }
 
 
--- a/myrtlehub/lab/fault_soak/records.py
+++ b/myrtlehub/lab/fault_soak/records.py
@@ -113,6 +113,7 @@
         end: How it ended.
         last_byte_at: Time at which the engine wrote the latest byte of its stream; None without one.
         is_spoilt: Whether the engine sent a stream that is malformed or not complete.
+        endless_since: Time from which on something in its stream never ends; None if everything does.
     """
 
     request_id: str
@@ -126,6 +127,7 @@
     end: AttemptEnd = AttemptEnd.RUNNING
     last_byte_at: float | None = None
     is_spoilt: bool = False
+    endless_since: float | None = None
 
     @property
     def running_until(self) -> float:
--- a/myrtlehub/lab/fault_soak/stream_plan.py
+++ b/myrtlehub/lab/fault_soak/stream_plan.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from myrtlehub.http1.framing import Framing
+from myrtlehub.lab.fault_soak.endless_streams import EndlessKind, draw_body, draw_sound_body
 from myrtlehub.lab.fault_soak.engine_responses import (
     COMMENT,
     DONE,
@@ -18,6 +19,7 @@
     USAGE,
     chunk,
 )
+from myrtlehub.lab.fault_soak.timed_bytes import TimedBytes
 
 EVENT_INTERVAL_S = (0.01, 0.12)
 EVENT_COUNT = (2, 8)
@@ -25,6 +27,7 @@
 SLOW_PIECE_INTERVAL_S = (0.3, 0.9)  # so that one event takes 2 to 7 s
 COMMENT_COUNT = (2, 20)
 COMMENT_INTERVAL_S = (0.1, 0.5)
+ENDLESS_SHARE = 0.5  # of the streams that begin while an engine claims or trickles
 TRUNCATED_SHARE = 0.5  # of the streams that begin while an engine truncates them
 
 
@@ -36,20 +39,6 @@
     RESET = "reset"
 
 
-class Piece(NamedTuple):
-    """Bytes that are written at once.
-
-    Attributes:
-        data: The bytes, as they are sent.
-        pause_s: Seconds before they are written.
-        events: Number of events that they complete.
-    """
-
-    data: bytes
-    pause_s: float
-    events: int = 0
-
-
 class StreamPlan(NamedTuple):
     """One stream.
 
@@ -59,13 +48,15 @@
         is_complete: Whether the stream is complete after its last piece.
         has_framing_end: Whether its framing has ended then.
         ending: What follows the last piece.
+        endless_from: Position of the piece from which on something never ends; None if there is none.
     """
 
     head: bytes
-    pieces: list[Piece]
+    pieces: list[TimedBytes]
     is_complete: bool
     has_framing_end: bool
     ending: Ending
+    endless_from: int | None = None
 
 
 @dataclass(slots=True)
@@ -76,11 +67,20 @@
         truncates: Some of them end before they are complete.
         writes_slowly: One event of each is written in small pieces.
         delays: Comments come for seconds before the first event.
+        claims: Chunks of some of them claim gigabytes; the others are in one large chunk.
+        trickles: A part of the framing of some of them never ends; the others have long size lines.
     """
 
     truncates: bool = False
     writes_slowly: bool = False
     delays: bool = False
+    claims: bool = False
+    trickles: bool = False
+
+    @property
+    def endless_kinds(self) -> list[EndlessKind]:
+        """What never ends in some of the streams."""
+        return [EndlessKind.CLAIM] * self.claims + [EndlessKind.FRAMING] * self.trickles
 
 
 class Truncation(NamedTuple):
@@ -111,6 +111,8 @@
 
 def draw_plan(draw: random.Random, faults: StreamFaults) -> StreamPlan:
     """Draw the plan of one stream."""
+    if faults.endless_kinds:
+        return _draw_endless(draw, draw.choice(faults.endless_kinds))
     framing = Framing.CHUNKED
     truncation = None
     if faults.truncates:
@@ -124,7 +126,7 @@
     for position, part in enumerate(parts):
         pieces += _pieces_of(draw, part, framing, position == slow_part)
     if framing is Framing.CHUNKED and has_framing_end:
-        pieces.append(Piece(LAST_CHUNK, 0.0))
+        pieces.append(TimedBytes(LAST_CHUNK, 0.0))
     # A length that is too long by a byte is the missing end of that framing.
     length = sum(len(piece.data) for piece in pieces) + (not has_framing_end)
     head = STREAM_HEAD_BY_FRAMING[framing]
@@ -137,25 +139,38 @@
     )
 
 
+def _draw_endless(draw: random.Random, kind: EndlessKind) -> StreamPlan:
+    is_endless = draw.random() < ENDLESS_SHARE
+    body = draw_body(draw, kind) if is_endless else draw_sound_body(draw, kind)
+    return StreamPlan(
+        STREAM_HEAD_BY_FRAMING[Framing.CHUNKED],
+        body.pieces,
+        not is_endless,
+        not is_endless,
+        Ending.KEEP,
+        body.endless_from,
+    )
+
+
 def _draw_ending(draw: random.Random, framing: Framing, has_framing_end: bool) -> Ending:
     if framing is Framing.CONNECTION:
         return Ending.CLOSE if has_framing_end else Ending.RESET
     return draw.choice(list(Ending)) if not has_framing_end else draw.choice((Ending.KEEP, Ending.CLOSE))
 
 
-def _comments(draw: random.Random, framing: Framing) -> list[Piece]:
+def _comments(draw: random.Random, framing: Framing) -> list[TimedBytes]:
     data = _encode(COMMENT, framing)
-    return [Piece(data, draw.uniform(*COMMENT_INTERVAL_S)) for _ in range(draw.randint(*COMMENT_COUNT))]
+    return [TimedBytes(data, draw.uniform(*COMMENT_INTERVAL_S)) for _ in range(draw.randint(*COMMENT_COUNT))]
 
 
-def _pieces_of(draw: random.Random, part: bytes, framing: Framing, is_slow: bool) -> list[Piece]:
+def _pieces_of(draw: random.Random, part: bytes, framing: Framing, is_slow: bool) -> list[TimedBytes]:
     data = _encode(part, framing)
     events = part.endswith(b"\n\n") and part.startswith(b"data: ")
     if not is_slow:
-        return [Piece(data, draw.uniform(*EVENT_INTERVAL_S), events)]
+        return [TimedBytes(data, draw.uniform(*EVENT_INTERVAL_S), events)]
     interval = draw.uniform(*SLOW_PIECE_INTERVAL_S)
     small = [data[start : start + SLOW_PIECE_BYTES] for start in range(0, len(data), SLOW_PIECE_BYTES)]
-    return [Piece(each, interval, events and each is small[-1]) for each in small]
+    return [TimedBytes(each, interval, events and each is small[-1]) for each in small]
 
 
 def _encode(part: bytes, framing: Framing) -> bytes:
--- a/tests/lab/test_fault_soak.py
+++ b/tests/lab/test_fault_soak.py
@@ -13,6 +13,8 @@
 
 STREAM_FAULTS = (FaultKind.ENGINE_TRUNCATES, FaultKind.ENGINE_WRITES_SLOWLY, FaultKind.ENGINE_DELAYS)
 
+ENDLESS_FAULTS = (FaultKind.ENGINE_CLAIMS, FaultKind.ENGINE_TRICKLES)
+
 
 def play(schedule: Schedule) -> SoakResult:
     """Play a schedule in a process of its own."""
@@ -54,6 +56,7 @@
         (3, (FaultKind.NODE_TERM, FaultKind.SHORT_CALLS, FaultKind.ACCEPT_FAILS, FaultKind.ENGINE_SILENT)),
         (6, (FaultKind.NODE_SIGNALS, FaultKind.ENGINE_RESETS, FaultKind.WATCH_SILENT, FaultKind.NODE_KILL)),
         (33, (*STREAM_FAULTS, FaultKind.NODE_SIGNALS)),
+        (14, (*ENDLESS_FAULTS, FaultKind.NODES_TERM, FaultKind.NODE_CROWD)),
     ],
 )
 def test_a_seeded_soak_breaks_no_rule(seed: int, kinds: tuple[FaultKind, ...]) -> None:
--- a/tests/lab/test_fault_soak_rules.py
+++ b/tests/lab/test_fault_soak_rules.py
@@ -110,6 +110,19 @@
     assert broken_rules(records) == []
 
 
+def test_a_stream_that_is_kept_although_something_in_it_never_ends_is_a_breach() -> None:
+    records = sound_records()
+    request, write = records.requests["a"], records.attempts[1]
+    request.end, request.ended_at = ResponseEnd.CUT, 15.6
+    write.end, write.ended_at, write.is_spoilt, write.last_byte_at = AttemptEnd.LOST, 15.6, True, 15.5
+    write.endless_since = 10.7
+    assert broken_rules(records) == []
+    write.endless_since = 10.5
+    assert broken_rules(records) == [Rule.FINAL_ANSWER]
+    write.ended_at = 11.0  # the node gave this attempt up, and the client got another one's stream
+    assert broken_rules(records) == []
+
+
 def test_a_late_first_event_and_a_late_end_of_a_stream_are_breaches() -> None:
     records = sound_records()
     request, write = records.requests["a"], records.attempts[1]
--- a/tests/lab/test_fault_soak_schedules.py
+++ b/tests/lab/test_fault_soak_schedules.py
@@ -38,6 +38,8 @@
     "engine truncates",
     "engine slow",
     "engine delays",
+    "engine claims",
+    "engine trickles",
 ]
 
 
