The extension of a request's timeout and the late abort have a place of their own

Change: TimeoutExtension (http1/timeout_extension.py) and abort_once_written (tcp_transport.py); behaviour is unchanged.

--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -10,7 +10,6 @@
     IDLE_TIMEOUT_S,
     LINGER_TIMEOUT_S,
     MAX_HEAD_BYTES,
-    MAX_LATE_DATA_EXTENSION_S,
     REQUEST_TIMEOUT_S,
     STALLED_WRITE_TIMEOUT_S,
     UNPARSED_EXTENSION_S,
@@ -23,8 +22,9 @@
 from myrtlehub.http1.server_exchange import ServerExchange
 from myrtlehub.http1.server_interfaces import ConnectionRegistry
 from myrtlehub.http1.server_request import ServerRequest
-from myrtlehub.http1.tcp_transport import TcpProtocol, unread_bytes
+from myrtlehub.http1.tcp_transport import TcpProtocol, abort_once_written, unread_bytes
 from myrtlehub.http1.timeout import Timeout
+from myrtlehub.http1.timeout_extension import TimeoutExtension
 
 HTTP_1_0 = b"1.0"
 
@@ -55,8 +55,7 @@
         self._reader = RequestReader(self.http, listener.memory)
         self._presence = ClientPresence()
         self._input_paused_at = self.idle_since
-        self._has_timed_out = False  # the timeout of the present request, which may be extended
-        self._late_data_since: float | None = None  # clock time of the first data that was read after it
+        self._extension = TimeoutExtension(self.clock)
         self._is_parsing_deferred = False
         self._is_output_full = False
         self._accept_queued_since = listener.accept_queued_since
@@ -76,8 +75,7 @@
         self._timeout.restart(delay, self._on_timeout)
 
     def _restart_request_timeout(self) -> None:
-        self._has_timed_out = False
-        self._late_data_since = None
+        self._extension.restart()
         self._restart_timeout(REQUEST_TIMEOUT_S)
 
     def _restart_next_timeout(self) -> None:
@@ -87,24 +85,15 @@
         else:
             self._restart_timeout(IDLE_TIMEOUT_S)
 
-    def _may_extend_timeout(self) -> bool:
-        """Return whether an incomplete request, of which there is data to parse, gets more time."""
-        now = self.clock.seconds()
-        late_for = 0.0 if self._late_data_since is None else now - self._late_data_since
-        return self._is_parsing_deferred and late_for < MAX_LATE_DATA_EXTENSION_S
-
     def _on_timeout(self) -> None:
         """Handle the timeout of an incomplete request, an idle connection or a lingering close.
 
         A request is not incomplete while this process has data of it to parse: it is read first, and then
-        its own deadline counts. Test: `test_a_request_that_arrived_in_time_is_not_rejected_as_incomplete`.
-        Data that is read after the timeout extends it only so far.
-        Test: `test_a_body_without_end_that_takes_long_to_parse_is_rejected`.
+        its own deadline counts.
         """
         if self.is_closing:
             self._abort(CloseReason.LINGER_TIMEOUT)
-        elif self._may_extend_timeout():
-            self._has_timed_out = True
+        elif self._is_parsing_deferred and self._extension.may_extend():
             self._restart_timeout(UNPARSED_EXTENSION_S)
         elif self._reader.has_partial_request:
             self.reject(HTTPStatus.REQUEST_TIMEOUT)
@@ -143,8 +132,7 @@
             return
         if self.is_idle:
             self._restart_request_timeout()
-        if self._has_timed_out and self._late_data_since is None:
-            self._late_data_since = self.clock.seconds()
+        self._extension.record_data()
         arrived_at = self._arrival_time()
         reader.receive_data(data, arrived_at)
         if self.exchange is None:
@@ -310,26 +298,13 @@
         incomplete. Test: `test_a_broken_stream_looks_incomplete_to_an_http_1_0_client`.
         """
         self._close_exchange()
-        if self.http.their_http_version == HTTP_1_0:
-            self._abort_once_written(CloseReason.STREAM_FAILED)
-        else:
+        if self.http.their_http_version != HTTP_1_0:
             self.linger(CloseReason.STREAM_FAILED)
-
-    def _abort_once_written(self, reason: CloseReason) -> None:
-        """Abort the connection two reactor turns later.
-
-        The poll in between writes what was passed on in this turn; an abort would discard it.
-        Test: `test_an_http_1_0_client_gets_what_its_stream_had_before_it_broke`.
-        """
-        if self.is_closing or self.is_lost:
-            return
-        self.is_closing = True
-        self.idle_since = self.clock.seconds()
-        self.clock.callLater(0.0, self.clock.callLater, 0.0, self._abort_unless_lost, reason)
-
-    def _abort_unless_lost(self, reason: CloseReason) -> None:
-        if not self.is_lost:
-            self._abort(reason)
+        elif not (self.is_closing or self.is_lost):
+            self.is_closing = True
+            self.idle_since = self.clock.seconds()
+            self.listener.connection_closing(CloseReason.STREAM_FAILED, None)
+            abort_once_written(self.transport, self.clock)
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the open stream, or the reading of requests: the client does not read its responses."""
--- a/myrtlehub/http1/tcp_transport.py
+++ b/myrtlehub/http1/tcp_transport.py
@@ -13,6 +13,8 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+from myrtlehub.clock import Clock
+
 TCP_INFO: int | None = getattr(socket_module, "TCP_INFO", None)  # absent on some systems
 C_INT_BYTES = 4  # size of the integer by which `ioctl` returns a number of bytes
 # States in the first byte of Linux's `struct tcp_info` after the peer has reset or closed the connection.
@@ -117,6 +119,15 @@
     return int.from_bytes(size, sys.byteorder)
 
 
+def abort_once_written(transport: AbortableTransport, clock: Clock) -> None:
+    """Abort a connection two reactor turns later.
+
+    The poll in between writes what was passed on in this turn; `abortConnection` alone would discard it.
+    Test: `test_an_http_1_0_client_gets_what_its_stream_had_before_it_broke`.
+    """
+    clock.callLater(0.0, clock.callLater, 0.0, transport.abortConnection)
+
+
 def abortive_close(transport: AbortableTransport) -> None:
     """Close a connection so that its peer sees the end before data written later on other connections.
 
