A size line is read once for the data that may begin with one

Change: the line is read after new data or between elements of one packet only. Behaviour is unchanged; tests of http1 and streams pass.

--- a/myrtlehub/http1/client_connection.py
+++ b/myrtlehub/http1/client_connection.py
@@ -46,6 +46,7 @@
         self._is_response_paused = False
         self._has_response_begun = False
         self._informational_count = 0
+        self._has_unread_line = False  # the parser has data that may begin with a size line
         self._is_at_end = False  # the parser has got all data and the end of the connection
         self._unwritten_data: bytes | None = None
         self._discard_timeout = Timeout(self.clock)
@@ -98,10 +99,7 @@
             Whether there is more data; without any, the connection must not be deferred.
         """
         while (pending := self.pending) is not None and not self._is_response_paused:
-            if self.framing_progress.expects_size_line:
-                self.framing_progress.read_size_line(self.http.trailing_data[0])
-            if self._announces_too_much(pending):
-                self._fail(RequestFailure.OVERSIZED_RESPONSE)
+            if self._has_unread_line and not self._read_size_line(pending):
                 return False
             try:
                 event = self.http.next_event()
@@ -115,9 +113,25 @@
             if not self._handle_event(event, pending):
                 return False
             if self._unparsed_bytes() > CHUNK_END_BYTES:
+                self._has_unread_line = True
                 return True
         return False
 
+    def _read_size_line(self, pending: OutstandingRequest) -> bool:
+        """Read a size line that is next, as far as it has come; return False if it made the request fail."""
+        self._has_unread_line = False
+        if not self.framing_progress.expects_size_line:
+            return True
+        self.framing_progress.read_size_line(self.http.trailing_data[0])
+        return not self._fails_for_size(pending)
+
+    def _fails_for_size(self, pending: OutstandingRequest) -> bool:
+        """Fail the request if its response announces too much; return whether it does."""
+        is_oversized = self._announces_too_much(pending)
+        if is_oversized:
+            self._fail(RequestFailure.OVERSIZED_RESPONSE)
+        return is_oversized
+
     def _announces_too_much(self, pending: OutstandingRequest) -> bool:
         return self.framing_progress.announced_bytes > pending.handler.max_announced_bytes
 
@@ -134,6 +148,7 @@
         if not self._input:
             return False
         self.http.receive_data(self._input.take_piece())
+        self._has_unread_line = True
         return True
 
     def pause_input(self) -> None:
@@ -180,6 +195,7 @@
             headers = [Header(name, value) for name, value in event.headers]
             self.framing_progress.begin(dict(headers))
             pending.handler.on_head(event.status_code, headers)
+            return self.pending is pending and not self._fails_for_size(pending)
         elif type(event) is h11.InformationalResponse:
             self._informational_count += 1
             if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
--- a/myrtlehub/http1/framing_progress.py
+++ b/myrtlehub/http1/framing_progress.py
@@ -24,34 +24,31 @@
             ends with the connection. While a size line is not complete, what it claims so far.
         incomplete_bytes: Bytes received of an element that is not complete: a head, a size line, the line end
             after a chunk, or a trailer.
+        expects_size_line: Whether the next data belongs to a size line, or to the line end before it.
     """
 
-    __slots__ = ("_is_chunk_open", "_is_last_chunk", "announced_bytes", "framing", "incomplete_bytes")
+    __slots__ = ("announced_bytes", "expects_size_line", "framing", "incomplete_bytes")
 
     def __init__(self) -> None:
         self.framing: Framing | None = None
         self.announced_bytes = 0
         self.incomplete_bytes = 0
-        self._is_chunk_open = False
-        self._is_last_chunk = False
+        self.expects_size_line = False
 
     def begin(self, fields: Mapping[bytes, bytes]) -> None:
         """Begin the content; the names of the header fields are in lower case."""
         self.framing = framing_of(fields)
+        self.expects_size_line = self.framing is Framing.CHUNKED
         self.announced_bytes = int(fields[b"content-length"]) if self.framing is Framing.LENGTH else 0
 
-    @property
-    def expects_size_line(self) -> bool:
-        """Whether the next data belongs to the size line of a chunk, or to the line end before it."""
-        return self.framing is Framing.CHUNKED and not (self._is_chunk_open or self._is_last_chunk)
-
     def read_size_line(self, unparsed: bytes) -> None:
         """Read a size line, complete or not, from the start of the data that the parser has not consumed."""
         size = _CHUNK_SIZE.match(unparsed)
         if size is None:
             return
         self.announced_bytes = int(size[1], _HEXADECIMAL)
-        self._is_last_chunk = not self.announced_bytes and _LINE_END in unparsed[size.end() :]
+        if not self.announced_bytes and _LINE_END in unparsed[size.end() :]:
+            self.expects_size_line = False  # it is the last chunk, and a trailer follows
 
     def content_received(self, size: int, is_chunk_end: bool) -> None:
         """Record content.
@@ -62,4 +59,4 @@
         """
         if self.framing is not Framing.CONNECTION:
             self.announced_bytes -= size
-        self._is_chunk_open = not is_chunk_end
+        self.expects_size_line = is_chunk_end
