Bytes that no event contains keep no stream open within an event

Seen: a stream stayed open up to 10 s after its last event while bytes came that are no UTF-8, or control characters, in a text of an event that never ended.

Cause: what has come of an event is checked after 2.5 s of silence, but the JSON decoder does not look into a string that has not ended.

Change: what has come of an event has to be UTF-8, the encoding of event streams, and its data has no control characters besides tabs and line ends. A character that is cut at the end may go on. Control characters in comments are allowed by the standard and count as before.

--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -116,8 +116,6 @@
         may_reject = self.exchange is None and not self.is_closing and not self.is_lost
         return self._reader.read_ahead_bytes if may_reject else 0
 
-    # -- reading ----------------------------------------------------------------------------------
-
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read requests one at a time, and buffer or discard the data after an open request."""
         if self.is_closing:
@@ -221,8 +219,6 @@
         if not self.is_lost and self.exchange is None:
             self.listener.parse_scheduler.data_received(self)
 
-    # -- writing ----------------------------------------------------------------------------------
-
     def _write_event(self, event: h11.Event) -> None:
         data = self.http.send(event)
         if data and not self.is_lost:
@@ -341,8 +337,6 @@
     def _on_stall_timeout(self) -> None:
         self._abort(CloseReason.WRITE_TIMEOUT)
 
-    # -- closing ----------------------------------------------------------------------------------
-
     def _abort(self, reason: CloseReason) -> None:
         # No open request is reported: the client has abandoned its response, if there is one.
         self.listener.connection_closing(reason, None)
--- a/myrtlehub/relay/engines/event_stream.py
+++ b/myrtlehub/relay/engines/event_stream.py
@@ -1,5 +1,6 @@
 """Parser for the server-sent events of an engine's response stream. It does no I/O."""
 
+import codecs
 import re
 
 import msgspec
@@ -23,6 +24,11 @@
 TRUNCATED_JSON = "Input data was truncated"  # the message of msgspec for a document that may go on
 
 
+# Characters that no JSON document contains; tabs and line ends may stand between its elements.
+CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f]")
+_utf_8_decoder = codecs.getincrementaldecoder("utf-8")
+
+
 class _PromptDetails(msgspec.Struct):
     cached_tokens: float = 0.0
 
@@ -143,6 +149,8 @@
     def may_go_on(self) -> bool:
         """Return whether the received part of an incomplete event can be the start of a valid one."""
         event = bytes(self._incomplete).lstrip(LINE_ENDS)
+        if not _may_become_utf_8(event):  # event streams have no other encoding
+            return False
         if not all(_is_event_start(line.rstrip(b"\r")) for line in event.split(b"\n")):
             return False
         data = _data_of(event)
@@ -205,7 +213,12 @@
 
 
 def _may_become_json(data: bytes) -> bool:
-    """Return whether the data is JSON, or can be the start of a JSON document."""
+    """Return whether the data is JSON, or can be the start of a JSON document.
+
+    The JSON decoder does not look into a string that has not ended.
+    """
+    if CONTROL_CHARACTERS.search(data):
+        return False
     try:
         msgspec.json.decode(data)
     except msgspec.DecodeError as error:
@@ -213,3 +226,12 @@
     except (ValueError, RecursionError):
         return False
     return True
+
+
+def _may_become_utf_8(data: bytes) -> bool:
+    """Return whether the data is UTF-8, except for a last character that may go on."""
+    try:
+        _utf_8_decoder().decode(data)
+    except UnicodeDecodeError:
+        return False
+    return True
--- a/tests/relay/test_relay_streams.py
+++ b/tests/relay/test_relay_streams.py
@@ -301,3 +301,33 @@
     rig.engines["w1"].connections[0].send(comment * 2)
     rig.run(0.02)
     assert client.lost
+
+
+# Guards against bytes that no event contains, which come within a text of an event that never ends.
+@pytest.mark.parametrize(
+    ("start", "junk"),
+    [(EVENT[:50], b"\xff"), (EVENT[:50], b"\x00"), (EVENT[:50], b"\xe2\x28"), (b": accep", b"\xff")],
+)
+def test_bytes_that_no_event_contains_keep_no_stream_open(start: bytes, junk: bytes) -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(
+        STREAM_HEAD + chunk(EVENT) + b"ffff\r\n" + start
+    )
+    client = rig.request("a1")
+    for _ in range(49):
+        rig.engines["w1"].connections[0].send(junk)
+        rig.run(0.1)
+    assert client.lost
+
+
+def test_a_text_that_comes_byte_by_byte_is_passed_on_whatever_its_characters() -> None:
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: connection.send(STREAM_HEAD + chunk(EVENT))
+    event = EVENT.replace(b"ab", "é€😀\\n\\u0000".encode())
+    client = rig.request("a1")
+    for position in range(len(event)):
+        rig.engines["w1"].connections[0].send(chunk(event[position : position + 1]))
+        rig.run(0.2)
+    rig.engines["w1"].connections[0].send(chunk(USAGE + DONE) + LAST_CHUNK)
+    rig.run(0.1)
+    assert stream_of(client.received) == EVENT + event + USAGE + DONE + b"<end>"
