Events of one endless response are written together, as its wait counts from them

The test counts a client's wait from the first event it receives, the bound (5 s) and the node count from the latest one. Four forms send further events in a second write, and an engine thread of the test may run late between the two. Beside 30 busy processes the two writes were up to 51 ms apart; clients then counted 4.94 s while the node had ended the stream 4.88 s after the latest event, as it should. With 0.15 s forced between the writes, six of the 162 cases fail in the same way (5.03 s), and the node's silence is 4.88 s.

Change: these four forms (half a line end after an event, three after the end mark) send their events in one write. The bound of 5.0 s, the 81 forms and their names are the same, so the test asks for as much as before: a stream kept 0.12 s longer than the node's limit fails.

Result: with the same 0.15 s forced between writes no case fails; beside 30 busy processes three runs and the test file pass, the longest wait is 4.897 s.

--- a/tests/relay/test_relay_endless_responses.py
+++ b/tests/relay/test_relay_endless_responses.py
@@ -82,7 +82,6 @@
     "an extension of the last chunk": [trickled(b"0;" + b"x" * ENDLESS)],
     "a trailer": [Writes(b"0\r\n"), trickled(b"Digest: " + b"x" * ENDLESS)],
     "fields of a trailer": [Writes(b"0\r\n"), repeated(b"Digest: x\r\n")],
-    "half the line end after a chunk": [Writes(b"%x\r\n%s\r" % (len(EVENT), EVENT))],
     "half the line end of a size": [trickled(b"4d\r")],
     "line ends in chunks": [repeated(chunk(b"\n"))],
     "line ends in one chunk": [Writes(b"fff\r\n"), trickled(b"\n" * ENDLESS)],
@@ -94,13 +93,21 @@
         trickled(b"%x;" % len(EVENT[30:]) + b"x" * ENDLESS),
     ],
 }
-AFTER_END: dict[str, Form] = {
-    "the zeros of a size after the end mark": [Writes(chunk(COMPLETE_CONTENT)), trickled(b"0" * ENDLESS)],
+# The wait is measured from a stream's first event, so its further events are in the same write.
+SEVERAL_EVENTS: dict[str, Form] = {
+    "half the line end after a chunk, after an event": [Writes(BEGIN.data + chunk(EVENT)[:-1])],
+    "the zeros of a size after the end mark": [
+        Writes(BEGIN.data + chunk(COMPLETE_CONTENT)),
+        trickled(b"0" * ENDLESS),
+    ],
     "a trailer after the end mark": [
-        Writes(chunk(COMPLETE_CONTENT) + b"0\r\n"),
+        Writes(BEGIN.data + chunk(COMPLETE_CONTENT) + b"0\r\n"),
         trickled(b"Digest: " + b"x" * ENDLESS),
     ],
-    "the rest of a chunk after the end mark": [Writes(b"ffff\r\n" + EVENT + COMPLETE_CONTENT), EVENTS],
+    "the rest of a chunk after the end mark": [
+        Writes(BEGIN.data + b"ffff\r\n" + EVENT + COMPLETE_CONTENT),
+        EVENTS,
+    ],
 }
 
 
@@ -114,7 +121,8 @@
 CASES = (
     {f"{name}, after an event": Case([BEGIN, *form], True) for name, form in (CLAIMS | FRAMING).items()}
     | {f"{name}, before any event": Case([HEAD, *form], False) for name, form in (CLAIMS | FRAMING).items()}
-    | {name: Case([BEGIN, *form], True) for name, form in AFTER_END.items()}
+    | {name: Case(form, True) for name, form in SEVERAL_EVENTS.items()}
+    | {"half the line end after a chunk, before any event": Case([HEAD, Writes(chunk(EVENT)[:-1])], False)}
     | {
         f"a length of {length}": Case([Writes(with_length(length) + EVENT, 0.0), EVENTS], False)
         for length in (10**9, 3 * 2**30, 2**63 - 1, 2**64)
