The content of a chunk is never read as the size of the next one

Cause: a parser consumes a complete size line as soon as it has it, also if no content has come yet. FramingProgress went on expecting a size line then, unless the size was 0, and read the start of the content as one. Content that begins with hexadecimal digits there (a chunk cut within a long number, say) claimed gigabytes: a sound stream was broken as oversized_response, a sound request got 413.

Change: once the end of a size line was received, the next data is content, or a trailer after the last one.

--- a/myrtlehub/http1/framing_progress.py
+++ b/myrtlehub/http1/framing_progress.py
@@ -47,8 +47,8 @@
         if size is None:
             return
         self.announced_bytes = int(size[1], _HEXADECIMAL)
-        if not self.announced_bytes and _LINE_END in unparsed[size.end() :]:
-            self.expects_size_line = False  # it is the last chunk, and a trailer follows
+        if _LINE_END in unparsed[size.end() :]:
+            self.expects_size_line = False  # the content of the chunk follows, or a trailer
 
     def content_received(self, size: int, is_chunk_end: bool) -> None:
         """Record content.
--- a/tests/http1/test_framing_progress.py
+++ b/tests/http1/test_framing_progress.py
@@ -40,6 +40,14 @@
     assert progress.expects_size_line and progress.announced_bytes == 0
 
 
+def test_the_content_that_comes_after_its_size_line_is_not_read_as_one() -> None:
+    progress = chunked()
+    progress.read_size_line(b"\r\na\r")
+    assert progress.expects_size_line
+    progress.read_size_line(b"\r\na\r\n")
+    assert not progress.expects_size_line and progress.announced_bytes == 10
+
+
 def test_a_trailer_is_not_read_as_a_size_line() -> None:
     progress = chunked()
     progress.read_size_line(b"0")
--- a/tests/http1/test_http1_client.py
+++ b/tests/http1/test_http1_client.py
@@ -3,7 +3,17 @@
 import socket
 
 import pytest
-from relaymessages import COMPLETE_STREAM, LAST_CHUNK, STREAM_HEAD, chat_request, chunk, stream_of
+from relaymessages import (
+    COMPLETE_STREAM,
+    DONE,
+    EVENT,
+    LAST_CHUNK,
+    STREAM_HEAD,
+    USAGE,
+    chat_request,
+    chunk,
+    stream_of,
+)
 from relayrig import RelayRig
 
 from myrtlehub.http1.tcp_transport import abortive_close
@@ -33,6 +43,21 @@
     assert client.statuses == [200] and len(rig.engines["w1"].connections) == 2
 
 
+@pytest.mark.parametrize("headers", [b"", b"X-A: y\r\n"], ids=["", "one more line"])
+@pytest.mark.parametrize("packet_bytes", [1, 3, 5, 15, 10_000])
+def test_content_of_hexadecimal_digits_is_not_read_as_the_size_of_a_chunk(
+    packet_bytes: int, headers: bytes
+) -> None:
+    content = EVENT.replace(b"ab", b"f" * 1000) + USAGE + DONE
+    chunks = [chunk(content[start : start + 10]) for start in range(0, len(content), 10)]
+    data = STREAM_HEAD[:-2] + headers + b"\r\n" + b"".join(chunks) + LAST_CHUNK
+    rig = RelayRig("w1")
+    rig.engines["w1"].script = lambda connection, head, body: [
+        connection.send(data[start : start + packet_bytes]) for start in range(0, len(data), packet_bytes)
+    ]
+    assert stream_of(rig.request("a1").received) == content + b"<end>"
+
+
 def test_late_surplus_data_closes_the_idle_connection() -> None:
     rig = RelayRig("w1")
     rig.request("a1")
--- a/tests/http1/test_http1_server.py
+++ b/tests/http1/test_http1_server.py
@@ -75,6 +75,25 @@
     assert client.statuses == [413] and client.lost
 
 
+@pytest.mark.parametrize("headers", [b"", b"X-A: y\r\n"], ids=["", "one more line"])
+@pytest.mark.parametrize("packet_bytes", [1, 3, 5, 15, 10_000])
+def test_content_of_hexadecimal_digits_is_not_read_as_the_size_of_a_chunk(
+    packet_bytes: int, headers: bytes
+) -> None:
+    rig = RelayRig("w1")
+    body = b'{"model":"chat","messages":[],"user":"%s"}' % (b"f" * 1000)
+    head = (
+        chat_request(headers=headers).partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    chunks = [chunk(body[start : start + 10]) for start in range(0, len(body), 10)]
+    data = head + b"".join(chunks) + b"0\r\n\r\n"
+    client = rig.client()
+    for start in range(0, len(data), packet_bytes):
+        client.send(data[start : start + packet_bytes])
+    rig.run(0.1)
+    assert client.statuses == [200] and rig.engines["w1"].requests[0].body == body
+
+
 @pytest.mark.parametrize("data", [b"", b"POST /v1/chat", chat_request()[:-5]])
 def test_silent_connections_and_incomplete_requests_are_closed_within_3_s(data: bytes) -> None:
     rig = RelayRig("w1")
--- a/tests/relay/test_relay_slow_engines.py
+++ b/tests/relay/test_relay_slow_engines.py
@@ -11,6 +11,7 @@
 ENGINES = 40  # so many that none is ejected for its failures
 REST = USAGE + DONE
 LONG_EVENT = EVENT.replace(b"ab", b"ab" * 100_000)
+DIGITS = b"f" * 40  # content that looks like the size of a chunk
 PING = b": ping\n\n"
 END = Writes(chunk(REST) + LAST_CHUNK)
 LENGTH_HEAD = STREAM_HEAD.replace(
@@ -42,6 +43,14 @@
         Writes(EVENT + b"\r\n"),
         END,
     ],
+    "hexadecimal digits some time after their size line": [
+        BEGIN,
+        Writes(chunk(EVENT[:-30])),
+        Writes(b"%x\r\n" % len(DIGITS)),
+        Writes(DIGITS + b"\r\n", 0.5),
+        Writes(chunk(EVENT[-30:])),
+        END,
+    ],
     "size lines in bytes, events in between": [
         BEGIN,
         *(Writes(SIZE_LINE, 0.15, 1), Writes(EVENT + b"\r\n")) * 3,
