--- a/myrtlehub/http1/partial_request.py
+++ b/myrtlehub/http1/partial_request.py
@@ -1,5 +1,6 @@
 """A request whose body is still being received, and the checks of its head and size."""
 
+import re
 from http import HTTPStatus
 
 import h11
@@ -11,6 +12,8 @@
 from myrtlehub.http1.server_request import ServerRequest
 
 MAX_LENGTH_DIGITS = 15  # of a Content-Length; a number with more digits exceeds MAX_BODY_BYTES
+# The line end of a chunk, and the size line of a next one below 64 KiB that is not the last.
+_SMALL_SIZE_LINE = re.compile(rb"\r\n[1-9A-Fa-f][0-9A-Fa-f]{0,3}\r\n")
 
 
 def head_error(head: h11.Request) -> HTTPStatus | None:
@@ -31,14 +34,19 @@
 
 
 class PartialRequest:
-    """The head of a request and the part of its body received so far."""
+    """The head of a request and the part of its body received so far.
 
-    __slots__ = ("_body", "_framing_progress", "_head")
+    Attributes:
+        expects_size_line: Whether the next data belongs to the size line of a chunk; see `read_size_line`.
+    """
+
+    __slots__ = ("_body", "_framing_progress", "_head", "expects_size_line")
 
     def __init__(self, head: h11.Request) -> None:
         self._head = head
         self._framing_progress = FramingProgress()
         self._framing_progress.begin(dict(head.headers))
+        self.expects_size_line = self._framing_progress.expects_size_line
         self._body = BodyBuffer(MAX_BODY_BYTES)
 
     @property
@@ -46,18 +54,19 @@
         """Number of bytes of the body received so far."""
         return len(self._body)
 
-    @property
-    def expects_size_line(self) -> bool:
-        """Whether the next data belongs to the size line of a chunk; see `read_size_line`."""
-        return self._framing_progress.expects_size_line
-
     def read_size_line(self, unparsed: bytes) -> HTTPStatus | None:
         """Read a size line, complete or not; return the status for rejecting what it announces, if any.
 
         Args:
             unparsed: The data that the parser has not consumed, which starts with the line.
         """
+        if _SMALL_SIZE_LINE.match(
+            unparsed
+        ):  # clients choose how many there are, so this case has to be cheap
+            self.expects_size_line = False
+            return None
         self._framing_progress.read_size_line(unparsed)
+        self.expects_size_line = self._framing_progress.expects_size_line
         is_too_large = self._framing_progress.announced_bytes > MAX_BODY_BYTES
         return HTTPStatus.REQUEST_ENTITY_TOO_LARGE if is_too_large else None
 
@@ -68,7 +77,7 @@
             data: The part.
             is_chunk_end: Whether a chunk ends with it.
         """
-        self._framing_progress.content_received(len(data), is_chunk_end)
+        self.expects_size_line = is_chunk_end
         self._body.append(data)
         return HTTPStatus.REQUEST_ENTITY_TOO_LARGE if self._body.is_too_large else None
 
--- a/myrtlehub/http1/request_reader.py
+++ b/myrtlehub/http1/request_reader.py
@@ -34,6 +34,7 @@
     """A part of a request was parsed, and there may be more."""
 
 
+PART_READ = PartRead()
 ReadEvent = ServerRequest | RequestRejection | ContinueExpected | PartRead
 
 
@@ -120,9 +121,16 @@
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             return RequestRejection(error.error_status_hint or HTTPStatus.BAD_REQUEST)
+        if type(event) is h11.Data and partial is not None:
+            status = partial.add(event.data, event.chunk_end)
+            return RequestRejection(status) if status else PART_READ
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return self._pass_next_piece()
-        return self._handle_event(event)
+        if type(event) is h11.Request:
+            return self._begin_request(event)
+        if type(event) is h11.EndOfMessage and partial is not None:
+            return self._complete_request(partial)
+        return PART_READ
 
     def _pass_next_piece(self) -> ReadEvent | None:
         """Pass more data to the parser, which has an incomplete element or none."""
@@ -132,28 +140,16 @@
             return RequestRejection(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         if self._input:
             self._http.receive_data(self._input.take_piece())
-            return PartRead()
+            return PART_READ
         # An incomplete request can't be completed any more once data was discarded.
         return RequestRejection(HTTPStatus.REQUEST_ENTITY_TOO_LARGE) if self.is_discarding else None
 
-    def _handle_event(self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]) -> ReadEvent:
-        if type(event) is h11.Request:
-            return self._begin_request(event)
-        if self._partial is None:
-            return PartRead()
-        if type(event) is h11.Data:
-            status = self._partial.add(event.data, event.chunk_end)
-            return RequestRejection(status) if status else PartRead()
-        if type(event) is h11.EndOfMessage:
-            return self._complete_request(self._partial)
-        return PartRead()
-
     def _begin_request(self, head: h11.Request) -> ReadEvent:
         self._partial = PartialRequest(head)
         status = head_error(head)
         if status:
             return RequestRejection(status)
-        return ContinueExpected() if self._http.they_are_waiting_for_100_continue else PartRead()
+        return ContinueExpected() if self._http.they_are_waiting_for_100_continue else PART_READ
 
     def _complete_request(self, partial: PartialRequest) -> ServerRequest:
         self._partial = None
--- a/myrtlehub/http1/server_connection.py
+++ b/myrtlehub/http1/server_connection.py
@@ -17,7 +17,7 @@
 from myrtlehub.http1.client_presence import ClientPresence
 from myrtlehub.http1.close_reason import CloseReason
 from myrtlehub.http1.headers import Header, Headers
-from myrtlehub.http1.request_reader import ContinueExpected, PartRead, RequestReader, RequestRejection
+from myrtlehub.http1.request_reader import PART_READ, ContinueExpected, RequestReader, RequestRejection
 from myrtlehub.http1.response_head import response_head
 from myrtlehub.http1.server_exchange import ServerExchange
 from myrtlehub.http1.server_interfaces import ConnectionRegistry
@@ -156,13 +156,15 @@
         if self.exchange is not None or self.is_closing or self.is_lost or self._is_output_full:
             return False
         event = self._reader.next_event()
+        if event is PART_READ:
+            return True
         if event is None:
             return False
         if isinstance(event, RequestRejection):
             self.reject(event.status)
         elif isinstance(event, ContinueExpected):
             self._write_event(h11.InformationalResponse(status_code=HTTPStatus.CONTINUE, headers=[]))
-        elif not isinstance(event, PartRead):
+        elif isinstance(event, ServerRequest):
             self._open_exchange(event)
         return self.exchange is None and not self.is_closing
 
