--- a/tests/relay/test_relay_incomplete_streams.py
+++ b/tests/relay/test_relay_incomplete_streams.py
@@ -8,9 +8,10 @@
 from typing import NamedTuple
 
 import pytest
-from relaymessages import DONE, EVENT, LAST_CHUNK, USAGE, chat_request, chunk
+from relaymessages import DONE, EVENT, LAST_CHUNK, USAGE, chunk
+from response_forms import Stream, receive
 from socketpeers import TIMEOUT_S, PeerConnection, ReceivedRequest
-from socketrig import Client, RelayProcess, SocketRig, in_parallel
+from socketrig import RelayProcess, SocketRig, in_parallel
 
 FINISH = b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n'
 ANSWER = EVENT + EVENT + FINISH + USAGE + DONE
@@ -121,29 +122,9 @@
         connection.close()
 
 
-class Stream(NamedTuple):
-    """A response as its client received it, and whether the client took it for complete."""
-
-    data: bytes
-    is_complete: bool
-
-
-def receive(node: RelayProcess, request_id: str) -> Stream:
-    """Send a request by the version of HTTP that its id states, and receive its response."""
-    client = Client(node.address)
-    is_http_1_0 = request_id.endswith("http10")
-    request = chat_request(request_id, traffic="post", session=request_id)
-    client.send(request.replace(b"HTTP/1.1", b"HTTP/1.0", 1) if is_http_1_0 else request)
-    data, was_reset = b"", False
-    try:
-        while b"\r\n0\r\n\r\n" not in data and (part := client.sock.recv(65536)):
-            data += part
-            if EVENT in data:
-                has_begun[request_id].set()
-    except ConnectionResetError:
-        was_reset = True
-    is_complete = not was_reset if is_http_1_0 else b"\r\n0\r\n\r\n" in data
-    return Stream(data, is_complete and b" 200 OK\r\n" in data)
+def play(node: RelayProcess, request_id: str) -> Stream:
+    """Receive the response to a request, by the version of HTTP that its id states."""
+    return receive(node, request_id, remaining_ms=4000, on_event=has_begun[request_id].set)
 
 
 @pytest.fixture(name="streams", scope="module")
@@ -152,7 +133,7 @@
     rig = SocketRig(tmp_path_factory.mktemp("streams"))
     node = rig.start_writers(ENGINES, respond)
     request_ids = [f"f{n}-{v}" for n in range(len(ENDINGS) + len(COMPLETE)) for v in ("http11", "http10")]
-    streams = in_parallel(lambda request_id: receive(node, request_id), request_ids, at_most=20)
+    streams = in_parallel(lambda request_id: play(node, request_id), request_ids, at_most=20)
     yield streams
     rig.close()
 
--- a/tests/support/response_forms.py
+++ b/tests/support/response_forms.py
@@ -1,6 +1,7 @@
 """Responses that an engine writes in pieces with pauses, and their receipt by clients on real sockets."""
 
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from relaymessages import EVENT, STREAM_HEAD, chat_request, chunk
@@ -60,8 +61,22 @@
     is_complete: bool
 
 
-def receive(node: RelayProcess, request_id: str, traffic: str = "post", remaining_ms: int = 4900) -> Stream:
-    """Send a request, by HTTP/1.0 if its id ends so, and receive its response."""
+def receive(
+    node: RelayProcess,
+    request_id: str,
+    traffic: str = "post",
+    remaining_ms: int = 4900,
+    on_event: Callable[[], None] | None = None,
+) -> Stream:
+    """Send a request, by HTTP/1.0 if its id ends so, and receive its response.
+
+    Args:
+        node: The node.
+        request_id: The id of the request.
+        traffic: Its traffic type.
+        remaining_ms: The time in ms after which the client gives up.
+        on_event: Called for the first whole event, and for each part received after it.
+    """
     client = Client(node.address)
     client.sock.settimeout(CLIENT_TIMEOUT_S)
     is_http_1_0 = request_id.endswith(HTTP_1_0)
@@ -76,6 +91,8 @@
             if EVENT[:6] not in data[:4096]:
                 began_at = time.monotonic()
             data += part
+            if on_event is not None and EVENT in data:
+                on_event()
             if b"\r\n\r\n" in data and b" 200 OK\r\n" not in data[:20]:
                 break  # an error, after which the connection may stay open
     except ConnectionResetError:
