--- a/myrtlehub/http1/partial_request.py
+++ b/myrtlehub/http1/partial_request.py
@@ -37,16 +37,15 @@
     """The head of a request and the part of its body received so far.
 
     Attributes:
-        expects_size_line: Whether the next data belongs to the size line of a chunk; see `read_size_line`.
+        framing_progress: What the framing has announced; while it expects a size line, see `read_size_line`.
     """
 
-    __slots__ = ("_body", "_framing_progress", "_head", "expects_size_line")
+    __slots__ = ("_body", "_head", "framing_progress")
 
     def __init__(self, head: h11.Request) -> None:
         self._head = head
-        self._framing_progress = FramingProgress()
-        self._framing_progress.begin(dict(head.headers))
-        self.expects_size_line = self._framing_progress.expects_size_line
+        self.framing_progress = FramingProgress()
+        self.framing_progress.begin(dict(head.headers))
         self._body = BodyBuffer(MAX_BODY_BYTES)
 
     @property
@@ -60,14 +59,12 @@
         Args:
             unparsed: The data that the parser has not consumed, which starts with the line.
         """
-        if _SMALL_SIZE_LINE.match(
-            unparsed
-        ):  # clients choose how many there are, so this case has to be cheap
-            self.expects_size_line = False
+        # Clients choose how many small chunks they send, so their size lines have to cost little.
+        if _SMALL_SIZE_LINE.match(unparsed):
+            self.framing_progress.expects_size_line = False
             return None
-        self._framing_progress.read_size_line(unparsed)
-        self.expects_size_line = self._framing_progress.expects_size_line
-        is_too_large = self._framing_progress.announced_bytes > MAX_BODY_BYTES
+        self.framing_progress.read_size_line(unparsed)
+        is_too_large = self.framing_progress.announced_bytes > MAX_BODY_BYTES
         return HTTPStatus.REQUEST_ENTITY_TOO_LARGE if is_too_large else None
 
     def add(self, data: bytes, is_chunk_end: bool) -> HTTPStatus | None:
@@ -77,7 +74,7 @@
             data: The part.
             is_chunk_end: Whether a chunk ends with it.
         """
-        self.expects_size_line = is_chunk_end
+        self.framing_progress.expects_size_line = is_chunk_end
         self._body.append(data)
         return HTTPStatus.REQUEST_ENTITY_TOO_LARGE if self._body.is_too_large else None
 
--- a/myrtlehub/http1/request_reader.py
+++ b/myrtlehub/http1/request_reader.py
@@ -113,7 +113,7 @@
     def next_event(self) -> ReadEvent | None:
         """Parse the next element of the received data; return None if more data is needed."""
         partial = self._partial
-        if partial is not None and partial.expects_size_line:
+        if partial is not None and partial.framing_progress.expects_size_line:
             status = partial.read_size_line(self._http.trailing_data[0])
             if status is not None:
                 return RequestRejection(status)
